--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Commands of the project. `make demo` runs the main job, `make test` passes the tests.
+BINARIES := hq-entry hq-dispatch hq-agent hqctl hq-standin hq-load
+# Test names that KNOWN-RED.txt lists, joined for `go test -skip`.
+RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt | paste -sd'|' -)
+
+.PHONY: build demo test bench format clean
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bash scripts/demo.sh
+
+format:
+	gofmt -l -w cmd internal charts
+
+test:
+	@test -z "$$(gofmt -l cmd internal charts)" || { echo "not formatted:"; gofmt -l cmd internal charts; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+	go build ./...
+	@if [ -n "$(RED)" ]; then echo "skipped, listed in KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
+	go test -race -timeout 15m $(if $(RED),-skip '$(RED)') ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/platform/objectapi"
+	"hemlockquay/internal/target"
+	"hemlockquay/internal/wire"
+)
+
+// Module wires the agent.
+var Module = fx.Options(fx.Invoke(start))
+
+type params struct {
+	fx.In
+
+	LC       fx.Lifecycle
+	Settings *Settings
+	Life     *daemon.Life
+	Log      *log.Logger
+	Registry metrics.Registry
+	Journal  *journal.Journal
+}
+
+// agent is the process: its state and its duties.
+type agent struct {
+	params
+	incarnation string
+	started     int64
+	writes      atomic.Uint64
+	store       platform.Store
+	config      *configuration
+	members     *members
+	grants      *grantTable
+	relay       *relay
+	server      *peer.Server
+	peers       *peer.Pool
+	commander   *target.Commander
+	cancel      context.CancelFunc
+	duties      sync.WaitGroup
+}
+
+func start(p params) error {
+	a, err := newAgent(p, objectapi.New(p.Settings.Store))
+	if err != nil {
+		return err
+	}
+	p.LC.Append(fx.Hook{OnStart: a.start, OnStop: a.stop})
+	return nil
+}
+
+func newAgent(p params, store platform.Store) (*agent, error) {
+	server, err := peer.Listen(p.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now().UnixNano()
+	a := &agent{
+		params:      p,
+		incarnation: fmt.Sprintf("%s-%d", p.Settings.VM, started),
+		started:     started,
+		store:       store,
+		server:      server,
+		peers:       peer.NewPool(1),
+		commander:   target.NewCommander(),
+	}
+	a.build()
+	if err := server.Register("Agent", a.relay); err != nil {
+		return nil, err
+	}
+	p.Life.Section("agent", a.dump)
+	return a, nil
+}
+
+// build creates the parts, which tell the relay of their changes.
+func (a *agent) build() {
+	s := a.Settings
+	a.relay = newRelay(a.incarnation)
+	self := wire.Member{VM: s.VM, DataCentre: s.DataCentre, Incarnation: a.incarnation, AgentAddr: a.server.Addr()}
+	a.members = newMembers(self, boottime.System{}, s.Silence.D(), a.relay.refresh)
+	a.grants = newGrantTable(a.relay.refresh)
+	a.config = newConfiguration(a.relay.broadcast)
+	a.relay.config, a.relay.members, a.relay.grants = a.config, a.members, a.grants
+}
+
+// tag names one write, so that a lost answer can be settled.
+func (a *agent) tag() string { return fmt.Sprintf("%s/%d", a.incarnation, a.writes.Add(1)) }
+
+func (a *agent) counted(c platform.Cause) platform.Store {
+	return platform.Count(a.store, c, a.Registry)
+}
+
+func (a *agent) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	s := a.Settings
+	timeout := s.StoreTimeout.D()
+	duties := []func(context.Context){
+		(&watcher{a.counted(platform.CauseConfig), a.config, timeout, a.Log}).run,
+		(&lister{a.counted(platform.CauseMembership), a.members, timeout, a.Log}).run,
+		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), log: a.Log, busy: make(map[string]bool)}).run,
+		(&planner{a.counted(platform.CauseAssignment), a.config, a.members, a.tag, timeout, a.Log}).run,
+		(&grantor{config: a.config, members: a.members, table: a.grants, commander: a.commander, started: a.started,
+			every: s.GrantEvery.D(), life: s.GrantLife.D(), log: a.Log, known: make(map[string]targetClock)}).run,
+		a.becomeReady,
+	}
+	for _, duty := range duties {
+		a.duties.Go(func() { duty(ctx) })
+	}
+	go func() {
+		if err := a.server.Serve(); err != nil {
+			a.Log.Error().Err(err).Str("step", "serve").Msg("peer server ended")
+		}
+	}()
+	return nil
+}
+
+// becomeReady waits for the first configuration.
+func (a *agent) becomeReady(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, ready := a.config.state(); ready {
+			a.Life.Ready()
+			return
+		}
+		a.Life.NotReadyBecause("no configuration from store " + a.Settings.Store + " or a peer")
+		pause(ctx, a.Settings.Heartbeat.D())
+	}
+}
+
+func (a *agent) stop(context.Context) error {
+	a.Life.BeginDrain()
+	a.members.updateSelf(func(m *wire.Member) { m.Leaving = true })
+	a.cancel()
+	a.duties.Wait()
+	a.server.Close()
+	a.peers.Close()
+	a.commander.Close()
+	a.Life.Drained()
+	return nil
+}
+
+// dump is the agent's state for /dump.
+type dump struct {
+	Incarnation string            `json:"incarnation"`
+	Revision    uint64            `json:"revision"`
+	Objects     []platform.Object `json:"objects"`
+	Members     []wire.Member     `json:"members"`
+	Granted     []wire.Grant      `json:"granted"`
+	Daemons     []wire.ReportArgs `json:"daemons"`
+}
+
+func (a *agent) dump() any {
+	revision, _ := a.config.state()
+	return dump{a.incarnation, revision, a.config.list(), a.members.live(), a.grants.list(), a.relay.liveDaemons()}
+}
--- /dev/null
+++ b/internal/agent/grants.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"hemlockquay/internal/wire"
+)
+
+// grantTable is the grants that this agent has in force as a grantor. It is
+// safe for concurrent use.
+type grantTable struct {
+	changed func()
+
+	mu     sync.Mutex
+	grants map[groupID]wire.Grant
+	state  uint64
+}
+
+// groupID names a group over all services.
+type groupID struct {
+	service string
+	group   uint64
+}
+
+func newGrantTable(changed func()) *grantTable {
+	return &grantTable{changed: changed, grants: make(map[groupID]wire.Grant)}
+}
+
+// set records that a target confirmed a grant.
+func (t *grantTable) set(g wire.Grant) {
+	t.mu.Lock()
+	old, held := t.grants[groupID{g.Service, g.Group}]
+	same := held && old.Rank == g.Rank && old.Target == g.Target && slices.Equal(old.Slices, g.Slices)
+	if !same {
+		t.grants[groupID{g.Service, g.Group}] = g
+		t.state++
+	}
+	t.mu.Unlock()
+	if !same {
+		t.changed()
+	}
+}
+
+func (t *grantTable) snapshot() ([]wire.Grant, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]wire.Grant, 0, len(t.grants))
+	for _, g := range t.grants {
+		out = append(out, g)
+	}
+	return out, t.state
+}
+
+func (t *grantTable) list() []wire.Grant {
+	grants, _ := t.snapshot()
+	return grants
+}
+
+// highestRanks keeps the grant of the highest rank for each group, sorted. A
+// grantor that was replaced and does not know it yet still tells its old grant;
+// the rank shows which is newer.
+func highestRanks(grants []wire.Grant) []wire.Grant {
+	best := make(map[groupID]wire.Grant, len(grants))
+	for _, g := range grants {
+		id := groupID{g.Service, g.Group}
+		if held, ok := best[id]; !ok || g.Rank.Compare(held.Rank) > 0 {
+			best[id] = g
+		}
+	}
+	out := make([]wire.Grant, 0, len(best))
+	for _, g := range best {
+		out = append(out, g)
+	}
+	slices.SortFunc(out, func(a, b wire.Grant) int {
+		if c := cmp.Compare(a.Service, b.Service); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Group, b.Group)
+	})
+	return out
+}
--- /dev/null
+++ b/internal/agent/members.go
@@ -0,0 +1,254 @@
+package agent
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+// listEvery is how often the platform's list of VMs is read; it lags anyway.
+const listEvery = time.Second
+
+// members knows the VMs of the system. It is safe for concurrent use.
+type members struct {
+	clock   boottime.Clock
+	silence time.Duration
+	changed func()
+
+	mu    sync.Mutex
+	self  wire.Member
+	peers map[string]*peerState
+}
+
+// peerState is what heartbeats told about one VM.
+type peerState struct {
+	listed platform.VM
+	member wire.Member
+	heard  time.Duration
+	known  bool
+	// source and state name the grants received from the peer.
+	source string
+	state  uint64
+	grants []wire.Grant
+}
+
+func newMembers(self wire.Member, clock boottime.Clock, silence time.Duration, changed func()) *members {
+	return &members{self: self, clock: clock, silence: silence, changed: changed, peers: make(map[string]*peerState)}
+}
+
+// setList takes the platform's list. VMs that left the list are forgotten.
+func (m *members) setList(vms []platform.VM) {
+	m.mu.Lock()
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.Name] = true
+		if vm.Name == m.self.VM {
+			continue
+		}
+		p := m.peers[vm.Name]
+		if p == nil {
+			p = &peerState{}
+			m.peers[vm.Name] = p
+		}
+		p.listed = vm
+	}
+	for name := range m.peers {
+		if !listed[name] {
+			delete(m.peers, name)
+		}
+	}
+	m.mu.Unlock()
+	m.changed()
+}
+
+// updateSelf changes what heartbeats tell of this VM.
+func (m *members) updateSelf(change func(*wire.Member)) {
+	m.mu.Lock()
+	before := m.self
+	change(&m.self)
+	same := before == m.self
+	m.mu.Unlock()
+	if !same {
+		m.changed()
+	}
+}
+
+func (m *members) me() wire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// heard notes a sign of life of a peer.
+func (m *members) heard(told wire.Member) {
+	m.mu.Lock()
+	p := m.peers[told.VM]
+	if p == nil {
+		m.mu.Unlock()
+		return
+	}
+	same := p.known && p.member == told && m.alive(p)
+	p.member, p.known, p.heard = told, true, m.clock.Now()
+	m.mu.Unlock()
+	if !same {
+		m.changed()
+	}
+}
+
+// alive needs m.mu.
+func (m *members) alive(p *peerState) bool { return p.known && m.clock.Now()-p.heard < m.silence }
+
+// live returns this VM and the peers that are alive, sorted by name.
+func (m *members) live() []wire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []wire.Member{m.self}
+	for _, p := range m.peers {
+		if !m.alive(p) {
+			continue
+		}
+		member := p.member
+		member.Leaving = member.Leaving || p.listed.State == platform.VMLeaving
+		out = append(out, member)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+// addrs returns the agents of all listed peers.
+func (m *members) addrs() map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]string, len(m.peers))
+	for name, p := range m.peers {
+		out[name] = p.listed.AgentAddr
+	}
+	return out
+}
+
+// grantsHeld returns which grants of a peer are held.
+func (m *members) grantsHeld(vm string) (source string, state uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[vm]; p != nil {
+		return p.source, p.state
+	}
+	return "", 0
+}
+
+// takeGrants keeps a peer's grants.
+func (m *members) takeGrants(vm string, reply *wire.BeatReply) {
+	m.mu.Lock()
+	if p := m.peers[vm]; p != nil {
+		p.source, p.state, p.grants = reply.Member.Incarnation, reply.State, reply.Grants
+	}
+	m.mu.Unlock()
+	m.changed()
+}
+
+// peerGrants returns the grants of all peers.
+func (m *members) peerGrants() []wire.Grant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []wire.Grant
+	for _, p := range m.peers {
+		out = append(out, p.grants...)
+	}
+	return out
+}
+
+// lister reads the platform's list. It is one goroutine.
+type lister struct {
+	store   platform.Store
+	members *members
+	timeout time.Duration
+	log     *log.Logger
+}
+
+func (l *lister) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.once(ctx)
+		pause(ctx, listEvery)
+	}
+}
+
+func (l *lister) once(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	vms, err := l.store.VMs(ctx)
+	if err != nil {
+		// The list in force stays: an outage of the platform ends no VM.
+		l.log.Debug().Err(err).Str("step", "list-vms").Str("peer", "platform").Msg("list not read")
+		return
+	}
+	l.members.setList(vms)
+}
+
+// heart sends heartbeats to all listed peers. It is one goroutine and one for
+// each heartbeat on its way.
+type heart struct {
+	members *members
+	peers   *peer.Pool
+	every   time.Duration
+	log     *log.Logger
+
+	mu   sync.Mutex
+	busy map[string]bool
+}
+
+func (h *heart) run(ctx context.Context) {
+	tick := time.NewTicker(h.every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			for vm, addr := range h.members.addrs() {
+				h.beat(ctx, vm, addr)
+			}
+			// A peer that fell silent leaves the list without any event.
+			h.members.changed()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// beat sends one heartbeat unless the last is still on its way.
+func (h *heart) beat(ctx context.Context, vm, addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.busy[vm] {
+		return
+	}
+	h.busy[vm] = true
+	go func() {
+		h.send(ctx, vm, addr)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.busy, vm)
+	}()
+}
+
+func (h *heart) send(ctx context.Context, vm, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, 2*h.every)
+	defer cancel()
+	source, state := h.members.grantsHeld(vm)
+	args := wire.BeatArgs{Member: h.members.me(), Source: source, State: state}
+	var reply wire.BeatReply
+	if err := h.peers.Get(addr).Call(ctx, wire.MethodBeat, &args, &reply); err != nil {
+		h.log.Debug().Err(err).Str("step", "heartbeat").Str("peer", vm).Msg("no answer")
+		return
+	}
+	h.members.heard(reply.Member)
+	if reply.Changed {
+		h.members.takeGrants(vm, &reply)
+	}
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/settings"
+)
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+// CheckAddr reports an address that is not IP:PORT.
+func CheckAddr(pointer, addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil {
+		return settings.Impossible(pointer, "%q is not IP:PORT", addr)
+	}
+	return nil
+}
+
+type adminParams struct {
+	fx.In
+
+	LC       fx.Lifecycle
+	Base     *Base
+	Life     *Life
+	Log      *log.Logger
+	Registry metrics.Registry
+	Journal  *journal.Journal
+}
+
+// startAdmin serves /healthz, /readyz, /metrics, /dump, /journal and /drain.
+func startAdmin(p adminParams) error {
+	listener, err := net.Listen("tcp", p.Base.Admin)
+	if err != nil {
+		return fmt.Errorf("listen for admin: %w", err)
+	}
+	p.Life.admin = listener.Addr().String()
+	server := &http.Server{Handler: adminHandler(p), ReadHeaderTimeout: headerTimeout}
+	p.LC.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { _ = server.Serve(listener) }()
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+	return nil
+}
+
+func adminHandler(p adminParams) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "alive\n") })
+	e.GET("/readyz", func(c *gin.Context) {
+		if ready, why := p.Life.IsReady(); !ready {
+			c.String(http.StatusServiceUnavailable, "not ready: %s\n", why)
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", func(c *gin.Context) { c.JSON(http.StatusOK, p.Registry.GetAll()) })
+	e.GET("/dump", func(c *gin.Context) { c.JSON(http.StatusOK, p.Life.Dump()) })
+	e.GET("/journal", func(c *gin.Context) { c.JSON(http.StatusOK, p.Journal.Entries()) })
+	e.POST("/drain", func(c *gin.Context) {
+		c.String(http.StatusAccepted, "draining\n")
+		p.Life.Drain()
+	})
+	return e
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,197 @@
+// Package daemon is the frame that every program of a VM stands in: flags,
+// checked settings, logs, metrics, the admin HTTP server, and the life from
+// start to graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/settings"
+)
+
+// Version is the release that --version prints.
+var Version = "0.1.0"
+
+// Exit codes of the daemons.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Base is the part of the settings that all daemons share.
+type Base struct {
+	// VM is the name of this VM in the platform's list.
+	VM string `json:"vm"`
+	// DataCentre is where the VM stands.
+	DataCentre string `json:"dataCentre"`
+	// Admin is the IP:PORT of the admin HTTP server.
+	Admin string `json:"admin"`
+	// Log is the lowest level that is logged: debug, info, warn or error.
+	// Default info.
+	Log string `json:"log,omitempty"`
+	// JournalLength is how many decisions the journal keeps. Default 4096.
+	JournalLength int `json:"journalLength,omitempty"`
+}
+
+const (
+	defaultJournalLength = 4096
+	maxJournalLength     = 1 << 20
+)
+
+// Common returns the shared part; it lets Main read any daemon's settings.
+func (b *Base) Common() *Base { return b }
+
+// CheckBase reports the first impossible value and fills in defaults.
+func (b *Base) CheckBase() error {
+	if b.Log == "" {
+		b.Log = "info"
+	}
+	if b.JournalLength == 0 {
+		b.JournalLength = defaultJournalLength
+	}
+	switch {
+	case b.VM == "":
+		return settings.Impossible("/vm", "empty")
+	case b.DataCentre == "":
+		return settings.Impossible("/dataCentre", "empty")
+	case b.JournalLength < 1 || b.JournalLength > maxJournalLength:
+		return settings.Impossible("/journalLength", "%d is not between 1 and %d", b.JournalLength, maxJournalLength)
+	case log.ParseLevel(b.Log) > log.FatalLevel:
+		return settings.Impossible("/log", "%q is not a level", b.Log)
+	}
+	return CheckAddr("/admin", b.Admin)
+}
+
+// Settings is the settings type of a daemon.
+type Settings interface {
+	settings.Checker
+	Common() *Base
+}
+
+type options struct {
+	Config  string `long:"config" value-name:"FILE" description:"settings, JSON with comments" required:"true"`
+	Check   bool   `long:"check" description:"check the settings and exit"`
+	Version func() `long:"version" description:"print the version and exit"`
+}
+
+// Main runs a daemon: it reads the settings into s, builds the fx application of
+// module and runs it until SIGTERM, SIGINT or /drain. It does not return.
+func Main(name string, s Settings, module fx.Option) {
+	os.Exit(run(name, s, module))
+}
+
+func run(name string, s Settings, module fx.Option) int {
+	var opts options
+	opts.Version = func() {
+		fmt.Println(name, Version)
+		os.Exit(exitOK)
+	}
+	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if err := settings.Load(opts.Config, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if opts.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	return serve(name, s, module)
+}
+
+func serve(name string, s Settings, module fx.Option) int {
+	base := s.Common()
+	logger := NewLogger(name, base.VM, base.Log)
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(base, logger),
+		provideAs(s),
+		fx.Provide(
+			metrics.NewRegistry,
+			func() *journal.Journal { return journal.New(base.VM, name, base.JournalLength) },
+			func(sh fx.Shutdowner) *Life { return newLife(name, base.VM, logger, sh) },
+		),
+		fx.Invoke(startAdmin),
+		module,
+	)
+	return drive(app, logger)
+}
+
+// provideAs supplies the settings under their own pointer type.
+func provideAs(s Settings) fx.Option {
+	ctor := reflect.MakeFunc(
+		reflect.FuncOf(nil, []reflect.Type{reflect.TypeOf(s)}, false),
+		func([]reflect.Value) []reflect.Value { return []reflect.Value{reflect.ValueOf(s)} },
+	)
+	return fx.Provide(ctor.Interface())
+}
+
+// startTimeout bounds the start: listening and dialling take milliseconds.
+const startTimeout = 15 * time.Second
+
+// stopTimeout bounds a graceful shutdown. It is above the longest deadline that
+// the default service settings allow, so that a drain cuts off no request.
+const stopTimeout = 90 * time.Second
+
+func drive(app *fx.App, logger *log.Logger) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		logger.Error().Err(rootCause(err)).Str("step", "start").Msg("cannot start")
+		return exitFailure
+	}
+	select {
+	case <-signals:
+	case <-app.Done():
+	}
+	logger.Info().Str("step", "stop").Msg("graceful shutdown begins")
+	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		logger.Error().Err(err).Str("step", "stop").Msg("shutdown was not graceful")
+		return exitFailure
+	}
+	logger.Info().Str("step", "stop").Msg("stopped")
+	return exitOK
+}
+
+func rootCause(err error) error {
+	for {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err
+		}
+		err = inner
+	}
+}
+
+// NewLogger returns a logger of JSON lines on standard error.
+func NewLogger(process, vm, level string) *log.Logger {
+	return &log.Logger{
+		Level:   log.ParseLevel(level),
+		Context: log.NewContext(nil).Str("process", process).Str("vm", vm).Value(),
+		Writer:  &log.IOWriter{Writer: os.Stderr},
+	}
+}
--- /dev/null
+++ b/internal/daemon/life.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"sync"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"hemlockquay/charts"
+	"hemlockquay/internal/statechart"
+)
+
+// Events and states of charts/daemon.jsonc.
+const (
+	eventConfigured statechart.Event = "configured"
+	eventDrain      statechart.Event = "drain"
+	eventDrained    statechart.Event = "drained"
+
+	stateReady statechart.State = "ready"
+)
+
+// Life is the daemon's state, its reasons for not being ready and the sections
+// of its dump. It is safe for concurrent use.
+type Life struct {
+	name, vm string
+	log      *log.Logger
+	shutdown fx.Shutdowner
+
+	mu       sync.Mutex
+	machine  *statechart.Machine
+	waiting  string
+	draining chan struct{}
+	sections []section
+	admin    string
+}
+
+type section struct {
+	name string
+	dump func() any
+}
+
+func newLife(name, vm string, logger *log.Logger, sh fx.Shutdowner) *Life {
+	return &Life{
+		name:     name,
+		vm:       vm,
+		log:      logger,
+		shutdown: sh,
+		machine:  charts.MustLoad("daemon").Start(),
+		waiting:  "no configuration yet",
+		draining: make(chan struct{}),
+	}
+}
+
+// Ready says that the daemon has a configuration in force.
+func (l *Life) Ready() { l.fire(eventConfigured) }
+
+// NotReadyBecause notes why the daemon waits; /readyz shows it.
+func (l *Life) NotReadyBecause(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = reason
+}
+
+// Drain begins the graceful shutdown. It returns at once.
+func (l *Life) Drain() {
+	l.BeginDrain()
+	if l.shutdown != nil {
+		_ = l.shutdown.Shutdown()
+	}
+}
+
+// BeginDrain marks the daemon as draining, once.
+func (l *Life) BeginDrain() {
+	if l.fire(eventDrain) {
+		close(l.draining)
+	}
+}
+
+// Draining is closed when the graceful shutdown begins.
+func (l *Life) Draining() <-chan struct{} { return l.draining }
+
+// Drained says that no request is left.
+func (l *Life) Drained() { l.fire(eventDrained) }
+
+func (l *Life) fire(e statechart.Event) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.machine.Fire(e); err != nil {
+		return false
+	}
+	l.log.Info().Str("step", "life").Str("state", string(l.machine.State())).Msg("state changed")
+	return true
+}
+
+// IsReady tells whether the daemon takes work, and why not.
+func (l *Life) IsReady() (bool, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state := l.machine.State(); state {
+	case stateReady:
+		return true, ""
+	case l.machine.Chart().Initial:
+		return false, l.waiting
+	default:
+		return false, string(state)
+	}
+}
+
+// AdminAddr returns the address on which the admin server listens.
+func (l *Life) AdminAddr() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admin
+}
+
+// Section adds a part to the dump. dump must be safe for concurrent use and
+// return what encoding/json can render.
+func (l *Life) Section(name string, dump func() any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sections = append(l.sections, section{name, dump})
+}
+
+// Dump is a daemon's whole state.
+type Dump struct {
+	Process  string      `json:"process"`
+	VM       string      `json:"vm"`
+	Version  string      `json:"version"`
+	State    string      `json:"state"`
+	Waiting  string      `json:"waiting,omitempty"`
+	Sections []DumpEntry `json:"sections"`
+}
+
+// DumpEntry is the state of one part.
+type DumpEntry struct {
+	Name  string `json:"name"`
+	Value any    `json:"value"`
+}
+
+// Dump returns the state of all parts.
+func (l *Life) Dump() Dump {
+	ready, why := l.IsReady()
+	l.mu.Lock()
+	d := Dump{Process: l.name, VM: l.vm, Version: Version, State: string(l.machine.State())}
+	sections := l.sections
+	l.mu.Unlock()
+	if !ready {
+		d.Waiting = why
+	}
+	for _, s := range sections {
+		d.Sections = append(d.Sections, DumpEntry{Name: s.name, Value: s.dump()})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/feed"
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/target"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// processName is the daemon's name in reports and logs.
+const processName = "hq-dispatch"
+
+// Module wires the dispatcher.
+var Module = fx.Options(fx.Invoke(start))
+
+type params struct {
+	fx.In
+
+	LC       fx.Lifecycle
+	Settings *Settings
+	Life     *daemon.Life
+	Log      *log.Logger
+	Registry metrics.Registry
+}
+
+// dispatcher owns the queues and answers the entries' calls.
+type dispatcher struct {
+	params
+	server *peer.Server
+	feed   *feed.Feed
+	sender *target.Sender
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	queues   map[queueID]*queue
+	owners   map[string]*queue
+	draining bool
+	calls    sync.WaitGroup
+	duties   sync.WaitGroup
+}
+
+func start(p params) error {
+	server, err := peer.Listen(p.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr()}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &dispatcher{
+		params: p,
+		server: server,
+		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
+		sender: target.NewSender(p.Settings.TargetConnections),
+		ctx:    ctx,
+		cancel: cancel,
+		queues: make(map[queueID]*queue),
+		owners: make(map[string]*queue),
+	}
+	if err := server.Register("Dispatch", &rpcReceiver{d}); err != nil {
+		return err
+	}
+	p.Life.Section("dispatch", d.dump)
+	p.LC.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
+	return nil
+}
+
+func (d *dispatcher) start(context.Context) error {
+	go func() {
+		if err := d.server.Serve(); err != nil {
+			d.Log.Error().Err(err).Str("step", "serve").Msg("peer server ended")
+		}
+	}()
+	return nil
+}
+
+// stop drains: new requests are refused as not run, the others are answered.
+func (d *dispatcher) stop(context.Context) error {
+	d.Life.BeginDrain()
+	d.mu.Lock()
+	d.draining = true
+	d.mu.Unlock()
+	d.calls.Wait()
+	d.cancel()
+	d.duties.Wait()
+	d.server.Close()
+	d.sender.Close()
+	d.Life.Drained()
+	return nil
+}
+
+// rpcReceiver holds the methods that net/rpc publishes.
+type rpcReceiver struct{ d *dispatcher }
+
+// Do runs a request and returns its one answer.
+func (r *rpcReceiver) Do(request *wire.Request, answer *wire.Answer) error {
+	*answer = r.d.do(request)
+	return nil
+}
+
+// Cancel drops a request whose caller went away.
+func (r *rpcReceiver) Cancel(args *wire.CancelArgs, _ *wire.Empty) error {
+	r.d.mu.Lock()
+	q := r.d.owners[args.ID]
+	r.d.mu.Unlock()
+	if q != nil {
+		_ = q.inbox.Push(r.d.ctx, message{cancel: args.ID})
+	}
+	return nil
+}
+
+func (d *dispatcher) do(r *wire.Request) wire.Answer {
+	if r.Sum != wire.Sum(r.Body) {
+		return wire.Refused(r.ID, problem.Refuse(problem.BadRequest, "receive", d.Settings.VM, "the body's checksum does not match"))
+	}
+	j := newJob(r, time.Now())
+	q, p := d.enter(j)
+	if p != nil {
+		return wire.Refused(r.ID, p)
+	}
+	defer d.leave(j)
+	if err := q.inbox.Push(d.ctx, message{arrive: j}); err != nil {
+		return wire.Refused(r.ID, problem.Refuse(problem.Leaving, "queue", d.Settings.VM, err.Error()))
+	}
+	return <-j.done
+}
+
+// enter finds the job's queue and counts the call, or refuses it.
+func (d *dispatcher) enter(j *job) (*queue, *problem.Error) {
+	id, p := d.queueOf(d.feed.Current(), j.request)
+	if p != nil {
+		return nil, p
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return nil, problem.Refuse(problem.Leaving, "queue", d.Settings.VM, "the dispatcher is leaving")
+	}
+	q := d.queues[id]
+	if q == nil {
+		q = newQueue(id, d.Settings.VM, d.Settings.QueueLength, d.feed, d.sender, d.Registry)
+		d.queues[id] = q
+		d.duties.Go(func() { q.run(d.ctx) })
+	}
+	d.owners[j.request.ID] = q
+	d.calls.Add(1)
+	return q, nil
+}
+
+func (d *dispatcher) leave(j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.owners, j.request.ID)
+	d.calls.Done()
+}
+
+func (d *dispatcher) queueOf(v *view.View, r *wire.Request) (queueID, *problem.Error) {
+	s := v.Service(r.Service)
+	if s == nil {
+		return queueID{}, problem.Refuse(problem.UnknownService, "queue", d.Settings.VM, fmt.Sprintf("no service %q", r.Service))
+	}
+	if !s.Keyed {
+		return queueID{Service: s.Name}, nil
+	}
+	grant := v.Owner(s.Name, keyspace.Of(r.Key))
+	if grant == nil {
+		return queueID{}, problem.Refuse(problem.NoOwner, "queue", d.Settings.VM, "the key has no owner now").After(time.Second)
+	}
+	return queueID{Service: s.Name, Target: grant.Target.Name}, nil
+}
+
+// QueueState is a queue's part of the dump.
+type QueueState struct {
+	Service string `json:"service"`
+	Target  string `json:"target,omitempty"`
+	Depth   int    `json:"depth"`
+}
+
+func (d *dispatcher) dump() any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]QueueState, 0, len(d.queues))
+	for id, q := range d.queues {
+		out = append(out, QueueState{Service: id.Service, Target: id.Target, Depth: q.inbox.Depth()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/door.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// Headers of callers.
+const (
+	headerKey            = "Hq-Key"
+	headerDeadline       = "Hq-Deadline-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerIdempotent     = "Hq-Idempotent"
+	headerAuthorization  = "Authorization"
+	bearer               = "Bearer "
+)
+
+// stepDoor is the step of refusals at the door.
+const stepDoor = "door"
+
+// maxKey bounds a key or an idempotency key, bytes.
+const maxKey = 1024
+
+// door checks what a caller sent. It refuses what is not clear: guessing at a
+// key or a deadline would send a request to the wrong owner.
+type door struct{ vm string }
+
+// visit is a caller's request with what was found out about it.
+type visit struct {
+	service   *model.Service
+	contract  *model.Contract
+	allowance model.Allowance
+	request   *wire.Request
+	deadline  time.Time
+}
+
+func (d *door) refuse(kind problem.Kind, format string, args ...any) *problem.Error {
+	return problem.Refuse(kind, stepDoor, d.vm, fmt.Sprintf(format, args...))
+}
+
+// check reads everything but the body.
+func (d *door) check(v *view.View, service, path string, r *http.Request, now time.Time) (*visit, *problem.Error) {
+	token, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
+	if !ok || token == "" {
+		return nil, d.refuse(problem.UnknownToken, "a bearer token is required")
+	}
+	contract := v.ContractOf(token)
+	if contract == nil {
+		return nil, d.refuse(problem.UnknownToken, "the token belongs to no contract")
+	}
+	s := v.Service(service)
+	if s == nil {
+		return nil, d.refuse(problem.UnknownService, "no service %q", service)
+	}
+	allowance, ok := contract.Allowance(service)
+	switch {
+	case !ok:
+		return nil, d.refuse(problem.OutsideContract, "customer %s has no contract for %s", contract.Customer, service)
+	case contract.End.Over(now):
+		return nil, d.refuse(problem.OutsideContract, "the contract ended on %s", contract.End)
+	case s.Shutdown.Over(now):
+		return nil, d.refuse(problem.OutsideContract, "the service ended on %s", s.Shutdown)
+	}
+	request := &wire.Request{
+		Service: service, Customer: contract.Customer, Class: allowance.Class, Weight: allowance.Weight,
+		Method: r.Method, Path: path,
+	}
+	if p := d.readHeaders(s, r, request); p != nil {
+		return nil, p
+	}
+	request.Header = forwardable(r.Header)
+	return &visit{service: s, contract: contract, allowance: allowance, request: request, deadline: now.Add(request.Budget)}, nil
+}
+
+func (d *door) readHeaders(s *model.Service, r *http.Request, out *wire.Request) *problem.Error {
+	var p *problem.Error
+	if out.Key, p = d.single(r, headerKey); p != nil {
+		return p
+	}
+	if s.Keyed && out.Key == "" {
+		return d.refuse(problem.BadRequest, "service %s needs the header %s", s.Name, headerKey)
+	}
+	if out.IdempotencyKey, p = d.single(r, headerIdempotencyKey); p != nil {
+		return p
+	}
+	if out.Budget, p = d.budget(s, r); p != nil {
+		return p
+	}
+	out.Idempotent, p = d.idempotent(r)
+	return p
+}
+
+// single returns the only value of a header, or "".
+func (d *door) single(r *http.Request, name string) (string, *problem.Error) {
+	values := r.Header.Values(name)
+	switch {
+	case len(values) == 0:
+		return "", nil
+	case len(values) > 1:
+		return "", d.refuse(problem.BadRequest, "header %s stands %d times", name, len(values))
+	case values[0] == "" || len(values[0]) > maxKey:
+		return "", d.refuse(problem.BadRequest, "header %s is empty or over %d bytes", name, maxKey)
+	}
+	return values[0], nil
+}
+
+func (d *door) budget(s *model.Service, r *http.Request) (time.Duration, *problem.Error) {
+	text, p := d.single(r, headerDeadline)
+	if p != nil {
+		return 0, p
+	}
+	if text == "" {
+		return s.Deadline.D(), nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || ms == 0 {
+		return 0, d.refuse(problem.BadRequest, "header %s: %q is not a number of milliseconds above 0", headerDeadline, text)
+	}
+	return min(time.Duration(ms)*time.Millisecond, s.MaxDeadline.D()), nil
+}
+
+func (d *door) idempotent(r *http.Request) (bool, *problem.Error) {
+	text, p := d.single(r, headerIdempotent)
+	if p != nil {
+		return false, p
+	}
+	switch text {
+	case "":
+		return idempotentMethod(r.Method), nil
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	return false, d.refuse(problem.BadRequest, "header %s: %q is neither true nor false", headerIdempotent, text)
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// readBody reads the whole body, refusing one over the limit before reading it
+// all.
+func (d *door) readBody(w http.ResponseWriter, r *http.Request, visit *visit) *problem.Error {
+	limit := visit.service.MaxBody
+	if r.ContentLength > limit {
+		return d.refuse(problem.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return d.refuse(problem.TooLarge, "the body is over the limit of %d bytes", limit)
+	}
+	if err != nil {
+		return d.refuse(problem.BadRequest, "the body did not come whole: %v", err)
+	}
+	visit.request.Body = body
+	visit.request.Sum = wire.Sum(body)
+	return nil
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hemlockquay/internal/decide/rendezvous"
+	"hemlockquay/internal/feed"
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// answerMargin is how much longer than the deadline an entry waits for the
+// dispatcher's word on what became of a request.
+const answerMargin = 50 * time.Millisecond
+
+// forwarder sends requests to dispatchers.
+type forwarder struct {
+	vm    string
+	feed  *feed.Feed
+	peers *peer.Pool
+}
+
+// forward returns the whole answer or the problem.
+//
+// A dispatcher that says "not run", or that the request never reached, is passed
+// over for the next one while the deadline lasts. After any other failure the
+// request may have run; sending it again is left to its caller.
+func (f *forwarder) forward(ctx context.Context, v *visit) (*wire.Answer, *problem.Error) {
+	var last *problem.Error
+	for tried := 0; ; tried++ {
+		m, p := f.choose(f.feed.Current(), v, tried)
+		if p != nil {
+			if last != nil {
+				return nil, last
+			}
+			return nil, p
+		}
+		answer, p := f.call(ctx, v, m)
+		if p == nil {
+			return answer, nil
+		}
+		if !passOver(p) {
+			return nil, p
+		}
+		last = p
+	}
+}
+
+// passOver tells whether another dispatcher may do better.
+func passOver(p *problem.Error) bool {
+	return p.Ran == problem.RanNo && (p.Kind == problem.Leaving || p.Kind == problem.NoOwner)
+}
+
+// maxDispatchers bounds how many dispatchers are tried: the first, and one more
+// for each of two that left at the same moment.
+const maxDispatchers = 3
+
+func (f *forwarder) choose(v *view.View, visit *visit, tried int) (wire.Member, *problem.Error) {
+	members := v.Dispatchers()
+	if len(members) == 0 {
+		return wire.Member{}, problem.Refuse(problem.NotReady, "choose", f.vm, "no dispatcher is known").After(time.Second)
+	}
+	if tried >= maxDispatchers {
+		return wire.Member{}, problem.Refuse(problem.Full, "choose", f.vm, "no dispatcher took the request").After(time.Second)
+	}
+	queue, near, p := f.queue(v, visit)
+	if p != nil {
+		return wire.Member{}, p
+	}
+	candidates := make([]rendezvous.Candidate, len(members))
+	for i, m := range members {
+		candidates[i] = rendezvous.Candidate{VM: m.VM, DataCentre: m.DataCentre}
+	}
+	order := rendezvous.Rank(candidates, queue, near)
+	return members[order[tried%len(order)]], nil
+}
+
+// queue names the queue of a request, and the data centre it should be in.
+func (f *forwarder) queue(v *view.View, visit *visit) (queue, near string, p *problem.Error) {
+	s := visit.service
+	if !s.Keyed {
+		return s.Name, "", nil
+	}
+	grant := v.Owner(s.Name, keyspace.Of(visit.request.Key))
+	if grant == nil {
+		return "", "", problem.Refuse(problem.NoOwner, "choose", f.vm, "the key has no owner now").After(time.Second)
+	}
+	t, _ := s.Target(grant.Target.Name)
+	return s.Name + "/" + t.Name, t.DataCentre, nil
+}
+
+func (f *forwarder) call(ctx context.Context, v *visit, m wire.Member) (*wire.Answer, *problem.Error) {
+	request := *v.request
+	request.Budget = time.Until(v.deadline)
+	if request.Budget <= 0 {
+		return nil, problem.Refuse(problem.Deadline, "forward", m.VM, "the deadline passed before it was sent")
+	}
+	callCtx, cancel := context.WithDeadline(ctx, v.deadline.Add(answerMargin))
+	defer cancel()
+	answer := new(wire.Answer)
+	err := f.peers.Get(m.DispatchAddr).Call(callCtx, wire.MethodDo, &request, answer)
+	if err != nil {
+		if ctx.Err() != nil {
+			f.cancel(m, request.ID)
+		}
+		return nil, classify(err, m.VM)
+	}
+	if !answer.Whole(request.ID) {
+		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, "the answer is not whole or not this request's")
+	}
+	if answer.Problem != nil {
+		return nil, answer.Problem
+	}
+	return answer, nil
+}
+
+func classify(err error, vm string) *problem.Error {
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return problem.Refuse(problem.Leaving, "forward", vm, err.Error()).After(time.Second)
+	case errors.Is(err, context.DeadlineExceeded):
+		return problem.Lost(problem.Deadline, "forward", vm, "the deadline passed before the dispatcher answered")
+	}
+	return problem.Lost(problem.AnswerLost, "forward", vm, err.Error())
+}
+
+// cancelTimeout bounds the notice that a caller went away.
+const cancelTimeout = time.Second
+
+// cancel tells the dispatcher that nobody waits for the request any more.
+func (f *forwarder) cancel(m wire.Member, id string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = f.peers.Get(m.DispatchAddr).Call(ctx, wire.MethodCancel, &wire.CancelArgs{ID: id}, &wire.Empty{})
+	}()
+}
--- /dev/null
+++ b/internal/entry/headers.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop are the headers of RFC 9110 section 7.6.1 that concern one
+// connection only, and ours, which the dispatcher sets itself.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// ownPrefix marks headers between the system's parts; a caller must not be able
+// to forge a grant's rank.
+const ownPrefix = "Hq-"
+
+// forwardable returns the headers that concern the other end. The caller's token
+// stays here: a target has no use for it.
+func forwardable(in http.Header) http.Header {
+	out := endToEnd(in)
+	out.Del(headerAuthorization)
+	for name := range out {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(out, name)
+		}
+	}
+	return out
+}
+
+// endToEnd drops hop-by-hop headers, those that Connection names too.
+func endToEnd(in http.Header) http.Header {
+	out := in.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	for _, list := range in.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,64 @@
+// Package entry takes callers' HTTP requests, checks them against the contract
+// and returns the whole answer.
+package entry
+
+import (
+	"time"
+
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/settings"
+)
+
+// Settings are the entry's settings.
+type Settings struct {
+	daemon.Base
+	// Listen is the IP:PORT for callers.
+	Listen string `json:"listen"`
+	// Agent is the IP:PORT of the VM's agent.
+	Agent string `json:"agent"`
+	// PeerConnections is how many data connections go to each dispatcher.
+	// Default 4.
+	PeerConnections int `json:"peerConnections,omitempty"`
+	// ReadTimeout bounds how long a caller may take to send its request.
+	// Default 10s.
+	ReadTimeout model.Duration `json:"readTimeout,omitempty"`
+	// MaxHeader bounds a request's headers, bytes. Default 32768.
+	MaxHeader int `json:"maxHeader,omitempty"`
+}
+
+const (
+	defaultPeerConnections = 4
+	maxPeerConnections     = 256
+	defaultReadTimeout     = model.Duration(10 * time.Second)
+	defaultMaxHeader       = 32 << 10
+	maxMaxHeader           = 1 << 20
+)
+
+// Check implements settings.Checker.
+func (s *Settings) Check() error {
+	if err := s.CheckBase(); err != nil {
+		return err
+	}
+	if s.PeerConnections == 0 {
+		s.PeerConnections = defaultPeerConnections
+	}
+	if s.ReadTimeout == 0 {
+		s.ReadTimeout = defaultReadTimeout
+	}
+	if s.MaxHeader == 0 {
+		s.MaxHeader = defaultMaxHeader
+	}
+	switch {
+	case s.PeerConnections < 1 || s.PeerConnections > maxPeerConnections:
+		return settings.Impossible("/peerConnections", "%d is not between 1 and %d", s.PeerConnections, maxPeerConnections)
+	case s.ReadTimeout < 0:
+		return settings.Impossible("/readTimeout", "%v is below 0", s.ReadTimeout)
+	case s.MaxHeader < 1024 || s.MaxHeader > maxMaxHeader:
+		return settings.Impossible("/maxHeader", "%d is not between 1024 and %d", s.MaxHeader, maxMaxHeader)
+	}
+	if err := daemon.CheckAddr("/agent", s.Agent); err != nil {
+		return err
+	}
+	return daemon.CheckAddr("/listen", s.Listen)
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,250 @@
+// Package feed keeps a daemon's view current by pulling it from the VM's agent.
+//
+// The loss of the agent stops nothing: the daemon goes on with the view it
+// holds. A view never goes back: a configuration of an older revision is
+// refused, whoever sends it.
+package feed
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// Times of the feed.
+const (
+	// pullWait is how long the agent may hold a pull without a change.
+	pullWait = 2 * time.Second
+	// pullTimeout bounds a pull; the margin covers a busy agent.
+	pullTimeout = pullWait + time.Second
+	// retryPause is the pause after a failed pull.
+	retryPause = 200 * time.Millisecond
+	// reportEvery is how often the daemon tells the agent that it lives.
+	reportEvery = 500 * time.Millisecond
+)
+
+// Endpoint says where the agent is and what to tell it.
+type Endpoint struct {
+	// Agent is the agent's IP:PORT.
+	Agent string
+	// Process is the daemon's name.
+	Process string
+	// Data is the daemon's data address, "" if it takes none.
+	Data string
+}
+
+// Feed holds the current view. Current is safe for concurrent use.
+type Feed struct {
+	endpoint Endpoint
+	life     *daemon.Life
+	log      *log.Logger
+	client   *peer.Client
+	current  atomic.Pointer[view.View]
+	lag      metrics.Gauge
+
+	mu      sync.Mutex
+	changed chan struct{}
+
+	objects map[platform.ID]platform.Object
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// New returns a feed that runs for the application's life.
+func New(lc fx.Lifecycle, e Endpoint, life *daemon.Life, logger *log.Logger, registry metrics.Registry) *Feed {
+	f := &Feed{
+		endpoint: e,
+		life:     life,
+		log:      logger,
+		client:   peer.NewClient(e.Agent, 2),
+		lag:      metrics.GetOrRegisterGauge("feed.revision", registry),
+		changed:  make(chan struct{}),
+		objects:  make(map[platform.ID]platform.Object),
+	}
+	f.current.Store(view.Build(nil, nil, nil))
+	life.Section("view", func() any { return f.dump() })
+	lc.Append(fx.Hook{OnStart: f.start, OnStop: f.stop})
+	return f
+}
+
+// Current returns the view in force.
+func (f *Feed) Current() *view.View { return f.current.Load() }
+
+// Changed returns a channel that closes when the next view comes into force.
+func (f *Feed) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *Feed) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.done.Add(2)
+	go f.pullLoop(ctx)
+	go f.reportLoop(ctx)
+	return nil
+}
+
+func (f *Feed) stop(context.Context) error {
+	f.cancel()
+	f.done.Wait()
+	f.client.Close()
+	return nil
+}
+
+func (f *Feed) pullLoop(ctx context.Context) {
+	defer f.done.Done()
+	for ctx.Err() == nil {
+		if err := f.pull(ctx); err != nil {
+			f.life.NotReadyBecause("agent " + f.endpoint.Agent + ": " + err.Error())
+			f.log.Debug().Err(err).Str("step", "pull").Str("peer", f.endpoint.Agent).Msg("no news from the agent")
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func (f *Feed) pull(ctx context.Context) error {
+	v := f.Current()
+	args := wire.PullArgs{Process: f.endpoint.Process, Source: v.Source, Revision: v.Revision, State: v.State, Wait: pullWait}
+	var reply wire.PullReply
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	if err := f.client.Call(ctx, wire.MethodPull, &args, &reply); err != nil {
+		return err
+	}
+	if !reply.Ready {
+		f.life.NotReadyBecause("agent " + f.endpoint.Agent + " holds no configuration yet")
+		return nil
+	}
+	f.apply(v, &reply)
+	f.life.Ready()
+	return nil
+}
+
+// apply puts the reply into force.
+//
+// Failure: an agent that was restarted, or relayed by one cut off for long,
+// answers with an older configuration; limits would fall back to values that
+// operators have replaced. Revisions only rise: an older reply leaves the
+// configuration as it is.
+func (f *Feed) apply(old *view.View, reply *wire.PullReply) {
+	config := reply.Revision > old.Revision || (reply.Snapshot && reply.Revision == old.Revision && old.Revision == 0)
+	if !config && !reply.Changed {
+		return
+	}
+	if config {
+		f.merge(reply)
+	}
+	members, grants := old.Members, old.Grants
+	if reply.Changed {
+		members, grants = reply.Members, reply.Grants
+	}
+	next := view.Build(f.list(), members, grants)
+	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
+	for _, p := range next.Problems {
+		f.log.Error().Str("step", "configure").Msg("object refused: " + p)
+	}
+	f.lag.Update(int64(next.Revision))
+	f.publish(next)
+}
+
+// merge keeps the last good version of an object that fails its check.
+func (f *Feed) merge(reply *wire.PullReply) {
+	if reply.Snapshot {
+		f.objects = make(map[platform.ID]platform.Object, len(reply.Objects))
+	}
+	for _, id := range reply.Deleted {
+		delete(f.objects, id)
+	}
+	for _, o := range reply.Objects {
+		_, held := f.objects[o.ID()]
+		if _, err := model.Decode(o.Kind, o.Name, o.Spec); err != nil && held {
+			f.log.Error().Err(err).Str("step", "configure").Msg("kept the last good version")
+			continue
+		}
+		f.objects[o.ID()] = o
+	}
+}
+
+func (f *Feed) list() []platform.Object {
+	out := make([]platform.Object, 0, len(f.objects))
+	for _, o := range f.objects {
+		out = append(out, o)
+	}
+	return out
+}
+
+func (f *Feed) publish(next *view.View) {
+	f.current.Store(next)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Feed) reportLoop(ctx context.Context) {
+	defer f.done.Done()
+	draining := f.life.Draining()
+	for ctx.Err() == nil {
+		f.report(ctx)
+		select {
+		case <-time.After(reportEvery):
+		case <-draining:
+			// Told at once, so that peers stop sending new work.
+			draining = nil
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Feed) report(ctx context.Context) {
+	v := f.Current()
+	ready, _ := f.life.IsReady()
+	args := wire.ReportArgs{
+		Process:  f.endpoint.Process,
+		Addr:     f.endpoint.Data,
+		Admin:    f.life.AdminAddr(),
+		Revision: v.Revision,
+		Leaving:  !ready,
+		Problems: v.Problems,
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportEvery)
+	defer cancel()
+	if err := f.client.Call(ctx, wire.MethodReport, &args, &wire.Empty{}); err != nil {
+		f.log.Debug().Err(err).Str("step", "report").Str("peer", f.endpoint.Agent).Msg("agent not reached")
+	}
+}
+
+type dump struct {
+	Source   string        `json:"source"`
+	Revision uint64        `json:"revision"`
+	State    uint64        `json:"state"`
+	Members  []wire.Member `json:"members"`
+	Grants   []wire.Grant  `json:"grants"`
+	Problems []string      `json:"problems"`
+}
+
+func (f *Feed) dump() dump {
+	v := f.Current()
+	return dump{v.Source, v.Revision, v.State, v.Members, v.Grants, v.Problems}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/model/decode.go
@@ -0,0 +1,87 @@
+package model
+
+import (
+	"fmt"
+	"strings"
+
+	"hemlockquay/internal/settings"
+)
+
+// Decode reads and checks an object's spec: JSON, comments allowed. The result
+// is a pointer to the kind's type. The error names line and field.
+func Decode(kind Kind, name string, spec []byte) (any, error) {
+	source := string(kind) + " " + name
+	object, err := empty(kind)
+	if err != nil {
+		return nil, err
+	}
+	if err := settings.Decode(source, spec, object); err != nil {
+		return nil, err
+	}
+	if own := object.objectName(); own != name {
+		return nil, &settings.Error{Source: source, Line: 1, Reason: fmt.Sprintf("object is stored as %q but names %q", name, own)}
+	}
+	return object, nil
+}
+
+// object is what every kind's type can do.
+type object interface {
+	settings.Checker
+	objectName() string
+}
+
+func empty(kind Kind) (object, error) {
+	switch kind {
+	case KindService:
+		return new(Service), nil
+	case KindContract:
+		return new(Contract), nil
+	case KindAssignment:
+		return new(Assignment), nil
+	case KindAssigner:
+		return new(Assigner), nil
+	case KindVM:
+		return new(VMStatus), nil
+	}
+	return nil, fmt.Errorf("kind %q is not one of service, contract, assignment, assigner, vm", kind)
+}
+
+func (s *Service) objectName() string    { return s.Name }
+func (c *Contract) objectName() string   { return c.Customer }
+func (a *Assignment) objectName() string { return a.Service }
+func (a *Assigner) objectName() string   { return a.Service }
+func (v *VMStatus) objectName() string   { return v.Name }
+
+// Check reports the first impossible value.
+func (a *Assignment) Check() error {
+	if err := checkName("/service", a.Service); err != nil {
+		return err
+	}
+	ids := make(map[uint64]bool, len(a.Groups))
+	for i, g := range a.Groups {
+		at := fmt.Sprintf("/groups/%d", i)
+		switch {
+		case g.ID >= a.NextGroup:
+			return settings.Impossible(at+"/id", "%d is not below nextGroup (%d)", g.ID, a.NextGroup)
+		case ids[g.ID]:
+			return settings.Impossible(at+"/id", "%d stands twice", g.ID)
+		case len(g.Slices) == 0:
+			return settings.Impossible(at+"/slices", "a group without slices")
+		case g.Owner.Name == "" || g.Owner.Name == g.Standby.Name || g.Owner.Name == g.Witness.Name:
+			return settings.Impossible(at+"/owner", "%q is missing or stands twice", g.Owner.Name)
+		}
+		ids[g.ID] = true
+	}
+	return nil
+}
+
+// Check reports the first impossible value.
+func (a *Assigner) Check() error { return checkName("/service", a.Service) }
+
+// Check reports the first impossible value.
+func (v *VMStatus) Check() error {
+	if strings.TrimSpace(v.Name) == "" {
+		return settings.Impossible("/name", "empty")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Errors of a call. An error that is none of these was returned by the peer.
+var (
+	// ErrNotSent says that the call surely did not reach the peer.
+	ErrNotSent = errors.New("not sent")
+	// ErrLost says that the call may have reached the peer and no reply came.
+	ErrLost = errors.New("reply lost")
+)
+
+// redialPause is the shortest time between two dials of one connection: a peer
+// that is down is not flooded with SYNs, and a restarted one is found soon.
+const redialPause = 100 * time.Millisecond
+
+// dialTimeout bounds one dial. Data centres are milliseconds apart; a second
+// without an answer is a cut.
+const dialTimeout = time.Second
+
+// Client calls one peer over a fixed number of connections, opened on demand.
+type Client struct {
+	addr  string
+	lanes []*lane
+	next  atomic.Uint64
+}
+
+// NewClient returns a client of the peer at addr.
+func NewClient(addr string, connections int) *Client {
+	c := &Client{addr: addr, lanes: make([]*lane, connections)}
+	for i := range c.lanes {
+		c.lanes[i] = &lane{addr: addr}
+	}
+	return c
+}
+
+// Addr returns the peer's address.
+func (c *Client) Addr() string { return c.addr }
+
+// Call sends args and waits for the reply until the context ends. After an error
+// the reply must not be read: a late reply may still be decoded into it.
+func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	l := c.lanes[c.next.Add(1)%uint64(len(c.lanes))]
+	conn, err := l.acquire(ctx)
+	if err != nil {
+		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, err))
+	}
+	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		l.release(conn, broken(call.Error))
+		return l.outcome(method, call.Error)
+	case <-ctx.Done():
+		l.release(conn, false)
+		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrLost, ctx.Err()))
+	}
+}
+
+// Close closes the connections; calls that wait get ErrLost.
+func (c *Client) Close() {
+	for _, l := range c.lanes {
+		l.close()
+	}
+}
+
+// session is one connection and the number of calls that wait on it.
+type session struct {
+	rpc     *rpc.Client
+	pending int
+	retired bool
+}
+
+// lane is one connection that is opened again after it broke.
+//
+// Invariant: a session is closed only once it is retired and no call waits on
+// it, and a retired session takes no call. So rpc.ErrShutdown always means that
+// the call found the connection already shut, except after Close.
+type lane struct {
+	addr string
+
+	mu       sync.Mutex
+	current  *session
+	lastDial time.Time
+	closed   bool
+}
+
+func (l *lane) acquire(ctx context.Context) (*session, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	if l.current == nil {
+		if err := l.dial(ctx); err != nil {
+			return nil, err
+		}
+	}
+	l.current.pending++
+	return l.current, nil
+}
+
+func (l *lane) dial(ctx context.Context) error {
+	if since := time.Since(l.lastDial); since < redialPause {
+		return fmt.Errorf("dial failed %v ago", since.Round(time.Millisecond))
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		l.lastDial = time.Now()
+		return err
+	}
+	l.current = &session{rpc: rpc.NewClient(conn)}
+	return nil
+}
+
+// broken tells whether the error came from the connection and not the peer.
+func broken(err error) bool {
+	var remote rpc.ServerError
+	return err != nil && !errors.As(err, &remote)
+}
+
+func (l *lane) release(s *session, failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.pending--
+	if failed {
+		l.retire(s)
+	}
+	if s.retired && s.pending == 0 {
+		s.rpc.Close()
+	}
+}
+
+func (l *lane) retire(s *session) {
+	s.retired = true
+	if l.current == s {
+		l.current = nil
+	}
+}
+
+// outcome turns a call's error into ours.
+//
+// Failure: the connection breaks. Calls that wait get io.ErrUnexpectedEOF, and
+// may have run. A call made after the break gets rpc.ErrShutdown and was not
+// sent; the lane's invariant keeps the two apart. To take the second for the
+// first would lose requests needlessly whenever a peer restarts; to take the
+// first for the second would run a request twice.
+func (l *lane) outcome(method string, err error) error {
+	if !broken(err) {
+		if err == nil {
+			return nil
+		}
+		return fmt.Errorf("%s at %s: %w", method, l.addr, err)
+	}
+	l.mu.Lock()
+	closed := l.closed
+	l.mu.Unlock()
+	class := ErrLost
+	if errors.Is(err, rpc.ErrShutdown) && !closed {
+		class = ErrNotSent
+	}
+	return fmt.Errorf("%s at %s: %w", method, l.addr, errors.Join(class, err))
+}
+
+func (l *lane) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.current != nil {
+		l.current.rpc.Close()
+		l.current = nil
+	}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+type echo struct{ entered chan struct{} }
+
+func (e *echo) Say(in string, out *string) error { *out = in; return nil }
+
+func (e *echo) Hang(_ string, _ *string) error {
+	close(e.entered)
+	select {}
+}
+
+func serve(t *testing.T, addr string, e *echo) *Server {
+	t.Helper()
+	s, err := Listen(addr)
+	require.NoError(t, err)
+	require.NoError(t, s.Register("Echo", e))
+	go func() { _ = s.Serve() }()
+	return s
+}
+
+func TestCallReturnsReply(t *testing.T) {
+	s := serve(t, "127.0.0.1:0", &echo{})
+	defer s.Close()
+	c := NewClient(s.Addr(), 2)
+	defer c.Close()
+	var out string
+	require.NoError(t, c.Call(context.Background(), "Echo.Say", "x", &out))
+	require.Equal(t, "x", out)
+}
+
+// A peer restarts while its connection is idle. The caller's next request must
+// be reported as not sent, so that it may go elsewhere; a request that was
+// waiting when the peer died must be reported as lost.
+func TestBreakTellsUnsentFromLost(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, _ := l.Accept()
+		accepted <- conn
+	}()
+	c := NewClient(l.Addr().String(), 1)
+	defer c.Close()
+	waiting := make(chan error, 1)
+	go func() { waiting <- c.Call(context.Background(), "Echo.Hang", "x", new(string)) }()
+	conn := <-accepted
+	// The first byte of the call has arrived: it is on its way.
+	_, err = conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	l.Close()
+	conn.Close()
+	require.ErrorIs(t, <-waiting, ErrLost)
+	err = c.Call(context.Background(), "Echo.Say", "x", new(string))
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+func TestDeadlineEndsCall(t *testing.T) {
+	e := &echo{entered: make(chan struct{})}
+	s := serve(t, "127.0.0.1:0", e)
+	c := NewClient(s.Addr(), 1)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, c.Call(ctx, "Echo.Hang", "x", new(string)), ErrLost)
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,37 @@
+package peer
+
+import "sync"
+
+// Pool keeps one Client for each peer address. It is safe for concurrent use.
+type Pool struct {
+	connections int
+
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewPool returns a pool whose clients open so many connections each.
+func NewPool(connections int) *Pool {
+	return &Pool{connections: connections, clients: make(map[string]*Client)}
+}
+
+// Get returns the client of an address.
+func (p *Pool) Get(addr string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[addr]
+	if !ok {
+		c = NewClient(addr, p.connections)
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// Close closes all clients.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,95 @@
+// Package peer carries net/rpc between hemlockquay's own processes.
+//
+// net/rpc has no deadlines and one connection mixes all calls. Here every call
+// has a context, and a client holds several connections, so that a large answer
+// does not hold up small ones.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+)
+
+// Server serves the registered receivers on one listener.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	done   sync.WaitGroup
+}
+
+// Listen opens the address and returns a server that does not accept yet.
+func Listen(addr string) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return &Server{rpc: rpc.NewServer(), listener: l, conns: make(map[net.Conn]struct{})}, nil
+}
+
+// Register publishes the receiver's methods under the name.
+func (s *Server) Register(name string, receiver any) error {
+	if err := s.rpc.RegisterName(name, receiver); err != nil {
+		return fmt.Errorf("register %s: %w", name, err)
+	}
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		if !s.track(conn) {
+			conn.Close()
+			return nil
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.done.Add(1)
+	return true
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer s.done.Done()
+	s.rpc.ServeConn(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting and closes all connections. Callers drain first: a call
+// that still runs loses its answer.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.listener.Close()
+	s.done.Wait()
+}
--- /dev/null
+++ b/internal/platform/counted.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"context"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// Cause says why the system calls the store. Calls are counted by cause,
+// because the store's rates are a budget that the whole system shares.
+type Cause string
+
+// The causes of calls.
+const (
+	CauseConfig     Cause = "config"
+	CauseMembership Cause = "membership"
+	CauseStatus     Cause = "status"
+	CauseAssigner   Cause = "assigner"
+	CauseAssignment Cause = "assignment"
+	CauseOperator   Cause = "operator"
+)
+
+// Counted is a Store that counts its calls as store.calls.CAUSE and the failed
+// ones as store.failures.CAUSE.
+type Counted struct {
+	store           Store
+	calls, failures metrics.Counter
+}
+
+// Count returns the store with its calls counted under the cause.
+func Count(s Store, cause Cause, registry metrics.Registry) *Counted {
+	return &Counted{
+		store:    s,
+		calls:    metrics.GetOrRegisterCounter("store.calls."+string(cause), registry),
+		failures: metrics.GetOrRegisterCounter("store.failures."+string(cause), registry),
+	}
+}
+
+func (c *Counted) note(err error) {
+	c.calls.Inc(1)
+	if err != nil {
+		c.failures.Inc(1)
+	}
+}
+
+// Get implements Store.
+func (c *Counted) Get(ctx context.Context, id ID) (Object, error) {
+	o, err := c.store.Get(ctx, id)
+	c.note(err)
+	return o, err
+}
+
+// List implements Store.
+func (c *Counted) List(ctx context.Context) (Listing, error) {
+	l, err := c.store.List(ctx)
+	c.note(err)
+	return l, err
+}
+
+// Put implements Store.
+func (c *Counted) Put(ctx context.Context, o Object) (Object, error) {
+	w, err := c.store.Put(ctx, o)
+	c.note(err)
+	return w, err
+}
+
+// Delete implements Store.
+func (c *Counted) Delete(ctx context.Context, o Object) error {
+	err := c.store.Delete(ctx, o)
+	c.note(err)
+	return err
+}
+
+// Watch implements Store.
+func (c *Counted) Watch(ctx context.Context, from uint64, handle func(Event) error) error {
+	c.calls.Inc(1)
+	return c.store.Watch(ctx, from, handle)
+}
+
+// VMs implements Store.
+func (c *Counted) VMs(ctx context.Context) ([]VM, error) {
+	v, err := c.store.VMs(ctx)
+	c.note(err)
+	return v, err
+}
--- /dev/null
+++ b/internal/platform/objectapi/client.go
@@ -0,0 +1,217 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"hemlockquay/internal/platform"
+)
+
+// maxAnswer bounds an answer of the store, bytes: a thousand values of a
+// megabyte would be a mistake, not a configuration.
+const maxAnswer = 256 << 20
+
+// Client implements platform.Store over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ platform.Store = (*Client)(nil)
+
+// New returns a client of the API at base, e.g. "http://10.0.0.1:8001". The
+// context of each call carries its deadline.
+func New(base string) *Client {
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+}
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, id platform.ID) (platform.Object, error) {
+	var item Item
+	if err := c.call(ctx, http.MethodGet, c.itemURL(id), nil, &item); err != nil {
+		return platform.Object{}, fmt.Errorf("get %s %s: %w", id.Kind, id.Name, err)
+	}
+	return FromItem(item)
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context) (platform.Listing, error) {
+	var list List
+	if err := c.call(ctx, http.MethodGet, c.base+ObjectsPath, nil, &list); err != nil {
+		return platform.Listing{}, fmt.Errorf("list objects: %w", err)
+	}
+	revision, err := ParseVersion(list.Metadata.ResourceVersion)
+	if err != nil {
+		return platform.Listing{}, err
+	}
+	l := platform.Listing{Revision: revision, Objects: make([]platform.Object, 0, len(list.Items))}
+	for _, item := range list.Items {
+		o, err := FromItem(item)
+		if err != nil {
+			return platform.Listing{}, err
+		}
+		l.Objects = append(l.Objects, o)
+	}
+	return l, nil
+}
+
+// Put implements platform.Store.
+func (c *Client) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+	item := ToItem(o)
+	method, target := http.MethodPut, c.itemURL(o.ID())
+	if o.Version == 0 {
+		method, target = http.MethodPost, c.base+ObjectsPath
+		item.Metadata.ResourceVersion = ""
+	}
+	var written Item
+	if err := c.call(ctx, method, target, item, &written); err != nil {
+		return platform.Object{}, fmt.Errorf("put %s %s: %w", o.Kind, o.Name, err)
+	}
+	return FromItem(written)
+}
+
+// Delete implements platform.Store.
+func (c *Client) Delete(ctx context.Context, o platform.Object) error {
+	target := c.itemURL(o.ID()) + "?resourceVersion=" + FormatVersion(o.Version)
+	if err := c.call(ctx, http.MethodDelete, target, nil, nil); err != nil {
+		return fmt.Errorf("delete %s %s: %w", o.Kind, o.Name, err)
+	}
+	return nil
+}
+
+// VMs implements platform.Store.
+func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
+	var list VMList
+	if err := c.call(ctx, http.MethodGet, c.base+VMsPath, nil, &list); err != nil {
+		return nil, fmt.Errorf("list VMs: %w", err)
+	}
+	return list.Items, nil
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, from uint64, handle func(platform.Event) error) error {
+	target := c.base + ObjectsPath + "?watch=1&allowWatchBookmarks=true&resourceVersion=" + FormatVersion(from)
+	resp, err := c.send(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp); err != nil {
+		return fmt.Errorf("watch from %d: %w", from, err)
+	}
+	lines := json.NewDecoder(resp.Body)
+	for {
+		var line WatchEvent
+		if err := lines.Decode(&line); err != nil {
+			return fmt.Errorf("watch: read event: %w", errors.Join(platform.ErrAmbiguous, err))
+		}
+		event, err := fromWatch(line)
+		if err != nil {
+			return err
+		}
+		if err := handle(event); err != nil {
+			return err
+		}
+	}
+}
+
+func fromWatch(line WatchEvent) (platform.Event, error) {
+	revision, err := ParseVersion(line.Object.Metadata.ResourceVersion)
+	if err != nil {
+		return platform.Event{}, err
+	}
+	event := platform.Event{Revision: revision}
+	switch line.Type {
+	case Bookmark:
+		event.Type = platform.EventBookmark
+		return event, nil
+	case Added, Modified:
+		event.Type = platform.EventPut
+	case Deleted:
+		event.Type = platform.EventDelete
+	default:
+		return event, fmt.Errorf("watch: event %q: %w", line.Type, platform.ErrGone)
+	}
+	event.Object, err = FromItem(line.Object)
+	return event, err
+}
+
+func (c *Client) itemURL(id platform.ID) string {
+	return c.base + ObjectsPath + "/" + url.PathEscape(ItemName(id))
+}
+
+func (c *Client) call(ctx context.Context, method, target string, in, out any) error {
+	resp, err := c.send(ctx, method, target, in)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
+		return fmt.Errorf("read answer: %w", errors.Join(platform.ErrAmbiguous, err))
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, target string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return nil, fmt.Errorf("encode: %w", err)
+		}
+		body = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	return resp, nil
+}
+
+// classify tells a call that never left from one whose answer is lost. Only a
+// failed dial is certain.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Join(platform.ErrUnavailable, err)
+	}
+	return errors.Join(platform.ErrAmbiguous, err)
+}
+
+func statusError(resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusCreated:
+		return nil
+	case http.StatusNotFound:
+		return platform.ErrNotFound
+	case http.StatusConflict:
+		return platform.ErrConflict
+	case http.StatusGone:
+		return platform.ErrGone
+	case http.StatusTooManyRequests:
+		return platform.ErrUnavailable
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		// A server error may come from behind the write.
+		return fmt.Errorf("status %d: %w", resp.StatusCode, platform.ErrAmbiguous)
+	}
+	return fmt.Errorf("store refused: status %d", resp.StatusCode)
+}
--- /dev/null
+++ b/internal/standin/plan/plan.go
@@ -0,0 +1,206 @@
+// Package plan turns descriptions of deployments into everything that a run on
+// one machine needs: settings of the daemons and the stand-in, objects for the
+// store and a load, all on free loopback ports.
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"hemlockquay/internal/agent"
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/dispatch"
+	"hemlockquay/internal/entry"
+	"hemlockquay/internal/loadgen"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/settings"
+	"hemlockquay/internal/standin"
+)
+
+// Deployment describes what one user runs.
+type Deployment struct {
+	Name        string    `json:"name"`
+	DataCentres []string  `json:"dataCentres"`
+	Services    []Service `json:"services"`
+	Customers   []Caller  `json:"customers"`
+}
+
+// Service is a service and its stand-in targets.
+type Service struct {
+	model.Service `json:",inline"`
+	// Servers is how many targets it has, spread over the data centres.
+	Servers int `json:"servers"`
+	// MeanWorkUS is a target's mean service time, microseconds.
+	MeanWorkUS int `json:"meanWorkUs"`
+}
+
+// Caller is a customer: its contract and the load it offers.
+type Caller struct {
+	Customer string             `json:"customer"`
+	Token    string             `json:"token"`
+	Services []model.Allowance  `json:"services"`
+	Offers   []loadgen.Workload `json:"offers"`
+}
+
+// Check implements settings.Checker.
+func (d *Deployment) Check() error {
+	switch {
+	case d.Name == "":
+		return settings.Impossible("/name", "empty")
+	case len(d.DataCentres) == 0:
+		return settings.Impossible("/dataCentres", "empty")
+	}
+	for i, s := range d.Services {
+		if s.Servers < 1 {
+			return settings.Impossible(fmt.Sprintf("/services/%d/servers", i), "%d is below 1", s.Servers)
+		}
+	}
+	return nil
+}
+
+// Result is where the run's parts listen.
+type Result struct {
+	Store   string
+	Admin   string
+	Entries []string
+	Agents  []string
+}
+
+// planner collects what is written.
+type planner struct {
+	dir     string
+	result  Result
+	load    loadgen.Experiment
+	standin standin.Settings
+}
+
+// Write plans the deployments on vms VMs and writes all files below dir.
+func Write(dir string, vms int, deployments []Deployment) (*Result, error) {
+	p := &planner{dir: dir}
+	ports, err := freePorts(2)
+	if err != nil {
+		return nil, err
+	}
+	p.standin.Store, p.standin.Admin = ports[0], ports[1]
+	p.result.Store, p.result.Admin = "http://"+ports[0], "http://"+ports[1]
+	var dcs []string
+	for _, d := range deployments {
+		dcs = append(dcs, d.DataCentres...)
+	}
+	if err := p.planVMs(vms, dcs); err != nil {
+		return nil, err
+	}
+	for _, d := range deployments {
+		if err := p.planDeployment(&d); err != nil {
+			return nil, err
+		}
+	}
+	p.load.Entries, p.load.Standin = p.result.Entries, p.result.Admin
+	if err := p.write("standin.jsonc", &p.standin); err != nil {
+		return nil, err
+	}
+	return &p.result, p.write("load.jsonc", &p.load)
+}
+
+// portsPerVM: agent, dispatch, entry, and an admin port for each.
+const portsPerVM = 6
+
+func (p *planner) planVMs(n int, dcs []string) error {
+	for i := range n {
+		ports, err := freePorts(portsPerVM)
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprintf("vm%d", i+1)
+		base := daemon.Base{VM: name, DataCentre: dcs[i%len(dcs)]}
+		a := agent.Settings{Base: base, Listen: ports[0], Store: p.result.Store}
+		d := dispatch.Settings{Base: base, Listen: ports[1], Agent: ports[0]}
+		e := entry.Settings{Base: base, Listen: ports[2], Agent: ports[0]}
+		a.Admin, d.Admin, e.Admin = ports[3], ports[4], ports[5]
+		for file, s := range map[string]any{"agent": &a, "dispatch": &d, "entry": &e} {
+			if err := p.write(filepath.Join(name, file+".jsonc"), s); err != nil {
+				return err
+			}
+		}
+		p.standin.VMs = append(p.standin.VMs, platform.VM{Name: name, DataCentre: base.DataCentre, AgentAddr: ports[0], State: platform.VMLive})
+		p.result.Entries = append(p.result.Entries, "http://"+ports[2])
+		p.result.Agents = append(p.result.Agents, ports[3])
+	}
+	return nil
+}
+
+func (p *planner) planDeployment(d *Deployment) error {
+	for _, s := range d.Services {
+		if err := p.planService(d, s); err != nil {
+			return err
+		}
+	}
+	for _, c := range d.Customers {
+		sum := sha256.Sum256([]byte(c.Token))
+		contract := model.Contract{Customer: c.Customer, TokenSHA256: hex.EncodeToString(sum[:]), Services: c.Services}
+		if err := p.write(objectFile(model.KindContract, c.Customer), &contract); err != nil {
+			return err
+		}
+		for _, w := range c.Offers {
+			w.Customer, w.Token = c.Customer, c.Token
+			p.load.Workloads = append(p.load.Workloads, w)
+		}
+	}
+	return nil
+}
+
+func (p *planner) planService(d *Deployment, s Service) error {
+	ports, err := freePorts(s.Servers)
+	if err != nil {
+		return err
+	}
+	for i, addr := range ports {
+		name := fmt.Sprintf("%s-%d", s.Name, i+1)
+		s.Targets = append(s.Targets, model.Target{Name: name, Addr: addr, DataCentre: d.DataCentres[i%len(d.DataCentres)]})
+		p.standin.Targets = append(p.standin.Targets, standin.TargetConfig{
+			Service: s.Name, Name: name, Addr: addr, Slots: s.Slots, Keyed: s.Keyed,
+			MeanWorkUS: s.MeanWorkUS, Seed: uint64(len(p.standin.Targets)),
+		})
+	}
+	return p.write(objectFile(model.KindService, s.Name), &s.Service)
+}
+
+func objectFile(kind model.Kind, name string) string {
+	return filepath.Join("objects", string(kind)+"."+name+".jsonc")
+}
+
+func (p *planner) write(file string, v any) error {
+	text, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", file, err)
+	}
+	file = filepath.Join(p.dir, file)
+	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	if err := os.WriteFile(file, append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	return nil
+}
+
+// freePorts returns n loopback addresses that were free a moment ago. All are
+// held open together, so that none is returned twice.
+func freePorts(n int) ([]string, error) {
+	addrs := make([]string, n)
+	for i := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer l.Close()
+		addrs[i] = l.Addr().String()
+	}
+	return addrs, nil
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,225 @@
+// Package standin plays the outside systems: the platform's object store and
+// the target servers, with faults on command. It stands in for them in demos,
+// experiments and tests, and is no part of the product's data path.
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/platform/memstore"
+	"hemlockquay/internal/platform/objectapi"
+)
+
+// bookmarkEvery is how often a quiet watch shows that it lives.
+const bookmarkEvery = time.Second
+
+// StoreFaults are the faults of the store.
+type StoreFaults struct {
+	// Down refuses every call and breaks watches.
+	Down bool `json:"down"`
+	// SlowMS delays every call, milliseconds.
+	SlowMS int `json:"slowMs"`
+	// LoseAnswers drops the answer of that many next writes after they took
+	// effect.
+	LoseAnswers int `json:"loseAnswers"`
+	// SilentWatch keeps watches open without events.
+	SilentWatch bool `json:"silentWatch"`
+	// LoseRequests drops that many next writes before they take effect.
+	LoseRequests int `json:"loseRequests"`
+}
+
+// Store serves a memstore by the protocol of package objectapi.
+type Store struct {
+	mem *memstore.Store
+
+	mu     sync.Mutex
+	faults StoreFaults
+	broken chan struct{}
+	calls  uint64
+}
+
+// NewStore returns a store without objects.
+func NewStore() *Store { return &Store{mem: memstore.New(), broken: make(chan struct{})} }
+
+// Memory returns the objects behind the protocol.
+func (s *Store) Memory() *memstore.Store { return s.mem }
+
+// SetFaults puts the faults in force; watches break when the store goes down.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if f.Down {
+		close(s.broken)
+		s.broken = make(chan struct{})
+	}
+}
+
+// Faults returns the faults in force.
+func (s *Store) Faults() StoreFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Calls returns how many calls came since the start.
+func (s *Store) Calls() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Handler returns the HTTP interface.
+func (s *Store) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.Use(s.disturb)
+	e.GET(objectapi.ObjectsPath, s.listOrWatch)
+	e.POST(objectapi.ObjectsPath, s.put)
+	e.GET(objectapi.ObjectsPath+"/:name", s.get)
+	e.PUT(objectapi.ObjectsPath+"/:name", s.put)
+	e.DELETE(objectapi.ObjectsPath+"/:name", s.delete)
+	e.GET(objectapi.VMsPath, s.vms)
+	return e
+}
+
+// disturb applies the faults before and after a call.
+func (s *Store) disturb(c *gin.Context) {
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	write := c.Request.Method != http.MethodGet
+	loseRequest := write && f.LoseRequests > 0
+	loseAnswer := write && !loseRequest && f.LoseAnswers > 0
+	if loseRequest {
+		s.faults.LoseRequests--
+	}
+	if loseAnswer {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	if f.Down || loseRequest {
+		hangUp(c)
+		return
+	}
+	if loseAnswer {
+		recorder := &discard{ResponseWriter: c.Writer}
+		c.Writer = recorder
+		c.Next()
+		c.Writer = recorder.ResponseWriter
+		hangUp(c)
+		return
+	}
+	c.Next()
+}
+
+// discard runs a handler without sending its answer.
+type discard struct{ gin.ResponseWriter }
+
+func (d *discard) Write(b []byte) (int, error)       { return len(b), nil }
+func (d *discard) WriteString(t string) (int, error) { return len(t), nil }
+func (d *discard) WriteHeader(int)                   {}
+func (d *discard) WriteHeaderNow()                   {}
+
+// hangUp closes the connection without an answer.
+func hangUp(c *gin.Context) {
+	c.Abort()
+	conn, _, err := c.Writer.Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func (s *Store) listOrWatch(c *gin.Context) {
+	if c.Query("watch") != "" {
+		s.watch(c)
+		return
+	}
+	l, _ := s.mem.List(c)
+	list := objectapi.List{APIVersion: objectapi.APIVersion, Kind: objectapi.ItemKind + "List"}
+	list.Metadata.ResourceVersion = objectapi.FormatVersion(l.Revision)
+	list.Items = make([]objectapi.Item, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		list.Items = append(list.Items, objectapi.ToItem(o))
+	}
+	c.JSON(http.StatusOK, list)
+}
+
+func (s *Store) get(c *gin.Context) {
+	id, err := objectapi.ParseItemName(c.Param("name"))
+	if err != nil {
+		c.JSON(http.StatusNotFound, gin.H{"message": err.Error()})
+		return
+	}
+	o, err := s.mem.Get(c, id)
+	s.answer(c, o, err)
+}
+
+func (s *Store) put(c *gin.Context) {
+	var item objectapi.Item
+	if err := json.NewDecoder(c.Request.Body).Decode(&item); err != nil {
+		c.JSON(http.StatusBadRequest, gin.H{"message": err.Error()})
+		return
+	}
+	o, err := objectapi.FromItem(item)
+	if err != nil {
+		c.JSON(http.StatusBadRequest, gin.H{"message": err.Error()})
+		return
+	}
+	o, err = s.mem.Put(c, o)
+	s.answer(c, o, err)
+}
+
+func (s *Store) delete(c *gin.Context) {
+	id, err := objectapi.ParseItemName(c.Param("name"))
+	if err != nil {
+		c.JSON(http.StatusNotFound, gin.H{"message": err.Error()})
+		return
+	}
+	version, err := objectapi.ParseVersion(c.Query("resourceVersion"))
+	if err != nil {
+		c.JSON(http.StatusBadRequest, gin.H{"message": err.Error()})
+		return
+	}
+	o := platform.Object{Kind: id.Kind, Name: id.Name, Version: version}
+	s.answer(c, o, s.mem.Delete(c, o))
+}
+
+func (s *Store) answer(c *gin.Context, o platform.Object, err error) {
+	switch {
+	case err == nil:
+		c.JSON(http.StatusOK, objectapi.ToItem(o))
+	case errors.Is(err, platform.ErrNotFound):
+		c.JSON(http.StatusNotFound, gin.H{"message": err.Error()})
+	case errors.Is(err, platform.ErrConflict):
+		c.JSON(http.StatusConflict, gin.H{"message": err.Error()})
+	default:
+		c.JSON(http.StatusInternalServerError, gin.H{"message": err.Error()})
+	}
+}
+
+func (s *Store) vms(c *gin.Context) {
+	vms, _ := s.mem.VMs(c)
+	c.JSON(http.StatusOK, objectapi.VMList{Items: vms})
+}
+
+func (s *Store) watch(c *gin.Context) {
+	from, err := objectapi.ParseVersion(c.Query("resourceVersion"))
+	if err != nil {
+		c.JSON(http.StatusBadRequest, gin.H{"message": err.Error()})
+		return
+	}
+	if err := s.mem.CheckRevision(from); err != nil {
+		c.JSON(http.StatusGone, gin.H{"message": err.Error()})
+		return
+	}
+	s.stream(c, from)
+}
--- /dev/null
+++ b/internal/standin/watch.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/platform/objectapi"
+)
+
+// stream sends events until the caller or the store goes away.
+func (s *Store) stream(c *gin.Context, from uint64) {
+	ctx, cancel := context.WithCancel(c.Request.Context())
+	defer cancel()
+	s.mu.Lock()
+	broken := s.broken
+	s.mu.Unlock()
+	w := &eventWriter{lines: json.NewEncoder(c.Writer), flush: c.Writer.Flush, revision: from}
+	c.Status(http.StatusOK)
+	c.Writer.WriteHeaderNow()
+	c.Writer.Flush()
+	var bookmarks sync.WaitGroup
+	bookmarks.Go(func() { s.bookmark(ctx, cancel, broken, w) })
+	_ = s.mem.Watch(ctx, from, func(e platform.Event) error {
+		if s.Faults().SilentWatch {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return w.event(e)
+	})
+	cancel()
+	bookmarks.Wait()
+}
+
+func (s *Store) bookmark(ctx context.Context, cancel context.CancelFunc, broken <-chan struct{}, w *eventWriter) {
+	tick := time.NewTicker(bookmarkEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if !s.Faults().SilentWatch && w.bookmark() != nil {
+				cancel()
+				return
+			}
+		case <-broken:
+			cancel()
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+type eventWriter struct {
+	mu       sync.Mutex
+	lines    *json.Encoder
+	flush    func()
+	revision uint64
+}
+
+func (w *eventWriter) event(e platform.Event) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	line := objectapi.WatchEvent{Type: objectapi.Modified, Object: objectapi.ToItem(e.Object)}
+	if e.Type == platform.EventDelete {
+		line.Type = objectapi.Deleted
+		line.Object.Metadata.ResourceVersion = objectapi.FormatVersion(e.Revision)
+	}
+	w.revision = e.Revision
+	return w.send(line)
+}
+
+func (w *eventWriter) bookmark() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	line := objectapi.WatchEvent{Type: objectapi.Bookmark}
+	line.Object.Metadata.ResourceVersion = objectapi.FormatVersion(w.revision)
+	return w.send(line)
+}
+
+func (w *eventWriter) send(line objectapi.WatchEvent) error {
+	if err := w.lines.Encode(line); err != nil {
+		return err
+	}
+	w.flush()
+	return nil
+}
--- /dev/null
+++ b/internal/statechart/statechart.go
@@ -0,0 +1,179 @@
+// Package statechart interprets state charts that stand in files.
+//
+// A chart lists states, events and transitions. It is checked before use: every
+// state must be reachable, every transition must name declared states and
+// events. The code asks the chart what follows from an event, so the file and
+// the behaviour cannot drift apart.
+package statechart
+
+import (
+	"errors"
+	"fmt"
+
+	"hemlockquay/internal/settings"
+)
+
+// State and Event are names that a chart declares.
+type (
+	State string
+	Event string
+)
+
+// ErrNoTransition reports an event that the chart does not allow in a state.
+var ErrNoTransition = errors.New("no such transition")
+
+// Transition says that Event leads from From to To.
+type Transition struct {
+	From  State `json:"from"`
+	Event Event `json:"event"`
+	To    State `json:"to"`
+	// Why says which situation the transition answers.
+	Why string `json:"why,omitempty"`
+}
+
+// Chart is a checked state chart. It is immutable and may be shared.
+type Chart struct {
+	Name        string       `json:"name"`
+	Initial     State        `json:"initial"`
+	States      []State      `json:"states"`
+	Final       []State      `json:"final,omitempty"`
+	Events      []Event      `json:"events"`
+	Transitions []Transition `json:"transitions"`
+
+	next map[step]State
+}
+
+type step struct {
+	state State
+	event Event
+}
+
+// Parse reads and checks a chart; source names it in errors.
+func Parse(source string, text []byte) (*Chart, error) {
+	var c Chart
+	if err := settings.Decode(source, text, &c); err != nil {
+		return nil, fmt.Errorf("parse chart: %w", err)
+	}
+	return &c, nil
+}
+
+// Check implements settings.Checker.
+func (c *Chart) Check() error {
+	states, err := declared("/states", c.States)
+	if err != nil {
+		return err
+	}
+	events, err := declared("/events", c.Events)
+	if err != nil {
+		return err
+	}
+	if !states[c.Initial] {
+		return settings.Impossible("/initial", "%q is not a declared state", c.Initial)
+	}
+	if err := c.index(states, events); err != nil {
+		return err
+	}
+	return c.checkReach()
+}
+
+func declared[T ~string](at string, names []T) (map[T]bool, error) {
+	seen := make(map[T]bool, len(names))
+	for i, n := range names {
+		if n == "" || seen[n] {
+			return nil, settings.Impossible(fmt.Sprintf("%s/%d", at, i), "%q is empty or stands twice", n)
+		}
+		seen[n] = true
+	}
+	return seen, nil
+}
+
+func (c *Chart) index(states map[State]bool, events map[Event]bool) error {
+	c.next = make(map[step]State, len(c.Transitions))
+	used := make(map[Event]bool, len(events))
+	for i, t := range c.Transitions {
+		at := fmt.Sprintf("/transitions/%d", i)
+		switch {
+		case !states[t.From]:
+			return settings.Impossible(at+"/from", "%q is not a declared state", t.From)
+		case !states[t.To]:
+			return settings.Impossible(at+"/to", "%q is not a declared state", t.To)
+		case !events[t.Event]:
+			return settings.Impossible(at+"/event", "%q is not a declared event", t.Event)
+		}
+		s := step{t.From, t.Event}
+		if _, twice := c.next[s]; twice {
+			return settings.Impossible(at, "%s in state %s leads to two states", t.Event, t.From)
+		}
+		c.next[s] = t.To
+		used[t.Event] = true
+	}
+	for i, e := range c.Events {
+		if !used[e] {
+			return settings.Impossible(fmt.Sprintf("/events/%d", i), "%q leads nowhere", e)
+		}
+	}
+	return nil
+}
+
+func (c *Chart) checkReach() error {
+	reached := map[State]bool{c.Initial: true}
+	for grown := true; grown; {
+		grown = false
+		for _, t := range c.Transitions {
+			if reached[t.From] && !reached[t.To] {
+				reached[t.To], grown = true, true
+			}
+		}
+	}
+	for i, s := range c.States {
+		if !reached[s] {
+			return settings.Impossible(fmt.Sprintf("/states/%d", i), "%q cannot be reached", s)
+		}
+	}
+	return nil
+}
+
+// Next returns the state that follows. The state is unchanged where the chart
+// has no such transition, and the error is ErrNoTransition.
+func (c *Chart) Next(s State, e Event) (State, error) {
+	to, ok := c.next[step{s, e}]
+	if !ok {
+		return s, fmt.Errorf("chart %s: %s in state %s: %w", c.Name, e, s, ErrNoTransition)
+	}
+	return to, nil
+}
+
+// IsFinal tells whether the state is one of the chart's final states.
+func (c *Chart) IsFinal(s State) bool {
+	for _, f := range c.Final {
+		if f == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Machine is one instance of a chart. It is not safe for concurrent use.
+type Machine struct {
+	chart *Chart
+	state State
+}
+
+// Start returns a machine in the chart's initial state.
+func (c *Chart) Start() *Machine { return &Machine{chart: c, state: c.Initial} }
+
+// State returns the current state.
+func (m *Machine) State() State { return m.state }
+
+// Fire moves the machine on, or leaves it and returns ErrNoTransition.
+func (m *Machine) Fire(e Event) error {
+	to, err := m.chart.Next(m.state, e)
+	m.state = to
+	return err
+}
+
+// Done tells whether the machine is in a final state.
+func (m *Machine) Done() bool { return m.chart.IsFinal(m.state) }
+
+// Chart returns the machine's chart.
+func (m *Machine) Chart() *Chart { return m.chart }
--- /dev/null
+++ b/internal/target/sender.go
@@ -0,0 +1,153 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/wire"
+)
+
+// ErrUnsent says that no byte of the request reached the target.
+var ErrUnsent = errors.New("not sent")
+
+// ErrTooLarge says that the target's answer is over the limit.
+var ErrTooLarge = errors.New("answer over the limit")
+
+// RefusedError says that the target did not run the request.
+type RefusedError struct{ Reason Refusal }
+
+// Error names the reason.
+func (e *RefusedError) Error() string { return "refused: " + string(e.Reason) }
+
+// Attempt is one sending of a request to a target.
+type Attempt struct {
+	Request *wire.Request
+	Target  model.Target
+	// Grant is the ownership under which it is sent; nil where unkeyed.
+	Grant *wire.Grant
+	// MaxAnswer bounds the answer's body, bytes.
+	MaxAnswer int64
+	// Deadline is when the caller's patience ends.
+	Deadline time.Time
+}
+
+// Sender sends requests to targets over a bounded number of connections each.
+type Sender struct{ http *http.Client }
+
+// dialTimeout bounds a new connection; within a region it takes about 1 ms.
+const dialTimeout = 500 * time.Millisecond
+
+// idleTimeout is how long a warm connection is kept without use.
+const idleTimeout = 90 * time.Second
+
+// NewSender returns a sender with at most so many connections to each target.
+func NewSender(connections int) *Sender {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Sender{http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// onceBody hides the body's type from net/http.
+//
+// Failure: a kept connection breaks as a request is written. net/http then sends
+// the request again by itself if it can rewind the body, also a POST that has an
+// Idempotency-Key header: a pull request opened twice, unseen by the retry
+// rules. A body that it cannot rewind is never sent again.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Send sends the attempt once and returns the whole answer. The error is
+// ErrUnsent or *RefusedError where the target surely did not run it.
+func (s *Sender) Send(ctx context.Context, a *Attempt) (*wire.Answer, error) {
+	req, err := build(ctx, a)
+	if err != nil {
+		return nil, errors.Join(ErrUnsent, err)
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	defer resp.Body.Close()
+	if refused := resp.Header.Get(HeaderRefused); refused != "" && resp.Header.Get(problem.Header) == string(problem.RanNo) {
+		return nil, &RefusedError{Reason: Refusal(refused)}
+	}
+	body, err := readWhole(resp, a.MaxAnswer)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Answer{
+		ID:     a.Request.ID,
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Body:   body,
+		Sum:    wire.Sum(body),
+		Target: a.Target.Name,
+	}, nil
+}
+
+func build(ctx context.Context, a *Attempt) (*http.Request, error) {
+	r := a.Request
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Target.Addr+r.Path, onceBody{bytes.NewReader(r.Body)})
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.Header = r.Header.Clone()
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	req.Header.Set(HeaderRequestID, r.ID)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(a.Deadline).Milliseconds(), 10))
+	if r.Key != "" {
+		req.Header.Set(HeaderKey, r.Key)
+	}
+	if g := a.Grant; g != nil {
+		req.Header.Set(HeaderGroup, strconv.FormatUint(g.Group, 10))
+		req.Header.Set(HeaderRank, FormatRank(g.Rank))
+		req.Header.Set(HeaderIncarnation, g.Target.Incarnation)
+	}
+	return req, nil
+}
+
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Join(ErrUnsent, err)
+	}
+	return err
+}
+
+// readWhole reads the body to its end. A body shorter than announced is an
+// error of net/http, one over the limit is ErrTooLarge; neither is passed on in
+// part.
+func readWhole(resp *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("answer of over %d bytes: %w", limit, ErrTooLarge)
+	}
+	return body, nil
+}
+
+// Close drops idle connections.
+func (s *Sender) Close() { s.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,150 @@
+// Package view is what a daemon knows of the system: services, contracts,
+// members and grants, as one immutable value that is replaced whole.
+//
+// Readers take the current view once and use it for one decision, so that no
+// decision mixes two configurations.
+package view
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"sort"
+
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+// View is one state of the system. It is never changed after Build.
+type View struct {
+	// Source and State identify the agent's state; Revision the configuration.
+	Source   string
+	State    uint64
+	Revision uint64
+
+	Members []wire.Member
+	Grants  []wire.Grant
+
+	services map[string]*model.Service
+	// byToken finds a contract by the hash of its token.
+	byToken     map[string]*model.Contract
+	assignments map[string]*model.Assignment
+	grants      map[string][]ownedSlice
+	// Problems lists the objects that were refused.
+	Problems []string
+}
+
+// ownedSlice is a slice with its grant; a service's list is sorted by slice.
+type ownedSlice struct {
+	slice keyspace.Slice
+	grant *wire.Grant
+}
+
+// Build returns the view of the objects, members and grants. An object that
+// fails its check is left out and reported in Problems; the caller keeps the
+// last good version of it.
+func Build(objects []platform.Object, members []wire.Member, grants []wire.Grant) *View {
+	v := &View{
+		Members:     members,
+		Grants:      grants,
+		services:    make(map[string]*model.Service),
+		byToken:     make(map[string]*model.Contract),
+		assignments: make(map[string]*model.Assignment),
+		grants:      make(map[string][]ownedSlice),
+	}
+	for _, o := range objects {
+		if err := v.add(o); err != nil {
+			v.Problems = append(v.Problems, fmt.Sprintf("%s %s version %d: %v", o.Kind, o.Name, o.Version, err))
+		}
+	}
+	for i := range grants {
+		v.addGrant(&grants[i])
+	}
+	for _, owned := range v.grants {
+		slices.SortFunc(owned, func(a, b ownedSlice) int {
+			if a.slice.First < b.slice.First {
+				return -1
+			}
+			return 1
+		})
+	}
+	return v
+}
+
+func (v *View) add(o platform.Object) error {
+	object, err := model.Decode(o.Kind, o.Name, o.Spec)
+	if err != nil {
+		return err
+	}
+	switch typed := object.(type) {
+	case *model.Service:
+		v.services[typed.Name] = typed
+	case *model.Contract:
+		v.byToken[typed.TokenSHA256] = typed
+	case *model.Assignment:
+		v.assignments[typed.Service] = typed
+	}
+	return nil
+}
+
+func (v *View) addGrant(g *wire.Grant) {
+	for _, s := range g.Slices {
+		v.grants[g.Service] = append(v.grants[g.Service], ownedSlice{slice: s, grant: g})
+	}
+}
+
+// Service returns the service of that name, or nil.
+func (v *View) Service(name string) *model.Service { return v.services[name] }
+
+// Services returns all services, sorted by name.
+func (v *View) Services() []*model.Service {
+	out := make([]*model.Service, 0, len(v.services))
+	for _, s := range v.services {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Assignment returns the record of a service, or nil.
+func (v *View) Assignment(service string) *model.Assignment { return v.assignments[service] }
+
+// ContractOf returns the contract of a bearer token, or nil.
+func (v *View) ContractOf(token string) *model.Contract {
+	sum := sha256.Sum256([]byte(token))
+	return v.byToken[hex.EncodeToString(sum[:])]
+}
+
+// Contracts returns all contracts, sorted by customer.
+func (v *View) Contracts() []*model.Contract {
+	out := make([]*model.Contract, 0, len(v.byToken))
+	for _, c := range v.byToken {
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Customer < out[j].Customer })
+	return out
+}
+
+// Owner returns the grant that covers the point, or nil where nobody owns it.
+func (v *View) Owner(service string, p keyspace.Point) *wire.Grant {
+	owned := v.grants[service]
+	i := sort.Search(len(owned), func(i int) bool { return owned[i].slice.Last >= p })
+	if i == len(owned) || !owned[i].slice.Contains(p) {
+		return nil
+	}
+	return owned[i].grant
+}
+
+// Dispatchers returns the members that take requests, in the list's order.
+func (v *View) Dispatchers() []wire.Member {
+	out := make([]wire.Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		if m.DispatchAddr != "" && !m.Leaving {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# The main job on one machine: stand-ins, three VMs' daemons, both users' load.
+# Exits 0 only if every answer was whole and its own and all ended gracefully.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/lab.sh
+dir=out/demo
+trap 'lab_stop; exit 130' INT TERM
+trap 'lab_stop' EXIT
+lab_up "$dir" 3 examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || exit 1
+sleep 2
+bin/hq-load --config "$dir/load.jsonc" --json "$dir/report.json" --duration "${DEMO_SECONDS:-20}s" --complete
+result=$?
+lab_stop || { echo "a process did not stop gracefully; see $dir" >&2; result=1; }
+exit $result
