--- a/internal/model/objects.go
+++ b/internal/model/objects.go
@@ -124,6 +124,9 @@
 	Epoch uint64 `json:"epoch"`
 	// Grantors are the VMs that may grant the group, in succession.
 	Grantors []string `json:"grantors"`
+	// MoveTo is the durable intent of a planned move: the name of the half of
+	// the pair that shall serve. "" leaves the group where it is.
+	MoveTo string `json:"moveTo,omitempty"`
 	// Author is the incarnation of the agent that wrote the epoch.
 	Author string `json:"author,omitempty"`
 }
