hq-load as the experiment tool: fault timetables, key figures, plots, compare

Cause: unavailable time, churn and imbalance could not be seen from callers. Change: planned arrivals (Poisson, even, bursts, schedule), hot keys, long and crashing requests, faults through the stand-in's admin port, figures per key, a course by the second with SVG plots, compare of two reports.

--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -6,22 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"text/tabwriter"
-	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"hemlockquay/internal/problem"
 	"hemlockquay/internal/standin"
 )
 
-// Histogram bounds: 1 µs to 2 minutes, three digits.
-const (
-	lowestLatency  = 1
-	highestLatency = int64(2 * time.Minute / time.Microsecond)
-	digits         = 3
-)
-
 // Report is what callers received.
 type Report struct {
 	Seconds   float64          `json:"seconds"`
@@ -30,6 +20,11 @@
 	RefusedYetRan int `json:"refusedYetRan"`
 	// RanTwice counts non-idempotent requests that ran more than once.
 	RanTwice int `json:"ranTwice"`
+	// Runs is how often targets ran requests of the load, all together; Runs
+	// over the number of requests is the retry amplification.
+	Runs int `json:"runs"`
+	// Series is the course of the experiment, second by second.
+	Series []Second `json:"series"`
 }
 
 // WorkloadResult is one workload's outcome.
@@ -53,10 +48,9 @@
 	// Statuses counts refusals and losses by status code.
 	Statuses []StatusCount `json:"statuses,omitempty"`
 	// FirstLoss is the first lost request's error.
-	FirstLoss string `json:"firstLoss,omitempty"`
-
-	refusedIDs, allIDs []string
-	idempotent         bool
+	FirstLoss string      `json:"firstLoss,omitempty"`
+	Keys      *KeyFigures `json:"keys,omitempty"`
+	Unchecked bool        `json:"unchecked,omitempty"`
 }
 
 // StatusCount counts answers of one status code.
@@ -65,92 +59,13 @@
 	Count  int `json:"count"`
 }
 
-// tally collects one workload's outcomes. It is safe for concurrent use.
-type tally struct {
-	workload *Workload
-
-	mu       sync.Mutex
-	latency  *hdrhistogram.Histogram
-	refusals *hdrhistogram.Histogram
-	r        WorkloadResult
-}
-
-func newTally(w *Workload) *tally {
-	t := &tally{
-		workload: w,
-		latency:  hdrhistogram.New(lowestLatency, highestLatency, digits),
-		refusals: hdrhistogram.New(lowestLatency, highestLatency, digits),
-	}
-	t.r.Customer, t.r.Service = w.Customer, w.Service
-	t.r.idempotent = w.Method != http.MethodPost
-	return t
-}
-
-func (t *tally) note(id string, do func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.r.Sent++
-	t.r.allIDs = append(t.r.allIDs, id)
-	do()
-}
-
-func (t *tally) answered(id string, took time.Duration, whole bool) {
-	t.note(id, func() {
-		if !whole {
-			t.r.Broken++
-			return
-		}
-		t.r.Answered++
-		_ = t.latency.RecordValue(took.Microseconds())
-	})
-}
-
-func (t *tally) refused(id string, took time.Duration, status int) {
-	t.note(id, func() {
-		t.r.Refused++
-		t.r.refusedIDs = append(t.r.refusedIDs, id)
-		t.count(status)
-		_ = t.refusals.RecordValue(took.Microseconds())
-	})
-}
-
-func (t *tally) unknown(id string, _ time.Duration, status int) {
-	t.note(id, func() {
-		t.r.Unknown++
-		t.count(status)
-	})
-}
-
-func (t *tally) lost(id string, err error) {
-	t.note(id, func() {
-		t.r.Lost++
-		if t.r.FirstLoss == "" {
-			t.r.FirstLoss = err.Error()
-		}
-	})
-}
-
-func (t *tally) count(status int) {
-	for i := range t.r.Statuses {
-		if t.r.Statuses[i].Status == status {
-			t.r.Statuses[i].Count++
-			return
-		}
+func (r *runner) report() *Report {
+	report := &Report{Seconds: r.experiment.Duration.D().Seconds()}
+	for _, t := range r.tallies {
+		report.Workloads = append(report.Workloads, t.result(r.experiment.SlowAfter.D()))
 	}
-	t.r.Statuses = append(t.r.Statuses, StatusCount{status, 1})
-}
-
-func (t *tally) result() WorkloadResult {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.r
-	r.P50, r.P99, r.P999 = quantile(t.latency, 50), quantile(t.latency, 99), quantile(t.latency, 99.9)
-	r.RefusedP99 = quantile(t.refusals, 99)
-	return r
-}
-
-func quantile(h *hdrhistogram.Histogram, q float64) float64 {
-	return float64(h.ValueAtQuantile(q)) / 1000
+	report.Series = series(r.tallies, r.experiment.SlowAfter.D())
+	return report
 }
 
 // verify asks the stand-in's ledger what really ran.
@@ -158,31 +73,34 @@
 	if r.experiment.Standin == "" {
 		return nil
 	}
-	for i := range report.Workloads {
-		w := &report.Workloads[i]
-		refused, err := r.runs(w.refusedIDs)
+	for _, t := range r.tallies {
+		ids := make([]string, len(t.outcomes))
+		for i := range t.outcomes {
+			ids[i] = t.outcomes[i].id
+		}
+		runs, err := r.runs(ids)
 		if err != nil {
 			return err
 		}
-		for _, n := range refused {
-			if n > 0 {
-				report.RefusedYetRan++
-			}
-		}
-		if w.idempotent {
+		report.judge(t, runs)
+	}
+	return nil
+}
+
+func (r *Report) judge(t *tally, runs []int) {
+	for i, n := range runs {
+		o := &t.outcomes[i]
+		r.Runs += n
+		if t.workload.Unchecked {
 			continue
 		}
-		all, err := r.runs(w.allIDs)
-		if err != nil {
-			return err
+		if n > 0 && o.err == nil && o.ran == problem.RanNo {
+			r.RefusedYetRan++
 		}
-		for _, n := range all {
-			if n > 1 {
-				report.RanTwice++
-			}
+		if n > 1 && t.workload.Method == http.MethodPost {
+			r.RanTwice++
 		}
 	}
-	return nil
 }
 
 func (r *runner) runs(ids []string) ([]int, error) {
@@ -199,13 +117,16 @@
 	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
 		return nil, fmt.Errorf("read the ledger: %w", err)
 	}
+	if len(reply.Runs) != len(ids) {
+		return nil, fmt.Errorf("read the ledger: %d answers for %d requests", len(reply.Runs), len(ids))
+	}
 	return reply.Runs, nil
 }
 
 // Sound tells whether every promise to callers was kept.
 func (r *Report) Sound() bool {
 	for _, w := range r.Workloads {
-		if w.Broken > 0 || w.Lost > 0 {
+		if !w.Unchecked && (w.Broken > 0 || w.Lost > 0) {
 			return false
 		}
 	}
@@ -222,14 +143,31 @@
 	return r.Sound()
 }
 
-// Text writes the report as a table.
+// Text writes the report as tables.
 func (r *Report) Text(out io.Writer) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "service\tcustomer\tsent\tanswered\trefused (no)\tunknown\tbroken\tlost\tp50 ms\tp99 ms\tp99.9 ms\t")
+	fmt.Fprintln(t, "service\tcustomer\tsent\tanswered\trefused (no)\tunknown\tbroken\tlost\tp50 ms\tp99 ms\tp99.9 ms\trefused p99 ms\t")
+	for _, w := range r.Workloads {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
+			w.Service, w.Customer, w.Sent, w.Answered, w.Refused, w.Unknown, w.Broken, w.Lost, w.P50, w.P99, w.P999, w.RefusedP99)
+	}
+	t.Flush()
+	r.keysText(out)
 	for _, w := range r.Workloads {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n",
-			w.Service, w.Customer, w.Sent, w.Answered, w.Refused, w.Unknown, w.Broken, w.Lost, w.P50, w.P99, w.P999)
+		if w.FirstLoss != "" {
+			fmt.Fprintf(out, "%s %s: first lost request: %s\n", w.Service, w.Customer, w.FirstLoss)
+		}
+	}
+	fmt.Fprintf(out, "refused as not run, yet run: %d; non-idempotent, run twice: %d; runs: %d\n", r.RefusedYetRan, r.RanTwice, r.Runs)
+}
+
+func (r *Report) keysText(out io.Writer) {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "service\tcustomer\tkeys\tunavailable\tp50 ms\tworst ms\tmoves\timbalance\t")
+	for _, w := range r.Workloads {
+		if k := w.Keys; k != nil {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.0f\t%.0f\t%d\t%.2f\t\n", w.Service, w.Customer, k.Keys, k.Unavailable, k.P50, k.Worst, k.Moves, k.Imbalance)
+		}
 	}
 	t.Flush()
-	fmt.Fprintf(out, "refused as not run, yet run: %d; non-idempotent, run twice: %d\n", r.RefusedYetRan, r.RanTwice)
 }
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -16,7 +16,7 @@
 )
 
 // maxConnections bounds the connections to one entry.
-const maxConnections = 256
+const maxConnections = 512
 
 // graceAfter is how much longer than its deadline a request is waited for.
 const graceAfter = time.Second
@@ -27,6 +27,14 @@
 	http       *http.Client
 	tallies    []*tally
 	prefix     string
+	begin      time.Time
+}
+
+// call is one request of the load.
+type call struct {
+	id, key, entry string
+	number         int
+	planned        time.Duration
 }
 
 // Run offers the load and returns the report.
@@ -35,109 +43,156 @@
 		experiment: e,
 		http:       &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, DisableCompression: true}},
 		prefix:     strconv.FormatInt(time.Now().UnixNano(), 36),
+		begin:      time.Now(),
 	}
 	defer r.http.CloseIdleConnections()
-	var streams sync.WaitGroup
-	for i := range e.Workloads {
-		t := newTally(&e.Workloads[i])
+	if err := r.stream(ctx); err != nil {
+		return nil, err
+	}
+	report := r.report()
+	return report, r.verify(report)
+}
+
+// stream runs all workloads and the faults, each in a goroutine of its own.
+func (r *runner) stream(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var streams, faults sync.WaitGroup
+	for i := range r.experiment.Workloads {
+		w := &r.experiment.Workloads[i]
+		random := rand.New(rand.NewPCG(r.experiment.Seed, uint64(i)))
+		times, err := plan(w, random, r.experiment.Duration.D())
+		if err != nil {
+			return err
+		}
+		t := newTally(w)
 		r.tallies = append(r.tallies, t)
-		streams.Go(func() { r.stream(ctx, i, t) })
+		streams.Go(func() { r.workload(ctx, i, t, times, newKeys(w, random)) })
 	}
+	faults.Go(func() {
+		if err := r.faults(ctx); err != nil {
+			cancel(err)
+		}
+	})
 	streams.Wait()
-	report := &Report{Seconds: e.Duration.D().Seconds()}
-	for _, t := range r.tallies {
-		report.Workloads = append(report.Workloads, t.result())
-	}
-	return report, r.verify(report)
+	cause := context.Cause(ctx)
+	cancel(nil)
+	faults.Wait()
+	return cause
 }
 
-// stream sends one workload's requests at their planned times.
-func (r *runner) stream(ctx context.Context, index int, t *tally) {
-	random := rand.New(rand.NewPCG(r.experiment.Seed, uint64(index)))
-	keys := newKeys(t.workload, random)
-	begin := time.Now()
+// workload sends one workload's requests at their planned times.
+func (r *runner) workload(ctx context.Context, index int, t *tally, times []time.Duration, keys *keys) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
-	at := time.Duration(0)
-	for n := 0; ; n++ {
-		at += time.Duration(random.ExpFloat64() / t.workload.Rate * float64(time.Second))
-		if at > r.experiment.Duration.D() {
+	for n, at := range times {
+		if !r.sleepUntil(ctx, at) {
 			return
 		}
-		select {
-		case <-time.After(time.Until(begin.Add(at))):
-		case <-ctx.Done():
-			return
+		c := call{
+			id: fmt.Sprintf("%s-%d-%d", r.prefix, index, n), number: n, planned: at,
+			key: keys.at(at), entry: r.experiment.Entries[n%len(r.experiment.Entries)],
 		}
-		id := fmt.Sprintf("%s-%d-%d", r.prefix, index, n)
-		key, entry := keys.next(), r.experiment.Entries[n%len(r.experiment.Entries)]
-		requests.Go(func() { r.request(ctx, t, id, key, entry, begin.Add(at)) })
+		requests.Go(func() { r.request(ctx, t, c) })
 	}
 }
 
-func (r *runner) request(ctx context.Context, t *tally, id, key, entry string, planned time.Time) {
-	w := t.workload
-	ctx, cancel := context.WithDeadline(ctx, planned.Add(w.Deadline.D()+graceAfter))
+func (r *runner) sleepUntil(ctx context.Context, at time.Duration) bool {
+	wait := time.Until(r.begin.Add(at))
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// faults calls the stand-in's admin port by the timetable.
+func (r *runner) faults(ctx context.Context) error {
+	for _, f := range r.experiment.Faults {
+		if !r.sleepUntil(ctx, f.At.D()) {
+			return nil
+		}
+		req, err := http.NewRequestWithContext(ctx, f.Method, r.experiment.Standin+f.Path, bytes.NewReader(f.Body))
+		if err != nil {
+			return fmt.Errorf("fault %s: %w", f.Path, err)
+		}
+		resp, err := r.http.Do(req)
+		if err != nil {
+			return fmt.Errorf("fault %s: %w", f.Path, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode >= http.StatusBadRequest {
+			return fmt.Errorf("fault %s: status %d", f.Path, resp.StatusCode)
+		}
+	}
+	return nil
+}
+
+// request sends one request and notes what came back.
+func (r *runner) request(ctx context.Context, t *tally, c call) {
+	o := outcome{call: c}
+	ctx, cancel := context.WithDeadline(ctx, r.begin.Add(c.planned+t.workload.Deadline.D()+graceAfter))
 	defer cancel()
-	body := bytes.Repeat([]byte("b"), w.BodyBytes)
-	req, err := http.NewRequestWithContext(ctx, w.Method, entry+"/s/"+w.Service+"/work", bytes.NewReader(body))
+	body := bytes.Repeat([]byte("b"), t.workload.BodyBytes)
+	resp, answer, err := r.exchange(ctx, t.workload, c, body)
+	o.took = time.Since(r.begin) - c.planned
 	if err != nil {
-		t.lost(id, err)
+		o.err = err
+		t.note(o)
 		return
 	}
-	req.GetBody = nil
-	req.Header.Set("Authorization", "Bearer "+w.Token)
-	req.Header.Set("Hq-Deadline-Ms", strconv.FormatInt(w.Deadline.D().Milliseconds(), 10))
-	req.Header.Set(standin.HeaderLoadID, id)
-	req.Header.Set(standin.HeaderLoadSize, strconv.Itoa(w.AnswerBytes))
-	if key != "" {
-		req.Header.Set("Hq-Key", key)
+	o.status, o.servedBy = resp.StatusCode, resp.Header.Get(standin.HeaderServedBy)
+	o.ran = problem.Ran(resp.Header.Get(problem.Header))
+	// A repeat under one Idempotency-Key gets the first request's answer.
+	id := resp.Header.Get(standin.HeaderLoadID)
+	if t.workload.IdempotencyKeys == 0 {
+		id = c.id
+	}
+	o.whole = bytes.Equal(answer, standin.Answer(id, t.workload.AnswerBytes, body))
+	t.note(o)
+}
+
+func (r *runner) exchange(ctx context.Context, w *Workload, c call, body []byte) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, w.Method, c.entry+"/s/"+w.Service+"/work", bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
 	}
+	// The load tool itself must never send a request twice.
+	req.GetBody = nil
+	setHeaders(req.Header, w, c)
 	resp, err := r.http.Do(req)
 	if err != nil {
-		t.lost(id, err)
-		return
+		return nil, nil, err
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
-	took := time.Since(planned)
-	if err != nil {
-		t.lost(id, err)
-		return
-	}
-	switch problem.Ran(resp.Header.Get(problem.Header)) {
-	case problem.RanYes:
-		whole := bytes.Equal(answer, standin.Answer(id, w.AnswerBytes, body))
-		t.answered(id, took, whole)
-	case problem.RanNo:
-		t.refused(id, took, resp.StatusCode)
-	default:
-		t.unknown(id, took, resp.StatusCode)
-	}
+	return resp, answer, err
 }
 
-// keys draws keys by popularity.
-type keys struct {
-	service string
-	random  *rand.Rand
-	zipf    *rand.Zipf
-	count   int
-}
-
-func newKeys(w *Workload, random *rand.Rand) *keys {
-	k := &keys{service: w.Service, random: random, count: w.Keys}
-	if w.Keys > 0 && w.Zipf > 1 {
-		k.zipf = rand.NewZipf(random, w.Zipf, 1, uint64(w.Keys-1))
+func setHeaders(h http.Header, w *Workload, c call) {
+	h.Set("Authorization", "Bearer "+w.Token)
+	h.Set("Hq-Deadline-Ms", strconv.FormatInt(w.Deadline.D().Milliseconds(), 10))
+	h.Set(standin.HeaderLoadID, c.id)
+	h.Set(standin.HeaderLoadSize, strconv.Itoa(w.AnswerBytes))
+	if c.key != "" {
+		h.Set("Hq-Key", c.key)
+	}
+	if w.WorkUS > 0 {
+		h.Set(standin.HeaderLoadWork, strconv.Itoa(w.WorkUS))
+	}
+	if w.LongOneIn > 0 && c.number%w.LongOneIn == w.LongOneIn-1 {
+		h.Set(standin.HeaderLoadWork, strconv.Itoa(w.LongWorkUS))
+	}
+	if w.CrashOneIn > 0 && c.number%w.CrashOneIn == w.CrashOneIn-1 {
+		h.Set(standin.HeaderLoadCrash, "1")
+	}
+	if w.IdempotencyKeys > 0 {
+		h.Set("Idempotency-Key", fmt.Sprintf("%s-%d", w.Customer, c.number%w.IdempotencyKeys))
 	}
-	return k
-}
-
-func (k *keys) next() string {
-	switch {
-	case k.count == 0:
-		return ""
-	case k.zipf != nil:
-		return fmt.Sprintf("%s-key-%d", k.service, k.zipf.Uint64())
-	}
-	return fmt.Sprintf("%s-key-%d", k.service, k.random.IntN(k.count))
 }
--- /dev/null
+++ b/internal/loadgen/series.go
@@ -0,0 +1,95 @@
+package loadgen
+
+import (
+	"slices"
+	"time"
+
+	"hemlockquay/internal/problem"
+)
+
+// Second is what was planned in one second of the experiment and how it ended.
+type Second struct {
+	Sent     int     `json:"sent"`
+	Answered int     `json:"answered"`
+	Refused  int     `json:"refused"`
+	Unknown  int     `json:"unknown"`
+	P99      float64 `json:"p99ms"`
+	// UnavailableKeys counts keys of which a request failed or was slow.
+	UnavailableKeys int `json:"unavailableKeys"`
+	// Moves counts keys answered by another target than before.
+	Moves int `json:"moves"`
+	// Imbalance is the highest over the mean load of the keyed targets.
+	Imbalance float64 `json:"imbalance"`
+}
+
+// course collects the seconds of an experiment.
+type course struct {
+	seconds []Second
+	latency [][]time.Duration
+	served  []map[string]int
+	bad     []map[string]bool
+	last    map[string]string
+}
+
+// series computes the course over all workloads.
+func series(tallies []*tally, slowAfter time.Duration) []Second {
+	var all []outcome
+	for _, t := range tallies {
+		all = append(all, t.outcomes...)
+	}
+	slices.SortFunc(all, func(a, b outcome) int { return int(a.planned - b.planned) })
+	c := &course{last: make(map[string]string)}
+	for i := range all {
+		c.add(&all[i], slowAfter)
+	}
+	return c.finish()
+}
+
+func (c *course) add(o *outcome, slowAfter time.Duration) {
+	n := int(o.planned / time.Second)
+	for len(c.seconds) <= n {
+		c.seconds = append(c.seconds, Second{})
+		c.latency = append(c.latency, nil)
+		c.served = append(c.served, make(map[string]int))
+		c.bad = append(c.bad, make(map[string]bool))
+	}
+	s := &c.seconds[n]
+	s.Sent++
+	if o.key != "" && (!o.answered() || o.took >= slowAfter) {
+		c.bad[n][o.key] = true
+	}
+	switch {
+	case o.answered():
+		s.Answered++
+		c.latency[n] = append(c.latency[n], o.took)
+		c.serve(n, o)
+	case o.err == nil && o.ran == problem.RanNo:
+		s.Refused++
+	default:
+		s.Unknown++
+	}
+}
+
+func (c *course) serve(n int, o *outcome) {
+	if o.key == "" {
+		return
+	}
+	c.served[n][o.servedBy]++
+	if before := c.last[o.key]; before != "" && before != o.servedBy {
+		c.seconds[n].Moves++
+	}
+	c.last[o.key] = o.servedBy
+}
+
+func (c *course) finish() []Second {
+	for n := range c.seconds {
+		s := &c.seconds[n]
+		s.UnavailableKeys = len(c.bad[n])
+		s.Imbalance = imbalance(c.served[n])
+		if l := c.latency[n]; len(l) > 0 {
+			slices.Sort(l)
+			s.P99 = milliseconds(l[len(l)*99/100])
+		}
+	}
+	return c.seconds
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,7 @@
 trap 'lab_stop' EXIT
 lab_up "$dir" 3 examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || exit 1
 sleep 2
-bin/hq-load --config "$dir/load.jsonc" --json "$dir/report.json" --duration "${DEMO_SECONDS:-20}s" --complete
+bin/hq-load run --config "$dir/load.jsonc" --json "$dir/report.json" --duration "${DEMO_SECONDS:-20}s" --complete
 result=$?
 lab_stop || { echo "a process did not stop gracefully; see $dir" >&2; result=1; }
 exit $result
