Targets' broken answers, bounded headers, no hidden repeats

Cause: net/http resends a request with an Idempotency-Key by itself when a kept connection breaks; and it takes answer headers of up to 10 MiB. Ruled out: the retry rules of the queue; they never saw the second sending.

--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -49,6 +49,10 @@
 // idleTimeout is how long a warm connection is kept without use.
 const idleTimeout = 90 * time.Second
 
+// maxAnswerHeader bounds the headers of an answer, bytes: as much as common
+// servers send and no target needs more.
+const maxAnswerHeader = 64 << 10
+
 // NewSender returns a sender with at most so many connections to each target.
 func NewSender(connections int) *Sender {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -59,6 +63,8 @@
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			// The library's default is 10 MiB, held for every attempt.
+			MaxResponseHeaderBytes: maxAnswerHeader,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- /dev/null
+++ b/internal/target/sender_test.go
@@ -0,0 +1,154 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/wire"
+)
+
+func attempt(addr string) *Attempt {
+	return &Attempt{
+		Request:   &wire.Request{ID: "r1", Method: http.MethodPost, Path: "/work?a=%2F", Body: []byte("body"), Header: http.Header{"Idempotency-Key": {"k"}}},
+		Target:    model.Target{Name: "t1", Addr: addr},
+		MaxAnswer: 100,
+		Deadline:  time.Now().Add(time.Minute),
+	}
+}
+
+// raw serves every connection with a fixed text, then closes it.
+func raw(t *testing.T, text string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
+			_, _ = io.WriteString(conn, text)
+			conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestBrokenAnswersAreNeverPassedOnInPart(t *testing.T) {
+	cases := []struct{ name, answer string }{
+		{"too little", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfour"},
+		{"too much", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101)},
+		{"endless", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 500)},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfour"},
+		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\nabc"},
+		{"no answer", ""},
+		{"no HTTP", "hello\r\n\r\n"},
+		{"header bomb", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2<<20) + "\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewSender(2)
+			defer s.Close()
+			answer, err := s.Send(context.Background(), attempt(raw(t, c.answer)))
+			require.Error(t, err)
+			require.Nil(t, answer)
+			require.NotErrorIs(t, err, ErrUnsent)
+		})
+	}
+}
+
+func TestAnswerAndRequestArriveWhole(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s %s", r.RequestURI, r.Header.Get(HeaderRequestID), body)
+	}))
+	defer server.Close()
+	s := NewSender(2)
+	defer s.Close()
+	answer, err := s.Send(context.Background(), attempt(server.Listener.Addr().String()))
+	require.NoError(t, err)
+	require.Equal(t, "/work?a=%2F r1 body", string(answer.Body))
+	require.True(t, answer.Whole("r1"))
+	require.False(t, answer.Whole("r2"))
+}
+
+func TestRefusalsAndUnsent(t *testing.T) {
+	s := NewSender(1)
+	defer s.Close()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(problem.Header, string(problem.RanNo))
+		w.Header().Set(HeaderRefused, string(RefusedShed))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	_, err := s.Send(context.Background(), attempt(server.Listener.Addr().String()))
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, RefusedShed, refused.Reason)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close()
+	_, err = s.Send(context.Background(), attempt(l.Addr().String()))
+	require.ErrorIs(t, err, ErrUnsent)
+}
+
+// A maintainer sees one pull request opened twice. The kept connection to the
+// target breaks after the request was read; net/http takes the request's
+// Idempotency-Key for leave to send it again on a new connection by itself.
+func TestLibraryNeverRepeatsARequest(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if arrived.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	s := NewSender(1)
+	defer s.Close()
+	for _, body := range [][]byte{[]byte("body"), nil} {
+		arrived.Store(0)
+		a := attempt(server.Listener.Addr().String())
+		a.Request.Body = body
+		_, err := s.Send(context.Background(), a)
+		require.NoError(t, err, "the first leaves a kept connection")
+		_, err = s.Send(context.Background(), a)
+		require.Error(t, err)
+		require.EqualValues(t, 2, arrived.Load(), "the second arrived once")
+	}
+}
+
+func FuzzParseRank(f *testing.F) {
+	f.Add("1.2.3.vm1")
+	f.Add("")
+	f.Add("1.2.3")
+	f.Add("18446744073709551615.0.-1.a.b")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := ParseRank(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseRank(FormatRank(r))
+		require.NoError(t, err)
+		require.Equal(t, r, again)
+	})
+}
