--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -51,8 +51,8 @@
 // check reads everything but the body.
 func (d *door) check(v *view.View, service, path string, r *http.Request, now time.Time) (*visit, *problem.Error) {
 	token, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
-	if !ok || token == "" {
-		return nil, d.refuse(problem.UnknownToken, "a bearer token is required")
+	if !ok || token == "" || len(r.Header.Values(headerAuthorization)) > 1 {
+		return nil, d.refuse(problem.UnknownToken, "one bearer token is required")
 	}
 	contract := v.ContractOf(token)
 	if contract == nil {
