Grantor wired into the agent: takeover, moves, records, authority by the store

Cause: grants were renewed by the first VM in line only, a lost grantor or owner left its keys without service for good. Change: agent/grantor.go carries package grantor: one order per target and tick, the record parsed once per version; agent/recorder.go writes epochs at once and brings owners up to date lazily, all groups of a service in one write. Shorter times: life 300 ms, renewals 75 ms, authority 200 ms, silence 300 ms, so that a loss of owner and grantor together can stay under 1 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,6 +49,7 @@
 	server      *peer.Server
 	peers       *peer.Pool
 	commander   *target.Commander
+	grantor     *grantorDuty
 	cancel      context.CancelFunc
 	duties      sync.WaitGroup
 }
@@ -92,7 +93,12 @@
 	self := wire.Member{VM: s.VM, DataCentre: s.DataCentre, Incarnation: a.incarnation, AgentAddr: a.server.Addr()}
 	a.members = newMembers(self, boottime.System{}, s.Silence.D(), a.relay.refresh)
 	a.grants = newGrantTable(a.relay.refresh)
-	a.config = newConfiguration(a.relay.broadcast)
+	a.grantor = newGrantorDuty(a)
+	a.config = newConfiguration(func() {
+		a.relay.broadcast()
+		a.grantor.wake()
+	})
+	a.grantor.config = a.config
 	a.relay.config, a.relay.members, a.relay.grants = a.config, a.members, a.grants
 }
 
@@ -113,8 +119,7 @@
 		(&lister{a.counted(platform.CauseMembership), a.members, timeout, a.Log}).run,
 		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), log: a.Log, busy: make(map[string]bool)}).run,
 		(&planner{a.counted(platform.CauseAssignment), a.config, a.members, a.tag, timeout, a.Log}).run,
-		(&grantor{config: a.config, members: a.members, table: a.grants, commander: a.commander, started: a.started,
-			every: s.GrantEvery.D(), life: s.GrantLife.D(), log: a.Log, known: make(map[string]targetClock)}).run,
+		a.grantor.run,
 		a.becomeReady,
 	}
 	for _, duty := range duties {
--- /dev/null
+++ b/internal/agent/grantor.go
@@ -0,0 +1,368 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/ring"
+	"hemlockquay/internal/target"
+	"hemlockquay/internal/wire"
+)
+
+const (
+	// lookEvery is how often the grantor looks at the time. A loss is noticed
+	// and an end awaited within it; renewals leave at GrantEvery.
+	lookEvery = 15 * time.Millisecond
+	// grantorRing is how many answers of targets and the store may wait: more
+	// than all targets of a deployment answer in one tick.
+	grantorRing = 4096
+)
+
+// grantorDuty carries the decisions of package grantor for all groups. Its state
+// belongs to one goroutine, run; answers come through the ring.
+type grantorDuty struct {
+	params    grantor.Params
+	timeout   time.Duration
+	config    *configuration
+	members   *members
+	table     *grantTable
+	commander *target.Commander
+	clock     boottime.Clock
+	log       *log.Logger
+	journal   *journal.Journal
+	orders    metrics.Counter
+	errors    metrics.Counter
+	records   *recorder
+	inbox     *ring.Ring[answer]
+	woken     chan struct{}
+
+	revision uint64
+	services map[string]*heldService
+}
+
+// heldService is a service with its record, parsed once for each version.
+type heldService struct {
+	service        *model.Service
+	serviceVersion uint64
+	record         *model.Assignment
+	recordVersion  uint64
+	groups         map[uint64]*grantor.Group
+}
+
+// answer is what comes back from a target or the store.
+type answer struct {
+	service string
+	batch   *batch
+	report  *target.Report
+	// read is a reading of the record, asked at the time.
+	read  *model.Assignment
+	asked time.Duration
+}
+
+// batch is the orders of one tick for one target; groups match its orders.
+type batch struct {
+	target model.Target
+	groups []uint64
+	orders []grantor.Order
+}
+
+func newGrantorDuty(a *agent) *grantorDuty {
+	s := a.Settings
+	d := &grantorDuty{
+		params: grantor.Params{
+			VM: s.VM, Incarnation: a.incarnation, Started: a.started,
+			Every: s.GrantEvery.D(), Life: s.GrantLife.D(), Authority: s.Authority.D(), Margin: s.ClockMargin.D(),
+			Patience: s.TakeoverPatience.D(), MoveLimit: s.ReleaseLimit.D(),
+		},
+		timeout:   s.Authority.D(),
+		members:   a.members,
+		table:     a.grants,
+		commander: a.commander,
+		clock:     boottime.System{},
+		log:       a.Log,
+		journal:   a.Journal,
+		orders:    metrics.GetOrRegisterCounter("grantor.orders", a.Registry),
+		errors:    metrics.GetOrRegisterCounter("grantor.orders.unanswered", a.Registry),
+		inbox:     ring.New[answer]("grantor", grantorRing, ring.DropOldest, a.Registry),
+		woken:     make(chan struct{}, 1),
+		services:  make(map[string]*heldService),
+	}
+	d.records = newRecorder(a.counted(platform.CauseAssignment), a.tag, s.StoreTimeout.D(), a.Log)
+	return d
+}
+
+// wake tells the duty that the configuration changed.
+func (d *grantorDuty) wake() {
+	select {
+	case d.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (d *grantorDuty) run(ctx context.Context) {
+	defer d.records.wait()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			d.look(ctx)
+		case <-d.woken:
+			d.load()
+			d.look(ctx)
+		case a := <-d.inbox.Entries():
+			if d.take(a) {
+				d.look(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// load takes what changed in the configuration.
+func (d *grantorDuty) load() {
+	revision, ready := d.config.state()
+	if !ready || revision == d.revision {
+		return
+	}
+	d.revision = revision
+	for _, o := range d.config.list() {
+		if err := d.loadObject(o); err != nil {
+			d.log.Error().Err(err).Str("step", "load").Str("peer", o.Name).Msg("object left out")
+		}
+	}
+}
+
+func (d *grantorDuty) loadObject(o platform.Object) error {
+	if o.Kind != model.KindService && o.Kind != model.KindAssignment {
+		return nil
+	}
+	h := d.services[o.Name]
+	if h == nil {
+		h = &heldService{groups: make(map[uint64]*grantor.Group)}
+		d.services[o.Name] = h
+	}
+	known := h.serviceVersion
+	if o.Kind == model.KindAssignment {
+		known = h.recordVersion
+	}
+	if o.Version <= known {
+		return nil
+	}
+	object, err := model.Decode(o.Kind, o.Name, o.Spec)
+	if err != nil {
+		return err
+	}
+	switch typed := object.(type) {
+	case *model.Service:
+		h.service, h.serviceVersion = typed, o.Version
+	case *model.Assignment:
+		h.record, h.recordVersion = typed, o.Version
+	}
+	if h.service != nil && h.record != nil {
+		d.adopt(h)
+	}
+	return nil
+}
+
+// adopt gives each group its record.
+func (d *grantorDuty) adopt(h *heldService) {
+	now := d.clock.Now()
+	params := d.params
+	params.Checks = h.service.ChecksFences
+	listed := make(map[uint64]bool, len(h.record.Groups))
+	for _, rec := range h.record.Groups {
+		listed[rec.ID] = true
+		if g := h.groups[rec.ID]; g != nil {
+			g.Adopt(rec, now)
+		} else {
+			h.groups[rec.ID] = grantor.New(params, rec, now)
+		}
+	}
+	var gone []groupID
+	for id := range h.groups {
+		if !listed[id] {
+			delete(h.groups, id)
+			gone = append(gone, groupID{h.service.Name, id})
+		}
+	}
+	d.table.update(nil, gone)
+}
+
+// look lets every group decide, and sends what they order.
+func (d *grantorDuty) look(ctx context.Context) {
+	now := d.clock.Now()
+	live := make(map[string]bool)
+	for _, m := range d.members.live() {
+		live[m.VM] = true
+	}
+	isLive := func(vm string) bool { return live[vm] }
+	for name, h := range d.services {
+		if h.service == nil || h.record == nil {
+			continue
+		}
+		d.send(ctx, h, d.collect(h, now, isLive))
+		d.records.offer(ctx, h, d.proposals(h, now, isLive))
+		d.readStore(ctx, h, now)
+		d.publish(name, h, now)
+	}
+}
+
+// collect batches the orders of all groups by target.
+func (d *grantorDuty) collect(h *heldService, now time.Duration, live grantor.Live) map[string]*batch {
+	batches := make(map[string]*batch)
+	for id, g := range h.groups {
+		for _, o := range g.Tick(now, live) {
+			b := batches[o.Target]
+			if b == nil {
+				t, ok := h.service.Target(o.Target)
+				if !ok {
+					continue
+				}
+				b = &batch{target: t}
+				batches[o.Target] = b
+			}
+			b.groups = append(b.groups, id)
+			b.orders = append(b.orders, o)
+		}
+		d.explain(h.service.Name, id, g)
+	}
+	return batches
+}
+
+func (d *grantorDuty) explain(service string, id uint64, g *grantor.Group) {
+	for _, text := range g.Notes() {
+		subject := fmt.Sprintf("%s/%d", service, id)
+		d.journal.Add("grant", text, subject)
+		d.log.Info().Str("step", "grant").Str("peer", subject).Msg(text)
+	}
+}
+
+// send carries each target's batch, those of other incarnations apart.
+func (d *grantorDuty) send(ctx context.Context, h *heldService, batches map[string]*batch) {
+	for _, b := range batches {
+		for _, part := range b.byIncarnation() {
+			d.orders.Inc(1)
+			go d.carry(ctx, h.service.Name, part)
+		}
+	}
+}
+
+// byIncarnation splits the batch: an order names one incarnation.
+func (b *batch) byIncarnation() map[string]*batch {
+	parts := make(map[string]*batch, 1)
+	for i, o := range b.orders {
+		p := parts[o.Incarnation]
+		if p == nil {
+			p = &batch{target: b.target}
+			parts[o.Incarnation] = p
+		}
+		p.groups = append(p.groups, b.groups[i])
+		p.orders = append(p.orders, o)
+	}
+	return parts
+}
+
+func (d *grantorDuty) carry(ctx context.Context, service string, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	order := target.Order{Incarnation: b.orders[0].Incarnation}
+	for i, o := range b.orders {
+		order.Groups = append(order.Groups, target.GroupOrder{
+			Service: service, Group: b.groups[i], Rank: o.Rank, Seq: o.Seq,
+			Slices: o.Slices, Until: o.Until, Release: o.Release,
+		})
+	}
+	report, err := d.commander.Send(ctx, b.target.Addr, &order)
+	if err != nil {
+		d.errors.Inc(1)
+		d.log.Debug().Err(err).Str("step", "grant").Str("peer", b.target.Name).Msg("no report")
+		return
+	}
+	_ = d.inbox.Push(ctx, answer{service: service, batch: b, report: report})
+}
+
+// take brings an answer to its groups. It returns whether one of them can go on.
+func (d *grantorDuty) take(a answer) bool {
+	h := d.services[a.service]
+	if h == nil {
+		return false
+	}
+	if a.read != nil {
+		for _, rec := range a.read.Groups {
+			if g := h.groups[rec.ID]; g != nil {
+				g.StoreRead(rec.Epoch, a.asked)
+			}
+		}
+		return true
+	}
+	now, again := d.clock.Now(), false
+	for i := range a.batch.orders {
+		g := h.groups[a.batch.groups[i]]
+		if g == nil || !a.report.Refused && i >= len(a.report.Groups) {
+			continue
+		}
+		again = g.Reported(&a.batch.orders[i], reportOf(a.report, i), now) || again
+	}
+	d.publish(a.service, h, now)
+	return again
+}
+
+func reportOf(r *target.Report, i int) *grantor.Report {
+	out := &grantor.Report{Incarnation: r.Incarnation, Refused: r.Refused, Clock: r.Clock}
+	if r.Refused {
+		return out
+	}
+	g := &r.Groups[i]
+	out.Confirmed, out.Fence, out.Before = g.Confirmed, g.Fence, g.Before
+	out.Held, out.HeldRank, out.Running = g.Held, g.HeldRank, g.Running
+	return out
+}
+
+// publish tells dispatchers which grants are confirmed. A group's last grant
+// stays told until another is, or until this agent stepped down.
+func (d *grantorDuty) publish(service string, h *heldService, now time.Duration) {
+	var confirmed []wire.Grant
+	var gone []groupID
+	for id, g := range h.groups {
+		ref, rank, ok := g.Granted(now)
+		switch {
+		case ok:
+			confirmed = append(confirmed, wire.Grant{Service: service, Group: id, Slices: g.Record().Slices, Rank: rank, Target: ref})
+		case g.Following():
+			gone = append(gone, groupID{service, id})
+		}
+	}
+	d.table.update(confirmed, gone)
+}
+
+// proposals are the records that the groups want written.
+func (d *grantorDuty) proposals(h *heldService, now time.Duration, live grantor.Live) []model.Group {
+	var out []model.Group
+	for _, g := range h.groups {
+		if rec, ok := g.Proposal(now, live); ok {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// readStore asks the store for authority where no target gives it.
+func (d *grantorDuty) readStore(ctx context.Context, h *heldService, now time.Duration) {
+	for _, g := range h.groups {
+		if g.NeedsStore(now) {
+			d.records.read(ctx, h.service.Name, now, d.inbox)
+			return
+		}
+	}
+}
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -28,19 +28,37 @@
 	return &grantTable{changed: changed, grants: make(map[groupID]wire.Grant)}
 }
 
-// set records that a target confirmed a grant.
-func (t *grantTable) set(g wire.Grant) {
+// update puts confirmed grants in force and takes out those of groups that this
+// agent no longer grants.
+func (t *grantTable) update(confirmed []wire.Grant, gone []groupID) {
+	if t.put(confirmed, gone) {
+		t.changed()
+	}
+}
+
+func (t *grantTable) put(confirmed []wire.Grant, gone []groupID) bool {
 	t.mu.Lock()
-	old, held := t.grants[groupID{g.Service, g.Group}]
-	same := held && old.Rank == g.Rank && old.Target == g.Target && slices.Equal(old.Slices, g.Slices)
-	if !same {
-		t.grants[groupID{g.Service, g.Group}] = g
-		t.state++
+	defer t.mu.Unlock()
+	differs := false
+	for _, g := range confirmed {
+		id := groupID{g.Service, g.Group}
+		old, held := t.grants[id]
+		if held && old.Rank == g.Rank && old.Target == g.Target && slices.Equal(old.Slices, g.Slices) {
+			continue
+		}
+		t.grants[id] = g
+		differs = true
 	}
-	t.mu.Unlock()
-	if !same {
-		t.changed()
+	for _, id := range gone {
+		if _, held := t.grants[id]; held {
+			delete(t.grants, id)
+			differs = true
+		}
+	}
+	if differs {
+		t.state++
 	}
+	return differs
 }
 
 func (t *grantTable) snapshot() ([]wire.Grant, uint64) {
--- /dev/null
+++ b/internal/agent/recorder.go
@@ -0,0 +1,144 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/ring"
+)
+
+const (
+	// lazily is the least pause between two writes of a service's record that
+	// only bring it up to date. Nothing waits for them, so that all groups of a
+	// lost target share one write.
+	lazily = time.Second
+	// writePause is the pause after a write failed or lost a race; the record
+	// that won comes by the watch meanwhile.
+	writePause = 60 * time.Millisecond
+	// readPause is the pause between two readings for authority.
+	readPause = 60 * time.Millisecond
+)
+
+// recorder writes and reads the records of services for the grantor, one call
+// of each sort at a time for each service. It is safe for concurrent use.
+type recorder struct {
+	store   platform.Store
+	tag     func() string
+	timeout time.Duration
+	log     *log.Logger
+	clock   boottime.Clock
+	calls   sync.WaitGroup
+
+	mu   sync.Mutex
+	busy map[string]bool
+	next map[string]time.Duration
+}
+
+func newRecorder(s platform.Store, tag func() string, timeout time.Duration, l *log.Logger) *recorder {
+	return &recorder{
+		store: s, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
+		busy: make(map[string]bool), next: make(map[string]time.Duration),
+	}
+}
+
+// wait returns when no call is on its way.
+func (r *recorder) wait() { r.calls.Wait() }
+
+// begin reserves the call, unless one is on its way or the pause is not over.
+func (r *recorder) begin(call string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[call] || r.clock.Now() < r.next[call] {
+		return false
+	}
+	r.busy[call] = true
+	return true
+}
+
+func (r *recorder) end(call string, pause time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy[call] = false
+	r.next[call] = r.clock.Now() + pause
+}
+
+// offer writes the proposals over the record that they were made for, all in one
+// conditional write. Those of a new epoch go at once, others lazily.
+func (r *recorder) offer(ctx context.Context, h *heldService, proposals []model.Group) {
+	if len(proposals) == 0 {
+		return
+	}
+	record, urgent := merge(h.record, proposals)
+	call, pause := "update "+record.Service, lazily
+	if urgent {
+		call, pause = "epoch "+record.Service, writePause
+	}
+	if !r.begin(call) {
+		return
+	}
+	version := h.recordVersion
+	r.calls.Go(func() {
+		r.write(ctx, record, version)
+		r.end(call, pause)
+	})
+}
+
+// merge puts the proposals into a copy of the record.
+func merge(held *model.Assignment, proposals []model.Group) (record model.Assignment, urgent bool) {
+	record = *held
+	record.Groups = append([]model.Group(nil), held.Groups...)
+	for _, p := range proposals {
+		for i := range record.Groups {
+			if record.Groups[i].ID == p.ID {
+				urgent = urgent || p.Epoch > record.Groups[i].Epoch
+				record.Groups[i] = p
+			}
+		}
+	}
+	return record, urgent
+}
+
+func (r *recorder) write(ctx context.Context, record model.Assignment, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	spec, err := json.Marshal(&record)
+	if err != nil {
+		r.log.Error().Err(err).Str("step", "write-record").Msg("cannot encode")
+		return
+	}
+	o := platform.Object{Kind: model.KindAssignment, Name: record.Service, Version: version, Writer: r.tag(), Spec: spec}
+	if _, err = platform.Write(ctx, r.store, o); err != nil && !errors.Is(err, platform.ErrConflict) {
+		r.log.Warn().Err(err).Str("step", "write-record").Str("peer", record.Service).Msg("record not written")
+	}
+}
+
+// read reads a service's record and pushes it as an answer asked at the time.
+func (r *recorder) read(ctx context.Context, service string, asked time.Duration, inbox *ring.Ring[answer]) {
+	call := "read " + service
+	if !r.begin(call) {
+		return
+	}
+	r.calls.Go(func() {
+		defer r.end(call, readPause)
+		ctx, cancel := context.WithTimeout(ctx, r.timeout)
+		defer cancel()
+		o, err := r.store.Get(ctx, platform.ID{Kind: model.KindAssignment, Name: service})
+		if err != nil {
+			r.log.Debug().Err(err).Str("step", "read-record").Str("peer", service).Msg("no authority from the store")
+			return
+		}
+		object, err := model.Decode(o.Kind, o.Name, o.Spec)
+		if err != nil {
+			return
+		}
+		_ = inbox.Push(ctx, answer{service: service, read: object.(*model.Assignment), asked: asked})
+	})
+}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -22,24 +22,39 @@
 	Store string `json:"store"`
 	// StoreTimeout bounds one call of the store. Default 2s.
 	StoreTimeout model.Duration `json:"storeTimeout,omitempty"`
-	// Heartbeat is the pause between two heartbeats to a peer. Default 150ms.
+	// Heartbeat is the pause between two heartbeats to a peer. Default 75ms.
 	Heartbeat model.Duration `json:"heartbeat,omitempty"`
 	// Silence is how long a peer may be silent before it counts as lost.
-	// Default 800ms.
+	// Default 300ms.
 	Silence model.Duration `json:"silence,omitempty"`
-	// GrantEvery is the pause between two renewals of a grant. Default 150ms.
+	// Authority is how long an arbiter's confirmation counts. Default 200ms.
+	Authority model.Duration `json:"authority,omitempty"`
+	// ClockMargin is added to ends that another clock judges. Default 10ms: for
+	// clocks that run up to 0.9% fast or slow.
+	ClockMargin model.Duration `json:"clockMargin,omitempty"`
+	// TakeoverPatience is how long a takeover waits for all arbiters before it
+	// asks the store for an epoch of its own. Default 50ms.
+	TakeoverPatience model.Duration `json:"takeoverPatience,omitempty"`
+	// ReleaseLimit bounds how long a planned move waits for the old owner's
+	// requests. Default 10s.
+	ReleaseLimit model.Duration `json:"releaseLimit,omitempty"`
+	// GrantEvery is the pause between two renewals of a grant. Default 75ms.
 	GrantEvery model.Duration `json:"grantEvery,omitempty"`
-	// GrantLife is how long a grant lives. Default 600ms.
+	// GrantLife is how long a grant lives. Default 300ms.
 	GrantLife model.Duration `json:"grantLife,omitempty"`
 }
 
 // Defaults of the agent's times; see docs/DESIGN.md for their grounds.
 const (
 	defaultStoreTimeout = model.Duration(2 * time.Second)
-	defaultHeartbeat    = model.Duration(150 * time.Millisecond)
-	defaultSilence      = model.Duration(800 * time.Millisecond)
-	defaultGrantEvery   = model.Duration(150 * time.Millisecond)
-	defaultGrantLife    = model.Duration(600 * time.Millisecond)
+	defaultHeartbeat    = model.Duration(75 * time.Millisecond)
+	defaultSilence      = model.Duration(300 * time.Millisecond)
+	defaultGrantEvery   = model.Duration(75 * time.Millisecond)
+	defaultGrantLife    = model.Duration(300 * time.Millisecond)
+	defaultAuthority    = model.Duration(200 * time.Millisecond)
+	defaultMargin       = model.Duration(10 * time.Millisecond)
+	defaultPatience     = model.Duration(50 * time.Millisecond)
+	defaultRelease      = model.Duration(10 * time.Second)
 )
 
 func orDefault(d *model.Duration, def model.Duration) {
@@ -58,6 +73,10 @@
 	orDefault(&s.Silence, defaultSilence)
 	orDefault(&s.GrantEvery, defaultGrantEvery)
 	orDefault(&s.GrantLife, defaultGrantLife)
+	orDefault(&s.Authority, defaultAuthority)
+	orDefault(&s.ClockMargin, defaultMargin)
+	orDefault(&s.TakeoverPatience, defaultPatience)
+	orDefault(&s.ReleaseLimit, defaultRelease)
 	switch {
 	case !strings.HasPrefix(s.Store, "http://") && !strings.HasPrefix(s.Store, "https://"):
 		return settings.Impossible("/store", "%q is not an http or https URL", s.Store)
@@ -67,6 +86,10 @@
 		return settings.Impossible("/silence", "%v is below two heartbeats (%v): one lost message would end a VM", s.Silence, s.Heartbeat)
 	case s.GrantEvery <= 0 || s.GrantLife < 2*s.GrantEvery:
 		return settings.Impossible("/grantLife", "%v is below two renewals (%v): one lost message would end a grant", s.GrantLife, s.GrantEvery)
+	case s.Authority < 2*s.GrantEvery:
+		return settings.Impossible("/authority", "%v is below two renewals (%v): one lost message would end it", s.Authority, s.GrantEvery)
+	case s.ClockMargin < 0 || s.TakeoverPatience < 0 || s.ReleaseLimit < 0:
+		return settings.Impossible("/clockMargin", "a time below 0")
 	}
 	return daemon.CheckAddr("/listen", s.Listen)
 }
--- a/internal/ownership/grantor/contact.go
+++ b/internal/ownership/grantor/contact.go
@@ -61,6 +61,12 @@
 	if o.Rank != g.rank && g.broken != staleReports || g.standing.State() == following {
 		return false
 	}
+	again := g.report(o, r, now)
+	g.due = g.due || again
+	return again
+}
+
+func (g *Group) report(o *Order, r *Report, now time.Duration) bool {
 	c := g.contact(o.Target)
 	listed, ok := g.listed(o.Target)
 	if !ok {
--- a/internal/ownership/grantor/grantor.go
+++ b/internal/ownership/grantor/grantor.go
@@ -26,6 +26,11 @@
 	VM          string
 	Incarnation string
 	Started     int64
+	// Checks says that the targets check fences. Those that do not are granted
+	// only as the record has it: no takeover and no move by the grantor alone.
+	Checks bool
+	// Every is the pause between two renewals.
+	Every time.Duration
 	// Life is how long a grant lives, on the target's clock.
 	Life time.Duration
 	// Authority is how long an arbiter's confirmation counts, from the ask.
@@ -113,6 +118,9 @@
 	// target holds the grant, where the grant's state is not none.
 	target string
 	seq    uint64
+	// sent is when the last orders left; due asks for orders at once.
+	sent time.Duration
+	due  bool
 	// took is when the claim began, adopted when the record came.
 	took, adopted time.Duration
 	releaseFrom   time.Duration
@@ -163,6 +171,7 @@
 	g.place = slices.Index(rec.Grantors, g.params.VM)
 	g.rank = wire.Rank{Epoch: rec.Epoch, Succession: uint64(max(g.place, 0)), Incarnation: g.params.Started, Agent: g.params.VM}
 	g.outranked, g.storeAt = wire.Rank{}, stamp{}
+	g.due = true
 	for _, c := range g.targets {
 		c.forget()
 	}
--- a/internal/ownership/grantor/rules.go
+++ b/internal/ownership/grantor/rules.go
@@ -163,7 +163,7 @@
 }
 
 func (g *Group) pair() []model.TargetRef {
-	if g.rec.Standby.Name == "" {
+	if g.rec.Standby.Name == "" || !g.params.Checks {
 		return []model.TargetRef{g.rec.Owner}
 	}
 	return []model.TargetRef{g.rec.Owner, g.rec.Standby}
--- a/internal/ownership/grantor/tick.go
+++ b/internal/ownership/grantor/tick.go
@@ -4,17 +4,18 @@
 	"time"
 
 	"hemlockquay/internal/keyspace"
-	"hemlockquay/internal/statechart"
 	"hemlockquay/internal/wire"
 )
 
 // Live tells whether a VM's agent is heard.
 type Live func(vm string) bool
 
-// Tick moves the group on and returns the orders to send now.
+// Tick moves the group on and returns the orders to send now. It may be called
+// as often as one likes: orders come each Every, and at once where something
+// changed.
 func (g *Group) Tick(now time.Duration, live Live) []Order {
 	if g.standing.State() == following && g.myTurn(live) && !g.barred() && g.outranked == (wire.Rank{}) {
-		g.took = now
+		g.took, g.due = now, true
 		_ = g.standing.Fire(take)
 	}
 	if g.standing.State() == following {
@@ -24,6 +25,10 @@
 		_ = g.standing.Fire(won)
 	}
 	g.steer(now)
+	if !g.due && now-g.sent < g.params.Every {
+		return nil
+	}
+	g.due, g.sent = false, now
 	return g.orders(now)
 }
 
@@ -77,6 +82,7 @@
 	if name, ok := g.choose(now); ok {
 		g.target = name
 		g.note("granted to " + name)
+		g.due = true
 		_ = g.grant.Fire(grant)
 	}
 }
@@ -92,6 +98,7 @@
 	case g.grant.State() == granted && g.shallMove(now):
 		g.releaseFrom = now
 		g.note("planned move from " + g.target + " to " + g.rec.MoveTo)
+		g.due = true
 		_ = g.grant.Fire(release)
 	case g.grant.State() == releasing && now-g.releaseFrom > g.params.MoveLimit:
 		g.note("release by " + g.target + " overdue: waiting its grant out")
@@ -157,8 +164,8 @@
 	}
 }
 
-// Claiming tells the standing for metrics.
-func (g *Group) Claiming() bool { return g.standing.State() == statechart.State(claiming) }
+// Following tells whether the agent takes no part in granting the group.
+func (g *Group) Following() bool { return g.standing.State() == following }
 
 // NeedsStore tells whether only the store can give authority now.
 func (g *Group) NeedsStore(now time.Duration) bool {
