Configuration spreads between agents and never goes back

Cause: only an agent whose own watch worked got changes; an agent restarted against an older store, or a listing older than the state held, had no tests; a bad object written past hqctl replaced the good one after a restart of a pull.

Two agents per data centre watch the store, others step in when those do not work. A log of changes gives deltas; a delta on another base, an older listing and an older object are refused and counted. A store that went back is listed, not watched, until it is ahead. The last good version stays (config.refused). VM status is written on change only. Settings get peers for a start without the platform's list. A member's older incarnation and the process's own pause are no longer taken for news. The relay's list for daemons leaves out revisions, so a change of configuration does not send the list of members again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,10 +89,11 @@
 func (a *agent) build() {
 	s := a.Settings
 	a.relay = newRelay(a.incarnation)
-	self := wire.Member{VM: s.VM, DataCentre: s.DataCentre, Incarnation: a.incarnation, AgentAddr: a.server.Addr()}
-	a.members = newMembers(self, boottime.System{}, s.Silence.D(), a.relay.refresh)
+	self := wire.Member{VM: s.VM, DataCentre: s.DataCentre, Incarnation: a.incarnation, AgentAddr: a.server.Addr(), AdminAddr: a.Life.AdminAddr()}
+	a.members = newMembers(self, boottime.System{}, s.Silence.D(), a.relay.refreshLive)
+	a.members.grantsChanged = a.relay.refresh
 	a.grants = newGrantTable(a.relay.refresh)
-	a.config = newConfiguration(a.relay.broadcast)
+	a.config = newConfiguration(a.relay.configured)
 	a.relay.config, a.relay.members, a.relay.grants = a.config, a.members, a.grants
 }
 
@@ -108,10 +109,16 @@
 	a.cancel = cancel
 	s := a.Settings
 	timeout := s.StoreTimeout.D()
+	w := &watcher{
+		store: a.counted(platform.CauseConfig), config: a.config, members: a.members, timeout: timeout, log: a.Log,
+		refused: metrics.GetOrRegisterCounter("config.refused.older", a.Registry),
+	}
 	duties := []func(context.Context){
-		(&watcher{a.counted(platform.CauseConfig), a.config, timeout, a.Log}).run,
+		w.run,
+		newPuller(a, w).run,
+		newReporter(a).run,
 		(&lister{a.counted(platform.CauseMembership), a.members, timeout, a.Log}).run,
-		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), log: a.Log, busy: make(map[string]bool)}).run,
+		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), seeds: s.Peers, log: a.Log, busy: make(map[string]bool)}).run,
 		(&planner{a.counted(platform.CauseAssignment), a.config, a.members, a.tag, timeout, a.Log}).run,
 		(&grantor{config: a.config, members: a.members, table: a.grants, commander: a.commander, started: a.started,
 			every: s.GrantEvery.D(), life: s.GrantLife.D(), log: a.Log, known: make(map[string]targetClock)}).run,
@@ -135,7 +142,8 @@
 			a.Life.Ready()
 			return
 		}
-		a.Life.NotReadyBecause("no configuration from store " + a.Settings.Store + " or a peer")
+		a.Life.NotReadyBecause(fmt.Sprintf("no configuration: store %s does not answer and none of %d peers holds one",
+			a.Settings.Store, len(a.members.addrs())))
 		pause(ctx, a.Settings.Heartbeat.D())
 	}
 }
@@ -143,6 +151,7 @@
 func (a *agent) stop(context.Context) error {
 	a.Life.BeginDrain()
 	a.members.updateSelf(func(m *wire.Member) { m.Leaving = true })
+	a.awaitDaemons()
 	a.cancel()
 	a.duties.Wait()
 	a.server.Close()
@@ -158,11 +167,12 @@
 	Revision    uint64            `json:"revision"`
 	Objects     []platform.Object `json:"objects"`
 	Members     []wire.Member     `json:"members"`
+	Problems    []string          `json:"problems"`
 	Granted     []wire.Grant      `json:"granted"`
 	Daemons     []wire.ReportArgs `json:"daemons"`
 }
 
 func (a *agent) dump() any {
 	revision, _ := a.config.state()
-	return dump{a.incarnation, revision, a.config.list(), a.members.live(), a.grants.list(), a.relay.liveDaemons()}
+	return dump{a.incarnation, revision, a.config.list(), a.members.live(), a.config.problems(), a.grants.list(), a.relay.liveDaemons()}
 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,57 +1,145 @@
 package agent
 
 import (
-	"sort"
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
 	"sync"
 
+	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
 )
 
-// tombstones is how many deletions are kept for deltas; a reader that lags
-// further gets a snapshot.
-const tombstones = 1024
+// logLength is how many changes are kept for deltas; a reader that lags further
+// gets a snapshot. At 13 changes a second it covers five minutes.
+const logLength = 4096
+
+// Refusals of a configuration.
+var (
+	// errOlder says that the sender's state is older than the one held.
+	errOlder = errors.New("older than the configuration held")
+	// errBase says that a delta does not begin where the configuration stands.
+	errBase = errors.New("delta of another base")
+	// errEmpty says that the sender holds no configuration itself.
+	errEmpty = errors.New("sender holds no configuration")
+)
 
 // configuration is the objects that the agent holds, at one revision. It is
 // safe for concurrent use.
 //
-// Invariant: the revision never falls, and an object is never replaced by an
-// older version of itself.
+// Invariant: the revision never falls, an object is never replaced by an older
+// version of itself, and every object passed its check.
 type configuration struct {
 	mu       sync.Mutex
 	ready    bool
 	revision uint64
 	objects  map[platform.ID]platform.Object
-	deleted  []tombstone
-	// floor is the oldest revision from which a delta can be given.
+	// refused holds the reason of each stored object that failed its check.
+	// The last good version stays in objects.
+	refused map[platform.ID]string
+	// log is the last changes by rising revision; a reader at floor or above
+	// finds all that it lacks in it.
+	log     []change
 	floor   uint64
 	changed func()
 }
 
-type tombstone struct {
+// change is one entry of the log.
+type change struct {
 	id       platform.ID
 	revision uint64
 }
 
 func newConfiguration(changed func()) *configuration {
-	return &configuration{objects: make(map[platform.ID]platform.Object), changed: changed}
+	return &configuration{
+		objects: make(map[platform.ID]platform.Object),
+		refused: make(map[platform.ID]string),
+		changed: changed,
+	}
 }
 
-// replace takes a listing. One of an older revision is ignored.
-func (c *configuration) replace(l platform.Listing) {
+// replace takes a listing whole; objects that it lacks are deleted.
+//
+// Failure: the store was restored from a copy, or a peer was cut off for long,
+// and answers with an older state. It shows as limits that fall back to values
+// that operators have replaced. A listing of a lower revision is refused, and
+// of a newer listing an object of a lower version than the one held.
+func (c *configuration) replace(l platform.Listing) error {
 	c.mu.Lock()
 	if c.ready && l.Revision < c.revision {
+		held := c.revision
 		c.mu.Unlock()
-		return
+		return fmt.Errorf("listing of revision %d, held %d: %w", l.Revision, held, errOlder)
 	}
-	c.objects = make(map[platform.ID]platform.Object, len(l.Objects))
-	for _, o := range l.Objects {
-		c.objects[o.ID()] = o
+	if c.ready && l.Revision == c.revision {
+		c.mu.Unlock()
+		return nil
 	}
-	c.deleted, c.floor = nil, l.Revision
-	c.revision, c.ready = l.Revision, true
+	c.merge(l)
 	c.mu.Unlock()
 	c.changed()
+	return nil
+}
+
+// merge needs c.mu.
+func (c *configuration) merge(l platform.Listing) {
+	listed := make(map[platform.ID]bool, len(l.Objects))
+	var changes []change
+	for _, o := range l.Objects {
+		listed[o.ID()] = true
+		if c.put(o) {
+			changes = append(changes, change{o.ID(), o.Version})
+		}
+	}
+	for id := range c.objects {
+		if !listed[id] {
+			c.drop(id)
+			changes = append(changes, change{id, l.Revision})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.revision, b.revision) })
+	if !c.ready {
+		c.floor, changes = l.Revision, nil
+	}
+	c.revision, c.ready = l.Revision, true
+	c.note(changes...)
+}
+
+// put takes an object that is newer than the one held and passes its check.
+// It needs c.mu.
+//
+// Failure: an object was written past hqctl with a value that no program can
+// use. It shows as a refusal in status, metric and log; the last good version
+// stays in force.
+func (c *configuration) put(o platform.Object) bool {
+	held, ok := c.objects[o.ID()]
+	if ok && o.Version <= held.Version {
+		return false
+	}
+	if _, err := model.Decode(o.Kind, o.Name, o.Spec); err != nil {
+		c.refused[o.ID()] = fmt.Sprintf("%s %s version %d: %v", o.Kind, o.Name, o.Version, err)
+		return false
+	}
+	delete(c.refused, o.ID())
+	c.objects[o.ID()] = o
+	return true
+}
+
+// drop needs c.mu.
+func (c *configuration) drop(id platform.ID) {
+	delete(c.objects, id)
+	delete(c.refused, id)
+}
+
+// note needs c.mu.
+func (c *configuration) note(changes ...change) {
+	c.log = append(c.log, changes...)
+	if over := len(c.log) - logLength; over > 0 {
+		c.floor = c.log[over-1].revision
+		c.log = slices.Delete(c.log, 0, over)
+	}
 }
 
 // apply takes one event of a watch. An event at or below the revision is a
@@ -64,44 +152,101 @@
 	}
 	switch e.Type {
 	case platform.EventPut:
-		c.objects[e.Object.ID()] = e.Object
+		if c.put(e.Object) {
+			c.note(change{e.Object.ID(), e.Revision})
+		}
 	case platform.EventDelete:
-		delete(c.objects, e.Object.ID())
-		c.bury(tombstone{e.Object.ID(), e.Revision})
+		c.drop(e.Object.ID())
+		c.note(change{e.Object.ID(), e.Revision})
 	}
 	c.revision = e.Revision
 	c.mu.Unlock()
 	c.changed()
 }
 
-func (c *configuration) bury(t tombstone) {
-	c.deleted = append(c.deleted, t)
-	if len(c.deleted) > tombstones {
-		c.floor = c.deleted[0].revision
-		c.deleted = c.deleted[1:]
+// take puts a peer's answer to a question from the revision into force.
+//
+// Failure: while the peer answered, the store brought a newer state; or the peer
+// holds an older one. A delta on another base would skip changes without any
+// sign, so it is refused; the next question begins at the revision held.
+func (c *configuration) take(from uint64, r *wire.PullReply) error {
+	if !r.Ready {
+		return errEmpty
+	}
+	if r.Snapshot {
+		return c.replace(platform.Listing{Objects: r.Objects, Revision: r.Revision})
 	}
+	c.mu.Lock()
+	switch {
+	case r.Revision < c.revision:
+		c.mu.Unlock()
+		return fmt.Errorf("delta up to %d: %w", r.Revision, errOlder)
+	case !c.ready || from != c.revision:
+		c.mu.Unlock()
+		return fmt.Errorf("delta from %d: %w", from, errBase)
+	case r.Revision == c.revision:
+		c.mu.Unlock()
+		return nil
+	}
+	c.mergeDelta(r)
+	c.mu.Unlock()
+	c.changed()
+	return nil
 }
 
-// since fills in what changed after the revision, or everything.
-func (c *configuration) since(revision uint64, reply *wire.PullReply) {
+// mergeDelta needs c.mu.
+func (c *configuration) mergeDelta(r *wire.PullReply) {
+	for _, id := range r.Deleted {
+		c.drop(id)
+		c.note(change{id, r.Revision})
+	}
+	for _, o := range r.Objects {
+		if c.put(o) {
+			c.note(change{o.ID(), r.Revision})
+		}
+	}
+	c.revision = r.Revision
+}
+
+// since fills in what changed after the revision: a delta from the log, or a
+// snapshot where the log does not reach back so far. wanted selects kinds.
+func (c *configuration) since(revision uint64, wanted func(model.Kind) bool, reply *wire.PullReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply.Ready, reply.Revision = c.ready, c.revision
 	if !c.ready || revision >= c.revision {
 		return
 	}
-	reply.Snapshot = revision < c.floor
-	for _, o := range c.objects {
-		if reply.Snapshot || o.Version > revision {
+	if revision == 0 || revision < c.floor {
+		reply.Snapshot = true
+		reply.Objects = c.sorted(wanted)
+		return
+	}
+	first, _ := slices.BinarySearchFunc(c.log, revision+1, func(e change, r uint64) int { return cmp.Compare(e.revision, r) })
+	seen := make(map[platform.ID]bool)
+	for _, e := range c.log[first:] {
+		if seen[e.id] || !wanted(e.id.Kind) {
+			continue
+		}
+		seen[e.id] = true
+		if o, ok := c.objects[e.id]; ok {
 			reply.Objects = append(reply.Objects, o)
+		} else {
+			reply.Deleted = append(reply.Deleted, e.id)
 		}
 	}
-	for _, t := range c.deleted {
-		if !reply.Snapshot && t.revision > revision {
-			reply.Deleted = append(reply.Deleted, t.id)
+}
+
+// sorted returns the wanted objects by version. It needs c.mu.
+func (c *configuration) sorted(wanted func(model.Kind) bool) []platform.Object {
+	out := make([]platform.Object, 0, len(c.objects))
+	for _, o := range c.objects {
+		if wanted(o.Kind) {
+			out = append(out, o)
 		}
 	}
-	sort.Slice(reply.Objects, func(i, j int) bool { return reply.Objects[i].Version < reply.Objects[j].Version })
+	slices.SortFunc(out, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	return out
 }
 
 // state returns the revision held and whether there is any.
@@ -115,9 +260,24 @@
 func (c *configuration) list() []platform.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]platform.Object, 0, len(c.objects))
-	for _, o := range c.objects {
-		out = append(out, o)
+	return c.sorted(everyKind)
+}
+
+// problems returns why stored objects are not in force, sorted.
+func (c *configuration) problems() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]string, 0, len(c.refused))
+	for _, reason := range c.refused {
+		out = append(out, reason)
 	}
+	slices.Sort(out)
 	return out
 }
+
+// everyKind is wanted by agents, which pass objects on.
+func everyKind(model.Kind) bool { return true }
+
+// daemonKind selects what entries and dispatchers use. The leases of assigners
+// and the status of VMs change often and concern agents only.
+func daemonKind(k model.Kind) bool { return k != model.KindAssigner && k != model.KindVM }
--- /dev/null
+++ b/internal/agent/config_test.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/platform/memstore"
+	"hemlockquay/internal/wire"
+)
+
+func contract(name string, version uint64, rate float64) platform.Object {
+	spec, _ := json.Marshal(model.Contract{
+		Customer: name, TokenSHA256: fmt.Sprintf("%064x", len(name)),
+		Services: []model.Allowance{{Service: "s", Rate: rate, Burst: 1, Concurrency: 1}},
+	})
+	return platform.Object{Kind: model.KindContract, Name: name, Version: version, Spec: spec}
+}
+
+func put(o platform.Object) platform.Event {
+	return platform.Event{Type: platform.EventPut, Object: o, Revision: o.Version}
+}
+
+func listing(revision uint64, objects ...platform.Object) platform.Listing {
+	return platform.Listing{Revision: revision, Objects: objects}
+}
+
+// Three agents learn of a store's changes in any order: watch events that
+// repeat, listings, questions to peers whose answers arrive late, restarts of an
+// agent. However it goes, no revision falls, no object goes back, and an agent
+// that reached the store's revision holds exactly what the store holds.
+func TestConfigurationFollowsStoreInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := memstore.New()
+		fresh := func() *configuration { return newConfiguration(func() {}) }
+		agents := []*configuration{fresh(), fresh(), fresh()}
+		var late []wire.PullReply
+		var from []uint64
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "agent")
+			c := agents[i]
+			before, _ := c.state()
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+				current, err := store.Get(ctx, platform.ID{Kind: model.KindContract, Name: name})
+				if err == nil && rapid.Bool().Draw(t, "delete") {
+					require.NoError(t, store.Delete(ctx, current))
+				} else {
+					_, err = store.Put(ctx, contract(name, current.Version, 1))
+					require.NoError(t, err)
+				}
+			case 1:
+				l, _ := store.List(ctx)
+				require.NoError(t, c.replace(l))
+			case 2:
+				watchOnce(store, c)
+			case 3:
+				var r wire.PullReply
+				agents[rapid.IntRange(0, 2).Draw(t, "peer")].since(before, everyKind, &r)
+				late, from = append(late, r), append(from, before)
+			case 4:
+				if len(late) > 0 {
+					k := rapid.IntRange(0, len(late)-1).Draw(t, "answer")
+					_ = c.take(from[k], &late[k])
+				}
+			case 5:
+				agents[i], before = fresh(), 0
+			}
+			after, _ := agents[i].state()
+			require.GreaterOrEqual(t, after, before)
+			requireSame(t, store, agents[i])
+		}
+	})
+}
+
+// watchOnce applies what a watch from one change before the revision held brings.
+func watchOnce(store platform.Store, c *configuration) {
+	revision, ready := c.state()
+	if !ready {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = store.Watch(ctx, revision-min(revision, 1), func(e platform.Event) error { c.apply(e); return nil })
+}
+
+func requireSame(t *rapid.T, store platform.Store, c *configuration) {
+	want, _ := store.List(context.Background())
+	if revision, ready := c.state(); !ready || revision != want.Revision {
+		return
+	}
+	require.ElementsMatch(t, want.Objects, c.list())
+}
+
+// The store is restored from a copy. Operators see limits that they replaced
+// long ago: an agent read the old listing and took it. It must refuse it, from
+// the store and from a peer that restarted meanwhile.
+func TestConfigurationRefusesOlderState(t *testing.T) {
+	c := newConfiguration(func() {})
+	require.NoError(t, c.replace(listing(9, contract("a", 9, 5))))
+	require.ErrorIs(t, c.replace(listing(7, contract("a", 4, 1))), errOlder)
+	require.ErrorIs(t, c.take(0, &wire.PullReply{Ready: true, Snapshot: true, Revision: 8, Objects: []platform.Object{contract("a", 4, 1)}}), errOlder)
+	require.ErrorIs(t, c.take(9, &wire.PullReply{Ready: true, Revision: 8}), errOlder)
+	require.ErrorIs(t, c.take(5, &wire.PullReply{Ready: true, Revision: 12}), errBase)
+	require.ErrorIs(t, c.take(9, &wire.PullReply{}), errEmpty)
+	require.NoError(t, c.replace(listing(12, contract("a", 4, 1))))
+	require.Equal(t, uint64(9), c.list()[0].Version)
+}
+
+// Somebody writes a contract with a rate of -1 past hqctl. Callers of that
+// customer would all be refused. The last good version stays, the problem shows,
+// and a good version clears it.
+func TestConfigurationKeepsLastGoodVersion(t *testing.T) {
+	c := newConfiguration(func() {})
+	require.NoError(t, c.replace(listing(1, contract("a", 1, 5))))
+	c.apply(put(contract("a", 2, -1)))
+	require.Equal(t, uint64(1), c.list()[0].Version)
+	require.Len(t, c.problems(), 1)
+	require.Contains(t, c.problems()[0], "/services/0/rate")
+	c.apply(put(contract("a", 3, 6)))
+	require.Equal(t, uint64(3), c.list()[0].Version)
+	require.Empty(t, c.problems())
+}
+
+// A reader lags behind more changes than the log holds. A delta would miss the
+// deletions that fell out of the log, so it gets a snapshot.
+func TestConfigurationGivesSnapshotBeyondLog(t *testing.T) {
+	c := newConfiguration(func() {})
+	require.NoError(t, c.replace(listing(1, contract("gone", 1, 5))))
+	c.apply(platform.Event{Type: platform.EventDelete, Object: contract("gone", 1, 5), Revision: 2})
+	var r wire.PullReply
+	c.since(1, everyKind, &r)
+	require.False(t, r.Snapshot)
+	require.Equal(t, []platform.ID{{Kind: model.KindContract, Name: "gone"}}, r.Deleted)
+	for v := range uint64(logLength) {
+		c.apply(put(contract("a", 3+v, 5)))
+	}
+	r = wire.PullReply{}
+	c.since(1, everyKind, &r)
+	require.True(t, r.Snapshot)
+	require.Len(t, r.Objects, 1)
+}
+
+// All agents that watch lose the store while the others could reach it. Changes
+// would stop although a path exists. Only a working watch counts.
+func TestShouldWatch(t *testing.T) {
+	m := func(vm, dc string, watching bool) wire.Member {
+		return wire.Member{VM: vm, DataCentre: dc, Watching: watching}
+	}
+	self := m("vm3", "x", false)
+	require.True(t, shouldWatch(self, []wire.Member{self, m("vm1", "x", true), m("vm2", "x", false)}))
+	require.False(t, shouldWatch(self, []wire.Member{self, m("vm1", "x", true), m("vm4", "x", true)}))
+	require.True(t, shouldWatch(self, []wire.Member{self, m("vm1", "y", true), m("vm4", "y", true)}))
+	self.Watching = true
+	require.True(t, shouldWatch(self, []wire.Member{self, m("vm1", "x", true), m("vm4", "x", true)}))
+	require.False(t, shouldWatch(self, []wire.Member{self, m("vm1", "x", true), m("vm2", "x", true)}))
+}
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,11 +23,14 @@
 type members struct {
 	clock   boottime.Clock
 	silence time.Duration
-	changed func()
+	// changed is told of members, grantsChanged of peers' grants.
+	changed, grantsChanged func()
 
 	mu    sync.Mutex
 	self  wire.Member
 	peers map[string]*peerState
+	// listed says that the platform's list was read.
+	listed bool
 }
 
 // peerState is what heartbeats told about one VM.
@@ -41,12 +46,16 @@
 }
 
 func newMembers(self wire.Member, clock boottime.Clock, silence time.Duration, changed func()) *members {
-	return &members{self: self, clock: clock, silence: silence, changed: changed, peers: make(map[string]*peerState)}
+	return &members{
+		self: self, clock: clock, silence: silence, changed: changed, grantsChanged: changed,
+		peers: make(map[string]*peerState),
+	}
 }
 
 // setList takes the platform's list. VMs that left the list are forgotten.
 func (m *members) setList(vms []platform.VM) {
 	m.mu.Lock()
+	m.listed = true
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.Name] = true
@@ -88,10 +97,15 @@
 }
 
 // heard notes a sign of life of a peer.
+//
+// Failure: a heartbeat of a process that has been replaced arrives late, and the
+// VM would show its old address and revision. The incarnation that was heard
+// last stays as long as it speaks. A lower one is taken after that: a VM whose
+// clock was set back is not locked out.
 func (m *members) heard(told wire.Member) {
 	m.mu.Lock()
-	p := m.peers[told.VM]
-	if p == nil {
+	p := m.peerOf(told)
+	if p == nil || (m.alive(p) && started(told.Incarnation) < started(p.member.Incarnation)) {
 		m.mu.Unlock()
 		return
 	}
@@ -103,9 +117,59 @@
 	}
 }
 
+// peerOf returns the peer that speaks. It needs m.mu.
+//
+// Failure: an agent starts while the platform's list cannot be read. Until it
+// is read, whoever speaks is taken for a VM of the system; then the list rules.
+func (m *members) peerOf(told wire.Member) *peerState {
+	p := m.peers[told.VM]
+	if p == nil && !m.listed && told.VM != m.self.VM {
+		p = &peerState{listed: platform.VM{Name: told.VM, DataCentre: told.DataCentre, AgentAddr: told.AgentAddr, State: platform.VMLive}}
+		m.peers[told.VM] = p
+	}
+	return p
+}
+
+// started returns the start time in an incarnation, nanoseconds.
+func started(incarnation string) int64 {
+	n, _ := strconv.ParseInt(incarnation[strings.LastIndexByte(incarnation, '-')+1:], 10, 64)
+	return n
+}
+
 // alive needs m.mu.
 func (m *members) alive(p *peerState) bool { return p.known && m.clock.Now()-p.heard < m.silence }
 
+// resumed takes note that this process stood still.
+//
+// Failure: the VM freezes and returns. All peers seem silent at once, and the
+// agent would tell its daemons that it is alone. Silence counts only while
+// somebody listened, so each peer gets the pause on top.
+func (m *members) resumed(after time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		p.heard += after
+	}
+}
+
+// ahead returns the agents that hold a newer configuration, of the own data
+// centre and of others. Without one of our own, any that holds one is ahead.
+func (m *members) ahead(revision uint64, ready bool) (near, far []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !m.alive(p) || (ready && p.member.Held <= revision) || !p.member.Holds {
+			continue
+		}
+		if p.member.DataCentre == m.self.DataCentre {
+			near = append(near, p.member.AgentAddr)
+		} else {
+			far = append(far, p.member.AgentAddr)
+		}
+	}
+	return near, far
+}
+
 // live returns this VM and the peers that are alive, sorted by name.
 func (m *members) live() []wire.Member {
 	m.mu.Lock()
@@ -123,6 +187,12 @@
 	return out
 }
 
+func (m *members) isListed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
 // addrs returns the agents of all listed peers.
 func (m *members) addrs() map[string]string {
 	m.mu.Lock()
@@ -151,7 +221,7 @@
 		p.source, p.state, p.grants = reply.Member.Incarnation, reply.State, reply.Grants
 	}
 	m.mu.Unlock()
-	m.changed()
+	m.grantsChanged()
 }
 
 // peerGrants returns the grants of all peers.
@@ -198,7 +268,9 @@
 	members *members
 	peers   *peer.Pool
 	every   time.Duration
-	log     *log.Logger
+	// seeds are agents to ask while the platform's list is not known.
+	seeds []string
+	log   *log.Logger
 
 	mu   sync.Mutex
 	busy map[string]bool
@@ -207,12 +279,16 @@
 func (h *heart) run(ctx context.Context) {
 	tick := time.NewTicker(h.every)
 	defer tick.Stop()
+	last := h.members.clock.Now()
 	for {
 		select {
 		case <-tick.C:
-			for vm, addr := range h.members.addrs() {
-				h.beat(ctx, vm, addr)
+			now := h.members.clock.Now()
+			if gap := now - last; gap > h.members.silence/2 {
+				h.members.resumed(gap)
 			}
+			last = now
+			h.beatAll(ctx)
 			// A peer that fell silent leaves the list without any event.
 			h.members.changed()
 		case <-ctx.Done():
@@ -221,6 +297,22 @@
 	}
 }
 
+func (h *heart) beatAll(ctx context.Context) {
+	known := make(map[string]bool)
+	for vm, addr := range h.members.addrs() {
+		known[addr] = true
+		h.beat(ctx, vm, addr)
+	}
+	if h.members.isListed() {
+		return
+	}
+	for _, addr := range h.seeds {
+		if !known[addr] {
+			h.beat(ctx, addr, addr)
+		}
+	}
+}
+
 // beat sends one heartbeat unless the last is still on its way.
 func (h *heart) beat(ctx context.Context, vm, addr string) {
 	h.mu.Lock()
@@ -249,6 +341,6 @@
 	}
 	h.members.heard(reply.Member)
 	if reply.Changed {
-		h.members.takeGrants(vm, &reply)
+		h.members.takeGrants(reply.Member.VM, &reply)
 	}
 }
--- /dev/null
+++ b/internal/agent/members_test.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+// handClock is a clock that a test moves.
+type handClock struct{ now time.Duration }
+
+func (c *handClock) Now() time.Duration { return c.now }
+
+func twoMembers(clock *handClock) *members {
+	m := newMembers(wire.Member{VM: "vm1"}, clock, time.Second, func() {})
+	m.setList([]platform.VM{{Name: "vm1"}, {Name: "vm2", State: platform.VMLive}})
+	return m
+}
+
+// A VM is replaced under its old name. A heartbeat of the old process, held up
+// on the way, arrives after the new one's: requests would go to the old address.
+func TestMembersIgnoreOlderIncarnation(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	m := twoMembers(clock)
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-200", DispatchAddr: "new"})
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-100", DispatchAddr: "old"})
+	require.Equal(t, "new", m.live()[1].DispatchAddr)
+	clock.now += 2 * time.Second
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-100", DispatchAddr: "clock set back"})
+	require.Equal(t, "clock set back", m.live()[1].DispatchAddr)
+}
+
+// A VM freezes for a minute and returns. Every peer seems silent, and its
+// daemons would send all requests to themselves. The pause is no silence.
+func TestMembersSurviveOwnPause(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	m := twoMembers(clock)
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
+	clock.now += time.Minute
+	m.resumed(time.Minute)
+	require.Len(t, m.live(), 2)
+	clock.now += time.Second
+	require.Len(t, m.live(), 1)
+}
+
+// An agent starts while the platform's list cannot be read: peers that speak
+// count until the list comes, which then rules.
+func TestMembersBeforeFirstList(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	m := newMembers(wire.Member{VM: "vm1"}, clock, time.Second, func() {})
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1", AgentAddr: "a2", Held: 4, Holds: true})
+	_, far := m.ahead(0, false)
+	near, _ := m.ahead(3, true)
+	require.Equal(t, []string{"a2"}, append(near, far...)[:1])
+	m.setList([]platform.VM{{Name: "vm1"}})
+	require.Len(t, m.live(), 1)
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
+	require.Len(t, m.live(), 1)
+}
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -2,9 +2,11 @@
 
 import (
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
+	"hemlockquay/internal/model"
 	"hemlockquay/internal/wire"
 )
 
@@ -37,6 +39,9 @@
 // dispatchProcess is the daemon that takes requests from other VMs.
 const dispatchProcess = "hq-dispatch"
 
+// agentProcess is this daemon's name in reports and logs.
+const agentProcess = "hq-agent"
+
 // maxPullWait bounds how long a pull is held.
 const maxPullWait = 5 * time.Second
 
@@ -51,6 +56,12 @@
 	r.broadcastLocked()
 }
 
+// configured wakes the pulls and tells peers of the new revision.
+func (r *relay) configured() {
+	r.broadcast()
+	r.updateSelf()
+}
+
 func (r *relay) broadcastLocked() {
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -58,11 +69,11 @@
 
 // refresh computes members and grants anew and wakes the pulls if they differ.
 func (r *relay) refresh() {
-	live := r.members.live()
+	live := visible(r.members.live())
 	combined := highestRanks(append(r.members.peerGrants(), r.grants.list()...))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reflect.DeepEqual(live, r.live) && reflect.DeepEqual(combined, r.combined) {
+	if slices.Equal(live, r.live) && reflect.DeepEqual(combined, r.combined) {
 		return
 	}
 	r.live, r.combined = live, combined
@@ -70,13 +81,36 @@
 	r.broadcastLocked()
 }
 
-// Pull implements the RPC for daemons and peers: it waits for a change.
+// refreshLive is refresh where no grant changed. It runs on each heartbeat and
+// allocates one short list.
+func (r *relay) refreshLive() {
+	live := visible(r.members.live())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Equal(live, r.live) {
+		return
+	}
+	r.live = live
+	r.state++
+	r.broadcastLocked()
+}
+
+// visible leaves out what changes with each configuration and what daemons do
+// not use; else every change would send the whole list to every daemon.
+func visible(live []wire.Member) []wire.Member {
+	for i := range live {
+		live[i].Revision, live[i].Held, live[i].Watching = 0, 0, false
+	}
+	return live
+}
+
+// Pull implements the RPC for the VM's daemons: it waits for a change.
 func (r *relay) Pull(args *wire.PullArgs, reply *wire.PullReply) error {
 	deadline := time.NewTimer(min(args.Wait, maxPullWait))
 	defer deadline.Stop()
 	for {
 		changed := r.fill(args, reply)
-		if reply.Changed || reply.Revision > args.Revision {
+		if reply.Changed || reply.Snapshot || len(reply.Objects)+len(reply.Deleted) > 0 {
 			return nil
 		}
 		select {
@@ -87,12 +121,19 @@
 	}
 }
 
+// Sync implements the RPC for peers: the configuration only, at once.
+func (r *relay) Sync(args *wire.PullArgs, reply *wire.PullReply) error {
+	reply.Source = r.incarnation
+	r.config.since(args.Revision, everyKind, reply)
+	return nil
+}
+
 // fill computes the reply and returns what closes at the next change.
 func (r *relay) fill(args *wire.PullArgs, reply *wire.PullReply) <-chan struct{} {
 	*reply = wire.PullReply{Source: r.incarnation}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.config.since(args.Revision, reply)
+	r.config.since(args.Revision, wantedBy(args.Process), reply)
 	reply.State = r.state
 	if args.Source != r.incarnation || args.State != r.state {
 		reply.Changed = true
@@ -101,6 +142,13 @@
 	return r.changed
 }
 
+func wantedBy(process string) func(model.Kind) bool {
+	if process == agentProcess {
+		return everyKind
+	}
+	return daemonKind
+}
+
 // Beat implements the RPC for heartbeats of peers.
 func (r *relay) Beat(args *wire.BeatArgs, reply *wire.BeatReply) error {
 	r.members.heard(args.Member)
@@ -117,6 +165,9 @@
 func (r *relay) Report(args *wire.ReportArgs, _ *wire.Empty) error {
 	r.mu.Lock()
 	r.daemons[args.Process] = daemonReport{*args, time.Now()}
+	if args.Stopped {
+		delete(r.daemons, args.Process)
+	}
 	r.mu.Unlock()
 	r.updateSelf()
 	return nil
@@ -125,9 +176,10 @@
 // updateSelf tells heartbeats what the VM's daemons reported.
 func (r *relay) updateSelf() {
 	reports := r.liveDaemons()
-	revision, _ := r.config.state()
+	revision, ready := r.config.state()
 	r.members.updateSelf(func(m *wire.Member) {
-		m.DispatchAddr, m.Revision = "", revision
+		m.DispatchAddr, m.Revision, m.Held = "", revision, revision
+		m.Holds = ready
 		for _, d := range reports {
 			if d.Process == dispatchProcess && !d.Leaving {
 				m.DispatchAddr = d.Addr
--- /dev/null
+++ b/internal/agent/reporter.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+)
+
+// statusEvery is the shortest time between two writes of a VM's status.
+//
+// Load pattern: every write of a status raises the store's revision, so a
+// status that held the newest revision would call for its own next write on
+// every VM. It is written only when addresses, incarnation or problems change;
+// the revision in force travels with the heartbeats, and hqctl reads it from
+// any one agent.
+const statusEvery = 5 * time.Second
+
+// reporter writes the VM's status object and shows refused objects. It is one
+// goroutine.
+type reporter struct {
+	agent   *agent
+	store   platform.Store
+	log     *log.Logger
+	refused metrics.Gauge
+	logged  []string
+	written model.VMStatus
+}
+
+func newReporter(a *agent) *reporter {
+	return &reporter{
+		agent: a, store: a.counted(platform.CauseStatus), log: a.Log,
+		refused: metrics.GetOrRegisterGauge("config.refused", a.Registry),
+	}
+}
+
+func (r *reporter) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, statusEvery/2+rand.N(statusEvery/2))
+		status := r.status()
+		r.show(status.Problems)
+		if ctx.Err() == nil && !sameStatus(status, r.written) {
+			r.write(ctx, status)
+		}
+	}
+}
+
+// status is the VM as its agent sees it.
+func (r *reporter) status() model.VMStatus {
+	me := r.agent.members.me()
+	s := model.VMStatus{
+		Name: me.VM, Incarnation: me.Incarnation, DataCentre: me.DataCentre, AgentAddr: me.AgentAddr,
+		Revision: me.Revision, Problems: r.agent.config.problems(),
+		AdminAddrs: []model.ProcessAddr{{Process: agentProcess, Addr: me.AdminAddr}},
+	}
+	for _, d := range r.agent.relay.liveDaemons() {
+		s.AdminAddrs = append(s.AdminAddrs, model.ProcessAddr{Process: d.Process, Addr: d.Admin})
+		s.Problems = append(s.Problems, d.Problems...)
+	}
+	slices.SortFunc(s.AdminAddrs, func(a, b model.ProcessAddr) int {
+		if a.Process < b.Process {
+			return -1
+		}
+		return 1
+	})
+	slices.Sort(s.Problems)
+	s.Problems = slices.Compact(s.Problems)
+	return s
+}
+
+func (r *reporter) show(problems []string) {
+	r.refused.Update(int64(len(problems)))
+	for _, p := range problems {
+		if !slices.Contains(r.logged, p) {
+			r.log.Error().Str("step", "configure").Msg("object refused, the last good version stays: " + p)
+			r.agent.Journal.Add("configure", "object refused, the last good version stays: "+p)
+		}
+	}
+	r.logged = problems
+}
+
+func sameStatus(a, b model.VMStatus) bool {
+	return a.Incarnation == b.Incarnation && slices.Equal(a.AdminAddrs, b.AdminAddrs) && slices.Equal(a.Problems, b.Problems)
+}
+
+func (r *reporter) write(ctx context.Context, s model.VMStatus) {
+	ctx, cancel := context.WithTimeout(ctx, r.agent.Settings.StoreTimeout.D())
+	defer cancel()
+	o := platform.Object{Kind: model.KindVM, Name: s.Name, Writer: r.agent.tag()}
+	current, err := r.store.Get(ctx, o.ID())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		r.log.Debug().Err(err).Str("step", "status").Str("peer", "store").Msg("status not read")
+		return
+	}
+	o.Version = current.Version
+	if o.Spec, err = json.Marshal(&s); err != nil {
+		r.log.Error().Err(err).Str("step", "status").Msg("cannot encode")
+		return
+	}
+	if _, err = platform.Write(ctx, r.store, o); err != nil {
+		r.log.Debug().Err(err).Str("step", "status").Str("peer", "store").Msg("status not written")
+		return
+	}
+	r.written = s
+}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -5,6 +5,7 @@
 package agent
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -20,6 +21,9 @@
 	Listen string `json:"listen"`
 	// Store is the base URL of the platform's object API.
 	Store string `json:"store"`
+	// Peers are agents' IP:PORT that are asked while the platform's list of
+	// VMs cannot be read. Default none.
+	Peers []string `json:"peers,omitempty"`
 	// StoreTimeout bounds one call of the store. Default 2s.
 	StoreTimeout model.Duration `json:"storeTimeout,omitempty"`
 	// Heartbeat is the pause between two heartbeats to a peer. Default 150ms.
@@ -68,5 +72,10 @@
 	case s.GrantEvery <= 0 || s.GrantLife < 2*s.GrantEvery:
 		return settings.Impossible("/grantLife", "%v is below two renewals (%v): one lost message would end a grant", s.GrantLife, s.GrantEvery)
 	}
+	for i, addr := range s.Peers {
+		if err := daemon.CheckAddr(fmt.Sprintf("/peers/%d", i), addr); err != nil {
+			return err
+		}
+	}
 	return daemon.CheckAddr("/listen", s.Listen)
 }
--- a/internal/agent/watcher.go
+++ b/internal/agent/watcher.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
 )
 
 // Times of the watch.
@@ -25,12 +29,41 @@
 // errSilent reports a watch without bookmarks.
 var errSilent = errors.New("watch went silent")
 
+// errRelieved reports that enough other agents watch.
+var errRelieved = errors.New("other agents watch")
+
+// electEvery is how often an agent that does not watch looks whether it should.
+const electEvery = 500 * time.Millisecond
+
 // watcher keeps the configuration current from the store.
 type watcher struct {
 	store   platform.Store
 	config  *configuration
+	members *members
 	timeout time.Duration
 	log     *log.Logger
+	refused metrics.Counter
+
+	// broken is set while the store does not answer.
+	broken atomic.Bool
+	// relist demands a listing before the next watch.
+	relist bool
+}
+
+// working tells whether the store may be expected to bring the next change.
+func (w *watcher) working() bool {
+	return !w.broken.Load() && (w.members.me().Watching || !w.ready())
+}
+
+func (w *watcher) ready() bool {
+	_, ready := w.config.state()
+	return ready
+}
+
+func (w *watcher) elected() bool { return shouldWatch(w.members.me(), w.members.live()) }
+
+func (w *watcher) setWatching(on bool) {
+	w.members.updateSelf(func(m *wire.Member) { m.Watching = on })
 }
 
 // run lists and watches until the context ends. It is one goroutine.
@@ -38,14 +71,23 @@
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = watchPauseMin, watchPauseMax
 	for ctx.Err() == nil {
+		if w.ready() && !w.elected() {
+			pause(ctx, electEvery/2+rand.N(electEvery/2))
+			continue
+		}
 		before, _ := w.config.state()
 		err := w.once(ctx)
+		w.setWatching(false)
 		if after, _ := w.config.state(); after > before {
 			pauses.Reset()
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errRelieved) {
+			continue
+		}
+		w.broken.Store(true)
 		w.log.Warn().Err(err).Str("step", "watch").Str("peer", "store").Msg("watch broke")
 		pause(ctx, pauses.NextBackOff())
 	}
@@ -53,7 +95,7 @@
 
 // once watches from the revision held, or lists first.
 func (w *watcher) once(ctx context.Context) error {
-	if _, ready := w.config.state(); !ready {
+	if !w.ready() || w.relist {
 		if err := w.list(ctx); err != nil {
 			return err
 		}
@@ -66,6 +108,12 @@
 	return err
 }
 
+// list takes everything.
+//
+// Failure: the store was restored to an older revision. It shows as a listing
+// below the revision held. What the store held between the two is lost to it,
+// and its new changes reuse the numbers, so a watch from the revision held would
+// skip them. Only a listing above that revision ends this.
 func (w *watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
@@ -73,8 +121,12 @@
 	if err != nil {
 		return err
 	}
-	w.config.replace(l)
-	return nil
+	err = w.config.replace(l)
+	w.relist = err != nil
+	if err != nil {
+		w.refused.Inc(1)
+	}
+	return err
 }
 
 // watch ends a watch that went silent.
@@ -89,6 +141,10 @@
 	defer silence.Stop()
 	err := w.store.Watch(ctx, from, func(e platform.Event) error {
 		silence.Reset(watchSilence)
+		w.alive()
+		if !w.elected() {
+			return errRelieved
+		}
 		if e.Type != platform.EventBookmark {
 			w.config.apply(e)
 		}
@@ -100,6 +156,12 @@
 	return err
 }
 
+// alive notes the first sign of life of a watch.
+func (w *watcher) alive() {
+	w.broken.Store(false)
+	w.setWatching(true)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,9 +59,12 @@
 	mu      sync.Mutex
 	changed chan struct{}
 
-	objects map[platform.ID]platform.Object
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	objects  map[platform.ID]platform.Object
+	refused  map[platform.ID]string
+	refusals metrics.Gauge
+	older    metrics.Counter
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // New returns a feed that runs for the application's life.
@@ -72,6 +77,9 @@
 		lag:      metrics.GetOrRegisterGauge("feed.revision", registry),
 		changed:  make(chan struct{}),
 		objects:  make(map[platform.ID]platform.Object),
+		refused:  make(map[platform.ID]string),
+		refusals: metrics.GetOrRegisterGauge("config.refused", registry),
+		older:    metrics.GetOrRegisterCounter("config.refused.older", registry),
 	}
 	f.current.Store(view.Build(nil, nil, nil))
 	life.Section("view", func() any { return f.dump() })
@@ -101,6 +109,9 @@
 func (f *Feed) stop(context.Context) error {
 	f.cancel()
 	f.done.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), reportEvery)
+	defer cancel()
+	f.report(ctx, true)
 	f.client.Close()
 	return nil
 }
@@ -141,6 +152,9 @@
 // operators have replaced. Revisions only rise: an older reply leaves the
 // configuration as it is.
 func (f *Feed) apply(old *view.View, reply *wire.PullReply) {
+	if reply.Revision < old.Revision {
+		f.older.Inc(1)
+	}
 	config := reply.Revision > old.Revision || (reply.Snapshot && reply.Revision == old.Revision && old.Revision == 0)
 	if !config && !reply.Changed {
 		return
@@ -153,30 +167,56 @@
 		members, grants = reply.Members, reply.Grants
 	}
 	next := view.Build(f.list(), members, grants)
+	next.Problems = append(f.problems(), next.Problems...)
 	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
-	for _, p := range next.Problems {
-		f.log.Error().Str("step", "configure").Msg("object refused: " + p)
-	}
 	f.lag.Update(int64(next.Revision))
 	f.publish(next)
 }
 
-// merge keeps the last good version of an object that fails its check.
+// merge keeps the last good version of an object that fails its check, and the
+// newer of two versions.
 func (f *Feed) merge(reply *wire.PullReply) {
+	held := f.objects
 	if reply.Snapshot {
 		f.objects = make(map[platform.ID]platform.Object, len(reply.Objects))
 	}
 	for _, id := range reply.Deleted {
 		delete(f.objects, id)
+		delete(f.refused, id)
 	}
 	for _, o := range reply.Objects {
-		_, held := f.objects[o.ID()]
-		if _, err := model.Decode(o.Kind, o.Name, o.Spec); err != nil && held {
-			f.log.Error().Err(err).Str("step", "configure").Msg("kept the last good version")
-			continue
-		}
+		f.put(o, held)
+	}
+	f.refusals.Update(int64(len(f.refused)))
+}
+
+func (f *Feed) put(o platform.Object, held map[platform.ID]platform.Object) {
+	old, known := held[o.ID()]
+	if known && old.Version >= o.Version {
+		f.objects[o.ID()] = old
+		return
+	}
+	_, err := model.Decode(o.Kind, o.Name, o.Spec)
+	if err == nil {
 		f.objects[o.ID()] = o
+		delete(f.refused, o.ID())
+		return
 	}
+	f.refused[o.ID()] = fmt.Sprintf("%s %s version %d: %v", o.Kind, o.Name, o.Version, err)
+	f.log.Error().Err(err).Str("step", "configure").Msg("object refused, the last good version stays")
+	if known {
+		f.objects[o.ID()] = old
+	}
+}
+
+// problems returns what is not in force and why, sorted.
+func (f *Feed) problems() []string {
+	out := make([]string, 0, len(f.refused))
+	for _, reason := range f.refused {
+		out = append(out, reason)
+	}
+	slices.Sort(out)
+	return out
 }
 
 func (f *Feed) list() []platform.Object {
@@ -199,7 +239,7 @@
 	defer f.done.Done()
 	draining := f.life.Draining()
 	for ctx.Err() == nil {
-		f.report(ctx)
+		f.report(ctx, false)
 		select {
 		case <-time.After(reportEvery):
 		case <-draining:
@@ -210,7 +250,7 @@
 	}
 }
 
-func (f *Feed) report(ctx context.Context) {
+func (f *Feed) report(ctx context.Context, stopped bool) {
 	v := f.Current()
 	ready, _ := f.life.IsReady()
 	args := wire.ReportArgs{
@@ -219,6 +259,7 @@
 		Admin:    f.life.AdminAddr(),
 		Revision: v.Revision,
 		Leaving:  !ready,
+		Stopped:  stopped,
 		Problems: v.Problems,
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportEvery)
--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -112,14 +112,20 @@
 const portsPerVM = 6
 
 func (p *planner) planVMs(n int, dcs []string) error {
+	all, err := freePorts(n * portsPerVM)
+	if err != nil {
+		return err
+	}
 	for i := range n {
-		ports, err := freePorts(portsPerVM)
-		if err != nil {
-			return err
-		}
+		ports := all[i*portsPerVM : (i+1)*portsPerVM]
 		name := fmt.Sprintf("vm%d", i+1)
 		base := daemon.Base{VM: name, DataCentre: dcs[i%len(dcs)]}
 		a := agent.Settings{Base: base, Listen: ports[0], Store: p.result.Store}
+		for j := range n {
+			if j != i {
+				a.Peers = append(a.Peers, all[j*portsPerVM])
+			}
+		}
 		d := dispatch.Settings{Base: base, Listen: ports[1], Agent: ports[0]}
 		e := entry.Settings{Base: base, Listen: ports[2], Agent: ports[0]}
 		a.Admin, d.Admin, e.Admin = ports[3], ports[4], ports[5]
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -6,11 +6,14 @@
 package view
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"slices"
 	"sort"
+	"strings"
 
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
@@ -55,6 +58,7 @@
 		assignments: make(map[string]*model.Assignment),
 		grants:      make(map[string][]ownedSlice),
 	}
+	objects = slices.SortedFunc(slices.Values(objects), func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
 	for _, o := range objects {
 		if err := v.add(o); err != nil {
 			v.Problems = append(v.Problems, fmt.Sprintf("%s %s version %d: %v", o.Kind, o.Name, o.Version, err))
@@ -83,13 +87,30 @@
 	case *model.Service:
 		v.services[typed.Name] = typed
 	case *model.Contract:
-		v.byToken[typed.TokenSHA256] = typed
+		return v.addContract(typed)
 	case *model.Assignment:
 		v.assignments[typed.Service] = typed
 	}
 	return nil
 }
 
+// errToken says that two contracts hold the same token.
+var errToken = errors.New("another contract holds this token")
+
+// addContract refuses the later of two contracts with one token.
+//
+// Failure: operators race, or write past hqctl, and two customers get the same
+// token. Whose limits a request meets would depend on the order in which a VM
+// read them. Objects come by version, so every VM keeps the same one.
+func (v *View) addContract(c *model.Contract) error {
+	hash := strings.ToLower(c.TokenSHA256)
+	if held := v.byToken[hash]; held != nil {
+		return fmt.Errorf("customer %s: %w", held.Customer, errToken)
+	}
+	v.byToken[hash] = c
+	return nil
+}
+
 func (v *View) addGrant(g *wire.Grant) {
 	for _, s := range g.Slices {
 		v.grants[g.Service] = append(v.grants[g.Service], ownedSlice{slice: s, grant: g})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,7 @@
 	MethodPull   = "Agent.Pull"
 	MethodBeat   = "Agent.Beat"
 	MethodReport = "Agent.Report"
+	MethodSync   = "Agent.Sync"
 )
 
 // Request is a caller's request on its way from an entry to a dispatcher.
@@ -83,8 +84,16 @@
 	DispatchAddr string
 	// Leaving VMs get no new work.
 	Leaving bool
-	// Revision is the configuration in force on the VM.
+	// Revision is the configuration in force on all daemons of the VM, and
+	// Held the one that its agent holds. Both are told between agents only.
 	Revision uint64
+	Held     uint64
+	// Holds says that the agent holds a configuration at all.
+	Holds bool
+	// Watching says that the agent's watch of the store works.
+	Watching bool
+	// AdminAddr is the agent's admin HTTP address.
+	AdminAddr string
 }
 
 // Rank orders the grantors of a group. A higher one fences all lower ones.
@@ -190,8 +199,9 @@
 	Admin string
 	// Revision is the configuration that the daemon has in force.
 	Revision uint64
-	// Leaving says that the daemon drains.
+	// Leaving says that the daemon drains, Stopped that it has drained.
 	Leaving bool
+	Stopped bool
 	// Problems lists objects that it could not put in force.
 	Problems []string
 }
