--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -1,18 +1,17 @@
-// Package ctl is what operators do: read, check, compare and write objects, and
-// ask the VMs what they did.
+// Package ctl is what operators do: read, check, compare and write objects, see
+// which version is in force where, and ask the VMs what they did.
 package ctl
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
-	"hemlockquay/internal/settings"
 )
 
 // Applied is the outcome of writing one object.
@@ -24,63 +23,126 @@
 	Changed bool `json:"changed"`
 }
 
-// named is what every object's file must hold.
-type named interface {
-	settings.Checker
+// Conflict says that the stored object is not the one that the operator read.
+// Nothing was written.
+type Conflict struct {
+	Kind model.Kind `json:"kind"`
+	Name string     `json:"name"`
+	// Read is the version that the operator read, Stored the one that the
+	// store holds; 0 stands for no object.
+	Read   uint64 `json:"read"`
+	Stored uint64 `json:"stored"`
+	// Differences lead from the stored object to the operator's.
+	Differences []Difference `json:"differences"`
 }
 
-// ReadFile reads and checks an object of the kind from a file.
-func ReadFile(kind model.Kind, file string) (platform.Object, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return platform.Object{}, fmt.Errorf("read %s: %w", kind, err)
-	}
-	var typed named
-	switch kind {
-	case model.KindService:
-		typed = new(model.Service)
-	case model.KindContract:
-		typed = new(model.Contract)
-	default:
-		return platform.Object{}, fmt.Errorf("operators write contracts and services, not %s", kind)
+// Error renders the conflict and every difference.
+func (c *Conflict) Error() string {
+	text := fmt.Sprintf("%s %s: conflict: %s; nothing was written", c.Kind, c.Name, c.cause())
+	for _, d := range c.Differences {
+		text += "\n  " + d.String()
 	}
-	if err := settings.Decode(file, text, typed); err != nil {
-		return platform.Object{}, err
-	}
-	spec, err := json.Marshal(typed)
-	if err != nil {
-		return platform.Object{}, fmt.Errorf("encode %s: %w", kind, err)
-	}
-	return platform.Object{Kind: kind, Name: nameOf(typed), Spec: spec}, nil
+	return text + fmt.Sprintf("\nread the stored one with `hqctl %s get %s`, bring in your change and apply again", c.Kind, c.Name)
 }
 
-func nameOf(typed named) string {
-	switch o := typed.(type) {
-	case *model.Service:
-		return o.Name
-	case *model.Contract:
-		return o.Customer
+func (c *Conflict) cause() string {
+	switch {
+	case c.Stored == 0:
+		return fmt.Sprintf("you read version %d, it is deleted now", c.Read)
+	case c.Read == 0:
+		return fmt.Sprintf("version %d is stored and the file names no version that you read", c.Stored)
 	}
-	return ""
+	return fmt.Sprintf("you read version %d, version %d is stored", c.Read, c.Stored)
+}
+
+// Unwrap lets errors.Is find platform.ErrConflict.
+func (c *Conflict) Unwrap() error { return platform.ErrConflict }
+
+var writes atomic.Uint64
+
+// tag names one write, so that a lost answer can be settled.
+func tag() string {
+	return fmt.Sprintf("hqctl-%d-%d-%d", os.Getpid(), time.Now().UnixNano(), writes.Add(1))
 }
 
-// Apply writes the object over the version that is stored now.
+// Apply writes the object over the version o.Version that the operator read,
+// 0 for a new object.
+//
+// Failure: two operators read the same version and both apply. The second write
+// would silently undo the first. The write is conditional on the version read,
+// so the store takes one; the other gets a *Conflict with the differences.
+// Failure: the store's answer is lost; platform.Write settles it by the tag.
 func Apply(ctx context.Context, s platform.Store, o platform.Object) (Applied, error) {
 	out := Applied{Kind: o.Kind, Name: o.Name}
+	read := o.Version
 	current, err := s.Get(ctx, o.ID())
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return out, err
+		return out, fmt.Errorf("read before apply: %w", err)
 	}
-	if err == nil && string(current.Spec) == string(o.Spec) {
+	if err == nil && same(current, o) {
 		out.Version = current.Version
 		return out, nil
 	}
-	o.Version = current.Version
-	o.Writer = fmt.Sprintf("hqctl-%d-%d", os.Getpid(), time.Now().UnixNano())
+	if current.Version != read {
+		return out, conflict(current, o, read)
+	}
+	o.Writer = tag()
 	written, err := platform.Write(ctx, s, o)
+	if errors.Is(err, platform.ErrConflict) {
+		return lost(ctx, s, o, read)
+	}
+	if errors.Is(err, platform.ErrAmbiguous) {
+		return out, fmt.Errorf("it is not known whether %s %s was written; `hqctl %s diff` tells: %w", o.Kind, o.Name, o.Kind, err)
+	}
 	if err != nil {
-		return out, err
+		return out, fmt.Errorf("apply: %w", err)
 	}
 	out.Version, out.Changed = written.Version, true
 	return out, nil
 }
+
+// lost reports a lost race. Where the winner wrote the same, both have won.
+func lost(ctx context.Context, s platform.Store, o platform.Object, read uint64) (Applied, error) {
+	out := Applied{Kind: o.Kind, Name: o.Name}
+	current, err := s.Get(ctx, o.ID())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return out, fmt.Errorf("read after conflict: %w", errors.Join(platform.ErrConflict, err))
+	}
+	if err == nil && same(current, o) {
+		out.Version = current.Version
+		return out, nil
+	}
+	return out, conflict(current, o, read)
+}
+
+func conflict(current, mine platform.Object, read uint64) *Conflict {
+	return &Conflict{
+		Kind: mine.Kind, Name: mine.Name, Read: read, Stored: current.Version,
+		Differences: Diff(current.Spec, mine.Spec),
+	}
+}
+
+func same(a, b platform.Object) bool { return len(Diff(a.Spec, b.Spec)) == 0 }
+
+// Delete removes the object if its stored version is the one that was read.
+//
+// Failure: the answer is lost. An object that is gone has been deleted at the
+// version read, by this call or another; one at that version is deleted again.
+func Delete(ctx context.Context, s platform.Store, id platform.ID, read uint64) error {
+	o := platform.Object{Kind: id.Kind, Name: id.Name, Version: read}
+	for {
+		err := s.Delete(ctx, o)
+		if !errors.Is(err, platform.ErrAmbiguous) && !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		current, getErr := s.Get(ctx, id)
+		switch {
+		case errors.Is(getErr, platform.ErrNotFound):
+			return nil
+		case getErr != nil:
+			return fmt.Errorf("it is not known whether %s %s was deleted: %w", id.Kind, id.Name, errors.Join(err, getErr))
+		case current.Version != read:
+			return conflict(current, o, read)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/cli/cli.go
@@ -0,0 +1,184 @@
+// Package cli is the command line of hqctl: human tables by default, JSON on
+// request, and an exit code for each outcome that a script has to tell apart.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"hemlockquay/internal/ctl"
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/platform/objectapi"
+	"hemlockquay/internal/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitFailure: the store or a VM did not answer, or refused.
+	ExitFailure = 1
+	// ExitUsage: wrong command line, or an invalid file.
+	ExitUsage = 2
+	// ExitConflict: another version is stored than the one read, or diff found
+	// a difference. Nothing was written.
+	ExitConflict = 3
+	// ExitLagging: the version is stored, and not in force everywhere within
+	// the time of --wait.
+	ExitLagging = 4
+)
+
+// errDiffers says that diff found a difference.
+var errDiffers = errors.New("the file differs from the stored object")
+
+// options are the flags of every command.
+type options struct {
+	Store   string        `long:"store" env:"HQ_STORE" description:"base URL of the platform's object API"`
+	Agents  []string      `long:"agent" env:"HQ_AGENTS" env-delim:"," value-name:"IP:PORT" description:"admin address of an agent, for when the store is down; may be repeated"`
+	Timeout time.Duration `long:"timeout" default:"10s" description:"bound on the whole command, --wait included"`
+	JSON    bool          `long:"json" description:"print JSON"`
+	Version func()        `long:"version" description:"print the version and exit"`
+}
+
+// app is one run of hqctl.
+type app struct {
+	options
+	out, log io.Writer
+}
+
+func (a *app) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), a.Timeout)
+}
+
+func (a *app) store() platform.Store { return objectapi.New(a.options.Store) }
+
+func (a *app) fleet() *ctl.Fleet {
+	return &ctl.Fleet{Store: a.store(), Agents: a.Agents, HTTP: http.DefaultClient}
+}
+
+// print writes v as JSON, or calls human.
+func (a *app) print(v any, human func(io.Writer)) error {
+	if !a.JSON {
+		human(a.out)
+		return nil
+	}
+	text, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	_, err = fmt.Fprintln(a.out, string(text))
+	return err
+}
+
+// table writes rows in aligned columns, the first row the heading.
+func table(w io.Writer, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(t, "\t")
+			}
+			fmt.Fprint(t, cell)
+		}
+		fmt.Fprintln(t)
+	}
+	_ = t.Flush()
+}
+
+// Run carries out the command line and returns the exit code.
+func Run(args []string, out, log io.Writer) int {
+	a := &app{out: out, log: log}
+	exit := -1
+	a.options.Version = func() {
+		fmt.Fprintln(out, "hqctl", daemon.Version)
+		exit = ExitOK
+	}
+	p := flags.NewNamedParser("hqctl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", &a.options); err != nil {
+		panic(err)
+	}
+	a.addCommands(p)
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if c == nil || exit >= 0 {
+			return nil
+		}
+		return c.Execute(rest)
+	}
+	_, err := p.ParseArgs(args)
+	if exit >= 0 {
+		return exit
+	}
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(out, err)
+		return ExitOK
+	}
+	return a.report(err)
+}
+
+// report prints the error, as JSON too where it has parts, and returns its code.
+func (a *app) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(a.log, err)
+	var conflict *ctl.Conflict
+	var lagging *ctl.Lagging
+	if a.JSON && errors.As(err, &conflict) {
+		_ = a.print(conflict, nil)
+	}
+	if a.JSON && errors.As(err, &lagging) {
+		_ = a.print(lagging, nil)
+	}
+	return Code(err)
+}
+
+// Code returns the exit code of an error.
+func Code(err error) int {
+	var usage *flags.Error
+	var bad *settings.Error
+	var lagging *ctl.Lagging
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &lagging):
+		return ExitLagging
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, errDiffers):
+		return ExitConflict
+	case errors.As(err, &usage), errors.As(err, &bad), errors.Is(err, os.ErrNotExist):
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+func (a *app) addCommands(p *flags.Parser) {
+	for _, kind := range []model.Kind{model.KindContract, model.KindService} {
+		group := must(p.AddCommand(string(kind), "Work on "+string(kind)+" objects", "", &struct{}{}))
+		base := object{app: a, kind: kind}
+		must(group.AddCommand("get", "Print one with its version, as a file for apply", "", &get{object: base}))
+		must(group.AddCommand("list", "List all", "", &list{object: base}))
+		must(group.AddCommand("check", "Check files as every program will", "", &check{object: base}))
+		must(group.AddCommand("diff", "Compare a file with the stored object", "", &diff{object: base}))
+		must(group.AddCommand("apply", "Write objects from files", "", &apply{object: base}))
+		must(group.AddCommand("delete", "Delete one at the version read", "", &remove{object: base}))
+	}
+	must(p.AddCommand("status", "Show every VM and what it has in force", "", &status{app: a}))
+	must(p.AddCommand("dump", "Print the whole state of a daemon", "", &dump{app: a}))
+	must(p.AddCommand("explain", "Tell what the VMs did about a key, customer, target, service or request id", "", &explain{app: a}))
+}
+
+func must(c *flags.Command, err error) *flags.Command {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/ctl/cli/fleet.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"hemlockquay/internal/ctl"
+)
+
+type status struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *status) Execute([]string) error {
+	ctx, cancel := c.app.context()
+	defer cancel()
+	vms, err := c.app.fleet().VMs(ctx)
+	if err != nil {
+		return err
+	}
+	return c.app.print(vms, func(w io.Writer) { showVMs(w, vms) })
+}
+
+func showVMs(w io.Writer, vms []ctl.VM) {
+	rows := [][]string{{"VM", "DATA CENTRE", "STATE", "IN FORCE", "HELD", "WATCHES STORE", "PROBLEMS"}}
+	for _, vm := range vms {
+		rows = append(rows, []string{vm.Name, vm.DataCentre, vm.State, strconv.FormatUint(vm.InForce, 10),
+			strconv.FormatUint(vm.Held, 10), strconv.FormatBool(vm.Watching), orDash(strings.Join(vm.Problems, "; "))})
+	}
+	table(w, rows)
+}
+
+type dump struct {
+	app  *app
+	Args struct {
+		VM      string `positional-arg-name:"VM" required:"yes"`
+		Process string `positional-arg-name:"PROCESS" required:"yes" description:"hq-agent, hq-dispatch or hq-entry"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *dump) Execute([]string) error {
+	ctx, cancel := c.app.context()
+	defer cancel()
+	state, err := c.app.fleet().Dump(ctx, c.Args.VM, c.Args.Process)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.app.out, string(state))
+	return err
+}
+
+type explain struct {
+	app  *app
+	Args struct {
+		Subject string `positional-arg-name:"KEY|CUSTOMER|TARGET|REQUEST-ID" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *explain) Execute([]string) error {
+	ctx, cancel := c.app.context()
+	defer cancel()
+	account, err := c.app.fleet().Explain(ctx, c.Args.Subject)
+	if err != nil {
+		return err
+	}
+	return c.app.print(account, func(w io.Writer) { fmt.Fprint(w, account.Text()) })
+}
--- /dev/null
+++ b/internal/ctl/cross.go
@@ -0,0 +1,67 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/settings"
+)
+
+// CrossCheck compares an object with the others that are stored. A contract
+// whose token another customer holds is refused: VMs would put it out of force.
+// A contract for a service that is not stored, and a service that goes while
+// contracts name it, are only warned of, as the two may be applied in any order.
+func CrossCheck(o platform.Object, stored []platform.Object) (warnings []string, err error) {
+	if o.Kind != model.KindContract {
+		return nil, nil
+	}
+	mine, err := contractOf(o)
+	if err != nil {
+		return nil, err
+	}
+	services := make(map[string]bool)
+	for _, other := range stored {
+		if other.Kind == model.KindService {
+			services[other.Name] = true
+		}
+		if other.Kind != model.KindContract || other.Name == o.Name {
+			continue
+		}
+		if theirs, err := contractOf(other); err == nil && strings.EqualFold(theirs.TokenSHA256, mine.TokenSHA256) {
+			return nil, &settings.Error{Source: "contract " + o.Name, Line: 1, Field: "/tokenSHA256",
+				Reason: fmt.Sprintf("customer %s holds this token", other.Name)}
+		}
+	}
+	for _, a := range mine.Services {
+		if !services[a.Service] {
+			warnings = append(warnings, fmt.Sprintf("contract %s names service %s, which is not stored", o.Name, a.Service))
+		}
+	}
+	return warnings, nil
+}
+
+func contractOf(o platform.Object) (*model.Contract, error) {
+	decoded, err := model.Decode(o.Kind, o.Name, o.Spec)
+	if err != nil {
+		return nil, err
+	}
+	return decoded.(*model.Contract), nil
+}
+
+// UsedBy names the contracts that name the service.
+func UsedBy(service string, stored []platform.Object) []string {
+	var out []string
+	for _, o := range stored {
+		if o.Kind != model.KindContract {
+			continue
+		}
+		if c, err := contractOf(o); err == nil {
+			if _, named := c.Allowance(service); named {
+				out = append(out, o.Name)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/diff.go
@@ -0,0 +1,91 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+// Difference is one field that differs.
+type Difference struct {
+	// Pointer is the field's RFC 6901 pointer.
+	Pointer string `json:"pointer"`
+	// Stored and Mine are JSON values, "" where the field is missing.
+	Stored string `json:"stored"`
+	Mine   string `json:"mine"`
+}
+
+// String renders the difference for people.
+func (d Difference) String() string {
+	return fmt.Sprintf("%s: stored %s, yours %s", d.Pointer, orMissing(d.Stored), orMissing(d.Mine))
+}
+
+func orMissing(v string) string {
+	if v == "" {
+		return "(missing)"
+	}
+	return v
+}
+
+// Diff compares two specs field by field, sorted by pointer. An empty spec has
+// no fields.
+func Diff(stored, mine []byte) []Difference {
+	a, b := flatten(stored), flatten(mine)
+	var out []Difference
+	for pointer, value := range a {
+		if b[pointer] != value {
+			out = append(out, Difference{pointer, value, b[pointer]})
+		}
+	}
+	for pointer, value := range b {
+		if _, both := a[pointer]; !both {
+			out = append(out, Difference{pointer, "", value})
+		}
+	}
+	slices.SortFunc(out, func(x, y Difference) int {
+		if x.Pointer < y.Pointer {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// flatten returns the leaves of a JSON text by pointer. What cannot be parsed is
+// one leaf.
+func flatten(spec []byte) map[string]string {
+	out := make(map[string]string)
+	if len(spec) == 0 {
+		return out
+	}
+	var tree any
+	plain, err := hujson.Standardize(slices.Clone(spec))
+	if err == nil {
+		err = json.Unmarshal(plain, &tree)
+	}
+	if err != nil {
+		out[""] = strconv.Quote(string(spec))
+		return out
+	}
+	leaves(out, "", tree)
+	return out
+}
+
+func leaves(out map[string]string, pointer string, v any) {
+	switch typed := v.(type) {
+	case map[string]any:
+		for name, child := range typed {
+			leaves(out, pointer+"/"+name, child)
+		}
+	case []any:
+		for i, child := range typed {
+			leaves(out, pointer+"/"+strconv.Itoa(i), child)
+		}
+	default:
+		text, _ := json.Marshal(typed)
+		out[pointer] = string(text)
+	}
+}
--- /dev/null
+++ b/internal/ctl/fleet.go
@@ -0,0 +1,253 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+// Bounds of questions to VMs.
+const (
+	// askTimeout bounds one question to a daemon's admin server.
+	askTimeout = 2 * time.Second
+	// askAtOnce is how many daemons are asked at a time.
+	askAtOnce = 32
+	// agentsAsked is how many agents are asked for the list of VMs. One knows
+	// all; more see past a cut between some of them.
+	agentsAsked = 3
+	// maxAnswer bounds a daemon's answer, bytes.
+	maxAnswer = 64 << 20
+)
+
+// errNoAgent says that no agent answered.
+var errNoAgent = errors.New("no agent answers; name one with --agent IP:PORT (its admin address)")
+
+// Fleet asks the VMs' daemons.
+type Fleet struct {
+	// Store may be down; then only Agents are known.
+	Store platform.Store
+	// Agents are admin addresses of agents that the operator named.
+	Agents []string
+	// HTTP asks the admin servers.
+	HTTP *http.Client
+}
+
+// VM is one VM as the agents see it.
+type VM struct {
+	Name        string `json:"name"`
+	DataCentre  string `json:"dataCentre"`
+	Incarnation string `json:"incarnation,omitempty"`
+	// State is live, leaving or silent.
+	State string `json:"state"`
+	// InForce is the revision that all daemons of the VM use, Held the one
+	// that its agent holds.
+	InForce  uint64   `json:"inForce"`
+	Held     uint64   `json:"held"`
+	Watching bool     `json:"watching"`
+	Problems []string `json:"problems,omitempty"`
+}
+
+// States of a VM.
+const (
+	Live    = "live"
+	Leaving = "leaving"
+	Silent  = "silent"
+)
+
+// agentDump is the part of an agent's dump that operators need.
+type agentDump struct {
+	Members []wire.Member `json:"members"`
+}
+
+// VMs returns all VMs that the platform lists or an agent hears, by name.
+func (f *Fleet) VMs(ctx context.Context) ([]VM, error) {
+	found := make(map[string]*VM)
+	statuses := f.statuses(ctx)
+	if vms, err := f.Store.VMs(ctx); err == nil {
+		for _, vm := range vms {
+			found[vm.Name] = &VM{Name: vm.Name, DataCentre: vm.DataCentre, State: Silent}
+		}
+	}
+	dumps, err := f.askAgents(ctx, statuses)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range dumps {
+		for _, m := range d.Members {
+			merge(found, m)
+		}
+	}
+	for _, s := range statuses {
+		if vm := found[s.Name]; vm != nil {
+			vm.Problems = s.Problems
+		}
+	}
+	out := make([]VM, 0, len(found))
+	for _, vm := range found {
+		out = append(out, *vm)
+	}
+	slices.SortFunc(out, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+// merge keeps what is newest of several agents' views.
+func merge(found map[string]*VM, m wire.Member) {
+	vm := found[m.VM]
+	if vm == nil {
+		vm = &VM{Name: m.VM}
+		found[m.VM] = vm
+	}
+	if vm.Incarnation != "" && vm.Incarnation != m.Incarnation {
+		if earlier(m.Incarnation, vm.Incarnation) {
+			return
+		}
+		*vm = VM{Name: m.VM}
+	}
+	vm.DataCentre, vm.Incarnation, vm.State = m.DataCentre, m.Incarnation, Live
+	if m.Leaving {
+		vm.State = Leaving
+	}
+	vm.InForce, vm.Held = max(vm.InForce, m.Revision), max(vm.Held, m.Held)
+	vm.Watching = vm.Watching || m.Watching
+}
+
+// earlier compares the start times in two incarnations of one VM.
+func earlier(a, b string) bool { return len(a) < len(b) || (len(a) == len(b) && a < b) }
+
+// statuses returns the VMs' status objects; none where the store is down.
+func (f *Fleet) statuses(ctx context.Context) []model.VMStatus {
+	l, err := f.Store.List(ctx)
+	if err != nil {
+		return nil
+	}
+	var out []model.VMStatus
+	for _, o := range l.Objects {
+		if o.Kind != model.KindVM {
+			continue
+		}
+		if s, err := model.Decode(o.Kind, o.Name, o.Spec); err == nil {
+			out = append(out, *s.(*model.VMStatus))
+		}
+	}
+	return out
+}
+
+// askAgents returns the dumps of the first agents that answer.
+func (f *Fleet) askAgents(ctx context.Context, statuses []model.VMStatus) ([]agentDump, error) {
+	addrs := slices.Clone(f.Agents)
+	for _, s := range statuses {
+		addrs = append(addrs, adminOf(s, "hq-agent"))
+	}
+	named := len(f.Agents)
+	rand.Shuffle(len(addrs)-named, func(i, j int) { addrs[named+i], addrs[named+j] = addrs[named+j], addrs[named+i] })
+	var out []agentDump
+	for chunk := range slices.Chunk(addrs, agentsAsked) {
+		out = append(out, f.dumps(ctx, chunk)...)
+		if len(out) >= agentsAsked {
+			break
+		}
+	}
+	if len(out) == 0 {
+		return nil, errNoAgent
+	}
+	return out, nil
+}
+
+func (f *Fleet) dumps(ctx context.Context, addrs []string) []agentDump {
+	var mu sync.Mutex
+	var out []agentDump
+	var asks errgroup.Group
+	for _, addr := range addrs {
+		asks.Go(func() error {
+			d, err := f.agentDump(ctx, addr)
+			if err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				out = append(out, d)
+			}
+			return nil
+		})
+	}
+	_ = asks.Wait()
+	return out
+}
+
+func (f *Fleet) agentDump(ctx context.Context, addr string) (agentDump, error) {
+	var whole struct {
+		Sections []struct {
+			Name  string          `json:"name"`
+			Value json.RawMessage `json:"value"`
+		} `json:"sections"`
+	}
+	if err := f.ask(ctx, addr, "/dump", &whole); err != nil {
+		return agentDump{}, err
+	}
+	for _, s := range whole.Sections {
+		if s.Name != "agent" {
+			continue
+		}
+		var d agentDump
+		if err := json.Unmarshal(s.Value, &d); err != nil {
+			return d, fmt.Errorf("dump of %s: %w", addr, err)
+		}
+		return d, nil
+	}
+	return agentDump{}, fmt.Errorf("dump of %s: not an agent", addr)
+}
+
+// ask reads one page of a daemon's admin server.
+func (f *Fleet) ask(ctx context.Context, addr, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", addr, err)
+	}
+	resp, err := f.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask %s%s: status %d", addr, path, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
+		return fmt.Errorf("answer of %s%s: %w", addr, path, err)
+	}
+	return nil
+}
+
+func adminOf(s model.VMStatus, process string) string {
+	for _, a := range s.AdminAddrs {
+		if a.Process == process {
+			return a.Addr
+		}
+	}
+	return ""
+}
+
+// Dump returns a daemon's whole state.
+func (f *Fleet) Dump(ctx context.Context, vm, process string) (json.RawMessage, error) {
+	for _, s := range f.statuses(ctx) {
+		if s.Name == vm {
+			var out json.RawMessage
+			err := f.ask(ctx, adminOf(s, process), "/dump", &out)
+			return out, err
+		}
+	}
+	return nil, fmt.Errorf("no status of VM %s in the store", vm)
+}
--- /dev/null
+++ b/internal/ctl/race_test.go
@@ -0,0 +1,210 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/platform/memstore"
+)
+
+// fault is what happens to an operator's first write.
+type fault int
+
+const (
+	none fault = iota
+	answerLost
+	requestLost
+)
+
+// gate lets one operator's store calls pass only in its turns.
+type gate struct {
+	platform.Store
+	turns chan chan struct{}
+	fault fault
+	tags  *[]string
+}
+
+func (g *gate) turn() func() {
+	done := <-g.turns
+	return func() { done <- struct{}{} }
+}
+
+func (g *gate) Get(ctx context.Context, id platform.ID) (platform.Object, error) {
+	defer g.turn()()
+	return g.Store.Get(ctx, id)
+}
+
+func (g *gate) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+	defer g.turn()()
+	f := g.fault
+	g.fault = none
+	if f == requestLost {
+		return platform.Object{}, platform.ErrAmbiguous
+	}
+	written, err := g.Store.Put(ctx, o)
+	if err == nil {
+		*g.tags = append(*g.tags, o.Writer)
+	}
+	if f == answerLost {
+		return platform.Object{}, platform.ErrAmbiguous
+	}
+	return written, err
+}
+
+func limits(rate float64, version uint64) platform.Object {
+	spec, _ := json.Marshal(model.Contract{
+		Customer: "a", TokenSHA256: fmt.Sprintf("%064x", 1),
+		Services: []model.Allowance{{Service: "s", Rate: rate, Burst: 1, Concurrency: 1, Class: model.Interactive, Weight: 1}},
+	})
+	return platform.Object{Kind: model.KindContract, Name: "a", Version: version, Spec: spec}
+}
+
+// maxCalls is the most store calls that one Apply makes: read, write, settle,
+// write again, read after a conflict.
+const maxCalls = 5
+
+// interleavings returns every order of n turns of each of two operators.
+func interleavings(n int) [][]int {
+	var out [][]int
+	var walk func(order []int, left [2]int)
+	walk = func(order []int, left [2]int) {
+		if left[0]+left[1] == 0 {
+			out = append(out, append([]int(nil), order...))
+			return
+		}
+		for i := range left {
+			if left[i] > 0 {
+				next := left
+				next[i]--
+				walk(append(order, i), next)
+			}
+		}
+	}
+	walk(nil, [2]int{n, n})
+	return out
+}
+
+// Two operators read the same contract and apply different limits. The second
+// write undoes the first without a word, or a lost answer makes the accepted
+// one look refused. Over all orders of their store calls and every loss of a
+// first write, one is accepted, the other sees the difference, and the accepted
+// one was written once.
+func TestRacingOperatorsOneAcceptedOneConflict(t *testing.T) {
+	orders := interleavings(maxCalls)
+	require.Len(t, orders, 252)
+	for _, order := range orders {
+		for faults := range 9 {
+			race(t, order, fault(faults%3), fault(faults/3))
+		}
+	}
+}
+
+func race(t *testing.T, order []int, first, second fault) {
+	t.Helper()
+	ctx := context.Background()
+	mem := memstore.New()
+	base, err := mem.Put(ctx, limits(10, 0))
+	require.NoError(t, err)
+	var tags []string
+	gates := [2]*gate{
+		{Store: mem, turns: make(chan chan struct{}), fault: first, tags: &tags},
+		{Store: mem, turns: make(chan chan struct{}), fault: second, tags: &tags},
+	}
+	var errs [2]error
+	ended := [2]chan struct{}{make(chan struct{}), make(chan struct{})}
+	for i := range gates {
+		go func() {
+			defer close(ended[i])
+			_, errs[i] = Apply(ctx, gates[i], limits(float64(20+i), base.Version))
+		}()
+	}
+	for _, i := range order {
+		done := make(chan struct{})
+		select {
+		case gates[i].turns <- done:
+			<-done
+		case <-ended[i]:
+		}
+	}
+	<-ended[0]
+	<-ended[1]
+	winner := 0
+	if errs[0] != nil {
+		winner = 1
+	}
+	require.NoError(t, errs[winner], "order %v faults %v %v", order, first, second)
+	var conflict *Conflict
+	require.True(t, errors.As(errs[1-winner], &conflict), "order %v faults %v %v: %v", order, first, second, errs[1-winner])
+	require.Equal(t, []Difference{{"/services/0/rate", fmt.Sprint(20 + winner), fmt.Sprint(21 - winner)}}, conflict.Differences)
+	stored, err := mem.Get(ctx, base.ID())
+	require.NoError(t, err)
+	require.Empty(t, Diff(stored.Spec, limits(float64(20+winner), 0).Spec))
+	require.Len(t, tags, 1)
+}
+
+// An operator applies a file that names no version over a contract that is
+// stored: nobody knows what it is based on. It is refused, and the same content
+// is no change.
+func TestApplyWithoutVersionNeverOverwrites(t *testing.T) {
+	ctx := context.Background()
+	mem := memstore.New()
+	_, err := Apply(ctx, mem, limits(10, 0))
+	require.NoError(t, err)
+	again, err := Apply(ctx, mem, limits(10, 0))
+	require.NoError(t, err)
+	require.False(t, again.Changed)
+	_, err = Apply(ctx, mem, limits(11, 0))
+	require.ErrorIs(t, err, platform.ErrConflict)
+}
+
+// losing loses the answer of every deletion after its effect.
+type losing struct{ platform.Store }
+
+func (l losing) Delete(ctx context.Context, o platform.Object) error {
+	_ = l.Store.Delete(ctx, o)
+	return platform.ErrAmbiguous
+}
+
+// The answer of a deletion is lost. The operator sees a failure and repeats it
+// against an object that a colleague has created anew meanwhile.
+func TestDeleteSettlesLostAnswer(t *testing.T) {
+	ctx := context.Background()
+	mem := memstore.New()
+	old, err := mem.Put(ctx, limits(10, 0))
+	require.NoError(t, err)
+	require.NoError(t, Delete(ctx, losing{mem}, old.ID(), old.Version))
+	_, err = mem.Put(ctx, limits(10, 0))
+	require.NoError(t, err)
+	require.ErrorIs(t, Delete(ctx, losing{mem}, old.ID(), old.Version), platform.ErrConflict)
+}
+
+func TestRenderedFileKeepsItsVersion(t *testing.T) {
+	want := limits(10, 7)
+	text, err := Render(want)
+	require.NoError(t, err)
+	got, err := Parse(model.KindContract, "a.jsonc", text)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), got.Version)
+	require.Empty(t, Diff(want.Spec, got.Spec))
+}
+
+// Two customers get the same token. Whose limits a caller meets would depend on
+// the VM; the second is refused before it is written.
+func TestCrossCheckRefusesSharedToken(t *testing.T) {
+	mine := limits(10, 0)
+	warnings, err := CrossCheck(mine, nil)
+	require.NoError(t, err)
+	require.Len(t, warnings, 1)
+	other := mine
+	other.Name = "b"
+	other.Spec = []byte(`{"customer":"b","tokenSHA256":"` + fmt.Sprintf("%064X", 1) + `","services":[{"service":"s","rate":1,"burst":1,"concurrency":1}]}`)
+	_, err = CrossCheck(mine, []platform.Object{other})
+	require.ErrorContains(t, err, "customer b holds this token")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"hemlockquay/internal/journal"
+	"hemlockquay/internal/model"
 	"hemlockquay/internal/settings"
 )
 
@@ -44,13 +45,23 @@
 	// Log is the lowest level that is logged: debug, info, warn or error.
 	// Default info.
 	Log string `json:"log,omitempty"`
-	// JournalLength is how many decisions the journal keeps. Default 4096.
+	// JournalLength is how many decisions of each step the journal keeps.
+	// Default 4096.
 	JournalLength int `json:"journalLength,omitempty"`
+	// LeaveLead is how long a daemon that leaves still serves, so that those
+	// that send work learn of it. Default 1s.
+	LeaveLead model.Duration `json:"leaveLead,omitempty"`
 }
 
 const (
 	defaultJournalLength = 4096
 	maxJournalLength     = 1 << 20
+	// defaultLeaveLead covers a report (at once), a heartbeat (150 ms), the
+	// pull of the other VMs' entries, and balancers that look twice a second.
+	defaultLeaveLead = model.Duration(time.Second)
+	// maxLeaveLead keeps a target that leaves from new work "within a few
+	// seconds" and a replacement short.
+	maxLeaveLead = model.Duration(30 * time.Second)
 )
 
 // Common returns the shared part; it lets Main read any daemon's settings.
@@ -64,6 +75,9 @@
 	if b.JournalLength == 0 {
 		b.JournalLength = defaultJournalLength
 	}
+	if b.LeaveLead == 0 {
+		b.LeaveLead = defaultLeaveLead
+	}
 	switch {
 	case b.VM == "":
 		return settings.Impossible("/vm", "empty")
@@ -71,6 +85,8 @@
 		return settings.Impossible("/dataCentre", "empty")
 	case b.JournalLength < 1 || b.JournalLength > maxJournalLength:
 		return settings.Impossible("/journalLength", "%d is not between 1 and %d", b.JournalLength, maxJournalLength)
+	case b.LeaveLead < 0 || b.LeaveLead > maxLeaveLead:
+		return settings.Impossible("/leaveLead", "%v is not between 0 and %v", b.LeaveLead, maxLeaveLead)
 	case log.ParseLevel(b.Log) > log.FatalLevel:
 		return settings.Impossible("/log", "%q is not a level", b.Log)
 	}
@@ -129,7 +145,7 @@
 		fx.Provide(
 			metrics.NewRegistry,
 			func() *journal.Journal { return journal.New(base.VM, name, base.JournalLength) },
-			func(sh fx.Shutdowner) *Life { return newLife(name, base.VM, logger, sh) },
+			func(sh fx.Shutdowner, j *journal.Journal) *Life { return newLife(name, base, logger, j, sh) },
 		),
 		fx.Invoke(startAdmin),
 		module,
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
 
 	"hemlockquay/charts"
+	"hemlockquay/internal/journal"
 	"hemlockquay/internal/statechart"
 )
 
@@ -16,7 +19,8 @@
 	eventDrain      statechart.Event = "drain"
 	eventDrained    statechart.Event = "drained"
 
-	stateReady statechart.State = "ready"
+	stateReady   statechart.State = "ready"
+	stateStopped statechart.State = "stopped"
 )
 
 // Life is the daemon's state, its reasons for not being ready and the sections
@@ -24,11 +28,16 @@
 type Life struct {
 	name, vm string
 	log      *log.Logger
+	journal  *journal.Journal
+	lead     time.Duration
 	shutdown fx.Shutdowner
 
-	mu       sync.Mutex
-	machine  *statechart.Machine
-	waiting  string
+	mu      sync.Mutex
+	machine *statechart.Machine
+	waiting string
+	// serving stays true while the daemon is ready, and through the lead of
+	// its graceful shutdown.
+	serving  bool
 	draining chan struct{}
 	sections []section
 	admin    string
@@ -39,11 +48,13 @@
 	dump func() any
 }
 
-func newLife(name, vm string, logger *log.Logger, sh fx.Shutdowner) *Life {
+func newLife(name string, base *Base, logger *log.Logger, j *journal.Journal, sh fx.Shutdowner) *Life {
 	return &Life{
 		name:     name,
-		vm:       vm,
+		vm:       base.VM,
 		log:      logger,
+		journal:  j,
+		lead:     base.LeaveLead.D(),
 		shutdown: sh,
 		machine:  charts.MustLoad("daemon").Start(),
 		waiting:  "no configuration yet",
@@ -61,6 +72,34 @@
 	l.waiting = reason
 }
 
+// Note records a decision in the daemon's journal.
+func (l *Life) Note(step, text string, subjects ...string) { l.journal.Add(step, text, subjects...) }
+
+// Lead waits until those that send work have been told that the daemon leaves.
+// It goes between BeginDrain and the first refusal.
+//
+// Failure: a daemon refuses or closes its listener as soon as it leaves, while
+// the balancer or the other VMs still send to it. Callers see refusals and
+// broken connections at each replacement. During the lead the daemon serves on,
+// and /readyz and the heartbeats tell that it leaves.
+func (l *Life) Lead(ctx context.Context) {
+	select {
+	case <-time.After(l.lead):
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serving = false
+}
+
+// Serving tells whether new work is taken: the daemon is ready, or leaves and is
+// still in its lead.
+func (l *Life) Serving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.serving
+}
+
 // Drain begins the graceful shutdown. It returns at once.
 func (l *Life) Drain() {
 	l.BeginDrain()
@@ -88,6 +127,12 @@
 	if err := l.machine.Fire(e); err != nil {
 		return false
 	}
+	switch l.machine.State() {
+	case stateReady:
+		l.serving = true
+	case stateStopped:
+		l.serving = false
+	}
 	l.log.Info().Str("step", "life").Str("state", string(l.machine.State())).Msg("state changed")
 	return true
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,9 +87,11 @@
 	return nil
 }
 
-// stop drains: new requests are refused as not run, the others are answered.
-func (d *dispatcher) stop(context.Context) error {
+// stop drains: requests are taken until the entries have been told; then new
+// ones are refused as not run, and the others are answered.
+func (d *dispatcher) stop(ctx context.Context) error {
 	d.Life.BeginDrain()
+	d.Life.Lead(ctx)
 	d.mu.Lock()
 	d.draining = true
 	d.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,9 +84,11 @@
 	return nil
 }
 
-// stop drains: requests in flight are answered, new ones refused as not run.
+// stop drains: requests are answered until the balancer has been told; then
+// those in flight are answered and new ones refused as not run.
 func (e *entry) stop(ctx context.Context) error {
 	e.Life.BeginDrain()
+	e.Life.Lead(ctx)
 	err := e.server.Shutdown(ctx)
 	e.forwarder.peers.Close()
 	e.Life.Drained()
@@ -109,7 +111,11 @@
 
 func (e *entry) serve(c *gin.Context) {
 	begun := time.Now()
-	if ready, why := e.Life.IsReady(); !ready {
+	if why := e.leaving(c); why != "" {
+		e.refuse(c, problem.Refuse(problem.Leaving, stepDoor, e.Settings.VM, why).After(time.Second))
+		return
+	}
+	if ready, why := e.Life.IsReady(); !ready && !e.Life.Serving() {
 		e.refuse(c, problem.Refuse(problem.NotReady, stepDoor, e.Settings.VM, why).After(time.Second))
 		return
 	}
@@ -136,6 +142,21 @@
 	e.write(c, answer)
 }
 
+// leaving asks the caller to take its next request elsewhere, and says why this
+// one is refused once the lead is over.
+func (e *entry) leaving(c *gin.Context) string {
+	select {
+	case <-e.Life.Draining():
+	default:
+		return ""
+	}
+	c.Header("Connection", "close")
+	if e.Life.Serving() {
+		return ""
+	}
+	return "the entry is leaving"
+}
+
 // nextID names a request: unique over VMs and restarts.
 func (e *entry) nextID() string {
 	return e.Settings.VM + "-" + strconv.FormatInt(e.started, 36) + "-" + strconv.FormatUint(e.requests.Add(1), 36)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,6 +35,8 @@
 	retryPause = 200 * time.Millisecond
 	// reportEvery is how often the daemon tells the agent that it lives.
 	reportEvery = 500 * time.Millisecond
+	// reportLeast is the pause before a report of a new revision.
+	reportLeast = 20 * time.Millisecond
 )
 
 // Endpoint says where the agent is and what to tell it.
@@ -58,6 +60,8 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// revised asks for a report of the revision in force.
+	revised chan struct{}
 
 	objects  map[platform.ID]platform.Object
 	refused  map[platform.ID]string
@@ -76,6 +80,7 @@
 		client:   peer.NewClient(e.Agent, 2),
 		lag:      metrics.GetOrRegisterGauge("feed.revision", registry),
 		changed:  make(chan struct{}),
+		revised:  make(chan struct{}, 1),
 		objects:  make(map[platform.ID]platform.Object),
 		refused:  make(map[platform.ID]string),
 		refusals: metrics.GetOrRegisterGauge("config.refused", registry),
@@ -171,6 +176,12 @@
 	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
 	f.lag.Update(int64(next.Revision))
 	f.publish(next)
+	if next.Revision != old.Revision {
+		select {
+		case f.revised <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // merge keeps the last good version of an object that fails its check, and the
@@ -200,6 +211,7 @@
 	if err == nil {
 		f.objects[o.ID()] = o
 		delete(f.refused, o.ID())
+		f.note(o, known, old.Version)
 		return
 	}
 	f.refused[o.ID()] = fmt.Sprintf("%s %s version %d: %v", o.Kind, o.Name, o.Version, err)
@@ -209,6 +221,19 @@
 	}
 }
 
+// note records which version came into force, for hqctl explain. A first
+// snapshot is one entry.
+func (f *Feed) note(o platform.Object, known bool, old uint64) {
+	if f.Current().Revision == 0 || (o.Kind != model.KindContract && o.Kind != model.KindService) {
+		return
+	}
+	before := "it is new"
+	if known {
+		before = fmt.Sprintf("version %d was before", old)
+	}
+	f.life.Note("configure", fmt.Sprintf("%s %s version %d is in force, %s", o.Kind, o.Name, o.Version, before), o.Name)
+}
+
 // problems returns what is not in force and why, sorted.
 func (f *Feed) problems() []string {
 	out := make([]string, 0, len(f.refused))
@@ -242,6 +267,10 @@
 		f.report(ctx, false)
 		select {
 		case <-time.After(reportEvery):
+		case <-f.revised:
+			// Operators wait for the revision in force; a burst of changes
+			// is reported once.
+			pause(ctx, reportLeast)
 		case <-draining:
 			// Told at once, so that peers stop sending new work.
 			draining = nil
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,74 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// holding returns a feed that holds contract a of version 9, rate 9.
+func holding(t *testing.T) *Feed {
+	t.Helper()
+	r := metrics.NewRegistry()
+	f := &Feed{
+		log: &log.Logger{Level: log.FatalLevel}, changed: make(chan struct{}), revised: make(chan struct{}, 1),
+		lag: metrics.NewGauge(), refusals: metrics.GetOrRegisterGauge("config.refused", r), older: metrics.NewCounter(),
+		objects: make(map[platform.ID]platform.Object), refused: make(map[platform.ID]string),
+	}
+	f.current.Store(view.Build(nil, nil, nil))
+	f.apply(f.Current(), &wire.PullReply{Source: "1", Ready: true, Snapshot: true, Revision: 9, Objects: []platform.Object{contract(9, "9")}})
+	require.Equal(t, 9.0, rate(f))
+	return f
+}
+
+func contract(version uint64, rate string) platform.Object {
+	return platform.Object{Kind: model.KindContract, Name: "a", Version: version, Spec: []byte(
+		`{"customer":"a","tokenSHA256":"ca978112ca1bbdcafac231b39a23dc4da786eff8147c4e72b9807785afee48bb","services":[{"service":"s","rate":` + rate + `,"burst":1,"concurrency":1}]}`)}
+}
+
+func rate(f *Feed) float64 { return f.Current().ContractOf("a").Services[0].Rate }
+
+// The agent is restarted while the store answers from an old copy, or learns of
+// it from a peer that was cut off. Limits fall back to replaced values. The
+// daemon takes the agent's members and keeps its own configuration.
+func TestOlderReplyIsRefused(t *testing.T) {
+	f := holding(t)
+	f.apply(f.Current(), &wire.PullReply{
+		Source: "2", Ready: true, Snapshot: true, Revision: 7, Objects: []platform.Object{contract(4, "4")},
+		Changed: true, Members: []wire.Member{{VM: "vm2"}},
+	})
+	require.Equal(t, 9.0, rate(f))
+	require.Equal(t, uint64(9), f.Current().Revision)
+	require.Len(t, f.Current().Members, 1)
+	require.Equal(t, int64(1), f.older.Count())
+}
+
+// A snapshot of a newer revision holds an older version of one object: the store
+// was restored and went on. That object stays as it is.
+func TestOlderObjectOfNewerSnapshotIsRefused(t *testing.T) {
+	f := holding(t)
+	f.apply(f.Current(), &wire.PullReply{Source: "2", Ready: true, Snapshot: true, Revision: 12, Objects: []platform.Object{contract(4, "4")}})
+	require.Equal(t, 9.0, rate(f))
+	require.Equal(t, uint64(12), f.Current().Revision)
+}
+
+// A contract with an impossible rate reaches a daemon. Its last good version
+// stays in force and the problem is shown until a good one comes; a deletion
+// ends both.
+func TestBadObjectKeepsLastGoodVersion(t *testing.T) {
+	f := holding(t)
+	f.apply(f.Current(), &wire.PullReply{Source: "1", Ready: true, Snapshot: true, Revision: 10, Objects: []platform.Object{contract(10, "-1")}})
+	require.Equal(t, 9.0, rate(f))
+	require.Len(t, f.Current().Problems, 1)
+	require.Equal(t, int64(1), f.refusals.Value())
+	f.apply(f.Current(), &wire.PullReply{Source: "1", Ready: true, Revision: 11, Deleted: []platform.ID{{Kind: model.KindContract, Name: "a"}}})
+	require.Nil(t, f.Current().ContractOf("a"))
+	require.Empty(t, f.Current().Problems)
+}
