Plan draws ports that outgoing connections do not take

Cause: a planned port in the range of outgoing connections was taken before its daemon listened ("address already in use"; seen once with 27 daemons). Change: ports are drawn from 10000 to 32000.

--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -196,17 +197,32 @@
 	return nil
 }
 
+// Ports are drawn below the range from which systems take the ports of outgoing
+// connections (32768 and up by default).
+//
+// Failure: a planned port lies in that range, and before its daemon starts an
+// outgoing connection of another takes it. The daemon cannot listen.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	// maxDraws bounds the search for free ports.
+	maxDraws = 10_000
+)
+
 // freePorts returns n loopback addresses that were free a moment ago. All are
 // held open together, so that none is returned twice.
 func freePorts(n int) ([]string, error) {
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	addrs := make([]string, 0, n)
+	for draws := 0; len(addrs) < n; draws++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort)))
+		if err != nil && draws >= maxDraws {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
+		if err != nil {
+			continue
+		}
 		defer l.Close()
-		addrs[i] = l.Addr().String()
+		addrs = append(addrs, l.Addr().String())
 	}
 	return addrs, nil
 }
