Hook for crashing requests in the queues

Cause: quarantine must be asked before a request is sent and told of a target's death, and is built beside the queues. Change: interface Suspects with a default that lets everything run. Died is declared; the queues report it with the next change.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,8 +42,10 @@
 	server *peer.Server
 	feed   *feed.Feed
 	sender *target.Sender
-	ctx    context.Context
-	cancel context.CancelFunc
+	// suspects is never nil.
+	suspects Suspects
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu       sync.Mutex
 	queues   map[queueID]*queue
@@ -61,14 +63,15 @@
 	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr()}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
-		params: p,
-		server: server,
-		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
-		sender: target.NewSender(p.Settings.TargetConnections),
-		ctx:    ctx,
-		cancel: cancel,
-		queues: make(map[queueID]*queue),
-		owners: make(map[string]*queue),
+		params:   p,
+		server:   server,
+		feed:     feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
+		sender:   target.NewSender(p.Settings.TargetConnections),
+		suspects: noSuspects{},
+		ctx:      ctx,
+		cancel:   cancel,
+		queues:   make(map[queueID]*queue),
+		owners:   make(map[string]*queue),
 	}
 	if err := server.Register("Dispatch", &rpcReceiver{d}); err != nil {
 		return err
@@ -151,7 +154,7 @@
 	}
 	q := d.queues[id]
 	if q == nil {
-		q = newQueue(id, d.Settings.VM, d.Settings.QueueLength, d.feed, d.sender, d.Registry)
+		q = newQueue(id, d.Settings.VM, d.Settings.QueueLength, d.feed, d.sender, d.suspects, d.Registry)
 		d.queues[id] = q
 		d.duties.Go(func() { q.run(d.ctx) })
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -49,19 +49,20 @@
 // queue is the queue of one target or pool. Its state belongs to one goroutine,
 // run; all else speaks to it through the ring.
 type queue struct {
-	id     queueID
-	peer   string
-	limit  int
-	feed   *feed.Feed
-	sender *target.Sender
-	inbox  *ring.Ring[message]
+	id       queueID
+	peer     string
+	limit    int
+	feed     *feed.Feed
+	sender   *target.Sender
+	suspects Suspects
+	inbox    *ring.Ring[message]
 
 	waiting  []*job
 	inFlight map[string]int
 	sent     map[string]*job
 }
 
-func newQueue(id queueID, peer string, limit int, f *feed.Feed, sender *target.Sender, registry metrics.Registry) *queue {
+func newQueue(id queueID, peer string, limit int, f *feed.Feed, sender *target.Sender, suspects Suspects, registry metrics.Registry) *queue {
 	name := id.Service
 	if id.Target != "" {
 		name += "." + id.Target
@@ -72,6 +73,7 @@
 		limit:    limit,
 		feed:     f,
 		sender:   sender,
+		suspects: suspects,
 		inbox:    ring.New[message](name, ringLength, ring.Wait, registry),
 		inFlight: make(map[string]int),
 		sent:     make(map[string]*job),
@@ -154,7 +156,15 @@
 		if !ok {
 			return
 		}
+		admission, p := q.suspects.Admit(j.request, time.Now())
+		if admission == AdmitHold {
+			return
+		}
 		q.waiting = q.waiting[1:]
+		if admission == AdmitRefuse {
+			j.refuse(p)
+			continue
+		}
 		q.send(ctx, v, s, t, j)
 	}
 }
@@ -191,6 +201,7 @@
 	j.attempts++
 	q.inFlight[t.Name]++
 	q.sent[j.request.ID] = j
+	q.suspects.Started(t.Name, j.request, time.Now())
 	attempt := &target.Attempt{Request: j.request, Target: t, Grant: grant, MaxAnswer: s.MaxBody, Deadline: j.deadline}
 	go func() {
 		defer cancel()
@@ -204,6 +215,7 @@
 	j := r.job
 	q.inFlight[r.target]--
 	delete(q.sent, j.request.ID)
+	q.suspects.Finished(r.target, j.request, time.Now())
 	var refused *target.RefusedError
 	switch {
 	case r.err == nil:
--- /dev/null
+++ b/internal/dispatch/suspects.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"time"
+
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/wire"
+)
+
+// Admission is what Suspects decides about a request that is about to be sent.
+type Admission int
+
+// The admissions.
+const (
+	// AdmitRun lets it be sent now.
+	AdmitRun Admission = iota
+	// AdmitHold keeps it waiting; it is asked about again at the next event of
+	// its queue.
+	AdmitHold
+	// AdmitRefuse ends it with the problem that comes along.
+	AdmitRefuse
+)
+
+// Suspects watches for requests that crash the targets that run them.
+//
+// All queues of a dispatcher share one; each calls it from its own goroutine, so
+// it must be safe for concurrent use and must not block. For every request that
+// Admit lets run there is one Started, and then one Finished or, if the target
+// died under it, one Died that lists it.
+type Suspects interface {
+	// Admit decides on a request that a free slot waits for.
+	Admit(r *wire.Request, now time.Time) (Admission, *problem.Error)
+	// Started says that an attempt is on its way to the target.
+	Started(target string, r *wire.Request, now time.Time)
+	// Finished says that an attempt ended and the target lives.
+	Finished(target string, r *wire.Request, now time.Time)
+	// Died says that the target ended with these requests running on it: a
+	// connection broke, and the target cannot be reached or is in another
+	// incarnation. Requests that it lists get no Finished.
+	Died(target string, running []*wire.Request, now time.Time)
+}
+
+// noSuspects lets everything run.
+type noSuspects struct{}
+
+func (noSuspects) Admit(*wire.Request, time.Time) (Admission, *problem.Error) { return AdmitRun, nil }
+func (noSuspects) Started(string, *wire.Request, time.Time)                   {}
+func (noSuspects) Finished(string, *wire.Request, time.Time)                  {}
+func (noSuspects) Died(string, []*wire.Request, time.Time)                    {}
