Entry: a request whose key moved waits for the view that shows the owner

Cause: a dispatcher with a newer view refused as no-owner and the entry went on to the next dispatcher of the old queue, so planned moves showed to callers. Change: after no-owner the entry waits for its next view, 25 ms at most, and chooses by that; after 1 s or at the deadline the caller gets the refusal. Dispatchers that leave are passed over as before, counted for each queue.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -27,30 +27,76 @@
 
 // forward returns the whole answer or the problem.
 //
-// A dispatcher that says "not run", or that the request never reached, is passed
-// over for the next one while the deadline lasts. After any other failure the
-// request may have run; sending it again is left to its caller.
+// A dispatcher that is leaving, or that the request never reached, is passed over
+// for the next one while the deadline lasts. One that says that another target owns
+// the key has a view that differs from ours by a moment: the request waits for the
+// next view and goes to the dispatcher of the owner that it shows. After any other
+// failure the request may have run; sending it again is left to its caller.
 func (f *forwarder) forward(ctx context.Context, v *visit) (*wire.Answer, *problem.Error) {
-	var last *problem.Error
-	for tried := 0; ; tried++ {
-		m, p := f.choose(f.feed.Current(), v, tried)
-		if p != nil {
-			if last != nil {
-				return nil, last
-			}
-			return nil, p
-		}
-		answer, p := f.call(ctx, v, m)
+	r := route{until: time.Now().Add(ownerlessFor)}
+	if v.deadline.Before(r.until) {
+		r.until = v.deadline
+	}
+	for {
+		changed := f.feed.Changed()
+		m, p := f.choose(f.feed.Current(), v, &r)
 		if p == nil {
-			return answer, nil
+			var answer *wire.Answer
+			if answer, p = f.call(ctx, v, m); p == nil {
+				return answer, nil
+			}
+			r.tried++
+			r.last = p
 		}
-		if !passOver(p) {
+		switch {
+		case !passOver(p):
 			return nil, p
+		case p.Kind == problem.NoOwner:
+			r.tried = 0
+			if !awaitView(ctx, changed, r.until) {
+				return nil, p
+			}
 		}
-		last = p
 	}
 }
 
+// route is what was tried for one request.
+type route struct {
+	// queue is the queue that was chosen last; tried counts the dispatchers
+	// that were passed over for it.
+	queue string
+	tried int
+	last  *problem.Error
+	// until bounds the wait for an owner.
+	until time.Time
+}
+
+// ownerlessFor bounds how long a request waits at the entry for an owner. A
+// takeover takes under a second.
+const ownerlessFor = time.Second
+
+// viewPause is when a request is tried again though no view came: the dispatcher's
+// view may have been the older one. Some tries fit into a planned move of 100 ms.
+const viewPause = 25 * time.Millisecond
+
+// awaitView waits for the next view or a short pause. It returns false if the
+// request must not wait any more.
+func awaitView(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
+	left := time.Until(until)
+	if left <= 0 {
+		return false
+	}
+	pause := time.NewTimer(min(left, viewPause))
+	defer pause.Stop()
+	select {
+	case <-changed:
+	case <-pause.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // passOver tells whether another dispatcher may do better.
 func passOver(p *problem.Error) bool {
 	return p.Ran == problem.RanNo && (p.Kind == problem.Leaving || p.Kind == problem.NoOwner)
@@ -60,24 +106,33 @@
 // for each of two that left at the same moment.
 const maxDispatchers = 3
 
-func (f *forwarder) choose(v *view.View, visit *visit, tried int) (wire.Member, *problem.Error) {
+func (f *forwarder) choose(v *view.View, visit *visit, r *route) (wire.Member, *problem.Error) {
 	members := v.Dispatchers()
 	if len(members) == 0 {
 		return wire.Member{}, problem.Refuse(problem.NotReady, "choose", f.vm, "no dispatcher is known").After(time.Second)
 	}
-	if tried >= maxDispatchers {
-		return wire.Member{}, problem.Refuse(problem.Full, "choose", f.vm, "no dispatcher took the request").After(time.Second)
-	}
 	queue, near, p := f.queue(v, visit)
 	if p != nil {
 		return wire.Member{}, p
 	}
+	if queue != r.queue {
+		r.queue, r.tried = queue, 0
+	}
+	if r.tried >= maxDispatchers {
+		return wire.Member{}, r.exhausted(f.vm)
+	}
 	candidates := make([]rendezvous.Candidate, len(members))
 	for i, m := range members {
 		candidates[i] = rendezvous.Candidate{VM: m.VM, DataCentre: m.DataCentre}
 	}
 	order := rendezvous.Rank(candidates, queue, near)
-	return members[order[tried%len(order)]], nil
+	return members[order[r.tried%len(order)]], nil
+}
+
+// exhausted is the refusal after the last dispatcher that was tried. It is not
+// passed over.
+func (r *route) exhausted(vm string) *problem.Error {
+	return problem.Refuse(problem.Full, "choose", vm, "no dispatcher took the request: "+r.last.Error()).After(time.Second)
 }
 
 // queue names the queue of a request, and the data centre it should be in.
