Dispatch: fair order, early refusal, adaptive slots, choice of target, retries

Cause: queues were first come first served with fixed slots, refused only at the deadline, repeated every shed and swept the whole queue each 10 ms. Change: decisions without network, clock or goroutine in decide/fairqueue, deadline, duration, slots, balance, retry, and queues that use them: weighted fair order with a floor for background, refusal at arrival or as soon as the deadline is out of reach, a standing queue kept at a bound, long jobs kept from taking all slots, targets measured by their answers, hints by polling, repeats by budget, requests parked while a key has no owner, drain that hands back at once.

--- /dev/null
+++ b/internal/decide/deadline/deadline.go
@@ -0,0 +1,109 @@
+// Package deadline decides which requests are refused early.
+//
+// Load pattern: more work comes than the targets can do, for seconds or hours.
+// Without early refusal every request waits until its deadline and most of the
+// work is done for callers that have just gone: goodput falls towards nothing
+// while all slots are busy, and each refusal takes the caller's whole patience.
+//
+// Two rules. A request whose expected wait and service time do not fit into its
+// deadline is refused when it comes. And where interactive work has stood longer
+// than the bound for a while, the queue is kept at the bound: a burst may use the
+// whole deadline, a standing queue gains nothing, it only makes each answer late.
+//
+// Grounds of the bound: with c slots and exponential service times of mean m at
+// 90% of capacity, a wait has mean 10m/c where there is one, and about one request
+// in a hundred waits 30 to 40 m/c (M/M/c). A wait of 2m + 30m/c at overload is
+// therefore near what callers see at 90%, and is far more work than the slots need
+// to stay busy. The while is 300 ms: shorter than a caller notices, longer than
+// bursts at 90% of capacity mostly last.
+package deadline
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// boundServices and boundPerSlot make the bound; see the package comment.
+	boundServices = 2
+	boundPerSlot  = 30
+	// leastBound is below what a network of 1 ms and a scheduler can tell.
+	leastBound = 5 * time.Millisecond
+	// standingAfter is how long a queue stands before it is cut to the bound.
+	standingAfter = 300 * time.Millisecond
+)
+
+// Bound returns the longest wait of a standing queue.
+func Bound(mean time.Duration, slots float64) time.Duration {
+	if slots < 1 {
+		slots = 1
+	}
+	return max(time.Duration(float64(mean)*(boundServices+boundPerSlot/slots)), leastBound)
+}
+
+// Wait returns how long the work ahead takes on the slots, seconds of service
+// over slots. No slots means that the wait is unknown, and 0 is returned.
+func Wait(ahead, slots float64) time.Duration {
+	if slots <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / slots * float64(time.Second))
+}
+
+// Meets tells whether a request can still be answered in time.
+func Meets(left, wait, service time.Duration) bool { return wait+service <= left }
+
+// GiveUp returns the moment from which a waiting request is past hope: its own
+// service time no longer fits. Its caller is told then and not at the deadline.
+func GiveUp(deadline time.Time, service time.Duration) time.Time {
+	return deadline.Add(-service)
+}
+
+// Standing notices a queue that does not empty. The zero value is ready.
+type Standing struct {
+	since time.Time
+	on    bool
+}
+
+// Note takes the wait that a request would have now. It returns whether the queue
+// is to be kept at the bound. That ends when the queue has been empty.
+func (s *Standing) Note(now time.Time, wait, bound time.Duration) bool {
+	switch {
+	case wait <= 0:
+		s.since, s.on = time.Time{}, false
+	case s.on:
+	case wait < bound:
+		s.since = time.Time{}
+	case s.since.IsZero():
+		s.since = now
+	case now.Sub(s.since) >= standingAfter:
+		s.on = true
+	}
+	return s.on
+}
+
+// Rate is a decayed sum of work, service seconds per second. The zero value is
+// ready.
+type Rate struct {
+	sum float64
+	at  time.Time
+}
+
+// rateOver is the time over which a rate is taken: a few bursts.
+const rateOver = time.Second
+
+// Add notes work that was begun.
+func (r *Rate) Add(now time.Time, work float64) {
+	r.sum = r.decayed(now) + work
+	r.at = now
+}
+
+// Value returns the rate.
+func (r *Rate) Value(now time.Time) float64 { return r.decayed(now) / rateOver.Seconds() }
+
+func (r *Rate) decayed(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.sum * math.Exp(-now.Sub(r.at).Seconds()/rateOver.Seconds())
+}
--- /dev/null
+++ b/internal/decide/fairqueue/fairqueue.go
@@ -0,0 +1,433 @@
+// Package fairqueue orders the requests that wait for one target or pool.
+//
+// Load pattern: one customer sends ten times its contract while others send what
+// they always do; nightly background work stands beside a full interactive load.
+// Without it, first come is first served: the burst of one customer is waited
+// out by all, and background work either starves or makes interactive callers
+// wait behind it.
+//
+// Inside a class, start-time fair queueing: each request gets the virtual time at
+// which its customer's share reaches it, and the lowest goes first. The cost of a
+// request is its expected service time, so that a share is one of slots and not
+// of requests: a customer of long jobs pays for them. Interactive work goes before
+// background work, but for each second of interactive work done while background
+// work waits, background work earns its floor and is served when it has earned
+// the next request. Nothing is earned while none waits, so no old claims build up.
+//
+// The queue is bounded. When it is full the customer that holds most of it for its
+// share loses its newest request, which may be the one that just came: a burst
+// costs the customer that sent it. The newest goes, since the oldest has the best
+// prospect of being served in time.
+//
+// Grounds: start-time fair queueing needs no rate of the server, which is unknown
+// and varies here, and is at most one request per customer away from ideal shares.
+package fairqueue
+
+import (
+	"container/heap"
+	"sort"
+)
+
+// Class is an item's class.
+type Class int
+
+// The classes, most urgent first.
+const (
+	Interactive Class = iota
+	Background
+	classes
+)
+
+// Item is a waiting request. The exported fields are the caller's and stay
+// unchanged while the item waits.
+type Item[T any] struct {
+	Value    T
+	Customer string
+	Class    Class
+	// Weight is the customer's share against others of the class, at least 1.
+	Weight int
+	// Cost is the expected service time, seconds, above 0.
+	Cost float64
+	// Long items are passed over where Next is told so.
+	Long bool
+
+	flow *flow[T]
+	// start is the virtual time at which the item may go.
+	start float64
+	seq   uint64
+}
+
+// Waiting tells whether the item is in a queue.
+func (i *Item[T]) Waiting() bool { return i.flow != nil }
+
+// flow is what one customer has waiting in one class.
+type flow[T any] struct {
+	customer string
+	class    Class
+	weight   float64
+	// items are in the order of their start times.
+	items []*Item[T]
+	// finish is the virtual time at which the newest item's share ends.
+	finish float64
+	// work is the summed cost of items.
+	work  float64
+	short int
+	index int
+}
+
+// Queue is a bounded fair queue. It is not safe for concurrent use.
+type Queue[T any] struct {
+	limit int
+	floor float64
+
+	class [classes]lane[T]
+	seq   uint64
+	size  int
+	// earned is the background work that is due, seconds of service.
+	earned float64
+}
+
+// lane is one class. Flows without items are forgotten once their share has
+// been passed, so memory follows the customers that are active.
+type lane[T any] struct {
+	flows map[string]*flow[T]
+	order flowHeap[T]
+	// now is the start time of the item served last: virtual time.
+	now  float64
+	work float64
+	size int
+}
+
+// New returns a queue of at most limit items that guarantees background work
+// the share floor, 0 to 0.5.
+func New[T any](limit int, floor float64) *Queue[T] {
+	q := &Queue[T]{limit: limit}
+	q.SetFloor(floor)
+	for c := range q.class {
+		q.class[c].flows = make(map[string]*flow[T])
+	}
+	return q
+}
+
+// SetFloor changes the share of background work.
+func (q *Queue[T]) SetFloor(floor float64) { q.floor = min(max(floor, 0), 0.5) }
+
+// Len returns how many items wait.
+func (q *Queue[T]) Len() int { return q.size }
+
+// ClassLen returns how many items of a class wait.
+func (q *Queue[T]) ClassLen(c Class) int { return q.class[c].size }
+
+// Work returns the summed cost of a class, seconds.
+func (q *Queue[T]) Work(c Class) float64 { return q.class[c].work }
+
+// Push adds an item. When the queue is over its limit it returns the item that
+// gives way, which may be the one that came; nil otherwise.
+func (q *Queue[T]) Push(i *Item[T]) *Item[T] {
+	q.insert(i)
+	if q.size <= q.limit {
+		return nil
+	}
+	return q.Yield()
+}
+
+func (q *Queue[T]) insert(i *Item[T]) {
+	l := &q.class[i.Class]
+	f := l.flows[i.Customer]
+	if f == nil {
+		f = &flow[T]{customer: i.Customer, class: i.Class, index: -1}
+		l.flows[i.Customer] = f
+	}
+	f.weight = float64(max(i.Weight, 1))
+	i.start = max(l.now, f.finish)
+	f.finish = i.start + i.Cost/f.weight
+	q.seq++
+	i.seq = q.seq
+	f.items = append(f.items, i)
+	q.count(i, f, 1)
+	if f.index < 0 {
+		heap.Push(&l.order, f)
+	}
+}
+
+// Return puts an item back that Next returned and that was not run. It keeps
+// its place: its share was spent once already.
+func (q *Queue[T]) Return(i *Item[T]) {
+	q.unearn(i)
+	l := &q.class[i.Class]
+	f := l.flows[i.Customer]
+	if f == nil {
+		f = &flow[T]{customer: i.Customer, class: i.Class, index: -1, weight: float64(max(i.Weight, 1)), finish: i.start}
+		l.flows[i.Customer] = f
+	}
+	at := f.place(i)
+	f.items = append(f.items, nil)
+	copy(f.items[at+1:], f.items[at:])
+	f.items[at] = i
+	q.count(i, f, 1)
+	if f.index < 0 {
+		heap.Push(&l.order, f)
+		return
+	}
+	heap.Fix(&l.order, f.index)
+}
+
+func (q *Queue[T]) count(i *Item[T], f *flow[T], n int) {
+	l := &q.class[i.Class]
+	q.size += n
+	l.size += n
+	l.work += float64(n) * i.Cost
+	f.work += float64(n) * i.Cost
+	if !i.Long {
+		f.short += n
+	}
+	i.flow = nil
+	if n > 0 {
+		i.flow = f
+	}
+	if l.size == 0 {
+		l.work = 0
+	}
+}
+
+// Next takes out the item to serve. With longToo false long items are passed
+// over. It returns nil if none qualifies.
+func (q *Queue[T]) Next(longToo bool) *Item[T] {
+	first, second := Interactive, Background
+	if q.backgroundDue(longToo) {
+		first, second = second, first
+	}
+	i := q.next(first, longToo)
+	if i == nil {
+		i = q.next(second, longToo)
+	}
+	if i != nil {
+		q.earn(i)
+	}
+	return i
+}
+
+// backgroundDue tells whether background work has earned its next item.
+func (q *Queue[T]) backgroundDue(longToo bool) bool {
+	f := q.class[Background].first(longToo)
+	if f == nil {
+		return false
+	}
+	return q.earned >= f.next(longToo).Cost
+}
+
+// earn keeps the account of the floor. A turn of cost c that interactive work
+// gets is worth c*floor/(1-floor) to the background work that waits.
+func (q *Queue[T]) earn(i *Item[T]) {
+	switch {
+	case i.Class == Background:
+		q.earned = max(q.earned-i.Cost, 0)
+	case q.class[Background].size > 0:
+		q.earned += i.Cost * q.floor / (1 - q.floor)
+	}
+	if q.class[Background].size == 0 {
+		q.earned = 0
+	}
+}
+
+// unearn takes back what earn did.
+func (q *Queue[T]) unearn(i *Item[T]) {
+	switch {
+	case i.Class == Background:
+		q.earned += i.Cost
+	case q.class[Background].size > 0:
+		q.earned = max(q.earned-i.Cost*q.floor/(1-q.floor), 0)
+	}
+}
+
+func (q *Queue[T]) next(c Class, longToo bool) *Item[T] {
+	l := &q.class[c]
+	f := l.first(longToo)
+	if f == nil {
+		return nil
+	}
+	i := f.next(longToo)
+	l.now = max(l.now, i.start)
+	q.take(i)
+	return i
+}
+
+// first returns the flow whose turn it is.
+func (l *lane[T]) first(longToo bool) *flow[T] {
+	if len(l.order) == 0 {
+		return nil
+	}
+	if top := l.order[0]; longToo || !top.items[0].Long {
+		return top
+	}
+	// The customer in turn has a long job first and long jobs must wait. Only
+	// then are the flows looked through one by one.
+	var best *flow[T]
+	for _, f := range l.order {
+		if f.short > 0 && (best == nil || f.next(false).start < best.next(false).start) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (f *flow[T]) next(longToo bool) *Item[T] {
+	for _, i := range f.items {
+		if longToo || !i.Long {
+			return i
+		}
+	}
+	return nil
+}
+
+// place returns the index at which the item is or would be.
+func (f *flow[T]) place(i *Item[T]) int {
+	return sort.Search(len(f.items), func(n int) bool { return f.items[n].seq >= i.seq })
+}
+
+// Remove takes an item out, as when its caller went away.
+func (q *Queue[T]) Remove(i *Item[T]) {
+	if i.flow != nil {
+		q.take(i)
+	}
+}
+
+func (q *Queue[T]) take(i *Item[T]) {
+	f, l := i.flow, &q.class[i.Class]
+	at := f.place(i)
+	if at == 0 {
+		f.items[0] = nil
+		f.items = f.items[1:]
+	} else {
+		copy(f.items[at:], f.items[at+1:])
+		f.items[len(f.items)-1] = nil
+		f.items = f.items[:len(f.items)-1]
+	}
+	q.count(i, f, -1)
+	if len(f.items) > 0 {
+		heap.Fix(&l.order, f.index)
+		return
+	}
+	heap.Remove(&l.order, f.index)
+	l.forget()
+}
+
+// forgetAbove is how many customers are remembered before idle ones are looked
+// for; below it the memory is not worth the look.
+const forgetAbove = 64
+
+// forget drops customers that have nothing waiting and whose share is used up
+// or unclaimed.
+func (l *lane[T]) forget() {
+	if len(l.flows) < forgetAbove || len(l.flows) < 2*len(l.order) {
+		return
+	}
+	for customer, f := range l.flows {
+		if len(f.items) == 0 && f.finish <= l.now {
+			delete(l.flows, customer)
+		}
+	}
+}
+
+// Yield takes out the newest item of the customer that holds most of the queue
+// for its share. It returns nil for an empty queue.
+func (q *Queue[T]) Yield() *Item[T] {
+	var worst *flow[T]
+	for c := range q.class {
+		if f := q.class[c].largest(); f != nil && (worst == nil || q.burden(f) > q.burden(worst)) {
+			worst = f
+		}
+	}
+	return q.yield(worst)
+}
+
+// YieldOf is Yield for one class.
+func (q *Queue[T]) YieldOf(c Class) *Item[T] { return q.yield(q.class[c].largest()) }
+
+func (q *Queue[T]) yield(f *flow[T]) *Item[T] {
+	if f == nil {
+		return nil
+	}
+	i := f.items[len(f.items)-1]
+	f.finish = i.start
+	q.take(i)
+	return i
+}
+
+// burden is a flow's waiting work against its class's share and its weight.
+func (q *Queue[T]) burden(f *flow[T]) float64 {
+	share := 1 - q.floor
+	if f.class == Background {
+		share = max(q.floor, minShare)
+	}
+	return f.work / (f.weight * share)
+}
+
+// minShare keeps burden finite where background work has no floor.
+const minShare = 0.01
+
+// largest looks through the customers that have work waiting. It runs only when
+// something must give way.
+func (l *lane[T]) largest() *flow[T] {
+	var worst *flow[T]
+	for _, f := range l.order {
+		if worst == nil || f.work/f.weight > worst.work/worst.weight {
+			worst = f
+		}
+	}
+	return worst
+}
+
+// Ahead returns how much of the class's waiting work goes before a request that
+// the customer would push now, seconds of service.
+func (q *Queue[T]) Ahead(customer string, c Class) float64 {
+	l := &q.class[c]
+	start := l.now
+	if f := l.flows[customer]; f != nil {
+		start = max(start, f.finish)
+	}
+	ahead := 0.0
+	for _, f := range l.order {
+		if f.customer == customer {
+			ahead += f.work
+			continue
+		}
+		ahead += min(f.work, max(start-f.items[0].start, 0)*f.weight)
+	}
+	return ahead
+}
+
+// flowHeap orders flows by the start time of their first item.
+type flowHeap[T any] []*flow[T]
+
+func (h flowHeap[T]) Len() int { return len(h) }
+
+func (h flowHeap[T]) Less(a, b int) bool {
+	x, y := h[a].items[0], h[b].items[0]
+	if x.start != y.start {
+		return x.start < y.start
+	}
+	return x.seq < y.seq
+}
+
+func (h flowHeap[T]) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].index, h[b].index = a, b
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap[T]) Push(x any) {
+	f := x.(*flow[T])
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap[T]) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	f.index = -1
+	return f
+}
--- /dev/null
+++ b/internal/decide/retry/retry.go
@@ -0,0 +1,113 @@
+// Package retry decides what becomes of a request whose attempt failed.
+//
+// Load pattern: a third of all attempts fail, or every target of a pool sheds.
+// Without a budget each request is tried several times, the targets get a multiple
+// of the load just when they can do least, and do not recover. And without a rule
+// on what may be repeated, a booking whose answer was lost is made twice.
+//
+// A request that certainly did not run may be sent again; one that may have run
+// only if it is idempotent. A repeat that can cost a target work takes a token;
+// each fresh request brings a tenth of one. No repeat is begun that does not fit
+// into the deadline.
+//
+// Grounds: a tenth bounds the extra load to 10% whatever fails, and still repairs
+// all failures of one in ten targets. The bucket holds 10 tokens, so that the loss
+// of a target with 3 slots is repaired also when there is little traffic. Refusals
+// that cost the target nothing (no connection, leaving, not the owner) take no
+// token: the target is passed over afterwards, so they cannot repeat endlessly;
+// 8 attempts bound them all the same.
+package retry
+
+import "time"
+
+// Outcome is how an attempt ended without an answer.
+type Outcome int
+
+// The outcomes.
+const (
+	// Shed: the target had no room; it did not run.
+	Shed Outcome = iota
+	// Unsent: no byte reached the target.
+	Unsent
+	// NotServing: the target leaves or does not own the key; it did not run.
+	NotServing
+	// Lost: the request may have run.
+	Lost
+	// Abandoned: the deadline passed or the caller went away; it may have run.
+	Abandoned
+)
+
+// ran tells whether the request may have run.
+func (o Outcome) ran() bool { return o == Lost || o == Abandoned }
+
+// Verdict is what to do.
+type Verdict int
+
+// The verdicts.
+const (
+	// Again: send it again.
+	Again Verdict = iota
+	// Refuse: answer that it was not run.
+	Refuse
+	// Lose: answer that it may have run.
+	Lose
+)
+
+const (
+	share       = 0.1
+	reserve     = 10
+	maxAttempts = 8
+)
+
+// Budget is the account of repeats of one queue. It is not safe for concurrent
+// use.
+type Budget struct{ tokens float64 }
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{tokens: reserve} }
+
+// Fresh notes a request that is sent for the first time.
+func (b *Budget) Fresh() { b.tokens = min(b.tokens+share, reserve) }
+
+// Attempt describes the failed attempt.
+type Attempt struct {
+	Outcome    Outcome
+	Idempotent bool
+	// Count is how often the request was sent, this attempt included.
+	Count int
+	// Left is the time to the deadline, Service the expected service time.
+	Left, Service time.Duration
+	// Ran says that an earlier attempt may have run.
+	Ran bool
+}
+
+// Decide returns the verdict and takes a token where a repeat costs one.
+//
+// Failure: an idempotent request is lost once and shed when repeated. The last
+// outcome says "not run", but the first attempt may have: to refuse with ran: no
+// would break the promise. Ran is carried over all attempts for this.
+func (b *Budget) Decide(a Attempt) Verdict {
+	mayHaveRun := a.Ran || a.Outcome.ran()
+	if b.again(a, mayHaveRun) {
+		return Again
+	}
+	if mayHaveRun {
+		return Lose
+	}
+	return Refuse
+}
+
+func (b *Budget) again(a Attempt, mayHaveRun bool) bool {
+	switch {
+	case mayHaveRun && !a.Idempotent, a.Outcome == Abandoned:
+		return false
+	case a.Count >= maxAttempts, a.Left < a.Service:
+		return false
+	case a.Outcome == Unsent || a.Outcome == NotServing:
+		return true
+	case b.tokens < 1:
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
+	"hemlockquay/internal/journal"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/problem"
@@ -33,6 +36,7 @@
 	Settings *Settings
 	Life     *daemon.Life
 	Log      *log.Logger
+	Journal  *journal.Journal
 	Registry metrics.Registry
 }
 
@@ -42,10 +46,10 @@
 	server *peer.Server
 	feed   *feed.Feed
 	sender *target.Sender
-	// suspects is never nil.
-	suspects Suspects
-	ctx      context.Context
-	cancel   context.CancelFunc
+	prober *target.Prober
+	parts  *parts
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu       sync.Mutex
 	queues   map[queueID]*queue
@@ -63,15 +67,20 @@
 	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr()}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
-		params:   p,
-		server:   server,
-		feed:     feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
-		sender:   target.NewSender(p.Settings.TargetConnections),
-		suspects: noSuspects{},
-		ctx:      ctx,
-		cancel:   cancel,
-		queues:   make(map[queueID]*queue),
-		owners:   make(map[string]*queue),
+		params: p,
+		server: server,
+		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
+		sender: target.NewSender(p.Settings.TargetConnections),
+		prober: target.NewProber(),
+		ctx:    ctx,
+		cancel: cancel,
+		queues: make(map[queueID]*queue),
+		owners: make(map[string]*queue),
+	}
+	d.parts = &parts{
+		vm: p.Settings.VM, limit: p.Settings.QueueLength, fifo: p.Settings.Order == OrderFIFO,
+		feed: d.feed, sender: d.sender, prober: d.prober, suspects: noSuspects{},
+		journal: p.Journal, registry: p.Registry, counts: newCounts(p.Registry),
 	}
 	if err := server.Register("Dispatch", &rpcReceiver{d}); err != nil {
 		return err
@@ -90,17 +99,23 @@
 	return nil
 }
 
-// stop drains: new requests are refused as not run, the others are answered.
+// stop drains: what is sent is answered, all else is refused as not run at once,
+// so that entries send it to the next dispatcher.
 func (d *dispatcher) stop(context.Context) error {
 	d.Life.BeginDrain()
 	d.mu.Lock()
 	d.draining = true
+	queues := slices.Collect(maps.Values(d.queues))
 	d.mu.Unlock()
+	for _, q := range queues {
+		_ = q.inbox.Push(d.ctx, message{drain: true})
+	}
 	d.calls.Wait()
 	d.cancel()
 	d.duties.Wait()
 	d.server.Close()
 	d.sender.Close()
+	d.prober.Close()
 	d.Life.Drained()
 	return nil
 }
@@ -154,9 +169,10 @@
 	}
 	q := d.queues[id]
 	if q == nil {
-		q = newQueue(id, d.Settings.VM, d.Settings.QueueLength, d.feed, d.sender, d.suspects, d.Registry)
+		q = newQueue(id, d.parts)
 		d.queues[id] = q
 		d.duties.Go(func() { q.run(d.ctx) })
+		d.duties.Go(func() { q.watch(d.ctx) })
 	}
 	d.owners[j.request.ID] = q
 	d.calls.Add(1)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -1,18 +1,21 @@
 package dispatch
 
 import (
+	"container/heap"
 	"context"
-	"errors"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/decide/deadline"
+	"hemlockquay/internal/decide/duration"
+	"hemlockquay/internal/decide/fairqueue"
+	"hemlockquay/internal/decide/retry"
 	"hemlockquay/internal/feed"
-	"hemlockquay/internal/keyspace"
-	"hemlockquay/internal/model"
+	"hemlockquay/internal/journal"
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/ring"
-	"hemlockquay/internal/statechart"
 	"hemlockquay/internal/target"
 	"hemlockquay/internal/view"
 	"hemlockquay/internal/wire"
@@ -21,8 +24,13 @@
 // ringLength is how many messages may wait for a queue's goroutine.
 const ringLength = 4096
 
-// sweepEvery is how often a queue looks for requests past their deadline.
-const sweepEvery = 10 * time.Millisecond
+// tickEvery is how often a queue that is not empty looks after what no message
+// announces: a target whose rest is over, a held request.
+const tickEvery = 20 * time.Millisecond
+
+// ownerlessFor bounds how long a request waits for an owner or for any target of
+// its pool. A takeover takes under a second; longer means that nobody can say when.
+const ownerlessFor = time.Second
 
 // queueID names a queue: a target of a keyed service, or a whole pool.
 type queueID struct {
@@ -31,216 +39,255 @@
 	Target string
 }
 
-// message is what a queue's goroutine receives.
+// String returns the name for logs and metrics.
+func (id queueID) String() string {
+	if id.Target == "" {
+		return id.Service
+	}
+	return id.Service + "." + id.Target
+}
+
+// message is what a queue's goroutine receives; one field is set.
 type message struct {
 	arrive *job
 	cancel string
 	result *result
+	hints  []hint
+	drain  bool
+}
+
+// parts are what all queues of a dispatcher share.
+type parts struct {
+	vm       string
+	limit    int
+	fifo     bool
+	feed     viewSource
+	sender   sender
+	prober   prober
+	suspects Suspects
+	journal  *journal.Journal
+	registry metrics.Registry
+	counts   *counts
 }
 
-// result is the end of one attempt.
-type result struct {
-	job    *job
-	target string
-	answer *wire.Answer
-	err    error
+// viewSource is the part of feed.Feed that queues use.
+type viewSource interface {
+	Current() *view.View
+	Changed() <-chan struct{}
+}
+
+var _ viewSource = (*feed.Feed)(nil)
+
+// sender is the part of target.Sender that queues use.
+type sender interface {
+	Send(ctx context.Context, a *target.Attempt) (*wire.Answer, error)
+}
+
+// prober is the part of target.Prober that queues use.
+type prober interface {
+	Health(ctx context.Context, addr string) (target.Health, error)
+	Load(ctx context.Context, addr string) (target.Load, error)
 }
 
 // queue is the queue of one target or pool. Its state belongs to one goroutine,
 // run; all else speaks to it through the ring.
 type queue struct {
-	id       queueID
-	peer     string
-	limit    int
-	feed     *feed.Feed
-	sender   *target.Sender
-	suspects Suspects
-	inbox    *ring.Ring[message]
+	*parts
+	id    queueID
+	inbox *ring.Ring[message]
+	// active is when a request came last, nanoseconds; for the prober.
+	active atomic.Int64
 
-	waiting  []*job
-	inFlight map[string]int
-	sent     map[string]*job
+	// jobs are all that wait or are sent, by request id.
+	jobs    map[string]*job
+	waiting *fairqueue.Queue[*job]
+	// parked wait for the next view, held for the word of suspects.
+	parked, held map[*job]struct{}
+	// given orders all that are not sent by the moment they are given up.
+	given    waitHeap
+	pool     pool
+	table    *duration.Table
+	budget   *retry.Budget
+	standing deadline.Standing
+	stands   bool
+	// urgent is the rate of interactive work.
+	urgent deadline.Rate
+	// deadSince is when the last target that served failed; zero while one serves.
+	deadSince   time.Time
+	longRunning int
+	draining    bool
 }
 
-func newQueue(id queueID, peer string, limit int, f *feed.Feed, sender *target.Sender, suspects Suspects, registry metrics.Registry) *queue {
-	name := id.Service
-	if id.Target != "" {
-		name += "." + id.Target
-	}
-	q := &queue{
-		id:       id,
-		peer:     peer,
-		limit:    limit,
-		feed:     f,
-		sender:   sender,
-		suspects: suspects,
-		inbox:    ring.New[message](name, ringLength, ring.Wait, registry),
-		inFlight: make(map[string]int),
-		sent:     make(map[string]*job),
+func newQueue(id queueID, p *parts) *queue {
+	return &queue{
+		parts:   p,
+		id:      id,
+		inbox:   ring.New[message](id.String(), ringLength, ring.Wait, p.registry),
+		jobs:    make(map[string]*job),
+		waiting: fairqueue.New[*job](p.limit, 0),
+		parked:  make(map[*job]struct{}),
+		held:    make(map[*job]struct{}),
+		pool:    pool{fixed: p.fifo},
+		table:   duration.NewTable(),
+		budget:  retry.NewBudget(),
 	}
-	return q
 }
 
 func (q *queue) run(ctx context.Context) {
-	sweep := time.NewTicker(sweepEvery)
-	defer sweep.Stop()
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
+	changed := q.feed.Changed()
 	for {
 		select {
 		case m := <-q.inbox.Entries():
-			q.handle(m)
-		case <-sweep.C:
-			q.expire(time.Now())
+			q.handle(m, time.Now())
+		case <-timer.C:
+			q.release(q.held)
+		case <-changed:
+			changed = q.feed.Changed()
+			q.release(q.parked)
 		case <-ctx.Done():
 			return
 		}
-		q.fill(ctx)
+		now := time.Now()
+		q.expire(now)
+		q.fill(ctx, now)
+		q.trim(now)
+		q.rearm(timer, now)
 	}
 }
 
-func (q *queue) handle(m message) {
+// rearm sets the timer to the next moment at which something is due. An empty
+// queue sleeps.
+func (q *queue) rearm(timer *time.Timer, now time.Time) {
+	if len(q.given) == 0 {
+		timer.Stop()
+		return
+	}
+	timer.Reset(min(tickEvery, max(q.given[0].giveUp.Sub(now), time.Millisecond)))
+}
+
+func (q *queue) handle(m message, now time.Time) {
 	switch {
 	case m.arrive != nil:
-		q.arrive(m.arrive)
+		q.arrive(m.arrive, now)
 	case m.result != nil:
-		q.finish(m.result)
+		q.finish(m.result, now)
 	case m.cancel != "":
 		q.drop(m.cancel)
+	case m.drain:
+		q.drain()
+	default:
+		q.learn(m.hints, now)
 	}
 }
 
-func (q *queue) arrive(j *job) {
-	if len(q.waiting) >= q.limit {
-		j.refuse(problem.Refuse(problem.Full, "queue", q.peer, "the queue is full").After(time.Second))
+// arrive takes a job in or refuses it at once.
+func (q *queue) arrive(j *job, now time.Time) {
+	q.active.Store(now.UnixNano())
+	q.sync()
+	j.settle(q.table, q.fifo)
+	if p := q.refusal(j, now); p != nil {
+		j.end(p)
 		return
 	}
-	q.waiting = append(q.waiting, j)
+	q.jobs[j.request.ID] = j
+	q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
+	if out := q.waiting.Push(&j.item); out != nil {
+		q.counts.full.Inc(1)
+		q.end(out.Value, problem.Refuse(problem.Full, stepQueue, q.vm, "the queue is full and this customer holds most of it for its share").After(time.Second))
+	}
 }
 
-func (q *queue) drop(id string) {
-	for i, j := range q.waiting {
-		if j.request.ID == id {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			j.refuse(problem.Refuse(problem.Deadline, "queue", q.peer, "the caller went away"))
-			return
-		}
+// patience is how much of the deadline is set aside for the service.
+func (q *queue) patience(j *job) time.Duration {
+	if q.fifo || !q.table.Known() {
+		return 0
 	}
-	if j := q.sent[id]; j != nil {
-		j.cancel()
+	return j.expected
+}
+
+// await notes when a job that is not sent is given up.
+func (q *queue) await(j *job, giveUp time.Time) {
+	j.giveUp = giveUp
+	if j.wait >= 0 {
+		heap.Fix(&q.given, j.wait)
+		return
 	}
+	heap.Push(&q.given, j)
 }
 
-// expire refuses requests whose callers have stopped waiting.
-func (q *queue) expire(now time.Time) {
-	kept := q.waiting[:0]
-	for _, j := range q.waiting {
-		if now.Before(j.deadline) {
-			kept = append(kept, j)
-			continue
-		}
-		j.refuse(problem.Refuse(problem.Deadline, "queue", q.peer, "no slot was free before the deadline"))
+// forget takes a job out of all that waits.
+func (q *queue) forget(j *job) {
+	if j.wait >= 0 {
+		heap.Remove(&q.given, j.wait)
 	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
+	q.waiting.Remove(&j.item)
+	delete(q.parked, j)
+	delete(q.held, j)
 }
 
-// fill sends waiting requests while slots are free.
-func (q *queue) fill(ctx context.Context) {
-	v := q.feed.Current()
-	s := v.Service(q.id.Service)
-	if s == nil {
-		return
+// end forgets a job that waits and gives it its answer.
+func (q *queue) end(j *job, p *problem.Error) {
+	q.forget(j)
+	delete(q.jobs, j.request.ID)
+	j.end(p)
+}
+
+// drop ends a job whose caller went away. An attempt on its way is cancelled at
+// the target; its result ends the job.
+func (q *queue) drop(id string) {
+	j := q.jobs[id]
+	switch {
+	case j == nil:
+	case j.wait >= 0:
+		q.end(j, problem.Refuse(problem.Deadline, stepQueue, q.vm, "the caller went away"))
+	default:
+		j.cancel()
 	}
-	for len(q.waiting) > 0 {
-		j := q.waiting[0]
-		t, ok := q.choose(s, j)
-		if !ok {
-			return
-		}
-		admission, p := q.suspects.Admit(j.request, time.Now())
-		if admission == AdmitHold {
-			return
-		}
-		q.waiting = q.waiting[1:]
-		if admission == AdmitRefuse {
-			j.refuse(p)
-			continue
-		}
-		q.send(ctx, v, s, t, j)
+}
+
+// drain refuses all that is not sent, at once, so that entries send it on.
+func (q *queue) drain() {
+	q.draining = true
+	for len(q.given) > 0 {
+		q.end(q.given[0], q.leaving())
 	}
 }
 
-// choose returns the target with the fewest requests in flight that has a slot.
-func (q *queue) choose(s *model.Service, j *job) (model.Target, bool) {
-	var best model.Target
-	found := false
-	for _, t := range s.Targets {
-		if q.id.Target != "" && t.Name != q.id.Target || q.inFlight[t.Name] >= s.Slots {
+func (q *queue) leaving() *problem.Error {
+	return problem.Refuse(problem.Leaving, stepQueue, q.vm, "the dispatcher is leaving")
+}
+
+// expire ends the jobs that are past hope.
+func (q *queue) expire(now time.Time) {
+	for len(q.given) > 0 && !q.given[0].giveUp.After(now) {
+		j := q.given[0]
+		if _, parked := q.parked[j]; parked {
+			q.counts.ownerless.Inc(1)
+			q.end(j, problem.Refuse(problem.NoOwner, "grant", q.vm, "the key got no owner in time").After(time.Second))
 			continue
 		}
-		if !found || q.inFlight[t.Name] < q.inFlight[best.Name] || best.Name == j.lastTarget {
-			best, found = t, true
-		}
+		q.counts.late.Inc(1)
+		q.end(j, problem.Refuse(problem.Deadline, stepQueue, q.vm, "no slot was free in time").After(time.Second))
 	}
-	return best, found
 }
 
-func (q *queue) send(ctx context.Context, v *view.View, s *model.Service, t model.Target, j *job) {
-	var grant *wire.Grant
-	if s.Keyed {
-		grant = v.Owner(s.Name, keyspace.Of(j.request.Key))
-		if grant == nil || grant.Target.Name != t.Name {
-			j.refuse(problem.Refuse(problem.NoOwner, "grant", t.Name, "the key is not owned by this target now"))
-			return
-		}
-	}
-	if j.state.Fire(eventSend) != nil {
-		return
-	}
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
-	j.cancel, j.lastTarget = cancel, t.Name
-	j.attempts++
-	q.inFlight[t.Name]++
-	q.sent[j.request.ID] = j
-	q.suspects.Started(t.Name, j.request, time.Now())
-	attempt := &target.Attempt{Request: j.request, Target: t, Grant: grant, MaxAnswer: s.MaxBody, Deadline: j.deadline}
-	go func() {
-		defer cancel()
-		answer, err := q.sender.Send(ctx, attempt)
-		_ = q.inbox.Push(context.Background(), message{result: &result{job: j, target: t.Name, answer: answer, err: err}})
-	}()
-}
-
-// finish ends an attempt: with the answer, or with the rules of repeating.
-func (q *queue) finish(r *result) {
-	j := r.job
-	q.inFlight[r.target]--
-	delete(q.sent, j.request.ID)
-	q.suspects.Finished(r.target, j.request, time.Now())
-	var refused *target.RefusedError
-	switch {
-	case r.err == nil:
-		j.answer(*r.answer)
-	case errors.As(r.err, &refused):
-		q.requeue(j, eventShed, problem.NoOwner, r.err)
-	case errors.Is(r.err, target.ErrUnsent):
-		q.requeue(j, eventUnsent, problem.Full, r.err)
-	case errors.Is(r.err, context.DeadlineExceeded):
-		j.lose(problem.Lost(problem.Deadline, "send", r.target, "the deadline passed before the answer"))
-	default:
-		j.lose(problem.Lost(problem.AnswerLost, "send", r.target, r.err.Error()))
+// release puts jobs back that were set aside.
+func (q *queue) release(jobs map[*job]struct{}) {
+	for j := range jobs {
+		delete(jobs, j)
+		q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
+		q.waiting.Return(&j.item)
 	}
 }
 
-// maxAttempts bounds how often a request is sent when targets refuse it.
-const maxAttempts = 3
-
-func (q *queue) requeue(j *job, e statechart.Event, kind problem.Kind, err error) {
-	if j.state.Fire(e) != nil {
-		return
-	}
-	if j.attempts >= maxAttempts {
-		j.refuse(problem.Refuse(kind, "send", j.lastTarget, err.Error()).After(time.Second))
+// sync takes over the service object in force.
+func (q *queue) sync() {
+	s := q.feed.Current().Service(q.id.Service)
+	if s == nil || s == q.pool.service {
 		return
 	}
-	q.waiting = append([]*job{j}, q.waiting...)
+	q.pool.sync(s, q.id.Target)
+	q.waiting.SetFloor(s.BackgroundFloor)
 }
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -8,6 +8,19 @@
 	"hemlockquay/internal/settings"
 )
 
+// Order names how waiting requests are ordered.
+type Order string
+
+// The orders.
+const (
+	// OrderFair: by class, contract and deadline, with early refusal and
+	// adaptive slots.
+	OrderFair Order = "fair"
+	// OrderFIFO: first come, first served, fixed slots and no early refusal;
+	// the baseline of measurements.
+	OrderFIFO Order = "fifo"
+)
+
 // Settings are the dispatcher's settings.
 type Settings struct {
 	daemon.Base
@@ -15,6 +28,8 @@
 	Listen string `json:"listen"`
 	// Agent is the IP:PORT of the VM's agent.
 	Agent string `json:"agent"`
+	// Order is fair or fifo. Default fair.
+	Order Order `json:"order,omitempty"`
 	// QueueLength bounds one queue, requests. Default 1024.
 	QueueLength int `json:"queueLength,omitempty"`
 	// TargetConnections bounds this VM's connections to one target.
@@ -34,13 +49,10 @@
 	if err := s.CheckBase(); err != nil {
 		return err
 	}
-	if s.QueueLength == 0 {
-		s.QueueLength = defaultQueueLength
-	}
-	if s.TargetConnections == 0 {
-		s.TargetConnections = defaultTargetConnections
-	}
+	s.setDefaults()
 	switch {
+	case s.Order != OrderFair && s.Order != OrderFIFO:
+		return settings.Impossible("/order", "%q is neither fair nor fifo", s.Order)
 	case s.QueueLength < 1 || s.QueueLength > maxQueueLength:
 		return settings.Impossible("/queueLength", "%d is not between 1 and %d", s.QueueLength, maxQueueLength)
 	case s.TargetConnections < 1 || s.TargetConnections > maxTargetConnections:
@@ -51,3 +63,15 @@
 	}
 	return daemon.CheckAddr("/listen", s.Listen)
 }
+
+func (s *Settings) setDefaults() {
+	if s.Order == "" {
+		s.Order = OrderFair
+	}
+	if s.QueueLength == 0 {
+		s.QueueLength = defaultQueueLength
+	}
+	if s.TargetConnections == 0 {
+		s.TargetConnections = defaultTargetConnections
+	}
+}
