--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
+	"hemlockquay/internal/journal"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/problem"
@@ -33,6 +36,7 @@
 	Settings *Settings
 	Life     *daemon.Life
 	Log      *log.Logger
+	Journal  *journal.Journal
 	Registry metrics.Registry
 }
 
@@ -42,6 +46,8 @@
 	server *peer.Server
 	feed   *feed.Feed
 	sender *target.Sender
+	prober *target.Prober
+	parts  *parts
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -65,11 +71,17 @@
 		server: server,
 		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
 		sender: target.NewSender(p.Settings.TargetConnections),
+		prober: target.NewProber(),
 		ctx:    ctx,
 		cancel: cancel,
 		queues: make(map[queueID]*queue),
 		owners: make(map[string]*queue),
 	}
+	d.parts = &parts{
+		vm: p.Settings.VM, limit: p.Settings.QueueLength, fifo: p.Settings.Order == OrderFIFO,
+		feed: d.feed, sender: d.sender, prober: d.prober, suspects: noSuspects{},
+		journal: p.Journal, registry: p.Registry, counts: newCounts(p.Registry),
+	}
 	if err := server.Register("Dispatch", &rpcReceiver{d}); err != nil {
 		return err
 	}
@@ -87,19 +99,25 @@
 	return nil
 }
 
-// stop drains: requests are taken until the entries have been told; then new
-// ones are refused as not run, and the others are answered.
+// stop drains: requests are taken until the entries have been told; then what is
+// sent is answered, and all else is refused as not run at once, so that entries
+// send it to the next dispatcher.
 func (d *dispatcher) stop(ctx context.Context) error {
 	d.Life.BeginDrain()
 	d.Life.Lead(ctx)
 	d.mu.Lock()
 	d.draining = true
+	queues := slices.Collect(maps.Values(d.queues))
 	d.mu.Unlock()
+	for _, q := range queues {
+		_ = q.inbox.Push(d.ctx, message{drain: true})
+	}
 	d.calls.Wait()
 	d.cancel()
 	d.duties.Wait()
 	d.server.Close()
 	d.sender.Close()
+	d.prober.Close()
 	d.Life.Drained()
 	return nil
 }
@@ -153,9 +171,10 @@
 	}
 	q := d.queues[id]
 	if q == nil {
-		q = newQueue(id, d.Settings.VM, d.Settings.QueueLength, d.feed, d.sender, d.Registry)
+		q = newQueue(id, d.parts)
 		d.queues[id] = q
 		d.duties.Go(func() { q.run(d.ctx) })
+		d.duties.Go(func() { q.watch(d.ctx) })
 	}
 	d.owners[j.request.ID] = q
 	d.calls.Add(1)
