--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	started     int64
 	writes      atomic.Uint64
 	store       platform.Store
+	guard       *platform.Guard
 	config      *configuration
 	members     *members
 	grants      *grantTable
@@ -73,6 +74,7 @@
 		incarnation: fmt.Sprintf("%s-%d", p.Settings.VM, started),
 		started:     started,
 		store:       store,
+		guard:       platform.NewGuard(p.Registry),
 		server:      server,
 		peers:       peer.NewPool(1),
 		commander:   target.NewCommander(),
@@ -99,8 +101,10 @@
 // tag names one write, so that a lost answer can be settled.
 func (a *agent) tag() string { return fmt.Sprintf("%s/%d", a.incarnation, a.writes.Add(1)) }
 
+// counted returns the store for one cause. Calls that the guard refuses never
+// reach the store and are not counted.
 func (a *agent) counted(c platform.Cause) platform.Store {
-	return platform.Count(a.store, c, a.Registry)
+	return a.guard.Wrap(platform.Count(a.store, c, a.Registry))
 }
 
 func (a *agent) start(context.Context) error {
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -4,6 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Pauses between two attempts to settle a lost answer: the first after about
+// ten times the store's usual answer of a few milliseconds.
+const (
+	settlePauseMin = 50 * time.Millisecond
+	settlePauseMax = time.Second
 )
 
 // Write is a conditional write that settles a lost answer.
@@ -14,29 +24,64 @@
 // carries a tag of its own; reading the object tells whose write it holds. An
 // object still at the expected version may yet be changed by a delayed copy of
 // this write, so the repeat is the same conditional write: whichever of the two
-// arrives first makes the other fail.
+// arrives first makes the other fail. A conflict of a repeat may therefore be
+// with our own delayed copy, and is settled by the tag too.
+//
+// A create whose answer is lost is not repeated while the object is absent: it
+// may have taken effect and have been deleted since, and the repeat would bring
+// back what an operator removed. ErrAmbiguous is returned then. Versions of the
+// store never repeat, so an update has no such gap.
+//
+// ErrConflict after a lost answer says that another's write stands now; ours
+// may have stood before it for a moment.
 func Write(ctx context.Context, s Store, o Object) (Object, error) {
 	written, err := s.Put(ctx, o)
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = settlePauseMin, settlePauseMax
 	for errors.Is(err, ErrAmbiguous) {
-		if ctx.Err() != nil {
+		again := false
+		if written, again, err = settle(ctx, s, o, err); !again {
+			return written, err
+		}
+		if !sleep(ctx, pauses.NextBackOff()) {
 			return Object{}, fmt.Errorf("write %s %s: %w", o.Kind, o.Name, err)
 		}
-		written, err = settle(ctx, s, o)
 	}
 	return written, err
 }
 
-func settle(ctx context.Context, s Store, o Object) (Object, error) {
+// settle reads the object and repeats the write if that is safe. again says that
+// the outcome is still open.
+func settle(ctx context.Context, s Store, o Object, lost error) (written Object, again bool, err error) {
 	current, err := s.Get(ctx, o.ID())
 	switch {
 	case err == nil && current.Writer == o.Writer:
-		return current, nil
+		return current, false, nil
 	case err == nil && current.Version != o.Version:
-		return current, fmt.Errorf("settle %s %s: %w", o.Kind, o.Name, ErrConflict)
+		return current, false, fmt.Errorf("settle %s %s: %w", o.Kind, o.Name, ErrConflict)
 	case errors.Is(err, ErrNotFound) && o.Version != 0:
-		return Object{}, fmt.Errorf("settle %s %s: deleted meanwhile: %w", o.Kind, o.Name, ErrConflict)
-	case err != nil && !errors.Is(err, ErrNotFound):
-		return Object{}, fmt.Errorf("settle %s %s: %w", o.Kind, o.Name, errors.Join(ErrAmbiguous, err))
+		return Object{}, false, fmt.Errorf("settle %s %s: deleted meanwhile: %w", o.Kind, o.Name, ErrConflict)
+	case errors.Is(err, ErrNotFound):
+		return Object{}, false, fmt.Errorf("settle %s %s: not there: %w", o.Kind, o.Name, lost)
+	case err != nil:
+		return Object{}, true, fmt.Errorf("settle %s %s: %w", o.Kind, o.Name, errors.Join(ErrAmbiguous, err))
+	}
+	written, err = s.Put(ctx, o)
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrUnavailable) {
+		// Perhaps our own delayed copy won, or may still; read once more.
+		return Object{}, true, fmt.Errorf("repeat %s %s: %w", o.Kind, o.Name, ErrAmbiguous)
+	}
+	return written, errors.Is(err, ErrAmbiguous), err
+}
+
+// sleep returns false when the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return s.Put(ctx, o)
 }
