--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	started     int64
 	writes      atomic.Uint64
 	store       platform.Store
+	guard       *platform.Guard
 	config      *configuration
 	members     *members
 	grants      *grantTable
@@ -74,6 +75,7 @@
 		incarnation: fmt.Sprintf("%s-%d", p.Settings.VM, started),
 		started:     started,
 		store:       store,
+		guard:       platform.NewGuard(p.Registry),
 		server:      server,
 		peers:       peer.NewPool(1),
 		commander:   target.NewCommander(),
@@ -90,12 +92,13 @@
 func (a *agent) build() {
 	s := a.Settings
 	a.relay = newRelay(a.incarnation)
-	self := wire.Member{VM: s.VM, DataCentre: s.DataCentre, Incarnation: a.incarnation, AgentAddr: a.server.Addr()}
-	a.members = newMembers(self, boottime.System{}, s.Silence.D(), a.relay.refresh)
+	self := wire.Member{VM: s.VM, DataCentre: s.DataCentre, Incarnation: a.incarnation, AgentAddr: a.server.Addr(), AdminAddr: a.Life.AdminAddr()}
+	a.members = newMembers(self, boottime.System{}, s.Silence.D(), a.relay.refreshLive)
+	a.members.grantsChanged = a.relay.refresh
 	a.grants = newGrantTable(a.relay.refresh)
 	a.grantor = newGrantorDuty(a)
 	a.config = newConfiguration(func() {
-		a.relay.broadcast()
+		a.relay.configured()
 		a.grantor.wake()
 	})
 	a.grantor.config = a.config
@@ -105,8 +108,10 @@
 // tag names one write, so that a lost answer can be settled.
 func (a *agent) tag() string { return fmt.Sprintf("%s/%d", a.incarnation, a.writes.Add(1)) }
 
+// counted returns the store for one cause. Calls that the guard refuses never
+// reach the store and are not counted.
 func (a *agent) counted(c platform.Cause) platform.Store {
-	return platform.Count(a.store, c, a.Registry)
+	return a.guard.Wrap(platform.Count(a.store, c, a.Registry))
 }
 
 func (a *agent) start(context.Context) error {
@@ -114,10 +119,16 @@
 	a.cancel = cancel
 	s := a.Settings
 	timeout := s.StoreTimeout.D()
+	w := &watcher{
+		store: a.counted(platform.CauseConfig), config: a.config, members: a.members, timeout: timeout, log: a.Log,
+		refused: metrics.GetOrRegisterCounter("config.refused.older", a.Registry),
+	}
 	duties := []func(context.Context){
-		(&watcher{a.counted(platform.CauseConfig), a.config, timeout, a.Log}).run,
+		w.run,
+		newPuller(a, w).run,
+		newReporter(a).run,
 		(&lister{a.counted(platform.CauseMembership), a.members, timeout, a.Log}).run,
-		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), log: a.Log, busy: make(map[string]bool)}).run,
+		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), seeds: s.Peers, log: a.Log, busy: make(map[string]bool)}).run,
 		(&planner{a.counted(platform.CauseAssignment), a.config, a.members, a.tag, timeout, a.Log}).run,
 		a.grantor.run,
 		a.becomeReady,
@@ -140,7 +151,8 @@
 			a.Life.Ready()
 			return
 		}
-		a.Life.NotReadyBecause("no configuration from store " + a.Settings.Store + " or a peer")
+		a.Life.NotReadyBecause(fmt.Sprintf("no configuration: store %s does not answer and none of %d peers holds one",
+			a.Settings.Store, len(a.members.addrs())))
 		pause(ctx, a.Settings.Heartbeat.D())
 	}
 }
@@ -148,6 +160,7 @@
 func (a *agent) stop(context.Context) error {
 	a.Life.BeginDrain()
 	a.members.updateSelf(func(m *wire.Member) { m.Leaving = true })
+	a.awaitDaemons()
 	a.cancel()
 	a.duties.Wait()
 	a.server.Close()
@@ -163,11 +176,12 @@
 	Revision    uint64            `json:"revision"`
 	Objects     []platform.Object `json:"objects"`
 	Members     []wire.Member     `json:"members"`
+	Problems    []string          `json:"problems"`
 	Granted     []wire.Grant      `json:"granted"`
 	Daemons     []wire.ReportArgs `json:"daemons"`
 }
 
 func (a *agent) dump() any {
 	revision, _ := a.config.state()
-	return dump{a.incarnation, revision, a.config.list(), a.members.live(), a.grants.list(), a.relay.liveDaemons()}
+	return dump{a.incarnation, revision, a.config.list(), a.members.live(), a.config.problems(), a.grants.list(), a.relay.liveDaemons()}
 }
--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -44,6 +44,8 @@
 }
 
 one() {
+  trap 'lab_stop; exit 130' INT TERM
+  trap lab_stop EXIT
   lab_up "$dir" "$vms" examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || return 1
   sleep 2
   target=shelf-$((1 + RANDOM % 12))
