--- a/internal/ownership/grantor/safety_test.go
+++ b/internal/ownership/grantor/safety_test.go
@@ -52,3 +52,32 @@
 	t.Logf("slices served at a check: %d; owners of a group, mean: %.1f", served, float64(owners)/120)
 	require.Greater(t, owners, 2*120)
 }
+
+// TestBrokenGuards takes out one guard at a time and shows the seed whose walk
+// finds it: a checker that finds nothing proves nothing.
+func TestBrokenGuards(t *testing.T) {
+	seeds := []struct {
+		broken guard
+		seed   uint64
+	}{
+		{ignoresHeld, 3},
+		{noWitness, 4},
+		{noAuthority, 1},
+		{slowWithoutWrite, 1},
+		{noSlowWait, 1},
+		{noMargin, 6},
+		{ownAuthority, 1},
+		{keptAfterSend, 0},
+		{skipsRule3, 3},
+		{ignoresPrevious, 37},
+		{anyPlace, 72},
+		{acceptsUnlisted, 340},
+	}
+	for _, c := range seeds {
+		t.Run(string(c.broken), func(t *testing.T) {
+			t.Parallel()
+			require.NoError(t, run(c.seed, 3000, ""), "with the guard")
+			require.ErrorContains(t, run(c.seed, 3000, c.broken), "is served by", "without the guard")
+		})
+	}
+}
