--- a/internal/ownership/grantor/record.go
+++ b/internal/ownership/grantor/record.go
@@ -118,21 +118,30 @@
 	return next
 }
 
-// ChangePair returns the record of the next epoch with other targets. The
-// targets that leave stay listed as Previous: a takeover at the new epoch must
-// fence them too, for they may hold a grant or confirm an older rank.
+// ChangePair returns the record of the next epoch with other targets.
 func ChangePair(old model.Group, owner, standby, witness model.TargetRef, author string) model.Group {
 	next := old
 	next.Epoch++
 	next.Author = author
 	next.Owner, next.Standby, next.Witness = owner, standby, witness
 	next.MoveTo = ""
+	CoverPrevious(&old, &next)
+	return next
+}
+
+// CoverPrevious lists in the record of a new epoch the arbiters that leave the
+// group. Whoever writes a record with other targets must call it.
+//
+// Failure: a target that left the pair still holds its grant, and is not asked
+// any more; its successor is granted at once. It shows as two owners for the
+// life of a grant, or for as long as a cut-off grantor renews the old one.
+// Listed as Previous, it must be fenced, or waited out, before the group is won.
+func CoverPrevious(old, next *model.Group) {
+	kept := []model.TargetRef{next.Owner, next.Standby, next.Witness}
 	next.Previous = nil
-	kept := []model.TargetRef{owner, standby, witness}
 	for _, ref := range append([]model.TargetRef{old.Owner, old.Standby, old.Witness}, old.Previous...) {
 		if ref.Incarnation != "" && !slices.Contains(kept, ref) && !slices.Contains(next.Previous, ref) {
 			next.Previous = append(next.Previous, ref)
 		}
 	}
-	return next
 }
