--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -221,7 +221,7 @@
 	for _, m := range d.members.live() {
 		live[m.VM] = true
 	}
-	d.lookAtPeers(now, live)
+	slowLook := d.lookAtPeers(now, live)
 	sight := func(service string, id uint64) grantor.Sight {
 		return grantor.Sight{
 			Live:   func(vm string) bool { return live[vm] },
@@ -235,18 +235,21 @@
 		d.send(ctx, h, d.collect(h, now, sight))
 		d.records.offer(ctx, h, d.proposals(h, now, sight))
 		d.readStore(ctx, h, now)
-		d.publish(name, h, h.ids, now)
+		if slowLook {
+			d.publish(name, h, h.ids, now)
+		}
 	}
 }
 
 // sightOf gives what heartbeats tell of a group.
 type sightOf func(service string, id uint64) grantor.Sight
 
-// lookAtPeers notes which groups a live agent tells a grant of. It goes over all
+// lookAtPeers notes which groups a live agent tells a grant of, and returns
+// whether it was time to. It goes over all
 // grants, and nothing below a second depends on it.
-func (d *grantorDuty) lookAtPeers(now time.Duration, live map[string]bool) {
+func (d *grantorDuty) lookAtPeers(now time.Duration, live map[string]bool) bool {
 	if now < d.peersSeen+peersEvery {
-		return
+		return false
 	}
 	d.peersSeen = now
 	d.served = make(map[groupID]bool)
@@ -255,6 +258,7 @@
 			d.served[groupID{g.Service, g.Group}] = true
 		}
 	}
+	return true
 }
 
 // collect batches the orders of all groups by target.
--- a/internal/ownership/grantor/record.go
+++ b/internal/ownership/grantor/record.go
@@ -89,9 +89,13 @@
 
 // sameEpoch brings owner and intent up to date after a takeover or a move.
 func (g *Group) sameEpoch() (model.Group, bool) {
+	swapped := g.rec // settle changes no slice
+	if !g.settle(&swapped) {
+		return model.Group{}, false
+	}
 	next := g.clone()
-	changed := g.settle(&next)
-	return next, changed
+	g.settle(&next)
+	return next, true
 }
 
 func (g *Group) settle(next *model.Group) bool {
--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Measures the unavailable time of keys after losses, with real processes.
 # Usage: scripts/unavailable.sh CASE STORE RUNS [DIR]
-#   CASE   owner | grantor | both | pause: what is lost 3 s into the load; a
-#          grantor is lost with its whole VM, pause stops its agent for 1.5 s
+#   CASE   owner | grantor | both | pause | move: what is lost 3 s into the load;
+#          a grantor is lost with its whole VM, pause stops its agent for 1.5 s,
+#          move writes a planned move of the target's groups
 #   STORE  up | down: down from 0.5 s before the loss to the end
 # BASELINE=1 in the environment: leases of 2 s renewed through the store instead.
 # Prints one line per run: keys that were unavailable, p50 and worst, ms.
@@ -36,6 +37,11 @@
     kill -KILL $(pids_of "$vm")
     wait $!
     ;;
+  move)
+    local object=$STORE/apis/hemlockquay.example/v1/quayobjects/assignment.shelf
+    curl -fsS "$object" | jq --arg t "$target" '.spec.groups |= map(if .owner.name == $t then .moveTo = .standby.name else . end)' |
+      curl -fsS -X PUT "$object" -d @- >/dev/null
+    ;;
   pause)
     set -- $(pids_of "$vm")
     kill -STOP "$1"
