--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -1,92 +1,114 @@
 #!/usr/bin/env bash
-# Measures the unavailable time of keys after losses, with real processes.
-# Usage: scripts/unavailable.sh CASE STORE RUNS [DIR]
-#   CASE   owner | grantor | both | pause | move: what is lost 3 s into the load;
-#          a grantor is lost with its whole VM, pause stops its agent for 1.5 s,
-#          move writes a planned move of the target's groups
-#   STORE  up | down: down from 0.5 s before the loss to the end
-# BASELINE=1 in the environment: leases of 2 s renewed through the store instead.
-# Prints one line per run: keys that were unavailable, p50 and worst, ms.
+# Measures the unavailable time of keys after losses, with real processes: one
+# system of 9 VMs, one loss in each window of 6 s, 2.5 s after its start.
+# Usage: scripts/unavailable.sh [DIR]
+# BASELINE=1 in the environment: leases of 2 s renewed through the store instead,
+# and windows of 9 s.
+# Prints for each loss: requests, how many were not answered, keys that were
+# unavailable, their median and worst, ms. A grantor is lost with its whole VM.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 . scripts/lab.sh
-case=$1 store=$2 runs=$3 dir=${4:-out/unavailable}
-vms=${VMS:-9}
+dir=${1:-out/unavailable}
+vms=9 loaded=4 # requests enter at VMs 1 to 4; the VMs that are lost are others
+window=6 settle=2
+cases=(owner-up owner-down grantor-up grantor-down pause-up both-up move-up)
+
+if [ -n "${BASELINE:-}" ]; then
+  window=9 settle=4
+  cases=(owner-up owner-down both-up)
+  eval "plain_$(declare -f lab_start)"
+  lab_start() {
+    case $2 in
+    */hq-agent) sed -i '0,/{/s//{"storeLeases": true, "authority": "2s",/' "$4" ;;
+    esac
+    plain_lab_start "$@"
+  }
+fi
 trap 'lab_stop; exit 130' INT TERM
 trap 'lab_stop' EXIT
 
-# grantor_of TARGET : the VM whose agent grants the target's group.
-grantor_of() {
-  local vm
-  for vm in $(seq 1 "$vms"); do
-    curl -fsS "http://$(lab_admin "$dir/vm$vm/agent.jsonc")/dump" |
-      jq -e --arg t "$1" '.sections[] | select(.name == "agent") | .value.granted // [] | any(.Target.name == $t)' >/dev/null &&
-      { echo "$vm"; return; }
+lost=" "
+# choose : sets target and vm: a target of shelf, not lost before, whose grantor
+# is on a VM that takes no requests.
+choose() {
+  local n
+  for vm in $(seq $((loaded + 1)) $vms); do
+    [[ $lost == *" vm$vm "* ]] && continue
+    for target in $(curl -fsS -m 1 "http://$(lab_admin "$dir/vm$vm/agent.jsonc")/dump" |
+      jq -r '.sections[] | select(.name == "agent") | .value.granted // [] | .[] | select(.Service == "shelf") | .Target.name'); do
+      [[ $lost == *" $target "* ]] || return 0
+    done
   done
+  return 1
 }
 
-# pids_of VM : its daemons, in the order agent, dispatch, entry.
 pids_of() { echo "${LAB_PIDS[@]:1+3*($1-1):3}"; }
+kill_vm() {
+  lost+="vm$1 "
+  # shellcheck disable=SC2046
+  kill -KILL $(pids_of "$1")
+}
+kill_target() { curl -fsS -X POST "$STANDIN/targets/$1/kill"; }
+store_down() { curl -fsS -X PUT "$STANDIN/store/faults" -d "{\"down\": $1}" >/dev/null; }
+
+move() {
+  local object=$STORE/apis/hemlockquay.example/v1/quayobjects/assignment.shelf
+  curl -fsS "$object" | jq --arg t "$1" '.spec.groups |= map(if .owner.name == $t then .moveTo = .standby.name else . end)' |
+    curl -fsS -X PUT "$object" -d @- >/dev/null
+}
 
 lose() {
-  case $case in
-  owner) curl -fsS -X POST "$STANDIN/targets/$target/kill" ;;
-  grantor) kill -KILL $(pids_of "$vm") ;;
-  both)
-    curl -fsS -X POST "$STANDIN/targets/$target/kill" &
-    kill -KILL $(pids_of "$vm")
+  case $1 in
+  owner-*) kill_target "$target" ;;
+  grantor-*) kill_vm "$vm" ;;
+  both-*)
+    kill_target "$target" &
+    kill_vm "$vm"
     wait $!
     ;;
-  move)
-    local object=$STORE/apis/hemlockquay.example/v1/quayobjects/assignment.shelf
-    curl -fsS "$object" | jq --arg t "$target" '.spec.groups |= map(if .owner.name == $t then .moveTo = .standby.name else . end)' |
-      curl -fsS -X PUT "$object" -d @- >/dev/null
-    ;;
-  pause)
-    set -- $(pids_of "$vm")
-    kill -STOP "$1"
-    (sleep 1.5; kill -CONT "$1") &
+  move-*) move "$target" ;;
+  pause-*)
+    local agent
+    agent=$(pids_of "$vm" | cut -d' ' -f1)
+    kill -STOP "$agent"
+    sleep 1.5
+    kill -CONT "$agent"
     ;;
   esac
 }
 
-# lab_start, with the baseline's settings if it is asked for.
-if [ -n "${BASELINE:-}" ]; then
-  eval "plain_$(declare -f lab_start)"
-  lab_start() {
-    case $2 in
-    */hq-agent) sed -i '0,/{/s//{"storeLeases": true, "authority": "2s",/' "$4" ;;
-    esac
-    plain_lab_start "$@"
-  }
-fi
+# at SECONDS : waits until so long after the start of the load.
+at() { sleep "$(echo "$begin + $1 - $(date +%s.%N)" | bc | sed 's/^-.*/0/')"; }
 
-one() {
-  trap 'lab_stop; exit 130' INT TERM
-  trap lab_stop EXIT
-  lab_up "$dir" "$vms" examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || return 1
-  sleep "${SETTLE:-2}"
-  target=shelf-$((1 + RANDOM % 12))
-  vm=$(grantor_of "$target")
-  [ -n "$vm" ] || { echo "nobody grants $target" >&2; return 1; }
-  local entry
-  entry=$(sed -n 's/.*"listen": "\([^"]*\)".*/\1/p' "$dir/vm$vm/entry.jsonc")
-  jq --arg e "$entry" '{entries: [.entries[] | select(contains($e) | not)], standin, duration: "7s",
-    workloads: [.workloads[] | select(.service == "shelf")][:1] | map({customer, token, service, rate: 1000, keys: 60, deadline: "1s", workUs: 1000, arrivals: "even"})}' \
-    "$dir/load.jsonc" >"$dir/unavailable.jsonc"
-  bin/hq-load run --config "$dir/unavailable.jsonc" --json "$dir/report.json" >"$dir/report.txt" &
-  local load=$!
-  sleep 2.5
-  [ "$store" = down ] && curl -fsS -X PUT "$STANDIN/store/faults" -d '{"down": true}' >/dev/null
-  sleep 0.5
-  lose
-  wait $load
-  jq -r --arg w "$case store $store $target vm$vm" '.workloads[0].keys | "\($w): unavailable \(.unavailable) p50 \(.unavailableP50ms) worst \(.unavailableWorstms) ms, moves \(.moves)"' "$dir/report.json"
-  curl -fsS -X PUT "$STANDIN/store/faults" -d '{"down": false}' >/dev/null
-}
-
-for _ in $(seq "$runs"); do
-  for try in 1 2 3; do one && break; lab_stop 2>/dev/null; LAB_PIDS=(); done
-  lab_stop 2>/dev/null
+lab_up "$dir" $vms examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || exit 1
+sleep $settle
+jq --argjson n ${#cases[@]} --argjson w $window --argjson e $loaded '
+  [.workloads[] | select(.service == "shelf")][0] as $l |
+  {entries: .entries[:$e], standin, duration: "\($n * $w)s",
+   workloads: [range($n) | {customer: $l.customer, token: $l.token, service: "shelf", rate: 1000, keys: 48, deadline: "1s",
+     workUs: 1000, arrivals: "even", start: "\(. * $w)s", stop: "\((. + 1) * $w)s"}]}' "$dir/load.jsonc" >"$dir/unavailable.jsonc"
+bin/hq-load run --config "$dir/unavailable.jsonc" --json "$dir/report.json" >"$dir/report.txt" &
+load=$!
+begin=$(date +%s.%N)
+names=()
+for i in "${!cases[@]}"; do
+  case=${cases[i]}
+  at "$((i * window)).5"
+  choose || { echo "no target to lose for $case" >&2; break; }
+  names+=("$case $target vm$vm")
+  at $((i * window + 2))
+  [[ $case == *-down ]] && store_down true
+  at "$((i * window + 2)).5"
+  lose "$case"
+  at "$((i * window + window)).0"
+  store_down false
+  [[ $case == owner-* || $case == both-* ]] && { lost+="$target "; curl -fsS -X POST "$STANDIN/targets/$target/restart"; }
+done
+wait $load
+for i in "${!names[@]}"; do
+  jq -r --arg c "${names[i]}" --argjson i "$i" '.workloads[$i] |
+    "\($c): sent \(.sent) refused \(.refused) unknown \(.unknown) p99 \(.p99ms), keys \(.keys | "\(.keys) unavailable \(.unavailable) p50 \(.unavailableP50ms) worst \(.unavailableWorstms) moves \(.moves)")"' "$dir/report.json"
 done
+lab_stop 2>/dev/null
 exit 0
