--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -81,7 +81,14 @@
 # at SECONDS : waits until so long after the start of the load.
 at() { sleep "$(echo "$begin + $1 - $(date +%s.%N)" | bc | sed 's/^-.*/0/')"; }
 
-lab_up "$dir" $vms examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || exit 1
+# Another process may take a port between plan and start: then all over again.
+for try in 1 2 3; do
+  lab_up "$dir" $vms examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc && break
+  lab_stop 2>/dev/null
+  trap 'lab_stop; exit 130' INT TERM
+  trap 'lab_stop' EXIT
+  [ "$try" = 3 ] && exit 1
+done
 sleep $settle
 jq --argjson n ${#cases[@]} --argjson w $window --argjson e $loaded '
   [.workloads[] | select(.service == "shelf")][0] as $l |
