Placement as a pure decision: repair, planned moves, balance by the weights

Cause: the first plan gave each target one group and nothing ever changed it. Conclusion: moves of one target lost, joined, leaving or removed stay within 1.2 of the least (plus one) in the property tests, a replaced VM moves none.

--- /dev/null
+++ b/internal/decide/placement/load_test.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+)
+
+// outcome is what callers of a service see of its placement over a run.
+type outcome struct {
+	planned, hashed, least float64 // mean of highest over mean, each second
+	moves                  int
+	worstMinute            int
+}
+
+// drive sends traffic for so many minutes after a warm-up of five.
+func drive(w *world, t *traffic, minutes int) outcome {
+	w.step = time.Second
+	for range 5 * 60 {
+		t.second(w)
+		w.tick()
+	}
+	var o outcome
+	begin := w.moves
+	for range minutes {
+		before := w.moves
+		for range 60 {
+			planned, hashed, least := t.second(w)
+			w.tick()
+			o.planned += planned
+			o.hashed += hashed
+			o.least += least
+		}
+		o.worstMinute = max(o.worstMinute, w.moves-before)
+	}
+	n := float64(60 * minutes)
+	o.planned, o.hashed, o.least = o.planned/n, o.hashed/n, o.least/n
+	o.moves = w.moves - begin
+	return o
+}
+
+// settings are the weights that are measured; see docs/MEASUREMENTS.md.
+var settings = []struct {
+	name    string
+	weights model.Weights
+}{
+	{"imbalance 4", model.Weights{Imbalance: 4, Churn: 1, Unavailable: 1}},
+	{"equal", equal},
+	{"sjalfvirkni", model.Weights{Imbalance: 2, Churn: 2, Unavailable: 1}},
+	{"kalahari", model.Weights{Imbalance: 1, Churn: 1, Unavailable: 3}},
+	{"churn 4", model.Weights{Imbalance: 1, Churn: 4, Unavailable: 1}},
+	{"no moves", model.Weights{Churn: 1}},
+}
+
+// A package turns hot for a minute and its versiond server is overloaded; then
+// another one does. Cause: ownership by hashing alone, or a planner that chases
+// each hot key and moves many.
+func TestMovingHotKey(t *testing.T) {
+	for _, s := range settings {
+		w := newWorld(10, 4, 9, 64, s.weights)
+		o := drive(w, newTraffic(2000, 1), 10)
+		policy := PolicyOf(s.weights)
+		t.Logf("%-12s imbalance %.2f (hashing %.2f, least possible %.2f), moves %d in 10 min, at most %d a minute",
+			s.name, o.planned, o.hashed, o.least, o.moves, o.worstMinute)
+		perMinute := policy.Churn * 64
+		require.LessOrEqual(t, float64(o.worstMinute), perMinute*(1+burstPart)+1, s.name)
+		if policy.Churn >= baseChurn {
+			require.LessOrEqual(t, o.planned, o.least*1.25+policy.Band, s.name)
+			require.Less(t, o.planned, o.hashed, s.name)
+		}
+	}
+}
+
+func TestWeightsTradeImbalanceForChurn(t *testing.T) {
+	run := func(w model.Weights) outcome { return drive(newWorld(10, 4, 9, 64, w), newTraffic(2000, 2), 5) }
+	even := run(model.Weights{Imbalance: 4, Churn: 1, Unavailable: 1})
+	calm := run(model.Weights{Imbalance: 1, Churn: 4, Unavailable: 1})
+	require.Less(t, even.planned, calm.planned)
+	require.Greater(t, even.moves, calm.moves)
+	double := PolicyOf(model.Weights{Imbalance: 1, Churn: 2, Unavailable: 2})
+	one := PolicyOf(equal)
+	require.InDelta(t, 2*one.Band, double.Band, 1e-9)
+	require.InDelta(t, 2*one.Gain, double.Gain, 1e-9)
+	require.InDelta(t, one.Churn/2, double.Churn, 1e-9)
+}
--- /dev/null
+++ b/internal/decide/placement/placement_test.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hemlockquay/internal/model"
+)
+
+var equal = model.Weights{Imbalance: 1, Churn: 1, Unavailable: 1}
+
+// drawWorld is a service of the sizes that users run.
+func drawWorld(t *rapid.T) *world {
+	targets := rapid.IntRange(4, 16).Draw(t, "targets")
+	dcs := rapid.IntRange(3, 4).Draw(t, "data centres")
+	vms := rapid.IntRange(4, 9).Draw(t, "VMs")
+	slices := rapid.SampledFrom([]int{64, 128, 256}).Draw(t, "slices")
+	return newWorld(targets, dcs, vms, slices, equal)
+}
+
+func TestInitialSpreadsRoles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		dc := func(n string) string { s, _ := w.in.Service.Target(n); return s.DataCentre }
+		vm := make(map[string]string)
+		for _, v := range w.in.VMs {
+			vm[v.Name] = v.DataCentre
+		}
+		for _, g := range w.in.Assignment.Groups {
+			require.Len(t, g.Slices, 1)
+			require.NotEqual(t, dc(g.Owner.Name), dc(g.Standby.Name))
+			require.NotEqual(t, dc(g.Owner.Name), dc(g.Witness.Name))
+			require.NotEqual(t, dc(g.Standby.Name), dc(g.Witness.Name))
+			require.NotContains(t, []string{dc(g.Owner.Name), dc(g.Standby.Name)}, vm[g.Grantors[0]])
+		}
+		require.NoError(t, w.in.Assignment.Check())
+		w.run(2 * time.Minute)
+		require.Empty(t, w.kinds, "a plan that is sound is left alone")
+	})
+}
+
+// VMs are replaced all day. A status check hangs for a second at each of them.
+// Cause: keys follow the list of VMs.
+func TestReplacedVMMovesNoKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		before := maps.Clone(w.owned())
+		w.step = time.Second
+		for range rapid.IntRange(1, 3).Draw(t, "replacements") {
+			i := rapid.IntRange(0, len(w.in.VMs)-1).Draw(t, "VM")
+			w.in.VMs[i].Name += "x"
+			w.run(grantorPatience / 5)
+		}
+		require.Zero(t, w.kinds[Line], "lines changed before a restart could be over")
+		w.run(time.Minute)
+		require.Zero(t, w.moves)
+		require.Equal(t, before, w.owned())
+		for kind := range w.kinds {
+			require.Equal(t, Line, kind)
+		}
+		for _, g := range w.in.Assignment.Groups {
+			for _, vm := range g.Grantors {
+				require.Contains(t, w.in.VMs, VM{Name: vm, DataCentre: w.vmDC(vm)})
+			}
+		}
+	})
+}
+
+func (w *world) vmDC(name string) string {
+	for _, v := range w.in.VMs {
+		if v.Name == name {
+			return v.DataCentre
+		}
+	}
+	return ""
+}
+
+// within asserts moves against the least possible; one move of slack stands for
+// groups that cannot be divided.
+func within(t require.TestingT, moves, least int) {
+	require.LessOrEqual(t, float64(moves), 1.2*float64(least)+1, "least possible %d", least)
+	require.Positive(t, moves)
+}
+
+func TestMovesOfOneTargetNearLeast(t *testing.T) {
+	events := []struct {
+		name string
+		do   func(w *world) (least int)
+	}{
+		{"lost", func(w *world) int { w.in.Lost["t01"] = true; return w.owned()["t01"] }},
+		{"leaving", func(w *world) int { w.in.Leaving["t01"] = true; return w.owned()["t01"] }},
+		{"left", func(w *world) int {
+			n := w.owned()["t01"]
+			w.in.Service.Targets = append(w.in.Service.Targets[:1:1], w.in.Service.Targets[2:]...)
+			return n
+		}},
+		{"joined", func(w *world) int {
+			w.in.Service.Targets = append(w.in.Service.Targets, testTarget(len(w.in.Service.Targets), 3))
+			return len(w.in.Assignment.Groups) / len(w.in.Service.Targets)
+		}},
+	}
+	for _, e := range events {
+		t.Run(e.name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := drawWorld(t)
+				least := e.do(w)
+				w.run(10 * time.Minute)
+				within(t, w.moves, least)
+				n := w.owned()
+				if e.name == "joined" {
+					require.GreaterOrEqual(t, float64(n[testTarget(len(w.in.Service.Targets)-1, 3).Name]), 0.5*float64(least))
+				} else {
+					require.Zero(t, n["t01"])
+				}
+				for _, g := range w.in.Assignment.Groups {
+					require.Empty(t, g.MoveTo)
+					require.Equal(t, g.Owner.Name, w.in.Serving[g.ID].Target.Name)
+				}
+			})
+		})
+	}
+}
+
+// A target seems lost and goes on serving; its keys are given to another, and a
+// pull request is opened twice. Cause: the target does not check who may serve.
+func TestUncheckedTargetKeepsItsKeys(t *testing.T) {
+	w := newWorld(6, 3, 6, 64, equal)
+	w.in.Service.ChecksFences = false
+	owned := w.owned()["t01"]
+	w.in.Leaving["t01"] = true
+	w.in.Load[1] = 1e6
+	w.run(5 * time.Minute)
+	require.Zero(t, w.moves)
+	w.in.Service.Targets = append(w.in.Service.Targets[:1:1], w.in.Service.Targets[2:]...)
+	w.run(w.in.Service.MaxDeadline.D())
+	require.Zero(t, w.moves, "moved before the longest deadline was over")
+	w.run(releaseMargin + 2*w.step)
+	require.Equal(t, owned, w.moves)
+}
+
+// A move's target dies as the move begins. The group's callers wait for a target
+// that never comes. Cause: the intent outlives what it was for.
+func TestMoveToLostTargetIsWithdrawn(t *testing.T) {
+	w := newWorld(6, 3, 6, 64, equal)
+	for i := range 12 {
+		w.in.Load[uint64(i*6)] = 100
+	}
+	w.in.Now += time.Second
+	r := w.planner.Plan(&w.in)
+	require.NotEmpty(t, w.planner.moves)
+	w.in.Assignment = &r.Assignment
+	for _, m := range w.planner.moves {
+		w.in.Lost[m.to] = true
+	}
+	w.tick()
+	require.Positive(t, w.kinds[Abandon])
+	for _, g := range w.in.Assignment.Groups {
+		require.False(t, w.in.Lost[g.MoveTo])
+	}
+}
+
+func TestSplitNeedsReleasedGrant(t *testing.T) {
+	w := newWorld(4, 3, 4, 16, equal)
+	w.in.Load[3] = 1000
+	w.planner.Splits = true
+	w.in.Serving = map[uint64]Serving{}
+	r := w.planner.Plan(&w.in)
+	require.Len(t, r.Assignment.Groups, 16, "split while a grant may be in force")
+	w = newWorld(4, 3, 4, 16, equal)
+	w.in.Load[3] = 1000
+	w.planner.Splits = true
+	w.in.Released = map[uint64]bool{3: true}
+	r = w.planner.Plan(&w.in)
+	require.Len(t, r.Assignment.Groups, 17)
+	require.NoError(t, r.Assignment.Check())
+	require.Equal(t, uint64(18), r.Assignment.NextGroup)
+	for _, g := range r.Assignment.Groups {
+		require.NotEqual(t, uint64(3), g.ID)
+	}
+}
+
+// An assigner dies in the middle of moves. Its successor repeats or forgets
+// them. Cause: what it knew was in its memory alone.
+func TestNextAssignerEndsMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		w.in.Leaving["t01"] = true
+		least := w.owned()["t01"]
+		for range 60 {
+			if rapid.IntRange(0, 9).Draw(t, "assigner lost") == 0 {
+				w.planner = New()
+			}
+			w.tick()
+		}
+		w.run(time.Minute)
+		require.Zero(t, w.owned()["t01"])
+		within(t, w.moves, least)
+	})
+}
--- /dev/null
+++ b/internal/decide/placement/world_test.go
@@ -0,0 +1,190 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"hemlockquay/internal/decide/loadmeter"
+	"hemlockquay/internal/decide/rendezvous"
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/model"
+)
+
+// world drives a planner in virtual time: what it writes is in the record at
+// once, and a grantor that obeys it is played by grant. It counts the keys'
+// moves as callers see them: changes of the serving target.
+type world struct {
+	in      Input
+	planner *Planner
+	step    time.Duration
+	moves   int
+	kinds   map[Kind]int
+}
+
+func newWorld(targets, dcs, vms, slices int, w model.Weights) *world {
+	s := &model.Service{Name: "s", Keyed: true, Slots: 3, Connections: 110, ChecksFences: true, Slices: slices, Weights: w}
+	for i := range targets {
+		s.Targets = append(s.Targets, testTarget(i, dcs))
+	}
+	if err := s.Check(); err != nil {
+		panic(err)
+	}
+	wd := &world{planner: New(), step: 5 * time.Second, kinds: make(map[Kind]int)}
+	wd.in = Input{Service: s, Serving: make(map[uint64]Serving), Load: make(map[uint64]float64),
+		Leaving: make(map[string]bool), Lost: make(map[string]bool), Author: "test"}
+	for i := range vms {
+		wd.in.VMs = append(wd.in.VMs, VM{Name: fmt.Sprintf("vm%d", i), DataCentre: fmt.Sprintf("dc%d", i%dcs)})
+	}
+	a := Initial(&wd.in)
+	wd.in.Assignment = &a
+	wd.grant()
+	wd.moves = 0
+	return wd
+}
+
+func testTarget(i, dcs int) model.Target {
+	return model.Target{Name: fmt.Sprintf("t%02d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i+1), DataCentre: fmt.Sprintf("dc%d", i%dcs)}
+}
+
+func (w *world) grant() {
+	for _, g := range w.in.Assignment.Groups {
+		to := g.Owner
+		if g.MoveTo != "" && !w.in.Lost[g.MoveTo] {
+			to = model.TargetRef{Name: g.MoveTo}
+		}
+		if w.in.Lost[to.Name] {
+			to = g.Standby
+		}
+		if before := w.in.Serving[g.ID]; before.Target.Name != to.Name {
+			w.moves++
+		}
+		w.in.Serving[g.ID] = Serving{Target: to, Epoch: g.Epoch}
+	}
+}
+
+// tick is one run of the assigner.
+func (w *world) tick() {
+	w.in.Now += w.step
+	r := w.planner.Plan(&w.in)
+	for _, d := range r.Decisions {
+		w.kinds[d.Kind]++
+	}
+	w.in.Assignment = &r.Assignment
+	w.grant()
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.in.Now + d; w.in.Now < end; {
+		w.tick()
+	}
+}
+
+// owned counts the groups that each target serves.
+func (w *world) owned() map[string]int {
+	n := make(map[string]int)
+	for _, s := range w.in.Serving {
+		n[s.Target.Name]++
+	}
+	return n
+}
+
+// traffic is Zipf's law over keys, and one key in twenty requests that is
+// another key each minute.
+type traffic struct {
+	points []keyspace.Point
+	share  []float64
+	rand   *rand.Rand
+	hot    int
+	meter  *loadmeter.Meter
+	// group and hashed are each key's group and its target by hashing; neither
+	// changes while targets stay.
+	group  []uint64
+	hashed []string
+}
+
+const (
+	zipfExponent = 1.1
+	hotShare     = 0.05
+	requestRate  = 1000 // per second
+)
+
+func newTraffic(keys int, seed uint64) *traffic {
+	t := &traffic{rand: rand.New(rand.NewPCG(seed, 1)), meter: loadmeter.New()}
+	var sum float64
+	for i := range keys {
+		t.points = append(t.points, keyspace.Of(fmt.Sprintf("key-%d-%d", seed, i)))
+		t.share = append(t.share, math.Pow(float64(i+1), -zipfExponent))
+		sum += t.share[i]
+	}
+	for i := range t.share {
+		t.share[i] *= (1 - hotShare) / sum
+	}
+	return t
+}
+
+// second sends a second's requests and returns the imbalance over targets: with
+// the planner's owners, with rendezvous hashing of keys, and the least that any
+// placement of whole groups could have.
+func (t *traffic) second(w *world) (planned, hashed, least float64) {
+	if w.in.Now%time.Minute == 0 {
+		t.hot = t.rand.IntN(len(t.points))
+	}
+	if t.group == nil {
+		t.place(w)
+	}
+	byTarget, byHash, byGroup := map[string]float64{}, map[string]float64{}, map[uint64]float64{}
+	for i := range t.points {
+		share := t.share[i]
+		if i == t.hot {
+			share += hotShare
+		}
+		g := t.group[i]
+		byGroup[g] += share
+		byTarget[w.in.Serving[g].Target.Name] += share
+		byHash[t.hashed[i]] += share
+	}
+	for g, share := range byGroup {
+		t.meter.Add(loadmeter.Group{Service: "s", Group: g}, share*requestRate, w.in.Now)
+	}
+	clear(w.in.Load)
+	for _, r := range t.meter.Hottest(1<<16, w.in.Now) {
+		w.in.Load[r.Group.Group] = r.Rate
+	}
+	n := float64(len(w.in.Service.Targets))
+	return highest(byTarget) * n, highest(byHash) * n, max(1, highest(byGroup)*n)
+}
+
+func (t *traffic) place(w *world) {
+	var candidates []rendezvous.Candidate
+	for _, s := range w.in.Service.Targets {
+		candidates = append(candidates, rendezvous.Candidate{VM: s.Name})
+	}
+	group := groupsByPoint(w.in.Assignment)
+	for _, p := range t.points {
+		t.group = append(t.group, group(p))
+		t.hashed = append(t.hashed, candidates[rendezvous.Rank(candidates, fmt.Sprint(p), "")[0]].VM)
+	}
+}
+
+func highest[K comparable](m map[K]float64) float64 {
+	var h float64
+	for _, v := range m {
+		h = max(h, v)
+	}
+	return h
+}
+
+func groupsByPoint(a *model.Assignment) func(keyspace.Point) uint64 {
+	return func(p keyspace.Point) uint64 {
+		for _, g := range a.Groups {
+			for _, s := range g.Slices {
+				if s.Contains(p) {
+					return g.ID
+				}
+			}
+		}
+		panic("a point without a group")
+	}
+}
