Assigner: election as a pure decision over conditional writes

Cause: every agent wrote first plans; nobody planned anything after. Change: one elected agent per keyed service by the chart assigner.jsonc; a hold is dated from the send of the write on CLOCK_BOOTTIME, so a paused holder knows.

--- /dev/null
+++ b/internal/ownership/assigner.go
@@ -0,0 +1,162 @@
+// Package ownership decides who owns keys: who plans a service's assignment,
+// and the grants that carry it out. Its decisions take time and messages as
+// values and return what to do; package agent carries them.
+package ownership
+
+import (
+	"time"
+
+	"hemlockquay/charts"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/statechart"
+)
+
+// Times of the election. Nothing waits for an assigner but moves and repairs of
+// the record: grants and takeovers go on without it. So the times are long, and
+// the writes few: one in two seconds for each keyed service.
+const (
+	// AssignerLife is how long an assigner holds its service after a renewal.
+	AssignerLife = 6 * time.Second
+	// AssignerRenewal is the pause between renewals: two may be lost.
+	AssignerRenewal = 2 * time.Second
+	// claimStep spreads the followers' claims by their rank, so that one write
+	// and not nine are made when a holder is lost.
+	claimStep = 300 * time.Millisecond
+)
+
+var assignerChart = charts.MustLoad("assigner")
+
+// Names in charts/assigner.jsonc.
+const (
+	following = statechart.State("following")
+	claiming  = statechart.State("claiming")
+	holding   = statechart.State("holding")
+
+	eventSilent = statechart.Event("silent")
+	eventSeen   = statechart.Event("seen")
+	eventWon    = statechart.Event("won")
+	eventLost   = statechart.Event("lost")
+	eventLapse  = statechart.Event("lapse")
+)
+
+// Claim is a conditional write of a service's assigner object, expecting Version.
+type Claim struct {
+	Object  model.Assigner
+	Version uint64
+}
+
+// Election is one agent's part in the election of one service's assigner. All
+// times are readings of CLOCK_BOOTTIME. It is not safe for concurrent use.
+//
+// Safety does not rest on clocks: a deposed assigner that does not know it plans
+// on a version of the assignment that its successor has replaced, and its write
+// conflicts. The life only keeps two from planning at the same time for long.
+//
+// Failure: a holder is suspended for minutes and goes on as if nothing had
+// happened. CLOCK_BOOTTIME counted on, so Holds is false at its first question.
+type Election struct {
+	me      model.Assigner
+	machine *statechart.Machine
+	// seen is the object of the highest version, seenAt when its renewal was
+	// first seen here.
+	seen    model.Assigner
+	version uint64
+	seenAt  time.Duration
+	// sentAt is when the write under way was sent, heldFrom when the last one
+	// that succeeded was. A hold is dated from the send: the store may have
+	// taken it at any time after.
+	sentAt, heldFrom time.Duration
+	writing          bool
+}
+
+// NewElection returns the part of the agent on a VM in one incarnation.
+func NewElection(service, vm, incarnation string, now time.Duration) *Election {
+	return &Election{
+		me:      model.Assigner{Service: service, Holder: vm, Incarnation: incarnation},
+		machine: assignerChart.Start(),
+		seenAt:  now,
+	}
+}
+
+// Observe takes the object as watched or read; older versions are ignored.
+func (e *Election) Observe(now time.Duration, a model.Assigner, version uint64) {
+	if version <= e.version {
+		return
+	}
+	e.seen, e.version, e.seenAt = a, version, now
+	if !e.mine(a) {
+		_ = e.machine.Fire(eventSeen)
+	}
+}
+
+func (e *Election) mine(a model.Assigner) bool {
+	return a.Holder == e.me.Holder && a.Incarnation == e.me.Incarnation
+}
+
+// Step returns the write that is due, or nil. rank is the agent's place among
+// the live ones for this service, 0 first. Done must follow each write.
+func (e *Election) Step(now time.Duration, rank int) *Claim {
+	if e.machine.State() == holding && !e.Holds(now) {
+		_ = e.machine.Fire(eventLapse)
+		// The lapsed holder waits like the others: one of them may be ahead.
+		e.seenAt = now
+	}
+	if e.writing {
+		return nil
+	}
+	switch e.machine.State() {
+	case holding:
+		if now-e.heldFrom < AssignerRenewal {
+			return nil
+		}
+	case following:
+		if !e.silent(now, rank) || e.machine.Fire(eventSilent) != nil {
+			return nil
+		}
+	}
+	return e.claim(now)
+}
+
+// silent tells whether the same renewal was seen for the time to live. A service
+// without an object is claimed at once, by rank.
+func (e *Election) silent(now time.Duration, rank int) bool {
+	wait := time.Duration(rank) * claimStep
+	if e.version != 0 {
+		wait += AssignerLife
+	}
+	return now-e.seenAt >= wait
+}
+
+func (e *Election) claim(now time.Duration) *Claim {
+	next := e.me
+	next.Epoch, next.Renewal = e.seen.Epoch, e.seen.Renewal+1
+	if !e.mine(e.seen) {
+		next.Epoch++
+	}
+	e.sentAt, e.writing = now, true
+	return &Claim{Object: next, Version: e.version}
+}
+
+// Done takes the outcome of a write: the version it made, or won false where it
+// conflicted or its outcome is unknown.
+func (e *Election) Done(now time.Duration, c *Claim, version uint64, won bool) {
+	e.writing = false
+	if !won || version <= e.version && !e.mine(e.seen) {
+		_ = e.machine.Fire(eventLost)
+		e.seenAt = now
+		return
+	}
+	e.heldFrom = e.sentAt
+	if version > e.version {
+		e.seen, e.version, e.seenAt = c.Object, version, now
+	}
+	_ = e.machine.Fire(eventWon)
+}
+
+// Holds tells whether the agent may plan at the time now.
+func (e *Election) Holds(now time.Duration) bool {
+	return e.machine.State() == holding && now-e.heldFrom < AssignerLife
+}
+
+// Holder returns the VM that was last seen to hold the service, "" for none.
+func (e *Election) Holder() string { return e.seen.Holder }
