--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -112,14 +113,20 @@
 const portsPerVM = 6
 
 func (p *planner) planVMs(n int, dcs []string) error {
+	all, err := freePorts(n * portsPerVM)
+	if err != nil {
+		return err
+	}
 	for i := range n {
-		ports, err := freePorts(portsPerVM)
-		if err != nil {
-			return err
-		}
+		ports := all[i*portsPerVM : (i+1)*portsPerVM]
 		name := fmt.Sprintf("vm%d", i+1)
 		base := daemon.Base{VM: name, DataCentre: dcs[i%len(dcs)]}
 		a := agent.Settings{Base: base, Listen: ports[0], Store: p.result.Store}
+		for j := range n {
+			if j != i {
+				a.Peers = append(a.Peers, all[j*portsPerVM])
+			}
+		}
 		d := dispatch.Settings{Base: base, Listen: ports[1], Agent: ports[0]}
 		e := entry.Settings{Base: base, Listen: ports[2], Agent: ports[0]}
 		a.Admin, d.Admin, e.Admin = ports[3], ports[4], ports[5]
@@ -190,17 +197,32 @@
 	return nil
 }
 
+// Ports are drawn below the range from which systems take the ports of outgoing
+// connections (32768 and up by default).
+//
+// Failure: a planned port lies in that range, and before its daemon starts an
+// outgoing connection of another takes it. The daemon cannot listen.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	// maxDraws bounds the search for free ports.
+	maxDraws = 10_000
+)
+
 // freePorts returns n loopback addresses that were free a moment ago. All are
 // held open together, so that none is returned twice.
 func freePorts(n int) ([]string, error) {
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	addrs := make([]string, 0, n)
+	for draws := 0; len(addrs) < n; draws++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort)))
+		if err != nil && draws >= maxDraws {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
+		if err != nil {
+			continue
+		}
 		defer l.Close()
-		addrs[i] = l.Addr().String()
+		addrs = append(addrs, l.Addr().String())
 	}
 	return addrs, nil
 }
