Assigner in the agent: elected, fed with load and hints, plans and records

Cause: the thin planner wrote one first assignment and no agent was elected. Change: a duty of the agent runs the election and placement for each keyed service; dispatchers count requests by group, report the hottest 256 to their agent, which tells only the holders once a second; the holder alone asks targets for hints. The grantor records the end of a move, so placement waits for it. Epochs rise only for other targets or grantors, and leaving ones are listed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,6 +49,7 @@
 	relay       *relay
 	server      *peer.Server
 	peers       *peer.Pool
+	assigner    *assigner
 	commander   *target.Commander
 	grantor     *grantorDuty
 	// grantsPushed tells the heart that the grants changed.
@@ -132,13 +133,19 @@
 		store: a.counted(platform.CauseConfig), config: a.config, members: a.members, timeout: timeout, log: a.Log,
 		refused: metrics.GetOrRegisterCounter("config.refused.older", a.Registry),
 	}
+	a.assigner = &assigner{
+		elections: a.counted(platform.CauseAssigner), plans: a.counted(platform.CauseAssignment),
+		config: a.config, members: a.members, relay: a.relay, peers: a.peers, hints: newTargetHints(),
+		tag: a.tag, timeout: timeout, clock: boottime.System{}, journal: a.Journal, log: a.Log,
+	}
 	duties := []func(context.Context){
 		w.run,
 		newPuller(a, w).run,
 		newReporter(a).run,
 		(&lister{a.counted(platform.CauseMembership), a.members, timeout, a.Log}).run,
 		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), seeds: s.Peers, grants: a.grants, pushes: a.grantsPushed, log: a.Log, busy: make(map[string]bool)}).run,
-		(&planner{a.counted(platform.CauseAssignment), a.config, a.members, a.tag, timeout, a.Log}).run,
+		a.assigner.run,
+		a.shareBudget,
 		a.grantor.run,
 		a.becomeReady,
 	}
@@ -153,6 +160,14 @@
 	return nil
 }
 
+// shareBudget keeps this VM to its part of the store's rates.
+func (a *agent) shareBudget(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.guard.Share(len(a.members.addrs()) + 1)
+		pause(ctx, listEvery)
+	}
+}
+
 // becomeReady waits for the first configuration.
 func (a *agent) becomeReady(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -175,6 +190,7 @@
 	a.server.Close()
 	a.peers.Close()
 	a.commander.Close()
+	a.assigner.hints.close()
 	a.Life.Drained()
 	return nil
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -16,6 +16,7 @@
 	config      *configuration
 	members     *members
 	grants      *grantTable
+	loads       *loadBook
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -46,7 +47,7 @@
 const maxPullWait = 5 * time.Second
 
 func newRelay(incarnation string) *relay {
-	return &relay{incarnation: incarnation, changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
+	return &relay{incarnation: incarnation, loads: newLoadBook(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
 }
 
 // broadcast wakes the pulls that wait.
--- a/internal/decide/placement/move.go
+++ b/internal/decide/placement/move.go
@@ -83,35 +83,29 @@
 	}
 }
 
+// follow brings one move on. Its end is in the record: the grantor that has
+// granted the new owner swaps owner and standby there.
 func (r *round) follow(g *model.Group) {
-	served, granted := r.in.Serving[g.ID]
 	m := r.moves[g.ID]
+	if m == nil {
+		return
+	}
+	served, granted := r.in.Serving[g.ID]
 	switch {
-	case granted && served.Epoch == g.Epoch && served.Target.Name == g.Standby.Name:
-		r.swap(g, served.Target)
-	case m == nil:
+	case g.Owner.Name == m.to:
+		_ = m.machine.Fire(eventServed)
+		delete(r.moves, g.ID)
+	case r.in.Now-m.since > moveTimeout+r.in.Service.MaxDeadline.D() || !r.usable(m.to):
+		r.withdraw(g, m)
 	case granted && served.Epoch >= m.epoch && m.machine.State() == movePreparing:
 		r.decide(Move, g, "%s: the grantor took up %s as standby, the move is ordered", groupName(r.in.Service, g), m.to)
 		r.order(g, m)
-	case r.in.Now-m.since > moveTimeout+r.in.Service.MaxDeadline.D() || !r.usable(m.to):
-		r.withdraw(g, m)
 	}
 }
 
-// swap records that the standby serves: the end of a move, or a takeover.
-func (r *round) swap(g *model.Group, serves model.TargetRef) {
-	if m := r.moves[g.ID]; m != nil && m.to == serves.Name {
-		_ = m.machine.Fire(eventServed)
-	}
-	delete(r.moves, g.ID)
-	before := g.Owner
-	g.Owner, g.Standby, g.MoveTo = serves, r.ref(before.Name), ""
-	r.decide(Finish, g, "%s is served by %s, no longer by %s: the record follows the grant", groupName(r.in.Service, g), serves.Name, before.Name)
-}
-
 func (r *round) withdraw(g *model.Group, m *move) {
 	_ = m.machine.Fire(eventWithdraw)
 	delete(r.moves, g.ID)
 	g.MoveTo = ""
-	r.decide(Abandon, g, "%s stays at %s: the move to %s did not end in time or its target went away", groupName(r.in.Service, g), g.Owner.Name, m.to)
+	r.decide(Abandon, g, "%s stays at %s: the move to %s did not end in time, or its target went away", groupName(r.in.Service, g), g.Owner.Name, m.to)
 }
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/ownership/grantor"
 )
 
 // VM is a VM that may hold a grantor.
@@ -68,7 +69,6 @@
 // The kinds of decisions. Only Move takes keys from one target to another.
 const (
 	Move    Kind = "move"
-	Finish  Kind = "finish"
 	Abandon Kind = "abandon"
 	Standby Kind = "standby"
 	Witness Kind = "witness"
@@ -137,13 +137,44 @@
 	r.repair()
 	r.splitHot()
 	r.balance()
+	r.raiseEpochs()
+	return Result{Assignment: r.next, Decisions: r.decisions}
+}
+
+// Forget drops the moves whose record was not written; those in the record are
+// adopted from it.
+func (p *Planner) Forget() { clear(p.moves) }
+
+// raiseEpochs gives a new epoch to each group with other targets or grantors,
+// and lists the targets that leave it. An intent alone keeps the epoch, so that
+// no rank changes for it.
+func (r *round) raiseEpochs() {
+	before := make(map[uint64]*model.Group, len(r.in.Assignment.Groups))
+	for i := range r.in.Assignment.Groups {
+		before[r.in.Assignment.Groups[i].ID] = &r.in.Assignment.Groups[i]
+	}
 	for i := range r.next.Groups {
-		if g := &r.next.Groups[i]; r.touched[g.ID] {
-			g.Epoch++
-			g.Author = in.Author
+		g := &r.next.Groups[i]
+		if !r.touched[g.ID] {
+			continue
 		}
+		g.Author = r.in.Author
+		old := before[g.ID]
+		if old == nil {
+			g.Epoch = 1
+			continue
+		}
+		if sameRoles(old, g) {
+			g.Author = old.Author
+			continue
+		}
+		g.Epoch++
+		grantor.CoverPrevious(old, g)
 	}
-	return Result{Assignment: r.next, Decisions: r.decisions}
+}
+
+func sameRoles(a, b *model.Group) bool {
+	return a.Owner == b.Owner && a.Standby == b.Standby && a.Witness == b.Witness && slices.Equal(a.Grantors, b.Grantors)
 }
 
 func newRound(p *Planner, in *Input) *round {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,7 @@
 	feed   *feed.Feed
 	sender *target.Sender
 	prober *target.Prober
+	loads  *loads
 	parts  *parts
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -64,7 +65,8 @@
 	if err != nil {
 		return err
 	}
-	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr()}
+	counted := newLoads()
+	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr(), Loads: counted.hottest}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
 		params: p,
@@ -72,6 +74,7 @@
 		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
 		sender: target.NewSender(p.Settings.TargetConnections),
 		prober: target.NewProber(),
+		loads:  counted,
 		ctx:    ctx,
 		cancel: cancel,
 		queues: make(map[queueID]*queue),
@@ -200,6 +203,7 @@
 	if grant == nil {
 		return queueID{}, problem.Refuse(problem.NoOwner, "queue", d.Settings.VM, "the key has no owner now").After(time.Second)
 	}
+	d.loads.count(s.Name, grant.Group)
 	return queueID{Service: s.Name, Target: grant.Target.Name}, nil
 }
 
--- /dev/null
+++ b/internal/dispatch/loads.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"sync"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/decide/loadmeter"
+	"hemlockquay/internal/wire"
+)
+
+// loads counts the requests of each group for the service's assigner. It is safe
+// for concurrent use.
+type loads struct {
+	clock boottime.System
+
+	mu    sync.Mutex
+	meter *loadmeter.Meter
+}
+
+func newLoads() *loads { return &loads{meter: loadmeter.New()} }
+
+func (l *loads) count(service string, group uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.meter.Add(loadmeter.Group{Service: service, Group: group}, 1, l.clock.Now())
+}
+
+// hottest returns the groups for a report to the agent.
+func (l *loads) hottest() []wire.GroupLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rates := l.meter.Hottest(wire.MaxLoads, l.clock.Now())
+	out := make([]wire.GroupLoad, len(rates))
+	for i, r := range rates {
+		out[i] = wire.GroupLoad{Service: r.Service, Group: r.Group.Group, Rate: r.Rate}
+	}
+	return out
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -47,6 +47,8 @@
 	Process string
 	// Data is the daemon's data address, "" if it takes none.
 	Data string
+	// Loads returns the daemon's hottest groups; nil where it takes no requests.
+	Loads func() []wire.GroupLoad
 }
 
 // Feed holds the current view. Current is safe for concurrent use.
@@ -291,6 +293,9 @@
 		Stopped:  stopped,
 		Problems: v.Problems,
 	}
+	if f.endpoint.Loads != nil {
+		args.Loads = f.endpoint.Loads()
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportEvery)
 	defer cancel()
 	if err := f.client.Call(ctx, wire.MethodReport, &args, &wire.Empty{}); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,7 @@
 	MethodPull   = "Agent.Pull"
 	MethodBeat   = "Agent.Beat"
 	MethodReport = "Agent.Report"
+	MethodLoads  = "Agent.Loads"
 	MethodSync   = "Agent.Sync"
 )
 
@@ -209,4 +210,24 @@
 	Stopped bool
 	// Problems lists objects that it could not put in force.
 	Problems []string
+	// Loads are the hottest groups of a dispatcher, at most MaxLoads.
+	Loads []GroupLoad
+}
+
+// MaxLoads bounds the groups in one report. Placement moves the hottest; the
+// rest is known well enough as an even spread.
+const MaxLoads = 256
+
+// GroupLoad is the requests per second that one dispatcher, or one VM, took for
+// a group of slices.
+type GroupLoad struct {
+	Service string
+	Group   uint64
+	Rate    float64
+}
+
+// LoadsArgs tells a service's assigner what a VM takes for its groups.
+type LoadsArgs struct {
+	VM    string
+	Loads []GroupLoad
 }
