--- /dev/null
+++ b/scripts/churn.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Measures, with real processes under load, the calls of the store by cause and
+# the groups that change their owner, in phases: steady, a target lost, the same
+# target back, a VM lost, the store down, the store back.
+# Usage: scripts/churn.sh [DIR]; VMS, SETTLE and PHASE (seconds) in the environment.
+# Prints one line per phase, and leaves the agents' journals in DIR. Calls are those of all agents but the last VM's,
+# which is the one that is lost.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/lab.sh
+dir=${1:-out/churn}
+vms=${VMS:-9} phase=${PHASE:-7}
+trap 'lab_stop; exit 130' INT TERM
+trap 'lab_stop' EXIT
+
+# calls : the store's calls so far as JSON, cause to number.
+calls() {
+  local vm
+  for vm in $(seq 1 $((vms - 1))); do
+    curl -fsS "http://$(lab_admin "$dir/vm$vm/agent.jsonc")/metrics"
+  done | jq -cs '[.[] | to_entries[] | select(.key | startswith("store.calls.")) | {key: .key[12:], value: .value.count}]
+    | group_by(.key) | map({key: .[0].key, value: (map(.value) | add)}) | from_entries'
+}
+
+# owners : group to owner, as the grants of the first agent's view show it.
+owners() {
+  curl -fsS "http://$(lab_admin "$dir/vm1/dispatch.jsonc")/dump" |
+    jq -c '[.sections[] | select(.name == "view") | .value.grants[] | {key: "\(.Service)/\(.Group)", value: .Target.name}] | from_entries'
+}
+
+# run_phase NAME : waits and prints what changed meanwhile.
+run_phase() {
+  local c0 o0 s0 s1
+  c0=$(calls) o0=$(owners) s0=$(date +%s%N)
+  [ -z "${2:-}" ] || eval "$2"
+  sleep "$phase"
+  s1=$(date +%s%N)
+  jq -nr --arg n "$1" --argjson s "$((s1 - s0))" --argjson a "$c0" --argjson b "$(calls)" --argjson o "$o0" --argjson p "$(owners)" '
+    ($b | to_entries | map({key, value: ((.value - ($a[.key] // 0)) * 1e10 / $s | round / 10)})) as $r
+    | "\($n): calls/s \($r | map("\(.key) \(.value)") | join(", ")); sum \($r | map(.value) | add * 10 | round / 10); owners changed \([$p | to_entries[] | select($o[.key] != null and $o[.key] != .value)] | length) of \($p | length)"'
+}
+
+lab_up "$dir" "$vms" examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || exit 1
+bin/hq-load run --config "$dir/load.jsonc" --json "$dir/report.json" --duration 120s >"$dir/report.txt" 2>&1 &
+load=$!
+LAB_PIDS+=("$load")
+sleep "${SETTLE:-6}"
+owned=$(owners | jq '[.[] | select(. == "shelf-3")] | length')
+run_phase "steady"
+run_phase "target lost (owned $owned)" 'curl -fsS -X POST "$STANDIN/targets/shelf-3/kill"'
+run_phase "target back" 'curl -fsS -X POST "$STANDIN/targets/shelf-3/restart"'
+run_phase "VM lost" 'kill -KILL ${LAB_PIDS[@]:1+3*(vms-1):3}'
+run_phase "store down" 'curl -fsS -o /dev/null -X PUT "$STANDIN/store/faults" -d "{\"down\": true}"'
+run_phase "store back" 'curl -fsS -o /dev/null -X PUT "$STANDIN/store/faults" -d "{\"down\": false}"'
+for vm in $(seq 1 $((vms - 1))); do
+  curl -fsS "http://$(lab_admin "$dir/vm$vm/agent.jsonc")/journal" >"$dir/journal.vm$vm.json"
+done
+kill -INT "$load" 2>/dev/null
+lab_stop 2>/dev/null
+exit 0
