--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -16,6 +16,7 @@
 	config      *configuration
 	members     *members
 	grants      *grantTable
+	loads       *loadBook
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -46,7 +47,7 @@
 const maxPullWait = 5 * time.Second
 
 func newRelay(incarnation string) *relay {
-	return &relay{incarnation: incarnation, changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
+	return &relay{incarnation: incarnation, loads: newLoadBook(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
 }
 
 // broadcast wakes the pulls that wait.
@@ -152,6 +153,9 @@
 // Beat implements the RPC for heartbeats of peers.
 func (r *relay) Beat(args *wire.BeatArgs, reply *wire.BeatReply) error {
 	r.members.heard(args.Member)
+	if args.Pushed {
+		r.members.takeGrants(args.Member.VM, &wire.BeatReply{Member: args.Member, State: args.PushedState, Grants: args.Grants})
+	}
 	reply.Member = r.members.me()
 	grants, state := r.grants.snapshot()
 	reply.State = state
--- a/internal/ownership/grantor/record.go
+++ b/internal/ownership/grantor/record.go
@@ -10,10 +10,10 @@
 
 // Proposal returns the record that the store should hold for this group, if it
 // is another than the one in force. It may be written only over that one.
-func (g *Group) Proposal(now time.Duration, live Live) (model.Group, bool) {
+func (g *Group) Proposal(now time.Duration, sight Sight) (model.Group, bool) {
 	switch g.standing.State() {
 	case following:
-		if g.myTurn(live) && (g.barred() || g.orphaned(live)) {
+		if g.myTurn(now, sight) && (g.barred() || g.orphaned(now, sight)) {
 			return g.nextEpoch(), true
 		}
 	case claiming:
@@ -30,10 +30,15 @@
 }
 
 // orphaned tells whether the higher rank that stopped this agent was of one that
-// is lost: nobody in the line could go on at this epoch.
-func (g *Group) orphaned(live Live) bool {
+// is lost, or has not served for long: nobody in the line could go on at this
+// epoch.
+func (g *Group) orphaned(now time.Duration, sight Sight) bool {
 	r := g.outranked
-	return r != (wire.Rank{}) && r.Epoch == g.rec.Epoch && (r.Agent == g.params.VM || !live(r.Agent))
+	if r == (wire.Rank{}) || r.Epoch != g.rec.Epoch {
+		return false
+	}
+	last := time.Duration(len(g.rec.Grantors)+g.place) * g.params.Unserved
+	return r.Agent == g.params.VM || !sight.Live(r.Agent) || g.idleFor(now) > last
 }
 
 // stuck tells whether the fast path failed and the slow one needs an epoch.
@@ -84,9 +89,13 @@
 
 // sameEpoch brings owner and intent up to date after a takeover or a move.
 func (g *Group) sameEpoch() (model.Group, bool) {
+	swapped := g.rec // settle changes no slice
+	if !g.settle(&swapped) {
+		return model.Group{}, false
+	}
 	next := g.clone()
-	changed := g.settle(&next)
-	return next, changed
+	g.settle(&next)
+	return next, true
 }
 
 func (g *Group) settle(next *model.Group) bool {
@@ -113,21 +122,30 @@
 	return next
 }
 
-// ChangePair returns the record of the next epoch with other targets. The
-// targets that leave stay listed as Previous: a takeover at the new epoch must
-// fence them too, for they may hold a grant or confirm an older rank.
+// ChangePair returns the record of the next epoch with other targets.
 func ChangePair(old model.Group, owner, standby, witness model.TargetRef, author string) model.Group {
 	next := old
 	next.Epoch++
 	next.Author = author
 	next.Owner, next.Standby, next.Witness = owner, standby, witness
 	next.MoveTo = ""
+	CoverPrevious(&old, &next)
+	return next
+}
+
+// CoverPrevious lists in the record of a new epoch the arbiters that leave the
+// group. Whoever writes a record with other targets must call it.
+//
+// Failure: a target that left the pair still holds its grant, and is not asked
+// any more; its successor is granted at once. It shows as two owners for the
+// life of a grant, or for as long as a cut-off grantor renews the old one.
+// Listed as Previous, it must be fenced, or waited out, before the group is won.
+func CoverPrevious(old, next *model.Group) {
+	kept := []model.TargetRef{next.Owner, next.Standby, next.Witness}
 	next.Previous = nil
-	kept := []model.TargetRef{owner, standby, witness}
 	for _, ref := range append([]model.TargetRef{old.Owner, old.Standby, old.Witness}, old.Previous...) {
 		if ref.Incarnation != "" && !slices.Contains(kept, ref) && !slices.Contains(next.Previous, ref) {
 			next.Previous = append(next.Previous, ref)
 		}
 	}
-	return next
 }
