--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,10 +100,12 @@
 	return nil
 }
 
-// stop drains: what is sent is answered, all else is refused as not run at once,
-// so that entries send it to the next dispatcher.
-func (d *dispatcher) stop(context.Context) error {
+// stop drains: requests are taken until the entries have been told; then what is
+// sent is answered, and all else is refused as not run at once, so that entries
+// send it to the next dispatcher.
+func (d *dispatcher) stop(ctx context.Context) error {
 	d.Life.BeginDrain()
+	d.Life.Lead(ctx)
 	d.mu.Lock()
 	d.draining = true
 	queues := slices.Collect(maps.Values(d.queues))
