--- a/scripts/lab.sh
+++ b/scripts/lab.sh
@@ -42,6 +42,7 @@
 lab_admin() { sed -n 's/.*"admin": "\([^"]*\)".*/\1/p' "$1"; }
 
 # lab_up DIR VMS DEPLOYMENT... : plans and starts everything, applies the objects.
+# LAB_ORDER sets the dispatchers' order, fair or fifo.
 lab_up() {
   local dir=$1 vms=$2 deployments=() d vm p
   shift 2
@@ -51,6 +52,7 @@
   bin/hq-standin plan --dir "$dir" --vms "$vms" "${deployments[@]}" >"$dir/env" || return 1
   # shellcheck disable=SC1091
   . "$dir/env"
+  sed -i "s|\"listen\"|\"order\": \"${LAB_ORDER:-fair}\", &|" "$dir"/vm*/dispatch.jsonc
   lab_start "$dir/standin.log" bin/hq-standin run --config "$dir/standin.jsonc"
   lab_wait "$STANDIN/healthz" || return 1
   bin/hqctl --store "$STORE" service apply "$dir"/objects/service.*.jsonc >"$dir/apply.log" || return 1
