Repeats stay under a tenth; a standing queue follows its bound by arrivals

Cause: at 30% lost answers the targets ran 1.102 times the fresh requests, since the reserve came on top of a tenth. At 3x capacity refusals took 21 ms in the 99th percentile: each movement of the estimates refused requests that had waited. Change: 0.09 tokens for each fresh request; between the bound and 1.5 times it one request gives way for each that comes. Conclusion: to be measured on processes again.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -7,11 +7,12 @@
 //
 // A request that certainly did not run may be sent again; one that may have run
 // only if it is idempotent. A repeat that can cost a target work takes a token;
-// each fresh request brings a tenth of one. No repeat is begun that does not fit
+// each fresh request brings 0.09 of one. No repeat is begun that does not fit
 // into the deadline.
 //
-// Grounds: a tenth bounds the extra load to 10% whatever fails, and still repairs
-// all failures of one in ten targets. The bucket holds 10 tokens, so that the loss
+// Grounds: 0.09 and the reserve bound the extra load to a tenth whatever fails (0.1
+// and the reserve gave 1.102 over 9 s), and still repair nearly all failures of one in
+// ten targets. The bucket holds 10 tokens, so that the loss
 // of a target with 3 slots is repaired also when there is little traffic. Refusals
 // that cost the target nothing (no connection, leaving, not the owner) take no
 // token: the target is passed over afterwards, so they cannot repeat endlessly;
@@ -54,7 +55,7 @@
 )
 
 const (
-	share       = 0.1
+	share       = 0.09
 	reserve     = 10
 	maxAttempts = 8
 )
--- a/internal/dispatch/lab_test.go
+++ b/internal/dispatch/lab_test.go
@@ -107,9 +107,11 @@
 }
 
 // own publishes a view in which the target owns all keys; "" is nobody.
-func (b *bench) own(name string) {
+func (b *bench) own(name string) { b.publish(b.t, name) }
+
+func (b *bench) publish(t testing.TB, name string) {
 	spec, err := json.Marshal(b.service)
-	require.NoError(b.t, err)
+	require.NoError(t, err)
 	var grants []wire.Grant
 	if name != "" {
 		grants = []wire.Grant{{Service: "master", Group: 1, Slices: []keyspace.Slice{{First: 0, Last: ^keyspace.Point(0)}}, Target: model.TargetRef{Name: name}}}
@@ -117,7 +119,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.view = view.Build([]platform.Object{{Kind: model.KindService, Name: "master", Spec: spec}}, nil, grants)
-	require.Empty(b.t, b.view.Problems)
+	require.Empty(t, b.view.Problems)
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -215,7 +215,7 @@
 		b.offer(stream{customer: "listeners", rate: 0.6 * capacity, lasts: 5 * time.Second, idempotent: true})
 		b.callers.Wait()
 		fresh := b.tallies["listeners"].sent()
-		require.Less(t, float64(b.sends), 1.1*float64(fresh)+11)
+		require.Less(t, float64(b.sends), 1.1*float64(fresh))
 		require.Greater(t, float64(b.sends), 1.08*float64(fresh))
 	})
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -140,8 +140,10 @@
 	defer timer.Stop()
 	changed := q.feed.Changed()
 	for {
+		came := false
 		select {
 		case m := <-q.inbox.Entries():
+			came = m.arrive != nil
 			q.handle(m, time.Now())
 		case <-timer.C:
 			q.release(q.held)
@@ -154,7 +156,7 @@
 		now := time.Now()
 		q.expire(now)
 		q.fill(ctx, now)
-		q.trim(now)
+		q.trim(now, came)
 		q.rearm(timer, now)
 	}
 }
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -91,18 +91,21 @@
 	return problem.Refuse(problem.Full, stepQueue, q.vm, "no target can be reached").After(time.Second)
 }
 
+// cutAbove is the wait, in bounds, over which requests that wait already give way
+// until it is met. Between it and the bound one gives way for each that comes, mostly
+// the one that came: bound and slots are estimates that move by a fifth, and to
+// follow each movement refuses requests that have waited for 20 ms.
+const cutAbove = 1.5
+
 // trim keeps a standing queue of interactive work at its bound, and ends all that
-// waits for targets which cannot be reached.
-func (q *queue) trim(now time.Time) {
+// waits for targets which cannot be reached. came says that a request just came.
+func (q *queue) trim(now time.Time, came bool) {
 	if len(q.given) == 0 {
 		q.note(now, 0, 0, 0)
 		return
 	}
 	if q.dead(now) {
-		for len(q.given) > 0 {
-			q.counts.dead.Inc(1)
-			q.end(q.given[0], q.noTarget())
-		}
+		q.endAll(q.counts.dead, q.noTarget())
 		return
 	}
 	if q.fifo || !q.table.Known() {
@@ -113,10 +116,32 @@
 	if !q.note(now, q.interactiveWait(slots), bound, slots) {
 		return
 	}
-	for q.waiting.ClassLen(fairqueue.Interactive) > total && q.interactiveWait(slots) > bound {
-		out := q.waiting.Yield(fairqueue.Interactive)
-		q.counts.standing.Inc(1)
-		q.end(out.Value, problem.Refuse(problem.Full, stepQueue, q.vm, "more work comes than the targets can do, and this customer holds most of the queue for its share").After(time.Second))
+	over := func(bounds float64) bool {
+		return q.waiting.ClassLen(fairqueue.Interactive) > total && q.interactiveWait(slots) > time.Duration(bounds*float64(bound))
+	}
+	if came && over(1) {
+		q.yield()
+	}
+	for over(cutAbove) {
+		q.yield()
+	}
+}
+
+// yield refuses the newest request of the customer that holds most of the queue.
+func (q *queue) yield() {
+	q.counts.standing.Inc(1)
+	q.end(q.waiting.Yield(fairqueue.Interactive).Value, q.overloaded())
+}
+
+func (q *queue) overloaded() *problem.Error {
+	return problem.Refuse(problem.Full, stepQueue, q.vm, "more work comes than the targets can do, and this customer holds most of the queue for its share").After(time.Second)
+}
+
+// endAll ends all that is not sent.
+func (q *queue) endAll(count metrics.Counter, p *problem.Error) {
+	for len(q.given) > 0 {
+		count.Inc(1)
+		q.end(q.given[0], p)
 	}
 }
 
