--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -54,6 +54,8 @@
 	result *result
 	hints  []hint
 	drain  bool
+	// inspect reads the queue's state.
+	inspect func()
 }
 
 // parts are what all queues of a dispatcher share.
@@ -138,8 +140,10 @@
 	defer timer.Stop()
 	changed := q.feed.Changed()
 	for {
+		came := false
 		select {
 		case m := <-q.inbox.Entries():
+			came = m.arrive != nil
 			q.handle(m, time.Now())
 		case <-timer.C:
 			q.release(q.held)
@@ -152,7 +156,7 @@
 		now := time.Now()
 		q.expire(now)
 		q.fill(ctx, now)
-		q.trim(now)
+		q.trim(now, came)
 		q.rearm(timer, now)
 	}
 }
@@ -177,6 +181,8 @@
 		q.drop(m.cancel)
 	case m.drain:
 		q.drain()
+	case m.inspect != nil:
+		m.inspect()
 	default:
 		q.learn(m.hints, now)
 	}
@@ -191,6 +197,9 @@
 		j.end(p)
 		return
 	}
+	if j.item.Class == fairqueue.Interactive {
+		q.standing.Came(j.item.Cost)
+	}
 	q.jobs[j.request.ID] = j
 	q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
 	if out := q.waiting.Push(&j.item); out != nil {
