Daemons learn the platform's whole list and the entries' addresses

Cause: shares of a limit and holders of intents must be counted over all listed VMs, silent ones too; the members that heartbeats know shrink on a cut. Change: Pull carries the list beside the members; a member names its entry's address for calls of other entries.

--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -26,6 +26,8 @@
 	mu    sync.Mutex
 	self  wire.Member
 	peers map[string]*peerState
+	// listRead says that the platform's list was read at least once.
+	listRead bool
 }
 
 // peerState is what heartbeats told about one VM.
@@ -47,6 +49,7 @@
 // setList takes the platform's list. VMs that left the list are forgotten.
 func (m *members) setList(vms []platform.VM) {
 	m.mu.Lock()
+	m.listRead = true
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.Name] = true
@@ -123,6 +126,23 @@
 	return out
 }
 
+// places returns all listed VMs, this one too, sorted by name; none before the
+// list was read. To name this VM alone would tell its entry that it may use the
+// whole of every contract.
+func (m *members) places() []wire.Place {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listRead {
+		return nil
+	}
+	out := []wire.Place{{VM: m.self.VM, DataCentre: m.self.DataCentre}}
+	for name, p := range m.peers {
+		out = append(out, wire.Place{VM: name, DataCentre: p.listed.DataCentre})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
 // addrs returns the agents of all listed peers.
 func (m *members) addrs() map[string]string {
 	m.mu.Lock()
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -21,6 +21,7 @@
 	state    uint64
 	live     []wire.Member
 	combined []wire.Grant
+	listed   []wire.Place
 	daemons  map[string]daemonReport
 }
 
@@ -37,6 +38,9 @@
 // dispatchProcess is the daemon that takes requests from other VMs.
 const dispatchProcess = "hq-dispatch"
 
+// entryProcess is the daemon that shares the limits with other entries.
+const entryProcess = "hq-entry"
+
 // maxPullWait bounds how long a pull is held.
 const maxPullWait = 5 * time.Second
 
@@ -58,14 +62,14 @@
 
 // refresh computes members and grants anew and wakes the pulls if they differ.
 func (r *relay) refresh() {
-	live := r.members.live()
+	live, listed := r.members.live(), r.members.places()
 	combined := highestRanks(append(r.members.peerGrants(), r.grants.list()...))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reflect.DeepEqual(live, r.live) && reflect.DeepEqual(combined, r.combined) {
+	if reflect.DeepEqual(live, r.live) && reflect.DeepEqual(combined, r.combined) && reflect.DeepEqual(listed, r.listed) {
 		return
 	}
-	r.live, r.combined = live, combined
+	r.live, r.combined, r.listed = live, combined, listed
 	r.state++
 	r.broadcastLocked()
 }
@@ -96,7 +100,7 @@
 	reply.State = r.state
 	if args.Source != r.incarnation || args.State != r.state {
 		reply.Changed = true
-		reply.Members, reply.Grants = r.live, r.combined
+		reply.Members, reply.Grants, reply.Listed = r.live, r.combined, r.listed
 	}
 	return r.changed
 }
@@ -127,11 +131,14 @@
 	reports := r.liveDaemons()
 	revision, _ := r.config.state()
 	r.members.updateSelf(func(m *wire.Member) {
-		m.DispatchAddr, m.Revision = "", revision
+		m.DispatchAddr, m.EntryAddr, m.Revision = "", "", revision
 		for _, d := range reports {
 			if d.Process == dispatchProcess && !d.Leaving {
 				m.DispatchAddr = d.Addr
 			}
+			if d.Process == entryProcess {
+				m.EntryAddr = d.Addr
+			}
 			m.Revision = min(m.Revision, d.Revision)
 		}
 	})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -148,11 +148,12 @@
 	if config {
 		f.merge(reply)
 	}
-	members, grants := old.Members, old.Grants
+	members, grants, listed := old.Members, old.Grants, old.Listed
 	if reply.Changed {
-		members, grants = reply.Members, reply.Grants
+		members, grants, listed = reply.Members, reply.Grants, reply.Listed
 	}
 	next := view.Build(f.list(), members, grants)
+	next.Listed = listed
 	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
 	for _, p := range next.Problems {
 		f.log.Error().Str("step", "configure").Msg("object refused: " + p)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -27,6 +27,8 @@
 
 	Members []wire.Member
 	Grants  []wire.Grant
+	// Listed are all VMs of the platform's list.
+	Listed []wire.Place
 
 	services map[string]*model.Service
 	// byToken finds a contract by the hash of its token.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -81,6 +81,8 @@
 	Incarnation  string
 	AgentAddr    string
 	DispatchAddr string
+	// EntryAddr is where the VM's entry takes calls of other entries.
+	EntryAddr string
 	// Leaving VMs get no new work.
 	Leaving bool
 	// Revision is the configuration in force on the VM.
@@ -161,6 +163,8 @@
 	Changed bool
 	Members []Member
 	Grants  []Grant
+	// Listed are all VMs of the platform's list, silent ones too, by name.
+	Listed []Place
 }
 
 // BeatArgs is a heartbeat between agents.
