Gate of one customer at one entry: rate, burst and concurrency of a share

Cause: a customer over its contract fills queues that others pay for. Change: token bucket of x/time/rate in thousandths of a request, so that a share may be a fraction; concurrency; a true Retry-After. Not wired yet.

--- /dev/null
+++ b/internal/decide/admission/admission.go
@@ -0,0 +1,132 @@
+// Package admission holds one customer to its contract at one entry.
+//
+// Load pattern: a customer sends more than its contract allows, steadily or in a
+// burst, or more requests at once. Without the gate its requests fill queues and
+// slots that other customers have paid for, and are refused only after they
+// waited. With it they are refused at the door, at once and as not run.
+//
+// The gate is a token bucket (rate, burst) and a count of requests in flight
+// (concurrency). Its limits are this entry's share of the contract and change
+// several times a second; see package shares. The bucket starts empty: an entry
+// that is restarted again and again must not give a full burst each time.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Share is what this entry may use of a customer's contract at one service.
+// Shares are fractions of a contract, so all figures may be fractions.
+type Share struct {
+	// Rate is in requests per second.
+	Rate float64 `json:"rate"`
+	// Burst is how many requests may come at once.
+	Burst float64 `json:"burst"`
+	// Concurrency bounds the requests in flight.
+	Concurrency float64 `json:"concurrency"`
+}
+
+// Reason says which limit refused a request.
+type Reason string
+
+// The reasons.
+const (
+	OverRate        Reason = "rate"
+	OverConcurrency Reason = "concurrency"
+)
+
+// Decision is the gate's word on one request.
+type Decision struct {
+	OK     bool
+	Reason Reason
+	// RetryAfter is when a request would pass if no other came before it.
+	RetryAfter time.Duration
+}
+
+// perRequest is what one request takes from the bucket. The limiter counts whole
+// tokens, and a share of a burst is a fraction: thousandths keep its error under
+// a thousandth of a request.
+const perRequest = 1000
+
+// rounding lets a share that sums to a whole request but for the last bit of a
+// float pass as that whole.
+const rounding = 1e-6
+
+// shareWait is when to ask again where the share is too small for any request:
+// shares are borrowed and renewed several times in that time.
+const shareWait = time.Second
+
+// holdWeight is the weight of the newest request in the mean time in flight.
+const holdWeight = 0.1
+
+// Gate admits the requests of one customer to one service. It belongs to one
+// goroutine at a time.
+type Gate struct {
+	limiter *rate.Limiter
+	share   Share
+	running int
+	// held is the mean time a request is in flight.
+	held time.Duration
+}
+
+// New returns a gate that admits nothing until Set.
+func New() *Gate { return &Gate{limiter: rate.NewLimiter(0, 0)} }
+
+// Set puts a share in force. Tokens above a lowered burst are lost at once: the
+// share may be in use at another entry.
+func (g *Gate) Set(s Share, now time.Time) {
+	if s == g.share {
+		return
+	}
+	g.share = s
+	g.limiter.SetBurstAt(now, tokens(s.Burst))
+	g.limiter.SetLimitAt(now, rate.Limit(s.Rate*perRequest))
+}
+
+func tokens(requests float64) int {
+	t := math.Floor((requests + rounding) * perRequest)
+	return int(min(t, math.MaxInt32*perRequest))
+}
+
+// Admit decides on a request that came now. Each admitted request needs a Done.
+func (g *Gate) Admit(now time.Time) Decision {
+	if float64(g.running+1) > g.share.Concurrency+rounding {
+		return Decision{Reason: OverConcurrency, RetryAfter: g.nextEnd()}
+	}
+	if !g.limiter.AllowN(now, perRequest) {
+		return Decision{Reason: OverRate, RetryAfter: g.nextToken(now)}
+	}
+	g.running++
+	return Decision{OK: true}
+}
+
+// Done ends an admitted request that was in flight for so long.
+func (g *Gate) Done(took time.Duration) {
+	g.running--
+	if g.held == 0 {
+		g.held = took
+	}
+	g.held += time.Duration(holdWeight * float64(took-g.held))
+}
+
+// Running returns the requests in flight.
+func (g *Gate) Running() int { return g.running }
+
+// nextEnd estimates when one of the requests in flight will end.
+func (g *Gate) nextEnd() time.Duration {
+	if g.running == 0 {
+		return shareWait
+	}
+	return max(g.held/time.Duration(g.running), time.Millisecond)
+}
+
+func (g *Gate) nextToken(now time.Time) time.Duration {
+	if g.limiter.Burst() < perRequest || g.share.Rate <= 0 {
+		return shareWait
+	}
+	missing := perRequest - g.limiter.TokensAt(now)
+	return time.Duration(missing / (g.share.Rate * perRequest) * float64(time.Second))
+}
