Admission by shares and at most once, wired into entry and dispatcher

Cause: decisions that nothing calls protect nobody. Change: entries admit by contract and share, and talk to each other; dispatchers claim requests with an Idempotency-Key at their holders, settle, release and copy records.

--- a/internal/decide/idempotency/book.go
+++ b/internal/decide/idempotency/book.go
@@ -239,10 +239,17 @@
 	for p, at := range b.gone {
 		c.Gone = append(c.Gone, Departure{Place: p, Age: now - at})
 	}
+	copied := 0
 	for k, h := range b.records {
 		if slices.Contains(Holders(b.places, k), vm) {
 			r := h.Record
 			r.Age = now - h.changed
+			if r.Answer != nil {
+				copied += len(r.Answer.Body)
+			}
+			if copied > maxCopied {
+				r.Answer = nil
+			}
 			c.Records = append(c.Records, r)
 		}
 	}
--- a/internal/decide/idempotency/idempotency.go
+++ b/internal/decide/idempotency/idempotency.go
@@ -49,6 +49,8 @@
 	// maxAnswers bounds the bytes of kept answers; beyond it the oldest are
 	// dropped, and their repeats get unknown.
 	maxAnswers = 64 << 20
+	// maxCopied bounds the bytes of answers in one copy between dispatchers.
+	maxCopied = 8 << 20
 	// fleetStart is how young all dispatchers must be to count as a new fleet.
 	fleetStart = time.Minute
 	// holders is how many VMs hold a record: the fewest with two that meet.
@@ -149,9 +151,7 @@
 			clean++
 		}
 		mismatch = mismatch || v.Mismatch
-		if v.Record != nil && (record == nil || v.Record.Done) {
-			record = v.Record
-		}
+		record = better(record, v.Record)
 	}
 	switch q := Quorum(n); {
 	case n > 0 && stored >= q && clean >= q:
@@ -167,3 +167,16 @@
 	}
 	return Doubt, nil
 }
+
+// better returns the record that says more of the request's end.
+func better(a, b *Record) *Record {
+	switch {
+	case a == nil:
+		return b
+	case b == nil || a.Answer != nil || a.Done && b.Answer == nil:
+		return a
+	case b.Done:
+		return b
+	}
+	return a
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,8 +48,10 @@
 	sender *target.Sender
 	prober *target.Prober
 	parts  *parts
-	ctx    context.Context
-	cancel context.CancelFunc
+	// intents keeps requests with an Idempotency-Key to one run.
+	intents *intents
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu       sync.Mutex
 	queues   map[queueID]*queue
@@ -82,15 +84,18 @@
 		feed: d.feed, sender: d.sender, prober: d.prober, suspects: noSuspects{},
 		journal: p.Journal, registry: p.Registry, counts: newCounts(p.Registry),
 	}
-	if err := server.Register("Dispatch", &rpcReceiver{d}); err != nil {
+	d.intents = newIntents(p.Settings.VM, d.feed, p.Journal, p.Log, p.Registry)
+	if err := server.Register("Dispatch", &rpcReceiver{intents: d.intents, d: d}); err != nil {
 		return err
 	}
 	p.Life.Section("dispatch", d.dump)
+	p.Life.Section("intents", d.intents.dump)
 	p.LC.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 	return nil
 }
 
 func (d *dispatcher) start(context.Context) error {
+	d.duties.Go(func() { d.intents.keep(d.ctx) })
 	go func() {
 		if err := d.server.Serve(); err != nil {
 			d.Log.Error().Err(err).Str("step", "serve").Msg("peer server ended")
@@ -116,6 +121,7 @@
 	d.cancel()
 	d.duties.Wait()
 	d.server.Close()
+	d.intents.peers.Close()
 	d.sender.Close()
 	d.prober.Close()
 	d.Life.Drained()
@@ -123,11 +129,18 @@
 }
 
 // rpcReceiver holds the methods that net/rpc publishes.
-type rpcReceiver struct{ d *dispatcher }
+type rpcReceiver struct {
+	*intents
+	d *dispatcher
+}
 
 // Do runs a request and returns its one answer.
 func (r *rpcReceiver) Do(request *wire.Request, answer *wire.Answer) error {
-	*answer = r.d.do(request)
+	if request.IdempotencyKey == "" {
+		*answer = r.d.do(request)
+		return nil
+	}
+	*answer = r.d.intents.once(r.d.ctx, request, r.d.do)
 	return nil
 }
 
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -16,6 +16,7 @@
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/problem"
+	"hemlockquay/internal/view"
 )
 
 // stepAdmit is the step of refusals by contract.
@@ -95,7 +96,7 @@
 	now := a.clock.Now()
 	account := shares.Account{Customer: v.contract.Customer, Service: v.service.Name}
 	l := a.ledger(account, now)
-	l.allowance, l.longest = v.allowance, v.service.MaxDeadline.D()+answerMargin+a.readTimeout
+	a.setLimits(l, v.service, v.allowance)
 	l.offered++
 	a.refresh(account, l, now)
 	d := l.gate.Admit(instant(now))
@@ -137,6 +138,32 @@
 	return l
 }
 
+func (a *admitter) setLimits(l *ledger, s *model.Service, allowance model.Allowance) {
+	l.allowance, l.longest = allowance, s.MaxDeadline.D()+answerMargin+a.readTimeout
+}
+
+// open keeps a ledger for each account of the contracts in force. Buckets start
+// empty: one that began with a customer's first request would refuse it.
+func (a *admitter) open(v *view.View, now time.Duration) {
+	known := make(map[shares.Account]bool)
+	for _, c := range v.Contracts() {
+		for _, allowance := range c.Services {
+			s := v.Service(allowance.Service)
+			if s == nil {
+				continue
+			}
+			account := shares.Account{Customer: c.Customer, Service: s.Name}
+			known[account] = true
+			a.setLimits(a.ledger(account, now), s, allowance)
+		}
+	}
+	for account, l := range a.accounts {
+		if !known[account] && l.gate.Running() == 0 {
+			delete(a.accounts, account)
+		}
+	}
+}
+
 // refresh tells the book what the account needs and the gate what it has. It
 // must run before and after each change of the book: the gate counts a lowered
 // share from the last time that it was told.
@@ -197,11 +224,13 @@
 
 // period ends a renewal period: it takes the platform's list, measures demand
 // and forgets accounts without use.
-func (a *admitter) period(vms []string) {
+func (a *admitter) period(v *view.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	vms := listedNames(v.Listed)
 	a.vms = len(vms)
+	a.open(v, now)
 	a.refreshAll(now)
 	a.book.List(vms, now)
 	a.book.Expire(now)
--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -64,7 +64,7 @@
 	for {
 		select {
 		case <-period.C:
-			s.admitter.period(listedNames(s.feed.Current().Listed))
+			s.admitter.period(s.feed.Current())
 		case <-s.admitter.hungry:
 			if time.Since(last) < hungryPause {
 				continue
