Quarantine of requests that crash their targets, as a pure module

Cause: one request that kills each target that runs it takes a pool down, and all that runs beside it. Found on the way: an innocent request beside two killers was quarantined; kept as a test. With n dispatchers on one queue the bound is n + 1. Not wired yet.

--- /dev/null
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -0,0 +1,232 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testPool = "booth"
+
+// killer and the fingerprints above it; all others are innocent.
+const killers = 2
+
+// run is a request on a target.
+type run struct {
+	fp         Fingerprint
+	dispatcher int
+}
+
+// fleet is some dispatchers that share a pool of targets.
+type fleet struct {
+	t       *rapid.T
+	now     time.Duration
+	watches []*Watch
+	waiting [][]Fingerprint
+	targets [][]run
+	slots   int
+	kills   map[Fingerprint]int
+	served  map[Fingerprint]int
+	refused map[Fingerprint]int
+	// lossy loses notices between dispatchers.
+	lossy bool
+}
+
+func newFleet(t *rapid.T, dispatchers int) *fleet {
+	f := &fleet{t: t, slots: 3, kills: make(map[Fingerprint]int), served: make(map[Fingerprint]int), refused: make(map[Fingerprint]int)}
+	for i := range dispatchers {
+		f.watches = append(f.watches, New(fmt.Sprintf("vm%d", i)))
+		f.waiting = append(f.waiting, nil)
+	}
+	f.targets = make([][]run, 4)
+	return f
+}
+
+func name(target int) string { return fmt.Sprintf("target%d", target) }
+
+func (f *fleet) tell(from int, c *Case) {
+	for i, w := range f.watches {
+		if i != from && c != nil && !(f.lossy && rapid.Bool().Draw(f.t, "lost")) {
+			w.Notice(*c, f.now)
+		}
+	}
+}
+
+// permit asks all others at once, as the wiring does.
+func (f *fleet) permit(d int, fp Fingerprint) {
+	granted := true
+	c := f.watches[d].Case(fp, f.now)
+	for i, w := range f.watches {
+		if i == d {
+			continue
+		}
+		w.Notice(c, f.now)
+		granted = w.MayPermit(fp, testPool, f.watches[d].vm, f.now) && granted
+		f.watches[d].Notice(w.Case(fp, f.now), f.now)
+	}
+	f.watches[d].Permit(fp, granted, f.now)
+}
+
+// send offers one waiting request of a dispatcher to a target.
+func (f *fleet) send(d, target int) {
+	if len(f.waiting[d]) == 0 || len(f.targets[target]) >= f.slots {
+		return
+	}
+	fp := f.waiting[d][0]
+	f.waiting[d] = f.waiting[d][1:]
+	switch f.watches[d].Admit(fp, testPool, name(target), f.now) {
+	case Run:
+		f.watches[d].Started(fp, testPool, name(target), f.now)
+		f.targets[target] = append(f.targets[target], run{fp, d})
+	case Refuse:
+		f.refused[fp]++
+	case NeedsPermit:
+		f.permit(d, fp)
+		f.waiting[d] = append(f.waiting[d], fp)
+	default:
+		f.waiting[d] = append(f.waiting[d], fp)
+	}
+}
+
+// finish ends the oldest request on a target: a killer takes the target along,
+// and what ran beside it is sent again.
+func (f *fleet) finish(target int) {
+	if len(f.targets[target]) == 0 {
+		return
+	}
+	r := f.targets[target][0]
+	if r.fp > killers {
+		f.targets[target] = f.targets[target][1:]
+		f.served[r.fp]++
+		f.tell(r.dispatcher, f.watches[r.dispatcher].Finished(r.fp, testPool, name(target), true, f.now))
+		return
+	}
+	f.kills[r.fp]++
+	lost := f.targets[target]
+	f.targets[target] = nil
+	for d, w := range f.watches {
+		var running []Fingerprint
+		for _, x := range lost {
+			if x.dispatcher == d {
+				running = append(running, x.fp)
+				f.waiting[d] = append(f.waiting[d], x.fp)
+			}
+		}
+		if len(running) == 0 {
+			continue
+		}
+		for _, c := range w.Died(running, testPool, name(target), f.now) {
+			f.tell(d, &c)
+		}
+	}
+}
+
+func (f *fleet) step() {
+	d := rapid.IntRange(0, len(f.watches)-1).Draw(f.t, "dispatcher")
+	target := rapid.IntRange(0, len(f.targets)-1).Draw(f.t, "target")
+	switch rapid.IntRange(0, 5).Draw(f.t, "action") {
+	case 0:
+		f.waiting[d] = append(f.waiting[d], Fingerprint(rapid.IntRange(1, 12).Draw(f.t, "request")))
+	case 1, 2, 3:
+		f.send(d, target)
+	case 4:
+		f.finish(target)
+	case 5:
+		f.now += time.Duration(rapid.IntRange(1, 500).Draw(f.t, "ms")) * time.Millisecond
+	}
+}
+
+func (f *fleet) check(bound int) {
+	for fp := Fingerprint(1); fp <= killers; fp++ {
+		require.LessOrEqual(f.t, f.kills[fp], bound, "targets killed by %d", fp)
+	}
+	for fp := range f.refused {
+		if len(f.watches) > 1 {
+			// Stated in the package comment: "alone" is not known then.
+			break
+		}
+		require.LessOrEqual(f.t, fp, Fingerprint(killers), "an innocent request is quarantined")
+	}
+}
+
+// drain serves all that waits.
+func (f *fleet) drain() {
+	for range 2000 {
+		f.now += 50 * time.Millisecond
+		for target := range f.targets {
+			for d := range f.watches {
+				f.send(d, target)
+			}
+			f.finish(target)
+		}
+	}
+	for d := range f.waiting {
+		require.Empty(f.t, f.waiting[d], "requests that wait for ever")
+	}
+}
+
+// A caller sends a request that kills its target again and again, among innocent
+// ones, through all entries; they all lead to one queue. It kills two targets at
+// most, and each innocent request is served, though it ran beside the killer.
+func TestKillerTakesTwoTargetsAndInnocentsAreServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 1)
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			f.step()
+			f.check(2)
+		}
+		f.drain()
+		f.check(2)
+	})
+}
+
+// Members views differ and several dispatchers hold the pool's queue; notices
+// between them are lost. Each may have the killer in flight before any target
+// died, no more.
+func TestKillerIsBoundedWhileViewsDiffer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 4).Draw(t, "dispatchers")
+		f := newFleet(t, n)
+		f.lossy = rapid.Bool().Draw(t, "lossy")
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			f.step()
+			f.check(n + 1)
+		}
+	})
+}
+
+// Found by TestKillerTakesTwoTargetsAndInnocentsAreServed. Many identical
+// innocent requests are in flight; one of them runs beside a killer, another
+// beside a second killer. Two deaths were counted, and an ordinary request was
+// refused for hours.
+func TestInnocentBesideTwoKillersIsNotQuarantined(t *testing.T) {
+	w := New("vm1")
+	w.Started(3, testPool, "a", 0)
+	w.Finished(3, testPool, "a", true, 0)
+	for i, target := range []string{"a", "b"} {
+		w.Started(Fingerprint(i+1), testPool, target, 0)
+		w.Started(3, testPool, target, 0)
+	}
+	w.Died([]Fingerprint{1, 3}, testPool, "a", 1)
+	w.Died([]Fingerprint{2, 3}, testPool, "b", 2)
+	require.Equal(t, NeedsPermit, w.Admit(3, testPool, "c", 3))
+	w.Permit(3, true, 3)
+	require.Equal(t, Run, w.Admit(3, testPool, "c", 3))
+	w.Started(3, testPool, "c", 3)
+	require.NotNil(t, w.Finished(3, testPool, "c", true, 4), "cleared")
+	require.Equal(t, Run, w.Admit(3, testPool, "c", 5))
+}
+
+func TestQuarantineEndsAndCasesAreBounded(t *testing.T) {
+	w := New("vm1")
+	for i := range 2 * maxCases {
+		w.Notice(Case{Fingerprint: Fingerprint(i + 10), Deaths: []Death{{Name: "a"}}}, time.Duration(i))
+	}
+	require.LessOrEqual(t, len(w.cases), maxCases)
+	w.Notice(Case{Fingerprint: 1, Deaths: []Death{{Name: "a"}, {Name: "b", Alone: true, Proof: true}}}, 0)
+	require.Equal(t, Refuse, w.Admit(1, testPool, "t", time.Hour))
+	require.Equal(t, Run, w.Admit(1, testPool, "t", Lifetime+time.Hour))
+}
