Quarantine wired into the queues

Cause: the queues let everything run. Change: crashWatch implements Suspects for all queues of a dispatcher; permits and notices go to the other dispatchers; a new one fetches their cases. Admit is told the target, Finished whether the request was answered: a suspect must run alone, and only an answer clears it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	parts  *parts
 	// intents keeps requests with an Idempotency-Key to one run.
 	intents *intents
+	// crashes watches for requests that crash targets.
+	crashes *crashWatch
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -80,23 +82,26 @@
 		queues: make(map[queueID]*queue),
 		owners: make(map[string]*queue),
 	}
+	d.crashes = newCrashWatch(p.Settings.VM, d.feed, p.Journal, p.Log, p.Registry)
 	d.parts = &parts{
 		vm: p.Settings.VM, limit: p.Settings.QueueLength, fifo: p.Settings.Order == OrderFIFO,
-		feed: d.feed, sender: d.sender, prober: d.prober, suspects: noSuspects{},
+		feed: d.feed, sender: d.sender, prober: d.prober, suspects: d.crashes,
 		journal: p.Journal, registry: p.Registry, counts: newCounts(p.Registry),
 	}
 	d.intents = newIntents(p.Settings.VM, d.feed, p.Journal, p.Log, p.Registry)
-	if err := server.Register("Dispatch", &rpcReceiver{intents: d.intents, d: d}); err != nil {
+	if err := server.Register("Dispatch", &rpcReceiver{intents: d.intents, crashes: d.crashes, d: d}); err != nil {
 		return err
 	}
 	p.Life.Section("dispatch", d.dump)
 	p.Life.Section("intents", d.intents.dump)
+	p.Life.Section("quarantine", d.crashes.dump)
 	p.LC.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 	return nil
 }
 
 func (d *dispatcher) start(context.Context) error {
 	d.duties.Go(func() { d.intents.keep(d.ctx) })
+	d.duties.Go(func() { d.crashes.run(d.ctx) })
 	go func() {
 		if err := d.server.Serve(); err != nil {
 			d.Log.Error().Err(err).Str("step", "serve").Msg("peer server ended")
@@ -123,6 +128,7 @@
 	d.duties.Wait()
 	d.server.Close()
 	d.intents.peers.Close()
+	d.crashes.peers.Close()
 	d.sender.Close()
 	d.prober.Close()
 	d.Life.Drained()
@@ -132,7 +138,8 @@
 // rpcReceiver holds the methods that net/rpc publishes.
 type rpcReceiver struct {
 	*intents
-	d *dispatcher
+	crashes *crashWatch
+	d       *dispatcher
 }
 
 // Do runs a request and returns its one answer.
@@ -145,6 +152,16 @@
 	return nil
 }
 
+// Permit answers another dispatcher about a crashing request.
+func (r *rpcReceiver) Permit(args *PermitArgs, reply *PermitReply) error {
+	return r.crashes.Permit(args, reply)
+}
+
+// Cases gives all crashing requests that are known here.
+func (r *rpcReceiver) Cases(args *wire.Empty, reply *CaseList) error {
+	return r.crashes.Cases(args, reply)
+}
+
 // Cancel drops a request whose caller went away.
 func (r *rpcReceiver) Cancel(args *wire.CancelArgs, _ *wire.Empty) error {
 	r.d.mu.Lock()
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -91,7 +91,7 @@
 
 // launch sends the job, unless it is held, refused or without an owner.
 func (q *queue) launch(ctx context.Context, v *view.View, t *pooled, j *job, now time.Time) {
-	switch admission, p := q.suspects.Admit(j.request, now); admission {
+	switch admission, p := q.suspects.Admit(t.Name, j.request, now); admission {
 	case AdmitHold:
 		q.held[j] = struct{}{}
 		return
@@ -221,7 +221,7 @@
 		r.target.diedAt = now
 		q.suspects.Died(r.target.Name, r.target.requests(), now)
 	case r.job.sentAt.After(r.target.diedAt):
-		q.suspects.Finished(r.target.Name, r.job.request, now)
+		q.suspects.Finished(r.target.Name, r.job.request, r.err == nil, now)
 	}
 }
 
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -28,22 +28,15 @@
 // Admit lets run there is one Started, and then one Finished or, if the target
 // died under it, one Died that lists it.
 type Suspects interface {
-	// Admit decides on a request that a free slot waits for.
-	Admit(r *wire.Request, now time.Time) (Admission, *problem.Error)
+	// Admit decides on a request that a free slot of the target waits for.
+	Admit(target string, r *wire.Request, now time.Time) (Admission, *problem.Error)
 	// Started says that an attempt is on its way to the target.
 	Started(target string, r *wire.Request, now time.Time)
-	// Finished says that an attempt ended and the target lives.
-	Finished(target string, r *wire.Request, now time.Time)
+	// Finished says that an attempt ended and the target lives; answered, that
+	// the request ran to its end.
+	Finished(target string, r *wire.Request, answered bool, now time.Time)
 	// Died says that the target ended with these requests running on it: a
 	// connection broke, and the target cannot be reached or is in another
 	// incarnation. Requests that it lists get no Finished.
 	Died(target string, running []*wire.Request, now time.Time)
 }
-
-// noSuspects lets everything run.
-type noSuspects struct{}
-
-func (noSuspects) Admit(*wire.Request, time.Time) (Admission, *problem.Error) { return AdmitRun, nil }
-func (noSuspects) Started(string, *wire.Request, time.Time)                   {}
-func (noSuspects) Finished(string, *wire.Request, time.Time)                  {}
-func (noSuspects) Died(string, []*wire.Request, time.Time)                    {}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -10,6 +10,8 @@
 	MethodRelease = "Dispatch.Release"
 	MethodAwait   = "Dispatch.Await"
 	MethodCopy    = "Dispatch.CopyIntents"
+	MethodPermit  = "Dispatch.Permit"
+	MethodCases   = "Dispatch.Cases"
 )
 
 // AwaitArgs asks a coordinator for the end of a request that it runs.
