A planned stop hands its records of intent over

Change: Leave, Farewell; a restarted VM takes its farewell back before it stores anything, found by the random walks. A stop waits until records are settled.

--- a/internal/decide/idempotency/book.go
+++ b/internal/decide/idempotency/book.go
@@ -21,6 +21,10 @@
 	synced map[string]syncState
 	// gone are VMs that left the list, with the time; their records went too.
 	gone map[wire.Place]time.Duration
+	// farewells are VMs that handed their records over before they left.
+	farewells map[string]bool
+	// left says that this VM did, and records nothing more.
+	left bool
 
 	records map[Key]*held
 	// kept are the keys of records with answers, oldest first.
@@ -40,7 +44,7 @@
 
 // NewBook returns the book of a dispatcher that has just started.
 func NewBook(vm string, now time.Duration) *Book {
-	return &Book{vm: vm, started: now, forgot: true, synced: make(map[string]syncState), gone: make(map[wire.Place]time.Duration), records: make(map[Key]*held)}
+	return &Book{vm: vm, started: now, forgot: true, synced: make(map[string]syncState), gone: make(map[wire.Place]time.Duration), farewells: make(map[string]bool), records: make(map[Key]*held)}
 }
 
 // SetPlaces takes the platform's list, sorted by VM.
@@ -49,10 +53,13 @@
 		return
 	}
 	for _, p := range b.places {
-		if !slices.Contains(places, p) {
+		if !slices.Contains(places, p) && !b.farewells[p.VM] {
 			b.gone[p] = now
 		}
 	}
+	for _, p := range places {
+		delete(b.farewells, p.VM)
+	}
 	b.places = slices.Clone(places)
 	b.synced = make(map[string]syncState)
 }
@@ -93,6 +100,24 @@
 	return missing <= 1
 }
 
+// known tells whether every listed VM was asked for its copy since this one
+// started.
+//
+// Failure: a VM said farewell and was restarted under its name. It stores a claim
+// and is lost, and a VM that still has its farewell takes nothing for missing.
+// Asking for a copy takes the farewell back, so nothing is stored before.
+func (b *Book) known(now time.Duration) bool {
+	if !b.Forgot(now) {
+		return true
+	}
+	for _, p := range b.places {
+		if _, ok := b.synced[p.VM]; p.VM != b.vm && !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Forgot tells whether records of an earlier life may be missing here.
 func (b *Book) Forgot(now time.Duration) bool {
 	for p, at := range b.gone {
@@ -135,7 +160,7 @@
 // Claim votes on a claim. The holders are the coordinator's; a VM with another
 // list names others, and its vote does not count.
 func (b *Book) Claim(r Record, by []string, now time.Duration) Vote {
-	if !slices.Equal(by, Holders(b.places, r.Key)) {
+	if b.left || !slices.Equal(by, Holders(b.places, r.Key)) {
 		return Vote{}
 	}
 	b.expire(r.Key, now)
@@ -144,7 +169,7 @@
 		return Vote{Record: &copied, Mismatch: h.Fingerprint != r.Fingerprint}
 	}
 	v := Vote{Clean: b.clean(r.Key, now)}
-	if b.records[r.Key] != nil || b.room(now) {
+	if b.records[r.Key] != nil || b.known(now) && b.room(now) {
 		b.put(r, now)
 		v.Stored = true
 	}
@@ -235,6 +260,7 @@
 
 // CopyFor returns the records of which the asking VM is a holder.
 func (b *Book) CopyFor(vm string, now time.Duration) Copy {
+	delete(b.farewells, vm)
 	c := Copy{Places: b.places, Forgot: b.Forgot(now), Age: now - b.started}
 	for p, at := range b.gone {
 		c.Gone = append(c.Gone, Departure{Place: p, Age: now - at})
@@ -267,12 +293,45 @@
 		}
 	}
 	for _, r := range c.Records {
-		if h := b.records[r.Key]; h == nil || !h.Done && r.Done && h.Claim.ID == r.Claim.ID {
-			b.put(r, now)
-		}
+		b.merge(r, now)
 	}
 	b.synced[vm] = syncState{forgot: c.Forgot, age: c.Age}
 }
 
+// Leave returns all records, for the others to take over, and ends this VM's part
+// as a holder: a claim stored after it would be known to nobody.
+func (b *Book) Leave(now time.Duration) Copy {
+	b.left = true
+	c := Copy{Places: b.places, Forgot: b.Forgot(now), Age: now - b.started}
+	for _, h := range b.records {
+		r := h.Record
+		r.Age = now - h.changed
+		c.Records = append(c.Records, r)
+	}
+	return c
+}
+
+// Farewell takes over the records of a VM that leaves, those that this VM holds
+// or will hold without it. It must still be listed, and not have forgotten any.
+func (b *Book) Farewell(vm string, c Copy, now time.Duration) {
+	rest := slices.DeleteFunc(slices.Clone(b.places), func(p wire.Place) bool { return p.VM == vm })
+	if c.Forgot || len(rest) == len(b.places) {
+		return
+	}
+	for _, r := range c.Records {
+		if slices.Contains(Holders(rest, r.Key), b.vm) {
+			b.merge(r, now)
+		}
+	}
+	b.farewells[vm] = true
+}
+
+// merge adds a record of another VM, unless this one knows more.
+func (b *Book) merge(r Record, now time.Duration) {
+	if h := b.records[r.Key]; h == nil || !h.Done && r.Done && h.Claim.ID == r.Claim.ID {
+		b.put(r, now)
+	}
+}
+
 // Size returns the number of records and the bytes of their answers.
 func (b *Book) Size() (records, bytes int) { return len(b.records), b.bytes }
--- a/internal/decide/idempotency/idempotency_test.go
+++ b/internal/decide/idempotency/idempotency_test.go
@@ -127,7 +127,7 @@
 func (c *cluster) step() {
 	v := c.vms[rapid.IntRange(0, len(c.vms)-1).Draw(c.t, "vm")]
 	k := Key{Customer: "studio", Service: "booth", Name: fmt.Sprint(rapid.IntRange(0, 3).Draw(c.t, "key"))}
-	switch rapid.IntRange(0, 13).Draw(c.t, "action") {
+	switch rapid.IntRange(0, 14).Draw(c.t, "action") {
 	case 0, 1, 2:
 		if !v.dead {
 			c.begin(v, k)
@@ -161,6 +161,10 @@
 	case 12:
 		c.settle()
 	case 13:
+		if v != c.vms[0] && !v.dead {
+			c.leave(v)
+		}
+	case 14:
 		if len(c.vms) < 7 {
 			c.add()
 		}
@@ -168,6 +172,17 @@
 	c.now += time.Duration(rapid.IntRange(0, 2000).Draw(c.t, "ms")) * time.Millisecond
 }
 
+// leave is a planned stop; some of the others do not get the records.
+func (c *cluster) leave(v *vm) {
+	records := v.book.Leave(c.now)
+	for _, other := range c.vms {
+		if other != v && !other.dead && !rapid.Bool().Draw(c.t, "lost") {
+			other.book.Farewell(v.place.VM, records, c.now)
+		}
+	}
+	v.dead = true
+}
+
 func newCluster(t *rapid.T, n int) *cluster {
 	c := &cluster{t: t, runs: make(map[Key]int)}
 	for range n {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -124,6 +124,7 @@
 		_ = q.inbox.Push(d.ctx, message{drain: true})
 	}
 	d.calls.Wait()
+	d.intents.leave(ctx)
 	d.cancel()
 	d.duties.Wait()
 	d.server.Close()
@@ -148,7 +149,7 @@
 		*answer = r.d.do(request)
 		return nil
 	}
-	*answer = r.d.intents.once(r.d.ctx, request, r.d.do)
+	*answer = r.d.doOnce(request)
 	return nil
 }
 
@@ -173,6 +174,20 @@
 	return nil
 }
 
+// doOnce answers a request with an Idempotency-Key. It counts as a call until its
+// record is settled: a planned stop waits for that.
+func (d *dispatcher) doOnce(r *wire.Request) wire.Answer {
+	d.mu.Lock()
+	if d.draining {
+		d.mu.Unlock()
+		return wire.Refused(r.ID, problem.Refuse(problem.Leaving, stepIntent, d.Settings.VM, "the dispatcher is leaving"))
+	}
+	d.calls.Add(1)
+	d.mu.Unlock()
+	defer d.calls.Done()
+	return d.intents.once(d.ctx, r, d.do)
+}
+
 func (d *dispatcher) do(r *wire.Request) wire.Answer {
 	if r.Sum != wire.Sum(r.Body) {
 		return wire.Refused(r.ID, problem.Refuse(problem.BadRequest, "receive", d.Settings.VM, "the body's checksum does not match"))
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"hemlockquay/internal/decide/idempotency"
@@ -62,6 +64,43 @@
 	return nil
 }
 
+// FarewellArgs hands over the records of a dispatcher that leaves.
+type FarewellArgs struct {
+	VM      string
+	Records idempotency.Copy
+}
+
+// Farewell takes over the records of a dispatcher that leaves.
+func (t *intents) Farewell(args *FarewellArgs, _ *wire.Empty) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.book.Farewell(args.VM, args.Records, t.clock.Now())
+	t.journal.Add(stepIntent, "took over the records of a dispatcher that leaves", args.VM)
+	return nil
+}
+
+// leave hands the records over in a planned stop. One that does not arrive makes
+// the stop count like a loss at the VM that it was for.
+func (t *intents) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+	defer cancel()
+	t.mu.Lock()
+	args := &FarewellArgs{VM: t.vm, Records: t.book.Leave(t.clock.Now())}
+	t.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, m := range t.feed.Current().Members {
+		if m.VM == t.vm || m.DispatchAddr == "" {
+			continue
+		}
+		calls.Go(func() {
+			if err := t.peers.Get(m.DispatchAddr).Call(ctx, wire.MethodFarewell, args, &wire.Empty{}); err != nil {
+				t.log.Debug().Err(err).Str("step", stepIntent).Str("peer", m.VM).Msg("records not handed over")
+			}
+		})
+	}
+	calls.Wait()
+}
+
 // keep is the duty that follows the list of VMs and fetches missing records.
 func (t *intents) keep(ctx context.Context) {
 	tick := time.NewTicker(syncEvery)
@@ -91,7 +130,7 @@
 	now := t.clock.Now()
 	before := t.book.Places()
 	t.book.SetPlaces(v.Listed, now)
-	if len(before) != len(t.book.Places()) {
+	if !slices.Equal(before, t.book.Places()) {
 		clear(t.tried)
 		t.journal.Add(stepIntent, "holders of intents follow a new list of VMs", t.vm)
 	}
@@ -118,7 +157,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.book.TakeCopy(m.VM, reply, now)
-	if len(reply.Places) == len(t.book.Places()) {
+	if slices.Equal(reply.Places, t.book.Places()) {
 		t.tried[m.VM] = now
 	}
 }
--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -34,6 +34,9 @@
 	// the VM answered but had forgotten its own.
 	syncEvery   = 250 * time.Millisecond
 	resyncEvery = 5 * time.Second
+	// farewellTimeout bounds the handing over of records in a planned stop; all
+	// records with their answers are 90 MB at most.
+	farewellTimeout = 2 * time.Second
 	// sweepIntents is how often old records are dropped.
 	sweepIntents = 10 * time.Second
 )
--- a/internal/dispatch/intent_test.go
+++ b/internal/dispatch/intent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,6 +51,11 @@
 		v.Listed = append(v.Listed, wire.Place{VM: name, DataCentre: dc})
 		f.nodes, f.servers = append(f.nodes, node), append(f.servers, server)
 	}
+	f.copyAll(t)
+	return f
+}
+
+func (f *intentFleet) copyAll(t *testing.T) {
 	for range 2 {
 		for _, node := range f.nodes {
 			for _, m := range node.toCopy() {
@@ -57,7 +63,6 @@
 			}
 		}
 	}
-	return f
 }
 
 func booking(id, key, body string) *wire.Request {
@@ -180,3 +185,40 @@
 	}
 	require.EqualValues(t, 1, f.runs.Load())
 }
+
+// Two of a key's three holders leave as planned after a booking, one after the
+// other, and the platform drops them. Their records were handed over: a repeat gets
+// the first answer.
+func TestPlannedLeavesLoseNoRecord(t *testing.T) {
+	f := newIntentFleet(t, 6)
+	first := f.nodes[0].once(t.Context(), booking("a", "k", "x"), f.book)
+	require.Nil(t, first.Problem)
+	key := idempotency.Key{Customer: "narrators", Service: "booth", Name: "k"}
+	by := idempotency.Holders(f.nodes[0].book.Places(), key)[:2]
+	v := *f.nodes[0].feed.Current()
+	for _, name := range by {
+		for i, node := range f.nodes {
+			if node.vm == name {
+				node.leave(t.Context())
+				f.servers[i].Close()
+			}
+		}
+		next := v
+		next.Members = slices.DeleteFunc(slices.Clone(v.Members), func(m wire.Member) bool { return m.VM == name })
+		next.Listed = slices.DeleteFunc(slices.Clone(v.Listed), func(p wire.Place) bool { return p.VM == name })
+		v = next
+		for _, node := range f.nodes {
+			node.feed.(*fixedView).v = &next
+		}
+		f.copyAll(t)
+	}
+	for i, node := range f.nodes {
+		if slices.Contains(by, node.vm) {
+			continue
+		}
+		answer := node.once(t.Context(), booking(fmt.Sprint("r", i), "k", "x"), f.book)
+		require.Nil(t, answer.Problem)
+		require.Equal(t, "booked by a", string(answer.Body))
+	}
+	require.EqualValues(t, 1, f.runs.Load())
+}
