--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -166,7 +166,7 @@
 	begun := time.Now()
 	r.answer, r.err = q.sender.Send(ctx, a)
 	r.took = time.Since(begun)
-	if outcome(r.err) == retry.Lost {
+	if r.err != nil && outcome(r.err) == retry.Lost {
 		r.died = q.gone(a.Target.Addr, incarnation)
 	}
 	_ = q.inbox.Push(context.Background(), message{result: r})
