--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/wire"
 )
@@ -16,3 +19,23 @@
 func (noSuspects) Started(string, *wire.Request, time.Time)        {}
 func (noSuspects) Finished(string, *wire.Request, bool, time.Time) {}
 func (noSuspects) Died(string, []*wire.Request, time.Time)         {}
+
+// A target restarts between two looks at its health, and answers ordinary requests.
+// Each whole answer was taken for a death of the target, since it came from another
+// incarnation than was known; the ordinary request was quarantined.
+func TestWholeAnswerOfARestartedTargetIsNoDeath(t *testing.T) {
+	inBench(t, 1, false, func(b *bench) {
+		w := &deaths{}
+		b.queue.suspects = w
+		b.set("master-1", func(f *fakeTarget) { f.health.Incarnation = "master-1-1" })
+		s := stream{customer: "listeners", deadline: time.Second}
+		b.callers.Go(func() { b.call(s, "before", time.Millisecond) })
+		b.callers.Wait()
+		time.Sleep(time.Second)
+		b.set("master-1", func(f *fakeTarget) { f.health.Incarnation = "master-1-2" })
+		b.callers.Go(func() { b.call(s, "after", time.Millisecond) })
+		b.callers.Wait()
+		require.Empty(t, w.died)
+		require.Equal(t, 2, w.finished)
+	})
+}
--- /dev/null
+++ b/scripts/over-contract.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# One customer at ten times its contract through all entries of three VMs; see
+# experiments/limits/over-contract.jsonc.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/lab.sh
+dir=${1:-out/over-contract}
+trap 'lab_stop' EXIT
+lab_up "$dir" 3 examples/kalahari/deployment.jsonc || exit 1
+sleep 2
+bin/hq-load run --config experiments/limits/over-contract.jsonc --lab "$dir/load.jsonc" --json "$dir/report.json"
