--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -24,6 +24,7 @@
 	state    uint64
 	live     []wire.Member
 	combined []wire.Grant
+	listed   []wire.Place
 	daemons  map[string]daemonReport
 }
 
@@ -40,6 +41,9 @@
 // dispatchProcess is the daemon that takes requests from other VMs.
 const dispatchProcess = "hq-dispatch"
 
+// entryProcess is the daemon that shares the limits with other entries.
+const entryProcess = "hq-entry"
+
 // agentProcess is this daemon's name in reports and logs.
 const agentProcess = "hq-agent"
 
@@ -70,14 +74,14 @@
 
 // refresh computes members and grants anew and wakes the pulls if they differ.
 func (r *relay) refresh() {
-	live := visible(r.members.live())
+	live, listed := visible(r.members.live()), r.members.places()
 	combined := highestRanks(append(r.members.peerGrants(), r.grants.list()...))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if slices.Equal(live, r.live) && reflect.DeepEqual(combined, r.combined) {
+	if slices.Equal(live, r.live) && slices.Equal(listed, r.listed) && reflect.DeepEqual(combined, r.combined) {
 		return
 	}
-	r.live, r.combined = live, combined
+	r.live, r.combined, r.listed = live, combined, listed
 	r.state++
 	r.broadcastLocked()
 }
@@ -138,7 +142,7 @@
 	reply.State = r.state
 	if args.Source != r.incarnation || args.State != r.state {
 		reply.Changed = true
-		reply.Members, reply.Grants = r.live, r.combined
+		reply.Members, reply.Grants, reply.Listed = r.live, r.combined, r.listed
 	}
 	return r.changed
 }
@@ -182,12 +186,15 @@
 	reports := r.liveDaemons()
 	revision, ready := r.config.state()
 	r.members.updateSelf(func(m *wire.Member) {
-		m.DispatchAddr, m.Revision, m.Held = "", revision, revision
+		m.DispatchAddr, m.EntryAddr, m.Revision, m.Held = "", "", revision, revision
 		m.Holds = ready
 		for _, d := range reports {
 			if d.Process == dispatchProcess && !d.Leaving {
 				m.DispatchAddr = d.Addr
 			}
+			if d.Process == entryProcess {
+				m.EntryAddr = d.Addr
+			}
 			m.Revision = min(m.Revision, d.Revision)
 		}
 	})
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"net"
 	"time"
 
 	"hemlockquay/internal/daemon"
@@ -17,6 +18,9 @@
 	Listen string `json:"listen"`
 	// Agent is the IP:PORT of the VM's agent.
 	Agent string `json:"agent"`
+	// PeerListen is the IP:PORT for other entries. Default: a free port at the
+	// address of Listen; the agent tells the others.
+	PeerListen string `json:"peerListen,omitempty"`
 	// PeerConnections is how many data connections go to each dispatcher.
 	// Default 4.
 	PeerConnections int `json:"peerConnections,omitempty"`
@@ -60,5 +64,12 @@
 	if err := daemon.CheckAddr("/agent", s.Agent); err != nil {
 		return err
 	}
-	return daemon.CheckAddr("/listen", s.Listen)
+	if err := daemon.CheckAddr("/listen", s.Listen); err != nil {
+		return err
+	}
+	if s.PeerListen == "" {
+		host, _, _ := net.SplitHostPort(s.Listen)
+		s.PeerListen = net.JoinHostPort(host, "0")
+	}
+	return daemon.CheckAddr("/peerListen", s.PeerListen)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -169,11 +169,12 @@
 	if config {
 		f.merge(reply)
 	}
-	members, grants := old.Members, old.Grants
+	members, grants, listed := old.Members, old.Grants, old.Listed
 	if reply.Changed {
-		members, grants = reply.Members, reply.Grants
+		members, grants, listed = reply.Members, reply.Grants, reply.Listed
 	}
 	next := view.Build(f.list(), members, grants)
+	next.Listed = listed
 	next.Problems = append(f.problems(), next.Problems...)
 	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
 	f.lag.Update(int64(next.Revision))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -83,6 +83,8 @@
 	Incarnation  string
 	AgentAddr    string
 	DispatchAddr string
+	// EntryAddr is where the VM's entry takes calls of other entries.
+	EntryAddr string
 	// Leaving VMs get no new work.
 	Leaving bool
 	// Revision is the configuration in force on all daemons of the VM, and
@@ -171,6 +173,8 @@
 	Changed bool
 	Members []Member
 	Grants  []Grant
+	// Listed are all VMs of the platform's list, silent ones too, by name.
+	Listed []Place
 }
 
 // BeatArgs is a heartbeat between agents.
