--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -201,6 +201,23 @@
 	return out
 }
 
+// places returns all listed VMs, this one too, sorted by name; none before the
+// list was read. To name this VM alone would tell its entry that it may use the
+// whole of every contract.
+func (m *members) places() []wire.Place {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed {
+		return nil
+	}
+	out := []wire.Place{{VM: m.self.VM, DataCentre: m.self.DataCentre}}
+	for name, p := range m.peers {
+		out = append(out, wire.Place{VM: name, DataCentre: p.listed.DataCentre})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
 func (m *members) isListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/internal/decide/shares/shares.go
@@ -0,0 +1,205 @@
+// Package shares splits a contract's limits over the entries of all VMs.
+//
+// Load pattern: a customer's requests come through any entry, evenly or all
+// through one, and the mix changes within seconds. Without shares each entry
+// would have to admit the whole contract (nine entries: nine times the limit) or
+// a fixed ninth (a customer behind one entry gets a ninth of what it pays for).
+//
+// Every VM owns an equal part of every contract, its base, and lends what it does
+// not need to entries that do, by leases. Nothing is handed out by a home or a
+// leader, so there is no takeover, and no two homes at once: a part of a contract
+// has one owner, who alone decides whether it uses or lends it.
+//
+// The invariant, at every moment, whatever is cut, late, lost or restarted: the
+// shares in force at all entries add up to at most Whole. Three rules carry it:
+//
+//  1. Base. An entry's base is Whole / (VMs that it counts), and an entry has a
+//     base only after every VM that it counts has confirmed to count it. So of
+//     any two entries with a base each counts the other, no count is below the
+//     number of entries with a base, and the bases add up to at most Whole.
+//     A VM is struck off only when the platform's list lacks it and it was
+//     silent for holdDown.
+//  2. Loans. The lender counts a loan against its base from when it sends it
+//     until a lease after that and a drift margin; the borrower uses it until a
+//     lease after it asked, which is earlier. A lost or late message costs share
+//     for one lease and never makes share.
+//  3. Concurrency. A request admitted on a loan outlives the lease. The lender
+//     leaves a lapsed loan's concurrency unused until the borrower says that its
+//     requests in flight do not need it, or the longest request is over.
+//
+// With rate and burst in proportion to the share, and buckets that start empty
+// and lose what a lowered share has no room for, this bounds what is admitted:
+// over all entries, in any window, rate * window + burst requests of a customer.
+//
+// A cut-off entry keeps its loans for a lease and falls back to its base, the
+// limit / the VMs that it last knew; what it has lent comes back after a lease.
+//
+// What it does not cover: if every entry that answers was restarted within
+// patience while some entry is cut off, the restarted ones take up bases without
+// its word. That entry's base is too large then if VMs were added since its cut.
+// Nor VMs that start at the same time with lists that lack each other, and have
+// no third VM in common.
+package shares
+
+import "time"
+
+// Units count parts of a contract, so that shares add up exactly.
+type Units int64
+
+// Whole is a whole contract. It divides without rest by every number of VMs up
+// to 16.
+const Whole Units = 720720 << 20
+
+// Times of the protocol.
+const (
+	// Lease is how long a loan may be used, counted from the borrower's asking.
+	// It bounds how long a share lent and lost is missing.
+	Lease = time.Second
+	// Renew is how often entries ask: four times a lease, so that two messages
+	// in a row may be lost before a loan lapses.
+	Renew = 250 * time.Millisecond
+	// drift is what a lender adds to a lease. Clocks of VMs drift below 1e-3.
+	drift = Lease / 100
+	// holdDown is how long a VM that left the platform's list is still counted
+	// after its last message: its processes end within seconds.
+	holdDown = 10 * time.Second
+	// patience is how long restarted entries wait for one that is silent, if
+	// there is no other entry with a base.
+	patience = 10 * time.Second
+	// listLag is how long an entry that knows of no other VM waits for the
+	// platform's lagging list to name one.
+	listLag = 5 * time.Second
+	// heardWithin is how recent an answer must be to say that a VM is reached.
+	heardWithin = 2 * time.Second
+	// forget is how long an account without use is kept.
+	forget = time.Minute
+)
+
+// smallestAsk is the least part by which a loan grows, if so much is missing.
+const smallestAsk = Whole / 64
+
+// Account is one customer's contract at one service.
+type Account struct{ Customer, Service string }
+
+// Use is what an entry's own callers need of an account.
+type Use struct {
+	// Want is the share that the present demand asks for.
+	Want Units
+	// Busy is the share of the concurrency that requests in flight take up.
+	Busy Units
+	// Reserve is what the entry keeps of its base without any demand, for the
+	// first requests of a burst.
+	Reserve Units
+	// Longest is how long a request may be in flight.
+	Longest time.Duration
+}
+
+// Ask is what an entry sends to each other one every Renew.
+type Ask struct {
+	From        string
+	Incarnation int64
+	// Seq numbers the asks of an incarnation to one peer.
+	Seq uint64
+	// Echo is the Seq of the ask whose answer the sender took last.
+	Echo uint64
+	// Counted are the VMs that the sender counts, itself included.
+	Counted []string
+	Wants   []Want
+}
+
+// Want asks for a loan, and replaces the last one.
+type Want struct {
+	Account Account
+	Units   Units
+	// Needs is how much of the concurrency lent by this peer the sender's
+	// requests in flight take up.
+	Needs Units
+}
+
+// Answer is the reply to an Ask.
+type Answer struct {
+	From        string
+	Incarnation int64
+	Counted     []string
+	// Confirmed says that the answering entry counts the asking one and keeps
+	// within the smaller base.
+	Confirmed bool
+	// Based says that the answering entry has a base.
+	Based bool
+	Loans []Loan
+}
+
+// Loan is what an Answer lends until a Lease after the Ask was sent.
+type Loan struct {
+	Account Account
+	Units   Units
+}
+
+// Book is one entry's part of the protocol. It belongs to one goroutine at a
+// time. Times are readings of one clock that never goes back.
+type Book struct {
+	roster   roster
+	accounts map[Account]*account
+}
+
+// New returns the book of an entry that has just started. The incarnation must
+// be above that of every earlier life of this VM.
+func New(vm string, incarnation int64, now time.Duration) *Book {
+	return &Book{roster: newRoster(vm, incarnation, now), accounts: make(map[Account]*account)}
+}
+
+// List takes the platform's list of VMs.
+func (b *Book) List(vms []string, now time.Duration) { b.roster.list(vms, now) }
+
+// SetUse says what the entry's own callers need of an account.
+func (b *Book) SetUse(a Account, u Use, now time.Duration) {
+	x := b.account(a)
+	x.use, x.touched = u, now
+}
+
+// Counted returns the VMs that this entry counts, sorted.
+func (b *Book) Counted() []string { return b.roster.names() }
+
+// Share returns what the entry may use of an account now, for rate and burst,
+// and for concurrency.
+func (b *Book) Share(a Account, now time.Duration) (rate, concurrency Units) {
+	x := b.account(a)
+	base := b.roster.base(now)
+	borrowed := x.borrowedNow(now)
+	rate = max(base-x.lentRate(now), 0) + borrowed
+	return rate, b.ownConcurrency(x, now) + borrowed
+}
+
+// ownConcurrency is what is left of the base.
+func (b *Book) ownConcurrency(x *account, now time.Duration) Units {
+	return max(b.concurrencyBase(x, now)-x.lentConcurrency(now), 0)
+}
+
+// concurrencyBase is 0 while requests of an earlier life may be in flight on
+// loans that this life knows nothing of and nobody confirmed to have ended.
+func (b *Book) concurrencyBase(x *account, now time.Duration) Units {
+	if b.roster.provisional && now-b.roster.started < x.use.Longest+Lease+drift {
+		return 0
+	}
+	return b.roster.base(now)
+}
+
+// Expire strikes off VMs that are gone and forgets accounts without use.
+func (b *Book) Expire(now time.Duration) {
+	b.roster.expire(now)
+	for a, x := range b.accounts {
+		x.expire(now)
+		if now-x.touched > forget && len(x.lent) == 0 && len(x.borrowed) == 0 {
+			delete(b.accounts, a)
+		}
+	}
+}
+
+func (b *Book) account(a Account) *account {
+	x := b.accounts[a]
+	if x == nil {
+		x = newAccount()
+		b.accounts[a] = x
+	}
+	return x
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -47,6 +47,8 @@
 	Process string
 	// Data is the daemon's data address, "" if it takes none.
 	Data string
+	// Loads returns the daemon's hottest groups; nil where it takes no requests.
+	Loads func() []wire.GroupLoad
 }
 
 // Feed holds the current view. Current is safe for concurrent use.
@@ -167,11 +169,12 @@
 	if config {
 		f.merge(reply)
 	}
-	members, grants := old.Members, old.Grants
+	members, grants, listed := old.Members, old.Grants, old.Listed
 	if reply.Changed {
-		members, grants = reply.Members, reply.Grants
+		members, grants, listed = reply.Members, reply.Grants, reply.Listed
 	}
 	next := view.Build(f.list(), members, grants)
+	next.Listed = listed
 	next.Problems = append(f.problems(), next.Problems...)
 	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
 	f.lag.Update(int64(next.Revision))
@@ -291,6 +294,9 @@
 		Stopped:  stopped,
 		Problems: v.Problems,
 	}
+	if f.endpoint.Loads != nil {
+		args.Loads = f.endpoint.Loads()
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportEvery)
 	defer cancel()
 	if err := f.client.Call(ctx, wire.MethodReport, &args, &wire.Empty{}); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,7 @@
 	MethodPull   = "Agent.Pull"
 	MethodBeat   = "Agent.Beat"
 	MethodReport = "Agent.Report"
+	MethodLoads  = "Agent.Loads"
 	MethodSync   = "Agent.Sync"
 )
 
@@ -82,6 +83,8 @@
 	Incarnation  string
 	AgentAddr    string
 	DispatchAddr string
+	// EntryAddr is where the VM's entry takes calls of other entries.
+	EntryAddr string
 	// Leaving VMs get no new work.
 	Leaving bool
 	// Revision is the configuration in force on all daemons of the VM, and
@@ -170,6 +173,8 @@
 	Changed bool
 	Members []Member
 	Grants  []Grant
+	// Listed are all VMs of the platform's list, silent ones too, by name.
+	Listed []Place
 }
 
 // BeatArgs is a heartbeat between agents.
@@ -209,4 +214,24 @@
 	Stopped bool
 	// Problems lists objects that it could not put in force.
 	Problems []string
+	// Loads are the hottest groups of a dispatcher, at most MaxLoads.
+	Loads []GroupLoad
+}
+
+// MaxLoads bounds the groups in one report. Placement moves the hottest; the
+// rest is known well enough as an even spread.
+const MaxLoads = 256
+
+// GroupLoad is the requests per second that one dispatcher, or one VM, took for
+// a group of slices.
+type GroupLoad struct {
+	Service string
+	Group   uint64
+	Rate    float64
+}
+
+// LoadsArgs tells a service's assigner what a VM takes for its groups.
+type LoadsArgs struct {
+	VM    string
+	Loads []GroupLoad
 }
