--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -15,7 +15,7 @@
 cases=(none-up move-up pause-up owner-up owner-down both-up grantor-up grantor-down)
 
 if [ -n "${BASELINE:-}" ]; then
-  window=7 settle=10
+  window=7 settle=5
   cases=(none-up owner-up owner-down both-up)
   eval "plain_$(declare -f lab_start)"
   lab_start() {
@@ -52,10 +52,36 @@
 kill_target() { curl -fsS -X POST "$STANDIN/targets/$1/kill"; }
 store_down() { curl -fsS -X PUT "$STANDIN/store/faults" -d "{\"down\": $1}" >/dev/null; }
 
+# edit PYTHON : changes the groups of shelf's record, a list named groups, by a
+# conditional write. Not by jq, which rounds the 64-bit bounds of slices.
+edit() {
+  python3 - "$STORE/apis/hemlockquay.example/v1/quayobjects/assignment.shelf" "$1" <<'PY'
+import json, sys, urllib.error, urllib.request
+for _ in range(20):
+    item = json.load(urllib.request.urlopen(sys.argv[1]))
+    exec(sys.argv[2], {"groups": item["spec"]["groups"]})
+    put = urllib.request.Request(sys.argv[1], json.dumps(item).encode(), method="PUT")
+    try:
+        urllib.request.urlopen(put)
+        break
+    except urllib.error.HTTPError:
+        pass
+PY
+}
+
 move() {
-  local object=$STORE/apis/hemlockquay.example/v1/quayobjects/assignment.shelf
-  curl -fsS "$object" | jq --arg t "$1" '.spec.groups |= map(if .owner.name == $t then .moveTo = .standby.name else . end)' |
-    curl -fsS -X PUT "$object" -d @- >/dev/null
+  edit "
+for g in groups:
+    if g['owner']['name'] == '$1': g['moveTo'] = g['standby']['name']"
+}
+
+# fill_lines : a record planned while VMs start may name too few grantors.
+fill_lines() {
+  edit "
+for n, g in enumerate(groups):
+    others = ['vm%d' % (1 + (n + k) % $vms) for k in range($vms)]
+    g['grantors'] += [vm for vm in others if vm not in g['grantors']][:max(0, 3 - len(g['grantors']))]
+    g['epoch'] += 1"
 }
 
 lose() {
@@ -90,6 +116,8 @@
   [ "$try" = 3 ] && exit 1
 done
 sleep $settle
+fill_lines
+sleep $settle
 jq --argjson n ${#cases[@]} --argjson w $window --argjson e $loaded '
   [.workloads[] | select(.service == "shelf")][0] as $l |
   {entries: .entries[:$e], standin, duration: "\($n * $w)s",
