--- a/internal/loadgen/experiment.go
+++ b/internal/loadgen/experiment.go
@@ -21,6 +21,10 @@
 	// Entries are base URLs of entries; requests go to them in turn. A plan
 	// fills them in where an experiment file leaves them out.
 	Entries []string `json:"entries,omitempty"`
+	// Admins are the entries' admin IP:PORTs in the same order. The balancer
+	// that the load plays leaves out entries whose /readyz says no; without
+	// them it sends to all.
+	Admins []string `json:"admins,omitempty"`
 	// Standin is the base URL of the stand-in's admin port, for faults and for
 	// the check of what ran. "" skips the check.
 	Standin string `json:"standin,omitempty"`
@@ -122,6 +126,9 @@
 	if e.SlowAfter == 0 {
 		e.SlowAfter = defaultSlowAfter
 	}
+	if len(e.Admins) > 0 && len(e.Admins) != len(e.Entries) {
+		return settings.Impossible("/admins", "%d admins for %d entries", len(e.Admins), len(e.Entries))
+	}
 	if e.Duration < 0 {
 		return settings.Impossible("/duration", "%v is below 0", e.Duration)
 	}
@@ -181,7 +188,7 @@
 // entries, the stand-in, and each workload's token by its customer.
 func (e *Experiment) TakePlaces(lab *Experiment) {
 	if len(e.Entries) == 0 {
-		e.Entries = lab.Entries
+		e.Entries, e.Admins = lab.Entries, lab.Admins
 	}
 	if e.Standin == "" {
 		e.Standin = lab.Standin
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -28,13 +30,14 @@
 	tallies    []*tally
 	prefix     string
 	begin      time.Time
+	balancer   *balancer
 }
 
 // call is one request of the load.
 type call struct {
-	id, key, entry string
-	number         int
-	planned        time.Duration
+	id, key string
+	number  int
+	planned time.Duration
 }
 
 // Run offers the load and returns the report.
@@ -44,6 +47,7 @@
 		http:       &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, DisableCompression: true}},
 		prefix:     strconv.FormatInt(time.Now().UnixNano(), 36),
 		begin:      time.Now(),
+		balancer:   newBalancer(e),
 	}
 	defer r.http.CloseIdleConnections()
 	if err := r.stream(ctx); err != nil {
@@ -69,6 +73,7 @@
 		r.tallies = append(r.tallies, t)
 		streams.Go(func() { r.workload(ctx, i, t, times, newKeys(w, random)) })
 	}
+	faults.Go(func() { r.balancer.run(ctx) })
 	faults.Go(func() {
 		if err := r.faults(ctx); err != nil {
 			cancel(err)
@@ -91,7 +96,7 @@
 		}
 		c := call{
 			id: fmt.Sprintf("%s-%d-%d", r.prefix, index, n), number: n, planned: at,
-			key: keys.at(at), entry: r.experiment.Entries[n%len(r.experiment.Entries)],
+			key: keys.at(at),
 		}
 		requests.Go(func() { r.request(ctx, t, c) })
 	}
@@ -140,7 +145,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.begin.Add(c.planned+t.workload.Deadline.D()+graceAfter))
 	defer cancel()
 	body := bytes.Repeat([]byte("b"), t.workload.BodyBytes)
-	resp, answer, err := r.exchange(ctx, t.workload, c, body)
+	resp, answer, err := r.balance(ctx, t.workload, c, body)
 	o.took = time.Since(r.begin) - c.planned
 	if err != nil {
 		o.err = err
@@ -158,8 +163,21 @@
 	t.note(o)
 }
 
-func (r *runner) exchange(ctx context.Context, w *Workload, c call, body []byte) (*http.Response, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, w.Method, c.entry+"/s/"+w.Service+"/work", bytes.NewReader(body))
+// balance sends the request to the next entry that takes a connection, as a
+// balancer does: where the dial fails, nothing was sent.
+func (r *runner) balance(ctx context.Context, w *Workload, c call, body []byte) (*http.Response, []byte, error) {
+	for tried := 0; ; tried++ {
+		resp, answer, err := r.exchange(ctx, w, c, r.balancer.pick(c.number, tried), body)
+		var op *net.OpError
+		dialled := err == nil || !errors.As(err, &op) || op.Op != "dial"
+		if dialled || ctx.Err() != nil || tried >= len(r.experiment.Entries) {
+			return resp, answer, err
+		}
+	}
+}
+
+func (r *runner) exchange(ctx context.Context, w *Workload, c call, entry string, body []byte) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, w.Method, entry+"/s/"+w.Service+"/work", bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -137,6 +137,7 @@
 		}
 		p.standin.VMs = append(p.standin.VMs, platform.VM{Name: name, DataCentre: base.DataCentre, AgentAddr: ports[0], State: platform.VMLive})
 		p.result.Entries = append(p.result.Entries, "http://"+ports[2])
+		p.load.Admins = append(p.load.Admins, ports[5])
 		p.result.Agents = append(p.result.Agents, ports[3])
 	}
 	return nil
