--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -75,7 +75,9 @@
 
 // planner collects what is written.
 type planner struct {
-	dir     string
+	dir string
+	// taken are the addresses that this plan has given out.
+	taken   map[string]bool
 	result  Result
 	load    loadgen.Experiment
 	standin standin.Settings
@@ -83,8 +85,8 @@
 
 // Write plans the deployments on vms VMs and writes all files below dir.
 func Write(dir string, vms int, deployments []Deployment) (*Result, error) {
-	p := &planner{dir: dir}
-	ports, err := freePorts(2)
+	p := &planner{dir: dir, taken: make(map[string]bool)}
+	ports, err := p.freePorts(2)
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +115,7 @@
 const portsPerVM = 6
 
 func (p *planner) planVMs(n int, dcs []string) error {
-	all, err := freePorts(n * portsPerVM)
+	all, err := p.freePorts(n * portsPerVM)
 	if err != nil {
 		return err
 	}
@@ -164,7 +166,7 @@
 }
 
 func (p *planner) planService(d *Deployment, s Service) error {
-	ports, err := freePorts(s.Servers)
+	ports, err := p.freePorts(s.Servers)
 	if err != nil {
 		return err
 	}
@@ -210,20 +212,25 @@
 	maxDraws = 10_000
 )
 
-// freePorts returns n loopback addresses that were free a moment ago. All are
-// held open together, so that none is returned twice.
-func freePorts(n int) ([]string, error) {
+// freePorts returns n loopback addresses that were free a moment ago. None is
+// returned twice in one plan.
+func (p *planner) freePorts(n int) ([]string, error) {
 	addrs := make([]string, 0, n)
 	for draws := 0; len(addrs) < n; draws++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort)))
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
+		if p.taken[addr] {
+			continue
+		}
+		l, err := net.Listen("tcp", addr)
 		if err != nil && draws >= maxDraws {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
 		if err != nil {
 			continue
 		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
+		l.Close()
+		p.taken[addr] = true
+		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
