Daemons of a new VM are ready only once its agent heard its peers

Cause: a replaced VM's dispatcher took requests before its agent had heard who owns which key; callers waited out their deadline.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -142,7 +142,7 @@
 // becomeReady waits for the first configuration.
 func (a *agent) becomeReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, ready := a.config.state(); ready {
+		if _, ready := a.config.state(); ready && a.members.settled() {
 			a.Life.Ready()
 			return
 		}
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -23,6 +23,7 @@
 type members struct {
 	clock   boottime.Clock
 	silence time.Duration
+	begun   time.Duration
 	// changed is told of members, grantsChanged of peers' grants.
 	changed, grantsChanged func()
 
@@ -47,7 +48,7 @@
 
 func newMembers(self wire.Member, clock boottime.Clock, silence time.Duration, changed func()) *members {
 	return &members{
-		self: self, clock: clock, silence: silence, changed: changed, grantsChanged: changed,
+		self: self, clock: clock, silence: silence, begun: clock.Now(), changed: changed, grantsChanged: changed,
 		peers: make(map[string]*peerState),
 	}
 }
@@ -187,6 +188,33 @@
 	return out
 }
 
+// settleWithin bounds how long a new agent waits for the word of its peers: a
+// peer that has not answered within the time that makes it silent is gone.
+const settleWithin = time.Second
+
+// settled tells whether members and grants are complete enough to act on.
+//
+// Failure: a VM is replaced. Its dispatcher is ready at once and gets requests,
+// but its agent has not heard the peers' grants yet; every key seems without
+// owner, and callers wait out their deadline. So daemons are ready only once
+// each listed peer has told its grants, or is taken for lost.
+func (m *members) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.clock.Now()-m.begun >= settleWithin {
+		return true
+	}
+	if !m.listed {
+		return false
+	}
+	for _, p := range m.peers {
+		if p.source == "" && p.listed.State == platform.VMLive {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *members) isListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/agent/members_test.go
+++ b/internal/agent/members_test.go
@@ -61,3 +61,19 @@
 	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
 	require.Len(t, m.live(), 1)
 }
+
+// A VM is replaced under load. Its dispatcher gets requests before its agent has
+// heard who owns which key, and callers wait out their deadline. The agent is
+// settled only with every listed peer's grants, or once silence shows.
+func TestMembersSettle(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	m := twoMembers(clock)
+	require.False(t, m.settled())
+	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
+	require.False(t, m.settled())
+	m.takeGrants("vm2", &wire.BeatReply{Member: wire.Member{Incarnation: "vm2-1"}})
+	require.True(t, m.settled())
+	lonely := twoMembers(clock)
+	clock.now += settleWithin
+	require.True(t, lonely.settled())
+}
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -134,6 +134,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.config.since(args.Revision, wantedBy(args.Process), reply)
+	reply.Ready = reply.Ready && r.members.settled()
 	reply.State = r.state
 	if args.Source != r.incarnation || args.State != r.state {
 		reply.Changed = true
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,6 +33,8 @@
 	pullTimeout = pullWait + time.Second
 	// retryPause is the pause after a failed pull.
 	retryPause = 200 * time.Millisecond
+	// readyPause is the pause while the agent is not ready.
+	readyPause = 50 * time.Millisecond
 	// reportEvery is how often the daemon tells the agent that it lives.
 	reportEvery = 500 * time.Millisecond
 	// reportLeast is the pause before a report of a new revision.
@@ -142,7 +144,8 @@
 		return err
 	}
 	if !reply.Ready {
-		f.life.NotReadyBecause("agent " + f.endpoint.Agent + " holds no configuration yet")
+		f.life.NotReadyBecause("agent " + f.endpoint.Agent + " holds no configuration yet or has not heard its peers")
+		pause(ctx, readyPause)
 		return nil
 	}
 	f.apply(v, &reply)
