--- a/internal/ctl/cli/fleet.go
+++ b/internal/ctl/cli/fleet.go
@@ -68,3 +68,34 @@
 	}
 	return c.app.print(account, func(w io.Writer) { fmt.Fprint(w, account.Text()) })
 }
+
+type drill struct {
+	app       *app
+	Changes   int     `long:"changes" default:"20" description:"how many changes"`
+	PerSecond float64 `long:"per-second" default:"1.3" description:"changes per second"`
+	Args      struct {
+		Customer string `positional-arg-name:"CUSTOMER" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *drill) Execute([]string) error {
+	ctx, cancel := c.app.context()
+	defer cancel()
+	d, err := c.app.fleet().RunDrill(ctx, c.Args.Customer, c.Changes, c.PerSecond)
+	if err != nil {
+		return err
+	}
+	return c.app.print(d, func(w io.Writer) {
+		fmt.Fprintf(w, "%d changes, %d daemons, %d not seen\n", d.Changes, d.Daemons, d.Missing)
+		table(w, [][]string{
+			{"ACCEPTED TO IN FORCE", "P50 MS", "P99 MS", "MAX MS"},
+			append([]string{"on one daemon"}, cells(d.PerDaemon)...),
+			append([]string{"on the last daemon"}, cells(d.Everywhere)...),
+		})
+	})
+}
+
+func cells(s ctl.Spread) []string {
+	return []string{fmt.Sprintf("%.1f", s.P50), fmt.Sprintf("%.1f", s.P99), fmt.Sprintf("%.1f", s.Max)}
+}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -80,29 +80,27 @@
 
 // journals returns the entries of all daemons, and those that did not answer.
 func (f *Fleet) journals(ctx context.Context) ([]journal.Entry, []string, error) {
-	statuses := f.statuses(ctx)
-	if len(statuses) == 0 {
-		return nil, nil, fmt.Errorf("the daemons' addresses stand in the store: %w", errNoAgent)
+	daemons, err := f.daemons(ctx)
+	if err != nil {
+		return nil, nil, err
 	}
 	var mu sync.Mutex
 	var entries []journal.Entry
 	var missing []string
 	var asks errgroup.Group
 	asks.SetLimit(askAtOnce)
-	for _, s := range statuses {
-		for _, a := range s.AdminAddrs {
-			asks.Go(func() error {
-				var got []journal.Entry
-				err := f.ask(ctx, a.Addr, "/journal", &got)
-				mu.Lock()
-				defer mu.Unlock()
-				entries = append(entries, got...)
-				if err != nil {
-					missing = append(missing, s.Name+"/"+a.Process)
-				}
-				return nil
-			})
-		}
+	for _, d := range daemons {
+		asks.Go(func() error {
+			var got []journal.Entry
+			err := f.ask(ctx, d.addr, "/journal", &got)
+			mu.Lock()
+			defer mu.Unlock()
+			entries = append(entries, got...)
+			if err != nil {
+				missing = append(missing, d.vm+"/"+d.process)
+			}
+			return nil
+		})
 	}
 	_ = asks.Wait()
 	slices.Sort(missing)
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -70,9 +70,51 @@
 
 // agentDump is the part of an agent's dump that operators need.
 type agentDump struct {
-	Members []wire.Member `json:"members"`
+	Members []wire.Member     `json:"members"`
+	Daemons []wire.ReportArgs `json:"daemons"`
 }
 
+// daemonAddr is a daemon's admin address.
+type daemonAddr struct{ vm, process, addr string }
+
+// daemons returns the admin addresses of all daemons: from the status objects,
+// and for VMs that cannot write theirs from their agents.
+func (f *Fleet) daemons(ctx context.Context) ([]daemonAddr, error) {
+	statuses := f.statuses(ctx)
+	var out []daemonAddr
+	known := make(map[string]bool)
+	for _, s := range statuses {
+		known[s.Name] = true
+		for _, a := range s.AdminAddrs {
+			out = append(out, daemonAddr{s.Name, a.Process, a.Addr})
+		}
+	}
+	dumps, err := f.askAgents(ctx, statuses)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range dumps {
+		for _, m := range d.Members {
+			if known[m.VM] {
+				continue
+			}
+			known[m.VM] = true
+			out = append(out, daemonAddr{m.VM, agentProcess, m.AdminAddr})
+			own, err := f.agentDump(ctx, m.AdminAddr)
+			if err != nil {
+				continue
+			}
+			for _, r := range own.Daemons {
+				out = append(out, daemonAddr{m.VM, r.Process, r.Admin})
+			}
+		}
+	}
+	return out, nil
+}
+
+// agentProcess is the agent's name in status objects.
+const agentProcess = "hq-agent"
+
 // VMs returns all VMs that the platform lists or an agent hears, by name.
 func (f *Fleet) VMs(ctx context.Context) ([]VM, error) {
 	found := make(map[string]*VM)
@@ -150,7 +192,7 @@
 func (f *Fleet) askAgents(ctx context.Context, statuses []model.VMStatus) ([]agentDump, error) {
 	addrs := slices.Clone(f.Agents)
 	for _, s := range statuses {
-		addrs = append(addrs, adminOf(s, "hq-agent"))
+		addrs = append(addrs, adminOf(s, agentProcess))
 	}
 	named := len(f.Agents)
 	rand.Shuffle(len(addrs)-named, func(i, j int) { addrs[named+i], addrs[named+j] = addrs[named+j], addrs[named+i] })
@@ -242,12 +284,16 @@
 
 // Dump returns a daemon's whole state.
 func (f *Fleet) Dump(ctx context.Context, vm, process string) (json.RawMessage, error) {
-	for _, s := range f.statuses(ctx) {
-		if s.Name == vm {
+	daemons, err := f.daemons(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range daemons {
+		if d.vm == vm && d.process == process {
 			var out json.RawMessage
-			err := f.ask(ctx, adminOf(s, process), "/dump", &out)
+			err := f.ask(ctx, d.addr, "/dump", &out)
 			return out, err
 		}
 	}
-	return nil, fmt.Errorf("no status of VM %s in the store", vm)
+	return nil, fmt.Errorf("no address of %s on VM %s is known", process, vm)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
@@ -234,7 +235,7 @@
 	if known {
 		before = fmt.Sprintf("version %d was before", old)
 	}
-	f.life.Note("configure", fmt.Sprintf("%s %s version %d is in force, %s", o.Kind, o.Name, o.Version, before), o.Name)
+	f.life.Note("configure", fmt.Sprintf("%s %s version %d is in force, %s", o.Kind, o.Name, o.Version, before), o.Name, journal.Version(o.Name, o.Version))
 }
 
 // problems returns what is not in force and why, sorted.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -34,6 +34,9 @@
 // Group is the subject that names a group of a service.
 func Group(service string, id uint64) string { return fmt.Sprintf("%s/%d", service, id) }
 
+// Version is the subject that names one version of an object.
+func Version(name string, version uint64) string { return fmt.Sprintf("%s@%d", name, version) }
+
 // maxSteps bounds how many steps have a list of their own; more share one.
 const maxSteps = 32
 
--- a/scripts/lab.sh
+++ b/scripts/lab.sh
@@ -51,6 +51,8 @@
   bin/hq-standin plan --dir "$dir" --vms "$vms" "${deployments[@]}" >"$dir/env" || return 1
   # shellcheck disable=SC1091
   . "$dir/env"
+  # A script may define lab_planned to change the settings before the start.
+  if declare -F lab_planned >/dev/null; then lab_planned; fi
   lab_start "$dir/standin.log" bin/hq-standin run --config "$dir/standin.jsonc"
   lab_wait "$STANDIN/healthz" || return 1
   bin/hqctl --store "$STORE" service apply "$dir"/objects/service.*.jsonc >"$dir/apply.log" || return 1
--- /dev/null
+++ b/scripts/propagation.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Measures configuration on 9 VMs: time from accepted to in force on all daemons,
+# processor time and bytes of control for each daemon, store calls by cause.
+# Usage: propagation.sh up|cut|down
+#   up    every agent reaches the store
+#   cut   only vm1's agent reaches it; the others get a store that refuses
+#   down  the store goes down; time to ready of a VM that starts without it
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/lab.sh
+mode=${1:-up}
+dir=out/${LAB_DIR:-propagation}
+trap 'lab_stop; exit 130' INT TERM
+trap 'lab_stop' EXIT
+
+# The cut: settings name a port where nobody listens.
+if [ "$mode" = cut ]; then
+  lab_planned() { sed -i 's#"store": "[^"]*"#"store": "http://127.0.0.1:9"#' "$dir"/vm[2-9]/agent.jsonc; }
+fi
+lab_up "$dir" 9 examples/sjalfvirkni/deployment.jsonc examples/kalahari/deployment.jsonc || exit 1
+export HQ_STORE=$STORE
+
+# usage FILE : processor ticks and bytes on TCP connections of each daemon.
+usage() {
+  local pid name
+  for pid in "${LAB_PIDS[@]}"; do
+    name=$(tr '\0' '\n' <"/proc/$pid/cmdline" | sed -n 's#^bin/hq-##p' | head -1)
+    echo "$name $(awk '{print $14+$15}' "/proc/$pid/stat") $(ss -tinpH "state established" 2>/dev/null |
+      awk -v p="pid=$pid," 'index($0,p){on=1;next} on{for(i=1;i<=NF;i++)if($i~/^bytes_(sent|received):/){split($i,a,":");n+=a[2]};on=0} END{print n+0}')"
+  done >"$1"
+}
+
+# compare SECONDS BEFORE AFTER : mean of each program.
+compare() {
+  paste "$2" "$3" | awk -v s="$1" '{c[$1]++; t[$1]+=$5-$2; b[$1]+=$6-$3}
+    END{for(n in c)if(n!="standin")printf "  %-9s %d daemons, each %.2f%% of a core, %.2f KB/s sent and received\n",n,c[n],t[n]/c[n]/s,b[n]/c[n]/s/1000}' | sort
+}
+
+calls() {
+  for vm in $(seq 1 9); do curl -fsS "http://$(lab_admin "$dir/vm$vm/agent.jsonc")/metrics"; done |
+    jq -s -c 'map(to_entries[]|select(.key|test("store.calls|config\\.(syncs|snapshots)")))|group_by(.key)|map({key:.[0].key,value:(map(.value.count)|add)})|from_entries'
+}
+
+if [ "$mode" = down ]; then
+  sleep 6
+  curl -fsS -X PUT -d '{"down":true}' "$STANDIN/store/faults" >/dev/null
+  for p in agent dispatch entry; do
+    pid=$(grep -lsF "vm9/$p.jsonc" /proc/[0-9]*/cmdline | head -1 | cut -d/ -f3)
+    kill -TERM "$pid"
+    wait "$pid"
+  done
+  begun=$(date +%s%N)
+  for p in agent dispatch entry; do lab_start "$dir/vm9/$p.log" "bin/hq-$p" --config "$dir/vm9/$p.jsonc"; done
+  for p in agent dispatch entry; do lab_wait "http://$(lab_admin "$dir/vm9/$p.jsonc")/readyz" || exit 1; done
+  echo "store down: VM ready after $((($(date +%s%N) - begun) / 1000000)) ms"
+  curl -fsS -X PUT -d '{}' "$STANDIN/store/faults" >/dev/null
+  exit 0
+fi
+sleep 8
+usage "$dir/u0"
+sleep 8
+usage "$dir/u1"
+echo "at rest, no load:"
+compare 8 "$dir/u0" "$dir/u1"
+calls
+for rate in 1.3 13; do
+  n=$(awk -v r=$rate 'BEGIN{print int(r*12)}')
+  usage "$dir/u0"
+  begun=$SECONDS
+  bin/hqctl --timeout 60s drill --changes "$n" --per-second "$rate" bot-workers || exit 1
+  usage "$dir/u1"
+  compare $((SECONDS - begun)) "$dir/u0" "$dir/u1"
+  calls
+done
