--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
@@ -33,6 +34,8 @@
 	pullTimeout = pullWait + time.Second
 	// retryPause is the pause after a failed pull.
 	retryPause = 200 * time.Millisecond
+	// readyPause is the pause while the agent is not ready.
+	readyPause = 50 * time.Millisecond
 	// reportEvery is how often the daemon tells the agent that it lives.
 	reportEvery = 500 * time.Millisecond
 	// reportLeast is the pause before a report of a new revision.
@@ -144,7 +147,8 @@
 		return err
 	}
 	if !reply.Ready {
-		f.life.NotReadyBecause("agent " + f.endpoint.Agent + " holds no configuration yet")
+		f.life.NotReadyBecause("agent " + f.endpoint.Agent + " holds no configuration yet or has not heard its peers")
+		pause(ctx, readyPause)
 		return nil
 	}
 	f.apply(v, &reply)
@@ -234,7 +238,7 @@
 	if known {
 		before = fmt.Sprintf("version %d was before", old)
 	}
-	f.life.Note("configure", fmt.Sprintf("%s %s version %d is in force, %s", o.Kind, o.Name, o.Version, before), o.Name)
+	f.life.Note("configure", fmt.Sprintf("%s %s version %d is in force, %s", o.Kind, o.Name, o.Version, before), o.Name, journal.Version(o.Name, o.Version))
 }
 
 // problems returns what is not in force and why, sorted.
