Grants live 350 ms; the store-lease baseline goes again

Cause: a stall of the machine of about 250 ms let grants of many groups lapse in one run (tests ran beside it); the aim of 1 s leaves room. The baseline setting never came to grant in two runs; the cause was not found, so it is taken out and the comparison is still owed.

--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -83,8 +83,7 @@
 		params: grantor.Params{
 			VM: s.VM, Incarnation: a.incarnation, Started: a.started,
 			Every: s.GrantEvery.D(), Life: s.GrantLife.D(), Authority: s.Authority.D(), Margin: s.ClockMargin.D(),
-			StoreLeases: s.StoreLeases,
-			Patience:    s.TakeoverPatience.D(), MoveLimit: s.ReleaseLimit.D(), Unserved: unserved,
+			Patience: s.TakeoverPatience.D(), MoveLimit: s.ReleaseLimit.D(), Unserved: unserved,
 		},
 		timeout:   s.Authority.D(),
 		silence:   s.TakeoverSilence.D(),
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -36,10 +36,10 @@
 	// messages, no gap and no move, and a loss is to be noticed before the last
 	// grant is out. Default 190ms, five heartbeats of both directions.
 	TakeoverSilence model.Duration `json:"takeoverSilence,omitempty"`
-	// Authority is how long an arbiter's confirmation counts. Default 180ms.
+	// Authority is how long an arbiter's confirmation counts. Default 200ms.
 	Authority model.Duration `json:"authority,omitempty"`
 	// ClockMargin is added to ends that another clock judges. Default 10ms: for
-	// clocks that run up to 1.1% fast or slow.
+	// clocks that run up to 0.9% fast or slow.
 	ClockMargin model.Duration `json:"clockMargin,omitempty"`
 	// TakeoverPatience is how long a takeover waits for all arbiters before it
 	// asks the store for an epoch of its own. Default 25ms.
@@ -47,12 +47,9 @@
 	// ReleaseLimit bounds how long a planned move waits for the old owner's
 	// requests. Default 10s.
 	ReleaseLimit model.Duration `json:"releaseLimit,omitempty"`
-	// StoreLeases is a baseline for measurements only: grants hang on leases
-	// that are renewed through the store, of the length Authority.
-	StoreLeases bool `json:"storeLeases,omitempty"`
 	// GrantEvery is the pause between two renewals of a grant. Default 75ms.
 	GrantEvery model.Duration `json:"grantEvery,omitempty"`
-	// GrantLife is how long a grant lives. Default 250ms.
+	// GrantLife is how long a grant lives. Default 350ms.
 	GrantLife model.Duration `json:"grantLife,omitempty"`
 }
 
@@ -62,9 +59,9 @@
 	defaultHeartbeat    = model.Duration(75 * time.Millisecond)
 	defaultSilence      = model.Duration(300 * time.Millisecond)
 	defaultGrantEvery   = model.Duration(75 * time.Millisecond)
-	defaultGrantLife    = model.Duration(250 * time.Millisecond)
+	defaultGrantLife    = model.Duration(350 * time.Millisecond)
 	defaultTakeover     = model.Duration(190 * time.Millisecond)
-	defaultAuthority    = model.Duration(180 * time.Millisecond)
+	defaultAuthority    = model.Duration(200 * time.Millisecond)
 	defaultMargin       = model.Duration(10 * time.Millisecond)
 	defaultPatience     = model.Duration(25 * time.Millisecond)
 	defaultRelease      = model.Duration(10 * time.Second)
--- a/internal/ownership/grantor/grantor.go
+++ b/internal/ownership/grantor/grantor.go
@@ -29,9 +29,6 @@
 	// Checks says that the targets check fences. Those that do not are granted
 	// only as the record has it: no takeover and no move by the grantor alone.
 	Checks bool
-	// StoreLeases is a baseline for measurements: authority only by the store,
-	// for the time Authority, and takeover only by waiting it out.
-	StoreLeases bool
 	// Every is the pause between two renewals.
 	Every time.Duration
 	// Life is how long a grant lives, on the target's clock.
--- a/internal/ownership/grantor/rules.go
+++ b/internal/ownership/grantor/rules.go
@@ -41,9 +41,6 @@
 // successor cannot reach. It shows as two owners. Every successor first fences
 // the arbiters, so the old grantor's authority runs dry.
 func (g *Group) authority(target string, now time.Duration) bool {
-	if g.params.StoreLeases {
-		return g.storeAt.within(now, g.params.Authority)
-	}
 	if g.broken == noAuthority || g.storeAt.within(now, g.params.Authority) {
 		return true
 	}
@@ -77,9 +74,6 @@
 	if acked == 0 {
 		return false
 	}
-	if g.params.StoreLeases {
-		return g.ownEpoch() && now-g.adopted >= g.params.Authority+g.params.Life+g.params.Margin
-	}
 	if uncovered == 0 {
 		return true
 	}
--- a/internal/ownership/grantor/tick.go
+++ b/internal/ownership/grantor/tick.go
@@ -189,9 +189,6 @@
 	if g.standing.State() == following {
 		return false
 	}
-	if g.params.StoreLeases {
-		return !g.storeAt.within(now, g.params.Authority/3)
-	}
 	for _, ref := range g.pair() {
 		if g.serviceable(ref, now) && (g.target == "" || g.target == ref.Name) && !g.targetAuthority(ref.Name, now) {
 			return true
--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -2,8 +2,6 @@
 # Measures the unavailable time of keys after losses, with real processes: one
 # system of 9 VMs, one loss in each window of 5 s, 2 s after its start.
 # Usage: scripts/unavailable.sh [DIR]
-# BASELINE=1 in the environment: leases of 2 s renewed through the store instead,
-# and windows of 7 s.
 # Prints for each loss: requests, how many were not answered, keys that were
 # unavailable, their median and worst, ms. A grantor is lost with its whole VM.
 set -u
@@ -14,17 +12,6 @@
 window=5 settle=2
 cases=(none-up move-up pause-up owner-up owner-down both-up grantor-up grantor-down)
 
-if [ -n "${BASELINE:-}" ]; then
-  window=7 settle=5
-  cases=(none-up owner-up owner-down both-up)
-  eval "plain_$(declare -f lab_start)"
-  lab_start() {
-    case $2 in
-    */hq-agent) sed -i '0,/{/s//{"storeLeases": true, "authority": "2s",/' "$4" ;;
-    esac
-    plain_lab_start "$@"
-  }
-fi
 trap 'lab_stop; exit 130' INT TERM
 trap 'lab_stop' EXIT
 
