Placement waits for its figures before it moves anything for load

Cause: in a run with real processes versiond/6 moved for "load 9.18 of the mean": a dozen requests after the start, or the first VM's report to a new assigner, were taken for the load. Change: no move for load within a meter's time constant (10 s) of the first figures; the default of connections for each target is a ninth of 110, so nine VMs stay below the bound (16 each would be 144). Conclusion: TestFirstRequestsMoveNothing holds it.

--- a/internal/decide/placement/balance.go
+++ b/internal/decide/placement/balance.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"hemlockquay/internal/decide/loadmeter"
 	"hemlockquay/internal/model"
 )
 
@@ -56,10 +57,27 @@
 	return l
 }
 
+// warmUp is how long figures are gathered before a move is made for them: the
+// time constant of the meters.
+//
+// Failure: a service starts, or another agent becomes assigner, and the first
+// dozen requests, or the first VM's report, look like one target with nine times
+// the mean. Moves made for that are undone a minute later.
+const warmUp = loadmeter.Constant
+
+// warm tells whether the figures may move anything. Without any load, groups are
+// spread by number at once.
+func (r *round) warm() bool {
+	if !r.loadKnown && len(r.in.Load) > 0 {
+		r.loadKnown, r.loadSince = true, r.in.Now
+	}
+	return !r.loadKnown || r.in.Now-r.loadSince >= warmUp
+}
+
 // balance starts moves while one is worth its cost and the budget allows it.
 func (r *round) balance() {
 	r.budget.refill(r.in.Now, r.policy.Churn*float64(len(r.next.Groups)))
-	if !r.in.Service.ChecksFences || len(r.next.Groups) == 0 {
+	if !r.warm() || !r.in.Service.ChecksFences || len(r.next.Groups) == 0 {
 		return
 	}
 	for len(r.moves) < maxUnderWay {
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -100,6 +100,9 @@
 
 	moves  map[uint64]*move
 	budget budget
+	// loadSince is when this planner first had load figures.
+	loadSince time.Duration
+	loadKnown bool
 	// missing is since when a VM (by "vm/NAME") or target is gone.
 	missing map[string]time.Duration
 }
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -86,24 +86,39 @@
 	require.Positive(t, moves)
 }
 
-func TestMovesOfOneTargetNearLeast(t *testing.T) {
-	events := []struct {
-		name string
-		do   func(w *world) (least int)
-	}{
-		{"lost", func(w *world) int { w.in.Lost["t01"] = true; return w.owned()["t01"] }},
-		{"leaving", func(w *world) int { w.in.Leaving["t01"] = true; return w.owned()["t01"] }},
-		{"left", func(w *world) int {
-			n := w.owned()["t01"]
-			w.in.Service.Targets = append(w.in.Service.Targets[:1:1], w.in.Service.Targets[2:]...)
-			return n
-		}},
-		{"joined", func(w *world) int {
-			w.in.Service.Targets = append(w.in.Service.Targets, testTarget(len(w.in.Service.Targets), 3))
-			return len(w.in.Assignment.Groups) / len(w.in.Service.Targets)
-		}},
+// targetEvents happen to one target; least is how many groups must move for it.
+var targetEvents = []struct {
+	name string
+	do   func(w *world) (least int)
+}{
+	{"lost", func(w *world) int { w.in.Lost["t01"] = true; return w.owned()["t01"] }},
+	{"leaving", func(w *world) int { w.in.Leaving["t01"] = true; return w.owned()["t01"] }},
+	{"left", func(w *world) int {
+		n := w.owned()["t01"]
+		w.in.Service.Targets = append(w.in.Service.Targets[:1:1], w.in.Service.Targets[2:]...)
+		return n
+	}},
+	{"joined", func(w *world) int {
+		w.in.Service.Targets = append(w.in.Service.Targets, testTarget(len(w.in.Service.Targets), 3))
+		return len(w.in.Assignment.Groups) / len(w.in.Service.Targets)
+	}},
+}
+
+// The sizes of both users; the figures stand in docs/MEASUREMENTS.md.
+func TestMovesAtUsersSizes(t *testing.T) {
+	for _, targets := range []int{10, 12} {
+		for _, e := range targetEvents {
+			w := newWorld(targets, 3, 9, 64, equal)
+			least := e.do(w)
+			w.run(10 * time.Minute)
+			t.Logf("%d targets, one %s: %d moves, least possible %d", targets, e.name, w.moves, least)
+			within(t, w.moves, least)
+		}
 	}
-	for _, e := range events {
+}
+
+func TestMovesOfOneTargetNearLeast(t *testing.T) {
+	for _, e := range targetEvents {
 		t.Run(e.name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				w := drawWorld(t)
@@ -150,6 +165,8 @@
 		w.in.Load[uint64(i*6)] = 100
 	}
 	w.in.Now += time.Second
+	w.planner.Plan(&w.in)
+	w.in.Now += warmUp
 	r := w.planner.Plan(&w.in)
 	require.NotEmpty(t, w.planner.moves)
 	w.in.Assignment = &r.Assignment
@@ -163,6 +180,22 @@
 	}
 }
 
+// A service starts. Its first dozen requests hit two targets, and groups move
+// before anything is known; callers of moved keys wait for nothing. Seen in the
+// first run with real processes, with "load 9.18 of the mean".
+func TestFirstRequestsMoveNothing(t *testing.T) {
+	w := newWorld(10, 4, 9, 64, equal)
+	w.step = 500 * time.Millisecond
+	w.in.Load[6], w.in.Load[33] = 0.3, 0.2
+	w.run(warmUp - w.step)
+	require.Empty(t, w.kinds)
+	for g := range uint64(64) {
+		w.in.Load[g] = 10
+	}
+	w.run(5 * time.Minute)
+	require.Empty(t, w.kinds, "the load proved even")
+}
+
 func TestSplitNeedsReleasedGrant(t *testing.T) {
 	w := newWorld(4, 3, 4, 16, equal)
 	w.in.Load[3] = 1000
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -33,14 +33,16 @@
 	// QueueLength bounds one queue, requests. Default 1024.
 	QueueLength int `json:"queueLength,omitempty"`
 	// TargetConnections bounds this VM's connections to one target.
-	// Default 16.
+	// Default 12.
 	TargetConnections int `json:"targetConnections,omitempty"`
 }
 
 const (
-	defaultQueueLength       = 1024
-	maxQueueLength           = 1 << 20
-	defaultTargetConnections = 16
+	defaultQueueLength = 1024
+	maxQueueLength     = 1 << 20
+	// defaultTargetConnections is a ninth of the 110 connections that a target
+	// takes: nine VMs together stay below them.
+	defaultTargetConnections = 12
 	maxTargetConnections     = 100_000
 )
 
