--- /dev/null
+++ b/internal/dispatch/crashes_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// newWatches returns watches that talk over loopback ports.
+func newWatches(t *testing.T, n int) []*crashWatch {
+	v := view.Build(nil, nil, nil)
+	logger := &log.Logger{Level: log.PanicLevel}
+	var out []*crashWatch
+	for i := range n {
+		server, err := peer.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		name := fmt.Sprintf("vm%d", i+1)
+		w := newCrashWatch(name, &fixedView{v}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
+		require.NoError(t, server.Register("Dispatch", w))
+		go func() { _ = server.Serve() }()
+		t.Cleanup(server.Close)
+		t.Cleanup(w.peers.Close)
+		v.Members = append(v.Members, wire.Member{VM: name, DispatchAddr: server.Addr()})
+		out = append(out, w)
+	}
+	return out
+}
+
+// talkAll carries the rounds that wait.
+func talkAll(t *testing.T, w *crashWatch) {
+	for w.talk.Depth() > 0 {
+		w.round(t.Context(), <-w.talk.Entries())
+	}
+}
+
+func crasher(id string) *wire.Request {
+	return &wire.Request{ID: id, Service: "booth", Customer: "narrators", Method: "POST", Path: "/book", Header: map[string][]string{"X-Load-Id": {id}}}
+}
+
+// A request kills its target. Its caller sends it again through another entry,
+// with a new request id; as a suspect it kills a second target. A third sending,
+// that leads to another dispatcher, is refused there as not run, and so it is at
+// one that starts only now.
+func TestQuarantineHoldsAtEveryDispatcher(t *testing.T) {
+	w := newWatches(t, 3)
+	now := time.Now()
+	run := func(id, target string) {
+		admission, _ := w[0].Admit(target, crasher(id), now)
+		require.Equal(t, AdmitRun, admission)
+		w[0].Started(target, crasher(id), now)
+		w[0].Died(target, []*wire.Request{crasher(id)}, now)
+	}
+	run("first", "booth-1")
+	talkAll(t, w[0])
+	admission, _ := w[0].Admit("booth-2", crasher("second"), now)
+	require.Equal(t, AdmitHold, admission, "a suspect waits for its permit")
+	talkAll(t, w[0])
+	run("second", "booth-2")
+	talkAll(t, w[0])
+
+	late := newWatches(t, 1)[0]
+	late.feed = w[0].feed
+	late.vm = "vm9"
+	require.True(t, late.catchUp(t.Context()))
+	for _, other := range append(w, late) {
+		admission, p := other.Admit("booth-3", crasher("third"), now)
+		require.Equal(t, AdmitRefuse, admission)
+		require.Equal(t, problem.Quarantined, p.Kind)
+		require.Equal(t, problem.RanNo, p.Ran)
+	}
+	innocent := crasher("other")
+	innocent.Path = "/other"
+	admission, _ = w[1].Admit("booth-3", innocent, now)
+	require.Equal(t, AdmitRun, admission)
+}
+
+// A suspect runs at one dispatcher; another, whose view differs, holds the same
+// queue and asks for the permit. It does not get it.
+func TestSuspectRunsAtOneDispatcherOnly(t *testing.T) {
+	w := newWatches(t, 2)
+	now := time.Now()
+	_, _ = w[0].Admit("booth-1", crasher("a"), now)
+	w[0].Started("booth-1", crasher("a"), now)
+	w[0].Died("booth-1", []*wire.Request{crasher("a"), crasher("b")}, now)
+	talkAll(t, w[0])
+	_, _ = w[0].Admit("booth-2", crasher("a"), now)
+	talkAll(t, w[0])
+	admission, _ := w[0].Admit("booth-2", crasher("a"), now)
+	require.Equal(t, AdmitRun, admission)
+	w[0].Started("booth-2", crasher("a"), now)
+
+	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
+	require.Equal(t, AdmitHold, admission)
+	talkAll(t, w[1])
+	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
+	require.Equal(t, AdmitHold, admission)
+
+	w[0].Finished("booth-2", crasher("a"), true, now)
+	talkAll(t, w[0])
+	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
+	require.Equal(t, AdmitRun, admission, "cleared everywhere")
+}
