--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -110,3 +110,14 @@
 	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
 	require.Equal(t, AdmitRun, admission, "cleared everywhere")
 }
+
+func BenchmarkCrashPrint(b *testing.B) {
+	r := crasher("x")
+	for _, name := range []string{"Accept", "Accept-Encoding", "User-Agent", "Content-Type", "X-Load-Size"} {
+		r.Header[name] = []string{"value"}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		crashPrint(r)
+	}
+}
--- a/internal/entry/admit_test.go
+++ b/internal/entry/admit_test.go
@@ -33,7 +33,7 @@
 
 const tokenField = `"tokenSHA256": "0000000000000000000000000000000000000000000000000000000000000000"`
 
-func newEntries(t *testing.T, n int, allowance string) *entries {
+func newEntries(t testing.TB, n int, allowance string) *entries {
 	e := &entries{clock: &testClock{now: time.Hour}}
 	e.view = view.Build([]platform.Object{
 		{Kind: model.KindService, Name: "booth", Spec: []byte(`{"name": "booth", "slots": 2, "connections": 10, "deadline": "2s",
@@ -143,3 +143,23 @@
 	require.Equal(t, problem.RanNo, p.Ran)
 	require.Positive(t, p.RetryAfter)
 }
+
+func BenchmarkAdmit(b *testing.B) {
+	e := newEntries(b, 9, `{"service": "booth", "rate": 1e9, "burst": 1000000000, "concurrency": 1000}`)
+	e.offer(2*time.Second, idle(9)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if e.all[0].admit(e.visit) == nil {
+			e.all[0].release(e.visit, time.Millisecond)
+		}
+	}
+}
+
+func BenchmarkRenewal(b *testing.B) {
+	e := newEntries(b, 9, narrators)
+	e.offer(2*time.Second, idle(9)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.renew()
+	}
+}
