--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,4 @@
 # Commands of the project. `make demo` runs the main job, `make test` passes the tests.
-BINARIES := hq-entry hq-dispatch hq-agent hqctl hq-standin hq-load
 # Test names that KNOWN-RED.txt lists, joined for `go test -skip`.
 RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt | paste -sd'|' -)
 
--- a/internal/loadgen/experiment.go
+++ b/internal/loadgen/experiment.go
@@ -82,6 +82,9 @@
 	// IdempotencyKeys is how many Idempotency-Key values are used in turn; 0
 	// sends none.
 	IdempotencyKeys int `json:"idempotencyKeys,omitempty"`
+	// Direct sends straight to the service's targets, chosen at random, as the
+	// baseline without this system; only for services without keys.
+	Direct bool `json:"direct,omitempty"`
 	// Unchecked leaves broken promises of this stream out of the verdict; for
 	// baselines that make none.
 	Unchecked bool `json:"unchecked,omitempty"`
@@ -178,6 +181,8 @@
 		return settings.Impossible(at+"/burstEvery", "%v is below 0", w.BurstEvery)
 	case w.HotShare < 0 || w.HotShare > 1:
 		return settings.Impossible(at+"/hotShare", "%v is not between 0 and 1", w.HotShare)
+	case w.Direct && w.Keys > 0:
+		return settings.Impossible(at+"/direct", "targets serve keys under a grant only")
 	case w.HotShare > 0 && (w.Keys == 0 || w.HotEvery <= 0):
 		return settings.Impossible(at+"/hotShare", "needs keys and hotEvery")
 	}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -36,6 +36,8 @@
 // call is one request of the load.
 type call struct {
 	id, key string
+	// direct is the target's base URL where the stream goes past the entries.
+	direct  string
 	number  int
 	planned time.Duration
 }
@@ -90,6 +92,11 @@
 func (r *runner) workload(ctx context.Context, index int, t *tally, times []time.Duration, keys *keys) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
+	targets, err := r.targets(ctx, t.workload)
+	if err != nil {
+		t.note(outcome{err: err})
+		return
+	}
 	for n, at := range times {
 		if !r.sleepUntil(ctx, at) {
 			return
@@ -98,6 +105,9 @@
 			id: fmt.Sprintf("%s-%d-%d", r.prefix, index, n), number: n, planned: at,
 			key: keys.at(at),
 		}
+		if t.workload.Direct {
+			c.direct = targets[keys.random.IntN(len(targets))]
+		}
 		requests.Go(func() { r.request(ctx, t, c) })
 	}
 }
@@ -154,6 +164,9 @@
 	}
 	o.status, o.servedBy = resp.StatusCode, resp.Header.Get(standin.HeaderServedBy)
 	o.ran = problem.Ran(resp.Header.Get(problem.Header))
+	if t.workload.Direct && o.status == http.StatusOK {
+		o.ran = problem.RanYes
+	}
 	// A repeat under one Idempotency-Key gets the first request's answer.
 	id := resp.Header.Get(standin.HeaderLoadID)
 	if t.workload.IdempotencyKeys == 0 {
@@ -166,8 +179,12 @@
 // balance sends the request to the next entry that takes a connection, as a
 // balancer does: where the dial fails, nothing was sent.
 func (r *runner) balance(ctx context.Context, w *Workload, c call, body []byte) (*http.Response, []byte, error) {
+	if w.Direct {
+		return r.exchange(ctx, w, c, c.direct, body)
+	}
 	for tried := 0; ; tried++ {
-		resp, answer, err := r.exchange(ctx, w, c, r.balancer.pick(c.number, tried), body)
+		entry := r.balancer.pick(c.number, tried) + "/s/" + w.Service
+		resp, answer, err := r.exchange(ctx, w, c, entry, body)
 		var op *net.OpError
 		dialled := err == nil || !errors.As(err, &op) || op.Op != "dial"
 		if dialled || ctx.Err() != nil || tried >= len(r.experiment.Entries) {
@@ -176,8 +193,8 @@
 	}
 }
 
-func (r *runner) exchange(ctx context.Context, w *Workload, c call, entry string, body []byte) (*http.Response, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, w.Method, entry+"/s/"+w.Service+"/work", bytes.NewReader(body))
+func (r *runner) exchange(ctx context.Context, w *Workload, c call, place string, body []byte) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, w.Method, place+"/work", bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
