Placement: the least gain leaves what the band leaves

Cause: the loss of one target of ten cost 9 moves against 7: standbys that had inherited one group passed two on for a gain at the edge. Change: baseGain 0.3 in place of 0.25. Conclusion: within 1.2 at both users' sizes, now asserted without slack.

--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -112,7 +112,8 @@
 			least := e.do(w)
 			w.run(10 * time.Minute)
 			t.Logf("%d targets, one %s: %d moves, least possible %d", targets, e.name, w.moves, least)
-			within(t, w.moves, least)
+			require.LessOrEqual(t, float64(w.moves), 1.2*float64(least))
+			require.Positive(t, w.moves)
 		}
 	}
 }
--- a/internal/decide/placement/policy.go
+++ b/internal/decide/placement/policy.go
@@ -17,9 +17,9 @@
 	// baseGain is the least worth of a move: the fall of the sum of squared
 	// loads over the squared mean, in units of a mean group's part of a mean
 	// target, because the price of a move is the keys that it moves. A group of
-	// mean load then moves where it leaves a difference of at least an eighth
-	// of the mean behind, about the noise of a second's arrivals.
-	baseGain = 0.25
+	// mean load then moves where it leaves a difference of at least the band
+	// behind: 2 x 0.15. At 0.25 the loss of one target of ten cost 9 moves, not 7.
+	baseGain = 0.3
 	// baseChurn is the part of the groups that balancing may move in a minute.
 	baseChurn = 0.1
 )
