Slow targets serve where none is better

Cause: BenchmarkRequest hung: its only target counted as slow, and a slow target was left idle for a better one that did not exist, but for one trial a second. The single owner of a key would have done the same. Change: slow targets are avoided only while another serves. Conclusion: found by measuring; the pure test fails without the guard.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -153,12 +153,18 @@
 // Choose returns the index of the best target that has a free slot, or -1. Those
 // that say they leave are used only if all that serve say so: a health endpoint
 // may mislead, and no target at all would be worse.
+//
+// Failure: the only target of a keyed service, or all of a pool, turn slow. Waiting
+// for a better one that does not exist, each would get its trial a second and its
+// slots would idle. Slow targets are avoided only while another serves.
 func Choose(targets []*Target, c Choice) int {
-	hinted := true
+	hinted, quick := true, false
 	for _, t := range targets {
-		if t.Serves(c.Now) && !t.HintLeaving {
-			hinted = false
+		if !t.Serves(c.Now) {
+			continue
 		}
+		hinted = hinted && t.HintLeaving
+		quick = quick || !t.Slow() && !t.HintLeaving
 	}
 	best, other := -1, false
 	for i, t := range targets {
@@ -171,7 +177,7 @@
 		if t.Serves(c.Now) && !t.Slow() {
 			other = true
 		}
-		if !t.free(c.Now) || !c.worth(t) {
+		if !t.free(c.Now) || quick && !c.worth(t) {
 			continue
 		}
 		if best < 0 || better(t, targets[best], c) {
@@ -184,7 +190,7 @@
 	return best
 }
 
-// worth tells whether a slow target is better than to wait for another.
+// worth tells, where a target that is not slow serves, whether a slow target is better than to wait for another.
 func (c Choice) worth(t *Target) bool {
 	if !t.Slow() || c.trial(t) {
 		return true
--- a/internal/decide/balance/balance_test.go
+++ b/internal/decide/balance/balance_test.go
@@ -77,3 +77,24 @@
 	targets[2].InFlight = 2
 	require.Equal(t, -1, Choose(targets, c))
 }
+
+// The only owner of some keys, or every target of a pool, turns slow. Nothing better
+// can be waited for, so every free slot must be used; a benchmark hung on this, with
+// one request a second sent as a trial.
+func TestSlowTargetsServeWhereNoneIsBetter(t *testing.T) {
+	slow := func() *Target {
+		x := &Target{Limit: 2, InFlight: 1, lastTrial: start}
+		for range 10 {
+			x.Answered(80*time.Millisecond, 8*time.Millisecond)
+		}
+		require.True(t, x.Slow())
+		return x
+	}
+	c := Choice{Now: start, Avoid: -1, Service: 8 * time.Millisecond}
+	require.Equal(t, 0, Choose([]*Target{slow()}, c))
+	require.GreaterOrEqual(t, Choose([]*Target{slow(), slow()}, c), 0)
+	resting := &Target{Limit: 2}
+	resting.Failed(start)
+	require.Equal(t, 0, Choose([]*Target{slow(), resting}, c))
+	require.Equal(t, -1, Choose([]*Target{slow(), {Limit: 1, InFlight: 1}}, c))
+}
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -111,6 +111,24 @@
 	require.LessOrEqual(t, slow, even*3/2)
 }
 
+// The only owner of the keys turns ten times slower, and so does a whole pool. There
+// is no better target to wait for: the slots must stay busy.
+func TestNothingBetterThanSlow(t *testing.T) {
+	for _, targets := range []int{1, 3} {
+		inBench(t, targets, targets == 1, func(b *bench) {
+			rate := float64(targets) * capacity / 10
+			b.offer(stream{customer: "listeners", rate: 0.05 * rate, lasts: 10 * time.Second})
+			time.Sleep(2 * time.Second)
+			for name := range b.targets {
+				b.set(name, func(f *fakeTarget) { f.factor = 10 })
+			}
+			b.callers.Wait()
+			y := b.tallies["listeners"]
+			require.Greater(t, float64(y.answered), 0.99*float64(y.sent()))
+		})
+	}
+}
+
 // A server recovers from slowness. It must get its share again, by trials.
 func TestSlowTargetRecovers(t *testing.T) {
 	inBench(t, 4, false, func(b *bench) {
