--- /dev/null
+++ b/internal/agent/grantor.go
@@ -0,0 +1,331 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/ring"
+	"hemlockquay/internal/target"
+	"hemlockquay/internal/wire"
+)
+
+const (
+	// lookEvery is how often the grantor looks at the time. A loss is noticed
+	// and an end awaited within it; renewals leave at GrantEvery.
+	lookEvery = 15 * time.Millisecond
+	// grantorRing is how many answers of targets and the store may wait: more
+	// than all targets of a deployment answer in one tick.
+	grantorRing = 4096
+	// peersEvery is the pause between two looks at all peers' grants.
+	peersEvery = 200 * time.Millisecond
+	// unserved is how long a group may be without a grant while those before in
+	// the line are heard: above a takeover by the slow path, about 0.9 s, so that
+	// it does not disturb one.
+	unserved = 1500 * time.Millisecond
+)
+
+// grantorDuty carries the decisions of package grantor for all groups. Its state
+// belongs to one goroutine, run; answers come through the ring.
+type grantorDuty struct {
+	params    grantor.Params
+	timeout   time.Duration
+	silence   time.Duration
+	config    *configuration
+	members   *members
+	table     *grantTable
+	commander *target.Commander
+	clock     boottime.Clock
+	log       *log.Logger
+	journal   *journal.Journal
+	orders    metrics.Counter
+	errors    metrics.Counter
+	records   *recorder
+	inbox     *ring.Ring[answer]
+	woken     chan struct{}
+
+	// served is which groups a live agent grants, as of peersSeen.
+	served    map[groupID]bool
+	peersSeen time.Duration
+
+	revision uint64
+	services map[string]*heldService
+}
+
+// answer is what comes back from a target or the store.
+type answer struct {
+	service string
+	batch   *batch
+	report  *target.Report
+	// read is a reading of the record, asked at the time.
+	read  *model.Assignment
+	asked time.Duration
+}
+
+// batch is the orders of one tick for one target; groups match its orders.
+type batch struct {
+	target model.Target
+	groups []uint64
+	orders []grantor.Order
+}
+
+func newGrantorDuty(a *agent) *grantorDuty {
+	s := a.Settings
+	d := &grantorDuty{
+		params: grantor.Params{
+			VM: s.VM, Incarnation: a.incarnation, Started: a.started,
+			Every: s.GrantEvery.D(), Life: s.GrantLife.D(), Authority: s.Authority.D(), Margin: s.ClockMargin.D(),
+			StoreLeases: s.StoreLeases,
+			Patience:    s.TakeoverPatience.D(), MoveLimit: s.ReleaseLimit.D(), Unserved: unserved,
+		},
+		timeout:   s.Authority.D(),
+		silence:   s.TakeoverSilence.D(),
+		members:   a.members,
+		table:     a.grants,
+		commander: a.commander,
+		clock:     boottime.System{},
+		log:       a.Log,
+		journal:   a.Journal,
+		orders:    metrics.GetOrRegisterCounter("grantor.orders", a.Registry),
+		errors:    metrics.GetOrRegisterCounter("grantor.orders.unanswered", a.Registry),
+		inbox:     ring.New[answer]("grantor", grantorRing, ring.DropOldest, a.Registry),
+		woken:     make(chan struct{}, 1),
+		services:  make(map[string]*heldService),
+	}
+	d.records = newRecorder(a.counted(platform.CauseAssignment), a.tag, s.StoreTimeout.D(), a.Log)
+	return d
+}
+
+// wake tells the duty that the configuration changed.
+func (d *grantorDuty) wake() {
+	select {
+	case d.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (d *grantorDuty) run(ctx context.Context) {
+	defer d.records.wait()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			d.look(ctx)
+		case <-d.woken:
+			d.load()
+			d.look(ctx)
+		case a := <-d.inbox.Entries():
+			if d.take(a) {
+				d.look(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// look lets every group decide, and sends what they order.
+func (d *grantorDuty) look(ctx context.Context) {
+	now := d.clock.Now()
+	live := d.members.heardWithin(d.silence)
+	slowLook := d.lookAtPeers(now, live)
+	sight := func(service string, id uint64) grantor.Sight {
+		return grantor.Sight{
+			Live:   func(vm string) bool { return live[vm] },
+			Served: d.served[groupID{service, id}],
+		}
+	}
+	for name, h := range d.services {
+		if h.service == nil || h.record == nil {
+			continue
+		}
+		d.send(ctx, h, d.collect(h, now, sight))
+		d.records.offer(ctx, h, d.proposals(h, now, sight))
+		d.readStore(ctx, h, now)
+		if slowLook {
+			d.publish(name, h, h.ids, now)
+		}
+	}
+}
+
+// sightOf gives what heartbeats tell of a group.
+type sightOf func(service string, id uint64) grantor.Sight
+
+// lookAtPeers notes which groups a live agent tells a grant of, and returns
+// whether it was time to. It goes over all
+// grants, and nothing below a second depends on it.
+func (d *grantorDuty) lookAtPeers(now time.Duration, live map[string]bool) bool {
+	if now < d.peersSeen+peersEvery {
+		return false
+	}
+	d.peersSeen = now
+	d.served = make(map[groupID]bool)
+	for _, g := range append(d.members.peerGrants(), d.table.list()...) {
+		if live[g.Rank.Agent] {
+			d.served[groupID{g.Service, g.Group}] = true
+		}
+	}
+	return true
+}
+
+// collect batches the orders of all groups by target.
+func (d *grantorDuty) collect(h *heldService, now time.Duration, sight sightOf) map[string]*batch {
+	batches := make(map[string]*batch)
+	for id, g := range h.groups {
+		for _, o := range g.Tick(now, sight(h.service.Name, id)) {
+			b := batches[o.Target]
+			if b == nil {
+				t, ok := h.service.Target(o.Target)
+				if !ok {
+					continue
+				}
+				b = &batch{target: t}
+				batches[o.Target] = b
+			}
+			b.groups = append(b.groups, id)
+			b.orders = append(b.orders, o)
+		}
+		d.explain(h.service.Name, id, g)
+	}
+	return batches
+}
+
+func (d *grantorDuty) explain(service string, id uint64, g *grantor.Group) {
+	for _, text := range g.Notes() {
+		subject := fmt.Sprintf("%s/%d", service, id)
+		d.journal.Add("grant", text, subject)
+		d.log.Info().Str("step", "grant").Str("peer", subject).Msg(text)
+	}
+}
+
+// send carries each target's batch, those of other incarnations apart.
+func (d *grantorDuty) send(ctx context.Context, h *heldService, batches map[string]*batch) {
+	for _, b := range batches {
+		for _, part := range b.byIncarnation() {
+			d.orders.Inc(1)
+			go d.carry(ctx, h.service.Name, part)
+		}
+	}
+}
+
+// byIncarnation splits the batch: an order names one incarnation.
+func (b *batch) byIncarnation() map[string]*batch {
+	parts := make(map[string]*batch, 1)
+	for i, o := range b.orders {
+		p := parts[o.Incarnation]
+		if p == nil {
+			p = &batch{target: b.target}
+			parts[o.Incarnation] = p
+		}
+		p.groups = append(p.groups, b.groups[i])
+		p.orders = append(p.orders, o)
+	}
+	return parts
+}
+
+func (d *grantorDuty) carry(ctx context.Context, service string, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	order := target.Order{Incarnation: b.orders[0].Incarnation}
+	for i, o := range b.orders {
+		order.Groups = append(order.Groups, target.GroupOrder{
+			Service: service, Group: b.groups[i], Rank: o.Rank, Seq: o.Seq,
+			Slices: o.Slices, Until: o.Until, Release: o.Release,
+		})
+	}
+	report, err := d.commander.Send(ctx, b.target.Addr, &order)
+	if err != nil {
+		d.errors.Inc(1)
+		d.log.Debug().Err(err).Str("step", "grant").Str("peer", b.target.Name).Msg("no report")
+		return
+	}
+	_ = d.inbox.Push(ctx, answer{service: service, batch: b, report: report})
+}
+
+// take brings an answer to its groups. It returns whether one of them can go on.
+func (d *grantorDuty) take(a answer) bool {
+	h := d.services[a.service]
+	if h == nil {
+		return false
+	}
+	if a.read != nil {
+		for _, rec := range a.read.Groups {
+			if g := h.groups[rec.ID]; g != nil {
+				g.StoreRead(rec.Epoch, a.asked)
+			}
+		}
+		return true
+	}
+	now, again := d.clock.Now(), false
+	for i := range a.batch.orders {
+		g := h.groups[a.batch.groups[i]]
+		if g == nil || !a.report.Refused && i >= len(a.report.Groups) {
+			continue
+		}
+		again = g.Reported(&a.batch.orders[i], reportOf(a.report, i), now) || again
+	}
+	d.publish(a.service, h, a.batch.groups, now)
+	return again
+}
+
+func reportOf(r *target.Report, i int) *grantor.Report {
+	out := &grantor.Report{Incarnation: r.Incarnation, Refused: r.Refused, Clock: r.Clock}
+	if r.Refused {
+		return out
+	}
+	g := &r.Groups[i]
+	out.Confirmed, out.Fence, out.Before = g.Confirmed, g.Fence, g.Before
+	out.Held, out.HeldRank, out.Running = g.Held, g.HeldRank, g.Running
+	return out
+}
+
+// publish tells dispatchers which grants are confirmed. A group's last grant
+// stays told until another is, or until this agent stepped down or fails.
+func (d *grantorDuty) publish(service string, h *heldService, ids []uint64, now time.Duration) {
+	var confirmed []wire.Grant
+	var gone []groupID
+	for _, id := range ids {
+		g := h.groups[id]
+		if g == nil {
+			continue
+		}
+		ref, rank, ok := g.Granted(now)
+		switch {
+		case ok:
+			confirmed = append(confirmed, wire.Grant{Service: service, Group: id, Slices: g.Record().Slices, Rank: rank, Target: ref})
+		case g.Idle(now):
+			gone = append(gone, groupID{service, id})
+		}
+	}
+	d.table.update(confirmed, gone)
+}
+
+// proposals are the records that the groups want written.
+func (d *grantorDuty) proposals(h *heldService, now time.Duration, sight sightOf) []model.Group {
+	var out []model.Group
+	for id, g := range h.groups {
+		if rec, ok := g.Proposal(now, sight(h.service.Name, id)); ok {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// readStore asks the store for authority where no target gives it.
+func (d *grantorDuty) readStore(ctx context.Context, h *heldService, now time.Duration) {
+	for _, g := range h.groups {
+		if g.NeedsStore(now) {
+			d.records.read(ctx, h.service.Name, now, d.inbox)
+			return
+		}
+	}
+}
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -23,6 +23,7 @@
 type members struct {
 	clock   boottime.Clock
 	silence time.Duration
+	begun   time.Duration
 	// changed is told of members, grantsChanged of peers' grants.
 	changed, grantsChanged func()
 
@@ -47,7 +48,7 @@
 
 func newMembers(self wire.Member, clock boottime.Clock, silence time.Duration, changed func()) *members {
 	return &members{
-		self: self, clock: clock, silence: silence, changed: changed, grantsChanged: changed,
+		self: self, clock: clock, silence: silence, begun: clock.Now(), changed: changed, grantsChanged: changed,
 		peers: make(map[string]*peerState),
 	}
 }
@@ -187,6 +188,20 @@
 	return out
 }
 
+// heardWithin returns the VMs heard within the time, this one included.
+func (m *members) heardWithin(d time.Duration) map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]bool{m.self.VM: true}
+	now := m.clock.Now()
+	for name, p := range m.peers {
+		if p.known && now-p.heard < d {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // places returns all listed VMs, this one too, sorted by name; none before the
 // list was read. To name this VM alone would tell its entry that it may use the
 // whole of every contract.
@@ -204,6 +219,33 @@
 	return out
 }
 
+// settleWithin bounds how long a new agent waits for the word of its peers: a
+// peer that has not answered within the time that makes it silent is gone.
+const settleWithin = time.Second
+
+// settled tells whether members and grants are complete enough to act on.
+//
+// Failure: a VM is replaced. Its dispatcher is ready at once and gets requests,
+// but its agent has not heard the peers' grants yet; every key seems without
+// owner, and callers wait out their deadline. So daemons are ready only once
+// each listed peer has told its grants, or is taken for lost.
+func (m *members) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.clock.Now()-m.begun >= settleWithin {
+		return true
+	}
+	if !m.listed {
+		return false
+	}
+	for _, p := range m.peers {
+		if p.source == "" && p.listed.State == platform.VMLive {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *members) isListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -234,7 +276,8 @@
 // takeGrants keeps a peer's grants.
 func (m *members) takeGrants(vm string, reply *wire.BeatReply) {
 	m.mu.Lock()
-	if p := m.peers[vm]; p != nil {
+	// A pushed state may overtake a reply on its way, and must not be undone.
+	if p := m.peers[vm]; p != nil && (p.source != reply.Member.Incarnation || reply.State >= p.state) {
 		p.source, p.state, p.grants = reply.Member.Incarnation, reply.State, reply.Grants
 	}
 	m.mu.Unlock()
@@ -287,7 +330,11 @@
 	every   time.Duration
 	// seeds are agents to ask while the platform's list is not known.
 	seeds []string
-	log   *log.Logger
+	// grants are pushed when pushes tells that they changed: a key that was
+	// lost is served again as soon as dispatchers know its new owner.
+	grants *grantTable
+	pushes <-chan struct{}
+	log    *log.Logger
 
 	mu   sync.Mutex
 	busy map[string]bool
@@ -308,12 +355,35 @@
 			h.beatAll(ctx)
 			// A peer that fell silent leaves the list without any event.
 			h.members.changed()
+		case <-h.pushes:
+			for vm, addr := range h.members.addrs() {
+				go h.push(ctx, vm, addr)
+			}
+			pause(ctx, pushPause)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// pushPause bounds how often changed grants are pushed; changes of one loss come
+// together.
+const pushPause = 5 * time.Millisecond
+
+// push sends a heartbeat with this agent's grants. If it is lost, the peer gets
+// them by its own next heartbeat.
+func (h *heart) push(ctx context.Context, vm, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, 2*h.every)
+	defer cancel()
+	source, state := h.members.grantsHeld(vm)
+	args := wire.BeatArgs{Member: h.members.me(), Source: source, State: state, Pushed: true}
+	args.Grants, args.PushedState = h.grants.snapshot()
+	var reply wire.BeatReply
+	if err := h.peers.Get(addr).Call(ctx, wire.MethodBeat, &args, &reply); err != nil {
+		h.log.Debug().Err(err).Str("step", "push-grants").Str("peer", vm).Msg("no answer")
+	}
+}
+
 func (h *heart) beatAll(ctx context.Context) {
 	known := make(map[string]bool)
 	for vm, addr := range h.members.addrs() {
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -16,6 +16,7 @@
 	config      *configuration
 	members     *members
 	grants      *grantTable
+	loads       *loadBook
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -50,7 +51,7 @@
 const maxPullWait = 5 * time.Second
 
 func newRelay(incarnation string) *relay {
-	return &relay{incarnation: incarnation, changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
+	return &relay{incarnation: incarnation, loads: newLoadBook(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
 }
 
 // broadcast wakes the pulls that wait.
@@ -138,6 +139,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.config.since(args.Revision, wantedBy(args.Process), reply)
+	reply.Ready = reply.Ready && r.members.settled()
 	reply.State = r.state
 	if args.Source != r.incarnation || args.State != r.state {
 		reply.Changed = true
@@ -156,6 +158,9 @@
 // Beat implements the RPC for heartbeats of peers.
 func (r *relay) Beat(args *wire.BeatArgs, reply *wire.BeatReply) error {
 	r.members.heard(args.Member)
+	if args.Pushed {
+		r.members.takeGrants(args.Member.VM, &wire.BeatReply{Member: args.Member, State: args.PushedState, Grants: args.Grants})
+	}
 	reply.Member = r.members.me()
 	grants, state := r.grants.snapshot()
 	reply.State = state
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -26,24 +26,48 @@
 	Peers []string `json:"peers,omitempty"`
 	// StoreTimeout bounds one call of the store. Default 2s.
 	StoreTimeout model.Duration `json:"storeTimeout,omitempty"`
-	// Heartbeat is the pause between two heartbeats to a peer. Default 150ms.
+	// Heartbeat is the pause between two heartbeats to a peer. Default 75ms.
 	Heartbeat model.Duration `json:"heartbeat,omitempty"`
 	// Silence is how long a peer may be silent before it counts as lost.
-	// Default 800ms.
+	// Default 300ms.
 	Silence model.Duration `json:"silence,omitempty"`
-	// GrantEvery is the pause between two renewals of a grant. Default 150ms.
+	// TakeoverSilence is how long a grantor may be silent until the next in line
+	// takes its groups over. It is shorter than Silence: a mistake costs a few
+	// messages, no gap and no move, and a loss is to be noticed before the last
+	// grant is out. Default 190ms, five heartbeats of both directions.
+	TakeoverSilence model.Duration `json:"takeoverSilence,omitempty"`
+	// Authority is how long an arbiter's confirmation counts. Default 180ms.
+	Authority model.Duration `json:"authority,omitempty"`
+	// ClockMargin is added to ends that another clock judges. Default 10ms: for
+	// clocks that run up to 1.1% fast or slow.
+	ClockMargin model.Duration `json:"clockMargin,omitempty"`
+	// TakeoverPatience is how long a takeover waits for all arbiters before it
+	// asks the store for an epoch of its own. Default 25ms.
+	TakeoverPatience model.Duration `json:"takeoverPatience,omitempty"`
+	// ReleaseLimit bounds how long a planned move waits for the old owner's
+	// requests. Default 10s.
+	ReleaseLimit model.Duration `json:"releaseLimit,omitempty"`
+	// StoreLeases is a baseline for measurements only: grants hang on leases
+	// that are renewed through the store, of the length Authority.
+	StoreLeases bool `json:"storeLeases,omitempty"`
+	// GrantEvery is the pause between two renewals of a grant. Default 75ms.
 	GrantEvery model.Duration `json:"grantEvery,omitempty"`
-	// GrantLife is how long a grant lives. Default 600ms.
+	// GrantLife is how long a grant lives. Default 250ms.
 	GrantLife model.Duration `json:"grantLife,omitempty"`
 }
 
 // Defaults of the agent's times; see docs/DESIGN.md for their grounds.
 const (
 	defaultStoreTimeout = model.Duration(2 * time.Second)
-	defaultHeartbeat    = model.Duration(150 * time.Millisecond)
-	defaultSilence      = model.Duration(800 * time.Millisecond)
-	defaultGrantEvery   = model.Duration(150 * time.Millisecond)
-	defaultGrantLife    = model.Duration(600 * time.Millisecond)
+	defaultHeartbeat    = model.Duration(75 * time.Millisecond)
+	defaultSilence      = model.Duration(300 * time.Millisecond)
+	defaultGrantEvery   = model.Duration(75 * time.Millisecond)
+	defaultGrantLife    = model.Duration(250 * time.Millisecond)
+	defaultTakeover     = model.Duration(190 * time.Millisecond)
+	defaultAuthority    = model.Duration(180 * time.Millisecond)
+	defaultMargin       = model.Duration(10 * time.Millisecond)
+	defaultPatience     = model.Duration(25 * time.Millisecond)
+	defaultRelease      = model.Duration(10 * time.Second)
 )
 
 func orDefault(d *model.Duration, def model.Duration) {
@@ -62,6 +86,11 @@
 	orDefault(&s.Silence, defaultSilence)
 	orDefault(&s.GrantEvery, defaultGrantEvery)
 	orDefault(&s.GrantLife, defaultGrantLife)
+	orDefault(&s.TakeoverSilence, defaultTakeover)
+	orDefault(&s.Authority, defaultAuthority)
+	orDefault(&s.ClockMargin, defaultMargin)
+	orDefault(&s.TakeoverPatience, defaultPatience)
+	orDefault(&s.ReleaseLimit, defaultRelease)
 	switch {
 	case !strings.HasPrefix(s.Store, "http://") && !strings.HasPrefix(s.Store, "https://"):
 		return settings.Impossible("/store", "%q is not an http or https URL", s.Store)
@@ -71,6 +100,12 @@
 		return settings.Impossible("/silence", "%v is below two heartbeats (%v): one lost message would end a VM", s.Silence, s.Heartbeat)
 	case s.GrantEvery <= 0 || s.GrantLife < 2*s.GrantEvery:
 		return settings.Impossible("/grantLife", "%v is below two renewals (%v): one lost message would end a grant", s.GrantLife, s.GrantEvery)
+	case s.TakeoverSilence < 2*s.Heartbeat:
+		return settings.Impossible("/takeoverSilence", "%v is below two heartbeats (%v)", s.TakeoverSilence, s.Heartbeat)
+	case s.Authority < 2*s.GrantEvery:
+		return settings.Impossible("/authority", "%v is below two renewals (%v): one lost message would end it", s.Authority, s.GrantEvery)
+	case s.ClockMargin < 0 || s.TakeoverPatience < 0 || s.ReleaseLimit < 0:
+		return settings.Impossible("/clockMargin", "a time below 0")
 	}
 	for i, addr := range s.Peers {
 		if err := daemon.CheckAddr(fmt.Sprintf("/peers/%d", i), addr); err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,6 +48,7 @@
 	feed   *feed.Feed
 	sender *target.Sender
 	prober *target.Prober
+	loads  *loads
 	parts  *parts
 	// intents keeps requests with an Idempotency-Key to one run.
 	intents *intents
@@ -69,7 +70,8 @@
 	if err != nil {
 		return err
 	}
-	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr()}
+	counted := newLoads()
+	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr(), Loads: counted.hottest}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
 		params: p,
@@ -77,6 +79,7 @@
 		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
 		sender: target.NewSender(p.Settings.TargetConnections),
 		prober: target.NewProber(),
+		loads:  counted,
 		ctx:    ctx,
 		cancel: cancel,
 		queues: make(map[queueID]*queue),
@@ -246,6 +249,7 @@
 	if grant == nil {
 		return queueID{}, problem.Refuse(problem.NoOwner, "queue", d.Settings.VM, "the key has no owner now").After(time.Second)
 	}
+	d.loads.count(s.Name, grant.Group)
 	return queueID{Service: s.Name, Target: grant.Target.Name}, nil
 }
 
--- a/internal/ownership/grantor/grantor.go
+++ b/internal/ownership/grantor/grantor.go
@@ -26,6 +26,14 @@
 	VM          string
 	Incarnation string
 	Started     int64
+	// Checks says that the targets check fences. Those that do not are granted
+	// only as the record has it: no takeover and no move by the grantor alone.
+	Checks bool
+	// StoreLeases is a baseline for measurements: authority only by the store,
+	// for the time Authority, and takeover only by waiting it out.
+	StoreLeases bool
+	// Every is the pause between two renewals.
+	Every time.Duration
 	// Life is how long a grant lives, on the target's clock.
 	Life time.Duration
 	// Authority is how long an arbiter's confirmation counts, from the ask.
@@ -36,6 +44,9 @@
 	// Patience is how long a claim waits for the fast path before it asks
 	// for an epoch of its own.
 	Patience time.Duration
+	// Unserved is how long a group may be without a grant, though those before
+	// in the line are heard, until the next one tries.
+	Unserved time.Duration
 	// MoveLimit bounds how long a release may take.
 	MoveLimit time.Duration
 }
@@ -113,15 +124,22 @@
 	// target holds the grant, where the grant's state is not none.
 	target string
 	seq    uint64
+	// sent is when the last orders left; due asks for orders at once.
+	sent time.Duration
+	due  bool
 	// took is when the claim began, adopted when the record came.
 	took, adopted time.Duration
 	releaseFrom   time.Duration
 	// outranked is the highest rank seen at a target above ours.
 	outranked wire.Rank
 	storeAt   stamp
-	carry     carry
-	notes     []string
-	broken    guard
+	// confirmedAt is when a target last confirmed our grant.
+	confirmedAt stamp
+	// unserved is when the group was last seen served.
+	unserved stamp
+	carry    carry
+	notes    []string
+	broken   guard
 }
 
 // stamp is a time that may be missing.
@@ -163,6 +181,7 @@
 	g.place = slices.Index(rec.Grantors, g.params.VM)
 	g.rank = wire.Rank{Epoch: rec.Epoch, Succession: uint64(max(g.place, 0)), Incarnation: g.params.Started, Agent: g.params.VM}
 	g.outranked, g.storeAt = wire.Rank{}, stamp{}
+	g.due = true
 	for _, c := range g.targets {
 		c.forget()
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,7 @@
 	MethodPull   = "Agent.Pull"
 	MethodBeat   = "Agent.Beat"
 	MethodReport = "Agent.Report"
+	MethodLoads  = "Agent.Loads"
 	MethodSync   = "Agent.Sync"
 )
 
@@ -182,6 +183,11 @@
 	// Source and State name the grants of the peer that the sender holds.
 	Source string
 	State  uint64
+	// Pushed says that Grants are the sender's own grants, whole, at its
+	// PushedState: they changed a moment ago.
+	Pushed      bool
+	PushedState uint64
+	Grants      []Grant
 }
 
 // BeatReply answers a heartbeat.
@@ -208,4 +214,24 @@
 	Stopped bool
 	// Problems lists objects that it could not put in force.
 	Problems []string
+	// Loads are the hottest groups of a dispatcher, at most MaxLoads.
+	Loads []GroupLoad
+}
+
+// MaxLoads bounds the groups in one report. Placement moves the hottest; the
+// rest is known well enough as an even spread.
+const MaxLoads = 256
+
+// GroupLoad is the requests per second that one dispatcher, or one VM, took for
+// a group of slices.
+type GroupLoad struct {
+	Service string
+	Group   uint64
+	Rate    float64
+}
+
+// LoadsArgs tells a service's assigner what a VM takes for its groups.
+type LoadsArgs struct {
+	VM    string
+	Loads []GroupLoad
 }
