--- a/internal/decide/idempotency/book.go
+++ b/internal/decide/idempotency/book.go
@@ -284,7 +284,7 @@
 
 // TakeCopy adds the records of another VM.
 func (b *Book) TakeCopy(vm string, c Copy, now time.Duration) {
-	if !slices.Equal(c.Places, b.places) {
+	if !slices.Equal(c.Places, b.places) || now-b.started <= VoteLife {
 		return
 	}
 	for _, d := range c.Gone {
--- a/internal/decide/idempotency/idempotency.go
+++ b/internal/decide/idempotency/idempotency.go
@@ -43,6 +43,10 @@
 const (
 	// Remember is how long a record is kept after its last change.
 	Remember = 10 * time.Minute
+	// VoteLife is how long a coordinator may count a vote. A restarted holder
+	// takes no copies before that: a claim that its earlier life voted for, and
+	// that another holder stores only later, would be in none of them.
+	VoteLife = 500 * time.Millisecond
 	// maxRecords bounds the records; beyond it new keys are refused as not run,
 	// and none is forgotten before its time.
 	maxRecords = 65536
