Silence adapts to the gaps of heartbeats; epochs of a group keep a pace

Cause: on a machine at load 35 (12 cores) grantors lost sight of each other, each claim that took over 25 ms wrote an epoch, and each epoch made all claim anew: 27 writes of assignments in 2.5 s with 8 of 9 VMs cut off from the store. Change: package suspicion (a peer's bound follows its longest gap, up to 600 ms) and package epochpace (the first epoch at once, further ones ever later).

--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/decide/suspicion"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
@@ -38,7 +39,7 @@
 type peerState struct {
 	listed platform.VM
 	member wire.Member
-	heard  time.Duration
+	heard  suspicion.Peer
 	known  bool
 	// source and state name the grants received from the peer.
 	source string
@@ -111,7 +112,8 @@
 		return
 	}
 	same := p.known && p.member == told && m.alive(p)
-	p.member, p.known, p.heard = told, true, m.clock.Now()
+	p.member, p.known = told, true
+	p.heard.Heard(m.clock.Now())
 	m.mu.Unlock()
 	if !same {
 		m.changed()
@@ -138,7 +140,7 @@
 }
 
 // alive needs m.mu.
-func (m *members) alive(p *peerState) bool { return p.known && m.clock.Now()-p.heard < m.silence }
+func (m *members) alive(p *peerState) bool { return p.known && p.heard.Alive(m.clock.Now(), m.silence) }
 
 // resumed takes note that this process stood still.
 //
@@ -149,7 +151,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		p.heard += after
+		p.heard.Forgive(after)
 	}
 }
 
@@ -188,14 +190,15 @@
 	return out
 }
 
-// heardWithin returns the VMs heard within the time, this one included.
+// heardWithin returns the VMs heard within the time, or within what their
+// heartbeats need under load; this one included.
 func (m *members) heardWithin(d time.Duration) map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]bool{m.self.VM: true}
 	now := m.clock.Now()
 	for name, p := range m.peers {
-		if p.known && now-p.heard < d {
+		if p.known && p.heard.Alive(now, d) {
 			out[name] = true
 		}
 	}
--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/decide/epochpace"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/ring"
@@ -46,6 +48,8 @@
 	mu   sync.Mutex
 	busy map[string]bool
 	next map[string]time.Duration
+	// paces hold back epochs of groups that get them without end.
+	paces map[groupID]*epochpace.Pace
 	// failing is the pause of services whose writes fail.
 	failing map[string]time.Duration
 }
@@ -54,7 +58,7 @@
 	return &recorder{
 		store: s, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
 		busy: make(map[string]bool), next: make(map[string]time.Duration),
-		failing: make(map[string]time.Duration),
+		failing: make(map[string]time.Duration), paces: make(map[groupID]*epochpace.Pace),
 	}
 }
 
@@ -82,6 +86,7 @@
 // offer writes the proposals over the record that they were made for, all in one
 // conditional write. Those of a new epoch go at once, others lazily.
 func (r *recorder) offer(ctx context.Context, h *heldService, proposals []model.Group) {
+	proposals = r.paced(h.record, proposals)
 	if len(proposals) == 0 {
 		return
 	}
@@ -100,6 +105,31 @@
 	})
 }
 
+// paced leaves out new epochs that come too soon after the group's last.
+func (r *recorder) paced(held *model.Assignment, proposals []model.Group) []model.Group {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var out []model.Group
+	for _, p := range proposals {
+		i := slices.IndexFunc(held.Groups, func(g model.Group) bool { return g.ID == p.ID })
+		if i < 0 {
+			continue
+		}
+		id := groupID{held.Service, p.ID}
+		pace := r.paces[id]
+		if pace == nil {
+			pace = new(epochpace.Pace)
+			r.paces[id] = pace
+		}
+		pace.Seen(held.Groups[i].Epoch, now)
+		if p.Epoch == held.Groups[i].Epoch || pace.May(now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // merge puts the proposals into a copy of the record.
 func merge(held *model.Assignment, proposals []model.Group) (record model.Assignment, urgent bool) {
 	record = *held
--- /dev/null
+++ b/internal/decide/suspicion/suspicion.go
@@ -0,0 +1,76 @@
+// Package suspicion decides how long a peer may be silent before it is taken for
+// lost.
+//
+// Load pattern: the machines are full, and heartbeats that are due each 95 ms come
+// with gaps of 200 or 300 ms. With one fixed bound each gap is a false loss: the
+// next grantor takes over, targets are asked again, records are written, and that
+// work makes the gaps longer. A bound that is safe under load, though, would make
+// every true loss cost as long on quiet days.
+//
+// The bound is the setting, or twice the longest gap after which the peer spoke
+// again lately, whichever is longer, up to a ceiling. The first gap of a busy time
+// may be a false loss; the following ones are not. Gaps above the ceiling were true
+// losses and teach nothing.
+//
+// Grounds: twice, since gaps of a starved machine scatter by about that much. Two
+// windows of 15 s keep a gap for 15 to 30 s, long enough to span bursts of load, and
+// short enough that one stall does not slow the takeovers of the next minute. The
+// ceiling leaves time for a grant to run out within the 1 s in which a key must be
+// served again.
+package suspicion
+
+import "time"
+
+const (
+	// slack multiplies the longest gap.
+	slack = 2
+	// window is half of the memory for gaps.
+	window = 15 * time.Second
+	// Ceiling is the longest silence that is forgiven.
+	Ceiling = 600 * time.Millisecond
+)
+
+// Peer is what is known of one peer's heartbeats. The zero value has heard
+// nothing. It is not safe for concurrent use.
+type Peer struct {
+	heard  time.Duration
+	spoke  bool
+	turned time.Duration
+	// current and previous are the longest gaps of two windows.
+	current, previous time.Duration
+}
+
+// Heard notes a sign of life.
+func (p *Peer) Heard(now time.Duration) {
+	p.turn(now)
+	if gap := now - p.heard; p.spoke && gap <= Ceiling {
+		p.current = max(p.current, gap)
+	}
+	p.heard, p.spoke = now, true
+}
+
+func (p *Peer) turn(now time.Duration) {
+	passed := now - p.turned
+	if passed < window {
+		return
+	}
+	p.previous, p.current = p.current, 0
+	if passed >= 2*window {
+		p.previous = 0
+	}
+	p.turned = now
+}
+
+// Forgive moves the last sign of life: nobody listened meanwhile.
+func (p *Peer) Forgive(pause time.Duration) { p.heard += pause }
+
+// Bound returns how long the peer may be silent, at least the setting.
+func (p *Peer) Bound(setting time.Duration) time.Duration {
+	longest := max(p.current, p.previous)
+	return max(setting, min(slack*longest, Ceiling))
+}
+
+// Alive tells whether the peer's silence is within its bound.
+func (p *Peer) Alive(now, setting time.Duration) bool {
+	return p.spoke && now-p.heard < p.Bound(setting)
+}
