Grants linger until the next one; a starting agent asks for the grants peers know

Cause: while a VM is replaced its agent's grants were told by nobody until the next in line had taken over: 33 of 50 refusals in a rolling replacement were no-owner at one entry. Conclusion: a stale grant costs a wait for the next view, none costs a refusal.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -147,6 +147,7 @@
 		a.assigner.run,
 		a.shareBudget,
 		a.grantor.run,
+		a.seedGrants,
 		a.becomeReady,
 	}
 	for _, duty := range duties {
@@ -171,7 +172,7 @@
 // becomeReady waits for the first configuration.
 func (a *agent) becomeReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, ready := a.config.state(); ready && a.members.settled() {
+		if _, ready := a.config.state(); ready && a.members.settled() && a.relay.seeded.Load() {
 			a.Life.Ready()
 			return
 		}
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 
@@ -75,27 +74,3 @@
 	grants, _ := t.snapshot()
 	return grants
 }
-
-// highestRanks keeps the grant of the highest rank for each group, sorted. A
-// grantor that was replaced and does not know it yet still tells its old grant;
-// the rank shows which is newer.
-func highestRanks(grants []wire.Grant) []wire.Grant {
-	best := make(map[groupID]wire.Grant, len(grants))
-	for _, g := range grants {
-		id := groupID{g.Service, g.Group}
-		if held, ok := best[id]; !ok || g.Rank.Compare(held.Rank) > 0 {
-			best[id] = g
-		}
-	}
-	out := make([]wire.Grant, 0, len(best))
-	for _, g := range best {
-		out = append(out, g)
-	}
-	slices.SortFunc(out, func(a, b wire.Grant) int {
-		if c := cmp.Compare(a.Service, b.Service); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Group, b.Group)
-	})
-	return out
-}
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockquay/internal/model"
@@ -18,14 +19,19 @@
 	grants      *grantTable
 	loads       *loadBook
 
+	// seeded says that a peer was asked for the grants it knows.
+	seeded atomic.Bool
+
 	mu      sync.Mutex
 	changed chan struct{}
 	// state numbers live and combined; it rises when either differs.
 	state    uint64
 	live     []wire.Member
 	combined []wire.Grant
-	listed   []wire.Place
-	daemons  map[string]daemonReport
+	// lingering holds combined's grants; it needs mu.
+	lingering *lingering
+	listed    []wire.Place
+	daemons   map[string]daemonReport
 }
 
 // daemonReport is the last word of one of the VM's daemons.
@@ -51,7 +57,7 @@
 const maxPullWait = 5 * time.Second
 
 func newRelay(incarnation string) *relay {
-	return &relay{incarnation: incarnation, loads: newLoadBook(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
+	return &relay{incarnation: incarnation, loads: newLoadBook(), lingering: newLingering(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
 }
 
 // broadcast wakes the pulls that wait.
@@ -75,9 +81,10 @@
 // refresh computes members and grants anew and wakes the pulls if they differ.
 func (r *relay) refresh() {
 	live, listed := visible(r.members.live()), r.members.places()
-	combined := highestRanks(append(r.members.peerGrants(), r.grants.list()...))
+	told := append(r.members.peerGrants(), r.grants.list()...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	combined := r.lingering.merge(told, r.members.clock.Now())
 	if slices.Equal(live, r.live) && slices.Equal(listed, r.listed) && reflect.DeepEqual(combined, r.combined) {
 		return
 	}
@@ -139,7 +146,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.config.since(args.Revision, wantedBy(args.Process), reply)
-	reply.Ready = reply.Ready && r.members.settled()
+	reply.Ready = reply.Ready && r.members.settled() && r.seeded.Load()
 	reply.State = r.state
 	if args.Source != r.incarnation || args.State != r.state {
 		reply.Changed = true
--- /dev/null
+++ b/internal/agent/seed.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"context"
+
+	"hemlockquay/internal/wire"
+)
+
+// seedGrants asks one peer for the grants of all groups when the agent starts.
+//
+// Failure: an agent that was a grantor restarts. No peer tells the grants of its
+// earlier life as its own, so its daemons would see keys without an owner until the
+// next in line has taken over. Whoever spoke with the earlier life still knows them.
+// An agent that reaches nobody goes on without after settleWithin.
+func (a *agent) seedGrants(ctx context.Context) {
+	defer a.relay.seeded.Store(true)
+	begun := a.relay.members.clock.Now()
+	for ctx.Err() == nil && a.relay.members.clock.Now()-begun < settleWithin {
+		addrs := a.members.addrs()
+		if len(addrs) == 0 && a.members.isListed() {
+			return
+		}
+		for vm, addr := range addrs {
+			if a.askGrants(ctx, vm, addr) {
+				return
+			}
+		}
+		pause(ctx, a.Settings.Heartbeat.D())
+	}
+}
+
+func (a *agent) askGrants(ctx context.Context, vm, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*a.Settings.Heartbeat.D())
+	defer cancel()
+	revision, _ := a.config.state()
+	args := wire.PullArgs{Process: agentProcess, Revision: revision}
+	var reply wire.PullReply
+	if err := a.peers.Get(addr).Call(ctx, wire.MethodPull, &args, &reply); err != nil {
+		a.Log.Debug().Err(err).Str("step", "seed-grants").Str("peer", vm).Msg("no answer")
+		return false
+	}
+	a.relay.adopt(reply.Grants)
+	return reply.Ready
+}
+
+// adopt takes the grants that a peer knows.
+func (r *relay) adopt(grants []wire.Grant) {
+	r.mu.Lock()
+	r.lingering.merge(grants, r.members.clock.Now())
+	r.mu.Unlock()
+	r.refresh()
+}
