Fault matrix: every fault at every step of a request

Cause: tests of failures stood one by one; nothing told which step of a chart no fault had met. Change: internal/faults has the rows, takes the columns from the charts and compares the outcome with docs/faults. The request chart's part plays 15 steps against 22 faults on the real queue and the real watch over crashing requests. A machine tells its steps to a watcher, so the fault comes in that moment.

--- /dev/null
+++ b/internal/dispatch/faults_test.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/faults"
+	"hemlockquay/internal/statechart"
+)
+
+// Ends of an attempt that a script prescribes.
+const (
+	endAnswer = "answer"
+	endShed   = "shed"
+	endUnsent = "unsent"
+	endLost   = "lost"
+)
+
+// script leads a request through one step of its chart.
+type script struct {
+	// ends are those of the first attempts; later ones are answered.
+	ends []string
+	// idempotent restricts the request; both kinds are played where neither
+	// is set.
+	idempotent, nonIdempotent bool
+	// busy takes all slots, so that the request waits past its deadline.
+	busy bool
+	// drainAt drains the dispatcher when the event was taken.
+	drainAt statechart.Event
+}
+
+func step3(from, event, to string) statechart.Transition {
+	return statechart.Transition{From: statechart.State(from), Event: statechart.Event(event), To: statechart.State(to)}
+}
+
+// scripts has an entry for each step of charts/request.jsonc.
+var scripts = map[statechart.Transition]script{
+	{To: "queued"}:                         {},
+	step3("queued", "send", "sent"):        {},
+	step3("queued", "refuse", "refused"):   {busy: true},
+	step3("sent", "answer", "answered"):    {},
+	step3("sent", "shed", "queued"):        {ends: []string{endShed}},
+	step3("sent", "unsent", "queued"):      {ends: []string{endUnsent}},
+	step3("sent", "repeat", "unsettled"):   {ends: []string{endLost}, idempotent: true},
+	step3("sent", "lose", "lost"):          {ends: []string{endLost}, nonIdempotent: true},
+	step3("unsettled", "send", "resent"):   {ends: []string{endLost}, idempotent: true},
+	step3("unsettled", "lose", "lost"):     {ends: []string{endLost}, idempotent: true, drainAt: eventSend},
+	step3("resent", "answer", "answered"):  {ends: []string{endLost}, idempotent: true},
+	step3("resent", "shed", "unsettled"):   {ends: []string{endLost, endShed}, idempotent: true},
+	step3("resent", "unsent", "unsettled"): {ends: []string{endLost, endUnsent}, idempotent: true},
+	step3("resent", "repeat", "unsettled"): {ends: []string{endLost, endLost}, idempotent: true},
+	step3("resent", "lose", "lost"):        {ends: []string{endLost, endLost, endLost, endLost, endLost, endLost, endLost, endLost}, idempotent: true},
+}
+
+// breakage is a fault as a dispatcher meets it.
+type breakage struct {
+	name       faults.Fault
+	impossible string
+	// keyed plays it on a keyed service of one target.
+	keyed bool
+	// ends says that the dispatcher takes no work afterwards.
+	ends   bool
+	inject func(c *cell)
+}
+
+const noStore = "a dispatcher calls no store; what its agent told it stays in force, see agent lost"
+
+// breakages has an entry for each fault.
+var breakages = map[faults.Fault]breakage{
+	faults.None:            {inject: func(*cell) {}},
+	faults.Partition:       {inject: func(c *cell) { c.cutFor(211 * time.Millisecond) }},
+	faults.Pause:           {inject: (*cell).pause},
+	faults.EntryLost:       {inject: func(c *cell) { c.push(message{cancel: victim}) }},
+	faults.DispatchLost:    {ends: true, inject: (*cell).die},
+	faults.AgentLost:       {keyed: true, inject: func(c *cell) { c.fencedFor(1493 * time.Millisecond) }},
+	faults.TargetFrozen:    {inject: func(c *cell) { c.freeze(c.where(), 997*time.Millisecond) }},
+	faults.TargetLost:      {inject: func(c *cell) { c.lose(c.where()) }},
+	faults.StoreDown:       {impossible: noStore},
+	faults.StoreSlow:       {impossible: noStore},
+	faults.StoreAnswerLost: {impossible: noStore},
+	faults.LeaseLapsed:     {keyed: true, inject: func(c *cell) { c.fencedFor(307 * time.Millisecond) }},
+	faults.OperatorsRace:   {inject: (*cell).race},
+	faults.CrashingRequest: {inject: (*cell).beginCrashing},
+	faults.VMLeaves:        {ends: true, inject: func(c *cell) { c.push(message{drain: true}) }},
+	faults.TargetLeaves:    {inject: func(c *cell) { c.leave(c.where()) }},
+	faults.DataCentreLost:  {inject: func(c *cell) { c.lose(c.where()); c.lose(c.another()) }},
+	faults.TargetLostTwice: {inject: func(c *cell) {
+		c.lose(c.where())
+		time.AfterFunc(103*time.Millisecond, func() { c.lose(c.another()) })
+	}},
+	faults.PartitionTwice: {inject: func(c *cell) {
+		c.cutFor(53 * time.Millisecond)
+		time.AfterFunc(171*time.Millisecond, func() { c.cutFor(199 * time.Millisecond) })
+	}},
+	faults.TargetAndStore: {impossible: noStore},
+	faults.AgentAndTarget: {keyed: true, inject: func(c *cell) {
+		c.lose("master-1")
+		time.AfterFunc(1500*time.Millisecond, func() {
+			c.set("master-1", func(f *fakeTarget) { f.down = false })
+			c.own("master-1")
+		})
+	}},
+	faults.PauseInPartition: {inject: func(c *cell) { c.cutFor(211 * time.Millisecond); c.pause() }},
+}
+
+// planned are the rows in which nothing breaks: somebody stops or changes
+// something on purpose.
+var planned = map[faults.Fault]bool{faults.VMLeaves: true, faults.TargetLeaves: true, faults.OperatorsRace: true}
+
+const requestAbout = `A dispatcher's queue runs in virtual time: three targets of 2 slots (one keyed
+target for the faults of ownership), the real watch over crashing requests, two
+other requests, and the one that is led to the step. The fault comes in the moment of the step,
+for "send" in the middle of the attempt. Each cell shows what the caller of that request received:
+answered, no (refused, not run) or unknown; of a non-idempotent request / an
+idempotent one where the step is open to both. Of a lost dispatcher no answer comes,
+and its entry tells unknown; of a lost entry the cell shows the answer that nobody hears.
+
+Checked in each cell: each answer is the request's own, whole; one refused as not run has not run;
+a non-idempotent request ran once at most, bystanders included; a target that leaves was sent
+nothing after 3 s; where a VM or target leaves or operators race, no request in flight was lost; a request crashed two targets at most; nothing was left in the queue; a later
+request is answered, unless the dispatcher left.`
+
+// A caller books while something breaks, at any moment in the life of the
+// request: it is told that it did not run and it did, or it ran twice, or another's
+// answer came. docs/faults/request.md shows each fault at each step.
+func TestFaultsAtStepsOfRequest(t *testing.T) {
+	m := faults.New(requestChart, requestAbout)
+	for _, step := range faults.Steps(requestChart) {
+		s, ok := scripts[step]
+		require.True(t, ok, "no script leads to %s", faults.Name(step))
+		var without string
+		for _, f := range faults.All() {
+			b, ok := breakages[f]
+			require.True(t, ok, "no entry for %s", f)
+			b.name = f
+			if b.impossible != "" {
+				m.Impossible(f, step, b.impossible)
+				continue
+			}
+			name := string(f) + " at " + faults.Name(step)
+			t.Run(name, func(t *testing.T) {
+				got := s.received(t, step, b)
+				if f == faults.None {
+					without = got
+				}
+				if planned[f] && without != "unknown" {
+					require.NotContains(t, got, "unknown", "a planned stop cut off a request in flight")
+				}
+				m.Set(f, step, got)
+			})
+		}
+	}
+	require.NoError(t, m.Compare("../.."))
+}
+
+func (s script) received(t *testing.T, step statechart.Transition, b breakage) string {
+	var got []string
+	for _, idempotent := range []bool{false, true} {
+		if idempotent && s.nonIdempotent || !idempotent && s.idempotent {
+			continue
+		}
+		got = append(got, playCell(t, step, b, idempotent))
+	}
+	if len(got) == 2 && got[0] != got[1] {
+		return got[0] + " / " + got[1]
+	}
+	return got[0]
+}
--- /dev/null
+++ b/internal/faults/faults_test.go
@@ -0,0 +1,30 @@
+package faults
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/charts"
+)
+
+// A chart gains a step, and nobody asks what a fault does there.
+func TestStepWithoutEntryIsMissing(t *testing.T) {
+	c := charts.MustLoad("daemon")
+	m := New(c, "")
+	steps := Steps(c)
+	require.Len(t, steps, len(c.Transitions)+1)
+	for _, f := range All() {
+		for _, s := range steps[:len(steps)-1] {
+			m.Impossible(f, s, "no reason")
+		}
+	}
+	require.Len(t, m.Missing(), len(All()))
+	require.ErrorContains(t, m.Compare(t.TempDir()), "without an entry")
+	for _, f := range All() {
+		m.Set(f, steps[len(steps)-1], "answered")
+	}
+	require.Empty(t, m.Missing())
+	require.ErrorIs(t, m.Compare(t.TempDir()), os.ErrNotExist)
+}
--- a/internal/statechart/statechart.go
+++ b/internal/statechart/statechart.go
@@ -157,6 +157,7 @@
 type Machine struct {
 	chart *Chart
 	state State
+	watch func(Transition)
 }
 
 // Start returns a machine in the chart's initial state.
@@ -167,11 +168,19 @@
 
 // Fire moves the machine on, or leaves it and returns ErrNoTransition.
 func (m *Machine) Fire(e Event) error {
-	to, err := m.chart.Next(m.state, e)
+	from := m.state
+	to, err := m.chart.Next(from, e)
 	m.state = to
+	if err == nil && m.watch != nil {
+		m.watch(Transition{From: from, Event: e, To: to})
+	}
 	return err
 }
 
+// Watch has f called at the end of every Fire that moved the machine on, in the
+// caller's goroutine and without Why. The fault matrix breaks something there.
+func (m *Machine) Watch(f func(Transition)) { m.watch = f }
+
 // Done tells whether the machine is in a final state.
 func (m *Machine) Done() bool { return m.chart.IsFinal(m.state) }
 
