Fault matrix: every fault at every step of a planned move

Change: 6 steps against 22 faults: the real planner, a store that takes only plans made from the record that stands, grantors that obey late. Conclusion: no move is left undone and no intent stands for ever; the record ends at who serves.

--- /dev/null
+++ b/internal/decide/placement/faults_play_test.go
@@ -0,0 +1,313 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/statechart"
+)
+
+const (
+	planBeat = 500 * time.Millisecond
+	// takeUp is how long the grantors take to win a new epoch here, carryOut how
+	// long a release takes: longer than in life, so that faults come in between.
+	takeUp    = 2 * time.Second
+	carryOut  = 1500 * time.Millisecond
+	moveWatch = 60 * time.Second
+)
+
+// movePlay is a planner, its record in the store, and grantors that obey the
+// record late. The group with the id 1 moves.
+type movePlay struct {
+	*world
+	t       *testing.T
+	step    statechart.Transition
+	inject  func(*movePlay)
+	lead    func(*movePlay)
+	from    string
+	to      string
+	last    *move
+	state   statechart.State
+	taken   bool
+	stored  model.Assignment
+	version int
+	// read is the version that the planner sees.
+	read int
+	// adopted are the records by which the grantors act.
+	adopted map[uint64]model.Group
+	seenAt  map[uint64]time.Duration
+	moveAt  map[uint64]time.Duration
+	// The faults' ends, in the time of the play.
+	cutTo, downTo, pausedTo, slowTo time.Duration
+	loseAnswers                     int
+	alarms                          map[time.Duration][]func(*movePlay)
+}
+
+func newMovePlay(t *testing.T, step statechart.Transition, lead, inject func(*movePlay)) *movePlay {
+	w := newWorld(5, 5, 4, 5, model.Weights{Imbalance: 1, Churn: 1, Unavailable: 1})
+	p := &movePlay{
+		world: w, t: t, step: step, inject: inject, lead: lead, stored: *w.in.Assignment,
+		adopted: make(map[uint64]model.Group), seenAt: make(map[uint64]time.Duration),
+		moveAt: make(map[uint64]time.Duration), alarms: make(map[time.Duration][]func(*movePlay)),
+	}
+	for _, g := range p.stored.Groups {
+		p.adopted[g.ID] = g
+	}
+	return p
+}
+
+func (p *movePlay) group() *model.Group {
+	i := slices.IndexFunc(p.stored.Groups, func(g model.Group) bool { return g.ID == 1 })
+	return &p.stored.Groups[i]
+}
+
+// begin plans the move to a target that does not stand by yet.
+func (p *movePlay) begin() {
+	r := newRound(p.planner, &p.in)
+	r.next = p.stored
+	r.next.Groups = slices.Clone(p.stored.Groups)
+	i := slices.IndexFunc(r.next.Groups, func(g model.Group) bool { return g.ID == 1 })
+	g := &r.next.Groups[i]
+	p.from = g.Owner.Name
+	for _, name := range r.fit {
+		if name != g.Owner.Name && name != g.Standby.Name && name != g.Witness.Name {
+			p.to = name
+		}
+	}
+	r.startMove(g, p.to, "a test moves it")
+	r.raiseEpochs()
+	p.stored, p.version = r.next, p.version+1
+	p.last, p.state = p.planner.moves[1], movePreparing
+}
+
+// play runs the cell and tells where the group ended.
+func (p *movePlay) play() string {
+	p.begin()
+	if p.step.Event == "" {
+		p.taken = true
+		p.inject(p)
+	}
+	for end := p.in.Now + moveWatch; p.in.Now < end; {
+		p.in.Now += planBeat
+		for _, do := range p.alarms[p.in.Now] {
+			do(p)
+		}
+		p.plan()
+		p.notice()
+		p.grantors()
+		p.checkRecord()
+	}
+	require.True(p.t, p.taken, "nothing led to the step")
+	return p.outcome()
+}
+
+func (p *movePlay) outcome() string {
+	g := p.group()
+	require.Empty(p.t, g.MoveTo, "a move was left undone")
+	require.Empty(p.t, p.planner.moves, "a move was left undone")
+	require.Equal(p.t, g.Owner.Name, p.in.Serving[1].Target.Name, "the record shows who serves")
+	require.False(p.t, p.in.Lost[g.Owner.Name], "a lost target owns")
+	switch g.Owner.Name {
+	case p.to:
+		return "moved"
+	case p.from:
+		return "stayed"
+	}
+	return "elsewhere"
+}
+
+// plan is one look of the assigner: it plans on the record that it sees, and the
+// store takes it if that is still the record.
+func (p *movePlay) plan() {
+	now := p.in.Now
+	if now < p.pausedTo || now < p.slowTo && now%(2*time.Second) != 0 {
+		return
+	}
+	reaches := now >= p.cutTo && now >= p.downTo
+	if reaches {
+		held := p.stored
+		p.in.Assignment, p.read = &held, p.version
+	}
+	r := p.planner.Plan(&p.in)
+	if len(r.Decisions) == 0 {
+		return
+	}
+	if !reaches || p.read != p.version {
+		p.planner.Forget()
+		return
+	}
+	p.checkIntent(&r.Assignment)
+	p.stored, p.version = r.Assignment, p.version+1
+	if p.loseAnswers > 0 {
+		p.loseAnswers--
+		p.planner.Forget()
+	}
+}
+
+// checkIntent: a move is ordered only to a half of the pair.
+func (p *movePlay) checkIntent(next *model.Assignment) {
+	for _, g := range next.Groups {
+		if g.MoveTo != "" {
+			require.Equal(p.t, g.Standby.Name, g.MoveTo, "an intent names the standby")
+		}
+	}
+}
+
+// notice compares the move's state with the one before; a step of the chart is
+// known by its two states.
+func (p *movePlay) notice() {
+	if p.last == nil || p.last.machine.State() == p.state {
+		return
+	}
+	from := p.state
+	p.state = p.last.machine.State()
+	if from == p.step.From && p.state == p.step.To && !p.taken {
+		p.taken = true
+		p.inject(p)
+	}
+	if p.state == moveOrdered && p.lead != nil {
+		p.lead(p)
+	}
+}
+
+const moveOrdered = statechart.State("ordered")
+
+// grantors serve by the records that they took up, and write who serves.
+func (p *movePlay) grantors() {
+	down := p.in.Now < p.downTo
+	for i := range p.stored.Groups {
+		g := &p.stored.Groups[i]
+		if !down {
+			p.takeUp(g)
+		}
+		pair := p.adopted[g.ID]
+		serving := p.serve(&pair)
+		p.in.Serving[g.ID] = Serving{Target: model.TargetRef{Name: serving}, Epoch: pair.Epoch}
+		if down || pair.Epoch != g.Epoch || serving != g.Standby.Name && serving != g.MoveTo {
+			continue
+		}
+		p.stored.Groups = slices.Clone(p.stored.Groups)
+		g = &p.stored.Groups[i]
+		if serving == g.Standby.Name {
+			g.Owner, g.Standby = g.Standby, g.Owner
+		}
+		if serving == g.MoveTo {
+			g.MoveTo = ""
+		}
+		p.version++
+		p.adopted[g.ID] = *g
+	}
+}
+
+// takeUp adopts an intent at once and a new epoch after a while.
+func (p *movePlay) takeUp(g *model.Group) {
+	held := p.adopted[g.ID]
+	if held.Epoch == g.Epoch {
+		p.adopted[g.ID] = *g
+		delete(p.seenAt, g.ID)
+		return
+	}
+	at, seen := p.seenAt[g.ID]
+	if !seen {
+		p.seenAt[g.ID] = p.in.Now
+		return
+	}
+	if p.in.Now-at >= takeUp {
+		p.adopted[g.ID] = *g
+		delete(p.seenAt, g.ID)
+	}
+}
+
+// serve returns who serves the pair: the same as before, but for losses and moves.
+func (p *movePlay) serve(pair *model.Group) string {
+	serving := p.in.Serving[pair.ID].Target.Name
+	other := pair.Owner.Name
+	if serving == other {
+		other = pair.Standby.Name
+	}
+	switch {
+	case serving != pair.Owner.Name && serving != pair.Standby.Name && !p.in.Lost[pair.Owner.Name]:
+		return pair.Owner.Name
+	case p.in.Lost[serving] && !p.in.Lost[other]:
+		return other
+	case pair.MoveTo == "" || pair.MoveTo == serving || p.in.Lost[pair.MoveTo]:
+		delete(p.moveAt, pair.ID)
+		return serving
+	case p.moveAt[pair.ID] == 0:
+		p.moveAt[pair.ID] = p.in.Now
+	case p.in.Now-p.moveAt[pair.ID] >= carryOut:
+		return pair.MoveTo
+	}
+	return serving
+}
+
+// checkRecord: three targets in three roles, and no epoch that the grantors have
+// passed.
+func (p *movePlay) checkRecord() {
+	for _, g := range p.stored.Groups {
+		require.NotEqual(p.t, g.Owner.Name, g.Standby.Name)
+		require.NotEqual(p.t, g.Owner.Name, g.Witness.Name)
+		require.GreaterOrEqual(p.t, g.Epoch, p.adopted[g.ID].Epoch, "an epoch fell")
+	}
+}
+
+func (p *movePlay) after(d time.Duration, do func(*movePlay)) {
+	p.alarms[p.in.Now+d] = append(p.alarms[p.in.Now+d], do)
+}
+
+func (p *movePlay) loseTarget(name string, d time.Duration) {
+	p.in.Lost[name] = true
+	p.after(d, func(p *movePlay) { delete(p.in.Lost, name) })
+}
+
+// restart replaces the assigner by one without memory.
+func (p *movePlay) restart(d time.Duration) {
+	p.pausedTo = p.in.Now + d
+	p.after(d, func(p *movePlay) { p.planner, p.last = New(), nil })
+}
+
+// lapse: another assigner plans for the paused one, which then writes what it
+// planned before its pause.
+func (p *movePlay) lapse() {
+	held, read, old := p.stored, p.version, p.planner
+	p.planner, p.last = New(), nil
+	p.pausedTo = p.in.Now + 6*time.Second
+	p.after(10*time.Second, func(p *movePlay) {
+		in := p.in
+		in.Assignment = &held
+		if r := old.Plan(&in); len(r.Decisions) > 0 && read == p.version {
+			p.stored, p.version = r.Assignment, p.version+1
+		}
+	})
+}
+
+func (p *movePlay) cut(d time.Duration) { p.cutTo = p.in.Now + d }
+
+func (p *movePlay) storeDown(d time.Duration) { p.downTo = p.in.Now + d }
+
+// race: one operator removes the new target from the service, another brings it
+// back a second later.
+func (p *movePlay) race() {
+	before, without := p.in.Service, *p.in.Service
+	without.Targets = slices.DeleteFunc(slices.Clone(before.Targets), func(t model.Target) bool { return t.Name == p.to })
+	p.in.Service = &without
+	p.after(time.Second, func(p *movePlay) { p.in.Service = before })
+}
+
+// moveLeads has an entry for each step of charts/move.jsonc: what happens at the
+// beginning, and when the move is ordered.
+var moveLeads = map[statechart.Transition]struct{ begin, ordered func(*movePlay) }{
+	{To: "preparing"}: {},
+	{From: "preparing", Event: "granted", To: "ordered"}: {},
+	{From: "preparing", Event: "served", To: "recorded"}: {begin: func(p *movePlay) {
+		p.after(takeUp+planBeat, func(p *movePlay) { p.loseTarget(p.from, 20*time.Second) })
+		p.pausedTo = p.in.Now + 5*time.Second
+	}},
+	{From: "preparing", Event: "withdraw", To: "withdrawn"}: {begin: func(p *movePlay) { p.after(planBeat, func(p *movePlay) { p.loseTarget(p.to, 20*time.Second) }) }},
+	{From: "ordered", Event: "served", To: "recorded"}:      {},
+	{From: "ordered", Event: "withdraw", To: "withdrawn"}:   {ordered: func(p *movePlay) { p.loseTarget(p.to, 20*time.Second) }},
+}
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -160,7 +160,7 @@
 // repository. A cell without an entry is an error.
 func (m *Matrix) Compare(root string) error {
 	if missing := m.Missing(); len(missing) > 0 {
-		return fmt.Errorf("faults without an entry: %s", strings.Join(missing, "; "))
+		return fmt.Errorf("%d cells without an entry, first %s", len(missing), missing[0])
 	}
 	page := filepath.Join(root, "docs", "faults", m.chart.Name+".md")
 	text := m.Markdown()
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -21,7 +21,7 @@
 		}
 	}
 	require.Len(t, m.Missing(), len(All()))
-	require.ErrorContains(t, m.Compare(t.TempDir()), "without an entry")
+	require.ErrorContains(t, m.Compare(t.TempDir()), "cells without an entry")
 	for _, f := range All() {
 		m.Set(f, steps[len(steps)-1], "answered")
 	}
