Slopes: benchmarks by size, and the lines through them

Cause: the design must carry 20,000 daemons, and nothing said what one more slice, contract, target or waiting request costs. Change: benchmarks BenchmarkSlope* at three sizes or more; package capacity fits lines (gonum), scripts/slopes.sh prints them.

--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,118 @@
+// Package capacity turns benchmarks at several sizes into slopes: what one more
+// slice, contract, peer or waiting request costs. docs/CAPACITY.md multiplies
+// them up to the size that the design must carry.
+//
+// A benchmark takes part if its sub-benchmarks are named "n=SIZE". Each unit
+// that it reports is one series.
+package capacity
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"regexp"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// LeastSizes is the number of sizes below which a line says nothing: any two
+// points lie on one.
+const LeastSizes = 3
+
+// Series is one unit of one benchmark over its sizes.
+type Series struct {
+	Benchmark string
+	Unit      string
+	Sizes     []float64
+	Values    []float64
+}
+
+// Line is the least-squares line through a series.
+type Line struct {
+	Intercept float64
+	Slope     float64
+	// R2 is the part of the variance that the line explains, at most 1.
+	R2 float64
+}
+
+// Fit returns the line of a series of at least LeastSizes sizes.
+func (s *Series) Fit() (Line, error) {
+	if len(s.Sizes) < LeastSizes {
+		return Line{}, fmt.Errorf("fit %s %s: %d sizes, %d needed", s.Benchmark, s.Unit, len(s.Sizes), LeastSizes)
+	}
+	intercept, slope := stat.LinearRegression(s.Sizes, s.Values, nil, false)
+	return Line{intercept, slope, stat.RSquared(s.Sizes, s.Values, nil, intercept, slope)}, nil
+}
+
+// sized matches the result line of a sub-benchmark with a size.
+var sized = regexp.MustCompile(`^Benchmark(\S+?)/n=(\d+)(?:-\d+)?\s+\d+\s+(.*)$`)
+
+type seriesID struct{ benchmark, unit string }
+
+// Parse reads the output of go test -bench, sorted by benchmark and unit.
+func Parse(r io.Reader) ([]*Series, error) {
+	found := make(map[seriesID]*Series)
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		m := sized.FindStringSubmatch(lines.Text())
+		if m == nil {
+			continue
+		}
+		size, err := strconv.ParseFloat(m[2], 64)
+		if err != nil {
+			return nil, fmt.Errorf("size in %q: %w", lines.Text(), err)
+		}
+		if err := addResults(found, m[1], size, strings.Fields(m[3])); err != nil {
+			return nil, err
+		}
+	}
+	out := slices.Collect(maps.Values(found))
+	slices.SortFunc(out, func(a, b *Series) int {
+		return cmp.Or(cmp.Compare(a.Benchmark, b.Benchmark), cmp.Compare(a.Unit, b.Unit))
+	})
+	return out, lines.Err()
+}
+
+// addResults takes pairs of value and unit.
+func addResults(found map[seriesID]*Series, benchmark string, size float64, fields []string) error {
+	for i := 0; i+1 < len(fields); i += 2 {
+		value, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return fmt.Errorf("result of %s: %w", benchmark, err)
+		}
+		id := seriesID{benchmark, fields[i+1]}
+		s := found[id]
+		if s == nil {
+			s = &Series{Benchmark: benchmark, Unit: fields[i+1]}
+			found[id] = s
+		}
+		s.Sizes = append(s.Sizes, size)
+		s.Values = append(s.Values, value)
+	}
+	return nil
+}
+
+// Retained returns the bytes of heap that stay in use through what build
+// returns. Nothing else may allocate meanwhile.
+func Retained(build func() any) float64 {
+	before := heap()
+	kept := build()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func heap() uint64 {
+	// Twice: the first collection may leave what only a finalizer held.
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/decide/fairqueue/slope_test.go
@@ -0,0 +1,55 @@
+package fairqueue
+
+import (
+	"fmt"
+	"testing"
+
+	"hemlockquay/internal/capacity"
+)
+
+func full(waiting, customers int) *Queue[int] {
+	q := New[int](waiting, 0.1)
+	for n := range waiting {
+		q.Push(&Item[int]{Customer: fmt.Sprint("customer-", n%customers), Weight: 1, Cost: 0.01})
+	}
+	return q
+}
+
+// BenchmarkSlopeWaiting is one request out and in, by the length of the queue.
+func BenchmarkSlopeWaiting(b *testing.B) {
+	for _, n := range []int{256, 1024, 4096} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			kept := capacity.Retained(func() any { return full(n, 50) })
+			q := full(n, 50)
+			for b.Loop() {
+				q.Push(q.Next(true))
+			}
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
+
+// BenchmarkSlopeQueueCustomers is one request out and in, by the customers that
+// wait.
+func BenchmarkSlopeQueueCustomers(b *testing.B) {
+	for _, n := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			q := full(4096, n)
+			for b.Loop() {
+				q.Push(q.Next(true))
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeOverflow is a request that finds the queue full.
+func BenchmarkSlopeOverflow(b *testing.B) {
+	for _, n := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			q := full(4096, n)
+			for b.Loop() {
+				q.Push(&Item[int]{Customer: "customer-1", Weight: 1, Cost: 0.01})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Prints the slopes that docs/CAPACITY.md is worked out from: each benchmark
+# BenchmarkSlope* at three sizes or more, with the line through them.
+# Usage: scripts/slopes.sh [REGEXP of benchmarks] [PACKAGES...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+pattern=${1:-BenchmarkSlope}
+shift || true
+packages=("$@")
+if [ ${#packages[@]} -eq 0 ]; then
+  mapfile -t packages < <(grep -rl 'func BenchmarkSlope' --include='*_test.go' internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
+fi
+# One package at a time, so that none disturbs another's figures.
+go test -p 1 -cpu 1 -run '^$' -bench "$pattern" -benchtime 200ms -timeout 5m "${packages[@]}" | go run ./internal/capacity/slopes
