Objects without comments are decoded without a tree of their text

Change: a text that is plain JSON goes straight to the decoder; the tree is built where comments stand or an error needs its line.

--- a/internal/model/decode.go
+++ b/internal/model/decode.go
@@ -59,22 +59,23 @@
 	}
 	ids := make(map[uint64]bool, len(a.Groups))
 	for i, g := range a.Groups {
-		at := fmt.Sprintf("/groups/%d", i)
 		switch {
 		case g.ID >= a.NextGroup:
-			return settings.Impossible(at+"/id", "%d is not below nextGroup (%d)", g.ID, a.NextGroup)
+			return settings.Impossible(groupField(i, "id"), "%d is not below nextGroup (%d)", g.ID, a.NextGroup)
 		case ids[g.ID]:
-			return settings.Impossible(at+"/id", "%d stands twice", g.ID)
+			return settings.Impossible(groupField(i, "id"), "%d stands twice", g.ID)
 		case len(g.Slices) == 0:
-			return settings.Impossible(at+"/slices", "a group without slices")
+			return settings.Impossible(groupField(i, "slices"), "a group without slices")
 		case g.Owner.Name == "" || g.Owner.Name == g.Standby.Name || g.Owner.Name == g.Witness.Name:
-			return settings.Impossible(at+"/owner", "%q is missing or stands twice", g.Owner.Name)
+			return settings.Impossible(groupField(i, "owner"), "%q is missing or stands twice", g.Owner.Name)
 		}
 		ids[g.ID] = true
 	}
 	return nil
 }
 
+func groupField(i int, field string) string { return fmt.Sprintf("/groups/%d/%s", i, field) }
+
 // Check reports the first impossible value.
 func (a *Assigner) Check() error { return checkName("/service", a.Service) }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,18 +66,26 @@
 // Decode reads JSON with comments into v and checks it. The error is an *Error
 // that names source, line and field.
 func Decode(source string, text []byte, v Checker) error {
-	tree, err := hujson.Parse(text)
-	if err != nil {
-		return syntaxError(source, err)
-	}
-	plain, err := hujson.Standardize(bytes.Clone(text))
+	plain, err := standardize(text)
 	if err != nil {
 		return syntaxError(source, err)
 	}
 	if err := json.Unmarshal(plain, v, json.RejectUnknownMembers(true)); err != nil {
 		return semanticError(source, plain, err)
 	}
-	return placeCheck(source, text, &tree, v.Check())
+	return placeCheck(source, text, v.Check())
+}
+
+// standardize returns the text without comments, every byte at its place.
+//
+// Load pattern: programs write most objects, records of thousands of groups
+// among them, and every VM reads each. They hold no comments, and the tree of a
+// text costs more than all else of its decoding, so none is built for them.
+func standardize(text []byte) ([]byte, error) {
+	if jsontext.Value(text).IsValid() {
+		return text, nil
+	}
+	return hujson.Standardize(bytes.Clone(text))
 }
 
 func syntaxError(source string, err error) error {
@@ -105,7 +113,7 @@
 	return &Error{Source: source, Line: 1, Reason: err.Error()}
 }
 
-func placeCheck(source string, text []byte, tree *hujson.Value, err error) error {
+func placeCheck(source string, text []byte, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -113,12 +121,16 @@
 	if !errors.As(err, &fe) {
 		return &Error{Source: source, Line: 1, Reason: err.Error()}
 	}
-	return &Error{Source: source, Line: lineOf(text, tree, fe.Pointer), Field: fe.Pointer, Reason: fe.Reason}
+	return &Error{Source: source, Line: lineOf(text, fe.Pointer), Field: fe.Pointer, Reason: fe.Reason}
 }
 
 // lineOf finds the line of a pointer. A field that is missing has the line of
 // the closest parent that is there.
-func lineOf(text []byte, tree *hujson.Value, pointer string) int {
+func lineOf(text []byte, pointer string) int {
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		return 1
+	}
 	for {
 		if v := tree.Find(pointer); v != nil {
 			return lineAt(text, int64(v.StartOffset))
