--- /dev/null
+++ b/internal/agent/slope_test.go
@@ -0,0 +1,229 @@
+package agent
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/capacity"
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+const slopeLife = 1796255323000000000
+
+func slopeMember(i int) wire.Member {
+	return wire.Member{
+		VM: fmt.Sprintf("entry-vm-%05d", i), DataCentre: fmt.Sprintf("dc-%02d", i%15), Incarnation: fmt.Sprintf("entry-vm-%05d-%d", i, slopeLife),
+		AgentAddr: "10.101.102.103:7001", DispatchAddr: "10.101.102.103:7002", EntryAddr: "10.101.102.103:7003", AdminAddr: "10.101.102.103:7004",
+		Revision: 123456789, Held: 123456789, Holds: true,
+	}
+}
+
+// slopeMembers is an agent's members with n peers that are alive.
+func slopeMembers(n int) *members {
+	m := newMembers(slopeMember(0), boottime.System{}, time.Hour, func() {})
+	var vms []platform.VM
+	for i := range n + 1 {
+		told := slopeMember(i)
+		vms = append(vms, platform.VM{Name: told.VM, DataCentre: told.DataCentre, AgentAddr: told.AgentAddr, State: platform.VMLive})
+	}
+	m.setList(vms)
+	for i := range n {
+		m.heard(slopeMember(i + 1))
+	}
+	return m
+}
+
+func slopeGrants(n int) []wire.Grant {
+	var out []wire.Grant
+	for i, s := range keyspace.Divide(n) {
+		target := fmt.Sprintf("shelf-%05d", i/8)
+		out = append(out, wire.Grant{
+			Service: "shelf", Group: uint64(i), Slices: []keyspace.Slice{s},
+			Target: model.TargetRef{Name: target, Incarnation: fmt.Sprintf("%s-%d", target, slopeLife)},
+			Rank:   wire.Rank{Epoch: 17, Incarnation: slopeLife, Agent: "entry-vm-00001"},
+		})
+	}
+	return out
+}
+
+func slopeRelay(peers, grants int) *relay {
+	r := newRelay("entry-vm-00000-1")
+	r.members, r.grants, r.config = slopeMembers(peers), newGrantTable(func() {}), newConfiguration(func() {})
+	for _, g := range slopeGrants(grants) {
+		g.Rank.Agent = slopeMember(int(g.Group)%peers + 1).VM
+		p := r.members.peers[g.Rank.Agent]
+		p.grants = append(p.grants, g)
+	}
+	return r
+}
+
+func encoded(b *testing.B, v any) float64 {
+	var out bytes.Buffer
+	enc := msgpack.NewEncoder(&out)
+	enc.SetOmitEmpty(true)
+	enc.UseCompactInts(true)
+	require.NoError(b, enc.Encode(v))
+	return float64(out.Len())
+}
+
+// BenchmarkSlopeBeatRound is one round of heartbeats of an agent with n peers
+// without the network: what it takes in and looks at. beat-B is the bytes both
+// ways with all peers.
+func BenchmarkSlopeBeatRound(b *testing.B) {
+	for _, n := range []int{8, 64, 512} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			r := slopeRelay(n, n)
+			r.members.changed = r.refreshLive
+			var told []wire.Member
+			for i := range n {
+				told = append(told, slopeMember(i+1))
+			}
+			for b.Loop() {
+				for i := range told {
+					var reply wire.BeatReply
+					_ = r.Beat(&wire.BeatArgs{Member: told[i], Source: r.incarnation}, &reply)
+				}
+				r.refreshLive()
+			}
+			both := encoded(b, &wire.BeatArgs{Member: told[0], Source: r.incarnation, State: 1234}) + encoded(b, &wire.BeatReply{Member: told[0], State: 1234})
+			b.ReportMetric(float64(n)*both, "beat-B")
+		})
+	}
+}
+
+// BenchmarkSlopeRefreshGrants is what one changed grant of n costs each agent;
+// pull-B is what it then sends to each of its daemons.
+func BenchmarkSlopeRefreshGrants(b *testing.B) {
+	for _, n := range []int{128, 1024, 8192} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			r := slopeRelay(8, n)
+			kept := capacity.Retained(func() any { return slopeGrants(n) })
+			for b.Loop() {
+				r.members.peers[slopeMember(1).VM].grants[0].Rank.Epoch++
+				r.refresh()
+			}
+			b.ReportMetric(encoded(b, &wire.PullReply{Grants: r.combined}), "pull-B")
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
+
+// BenchmarkSlopeRefreshMembers is the same by members, for one that comes or goes.
+func BenchmarkSlopeRefreshMembers(b *testing.B) {
+	for _, n := range []int{64, 512, 4096} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			r := slopeRelay(n, 8)
+			kept := capacity.Retained(func() any { return slopeMembers(n) })
+			for b.Loop() {
+				r.members.self.Leaving = !r.members.self.Leaving
+				r.refresh()
+			}
+			b.ReportMetric(encoded(b, &wire.PullReply{Members: r.live, Listed: r.listed}), "pull-B")
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
+
+func slopeContracts(n int) []platform.Object {
+	var out []platform.Object
+	for i := range n {
+		name := fmt.Sprintf("customer-%07d", i)
+		spec, _ := json.Marshal(model.Contract{
+			Customer: name, TokenSHA256: fmt.Sprintf("%064x", i),
+			Services: []model.Allowance{{Service: "shelf", Rate: 300, Burst: 300, Concurrency: 30, Class: model.Interactive, Weight: 1}},
+		})
+		out = append(out, platform.Object{Kind: model.KindContract, Name: name, Version: uint64(i + 1), Writer: "hqctl/1796255323000000000/1", Spec: spec})
+	}
+	return out
+}
+
+// BenchmarkSlopeDelta is a change of n contracts of 16,000: taken from a peer,
+// given to another, built into a view. delta-B is the message.
+func BenchmarkSlopeDelta(b *testing.B) {
+	for _, n := range []int{1, 16, 128, 512} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			objects := slopeContracts(16000)
+			revision := uint64(len(objects))
+			c := newConfiguration(func() {})
+			require.NoError(b, c.replace(platform.Listing{Objects: objects, Revision: revision}))
+			var reply wire.PullReply
+			for b.Loop() {
+				for i := range n {
+					o := objects[i]
+					o.Version = revision + uint64(i) + 1
+					objects[i] = o
+				}
+				change := wire.PullReply{Ready: true, Revision: revision + uint64(n), Objects: objects[:n]}
+				require.NoError(b, c.take(revision, &change))
+				reply = wire.PullReply{}
+				c.since(revision, daemonKind, &reply)
+				revision += uint64(n)
+			}
+			require.Len(b, reply.Objects, n)
+			b.ReportMetric(encoded(b, &reply), "delta-B")
+		})
+	}
+}
+
+// BenchmarkSlopeSnapshot is the whole of n contracts given to a daemon or peer
+// that holds nothing.
+func BenchmarkSlopeSnapshot(b *testing.B) {
+	for _, n := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			objects := slopeContracts(n)
+			c := newConfiguration(func() {})
+			require.NoError(b, c.replace(platform.Listing{Objects: objects, Revision: uint64(n)}))
+			kept := capacity.Retained(func() any { return slopeContracts(n) })
+			var reply wire.PullReply
+			for b.Loop() {
+				reply = wire.PullReply{}
+				c.since(0, daemonKind, &reply)
+			}
+			b.ReportMetric(encoded(b, &reply), "snapshot-B")
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
+
+// BenchmarkSlopePlanLook is what the assigner's look costs each agent, which it
+// takes twice a second, with n objects none of which changed.
+func BenchmarkSlopePlanLook(b *testing.B) {
+	for _, n := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			a := assigner{config: newConfiguration(func() {})}
+			require.NoError(b, a.config.replace(platform.Listing{Objects: slopeContracts(n), Revision: uint64(n)}))
+			for b.Loop() {
+				a.look()
+			}
+			require.Len(b, a.sight.versions, n)
+		})
+	}
+}
+
+// BenchmarkSlopePlanChange is the same look after one object changed.
+func BenchmarkSlopePlanChange(b *testing.B) {
+	for _, n := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			a := assigner{config: newConfiguration(func() {})}
+			objects := slopeContracts(n)
+			require.NoError(b, a.config.replace(platform.Listing{Objects: objects, Revision: uint64(n)}))
+			for b.Loop() {
+				o := objects[0]
+				revision, _ := a.config.state()
+				o.Version = revision + 1
+				a.config.apply(platform.Event{Type: platform.EventPut, Object: o, Revision: o.Version})
+				a.look()
+			}
+		})
+	}
+}
