The assigner decodes nothing that has not changed

Cause: each agent decoded every object twice a second, whoever the assigner was: the slope was 5.2 us an object a look. Change: a look ends where the revision is the one seen; else versions that were decoded before are taken again. Conclusion: an idle agent's cost no longer grows with contracts.

--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -45,6 +45,7 @@
 	log       *log.Logger
 
 	services map[string]*assigned
+	sight    sight
 	toldAt   time.Duration
 }
 
@@ -62,18 +63,42 @@
 	a.services = make(map[string]*assigned)
 	for ctx.Err() == nil {
 		pause(ctx, planEvery)
-		objects := a.config.list()
-		v := view.Build(objects, nil, nil)
-		versions := versionsOf(objects)
-		for _, s := range v.Services() {
+		a.look()
+		for _, s := range a.sight.view.Services() {
 			if s.Keyed {
-				a.serve(ctx, s, objects, v.Assignment(s.Name), versions)
+				a.serve(ctx, s, a.sight.objects, a.sight.view.Assignment(s.Name), a.sight.versions)
 			}
 		}
 		a.tell(ctx)
 	}
 }
 
+// sight is the configuration as the assigner saw it last.
+//
+// Load pattern: every agent looks twice a second, and most looks find nothing
+// new. Decoding all objects for each of them took more time than all else that
+// an idle agent does.
+type sight struct {
+	revision uint64
+	objects  []platform.Object
+	view     *view.View
+	versions map[platform.ID]uint64
+	cache    view.Cache
+}
+
+// look brings the sight up to date.
+func (a *assigner) look() {
+	// The revision comes first: a change in between is then seen again.
+	revision, _ := a.config.state()
+	if a.sight.view != nil && revision == a.sight.revision {
+		return
+	}
+	a.sight.revision = revision
+	a.sight.objects = a.config.list()
+	a.sight.view = a.sight.cache.Build(a.sight.objects, nil, nil)
+	a.sight.versions = versionsOf(a.sight.objects)
+}
+
 func versionsOf(objects []platform.Object) map[platform.ID]uint64 {
 	versions := make(map[platform.ID]uint64, len(objects))
 	for _, o := range objects {
