--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -9,11 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/capacity"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
 )
@@ -101,6 +104,44 @@
 	}
 }
 
+// BenchmarkSlopeBeatCalls is the processor time, both sides and the loopback's
+// network included, of a heartbeat to n peers: what an agent pays for n peers
+// that it asks and is asked by.
+func BenchmarkSlopeBeatCalls(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			r := slopeRelay(n, n)
+			server, err := peer.Listen("127.0.0.1:0")
+			require.NoError(b, err)
+			defer server.Close()
+			require.NoError(b, server.Register("Agent", r))
+			go func() { _ = server.Serve() }()
+			var clients []*peer.Client
+			for range n {
+				c := peer.NewClient(server.Addr(), 1)
+				defer c.Close()
+				clients = append(clients, c)
+			}
+			args := wire.BeatArgs{Member: slopeMember(1), Source: r.incarnation}
+			before := cpuTime(b)
+			for b.Loop() {
+				var round errgroup.Group
+				for _, c := range clients {
+					round.Go(func() error { return c.Call(b.Context(), wire.MethodBeat, &args, &wire.BeatReply{}) })
+				}
+				require.NoError(b, round.Wait())
+			}
+			b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns")
+		})
+	}
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var u unix.Rusage
+	require.NoError(b, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // BenchmarkSlopeRefreshGrants is what one changed grant of n costs each agent;
 // pull-B is what it then sends to each of its daemons.
 func BenchmarkSlopeRefreshGrants(b *testing.B) {
@@ -108,8 +149,10 @@
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
 			r := slopeRelay(8, n)
 			kept := capacity.Retained(func() any { return slopeGrants(n) })
+			// The last group, so that the tables are compared to their ends.
+			held := r.members.peers[slopeMember((n-1)%8+1).VM].grants
 			for b.Loop() {
-				r.members.peers[slopeMember(1).VM].grants[0].Rank.Epoch++
+				held[len(held)-1].Rank.Epoch++
 				r.refresh()
 			}
 			b.ReportMetric(encoded(b, &wire.PullReply{Grants: r.combined}), "pull-B")
--- /dev/null
+++ b/internal/entry/slope_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hemlockquay/internal/capacity"
+	"hemlockquay/internal/decide/shares"
+	"hemlockquay/internal/journal"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/view"
+	"hemlockquay/internal/wire"
+)
+
+// slopeEntries are entries with n contracts, of which used have requests.
+func slopeEntries(b *testing.B, vms, n, used int) *entries {
+	e := &entries{clock: &testClock{now: time.Hour}}
+	objects := []platform.Object{{Kind: model.KindService, Name: "booth", Spec: []byte(`{"name": "booth", "slots": 2, "connections": 10,
+		"targets": [{"name": "booth-1", "addr": "127.0.0.1:1", "dataCentre": "a"}]}`)}}
+	for i := range n {
+		objects = append(objects, platform.Object{Kind: model.KindContract, Name: fmt.Sprint("c", i), Version: uint64(i + 1), Spec: fmt.Appendf(nil,
+			`{"customer": "c%d", "tokenSHA256": "%064x", "services": [%s]}`, i, i, narrators)})
+	}
+	e.view = view.Build(objects, nil, nil)
+	require.Empty(b, e.view.Problems)
+	for i := range vms {
+		name := fmt.Sprintf("entry-vm-%05d", i)
+		e.view.Listed = append(e.view.Listed, wire.Place{VM: name})
+		e.all = append(e.all, newAdmitter(name, 1, 0, e.clock, journal.New(name, processName, 16), metrics.NewRegistry()))
+	}
+	for range 8 {
+		e.clock.now += shares.Renew
+		e.renew()
+	}
+	for _, c := range e.view.Contracts()[:used] {
+		v := &visit{service: e.view.Service("booth"), contract: c, allowance: c.Services[0]}
+		require.Nil(b, e.all[0].admit(v))
+		for range 100 {
+			// Most are refused: more is wanted than the entry's base.
+			_ = e.all[0].admit(v)
+		}
+	}
+	e.clock.now += shares.Renew
+	e.renew()
+	return e
+}
+
+// exchange is one ask and its answer from the first entry to the second.
+func (e *entries) exchange() (shares.Ask, shares.Answer) {
+	e.seq++
+	ask, asked := e.all[0].ask(e.all[1].vm, e.seq)
+	answer := e.all[1].receive(ask)
+	e.all[0].take(ask, answer, asked)
+	return ask, answer
+}
+
+func messageBytes(b *testing.B, messages ...any) float64 {
+	var out bytes.Buffer
+	enc := msgpack.NewEncoder(&out)
+	enc.SetOmitEmpty(true)
+	enc.UseCompactInts(true)
+	for _, m := range messages {
+		require.NoError(b, enc.Encode(m))
+	}
+	return float64(out.Len())
+}
+
+// BenchmarkSlopeShareAccounts is one exchange between two of nine entries by the
+// accounts in use, without the network.
+func BenchmarkSlopeShareAccounts(b *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			e := slopeEntries(b, 9, n, n)
+			ask, answer := e.exchange()
+			for b.Loop() {
+				e.exchange()
+			}
+			b.ReportMetric(messageBytes(b, &ask, &answer), "message-B")
+		})
+	}
+}
+
+// BenchmarkSlopeShareEntries is one exchange by the entries that share.
+func BenchmarkSlopeShareEntries(b *testing.B) {
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			e := slopeEntries(b, n, 1, 1)
+			ask, answer := e.exchange()
+			for b.Loop() {
+				e.exchange()
+			}
+			b.ReportMetric(messageBytes(b, &ask, &answer), "message-B")
+		})
+	}
+}
+
+// BenchmarkSlopeAccountPeriod is what an entry does four times a second for n
+// contracts in force, and what it keeps for them.
+func BenchmarkSlopeAccountPeriod(b *testing.B) {
+	for _, n := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			e := slopeEntries(b, 1, n, 0)
+			kept := capacity.Retained(func() any {
+				a := newAdmitter("x", 1, 0, e.clock, journal.New("x", processName, 16), metrics.NewRegistry())
+				a.period(e.view)
+				return a
+			})
+			for b.Loop() {
+				e.clock.now += shares.Renew
+				e.all[0].period(e.view)
+			}
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
--- /dev/null
+++ b/internal/journal/slope_test.go
@@ -0,0 +1,28 @@
+package journal
+
+import (
+	"fmt"
+	"testing"
+
+	"hemlockquay/internal/capacity"
+)
+
+func BenchmarkSlopeEntries(b *testing.B) {
+	for _, n := range []int{256, 1024, 4096} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			fill := func() *Journal {
+				j := New("entry-vm-00001", "hq-agent", n)
+				for i := range n {
+					j.Add("grant", fmt.Sprintf("took the group over: grantor entry-vm-%05d was silent for 190 ms", i), Group("shelf", uint64(i)))
+				}
+				return j
+			}
+			kept := capacity.Retained(func() any { return fill() })
+			j := fill()
+			for b.Loop() {
+				j.Add("grant", "text", "shelf/1")
+			}
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
--- /dev/null
+++ b/internal/ownership/grantor/slope_test.go
@@ -0,0 +1,85 @@
+package grantor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hemlockquay/internal/capacity"
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/model"
+)
+
+const slopeStarted = 1796255323000000000
+
+func slopeGroups(n int, vm string) []*Group {
+	p := Params{
+		VM: vm, Incarnation: vm + "-1", Started: slopeStarted, Checks: true, Every: 75 * ms, Life: 350 * ms,
+		Authority: 200 * ms, Margin: 10 * ms, Patience: 25 * ms, MoveLimit: 10 * time.Second, Unserved: 1500 * ms,
+	}
+	ref := func(i int) model.TargetRef { return model.TargetRef{Name: fmt.Sprint("t", i%16), Incarnation: "i"} }
+	var out []*Group
+	for i, s := range keyspace.Divide(n) {
+		rec := model.Group{
+			ID: uint64(i), Slices: []keyspace.Slice{s}, Owner: ref(i), Standby: ref(i + 1), Witness: ref(i + 2),
+			Epoch: 1, Grantors: []string{"vm1", "vm2", "vm3"}, Author: "vm1-1",
+		}
+		out = append(out, New(p, rec, 0))
+	}
+	return out
+}
+
+// slopeRound lets each group look and answers its orders as settled targets do.
+func slopeRound(groups []*Group, now time.Duration, sight Sight) (orders int) {
+	for _, g := range groups {
+		for _, o := range g.Tick(now, sight) {
+			orders++
+			g.Reported(&o, &Report{
+				Incarnation: "i", Clock: int64(now), Confirmed: true, Fence: o.Rank, Before: o.Rank, Held: o.Until, HeldRank: o.Rank,
+			}, now)
+		}
+		g.Proposal(now, sight)
+		g.NeedsStore(now)
+		g.Notes()
+	}
+	return orders
+}
+
+var slopeSight = Sight{Live: func(string) bool { return true }, Served: true}
+
+// BenchmarkSlopeRenewal is one renewal of n groups with three reports each,
+// without codec and network.
+func BenchmarkSlopeRenewal(b *testing.B) {
+	for _, n := range []int{64, 256, 1024} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			kept := capacity.Retained(func() any {
+				groups := slopeGroups(n, "vm1")
+				slopeRound(groups, time.Second, slopeSight)
+				return groups
+			})
+			groups, now, orders := slopeGroups(n, "vm1"), time.Second, 0
+			for b.Loop() {
+				now += 75 * ms
+				orders = slopeRound(groups, now, slopeSight)
+			}
+			if orders < n {
+				b.Fatal("orders were left out")
+			}
+			b.ReportMetric(float64(orders), "orders")
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
+
+// BenchmarkSlopeIdleLook is a look at n groups that another agent grants, which
+// each agent takes 67 times a second at all groups of all records.
+func BenchmarkSlopeIdleLook(b *testing.B) {
+	for _, n := range []int{64, 256, 1024} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			groups, now := slopeGroups(n, "vm9"), time.Second
+			for b.Loop() {
+				slopeRound(groups, now, slopeSight)
+			}
+		})
+	}
+}
