An agent keeps only the groups that name it as a grantor

Change: a group that never named the VM is not created. One that did stays, as its grants of then may not be out. Conclusion: the grantor's cost follows its own groups.

--- a/internal/agent/groups.go
+++ b/internal/agent/groups.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"slices"
+
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/ownership/grantor"
 	"hemlockquay/internal/platform"
@@ -63,7 +65,12 @@
 	return nil
 }
 
-// adopt gives each group its record.
+// adopt gives each group its record. A group that never named this VM as a
+// grantor is left out: the VM may do nothing for it. One that did is kept while
+// it exists, since its grants of then may not be out.
+//
+// Load pattern: every agent looks at its groups 67 times a second, and a group
+// names three grantors however many VMs there are.
 func (d *grantorDuty) adopt(h *heldService) {
 	now := d.clock.Now()
 	params := d.params
@@ -75,7 +82,7 @@
 		h.ids = append(h.ids, rec.ID)
 		if g := h.groups[rec.ID]; g != nil {
 			g.Adopt(rec, now)
-		} else {
+		} else if slices.Contains(rec.Grantors, params.VM) {
 			h.groups[rec.ID] = grantor.New(params, rec, now)
 		}
 	}
--- /dev/null
+++ b/internal/agent/groups_test.go
@@ -0,0 +1,37 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/ownership/grantor"
+)
+
+// A VM is named as grantor, grants a group, and a newer record names others. A
+// still newer one names it again, while its first grant may not be out. Had it
+// dropped the group meanwhile, it would grant another target without waiting for
+// that end: two owners. A group that never named it costs it nothing.
+func TestGroupsAreKeptOnceTheyNamedTheVM(t *testing.T) {
+	d := &grantorDuty{params: grantor.Params{VM: "vm9", Incarnation: "vm9-1", Every: time.Second}, clock: boottime.System{}, table: newGrantTable(func() {})}
+	h := &heldService{service: &model.Service{Name: "shelf"}, groups: make(map[uint64]*grantor.Group)}
+	adopt := func(epoch uint64, grantors ...string) {
+		h.record = &model.Assignment{Service: "shelf", Groups: []model.Group{{ID: 1, Epoch: epoch, Grantors: grantors}}}
+		d.adopt(h)
+	}
+	adopt(1, "vm1", "vm2")
+	require.Empty(t, h.groups)
+	adopt(2, "vm1", "vm9")
+	first := h.groups[1]
+	require.NotNil(t, first)
+	adopt(3, "vm1", "vm2")
+	adopt(4, "vm9", "vm2")
+	require.Same(t, first, h.groups[1])
+	require.Equal(t, uint64(4), first.Record().Epoch)
+	h.record = &model.Assignment{Service: "shelf"}
+	d.adopt(h)
+	require.Empty(t, h.groups)
+}
--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -16,6 +16,7 @@
 	"hemlockquay/internal/capacity"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/ownership/grantor"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
@@ -270,3 +271,37 @@
 		})
 	}
 }
+
+// BenchmarkSlopeForeignLook is a look of the grantor, of which each agent takes
+// 67 a second, with n groups that name other VMs as grantors.
+func BenchmarkSlopeForeignLook(b *testing.B) {
+	for _, n := range []int{256, 1024, 4096} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			record := &model.Assignment{Service: "shelf"}
+			for i, s := range keyspace.Divide(n) {
+				record.Groups = append(record.Groups, model.Group{
+					ID: uint64(i), Slices: []keyspace.Slice{s}, Epoch: 1, Author: "vm1-1", Grantors: []string{"vm1", "vm2", "vm3"},
+					Owner: model.TargetRef{Name: "t1"}, Standby: model.TargetRef{Name: "t2"}, Witness: model.TargetRef{Name: "t3"},
+				})
+			}
+			d := &grantorDuty{params: grantor.Params{VM: "vm9", Incarnation: "vm9-1", Every: time.Second}, clock: boottime.System{}, table: newGrantTable(func() {})}
+			held := func() *heldService {
+				h := &heldService{service: &model.Service{Name: "shelf"}, record: record, groups: make(map[uint64]*grantor.Group)}
+				d.adopt(h)
+				return h
+			}
+			kept := capacity.Retained(func() any { return held() })
+			h := held()
+			sight := func(string, uint64) grantor.Sight {
+				return grantor.Sight{Live: func(string) bool { return true }, Served: true}
+			}
+			for b.Loop() {
+				if len(d.collect(h, d.clock.Now(), sight)) > 0 {
+					b.Fatal("orders for groups of others")
+				}
+				d.proposals(h, d.clock.Now(), sight)
+			}
+			b.ReportMetric(kept, "heap-B")
+		})
+	}
+}
