--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -40,8 +40,9 @@
 	// maxProven bounds the fingerprints that were answered; in excess they are
 	// forgotten half at a time, which makes some unproven again.
 	maxProven = 1 << 17
-	// permitLife bounds a permit that was asked for and not used.
-	permitLife = time.Second
+	// permitLife bounds a permit that was asked for and not used: a round of
+	// questions, and the wait for a target that is kept free.
+	permitLife = reservation + time.Second
 	// reservation bounds how long a target is kept free for a suspect.
 	reservation = 2 * time.Second
 )
@@ -200,9 +201,6 @@
 	if w.suspects[pool] == fp {
 		delete(w.suspects, pool)
 	}
-	if f := w.cases[fp]; f != nil && f.permit == permitHeld && !f.Suspect() {
-		f.permit = permitNone
-	}
 }
 
 // Died says that a target ended with these requests running. The death counts
@@ -235,7 +233,10 @@
 	f.changed = max(f.changed, now-c.Age)
 	if f.Suspect() {
 		delete(w.proven, c.Fingerprint)
+		return
 	}
+	// A permit for deaths that are cleared is none for the next death.
+	f.permit = permitNone
 }
 
 func union[T comparable](a, b []T) []T {
@@ -249,12 +250,14 @@
 
 // MayPermit answers another dispatcher that asks to run a suspect: not while it
 // or another suspect of the pool runs here, nor while this one has or asks for the
-// permit and comes first. The asker's case must have been merged before.
+// permit and comes first. The asker's case must have been merged before, and it
+// merges ours from the reply, so that a quarantine need not be looked at here: the
+// asker refuses the request itself.
 func (w *Watch) MayPermit(fp Fingerprint, pool, asker string, now time.Duration) bool {
 	f := w.current(fp, now)
 	_, busy := w.suspects[pool]
 	switch {
-	case busy || w.running[fp] > 0 || f != nil && f.Quarantined():
+	case busy || w.running[fp] > 0:
 		return false
 	case f == nil || f.permit == permitNone:
 		return true
@@ -265,15 +268,19 @@
 	return false
 }
 
-// Permit is the outcome of asking all others. A permit that was given up to
-// another dispatcher meanwhile is not held.
-func (w *Watch) Permit(fp Fingerprint, granted bool, now time.Duration) {
+// Permit is the outcome of asking all others; asked is when Admit wanted it.
+//
+// Failure: a permit was given up to another dispatcher, or ran out and was asked
+// for again, while the words of the first round were on their way. They were true
+// before the other dispatcher asked; both would run the suspect. So only the round
+// of the ask that stands counts.
+func (w *Watch) Permit(fp Fingerprint, asked time.Duration, granted bool, now time.Duration) {
 	f := w.current(fp, now)
-	if f == nil || f.permit != permitAsked {
+	if f == nil || f.permit != permitAsked || f.asked != asked {
 		return
 	}
 	f.permit = permitNone
-	if granted && now-f.asked < permitLife {
+	if granted {
 		f.permit, f.asked = permitHeld, now
 	}
 }
@@ -315,7 +322,7 @@
 		delete(w.cases, fp)
 		return nil
 	}
-	if f.permit != permitNone && w.running[fp] == 0 && now-f.asked > reservation+permitLife {
+	if f.permit != permitNone && w.running[fp] == 0 && now-f.asked > permitLife {
 		f.permit = permitNone
 	}
 	return f
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -67,7 +67,7 @@
 		granted = w.MayPermit(fp, testPool, f.watches[d].vm, f.now) && granted
 		f.watches[d].Notice(w.Case(fp, f.now), f.now)
 	}
-	f.watches[d].Permit(fp, granted, f.now)
+	f.watches[d].Permit(fp, f.now, granted, f.now)
 }
 
 // send offers one waiting request of a dispatcher to a target.
@@ -213,7 +213,7 @@
 	w.Died([]Fingerprint{1, 3}, testPool, "a", 1)
 	w.Died([]Fingerprint{2, 3}, testPool, "b", 2)
 	require.Equal(t, NeedsPermit, w.Admit(3, testPool, "c", 3))
-	w.Permit(3, true, 3)
+	w.Permit(3, 3, true, 3)
 	require.Equal(t, Run, w.Admit(3, testPool, "c", 3))
 	w.Started(3, testPool, "c", 3)
 	require.NotNil(t, w.Finished(3, testPool, "c", true, 4), "cleared")
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -57,8 +57,9 @@
 // permit.
 type talk struct {
 	notice quarantine.Case
-	// pool is set where a permit is asked for.
-	pool string
+	// pool is set where a permit is asked for, asked is when it was wanted.
+	pool  string
+	asked time.Duration
 }
 
 var _ Suspects = (*crashWatch)(nil)
@@ -95,7 +96,7 @@
 		w.counts.refused.Inc(1)
 		return AdmitRefuse, problem.Refuse(problem.Quarantined, stepQuarantine, w.vm, "targets died under this request; it is not run for now").After(quarantine.Lifetime)
 	case quarantine.NeedsPermit:
-		w.say(talk{notice: w.watch.Case(fp, now), pool: r.Service})
+		w.say(talk{notice: w.watch.Case(fp, now), pool: r.Service, asked: now})
 	}
 	return AdmitHold, nil
 }
@@ -263,7 +264,7 @@
 	if t.pool == "" {
 		return
 	}
-	w.watch.Permit(t.notice.Fingerprint, granted, now)
+	w.watch.Permit(t.notice.Fingerprint, t.asked, granted, now)
 	if granted {
 		w.counts.permits.Inc(1)
 		return
