--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -15,6 +15,7 @@
 
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/standin"
+	"hemlockquay/internal/target"
 )
 
 // maxConnections bounds the connections to one entry.
@@ -214,6 +215,11 @@
 	h.Set("Authorization", "Bearer "+w.Token)
 	h.Set("Hq-Deadline-Ms", strconv.FormatInt(w.Deadline.D().Milliseconds(), 10))
 	h.Set(standin.HeaderLoadID, c.id)
+	if w.Direct {
+		// A target counts what runs by this id; without one, all of a stream's
+		// requests took up one slot together.
+		h.Set(target.HeaderRequestID, c.id)
+	}
 	h.Set(standin.HeaderLoadSize, strconv.Itoa(w.AnswerBytes))
 	if c.key != "" {
 		h.Set("Hq-Key", c.key)
