--- /dev/null
+++ b/internal/decide/deadline/deadline_test.go
@@ -0,0 +1,106 @@
+package deadline
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func TestBound(t *testing.T) {
+	cases := []struct {
+		name  string
+		mean  time.Duration
+		slots float64
+		want  time.Duration
+	}{
+		{"20 slots of 20 ms", 20 * ms, 20, 70 * ms},
+		{"one slot", 20 * ms, 1, 640 * ms},
+		{"less than a slot, as a slow target has, counts as one", 20 * ms, 0.1, 640 * ms},
+		{"no slot", 20 * ms, 0, 640 * ms},
+		{"so short that a scheduler's pause is longer", 100 * time.Microsecond, 1000, leastBound},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, Bound(c.mean, c.slots), c.name)
+	}
+}
+
+func TestWaitMeetsAndGiveUp(t *testing.T) {
+	require.Equal(t, 500*ms, Wait(10, 20))
+	require.Zero(t, Wait(10, 0), "unknown without slots")
+	require.True(t, Meets(100*ms, 80*ms, 20*ms))
+	require.False(t, Meets(100*ms, 80*ms, 20*ms+1))
+	deadline := time.Unix(10, 0)
+	require.Equal(t, deadline.Add(-20*ms), GiveUp(deadline, 20*ms))
+}
+
+// follow notes so much work in each millisecond for a while, with a wait over the
+// bound, and returns when the queue was found standing; 0 for never.
+func follow(s *Standing, from time.Time, during time.Duration, slots, load float64) time.Duration {
+	for at := time.Duration(0); at <= during; at += ms {
+		s.Came(load * slots * ms.Seconds())
+		if s.Note(from.Add(at), 100*ms, 70*ms, slots) {
+			return at
+		}
+	}
+	return 0
+}
+
+// A burst fills the queue over the bound; what comes after it is less than the slots
+// can do. It fits into its deadline and none of it may be cut, however long the
+// queue takes to empty.
+func TestBurstIsNotStanding(t *testing.T) {
+	var s Standing
+	s.Came(20 * 0.5)
+	require.Zero(t, follow(&s, time.Unix(1, 0), 3*time.Second, 20, 0.9))
+}
+
+// More comes than the slots can do: found after two whole windows, not in the first
+// millisecond, and not only when callers have given up. It ends only with an empty
+// queue; a wait under the bound is what the cut itself brings about.
+func TestOverloadIsFoundAndEndsWithAnEmptyQueue(t *testing.T) {
+	for _, load := range []float64{1.2, 1.5, 3} {
+		var s Standing
+		begun := time.Unix(1, 0)
+		found := follow(&s, begun, time.Second, 20, load)
+		require.InDelta(t, (windows * window).Seconds(), found.Seconds(), 0.01, "load %v", load)
+		require.True(t, s.Note(begun.Add(found+ms), 10*ms, 70*ms, 20))
+		require.False(t, s.Note(begun.Add(found+2*ms), 0, 70*ms, 20))
+		require.False(t, s.Note(begun.Add(found+3*ms), 100*ms, 70*ms, 20), "begins anew")
+	}
+}
+
+// One window of overload by chance among others, as a pool at 90% sees, is none.
+func TestSingleWindowsOverDoNotAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Standing
+		at := time.Unix(1, 0)
+		last := false
+		for range rapid.IntRange(1, 40).Draw(t, "windows") {
+			over := !last && rapid.Bool().Draw(t, "over")
+			last = over
+			load := 0.9
+			if over {
+				load = 2
+			}
+			require.Zero(t, follow(&s, at, window-ms, 20, load))
+			at = at.Add(window)
+		}
+	})
+}
+
+func TestRateFollowsWithinSeconds(t *testing.T) {
+	var r Rate
+	now := time.Unix(1, 0)
+	require.Zero(t, r.Value(now))
+	for range 5000 {
+		now = now.Add(ms)
+		r.Add(now, 0.002)
+	}
+	require.InEpsilon(t, 2, r.Value(now), 0.02)
+	require.InEpsilon(t, 2*math.Exp(-1), r.Value(now.Add(rateOver)), 0.02)
+}
--- /dev/null
+++ b/internal/decide/deadline/seed_test.go
@@ -0,0 +1,3 @@
+package deadline
+
+import _ "hemlockquay/internal/fixedseed"
--- /dev/null
+++ b/internal/decide/duration/seed_test.go
@@ -0,0 +1,3 @@
+package duration
+
+import _ "hemlockquay/internal/fixedseed"
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,7 @@
 		params:    p,
 		door:      &door{vm: p.Settings.VM},
 		feed:      f,
-		forwarder: &forwarder{vm: p.Settings.VM, feed: f, peers: peer.NewPool(p.Settings.PeerConnections)},
+		forwarder: &forwarder{vm: p.Settings.VM, feed: f, peers: pooled{peer.NewPool(p.Settings.PeerConnections)}},
 		started:   time.Now().UnixNano(),
 		answered:  metrics.GetOrRegisterTimer("entry.answered", p.Registry),
 		refusals:  metrics.GetOrRegisterCounter("entry.refused", p.Registry),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hemlockquay/internal/decide/rendezvous"
-	"hemlockquay/internal/feed"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/problem"
@@ -21,8 +20,28 @@
 // forwarder sends requests to dispatchers.
 type forwarder struct {
 	vm    string
-	feed  *feed.Feed
-	peers *peer.Pool
+	feed  viewSource
+	peers dispatchers
+}
+
+// viewSource is the part of feed.Feed that the forwarder uses.
+type viewSource interface {
+	Current() *view.View
+	Changed() <-chan struct{}
+}
+
+// dispatchers carries calls to a dispatcher's address. Errors are those of peer.
+type dispatchers interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+	Close()
+}
+
+// pooled is dispatchers over connections that are kept.
+type pooled struct{ *peer.Pool }
+
+// Call implements dispatchers.
+func (p pooled) Call(ctx context.Context, addr, method string, args, reply any) error {
+	return p.Get(addr).Call(ctx, method, args, reply)
 }
 
 // forward returns the whole answer or the problem.
@@ -158,7 +177,7 @@
 	callCtx, cancel := context.WithDeadline(ctx, v.deadline.Add(answerMargin))
 	defer cancel()
 	answer := new(wire.Answer)
-	err := f.peers.Get(m.DispatchAddr).Call(callCtx, wire.MethodDo, &request, answer)
+	err := f.peers.Call(callCtx, m.DispatchAddr, wire.MethodDo, &request, answer)
 	if err != nil {
 		if ctx.Err() != nil {
 			f.cancel(m, request.ID)
@@ -192,6 +211,6 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		_ = f.peers.Get(m.DispatchAddr).Call(ctx, wire.MethodCancel, &wire.CancelArgs{ID: id}, &wire.Empty{})
+		_ = f.peers.Call(ctx, m.DispatchAddr, wire.MethodCancel, &wire.CancelArgs{ID: id}, &wire.Empty{})
 	}()
 }
