--- a/internal/decide/deadline/deadline_test.go
+++ b/internal/decide/deadline/deadline_test.go
@@ -38,8 +38,10 @@
 	require.Equal(t, deadline.Add(-20*ms), GiveUp(deadline, 20*ms))
 }
 
+const never = time.Duration(-1)
+
 // follow notes so much work in each millisecond for a while, with a wait over the
-// bound, and returns when the queue was found standing; 0 for never.
+// bound, and returns when the queue was found standing; never if it was not.
 func follow(s *Standing, from time.Time, during time.Duration, slots, load float64) time.Duration {
 	for at := time.Duration(0); at <= during; at += ms {
 		s.Came(load * slots * ms.Seconds())
@@ -47,7 +49,7 @@
 			return at
 		}
 	}
-	return 0
+	return never
 }
 
 // A burst fills the queue over the bound; what comes after it is less than the slots
@@ -56,7 +58,7 @@
 func TestBurstIsNotStanding(t *testing.T) {
 	var s Standing
 	s.Came(20 * 0.5)
-	require.Zero(t, follow(&s, time.Unix(1, 0), 3*time.Second, 20, 0.9))
+	require.Equal(t, never, follow(&s, time.Unix(1, 0), 3*time.Second, 20, 0.9))
 }
 
 // More comes than the slots can do: found after two whole windows, not in the first
@@ -87,12 +89,24 @@
 			if over {
 				load = 2
 			}
-			require.Zero(t, follow(&s, at, window-ms, 20, load))
+			require.Equal(t, never, follow(&s, at, window-ms, 20, load))
 			at = at.Add(window)
 		}
 	})
 }
 
+// More comes than the slots can do, but the wait stays under the bound, as where few
+// requests of a large pool wait: cutting it would leave slots idle.
+func TestShortQueueIsNotStanding(t *testing.T) {
+	var s Standing
+	at := time.Unix(1, 0)
+	for range 1000 {
+		at = at.Add(ms)
+		s.Came(1)
+		require.False(t, s.Note(at, 69*ms, 70*ms, 20))
+	}
+}
+
 func TestRateFollowsWithinSeconds(t *testing.T) {
 	var r Rate
 	now := time.Unix(1, 0)
--- a/internal/entry/admit_test.go
+++ b/internal/entry/admit_test.go
@@ -34,12 +34,24 @@
 const tokenField = `"tokenSHA256": "0000000000000000000000000000000000000000000000000000000000000000"`
 
 func newEntries(t testing.TB, n int, allowance string) *entries {
+	return newEntriesBeside(t, n, allowance, 0)
+}
+
+// newEntriesBeside has so many more contracts, whose customers send nothing.
+func newEntriesBeside(t testing.TB, n int, allowance string, quiet int) *entries {
 	e := &entries{clock: &testClock{now: time.Hour}}
-	e.view = view.Build([]platform.Object{
+	objects := []platform.Object{
 		{Kind: model.KindService, Name: "booth", Spec: []byte(`{"name": "booth", "slots": 2, "connections": 10, "deadline": "2s",
 			"targets": [{"name": "booth-1", "addr": "127.0.0.1:1", "dataCentre": "a"}]}`)},
 		{Kind: model.KindContract, Name: "narrators", Spec: []byte(`{"customer": "narrators", ` + tokenField + `, "services": [` + allowance + `]}`)},
-	}, nil, nil)
+	}
+	for i := range quiet {
+		name := fmt.Sprintf("quiet%d", i)
+		spec := fmt.Sprintf(`{"customer": %q, "tokenSHA256": "%064x", "services": [%s]}`, name, i+1, allowance)
+		objects = append(objects, platform.Object{Kind: model.KindContract, Name: name, Spec: []byte(spec)})
+	}
+	e.view = view.Build(objects, nil, nil)
+	e.view.Revision = 1
 	require.Empty(t, e.view.Problems)
 	contract := e.view.Contracts()[0]
 	e.visit = &visit{service: e.view.Service("booth"), contract: contract, allowance: contract.Services[0]}
@@ -163,3 +175,13 @@
 		e.renew()
 	}
 }
+
+// The same beside 20,000 contracts whose customers send nothing.
+func BenchmarkRenewalBesideQuietContracts(b *testing.B) {
+	e := newEntriesBeside(b, 9, narrators, 20000)
+	e.offer(2*time.Second, idle(9)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.renew()
+	}
+}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +56,9 @@
 // Call implements dispatchers; the address is the owner in the entry's eyes.
 func (s *slowMove) Call(_ context.Context, addr, _ string, args, reply any) error {
 	s.calls++
+	if s.calls > 200 {
+		return errors.New("asked without a pause")
+	}
 	id := args.(*wire.Request).ID
 	*reply.(*wire.Answer) = wire.Answer{ID: id, Sum: wire.Sum(nil), Target: addr}
 	if addr != s.owner {
