A dispatcher is ready once it knows the crashing requests of the others

Cause: a dispatcher was a member up to 250 ms before it asked the others for their cases, and ran what they refuse. Its address is told to entries only when it is ready, and now that waits for the fetch, 1 s at most; with no other dispatcher in its first view there is nothing to fetch. It asks with its first view, not at the next tick. Package daemon: a part can add a condition of readiness.

--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,10 @@
 	mu      sync.Mutex
 	machine *statechart.Machine
 	waiting string
+	// needs are the conditions of readiness that are not met; configured says
+	// that Ready was called meanwhile.
+	needs      []string
+	configured bool
 	// serving stays true while the daemon is ready, and through the lead of
 	// its graceful shutdown.
 	serving  bool
@@ -62,8 +67,38 @@
 	}
 }
 
-// Ready says that the daemon has a configuration in force.
-func (l *Life) Ready() { l.fire(eventConfigured) }
+// Ready says that the daemon has a configuration in force. The daemon is ready once
+// all that it requires besides is met.
+func (l *Life) Ready() {
+	l.mu.Lock()
+	l.configured = true
+	missing := len(l.needs) > 0
+	if missing {
+		l.waiting = l.needs[0]
+	}
+	l.mu.Unlock()
+	if !missing {
+		l.fire(eventConfigured)
+	}
+}
+
+// Require adds a condition of readiness, named by why it is not met yet. It must be
+// called before Ready can be. met may be called more than once.
+func (l *Life) Require(reason string) (met func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.needs = append(l.needs, reason)
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		i := slices.Index(l.needs, reason)
+		l.needs = slices.Delete(l.needs, i, i+1)
+		configured := l.configured
+		l.mu.Unlock()
+		if configured {
+			l.Ready()
+		}
+	})
+}
 
 // NotReadyBecause notes why the daemon waits; /readyz shows it.
 func (l *Life) NotReadyBecause(reason string) {
--- /dev/null
+++ b/internal/daemon/life_test.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/journal"
+)
+
+func testLife() *Life {
+	return newLife("test", &Base{VM: "vm1"}, &log.Logger{Level: log.PanicLevel}, journal.New("vm1", "test", 16), nil)
+}
+
+// A daemon has its configuration and lacks what another part must fetch first, or
+// the other way round. It takes work only when both are there, and /readyz tells
+// which one is missing.
+func TestReadyNeedsAllThatIsRequired(t *testing.T) {
+	for _, configuredFirst := range []bool{true, false} {
+		l := testLife()
+		one, two := l.Require("one is missing"), l.Require("two is missing")
+		if configuredFirst {
+			l.Ready()
+			_, why := l.IsReady()
+			require.Equal(t, "one is missing", why)
+		}
+		one()
+		one()
+		ready, _ := l.IsReady()
+		require.False(t, ready)
+		two()
+		if !configuredFirst {
+			ready, why := l.IsReady()
+			require.False(t, ready)
+			require.Equal(t, "no configuration yet", why)
+			l.Ready()
+		}
+		ready, _ = l.IsReady()
+		require.True(t, ready)
+		require.True(t, l.Serving())
+	}
+}
+
+// It is stopped while it waits: what comes in late does not make it ready.
+func TestRequirementMetAfterDrain(t *testing.T) {
+	l := testLife()
+	met := l.Require("something is missing")
+	l.Ready()
+	l.BeginDrain()
+	met()
+	ready, why := l.IsReady()
+	require.False(t, ready)
+	require.Equal(t, "draining", why)
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -28,6 +28,9 @@
 	// catchUpEvery is how often a dispatcher that has just started asks for
 	// the cases of others, until one answers.
 	catchUpEvery = 250 * time.Millisecond
+	// catchUpFor is how long it takes no requests meanwhile: time for three that
+	// are listed and do not answer. It goes on asking.
+	catchUpFor = time.Second
 	// talkLength is how many rounds may wait. Deaths come one a second at most
 	// for each target, and each makes as many as the target had slots.
 	talkLength = 1024
@@ -44,6 +47,8 @@
 	journal *journal.Journal
 	talk    *ring.Ring[talk]
 	counts  crashCounts
+	// ready says that requests may come.
+	ready func()
 
 	mu    sync.Mutex
 	watch *quarantine.Watch
@@ -64,10 +69,10 @@
 
 var _ Suspects = (*crashWatch)(nil)
 
-func newCrashWatch(vm string, f viewSource, j *journal.Journal, logger *log.Logger, registry metrics.Registry) *crashWatch {
+func newCrashWatch(vm string, f viewSource, ready func(), j *journal.Journal, logger *log.Logger, registry metrics.Registry) *crashWatch {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("quarantine."+name, registry) }
 	return &crashWatch{
-		vm: vm, clock: boottime.System{}, feed: f, peers: peer.NewPool(1), log: logger, journal: j,
+		vm: vm, clock: boottime.System{}, feed: f, peers: peer.NewPool(1), log: logger, journal: j, ready: ready,
 		talk:   ring.New[talk]("quarantine", talkLength, ring.Refuse, registry),
 		counts: crashCounts{counter("deaths"), counter("refused"), counter("permits"), counter("denied"), counter("cleared")},
 		watch:  quarantine.New(vm),
@@ -204,20 +209,48 @@
 func (w *crashWatch) run(ctx context.Context) {
 	tick := time.NewTicker(catchUpEvery)
 	defer tick.Stop()
+	changed := w.feed.Changed()
+	began := w.clock.Now()
+	join := func() {
+		if w.join(ctx, w.clock.Now()-began) {
+			tick.Stop()
+			changed = nil
+		}
+	}
 	for {
 		select {
 		case t := <-w.talk.Entries():
 			w.round(ctx, t)
+		case <-changed:
+			changed = w.feed.Changed()
+			join()
 		case <-tick.C:
-			if w.catchUp(ctx) {
-				tick.Stop()
-			}
+			join()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// join fetches what the others know and then lets requests come. It returns true
+// once one of them answered.
+//
+// Failure: a dispatcher that has just started takes requests before it knows of the
+// quarantines, and runs a request that the others refuse. Its address is told to
+// entries only once it is ready. The first view names all that the agent hears, so
+// one that names no other dispatcher leaves nothing to fetch; and no other that is
+// silent holds up the start for longer than catchUpFor.
+func (w *crashWatch) join(ctx context.Context, waited time.Duration) bool {
+	if w.feed.Current().Source == "" {
+		return false
+	}
+	fetched := w.catchUp(ctx)
+	if fetched || len(w.others()) == 0 || waited >= catchUpFor {
+		w.ready()
+	}
+	return fetched
+}
+
 func (w *crashWatch) others() []wire.Member {
 	var out []wire.Member
 	for _, m := range w.feed.Current().Members {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -25,7 +25,7 @@
 		server, err := peer.Listen("127.0.0.1:0")
 		require.NoError(t, err)
 		name := fmt.Sprintf("vm%d", i+1)
-		w := newCrashWatch(name, &fixedView{v}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
+		w := newCrashWatch(name, &fixedView{v}, func() {}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
 		require.NoError(t, server.Register("Dispatch", w))
 		go func() { _ = server.Serve() }()
 		t.Cleanup(server.Close)
@@ -111,6 +111,33 @@
 	require.Equal(t, AdmitRun, admission, "cleared everywhere")
 }
 
+// A dispatcher is replaced while a killer is quarantined. The new one was a member 250
+// ms before it asked the others, and ran the killer meanwhile: a third target died.
+// Now no entry learns its address before it fetched the cases, or before the others
+// were silent for the stated time.
+func TestDispatcherIsNotReadyBeforeItKnowsTheCases(t *testing.T) {
+	w := newWatches(t, 2)
+	ready := 0
+	late := newCrashWatch("vm9", w[0].feed, func() { ready++ }, w[0].journal, w[0].log, metrics.NewRegistry())
+	t.Cleanup(late.peers.Close)
+	v := w[0].feed.Current()
+	require.False(t, late.join(t.Context(), 2*catchUpFor), "no view came yet")
+	require.Zero(t, ready)
+	v.Source = "agent"
+	members := v.Members
+	v.Members = []wire.Member{{VM: "vm3", DispatchAddr: "127.0.0.1:1"}}
+	require.False(t, late.join(t.Context(), 0), "the only other one is silent")
+	require.Zero(t, ready)
+	require.False(t, late.join(t.Context(), catchUpFor))
+	require.Equal(t, 1, ready, "the stated time passed")
+	v.Members = members
+	require.True(t, late.join(t.Context(), 0))
+	require.Equal(t, 2, ready)
+	v.Members = nil
+	require.False(t, late.join(t.Context(), 0), "it goes on asking")
+	require.Equal(t, 3, ready, "alone: nothing to fetch")
+}
+
 func BenchmarkCrashPrint(b *testing.B) {
 	r := crasher("x")
 	for _, name := range []string{"Accept", "Accept-Encoding", "User-Agent", "Content-Type", "X-Load-Size"} {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,9 @@
 // processName is the daemon's name in reports and logs.
 const processName = "hq-dispatch"
 
+// needsCases is why a dispatcher that has just started is not ready.
+const needsCases = "the crashing requests that other dispatchers know are not fetched yet"
+
 // Module wires the dispatcher.
 var Module = fx.Options(fx.Invoke(start))
 
@@ -85,7 +88,7 @@
 		queues: make(map[queueID]*queue),
 		owners: make(map[string]*queue),
 	}
-	d.crashes = newCrashWatch(p.Settings.VM, d.feed, p.Journal, p.Log, p.Registry)
+	d.crashes = newCrashWatch(p.Settings.VM, d.feed, p.Life.Require(needsCases), p.Journal, p.Log, p.Registry)
 	d.parts = &parts{
 		vm: p.Settings.VM, limit: p.Settings.QueueLength, fifo: p.Settings.Order == OrderFIFO,
 		feed: d.feed, sender: d.sender, prober: d.prober, suspects: d.crashes,
