Quarantine: a lost answer waits until the others know of the death

Cause: while views differ, a request that its caller sent again after each answer had its ordinary run at every dispatcher: 4 targets died at three dispatchers in the scenario of TestRequestSentAgainKillsTwoTargetsOverTheFleet, 2 now. The notice left after the answer.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -54,6 +54,9 @@
 	watch *quarantine.Watch
 	// told are the quarantines that stand in the journal.
 	told map[quarantine.Fingerprint]bool
+	// queued and concluded count rounds; progress is closed at each conclusion.
+	queued, concluded uint64
+	progress          chan struct{}
 }
 
 type crashCounts struct{ deaths, refused, permits, denied, cleared metrics.Counter }
@@ -77,6 +80,8 @@
 		counts: crashCounts{counter("deaths"), counter("refused"), counter("permits"), counter("denied"), counter("cleared")},
 		watch:  quarantine.New(vm),
 		told:   make(map[quarantine.Fingerprint]bool),
+
+		progress: make(chan struct{}),
 	}
 }
 
@@ -85,8 +90,45 @@
 }
 
 // say queues a round. A round that finds no room is lost like a message: a permit
-// is asked for again, and a notice goes along with the next permit.
-func (w *crashWatch) say(t talk) { _ = w.talk.Push(context.Background(), t) }
+// is asked for again, and a notice goes along with the next permit. The caller
+// holds mu.
+func (w *crashWatch) say(t talk) {
+	if w.talk.Push(context.Background(), t) == nil {
+		w.queued++
+	}
+}
+
+// settled waits until the others were told of the deaths under a request, askTimeout
+// at most. It comes before the request's answer.
+//
+// Failure: a request kills its target. Its caller is told at once and sends it again
+// through an entry whose view differs, to another dispatcher, which has not heard of
+// the death and runs it beside others: a third target dies. Whoever sends again only
+// after an answer now meets dispatchers that know.
+func (w *crashWatch) settled(ctx context.Context, r *wire.Request) {
+	w.mu.Lock()
+	c := w.watch.Case(fingerprint(r), w.clock.Now())
+	until := w.queued
+	w.mu.Unlock()
+	if !c.Suspect() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for {
+		w.mu.Lock()
+		done, progress := w.concluded >= until, w.progress
+		w.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // Admit implements Suspects.
 func (w *crashWatch) Admit(target string, r *wire.Request, _ time.Time) (Admission, *problem.Error) {
@@ -288,6 +330,9 @@
 func (w *crashWatch) conclude(t talk, replies []PermitReply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.concluded++
+	close(w.progress)
+	w.progress = make(chan struct{})
 	now := w.clock.Now()
 	granted := true
 	for _, r := range replies {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -111,6 +111,41 @@
 	require.Equal(t, AdmitRun, admission, "cleared everywhere")
 }
 
+// Members views differ, and three dispatchers hold the queue of one pool. A request
+// kills its target; its caller gets unknown, sends it again through another entry to
+// the next dispatcher, and so on. Each answer came before the others had heard of the
+// death, so every dispatcher ran it once as an ordinary request: three targets died,
+// and one more under it as a suspect.
+func TestRequestSentAgainKillsTwoTargetsOverTheFleet(t *testing.T) {
+	w := newWatches(t, 3)
+	now, killed := time.Now(), 0
+	for n := range 9 {
+		d := w[n%3]
+		target := fmt.Sprint("booth-", n)
+		admission, _ := d.Admit(target, crasher("again"), now)
+		if admission == AdmitHold {
+			talkAll(t, d)
+			admission, _ = d.Admit(target, crasher("again"), now)
+		}
+		if admission != AdmitRun {
+			require.Equal(t, AdmitRefuse, admission)
+			continue
+		}
+		d.Started(target, crasher("again"), now)
+		d.Died(target, []*wire.Request{crasher("again"), crasher("beside")}[:2-n%2], now)
+		killed++
+		answered := make(chan struct{})
+		go func() {
+			d.settled(t.Context(), crasher("again"))
+			close(answered)
+		}()
+		// What its duty does meanwhile.
+		go talkAll(t, d)
+		<-answered
+	}
+	require.Equal(t, 2, killed)
+}
+
 // A dispatcher is replaced while a killer is quarantined. The new one was a member 250
 // ms before it asked the others, and ran the killer meanwhile: a third target died.
 // Now no entry learns its address before it fetched the cases, or before the others
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -207,7 +207,11 @@
 	if err := q.inbox.Push(d.ctx, message{arrive: j}); err != nil {
 		return wire.Refused(r.ID, problem.Refuse(problem.Leaving, "queue", d.Settings.VM, err.Error()))
 	}
-	return <-j.done
+	answer := <-j.done
+	if p := answer.Problem; p != nil && p.Kind == problem.AnswerLost {
+		d.crashes.settled(d.ctx, r)
+	}
+	return answer
 }
 
 // enter finds the job's queue and counts the call, or refuses it.
