--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -28,6 +28,9 @@
 	// catchUpEvery is how often a dispatcher that has just started asks for
 	// the cases of others, until one answers.
 	catchUpEvery = 250 * time.Millisecond
+	// catchUpFor is how long it takes no requests meanwhile: time for three that
+	// are listed and do not answer. It goes on asking.
+	catchUpFor = time.Second
 	// talkLength is how many rounds may wait. Deaths come one a second at most
 	// for each target, and each makes as many as the target had slots.
 	talkLength = 1024
@@ -44,11 +47,16 @@
 	journal *journal.Journal
 	talk    *ring.Ring[talk]
 	counts  crashCounts
+	// ready says that requests may come.
+	ready func()
 
 	mu    sync.Mutex
 	watch *quarantine.Watch
 	// told are the quarantines that stand in the journal.
 	told map[quarantine.Fingerprint]bool
+	// queued and concluded count rounds; progress is closed at each conclusion.
+	queued, concluded uint64
+	progress          chan struct{}
 }
 
 type crashCounts struct{ deaths, refused, permits, denied, cleared metrics.Counter }
@@ -57,20 +65,23 @@
 // permit.
 type talk struct {
 	notice quarantine.Case
-	// pool is set where a permit is asked for.
-	pool string
+	// pool is set where a permit is asked for, asked is when it was wanted.
+	pool  string
+	asked time.Duration
 }
 
 var _ Suspects = (*crashWatch)(nil)
 
-func newCrashWatch(vm string, f viewSource, j *journal.Journal, logger *log.Logger, registry metrics.Registry) *crashWatch {
+func newCrashWatch(vm string, f viewSource, ready func(), j *journal.Journal, logger *log.Logger, registry metrics.Registry) *crashWatch {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("quarantine."+name, registry) }
 	return &crashWatch{
-		vm: vm, clock: boottime.System{}, feed: f, peers: peer.NewPool(1), log: logger, journal: j,
+		vm: vm, clock: boottime.System{}, feed: f, peers: peer.NewPool(1), log: logger, journal: j, ready: ready,
 		talk:   ring.New[talk]("quarantine", talkLength, ring.Refuse, registry),
 		counts: crashCounts{counter("deaths"), counter("refused"), counter("permits"), counter("denied"), counter("cleared")},
 		watch:  quarantine.New(vm),
 		told:   make(map[quarantine.Fingerprint]bool),
+
+		progress: make(chan struct{}),
 	}
 }
 
@@ -79,8 +90,45 @@
 }
 
 // say queues a round. A round that finds no room is lost like a message: a permit
-// is asked for again, and a notice goes along with the next permit.
-func (w *crashWatch) say(t talk) { _ = w.talk.Push(context.Background(), t) }
+// is asked for again, and a notice goes along with the next permit. The caller
+// holds mu.
+func (w *crashWatch) say(t talk) {
+	if w.talk.Push(context.Background(), t) == nil {
+		w.queued++
+	}
+}
+
+// settled waits until the others were told of the deaths under a request, askTimeout
+// at most. It comes before the request's answer.
+//
+// Failure: a request kills its target. Its caller is told at once and sends it again
+// through an entry whose view differs, to another dispatcher, which has not heard of
+// the death and runs it beside others: a third target dies. Whoever sends again only
+// after an answer now meets dispatchers that know.
+func (w *crashWatch) settled(ctx context.Context, r *wire.Request) {
+	w.mu.Lock()
+	c := w.watch.Case(fingerprint(r), w.clock.Now())
+	until := w.queued
+	w.mu.Unlock()
+	if !c.Suspect() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for {
+		w.mu.Lock()
+		done, progress := w.concluded >= until, w.progress
+		w.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // Admit implements Suspects.
 func (w *crashWatch) Admit(target string, r *wire.Request, _ time.Time) (Admission, *problem.Error) {
@@ -95,7 +143,7 @@
 		w.counts.refused.Inc(1)
 		return AdmitRefuse, problem.Refuse(problem.Quarantined, stepQuarantine, w.vm, "targets died under this request; it is not run for now").After(quarantine.Lifetime)
 	case quarantine.NeedsPermit:
-		w.say(talk{notice: w.watch.Case(fp, now), pool: r.Service})
+		w.say(talk{notice: w.watch.Case(fp, now), pool: r.Service, asked: now})
 	}
 	return AdmitHold, nil
 }
@@ -203,20 +251,48 @@
 func (w *crashWatch) run(ctx context.Context) {
 	tick := time.NewTicker(catchUpEvery)
 	defer tick.Stop()
+	changed := w.feed.Changed()
+	began := w.clock.Now()
+	join := func() {
+		if w.join(ctx, w.clock.Now()-began) {
+			tick.Stop()
+			changed = nil
+		}
+	}
 	for {
 		select {
 		case t := <-w.talk.Entries():
 			w.round(ctx, t)
+		case <-changed:
+			changed = w.feed.Changed()
+			join()
 		case <-tick.C:
-			if w.catchUp(ctx) {
-				tick.Stop()
-			}
+			join()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// join fetches what the others know and then lets requests come. It returns true
+// once one of them answered.
+//
+// Failure: a dispatcher that has just started takes requests before it knows of the
+// quarantines, and runs a request that the others refuse. Its address is told to
+// entries only once it is ready. The first view names all that the agent hears, so
+// one that names no other dispatcher leaves nothing to fetch; and no other that is
+// silent holds up the start for longer than catchUpFor.
+func (w *crashWatch) join(ctx context.Context, waited time.Duration) bool {
+	if w.feed.Current().Source == "" {
+		return false
+	}
+	fetched := w.catchUp(ctx)
+	if fetched || len(w.others()) == 0 || waited >= catchUpFor {
+		w.ready()
+	}
+	return fetched
+}
+
 func (w *crashWatch) others() []wire.Member {
 	var out []wire.Member
 	for _, m := range w.feed.Current().Members {
@@ -254,6 +330,9 @@
 func (w *crashWatch) conclude(t talk, replies []PermitReply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.concluded++
+	close(w.progress)
+	w.progress = make(chan struct{})
 	now := w.clock.Now()
 	granted := true
 	for _, r := range replies {
@@ -263,7 +342,7 @@
 	if t.pool == "" {
 		return
 	}
-	w.watch.Permit(t.notice.Fingerprint, granted, now)
+	w.watch.Permit(t.notice.Fingerprint, t.asked, granted, now)
 	if granted {
 		w.counts.permits.Inc(1)
 		return
