First plans wait for the listed VMs; authority read only when an answer is missing

Cause: a first plan made while VMs start named one or two grantors. Half of Authority (100 ms) was less than a renewal and two late looks (105 ms), so that agents at rest read the store for authority. Change: placement.First waits until every listed VM is heard or 2 s passed; readings for authority have the cause of their own, and begin at three quarters. Life 450 ms and D 160 ms in place of 350 and 200: a stall of 375 ms lets no grant lapse, before 275; by arithmetic 475 ms for a lost owner, 890 for both.

--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -153,8 +153,7 @@
 	in := a.input(s, held)
 	var result placement.Result
 	if held == nil {
-		result.Assignment = placement.Initial(&in)
-		result.Decisions = []placement.Decision{{Kind: "initial", Text: "first assignment of " + s.Name}}
+		result = p.planner.First(&in)
 	} else {
 		result = p.planner.Plan(&in)
 	}
@@ -183,6 +182,7 @@
 			in.VMs = append(in.VMs, placement.VM{Name: m.VM, DataCentre: m.DataCentre})
 		}
 	}
+	in.Listed = a.members.listedLive()
 	for _, g := range a.relay.grantsOf(s.Name) {
 		in.Serving[g.Group] = placement.Serving{Target: g.Target, Epoch: g.Rank.Epoch}
 	}
--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -99,7 +99,7 @@
 		woken:     make(chan struct{}, 1),
 		services:  make(map[string]*heldService),
 	}
-	d.records = newRecorder(a.counted(platform.CauseAssignment), a.tag, s.StoreTimeout.D(), a.Log)
+	d.records = newRecorder(a.counted(platform.CauseAssignment), a.counted(platform.CauseAuthority), a.tag, s.StoreTimeout.D(), a.Log)
 	return d
 }
 
--- /dev/null
+++ b/internal/agent/listed.go
@@ -0,0 +1,20 @@
+package agent
+
+import "hemlockquay/internal/platform"
+
+// listedLive returns how many VMs the platform lists as live, this one included,
+// and 0 before the list was read.
+func (m *members) listedLive() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed {
+		return 0
+	}
+	n := 1
+	for _, p := range m.peers {
+		if p.listed.State == platform.VMLive {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -36,12 +36,14 @@
 // recorder writes and reads the records of services for the grantor, one call
 // of each sort at a time for each service. It is safe for concurrent use.
 type recorder struct {
-	store   platform.Store
-	tag     func() string
-	timeout time.Duration
-	log     *log.Logger
-	clock   boottime.Clock
-	calls   sync.WaitGroup
+	// store takes the writes, authority the readings: each has its cause.
+	store     platform.Store
+	authority platform.Store
+	tag       func() string
+	timeout   time.Duration
+	log       *log.Logger
+	clock     boottime.Clock
+	calls     sync.WaitGroup
 
 	mu   sync.Mutex
 	busy map[string]bool
@@ -50,9 +52,9 @@
 	failing map[string]time.Duration
 }
 
-func newRecorder(s platform.Store, tag func() string, timeout time.Duration, l *log.Logger) *recorder {
+func newRecorder(s, authority platform.Store, tag func() string, timeout time.Duration, l *log.Logger) *recorder {
 	return &recorder{
-		store: s, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
+		store: s, authority: authority, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
 		busy: make(map[string]bool), next: make(map[string]time.Duration),
 		failing: make(map[string]time.Duration),
 	}
@@ -152,7 +154,7 @@
 		defer r.end(call, readPause)
 		ctx, cancel := context.WithTimeout(ctx, r.timeout)
 		defer cancel()
-		o, err := r.store.Get(ctx, platform.ID{Kind: model.KindAssignment, Name: service})
+		o, err := r.authority.Get(ctx, platform.ID{Kind: model.KindAssignment, Name: service})
 		if err != nil {
 			r.log.Debug().Err(err).Str("step", "read-record").Str("peer", service).Msg("no authority from the store")
 			return
--- a/internal/agent/recorder_test.go
+++ b/internal/agent/recorder_test.go
@@ -47,7 +47,7 @@
 	seen, version := stored(t, store)
 	held := &heldService{record: &seen, recordVersion: version}
 	offer := func(h *heldService, writer string, id int) {
-		r := newRecorder(store, func() string { return writer }, time.Second, &log.Logger{Level: log.PanicLevel})
+		r := newRecorder(store, store, func() string { return writer }, time.Second, &log.Logger{Level: log.PanicLevel})
 		next := h.record.Groups[id]
 		next.Epoch, next.Author = 2, writer
 		r.offer(context.Background(), h, []model.Group{next})
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -36,7 +36,7 @@
 	// messages, no gap and no move, and a loss is to be noticed before the last
 	// grant is out. Default 190ms, five heartbeats of both directions.
 	TakeoverSilence model.Duration `json:"takeoverSilence,omitempty"`
-	// Authority is how long an arbiter's confirmation counts. Default 200ms.
+	// Authority is how long an arbiter's confirmation counts. Default 160ms.
 	Authority model.Duration `json:"authority,omitempty"`
 	// ClockMargin is added to ends that another clock judges. Default 10ms: for
 	// clocks that run up to 0.9% fast or slow.
@@ -49,7 +49,7 @@
 	ReleaseLimit model.Duration `json:"releaseLimit,omitempty"`
 	// GrantEvery is the pause between two renewals of a grant. Default 75ms.
 	GrantEvery model.Duration `json:"grantEvery,omitempty"`
-	// GrantLife is how long a grant lives. Default 350ms.
+	// GrantLife is how long a grant lives. Default 450ms.
 	GrantLife model.Duration `json:"grantLife,omitempty"`
 }
 
@@ -59,9 +59,9 @@
 	defaultHeartbeat    = model.Duration(75 * time.Millisecond)
 	defaultSilence      = model.Duration(300 * time.Millisecond)
 	defaultGrantEvery   = model.Duration(75 * time.Millisecond)
-	defaultGrantLife    = model.Duration(350 * time.Millisecond)
+	defaultGrantLife    = model.Duration(450 * time.Millisecond)
 	defaultTakeover     = model.Duration(190 * time.Millisecond)
-	defaultAuthority    = model.Duration(200 * time.Millisecond)
+	defaultAuthority    = model.Duration(160 * time.Millisecond)
 	defaultMargin       = model.Duration(10 * time.Millisecond)
 	defaultPatience     = model.Duration(25 * time.Millisecond)
 	defaultRelease      = model.Duration(10 * time.Second)
--- a/internal/decide/placement/initial.go
+++ b/internal/decide/placement/initial.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/keyspace"
@@ -14,6 +15,27 @@
 // within grantorPatience leaves one.
 const succession = 3
 
+// firstPatience bounds how long a first plan waits for VMs that the platform
+// lists and nobody heard: heartbeats start within a second of an agent, and a
+// service without a plan refuses all its callers.
+const firstPatience = 2 * time.Second
+
+// First plans a service that has no assignment, once every listed VM is heard or
+// firstPatience passed.
+//
+// Failure: the whole system starts at once, and the first assigner hears no peer
+// yet. Lines of one or two grantors are written, and a VM lost before they are
+// filled up leaves groups that nobody takes over.
+func (p *Planner) First(in *Input) Result {
+	if !p.asked {
+		p.asked, p.wanted = true, in.Now
+	}
+	if len(in.VMs) < max(in.Listed, succession) && in.Now-p.wanted < firstPatience {
+		return Result{}
+	}
+	return Result{Assignment: Initial(in), Decisions: []Decision{{Kind: First, Text: "first assignment of " + in.Service.Name}}}
+}
+
 // Initial plans a service that has no assignment: slices spread evenly, one group
 // for each, so that a move moves one slice. Orders to a target are batched over
 // its groups, so many small groups cost no more messages.
--- /dev/null
+++ b/internal/decide/placement/line_test.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+)
+
+// Nine VMs start at once; the first assigner hears only itself. It plans lines of
+// one grantor. That VM is lost a second later, and its keys have no owner until
+// an operator helps. Cause: the first plan did not wait for VMs already listed.
+func TestFirstPlanWaitsForListedVMs(t *testing.T) {
+	w := newWorld(10, 3, 9, 64, model.Weights{Imbalance: 1, Churn: 1, Unavailable: 1})
+	all := w.in.VMs
+	w.in.Assignment, w.in.Listed = nil, len(all)
+	p := New()
+	w.in.Now, w.in.VMs = time.Hour, all[:1]
+	require.Empty(t, p.First(&w.in).Decisions)
+	w.in.Now, w.in.VMs = time.Hour+time.Second, all
+	r := p.First(&w.in)
+	require.Len(t, r.Decisions, 1)
+	for _, g := range r.Assignment.Groups {
+		require.Len(t, g.Grantors, succession)
+	}
+
+	p, w.in.VMs = New(), all[:2]
+	require.Empty(t, p.First(&w.in).Decisions)
+	w.in.Now += firstPatience
+	require.Len(t, p.First(&w.in).Decisions, 1, "a listed VM that is lost must not keep the service out")
+}
+
+// Lines were planned while one VM was up. The others come one by one, and then
+// the first is gone for good. Its groups must have been given more grantors by
+// then, and three again after it. No key may move for it, and each VM that comes
+// may cost one write at most, or the store pays for a fleet that starts.
+func TestShortLinesAreFilled(t *testing.T) {
+	w := newWorld(10, 3, 9, 64, model.Weights{Imbalance: 1, Churn: 1, Unavailable: 1})
+	all := w.in.VMs
+	w.in.VMs = all[:1]
+	short := Initial(&w.in)
+	w.in.Assignment = &short
+	w.grant()
+	before, epoch := w.owned(), w.in.Assignment.Groups[0].Epoch
+	w.moves = 0
+	for n := 2; n <= len(all); n++ {
+		w.in.VMs = all[:n]
+		w.run(w.step)
+	}
+	for _, g := range w.in.Assignment.Groups {
+		require.Len(t, g.Grantors, succession)
+		require.Equal(t, all[0].Name, g.Grantors[0], "who grants already goes on")
+	}
+	require.EqualValues(t, epoch+succession-1, w.in.Assignment.Groups[0].Epoch, "one write each for the second and third")
+
+	w.in.VMs = slices.Clone(all[1:])
+	w.run(grantorPatience + 2*w.step)
+	for _, g := range w.in.Assignment.Groups {
+		require.Len(t, g.Grantors, succession)
+		require.NotContains(t, g.Grantors, all[0].Name)
+	}
+	require.Zero(t, w.moves)
+	require.Equal(t, before, w.owned())
+}
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -45,7 +45,9 @@
 	Now     time.Duration
 	Service *model.Service
 	// VMs are the live ones that are not leaving.
-	VMs        []VM
+	VMs []VM
+	// Listed is how many VMs the platform lists as live, 0 if not known.
+	Listed     int
 	Assignment *model.Assignment
 	// Serving is the grant table, by group.
 	Serving map[uint64]Serving
@@ -74,6 +76,7 @@
 	Witness Kind = "witness"
 	Line    Kind = "grantors"
 	Divide  Kind = "split"
+	First   Kind = "initial"
 )
 
 // Decision is one change of a group, with its cause.
@@ -103,6 +106,9 @@
 	// loadSince is when this planner first had load figures.
 	loadSince time.Duration
 	loadKnown bool
+	// wanted is since when a first plan is due; asked tells whether one is.
+	wanted time.Duration
+	asked  bool
 	// missing is since when a VM (by "vm/NAME") or target is gone.
 	missing map[string]time.Duration
 }
--- a/internal/ownership/grantor/behaviour_test.go
+++ b/internal/ownership/grantor/behaviour_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
 )
 
 var everybody = []string{"t0", "t1", "t2", "t3"}
@@ -148,3 +150,33 @@
 	require.NoError(t, s.talk(4*time.Second, a, "t1", "t2"))
 	require.Empty(t, s.owner())
 }
+
+// TestSteadyGrantorLeavesStoreAlone: nine VMs at rest read the store 40 times a
+// second, a budget that the whole system shares and needs at a loss. Cause: an
+// answer 15 ms late, to a renewal one look late, was taken for a missing one.
+func TestSteadyGrantorLeavesStoreAlone(t *testing.T) {
+	const look = 15 * ms
+	p := Params{VM: "vm1", Incarnation: "vm1-1", Started: 1, Checks: true,
+		Every: 80 * ms, Life: 450 * ms, Authority: 160 * ms, Margin: 10 * ms, Patience: 25 * ms, Unserved: 1500 * ms}
+	rec := model.Group{Epoch: 1, Author: "vm2-1", Grantors: []string{"vm1"}}
+	for i, ref := range []*model.TargetRef{&rec.Owner, &rec.Standby, &rec.Witness} {
+		*ref = model.TargetRef{Name: string(rune('a' + i)), Incarnation: "1"}
+	}
+	g := New(p, rec, 0)
+	var sent []Order
+	lonely, needed := 5*time.Second, false
+	for now := look; now < lonely+p.Authority; now += look {
+		for _, o := range sent {
+			if now > lonely && o.Target != "a" {
+				continue
+			}
+			g.Reported(&o, &Report{Incarnation: "1", Clock: int64(now), Confirmed: true, Fence: o.Rank, Held: o.Until, HeldRank: o.Rank}, now)
+		}
+		sent = g.Tick(now, Sight{Live: func(string) bool { return true }, Served: true})
+		needed = needed || now > time.Second && g.NeedsStore(now)
+		if now < lonely {
+			require.False(t, needed, "at %v", now)
+		}
+	}
+	require.True(t, needed, "where standby and witness are silent, only the store is left")
+}
--- a/internal/ownership/grantor/tick.go
+++ b/internal/ownership/grantor/tick.go
@@ -197,11 +197,15 @@
 	return false
 }
 
-// targetAuthority is authority by targets that will last for another half.
+// targetAuthority is authority by targets that lasts for another quarter, within
+// which the store answers. Renewals leave every Every and a look, and are answered
+// within milliseconds: an age of half of Authority (two renewals) was reached by
+// every late look, and each such look read the store. An age of three quarters
+// means that an answer is missing.
 func (g *Group) targetAuthority(target string, now time.Duration) bool {
 	for _, ref := range g.arbiters() {
 		c := g.contact(ref.Name)
-		if ref.Name != target && c.acked && c.asked.within(now, g.params.Authority/2) {
+		if ref.Name != target && c.acked && c.asked.within(now, 3*g.params.Authority/4) {
 			return true
 		}
 	}
--- a/internal/platform/counted.go
+++ b/internal/platform/counted.go
@@ -17,6 +17,7 @@
 	CauseStatus     Cause = "status"
 	CauseAssigner   Cause = "assigner"
 	CauseAssignment Cause = "assignment"
+	CauseAuthority  Cause = "authority"
 	CauseOperator   Cause = "operator"
 )
 
