A takeover does not wait for the rest of the lost target

Cause: a keyed queue whose only target rests after failed connections (50, 100, 200, 400 ms) looked at no waiting job, though the grants had moved. Change: each new view is held against all that waits; what another target owns goes back to its entry, and is refused on arrival.

--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -166,6 +166,30 @@
 	})
 }
 
+// The owner dies. Its connections are refused, so that it rests, longer each time,
+// and by the fourth failure for 400 ms. The standby owns the keys meanwhile; a child
+// still waits for the end of the rest before the story goes on. Cause: a queue whose
+// only target rested did not look at what waited.
+func TestTakeoverDoesNotWaitForRest(t *testing.T) {
+	inBench(t, 2, true, func(b *bench) {
+		b.set("master-1", func(f *fakeTarget) { f.down = true })
+		s := stream{customer: "listeners", deadline: 2 * time.Second}
+		var a wire.Answer
+		begun := time.Now()
+		b.callers.Go(func() { a = b.call(s, "early", time.Millisecond) })
+		time.Sleep(400 * time.Millisecond)
+		b.own("master-2")
+		b.callers.Wait()
+		require.Equal(t, 400*time.Millisecond, time.Since(begun))
+		require.Equal(t, problem.NoOwner, a.Problem.Kind)
+		require.Equal(t, problem.RanNo, a.Problem.Ran)
+
+		a = b.call(s, "late", time.Millisecond)
+		require.Equal(t, problem.NoOwner, a.Problem.Kind, "an entry that does not know the new owner yet")
+		require.Equal(t, 400*time.Millisecond, time.Since(begun))
+	})
+}
+
 // The same owner gets a grant of a higher rank after it refused: what waited is sent
 // to it, not refused.
 func TestRegrantedOwnerServesWhatWaited(t *testing.T) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -150,6 +150,7 @@
 		case <-changed:
 			changed = q.feed.Changed()
 			q.release(q.parked)
+			q.sendBack()
 		case <-ctx.Done():
 			return
 		}
@@ -194,6 +195,10 @@
 	q.active.Store(now.UnixNano())
 	q.sync()
 	j.settle(q.table, q.fifo)
+	if q.ownedElsewhere(q.feed.Current(), j) {
+		j.end(q.notOwner())
+		return
+	}
 	if p := q.refusal(j, now); p != nil {
 		j.end(p)
 		return
