A permit for a suspect ends with its run, and goes to who needs it

Cause: a permit whose run ended without an answer, or never began, was denied to other dispatchers for up to 3 s.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -44,6 +44,9 @@
 	permitLife = time.Second
 	// reservation bounds how long a target is kept free for a suspect.
 	reservation = 2 * time.Second
+	// unusedPermit is how long a permit may wait for its target before another
+	// dispatcher that asks gets it: far longer than most requests run.
+	unusedPermit = 100 * time.Millisecond
 )
 
 // Fingerprint names a request's content.
@@ -173,6 +176,7 @@
 func (w *Watch) Finished(fp Fingerprint, pool, target string, answered bool, now time.Duration) *Case {
 	w.ended(fp, pool, target)
 	if !answered {
+		w.giveBack(fp)
 		return nil
 	}
 	w.prove(fp)
@@ -188,6 +192,17 @@
 	return &c
 }
 
+// giveBack ends a permit whose run ended without an answer.
+//
+// Failure: a suspect's target dies, and the repeat with a permit reaches nobody.
+// Its key moves to another dispatcher, which was refused the permit until the
+// unused one ran out; callers of that key waited for 3 s.
+func (w *Watch) giveBack(fp Fingerprint) {
+	if f := w.cases[fp]; f != nil && w.running[fp] == 0 {
+		f.permit = permitNone
+	}
+}
+
 func (w *Watch) ended(fp Fingerprint, pool, target string) {
 	if w.running[fp]--; w.running[fp] <= 0 {
 		delete(w.running, fp)
@@ -258,6 +273,9 @@
 		return false
 	case f == nil || f.permit == permitNone:
 		return true
+	case f.permit == permitHeld && now-f.asked > unusedPermit:
+		f.permit = permitNone
+		return true
 	case f.permit == permitAsked && asker < w.vm:
 		f.permit = permitNone
 		return true
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -230,3 +230,35 @@
 	require.Equal(t, Refuse, w.Admit(1, testPool, "t", time.Hour))
 	require.Equal(t, Run, w.Admit(1, testPool, "t", Lifetime+time.Hour))
 }
+
+// A target dies. The request that ran there is suspect; its repeat gets a permit
+// but finds the dead target, and its key moves to another dispatcher. Callers of
+// that key got nothing for 3 s. Cause: the first dispatcher kept the permit of a
+// run that had ended, or that never began, and denied it to the second.
+func TestPermitGoesWithTheKey(t *testing.T) {
+	const fp, second = Fingerprint(7), time.Second
+	suspect := func() (old, next *Watch) {
+		old, next = New("vm1"), New("vm2")
+		old.Started(fp, testPool, "target1", second)
+		for _, c := range old.Died([]Fingerprint{fp}, testPool, "target1", second) {
+			next.Notice(c, second)
+		}
+		require.Equal(t, NeedsPermit, old.Admit(fp, testPool, "target1", second))
+		require.True(t, next.MayPermit(fp, testPool, "vm1", second))
+		old.Permit(fp, true, second)
+		require.Equal(t, Run, old.Admit(fp, testPool, "target1", second))
+		return old, next
+	}
+	old, next := suspect()
+	old.Started(fp, testPool, "target1", second)
+	require.False(t, old.MayPermit(fp, testPool, "vm2", second), "it may be running")
+	require.Nil(t, old.Finished(fp, testPool, "target1", false, second))
+	require.Equal(t, NeedsPermit, next.Admit(fp, testPool, "target2", second))
+	require.True(t, old.MayPermit(fp, testPool, "vm2", second), "the run has ended")
+
+	old, _ = suspect()
+	require.False(t, old.MayPermit(fp, testPool, "vm2", second))
+	later := second + unusedPermit + time.Millisecond
+	require.True(t, old.MayPermit(fp, testPool, "vm2", later), "no run began")
+	require.NotEqual(t, Run, old.Admit(fp, testPool, "target1", later), "two would run it at once")
+}
