unavailable.sh keeps journals and loses a data centre also with the store down; life 400 ms

By arithmetic with life 400 ms and D 160 ms: owner lost 425 ms, both lost 840 ms; a stall below 325 ms lets no grant lapse.

--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -49,7 +49,7 @@
 	ReleaseLimit model.Duration `json:"releaseLimit,omitempty"`
 	// GrantEvery is the pause between two renewals of a grant. Default 75ms.
 	GrantEvery model.Duration `json:"grantEvery,omitempty"`
-	// GrantLife is how long a grant lives. Default 450ms.
+	// GrantLife is how long a grant lives. Default 400ms.
 	GrantLife model.Duration `json:"grantLife,omitempty"`
 }
 
@@ -59,7 +59,7 @@
 	defaultHeartbeat    = model.Duration(75 * time.Millisecond)
 	defaultSilence      = model.Duration(300 * time.Millisecond)
 	defaultGrantEvery   = model.Duration(75 * time.Millisecond)
-	defaultGrantLife    = model.Duration(450 * time.Millisecond)
+	defaultGrantLife    = model.Duration(400 * time.Millisecond)
 	defaultTakeover     = model.Duration(190 * time.Millisecond)
 	defaultAuthority    = model.Duration(160 * time.Millisecond)
 	defaultMargin       = model.Duration(10 * time.Millisecond)
--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -8,7 +8,8 @@
 #   LAB_AGENT  JSON merged into each agent's settings, for instance {"grantLife": "600ms"}
 # A whole table takes about 80 s for each repeat. Prints for each loss: requests,
 # how many were not answered, keys that were unavailable, their median and worst,
-# ms; keeps DIR.report.N.json. A grantor is lost with its whole VM, a data centre
+# ms; keeps DIR.report.N.json
+# and DIR.journals.N.json. A grantor is lost with its whole VM, a data centre
 # with all its VMs and targets.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -59,6 +60,7 @@
   centres=$((centres + 1))
   centre=$(sed -n 's/.*"dataCentre": "\([^"]*\)".*/\1/p' "$dir/vm$vm/agent.jsonc")
   target=$centre
+  lost_targets=$(targets_of "$centre") # read before the store is down
 }
 vms_of() { grep -l "\"dataCentre\": \"$1\"" "$dir"/vm*/agent.jsonc | sed 's|.*/vm\([0-9]*\)/.*|\1|'; }
 targets_of() { curl -fsS "$STORE/apis/hemlockquay.example/v1/quayobjects/service.shelf" | jq -r --arg c "$1" '.spec.targets[] | select(.dataCentre == $c) | .name'; }
@@ -115,7 +117,7 @@
     wait $!
     ;;
   dc-*)
-    for t in $(targets_of "$centre"); do kill_target "$t" & done
+    for t in $lost_targets; do kill_target "$t" & done
     for v in $(vms_of "$centre"); do kill_vm "$v"; done
     ;;
   agent-*)
@@ -139,7 +141,7 @@
   grantor-* | assigner-*) start_vm "$vm" ;;
   both-*) start_target "$target" && start_vm "$vm" ;;
   dc-*)
-    for t in $(targets_of "$centre"); do start_target "$t"; done
+    for t in $lost_targets; do start_target "$t"; done
     for v in $(vms_of "$centre"); do start_vm "$v"; done
     ;;
   esac
@@ -160,6 +162,14 @@
   return 1
 }
 
+# save_journals : what the daemons that live decided, with causes.
+save_journals() {
+  local f
+  for f in "$dir"/vm*/{agent,dispatch}.jsonc; do
+    curl -fsS -m 2 "http://$(lab_admin "$f")/journal" | jq -c --arg f "${f#"$dir"/}" '{from: $f, journal: .}'
+  done
+}
+
 # measure N : one system, all cases.
 measure() {
   local i case load names=()
@@ -191,6 +201,7 @@
     jq -r --arg c "${names[i]}" --argjson i "$i" '.workloads[$i] |
       "\($c): sent \(.sent) refused \(.refused) unknown \(.unknown) p99 \(.p99ms), keys \(.keys | "\(.keys) unavailable \(.unavailable) p50 \(.unavailableP50ms) worst \(.unavailableWorstms) moves \(.moves)")"' "$dir/report.json"
   done
+  save_journals >"$dir.journals.$1.json"
   lab_stop 2>/dev/null
   cp "$dir/report.json" "$dir.report.$1.json"
   trap 'lab_stop; exit 130' INT TERM
