--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -167,6 +167,7 @@
   local f
   for f in "$dir"/vm*/{agent,dispatch}.jsonc; do
     curl -fsS -m 2 "http://$(lab_admin "$f")/journal" | jq -c --arg f "${f#"$dir"/}" '{from: $f, journal: .}'
+    curl -fsS -m 2 "http://$(lab_admin "$f")/metrics" | jq -c --arg f "${f#"$dir"/}" '{from: $f, refused: (with_entries(select((.key | contains("refused")) and .value.count > 0)))}'
   done
 }
 
