Jobs refused for their grant do not wait for a view that need not come

Cause: a parked job waited for the next view. It had come already (planned move: the refusal overtaken by the view), or none was due (a lapsed grant renewed at its rank after a stall). Such jobs were refused after 1 s. Change: a refusal is held against the view in force; parked jobs probe at the tick.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -53,6 +53,8 @@
 	lostBefore bool
 	// last was tried last; another is preferred.
 	last *pooled
+	// grant is what the last attempt was sent by; nil where unkeyed.
+	grant *wire.Grant
 	// sentAt is when the attempt on its way was begun.
 	sentAt time.Time
 	// cancel ends the attempt that is on its way.
--- a/internal/dispatch/lab_test.go
+++ b/internal/dispatch/lab_test.go
@@ -47,11 +47,12 @@
 	slots, running, served, most int
 	factor                       float64
 	// loseShare of its answers are lost after the work.
-	loseShare float64
-	down      bool
-	refusal   target.Refusal
-	health    target.Health
-	load      target.Load
+	loseShare   float64
+	down        bool
+	refuseAfter time.Duration
+	refusal     target.Refusal
+	health      target.Health
+	load        target.Load
 }
 
 // tally is what one customer received.
@@ -159,6 +160,7 @@
 	f := b.targets[a.Target.Name]
 	work, _ := time.ParseDuration(a.Request.Header.Get(workHeader))
 	if err := b.begin(f, a, &work); err != nil {
+		time.Sleep(f.refuseAfter)
 		return nil, err
 	}
 	defer func() {
--- a/internal/dispatch/moved.go
+++ b/internal/dispatch/moved.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"time"
+
+	"hemlockquay/internal/decide/deadline"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/view"
@@ -43,3 +46,50 @@
 func (q *queue) notOwner() *problem.Error {
 	return problem.Refuse(problem.NoOwner, "grant", q.id.Target, "another target owns the key now")
 }
+
+// parkUnlessNew parks a job that a target refused for its grant, unless the view
+// in force is newer than the one that it was sent by.
+//
+// Failure: a planned move. The old owner refuses the request, and before the
+// refusal arrives the view with the new owner does. To wait for the next view
+// then is to wait for some other group's change: up to a second, and a refusal.
+func (q *queue) parkUnlessNew(j *job, now time.Time) {
+	v := q.feed.Current()
+	grant := v.Owner(q.id.Service, keyspace.Of(j.request.Key))
+	switch {
+	case q.ownedElsewhere(v, j):
+		q.end(j, q.notOwner())
+	case grant != nil && j.grant != nil && grant.Rank != j.grant.Rank:
+		q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
+		q.waiting.Return(&j.item)
+	default:
+		q.park(j, now)
+	}
+}
+
+// probe tries as many parked jobs again as the target has slots; the first that
+// is answered brings all others back.
+//
+// Failure: a grantor stalls for longer than a grant lives, and goes on. Its grant
+// is in force again at the rank of before, so that no view changes: all that was
+// refused meanwhile waited out its second and was refused, though the owner served.
+func (q *queue) probe() {
+	left := q.probes()
+	for j := range q.parked {
+		if left == 0 {
+			return
+		}
+		left--
+		delete(q.parked, j)
+		q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
+		q.waiting.Return(&j.item)
+	}
+}
+
+// probes is how many parked jobs are tried at once.
+func (q *queue) probes() int {
+	if q.pool.service == nil {
+		return 0
+	}
+	return q.pool.service.Slots
+}
--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -190,6 +190,41 @@
 	})
 }
 
+// A slice moves while a request is on its way to the old owner. The view with the
+// new owner arrives first, the refusal 50 ms later. The caller waited for a second
+// and was refused. Cause: the job waited for the next view, and none was due.
+func TestRefusalAfterTheViewIsSentBack(t *testing.T) {
+	inBench(t, 2, true, func(b *bench) {
+		b.set("master-1", func(f *fakeTarget) { f.refusal, f.refuseAfter = target.RefusedReleased, 50*time.Millisecond })
+		begun := time.Now()
+		var a wire.Answer
+		b.callers.Go(func() {
+			a = b.call(stream{customer: "listeners", deadline: 2 * time.Second}, "r", time.Millisecond)
+			require.Equal(t, 50*time.Millisecond, time.Since(begun))
+		})
+		time.Sleep(20 * time.Millisecond)
+		b.own("master-2")
+		b.callers.Wait()
+		require.Equal(t, problem.NoOwner, a.Problem.Kind)
+	})
+}
+
+// A grantor stalls until its grant is out, and renews it 100 ms later at the same
+// rank. No view changes, as nobody else was granted. All that came meanwhile was
+// refused after a second, though the owner served again.
+func TestLapsedGrantRenewedServesWhatWaited(t *testing.T) {
+	inBench(t, 1, true, func(b *bench) {
+		b.set("master-1", func(f *fakeTarget) { f.refusal = target.RefusedFence })
+		begun := time.Now()
+		b.burst(stream{customer: "listeners", deadline: 5 * time.Second}, 5)
+		time.Sleep(100 * time.Millisecond)
+		b.set("master-1", func(f *fakeTarget) { f.refusal = "" })
+		b.callers.Wait()
+		require.Equal(t, 5, b.tallies["listeners"].answered)
+		require.Less(t, time.Since(begun), 200*time.Millisecond)
+	})
+}
+
 // The same owner gets a grant of a higher rank after it refused: what waited is sent
 // to it, not refused.
 func TestRegrantedOwnerServesWhatWaited(t *testing.T) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -147,6 +147,7 @@
 			q.handle(m, time.Now())
 		case <-timer.C:
 			q.release(q.held)
+			q.probe()
 		case <-changed:
 			changed = q.feed.Changed()
 			q.release(q.parked)
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -139,7 +139,7 @@
 	}
 	q.forget(j)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
-	j.cancel, j.last, j.sentAt = cancel, t, now
+	j.cancel, j.last, j.sentAt, j.grant = cancel, t, now, grant
 	j.attempts++
 	q.counts.sent.Inc(1)
 	if j.attempts == 1 {
@@ -238,6 +238,9 @@
 	}
 	t.limit.Answered(now, q.pool.service.Slots, t.measured.Slow())
 	q.pool.update(t)
+	if !j.parkedAt.IsZero() {
+		q.release(q.parked)
+	}
 	delete(q.jobs, j.request.ID)
 	j.answer(*r.answer)
 }
@@ -273,7 +276,7 @@
 		q.end(j, q.leaving())
 		return
 	}
-	q.park(j, now)
+	q.parkUnlessNew(j, now)
 }
 
 // again repeats a failed job or ends it.
