--- /dev/null
+++ b/internal/dispatch/moved.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"time"
+
+	"hemlockquay/internal/decide/deadline"
+	"hemlockquay/internal/keyspace"
+	"hemlockquay/internal/problem"
+	"hemlockquay/internal/view"
+)
+
+// sendBack hands the jobs that wait for a target back to their entries where
+// another target owns their key by now.
+//
+// Failure: the owner dies, its connections fail, and it rests for longer each
+// time, 750 ms in all after four failures. The standby owns its keys after 350
+// ms, but a queue whose only target rests looks at no job: it shows as keys that
+// are unavailable for twice as long as the takeover took. So each new view is
+// held against all that waits, whether or not the target rests. The jobs were not
+// sent, so entries may send them on.
+func (q *queue) sendBack() {
+	if q.id.Target == "" {
+		return
+	}
+	v := q.feed.Current()
+	var moved []*job
+	for _, j := range q.given {
+		if q.ownedElsewhere(v, j) {
+			moved = append(moved, j)
+		}
+	}
+	for _, j := range moved {
+		q.end(j, q.notOwner())
+	}
+}
+
+// ownedElsewhere tells whether another target than the queue's owns the job's key.
+func (q *queue) ownedElsewhere(v *view.View, j *job) bool {
+	if q.id.Target == "" {
+		return false
+	}
+	grant := v.Owner(q.id.Service, keyspace.Of(j.request.Key))
+	return grant != nil && grant.Target.Name != q.id.Target
+}
+
+func (q *queue) notOwner() *problem.Error {
+	return problem.Refuse(problem.NoOwner, "grant", q.id.Target, "another target owns the key now")
+}
+
+// parkUnlessNew parks a job that a target refused for its grant, unless the view
+// in force is newer than the one that it was sent by.
+//
+// Failure: a planned move. The old owner refuses the request, and before the
+// refusal arrives the view with the new owner does. To wait for the next view
+// then is to wait for some other group's change: up to a second, and a refusal.
+func (q *queue) parkUnlessNew(j *job, now time.Time) {
+	v := q.feed.Current()
+	grant := v.Owner(q.id.Service, keyspace.Of(j.request.Key))
+	switch {
+	case q.ownedElsewhere(v, j):
+		q.end(j, q.notOwner())
+	case grant != nil && j.grant != nil && grant.Rank != j.grant.Rank:
+		q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
+		q.waiting.Return(&j.item)
+	default:
+		q.park(j, now)
+	}
+}
+
+// probe tries as many parked jobs again as the target has slots; the first that
+// is answered brings all others back.
+//
+// Failure: a grantor stalls for longer than a grant lives, and goes on. Its grant
+// is in force again at the rank of before, so that no view changes: all that was
+// refused meanwhile waited out its second and was refused, though the owner served.
+func (q *queue) probe() {
+	left := q.probes()
+	for j := range q.parked {
+		if left == 0 {
+			return
+		}
+		left--
+		delete(q.parked, j)
+		q.await(j, deadline.GiveUp(j.deadline, q.patience(j)))
+		q.waiting.Return(&j.item)
+	}
+}
+
+// probes is how many parked jobs are tried at once.
+func (q *queue) probes() int {
+	if q.pool.service == nil {
+		return 0
+	}
+	return q.pool.service.Slots
+}
