Bad input over real HTTP: paths cut by hand, 413 before the body, HEAD, methods

Tests start the real entry between a fake agent and a fake dispatcher on loopback. They found: - /s/booth%2F@10.0.0.9:80/x matched the route of booth, and its rest, without a slash, joined the target's address: a caller could choose where the request goes. Paths are cut from the escaped form now; the rest always begins with a slash. - /s/boo%74h/a arrived at the target with /s/boo%74h before it. - 413 with an announced length waited for the body on a kept connection. - HEAD told the length 0 for whatever the target said; 204 and 304 had one. - Expect went on to the target; PROPFIND and others got a misleading 404. - A final answer with status 0, 1xx or over 999 was passed on.

dispatch, entry and agent share daemon.Kit and daemon.Parts, which tests use to start a daemon in-process; no behaviour change.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,13 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
-	"hemlockquay/internal/journal"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/platform/objectapi"
@@ -24,20 +22,9 @@
 // Module wires the agent.
 var Module = fx.Options(fx.Invoke(start))
 
-type params struct {
-	fx.In
-
-	LC       fx.Lifecycle
-	Settings *Settings
-	Life     *daemon.Life
-	Log      *log.Logger
-	Registry metrics.Registry
-	Journal  *journal.Journal
-}
-
 // agent is the process: its state and its duties.
 type agent struct {
-	params
+	*daemon.Kit[*Settings]
 	incarnation string
 	started     int64
 	writes      atomic.Uint64
@@ -58,27 +45,27 @@
 	duties       sync.WaitGroup
 }
 
-func start(p params) error {
-	a, err := newAgent(p, objectapi.New(p.Settings.Store))
+func start(k *daemon.Kit[*Settings]) error {
+	a, err := newAgent(k, objectapi.New(k.Settings.Store))
 	if err != nil {
 		return err
 	}
-	p.LC.Append(fx.Hook{OnStart: a.start, OnStop: a.stop})
+	k.LC.Append(fx.Hook{OnStart: a.start, OnStop: a.stop})
 	return nil
 }
 
-func newAgent(p params, store platform.Store) (*agent, error) {
-	server, err := peer.Listen(p.Settings.Listen)
+func newAgent(k *daemon.Kit[*Settings], store platform.Store) (*agent, error) {
+	server, err := peer.Listen(k.Settings.Listen)
 	if err != nil {
 		return nil, err
 	}
 	started := time.Now().UnixNano()
 	a := &agent{
-		params:      p,
-		incarnation: fmt.Sprintf("%s-%d", p.Settings.VM, started),
+		Kit:         k,
+		incarnation: fmt.Sprintf("%s-%d", k.Settings.VM, started),
 		started:     started,
 		store:       store,
-		guard:       platform.NewGuard(p.Registry),
+		guard:       platform.NewGuard(k.Registry),
 		server:      server,
 		peers:       peer.NewPool(1),
 		commander:   target.NewCommander(),
@@ -87,7 +74,7 @@
 	if err := server.Register("Agent", a.relay); err != nil {
 		return nil, err
 	}
-	p.Life.Section("agent", a.dump)
+	k.Life.Section("agent", a.dump)
 	return a, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,17 +9,14 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"reflect"
 	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/phuslu/log"
-	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/settings"
 )
@@ -107,11 +104,11 @@
 
 // Main runs a daemon: it reads the settings into s, builds the fx application of
 // module and runs it until SIGTERM, SIGINT or /drain. It does not return.
-func Main(name string, s Settings, module fx.Option) {
+func Main[S Settings](name string, s S, module fx.Option) {
 	os.Exit(run(name, s, module))
 }
 
-func run(name string, s Settings, module fx.Option) int {
+func run[S Settings](name string, s S, module fx.Option) int {
 	var opts options
 	opts.Version = func() {
 		fmt.Println(name, Version)
@@ -134,32 +131,18 @@
 	return serve(name, s, module)
 }
 
-func serve(name string, s Settings, module fx.Option) int {
+func serve[S Settings](name string, s S, module fx.Option) int {
 	base := s.Common()
 	logger := NewLogger(name, base.VM, base.Log)
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(base, logger),
-		provideAs(s),
-		fx.Provide(
-			metrics.NewRegistry,
-			func() *journal.Journal { return journal.New(base.VM, name, base.JournalLength) },
-			func(sh fx.Shutdowner, j *journal.Journal) *Life { return newLife(name, base, logger, j, sh) },
-		),
-		fx.Invoke(startAdmin),
+		Parts(name, s, logger),
 		module,
 	)
-	return drive(app, logger)
-}
-
-// provideAs supplies the settings under their own pointer type.
-func provideAs(s Settings) fx.Option {
-	ctor := reflect.MakeFunc(
-		reflect.FuncOf(nil, []reflect.Type{reflect.TypeOf(s)}, false),
-		func([]reflect.Value) []reflect.Value { return []reflect.Value{reflect.ValueOf(s)} },
-	)
-	return fx.Provide(ctor.Interface())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return drive(app, logger, signals)
 }
 
 // startTimeout bounds the start: listening and dialling take milliseconds.
@@ -169,9 +152,12 @@
 // the default service settings allow, so that a drain cuts off no request.
 const stopTimeout = 90 * time.Second
 
-func drive(app *fx.App, logger *log.Logger) int {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+// drive runs the application to its end and returns the exit code.
+//
+// Failure: an impatient operator or supervisor sends SIGTERM again while the
+// daemon drains, and requests in flight are cut off. Only the first signal is
+// read; the drain is bounded by stopTimeout.
+func drive(app *fx.App, logger *log.Logger, signals <-chan os.Signal) int {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
--- /dev/null
+++ b/internal/daemon/kit.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"hemlockquay/internal/journal"
+)
+
+// Kit is what a daemon with settings S is built from. Parts provides it.
+type Kit[S Settings] struct {
+	Settings S
+	LC       fx.Lifecycle
+	Life     *Life
+	Log      *log.Logger
+	Registry metrics.Registry
+	Journal  *journal.Journal
+}
+
+func newKit[S Settings](s S, lc fx.Lifecycle, life *Life, logger *log.Logger, registry metrics.Registry, j *journal.Journal) *Kit[S] {
+	return &Kit[S]{Settings: s, LC: lc, Life: life, Log: logger, Registry: registry, Journal: j}
+}
+
+// Parts provides what each daemon stands on: its settings, log, metrics, journal
+// and life, joined in a Kit. It starts the admin server.
+func Parts[S Settings](name string, s S, logger *log.Logger) fx.Option {
+	base := s.Common()
+	return fx.Options(
+		fx.Supply(s, base, logger),
+		fx.Provide(
+			metrics.NewRegistry,
+			func() *journal.Journal { return journal.New(base.VM, name, base.JournalLength) },
+			func(sh fx.Shutdowner, j *journal.Journal) *Life { return newLife(name, base, logger, j, sh) },
+			newKit[S],
+		),
+		fx.Invoke(startAdmin),
+	)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,13 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
-	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
-	"hemlockquay/internal/journal"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/problem"
@@ -30,20 +27,9 @@
 // Module wires the dispatcher.
 var Module = fx.Options(fx.Invoke(start))
 
-type params struct {
-	fx.In
-
-	LC       fx.Lifecycle
-	Settings *Settings
-	Life     *daemon.Life
-	Log      *log.Logger
-	Journal  *journal.Journal
-	Registry metrics.Registry
-}
-
 // dispatcher owns the queues and answers the entries' calls.
 type dispatcher struct {
-	params
+	*daemon.Kit[*Settings]
 	server *peer.Server
 	feed   *feed.Feed
 	sender *target.Sender
@@ -65,19 +51,19 @@
 	duties   sync.WaitGroup
 }
 
-func start(p params) error {
-	server, err := peer.Listen(p.Settings.Listen)
+func start(k *daemon.Kit[*Settings]) error {
+	server, err := peer.Listen(k.Settings.Listen)
 	if err != nil {
 		return err
 	}
 	counted := newLoads()
-	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: server.Addr(), Loads: counted.hottest}
+	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: server.Addr(), Loads: counted.hottest}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
-		params: p,
+		Kit:    k,
 		server: server,
-		feed:   feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry),
-		sender: target.NewSender(p.Settings.TargetConnections),
+		feed:   feed.New(k.LC, endpoint, k.Life, k.Log, k.Registry),
+		sender: target.NewSender(k.Settings.TargetConnections),
 		prober: target.NewProber(),
 		loads:  counted,
 		ctx:    ctx,
@@ -85,20 +71,20 @@
 		queues: make(map[queueID]*queue),
 		owners: make(map[string]*queue),
 	}
-	d.crashes = newCrashWatch(p.Settings.VM, d.feed, p.Journal, p.Log, p.Registry)
+	d.crashes = newCrashWatch(k.Settings.VM, d.feed, k.Journal, k.Log, k.Registry)
 	d.parts = &parts{
-		vm: p.Settings.VM, limit: p.Settings.QueueLength, fifo: p.Settings.Order == OrderFIFO,
+		vm: k.Settings.VM, limit: k.Settings.QueueLength, fifo: k.Settings.Order == OrderFIFO,
 		feed: d.feed, sender: d.sender, prober: d.prober, suspects: d.crashes,
-		journal: p.Journal, registry: p.Registry, counts: newCounts(p.Registry),
+		journal: k.Journal, registry: k.Registry, counts: newCounts(k.Registry),
 	}
-	d.intents = newIntents(p.Settings.VM, d.feed, p.Journal, p.Log, p.Registry)
+	d.intents = newIntents(k.Settings.VM, d.feed, k.Journal, k.Log, k.Registry)
 	if err := server.Register("Dispatch", &rpcReceiver{intents: d.intents, crashes: d.crashes, d: d}); err != nil {
 		return err
 	}
-	p.Life.Section("dispatch", d.dump)
-	p.Life.Section("intents", d.intents.dump)
-	p.Life.Section("quarantine", d.crashes.dump)
-	p.LC.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
+	k.Life.Section("dispatch", d.dump)
+	k.Life.Section("intents", d.intents.dump)
+	k.Life.Section("quarantine", d.crashes.dump)
+	k.LC.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 	return nil
 }
 
--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -48,7 +49,42 @@
 	return problem.Refuse(kind, stepDoor, d.vm, fmt.Sprintf(format, args...))
 }
 
-// check reads everything but the body.
+// knock reads everything but the body.
+func (d *door) knock(v *view.View, r *http.Request, now time.Time) (*visit, *problem.Error) {
+	if r.Method == http.MethodConnect {
+		return nil, d.refuse(problem.BadRequest, "CONNECT asks for a tunnel, and there are none")
+	}
+	service, path, ok := splitPath(r.URL.EscapedPath())
+	if !ok {
+		return nil, d.refuse(problem.UnknownService, "paths begin with /s/SERVICE/")
+	}
+	if r.URL.RawQuery != "" || r.URL.ForceQuery {
+		path += "?" + r.URL.RawQuery
+	}
+	return d.check(v, service, path, r, now)
+}
+
+// splitPath cuts /s/SERVICE from an escaped path. The rest stays as the caller
+// wrote it.
+//
+// Failure: a slash after the service that is written as %2F. Cut by the unescaped
+// path, the rest would begin with "%2F" or "@" and join the target's address, and
+// the request would go to an address of the caller's choice. The rest always
+// begins with a slash here.
+func splitPath(escaped string) (service, rest string, ok bool) {
+	tail, ok := strings.CutPrefix(escaped, "/s/")
+	if !ok {
+		return "", "", false
+	}
+	segment, _, ok := strings.Cut(tail, "/")
+	if !ok {
+		return "", "", false
+	}
+	service, err := url.PathUnescape(segment)
+	return service, tail[len(segment):], err == nil
+}
+
+// check reads the headers.
 func (d *door) check(v *view.View, service, path string, r *http.Request, now time.Time) (*visit, *problem.Error) {
 	token, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
 	if !ok || token == "" || len(r.Header.Values(headerAuthorization)) > 1 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,20 +6,17 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
-	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
-	"hemlockquay/internal/journal"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/wire"
@@ -29,22 +26,14 @@
 const processName = "hq-entry"
 
 // Module wires the entry.
-var Module = fx.Options(fx.Invoke(start))
-
-type params struct {
-	fx.In
-
-	LC       fx.Lifecycle
-	Settings *Settings
-	Life     *daemon.Life
-	Log      *log.Logger
-	Registry metrics.Registry
-	Journal  *journal.Journal
-}
+var Module = fx.Options(
+	fx.Provide(func() boottime.Clock { return boottime.System{} }, newEntry),
+	fx.Invoke(func(*entry) {}),
+)
 
 // entry is the process: the callers' HTTP server and its parts.
 type entry struct {
-	params
+	*daemon.Kit[*Settings]
 	door      *door
 	feed      *feed.Feed
 	forwarder *forwarder
@@ -61,42 +50,42 @@
 	server    *http.Server
 }
 
-func start(p params) error {
-	listener, err := net.Listen("tcp", p.Settings.Listen)
+func newEntry(k *daemon.Kit[*Settings], clock boottime.Clock) (*entry, error) {
+	listener, err := net.Listen("tcp", k.Settings.Listen)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	peers, err := peer.Listen(p.Settings.PeerListen)
+	peers, err := peer.Listen(k.Settings.PeerListen)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	endpoint := feed.Endpoint{Agent: p.Settings.Agent, Process: processName, Data: peers.Addr()}
-	f := feed.New(p.LC, endpoint, p.Life, p.Log, p.Registry)
+	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: peers.Addr()}
+	f := feed.New(k.LC, endpoint, k.Life, k.Log, k.Registry)
 	e := &entry{
-		params:    p,
-		door:      &door{vm: p.Settings.VM},
+		Kit:       k,
+		door:      &door{vm: k.Settings.VM},
 		feed:      f,
-		forwarder: &forwarder{vm: p.Settings.VM, feed: f, peers: peer.NewPool(p.Settings.PeerConnections)},
+		forwarder: &forwarder{vm: k.Settings.VM, feed: f, peers: peer.NewPool(k.Settings.PeerConnections)},
 		started:   time.Now().UnixNano(),
-		answered:  metrics.GetOrRegisterTimer("entry.answered", p.Registry),
-		refusals:  metrics.GetOrRegisterCounter("entry.refused", p.Registry),
+		answered:  metrics.GetOrRegisterTimer("entry.answered", k.Registry),
+		refusals:  metrics.GetOrRegisterCounter("entry.refused", k.Registry),
 		listener:  listener,
 	}
-	e.admitter = newAdmitter(p.Settings.VM, e.started, p.Settings.ReadTimeout.D(), boottime.System{}, p.Journal, p.Registry)
-	e.sharer = newSharer(p.Settings.VM, e.admitter, f, p.Log, p.Registry)
+	e.admitter = newAdmitter(k.Settings.VM, e.started, k.Settings.ReadTimeout.D(), clock, k.Journal, k.Registry)
+	e.sharer = newSharer(k.Settings.VM, e.admitter, f, k.Log, k.Registry)
 	e.peers = peers
 	if err := peers.Register("Entry", &shareReceiver{e.admitter}); err != nil {
-		return err
+		return nil, err
 	}
-	p.Life.Section("limits", e.admitter.dump)
+	k.Life.Section("limits", e.admitter.dump)
 	e.server = &http.Server{
 		Handler:           e.handler(),
-		ReadHeaderTimeout: p.Settings.ReadTimeout.D(),
-		ReadTimeout:       p.Settings.ReadTimeout.D(),
-		MaxHeaderBytes:    p.Settings.MaxHeader,
+		ReadHeaderTimeout: k.Settings.ReadTimeout.D(),
+		ReadTimeout:       k.Settings.ReadTimeout.D(),
+		MaxHeaderBytes:    k.Settings.MaxHeader,
 	}
-	p.LC.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
-	return nil
+	k.LC.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
+	return e, nil
 }
 
 func (e *entry) start(context.Context) error {
@@ -133,11 +122,9 @@
 func (e *entry) handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
-	g.HandleMethodNotAllowed = false
-	g.Any("/s/:service/*path", e.serve)
-	g.NoRoute(func(c *gin.Context) {
-		e.refuse(c, problem.Refuse(problem.UnknownService, stepDoor, e.Settings.VM, "paths begin with /s/SERVICE/"))
-	})
+	// Not a route: gin's routes match unescaped paths and a fixed list of
+	// methods, and targets may take others.
+	g.NoRoute(e.serve)
 	return g
 }
 
@@ -151,12 +138,7 @@
 		e.refuse(c, problem.Refuse(problem.NotReady, stepDoor, e.Settings.VM, why).After(time.Second))
 		return
 	}
-	// The escaped form: a target must see the path as the caller wrote it.
-	path := strings.TrimPrefix(c.Request.URL.EscapedPath(), "/s/"+c.Param("service"))
-	if c.Request.URL.RawQuery != "" {
-		path += "?" + c.Request.URL.RawQuery
-	}
-	visit, p := e.door.check(e.feed.Current(), c.Param("service"), path, c.Request, begun)
+	visit, p := e.door.knock(e.feed.Current(), c.Request, begun)
 	if p == nil {
 		p = e.admitter.admit(visit)
 	}
@@ -209,11 +191,29 @@
 		header[name] = values
 	}
 	header.Set(problem.Header, string(problem.RanYes))
-	header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if length := contentLength(c.Request.Method, a); length != "" {
+		header.Set("Content-Length", length)
+	}
 	c.Status(a.Status)
 	_, _ = c.Writer.Write(a.Body)
 }
 
+// contentLength returns the answer's length, "" where it has none. The answer to
+// HEAD tells the length that GET would have, which only the target knows.
+func contentLength(method string, a *wire.Answer) string {
+	switch {
+	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+		return ""
+	case method != http.MethodHead:
+		return strconv.Itoa(len(a.Body))
+	}
+	length := a.Header.Get("Content-Length")
+	if _, err := strconv.ParseUint(length, 10, 63); err != nil {
+		return ""
+	}
+	return length
+}
+
 // document is the body of a refusal, RFC 9457.
 type document struct {
 	Type      string       `json:"type"`
@@ -236,6 +236,11 @@
 	if p.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int((p.RetryAfter+time.Second-1)/time.Second)))
 	}
+	if p.Kind == problem.TooLarge {
+		// On a connection that it keeps, net/http reads the body before it
+		// sends the refusal.
+		c.Header("Connection", "close")
+	}
 	c.Header(problem.Header, string(p.Ran))
 	c.Header("Content-Type", problem.ContentType)
 	c.JSON(p.Status(), document{
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"time"
 
 	"hemlockquay/internal/decide/rendezvous"
@@ -171,9 +173,15 @@
 	if answer.Problem != nil {
 		return nil, answer.Problem
 	}
+	if answer.Status < http.StatusOK || answer.Status > maxStatus {
+		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, fmt.Sprintf("%d is not the status of a final answer", answer.Status))
+	}
 	return answer, nil
 }
 
+// maxStatus is the last status code; net/http panics beyond it.
+const maxStatus = 999
+
 func classify(err error, vm string) *problem.Error {
 	switch {
 	case errors.Is(err, peer.ErrNotSent):
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -7,10 +7,10 @@
 )
 
 // hopByHop are the headers of RFC 9110 section 7.6.1 that concern one
-// connection only, and ours, which the dispatcher sets itself.
+// connection only, and Expect: the entry has the whole body before it sends.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Expect", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
 // ownPrefix marks headers between the system's parts; a caller must not be able
