Graceful shutdown bounded by the longest deadline; one frame for command lines

The bound is now the longest deadline in force plus a minute. - internal/command holds the version, exit codes and subcommand frame that hq-load, hq-standin, hqctl and the daemons shared or repeated. A file that is missing is exit code 2 everywhere.

--- a/cmd/hq-load/main.go
+++ b/cmd/hq-load/main.go
@@ -11,20 +11,12 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
-	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/command"
 	"hemlockquay/internal/loadgen"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/settings"
 )
 
-// Exit codes.
-const (
-	exitUnsound = 1
-	exitUsage   = 2
-)
-
 var (
 	errUnsound    = errors.New("a promise to callers was broken")
 	errIncomplete = errors.New("not every request was answered")
@@ -112,35 +104,8 @@
 }
 
 func main() {
-	var global struct {
-		Version func() `long:"version" description:"print the version and exit"`
-	}
-	global.Version = func() {
-		fmt.Println("hq-load", daemon.Version)
-		os.Exit(0)
-	}
-	p := flags.NewParser(&global, flags.Default)
-	must(p.AddCommand("run", "Offer load", "Offer an experiment's load and report what callers received.", new(runCommand)))
-	must(p.AddCommand("compare", "Compare two reports", "Print the figures of two JSON reports side by side.", new(compareCommand)))
-	if _, err := p.Parse(); err != nil {
-		os.Exit(exitCode(err))
-	}
-}
-
-func must(_ *flags.Command, err error) {
-	if err != nil {
-		panic(err)
-	}
-}
-
-func exitCode(err error) int {
-	var usage *flags.Error
-	var bad *settings.Error
-	switch {
-	case flags.WroteHelp(err):
-		return 0
-	case errors.As(err, &usage), errors.As(err, &bad):
-		return exitUsage
-	}
-	return exitUnsound
+	os.Exit(command.Run("hq-load", os.Args[1:],
+		command.Command{Name: "run", Short: "Offer load", Long: "Offer an experiment's load and report what callers received.", Run: new(runCommand)},
+		command.Command{Name: "compare", Short: "Compare two reports", Long: "Print the figures of two JSON reports side by side.", Run: new(compareCommand)},
+	))
 }
--- a/cmd/hq-standin/main.go
+++ b/cmd/hq-standin/main.go
@@ -4,15 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
-	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/command"
 	"hemlockquay/internal/settings"
 	"hemlockquay/internal/standin"
 	"hemlockquay/internal/standin/plan"
@@ -61,31 +58,8 @@
 }
 
 func main() {
-	var version struct {
-		Version func() `long:"version" description:"print the version and exit"`
-	}
-	version.Version = func() {
-		fmt.Println("hq-standin", daemon.Version)
-		os.Exit(0)
-	}
-	p := flags.NewParser(&version, flags.Default)
-	must(p.AddCommand("run", "Play the outside systems", "Play the object store and the targets until SIGTERM.", new(runCommand)))
-	must(p.AddCommand("plan", "Plan a run on one machine", "Write settings, objects and a load for a run on free loopback ports.", new(planCommand)))
-	if _, err := p.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		var usage *flags.Error
-		var bad *settings.Error
-		if errors.As(err, &usage) || errors.As(err, &bad) {
-			os.Exit(2)
-		}
-		os.Exit(1)
-	}
-}
-
-func must(_ *flags.Command, err error) {
-	if err != nil {
-		panic(err)
-	}
+	os.Exit(command.Run("hq-standin", os.Args[1:],
+		command.Command{Name: "run", Short: "Play the outside systems", Long: "Play the object store and the targets until SIGTERM.", Run: new(runCommand)},
+		command.Command{Name: "plan", Short: "Plan a run on one machine", Long: "Write settings, objects and a load for a run on free loopback ports.", Run: new(planCommand)},
+	))
 }
--- a/internal/ctl/cli/cli.go
+++ b/internal/ctl/cli/cli.go
@@ -15,8 +15,8 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"hemlockquay/internal/command"
 	"hemlockquay/internal/ctl"
-	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/platform/objectapi"
@@ -100,7 +100,7 @@
 	a := &app{out: out, log: log}
 	exit := -1
 	a.options.Version = func() {
-		fmt.Fprintln(out, "hqctl", daemon.Version)
+		fmt.Fprintln(out, "hqctl", command.Version)
 		exit = ExitOK
 	}
 	p := flags.NewNamedParser("hqctl", flags.HelpFlag|flags.PassDoubleDash)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,20 +17,11 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"hemlockquay/internal/command"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/settings"
 )
 
-// Version is the release that --version prints.
-var Version = "0.1.0"
-
-// Exit codes of the daemons.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 // Base is the part of the settings that all daemons share.
 type Base struct {
 	// VM is the name of this VM in the platform's list.
@@ -97,36 +88,33 @@
 }
 
 type options struct {
-	Config  string `long:"config" value-name:"FILE" description:"settings, JSON with comments" required:"true"`
-	Check   bool   `long:"check" description:"check the settings and exit"`
-	Version func() `long:"version" description:"print the version and exit"`
+	command.VersionFlag
+	Config string `long:"config" value-name:"FILE" description:"settings, JSON with comments" required:"true"`
+	Check  bool   `long:"check" description:"check the settings and exit"`
 }
 
 // Main runs a daemon: it reads the settings into s, builds the fx application of
 // module and runs it until SIGTERM, SIGINT or /drain. It does not return.
 func Main[S Settings](name string, s S, module fx.Option) {
-	os.Exit(run(name, s, module))
+	os.Exit(run(name, os.Args[1:], s, module))
 }
 
-func run[S Settings](name string, s S, module fx.Option) int {
-	var opts options
-	opts.Version = func() {
-		fmt.Println(name, Version)
-		os.Exit(exitOK)
+func run[S Settings](name string, args []string, s S, module fx.Option) int {
+	opts := options{VersionFlag: command.NewVersionFlag(name)}
+	p := flags.NewNamedParser(name, flags.Default)
+	if _, err := p.AddGroup("Options", "", &opts); err != nil {
+		panic(err)
 	}
-	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return exitOK
-		}
-		return exitUsage
+	if _, err := p.ParseArgs(args); err != nil {
+		return command.Code(err)
 	}
 	if err := settings.Load(opts.Config, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+		return command.Usage
 	}
 	if opts.Check {
 		fmt.Println("settings are valid")
-		return exitOK
+		return command.OK
 	}
 	return serve(name, s, module)
 }
@@ -134,49 +122,50 @@
 func serve[S Settings](name string, s S, module fx.Option) int {
 	base := s.Common()
 	logger := NewLogger(name, base.VM, base.Log)
+	var life *Life
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(stopTimeout),
 		Parts(name, s, logger),
+		fx.Populate(&life),
 		module,
 	)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	return drive(app, logger, signals)
+	return drive(app, logger, signals, func() time.Duration { return life.Longest() + stopMargin })
 }
 
 // startTimeout bounds the start: listening and dialling take milliseconds.
 const startTimeout = 15 * time.Second
 
-// stopTimeout bounds a graceful shutdown. It is above the longest deadline that
-// the default service settings allow, so that a drain cuts off no request.
-const stopTimeout = 90 * time.Second
+// stopMargin is how much longer than the longest request a graceful shutdown may
+// take: the lead, the last answers and the goodbye to the agent.
+const stopMargin = time.Minute
 
 // drive runs the application to its end and returns the exit code.
 //
 // Failure: an impatient operator or supervisor sends SIGTERM again while the
 // daemon drains, and requests in flight are cut off. Only the first signal is
-// read; the drain is bounded by stopTimeout.
-func drive(app *fx.App, logger *log.Logger, signals <-chan os.Signal) int {
+// read; the drain is bounded.
+func drive(app *fx.App, logger *log.Logger, signals <-chan os.Signal, bound func() time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
 		logger.Error().Err(rootCause(err)).Str("step", "start").Msg("cannot start")
-		return exitFailure
+		return command.Failure
 	}
 	select {
 	case <-signals:
 	case <-app.Done():
 	}
 	logger.Info().Str("step", "stop").Msg("graceful shutdown begins")
-	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	stop, cancelStop := context.WithTimeout(context.Background(), bound())
 	defer cancelStop()
 	if err := app.Stop(stop); err != nil {
 		logger.Error().Err(err).Str("step", "stop").Msg("shutdown was not graceful")
-		return exitFailure
+		return command.Failure
 	}
 	logger.Info().Str("step", "stop").Msg("stopped")
-	return exitOK
+	return command.OK
 }
 
 func rootCause(err error) error {
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"hemlockquay/charts"
+	"hemlockquay/internal/command"
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/statechart"
 )
@@ -39,6 +40,8 @@
 	// its graceful shutdown.
 	serving  bool
 	draining chan struct{}
+	// longest is how long a request may still run.
+	longest  time.Duration
 	sections []section
 	admin    string
 }
@@ -92,6 +95,25 @@
 	l.serving = false
 }
 
+// SetLongest notes the longest deadline that a request may have.
+//
+// Failure: a service allows deadlines of ten minutes, and a daemon that stops
+// gives up its drain after a fixed time: requests in flight are cut off. The bound
+// of the drain follows what is in force, and never falls: requests of an older
+// configuration may still run.
+func (l *Life) SetLongest(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longest = max(l.longest, d)
+}
+
+// Longest returns the longest deadline that a request may have.
+func (l *Life) Longest() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.longest
+}
+
 // Serving tells whether new work is taken: the daemon is ready, or leaves and is
 // still in its lead.
 func (l *Life) Serving() bool {
@@ -186,7 +208,7 @@
 func (l *Life) Dump() Dump {
 	ready, why := l.IsReady()
 	l.mu.Lock()
-	d := Dump{Process: l.name, VM: l.vm, Version: Version, State: string(l.machine.State())}
+	d := Dump{Process: l.name, VM: l.vm, Version: command.Version, State: string(l.machine.State())}
 	sections := l.sections
 	l.mu.Unlock()
 	if !ready {
--- /dev/null
+++ b/internal/daemon/life_test.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"hemlockquay/internal/command"
+	"hemlockquay/internal/model"
+)
+
+// plain are the settings of a daemon that does nothing.
+type plain struct{ Base }
+
+func (p *plain) Check() error { return p.CheckBase() }
+
+func plainSettings(t *testing.T) *plain {
+	s := &plain{Base{VM: "vm1", DataCentre: "a", Admin: "127.0.0.1:0", LeaveLead: model.Duration(time.Millisecond)}}
+	require.NoError(t, s.Check())
+	return s
+}
+
+var quiet = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+
+// application is a daemon whose stop runs the function.
+func application(t *testing.T, life **Life, stop func(context.Context) error) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		Parts("hq-test", plainSettings(t), quiet),
+		fx.Populate(life),
+		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStop: stop}) }),
+	)
+}
+
+func bound(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// A supervisor repeats SIGTERM while the daemon drains. The second one must not
+// cut off the request that still runs.
+func TestSecondSignalDoesNotCutTheDrainShort(t *testing.T) {
+	var life *Life
+	signals := make(chan os.Signal, 1)
+	whole := false
+	app := application(t, &life, func(ctx context.Context) error {
+		signals <- syscall.SIGTERM
+		whole = ctx.Err() == nil
+		return nil
+	})
+	signals <- syscall.SIGTERM
+	require.Equal(t, command.OK, drive(app, quiet, signals, bound(time.Minute)))
+	require.True(t, whole)
+	require.Len(t, signals, 1, "nothing reads the second signal")
+}
+
+// A request outlives the bound. The daemon ends, and its exit code says that it
+// was not graceful.
+func TestDrainThatOutlivesItsBoundFails(t *testing.T) {
+	var life *Life
+	app := application(t, &life, func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	signals := make(chan os.Signal, 1)
+	signals <- syscall.SIGTERM
+	require.Equal(t, command.Failure, drive(app, quiet, signals, bound(10*time.Millisecond)))
+}
+
+func TestDaemonThatCannotStartFails(t *testing.T) {
+	app := fx.New(fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Invoke(func() error { return errors.New("address in use") }))
+	require.Equal(t, command.Failure, drive(app, quiet, nil, bound(time.Second)))
+}
+
+// A VM is replaced before its daemons heard of any configuration: they must stop
+// as well, by /drain here.
+func TestDrainWhileNotReady(t *testing.T) {
+	var life *Life
+	drained := make(chan string, 1)
+	app := application(t, &life, func(ctx context.Context) error {
+		life.BeginDrain()
+		life.Lead(ctx)
+		life.Drained()
+		drained <- life.Dump().State
+		return nil
+	})
+	ended := make(chan int, 1)
+	require.NoError(t, app.Err())
+	go func() { ended <- drive(app, quiet, nil, bound(time.Minute)) }()
+	url := "http://" + life.AdminAddr()
+	ready, err := http.Get(url + "/readyz")
+	require.NoError(t, err)
+	why, _ := io.ReadAll(ready.Body)
+	ready.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, ready.StatusCode)
+	require.Contains(t, string(why), "no configuration yet")
+	resp, err := http.Post(url+"/drain", "", nil)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusAccepted, resp.StatusCode)
+	require.Equal(t, command.OK, <-ended)
+	require.Equal(t, string(stateStopped), <-drained)
+	require.False(t, life.Serving())
+}
+
+func TestExitCodes(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "good.jsonc")
+	require.NoError(t, os.WriteFile(good, []byte(`{"vm": "vm1", "dataCentre": "a", "admin": "127.0.0.1:0"} // ok`), 0o600))
+	bad := filepath.Join(t.TempDir(), "bad.jsonc")
+	require.NoError(t, os.WriteFile(bad, []byte(`{"vm": "vm1", "log": "loud"}`), 0o600))
+	broken := fx.Invoke(func() error { return errors.New("must not be built") })
+	cases := map[string]int{
+		"--help": command.OK, "--version": command.OK,
+		"--config " + good + " --check": command.OK,
+		"--config " + bad + " --check":  command.Usage,
+		"--config " + bad:               command.Usage,
+		"--config no-such-file":         command.Usage,
+		"--check":                       command.Usage,
+		"--nothing":                     command.Usage,
+		"--config " + good:              command.Failure,
+	}
+	for args, want := range cases {
+		require.Equal(t, want, run("hq-test", strings.Fields(args), new(plain), broken), args)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,8 @@
 // Decode reads JSON with comments into v and checks it. The error is an *Error
 // that names source, line and field.
 func Decode(source string, text []byte, v Checker) error {
+	// The library refuses a comment that ends with the file.
+	text = append(bytes.Clone(text), '\n')
 	tree, err := hujson.Parse(text)
 	if err != nil {
 		return syntaxError(source, err)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,6 @@
 
 func TestDecodeAcceptsComments(t *testing.T) {
 	var s sample
-	require.NoError(t, Decode("f", []byte("{ /* c */ \"name\": \"a\", \"inner\": {\"count\": 2,}, }"), &s))
+	require.NoError(t, Decode("f", []byte("{ /* c */ \"name\": \"a\", \"inner\": {\"count\": 2,}, } // end"), &s))
 	require.Equal(t, 2, s.Inner.Count)
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -14,6 +14,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
@@ -152,6 +153,15 @@
 	}
 }
 
+// LongestDeadline returns the longest deadline that a service allows.
+func (v *View) LongestDeadline() time.Duration {
+	var longest time.Duration
+	for _, s := range v.services {
+		longest = max(longest, s.MaxDeadline.D())
+	}
+	return longest
+}
+
 // Service returns the service of that name, or nil.
 func (v *View) Service(name string) *model.Service { return v.services[name] }
 
