--- /dev/null
+++ b/internal/agent/lister.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"hemlockquay/internal/platform"
+)
+
+// listEvery is how often the platform's list of VMs is read; it lags anyway.
+const listEvery = time.Second
+
+// lister reads the platform's list. It is one goroutine.
+type lister struct {
+	store   platform.Store
+	members *members
+	timeout time.Duration
+	log     *log.Logger
+}
+
+func (l *lister) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.once(ctx)
+		pause(ctx, listEvery)
+	}
+}
+
+func (l *lister) once(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	vms, err := l.store.VMs(ctx)
+	if err != nil {
+		// The list in force stays: an outage of the platform ends no VM.
+		l.log.Debug().Err(err).Str("step", "list-vms").Str("peer", "platform").Msg("list not read")
+		return
+	}
+	l.members.setList(vms)
+}
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -1,24 +1,15 @@
 package agent
 
 import (
-	"context"
 	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"hemlockquay/internal/boottime"
-	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
 )
 
-// listEvery is how often the platform's list of VMs is read; it lags anyway.
-const listEvery = time.Second
-
 // members knows the VMs of the system. It is safe for concurrent use.
 type members struct {
 	clock   boottime.Clock
@@ -34,18 +25,6 @@
 	listed bool
 }
 
-// peerState is what heartbeats told about one VM.
-type peerState struct {
-	listed platform.VM
-	member wire.Member
-	heard  time.Duration
-	known  bool
-	// source and state name the grants received from the peer.
-	source string
-	state  uint64
-	grants []wire.Grant
-}
-
 func newMembers(self wire.Member, clock boottime.Clock, silence time.Duration, changed func()) *members {
 	return &members{
 		self: self, clock: clock, silence: silence, begun: clock.Now(), changed: changed, grantsChanged: changed,
@@ -97,62 +76,6 @@
 	return m.self
 }
 
-// heard notes a sign of life of a peer.
-//
-// Failure: a heartbeat of a process that has been replaced arrives late, and the
-// VM would show its old address and revision. The incarnation that was heard
-// last stays as long as it speaks. A lower one is taken after that: a VM whose
-// clock was set back is not locked out.
-func (m *members) heard(told wire.Member) {
-	m.mu.Lock()
-	p := m.peerOf(told)
-	if p == nil || (m.alive(p) && started(told.Incarnation) < started(p.member.Incarnation)) {
-		m.mu.Unlock()
-		return
-	}
-	same := p.known && p.member == told && m.alive(p)
-	p.member, p.known, p.heard = told, true, m.clock.Now()
-	m.mu.Unlock()
-	if !same {
-		m.changed()
-	}
-}
-
-// peerOf returns the peer that speaks. It needs m.mu.
-//
-// Failure: an agent starts while the platform's list cannot be read. Until it
-// is read, whoever speaks is taken for a VM of the system; then the list rules.
-func (m *members) peerOf(told wire.Member) *peerState {
-	p := m.peers[told.VM]
-	if p == nil && !m.listed && told.VM != m.self.VM {
-		p = &peerState{listed: platform.VM{Name: told.VM, DataCentre: told.DataCentre, AgentAddr: told.AgentAddr, State: platform.VMLive}}
-		m.peers[told.VM] = p
-	}
-	return p
-}
-
-// started returns the start time in an incarnation, nanoseconds.
-func started(incarnation string) int64 {
-	n, _ := strconv.ParseInt(incarnation[strings.LastIndexByte(incarnation, '-')+1:], 10, 64)
-	return n
-}
-
-// alive needs m.mu.
-func (m *members) alive(p *peerState) bool { return p.known && m.clock.Now()-p.heard < m.silence }
-
-// resumed takes note that this process stood still.
-//
-// Failure: the VM freezes and returns. All peers seem silent at once, and the
-// agent would tell its daemons that it is alone. Silence counts only while
-// somebody listened, so each peer gets the pause on top.
-func (m *members) resumed(after time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		p.heard += after
-	}
-}
-
 // ahead returns the agents that hold a newer configuration, of the own data
 // centre and of others. Without one of our own, any that holds one is ahead.
 func (m *members) ahead(revision uint64, ready bool) (near, far []string) {
@@ -262,172 +185,3 @@
 	}
 	return out
 }
-
-// grantsHeld returns which grants of a peer are held.
-func (m *members) grantsHeld(vm string) (source string, state uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if p := m.peers[vm]; p != nil {
-		return p.source, p.state
-	}
-	return "", 0
-}
-
-// takeGrants keeps a peer's grants.
-func (m *members) takeGrants(vm string, reply *wire.BeatReply) {
-	m.mu.Lock()
-	// A pushed state may overtake a reply on its way, and must not be undone.
-	if p := m.peers[vm]; p != nil && (p.source != reply.Member.Incarnation || reply.State >= p.state) {
-		p.source, p.state, p.grants = reply.Member.Incarnation, reply.State, reply.Grants
-	}
-	m.mu.Unlock()
-	m.grantsChanged()
-}
-
-// peerGrants returns the grants of all peers.
-func (m *members) peerGrants() []wire.Grant {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []wire.Grant
-	for _, p := range m.peers {
-		out = append(out, p.grants...)
-	}
-	return out
-}
-
-// lister reads the platform's list. It is one goroutine.
-type lister struct {
-	store   platform.Store
-	members *members
-	timeout time.Duration
-	log     *log.Logger
-}
-
-func (l *lister) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		l.once(ctx)
-		pause(ctx, listEvery)
-	}
-}
-
-func (l *lister) once(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.timeout)
-	defer cancel()
-	vms, err := l.store.VMs(ctx)
-	if err != nil {
-		// The list in force stays: an outage of the platform ends no VM.
-		l.log.Debug().Err(err).Str("step", "list-vms").Str("peer", "platform").Msg("list not read")
-		return
-	}
-	l.members.setList(vms)
-}
-
-// heart sends heartbeats to all listed peers. It is one goroutine and one for
-// each heartbeat on its way.
-type heart struct {
-	members *members
-	peers   *peer.Pool
-	every   time.Duration
-	// seeds are agents to ask while the platform's list is not known.
-	seeds []string
-	// grants are pushed when pushes tells that they changed: a key that was
-	// lost is served again as soon as dispatchers know its new owner.
-	grants *grantTable
-	pushes <-chan struct{}
-	log    *log.Logger
-
-	mu   sync.Mutex
-	busy map[string]bool
-}
-
-func (h *heart) run(ctx context.Context) {
-	tick := time.NewTicker(h.every)
-	defer tick.Stop()
-	last := h.members.clock.Now()
-	for {
-		select {
-		case <-tick.C:
-			now := h.members.clock.Now()
-			if gap := now - last; gap > h.members.silence/2 {
-				h.members.resumed(gap)
-			}
-			last = now
-			h.beatAll(ctx)
-			// A peer that fell silent leaves the list without any event.
-			h.members.changed()
-		case <-h.pushes:
-			for vm, addr := range h.members.addrs() {
-				go h.push(ctx, vm, addr)
-			}
-			pause(ctx, pushPause)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// pushPause bounds how often changed grants are pushed; changes of one loss come
-// together.
-const pushPause = 5 * time.Millisecond
-
-// push sends a heartbeat with this agent's grants. If it is lost, the peer gets
-// them by its own next heartbeat.
-func (h *heart) push(ctx context.Context, vm, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, 2*h.every)
-	defer cancel()
-	source, state := h.members.grantsHeld(vm)
-	args := wire.BeatArgs{Member: h.members.me(), Source: source, State: state, Pushed: true}
-	args.Grants, args.PushedState = h.grants.snapshot()
-	var reply wire.BeatReply
-	if err := h.peers.Get(addr).Call(ctx, wire.MethodBeat, &args, &reply); err != nil {
-		h.log.Debug().Err(err).Str("step", "push-grants").Str("peer", vm).Msg("no answer")
-	}
-}
-
-func (h *heart) beatAll(ctx context.Context) {
-	known := make(map[string]bool)
-	for vm, addr := range h.members.addrs() {
-		known[addr] = true
-		h.beat(ctx, vm, addr)
-	}
-	if h.members.isListed() {
-		return
-	}
-	for _, addr := range h.seeds {
-		if !known[addr] {
-			h.beat(ctx, addr, addr)
-		}
-	}
-}
-
-// beat sends one heartbeat unless the last is still on its way.
-func (h *heart) beat(ctx context.Context, vm, addr string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.busy[vm] {
-		return
-	}
-	h.busy[vm] = true
-	go func() {
-		h.send(ctx, vm, addr)
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		delete(h.busy, vm)
-	}()
-}
-
-func (h *heart) send(ctx context.Context, vm, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, 2*h.every)
-	defer cancel()
-	source, state := h.members.grantsHeld(vm)
-	args := wire.BeatArgs{Member: h.members.me(), Source: source, State: state}
-	var reply wire.BeatReply
-	if err := h.peers.Get(addr).Call(ctx, wire.MethodBeat, &args, &reply); err != nil {
-		h.log.Debug().Err(err).Str("step", "heartbeat").Str("peer", vm).Msg("no answer")
-		return
-	}
-	h.members.heard(reply.Member)
-	if reply.Changed {
-		h.members.takeGrants(reply.Member.VM, &reply)
-	}
-}
--- /dev/null
+++ b/internal/agent/peers.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+// peerState is what heartbeats told about one VM.
+type peerState struct {
+	listed platform.VM
+	member wire.Member
+	heard  time.Duration
+	known  bool
+	// source and state name the grants received from the peer.
+	source string
+	state  uint64
+	grants []wire.Grant
+}
+
+// heard notes a sign of life of a peer.
+//
+// Failure: a heartbeat of a process that has been replaced arrives late, and the
+// VM would show its old address and revision. The incarnation that was heard
+// last stays as long as it speaks. A lower one is taken after that: a VM whose
+// clock was set back is not locked out.
+func (m *members) heard(told wire.Member) {
+	m.mu.Lock()
+	p := m.peerOf(told)
+	if p == nil || (m.alive(p) && started(told.Incarnation) < started(p.member.Incarnation)) {
+		m.mu.Unlock()
+		return
+	}
+	same := p.known && p.member == told && m.alive(p)
+	p.member, p.known, p.heard = told, true, m.clock.Now()
+	m.mu.Unlock()
+	if !same {
+		m.changed()
+	}
+}
+
+// peerOf returns the peer that speaks. It needs m.mu.
+//
+// Failure: an agent starts while the platform's list cannot be read. Until it
+// is read, whoever speaks is taken for a VM of the system; then the list rules.
+func (m *members) peerOf(told wire.Member) *peerState {
+	p := m.peers[told.VM]
+	if p == nil && !m.listed && told.VM != m.self.VM {
+		p = &peerState{listed: platform.VM{Name: told.VM, DataCentre: told.DataCentre, AgentAddr: told.AgentAddr, State: platform.VMLive}}
+		m.peers[told.VM] = p
+	}
+	return p
+}
+
+// started returns the start time in an incarnation, nanoseconds.
+func started(incarnation string) int64 {
+	n, _ := strconv.ParseInt(incarnation[strings.LastIndexByte(incarnation, '-')+1:], 10, 64)
+	return n
+}
+
+// alive needs m.mu.
+func (m *members) alive(p *peerState) bool { return p.known && m.clock.Now()-p.heard < m.silence }
+
+// resumed takes note that this process stood still.
+//
+// Failure: the VM freezes and returns. All peers seem silent at once, and the
+// agent would tell its daemons that it is alone. Silence counts only while
+// somebody listened, so each peer gets the pause on top.
+func (m *members) resumed(after time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		p.heard += after
+	}
+}
+
+// grantsHeld returns which grants of a peer are held.
+func (m *members) grantsHeld(vm string) (source string, state uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[vm]; p != nil {
+		return p.source, p.state
+	}
+	return "", 0
+}
+
+// takeGrants keeps a peer's grants.
+func (m *members) takeGrants(vm string, reply *wire.BeatReply) {
+	m.mu.Lock()
+	// A pushed state may overtake a reply on its way, and must not be undone.
+	if p := m.peers[vm]; p != nil && (p.source != reply.Member.Incarnation || reply.State >= p.state) {
+		p.source, p.state, p.grants = reply.Member.Incarnation, reply.State, reply.Grants
+	}
+	m.mu.Unlock()
+	m.grantsChanged()
+}
+
+// peerGrants returns the grants of all peers.
+func (m *members) peerGrants() []wire.Grant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []wire.Grant
+	for _, p := range m.peers {
+		out = append(out, p.grants...)
+	}
+	return out
+}
