/metrics with units, /dump with versions, rings and the entry's own state

Timers were nanoseconds under names without a unit; they are percentiles in milliseconds now. The dump lacked the versions in force, the platform's list, the depth of rings and what the entry has in flight; lists of the view are cut at 1,000 with their totals. ?pretty indents; without it one line, which the scripts read.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -45,6 +45,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for admin: %w", err)
 	}
+	p.Life.Section(ringsSection, func() any { return rings(p.Registry) })
 	p.Life.admin = listener.Addr().String()
 	server := &http.Server{Handler: adminHandler(p), ReadHeaderTimeout: headerTimeout}
 	p.LC.Append(fx.Hook{
@@ -57,6 +58,16 @@
 	return nil
 }
 
+// show answers in JSON: one line for programs, indented where the query says
+// "pretty".
+func show(c *gin.Context, v any) {
+	if _, pretty := c.GetQuery("pretty"); pretty {
+		c.IndentedJSON(http.StatusOK, v)
+		return
+	}
+	c.JSON(http.StatusOK, v)
+}
+
 func adminHandler(p adminParams) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
@@ -68,9 +79,9 @@
 		}
 		c.String(http.StatusOK, "ready\n")
 	})
-	e.GET("/metrics", func(c *gin.Context) { c.JSON(http.StatusOK, p.Registry.GetAll()) })
-	e.GET("/dump", func(c *gin.Context) { c.JSON(http.StatusOK, p.Life.Dump()) })
-	e.GET("/journal", func(c *gin.Context) { c.JSON(http.StatusOK, p.Journal.Entries()) })
+	e.GET("/metrics", func(c *gin.Context) { show(c, figures(p.Registry)) })
+	e.GET("/dump", func(c *gin.Context) { show(c, p.Life.Dump()) })
+	e.GET("/journal", func(c *gin.Context) { show(c, p.Journal.Entries()) })
 	e.POST("/drain", func(c *gin.Context) {
 		c.String(http.StatusAccepted, "draining\n")
 		p.Life.Drain()
--- /dev/null
+++ b/internal/daemon/figures.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"strings"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// TimerFigures is a timer on /metrics. Percentiles are of the last minutes: the
+// library weighs newer samples higher.
+type TimerFigures struct {
+	Count int64 `json:"count"`
+	// PerSecond1m is the rate of the last minute.
+	PerSecond1m float64 `json:"perSecond1m"`
+	MeanMs      float64 `json:"meanMs"`
+	P50Ms       float64 `json:"p50Ms"`
+	P90Ms       float64 `json:"p90Ms"`
+	P99Ms       float64 `json:"p99Ms"`
+	P999Ms      float64 `json:"p999Ms"`
+	MaxMs       float64 `json:"maxMs"`
+}
+
+// MeterFigures is a meter on /metrics.
+type MeterFigures struct {
+	Count       int64   `json:"count"`
+	PerSecond1m float64 `json:"perSecond1m"`
+}
+
+// figures renders all metrics by name. Counters are {"count": n}, gauges
+// {"value": v}; times are milliseconds and say so.
+func figures(registry metrics.Registry) map[string]any {
+	out := make(map[string]any)
+	for name, values := range registry.GetAll() {
+		out[name] = values
+	}
+	registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Timer:
+			out[name] = timerFigures(m.Snapshot())
+		case metrics.Meter:
+			out[name] = MeterFigures{Count: m.Count(), PerSecond1m: m.Rate1()}
+		}
+	})
+	return out
+}
+
+func timerFigures(t metrics.Timer) TimerFigures {
+	p := t.Percentiles([]float64{0.5, 0.9, 0.99, 0.999})
+	return TimerFigures{
+		Count: t.Count(), PerSecond1m: t.Rate1(), MeanMs: milliseconds(t.Mean()),
+		P50Ms: milliseconds(p[0]), P90Ms: milliseconds(p[1]), P99Ms: milliseconds(p[2]), P999Ms: milliseconds(p[3]),
+		MaxMs: milliseconds(float64(t.Max())),
+	}
+}
+
+func milliseconds(nanoseconds float64) float64 { return nanoseconds / float64(time.Millisecond) }
+
+// Names of a ring's metrics; see package ring.
+const (
+	ringPrefix   = "ring."
+	ringDepth    = ".depth"
+	ringDropped  = ".dropped"
+	ringsSection = "rings"
+)
+
+// RingState is one ring in the dump.
+type RingState struct {
+	// Depth is how many messages wait, Dropped how many were lost when full.
+	Depth   int64 `json:"depth"`
+	Dropped int64 `json:"dropped"`
+}
+
+// rings returns the state of all rings by name. It follows the metrics, so that a
+// ring cannot be left out.
+func rings(registry metrics.Registry) map[string]RingState {
+	out := make(map[string]RingState)
+	registry.Each(func(name string, metric any) {
+		ring, ok := strings.CutPrefix(name, ringPrefix)
+		if !ok {
+			return
+		}
+		switch m := metric.(type) {
+		case metrics.Gauge:
+			ring = strings.TrimSuffix(ring, ringDepth)
+			out[ring] = RingState{Depth: m.Value(), Dropped: out[ring].Dropped}
+		case metrics.Counter:
+			ring = strings.TrimSuffix(ring, ringDropped)
+			out[ring] = RingState{Depth: out[ring].Depth, Dropped: m.Count()}
+		}
+	})
+	return out
+}
--- /dev/null
+++ b/internal/daemon/figures_test.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/journal"
+)
+
+func get(t *testing.T, handler http.Handler, path string) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	require.Equal(t, http.StatusOK, w.Code)
+	text, err := io.ReadAll(w.Body)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func TestAdminShowsUnitsAndRings(t *testing.T) {
+	registry := metrics.NewRegistry()
+	j := journal.New("vm1", "hq-test", 4)
+	life := newLife("hq-test", &plainSettings(t).Base, quiet, j, nil)
+	handler := adminHandler(adminParams{Life: life, Registry: registry, Journal: j})
+	life.Section(ringsSection, func() any { return rings(registry) })
+	metrics.GetOrRegisterTimer("entry.answered", registry).Update(1500 * time.Microsecond)
+	metrics.GetOrRegisterGauge("ring.a.b.depth", registry).Update(7)
+	metrics.GetOrRegisterCounter("ring.a.b.dropped", registry).Inc(2)
+
+	var shown map[string]map[string]float64
+	require.NoError(t, json.Unmarshal([]byte(get(t, handler, "/metrics")), &shown))
+	require.InDelta(t, 1.5, shown["entry.answered"]["p99Ms"], 1e-9)
+	require.InDelta(t, 1, shown["entry.answered"]["count"], 0)
+	require.InDelta(t, 7, shown["ring.a.b.depth"]["value"], 0)
+
+	require.Contains(t, get(t, handler, "/dump"), `"a.b":{"depth":7,"dropped":2}`)
+	require.Contains(t, get(t, handler, "/dump?pretty"), "\n    \"process\": \"hq-test\"")
+	life.Note("configure", "contract c1 version 2 is in force", "c1")
+	require.Contains(t, get(t, handler, "/journal?pretty"), "\n        \"text\": \"contract c1 version 2 is in force\"")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	requests  atomic.Uint64
 	answered  metrics.Timer
 	refusals  metrics.Counter
+	inFlight  metrics.Counter
 	listener  net.Listener
 	server    *http.Server
 }
@@ -69,6 +70,7 @@
 		started:   time.Now().UnixNano(),
 		answered:  metrics.GetOrRegisterTimer("entry.answered", k.Registry),
 		refusals:  metrics.GetOrRegisterCounter("entry.refused", k.Registry),
+		inFlight:  metrics.GetOrRegisterCounter("entry.inflight", k.Registry),
 		listener:  listener,
 	}
 	e.admitter = newAdmitter(k.Settings.VM, e.started, k.Settings.ReadTimeout.D(), clock, k.Journal, k.Registry)
@@ -77,6 +79,7 @@
 	if err := peers.Register("Entry", &shareReceiver{e.admitter}); err != nil {
 		return nil, err
 	}
+	k.Life.Section("entry", e.dump)
 	k.Life.Section("limits", e.admitter.dump)
 	e.server = &http.Server{
 		Handler:           e.handler(),
@@ -146,7 +149,9 @@
 		e.refuse(c, p)
 		return
 	}
+	e.inFlight.Inc(1)
 	answer, p := e.run(c, visit)
+	e.inFlight.Dec(1)
 	e.admitter.release(visit, time.Since(begun))
 	if p != nil {
 		e.refuse(c, p)
@@ -214,6 +219,24 @@
 	return length
 }
 
+// state is the entry's section of the dump.
+type state struct {
+	Listen     string `json:"listen"`
+	PeerListen string `json:"peerListen"`
+	// InFlight are the requests that were admitted and are not answered yet.
+	InFlight  int64  `json:"inFlight"`
+	Forwarded uint64 `json:"forwarded"`
+	Answered  int64  `json:"answered"`
+	Refused   int64  `json:"refused"`
+}
+
+func (e *entry) dump() any {
+	return state{
+		Listen: e.listener.Addr().String(), PeerListen: e.peers.Addr(),
+		InFlight: e.inFlight.Count(), Forwarded: e.requests.Load(), Answered: e.answered.Count(), Refused: e.refusals.Count(),
+	}
+}
+
 // document is the body of a refusal, RFC 9457.
 type document struct {
 	Type      string       `json:"type"`
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -65,6 +66,8 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// inForce are the versions of the objects, for the dump.
+	inForce []version
 	// revised asks for a report of the revision in force.
 	revised chan struct{}
 
@@ -184,7 +187,7 @@
 	next.Problems = append(f.problems(), next.Problems...)
 	next.Source, next.State, next.Revision = reply.Source, reply.State, max(old.Revision, reply.Revision)
 	f.lag.Update(int64(next.Revision))
-	f.publish(next)
+	f.publish(next, config)
 	if next.Revision != old.Revision {
 		select {
 		case f.revised <- struct{}{}:
@@ -261,10 +264,13 @@
 	return out
 }
 
-func (f *Feed) publish(next *view.View) {
+func (f *Feed) publish(next *view.View, configured bool) {
 	f.current.Store(next)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if configured {
+		f.inForce = f.versions()
+	}
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -310,18 +316,62 @@
 	}
 }
 
+// maxShown bounds each list in the dump: at a million groups the whole would be
+// hundreds of megabytes, held in memory while it is written.
+const maxShown = 1000
+
+func cut[T any](list []T) []T { return list[:min(len(list), maxShown)] }
+
+// version is one object in force.
+type version struct {
+	Kind    model.Kind `json:"kind"`
+	Name    string     `json:"name"`
+	Version uint64     `json:"version"`
+}
+
+// versions returns the objects in force, by kind and name.
+func (f *Feed) versions() []version {
+	out := make([]version, 0, len(f.objects))
+	for id, o := range f.objects {
+		out = append(out, version{id.Kind, id.Name, o.Version})
+	}
+	slices.SortFunc(out, func(a, b version) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// totals are the lengths of the lists before they were cut.
+type totals struct {
+	Objects  int `json:"objects"`
+	Members  int `json:"members"`
+	Listed   int `json:"listed"`
+	Grants   int `json:"grants"`
+	Problems int `json:"problems"`
+}
+
 type dump struct {
 	Source   string        `json:"source"`
 	Revision uint64        `json:"revision"`
 	State    uint64        `json:"state"`
+	Totals   totals        `json:"totals"`
+	Objects  []version     `json:"objects"`
 	Members  []wire.Member `json:"members"`
+	Listed   []wire.Place  `json:"listed"`
 	Grants   []wire.Grant  `json:"grants"`
 	Problems []string      `json:"problems"`
 }
 
 func (f *Feed) dump() dump {
 	v := f.Current()
-	return dump{v.Source, v.Revision, v.State, v.Members, v.Grants, v.Problems}
+	f.mu.Lock()
+	inForce := f.inForce
+	f.mu.Unlock()
+	return dump{
+		Source: v.Source, Revision: v.Revision, State: v.State,
+		Totals:  totals{len(inForce), len(v.Members), len(v.Listed), len(v.Grants), len(v.Problems)},
+		Objects: cut(inForce), Members: cut(v.Members), Listed: cut(v.Listed), Grants: cut(v.Grants), Problems: cut(v.Problems),
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
