--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -111,14 +111,15 @@
 	return out
 }
 
-// heardWithin returns the VMs heard within the time, this one included.
+// heardWithin returns the VMs heard within the time, or within what their
+// heartbeats need under load; this one included.
 func (m *members) heardWithin(d time.Duration) map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]bool{m.self.VM: true}
 	now := m.clock.Now()
 	for name, p := range m.peers {
-		if p.known && now-p.heard < d {
+		if p.known && p.heard.Alive(now, d) {
 			out[name] = true
 		}
 	}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"hemlockquay/internal/decide/suspicion"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
 )
@@ -13,7 +14,7 @@
 type peerState struct {
 	listed platform.VM
 	member wire.Member
-	heard  time.Duration
+	heard  suspicion.Peer
 	known  bool
 	// source and state name the grants received from the peer.
 	source string
@@ -35,7 +36,8 @@
 		return
 	}
 	same := p.known && p.member == told && m.alive(p)
-	p.member, p.known, p.heard = told, true, m.clock.Now()
+	p.member, p.known = told, true
+	p.heard.Heard(m.clock.Now())
 	m.mu.Unlock()
 	if !same {
 		m.changed()
@@ -62,7 +64,7 @@
 }
 
 // alive needs m.mu.
-func (m *members) alive(p *peerState) bool { return p.known && m.clock.Now()-p.heard < m.silence }
+func (m *members) alive(p *peerState) bool { return p.known && p.heard.Alive(m.clock.Now(), m.silence) }
 
 // resumed takes note that this process stood still.
 //
@@ -73,7 +75,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		p.heard += after
+		p.heard.Forgive(after)
 	}
 }
 
