Example settings, services and contracts of both users; README

Every setting of each daemon with its unit and default, checked by a test that compares the shown values with the defaults of the code, and all objects by the code of hqctl check.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,106 @@
+// Package examples_test holds the example files to what the programs take.
+package examples_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/agent"
+	"hemlockquay/internal/ctl/cli"
+	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/dispatch"
+	"hemlockquay/internal/entry"
+	"hemlockquay/internal/settings"
+)
+
+var deployments = []string{"sjalfvirkni", "kalahari"}
+
+func fresh(name string) daemon.Settings {
+	switch name {
+	case "agent":
+		return new(agent.Settings)
+	case "dispatch":
+		return new(dispatch.Settings)
+	}
+	return new(entry.Settings)
+}
+
+// fields returns the names of all fields and of those without a default.
+func fields(t reflect.Type) (all, required []string) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Anonymous {
+			a, r := fields(f.Type)
+			all, required = append(all, a...), append(required, r...)
+			continue
+		}
+		name, options, _ := strings.Cut(f.Tag.Get("json"), ",")
+		all = append(all, name)
+		if options == "" {
+			required = append(required, name)
+		}
+	}
+	return all, required
+}
+
+// unlike are the optional fields whose example is not the default.
+var unlike = map[string]string{"agent": "peers", "entry": "peerListen"}
+
+// The example shows every field, with its default where it has one: a field that is
+// added or a default that changes must change here too.
+func TestSettingsShowEveryFieldAndItsDefault(t *testing.T) {
+	for _, d := range deployments {
+		for _, name := range []string{"agent", "dispatch", "entry"} {
+			t.Run(d+"/"+name, func(t *testing.T) {
+				file := filepath.Join(d, "settings", name+".jsonc")
+				shown, defaults := fresh(name), fresh(name)
+				require.NoError(t, settings.Load(file, shown))
+				all, required := fields(reflect.TypeOf(shown).Elem())
+				text, err := os.ReadFile(file)
+				require.NoError(t, err)
+				for _, field := range all {
+					require.Contains(t, string(text), "\n  \""+field+"\": ", "the field is not shown")
+				}
+				least := make(map[string]json.RawMessage)
+				for field, value := range object(t, shown) {
+					if slices.Contains(append(required, unlike[name]), field) {
+						least[field] = value
+					}
+				}
+				minimal, err := json.Marshal(least)
+				require.NoError(t, err)
+				require.NoError(t, settings.Decode("minimal", minimal, defaults))
+				require.Equal(t, defaults, shown)
+			})
+		}
+	}
+}
+
+func object(t *testing.T, v any) map[string]json.RawMessage {
+	text, err := json.Marshal(v)
+	require.NoError(t, err)
+	var out map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(text, &out))
+	return out
+}
+
+// Operators copy these files: what they copy must pass hqctl.
+func TestObjectsPassHqctl(t *testing.T) {
+	for _, d := range deployments {
+		for _, kind := range []string{"service", "contract"} {
+			files, err := filepath.Glob(filepath.Join(d, "objects", kind+".*.jsonc"))
+			require.NoError(t, err)
+			require.Len(t, files, 3)
+			var out, log bytes.Buffer
+			require.Equal(t, cli.ExitOK, cli.Run(append([]string{kind, "check"}, files...), &out, &log), log.String())
+		}
+	}
+}
