--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -134,6 +134,7 @@
 		a.assigner.run,
 		a.shareBudget,
 		a.grantor.run,
+		a.seedGrants,
 		a.becomeReady,
 	}
 	for _, duty := range duties {
@@ -158,7 +159,7 @@
 // becomeReady waits for the first configuration.
 func (a *agent) becomeReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, ready := a.config.state(); ready && a.members.settled() {
+		if _, ready := a.config.state(); ready && a.members.settled() && a.relay.seeded.Load() {
 			a.Life.Ready()
 			return
 		}
--- a/internal/decide/fairqueue/fairqueue.go
+++ b/internal/decide/fairqueue/fairqueue.go
@@ -252,19 +252,6 @@
 	l.forget()
 }
 
-// Yield takes out the newest item of the customer that holds most of the class for
-// its share. It returns nil if none waits.
-func (q *Queue[T]) Yield(c Class) *Item[T] {
-	f := q.class[c].largest()
-	if f == nil {
-		return nil
-	}
-	i := f.items[len(f.items)-1]
-	f.finish = i.start
-	q.take(i)
-	return i
-}
-
 // Ahead returns how much of the class's waiting work goes before a request that
 // the customer would push now, seconds of service.
 func (q *Queue[T]) Ahead(customer string, c Class) float64 {
--- a/internal/decide/fairqueue/flow.go
+++ b/internal/decide/fairqueue/flow.go
@@ -80,18 +80,6 @@
 	}
 }
 
-// largest looks through the customers that have work waiting. It runs only when
-// something must give way.
-func (l *lane[T]) largest() *flow[T] {
-	var worst *flow[T]
-	for _, f := range l.order {
-		if worst == nil || f.work/f.weight > worst.work/worst.weight {
-			worst = f
-		}
-	}
-	return worst
-}
-
 // flowHeap orders flows by the start time of their first item.
 type flowHeap[T any] []*flow[T]
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,6 +24,9 @@
 // processName is the daemon's name in reports and logs.
 const processName = "hq-dispatch"
 
+// needsCases is why a dispatcher that has just started is not ready.
+const needsCases = "the crashing requests that other dispatchers know are not fetched yet"
+
 // Module wires the dispatcher.
 var Module = fx.Options(fx.Invoke(start))
 
@@ -71,7 +74,7 @@
 		queues: make(map[queueID]*queue),
 		owners: make(map[string]*queue),
 	}
-	d.crashes = newCrashWatch(k.Settings.VM, d.feed, k.Journal, k.Log, k.Registry)
+	d.crashes = newCrashWatch(k.Settings.VM, d.feed, k.Life.Require(needsCases), k.Journal, k.Log, k.Registry)
 	d.parts = &parts{
 		vm: k.Settings.VM, limit: k.Settings.QueueLength, fifo: k.Settings.Order == OrderFIFO,
 		feed: d.feed, sender: d.sender, prober: d.prober, suspects: d.crashes,
@@ -190,7 +193,11 @@
 	if err := q.inbox.Push(d.ctx, message{arrive: j}); err != nil {
 		return wire.Refused(r.ID, problem.Refuse(problem.Leaving, "queue", d.Settings.VM, err.Error()))
 	}
-	return <-j.done
+	answer := <-j.done
+	if p := answer.Problem; p != nil && p.Kind == problem.AnswerLost {
+		d.crashes.settled(d.ctx, r)
+	}
+	return answer
 }
 
 // enter finds the job's queue and counts the call, or refuses it.
