--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,16 +22,28 @@
 // slowMove is a fleet of one dispatcher, whose view is newer than the entry's: it
 // refuses what it would send to any target but the owner.
 type slowMove struct {
-	t       *testing.T
+	t *testing.T
+	// mu guards view and changed: a view comes while the entry looks at one.
+	mu      sync.Mutex
 	view    *view.View
 	changed chan struct{}
 	owner   string
 	calls   int
 }
 
-func (s *slowMove) Current() *view.View      { return s.view }
-func (s *slowMove) Changed() <-chan struct{} { return s.changed }
-func (s *slowMove) Close()                   {}
+func (s *slowMove) Close() {}
+
+func (s *slowMove) Current() *view.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *slowMove) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
 
 // show gives the entry a view in which the target owns all keys; "" is nobody.
 func (s *slowMove) show(owner string) {
@@ -46,6 +59,8 @@
 	if owner == "" {
 		members[0].DispatchAddr = "any"
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.view = view.Build([]platform.Object{stored(s.t, model.KindService, "shelf", &shelf)}, members, grants)
 	require.Empty(s.t, s.view.Problems)
 	if s.changed != nil {
