--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,16 +22,17 @@
 // slowMove is a fleet of one dispatcher, whose view is newer than the entry's: it
 // refuses what it would send to any target but the owner.
 type slowMove struct {
-	t     *testing.T
-	owner string
-	calls int
-
-	// mu guards what the entry reads while show changes it.
+	t *testing.T
+	// mu guards view and changed: a view comes while the entry looks at one.
 	mu      sync.Mutex
 	view    *view.View
 	changed chan struct{}
+	owner   string
+	calls   int
 }
 
+func (s *slowMove) Close() {}
+
 func (s *slowMove) Current() *view.View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,8 +45,6 @@
 	return s.changed
 }
 
-func (s *slowMove) Close() {}
-
 // show gives the entry a view in which the target owns all keys; "" is nobody.
 func (s *slowMove) show(owner string) {
 	shelf := model.Service{Name: "shelf", Keyed: true, Slots: 2, Connections: 10, MaxBody: 16}
@@ -76,7 +76,7 @@
 		return errors.New("asked without a pause")
 	}
 	id := args.(*wire.Request).ID
-	*reply.(*wire.Answer) = wire.Answer{ID: id, Sum: wire.Sum(nil), Target: addr}
+	*reply.(*wire.Answer) = wire.Answer{ID: id, Status: http.StatusOK, Sum: wire.Sum(nil), Target: addr}
 	if addr != s.owner {
 		*reply.(*wire.Answer) = wire.Refused(id, problem.Refuse(problem.NoOwner, "grant", "vm1", "another target owns the key now"))
 	}
