A new entry is ready once its part of the limits is confirmed

Cause: 33 of 41,284 requests of a rolling replacement of 9 VMs were refused with 429, customers far below their contracts: an entry that had just started had no part of any limit. Ruled out: missing owners; none was refused for that any more. Change: the others' word for this VM's part is a condition of readiness, for 2 s at most.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -230,6 +230,16 @@
 	a.rest(now)
 }
 
+// hasBase tells whether the others confirmed this VM's part of the limits.
+//
+// Failure: a VM is replaced. Its entry was ready at once, had no part of any limit
+// yet, and refused customers far below their contracts for a fraction of a second.
+func (a *admitter) hasBase() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.book.Base(a.clock.Now()) > 0
+}
+
 func (a *admitter) ask(peer string, seq uint64) (shares.Ask, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,7 +74,7 @@
 		listener:  listener,
 	}
 	e.admitter = newAdmitter(k.Settings.VM, e.started, k.Settings.ReadTimeout.D(), clock, k.Journal, k.Registry)
-	e.sharer = newSharer(k.Settings.VM, e.admitter, f, k.Log, k.Registry)
+	e.sharer = newSharer(k.Settings.VM, e.admitter, f, k.Life.Require(needsBase), k.Log, k.Registry)
 	e.peers = peers
 	if err := peers.Register("Entry", &shareReceiver{e.admitter}); err != nil {
 		return nil, err
--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -27,21 +27,24 @@
 	feed     *feed.Feed
 	peers    *peer.Pool
 	log      *log.Logger
-	asks     metrics.Counter
-	lost     metrics.Counter
+	// settled says that requests may come.
+	settled func()
+	asks    metrics.Counter
+	lost    metrics.Counter
 
 	mu   sync.Mutex
 	busy map[string]bool
 	seq  uint64
 }
 
-func newSharer(vm string, a *admitter, f *feed.Feed, logger *log.Logger, registry metrics.Registry) *sharer {
+func newSharer(vm string, a *admitter, f *feed.Feed, settled func(), logger *log.Logger, registry metrics.Registry) *sharer {
 	return &sharer{
 		vm:       vm,
 		admitter: a,
 		feed:     f,
 		peers:    peer.NewPool(1),
 		log:      logger,
+		settled:  settled,
 		asks:     metrics.GetOrRegisterCounter("shares.asks", registry),
 		lost:     metrics.GetOrRegisterCounter("shares.lost", registry),
 		busy:     make(map[string]bool),
@@ -61,10 +64,14 @@
 	period := time.NewTicker(shares.Renew)
 	defer period.Stop()
 	var last time.Time
+	begun := time.Now()
 	for {
 		select {
 		case <-period.C:
 			s.admitter.period(s.feed.Current())
+			if s.admitter.hasBase() || time.Since(begun) > settleWithin {
+				s.settled()
+			}
 		case <-s.admitter.hungry:
 			if time.Since(last) < hungryPause {
 				continue
@@ -77,6 +84,13 @@
 	}
 }
 
+// needsBase is why an entry that has just started is not ready.
+const needsBase = "this VM's part of the contracts' limits is not confirmed by the others"
+
+// settleWithin bounds how long a new entry waits for its part: a VM that is listed
+// but dead confirms nothing, and loans serve most customers meanwhile.
+const settleWithin = 2 * time.Second
+
 func listedNames(places []wire.Place) []string {
 	out := make([]string, len(places))
 	for i, p := range places {
