--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/decide/epochpace"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/ring"
@@ -36,25 +38,29 @@
 // recorder writes and reads the records of services for the grantor, one call
 // of each sort at a time for each service. It is safe for concurrent use.
 type recorder struct {
-	store   platform.Store
-	tag     func() string
-	timeout time.Duration
-	log     *log.Logger
-	clock   boottime.Clock
-	calls   sync.WaitGroup
+	// store takes the writes, authority the readings: each has its cause.
+	store     platform.Store
+	authority platform.Store
+	tag       func() string
+	timeout   time.Duration
+	log       *log.Logger
+	clock     boottime.Clock
+	calls     sync.WaitGroup
 
 	mu   sync.Mutex
 	busy map[string]bool
 	next map[string]time.Duration
+	// paces hold back epochs of groups that get them without end.
+	paces map[groupID]*epochpace.Pace
 	// failing is the pause of services whose writes fail.
 	failing map[string]time.Duration
 }
 
-func newRecorder(s platform.Store, tag func() string, timeout time.Duration, l *log.Logger) *recorder {
+func newRecorder(s, authority platform.Store, tag func() string, timeout time.Duration, l *log.Logger) *recorder {
 	return &recorder{
-		store: s, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
+		store: s, authority: authority, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
 		busy: make(map[string]bool), next: make(map[string]time.Duration),
-		failing: make(map[string]time.Duration),
+		failing: make(map[string]time.Duration), paces: make(map[groupID]*epochpace.Pace),
 	}
 }
 
@@ -82,6 +88,7 @@
 // offer writes the proposals over the record that they were made for, all in one
 // conditional write. Those of a new epoch go at once, others lazily.
 func (r *recorder) offer(ctx context.Context, h *heldService, proposals []model.Group) {
+	proposals = r.paced(h.record, proposals)
 	if len(proposals) == 0 {
 		return
 	}
@@ -100,6 +107,31 @@
 	})
 }
 
+// paced leaves out new epochs that come too soon after the group's last.
+func (r *recorder) paced(held *model.Assignment, proposals []model.Group) []model.Group {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var out []model.Group
+	for _, p := range proposals {
+		i := slices.IndexFunc(held.Groups, func(g model.Group) bool { return g.ID == p.ID })
+		if i < 0 {
+			continue
+		}
+		id := groupID{held.Service, p.ID}
+		pace := r.paces[id]
+		if pace == nil {
+			pace = new(epochpace.Pace)
+			r.paces[id] = pace
+		}
+		pace.Seen(held.Groups[i].Epoch, now)
+		if p.Epoch == held.Groups[i].Epoch || pace.May(now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // merge puts the proposals into a copy of the record.
 func merge(held *model.Assignment, proposals []model.Group) (record model.Assignment, urgent bool) {
 	record = *held
@@ -152,7 +184,7 @@
 		defer r.end(call, readPause)
 		ctx, cancel := context.WithTimeout(ctx, r.timeout)
 		defer cancel()
-		o, err := r.store.Get(ctx, platform.ID{Kind: model.KindAssignment, Name: service})
+		o, err := r.authority.Get(ctx, platform.ID{Kind: model.KindAssignment, Name: service})
 		if err != nil {
 			r.log.Debug().Err(err).Str("step", "read-record").Str("peer", service).Msg("no authority from the store")
 			return
