An assigner goes on after one renewal whose answer is lost

Cause: the fault matrix: a holder fell back to following at the first write whose outcome was not known, though its hold lasts three renewals; nobody planned until the others' patience was over. Change: the election tells a conflict from an unknown outcome; a hold is still dated from the last renewal known to have succeeded. The chart has the event.

--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -151,10 +151,12 @@
 
 func (a *assigner) claim(ctx context.Context, p *assigned, c *ownership.Claim) {
 	written, err := a.write(ctx, a.elections, model.KindAssigner, c.Object.Service, c.Version, &c.Object)
-	p.election.Done(a.clock.Now(), c, written, err == nil)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		a.log.Debug().Err(err).Str("step", "elect").Str("peer", "store").Str("service", c.Object.Service).Msg("claim not written")
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		p.election.Done(a.clock.Now(), c, written, err == nil)
+		return
 	}
+	p.election.Unknown(a.clock.Now())
+	a.log.Debug().Err(err).Str("step", "elect").Str("peer", "store").Str("service", c.Object.Service).Msg("claim not written")
 }
 
 // noteHold records that the agent became a service's assigner, or is no more.
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -37,6 +37,8 @@
 	eventWon    = statechart.Event("won")
 	eventLost   = statechart.Event("lost")
 	eventLapse  = statechart.Event("lapse")
+
+	eventUnknown = statechart.Event("unknown")
 )
 
 // Claim is a conditional write of a service's assigner object, expecting Version.
@@ -94,7 +96,7 @@
 }
 
 // Step returns the write that is due, or nil. rank is the agent's place among
-// the live ones for this service, 0 first. Done must follow each write.
+// the live ones for this service, 0 first. Done or Unknown must follow each write.
 func (e *Election) Step(now time.Duration, rank int) *Claim {
 	if e.machine.State() == holding && !e.Holds(now) {
 		_ = e.machine.Fire(eventLapse)
@@ -138,7 +140,7 @@
 }
 
 // Done takes the outcome of a write: the version it made, or won false where it
-// conflicted or its outcome is unknown.
+// conflicted.
 func (e *Election) Done(now time.Duration, c *Claim, version uint64, won bool) {
 	e.writing = false
 	if !won || version <= e.version && !e.mine(e.seen) {
@@ -153,6 +155,21 @@
 	_ = e.machine.Fire(eventWon)
 }
 
+// Unknown says that the outcome of the write under way will not be known.
+//
+// Failure: the store does not answer one renewal. A holder that gave up then would
+// leave its service without planning until the others' patience is over, though
+// its hold lasts on. It shows as 5 s without repairs after one lost answer.
+// Why it may go on: the hold is dated from the last renewal that is known to have
+// succeeded, and the others wait for AssignerLife after they saw that one or a later.
+func (e *Election) Unknown(now time.Duration) {
+	e.writing = false
+	_ = e.machine.Fire(eventUnknown)
+	if e.machine.State() == following {
+		e.seenAt = now
+	}
+}
+
 // Holds tells whether the agent may plan at the time now.
 func (e *Election) Holds(now time.Duration) bool {
 	return e.machine.State() == holding && now-e.heldFrom < AssignerLife
--- a/internal/ownership/assigner_test.go
+++ b/internal/ownership/assigner_test.go
@@ -52,9 +52,9 @@
 				v.settle(at, s.put(t, v.sent), s.version)
 			case "answer lost":
 				s.put(t, v.sent)
-				v.settle(at, false, 0)
+				v.giveUp(at)
 			case "request lost":
-				v.settle(at, false, 0)
+				v.giveUp(at)
 			case "restart":
 				voters[i] = newVoter(t, i, now)
 			}
@@ -99,6 +99,27 @@
 	v.election.Done(now, c, version, won)
 }
 
+func (v *voter) giveUp(now time.Duration) {
+	if v.sent != nil {
+		v.sent = nil
+		v.election.Unknown(now)
+	}
+}
+
+// The store does not answer one renewal. Nobody planned the service for 5 s though
+// its assigner was well: it gave its hold up at the first lost answer.
+func TestOneLostRenewalKeepsTheHold(t *testing.T) {
+	e := NewElection("s", "a", "a-1", 0)
+	c := e.Step(0, 0)
+	e.Done(time.Millisecond, c, 1, true)
+	require.NotNil(t, e.Step(AssignerRenewal, 0))
+	e.Unknown(2 * AssignerRenewal)
+	require.True(t, e.Holds(2*AssignerRenewal))
+	require.NotNil(t, e.Step(2*AssignerRenewal, 0), "tried again at once")
+	e.Unknown(AssignerLife - 1)
+	require.False(t, e.Holds(AssignerLife), "dated from the last that is known to have succeeded")
+}
+
 func TestHoldLapsesDuringPause(t *testing.T) {
 	e := NewElection("s", "a", "a-1", 0)
 	c := e.Step(0, 0)
--- a/internal/ownership/faults_test.go
+++ b/internal/ownership/faults_test.go
@@ -54,6 +54,8 @@
 	lead     func(*play, statechart.Transition)
 	taken    bool
 	pending  bool
+	// snatch has another write come in before the first agent's next one.
+	snatch bool
 }
 
 func newPlay(t *testing.T, step statechart.Transition, l lead, inject func(*play)) *play {
@@ -147,7 +149,11 @@
 			return // one goroutine: it waits for the store
 		}
 		e.write = nil
-		e.Done(p.now, w.claim, w.version, w.applied && !w.lost)
+		if w.lost {
+			e.Unknown(p.now)
+		} else {
+			e.Done(p.now, w.claim, w.version, w.applied)
+		}
 	}
 	if p.now%lookEvery != time.Duration(i)*beat {
 		return
@@ -172,6 +178,10 @@
 		w.lost = true
 		return
 	}
+	if p.snatch && e == p.electors[0] {
+		p.snatch = false
+		p.foreign()
+	}
 	if w.claim.Version == p.version {
 		require.Greater(p.t, w.claim.Object.Renewal, p.object.Renewal, "a renewal fell")
 		require.GreaterOrEqual(p.t, w.claim.Object.Epoch, p.object.Epoch, "an epoch fell")
@@ -184,6 +194,12 @@
 	}
 }
 
+// foreign is a write of another that dies after it.
+func (p *play) foreign() {
+	p.version++
+	p.object = model.Assigner{Service: "s", Holder: "vm1", Incarnation: "vm1-0", Epoch: p.object.Epoch + 1, Renewal: p.object.Renewal + 1}
+}
+
 func (p *play) pause(i int, d time.Duration) { p.electors[i].pausedUntil = p.now + d }
 func (p *play) cut(i int, d time.Duration)   { p.electors[i].cutUntil = p.now + d }
 func (p *play) lose(i int, d time.Duration)  { p.electors[i].deadUntil = p.now + d }
@@ -219,13 +235,16 @@
 	},
 	transition(claiming, eventWon, holding): func() lead { return lead{} },
 	transition(claiming, eventLost, following): func() lead {
+		return lead{begin: func(p *play) { p.snatch = true }}
+	},
+	transition(claiming, eventUnknown, following): func() lead {
 		return lead{begin: func(p *play) { p.electors[0].loseAnswers = 1 }}
 	},
 	transition(claiming, eventSeen, following): func() lead {
 		// Its claim waits in the store's queue while it is looked at again.
 		return lead{at: func(p *play, s statechart.Transition) {
 			if s.Event == eventSilent && !p.taken {
-				p.version, p.object = 1, model.Assigner{Service: "s", Holder: "vm1", Incarnation: "vm1-0", Epoch: 1, Renewal: 1}
+				p.foreign()
 				p.electors[0].Observe(p.now, p.object, p.version)
 			}
 		}}
@@ -235,6 +254,9 @@
 		return whenWon(func(p *play) { p.pause(0, 15*time.Second) })
 	},
 	transition(holding, eventLost, following): func() lead {
+		return whenWon(func(p *play) { p.snatch = true })
+	},
+	transition(holding, eventUnknown, holding): func() lead {
 		return whenWon(func(p *play) { p.electors[0].loseAnswers = 1 })
 	},
 	transition(holding, eventLapse, following): func() lead {
