--- a/internal/view/slope_test.go
+++ b/internal/view/slope_test.go
@@ -50,12 +50,12 @@
 	for _, n := range groupCounts {
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
 			o := recordObject(b, n)
-			b.ReportMetric(float64(len(o.Spec)), "json-B")
 			for b.Loop() {
 				if _, err := model.Decode(o.Kind, o.Name, o.Spec); err != nil {
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(len(o.Spec)), "json-B")
 		})
 	}
 }
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -11,4 +11,5 @@
   mapfile -t packages < <(grep -rl 'func BenchmarkSlope' --include='*_test.go' internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
 fi
 # One package at a time, so that none disturbs another's figures.
-go test -p 1 -cpu 1 -run '^$' -bench "$pattern" -benchtime 200ms -timeout 5m "${packages[@]}" | go run ./internal/capacity/slopes
+go test -p 1 -cpu 1 -run '^$' -bench "$pattern" -benchtime 200ms -timeout 5m "${packages[@]}" |
+  tee >(grep -E -A3 '^(--- FAIL|FAIL|panic)' >&2) | go run ./internal/capacity/slopes
