--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -140,16 +140,18 @@
 	defer timer.Stop()
 	changed := q.feed.Changed()
 	for {
-		came := false
+		var came *job
 		select {
 		case m := <-q.inbox.Entries():
-			came = m.arrive != nil
+			came = m.arrive
 			q.handle(m, time.Now())
 		case <-timer.C:
 			q.release(q.held)
+			q.probe()
 		case <-changed:
 			changed = q.feed.Changed()
 			q.release(q.parked)
+			q.sendBack()
 		case <-ctx.Done():
 			return
 		}
@@ -194,6 +196,10 @@
 	q.active.Store(now.UnixNano())
 	q.sync()
 	j.settle(q.table, q.fifo)
+	if q.ownedElsewhere(q.feed.Current(), j) {
+		j.end(q.notOwner())
+		return
+	}
 	if p := q.refusal(j, now); p != nil {
 		j.end(p)
 		return
