--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,9 +85,13 @@
 	if jsontext.Value(text).IsValid() {
 		return text, nil
 	}
-	return hujson.Standardize(bytes.Clone(text))
+	return hujson.Standardize(ended(text))
 }
 
+// ended returns a copy with a last newline: the library refuses a comment that ends
+// with the file.
+func ended(text []byte) []byte { return append(bytes.Clone(text), '\n') }
+
 func syntaxError(source string, err error) error {
 	// The library's message begins with its own position, "line N".
 	line := 1
@@ -127,7 +131,7 @@
 // lineOf finds the line of a pointer. A field that is missing has the line of
 // the closest parent that is there.
 func lineOf(text []byte, pointer string) int {
-	tree, err := hujson.Parse(text)
+	tree, err := hujson.Parse(ended(text))
 	if err != nil {
 		return 1
 	}
