--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -245,7 +245,7 @@
 		}
 		require.Equal(t, NeedsPermit, old.Admit(fp, testPool, "target1", second))
 		require.True(t, next.MayPermit(fp, testPool, "vm1", second))
-		old.Permit(fp, true, second)
+		old.Permit(fp, second, true, second)
 		require.Equal(t, Run, old.Admit(fp, testPool, "target1", second))
 		return old, next
 	}
--- a/internal/dispatch/faults_cell_test.go
+++ b/internal/dispatch/faults_cell_test.go
@@ -336,7 +336,7 @@
 
 // watchCrashes puts the real watch over crashing requests in place.
 func (c *cell) watchCrashes() func() {
-	w := newCrashWatch("vm1", c.bench, journal.New("vm1", processName, 100), &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry())
+	w := newCrashWatch("vm1", c.bench, func() {}, journal.New("vm1", processName, 100), &log.Logger{Level: log.PanicLevel}, metrics.NewRegistry())
 	w.clock = virtualBoot{time.Now()}
 	c.queue.suspects = w
 	ctx, cancel := context.WithCancel(context.Background())
