--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -106,8 +106,10 @@
 	// parked wait for the next view, held for the word of suspects.
 	parked, held map[*job]struct{}
 	// given orders all that are not sent by the moment they are given up.
-	given    waitHeap
-	pool     pool
+	given waitHeap
+	pool  pool
+	// crew runs the attempts.
+	crew     *crew
 	table    *duration.Table
 	budget   *retry.Budget
 	standing deadline.Standing
@@ -130,6 +132,7 @@
 		parked:  make(map[*job]struct{}),
 		held:    make(map[*job]struct{}),
 		pool:    pool{fixed: p.fifo},
+		crew:    newCrew(),
 		table:   duration.NewTable(),
 		budget:  retry.NewBudget(),
 	}
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -138,7 +138,7 @@
 		return
 	}
 	q.forget(j)
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	sending, cancel := context.WithDeadline(ctx, j.deadline)
 	j.cancel, j.last, j.sentAt, j.grant = cancel, t, now, grant
 	j.attempts++
 	q.counts.sent.Inc(1)
@@ -157,7 +157,8 @@
 	t.running[j] = struct{}{}
 	q.suspects.Started(t.Name, j.request, now)
 	attempt := &target.Attempt{Request: j.request, Target: t.Target, Grant: grant, MaxAnswer: q.pool.service.MaxBody, Deadline: j.deadline}
-	go q.attempt(ctx, cancel, attempt, &result{job: j, target: t}, t.incarnation)
+	incarnation := t.incarnation
+	q.crew.run(ctx, func() { q.attempt(sending, cancel, attempt, &result{job: j, target: t}, incarnation) })
 }
 
 // attempt sends once and reports the result.
