Lines of succession reach over data centres, and their heads stay outside the pair's

Cause: with three data centres all VMs outside the pair's are in the third, so that its loss took whole lines; and a replaced standby could come into the data centre of the grantor. Both leave live targets that nobody may grant. Change: package placement, line.go.

--- a/internal/decide/placement/initial.go
+++ b/internal/decide/placement/initial.go
@@ -1,12 +1,9 @@
 package placement
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
-	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
 )
@@ -56,29 +53,10 @@
 		g := &r.next.Groups[i]
 		g.Standby = r.ref(r.pickStandby(g))
 		g.Witness = r.ref(r.pickWitness(g))
-		line := rankGrantors(in.VMs, groupName(s, g), r.dataCentre(g.Owner.Name), r.dataCentre(g.Standby.Name))
-		g.Grantors = line[:min(succession, len(line))]
+		g.Grantors = r.lineOf(g).fill(nil)
 	}
 	r.next.Service, r.next.NextGroup = s.Name, uint64(len(r.next.Groups))
 	return r.next
 }
 
-// rankGrantors orders the VMs for a group's line of succession: those outside
-// the data centres of owner and standby first, so that the loss of a data centre
-// takes at most one of owner, standby and grantor.
-func rankGrantors(vms []VM, group, ownerDC, standbyDC string) []string {
-	candidates := make([]rendezvous.Candidate, len(vms))
-	for i, vm := range vms {
-		candidates[i] = rendezvous.Candidate{VM: vm.Name, DataCentre: vm.DataCentre}
-	}
-	order := rendezvous.Rank(candidates, group, "")
-	near := func(i int) int { return btoi(vms[i].DataCentre == ownerDC || vms[i].DataCentre == standbyDC) }
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(near(a), near(b)) })
-	line := make([]string, len(order))
-	for i, at := range order {
-		line[i] = vms[at].Name
-	}
-	return line
-}
-
 func groupName(s *model.Service, g *model.Group) string { return fmt.Sprintf("%s/%d", s.Name, g.ID) }
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -128,6 +128,8 @@
 	// that may be given new roles.
 	targets map[string]model.Target
 	fit     []string
+	// vmDC is the data centres of the live VMs.
+	vmDC map[string]string
 	// planned is the load of targets at the beginning of the round.
 	planned loads
 	// touched are groups changed in this round; each change is one new epoch.
@@ -196,6 +198,10 @@
 		}
 	}
 	slices.Sort(r.fit)
+	r.vmDC = make(map[string]string, len(in.VMs))
+	for _, vm := range in.VMs {
+		r.vmDC[vm.Name] = vm.DataCentre
+	}
 	return r
 }
 
--- a/internal/decide/placement/repair.go
+++ b/internal/decide/placement/repair.go
@@ -171,32 +171,6 @@
 	})
 }
 
-// repairLine fills the line of succession up. Those who live keep their order:
-// the first of them grants already.
-func (r *round) repairLine(g *model.Group) {
-	missing := slices.ContainsFunc(g.Grantors, func(vm string) bool { return r.missingFor(vmKey(vm)) >= grantorPatience })
-	short := len(g.Grantors) < min(succession, len(r.in.VMs))
-	if !missing && !short {
-		return
-	}
-	var line []string
-	for _, vm := range g.Grantors {
-		if r.missingFor(vmKey(vm)) < grantorPatience {
-			line = append(line, vm)
-		}
-	}
-	for _, vm := range rankGrantors(r.in.VMs, groupName(r.in.Service, g), r.dataCentre(g.Owner.Name), r.dataCentre(g.Standby.Name)) {
-		if len(line) < succession && !slices.Contains(line, vm) {
-			line = append(line, vm)
-		}
-	}
-	if slices.Equal(line, g.Grantors) {
-		return
-	}
-	r.decide(Line, g, "%s: grantors are %v, before %v", groupName(r.in.Service, g), line, g.Grantors)
-	g.Grantors = line
-}
-
 func btoi(b bool) int {
 	if b {
 		return 1
