--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"hemlockquay/charts"
+	"hemlockquay/internal/command"
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/statechart"
 )
@@ -35,10 +37,16 @@
 	mu      sync.Mutex
 	machine *statechart.Machine
 	waiting string
+	// needs are the conditions of readiness that are not met; configured says
+	// that Ready was called meanwhile.
+	needs      []string
+	configured bool
 	// serving stays true while the daemon is ready, and through the lead of
 	// its graceful shutdown.
 	serving  bool
 	draining chan struct{}
+	// longest is how long a request may still run.
+	longest  time.Duration
 	sections []section
 	admin    string
 }
@@ -62,8 +70,38 @@
 	}
 }
 
-// Ready says that the daemon has a configuration in force.
-func (l *Life) Ready() { l.fire(eventConfigured) }
+// Ready says that the daemon has a configuration in force. The daemon is ready once
+// all that it requires besides is met.
+func (l *Life) Ready() {
+	l.mu.Lock()
+	l.configured = true
+	missing := len(l.needs) > 0
+	if missing {
+		l.waiting = l.needs[0]
+	}
+	l.mu.Unlock()
+	if !missing {
+		l.fire(eventConfigured)
+	}
+}
+
+// Require adds a condition of readiness, named by why it is not met yet. It must be
+// called before Ready can be. met may be called more than once.
+func (l *Life) Require(reason string) (met func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.needs = append(l.needs, reason)
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		i := slices.Index(l.needs, reason)
+		l.needs = slices.Delete(l.needs, i, i+1)
+		configured := l.configured
+		l.mu.Unlock()
+		if configured {
+			l.Ready()
+		}
+	})
+}
 
 // NotReadyBecause notes why the daemon waits; /readyz shows it.
 func (l *Life) NotReadyBecause(reason string) {
@@ -92,6 +130,25 @@
 	l.serving = false
 }
 
+// SetLongest notes the longest deadline that a request may have.
+//
+// Failure: a service allows deadlines of ten minutes, and a daemon that stops
+// gives up its drain after a fixed time: requests in flight are cut off. The bound
+// of the drain follows what is in force, and never falls: requests of an older
+// configuration may still run.
+func (l *Life) SetLongest(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longest = max(l.longest, d)
+}
+
+// Longest returns the longest deadline that a request may have.
+func (l *Life) Longest() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.longest
+}
+
 // Serving tells whether new work is taken: the daemon is ready, or leaves and is
 // still in its lead.
 func (l *Life) Serving() bool {
@@ -186,7 +243,7 @@
 func (l *Life) Dump() Dump {
 	ready, why := l.IsReady()
 	l.mu.Lock()
-	d := Dump{Process: l.name, VM: l.vm, Version: Version, State: string(l.machine.State())}
+	d := Dump{Process: l.name, VM: l.vm, Version: command.Version, State: string(l.machine.State())}
 	sections := l.sections
 	l.mu.Unlock()
 	if !ready {
