--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"hemlockquay/internal/model"
@@ -70,15 +71,30 @@
 	}}
 }
 
-// onceBody hides the body's type from net/http.
+// onceBody returns a body that net/http cannot rewind.
 //
 // Failure: a kept connection breaks as a request is written. net/http then sends
 // the request again by itself if it can rewind the body, also a POST that has an
 // Idempotency-Key header: a pull request opened twice, unseen by the retry
-// rules. A body that it cannot rewind is never sent again.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
+// rules. A body that it cannot rewind is never sent again. It still knows that this
+// one is in memory, and sends headers and body in one write.
+func onceBody(body []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(body)) }
+
+// setBody gives the request its body. An empty one must not be http.NoBody, which
+// may be sent again; and net/http would look for its first byte in a goroutine with
+// a timer, for each request. Named identity, it is sent as it is: without a length,
+// which for methods that rarely have a body means none.
+func setBody(req *http.Request, body []byte) {
+	req.Body = onceBody(body)
+	req.ContentLength = int64(len(body))
+	switch {
+	case len(body) > 0:
+	case req.Method == http.MethodPost, req.Method == http.MethodPut, req.Method == http.MethodPatch:
+		// Servers may want a length or chunks here: it goes as no chunk.
+	default:
+		req.TransferEncoding = []string{"identity"}
+	}
+}
 
 // Send sends the attempt once and returns the whole answer. The error is
 // ErrUnsent or *RefusedError where the target surely did not run it.
@@ -111,11 +127,15 @@
 
 func build(ctx context.Context, a *Attempt) (*http.Request, error) {
 	r := a.Request
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Target.Addr+r.Path, onceBody{bytes.NewReader(r.Body)})
+	if !strings.HasPrefix(r.Path, "/") {
+		// It would join the address and choose where the request goes.
+		return nil, fmt.Errorf("build request: the path %q does not begin with a slash", r.Path)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Target.Addr+r.Path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
-	req.ContentLength = int64(len(r.Body))
+	setBody(req, r.Body)
 	req.Header = r.Header.Clone()
 	if req.Header == nil {
 		req.Header = make(http.Header)
--- a/internal/target/sender_test.go
+++ b/internal/target/sender_test.go
@@ -91,6 +91,51 @@
 	require.False(t, answer.Whole("r2"))
 }
 
+func TestPathsArriveAsWrittenAndNeverChooseTheAddress(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Method, " ", r.RequestURI) }))
+	defer server.Close()
+	s := NewSender(2)
+	defer s.Close()
+	a := attempt(server.Listener.Addr().String())
+	for _, method := range []string{http.MethodGet, http.MethodPost, "PROPFIND"} {
+		a.Request.Method, a.Request.Body = method, nil
+		for _, path := range []string{"/", "//a//", "/../b", "/a%2Fb?q=%20&q=+", "/%2e%2e/x", "/a?", "/@x:1/", "/a;b"} {
+			a.Request.Path = path
+			answer, err := s.Send(context.Background(), a)
+			require.NoError(t, err, path)
+			require.Equal(t, method+" "+path, string(answer.Body))
+		}
+	}
+	for _, path := range []string{"", "@127.0.0.1:1/x", "%2F@127.0.0.1:1/x", "0/x", "?q"} {
+		a.Request.Path = path
+		_, err := s.Send(context.Background(), a)
+		require.ErrorIs(t, err, ErrUnsent)
+	}
+}
+
+func BenchmarkSend(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 256)) }))
+	defer server.Close()
+	s := NewSender(64)
+	defer s.Close()
+	for _, c := range []struct {
+		method string
+		body   []byte
+	}{{http.MethodGet, nil}, {http.MethodPost, make([]byte, 256)}} {
+		b.Run(c.method, func(b *testing.B) {
+			a := attempt(server.Listener.Addr().String())
+			a.MaxAnswer = 1 << 20
+			a.Request.Method, a.Request.Body = c.method, c.body
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := s.Send(context.Background(), a); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func TestRefusalsAndUnsent(t *testing.T) {
 	s := NewSender(1)
 	defer s.Close()
@@ -126,10 +171,13 @@
 	defer server.Close()
 	s := NewSender(1)
 	defer s.Close()
-	for _, body := range [][]byte{[]byte("body"), nil} {
+	for _, c := range []struct {
+		method string
+		body   []byte
+	}{{http.MethodPost, []byte("body")}, {http.MethodPost, nil}, {http.MethodGet, nil}, {http.MethodDelete, nil}} {
 		arrived.Store(0)
 		a := attempt(server.Listener.Addr().String())
-		a.Request.Body = body
+		a.Request.Method, a.Request.Body = c.method, c.body
 		_, err := s.Send(context.Background(), a)
 		require.NoError(t, err, "the first leaves a kept connection")
 		_, err = s.Send(context.Background(), a)
