--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -196,7 +195,7 @@
 	if r.ContentLength > limit {
 		return d.refuse(problem.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := wire.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return d.refuse(problem.TooLarge, "the body is over the limit of %d bytes", limit)
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -165,7 +165,7 @@
 // error of net/http, one over the limit is ErrTooLarge; neither is passed on in
 // part.
 func readWhole(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := wire.ReadAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
 	if err != nil {
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
--- a/internal/target/sender_test.go
+++ b/internal/target/sender_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -114,18 +115,22 @@
 }
 
 func BenchmarkSend(b *testing.B) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 256)) }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size, _ := strconv.Atoi(r.URL.RawQuery)
+		w.Header().Set("Content-Length", r.URL.RawQuery)
+		_, _ = w.Write(make([]byte, size))
+	}))
 	defer server.Close()
 	s := NewSender(64)
 	defer s.Close()
 	for _, c := range []struct {
-		method string
-		body   []byte
-	}{{http.MethodGet, nil}, {http.MethodPost, make([]byte, 256)}} {
-		b.Run(c.method, func(b *testing.B) {
+		method, size string
+		body         []byte
+	}{{http.MethodGet, "256", nil}, {http.MethodPost, "256", make([]byte, 256)}, {http.MethodGet, "65536", nil}} {
+		b.Run(c.method+c.size, func(b *testing.B) {
 			a := attempt(server.Listener.Addr().String())
 			a.MaxAnswer = 1 << 20
-			a.Request.Method, a.Request.Body = c.method, c.body
+			a.Request.Method, a.Request.Body, a.Request.Path = c.method, c.body, "/work?"+c.size
 			b.ReportAllocs()
 			for b.Loop() {
 				if _, err := s.Send(context.Background(), a); err != nil {
