--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -85,16 +85,19 @@
 	return nil
 }
 
+var quiet = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+
 // lab is a running entry between a fake agent and a fake dispatcher.
 type lab struct {
-	t        *testing.T
+	t        testing.TB
 	addr     string
+	agent    string
 	life     *daemon.Life
 	app      *fxtest.App
 	dispatch *dispatchPeer
 }
 
-func servePeer(t *testing.T, name string, receiver any) string {
+func servePeer(t testing.TB, name string, receiver any) string {
 	t.Helper()
 	s, err := peer.Listen("127.0.0.1:0")
 	require.NoError(t, err)
@@ -105,22 +108,31 @@
 }
 
 // labObjects are an unkeyed service with a body limit of 64 bytes and its customer.
-func labObjects() []platform.Object {
+func labObjects(target string) []platform.Object {
 	return []platform.Object{
-		{Kind: model.KindService, Name: "booth", Version: 1, Spec: []byte(`{"name": "booth", "slots": 2, "connections": 10,
-			"deadline": "20s", "maxBody": 64, "targets": [{"name": "t1", "addr": "127.0.0.1:1", "dataCentre": "a"}]}`)},
+		{Kind: model.KindService, Name: "booth", Version: 1, Spec: []byte(`{"name": "booth", "slots": 64, "connections": 110,
+			"deadline": "20s", "maxBody": 64, "targets": [{"name": "t1", "addr": "` + target + `", "dataCentre": "a"}]}`)},
 		{Kind: model.KindContract, Name: "c1", Version: 1, Spec: []byte(`{"customer": "c1", "tokenSHA256": "` + hash(testToken) + `",
 			"services": [{"service": "booth", "rate": 1e6, "burst": 100000, "concurrency": 1000}]}`)},
 	}
 }
 
-func startUnstopped(t *testing.T, change func(*Settings)) *lab {
+func startUnstopped(t testing.TB, change func(*Settings)) *lab {
 	t.Helper()
 	dispatch := &dispatchPeer{requests: make(chan wire.Request, 100), cancels: make(chan string, 100)}
+	l := startBefore(t, servePeer(t, "Dispatch", dispatch), labObjects("127.0.0.1:1"), change)
+	l.dispatch = dispatch
+	return l
+}
+
+// startBefore starts an entry whose only dispatcher is at the address. The agent is
+// returned by its address too, for a real dispatcher.
+func startBefore(t testing.TB, dispatcher string, objects []platform.Object, change func(*Settings)) *lab {
+	t.Helper()
 	agent := &agentPeer{ready: make(chan struct{}), end: make(chan struct{})}
 	agent.reply = wire.PullReply{
-		Source: "agent", Ready: true, Snapshot: true, Revision: 1, State: 1, Changed: true, Objects: labObjects(),
-		Members: []wire.Member{{VM: "vm1", DataCentre: "a", DispatchAddr: servePeer(t, "Dispatch", dispatch)}},
+		Source: "agent", Ready: true, Snapshot: true, Revision: 1, State: 1, Changed: true, Objects: objects,
+		Members: []wire.Member{{VM: "vm1", DataCentre: "a", DispatchAddr: dispatcher}},
 		Listed:  []wire.Place{{VM: "vm1"}},
 	}
 	s := &Settings{Listen: "127.0.0.1:0", Agent: servePeer(t, "Agent", agent)}
@@ -130,10 +142,10 @@
 		change(s)
 	}
 	require.NoError(t, s.Check())
-	l := &lab{t: t, dispatch: dispatch}
+	l := &lab{t: t, agent: s.Agent}
 	clock := new(handClock)
 	var e *entry
-	l.app = fxtest.New(t, daemon.Parts(processName, s, &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}),
+	l.app = fxtest.New(t, daemon.Parts(processName, s, quiet),
 		fx.Provide(func() boottime.Clock { return clock }, newEntry), fx.Populate(&e, &l.life))
 	l.app.RequireStart()
 	l.addr = e.listener.Addr().String()
