Headers are copied without their lists of values

The entry and each attempt cloned every list. They replace lists and never write into them, so they are shared.

--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -1,13 +1,14 @@
 package entry
 
 import (
+	"maps"
 	"net/http"
 	"net/textproto"
 	"strings"
 )
 
 // hopByHop are the headers of RFC 9110 section 7.6.1 that concern one
-// connection only, and Expect: the entry has the whole body before it sends.
+// connection only, in canonical form, and Expect: the entry has the whole body before it sends.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Expect", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
@@ -21,7 +22,7 @@
 // stays here: a target has no use for it.
 func forwardable(in http.Header) http.Header {
 	out := endToEnd(in)
-	out.Del(headerAuthorization)
+	delete(out, headerAuthorization)
 	for name := range out {
 		if strings.HasPrefix(name, ownPrefix) {
 			delete(out, name)
@@ -30,19 +31,18 @@
 	return out
 }
 
-// endToEnd drops hop-by-hop headers, those that Connection names too.
+// endToEnd returns the headers without the hop-by-hop ones and those that Connection
+// names. The lists of values are shared with in; neither side may change them.
 func endToEnd(in http.Header) http.Header {
-	out := in.Clone()
-	if out == nil {
-		out = make(http.Header)
-	}
-	for _, list := range in.Values("Connection") {
+	out := make(http.Header, len(in))
+	maps.Copy(out, in)
+	for _, list := range in["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			out.Del(textproto.TrimString(name))
 		}
 	}
 	for _, name := range hopByHop {
-		out.Del(name)
+		delete(out, name)
 	}
 	return out
 }
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -125,6 +126,9 @@
 	}, nil
 }
 
+// ownHeaders is how many headers a request gets here at the most.
+const ownHeaders = 6
+
 func build(ctx context.Context, a *Attempt) (*http.Request, error) {
 	r := a.Request
 	if !strings.HasPrefix(r.Path, "/") {
@@ -136,10 +140,9 @@
 		return nil, fmt.Errorf("build request: %w", err)
 	}
 	setBody(req, r.Body)
-	req.Header = r.Header.Clone()
-	if req.Header == nil {
-		req.Header = make(http.Header)
-	}
+	// The lists of values are shared by all attempts; Set puts new ones in place.
+	req.Header = make(http.Header, len(r.Header)+ownHeaders)
+	maps.Copy(req.Header, r.Header)
 	req.Header.Set(HeaderRequestID, r.ID)
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(a.Deadline).Milliseconds(), 10))
 	if r.Key != "" {
