--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -183,10 +183,12 @@
 	return nil
 }
 
-// dump is the agent's state for /dump.
+// dump is the agent's state for /dump. Objects and Granted are cut; hqctl needs all
+// Members.
 type dump struct {
 	Incarnation string            `json:"incarnation"`
 	Revision    uint64            `json:"revision"`
+	Totals      totals            `json:"totals"`
 	Objects     []platform.Object `json:"objects"`
 	Members     []wire.Member     `json:"members"`
 	Problems    []string          `json:"problems"`
@@ -194,7 +196,17 @@
 	Daemons     []wire.ReportArgs `json:"daemons"`
 }
 
+// totals are the lengths of the lists before they were cut.
+type totals struct {
+	Objects int `json:"objects"`
+	Granted int `json:"granted"`
+}
+
 func (a *agent) dump() any {
 	revision, _ := a.config.state()
-	return dump{a.incarnation, revision, a.config.list(), a.members.live(), a.config.problems(), a.grants.list(), a.relay.liveDaemons()}
+	objects, granted := a.config.list(), a.grants.list()
+	return dump{
+		a.incarnation, revision, totals{len(objects), len(granted)},
+		daemon.Cut(objects), a.members.live(), a.config.problems(), daemon.Cut(granted), a.relay.liveDaemons(),
+	}
 }
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -239,6 +239,13 @@
 	Value any    `json:"value"`
 }
 
+// maxShown bounds a list in a dump: at a million groups the whole would be hundreds
+// of megabytes, held in memory while it is written.
+const maxShown = 1000
+
+// Cut returns the first items of a list, as many as a dump shows.
+func Cut[T any](list []T) []T { return list[:min(len(list), maxShown)] }
+
 // Dump returns the state of all parts.
 func (l *Life) Dump() Dump {
 	ready, why := l.IsReady()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -316,12 +316,6 @@
 	}
 }
 
-// maxShown bounds each list in the dump: at a million groups the whole would be
-// hundreds of megabytes, held in memory while it is written.
-const maxShown = 1000
-
-func cut[T any](list []T) []T { return list[:min(len(list), maxShown)] }
-
 // version is one object in force.
 type version struct {
 	Kind    model.Kind `json:"kind"`
@@ -370,7 +364,7 @@
 	return dump{
 		Source: v.Source, Revision: v.Revision, State: v.State,
 		Totals:  totals{len(inForce), len(v.Members), len(v.Listed), len(v.Grants), len(v.Problems)},
-		Objects: cut(inForce), Members: cut(v.Members), Listed: cut(v.Listed), Grants: cut(v.Grants), Problems: cut(v.Problems),
+		Objects: daemon.Cut(inForce), Members: daemon.Cut(v.Members), Listed: daemon.Cut(v.Listed), Grants: daemon.Cut(v.Grants), Problems: daemon.Cut(v.Problems),
 	}
 }
 
