Kept connections of callers outlive readTimeout

net/http closed a connection after readTimeout (10 s) without a request, while balancers keep it for about 60 s: a request sent in that moment broke. Shown by the test, which failed with "unexpected EOF" before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,14 @@
 	server    *http.Server
 }
 
+// idleTimeout is how long a kept connection without a request stays open.
+//
+// Failure: the entry closes a connection in the moment in which the balancer sends
+// the next request on it, and the caller gets a broken connection for a request that
+// may have run. The side that sends must close first: balancers do after 60 s or less
+// by custom. Without this, net/http takes readTimeout.
+const idleTimeout = 3 * time.Minute
+
 func newEntry(k *daemon.Kit[*Settings], clock boottime.Clock) (*entry, error) {
 	listener, err := net.Listen("tcp", k.Settings.Listen)
 	if err != nil {
@@ -85,6 +93,7 @@
 		Handler:           e.handler(),
 		ReadHeaderTimeout: k.Settings.ReadTimeout.D(),
 		ReadTimeout:       k.Settings.ReadTimeout.D(),
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    k.Settings.MaxHeader,
 	}
 	k.LC.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -128,6 +128,22 @@
 	require.Equal(t, "late", l.post("with a body").body)
 }
 
+// A balancer keeps a connection without a request for longer than readTimeout and
+// sends the next one on it. Were it closed then, the caller would not learn whether
+// its request ran.
+func TestKeptConnectionOutlivesReadTimeout(t *testing.T) {
+	const readTimeout = 200 * time.Millisecond
+	l := startLab(t, func(s *Settings) { s.ReadTimeout = model.Duration(readTimeout) })
+	conn := l.connect()
+	from := bufio.NewReader(conn)
+	for range 2 {
+		_, err := fmt.Fprintf(conn, "GET /s/booth/a HTTP/1.1\r\nHost: entry\r\n%s\r\n\r\n", authLine)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, l.read(from, "GET").StatusCode)
+		<-time.After(2 * readTimeout)
+	}
+}
+
 // A caller that hangs up waits for nothing: the dispatcher is told, so that a slot
 // is not held for it.
 func TestCallerGoneIsToldToTheDispatcher(t *testing.T) {
