--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -13,14 +13,15 @@
 // dispatcher that is reached must agree to. If a target dies under it again it is
 // quarantined, everywhere, for Lifetime; if not, it is cleared.
 //
-// So a fingerprint kills one target before it is suspect and one as a suspect:
-// two. The bound is for fingerprints that were never answered and for dispatchers
-// that reach each other. While members views differ and n dispatchers hold a
-// queue, each may lose one target to an unproven request that all had in flight at
-// the same time beside others, and one more to it as a suspect: n + 1. Nor can a dispatcher know
-// then whether a request ran alone on a target that another sends to: an innocent
-// one may be quarantined. A request that was
-// answered before and kills later takes down the targets that run it just then.
+// So a fingerprint kills one target before it is suspect and one as a suspect: two.
+// The bound is for fingerprints that were never answered and for dispatchers that
+// reach each other. While members views differ and n dispatchers hold a queue, it
+// holds for requests that are sent again after their answer, which waits for the
+// notices. Copies sent at one moment may have a first run at each dispatcher, beside
+// others, and one more run as a suspect: n + 1. Nor can a dispatcher know then whether
+// a request ran alone on a target that another sends to: an innocent one may be
+// quarantined. A request that was answered before and kills later takes down the
+// targets that run it just then.
 package quarantine
 
 import (
