The entry's test bench moves its clock before it waits for readiness

An entry is ready once its part of the limits is confirmed, which needs the clock that only tests move: each test waited 2 s for the entry to give up.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -149,10 +149,9 @@
 		fx.Provide(func() boottime.Clock { return clock }, newEntry), fx.Populate(&e, &l.life))
 	l.app.RequireStart()
 	l.addr = e.listener.Addr().String()
-	select {
-	case <-agent.ready:
-	case <-time.After(patience):
-		require.Fail(t, "the entry is not ready")
+	changed := e.feed.Changed()
+	if e.feed.Current().Revision == 0 {
+		await(t, changed)
 	}
 	// A share of the contract is held only after the longest request of an
 	// entry's earlier life would have ended.
@@ -160,9 +159,20 @@
 		clock.now.Add(int64(time.Second))
 		e.admitter.period(e.feed.Current())
 	}
+	await(t, agent.ready)
 	return l
 }
 
+// await waits for what must happen.
+func await(t testing.TB, event <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-event:
+	case <-time.After(patience):
+		require.Fail(t, "the entry is not ready")
+	}
+}
+
 // handClock is a clock that only tests move.
 type handClock struct{ now atomic.Int64 }
 
