A late reply never reaches the caller's value

Ruled out: the claim's own code alone; every caller of peer.Client had the trap. Change: peer.Client decodes into a value of its own and hands it over when whole. Conclusion: mended where the cause was, not at the one caller.

--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -161,8 +161,8 @@
 	for _, vm := range by {
 		calls.Go(func() {
 			var vote idempotency.Vote
-			if t.callHolder(ctx, vm, wire.MethodClaim, args, &vote) != nil {
-				vote = idempotency.Vote{}
+			if err := t.callHolder(ctx, vm, wire.MethodClaim, args, &vote); err != nil {
+				t.log.Debug().Err(err).Str("step", stepIntent).Str("peer", vm).Msg("no vote")
 			}
 			votes <- vote
 		})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,18 +47,26 @@
 // Addr returns the peer's address.
 func (c *Client) Addr() string { return c.addr }
 
-// Call sends args and waits for the reply until the context ends. After an error
-// the reply must not be read: a late reply may still be decoded into it.
+// Call sends args and waits until the context ends for the reply, to which reply
+// must point. After an error it is unchanged.
+//
+// Failure: the context ends as the reply arrives, and net/rpc decodes into a value
+// that the caller reads already: half of a vote is counted. So the reply is decoded
+// into a value that nobody else has, and handed over once it is whole.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	l := c.lanes[c.next.Add(1)%uint64(len(c.lanes))]
 	conn, err := l.acquire(ctx)
 	if err != nil {
 		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, err))
 	}
-	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := conn.rpc.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		l.release(conn, broken(call.Error))
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return l.outcome(method, call.Error)
 	case <-ctx.Done():
 		l.release(conn, false)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -109,3 +109,38 @@
 		server.Close()
 	}
 }
+
+type slowEcho struct{ entered, release chan struct{} }
+
+func (e *slowEcho) Late(in string, out *string) error {
+	close(e.entered)
+	<-e.release
+	*out = in
+	return nil
+}
+
+func (e *slowEcho) Say(in string, out *string) error { *out = in; return nil }
+
+// A key is run twice. A holder's vote arrives just as its time is over; the caller,
+// which took it for no vote, reads the value while it is being decoded.
+func TestLateReplyDoesNotReachTheCaller(t *testing.T) {
+	e := &slowEcho{entered: make(chan struct{}), release: make(chan struct{})}
+	s, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, s.Register("Echo", e))
+	go func() { _ = s.Serve() }()
+	c := NewClient(s.Addr(), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	late, ended := "untouched", make(chan error, 1)
+	go func() { ended <- c.Call(ctx, "Echo.Late", "late", &late) }()
+	<-e.entered
+	cancel()
+	require.ErrorIs(t, <-ended, ErrLost)
+	close(e.release)
+	// Enough further answers on the one connection that the late one has come.
+	for range 100 {
+		var next string
+		require.NoError(t, c.Call(context.Background(), "Echo.Say", "next", &next))
+	}
+	require.Equal(t, "untouched", late)
+}
