--- a/internal/standin/plan/operations_test.go
+++ b/internal/standin/plan/operations_test.go
@@ -1,6 +1,10 @@
 package plan
 
 import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -10,27 +14,64 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"hemlockquay/internal/agent"
-	"hemlockquay/internal/dispatch"
-	"hemlockquay/internal/entry"
 )
 
 // metricName finds the literal names of metrics in the code.
 var metricName = regexp.MustCompile(`GetOrRegister\w+\("([a-z.]+)"`)
 
-// The operators' page lacks a setting or metric that the programs have: whoever
-// looks for it at night does not find it.
-func TestOperationsNamesEverySettingAndMetric(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+// settingRow finds the page's rows of settings.
+var settingRow = regexp.MustCompile("(?m)^\\| (all|hq-\\w+) \\| `\\w+` \\| .* \\|$")
+
+// settingsOf lists the programs' settings types: file, type and program.
+var settingsOf = []struct{ file, name, program string }{
+	{"daemon/daemon.go", "Base", "all"},
+	{"agent/settings.go", "Settings", "hq-agent"},
+	{"dispatch/settings.go", "Settings", "hq-dispatch"},
+	{"entry/settings.go", "Settings", "hq-entry"},
+}
+
+// rows returns the page's rows for a settings type, from its fields' comments.
+func rows(t *testing.T, file, name, program string) []string {
+	t.Helper()
+	tree, err := parser.ParseFile(token.NewFileSet(), filepath.Join("../..", file), nil, parser.ParseComments)
 	require.NoError(t, err)
-	for name, s := range map[string]any{"agent": agent.Settings{}, "dispatch": dispatch.Settings{}, "entry": entry.Settings{}} {
-		for _, field := range reflect.VisibleFields(reflect.TypeOf(s)) {
-			if tag, _, _ := strings.Cut(field.Tag.Get("json"), ","); tag != "" {
-				require.Contains(t, string(page), "`"+tag+"`", "setting of %s", name)
+	var out []string
+	ast.Inspect(tree, func(n ast.Node) bool {
+		spec, ok := n.(*ast.TypeSpec)
+		if !ok || spec.Name.Name != name {
+			return true
+		}
+		for _, field := range spec.Type.(*ast.StructType).Fields.List {
+			if field.Tag == nil {
+				continue
 			}
+			tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`")).Get("json")
+			setting, _, _ := strings.Cut(tag, ",")
+			text := strings.Join(strings.Fields(field.Doc.Text()), " ")
+			out = append(out, fmt.Sprintf("| %s | `%s` | %s |", program, setting, text))
 		}
+		return false
+	})
+	return out
+}
+
+// The operators' page names a default that the program no longer has, or lacks a
+// setting: whoever reads it at night acts on the wrong figure.
+func TestOperationsShowsTheSettingsAsTheyAre(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	var want []string
+	for _, s := range settingsOf {
+		want = append(want, rows(t, s.file, s.name, s.program)...)
 	}
+	require.Greater(t, len(want), 20)
+	require.Equal(t, strings.Join(want, "\n"), strings.Join(settingRow.FindAllString(string(page), -1), "\n"))
+}
+
+// The page lacks a metric that an alarm shows.
+func TestOperationsNamesEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	require.NoError(t, err)
 	require.NoError(t, filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
