--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -121,7 +121,7 @@
 		id := groupID{held.Service, p.ID}
 		pace := r.paces[id]
 		if pace == nil {
-			pace = new(epochpace.Pace)
+			pace = epochpace.New()
 			r.paces[id] = pace
 		}
 		pace.Seen(held.Groups[i].Epoch, now)
--- a/internal/decide/epochpace/epochpace.go
+++ b/internal/decide/epochpace/epochpace.go
@@ -1,5 +1,5 @@
 // Package epochpace decides how soon a group's record may get a new epoch after
-// the last one.
+// the last ones.
 //
 // Load pattern: agents on full machines lose sight of each other and of targets for
 // a moment. A claim that did not win within its patience writes an epoch; the epoch
@@ -7,57 +7,50 @@
 // keeps the machines full. Without a pace the records are rewritten without end,
 // long after what began it has passed, and use up the store's writes.
 //
-// The first epoch after a quiet time goes at once: a true loss waits for nothing.
-// One that follows within the quiet time waits, each time twice as long.
+// A few epochs in a row go at once; those of a group that gets them without end wait
+// for the rate.
 //
-// Grounds: 100 ms is what a claim takes on a machine that is not full; 3.2 s is the
-// most, and lets a group's record change 19 times a minute; 10 s of quiet is longer
-// than three losses in a row of one group need.
+// Grounds: a loss, the return of what was lost and the loss of its successor take an
+// epoch or two each, so a burst of six lets three losses in a row wait for nothing. A
+// wait that doubled from the second epoch on was tried first and cost true losses up
+// to 3 s. One in two seconds is what each group may take of the store in a storm.
 package epochpace
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 const (
-	// quiet is the time after which the pace starts afresh.
-	quiet = 10 * time.Second
-	// first is the wait for the second epoch, most for any.
-	first = 100 * time.Millisecond
-	most  = 3200 * time.Millisecond
+	// burst is how many epochs may follow each other at once.
+	burst = 6
+	// every is the time for one more.
+	every = 2 * time.Second
 )
 
-// Pace is what is known of one group's epochs. The zero value has seen none.
+// Pace is what is known of one group's epochs.
 type Pace struct {
-	epoch uint64
-	at    time.Duration
-	// streak counts epochs that followed another within the quiet time.
-	streak int
+	epoch  uint64
+	tokens *rate.Limiter
 }
 
-// Seen notes the epoch in force, whoever wrote it.
+// New returns the pace of a group of which no epoch was seen.
+func New() *Pace { return &Pace{tokens: rate.NewLimiter(rate.Every(every), burst)} }
+
+// instant turns a reading of the monotonic clock into the library's time.
+func instant(now time.Duration) time.Time { return time.Unix(0, int64(now)) }
+
+// Seen notes the epoch in force, whoever wrote it. The first one seen is free.
 func (p *Pace) Seen(epoch uint64, now time.Duration) {
 	if epoch <= p.epoch {
 		return
 	}
-	if p.epoch != 0 && now-p.at < quiet {
-		p.streak++
-	} else {
-		p.streak = 0
+	if p.epoch != 0 {
+		p.tokens.AllowN(instant(now), 1)
 	}
-	p.epoch, p.at = epoch, now
+	p.epoch = epoch
 }
 
 // May tells whether a new epoch may be written now.
-func (p *Pace) May(now time.Duration) bool {
-	return p.epoch == 0 || now-p.at >= p.wait()
-}
-
-func (p *Pace) wait() time.Duration {
-	if p.streak == 0 {
-		return 0
-	}
-	wait := first
-	for i := 1; i < p.streak && wait < most; i++ {
-		wait *= 2
-	}
-	return wait
-}
+func (p *Pace) May(now time.Duration) bool { return p.tokens.TokensAt(instant(now)) >= 1 }
--- a/scripts/unavailable.sh
+++ b/scripts/unavailable.sh
@@ -16,7 +16,7 @@
 . scripts/lab.sh
 dir=${1:-out/unavailable}
 vms=9 loaded=4 # requests enter at VMs 1 to 4; the VMs that are lost are others
-window=5 settle=3
+window=5 settle=8
 read -ra cases <<<"${CASES:-none-up move-up pause-up owner-up owner-down grantor-up grantor-down both-up both-down dc-up dc-down assigner-up agent-up}"
 
 trap 'lab_stop; exit 130' INT TERM
