The third in line does not wait for an outranked first

Cause: keys without service for 2.8 s after the loss of a grantor with the store down: the second in line had taken over earlier and was lost; the first, alive, can no longer win at the epoch, and the third waited for it. Ruled out: the pace of epochs (2,802 and 2,782 ms with either); no epoch was written. Change: heartbeats' highest rank tells from which place on the line can still win.

--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -52,8 +52,10 @@
 	inbox     *ring.Ring[answer]
 	woken     chan struct{}
 
-	// served is which groups a live agent grants, as of peersSeen.
+	// served is which groups a live agent grants, highest the highest rank told of
+	// each, as of peersSeen.
 	served    map[groupID]bool
+	highest   map[groupID]wire.Rank
 	peersSeen time.Duration
 
 	revision uint64
@@ -98,6 +100,7 @@
 		inbox:     ring.New[answer]("grantor", grantorRing, ring.DropOldest, a.Registry),
 		woken:     make(chan struct{}, 1),
 		services:  make(map[string]*heldService),
+		highest:   make(map[groupID]wire.Rank),
 	}
 	d.records = newRecorder(a.counted(platform.CauseAssignment), a.counted(platform.CauseAuthority), a.tag, s.StoreTimeout.D(), a.Log)
 	return d
@@ -140,7 +143,7 @@
 	sight := func(service string, id uint64) grantor.Sight {
 		return grantor.Sight{
 			Live:   func(vm string) bool { return live[vm] },
-			Served: d.served[groupID{service, id}],
+			Served: d.served[groupID{service, id}], Highest: d.highest[groupID{service, id}],
 		}
 	}
 	for name, h := range d.services {
@@ -169,8 +172,12 @@
 	d.peersSeen = now
 	d.served = make(map[groupID]bool)
 	for _, g := range append(d.members.peerGrants(), d.table.list()...) {
+		id := groupID{g.Service, g.Group}
 		if live[g.Rank.Agent] {
-			d.served[groupID{g.Service, g.Group}] = true
+			d.served[id] = true
+		}
+		if g.Rank.Compare(d.highest[id]) > 0 {
+			d.highest[id] = g.Rank
 		}
 	}
 	return true
--- a/internal/ownership/grantor/behaviour_test.go
+++ b/internal/ownership/grantor/behaviour_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/wire"
 )
 
 var everybody = []string{"t0", "t1", "t2", "t3"}
@@ -197,3 +198,32 @@
 	}
 	require.Equal(t, granting, next.groups[0].standing.State())
 }
+
+// Keys have no service for 2.8 s. The second in line had taken over for a moment; then
+// it is lost with the store down. The first is alive but outranked, and the third waited
+// for it until it lost patience.
+func TestThirdDoesNotWaitForAnOutrankedFirst(t *testing.T) {
+	p := Params{VM: "vm3", Incarnation: "vm3-1", Started: 1, Checks: true,
+		Every: 75 * ms, Life: 400 * ms, Authority: 160 * ms, Margin: 10 * ms, Patience: 25 * ms, Unserved: 1500 * ms}
+	rec := model.Group{Epoch: 7, Author: "vm1-1", Grantors: []string{"vm1", "vm2", "vm3"}}
+	for i, ref := range []*model.TargetRef{&rec.Owner, &rec.Standby, &rec.Witness} {
+		*ref = model.TargetRef{Name: string(rune('a' + i)), Incarnation: "1"}
+	}
+	lost := func(vm string) bool { return vm != "vm2" }
+	for _, c := range []struct {
+		name    string
+		highest wire.Rank
+		live    func(string) bool
+		claims  bool
+	}{
+		{"second took over and is lost", wire.Rank{Epoch: 7, Succession: 1, Agent: "vm2"}, lost, true},
+		{"second took over and lives", wire.Rank{Epoch: 7, Succession: 1, Agent: "vm2"}, func(string) bool { return true }, false},
+		{"at an earlier epoch", wire.Rank{Epoch: 6, Succession: 1, Agent: "vm2"}, lost, false},
+		{"first grants", wire.Rank{Epoch: 7, Agent: "vm1"}, lost, false},
+		{"nothing told", wire.Rank{}, lost, false},
+	} {
+		g := New(p, rec, time.Second)
+		orders := g.Tick(time.Second, Sight{Live: c.live, Highest: c.highest})
+		require.Equal(t, c.claims, len(orders) > 0, c.name)
+	}
+}
--- a/internal/ownership/grantor/tick.go
+++ b/internal/ownership/grantor/tick.go
@@ -13,6 +13,9 @@
 	Live func(vm string) bool
 	// Served says that a live agent tells a grant of the group.
 	Served bool
+	// Highest is the highest rank of a grant of the group that any agent told,
+	// living or not; zero where none was told.
+	Highest wire.Rank
 }
 
 // Tick moves the group on and returns the orders to send now. It may be called
@@ -50,7 +53,7 @@
 	if g.place < 0 {
 		return false
 	}
-	for _, vm := range g.rec.Grantors[:g.place] {
+	for _, vm := range g.rec.Grantors[g.mayClaim(sight):g.place] {
 		if sight.Live(vm) {
 			return g.idleFor(now) > time.Duration(g.place)*g.params.Unserved
 		}
@@ -58,6 +61,20 @@
 	return true
 }
 
+// mayClaim returns the first place in the line that can still win at this epoch.
+//
+// Failure: the second in line took over for a moment and is lost later, while the
+// store is down. The first is alive, so the third waits for it; but targets refuse
+// the first's rank, which is below the second's, and a new epoch needs the store. It
+// shows as keys without service until the store is back or the third lost patience.
+func (g *Group) mayClaim(sight Sight) int {
+	h := sight.Highest
+	if h.Epoch != g.rec.Epoch || h.Succession > uint64(g.place) {
+		return 0
+	}
+	return int(h.Succession)
+}
+
 func (g *Group) idleFor(now time.Duration) time.Duration { return now - g.unserved.at }
 
 // barred tells whether the epoch was written by another life of this agent.
