A starting agent takes nobody for lost before the peers had time to speak

Cause: the second loss of one VM with the store down left keys without service for 2.77 s. In the journals the restarted agent, which had heard nobody, took over 31 groups in whose lines others stood before it, as the last of some lines; after its loss nobody could outrank it at that epoch, and the next epoch needed the store. Ruled out: the pace of epochs, the outranked first (both mended before).

--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -140,9 +140,10 @@
 	now := d.clock.Now()
 	live := d.members.heardWithin(d.silence)
 	slowLook := d.lookAtPeers(now, live)
+	seen := notLost(live, d.members.settled())
 	sight := func(service string, id uint64) grantor.Sight {
 		return grantor.Sight{
-			Live:   func(vm string) bool { return live[vm] },
+			Live:   seen,
 			Served: d.served[groupID{service, id}], Highest: d.highest[groupID{service, id}],
 		}
 	}
@@ -159,6 +160,16 @@
 	}
 }
 
+// notLost returns which VMs do not count as lost.
+//
+// Failure: an agent starts. It has heard nobody yet, takes all before it in every
+// line for lost, and outranks them, although they serve. Where it is the last in a
+// line and is lost soon after, nobody can win at that epoch, and the keys wait for the
+// store. So nobody counts as lost until the peers had time to speak.
+func notLost(live map[string]bool, settled bool) func(vm string) bool {
+	return func(vm string) bool { return live[vm] || !settled }
+}
+
 // sightOf gives what heartbeats tell of a group.
 type sightOf func(service string, id uint64) grantor.Sight
 
--- /dev/null
+++ b/internal/agent/notlost_test.go
@@ -0,0 +1,24 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/wire"
+)
+
+// A VM is replaced and lost again within seconds, with the store down: its keys wait
+// for the store. When its agent started it had heard nobody, took over all groups that
+// name it, and left a rank that no other in the line can outrank.
+func TestStartingAgentTakesNobodyForLost(t *testing.T) {
+	clock := &handClock{}
+	m := newMembers(wire.Member{VM: "vm3"}, clock, 300*time.Millisecond, func() {})
+	m.setList([]platform.VM{{Name: "vm1", State: platform.VMLive}, {Name: "vm3", State: platform.VMLive}})
+	sees := func() bool { return notLost(m.heardWithin(190*time.Millisecond), m.settled())("vm1") }
+	require.True(t, sees(), "it had no time to speak")
+	clock.now = settleWithin
+	require.False(t, sees(), "silent for long enough")
+}
