With the store watched an outranked grantor writes an epoch, and nobody claims past it

Change: the highest rank told is used only while no live agent watches the store. Conclusion: part of the cause; the rest is looked at next.

--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -141,10 +141,14 @@
 	live := d.members.heardWithin(d.silence)
 	slowLook := d.lookAtPeers(now, live)
 	seen := notLost(live, d.members.settled())
+	highest := d.highest
+	if d.members.storeWatched() {
+		highest = nil
+	}
 	sight := func(service string, id uint64) grantor.Sight {
 		return grantor.Sight{
 			Live:   seen,
-			Served: d.served[groupID{service, id}], Highest: d.highest[groupID{service, id}],
+			Served: d.served[groupID{service, id}], Highest: highest[groupID{service, id}],
 		}
 	}
 	for name, h := range d.services {
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -186,3 +186,15 @@
 	}
 	return out
 }
+
+// storeWatched tells whether any live agent's watch of the store works. While one
+// does, an outranked grantor writes a new epoch; a claim by the next in line at the
+// old one would only be cut short by it, and callers refused twice.
+func (m *members) storeWatched() bool {
+	for _, member := range m.live() {
+		if member.Watching {
+			return true
+		}
+	}
+	return false
+}
