--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -113,13 +113,16 @@
 
 // heardWithin returns the VMs heard within the time, or within what their
 // heartbeats need under load; this one included.
+//
+// A VM that says that it leaves is left out: the next in line takes its groups over
+// while it still renews them, and its end costs no gap.
 func (m *members) heardWithin(d time.Duration) map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]bool{m.self.VM: true}
 	now := m.clock.Now()
 	for name, p := range m.peers {
-		if p.known && p.heard.Alive(now, d) {
+		if p.known && !p.member.Leaving && p.heard.Alive(now, d) {
 			out[name] = true
 		}
 	}
--- a/internal/agent/notlost_test.go
+++ b/internal/agent/notlost_test.go
@@ -22,3 +22,15 @@
 	clock.now = settleWithin
 	require.False(t, sees(), "silent for long enough")
 }
+
+// Each VM that is replaced costs ten refusals. Its agent goes on renewing while it
+// leaves, and the next in line waits until it is silent.
+func TestLeavingGrantorIsSucceededBeforeItsEnd(t *testing.T) {
+	clock := &handClock{}
+	m := newMembers(wire.Member{VM: "vm3"}, clock, 300*time.Millisecond, func() {})
+	m.setList([]platform.VM{{Name: "vm1", State: platform.VMLive}, {Name: "vm3", State: platform.VMLive}})
+	m.heard(wire.Member{VM: "vm1", Incarnation: "vm1-1"})
+	require.True(t, m.heardWithin(190 * time.Millisecond)["vm1"])
+	m.heard(wire.Member{VM: "vm1", Incarnation: "vm1-1", Leaving: true})
+	require.False(t, m.heardWithin(190 * time.Millisecond)["vm1"])
+}
