The grantor's look asks for the store's watch without a list of members

Cause: a look comes each 15 ms and after every answer that moves a group on, and storeWatched built and sorted the list of live members each time for one yes or no. Change: it goes over the peers it has; two tests share the record that they set up. Conclusion: the answer is the same, the work on the hot path is not done.

--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -194,8 +194,13 @@
 // does, an outranked grantor writes a new epoch; a claim by the next in line at the
 // old one would only be cut short by it, and callers refused twice.
 func (m *members) storeWatched() bool {
-	for _, member := range m.live() {
-		if member.Watching {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.self.Watching {
+		return true
+	}
+	for _, p := range m.peers {
+		if p.member.Watching && m.alive(p) {
 			return true
 		}
 	}
--- a/internal/ownership/grantor/behaviour_test.go
+++ b/internal/ownership/grantor/behaviour_test.go
@@ -12,6 +12,13 @@
 
 var everybody = []string{"t0", "t1", "t2", "t3"}
 
+// listTargets lists targets a, b and c, in their first life, as the arbiters.
+func listTargets(rec *model.Group) {
+	for i, ref := range []*model.TargetRef{&rec.Owner, &rec.Standby, &rec.Witness} {
+		*ref = model.TargetRef{Name: string(rune('a' + i)), Incarnation: "1"}
+	}
+}
+
 // owner returns the target that serves group 0's first slice, or "".
 func (s *scenario) owner() string {
 	for i, t := range s.targets {
@@ -160,9 +167,7 @@
 	p := Params{VM: "vm1", Incarnation: "vm1-1", Started: 1, Checks: true,
 		Every: 80 * ms, Life: 450 * ms, Authority: 160 * ms, Margin: 10 * ms, Patience: 25 * ms, Unserved: 1500 * ms}
 	rec := model.Group{Epoch: 1, Author: "vm2-1", Grantors: []string{"vm1"}}
-	for i, ref := range []*model.TargetRef{&rec.Owner, &rec.Standby, &rec.Witness} {
-		*ref = model.TargetRef{Name: string(rune('a' + i)), Incarnation: "1"}
-	}
+	listTargets(&rec)
 	g := New(p, rec, 0)
 	var sent []Order
 	lonely, needed := 5*time.Second, false
@@ -206,9 +211,7 @@
 	p := Params{VM: "vm3", Incarnation: "vm3-1", Started: 1, Checks: true,
 		Every: 75 * ms, Life: 400 * ms, Authority: 160 * ms, Margin: 10 * ms, Patience: 25 * ms, Unserved: 1500 * ms}
 	rec := model.Group{Epoch: 7, Author: "vm1-1", Grantors: []string{"vm1", "vm2", "vm3"}}
-	for i, ref := range []*model.TargetRef{&rec.Owner, &rec.Standby, &rec.Witness} {
-		*ref = model.TargetRef{Name: string(rune('a' + i)), Incarnation: "1"}
-	}
+	listTargets(&rec)
 	lost := func(vm string) bool { return vm != "vm2" }
 	for _, c := range []struct {
 		name    string
