--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 	bash scripts/demo.sh
 
 format:
-	gofmt -l -w cmd internal charts examples
+	gofmt -l -w cmd internal platform charts examples
 
 test:
-	@test -z "$$(gofmt -l cmd internal charts examples)" || { echo "not formatted:"; gofmt -l cmd internal charts examples; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform charts examples)" || { echo "not formatted:"; gofmt -l cmd internal platform charts examples; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
 	go build ./...
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ids(m *Members) []string {
+	var out []string
+	for _, t := range m.Snapshot().List {
+		out = append(out, t.ID)
+	}
+	return out
+}
+
+// The store is away for seconds and the entries of all targets lapse. When it is
+// back its list is empty. Callers would be refused although every target runs.
+func TestLapsedEntriesAreKeptForAWhileAfterAnOutage(t *testing.T) {
+	m := NewMembers()
+	m.Replace(Targets{Revision: 5, List: []Target{{ID: "a"}, {ID: "b"}, {ID: "c", Draining: true}}}, 0)
+	m.StoreLost()
+	m.StoreBack(10 * time.Second)
+	m.Replace(Targets{Revision: 9}, 10*time.Second)
+	require.Equal(t, []string{"a", "b"}, ids(m), "a target that was leaving stays out")
+	m.Put(Target{ID: "a", Revision: 10}, 10)
+	require.False(t, m.Expire(11*time.Second))
+	require.True(t, m.Expire(10*time.Second+lapseGrace))
+	require.Equal(t, []string{"a"}, ids(m), "an entry that is still missing is gone")
+}
+
+func TestRemovalWithoutOutageCountsAtOnce(t *testing.T) {
+	m := NewMembers()
+	m.Put(Target{ID: "a", Revision: 1}, 1)
+	m.Remove("a", 2, time.Second)
+	require.Empty(t, ids(m))
+}
+
+// A list that was asked for before a change must not undo the change.
+func TestOlderNewsChangeNothing(t *testing.T) {
+	m := NewMembers()
+	m.Put(Target{ID: "a", Draining: true, Revision: 7}, 7)
+	m.Replace(Targets{Revision: 6, List: []Target{{ID: "a", Revision: 6}}}, 0)
+	require.True(t, m.Snapshot().List[0].Draining)
+	m.Put(Target{ID: "a", Revision: 6}, 6)
+	require.True(t, m.Snapshot().List[0].Draining)
+}
--- /dev/null
+++ b/internal/decide/pick/pick.go
@@ -0,0 +1,135 @@
+// Package pick chooses the target of a pool for a request, and says how long a
+// request would wait there.
+//
+// Load pattern: targets of one pool differ in speed by a factor of two or more,
+// have two or three slots each, and are used by all VMs at once. One turns slow by
+// a factor of ten, one fails a part of its requests, one dies. A target that is
+// sent more than it can queue never answers, and the connection is lost with the
+// request. Without a common view each VM fills the targets that it believes to be
+// free, and they collide.
+//
+// A target's expected time is its measured slowness times the queue that all VMs
+// together have there, in units of its slots. The fastest to finish is taken. A
+// target in another data centre must be better by crossCost, which pays for the
+// bytes between data centres.
+package pick
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// samples is how many answers the slowness of a target reaches over. A
+	// target that turns ten times slower is down to half of its requests after
+	// one answer and to a tenth after about four.
+	samples = 6
+	// failureSamples is how many ends the share of failures reaches over.
+	failureSamples = 8
+	// crossCost is by how much faster a target in another data centre must be.
+	// Bytes between data centres cost about 4% of an answer's value.
+	crossCost = 1.15
+	// queueFactor bounds what all VMs together have at a target, in units of its
+	// slots: what runs, and a queue of twice as much. Targets queue about
+	// four times their slots; our view of the other VMs is 0.1 s old.
+	queueFactor = 3
+	// restFirst and restMost bound the rest of a target that cannot be reached,
+	// which doubles with each failure. The probe that ends it is a request.
+	restFirst = 100 * time.Millisecond
+	restMost  = 1600 * time.Millisecond
+	// slowestRatio bounds how far one answer counts, in either direction.
+	slowestRatio = 20.0
+)
+
+// State is what is known of one target. The zero value is a new target.
+type State struct {
+	// Slots is how many requests it runs at a time.
+	Slots int
+	// Own is how many requests of this VM are there, Others those of the other
+	// VMs as they last said.
+	Own, Others int
+	// Near says that it is in this VM's data centre.
+	Near bool
+
+	logSlow   float64
+	failures  float64
+	lost      int
+	restUntil time.Duration
+}
+
+// Load returns the requests of all VMs at the target.
+func (s *State) Load() int { return s.Own + s.Others }
+
+// Full tells whether it may queue no more.
+func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
+
+// Resting tells whether it could not be reached just now.
+func (s *State) Resting(now time.Duration) bool { return now < s.restUntil }
+
+// Slowness is the ratio of its measured service times to the usual ones.
+func (s *State) Slowness() float64 { return math.Exp(s.logSlow) }
+
+// Rounds is the queue in front of a request that is added now, in units of one
+// service time, the request's own included.
+func (s *State) Rounds() float64 {
+	slots := float64(max(s.Slots, 1))
+	return 1 + max(0, float64(s.Load()+1)-slots)/slots
+}
+
+// Expected returns how long a request with this usual service time would take.
+func (s *State) Expected(usual time.Duration) time.Duration {
+	return time.Duration(float64(usual) * s.Slowness() * s.Rounds())
+}
+
+func (s *State) score() float64 {
+	// Partly filled slots slow down some targets, and spread risk.
+	fill := 1 + 0.1*float64(s.Load())/float64(max(s.Slots, 1))
+	works := max(0.05, 1-s.failures)
+	score := s.Slowness() * s.Rounds() * fill / (works * works)
+	if !s.Near {
+		score *= crossCost
+	}
+	return score
+}
+
+// Answered takes in an answer that took so long, where such requests usually take
+// usual. rounds is what Rounds was when it was sent.
+func (s *State) Answered(took, usual time.Duration, rounds float64) {
+	s.lost, s.restUntil = 0, 0
+	s.failures -= s.failures / failureSamples
+	if usual <= 0 || took <= 0 {
+		return
+	}
+	ratio := float64(took) / (float64(usual) * rounds)
+	ratio = min(max(ratio, 1/slowestRatio), slowestRatio)
+	s.logSlow += (math.Log(ratio) - s.logSlow) / samples
+}
+
+// Failed takes in a request that the target ran or refused without success.
+func (s *State) Failed() { s.failures += (1 - s.failures) / failureSamples }
+
+// Lost takes in that the target was not reached or did not answer.
+func (s *State) Lost(now time.Duration) {
+	s.Failed()
+	s.restUntil = now + min(restFirst<<min(s.lost, 8), restMost)
+	s.lost++
+}
+
+// Choose returns the index of the best target, or -1 where all are full. skip
+// tells which to leave out; targets that rest are taken where no other is left.
+func Choose(states []*State, skip func(int) bool, now time.Duration) int {
+	best, bestScore := -1, math.Inf(1)
+	for i, s := range states {
+		if s.Full() || skip(i) {
+			continue
+		}
+		score := s.score()
+		if s.Resting(now) {
+			score += 1e6
+		}
+		if score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/decide/pick/pick_test.go
@@ -0,0 +1,65 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func never(int) bool { return false }
+
+func TestLeastLoadedIsTaken(t *testing.T) {
+	states := []*State{{Slots: 2, Own: 1, Others: 2, Near: true}, {Slots: 2, Own: 1, Near: true}, {Slots: 2, Others: 2, Near: true}}
+	require.Equal(t, 1, Choose(states, never, 0))
+	require.Equal(t, 2, Choose(states, func(i int) bool { return i == 1 }, 0))
+}
+
+func TestNearTargetWinsUnlessBusy(t *testing.T) {
+	states := []*State{{Slots: 2}, {Slots: 2, Near: true}}
+	require.Equal(t, 1, Choose(states, never, 0))
+	states[1].Others = 2
+	require.Equal(t, 0, Choose(states, never, 0))
+}
+
+// A target that gets more than it can queue never answers, and the connection is
+// lost. When all are full the request must be refused, not sent.
+func TestFullTargetsAreNotChosen(t *testing.T) {
+	states := []*State{{Slots: 2, Others: 6}, {Slots: 1, Own: 3}}
+	require.Equal(t, -1, Choose(states, never, 0))
+}
+
+// One target of ten turns ten times slower. It must get less than its share at
+// once, and not be chosen while a usual one has a free slot.
+func TestSlowTargetIsLeft(t *testing.T) {
+	states := make([]*State, 10)
+	for i := range states {
+		states[i] = &State{Slots: 2, Near: true}
+	}
+	const usual = 100 * time.Millisecond
+	states[3].Answered(10*usual, usual, 1)
+	for i := range states {
+		if i != 3 {
+			states[i].Own = 2
+		}
+	}
+	states[3].Own = 1
+	for range 3 {
+		states[3].Answered(10*usual, usual, 1)
+	}
+	require.NotEqual(t, 3, Choose(states, never, 0))
+	for range 10 {
+		states[3].Answered(usual, usual, 1)
+	}
+	require.Less(t, states[3].Slowness(), 1.6, "it recovers")
+}
+
+// A dead target fails at once and so looks idle. It rests, and is tried again
+// after a while with one request.
+func TestUnreachableTargetRests(t *testing.T) {
+	states := []*State{{Slots: 2, Near: true}, {Slots: 2, Own: 5}}
+	states[0].Lost(0)
+	require.Equal(t, 1, Choose(states, never, 50*time.Millisecond))
+	require.Equal(t, 0, Choose(states, never, restFirst))
+	require.Equal(t, 0, Choose(states, func(i int) bool { return i == 1 }, 0), "resting is better than nothing")
+}
--- /dev/null
+++ b/internal/decide/repeats/repeats.go
@@ -0,0 +1,76 @@
+// Package repeats bounds how often a service sees a request more than once.
+//
+// Load pattern: a third of a service's targets lose their answers, or all of them
+// are full and answer nothing. Each VM repeats what failed; without a bound that
+// all VMs keep together, the service gets a multiple of its load when it can do
+// least. The operators state the bound as a share of the requests and a constant,
+// over a sliding window and over all VMs.
+//
+// Each VM keeps its own part: the share of the requests that it took itself, and
+// an equal part of the constant. The parts add up to the bound without a message.
+// A VM that starts again has forgotten what it sent in this window, so a part of
+// the constant is left unused.
+package repeats
+
+import "time"
+
+// Limit is what operators allow for one service over all VMs.
+type Limit struct {
+	// Ratio is the repeats allowed for each request, Slack those on top.
+	Ratio, Slack float64
+	// Window is the span over which both are counted.
+	Window time.Duration
+}
+
+const (
+	// buckets divide the window; one more is kept, so that the count covers
+	// the window at least.
+	buckets = 20
+	// used is the part of the limit that is used: requests near the edge of a
+	// window are counted in one by us and in the next by others, and a VM that
+	// restarts gets its part anew.
+	used = 0.7
+)
+
+// Budget counts one service at one VM. It is not safe for concurrent use.
+type Budget struct {
+	requests, repeats [buckets + 1]float64
+	at                int64
+}
+
+// Request notes a request for the service.
+func (b *Budget) Request(l Limit, now time.Duration) {
+	b.advance(l, now)
+	b.requests[b.at%(buckets+1)]++
+}
+
+// Repeat takes one repeat from the budget of a VM that is one of so many, and
+// tells whether there was one.
+func (b *Budget) Repeat(l Limit, vms int, now time.Duration) bool {
+	b.advance(l, now)
+	allowed := used * (l.Ratio*sum(b.requests[:]) + l.Slack/float64(max(vms, 1)))
+	if sum(b.repeats[:])+1 > allowed {
+		return false
+	}
+	b.repeats[b.at%(buckets+1)]++
+	return true
+}
+
+func (b *Budget) advance(l Limit, now time.Duration) {
+	at := int64(now / (l.Window / buckets))
+	if at-b.at > buckets {
+		b.at = at - buckets - 1
+	}
+	for b.at < at {
+		b.at++
+		b.requests[b.at%(buckets+1)], b.repeats[b.at%(buckets+1)] = 0, 0
+	}
+}
+
+func sum(list []float64) float64 {
+	total := 0.0
+	for _, v := range list {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/internal/decide/repeats/repeats_test.go
@@ -0,0 +1,54 @@
+package repeats
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "hemlockquay/internal/fixedseed"
+)
+
+var limit = Limit{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+
+// All targets lose their answers, and eight VMs want to repeat everything at
+// once and without end. In no window may the service see more repeats than the
+// operators allow for all VMs together.
+func TestNoWindowExceedsTheLimitOfAllVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const vms, steps, step = 8, 400, 100 * time.Millisecond
+		budgets := make([]Budget, vms)
+		requests, repeats := make([]float64, steps), make([]float64, steps)
+		for i := range steps {
+			now := time.Duration(i) * step
+			for vm := range budgets {
+				for range rapid.IntRange(0, 3).Draw(t, "requests") {
+					budgets[vm].Request(limit, now)
+					requests[i]++
+				}
+				for range 4 {
+					if budgets[vm].Repeat(limit, vms, now) {
+						repeats[i]++
+					}
+				}
+			}
+		}
+		width := int(limit.Window / step)
+		for from := 0; from+width <= steps; from++ {
+			inWindow := sum(requests[from : from+width])
+			require.LessOrEqual(t, sum(repeats[from:from+width]), limit.Ratio*inWindow+limit.Slack)
+		}
+	})
+}
+
+func TestRepeatsComeBackAfterTheWindow(t *testing.T) {
+	var b Budget
+	n := 0
+	for b.Repeat(limit, 8, 0) {
+		n++
+	}
+	require.Equal(t, 4, n)
+	require.False(t, b.Repeat(limit, 8, 5*time.Second))
+	require.True(t, b.Repeat(limit, 8, 11*time.Second))
+}
--- /dev/null
+++ b/internal/gateway/adapter.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/route"
+	"hemlockquay/internal/upstream"
+)
+
+// Adapter translates between a platform and the gateway.
+type Adapter interface {
+	// Store returns the client of the platform's store at addr.
+	Store(addr string) platform.ObjectStore
+	// ConfigID names the object that holds the configuration.
+	ConfigID() platform.ID
+	// TargetKind is the kind of the targets' entries.
+	TargetKind() model.Kind
+	// Config reads the configuration.
+	Config(o platform.Object) (*route.Config, error)
+	// Target reads a target's entry.
+	Target(o platform.Object) (catalog.Target, error)
+	// Headers returns the names of the headers.
+	Headers() Headers
+	// Order renders an order on leases.
+	Order(o lease.Order) (*upstream.Request, error)
+	// OrderResult reads the answer to an order.
+	OrderResult(a *upstream.Answer) (result lease.Result, handover string, err error)
+}
+
+// Headers are the names of the headers that the gateway reads or sets.
+type Headers struct {
+	// RequestID names the request, one for each attempt of a caller.
+	RequestID string
+	// DeadlineMs is how many milliseconds the caller will wait.
+	DeadlineMs string
+	// Key is the key of a request to a keyed service.
+	Key string
+	// TargetID is the id of the target that is meant; any other refuses.
+	TargetID string
+	// NotRun marks an answer of a target that has not run the request.
+	NotRun string
+}
+
+// notRun tells whether an answer says that the target has not run the request.
+func (h Headers) notRun(a *upstream.Answer) bool {
+	return a.Header.Get(h.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
+}
+
+// storeTimeout bounds a call to the store. Its usual answer takes 4 ms, one of
+// a slow store about a hundred times that.
+const storeTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/gateway/crashing.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hemlockquay/internal/mesh"
+)
+
+// maxCrashes bounds the contents that are under suspicion.
+const maxCrashes = 512
+
+// crashCheckTimeout bounds the connection that tells whether a target lives.
+const crashCheckTimeout = 300 * time.Millisecond
+
+// suspect notes that a target was lost while it ran a request of this content.
+func (s *state) suspect(content uint64, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := s.crashes[content]
+	if set == nil {
+		if len(s.crashes) >= maxCrashes {
+			clear(s.crashes)
+		}
+		set = make(map[string]bool)
+		s.crashes[content] = set
+	}
+	set[target] = true
+}
+
+// harmless notes that a request of this content was answered.
+func (s *state) harmless(content uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.crashes) > 0 {
+		delete(s.crashes, content)
+	}
+}
+
+// crashing tells whether a request's content ended too many targets.
+//
+// Failure: one request ends each target that runs it, and its caller sends it
+// again and again, to any VM. Each time a target is lost with all that it ran. The
+// targets that were lost under a content are counted over all VMs.
+func (s *state) crashing(content uint64, m *mesh.Mesh) bool {
+	s.mu.Lock()
+	own := len(s.crashes[content])
+	s.mu.Unlock()
+	return own+m.Crashes(content) >= crashLimit
+}
+
+// crashList returns the contents under suspicion.
+func (s *state) crashList() []mesh.Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []mesh.Crash
+	for content, set := range s.crashes {
+		out = append(out, mesh.Crash{Content: content, Count: uint16(len(set))})
+	}
+	return out
+}
+
+// checkCrash finds out whether a target that lost an answer is gone. A target
+// that still takes connections lost the answer for another reason.
+func (n *node) checkCrash(content uint64, e *errand) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	if err := e.pool.Connect(ctx); err != nil {
+		n.log.Warn().Str("step", "crash").Str("target", e.id).Uint64("content", content).Err(err).Msg("target ended while it ran the request")
+		n.state.suspect(content, e.id)
+	}
+}
--- /dev/null
+++ b/internal/gateway/leases.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"hemlockquay/internal/decide/rendezvous"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+)
+
+// kindLeases is the kind of the services' lease records.
+const kindLeases model.Kind = "hq-leases"
+
+// Figures of leases.
+const (
+	// holdTime is how long a grant lasts. Keys of a lost owner are free again
+	// after it; a lost grantor must be succeeded within it.
+	holdTime = 3 * time.Second
+	// renewEvery leaves three more tries within a hold.
+	renewEvery = 750 * time.Millisecond
+	// orderRetry is the pause after a failed order.
+	orderRetry = 100 * time.Millisecond
+	// leadStep is the time between two looks of a grantor.
+	leadStep = 20 * time.Millisecond
+	// candidateStep is the time between two looks of a VM that is none.
+	candidateStep = 100 * time.Millisecond
+	// rankPause is by how much the next in line waits longer than the one before.
+	rankPause = 500 * time.Millisecond
+	// confirmEvery is how often the epoch is confirmed at the store, three times
+	// within the authority.
+	confirmEvery = lease.Authority / 3
+	// listSettles is how long the list of targets must have been the same before
+	// the keys are dealt for the first time, listMost how long that may take.
+	listSettles = 700 * time.Millisecond
+	listMost    = 3 * time.Second
+	// slicesPerOwner is how many slices each owner gets at first; slicesMost
+	// bounds them, since each is renewed by a call of its own.
+	slicesPerOwner = 32
+	slicesMost     = 512
+	// silentOwner is how long an owner may leave its renewals unanswered before
+	// its keys are given to others.
+	silentOwner = 1200 * time.Millisecond
+)
+
+// keeper keeps the leases of one service: as their grantor, or ready to become it.
+type keeper struct {
+	n       *node
+	service string
+
+	// orderUntil is until when orders may be sent, on the clock that counts
+	// suspended time; 0 while this VM is not the grantor.
+	orderUntil atomic.Int64
+
+	// listChanged and listSeen date the list of targets for the first dealing.
+	listRevision uint64
+	listChanged  time.Duration
+	listSeen     time.Duration
+}
+
+// run keeps the leases until the context ends.
+func (k *keeper) run(ctx context.Context) {
+	var due time.Duration
+	for sleep(ctx, candidateStep) {
+		now := k.n.clock.Now()
+		rank, stands := k.candidate()
+		if stands || rank < 0 {
+			due = 0
+			continue
+		}
+		if due == 0 {
+			due = now + time.Duration(rank)*rankPause
+		}
+		if now < due {
+			continue
+		}
+		due = 0
+		if err := k.takeOver(ctx); err != nil {
+			k.n.log.Warn().Str("step", "leases").Str("service", k.service).Int("rank", rank).Err(err).Msg("not taken over")
+		}
+	}
+}
+
+// candidate returns this VM's place in the line of successors, and whether the
+// present grantor stands.
+func (k *keeper) candidate() (rank int, stands bool) {
+	if k.n.leaving.Load() {
+		return -1, false
+	}
+	r := k.n.state.routingOf(k.service)
+	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) {
+		return -1, true
+	}
+	live := k.n.mesh.Live()
+	candidates := make([]rendezvous.Candidate, len(live))
+	for i, m := range live {
+		candidates[i] = rendezvous.Candidate{VM: m.VM, DataCentre: m.DataCentre}
+	}
+	for place, i := range rendezvous.Rank(candidates, k.service, "") {
+		if live[i].VM == k.n.self.VM {
+			return place, false
+		}
+	}
+	return -1, false
+}
+
+// takeOver makes this VM the grantor and leads until it is succeeded.
+func (k *keeper) takeOver(ctx context.Context) error {
+	old, version, err := k.read(ctx)
+	fresh := errors.Is(err, platform.ErrNotFound)
+	if err != nil && !fresh {
+		return err
+	}
+	next := old
+	if fresh {
+		owners := k.firstOwners()
+		if owners == nil {
+			return nil
+		}
+		next = lease.Record{Service: k.service, Slices: lease.Even(min(slicesPerOwner*len(owners), slicesMost), owners)}
+	} else if k.stillLed(old) {
+		return nil
+	}
+	next.Epoch, next.Holder, next.Incarnation = old.Epoch+1, k.n.self.VM, k.n.self.Incarnation
+	sent := k.n.clock.Now()
+	version, err = k.write(ctx, next, version)
+	if err != nil {
+		return err
+	}
+	done := k.n.clock.Now()
+	timing := lease.Timing{Hold: min(holdTime, k.n.settings.HoldMost.D()), Renew: renewEvery, Retry: orderRetry}
+	k.n.log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
+		Int("slices", len(next.Slices)).Bool("fresh", fresh).Msg("grantor of the service")
+	newLeader(k, lease.NewGrantor(next, timing, sent, done, fresh), version).run(ctx)
+	return nil
+}
+
+// stillLed tells whether the record names a grantor that lives, and makes it
+// known: this VM had not heard of it yet.
+func (k *keeper) stillLed(r lease.Record) bool {
+	if r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) {
+		return false
+	}
+	if old := k.n.state.routingOf(k.service); old == nil || r.Epoch > old.Epoch {
+		k.n.state.setRouting(lease.NewRouting(r, 0, func(int) bool { return true }))
+	}
+	return true
+}
+
+// firstOwners returns the targets among which the keys are dealt for the first
+// time, or nil while more may still come.
+func (k *keeper) firstOwners() []lease.Owner {
+	view := k.n.state.view.Load()
+	now := k.n.clock.Now()
+	list := view.ByService[k.service]
+	if len(list) == 0 {
+		k.listSeen = 0
+		return nil
+	}
+	if k.listSeen == 0 {
+		k.listSeen = now
+	}
+	if view.Targets.Revision != k.listRevision {
+		k.listRevision, k.listChanged = view.Targets.Revision, now
+	}
+	if now-k.listChanged < listSettles && now-k.listSeen < listMost {
+		return nil
+	}
+	return k.owners()
+}
+
+// owners returns the targets that may own keys.
+func (k *keeper) owners() []lease.Owner {
+	list := k.n.state.view.Load().ByService[k.service]
+	out := make([]lease.Owner, len(list))
+	for i, t := range list {
+		out[i] = lease.Owner{ID: t.ID, Born: t.Born, Addr: t.Addr}
+	}
+	return out
+}
+
+func (k *keeper) id() platform.ID { return platform.ID{Kind: kindLeases, Name: k.service} }
+
+func (k *keeper) read(ctx context.Context) (lease.Record, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	o, err := k.n.store.Get(ctx, k.id())
+	if err != nil {
+		return lease.Record{}, 0, err
+	}
+	var r lease.Record
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return lease.Record{}, 0, fmt.Errorf("read record of %s: %w", k.service, err)
+	}
+	if err := r.Check(); err != nil {
+		return lease.Record{}, 0, err
+	}
+	return r, o.Version, nil
+}
+
+func (k *keeper) write(ctx context.Context, r lease.Record, version uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	spec, err := json.Marshal(r)
+	if err != nil {
+		return 0, fmt.Errorf("encode record of %s: %w", k.service, err)
+	}
+	o, err := platform.Write(ctx, k.n.store, platform.Object{Kind: kindLeases, Name: k.service, Version: version, Writer: k.n.tag(), Spec: spec})
+	return o.Version, err
+}
+
+// keepLeases runs a keeper for each keyed service of the configuration.
+func (n *node) keepLeases(ctx context.Context) {
+	running := make(map[string]context.CancelFunc)
+	for sleep(ctx, candidateStep) {
+		keyed := n.keyedServices()
+		for name := range keyed {
+			if running[name] == nil {
+				keeperCtx, cancel := context.WithCancel(ctx)
+				running[name] = cancel
+				go (&keeper{n: n, service: name}).run(keeperCtx)
+			}
+		}
+		for name, cancel := range running {
+			if !keyed[name] {
+				cancel()
+				delete(running, name)
+			}
+		}
+	}
+}
+
+func (n *node) keyedServices() map[string]bool {
+	out := make(map[string]bool)
+	if t := n.state.view.Load().Routes; t != nil {
+		for name, s := range t.Config().Services {
+			if s.Keyed {
+				out[name] = true
+			}
+		}
+	}
+	return out
+}
+
+// tellLoads refreshes what the other VMs have at the targets.
+func (n *node) tellLoads(ctx context.Context) {
+	const every = 50 * time.Millisecond
+	for sleep(ctx, every) {
+		n.state.setOthers(n.mesh.Loads())
+	}
+}
+
+var _ mesh.Local = (*node)(nil)
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/route"
+)
+
+// kindMembers is the kind of the VMs' own entries.
+const kindMembers model.Kind = "hq-members"
+
+// Beat implements mesh.Local.
+func (n *node) Beat() mesh.Beat {
+	v := n.state.view.Load()
+	return mesh.Beat{
+		From: n.self, Leaving: n.leaving.Load(),
+		ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision,
+		Leases: n.state.marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
+	}
+}
+
+// Heard implements mesh.Local: it fetches what the other VM knows better.
+func (n *node) Heard(b mesh.Beat) {
+	v := n.state.view.Load()
+	if b.ConfigVersion > v.ConfigVersion() {
+		n.fetch(b.From.VM, "config", n.fetchConfig)
+	}
+	// While the store is watched its news come by themselves; those of a VM that
+	// is not cut off help when they do not.
+	if b.TargetsRevision > v.Targets.Revision && !n.storeUp.Load() {
+		n.fetch(b.From.VM, "targets", n.fetchTargets)
+	}
+	for _, mark := range b.Leases {
+		r := n.state.routingOf(mark.Service)
+		if r == nil || mark.Epoch > r.Epoch || mark.Epoch == r.Epoch && mark.Seq > r.Seq {
+			n.fetch(b.From.VM, mark.Service, func(ctx context.Context, vm string) error {
+				return n.fetchRouting(ctx, vm, mark.Service)
+			})
+		}
+	}
+}
+
+// fetch runs one fetch of a kind at a time.
+func (n *node) fetch(vm, what string, get func(ctx context.Context, vm string) error) {
+	if _, running := n.fetching.LoadOrStore(what, true); running {
+		return
+	}
+	go func() {
+		defer n.fetching.Delete(what)
+		if err := get(n.ctx, vm); err != nil {
+			n.log.Warn().Str("step", "fetch").Str("what", what).Str("peer", vm).Err(err).Msg("not fetched")
+		}
+	}()
+}
+
+func (n *node) fetchConfig(ctx context.Context, vm string) error {
+	var c route.Config
+	if err := n.mesh.Call(ctx, vm, "View.Config", &struct{}{}, &c); err != nil {
+		return err
+	}
+	n.state.setConfig(&c, vm)
+	n.checkReady()
+	return nil
+}
+
+func (n *node) fetchTargets(ctx context.Context, vm string) error {
+	var t catalog.Targets
+	if err := n.mesh.Call(ctx, vm, "View.Targets", &struct{}{}, &t); err != nil {
+		return err
+	}
+	n.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
+	n.listed.Store(true)
+	n.checkReady()
+	return nil
+}
+
+func (n *node) fetchRouting(ctx context.Context, vm, service string) error {
+	var r lease.Routing
+	if err := n.mesh.Call(ctx, vm, "View.Routing", &service, &r); err != nil {
+		return err
+	}
+	n.state.setRouting(&r)
+	return nil
+}
+
+// View answers what this VM believes. It is registered for the other VMs.
+type View struct{ node *node }
+
+var errUnknown = errors.New("not known here")
+
+// Config returns the configuration in force.
+func (v View) Config(_ *struct{}, out *route.Config) error {
+	t := v.node.state.view.Load().Routes
+	if t == nil {
+		return errUnknown
+	}
+	*out = *t.Config()
+	return nil
+}
+
+// Targets returns the list of targets.
+func (v View) Targets(_ *struct{}, out *catalog.Targets) error {
+	*out = v.node.state.view.Load().Targets
+	return nil
+}
+
+// Routing returns the leases of a service.
+func (v View) Routing(service *string, out *lease.Routing) error {
+	r := v.node.state.routingOf(*service)
+	if r == nil {
+		return errUnknown
+	}
+	*out = *r
+	return nil
+}
+
+// Push takes in new leases from their grantor.
+func (v View) Push(in *lease.Routing, _ *struct{}) error {
+	v.node.state.setRouting(in)
+	return nil
+}
+
+// KeyLoad returns the requests for each bucket of a service's keys that this VM
+// has seen since it was last asked.
+func (v View) KeyLoad(service *string, out *[]uint32) error {
+	*out = v.node.state.takeKeyLoad(*service)
+	return nil
+}
+
+// takeKeyLoad returns the counts and starts anew. It returns nil where there are
+// none.
+func (s *state) takeKeyLoad(service string) []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.keyLoad[service]
+	if l == nil {
+		return nil
+	}
+	out := append([]uint32(nil), l.seen[:]...)
+	clear(l.seen[:])
+	return out
+}
+
+// join makes this VM and the others known to each other: it writes its own entry
+// to the store, reads those of the others and calls them.
+func (n *node) join(ctx context.Context) {
+	n.joinSeeds(ctx)
+	for pause := storePauseLeast; ; pause = min(2*pause, storePauseMost) {
+		err := n.joinStore(ctx)
+		if err == nil {
+			return
+		}
+		n.log.Warn().Str("step", "join").Err(err).Msg("not joined through the store yet")
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+func (n *node) joinSeeds(ctx context.Context) {
+	for _, addr := range n.settings.Seeds {
+		if addr == n.self.Addr {
+			continue
+		}
+		members, err := mesh.Join(ctx, addr, n.self)
+		if err != nil {
+			n.log.Info().Str("step", "join").Str("seed", addr).Err(err).Msg("seed not reached")
+			continue
+		}
+		for _, m := range members {
+			n.mesh.Meet(m)
+		}
+	}
+}
+
+func (n *node) joinStore(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	if err := n.writeMember(callCtx); err != nil {
+		return err
+	}
+	l, err := n.store.ListKind(callCtx, kindMembers)
+	if err != nil {
+		return fmt.Errorf("list VMs: %w", err)
+	}
+	for _, o := range l.Objects {
+		var m mesh.Member
+		if err := json.Unmarshal(o.Spec, &m); err != nil {
+			n.log.Warn().Str("step", "join").Str("vm", o.Name).Err(err).Msg("entry of a VM ignored")
+			continue
+		}
+		n.mesh.Meet(m)
+	}
+	return nil
+}
+
+func (n *node) writeMember(ctx context.Context) error {
+	spec, err := json.Marshal(n.self)
+	if err != nil {
+		return fmt.Errorf("encode entry: %w", err)
+	}
+	o := platform.Object{Kind: kindMembers, Name: n.self.VM, Spec: spec, Writer: n.tag()}
+	_, err = n.store.Put(ctx, o)
+	if !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	old, err := n.store.Get(ctx, o.ID())
+	if err != nil {
+		return err
+	}
+	o.Version = old.Version
+	_, err = n.store.Put(ctx, o)
+	return err
+}
--- /dev/null
+++ b/internal/gateway/report.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+)
+
+// counters are the figures of the front.
+type counters struct {
+	registry metrics.Registry
+	unread   metrics.Counter
+}
+
+func newCounters(r metrics.Registry) *counters {
+	return &counters{registry: r, unread: metrics.GetOrRegisterCounter("answers.unread", r)}
+}
+
+// count counts an outcome by its reason and status.
+func (c *counters) count(out outcome) {
+	metrics.GetOrRegisterCounter("outcome."+strconv.Itoa(out.status)+"."+out.reason, c.registry).Inc(1)
+}
+
+// logCall writes the line of a request: what it was, what decided it, what became
+// of it.
+func (n *node) logCall(c *call, out outcome) {
+	took := time.Since(c.start)
+	metrics.GetOrRegisterTimer("route."+c.route.Name+".time", n.registry).Update(took)
+	if out.answer != nil {
+		n.counters.count(out)
+	}
+	v := n.state.view.Load()
+	e := n.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
+		Int("status", out.status).Str("reason", out.reason).Dur("took", took).Strs("attempts", c.trace).
+		Dur("waited", c.waited).Dur("patience", c.until.Sub(c.start)).Uint64("config", v.ConfigVersion()).Uint64("targets", v.Targets.Revision)
+	if c.keyed {
+		e = e.Uint16("key", c.key)
+		if r := n.state.routingOf(c.service); r != nil {
+			e = e.Uint64("epoch", r.Epoch).Uint64("seq", r.Seq)
+		}
+	}
+	e.Msg("request ended")
+}
+
+// viewDump is what the VM believes, for the dump.
+type viewDump struct {
+	ConfigVersion   uint64           `json:"configVersion"`
+	TargetsRevision uint64           `json:"targetsRevision"`
+	StoreUp         bool             `json:"storeUp"`
+	Members         []mesh.Member    `json:"members"`
+	Targets         []targetDump     `json:"targets"`
+	Leases          []*lease.Routing `json:"leases"`
+}
+
+type targetDump struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Draining bool    `json:"draining"`
+	Own      int     `json:"own"`
+	Others   int     `json:"others"`
+	Slowness float64 `json:"slowness"`
+}
+
+func (n *node) dump() any {
+	v := n.state.view.Load()
+	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: n.storeUp.Load(), Members: n.mesh.Live()}
+	n.state.mu.Lock()
+	defer n.state.mu.Unlock()
+	for id, t := range n.state.targets {
+		out.Targets = append(out.Targets, targetDump{
+			ID: id, Service: t.Service, Draining: t.Draining, Own: t.pick.Own, Others: t.pick.Others, Slowness: t.pick.Slowness(),
+		})
+	}
+	for _, r := range n.state.routing {
+		out.Leases = append(out.Leases, r)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/sending.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"time"
+
+	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/upstream"
+)
+
+// errand is one sending of a request to a target, from its choice to its end.
+type errand struct {
+	target   *tracked
+	id       string
+	pool     *upstream.Pool
+	service  string
+	route    string
+	sent     time.Time
+	usual    time.Duration
+	rounds   float64
+	expected time.Duration
+	load     int
+}
+
+// refusal says why no target was chosen.
+type refusal string
+
+// The refusals of a choice.
+const (
+	refusedNone   refusal = ""
+	refusedEmpty  refusal = "no target"
+	refusedFull   refusal = "all full"
+	refusedMoving refusal = "key on the move"
+	refusedLate   refusal = "cannot be done in time"
+)
+
+// chooseFromPool reserves the best target of a service without keys.
+func (s *state) chooseFromPool(service, route string, tried map[string]bool, left time.Duration, now time.Duration) (*errand, refusal) {
+	list := s.view.Load().ByService[service]
+	if len(list) == 0 {
+		return nil, refusedEmpty
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	states := make([]*pick.State, 0, len(list))
+	owners := make([]*tracked, 0, len(list))
+	for _, t := range list {
+		if tr := s.targets[t.ID]; tr != nil && !tr.Draining {
+			states = append(states, &tr.pick)
+			owners = append(owners, tr)
+		}
+	}
+	i := pick.Choose(states, func(i int) bool { return tried[owners[i].ID] }, now)
+	if i < 0 {
+		return nil, refusedFull
+	}
+	return s.reserveLocked(owners[i], service, route, left)
+}
+
+// chooseOwner reserves the target that owns the key.
+func (s *state) chooseOwner(service, route string, key uint16, left time.Duration) (*errand, refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.routing[service]
+	if r == nil {
+		return nil, refusedMoving
+	}
+	owner, active := r.Find(key)
+	t := s.targets[owner]
+	if !active || t == nil {
+		return nil, refusedMoving
+	}
+	if t.pick.Full() {
+		return nil, refusedFull
+	}
+	return s.reserveLocked(t, service, route, left)
+}
+
+// reserveLocked needs s.mu.
+func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration) (*errand, refusal) {
+	usual := s.usualLocked(service, route)
+	e := &errand{
+		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
+		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(),
+	}
+	// Half of the expected time is about the fastest that it turns out to be.
+	if usual > 0 && t.pick.Load() > t.pick.Slots && e.expected/2 > left {
+		return nil, refusedLate
+	}
+	t.pick.Own++
+	return e, refusedNone
+}
+
+// end says how a sending ended.
+type end int
+
+// The ends.
+const (
+	// endAnswered: a whole answer of the target's work.
+	endAnswered end = iota
+	// endFailed: the target answered, without success or without running it.
+	endFailed
+	// endLost: no answer, or no connection.
+	endLost
+	// endLeft: the caller left or the time was over.
+	endLeft
+)
+
+// finish gives a target back.
+func (s *state) finish(e *errand, how end) {
+	took := time.Since(e.sent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := &e.target.pick
+	t.Own--
+	switch how {
+	case endAnswered:
+		t.Answered(took, e.usual, e.rounds)
+		s.learnLocked(e.service, e.route, time.Duration(float64(took)/(e.rounds*t.Slowness())))
+	case endFailed:
+		t.Failed()
+	case endLost:
+		t.Lost(s.clock.Now())
+	case endLeft:
+		// An answer that did not come in time is a sign, too.
+		if took > 2*e.expected && e.usual > 0 {
+			t.Answered(took, e.usual, e.rounds)
+		}
+	}
+}
+
+// countKey counts a request for a key.
+func (s *state) countKey(service string, key uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.keyLoad[service]
+	if l == nil {
+		l = new(keyLoad)
+		s.keyLoad[service] = l
+	}
+	l.seen[key>>keyBucketShift]++
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/duration"
+	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/decide/repeats"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/route"
+	"hemlockquay/internal/upstream"
+)
+
+// state is what the VM believes and has running. It is safe for concurrent use.
+type state struct {
+	clock    boottime.Clock
+	log      *log.Logger
+	registry metrics.Registry
+	near     string
+	limit    repeats.Limit
+
+	view atomic.Pointer[catalog.View]
+
+	mu sync.Mutex
+	// members decide which targets exist.
+	members *catalog.Members
+	routing map[string]*lease.Routing
+	// changed is closed and replaced when routing or view change.
+	changed   chan struct{}
+	targets   map[string]*tracked
+	budgets   map[string]*repeats.Budget
+	durations map[string]*duration.Table
+	crashes   map[uint64]map[string]bool
+	// sliceLoad counts requests by service and key bucket since the last look.
+	keyLoad map[string]*keyLoad
+}
+
+// tracked is one life of a target with the connections to it.
+type tracked struct {
+	catalog.Target
+	hash uint32
+	pool *upstream.Pool
+	pick pick.State
+}
+
+// keyBucketShift makes 1024 buckets of 64 keys.
+const (
+	keyBucketShift = 6
+	keyBuckets     = 1 << (16 - keyBucketShift)
+)
+
+// keyLoad is the requests that were seen for each bucket of keys.
+type keyLoad struct{ seen [keyBuckets]uint32 }
+
+func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
+	s := &state{
+		clock: clock, log: logger, registry: registry, near: near, limit: limit,
+		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}),
+		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
+		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[string]bool),
+		keyLoad: make(map[string]*keyLoad),
+	}
+	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
+	return s
+}
+
+func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// notifyLocked wakes who waits for a change. It needs s.mu.
+func (s *state) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setConfig puts a newer configuration in force. Older ones change nothing: a
+// version never goes back while the process lives.
+func (s *state) setConfig(c *route.Config, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	if c.Version <= old.ConfigVersion() {
+		return
+	}
+	s.log.Info().Str("step", "config").Uint64("version", c.Version).Uint64("before", old.ConfigVersion()).
+		Int("routes", len(c.Routes)).Str("source", source).Msg("configuration in force")
+	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets))
+	s.notifyLocked()
+}
+
+// changeTargets applies a change to the list of targets and puts it in force.
+func (s *state) changeTargets(source string, change func(m *catalog.Members, now time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.members, s.clock.Now())
+	s.publishLocked(source)
+}
+
+// publishLocked needs s.mu.
+func (s *state) publishLocked(source string) {
+	old := s.view.Load()
+	view := catalog.NewView(old.Routes, s.members.Snapshot())
+	for i := range view.Targets.List {
+		s.trackLocked(view.Targets.List[i], source)
+	}
+	for id, t := range s.targets {
+		if view.ByID[id] == nil {
+			s.log.Info().Str("step", "targets").Str("target", id).Str("service", t.Service).Str("source", source).Msg("target gone")
+			t.pool.Close()
+			delete(s.targets, id)
+		}
+	}
+	s.view.Store(view)
+	s.notifyLocked()
+}
+
+// trackLocked needs s.mu. A new life of a target starts with nothing known and
+// no connections: those of its last life lead nowhere.
+func (s *state) trackLocked(t catalog.Target, source string) {
+	old := s.targets[t.ID]
+	if old != nil && old.Born == t.Born && old.Addr == t.Addr {
+		if old.Draining != t.Draining {
+			s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).
+				Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target changed")
+		}
+		old.Target = t
+		old.pick.Slots = t.Slots
+		return
+	}
+	if old != nil {
+		old.pool.Close()
+	}
+	s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Int64("born", t.Born).
+		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
+	s.targets[t.ID] = &tracked{
+		Target: t, hash: hashID(t.ID),
+		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
+		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.near},
+	}
+}
+
+// setRouting takes in a newer routing of a service's keys.
+func (s *state) setRouting(r *lease.Routing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.routing[r.Service]; old != nil && !r.After(old.Epoch, old.Seq) {
+		return
+	}
+	s.routing[r.Service] = r
+	s.notifyLocked()
+}
+
+// routingOf returns what is known of a service's leases, or nil.
+func (s *state) routingOf(service string) *lease.Routing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routing[service]
+}
+
+// marks returns the versions of all leases.
+func (s *state) marks() []mesh.LeaseMark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []mesh.LeaseMark
+	for name, r := range s.routing {
+		out = append(out, mesh.LeaseMark{Service: name, Epoch: r.Epoch, Seq: r.Seq})
+	}
+	return out
+}
+
+// loads returns how many requests of this VM are at the targets.
+func (s *state) loads() []mesh.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []mesh.Load
+	for _, t := range s.targets {
+		if t.pick.Own > 0 {
+			out = append(out, mesh.Load{Target: t.hash, InFlight: uint16(t.pick.Own)})
+		}
+	}
+	return out
+}
+
+// setOthers takes in what the other VMs have at the targets.
+func (s *state) setOthers(loads map[uint32]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.targets {
+		t.pick.Others = loads[t.hash]
+	}
+}
+
+// request counts a request for a service.
+func (s *state) request(service string, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budgetLocked(service).Request(s.limit, now)
+}
+
+// repeat takes a repeat from the service's budget.
+func (s *state) repeat(service string, vms int, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgetLocked(service).Repeat(s.limit, vms, now)
+}
+
+func (s *state) budgetLocked(service string) *repeats.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = new(repeats.Budget)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// usualLocked returns the usual service time of a route; 0 while it is not known.
+func (s *state) usualLocked(service, routeName string) time.Duration {
+	t := s.durations[service]
+	if t == nil || !t.Known() {
+		return 0
+	}
+	return t.Expect(duration.Kind{Part: routeName})
+}
+
+func (s *state) learnLocked(service, routeName string, took time.Duration) {
+	t := s.durations[service]
+	if t == nil {
+		t = duration.NewTable()
+		s.durations[service] = t
+	}
+	t.Add(duration.Kind{Part: routeName}, took)
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+)
+
+// Figures of the watches.
+const (
+	// watchWait is how long a watch waits for changes: as long as the store
+	// allows, since every call counts.
+	watchWait = 30 * time.Second
+	// watchSlack is what the answer may take on top; a connection that fell
+	// silent is found by keep-alive probes long before.
+	watchSlack = 3 * time.Second
+	// storePauseLeast and storePauseMost bound the pause after a failed call:
+	// short, since news of the store bind us soon after its return.
+	storePauseLeast = 50 * time.Millisecond
+	storePauseMost  = 400 * time.Millisecond
+)
+
+// watch keeps one kind up to date until the context ends: it lists, then follows
+// the changes; when the history is gone or the store was away it lists again.
+func (n *node) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
+	pause := storePauseLeast
+	for ctx.Err() == nil {
+		revision, err := n.listOnce(ctx, kind, list)
+		if err == nil {
+			pause = storePauseLeast
+			err = n.follow(ctx, kind, revision, change)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrGone) {
+			n.log.Warn().Str("step", "watch").Str("kind", string(kind)).Err(err).Msg("history gone, listing again")
+			continue
+		}
+		n.storeState(false, err)
+		sleep(ctx, pause)
+		pause = min(2*pause, storePauseMost)
+	}
+}
+
+func (n *node) listOnce(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	l, err := n.store.ListKind(callCtx, kind)
+	if err != nil {
+		return 0, fmt.Errorf("list %s: %w", kind, err)
+	}
+	n.storeState(true, nil)
+	list(l)
+	return l.Revision, nil
+}
+
+func (n *node) follow(ctx context.Context, kind model.Kind, revision uint64, change func(platform.Changes)) error {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		changes, err := n.store.WatchKind(callCtx, kind, revision, watchWait)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("watch %s from %d: %w", kind, revision, err)
+		}
+		n.storeState(true, nil)
+		if len(changes.Events) > 0 {
+			change(changes)
+		}
+		revision = max(revision, changes.Revision)
+	}
+	return ctx.Err()
+}
+
+// storeState notes whether the store answers.
+func (n *node) storeState(up bool, cause error) {
+	if n.storeUp.Swap(up) != up {
+		n.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
+	}
+	n.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
+		if up {
+			m.StoreBack(now)
+		} else {
+			m.StoreLost()
+		}
+	})
+}
+
+// changeMembersQuietly applies what changes no target by itself.
+func (s *state) changeMembersQuietly(change func(m *catalog.Members, now time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.members, s.clock.Now())
+}
+
+const sourceStore = "store"
+
+// watchTargets keeps the list of targets.
+func (n *node) watchTargets(ctx context.Context) {
+	n.watch(ctx, n.adapter.TargetKind(), func(l platform.Listing) {
+		t := catalog.Targets{Revision: l.Revision}
+		for _, o := range l.Objects {
+			if e, ok := n.readTarget(o); ok {
+				t.List = append(t.List, e)
+			}
+		}
+		n.state.changeTargets(sourceStore, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
+		n.listed.Store(true)
+		n.checkReady()
+	}, func(c platform.Changes) {
+		n.state.changeTargets(sourceStore, func(m *catalog.Members, now time.Duration) {
+			for _, ev := range c.Events {
+				n.applyTarget(m, ev, now)
+			}
+		})
+	})
+}
+
+func (n *node) applyTarget(m *catalog.Members, ev platform.Event, now time.Duration) {
+	if ev.Type == platform.EventDelete {
+		m.Remove(ev.Object.Name, ev.Revision, now)
+		return
+	}
+	e, ok := n.readTarget(ev.Object)
+	if !ok {
+		m.Remove(ev.Object.Name, ev.Revision, now)
+		return
+	}
+	m.Put(e, ev.Revision)
+}
+
+// readTarget ignores an entry that cannot be read: it names no target to use,
+// and the others hold.
+func (n *node) readTarget(o platform.Object) (catalog.Target, bool) {
+	e, err := n.adapter.Target(o)
+	if err != nil {
+		n.log.Warn().Str("step", "targets").Str("target", o.Name).Uint64("revision", o.Version).Err(err).Msg("entry ignored")
+		return e, false
+	}
+	return e, true
+}
+
+// watchConfig keeps the configuration.
+func (n *node) watchConfig(ctx context.Context) {
+	n.watch(ctx, n.adapter.ConfigID().Kind, func(l platform.Listing) {
+		for _, o := range l.Objects {
+			n.applyConfig(o)
+		}
+	}, func(c platform.Changes) {
+		for _, ev := range c.Events {
+			if ev.Type == platform.EventPut {
+				n.applyConfig(ev.Object)
+			}
+		}
+	})
+}
+
+// applyConfig puts a configuration in force. One that cannot be read changes
+// nothing.
+func (n *node) applyConfig(o platform.Object) {
+	if o.Name != n.adapter.ConfigID().Name {
+		return
+	}
+	c, err := n.adapter.Config(o)
+	if err != nil {
+		n.log.Error().Str("step", "config").Uint64("revision", o.Version).Err(err).Msg("configuration refused")
+		return
+	}
+	n.state.setConfig(c, sourceStore)
+	n.checkReady()
+}
+
+// expireTargets drops targets whose entries stayed away after an outage.
+func (n *node) expireTargets(ctx context.Context) {
+	const every = 100 * time.Millisecond
+	for sleep(ctx, every) {
+		n.state.mu.Lock()
+		if n.state.members.Waiting() && n.state.members.Expire(n.clock.Now()) {
+			n.state.publishLocked("still missing after an outage")
+		}
+		n.state.mu.Unlock()
+	}
+}
+
+// sleep returns false when the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lease/grantor.go
@@ -0,0 +1,353 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// OrderKind says what an order asks of a target.
+type OrderKind int
+
+// The orders.
+const (
+	// Grant gives or renews a range of keys.
+	Grant OrderKind = iota
+	// Release takes a range of keys back.
+	Release
+)
+
+// Order is one call to a target.
+type Order struct {
+	Kind     OrderKind
+	Target   Owner
+	From, To uint16
+	Fence    uint64
+	Hold     time.Duration
+	// Handover is the state of the last holder, if it gave one.
+	Handover string
+}
+
+// Result is how an order ended.
+type Result int
+
+// The results.
+const (
+	// Done: the target has done it.
+	Done Result = iota
+	// Fenced: the target has seen a higher fence on one of the keys.
+	Fenced
+	// Unreached: the order surely did not arrive.
+	Unreached
+	// Unanswered: the order may have arrived, until its connection was closed.
+	Unanswered
+	// Misdirected: another target has the address; the life that was meant is
+	// not there. That proves nothing about whether it runs.
+	Misdirected
+)
+
+// Timing are the periods of a grantor.
+type Timing struct {
+	// Hold is how long a grant lasts at the target.
+	Hold time.Duration
+	// Renew is the time between two grants of a range.
+	Renew time.Duration
+	// Retry is the pause after a failed order.
+	Retry time.Duration
+}
+
+// Grantor is the state of one service's grantor in one epoch. Its clock counts
+// suspended time.
+type Grantor struct {
+	timing    Timing
+	record    Record
+	states    []state
+	confirmed time.Duration
+	nextFence uint64
+	// confirmedLives holds the targets that may be granted keys. A target is
+	// taken out when an order to it breaks.
+	confirmedLives map[Owner]bool
+	// ended holds lives that are over.
+	ended map[Owner]bool
+}
+
+// state is what the grantor knows of one slice beyond the record.
+type state struct {
+	fence uint64
+	// granted says that the owner has answered a grant of this epoch; acked
+	// dates the send of the last one.
+	granted bool
+	acked   time.Duration
+	// outAt is when the last grant that may have reached the owner is out.
+	outAt time.Duration
+	// previousOut is when the previous owner's last grant is out.
+	previousOut time.Duration
+	pending     bool
+	retryAt     time.Duration
+	// handover is the state that the next grant carries.
+	handover string
+	failures int
+	// frozen says that a planned change of the slice is on its way to the store:
+	// neither owner may be granted for the first time until it is settled.
+	frozen bool
+}
+
+// NewGrantor returns the grantor of a record that it has just written with its
+// own epoch. sent and done date the write. fresh says that no grant was ever sent
+// for this service, so nobody can hold a key.
+func NewGrantor(r Record, t Timing, sent, done time.Duration, fresh bool) *Grantor {
+	g := &Grantor{timing: t, record: r, confirmed: sent, nextFence: r.Epoch << epochShift}
+	g.confirmedLives, g.ended = make(map[Owner]bool), make(map[Owner]bool)
+	g.states = make([]state, len(r.Slices))
+	for i := range g.states {
+		s := &g.states[i]
+		s.fence = g.fence()
+		if !fresh {
+			s.outAt = holdEnd(done+Authority, t.Hold)
+			s.previousOut = s.outAt
+		}
+	}
+	return g
+}
+
+func (g *Grantor) fence() uint64 {
+	g.nextFence++
+	return g.nextFence
+}
+
+// Record returns the record in force.
+func (g *Grantor) Record() Record { return g.record }
+
+// Confirmed notes that the store confirmed the epoch to a call sent at that time.
+func (g *Grantor) Confirmed(sent time.Duration) { g.confirmed = max(g.confirmed, sent) }
+
+// ConfirmedAt returns the send of the last confirmation.
+func (g *Grantor) ConfirmedAt() time.Duration { return g.confirmed }
+
+// MayOrder tells whether orders may be sent. It is asked again right before each
+// send.
+//
+// Failure: a grantor is suspended or cut off from the store, another took over
+// and moved keys. A late grant would make a second owner. The successor waits
+// for Authority before it relies on the first one's silence.
+func (g *Grantor) MayOrder(now time.Duration) bool { return now < g.confirmed+Authority }
+
+// Exhausted tells that the fences of the epoch are nearly used up.
+func (g *Grantor) Exhausted() bool { return g.nextFence+1<<16 > (g.record.Epoch+1)<<epochShift }
+
+// Active tells whether the owner of slice i answers for its keys now.
+func (g *Grantor) Active(i int, now time.Duration) bool {
+	s := &g.states[i]
+	return s.granted && !g.record.Slices[i].Previous.Known() && now < s.acked+g.timing.Hold
+}
+
+// Due returns the orders to send now and marks them as pending.
+func (g *Grantor) Due(now time.Duration) []Order {
+	if !g.MayOrder(now) {
+		return nil
+	}
+	var out []Order
+	for i := range g.states {
+		if o, due := g.due(i, now); due {
+			g.states[i].pending = true
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (g *Grantor) due(i int, now time.Duration) (Order, bool) {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	if s.pending || s.frozen && !s.granted {
+		return Order{}, false
+	}
+	if sl.Previous.Known() {
+		if now < s.previousOut && !g.ended[sl.Previous] {
+			return g.order(Release, i, sl.Previous), now >= s.retryAt
+		}
+		g.free(i)
+	}
+	if !sl.Owner.Known() || !g.confirmedLives[sl.Owner] || now < s.retryAt {
+		return Order{}, false
+	}
+	if s.granted && now < s.acked+g.timing.Renew {
+		return Order{}, false
+	}
+	return g.order(Grant, i, sl.Owner), true
+}
+
+func (g *Grantor) order(kind OrderKind, i int, to Owner) Order {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	o := Order{Kind: kind, Target: to, From: sl.From, To: sl.To, Fence: s.fence}
+	if kind == Grant {
+		o.Hold, o.Handover = g.timing.Hold, s.handover
+	}
+	return o
+}
+
+// free ends the previous owner's hold on slice i. The new owner's fence is above
+// the one of the release.
+func (g *Grantor) free(i int) {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	sl.Previous = Owner{}
+	s.fence = g.fence()
+	s.outAt, s.retryAt = 0, 0
+}
+
+// Ended takes in the end of an order, which was sent and over at these times. It
+// returns false for an order that no slice waits for any more.
+func (g *Grantor) Ended(o Order, r Result, handover string, sent, over time.Duration) bool {
+	i := Index(g.record.Slices, o.From)
+	s, sl := &g.states[i], &g.record.Slices[i]
+	s.pending = false
+	if o.Kind == Release {
+		return g.released(i, o, r, handover, over)
+	}
+	if !sl.Owner.Same(o.Target) || s.fence != o.Fence {
+		g.overtaken(s, sl, o, r, over)
+		return false
+	}
+	switch r {
+	case Done:
+		s.granted, s.acked, s.failures, s.handover = true, max(s.acked, sent), 0, ""
+		s.outAt = holdEnd(over, g.timing.Hold)
+	case Unanswered:
+		s.outAt = max(s.outAt, holdEnd(over, g.timing.Hold))
+		delete(g.confirmedLives, o.Target)
+		g.failed(s, over)
+	case Unreached, Misdirected:
+		delete(g.confirmedLives, o.Target)
+		g.failed(s, over)
+	case Fenced:
+		s.fence = g.fence()
+		g.failed(s, over)
+	}
+	return true
+}
+
+// overtaken dates the previous owner's hold after a grant that was on its way
+// while the slice was given to another.
+func (g *Grantor) overtaken(s *state, sl *Slice, o Order, r Result, over time.Duration) {
+	if !sl.Previous.Same(o.Target) {
+		return
+	}
+	s.previousOut = s.outAt
+	if r == Done || r == Unanswered {
+		s.previousOut = holdEnd(over, g.timing.Hold)
+	}
+}
+
+func (g *Grantor) failed(s *state, now time.Duration) {
+	s.failures++
+	s.retryAt = now + g.timing.Retry
+}
+
+func (g *Grantor) released(i int, o Order, r Result, handover string, over time.Duration) bool {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	if !sl.Previous.Same(o.Target) {
+		return false
+	}
+	if r == Done {
+		s.previousOut, s.handover = over, handover
+		return true
+	}
+	g.failed(s, over)
+	return true
+}
+
+// Change is a slice that gets another owner.
+type Change struct {
+	Slice int
+	To    Owner
+}
+
+// Plan returns the record with the changes in it, to be written to the store, and
+// freezes their slices until Commit or Abandon. Slices that are on the move keep
+// their previous owner: it may still hold the keys, and the owner in between was
+// never granted.
+//
+// Failure: while the write is on its way, the previous owner answers its release
+// and the owner in between is granted. The record then names two targets, neither
+// of which holds the keys, and a successor would grant them a second time.
+func (g *Grantor) Plan(changes []Change) Record {
+	next := g.record
+	next.Slices = slices.Clone(g.record.Slices)
+	for _, c := range changes {
+		sl := &next.Slices[c.Slice]
+		if !sl.Previous.Known() {
+			sl.Previous = sl.Owner
+		}
+		sl.Owner = c.To
+		g.states[c.Slice].frozen = true
+	}
+	return next
+}
+
+// Abandon ends a plan that the store did not take.
+func (g *Grantor) Abandon() {
+	for i := range g.states {
+		g.states[i].frozen = false
+	}
+}
+
+// Commit puts a planned record in force that the store took. sent and over date
+// the write.
+func (g *Grantor) Commit(next Record, sent, over time.Duration) {
+	g.Confirmed(sent)
+	g.Abandon()
+	for i := range next.Slices {
+		old, sl, s := g.record.Slices[i], &next.Slices[i], &g.states[i]
+		if sl.Owner.Same(old.Owner) {
+			// Its previous owner may have been freed meanwhile.
+			sl.Previous = old.Previous
+			continue
+		}
+		if !old.Previous.Known() {
+			s.previousOut = s.outAt
+		}
+		if s.pending && !old.Previous.Known() {
+			// A grant is on its way. Its end says more.
+			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
+		}
+		s.granted, s.failures, s.retryAt = false, 0, 0
+		s.fence = g.fence()
+	}
+	g.record = next
+}
+
+// orderBound is the longest that an order is on its way.
+const orderBound = 5 * time.Second
+
+// LifeEnded notes that a life of a target is over: another one has begun under
+// its id. It holds nothing any more.
+func (g *Grantor) LifeEnded(o Owner) {
+	g.ended[o] = true
+	delete(g.confirmedLives, o)
+}
+
+// Unconfirmed returns the owners whose life must be confirmed before they are
+// granted anything.
+func (g *Grantor) Unconfirmed() []Owner {
+	seen := make(map[Owner]bool)
+	var out []Owner
+	for _, sl := range g.record.Slices {
+		if o := sl.Owner; o.Known() && !g.confirmedLives[o] && !g.ended[o] && !seen[o] {
+			seen[o] = true
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// LifeConfirmed notes that a target was in this life after the connection for its
+// orders was opened, and that the epoch stood after that.
+func (g *Grantor) LifeConfirmed(o Owner) { g.confirmedLives[o] = true }
+
+// Silent tells for how long the owner of slice i has not answered; 0 while it
+// does.
+func (g *Grantor) Silent(i int, now time.Duration) time.Duration {
+	s := &g.states[i]
+	if s.failures == 0 || !s.granted {
+		return 0
+	}
+	return now - s.acked
+}
--- /dev/null
+++ b/internal/lease/plan.go
@@ -0,0 +1,137 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// moveBatch bounds how many slices are moved at a time to even the load
+	// out. Each is without service for a few milliseconds and the work that runs.
+	moveBatch = 16
+	// unevenLeast is by how many slices two owners must differ before one is
+	// moved.
+	unevenLeast = 2
+)
+
+// Rehome returns the changes that take slices from owners that are not in live,
+// and deal them to those that have least. It answers the loss or leaving of a
+// target: every slice without it is unavailable, so all move at once.
+func Rehome(list []Slice, live []Owner) []Change {
+	if len(live) == 0 {
+		return nil
+	}
+	d := newDealer(list, live)
+	var out []Change
+	for i, s := range list {
+		if !d.lives(s.Owner) {
+			out = append(out, Change{Slice: i, To: d.least(neighbours(list, i))})
+		}
+	}
+	return out
+}
+
+// EvenOut returns the changes that bring slices to targets that have far fewer
+// than others, such as one that has just started. moving tells whether a slice is
+// on the move already.
+func EvenOut(list []Slice, live []Owner, moving func(i int) bool) []Change {
+	if len(live) == 0 {
+		return nil
+	}
+	d := newDealer(list, live)
+	var out []Change
+	for len(out) < moveBatch {
+		from, to := d.extremes()
+		if d.count[from]-d.count[to] < unevenLeast {
+			break
+		}
+		i := slices.IndexFunc(list, func(s Slice) bool { return s.Owner.Same(from) })
+		for i >= 0 && (moving(i) || slices.ContainsFunc(out, func(c Change) bool { return c.Slice == i })) {
+			next := slices.IndexFunc(list[i+1:], func(s Slice) bool { return s.Owner.Same(from) })
+			if next < 0 {
+				i = -1
+				break
+			}
+			i += 1 + next
+		}
+		if i < 0 {
+			break
+		}
+		d.count[from]--
+		d.count[to]++
+		out = append(out, Change{Slice: i, To: to})
+	}
+	return out
+}
+
+// dealer counts the slices of the live owners.
+type dealer struct {
+	live  []Owner
+	count map[Owner]int
+}
+
+func newDealer(list []Slice, live []Owner) *dealer {
+	d := &dealer{live: slices.Clone(live), count: make(map[Owner]int)}
+	slices.SortFunc(d.live, func(a, b Owner) int { return cmp.Compare(a.ID, b.ID) })
+	for _, o := range d.live {
+		d.count[o] = 0
+	}
+	for _, s := range list {
+		if _, ok := d.count[s.Owner]; ok {
+			d.count[s.Owner]++
+		}
+	}
+	return d
+}
+
+func (d *dealer) lives(o Owner) bool {
+	_, ok := d.count[o]
+	return ok
+}
+
+// least returns the owner with fewest slices, and counts one more for it. Owners
+// of the slices beside are passed over where there is another: busy keys are
+// neighbours.
+func (d *dealer) least(beside []Owner) Owner {
+	best := -1
+	for i, o := range d.live {
+		if best >= 0 && d.weight(o, beside) >= d.weight(d.live[best], beside) {
+			continue
+		}
+		best = i
+	}
+	d.count[d.live[best]]++
+	return d.live[best]
+}
+
+func (d *dealer) weight(o Owner, beside []Owner) int {
+	w := d.count[o] * 2
+	if slices.ContainsFunc(beside, o.Same) {
+		w++
+	}
+	return w
+}
+
+func (d *dealer) extremes() (most, least Owner) {
+	most, least = d.live[0], d.live[0]
+	for _, o := range d.live {
+		if d.count[o] > d.count[most] {
+			most = o
+		}
+		if d.count[o] < d.count[least] {
+			least = o
+		}
+	}
+	return most, least
+}
+
+func neighbours(list []Slice, i int) []Owner {
+	var out []Owner
+	if i > 0 {
+		out = append(out, list[i-1].Owner)
+	}
+	if i+1 < len(list) {
+		out = append(out, list[i+1].Owner)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,384 @@
+// Package mesh joins the VMs of the system: who lives, what each one believes of
+// the store, and what it has running at the targets.
+//
+// Each VM exchanges a beat with each other one several times a second. A beat is
+// small and holds only versions; who sees a newer one fetches it.
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/peer"
+)
+
+// Member is one life of a VM's daemon.
+type Member struct {
+	VM         string
+	Addr       string
+	DataCentre string
+	// Incarnation rises with every start.
+	Incarnation uint64
+}
+
+// LeaseMark is the version of a service's leases that a VM knows.
+type LeaseMark struct {
+	Service    string
+	Epoch, Seq uint64
+}
+
+// Load is how many requests of the sender are at a target.
+type Load struct {
+	// Target is a hash of the target's id.
+	Target   uint32
+	InFlight uint16
+}
+
+// Beat is what a VM tells the others of itself.
+type Beat struct {
+	From            Member
+	Leaving         bool
+	ConfigVersion   uint64
+	TargetsRevision uint64
+	Leases          []LeaseMark
+	Loads           []Load
+	// Crashes are the requests that seem to crash targets.
+	Crashes []Crash
+}
+
+// Crash counts the targets that ended while they ran a request, by a hash of the
+// request's content.
+type Crash struct {
+	Content uint64
+	Count   uint16
+}
+
+// Periods of the mesh.
+const (
+	// basePeriod is the time between two beats to a peer in a small fleet;
+	// each pair exchanges beats in both directions.
+	basePeriod = 200 * time.Millisecond
+	// periodPerVM makes the period grow with the fleet, so that a VM sends and
+	// takes at most about 160 beats a second.
+	periodPerVM = 12 * time.Millisecond
+	// callTimeout bounds one exchange.
+	callTimeout = 400 * time.Millisecond
+	// silentPeriods is after how many periods without a beat a VM counts as
+	// lost; silentLeast is the least, since a short pause is no loss.
+	silentPeriods = 4
+	silentLeast   = time.Second
+	// forgetAfter is when a lost VM is not called any more. One that returns
+	// calls by itself.
+	forgetAfter = time.Minute
+	// stallAfter is a gap between two steps of our own from which we were
+	// paused and know nothing of the others.
+	stallAfter = 500 * time.Millisecond
+)
+
+// Local is what the mesh asks of its VM.
+type Local interface {
+	// Beat returns the state to tell.
+	Beat() Beat
+	// Heard takes in a beat of a live VM. It must not block.
+	Heard(Beat)
+}
+
+type remote struct {
+	member Member
+	client *peer.Client
+	heard  time.Duration
+	beat   Beat
+	cancel context.CancelFunc
+}
+
+// Mesh is the VM's view of the others. It is safe for concurrent use.
+type Mesh struct {
+	self  Member
+	local Local
+	clock boottime.Clock
+	log   *log.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu      sync.Mutex
+	remotes map[string]*remote
+	// blindUntil is until when nobody is taken for lost: we were paused
+	// ourselves.
+	blindUntil time.Duration
+	lastStep   time.Duration
+}
+
+// New returns a mesh that knows nobody.
+func New(self Member, clock boottime.Clock, logger *log.Logger) *Mesh {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Mesh{self: self, clock: clock, log: logger, ctx: ctx, cancel: cancel, remotes: make(map[string]*remote), lastStep: clock.Now()}
+}
+
+// Start begins to answer with local's state.
+func (m *Mesh) Start(local Local) { m.local = local }
+
+// Close ends all exchanges.
+func (m *Mesh) Close() {
+	m.cancel()
+	m.wait.Wait()
+}
+
+// Meet adds a VM, or a new life of one.
+func (m *Mesh) Meet(who Member) {
+	if who.VM == m.self.VM || who.VM == "" || who.Addr == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx.Err() != nil {
+		return
+	}
+	old := m.remotes[who.VM]
+	if old != nil && old.member.Incarnation >= who.Incarnation {
+		return
+	}
+	if old != nil {
+		old.cancel()
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	r := &remote{member: who, client: peer.NewClient(who.Addr, 1), heard: m.clock.Now(), cancel: cancel}
+	m.remotes[who.VM] = r
+	m.log.Info().Str("step", "mesh").Str("peer", who.VM).Str("addr", who.Addr).Uint64("incarnation", who.Incarnation).Msg("peer known")
+	m.wait.Add(1)
+	go m.exchange(ctx, r)
+}
+
+// Live returns the VMs that were heard of lately, this one included, in order of
+// their names. Those that leave are left out.
+func (m *Mesh) Live() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	out := []Member{m.self}
+	for _, r := range m.remotes {
+		if m.liveLocked(r, now) && !r.beat.Leaving {
+			out = append(out, r.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// Lives tells whether this life of a VM was heard of lately and does not leave.
+func (m *Mesh) Lives(vm string, incarnation uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if vm == m.self.VM {
+		return incarnation == m.self.Incarnation
+	}
+	r := m.remotes[vm]
+	return r != nil && r.member.Incarnation == incarnation && !r.beat.Leaving && m.liveLocked(r, m.clock.Now())
+}
+
+// liveLocked needs m.mu.
+//
+// Failure: this VM was suspended for seconds. All others seem silent, and it would
+// take over from all of them at once. After a pause of its own it waits until they
+// had time to speak.
+func (m *Mesh) liveLocked(r *remote, now time.Duration) bool {
+	m.stepLocked(now)
+	return now < m.blindUntil || now-r.heard < m.silenceLocked()
+}
+
+func (m *Mesh) stepLocked(now time.Duration) {
+	if now-m.lastStep > stallAfter {
+		m.blindUntil = now + m.silenceLocked()
+	}
+	m.lastStep = now
+}
+
+func (m *Mesh) silenceLocked() time.Duration { return max(silentLeast, silentPeriods*m.periodLocked()) }
+
+func (m *Mesh) periodLocked() time.Duration {
+	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
+}
+
+// Size returns how many VMs are known, lost ones included.
+func (m *Mesh) Size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.remotes) + 1
+}
+
+// Loads adds up what the other live VMs have at each target, by the hash of its id.
+func (m *Mesh) Loads() map[uint32]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	out := make(map[uint32]int)
+	for _, r := range m.remotes {
+		if !m.liveLocked(r, now) {
+			continue
+		}
+		for _, l := range r.beat.Loads {
+			out[l.Target] += int(l.InFlight)
+		}
+	}
+	return out
+}
+
+// Call calls one VM.
+func (m *Mesh) Call(ctx context.Context, vm, method string, args, reply any) error {
+	m.mu.Lock()
+	r := m.remotes[vm]
+	m.mu.Unlock()
+	if r == nil {
+		return peer.ErrNotSent
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.client.Call(ctx, method, args, reply)
+}
+
+// Others returns the names of all other VMs that are not lost.
+func (m *Mesh) Others() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	var out []string
+	for vm, r := range m.remotes {
+		if m.liveLocked(r, now) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// exchange sends beats to one VM until it is replaced or forgotten.
+func (m *Mesh) exchange(ctx context.Context, r *remote) {
+	defer m.wait.Done()
+	defer r.client.Close()
+	lost := false
+	for {
+		var reply Beat
+		beat := m.local.Beat()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := r.client.Call(callCtx, "Mesh.Beat", &beat, &reply)
+		cancel()
+		if err == nil {
+			m.take(reply)
+		}
+		silent := m.silence(r)
+		if now := silent > silentLeast; now != lost {
+			lost = now
+			m.log.Warn().Str("step", "mesh").Str("peer", r.member.VM).Bool("lost", lost).Dur("silent", silent).AnErr("cause", err).Msg("peer lost or regained")
+		}
+		if silent > forgetAfter {
+			m.forget(r)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(m.period()):
+		}
+	}
+}
+
+func (m *Mesh) period() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.periodLocked()
+}
+
+func (m *Mesh) silence(r *remote) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.stepLocked(now)
+	return now - r.heard
+}
+
+func (m *Mesh) forget(r *remote) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.remotes[r.member.VM] == r {
+		delete(m.remotes, r.member.VM)
+	}
+}
+
+// take notes a beat, of a call or of a reply.
+func (m *Mesh) take(b Beat) {
+	m.Meet(b.From)
+	m.mu.Lock()
+	r := m.remotes[b.From.VM]
+	known := r != nil && r.member.Incarnation == b.From.Incarnation
+	if known {
+		r.heard, r.beat = m.clock.Now(), b
+	}
+	m.mu.Unlock()
+	if known {
+		m.local.Heard(b)
+	}
+}
+
+// Members returns this VM and all that it knows.
+func (m *Mesh) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []Member{m.self}
+	for r := range maps.Values(m.remotes) {
+		out = append(out, r.member)
+	}
+	return out
+}
+
+// Service answers the calls of other VMs. It is registered as "Mesh".
+type Service struct{ Mesh *Mesh }
+
+// Beat exchanges beats.
+func (s Service) Beat(in *Beat, out *Beat) error {
+	s.Mesh.take(*in)
+	*out = s.Mesh.local.Beat()
+	return nil
+}
+
+// Join makes the caller known and returns all known VMs.
+func (s Service) Join(in *Member, out *[]Member) error {
+	s.Mesh.Meet(*in)
+	*out = s.Mesh.Members()
+	return nil
+}
+
+// Crashes returns how many targets ended at other VMs while they ran a request of
+// this content.
+func (m *Mesh) Crashes(content uint64) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := 0
+	for _, r := range m.remotes {
+		for _, c := range r.beat.Crashes {
+			if c.Content == content {
+				total += int(c.Count)
+			}
+		}
+	}
+	return total
+}
+
+// Join asks the VM at addr for all that it knows, and makes itself known.
+func Join(ctx context.Context, addr string, self Member) ([]Member, error) {
+	client := peer.NewClient(addr, 1)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out []Member
+	if err := client.Call(ctx, "Mesh.Join", &self, &out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -16,6 +16,12 @@
 	settlePauseMax = time.Second
 )
 
+// ReadWriter is the part of a store that Write needs.
+type ReadWriter interface {
+	Get(ctx context.Context, id ID) (Object, error)
+	Put(ctx context.Context, o Object) (Object, error)
+}
+
 // Write is a conditional write that settles a lost answer.
 //
 // Failure: the store's answer is lost after the write took effect. It shows as
@@ -34,7 +40,7 @@
 //
 // ErrConflict after a lost answer says that another's write stands now; ours
 // may have stood before it for a moment.
-func Write(ctx context.Context, s Store, o Object) (Object, error) {
+func Write(ctx context.Context, s ReadWriter, o Object) (Object, error) {
 	written, err := s.Put(ctx, o)
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = settlePauseMin, settlePauseMax
@@ -52,7 +58,7 @@
 
 // settle reads the object and repeats the write if that is safe. again says that
 // the outcome is still open.
-func settle(ctx context.Context, s Store, o Object, lost error) (written Object, again bool, err error) {
+func settle(ctx context.Context, s ReadWriter, o Object, lost error) (written Object, again bool, err error) {
 	current, err := s.Get(ctx, o.ID())
 	switch {
 	case err == nil && current.Writer == o.Writer:
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,119 @@
+// Package route holds the routes that operators write and finds the one of a
+// request. It has no network and no clock.
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Config is one version of the operators' configuration, whole.
+type Config struct {
+	// Version rises with every change, in uneven steps.
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Route says where the requests of one host and path prefix go, and what they
+// may cost.
+type Route struct {
+	Name string
+	// Host is the host of the request, without a port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Idempotent requests may run more than once. All others run at most once.
+	Idempotent bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full value.
+	Objective time.Duration
+	// Priority is the rank, 0 the highest.
+	Priority int
+	// MaxTargets bounds the targets that one request may be sent to.
+	MaxTargets int
+	// Splits are the services that share the requests; one at least.
+	Splits []Split
+}
+
+// Split is one service's part of a route.
+type Split struct {
+	Service string
+	Weight  float64
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Name string
+	// Keyed says that each key has one owning target, which must hold a lease.
+	Keyed bool
+	// HealthPath answers 200 while a target is well.
+	HealthPath string
+	// MaxConns bounds the connections to one target, over all callers.
+	MaxConns int
+	// ColdMove is how long keys are slow at a new owner that gets them without
+	// the state of the last one.
+	ColdMove time.Duration
+}
+
+// Limits bound what a caller may send. A zero leaves the default.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table finds routes. It is immutable.
+type Table struct {
+	config *Config
+	hosts  map[string][]*entry
+}
+
+type entry struct {
+	route  *Route
+	spread *Spread
+}
+
+// NewTable indexes the configuration. Weighted routes that were in the previous
+// table with the same splits keep their place in the rotation.
+func NewTable(c *Config, previous *Table) *Table {
+	t := &Table{config: c, hosts: make(map[string][]*entry)}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], &entry{route: r, spread: spreadOf(r, previous)})
+	}
+	for _, list := range t.hosts {
+		slices.SortFunc(list, func(a, b *entry) int { return len(b.route.Prefix) - len(a.route.Prefix) })
+	}
+	return t
+}
+
+func spreadOf(r *Route, previous *Table) *Spread {
+	if previous != nil {
+		for _, e := range previous.hosts[r.Host] {
+			if e.route.Prefix == r.Prefix && slices.Equal(e.route.Splits, r.Splits) {
+				return e.spread
+			}
+		}
+	}
+	return NewSpread(r.Splits)
+}
+
+// Config returns what the table was made of.
+func (t *Table) Config() *Config { return t.config }
+
+// Find returns the route with the longest prefix that begins the path, and its
+// rotation over services. It returns nil where no route matches.
+func (t *Table) Find(host, path string) (*Route, *Spread) {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, e := range t.hosts[name] {
+		if strings.HasPrefix(path, e.route.Prefix) {
+			return e.route, e.spread
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/route/spread.go
@@ -0,0 +1,41 @@
+package route
+
+import "sync"
+
+// Spread deals requests to the services of a route in the ratio of their
+// weights. It is safe for concurrent use.
+//
+// Load pattern: a route sends one request in ten to a new version of a service.
+// A random choice strays by several percent within seconds, and the small part
+// gets bursts. Smooth weighted rotation keeps every part within one request of
+// its share at each VM, at any moment.
+type Spread struct {
+	mu      sync.Mutex
+	splits  []Split
+	credits []float64
+	total   float64
+}
+
+// NewSpread returns a rotation over the splits. Weights of zero get nothing.
+func NewSpread(splits []Split) *Spread {
+	s := &Spread{splits: splits, credits: make([]float64, len(splits))}
+	for _, p := range splits {
+		s.total += p.Weight
+	}
+	return s
+}
+
+// Next returns the service of the next request.
+func (s *Spread) Next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, p := range s.splits {
+		s.credits[i] += p.Weight
+		if s.credits[i] > s.credits[best] {
+			best = i
+		}
+	}
+	s.credits[best] -= s.total
+	return s.splits[best].Service
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,191 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBuffer holds the headers of a usual answer.
+	readBuffer = 4 << 10
+	// inlineBody is the largest body that is sent before the answer is read:
+	// it fits the peer's receive window also where windows are small.
+	inlineBody = 8 << 10
+	// maxAnswer bounds an answer, bytes; it is held in memory whole.
+	maxAnswer = 64 << 20
+	// maxStray is how many answers of other requests are passed over before the
+	// connection counts as broken.
+	maxStray = 3
+	// secondsParameter is the parameter of Keep-Alive that says when the target
+	// closes an idle connection, seconds.
+	secondsParameter = "timeout="
+)
+
+// conn is one connection. One request is on it at a time.
+type conn struct {
+	net       net.Conn
+	in        *bufio.Reader
+	idleUntil time.Time
+}
+
+func newConn(nc net.Conn) *conn {
+	return &conn{net: nc, in: bufio.NewReaderSize(nc, readBuffer), idleUntil: time.Now().Add(idleDefault)}
+}
+
+func (c *conn) close() { _ = c.net.Close() }
+
+// quiet tells whether nothing arrived on an idle connection.
+//
+// Failure: a target closes an idle connection, or sends a second answer after a
+// whole one. The next request on that connection would be lost, or would get the
+// answer of the last one. Bytes or an end that wait unread show both; no request
+// may use the connection then.
+func (c *conn) quiet() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
+
+// exchange returns the answer to r and whether the connection may be used again.
+func (c *conn) exchange(r *Request) (*Answer, bool, error) {
+	sent := c.send(r)
+	a, keep, err := c.receive(r)
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	// Failure: a target answers before it has read a long body, and reads on
+	// later. Another request's bytes would be taken for the rest of the body.
+	// Only a connection that carried the whole body is used again.
+	select {
+	case err := <-sent:
+		keep = keep && err == nil
+	default:
+		keep = false
+	}
+	return a, keep && c.in.Buffered() == 0, nil
+}
+
+// send writes the request. A long body is written beside the reading of the
+// answer: a target that answers early and stops reading would block both sides.
+func (c *conn) send(r *Request) <-chan error {
+	done := make(chan error, 1)
+	head := r.head()
+	if len(r.Body) <= inlineBody {
+		_, err := c.net.Write(append(head, r.Body...))
+		done <- err
+		return done
+	}
+	go func() {
+		_, err := c.net.Write(head)
+		if err == nil {
+			_, err = c.net.Write(r.Body)
+		}
+		done <- err
+	}()
+	return done
+}
+
+// head renders the request line and the headers.
+func (r *Request) head() []byte {
+	b := make([]byte, 0, 512+len(r.Body))
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.URI...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// receive reads answers until the one to r.
+//
+// Failure: a late answer of an earlier request, or a second copy of one, stands
+// before the one that is due. Passed on, it would reach the wrong caller. The id
+// that the target echoes tells whose answer it is.
+func (c *conn) receive(r *Request) (*Answer, bool, error) {
+	for range maxStray {
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, false, fmt.Errorf("read answer: %w", err)
+		}
+		body, err := readWhole(resp)
+		if err != nil {
+			return nil, false, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.ID != "" && resp.Header.Get(r.IDHeader) != r.ID {
+			continue
+		}
+		c.idleUntil = time.Now().Add(idleFor(resp.Header))
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close, nil
+	}
+	return nil, false, errors.New("read answer: none has the request's id")
+}
+
+// readWhole reads a body to its end. A body that is shorter than announced, and
+// one without a length whose connection is reset, are errors.
+func readWhole(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("read body: %w", err)
+	case len(body) > maxAnswer:
+		return nil, fmt.Errorf("read body: over %d bytes", maxAnswer)
+	}
+	return body, nil
+}
+
+// idleFor returns how long the target keeps the connection, less our margin.
+func idleFor(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(part), secondsParameter)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(seconds); err == nil && n >= 0 {
+			stated := time.Duration(n) * time.Second
+			return max(stated-idleMargin, stated/2)
+		}
+	}
+	return idleDefault
+}
