--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -78,6 +78,7 @@
 	limit := repeats.Limit{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: s.Repeats.Window.D()}
 	n.state = newState(clock, logger, registry, s.DataCentre, limit)
 	n.mesh = mesh.New(n.self, clock, logger)
+	n.state.news = n.mesh.Kick
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,7 +23,8 @@
 	v := n.state.view.Load()
 	return mesh.Beat{
 		From: n.self, Leaving: n.leaving.Load(),
-		ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision,
+		StoreLost: !n.storeUp.Load(), ConfigVersion: v.ConfigVersion(),
+		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
 		Leases: n.state.marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
 	}
 }
@@ -34,9 +35,10 @@
 	if b.ConfigVersion > v.ConfigVersion() {
 		n.fetch(b.From.VM, "config", n.fetchConfig)
 	}
-	// While the store is watched its news come by themselves; those of a VM that
-	// is not cut off help when they do not.
-	if b.TargetsRevision > v.Targets.Revision && !n.storeUp.Load() {
+	// Targets whose entries stayed away after an outage are dropped without a
+	// new revision.
+	fewer := b.TargetsRevision == v.Targets.Revision && int(b.Targets) < len(v.Targets.List)
+	if b.TargetsRevision > v.Targets.Revision || fewer {
 		n.fetch(b.From.VM, "targets", n.fetchTargets)
 	}
 	for _, mark := range b.Leases {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -35,7 +35,9 @@
 	members *catalog.Members
 	routing map[string]*lease.Routing
 	// changed is closed and replaced when routing or view change.
-	changed   chan struct{}
+	changed chan struct{}
+	// news is called when the VM believes something new that others may not know.
+	news      func()
 	targets   map[string]*tracked
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
@@ -64,7 +66,7 @@
 func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
 	s := &state{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit,
-		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}),
+		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}), news: func() {},
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[string]bool),
 		keyLoad: make(map[string]*keyLoad),
@@ -94,6 +96,7 @@
 		Int("routes", len(c.Routes)).Str("source", source).Msg("configuration in force")
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets))
 	s.notifyLocked()
+	s.news()
 }
 
 // changeTargets applies a change to the list of targets and puts it in force.
@@ -120,6 +123,9 @@
 	}
 	s.view.Store(view)
 	s.notifyLocked()
+	if source == sourceStore {
+		s.news()
+	}
 }
 
 // trackLocked needs s.mu. A new life of a target starts with nothing known and
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -7,18 +7,25 @@
 	"time"
 
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 )
 
 // Figures of the watches.
 const (
-	// watchWait is how long a watch waits for changes: as long as the store
-	// allows, since every call counts.
-	watchWait = 30 * time.Second
-	// watchSlack is what the answer may take on top; a connection that fell
-	// silent is found by keep-alive probes long before.
-	watchSlack = 3 * time.Second
+	// watchWait is how long a watch waits for changes. The store may drop its
+	// history and tell a waiting watch nothing of a change before; the next
+	// call finds out. A change must be known within about two seconds.
+	watchWait = 1300 * time.Millisecond
+	// watchSlack is what the answer may take on top.
+	watchSlack = 500 * time.Millisecond
+	// watchers is how many VMs watch the store; the others learn from them.
+	// Each call to the store counts, and with three the loss of one delays
+	// nothing.
+	watchers = 3
+	// idleStep is the time between two looks of a VM whether it is to watch.
+	idleStep = 100 * time.Millisecond
 	// storePauseLeast and storePauseMost bound the pause after a failed call:
 	// short, since news of the store bind us soon after its return.
 	storePauseLeast = 50 * time.Millisecond
@@ -30,6 +37,10 @@
 func (n *node) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
 	pause := storePauseLeast
 	for ctx.Err() == nil {
+		if !n.watching() {
+			sleep(ctx, idleStep)
+			continue
+		}
 		revision, err := n.listOnce(ctx, kind, list)
 		if err == nil {
 			pause = storePauseLeast
@@ -38,6 +49,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		if errors.Is(err, platform.ErrGone) {
 			n.log.Warn().Str("step", "watch").Str("kind", string(kind)).Err(err).Msg("history gone, listing again")
 			continue
@@ -48,6 +62,27 @@
 	}
 }
 
+// watching tells whether this VM is one of those that watch the store. One that
+// the store turned away is passed over by the others, and goes on trying.
+func (n *node) watching() bool {
+	if !n.storeUp.Load() {
+		return true
+	}
+	live := n.mesh.Live()
+	candidates := make([]rendezvous.Candidate, 0, len(live))
+	for _, m := range live {
+		if m.VM == n.self.VM || n.mesh.ReachesStore(m.VM) {
+			candidates = append(candidates, rendezvous.Candidate{VM: m.VM})
+		}
+	}
+	for place, i := range rendezvous.Rank(candidates, "watch", "") {
+		if candidates[i].VM == n.self.VM {
+			return place < watchers
+		}
+	}
+	return true
+}
+
 func (n *node) listOnce(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -61,7 +96,7 @@
 }
 
 func (n *node) follow(ctx context.Context, kind model.Kind, revision uint64, change func(platform.Changes)) error {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && n.watching() {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 		changes, err := n.store.WatchKind(callCtx, kind, revision, watchWait)
 		cancel()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -43,12 +43,16 @@
 
 // Beat is what a VM tells the others of itself.
 type Beat struct {
-	From            Member
-	Leaving         bool
+	From    Member
+	Leaving bool
+	// StoreLost says that the sender does not reach the platform's store.
+	StoreLost       bool
 	ConfigVersion   uint64
 	TargetsRevision uint64
-	Leases          []LeaseMark
-	Loads           []Load
+	// Targets is how many the sender lists.
+	Targets uint16
+	Leases  []LeaseMark
+	Loads   []Load
 	// Crashes are the requests that seem to crash targets.
 	Crashes []Crash
 }
@@ -96,6 +100,7 @@
 	heard  time.Duration
 	beat   Beat
 	cancel context.CancelFunc
+	kick   chan struct{}
 }
 
 // Mesh is the VM's view of the others. It is safe for concurrent use.
@@ -150,7 +155,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	r := &remote{member: who, client: peer.NewClient(who.Addr, 1), heard: m.clock.Now(), cancel: cancel}
+	r := &remote{member: who, client: peer.NewClient(who.Addr, 1), heard: m.clock.Now(), cancel: cancel, kick: make(chan struct{}, 1)}
 	m.remotes[who.VM] = r
 	m.log.Info().Str("step", "mesh").Str("peer", who.VM).Str("addr", who.Addr).Uint64("incarnation", who.Incarnation).Msg("peer known")
 	m.wait.Add(1)
@@ -207,6 +212,26 @@
 	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
 }
 
+// ReachesStore tells whether a VM said that the store answers it.
+func (m *Mesh) ReachesStore(vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.remotes[vm]
+	return r != nil && r.beat.From.VM != "" && !r.beat.StoreLost
+}
+
+// Kick sends a beat to all VMs at once: there is news.
+func (m *Mesh) Kick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.remotes {
+		select {
+		case r.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Size returns how many VMs are known, lost ones included.
 func (m *Mesh) Size() int {
 	m.mu.Lock()
@@ -284,6 +309,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.kick:
 		case <-time.After(m.period()):
 		}
 	}
