--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -17,7 +17,6 @@
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
-	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
@@ -46,6 +45,8 @@
 	storeUp atomic.Bool
 	// listed tells whether the targets are known.
 	listed atomic.Bool
+	// grace is how long after SIGTERM the process is killed, nanoseconds.
+	grace atomic.Int64
 	// leaving is set by the graceful shutdown.
 	leaving atomic.Bool
 
@@ -75,8 +76,8 @@
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano())},
 		counters: newCounters(registry),
 	}
-	limit := repeats.Limit{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: s.Repeats.Window.D()}
-	n.state = newState(clock, logger, registry, s.DataCentre, limit)
+	n.grace.Store(int64(s.Grace))
+	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
 	n.state.news = n.mesh.Kick
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -101,7 +102,7 @@
 	}
 	n.mesh.Start(n)
 	for _, duty := range []func(context.Context){
-		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.keepLeases, n.tellLoads, n.sweep,
+		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.keepLeases, n.tellLoads, n.sweep, n.reload,
 	} {
 		go duty(n.ctx)
 	}
@@ -188,7 +189,7 @@
 // told to stop. Callers whose requests are on their way lose them.
 func (n *node) stop(ctx context.Context) error {
 	begin := time.Now()
-	grace := n.settings.Grace.D()
+	grace := time.Duration(n.grace.Load())
 	n.leaving.Store(true)
 	n.life.BeginDrain()
 	sleep(ctx, part(grace, stopAccepting))
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"hemlockquay/internal/decide/repeats"
+	"hemlockquay/internal/settings"
+)
+
+// reloadEvery is how often the settings file is looked at: it may change without
+// a signal.
+const reloadEvery = 2 * time.Second
+
+// limits returns the bound of repeats that the settings state.
+func (s *Settings) limits() repeats.Limit {
+	return repeats.Limit{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: s.Repeats.Window.D()}
+}
+
+// reload puts changed settings in force, after SIGHUP or when the file is
+// another one.
+//
+// Failure: a process that does not expect SIGHUP is ended by it, with all
+// requests that it holds.
+func (n *node) reload(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	last := n.fileTime()
+	for {
+		cause := "signal"
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-tick.C:
+			cause = "file changed"
+			if n.fileTime().Equal(last) {
+				continue
+			}
+		}
+		last = n.fileTime()
+		n.readSettings(cause)
+	}
+}
+
+func (n *node) fileTime() time.Time {
+	info, err := os.Stat(n.settings.Source())
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// readSettings reads the file again. What cannot be read changes nothing.
+func (n *node) readSettings(cause string) {
+	next := new(Settings)
+	if err := settings.Load(n.settings.Source(), next); err != nil {
+		n.log.Error().Str("step", "reload").Str("cause", cause).Err(err).Msg("settings refused, the old ones stay in force")
+		return
+	}
+	n.state.setLimit(next.limits())
+	n.log.SetLevel(log.ParseLevel(next.Log))
+	n.grace.Store(int64(next.Grace))
+	n.log.Info().Str("step", "reload").Str("cause", cause).Float64("ratio", next.Repeats.Ratio).Float64("slack", next.Repeats.Slack).
+		Dur("grace", next.Grace.D()).Msg("settings in force; addresses need a restart")
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -204,6 +204,13 @@
 	}
 }
 
+// setLimit changes the bound of repeats.
+func (s *state) setLimit(l repeats.Limit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = l
+}
+
 // request counts a request for a service.
 func (s *state) request(service string, now time.Duration) {
 	s.mu.Lock()
