A grantor that the store turns away is succeeded; leaving owners get nothing after 1.5 s

Cause: the store answered 429 to the grantor alone. It could not move the keys of targets that left; requests reached them 2.0 to 2.1 s after their leaving (bound 2 s). Another VM that reaches the store now takes over after 0.6 s, and no VM sends to a leaving owner after 1.5 s.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -22,6 +22,9 @@
 	releaseTimeout = 4 * time.Second
 	// releasesAtOnce bounds the connections to a target for releases.
 	releasesAtOnce = 6
+	// checkPause is the least time between two checks of lives, each of which
+	// costs calls to the store.
+	checkPause = 250 * time.Millisecond
 	// planEvery is the least time between two looks at who should own what.
 	planEvery = 100 * time.Millisecond
 	// pushTimeout bounds telling another VM of changed leases.
@@ -242,7 +245,7 @@
 		r, _, err := l.read(ctx)
 		if err != nil {
 			l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
-			sleep(ctx, storePauseLeast)
+			sleep(ctx, storePauseMost)
 		}
 		l.later(ctx, func() {
 			l.reading = false
@@ -281,7 +284,7 @@
 	if len(owners) == 0 {
 		return
 	}
-	l.checking, l.checkNext = true, now+orderRetry
+	l.checking, l.checkNext = true, now+checkPause
 	lines := make([]*orderLine, len(owners))
 	for i, o := range owners {
 		lines[i] = l.line(ctx, o)
@@ -350,6 +353,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	list, err := l.n.store.ListKind(ctx, l.n.adapter.TargetKind())
+	l.n.noteStore(err)
 	if err != nil {
 		return nil, fmt.Errorf("list targets: %w", err)
 	}
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
@@ -33,6 +32,10 @@
 	candidateStep = 100 * time.Millisecond
 	// rankPause is by how much the next in line waits longer than the one before.
 	rankPause = 500 * time.Millisecond
+	// strandedAfter is how long the grantor must have been without the store, and
+	// this VM with it. After an outage VMs find the store again within
+	// storePauseMost of each other.
+	strandedAfter = 600 * time.Millisecond
 	// confirmEvery is how often the epoch is confirmed at the store, three times
 	// within the authority.
 	confirmEvery = lease.Authority / 3
@@ -58,6 +61,8 @@
 	// suspended time; 0 while this VM is not the grantor.
 	orderUntil atomic.Int64
 
+	// strandedSince is since when the grantor does not reach the store.
+	strandedSince time.Duration
 	// listChanged and listSeen date the list of targets for the first dealing.
 	listRevision uint64
 	listChanged  time.Duration
@@ -94,20 +99,28 @@
 		return -1, false
 	}
 	r := k.n.state.routingOf(k.service)
-	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) {
+	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
 		return -1, true
 	}
-	live := k.n.mesh.Live()
-	candidates := make([]rendezvous.Candidate, len(live))
-	for i, m := range live {
-		candidates[i] = rendezvous.Candidate{VM: m.VM, DataCentre: m.DataCentre}
+	return k.n.place(k.service), false
+}
+
+// stranded tells whether the store has turned the grantor away for a while, and
+// answers this VM.
+//
+// Failure: the store refuses single VMs while it serves the others. A grantor
+// among them renews what it granted, but cannot move a key: those of a target that
+// leaves or dies stay without service, or with it for too long.
+func (k *keeper) stranded(holder string) bool {
+	now := k.n.clock.Now()
+	if !k.n.storeUp.Load() || k.n.mesh.ReachesStore(holder) {
+		k.strandedSince = 0
+		return false
 	}
-	for place, i := range rendezvous.Rank(candidates, k.service, "") {
-		if live[i].VM == k.n.self.VM {
-			return place, false
-		}
+	if k.strandedSince == 0 {
+		k.strandedSince = now
 	}
-	return -1, false
+	return now-k.strandedSince > strandedAfter
 }
 
 // takeOver makes this VM the grantor and leads until it is succeeded.
@@ -191,6 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o, err := k.n.store.Get(ctx, k.id())
+	k.n.noteStore(err)
 	if err != nil {
 		return lease.Record{}, 0, err
 	}
@@ -212,6 +226,7 @@
 		return 0, fmt.Errorf("encode record of %s: %w", k.service, err)
 	}
 	o, err := platform.Write(ctx, k.n.store, platform.Object{Kind: kindLeases, Name: k.service, Version: version, Writer: k.n.tag(), Spec: spec})
+	k.n.noteStore(err)
 	return o.Version, err
 }
 
--- /dev/null
+++ b/internal/gateway/leases_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/platform"
+)
+
+// testNode is a node without goroutines, listeners or a store that answers.
+func testNode(clock *handClock) *node {
+	s := &Settings{Store: "127.0.0.1:1"}
+	s.VM, s.DataCentre, s.Peers = "self", "a", "127.0.0.1:1"
+	n := newNode(s, fakeAdapter{store: downStore{}}, clock, quiet(), metrics.NewRegistry())
+	n.mesh.Start(n)
+	n.storeUp.Store(true)
+	return n
+}
+
+func (n *node) hear(b mesh.Beat) {
+	var reply mesh.Beat
+	_ = mesh.Service{Mesh: n.mesh}.Beat(&b, &reply)
+}
+
+// The store refuses one VM, the grantor, and serves the others. Keys of a target
+// that left had no owner until the store was whole again: seven seconds. Another
+// VM that reaches the store must take over, though the grantor lives; not at once,
+// since after an outage VMs find the store again one after the other.
+func TestGrantorThatTheStoreTurnsAwayIsSucceeded(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
+	n.hear(mesh.Beat{From: holder})
+	r := n.state
+	r.own("s", 3, 1, "t", true)
+	r.routing["s"].Holder, r.routing["s"].Incarnation = "holder", 5
+	k := &keeper{n: n, service: "s"}
+
+	_, stands := k.candidate()
+	require.True(t, stands)
+	n.hear(mesh.Beat{From: holder, StoreLost: true})
+	_, stands = k.candidate()
+	require.True(t, stands)
+	for range 5 {
+		clock.now += strandedAfter / 4
+		n.hear(mesh.Beat{From: holder, StoreLost: true})
+		_, stands = k.candidate()
+	}
+	require.False(t, stands)
+
+	n.noteStore(platform.ErrUnavailable)
+	_, stands = k.candidate()
+	require.True(t, stands, "a VM without the store succeeds nobody")
+}
+
+// A VM ends. The others must not take the word of its last life for its present
+// one.
+func TestNewLifeOfTheGrantorDoesNotStand(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	n.hear(mesh.Beat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
+	n.state.own("s", 3, 1, "t", true)
+	n.state.routing["s"].Holder, n.state.routing["s"].Incarnation = "holder", 5
+	_, stands := (&keeper{n: n, service: "s"}).candidate()
+	require.False(t, stands)
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -66,7 +66,7 @@
 	}
 	owner, active := r.Find(key)
 	t := s.targets[owner]
-	if !active || t == nil {
+	if !active || t == nil || t.Draining && s.clock.Now() > t.leavesAt {
 		return nil, refusedMoving
 	}
 	if t.pick.Full() {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -51,7 +51,9 @@
 	catalog.Target
 	hash uint32
 	pool *upstream.Pool
-	pick pick.State
+	// leavesAt is until when a target that leaves may still get requests.
+	leavesAt time.Duration
+	pick     pick.State
 }
 
 // keyBucketShift makes 1024 buckets of 64 keys.
@@ -137,6 +139,9 @@
 			s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).
 				Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target changed")
 		}
+		if t.Draining && !old.Draining {
+			old.leavesAt = s.clock.Now() + leavingMost
+		}
 		old.Target = t
 		old.pick.Slots = t.Slots
 		return
@@ -151,8 +156,16 @@
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.near},
 	}
+	if t.Draining {
+		s.targets[t.ID].leavesAt = s.clock.Now() + leavingMost
+	}
 }
 
+// leavingMost is how long an owner that leaves may still get requests for its
+// keys, until they have another owner. Targets must get none two seconds after
+// their leaving was accepted.
+const leavingMost = 1500 * time.Millisecond
+
 // setRouting takes in a newer routing of a service's keys.
 func (s *state) setRouting(r *lease.Routing) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/gateway/state_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/repeats"
+	"hemlockquay/internal/lease"
+)
+
+// handClock is moved by the test.
+type handClock struct{ now time.Duration }
+
+func (c *handClock) Now() time.Duration { return c.now }
+
+func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
+
+func testState(clock *handClock) *state {
+	return newState(clock, quiet(), metrics.NewRegistry(), "a", repeats.Limit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+}
+
+func (s *state) list(revision uint64, targets ...catalog.Target) {
+	for i := range targets {
+		targets[i].Revision = revision
+	}
+	s.changeTargets("test", func(m *catalog.Members, now time.Duration) {
+		m.Replace(catalog.Targets{Revision: revision, List: targets}, now)
+	})
+}
+
+func (s *state) own(service string, epoch, seq uint64, owner string, active bool) {
+	r := lease.Record{Service: service, Epoch: epoch, Slices: []lease.Slice{{From: 0, To: 65535, Owner: lease.Owner{ID: owner}}}}
+	s.setRouting(lease.NewRouting(r, seq, func(int) bool { return active }))
+}
+
+// The owner of a key says that it leaves, and the store turns the grantor away:
+// nobody can give the key to another. Requests went on to the leaving target for
+// more than two seconds, when it must have none.
+func TestLeavingOwnerGetsRequestsForAShortWhileOnly(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	s := testState(clock)
+	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2}
+	s.list(1, target)
+	s.own("s", 1, 1, "t", true)
+	target.Draining = true
+	s.list(2, target)
+
+	e, why := s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedNone, why, "until the key has another owner, this one serves it")
+	s.finish(e, endLeft)
+
+	clock.now += leavingMost + time.Millisecond
+	_, why = s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedMoving, why)
+}
+
+func TestKeyOnTheMoveIsNotSent(t *testing.T) {
+	s := testState(&handClock{})
+	s.list(1, catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2})
+	s.own("s", 1, 2, "t", false)
+	_, why := s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedMoving, why)
+	s.own("s", 1, 1, "t", true)
+	_, why = s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedMoving, why, "older leases change nothing")
+	s.own("s", 2, 1, "t", true)
+	_, why = s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedNone, why)
+}
+
+// A target restarts under its id. What was learnt of its last life, and the
+// connections to it, must not be used for the new one.
+func TestNewLifeOfATargetStartsUnknown(t *testing.T) {
+	s := testState(&handClock{})
+	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
+	s.list(1, target)
+	first := s.targets["t"]
+	first.pick.Lost(0)
+	target.Born = 2
+	s.list(2, target)
+	require.NotSame(t, first.pool, s.targets["t"].pool)
+	require.False(t, s.targets["t"].pick.Resting(time.Millisecond))
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"hemlockquay/internal/catalog"
@@ -65,9 +66,12 @@
 // watching tells whether this VM is one of those that watch the store. One that
 // the store turned away is passed over by the others, and goes on trying.
 func (n *node) watching() bool {
-	if !n.storeUp.Load() {
-		return true
-	}
+	return !n.storeUp.Load() || n.place("watch") < watchers
+}
+
+// place returns this VM's place, from 0, in the order of those that live and
+// reach the store, for a duty. This VM is in it in any case.
+func (n *node) place(duty string) int {
 	live := n.mesh.Live()
 	candidates := make([]rendezvous.Candidate, 0, len(live))
 	for _, m := range live {
@@ -75,12 +79,18 @@
 			candidates = append(candidates, rendezvous.Candidate{VM: m.VM})
 		}
 	}
-	for place, i := range rendezvous.Rank(candidates, "watch", "") {
-		if candidates[i].VM == n.self.VM {
-			return place < watchers
-		}
+	order := rendezvous.Rank(candidates, duty, "")
+	return slices.IndexFunc(order, func(i int) bool { return candidates[i].VM == n.self.VM })
+}
+
+// noteStore notes from the end of a call whether the store answers.
+func (n *node) noteStore(err error) {
+	switch {
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrAmbiguous):
+		n.storeState(false, err)
+	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		n.storeState(true, nil)
 	}
-	return true
 }
 
 func (n *node) listOnce(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
