Leases: property test over late orders, restarts and successions; four faults mended

Found by the random walks of three grantors, three targets and the store: an owner in between was dropped from the record though a predecessor had granted it; a target's new life was taken for free while it held a grant meant for the last one; freeing a previous owner forgot the inherited hold of the present one; the end of an overtaken grant forgot it too. Each made two owners of a key in the model.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -448,8 +449,9 @@
 	if len(live) == 0 {
 		return nil
 	}
-	if changes := lease.Rehome(record.Slices, live); len(changes) > 0 {
-		return changes
+	rehomed := lease.Rehome(record.Slices, live)
+	if len(rehomed) > 0 {
+		return slices.DeleteFunc(rehomed, func(c lease.Change) bool { return !l.grants.Movable(c.Slice) })
 	}
 	moving := 0
 	for _, s := range record.Slices {
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -40,8 +40,7 @@
 	Unreached
 	// Unanswered: the order may have arrived, until its connection was closed.
 	Unanswered
-	// Misdirected: another target has the address; the life that was meant is
-	// not there. That proves nothing about whether it runs.
+	// Misdirected: another target has the address.
 	Misdirected
 )
 
@@ -66,7 +65,7 @@
 	// confirmedLives holds the targets that may be granted keys. A target is
 	// taken out when an order to it breaks.
 	confirmedLives map[Owner]bool
-	// ended holds lives that are over.
+	// ended holds lives that are over: they are not granted anything more.
 	ended map[Owner]bool
 }
 
@@ -89,6 +88,9 @@
 	// frozen says that a planned change of the slice is on its way to the store:
 	// neither owner may be granted for the first time until it is settled.
 	frozen bool
+	// inherited says that the owner stood in the record before this epoch: a
+	// predecessor may have granted it the keys.
+	inherited bool
 }
 
 // NewGrantor returns the grantor of a record that it has just written with its
@@ -101,6 +103,7 @@
 	for i := range g.states {
 		s := &g.states[i]
 		s.fence = g.fence()
+		s.inherited = !fresh
 		if !fresh {
 			s.outAt = holdEnd(done+Authority, t.Hold)
 			s.previousOut = s.outAt
@@ -161,7 +164,7 @@
 		return Order{}, false
 	}
 	if sl.Previous.Known() {
-		if now < s.previousOut && !g.ended[sl.Previous] {
+		if now < s.previousOut {
 			return g.order(Release, i, sl.Previous), now >= s.retryAt
 		}
 		g.free(i)
@@ -190,7 +193,7 @@
 	s, sl := &g.states[i], &g.record.Slices[i]
 	sl.Previous = Owner{}
 	s.fence = g.fence()
-	s.outAt, s.retryAt = 0, 0
+	s.retryAt = 0
 }
 
 // Ended takes in the end of an order, which was sent and over at these times. It
@@ -230,9 +233,11 @@
 	if !sl.Previous.Same(o.Target) {
 		return
 	}
-	s.previousOut = s.outAt
-	if r == Done || r == Unanswered {
+	switch r {
+	case Done:
 		s.previousOut = holdEnd(over, g.timing.Hold)
+	case Unanswered:
+		s.previousOut = max(s.previousOut, holdEnd(over, g.timing.Hold))
 	}
 }
 
@@ -246,7 +251,8 @@
 	if !sl.Previous.Same(o.Target) {
 		return false
 	}
-	if r == Done {
+	// Where another target has the address, the process that had it is gone.
+	if r == Done || r == Misdirected {
 		s.previousOut, s.handover = over, handover
 		return true
 	}
@@ -265,6 +271,8 @@
 // their previous owner: it may still hold the keys, and the owner in between was
 // never granted.
 //
+// A slice that is not movable keeps its owner.
+//
 // Failure: while the write is on its way, the previous owner answers its release
 // and the owner in between is granted. The record then names two targets, neither
 // of which holds the keys, and a successor would grant them a second time.
@@ -272,6 +280,9 @@
 	next := g.record
 	next.Slices = slices.Clone(g.record.Slices)
 	for _, c := range changes {
+		if !g.Movable(c.Slice) {
+			continue
+		}
 		sl := &next.Slices[c.Slice]
 		if !sl.Previous.Known() {
 			sl.Previous = sl.Owner
@@ -282,6 +293,16 @@
 	return next
 }
 
+// Movable tells whether slice i may get another owner now.
+//
+// Failure: a predecessor released the previous owner, granted the keys to the
+// owner and was succeeded; the record still names both. A move away from the owner
+// would drop it from the record while it holds the keys. It has to wait until the
+// previous owner is free.
+func (g *Grantor) Movable(i int) bool {
+	return !g.record.Slices[i].Previous.Known() || !g.states[i].inherited
+}
+
 // Abandon ends a plan that the store did not take.
 func (g *Grantor) Abandon() {
 	for i := range g.states {
@@ -308,7 +329,8 @@
 			// A grant is on its way. Its end says more.
 			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
 		}
-		s.granted, s.failures, s.retryAt = false, 0, 0
+		// The new owner was not granted these keys.
+		s.granted, s.inherited, s.outAt, s.failures, s.retryAt = false, false, 0, 0, 0
 		s.fence = g.fence()
 	}
 	g.record = next
@@ -318,7 +340,12 @@
 const orderBound = 5 * time.Second
 
 // LifeEnded notes that a life of a target is over: another one has begun under
-// its id. It holds nothing any more.
+// its id. It gets no more grants. Its keys are released like any others, which the
+// new life answers.
+//
+// Failure: a target restarts, and its entry still tells of its last life while it
+// takes connections already. A grant for the last life reached the new one. To
+// take the keys for free as soon as the entry changes makes a second owner.
 func (g *Grantor) LifeEnded(o Owner) {
 	g.ended[o] = true
 	delete(g.confirmedLives, o)
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,176 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "hemlockquay/internal/fixedseed"
+)
+
+// Three VMs succeed each other as the grantor while targets restart without
+// memory, VMs stand still, links and the store are cut, and orders are lost, late
+// by up to twelve seconds, or done without an answer. At no moment may two targets
+// hold the same key.
+func TestNoKeyHasTwoOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.takeOver(0)
+		for range rapid.IntRange(50, 500).Draw(t, "steps") {
+			w.now += worldStep
+			disturb(t, w)
+			for i := range w.targets {
+				// An entry follows its target after a while.
+				if w.listed[i] != w.targets[i].born && rapid.IntRange(0, 9).Draw(t, "entry written") == 0 {
+					w.listed[i] = w.targets[i].born
+				}
+			}
+			w.deliver()
+			for vm := range w.vms {
+				w.act(vm)
+			}
+			w.check()
+		}
+	})
+}
+
+func disturb(t *rapid.T, w *world) {
+	vm := rapid.IntRange(0, worldVMs-1).Draw(t, "vm")
+	target := rapid.IntRange(0, worldTargets-1).Draw(t, "target")
+	span := func(most int) time.Duration {
+		return time.Duration(rapid.IntRange(1, most).Draw(t, "span")) * time.Second
+	}
+	switch rapid.IntRange(0, 99).Draw(t, "event") {
+	case 0, 1:
+		w.takeOver(vm)
+	case 2, 3, 4, 5, 6, 7:
+		w.move(vm, rapid.IntRange(0, worldSlices-1).Draw(t, "slice"), target)
+	case 8, 9:
+		w.restart(target)
+	case 10:
+		w.vms[vm].frozen = w.now + span(20)
+		w.note("vm%d stands still", vm)
+	case 11:
+		w.vms[vm].cut = w.now + span(20)
+		w.note("vm%d without store", vm)
+	case 12, 13:
+		w.vms[vm].cutTargets[target] = w.now + span(10)
+		w.note("vm%d without t%d", vm, target)
+	case 14, 15:
+		w.readEpoch(vm)
+	}
+}
+
+// A grantor is lost. Its successor serves all keys at once from their present
+// owners: no key moves, and none waits.
+func TestSuccessorGrantsPresentOwnersAtOnce(t *testing.T) {
+	owners := []Owner{{ID: "a"}, {ID: "b"}}
+	r := Record{Service: "s", Epoch: 7, Slices: Even(4, owners)}
+	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, false)
+	for _, o := range g.Unconfirmed() {
+		g.LifeConfirmed(o)
+	}
+	due := g.Due(time.Hour)
+	require.Len(t, due, 4)
+	for _, o := range due {
+		require.Equal(t, Grant, o.Kind)
+		require.Greater(t, o.Fence, uint64(7)<<epochShift)
+	}
+}
+
+// A grantor stands still for longer than its authority. When it wakes it must
+// send nothing: another may have moved the keys.
+func TestNothingIsOrderedPastTheAuthority(t *testing.T) {
+	r := Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{{ID: "a"}})}
+	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, true)
+	g.LifeConfirmed(Owner{ID: "a"})
+	require.Len(t, g.Due(time.Hour+Authority-1), 2)
+	require.Empty(t, g.Due(time.Hour+Authority))
+	g.Confirmed(time.Hour + Authority)
+	require.False(t, g.MayOrder(time.Hour+2*Authority))
+}
+
+// An owner is lost. Its keys are granted to another once its last grant has run
+// out, and no later than a second after.
+func TestKeysOfALostOwnerAreFreeAfterTheHold(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, true)
+	g.LifeConfirmed(a)
+	g.LifeConfirmed(b)
+	now := time.Hour
+	for _, o := range g.Due(now) {
+		g.Ended(o, Done, "", now, now)
+	}
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now, now)
+	granted := time.Duration(0)
+	for ; granted == 0; now += 50 * time.Millisecond {
+		for _, o := range g.Due(now) {
+			if o.Kind == Grant {
+				require.Equal(t, b, o.Target)
+				granted = now
+				continue
+			}
+			g.Ended(o, Unanswered, "", now, now)
+		}
+	}
+	require.GreaterOrEqual(t, granted, time.Hour+worldTiming.Hold)
+	require.LessOrEqual(t, granted, time.Hour+worldTiming.Hold+time.Second)
+}
+
+// A planned move carries the state of the last owner and raises the fence over
+// the one of the release.
+func TestMoveReleasesThenGrantsWithHandover(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, true)
+	g.LifeConfirmed(a)
+	g.LifeConfirmed(b)
+	first := g.Due(time.Hour)[0]
+	g.Ended(first, Done, "", time.Hour, time.Hour)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), time.Hour, time.Hour)
+	release := g.Due(time.Hour)[0]
+	require.Equal(t, Release, release.Kind)
+	require.Greater(t, release.Fence, first.Fence)
+	require.False(t, g.Active(0, time.Hour), "requests wait meanwhile")
+	g.Ended(release, Done, "state", time.Hour, time.Hour)
+	grant := g.Due(time.Hour)[0]
+	require.Equal(t, "state", grant.Handover)
+	require.Greater(t, grant.Fence, release.Fence)
+	g.Ended(grant, Done, "", time.Hour, time.Hour)
+	require.True(t, g.Active(0, time.Hour))
+}
+
+func TestRehomeDealsEvenlyAndLeavesTheRest(t *testing.T) {
+	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
+	list := Even(12, []Owner{a, b, c})
+	changes := Rehome(list, []Owner{a, b})
+	require.Len(t, changes, 4)
+	got := map[string]int{}
+	for _, ch := range changes {
+		require.Equal(t, "c", list[ch.Slice].Owner.ID)
+		got[ch.To.ID]++
+	}
+	require.Equal(t, map[string]int{"a": 2, "b": 2}, got)
+}
+
+func TestNewTargetGetsItsShare(t *testing.T) {
+	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
+	list := Even(12, []Owner{a, b})
+	changes := EvenOut(list, []Owner{a, b, c}, func(int) bool { return false })
+	require.Len(t, changes, 4)
+	require.Empty(t, EvenOut(Even(12, []Owner{a, b, c}), []Owner{a, b, c}, func(int) bool { return false }))
+}
+
+func TestIndexFindsTheSliceOfAKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := Even(rapid.IntRange(1, 700).Draw(t, "slices"), []Owner{{ID: "a"}})
+		require.NoError(t, (&Record{Slices: list}).Check())
+		key := rapid.Uint16().Draw(t, "key")
+		s := list[Index(list, key)]
+		require.True(t, s.From <= key && key <= s.To)
+		owner, active := NewRouting(Record{Slices: list}, 1, func(i int) bool { return list[i].From == s.From }).Find(key)
+		require.Equal(t, "a", owner)
+		require.True(t, active)
+	})
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -17,9 +17,9 @@
 //     own higher fence. From then on the owner refuses the predecessor, and no key
 //     has moved. An owner that it cannot reach keeps its keys until Authority and
 //     a hold have passed since the successor's write.
-//  4. Keys leave an owner when it answers a release (whose fence is above all
-//     that were sent), when every grant that may have reached it has run out, or
-//     when it has restarted.
+//  4. Keys leave an owner when the process at its address answers a release
+//     (whose fence is above all that were sent), or when every grant that may have
+//     reached it has run out.
 //  5. A grant is sent to the life of a target that the record names. After a
 //     broken order the runner has that life confirmed before the next grant: a
 //     restarted target has forgotten its fences and would take a grant of a
--- /dev/null
+++ b/internal/lease/world_test.go
@@ -0,0 +1,319 @@
+package lease
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The world of the property test: grantors, targets that check nothing but a
+// fence, and a store, with late, lost and repeated orders between them.
+
+const (
+	worldStep    = 50 * time.Millisecond
+	worldSlices  = 4
+	worldTargets = 3
+	worldVMs     = 3
+)
+
+var worldTiming = Timing{Hold: 3 * time.Second, Renew: 750 * time.Millisecond, Retry: 100 * time.Millisecond}
+
+// worldTarget is a target as the platform describes it.
+type worldTarget struct {
+	born int64
+	up   bool
+	seen [worldSlices]uint64
+	out  [worldSlices]time.Duration
+}
+
+// message is an order on its way. It reaches only the life to which its
+// connection was opened.
+type message struct {
+	vm       int
+	order    Order
+	slice    int
+	target   int
+	life     int64
+	sent     time.Duration
+	arrives  time.Duration
+	applied  time.Duration
+	answered bool
+}
+
+type worldVM struct {
+	grantor *Grantor
+	version int
+	// conns holds the life to which the connection for orders leads.
+	conns map[int]int64
+	// frozen is until when the VM stands still.
+	frozen time.Duration
+	// cut is until when it does not reach the store; cutTargets until when it
+	// does not reach the targets.
+	cut        time.Duration
+	cutTargets [worldTargets]time.Duration
+	results    []func()
+}
+
+type world struct {
+	t       *rapid.T
+	now     time.Duration
+	record  Record
+	version int
+	vms     [worldVMs]worldVM
+	targets [worldTargets]worldTarget
+	listed  [worldTargets]int64
+	flying  []message
+	log     []string
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Hour}
+	for i := range w.targets {
+		w.targets[i] = worldTarget{born: 1, up: true}
+		w.listed[i] = 1
+	}
+	for i := range w.vms {
+		w.vms[i].conns = make(map[int]int64)
+	}
+	return w
+}
+
+func targetID(i int) string { return fmt.Sprintf("t%d", i) }
+
+func (w *world) owner(i int) Owner { return Owner{ID: targetID(i), Born: w.listed[i]} }
+
+func (w *world) note(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf("%8.2f ", (w.now-time.Hour).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func indexOf(o Owner) int { return int(o.ID[1] - '0') }
+
+// reaches tells whether a VM reaches the store.
+func (w *world) reaches(vm int) bool { return w.now >= w.vms[vm].cut }
+
+// takeOver writes a new epoch.
+func (w *world) takeOver(vm int) {
+	if !w.reaches(vm) || w.now < w.vms[vm].frozen {
+		return
+	}
+	fresh := w.version == 0
+	next := w.record
+	if fresh {
+		owners := make([]Owner, worldTargets)
+		for i := range owners {
+			owners[i] = w.owner(i)
+		}
+		next.Slices = Even(worldSlices, owners)
+	}
+	next.Slices = append([]Slice(nil), next.Slices...)
+	next.Epoch++
+	next.Incarnation = uint64(vm)
+	w.record = next
+	w.version++
+	w.note("vm%d takes epoch %d", vm, next.Epoch)
+	v := &w.vms[vm]
+	v.grantor = NewGrantor(next, worldTiming, w.now, w.now, fresh)
+	v.version = w.version
+	v.results = nil
+	v.conns = make(map[int]int64)
+}
+
+// act lets a VM do what a leader does in one step.
+func (w *world) act(vm int) {
+	v := &w.vms[vm]
+	if w.now < v.frozen || v.grantor == nil {
+		return
+	}
+	results := v.results
+	v.results = nil
+	for _, result := range results {
+		result()
+	}
+	if v.grantor == nil {
+		return
+	}
+	w.noteLives(v.grantor)
+	w.connect(vm)
+	if v.grantor == nil {
+		return
+	}
+	for _, o := range v.grantor.Due(w.now) {
+		w.send(vm, o)
+	}
+}
+
+func (w *world) noteLives(g *Grantor) {
+	for _, s := range g.Record().Slices {
+		for _, o := range []Owner{s.Owner, s.Previous} {
+			if o.Known() && o.Born < w.listed[indexOf(o)] {
+				g.LifeEnded(o)
+			}
+		}
+	}
+}
+
+// connect opens connections to unconfirmed owners, then asks the store.
+func (w *world) connect(vm int) {
+	v := &w.vms[vm]
+	for _, o := range v.grantor.Unconfirmed() {
+		i := indexOf(o)
+		if w.now < v.cutTargets[i] || !w.targets[i].up || !w.reaches(vm) {
+			continue
+		}
+		v.conns[i] = w.targets[i].born
+		if w.record.Epoch != v.grantor.Record().Epoch {
+			v.grantor = nil
+			return
+		}
+		v.grantor.Confirmed(w.now)
+		if w.listed[i] == o.Born {
+			v.grantor.LifeConfirmed(o)
+		}
+	}
+}
+
+func (w *world) send(vm int, o Order) {
+	v := &w.vms[vm]
+	i := indexOf(o.Target)
+	m := message{vm: vm, order: o, slice: Index(v.grantor.record.Slices, o.From), target: i, life: v.conns[i], sent: w.now}
+	if o.Kind == Release {
+		// Releases open a connection of their own.
+		m.life = w.targets[i].born
+	}
+	if !w.targets[i].up || m.life != w.targets[i].born {
+		w.report(m, Unreached, w.now)
+		return
+	}
+	if w.now < v.cutTargets[i] {
+		w.report(m, Unanswered, w.now+400*time.Millisecond)
+		return
+	}
+	how := rapid.IntRange(0, 19).Draw(w.t, "fate of an order")
+	m.arrives = w.now + time.Duration(rapid.IntRange(0, 5).Draw(w.t, "on the way"))*worldStep
+	m.applied, m.answered = m.arrives, true
+	switch {
+	case how == 0:
+		// Done late, and not answered.
+		m.applied = m.arrives + time.Duration(rapid.IntRange(40, 240).Draw(w.t, "late"))*worldStep
+		m.answered = false
+	case how == 1:
+		m.answered = false
+	}
+	w.flying = append(w.flying, m)
+	if !m.answered {
+		w.report(m, Unanswered, m.arrives+400*time.Millisecond)
+	}
+}
+
+// report hands the end of an order to its VM.
+func (w *world) report(m message, r Result, over time.Duration) {
+	v := &w.vms[m.vm]
+	g := v.grantor
+	v.results = append(v.results, func() {
+		if over <= w.now {
+			g.Ended(m.order, r, "", m.sent, over)
+			if r == Fenced {
+				w.readEpoch(m.vm)
+			}
+			return
+		}
+		w.report(m, r, over)
+	})
+}
+
+func (w *world) readEpoch(vm int) {
+	v := &w.vms[vm]
+	if !w.reaches(vm) || v.grantor == nil {
+		return
+	}
+	if w.record.Epoch != v.grantor.Record().Epoch {
+		v.grantor = nil
+		return
+	}
+	v.grantor.Confirmed(w.now)
+}
+
+// deliver applies the orders that are due.
+func (w *world) deliver() {
+	var rest []message
+	for _, m := range w.flying {
+		if m.applied > w.now {
+			rest = append(rest, m)
+			continue
+		}
+		w.apply(m)
+	}
+	w.flying = rest
+}
+
+func (w *world) apply(m message) {
+	t := &w.targets[m.target]
+	result := Done
+	switch {
+	case !t.up || t.born != m.life:
+		result = Unanswered
+	case m.order.Kind == Release:
+		t.seen[m.slice] = max(t.seen[m.slice], m.order.Fence)
+		t.out[m.slice] = w.now
+	case m.order.Fence < t.seen[m.slice]:
+		result = Fenced
+	default:
+		t.seen[m.slice] = m.order.Fence
+		// The slowest clock that is allowed.
+		t.out[m.slice] = m.arrives + time.Duration(float64(m.order.Hold)*(1+Drift))
+	}
+	w.note("vm%d order %d slice %d fence %x at t%d: %d", m.vm, m.order.Kind, m.slice, m.order.Fence, m.target, result)
+	if m.answered {
+		w.report(m, result, w.now)
+	}
+	w.check()
+}
+
+// check is the promise: no key has two owners.
+func (w *world) check() {
+	for s := range worldSlices {
+		var owners []int
+		for i, t := range w.targets {
+			if t.up && w.now < t.out[s] {
+				owners = append(owners, i)
+			}
+		}
+		if len(owners) > 1 {
+			for _, line := range w.log {
+				w.t.Log(line)
+			}
+			w.t.Fatalf("slice %d has owners %v", s, owners)
+		}
+	}
+}
+
+// move has a grantor give a slice to another target. The write may be lost after
+// it took effect.
+func (w *world) move(vm, slice, target int) {
+	v := &w.vms[vm]
+	if v.grantor == nil || w.now < v.frozen {
+		return
+	}
+	next := v.grantor.Plan([]Change{{Slice: slice, To: w.owner(target)}})
+	if !w.reaches(vm) || v.version != w.version {
+		v.grantor.Abandon()
+		return
+	}
+	w.record = next
+	w.record.Slices = append([]Slice(nil), next.Slices...)
+	w.version++
+	w.note("vm%d gives slice %d to t%d", vm, slice, target)
+	if rapid.IntRange(0, 9).Draw(w.t, "answer lost") == 0 {
+		v.grantor = nil
+		return
+	}
+	v.version = w.version
+	v.grantor.Commit(next, w.now, w.now)
+}
+
+// restart ends a life of a target; the next has the same id and knows nothing.
+func (w *world) restart(i int) {
+	w.targets[i] = worldTarget{born: w.targets[i].born + 1, up: true}
+	w.note("t%d restarts as %d", i, w.targets[i].born)
+}
