--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -42,6 +42,8 @@
 	Key string
 	// TargetID is the id of the target that is meant; any other refuses.
 	TargetID string
+	// InstanceID is the id of the target that answers, where it says so.
+	InstanceID string
 	// NotRun marks an answer of a target that has not run the request.
 	NotRun string
 }
@@ -51,6 +53,13 @@
 	return a.Header.Get(h.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
 }
 
+// another tells whether the answer comes from another target than was meant: the
+// address has passed on.
+func (h Headers) another(a *upstream.Answer, id string) bool {
+	got := a.Header.Get(h.InstanceID)
+	return a.Status == http.StatusMisdirectedRequest && got != "" && got != id
+}
+
 // storeTimeout bounds a call to the store. Its usual answer takes 4 ms, one of
 // a slow store about a hundred times that.
 const storeTimeout = 2 * time.Second
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -32,7 +32,7 @@
 }
 
 func (fakeAdapter) Headers() Headers {
-	return Headers{RequestID: "Id", DeadlineMs: "Deadline", Key: "Key", TargetID: "Target", NotRun: "Not-Run"}
+	return Headers{RequestID: "Id", DeadlineMs: "Deadline", Key: "Key", TargetID: "Target", InstanceID: "Instance", NotRun: "Not-Run"}
 }
 
 func (fakeAdapter) Order(o lease.Order) (*upstream.Request, error) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -23,11 +23,18 @@
 	// could not come back in time.
 	leastLeft = 5 * time.Millisecond
 	// movingWait is how long a request waits at most for a key that changes its
-	// owner; a lost owner's keys are back within a hold and about a second.
-	movingWait = 2500 * time.Millisecond
+	// owner: the work on the key at the old owner ends, then the new one gets it.
+	movingWait = 500 * time.Millisecond
+	// answerMargin is how much earlier than the caller's time ends it gets its
+	// answer: the way back takes about 3 ms.
+	answerMargin = 10 * time.Millisecond
+	// lostRetry is the part of its time after which a caller may come back for a
+	// key whose owner is lost. The key is back within a hold and about a second;
+	// callers wait no longer than this part.
+	lostRetry = 3
 	// misdirectedPause is the wait after a target said that it does not hold the
 	// key, unless news of the leases come first.
-	misdirectedPause = 40 * time.Millisecond
+	misdirectedPause = 150 * time.Millisecond
 	// unsentMost bounds the targets that could not be connected to.
 	unsentMost = 4
 	// defaultBody bounds a request's body where the configuration does not.
@@ -132,7 +139,7 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(n.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(wait.Milliseconds()) {
 		wait = time.Duration(ms * float64(time.Millisecond))
 	}
-	c.until = now.Add(wait)
+	c.until = now.Add(wait - answerMargin)
 	c.request = &upstream.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: forwarded(r.Header, n.headers), ID: c.id, IDHeader: n.headers.RequestID,
@@ -175,6 +182,9 @@
 		if why == refusedMoving && n.await(ctx, c, movingWait) {
 			continue
 		}
+		if why == refusedLost {
+			return c.giveUp(string(why), left/lostRetry)
+		}
 		if e == nil {
 			return c.giveUp(string(why), n.retryAfter(c))
 		}
@@ -287,6 +297,9 @@
 // notRun takes in that the target has refused the request.
 func (n *node) notRun(ctx context.Context, c *call, e *errand, a *upstream.Answer) *outcome {
 	c.arrivals++
+	if n.headers.another(a, e.id) {
+		n.state.displaced(e)
+	}
 	if a.Status == http.StatusMisdirectedRequest && c.keyed {
 		n.state.finish(e, endLeft)
 		if !n.await(ctx, c, movingWait) {
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -434,15 +434,9 @@
 // plan returns the changes of owners that are wanted now.
 func (l *leader) plan(now time.Duration) []lease.Change {
 	record := l.grants.Record()
-	silent := make(map[lease.Owner]bool)
-	for i, s := range record.Slices {
-		if l.grants.Silent(i, now) > silentOwner {
-			silent[s.Owner] = true
-		}
-	}
 	var live []lease.Owner
 	for _, o := range l.owners() {
-		if !silent[o] {
+		if l.grants.Silent(o, now) < silentOwner && !l.grants.HasEnded(o) {
 			live = append(live, o)
 		}
 	}
@@ -462,12 +456,12 @@
 	if moving > 0 {
 		return nil
 	}
-	return lease.EvenOut(record.Slices, live, func(i int) bool { return !l.grants.Active(i, now) })
+	return lease.EvenOut(record.Slices, live, func(i int) bool { return l.grants.State(i, now) != lease.Served })
 }
 
 // tell publishes the leases when they have changed, here and to the other VMs.
 func (l *leader) tell(ctx context.Context, now time.Duration) {
-	routing := lease.NewRouting(l.grants.Record(), l.seq+1, func(i int) bool { return l.grants.Active(i, now) })
+	routing := lease.NewRouting(l.grants.Record(), l.seq+1, func(i int) lease.SliceState { return l.grants.State(i, now) })
 	if routing.SameAs(l.told) {
 		return
 	}
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -161,7 +161,7 @@
 		return false
 	}
 	if old := k.n.state.routingOf(k.service); old == nil || r.Epoch > old.Epoch {
-		k.n.state.setRouting(lease.NewRouting(r, 0, func(int) bool { return true }))
+		k.n.state.setRouting(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
 	}
 	return true
 }
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -7,6 +7,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/platform"
 )
@@ -37,7 +38,7 @@
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
 	n.hear(mesh.Beat{From: holder})
 	r := n.state
-	r.own("s", 3, 1, "t", true)
+	r.own("s", 3, 1, "t", lease.Served)
 	r.routing["s"].Holder, r.routing["s"].Incarnation = "holder", 5
 	k := &keeper{n: n, service: "s"}
 
@@ -65,7 +66,7 @@
 	n := testNode(clock)
 	defer n.mesh.Close()
 	n.hear(mesh.Beat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
-	n.state.own("s", 3, 1, "t", true)
+	n.state.own("s", 3, 1, "t", lease.Served)
 	n.state.routing["s"].Holder, n.state.routing["s"].Incarnation = "holder", 5
 	_, stands := (&keeper{n: n, service: "s"}).candidate()
 	require.False(t, stands)
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/lease"
 	"hemlockquay/internal/upstream"
 )
 
@@ -30,6 +31,7 @@
 	refusedEmpty  refusal = "no target"
 	refusedFull   refusal = "all full"
 	refusedMoving refusal = "key on the move"
+	refusedLost   refusal = "owner of the key is lost"
 	refusedLate   refusal = "cannot be done in time"
 )
 
@@ -44,7 +46,7 @@
 	states := make([]*pick.State, 0, len(list))
 	owners := make([]*tracked, 0, len(list))
 	for _, t := range list {
-		if tr := s.targets[t.ID]; tr != nil && !tr.Draining {
+		if tr := s.targets[t.ID]; tr != nil && !tr.Draining && !tr.displaced {
 			states = append(states, &tr.pick)
 			owners = append(owners, tr)
 		}
@@ -64,10 +66,14 @@
 	if r == nil {
 		return nil, refusedMoving
 	}
-	owner, active := r.Find(key)
+	owner, how := r.Find(key)
 	t := s.targets[owner]
-	if !active || t == nil || t.Draining && s.clock.Now() > t.leavesAt {
+	now := s.clock.Now()
+	switch {
+	case how == lease.Moving:
 		return nil, refusedMoving
+	case how == lease.Unserved, t == nil, t.displaced, t.Draining && now > t.leavesAt, t.pick.Resting(now):
+		return nil, refusedLost
 	}
 	if t.pick.Full() {
 		return nil, refusedFull
@@ -128,6 +134,23 @@
 	}
 }
 
+// displaced notes that another target answers at the address of this one.
+//
+// Failure: a target is gone and its address has passed to a target of another
+// service, while its entry is still listed. Each request for its keys is refused
+// there, again and again, and counts as a repeat at a service that it was never
+// meant for.
+func (s *state) displaced(e *errand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.target.displaced {
+		return
+	}
+	e.target.displaced = true
+	s.log.Warn().Str("step", "targets").Str("target", e.id).Str("addr", e.target.Addr).Int64("born", e.target.Born).
+		Msg("another target has the address")
+}
+
 // countKey counts a request for a key.
 func (s *state) countKey(service string, key uint16) {
 	s.mu.Lock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -51,6 +51,9 @@
 	catalog.Target
 	hash uint32
 	pool *upstream.Pool
+	// displaced says that another target answers at the address: this life is
+	// over, though its entry is still listed.
+	displaced bool
 	// leavesAt is until when a target that leaves may still get requests.
 	leavesAt time.Duration
 	pick     pick.State
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/upstream"
 )
 
 // handClock is moved by the test.
@@ -34,9 +36,9 @@
 	})
 }
 
-func (s *state) own(service string, epoch, seq uint64, owner string, active bool) {
+func (s *state) own(service string, epoch, seq uint64, owner string, state lease.SliceState) {
 	r := lease.Record{Service: service, Epoch: epoch, Slices: []lease.Slice{{From: 0, To: 65535, Owner: lease.Owner{ID: owner}}}}
-	s.setRouting(lease.NewRouting(r, seq, func(int) bool { return active }))
+	s.setRouting(lease.NewRouting(r, seq, func(int) lease.SliceState { return state }))
 }
 
 // The owner of a key says that it leaves, and the store turns the grantor away:
@@ -47,7 +49,7 @@
 	s := testState(clock)
 	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2}
 	s.list(1, target)
-	s.own("s", 1, 1, "t", true)
+	s.own("s", 1, 1, "t", lease.Served)
 	target.Draining = true
 	s.list(2, target)
 
@@ -57,19 +59,19 @@
 
 	clock.now += leavingMost + time.Millisecond
 	_, why = s.chooseOwner("s", "r", 7, time.Second)
-	require.Equal(t, refusedMoving, why)
+	require.Equal(t, refusedLost, why)
 }
 
 func TestKeyOnTheMoveIsNotSent(t *testing.T) {
 	s := testState(&handClock{})
 	s.list(1, catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2})
-	s.own("s", 1, 2, "t", false)
+	s.own("s", 1, 2, "t", lease.Moving)
 	_, why := s.chooseOwner("s", "r", 7, time.Second)
 	require.Equal(t, refusedMoving, why)
-	s.own("s", 1, 1, "t", true)
+	s.own("s", 1, 1, "t", lease.Served)
 	_, why = s.chooseOwner("s", "r", 7, time.Second)
 	require.Equal(t, refusedMoving, why, "older leases change nothing")
-	s.own("s", 2, 1, "t", true)
+	s.own("s", 2, 1, "t", lease.Served)
 	_, why = s.chooseOwner("s", "r", 7, time.Second)
 	require.Equal(t, refusedNone, why)
 }
@@ -87,3 +89,27 @@
 	require.NotSame(t, first.pool, s.targets["t"].pool)
 	require.False(t, s.targets["t"].pick.Resting(time.Millisecond))
 }
+
+// A target dies without a word and its address passes to a target of another
+// service. Until the entry lapsed, every request for its keys was sent there three
+// times over and refused, which used up the other service's repeats.
+func TestDisplacedTargetGetsNoRequests(t *testing.T) {
+	s := testState(&handClock{})
+	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
+	s.list(1, target)
+	s.own("s", 1, 1, "t", lease.Served)
+	e, _ := s.chooseOwner("s", "r", 7, time.Second)
+	a := &upstream.Answer{Status: http.StatusMisdirectedRequest, Header: http.Header{"Instance": {"other"}}}
+	h := fakeAdapter{}.Headers()
+	require.True(t, h.another(a, "t"))
+	require.False(t, h.another(a, "other"), "a target that does not hold the key is no other")
+	s.displaced(e)
+	_, why := s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedLost, why)
+	_, why = s.chooseFromPool("s", "r", nil, time.Second, 0)
+	require.Equal(t, refusedFull, why)
+	target.Born = 2
+	s.list(2, target)
+	_, why = s.chooseOwner("s", "r", 7, time.Second)
+	require.Equal(t, refusedNone, why, "a new life answers there")
+}
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -66,7 +66,49 @@
 	// taken out when an order to it breaks.
 	confirmedLives map[Owner]bool
 	// ended holds lives that are over: they are not granted anything more.
-	ended map[Owner]bool
+	ended    map[Owner]bool
+	contacts map[Owner]*contact
+}
+
+// contact is how orders to one life of a target fared.
+//
+// Load pattern: a target with a hundred slices is gone. To try each of its orders
+// again and again opens hundreds of connections a second to nobody. After a
+// failure one order at a time goes out, at growing intervals, until one is
+// answered.
+type contact struct {
+	failures int
+	retryAt  time.Duration
+	probing  bool
+	answered time.Duration
+}
+
+// retryMost bounds the pause between two orders to a target that does not answer.
+const retryMost = 1600 * time.Millisecond
+
+func (g *Grantor) contact(o Owner) *contact {
+	c := g.contacts[o]
+	if c == nil {
+		c = new(contact)
+		g.contacts[o] = c
+	}
+	return c
+}
+
+// open tells whether an order may go out now.
+func (c *contact) open(now time.Duration) bool {
+	return c.failures == 0 || !c.probing && now >= c.retryAt
+}
+
+func (c *contact) ended(r Result, sent, over, retry time.Duration) {
+	c.probing = false
+	if r == Unreached || r == Unanswered {
+		c.retryAt = over + min(retry<<min(c.failures, 8), retryMost)
+		c.failures++
+		return
+	}
+	c.failures = 0
+	c.answered = max(c.answered, sent)
 }
 
 // state is what the grantor knows of one slice beyond the record.
@@ -84,7 +126,6 @@
 	retryAt     time.Duration
 	// handover is the state that the next grant carries.
 	handover string
-	failures int
 	// frozen says that a planned change of the slice is on its way to the store:
 	// neither owner may be granted for the first time until it is settled.
 	frozen bool
@@ -98,7 +139,7 @@
 // for this service, so nobody can hold a key.
 func NewGrantor(r Record, t Timing, sent, done time.Duration, fresh bool) *Grantor {
 	g := &Grantor{timing: t, record: r, confirmed: sent, nextFence: r.Epoch << epochShift}
-	g.confirmedLives, g.ended = make(map[Owner]bool), make(map[Owner]bool)
+	g.confirmedLives, g.ended, g.contacts = make(map[Owner]bool), make(map[Owner]bool), make(map[Owner]*contact)
 	g.states = make([]state, len(r.Slices))
 	for i := range g.states {
 		s := &g.states[i]
@@ -137,10 +178,20 @@
 // Exhausted tells that the fences of the epoch are nearly used up.
 func (g *Grantor) Exhausted() bool { return g.nextFence+1<<16 > (g.record.Epoch+1)<<epochShift }
 
-// Active tells whether the owner of slice i answers for its keys now.
-func (g *Grantor) Active(i int, now time.Duration) bool {
-	s := &g.states[i]
-	return s.granted && !g.record.Slices[i].Previous.Known() && now < s.acked+g.timing.Hold
+// State tells how slice i is served now.
+func (g *Grantor) State(i int, now time.Duration) SliceState {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	waitsFor := sl.Owner
+	if sl.Previous.Known() {
+		waitsFor = sl.Previous
+	}
+	switch c := g.contacts[waitsFor]; {
+	case waitsFor.Same(sl.Owner) && s.granted && now < s.acked+g.timing.Hold:
+		return Served
+	case c != nil && c.failures > 0:
+		return Unserved
+	}
+	return Moving
 }
 
 // Due returns the orders to send now and marks them as pending.
@@ -150,10 +201,17 @@
 	}
 	var out []Order
 	for i := range g.states {
-		if o, due := g.due(i, now); due {
-			g.states[i].pending = true
-			out = append(out, o)
+		o, due := g.due(i, now)
+		if !due {
+			continue
+		}
+		c := g.contact(o.Target)
+		if !c.open(now) {
+			continue
 		}
+		c.probing = true
+		g.states[i].pending = true
+		out = append(out, o)
 	}
 	return out
 }
@@ -199,6 +257,12 @@
 // Ended takes in the end of an order, which was sent and over at these times. It
 // returns false for an order that no slice waits for any more.
 func (g *Grantor) Ended(o Order, r Result, handover string, sent, over time.Duration) bool {
+	if o.Fence>>epochShift != g.record.Epoch {
+		// An order of an earlier epoch: its fence is below ours, so its end says
+		// nothing of what the target holds now.
+		return false
+	}
+	g.contact(o.Target).ended(r, sent, over, g.timing.Retry)
 	i := Index(g.record.Slices, o.From)
 	s, sl := &g.states[i], &g.record.Slices[i]
 	s.pending = false
@@ -211,15 +275,18 @@
 	}
 	switch r {
 	case Done:
-		s.granted, s.acked, s.failures, s.handover = true, max(s.acked, sent), 0, ""
+		s.granted, s.acked, s.handover = true, max(s.acked, sent), ""
 		s.outAt = holdEnd(over, g.timing.Hold)
 	case Unanswered:
 		s.outAt = max(s.outAt, holdEnd(over, g.timing.Hold))
 		delete(g.confirmedLives, o.Target)
 		g.failed(s, over)
-	case Unreached, Misdirected:
+	case Unreached:
 		delete(g.confirmedLives, o.Target)
 		g.failed(s, over)
+	case Misdirected:
+		g.LifeEnded(o.Target)
+		g.failed(s, over)
 	case Fenced:
 		s.fence = g.fence()
 		g.failed(s, over)
@@ -242,7 +309,6 @@
 }
 
 func (g *Grantor) failed(s *state, now time.Duration) {
-	s.failures++
 	s.retryAt = now + g.timing.Retry
 }
 
@@ -280,10 +346,10 @@
 	next := g.record
 	next.Slices = slices.Clone(g.record.Slices)
 	for _, c := range changes {
-		if !g.Movable(c.Slice) {
+		sl := &next.Slices[c.Slice]
+		if !g.Movable(c.Slice) || c.To.Same(sl.Owner) {
 			continue
 		}
-		sl := &next.Slices[c.Slice]
 		if !sl.Previous.Known() {
 			sl.Previous = sl.Owner
 		}
@@ -330,7 +396,7 @@
 			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
 		}
 		// The new owner was not granted these keys.
-		s.granted, s.inherited, s.outAt, s.failures, s.retryAt = false, false, 0, 0, 0
+		s.granted, s.inherited, s.outAt, s.retryAt = false, false, 0, 0
 		s.fence = g.fence()
 	}
 	g.record = next
@@ -351,6 +417,9 @@
 	delete(g.confirmedLives, o)
 }
 
+// HasEnded tells whether a life is known to be over.
+func (g *Grantor) HasEnded(o Owner) bool { return g.ended[o] }
+
 // Unconfirmed returns the owners whose life must be confirmed before they are
 // granted anything.
 func (g *Grantor) Unconfirmed() []Owner {
@@ -369,12 +438,12 @@
 // orders was opened, and that the epoch stood after that.
 func (g *Grantor) LifeConfirmed(o Owner) { g.confirmedLives[o] = true }
 
-// Silent tells for how long the owner of slice i has not answered; 0 while it
-// does.
-func (g *Grantor) Silent(i int, now time.Duration) time.Duration {
-	s := &g.states[i]
-	if s.failures == 0 || !s.granted {
+// Silent tells for how long an owner has left orders unanswered; 0 while it
+// answers, or was never asked.
+func (g *Grantor) Silent(o Owner, now time.Duration) time.Duration {
+	c := g.contacts[o]
+	if c == nil || c.failures == 0 || c.answered == 0 {
 		return 0
 	}
-	return now - s.acked
+	return now - c.answered
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -119,6 +119,36 @@
 	require.LessOrEqual(t, granted, time.Hour+worldTiming.Hold+time.Second)
 }
 
+// An owner with many slices is gone. To try every order again and again opened
+// hundreds of connections a second to nobody. One at a time goes out until one is
+// answered, and requests for the keys are refused meanwhile.
+func TestTargetThatDoesNotAnswerIsAskedOnceAtATime(t *testing.T) {
+	a := Owner{ID: "a"}
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(100, []Owner{a})}, worldTiming, time.Hour, time.Hour, true)
+	g.LifeConfirmed(a)
+	now := time.Hour
+	for _, o := range g.Due(now) {
+		g.Ended(o, Done, "", now, now)
+	}
+	orders := 0
+	for ; now < time.Hour+10*time.Second; now += 20 * time.Millisecond {
+		g.LifeConfirmed(a)
+		for _, o := range g.Due(now) {
+			orders++
+			g.Ended(o, Unanswered, "", now, now)
+		}
+	}
+	require.Less(t, orders, 100+20, "the first failure comes to all that are on their way")
+	require.Equal(t, Unserved, g.State(5, now))
+	require.Greater(t, g.Silent(a, now), 9*time.Second)
+	g.LifeConfirmed(a)
+	now += retryMost
+	probe := g.Due(now)
+	require.Len(t, probe, 1)
+	g.Ended(probe[0], Done, "", now, now)
+	require.Len(t, g.Due(now), 99)
+}
+
 // A planned move carries the state of the last owner and raises the fence over
 // the one of the release.
 func TestMoveReleasesThenGrantsWithHandover(t *testing.T) {
@@ -132,13 +162,13 @@
 	release := g.Due(time.Hour)[0]
 	require.Equal(t, Release, release.Kind)
 	require.Greater(t, release.Fence, first.Fence)
-	require.False(t, g.Active(0, time.Hour), "requests wait meanwhile")
+	require.Equal(t, Moving, g.State(0, time.Hour), "requests wait meanwhile")
 	g.Ended(release, Done, "state", time.Hour, time.Hour)
 	grant := g.Due(time.Hour)[0]
 	require.Equal(t, "state", grant.Handover)
 	require.Greater(t, grant.Fence, release.Fence)
 	g.Ended(grant, Done, "", time.Hour, time.Hour)
-	require.True(t, g.Active(0, time.Hour))
+	require.Equal(t, Served, g.State(0, time.Hour))
 }
 
 func TestRehomeDealsEvenlyAndLeavesTheRest(t *testing.T) {
@@ -169,8 +199,13 @@
 		key := rapid.Uint16().Draw(t, "key")
 		s := list[Index(list, key)]
 		require.True(t, s.From <= key && key <= s.To)
-		owner, active := NewRouting(Record{Slices: list}, 1, func(i int) bool { return list[i].From == s.From }).Find(key)
+		owner, state := NewRouting(Record{Slices: list}, 1, func(i int) SliceState {
+			if list[i].From == s.From {
+				return Served
+			}
+			return Unserved
+		}).Find(key)
 		require.Equal(t, "a", owner)
-		require.True(t, active)
+		require.Equal(t, Served, state)
 	})
 }
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -14,16 +14,29 @@
 	Owners []string
 	From   []uint16
 	Owner  []uint16
-	// Active says that the owner answers for the slice now. Requests for others
-	// wait.
-	Active []bool
+	// States tells how each slice is served.
+	States []SliceState
 }
 
-// NewRouting returns the routing of a record. active tells it of slice i.
-func NewRouting(r Record, seq uint64, active func(i int) bool) *Routing {
+// SliceState tells how a slice is served.
+type SliceState uint8
+
+// The states.
+const (
+	// Served: the owner answers for its keys.
+	Served SliceState = iota
+	// Moving: the keys have an owner again soon; requests wait.
+	Moving
+	// Unserved: a target that may hold the keys does not answer, and they are
+	// without service until its hold has run out; requests are refused.
+	Unserved
+)
+
+// NewRouting returns the routing of a record. state tells it of slice i.
+func NewRouting(r Record, seq uint64, state func(i int) SliceState) *Routing {
 	out := &Routing{
 		Service: r.Service, Epoch: r.Epoch, Seq: seq, Holder: r.Holder, Incarnation: r.Incarnation,
-		From: make([]uint16, len(r.Slices)), Owner: make([]uint16, len(r.Slices)), Active: make([]bool, len(r.Slices)),
+		From: make([]uint16, len(r.Slices)), Owner: make([]uint16, len(r.Slices)), States: make([]SliceState, len(r.Slices)),
 	}
 	index := make(map[string]uint16)
 	for i, s := range r.Slices {
@@ -33,7 +46,7 @@
 			index[s.Owner.ID] = at
 			out.Owners = append(out.Owners, s.Owner.ID)
 		}
-		out.From[i], out.Owner[i], out.Active[i] = s.From, at, active(i)
+		out.From[i], out.Owner[i], out.States[i] = s.From, at, state(i)
 	}
 	return out
 }
@@ -43,8 +56,8 @@
 	return r.Epoch > epoch || r.Epoch == epoch && r.Seq > seq
 }
 
-// Find returns the owner of a key and whether it answers for it now.
-func (r *Routing) Find(key uint16) (owner string, active bool) {
+// Find returns the owner of a key and how the key is served.
+func (r *Routing) Find(key uint16) (owner string, state SliceState) {
 	lo, hi := 0, len(r.From)
 	for hi-lo > 1 {
 		if mid := (lo + hi) / 2; r.From[mid] <= key {
@@ -54,9 +67,9 @@
 		}
 	}
 	if len(r.From) == 0 {
-		return "", false
+		return "", Moving
 	}
-	return r.Owners[r.Owner[lo]], r.Active[lo]
+	return r.Owners[r.Owner[lo]], r.States[lo]
 }
 
 // SameAs tells whether both say the same of every key.
@@ -65,7 +78,7 @@
 		return false
 	}
 	for i := range r.From {
-		if r.From[i] != o.From[i] || r.Active[i] != o.Active[i] || r.Owners[r.Owner[i]] != o.Owners[o.Owner[i]] {
+		if r.From[i] != o.From[i] || r.States[i] != o.States[i] || r.Owners[r.Owner[i]] != o.Owners[o.Owner[i]] {
 			return false
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -34,7 +34,7 @@
 	// dialTimeout bounds a new connection. Data centres of a region are about
 	// 1 ms apart; a lost SYN is sent again only after a second, so waiting
 	// longer than this rarely helps where another target can serve.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// unackedTimeout breaks a connection on which sent bytes are not
 	// acknowledged: a cut or a peer without power. Five retransmissions fit.
 	unackedTimeout = time.Second
