--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -62,4 +62,4 @@
 
 // storeTimeout bounds a call to the store. Its usual answer takes 4 ms, one of
 // a slow store about a hundred times that.
-const storeTimeout = 2 * time.Second
+const storeTimeout = time.Second
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -218,7 +219,36 @@
 	case err != nil:
 		return lease.Unanswered, "", err
 	}
-	return l.n.adapter.OrderResult(answer)
+	result, handover, err := l.n.adapter.OrderResult(answer)
+	if result == lease.Unanswered && l.replaced(ctx, line, o.Target) {
+		return lease.Misdirected, "", err
+	}
+	return result, handover, err
+}
+
+// replaced asks the process at a target's address for its id, and tells whether
+// it is another target's.
+//
+// Failure: a target is gone and its address has passed to a target of a service
+// without keys, which answers an order with an error. Until the last grant that
+// might have reached the lost owner is out, twelve seconds longer after a
+// succession, its keys had no service.
+func (l *leader) replaced(ctx context.Context, line *orderLine, o lease.Owner) bool {
+	table := l.n.state.view.Load().Routes
+	if table == nil {
+		return false
+	}
+	request := &upstream.Request{
+		Method: http.MethodGet, URI: table.Config().Services[l.service].HealthPath, Host: o.Addr,
+		Header: http.Header{l.n.headers.TargetID: {o.ID}},
+	}
+	answer, err := line.pool.Exchange(ctx, request, upstream.NewConn)
+	if err != nil {
+		return false
+	}
+	id := answer.Header.Get(l.n.headers.InstanceID)
+	l.n.log.Warn().Str("step", "order").Str("target", o.ID).Str("addr", o.Addr).Str("answers", id).Msg("who answers at the address of an owner")
+	return id != "" && id != o.ID
 }
 
 func (l *leader) ended(ctx context.Context, o lease.Order, r lease.Result, handover string, sent, over time.Duration) {
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -157,7 +157,7 @@
 // stillLed tells whether the record names a grantor that lives, and makes it
 // known: this VM had not heard of it yet.
 func (k *keeper) stillLed(r lease.Record) bool {
-	if r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) {
+	if r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
 		return false
 	}
 	if old := k.n.state.routingOf(k.service); old == nil || r.Epoch > old.Epoch {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -187,6 +187,17 @@
 	return s.routing[service]
 }
 
+// grantors returns the VMs that are grantors of a service.
+func (s *state) grantors() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]bool)
+	for _, r := range s.routing {
+		out[r.Holder] = true
+	}
+	return out
+}
+
 // marks returns the versions of all leases.
 func (s *state) marks() []mesh.LeaseMark {
 	s.mu.Lock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -63,10 +63,15 @@
 	}
 }
 
-// watching tells whether this VM is one of those that watch the store. One that
-// the store turned away is passed over by the others, and goes on trying.
+// watching tells whether this VM is one of those that watch the store: the
+// grantors, which must know soon when it turns them away, and others to make up
+// the number. One that the store turned away is passed over, and goes on trying.
 func (n *node) watching() bool {
-	return !n.storeUp.Load() || n.place("watch") < watchers
+	if !n.storeUp.Load() {
+		return true
+	}
+	grantors := n.state.grantors()
+	return grantors[n.self.VM] || n.place("watch") < watchers-len(grantors)
 }
 
 // place returns this VM's place, from 0, in the order of those that live and
