--- /dev/null
+++ b/internal/decide/keyspread/keyspread.go
@@ -0,0 +1,170 @@
+// Package keyspread decides which ranges of keys should have another owner, and
+// which should be divided, from the measured load of each.
+//
+// Load pattern: a third or more of a service's requests are suddenly about a few
+// dozen neighbouring keys, and some seconds later about others. They lie in one or
+// two ranges, so one owner gets several times what it can do, while the others are
+// half idle; without a change most of these requests are refused for as long as it
+// lasts. Owners also differ in speed by a factor of two or more.
+//
+// An owner's load is the time that the requests for its keys take at its speed,
+// over all its slots. The most loaded owner gives up ranges, to where they leave
+// the least load, while that helps. A range that is too hot for any is divided at
+// the key that halves its load. A single key cannot be divided: all others leave
+// its owner.
+//
+// Grounds: a move costs the requests for that range a wait of a few milliseconds
+// and the rest of the work that runs; so nothing moves below busyLeast, nor for
+// less than gainLeast of the owner's capacity.
+package keyspread
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// busyLeast is the load from which an owner gives up ranges: below it
+	// requests seldom wait for each other.
+	busyLeast = 0.55
+	// gainLeast is by how much the load of the two owners must come closer.
+	gainLeast = 0.08
+	// divideLeast is the share of an owner's capacity above which a range is
+	// divided rather than moved whole.
+	divideLeast = 0.25
+	// movesMost bounds the moves of one decision, dividesMost the divisions.
+	movesMost   = 12
+	dividesMost = 12
+)
+
+// Range is a range of keys with its owner and load.
+type Range struct {
+	// Owner is the index of the owner.
+	Owner int
+	// Rate is the requests per second for its keys.
+	Rate float64
+	// Fixed ranges are on the move, or cannot be moved now.
+	Fixed bool
+	// Divisible tells whether the load has more than one key.
+	Divisible bool
+}
+
+// Move gives a range another owner.
+type Move struct{ Range, To int }
+
+// Decision is what should change.
+type Decision struct {
+	Moves []Move
+	// Divide are ranges that should be divided before more is decided.
+	Divide []int
+}
+
+// Decide returns the changes. capacity is how many requests a second each owner
+// can do.
+func Decide(ranges []Range, capacity []float64) Decision {
+	p := plan{ranges: slices.Clone(ranges), capacity: capacity, load: make([]float64, len(capacity))}
+	for _, r := range ranges {
+		if r.Owner >= 0 {
+			p.load[r.Owner] += r.Rate / capacity[r.Owner]
+		}
+	}
+	for len(p.out.Moves) < movesMost && len(p.out.Divide) < dividesMost && p.step() {
+	}
+	return p.out
+}
+
+type plan struct {
+	ranges   []Range
+	capacity []float64
+	load     []float64
+	spent    []int
+	out      Decision
+}
+
+// step makes one change. It returns false when there is none to make.
+func (p *plan) step() bool {
+	from := p.hottest()
+	if from < 0 {
+		return false
+	}
+	best, to, gain := -1, -1, gainLeast
+	for i, r := range p.ranges {
+		if r.Owner != from || r.Fixed || r.Rate == 0 {
+			continue
+		}
+		target := p.coolestFor(r.Rate, from)
+		if target < 0 {
+			continue
+		}
+		if g := p.gain(r.Rate, from, target); g > gain {
+			best, to, gain = i, target, g
+		}
+	}
+	hot := p.hottestRange(from)
+	if hot >= 0 && p.ranges[hot].Rate/p.capacity[from] > divideLeast && (best < 0 || best == hot) {
+		p.ranges[hot].Fixed = true
+		p.out.Divide = append(p.out.Divide, hot)
+		return true
+	}
+	if best < 0 {
+		p.spent = append(p.spent, from)
+		return true
+	}
+	p.move(best, to)
+	return true
+}
+
+// hottest returns the most loaded owner that may still give up something.
+func (p *plan) hottest() int {
+	best := -1
+	for i, l := range p.load {
+		if l < busyLeast || slices.Contains(p.spent, i) {
+			continue
+		}
+		if best < 0 || l > p.load[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// hottestRange returns the range of an owner with the most load that can be
+// divided.
+func (p *plan) hottestRange(owner int) int {
+	best := -1
+	for i, r := range p.ranges {
+		if r.Owner == owner && !r.Fixed && r.Divisible && (best < 0 || r.Rate > p.ranges[best].Rate) {
+			best = i
+		}
+	}
+	return best
+}
+
+// coolestFor returns the owner that would have the least load with the range.
+func (p *plan) coolestFor(rate float64, from int) int {
+	best, least := -1, math.Inf(1)
+	for i := range p.load {
+		if i == from {
+			continue
+		}
+		if l := p.load[i] + rate/p.capacity[i]; l < least {
+			best, least = i, l
+		}
+	}
+	return best
+}
+
+// gain is by how much the higher of the two loads falls.
+func (p *plan) gain(rate float64, from, to int) float64 {
+	before := max(p.load[from], p.load[to])
+	after := max(p.load[from]-rate/p.capacity[from], p.load[to]+rate/p.capacity[to])
+	return before - after
+}
+
+func (p *plan) move(i, to int) {
+	r := &p.ranges[i]
+	p.load[r.Owner] -= r.Rate / p.capacity[r.Owner]
+	p.load[to] += r.Rate / p.capacity[to]
+	r.Owner, r.Fixed = to, true
+	p.out.Moves = append(p.out.Moves, Move{Range: i, To: to})
+}
--- /dev/null
+++ b/internal/decide/keyspread/keyspread_test.go
@@ -0,0 +1,159 @@
+package keyspread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "hemlockquay/internal/fixedseed"
+)
+
+// loads returns each owner's load after all decisions, divisions included, have
+// been carried out. halve divides a range in two equal halves.
+func settle(ranges []Range, capacity []float64, rounds int) (loads []float64, moved int) {
+	for range rounds {
+		d := Decide(ranges, capacity)
+		for _, m := range d.Moves {
+			ranges[m.Range].Owner = m.To
+			moved++
+		}
+		for _, i := range d.Divide {
+			half := ranges[i]
+			half.Rate /= 2
+			half.Divisible = half.Rate > 2
+			ranges[i] = half
+			ranges = append(ranges, half)
+		}
+	}
+	loads = make([]float64, len(capacity))
+	for _, r := range ranges {
+		loads[r.Owner] += r.Rate / capacity[r.Owner]
+	}
+	return loads, moved
+}
+
+// Two fifths of all requests are suddenly about two ranges of one owner, three
+// times what it can do. Within four decisions every owner must be below its
+// capacity.
+func TestHotNeighbourhoodIsSpread(t *testing.T) {
+	const owners = 10
+	capacity := make([]float64, owners)
+	var ranges []Range
+	for i := range owners {
+		capacity[i] = 33
+		for range 32 {
+			ranges = append(ranges, Range{Owner: i, Rate: 120.0 / (owners * 32), Divisible: true})
+		}
+	}
+	ranges[0].Rate, ranges[1].Rate = 45, 45
+	loads, moved := settle(ranges, capacity, 6)
+	for i, l := range loads {
+		require.Less(t, l, 0.85, "owner %d", i)
+	}
+	require.Less(t, moved, 30)
+}
+
+// One key gets more than any owner can do. It cannot be divided; everything else
+// must leave the one that has it.
+func TestKeyHotterThanItsOwnerGetsItAlone(t *testing.T) {
+	capacity := []float64{30, 30, 30, 30}
+	ranges := []Range{{Owner: 0, Rate: 40}}
+	for range 8 {
+		ranges = append(ranges, Range{Owner: 0, Rate: 3, Divisible: true})
+	}
+	for i := range 8 {
+		ranges = append(ranges, Range{Owner: 1 + i%3, Rate: 2, Divisible: true})
+	}
+	loads, _ := settle(ranges, capacity, 6)
+	for i, l := range loads {
+		if i == ranges[0].Owner {
+			require.InDelta(t, 40.0/30, l, 0.25)
+			continue
+		}
+		require.Less(t, l, 0.8)
+	}
+}
+
+// Owners are of unequal speed: the slow one must get less.
+func TestSlowOwnerGetsLess(t *testing.T) {
+	capacity := []float64{10, 40, 40}
+	var ranges []Range
+	for i := range 30 {
+		ranges = append(ranges, Range{Owner: i % 3, Rate: 2, Divisible: true})
+	}
+	loads, _ := settle(ranges, capacity, 8)
+	require.Less(t, loads[0], 0.85)
+}
+
+// A moderate load must not move keys about: each move costs its callers a wait.
+func TestNothingMovesWithoutNeed(t *testing.T) {
+	capacity := []float64{30, 30, 30}
+	ranges := []Range{{Owner: 0, Rate: 15, Divisible: true}, {Owner: 1, Rate: 3, Divisible: true}, {Owner: 2, Rate: 9, Divisible: true}}
+	require.Equal(t, Decision{}, Decide(ranges, capacity))
+}
+
+func TestDecisionsSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.SliceOfN(rapid.Float64Range(5, 50), 2, 12).Draw(t, "capacity")
+		var ranges []Range
+		for range rapid.IntRange(1, 60).Draw(t, "ranges") {
+			ranges = append(ranges, Range{
+				Owner:     rapid.IntRange(0, len(capacity)-1).Draw(t, "owner"),
+				Rate:      rapid.Float64Range(0, 20).Draw(t, "rate"),
+				Divisible: true,
+			})
+		}
+		for range 60 {
+			d := Decide(ranges, capacity)
+			if len(d.Moves)+len(d.Divide) == 0 {
+				return
+			}
+			for _, m := range d.Moves {
+				ranges[m.Range].Owner = m.To
+			}
+			for _, i := range d.Divide {
+				half := ranges[i]
+				half.Rate /= 2
+				half.Divisible = half.Rate > 1
+				ranges[i] = half
+				ranges = append(ranges, half)
+			}
+		}
+		require.Fail(t, "keys move without end")
+	})
+}
+
+func TestRatesFadeAndHalve(t *testing.T) {
+	r := NewRates()
+	r.Advance(time.Second)
+	for key := uint16(100); key < 110; key++ {
+		r.Add(key, 12)
+	}
+	r.Add(5, 1)
+	sums := r.Sums([]uint16{0, 100, 200})
+	require.Equal(t, 1, sums[0].Keys)
+	require.Equal(t, 10, sums[1].Keys)
+	require.InDelta(t, 100, sums[1].Rate, 1)
+	require.Equal(t, uint16(104), sums[1].Half)
+	require.Zero(t, sums[2].Keys)
+	r.Advance(time.Second + memory)
+	require.InDelta(t, 100/2.718, r.Sums([]uint16{0})[0].Rate, 1)
+	r.Advance(time.Minute)
+	require.Zero(t, r.Sums([]uint16{0})[0].Keys)
+}
+
+// One key of many has most of the load: the division must leave something on
+// both sides.
+func TestHalfNeverTakesAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRates()
+		n := rapid.IntRange(2, 20).Draw(t, "keys")
+		for key := range n {
+			r.Add(uint16(key), rapid.IntRange(1, 100).Draw(t, "requests"))
+		}
+		half := r.Sums([]uint16{0})[0].Half
+		require.Less(t, int(half), n-1)
+	})
+}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -27,6 +27,9 @@
 	// checkPause is the least time between two checks of lives, each of which
 	// costs calls to the store.
 	checkPause = 250 * time.Millisecond
+	// evenMoving is from how many slices on the move no more are moved only to
+	// even out their number.
+	evenMoving = 16
 	// planEvery is the least time between two looks at who should own what.
 	planEvery = 100 * time.Millisecond
 	// pushTimeout bounds telling another VM of changed leases.
@@ -52,6 +55,7 @@
 	checkNext time.Duration
 	planNext  time.Duration
 	lines     map[lease.Owner]*orderLine
+	load      *loadView
 	bornKnown map[string]int64
 }
 
@@ -66,7 +70,7 @@
 func newLeader(k *keeper, g *lease.Grantor, version uint64) *leader {
 	l := &leader{
 		keeper: k, grants: g, version: version, events: make(chan func(), eventQueue),
-		lines: make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64),
+		lines: make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
 	}
 	l.orderUntil.Store(int64(g.ConfirmedAt() + lease.Authority))
 	return l
@@ -123,6 +127,7 @@
 	for _, o := range l.grants.Due(now) {
 		l.send(ctx, o)
 	}
+	l.askLoad(ctx, now)
 	l.confirmLives(ctx, now)
 	l.confirmEpoch(ctx, now)
 	l.tell(ctx, now)
@@ -474,21 +479,30 @@
 		return nil
 	}
 	rehomed := lease.Rehome(record.Slices, live)
+	rehomed = slices.DeleteFunc(rehomed, func(c lease.Change) bool { return !l.grants.Movable(c.Slice) })
 	if len(rehomed) > 0 {
-		return slices.DeleteFunc(rehomed, func(c lease.Change) bool { return !l.grants.Movable(c.Slice) })
+		return rehomed
 	}
-	moving := 0
-	for _, s := range record.Slices {
-		if s.Previous.Known() {
-			moving++
-		}
+	if changes := l.spread(live, now); len(changes) > 0 {
+		return changes
 	}
-	if moving > 0 {
+	if l.moving() >= evenMoving {
 		return nil
 	}
 	return lease.EvenOut(record.Slices, live, func(i int) bool { return l.grants.State(i, now) != lease.Served })
 }
 
+// moving counts the slices that are on the move.
+func (l *leader) moving() int {
+	n := 0
+	for _, s := range l.grants.Record().Slices {
+		if s.Previous.Known() {
+			n++
+		}
+	}
+	return n
+}
+
 // tell publishes the leases when they have changed, here and to the other VMs.
 func (l *leader) tell(ctx context.Context, now time.Duration) {
 	routing := lease.NewRouting(l.grants.Record(), l.seq+1, func(i int) lease.SliceState { return l.grants.State(i, now) })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -131,24 +131,38 @@
 	return nil
 }
 
-// KeyLoad returns the requests for each bucket of a service's keys that this VM
-// has seen since it was last asked.
-func (v View) KeyLoad(service *string, out *[]uint32) error {
+// KeyLoad is what a VM has seen of a keyed service since it was last asked.
+type KeyLoad struct {
+	// Keys and Requests run in parallel.
+	Keys     []uint16
+	Requests []uint16
+	// Targets are hashes of ids, Slowness how slow each is.
+	Targets  []uint32
+	Slowness []float32
+}
+
+// KeyLoad returns what this VM has seen, and starts anew.
+func (v View) KeyLoad(service *string, out *KeyLoad) error {
 	*out = v.node.state.takeKeyLoad(*service)
 	return nil
 }
 
-// takeKeyLoad returns the counts and starts anew. It returns nil where there are
-// none.
-func (s *state) takeKeyLoad(service string) []uint32 {
+// takeKeyLoad returns the counts and starts anew.
+func (s *state) takeKeyLoad(service string) KeyLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.keyLoad[service]
-	if l == nil {
-		return nil
+	var out KeyLoad
+	for key, n := range s.keyLoad[service] {
+		out.Keys = append(out.Keys, key)
+		out.Requests = append(out.Requests, n)
+	}
+	delete(s.keyLoad, service)
+	for _, t := range s.targets {
+		if t.Service == service {
+			out.Targets = append(out.Targets, t.hash)
+			out.Slowness = append(out.Slowness, float32(t.pick.Slowness()))
+		}
 	}
-	out := append([]uint32(nil), l.seen[:]...)
-	clear(l.seen[:])
 	return out
 }
 
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -157,8 +157,10 @@
 	defer s.mu.Unlock()
 	l := s.keyLoad[service]
 	if l == nil {
-		l = new(keyLoad)
+		l = make(map[uint16]uint16)
 		s.keyLoad[service] = l
 	}
-	l.seen[key>>keyBucketShift]++
+	if _, seen := l[key]; seen || len(l) < maxKeysCounted {
+		l[key]++
+	}
 }
--- /dev/null
+++ b/internal/gateway/spread.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"hemlockquay/internal/decide/keyspread"
+	"hemlockquay/internal/lease"
+)
+
+const (
+	// askLoadEvery is how often the grantor asks the VMs for the load of keys.
+	askLoadEvery = 250 * time.Millisecond
+	// spreadEvery is the least time between two looks at the load: rates fade
+	// over about a second, and a move takes a few hundred milliseconds.
+	spreadEvery = 300 * time.Millisecond
+	// slicesDivided bounds the slices of a service, with those that were divided.
+	slicesDivided = 1024
+	// assumedTime is the service time before any was measured.
+	assumedTime = 100 * time.Millisecond
+)
+
+// loadView is the grantor's view of the load of keys and the speed of targets.
+type loadView struct {
+	rates  *keyspread.Rates
+	asked  time.Duration
+	spread time.Duration
+	// slowness is the last word of each VM on each target, by the hash of its
+	// id.
+	slowness map[string]map[uint32]float32
+}
+
+func newLoadView() *loadView {
+	return &loadView{rates: keyspread.NewRates(), slowness: make(map[string]map[uint32]float32)}
+}
+
+func (v *loadView) take(vm string, in KeyLoad) {
+	for i, key := range in.Keys {
+		v.rates.Add(key, int(in.Requests[i]))
+	}
+	slow := make(map[uint32]float32, len(in.Targets))
+	for i, t := range in.Targets {
+		slow[t] = in.Slowness[i]
+	}
+	v.slowness[vm] = slow
+}
+
+// slownessOf returns the mean word of all VMs on a target.
+func (v *loadView) slownessOf(target uint32) float64 {
+	sum, n := 0.0, 0
+	for _, m := range v.slowness {
+		if s, ok := m[target]; ok {
+			sum += float64(s)
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// askLoad collects the load of keys from all VMs.
+func (l *leader) askLoad(ctx context.Context, now time.Duration) {
+	if now-l.load.asked < askLoadEvery {
+		return
+	}
+	l.load.asked = now
+	l.load.rates.Advance(now)
+	l.load.take(l.n.self.VM, l.n.state.takeKeyLoad(l.service))
+	for _, vm := range l.n.mesh.Others() {
+		go func() {
+			var in KeyLoad
+			if err := l.n.mesh.Call(ctx, vm, "View.KeyLoad", &l.service, &in); err != nil {
+				l.n.log.Debug().Str("step", "load").Str("peer", vm).Err(err).Msg("load of keys not known")
+				return
+			}
+			l.later(ctx, func() { l.load.take(vm, in) })
+		}()
+	}
+}
+
+// spread divides and moves slices that are too hot for their owners.
+func (l *leader) spread(live []lease.Owner, now time.Duration) []lease.Change {
+	if now-l.load.spread < spreadEvery {
+		return nil
+	}
+	l.load.spread = now
+	ranges, sums, capacity := l.loads(live, now)
+	d := keyspread.Decide(ranges, capacity)
+	// From the last, so that the places of the others stay what they are.
+	moved := make([]lease.Change, 0, len(d.Moves))
+	for _, m := range d.Moves {
+		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
+	}
+	if len(d.Divide) > 0 && len(ranges)+len(d.Divide) <= slicesDivided {
+		l.divide(d.Divide, sums, now)
+		l.load.spread = 0
+		return nil
+	}
+	for _, c := range moved {
+		s := l.grants.Record().Slices[c.Slice]
+		l.n.log.Info().Str("step", "spread").Str("service", l.service).Uint16("from", s.From).Float64("rate", sums[c.Slice].Rate).
+			Str("owner", s.Owner.ID).Str("to", c.To.ID).Msg("hot keys get another owner")
+	}
+	return moved
+}
+
+func (l *leader) divide(which []int, sums []keyspread.Sum, now time.Duration) {
+	inOrder := append([]int(nil), which...)
+	for done := range inOrder {
+		// The last one first, so that the places of the others stay.
+		most := done
+		for i := done; i < len(inOrder); i++ {
+			if inOrder[i] > inOrder[most] {
+				most = i
+			}
+		}
+		inOrder[done], inOrder[most] = inOrder[most], inOrder[done]
+		i := inOrder[done]
+		l.grants.Divide(i, sums[i].Half, now)
+	}
+}
+
+// loads returns the load of all slices and the capacity of the owners.
+func (l *leader) loads(live []lease.Owner, now time.Duration) ([]keyspread.Range, []keyspread.Sum, []float64) {
+	record := l.grants.Record()
+	index := make(map[lease.Owner]int, len(live))
+	capacity := make([]float64, len(live))
+	for i, o := range live {
+		index[o] = i
+		capacity[i] = l.capacityOf(o)
+	}
+	from := make([]uint16, len(record.Slices))
+	for i, s := range record.Slices {
+		from[i] = s.From
+	}
+	sums := l.load.rates.Sums(from)
+	ranges := make([]keyspread.Range, len(record.Slices))
+	for i, s := range record.Slices {
+		owner, ok := index[s.Owner]
+		if !ok {
+			owner = -1
+		}
+		ranges[i] = keyspread.Range{
+			Owner: owner, Rate: sums[i].Rate, Divisible: sums[i].Keys > 1,
+			Fixed: l.grants.State(i, now) != lease.Served || s.Previous.Known(),
+		}
+	}
+	return ranges, sums, capacity
+}
+
+// capacityOf returns how many requests a second a target can do.
+func (l *leader) capacityOf(o lease.Owner) float64 {
+	l.n.state.mu.Lock()
+	slots, usual := 1, assumedTime
+	if t := l.n.state.targets[o.ID]; t != nil {
+		slots = max(t.Slots, 1)
+	}
+	if d := l.n.state.durations[l.service]; d != nil && d.Known() {
+		usual = d.Mean()
+	}
+	l.n.state.mu.Unlock()
+	return float64(slots) / (usual.Seconds() * l.load.slownessOf(hashID(o.ID)))
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,8 +42,8 @@
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
 	crashes   map[uint64]map[string]bool
-	// sliceLoad counts requests by service and key bucket since the last look.
-	keyLoad map[string]*keyLoad
+	// keyLoad counts requests by service and key since the grantor last asked.
+	keyLoad map[string]map[uint16]uint16
 }
 
 // tracked is one life of a target with the connections to it.
@@ -59,14 +59,9 @@
 	pick     pick.State
 }
 
-// keyBucketShift makes 1024 buckets of 64 keys.
-const (
-	keyBucketShift = 6
-	keyBuckets     = 1 << (16 - keyBucketShift)
-)
-
-// keyLoad is the requests that were seen for each bucket of keys.
-type keyLoad struct{ seen [keyBuckets]uint32 }
+// maxKeysCounted bounds the keys that are counted for a service: as many as a VM
+// sees requests in some seconds. While no grantor asks, more are not counted.
+const maxKeysCounted = 4096
 
 func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
 	s := &state{
@@ -74,7 +69,7 @@
 		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}), news: func() {},
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[string]bool),
-		keyLoad: make(map[string]*keyLoad),
+		keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
 	return s
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -265,6 +265,11 @@
 	g.contact(o.Target).ended(r, sent, over, g.timing.Retry)
 	i := Index(g.record.Slices, o.From)
 	s, sl := &g.states[i], &g.record.Slices[i]
+	if sl.From != o.From || sl.To != o.To {
+		// The slice was divided while the order was on its way; Divide has
+		// dated what it may have done.
+		return false
+	}
 	s.pending = false
 	if o.Kind == Release {
 		return g.released(i, o, r, handover, over)
@@ -369,6 +374,35 @@
 	return !g.record.Slices[i].Previous.Known() || !g.states[i].inherited
 }
 
+// Divide cuts slice i after a key, which must not be its last. Both parts have
+// the same owner, so the record need not be written before. It returns false for a
+// slice that is on the move.
+//
+// A renewal of the whole slice that is on its way may still reach the owner before
+// the parts are granted; both parts are taken as granted until it is out. After
+// that the owner refuses it: each part has a higher fence.
+func (g *Grantor) Divide(i int, after uint16, now time.Duration) bool {
+	sl, s := g.record.Slices[i], g.states[i]
+	if sl.Previous.Known() || s.frozen || !s.granted || after < sl.From || after >= sl.To {
+		return false
+	}
+	if s.pending {
+		s.pending = false
+		s.outAt = max(s.outAt, holdEnd(now+orderBound, g.timing.Hold))
+	}
+	right, rightState := sl, s
+	sl.To, right.From = after, after+1
+	s.fence, rightState.fence = g.fence(), g.fence()
+	// Granted at once: the first move of a part needs the fence in place.
+	s.acked, rightState.acked = s.acked-g.timing.Renew, s.acked-g.timing.Renew
+	list := slices.Clone(g.record.Slices)
+	list[i] = sl
+	g.record.Slices = slices.Insert(list, i+1, right)
+	g.states[i] = s
+	g.states = slices.Insert(g.states, i+1, rightState)
+	return true
+}
+
 // Abandon ends a plan that the store did not take.
 func (g *Grantor) Abandon() {
 	for i := range g.states {
