--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,7 +128,8 @@
 
 func serve[S Settings](name string, s S, module fx.Option) int {
 	base := s.Common()
-	logger := NewLogger(name, base.VM, base.Log)
+	logger, flush := NewLogger(name, base.VM, base.Log)
+	defer func() { _ = flush() }()
 	var life *Life
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -185,11 +186,13 @@
 	}
 }
 
-// NewLogger returns a logger of JSON lines on standard error.
-func NewLogger(process, vm, level string) *log.Logger {
+// NewLogger returns a logger of JSON lines on standard output that never blocks,
+// and what writes the lines that wait, to be called at the end.
+func NewLogger(process, vm, level string) (logger *log.Logger, flush func() error) {
+	w := newLogWriter(os.Stdout)
 	return &log.Logger{
 		Level:   log.ParseLevel(level),
 		Context: log.NewContext(nil).Str("process", process).Str("vm", vm).Value(),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
-	}
+		Writer:  &log.IOWriter{Writer: w},
+	}, w.Close
 }
--- a/internal/daemon/kit.go
+++ b/internal/daemon/kit.go
@@ -34,6 +34,16 @@
 			func(sh fx.Shutdowner, j *journal.Journal) *Life { return newLife(name, base, logger, j, sh) },
 			newKit[S],
 		),
-		fx.Invoke(startAdmin),
+		fx.Invoke(startAdmin, countLogLines),
 	)
 }
+
+// countLogLines shows how many lines the log has dropped.
+func countLogLines(logger *log.Logger, registry metrics.Registry) error {
+	if io, ok := logger.Writer.(*log.IOWriter); ok {
+		if w, ok := io.Writer.(*logWriter); ok {
+			return registry.Register("log.lines.dropped", w.dropped)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/logwriter.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// logLines bounds the lines that wait for the reader of the log: a second of a
+// full rate of requests, about a megabyte.
+const logLines = 4096
+
+// logWriter hands lines to a goroutine that writes them.
+//
+// Failure: nobody reads a process's standard output any more. The pipe is full,
+// each line blocks its writer, and requests hang on their log lines. Here a full
+// queue drops the line and counts it; the count is written when there is room
+// again.
+type logWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped metrics.Counter
+	done    chan struct{}
+	once    sync.Once
+}
+
+func newLogWriter(out io.Writer) *logWriter {
+	w := &logWriter{out: out, lines: make(chan []byte, logLines), dropped: metrics.NewCounter(), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (w *logWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Inc(1)
+	}
+	return len(line), nil
+}
+
+func (w *logWriter) run() {
+	defer close(w.done)
+	told := int64(0)
+	for line := range w.lines {
+		if n := w.dropped.Count(); n > told && len(w.lines) == 0 {
+			told = n
+			line = append(line, fmt.Sprintf("{\"level\":\"warn\",\"step\":\"log\",\"dropped\":%d,\"message\":\"log lines dropped since the start\"}\n", n)...)
+		}
+		if _, err := w.out.Write(line); err != nil {
+			w.dropped.Inc(1)
+		}
+	}
+}
+
+// Close writes what waits and ends.
+func (w *logWriter) Close() error {
+	w.once.Do(func() { close(w.lines) })
+	<-w.done
+	return nil
+}
--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -28,7 +28,10 @@
 	failureSamples = 8
 	// crossCost is by how much faster a target in another data centre must be.
 	// Bytes between data centres cost about 4% of an answer's value.
-	crossCost = 1.15
+	crossCost = 1.2
+	// goodEnough is the part of its objective within which an answer may take as
+	// long as it likes: targets that are faster still are not better.
+	goodEnough = 0.4
 	// queueFactor bounds what all VMs together have at a target, in units of its
 	// slots: what runs, and a queue of twice as much. Targets queue about
 	// four times their slots; our view of the other VMs is 0.1 s old.
@@ -81,11 +84,27 @@
 	return time.Duration(float64(usual) * s.Slowness() * s.Rounds())
 }
 
-func (s *State) score() float64 {
+// Job is what is known of a request that needs a target.
+type Job struct {
+	// Usual is how long such requests take, 0 where that is not known.
+	Usual time.Duration
+	// Objective is the time within which the answer has its full value.
+	Objective time.Duration
+}
+
+// enough is the number of service times that are soon enough.
+func (j Job) enough() float64 {
+	if j.Usual <= 0 {
+		return 0
+	}
+	return goodEnough * float64(j.Objective) / float64(j.Usual)
+}
+
+func (s *State) score(j Job) float64 {
 	// Partly filled slots slow down some targets, and spread risk.
 	fill := 1 + 0.1*float64(s.Load())/float64(max(s.Slots, 1))
 	works := max(0.05, 1-s.failures)
-	score := s.Slowness() * s.Rounds() * fill / (works * works)
+	score := max(s.Slowness()*s.Rounds(), j.enough()) * fill / (works * works)
 	if !s.Near {
 		score *= crossCost
 	}
@@ -117,13 +136,13 @@
 
 // Choose returns the index of the best target, or -1 where all are full. skip
 // tells which to leave out; targets that rest are taken where no other is left.
-func Choose(states []*State, skip func(int) bool, now time.Duration) int {
+func Choose(states []*State, j Job, skip func(int) bool, now time.Duration) int {
 	best, bestScore := -1, math.Inf(1)
 	for i, s := range states {
 		if s.Full() || skip(i) {
 			continue
 		}
-		score := s.score()
+		score := s.score(j)
 		if s.Resting(now) {
 			score += 1e6
 		}
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -11,22 +11,22 @@
 
 func TestLeastLoadedIsTaken(t *testing.T) {
 	states := []*State{{Slots: 2, Own: 1, Others: 2, Near: true}, {Slots: 2, Own: 1, Near: true}, {Slots: 2, Others: 2, Near: true}}
-	require.Equal(t, 1, Choose(states, never, 0))
-	require.Equal(t, 2, Choose(states, func(i int) bool { return i == 1 }, 0))
+	require.Equal(t, 1, Choose(states, Job{}, never, 0))
+	require.Equal(t, 2, Choose(states, Job{}, func(i int) bool { return i == 1 }, 0))
 }
 
 func TestNearTargetWinsUnlessBusy(t *testing.T) {
 	states := []*State{{Slots: 2}, {Slots: 2, Near: true}}
-	require.Equal(t, 1, Choose(states, never, 0))
+	require.Equal(t, 1, Choose(states, Job{}, never, 0))
 	states[1].Others = 2
-	require.Equal(t, 0, Choose(states, never, 0))
+	require.Equal(t, 0, Choose(states, Job{}, never, 0))
 }
 
 // A target that gets more than it can queue never answers, and the connection is
 // lost. When all are full the request must be refused, not sent.
 func TestFullTargetsAreNotChosen(t *testing.T) {
 	states := []*State{{Slots: 2, Others: 6}, {Slots: 1, Own: 3}}
-	require.Equal(t, -1, Choose(states, never, 0))
+	require.Equal(t, -1, Choose(states, Job{}, never, 0))
 }
 
 // One target of ten turns ten times slower. It must get less than its share at
@@ -47,7 +47,7 @@
 	for range 3 {
 		states[3].Answered(10*usual, usual, 1)
 	}
-	require.NotEqual(t, 3, Choose(states, never, 0))
+	require.NotEqual(t, 3, Choose(states, Job{}, never, 0))
 	for range 10 {
 		states[3].Answered(usual, usual, 1)
 	}
@@ -59,7 +59,15 @@
 func TestUnreachableTargetRests(t *testing.T) {
 	states := []*State{{Slots: 2, Near: true}, {Slots: 2, Own: 5}}
 	states[0].Lost(0)
-	require.Equal(t, 1, Choose(states, never, 50*time.Millisecond))
-	require.Equal(t, 0, Choose(states, never, restFirst))
-	require.Equal(t, 0, Choose(states, func(i int) bool { return i == 1 }, 0), "resting is better than nothing")
+	require.Equal(t, 1, Choose(states, Job{}, never, 50*time.Millisecond))
+	require.Equal(t, 0, Choose(states, Job{}, never, restFirst))
+	require.Equal(t, 0, Choose(states, Job{}, func(i int) bool { return i == 1 }, 0), "resting is better than nothing")
+}
+
+// With little to do, a target nearby that is soon enough is better than a faster
+// one in another data centre: the bytes between them are paid for.
+func TestNearTargetThatIsSoonEnoughIsTaken(t *testing.T) {
+	states := []*State{{Slots: 2, logSlow: -0.5}, {Slots: 2, Near: true, logSlow: 0.3}}
+	require.Equal(t, 0, Choose(states, Job{Usual: 100 * time.Millisecond, Objective: 200 * time.Millisecond}, never, 0))
+	require.Equal(t, 1, Choose(states, Job{Usual: 100 * time.Millisecond, Objective: 500 * time.Millisecond}, never, 0))
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -205,7 +205,7 @@
 	if c.keyed {
 		return n.state.chooseOwner(c.service, c.route.Name, c.key, left)
 	}
-	return n.state.chooseFromPool(c.service, c.route.Name, c.tried, left, n.clock.Now())
+	return n.state.chooseFromPool(c.service, c.route, c.tried, left, n.clock.Now())
 }
 
 // await waits for news of leases or targets and tells whether to look again.
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -28,6 +28,9 @@
 	orderRetry = 100 * time.Millisecond
 	// leadStep is the time between two looks of a grantor.
 	leadStep = 20 * time.Millisecond
+	// meetTime is how long a VM that starts meets the others before it takes over
+	// anything: when all start at once, each would succeed the one before.
+	meetTime = 700 * time.Millisecond
 	// candidateStep is the time between two looks of a VM that is none.
 	candidateStep = 100 * time.Millisecond
 	// rankPause is by how much the next in line waits longer than the one before.
@@ -95,7 +98,7 @@
 // candidate returns this VM's place in the line of successors, and whether the
 // present grantor stands.
 func (k *keeper) candidate() (rank int, stands bool) {
-	if k.n.leaving.Load() {
+	if k.n.leaving.Load() || k.n.clock.Now()-k.n.startedAt < meetTime {
 		return -1, false
 	}
 	r := k.n.state.routingOf(k.service)
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -19,6 +19,7 @@
 	n := newNode(s, fakeAdapter{store: downStore{}}, clock, quiet(), metrics.NewRegistry())
 	n.mesh.Start(n)
 	n.storeUp.Store(true)
+	clock.now += meetTime
 	return n
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -36,11 +36,14 @@
 	state    *state
 	mesh     *mesh.Mesh
 	counters *counters
+	lines    *requestLines
 
 	ctx      context.Context
 	cancel   context.CancelFunc
 	fetching sync.Map
 	tags     atomic.Uint64
+	// startedAt is when this process began, on clock.
+	startedAt time.Duration
 	// storeUp tells whether the store answered last.
 	storeUp atomic.Bool
 	// listed tells whether the targets are known.
@@ -74,7 +77,7 @@
 	n := &node{
 		settings: s, adapter: a, headers: a.Headers(), store: a.Store(s.Store), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano())},
-		counters: newCounters(registry),
+		counters: newCounters(registry), lines: newRequestLines(registry), startedAt: clock.Now(),
 	}
 	n.grace.Store(int64(s.Grace))
 	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"hemlockquay/internal/catalog"
@@ -134,11 +135,11 @@
 // KeyLoad is what a VM has seen of a keyed service since it was last asked.
 type KeyLoad struct {
 	// Keys and Requests run in parallel.
-	Keys     []uint16
-	Requests []uint16
-	// Targets are hashes of ids, Slowness how slow each is.
-	Targets  []uint32
-	Slowness []float32
+	Keys     []uint16 `msgpack:"k"`
+	Requests []uint16 `msgpack:"r"`
+	// Targets are hashes of ids, Slowness how slow each is, in hundredths.
+	Targets  []uint32 `msgpack:"t"`
+	Slowness []uint16 `msgpack:"s"`
 }
 
 // KeyLoad returns what this VM has seen, and starts anew.
@@ -147,6 +148,8 @@
 	return nil
 }
 
+const hundredths = 100
+
 // takeKeyLoad returns the counts and starts anew.
 func (s *state) takeKeyLoad(service string) KeyLoad {
 	s.mu.Lock()
@@ -160,7 +163,7 @@
 	for _, t := range s.targets {
 		if t.Service == service {
 			out.Targets = append(out.Targets, t.hash)
-			out.Slowness = append(out.Slowness, float32(t.pick.Slowness()))
+			out.Slowness = append(out.Slowness, uint16(min(t.pick.Slowness()*hundredths, math.MaxUint16)))
 		}
 	}
 	return out
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
@@ -25,6 +26,44 @@
 	metrics.GetOrRegisterCounter("outcome."+strconv.Itoa(out.status)+"."+out.reason, c.registry).Inc(1)
 }
 
+// requestLines bounds the log lines on requests.
+//
+// Load pattern: in overload a VM refuses hundreds of requests a second, and a line
+// for each costs more than the refusal. Requests without success have a bound of
+// their own, so that successes cannot crowd them out. What is left out is counted.
+// Changes of what the VM believes are not bounded here: they are few.
+type requestLines struct {
+	served, failed *rate.Limiter
+	omitted        metrics.Counter
+}
+
+const (
+	// servedLines and failedLines are lines a second: at about 20 microseconds a
+	// line they take at most 0.5% of a core each.
+	servedLines = 200
+	failedLines = 200
+)
+
+func newRequestLines(r metrics.Registry) *requestLines {
+	return &requestLines{
+		served: rate.NewLimiter(servedLines, servedLines), failed: rate.NewLimiter(failedLines, failedLines),
+		omitted: metrics.GetOrRegisterCounter("log.requests.omitted", r),
+	}
+}
+
+// allow tells whether a line may be written for an outcome.
+func (l *requestLines) allow(out outcome) bool {
+	bound := l.failed
+	if out.answer != nil {
+		bound = l.served
+	}
+	if bound.Allow() {
+		return true
+	}
+	l.omitted.Inc(1)
+	return false
+}
+
 // logCall writes the line of a request: what it was, what decided it, what became
 // of it.
 func (n *node) logCall(c *call, out outcome) {
@@ -33,6 +72,9 @@
 	if out.answer != nil {
 		n.counters.count(out)
 	}
+	if !n.lines.allow(out) {
+		return
+	}
 	v := n.state.view.Load()
 	e := n.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
 		Int("status", out.status).Str("reason", out.reason).Dur("took", took).Strs("attempts", c.trace).
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -5,6 +5,7 @@
 
 	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
 )
 
@@ -36,7 +37,7 @@
 )
 
 // chooseFromPool reserves the best target of a service without keys.
-func (s *state) chooseFromPool(service, route string, tried map[string]bool, left time.Duration, now time.Duration) (*errand, refusal) {
+func (s *state) chooseFromPool(service string, rt *route.Route, tried map[string]bool, left, now time.Duration) (*errand, refusal) {
 	list := s.view.Load().ByService[service]
 	if len(list) == 0 {
 		return nil, refusedEmpty
@@ -51,11 +52,12 @@
 			owners = append(owners, tr)
 		}
 	}
-	i := pick.Choose(states, func(i int) bool { return tried[owners[i].ID] }, now)
+	job := pick.Job{Usual: s.usualLocked(service, rt.Name), Objective: rt.Objective}
+	i := pick.Choose(states, job, func(i int) bool { return tried[owners[i].ID] }, now)
 	if i < 0 {
 		return nil, refusedFull
 	}
-	return s.reserveLocked(owners[i], service, route, left)
+	return s.reserveLocked(owners[i], service, rt.Name, left)
 }
 
 // chooseOwner reserves the target that owns the key.
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -27,20 +27,20 @@
 	spread time.Duration
 	// slowness is the last word of each VM on each target, by the hash of its
 	// id.
-	slowness map[string]map[uint32]float32
+	slowness map[string]map[uint32]float64
 }
 
 func newLoadView() *loadView {
-	return &loadView{rates: keyspread.NewRates(), slowness: make(map[string]map[uint32]float32)}
+	return &loadView{rates: keyspread.NewRates(), slowness: make(map[string]map[uint32]float64)}
 }
 
 func (v *loadView) take(vm string, in KeyLoad) {
 	for i, key := range in.Keys {
 		v.rates.Add(key, int(in.Requests[i]))
 	}
-	slow := make(map[uint32]float32, len(in.Targets))
+	slow := make(map[uint32]float64, len(in.Targets))
 	for i, t := range in.Targets {
-		slow[t] = in.Slowness[i]
+		slow[t] = float64(in.Slowness[i]) / hundredths
 	}
 	v.slowness[vm] = slow
 }
@@ -50,7 +50,7 @@
 	sum, n := 0.0, 0
 	for _, m := range v.slowness {
 		if s, ok := m[target]; ok {
-			sum += float64(s)
+			sum += s
 			n++
 		}
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -211,7 +211,7 @@
 	var out []mesh.Load
 	for _, t := range s.targets {
 		if t.pick.Own > 0 {
-			out = append(out, mesh.Load{Target: t.hash, InFlight: uint16(t.pick.Own)})
+			out = append(out, mesh.NewLoad(t.hash, t.pick.Own))
 		}
 	}
 	return out
@@ -222,7 +222,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.targets {
-		t.pick.Others = loads[t.hash]
+		t.pick.Others = loads[mesh.LoadKey(t.hash)]
 	}
 }
 
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -13,6 +13,7 @@
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
 )
 
@@ -106,7 +107,7 @@
 	s.displaced(e)
 	_, why := s.chooseOwner("s", "r", 7, time.Second)
 	require.Equal(t, refusedLost, why)
-	_, why = s.chooseFromPool("s", "r", nil, time.Second, 0)
+	_, why = s.chooseFromPool("s", &route.Route{}, nil, time.Second, 0)
 	require.Equal(t, refusedFull, why)
 	target.Born = 2
 	s.list(2, target)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -19,19 +19,8 @@
 		w := newWorld(t)
 		w.takeOver(0)
 		for range rapid.IntRange(50, 500).Draw(t, "steps") {
-			w.now += worldStep
 			disturb(t, w)
-			for i := range w.targets {
-				// An entry follows its target after a while.
-				if w.listed[i] != w.targets[i].born && rapid.IntRange(0, 9).Draw(t, "entry written") == 0 {
-					w.listed[i] = w.targets[i].born
-				}
-			}
-			w.deliver()
-			for vm := range w.vms {
-				w.act(vm)
-			}
-			w.check()
+			w.tick()
 		}
 	})
 }
@@ -46,7 +35,7 @@
 	case 0, 1:
 		w.takeOver(vm)
 	case 2, 3, 4, 5, 6, 7:
-		w.move(vm, rapid.IntRange(0, worldSlices-1).Draw(t, "slice"), target)
+		w.move(vm, rapid.IntRange(0, worldUnits-1).Draw(t, "slice"), target)
 	case 8, 9:
 		w.restart(target)
 	case 10:
@@ -60,6 +49,8 @@
 		w.note("vm%d without t%d", vm, target)
 	case 14, 15:
 		w.readEpoch(vm)
+	case 16, 17, 18:
+		w.divide(vm, rapid.IntRange(0, worldUnits-1).Draw(t, "slice"), rapid.IntRange(0, worldUnits-2).Draw(t, "unit"))
 	}
 }
 
@@ -209,3 +200,29 @@
 		require.Equal(t, Served, state)
 	})
 }
+
+// The grantor loses the store and its peers, and goes on renewing at a target that
+// its successor cannot reach. The successor gives the keys to another target after
+// the authority and a hold. By then the first one must have fallen silent.
+func TestSucceededGrantorFallsSilentBeforeItsKeysMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.keepsAnswers = true
+		w.takeOver(0)
+		for range 20 {
+			w.tick()
+		}
+		w.vms[0].cut = w.now + time.Hour
+		w.vms[1].cutTargets[0] = w.now + time.Hour
+		w.takeOver(1)
+		for range rapid.IntRange(0, 40).Draw(t, "steps until the move") {
+			w.tick()
+		}
+		w.move(1, 0, 1)
+		moved := w.now
+		for w.now < moved+25*time.Second {
+			w.tick()
+		}
+		require.Greater(t, w.targets[1].out[0], moved+15*time.Second, "the keys have their new owner")
+	})
+}
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -3,19 +3,20 @@
 // Routing is what the senders of requests need to know of a service's leases.
 // Lists run in parallel, which keeps it small on the wire.
 type Routing struct {
-	Service string
+	Service string `msgpack:"s"`
 	// Epoch and Seq order the versions.
-	Epoch, Seq uint64
+	Epoch uint64 `msgpack:"e"`
+	Seq   uint64 `msgpack:"q"`
 	// Holder is the grantor's VM, in this life.
-	Holder      string
-	Incarnation uint64
+	Holder      string `msgpack:"h"`
+	Incarnation uint64 `msgpack:"i"`
 	// Owners are the ids of targets; From the first keys of the slices, Owner
 	// the index of each slice's owner.
-	Owners []string
-	From   []uint16
-	Owner  []uint16
+	Owners []string `msgpack:"o"`
+	From   []uint16 `msgpack:"f"`
+	Owner  []uint16 `msgpack:"w"`
 	// States tells how each slice is served.
-	States []SliceState
+	States []SliceState `msgpack:"t"`
 }
 
 // SliceState tells how a slice is served.
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -11,8 +11,11 @@
 // fence, and a store, with late, lost and repeated orders between them.
 
 const (
-	worldStep    = 50 * time.Millisecond
-	worldSlices  = 4
+	worldStep   = 50 * time.Millisecond
+	worldSlices = 4
+	// worldUnits is how finely slices may be divided.
+	worldUnits   = 16
+	unitWidth    = keySpace / worldUnits
 	worldTargets = 3
 	worldVMs     = 3
 )
@@ -23,8 +26,8 @@
 type worldTarget struct {
 	born int64
 	up   bool
-	seen [worldSlices]uint64
-	out  [worldSlices]time.Duration
+	seen [worldUnits]uint64
+	out  [worldUnits]time.Duration
 }
 
 // message is an order on its way. It reaches only the life to which its
@@ -32,7 +35,6 @@
 type message struct {
 	vm       int
 	order    Order
-	slice    int
 	target   int
 	life     int64
 	sent     time.Duration
@@ -53,6 +55,13 @@
 	cut        time.Duration
 	cutTargets [worldTargets]time.Duration
 	results    []func()
+	// writing says that a planned change is on its way to the store.
+	writing bool
+}
+
+type dueAction struct {
+	at time.Duration
+	do func()
 }
 
 type world struct {
@@ -64,7 +73,10 @@
 	targets [worldTargets]worldTarget
 	listed  [worldTargets]int64
 	flying  []message
+	due     []dueAction
 	log     []string
+	// keepsAnswers says that the store loses none.
+	keepsAnswers bool
 }
 
 func newWorld(t *rapid.T) *world {
@@ -116,6 +128,7 @@
 	v.grantor = NewGrantor(next, worldTiming, w.now, w.now, fresh)
 	v.version = w.version
 	v.results = nil
+	v.writing = false
 	v.conns = make(map[int]int64)
 }
 
@@ -176,7 +189,7 @@
 func (w *world) send(vm int, o Order) {
 	v := &w.vms[vm]
 	i := indexOf(o.Target)
-	m := message{vm: vm, order: o, slice: Index(v.grantor.record.Slices, o.From), target: i, life: v.conns[i], sent: w.now}
+	m := message{vm: vm, order: o, target: i, life: v.conns[i], sent: w.now}
 	if o.Kind == Release {
 		// Releases open a connection of their own.
 		m.life = w.targets[i].born
@@ -250,20 +263,24 @@
 func (w *world) apply(m message) {
 	t := &w.targets[m.target]
 	result := Done
+	first, last := int(m.order.From)/unitWidth, int(m.order.To)/unitWidth
+	refused := false
+	for u := first; u <= last; u++ {
+		refused = refused || m.order.Fence < t.seen[u]
+	}
 	switch {
 	case !t.up || t.born != m.life:
 		result = Unanswered
-	case m.order.Kind == Release:
-		t.seen[m.slice] = max(t.seen[m.slice], m.order.Fence)
-		t.out[m.slice] = w.now
-	case m.order.Fence < t.seen[m.slice]:
+	case m.order.Kind == Grant && refused:
 		result = Fenced
 	default:
-		t.seen[m.slice] = m.order.Fence
-		// The slowest clock that is allowed.
-		t.out[m.slice] = m.arrives + time.Duration(float64(m.order.Hold)*(1+Drift))
+		for u := first; u <= last; u++ {
+			t.seen[u] = max(t.seen[u], m.order.Fence)
+			// The slowest clock that is allowed; nothing after a release.
+			t.out[u] = m.arrives + time.Duration(float64(m.order.Hold)*(1+Drift))
+		}
 	}
-	w.note("vm%d order %d slice %d fence %x at t%d: %d", m.vm, m.order.Kind, m.slice, m.order.Fence, m.target, result)
+	w.note("vm%d order %d units %d to %d fence %x at t%d: %d", m.vm, m.order.Kind, first, last, m.order.Fence, m.target, result)
 	if m.answered {
 		w.report(m, result, w.now)
 	}
@@ -272,7 +289,7 @@
 
 // check is the promise: no key has two owners.
 func (w *world) check() {
-	for s := range worldSlices {
+	for s := range worldUnits {
 		var owners []int
 		for i, t := range w.targets {
 			if t.up && w.now < t.out[s] {
@@ -283,7 +300,7 @@
 			for _, line := range w.log {
 				w.t.Log(line)
 			}
-			w.t.Fatalf("slice %d has owners %v", s, owners)
+			w.t.Fatalf("unit %d has owners %v", s, owners)
 		}
 	}
 }
@@ -295,21 +312,92 @@
 	if v.grantor == nil || w.now < v.frozen {
 		return
 	}
+	slice %= len(v.grantor.Record().Slices)
+	if v.writing {
+		return
+	}
 	next := v.grantor.Plan([]Change{{Slice: slice, To: w.owner(target)}})
-	if !w.reaches(vm) || v.version != w.version {
-		v.grantor.Abandon()
+	v.writing = true
+	g, sent, version := v.grantor, w.now, v.version
+	w.later(rapid.IntRange(0, 5).Draw(w.t, "write on the way"), func() { w.write(vm, g, next, sent, version) })
+}
+
+// write takes effect at the store, and answers some time later.
+func (w *world) write(vm int, g *Grantor, next Record, sent time.Duration, planned int) {
+	v := &w.vms[vm]
+	taken := w.reaches(vm) && planned == w.version
+	if taken {
+		w.record = next
+		w.record.Slices = append([]Slice(nil), next.Slices...)
+		w.version++
+		w.note("vm%d moves written", vm)
+	}
+	version := w.version
+	if taken && !w.keepsAnswers && rapid.IntRange(0, 9).Draw(w.t, "answer lost") == 0 {
+		v.writing = false
+		if v.grantor == g {
+			v.grantor = nil
+		}
 		return
 	}
-	w.record = next
-	w.record.Slices = append([]Slice(nil), next.Slices...)
-	w.version++
-	w.note("vm%d gives slice %d to t%d", vm, slice, target)
-	if rapid.IntRange(0, 9).Draw(w.t, "answer lost") == 0 {
-		v.grantor = nil
+	w.later(rapid.IntRange(0, 5).Draw(w.t, "answer on the way"), func() {
+		v.writing = false
+		switch {
+		case v.grantor != g:
+		case taken:
+			v.version = version
+			g.Commit(next, sent, w.now)
+		default:
+			g.Abandon()
+		}
+	})
+}
+
+// later does something after so many steps.
+func (w *world) later(steps int, do func()) {
+	w.due = append(w.due, dueAction{at: w.now + time.Duration(steps)*worldStep, do: do})
+}
+
+func (w *world) runDue() {
+	due := w.due
+	w.due = nil
+	for _, a := range due {
+		if a.at > w.now {
+			w.due = append(w.due, a)
+			continue
+		}
+		a.do()
+	}
+}
+
+// divide has a grantor cut a slice in two.
+func (w *world) divide(vm, slice, unit int) {
+	v := &w.vms[vm]
+	if v.grantor == nil || w.now < v.frozen || v.writing {
 		return
 	}
-	v.version = w.version
-	v.grantor.Commit(next, w.now, w.now)
+	slice %= len(v.grantor.Record().Slices)
+	after := uint16((unit+1)*unitWidth - 1)
+	if v.grantor.Divide(slice, after, w.now) {
+		w.note("vm%d divides slice %d after unit %d", vm, slice, unit)
+	}
+}
+
+// tick lets a moment pass.
+func (w *world) tick() {
+	w.now += worldStep
+	for i := range w.targets {
+		// An entry follows its target after a while.
+		if w.listed[i] != w.targets[i].born && rapid.IntRange(0, 9).Draw(w.t, "entry written") == 0 {
+			w.listed[i] = w.targets[i].born
+		}
+	}
+	w.runDue()
+	w.deliver()
+	for vm := range w.vms {
+		w.act(vm)
+	}
+	w.check()
 }
 
 // restart ends a life of a target; the next has the same id and knows nothing.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,56 +19,68 @@
 	"hemlockquay/internal/peer"
 )
 
-// Member is one life of a VM's daemon.
+// Member is one life of a VM's daemon. Names on the wire are short: beats between
+// data centres were a quarter of all bytes there.
 type Member struct {
-	VM         string
-	Addr       string
-	DataCentre string
+	VM         string `msgpack:"v"`
+	Addr       string `msgpack:"a"`
+	DataCentre string `msgpack:"d"`
 	// Incarnation rises with every start.
-	Incarnation uint64
+	Incarnation uint64 `msgpack:"i"`
 }
 
 // LeaseMark is the version of a service's leases that a VM knows.
 type LeaseMark struct {
-	Service    string
-	Epoch, Seq uint64
+	Service string `msgpack:"s"`
+	Epoch   uint64 `msgpack:"e"`
+	Seq     uint64 `msgpack:"q"`
 }
 
-// Load is how many requests of the sender are at a target.
-type Load struct {
-	// Target is a hash of the target's id.
-	Target   uint32
-	InFlight uint16
+// Load is how many requests of a VM are at a target: the upper 24 bits are a hash
+// of the target's id, the lower 8 the number.
+type Load uint32
+
+// loadMost is the largest number that a Load tells.
+const loadMost = 1<<8 - 1
+
+// NewLoad returns the load of a target, by a hash of its id.
+func NewLoad(hash uint32, requests int) Load {
+	return Load(hash&^loadMost | uint32(min(requests, loadMost)))
 }
 
+func (l Load) target() uint32 { return uint32(l) &^ loadMost }
+func (l Load) requests() int  { return int(l & loadMost) }
+
 // Beat is what a VM tells the others of itself.
 type Beat struct {
-	From    Member
-	Leaving bool
+	From    Member `msgpack:"f"`
+	Leaving bool   `msgpack:"l"`
 	// StoreLost says that the sender does not reach the platform's store.
-	StoreLost       bool
-	ConfigVersion   uint64
-	TargetsRevision uint64
+	StoreLost       bool   `msgpack:"x"`
+	ConfigVersion   uint64 `msgpack:"c"`
+	TargetsRevision uint64 `msgpack:"t"`
 	// Targets is how many the sender lists.
-	Targets uint16
-	Leases  []LeaseMark
-	Loads   []Load
+	Targets uint16      `msgpack:"n"`
+	Leases  []LeaseMark `msgpack:"m"`
+	Loads   []Load      `msgpack:"o"`
 	// Crashes are the requests that seem to crash targets.
-	Crashes []Crash
+	Crashes []Crash `msgpack:"r"`
 }
 
 // Crash counts the targets that ended while they ran a request, by a hash of the
 // request's content.
 type Crash struct {
-	Content uint64
-	Count   uint16
+	Content uint64 `msgpack:"c"`
+	Count   uint16 `msgpack:"n"`
 }
 
 // Periods of the mesh.
 const (
-	// basePeriod is the time between two beats to a peer in a small fleet;
-	// each pair exchanges beats in both directions.
-	basePeriod = 200 * time.Millisecond
+	// basePeriod is the time between two exchanges of a pair of VMs in a small
+	// fleet. One of the two calls; the reply tells as much as the call.
+	basePeriod = 150 * time.Millisecond
+	// overdue is after how many periods without a beat the other one calls.
+	overdue = 1.6
 	// periodPerVM makes the period grow with the fleet, so that a VM sends and
 	// takes at most about 160 beats a second.
 	periodPerVM = 12 * time.Millisecond
@@ -76,7 +88,7 @@
 	callTimeout = 400 * time.Millisecond
 	// silentPeriods is after how many periods without a beat a VM counts as
 	// lost; silentLeast is the least, since a short pause is no loss.
-	silentPeriods = 4
+	silentPeriods = 5
 	silentLeast   = time.Second
 	// forgetAfter is when a lost VM is not called any more. One that returns
 	// calls by itself.
@@ -239,7 +251,10 @@
 	return len(m.remotes) + 1
 }
 
-// Loads adds up what the other live VMs have at each target, by the hash of its id.
+// LoadKey returns the key of a target in Loads, by the hash of its id.
+func LoadKey(hash uint32) uint32 { return hash &^ loadMost }
+
+// Loads adds up what the other live VMs have at each target.
 func (m *Mesh) Loads() map[uint32]int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -250,7 +265,7 @@
 			continue
 		}
 		for _, l := range r.beat.Loads {
-			out[l.Target] += int(l.InFlight)
+			out[l.target()] += l.requests()
 		}
 	}
 	return out
@@ -288,15 +303,13 @@
 	defer m.wait.Done()
 	defer r.client.Close()
 	lost := false
+	kicked := true
 	for {
-		var reply Beat
-		beat := m.local.Beat()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.client.Call(callCtx, "Mesh.Beat", &beat, &reply)
-		cancel()
-		if err == nil {
-			m.take(reply)
+		var err error
+		if kicked || m.self.VM < r.member.VM || m.silence(r) > time.Duration(overdue*float64(m.period())) {
+			err = m.call(ctx, r)
 		}
+		kicked = false
 		silent := m.silence(r)
 		if now := silent > silentLeast; now != lost {
 			lost = now
@@ -310,11 +323,25 @@
 		case <-ctx.Done():
 			return
 		case <-r.kick:
+			kicked = true
 		case <-time.After(m.period()):
 		}
 	}
 }
 
+// call exchanges beats once.
+func (m *Mesh) call(ctx context.Context, r *remote) error {
+	var reply Beat
+	beat := m.local.Beat()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.client.Call(ctx, "Mesh.Beat", &beat, &reply)
+	if err == nil {
+		m.take(reply)
+	}
+	return err
+}
+
 func (m *Mesh) period() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
