A lost answer of the store no longer ends a grantor; successors of ended ones do not wait

Cause: a write whose answer was lost while the store went away made the grantor give up; nobody could succeed it and all keys lapsed for five seconds. And each successor waited 15 s for keys of an owner out of reach, though the predecessor's process had ended or left.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -47,9 +47,12 @@
 	seq     uint64
 	told    *lease.Routing
 
-	events    chan func()
-	deposed   bool
-	writing   bool
+	events  chan func()
+	deposed bool
+	writing bool
+	// unsettled says that the answer to the last write was lost.
+	unsettled bool
+	resigning bool
 	reading   bool
 	checking  bool
 	checkNext time.Duration
@@ -122,6 +125,10 @@
 		l.deposed = true
 		return
 	}
+	if l.n.leaving.Load() {
+		l.resign(ctx)
+		return
+	}
 	l.orderUntil.Store(int64(l.grants.ConfirmedAt() + lease.Authority))
 	l.notePlanned(ctx, now)
 	for _, o := range l.grants.Due(now) {
@@ -133,6 +140,24 @@
 	l.tell(ctx, now)
 }
 
+// resign ends the orders of a grantor that leaves, then says so in the record, so
+// that its successor need not wait for its authority to end.
+func (l *leader) resign(ctx context.Context) {
+	if l.resigning {
+		return
+	}
+	l.resigning = true
+	l.orderUntil.Store(0)
+	next := l.grants.Plan(nil)
+	next.Resigned = true
+	version := l.version
+	go func() {
+		_, err := l.write(ctx, next, version)
+		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Err(err).Msg("grantor resigned")
+		l.later(ctx, func() { l.deposed = true })
+	}()
+}
+
 // succeeded tells whether a later epoch was heard of.
 func (l *leader) succeeded() bool {
 	r := l.n.state.routingOf(l.service)
@@ -415,9 +440,11 @@
 	}
 	l.planNext = now + planEvery
 	l.noteLives()
-	changes := l.plan(now)
-	if len(changes) == 0 {
-		return
+	var changes []lease.Change
+	if !l.unsettled {
+		if changes = l.plan(now); len(changes) == 0 {
+			return
+		}
 	}
 	next := l.grants.Plan(changes)
 	for _, c := range changes {
@@ -438,15 +465,22 @@
 func (l *leader) written(next lease.Record, version uint64, sent, over time.Duration, err error) {
 	l.writing = false
 	if err == nil {
-		l.version = version
+		l.version, l.unsettled = version, false
 		l.grants.Commit(next, sent, over)
 		return
 	}
 	l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("record not written")
-	l.grants.Abandon()
-	// Whatever stands now, a lost write may be in it: begin again with an epoch
-	// of our own.
-	l.deposed = errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrAmbiguous)
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		// Another's write stands, or a lost one of ours: begin again from it.
+		l.deposed = true
+	case errors.Is(err, platform.ErrAmbiguous):
+		// Failure: the store goes away with an answer. A grantor that gives up
+		// then finds no store to begin again, and all keys lapse.
+		l.unsettled = true
+	case !l.unsettled:
+		l.grants.Abandon()
+	}
 }
 
 // noteLives notes the ends of lives: targets that are listed with a later start.
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -143,7 +143,9 @@
 	} else if k.stillLed(old) {
 		return nil
 	}
-	next.Epoch, next.Holder, next.Incarnation = old.Epoch+1, k.n.self.VM, k.n.self.Incarnation
+	past := k.past(old, fresh)
+	next.Epoch, next.Resigned = old.Epoch+1, false
+	next.Holder, next.HolderAddr, next.Incarnation = k.n.self.VM, k.n.self.Addr, k.n.self.Incarnation
 	sent := k.n.clock.Now()
 	version, err = k.write(ctx, next, version)
 	if err != nil {
@@ -152,11 +154,24 @@
 	done := k.n.clock.Now()
 	timing := lease.Timing{Hold: min(holdTime, k.n.settings.HoldMost.D()), Renew: renewEvery, Retry: orderRetry}
 	k.n.log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
-		Int("slices", len(next.Slices)).Bool("fresh", fresh).Msg("grantor of the service")
-	newLeader(k, lease.NewGrantor(next, timing, sent, done, fresh), version).run(ctx)
+		Int("slices", len(next.Slices)).Int("past", int(past)).Msg("grantor of the service")
+	newLeader(k, lease.NewGrantor(next, timing, sent, done, past), version).run(ctx)
 	return nil
 }
 
+// past tells what may still be in force of the grantor before. Its process has
+// ended for sure where another one runs at its address: this one, or one that the
+// mesh knows.
+func (k *keeper) past(old lease.Record, fresh bool) lease.Past {
+	switch {
+	case fresh:
+		return lease.NoPast
+	case old.Resigned, k.n.mesh.Replaced(old.Holder, old.HolderAddr, old.Incarnation):
+		return lease.PastEnded
+	}
+	return lease.PastUnknown
+}
+
 // stillLed tells whether the record names a grantor that lives, and makes it
 // known: this VM had not heard of it yet.
 func (k *keeper) stillLed(r lease.Record) bool {
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -134,19 +134,44 @@
 	inherited bool
 }
 
+// Past says what may still be in force of the grantors before.
+type Past int
+
+// The pasts.
+const (
+	// NoPast: no grant was ever sent for this service.
+	NoPast Past = iota
+	// PastEnded: the predecessor has sent its last order before the write.
+	PastEnded
+	// PastUnknown: the predecessor may go on for as long as its authority lasts.
+	PastUnknown
+)
+
+// inFlight bounds the way of a grant that was sent by a predecessor that has
+// ended.
+const inFlight = time.Second
+
+// lastGrant returns when the last grant of a predecessor may have arrived, after
+// the successor's write was done.
+func (p Past) lastGrant(done time.Duration) time.Duration {
+	if p == PastEnded {
+		return done + inFlight
+	}
+	return done + Authority
+}
+
 // NewGrantor returns the grantor of a record that it has just written with its
-// own epoch. sent and done date the write. fresh says that no grant was ever sent
-// for this service, so nobody can hold a key.
-func NewGrantor(r Record, t Timing, sent, done time.Duration, fresh bool) *Grantor {
+// own epoch. sent and done date the write.
+func NewGrantor(r Record, t Timing, sent, done time.Duration, past Past) *Grantor {
 	g := &Grantor{timing: t, record: r, confirmed: sent, nextFence: r.Epoch << epochShift}
 	g.confirmedLives, g.ended, g.contacts = make(map[Owner]bool), make(map[Owner]bool), make(map[Owner]*contact)
 	g.states = make([]state, len(r.Slices))
 	for i := range g.states {
 		s := &g.states[i]
 		s.fence = g.fence()
-		s.inherited = !fresh
-		if !fresh {
-			s.outAt = holdEnd(done+Authority, t.Hold)
+		if past != NoPast {
+			s.inherited = true
+			s.outAt = holdEnd(past.lastGrant(done), t.Hold)
 			s.previousOut = s.outAt
 		}
 	}
@@ -403,7 +428,9 @@
 	return true
 }
 
-// Abandon ends a plan that the store did not take.
+// Abandon ends a plan that the store surely did not take, and never will. A write
+// whose answer is lost is not abandoned: it may take effect later. Its slices stay
+// frozen until another write was taken, which makes it fail.
 func (g *Grantor) Abandon() {
 	for i := range g.states {
 		g.states[i].frozen = false
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -59,7 +59,7 @@
 func TestSuccessorGrantsPresentOwnersAtOnce(t *testing.T) {
 	owners := []Owner{{ID: "a"}, {ID: "b"}}
 	r := Record{Service: "s", Epoch: 7, Slices: Even(4, owners)}
-	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, false)
+	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, PastUnknown)
 	for _, o := range g.Unconfirmed() {
 		g.LifeConfirmed(o)
 	}
@@ -75,7 +75,7 @@
 // send nothing: another may have moved the keys.
 func TestNothingIsOrderedPastTheAuthority(t *testing.T) {
 	r := Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{{ID: "a"}})}
-	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, true)
+	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, NoPast)
 	g.LifeConfirmed(Owner{ID: "a"})
 	require.Len(t, g.Due(time.Hour+Authority-1), 2)
 	require.Empty(t, g.Due(time.Hour+Authority))
@@ -87,7 +87,7 @@
 // out, and no later than a second after.
 func TestKeysOfALostOwnerAreFreeAfterTheHold(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, true)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
 	g.LifeConfirmed(a)
 	g.LifeConfirmed(b)
 	now := time.Hour
@@ -115,7 +115,7 @@
 // answered, and requests for the keys are refused meanwhile.
 func TestTargetThatDoesNotAnswerIsAskedOnceAtATime(t *testing.T) {
 	a := Owner{ID: "a"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(100, []Owner{a})}, worldTiming, time.Hour, time.Hour, true)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(100, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
 	g.LifeConfirmed(a)
 	now := time.Hour
 	for _, o := range g.Due(now) {
@@ -144,7 +144,7 @@
 // the one of the release.
 func TestMoveReleasesThenGrantsWithHandover(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, true)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
 	g.LifeConfirmed(a)
 	g.LifeConfirmed(b)
 	first := g.Due(time.Hour)[0]
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -77,7 +77,10 @@
 	Epoch   uint64
 	// Holder names the grantor's VM, Incarnation its process.
 	Holder      string
+	HolderAddr  string
 	Incarnation uint64
+	// Resigned says that the grantor has stopped before it wrote this.
+	Resigned bool
 	// Slices cover the key space without gaps, in order.
 	Slices []Slice
 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -57,6 +57,8 @@
 	results    []func()
 	// writing says that a planned change is on its way to the store.
 	writing bool
+	// unsettled says that the answer to the last write was lost.
+	unsettled bool
 }
 
 type dueAction struct {
@@ -125,10 +127,14 @@
 	w.version++
 	w.note("vm%d takes epoch %d", vm, next.Epoch)
 	v := &w.vms[vm]
-	v.grantor = NewGrantor(next, worldTiming, w.now, w.now, fresh)
+	past := PastUnknown
+	if fresh {
+		past = NoPast
+	}
+	v.grantor = NewGrantor(next, worldTiming, w.now, w.now, past)
 	v.version = w.version
 	v.results = nil
-	v.writing = false
+	v.writing, v.unsettled = false, false
 	v.conns = make(map[int]int64)
 }
 
@@ -316,7 +322,11 @@
 	if v.writing {
 		return
 	}
-	next := v.grantor.Plan([]Change{{Slice: slice, To: w.owner(target)}})
+	var changes []Change
+	if !v.unsettled {
+		changes = []Change{{Slice: slice, To: w.owner(target)}}
+	}
+	next := v.grantor.Plan(changes)
 	v.writing = true
 	g, sent, version := v.grantor, w.now, v.version
 	w.later(rapid.IntRange(0, 5).Draw(w.t, "write on the way"), func() { w.write(vm, g, next, sent, version) })
@@ -334,19 +344,25 @@
 	}
 	version := w.version
 	if taken && !w.keepsAnswers && rapid.IntRange(0, 9).Draw(w.t, "answer lost") == 0 {
-		v.writing = false
-		if v.grantor == g {
-			v.grantor = nil
-		}
+		w.later(20, func() {
+			if v.grantor == g {
+				v.writing, v.unsettled = false, true
+			}
+		})
 		return
 	}
 	w.later(rapid.IntRange(0, 5).Draw(w.t, "answer on the way"), func() {
+		if v.grantor != g {
+			return
+		}
 		v.writing = false
 		switch {
-		case v.grantor != g:
 		case taken:
-			v.version = version
+			v.version, v.unsettled = version, false
 			g.Commit(next, sent, w.now)
+		case v.unsettled:
+			// The lost write stands: begin again from what the store holds.
+			v.grantor = nil
 		default:
 			g.Abandon()
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -201,6 +201,22 @@
 	return r != nil && r.member.Incarnation == incarnation && !r.beat.Leaving && m.liveLocked(r, m.clock.Now())
 }
 
+// Replaced tells whether a process of a VM has ended: a later one runs at its
+// address.
+func (m *Mesh) Replaced(vm, addr string, incarnation uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.self
+	if vm != m.self.VM {
+		r := m.remotes[vm]
+		if r == nil {
+			return false
+		}
+		now = r.member
+	}
+	return now.Addr == addr && now.Incarnation > incarnation
+}
+
 // liveLocked needs m.mu.
 //
 // Failure: this VM was suspended for seconds. All others seem silent, and it would
