--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -30,11 +30,11 @@
 	leadStep = 20 * time.Millisecond
 	// meetTime is how long a VM that starts meets the others before it takes over
 	// anything: when all start at once, each would succeed the one before.
-	meetTime = 700 * time.Millisecond
+	meetTime = 400 * time.Millisecond
 	// candidateStep is the time between two looks of a VM that is none.
 	candidateStep = 100 * time.Millisecond
 	// rankPause is by how much the next in line waits longer than the one before.
-	rankPause = 500 * time.Millisecond
+	rankPause = 400 * time.Millisecond
 	// strandedAfter is how long the grantor must have been without the store, and
 	// this VM with it. After an outage VMs find the store again within
 	// storePauseMost of each other.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -172,7 +172,7 @@
 // join makes this VM and the others known to each other: it writes its own entry
 // to the store, reads those of the others and calls them.
 func (n *node) join(ctx context.Context) {
-	n.joinSeeds(ctx)
+	go n.joinSeeds(ctx)
 	for pause := storePauseLeast; ; pause = min(2*pause, storePauseMost) {
 		err := n.joinStore(ctx)
 		if err == nil {
