--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -46,6 +46,9 @@
 	startedAt time.Duration
 	// storeUp tells whether the store answered last.
 	storeUp atomic.Bool
+	// toldAt is when the store, or a VM that it answers, last told of the targets,
+	// on clock.
+	toldAt atomic.Int64
 	// listed tells whether the targets are known.
 	listed atomic.Bool
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
@@ -75,7 +78,7 @@
 
 func newNode(s *Settings, a Adapter, clock boottime.Clock, logger *log.Logger, registry metrics.Registry) *node {
 	n := &node{
-		settings: s, adapter: a, headers: a.Headers(), store: a.Store(s.Store), clock: clock, log: logger, registry: registry,
+		settings: s, adapter: a, headers: a.Headers(), store: countedStore{a.Store(s.Store), registry}, clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano())},
 		counters: newCounters(registry), lines: newRequestLines(registry), startedAt: clock.Now(),
 	}
@@ -83,6 +86,7 @@
 	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
 	n.state.news = n.mesh.Kick
+	n.gauges()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,6 +33,9 @@
 // Heard implements mesh.Local: it fetches what the other VM knows better.
 func (n *node) Heard(b mesh.Beat) {
 	v := n.state.view.Load()
+	if !b.StoreLost && b.TargetsRevision == v.Targets.Revision {
+		n.toldAt.Store(int64(n.clock.Now()))
+	}
 	if b.ConfigVersion > v.ConfigVersion() {
 		n.fetch(b.From.VM, "config", n.fetchConfig)
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -119,6 +119,7 @@
 			return fmt.Errorf("watch %s from %d: %w", kind, revision, err)
 		}
 		n.storeState(true, nil)
+		n.toldAt.Store(int64(n.clock.Now()))
 		if len(changes.Events) > 0 {
 			change(changes)
 		}
--- a/internal/standin/plan/operations_test.go
+++ b/internal/standin/plan/operations_test.go
@@ -28,6 +28,8 @@
 	{"agent/settings.go", "Settings", "hq-agent"},
 	{"dispatch/settings.go", "Settings", "hq-dispatch"},
 	{"entry/settings.go", "Settings", "hq-entry"},
+	{"gateway/settings.go", "Settings", "hq-gateway"},
+	{"gateway/settings.go", "Repeats", "hq-gateway"},
 }
 
 // rows returns the page's rows for a settings type, from its fields' comments.
