--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,13 +39,12 @@
 	// LeaveLead is how long a daemon that leaves still serves, so that those
 	// that send work learn of it. Default 1s.
 	LeaveLead model.Duration `json:"leaveLead,omitempty"`
-
-	// source is the file that the settings were read from.
-	source string
 }
 
-// Source returns the file that the settings were read from.
-func (b *Base) Source() string { return b.source }
+// Reloadable settings know the file that they were read from.
+type Reloadable interface {
+	SetSource(file string)
+}
 
 const (
 	defaultJournalLength = 4096
@@ -118,7 +117,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return command.Usage
 	}
-	s.Common().source = opts.Config
+	if r, ok := any(s).(Reloadable); ok {
+		r.SetSource(opts.Config)
+	}
 	if opts.Check {
 		fmt.Println("settings are valid")
 		return command.OK
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -52,7 +52,7 @@
 }
 
 func (n *node) fileTime() time.Time {
-	info, err := os.Stat(n.settings.Source())
+	info, err := os.Stat(n.settings.source)
 	if err != nil {
 		return time.Time{}
 	}
@@ -62,7 +62,7 @@
 // readSettings reads the file again. What cannot be read changes nothing.
 func (n *node) readSettings(cause string) {
 	next := new(Settings)
-	if err := settings.Load(n.settings.Source(), next); err != nil {
+	if err := settings.Load(n.settings.source, next); err != nil {
 		n.log.Error().Str("step", "reload").Str("cause", cause).Err(err).Msg("settings refused, the old ones stay in force")
 		return
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,8 +30,14 @@
 	HoldMost model.Duration `json:"holdMost,omitempty"`
 	// Repeats bound what the service sees more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
+
+	// source is the file that the settings were read from.
+	source string
 }
 
+// SetSource implements daemon.Reloadable.
+func (s *Settings) SetSource(file string) { s.source = file }
+
 // Repeats bound the requests that a service sees again, over all VMs.
 type Repeats struct {
 	// Ratio is the repeats allowed for each request. Default 0.1.
