--- /dev/null
+++ b/internal/gateway/lag.go
@@ -0,0 +1,37 @@
+package gateway
+
+import "time"
+
+// lagMeter finds out that this VM is too slow to be a grantor.
+//
+// Load pattern: a VM gets a sixth of its processor time for some seconds. As the
+// grantor it renews late, takes its own delays for silence of targets, and gives
+// their keys to others, one after the other. It shows in its own steps, which come
+// far later than they should.
+type lagMeter struct {
+	last, mean time.Duration
+	started    bool
+}
+
+const (
+	// lagSteps is how many steps the mean reaches over, a third of a second at
+	// the usual pace.
+	lagSteps = 16
+	// lagMost is the mean delay of a step from which a VM is too slow: renewals
+	// of a few hundred ranges then take longer than their period.
+	lagMost = 60 * time.Millisecond
+	// unfitTime is how long a VM that resigned is no grantor.
+	unfitTime = 8 * time.Second
+)
+
+// note takes in a step and tells whether the VM is too slow.
+func (m *lagMeter) note(now time.Duration) bool {
+	if !m.started {
+		m.started, m.last = true, now
+		return false
+	}
+	late := max(now-m.last-leadStep, 0)
+	m.last = now
+	m.mean += (late - m.mean) / lagSteps
+	return m.mean > lagMost
+}
--- /dev/null
+++ b/internal/gateway/lag_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The grantor's VM gets a sixth of its processor time. It took its own delays for
+// silence of targets and moved their keys about for six seconds. It must notice
+// within a second that it is the slow one; a single long step is no reason.
+func TestSlowGrantorNotices(t *testing.T) {
+	var m lagMeter
+	now := time.Hour
+	step := func(gap time.Duration) bool {
+		now += gap
+		return m.note(now)
+	}
+	for range 100 {
+		require.False(t, step(leadStep+3*time.Millisecond))
+	}
+	require.False(t, step(300*time.Millisecond))
+	for range 50 {
+		require.False(t, step(leadStep))
+	}
+	begin := now
+	for !step(150 * time.Millisecond) {
+		require.Less(t, now-begin, 2*time.Second)
+	}
+}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -59,6 +59,7 @@
 	planNext  time.Duration
 	lines     map[lease.Owner]*orderLine
 	load      *loadView
+	lag       lagMeter
 	bornKnown map[string]int64
 }
 
@@ -125,7 +126,7 @@
 		l.deposed = true
 		return
 	}
-	if l.n.leaving.Load() {
+	if l.n.leaving.Load() || l.lag.note(now) {
 		l.resign(ctx)
 		return
 	}
@@ -137,24 +138,32 @@
 	l.askLoad(ctx, now)
 	l.confirmLives(ctx, now)
 	l.confirmEpoch(ctx, now)
-	l.tell(ctx, now)
+	l.tell(now)
 }
 
-// resign ends the orders of a grantor that leaves, then says so in the record, so
-// that its successor need not wait for its authority to end.
+// resign ends the orders of a grantor that leaves or is too slow, then says so in
+// the record, so that its successor need not wait for its authority to end.
 func (l *leader) resign(ctx context.Context) {
 	if l.resigning {
 		return
 	}
 	l.resigning = true
 	l.orderUntil.Store(0)
+	l.n.unfitUntil.Store(int64(l.n.clock.Now() + unfitTime))
 	next := l.grants.Plan(nil)
 	next.Resigned = true
 	version := l.version
 	go func() {
 		_, err := l.write(ctx, next, version)
-		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Err(err).Msg("grantor resigned")
-		l.later(ctx, func() { l.deposed = true })
+		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", l.lag.mean).
+			Bool("leaving", l.n.leaving.Load()).Err(err).Msg("grantor resigned")
+		l.later(ctx, func() {
+			l.deposed = true
+			vacant := *l.told
+			l.seq++
+			vacant.Seq, vacant.Holder = l.seq, ""
+			l.publish(&vacant)
+		})
 	}()
 }
 
@@ -538,17 +547,22 @@
 }
 
 // tell publishes the leases when they have changed, here and to the other VMs.
-func (l *leader) tell(ctx context.Context, now time.Duration) {
+func (l *leader) tell(now time.Duration) {
 	routing := lease.NewRouting(l.grants.Record(), l.seq+1, func(i int) lease.SliceState { return l.grants.State(i, now) })
 	if routing.SameAs(l.told) {
 		return
 	}
 	l.seq++
+	l.publish(routing)
+}
+
+// publish puts leases in force here and tells the other VMs.
+func (l *leader) publish(routing *lease.Routing) {
 	l.told = routing
 	l.n.state.setRouting(routing)
 	for _, vm := range l.n.mesh.Others() {
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+			ctx, cancel := context.WithTimeout(l.n.ctx, pushTimeout)
 			defer cancel()
 			if err := l.n.mesh.Call(ctx, vm, "View.Push", routing, &struct{}{}); err != nil {
 				l.n.log.Info().Str("step", "leases").Str("peer", vm).Uint64("seq", routing.Seq).Err(err).Msg("leases not pushed")
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -48,7 +48,7 @@
 	listMost    = 3 * time.Second
 	// slicesPerOwner is how many slices each owner gets at first; slicesMost
 	// bounds them, since each is renewed by a call of its own.
-	slicesPerOwner = 32
+	slicesPerOwner = 16
 	slicesMost     = 512
 	// silentOwner is how long an owner may leave its renewals unanswered before
 	// its keys are given to others.
@@ -98,7 +98,8 @@
 // candidate returns this VM's place in the line of successors, and whether the
 // present grantor stands.
 func (k *keeper) candidate() (rank int, stands bool) {
-	if k.n.leaving.Load() || k.n.clock.Now()-k.n.startedAt < meetTime {
+	now := k.n.clock.Now()
+	if k.n.leaving.Load() || now-k.n.startedAt < meetTime || int64(now) < k.n.unfitUntil.Load() {
 		return -1, false
 	}
 	r := k.n.state.routingOf(k.service)
@@ -175,7 +176,7 @@
 // stillLed tells whether the record names a grantor that lives, and makes it
 // known: this VM had not heard of it yet.
 func (k *keeper) stillLed(r lease.Record) bool {
-	if r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
+	if r.Resigned || r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
 		return false
 	}
 	if old := k.n.state.routingOf(k.service); old == nil || r.Epoch > old.Epoch {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -51,6 +51,8 @@
 	toldAt atomic.Int64
 	// listed tells whether the targets are known.
 	listed atomic.Bool
+	// unfitUntil is until when this VM is no grantor, on clock.
+	unfitUntil atomic.Int64
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
 	grace atomic.Int64
 	// leaving is set by the graceful shutdown.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -188,7 +188,9 @@
 	defer s.mu.Unlock()
 	out := make(map[string]bool)
 	for _, r := range s.routing {
-		out[r.Holder] = true
+		if r.Holder != "" {
+			out[r.Holder] = true
+		}
 	}
 	return out
 }
