--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -18,7 +18,7 @@
 
 const (
 	// grantTimeout bounds a grant: targets answer it at once.
-	grantTimeout = 400 * time.Millisecond
+	grantTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds a release, which is answered when the work on the
 	// keys has ended.
 	releaseTimeout = 4 * time.Second
@@ -235,6 +235,12 @@
 		result, handover, err = l.exchange(ctx, line, o, conn, timeout)
 	}
 	over := l.n.clock.Now()
+	if result == lease.Unanswered {
+		// Failure: a target went silent with several connections kept to it. Each
+		// was tried in turn, and each grant that may have arrived keeps its keys
+		// from others for another hold.
+		line.pool.Drop()
+	}
 	if err != nil || result != lease.Done {
 		l.n.log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Int("kind", int(o.Kind)).
 			Uint16("from", o.From).Uint64("fence", o.Fence).Int("result", int(result)).Dur("took", over-sent).Err(err).Msg("order not done")
@@ -405,6 +411,7 @@
 		wait.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 			defer cancel()
+			lines[i].pool.Drop()
 			ok[i] = lines[i].pool.Connect(ctx) == nil
 		})
 	}
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -21,9 +21,9 @@
 const (
 	// holdTime is how long a grant lasts. Keys of a lost owner are free again
 	// after it; a lost grantor must be succeeded within it.
-	holdTime = 3 * time.Second
+	holdTime = 2400 * time.Millisecond
 	// renewEvery leaves three more tries within a hold.
-	renewEvery = 750 * time.Millisecond
+	renewEvery = 600 * time.Millisecond
 	// orderRetry is the pause after a failed order.
 	orderRetry = 100 * time.Millisecond
 	// leadStep is the time between two looks of a grantor.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -89,7 +89,7 @@
 	// silentPeriods is after how many periods without a beat a VM counts as
 	// lost; silentLeast is the least, since a short pause is no loss.
 	silentPeriods = 5
-	silentLeast   = time.Second
+	silentLeast   = 750 * time.Millisecond
 	// forgetAfter is when a lost VM is not called any more. One that returns
 	// calls by itself.
 	forgetAfter = time.Minute
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -226,13 +226,20 @@
 	p.idle = kept
 }
 
-// Close closes the idle connections; those in use are closed after their answer.
-func (p *Pool) Close() {
+// Drop closes the idle connections: they lead to a process that may be gone.
+func (p *Pool) Drop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
 	for _, c := range p.idle {
 		c.close()
 	}
 	p.idle = nil
 }
+
+// Close closes the idle connections; those in use are closed after their answer.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Drop()
+}
