--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -74,6 +74,7 @@
 
 // run keeps the leases until the context ends.
 func (k *keeper) run(ctx context.Context) {
+	k.resume(ctx)
 	var due time.Duration
 	for sleep(ctx, candidateStep) {
 		now := k.n.clock.Now()
@@ -95,6 +96,27 @@
 	}
 }
 
+// resume takes over at once where this VM was the grantor before its process
+// ended.
+//
+// Load pattern: all processes end at the same moment and start again. All keys
+// lapse until there is a grantor; the time to meet the others is too long for
+// that. The one VM that the record names needs no agreement.
+func (k *keeper) resume(ctx context.Context) {
+	for !k.n.listed.Load() {
+		if !sleep(ctx, leadStep) {
+			return
+		}
+	}
+	r, _, err := k.read(ctx)
+	if err != nil || r.Holder != k.n.self.VM || r.HolderAddr != k.n.self.Addr || r.Incarnation == k.n.self.Incarnation {
+		return
+	}
+	if err := k.takeOver(ctx); err != nil {
+		k.n.log.Warn().Str("step", "leases").Str("service", k.service).Err(err).Msg("not resumed")
+	}
+}
+
 // candidate returns this VM's place in the line of successors, and whether the
 // present grantor stands.
 func (k *keeper) candidate() (rank int, stands bool) {
