--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -72,6 +72,8 @@
 	last   *upstream.Answer
 	trace  []string
 	waited time.Duration
+	// refusedOn tells what the last refusal of a target was decided on.
+	refusedOn string
 }
 
 // outcome is what the caller gets.
@@ -203,7 +205,9 @@
 
 func (n *node) choose(c *call, left time.Duration) (*errand, refusal) {
 	if c.keyed {
-		return n.state.chooseOwner(c.service, c.route.Name, c.key, left)
+		e, why, about := n.state.chooseOwner(c.service, c.route.Name, c.key, left)
+		c.refusedOn = about
+		return e, why
 	}
 	return n.state.chooseFromPool(c.service, c.route, c.tried, left, n.clock.Now())
 }
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -20,10 +20,18 @@
 	// lagMost is the mean delay of a step from which a VM is too slow: renewals
 	// of a few hundred ranges then take longer than their period.
 	lagMost = 60 * time.Millisecond
-	// unfitTime is how long a VM that resigned is no grantor.
+	// unfitTime is how long a VM that resigned is the last in line.
 	unfitTime = 8 * time.Second
 )
 
+// strayed tells whether so many owners leave orders unanswered that the fault is
+// this VM's: it is cut off, or slow beyond its own timeouts.
+//
+// Failure: all orders of a slow grantor timed out at the same moment. It gave the
+// keys of every target to others, waited for holds to run out, and no key was
+// served for seconds, while every target was well.
+func strayed(silent, owners int) bool { return silent >= 3 && 2*silent >= owners }
+
 // note takes in a step and tells whether the VM is too slow.
 func (m *lagMeter) note(now time.Duration) bool {
 	if !m.started {
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -29,3 +29,10 @@
 		require.Less(t, now-begin, 2*time.Second)
 	}
 }
+
+func TestGrantorThatNobodyAnswersBlamesItself(t *testing.T) {
+	require.True(t, strayed(9, 10))
+	require.True(t, strayed(5, 10))
+	require.False(t, strayed(3, 10), "that many targets may be lost")
+	require.False(t, strayed(2, 2), "with so few, nothing tells")
+}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -52,11 +52,14 @@
 	writing bool
 	// unsettled says that the answer to the last write was lost.
 	unsettled bool
+	// unfit says that this VM leaves, or is too slow to go on.
+	unfit     bool
 	resigning bool
 	reading   bool
 	checking  bool
 	checkNext time.Duration
 	planNext  time.Duration
+	strayNext time.Duration
 	lines     map[lease.Owner]*orderLine
 	load      *loadView
 	lag       lagMeter
@@ -126,7 +129,10 @@
 		l.deposed = true
 		return
 	}
-	if l.n.leaving.Load() || l.lag.note(now) {
+	if l.lag.note(now) || l.n.leaving.Load() || l.strayed(now) {
+		l.unfit = true
+	}
+	if l.unfit {
 		l.resign(ctx)
 		return
 	}
@@ -141,14 +147,34 @@
 	l.tell(now)
 }
 
+// strayed tells whether most owners leave orders unanswered.
+func (l *leader) strayed(now time.Duration) bool {
+	if now < l.strayNext {
+		return false
+	}
+	l.strayNext = now + planEvery
+	silent, owners := 0, make(map[lease.Owner]bool)
+	for _, s := range l.grants.Record().Slices {
+		if owners[s.Owner] || !l.listed(s.Owner) {
+			continue
+		}
+		owners[s.Owner] = true
+		if l.grants.Silent(s.Owner, now) > 0 {
+			silent++
+		}
+	}
+	return strayed(silent, len(owners))
+}
+
 // resign ends the orders of a grantor that leaves or is too slow, then says so in
 // the record, so that its successor need not wait for its authority to end.
 func (l *leader) resign(ctx context.Context) {
-	if l.resigning {
+	l.orderUntil.Store(0)
+	if l.resigning || l.writing {
+		// A write that is on its way comes first.
 		return
 	}
 	l.resigning = true
-	l.orderUntil.Store(0)
 	l.n.unfitUntil.Store(int64(l.n.clock.Now() + unfitTime))
 	next := l.grants.Plan(nil)
 	next.Resigned = true
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -121,14 +121,19 @@
 // present grantor stands.
 func (k *keeper) candidate() (rank int, stands bool) {
 	now := k.n.clock.Now()
-	if k.n.leaving.Load() || now-k.n.startedAt < meetTime || int64(now) < k.n.unfitUntil.Load() {
+	if k.n.leaving.Load() || now-k.n.startedAt < meetTime {
 		return -1, false
 	}
 	r := k.n.state.routingOf(k.service)
 	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
 		return -1, true
 	}
-	return k.n.place(k.service), false
+	rank = k.n.place(k.service)
+	if int64(now) < k.n.unfitUntil.Load() {
+		// All others come first; but where all resigned, one must do it.
+		rank += k.n.mesh.Size()
+	}
+	return rank, false
 }
 
 // stranded tells whether the store has turned the grantor away for a while, and
@@ -201,7 +206,12 @@
 	if r.Resigned || r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
 		return false
 	}
-	if old := k.n.state.routingOf(k.service); old == nil || r.Epoch > old.Epoch {
+	old := k.n.state.routingOf(k.service)
+	if old != nil && old.Epoch == r.Epoch && old.Holder == "" {
+		// It said that it resigned, and could not write it.
+		return false
+	}
+	if old == nil || r.Epoch > old.Epoch {
 		k.n.state.setRouting(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
 	}
 	return true
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -79,6 +79,9 @@
 	e := n.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
 		Int("status", out.status).Str("reason", out.reason).Dur("took", took).Strs("attempts", c.trace).
 		Dur("waited", c.waited).Dur("patience", c.until.Sub(c.start)).Uint64("config", v.ConfigVersion()).Uint64("targets", v.Targets.Revision)
+	if out.answer == nil && c.refusedOn != "" {
+		e = e.Str("refusedOn", c.refusedOn)
+	}
 	if c.keyed {
 		e = e.Uint16("key", c.key)
 		if r := n.state.routingOf(c.service); r != nil {
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"hemlockquay/internal/decide/pick"
@@ -26,6 +27,11 @@
 // refusal says why no target was chosen.
 type refusal string
 
+// inputs tells what a refusal was decided on, for the log.
+func (t *tracked) inputs() string {
+	return fmt.Sprintf("%s own %d others %d slots %d slowness %.2f", t.ID, t.pick.Own, t.pick.Others, t.pick.Slots, t.pick.Slowness())
+}
+
 // The refusals of a choice.
 const (
 	refusedNone   refusal = ""
@@ -60,27 +66,35 @@
 	return s.reserveLocked(owners[i], service, rt.Name, left)
 }
 
-// chooseOwner reserves the target that owns the key.
-func (s *state) chooseOwner(service, route string, key uint16, left time.Duration) (*errand, refusal) {
+// chooseOwner reserves the target that owns the key, and tells what it decided
+// on where it refuses.
+func (s *state) chooseOwner(service, route string, key uint16, left time.Duration) (*errand, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.routing[service]
 	if r == nil {
-		return nil, refusedMoving
+		return nil, refusedMoving, "no leases known"
 	}
 	owner, how := r.Find(key)
 	t := s.targets[owner]
 	now := s.clock.Now()
 	switch {
 	case how == lease.Moving:
-		return nil, refusedMoving
-	case how == lease.Unserved, t == nil, t.displaced, t.Draining && now > t.leavesAt, t.pick.Resting(now):
-		return nil, refusedLost
+		return nil, refusedMoving, owner + " gets the key"
+	case how == lease.Unserved:
+		return nil, refusedLost, owner + " waits for a target that does not answer"
+	case t == nil:
+		return nil, refusedLost, owner + " is not listed"
+	case t.displaced, t.Draining && now > t.leavesAt, t.pick.Resting(now):
+		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t", owner, t.displaced, t.Draining, t.pick.Resting(now))
+	case t.pick.Full():
+		return nil, refusedFull, t.inputs()
 	}
-	if t.pick.Full() {
-		return nil, refusedFull
+	e, why := s.reserveLocked(t, service, route, left)
+	if e == nil {
+		return nil, why, t.inputs()
 	}
-	return s.reserveLocked(t, service, route, left)
+	return e, why, ""
 }
 
 // reserveLocked needs s.mu.
