--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -183,6 +183,15 @@
 	require.Empty(t, EvenOut(Even(12, []Owner{a, b, c}), []Owner{a, b, c}, func(int) bool { return false }))
 }
 
+// An owner gave up its hot slices and has a few less than the others. It must not
+// get cold ones for them, to give up more hot ones next.
+func TestOwnersWithSomewhatFewerSlicesAreLeftAlone(t *testing.T) {
+	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
+	list := Even(30, []Owner{a, b, c})
+	list[0].Owner, list[3].Owner, list[6].Owner = b, b, c
+	require.Empty(t, EvenOut(list, []Owner{a, b, c}, func(int) bool { return false }))
+}
+
 func TestIndexFindsTheSliceOfAKey(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		list := Even(rapid.IntRange(1, 700).Draw(t, "slices"), []Owner{{ID: "a"}})
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -9,9 +9,12 @@
 	// moveBatch bounds how many slices are moved at a time to even the load
 	// out. Each is without service for a few milliseconds and the work that runs.
 	moveBatch = 16
-	// unevenLeast is by how many slices two owners must differ before one is
-	// moved.
-	unevenLeast = 2
+	// fewSlices is the part of the mean below which an owner gets slices of others,
+	// enoughSlices the part up to which it does. Owners that have fewer because
+	// theirs are hot must be left alone: to give them cold ones and then to move
+	// the hot ones away went on for as long as the load lasted.
+	fewSlices    = 0.6
+	enoughSlices = 0.8
 )
 
 // Rehome returns the changes that take slices from owners that are not in live,
@@ -39,12 +42,16 @@
 		return nil
 	}
 	d := newDealer(list, live)
+	mean := float64(len(list)) / float64(len(live))
 	var out []Change
+	var filling Owner
 	for len(out) < moveBatch {
 		from, to := d.extremes()
-		if d.count[from]-d.count[to] < unevenLeast {
+		has := float64(d.count[to])
+		if !to.Same(filling) && has >= fewSlices*mean || has >= enoughSlices*mean || d.count[from]-d.count[to] < 2 {
 			break
 		}
+		filling = to
 		i := slices.IndexFunc(list, func(s Slice) bool { return s.Owner.Same(from) })
 		for i >= 0 && (moving(i) || slices.ContainsFunc(out, func(c Change) bool { return c.Slice == i })) {
 			next := slices.IndexFunc(list[i+1:], func(s Slice) bool { return s.Owner.Same(from) })
