--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -21,6 +21,9 @@
 	watchWait = 1300 * time.Millisecond
 	// watchSlack is what the answer may take on top.
 	watchSlack = 500 * time.Millisecond
+	// eventsPause is the pause after changes, so that a series of them, as when
+	// all targets start, comes with a few calls.
+	eventsPause = 80 * time.Millisecond
 	// watchers is how many VMs watch the store; the others learn from them.
 	// Each call to the store counts, and with three the loss of one delays
 	// nothing.
@@ -122,6 +125,7 @@
 		n.toldAt.Store(int64(n.clock.Now()))
 		if len(changes.Events) > 0 {
 			change(changes)
+			sleep(ctx, eventsPause)
 		}
 		revision = max(revision, changes.Revision)
 	}
