--- /dev/null
+++ b/internal/gateway/front_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/route"
+)
+
+// bench is a node with a configuration and targets that a test plays.
+type bench struct {
+	*node
+	t       *testing.T
+	targets []catalog.Target
+	hits    atomic.Int64
+}
+
+func newBench(t *testing.T) *bench {
+	n := testNode(&handClock{now: time.Hour})
+	t.Cleanup(n.mesh.Close)
+	n.state.setLimit(settingsLimit)
+	b := &bench{node: n, t: t}
+	n.state.setConfig(&route.Config{
+		Version: 3,
+		Routes: []route.Route{
+			{Name: "safe", Host: "safe.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
+			{Name: "once", Host: "once.example", Prefix: "/", Timeout: 2 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
+			{Name: "keyed", Host: "keyed.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "keyed", Weight: 1}}},
+			{Name: "short", Host: "short.example", Prefix: "/", Idempotent: true, Timeout: 100 * time.Millisecond, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
+		},
+		Services: map[string]route.Service{"pool": {Name: "pool"}, "keyed": {Name: "keyed", Keyed: true}},
+		Limits:   route.Limits{BodyBytes: 100},
+	}, "test")
+	return b
+}
+
+var settingsLimit = (&Settings{Repeats: Repeats{Ratio: 0.2, Slack: 100, Window: defaultWindow}}).limits()
+
+// target adds a target that answers with play.
+func (b *bench) target(id, service string, play http.HandlerFunc) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.hits.Add(1)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		play(w, r)
+	}))
+	b.t.Cleanup(server.Close)
+	addr := strings.TrimPrefix(server.URL, "http://")
+	b.targets = append(b.targets, catalog.Target{ID: id, Service: service, Addr: addr, Slots: 2, Born: 1})
+	b.state.list(uint64(len(b.targets)), b.targets...)
+}
+
+// get sends a request through the front.
+func (b *bench) get(host string, header http.Header, body string) *http.Response {
+	b.t.Helper()
+	front := httptest.NewServer(b.node)
+	defer front.Close()
+	req, err := http.NewRequest(http.MethodPost, front.URL+"/x?y=1", strings.NewReader(body))
+	require.NoError(b.t, err)
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Host = host
+	req.Header.Set("Id", "r-1")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func works(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) }
+
+func sheds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// breaks ends the connection without an answer.
+func breaks(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	b := newBench(t)
+	b.target("t", "pool", func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "t", r.Header.Get("Target"))
+		require.Equal(t, "/x?y=1", r.RequestURI)
+		left, err := strconv.Atoi(r.Header.Get("Deadline"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, left, 500)
+		w.Header().Set("Stamp", "s")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write([]byte("short and stout"))
+	})
+	resp := b.get("once.example", http.Header{"Deadline": {"500"}, "Target": {"chosen by the caller"}}, "x")
+	require.Equal(t, http.StatusTeapot, resp.StatusCode)
+	require.Equal(t, "s", resp.Header.Get("Stamp"))
+	require.EqualValues(t, 15, resp.ContentLength)
+}
+
+// A booking reaches a target that breaks off. It may have run: it must not be
+// sent to another, and the caller must not be told that it has not run.
+func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", breaks)
+	b.target("b", "pool", breaks)
+	resp := b.get("once.example", nil, "")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.EqualValues(t, 1, b.hits.Load())
+}
+
+// A target refuses a booking without running it. Another one may run it.
+func TestRefusedRequestGoesToAnother(t *testing.T) {
+	b := newBench(t)
+	var refused atomic.Bool
+	play := func(w http.ResponseWriter, r *http.Request) {
+		if !refused.Swap(true) {
+			sheds(w, r)
+			return
+		}
+		works(w, r)
+	}
+	b.target("a", "pool", play)
+	b.target("b", "pool", play)
+	resp := b.get("once.example", nil, "")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 2, b.hits.Load())
+}
+
+// All targets are full. The caller gets a true refusal at once, and a time after
+// which a place should be free.
+func TestAllTargetsFullIsATrueRefusal(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", sheds)
+	b.target("b", "pool", sheds)
+	resp := b.get("safe.example", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Empty(t, resp.Header.Get("Not-Run"), "what a target said of itself is not ours to say")
+}
+
+// One target lost the answer, the next one is full. The last word is a refusal,
+// but the request may have run: nothing may be promised.
+func TestRefusalAfterALostAnswerPromisesNothing(t *testing.T) {
+	b := newBench(t)
+	var broken atomic.Bool
+	play := func(w http.ResponseWriter, r *http.Request) {
+		if !broken.Swap(true) {
+			breaks(w, r)
+			return
+		}
+		sheds(w, r)
+	}
+	b.target("a", "pool", play)
+	b.target("b", "pool", play)
+	resp := b.get("safe.example", nil, "")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+}
+
+// A target answers 503 after it has run a booking. Passed on, it would promise
+// that the booking was not made.
+func TestFalsePromiseOfATargetIsNotPassedOn(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	resp := b.get("once.example", nil, "")
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+}
+
+// A target does not answer within the route's timeout: the caller hears so by
+// then, and the target learns that nobody waits.
+func TestTimeoutOfTheRoute(t *testing.T) {
+	b := newBench(t)
+	gone := make(chan struct{})
+	b.target("a", "pool", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(gone)
+	})
+	resp := b.get("short.example", nil, "")
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	<-gone
+}
+
+func TestRefusalsOfTheFront(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	for _, c := range []struct {
+		host, body, key string
+		want            int
+	}{
+		{"nowhere.example", "", "", http.StatusNotFound},
+		{"safe.example", strings.Repeat("x", 101), "", http.StatusRequestEntityTooLarge},
+		{"keyed.example", "", "", http.StatusBadRequest},
+		{"keyed.example", "", "65536", http.StatusBadRequest},
+		{"safe.example", "", "", http.StatusOK},
+	} {
+		resp := b.get(c.host, http.Header{"Key": {c.key}}, c.body)
+		require.Equal(t, c.want, resp.StatusCode, c)
+	}
+	fresh := testNode(&handClock{now: time.Hour})
+	defer fresh.mesh.Close()
+	resp := (&bench{node: fresh, t: t}).get("safe.example", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "without a configuration nothing is known to be missing")
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// The owner of a key does not answer and its hold has not run out. Nobody can
+// serve the key before the caller's time is over; the refusal comes at once.
+func TestKeyOfALostOwnerIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.target("k", "keyed", works)
+	b.state.own("keyed", 1, 1, "k", lease.Unserved)
+	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Zero(t, b.hits.Load())
+}
+
+// A request ended two targets, seen by two VMs. It must reach no third one.
+func TestRequestThatEndsItsTargetsIsStopped(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "bad").StatusCode)
+	c := b.newCall(httptest.NewRequest(http.MethodPost, "/x?y=1", nil), &route.Route{Timeout: time.Second}, "pool")
+	req := httptest.NewRequest(http.MethodPost, "/x?y=1", strings.NewReader("bad"))
+	req.Host = "safe.example"
+	require.Nil(t, b.readBody(c, httptest.NewRecorder(), req, 100))
+	content := c.content
+	b.state.suspect(content, "first")
+	b.hear(mesh.Beat{From: mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 1}, Crashes: []mesh.Crash{{Content: content, Count: 1}}})
+	hits := b.hits.Load()
+	require.Equal(t, http.StatusServiceUnavailable, b.get("safe.example", nil, "bad").StatusCode)
+	require.Equal(t, hits, b.hits.Load())
+	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "good").StatusCode)
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,94 @@
+package mesh
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+)
+
+type handClock struct{ now time.Duration }
+
+func (c *handClock) Now() time.Duration { return c.now }
+
+type silentLocal struct{ self Member }
+
+func (l silentLocal) Beat() Beat { return Beat{From: l.self} }
+func (silentLocal) Heard(Beat)   {}
+
+func newMesh(t *testing.T) (*Mesh, *handClock) {
+	clock := &handClock{now: time.Hour}
+	self := Member{VM: "a", Addr: "127.0.0.1:1", Incarnation: 7}
+	m := New(self, clock, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	m.Start(silentLocal{self})
+	t.Cleanup(m.Close)
+	return m, clock
+}
+
+func (m *Mesh) hear(b Beat) {
+	var out Beat
+	_ = Service{m}.Beat(&b, &out)
+}
+
+// pass lets time pass in steps that are no pause of our own.
+func pass(m *Mesh, clock *handClock, d time.Duration) {
+	for end := clock.now + d; clock.now < end; {
+		clock.now += stallAfter / 2
+		m.Live()
+	}
+}
+
+func TestSilentVMIsLostAndComesBack(t *testing.T) {
+	m, clock := newMesh(t)
+	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
+	m.hear(Beat{From: b})
+	require.True(t, m.Lives("b", 1))
+	require.Len(t, m.Live(), 2)
+	pass(m, clock, silentLeast+stallAfter)
+	require.False(t, m.Lives("b", 1))
+	m.hear(Beat{From: b})
+	require.True(t, m.Lives("b", 1))
+	m.hear(Beat{From: b, Leaving: true})
+	require.False(t, m.Lives("b", 1), "a VM that leaves takes no duties")
+}
+
+// This VM stood still for seconds. All others seem silent, and it would take over
+// from every one of them at once.
+func TestAfterAPauseOfOurOwnNobodyIsLost(t *testing.T) {
+	m, clock := newMesh(t)
+	m.hear(Beat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}})
+	clock.now += 10 * time.Second
+	require.True(t, m.Lives("b", 1))
+	pass(m, clock, silentLeast+stallAfter)
+	require.False(t, m.Lives("b", 1), "it had time to speak")
+}
+
+// A VM restarts. Its old life is over, also where a late beat of it arrives.
+func TestNewLifeReplacesTheOld(t *testing.T) {
+	m, _ := newMesh(t)
+	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
+	m.hear(Beat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
+	require.Equal(t, 3, m.Loads()[LoadKey(0xabcdef12)])
+	next := b
+	next.Incarnation = 2
+	m.hear(Beat{From: next})
+	m.hear(Beat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
+	require.False(t, m.Lives("b", 1))
+	require.True(t, m.Lives("b", 2))
+	require.Empty(t, m.Loads())
+	require.True(t, m.Replaced("b", b.Addr, 1))
+	require.False(t, m.Replaced("b", "127.0.0.2:1", 1), "at another address it proves nothing")
+	require.False(t, m.Replaced("c", b.Addr, 1))
+	require.True(t, m.Replaced("a", "127.0.0.1:1", 6), "our own last life")
+}
+
+func TestLoadsOfAllVMsAddUp(t *testing.T) {
+	m, _ := newMesh(t)
+	for i, vm := range []string{"b", "c"} {
+		m.hear(Beat{From: Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1}, Loads: []Load{NewLoad(1<<20, i+1), NewLoad(2<<20, 1000)}})
+	}
+	require.Equal(t, 3, m.Loads()[LoadKey(1<<20)])
+	require.Equal(t, 2*loadMost, m.Loads()[LoadKey(2<<20)], "a number that does not fit is cut, and spills over nothing")
+}
