--- /dev/null
+++ b/internal/gateway/lives.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"hemlockquay/internal/lease"
+)
+
+// confirmEpoch has the store confirm the epoch from time to time.
+func (l *leader) confirmEpoch(ctx context.Context, now time.Duration) {
+	if now-l.grants.ConfirmedAt() > confirmEvery {
+		l.readEpoch(ctx)
+	}
+}
+
+// readEpoch asks the store whether the epoch stands.
+func (l *leader) readEpoch(ctx context.Context) {
+	if l.reading {
+		return
+	}
+	l.reading = true
+	go func() {
+		sent := l.n.clock.Now()
+		r, _, err := l.read(ctx)
+		if err != nil {
+			l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
+			sleep(ctx, storePauseMost)
+		}
+		l.later(ctx, func() {
+			l.reading = false
+			if err == nil {
+				l.noteEpoch(r, sent)
+			}
+		})
+	}()
+}
+
+func (l *leader) noteEpoch(r lease.Record, sent time.Duration) {
+	if r.Epoch != l.grants.Record().Epoch || r.Incarnation != l.n.self.Incarnation {
+		l.deposed = true
+		return
+	}
+	l.grants.Confirmed(sent)
+}
+
+// confirmLives opens connections to owners to which an order broke and then asks
+// the store whether they are in the same life and the epoch stands.
+//
+// Failure: a target restarts under its id. It has forgotten its fences and would
+// take a grant of a grantor that was succeeded meanwhile, for keys that another
+// owns. A connection that was opened before the store was asked breaks with the
+// life that it was opened to.
+func (l *leader) confirmLives(ctx context.Context, now time.Duration) {
+	if l.checking || now < l.checkNext {
+		return
+	}
+	var owners []lease.Owner
+	for _, o := range l.grants.Unconfirmed() {
+		if l.listed(o) {
+			owners = append(owners, o)
+		}
+	}
+	if len(owners) == 0 {
+		return
+	}
+	l.checking, l.checkNext = true, now+checkPause
+	lines := make([]*orderLine, len(owners))
+	for i, o := range owners {
+		lines[i] = l.line(ctx, o)
+	}
+	go l.checkLives(ctx, owners, lines)
+}
+
+// listed tells whether the target is listed in this life.
+func (l *leader) listed(o lease.Owner) bool {
+	t := l.n.state.view.Load().ByID[o.ID]
+	return t != nil && t.Born == o.Born
+}
+
+func (l *leader) checkLives(ctx context.Context, owners []lease.Owner, lines []*orderLine) {
+	connected := connectAll(ctx, owners, lines)
+	var confirmed []lease.Owner
+	var record lease.Record
+	sent := l.n.clock.Now()
+	var err error
+	if len(connected) > 0 {
+		confirmed, err = l.askLives(ctx, connected)
+		if err == nil {
+			record, _, err = l.read(ctx)
+		}
+	}
+	if err != nil {
+		l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("lives of targets not confirmed")
+	}
+	l.later(ctx, func() {
+		l.checking = false
+		if err != nil || len(connected) == 0 {
+			return
+		}
+		l.noteEpoch(record, sent)
+		if l.deposed {
+			return
+		}
+		for _, o := range confirmed {
+			l.grants.LifeConfirmed(o)
+		}
+	})
+}
+
+func connectAll(ctx context.Context, owners []lease.Owner, lines []*orderLine) []lease.Owner {
+	ok := make([]bool, len(owners))
+	var wait sync.WaitGroup
+	for i := range owners {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+			defer cancel()
+			lines[i].pool.Drop()
+			ok[i] = lines[i].pool.Connect(ctx) == nil
+		})
+	}
+	wait.Wait()
+	var out []lease.Owner
+	for i, o := range owners {
+		if ok[i] {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// askLives returns those owners that the store lists in the same life.
+func (l *leader) askLives(ctx context.Context, owners []lease.Owner) ([]lease.Owner, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := l.n.store.ListKind(ctx, l.n.adapter.TargetKind())
+	l.n.noteStore(err)
+	if err != nil {
+		return nil, fmt.Errorf("list targets: %w", err)
+	}
+	born := make(map[string]int64, len(list.Objects))
+	for _, o := range list.Objects {
+		if t, ok := l.n.readTarget(o); ok {
+			born[t.ID] = t.Born
+		}
+	}
+	var out []lease.Owner
+	for _, o := range owners {
+		if at, ok := born[o.ID]; ok && at == o.Born {
+			out = append(out, o)
+		}
+	}
+	return out, nil
+}
+
+// noteLives notes the ends of lives: targets that are listed with a later start.
+func (l *leader) noteLives() {
+	for id, t := range l.n.state.view.Load().ByID {
+		if l.bornKnown[id] == t.Born {
+			continue
+		}
+		l.bornKnown[id] = t.Born
+		for _, s := range l.grants.Record().Slices {
+			for _, o := range []lease.Owner{s.Owner, s.Previous} {
+				if o.ID == id && o.Born < t.Born {
+					l.grants.LifeEnded(o)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/moves.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/platform"
+)
+
+// notePlanned looks who should own what and has changes written.
+func (l *leader) notePlanned(ctx context.Context, now time.Duration) {
+	if l.writing || now < l.planNext || !l.n.storeUp.Load() {
+		return
+	}
+	l.planNext = now + planEvery
+	l.noteLives()
+	var changes []lease.Change
+	if !l.unsettled {
+		if changes = l.plan(now); len(changes) == 0 {
+			return
+		}
+	}
+	next := l.grants.Plan(changes)
+	for _, c := range changes {
+		s := l.grants.Record().Slices[c.Slice]
+		l.n.log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
+			Str("to", c.To.ID).Uint64("targets", l.n.state.view.Load().Targets.Revision).Msg("keys get another owner")
+	}
+	l.writing = true
+	version := l.version
+	go func() {
+		sent := l.n.clock.Now()
+		written, err := l.write(ctx, next, version)
+		over := l.n.clock.Now()
+		l.later(ctx, func() { l.written(next, written, sent, over, err) })
+	}()
+}
+
+func (l *leader) written(next lease.Record, version uint64, sent, over time.Duration, err error) {
+	l.writing = false
+	if err == nil {
+		l.version, l.unsettled = version, false
+		l.grants.Commit(next, sent, over)
+		return
+	}
+	l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("record not written")
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		// Another's write stands, or a lost one of ours: begin again from it.
+		l.deposed = true
+	case errors.Is(err, platform.ErrAmbiguous):
+		// Failure: the store goes away with an answer. A grantor that gives up
+		// then finds no store to begin again, and all keys lapse.
+		l.unsettled = true
+	case !l.unsettled:
+		l.grants.Abandon()
+	}
+}
+
+// plan returns the changes of owners that are wanted now.
+func (l *leader) plan(now time.Duration) []lease.Change {
+	record := l.grants.Record()
+	var live []lease.Owner
+	for _, o := range l.owners() {
+		if l.grants.Silent(o, now) < silentOwner && !l.grants.HasEnded(o) {
+			live = append(live, o)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	rehomed := lease.Rehome(record.Slices, live)
+	rehomed = slices.DeleteFunc(rehomed, func(c lease.Change) bool { return !l.grants.Movable(c.Slice) })
+	if len(rehomed) > 0 {
+		return rehomed
+	}
+	if changes := l.spread(live, now); len(changes) > 0 {
+		return changes
+	}
+	if l.moving() >= evenMoving {
+		return nil
+	}
+	return lease.EvenOut(record.Slices, live, func(i int) bool { return l.grants.State(i, now) != lease.Served })
+}
+
+// moving counts the slices that are on the move.
+func (l *leader) moving() int {
+	n := 0
+	for _, s := range l.grants.Record().Slices {
+		if s.Previous.Known() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/orders.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/upstream"
+)
+
+// orderLine sends the orders to one life of a target. Grants go one after the
+// other over a connection that was opened before the life was confirmed.
+type orderLine struct {
+	pool     *upstream.Pool
+	grants   chan lease.Order
+	releases chan struct{}
+}
+
+// send hands an order to its target's line.
+func (l *leader) send(ctx context.Context, o lease.Order) {
+	line := l.line(ctx, o.Target)
+	if o.Kind == lease.Release {
+		go l.release(ctx, line, o)
+		return
+	}
+	select {
+	case line.grants <- o:
+	default:
+		l.grants.Ended(o, lease.Unreached, "", l.n.clock.Now(), l.n.clock.Now())
+	}
+}
+
+func (l *leader) line(ctx context.Context, o lease.Owner) *orderLine {
+	line := l.lines[o]
+	if line == nil {
+		line = &orderLine{
+			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.n.registry)),
+			grants: make(chan lease.Order, len(l.grants.Record().Slices)+1), releases: make(chan struct{}, releasesAtOnce),
+		}
+		l.lines[o] = line
+		go l.serveLine(ctx, line)
+	}
+	return line
+}
+
+// serveLine sends the grants to one target.
+func (l *leader) serveLine(ctx context.Context, line *orderLine) {
+	defer line.pool.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-line.grants:
+			l.order(ctx, line, o, upstream.KeptConn, grantTimeout)
+		}
+	}
+}
+
+func (l *leader) release(ctx context.Context, line *orderLine, o lease.Order) {
+	select {
+	case line.releases <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-line.releases }()
+	l.order(ctx, line, o, upstream.NewConn, releaseTimeout)
+}
+
+// order sends one order and reports its end.
+//
+// Failure: this VM is suspended between the decision and the send, another became
+// the grantor and moved the keys. The authority is read again on a clock that
+// counts suspended time, right before the bytes leave.
+func (l *leader) order(ctx context.Context, line *orderLine, o lease.Order, conn upstream.Choice, timeout time.Duration) {
+	sent := l.n.clock.Now()
+	result, handover, err := lease.Unreached, "", errNoAuthority
+	if int64(sent) < l.orderUntil.Load() {
+		result, handover, err = l.exchange(ctx, line, o, conn, timeout)
+	}
+	over := l.n.clock.Now()
+	if result == lease.Unanswered {
+		// Failure: a target went silent with several connections kept to it. Each
+		// was tried in turn, and each grant that may have arrived keeps its keys
+		// from others for another hold.
+		line.pool.Drop()
+	}
+	if err != nil || result != lease.Done {
+		l.n.log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Int("kind", int(o.Kind)).
+			Uint16("from", o.From).Uint64("fence", o.Fence).Int("result", int(result)).Dur("took", over-sent).Err(err).Msg("order not done")
+	}
+	l.later(ctx, func() { l.ended(ctx, o, result, handover, sent, over) })
+}
+
+var errNoAuthority = errors.New("authority has run out")
+
+func (l *leader) exchange(ctx context.Context, line *orderLine, o lease.Order, conn upstream.Choice, timeout time.Duration) (lease.Result, string, error) {
+	request, err := l.n.adapter.Order(o)
+	if err != nil {
+		return lease.Unreached, "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := line.pool.Exchange(ctx, request, conn)
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return lease.Unreached, "", err
+	case err != nil:
+		return lease.Unanswered, "", err
+	}
+	result, handover, err := l.n.adapter.OrderResult(answer)
+	if result == lease.Unanswered && l.replaced(ctx, line, o.Target) {
+		return lease.Misdirected, "", err
+	}
+	return result, handover, err
+}
+
+// replaced asks the process at a target's address for its id, and tells whether
+// it is another target's.
+//
+// Failure: a target is gone and its address has passed to a target of a service
+// without keys, which answers an order with an error. Until the last grant that
+// might have reached the lost owner is out, twelve seconds longer after a
+// succession, its keys had no service.
+func (l *leader) replaced(ctx context.Context, line *orderLine, o lease.Owner) bool {
+	table := l.n.state.view.Load().Routes
+	if table == nil {
+		return false
+	}
+	request := &upstream.Request{
+		Method: http.MethodGet, URI: table.Config().Services[l.service].HealthPath, Host: o.Addr,
+		Header: http.Header{l.n.headers.TargetID: {o.ID}},
+	}
+	answer, err := line.pool.Exchange(ctx, request, upstream.NewConn)
+	if err != nil {
+		return false
+	}
+	id := answer.Header.Get(l.n.headers.InstanceID)
+	l.n.log.Warn().Str("step", "order").Str("target", o.ID).Str("addr", o.Addr).Str("answers", id).Msg("who answers at the address of an owner")
+	return id != "" && id != o.ID
+}
+
+func (l *leader) ended(ctx context.Context, o lease.Order, r lease.Result, handover string, sent, over time.Duration) {
+	l.grants.Ended(o, r, handover, sent, over)
+	if r == lease.Fenced {
+		l.readEpoch(ctx)
+	}
+}
--- /dev/null
+++ b/internal/lease/changes.go
@@ -0,0 +1,116 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// Change is a slice that gets another owner.
+type Change struct {
+	Slice int
+	To    Owner
+}
+
+// Plan returns the record with the changes in it, to be written to the store, and
+// freezes their slices until Commit or Abandon. Slices that are on the move keep
+// their previous owner: it may still hold the keys, and the owner in between was
+// never granted.
+//
+// A slice that is not movable keeps its owner.
+//
+// Failure: while the write is on its way, the previous owner answers its release
+// and the owner in between is granted. The record then names two targets, neither
+// of which holds the keys, and a successor would grant them a second time.
+func (g *Grantor) Plan(changes []Change) Record {
+	next := g.record
+	next.Slices = slices.Clone(g.record.Slices)
+	for _, c := range changes {
+		sl := &next.Slices[c.Slice]
+		if !g.Movable(c.Slice) || c.To.Same(sl.Owner) {
+			continue
+		}
+		if !sl.Previous.Known() {
+			sl.Previous = sl.Owner
+		}
+		sl.Owner = c.To
+		g.states[c.Slice].frozen = true
+	}
+	return next
+}
+
+// Movable tells whether slice i may get another owner now.
+//
+// Failure: a predecessor released the previous owner, granted the keys to the
+// owner and was succeeded; the record still names both. A move away from the owner
+// would drop it from the record while it holds the keys. It has to wait until the
+// previous owner is free.
+func (g *Grantor) Movable(i int) bool {
+	return !g.record.Slices[i].Previous.Known() || !g.states[i].inherited
+}
+
+// Divide cuts slice i after a key, which must not be its last. Both parts have
+// the same owner, so the record need not be written before. It returns false for a
+// slice that is on the move.
+//
+// A renewal of the whole slice that is on its way may still reach the owner before
+// the parts are granted; both parts are taken as granted until it is out. After
+// that the owner refuses it: each part has a higher fence.
+func (g *Grantor) Divide(i int, after uint16, now time.Duration) bool {
+	sl, s := g.record.Slices[i], g.states[i]
+	if sl.Previous.Known() || s.frozen || !s.granted || after < sl.From || after >= sl.To {
+		return false
+	}
+	if s.pending {
+		s.pending = false
+		s.outAt = max(s.outAt, holdEnd(now+orderBound, g.timing.Hold))
+	}
+	right, rightState := sl, s
+	sl.To, right.From = after, after+1
+	s.fence, rightState.fence = g.fence(), g.fence()
+	// Granted at once: the first move of a part needs the fence in place.
+	s.acked, rightState.acked = s.acked-g.timing.Renew, s.acked-g.timing.Renew
+	list := slices.Clone(g.record.Slices)
+	list[i] = sl
+	g.record.Slices = slices.Insert(list, i+1, right)
+	g.states[i] = s
+	g.states = slices.Insert(g.states, i+1, rightState)
+	return true
+}
+
+// Abandon ends a plan that the store surely did not take, and never will. A write
+// whose answer is lost is not abandoned: it may take effect later. Its slices stay
+// frozen until another write was taken, which makes it fail.
+func (g *Grantor) Abandon() {
+	for i := range g.states {
+		g.states[i].frozen = false
+	}
+}
+
+// Commit puts a planned record in force that the store took. sent and over date
+// the write.
+func (g *Grantor) Commit(next Record, sent, over time.Duration) {
+	g.Confirmed(sent)
+	g.Abandon()
+	for i := range next.Slices {
+		old, sl, s := g.record.Slices[i], &next.Slices[i], &g.states[i]
+		if sl.Owner.Same(old.Owner) {
+			// Its previous owner may have been freed meanwhile.
+			sl.Previous = old.Previous
+			continue
+		}
+		if !old.Previous.Known() {
+			s.previousOut = s.outAt
+		}
+		if s.pending && !old.Previous.Known() {
+			// A grant is on its way. Its end says more.
+			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
+		}
+		// The new owner was not granted these keys.
+		s.granted, s.inherited, s.outAt, s.retryAt = false, false, 0, 0
+		s.fence = g.fence()
+	}
+	g.record = next
+}
+
+// orderBound is the longest that an order is on its way.
+const orderBound = 5 * time.Second
--- /dev/null
+++ b/internal/lease/contact.go
@@ -0,0 +1,37 @@
+package lease
+
+import (
+	"time"
+)
+
+// contact is how orders to one life of a target fared.
+//
+// Load pattern: a target with a hundred slices is gone. To try each of its orders
+// again and again opens hundreds of connections a second to nobody. After a
+// failure one order at a time goes out, at growing intervals, until one is
+// answered.
+type contact struct {
+	failures int
+	retryAt  time.Duration
+	probing  bool
+	answered time.Duration
+}
+
+// retryMost bounds the pause between two orders to a target that does not answer.
+const retryMost = 1600 * time.Millisecond
+
+// open tells whether an order may go out now.
+func (c *contact) open(now time.Duration) bool {
+	return c.failures == 0 || !c.probing && now >= c.retryAt
+}
+
+func (c *contact) ended(r Result, sent, over, retry time.Duration) {
+	c.probing = false
+	if r == Unreached || r == Unanswered {
+		c.retryAt = over + min(retry<<min(c.failures, 8), retryMost)
+		c.failures++
+		return
+	}
+	c.failures = 0
+	c.answered = max(c.answered, sent)
+}
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -1,49 +1,9 @@
 package lease
 
 import (
-	"slices"
 	"time"
 )
 
-// OrderKind says what an order asks of a target.
-type OrderKind int
-
-// The orders.
-const (
-	// Grant gives or renews a range of keys.
-	Grant OrderKind = iota
-	// Release takes a range of keys back.
-	Release
-)
-
-// Order is one call to a target.
-type Order struct {
-	Kind     OrderKind
-	Target   Owner
-	From, To uint16
-	Fence    uint64
-	Hold     time.Duration
-	// Handover is the state of the last holder, if it gave one.
-	Handover string
-}
-
-// Result is how an order ended.
-type Result int
-
-// The results.
-const (
-	// Done: the target has done it.
-	Done Result = iota
-	// Fenced: the target has seen a higher fence on one of the keys.
-	Fenced
-	// Unreached: the order surely did not arrive.
-	Unreached
-	// Unanswered: the order may have arrived, until its connection was closed.
-	Unanswered
-	// Misdirected: another target has the address.
-	Misdirected
-)
-
 // Timing are the periods of a grantor.
 type Timing struct {
 	// Hold is how long a grant lasts at the target.
@@ -70,22 +30,6 @@
 	contacts map[Owner]*contact
 }
 
-// contact is how orders to one life of a target fared.
-//
-// Load pattern: a target with a hundred slices is gone. To try each of its orders
-// again and again opens hundreds of connections a second to nobody. After a
-// failure one order at a time goes out, at growing intervals, until one is
-// answered.
-type contact struct {
-	failures int
-	retryAt  time.Duration
-	probing  bool
-	answered time.Duration
-}
-
-// retryMost bounds the pause between two orders to a target that does not answer.
-const retryMost = 1600 * time.Millisecond
-
 func (g *Grantor) contact(o Owner) *contact {
 	c := g.contacts[o]
 	if c == nil {
@@ -95,22 +39,6 @@
 	return c
 }
 
-// open tells whether an order may go out now.
-func (c *contact) open(now time.Duration) bool {
-	return c.failures == 0 || !c.probing && now >= c.retryAt
-}
-
-func (c *contact) ended(r Result, sent, over, retry time.Duration) {
-	c.probing = false
-	if r == Unreached || r == Unanswered {
-		c.retryAt = over + min(retry<<min(c.failures, 8), retryMost)
-		c.failures++
-		return
-	}
-	c.failures = 0
-	c.answered = max(c.answered, sent)
-}
-
 // state is what the grantor knows of one slice beyond the record.
 type state struct {
 	fence uint64
@@ -356,116 +284,6 @@
 	return true
 }
 
-// Change is a slice that gets another owner.
-type Change struct {
-	Slice int
-	To    Owner
-}
-
-// Plan returns the record with the changes in it, to be written to the store, and
-// freezes their slices until Commit or Abandon. Slices that are on the move keep
-// their previous owner: it may still hold the keys, and the owner in between was
-// never granted.
-//
-// A slice that is not movable keeps its owner.
-//
-// Failure: while the write is on its way, the previous owner answers its release
-// and the owner in between is granted. The record then names two targets, neither
-// of which holds the keys, and a successor would grant them a second time.
-func (g *Grantor) Plan(changes []Change) Record {
-	next := g.record
-	next.Slices = slices.Clone(g.record.Slices)
-	for _, c := range changes {
-		sl := &next.Slices[c.Slice]
-		if !g.Movable(c.Slice) || c.To.Same(sl.Owner) {
-			continue
-		}
-		if !sl.Previous.Known() {
-			sl.Previous = sl.Owner
-		}
-		sl.Owner = c.To
-		g.states[c.Slice].frozen = true
-	}
-	return next
-}
-
-// Movable tells whether slice i may get another owner now.
-//
-// Failure: a predecessor released the previous owner, granted the keys to the
-// owner and was succeeded; the record still names both. A move away from the owner
-// would drop it from the record while it holds the keys. It has to wait until the
-// previous owner is free.
-func (g *Grantor) Movable(i int) bool {
-	return !g.record.Slices[i].Previous.Known() || !g.states[i].inherited
-}
-
-// Divide cuts slice i after a key, which must not be its last. Both parts have
-// the same owner, so the record need not be written before. It returns false for a
-// slice that is on the move.
-//
-// A renewal of the whole slice that is on its way may still reach the owner before
-// the parts are granted; both parts are taken as granted until it is out. After
-// that the owner refuses it: each part has a higher fence.
-func (g *Grantor) Divide(i int, after uint16, now time.Duration) bool {
-	sl, s := g.record.Slices[i], g.states[i]
-	if sl.Previous.Known() || s.frozen || !s.granted || after < sl.From || after >= sl.To {
-		return false
-	}
-	if s.pending {
-		s.pending = false
-		s.outAt = max(s.outAt, holdEnd(now+orderBound, g.timing.Hold))
-	}
-	right, rightState := sl, s
-	sl.To, right.From = after, after+1
-	s.fence, rightState.fence = g.fence(), g.fence()
-	// Granted at once: the first move of a part needs the fence in place.
-	s.acked, rightState.acked = s.acked-g.timing.Renew, s.acked-g.timing.Renew
-	list := slices.Clone(g.record.Slices)
-	list[i] = sl
-	g.record.Slices = slices.Insert(list, i+1, right)
-	g.states[i] = s
-	g.states = slices.Insert(g.states, i+1, rightState)
-	return true
-}
-
-// Abandon ends a plan that the store surely did not take, and never will. A write
-// whose answer is lost is not abandoned: it may take effect later. Its slices stay
-// frozen until another write was taken, which makes it fail.
-func (g *Grantor) Abandon() {
-	for i := range g.states {
-		g.states[i].frozen = false
-	}
-}
-
-// Commit puts a planned record in force that the store took. sent and over date
-// the write.
-func (g *Grantor) Commit(next Record, sent, over time.Duration) {
-	g.Confirmed(sent)
-	g.Abandon()
-	for i := range next.Slices {
-		old, sl, s := g.record.Slices[i], &next.Slices[i], &g.states[i]
-		if sl.Owner.Same(old.Owner) {
-			// Its previous owner may have been freed meanwhile.
-			sl.Previous = old.Previous
-			continue
-		}
-		if !old.Previous.Known() {
-			s.previousOut = s.outAt
-		}
-		if s.pending && !old.Previous.Known() {
-			// A grant is on its way. Its end says more.
-			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
-		}
-		// The new owner was not granted these keys.
-		s.granted, s.inherited, s.outAt, s.retryAt = false, false, 0, 0
-		s.fence = g.fence()
-	}
-	g.record = next
-}
-
-// orderBound is the longest that an order is on its way.
-const orderBound = 5 * time.Second
-
 // LifeEnded notes that a life of a target is over: another one has begun under
 // its id. It gets no more grants. Its keys are released like any others, which the
 // new life answers.
--- /dev/null
+++ b/internal/mesh/beat.go
@@ -0,0 +1,60 @@
+package mesh
+
+// Member is one life of a VM's daemon. Names on the wire are short: beats between
+// data centres were a quarter of all bytes there.
+type Member struct {
+	VM         string `msgpack:"v"`
+	Addr       string `msgpack:"a"`
+	DataCentre string `msgpack:"d"`
+	// Incarnation rises with every start.
+	Incarnation uint64 `msgpack:"i"`
+}
+
+// LeaseMark is the version of a service's leases that a VM knows.
+type LeaseMark struct {
+	Service string `msgpack:"s"`
+	Epoch   uint64 `msgpack:"e"`
+	Seq     uint64 `msgpack:"q"`
+}
+
+// Load is how many requests of a VM are at a target: the upper 24 bits are a hash
+// of the target's id, the lower 8 the number.
+type Load uint32
+
+// loadMost is the largest number that a Load tells.
+const loadMost = 1<<8 - 1
+
+// NewLoad returns the load of a target, by a hash of its id.
+func NewLoad(hash uint32, requests int) Load {
+	return Load(hash&^loadMost | uint32(min(requests, loadMost)))
+}
+
+func (l Load) target() uint32 { return uint32(l) &^ loadMost }
+
+func (l Load) requests() int { return int(l & loadMost) }
+
+// Beat is what a VM tells the others of itself.
+type Beat struct {
+	From    Member `msgpack:"f"`
+	Leaving bool   `msgpack:"l"`
+	// StoreLost says that the sender does not reach the platform's store.
+	StoreLost       bool   `msgpack:"x"`
+	ConfigVersion   uint64 `msgpack:"c"`
+	TargetsRevision uint64 `msgpack:"t"`
+	// Targets is how many the sender lists.
+	Targets uint16      `msgpack:"n"`
+	Leases  []LeaseMark `msgpack:"m"`
+	Loads   []Load      `msgpack:"o"`
+	// Crashes are the requests that seem to crash targets.
+	Crashes []Crash `msgpack:"r"`
+}
+
+// Crash counts the targets that ended while they ran a request, by a hash of the
+// request's content.
+type Crash struct {
+	Content uint64 `msgpack:"c"`
+	Count   uint16 `msgpack:"n"`
+}
+
+// LoadKey returns the key of a target in Loads, by the hash of its id.
+func LoadKey(hash uint32) uint32 { return hash &^ loadMost }
--- /dev/null
+++ b/internal/mesh/exchange.go
@@ -0,0 +1,97 @@
+package mesh
+
+import (
+	"context"
+	"time"
+)
+
+// exchange sends beats to one VM until it is replaced or forgotten.
+func (m *Mesh) exchange(ctx context.Context, r *remote) {
+	defer m.wait.Done()
+	defer r.client.Close()
+	lost := false
+	kicked := true
+	for {
+		var err error
+		if kicked || m.self.VM < r.member.VM || m.silence(r) > time.Duration(overdue*float64(m.period())) {
+			err = m.call(ctx, r)
+		}
+		kicked = false
+		silent := m.silence(r)
+		if now := silent > silentLeast; now != lost {
+			lost = now
+			m.log.Warn().Str("step", "mesh").Str("peer", r.member.VM).Bool("lost", lost).Dur("silent", silent).AnErr("cause", err).Msg("peer lost or regained")
+		}
+		if silent > forgetAfter {
+			m.forget(r)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.kick:
+			kicked = true
+		case <-time.After(m.period()):
+		}
+	}
+}
+
+// call exchanges beats once.
+func (m *Mesh) call(ctx context.Context, r *remote) error {
+	var reply Beat
+	beat := m.local.Beat()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.client.Call(ctx, "Mesh.Beat", &beat, &reply)
+	if err == nil {
+		m.take(reply)
+	}
+	return err
+}
+
+func (m *Mesh) period() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.periodLocked()
+}
+
+func (m *Mesh) silence(r *remote) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.stepLocked(now)
+	return now - r.heard
+}
+
+func (m *Mesh) forget(r *remote) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.remotes[r.member.VM] == r {
+		delete(m.remotes, r.member.VM)
+	}
+}
+
+// take notes a beat, of a call or of a reply.
+func (m *Mesh) take(b Beat) {
+	m.Meet(b.From)
+	m.mu.Lock()
+	r := m.remotes[b.From.VM]
+	known := r != nil && r.member.Incarnation == b.From.Incarnation
+	if known {
+		r.heard, r.beat = m.clock.Now(), b
+	}
+	m.mu.Unlock()
+	if known {
+		m.local.Heard(b)
+	}
+}
+
+// Service answers the calls of other VMs. It is registered as "Mesh".
+type Service struct{ Mesh *Mesh }
+
+// Join makes the caller known and returns all known VMs.
+func (s Service) Join(in *Member, out *[]Member) error {
+	s.Mesh.Meet(*in)
+	*out = s.Mesh.Members()
+	return nil
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,61 +19,6 @@
 	"hemlockquay/internal/peer"
 )
 
-// Member is one life of a VM's daemon. Names on the wire are short: beats between
-// data centres were a quarter of all bytes there.
-type Member struct {
-	VM         string `msgpack:"v"`
-	Addr       string `msgpack:"a"`
-	DataCentre string `msgpack:"d"`
-	// Incarnation rises with every start.
-	Incarnation uint64 `msgpack:"i"`
-}
-
-// LeaseMark is the version of a service's leases that a VM knows.
-type LeaseMark struct {
-	Service string `msgpack:"s"`
-	Epoch   uint64 `msgpack:"e"`
-	Seq     uint64 `msgpack:"q"`
-}
-
-// Load is how many requests of a VM are at a target: the upper 24 bits are a hash
-// of the target's id, the lower 8 the number.
-type Load uint32
-
-// loadMost is the largest number that a Load tells.
-const loadMost = 1<<8 - 1
-
-// NewLoad returns the load of a target, by a hash of its id.
-func NewLoad(hash uint32, requests int) Load {
-	return Load(hash&^loadMost | uint32(min(requests, loadMost)))
-}
-
-func (l Load) target() uint32 { return uint32(l) &^ loadMost }
-func (l Load) requests() int  { return int(l & loadMost) }
-
-// Beat is what a VM tells the others of itself.
-type Beat struct {
-	From    Member `msgpack:"f"`
-	Leaving bool   `msgpack:"l"`
-	// StoreLost says that the sender does not reach the platform's store.
-	StoreLost       bool   `msgpack:"x"`
-	ConfigVersion   uint64 `msgpack:"c"`
-	TargetsRevision uint64 `msgpack:"t"`
-	// Targets is how many the sender lists.
-	Targets uint16      `msgpack:"n"`
-	Leases  []LeaseMark `msgpack:"m"`
-	Loads   []Load      `msgpack:"o"`
-	// Crashes are the requests that seem to crash targets.
-	Crashes []Crash `msgpack:"r"`
-}
-
-// Crash counts the targets that ended while they ran a request, by a hash of the
-// request's content.
-type Crash struct {
-	Content uint64 `msgpack:"c"`
-	Count   uint16 `msgpack:"n"`
-}
-
 // Periods of the mesh.
 const (
 	// basePeriod is the time between two exchanges of a pair of VMs in a small
@@ -267,9 +212,6 @@
 	return len(m.remotes) + 1
 }
 
-// LoadKey returns the key of a target in Loads, by the hash of its id.
-func LoadKey(hash uint32) uint32 { return hash &^ loadMost }
-
 // Loads adds up what the other live VMs have at each target.
 func (m *Mesh) Loads() map[uint32]int {
 	m.mu.Lock()
@@ -314,87 +256,6 @@
 	return out
 }
 
-// exchange sends beats to one VM until it is replaced or forgotten.
-func (m *Mesh) exchange(ctx context.Context, r *remote) {
-	defer m.wait.Done()
-	defer r.client.Close()
-	lost := false
-	kicked := true
-	for {
-		var err error
-		if kicked || m.self.VM < r.member.VM || m.silence(r) > time.Duration(overdue*float64(m.period())) {
-			err = m.call(ctx, r)
-		}
-		kicked = false
-		silent := m.silence(r)
-		if now := silent > silentLeast; now != lost {
-			lost = now
-			m.log.Warn().Str("step", "mesh").Str("peer", r.member.VM).Bool("lost", lost).Dur("silent", silent).AnErr("cause", err).Msg("peer lost or regained")
-		}
-		if silent > forgetAfter {
-			m.forget(r)
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.kick:
-			kicked = true
-		case <-time.After(m.period()):
-		}
-	}
-}
-
-// call exchanges beats once.
-func (m *Mesh) call(ctx context.Context, r *remote) error {
-	var reply Beat
-	beat := m.local.Beat()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.client.Call(ctx, "Mesh.Beat", &beat, &reply)
-	if err == nil {
-		m.take(reply)
-	}
-	return err
-}
-
-func (m *Mesh) period() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.periodLocked()
-}
-
-func (m *Mesh) silence(r *remote) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.Now()
-	m.stepLocked(now)
-	return now - r.heard
-}
-
-func (m *Mesh) forget(r *remote) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.remotes[r.member.VM] == r {
-		delete(m.remotes, r.member.VM)
-	}
-}
-
-// take notes a beat, of a call or of a reply.
-func (m *Mesh) take(b Beat) {
-	m.Meet(b.From)
-	m.mu.Lock()
-	r := m.remotes[b.From.VM]
-	known := r != nil && r.member.Incarnation == b.From.Incarnation
-	if known {
-		r.heard, r.beat = m.clock.Now(), b
-	}
-	m.mu.Unlock()
-	if known {
-		m.local.Heard(b)
-	}
-}
-
 // Members returns this VM and all that it knows.
 func (m *Mesh) Members() []Member {
 	m.mu.Lock()
@@ -406,9 +267,6 @@
 	return out
 }
 
-// Service answers the calls of other VMs. It is registered as "Mesh".
-type Service struct{ Mesh *Mesh }
-
 // Beat exchanges beats.
 func (s Service) Beat(in *Beat, out *Beat) error {
 	s.Mesh.take(*in)
@@ -416,13 +274,6 @@
 	return nil
 }
 
-// Join makes the caller known and returns all known VMs.
-func (s Service) Join(in *Member, out *[]Member) error {
-	s.Mesh.Meet(*in)
-	*out = s.Mesh.Members()
-	return nil
-}
-
 // Crashes returns how many targets ended at other VMs while they ran a request of
 // this content.
 func (m *Mesh) Crashes(content uint64) int {
