--- a/internal/ctl/cli/fleet.go
+++ b/internal/ctl/cli/fleet.go
@@ -53,6 +53,7 @@
 
 type explain struct {
 	app  *app
+	Logs []string `long:"log" value-name:"FILE" description:"a collected log of one or more VMs; may be repeated. The VMs are not asked then"`
 	Args struct {
 		Subject string `positional-arg-name:"KEY|CUSTOMER|TARGET|REQUEST-ID" required:"yes"`
 	} `positional-args:"yes"`
@@ -60,6 +61,13 @@
 
 // Execute implements flags.Commander.
 func (c *explain) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		account, err := ctl.ExplainLogs(c.Args.Subject, c.Logs)
+		if err != nil {
+			return err
+		}
+		return c.app.print(account, func(w io.Writer) { fmt.Fprint(w, account.Text()) })
+	}
 	ctx, cancel := c.app.context()
 	defer cancel()
 	account, err := c.app.fleet().Explain(ctx, c.Args.Subject)
--- /dev/null
+++ b/internal/ctl/logs.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one line of a process's log.
+type Line struct {
+	Time    time.Time `json:"time"`
+	Process string    `json:"process"`
+	VM      string    `json:"vm"`
+	Step    string    `json:"step"`
+	Message string    `json:"message"`
+	// Fields are the inputs, as they stand in the line.
+	Fields map[string]any `json:"fields"`
+}
+
+// LogAccount is what collected logs say about one subject.
+type LogAccount struct {
+	Subject string `json:"subject"`
+	// Related are the targets, services and keys that the subject's own lines
+	// name.
+	Related []string `json:"related,omitempty"`
+	Lines   []Line   `json:"lines"`
+	// Skipped counts lines that are no log lines of a daemon.
+	Skipped int `json:"skipped"`
+}
+
+const (
+	// aroundBefore and aroundAfter bound the time around the subject's lines in
+	// which changes of what its VMs believed are shown: a lease, an outage's grace
+	// and a takeover are over in less.
+	aroundBefore = 6 * time.Second
+	aroundAfter  = time.Second
+	// requestStep is the step of lines on single requests.
+	requestStep = "request"
+	// maxLine bounds a line, bytes.
+	maxLine = 1 << 20
+)
+
+// relatedFields are the fields that lead from a request to what decided it.
+var relatedFields = []string{"service", "target", "route"}
+
+// ExplainLogs reads collected logs and returns, in order of time, the lines that
+// name the subject, and around them the changes of what the VMs believed about the
+// targets and services that those lines name.
+func ExplainLogs(subject string, files []string) (*LogAccount, error) {
+	a := &LogAccount{Subject: subject}
+	var all []Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+		lines, skipped, err := readLines(f)
+		f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("read log %s: %w", name, err)
+		}
+		all = append(all, lines...)
+		a.Skipped += skipped
+	}
+	slices.SortStableFunc(all, func(x, y Line) int {
+		return cmp.Or(x.Time.Compare(y.Time), cmp.Compare(x.VM, y.VM))
+	})
+	a.choose(all)
+	return a, nil
+}
+
+// readLines takes in what follows the first brace of each line: collectors put
+// names and times in front.
+func readLines(r io.Reader) (lines []Line, skipped int, err error) {
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, maxLine)
+	for in.Scan() {
+		at := bytes.IndexByte(in.Bytes(), '{')
+		if at < 0 {
+			skipped++
+			continue
+		}
+		l, ok := parseLine(in.Bytes()[at:])
+		if !ok {
+			skipped++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	return lines, skipped, in.Err()
+}
+
+func parseLine(text []byte) (Line, bool) {
+	var l Line
+	if err := json.Unmarshal(text, &l); err != nil || l.VM == "" {
+		return l, false
+	}
+	if err := json.Unmarshal(text, &l.Fields); err != nil {
+		return l, false
+	}
+	for _, name := range []string{"time", "process", "vm", "step", "message", "level"} {
+		delete(l.Fields, name)
+	}
+	return l, true
+}
+
+func (l Line) names(subject string) bool {
+	for _, v := range l.Fields {
+		if text := fmt.Sprint(v); text == subject || strings.Contains(text, subject) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *LogAccount) choose(all []Line) {
+	var first, last time.Time
+	related := make(map[string]bool)
+	for _, l := range all {
+		if !l.names(a.Subject) {
+			continue
+		}
+		if first.IsZero() {
+			first = l.Time
+		}
+		last = l.Time
+		noteRelated(l, related)
+	}
+	for _, l := range all {
+		around := !first.IsZero() && l.Time.After(first.Add(-aroundBefore)) && l.Time.Before(last.Add(aroundAfter))
+		if l.names(a.Subject) || around && l.Step != requestStep && namesAny(l, related) {
+			a.Lines = append(a.Lines, l)
+		}
+	}
+	for name := range related {
+		a.Related = append(a.Related, name)
+	}
+	slices.Sort(a.Related)
+}
+
+// noteRelated collects what a line of the subject leads to: its service and the
+// targets that it was sent to or refused for.
+func noteRelated(l Line, related map[string]bool) {
+	for _, field := range relatedFields {
+		if v, ok := l.Fields[field].(string); ok {
+			related[v] = true
+		}
+	}
+	attempts, _ := l.Fields["attempts"].([]any)
+	if on, ok := l.Fields["refusedOn"]; ok {
+		attempts = append(attempts, on)
+	}
+	for _, attempt := range attempts {
+		target, _, _ := strings.Cut(fmt.Sprint(attempt), " ")
+		related[target] = true
+	}
+}
+
+func namesAny(l Line, subjects map[string]bool) bool {
+	for s := range subjects {
+		if l.names(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Text renders the account for people.
+func (a *LogAccount) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %d lines, related: %s\n", a.Subject, len(a.Lines), strings.Join(a.Related, " "))
+	for _, l := range a.Lines {
+		names := make([]string, 0, len(l.Fields))
+		for name := range l.Fields {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		fmt.Fprintf(&b, "%s %s %s: %s", l.Time.Format("15:04:05.000"), l.VM, l.Step, l.Message)
+		for _, name := range names {
+			fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/ctl/logs_test.go
@@ -0,0 +1,38 @@
+package ctl
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logA = `  8.10 vm-a {"time":"2026-01-01T10:00:02.000Z","level":"info","process":"hq-gateway","vm":"vm-a","step":"request","id":"r-1","service":"s","status":503,"reason":"owner of the key is lost","attempts":["t-9 load 1 expected 90ms took 200ms unsent: refused"],"message":"request ended"}
+no log line
+{"time":"2026-01-01T10:00:01.900Z","level":"info","process":"hq-gateway","vm":"vm-a","step":"request","id":"r-2","service":"s","status":200,"message":"request ended"}
+`
+
+const logB = `{"time":"2026-01-01T10:00:01.000Z","level":"warn","process":"hq-gateway","vm":"vm-b","step":"order","service":"s","target":"t-9","result":3,"message":"order not done"}
+{"time":"2026-01-01T09:00:01.000Z","level":"warn","process":"hq-gateway","vm":"vm-b","step":"order","service":"s","target":"t-9","result":3,"message":"order not done"}
+{"time":"2026-01-01T10:00:01.500Z","level":"info","process":"hq-gateway","vm":"vm-b","step":"targets","target":"t-1","service":"other","message":"target known"}
+`
+
+// A user names a failed request. From the logs of all VMs the account shows its
+// line and, before it, what another VM noticed of the target, and nothing else.
+func TestExplainLogsLeadsFromIDToCause(t *testing.T) {
+	dir := t.TempDir()
+	files := []string{filepath.Join(dir, "a"), filepath.Join(dir, "b")}
+	require.NoError(t, os.WriteFile(files[0], []byte(logA), 0o600))
+	require.NoError(t, os.WriteFile(files[1], []byte(logB), 0o600))
+	a, err := ExplainLogs("r-1", files)
+	require.NoError(t, err)
+	require.Equal(t, []string{"s", "t-9"}, a.Related)
+	require.Equal(t, 1, a.Skipped)
+	require.Len(t, a.Lines, 2)
+	require.Equal(t, "order not done", a.Lines[0].Message)
+	require.Equal(t, "vm-a", a.Lines[1].VM)
+	require.Contains(t, a.Text(), "reason=owner of the key is lost")
+	_, err = ExplainLogs("r-1", []string{filepath.Join(dir, "none")})
+	require.Error(t, err)
+}
