--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -67,7 +68,10 @@
 }
 
 type world struct {
-	t       *rapid.T
+	// draw chooses a number in a range.
+	draw func(least, most int, what string) int
+	// fatal ends a test.
+	fatal   func(text string)
 	now     time.Duration
 	record  Record
 	version int
@@ -81,8 +85,16 @@
 	keepsAnswers bool
 }
 
+// newWorld returns a world in which chance is drawn.
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Hour}
+	return startWorld(
+		func(least, most int, what string) int { return rapid.IntRange(least, most).Draw(t, what) },
+		func(text string) { t.Fatalf("%s", text) },
+	)
+}
+
+func startWorld(draw func(least, most int, what string) int, fatal func(text string)) *world {
+	w := &world{draw: draw, fatal: fatal, now: time.Hour}
 	for i := range w.targets {
 		w.targets[i] = worldTarget{born: 1, up: true}
 		w.listed[i] = 1
@@ -208,13 +220,13 @@
 		w.report(m, Unanswered, w.now+400*time.Millisecond)
 		return
 	}
-	how := rapid.IntRange(0, 19).Draw(w.t, "fate of an order")
-	m.arrives = w.now + time.Duration(rapid.IntRange(0, 5).Draw(w.t, "on the way"))*worldStep
+	how := w.draw(0, 19, "fate of an order")
+	m.arrives = w.now + time.Duration(w.draw(0, 5, "on the way"))*worldStep
 	m.applied, m.answered = m.arrives, true
 	switch {
 	case how == 0:
 		// Done late, and not answered.
-		m.applied = m.arrives + time.Duration(rapid.IntRange(40, 240).Draw(w.t, "late"))*worldStep
+		m.applied = m.arrives + time.Duration(w.draw(40, 240, "late"))*worldStep
 		m.answered = false
 	case how == 1:
 		m.answered = false
@@ -303,10 +315,7 @@
 			}
 		}
 		if len(owners) > 1 {
-			for _, line := range w.log {
-				w.t.Log(line)
-			}
-			w.t.Fatalf("unit %d has owners %v", s, owners)
+			w.fatal(fmt.Sprintf("%s\nunit %d has owners %v", strings.Join(w.log, "\n"), s, owners))
 		}
 	}
 }
@@ -329,7 +338,7 @@
 	next := v.grantor.Plan(changes)
 	v.writing = true
 	g, sent, version := v.grantor, w.now, v.version
-	w.later(rapid.IntRange(0, 5).Draw(w.t, "write on the way"), func() { w.write(vm, g, next, sent, version) })
+	w.later(w.draw(0, 5, "write on the way"), func() { w.write(vm, g, next, sent, version) })
 }
 
 // write takes effect at the store, and answers some time later.
@@ -343,7 +352,7 @@
 		w.note("vm%d moves written", vm)
 	}
 	version := w.version
-	if taken && !w.keepsAnswers && rapid.IntRange(0, 9).Draw(w.t, "answer lost") == 0 {
+	if taken && !w.keepsAnswers && w.draw(0, 9, "answer lost") == 0 {
 		w.later(20, func() {
 			if v.grantor == g {
 				v.writing, v.unsettled = false, true
@@ -351,7 +360,7 @@
 		})
 		return
 	}
-	w.later(rapid.IntRange(0, 5).Draw(w.t, "answer on the way"), func() {
+	w.later(w.draw(0, 5, "answer on the way"), func() {
 		if v.grantor != g {
 			return
 		}
@@ -404,7 +413,7 @@
 	w.now += worldStep
 	for i := range w.targets {
 		// An entry follows its target after a while.
-		if w.listed[i] != w.targets[i].born && rapid.IntRange(0, 9).Draw(w.t, "entry written") == 0 {
+		if w.listed[i] != w.targets[i].born && w.draw(0, 9, "entry written") == 0 {
 			w.listed[i] = w.targets[i].born
 		}
 	}
