VMs count what the others are likely to send a target at the same moment

Cause: at the onset of a hot key eight VMs each filled its owner by their own count; it shed the rest without an answer, and callers waited for nothing until their time was over.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -36,6 +36,13 @@
 	// slots: what runs, and a queue of twice as much. Targets queue about
 	// four times their slots; our view of the other VMs is 0.1 s old.
 	queueFactor = 3
+	// TellEvery is the time between two calls of Told. unseenFade lets what was not
+	// seen fade within the period of the VMs' words, 0.15 s. unseenShare is how
+	// much of what this VM sends the others send too: half, since most load is
+	// of its own making.
+	TellEvery   = 50 * time.Millisecond
+	unseenFade  = 0.6
+	unseenShare = 0.5
 	// restFirst and restMost bound the rest of a target that cannot be reached,
 	// which doubles with each failure. The probe that ends it is a request.
 	restFirst = 100 * time.Millisecond
@@ -53,6 +60,9 @@
 	Own, Others int
 	// Near says that it is in this VM's data centre.
 	Near bool
+	// Unseen is what the other VMs are likely to have sent there since they last
+	// said: as much as this one, for the same reason.
+	Unseen float64
 
 	logSlow   float64
 	failures  float64
@@ -61,7 +71,23 @@
 }
 
 // Load returns the requests of all VMs at the target.
-func (s *State) Load() int { return s.Own + s.Others }
+func (s *State) Load() int { return s.Own + s.Others + int(s.Unseen) }
+
+// Sent notes a request that goes there, of one of so many VMs.
+//
+// Load pattern: a key turns hot. Within the 0.15 s between two words of the other
+// VMs each of eight sends its owner what fits there by its own count; the owner
+// gets several times what it can queue, and does not answer the rest.
+func (s *State) Sent(vms int) {
+	s.Own++
+	s.Unseen += unseenShare * float64(vms-1)
+}
+
+// Told takes in what the other VMs have there. It is called each TellEvery.
+func (s *State) Told(others int) {
+	s.Others = others
+	s.Unseen *= unseenFade
+}
 
 // Full tells whether it may queue no more.
 func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -71,3 +71,30 @@
 	require.Equal(t, 0, Choose(states, Job{Usual: 100 * time.Millisecond, Objective: 200 * time.Millisecond}, never, 0))
 	require.Equal(t, 1, Choose(states, Job{Usual: 100 * time.Millisecond, Objective: 500 * time.Millisecond}, never, 0))
 }
+
+// A key turns hot, and eight VMs send its owner what each believes to fit, before
+// they hear of each other. Together they must not send more than the owner can
+// run and queue.
+func TestVMsThatDoNotSeeEachOtherYetDoNotOverfillATarget(t *testing.T) {
+	const vms, slots, queue = 8, 3, 12
+	views, sent := make([]State, vms), 0
+	for i := range views {
+		views[i] = State{Slots: slots}
+	}
+	for range 20 {
+		for i := range views {
+			if !views[i].Full() {
+				views[i].Sent(vms)
+				sent++
+			}
+		}
+	}
+	require.LessOrEqual(t, sent, 2*(slots+queue))
+	require.GreaterOrEqual(t, sent, slots)
+	for range 6 {
+		for i := range views {
+			views[i].Told(0)
+		}
+	}
+	require.False(t, views[0].Full(), "what was not seen fades")
+}
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
@@ -316,9 +317,8 @@
 
 // tellLoads refreshes what the other VMs have at the targets.
 func (n *node) tellLoads(ctx context.Context) {
-	const every = 50 * time.Millisecond
-	for sleep(ctx, every) {
-		n.state.setOthers(n.mesh.Loads())
+	for sleep(ctx, pick.TellEvery) {
+		n.state.setOthers(n.mesh.Loads(), len(n.mesh.Others())+1)
 	}
 }
 
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -108,7 +108,7 @@
 	if usual > 0 && t.pick.Load() > t.pick.Slots && e.expected/2 > left {
 		return nil, refusedLate
 	}
-	t.pick.Own++
+	t.pick.Sent(s.vms)
 	return e, refusedNone
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -31,6 +31,8 @@
 	view atomic.Pointer[catalog.View]
 
 	mu sync.Mutex
+	// vms is how many VMs live.
+	vms int
 	// members decide which targets exist.
 	members *catalog.Members
 	routing map[string]*lease.Routing
@@ -65,7 +67,7 @@
 
 func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
 	s := &state{
-		clock: clock, log: logger, registry: registry, near: near, limit: limit,
+		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
 		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}), news: func() {},
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[string]bool),
@@ -220,11 +222,12 @@
 }
 
 // setOthers takes in what the other VMs have at the targets.
-func (s *state) setOthers(loads map[uint32]int) {
+func (s *state) setOthers(loads map[uint32]int, vms int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.vms = vms
 	for _, t := range s.targets {
-		t.pick.Others = loads[mesh.LoadKey(t.hash)]
+		t.pick.Told(loads[mesh.LoadKey(t.hash)])
 	}
 }
 
