--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,10 +154,12 @@
 	}
 	n.state.finish(e, endFailed)
 	c.tried[e.id] = true
-	if c.keyed {
+	if c.keyed && e.load >= e.target.Slots {
 		out := c.giveUp("owner is full", n.retryAfter(c))
 		return &out
 	}
+	// An owner with free slots that refuses has no lasting reason: it may take
+	// the request a moment later.
 	return nil
 }
 
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -245,3 +245,21 @@
 	require.Equal(t, hits, b.hits.Load())
 	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "good").StatusCode)
 }
+
+// The owner of a key refuses half of its requests though its slots are free. No
+// other target may serve the key; the same one takes the request a moment later.
+func TestOwnerThatRefusesWithoutReasonIsAskedAgain(t *testing.T) {
+	b := newBench(t)
+	var refused atomic.Bool
+	b.target("k", "keyed", func(w http.ResponseWriter, r *http.Request) {
+		if !refused.Swap(true) {
+			sheds(w, r)
+			return
+		}
+		works(w, r)
+	})
+	b.state.own("keyed", 1, 1, "k", lease.Served)
+	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 2, b.hits.Load())
+}
