A request is suspected by distinct targets that ended, for a while

Cause: one target's end, seen by two VMs with the same popular request in flight, counted twice; the request was refused by all VMs and nothing could clear it.

--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -13,6 +13,11 @@
 // crashCheckTimeout bounds the connection that tells whether a target lives.
 const crashCheckTimeout = 300 * time.Millisecond
 
+// suspicion is how long a target's end counts against a request. The same request
+// comes again within seconds; an innocent one that ran beside it must not be
+// refused for good.
+const suspicion = 30 * time.Second
+
 // suspect notes that a target was lost while it ran a request of this content.
 func (s *state) suspect(content uint64, target string) {
 	s.mu.Lock()
@@ -22,10 +27,10 @@
 		if len(s.crashes) >= maxCrashes {
 			clear(s.crashes)
 		}
-		set = make(map[string]bool)
+		set = make(map[uint32]time.Duration)
 		s.crashes[content] = set
 	}
-	set[target] = true
+	set[hashID(target)] = s.clock.Now()
 }
 
 // harmless notes that a request of this content was answered.
@@ -41,12 +46,33 @@
 //
 // Failure: one request ends each target that runs it, and its caller sends it
 // again and again, to any VM. Each time a target is lost with all that it ran. The
-// targets that were lost under a content are counted over all VMs.
+// targets that were lost under a content are counted over all VMs, each once:
+// many requests of one content run on a target that ends for another reason.
 func (s *state) crashing(content uint64, m *mesh.Mesh) bool {
+	lost := make(map[uint32]bool)
+	for _, target := range m.Crashes(content) {
+		lost[target] = true
+	}
 	s.mu.Lock()
-	own := len(s.crashes[content])
-	s.mu.Unlock()
-	return own+m.Crashes(content) >= crashLimit
+	defer s.mu.Unlock()
+	s.fadeLocked(content)
+	for target := range s.crashes[content] {
+		lost[target] = true
+	}
+	return len(lost) >= crashLimit
+}
+
+// fadeLocked drops what is too long ago. It needs s.mu.
+func (s *state) fadeLocked(content uint64) {
+	now := s.clock.Now()
+	for target, at := range s.crashes[content] {
+		if now-at > suspicion {
+			delete(s.crashes[content], target)
+		}
+	}
+	if len(s.crashes[content]) == 0 {
+		delete(s.crashes, content)
+	}
 }
 
 // crashList returns the contents under suspicion.
@@ -54,8 +80,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []mesh.Crash
-	for content, set := range s.crashes {
-		out = append(out, mesh.Crash{Content: content, Count: uint16(len(set))})
+	for content := range s.crashes {
+		s.fadeLocked(content)
+		c := mesh.Crash{Content: content}
+		for target := range s.crashes[content] {
+			c.Targets = append(c.Targets, target)
+		}
+		if len(c.Targets) > 0 {
+			out = append(out, c)
+		}
 	}
 	return out
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -42,8 +42,9 @@
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = time.Second
 	// crashLimit is how many targets a request may have ended before it is
-	// refused.
-	crashLimit = 2
+	// refused. With two, a popular request that ran on two targets that ended for
+	// another reason would be refused everywhere.
+	crashLimit = 3
 )
 
 // ServeHTTP answers one request of a caller.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -43,7 +43,8 @@
 	targets   map[string]*tracked
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
-	crashes   map[uint64]map[string]bool
+	// crashes dates the targets that ended under a request, by their hashes.
+	crashes map[uint64]map[uint32]time.Duration
 	// keyLoad counts requests by service and key since the grantor last asked.
 	keyLoad map[string]map[uint16]uint16
 }
@@ -70,7 +71,7 @@
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
 		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}), news: func() {},
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
-		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[string]bool),
+		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -49,11 +49,11 @@
 	Crashes []Crash `msgpack:"r"`
 }
 
-// Crash counts the targets that ended while they ran a request, by a hash of the
-// request's content.
+// Crash names the targets that ended while they ran a request, by hashes of the
+// request's content and of the targets' ids.
 type Crash struct {
-	Content uint64 `msgpack:"c"`
-	Count   uint16 `msgpack:"n"`
+	Content uint64   `msgpack:"c"`
+	Targets []uint32 `msgpack:"t"`
 }
 
 // LoadKey returns the key of a target in Loads, by the hash of its id.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -274,20 +274,20 @@
 	return nil
 }
 
-// Crashes returns how many targets ended at other VMs while they ran a request of
-// this content.
-func (m *Mesh) Crashes(content uint64) int {
+// Crashes returns the targets that ended at other VMs while they ran a request of
+// this content. One target may be named several times.
+func (m *Mesh) Crashes(content uint64) []uint32 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	total := 0
+	var out []uint32
 	for _, r := range m.remotes {
 		for _, c := range r.beat.Crashes {
 			if c.Content == content {
-				total += int(c.Count)
+				out = append(out, c.Targets...)
 			}
 		}
 	}
-	return total
+	return out
 }
 
 // Join asks the VM at addr for all that it knows, and makes itself known.
