--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/platform/objectapi"
@@ -152,7 +153,7 @@
 func (a *agent) shareBudget(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.guard.Share(len(a.members.addrs()) + 1)
-		pause(ctx, listEvery)
+		pause.For(ctx, listEvery)
 	}
 }
 
@@ -165,7 +166,7 @@
 		}
 		a.Life.NotReadyBecause(fmt.Sprintf("no configuration: store %s does not answer and none of %d peers holds one",
 			a.Settings.Store, len(a.members.addrs())))
-		pause(ctx, a.Settings.Heartbeat.D())
+		pause.For(ctx, a.Settings.Heartbeat.D())
 	}
 }
 
--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -15,6 +15,7 @@
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/ownership"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/view"
@@ -62,7 +63,7 @@
 func (a *assigner) run(ctx context.Context) {
 	a.services = make(map[string]*assigned)
 	for ctx.Err() == nil {
-		pause(ctx, planEvery)
+		pause.For(ctx, planEvery)
 		a.look()
 		for _, s := range a.sight.view.Services() {
 			if s.Keyed {
--- a/internal/agent/heart.go
+++ b/internal/agent/heart.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/wire"
 )
@@ -48,7 +49,7 @@
 			for vm, addr := range h.members.addrs() {
 				go h.push(ctx, vm, addr)
 			}
-			pause(ctx, pushPause)
+			pause.For(ctx, pushPause)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/agent/lister.go
+++ b/internal/agent/lister.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
 
@@ -23,7 +24,7 @@
 func (l *lister) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.once(ctx)
-		pause(ctx, listEvery)
+		pause.For(ctx, listEvery)
 	}
 }
 
--- a/internal/agent/puller.go
+++ b/internal/agent/puller.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/wire"
 )
@@ -58,7 +59,7 @@
 		if addr := p.source(time.Now()); addr != "" {
 			p.sync(ctx, addr)
 		}
-		pause(ctx, p.every/4+rand.N(p.every/4))
+		pause.For(ctx, p.every/4+rand.N(p.every/4))
 	}
 }
 
--- a/internal/agent/reporter.go
+++ b/internal/agent/reporter.go
@@ -12,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
 
@@ -44,7 +45,7 @@
 
 func (r *reporter) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, statusEvery/2+rand.N(statusEvery/2))
+		pause.For(ctx, statusEvery/2+rand.N(statusEvery/2))
 		status := r.status()
 		r.show(status.Problems)
 		if ctx.Err() == nil && !sameStatus(status, r.written) {
--- a/internal/agent/seed.go
+++ b/internal/agent/seed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 				return
 			}
 		}
-		pause(ctx, a.Settings.Heartbeat.D())
+		pause.For(ctx, a.Settings.Heartbeat.D())
 	}
 }
 
--- a/internal/agent/watcher.go
+++ b/internal/agent/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
 )
@@ -72,7 +73,7 @@
 	pauses.InitialInterval, pauses.MaxInterval = watchPauseMin, watchPauseMax
 	for ctx.Err() == nil {
 		if w.ready() && !w.elected() {
-			pause(ctx, electEvery/2+rand.N(electEvery/2))
+			pause.For(ctx, electEvery/2+rand.N(electEvery/2))
 			continue
 		}
 		before, _ := w.config.state()
@@ -89,7 +90,7 @@
 		}
 		w.broken.Store(true)
 		w.log.Warn().Err(err).Str("step", "watch").Str("peer", "store").Msg("watch broke")
-		pause(ctx, pauses.NextBackOff())
+		pause.For(ctx, pauses.NextBackOff())
 	}
 }
 
@@ -161,10 +162,3 @@
 	w.broken.Store(false)
 	w.setWatching(true)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,6 +21,7 @@
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/view"
@@ -136,7 +137,7 @@
 		if err := f.pull(ctx); err != nil {
 			f.life.NotReadyBecause("agent " + f.endpoint.Agent + ": " + err.Error())
 			f.log.Debug().Err(err).Str("step", "pull").Str("peer", f.endpoint.Agent).Msg("no news from the agent")
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -152,7 +153,7 @@
 	}
 	if !reply.Ready {
 		f.life.NotReadyBecause("agent " + f.endpoint.Agent + " holds no configuration yet or has not heard its peers")
-		pause(ctx, readyPause)
+		pause.For(ctx, readyPause)
 		return nil
 	}
 	f.apply(v, &reply)
@@ -285,7 +286,7 @@
 		case <-f.revised:
 			// Operators wait for the revision in force; a burst of changes
 			// is reported once.
-			pause(ctx, reportLeast)
+			pause.For(ctx, reportLeast)
 		case <-draining:
 			// Told at once, so that peers stop sending new work.
 			draining = nil
@@ -367,10 +368,3 @@
 		Objects: daemon.Cut(inForce), Members: daemon.Cut(v.Members), Listed: daemon.Cut(v.Listed), Grants: daemon.Cut(v.Grants), Problems: daemon.Cut(v.Problems),
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -12,6 +12,7 @@
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
 
@@ -77,7 +78,7 @@
 func (k *keeper) run(ctx context.Context) {
 	k.resume(ctx)
 	var due time.Duration
-	for sleep(ctx, candidateStep) {
+	for pause.For(ctx, candidateStep) {
 		now := k.n.clock.Now()
 		rank, stands := k.candidate()
 		if stands || rank < 0 {
@@ -105,7 +106,7 @@
 // that. The one VM that the record names needs no agreement.
 func (k *keeper) resume(ctx context.Context) {
 	for !k.n.listed.Load() {
-		if !sleep(ctx, leadStep) {
+		if !pause.For(ctx, leadStep) {
 			return
 		}
 	}
@@ -285,7 +286,7 @@
 // keepLeases runs a keeper for each keyed service of the configuration.
 func (n *node) keepLeases(ctx context.Context) {
 	running := make(map[string]context.CancelFunc)
-	for sleep(ctx, candidateStep) {
+	for pause.For(ctx, candidateStep) {
 		keyed := n.keyedServices()
 		for name := range keyed {
 			if running[name] == nil {
@@ -317,7 +318,7 @@
 
 // tellLoads refreshes what the other VMs have at the targets.
 func (n *node) tellLoads(ctx context.Context) {
-	for sleep(ctx, pick.TellEvery) {
+	for pause.For(ctx, pick.TellEvery) {
 		n.state.setOthers(n.mesh.Loads(), len(n.mesh.Others())+1)
 	}
 }
--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/pause"
 )
 
 // confirmEpoch has the store confirm the epoch from time to time.
@@ -27,7 +28,7 @@
 		r, _, err := l.read(ctx)
 		if err != nil {
 			l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
-			sleep(ctx, storePauseMost)
+			pause.For(ctx, storePauseMost)
 		}
 		l.later(ctx, func() {
 			l.reading = false
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -18,6 +18,7 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 )
@@ -172,7 +173,7 @@
 
 // sweep closes idle connections to targets.
 func (n *node) sweep(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for pause.For(ctx, time.Second) {
 		n.state.mu.Lock()
 		for _, t := range n.state.targets {
 			t.pool.Sweep(time.Now())
@@ -201,7 +202,7 @@
 	grace := time.Duration(n.grace.Load())
 	n.leaving.Store(true)
 	n.life.BeginDrain()
-	sleep(ctx, part(grace, stopAccepting))
+	pause.For(ctx, part(grace, stopAccepting))
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
 	defer cancel()
 	err := n.front.Shutdown(stopCtx)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/route"
 )
@@ -176,13 +177,13 @@
 // to the store, reads those of the others and calls them.
 func (n *node) join(ctx context.Context) {
 	go n.joinSeeds(ctx)
-	for pause := storePauseLeast; ; pause = min(2*pause, storePauseMost) {
+	for wait := storePauseLeast; ; wait = min(2*wait, storePauseMost) {
 		err := n.joinStore(ctx)
 		if err == nil {
 			return
 		}
 		n.log.Warn().Str("step", "join").Err(err).Msg("not joined through the store yet")
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -10,6 +10,7 @@
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
 
@@ -39,15 +40,15 @@
 // watch keeps one kind up to date until the context ends: it lists, then follows
 // the changes; when the history is gone or the store was away it lists again.
 func (n *node) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
-	pause := storePauseLeast
+	wait := storePauseLeast
 	for ctx.Err() == nil {
 		if !n.watching() {
-			sleep(ctx, idleStep)
+			pause.For(ctx, idleStep)
 			continue
 		}
 		revision, err := n.listOnce(ctx, kind, list)
 		if err == nil {
-			pause = storePauseLeast
+			wait = storePauseLeast
 			err = n.follow(ctx, kind, revision, change)
 		}
 		if ctx.Err() != nil {
@@ -61,8 +62,8 @@
 			continue
 		}
 		n.storeState(false, err)
-		sleep(ctx, pause)
-		pause = min(2*pause, storePauseMost)
+		pause.For(ctx, wait)
+		wait = min(2*wait, storePauseMost)
 	}
 }
 
@@ -125,7 +126,7 @@
 		n.toldAt.Store(int64(n.clock.Now()))
 		if len(changes.Events) > 0 {
 			change(changes)
-			sleep(ctx, eventsPause)
+			pause.For(ctx, eventsPause)
 		}
 		revision = max(revision, changes.Revision)
 	}
@@ -233,7 +234,7 @@
 // expireTargets drops targets whose entries stayed away after an outage.
 func (n *node) expireTargets(ctx context.Context) {
 	const every = 100 * time.Millisecond
-	for sleep(ctx, every) {
+	for pause.For(ctx, every) {
 		n.state.mu.Lock()
 		if n.state.members.Waiting() && n.state.members.Expire(n.clock.Now()) {
 			n.state.publishLocked("still missing after an outage")
@@ -241,15 +242,3 @@
 		n.state.mu.Unlock()
 	}
 }
-
-// sleep returns false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -12,6 +12,8 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sony/gobreaker/v2"
 	"golang.org/x/time/rate"
+
+	"hemlockquay/internal/pause"
 )
 
 // The budget. The store takes several hundred writes and about 2,000 reads a
@@ -136,7 +138,7 @@
 			return err
 		})
 		failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAmbiguous)
-		if !failed || !reached || try == readTries || !sleep(ctx, pauses.NextBackOff()) {
+		if !failed || !reached || try == readTries || !pause.For(ctx, pauses.NextBackOff()) {
 			return out, err
 		}
 	}
--- a/internal/platform/guard_test.go
+++ b/internal/platform/guard_test.go
@@ -9,6 +9,8 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/pause"
 )
 
 // fakeStore answers Get, Put and Watch as told.
@@ -55,7 +57,7 @@
 			go func() {
 				for ctx.Err() == nil {
 					_, _ = s.Get(ctx, ID{})
-					sleep(ctx, 10*time.Millisecond)
+					pause.For(ctx, 10*time.Millisecond)
 				}
 			}()
 		}
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"hemlockquay/internal/pause"
 )
 
 // Pauses between two attempts to settle a lost answer: the first after about
@@ -49,7 +51,7 @@
 		if written, again, err = settle(ctx, s, o, err); !again {
 			return written, err
 		}
-		if !sleep(ctx, pauses.NextBackOff()) {
+		if !pause.For(ctx, pauses.NextBackOff()) {
 			return Object{}, fmt.Errorf("write %s %s: %w", o.Kind, o.Name, err)
 		}
 	}
@@ -79,15 +81,3 @@
 	}
 	return written, errors.Is(err, ErrAmbiguous), err
 }
-
-// sleep returns false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
