--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -83,6 +83,13 @@
 	s.Unseen += unseenShare * float64(vms-1)
 }
 
+// Gone notes that a request of this VM ended there: those of the others that were
+// sent with it have ended, too.
+func (s *State) Gone(vms int) {
+	s.Own--
+	s.Unseen = max(0, s.Unseen-unseenShare*float64(vms-1))
+}
+
 // Told takes in what the other VMs have there. It is called each TellEvery.
 func (s *State) Told(others int) {
 	s.Others = others
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -98,3 +98,14 @@
 	}
 	require.False(t, views[0].Full(), "what was not seen fades")
 }
+
+// Work takes a millisecond, and one request follows the other. None is ever in
+// the way of the next; a target must not count as full for what has long ended.
+func TestShortWorkDoesNotFillATarget(t *testing.T) {
+	s := State{Slots: 2}
+	for range 1000 {
+		require.False(t, s.Full())
+		s.Sent(8)
+		s.Gone(8)
+	}
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -133,7 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &e.target.pick
-	t.Own--
+	t.Gone(s.vms)
 	switch how {
 	case endAnswered:
 		t.Answered(took, e.usual, e.rounds)
