A grantor that begins again does not stand in line; resigning early does not end the process

Found by reading: after a conflict the grantor waited for its place among all VMs, up to seconds, while they saw it live; a resignation before the first word of the leases read what was not there. Exhausted fences begin a new epoch, as the comment says.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -108,7 +108,7 @@
 
 func (l *leader) step(ctx context.Context) {
 	now := l.n.clock.Now()
-	if l.succeeded() {
+	if l.succeeded() || l.grants.Exhausted() {
 		l.deposed = true
 		return
 	}
@@ -168,14 +168,20 @@
 			Bool("leaving", l.n.leaving.Load()).Err(err).Msg("grantor resigned")
 		l.later(ctx, func() {
 			l.deposed = true
-			vacant := *l.told
-			l.seq++
-			vacant.Seq, vacant.Holder = l.seq, ""
-			l.publish(&vacant)
+			l.publish(l.vacant())
 		})
 	}()
 }
 
+// vacant returns leases without a grantor: another VM takes over at once.
+func (l *leader) vacant() *lease.Routing {
+	now := l.n.clock.Now()
+	l.seq++
+	r := lease.NewRouting(l.grants.Record(), l.seq, func(i int) lease.SliceState { return l.grants.State(i, now) })
+	r.Holder = ""
+	return r
+}
+
 // succeeded tells whether a later epoch was heard of.
 func (l *leader) succeeded() bool {
 	r := l.n.state.routingOf(l.service)
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -130,6 +130,12 @@
 	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
 		return -1, true
 	}
+	if r != nil && r.Holder == k.n.self.VM && r.Incarnation == k.n.self.Incarnation {
+		// Our own epoch ended on a conflict of its record. The others still see a
+		// grantor that lives; waiting for a place in the line would let the keys
+		// lapse.
+		return 0, false
+	}
 	rank = k.n.place(k.service)
 	if int64(now) < k.n.unfitUntil.Load() {
 		// All others come first; but where all resigned, one must do it.
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,3 +73,34 @@
 	_, stands := (&keeper{n: n, service: "s"}).candidate()
 	require.False(t, stands)
 }
+
+// The grantor's record met a conflict, and it begins again with a new epoch. All
+// others see it live; were it to wait for its place in the line, the keys would
+// lapse before it comes.
+func TestGrantorBeginsAgainAtOnce(t *testing.T) {
+	n := testNode(&handClock{now: time.Hour})
+	defer n.mesh.Close()
+	for i := range 20 {
+		n.hear(mesh.Beat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+	}
+	n.state.own("s", 3, 1, "t", lease.Served)
+	r := n.state.routing["s"]
+	r.Holder, r.Incarnation = "self", n.self.Incarnation
+	rank, stands := (&keeper{n: n, service: "s"}).candidate()
+	require.False(t, stands)
+	require.Zero(t, rank)
+}
+
+// A VM that leaves resigns before it has told anybody of its leases. That must not
+// end the process.
+func TestResignationBeforeAnythingWasTold(t *testing.T) {
+	n := testNode(&handClock{now: time.Hour})
+	defer n.mesh.Close()
+	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	l := newLeader(&keeper{n: n, service: "s"}, lease.NewGrantor(record, timing, n.clock.Now(), n.clock.Now(), lease.PastEnded), 1)
+	l.publish(l.vacant())
+	require.Empty(t, n.state.routingOf("s").Holder)
+	_, stands := (&keeper{n: n, service: "s"}).candidate()
+	require.False(t, stands)
+}
