--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -107,10 +107,11 @@
 )
 
 func (n *node) start(context.Context) error {
+	// The others call as soon as the port is open.
+	n.mesh.Start(n)
 	if err := n.listen(); err != nil {
 		return err
 	}
-	n.mesh.Start(n)
 	for _, duty := range []func(context.Context){
 		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.keepLeases, n.tellLoads, n.sweep, n.reload,
 	} {
