--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -105,7 +105,7 @@
 		return
 	}
 	old := m.remotes[who.VM]
-	if old != nil && old.member.Incarnation >= who.Incarnation {
+	if old != nil && !m.newerLocked(old, who) {
 		return
 	}
 	if old != nil {
@@ -119,6 +119,19 @@
 	go m.exchange(ctx, r)
 }
 
+// newerLocked tells whether who is another life than the one that is known. It
+// needs m.mu.
+//
+// Failure: a VM's time of day jumps back and its process starts again. Its
+// incarnation is below the last one, and the others would not take its word for as
+// long as they remember that. A life that is silent is over in any case.
+func (m *Mesh) newerLocked(old *remote, who Member) bool {
+	if who.Incarnation == old.member.Incarnation {
+		return false
+	}
+	return who.Incarnation > old.member.Incarnation || m.clock.Now()-old.heard > m.silenceLocked()
+}
+
 // Live returns the VMs that were heard of lately, this one included, in order of
 // their names. Those that leave are left out.
 func (m *Mesh) Live() []Member {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -84,6 +84,19 @@
 	require.True(t, m.Replaced("a", "127.0.0.1:1", 6), "our own last life")
 }
 
+// A VM's time of day jumps back by seconds, and its process starts again. The
+// others must listen to the new life as soon as the old one is silent.
+func TestLifeAfterAClockStepBackIsHeard(t *testing.T) {
+	m, clock := newMesh(t)
+	m.hear(Beat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 9}})
+	next := Beat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 5}}
+	m.hear(next)
+	require.True(t, m.Lives("b", 9), "a late beat of an earlier life")
+	pass(m, clock, silentLeast+stallAfter)
+	m.hear(next)
+	require.True(t, m.Lives("b", 5))
+}
+
 func TestLoadsOfAllVMsAddUp(t *testing.T) {
 	m, _ := newMesh(t)
 	for i, vm := range []string{"b", "c"} {
