--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,7 +43,7 @@
 	}
 }
 
-func (n *node) choose(c *call, left time.Duration) (*errand, refusal) {
+func (n *node) choose(c *call, left time.Duration) (*attempt, refusal) {
 	if c.keyed {
 		e, why, about := n.state.chooseOwner(c.service, c.route.Name, c.key, left)
 		c.refusedOn = about
@@ -76,7 +76,7 @@
 
 // attempt sends the request to one target. It returns nil where another attempt
 // may follow.
-func (n *node) attempt(ctx context.Context, c *call, e *errand, left time.Duration) *outcome {
+func (n *node) attempt(ctx context.Context, c *call, e *attempt, left time.Duration) *outcome {
 	c.request.Header.Set(n.headers.TargetID, e.id)
 	c.request.Header.Set(n.headers.DeadlineMs, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	sendCtx, cancel := context.WithDeadline(ctx, c.until)
@@ -116,7 +116,7 @@
 }
 
 // lost takes in that the answer is lost: the request may have run.
-func (n *node) lost(ctx context.Context, c *call, e *errand) *outcome {
+func (n *node) lost(ctx context.Context, c *call, e *attempt) *outcome {
 	c.arrivals++
 	c.ran++
 	if ctx.Err() != nil {
@@ -139,7 +139,7 @@
 }
 
 // notRun takes in that the target has refused the request.
-func (n *node) notRun(ctx context.Context, c *call, e *errand, a *upstream.Answer) *outcome {
+func (n *node) notRun(ctx context.Context, c *call, e *attempt, a *upstream.Answer) *outcome {
 	c.arrivals++
 	if n.headers.another(a, e.id) {
 		n.state.displaced(e)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,7 +63,7 @@
 }
 
 // note adds an attempt to the trace that the log line shows.
-func (c *call) note(e *errand, took time.Duration, a *upstream.Answer, err error) {
+func (c *call) note(e *attempt, took time.Duration, a *upstream.Answer, err error) {
 	how := "answered"
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -95,7 +95,7 @@
 
 // checkCrash finds out whether a target that lost an answer is gone. A target
 // that still takes connections lost the answer for another reason.
-func (n *node) checkCrash(content uint64, e *errand) {
+func (n *node) checkCrash(content uint64, e *attempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	if err := e.pool.Connect(ctx); err != nil {
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -24,9 +24,9 @@
 	return n
 }
 
-func (n *node) hear(b mesh.Beat) {
-	var reply mesh.Beat
-	_ = mesh.Service{Mesh: n.mesh}.Beat(&b, &reply)
+func (n *node) hear(b mesh.Heartbeat) {
+	var reply mesh.Heartbeat
+	_ = mesh.Service{Mesh: n.mesh}.Heartbeat(&b, &reply)
 }
 
 // The store refuses one VM, the grantor, and serves the others. Keys of a target
@@ -38,7 +38,7 @@
 	n := testNode(clock)
 	defer n.mesh.Close()
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
-	n.hear(mesh.Beat{From: holder})
+	n.hear(mesh.Heartbeat{From: holder})
 	r := n.state
 	r.own("s", 3, 1, "t", lease.Served)
 	r.routing["s"].Holder, r.routing["s"].Incarnation = "holder", 5
@@ -46,12 +46,12 @@
 
 	_, stands := k.candidate()
 	require.True(t, stands)
-	n.hear(mesh.Beat{From: holder, StoreLost: true})
+	n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
 	_, stands = k.candidate()
 	require.True(t, stands)
 	for range 5 {
 		clock.now += strandedAfter / 4
-		n.hear(mesh.Beat{From: holder, StoreLost: true})
+		n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
 		_, stands = k.candidate()
 	}
 	require.False(t, stands)
@@ -67,7 +67,7 @@
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
 	defer n.mesh.Close()
-	n.hear(mesh.Beat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
+	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
 	n.state.own("s", 3, 1, "t", lease.Served)
 	n.state.routing["s"].Holder, n.state.routing["s"].Incarnation = "holder", 5
 	_, stands := (&keeper{n: n, service: "s"}).candidate()
@@ -81,7 +81,7 @@
 	n := testNode(&handClock{now: time.Hour})
 	defer n.mesh.Close()
 	for i := range 20 {
-		n.hear(mesh.Beat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+		n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
 	}
 	n.state.own("s", 3, 1, "t", lease.Served)
 	r := n.state.routing["s"]
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,10 +20,10 @@
 // kindMembers is the kind of the VMs' own entries.
 const kindMembers model.Kind = "hq-members"
 
-// Beat implements mesh.Local.
-func (n *node) Beat() mesh.Beat {
+// Heartbeat implements mesh.Local.
+func (n *node) Heartbeat() mesh.Heartbeat {
 	v := n.state.view.Load()
-	return mesh.Beat{
+	return mesh.Heartbeat{
 		From: n.self, Leaving: n.leaving.Load(),
 		StoreLost: !n.storeUp.Load(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
@@ -32,7 +32,7 @@
 }
 
 // Heard implements mesh.Local: it fetches what the other VM knows better.
-func (n *node) Heard(b mesh.Beat) {
+func (n *node) Heard(b mesh.Heartbeat) {
 	v := n.state.view.Load()
 	if !b.StoreLost && b.TargetsRevision == v.Targets.Revision {
 		n.toldAt.Store(int64(n.clock.Now()))
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -10,8 +10,8 @@
 	"hemlockquay/internal/upstream"
 )
 
-// errand is one sending of a request to a target, from its choice to its end.
-type errand struct {
+// attempt is one sending of a request to a target, from its choice to its end.
+type attempt struct {
 	target   *tracked
 	id       string
 	pool     *upstream.Pool
@@ -43,7 +43,7 @@
 )
 
 // chooseFromPool reserves the best target of a service without keys.
-func (s *state) chooseFromPool(service string, rt *route.Route, tried map[string]bool, left, now time.Duration) (*errand, refusal) {
+func (s *state) chooseFromPool(service string, rt *route.Route, tried map[string]bool, left, now time.Duration) (*attempt, refusal) {
 	list := s.view.Load().ByService[service]
 	if len(list) == 0 {
 		return nil, refusedEmpty
@@ -68,7 +68,7 @@
 
 // chooseOwner reserves the target that owns the key, and tells what it decided
 // on where it refuses.
-func (s *state) chooseOwner(service, route string, key uint16, left time.Duration) (*errand, refusal, string) {
+func (s *state) chooseOwner(service, route string, key uint16, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.routing[service]
@@ -98,9 +98,9 @@
 }
 
 // reserveLocked needs s.mu.
-func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration) (*errand, refusal) {
+func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration) (*attempt, refusal) {
 	usual := s.usualLocked(service, route)
-	e := &errand{
+	e := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
 		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(),
 	}
@@ -128,7 +128,7 @@
 )
 
 // finish gives a target back.
-func (s *state) finish(e *errand, how end) {
+func (s *state) finish(e *attempt, how end) {
 	took := time.Since(e.sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,7 +156,7 @@
 // service, while its entry is still listed. Each request for its keys is refused
 // there, again and again, and counts as a repeat at a service that it was never
 // meant for.
-func (s *state) displaced(e *errand) {
+func (s *state) displaced(e *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.target.displaced {
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// exchange sends beats to one VM until it is replaced or forgotten.
+// exchange sends heartbeats to one VM until it is replaced or forgotten.
 func (m *Mesh) exchange(ctx context.Context, r *remote) {
 	defer m.wait.Done()
 	defer r.client.Close()
@@ -36,13 +36,13 @@
 	}
 }
 
-// call exchanges beats once.
+// call exchanges heartbeats once.
 func (m *Mesh) call(ctx context.Context, r *remote) error {
-	var reply Beat
-	beat := m.local.Beat()
+	var reply Heartbeat
+	heartbeat := m.local.Heartbeat()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := r.client.Call(ctx, "Mesh.Beat", &beat, &reply)
+	err := r.client.Call(ctx, "Mesh.Heartbeat", &heartbeat, &reply)
 	if err == nil {
 		m.take(reply)
 	}
@@ -71,14 +71,14 @@
 	}
 }
 
-// take notes a beat, of a call or of a reply.
-func (m *Mesh) take(b Beat) {
+// take notes a heartbeat, of a call or of a reply.
+func (m *Mesh) take(b Heartbeat) {
 	m.Meet(b.From)
 	m.mu.Lock()
 	r := m.remotes[b.From.VM]
 	known := r != nil && r.member.Incarnation == b.From.Incarnation
 	if known {
-		r.heard, r.beat = m.clock.Now(), b
+		r.heard, r.heartbeat = m.clock.Now(), b
 	}
 	m.mu.Unlock()
 	if known {
--- a/internal/mesh/beat.go
+++ b/internal/mesh/heartbeat.go
@@ -1,6 +1,6 @@
 package mesh
 
-// Member is one life of a VM's daemon. Names on the wire are short: beats between
+// Member is one life of a VM's daemon. Names on the wire are short: heartbeats between
 // data centres were a quarter of all bytes there.
 type Member struct {
 	VM         string `msgpack:"v"`
@@ -33,8 +33,8 @@
 
 func (l Load) requests() int { return int(l & loadMost) }
 
-// Beat is what a VM tells the others of itself.
-type Beat struct {
+// Heartbeat is what a VM tells the others of itself.
+type Heartbeat struct {
 	From    Member `msgpack:"f"`
 	Leaving bool   `msgpack:"l"`
 	// StoreLost says that the sender does not reach the platform's store.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,7 +1,7 @@
 // Package mesh joins the VMs of the system: who lives, what each one believes of
 // the store, and what it has running at the targets.
 //
-// Each VM exchanges a beat with each other one several times a second. A beat is
+// Each VM exchanges a heartbeat with each other one several times a second. A heartbeat is
 // small and holds only versions; who sees a newer one fetches it.
 package mesh
 
@@ -24,14 +24,14 @@
 	// basePeriod is the time between two exchanges of a pair of VMs in a small
 	// fleet. One of the two calls; the reply tells as much as the call.
 	basePeriod = 150 * time.Millisecond
-	// overdue is after how many periods without a beat the other one calls.
+	// overdue is after how many periods without a heartbeat the other one calls.
 	overdue = 1.6
 	// periodPerVM makes the period grow with the fleet, so that a VM sends and
-	// takes at most about 160 beats a second.
+	// takes at most about 160 heartbeats a second.
 	periodPerVM = 12 * time.Millisecond
 	// callTimeout bounds one exchange.
 	callTimeout = 400 * time.Millisecond
-	// silentPeriods is after how many periods without a beat a VM counts as
+	// silentPeriods is after how many periods without a heartbeat a VM counts as
 	// lost; silentLeast is the least, since a short pause is no loss.
 	silentPeriods = 5
 	silentLeast   = 750 * time.Millisecond
@@ -45,19 +45,19 @@
 
 // Local is what the mesh asks of its VM.
 type Local interface {
-	// Beat returns the state to tell.
-	Beat() Beat
-	// Heard takes in a beat of a live VM. It must not block.
-	Heard(Beat)
+	// Heartbeat returns the state to tell.
+	Heartbeat() Heartbeat
+	// Heard takes in a heartbeat of a live VM. It must not block.
+	Heard(Heartbeat)
 }
 
 type remote struct {
-	member Member
-	client *peer.Client
-	heard  time.Duration
-	beat   Beat
-	cancel context.CancelFunc
-	kick   chan struct{}
+	member    Member
+	client    *peer.Client
+	heard     time.Duration
+	heartbeat Heartbeat
+	cancel    context.CancelFunc
+	kick      chan struct{}
 }
 
 // Mesh is the VM's view of the others. It is safe for concurrent use.
@@ -140,7 +140,7 @@
 	now := m.clock.Now()
 	out := []Member{m.self}
 	for _, r := range m.remotes {
-		if m.liveLocked(r, now) && !r.beat.Leaving {
+		if m.liveLocked(r, now) && !r.heartbeat.Leaving {
 			out = append(out, r.member)
 		}
 	}
@@ -156,7 +156,7 @@
 		return incarnation == m.self.Incarnation
 	}
 	r := m.remotes[vm]
-	return r != nil && r.member.Incarnation == incarnation && !r.beat.Leaving && m.liveLocked(r, m.clock.Now())
+	return r != nil && r.member.Incarnation == incarnation && !r.heartbeat.Leaving && m.liveLocked(r, m.clock.Now())
 }
 
 // Replaced tells whether a process of a VM has ended: a later one runs at its
@@ -203,10 +203,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := m.remotes[vm]
-	return r != nil && r.beat.From.VM != "" && !r.beat.StoreLost
+	return r != nil && r.heartbeat.From.VM != "" && !r.heartbeat.StoreLost
 }
 
-// Kick sends a beat to all VMs at once: there is news.
+// Kick sends a heartbeat to all VMs at once: there is news.
 func (m *Mesh) Kick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -235,7 +235,7 @@
 		if !m.liveLocked(r, now) {
 			continue
 		}
-		for _, l := range r.beat.Loads {
+		for _, l := range r.heartbeat.Loads {
 			out[l.target()] += l.requests()
 		}
 	}
@@ -280,10 +280,10 @@
 	return out
 }
 
-// Beat exchanges beats.
-func (s Service) Beat(in *Beat, out *Beat) error {
+// Heartbeat exchanges heartbeats.
+func (s Service) Heartbeat(in *Heartbeat, out *Heartbeat) error {
 	s.Mesh.take(*in)
-	*out = s.Mesh.local.Beat()
+	*out = s.Mesh.local.Heartbeat()
 	return nil
 }
 
@@ -294,7 +294,7 @@
 	defer m.mu.Unlock()
 	var out []uint32
 	for _, r := range m.remotes {
-		for _, c := range r.beat.Crashes {
+		for _, c := range r.heartbeat.Crashes {
 			if c.Content == content {
 				out = append(out, c.Targets...)
 			}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -15,8 +15,8 @@
 
 type silentLocal struct{ self Member }
 
-func (l silentLocal) Beat() Beat { return Beat{From: l.self} }
-func (silentLocal) Heard(Beat)   {}
+func (l silentLocal) Heartbeat() Heartbeat { return Heartbeat{From: l.self} }
+func (silentLocal) Heard(Heartbeat)        {}
 
 func newMesh(t *testing.T) (*Mesh, *handClock) {
 	clock := &handClock{now: time.Hour}
@@ -27,9 +27,9 @@
 	return m, clock
 }
 
-func (m *Mesh) hear(b Beat) {
-	var out Beat
-	_ = Service{m}.Beat(&b, &out)
+func (m *Mesh) hear(b Heartbeat) {
+	var out Heartbeat
+	_ = Service{m}.Heartbeat(&b, &out)
 }
 
 // pass lets time pass in steps that are no pause of our own.
@@ -43,14 +43,14 @@
 func TestSilentVMIsLostAndComesBack(t *testing.T) {
 	m, clock := newMesh(t)
 	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
-	m.hear(Beat{From: b})
+	m.hear(Heartbeat{From: b})
 	require.True(t, m.Lives("b", 1))
 	require.Len(t, m.Live(), 2)
 	pass(m, clock, silentLeast+stallAfter)
 	require.False(t, m.Lives("b", 1))
-	m.hear(Beat{From: b})
+	m.hear(Heartbeat{From: b})
 	require.True(t, m.Lives("b", 1))
-	m.hear(Beat{From: b, Leaving: true})
+	m.hear(Heartbeat{From: b, Leaving: true})
 	require.False(t, m.Lives("b", 1), "a VM that leaves takes no duties")
 }
 
@@ -58,23 +58,23 @@
 // from every one of them at once.
 func TestAfterAPauseOfOurOwnNobodyIsLost(t *testing.T) {
 	m, clock := newMesh(t)
-	m.hear(Beat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}})
+	m.hear(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}})
 	clock.now += 10 * time.Second
 	require.True(t, m.Lives("b", 1))
 	pass(m, clock, silentLeast+stallAfter)
 	require.False(t, m.Lives("b", 1), "it had time to speak")
 }
 
-// A VM restarts. Its old life is over, also where a late beat of it arrives.
+// A VM restarts. Its old life is over, also where a late heartbeat of it arrives.
 func TestNewLifeReplacesTheOld(t *testing.T) {
 	m, _ := newMesh(t)
 	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
-	m.hear(Beat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
+	m.hear(Heartbeat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
 	require.Equal(t, 3, m.Loads()[LoadKey(0xabcdef12)])
 	next := b
 	next.Incarnation = 2
-	m.hear(Beat{From: next})
-	m.hear(Beat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
+	m.hear(Heartbeat{From: next})
+	m.hear(Heartbeat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
 	require.False(t, m.Lives("b", 1))
 	require.True(t, m.Lives("b", 2))
 	require.Empty(t, m.Loads())
@@ -88,10 +88,10 @@
 // others must listen to the new life as soon as the old one is silent.
 func TestLifeAfterAClockStepBackIsHeard(t *testing.T) {
 	m, clock := newMesh(t)
-	m.hear(Beat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 9}})
-	next := Beat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 5}}
+	m.hear(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 9}})
+	next := Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 5}}
 	m.hear(next)
-	require.True(t, m.Lives("b", 9), "a late beat of an earlier life")
+	require.True(t, m.Lives("b", 9), "a late heartbeat of an earlier life")
 	pass(m, clock, silentLeast+stallAfter)
 	m.hear(next)
 	require.True(t, m.Lives("b", 5))
@@ -100,7 +100,7 @@
 func TestLoadsOfAllVMsAddUp(t *testing.T) {
 	m, _ := newMesh(t)
 	for i, vm := range []string{"b", "c"} {
-		m.hear(Beat{From: Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1}, Loads: []Load{NewLoad(1<<20, i+1), NewLoad(2<<20, 1000)}})
+		m.hear(Heartbeat{From: Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1}, Loads: []Load{NewLoad(1<<20, i+1), NewLoad(2<<20, 1000)}})
 	}
 	require.Equal(t, 3, m.Loads()[LoadKey(1<<20)])
 	require.Equal(t, 2*loadMost, m.Loads()[LoadKey(2<<20)], "a number that does not fit is cut, and spills over nothing")
