Simpler: one reading of transport errors, ranges divided in sorted order, rates summed over known keys only

Behaviour as before. The sums looked at all 65,536 keys several times a second on the grantor; they now look at those that have a rate. The two clients of a store read the errors of a call without an answer in one place.

--- a/internal/decide/keyspread/rates.go
+++ b/internal/decide/keyspread/rates.go
@@ -1,7 +1,9 @@
 package keyspread
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -66,18 +68,14 @@
 		out[at].Half = r.half(run, out[at].Rate)
 		run = run[:0]
 	}
-	for key := range 1 << 16 {
-		for at+1 < len(from) && key >= int(from[at+1]) {
+	for _, key := range slices.Sorted(maps.Keys(r.keys)) {
+		for at+1 < len(from) && key >= from[at+1] {
 			flush()
 			at++
 		}
-		rate, ok := r.keys[uint16(key)]
-		if !ok {
-			continue
-		}
-		out[at].Rate += rate
+		out[at].Rate += r.keys[key]
 		out[at].Keys++
-		run = append(run, uint16(key))
+		run = append(run, key)
 	}
 	flush()
 	return out
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hemlockquay/internal/decide/keyspread"
@@ -88,7 +89,6 @@
 	l.load.spread = now
 	ranges, sums, capacity := l.loads(live, now)
 	d := keyspread.Decide(ranges, capacity)
-	// From the last, so that the places of the others stay what they are.
 	moved := make([]lease.Change, 0, len(d.Moves))
 	for _, m := range d.Moves {
 		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
@@ -107,17 +107,8 @@
 }
 
 func (l *leader) divide(which []int, sums []keyspread.Sum, now time.Duration) {
-	inOrder := append([]int(nil), which...)
-	for done := range inOrder {
-		// The last one first, so that the places of the others stay.
-		most := done
-		for i := done; i < len(inOrder); i++ {
-			if inOrder[i] > inOrder[most] {
-				most = i
-			}
-		}
-		inOrder[done], inOrder[most] = inOrder[most], inOrder[done]
-		i := inOrder[done]
+	// The last one first, so that the places of the others stay.
+	for _, i := range slices.Backward(slices.Sorted(slices.Values(which))) {
 		l.grants.Divide(i, sums[i].Half, now)
 	}
 }
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 
@@ -186,21 +185,11 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, classify(err)
+		return nil, platform.TransportError(err)
 	}
 	return resp, nil
 }
 
-// classify tells a call that never left from one whose answer is lost. Only a
-// failed dial is certain.
-func classify(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Join(platform.ErrUnavailable, err)
-	}
-	return errors.Join(platform.ErrAmbiguous, err)
-}
-
 func statusError(resp *http.Response) error {
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated:
