Leases are told as changes, one update a VM on its way

Cause: each change of a service's leases was sent whole to every VM, and fetched whole by those whose heartbeat overtook it. Change: updates with the changed slices from the version a VM confirmed; fetches only once leases stay behind for 100 ms.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -23,8 +23,6 @@
 	evenMoving = 16
 	// planEvery is the least time between two looks at who should own what.
 	planEvery = 100 * time.Millisecond
-	// pushTimeout bounds telling another VM of changed leases.
-	pushTimeout = 300 * time.Millisecond
 	// eventQueue bounds the ends of orders and calls that wait for the leader.
 	eventQueue = 1024
 )
@@ -37,6 +35,7 @@
 	version uint64
 	seq     uint64
 	told    *lease.Routing
+	teller  *teller
 
 	events  chan func()
 	deposed bool
@@ -60,7 +59,8 @@
 func newLeader(k *keeper, g *lease.Grantor, version uint64) *leader {
 	l := &leader{
 		keeper: k, grants: g, version: version, events: make(chan func(), eventQueue),
-		lines: make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
+		teller: newTeller(k.n.pushLeases, k.n.log),
+		lines:  make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
 	}
 	l.orderUntil.Store(int64(g.ConfirmedAt() + lease.Authority))
 	return l
@@ -202,13 +202,5 @@
 func (l *leader) publish(routing *lease.Routing) {
 	l.told = routing
 	l.n.state.setRouting(routing)
-	for _, vm := range l.n.mesh.Others() {
-		go func() {
-			ctx, cancel := context.WithTimeout(l.n.ctx, pushTimeout)
-			defer cancel()
-			if err := l.n.mesh.Call(ctx, vm, "View.Push", routing, &struct{}{}); err != nil {
-				l.n.log.Info().Str("step", "leases").Str("peer", vm).Uint64("seq", routing.Seq).Err(err).Msg("leases not pushed")
-			}
-		}()
-	}
+	l.teller.tell(l.n.ctx, routing, l.n.mesh.Others())
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,8 +47,7 @@
 		n.fetch(b.From.VM, "targets", n.fetchTargets)
 	}
 	for _, mark := range b.Leases {
-		r := n.state.routingOf(mark.Service)
-		if r == nil || mark.Epoch > r.Epoch || mark.Epoch == r.Epoch && mark.Seq > r.Seq {
+		if n.behind(mark) {
 			n.fetch(b.From.VM, mark.Service, func(ctx context.Context, vm string) error {
 				return n.fetchRouting(ctx, vm, mark.Service)
 			})
@@ -56,6 +55,22 @@
 	}
 }
 
+// behindLeast is for how long leases are behind before they are fetched: the
+// grantor's own word is faster, and a heartbeat may overtake it.
+const behindLeast = 100 * time.Millisecond
+
+// behind tells whether leases known here have been behind for a while.
+func (n *node) behind(mark mesh.LeaseMark) bool {
+	r := n.state.routingOf(mark.Service)
+	if r == nil || mark.Epoch > r.Epoch {
+		return true
+	}
+	if mark.Epoch < r.Epoch || mark.Seq <= r.Seq {
+		return false
+	}
+	return n.state.staleFor(r) >= behindLeast
+}
+
 // fetch runs one fetch of a kind at a time.
 func (n *node) fetch(vm, what string, get func(ctx context.Context, vm string) error) {
 	if _, running := n.fetching.LoadOrStore(what, true); running {
@@ -95,6 +110,9 @@
 	if err := n.mesh.Call(ctx, vm, "View.Routing", &service, &r); err != nil {
 		return err
 	}
+	if !r.Valid() {
+		return fmt.Errorf("leases of %s from %s: %w", service, vm, errMalformed)
+	}
 	n.state.setRouting(&r)
 	return nil
 }
@@ -102,7 +120,10 @@
 // View answers what this VM believes. It is registered for the other VMs.
 type View struct{ node *node }
 
-var errUnknown = errors.New("not known here")
+var (
+	errUnknown   = errors.New("not known here")
+	errMalformed = errors.New("lists do not fit together")
+)
 
 // Config returns the configuration in force.
 func (v View) Config(_ *struct{}, out *route.Config) error {
@@ -130,12 +151,20 @@
 	return nil
 }
 
-// Push takes in new leases from their grantor.
-func (v View) Push(in *lease.Routing, _ *struct{}) error {
-	v.node.state.setRouting(in)
+// Push takes in changed leases from their grantor. The answer is false if the update
+// builds on a version that is not the one known here.
+func (v View) Push(in *lease.Update, used *bool) error {
+	*used = v.node.state.updateRouting(in)
 	return nil
 }
 
+// pushLeases sends changed leases to a VM.
+func (n *node) pushLeases(ctx context.Context, vm string, u *lease.Update) (bool, error) {
+	var used bool
+	err := n.mesh.Call(ctx, vm, "View.Push", u, &used)
+	return used, err
+}
+
 // KeyLoad is what a VM has seen of a keyed service since it was last asked.
 type KeyLoad struct {
 	// Keys and Requests run in parallel.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -36,6 +36,8 @@
 	// members decide which targets exist.
 	members *catalog.Members
 	routing map[string]*lease.Routing
+	// stale holds the versions of routing that were found behind.
+	stale map[string]staleSince
 	// changed is closed and replaced when routing or view change.
 	changed chan struct{}
 	// news is called when the VM believes something new that others may not know.
@@ -69,7 +71,7 @@
 func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
 	s := &state{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
-		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), changed: make(chan struct{}), news: func() {},
+		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), stale: make(map[string]staleSince), changed: make(chan struct{}), news: func() {},
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
@@ -178,6 +180,43 @@
 	s.notifyLocked()
 }
 
+// updateRouting takes in changes of a service's routing; false if they build on
+// another version.
+func (s *state) updateRouting(u *lease.Update) bool {
+	s.mu.Lock()
+	old := s.routing[u.Routing.Service]
+	s.mu.Unlock()
+	if old != nil && !u.Routing.After(old.Epoch, old.Seq) {
+		return true
+	}
+	r, ok := u.On(old)
+	if !ok || !r.Valid() {
+		return false
+	}
+	s.setRouting(r)
+	return true
+}
+
+// staleFor returns for how long this VM has known that another version is later than
+// the one it has.
+func (s *state) staleFor(have *lease.Routing) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	since, ok := s.stale[have.Service]
+	if !ok || since.epoch != have.Epoch || since.seq != have.Seq {
+		since = staleSince{epoch: have.Epoch, seq: have.Seq, at: now}
+		s.stale[have.Service] = since
+	}
+	return now - since.at
+}
+
+// staleSince is the version that this VM had when it first heard of a later one.
+type staleSince struct {
+	epoch, seq uint64
+	at         time.Duration
+}
+
 // routingOf returns what is known of a service's leases, or nil.
 func (s *state) routingOf(service string) *lease.Routing {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/gateway/tell_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+)
+
+// pushed plays another VM: it takes updates in, each after a delay.
+type pushed struct {
+	state   *state
+	delay   time.Duration
+	lost    int
+	updates []*lease.Update
+}
+
+func (p *pushed) push(ctx context.Context, _ string, u *lease.Update) (bool, error) {
+	time.Sleep(p.delay)
+	if p.lost > 0 {
+		p.lost--
+		return false, errors.New("lost")
+	}
+	p.updates = append(p.updates, u)
+	return p.state.updateRouting(u), ctx.Err()
+}
+
+// owners returns a routing in which the first slices of a hundred have moved.
+func owners(seq uint64, moved int) *lease.Routing {
+	r := lease.Record{Service: "s", Epoch: 3, Slices: lease.Even(100, []lease.Owner{{ID: "a"}, {ID: "b"}})}
+	for i := range moved {
+		r.Slices[i].Owner = lease.Owner{ID: "c"}
+	}
+	return lease.NewRouting(r, seq, func(int) lease.SliceState { return lease.Served })
+}
+
+// At the start of a fleet each grant changes the leases, hundreds in a second. A
+// whole routing for each, to each VM, filled the grantor's link.
+func TestSlowVMIsToldTheLatestOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{}), delay: 50 * time.Millisecond}
+		l := newTeller(peer.push, quiet())
+		for seq := range 100 {
+			l.tell(t.Context(), owners(uint64(seq+1), seq), []string{"vm"})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.True(t, peer.state.routingOf("s").SameAs(owners(100, 99)))
+		require.LessOrEqual(t, len(peer.updates), 4, "one on its way at a time")
+		slices := 0
+		for _, u := range peer.updates[1:] {
+			slices += len(u.Routing.From)
+		}
+		require.LessOrEqual(t, slices, 100, "each changed slice once")
+	})
+}
+
+func TestVMThatHasAnotherVersionGetsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{})}
+		l := newTeller(peer.push, quiet())
+		l.tell(t.Context(), owners(1, 0), []string{"vm"})
+		synctest.Wait()
+		peer.state = testState(&handClock{})
+		l.tell(t.Context(), owners(2, 1), []string{"vm"})
+		synctest.Wait()
+		require.True(t, peer.state.routingOf("s").SameAs(owners(2, 1)))
+		require.Len(t, peer.updates, 3)
+		require.Zero(t, peer.updates[2].Base)
+	})
+}
+
+func TestLostUpdateIsFollowedByAWholeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{})}
+		l := newTeller(peer.push, quiet())
+		l.tell(t.Context(), owners(1, 0), []string{"vm"})
+		synctest.Wait()
+		peer.lost = 1
+		l.tell(t.Context(), owners(2, 1), []string{"vm"})
+		synctest.Wait()
+		l.tell(t.Context(), owners(3, 2), []string{"vm"})
+		synctest.Wait()
+		require.True(t, peer.state.routingOf("s").SameAs(owners(3, 2)))
+		require.Zero(t, peer.updates[1].Base)
+	})
+}
+
+func TestMalformedLeasesAreNotTakenIn(t *testing.T) {
+	s := testState(&handClock{})
+	bad := owners(1, 0)
+	bad.Owner = bad.Owner[1:]
+	require.False(t, s.updateRouting(&lease.Update{Routing: *bad}))
+	require.Nil(t, s.routingOf("s"))
+}
+
+// A heartbeat overtakes the grantor's own word. Each VM then fetched the whole
+// routing, for nothing.
+func TestLeasesAreFetchedOnlyOnceTheyStayBehind(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	mark := mesh.LeaseMark{Service: "s", Epoch: 3, Seq: 2}
+	require.True(t, n.behind(mark), "unknown leases are fetched at once")
+	n.state.setRouting(owners(1, 0))
+	require.False(t, n.behind(mark))
+	clock.now += behindLeast
+	require.True(t, n.behind(mark))
+	n.state.setRouting(owners(2, 1))
+	require.False(t, n.behind(mark))
+	mark.Seq = 3
+	require.False(t, n.behind(mark), "time counts from the version at hand")
+	mark.Epoch = 4
+	require.True(t, n.behind(mark))
+}
