Metrics as text, ages of configuration and leases, time of each step

/metrics.txt shows what /metrics shows, a line a figure. The check of the operators' page finds gauges that stand in a table, too.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -40,7 +40,8 @@
 	Journal  *journal.Journal
 }
 
-// startAdmin serves /healthz, /readyz, /metrics, /dump, /journal and /drain.
+// startAdmin serves /healthz, /readyz, /metrics, /metrics.txt, /dump, /journal
+// and /drain.
 func startAdmin(p adminParams) error {
 	listener, err := net.Listen("tcp", p.Base.Admin)
 	if err != nil {
@@ -81,6 +82,7 @@
 		c.String(http.StatusOK, "ready\n")
 	})
 	e.GET("/metrics", func(c *gin.Context) { show(c, figures(p.Registry)) })
+	e.GET("/metrics.txt", func(c *gin.Context) { c.String(http.StatusOK, "%s", figuresText(p.Registry)) })
 	e.GET("/dump", func(c *gin.Context) { show(c, p.Life.Dump()) })
 	e.GET("/journal", func(c *gin.Context) { show(c, p.Journal.Entries()) })
 	e.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
--- a/internal/daemon/figures.go
+++ b/internal/daemon/figures.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -45,6 +48,33 @@
 	return out
 }
 
+// figuresText renders all metrics as text: a line each, name and value, in order of
+// names. Figures of one metric follow its name after a dot, as in figures.
+func figuresText(registry metrics.Registry) string {
+	var lines []string
+	for name, values := range figures(registry) {
+		for figure, value := range numbers(values) {
+			lines = append(lines, fmt.Sprintf("%s.%s %v\n", strings.ReplaceAll(name, " ", "_"), figure, value))
+		}
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
+// numbers returns the figures of one metric by the names that they have in JSON.
+func numbers(values any) map[string]any {
+	var out map[string]any
+	text, err := json.Marshal(values)
+	if err == nil {
+		err = json.Unmarshal(text, &out)
+	}
+	if err != nil {
+		// A gauge may hold a number that JSON cannot.
+		return map[string]any{"error": err}
+	}
+	return out
+}
+
 func timerFigures(t metrics.Timer) TimerFigures {
 	p := t.Percentiles([]float64{0.5, 0.9, 0.99, 0.999})
 	return TimerFigures{
--- a/internal/daemon/figures_test.go
+++ b/internal/daemon/figures_test.go
@@ -40,6 +40,13 @@
 	require.InDelta(t, 1, shown["entry.answered"]["count"], 0)
 	require.InDelta(t, 7, shown["ring.a.b.depth"]["value"], 0)
 
+	text := get(t, handler, "/metrics.txt")
+	require.Contains(t, text, "entry.answered.count 1\n")
+	require.Contains(t, text, "entry.answered.p99Ms 1.5\n")
+	require.Contains(t, text, "ring.a.b.depth.value 7\nring.a.b.dropped.count 2\n", "in order of names")
+	metrics.GetOrRegisterCounter("outcome.503.all full", registry).Inc(1)
+	require.Contains(t, get(t, handler, "/metrics.txt"), "outcome.503.all_full.count 1\n", "a name is one word")
+
 	require.Contains(t, get(t, handler, "/dump"), `"a.b":{"depth":7,"dropped":2}`)
 	require.Contains(t, get(t, handler, "/dump?pretty"), "\n    \"process\": \"hq-test\"")
 	require.Len(t, Cut(make([]int, maxShown+1)), maxShown)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"hemlockquay/internal/upstream"
 )
 
@@ -62,7 +64,11 @@
 	changed := n.state.changed
 	n.state.mu.Unlock()
 	begin := time.Now()
-	defer func() { c.waited += time.Since(begin) }()
+	defer func() {
+		waited := time.Since(begin)
+		c.waited += waited
+		metrics.GetOrRegisterTimer("step.keywait", n.registry).Update(waited)
+	}()
 	timer := time.NewTimer(min(left, misdirectedPause))
 	defer timer.Stop()
 	select {
@@ -83,6 +89,7 @@
 	defer cancel()
 	answer, err := e.pool.Exchange(sendCtx, c.request, upstream.AnyConn)
 	took := time.Since(e.sent)
+	metrics.GetOrRegisterTimer("step.target."+c.service, n.registry).Update(took)
 	c.note(e, took, answer, err)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -91,6 +91,7 @@
 		result, handover, err = l.exchange(ctx, line, o, conn, timeout)
 	}
 	over := l.n.clock.Now()
+	metrics.GetOrRegisterTimer("step.order", l.n.registry).Update(over - sent)
 	if result == lease.Unanswered {
 		// Failure: a target went silent with several connections kept to it. Each
 		// was tried in turn, and each grant that may have arrived keeps its keys
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -36,6 +36,10 @@
 	// members decide which targets exist.
 	members *catalog.Members
 	routing map[string]*lease.Routing
+	// routedAt is when the routing of a service last changed, configuredAt when the
+	// configuration did.
+	routedAt     map[string]time.Duration
+	configuredAt time.Duration
 	// stale holds the versions of routing that were found behind.
 	stale map[string]staleSince
 	// changed is closed and replaced when routing or view change.
@@ -71,7 +75,7 @@
 func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
 	s := &state{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
-		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), stale: make(map[string]staleSince), changed: make(chan struct{}), news: func() {},
+		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince), changed: make(chan struct{}), news: func() {},
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
@@ -100,6 +104,7 @@
 	s.log.Info().Str("step", "config").Uint64("version", c.Version).Uint64("before", old.ConfigVersion()).
 		Int("routes", len(c.Routes)).Str("source", source).Msg("configuration in force")
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets))
+	s.configuredAt = s.clock.Now()
 	s.notifyLocked()
 	s.news()
 }
@@ -176,7 +181,10 @@
 	if old := s.routing[r.Service]; old != nil && !r.After(old.Epoch, old.Seq) {
 		return
 	}
-	s.routing[r.Service] = r
+	if s.routing[r.Service] == nil {
+		s.leaseGauge(r.Service)
+	}
+	s.routing[r.Service], s.routedAt[r.Service] = r, s.clock.Now()
 	s.notifyLocked()
 }
 
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -114,3 +114,18 @@
 	_, why, _ = s.chooseOwner("s", "r", 7, time.Second)
 	require.Equal(t, refusedNone, why, "a new life answers there")
 }
+
+func TestAgesOfWhatIsBelievedAreShown(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	n.state.setConfig(&route.Config{Version: 3}, "test")
+	clock.now += 2 * time.Second
+	n.state.own("s", 1, 1, "t", lease.Served)
+	clock.now += 3 * time.Second
+	gauge := func(name string) int64 { return n.registry.Get(name).(metrics.Gauge).Value() }
+	require.EqualValues(t, 5000, gauge("config.age"))
+	require.EqualValues(t, 3000, gauge("leases.s.age"))
+	n.state.own("s", 1, 2, "u", lease.Served)
+	require.Zero(t, gauge("leases.s.age"))
+}
--- a/internal/standin/plan/operations_test.go
+++ b/internal/standin/plan/operations_test.go
@@ -17,7 +17,7 @@
 )
 
 // metricName finds the literal names of metrics in the code.
-var metricName = regexp.MustCompile(`GetOrRegister\w+\("([a-z.]+)"`)
+var metricName = regexp.MustCompile(`(?:GetOrRegister\w+\("|\t")([a-z]+\.[a-z.]*)"(?:,|\+|: +func\(\) int64|\))`)
 
 // settingRow finds the page's rows of settings.
 var settingRow = regexp.MustCompile("(?m)^\\| (all|hq-\\w+) \\| `\\w+` \\| .* \\|$")
