--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -31,11 +31,27 @@
 	// name.
 	Related []string `json:"related,omitempty"`
 	Lines   []Line   `json:"lines"`
+	// Silences are the times in which a VM wrote nothing while others did.
+	Silences []Silence `json:"silences,omitempty"`
 	// Skipped counts lines that are no log lines of a daemon.
 	Skipped int `json:"skipped"`
 }
 
+// Silence is a time in which a VM wrote nothing: it was suspended, had ended, or had
+// nothing to say. A request that it had read then has no line.
+type Silence struct {
+	VM   string    `json:"vm"`
+	From time.Time `json:"from"`
+	// To is the VM's next line, or the last line of all VMs where it has none.
+	To time.Time `json:"to"`
+	// Ended says that the VM wrote nothing any more.
+	Ended bool `json:"ended"`
+}
+
 const (
+	// silenceLeast is the shortest silence that is told. Under load a VM writes
+	// tens of lines a second.
+	silenceLeast = time.Second
 	// aroundBefore and aroundAfter bound the time around the subject's lines in
 	// which changes of what its VMs believed are shown: a lease, an outage's grace
 	// and a takeover are over in less.
@@ -73,9 +89,33 @@
 		return cmp.Or(x.Time.Compare(y.Time), cmp.Compare(x.VM, y.VM))
 	})
 	a.choose(all)
+	a.Silences = silences(all)
 	return a, nil
 }
 
+// silences returns those of all VMs, in order of their beginning.
+func silences(all []Line) []Silence {
+	if len(all) == 0 {
+		return nil
+	}
+	var out []Silence
+	latest := make(map[string]time.Time)
+	for _, l := range all {
+		if from, ok := latest[l.VM]; ok && l.Time.Sub(from) >= silenceLeast {
+			out = append(out, Silence{VM: l.VM, From: from, To: l.Time})
+		}
+		latest[l.VM] = l.Time
+	}
+	end := all[len(all)-1].Time
+	for vm, from := range latest {
+		if end.Sub(from) >= silenceLeast {
+			out = append(out, Silence{VM: vm, From: from, To: end, Ended: true})
+		}
+	}
+	slices.SortFunc(out, func(x, y Silence) int { return cmp.Or(x.From.Compare(y.From), cmp.Compare(x.VM, y.VM)) })
+	return out
+}
+
 // readLines takes in what follows the first brace of each line: collectors put
 // names and times in front.
 func readLines(r io.Reader) (lines []Line, skipped int, err error) {
@@ -188,5 +228,20 @@
 		}
 		b.WriteString("\n")
 	}
+	if len(a.Lines) == 0 {
+		a.textOfSilences(&b)
+	}
 	return b.String()
 }
+
+// textOfSilences tells where a request without a line may have been.
+func (a *LogAccount) textOfSilences(b *strings.Builder) {
+	b.WriteString("no process wrote of it: it was not read, its line was left out (log.requests.omitted), or its VM ended or was suspended:\n")
+	for _, s := range a.Silences {
+		until := "until " + s.To.Format("15:04:05.000")
+		if s.Ended {
+			until = "to the end of the logs"
+		}
+		fmt.Fprintf(b, "%s %s wrote nothing %s\n", s.From.Format("15:04:05.000"), s.VM, until)
+	}
+}
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -36,3 +36,28 @@
 	_, err = ExplainLogs("r-1", []string{filepath.Join(dir, "none")})
 	require.Error(t, err)
 }
+
+const logSilent = `{"time":"2026-01-01T10:00:01.000Z","process":"hq-gateway","vm":"vm-a","step":"x","message":"m"}
+{"time":"2026-01-01T10:00:01.100Z","process":"hq-gateway","vm":"vm-b","step":"x","message":"m"}
+{"time":"2026-01-01T10:00:01.900Z","process":"hq-gateway","vm":"vm-a","step":"x","target":"t-1","message":"m"}
+{"time":"2026-01-01T10:00:03.000Z","process":"hq-gateway","vm":"vm-a","step":"x","message":"m"}
+{"time":"2026-01-01T10:00:03.500Z","process":"hq-gateway","vm":"vm-a","step":"x","message":"m"}
+`
+
+// A VM was lost with the requests that it had read. Their callers name ids that no log
+// holds; the account must lead to the VM.
+func TestRequestWithoutALineLeadsToSilentVMs(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "all")
+	require.NoError(t, os.WriteFile(file, []byte(logSilent), 0o600))
+	a, err := ExplainLogs("r-9", []string{file})
+	require.NoError(t, err)
+	require.Len(t, a.Silences, 2)
+	require.Equal(t, "vm-b", a.Silences[0].VM)
+	require.True(t, a.Silences[0].Ended)
+	require.Equal(t, "vm-a", a.Silences[1].VM)
+	require.False(t, a.Silences[1].Ended)
+	require.Contains(t, a.Text(), "10:00:01.100 vm-b wrote nothing to the end of the logs\n10:00:01.900 vm-a wrote nothing until 10:00:03.000\n")
+	named, err := ExplainLogs("t-1", []string{file})
+	require.NoError(t, err)
+	require.NotContains(t, named.Text(), "vm-b wrote nothing")
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -29,7 +29,8 @@
 
 // inputs tells what a refusal was decided on, for the log.
 func (t *tracked) inputs() string {
-	return fmt.Sprintf("%s own %d others %d slots %d slowness %.2f", t.ID, t.pick.Own, t.pick.Others, t.pick.Slots, t.pick.Slowness())
+	return fmt.Sprintf("%s own %d others %d likely %.1f slots %d slowness %.2f",
+		t.ID, t.pick.Own, t.pick.Others, t.pick.Unseen, t.pick.Slots, t.pick.Slowness())
 }
 
 // The refusals of a choice.
