make demo shows the platform's path; the end of the logs' reader ends no daemon

Found with it: a daemon whose output pipe was closed ended by SIGPIPE at its next line, and one whose output nobody read waited for its reader when told to stop. Both mended, each with a test that failed before.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 demo: build
 	bash scripts/demo.sh
+	bash scripts/demo-platform.sh
 
 format:
 	gofmt -l -w cmd internal platform charts examples
--- a/cmd/hq-load/main.go
+++ b/cmd/hq-load/main.go
@@ -82,6 +82,39 @@
 	return nil
 }
 
+type pathCommand struct {
+	Config   string        `long:"config" value-name:"FILE" required:"true" description:"load on gateways, JSON with comments"`
+	Check    bool          `long:"check" description:"check the load and exit"`
+	Duration time.Duration `long:"duration" description:"overrides the load's duration"`
+	Complete bool          `long:"complete" description:"exit 0 only if every request got its whole answer"`
+}
+
+// Execute implements flags.Commander.
+func (c *pathCommand) Execute([]string) error {
+	var p loadgen.Path
+	if err := settings.Load(c.Config, &p); err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Println("load is valid")
+		return nil
+	}
+	if c.Duration > 0 {
+		p.Duration = model.Duration(c.Duration)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	report := loadgen.RunPath(ctx, &p)
+	report.Text(os.Stdout)
+	switch {
+	case report.Wrong > 0:
+		return errUnsound
+	case c.Complete && !report.Complete():
+		return errIncomplete
+	}
+	return nil
+}
+
 type compareCommand struct {
 	Args struct {
 		Before string `positional-arg-name:"BEFORE.json"`
@@ -106,6 +139,7 @@
 func main() {
 	os.Exit(command.Run("hq-load", os.Args[1:],
 		command.Command{Name: "run", Short: "Offer load", Long: "Offer an experiment's load and report what callers received.", Run: new(runCommand)},
+		command.Command{Name: "path", Short: "Offer load to gateways", Long: "Offer load to gateways as a platform's balancer does and report what callers received.", Run: new(pathCommand)},
 		command.Command{Name: "compare", Short: "Compare two reports", Long: "Print the figures of two JSON reports side by side.", Run: new(compareCommand)},
 	))
 }
--- a/cmd/hq-standin/main.go
+++ b/cmd/hq-standin/main.go
@@ -1,5 +1,5 @@
 // Command hq-standin plays the outside systems for demos and experiments: the
-// platform's object store and the target servers; see package standin.
+// platform's object store and the target servers; see packages standin and fleet.
 package main
 
 import (
@@ -12,6 +12,7 @@
 	"hemlockquay/internal/command"
 	"hemlockquay/internal/settings"
 	"hemlockquay/internal/standin"
+	"hemlockquay/internal/standin/fleet"
 	"hemlockquay/internal/standin/plan"
 )
 
@@ -57,9 +58,22 @@
 	return nil
 }
 
+type platformCommand struct {
+	VMs int    `long:"vms" default:"3" description:"number of VMs with a gateway"`
+	Dir string `long:"dir" required:"true" description:"where to write the gateways' settings and the load"`
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return fleet.RunLab(ctx, c.Dir, c.VMs)
+}
+
 func main() {
 	os.Exit(command.Run("hq-standin", os.Args[1:],
 		command.Command{Name: "run", Short: "Play the outside systems", Long: "Play the object store and the targets until SIGTERM.", Run: new(runCommand)},
 		command.Command{Name: "plan", Short: "Plan a run on one machine", Long: "Write settings, objects and a load for a run on free loopback ports.", Run: new(planCommand)},
+		command.Command{Name: "platform", Short: "Play the platform for gateways", Long: "Play the platform's store and targets for gateways on one machine until SIGTERM.", Run: new(platformCommand)},
 	))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,6 +129,7 @@
 
 func serve[S Settings](name string, s S, module fx.Option) int {
 	base := s.Common()
+	survive()
 	logger, flush := NewLogger(name, base.VM, base.Log)
 	defer func() { _ = flush() }()
 	var life *Life
--- a/internal/daemon/logwriter.go
+++ b/internal/daemon/logwriter.go
@@ -1,9 +1,13 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"os/signal"
 	"sync"
+	"syscall"
+	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 )
@@ -56,9 +60,28 @@
 	}
 }
 
+// flushMost bounds the writing of what waits at the end, well below the margin within
+// which a process must end.
+const flushMost = time.Second
+
+var errNotFlushed = errors.New("log not written to its end: nobody reads it")
+
 // Close writes what waits and ends.
+//
+// Failure: nobody reads the output. The process waited for its reader when it was told
+// to stop, until it was killed.
 func (w *logWriter) Close() error {
 	w.once.Do(func() { close(w.lines) })
-	<-w.done
-	return nil
+	select {
+	case <-w.done:
+		return nil
+	case <-time.After(flushMost):
+		return errNotFlushed
+	}
 }
+
+// survive keeps the process alive when the reader of its output is gone.
+//
+// Failure: the collector of logs ends. The next line to the closed pipe raises SIGPIPE,
+// which ends a process that has not asked for it, and with it every request it holds.
+func survive() { signal.Ignore(syscall.SIGPIPE) }
--- a/internal/daemon/logwriter_test.go
+++ b/internal/daemon/logwriter_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -34,3 +38,42 @@
 	require.Equal(t, written-int(dropped), strings.Count(got.String(), "line\n"))
 	require.Contains(t, got.String(), "log lines dropped since the start")
 }
+
+// stuck is an output that nobody reads.
+type stuck struct{ until chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.until
+	return len(p), nil
+}
+
+// Nobody reads the output, and the process is told to stop. It waited for its reader
+// until it was killed.
+func TestStopDoesNotWaitForTheReaderOfTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := stuck{make(chan struct{})}
+		w := newLogWriter(out)
+		_, _ = w.Write([]byte("line\n"))
+		begin := time.Now()
+		require.ErrorIs(t, w.Close(), errNotFlushed)
+		require.Equal(t, flushMost, time.Since(begin))
+		close(out.until)
+	})
+}
+
+// The collector of logs ended, and the next line ended the daemon by SIGPIPE, seen as
+// exit code 141 of a gateway under load. Without survive this test ends its process.
+func TestProcessSurvivesTheEndOfItsLogsReader(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	stdout := int(os.Stdout.Fd())
+	saved, err := syscall.Dup(stdout)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Dup3(int(writer.Fd()), stdout, 0))
+	reader.Close()
+	writer.Close()
+	survive()
+	_, err = os.Stdout.WriteString("line\n")
+	require.NoError(t, syscall.Dup3(saved, stdout, 0))
+	require.ErrorIs(t, err, syscall.EPIPE)
+}
--- /dev/null
+++ b/internal/loadgen/path.go
@@ -0,0 +1,202 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/settings"
+)
+
+// Path is a load on the fronts of gateways, as a platform's balancer passes it on:
+// plain HTTP with the platform's headers.
+type Path struct {
+	// Fronts are the IP:PORTs for callers, Admins the gateways' admin IP:PORTs in
+	// the same order: fronts whose /readyz says no are left out.
+	Fronts []string `json:"fronts"`
+	Admins []string `json:"admins"`
+	// Rate is the requests a second, over all routes in turn.
+	Rate float64 `json:"rate"`
+	// Duration is how long requests are sent. Default 20s.
+	Duration model.Duration `json:"duration,omitempty"`
+	Routes   []PathRoute    `json:"routes"`
+	// Headers are the platform's names.
+	Headers PathHeaders `json:"headers"`
+}
+
+// PathHeaders names the headers of requests and answers.
+type PathHeaders struct {
+	RequestID string `json:"requestId"`
+	// DeadlineMs is the time left, milliseconds.
+	DeadlineMs string `json:"deadlineMs"`
+	Key        string `json:"key"`
+	// Stamp is set by the target that answered.
+	Stamp string `json:"stamp"`
+}
+
+// PathRoute is where requests go.
+type PathRoute struct {
+	Host string `json:"host"`
+	// Path is the path's prefix; each request appends its number.
+	Path string `json:"path"`
+	// Keyed requests name a key, drawn evenly.
+	Keyed bool `json:"keyed,omitempty"`
+}
+
+// Figures of requests on the path.
+const (
+	pathDeadline = 2 * time.Second
+	// pathPatience is how long an answer is waited for.
+	pathPatience = pathDeadline + time.Second
+)
+
+// Check implements settings.Checker.
+func (p *Path) Check() error {
+	if p.Duration == 0 {
+		p.Duration = defaultDuration
+	}
+	switch {
+	case len(p.Fronts) == 0 || len(p.Admins) != len(p.Fronts):
+		return settings.Impossible("/admins", "%d for %d fronts", len(p.Admins), len(p.Fronts))
+	case p.Rate <= 0:
+		return settings.Impossible("/rate", "%v is not above 0", p.Rate)
+	case p.Duration < 0:
+		return settings.Impossible("/duration", "%v is negative", p.Duration)
+	case len(p.Routes) == 0:
+		return settings.Impossible("/routes", "empty")
+	case p.Headers.RequestID == "" || p.Headers.DeadlineMs == "" || p.Headers.Key == "" || p.Headers.Stamp == "":
+		return settings.Impossible("/headers", "one is empty")
+	}
+	return nil
+}
+
+// PathReport is what callers received.
+type PathReport struct {
+	// Asked is all requests; each is one of the others.
+	Asked int64 `json:"asked"`
+	// Whole answers bear their target's stamp and their own path.
+	Whole int64 `json:"whole"`
+	// Refused were answered 503: not run.
+	Refused int64 `json:"refused"`
+	// Failed have another status, Lost no answer, Wrong another's answer.
+	Failed int64 `json:"failed"`
+	Lost   int64 `json:"lost"`
+	Wrong  int64 `json:"wrong"`
+	// P50Ms and P99Ms are of whole answers, from the planned time, milliseconds.
+	P50Ms float64 `json:"p50Ms"`
+	P99Ms float64 `json:"p99Ms"`
+}
+
+// Complete tells whether every request got its whole answer.
+func (r *PathReport) Complete() bool { return r.Asked > 0 && r.Whole == r.Asked }
+
+// Text writes the report for people.
+func (r *PathReport) Text(w io.Writer) {
+	fmt.Fprintf(w, "asked %d, whole %d, refused %d, failed %d, lost %d, wrong %d; p50 %.1f ms, p99 %.1f ms\n",
+		r.Asked, r.Whole, r.Refused, r.Failed, r.Lost, r.Wrong, r.P50Ms, r.P99Ms)
+}
+
+// pathRun is a load on its way.
+type pathRun struct {
+	load     *Path
+	balancer *balancer
+	client   *http.Client
+
+	whole, refused, failed, lost, wrong atomic.Int64
+
+	mu    sync.Mutex
+	times *hdrhistogram.Histogram
+}
+
+// RunPath offers the load and returns what callers received.
+func RunPath(ctx context.Context, p *Path) *PathReport {
+	r := &pathRun{
+		load: p, times: newHistogram(),
+		balancer: &balancer{entries: p.Fronts, admins: p.Admins, down: make([]atomic.Bool, len(p.Fronts)), http: &http.Client{Timeout: healthEvery}},
+		client:   &http.Client{Timeout: pathPatience, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	healthCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.balancer.run(healthCtx)
+	asked := r.offer(ctx)
+	out := &PathReport{
+		Asked: asked, Whole: r.whole.Load(), Refused: r.refused.Load(), Failed: r.failed.Load(), Lost: r.lost.Load(), Wrong: r.wrong.Load(),
+	}
+	out.P50Ms, out.P99Ms = quantile(r.times, 50), quantile(r.times, 99)
+	return out
+}
+
+// offer sends requests at their planned times and waits for the answers.
+func (r *pathRun) offer(ctx context.Context) int64 {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	begin := time.Now()
+	pause := time.Duration(float64(time.Second) / r.load.Rate)
+	for n := 0; ; n++ {
+		planned := begin.Add(time.Duration(n) * pause)
+		if planned.Sub(begin) >= r.load.Duration.D() {
+			return int64(n)
+		}
+		select {
+		case <-time.After(time.Until(planned)):
+		case <-ctx.Done():
+			return int64(n)
+		}
+		wait.Go(func() { r.one(ctx, n, planned) })
+	}
+}
+
+func (r *pathRun) one(ctx context.Context, n int, planned time.Time) {
+	rt := r.load.Routes[n%len(r.load.Routes)]
+	path := rt.Path + strconv.Itoa(n)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.balancer.pick(n/len(r.load.Routes), 0)+path, nil)
+	if err != nil {
+		r.lost.Add(1)
+		return
+	}
+	req.Host = rt.Host
+	req.Header.Set(r.load.Headers.RequestID, fmt.Sprintf("load-%d", n))
+	req.Header.Set(r.load.Headers.DeadlineMs, strconv.FormatInt(pathDeadline.Milliseconds(), 10))
+	if rt.Keyed {
+		req.Header.Set(r.load.Headers.Key, strconv.Itoa(rand.IntN(1<<16)))
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		r.lost.Add(1)
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.lost.Add(1)
+		return
+	}
+	r.count(resp, string(body), path, time.Since(planned))
+}
+
+func (r *pathRun) count(resp *http.Response, body, path string, took time.Duration) {
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		r.refused.Add(1)
+	case resp.StatusCode != http.StatusOK:
+		r.failed.Add(1)
+	case resp.Header.Get(r.load.Headers.Stamp) == "" || !strings.HasSuffix(body, " "+path):
+		r.wrong.Add(1)
+	default:
+		r.whole.Add(1)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		// Times beyond the histogram's range count as whole all the same.
+		_ = r.times.RecordValue(took.Microseconds())
+	}
+}
--- /dev/null
+++ b/internal/loadgen/path_test.go
@@ -0,0 +1,82 @@
+package loadgen
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/model"
+)
+
+var pathHeaders = PathHeaders{RequestID: "Id", DeadlineMs: "Deadline", Key: "Key", Stamp: "Stamp"}
+
+// front answers by the path's prefix.
+func front(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/readyz":
+	case r.Header.Get("Id") == "" || r.Header.Get("Deadline") == "":
+		w.WriteHeader(http.StatusBadRequest)
+	case strings.HasPrefix(r.URL.Path, "/whole/") && r.Header.Get("Key") != "":
+		w.Header().Set("Stamp", "t-1")
+		fmt.Fprintf(w, "t-1 %s", r.URL.Path)
+	case strings.HasPrefix(r.URL.Path, "/other/"):
+		w.Header().Set("Stamp", "t-1")
+		fmt.Fprint(w, "t-1 /other/another")
+	case strings.HasPrefix(r.URL.Path, "/full/"):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case strings.HasPrefix(r.URL.Path, "/broken/"):
+		w.WriteHeader(http.StatusBadGateway)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// One that is not ready, and one that answers in each way: the report must tell them
+// apart, and only whole answers are complete.
+func TestPathReportTellsOutcomesApart(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(front))
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	p := &Path{
+		Fronts: []string{"127.0.0.1:1", addr}, Admins: []string{"127.0.0.1:1", addr}, Rate: 100, Duration: model.Duration(time.Second), Headers: pathHeaders,
+		Routes: []PathRoute{{Host: "h", Path: "/whole/", Keyed: true}, {Path: "/other/"}, {Path: "/full/"}, {Path: "/broken/"}, {Path: "/cut/"}},
+	}
+	require.NoError(t, p.Check())
+	r := RunPath(t.Context(), p)
+	require.EqualValues(t, 100, r.Asked)
+	require.Equal(t, r.Asked, r.Whole+r.Wrong+r.Refused+r.Failed+r.Lost)
+	require.Positive(t, r.Whole)
+	require.Positive(t, r.Wrong)
+	require.Positive(t, r.Refused)
+	require.Positive(t, r.Failed)
+	require.GreaterOrEqual(t, r.Lost, int64(20))
+	require.False(t, r.Complete())
+	var text bytes.Buffer
+	r.Text(&text)
+	require.Contains(t, text.String(), "asked 100, whole ")
+	require.True(t, (&PathReport{Asked: 3, Whole: 3}).Complete())
+	require.False(t, (&PathReport{}).Complete(), "nothing asked proves nothing")
+}
+
+func TestPathLoadIsChecked(t *testing.T) {
+	good := Path{Fronts: []string{"a"}, Admins: []string{"b"}, Rate: 1, Routes: []PathRoute{{Path: "/"}}, Headers: pathHeaders}
+	require.NoError(t, good.Check())
+	require.Equal(t, defaultDuration, good.Duration)
+	for pointer, spoil := range map[string]func(p *Path){
+		"/admins":   func(p *Path) { p.Admins = nil },
+		"/rate":     func(p *Path) { p.Rate = 0 },
+		"/duration": func(p *Path) { p.Duration = -1 },
+		"/routes":   func(p *Path) { p.Routes = nil },
+		"/headers":  func(p *Path) { p.Headers.Stamp = "" },
+	} {
+		bad := good
+		spoil(&bad)
+		require.ErrorContains(t, bad.Check(), pointer)
+	}
+}
--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -212,13 +212,16 @@
 	maxDraws = 10_000
 )
 
-// freePorts returns n loopback addresses that were free a moment ago. None is
-// returned twice in one plan.
-func (p *planner) freePorts(n int) ([]string, error) {
+// freePorts returns n addresses. None is returned twice in one plan.
+func (p *planner) freePorts(n int) ([]string, error) { return FreePorts(n, p.taken) }
+
+// FreePorts returns n loopback addresses that were free a moment ago, and notes them
+// in taken, whose addresses it leaves out.
+func FreePorts(n int, taken map[string]bool) ([]string, error) {
 	addrs := make([]string, 0, n)
 	for draws := 0; len(addrs) < n; draws++ {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
-		if p.taken[addr] {
+		if taken[addr] {
 			continue
 		}
 		l, err := net.Listen("tcp", addr)
@@ -229,7 +232,7 @@
 			continue
 		}
 		l.Close()
-		p.taken[addr] = true
+		taken[addr] = true
 		addrs = append(addrs, addr)
 	}
 	return addrs, nil
