--- /dev/null
+++ b/internal/decide/quarantine/permits.go
@@ -0,0 +1,110 @@
+package quarantine
+
+import "time"
+
+// file is a case with what this dispatcher does about it.
+type file struct {
+	Case
+	changed time.Duration
+	permit  permit
+	asked   time.Duration
+}
+
+type permit int
+
+const (
+	permitNone permit = iota
+	permitAsked
+	permitHeld
+)
+
+// load is what this dispatcher runs on a target.
+type load struct {
+	running int
+	// suspect runs alone here, or waits for the target to be free.
+	suspect  Fingerprint
+	reserved time.Duration
+	alone    bool
+}
+
+// admitSuspect keeps the target free of others until the suspect runs there, or
+// until the reservation is over.
+func (w *Watch) admitSuspect(f *file, l *load, pool string, now time.Duration) Verdict {
+	if other, busy := w.suspects[pool]; busy && other != f.Fingerprint || w.running[f.Fingerprint] > 0 {
+		return Hold
+	}
+	switch {
+	case f.permit == permitNone:
+		f.permit, f.asked = permitAsked, now
+		return NeedsPermit
+	case f.permit == permitAsked:
+		return Hold
+	case l.suspect != f.Fingerprint && w.kept(l, now):
+		return Hold
+	}
+	if l.running > 0 {
+		if l.suspect != f.Fingerprint {
+			l.suspect, l.reserved = f.Fingerprint, now
+		}
+		return Hold
+	}
+	return Run
+}
+
+// kept tells whether a target is kept for a suspect: while it waits there, for a
+// bounded time, and while it runs. Would others join it, a death would name no
+// culprit.
+func (w *Watch) kept(l *load, now time.Duration) bool {
+	return l.suspect != 0 && (l.alone || now-l.reserved < reservation)
+}
+
+// giveBack ends a permit whose run ended without an answer.
+//
+// Failure: a suspect's target dies, and the repeat with a permit reaches nobody.
+// Its key moves to another dispatcher, which was refused the permit until the
+// unused one ran out; callers of that key waited for 3 s.
+func (w *Watch) giveBack(fp Fingerprint) {
+	if f := w.cases[fp]; f != nil && w.running[fp] == 0 {
+		f.permit = permitNone
+	}
+}
+
+// MayPermit answers another dispatcher that asks to run a suspect: not while it
+// or another suspect of the pool runs here, nor while this one has or asks for the
+// permit and comes first. The asker's case must have been merged before, and it
+// merges ours from the reply, so that a quarantine need not be looked at here: the
+// asker refuses the request itself.
+func (w *Watch) MayPermit(fp Fingerprint, pool, asker string, now time.Duration) bool {
+	f := w.current(fp, now)
+	_, busy := w.suspects[pool]
+	switch {
+	case busy || w.running[fp] > 0:
+		return false
+	case f == nil || f.permit == permitNone:
+		return true
+	case f.permit == permitHeld && now-f.asked > unusedPermit:
+		f.permit = permitNone
+		return true
+	case f.permit == permitAsked && asker < w.vm:
+		f.permit = permitNone
+		return true
+	}
+	return false
+}
+
+// Permit is the outcome of asking all others; asked is when Admit wanted it.
+//
+// Failure: a permit was given up to another dispatcher, or ran out and was asked
+// for again, while the words of the first round were on their way. They were true
+// before the other dispatcher asked; both would run the suspect. So only the round
+// of the ask that stands counts.
+func (w *Watch) Permit(fp Fingerprint, asked time.Duration, granted bool, now time.Duration) {
+	f := w.current(fp, now)
+	if f == nil || f.permit != permitAsked || f.asked != asked {
+		return
+	}
+	f.permit = permitNone
+	if granted {
+		f.permit, f.asked = permitHeld, now
+	}
+}
