Lines on requests leave room in the log's queue for changes of belief

Cause: one queue for all lines; in a busy second with a slow reader the line that explains the others could be the one dropped. Test failed before.

--- a/internal/daemon/logwriter.go
+++ b/internal/daemon/logwriter.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -16,12 +17,19 @@
 // full rate of requests, about a megabyte.
 const logLines = 4096
 
+// requestRoom is the part of them that lines on requests may fill: the rest is kept
+// for changes of what the process believes, which are few and explain the others.
+const requestRoom = logLines * 3 / 4
+
+// requestMark is in the lines on single requests.
+var requestMark = []byte(`"step":"request"`)
+
 // logWriter hands lines to a goroutine that writes them.
 //
 // Failure: nobody reads a process's standard output any more. The pipe is full,
 // each line blocks its writer, and requests hang on their log lines. Here a full
 // queue drops the line and counts it; the count is written when there is room
-// again.
+// again. Lines on requests are dropped first.
 type logWriter struct {
 	out     io.Writer
 	lines   chan []byte
@@ -38,6 +46,10 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (w *logWriter) Write(line []byte) (int, error) {
+	if len(w.lines) >= requestRoom && bytes.Contains(line, requestMark) {
+		w.dropped.Inc(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/daemon/logwriter_test.go
+++ b/internal/daemon/logwriter_test.go
@@ -77,3 +77,21 @@
 	require.NoError(t, syscall.Dup3(saved, stdout, 0))
 	require.ErrorIs(t, err, syscall.EPIPE)
 }
+
+// The reader is slow in the busiest second. Requests filled the queue, and the line on
+// the change that explains them was the one that was lost.
+func TestLinesOnRequestsLeaveRoomForOthers(t *testing.T) {
+	reader, pipe := io.Pipe()
+	w := newLogWriter(pipe)
+	for range 2 * logLines {
+		_, _ = w.Write([]byte(`{"step":"request"}` + "\n"))
+	}
+	dropped := w.dropped.Count()
+	require.Positive(t, dropped)
+	for range logLines - requestRoom - 1 {
+		_, _ = w.Write([]byte(`{"step":"config"}` + "\n"))
+	}
+	require.Equal(t, dropped, w.dropped.Count(), "nothing else is dropped")
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	require.NoError(t, w.Close())
+}
