--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -27,6 +27,9 @@
 	// busyLeast is the load from which an owner gives up ranges: below it
 	// requests seldom wait for each other.
 	busyLeast = 0.55
+	// fillMost is the load up to which an owner may get ranges only to even out
+	// their number: well below busyLeast, so that it need not give them up again.
+	fillMost = 0.3
 	// gainLeast is by how much the load of the two owners must come closer.
 	gainLeast = 0.08
 	// divideLeast is the share of an owner's capacity above which a range is
@@ -59,6 +62,10 @@
 	Divide []int
 }
 
+// Busy tells whether an owner with this load must not get ranges only to even out
+// their number.
+func Busy(load float64) bool { return load > fillMost }
+
 // Decide returns the changes. capacity is how many requests a second each owner
 // can do.
 func Decide(ranges []Range, capacity []float64) Decision {
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hemlockquay/internal/decide/keyspread"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/platform"
 )
@@ -83,7 +84,23 @@
 	if l.moving() >= evenMoving {
 		return nil
 	}
-	return lease.EvenOut(record.Slices, live, func(i int) bool { return l.grants.State(i, now) != lease.Served })
+	return lease.EvenOut(record.Slices, live, l.burden(live, now))
+}
+
+// burden tells what the measured load says of slices and owners.
+func (l *leader) burden(live []lease.Owner, now time.Duration) lease.Burden {
+	ranges, _, capacity := l.loads(live, now)
+	load := make(map[lease.Owner]float64, len(live))
+	for _, r := range ranges {
+		if r.Owner >= 0 {
+			load[live[r.Owner]] += r.Rate / capacity[r.Owner]
+		}
+	}
+	return lease.Burden{
+		Moving: func(i int) bool { return ranges[i].Fixed },
+		Rate:   func(i int) float64 { return ranges[i].Rate },
+		Busy:   func(o lease.Owner) bool { return keyspread.Busy(load[o]) },
+	}
 }
 
 // moving counts the slices that are on the move.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -175,12 +175,47 @@
 	require.Equal(t, map[string]int{"a": 2, "b": 2}, got)
 }
 
+// idle is a burden that keeps no slice where it is.
+var idle = Burden{
+	Moving: func(int) bool { return false },
+	Rate:   func(int) float64 { return 0 },
+	Busy:   func(Owner) bool { return false },
+}
+
+// A new target was slow. It gave up its hot slices, got the same ones back for being
+// the one with fewest, and so on three times a second for ten seconds.
+func TestBusyOwnerGetsNoMoreForHavingFew(t *testing.T) {
+	a, b, slow := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "slow"}
+	live := []Owner{a, b, slow}
+	list := Even(30, []Owner{a, b})
+	burden := idle
+	require.Len(t, EvenOut(list, live, burden), 8)
+	burden.Busy = func(o Owner) bool { return o == slow }
+	require.Empty(t, EvenOut(list, live, burden))
+	burden.Busy = func(Owner) bool { return true }
+	require.Empty(t, EvenOut(list, live, burden))
+}
+
+// The slices that a new target got first were the hottest neighbourhood.
+func TestNewTargetGetsSlicesOfTheUsualRate(t *testing.T) {
+	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
+	list := Even(12, []Owner{a, b})
+	burden := idle
+	rates := []float64{60, 50, 40, 30, 1, 1, 2, 20, 3, 16, 18, 19}
+	burden.Rate = func(i int) float64 { return rates[i] }
+	var got []float64
+	for _, ch := range EvenOut(list, []Owner{a, b, c}, burden) {
+		got = append(got, rates[ch.Slice])
+	}
+	require.ElementsMatch(t, []float64{20, 19, 18, 40}, got, "closest to the mean of 21.7 of each owner's")
+}
+
 func TestNewTargetGetsItsShare(t *testing.T) {
 	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
 	list := Even(12, []Owner{a, b})
-	changes := EvenOut(list, []Owner{a, b, c}, func(int) bool { return false })
+	changes := EvenOut(list, []Owner{a, b, c}, idle)
 	require.Len(t, changes, 4)
-	require.Empty(t, EvenOut(Even(12, []Owner{a, b, c}), []Owner{a, b, c}, func(int) bool { return false }))
+	require.Empty(t, EvenOut(Even(12, []Owner{a, b, c}), []Owner{a, b, c}, idle))
 }
 
 // An owner gave up its hot slices and has a few less than the others. It must not
@@ -189,7 +224,7 @@
 	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
 	list := Even(30, []Owner{a, b, c})
 	list[0].Owner, list[3].Owner, list[6].Owner = b, b, c
-	require.Empty(t, EvenOut(list, []Owner{a, b, c}, func(int) bool { return false }))
+	require.Empty(t, EvenOut(list, []Owner{a, b, c}, idle))
 }
 
 func TestIndexFindsTheSliceOfAKey(t *testing.T) {
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -34,33 +35,39 @@
 	return out
 }
 
-// EvenOut returns the changes that bring slices to targets that have far fewer
-// than others, such as one that has just started. moving tells whether a slice is
-// on the move already.
-func EvenOut(list []Slice, live []Owner, moving func(i int) bool) []Change {
+// Burden is what the load says of slices and owners.
+type Burden struct {
+	// Moving tells whether slice i is on the move already.
+	Moving func(i int) bool
+	// Rate is the requests per second for slice i.
+	Rate func(i int) float64
+	// Busy tells whether an owner has enough to do, however few slices it has.
+	Busy func(o Owner) bool
+}
+
+// EvenOut returns the changes that bring slices of the usual rate to targets that have
+// far fewer than others and are not busy, such as one that has just started.
+//
+// Load pattern: a target has few slices because it is slow, and gave up those that were
+// hot. Filled by their number alone it got the same hot slices back, three times a
+// second, and gave them up again, for as long as the load lasted.
+func EvenOut(list []Slice, live []Owner, b Burden) []Change {
 	if len(live) == 0 {
 		return nil
 	}
 	d := newDealer(list, live)
 	mean := float64(len(list)) / float64(len(live))
+	usual := usualRate(list, b)
 	var out []Change
 	var filling Owner
 	for len(out) < moveBatch {
-		from, to := d.extremes()
+		from, to := d.extremes(b.Busy)
 		has := float64(d.count[to])
-		if !to.Same(filling) && has >= fewSlices*mean || has >= enoughSlices*mean || d.count[from]-d.count[to] < 2 {
+		if !to.Known() || !to.Same(filling) && has >= fewSlices*mean || has >= enoughSlices*mean || d.count[from]-d.count[to] < 2 {
 			break
 		}
 		filling = to
-		i := slices.IndexFunc(list, func(s Slice) bool { return s.Owner.Same(from) })
-		for i >= 0 && (moving(i) || slices.ContainsFunc(out, func(c Change) bool { return c.Slice == i })) {
-			next := slices.IndexFunc(list[i+1:], func(s Slice) bool { return s.Owner.Same(from) })
-			if next < 0 {
-				i = -1
-				break
-			}
-			i += 1 + next
-		}
+		i := mostUsual(list, from, usual, b, out)
 		if i < 0 {
 			break
 		}
@@ -71,6 +78,30 @@
 	return out
 }
 
+// usualRate is the mean rate of the slices.
+func usualRate(list []Slice, b Burden) float64 {
+	sum := 0.0
+	for i := range list {
+		sum += b.Rate(i)
+	}
+	return sum / float64(len(list))
+}
+
+// mostUsual returns the owner's slice whose rate is closest to the usual one, of those
+// that are not on the move nor chosen already; -1 without one.
+func mostUsual(list []Slice, owner Owner, usual float64, b Burden, chosen []Change) int {
+	best, off := -1, math.Inf(1)
+	for i, s := range list {
+		if !s.Owner.Same(owner) || b.Moving(i) || slices.ContainsFunc(chosen, func(c Change) bool { return c.Slice == i }) {
+			continue
+		}
+		if o := math.Abs(b.Rate(i) - usual); o < off {
+			best, off = i, o
+		}
+	}
+	return best
+}
+
 // dealer counts the slices of the live owners.
 type dealer struct {
 	live  []Owner
@@ -119,13 +150,15 @@
 	return w
 }
 
-func (d *dealer) extremes() (most, least Owner) {
-	most, least = d.live[0], d.live[0]
+// extremes returns the owner with most slices, and the one with least that is not
+// busy, none where all are.
+func (d *dealer) extremes(busy func(o Owner) bool) (most, least Owner) {
+	most = d.live[0]
 	for _, o := range d.live {
 		if d.count[o] > d.count[most] {
 			most = o
 		}
-		if d.count[o] < d.count[least] {
+		if !busy(o) && (!least.Known() || d.count[o] < d.count[least]) {
 			least = o
 		}
 	}
