--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -14,8 +14,9 @@
 type lagMeter struct {
 	last, mean time.Duration
 	started    bool
-	// waited is the mean wait of the grants that were done.
-	waited time.Duration
+	// began is when the meter began, waited the mean wait of the grants that were
+	// done.
+	began, waited time.Duration
 }
 
 const (
@@ -29,6 +30,12 @@
 	// of their period. It is below 30 ms at the usual pace, and 230 ms for the
 	// first round of a new grantor.
 	waitMost = 400 * time.Millisecond
+	// settled is how long a grantor is not judged by its grants' waits.
+	//
+	// Failure: a service has more ranges than any VM can renew in time. The grantors
+	// resigned in turn, each after a second or two, and its keys had no service for
+	// most of the time.
+	settled = 10 * time.Second
 	// unfitTime is how long a VM that resigned is the last in line.
 	unfitTime = 8 * time.Second
 )
@@ -44,13 +51,13 @@
 // note takes in a step and tells whether the VM is too slow.
 func (m *lagMeter) note(now time.Duration) bool {
 	if !m.started {
-		m.started, m.last = true, now
+		m.started, m.last, m.began = true, now, now
 		return false
 	}
 	late := max(now-m.last-leadStep, 0)
 	m.last = now
 	m.mean += (late - m.mean) / lagSteps
-	return m.mean > lagMost || m.waited > waitMost
+	return m.mean > lagMost || m.waited > waitMost && now-m.began > settled
 }
 
 // granted takes in how long a grant waited for its turn. Those that were not done
