--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -89,6 +89,8 @@
 	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
 	n.state.news = n.mesh.Kick
+	// Were all VMs to begin with the same target, they would fill it together.
+	n.state.turn = int(hashID(s.VM))
 	n.gauges()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -129,3 +129,14 @@
 	n.state.own("s", 1, 2, "u", lease.Served)
 	require.Zero(t, gauge("leases.s.age"))
 }
+
+// 82 VMs started together and sent their first requests to the same target, which shed
+// most of them.
+func TestVMsBeginWithDifferentTargets(t *testing.T) {
+	turn := func(vm string) int {
+		s := &Settings{Store: "127.0.0.1:1"}
+		s.VM, s.Peers = vm, "127.0.0.1:1"
+		return newNode(s, fakeAdapter{store: downStore{}}, &handClock{}, quiet(), metrics.NewRegistry()).state.turn
+	}
+	require.NotEqual(t, turn("a"), turn("b"))
+}
