--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -102,7 +102,7 @@
 		return fmt.Errorf("watch: %w", err)
 	}
 	defer resp.Body.Close()
-	if err := statusError(resp); err != nil {
+	if err := platform.StatusError(resp.StatusCode); err != nil {
 		return fmt.Errorf("watch from %d: %w", from, err)
 	}
 	lines := json.NewDecoder(resp.Body)
@@ -152,21 +152,13 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if err := statusError(resp); err != nil {
+	if err := platform.StatusError(resp.StatusCode); err != nil {
 		return err
 	}
 	if out == nil {
 		return nil
 	}
-	// Read to the end, so that the connection is kept.
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err == nil {
-		err = json.Unmarshal(text, out)
-	}
-	if err != nil {
-		return fmt.Errorf("read answer: %w", errors.Join(platform.ErrAmbiguous, err))
-	}
-	return nil
+	return platform.ReadAnswer(resp.Body, maxAnswer, out)
 }
 
 func (c *Client) send(ctx context.Context, method, target string, in any) (*http.Response, error) {
@@ -189,23 +181,3 @@
 	}
 	return resp, nil
 }
-
-func statusError(resp *http.Response) error {
-	switch resp.StatusCode {
-	case http.StatusOK, http.StatusCreated:
-		return nil
-	case http.StatusNotFound:
-		return platform.ErrNotFound
-	case http.StatusConflict:
-		return platform.ErrConflict
-	case http.StatusGone:
-		return platform.ErrGone
-	case http.StatusTooManyRequests:
-		return platform.ErrUnavailable
-	}
-	if resp.StatusCode >= http.StatusInternalServerError {
-		// A server error may come from behind the write.
-		return fmt.Errorf("status %d: %w", resp.StatusCode, platform.ErrAmbiguous)
-	}
-	return fmt.Errorf("store refused: status %d", resp.StatusCode)
-}
