--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -77,7 +77,8 @@
 func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
 	s := &state{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
-		members: catalog.NewMembers(), routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince), changed: make(chan struct{}), news: func() {},
+		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
+		routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince),
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
