--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -25,7 +25,7 @@
 		server, err := peer.Listen("127.0.0.1:0")
 		require.NoError(t, err)
 		name := fmt.Sprintf("vm%d", i+1)
-		w := newCrashWatch(name, &fixedView{v}, func() {}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
+		w := newCrashWatch(name, newSetView(v), func() {}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
 		require.NoError(t, server.Register("Dispatch", w))
 		go func() { _ = server.Serve() }()
 		t.Cleanup(server.Close)
--- a/internal/dispatch/intent_test.go
+++ b/internal/dispatch/intent_test.go
@@ -20,11 +20,17 @@
 	"hemlockquay/internal/wire"
 )
 
-// fixedView is a view that does not change.
-type fixedView struct{ v *view.View }
+// setView is a view that the test sets, also while calls of dispatchers read it.
+type setView struct{ v atomic.Pointer[view.View] }
 
-func (f *fixedView) Current() *view.View      { return f.v }
-func (f *fixedView) Changed() <-chan struct{} { return nil }
+func newSetView(v *view.View) *setView {
+	f := new(setView)
+	f.v.Store(v)
+	return f
+}
+
+func (f *setView) Current() *view.View      { return f.v.Load() }
+func (f *setView) Changed() <-chan struct{} { return nil }
 
 // intentFleet is some dispatchers' intents on loopback ports.
 type intentFleet struct {
@@ -41,7 +47,7 @@
 		server, err := peer.Listen("127.0.0.1:0")
 		require.NoError(t, err)
 		name := fmt.Sprintf("vm%d", i+1)
-		node := newIntents(name, &fixedView{v}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
+		node := newIntents(name, newSetView(v), journal.New(name, processName, 16), logger, metrics.NewRegistry())
 		node.book = idempotency.NewBook(name, node.clock.Now()-time.Second)
 		require.NoError(t, server.Register("Dispatch", node))
 		go func() { _ = server.Serve() }()
@@ -209,7 +215,7 @@
 		next.Listed = slices.DeleteFunc(slices.Clone(v.Listed), func(p wire.Place) bool { return p.VM == name })
 		v = next
 		for _, node := range f.nodes {
-			node.feed.(*fixedView).v = &next
+			node.feed.(*setView).v.Store(&next)
 		}
 		f.copyAll(t)
 	}
