Simpler: one table of places, one builder of routings, the load only where slices are uneven

NewRouting, updates and the stored record each had their own way to name an owner once; the load of owners was summed in two places; and the load of all keys was sorted ten times a second to even out slices that were even. Nothing else changes.

--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -62,6 +62,17 @@
 	Divide []int
 }
 
+// Loads returns the load of each owner.
+func Loads(ranges []Range, capacity []float64) []float64 {
+	load := make([]float64, len(capacity))
+	for _, r := range ranges {
+		if r.Owner >= 0 {
+			load[r.Owner] += r.Rate / capacity[r.Owner]
+		}
+	}
+	return load
+}
+
 // Busy tells whether an owner with this load must not get ranges only to even out
 // their number.
 func Busy(load float64) bool { return load > fillMost }
@@ -69,12 +80,7 @@
 // Decide returns the changes. capacity is how many requests a second each owner
 // can do.
 func Decide(ranges []Range, capacity []float64) Decision {
-	p := plan{ranges: slices.Clone(ranges), capacity: capacity, load: make([]float64, len(capacity))}
-	for _, r := range ranges {
-		if r.Owner >= 0 {
-			p.load[r.Owner] += r.Rate / capacity[r.Owner]
-		}
-	}
+	p := plan{ranges: slices.Clone(ranges), capacity: capacity, load: Loads(ranges, capacity)}
 	for len(p.out.Moves) < movesMost && len(p.out.Divide) < dividesMost && p.step() {
 	}
 	return p.out
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -81,7 +81,7 @@
 	if changes := l.spread(live, now); len(changes) > 0 {
 		return changes
 	}
-	if l.moving() >= evenMoving {
+	if l.moving() >= evenMoving || !lease.Uneven(record.Slices, live) {
 		return nil
 	}
 	return lease.EvenOut(record.Slices, live, l.burden(live, now))
@@ -91,10 +91,8 @@
 func (l *leader) burden(live []lease.Owner, now time.Duration) lease.Burden {
 	ranges, _, capacity := l.loads(live, now)
 	load := make(map[lease.Owner]float64, len(live))
-	for _, r := range ranges {
-		if r.Owner >= 0 {
-			load[live[r.Owner]] += r.Rate / capacity[r.Owner]
-		}
+	for i, v := range keyspread.Loads(ranges, capacity) {
+		load[live[i]] = v
 	}
 	return lease.Burden{
 		Moving: func(i int) bool { return ranges[i].Fixed },
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -215,7 +216,9 @@
 	list := Even(12, []Owner{a, b})
 	changes := EvenOut(list, []Owner{a, b, c}, idle)
 	require.Len(t, changes, 4)
+	require.True(t, Uneven(list, []Owner{a, b, c}))
 	require.Empty(t, EvenOut(Even(12, []Owner{a, b, c}), []Owner{a, b, c}, idle))
+	require.False(t, Uneven(Even(12, []Owner{a, b, c}), []Owner{a, b, c}))
 }
 
 // An owner gave up its hot slices and has a few less than the others. It must not
@@ -266,3 +269,20 @@
 	}
 	require.Greater(t, w.targets[1].out[0], moved+15*time.Second, "the keys have their new owner")
 }
+
+// What is not uneven has nothing to even out, whatever the load.
+func TestEvenOutNeedsUneven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var live []Owner
+		for i := range rapid.IntRange(1, 8).Draw(t, "live") {
+			live = append(live, Owner{ID: string(rune('a' + i))})
+		}
+		list := Even(rapid.IntRange(1, 60).Draw(t, "slices"), slices.Clone(live))
+		for i := range list {
+			list[i].Owner = live[rapid.IntRange(0, len(live)-1).Draw(t, "owner")]
+		}
+		if !Uneven(list, live) {
+			require.Empty(t, EvenOut(list, live, idle))
+		}
+	})
+}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -45,6 +45,14 @@
 	Busy func(o Owner) bool
 }
 
+// Uneven tells whether a target has so few slices that EvenOut may bring it more: it is
+// asked often, and the burden costs far more than the count.
+func Uneven(list []Slice, live []Owner) bool {
+	d := newDealer(list, live)
+	few := fewSlices * float64(len(list)) / float64(len(live))
+	return slices.ContainsFunc(live, func(o Owner) bool { return float64(d.count[o]) < few })
+}
+
 // EvenOut returns the changes that bring slices of the usual rate to targets that have
 // far fewer than others and are not busy, such as one that has just started.
 //
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -35,21 +35,39 @@
 
 // NewRouting returns the routing of a record. state tells it of slice i.
 func NewRouting(r Record, seq uint64, state func(i int) SliceState) *Routing {
-	out := &Routing{
-		Service: r.Service, Epoch: r.Epoch, Seq: seq, Holder: r.Holder, Incarnation: r.Incarnation,
-		From: make([]uint16, len(r.Slices)), Owner: make([]uint16, len(r.Slices)), States: make([]SliceState, len(r.Slices)),
-	}
-	index := make(map[string]uint16)
+	b := newRoutingBuilder(Routing{Service: r.Service, Epoch: r.Epoch, Seq: seq, Holder: r.Holder, Incarnation: r.Incarnation}, len(r.Slices))
 	for i, s := range r.Slices {
-		at, ok := index[s.Owner.ID]
-		if !ok {
-			at = uint16(len(out.Owners))
-			index[s.Owner.ID] = at
-			out.Owners = append(out.Owners, s.Owner.ID)
-		}
-		out.From[i], out.Owner[i], out.States[i] = s.From, at, state(i)
+		b.add(s.From, s.Owner.ID, state(i))
 	}
-	return out
+	return b.routing()
+}
+
+// routingBuilder puts a routing together, slice by slice.
+type routingBuilder struct {
+	out    Routing
+	owners places[string]
+}
+
+// newRoutingBuilder begins with a routing without slices; about so many will come.
+func newRoutingBuilder(head Routing, slices int) *routingBuilder {
+	head.From, head.Owner, head.States = make([]uint16, 0, slices), make([]uint16, 0, slices), make([]SliceState, 0, slices)
+	return &routingBuilder{out: head}
+}
+
+func (b *routingBuilder) add(from uint16, owner string, state SliceState) {
+	b.out.From = append(b.out.From, from)
+	b.out.Owner = append(b.out.Owner, uint16(b.owners.of(owner)))
+	b.out.States = append(b.out.States, state)
+}
+
+// addFrom adds slice i of another routing.
+func (b *routingBuilder) addFrom(r *Routing, i int) {
+	b.add(r.From[i], r.Owners[r.Owner[i]], r.States[i])
+}
+
+func (b *routingBuilder) routing() *Routing {
+	b.out.Owners = b.owners.list
+	return &b.out
 }
 
 // After tells whether r is newer than the version (epoch, seq).
--- a/internal/lease/stored.go
+++ b/internal/lease/stored.go
@@ -29,33 +29,17 @@
 	Previous map[int]int `json:",omitempty"`
 }
 
-// ownerTable gives owners their places.
-type ownerTable struct {
-	list  []Owner
-	place map[Owner]int
-}
-
-func (t *ownerTable) at(o Owner) int {
-	at, ok := t.place[o]
-	if !ok {
-		at = len(t.list)
-		t.place[o] = at
-		t.list = append(t.list, o)
-	}
-	return at
-}
-
 // MarshalJSON implements json.Marshaler.
 func (r Record) MarshalJSON() ([]byte, error) {
-	owners := ownerTable{place: make(map[Owner]int)}
+	var owners places[Owner]
 	out := storedRecord{
 		Service: r.Service, Epoch: r.Epoch, Holder: r.Holder, HolderAddr: r.HolderAddr, Incarnation: r.Incarnation, Resigned: r.Resigned,
 		From: make([]uint16, len(r.Slices)), Owner: make([]int, len(r.Slices)), Previous: make(map[int]int),
 	}
 	for i, s := range r.Slices {
-		out.From[i], out.Owner[i] = s.From, owners.at(s.Owner)
+		out.From[i], out.Owner[i] = s.From, owners.of(s.Owner)
 		if s.Previous.Known() {
-			out.Previous[i] = owners.at(s.Previous)
+			out.Previous[i] = owners.of(s.Previous)
 		}
 	}
 	out.Owners = owners.list
--- a/internal/lease/update.go
+++ b/internal/lease/update.go
@@ -21,9 +21,7 @@
 	if old == nil || old.Epoch != now.Epoch || old.Seq == 0 {
 		return &Update{Routing: *now}
 	}
-	u := &Update{Base: old.Seq, Routing: Routing{
-		Service: now.Service, Epoch: now.Epoch, Seq: now.Seq, Holder: now.Holder, Incarnation: now.Incarnation,
-	}}
+	b := newRoutingBuilder(now.head(), 0)
 	known := 0
 	for i, from := range now.From {
 		at, ok := slices.BinarySearch(old.From, from)
@@ -31,14 +29,14 @@
 			known++
 		}
 		if !ok || now.States[i] != old.States[at] || now.Owners[now.Owner[i]] != old.Owners[old.Owner[at]] {
-			u.Routing.add(from, now.Owners[now.Owner[i]], now.States[i])
+			b.addFrom(now, i)
 		}
 	}
 	if known != len(old.From) {
 		// Slices were joined, which an update cannot say.
 		return &Update{Routing: *now}
 	}
-	return u
+	return &Update{Base: old.Seq, Routing: *b.routing()}
 }
 
 // On returns the routing that follows from the version at hand; false if the update
@@ -51,23 +49,27 @@
 	if old == nil || old.Epoch != u.Routing.Epoch || old.Seq != u.Base {
 		return nil, false
 	}
-	out := &Routing{
-		Service: old.Service, Epoch: old.Epoch, Seq: u.Routing.Seq, Holder: u.Routing.Holder, Incarnation: u.Routing.Incarnation,
-	}
+	later := &u.Routing
+	b := newRoutingBuilder(later.head(), len(old.From)+len(later.From))
 	i, j := 0, 0
-	for i < len(old.From) || j < len(u.Routing.From) {
+	for i < len(old.From) || j < len(later.From) {
 		switch {
-		case j == len(u.Routing.From) || i < len(old.From) && old.From[i] < u.Routing.From[j]:
-			out.add(old.From[i], old.Owners[old.Owner[i]], old.States[i])
+		case j == len(later.From) || i < len(old.From) && old.From[i] < later.From[j]:
+			b.addFrom(old, i)
 			i++
-		case i < len(old.From) && old.From[i] == u.Routing.From[j]:
+		case i < len(old.From) && old.From[i] == later.From[j]:
 			i++
 		default:
-			out.add(u.Routing.From[j], u.Routing.Owners[u.Routing.Owner[j]], u.Routing.States[j])
+			b.addFrom(later, j)
 			j++
 		}
 	}
-	return out, true
+	return b.routing(), true
+}
+
+// head returns what a routing says beside its slices.
+func (r *Routing) head() Routing {
+	return Routing{Service: r.Service, Epoch: r.Epoch, Seq: r.Seq, Holder: r.Holder, Incarnation: r.Incarnation}
 }
 
 // Valid tells whether a routing that came from another VM can be used: its lists run
@@ -78,15 +80,3 @@
 	}
 	return !slices.ContainsFunc(r.Owner, func(at uint16) bool { return int(at) >= len(r.Owners) })
 }
-
-// add appends a slice.
-func (r *Routing) add(from uint16, owner string, state SliceState) {
-	at := slices.Index(r.Owners, owner)
-	if at < 0 {
-		at = len(r.Owners)
-		r.Owners = append(r.Owners, owner)
-	}
-	r.From = append(r.From, from)
-	r.Owner = append(r.Owner, uint16(at))
-	r.States = append(r.States, state)
-}
--- a/internal/lease/update_test.go
+++ b/internal/lease/update_test.go
@@ -12,11 +12,11 @@
 
 // drawRouting draws a routing whose slices begin at the given keys.
 func drawRouting(t *rapid.T, from []uint16, epoch, seq uint64) *Routing {
-	out := &Routing{Service: "s", Epoch: epoch, Seq: seq, Holder: "a", Incarnation: 3}
+	b := newRoutingBuilder(Routing{Service: "s", Epoch: epoch, Seq: seq, Holder: "a", Incarnation: 3}, len(from))
 	for _, f := range from {
-		out.add(f, fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(t, "owner")), SliceState(rapid.IntRange(0, 2).Draw(t, "state")))
+		b.add(f, fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(t, "owner")), SliceState(rapid.IntRange(0, 2).Draw(t, "state")))
 	}
-	return out
+	return b.routing()
 }
 
 func drawFrom(t *rapid.T) []uint16 {
@@ -63,10 +63,11 @@
 // calls to the store and its orders timed out, and one grantor after the other
 // resigned.
 func TestOneChangedSliceIsTensOfBytes(t *testing.T) {
-	old := &Routing{Service: "s", Epoch: 5, Seq: 7, Holder: "a", Incarnation: 3}
+	b := newRoutingBuilder(Routing{Service: "s", Epoch: 5, Seq: 7, Holder: "a", Incarnation: 3}, 512)
 	for i := range 512 {
-		old.add(uint16(i*128), fmt.Sprintf("i-%010x", i%114), Moving)
+		b.add(uint16(i*128), fmt.Sprintf("i-%010x", i%114), Moving)
 	}
+	old := b.routing()
 	now := *old
 	now.Seq, now.States = 8, slices.Clone(old.States)
 	now.States[300] = Served
