--- a/internal/loadgen/balancer.go
+++ b/internal/loadgen/balancer.go
@@ -19,9 +19,9 @@
 	http            *http.Client
 }
 
-func newBalancer(e *Experiment) *balancer {
+func newBalancer(entries, admins []string) *balancer {
 	return &balancer{
-		entries: e.Entries, admins: e.Admins, down: make([]atomic.Bool, len(e.Entries)),
+		entries: entries, admins: admins, down: make([]atomic.Bool, len(entries)),
 		http: &http.Client{Timeout: healthEvery},
 	}
 }
--- a/internal/loadgen/path.go
+++ b/internal/loadgen/path.go
@@ -122,7 +122,7 @@
 func RunPath(ctx context.Context, p *Path) *PathReport {
 	r := &pathRun{
 		load: p, times: newHistogram(),
-		balancer: &balancer{entries: p.Fronts, admins: p.Admins, down: make([]atomic.Bool, len(p.Fronts)), http: &http.Client{Timeout: healthEvery}},
+		balancer: newBalancer(p.Fronts, p.Admins),
 		client:   &http.Client{Timeout: pathPatience, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	healthCtx, cancel := context.WithCancel(ctx)
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -50,7 +50,7 @@
 		http:       &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, DisableCompression: true}},
 		prefix:     strconv.FormatInt(time.Now().UnixNano(), 36),
 		begin:      time.Now(),
-		balancer:   newBalancer(e),
+		balancer:   newBalancer(e.Entries, e.Admins),
 	}
 	defer r.http.CloseIdleConnections()
 	if err := r.stream(ctx); err != nil {
--- a/internal/standin/fleet/lab.go
+++ b/internal/standin/fleet/lab.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -52,9 +51,6 @@
 // writes the settings of each gateway to DIR/vm-N.jsonc and the load to
 // DIR/load.jsonc; the latter is written last, when everything answers.
 func RunLab(ctx context.Context, dir string, vms int) error {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return fmt.Errorf("lab: %w", err)
-	}
 	store := NewStore()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -102,18 +98,10 @@
 		own := ports[i*portsPerVM:]
 		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Store: store, Grace: model.Duration(labGrace)}
 		s.VM, s.DataCentre, s.Admin = fmt.Sprintf("vm-%d", i+1), "a", own[3]
-		if err := writeJSON(filepath.Join(dir, s.VM+".jsonc"), s); err != nil {
+		if err := plan.WriteJSON(filepath.Join(dir, s.VM+".jsonc"), s); err != nil {
 			return err
 		}
 		load.Fronts, load.Admins = append(load.Fronts, s.Front), append(load.Admins, s.Admin)
 	}
-	return writeJSON(filepath.Join(dir, "load.jsonc"), load)
-}
-
-func writeJSON(file string, v any) error {
-	text, err := json.MarshalIndent(v, "", "  ")
-	if err != nil {
-		return fmt.Errorf("encode %s: %w", file, err)
-	}
-	return os.WriteFile(file, append(text, '\n'), 0o600)
+	return plan.WriteJSON(filepath.Join(dir, "load.jsonc"), load)
 }
--- a/internal/standin/plan/plan.go
+++ b/internal/standin/plan/plan.go
@@ -185,12 +185,15 @@
 	return filepath.Join("objects", string(kind)+"."+name+".jsonc")
 }
 
-func (p *planner) write(file string, v any) error {
+func (p *planner) write(file string, v any) error { return WriteJSON(filepath.Join(p.dir, file), v) }
+
+// WriteJSON writes a value as JSON that people read to a file, with the folder that it
+// needs.
+func WriteJSON(file string, v any) error {
 	text, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", file, err)
 	}
-	file = filepath.Join(p.dir, file)
 	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
 		return fmt.Errorf("plan: %w", err)
 	}
