Uploads run at most once; a value that is not understood leaves the rest of a configuration in force

Change: the configuration is read part by part; what is not understood is taken by its strictest reading, named in a log line and counted (config.unread); a route that cannot be served is refused alone. Bodies: room for them is bounded by the VM's memory, stated lengths take just their size, a caller that stops sending is told 408. An owner without id in a lease record is refused (found by FuzzRecord, kept).

--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// defaultBody bounds a request's body, bytes, where the configuration does not.
+	defaultBody = 1 << 20
+	// firstPart is what is read first of a body without a stated length, bytes. The
+	// room is doubled from there.
+	firstPart = 16 << 10
+	// bodyShare is the part of a VM's memory that bodies may take. The collector lets
+	// the heap grow to about twice of what is in use, and the rest of the process needs
+	// about 30 MB.
+	bodyShare = 0.25
+)
+
+var (
+	errBodyTooLarge = errors.New("body over the limit")
+	errNoRoom       = errors.New("no memory for the body")
+)
+
+// bodyRoom is the memory for bodies that are held while their requests run.
+//
+// Failure: callers send large bodies slowly, or while all targets are full. Each is
+// held until its answer; at the 64 MB that a configuration may allow, five end a VM of
+// 284 MB, with all requests that it has. What finds no room is refused as not run.
+type bodyRoom struct{ *semaphore.Weighted }
+
+func newBodyRoom(memoryMB float64) bodyRoom {
+	return bodyRoom{semaphore.NewWeighted(int64(memoryMB * bodyShare * (1 << 20)))}
+}
+
+// heldBody is one request's part of the room.
+type heldBody struct {
+	room bodyRoom
+	held int64
+}
+
+// grow takes room up to a size.
+func (h *heldBody) grow(size int64) error {
+	if !h.room.TryAcquire(size - h.held) {
+		return errNoRoom
+	}
+	h.held = size
+	return nil
+}
+
+// release gives the room back.
+func (h *heldBody) release() {
+	h.room.Release(h.held)
+	h.held = 0
+}
+
+// read takes in a body of the stated size, -1 where it is not stated.
+func (h *heldBody) read(from io.Reader, size, limit int64) ([]byte, error) {
+	if size >= 0 {
+		if size > limit {
+			return nil, errBodyTooLarge
+		}
+		return h.readSized(from, size)
+	}
+	var body []byte
+	for {
+		room := min(max(2*h.held, firstPart), limit+1)
+		if err := h.grow(room); err != nil {
+			return nil, err
+		}
+		larger := make([]byte, room)
+		have := copy(larger, body)
+		got, err := io.ReadFull(from, larger[have:])
+		body = larger[:have+got]
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case int64(len(body)) > limit:
+			return nil, errBodyTooLarge
+		}
+	}
+}
+
+func (h *heldBody) readSized(from io.Reader, size int64) ([]byte, error) {
+	if err := h.grow(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+// readBody takes in the whole body: what has not come whole is not passed on. A body
+// that is held can be sent again where a target refuses it or the route allows repeats.
+func (n *node) readBody(c *call, w http.ResponseWriter, r *http.Request, limit int64) *outcome {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := n.readInTime(c, w, r, limit)
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return &outcome{status: http.StatusRequestEntityTooLarge, reason: errBodyTooLarge.Error()}
+	case errors.Is(err, errNoRoom):
+		return &outcome{status: http.StatusServiceUnavailable, reason: errNoRoom.Error(), retry: mostRetry}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &outcome{status: http.StatusRequestTimeout, reason: "body not read in time"}
+	case err != nil:
+		return &outcome{status: http.StatusBadRequest, reason: "body not readable"}
+	}
+	c.request.Body = body
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n" + r.Header.Get(n.headers.Key) + "\n")
+	_, _ = digest.Write(body)
+	c.content = digest.Sum64()
+	return nil
+}
+
+// readInTime reads the body until the caller's time is over.
+//
+// Failure: a caller stops in the middle of its body and keeps the connection. Nothing
+// ended the wait, and the memory for its body was held for as long.
+func (n *node) readInTime(c *call, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(c.until); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
+	}
+	body, err := c.body.read(r.Body, r.ContentLength, limit)
+	if err != nil {
+		return nil, err
+	}
+	// The connection is read on, to notice a caller that leaves.
+	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/gateway/body_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "hemlockquay/internal/fixedseed"
+	"hemlockquay/internal/route"
+)
+
+func TestBodyIsReadWholeOrNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := bytes.Repeat([]byte("x"), rapid.IntRange(0, 3*firstPart).Draw(t, "size"))
+		limit := int64(rapid.IntRange(1, 4*firstPart).Draw(t, "limit"))
+		room := newBodyRoom(1)
+		h := heldBody{room: room}
+		size := int64(len(body))
+		if rapid.Bool().Draw(t, "not stated") {
+			size = -1
+		}
+		got, err := h.read(iotest.HalfReader(bytes.NewReader(body)), size, limit)
+		if int64(len(body)) > limit {
+			require.ErrorIs(t, err, errBodyTooLarge)
+		} else {
+			require.NoError(t, err)
+			require.Len(t, got, len(body))
+		}
+		h.release()
+		require.True(t, room.TryAcquire(1<<20*bodyShare), "all room is given back")
+	})
+}
+
+// A caller leaves in the middle of its upload. What came is no whole body: sent on, the
+// target would store half a document.
+func TestPartOfABodyIsNotPassedOn(t *testing.T) {
+	for _, size := range []int64{100, -1} {
+		h := heldBody{room: newBodyRoom(1)}
+		_, err := h.read(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(net.ErrClosed)), size, 1000)
+		require.ErrorIs(t, err, net.ErrClosed)
+	}
+}
+
+// Uploads wait for targets that are slow, and more come. Held without a bound they end
+// the VM, and every request on it is lost. What finds no room is refused as not run,
+// and is served when it comes again.
+func TestBodiesWithoutRoomAreRefused(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	require.True(t, b.bodies.TryAcquire(defaultMemory*bodyShare*(1<<20)-10))
+	resp := b.get("once.example", nil, strings.Repeat("x", 50))
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, b.hits.Load())
+	b.bodies.Release(90)
+	for range 3 {
+		require.Equal(t, http.StatusOK, b.get("once.example", nil, strings.Repeat("x", 50)).StatusCode)
+	}
+}
+
+// A caller sends half of its body and no more, and keeps its connection. It is told by
+// the end of its time that nothing ran, and its body's memory is free again.
+func TestBodyThatDoesNotComeInTime(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	front := httptest.NewServer(b.node)
+	defer front.Close()
+	c, err := net.Dial("tcp", strings.TrimPrefix(front.URL, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: short.example\r\nId: r-1\r\nContent-Length: 100\r\n\r\nhalf")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	answer := make([]byte, 64)
+	n, err := c.Read(answer)
+	require.NoError(t, err)
+	require.Contains(t, string(answer[:n]), "408")
+	require.Zero(t, b.hits.Load())
+	require.Eventually(t, func() bool {
+		if !b.bodies.TryAcquire(defaultMemory * bodyShare * (1 << 20)) {
+			return false
+		}
+		b.bodies.Release(defaultMemory * bodyShare * (1 << 20))
+		return true
+	}, 5*time.Second, time.Millisecond)
+}
+
+// Operators add a route that this version cannot read. Its callers are not told that it
+// does not exist, which would end their tries, but that nothing ran.
+func TestRouteThatIsNotUnderstoodIsRefusedAsNotRun(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	c := *b.state.view.Load().Routes.Config()
+	c.Version++
+	c.Routes = append([]route.Route{{Name: "odd", Host: "odd.example", Prefix: "/", Unusable: "field TimeoutS missing"}}, c.Routes...)
+	c.Unread = []route.Unread{{Part: "route odd", Field: "TimeoutS"}}
+	b.state.setConfig(&c, "test")
+	resp := b.get("odd.example", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "").StatusCode)
+	require.Contains(t, b.state.registry.GetAll(), "config.unread")
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -20,6 +20,7 @@
 	key     uint16
 	content uint64
 	request *upstream.Request
+	body    heldBody
 	start   time.Time
 	until   time.Time
 
@@ -48,7 +49,7 @@
 	now := time.Now()
 	c := &call{
 		id: r.Header.Get(n.headers.RequestID), route: rt, service: service,
-		start: now, tried: make(map[string]bool),
+		start: now, tried: make(map[string]bool), body: heldBody{room: n.bodies},
 	}
 	wait := rt.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(n.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(wait.Milliseconds()) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -1,15 +1,11 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Figures of the front.
@@ -32,8 +28,6 @@
 	misdirectedPause = 150 * time.Millisecond
 	// unsentMost bounds the targets that could not be connected to.
 	unsentMost = 4
-	// defaultBody bounds a request's body where the configuration does not.
-	defaultBody = 1 << 20
 	// unconfiguredRetry is when a caller may come back to a VM that knows no
 	// configuration yet.
 	unconfiguredRetry = 500 * time.Millisecond
@@ -62,7 +56,12 @@
 		n.refuse(w, r, outcome{status: http.StatusNotFound, reason: "no route"})
 		return
 	}
+	if rt.Unusable != "" {
+		n.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "route not understood", retry: mostRetry})
+		return
+	}
 	c := n.newCall(r, rt, spread.Next())
+	defer c.body.release()
 	if bad := n.readBody(c, w, r, view.Routes.Config().Limits.BodyBytes); bad != nil {
 		n.refuse(w, r, *bad)
 		return
@@ -94,27 +93,6 @@
 	return path
 }
 
-// readBody takes in the whole body: what has not come whole is not passed on.
-func (n *node) readBody(c *call, w http.ResponseWriter, r *http.Request, limit int64) *outcome {
-	if limit <= 0 {
-		limit = defaultBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &outcome{status: http.StatusRequestEntityTooLarge, reason: "body over the limit"}
-	case err != nil:
-		return &outcome{status: http.StatusBadRequest, reason: "body not readable"}
-	}
-	c.request.Body = body
-	digest := xxhash.New()
-	_, _ = digest.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n" + r.Header.Get(n.headers.Key) + "\n")
-	_, _ = digest.Write(body)
-	c.content = digest.Sum64()
-	return nil
-}
-
 // respond writes what the caller gets.
 func (n *node) respond(w http.ResponseWriter, r *http.Request, out outcome) {
 	if out.answer == nil {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -38,6 +38,7 @@
 	mesh     *mesh.Mesh
 	counters *counters
 	lines    *requestLines
+	bodies   bodyRoom
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -84,6 +85,7 @@
 		settings: s, adapter: a, headers: a.Headers(), store: countedStore{a.Store(s.Store), registry}, clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), lines: newRequestLines(registry), startedAt: clock.Now(),
+		bodies: newBodyRoom(s.MemoryMB),
 	}
 	n.grace.Store(int64(s.Grace))
 	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,8 @@
 	// LinkMbps is the speed of the VM's link, Mbit/s. VMs with much faster links do
 	// the duties of the fleet. Default 0: not known.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// MemoryMB is the VM's memory, MB, of which a quarter may hold bodies. Default 256.
+	MemoryMB float64 `json:"memoryMB,omitempty"`
 	// Repeats bound what the service sees more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
 
@@ -56,6 +58,7 @@
 const (
 	defaultGrace    = model.Duration(6 * time.Second)
 	defaultHoldMost = model.Duration(10 * time.Second)
+	defaultMemory   = 256
 	defaultRatio    = 0.1
 	defaultSlack    = 10
 	defaultWindow   = model.Duration(10 * time.Second)
@@ -76,6 +79,7 @@
 	}
 	setDefault(&s.Grace, defaultGrace)
 	setDefault(&s.HoldMost, defaultHoldMost)
+	setDefault(&s.MemoryMB, defaultMemory)
 	setDefault(&s.Repeats.Ratio, defaultRatio)
 	setDefault(&s.Repeats.Slack, defaultSlack)
 	setDefault(&s.Repeats.Window, defaultWindow)
@@ -84,6 +88,8 @@
 		return settings.Impossible("/grace", "%v is negative", s.Grace)
 	case s.LinkMbps < 0 || s.LinkMbps > math.MaxUint32:
 		return settings.Impossible("/linkMbps", "%v is not a speed", s.LinkMbps)
+	case s.MemoryMB < 0:
+		return settings.Impossible("/memoryMB", "%v is negative", s.MemoryMB)
 	case s.HoldMost < leastHold:
 		return settings.Impossible("/holdMost", "%v is under %v", s.HoldMost, leastHold)
 	case s.Repeats.Ratio < 0 || s.Repeats.Slack < 0 || s.Repeats.Window < 0:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -105,13 +105,27 @@
 		return
 	}
 	s.log.Info().Str("step", "config").Uint64("version", c.Version).Uint64("before", old.ConfigVersion()).
-		Int("routes", len(c.Routes)).Str("source", source).Msg("configuration in force")
+		Int("routes", len(c.Routes)).Int("unread", len(c.Unread)).Str("source", source).Msg("configuration in force")
+	s.noteUnread(c)
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets))
 	s.configuredAt = s.clock.Now()
 	s.notifyLocked()
 	s.news()
 }
 
+// unreadLines bounds the log lines on one version's values that were not understood.
+const unreadLines = 20
+
+// noteUnread tells of what was not understood of a configuration. The metric counts
+// what is in force, not what was seen.
+func (s *state) noteUnread(c *route.Config) {
+	metrics.GetOrRegisterGauge("config.unread", s.registry).Update(int64(len(c.Unread)))
+	for _, u := range c.Unread[:min(len(c.Unread), unreadLines)] {
+		s.log.Error().Str("step", "config").Uint64("version", c.Version).Str("part", u.Part).Str("field", u.Field).
+			Str("value", u.Value).Str("takenAs", u.TakenAs).Msg("not understood")
+	}
+}
+
 // changeTargets applies a change to the list of targets and puts it in force.
 func (s *state) changeTargets(source string, change func(m *catalog.Members, now time.Duration)) {
 	s.mu.Lock()
--- a/internal/lease/stored.go
+++ b/internal/lease/stored.go
@@ -84,5 +84,8 @@
 	if at < 0 || at >= len(s.Owners) {
 		return Owner{}, fmt.Errorf("record of %s: owner %d of %d", s.Service, at, len(s.Owners))
 	}
+	if !s.Owners[at].Known() {
+		return Owner{}, fmt.Errorf("record of %s: owner %d has no id", s.Service, at)
+	}
 	return s.Owners[at], nil
 }
--- a/internal/lease/stored_test.go
+++ b/internal/lease/stored_test.go
@@ -60,3 +60,29 @@
 	require.NoError(t, json.Unmarshal([]byte(`{"Owners":[{"ID":"a"}],"From":[0,0],"Owner":[0,0]}`), &r))
 	require.Error(t, r.Check(), "slices out of order")
 }
+
+// A record of another writer, or of a later version, must not end the process, and
+// what is taken for good covers the key space.
+func FuzzRecord(f *testing.F) {
+	f.Add(`{"Service":"s","Epoch":3,"Owners":[{"ID":"a","Born":1,"Addr":"h:1"}],"From":[0,100],"Owner":[0,0],"Previous":{"1":0}}`)
+	f.Add(`{"Service":"s","Owners":[{"ID":"a"}],"From":[0,0],"Owner":[0,0]}`)
+	f.Add(`{"Service":"s","Owners":[],"From":[0],"Owner":[0]}`)
+	f.Add(`{"Service":"s","Owners":[{"ID":"a"}],"From":[65535,1],"Owner":[0,-1],"Previous":{"-1":9}}`)
+	f.Add(`{"From":null,"Owner":null}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var r Record
+		if json.Unmarshal([]byte(text), &r) != nil || r.Check() != nil {
+			return
+		}
+		for _, key := range []uint16{0, 1, 99, 100, 32768, 65535} {
+			s := r.Slices[Index(r.Slices, key)]
+			require.LessOrEqual(t, s.From, key)
+			require.GreaterOrEqual(t, s.To, key)
+		}
+		again, err := json.Marshal(r)
+		require.NoError(t, err)
+		var back Record
+		require.NoError(t, json.Unmarshal(again, &back))
+		require.Equal(t, r.Slices, back.Slices)
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -15,6 +15,24 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Unread lists what of the configuration was not understood.
+	Unread []Unread
+}
+
+// Unread is a value of the configuration that was not understood, and how it is taken.
+//
+// Failure: a new version has a word that this program does not know, in one route.
+// Refused as a whole, it leaves every VM without a configuration, or with the last one
+// for good. What is known stays in force, and the strictest reading holds for the rest.
+type Unread struct {
+	// Part names the route, service or limits.
+	Part string
+	// Field is the field's name in the operators' object, empty for the whole part.
+	Field string
+	// Value is what stands there.
+	Value string
+	// TakenAs is the reading that is in force.
+	TakenAs string
 }
 
 // Route says where the requests of one host and path prefix go, and what they
@@ -37,6 +55,9 @@
 	MaxTargets int
 	// Splits are the services that share the requests; one at least.
 	Splits []Split
+	// Unusable says why the route's requests cannot be served, empty for a route that
+	// was understood. They are refused as not run, and may come back.
+	Unusable string
 }
 
 // Split is one service's part of a route.
