--- a/internal/ctl/cli/cli.go
+++ b/internal/ctl/cli/cli.go
@@ -174,7 +174,7 @@
 	must(p.AddCommand("status", "Show every VM and what it has in force", "", &status{app: a}))
 	must(p.AddCommand("dump", "Print the whole state of a daemon", "", &dump{app: a}))
 	must(p.AddCommand("drill", "Measure how long changes of a contract take to be in force everywhere", "", &drill{app: a}))
-	must(p.AddCommand("explain", "Tell what the VMs did about a key, customer, target, service or request id", "", &explain{app: a}))
+	must(p.AddCommand("explain", "Tell what the VMs did about a key, customer, target, service or request id; with --log alone, how all requests ended", "", &explain{app: a}))
 }
 
 func must(c *flags.Command, err error) *flags.Command {
--- a/internal/ctl/cli/fleet.go
+++ b/internal/ctl/cli/fleet.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/jessevdk/go-flags"
+
 	"hemlockquay/internal/ctl"
 )
 
@@ -55,13 +57,21 @@
 	app  *app
 	Logs []string `long:"log" value-name:"FILE" description:"a collected log of one or more VMs; may be repeated. The VMs are not asked then"`
 	Args struct {
-		Subject string `positional-arg-name:"KEY|CUSTOMER|TARGET|REQUEST-ID" required:"yes"`
+		Subject string `positional-arg-name:"KEY|CUSTOMER|TARGET|REQUEST-ID"`
 	} `positional-args:"yes"`
+	Plot string `long:"plot" value-name:"FILE" description:"with --log and no subject: draw the requests by second, as .svg or .png"`
 }
 
+var errNoSubject = &flags.Error{Type: flags.ErrRequired, Message: "explain: a subject is required, except with --log"}
+
 // Execute implements flags.Commander.
 func (c *explain) Execute([]string) error {
-	if len(c.Logs) > 0 {
+	switch {
+	case c.Args.Subject == "" && len(c.Logs) > 0:
+		return c.losses()
+	case c.Args.Subject == "":
+		return errNoSubject
+	case len(c.Logs) > 0:
 		account, err := ctl.ExplainLogs(c.Args.Subject, c.Logs)
 		if err != nil {
 			return err
@@ -77,6 +87,20 @@
 	return c.app.print(account, func(w io.Writer) { fmt.Fprint(w, account.Text()) })
 }
 
+// losses sums the requests of collected logs by their outcome.
+func (c *explain) losses() error {
+	sums, err := ctl.SumLosses(c.Logs)
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := sums.Plot(c.Plot); err != nil {
+			return err
+		}
+	}
+	return c.app.print(sums, sums.Write)
+}
+
 type drill struct {
 	app       *app
 	Changes   int     `long:"changes" default:"20" description:"how many changes"`
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -70,27 +70,35 @@
 // name the subject, and around them the changes of what the VMs believed about the
 // targets and services that those lines name.
 func ExplainLogs(subject string, files []string) (*LogAccount, error) {
-	a := &LogAccount{Subject: subject}
-	var all []Line
+	all, skipped, err := readLogs(files)
+	if err != nil {
+		return nil, err
+	}
+	a := &LogAccount{Subject: subject, Skipped: skipped}
+	a.choose(all)
+	a.Silences = silences(all)
+	return a, nil
+}
+
+// readLogs returns the lines of all files in order of time.
+func readLogs(files []string) (all []Line, skipped int, err error) {
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
-			return nil, fmt.Errorf("read log: %w", err)
+			return nil, 0, fmt.Errorf("read log: %w", err)
 		}
-		lines, skipped, err := readLines(f)
+		lines, bad, err := readLines(f)
 		f.Close()
 		if err != nil {
-			return nil, fmt.Errorf("read log %s: %w", name, err)
+			return nil, 0, fmt.Errorf("read log %s: %w", name, err)
 		}
 		all = append(all, lines...)
-		a.Skipped += skipped
+		skipped += bad
 	}
 	slices.SortStableFunc(all, func(x, y Line) int {
 		return cmp.Or(x.Time.Compare(y.Time), cmp.Compare(x.VM, y.VM))
 	})
-	a.choose(all)
-	a.Silences = silences(all)
-	return a, nil
+	return all, skipped, nil
 }
 
 // silences returns those of all VMs, in order of their beginning.
--- /dev/null
+++ b/internal/ctl/losses.go
@@ -0,0 +1,262 @@
+package ctl
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Losses is what collected logs say of how requests ended: where they were lost, when,
+// and for which of the daemons' own reasons.
+type Losses struct {
+	// From is the second of the first request; seconds below count from it.
+	From     time.Time `json:"from"`
+	Requests int       `json:"requests"`
+	// Outcomes are in order of their number.
+	Outcomes []*Outcome `json:"outcomes"`
+	// Skipped counts lines that are no log lines of a daemon.
+	Skipped int `json:"skipped"`
+}
+
+// Outcome is the requests that ended in one way.
+type Outcome struct {
+	// Status is what the caller got, 0 where it had left.
+	Status   int    `json:"status"`
+	Reason   string `json:"reason"`
+	Requests int    `json:"requests"`
+	// Took are quantiles of the time from a request's headers to its end.
+	Took Spread `json:"took"`
+	// Routes, Targets and Keys are the most frequent ones. The target is the one that
+	// the refusal was decided on, or the last that the request was sent to.
+	Routes  []Share `json:"routes"`
+	Targets []Share `json:"targets,omitempty"`
+	Keys    []Share `json:"keys,omitempty"`
+	// Seconds counts the requests by second.
+	Seconds []int `json:"seconds"`
+}
+
+// Share is a part of an outcome's requests.
+type Share struct {
+	Name     string `json:"name"`
+	Requests int    `json:"requests"`
+}
+
+const (
+	// sharesShown bounds the routes, targets and keys of an outcome.
+	sharesShown = 3
+	// outcomesDrawn bounds the curves of a plot.
+	outcomesDrawn = 7
+	// tookMost bounds the times that are told apart, microseconds, at tookDigits
+	// significant digits.
+	tookMost   = int64(time.Minute / time.Microsecond)
+	tookDigits = 2
+	// plotWidth and plotHeight are the size of a plot.
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// SumLosses reads collected logs and sums the lines on requests.
+func SumLosses(files []string) (*Losses, error) {
+	all, skipped, err := readLogs(files)
+	if err != nil {
+		return nil, err
+	}
+	s := summing{outcomes: make(map[outcomeKey]*outcomeSum)}
+	for _, l := range all {
+		if l.Step == requestStep {
+			s.add(l)
+		}
+	}
+	return s.losses(skipped), nil
+}
+
+type outcomeKey struct {
+	status int
+	reason string
+}
+
+// summing sums lines that come in order of time.
+type summing struct {
+	from     time.Time
+	requests int
+	outcomes map[outcomeKey]*outcomeSum
+}
+
+type outcomeSum struct {
+	Outcome
+	took                  *hdrhistogram.Histogram
+	routes, targets, keys map[string]int
+}
+
+func (s *summing) add(l Line) {
+	if s.requests == 0 {
+		s.from = l.Time.Truncate(time.Second)
+	}
+	s.requests++
+	status, _ := l.Fields["status"].(float64)
+	key := outcomeKey{status: int(status), reason: text(l.Fields["reason"])}
+	o := s.outcomes[key]
+	if o == nil {
+		o = &outcomeSum{
+			Outcome: Outcome{Status: key.status, Reason: key.reason}, took: hdrhistogram.New(1, tookMost, tookDigits),
+			routes: make(map[string]int), targets: make(map[string]int), keys: make(map[string]int),
+		}
+		s.outcomes[key] = o
+	}
+	o.add(l, int(l.Time.Sub(s.from)/time.Second))
+}
+
+func (o *outcomeSum) add(l Line, second int) {
+	o.Requests++
+	for len(o.Seconds) <= second {
+		o.Seconds = append(o.Seconds, 0)
+	}
+	o.Seconds[second]++
+	took, _ := l.Fields["took"].(float64)
+	// Beyond the histogram's bound a time counts as the bound.
+	_ = o.took.RecordValue(min(int64(took*float64(time.Millisecond/time.Microsecond)), tookMost))
+	o.routes[text(l.Fields["route"])]++
+	if target := targetOf(l); target != "" {
+		o.targets[target]++
+	}
+	if key, ok := l.Fields["key"].(float64); ok {
+		o.keys[strconv.FormatFloat(key, 'f', -1, 64)]++
+	}
+}
+
+// targetOf returns the target that the request's end was decided on.
+func targetOf(l Line) string {
+	about := text(l.Fields["refusedOn"])
+	if attempts, ok := l.Fields["attempts"].([]any); ok && about == "" && len(attempts) > 0 {
+		about = text(attempts[len(attempts)-1])
+	}
+	target, _, _ := strings.Cut(about, " ")
+	return target
+}
+
+func text(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+func (s *summing) losses(skipped int) *Losses {
+	out := &Losses{From: s.from, Requests: s.requests, Skipped: skipped}
+	for _, o := range s.outcomes {
+		ms := func(q float64) float64 { return float64(o.took.ValueAtQuantile(q)) / 1000 }
+		o.Took = Spread{P50: ms(50), P99: ms(99), Max: ms(100)}
+		o.Routes, o.Targets, o.Keys = most(o.routes), most(o.targets), most(o.keys)
+		out.Outcomes = append(out.Outcomes, &o.Outcome)
+	}
+	slices.SortFunc(out.Outcomes, func(a, b *Outcome) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Status, b.Status), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
+// most returns the most frequent names.
+func most(counts map[string]int) []Share {
+	var out []Share
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, Share{Name: name, Requests: counts[name]})
+	}
+	slices.SortStableFunc(out, func(a, b Share) int { return cmp.Compare(b.Requests, a.Requests) })
+	return out[:min(len(out), sharesShown)]
+}
+
+// Write renders the sums for people: a line for each outcome, then the requests by
+// second.
+func (l *Losses) Write(w io.Writer) {
+	fmt.Fprintf(w, "%d requests from %s\n", l.Requests, l.From.Format("15:04:05"))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "STATUS\tREASON\tREQUESTS\tP50 MS\tP99 MS\tROUTES\tTARGETS\tKEYS")
+	for _, o := range l.Outcomes {
+		fmt.Fprintf(t, "%d\t%s\t%d\t%.1f\t%.1f\t%s\t%s\t%s\n", o.Status, o.Reason, o.Requests, o.Took.P50, o.Took.P99,
+			sharesText(o.Routes), sharesText(o.Targets), sharesText(o.Keys))
+	}
+	_ = t.Flush()
+	l.writeSeconds(w)
+}
+
+func sharesText(list []Share) string {
+	parts := make([]string, len(list))
+	for i, s := range list {
+		parts[i] = fmt.Sprintf("%s:%d", s.Name, s.Requests)
+	}
+	return strings.Join(parts, " ")
+}
+
+func (l *Losses) writeSeconds(w io.Writer) {
+	shown := l.Outcomes[:min(len(l.Outcomes), outcomesDrawn)]
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "\nSECOND")
+	for _, o := range shown {
+		fmt.Fprintf(t, "\t%d %s", o.Status, o.Reason)
+	}
+	fmt.Fprintln(t, "\t")
+	for second := range l.seconds() {
+		fmt.Fprint(t, second)
+		for _, o := range shown {
+			fmt.Fprintf(t, "\t%d", o.at(second))
+		}
+		fmt.Fprintln(t, "\t")
+	}
+	_ = t.Flush()
+}
+
+// seconds returns how many seconds the requests span.
+func (l *Losses) seconds() int {
+	n := 0
+	for _, o := range l.Outcomes {
+		n = max(n, len(o.Seconds))
+	}
+	return n
+}
+
+func (o *Outcome) at(second int) int {
+	if second >= len(o.Seconds) {
+		return 0
+	}
+	return o.Seconds[second]
+}
+
+var errNoRequests = errors.New("the logs hold no requests")
+
+// Plot draws the requests by second, a curve for each of the most frequent outcomes,
+// into a file whose ending names the format.
+func (l *Losses) Plot(file string) error {
+	if l.Requests == 0 {
+		return fmt.Errorf("plot %s: %w", file, errNoRequests)
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Requests by outcome", "s", "requests"
+	p.Legend.Top = true
+	p.Y.Min = 0
+	var lines []any
+	for _, o := range l.Outcomes[:min(len(l.Outcomes), outcomesDrawn)] {
+		points := make(plotter.XYs, l.seconds())
+		for i := range points {
+			points[i].X, points[i].Y = float64(i), float64(o.at(i))
+		}
+		lines = append(lines, fmt.Sprintf("%d %s", o.Status, o.Reason), points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot %s: %w", file, err)
+	}
+	if err := p.Save(plotWidth, plotHeight, file); err != nil {
+		return fmt.Errorf("plot %s: %w", file, err)
+	}
+	return nil
+}
