--- /dev/null
+++ b/internal/gateway/cold.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"hemlockquay/internal/decide/pick"
+)
+
+// coldSamples is how many answers the coldness reaches over: a first idea after two or
+// three, and within a second of many cold keys the mean of their spread.
+const coldSamples = 8
+
+// coldnessOf returns how many usual requests one for a cold key is worth; 1 until it
+// was measured.
+func (s *state) coldnessOf(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.coldnessLocked(service)
+}
+
+func (s *state) coldnessLocked(service string) float64 { return max(1, s.coldness[service]) }
+
+// coldWorkLocked returns the same as a whole number.
+func (s *state) coldWorkLocked(service string) int { return int(math.Round(s.coldnessLocked(service))) }
+
+// learnColdLocked takes in the answer to a request for a cold key. It tells nothing of
+// the target's speed, nor of what such requests take.
+//
+// Failure: half of a service's targets were lost, and the keys were cold at the others.
+// Those were taken for four times slower than they are: requests for warm keys were
+// expected late, and their keys moved on, cold once more.
+func (s *state) learnColdLocked(e *attempt, took time.Duration) {
+	usual := e.usual / time.Duration(e.work)
+	if usual <= 0 {
+		return
+	}
+	ratio := pick.Bounded(float64(took) / (float64(usual) * e.rounds * e.target.pick.Slowness()))
+	old := s.coldnessLocked(e.service)
+	s.coldness[e.service] = old + (ratio-old)/coldSamples
+}
--- /dev/null
+++ b/internal/gateway/storestate.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/platform"
+)
+
+// noteStore notes from the end of a call, sent at that time, whether the store answers.
+//
+// Failure: the store is away for seconds and returns. Calls that were sent before run
+// into their timeouts after others have been answered, and each took the store for lost
+// once more. The other VMs took such a grantor for cut off and succeeded it while it
+// lived, so that keys of lost targets waited for its authority to end, fourteen seconds;
+// and entries that were missing were waited for anew each time. A failure counts only if
+// its call was sent after the latest answer.
+func (n *node) noteStore(sent time.Duration, err error) {
+	switch {
+	case errors.Is(err, context.Canceled):
+		// The call was given up here.
+	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrGone):
+		n.storeAnsweredAt.Store(int64(n.clock.Now()))
+		n.storeState(true, nil)
+	case int64(sent) >= n.storeAnsweredAt.Load():
+		n.storeState(false, err)
+	}
+}
+
+func (n *node) storeState(up bool, cause error) {
+	if n.storeUp.Swap(up) != up {
+		n.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
+	}
+	n.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
+		if up {
+			m.StoreBack(now)
+		} else {
+			m.StoreLost()
+		}
+	})
+}
