A key hotter than any owner stays at a fast one

Cause: a full target measures slower by a fifth than an idle one, so the owner of a key that is too hot for any came out slower each time, and the key moved every 0.6 s. Change: a range that overloads its new owner, too, moves only for 0.3 of the load. Kept for the moves that it saves (TestKeyHotterThanAnyOwnerStays: 39 -> 2).

--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -13,6 +13,13 @@
 // the key that halves its load. A single key cannot be divided: all others leave
 // its owner.
 //
+// A key that is too hot for any owner stays where it is, unless another is faster by
+// more than measurements err.
+//
+// Failure: one key gets twice what the fastest owner can do. Its owner is full and so
+// measures slower than the others, and the key moved each 0.6 s for as long as it was
+// hot, without service during each move.
+//
 // Grounds: a move costs the requests for that range a wait of a few milliseconds
 // and the rest of the work that runs; so nothing moves below busyLeast, nor for
 // less than gainLeast of the owner's capacity.
@@ -30,8 +37,11 @@
 	// fillMost is the load up to which an owner may get ranges only to even out
 	// their number: well below busyLeast, so that it need not give them up again.
 	fillMost = 0.3
-	// gainLeast is by how much the load of the two owners must come closer.
+	// gainLeast is by how much the higher load of the two owners must fall. Where the
+	// range overloads its new owner, too, it is gainShare of the load: a target that
+	// is full is slower by a fifth, and loads are measured to about a tenth.
 	gainLeast = 0.08
+	gainShare = 0.3
 	// divideLeast is the share of an owner's capacity above which a range is
 	// divided rather than moved whole.
 	divideLeast = 0.25
@@ -109,7 +119,7 @@
 		if target < 0 {
 			continue
 		}
-		if g := p.gain(r.Rate, from, target); g > gain {
+		if g := p.gain(r.Rate, from, target); g > max(gain, p.least(r.Rate, from, target)) {
 			best, to, gain = i, target, g
 		}
 	}
@@ -167,6 +177,14 @@
 	return best
 }
 
+// least is the gain below which the range stays.
+func (p *plan) least(rate float64, from, to int) float64 {
+	if p.load[to]+rate/p.capacity[to] < 1 {
+		return gainLeast
+	}
+	return max(gainLeast, gainShare*p.load[from])
+}
+
 // gain is by how much the higher of the two loads falls.
 func (p *plan) gain(rate float64, from, to int) float64 {
 	before := max(p.load[from], p.load[to])
--- a/internal/decide/keyspread/keyspread_test.go
+++ b/internal/decide/keyspread/keyspread_test.go
@@ -1,6 +1,7 @@
 package keyspread
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -76,6 +77,31 @@
 	}
 }
 
+// One key gets twice what the fastest owner can do. A target that is full is slower by
+// a fifth than an idle one, so its owner always came out slower than the others, and the
+// key moved every 0.6 s for as long as it was hot, without service during each move. It
+// goes to a fast one and stays.
+func TestKeyHotterThanAnyOwnerStays(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 1))
+	ranges := []Range{{Owner: 0, Rate: 230}, {Owner: 1, Rate: 20}, {Owner: 2, Rate: 25}, {Owner: 3, Rate: 15}}
+	moves := 0
+	for range 40 {
+		capacity := make([]float64, 4)
+		for i, usual := range []float64{60, 120, 120, 120} {
+			capacity[i] = usual * (0.95 + 0.1*draw.Float64())
+		}
+		capacity[ranges[0].Owner] *= 0.8
+		for _, m := range Decide(ranges, capacity).Moves {
+			if m.Range == 0 {
+				moves++
+			}
+			ranges[m.Range].Owner = m.To
+		}
+	}
+	require.NotZero(t, ranges[0].Owner, "not at the slow one")
+	require.LessOrEqual(t, moves, 2)
+}
+
 // Owners are of unequal speed: the slow one must get less.
 func TestSlowOwnerGetsLess(t *testing.T) {
 	capacity := []float64{10, 40, 40}
