Nearly all repeats that follow from the requests are used

Cause: seven tenths of the operators' limit were used, of the ratio as of the constant. A VM that restarts gets only its part of the constant anew; what the ratio gives follows from the requests that it has seen since.

--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -26,10 +26,12 @@
 	// buckets divide the window; one more is kept, so that the count covers
 	// the window at least.
 	buckets = 20
-	// used is the part of the limit that is used: requests near the edge of a
-	// window are counted in one by us and in the next by others, and a VM that
-	// restarts gets its part anew.
-	used = 0.7
+	// ratioUsed and slackUsed are the parts of the limit that are used. Requests near
+	// the edge of a window are counted in one by us and in the next by others; and a
+	// VM that restarts gets its part of the constant anew, while what the ratio gives
+	// follows from the requests that it has seen since.
+	ratioUsed = 0.9
+	slackUsed = 0.7
 )
 
 // Budget counts one service at one VM. It is not safe for concurrent use.
@@ -48,7 +50,7 @@
 // tells whether there was one.
 func (b *Budget) Repeat(l Limit, vms int, now time.Duration) bool {
 	b.advance(l, now)
-	allowed := used * (l.Ratio*sum(b.requests[:]) + l.Slack/float64(max(vms, 1)))
+	allowed := ratioUsed*l.Ratio*sum(b.requests[:]) + slackUsed*l.Slack/float64(max(vms, 1))
 	if sum(b.repeats[:])+1 > allowed {
 		return false
 	}
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -52,3 +52,18 @@
 	require.False(t, b.Repeat(limit, 8, 5*time.Second))
 	require.True(t, b.Repeat(limit, 8, 11*time.Second))
 }
+
+// Targets refuse half of their requests for no lasting reason. What the operators allow is
+// repeated, nearly all of it: each repeat that is left out is a caller that is refused.
+func TestNearlyAllOfTheRatioIsUsed(t *testing.T) {
+	var b Budget
+	requests, repeats := 0, 0
+	for now := time.Duration(0); now < limit.Window; now += 10 * time.Millisecond {
+		b.Request(limit, now)
+		requests++
+		if b.Repeat(limit, 8, now) {
+			repeats++
+		}
+	}
+	require.Greater(t, float64(repeats), 0.85*limit.Ratio*float64(requests))
+}
