A caller whom a target with free slots refused comes back at once

Cause: the time after which it may come back was a service time, as for a full target, so that its second try ended after its objective.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -161,7 +161,8 @@
 	}
 	n.state.finish(e, endFailed)
 	c.tried[e.id] = true
-	if c.keyed && e.load >= e.target.Slots {
+	c.shedFree = e.load < e.target.Slots
+	if c.keyed && !c.shedFree {
 		out := c.giveUp("owner is full", n.retryAfter(c))
 		return &out
 	}
@@ -171,7 +172,13 @@
 }
 
 // retryAfter returns when a place should be free.
+//
+// Load pattern: targets refuse a part of their requests though they have free slots. A
+// caller that waits for a place that is free already comes too late for its objective.
 func (n *node) retryAfter(c *call) time.Duration {
+	if c.shedFree {
+		return soonRetry
+	}
 	n.state.mu.Lock()
 	usual := n.state.usualLocked(c.service, c.route.Name)
 	n.state.mu.Unlock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,6 +33,8 @@
 	last   *upstream.Answer
 	trace  []string
 	waited time.Duration
+	// shedFree says that the last target refused it while it had a free slot.
+	shedFree bool
 	// refusedOn tells what the last refusal of a target was decided on.
 	refusedOn string
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -35,6 +35,9 @@
 	// come back: a full target has a free place after about a service time.
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = time.Second
+	// soonRetry is when a caller may come back whom a target with free slots refused:
+	// at once, but for the time that a new connection takes anyway.
+	soonRetry = 10 * time.Millisecond
 	// crashLimit is how many targets a request may have ended before it is
 	// refused. With two, a popular request that ran on two targets that ended for
 	// another reason would be refused everywhere.
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -300,3 +300,19 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.EqualValues(t, 2, b.hits.Load())
 }
+
+// A target refuses part of its requests though its slots are free, and no repeats are
+// left. The caller is told to come back at once: told to wait for a place, its second
+// try was answered later than its objective.
+func TestCallerOfATargetWithFreeSlotsComesBackAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.state.setLimit((&Settings{Repeats: Repeats{Window: defaultWindow}}).limits())
+	b.target("k", "keyed", sheds)
+	b.state.own("keyed", 1, 1, "k", lease.Served)
+	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.EqualValues(t, 1, b.hits.Load())
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.LessOrEqual(t, after, 0.02)
+}
