Calls to the store from before its latest answer do not lose it again

Change: a failure counts only if its call was sent after the latest answer; every call tells of its end in one place.

--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -263,7 +263,6 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o, err := k.n.store.Get(ctx, k.id())
-	k.n.noteStore(err)
 	if err != nil {
 		return lease.Record{}, 0, err
 	}
@@ -285,7 +284,6 @@
 		return 0, fmt.Errorf("encode record of %s: %w", k.service, err)
 	}
 	o, err := platform.Write(ctx, k.n.store, platform.Object{Kind: kindLeases, Name: k.service, Version: version, Writer: k.n.tag(), Spec: spec})
-	k.n.noteStore(err)
 	return o.Version, err
 }
 
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -58,7 +60,7 @@
 	}
 	require.False(t, stands)
 
-	n.noteStore(platform.ErrUnavailable)
+	n.noteStore(clock.now, platform.ErrUnavailable)
 	_, stands = k.candidate()
 	require.True(t, stands, "a VM without the store succeeds nobody")
 }
@@ -123,3 +125,26 @@
 	require.Equal(t, place(0, 0, 0, 0), place(1000, 1000, 1000, 1000))
 	require.Equal(t, place(900, 900, 900, 900), place(900, 1000, 1000, 1000), "small differences change nothing")
 }
+
+// The store was away for eight seconds and is back. A watch that was sent before runs into
+// its timeout after other calls were answered: the VM still reaches the store. Taken for
+// cut off, a grantor was succeeded while it lived.
+func TestCallsFromBeforeTheStoreReturnedDoNotLoseItAgain(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	sent := clock.now
+	n.noteStore(sent, platform.ErrUnavailable)
+	require.True(t, n.Heartbeat().StoreLost)
+	clock.now += time.Second
+	n.noteStore(clock.now, nil)
+	require.False(t, n.Heartbeat().StoreLost)
+	n.noteStore(sent, platform.ErrAmbiguous)
+	require.False(t, n.Heartbeat().StoreLost, "the call is older than the latest answer")
+	n.noteStore(clock.now, platform.ErrAmbiguous)
+	require.True(t, n.Heartbeat().StoreLost)
+	n.noteStore(clock.now, platform.ErrGone)
+	require.False(t, n.Heartbeat().StoreLost, "a store that has dropped its history answers")
+	n.noteStore(clock.now, errors.Join(platform.ErrAmbiguous, context.Canceled))
+	require.False(t, n.Heartbeat().StoreLost, "a call that was given up says nothing")
+}
--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -137,7 +137,6 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	list, err := l.n.store.ListKind(ctx, l.n.adapter.TargetKind())
-	l.n.noteStore(err)
 	if err != nil {
 		return nil, fmt.Errorf("list targets: %w", err)
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -46,8 +46,10 @@
 	tags     atomic.Uint64
 	// startedAt is when this process began, on clock.
 	startedAt time.Duration
-	// storeUp tells whether the store answered last.
-	storeUp atomic.Bool
+	// storeUp tells whether the store answered last, storeAnsweredAt when it did, on
+	// clock.
+	storeUp         atomic.Bool
+	storeAnsweredAt atomic.Int64
 	// toldAt is when the store, or a VM that it answers, last told of the targets,
 	// on clock.
 	toldAt atomic.Int64
@@ -82,11 +84,12 @@
 
 func newNode(s *Settings, a Adapter, clock boottime.Clock, logger *log.Logger, registry metrics.Registry) *node {
 	n := &node{
-		settings: s, adapter: a, headers: a.Headers(), store: countedStore{a.Store(s.Store), registry}, clock: clock, log: logger, registry: registry,
+		settings: s, adapter: a, headers: a.Headers(), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), lines: newRequestLines(registry), startedAt: clock.Now(),
 		bodies: newBodyRoom(s.MemoryMB),
 	}
+	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
 	n.grace.Store(int64(s.Grace))
 	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -6,51 +6,49 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 )
 
-// countedStore counts and times the calls to the store by what they do and to which
-// kind, and counts those that the store did not answer: each call is paid for.
-type countedStore struct {
+// observedStore counts and times the calls to the store by what they do and to which
+// kind, and counts those that the store did not answer: each call is paid for. It tells
+// of the end of each, so that the VM knows whether the store answers.
+type observedStore struct {
 	platform.ObjectStore
 	registry metrics.Registry
+	clock    boottime.Clock
+	// ended takes in the end of a call that was sent at that time.
+	ended func(sent time.Duration, err error)
 }
 
-func (c countedStore) note(what string, kind model.Kind, begin time.Time, err error) {
-	metrics.GetOrRegisterTimer("step.store."+what, c.registry).UpdateSince(begin)
-	metrics.GetOrRegisterCounter("store.calls."+what+"."+string(kind), c.registry).Inc(1)
+// observe runs a call.
+func observe[T any](s observedStore, what string, kind model.Kind, call func() (T, error)) (T, error) {
+	begin, sent := time.Now(), s.clock.Now()
+	out, err := call()
+	metrics.GetOrRegisterTimer("step.store."+what, s.registry).UpdateSince(begin)
+	metrics.GetOrRegisterCounter("store.calls."+what+"."+string(kind), s.registry).Inc(1)
 	if err != nil {
-		metrics.GetOrRegisterCounter("store.failures."+what+"."+string(kind), c.registry).Inc(1)
+		metrics.GetOrRegisterCounter("store.failures."+what+"."+string(kind), s.registry).Inc(1)
 	}
+	s.ended(sent, err)
+	return out, err
 }
 
-func (c countedStore) Get(ctx context.Context, id platform.ID) (platform.Object, error) {
-	begin := time.Now()
-	o, err := c.ObjectStore.Get(ctx, id)
-	c.note("get", id.Kind, begin, err)
-	return o, err
+func (s observedStore) Get(ctx context.Context, id platform.ID) (platform.Object, error) {
+	return observe(s, "get", id.Kind, func() (platform.Object, error) { return s.ObjectStore.Get(ctx, id) })
 }
 
-func (c countedStore) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
-	begin := time.Now()
-	written, err := c.ObjectStore.Put(ctx, o)
-	c.note("put", o.Kind, begin, err)
-	return written, err
+func (s observedStore) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return observe(s, "put", o.Kind, func() (platform.Object, error) { return s.ObjectStore.Put(ctx, o) })
 }
 
-func (c countedStore) ListKind(ctx context.Context, kind model.Kind) (platform.Listing, error) {
-	begin := time.Now()
-	l, err := c.ObjectStore.ListKind(ctx, kind)
-	c.note("list", kind, begin, err)
-	return l, err
+func (s observedStore) ListKind(ctx context.Context, kind model.Kind) (platform.Listing, error) {
+	return observe(s, "list", kind, func() (platform.Listing, error) { return s.ObjectStore.ListKind(ctx, kind) })
 }
 
-func (c countedStore) WatchKind(ctx context.Context, kind model.Kind, from uint64, wait time.Duration) (platform.Changes, error) {
-	begin := time.Now()
-	changes, err := c.ObjectStore.WatchKind(ctx, kind, from, wait)
-	c.note("watch", kind, begin, err)
-	return changes, err
+func (s observedStore) WatchKind(ctx context.Context, kind model.Kind, from uint64, wait time.Duration) (platform.Changes, error) {
+	return observe(s, "watch", kind, func() (platform.Changes, error) { return s.ObjectStore.WatchKind(ctx, kind, from, wait) })
 }
 
 // gauges shows what the VM believes, and how old it is.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -63,7 +63,6 @@
 			n.log.Warn().Str("step", "watch").Str("kind", string(kind)).Err(err).Msg("history gone, listing again")
 			continue
 		}
-		n.storeState(false, err)
 		pause.For(ctx, wait)
 		wait = min(2*wait, storePauseMost)
 	}
@@ -104,16 +103,6 @@
 // them.
 func linkClass(mbps uint32) int { return bits.Len32(mbps) }
 
-// noteStore notes from the end of a call whether the store answers.
-func (n *node) noteStore(err error) {
-	switch {
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrAmbiguous):
-		n.storeState(false, err)
-	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
-		n.storeState(true, nil)
-	}
-}
-
 func (n *node) listOnce(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -121,7 +110,6 @@
 	if err != nil {
 		return 0, fmt.Errorf("list %s: %w", kind, err)
 	}
-	n.storeState(true, nil)
 	list(l)
 	return l.Revision, nil
 }
@@ -134,7 +122,6 @@
 		if err != nil {
 			return fmt.Errorf("watch %s from %d: %w", kind, revision, err)
 		}
-		n.storeState(true, nil)
 		n.toldAt.Store(int64(n.clock.Now()))
 		if len(changes.Events) > 0 {
 			change(changes)
@@ -145,20 +132,6 @@
 	return ctx.Err()
 }
 
-// storeState notes whether the store answers.
-func (n *node) storeState(up bool, cause error) {
-	if n.storeUp.Swap(up) != up {
-		n.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
-	}
-	n.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
-		if up {
-			m.StoreBack(now)
-		} else {
-			m.StoreLost()
-		}
-	})
-}
-
 // changeMembersQuietly applies what changes no target by itself.
 func (s *state) changeMembersQuietly(change func(m *catalog.Members, now time.Duration)) {
 	s.mu.Lock()
