Requests for cold keys are known, bounded, and counted by their work

Change: the grantor tells which slices are cold; a request for one counts as several, does not queue, and says nothing of the target's speed.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -36,6 +36,10 @@
 	// slots: what runs, and a queue of twice as much. Targets queue about
 	// four times their slots; our view of the other VMs is 0.1 s old.
 	queueFactor = 3
+	// coldFactor bounds what is at a target when a request for a cold key is added, in
+	// units of its slots: such requests hold half of the slots at most, where they
+	// take four times as long as others, and do not queue.
+	coldFactor = 2
 	// TellEvery is the time between two calls of Told. unseenFade lets what was not
 	// seen fade within the period of the VMs' words, 0.15 s. unseenShare is how
 	// much of what this VM sends the others send too: half, since most load is
@@ -56,7 +60,7 @@
 	// Slots is how many requests it runs at a time.
 	Slots int
 	// Own is how many requests of this VM are there, Others those of the other
-	// VMs as they last said.
+	// VMs as they last said. One for a cold key counts for several.
 	Own, Others int
 	// Near says that it is in this VM's data centre.
 	Near bool
@@ -70,24 +74,25 @@
 	restUntil time.Duration
 }
 
-// Load returns the requests of all VMs at the target.
+// Load returns the requests of all VMs at the target, in usual ones.
 func (s *State) Load() int { return s.Own + s.Others + int(s.Unseen) }
 
-// Sent notes a request that goes there, of one of so many VMs.
+// Sent notes a request that goes there, of one of so many VMs, with what it counts for
+// in usual requests.
 //
 // Load pattern: a key turns hot. Within the 0.15 s between two words of the other
 // VMs each of eight sends its owner what fits there by its own count; the owner
 // gets several times what it can queue, and does not answer the rest.
-func (s *State) Sent(vms int) {
-	s.Own++
-	s.Unseen += unseenShare * float64(vms-1)
+func (s *State) Sent(vms, work int) {
+	s.Own += work
+	s.Unseen += unseenShare * float64(vms-1) * float64(work)
 }
 
 // Gone notes that a request of this VM ended there: those of the others that were
 // sent with it have ended, too.
-func (s *State) Gone(vms int) {
-	s.Own--
-	s.Unseen = max(0, s.Unseen-unseenShare*float64(vms-1))
+func (s *State) Gone(vms, work int) {
+	s.Own -= work
+	s.Unseen = max(0, s.Unseen-unseenShare*float64(vms-1)*float64(work))
 }
 
 // Told takes in what the other VMs have there. It is called each TellEvery.
@@ -99,6 +104,17 @@
 // Full tells whether it may queue no more.
 func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
 
+// TakesCold tells whether it may get a request for a cold key, which counts for so many
+// usual ones.
+//
+// Load pattern: half of the targets are lost at once, and the rest gets their keys
+// without their state. Requests for these take four times as long. Taken in turn with
+// the others they fill all slots, and nearly every answer is late; bounded, they leave
+// room for the keys that are served as fast as ever.
+func (s *State) TakesCold(work int) bool {
+	return work <= 1 || s.Load() == 0 || s.Load()+work <= coldFactor*max(s.Slots, 1)
+}
+
 // Resting tells whether it could not be reached just now.
 func (s *State) Resting(now time.Duration) bool { return now < s.restUntil }
 
@@ -159,11 +175,14 @@
 	if usual <= 0 || took <= 0 {
 		return
 	}
-	ratio := float64(took) / (float64(usual) * rounds)
-	ratio = min(max(ratio, 1/slowestRatio), slowestRatio)
+	ratio := Bounded(float64(took) / (float64(usual) * rounds))
 	s.logSlow += (math.Log(ratio) - s.logSlow) / samples
 }
 
+// Bounded bounds a ratio of measured to expected time, so that one answer does not count
+// for too much.
+func Bounded(ratio float64) float64 { return min(max(ratio, 1/slowestRatio), slowestRatio) }
+
 // Failed takes in a request that the target ran or refused without success.
 func (s *State) Failed() { s.failures += (1 - s.failures) / failureSamples }
 
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -106,7 +106,7 @@
 	for range 20 {
 		for i := range views {
 			if !views[i].Full() {
-				views[i].Sent(vms)
+				views[i].Sent(vms, 1)
 				sent++
 			}
 		}
@@ -127,7 +127,7 @@
 	s := State{Slots: 2}
 	for range 1000 {
 		require.False(t, s.Full())
-		s.Sent(8)
-		s.Gone(8)
+		s.Sent(8, 1)
+		s.Gone(8, 1)
 	}
 }
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -188,13 +188,23 @@
 		return err
 	}
 	done := k.n.clock.Now()
-	timing := lease.Timing{Hold: min(holdTime, k.n.settings.HoldMost.D()), Renew: renewEvery, Retry: orderRetry}
+	timing := lease.Timing{Hold: min(holdTime, k.n.settings.HoldMost.D()), Renew: renewEvery, Retry: orderRetry, Cold: k.coldMove()}
 	k.n.log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
 		Int("slices", len(next.Slices)).Int("past", int(past)).Msg("grantor of the service")
 	newLeader(k, lease.NewGrantor(next, timing, sent, done, past), version).run(ctx)
 	return nil
 }
 
+// coldMove is how long keys are slow at an owner that got them without the state of
+// the last one.
+func (k *keeper) coldMove() time.Duration {
+	t := k.n.state.view.Load().Routes
+	if t == nil {
+		return 0
+	}
+	return t.Config().Services[k.service].ColdMove
+}
+
 // past tells what may still be in force of the grantor before. Its process has
 // ended for sure where another one runs at its address: this one, or one that the
 // mesh knows.
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -22,6 +22,10 @@
 	rounds   float64
 	expected time.Duration
 	load     int
+	// cold says that the key is cold at its owner; work is what the request counts
+	// for there, in usual requests.
+	cold bool
+	work int
 }
 
 // refusal says why no target was chosen.
@@ -41,6 +45,7 @@
 	refusedMoving refusal = "key on the move"
 	refusedLost   refusal = "owner of the key is lost"
 	refusedLate   refusal = "cannot be done in time"
+	refusedCold   refusal = "owner is full and the key cold"
 )
 
 // chooseFromPool reserves the best target of a service without keys.
@@ -65,7 +70,7 @@
 	if i < 0 {
 		return nil, refusedFull
 	}
-	return s.reserveLocked(owners[i], service, rt.Name, left)
+	return s.reserveLocked(owners[i], service, rt.Name, left, 1)
 }
 
 // chooseOwner reserves the target that owns the key, and tells what it decided
@@ -92,25 +97,32 @@
 	case t.pick.Full():
 		return nil, refusedFull, t.inputs()
 	}
-	e, why := s.reserveLocked(t, service, route, left)
+	work := 1
+	if how == lease.Cold {
+		if work = s.coldWorkLocked(service); !t.pick.TakesCold(work) {
+			return nil, refusedCold, t.inputs()
+		}
+	}
+	e, why := s.reserveLocked(t, service, route, left, work)
 	if e == nil {
 		return nil, why, t.inputs()
 	}
+	e.cold = how == lease.Cold
 	return e, why, ""
 }
 
 // reserveLocked needs s.mu.
-func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration) (*attempt, refusal) {
-	usual := s.usualLocked(service, route)
+func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration, work int) (*attempt, refusal) {
+	usual := s.usualLocked(service, route) * time.Duration(work)
 	e := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
-		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(),
+		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), work: work,
 	}
 	// Half of the expected time is about the fastest that it turns out to be.
 	if usual > 0 && t.pick.Load() > t.pick.Slots && e.expected/2 > left {
 		return nil, refusedLate
 	}
-	t.pick.Sent(s.vms)
+	t.pick.Sent(s.vms, work)
 	return e, refusedNone
 }
 
@@ -135,9 +147,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &e.target.pick
-	t.Gone(s.vms)
+	t.Gone(s.vms, e.work)
 	switch how {
 	case endAnswered:
+		if e.cold {
+			s.learnColdLocked(e, took)
+			return
+		}
 		t.Answered(took, e.usual, e.rounds)
 		s.learnLocked(e.service, e.route, time.Duration(float64(took)/(e.rounds*t.Slowness())))
 	case endFailed:
@@ -146,7 +162,7 @@
 		t.Lost(s.clock.Now())
 	case endLeft:
 		// An answer that did not come in time is a sign, too.
-		if took > 2*e.expected && e.usual > 0 {
+		if !e.cold && took > 2*e.expected && e.usual > 0 {
 			t.Answered(took, e.usual, e.rounds)
 		}
 	}
--- a/internal/gateway/spread.go
+++ b/internal/gateway/spread.go
@@ -127,15 +127,20 @@
 		from[i] = s.From
 	}
 	sums := l.load.rates.Sums(from)
+	coldness := l.n.state.coldnessOf(l.service)
 	ranges := make([]keyspread.Range, len(record.Slices))
 	for i, s := range record.Slices {
 		owner, ok := index[s.Owner]
 		if !ok {
 			owner = -1
 		}
+		state, rate := l.grants.State(i, now), sums[i].Rate
+		if state == lease.Cold {
+			rate *= coldness
+		}
 		ranges[i] = keyspread.Range{
-			Owner: owner, Rate: sums[i].Rate, Divisible: sums[i].Keys > 1,
-			Fixed: l.grants.State(i, now) != lease.Served || s.Previous.Known(),
+			Owner: owner, Rate: rate, Divisible: sums[i].Keys > 1,
+			Fixed: !state.Serves() || s.Previous.Known(),
 		}
 	}
 	return ranges, sums, capacity
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -51,6 +51,8 @@
 	targets   map[string]*tracked
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
+	// coldness is how many usual requests one for a cold key is worth, by service.
+	coldness map[string]float64
 	// crashes dates the targets that ended under a request, by their hashes.
 	crashes map[uint64]map[uint32]time.Duration
 	// keyLoad counts requests by service and key since the grantor last asked.
@@ -80,7 +82,7 @@
 		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
 		routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince),
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
-		durations: make(map[string]*duration.Table), crashes: make(map[uint64]map[uint32]time.Duration),
+		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -106,7 +106,7 @@
 			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
 		}
 		// The new owner was not granted these keys.
-		s.granted, s.inherited, s.outAt, s.retryAt = false, false, 0, 0
+		s.granted, s.inherited, s.outAt, s.retryAt, s.moved = false, false, 0, 0, true
 		s.fence = g.fence()
 	}
 	g.record = next
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -12,6 +12,9 @@
 	Renew time.Duration
 	// Retry is the pause after a failed order.
 	Retry time.Duration
+	// Cold is how long an owner is slow with keys that it got without the state of
+	// the last owner.
+	Cold time.Duration
 }
 
 // Grantor is the state of one service's grantor in one epoch. Its clock counts
@@ -54,6 +57,10 @@
 	retryAt     time.Duration
 	// handover is the state that the next grant carries.
 	handover string
+	// moved says that the keys had another owner before; coldUntil is until when the
+	// owner is slow with them.
+	moved     bool
+	coldUntil time.Duration
 	// frozen says that a planned change of the slice is on its way to the store:
 	// neither owner may be granted for the first time until it is settled.
 	frozen bool
@@ -140,6 +147,9 @@
 	}
 	switch c := g.contacts[waitsFor]; {
 	case waitsFor.Same(sl.Owner) && s.granted && now < s.acked+g.timing.Hold:
+		if now < s.coldUntil {
+			return Cold
+		}
 		return Served
 	case c != nil && c.failures > 0:
 		return Unserved
@@ -233,7 +243,10 @@
 	}
 	switch r {
 	case Done:
-		s.granted, s.acked, s.handover = true, max(s.acked, sent), ""
+		if s.moved && o.Handover == "" {
+			s.coldUntil = over + g.timing.Cold
+		}
+		s.granted, s.acked, s.handover, s.moved = true, max(s.acked, sent), "", false
 		s.outAt = holdEnd(over, g.timing.Hold)
 	case Unanswered:
 		s.outAt = max(s.outAt, holdEnd(over, g.timing.Hold))
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -286,3 +286,50 @@
 		}
 	})
 }
+
+// A target is lost, and its keys go to another without the state that it had. For some
+// seconds they are slow there; whoever sends requests must know. Keys that were handed
+// over are as fast as before, and so are those that had no owner before.
+func TestKeysWithoutTheirStateAreCold(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	timing := worldTiming
+	timing.Cold = 5 * time.Second
+	now := time.Hour
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{a})}, timing, now, now, NoPast)
+	g.LifeConfirmed(a)
+	g.LifeConfirmed(b)
+	answer := func(r Result, handover string) {
+		for _, o := range g.Due(now) {
+			g.Ended(o, r, handover, now, now)
+		}
+	}
+	answer(Done, "")
+	require.Equal(t, Served, g.State(0, now), "its first owner")
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now, now)
+
+	release := g.Due(now)
+	require.Len(t, release, 2)
+	g.Ended(release[0], Done, "state", now, now)
+	g.Ended(release[1], Unreached, "", now, now)
+	answer(Done, "")
+	require.Equal(t, Served, g.State(0, now), "handed over")
+	for range 400 {
+		now += 10 * time.Millisecond
+		for _, o := range g.Due(now) {
+			r := Done
+			if o.Kind == Release {
+				r = Unreached
+			}
+			g.Ended(o, r, "", now, now)
+		}
+	}
+	require.Equal(t, Cold, g.State(1, now), "waited out")
+	require.True(t, Cold.Serves())
+	for range 500 {
+		now += 10 * time.Millisecond
+		answer(Done, "")
+		g.Confirmed(now)
+	}
+	require.Equal(t, Served, g.State(1, now))
+	require.Equal(t, Served, g.State(0, now))
+}
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -31,8 +31,14 @@
 	// Unserved: a target that may hold the keys does not answer, and they are
 	// without service until its hold has run out; requests are refused.
 	Unserved
+	// Cold: served, but the owner got the keys without the state of the last one and
+	// is slow with them.
+	Cold
 )
 
+// Serves tells whether the owner answers for the keys.
+func (s SliceState) Serves() bool { return s == Served || s == Cold }
+
 // NewRouting returns the routing of a record. state tells it of slice i.
 func NewRouting(r Record, seq uint64, state func(i int) SliceState) *Routing {
 	b := newRoutingBuilder(Routing{Service: r.Service, Epoch: r.Epoch, Seq: seq, Holder: r.Holder, Incarnation: r.Incarnation}, len(r.Slices))
