--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -124,7 +124,7 @@
 		}
 	}
 	hot := p.hottestRange(from)
-	if hot >= 0 && p.ranges[hot].Rate/p.capacity[from] > divideLeast && (best < 0 || best == hot) {
+	if hot >= 0 && p.ranges[hot].Rate/p.capacity[from] > divideLeast && (best < 0 || best == hot) && p.halfHelps(hot) {
 		p.ranges[hot].Fixed = true
 		p.out.Divide = append(p.out.Divide, hot)
 		return true
@@ -137,6 +137,17 @@
 	return true
 }
 
+// halfHelps tells whether half of a range would be better at another owner.
+//
+// Failure: all owners have more than they can do. Nothing could be gained by a move, so
+// their ranges were divided, each time they were looked at, to twice as many within four
+// seconds; the grantor could not renew them all in time and resigned.
+func (p *plan) halfHelps(i int) bool {
+	r := p.ranges[i]
+	to := p.coolestFor(r.Rate/2, r.Owner)
+	return to >= 0 && p.gain(r.Rate/2, r.Owner, to) > gainLeast
+}
+
 // hottest returns the most loaded owner that may still give up something.
 func (p *plan) hottest() int {
 	best := -1
--- a/internal/decide/keyspread/keyspread_test.go
+++ b/internal/decide/keyspread/keyspread_test.go
@@ -102,6 +102,17 @@
 	require.LessOrEqual(t, moves, 2)
 }
 
+// Half of the targets are lost, and all that are left have more than they can do. To divide
+// their ranges helps nobody, and each must be renewed by a call of its own.
+func TestNothingIsDividedWhereAllAreOverloaded(t *testing.T) {
+	capacity := []float64{30, 30, 30, 30}
+	var ranges []Range
+	for i := range 16 {
+		ranges = append(ranges, Range{Owner: i % 4, Rate: 12, Divisible: true})
+	}
+	require.Equal(t, Decision{}, Decide(ranges, capacity))
+}
+
 // Owners are of unequal speed: the slow one must get less.
 func TestSlowOwnerGetsLess(t *testing.T) {
 	capacity := []float64{10, 40, 40}
