A grantor that leaves goes on while nobody can take over

Change: it resigns only where it reaches the store or another VM was answered by it just now (heartbeats say so); else it grants until its grace ends. The others let a grantor that leaves stand until it says that it has given up.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -68,6 +68,8 @@
 
 // run leads until another grantor took over or the context ends.
 func (l *leader) run(ctx context.Context) {
+	l.n.leading.Add(1)
+	defer l.n.leading.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer l.orderUntil.Store(0)
@@ -112,7 +114,8 @@
 		l.deposed = true
 		return
 	}
-	if l.lag.note(now) || l.n.leaving.Load() || l.strayed(now) {
+	slow := l.lag.note(now)
+	if (slow || l.n.leaving.Load() || l.strayed(now)) && l.succeedable() {
 		l.unfit = true
 	}
 	if l.unfit {
@@ -130,6 +133,13 @@
 	l.tell(now)
 }
 
+// succeedable tells whether another VM could take over.
+//
+// Failure: the store is away, and the grantor's VM is told to stop. It resigned; without
+// the store nobody can begin an epoch, and all keys lapsed within a hold and had no
+// service until the store was back. A grantor goes on for as long as its process may.
+func (l *leader) succeedable() bool { return l.n.storeUp.Load() || l.n.mesh.AnyReachesStore() }
+
 // strayed tells whether most owners leave orders unanswered.
 func (l *leader) strayed(now time.Duration) bool {
 	if now < l.strayNext {
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -148,3 +148,42 @@
 	n.noteStore(clock.now, errors.Join(platform.ErrAmbiguous, context.Canceled))
 	require.False(t, n.Heartbeat().StoreLost, "a call that was given up says nothing")
 }
+
+// The store is away, and the grantor's VM is told to stop. It resigned at once, nobody
+// could take over without the store, and no key of the service was served until it was
+// back. It goes on, the others let it, and it resigns when the store is back.
+func TestGrantorThatLeavesGoesOnWhileNobodyCanTakeOver(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	l := newLeader(&keeper{n: n, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.PastEnded), 1)
+	idle := mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 1}
+	n.hear(mesh.Heartbeat{From: idle}) // It has not called the store lately.
+	n.noteStore(clock.now, platform.ErrUnavailable)
+	n.leaving.Store(true)
+	l.step(t.Context())
+	require.False(t, l.unfit)
+	require.NotZero(t, l.orderUntil.Load(), "it may still order")
+
+	n.hear(mesh.Heartbeat{From: idle, StoreHeard: true})
+	l.step(t.Context())
+	require.True(t, l.unfit, "another VM reaches the store and can take over")
+}
+
+// The other side: a grantor that leaves and still has its duty is not succeeded. One that
+// took over while it was still sending orders had to wait for the end of its authority.
+func TestGrantorThatLeavesStandsUntilItResigns(t *testing.T) {
+	n := testNode(&handClock{now: time.Hour})
+	defer n.mesh.Close()
+	n.state.own("s", 3, 1, "t", lease.Served)
+	r := n.state.routing["s"]
+	r.Holder, r.Incarnation = "holder", 5
+	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}, Leaving: true})
+	_, stands := (&keeper{n: n, service: "s"}).candidate()
+	require.True(t, stands)
+	r.Holder = ""
+	_, stands = (&keeper{n: n, service: "s"}).candidate()
+	require.False(t, stands)
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -55,6 +55,8 @@
 	toldAt atomic.Int64
 	// listed tells whether the targets are known.
 	listed atomic.Bool
+	// leading counts the services whose grantor this VM is.
+	leading atomic.Int32
 	// unfitUntil is until when this VM is no grantor, on clock.
 	unfitUntil atomic.Int64
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
@@ -214,7 +216,8 @@
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
 	defer cancel()
 	err := n.front.Shutdown(stopCtx)
-	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Msg("front closed")
+	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", int(n.leading.Load())).Msg("front closed")
+	n.awaitSuccessors(stopCtx)
 	n.cancel()
 	n.mesh.Close()
 	n.peers.Close()
@@ -222,4 +225,11 @@
 	return errors.Join(err, n.ready.Close())
 }
 
+// awaitSuccessors waits until this VM is no grantor any more, which takes the store, or
+// until the process must end.
+func (n *node) awaitSuccessors(ctx context.Context) {
+	for n.leading.Load() > 0 && pause.For(ctx, leadStep) {
+	}
+}
+
 func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -148,7 +148,8 @@
 	return out
 }
 
-// Lives tells whether this life of a VM was heard of lately and does not leave.
+// Lives tells whether this life of a VM was heard of lately. One that leaves does its
+// duties until it says that it has given them up.
 func (m *Mesh) Lives(vm string, incarnation uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -156,7 +157,7 @@
 		return incarnation == m.self.Incarnation
 	}
 	r := m.remotes[vm]
-	return r != nil && r.member.Incarnation == incarnation && !r.heartbeat.Leaving && m.liveLocked(r, m.clock.Now())
+	return r != nil && r.member.Incarnation == incarnation && m.liveLocked(r, m.clock.Now())
 }
 
 // Replaced tells whether a process of a VM has ended: a later one runs at its
@@ -198,6 +199,20 @@
 	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
 }
 
+// AnyReachesStore tells whether the store answered another VM that lives and stays, just
+// now.
+func (m *Mesh) AnyReachesStore() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, r := range m.remotes {
+		if m.liveLocked(r, now) && !r.heartbeat.Leaving && r.heartbeat.StoreHeard {
+			return true
+		}
+	}
+	return false
+}
+
 // ReachesStore tells whether a VM said that the store answers it.
 func (m *Mesh) ReachesStore(vm string) bool {
 	m.mu.Lock()
