Orders that are not answered neither depose a grantor nor stop an owner's renewals

Change: an owner counts as silent after two order timeouts; four connections carry an owner's grants, and it is taken for gone after four failures in a row.

--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -30,6 +30,13 @@
 	// of their period. It is below 30 ms at the usual pace, and 230 ms for the
 	// first round of a new grantor.
 	waitMost = 400 * time.Millisecond
+	// strayedSilence is for how long an owner has left orders unanswered when it counts
+	// as silent: two orders in a row ran into their timeouts.
+	//
+	// Failure: targets leave a half of their orders unanswered. At each moment most
+	// owners had one, and the grantors resigned in turn, each after half a second;
+	// nothing was renewed meanwhile, and no key had an owner for ten seconds.
+	strayedSilence = 2 * grantTimeout
 	// settled is how long a grantor is not judged by its grants' waits.
 	//
 	// Failure: a service has more ranges than any VM can renew in time. The grantors
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		owners[s.Owner] = true
-		if l.grants.Silent(s.Owner, now) > 0 {
+		if l.grants.Silent(s.Owner, now) >= strayedSilence {
 			silent++
 		}
 	}
--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -119,7 +119,12 @@
 			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 			defer cancel()
 			lines[i].pool.Drop()
-			ok[i] = lines[i].pool.Connect(ctx) == nil
+			for range grantConns {
+				if lines[i].pool.Connect(ctx) != nil {
+					return
+				}
+				ok[i] = true
+			}
 		})
 	}
 	wait.Wait()
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -12,8 +13,14 @@
 	"hemlockquay/internal/upstream"
 )
 
-// orderLine sends the orders to one life of a target. Grants go one after the
-// other over a connection that was opened before the life was confirmed.
+// grantConns is how many connections to a target carry its grants. Where a target
+// leaves an order unanswered, its connection is lost; as many as may fail before the
+// target is taken for gone.
+const grantConns = 4
+
+// orderLine sends the orders to one life of a target. Grants go over connections that
+// were opened before the life was confirmed: what reaches the other end of such a
+// connection reaches that life, whatever became of the other connections.
 type orderLine struct {
 	pool     *upstream.Pool
 	grants   chan queuedGrant
@@ -48,14 +55,20 @@
 			grants: make(chan queuedGrant, len(l.grants.Record().Slices)+1), releases: make(chan struct{}, releasesAtOnce),
 		}
 		l.lines[o] = line
-		go l.serveLine(ctx, line)
+		var senders sync.WaitGroup
+		for range grantConns {
+			senders.Go(func() { l.serveLine(ctx, line) })
+		}
+		go func() {
+			senders.Wait()
+			line.pool.Close()
+		}()
 	}
 	return line
 }
 
-// serveLine sends the grants to one target.
+// serveLine sends grants to one target, one after the other.
 func (l *leader) serveLine(ctx context.Context, line *orderLine) {
-	defer line.pool.Close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -92,12 +105,6 @@
 	}
 	over := l.n.clock.Now()
 	metrics.GetOrRegisterTimer("step.order", l.n.registry).Update(over - sent)
-	if result == lease.Unanswered {
-		// Failure: a target went silent with several connections kept to it. Each
-		// was tried in turn, and each grant that may have arrived keeps its keys
-		// from others for another hold.
-		line.pool.Drop()
-	}
 	if err != nil || result != lease.Done {
 		l.n.log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Int("kind", int(o.Kind)).
 			Uint16("from", o.From).Uint64("fence", o.Fence).Int("result", int(result)).Dur("took", over-sent).Err(err).Msg("order not done")
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -26,7 +26,7 @@
 	confirmed time.Duration
 	nextFence uint64
 	// confirmedLives holds the targets that may be granted keys. A target is
-	// taken out when an order to it breaks.
+	// taken out when no connection that was opened before the confirmation is left.
 	confirmedLives map[Owner]bool
 	// ended holds lives that are over: they are not granted anything more.
 	ended    map[Owner]bool
@@ -249,8 +249,8 @@
 		s.granted, s.acked, s.handover, s.moved = true, max(s.acked, sent), "", false
 		s.outAt = holdEnd(over, g.timing.Hold)
 	case Unanswered:
+		// The connection is gone; others that were opened to the same life are not.
 		s.outAt = max(s.outAt, holdEnd(over, g.timing.Hold))
-		delete(g.confirmedLives, o.Target)
 		g.failed(s, over)
 	case Unreached:
 		delete(g.confirmedLives, o.Target)
