The most urgent requests may queue longer; cold keys only get free slots

And a request for a cold key that counts for four in the queue leaves slots idle where there are few others (a play of one owner over mixes of rates: a free slot, counted once, serves as much or more). Change: requests of the most urgent priority that is asked for may have three quarters of a round more than the others; requests for cold keys get a free slot or none.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -36,10 +36,9 @@
 	// slots: what runs, and a queue of twice as much. Targets queue about
 	// four times their slots; our view of the other VMs is 0.1 s old.
 	queueFactor = 3
-	// coldFactor bounds what is at a target when a request for a cold key is added, in
-	// units of its slots: such requests hold half of the slots at most, where they
-	// take four times as long as others, and do not queue.
-	coldFactor = 2
+	// urgentFactor is by how much longer the queue may be for the most urgent requests,
+	// in units of slots: targets queue about four times their slots.
+	urgentFactor = 0.75
 	// TellEvery is the time between two calls of Told. unseenFade lets what was not
 	// seen fade within the period of the VMs' words, 0.15 s. unseenShare is how
 	// much of what this VM sends the others send too: half, since most load is
@@ -60,7 +59,7 @@
 	// Slots is how many requests it runs at a time.
 	Slots int
 	// Own is how many requests of this VM are there, Others those of the other
-	// VMs as they last said. One for a cold key counts for several.
+	// VMs as they last said.
 	Own, Others int
 	// Near says that it is in this VM's data centre.
 	Near bool
@@ -70,29 +69,28 @@
 
 	logSlow   float64
 	failures  float64
-	lost      int
+	rests     int
 	restUntil time.Duration
 }
 
-// Load returns the requests of all VMs at the target, in usual ones.
+// Load returns the requests of all VMs at the target.
 func (s *State) Load() int { return s.Own + s.Others + int(s.Unseen) }
 
-// Sent notes a request that goes there, of one of so many VMs, with what it counts for
-// in usual requests.
+// Sent notes a request that goes there, of one of so many VMs.
 //
 // Load pattern: a key turns hot. Within the 0.15 s between two words of the other
 // VMs each of eight sends its owner what fits there by its own count; the owner
 // gets several times what it can queue, and does not answer the rest.
-func (s *State) Sent(vms, work int) {
-	s.Own += work
-	s.Unseen += unseenShare * float64(vms-1) * float64(work)
+func (s *State) Sent(vms int) {
+	s.Own++
+	s.Unseen += unseenShare * float64(vms-1)
 }
 
 // Gone notes that a request of this VM ended there: those of the others that were
 // sent with it have ended, too.
-func (s *State) Gone(vms, work int) {
-	s.Own -= work
-	s.Unseen = max(0, s.Unseen-unseenShare*float64(vms-1)*float64(work))
+func (s *State) Gone(vms int) {
+	s.Own--
+	s.Unseen = max(0, s.Unseen-unseenShare*float64(vms-1))
 }
 
 // Told takes in what the other VMs have there. It is called each TellEvery.
@@ -104,16 +102,21 @@
 // Full tells whether it may queue no more.
 func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
 
-// TakesCold tells whether it may get a request for a cold key, which counts for so many
-// usual ones.
+// FullFor tells the same for a request that may have the last places, or may not.
+func (s *State) FullFor(lastPlaces bool) bool {
+	if !lastPlaces {
+		return s.Full()
+	}
+	return float64(s.Load()) >= (queueFactor+urgentFactor)*float64(max(s.Slots, 1))
+}
+
+// TakesCold tells whether it may get a request for a cold key: only into a free slot.
 //
 // Load pattern: half of the targets are lost at once, and the rest gets their keys
-// without their state. Requests for these take four times as long. Taken in turn with
-// the others they fill all slots, and nearly every answer is late; bounded, they leave
-// room for the keys that are served as fast as ever.
-func (s *State) TakesCold(work int) bool {
-	return work <= 1 || s.Load() == 0 || s.Load()+work <= coldFactor*max(s.Slots, 1)
-}
+// without their state. Requests for these take four times as long, and are late anyway.
+// Queued with the others they hold all slots, and hardly an answer for the keys that are
+// as fast as ever is in time; kept out of the queue they leave nearly all of them so.
+func (s *State) TakesCold() bool { return s.Load() < max(s.Slots, 1) }
 
 // Resting tells whether it could not be reached just now.
 func (s *State) Resting(now time.Duration) bool { return now < s.restUntil }
@@ -146,6 +149,8 @@
 	// order, the first few of the list get nearly all requests, from all VMs at the
 	// same moment, and one that has just joined gets none.
 	First int
+	// LastPlaces says that it may have the last places of a full target.
+	LastPlaces bool
 }
 
 // enough is the number of service times that are soon enough.
@@ -170,7 +175,7 @@
 // Answered takes in an answer that took so long, where such requests usually take
 // usual. rounds is what Rounds was when it was sent.
 func (s *State) Answered(took, usual time.Duration, rounds float64) {
-	s.lost, s.restUntil = 0, 0
+	s.rests, s.restUntil = 0, 0
 	s.failures -= s.failures / failureSamples
 	if usual <= 0 || took <= 0 {
 		return
@@ -186,11 +191,18 @@
 // Failed takes in a request that the target ran or refused without success.
 func (s *State) Failed() { s.failures += (1 - s.failures) / failureSamples }
 
-// Lost takes in that the target was not reached or did not answer.
+// Unreached takes in that the target could not be connected to.
+func (s *State) Unreached(now time.Duration) { s.Lost(now) }
+
+// Lost takes in that an answer of the target did not come.
 func (s *State) Lost(now time.Duration) {
 	s.Failed()
-	s.restUntil = now + min(restFirst<<min(s.lost, 8), restMost)
-	s.lost++
+	s.rest(now)
+}
+
+func (s *State) rest(now time.Duration) {
+	s.restUntil = now + min(restFirst<<min(s.rests, 8), restMost)
+	s.rests++
 }
 
 // Choose returns the index of the best target, or -1 where all are full. skip
@@ -200,7 +212,7 @@
 	for k := range states {
 		i := (j.First + k) % len(states)
 		s := states[i]
-		if s.Full() || skip(i) {
+		if s.FullFor(j.LastPlaces) || skip(i) {
 			continue
 		}
 		score := s.score(j)
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -80,7 +80,7 @@
 // after a while with one request.
 func TestUnreachableTargetRests(t *testing.T) {
 	states := []*State{{Slots: 2, Near: true}, {Slots: 2, Own: 5}}
-	states[0].Lost(0)
+	states[0].Unreached(0)
 	require.Equal(t, 1, Choose(states, Job{}, never, 50*time.Millisecond))
 	require.Equal(t, 0, Choose(states, Job{}, never, restFirst))
 	require.Equal(t, 0, Choose(states, Job{}, func(i int) bool { return i == 1 }, 0), "resting is better than nothing")
@@ -106,7 +106,7 @@
 	for range 20 {
 		for i := range views {
 			if !views[i].Full() {
-				views[i].Sent(vms, 1)
+				views[i].Sent(vms)
 				sent++
 			}
 		}
@@ -127,7 +127,7 @@
 	s := State{Slots: 2}
 	for range 1000 {
 		require.False(t, s.Full())
-		s.Sent(8, 1)
-		s.Gone(8, 1)
+		s.Sent(8)
+		s.Gone(8)
 	}
 }
--- /dev/null
+++ b/internal/decide/urgency/urgency_test.go
@@ -0,0 +1,50 @@
+package urgency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMostUrgentOfThoseAskedForIsFirst(t *testing.T) {
+	var m Meter
+	require.False(t, m.First(7), "nothing was seen yet that comes after it")
+	for i := range 300 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		m.Note(2, now)
+		if i%3 == 0 {
+			m.Note(1, now)
+		}
+	}
+	require.True(t, m.First(1))
+	require.False(t, m.First(2))
+	require.True(t, m.First(0), "one that was not seen yet is no later than others")
+}
+
+// A route of the highest priority is called once a minute. It must not keep places of
+// every target free for requests that do not come.
+func TestPriorityThatHardlyAnyoneAsksForTakesNothing(t *testing.T) {
+	var m Meter
+	m.Note(0, 0)
+	for i := range 100 {
+		m.Note(1+i%2, time.Duration(i)*10*time.Millisecond)
+	}
+	require.True(t, m.First(1))
+	require.False(t, m.First(2))
+}
+
+// The urgent requests end. Half a minute later the others have all places.
+func TestPriorityThatIsNoLongerAskedForFades(t *testing.T) {
+	var m Meter
+	for i := range 100 {
+		m.Note(0, time.Duration(i)*10*time.Millisecond)
+	}
+	now := time.Second
+	for now < 31*time.Second {
+		now += 10 * time.Millisecond
+		m.Note(1, now)
+		m.Note(2, now)
+	}
+	require.True(t, m.First(1))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,7 +47,7 @@
 
 func (n *node) choose(c *call, left time.Duration) (*attempt, refusal) {
 	if c.keyed {
-		e, why, about := n.state.chooseOwner(c.service, c.route.Name, c.key, left)
+		e, why, about := n.state.chooseOwner(c.service, c.route, c.key, left)
 		c.refusedOn = about
 		return e, why
 	}
@@ -93,7 +93,7 @@
 	c.note(e, took, answer, err)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
-		n.state.finish(e, endLost)
+		n.state.finish(e, endUnsent)
 		c.tried[e.id] = true
 		c.unsent++
 		if c.keyed {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"hemlockquay/internal/decide/pick"
@@ -21,9 +20,6 @@
 
 func (s *state) coldnessLocked(service string) float64 { return max(1, s.coldness[service]) }
 
-// coldWorkLocked returns the same as a whole number.
-func (s *state) coldWorkLocked(service string) int { return int(math.Round(s.coldnessLocked(service))) }
-
 // learnColdLocked takes in the answer to a request for a cold key. It tells nothing of
 // the target's speed, nor of what such requests take.
 //
@@ -31,11 +27,10 @@
 // Those were taken for four times slower than they are: requests for warm keys were
 // expected late, and their keys moved on, cold once more.
 func (s *state) learnColdLocked(e *attempt, took time.Duration) {
-	usual := e.usual / time.Duration(e.work)
-	if usual <= 0 {
+	if e.usual <= 0 {
 		return
 	}
-	ratio := pick.Bounded(float64(took) / (float64(usual) * e.rounds * e.target.pick.Slowness()))
+	ratio := pick.Bounded(float64(took) / (float64(e.usual) * e.rounds * e.target.pick.Slowness()))
 	old := s.coldnessLocked(e.service)
 	s.coldness[e.service] = old + (ratio-old)/coldSamples
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -78,7 +78,7 @@
 		c.keyed, c.key = true, uint16(key)
 		n.state.countKey(c.service, c.key)
 	}
-	n.state.request(c.service, n.clock.Now())
+	n.state.request(c.service, rt.Priority, n.clock.Now())
 	out := n.run(r.Context(), c)
 	n.logCall(c, out)
 	n.respond(w, r, out)
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -22,10 +22,8 @@
 	rounds   float64
 	expected time.Duration
 	load     int
-	// cold says that the key is cold at its owner; work is what the request counts
-	// for there, in usual requests.
+	// cold says that the key is cold at its owner.
 	cold bool
-	work int
 }
 
 // refusal says why no target was chosen.
@@ -65,17 +63,17 @@
 		}
 	}
 	s.turn++
-	job := pick.Job{Usual: s.usualLocked(service, rt.Name), Objective: rt.Objective, First: s.turn}
+	job := pick.Job{Usual: s.usualLocked(service, rt.Name), Objective: rt.Objective, First: s.turn, LastPlaces: s.urgentLocked(service, rt.Priority)}
 	i := pick.Choose(states, job, func(i int) bool { return tried[owners[i].ID] }, now)
 	if i < 0 {
 		return nil, refusedFull
 	}
-	return s.reserveLocked(owners[i], service, rt.Name, left, 1)
+	return s.reserveLocked(owners[i], service, rt.Name, left)
 }
 
 // chooseOwner reserves the target that owns the key, and tells what it decided
 // on where it refuses.
-func (s *state) chooseOwner(service, route string, key uint16, left time.Duration) (*attempt, refusal, string) {
+func (s *state) chooseOwner(service string, rt *route.Route, key uint16, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.routing[service]
@@ -94,35 +92,33 @@
 		return nil, refusedLost, owner + " is not listed"
 	case t.displaced, t.Draining && now > t.leavesAt, t.pick.Resting(now):
 		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t", owner, t.displaced, t.Draining, t.pick.Resting(now))
-	case t.pick.Full():
+	case t.pick.FullFor(s.urgentLocked(service, rt.Priority)):
 		return nil, refusedFull, t.inputs()
 	}
-	work := 1
-	if how == lease.Cold {
-		if work = s.coldWorkLocked(service); !t.pick.TakesCold(work) {
-			return nil, refusedCold, t.inputs()
-		}
+	cold := how == lease.Cold
+	if cold && !t.pick.TakesCold() {
+		return nil, refusedCold, t.inputs()
 	}
-	e, why := s.reserveLocked(t, service, route, left, work)
+	e, why := s.reserveLocked(t, service, rt.Name, left)
 	if e == nil {
 		return nil, why, t.inputs()
 	}
-	e.cold = how == lease.Cold
+	e.cold = cold
 	return e, why, ""
 }
 
 // reserveLocked needs s.mu.
-func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration, work int) (*attempt, refusal) {
-	usual := s.usualLocked(service, route) * time.Duration(work)
+func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration) (*attempt, refusal) {
+	usual := s.usualLocked(service, route)
 	e := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
-		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), work: work,
+		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(),
 	}
 	// Half of the expected time is about the fastest that it turns out to be.
 	if usual > 0 && t.pick.Load() > t.pick.Slots && e.expected/2 > left {
 		return nil, refusedLate
 	}
-	t.pick.Sent(s.vms, work)
+	t.pick.Sent(s.vms)
 	return e, refusedNone
 }
 
@@ -135,7 +131,9 @@
 	endAnswered end = iota
 	// endFailed: the target answered, without success or without running it.
 	endFailed
-	// endLost: no answer, or no connection.
+	// endUnsent: no connection.
+	endUnsent
+	// endLost: no answer on a connection.
 	endLost
 	// endLeft: the caller left or the time was over.
 	endLeft
@@ -147,7 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &e.target.pick
-	t.Gone(s.vms, e.work)
+	t.Gone(s.vms)
 	switch how {
 	case endAnswered:
 		if e.cold {
@@ -158,6 +156,8 @@
 		s.learnLocked(e.service, e.route, time.Duration(float64(took)/(e.rounds*t.Slowness())))
 	case endFailed:
 		t.Failed()
+	case endUnsent:
+		t.Unreached(s.clock.Now())
 	case endLost:
 		t.Lost(s.clock.Now())
 	case endLeft:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -14,6 +14,7 @@
 	"hemlockquay/internal/decide/duration"
 	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/decide/repeats"
+	"hemlockquay/internal/decide/urgency"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
@@ -51,6 +52,8 @@
 	targets   map[string]*tracked
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
+	// urgency counts the requests of each service by priority.
+	urgency map[string]*urgency.Meter
 	// coldness is how many usual requests one for a cold key is worth, by service.
 	coldness map[string]float64
 	// crashes dates the targets that ended under a request, by their hashes.
@@ -82,7 +85,7 @@
 		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
 		routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince),
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
-		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), crashes: make(map[uint64]map[uint32]time.Duration),
+		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), urgency: make(map[string]*urgency.Meter), crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
@@ -305,11 +308,23 @@
 	s.limit = l
 }
 
-// request counts a request for a service.
-func (s *state) request(service string, now time.Duration) {
+// request counts a request for a service, of a priority.
+func (s *state) request(service string, priority int, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budgetLocked(service).Request(s.limit, now)
+	m := s.urgency[service]
+	if m == nil {
+		m = new(urgency.Meter)
+		s.urgency[service] = m
+	}
+	m.Note(priority, now)
+}
+
+// urgentLocked tells whether requests of a priority may have the last places.
+func (s *state) urgentLocked(service string, priority int) bool {
+	m := s.urgency[service]
+	return m != nil && m.First(priority)
 }
 
 // repeat takes a repeat from the service's budget.
