A target that loses an answer does not rest

Change: a target that takes connections rests after three lost answers in a row; one that cannot be connected to at once, as before.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -50,6 +50,9 @@
 	// which doubles with each failure. The probe that ends it is a request.
 	restFirst = 100 * time.Millisecond
 	restMost  = 1600 * time.Millisecond
+	// lostInARow is how many answers in a row must be lost before a target rests that
+	// takes connections.
+	lostInARow = 3
 	// slowestRatio bounds how far one answer counts, in either direction.
 	slowestRatio = 20.0
 )
@@ -69,6 +72,7 @@
 
 	logSlow   float64
 	failures  float64
+	lost      int
 	rests     int
 	restUntil time.Duration
 }
@@ -175,7 +179,7 @@
 // Answered takes in an answer that took so long, where such requests usually take
 // usual. rounds is what Rounds was when it was sent.
 func (s *State) Answered(took, usual time.Duration, rounds float64) {
-	s.rests, s.restUntil = 0, 0
+	s.lost, s.rests, s.restUntil = 0, 0, 0
 	s.failures -= s.failures / failureSamples
 	if usual <= 0 || took <= 0 {
 		return
@@ -192,12 +196,20 @@
 func (s *State) Failed() { s.failures += (1 - s.failures) / failureSamples }
 
 // Unreached takes in that the target could not be connected to.
-func (s *State) Unreached(now time.Duration) { s.Lost(now) }
+func (s *State) Unreached(now time.Duration) {
+	s.Failed()
+	s.rest(now)
+}
 
 // Lost takes in that an answer of the target did not come.
+//
+// Failure: a target loses one answer in twenty. After each it rested, and all requests
+// for its keys were refused for a tenth of a second: four or five for each lost answer.
 func (s *State) Lost(now time.Duration) {
 	s.Failed()
-	s.rest(now)
+	if s.lost++; s.lost >= lostInARow {
+		s.rest(now)
+	}
 }
 
 func (s *State) rest(now time.Duration) {
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -131,3 +131,22 @@
 		s.Gone(8)
 	}
 }
+
+// A target loses one answer in four, and its keys have no other owner. Refused while it
+// rested, most of their requests got nothing. Several losses in a row mean that it is gone.
+func TestTargetThatLosesSomeAnswersDoesNotRest(t *testing.T) {
+	var s State
+	for i := range 40 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		require.False(t, s.Resting(now))
+		if i%4 == 0 {
+			s.Lost(now)
+			continue
+		}
+		s.Answered(100*time.Millisecond, 100*time.Millisecond, 1)
+	}
+	for range lostInARow {
+		s.Lost(time.Second)
+	}
+	require.True(t, s.Resting(time.Second))
+}
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -316,3 +316,22 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, after, 0.02)
 }
+
+// The owner of a key loses an answer and takes the next request. A search that it lost is
+// sent again, and others for its keys are served meanwhile; they were refused as if the
+// owner were gone.
+func TestOwnerThatLosesAnAnswerIsAskedAgain(t *testing.T) {
+	b := newBench(t)
+	var lost atomic.Bool
+	b.target("k", "keyed", func(w http.ResponseWriter, r *http.Request) {
+		if !lost.Swap(true) {
+			breaks(w, r)
+			return
+		}
+		works(w, r)
+	})
+	b.state.own("keyed", 1, 1, "k", lease.Served)
+	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 2, b.hits.Load())
+}
