--- a/internal/gateway/lag_test.go
+++ b/internal/decide/fitness/fitness_test.go
@@ -1,4 +1,4 @@
-package gateway
+package fitness
 
 import (
 	"testing"
@@ -7,22 +7,24 @@
 	"github.com/stretchr/testify/require"
 )
 
+const usualStep = 20 * time.Millisecond
+
 // The grantor's VM gets a sixth of its processor time. It took its own delays for
 // silence of targets and moved their keys about for six seconds. It must notice
 // within a second that it is the slow one; a single long step is no reason.
 func TestSlowGrantorNotices(t *testing.T) {
-	var m lagMeter
+	m := NewMeter(usualStep)
 	now := time.Hour
 	step := func(gap time.Duration) bool {
 		now += gap
-		return m.note(now)
+		return m.Note(now)
 	}
 	for range 100 {
-		require.False(t, step(leadStep+3*time.Millisecond))
+		require.False(t, step(usualStep+3*time.Millisecond))
 	}
 	require.False(t, step(300*time.Millisecond))
 	for range 50 {
-		require.False(t, step(leadStep))
+		require.False(t, step(usualStep))
 	}
 	begin := now
 	for !step(150 * time.Millisecond) {
@@ -31,24 +33,24 @@
 }
 
 func TestGrantorThatNobodyAnswersBlamesItself(t *testing.T) {
-	require.True(t, strayed(9, 10))
-	require.True(t, strayed(5, 10))
-	require.False(t, strayed(3, 10), "that many targets may be lost")
-	require.False(t, strayed(2, 2), "with so few, nothing tells")
+	require.True(t, Strayed(9, 10))
+	require.True(t, Strayed(5, 10))
+	require.False(t, Strayed(3, 10), "that many targets may be lost")
+	require.False(t, Strayed(2, 2), "with so few, nothing tells")
 }
 
 // A grantor got a sixth of its processor time for six seconds. Its steps came in
 // time, but up to 160 grants waited for their turn, half a second to two each: a hot
 // key that moved had no owner for three seconds.
 func TestGrantorWhoseGrantsWaitIsUnfit(t *testing.T) {
-	var m lagMeter
+	m := NewMeter(usualStep)
 	now := time.Hour
 	step := func(waited time.Duration) bool {
-		now += leadStep
-		m.granted(waited)
-		return m.note(now)
+		now += usualStep
+		m.Granted(waited)
+		return m.Note(now)
 	}
-	for i := range int(settled/leadStep) + 200 {
+	for i := range int(settled/usualStep) + 200 {
 		require.False(t, step(time.Duration(i%16)*3*time.Millisecond), "the last of an owner's grants waits for the others")
 	}
 	unfit := -1
@@ -64,9 +66,9 @@
 // A service had so many ranges that no VM could renew them in time. Ten grantors
 // resigned one after the other within forty seconds.
 func TestNewGrantorIsNotJudgedByWaits(t *testing.T) {
-	var m lagMeter
-	for now := time.Hour; now < time.Hour+settled; now += leadStep {
-		m.granted(2 * waitMost)
-		require.False(t, m.note(now))
+	m := NewMeter(usualStep)
+	for now := time.Hour; now < time.Hour+settled; now += usualStep {
+		m.Granted(2 * waitMost)
+		require.False(t, m.Note(now))
 	}
 }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hemlockquay/internal/decide/fitness"
 	"hemlockquay/internal/lease"
 )
 
@@ -23,6 +24,15 @@
 	evenMoving = 16
 	// planEvery is the least time between two looks at who should own what.
 	planEvery = 100 * time.Millisecond
+	// strayedSilence is for how long an owner has left orders unanswered when it counts
+	// as silent: two orders in a row ran into their timeouts.
+	//
+	// Failure: targets leave a half of their orders unanswered. At each moment most
+	// owners had one, and the grantors resigned in turn, each after half a second;
+	// nothing was renewed meanwhile, and no key had an owner for ten seconds.
+	strayedSilence = 2 * grantTimeout
+	// unfitTime is how long a VM that resigned is the last in line.
+	unfitTime = 8 * time.Second
 	// eventQueue bounds the ends of orders and calls that wait for the leader.
 	eventQueue = 1024
 )
@@ -52,7 +62,7 @@
 	strayNext time.Duration
 	lines     map[lease.Owner]*orderLine
 	load      *loadView
-	lag       lagMeter
+	lag       *fitness.Meter
 	bornKnown map[string]int64
 }
 
@@ -61,6 +71,7 @@
 		keeper: k, grants: g, version: version, events: make(chan func(), eventQueue),
 		teller: newTeller(k.n.pushLeases, k.n.log),
 		lines:  make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
+		lag: fitness.NewMeter(leadStep),
 	}
 	l.orderUntil.Store(int64(g.ConfirmedAt() + lease.Authority))
 	return l
@@ -114,7 +125,7 @@
 		l.deposed = true
 		return
 	}
-	slow := l.lag.note(now)
+	slow := l.lag.Note(now)
 	if (slow || l.n.leaving.Load() || l.strayed(now)) && l.succeedable() {
 		l.unfit = true
 	}
@@ -156,7 +167,7 @@
 			silent++
 		}
 	}
-	return strayed(silent, len(owners))
+	return fitness.Strayed(silent, len(owners))
 }
 
 // resign ends the orders of a grantor that leaves or is too slow, then says so in
@@ -171,10 +182,10 @@
 	l.n.unfitUntil.Store(int64(l.n.clock.Now() + unfitTime))
 	next := l.grants.Plan(nil)
 	next.Resigned = true
-	version, lag := l.version, l.lag
+	version, lag, waited := l.version, l.lag.Lag(), l.lag.Waited()
 	go func() {
 		_, err := l.write(ctx, next, version)
-		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", lag.mean).Dur("waited", lag.waited).
+		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", lag).Dur("waited", waited).
 			Bool("leaving", l.n.leaving.Load()).Err(err).Msg("grantor resigned")
 		l.later(ctx, func() {
 			l.deposed = true
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -76,7 +76,7 @@
 		case g := <-line.grants:
 			waited := l.n.clock.Now() - g.since
 			if l.order(ctx, line, g.Order, upstream.KeptConn, grantTimeout) == lease.Done {
-				l.later(ctx, func() { l.lag.granted(waited) })
+				l.later(ctx, func() { l.lag.Granted(waited) })
 			}
 		}
 	}
