The head of a request with a long body has no room for the body

Cause: a long body is written by itself, and the buffer of the head had room for it all the same: an upload of 60 kB took 65,536 B more. BenchmarkSlopeHead, B a request with 1 kB, 60 kB, 360 kB: 1,536, 65,536, 376,832 -> 1,536, 512, 512.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -109,9 +109,17 @@
 	return done
 }
 
-// head renders the request line and the headers.
+// headRoom is the room that the line and the headers of a usual request need, bytes.
+const headRoom = 512
+
+// head renders the request line and the headers, with room for a body that is sent in the
+// same write.
 func (r *Request) head() []byte {
-	b := make([]byte, 0, 512+len(r.Body))
+	room := headRoom
+	if len(r.Body) <= inlineBody {
+		room += len(r.Body)
+	}
+	b := make([]byte, 0, room)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
--- /dev/null
+++ b/internal/upstream/slope_test.go
@@ -0,0 +1,22 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkSlopeHead renders the head of a request by the size of its body. While the head
+// had room for every body: 1,536 B a request with 1 kB, 65,536 B with 60 kB, 376,832 B with
+// 360 kB. With room only for those that are sent in the same write: 1,536, 512 and 512 B.
+func BenchmarkSlopeHead(b *testing.B) {
+	for _, size := range []int{1 << 10, 60 << 10, 360 << 10} {
+		b.Run(fmt.Sprintf("n=%d", size), func(b *testing.B) {
+			r := &Request{Method: http.MethodPost, URI: "/a/b", Host: "h.example", Header: http.Header{"Id": {"r-1"}}, Body: make([]byte, size)}
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = r.head()
+			}
+		})
+	}
+}
