A grantor asks the store before it resigns

It resigned, since the store had answered another VM 1.3 s before; nobody could take over, and of 2,000 requests 1,600 were refused in each two seconds for six seconds. Change: it reads the record first and goes on granting where the store does not answer; a resignation that was surely not taken changes nothing. What VMs tell of the store's latest answer is no longer needed, and is gone.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"hemlockquay/internal/decide/fitness"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/platform"
 )
 
 const (
@@ -22,6 +24,9 @@
 	// evenMoving is from how many slices on the move no more are moved only to
 	// even out their number.
 	evenMoving = 16
+	// resignPause is the time between two tries to resign while the store does not
+	// answer.
+	resignPause = 200 * time.Millisecond
 	// planEvery is the least time between two looks at who should own what.
 	planEvery = 100 * time.Millisecond
 	// strayedSilence is for how long an owner has left orders unanswered when it counts
@@ -52,18 +57,19 @@
 	writing bool
 	// unsettled says that the answer to the last write was lost.
 	unsettled bool
-	// unfit says that this VM leaves, or is too slow to go on.
-	unfit     bool
-	resigning bool
-	reading   bool
-	checking  bool
-	checkNext time.Duration
-	planNext  time.Duration
-	strayNext time.Duration
-	lines     map[lease.Owner]*orderLine
-	load      *loadView
-	lag       *fitness.Meter
-	bornKnown map[string]int64
+	// resigning says that the resignation is on its way to the store; no orders are sent
+	// any more.
+	resigning  bool
+	resignNext time.Duration
+	reading    bool
+	checking   bool
+	checkNext  time.Duration
+	planNext   time.Duration
+	strayNext  time.Duration
+	lines      map[lease.Owner]*orderLine
+	load       *loadView
+	lag        *fitness.Meter
+	bornKnown  map[string]int64
 }
 
 func newLeader(k *keeper, g *lease.Grantor, version uint64) *leader {
@@ -126,11 +132,10 @@
 		return
 	}
 	slow := l.lag.Note(now)
-	if (slow || l.n.leaving.Load() || l.strayed(now)) && l.succeedable() {
-		l.unfit = true
+	if slow || l.n.leaving.Load() || l.strayed(now) {
+		l.tryResign(ctx, now)
 	}
-	if l.unfit {
-		l.resign(ctx)
+	if l.resigning {
 		return
 	}
 	l.orderUntil.Store(int64(l.grants.ConfirmedAt() + lease.Authority))
@@ -144,13 +149,6 @@
 	l.tell(now)
 }
 
-// succeedable tells whether another VM could take over.
-//
-// Failure: the store is away, and the grantor's VM is told to stop. It resigned; without
-// the store nobody can begin an epoch, and all keys lapsed within a hold and had no
-// service until the store was back. A grantor goes on for as long as its process may.
-func (l *leader) succeedable() bool { return l.n.storeUp.Load() || l.n.mesh.AnyReachesStore() }
-
 // strayed tells whether most owners leave orders unanswered.
 func (l *leader) strayed(now time.Duration) bool {
 	if now < l.strayNext {
@@ -170,14 +168,39 @@
 	return fitness.Strayed(silent, len(owners))
 }
 
+// tryResign resigns if the store answers: nobody can take over without it.
+//
+// Failure: the store goes away, and right after that the grantor's VM is told to stop. It
+// resigned; all keys lapsed within a hold and had no service until the store was back. A
+// grantor goes on until it has asked the store, and for as long as its process may.
+func (l *leader) tryResign(ctx context.Context, now time.Duration) {
+	if l.resigning || l.writing || l.reading || now < l.resignNext {
+		// A write that is on its way comes first.
+		return
+	}
+	l.resignNext = now + resignPause
+	l.reading = true
+	go func() {
+		sent := l.n.clock.Now()
+		r, _, err := l.read(ctx)
+		l.later(ctx, func() {
+			l.reading = false
+			if err != nil {
+				l.n.log.Info().Str("step", "leases").Str("service", l.service).Err(err).Msg("not resigned, nobody could take over")
+				return
+			}
+			l.noteEpoch(r, sent)
+			if !l.deposed && !l.writing {
+				l.resign(ctx)
+			}
+		})
+	}()
+}
+
 // resign ends the orders of a grantor that leaves or is too slow, then says so in
 // the record, so that its successor need not wait for its authority to end.
 func (l *leader) resign(ctx context.Context) {
 	l.orderUntil.Store(0)
-	if l.resigning || l.writing {
-		// A write that is on its way comes first.
-		return
-	}
 	l.resigning = true
 	l.n.unfitUntil.Store(int64(l.n.clock.Now() + unfitTime))
 	next := l.grants.Plan(nil)
@@ -187,13 +210,21 @@
 		_, err := l.write(ctx, next, version)
 		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", lag).Dur("waited", waited).
 			Bool("leaving", l.n.leaving.Load()).Err(err).Msg("grantor resigned")
-		l.later(ctx, func() {
-			l.deposed = true
-			l.publish(l.vacant())
-		})
+		l.later(ctx, func() { l.resigned(err) })
 	}()
 }
 
+// resigned takes in the end of the write. One that the store surely did not take, and
+// never will, changes nothing: the grantor goes on.
+func (l *leader) resigned(err error) {
+	if errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrAmbiguous) {
+		l.resigning = false
+		return
+	}
+	l.deposed = true
+	l.publish(l.vacant())
+}
+
 // vacant returns leases without a grantor: another VM takes over at once.
 func (l *leader) vacant() *lease.Routing {
 	now := l.n.clock.Now()
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,27 +151,77 @@
 	require.False(t, n.Heartbeat().StoreLost, "a call that was given up says nothing")
 }
 
-// The store is away, and the grantor's VM is told to stop. It resigned at once, nobody
-// could take over without the store, and no key of the service was served until it was
-// back. It goes on, the others let it, and it resigns when the store is back.
+// changingStore is away, or holds one record and takes every write of it.
+type changingStore struct {
+	downStore
+	up     atomic.Bool
+	record platform.Object
+}
+
+func (s *changingStore) Get(context.Context, platform.ID) (platform.Object, error) {
+	if !s.up.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.record, nil
+}
+
+func (s *changingStore) Put(_ context.Context, o platform.Object) (platform.Object, error) {
+	if !s.up.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	s.record = o
+	return o, nil
+}
+
+// The store goes away, and right after that the grantor's VM is told to stop. It resigned
+// at once, nobody could take over without the store, and no key of the service was served
+// until it was back. It goes on, and resigns when the store answers.
 func TestGrantorThatLeavesGoesOnWhileNobodyCanTakeOver(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
 	defer n.mesh.Close()
-	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	record := lease.Record{Service: "s", Epoch: 4, Holder: "self", Incarnation: n.self.Incarnation, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	spec, err := json.Marshal(record)
+	require.NoError(t, err)
+	store := &changingStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
+	n.store = store
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
 	l := newLeader(&keeper{n: n, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.PastEnded), 1)
-	idle := mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 1}
-	n.hear(mesh.Heartbeat{From: idle}) // It has not called the store lately.
-	n.noteStore(clock.now, platform.ErrUnavailable)
 	n.leaving.Store(true)
-	l.step(t.Context())
-	require.False(t, l.unfit)
+	tries := func(count int) {
+		for range count {
+			clock.now += resignPause
+			l.step(t.Context())
+			(<-l.events)()
+		}
+	}
+	tries(5)
+	require.False(t, l.resigning)
 	require.NotZero(t, l.orderUntil.Load(), "it may still order")
 
-	n.hear(mesh.Heartbeat{From: idle, StoreHeard: true})
-	l.step(t.Context())
-	require.True(t, l.unfit, "another VM reaches the store and can take over")
+	store.up.Store(true)
+	tries(1)
+	require.True(t, l.resigning)
+	require.Zero(t, l.orderUntil.Load(), "the record is written after the last order")
+	(<-l.events)()
+	require.True(t, l.deposed)
+	require.NoError(t, json.Unmarshal(store.record.Spec, &record))
+	require.True(t, record.Resigned)
+}
+
+// The store goes away between the grantor's question and its resignation, and says that it
+// has done nothing. The grantor still has its duty.
+func TestResignationThatTheStoreRefusesChangesNothing(t *testing.T) {
+	n := testNode(&handClock{now: time.Hour})
+	defer n.mesh.Close()
+	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	l := newLeader(&keeper{n: n, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, n.clock.Now(), n.clock.Now(), lease.PastEnded), 1)
+	l.resign(t.Context())
+	(<-l.events)()
+	require.False(t, l.deposed)
+	require.False(t, l.resigning)
+	l.resigned(platform.ErrAmbiguous)
+	require.True(t, l.deposed, "it may have been taken: another may lead already")
 }
 
 // The other side: a grantor that leaves and still has its duty is not succeeded. One that
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,7 +25,7 @@
 	v := n.state.view.Load()
 	return mesh.Heartbeat{
 		From: n.self, Leaving: n.leaving.Load(),
-		StoreLost: !n.storeUp.Load(), StoreHeard: n.storeHeard(), ConfigVersion: v.ConfigVersion(),
+		StoreLost: !n.storeUp.Load(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
 		Leases: n.state.marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
 	}
--- a/internal/gateway/storestate.go
+++ b/internal/gateway/storestate.go
@@ -29,15 +29,6 @@
 	}
 }
 
-// storeFresh is how old the store's latest answer may be when it is said to answer now:
-// a VM that watches it has one each watchWait.
-const storeFresh = watchWait + watchSlack/2
-
-// storeHeard tells whether the store answered this VM just now.
-func (n *node) storeHeard() bool {
-	return n.storeUp.Load() && n.clock.Now()-time.Duration(n.storeAnsweredAt.Load()) <= storeFresh
-}
-
 func (n *node) storeState(up bool, cause error) {
 	if n.storeUp.Swap(up) != up {
 		n.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -40,10 +40,7 @@
 	From    Member `msgpack:"f"`
 	Leaving bool   `msgpack:"l"`
 	// StoreLost says that the sender does not reach the platform's store.
-	StoreLost bool `msgpack:"x"`
-	// StoreHeard says that the store answered the sender just now. Most VMs call it
-	// seldom, and have neither lost it nor heard of it.
-	StoreHeard      bool   `msgpack:"y"`
+	StoreLost       bool   `msgpack:"x"`
 	ConfigVersion   uint64 `msgpack:"c"`
 	TargetsRevision uint64 `msgpack:"t"`
 	// Targets is how many the sender lists.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -199,20 +199,6 @@
 	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
 }
 
-// AnyReachesStore tells whether the store answered another VM that lives and stays, just
-// now.
-func (m *Mesh) AnyReachesStore() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.Now()
-	for _, r := range m.remotes {
-		if m.liveLocked(r, now) && !r.heartbeat.Leaving && r.heartbeat.StoreHeard {
-			return true
-		}
-	}
-	return false
-}
-
 // ReachesStore tells whether a VM said that the store answers it.
 func (m *Mesh) ReachesStore(vm string) bool {
 	m.mu.Lock()
