--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -85,7 +85,8 @@
 		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
 		routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince),
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
-		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), urgency: make(map[string]*urgency.Meter), crashes: make(map[uint64]map[uint32]time.Duration),
+		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
+		crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
