--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -17,9 +17,9 @@
 	// firstPart is what is read first of a body without a stated length, bytes. The
 	// room is doubled from there.
 	firstPart = 16 << 10
-	// bodyShare is the part of a VM's memory that bodies may take. The collector lets
-	// the heap grow to about twice of what is in use, and the rest of the process needs
-	// about 30 MB.
+	// bodyShare is the part of a VM's memory that bodies may take. It leaves room for
+	// copies while a body without a stated length is read, for what the heap grows before
+	// it is collected (gcPercent), and for the rest of the process, about 30 MB.
 	bodyShare = 0.25
 )
 
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// firstThen plays first for one request and then for all others.
+func firstThen(first, then http.HandlerFunc) http.HandlerFunc {
+	var played atomic.Bool
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !played.Swap(true) {
+			first(w, r)
+			return
+		}
+		then(w, r)
+	}
+}
+
 func TestAnswerIsPassedOnWhole(t *testing.T) {
 	b := newBench(t)
 	b.target("t", "pool", func(w http.ResponseWriter, r *http.Request) {
@@ -126,14 +138,7 @@
 // A target refuses a booking without running it. Another one may run it.
 func TestRefusedRequestGoesToAnother(t *testing.T) {
 	b := newBench(t)
-	var refused atomic.Bool
-	play := func(w http.ResponseWriter, r *http.Request) {
-		if !refused.Swap(true) {
-			sheds(w, r)
-			return
-		}
-		works(w, r)
-	}
+	play := firstThen(sheds, works)
 	b.target("a", "pool", play)
 	b.target("b", "pool", play)
 	resp := b.get("once.example", nil, "")
@@ -157,14 +162,7 @@
 // but the request may have run: nothing may be promised.
 func TestRefusalAfterALostAnswerPromisesNothing(t *testing.T) {
 	b := newBench(t)
-	var broken atomic.Bool
-	play := func(w http.ResponseWriter, r *http.Request) {
-		if !broken.Swap(true) {
-			breaks(w, r)
-			return
-		}
-		sheds(w, r)
-	}
+	play := firstThen(breaks, sheds)
 	b.target("a", "pool", play)
 	b.target("b", "pool", play)
 	resp := b.get("safe.example", nil, "")
@@ -287,14 +285,7 @@
 // other target may serve the key; the same one takes the request a moment later.
 func TestOwnerThatRefusesWithoutReasonIsAskedAgain(t *testing.T) {
 	b := newBench(t)
-	var refused atomic.Bool
-	b.target("k", "keyed", func(w http.ResponseWriter, r *http.Request) {
-		if !refused.Swap(true) {
-			sheds(w, r)
-			return
-		}
-		works(w, r)
-	})
+	b.target("k", "keyed", firstThen(sheds, works))
 	b.state.own("keyed", 1, 1, "k", lease.Served)
 	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
 	require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -322,14 +313,7 @@
 // owner were gone.
 func TestOwnerThatLosesAnAnswerIsAskedAgain(t *testing.T) {
 	b := newBench(t)
-	var lost atomic.Bool
-	b.target("k", "keyed", func(w http.ResponseWriter, r *http.Request) {
-		if !lost.Swap(true) {
-			breaks(w, r)
-			return
-		}
-		works(w, r)
-	})
+	b.target("k", "keyed", firstThen(breaks, works))
 	b.state.own("keyed", 1, 1, "k", lease.Served)
 	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
 	require.Equal(t, http.StatusOK, resp.StatusCode)
