Logs tell each step of a move of keys, and how orders ended

Cause of the change: after two targets held the same keys, no log told which grants had no answer, over which connection, and why the grantor took the keys for free. Lines of step lease (released, hold ran out, granted) follow the moves, one a slice as the lines of step move; orders are named by kind and result, their errors carry the connection's own address, and orders.RESULT count them. No decision changes.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -143,6 +143,7 @@
 	for _, o := range l.grants.Due(now) {
 		l.send(ctx, o)
 	}
+	l.logMoves(now)
 	l.askLoad(ctx, now)
 	l.confirmLives(ctx, now)
 	l.confirmEpoch(ctx, now)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -105,9 +105,10 @@
 	}
 	over := l.n.clock.Now()
 	metrics.GetOrRegisterTimer("step.order", l.n.registry).Update(over - sent)
+	metrics.GetOrRegisterCounter("orders."+result.String(), l.n.registry).Inc(1)
 	if err != nil || result != lease.Done {
-		l.n.log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Int("kind", int(o.Kind)).
-			Uint16("from", o.From).Uint64("fence", o.Fence).Int("result", int(result)).Dur("took", over-sent).Err(err).Msg("order not done")
+		l.n.log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Stringer("kind", o.Kind).
+			Uint16("from", o.From).Uint64("fence", o.Fence).Stringer("result", result).Dur("took", over-sent).Err(err).Msg("order not done")
 	}
 	l.later(ctx, func() { l.ended(ctx, o, result, handover, sent, over) })
 	return result
@@ -161,6 +162,19 @@
 	return id != "" && id != o.ID
 }
 
+// logMoves writes a line for each step of a move of keys: which target may hold them
+// follows from these lines and those of orders that were not done.
+func (l *leader) logMoves(now time.Duration) {
+	for _, e := range l.grants.TakeEvents() {
+		entry := l.n.log.Info().Str("step", "lease").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).
+			Uint16("from", e.From).Uint16("to", e.To).Stringer("how", e.Kind).Str("owner", e.Owner.ID).Uint64("fence", e.Fence)
+		if e.Previous.Known() {
+			entry = entry.Str("previous", e.Previous.ID).Dur("free", now-e.Out)
+		}
+		entry.Msg("keys on the move")
+	}
+}
+
 func (l *leader) ended(ctx context.Context, o lease.Order, r lease.Result, handover string, sent, over time.Duration) {
 	l.grants.Ended(o, r, handover, sent, over)
 	if r == lease.Fenced {
--- /dev/null
+++ b/internal/lease/events_test.go
@@ -0,0 +1,54 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Two targets held the same keys, and no log told why the grantor had taken the keys for
+// free: because the old owner gave them up, or because its hold had run out.
+func TestEventsTellWhyKeysAreFree(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
+	g.LifeConfirmed(a)
+	g.LifeConfirmed(b)
+	now := time.Hour
+	for _, o := range g.Due(now) {
+		g.Ended(o, Done, "", now, now)
+	}
+	require.Empty(t, g.TakeEvents(), "the first grant of a key is no move")
+	out := holdEnd(now, worldTiming.Hold)
+
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now, now)
+	for _, o := range g.Due(now) {
+		require.Equal(t, Release, o.Kind)
+		result := Done
+		if o.From > 0 {
+			result = Unanswered
+		}
+		g.Ended(o, result, "", now, now)
+	}
+	for ; now < out+time.Second; now += 50 * time.Millisecond {
+		for _, o := range g.Due(now) {
+			result := Done
+			if o.Kind == Release {
+				result = Unanswered
+			}
+			g.Ended(o, result, "", now, now)
+		}
+	}
+	events := g.TakeEvents()
+	require.Empty(t, g.TakeEvents())
+	kinds := make([]EventKind, len(events))
+	for i, e := range events {
+		kinds[i] = e.Kind
+		require.Equal(t, b, e.Owner)
+	}
+	require.Equal(t, []EventKind{Released, FirstGranted, RanOut, FirstGranted}, kinds)
+	require.Equal(t, a, events[0].Previous)
+	require.Equal(t, time.Hour, events[0].Out)
+	require.Equal(t, out, events[2].Out)
+	require.Equal(t, events[2].Fence, events[3].Fence)
+}
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -31,6 +31,8 @@
 	// ended holds lives that are over: they are not granted anything more.
 	ended    map[Owner]bool
 	contacts map[Owner]*contact
+	// events wait for TakeEvents.
+	events []Event
 }
 
 func (g *Grantor) contact(o Owner) *contact {
@@ -53,8 +55,11 @@
 	outAt time.Duration
 	// previousOut is when the previous owner's last grant is out.
 	previousOut time.Duration
-	pending     bool
-	retryAt     time.Duration
+	// released says that the previous owner gave the keys up, so that previousOut is
+	// not when its hold runs out.
+	released bool
+	pending  bool
+	retryAt  time.Duration
 	// handover is the state that the next grant carries.
 	handover string
 	// moved says that the keys had another owner before; coldUntil is until when the
@@ -212,9 +217,14 @@
 // the one of the release.
 func (g *Grantor) free(i int) {
 	s, sl := &g.states[i], &g.record.Slices[i]
+	previous, how := sl.Previous, RanOut
+	if s.released {
+		how = Released
+	}
 	sl.Previous = Owner{}
 	s.fence = g.fence()
-	s.retryAt = 0
+	s.retryAt, s.released = 0, false
+	g.note(how, i, previous)
 }
 
 // Ended takes in the end of an order, which was sent and over at these times. It
@@ -243,6 +253,9 @@
 	}
 	switch r {
 	case Done:
+		if s.moved {
+			g.note(FirstGranted, i, Owner{})
+		}
 		if s.moved && o.Handover == "" {
 			s.coldUntil = over + g.timing.Cold
 		}
@@ -290,7 +303,7 @@
 	}
 	// Where another target has the address, the process that had it is gone.
 	if r == Done || r == Misdirected {
-		s.previousOut, s.handover = over, handover
+		s.previousOut, s.handover, s.released = over, handover, true
 		return true
 	}
 	g.failed(s, over)
--- a/internal/lease/orders.go
+++ b/internal/lease/orders.go
@@ -15,6 +15,14 @@
 	Release
 )
 
+// String names the kind in logs.
+func (k OrderKind) String() string {
+	if k == Release {
+		return "release"
+	}
+	return "grant"
+}
+
 // Order is one call to a target.
 type Order struct {
 	Kind     OrderKind
@@ -42,3 +50,20 @@
 	// Misdirected: another target has the address.
 	Misdirected
 )
+
+// String names the result in logs and metrics.
+func (r Result) String() string {
+	switch r {
+	case Done:
+		return "done"
+	case Fenced:
+		return "fenced"
+	case Unreached:
+		return "unreached"
+	case Unanswered:
+		return "unanswered"
+	case Misdirected:
+		return "misdirected"
+	}
+	return "unknown"
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -138,11 +138,11 @@
 		if err == nil {
 			return answer, nil
 		}
-		return nil, fmt.Errorf("exchange with %s: %w", p.addr, errors.Join(err, ctx.Err()))
+		return nil, fmt.Errorf("exchange with %s from %s: %w", p.addr, c.net.LocalAddr(), errors.Join(err, ctx.Err()))
 	}
 	if err != nil {
 		c.close()
-		return nil, fmt.Errorf("exchange with %s: %w", p.addr, err)
+		return nil, fmt.Errorf("exchange with %s from %s: %w", p.addr, c.net.LocalAddr(), err)
 	}
 	if reusable {
 		p.put(c)
