--- /dev/null
+++ b/internal/gateway/heldorders_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/standin/link"
+)
+
+// keyHolder is a target of a service with one slice that takes orders as fakeAdapter
+// writes them. Its clock is the test's.
+type keyHolder struct {
+	clock *handClock
+
+	mu    sync.Mutex
+	fence uint64
+	until time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (h *keyHolder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var o lease.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.Kind == lease.Release {
+		h.fence, h.until = max(h.fence, o.Fence), 0
+		return
+	}
+	if o.Fence < h.fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	h.fence, h.until = o.Fence, h.clock.Now()+o.Hold
+}
+
+func (h *keyHolder) holds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock.Now() < h.until
+}
+
+// start serves the target behind a link.
+func (h *keyHolder) start(t *testing.T) *link.Link {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	l, err := link.New(server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	return l
+}
+
+// Status checks went to a target that another had followed as the owner of their keys: two
+// targets held them. An owner was cut off from all VMs for six seconds; its renewals had no
+// answer, its hold ran out, its keys were granted to others. When it was reached again, it
+// took renewals that the grantor had given up six seconds before.
+func TestGrantsThatWereGivenUpDoNotArriveAfterACut(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	old, next := &keyHolder{clock: clock}, &keyHolder{clock: clock}
+	oldLink, nextLink := old.start(t), next.start(t)
+	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
+	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
+	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	l := newLeader(&keeper{n: n, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPast), 1)
+	for _, o := range []lease.Owner{oldOwner, nextOwner} {
+		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
+		l.grants.LifeConfirmed(o)
+	}
+	// play sends what is due and takes in the end of each order.
+	play := func() {
+		for _, o := range l.grants.Due(clock.now) {
+			l.send(t.Context(), o)
+			(<-l.events)()
+		}
+		for len(l.events) > 0 {
+			(<-l.events)()
+		}
+	}
+	play()
+	require.True(t, old.holds())
+
+	oldLink.Cut()
+	clock.now += renewEvery
+	play()
+	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.now, clock.now)
+	for cut := clock.now; !next.holds(); clock.now += orderRetry {
+		require.Less(t, clock.now, cut+2*holdTime, "the keys have no owner")
+		play()
+	}
+	require.False(t, old.holds())
+
+	oldLink.Heal()
+	oldLink.Drain()
+	require.True(t, next.holds())
+	require.False(t, old.holds(), "two targets hold the keys")
+}
--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,182 @@
+// Package link plays the network between two processes for tests: a proxy on the loopback
+// interface that can be cut and healed.
+//
+// While a link is cut it holds what its ends have sent, as the machines at both ends of a
+// real one do: bytes of a connection that its sender has closed are sent again until they
+// arrive, and those of a connection that its sender has reset are dropped.
+package link
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+)
+
+// chunk is how much is read from a connection at a time, bytes.
+const chunk = 4 << 10
+
+// Link forwards connections to an address.
+type Link struct {
+	target   string
+	listener net.Listener
+	// pipes counts the directions of connections that still carry something.
+	pipes sync.WaitGroup
+
+	mu     sync.Mutex
+	cut    bool
+	closed bool
+	// changed wakes those who wait for something to send, or for the end of a cut.
+	changed *sync.Cond
+}
+
+// New returns a link to the target at an address of its own.
+func New(target string) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", target, err)
+	}
+	l := &Link{target: target, listener: listener}
+	l.changed = sync.NewCond(&l.mu)
+	go l.accept()
+	return l, nil
+}
+
+// Addr returns the address that leads over the link.
+func (l *Link) Addr() string { return l.listener.Addr().String() }
+
+// Cut lets nothing through any more. New connections are reset.
+func (l *Link) Cut() { l.set(true) }
+
+// Heal delivers what was held, and lets everything through again.
+func (l *Link) Heal() { l.set(false) }
+
+func (l *Link) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+	l.changed.Broadcast()
+}
+
+// Drain waits until no connection carries anything: both ends have ended all of them, and
+// what was held is delivered or dropped.
+func (l *Link) Drain() { l.pipes.Wait() }
+
+// Close ends the link. What it holds is dropped.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.changed.Broadcast()
+	l.mu.Unlock()
+	_ = l.listener.Close()
+}
+
+func (l *Link) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *Link) accept() {
+	for {
+		near, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		if l.isCut() {
+			reset(near)
+			continue
+		}
+		far, err := net.Dial("tcp", l.target)
+		if err != nil {
+			reset(near)
+			continue
+		}
+		l.carry(near, far)
+		l.carry(far, near)
+	}
+}
+
+// carry forwards one direction of a connection. Reading goes on in a cut, since only a
+// read tells how the sender has ended the connection.
+func (l *Link) carry(from, to net.Conn) {
+	p := &pipe{link: l}
+	l.pipes.Add(1)
+	go p.read(from)
+	go func() {
+		defer l.pipes.Done()
+		p.write(to)
+	}()
+}
+
+// pipe is one direction of a connection, with the bytes that it holds.
+type pipe struct {
+	link  *Link
+	held  []byte
+	ended error
+}
+
+// read holds what arrives until the sender ends the connection.
+func (p *pipe) read(from net.Conn) {
+	buffer := make([]byte, chunk)
+	for {
+		n, err := from.Read(buffer)
+		p.link.mu.Lock()
+		p.held = append(p.held, buffer[:n]...)
+		if err != nil {
+			p.ended = err
+			if !errors.Is(err, io.EOF) {
+				p.held = nil
+			}
+		}
+		p.link.changed.Broadcast()
+		p.link.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// write delivers what is held while the link is whole, and then ends the connection as
+// its sender has.
+func (p *pipe) write(to net.Conn) {
+	for {
+		held, ended := p.next()
+		if len(held) > 0 {
+			if _, err := to.Write(held); err != nil {
+				reset(to)
+				return
+			}
+			continue
+		}
+		if errors.Is(ended, io.EOF) {
+			_ = to.(*net.TCPConn).CloseWrite()
+		} else {
+			reset(to)
+		}
+		return
+	}
+}
+
+// next waits for bytes to deliver, or for the end of the connection.
+func (p *pipe) next() ([]byte, error) {
+	l := p.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.closed && (l.cut || len(p.held) == 0 && p.ended == nil) {
+		l.changed.Wait()
+	}
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	held := p.held
+	p.held = nil
+	return held, p.ended
+}
+
+// reset ends a connection at once, without what it still holds.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
