Connections to targets end with a reset: what was given up does not arrive later

Cause: an owner was out of reach of all VMs for six seconds. Renewals to it were given up after 300 ms, their connections closed, and its hold was counted from there. The system goes on sending what was written to a closed connection, so the renewals arrived at the end of the cut, 3.4 s after the keys had another owner.

Connections to targets now end with a reset, which drops what has not arrived; also those of a process that is killed, whose connections the system ends. close returns only when the reset is out: the end of an order is dated after it. This holds for requests as well: one that was given up is not run seconds later for nobody.

--- a/internal/gateway/heldorders_test.go
+++ b/internal/gateway/heldorders_test.go
@@ -12,6 +12,7 @@
 
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/upstream"
 )
 
 // keyHolder is a target of a service with one slice that takes orders as fakeAdapter
@@ -64,6 +65,11 @@
 // targets held them. An owner was cut off from all VMs for six seconds; its renewals had no
 // answer, its hold ran out, its keys were granted to others. When it was reached again, it
 // took renewals that the grantor had given up six seconds before.
+//
+// Cause: the hold was counted from the close of the connection, and the system goes on
+// sending what was written to a closed connection. Evidence: the fences that came late were
+// exactly those of orders logged as unanswered as the cut began; nothing was sent after; where
+// the connections are reset instead, the same days are whole.
 func TestGrantsThatWereGivenUpDoNotArriveAfterACut(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
@@ -78,13 +84,15 @@
 		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
 		l.grants.LifeConfirmed(o)
 	}
-	// play sends what is due and takes in the end of each order.
+	// play sends what is due, one order after the other, and takes in its end.
 	play := func() {
 		for _, o := range l.grants.Due(clock.now) {
-			l.send(t.Context(), o)
-			(<-l.events)()
-		}
-		for len(l.events) > 0 {
+			line := l.line(t.Context(), o.Target)
+			if o.Kind == lease.Release {
+				l.release(t.Context(), line, o)
+			} else {
+				l.order(t.Context(), line, o, upstream.KeptConn, grantTimeout)
+			}
 			(<-l.events)()
 		}
 	}
--- a/internal/lease/orders.go
+++ b/internal/lease/orders.go
@@ -45,7 +45,8 @@
 	Fenced
 	// Unreached: the order surely did not arrive.
 	Unreached
-	// Unanswered: the order may have arrived, until its connection was closed.
+	// Unanswered: the order may have arrived, until its connection was reset. A closed
+	// one would not do: the system goes on sending what was written to it.
 	Unanswered
 	// Misdirected: another target has the address.
 	Misdirected
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -19,7 +19,8 @@
 //     a hold have passed since the successor's write.
 //  4. Keys leave an owner when the process at its address answers a release
 //     (whose fence is above all that were sent), or when every grant that may have
-//     reached it has run out.
+//     reached it has run out. A grant without an answer may arrive until its
+//     connection is reset.
 //  5. A grant is sent to the life of a target that the record names. After a
 //     broken order the runner has that life confirmed before the next grant: a
 //     restarted target has forgotten its fences and would take a grant of a
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	cut    bool
 	closed bool
+	// held is how many bytes wait in all pipes.
+	held int
 	// changed wakes those who wait for something to send, or for the end of a cut.
 	changed *sync.Cond
 }
@@ -59,6 +61,15 @@
 	l.changed.Broadcast()
 }
 
+// AwaitHeld waits until the cut link holds something.
+func (l *Link) AwaitHeld() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.closed && l.held == 0 {
+		l.changed.Wait()
+	}
+}
+
 // Drain waits until no connection carries anything: both ends have ended all of them, and
 // what was held is delivered or dropped.
 func (l *Link) Drain() { l.pipes.Wait() }
@@ -124,10 +135,11 @@
 		n, err := from.Read(buffer)
 		p.link.mu.Lock()
 		p.held = append(p.held, buffer[:n]...)
+		p.link.held += n
 		if err != nil {
 			p.ended = err
 			if !errors.Is(err, io.EOF) {
-				p.held = nil
+				p.take()
 			}
 		}
 		p.link.changed.Broadcast()
@@ -170,9 +182,15 @@
 	if l.closed {
 		return nil, net.ErrClosed
 	}
-	held := p.held
+	return p.take(), p.ended
+}
+
+// take empties the pipe; the link's lock is held.
+func (p *pipe) take() []byte {
+	out := p.held
 	p.held = nil
-	return held, p.ended
+	p.link.held -= len(out)
+	return out
 }
 
 // reset ends a connection at once, without what it still holds.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -34,13 +35,27 @@
 	net       net.Conn
 	in        *bufio.Reader
 	idleUntil time.Time
+	closing   sync.Once
 }
 
-func newConn(nc net.Conn) *conn {
-	return &conn{net: nc, in: bufio.NewReaderSize(nc, readBuffer), idleUntil: time.Now().Add(idleDefault)}
+// newConn takes a connection over. Its end, also by the end of the process, is a reset.
+//
+// Failure: a target was out of reach for six seconds. A grant to it was given up, its
+// connection closed, and the hold counted from there. The system goes on sending what was
+// written to a closed connection, so the grant arrived when the target was in reach again,
+// and two targets held the keys. A reset drops what has not arrived.
+func newConn(nc net.Conn) (*conn, error) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, fmt.Errorf("have the connection reset at its end: %w", errors.Join(err, nc.Close()))
+		}
+	}
+	return &conn{net: nc, in: bufio.NewReaderSize(nc, readBuffer), idleUntil: time.Now().Add(idleDefault)}, nil
 }
 
-func (c *conn) close() { _ = c.net.Close() }
+// close ends the connection. When any call of it has returned, nothing that was sent on the
+// connection will arrive any more.
+func (c *conn) close() { c.closing.Do(func() { _ = c.net.Close() }) }
 
 // quiet tells whether nothing arrived on an idle connection.
 //
--- /dev/null
+++ b/internal/upstream/held_test.go
@@ -0,0 +1,71 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"hemlockquay/internal/standin/link"
+)
+
+// A target was cut off, and what was sent to it was given up and counted as out by then. It
+// arrived when the cut was over. After an exchange has returned, nothing of it may arrive.
+func TestWhatWasGivenUpDoesNotArriveLater(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			arrived.Add(1)
+		}
+	}))
+	defer server.Close()
+	l, err := link.New(server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer l.Close()
+	p := NewPool(l.Addr(), metrics.NewCounter())
+	defer p.Close()
+	first := request("")
+	_, err = p.Exchange(t.Context(), first, NewConn)
+	require.NoError(t, err, "the link carries the connection")
+
+	l.Cut()
+	ctx, cancel := context.WithCancel(t.Context())
+	sent := make(chan error)
+	go func() {
+		r := request("2")
+		r.Method = http.MethodPost
+		_, err := p.Exchange(ctx, r, KeptConn)
+		sent <- err
+	}()
+	l.AwaitHeld()
+	cancel()
+	require.ErrorIs(t, <-sent, ErrLost)
+	l.Heal()
+	l.Drain()
+	require.Zero(t, arrived.Load())
+}
+
+// The same of a VM whose process is killed: the system ends its connections, and must not
+// go on sending for it. What the option does at the end of a process is the system's part.
+func TestTheSystemResetsConnectionsAtTheEndOfTheProcess(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	p := NewPool(server.Listener.Addr().String(), metrics.NewCounter())
+	defer p.Close()
+	require.NoError(t, p.Connect(t.Context()))
+	raw, err := p.pop().net.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var linger *unix.Linger
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		linger, err = unix.GetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER)
+	}))
+	require.NoError(t, err)
+	require.Equal(t, unix.Linger{Onoff: 1}, *linger)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -125,7 +125,8 @@
 }
 
 // Exchange sends the request once and returns the whole answer. When the context
-// ends, the connection is closed, so that the target can stop its work.
+// ends, the connection is reset, so that the target can stop its work. Nothing of a request
+// arrives after its exchange has returned without an answer.
 func (p *Pool) Exchange(ctx context.Context, r *Request, choice Choice) (*Answer, error) {
 	c, err := p.take(ctx, choice)
 	if err != nil {
@@ -187,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	return newConn(nc)
 }
 
 func (p *Pool) pop() *conn {
