hq-dispatch resets its connections to targets: a request that was given up is not run later

Callers were told that a request may have run; a target that had been cut off ran it as the cut ended, after they had looked or asked again. Cause: net/http closes the connection of a request whose context ends, and the system goes on sending what was written to it.

The sender's connections now end with a reset, by the rule of internal/upstream, which stands there once (EndWithReset). It holds when Send returns: net/http's roundTrip waits for the channel that is closed after Close of the connection has returned, and Close returns after the reset. The connections of a process that is killed are reset as well. What the target's system took in before the reset may still be run.

Tests of target, upstream, standin and dispatch pass with -race.

--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -15,6 +15,7 @@
 
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/problem"
+	"hemlockquay/internal/upstream"
 	"hemlockquay/internal/wire"
 )
 
@@ -57,10 +58,9 @@
 
 // NewSender returns a sender with at most so many connections to each target.
 func NewSender(connections int) *Sender {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Sender{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
@@ -72,6 +72,18 @@
 	}}
 }
 
+// dial opens a connection that is reset at its end. net/http returns the error of a request
+// whose context has ended only after its connection is closed, so that nothing of a request
+// arrives after its Send has returned without an answer.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	nc, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return upstream.EndWithReset(nc)
+}
+
 // onceBody returns a body that net/http cannot rewind.
 //
 // Failure: a kept connection breaks as a request is written. net/http then sends
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -185,10 +185,13 @@
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Inc(1)
 	nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
+	if err == nil {
+		nc, err = EndWithReset(nc)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc)
+	return newConn(nc), nil
 }
 
 func (p *Pool) pop() *conn {
