A link counts its pipes under its lock: Drain raced with a new connection

The race detector stopped a test that drains a link which carried several connections: a WaitGroup must not be raised from zero while another goroutine may wait for it.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -21,12 +21,12 @@
 type Link struct {
 	target   string
 	listener net.Listener
-	// pipes counts the directions of connections that still carry something.
-	pipes sync.WaitGroup
 
 	mu     sync.Mutex
 	cut    bool
 	closed bool
+	// pipes counts the directions of connections that still carry something.
+	pipes int
 	// held is how many bytes wait in all pipes, open how many of them in pipes whose sender
 	// has not ended its connection.
 	held, open int
@@ -87,7 +87,13 @@
 
 // Drain waits until no connection carries anything: both ends have ended all of them, and
 // what was held is delivered or dropped.
-func (l *Link) Drain() { l.pipes.Wait() }
+func (l *Link) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.pipes > 0 {
+		l.changed.Wait()
+	}
+}
 
 // Close ends the link. What it holds is dropped.
 func (l *Link) Close() {
@@ -128,14 +134,21 @@
 // read tells how the sender has ended the connection.
 func (l *Link) carry(from, to net.Conn) {
 	p := &pipe{link: l}
-	l.pipes.Add(1)
+	l.count(1)
 	go p.read(from)
 	go func() {
-		defer l.pipes.Done()
+		defer l.count(-1)
 		p.write(to)
 	}()
 }
 
+func (l *Link) count(pipes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pipes += pipes
+	l.changed.Broadcast()
+}
+
 // pipe is one direction of a connection, with the bytes that it holds.
 type pipe struct {
 	link  *Link
