Only an answer to the release under way ends it

A key would have two owners: an answer to an earlier release of the same rank, which came late, ended the next release while the owner held a newer grant. Cause: any answer to an order of this rank with a release counted. Now the order must have been made since the release began (endsRelease); both times are of the agent's own clock.

--- a/internal/ownership/grantor/contact.go
+++ b/internal/ownership/grantor/contact.go
@@ -127,7 +127,7 @@
 			c.heldUntil = now + time.Duration(r.Held-r.Clock) + g.margin()
 		}
 	}
-	if g.grant.State() == releasing && o.Target == g.target && len(o.Release) > 0 && r.Running == 0 && r.Held <= r.Clock {
+	if g.endsRelease(o) && r.Running == 0 && r.Held <= r.Clock {
 		// The target gave the grant up and ignores older orders of this rank.
 		c.heldUntil, c.sentUntil = 0, 0
 		g.note("target " + o.Target + " released the group")
@@ -138,6 +138,19 @@
 	return first
 }
 
+// endsRelease tells whether the order asked for the release under way.
+//
+// Failure: keys move away and back at one rank, and are to move again. An answer to the
+// first release comes only then, and is taken for the end of this one. It shows as two
+// owners, since the grant that the target got in between is in force. An order is made no
+// earlier than the release that it asks for, so its time tells them apart.
+func (g *Group) endsRelease(o *Order) bool {
+	if g.grant.State() != releasing || o.Target != g.target || len(o.Release) == 0 {
+		return false
+	}
+	return o.Asked >= g.releaseFrom || g.broken == earlierRelease
+}
+
 // refused notes that a target has seen a rank above ours.
 func (g *Group) refused(fence wire.Rank) {
 	if fence.Compare(g.rank) <= 0 {
--- a/internal/ownership/grantor/rules.go
+++ b/internal/ownership/grantor/rules.go
@@ -25,6 +25,7 @@
 	noSlowWait       guard = "slow path without waiting"
 	answerDated      guard = "a confirmation dated from its answer"
 	staleReports     guard = "answers to orders of an earlier rank count"
+	earlierRelease   guard = "an answer to an earlier release counts"
 	carriesBlindly   guard = "a grant carried over an epoch without asking who came between"
 )
 
--- a/internal/ownership/grantor/scenario_test.go
+++ b/internal/ownership/grantor/scenario_test.go
@@ -239,11 +239,7 @@
 	{answerDated, lateConfirmation},
 	{staleReports, answersOfAnEarlierRank},
 	{carriesBlindly, betweenTwoEpochs},
-}
-
-// TestAnswerOfAnEarlierRelease plays the story.
-func TestAnswerOfAnEarlierRelease(t *testing.T) {
-	require.NoError(t, answerOfAnEarlierRelease(newScenario(t, "")))
+	{earlierRelease, answerOfAnEarlierRelease},
 }
 
 // TestScenarios plays each story with the guard in place and without it.
