Published leases stand in a package of their own

internal/gateway/published holds the latest leases of each service that a VM knows, with a lock of its own, taken after that of the gateway's state. No behaviour changes: bodies are those of state.go; who waits for news is woken after a change is in force, as before. Tests are as they were but for how they reach the leases.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -65,3 +65,6 @@
 func (downStore) WatchKind(context.Context, model.Kind, uint64, time.Duration) (platform.Changes, error) {
 	return platform.Changes{}, platform.ErrUnavailable
 }
+
+func (s *state) routingOf(service string) *lease.Routing { return s.leases.Of(service) }
+func (s *state) updateRouting(u *lease.Update) bool      { return s.leases.Update(u) }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -237,7 +237,7 @@
 
 // succeeded tells whether a later epoch was heard of.
 func (l *leader) succeeded() bool {
-	r := l.n.state.routingOf(l.service)
+	r := l.n.state.leases.Of(l.service)
 	return r != nil && r.Epoch > l.grants.Record().Epoch
 }
 
@@ -254,6 +254,6 @@
 // publish puts leases in force here and tells the other VMs.
 func (l *leader) publish(routing *lease.Routing) {
 	l.told = routing
-	l.n.state.setRouting(routing)
+	l.n.state.leases.Set(routing)
 	l.teller.tell(l.n.ctx, routing, l.n.mesh.Others())
 }
--- a/internal/gateway/leases.go
+++ b/internal/gateway/leases.go
@@ -126,7 +126,7 @@
 	if k.n.leaving.Load() || now-k.n.startedAt < meetTime {
 		return -1, false
 	}
-	r := k.n.state.routingOf(k.service)
+	r := k.n.state.leases.Of(k.service)
 	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
 		return -1, true
 	}
@@ -224,13 +224,13 @@
 	if r.Resigned || r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
 		return false
 	}
-	old := k.n.state.routingOf(k.service)
+	old := k.n.state.leases.Of(k.service)
 	if old != nil && old.Epoch == r.Epoch && old.Holder == "" {
 		// It said that it resigned, and could not write it.
 		return false
 	}
 	if old == nil || r.Epoch > old.Epoch {
-		k.n.state.setRouting(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
+		k.n.state.leases.Set(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
 	}
 	return true
 }
--- a/internal/gateway/leases_test.go
+++ b/internal/gateway/leases_test.go
@@ -47,7 +47,7 @@
 	n.hear(mesh.Heartbeat{From: holder})
 	r := n.state
 	r.own("s", 3, 1, "t", lease.Served)
-	r.routing["s"].Holder, r.routing["s"].Incarnation = "holder", 5
+	r.leases.Of("s").Holder, r.leases.Of("s").Incarnation = "holder", 5
 	k := &keeper{n: n, service: "s"}
 
 	_, stands := k.candidate()
@@ -75,7 +75,7 @@
 	defer n.mesh.Close()
 	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
 	n.state.own("s", 3, 1, "t", lease.Served)
-	n.state.routing["s"].Holder, n.state.routing["s"].Incarnation = "holder", 5
+	n.state.leases.Of("s").Holder, n.state.leases.Of("s").Incarnation = "holder", 5
 	_, stands := (&keeper{n: n, service: "s"}).candidate()
 	require.False(t, stands)
 }
@@ -90,7 +90,7 @@
 		n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
 	}
 	n.state.own("s", 3, 1, "t", lease.Served)
-	r := n.state.routing["s"]
+	r := n.state.leases.Of("s")
 	r.Holder, r.Incarnation = "self", n.self.Incarnation
 	rank, stands := (&keeper{n: n, service: "s"}).candidate()
 	require.False(t, stands)
@@ -230,7 +230,7 @@
 	n := testNode(&handClock{now: time.Hour})
 	defer n.mesh.Close()
 	n.state.own("s", 3, 1, "t", lease.Served)
-	r := n.state.routing["s"]
+	r := n.state.leases.Of("s")
 	r.Holder, r.Incarnation = "holder", 5
 	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}, Leaving: true})
 	_, stands := (&keeper{n: n, service: "s"}).candidate()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,7 +27,7 @@
 		From: n.self, Leaving: n.leaving.Load(),
 		StoreLost: !n.storeUp.Load(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
-		Leases: n.state.marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
+		Leases: n.state.leases.Marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
 	}
 }
 
@@ -61,14 +61,14 @@
 
 // behind tells whether leases known here have been behind for a while.
 func (n *node) behind(mark mesh.LeaseMark) bool {
-	r := n.state.routingOf(mark.Service)
+	r := n.state.leases.Of(mark.Service)
 	if r == nil || mark.Epoch > r.Epoch {
 		return true
 	}
 	if mark.Epoch < r.Epoch || mark.Seq <= r.Seq {
 		return false
 	}
-	return n.state.staleFor(r) >= behindLeast
+	return n.state.leases.StaleFor(r) >= behindLeast
 }
 
 // fetch runs one fetch of a kind at a time.
@@ -113,7 +113,7 @@
 	if !r.Valid() {
 		return fmt.Errorf("leases of %s from %s: %w", service, vm, errMalformed)
 	}
-	n.state.setRouting(&r)
+	n.state.leases.Set(&r)
 	return nil
 }
 
@@ -143,7 +143,7 @@
 
 // Routing returns the leases of a service.
 func (v View) Routing(service *string, out *lease.Routing) error {
-	r := v.node.state.routingOf(*service)
+	r := v.node.state.leases.Of(*service)
 	if r == nil {
 		return errUnknown
 	}
@@ -154,7 +154,7 @@
 // Push takes in changed leases from their grantor. The answer is false if the update
 // builds on a version that is not the one known here.
 func (v View) Push(in *lease.Update, used *bool) error {
-	*used = v.node.state.updateRouting(in)
+	*used = v.node.state.leases.Update(in)
 	return nil
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -84,7 +84,7 @@
 	}
 	if c.keyed {
 		e = e.Uint16("key", c.key)
-		if r := n.state.routingOf(c.service); r != nil {
+		if r := n.state.leases.Of(c.service); r != nil {
 			e = e.Uint64("epoch", r.Epoch).Uint64("seq", r.Seq)
 		}
 	}
@@ -112,7 +112,7 @@
 
 func (n *node) dump() any {
 	v := n.state.view.Load()
-	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: n.storeUp.Load(), Members: n.mesh.Live()}
+	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: n.storeUp.Load(), Members: n.mesh.Live(), Leases: n.state.leases.All()}
 	n.state.mu.Lock()
 	defer n.state.mu.Unlock()
 	for id, t := range n.state.targets {
@@ -120,8 +120,5 @@
 			ID: id, Service: t.Service, Draining: t.Draining, Own: t.pick.Own, Others: t.pick.Others, Slowness: t.pick.Slowness(),
 		})
 	}
-	for _, r := range n.state.routing {
-		out.Leases = append(out.Leases, r)
-	}
 	return out
 }
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -76,7 +76,7 @@
 func (s *state) chooseOwner(service string, rt *route.Route, key uint16, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.routing[service]
+	r := s.leases.Of(service)
 	if r == nil {
 		return nil, refusedMoving, "no leases known"
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -15,7 +15,7 @@
 	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/decide/urgency"
-	"hemlockquay/internal/lease"
+	"hemlockquay/internal/gateway/published"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
@@ -30,6 +30,8 @@
 	limit    repeats.Limit
 
 	view atomic.Pointer[catalog.View]
+	// leases have a lock of their own, which is taken after mu where both are.
+	leases *published.Leases
 
 	mu sync.Mutex
 	// vms is how many VMs live.
@@ -38,13 +40,8 @@
 	turn int
 	// members decide which targets exist.
 	members *catalog.Members
-	routing map[string]*lease.Routing
-	// routedAt is when the routing of a service last changed, configuredAt when the
-	// configuration did.
-	routedAt     map[string]time.Duration
+	// configuredAt is when the configuration last changed.
 	configuredAt time.Duration
-	// stale holds the versions of routing that were found behind.
-	stale map[string]staleSince
 	// changed is closed and replaced when routing or view change.
 	changed chan struct{}
 	// news is called when the VM believes something new that others may not know.
@@ -83,19 +80,26 @@
 	s := &state{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
 		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
-		routing: make(map[string]*lease.Routing), routedAt: make(map[string]time.Duration), stale: make(map[string]staleSince),
 		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
+	s.leases = published.New(clock, registry, s.notify)
 	return s
 }
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// notifyLocked wakes who waits for a change. It needs s.mu.
+// notify wakes who waits for a change.
+func (s *state) notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notifyLocked()
+}
+
+// notifyLocked needs s.mu.
 func (s *state) notifyLocked() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -197,88 +201,6 @@
 // their leaving was accepted.
 const leavingMost = 1500 * time.Millisecond
 
-// setRouting takes in a newer routing of a service's keys.
-func (s *state) setRouting(r *lease.Routing) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if old := s.routing[r.Service]; old != nil && !r.After(old.Epoch, old.Seq) {
-		return
-	}
-	if s.routing[r.Service] == nil {
-		s.leaseGauge(r.Service)
-	}
-	s.routing[r.Service], s.routedAt[r.Service] = r, s.clock.Now()
-	s.notifyLocked()
-}
-
-// updateRouting takes in changes of a service's routing; false if they build on
-// another version.
-func (s *state) updateRouting(u *lease.Update) bool {
-	s.mu.Lock()
-	old := s.routing[u.Routing.Service]
-	s.mu.Unlock()
-	if old != nil && !u.Routing.After(old.Epoch, old.Seq) {
-		return true
-	}
-	r, ok := u.On(old)
-	if !ok || !r.Valid() {
-		return false
-	}
-	s.setRouting(r)
-	return true
-}
-
-// staleFor returns for how long this VM has known that another version is later than
-// the one it has.
-func (s *state) staleFor(have *lease.Routing) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	since, ok := s.stale[have.Service]
-	if !ok || since.epoch != have.Epoch || since.seq != have.Seq {
-		since = staleSince{epoch: have.Epoch, seq: have.Seq, at: now}
-		s.stale[have.Service] = since
-	}
-	return now - since.at
-}
-
-// staleSince is the version that this VM had when it first heard of a later one.
-type staleSince struct {
-	epoch, seq uint64
-	at         time.Duration
-}
-
-// routingOf returns what is known of a service's leases, or nil.
-func (s *state) routingOf(service string) *lease.Routing {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.routing[service]
-}
-
-// grantors returns the VMs that are grantors of a service.
-func (s *state) grantors() map[string]bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]bool)
-	for _, r := range s.routing {
-		if r.Holder != "" {
-			out[r.Holder] = true
-		}
-	}
-	return out
-}
-
-// marks returns the versions of all leases.
-func (s *state) marks() []mesh.LeaseMark {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []mesh.LeaseMark
-	for name, r := range s.routing {
-		out = append(out, mesh.LeaseMark{Service: name, Epoch: r.Epoch, Seq: r.Seq})
-	}
-	return out
-}
-
 // loads returns how many requests of this VM are at the targets.
 func (s *state) loads() []mesh.Load {
 	s.mu.Lock()
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -39,7 +39,7 @@
 
 func (s *state) own(service string, epoch, seq uint64, owner string, state lease.SliceState) {
 	r := lease.Record{Service: service, Epoch: epoch, Slices: []lease.Slice{{From: 0, To: 65535, Owner: lease.Owner{ID: owner}}}}
-	s.setRouting(lease.NewRouting(r, seq, func(int) lease.SliceState { return state }))
+	s.leases.Set(lease.NewRouting(r, seq, func(int) lease.SliceState { return state }))
 }
 
 // The owner of a key says that it leaves, and the store turns the grantor away:
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -65,16 +65,6 @@
 	}
 }
 
-// leaseGauge shows how old the word on a service's leases is.
-func (s *state) leaseGauge(service string) {
-	s.registry.GetOrRegister("leases."+service+".age", metrics.NewFunctionalGauge(func() int64 {
-		s.mu.Lock()
-		at := s.routedAt[service]
-		s.mu.Unlock()
-		return s.ageOf(at)
-	}))
-}
-
 // ageOf returns how long ago a reading of the clock was, milliseconds.
 func (s *state) ageOf(at time.Duration) int64 { return (s.clock.Now() - at).Milliseconds() }
 
--- a/internal/gateway/tell_test.go
+++ b/internal/gateway/tell_test.go
@@ -108,11 +108,11 @@
 	defer n.mesh.Close()
 	mark := mesh.LeaseMark{Service: "s", Epoch: 3, Seq: 2}
 	require.True(t, n.behind(mark), "unknown leases are fetched at once")
-	n.state.setRouting(owners(1, 0))
+	n.state.leases.Set(owners(1, 0))
 	require.False(t, n.behind(mark))
 	clock.now += behindLeast
 	require.True(t, n.behind(mark))
-	n.state.setRouting(owners(2, 1))
+	n.state.leases.Set(owners(2, 1))
 	require.False(t, n.behind(mark))
 	mark.Seq = 3
 	require.False(t, n.behind(mark), "time counts from the version at hand")
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -75,7 +75,7 @@
 	if !n.storeUp.Load() {
 		return true
 	}
-	grantors := n.state.grantors()
+	grantors := n.state.leases.Grantors()
 	return grantors[n.self.VM] || n.place("watch") < watchers-len(grantors)
 }
 
