--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hemlockquay/internal/route"
 )
 
@@ -30,6 +32,9 @@
 	Revision uint64
 }
 
+// Hash is a target's id, short, for what VMs tell each other of targets.
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // Targets is a list of targets at a revision of the store.
 type Targets struct {
 	Revision uint64
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/mesh"
 )
 
@@ -30,7 +31,7 @@
 		set = make(map[uint32]time.Duration)
 		s.crashes[content] = set
 	}
-	set[hashID(target)] = s.clock.Now()
+	set[catalog.Hash(target)] = s.clock.Now()
 }
 
 // harmless notes that a request of this content was answered.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -3,19 +3,24 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/route"
-	"hemlockquay/internal/upstream"
 )
 
-// fakeAdapter is a platform whose objects are our own types in JSON.
-type fakeAdapter struct{ store platform.ObjectStore }
+// fakeAdapter is a platform whose objects are our own types in JSON. It translates no
+// orders: a node that gives none needs none.
+type fakeAdapter struct {
+	Adapter
+	store platform.ObjectStore
+}
 
 func (a fakeAdapter) Store(string) platform.ObjectStore { return a.store }
 func (fakeAdapter) ConfigID() platform.ID               { return platform.ID{Kind: "config", Name: "main"} }
@@ -35,18 +40,6 @@
 	return Headers{RequestID: "Id", DeadlineMs: "Deadline", Key: "Key", TargetID: "Target", InstanceID: "Instance", NotRun: "Not-Run"}
 }
 
-func (fakeAdapter) Order(o lease.Order) (*upstream.Request, error) {
-	body, err := json.Marshal(o)
-	return &upstream.Request{Method: http.MethodPost, URI: "/order", Host: o.Target.Addr, Body: body, Header: http.Header{}}, err
-}
-
-func (fakeAdapter) OrderResult(a *upstream.Answer) (lease.Result, string, error) {
-	if a.Status == http.StatusOK {
-		return lease.Done, a.Header.Get("Handover"), nil
-	}
-	return lease.Fenced, "", nil
-}
-
 // downStore is a store that answers nothing.
 type downStore struct{}
 
@@ -68,3 +61,20 @@
 
 func (s *state) routingOf(service string) *lease.Routing { return s.leases.Of(service) }
 func (s *state) updateRouting(u *lease.Update) bool      { return s.leases.Update(u) }
+
+// testNode is a node without goroutines, listeners or a store that answers.
+func testNode(clock *handClock) *node { return testNodeWithLink(clock, 0) }
+
+func testNodeWithLink(clock *handClock, mbps float64) *node {
+	s := &Settings{Store: "127.0.0.1:1", LinkMbps: mbps, MemoryMB: defaultMemory}
+	s.VM, s.DataCentre, s.Peers = "self", "a", "127.0.0.1:1"
+	n := newNode(s, fakeAdapter{store: downStore{}}, clock, quiet(), metrics.NewRegistry())
+	n.mesh.Start(n)
+	n.storeUp.Store(true)
+	return n
+}
+
+func (n *node) hear(b mesh.Heartbeat) {
+	var reply mesh.Heartbeat
+	_ = mesh.Service{Mesh: n.mesh}.Heartbeat(&b, &reply)
+}
--- /dev/null
+++ b/internal/gateway/grantor/grantor.go
@@ -0,0 +1,174 @@
+// Package grantor does the work of granting keys for the VM that it runs on: it is the
+// grantor of some keyed services and ready to become that of the others.
+//
+// It starts goroutines, sends orders to targets, writes the records of leases to the store
+// and tells the other VMs. What it decides stands where none of that is done: in
+// internal/lease, the state machine of the grants, and in internal/decide. Nothing on the
+// path of a request is here; that path reads what internal/gateway/published holds.
+package grantor
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/gateway/published"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/upstream"
+)
+
+// Deps are what the grantor needs of its VM.
+type Deps struct {
+	Self     mesh.Member
+	Clock    boottime.Clock
+	Log      *log.Logger
+	Registry metrics.Registry
+	// HoldMost bounds the hold of a lease, as targets take it.
+	HoldMost time.Duration
+
+	Store Store
+	// StoreTimeout bounds a call to the store, StorePause follows a failed one.
+	StoreTimeout, StorePause time.Duration
+
+	Mesh     Mesh
+	Leases   *published.Leases
+	Standing Standing
+	Fleet    Fleet
+	Orders   Orders
+	// TargetIDHeader names the target that is meant, InstanceIDHeader the one that
+	// answers.
+	TargetIDHeader, InstanceIDHeader string
+}
+
+// Store is the part of the platform's store that the grantor uses.
+type Store interface {
+	platform.ReadWriter
+	ListKind(ctx context.Context, kind model.Kind) (platform.Listing, error)
+}
+
+// Mesh is the part of the mesh of VMs that the grantor uses.
+type Mesh interface {
+	// Lives tells whether a VM lives in this incarnation.
+	Lives(vm string, incarnation uint64) bool
+	// ReachesStore tells whether a VM says that the store answers it.
+	ReachesStore(vm string) bool
+	// Replaced tells whether the process of a VM has ended for sure.
+	Replaced(vm, addr string, incarnation uint64) bool
+	// Size is how many VMs live, with this one.
+	Size() int
+	// Others returns the other VMs that live.
+	Others() []string
+	// Call calls another VM.
+	Call(ctx context.Context, vm, method string, args, reply any) error
+}
+
+// Standing tells how this VM stands.
+type Standing interface {
+	// StoreUp tells whether the store answered last.
+	StoreUp() bool
+	// Listed tells whether the targets are known.
+	Listed() bool
+	// Leaving tells whether the VM's process was told to end.
+	Leaving() bool
+	// Place returns the VM's place, from 0, in the line for a duty.
+	Place(duty string) int
+	// Tag returns a name for a write that no other write has.
+	Tag() string
+}
+
+// Fleet is what this VM believes of targets and services.
+type Fleet interface {
+	// View returns the routes and targets.
+	View() *catalog.View
+	// ReadTarget reads a target's entry; false if it names no target to use.
+	ReadTarget(o platform.Object) (catalog.Target, bool)
+	// Slots is how many requests a target runs at a time; 0 if it is not known.
+	Slots(target string) int
+	// UsualTime is what a request to a service takes; false if it was not measured.
+	UsualTime(service string) (time.Duration, bool)
+	// Coldness is how many usual requests one for a cold key is worth.
+	Coldness(service string) float64
+	// TakeKeyLoad returns what this VM has seen of a service's keys, and starts anew.
+	TakeKeyLoad(service string) KeyLoad
+}
+
+// Orders translate orders for the platform's targets.
+type Orders interface {
+	// TargetKind is the kind of the targets' entries.
+	TargetKind() model.Kind
+	// Order renders an order on leases.
+	Order(o lease.Order) (*upstream.Request, error)
+	// OrderResult reads the answer to an order.
+	OrderResult(a *upstream.Answer) (result lease.Result, handover string, err error)
+}
+
+// Keepers keep the leases of all keyed services.
+type Keepers struct {
+	Deps
+	// ctx ends with the process: what is told of leases outlasts their grantor.
+	ctx context.Context
+
+	// startedAt is when this process began.
+	startedAt time.Duration
+	// leading counts the services whose grantor this VM is.
+	leading atomic.Int32
+	// unfitUntil is until when this VM is no grantor.
+	unfitUntil atomic.Int64
+}
+
+// New returns keepers that do nothing yet. The context ends with the process.
+func New(ctx context.Context, d Deps) *Keepers {
+	return &Keepers{Deps: d, ctx: ctx, startedAt: d.Clock.Now()}
+}
+
+// Leading returns the number of services whose grantor this VM is.
+func (k *Keepers) Leading() int { return int(k.leading.Load()) }
+
+// Run runs a keeper for each keyed service of the configuration until the context ends.
+func (k *Keepers) Run(ctx context.Context) {
+	running := make(map[string]context.CancelFunc)
+	for pause.For(ctx, candidateStep) {
+		keyed := k.keyedServices()
+		for name := range keyed {
+			if running[name] == nil {
+				keeperCtx, cancel := context.WithCancel(ctx)
+				running[name] = cancel
+				go (&keeper{Keepers: k, service: name}).run(keeperCtx)
+			}
+		}
+		for name, cancel := range running {
+			if !keyed[name] {
+				cancel()
+				delete(running, name)
+			}
+		}
+	}
+}
+
+func (k *Keepers) keyedServices() map[string]bool {
+	out := make(map[string]bool)
+	if t := k.Fleet.View().Routes; t != nil {
+		for name, s := range t.Config().Services {
+			if s.Keyed {
+				out[name] = true
+			}
+		}
+	}
+	return out
+}
+
+// AwaitSuccessors waits until this VM is no grantor any more, which takes the store, or
+// until the process must end.
+func (k *Keepers) AwaitSuccessors(ctx context.Context) {
+	for k.leading.Load() > 0 && pause.For(ctx, leadStep) {
+	}
+}
--- a/internal/gateway/heldorders_test.go
+++ b/internal/gateway/grantor/heldorders_test.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"encoding/json"
@@ -15,8 +15,8 @@
 	"hemlockquay/internal/upstream"
 )
 
-// keyHolder is a target of a service with one slice that takes orders as fakeAdapter
-// writes them. Its clock is the test's.
+// keyHolder is a target of a service with one slice that takes orders as plainOrders
+// write them. Its clock is the test's.
 type keyHolder struct {
 	clock *handClock
 
@@ -77,9 +77,9 @@
 	old, next := &keyHolder{clock: clock}, &keyHolder{clock: clock}
 	oldLink, nextLink := old.start(t), next.start(t)
 	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
-	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
+	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&keeper{n: n, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPast), 1)
+	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPast), 1)
 	for _, o := range []lease.Owner{oldOwner, nextOwner} {
 		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
 		l.grants.LifeConfirmed(o)
--- a/internal/gateway/leases.go
+++ b/internal/gateway/grantor/keeper.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"context"
@@ -8,9 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/lease"
-	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
@@ -39,7 +37,7 @@
 	rankPause = 400 * time.Millisecond
 	// strandedAfter is how long the grantor must have been without the store, and
 	// this VM with it. After an outage VMs find the store again within
-	// storePauseMost of each other.
+	// StorePause of each other.
 	strandedAfter = 600 * time.Millisecond
 	// confirmEvery is how often the epoch is confirmed at the store, three times
 	// within the authority.
@@ -59,7 +57,7 @@
 
 // keeper keeps the leases of one service: as their grantor, or ready to become it.
 type keeper struct {
-	n       *node
+	*Keepers
 	service string
 
 	// orderUntil is until when orders may be sent, on the clock that counts
@@ -79,7 +77,7 @@
 	k.resume(ctx)
 	var due time.Duration
 	for pause.For(ctx, candidateStep) {
-		now := k.n.clock.Now()
+		now := k.Clock.Now()
 		rank, stands := k.candidate()
 		if stands || rank < 0 {
 			due = 0
@@ -93,7 +91,7 @@
 		}
 		due = 0
 		if err := k.takeOver(ctx); err != nil {
-			k.n.log.Warn().Str("step", "leases").Str("service", k.service).Int("rank", rank).Err(err).Msg("not taken over")
+			k.Log.Warn().Str("step", "leases").Str("service", k.service).Int("rank", rank).Err(err).Msg("not taken over")
 		}
 	}
 }
@@ -105,41 +103,41 @@
 // lapse until there is a grantor; the time to meet the others is too long for
 // that. The one VM that the record names needs no agreement.
 func (k *keeper) resume(ctx context.Context) {
-	for !k.n.listed.Load() {
+	for !k.Standing.Listed() {
 		if !pause.For(ctx, leadStep) {
 			return
 		}
 	}
 	r, _, err := k.read(ctx)
-	if err != nil || r.Holder != k.n.self.VM || r.HolderAddr != k.n.self.Addr || r.Incarnation == k.n.self.Incarnation {
+	if err != nil || r.Holder != k.Self.VM || r.HolderAddr != k.Self.Addr || r.Incarnation == k.Self.Incarnation {
 		return
 	}
 	if err := k.takeOver(ctx); err != nil {
-		k.n.log.Warn().Str("step", "leases").Str("service", k.service).Err(err).Msg("not resumed")
+		k.Log.Warn().Str("step", "leases").Str("service", k.service).Err(err).Msg("not resumed")
 	}
 }
 
 // candidate returns this VM's place in the line of successors, and whether the
 // present grantor stands.
 func (k *keeper) candidate() (rank int, stands bool) {
-	now := k.n.clock.Now()
-	if k.n.leaving.Load() || now-k.n.startedAt < meetTime {
+	now := k.Clock.Now()
+	if k.Standing.Leaving() || now-k.startedAt < meetTime {
 		return -1, false
 	}
-	r := k.n.state.leases.Of(k.service)
-	if r != nil && r.Holder != k.n.self.VM && k.n.mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
+	r := k.Leases.Of(k.service)
+	if r != nil && r.Holder != k.Self.VM && k.Mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
 		return -1, true
 	}
-	if r != nil && r.Holder == k.n.self.VM && r.Incarnation == k.n.self.Incarnation {
+	if r != nil && r.Holder == k.Self.VM && r.Incarnation == k.Self.Incarnation {
 		// Our own epoch ended on a conflict of its record. The others still see a
 		// grantor that lives; waiting for a place in the line would let the keys
 		// lapse.
 		return 0, false
 	}
-	rank = k.n.place(k.service)
-	if int64(now) < k.n.unfitUntil.Load() {
+	rank = k.Standing.Place(k.service)
+	if int64(now) < k.unfitUntil.Load() {
 		// All others come first; but where all resigned, one must do it.
-		rank += k.n.mesh.Size()
+		rank += k.Mesh.Size()
 	}
 	return rank, false
 }
@@ -151,8 +149,8 @@
 // among them renews what it granted, but cannot move a key: those of a target that
 // leaves or dies stay without service, or with it for too long.
 func (k *keeper) stranded(holder string) bool {
-	now := k.n.clock.Now()
-	if !k.n.storeUp.Load() || k.n.mesh.ReachesStore(holder) {
+	now := k.Clock.Now()
+	if !k.Standing.StoreUp() || k.Mesh.ReachesStore(holder) {
 		k.strandedSince = 0
 		return false
 	}
@@ -181,15 +179,15 @@
 	}
 	past := k.past(old, fresh)
 	next.Epoch, next.Resigned = old.Epoch+1, false
-	next.Holder, next.HolderAddr, next.Incarnation = k.n.self.VM, k.n.self.Addr, k.n.self.Incarnation
-	sent := k.n.clock.Now()
+	next.Holder, next.HolderAddr, next.Incarnation = k.Self.VM, k.Self.Addr, k.Self.Incarnation
+	sent := k.Clock.Now()
 	version, err = k.write(ctx, next, version)
 	if err != nil {
 		return err
 	}
-	done := k.n.clock.Now()
-	timing := lease.Timing{Hold: min(holdTime, k.n.settings.HoldMost.D()), Renew: renewEvery, Retry: orderRetry, Cold: k.coldMove()}
-	k.n.log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
+	done := k.Clock.Now()
+	timing := lease.Timing{Hold: min(holdTime, k.HoldMost), Renew: renewEvery, Retry: orderRetry, Cold: k.coldMove()}
+	k.Log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
 		Int("slices", len(next.Slices)).Int("past", int(past)).Msg("grantor of the service")
 	newLeader(k, lease.NewGrantor(next, timing, sent, done, past), version).run(ctx)
 	return nil
@@ -198,7 +196,7 @@
 // coldMove is how long keys are slow at an owner that got them without the state of
 // the last one.
 func (k *keeper) coldMove() time.Duration {
-	t := k.n.state.view.Load().Routes
+	t := k.Fleet.View().Routes
 	if t == nil {
 		return 0
 	}
@@ -212,7 +210,7 @@
 	switch {
 	case fresh:
 		return lease.NoPast
-	case old.Resigned, k.n.mesh.Replaced(old.Holder, old.HolderAddr, old.Incarnation):
+	case old.Resigned, k.Mesh.Replaced(old.Holder, old.HolderAddr, old.Incarnation):
 		return lease.PastEnded
 	}
 	return lease.PastUnknown
@@ -221,16 +219,16 @@
 // stillLed tells whether the record names a grantor that lives, and makes it
 // known: this VM had not heard of it yet.
 func (k *keeper) stillLed(r lease.Record) bool {
-	if r.Resigned || r.Holder == k.n.self.VM || !k.n.mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
+	if r.Resigned || r.Holder == k.Self.VM || !k.Mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
 		return false
 	}
-	old := k.n.state.leases.Of(k.service)
+	old := k.Leases.Of(k.service)
 	if old != nil && old.Epoch == r.Epoch && old.Holder == "" {
 		// It said that it resigned, and could not write it.
 		return false
 	}
 	if old == nil || r.Epoch > old.Epoch {
-		k.n.state.leases.Set(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
+		k.Leases.Set(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
 	}
 	return true
 }
@@ -238,8 +236,8 @@
 // firstOwners returns the targets among which the keys are dealt for the first
 // time, or nil while more may still come.
 func (k *keeper) firstOwners() []lease.Owner {
-	view := k.n.state.view.Load()
-	now := k.n.clock.Now()
+	view := k.Fleet.View()
+	now := k.Clock.Now()
 	list := view.ByService[k.service]
 	if len(list) == 0 {
 		k.listSeen = 0
@@ -259,7 +257,7 @@
 
 // owners returns the targets that may own keys.
 func (k *keeper) owners() []lease.Owner {
-	list := k.n.state.view.Load().ByService[k.service]
+	list := k.Fleet.View().ByService[k.service]
 	out := make([]lease.Owner, len(list))
 	for i, t := range list {
 		out[i] = lease.Owner{ID: t.ID, Born: t.Born, Addr: t.Addr}
@@ -270,9 +268,9 @@
 func (k *keeper) id() platform.ID { return platform.ID{Kind: kindLeases, Name: k.service} }
 
 func (k *keeper) read(ctx context.Context) (lease.Record, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.StoreTimeout)
 	defer cancel()
-	o, err := k.n.store.Get(ctx, k.id())
+	o, err := k.Store.Get(ctx, k.id())
 	if err != nil {
 		return lease.Record{}, 0, err
 	}
@@ -287,54 +285,12 @@
 }
 
 func (k *keeper) write(ctx context.Context, r lease.Record, version uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.StoreTimeout)
 	defer cancel()
 	spec, err := json.Marshal(r)
 	if err != nil {
 		return 0, fmt.Errorf("encode record of %s: %w", k.service, err)
 	}
-	o, err := platform.Write(ctx, k.n.store, platform.Object{Kind: kindLeases, Name: k.service, Version: version, Writer: k.n.tag(), Spec: spec})
+	o, err := platform.Write(ctx, k.Store, platform.Object{Kind: kindLeases, Name: k.service, Version: version, Writer: k.Standing.Tag(), Spec: spec})
 	return o.Version, err
 }
-
-// keepLeases runs a keeper for each keyed service of the configuration.
-func (n *node) keepLeases(ctx context.Context) {
-	running := make(map[string]context.CancelFunc)
-	for pause.For(ctx, candidateStep) {
-		keyed := n.keyedServices()
-		for name := range keyed {
-			if running[name] == nil {
-				keeperCtx, cancel := context.WithCancel(ctx)
-				running[name] = cancel
-				go (&keeper{n: n, service: name}).run(keeperCtx)
-			}
-		}
-		for name, cancel := range running {
-			if !keyed[name] {
-				cancel()
-				delete(running, name)
-			}
-		}
-	}
-}
-
-func (n *node) keyedServices() map[string]bool {
-	out := make(map[string]bool)
-	if t := n.state.view.Load().Routes; t != nil {
-		for name, s := range t.Config().Services {
-			if s.Keyed {
-				out[name] = true
-			}
-		}
-	}
-	return out
-}
-
-// tellLoads refreshes what the other VMs have at the targets.
-func (n *node) tellLoads(ctx context.Context) {
-	for pause.For(ctx, pick.TellEvery) {
-		n.state.setOthers(n.mesh.Loads(), len(n.mesh.Others())+1)
-	}
-}
-
-var _ mesh.Local = (*node)(nil)
--- a/internal/gateway/leader.go
+++ b/internal/gateway/grantor/leader.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"context"
@@ -75,7 +75,7 @@
 func newLeader(k *keeper, g *lease.Grantor, version uint64) *leader {
 	l := &leader{
 		keeper: k, grants: g, version: version, events: make(chan func(), eventQueue),
-		teller: newTeller(k.n.pushLeases, k.n.log),
+		teller: newTeller(k.pushLeases, k.Log),
 		lines:  make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
 		lag: fitness.NewMeter(leadStep),
 	}
@@ -85,8 +85,8 @@
 
 // run leads until another grantor took over or the context ends.
 func (l *leader) run(ctx context.Context) {
-	l.n.leading.Add(1)
-	defer l.n.leading.Add(-1)
+	l.leading.Add(1)
+	defer l.leading.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer l.orderUntil.Store(0)
@@ -103,7 +103,7 @@
 		}
 		l.step(ctx)
 	}
-	l.n.log.Warn().Str("step", "leases").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).Msg("no grantor any more")
+	l.Log.Warn().Str("step", "leases").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).Msg("no grantor any more")
 }
 
 func (l *leader) drainEvents() {
@@ -126,13 +126,13 @@
 }
 
 func (l *leader) step(ctx context.Context) {
-	now := l.n.clock.Now()
+	now := l.Clock.Now()
 	if l.succeeded() || l.grants.Exhausted() {
 		l.deposed = true
 		return
 	}
 	slow := l.lag.Note(now)
-	if slow || l.n.leaving.Load() || l.strayed(now) {
+	if slow || l.Standing.Leaving() || l.strayed(now) {
 		l.tryResign(ctx, now)
 	}
 	if l.resigning {
@@ -182,12 +182,12 @@
 	l.resignNext = now + resignPause
 	l.reading = true
 	go func() {
-		sent := l.n.clock.Now()
+		sent := l.Clock.Now()
 		r, _, err := l.read(ctx)
 		l.later(ctx, func() {
 			l.reading = false
 			if err != nil {
-				l.n.log.Info().Str("step", "leases").Str("service", l.service).Err(err).Msg("not resigned, nobody could take over")
+				l.Log.Info().Str("step", "leases").Str("service", l.service).Err(err).Msg("not resigned, nobody could take over")
 				return
 			}
 			l.noteEpoch(r, sent)
@@ -203,14 +203,14 @@
 func (l *leader) resign(ctx context.Context) {
 	l.orderUntil.Store(0)
 	l.resigning = true
-	l.n.unfitUntil.Store(int64(l.n.clock.Now() + unfitTime))
+	l.unfitUntil.Store(int64(l.Clock.Now() + unfitTime))
 	next := l.grants.Plan(nil)
 	next.Resigned = true
 	version, lag, waited := l.version, l.lag.Lag(), l.lag.Waited()
 	go func() {
 		_, err := l.write(ctx, next, version)
-		l.n.log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", lag).Dur("waited", waited).
-			Bool("leaving", l.n.leaving.Load()).Err(err).Msg("grantor resigned")
+		l.Log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", lag).Dur("waited", waited).
+			Bool("leaving", l.Standing.Leaving()).Err(err).Msg("grantor resigned")
 		l.later(ctx, func() { l.resigned(err) })
 	}()
 }
@@ -228,7 +228,7 @@
 
 // vacant returns leases without a grantor: another VM takes over at once.
 func (l *leader) vacant() *lease.Routing {
-	now := l.n.clock.Now()
+	now := l.Clock.Now()
 	l.seq++
 	r := lease.NewRouting(l.grants.Record(), l.seq, func(i int) lease.SliceState { return l.grants.State(i, now) })
 	r.Holder = ""
@@ -237,7 +237,7 @@
 
 // succeeded tells whether a later epoch was heard of.
 func (l *leader) succeeded() bool {
-	r := l.n.state.leases.Of(l.service)
+	r := l.Leases.Of(l.service)
 	return r != nil && r.Epoch > l.grants.Record().Epoch
 }
 
@@ -254,6 +254,6 @@
 // publish puts leases in force here and tells the other VMs.
 func (l *leader) publish(routing *lease.Routing) {
 	l.told = routing
-	l.n.state.leases.Set(routing)
-	l.teller.tell(l.n.ctx, routing, l.n.mesh.Others())
+	l.Leases.Set(routing)
+	l.teller.tell(l.ctx, routing, l.Mesh.Others())
 }
--- a/internal/gateway/lives.go
+++ b/internal/gateway/grantor/lives.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"context"
@@ -24,11 +24,11 @@
 	}
 	l.reading = true
 	go func() {
-		sent := l.n.clock.Now()
+		sent := l.Clock.Now()
 		r, _, err := l.read(ctx)
 		if err != nil {
-			l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
-			pause.For(ctx, storePauseMost)
+			l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
+			pause.For(ctx, l.StorePause)
 		}
 		l.later(ctx, func() {
 			l.reading = false
@@ -40,7 +40,7 @@
 }
 
 func (l *leader) noteEpoch(r lease.Record, sent time.Duration) {
-	if r.Epoch != l.grants.Record().Epoch || r.Incarnation != l.n.self.Incarnation {
+	if r.Epoch != l.grants.Record().Epoch || r.Incarnation != l.Self.Incarnation {
 		l.deposed = true
 		return
 	}
@@ -77,7 +77,7 @@
 
 // listed tells whether the target is listed in this life.
 func (l *leader) listed(o lease.Owner) bool {
-	t := l.n.state.view.Load().ByID[o.ID]
+	t := l.Fleet.View().ByID[o.ID]
 	return t != nil && t.Born == o.Born
 }
 
@@ -85,7 +85,7 @@
 	connected := connectAll(ctx, owners, lines)
 	var confirmed []lease.Owner
 	var record lease.Record
-	sent := l.n.clock.Now()
+	sent := l.Clock.Now()
 	var err error
 	if len(connected) > 0 {
 		confirmed, err = l.askLives(ctx, connected)
@@ -94,7 +94,7 @@
 		}
 	}
 	if err != nil {
-		l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("lives of targets not confirmed")
+		l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("lives of targets not confirmed")
 	}
 	l.later(ctx, func() {
 		l.checking = false
@@ -139,15 +139,15 @@
 
 // askLives returns those owners that the store lists in the same life.
 func (l *leader) askLives(ctx context.Context, owners []lease.Owner) ([]lease.Owner, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.StoreTimeout)
 	defer cancel()
-	list, err := l.n.store.ListKind(ctx, l.n.adapter.TargetKind())
+	list, err := l.Store.ListKind(ctx, l.Orders.TargetKind())
 	if err != nil {
 		return nil, fmt.Errorf("list targets: %w", err)
 	}
 	born := make(map[string]int64, len(list.Objects))
 	for _, o := range list.Objects {
-		if t, ok := l.n.readTarget(o); ok {
+		if t, ok := l.Fleet.ReadTarget(o); ok {
 			born[t.ID] = t.Born
 		}
 	}
@@ -162,7 +162,7 @@
 
 // noteLives notes the ends of lives: targets that are listed with a later start.
 func (l *leader) noteLives() {
-	for id, t := range l.n.state.view.Load().ByID {
+	for id, t := range l.Fleet.View().ByID {
 		if l.bornKnown[id] == t.Born {
 			continue
 		}
--- a/internal/gateway/moves.go
+++ b/internal/gateway/grantor/moves.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 // notePlanned looks who should own what and has changes written.
 func (l *leader) notePlanned(ctx context.Context, now time.Duration) {
-	if l.writing || now < l.planNext || !l.n.storeUp.Load() {
+	if l.writing || now < l.planNext || !l.Standing.StoreUp() {
 		return
 	}
 	l.planNext = now + planEvery
@@ -27,15 +27,15 @@
 	next := l.grants.Plan(changes)
 	for _, c := range changes {
 		s := l.grants.Record().Slices[c.Slice]
-		l.n.log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
-			Str("to", c.To.ID).Uint64("targets", l.n.state.view.Load().Targets.Revision).Msg("keys get another owner")
+		l.Log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
+			Str("to", c.To.ID).Uint64("targets", l.Fleet.View().Targets.Revision).Msg("keys get another owner")
 	}
 	l.writing = true
 	version := l.version
 	go func() {
-		sent := l.n.clock.Now()
+		sent := l.Clock.Now()
 		written, err := l.write(ctx, next, version)
-		over := l.n.clock.Now()
+		over := l.Clock.Now()
 		l.later(ctx, func() { l.written(next, written, sent, over, err) })
 	}()
 }
@@ -47,7 +47,7 @@
 		l.grants.Commit(next, sent, over)
 		return
 	}
-	l.n.log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("record not written")
+	l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("record not written")
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		// Another's write stands, or a lost one of ours: begin again from it.
--- a/internal/gateway/orders.go
+++ b/internal/gateway/grantor/orders.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"context"
@@ -41,9 +41,9 @@
 		return
 	}
 	select {
-	case line.grants <- queuedGrant{o, l.n.clock.Now()}:
+	case line.grants <- queuedGrant{o, l.Clock.Now()}:
 	default:
-		l.grants.Ended(o, lease.Unreached, "", l.n.clock.Now(), l.n.clock.Now())
+		l.grants.Ended(o, lease.Unreached, "", l.Clock.Now(), l.Clock.Now())
 	}
 }
 
@@ -51,7 +51,7 @@
 	line := l.lines[o]
 	if line == nil {
 		line = &orderLine{
-			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.n.registry)),
+			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)),
 			grants: make(chan queuedGrant, len(l.grants.Record().Slices)+1), releases: make(chan struct{}, releasesAtOnce),
 		}
 		l.lines[o] = line
@@ -74,7 +74,7 @@
 		case <-ctx.Done():
 			return
 		case g := <-line.grants:
-			waited := l.n.clock.Now() - g.since
+			waited := l.Clock.Now() - g.since
 			if l.order(ctx, line, g.Order, upstream.KeptConn, grantTimeout) == lease.Done {
 				l.later(ctx, func() { l.lag.Granted(waited) })
 			}
@@ -98,16 +98,16 @@
 // the grantor and moved the keys. The authority is read again on a clock that
 // counts suspended time, right before the bytes leave.
 func (l *leader) order(ctx context.Context, line *orderLine, o lease.Order, conn upstream.Choice, timeout time.Duration) lease.Result {
-	sent := l.n.clock.Now()
+	sent := l.Clock.Now()
 	result, handover, err := lease.Unreached, "", errNoAuthority
 	if int64(sent) < l.orderUntil.Load() {
 		result, handover, err = l.exchange(ctx, line, o, conn, timeout)
 	}
-	over := l.n.clock.Now()
-	metrics.GetOrRegisterTimer("step.order", l.n.registry).Update(over - sent)
-	metrics.GetOrRegisterCounter("orders."+result.String(), l.n.registry).Inc(1)
+	over := l.Clock.Now()
+	metrics.GetOrRegisterTimer("step.order", l.Registry).Update(over - sent)
+	metrics.GetOrRegisterCounter("orders."+result.String(), l.Registry).Inc(1)
 	if err != nil || result != lease.Done {
-		l.n.log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Stringer("kind", o.Kind).
+		l.Log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Stringer("kind", o.Kind).
 			Uint16("from", o.From).Uint64("fence", o.Fence).Stringer("result", result).Dur("took", over-sent).Err(err).Msg("order not done")
 	}
 	l.later(ctx, func() { l.ended(ctx, o, result, handover, sent, over) })
@@ -117,7 +117,7 @@
 var errNoAuthority = errors.New("authority has run out")
 
 func (l *leader) exchange(ctx context.Context, line *orderLine, o lease.Order, conn upstream.Choice, timeout time.Duration) (lease.Result, string, error) {
-	request, err := l.n.adapter.Order(o)
+	request, err := l.Orders.Order(o)
 	if err != nil {
 		return lease.Unreached, "", err
 	}
@@ -130,7 +130,7 @@
 	case err != nil:
 		return lease.Unanswered, "", err
 	}
-	result, handover, err := l.n.adapter.OrderResult(answer)
+	result, handover, err := l.Orders.OrderResult(answer)
 	if result == lease.Unanswered && l.replaced(ctx, line, o.Target) {
 		return lease.Misdirected, "", err
 	}
@@ -145,20 +145,20 @@
 // might have reached the lost owner is out, twelve seconds longer after a
 // succession, its keys had no service.
 func (l *leader) replaced(ctx context.Context, line *orderLine, o lease.Owner) bool {
-	table := l.n.state.view.Load().Routes
+	table := l.Fleet.View().Routes
 	if table == nil {
 		return false
 	}
 	request := &upstream.Request{
 		Method: http.MethodGet, URI: table.Config().Services[l.service].HealthPath, Host: o.Addr,
-		Header: http.Header{l.n.headers.TargetID: {o.ID}},
+		Header: http.Header{l.TargetIDHeader: {o.ID}},
 	}
 	answer, err := line.pool.Exchange(ctx, request, upstream.NewConn)
 	if err != nil {
 		return false
 	}
-	id := answer.Header.Get(l.n.headers.InstanceID)
-	l.n.log.Warn().Str("step", "order").Str("target", o.ID).Str("addr", o.Addr).Str("answers", id).Msg("who answers at the address of an owner")
+	id := answer.Header.Get(l.InstanceIDHeader)
+	l.Log.Warn().Str("step", "order").Str("target", o.ID).Str("addr", o.Addr).Str("answers", id).Msg("who answers at the address of an owner")
 	return id != "" && id != o.ID
 }
 
@@ -166,7 +166,7 @@
 // follows from these lines and those of orders that were not done.
 func (l *leader) logMoves(now time.Duration) {
 	for _, e := range l.grants.TakeEvents() {
-		entry := l.n.log.Info().Str("step", "lease").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).
+		entry := l.Log.Info().Str("step", "lease").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).
 			Uint16("from", e.From).Uint16("to", e.To).Stringer("how", e.Kind).Str("owner", e.Owner.ID).Uint64("fence", e.Fence)
 		if e.Previous.Known() {
 			entry = entry.Str("previous", e.Previous.ID).Dur("free", now-e.Out)
--- /dev/null
+++ b/internal/gateway/grantor/play_test.go
@@ -0,0 +1,144 @@
+package grantor
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/gateway/published"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/upstream"
+)
+
+// handClock is moved by the test.
+type handClock struct{ now time.Duration }
+
+func (c *handClock) Now() time.Duration { return c.now }
+
+func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
+
+// state is what a VM knows of leases.
+type state struct{ leases *published.Leases }
+
+func testState(clock *handClock) *state {
+	return &state{leases: published.New(clock, metrics.NewRegistry(), func() {})}
+}
+
+func (s *state) routingOf(service string) *lease.Routing { return s.leases.Of(service) }
+func (s *state) updateRouting(u *lease.Update) bool      { return s.leases.Update(u) }
+
+func (s *state) own(service string, epoch, seq uint64, owner string, state lease.SliceState) {
+	r := lease.Record{Service: service, Epoch: epoch, Slices: []lease.Slice{{From: 0, To: 65535, Owner: lease.Owner{ID: owner}}}}
+	s.leases.Set(lease.NewRouting(r, seq, func(int) lease.SliceState { return state }))
+}
+
+// node plays the VM of a grantor, without goroutines, targets or a store that answers.
+type node struct {
+	*Keepers
+	mesh    *mesh.Mesh
+	state   *state
+	storeUp atomic.Bool
+	leaving atomic.Bool
+	tags    atomic.Uint64
+}
+
+func testNode(clock *handClock) *node {
+	n := &node{state: testState(clock)}
+	self := mesh.Member{VM: "self", Addr: "127.0.0.1:1", DataCentre: "a", Incarnation: uint64(time.Now().UnixNano())}
+	n.mesh = mesh.New(self, clock, quiet())
+	n.Keepers = New(context.Background(), Deps{
+		Self: self, Clock: clock, Log: quiet(), Registry: metrics.NewRegistry(), HoldMost: 10 * time.Second,
+		Store: &changingStore{}, StoreTimeout: time.Second, StorePause: 400 * time.Millisecond,
+		Mesh: n.mesh, Leases: n.state.leases, Standing: standing{n}, Fleet: emptyFleet{}, Orders: plainOrders{},
+		TargetIDHeader: "Target", InstanceIDHeader: "Instance",
+	})
+	n.mesh.Start(n)
+	n.storeUp.Store(true)
+	clock.now += meetTime
+	return n
+}
+
+func (n *node) hear(b mesh.Heartbeat) {
+	var reply mesh.Heartbeat
+	_ = mesh.Service{Mesh: n.mesh}.Heartbeat(&b, &reply)
+}
+
+// Heartbeat implements mesh.Local.
+func (n *node) Heartbeat() mesh.Heartbeat {
+	return mesh.Heartbeat{From: n.Self, Leaving: n.leaving.Load(), StoreLost: !n.storeUp.Load(), Leases: n.state.leases.Marks()}
+}
+
+// Heard implements mesh.Local.
+func (*node) Heard(mesh.Heartbeat) {}
+
+// standing is that of a node which comes last in the line for each duty.
+type standing struct{ n *node }
+
+func (s standing) StoreUp() bool    { return s.n.storeUp.Load() }
+func (s standing) Listed() bool     { return true }
+func (s standing) Leaving() bool    { return s.n.leaving.Load() }
+func (s standing) Place(string) int { return s.n.mesh.Size() - 1 }
+func (s standing) Tag() string      { return strconv.FormatUint(s.n.tags.Add(1), 10) }
+
+// emptyFleet knows no routes and targets.
+type emptyFleet struct{}
+
+func (emptyFleet) View() *catalog.View                               { return catalog.NewView(nil, catalog.Targets{}) }
+func (emptyFleet) ReadTarget(platform.Object) (catalog.Target, bool) { return catalog.Target{}, false }
+func (emptyFleet) Slots(string) int                                  { return 0 }
+func (emptyFleet) UsualTime(string) (time.Duration, bool)            { return 0, false }
+func (emptyFleet) Coldness(string) float64                           { return 1 }
+func (emptyFleet) TakeKeyLoad(string) KeyLoad                        { return KeyLoad{} }
+
+// plainOrders are orders as JSON.
+type plainOrders struct{}
+
+func (plainOrders) TargetKind() model.Kind { return "targets" }
+
+func (plainOrders) Order(o lease.Order) (*upstream.Request, error) {
+	body, err := json.Marshal(o)
+	return &upstream.Request{Method: http.MethodPost, URI: "/order", Host: o.Target.Addr, Body: body, Header: http.Header{}}, err
+}
+
+func (plainOrders) OrderResult(a *upstream.Answer) (lease.Result, string, error) {
+	if a.Status == http.StatusOK {
+		return lease.Done, a.Header.Get("Handover"), nil
+	}
+	return lease.Fenced, "", nil
+}
+
+// changingStore is away, or holds one record and takes every write of it.
+type changingStore struct {
+	up     atomic.Bool
+	record platform.Object
+}
+
+func (s *changingStore) Get(context.Context, platform.ID) (platform.Object, error) {
+	if !s.up.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.record, nil
+}
+
+func (s *changingStore) Put(_ context.Context, o platform.Object) (platform.Object, error) {
+	if !s.up.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	s.record = o
+	return o, nil
+}
+
+func (s *changingStore) ListKind(context.Context, model.Kind) (platform.Listing, error) {
+	return platform.Listing{}, platform.ErrUnavailable
+}
--- a/internal/gateway/spread.go
+++ b/internal/gateway/grantor/spread.go
@@ -1,10 +1,11 @@
-package gateway
+package grantor
 
 import (
 	"context"
 	"slices"
 	"time"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/keyspread"
 	"hemlockquay/internal/lease"
 )
@@ -68,12 +69,12 @@
 	}
 	l.load.asked = now
 	l.load.rates.Advance(now)
-	l.load.take(l.n.self.VM, l.n.state.takeKeyLoad(l.service))
-	for _, vm := range l.n.mesh.Others() {
+	l.load.take(l.Self.VM, l.Fleet.TakeKeyLoad(l.service))
+	for _, vm := range l.Mesh.Others() {
 		go func() {
 			var in KeyLoad
-			if err := l.n.mesh.Call(ctx, vm, "View.KeyLoad", &l.service, &in); err != nil {
-				l.n.log.Debug().Str("step", "load").Str("peer", vm).Err(err).Msg("load of keys not known")
+			if err := l.Mesh.Call(ctx, vm, "View.KeyLoad", &l.service, &in); err != nil {
+				l.Log.Debug().Str("step", "load").Str("peer", vm).Err(err).Msg("load of keys not known")
 				return
 			}
 			l.later(ctx, func() { l.load.take(vm, in) })
@@ -100,7 +101,7 @@
 	}
 	for _, c := range moved {
 		s := l.grants.Record().Slices[c.Slice]
-		l.n.log.Info().Str("step", "spread").Str("service", l.service).Uint16("from", s.From).Float64("rate", sums[c.Slice].Rate).
+		l.Log.Info().Str("step", "spread").Str("service", l.service).Uint16("from", s.From).Float64("rate", sums[c.Slice].Rate).
 			Str("owner", s.Owner.ID).Str("to", c.To.ID).Msg("hot keys get another owner")
 	}
 	return moved
@@ -127,7 +128,7 @@
 		from[i] = s.From
 	}
 	sums := l.load.rates.Sums(from)
-	coldness := l.n.state.coldnessOf(l.service)
+	coldness := l.Fleet.Coldness(l.service)
 	ranges := make([]keyspread.Range, len(record.Slices))
 	for i, s := range record.Slices {
 		owner, ok := index[s.Owner]
@@ -148,14 +149,9 @@
 
 // capacityOf returns how many requests a second a target can do.
 func (l *leader) capacityOf(o lease.Owner) float64 {
-	l.n.state.mu.Lock()
-	slots, usual := 1, assumedTime
-	if t := l.n.state.targets[o.ID]; t != nil {
-		slots = max(t.Slots, 1)
+	slots, usual := max(l.Fleet.Slots(o.ID), 1), assumedTime
+	if d, known := l.Fleet.UsualTime(l.service); known {
+		usual = d
 	}
-	if d := l.n.state.durations[l.service]; d != nil && d.Known() {
-		usual = d.Mean()
-	}
-	l.n.state.mu.Unlock()
-	return float64(slots) / (usual.Seconds() * l.load.slownessOf(hashID(o.ID)))
+	return float64(slots) / (usual.Seconds() * l.load.slownessOf(catalog.Hash(o.ID)))
 }
--- a/internal/gateway/tell.go
+++ b/internal/gateway/grantor/tell.go
@@ -1,7 +1,8 @@
-package gateway
+package grantor
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 // pushTimeout bounds telling another VM of changed leases.
 const pushTimeout = 300 * time.Millisecond
 
+// ErrMalformed is the error of leases that another VM tells in part or cannot take in.
+var ErrMalformed = errors.New("lists do not fit together")
+
 // pushFunc sends an update to a VM and tells whether it could use it.
 type pushFunc func(ctx context.Context, vm string, u *lease.Update) (used bool, err error)
 
@@ -67,7 +71,7 @@
 		u := lease.UpdateBetween(known, latest)
 		used, err := t.send(ctx, vm, u)
 		if err == nil && !used && u.Base == 0 {
-			err = errMalformed
+			err = ErrMalformed
 		}
 		if err != nil {
 			t.log.Info().Str("step", "leases").Str("peer", vm).Uint64("seq", latest.Seq).Err(err).Msg("leases not pushed")
@@ -110,3 +114,10 @@
 	defer t.mu.Unlock()
 	p.known, p.busy = nil, false
 }
+
+// pushLeases sends changed leases to a VM.
+func (k *Keepers) pushLeases(ctx context.Context, vm string, u *lease.Update) (bool, error) {
+	var used bool
+	err := k.Mesh.Call(ctx, vm, "View.Push", u, &used)
+	return used, err
+}
--- a/internal/gateway/tell_test.go
+++ b/internal/gateway/grantor/tell_test.go
@@ -1,4 +1,4 @@
-package gateway
+package grantor
 
 import (
 	"context"
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/lease"
-	"hemlockquay/internal/mesh"
 )
 
 // pushed plays another VM: it takes updates in, each after a delay.
@@ -91,31 +90,3 @@
 		require.Zero(t, peer.updates[1].Base)
 	})
 }
-
-func TestMalformedLeasesAreNotTakenIn(t *testing.T) {
-	s := testState(&handClock{})
-	bad := owners(1, 0)
-	bad.Owner = bad.Owner[1:]
-	require.False(t, s.updateRouting(&lease.Update{Routing: *bad}))
-	require.Nil(t, s.routingOf("s"))
-}
-
-// A heartbeat overtakes the grantor's own word. Each VM then fetched the whole
-// routing, for nothing.
-func TestLeasesAreFetchedOnlyOnceTheyStayBehind(t *testing.T) {
-	clock := &handClock{now: time.Hour}
-	n := testNode(clock)
-	defer n.mesh.Close()
-	mark := mesh.LeaseMark{Service: "s", Epoch: 3, Seq: 2}
-	require.True(t, n.behind(mark), "unknown leases are fetched at once")
-	n.state.leases.Set(owners(1, 0))
-	require.False(t, n.behind(mark))
-	clock.now += behindLeast
-	require.True(t, n.behind(mark))
-	n.state.leases.Set(owners(2, 1))
-	require.False(t, n.behind(mark))
-	mark.Seq = 3
-	require.False(t, n.behind(mark), "time counts from the version at hand")
-	mark.Epoch = 4
-	require.True(t, n.behind(mark))
-}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -17,7 +17,9 @@
 	"go.uber.org/fx"
 
 	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/gateway/grantor"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
@@ -40,13 +42,12 @@
 	counters *counters
 	lines    *requestLines
 	bodies   bodyRoom
+	keepers  *grantor.Keepers
 
 	ctx      context.Context
 	cancel   context.CancelFunc
 	fetching sync.Map
 	tags     atomic.Uint64
-	// startedAt is when this process began, on clock.
-	startedAt time.Duration
 	// storeUp tells whether the store answered last, storeAnsweredAt when it did, on
 	// clock.
 	storeUp         atomic.Bool
@@ -56,10 +57,6 @@
 	toldAt atomic.Int64
 	// listed tells whether the targets are known.
 	listed atomic.Bool
-	// leading counts the services whose grantor this VM is.
-	leading atomic.Int32
-	// unfitUntil is until when this VM is no grantor, on clock.
-	unfitUntil atomic.Int64
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
 	grace atomic.Int64
 	// leaving is set by the graceful shutdown.
@@ -90,7 +87,7 @@
 	n := &node{
 		settings: s, adapter: a, headers: a.Headers(), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
-		counters: newCounters(registry), lines: newRequestLines(registry), startedAt: clock.Now(),
+		counters: newCounters(registry), lines: newRequestLines(registry),
 		bodies: newBodyRoom(s.MemoryMB),
 	}
 	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
@@ -99,9 +96,10 @@
 	n.mesh = mesh.New(n.self, clock, logger)
 	n.state.news = n.mesh.Kick
 	// Were all VMs to begin with the same target, they would fill it together.
-	n.state.turn = int(hashID(s.VM))
+	n.state.turn = int(catalog.Hash(s.VM))
 	n.gauges()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.keepers = n.newKeepers()
 	return n
 }
 
@@ -124,7 +122,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.keepLeases, n.tellLoads, n.sweep, n.reload,
+		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.keepers.Run, n.tellLoads, n.sweep, n.reload,
 	} {
 		go duty(n.ctx)
 	}
@@ -218,8 +216,8 @@
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
 	defer cancel()
 	err := n.front.Shutdown(stopCtx)
-	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", int(n.leading.Load())).Msg("front closed")
-	n.awaitSuccessors(stopCtx)
+	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", n.keepers.Leading()).Msg("front closed")
+	n.keepers.AwaitSuccessors(stopCtx)
 	n.cancel()
 	n.mesh.Close()
 	n.peers.Close()
@@ -227,11 +225,4 @@
 	return errors.Join(err, n.ready.Close())
 }
 
-// awaitSuccessors waits until this VM is no grantor any more, which takes the store, or
-// until the process must end.
-func (n *node) awaitSuccessors(ctx context.Context) {
-	for n.leading.Load() > 0 && pause.For(ctx, leadStep) {
-	}
-}
-
 func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"time"
 
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/gateway/grantor"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
@@ -20,6 +21,8 @@
 // kindMembers is the kind of the VMs' own entries.
 const kindMembers model.Kind = "hq-members"
 
+var _ mesh.Local = (*node)(nil)
+
 // Heartbeat implements mesh.Local.
 func (n *node) Heartbeat() mesh.Heartbeat {
 	v := n.state.view.Load()
@@ -55,6 +58,13 @@
 	}
 }
 
+// tellLoads refreshes what the other VMs have at the targets.
+func (n *node) tellLoads(ctx context.Context) {
+	for pause.For(ctx, pick.TellEvery) {
+		n.state.setOthers(n.mesh.Loads(), len(n.mesh.Others())+1)
+	}
+}
+
 // behindLeast is for how long leases are behind before they are fetched: the
 // grantor's own word is faster, and a heartbeat may overtake it.
 const behindLeast = 100 * time.Millisecond
@@ -111,7 +121,7 @@
 		return err
 	}
 	if !r.Valid() {
-		return fmt.Errorf("leases of %s from %s: %w", service, vm, errMalformed)
+		return fmt.Errorf("leases of %s from %s: %w", service, vm, grantor.ErrMalformed)
 	}
 	n.state.leases.Set(&r)
 	return nil
@@ -120,10 +130,7 @@
 // View answers what this VM believes. It is registered for the other VMs.
 type View struct{ node *node }
 
-var (
-	errUnknown   = errors.New("not known here")
-	errMalformed = errors.New("lists do not fit together")
-)
+var errUnknown = errors.New("not known here")
 
 // Config returns the configuration in force.
 func (v View) Config(_ *struct{}, out *route.Config) error {
@@ -158,36 +165,17 @@
 	return nil
 }
 
-// pushLeases sends changed leases to a VM.
-func (n *node) pushLeases(ctx context.Context, vm string, u *lease.Update) (bool, error) {
-	var used bool
-	err := n.mesh.Call(ctx, vm, "View.Push", u, &used)
-	return used, err
-}
-
-// KeyLoad is what a VM has seen of a keyed service since it was last asked.
-type KeyLoad struct {
-	// Keys and Requests run in parallel.
-	Keys     []uint16 `msgpack:"k"`
-	Requests []uint16 `msgpack:"r"`
-	// Targets are hashes of ids, Slowness how slow each is, in hundredths.
-	Targets  []uint32 `msgpack:"t"`
-	Slowness []uint16 `msgpack:"s"`
-}
-
 // KeyLoad returns what this VM has seen, and starts anew.
-func (v View) KeyLoad(service *string, out *KeyLoad) error {
+func (v View) KeyLoad(service *string, out *grantor.KeyLoad) error {
 	*out = v.node.state.takeKeyLoad(*service)
 	return nil
 }
 
-const hundredths = 100
-
 // takeKeyLoad returns the counts and starts anew.
-func (s *state) takeKeyLoad(service string) KeyLoad {
+func (s *state) takeKeyLoad(service string) grantor.KeyLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out KeyLoad
+	var out grantor.KeyLoad
 	for key, n := range s.keyLoad[service] {
 		out.Keys = append(out.Keys, key)
 		out.Requests = append(out.Requests, n)
@@ -195,8 +183,7 @@
 	delete(s.keyLoad, service)
 	for _, t := range s.targets {
 		if t.Service == service {
-			out.Targets = append(out.Targets, t.hash)
-			out.Slowness = append(out.Slowness, uint16(min(t.pick.Slowness()*hundredths, math.MaxUint16)))
+			out.AddTarget(t.hash, t.pick.Slowness())
 		}
 	}
 	return out
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,11 @@
 // Package gateway is the daemon that runs on every entry VM: it takes callers'
 // requests, sends them to the targets of their route, and keeps the leases of
 // keyed services with the other VMs.
+//
+// It starts goroutines, uses the network and reads the store, where it writes only the
+// VM's own entry. The work of granting keys, with the records of leases that it writes, is
+// package grantor below; the leases that the path of a request reads are package published,
+// which does none of this.
 package gateway
 
 import (
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 
@@ -90,8 +89,6 @@
 	return s
 }
 
-func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
-
 // notify wakes who waits for a change.
 func (s *state) notify() {
 	s.mu.Lock()
@@ -187,7 +184,7 @@
 	s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Int64("born", t.Born).
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
 	s.targets[t.ID] = &tracked{
-		Target: t, hash: hashID(t.ID),
+		Target: t, hash: catalog.Hash(t.ID),
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.near},
 	}
--- /dev/null
+++ b/internal/gateway/storestate_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/platform"
+)
+
+// The store was away for eight seconds and is back. A watch that was sent before runs into
+// its timeout after other calls were answered: the VM still reaches the store. Taken for
+// cut off, a grantor was succeeded while it lived.
+func TestCallsFromBeforeTheStoreReturnedDoNotLoseItAgain(t *testing.T) {
+	clock := &handClock{now: time.Hour}
+	n := testNode(clock)
+	defer n.mesh.Close()
+	sent := clock.now
+	n.noteStore(sent, platform.ErrUnavailable)
+	require.True(t, n.Heartbeat().StoreLost)
+	clock.now += time.Second
+	n.noteStore(clock.now, nil)
+	require.False(t, n.Heartbeat().StoreLost)
+	n.noteStore(sent, platform.ErrAmbiguous)
+	require.False(t, n.Heartbeat().StoreLost, "the call is older than the latest answer")
+	n.noteStore(clock.now, platform.ErrAmbiguous)
+	require.True(t, n.Heartbeat().StoreLost)
+	n.noteStore(clock.now, platform.ErrGone)
+	require.False(t, n.Heartbeat().StoreLost, "a store that has dropped its history answers")
+	n.noteStore(clock.now, errors.Join(platform.ErrAmbiguous, context.Canceled))
+	require.False(t, n.Heartbeat().StoreLost, "a call that was given up says nothing")
+}
--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/mesh"
+)
+
+// Of 61 VMs eight had links twenty times as fast as the others', and the grantor was one
+// of the others: its grants took 100 ms each.
+func TestVMsWithMuchFasterLinksComeFirstForDuties(t *testing.T) {
+	place := func(own float64, others ...uint32) int {
+		n := testNodeWithLink(&handClock{now: time.Hour}, own)
+		defer n.mesh.Close()
+		for i, link := range others {
+			n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1, LinkMbps: link}})
+		}
+		return n.place("s")
+	}
+	require.Zero(t, place(200, 10, 10, 10, 10, 10, 10))
+	require.Equal(t, 6, place(10, 200, 200, 200, 200, 200, 200))
+	require.Equal(t, place(0, 0, 0, 0), place(1000, 1000, 1000, 1000))
+	require.Equal(t, place(900, 900, 900, 900), place(900, 1000, 1000, 1000), "small differences change nothing")
+}
