--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -3,16 +3,10 @@
 import (
 	"maps"
 	"net/http"
-	"net/textproto"
 	"strings"
-)
 
-// hopByHop are the headers of RFC 9110 section 7.6.1 that concern one
-// connection only, in canonical form, and Expect: the entry has the whole body before it sends.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Expect", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
+	"hemlockquay/internal/hopbyhop"
+)
 
 // ownPrefix marks headers between the system's parts; a caller must not be able
 // to forge a grant's rank.
@@ -36,13 +30,9 @@
 func endToEnd(in http.Header) http.Header {
 	out := make(http.Header, len(in))
 	maps.Copy(out, in)
-	for _, list := range in["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			out.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(out, name)
-	}
+	hopbyhop.Drop(out)
+	// The entry has the whole body before it sends.
+	delete(out, "Expect")
+	delete(out, "Content-Length")
 	return out
 }
