--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"time"
 
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/gateway/grantor"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
@@ -20,6 +21,8 @@
 // kindMembers is the kind of the VMs' own entries.
 const kindMembers model.Kind = "hq-members"
 
+var _ mesh.Local = (*node)(nil)
+
 // Heartbeat implements mesh.Local.
 func (n *node) Heartbeat() mesh.Heartbeat {
 	v := n.state.view.Load()
@@ -27,7 +30,7 @@
 		From: n.self, Leaving: n.leaving.Load(),
 		StoreLost: !n.storeUp.Load(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
-		Leases: n.state.marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
+		Leases: n.state.leases.Marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
 	}
 }
 
@@ -55,20 +58,27 @@
 	}
 }
 
+// tellLoads refreshes what the other VMs have at the targets.
+func (n *node) tellLoads(ctx context.Context) {
+	for pause.For(ctx, pick.TellEvery) {
+		n.state.setOthers(n.mesh.Loads(), len(n.mesh.Others())+1)
+	}
+}
+
 // behindLeast is for how long leases are behind before they are fetched: the
 // grantor's own word is faster, and a heartbeat may overtake it.
 const behindLeast = 100 * time.Millisecond
 
 // behind tells whether leases known here have been behind for a while.
 func (n *node) behind(mark mesh.LeaseMark) bool {
-	r := n.state.routingOf(mark.Service)
+	r := n.state.leases.Of(mark.Service)
 	if r == nil || mark.Epoch > r.Epoch {
 		return true
 	}
 	if mark.Epoch < r.Epoch || mark.Seq <= r.Seq {
 		return false
 	}
-	return n.state.staleFor(r) >= behindLeast
+	return n.state.leases.StaleFor(r) >= behindLeast
 }
 
 // fetch runs one fetch of a kind at a time.
@@ -111,19 +121,16 @@
 		return err
 	}
 	if !r.Valid() {
-		return fmt.Errorf("leases of %s from %s: %w", service, vm, errMalformed)
+		return fmt.Errorf("leases of %s from %s: %w", service, vm, grantor.ErrMalformed)
 	}
-	n.state.setRouting(&r)
+	n.state.leases.Set(&r)
 	return nil
 }
 
 // View answers what this VM believes. It is registered for the other VMs.
 type View struct{ node *node }
 
-var (
-	errUnknown   = errors.New("not known here")
-	errMalformed = errors.New("lists do not fit together")
-)
+var errUnknown = errors.New("not known here")
 
 // Config returns the configuration in force.
 func (v View) Config(_ *struct{}, out *route.Config) error {
@@ -143,7 +150,7 @@
 
 // Routing returns the leases of a service.
 func (v View) Routing(service *string, out *lease.Routing) error {
-	r := v.node.state.routingOf(*service)
+	r := v.node.state.leases.Of(*service)
 	if r == nil {
 		return errUnknown
 	}
@@ -154,40 +161,21 @@
 // Push takes in changed leases from their grantor. The answer is false if the update
 // builds on a version that is not the one known here.
 func (v View) Push(in *lease.Update, used *bool) error {
-	*used = v.node.state.updateRouting(in)
+	*used = v.node.state.leases.Update(in)
 	return nil
 }
 
-// pushLeases sends changed leases to a VM.
-func (n *node) pushLeases(ctx context.Context, vm string, u *lease.Update) (bool, error) {
-	var used bool
-	err := n.mesh.Call(ctx, vm, "View.Push", u, &used)
-	return used, err
-}
-
-// KeyLoad is what a VM has seen of a keyed service since it was last asked.
-type KeyLoad struct {
-	// Keys and Requests run in parallel.
-	Keys     []uint16 `msgpack:"k"`
-	Requests []uint16 `msgpack:"r"`
-	// Targets are hashes of ids, Slowness how slow each is, in hundredths.
-	Targets  []uint32 `msgpack:"t"`
-	Slowness []uint16 `msgpack:"s"`
-}
-
 // KeyLoad returns what this VM has seen, and starts anew.
-func (v View) KeyLoad(service *string, out *KeyLoad) error {
+func (v View) KeyLoad(service *string, out *grantor.KeyLoad) error {
 	*out = v.node.state.takeKeyLoad(*service)
 	return nil
 }
 
-const hundredths = 100
-
 // takeKeyLoad returns the counts and starts anew.
-func (s *state) takeKeyLoad(service string) KeyLoad {
+func (s *state) takeKeyLoad(service string) grantor.KeyLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out KeyLoad
+	var out grantor.KeyLoad
 	for key, n := range s.keyLoad[service] {
 		out.Keys = append(out.Keys, key)
 		out.Requests = append(out.Requests, n)
@@ -195,8 +183,7 @@
 	delete(s.keyLoad, service)
 	for _, t := range s.targets {
 		if t.Service == service {
-			out.Targets = append(out.Targets, t.hash)
-			out.Slowness = append(out.Slowness, uint16(min(t.pick.Slowness()*hundredths, math.MaxUint16)))
+			out.AddTarget(t.hash, t.pick.Slowness())
 		}
 	}
 	return out
