The world of the leases holds up orders in a cut; walks of long epochs

An order that is sent into a cut arrives when the cut heals, unless its sender has given it up and reset the connection before; a VM that stands still does not reset, its system drops the order a second after the send. An order without an answer is given up a fixed time after its send, no more after its arrival: it may arrive until right before. A release gets no connection in a cut.

The walks missed the fault for two reasons. Nothing was held up in a cut; and numbers that rapid draws from a range are mostly small, so that a VM took over in a fifth of all steps, and no hold ran out within an epoch. New walks draw evenly and give away the keys of silent owners.

No check was changed.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -40,18 +40,17 @@
 	case 8, 9:
 		w.restart(target)
 	case 10:
-		w.vms[vm].frozen = w.now + span(20)
-		w.note("vm%d stands still", vm)
+		w.freeze(vm, span(20))
 	case 11:
-		w.vms[vm].cut = w.now + span(20)
-		w.note("vm%d without store", vm)
+		w.cutStore(vm, span(20))
 	case 12, 13:
-		w.vms[vm].cutTargets[target] = w.now + span(10)
-		w.note("vm%d without t%d", vm, target)
+		w.cutTarget(vm, target, span(10))
 	case 14, 15:
 		w.readEpoch(vm)
 	case 16, 17, 18:
 		w.divide(vm, rapid.IntRange(0, worldUnits-1).Draw(t, "slice"), rapid.IntRange(0, worldUnits-2).Draw(t, "unit"))
+	case 19, 20, 21, 22, 23, 24:
+		w.moveSilent(vm, target)
 	}
 }
 
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -19,6 +19,14 @@
 	unitWidth    = keySpace / worldUnits
 	worldTargets = 3
 	worldVMs     = 3
+	// worldGiveUp is how long a VM waits for the answer to an order; then it resets the
+	// connection.
+	worldGiveUp = 400 * time.Millisecond
+	// worldUnacked is how long the system of a VM whose process stands still sends again
+	// what does not arrive.
+	worldUnacked = time.Second
+	// worldSilent is for how long an owner is silent before its keys are given to others.
+	worldSilent = 1200 * time.Millisecond
 )
 
 var worldTiming = Timing{Hold: 3 * time.Second, Renew: 750 * time.Millisecond, Retry: 100 * time.Millisecond}
@@ -42,6 +50,8 @@
 	arrives  time.Duration
 	applied  time.Duration
 	answered bool
+	// given says that its sender has given it up.
+	given bool
 }
 
 type worldVM struct {
@@ -79,10 +89,16 @@
 	targets [worldTargets]worldTarget
 	listed  [worldTargets]int64
 	flying  []message
-	due     []dueAction
-	log     []string
+	// held are orders that were sent into a cut. They arrive when it heals, unless their
+	// connection was reset before.
+	held []message
+	due  []dueAction
+	log  []string
 	// keepsAnswers says that the store loses none.
 	keepsAnswers bool
+	// onlyCloses says that a connection is closed, not reset, when an order is given up:
+	// the system goes on sending what was written to it.
+	onlyCloses bool
 }
 
 // newWorld returns a world in which chance is drawn.
@@ -217,7 +233,12 @@
 		return
 	}
 	if w.now < v.cutTargets[i] {
-		w.report(m, Unanswered, w.now+400*time.Millisecond)
+		if o.Kind == Release {
+			// It gets no connection.
+			w.report(m, Unreached, w.now+worldGiveUp)
+			return
+		}
+		w.held = append(w.held, m)
 		return
 	}
 	how := w.draw(0, 19, "fate of an order")
@@ -233,8 +254,33 @@
 	}
 	w.flying = append(w.flying, m)
 	if !m.answered {
-		w.report(m, Unanswered, m.arrives+400*time.Millisecond)
+		w.report(m, Unanswered, m.sent+worldGiveUp)
+	}
+}
+
+// deliverHeld lets orders arrive whose cut has healed, and drops those that were given up.
+func (w *world) deliverHeld() {
+	var rest []message
+	for _, m := range w.held {
+		v := &w.vms[m.vm]
+		givenUp := w.now >= m.sent+worldGiveUp && w.now >= v.frozen
+		switch {
+		case w.now >= v.cutTargets[m.target]:
+			m.arrives, m.applied, m.answered = w.now, w.now, !m.given
+			w.flying = append(w.flying, m)
+			w.note("vm%d order %d fence %x, sent at %.2f, arrives after the cut", m.vm, m.order.Kind, m.order.Fence, (m.sent - time.Hour).Seconds())
+		case w.onlyCloses && givenUp && !m.given:
+			m.given = true
+			w.report(m, Unanswered, w.now)
+			rest = append(rest, m)
+		case !w.onlyCloses && (givenUp || w.now >= m.sent+worldUnacked):
+			// A process that stands still learns of it when it goes on.
+			w.report(m, Unanswered, max(w.now, v.frozen))
+		default:
+			rest = append(rest, m)
+		}
 	}
+	w.held = rest
 }
 
 // report hands the end of an order to its VM.
@@ -341,6 +387,20 @@
 	w.later(w.draw(0, 5, "write on the way"), func() { w.write(vm, g, next, sent, version) })
 }
 
+// moveSilent has a grantor give a slice of an owner that is silent to another target.
+func (w *world) moveSilent(vm, target int) {
+	g := w.vms[vm].grantor
+	if g == nil {
+		return
+	}
+	for i, s := range g.Record().Slices {
+		if g.Silent(s.Owner, w.now) > worldSilent && g.Movable(i) {
+			w.move(vm, i, target)
+			return
+		}
+	}
+}
+
 // write takes effect at the store, and answers some time later.
 func (w *world) write(vm int, g *Grantor, next Record, sent time.Duration, planned int) {
 	v := &w.vms[vm]
@@ -418,6 +478,7 @@
 		}
 	}
 	w.runDue()
+	w.deliverHeld()
 	w.deliver()
 	for vm := range w.vms {
 		w.act(vm)
@@ -430,3 +491,21 @@
 	w.targets[i] = worldTarget{born: w.targets[i].born + 1, up: true}
 	w.note("t%d restarts as %d", i, w.targets[i].born)
 }
+
+// freeze has a VM stand still for a while.
+func (w *world) freeze(vm int, span time.Duration) {
+	w.vms[vm].frozen = w.now + span
+	w.note("vm%d stands still for %.2f s", vm, span.Seconds())
+}
+
+// cutStore takes the store from a VM for a while.
+func (w *world) cutStore(vm int, span time.Duration) {
+	w.vms[vm].cut = w.now + span
+	w.note("vm%d without store for %.2f s", vm, span.Seconds())
+}
+
+// cutTarget cuts a target off from a VM for a while.
+func (w *world) cutTarget(vm, target int, span time.Duration) {
+	w.vms[vm].cutTargets[target] = w.now + span
+	w.note("vm%d without t%d for %.2f s", vm, target, span.Seconds())
+}
