A predecessor's last grant has a way; no slice is divided with a renewal on its way

PastUnknown adds inFlight to the end of the authority: where grantor and owner are lost together, keys wait a second longer (docs/faults/lease.md: 17.1 s for 16.1 s). Divide refuses a slice with an order that is pending, instead of assuming a bound of its arrival; the caller looks again 100 ms later.

--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -50,20 +50,15 @@
 
 // Divide cuts slice i after a key, which must not be its last. Both parts have
 // the same owner, so the record need not be written before. It returns false for a
-// slice that is on the move.
+// slice that is on the move, and for one with a renewal on its way.
 //
-// A renewal of the whole slice that is on its way may still reach the owner before
-// the parts are granted; both parts are taken as granted until it is out. After
-// that the owner refuses it: each part has a higher fence.
+// Failure: a renewal of the whole slice waited for its turn while the slice was divided.
+// Its end belonged to neither part, and it reached the owner later than was assumed of it.
 func (g *Grantor) Divide(i int, after uint16, now time.Duration) bool {
 	sl, s := g.record.Slices[i], g.states[i]
-	if sl.Previous.Known() || s.frozen || !s.granted || after < sl.From || after >= sl.To {
+	if sl.Previous.Known() || s.frozen || s.pending || !s.granted || after < sl.From || after >= sl.To {
 		return false
 	}
-	if s.pending {
-		s.pending = false
-		s.outAt = max(s.outAt, holdEnd(now+orderBound, g.timing.Hold))
-	}
 	right, rightState := sl, s
 	sl.To, right.From = after, after+1
 	s.fence, rightState.fence = g.fence(), g.fence()
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -87,8 +87,9 @@
 	PastUnknown
 )
 
-// inFlight bounds the way of a grant that was sent by a predecessor that has
-// ended.
+// inFlight bounds the way of a predecessor's last grant: its connection is reset when it is
+// given up, or when the process ends. Where the process stands still after the send, the
+// system drops after this time what has not arrived.
 const inFlight = time.Second
 
 // lastGrant returns when the last grant of a predecessor may have arrived, after
@@ -97,7 +98,7 @@
 	if p == PastEnded {
 		return done + inFlight
 	}
-	return done + Authority
+	return done + Authority + inFlight
 }
 
 // NewGrantor returns the grantor of a record that it has just written with its
