The world of the leases: grants wait for their turn, processes are killed, orders take their time

A VM's grants for a target wait in a queue that may stall, and only the authority is checked before the send. A killed VM's connections are reset; its successor counts from PastEnded. An order may arrive until right before it is given up. Cuts last up to 30 s, walks up to 150 s. No check was changed.

--- a/internal/lease/walk_test.go
+++ b/internal/lease/walk_test.go
@@ -15,7 +15,7 @@
 func TestNoKeyHasTwoOwnersInLongEpochs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "walk"), 0))
-		steps := rapid.IntRange(200, 1500).Draw(t, "steps")
+		steps := rapid.IntRange(200, 3000).Draw(t, "steps")
 		w := startWorld(
 			func(least, most int, _ string) int { return least + chance.IntN(most-least+1) },
 			func(text string) { t.Fatalf("%s", text) },
@@ -38,8 +38,10 @@
 	{200, func(_ *rand.Rand, w *world, vm, target int) { w.moveSilent(vm, target) }},
 	{5, func(_ *rand.Rand, w *world, _, target int) { w.restart(target) }},
 	{5, func(c *rand.Rand, w *world, vm, _ int) { w.freeze(vm, seconds(c, 20)) }},
-	{5, func(c *rand.Rand, w *world, vm, _ int) { w.cutStore(vm, seconds(c, 20)) }},
-	{20, func(c *rand.Rand, w *world, vm, target int) { w.cutTarget(vm, target, seconds(c, 10)) }},
+	{5, func(c *rand.Rand, w *world, vm, _ int) { w.cutStore(vm, seconds(c, 30)) }},
+	{10, func(c *rand.Rand, w *world, vm, target int) { w.cutTarget(vm, target, seconds(c, 30)) }},
+	{5, func(_ *rand.Rand, w *world, vm, _ int) { w.kill(vm) }},
+	{10, func(c *rand.Rand, w *world, vm, target int) { w.stall(vm, target, seconds(c, 12)) }},
 	{100, func(_ *rand.Rand, w *world, vm, _ int) { w.readEpoch(vm) }},
 	{20, func(c *rand.Rand, w *world, vm, _ int) { w.divide(vm, c.IntN(worldUnits), c.IntN(worldUnits-1)) }},
 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -70,6 +71,12 @@
 	writing bool
 	// unsettled says that the answer to the last write was lost.
 	unsettled bool
+	// life counts the processes of the VM.
+	life int
+	// queues hold the grants for each target that wait to be sent, stalled until when they
+	// wait.
+	queues  [worldTargets][]Order
+	stalled [worldTargets]time.Duration
 }
 
 type dueAction struct {
@@ -150,15 +157,20 @@
 	}
 	next.Slices = append([]Slice(nil), next.Slices...)
 	next.Epoch++
-	next.Incarnation = uint64(vm)
-	w.record = next
-	w.version++
-	w.note("vm%d takes epoch %d", vm, next.Epoch)
-	v := &w.vms[vm]
 	past := PastUnknown
-	if fresh {
+	holder := int(next.Incarnation % worldVMs)
+	switch {
+	case fresh:
 		past = NoPast
+	case next.Incarnation != w.incarnation(holder):
+		past = PastEnded
 	}
+	next.Incarnation = w.incarnation(vm)
+	w.record = next
+	w.version++
+	w.note("vm%d takes epoch %d, past %d", vm, next.Epoch, past)
+	v := &w.vms[vm]
+	v.queues = [worldTargets][]Order{}
 	v.grantor = NewGrantor(next, worldTiming, w.now, w.now, past)
 	v.version = w.version
 	v.results = nil
@@ -166,6 +178,19 @@
 	v.conns = make(map[int]int64)
 }
 
+// incarnation names a VM's process.
+func (w *world) incarnation(vm int) uint64 { return uint64(w.vms[vm].life*worldVMs + vm) }
+
+// kill ends a VM's process, and the next one begins: its connections are reset.
+func (w *world) kill(vm int) {
+	v := &w.vms[vm]
+	v.life++
+	v.grantor, v.results, v.frozen = nil, nil, 0
+	v.queues = [worldTargets][]Order{}
+	w.held = slices.DeleteFunc(w.held, func(m message) bool { return m.vm == vm })
+	w.note("vm%d is killed", vm)
+}
+
 // act lets a VM do what a leader does in one step.
 func (w *world) act(vm int) {
 	v := &w.vms[vm]
@@ -186,8 +211,31 @@
 		return
 	}
 	for _, o := range v.grantor.Due(w.now) {
+		if i := indexOf(o.Target); o.Kind == Grant {
+			v.queues[i] = append(v.queues[i], o)
+			continue
+		}
 		w.send(vm, o)
 	}
+	w.sendQueued(vm)
+}
+
+// sendQueued sends grants whose turn has come, if the VM may still order.
+func (w *world) sendQueued(vm int) {
+	v := &w.vms[vm]
+	for i := range v.queues {
+		if w.now < v.stalled[i] {
+			continue
+		}
+		for _, o := range v.queues[i] {
+			if v.grantor.MayOrder(w.now) {
+				w.send(vm, o)
+				continue
+			}
+			w.report(message{vm: vm, order: o, target: i, sent: w.now}, Unreached, w.now)
+		}
+		v.queues[i] = nil
+	}
 }
 
 func (w *world) noteLives(g *Grantor) {
@@ -242,7 +290,8 @@
 		return
 	}
 	how := w.draw(0, 19, "fate of an order")
-	m.arrives = w.now + time.Duration(w.draw(0, 5, "on the way"))*worldStep
+	// At the latest right before it is given up.
+	m.arrives = w.now + time.Duration(w.draw(0, int(worldGiveUp/worldStep), "on the way"))*worldStep
 	m.applied, m.answered = m.arrives, true
 	switch {
 	case how == 0:
@@ -509,3 +558,9 @@
 	w.vms[vm].cutTargets[target] = w.now + span
 	w.note("vm%d without t%d for %.2f s", vm, target, span.Seconds())
 }
+
+// stall has a VM's grants for a target wait for a while.
+func (w *world) stall(vm, target int, span time.Duration) {
+	w.vms[vm].stalled[target] = w.now + span
+	w.note("vm%d sends no grant to t%d for %.2f s", vm, target, span.Seconds())
+}
