--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,6 +20,14 @@
 	unitWidth    = keySpace / worldUnits
 	worldTargets = 3
 	worldVMs     = 3
+	// worldGiveUp is how long a VM waits for the answer to an order; then it resets the
+	// connection.
+	worldGiveUp = 400 * time.Millisecond
+	// worldUnacked is how long the system of a VM whose process stands still sends again
+	// what does not arrive.
+	worldUnacked = time.Second
+	// worldSilent is for how long an owner is silent before its keys are given to others.
+	worldSilent = 1200 * time.Millisecond
 )
 
 var worldTiming = Timing{Hold: 3 * time.Second, Renew: 750 * time.Millisecond, Retry: 100 * time.Millisecond}
@@ -42,6 +51,8 @@
 	arrives  time.Duration
 	applied  time.Duration
 	answered bool
+	// given says that its sender has given it up.
+	given bool
 }
 
 type worldVM struct {
@@ -60,6 +71,12 @@
 	writing bool
 	// unsettled says that the answer to the last write was lost.
 	unsettled bool
+	// life counts the processes of the VM.
+	life int
+	// queues hold the grants for each target that wait to be sent, stalled until when they
+	// wait.
+	queues  [worldTargets][]Order
+	stalled [worldTargets]time.Duration
 }
 
 type dueAction struct {
@@ -79,10 +96,16 @@
 	targets [worldTargets]worldTarget
 	listed  [worldTargets]int64
 	flying  []message
-	due     []dueAction
-	log     []string
+	// held are orders that were sent into a cut. They arrive when it heals, unless their
+	// connection was reset before.
+	held []message
+	due  []dueAction
+	log  []string
 	// keepsAnswers says that the store loses none.
 	keepsAnswers bool
+	// onlyCloses says that a connection is closed, not reset, when an order is given up:
+	// the system goes on sending what was written to it.
+	onlyCloses bool
 }
 
 // newWorld returns a world in which chance is drawn.
@@ -134,15 +157,20 @@
 	}
 	next.Slices = append([]Slice(nil), next.Slices...)
 	next.Epoch++
-	next.Incarnation = uint64(vm)
-	w.record = next
-	w.version++
-	w.note("vm%d takes epoch %d", vm, next.Epoch)
-	v := &w.vms[vm]
 	past := PastUnknown
-	if fresh {
+	holder := int(next.Incarnation % worldVMs)
+	switch {
+	case fresh:
 		past = NoPast
+	case next.Incarnation != w.incarnation(holder):
+		past = PastEnded
 	}
+	next.Incarnation = w.incarnation(vm)
+	w.record = next
+	w.version++
+	w.note("vm%d takes epoch %d, past %d", vm, next.Epoch, past)
+	v := &w.vms[vm]
+	v.queues = [worldTargets][]Order{}
 	v.grantor = NewGrantor(next, worldTiming, w.now, w.now, past)
 	v.version = w.version
 	v.results = nil
@@ -150,6 +178,19 @@
 	v.conns = make(map[int]int64)
 }
 
+// incarnation names a VM's process.
+func (w *world) incarnation(vm int) uint64 { return uint64(w.vms[vm].life*worldVMs + vm) }
+
+// kill ends a VM's process, and the next one begins: its connections are reset.
+func (w *world) kill(vm int) {
+	v := &w.vms[vm]
+	v.life++
+	v.grantor, v.results, v.frozen = nil, nil, 0
+	v.queues = [worldTargets][]Order{}
+	w.held = slices.DeleteFunc(w.held, func(m message) bool { return m.vm == vm })
+	w.note("vm%d is killed", vm)
+}
+
 // act lets a VM do what a leader does in one step.
 func (w *world) act(vm int) {
 	v := &w.vms[vm]
@@ -170,8 +211,31 @@
 		return
 	}
 	for _, o := range v.grantor.Due(w.now) {
+		if i := indexOf(o.Target); o.Kind == Grant {
+			v.queues[i] = append(v.queues[i], o)
+			continue
+		}
 		w.send(vm, o)
 	}
+	w.sendQueued(vm)
+}
+
+// sendQueued sends grants whose turn has come, if the VM may still order.
+func (w *world) sendQueued(vm int) {
+	v := &w.vms[vm]
+	for i := range v.queues {
+		if w.now < v.stalled[i] {
+			continue
+		}
+		for _, o := range v.queues[i] {
+			if v.grantor.MayOrder(w.now) {
+				w.send(vm, o)
+				continue
+			}
+			w.report(message{vm: vm, order: o, target: i, sent: w.now}, Unreached, w.now)
+		}
+		v.queues[i] = nil
+	}
 }
 
 func (w *world) noteLives(g *Grantor) {
@@ -217,11 +281,17 @@
 		return
 	}
 	if w.now < v.cutTargets[i] {
-		w.report(m, Unanswered, w.now+400*time.Millisecond)
+		if o.Kind == Release {
+			// It gets no connection.
+			w.report(m, Unreached, w.now+worldGiveUp)
+			return
+		}
+		w.held = append(w.held, m)
 		return
 	}
 	how := w.draw(0, 19, "fate of an order")
-	m.arrives = w.now + time.Duration(w.draw(0, 5, "on the way"))*worldStep
+	// At the latest right before it is given up.
+	m.arrives = w.now + time.Duration(w.draw(0, int(worldGiveUp/worldStep), "on the way"))*worldStep
 	m.applied, m.answered = m.arrives, true
 	switch {
 	case how == 0:
@@ -233,10 +303,35 @@
 	}
 	w.flying = append(w.flying, m)
 	if !m.answered {
-		w.report(m, Unanswered, m.arrives+400*time.Millisecond)
+		w.report(m, Unanswered, m.sent+worldGiveUp)
 	}
 }
 
+// deliverHeld lets orders arrive whose cut has healed, and drops those that were given up.
+func (w *world) deliverHeld() {
+	var rest []message
+	for _, m := range w.held {
+		v := &w.vms[m.vm]
+		givenUp := w.now >= m.sent+worldGiveUp && w.now >= v.frozen
+		switch {
+		case w.now >= v.cutTargets[m.target]:
+			m.arrives, m.applied, m.answered = w.now, w.now, !m.given
+			w.flying = append(w.flying, m)
+			w.note("vm%d order %d fence %x, sent at %.2f, arrives after the cut", m.vm, m.order.Kind, m.order.Fence, (m.sent - time.Hour).Seconds())
+		case w.onlyCloses && givenUp && !m.given:
+			m.given = true
+			w.report(m, Unanswered, w.now)
+			rest = append(rest, m)
+		case !w.onlyCloses && (givenUp || w.now >= m.sent+worldUnacked):
+			// A process that stands still learns of it when it goes on.
+			w.report(m, Unanswered, max(w.now, v.frozen))
+		default:
+			rest = append(rest, m)
+		}
+	}
+	w.held = rest
+}
+
 // report hands the end of an order to its VM.
 func (w *world) report(m message, r Result, over time.Duration) {
 	v := &w.vms[m.vm]
@@ -341,6 +436,20 @@
 	w.later(w.draw(0, 5, "write on the way"), func() { w.write(vm, g, next, sent, version) })
 }
 
+// moveSilent has a grantor give a slice of an owner that is silent to another target.
+func (w *world) moveSilent(vm, target int) {
+	g := w.vms[vm].grantor
+	if g == nil {
+		return
+	}
+	for i, s := range g.Record().Slices {
+		if g.Silent(s.Owner, w.now) > worldSilent && g.Movable(i) {
+			w.move(vm, i, target)
+			return
+		}
+	}
+}
+
 // write takes effect at the store, and answers some time later.
 func (w *world) write(vm int, g *Grantor, next Record, sent time.Duration, planned int) {
 	v := &w.vms[vm]
@@ -418,6 +527,7 @@
 		}
 	}
 	w.runDue()
+	w.deliverHeld()
 	w.deliver()
 	for vm := range w.vms {
 		w.act(vm)
@@ -430,3 +540,27 @@
 	w.targets[i] = worldTarget{born: w.targets[i].born + 1, up: true}
 	w.note("t%d restarts as %d", i, w.targets[i].born)
 }
+
+// freeze has a VM stand still for a while.
+func (w *world) freeze(vm int, span time.Duration) {
+	w.vms[vm].frozen = w.now + span
+	w.note("vm%d stands still for %.2f s", vm, span.Seconds())
+}
+
+// cutStore takes the store from a VM for a while.
+func (w *world) cutStore(vm int, span time.Duration) {
+	w.vms[vm].cut = w.now + span
+	w.note("vm%d without store for %.2f s", vm, span.Seconds())
+}
+
+// cutTarget cuts a target off from a VM for a while.
+func (w *world) cutTarget(vm, target int, span time.Duration) {
+	w.vms[vm].cutTargets[target] = w.now + span
+	w.note("vm%d without t%d for %.2f s", vm, target, span.Seconds())
+}
+
+// stall has a VM's grants for a target wait for a while.
+func (w *world) stall(vm, target int, span time.Duration) {
+	w.vms[vm].stalled[target] = w.now + span
+	w.note("vm%d sends no grant to t%d for %.2f s", vm, target, span.Seconds())
+}
