A slice that cannot be divided now holds no move of other keys back

Since a slice with a renewal on its way is not divided, the grantor would have tried it at each look, every 100 ms, and decided nothing else as long as its owner was slow to answer. It goes on with the moves where nothing was divided. Divide needs no clock any more.

--- a/internal/gateway/grantor/spread.go
+++ b/internal/gateway/grantor/spread.go
@@ -94,8 +94,7 @@
 	for _, m := range d.Moves {
 		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
 	}
-	if len(d.Divide) > 0 && len(ranges)+len(d.Divide) <= slicesDivided {
-		l.divide(d.Divide, sums, now)
+	if len(ranges)+len(d.Divide) <= slicesDivided && l.divide(d.Divide, sums) {
 		l.load.spread = 0
 		return nil
 	}
@@ -107,11 +106,19 @@
 	return moved
 }
 
-func (l *leader) divide(which []int, sums []keyspread.Sum, now time.Duration) {
+// divide cuts these slices in two and tells whether it cut any.
+//
+// Failure: a hot slice cannot be divided while a renewal of it waits for a slow owner. The
+// grantor tried it again and again, and moved no other hot keys meanwhile.
+func (l *leader) divide(which []int, sums []keyspread.Sum) bool {
+	divided := false
 	// The last one first, so that the places of the others stay.
 	for _, i := range slices.Backward(slices.Sorted(slices.Values(which))) {
-		l.grants.Divide(i, sums[i].Half, now)
+		if l.grants.Divide(i, sums[i].Half) {
+			divided = true
+		}
 	}
+	return divided
 }
 
 // loads returns the load of all slices and the capacity of the owners.
--- a/internal/lease/bounds_test.go
+++ b/internal/lease/bounds_test.go
@@ -65,7 +65,7 @@
 	now += worldTiming.Renew
 	renewals := g.Due(now)
 	require.Len(t, renewals, 1)
-	g.Divide(0, keySpace/2-1, now)
+	g.Divide(0, keySpace/2-1)
 
 	now += orderBound + 2*time.Second
 	g.Confirmed(now)
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -54,7 +54,7 @@
 //
 // Failure: a renewal of the whole slice waited for its turn while the slice was divided.
 // Its end belonged to neither part, and it reached the owner later than was assumed of it.
-func (g *Grantor) Divide(i int, after uint16, now time.Duration) bool {
+func (g *Grantor) Divide(i int, after uint16) bool {
 	sl, s := g.record.Slices[i], g.states[i]
 	if sl.Previous.Known() || s.frozen || s.pending || !s.granted || after < sl.From || after >= sl.To {
 		return false
