The hold of a silent owner counts from the end of its last grant, not five seconds later

Callers of an owner's keys waited up to five seconds longer than its hold: a renewal that was on its way as the keys were given to another was assumed to arrive within five seconds, and that stayed when it was given up after 0.3 s. The slice is not freed while an order is on its way, so the end of that order says all; the bound goes, and with it a parameter of Commit.

The test fails before (free after 8.9 s instead of 5.2 s).

--- a/internal/gateway/grantor/heldorders_test.go
+++ b/internal/gateway/grantor/heldorders_test.go
@@ -102,7 +102,7 @@
 	oldLink.Cut()
 	clock.now += renewEvery
 	play()
-	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.now, clock.now)
+	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.now)
 	for cut := clock.now; !next.holds(); clock.now += orderRetry {
 		require.Less(t, clock.now, cut+2*holdTime, "the keys have no owner")
 		play()
--- a/internal/gateway/grantor/moves.go
+++ b/internal/gateway/grantor/moves.go
@@ -35,16 +35,15 @@
 	go func() {
 		sent := l.Clock.Now()
 		written, err := l.write(ctx, next, version)
-		over := l.Clock.Now()
-		l.later(ctx, func() { l.written(next, written, sent, over, err) })
+		l.later(ctx, func() { l.written(next, written, sent, err) })
 	}()
 }
 
-func (l *leader) written(next lease.Record, version uint64, sent, over time.Duration, err error) {
+func (l *leader) written(next lease.Record, version uint64, sent time.Duration, err error) {
 	l.writing = false
 	if err == nil {
 		l.version, l.unsettled = version, false
-		l.grants.Commit(next, sent, over)
+		l.grants.Commit(next, sent)
 		return
 	}
 	l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("record not written")
--- a/internal/lease/bounds_test.go
+++ b/internal/lease/bounds_test.go
@@ -45,7 +45,7 @@
 
 	record.Epoch++
 	next := NewGrantor(record, worldTiming, time.Hour, time.Hour, PastUnknown)
-	next.Commit(next.Plan([]Change{{Slice: 0, To: b}}), time.Hour, time.Hour)
+	next.Commit(next.Plan([]Change{{Slice: 0, To: b}}), time.Hour)
 	granted := grantedAt(t, next, time.Hour, a, b)
 	require.GreaterOrEqual(t, granted, outOf(sent+worldGiveUp), "given up")
 	require.GreaterOrEqual(t, granted, outOf(sent+worldUnacked), "dropped by the system")
@@ -67,13 +67,13 @@
 	require.Len(t, renewals, 1)
 	g.Divide(0, keySpace/2-1)
 
-	now += orderBound + 2*time.Second
+	now += 7 * time.Second
 	g.Confirmed(now)
 	for _, o := range g.Due(now) {
 		g.Ended(o, Unreached, "", now, now)
 	}
 	g.Ended(renewals[0], Unanswered, "", now, now+worldGiveUp)
 	arrived := now + worldGiveUp
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now, arrived)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
 	require.GreaterOrEqual(t, grantedAt(t, g, arrived, a, b), outOf(arrived))
 }
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -81,9 +81,11 @@
 	}
 }
 
-// Commit puts a planned record in force that the store took. sent and over date
-// the write.
-func (g *Grantor) Commit(next Record, sent, over time.Duration) {
+// Commit puts a planned record in force that the store took. sent dates the write.
+//
+// A grant that is on its way to the previous owner needs no bound here: its slice waits for
+// its end, which dates the hold.
+func (g *Grantor) Commit(next Record, sent time.Duration) {
 	g.Confirmed(sent)
 	g.Abandon()
 	for i := range next.Slices {
@@ -96,16 +98,9 @@
 		if !old.Previous.Known() {
 			s.previousOut = s.outAt
 		}
-		if s.pending && !old.Previous.Known() {
-			// A grant is on its way. Its end says more.
-			s.previousOut = max(s.previousOut, holdEnd(over+orderBound, g.timing.Hold))
-		}
 		// The new owner was not granted these keys.
 		s.granted, s.inherited, s.outAt, s.retryAt, s.moved = false, false, 0, 0, true
 		s.fence = g.fence()
 	}
 	g.record = next
 }
-
-// orderBound is the longest that an order is on its way.
-const orderBound = 5 * time.Second
--- a/internal/lease/events_test.go
+++ b/internal/lease/events_test.go
@@ -21,7 +21,7 @@
 	require.Empty(t, g.TakeEvents(), "the first grant of a key is no move")
 	out := holdEnd(now, worldTiming.Hold)
 
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now, now)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now)
 	for _, o := range g.Due(now) {
 		require.Equal(t, Release, o.Kind)
 		result := Done
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -94,7 +94,7 @@
 	for _, o := range g.Due(now) {
 		g.Ended(o, Done, "", now, now)
 	}
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now, now)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
 	granted := time.Duration(0)
 	for ; granted == 0; now += 50 * time.Millisecond {
 		for _, o := range g.Due(now) {
@@ -149,7 +149,7 @@
 	g.LifeConfirmed(b)
 	first := g.Due(time.Hour)[0]
 	g.Ended(first, Done, "", time.Hour, time.Hour)
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), time.Hour, time.Hour)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), time.Hour)
 	release := g.Due(time.Hour)[0]
 	require.Equal(t, Release, release.Kind)
 	require.Greater(t, release.Fence, first.Fence)
@@ -304,7 +304,7 @@
 	}
 	answer(Done, "")
 	require.Equal(t, Served, g.State(0, now), "its first owner")
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now, now)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now)
 
 	release := g.Due(now)
 	require.Len(t, release, 2)
@@ -332,3 +332,26 @@
 	require.Equal(t, Served, g.State(1, now))
 	require.Equal(t, Served, g.State(0, now))
 }
+
+// Keys of an owner that went silent had no service for five seconds longer than its hold.
+// A renewal was on its way as the keys were given to another owner; it was given up 0.3 s
+// later, and the bound that was assumed of it before stayed.
+func TestHoldOfASilentOwnerCountsFromTheEndOfItsLastGrant(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	now := time.Hour
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, now, now, NoPast)
+	g.LifeConfirmed(a)
+	for _, o := range g.Due(now) {
+		g.Ended(o, Done, "", now, now)
+	}
+	now += worldTiming.Renew
+	renewals := g.Due(now)
+	require.Len(t, renewals, 1)
+	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
+	require.Empty(t, g.Due(now+time.Minute), "nothing is free while it is on its way")
+	over := now + worldGiveUp
+	g.Ended(renewals[0], Unanswered, "", now, over)
+	granted := grantedAt(t, g, over, a, b)
+	require.GreaterOrEqual(t, granted, outOf(over))
+	require.Less(t, granted, outOf(over)+time.Second)
+}
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -477,7 +477,7 @@
 		switch {
 		case taken:
 			v.version, v.unsettled = version, false
-			g.Commit(next, sent, w.now)
+			g.Commit(next, sent)
 		case v.unsettled:
 			// The lost write stands: begin again from what the store holds.
 			v.grantor = nil
