A test of a stopping VM that passes on what may not end, which fails

The test plays it through the front on a clock that is set by hand; it fails. The test of the other side, what ends in time is served, passes. The beginning of the shutdown is a step of its own that notes its moment; nothing decides on it yet.

--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -37,6 +37,7 @@
 			{Name: "safe", Host: "safe.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
 			{Name: "once", Host: "once.example", Prefix: "/", Timeout: 2 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
 			{Name: "keyed", Host: "keyed.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "keyed", Weight: 1}}},
+			{Name: "patient", Host: "patient.example", Prefix: "/", Idempotent: true, Timeout: 4 * time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
 			{Name: "short", Host: "short.example", Prefix: "/", Idempotent: true, Timeout: 100 * time.Millisecond, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
 		},
 		Services: map[string]route.Service{"pool": {Name: "pool"}, "keyed": {Name: "keyed", Keyed: true}},
--- /dev/null
+++ b/internal/gateway/leaving_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stopping is a node that was told to stop so long ago, with six seconds of grace, and one
+// target that answers at once.
+func stopping(t *testing.T, since time.Duration) *bench {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	b.grace.Store(int64(6 * time.Second))
+	b.beginLeaving()
+	b.clock.(*handClock).now += since
+	return b
+}
+
+// A VM is told to stop. A caller that keeps its connection sends a search 3.2 s later, which
+// may take four seconds; the VM passes it on, and ends 2.3 s later, while the target still
+// works on it. The caller gets no answer. It must be refused as not run, at once, on a
+// connection that is closed, so that another VM serves it.
+func TestStoppingVMRefusesWhatMayNotEnd(t *testing.T) {
+	b := stopping(t, 3200*time.Millisecond)
+	resp := b.get("patient.example", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.LessOrEqual(t, after, 0.02)
+	require.Zero(t, b.hits.Load(), "refused as not run")
+}
+
+// The other side: what ends in time is served to the last, by the timeout of its route or by
+// the patience of its caller.
+func TestStoppingVMServesWhatEndsInTime(t *testing.T) {
+	b := stopping(t, 3200*time.Millisecond)
+	for _, c := range []struct {
+		host   string
+		header http.Header
+	}{
+		{"safe.example", nil},
+		{"patient.example", http.Header{"Deadline": {"1500"}}},
+	} {
+		resp := b.get(c.host, c.header, "")
+		require.Equal(t, http.StatusOK, resp.StatusCode, c.host)
+		require.True(t, resp.Close, "the caller's next request goes elsewhere")
+	}
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -62,8 +62,9 @@
 	unfitUntil atomic.Int64
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
 	grace atomic.Int64
-	// leaving is set by the graceful shutdown.
-	leaving atomic.Bool
+	// leaving is set by the graceful shutdown, leavingSince before it, on clock.
+	leaving      atomic.Bool
+	leavingSince atomic.Int64
 
 	front, ready *http.Server
 	peers        *peer.Server
@@ -212,7 +213,7 @@
 func (n *node) stop(ctx context.Context) error {
 	begin := time.Now()
 	grace := time.Duration(n.grace.Load())
-	n.leaving.Store(true)
+	n.beginLeaving()
 	n.life.BeginDrain()
 	pause.For(ctx, part(grace, stopAccepting))
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
@@ -227,6 +228,12 @@
 	return errors.Join(err, n.ready.Close())
 }
 
+// beginLeaving lets the balancer, the other VMs and callers learn that this VM leaves.
+func (n *node) beginLeaving() {
+	n.leavingSince.Store(int64(n.clock.Now()))
+	n.leaving.Store(true)
+}
+
 // awaitSuccessors waits until this VM is no grantor any more, which takes the store, or
 // until the process must end.
 func (n *node) awaitSuccessors(ctx context.Context) {
