A VM that was told to stop refuses, as not run, what may outlast it

A search that was read 3.2 s after SIGTERM on a kept connection, and may take four seconds, was passed on and cut when the process ended 5.5 s after the signal. Cause: requests were taken until the front was closed, whatever they take.

decide/leaving takes what surely ends in time, by the caller's time or the route's timeout. What may take longer is taken only in the first 2.5 s, until the balancer has noticed, and not if three times its mean does not fit; nothing is refused by a guess. The rest gets 503 with Retry-After 0.01 s and a closed connection, before it is sent anywhere. Asked before each sending as long as no target has run the request.

The end of the wait stays at 0.92 of the grace.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,10 @@
 		if e == nil {
 			return c.giveUp(string(why), n.retryAfter(c))
 		}
+		if n.outlasts(c, e, left) {
+			n.state.finish(e, endLeft)
+			return c.giveUp(string(refusedLeaving), soonRetry)
+		}
 		if c.arrivals > 0 && !n.state.repeat(c.service, n.mesh.Size(), n.clock.Now()) {
 			n.state.finish(e, endLeft)
 			return c.giveUp("no repeats left", n.retryAfter(c))
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -35,8 +35,8 @@
 	// come back: a full target has a free place after about a service time.
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = time.Second
-	// soonRetry is when a caller may come back whom a target with free slots refused:
-	// at once, but for the time that a new connection takes anyway.
+	// soonRetry is when a caller may come back whom a target with free slots refused, or
+	// a VM that leaves: at once, but for the time that a new connection takes anyway.
 	soonRetry = 10 * time.Millisecond
 	// crashLimit is how many targets a request may have ended before it is
 	// refused. With two, a popular request that ran on two targets that ended for
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -51,3 +51,40 @@
 		require.True(t, resp.Close, "the caller's next request goes elsewhere")
 	}
 }
+
+// A VM that has just started is told to stop, and knows nothing yet of what requests take. The
+// balancer still sends it its whole share, most of which ends in time: it is served.
+func TestStoppingVMRefusesNothingByAGuess(t *testing.T) {
+	b := stopping(t, 2*time.Second)
+	require.Equal(t, http.StatusOK, b.get("patient.example", nil, "").StatusCode)
+}
+
+// Searches take three seconds at a service. A VM with 3.5 seconds left refuses them though the
+// balancer still sends it new connections; what its caller gives up earlier it takes.
+func TestStoppingVMRefusesWhatUsuallyTakesLonger(t *testing.T) {
+	b := stopping(t, 2*time.Second)
+	for range 10 {
+		b.state.learnLocked("pool", "patient", 3*time.Second)
+	}
+	require.Equal(t, http.StatusServiceUnavailable, b.get("patient.example", nil, "").StatusCode)
+	require.Zero(t, b.hits.Load())
+	require.Equal(t, http.StatusOK, b.get("patient.example", http.Header{"Deadline": {"3000"}}, "").StatusCode)
+}
+
+// A target refused a booking that a VM which leaves had passed on, and may take it a moment
+// later. The VM may not stay that long: it says that the booking was not made, which is true.
+func TestStoppingVMSendsNothingAgainThatMayOutlastIt(t *testing.T) {
+	b := newBench(t)
+	b.grace.Store(int64(6 * time.Second))
+	leavesAndSheds := func(w http.ResponseWriter, r *http.Request) {
+		b.leavingSince.Store(int64(b.clock.Now() - 3200*time.Millisecond))
+		b.leaving.Store(true)
+		sheds(w, r)
+	}
+	play := firstThen(leavesAndSheds, works)
+	b.target("a", "pool", play)
+	b.target("b", "pool", play)
+	resp := b.get("patient.example", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.EqualValues(t, 1, b.hits.Load())
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -228,12 +228,6 @@
 	return errors.Join(err, n.ready.Close())
 }
 
-// beginLeaving lets the balancer, the other VMs and callers learn that this VM leaves.
-func (n *node) beginLeaving() {
-	n.leavingSince.Store(int64(n.clock.Now()))
-	n.leaving.Store(true)
-}
-
 // awaitSuccessors waits until this VM is no grantor any more, which takes the store, or
 // until the process must end.
 func (n *node) awaitSuccessors(ctx context.Context) {
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -44,6 +44,8 @@
 	refusedLost   refusal = "owner of the key is lost"
 	refusedLate   refusal = "cannot be done in time"
 	refusedCold   refusal = "owner is full and the key cold"
+	// refusedLeaving: this VM was told to stop, another one serves the request.
+	refusedLeaving refusal = "may outlast this VM"
 )
 
 // chooseFromPool reserves the best target of a service without keys.
