--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -59,8 +59,9 @@
 	listed atomic.Bool
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
 	grace atomic.Int64
-	// leaving is set by the graceful shutdown.
-	leaving atomic.Bool
+	// leaving is set by the graceful shutdown, leavingSince before it, on clock.
+	leaving      atomic.Bool
+	leavingSince atomic.Int64
 
 	front, ready *http.Server
 	peers        *peer.Server
@@ -210,7 +211,7 @@
 func (n *node) stop(ctx context.Context) error {
 	begin := time.Now()
 	grace := time.Duration(n.grace.Load())
-	n.leaving.Store(true)
+	n.beginLeaving()
 	n.life.BeginDrain()
 	pause.For(ctx, part(grace, stopAccepting))
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
