A call given up in a cut between two VMs is dropped, not carried out when the cut heals

Callers were told that a booking may have run, found none, booked again, and the first one ran seconds later. Cause: a call whose context ended left its shared connection open, and the system sends on what was written to it when the cut ends; the dispatcher then gives it its whole budget.

Connections between VMs now end with a reset, and a call in doubt (given up, or without reply for 250 ms) has a probe sent behind it on the same connection. The probe's answer shows that what was sent before has arrived: a peer that is only slow answers it, and its connection stays. Where nothing at all arrives for ten steps of 50 ms and a call was given up, the connection ends. A call that waited 750 ms or more in the silence is dropped before its caller is told; one with a shorter deadline up to half a second after. Calls beside it get ErrLost (may have run), which also those get that would have been answered after the cut. A caller that leaves and a deadline that passes are treated alike. Older VMs answer a probe with an error, which counts as well.

Dials are more frequent in a cut now, and one held up all calls of its lane for up to a second whatever their deadline; the wait for another call's dial now ends with the context.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hemlockquay/internal/upstream"
 )
 
 // Errors of a call. An error that is none of these was returned by the peer.
@@ -39,7 +41,7 @@
 func NewClient(addr string, connections int) *Client {
 	c := &Client{addr: addr, lanes: make([]*lane, connections)}
 	for i := range c.lanes {
-		c.lanes[i] = &lane{addr: addr}
+		c.lanes[i] = &lane{addr: addr, dialing: make(chan struct{}, 1)}
 	}
 	return c
 }
@@ -61,17 +63,15 @@
 	}
 	own := reflect.New(reflect.TypeOf(reply).Elem())
 	call := conn.rpc.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		l.release(conn, broken(call.Error))
-		if call.Error == nil {
-			reflect.ValueOf(reply).Elem().Set(own.Elem())
-		}
-		return l.outcome(method, call.Error)
-	case <-ctx.Done():
+	if !l.await(ctx.Done(), conn, call) {
 		l.release(conn, false)
 		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrLost, ctx.Err()))
 	}
+	l.release(conn, broken(call.Error))
+	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(own.Elem())
+	}
+	return l.outcome(method, call.Error)
 }
 
 // Close closes the connections; calls that wait get ErrLost.
@@ -84,51 +84,95 @@
 // session is one connection and the number of calls that wait on it.
 type session struct {
 	rpc     *rpc.Client
+	conn    *heard
 	pending int
 	retired bool
+	doubt   doubt
 }
 
 // lane is one connection that is opened again after it broke.
 //
-// Invariant: a session is closed only once it is retired and no call waits on
-// it, and a retired session takes no call. So rpc.ErrShutdown always means that
-// the call found the connection already shut, except after Close.
+// Invariant: the rpc client of a session is closed only once the session is retired
+// and no call waits on it, and a retired session takes no call. So rpc.ErrShutdown
+// always means that the call found the connection already shut, except after Close.
+// The connection below a silent session may end under calls that wait.
 type lane struct {
 	addr string
-
-	mu       sync.Mutex
-	current  *session
+	// dialing is held while the lane is dialled; it guards lastDial.
+	dialing  chan struct{}
 	lastDial time.Time
-	closed   bool
+
+	mu      sync.Mutex
+	current *session
+	closed  bool
 }
 
+// acquire returns the session for one more call.
+//
+// Failure: the peer is cut off, and each dial takes its second. A call whose time is over
+// sooner waits behind the dial of another, and its caller gets no answer in time. So the
+// wait for another's dial ends with the context.
 func (l *lane) acquire(ctx context.Context) (*session, error) {
+	if s, err := l.take(); s != nil || err != nil {
+		return s, err
+	}
+	select {
+	case l.dialing <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for another call's dial: %w", ctx.Err())
+	}
+	defer func() { <-l.dialing }()
+	if s, err := l.take(); s != nil || err != nil {
+		return s, err
+	}
+	s, err := l.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return l.use(s)
+}
+
+// take counts a call on the current session; it returns nil if there is none.
+func (l *lane) take() (*session, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return nil, net.ErrClosed
 	}
-	if l.current == nil {
-		if err := l.dial(ctx); err != nil {
-			return nil, err
-		}
+	if l.current != nil {
+		l.current.pending++
 	}
-	l.current.pending++
 	return l.current, nil
 }
 
-func (l *lane) dial(ctx context.Context) error {
+// use makes s the current session, with one call.
+func (l *lane) use(s *session) (*session, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errors.Join(net.ErrClosed, s.rpc.Close())
+	}
+	s.pending++
+	l.current = s
+	return s, nil
+}
+
+// dial opens a connection whose end is a reset; l.dialing is held.
+func (l *lane) dial(ctx context.Context) (*session, error) {
 	if since := time.Since(l.lastDial); since < redialPause {
-		return fmt.Errorf("dial failed %v ago", since.Round(time.Millisecond))
+		return nil, fmt.Errorf("dial failed %v ago", since.Round(time.Millisecond))
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", l.addr)
+	nc, err := dialer.DialContext(ctx, "tcp", l.addr)
+	if err == nil {
+		nc, err = upstream.EndWithReset(nc)
+	}
 	if err != nil {
 		l.lastDial = time.Now()
-		return err
+		return nil, err
 	}
-	l.current = &session{rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn)})}
-	return nil
+	conn := &heard{Conn: nc}
+	return &session{rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), conn: conn}, nil
 }
 
 // broken tells whether the error came from the connection and not the peer.
--- a/internal/peer/held_test.go
+++ b/internal/peer/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,3 +72,100 @@
 	case <-time.After(endsMost):
 	}
 }
+
+// A caller is told that its booking did not run, and it did. In a cut another caller's call on
+// the same connection is given up, and the connection ends under the booking that waits.
+func TestACallOnASilentConnectionMayHaveRun(t *testing.T) {
+	s := serve(t, "127.0.0.1:0", &echo{})
+	defer s.Close()
+	l, err := link.New(s.Addr())
+	require.NoError(t, err)
+	defer l.Close()
+	c := NewClient(l.Addr(), 1)
+	defer c.Close()
+	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
+	l.Cut()
+	waiting := make(chan error, 1)
+	go func() { waiting <- c.Call(t.Context(), "Echo.Say", "y", new(string)) }()
+	l.AwaitHeld()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, c.Call(ctx, "Echo.Say", "z", new(string)), ErrLost)
+	err = <-waiting
+	require.ErrorIs(t, err, ErrLost)
+	require.NotErrorIs(t, err, ErrNotSent)
+}
+
+// Callers get `unknown` for requests that were going well: another caller's call to the same VM
+// takes long and is given up, and the connection that they share is ended though it is whole.
+func TestACallGivenUpOnAWholeConnectionDisturbsNoOther(t *testing.T) {
+	e := &slowEcho{entered: make(chan struct{}), release: make(chan struct{})}
+	s, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	defer s.Close()
+	require.NoError(t, s.Register("Echo", e))
+	go func() { _ = s.Serve() }()
+	release := sync.OnceFunc(func() { close(e.release) })
+	// The server ends only after its calls.
+	defer release()
+	c := NewClient(s.Addr(), 1)
+	defer c.Close()
+	var out string
+	waiting := make(chan error, 1)
+	go func() { waiting <- c.Call(t.Context(), "Echo.Late", "late", &out) }()
+	<-e.entered
+	first := current(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = c.Call(ctx, "Echo.Say", "x", new(string))
+	require.Eventually(t, func() bool { return !c.lanes[0].inDoubt(first).probing }, endsMost, time.Millisecond,
+		"the peer answers the probe")
+	release()
+	require.NoError(t, <-waiting)
+	require.Equal(t, "late", out)
+	require.Same(t, first, current(c), "the connection is kept")
+}
+
+func current(c *Client) *session {
+	l := c.lanes[0]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+// A caller gets its answer long after its deadline: the VM that its call goes to is cut off, and
+// the call waits behind another one's dial.
+func TestAnotherCallsDialIsAwaitedNoLongerThanTheDeadline(t *testing.T) {
+	c := NewClient("127.0.0.1:1", 1)
+	defer c.Close()
+	c.lanes[0].dialing <- struct{}{}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, c.Call(ctx, "Echo.Say", "x", new(string)), ErrNotSent)
+}
+
+// A caller is told that its booking may have run, looks at once and finds none; then the cut
+// ends, and the booking is carried out while the connection is still being probed. Where the
+// silence lasted long enough before the deadline, the connection ends before the caller is told.
+// Until a call is given up it stays, since the calls on it may yet be answered in time.
+func TestAConnectionKnownToBeSilentEndsBeforeTheCallerIsTold(t *testing.T) {
+	s := serve(t, "127.0.0.1:0", &echo{})
+	defer s.Close()
+	l, err := link.New(s.Addr())
+	require.NoError(t, err)
+	defer l.Close()
+	c := NewClient(l.Addr(), 1)
+	defer c.Close()
+	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
+	first := current(c)
+	l.Cut()
+	ctx, cancel := context.WithCancel(t.Context())
+	given := make(chan error, 1)
+	go func() { given <- c.Call(ctx, "Echo.Say", "y", new(string)) }()
+	require.Eventually(t, func() bool { return c.lanes[0].inDoubt(first).silent }, endsMost, time.Millisecond)
+	require.Same(t, first, current(c), "nobody gave up yet")
+	cancel()
+	require.ErrorIs(t, <-given, ErrLost)
+	require.Nil(t, current(c), "the caller was told while its call may still arrive")
+	l.AwaitEnded()
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,7 +30,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	return &Server{rpc: rpc.NewServer(), listener: l, conns: make(map[net.Conn]struct{})}, nil
+	s := &Server{rpc: rpc.NewServer(), listener: l, conns: make(map[net.Conn]struct{})}
+	if err := s.Register(probeService, prober{}); err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return s, nil
 }
 
 // Register publishes the receiver's methods under the name.
