Link: a reset counts when it is sent, and new connections can be held in a cut

Cause: the link learns of a reset by a read, and delivered what it held when the heal came before that read had returned. It now asks the system for the state of the sender's connection before it delivers.

Hold is a cut that holds new connections as well, instead of resetting them.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -12,11 +12,16 @@
 	"io"
 	"net"
 	"sync"
+
+	"golang.org/x/sys/unix"
 )
 
 // chunk is how much is read from a connection at a time, bytes.
 const chunk = 4 << 10
 
+// stateClosed is the system's state of a connection that was reset, TCP_CLOSE.
+const stateClosed = 7
+
 // Link forwards connections to an address.
 type Link struct {
 	target   string
@@ -27,6 +32,8 @@
 	mu     sync.Mutex
 	cut    bool
 	closed bool
+	// holds: new connections wait for the end of the cut.
+	holds bool
 	// held is how many bytes wait in all pipes.
 	held int
 	// changed wakes those who wait for something to send, or for the end of a cut.
@@ -49,15 +56,19 @@
 func (l *Link) Addr() string { return l.listener.Addr().String() }
 
 // Cut lets nothing through any more. New connections are reset.
-func (l *Link) Cut() { l.set(true) }
+func (l *Link) Cut() { l.set(true, false) }
+
+// Hold lets nothing through any more. New connections are held too, as if each had been
+// opened right before the cut: their ends see silence.
+func (l *Link) Hold() { l.set(true, true) }
 
 // Heal delivers what was held, and lets everything through again.
-func (l *Link) Heal() { l.set(false) }
+func (l *Link) Heal() { l.set(false, false) }
 
-func (l *Link) set(cut bool) {
+func (l *Link) set(cut, holds bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut = cut
+	l.cut, l.holds = cut, holds
 	l.changed.Broadcast()
 }
 
@@ -83,10 +94,14 @@
 	_ = l.listener.Close()
 }
 
-func (l *Link) isCut() bool {
+// passes waits while new connections are held, and tells whether one may pass then.
+func (l *Link) passes() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cut
+	for !l.closed && l.cut && l.holds {
+		l.changed.Wait()
+	}
+	return !l.closed && !l.cut
 }
 
 func (l *Link) accept() {
@@ -95,26 +110,35 @@
 		if err != nil {
 			return
 		}
-		if l.isCut() {
-			reset(near)
-			continue
-		}
-		far, err := net.Dial("tcp", l.target)
-		if err != nil {
-			reset(near)
-			continue
-		}
-		l.carry(near, far)
-		l.carry(far, near)
+		l.pipes.Add(1)
+		go func() {
+			defer l.pipes.Done()
+			l.connect(near)
+		}()
+	}
+}
+
+// connect leads a new connection to the target.
+func (l *Link) connect(near net.Conn) {
+	if !l.passes() {
+		reset(near)
+		return
+	}
+	far, err := net.Dial("tcp", l.target)
+	if err != nil {
+		reset(near)
+		return
 	}
+	l.carry(near, far)
+	l.carry(far, near)
 }
 
 // carry forwards one direction of a connection. Reading goes on in a cut, since only a
 // read tells how the sender has ended the connection.
 func (l *Link) carry(from, to net.Conn) {
-	p := &pipe{link: l}
+	p := &pipe{link: l, from: from}
 	l.pipes.Add(1)
-	go p.read(from)
+	go p.read()
 	go func() {
 		defer l.pipes.Done()
 		p.write(to)
@@ -124,15 +148,16 @@
 // pipe is one direction of a connection, with the bytes that it holds.
 type pipe struct {
 	link  *Link
+	from  net.Conn
 	held  []byte
 	ended error
 }
 
 // read holds what arrives until the sender ends the connection.
-func (p *pipe) read(from net.Conn) {
+func (p *pipe) read() {
 	buffer := make([]byte, chunk)
 	for {
-		n, err := from.Read(buffer)
+		n, err := p.from.Read(buffer)
 		p.link.mu.Lock()
 		p.held = append(p.held, buffer[:n]...)
 		p.link.held += n
@@ -179,12 +204,27 @@
 	for !l.closed && (l.cut || len(p.held) == 0 && p.ended == nil) {
 		l.changed.Wait()
 	}
-	if l.closed {
+	if l.closed || p.ended == nil && isReset(p.from) {
 		return nil, net.ErrClosed
 	}
 	return p.take(), p.ended
 }
 
+// isReset asks the system whether the other end has reset a connection.
+//
+// Failure: a sender resets its connection, and the link heals right after. The read that
+// tells of the reset has not returned yet, and what was held is delivered all the same.
+func isReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	var failed error
+	err = raw.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return errors.Join(err, failed) != nil || info.State == stateClosed
+}
+
 // take empties the pipe; the link's lock is held.
 func (p *pipe) take() []byte {
 	out := p.held
