hq-soak: gateways as real processes under faults drawn from a seed

Three hq-gateway processes before the played store and targets, a link before each target and each VM's store. Cuts, lapsed entries, SIGSTOP, SIGKILL and SIGTERM overlap; the schedule is data. Checked while it runs: one owner and rising fences, at most one run, whole answers, no process that ends by itself. Played targets tell a watcher what they do, can be listed at the address of a link, and have longer bodies where asked.

--- /dev/null
+++ b/cmd/hq-soak/main.go
@@ -0,0 +1,68 @@
+// Command hq-soak plays faults on hq-gateway as real processes; see package soak.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"hemlockquay/internal/command"
+	"hemlockquay/internal/settings"
+	"hemlockquay/internal/soak"
+)
+
+type options struct {
+	command.VersionFlag
+	Seed     uint64        `long:"seed" default:"1" description:"draws the schedule and the load's keys"`
+	Span     time.Duration `long:"span" default:"20s" description:"how long faults last; the run takes some seconds more"`
+	Schedule string        `long:"schedule" value-name:"FILE" description:"play this schedule, as --print writes it, instead of the seed's"`
+	Print    bool          `long:"print" description:"print the schedule and exit"`
+	Dir      string        `long:"dir" description:"for settings and logs of the processes; default out/soak/SEED"`
+	Gateway  string        `long:"gateway" value-name:"PATH" default:"bin/hq-gateway" description:"the program to test"`
+}
+
+func main() { os.Exit(command.Code(run(os.Args[1:]))) }
+
+func run(args []string) error {
+	opts := options{VersionFlag: command.NewVersionFlag("hq-soak")}
+	p := flags.NewNamedParser("hq-soak", flags.Default)
+	p.LongDescription = "Runs three gateways as processes of this computer, before a store and targets that are played, under faults drawn from a seed. Exits 0 if every promise was kept, 1 otherwise."
+	if _, err := p.AddGroup("Options", "", &opts); err != nil {
+		panic(err)
+	}
+	if _, err := p.ParseArgs(args); err != nil {
+		return err
+	}
+	err := opts.play()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	return err
+}
+
+func (o *options) play() error {
+	schedule := soak.Draw(o.Seed, o.Span)
+	if o.Schedule != "" {
+		schedule = new(soak.Schedule)
+		if err := settings.Load(o.Schedule, schedule); err != nil {
+			return err
+		}
+	}
+	if o.Print {
+		fmt.Print(schedule)
+		return nil
+	}
+	if o.Dir == "" {
+		o.Dir = filepath.Join("out", "soak", fmt.Sprint(o.Seed))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	r := soak.Run{Seed: o.Seed, Schedule: schedule, Span: o.Span, Dir: o.Dir, Gateway: o.Gateway}
+	return r.Play(ctx, os.Stdout)
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"hemlockquay/internal/gateway"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/standin/fleet"
+	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/standin/plan"
+)
+
+const (
+	// vmCount is the number of VMs, targetCount that of the targets of each service, and
+	// slots the requests that a target runs at a time.
+	vmCount, targetCount, slots = 3, 3, 4
+	// work is how long a target works on a request.
+	work = 20 * time.Millisecond
+	// bodyBytes is what an answer has at least: several reads of a link.
+	bodyBytes = 20_000
+	// grace is how long after SIGTERM a process is killed.
+	grace = 3 * time.Second
+	// portsPerVM are front, ready, peers and admin.
+	portsPerVM = 4
+)
+
+// vmNames returns the names of the VMs.
+func vmNames() []string { return names("vm", vmCount) }
+
+// targetNames returns the names of the targets: k-N hold keys, p-N do not.
+func targetNames() []string { return append(names("k", targetCount), names("p", targetCount)...) }
+
+func names(prefix string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s-%d", prefix, i+1)
+	}
+	return out
+}
+
+// world is the site: what is played, the links, and the VMs.
+type world struct {
+	store   *fleet.Store
+	server  *http.Server
+	targets map[string]*fleet.Target
+	vms     map[string]*vm
+	// links are by the name of their target, or of the VM whose link to the store it is.
+	links map[string]*link.Link
+
+	mu sync.Mutex
+	// active counts the faults of a kind that something is under, since they overlap.
+	active map[[2]string]int
+}
+
+// newWorld starts what is played and the links, and writes the VMs' settings.
+func newWorld(dir, program string, check *Checker) (*world, error) {
+	w := &world{
+		store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
+		links: make(map[string]*link.Link), active: make(map[[2]string]int),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("soak: listen for the store: %w", err)
+	}
+	w.server = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = w.server.Serve(listener) }()
+	w.store.Set("config", "main", fleet.Config(1, ""))
+	err = errors.Join(w.addTargets(check), w.addVMs(dir, program, listener.Addr().String(), check))
+	if err != nil {
+		w.close()
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	return w, nil
+}
+
+func (w *world) addTargets(check *Checker) error {
+	for i, name := range targetNames() {
+		t := &fleet.Target{ID: name, Service: "pool", Zone: "a", Slots: slots, Pad: bodyBytes, Watcher: check}
+		if i < targetCount {
+			t.Service, t.Keyed = "keyed", true
+		}
+		t.Via = func(addr string) (string, error) { return w.addLink(name, addr) }
+		t.SetWork(work)
+		if err := t.Start(w.store); err != nil {
+			return err
+		}
+		w.targets[name] = t
+	}
+	return nil
+}
+
+// addLink returns the address that leads to another over a link.
+func (w *world) addLink(name, addr string) (string, error) {
+	l, err := link.New(addr)
+	if err != nil {
+		return "", err
+	}
+	w.links[name] = l
+	return l.Addr(), nil
+}
+
+func (w *world) addVMs(dir, program, store string, check *Checker) error {
+	ports, err := plan.FreePorts(vmCount*portsPerVM, make(map[string]bool))
+	if err != nil {
+		return err
+	}
+	for i, name := range vmNames() {
+		via, err := w.addLink(name, store)
+		if err != nil {
+			return err
+		}
+		own := ports[i*portsPerVM:]
+		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Store: via, Grace: model.Duration(grace)}
+		s.VM, s.DataCentre, s.Admin = name, "a", own[3]
+		file := filepath.Join(dir, name+".jsonc")
+		if err := plan.WriteJSON(file, s); err != nil {
+			return err
+		}
+		w.vms[name] = &vm{name: name, front: s.Front, program: program, settings: file, log: filepath.Join(dir, name+".log"), check: check}
+	}
+	return nil
+}
+
+// begin begins a fault, unless it is under way already.
+func (w *world) begin(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.active[f.group()]++; w.active[f.group()] > 1 {
+		return
+	}
+	switch f.Kind {
+	case Cut:
+		w.links[f.What].Hold()
+	case Lapse:
+		w.store.Remove("servers", f.What)
+	case Stop:
+		w.vms[f.What].suspend()
+	case Kill:
+		w.vms[f.What].kill()
+	case Term:
+		w.vms[f.What].leave()
+	}
+}
+
+// end ends a fault, unless another of its kind is still under way.
+func (w *world) end(f Fault) error {
+	if !w.last(f) {
+		return nil
+	}
+	switch f.Kind {
+	case Cut:
+		w.links[f.What].Heal()
+	case Lapse:
+		w.targets[f.What].List(w.store)
+	case Stop:
+		w.vms[f.What].resume()
+	case Kill, Term:
+		return w.vms[f.What].start()
+	}
+	return nil
+}
+
+// last takes a fault off, and tells whether no other of its group is left.
+func (w *world) last(f Fault) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active[f.group()]--
+	return w.active[f.group()] == 0
+}
+
+// group returns what faults share that end with the last of them: a VM that is killed and
+// told to leave starts once.
+func (f Fault) group() [2]string {
+	if f.Kind == Term {
+		return [2]string{f.What, string(Kill)}
+	}
+	return [2]string{f.What, string(f.Kind)}
+}
+
+// close ends the processes, and then what they were connected to.
+func (w *world) close() {
+	var wait sync.WaitGroup
+	for _, v := range w.vms {
+		wait.Go(v.close)
+	}
+	wait.Wait()
+	for _, l := range w.links {
+		l.Close()
+	}
+	for _, t := range w.targets {
+		t.Kill()
+	}
+	_ = w.server.Close()
+}
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -2,14 +2,27 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
+// Watcher sees what targets do, in the order in which each of them does it.
+type Watcher interface {
+	// Granted: the target has taken a grant of the keys from..to, which lasts until then.
+	Granted(target string, from, to uint16, fence uint64, until time.Time)
+	// Released: the target has given the keys from..to back.
+	Released(target string, from, to uint16)
+	// Ran: the target runs a request.
+	Ran(target, id string)
+}
+
 // Target is a server that runs requests, and holds keys where it is keyed.
 type Target struct {
 	ID      string
@@ -17,8 +30,16 @@
 	Zone    string
 	Keyed   bool
 	Slots   int
+	// Pad is how many bytes an answer's body has beyond what it says.
+	Pad int
+	// Via returns the address that the target's entry names, given its own. Default: its own.
+	Via func(addr string) (string, error)
+	// Watcher, where there is one, sees what the target does.
+	Watcher Watcher
 
 	mu sync.Mutex
+	// listed is the address that the entry names.
+	listed string
 	// work is how long a request takes.
 	work     time.Duration
 	born     int64
@@ -41,16 +62,23 @@
 	}
 	t.listener, t.born, t.ran = listener, time.Now().UnixMilli(), make(map[string]int)
 	t.slots = make(chan struct{}, t.Slots)
+	t.listed = t.Addr()
+	if t.Via != nil {
+		if t.listed, err = t.Via(t.Addr()); err != nil {
+			return fmt.Errorf("start target %s: %w", t.ID, errors.Join(err, listener.Close()))
+		}
+	}
 	t.server = &http.Server{Handler: t}
 	go func() { _ = t.server.Serve(listener) }()
-	t.list(s)
+	t.List(s)
 	return nil
 }
 
 // Addr returns the target's address.
 func (t *Target) Addr() string { return t.listener.Addr().String() }
 
-func (t *Target) list(s *Store) {
+// List writes the target's entry.
+func (t *Target) List(s *Store) {
 	t.mu.Lock()
 	t.seq++
 	state := "ready"
@@ -58,7 +86,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"Service": t.Service, "Addr": t.Addr(), "Zone": t.Zone, "Version": "v1", "Slots": t.Slots,
+		"Service": t.Service, "Addr": t.listed, "Zone": t.Zone, "Version": "v1", "Slots": t.Slots,
 		"State": state, "WarmupLeftS": 0, "Seq": t.seq, "born": t.born,
 	}
 	t.mu.Unlock()
@@ -70,7 +98,7 @@
 	t.mu.Lock()
 	t.draining = true
 	t.mu.Unlock()
-	t.list(s)
+	t.List(s)
 }
 
 // SetWork sets how long a request takes.
@@ -149,6 +177,9 @@
 	for key := int(o.From); key <= int(o.To); key++ {
 		t.fences[key], t.holds[key] = o.Fence, until
 	}
+	if t.Watcher != nil {
+		t.Watcher.Granted(t.ID, o.From, o.To, o.Fence, until)
+	}
 }
 
 func (t *Target) release(w http.ResponseWriter, r *http.Request) {
@@ -162,6 +193,9 @@
 	for key := int(o.From); key <= int(o.To); key++ {
 		t.fences[key], t.holds[key] = max(t.fences[key], o.Fence), time.Time{}
 	}
+	if t.Watcher != nil {
+		t.Watcher.Released(t.ID, o.From, o.To)
+	}
 	w.Header().Set("X-Handover", t.ID+"-state")
 }
 
@@ -181,10 +215,19 @@
 	}
 	defer func() { <-t.slots }()
 	t.mu.Lock()
-	t.ran[r.Header.Get("X-Request-Id")]++
-	work := t.work
+	id, work := r.Header.Get("X-Request-Id"), t.work
+	t.ran[id]++
+	if t.Watcher != nil {
+		t.Watcher.Ran(t.ID, id)
+	}
 	t.mu.Unlock()
 	time.Sleep(work)
 	w.Header().Set("X-Server-Stamp", t.ID)
-	_, _ = fmt.Fprintf(w, "%s %s", t.ID, r.URL.Path)
+	_, _ = io.WriteString(w, Body(t.ID, r.URL.Path, t.Pad))
+}
+
+// Body returns the whole body of a target's answer.
+func Body(target, path string, pad int) string {
+	said := target + " " + path
+	return said + strings.Repeat(" "+said, pad/len(said)+1)[:pad]
 }
