Soak: connections that are reset, requests that take longer

A link can reset its open connections: callers' requests are then lost while they run, which cuts do not bring about within a request's time. Targets work 100 ms instead of 20, so that faults meet requests at work.

--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -27,6 +27,8 @@
 const (
 	// Cut: the link of a target, or that of a VM to the store, holds what is sent.
 	Cut Kind = "cut"
+	// Reset: the open connections of a link end, those of a target or of a VM to the store.
+	Reset Kind = "reset"
 	// Lapse: the store has no entry of a target.
 	Lapse Kind = "lapse"
 	// Stop: a VM's process is suspended.
@@ -54,7 +56,7 @@
 }
 
 // kinds are what may happen to targets and VMs.
-var kinds = map[bool][]Kind{true: {Cut, Lapse}, false: {Cut, Stop, Kill, Term}}
+var kinds = map[bool][]Kind{true: {Cut, Reset, Lapse}, false: {Cut, Reset, Stop, Kill, Term}}
 
 // Check implements settings.Checker.
 func (s *Schedule) Check() error {
@@ -100,16 +102,19 @@
 	inSeries = span{0, 1500 * time.Millisecond}
 	// lasts is by kind. A target's hold is about 2.4 s: cuts are shorter and longer.
 	lasts = map[Kind]span{
-		Cut:  {300 * time.Millisecond, 8 * time.Second},
-		Stop: {200 * time.Millisecond, 5 * time.Second},
-		Kill: {200 * time.Millisecond, 4 * time.Second},
-		Term: {time.Second, 5 * time.Second},
+		Cut:   {300 * time.Millisecond, 8 * time.Second},
+		Reset: {time.Millisecond, 2 * time.Millisecond},
+		Stop:  {200 * time.Millisecond, 5 * time.Second},
+		Kill:  {200 * time.Millisecond, 4 * time.Second},
+		Term:  {time.Second, 5 * time.Second},
 	}
 )
 
 const (
 	// mostInSeries bounds the faults of a series.
 	mostInSeries = 4
+	// resetEvery: one in so many faults of a target is a reset, the others are cuts.
+	resetEvery = 4
 	// entryLife is how long a target that is cut off stays in the store.
 	entryLife = 1500 * time.Millisecond
 	// scheduleStream separates the schedule's random numbers from the load's.
@@ -139,8 +144,11 @@
 		names = vmNames()
 	}
 	f := Fault{At: model.Duration(at), Kind: Cut, What: names[r.IntN(len(names))]}
-	if slices.Contains(vmNames(), f.What) {
+	switch {
+	case slices.Contains(vmNames(), f.What):
 		f.Kind = kinds[false][r.IntN(len(kinds[false]))]
+	case r.IntN(resetEvery) == 0:
+		f.Kind = Reset
 	}
 	f.For = model.Duration(lasts[f.Kind].draw(r))
 	return f
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -46,7 +46,7 @@
 			}
 		}
 	}
-	for _, k := range []Kind{Cut, Lapse, Stop, Kill, Term} {
+	for _, k := range []Kind{Cut, Reset, Lapse, Stop, Kill, Term} {
 		require.Positive(t, drawn[k], k)
 	}
 	require.Positive(t, overlaps)
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -61,6 +61,8 @@
 	defer out.Close()
 	p := &process{cmd: exec.Command(v.program, "--config", v.settings), gone: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// A terminal's signal is for the soak, which then ends the processes.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", v.name, err)
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -20,8 +20,8 @@
 	// vmCount is the number of VMs, targetCount that of the targets of each service, and
 	// slots the requests that a target runs at a time.
 	vmCount, targetCount, slots = 3, 3, 4
-	// work is how long a target works on a request.
-	work = 20 * time.Millisecond
+	// work is how long a target works on a request: cuts and resets meet some at work.
+	work = 100 * time.Millisecond
 	// bodyBytes is what an answer has at least: several reads of a link.
 	bodyBytes = 20_000
 	// grace is how long after SIGTERM a process is killed.
@@ -137,6 +137,8 @@
 	switch f.Kind {
 	case Cut:
 		w.links[f.What].Hold()
+	case Reset:
+		w.links[f.What].Reset()
 	case Lapse:
 		w.store.Remove("servers", f.What)
 	case Stop:
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -34,6 +34,8 @@
 	closed bool
 	// holds: new connections wait for the end of the cut.
 	holds bool
+	// resets counts the calls of Reset.
+	resets int
 	// held is how many bytes wait in all pipes.
 	held int
 	// changed wakes those who wait for something to send, or for the end of a cut.
@@ -72,6 +74,14 @@
 	l.changed.Broadcast()
 }
 
+// Reset resets both ends of all connections that are open, without what is held of them.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resets++
+	l.changed.Broadcast()
+}
+
 // AwaitHeld waits until the cut link holds something.
 func (l *Link) AwaitHeld() {
 	l.mu.Lock()
@@ -129,14 +139,17 @@
 		reset(near)
 		return
 	}
-	l.carry(near, far)
-	l.carry(far, near)
+	l.mu.Lock()
+	resets := l.resets
+	l.mu.Unlock()
+	l.carry(near, far, resets)
+	l.carry(far, near, resets)
 }
 
 // carry forwards one direction of a connection. Reading goes on in a cut, since only a
 // read tells how the sender has ended the connection.
-func (l *Link) carry(from, to net.Conn) {
-	p := &pipe{link: l, from: from}
+func (l *Link) carry(from, to net.Conn, resets int) {
+	p := &pipe{link: l, from: from, resets: resets}
 	l.pipes.Add(1)
 	go p.read()
 	go func() {
@@ -147,10 +160,12 @@
 
 // pipe is one direction of a connection, with the bytes that it holds.
 type pipe struct {
-	link  *Link
-	from  net.Conn
-	held  []byte
-	ended error
+	link *Link
+	from net.Conn
+	// resets is how often connections had been reset when this one was opened.
+	resets int
+	held   []byte
+	ended  error
 }
 
 // read holds what arrives until the sender ends the connection.
@@ -201,10 +216,13 @@
 	l := p.link
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for !l.closed && (l.cut || len(p.held) == 0 && p.ended == nil) {
+	for !l.closed && p.resets == l.resets && (l.cut || len(p.held) == 0 && p.ended == nil) {
 		l.changed.Wait()
 	}
-	if l.closed || p.ended == nil && isReset(p.from) {
+	if p.resets != l.resets {
+		p.take()
+	}
+	if l.closed || p.resets != l.resets || p.ended == nil && isReset(p.from) {
 		return nil, net.ErrClosed
 	}
 	return p.take(), p.ended
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -3,17 +3,19 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
-// server takes one connection after the other and passes on all that arrives on each.
-func server(t *testing.T) (string, <-chan string) {
+// server takes one connection after the other and passes on the first byte of each, and
+// then the rest.
+func server(t *testing.T) (addr string, begun, arrived chan string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	arrived := make(chan string)
+	begun, arrived = make(chan string, 8), make(chan string, 8)
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -21,13 +23,16 @@
 				close(arrived)
 				return
 			}
-			// The error of a connection that was reset; what arrived before counts.
+			// A connection may be reset; what arrived before counts.
+			first := make([]byte, 1)
+			n, _ := c.Read(first)
+			begun <- string(first[:n])
 			text, _ := io.ReadAll(c)
 			_ = c.Close()
 			arrived <- string(text)
 		}
 	}()
-	return listener.Addr().String(), arrived
+	return listener.Addr().String(), begun, arrived
 }
 
 func send(t *testing.T, l *Link, text string, end func(*net.TCPConn)) {
@@ -41,16 +46,42 @@
 // A connection is opened in a cut. What its sender closed arrives after the cut; what its
 // sender reset does not.
 func TestHeldConnectionsEndAsTheirSendersEndedThem(t *testing.T) {
-	addr, arrived := server(t)
+	addr, begun, arrived := server(t)
 	l, err := New(addr)
 	require.NoError(t, err)
 	defer l.Close()
 	l.Hold()
 	send(t, l, "closed", func(c *net.TCPConn) { require.NoError(t, c.Close()) })
 	l.Heal()
-	require.Equal(t, "closed", <-arrived)
+	require.Equal(t, "closed", <-begun+<-arrived)
 	l.Hold()
 	send(t, l, "reset", func(c *net.TCPConn) { reset(c) })
 	l.Heal()
+	require.Empty(t, <-begun+<-arrived)
+}
+
+// A device on the way forgets its connections. Both ends learn it, and nothing that was held
+// arrives.
+func TestResetEndsBothEnds(t *testing.T) {
+	addr, begun, arrived := server(t)
+	l, err := New(addr)
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "x")
+	require.NoError(t, err)
+	require.Equal(t, "x", <-begun)
+	l.Cut()
+	_, err = io.WriteString(c, "held")
+	require.NoError(t, err)
+	l.AwaitHeld()
+	l.Reset()
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	l.Heal()
 	require.Empty(t, <-arrived)
+	send(t, l, "after", func(c *net.TCPConn) { require.NoError(t, c.Close()) })
+	require.Equal(t, "after", <-begun+<-arrived)
 }
