--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -130,13 +130,22 @@
 	}
 }
 
-// A process that ends by itself would leave a soak that finds nothing.
+// A process ends by itself: the soak would find nothing from then on. A run that was
+// interrupted proves nothing either.
 func TestTheVerdictNamesWhatIsNeeded(t *testing.T) {
 	p := newPlay()
 	p.Broken(StaysUp, "vm-2", "its process ended by itself: %v", "exit status 2")
 	var out strings.Builder
-	(&Run{Seed: 7, Schedule: new(Schedule), Span: time.Second, Dir: "out/soak/7"}).verdict(&out, p.Checker)
+	r := &Run{Seed: 7, Schedule: new(Schedule), Span: time.Second, Dir: "out/soak/7"}
+	r.verdict(&out, p.Checker, nil)
 	require.Contains(t, out.String(), "seed 7: BROKEN 1 times;")
 	require.Contains(t, out.String(), "logs in out/soak/7\n")
 	require.Contains(t, out.String(), "seed 7: STAYS UP broken at 0.000 s: vm-2: its process ended by itself: exit status 2\n")
+
+	out.Reset()
+	r.verdict(&out, newPlay().Checker, errNotGranted)
+	require.NotContains(t, out.String(), "whole")
+	out.Reset()
+	r.verdict(&out, newPlay().Checker, nil)
+	require.Contains(t, out.String(), "seed 7: whole;")
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,7 +51,7 @@
 	}
 	err = r.play(ctx, w, check)
 	w.close()
-	r.verdict(out, check)
+	r.verdict(out, check, err)
 	if err == nil && len(check.Breaks()) > 0 {
 		err = errBroken
 	}
@@ -115,11 +115,15 @@
 	return errors.Join(errs...)
 }
 
-// verdict names the seed, and each broken promise with its subject and the logs.
-func (r *Run) verdict(out io.Writer, check *Checker) {
+// verdict names the seed, and each broken promise with its subject and the logs. A run that
+// ended with an error says so.
+func (r *Run) verdict(out io.Writer, check *Checker, err error) {
 	breaks, f := check.Breaks(), check.Figures()
 	word := "whole"
-	if len(breaks) > 0 {
+	switch {
+	case err != nil && len(breaks) == 0:
+		word = "NOT PLAYED to the end"
+	case len(breaks) > 0:
 		word = fmt.Sprintf("BROKEN %d times", len(breaks))
 	}
 	fmt.Fprintf(out, "seed %d: %s; %d faults in %v; %d grants, %d of them moves; asked %d, answered %d, refused %d (%d idempotent ones had run), failed %d, lost %d; logs in %s\n",
