Only the clients that carry requests end silent connections

Questions and news between VMs do no harm when they are carried out late, so their clients are as they were; hq-entry's way to hq-dispatch keeps the rule.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,7 +74,7 @@
 		Kit:       k,
 		door:      &door{vm: k.Settings.VM},
 		feed:      f,
-		forwarder: &forwarder{vm: k.Settings.VM, feed: f, peers: pooled{peer.NewPool(k.Settings.PeerConnections)}},
+		forwarder: &forwarder{vm: k.Settings.VM, feed: f, peers: pooled{peer.NewRequestPool(k.Settings.PeerConnections)}},
 		started:   time.Now().UnixNano(),
 		answered:  metrics.GetOrRegisterTimer("entry.answered", k.Registry),
 		refusals:  metrics.GetOrRegisterCounter("entry.refused", k.Registry),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -37,11 +37,24 @@
 	next  atomic.Uint64
 }
 
-// NewClient returns a client of the peer at addr.
-func NewClient(addr string, connections int) *Client {
+// NewClient returns a client of the peer at addr. A call that is given up may still be
+// carried out later: it is for questions and news, which do no harm then.
+func NewClient(addr string, connections int) *Client { return newClient(addr, connections, false) }
+
+// NewRequestClient returns a client whose calls carry requests: one that is given up while
+// the way to the peer is silent is not carried out when the silence ends.
+//
+// Load pattern: where links are so full that nothing arrives for half a second, this ends
+// connections. Questions that are asked again, such as those for a whole configuration, would
+// begin anew each time and fill the links for longer; so it is not for them.
+func NewRequestClient(addr string, connections int) *Client {
+	return newClient(addr, connections, true)
+}
+
+func newClient(addr string, connections int, dropsGivenUp bool) *Client {
 	c := &Client{addr: addr, lanes: make([]*lane, connections)}
 	for i := range c.lanes {
-		c.lanes[i] = &lane{addr: addr, dialing: make(chan struct{}, 1)}
+		c.lanes[i] = &lane{addr: addr, dropsGivenUp: dropsGivenUp, dialing: make(chan struct{}, 1)}
 	}
 	return c
 }
@@ -98,6 +111,8 @@
 // The connection below a silent session may end under calls that wait.
 type lane struct {
 	addr string
+	// dropsGivenUp says that connections are probed, and end with a reset if they are silent.
+	dropsGivenUp bool
 	// dialing is held while the lane is dialled; it guards lastDial.
 	dialing  chan struct{}
 	lastDial time.Time
@@ -157,14 +172,14 @@
 	return s, nil
 }
 
-// dial opens a connection whose end is a reset; l.dialing is held.
+// dial opens a connection; l.dialing is held.
 func (l *lane) dial(ctx context.Context) (*session, error) {
 	if since := time.Since(l.lastDial); since < redialPause {
 		return nil, fmt.Errorf("dial failed %v ago", since.Round(time.Millisecond))
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	nc, err := dialer.DialContext(ctx, "tcp", l.addr)
-	if err == nil {
+	if err == nil && l.dropsGivenUp {
 		nc, err = upstream.EndWithReset(nc)
 	}
 	if err != nil {
--- a/internal/peer/held_test.go
+++ b/internal/peer/held_test.go
@@ -37,7 +37,7 @@
 	l, err := link.New(s.Addr())
 	require.NoError(t, err)
 	defer l.Close()
-	c := NewClient(l.Addr(), 1)
+	c := NewRequestClient(l.Addr(), 1)
 	defer c.Close()
 	var out string
 	require.NoError(t, c.Call(t.Context(), "Diary.Say", "x", &out), "the link carries the connection")
@@ -81,7 +81,7 @@
 	l, err := link.New(s.Addr())
 	require.NoError(t, err)
 	defer l.Close()
-	c := NewClient(l.Addr(), 1)
+	c := NewRequestClient(l.Addr(), 1)
 	defer c.Close()
 	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
 	l.Cut()
@@ -108,7 +108,7 @@
 	release := sync.OnceFunc(func() { close(e.release) })
 	// The server ends only after its calls.
 	defer release()
-	c := NewClient(s.Addr(), 1)
+	c := NewRequestClient(s.Addr(), 1)
 	defer c.Close()
 	var out string
 	waiting := make(chan error, 1)
@@ -136,7 +136,7 @@
 // A caller gets its answer long after its deadline: the VM that its call goes to is cut off, and
 // the call waits behind another one's dial.
 func TestAnotherCallsDialIsAwaitedNoLongerThanTheDeadline(t *testing.T) {
-	c := NewClient("127.0.0.1:1", 1)
+	c := NewRequestClient("127.0.0.1:1", 1)
 	defer c.Close()
 	c.lanes[0].dialing <- struct{}{}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -154,7 +154,7 @@
 	l, err := link.New(s.Addr())
 	require.NoError(t, err)
 	defer l.Close()
-	c := NewClient(l.Addr(), 1)
+	c := NewRequestClient(l.Addr(), 1)
 	defer c.Close()
 	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
 	first := current(c)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,7 +4,8 @@
 
 // Pool keeps one Client for each peer address. It is safe for concurrent use.
 type Pool struct {
-	connections int
+	connections  int
+	dropsGivenUp bool
 
 	mu      sync.Mutex
 	clients map[string]*Client
@@ -15,13 +16,20 @@
 	return &Pool{connections: connections, clients: make(map[string]*Client)}
 }
 
+// NewRequestPool returns a pool whose clients carry requests, as NewRequestClient's do.
+func NewRequestPool(connections int) *Pool {
+	p := NewPool(connections)
+	p.dropsGivenUp = true
+	return p
+}
+
 // Get returns the client of an address.
 func (p *Pool) Get(addr string) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.clients[addr]
 	if !ok {
-		c = NewClient(addr, p.connections)
+		c = newClient(addr, p.connections, p.dropsGivenUp)
 		p.clients[addr] = c
 	}
 	return c
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -71,6 +71,9 @@
 // drops what has not arrived. A peer that is only slow answers the probe, and nobody else's
 // call on that connection is disturbed.
 func (l *lane) ask(s *session, givenUp bool) {
+	if !l.dropsGivenUp {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.doubt.asked++
