--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -88,3 +88,20 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.EqualValues(t, 1, b.hits.Load())
 }
+
+// A target broke a search off that a VM which leaves had passed on, so nothing can be promised
+// any more. Another target may still answer it before the VM is gone.
+func TestStoppingVMSendsAgainWhatMayHaveRun(t *testing.T) {
+	b := newBench(t)
+	b.grace.Store(int64(6 * time.Second))
+	leavesAndBreaks := func(w http.ResponseWriter, r *http.Request) {
+		b.leavingSince.Store(int64(b.clock.Now() - 3200*time.Millisecond))
+		b.leaving.Store(true)
+		breaks(w, r)
+	}
+	play := firstThen(leavesAndBreaks, works)
+	b.target("a", "pool", play)
+	b.target("b", "pool", play)
+	require.Equal(t, http.StatusOK, b.get("patient.example", nil, "").StatusCode)
+	require.EqualValues(t, 2, b.hits.Load())
+}
