A call between VMs starts no timer where it is not proved to arrive

Each call started one to probe the connection after 250 ms, also on clients that never probe. Nothing else changes.

--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -162,13 +162,18 @@
 
 // await waits for the end of a call or of its context; it tells whether the call ended.
 func (l *lane) await(done <-chan struct{}, s *session, call *rpc.Call) bool {
-	early := time.NewTimer(probeAfter)
-	defer early.Stop()
+	// A client whose calls are not proved to arrive needs no timer for each.
+	var early <-chan time.Time
+	if l.dropsGivenUp {
+		timer := time.NewTimer(probeAfter)
+		defer timer.Stop()
+		early = timer.C
+	}
 	for {
 		select {
 		case <-call.Done:
 			return true
-		case <-early.C:
+		case <-early:
 			l.ask(s, false)
 		case <-done:
 			l.ask(s, true)
