--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -177,11 +177,7 @@
 	if since := time.Since(l.lastDial); since < redialPause {
 		return nil, fmt.Errorf("dial failed %v ago", since.Round(time.Millisecond))
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", l.addr)
-	if err == nil && l.dropsGivenUp {
-		nc, err = upstream.EndWithReset(nc)
-	}
+	nc, err := l.connect(ctx)
 	if err != nil {
 		l.lastDial = time.Now()
 		return nil, err
@@ -190,6 +186,14 @@
 	return &session{rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), conn: conn}, nil
 }
 
+func (l *lane) connect(ctx context.Context) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if l.dropsGivenUp {
+		return upstream.DialWithReset(ctx, dialer, "tcp", l.addr)
+	}
+	return dialer.DialContext(ctx, "tcp", l.addr)
+}
+
 // broken tells whether the error came from the connection and not the peer.
 func broken(err error) bool {
 	if err == nil {
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -76,12 +76,7 @@
 // whose context has ended only after its connection is closed, so that nothing of a request
 // arrives after its Send has returned without an answer.
 func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	nc, err := dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return upstream.EndWithReset(nc)
+	return upstream.DialWithReset(ctx, &net.Dialer{Timeout: dialTimeout}, network, addr)
 }
 
 // onceBody returns a body that net/http cannot rewind.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -38,20 +39,24 @@
 	closing   sync.Once
 }
 
-// newConn takes a connection over that EndWithReset prepared.
+// newConn takes over a connection from DialWithReset.
 func newConn(nc net.Conn) *conn {
 	return &conn{net: nc, in: bufio.NewReaderSize(nc, readBuffer), idleUntil: time.Now().Add(idleDefault)}
 }
 
-// EndWithReset prepares a new connection: its end, also by the end of the process, is a
-// reset. When Close has returned, nothing that was sent on it will arrive any more.
+// DialWithReset opens a connection whose end is a reset, also by the end of the process.
+// When its Close has returned, nothing that was sent on it will arrive any more.
 //
 // Failure: a target was out of reach for six seconds. A grant to it was given up, its
 // connection closed, and the hold counted from there. The system goes on sending what was
 // written to a closed connection, so the grant arrived when the target was in reach again,
 // and two targets held the keys. Requests that were given up ran as late. A reset drops what
 // has not arrived.
-func EndWithReset(nc net.Conn) (net.Conn, error) {
+func DialWithReset(ctx context.Context, d *net.Dialer, network, addr string) (net.Conn, error) {
+	nc, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		if err := tcp.SetLinger(0); err != nil {
 			return nil, fmt.Errorf("have the connection reset at its end: %w", errors.Join(err, nc.Close()))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -184,10 +184,7 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Inc(1)
-	nc, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.addr)
-	if err == nil {
-		nc, err = EndWithReset(nc)
-	}
+	nc, err := DialWithReset(ctx, Dialer(dialTimeout), "tcp", p.addr)
 	if err != nil {
 		return nil, err
 	}
