The grantor asks for its epoch in one way

Its confirmation and its resignation each read the record beside the leader, marked the question as on its way, and noted the answer's epoch; they differ in what follows a failure and an answer. askEpoch serves both. The lines on moves of keys stand with the moves. Nothing else changes.

--- a/internal/gateway/grantor/leader.go
+++ b/internal/gateway/grantor/leader.go
@@ -180,22 +180,13 @@
 		return
 	}
 	l.resignNext = now + resignPause
-	l.reading = true
-	go func() {
-		sent := l.Clock.Now()
-		r, _, err := l.read(ctx)
-		l.later(ctx, func() {
-			l.reading = false
-			if err != nil {
-				l.Log.Info().Str("step", "leases").Str("service", l.service).Err(err).Msg("not resigned, nobody could take over")
-				return
-			}
-			l.noteEpoch(r, sent)
-			if !l.deposed && !l.writing {
-				l.resign(ctx)
-			}
-		})
-	}()
+	l.askEpoch(ctx, func(err error) {
+		l.Log.Info().Str("step", "leases").Str("service", l.service).Err(err).Msg("not resigned, nobody could take over")
+	}, func() {
+		if !l.deposed && !l.writing {
+			l.resign(ctx)
+		}
+	})
 }
 
 // resign ends the orders of a grantor that leaves or is too slow, then says so in
--- a/internal/gateway/grantor/lives.go
+++ b/internal/gateway/grantor/lives.go
@@ -22,19 +22,30 @@
 	if l.reading {
 		return
 	}
+	l.askEpoch(ctx, func(err error) {
+		l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
+		pause.For(ctx, l.StorePause)
+	}, func() {})
+}
+
+// askEpoch reads the record beside the leader's goroutine and notes its epoch. failed is
+// called there after a failure, before the leader may ask again; then in the leader's own
+// goroutine after an answer. One question is on its way at a time.
+func (l *leader) askEpoch(ctx context.Context, failed func(err error), then func()) {
 	l.reading = true
 	go func() {
 		sent := l.Clock.Now()
 		r, _, err := l.read(ctx)
 		if err != nil {
-			l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
-			pause.For(ctx, l.StorePause)
+			failed(err)
 		}
 		l.later(ctx, func() {
 			l.reading = false
-			if err == nil {
-				l.noteEpoch(r, sent)
+			if err != nil {
+				return
 			}
+			l.noteEpoch(r, sent)
+			then()
 		})
 	}()
 }
--- a/internal/gateway/grantor/moves.go
+++ b/internal/gateway/grantor/moves.go
@@ -110,3 +110,16 @@
 	}
 	return n
 }
+
+// logMoves writes a line for each step of a move of keys: which target may hold them
+// follows from these lines and those of orders that were not done.
+func (l *leader) logMoves(now time.Duration) {
+	for _, e := range l.grants.TakeEvents() {
+		entry := l.Log.Info().Str("step", "lease").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).
+			Uint16("from", e.From).Uint16("to", e.To).Stringer("how", e.Kind).Str("owner", e.Owner.ID).Uint64("fence", e.Fence)
+		if e.Previous.Known() {
+			entry = entry.Str("previous", e.Previous.ID).Dur("free", now-e.Out)
+		}
+		entry.Msg("keys on the move")
+	}
+}
--- a/internal/gateway/grantor/orders.go
+++ b/internal/gateway/grantor/orders.go
@@ -162,19 +162,6 @@
 	return id != "" && id != o.ID
 }
 
-// logMoves writes a line for each step of a move of keys: which target may hold them
-// follows from these lines and those of orders that were not done.
-func (l *leader) logMoves(now time.Duration) {
-	for _, e := range l.grants.TakeEvents() {
-		entry := l.Log.Info().Str("step", "lease").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).
-			Uint16("from", e.From).Uint16("to", e.To).Stringer("how", e.Kind).Str("owner", e.Owner.ID).Uint64("fence", e.Fence)
-		if e.Previous.Known() {
-			entry = entry.Str("previous", e.Previous.ID).Dur("free", now-e.Out)
-		}
-		entry.Msg("keys on the move")
-	}
-}
-
 func (l *leader) ended(ctx context.Context, o lease.Order, r lease.Result, handover string, sent, over time.Duration) {
 	l.grants.Ended(o, r, handover, sent, over)
 	if r == lease.Fenced {
