--- a/internal/decide/epochpace/epochpace.go
+++ b/internal/decide/epochpace/epochpace.go
@@ -12,7 +12,8 @@
 //
 // Grounds: a loss, the return of what was lost and the loss of its successor take an
 // epoch or two each, so a burst of six lets three losses in a row wait for nothing. A
-// wait that doubles from the second epoch on would cost true losses up to 3 s. One in two seconds is what each group may take of the store in a storm.
+// wait that doubles from the second epoch on would cost true losses up to 3 s. One in
+// two seconds is what each group may take of the store in a storm.
 package epochpace
 
 import (
