The stand-in platform names its headers and writes gateways' settings once

The soak wrote the platform's header names and the settings of gateways again, as the lab of the demo does. Both call the stand-in now.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -72,10 +72,10 @@
 		return
 	}
 	r.Host = host
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set(fleet.Headers.RequestID, id)
+	r.Header.Set(fleet.Headers.DeadlineMs, strconv.FormatInt(deadline.Milliseconds(), 10))
 	if !once {
-		r.Header.Set("X-Shard-Key", strconv.Itoa(key))
+		r.Header.Set(fleet.Headers.Key, strconv.Itoa(key))
 	}
 	resp, err := l.client.Do(r)
 	if err != nil {
@@ -93,6 +93,6 @@
 		// The VM is suspended or its process has ended: the caller sees that the body is short.
 		l.check.Lost()
 	default:
-		l.check.Answered(id, string(body), fleet.Body(resp.Header.Get("X-Server-Stamp"), path, bodyBytes))
+		l.check.Answered(id, string(body), fleet.Body(resp.Header.Get(fleet.Headers.Stamp), path, bodyBytes))
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -9,11 +9,8 @@
 	"sync"
 	"time"
 
-	"hemlockquay/internal/gateway"
-	"hemlockquay/internal/model"
 	"hemlockquay/internal/standin/fleet"
 	"hemlockquay/internal/standin/link"
-	"hemlockquay/internal/standin/plan"
 )
 
 const (
@@ -26,8 +23,6 @@
 	bodyBytes = 20_000
 	// grace is how long after SIGTERM a process is killed.
 	grace = 3 * time.Second
-	// portsPerVM are front, ready, peers and admin.
-	portsPerVM = 4
 )
 
 // vmNames returns the names of the VMs.
@@ -106,23 +101,13 @@
 }
 
 func (w *world) addVMs(dir, program, store string, check *Checker) error {
-	ports, err := plan.FreePorts(vmCount*portsPerVM, make(map[string]bool))
+	written, err := fleet.WriteGateways(dir, vmNames(), grace, func(name string) (string, error) { return w.addLink(name, store) })
 	if err != nil {
 		return err
 	}
-	for i, name := range vmNames() {
-		via, err := w.addLink(name, store)
-		if err != nil {
-			return err
-		}
-		own := ports[i*portsPerVM:]
-		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Store: via, Grace: model.Duration(grace)}
-		s.VM, s.DataCentre, s.Admin = name, "a", own[3]
-		file := filepath.Join(dir, name+".jsonc")
-		if err := plan.WriteJSON(file, s); err != nil {
-			return err
-		}
-		w.vms[name] = &vm{name: name, front: s.Front, program: program, settings: file, log: filepath.Join(dir, name+".log"), check: check}
+	for _, s := range written {
+		file := filepath.Join(dir, s.VM)
+		w.vms[s.VM] = &vm{name: s.VM, front: s.Front, program: program, settings: file + ".jsonc", log: file + ".log", check: check}
 	}
 	return nil
 }
--- a/internal/standin/fleet/lab.go
+++ b/internal/standin/fleet/lab.go
@@ -21,6 +21,9 @@
 	PoolHost, PoolPath   = "p.example", "/p/"
 )
 
+// Headers are the platform's names of what callers send and get.
+var Headers = loadgen.PathHeaders{RequestID: "X-Request-Id", DeadlineMs: "X-Deadline-Ms", Key: "X-Shard-Key", Stamp: "X-Server-Stamp"}
+
 const config = `{"Version":"%08x","Routes":{
 "keyed":{"Host":"k.example","PathPrefix":"/k/","Kind":"idempotent","TimeoutS":5,"SloS":1,"Service":"keyed","MaxAttempts":2},
 "pool":{"Host":"p.example","PathPrefix":"/p/","Kind":"non_idempotent","TimeoutS":5,"SloS":1,"Service":"pool","MaxAttempts":2}%s},
@@ -85,23 +88,45 @@
 }
 
 func writeLab(dir string, vms int, store string) error {
-	load := loadgen.Path{
-		Rate:    labRate,
-		Headers: loadgen.PathHeaders{RequestID: "X-Request-Id", DeadlineMs: "X-Deadline-Ms", Key: "X-Shard-Key", Stamp: "X-Server-Stamp"},
-		Routes:  []loadgen.PathRoute{{Host: KeyedHost, Path: KeyedPath, Keyed: true}, {Host: PoolHost, Path: PoolPath}},
+	names := make([]string, vms)
+	for i := range names {
+		names[i] = fmt.Sprintf("vm-%d", i+1)
 	}
-	ports, err := plan.FreePorts(vms*portsPerVM, make(map[string]bool))
+	written, err := WriteGateways(dir, names, labGrace, func(string) (string, error) { return store, nil })
 	if err != nil {
 		return err
 	}
-	for i := range vms {
-		own := ports[i*portsPerVM:]
-		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Store: store, Grace: model.Duration(labGrace)}
-		s.VM, s.DataCentre, s.Admin = fmt.Sprintf("vm-%d", i+1), "a", own[3]
-		if err := plan.WriteJSON(filepath.Join(dir, s.VM+".jsonc"), s); err != nil {
-			return err
-		}
+	load := loadgen.Path{
+		Rate: labRate, Headers: Headers,
+		Routes: []loadgen.PathRoute{{Host: KeyedHost, Path: KeyedPath, Keyed: true}, {Host: PoolHost, Path: PoolPath}},
+	}
+	for _, s := range written {
 		load.Fronts, load.Admins = append(load.Fronts, s.Front), append(load.Admins, s.Admin)
 	}
 	return plan.WriteJSON(filepath.Join(dir, "load.jsonc"), load)
 }
+
+// WriteGateways writes the settings of gateways on this machine at free ports, each to
+// DIR/NAME.jsonc, and returns them in order. store returns the address at which a VM has the
+// store.
+func WriteGateways(dir string, names []string, grace time.Duration, store func(name string) (string, error)) ([]gateway.Settings, error) {
+	ports, err := plan.FreePorts(len(names)*portsPerVM, make(map[string]bool))
+	if err != nil {
+		return nil, err
+	}
+	out := make([]gateway.Settings, len(names))
+	for i, name := range names {
+		addr, err := store(name)
+		if err != nil {
+			return nil, err
+		}
+		own := ports[i*portsPerVM:]
+		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Store: addr, Grace: model.Duration(grace)}
+		s.VM, s.DataCentre, s.Admin = name, "a", own[3]
+		if err := plan.WriteJSON(filepath.Join(dir, name+".jsonc"), s); err != nil {
+			return nil, err
+		}
+		out[i] = s
+	}
+	return out, nil
+}
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -135,7 +135,7 @@
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Id", t.ID)
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set(Headers.RequestID, r.Header.Get(Headers.RequestID))
 	if want := r.Header.Get("X-Target-Instance"); want != "" && want != t.ID {
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -201,7 +201,7 @@
 
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
 	if t.Keyed {
-		key, err := strconv.ParseUint(r.Header.Get("X-Shard-Key"), 10, 16)
+		key, err := strconv.ParseUint(r.Header.Get(Headers.Key), 10, 16)
 		if err != nil || !t.Holds(uint16(key)) {
 			w.Header().Set("X-Not-Run", "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
@@ -215,14 +215,14 @@
 	}
 	defer func() { <-t.slots }()
 	t.mu.Lock()
-	id, work := r.Header.Get("X-Request-Id"), t.work
+	id, work := r.Header.Get(Headers.RequestID), t.work
 	t.ran[id]++
 	if t.Watcher != nil {
 		t.Watcher.Ran(t.ID, id)
 	}
 	t.mu.Unlock()
 	time.Sleep(work)
-	w.Header().Set("X-Server-Stamp", t.ID)
+	w.Header().Set(Headers.Stamp, t.ID)
 	_, _ = io.WriteString(w, Body(t.ID, r.URL.Path, t.Pad))
 }
 
