Tests over links and of renewals on their way share their set-ups

Five tests put an HTTP server behind a link, two opened a client over one, and two brought a grantor to where a renewal is on its way, each with its own lines.

--- a/internal/agent/heldorders_test.go
+++ b/internal/agent/heldorders_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"hemlockquay/internal/ring"
 	"hemlockquay/internal/standin"
 	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/standin/link/linktest"
 	"hemlockquay/internal/target"
 )
 
@@ -43,12 +43,7 @@
 
 func newHolder(t *testing.T, name string, ahead time.Duration) *holder {
 	h := &holder{name: name, ahead: ahead, fences: standin.NewFences(name + "-1")}
-	server := httptest.NewServer(h)
-	t.Cleanup(server.Close)
-	l, err := link.New(server.Listener.Addr().String())
-	require.NoError(t, err)
-	t.Cleanup(l.Close)
-	h.Link = l
+	h.Link = linktest.Serve(t, h)
 	return h
 }
 
--- a/internal/gateway/grantor/heldorders_test.go
+++ b/internal/gateway/grantor/heldorders_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -11,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/lease"
-	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/standin/link/linktest"
 	"hemlockquay/internal/upstream"
 )
 
@@ -51,16 +50,6 @@
 	return h.clock.Now() < h.until
 }
 
-// start serves the target behind a link.
-func (h *keyHolder) start(t *testing.T) *link.Link {
-	server := httptest.NewServer(h)
-	t.Cleanup(server.Close)
-	l, err := link.New(server.Listener.Addr().String())
-	require.NoError(t, err)
-	t.Cleanup(l.Close)
-	return l
-}
-
 // Status checks went to a target that another had followed as the owner of their keys: two
 // targets held them. An owner was cut off from all VMs for six seconds; its renewals had no
 // answer, its hold ran out, its keys were granted to others. When it was reached again, it
@@ -75,7 +64,7 @@
 	n := testNode(clock)
 	defer n.mesh.Close()
 	old, next := &keyHolder{clock: clock}, &keyHolder{clock: clock}
-	oldLink, nextLink := old.start(t), next.start(t)
+	oldLink, nextLink := linktest.Serve(t, old), linktest.Serve(t, next)
 	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
 	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
--- a/internal/lease/bounds_test.go
+++ b/internal/lease/bounds_test.go
@@ -31,6 +31,21 @@
 	return 0
 }
 
+// renewing returns a grantor of one slice whose owner's first renewal is on its way, and
+// when it was sent.
+func renewing(t *testing.T, owner Owner) (g *Grantor, renewal Order, now time.Duration) {
+	now = time.Hour
+	g = NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{owner})}, worldTiming, now, now, NoPast)
+	g.LifeConfirmed(owner)
+	for _, o := range g.Due(now) {
+		g.Ended(o, Done, "", now, now)
+	}
+	now += worldTiming.Renew
+	renewals := g.Due(now)
+	require.Len(t, renewals, 1)
+	return g, renewals[0], now
+}
+
 // A grantor loses the store and its peers, and its successor does not reach an owner. The
 // last grant of the first one leaves right before its authority ends, into a cut or from a
 // process that is stopped after the send: it may still arrive until its connection ends.
@@ -56,15 +71,7 @@
 // parts do not. The end of the renewal must date the hold of the parts.
 func TestRenewalOfADividedSliceIsDatedByItsEnd(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	now := time.Hour
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, now, now, NoPast)
-	g.LifeConfirmed(a)
-	for _, o := range g.Due(now) {
-		g.Ended(o, Done, "", now, now)
-	}
-	now += worldTiming.Renew
-	renewals := g.Due(now)
-	require.Len(t, renewals, 1)
+	g, renewal, now := renewing(t, a)
 	g.Divide(0, keySpace/2-1)
 
 	now += 7 * time.Second
@@ -72,7 +79,7 @@
 	for _, o := range g.Due(now) {
 		g.Ended(o, Unreached, "", now, now)
 	}
-	g.Ended(renewals[0], Unanswered, "", now, now+worldGiveUp)
+	g.Ended(renewal, Unanswered, "", now, now+worldGiveUp)
 	arrived := now + worldGiveUp
 	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
 	require.GreaterOrEqual(t, grantedAt(t, g, arrived, a, b), outOf(arrived))
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -338,19 +338,11 @@
 // later, and the bound that was assumed of it before stayed.
 func TestHoldOfASilentOwnerCountsFromTheEndOfItsLastGrant(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	now := time.Hour
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, now, now, NoPast)
-	g.LifeConfirmed(a)
-	for _, o := range g.Due(now) {
-		g.Ended(o, Done, "", now, now)
-	}
-	now += worldTiming.Renew
-	renewals := g.Due(now)
-	require.Len(t, renewals, 1)
+	g, renewal, now := renewing(t, a)
 	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
 	require.Empty(t, g.Due(now+time.Minute), "nothing is free while it is on its way")
 	over := now + worldGiveUp
-	g.Ended(renewals[0], Unanswered, "", now, over)
+	g.Ended(renewal, Unanswered, "", now, over)
 	granted := grantedAt(t, g, over, a, b)
 	require.GreaterOrEqual(t, granted, outOf(over))
 	require.Less(t, granted, outOf(over)+time.Second)
--- a/internal/peer/held_test.go
+++ b/internal/peer/held_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/standin/link/linktest"
 )
 
 type diary struct{ booked atomic.Int32 }
@@ -34,9 +35,7 @@
 	require.NoError(t, err)
 	require.NoError(t, s.Register("Diary", d))
 	go func() { _ = s.Serve() }()
-	l, err := link.New(s.Addr())
-	require.NoError(t, err)
-	defer l.Close()
+	l := linktest.To(t, s.Addr())
 	c := NewRequestClient(l.Addr(), 1)
 	defer c.Close()
 	var out string
@@ -59,6 +58,17 @@
 	require.Zero(t, d.booked.Load(), "it was carried out after it was given up")
 }
 
+// echoOverLink returns a client of requests, and the link that carries its connection.
+func echoOverLink(t *testing.T) (*link.Link, *Client) {
+	s := serve(t, "127.0.0.1:0", &echo{})
+	t.Cleanup(s.Close)
+	l := linktest.To(t, s.Addr())
+	c := NewRequestClient(l.Addr(), 1)
+	t.Cleanup(c.Close)
+	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
+	return l, c
+}
+
 // awaitEnded waits until the sender of what the cut link holds has ended its connection, or
 // until it is clear that it does not.
 func awaitEnded(l *link.Link) {
@@ -76,14 +86,7 @@
 // A caller is told that its booking did not run, and it did. In a cut another caller's call on
 // the same connection is given up, and the connection ends under the booking that waits.
 func TestACallOnASilentConnectionMayHaveRun(t *testing.T) {
-	s := serve(t, "127.0.0.1:0", &echo{})
-	defer s.Close()
-	l, err := link.New(s.Addr())
-	require.NoError(t, err)
-	defer l.Close()
-	c := NewRequestClient(l.Addr(), 1)
-	defer c.Close()
-	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
+	l, c := echoOverLink(t)
 	l.Cut()
 	waiting := make(chan error, 1)
 	go func() { waiting <- c.Call(t.Context(), "Echo.Say", "y", new(string)) }()
@@ -91,7 +94,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	require.ErrorIs(t, c.Call(ctx, "Echo.Say", "z", new(string)), ErrLost)
-	err = <-waiting
+	err := <-waiting
 	require.ErrorIs(t, err, ErrLost)
 	require.NotErrorIs(t, err, ErrNotSent)
 }
@@ -149,14 +152,7 @@
 // silence lasted long enough before the deadline, the connection ends before the caller is told.
 // Until a call is given up it stays, since the calls on it may yet be answered in time.
 func TestAConnectionKnownToBeSilentEndsBeforeTheCallerIsTold(t *testing.T) {
-	s := serve(t, "127.0.0.1:0", &echo{})
-	defer s.Close()
-	l, err := link.New(s.Addr())
-	require.NoError(t, err)
-	defer l.Close()
-	c := NewRequestClient(l.Addr(), 1)
-	defer c.Close()
-	require.NoError(t, c.Call(t.Context(), "Echo.Say", "x", new(string)), "the link carries the connection")
+	l, c := echoOverLink(t)
 	first := current(c)
 	l.Cut()
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/target/held_test.go
+++ b/internal/target/held_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/standin/link/linktest"
 )
 
 // A caller is told that its booking may have run; it looks, finds none, books again, and has
@@ -18,18 +17,14 @@
 // runs it, beside what is sent to its slots by then.
 func TestARequestThatWasGivenUpIsNotRunLater(t *testing.T) {
 	var ran atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	l := linktest.Serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(HeaderRequestID) == "late" {
 			ran.Add(1)
 		}
 	}))
-	defer server.Close()
-	l, err := link.New(server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer l.Close()
 	s := NewSender(2)
 	defer s.Close()
-	_, err = s.Send(t.Context(), attempt(l.Addr()))
+	_, err := s.Send(t.Context(), attempt(l.Addr()))
 	require.NoError(t, err, "the link carries the connection")
 
 	l.Cut()
--- a/internal/upstream/held_test.go
+++ b/internal/upstream/held_test.go
@@ -13,26 +13,22 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
-	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/standin/link/linktest"
 )
 
 // A target was cut off, and what was sent to it was given up and counted as out by then. It
 // arrived when the cut was over. After an exchange has returned, nothing of it may arrive.
 func TestWhatWasGivenUpDoesNotArriveLater(t *testing.T) {
 	var arrived atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	l := linktest.Serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			arrived.Add(1)
 		}
 	}))
-	defer server.Close()
-	l, err := link.New(server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer l.Close()
 	p := NewPool(l.Addr(), metrics.NewCounter())
 	defer p.Close()
 	first := request("")
-	_, err = p.Exchange(t.Context(), first, NewConn)
+	_, err := p.Exchange(t.Context(), first, NewConn)
 	require.NoError(t, err, "the link carries the connection")
 
 	l.Cut()
