--- a/internal/ctl/losses.go
+++ b/internal/ctl/losses.go
@@ -13,10 +13,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
+
+	"hemlockquay/internal/chart"
 )
 
 // Losses is what collected logs say of how requests ended: where they were lost, when,
@@ -63,9 +61,6 @@
 	// significant digits.
 	tookMost   = int64(time.Minute / time.Microsecond)
 	tookDigits = 2
-	// plotWidth and plotHeight are the size of a plot.
-	plotWidth  = 18 * vg.Centimeter
-	plotHeight = 9 * vg.Centimeter
 )
 
 // SumLosses reads collected logs and sums the lines on requests.
@@ -240,23 +235,13 @@
 	if l.Requests == 0 {
 		return fmt.Errorf("plot %s: %w", file, errNoRequests)
 	}
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Requests by outcome", "s", "requests"
-	p.Legend.Top = true
-	p.Y.Min = 0
-	var lines []any
+	c := chart.Chart{Title: "Requests by outcome", Unit: "requests", LegendTop: true}
 	for _, o := range l.Outcomes[:min(len(l.Outcomes), outcomesDrawn)] {
-		points := make(plotter.XYs, l.seconds())
-		for i := range points {
-			points[i].X, points[i].Y = float64(i), float64(o.at(i))
+		values := make([]float64, l.seconds())
+		for i := range values {
+			values[i] = float64(o.at(i))
 		}
-		lines = append(lines, fmt.Sprintf("%d %s", o.Status, o.Reason), points)
-	}
-	if err := plotutil.AddLines(p, lines...); err != nil {
-		return fmt.Errorf("plot %s: %w", file, err)
-	}
-	if err := p.Save(plotWidth, plotHeight, file); err != nil {
-		return fmt.Errorf("plot %s: %w", file, err)
+		c.Lines = append(c.Lines, chart.Line{Name: fmt.Sprintf("%d %s", o.Status, o.Reason), Values: values})
 	}
-	return nil
+	return c.Save(file)
 }
--- a/internal/loadgen/plot.go
+++ b/internal/loadgen/plot.go
@@ -1,19 +1,9 @@
 package loadgen
 
 import (
-	"fmt"
 	"path/filepath"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-)
-
-// Sizes of a plot.
-const (
-	plotWidth  = 18 * vg.Centimeter
-	plotHeight = 9 * vg.Centimeter
+	"hemlockquay/internal/chart"
 )
 
 // line is one curve of a plot.
@@ -22,13 +12,13 @@
 	value func(*Second) float64
 }
 
-// chart is one plot of the series.
-type chart struct {
+// curves is one plot of the report's seconds.
+type curves struct {
 	file, title, unit string
 	lines             []line
 }
 
-var charts = []chart{
+var plots = []curves{
 	{"requests.svg", "Requests by planned second", "requests", []line{
 		{"answered", func(s *Second) float64 { return float64(s.Answered) }},
 		{"refused (no)", func(s *Second) float64 { return float64(s.Refused) }},
@@ -42,28 +32,22 @@
 
 // Plot draws the report's series as SVG files into the directory.
 func (r *Report) Plot(dir string) error {
-	for _, c := range charts {
-		if err := r.draw(dir, c); err != nil {
-			return fmt.Errorf("plot %s: %w", c.file, err)
+	for _, p := range plots {
+		if err := r.draw(dir, p); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (r *Report) draw(dir string, c chart) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.title, "s", c.unit
-	p.Y.Min = 0
-	var lines []any
-	for _, l := range c.lines {
-		points := make(plotter.XYs, len(r.Series))
+func (r *Report) draw(dir string, p curves) error {
+	c := chart.Chart{Title: p.title, Unit: p.unit, Marks: true}
+	for _, l := range p.lines {
+		values := make([]float64, len(r.Series))
 		for i := range r.Series {
-			points[i].X, points[i].Y = float64(i), l.value(&r.Series[i])
+			values[i] = l.value(&r.Series[i])
 		}
-		lines = append(lines, l.name, points)
-	}
-	if err := plotutil.AddLinePoints(p, lines...); err != nil {
-		return err
+		c.Lines = append(c.Lines, chart.Line{Name: l.name, Values: values})
 	}
-	return p.Save(plotWidth, plotHeight, filepath.Join(dir, c.file))
+	return c.Save(filepath.Join(dir, p.file))
 }
