--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -46,3 +46,24 @@
 	m.Put(Target{ID: "a", Revision: 6}, 6)
 	require.True(t, m.Snapshot().List[0].Draining)
 }
+
+// Callers got answers of a target that had left two seconds before. All VMs had dropped it at
+// once, but for a slow one that was without the store. When that one had the store again, its
+// list no longer named the target; it kept it, as it keeps what may have lapsed in an outage,
+// and told it with the later list to the others, who took it in again.
+//
+// Evidence: within half a second after the slow VM regained the store, nine VMs logged the target
+// as known again, with the revision of its old entry and that VM as the source.
+func TestEntriesThatOneVMKeepsAfterItsOutageDoNotComeBackAtOthers(t *testing.T) {
+	a := Target{ID: "a", Revision: 3}
+	others, slow := NewMembers(), NewMembers()
+	for _, m := range []*Members{others, slow} {
+		m.Replace(Targets{Revision: 5, List: []Target{a}}, 0)
+	}
+	slow.StoreLost()
+	others.Remove("a", 7, time.Second)
+	slow.StoreBack(2 * time.Second)
+	slow.Replace(Targets{Revision: 9}, 2*time.Second)
+	others.Replace(slow.Snapshot(), 2*time.Second)
+	require.Empty(t, ids(others))
+}
