A call that is still being written ends with its context

What callers saw: an upload whose peer does not read got no answer long after its deadline, and the calls that share its connection waited behind it: between gateways these are heartbeats and fetches.

Cause: net/rpc writes a call in the goroutine that makes it, under a lock of the connection, and the client looked at the context only after that.

Change: a goroutine of the session writes, joined to the callers by a bounded queue. A caller waits only as long as its context. A connection whose writer is stuck with a call that was given up gets no more calls: the next ones have a connection of their own. What was written of it ends as before: with a reset where the client carries requests.

New tests: calls behind the stuck one end unsent, queued calls end when the client is closed.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -63,7 +63,8 @@
 func (c *Client) Addr() string { return c.addr }
 
 // Call sends args and waits until the context ends for the reply, to which reply
-// must point. After an error it is unchanged.
+// must point. After an error it is unchanged. What args refers to must not change even after
+// Call has returned: a call that was given up may still be written.
 //
 // Failure: the context ends as the reply arrives, and net/rpc decodes into a value
 // that the caller reads already: half of a vote is counted. So the reply is decoded
@@ -75,10 +76,14 @@
 		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, err))
 	}
 	own := reflect.New(reflect.TypeOf(reply).Elem())
-	call := conn.rpc.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
-	if !l.await(ctx.Done(), conn, call) {
+	w := newWrite(method, args, own.Interface())
+	if err := conn.enqueue(ctx, w); err != nil {
 		l.release(conn, false)
-		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrLost, ctx.Err()))
+		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, err))
+	}
+	call := l.await(ctx.Done(), conn, w)
+	if call == nil {
+		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(l.abandon(conn, w), ctx.Err()))
 	}
 	l.release(conn, broken(call.Error))
 	if call.Error == nil {
@@ -94,15 +99,6 @@
 	}
 }
 
-// session is one connection and the number of calls that wait on it.
-type session struct {
-	rpc     *rpc.Client
-	conn    *heard
-	pending int
-	retired bool
-	doubt   doubt
-}
-
 // lane is one connection that is opened again after it broke.
 //
 // Invariant: the rpc client of a session is closed only once the session is retired
@@ -165,7 +161,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
-		return nil, errors.Join(net.ErrClosed, s.rpc.Close())
+		s.end()
+		return nil, net.ErrClosed
 	}
 	s.pending++
 	l.current = s
@@ -182,8 +179,7 @@
 		l.lastDial = time.Now()
 		return nil, err
 	}
-	conn := &heard{Conn: nc}
-	return &session{rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), conn: conn}, nil
+	return newSession(nc), nil
 }
 
 func (l *lane) connect(ctx context.Context) (net.Conn, error) {
@@ -211,8 +207,34 @@
 		l.retire(s)
 	}
 	if s.retired && s.pending == 0 {
-		s.rpc.Close()
+		s.end()
+	}
+}
+
+// abandon ends a call that was given up, and tells whether it may have reached the peer.
+func (l *lane) abandon(s *session, w *write) error {
+	if w.cancel() {
+		l.release(s, false)
+		return ErrNotSent
+	}
+	if w.isWritten() {
+		l.release(s, false)
+		return ErrLost
+	}
+	go l.releaseStuck(s, w)
+	return ErrLost
+}
+
+// releaseStuck releases a session whose writer was not done with a call that was given up.
+// If the peer still does not read, calls after it get another connection.
+func (l *lane) releaseStuck(s *session, w *write) {
+	timer := time.NewTimer(stuckAfter)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
 	}
+	l.release(s, !w.isWritten())
 }
 
 func (l *lane) retire(s *session) {
@@ -251,7 +273,7 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	if l.current != nil {
-		l.current.rpc.Close()
+		l.current.end()
 		l.current = nil
 	}
 }
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -158,10 +158,13 @@
 	}
 	l.retire(s)
 	_ = s.conn.Close()
+	if s.pending == 0 {
+		s.end()
+	}
 }
 
-// await waits for the end of a call or of its context; it tells whether the call ended.
-func (l *lane) await(done <-chan struct{}, s *session, call *rpc.Call) bool {
+// await waits for the end of a call or of its context; it returns nil if the context ended.
+func (l *lane) await(done <-chan struct{}, s *session, w *write) *rpc.Call {
 	// A client whose calls are not proved to arrive needs no timer for each.
 	var early <-chan time.Time
 	if l.dropsGivenUp {
@@ -169,15 +172,21 @@
 		defer timer.Stop()
 		early = timer.C
 	}
+	ended := s.ended
 	for {
 		select {
-		case <-call.Done:
-			return true
+		case call := <-w.done:
+			return call
+		case <-ended:
+			if w.state.CompareAndSwap(writeQueued, writeCanceled) {
+				return &rpc.Call{Error: rpc.ErrShutdown}
+			}
+			ended = nil
 		case <-early:
 			l.ask(s, false)
 		case <-done:
 			l.ask(s, true)
-			return false
+			return nil
 		}
 	}
 }
--- a/internal/peer/stuck_test.go
+++ b/internal/peer/stuck_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -41,3 +42,54 @@
 	_ = conn.Close()
 	require.ErrorIs(t, got, context.Canceled)
 }
+
+// Guards against calls that are held up past their deadlines by another call on the same
+// connection, whose peer does not read. They were not sent, so they may go elsewhere.
+func TestCallsBehindOneThatIsBeingWrittenEndUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe()
+		defer there.Close()
+		s := newSession(here)
+		c := NewClient("peer", 1)
+		defer c.Close()
+		c.lanes[0].current = s
+		first, cancelFirst := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- c.Call(first, "Echo.Take", make([]byte, 64<<10), new(string)) }()
+		synctest.Wait()
+
+		behind, cancelBehind := context.WithTimeout(t.Context(), 2*stuckAfter)
+		defer cancelBehind()
+		begin := time.Now()
+		err := c.Call(behind, "Echo.Take", "small", new(string))
+		require.ErrorIs(t, err, ErrNotSent)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, 2*stuckAfter, time.Since(begin))
+		require.Same(t, s, current(c))
+
+		cancelFirst()
+		require.ErrorIs(t, <-ended, ErrLost)
+		time.Sleep(stuckAfter)
+		synctest.Wait()
+		require.Nil(t, current(c), "calls after it get a connection of their own")
+	})
+}
+
+// Guards against a call that waits for ever: its client is closed while the call is queued
+// behind another one that is being written.
+func TestCallsThatAreQueuedEndWhenTheClientIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe()
+		defer there.Close()
+		c := NewClient("peer", 1)
+		c.lanes[0].current = newSession(here)
+		ended := make(chan error, 2)
+		for range 2 {
+			go func() { ended <- c.Call(t.Context(), "Echo.Take", make([]byte, 64<<10), new(string)) }()
+			synctest.Wait()
+		}
+		c.Close()
+		require.ErrorIs(t, <-ended, ErrLost)
+		require.ErrorIs(t, <-ended, ErrLost)
+	})
+}
