A target that was removed comes back only with a later entry

What callers saw: answers of targets that had left the service 2.6 s before.

Cause: versions of the list of targets are ordered by list and not by entry. A VM that lost the store keeps entries that are missing at its return for two seconds; its list is the latest, and the other VMs, which had seen the removals, put the entries in force again.

Evidence: TestEntriesThatOneVMKeepsAfterItsOutageDoNotComeBackAtOthers failed each time on the code before.

Change: a removal is remembered with the revision by which it happened, also for a target that the VM never listed, and no entry that is not later is put in force. 4,096 removals are kept.

Why it holds: entries and removals of one target are totally ordered by the store's revisions; what a list says of a target counts only if it is later than what is known of it.

The same elsewhere: leases are replaced by (epoch, seq) as a whole and cannot lose a removal; crash lists expire by time and hold what a VM saw itself.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,17 +50,31 @@
 type Members struct {
 	revision uint64
 	entries  map[string]Target
-	// missing dates when a target that was removed around an outage counts as
-	// gone.
-	missing map[string]time.Duration
+	// missing holds the targets that were removed around an outage and may be back.
+	missing map[string]absence
+	// removed holds the store's revision by which an entry was removed. An entry that is
+	// not later is out of date, however late the list that names it.
+	removed map[string]uint64
 	down    bool
 	// graceEnds is until when removals are taken for lapses of an outage.
 	graceEnds time.Duration
 }
 
+// absence is the removal of an entry that is kept for a while.
+type absence struct {
+	// until is when the target counts as gone.
+	until time.Duration
+	// revision is the store's revision by which the entry was removed.
+	revision uint64
+}
+
+// maxRemoved bounds the removals that are remembered: several times the targets of a large
+// fleet, and only those of the last minutes are met again.
+const maxRemoved = 4096
+
 // NewMembers returns an empty list.
 func NewMembers() *Members {
-	return &Members{entries: make(map[string]Target), missing: make(map[string]time.Duration)}
+	return &Members{entries: make(map[string]Target), missing: make(map[string]absence), removed: make(map[string]uint64)}
 }
 
 // StoreLost notes that the store does not answer.
@@ -87,7 +101,7 @@
 	}
 	for id := range m.entries {
 		if !listed[id] {
-			m.remove(id, now)
+			m.remove(id, t.Revision, now)
 		}
 	}
 }
@@ -104,8 +118,12 @@
 	if old, ok := m.entries[t.ID]; ok && old.Revision > t.Revision {
 		return
 	}
+	if removed, ok := m.removed[t.ID]; ok && t.Revision <= removed {
+		return
+	}
 	m.entries[t.ID] = t
 	delete(m.missing, t.ID)
+	delete(m.removed, t.ID)
 }
 
 // Remove takes in that an entry is gone.
@@ -113,7 +131,7 @@
 	if revision > m.revision {
 		m.revision = revision
 	}
-	m.remove(id, now)
+	m.remove(id, revision, now)
 }
 
 // remove drops a target, or keeps it for a while after an outage.
@@ -121,31 +139,49 @@
 // Failure: the store is away and the entries of living targets lapse. When it
 // returns, its list is empty, and every request would be refused until the targets
 // have written again. Those that were draining stay out.
-func (m *Members) remove(id string, now time.Duration) {
+func (m *Members) remove(id string, revision uint64, now time.Duration) {
 	t, ok := m.entries[id]
-	if !ok {
+	if ok && t.Revision > revision {
 		return
 	}
-	if now >= m.graceEnds || t.Draining {
-		m.drop(id)
+	if !ok || now >= m.graceEnds || t.Draining {
+		m.drop(id, revision)
 		return
 	}
 	if _, waits := m.missing[id]; !waits {
-		m.missing[id] = m.graceEnds
+		m.missing[id] = absence{until: m.graceEnds, revision: revision}
 	}
 }
 
-func (m *Members) drop(id string) {
+// drop removes an entry and remembers by which revision it was removed.
+//
+// Another VM may keep the entry for a while after an outage and send it with a later list.
+func (m *Members) drop(id string, revision uint64) {
 	delete(m.entries, id)
 	delete(m.missing, id)
+	m.removed[id] = max(m.removed[id], revision)
+	if len(m.removed) > maxRemoved {
+		m.forgetOldest()
+	}
+}
+
+// forgetOldest forgets the removal with the lowest revision.
+func (m *Members) forgetOldest() {
+	oldest := ""
+	for id, revision := range m.removed {
+		if oldest == "" || revision < m.removed[oldest] {
+			oldest = id
+		}
+	}
+	delete(m.removed, oldest)
 }
 
 // Expire drops targets whose grace is over and tells whether there were any.
 func (m *Members) Expire(now time.Duration) bool {
 	changed := false
-	for id, at := range m.missing {
-		if now >= at && !m.down {
-			m.drop(id)
+	for id, a := range m.missing {
+		if now >= a.until && !m.down {
+			m.drop(id, a.revision)
 			changed = true
 		}
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -67,3 +67,27 @@
 	others.Replace(slow.Snapshot(), 2*time.Second)
 	require.Empty(t, ids(others))
 }
+
+// Guards against a target that is gone and comes back with an older entry: its callers get
+// answers of a server that should have no requests.
+func TestRemovedTargetComesBackOnlyWithALaterEntry(t *testing.T) {
+	m := NewMembers()
+	m.Replace(Targets{Revision: 5, List: []Target{{ID: "a", Revision: 3}}}, 0)
+	m.Remove("a", 7, 0)
+	m.Replace(Targets{Revision: 8, List: []Target{{ID: "a", Revision: 3}}}, 0)
+	m.Put(Target{ID: "a", Revision: 7}, 8)
+	require.Empty(t, ids(m))
+	m.Put(Target{ID: "a", Revision: 9}, 9)
+	require.Equal(t, []string{"a"}, ids(m))
+	m.Remove("a", 8, 0)
+	require.Equal(t, []string{"a"}, ids(m), "the removal is older than the entry")
+}
+
+// Guards against the same for a target that this VM never listed.
+func TestRemovalOfAnUnknownTargetIsRemembered(t *testing.T) {
+	m := NewMembers()
+	m.Replace(Targets{Revision: 5}, 0)
+	m.Remove("a", 7, time.Second)
+	m.Replace(Targets{Revision: 9, List: []Target{{ID: "a", Revision: 3}}}, time.Second)
+	require.Empty(t, ids(m))
+}
