A successor's leases go out as changes, bounded by its link, while owners go on serving

Cause, of three parts. A successor began with all slices as moving, although every owner still held its keys. It sent a whole routing to each of 88 VMs at once, without a bound: 570 slices of 339 owners are 8 KB, all together half a second of a link of 10 Mbit/s, of which each update may take 300 ms. What timed out was sent whole again with the next change, 20 ms later.

Change: an update may build on the predecessor's last version, which nearly all VMs have. The bytes of the updates in flight are bounded by half of what the link carries within their timeout. After a timeout the next update builds on the same version and waits for 300 ms. A successor presumes that the owners which its predecessor published as serving go on until the predecessor's grants expire, dated from when it was last heard of. That decides where senders try, and nothing of who holds keys: an owner refuses what it does not hold.

--- /dev/null
+++ b/internal/gateway/grantor/broadcast_test.go
@@ -0,0 +1,178 @@
+package grantor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/pause"
+)
+
+// pushed plays another VM: it takes updates in, each after a delay.
+type pushed struct {
+	state   *state
+	delay   time.Duration
+	lost    int
+	updates []*lease.Update
+}
+
+func (p *pushed) push(ctx context.Context, _ string, u *lease.Update) (bool, error) {
+	time.Sleep(p.delay)
+	if p.lost > 0 {
+		p.lost--
+		return false, errors.New("lost")
+	}
+	p.updates = append(p.updates, u)
+	return p.state.updateRouting(u), ctx.Err()
+}
+
+// owners returns a routing in which the first slices of a hundred have moved.
+func owners(seq uint64, moved int) *lease.Routing {
+	r := lease.Record{Service: "s", Epoch: 3, Slices: lease.Even(100, []lease.Owner{{ID: "a"}, {ID: "b"}})}
+	for i := range moved {
+		r.Slices[i].Owner = lease.Owner{ID: "c"}
+	}
+	return lease.NewRouting(r, seq, func(int) lease.SliceState { return lease.Served })
+}
+
+// At the start of a fleet each grant changes the leases, hundreds in a second. A
+// whole routing for each, to each VM, filled the grantor's link.
+func TestSlowVMIsToldTheLatestOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{}), delay: 50 * time.Millisecond}
+		l := newLeaseBroadcaster(peer.push, quiet(), 0, nil)
+		for seq := range 100 {
+			l.Publish(t.Context(), owners(uint64(seq+1), seq), []string{"vm"})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.True(t, peer.state.routingOf("s").SameAs(owners(100, 99)))
+		require.LessOrEqual(t, len(peer.updates), 4, "one on its way at a time")
+		slices := 0
+		for _, u := range peer.updates[1:] {
+			slices += len(u.Routing.From)
+		}
+		require.LessOrEqual(t, slices, 100, "each changed slice once")
+	})
+}
+
+func TestVMThatHasAnotherVersionGetsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{})}
+		l := newLeaseBroadcaster(peer.push, quiet(), 0, nil)
+		l.Publish(t.Context(), owners(1, 0), []string{"vm"})
+		synctest.Wait()
+		peer.state = testState(&handClock{})
+		l.Publish(t.Context(), owners(2, 1), []string{"vm"})
+		synctest.Wait()
+		require.True(t, peer.state.routingOf("s").SameAs(owners(2, 1)))
+		require.Len(t, peer.updates, 3)
+		require.Zero(t, peer.updates[2].Base)
+	})
+}
+
+func TestLostUpdateIsFollowedByAWholeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{})}
+		l := newLeaseBroadcaster(peer.push, quiet(), 0, nil)
+		l.Publish(t.Context(), owners(1, 0), []string{"vm"})
+		synctest.Wait()
+		peer.lost = 1
+		l.Publish(t.Context(), owners(2, 1), []string{"vm"})
+		synctest.Wait()
+		l.Publish(t.Context(), owners(3, 2), []string{"vm"})
+		synctest.Wait()
+		require.True(t, peer.state.routingOf("s").SameAs(owners(3, 2)))
+		require.Zero(t, peer.updates[1].Base)
+	})
+}
+
+// Guards against a successor that sends all leases to all VMs at once, which fills its link.
+func TestSuccessorSendsOnlyWhatChangedSinceItsPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pushed{state: testState(&handClock{})}
+		last := owners(7, 0)
+		peer.state.leases.Set(last)
+		first := owners(1, 2)
+		first.Epoch++
+		b := newLeaseBroadcaster(peer.push, quiet(), 0, last)
+		b.Publish(t.Context(), first, []string{"vm"})
+		synctest.Wait()
+		require.Len(t, peer.updates, 1)
+		require.Len(t, peer.updates[0].Routing.From, 2)
+		require.True(t, peer.state.routingOf("s").SameAs(first))
+		require.Equal(t, first.Epoch, peer.state.routingOf("s").Epoch)
+	})
+}
+
+// slowLink plays a link that carries updates to many VMs, and those VMs. An update takes its
+// time on the link after those before it.
+type slowLink struct {
+	bytesPerSecond float64
+
+	mu       sync.Mutex
+	freeAt   time.Time
+	received map[string]uint64
+	timeouts int
+}
+
+func (l *slowLink) push(ctx context.Context, vm string, u *lease.Update) (bool, error) {
+	size := deltaBytes
+	if u.Base == 0 {
+		size = u.Routing.WireSize()
+	}
+	if !pause.For(ctx, time.Until(l.enqueue(size))) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.timeouts++
+		return false, ctx.Err()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received[vm] = u.Routing.Seq
+	return true, nil
+}
+
+// enqueue returns when the link has carried so many bytes more.
+func (l *slowLink) enqueue(size int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
+	return l.freeAt
+}
+
+// Guards against a grantor that times out on its own updates: it sent more at once than its
+// link carries within their timeout, then all of it again.
+func TestUpdatesInFlightAreBoundedByTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const linkMbps, vms = 10, 200
+		link := &slowLink{bytesPerSecond: linkMbps * bytesPerMbit, received: make(map[string]uint64)}
+		var names []string
+		for i := range vms {
+			names = append(names, fmt.Sprintf("vm-%d", i))
+		}
+		r := lease.Record{Service: "s", Epoch: 3}
+		var targets []lease.Owner
+		for i := range 340 {
+			targets = append(targets, lease.Owner{ID: fmt.Sprintf("i-%010x", i)})
+		}
+		r.Slices = lease.Even(570, targets)
+		routing := lease.NewRouting(r, 1, func(int) lease.SliceState { return lease.Served })
+		b := newLeaseBroadcaster(link.push, quiet(), linkMbps, nil)
+		b.Publish(t.Context(), routing, names)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Len(t, link.received, vms)
+		require.Zero(t, link.timeouts)
+	})
+}
--- a/internal/gateway/grantor/grantor.go
+++ b/internal/gateway/grantor/grantor.go
@@ -59,6 +59,9 @@
 type Mesh interface {
 	// Lives tells whether a VM lives in this incarnation.
 	Lives(vm string, incarnation uint64) bool
+	// LastHeard returns when a VM was last heard of in this incarnation; false if it is not
+	// known.
+	LastHeard(vm string, incarnation uint64) (at time.Duration, known bool)
 	// ReachesStoreIndirectly reports whether the store answers a VM, directly or through
 	// another VM.
 	ReachesStoreIndirectly(vm string) bool
--- a/internal/gateway/grantor/keeper.go
+++ b/internal/gateway/grantor/keeper.go
@@ -194,10 +194,23 @@
 	timing := lease.Timing{Hold: min(holdTime, k.HoldMost), Renew: renewEvery, Retry: orderRetry, Cold: k.coldMove()}
 	k.Log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
 		Int("slices", len(next.Slices)).Int("past", int(past)).Msg("grantor of the service")
-	newLeader(k, lease.NewGrantor(next, timing, sent, done, past), version).run(ctx)
+	grants := lease.NewGrantor(next, timing, sent, done, past)
+	k.presume(grants, old)
+	newLeader(k, grants, version).run(ctx)
 	return nil
 }
 
+// presume has the owners that the predecessor granted last count as serving their keys for
+// as long as its grants last. They are dated from when it was last heard of.
+func (k *keeper) presume(grants *lease.Grantor, old lease.Record) {
+	last := k.Leases.Of(k.service)
+	heard, known := k.Mesh.LastHeard(old.Holder, old.Incarnation)
+	if last == nil || last.Epoch != old.Epoch || !known {
+		return
+	}
+	grants.Presume(last, heard+min(holdTime, k.HoldMost)-renewEvery)
+}
+
 // coldMove is how long keys are slow at an owner that got them without the state of
 // the last one.
 func (k *keeper) coldMove() time.Duration {
--- a/internal/gateway/grantor/leader.go
+++ b/internal/gateway/grantor/leader.go
@@ -49,8 +49,9 @@
 	grants  *lease.Grantor
 	version uint64
 	seq     uint64
-	told    *lease.Routing
-	teller  *teller
+	// published is the last version that was published.
+	published   *lease.Routing
+	broadcaster *leaseBroadcaster
 
 	events  chan func()
 	deposed bool
@@ -75,8 +76,8 @@
 func newLeader(k *keeper, g *lease.Grantor, version uint64) *leader {
 	l := &leader{
 		keeper: k, grants: g, version: version, events: make(chan func(), eventQueue),
-		teller: newTeller(k.pushLeases, k.Log),
-		lines:  make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
+		broadcaster: newLeaseBroadcaster(k.pushLeases, k.Log, k.Self.LinkMbps, k.Leases.Of(k.service)),
+		lines:       make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
 		lag: fitness.NewMeter(leadStep),
 	}
 	l.orderUntil.Store(int64(g.ConfirmedAt() + lease.Authority))
@@ -147,7 +148,7 @@
 	l.askLoad(ctx, now)
 	l.confirmLives(ctx, now)
 	l.confirmEpoch(ctx, now)
-	l.tell(now)
+	l.publishChanges(now)
 }
 
 // strayed tells whether most owners leave orders unanswered.
@@ -232,19 +233,19 @@
 	return r != nil && r.Epoch > l.grants.Record().Epoch
 }
 
-// tell publishes the leases when they have changed, here and to the other VMs.
-func (l *leader) tell(now time.Duration) {
+// publishChanges publishes the leases when they have changed.
+func (l *leader) publishChanges(now time.Duration) {
 	routing := lease.NewRouting(l.grants.Record(), l.seq+1, func(i int) lease.SliceState { return l.grants.State(i, now) })
-	if routing.SameAs(l.told) {
+	if routing.SameAs(l.published) {
 		return
 	}
 	l.seq++
 	l.publish(routing)
 }
 
-// publish puts leases in force here and tells the other VMs.
+// publish puts leases in force here and replicates them to the other VMs.
 func (l *leader) publish(routing *lease.Routing) {
-	l.told = routing
+	l.published = routing
 	l.Leases.Set(routing)
-	l.teller.tell(l.ctx, routing, l.Mesh.Others())
+	l.broadcaster.Publish(l.ctx, routing, l.Mesh.Others())
 }
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -72,6 +72,9 @@
 	// inherited says that the owner stood in the record before this epoch: a
 	// predecessor may have granted it the keys.
 	inherited bool
+	// presumedUntil is until when an inherited owner is presumed to serve the keys by a
+	// grant of the predecessor.
+	presumedUntil time.Duration
 }
 
 // Past says what may still be in force of the grantors before.
@@ -119,6 +122,20 @@
 	return g
 }
 
+// Presume has the owners that served their slices in the predecessor's last published
+// version count as serving them until the given time, unless orders to them fail. It decides
+// where senders try, and nothing of who holds keys: an owner refuses what it does not hold.
+// Without it, all keys of the service are refused until their owners were granted them anew.
+func (g *Grantor) Presume(last *Routing, until time.Duration) {
+	for i := range g.states {
+		sl := &g.record.Slices[i]
+		owner, how := last.Find(sl.From)
+		if g.states[i].inherited && !sl.Previous.Known() && owner == sl.Owner.ID && how.Serves() {
+			g.states[i].presumedUntil = until
+		}
+	}
+}
+
 func (g *Grantor) fence() uint64 {
 	g.nextFence++
 	return g.nextFence
@@ -159,6 +176,8 @@
 		return Served
 	case c != nil && c.failures > 0:
 		return Unserved
+	case waitsFor.Same(sl.Owner) && s.inherited && now < s.presumedUntil:
+		return Served
 	}
 	return Moving
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -54,6 +54,35 @@
 	}
 }
 
+// Guards against keys that are refused across a service while a successor's grants are on
+// their way, although every owner still serves them.
+func TestSuccessorPresumesThatOwnersServeUntilTheirGrantsExpire(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	r := Record{Service: "s", Epoch: 4, Slices: Even(4, []Owner{a, b})}
+	last := NewRouting(r, 9, func(i int) SliceState {
+		if i == 3 {
+			return Unserved
+		}
+		return Served
+	})
+	r.Epoch = 5
+	r.Slices[2].Owner, r.Slices[2].Previous = b, a
+	now := time.Hour
+	g := NewGrantor(r, worldTiming, now, now, PastUnknown)
+	g.Presume(last, now+time.Second)
+	require.Equal(t, Served, g.State(0, now))
+	require.Equal(t, Served, g.State(1, now))
+	require.Equal(t, Moving, g.State(2, now), "on the move")
+	require.Equal(t, Moving, g.State(3, now), "was not served before")
+	require.Equal(t, Moving, g.State(0, now+time.Second))
+
+	g.LifeConfirmed(a)
+	o := g.Due(now)[0]
+	g.Ended(o, Unanswered, "", now, now)
+	require.Equal(t, Unserved, g.State(0, now), "an order failed")
+	require.Equal(t, Served, g.State(1, now))
+}
+
 // A grantor is lost. Its successor serves all keys at once from their present
 // owners: no key moves, and none waits.
 func TestSuccessorGrantsPresentOwnersAtOnce(t *testing.T) {
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -97,6 +97,22 @@
 	return r.Owners[r.Owner[lo]], r.States[lo]
 }
 
+// Bytes of the parts of a routing in MessagePack.
+const (
+	headBytes  = 64
+	ownerBytes = 2
+	sliceBytes = 3 + 3 + 1
+)
+
+// WireSize estimates the bytes of a routing in a message.
+func (r *Routing) WireSize() int {
+	size := headBytes + len(r.From)*sliceBytes
+	for _, owner := range r.Owners {
+		size += ownerBytes + len(owner)
+	}
+	return size
+}
+
 // SameAs tells whether both say the same of every key.
 func (r *Routing) SameAs(o *Routing) bool {
 	if o == nil || r.Epoch != o.Epoch || len(r.From) != len(o.From) {
--- a/internal/lease/update.go
+++ b/internal/lease/update.go
@@ -10,15 +10,17 @@
 // link was full of them for a minute, and its renewals and calls to the store timed
 // out.
 type Update struct {
-	// Base is the Seq of the same epoch that the update builds on; 0: it is whole.
+	// Base is the Seq of the version that the update builds on; 0: it is whole.
 	Base uint64 `msgpack:"b"`
+	// BaseEpoch is the epoch of that version: a successor builds on its predecessor's last.
+	BaseEpoch uint64 `msgpack:"e"`
 	// Routing holds the changed slices, or all.
 	Routing Routing `msgpack:"r"`
 }
 
 // UpdateBetween returns the update from a version that a VM has, nil if it has none.
 func UpdateBetween(old, now *Routing) *Update {
-	if old == nil || old.Epoch != now.Epoch || old.Seq == 0 {
+	if old == nil || old.Seq == 0 {
 		return &Update{Routing: *now}
 	}
 	b := newRoutingBuilder(now.head(), 0)
@@ -36,7 +38,7 @@
 		// Slices were joined, which an update cannot say.
 		return &Update{Routing: *now}
 	}
-	return &Update{Base: old.Seq, Routing: *b.routing()}
+	return &Update{Base: old.Seq, BaseEpoch: old.Epoch, Routing: *b.routing()}
 }
 
 // On returns the routing that follows from the version at hand; false if the update
@@ -46,7 +48,7 @@
 		whole := u.Routing
 		return &whole, true
 	}
-	if old == nil || old.Epoch != u.Routing.Epoch || old.Seq != u.Base {
+	if old == nil || old.Epoch != u.BaseEpoch || old.Seq != u.Base {
 		return nil, false
 	}
 	later := &u.Routing
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -166,6 +166,18 @@
 	return r != nil && r.member.Incarnation == incarnation && m.liveLocked(r, m.clock.Now())
 }
 
+// LastHeard returns when this life of a VM was last heard of, on the mesh's clock; false if
+// it is not known.
+func (m *Mesh) LastHeard(vm string, incarnation uint64) (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.remotes[vm]
+	if r == nil || r.member.Incarnation != incarnation {
+		return 0, false
+	}
+	return r.heard, true
+}
+
 // Replaced tells whether a process of a VM has ended: a later one runs at its
 // address.
 func (m *Mesh) Replaced(vm, addr string, incarnation uint64) bool {
