--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -47,7 +47,7 @@
 	return nil
 }
 
-// dense tells whether most fields of a message are set. To leave empty ones out, the
+// dense reports whether most fields of a message are set. To leave empty ones out, the
 // library allocates twice for each field that is not empty: half of all allocations
 // of a request's call. Messages of control are mostly empty and few; there the bytes
 // count.
@@ -59,7 +59,7 @@
 	return false
 }
 
-// broken closes the connection: half a message has left, and what follows would
+// broken closes the connection after half a message: what follows would
 // be read as its rest.
 func (c *codec) broken(err error) error {
 	c.conn.Close()
--- a/internal/peer/held_test.go
+++ b/internal/peer/held_test.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_ = c.Call(ctx, "Echo.Say", "x", new(string))
-	require.Eventually(t, func() bool { return !c.lanes[0].inDoubt(first).probing }, endsMost, time.Millisecond,
+	require.Eventually(t, func() bool { return !c.conns[0].suspicionOf(first).probing }, endsMost, time.Millisecond,
 		"the peer answers the probe")
 	release()
 	require.NoError(t, <-waiting)
@@ -130,7 +130,7 @@
 }
 
 func current(c *Client) *session {
-	l := c.lanes[0]
+	l := c.conns[0]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.current
@@ -141,7 +141,7 @@
 func TestAnotherCallsDialIsAwaitedNoLongerThanTheDeadline(t *testing.T) {
 	c := NewRequestClient("127.0.0.1:1", 1)
 	defer c.Close()
-	c.lanes[0].dialing <- struct{}{}
+	c.conns[0].dialing <- struct{}{}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	require.ErrorIs(t, c.Call(ctx, "Echo.Say", "x", new(string)), ErrNotSent)
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	given := make(chan error, 1)
 	go func() { given <- c.Call(ctx, "Echo.Say", "y", new(string)) }()
-	require.Eventually(t, func() bool { return c.lanes[0].inDoubt(first).silent }, endsMost, time.Millisecond)
+	require.Eventually(t, func() bool { return c.conns[0].suspicionOf(first).silent }, endsMost, time.Millisecond)
 	require.Same(t, first, current(c), "nobody gave up yet")
 	cancel()
 	require.ErrorIs(t, <-given, ErrLost)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,8 +4,8 @@
 
 // Pool keeps one Client for each peer address. It is safe for concurrent use.
 type Pool struct {
-	connections  int
-	dropsGivenUp bool
+	connections    int
+	resetOnTimeout bool
 
 	mu      sync.Mutex
 	clients map[string]*Client
@@ -19,7 +19,7 @@
 // NewRequestPool returns a pool whose clients carry requests, as NewRequestClient's do.
 func NewRequestPool(connections int) *Pool {
 	p := NewPool(connections)
-	p.dropsGivenUp = true
+	p.resetOnTimeout = true
 	return p
 }
 
@@ -29,7 +29,7 @@
 	defer p.mu.Unlock()
 	c, ok := p.clients[addr]
 	if !ok {
-		c = newClient(addr, p.connections, p.dropsGivenUp)
+		c = newClient(addr, p.connections, p.resetOnTimeout)
 		p.clients[addr] = c
 	}
 	return c
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -17,16 +17,16 @@
 	writeQueue = 64
 )
 
-// session is one connection and the number of calls that wait on it.
+// session is one connection and the number of its pending calls.
 //
 // net/rpc writes a call in the goroutine that makes it, however long the peer does not read.
 // So a goroutine of the session writes, and the callers wait for it only as long as they may.
 type session struct {
-	rpc     *rpc.Client
-	conn    *heard
-	pending int
-	retired bool
-	doubt   doubt
+	rpc       *rpc.Client
+	conn      *countingConn
+	pending   int
+	retired   bool
+	suspicion suspicion
 
 	writes chan *write
 	ended  chan struct{}
@@ -58,8 +58,8 @@
 	return &write{method: method, args: args, reply: reply, done: make(chan *rpc.Call, 1), queued: time.Now()}
 }
 
-// cancel takes a call that was given up out of the queue of a writer that is stuck with
-// another one; it reports whether it did. A writer that is not stuck is about to write it.
+// cancel removes a call that timed out from the queue of a writer that is stuck with another
+// one. It reports whether it did: a writer that is not stuck is about to write the call.
 func (w *write) cancel() bool {
 	return time.Since(w.queued) >= stuckAfter && w.state.CompareAndSwap(writeQueued, writeCanceled)
 }
@@ -69,7 +69,7 @@
 
 // newSession begins a session on an open connection.
 func newSession(nc net.Conn) *session {
-	conn := &heard{Conn: nc}
+	conn := &countingConn{Conn: nc}
 	s := &session{
 		rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), conn: conn,
 		writes: make(chan *write, writeQueue), ended: make(chan struct{}),
--- a/internal/peer/stuck_test.go
+++ b/internal/peer/stuck_test.go
@@ -52,7 +52,7 @@
 		s := newSession(here)
 		c := NewClient("peer", 1)
 		defer c.Close()
-		c.lanes[0].current = s
+		c.conns[0].current = s
 		first, cancelFirst := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- c.Call(first, "Echo.Take", make([]byte, 64<<10), new(string)) }()
@@ -82,7 +82,7 @@
 		here, there := net.Pipe()
 		defer there.Close()
 		c := NewClient("peer", 1)
-		c.lanes[0].current = newSession(here)
+		c.conns[0].current = newSession(here)
 		ended := make(chan error, 2)
 		for range 2 {
 			go func() { ended <- c.Call(t.Context(), "Echo.Take", make([]byte, 64<<10), new(string)) }()
