Announcements of new versions are small, and only VMs that read the store send them

Cause: a new version has a VM send a full heartbeat to each of 88 others and get one back. These carry its load at every target. Every VM that got a configuration from another one did so too: 89 times 88 heartbeats. A watcher did it for each batch of changes, up to twelve times a second, over 10 Mbit/s. Watchers that the store turned away were replaced one period of heartbeats, 1.06 s, after the other: it took 1.6 s until any VM read version 6.

Change: a brief heartbeat carries versions and whether the store answers; the receiver keeps the rest of the last full one. Only a VM that has read a version from the store announces it. The loss of the store is announced as well, so that another VM watches.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -117,7 +117,9 @@
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets))
 	s.configuredAt = s.clock.Now()
 	s.notifyLocked()
-	s.news()
+	if source == sourceStore {
+		s.news()
+	}
 }
 
 // unreadLines bounds the log lines on one version's values that were not understood.
--- a/internal/gateway/storestate.go
+++ b/internal/gateway/storestate.go
@@ -33,6 +33,8 @@
 func (n *node) storeState(up bool, cause error) {
 	if n.storeUp.Swap(up) != up {
 		n.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
+		// Another VM has to watch in place of this one.
+		n.mesh.Kick()
 	}
 	n.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
 		if up {
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -11,15 +11,15 @@
 	defer r.client.Close()
 	defer r.transfers.Close()
 	lost := false
-	kicked := true
+	first, kicked := true, true
 	for {
 		var err error
 		if kicked || m.self.VM < r.member.VM || m.silence(r) > time.Duration(overdue*float64(m.period())) {
-			err = m.call(ctx, r)
+			err = m.call(ctx, r, kicked && !first)
 		}
-		kicked = false
+		kicked, first = false, false
 		silent := m.silence(r)
-		if now := silent > silentLeast; now != lost {
+		if now := silent > m.silenceMost(); now != lost {
 			lost = now
 			m.log.Warn().Str("step", "mesh").Str("peer", r.member.VM).Bool("lost", lost).Dur("silent", silent).AnErr("cause", err).Msg("peer lost or regained")
 		}
@@ -38,9 +38,12 @@
 }
 
 // call exchanges heartbeats once.
-func (m *Mesh) call(ctx context.Context, r *remote) error {
+func (m *Mesh) call(ctx context.Context, r *remote, brief bool) error {
 	var reply Heartbeat
 	heartbeat := m.local.Heartbeat()
+	if brief {
+		heartbeat = heartbeat.brief()
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.client.Call(ctx, "Mesh.Heartbeat", &heartbeat, &reply)
@@ -56,6 +59,13 @@
 	return m.periodLocked()
 }
 
+// silenceMost is for how long a VM may be silent before it counts as lost.
+func (m *Mesh) silenceMost() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.silenceLocked()
+}
+
 func (m *Mesh) silence(r *remote) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -79,6 +89,7 @@
 	r := m.remotes[b.From.VM]
 	known := r != nil && r.member.Incarnation == b.From.Incarnation
 	if known {
+		b = b.completed(r.heartbeat)
 		r.heard, r.heartbeat = m.clock.Now(), b
 	}
 	m.mu.Unlock()
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -44,6 +44,9 @@
 type Heartbeat struct {
 	From    Member `msgpack:"f"`
 	Leaving bool   `msgpack:"l"`
+	// Brief heartbeats carry no leases, loads and crashes: the receiver keeps those of the
+	// last full one.
+	Brief bool `msgpack:"b"`
 	// StoreLost says that the sender does not reach the platform's store.
 	StoreLost bool `msgpack:"x"`
 	// StoreRelayed says that the store has lately answered the sender through another VM.
@@ -58,6 +61,21 @@
 	Crashes []Crash `msgpack:"r"`
 }
 
+// brief returns the heartbeat without what it carries of leases, targets and requests.
+func (b Heartbeat) brief() Heartbeat {
+	b.Brief = true
+	b.Leases, b.Loads, b.Crashes = nil, nil, nil
+	return b
+}
+
+// completed returns a brief heartbeat with the rest of the last one.
+func (b Heartbeat) completed(last Heartbeat) Heartbeat {
+	if b.Brief {
+		b.Leases, b.Loads, b.Crashes = last.Leases, last.Loads, last.Crashes
+	}
+	return b
+}
+
 // Crash names the targets that ended while they ran a request, by hashes of the
 // request's content and of the targets' ids.
 type Crash struct {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -257,7 +257,7 @@
 // Period returns the time between two heartbeats of a pair of VMs.
 func (m *Mesh) Period() time.Duration { return m.period() }
 
-// Kick sends a heartbeat to all VMs at once: there is news.
+// Kick sends a brief heartbeat to all VMs at once: this VM has a newer version of something.
 func (m *Mesh) Kick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -351,6 +351,9 @@
 func (s Service) Heartbeat(in *Heartbeat, out *Heartbeat) error {
 	s.Mesh.take(*in)
 	*out = s.Mesh.local.Heartbeat()
+	if in.Brief {
+		*out = out.brief()
+	}
 	return nil
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -106,3 +106,24 @@
 	require.Equal(t, 3, m.Loads()[LoadKey(1<<20)])
 	require.Equal(t, 2*loadMost, m.Loads()[LoadKey(2<<20)], "a number that does not fit is cut, and spills over nothing")
 }
+
+// Guards against heartbeats that fill the links: each change of a configuration or of the
+// targets sends one to every VM, and full ones carry the load at every target.
+func TestBriefHeartbeatKeepsWhatTheLastOneSaidOfTargets(t *testing.T) {
+	m, _ := newMesh(t)
+	full := Heartbeat{
+		From:   Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1},
+		Loads:  []Load{NewLoad(7<<8, 3)},
+		Leases: []LeaseMark{{Service: "s", Epoch: 2}},
+	}
+	m.hear(full)
+	next := full
+	next.ConfigVersion = 9
+	var reply Heartbeat
+	brief := next.brief()
+	require.Empty(t, brief.Loads)
+	require.NoError(t, Service{m}.Heartbeat(&brief, &reply))
+	require.True(t, reply.Brief, "the reply is as small")
+	require.Equal(t, map[uint32]int{7 << 8: 3}, m.Loads())
+	require.EqualValues(t, 9, m.remote("b").heartbeat.ConfigVersion)
+}
