Configurations and lists of targets are packed, sent as changes, and fetched from several VMs

What callers saw: wrong answers by routes of an older configuration up to seconds after their replacement (CONFIG), and with many targets leaving, requests delayed in full links.

Cause: a fetch was the whole value, uncompressed, in one reply within 400 ms, from the VM whose heartbeat came first, on the connection that carries heartbeats. What timed out began anew. All VMs asked the same one. 1,560 routes are 284 KB: 227 ms of a link of 10 Mbit/s for one of 88 VMs. Lists of targets, 40 KB, were fetched whole by every VM for every batch of changes.

Change: values are packed (MessagePack, deflate) once for a version: 1,560 routes are 40 KB. Of the targets only what changed since the receiver's revision is sent. Transfers have a connection of their own and take up half of the link at most; a VM that is at this bound names those that it has served, so sources multiply.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -55,7 +55,10 @@
 	// removed holds the store's revision by which an entry was removed. An entry that is
 	// not later is out of date, however late the list that names it.
 	removed map[string]uint64
-	down    bool
+	// completeSince is the revision after which no removal was forgotten; 0 before the
+	// first list.
+	completeSince uint64
+	down          bool
 	// graceEnds is until when removals are taken for lapses of an outage.
 	graceEnds time.Duration
 }
@@ -94,6 +97,9 @@
 		return
 	}
 	m.revision = t.Revision
+	if m.completeSince == 0 {
+		m.completeSince = t.Revision
+	}
 	listed := make(map[string]bool, len(t.List))
 	for _, e := range t.List {
 		listed[e.ID] = true
@@ -173,6 +179,7 @@
 			oldest = id
 		}
 	}
+	m.completeSince = max(m.completeSince, m.removed[oldest])
 	delete(m.removed, oldest)
 }
 
--- /dev/null
+++ b/internal/catalog/changes.go
@@ -0,0 +1,54 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Removal is an entry that was removed.
+type Removal struct {
+	ID string `msgpack:"i"`
+	// Revision is the store's revision by which it was removed.
+	Revision uint64 `msgpack:"r"`
+}
+
+// Changes lead from a list of targets to a later one.
+type Changes struct {
+	Revision uint64    `msgpack:"r"`
+	Changed  []Target  `msgpack:"c"`
+	Removed  []Removal `msgpack:"d"`
+}
+
+// ChangesSince returns what changed after a revision of the store; false if some of it is
+// not known any more, so that only the whole list will do.
+func (m *Members) ChangesSince(revision uint64) (Changes, bool) {
+	if m.completeSince == 0 || revision < m.completeSince || revision > m.revision {
+		return Changes{}, false
+	}
+	c := Changes{Revision: m.revision}
+	for _, t := range m.entries {
+		if t.Revision > revision {
+			c.Changed = append(c.Changed, t)
+		}
+	}
+	for id, removed := range m.removed {
+		if removed > revision {
+			c.Removed = append(c.Removed, Removal{ID: id, Revision: removed})
+		}
+	}
+	slices.SortFunc(c.Changed, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(c.Removed, func(a, b Removal) int { return cmp.Compare(a.ID, b.ID) })
+	return c, true
+}
+
+// Apply applies what changed after the revision at hand, or an earlier one.
+func (m *Members) Apply(c Changes, now time.Duration) {
+	for _, t := range c.Changed {
+		m.put(t)
+	}
+	for _, r := range c.Removed {
+		m.remove(r.ID, r.Revision, now)
+	}
+	m.revision = max(m.revision, c.Revision)
+}
--- /dev/null
+++ b/internal/gateway/fetch_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/packed"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/route"
+)
+
+// peerNode is a node that other VMs can call.
+func peerNode(t *testing.T, name string, mbps float64) *node {
+	s := &Settings{Store: "127.0.0.1:1", LinkMbps: mbps, MemoryMB: defaultMemory}
+	server, err := peer.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	s.VM, s.DataCentre, s.Peers = name, "a", server.Addr()
+	n := newNode(s, fakeAdapter{store: downStore{}}, boottime.System{}, quiet(), metrics.NewRegistry())
+	n.mesh.Start(n)
+	n.peers = server
+	require.NoError(t, n.register())
+	go func() { _ = server.Serve() }()
+	t.Cleanup(func() {
+		n.cancel()
+		n.mesh.Close()
+		server.Close()
+	})
+	return n
+}
+
+func largeConfig(version uint64, routes int) *route.Config {
+	c := &route.Config{Version: version, Services: map[string]route.Service{"s": {Name: "s"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, route.Route{
+			Name: fmt.Sprintf("r-%x", i*7919), Host: fmt.Sprintf("h%d.example", i%40), Prefix: fmt.Sprintf("/p%x/", i*104729),
+			Idempotent: i%2 == 0, Timeout: 4 * time.Second, Objective: 2 * time.Second, MaxTargets: 3,
+			Splits: []route.Split{{Service: "s", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// eventually waits until heartbeats have brought something about.
+func eventually(t *testing.T, reached func() bool) {
+	t.Helper()
+	require.Eventually(t, reached, 10*time.Second, time.Millisecond)
+}
+
+func (n *node) configVersion() uint64 { return n.state.view.Load().ConfigVersion() }
+
+func TestConfigurationIsFetchedFromAnotherVM(t *testing.T) {
+	a, b := peerNode(t, "a", 0), peerNode(t, "b", 0)
+	want := largeConfig(7, 1560)
+	a.state.setConfig(want, sourceStore)
+	b.mesh.Meet(a.self)
+	eventually(t, func() bool { return b.configVersion() == 7 })
+	require.Equal(t, want, b.state.view.Load().Routes.Config())
+}
+
+// Guards against a configuration that fills the links between VMs when it grows by many
+// routes: on a link of 10 Mbit/s it arrived after its deadline, and older routes served.
+func TestLargeConfigurationTakesLittleOfASlowLink(t *testing.T) {
+	data, err := packed.Encode(largeConfig(7, 1560))
+	require.NoError(t, err)
+	require.Less(t, len(data), 60_000, "bytes: 50 ms at 10 Mbit/s")
+}
+
+func TestTargetsAreFetchedFromAnotherVM(t *testing.T) {
+	a, b := peerNode(t, "a", 0), peerNode(t, "b", 0)
+	same := func() bool {
+		return assert.ObjectsAreEqual(a.state.view.Load().Targets, b.state.view.Load().Targets)
+	}
+	a.state.list(5, catalog.Target{ID: "t", Service: "s"}, catalog.Target{ID: "u", Service: "s"})
+	b.mesh.Meet(a.self)
+	eventually(t, same)
+
+	a.state.changeTargets(sourceStore, func(m *catalog.Members, now time.Duration) {
+		m.Remove("t", 6, now)
+		m.Put(catalog.Target{ID: "v", Service: "s", Revision: 7}, 7)
+	})
+	var reply VersionReply
+	require.NoError(t, View{a}.TargetsSince(&VersionArgs{From: "b", Have: 5}, &reply))
+	require.False(t, reply.Whole, "only what changed")
+	eventually(t, same)
+}
+
+// Guards against a VM that sends a large value to all that ask at once over a full link: it
+// tells some of them to ask those that it has served.
+func TestVMWithABusyLinkNamesOthersThatHaveTheValue(t *testing.T) {
+	n := peerNode(t, "a", 10)
+	n.state.setConfig(largeConfig(7, 10), sourceStore)
+	n.transfers.limiter.SetLimit(0)
+	ask := func(from string) VersionReply {
+		var reply VersionReply
+		require.NoError(t, View{n}.ConfigVersion(&VersionArgs{From: from, Have: 1}, &reply))
+		return reply
+	}
+	require.NotEmpty(t, ask("b").Data)
+	for n.transfers.allow(1) {
+	}
+	busy := ask("c")
+	require.True(t, busy.Busy)
+	require.Empty(t, busy.Data)
+	require.Equal(t, []string{"b"}, busy.Holders)
+}
+
+// Guards against a configuration that waits for one VM with a busy link: VMs fetch it from
+// those that were served.
+func TestVMsFetchFromThoseThatWereServed(t *testing.T) {
+	nodes := []*node{peerNode(t, "a", 10)}
+	nodes[0].state.setConfig(largeConfig(7, 10), sourceStore)
+	for _, name := range []string{"b", "c", "d", "e"} {
+		n := peerNode(t, name, 0)
+		for _, other := range nodes {
+			n.mesh.Meet(other.self)
+		}
+		eventually(t, func() bool { return n.configVersion() == 7 })
+		nodes[0].transfers.limiter.SetLimit(0)
+		for nodes[0].transfers.allow(1) {
+		}
+		nodes = append(nodes, n)
+	}
+}
+
+// Guards against heartbeats that spread a version to all VMs again and again: a VM that got
+// it from another one sent a heartbeat to all at once.
+func TestOnlyVMsThatReadTheStoreAnnounceAVersion(t *testing.T) {
+	s := testState(&handClock{})
+	announced := 0
+	s.news = func() { announced++ }
+	s.setConfig(&route.Config{Version: 2}, "vm")
+	s.list(1, catalog.Target{ID: "t"})
+	require.Zero(t, announced)
+	s.setConfig(&route.Config{Version: 3}, sourceStore)
+	require.Equal(t, 1, announced)
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -43,7 +43,9 @@
 	counters *counters
 	lines    *requestLines
 	bodies   bodyRoom
-	keepers  *grantor.Keepers
+	// transfers sends configurations and lists of targets to other VMs.
+	transfers *transfers
+	keepers   *grantor.Keepers
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -92,7 +94,7 @@
 		settings: s, adapter: a, headers: a.Headers(), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), lines: newRequestLines(registry),
-		bodies: newBodyRoom(s.MemoryMB),
+		bodies: newBodyRoom(s.MemoryMB), transfers: newTransfers(s.LinkMbps),
 	}
 	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
 	n.grace.Store(int64(s.Grace))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,15 +7,14 @@
 	"fmt"
 	"time"
 
-	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/gateway/grantor"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
+	"hemlockquay/internal/packed"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
-	"hemlockquay/internal/route"
 )
 
 // kindMembers is the kind of the VMs' own entries.
@@ -47,7 +46,9 @@
 	// new revision.
 	fewer := b.TargetsRevision == v.Targets.Revision && int(b.Targets) < len(v.Targets.List)
 	if b.TargetsRevision > v.Targets.Revision || fewer {
-		n.fetch(b.From.VM, "targets", n.fetchTargets)
+		n.fetch(b.From.VM, "targets", func(ctx context.Context, vm string) error {
+			return n.fetchTargets(ctx, vm, fewer)
+		})
 	}
 	for _, mark := range b.Leases {
 		if n.behind(mark) {
@@ -81,71 +82,35 @@
 	return n.state.leases.StaleFor(r) >= behindLeast
 }
 
-// fetch runs one fetch of a kind at a time.
-func (n *node) fetch(vm, what string, get func(ctx context.Context, vm string) error) {
-	if _, running := n.fetching.LoadOrStore(what, true); running {
-		return
-	}
-	go func() {
-		defer n.fetching.Delete(what)
-		if err := get(n.ctx, vm); err != nil {
-			n.log.Warn().Str("step", "fetch").Str("what", what).Str("peer", vm).Err(err).Msg("not fetched")
-		}
-	}()
-}
-
-func (n *node) fetchConfig(ctx context.Context, vm string) error {
-	var c route.Config
-	if err := n.mesh.Call(ctx, vm, "View.Config", &struct{}{}, &c); err != nil {
-		return err
-	}
-	n.state.setConfig(&c, vm)
-	n.checkReady()
-	return nil
-}
-
-func (n *node) fetchTargets(ctx context.Context, vm string) error {
-	var t catalog.Targets
-	if err := n.mesh.Call(ctx, vm, "View.Targets", &struct{}{}, &t); err != nil {
-		return err
-	}
-	n.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
-	n.listed.Store(true)
-	n.checkReady()
-	return nil
-}
-
-func (n *node) fetchRouting(ctx context.Context, vm, service string) error {
-	var r lease.Routing
-	if err := n.mesh.Call(ctx, vm, "View.Routing", &service, &r); err != nil {
-		return err
-	}
-	if !r.Valid() {
-		return fmt.Errorf("leases of %s from %s: %w", service, vm, grantor.ErrMalformed)
-	}
-	n.state.leases.Set(&r)
-	return nil
-}
-
 // View answers what this VM believes. It is registered for the other VMs.
 type View struct{ node *node }
 
 var errUnknown = errors.New("not known here")
 
-// Config returns the configuration in force.
-func (v View) Config(_ *struct{}, out *route.Config) error {
+// ConfigVersion returns the configuration in force.
+func (v View) ConfigVersion(in *VersionArgs, out *VersionReply) error {
 	t := v.node.state.view.Load().Routes
-	if t == nil {
+	if t == nil || t.Config().Version <= in.Have {
 		return errUnknown
 	}
-	*out = *t.Config()
-	return nil
+	var err error
+	*out, err = v.node.transfers.whole("config", valueVersion{revision: t.Config().Version}, in.From, func() any { return t.Config() })
+	return err
 }
 
-// Targets returns the list of targets.
-func (v View) Targets(_ *struct{}, out *catalog.Targets) error {
-	*out = v.node.state.view.Load().Targets
-	return nil
+// TargetsSince returns what changed in the list of targets since a revision, or the whole
+// list if that is not known.
+func (v View) TargetsSince(in *VersionArgs, out *VersionReply) error {
+	changes, known := v.node.state.targetsSince(in.Have)
+	if known {
+		data, err := packed.Encode(changes)
+		*out = VersionReply{Data: data}
+		return err
+	}
+	t := v.node.state.view.Load().Targets
+	var err error
+	*out, err = v.node.transfers.whole("targets", valueVersion{t.Revision, len(t.List)}, in.From, func() any { return t })
+	return err
 }
 
 // Routing returns the leases of a service.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -143,6 +143,14 @@
 	s.publishLocked(source)
 }
 
+// targetsSince returns what changed in the list of targets since a revision; false if that
+// is not known.
+func (s *state) targetsSince(revision uint64) (catalog.Changes, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.ChangesSince(revision)
+}
+
 // publishLocked needs s.mu.
 func (s *state) publishLocked(source string) {
 	old := s.view.Load()
