--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -45,9 +45,9 @@
 	journal   *journal.Journal
 	log       *log.Logger
 
-	services map[string]*assigned
-	sight    sight
-	toldAt   time.Duration
+	services    map[string]*assigned
+	observation observation
+	toldAt      time.Duration
 }
 
 // assigned is what the assigner keeps of one service.
@@ -65,21 +65,21 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, planEvery)
 		a.look()
-		for _, s := range a.sight.view.Services() {
+		for _, s := range a.observation.view.Services() {
 			if s.Keyed {
-				a.serve(ctx, s, a.sight.objects, a.sight.view.Assignment(s.Name), a.sight.versions)
+				a.serve(ctx, s, a.observation.objects, a.observation.view.Assignment(s.Name), a.observation.versions)
 			}
 		}
 		a.tell(ctx)
 	}
 }
 
-// sight is the configuration as the assigner saw it last.
+// observation is the configuration as the assigner saw it last.
 //
 // Load pattern: every agent looks twice a second, and most looks find nothing
 // new. Decoding all objects for each of them took more time than all else that
 // an idle agent does.
-type sight struct {
+type observation struct {
 	revision uint64
 	objects  []platform.Object
 	view     *view.View
@@ -87,17 +87,17 @@
 	cache    view.Cache
 }
 
-// look brings the sight up to date.
+// look brings the observation up to date.
 func (a *assigner) look() {
 	// The revision comes first: a change in between is then seen again.
 	revision, _ := a.config.state()
-	if a.sight.view != nil && revision == a.sight.revision {
+	if a.observation.view != nil && revision == a.observation.revision {
 		return
 	}
-	a.sight.revision = revision
-	a.sight.objects = a.config.list()
-	a.sight.view = a.sight.cache.Build(a.sight.objects, nil, nil)
-	a.sight.versions = versionsOf(a.sight.objects)
+	a.observation.revision = revision
+	a.observation.objects = a.config.list()
+	a.observation.view = a.observation.cache.Build(a.observation.objects, nil, nil)
+	a.observation.versions = versionsOf(a.observation.objects)
 }
 
 func versionsOf(objects []platform.Object) map[platform.ID]uint64 {
--- a/internal/agent/grantbatch.go
+++ b/internal/agent/grantbatch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 	"hemlockquay/internal/target"
 )
 
@@ -23,7 +23,7 @@
 type batch struct {
 	target model.Target
 	groups []uint64
-	orders []grantor.Order
+	orders []grants.Order
 }
 
 // send carries each target's batch, those of other incarnations apart.
@@ -96,8 +96,8 @@
 	return again
 }
 
-func reportOf(r *target.Report, i int) *grantor.Report {
-	out := &grantor.Report{Incarnation: r.Incarnation, Refused: r.Refused, Clock: r.Clock}
+func reportOf(r *target.Report, i int) *grants.Report {
+	out := &grants.Report{Incarnation: r.Incarnation, Refused: r.Refused, Clock: r.Clock}
 	if r.Refused {
 		return out
 	}
--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -11,7 +11,7 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/ring"
 	"hemlockquay/internal/target"
@@ -36,7 +36,7 @@
 // grantorDuty carries the decisions of package grantor for all groups. Its state
 // belongs to one goroutine, run; answers come through the ring.
 type grantorDuty struct {
-	params    grantor.Params
+	params    grants.Params
 	timeout   time.Duration
 	silence   time.Duration
 	config    *configuration
@@ -65,7 +65,7 @@
 func newGrantorDuty(a *agent) *grantorDuty {
 	s := a.Settings
 	d := &grantorDuty{
-		params: grantor.Params{
+		params: grants.Params{
 			VM: s.VM, Incarnation: a.incarnation, Started: a.started,
 			Every: s.GrantEvery.D(), Life: s.GrantLife.D(), Authority: s.Authority.D(), Margin: s.ClockMargin.D(),
 			Patience: s.TakeoverPatience.D(), MoveLimit: s.ReleaseLimit.D(), Unserved: unserved,
@@ -128,8 +128,8 @@
 	if d.members.storeWatched() {
 		highest = nil
 	}
-	sight := func(service string, id uint64) grantor.Sight {
-		return grantor.Sight{
+	observation := func(service string, id uint64) grants.Observation {
+		return grants.Observation{
 			Live:   seen,
 			Served: d.served[groupID{service, id}], Highest: highest[groupID{service, id}],
 		}
@@ -138,8 +138,8 @@
 		if h.service == nil || h.record == nil {
 			continue
 		}
-		d.send(ctx, h, d.collect(h, now, sight))
-		d.records.offer(ctx, h, d.proposals(h, now, sight))
+		d.send(ctx, h, d.collect(h, now, observation))
+		d.records.offer(ctx, h, d.proposals(h, now, observation))
 		d.readStore(ctx, h, now)
 		if slowLook {
 			d.publish(name, h, h.ids, now)
@@ -157,8 +157,8 @@
 	return func(vm string) bool { return live[vm] || !settled }
 }
 
-// sightOf gives what heartbeats tell of a group.
-type sightOf func(service string, id uint64) grantor.Sight
+// observeFunc gives what heartbeats tell of a group.
+type observeFunc func(service string, id uint64) grants.Observation
 
 // lookAtPeers notes which groups a live agent tells a grant of, and returns
 // whether it was time to. It goes over all
@@ -182,10 +182,10 @@
 }
 
 // collect batches the orders of all groups by target.
-func (d *grantorDuty) collect(h *heldService, now time.Duration, sight sightOf) map[string]*batch {
+func (d *grantorDuty) collect(h *heldService, now time.Duration, observation observeFunc) map[string]*batch {
 	batches := make(map[string]*batch)
 	for id, g := range h.groups {
-		for _, o := range g.Tick(now, sight(h.service.Name, id)) {
+		for _, o := range g.Tick(now, observation(h.service.Name, id)) {
 			b := batches[o.Target]
 			if b == nil {
 				t, ok := h.service.Target(o.Target)
@@ -203,7 +203,7 @@
 	return batches
 }
 
-func (d *grantorDuty) explain(service string, id uint64, g *grantor.Group) {
+func (d *grantorDuty) explain(service string, id uint64, g *grants.Group) {
 	for _, text := range g.Notes() {
 		subject := fmt.Sprintf("%s/%d", service, id)
 		d.journal.Add("grant", text, subject)
@@ -233,10 +233,10 @@
 }
 
 // proposals are the records that the groups want written.
-func (d *grantorDuty) proposals(h *heldService, now time.Duration, sight sightOf) []model.Group {
+func (d *grantorDuty) proposals(h *heldService, now time.Duration, observation observeFunc) []model.Group {
 	var out []model.Group
 	for id, g := range h.groups {
-		if rec, ok := g.Proposal(now, sight(h.service.Name, id)); ok {
+		if rec, ok := g.Proposal(now, observation(h.service.Name, id)); ok {
 			out = append(out, rec)
 		}
 	}
--- a/internal/agent/groups.go
+++ b/internal/agent/groups.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 	"hemlockquay/internal/platform"
 )
 
@@ -14,7 +14,7 @@
 	serviceVersion uint64
 	record         *model.Assignment
 	recordVersion  uint64
-	groups         map[uint64]*grantor.Group
+	groups         map[uint64]*grants.Group
 	// ids are the groups of the record.
 	ids []uint64
 }
@@ -39,7 +39,7 @@
 	}
 	h := d.services[o.Name]
 	if h == nil {
-		h = &heldService{groups: make(map[uint64]*grantor.Group)}
+		h = &heldService{groups: make(map[uint64]*grants.Group)}
 		d.services[o.Name] = h
 	}
 	known := h.serviceVersion
@@ -83,7 +83,7 @@
 		if g := h.groups[rec.ID]; g != nil {
 			g.Adopt(rec, now)
 		} else if slices.Contains(rec.Grantors, params.VM) {
-			h.groups[rec.ID] = grantor.New(params, rec, now)
+			h.groups[rec.ID] = grants.New(params, rec, now)
 		}
 	}
 	var gone []groupID
--- a/internal/agent/groups_test.go
+++ b/internal/agent/groups_test.go
@@ -8,7 +8,7 @@
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 )
 
 // A VM is named as grantor, grants a group, and a newer record names others. A
@@ -16,8 +16,8 @@
 // dropped the group meanwhile, it would grant another target without waiting for
 // that end: two owners. A group that never named it costs it nothing.
 func TestGroupsAreKeptOnceTheyNamedTheVM(t *testing.T) {
-	d := &grantorDuty{params: grantor.Params{VM: "vm9", Incarnation: "vm9-1", Every: time.Second}, clock: boottime.System{}, table: newGrantTable(func() {})}
-	h := &heldService{service: &model.Service{Name: "shelf"}, groups: make(map[uint64]*grantor.Group)}
+	d := &grantorDuty{params: grants.Params{VM: "vm9", Incarnation: "vm9-1", Every: time.Second}, clock: boottime.System{}, table: newGrantTable(func() {})}
+	h := &heldService{service: &model.Service{Name: "shelf"}, groups: make(map[uint64]*grants.Group)}
 	adopt := func(epoch uint64, grantors ...string) {
 		h.record = &model.Assignment{Service: "shelf", Groups: []model.Group{{ID: 1, Epoch: epoch, Grantors: grantors}}}
 		d.adopt(h)
--- a/internal/agent/heldorders_test.go
+++ b/internal/agent/heldorders_test.go
@@ -14,7 +14,7 @@
 
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 	"hemlockquay/internal/ring"
 	"hemlockquay/internal/standin"
 	"hemlockquay/internal/standin/link"
@@ -86,8 +86,8 @@
 }
 
 // heldParams are the default times.
-func heldParams() grantor.Params {
-	return grantor.Params{
+func heldParams() grants.Params {
+	return grants.Params{
 		VM: "vm1", Incarnation: "vm1-1", Started: 1, Checks: true,
 		Every: 75 * time.Millisecond, Life: 400 * time.Millisecond, Authority: 160 * time.Millisecond,
 		Margin: 10 * time.Millisecond, Patience: 25 * time.Millisecond, MoveLimit: time.Second, Unserved: unserved,
@@ -98,7 +98,7 @@
 type heldPlay struct {
 	t                       *testing.T
 	duty                    *grantorDuty
-	group                   *grantor.Group
+	group                   *grants.Group
 	now                     time.Duration
 	owner, standby, witness *holder
 }
@@ -107,7 +107,7 @@
 	p := &heldPlay{t: t, now: time.Hour}
 	p.owner, p.standby, p.witness = newHolder(t, "owner", time.Minute), newHolder(t, "standby", 0), newHolder(t, "witness", time.Hour)
 	ref := func(h *holder) model.TargetRef { return model.TargetRef{Name: h.name, Incarnation: h.name + "-1"} }
-	p.group = grantor.New(heldParams(), model.Group{
+	p.group = grants.New(heldParams(), model.Group{
 		Epoch: 1, Grantors: []string{"vm1"}, Author: "planner-1", Slices: []keyspace.Slice{heldKeys},
 		Owner: ref(p.owner), Standby: ref(p.standby), Witness: ref(p.witness),
 	}, p.now)
@@ -128,14 +128,14 @@
 }
 
 // orders lets the agent decide.
-func (p *heldPlay) orders() []grantor.Order {
-	return p.group.Tick(p.now, grantor.Sight{Live: func(string) bool { return true }})
+func (p *heldPlay) orders() []grants.Order {
+	return p.group.Tick(p.now, grants.Observation{Live: func(string) bool { return true }})
 }
 
 // carry sends one order as the duty does, and takes its report in, if one comes.
-func (p *heldPlay) carry(ctx context.Context, o grantor.Order) {
+func (p *heldPlay) carry(ctx context.Context, o grants.Order) {
 	addr := map[string]string{"owner": p.owner.Addr(), "standby": p.standby.Addr(), "witness": p.witness.Addr()}[o.Target]
-	b := &batch{target: model.Target{Name: o.Target, Addr: addr}, groups: []uint64{0}, orders: []grantor.Order{o}}
+	b := &batch{target: model.Target{Name: o.Target, Addr: addr}, groups: []uint64{0}, orders: []grants.Order{o}}
 	p.duty.carry(ctx, "s", b)
 	select {
 	case a := <-p.duty.inbox.Entries():
--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -13,7 +13,7 @@
 	"github.com/phuslu/log"
 
 	"hemlockquay/internal/boottime"
-	"hemlockquay/internal/decide/epochpace"
+	"hemlockquay/internal/decide/epochlimit"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/ring"
@@ -50,8 +50,8 @@
 	mu   sync.Mutex
 	busy map[string]bool
 	next map[string]time.Duration
-	// paces hold back epochs of groups that get them without end.
-	paces map[groupID]*epochpace.Pace
+	// epochLimits hold back epochs of groups that get them without end.
+	epochLimits map[groupID]*epochlimit.Limiter
 	// failing is the pause of services whose writes fail.
 	failing map[string]time.Duration
 }
@@ -60,7 +60,7 @@
 	return &recorder{
 		store: s, authority: authority, tag: tag, timeout: timeout, log: l, clock: boottime.System{},
 		busy: make(map[string]bool), next: make(map[string]time.Duration),
-		failing: make(map[string]time.Duration), paces: make(map[groupID]*epochpace.Pace),
+		failing: make(map[string]time.Duration), epochLimits: make(map[groupID]*epochlimit.Limiter),
 	}
 }
 
@@ -119,13 +119,13 @@
 			continue
 		}
 		id := groupID{held.Service, p.ID}
-		pace := r.paces[id]
-		if pace == nil {
-			pace = epochpace.New()
-			r.paces[id] = pace
+		limiter := r.epochLimits[id]
+		if limiter == nil {
+			limiter = epochlimit.New()
+			r.epochLimits[id] = limiter
 		}
-		pace.Seen(held.Groups[i].Epoch, now)
-		if p.Epoch == held.Groups[i].Epoch || pace.May(now) {
+		limiter.Seen(held.Groups[i].Epoch, now)
+		if p.Epoch == held.Groups[i].Epoch || limiter.Allow(now) {
 			out = append(out, p)
 		}
 	}
--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -16,7 +16,7 @@
 	"hemlockquay/internal/capacity"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
@@ -249,7 +249,7 @@
 			for b.Loop() {
 				a.look()
 			}
-			require.Len(b, a.sight.versions, n)
+			require.Len(b, a.observation.versions, n)
 		})
 	}
 }
@@ -284,22 +284,22 @@
 					Owner: model.TargetRef{Name: "t1"}, Standby: model.TargetRef{Name: "t2"}, Witness: model.TargetRef{Name: "t3"},
 				})
 			}
-			d := &grantorDuty{params: grantor.Params{VM: "vm9", Incarnation: "vm9-1", Every: time.Second}, clock: boottime.System{}, table: newGrantTable(func() {})}
+			d := &grantorDuty{params: grants.Params{VM: "vm9", Incarnation: "vm9-1", Every: time.Second}, clock: boottime.System{}, table: newGrantTable(func() {})}
 			held := func() *heldService {
-				h := &heldService{service: &model.Service{Name: "shelf"}, record: record, groups: make(map[uint64]*grantor.Group)}
+				h := &heldService{service: &model.Service{Name: "shelf"}, record: record, groups: make(map[uint64]*grants.Group)}
 				d.adopt(h)
 				return h
 			}
 			kept := capacity.Retained(func() any { return held() })
 			h := held()
-			sight := func(string, uint64) grantor.Sight {
-				return grantor.Sight{Live: func(string) bool { return true }, Served: true}
+			observation := func(string, uint64) grants.Observation {
+				return grants.Observation{Live: func(string) bool { return true }, Served: true}
 			}
 			for b.Loop() {
-				if len(d.collect(h, d.clock.Now(), sight)) > 0 {
+				if len(d.collect(h, d.clock.Now(), observation)) > 0 {
 					b.Fatal("orders for groups of others")
 				}
-				d.proposals(h, d.clock.Now(), sight)
+				d.proposals(h, d.clock.Now(), observation)
 			}
 			b.ReportMetric(kept, "heap-B")
 		})
--- a/internal/decide/epochpace/epochpace_test.go
+++ b/internal/decide/epochlimit/epochlimit_test.go
@@ -1,4 +1,4 @@
-package epochpace
+package epochlimit
 
 import (
 	"testing"
@@ -15,10 +15,10 @@
 	p.Seen(1, time.Second)
 	for n := range uint64(burst) {
 		now := time.Second + time.Duration(n)*100*time.Millisecond
-		require.True(t, p.May(now), "epoch %d", n+2)
+		require.True(t, p.Allow(now), "epoch %d", n+2)
 		p.Seen(n+2, now)
 	}
-	require.False(t, p.May(2*time.Second))
+	require.False(t, p.Allow(2*time.Second))
 }
 
 // The store is full of writes of one service's record and other groups wait for
@@ -29,12 +29,12 @@
 	p.Seen(1, time.Second)
 	written := 0
 	for now := time.Second; now < time.Minute; now += 15 * time.Millisecond {
-		if p.May(now) {
+		if p.Allow(now) {
 			written++
 			p.Seen(uint64(1+written), now)
 		}
 	}
 	require.LessOrEqual(t, written, burst+30)
 	require.Greater(t, written, 25, "the group is not given up either")
-	require.True(t, p.May(time.Minute+every))
+	require.True(t, p.Allow(time.Minute+every))
 }
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -24,7 +24,7 @@
 	"time"
 
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/ownership/grantor"
+	"hemlockquay/internal/ownership/grants"
 )
 
 // VM is a VM that may hold a grantor.
@@ -180,7 +180,7 @@
 			continue
 		}
 		g.Epoch++
-		grantor.CoverPrevious(old, g)
+		grants.CoverPrevious(old, g)
 	}
 }
 
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -9,7 +9,7 @@
 
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/sources"
-	"hemlockquay/internal/gateway/grantor"
+	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/packed"
 	"hemlockquay/internal/pause"
@@ -148,7 +148,7 @@
 		return err
 	}
 	if !r.Valid() {
-		return fmt.Errorf("leases of %s from %s: %w", service, vm, grantor.ErrMalformed)
+		return fmt.Errorf("leases of %s from %s: %w", service, vm, leasing.ErrMalformed)
 	}
 	n.state.leases.Set(&r)
 	return nil
--- a/internal/gateway/granting.go
+++ b/internal/gateway/granting.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"hemlockquay/internal/catalog"
-	"hemlockquay/internal/gateway/grantor"
+	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/platform"
 )
 
-func (n *node) newKeepers() *grantor.Keepers {
+func (n *node) newLeaseManager() *leasing.Manager {
 	lent := granting{n}
-	return grantor.New(n.ctx, grantor.Deps{
+	return leasing.New(n.ctx, leasing.Deps{
 		Self: n.self, Clock: n.clock, Log: n.log, Registry: n.registry, HoldMost: n.settings.HoldMost.D(),
 		Store: n.leaseStore(), StoreTimeout: storeTimeout, StorePause: storePauseMost,
-		Mesh: n.mesh, Leases: n.state.leases, Standing: lent, Fleet: lent, Orders: n.adapter,
+		Mesh: n.mesh, Leases: n.state.leases, LocalState: lent, TargetDirectory: lent, Orders: n.adapter,
 		TargetIDHeader: n.headers.TargetID, InstanceIDHeader: n.headers.InstanceID,
 	})
 }
@@ -21,31 +21,31 @@
 // granting shows the grantor its part of the node.
 type granting struct{ n *node }
 
-// StoreUp implements grantor.Standing.
+// StoreUp implements leasing.LocalState.
 func (g granting) StoreUp() bool { return g.n.storeUp.Load() }
 
-// Listed implements grantor.Standing.
+// Listed implements leasing.LocalState.
 func (g granting) Listed() bool { return g.n.listed.Load() }
 
-// Leaving implements grantor.Standing.
+// Leaving implements leasing.LocalState.
 func (g granting) Leaving() bool { return g.n.leaving.Load() }
 
-// StoreReachable implements grantor.Standing.
+// StoreReachable implements leasing.LocalState.
 func (g granting) StoreReachable() bool { return g.n.storeUp.Load() || g.n.storeRelayed() }
 
-// Place implements grantor.Standing.
+// Place implements leasing.LocalState.
 func (g granting) Place(service string) int { return g.n.leasePlace(service) }
 
-// Tag implements grantor.Standing.
+// Tag implements leasing.LocalState.
 func (g granting) Tag() string { return g.n.tag() }
 
-// View implements grantor.Fleet.
+// View implements leasing.TargetDirectory.
 func (g granting) View() *catalog.View { return g.n.state.view.Load() }
 
-// ReadTarget implements grantor.Fleet.
+// ReadTarget implements leasing.TargetDirectory.
 func (g granting) ReadTarget(o platform.Object) (catalog.Target, bool) { return g.n.readTarget(o) }
 
-// Slots implements grantor.Fleet.
+// Slots implements leasing.TargetDirectory.
 func (g granting) Slots(target string) int {
 	g.n.state.mu.Lock()
 	defer g.n.state.mu.Unlock()
@@ -55,7 +55,7 @@
 	return 0
 }
 
-// UsualTime implements grantor.Fleet.
+// UsualTime implements leasing.TargetDirectory.
 func (g granting) UsualTime(service string) (time.Duration, bool) {
 	g.n.state.mu.Lock()
 	defer g.n.state.mu.Unlock()
@@ -65,8 +65,8 @@
 	return 0, false
 }
 
-// Coldness implements grantor.Fleet.
+// Coldness implements leasing.TargetDirectory.
 func (g granting) Coldness(service string) float64 { return g.n.state.coldnessOf(service) }
 
-// TakeKeyLoad implements grantor.Fleet.
-func (g granting) TakeKeyLoad(service string) grantor.KeyLoad { return g.n.state.takeKeyLoad(service) }
+// TakeKeyLoad implements leasing.TargetDirectory.
+func (g granting) TakeKeyLoad(service string) leasing.KeyLoad { return g.n.state.takeKeyLoad(service) }
--- a/internal/gateway/grantor/broadcast.go
+++ b/internal/gateway/leasing/broadcast.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -177,8 +177,8 @@
 }
 
 // pushLeases sends changed leases to a VM.
-func (k *Keepers) pushLeases(ctx context.Context, vm string, u *lease.Update) (bool, error) {
+func (m *Manager) pushLeases(ctx context.Context, vm string, u *lease.Update) (bool, error) {
 	var used bool
-	err := k.Mesh.Call(ctx, vm, "View.Push", u, &used)
+	err := m.Mesh.Call(ctx, vm, "View.Push", u, &used)
 	return used, err
 }
--- a/internal/gateway/grantor/keeper.go
+++ b/internal/gateway/leasing/candidate.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -60,9 +60,10 @@
 	silentOwner = 1200 * time.Millisecond
 )
 
-// keeper keeps the leases of one service: as their grantor, or ready to become it.
-type keeper struct {
-	*Keepers
+// candidate takes part in the succession of one service's grantor, and leads while it is the
+// grantor.
+type candidate struct {
+	*Manager
 	service string
 
 	// orderUntil is until when orders may be sent, on the clock that counts
@@ -77,13 +78,13 @@
 	listSeen     time.Duration
 }
 
-// run keeps the leases until the context ends.
-func (k *keeper) run(ctx context.Context) {
-	k.resume(ctx)
+// run takes over whenever it is this VM's turn, until the context ends.
+func (c *candidate) run(ctx context.Context) {
+	c.resume(ctx)
 	var due time.Duration
 	for pause.For(ctx, candidateStep) {
-		now := k.Clock.Now()
-		rank, stands := k.candidate()
+		now := c.Clock.Now()
+		rank, stands := c.succession()
 		if stands || rank < 0 {
 			due = 0
 			continue
@@ -95,8 +96,8 @@
 			continue
 		}
 		due = 0
-		if err := k.takeOver(ctx); err != nil {
-			k.Log.Warn().Str("step", "leases").Str("service", k.service).Int("rank", rank).Err(err).Msg("not taken over")
+		if err := c.takeOver(ctx); err != nil {
+			c.Log.Warn().Str("step", "leases").Str("service", c.service).Int("rank", rank).Err(err).Msg("not taken over")
 		}
 	}
 }
@@ -107,42 +108,42 @@
 // Load pattern: all processes end at the same moment and start again. All keys
 // lapse until there is a grantor; the time to meet the others is too long for
 // that. The one VM that the record names needs no agreement.
-func (k *keeper) resume(ctx context.Context) {
-	for !k.Standing.Listed() {
+func (c *candidate) resume(ctx context.Context) {
+	for !c.LocalState.Listed() {
 		if !pause.For(ctx, leadStep) {
 			return
 		}
 	}
-	r, _, err := k.read(ctx)
-	if err != nil || r.Holder != k.Self.VM || r.HolderAddr != k.Self.Addr || r.Incarnation == k.Self.Incarnation {
+	r, _, err := c.read(ctx)
+	if err != nil || r.Holder != c.Self.VM || r.HolderAddr != c.Self.Addr || r.Incarnation == c.Self.Incarnation {
 		return
 	}
-	if err := k.takeOver(ctx); err != nil {
-		k.Log.Warn().Str("step", "leases").Str("service", k.service).Err(err).Msg("not resumed")
+	if err := c.takeOver(ctx); err != nil {
+		c.Log.Warn().Str("step", "leases").Str("service", c.service).Err(err).Msg("not resumed")
 	}
 }
 
-// candidate returns this VM's place in the line of successors, and whether the
-// present grantor stands.
-func (k *keeper) candidate() (rank int, stands bool) {
-	now := k.Clock.Now()
-	if k.Standing.Leaving() || now-k.startedAt < meetTime {
+// succession returns this VM's rank among the successors, and whether the present grantor
+// stands.
+func (c *candidate) succession() (rank int, stands bool) {
+	now := c.Clock.Now()
+	if c.LocalState.Leaving() || now-c.startedAt < meetTime {
 		return -1, false
 	}
-	r := k.Leases.Of(k.service)
-	if r != nil && r.Holder != k.Self.VM && k.Mesh.Lives(r.Holder, r.Incarnation) && !k.stranded(r.Holder) {
+	r := c.Leases.Of(c.service)
+	if r != nil && r.Holder != c.Self.VM && c.Mesh.Lives(r.Holder, r.Incarnation) && !c.stranded(r.Holder) {
 		return -1, true
 	}
-	if r != nil && r.Holder == k.Self.VM && r.Incarnation == k.Self.Incarnation {
+	if r != nil && r.Holder == c.Self.VM && r.Incarnation == c.Self.Incarnation {
 		// Our own epoch ended on a conflict of its record. The others still see a
 		// grantor that lives; waiting for a place in the line would let the keys
 		// lapse.
 		return 0, false
 	}
-	rank = k.Standing.Place(k.service)
-	if int64(now) < k.unfitUntil.Load() {
+	rank = c.LocalState.Place(c.service)
+	if int64(now) < c.unfitUntil.Load() {
 		// All others come first; but where all resigned, one must do it.
-		rank += k.Mesh.Size()
+		rank += c.Mesh.Size()
 	}
 	return rank, false
 }
@@ -153,129 +154,129 @@
 // Failure: the store refuses single VMs while it serves the others. A grantor
 // among them renews what it granted, but cannot move a key: those of a target that
 // leaves or dies stay without service, or with it for too long.
-func (k *keeper) stranded(holder string) bool {
-	now := k.Clock.Now()
-	if !k.Standing.StoreUp() || k.Mesh.ReachesStoreIndirectly(holder) {
-		k.strandedSince = 0
+func (c *candidate) stranded(holder string) bool {
+	now := c.Clock.Now()
+	if !c.LocalState.StoreUp() || c.Mesh.ReachesStoreIndirectly(holder) {
+		c.strandedSince = 0
 		return false
 	}
-	if k.strandedSince == 0 {
-		k.strandedSince = now
+	if c.strandedSince == 0 {
+		c.strandedSince = now
 	}
-	return now-k.strandedSince > max(strandedAfter, strandedPeriods*k.Mesh.Period())
+	return now-c.strandedSince > max(strandedAfter, strandedPeriods*c.Mesh.Period())
 }
 
 // takeOver makes this VM the grantor and leads until it is succeeded.
-func (k *keeper) takeOver(ctx context.Context) error {
-	old, version, err := k.read(ctx)
+func (c *candidate) takeOver(ctx context.Context) error {
+	old, version, err := c.read(ctx)
 	fresh := errors.Is(err, platform.ErrNotFound)
 	if err != nil && !fresh {
 		return err
 	}
 	next := old
 	if fresh {
-		owners := k.firstOwners()
+		owners := c.firstOwners()
 		if owners == nil {
 			return nil
 		}
-		next = lease.Record{Service: k.service, Slices: lease.Even(min(slicesPerOwner*len(owners), slicesMost), owners)}
-	} else if k.stillLed(old) {
+		next = lease.Record{Service: c.service, Slices: lease.Even(min(slicesPerOwner*len(owners), slicesMost), owners)}
+	} else if c.stillLed(old) {
 		return nil
 	}
-	past := k.past(old, fresh)
+	past := c.past(old, fresh)
 	next.Epoch, next.Resigned = old.Epoch+1, false
-	next.Holder, next.HolderAddr, next.Incarnation = k.Self.VM, k.Self.Addr, k.Self.Incarnation
-	sent := k.Clock.Now()
-	version, err = k.write(ctx, next, version)
+	next.Holder, next.HolderAddr, next.Incarnation = c.Self.VM, c.Self.Addr, c.Self.Incarnation
+	sent := c.Clock.Now()
+	version, err = c.write(ctx, next, version)
 	if err != nil {
 		return err
 	}
-	done := k.Clock.Now()
-	timing := lease.Timing{Hold: min(holdTime, k.HoldMost), Renew: renewEvery, Retry: orderRetry, Cold: k.coldMove()}
-	k.Log.Info().Str("step", "leases").Str("service", k.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
+	done := c.Clock.Now()
+	timing := lease.Timing{Hold: min(holdTime, c.HoldMost), Renew: renewEvery, Retry: orderRetry, Cold: c.coldMove()}
+	c.Log.Info().Str("step", "leases").Str("service", c.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
 		Int("slices", len(next.Slices)).Int("past", int(past)).Msg("grantor of the service")
 	grants := lease.NewGrantor(next, timing, sent, done, past)
-	k.presume(grants, old)
-	newLeader(k, grants, version).run(ctx)
+	c.presume(grants, old)
+	newLeader(c, grants, version).run(ctx)
 	return nil
 }
 
 // presume has the owners that the predecessor granted last count as serving their keys for
 // as long as its grants last. They are dated from when it was last heard of.
-func (k *keeper) presume(grants *lease.Grantor, old lease.Record) {
-	last := k.Leases.Of(k.service)
-	heard, known := k.Mesh.LastHeard(old.Holder, old.Incarnation)
+func (c *candidate) presume(grants *lease.Grantor, old lease.Record) {
+	last := c.Leases.Of(c.service)
+	heard, known := c.Mesh.LastHeard(old.Holder, old.Incarnation)
 	if last == nil || last.Epoch != old.Epoch || !known {
 		return
 	}
-	grants.Presume(last, heard+min(holdTime, k.HoldMost)-renewEvery)
+	grants.Presume(last, heard+min(holdTime, c.HoldMost)-renewEvery)
 }
 
 // coldMove is how long keys are slow at an owner that got them without the state of
 // the last one.
-func (k *keeper) coldMove() time.Duration {
-	t := k.Fleet.View().Routes
+func (c *candidate) coldMove() time.Duration {
+	t := c.TargetDirectory.View().Routes
 	if t == nil {
 		return 0
 	}
-	return t.Config().Services[k.service].ColdMove
+	return t.Config().Services[c.service].ColdMove
 }
 
 // past tells what may still be in force of the grantor before. Its process has
 // ended for sure where another one runs at its address: this one, or one that the
 // mesh knows.
-func (k *keeper) past(old lease.Record, fresh bool) lease.Past {
+func (c *candidate) past(old lease.Record, fresh bool) lease.PriorGrants {
 	switch {
 	case fresh:
-		return lease.NoPast
-	case old.Resigned, k.Mesh.Replaced(old.Holder, old.HolderAddr, old.Incarnation):
-		return lease.PastEnded
+		return lease.NoPriorGrants
+	case old.Resigned, c.Mesh.Replaced(old.Holder, old.HolderAddr, old.Incarnation):
+		return lease.PriorGrantsEnded
 	}
-	return lease.PastUnknown
+	return lease.PriorGrantsUnknown
 }
 
 // stillLed tells whether the record names a grantor that lives, and makes it
 // known: this VM had not heard of it yet.
-func (k *keeper) stillLed(r lease.Record) bool {
-	if r.Resigned || r.Holder == k.Self.VM || !k.Mesh.Lives(r.Holder, r.Incarnation) || k.stranded(r.Holder) {
+func (c *candidate) stillLed(r lease.Record) bool {
+	if r.Resigned || r.Holder == c.Self.VM || !c.Mesh.Lives(r.Holder, r.Incarnation) || c.stranded(r.Holder) {
 		return false
 	}
-	old := k.Leases.Of(k.service)
+	old := c.Leases.Of(c.service)
 	if old != nil && old.Epoch == r.Epoch && old.Holder == "" {
 		// It said that it resigned, and could not write it.
 		return false
 	}
 	if old == nil || r.Epoch > old.Epoch {
-		k.Leases.Set(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
+		c.Leases.Set(lease.NewRouting(r, 0, func(int) lease.SliceState { return lease.Served }))
 	}
 	return true
 }
 
 // firstOwners returns the targets among which the keys are dealt for the first
 // time, or nil while more may still come.
-func (k *keeper) firstOwners() []lease.Owner {
-	view := k.Fleet.View()
-	now := k.Clock.Now()
-	list := view.ByService[k.service]
+func (c *candidate) firstOwners() []lease.Owner {
+	view := c.TargetDirectory.View()
+	now := c.Clock.Now()
+	list := view.ByService[c.service]
 	if len(list) == 0 {
-		k.listSeen = 0
+		c.listSeen = 0
 		return nil
 	}
-	if k.listSeen == 0 {
-		k.listSeen = now
+	if c.listSeen == 0 {
+		c.listSeen = now
 	}
-	if view.Targets.Revision != k.listRevision {
-		k.listRevision, k.listChanged = view.Targets.Revision, now
+	if view.Targets.Revision != c.listRevision {
+		c.listRevision, c.listChanged = view.Targets.Revision, now
 	}
-	if now-k.listChanged < listSettles && now-k.listSeen < listMost {
+	if now-c.listChanged < listSettles && now-c.listSeen < listMost {
 		return nil
 	}
-	return k.owners()
+	return c.owners()
 }
 
 // owners returns the targets that may own keys.
-func (k *keeper) owners() []lease.Owner {
-	list := k.Fleet.View().ByService[k.service]
+func (c *candidate) owners() []lease.Owner {
+	list := c.TargetDirectory.View().ByService[c.service]
 	out := make([]lease.Owner, len(list))
 	for i, t := range list {
 		out[i] = lease.Owner{ID: t.ID, Born: t.Born, Addr: t.Addr}
@@ -283,18 +284,18 @@
 	return out
 }
 
-func (k *keeper) id() platform.ID { return platform.ID{Kind: kindLeases, Name: k.service} }
+func (c *candidate) id() platform.ID { return platform.ID{Kind: kindLeases, Name: c.service} }
 
-func (k *keeper) read(ctx context.Context) (lease.Record, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.StoreTimeout)
+func (c *candidate) read(ctx context.Context) (lease.Record, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.StoreTimeout)
 	defer cancel()
-	o, err := k.Store.Get(ctx, k.id())
+	o, err := c.Store.Get(ctx, c.id())
 	if err != nil {
 		return lease.Record{}, 0, err
 	}
 	var r lease.Record
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
-		return lease.Record{}, 0, fmt.Errorf("read record of %s: %w", k.service, err)
+		return lease.Record{}, 0, fmt.Errorf("read record of %s: %w", c.service, err)
 	}
 	if err := r.Check(); err != nil {
 		return lease.Record{}, 0, err
@@ -302,13 +303,13 @@
 	return r, o.Version, nil
 }
 
-func (k *keeper) write(ctx context.Context, r lease.Record, version uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.StoreTimeout)
+func (c *candidate) write(ctx context.Context, r lease.Record, version uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.StoreTimeout)
 	defer cancel()
 	spec, err := json.Marshal(r)
 	if err != nil {
-		return 0, fmt.Errorf("encode record of %s: %w", k.service, err)
+		return 0, fmt.Errorf("encode record of %s: %w", c.service, err)
 	}
-	o, err := platform.Write(ctx, k.Store, platform.Object{Kind: kindLeases, Name: k.service, Version: version, Writer: k.Standing.Tag(), Spec: spec})
+	o, err := platform.Write(ctx, c.Store, platform.Object{Kind: kindLeases, Name: c.service, Version: version, Writer: c.LocalState.Tag(), Spec: spec})
 	return o.Version, err
 }
--- a/internal/gateway/grantor/keeper_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"encoding/json"
@@ -26,22 +26,22 @@
 	r := n.state
 	r.own("s", 3, 1, "t", lease.Served)
 	r.leases.Of("s").Holder, r.leases.Of("s").Incarnation = "holder", 5
-	k := &keeper{Keepers: n.Keepers, service: "s"}
+	k := &candidate{Manager: n.Manager, service: "s"}
 
-	_, stands := k.candidate()
+	_, stands := k.succession()
 	require.True(t, stands)
 	n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
-	_, stands = k.candidate()
+	_, stands = k.succession()
 	require.True(t, stands)
 	for range 5 {
 		clock.now += strandedAfter / 4
 		n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
-		_, stands = k.candidate()
+		_, stands = k.succession()
 	}
 	require.False(t, stands)
 
 	n.storeUp.Store(false)
-	_, stands = k.candidate()
+	_, stands = k.succession()
 	require.True(t, stands, "a VM without the store succeeds nobody")
 }
 
@@ -54,11 +54,11 @@
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
 	n.state.own("s", 3, 1, "t", lease.Served)
 	n.state.leases.Of("s").Holder, n.state.leases.Of("s").Incarnation = "holder", 5
-	k := &keeper{Keepers: n.Keepers, service: "s"}
+	k := &candidate{Manager: n.Manager, service: "s"}
 	for range 20 {
 		clock.now += strandedAfter / 4
 		n.hear(mesh.Heartbeat{From: holder, StoreLost: true, StoreRelayed: true})
-		_, stands := k.candidate()
+		_, stands := k.succession()
 		require.True(t, stands)
 	}
 }
@@ -77,7 +77,7 @@
 	n.Store = store
 	n.storeUp.Store(false)
 	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "relay", Addr: "127.0.0.1:1", Incarnation: 5}})
-	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, clock.now, clock.now, lease.PastEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, clock.now, clock.now, lease.PriorGrantsEnded), 1)
 	clock.now += relayedConfirmEvery + time.Millisecond
 	l.confirmEpoch(t.Context(), clock.now)
 	(<-l.events)()
@@ -93,7 +93,7 @@
 	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
 	n.state.own("s", 3, 1, "t", lease.Served)
 	n.state.leases.Of("s").Holder, n.state.leases.Of("s").Incarnation = "holder", 5
-	_, stands := (&keeper{Keepers: n.Keepers, service: "s"}).candidate()
+	_, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.False(t, stands)
 }
 
@@ -109,7 +109,7 @@
 	n.state.own("s", 3, 1, "t", lease.Served)
 	r := n.state.leases.Of("s")
 	r.Holder, r.Incarnation = "self", n.Self.Incarnation
-	rank, stands := (&keeper{Keepers: n.Keepers, service: "s"}).candidate()
+	rank, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.False(t, stands)
 	require.Zero(t, rank)
 }
@@ -121,10 +121,10 @@
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, timing, n.Clock.Now(), n.Clock.Now(), lease.PastEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
 	l.publish(l.vacant())
 	require.Empty(t, n.state.routingOf("s").Holder)
-	_, stands := (&keeper{Keepers: n.Keepers, service: "s"}).candidate()
+	_, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.False(t, stands)
 }
 
@@ -141,7 +141,7 @@
 	store := &changingStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
 	n.Store = store
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.PastEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.PriorGrantsEnded), 1)
 	n.leaving.Store(true)
 	tries := func(count int) {
 		for range count {
@@ -170,7 +170,7 @@
 	n := testNode(&handClock{now: time.Hour})
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
-	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, n.Clock.Now(), n.Clock.Now(), lease.PastEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
 	l.resign(t.Context())
 	(<-l.events)()
 	require.False(t, l.deposed)
@@ -188,9 +188,9 @@
 	r := n.state.leases.Of("s")
 	r.Holder, r.Incarnation = "holder", 5
 	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}, Leaving: true})
-	_, stands := (&keeper{Keepers: n.Keepers, service: "s"}).candidate()
+	_, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.True(t, stands)
 	r.Holder = ""
-	_, stands = (&keeper{Keepers: n.Keepers, service: "s"}).candidate()
+	_, stands = (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.False(t, stands)
 }
--- a/internal/gateway/grantor/heldorders_test.go
+++ b/internal/gateway/leasing/heldorders_test.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"encoding/json"
@@ -68,7 +68,7 @@
 	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
 	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPast), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPriorGrants), 1)
 	for _, o := range []lease.Owner{oldOwner, nextOwner} {
 		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
 		l.grants.LifeConfirmed(o)
--- a/internal/gateway/grantor/lives.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 // VM away it does so more often, which shows the others that a relay works.
 func (l *leader) confirmEpoch(ctx context.Context, now time.Duration) {
 	every := confirmEvery
-	if !l.Standing.StoreUp() && len(l.Mesh.StoreRelays()) > 0 {
+	if !l.LocalState.StoreUp() && len(l.Mesh.StoreRelays()) > 0 {
 		every = relayedConfirmEvery
 	}
 	if now-l.grants.ConfirmedAt() > every {
@@ -27,16 +27,16 @@
 	if l.reading {
 		return
 	}
-	l.askEpoch(ctx, func(err error) {
+	l.queryEpoch(ctx, func(err error) {
 		l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("epoch not confirmed")
 		pause.For(ctx, l.StorePause)
 	}, func() {})
 }
 
-// askEpoch reads the record beside the leader's goroutine and notes its epoch. failed is
+// queryEpoch reads the record beside the leader's goroutine and notes its epoch. failed is
 // called there after a failure, before the leader may ask again; then in the leader's own
 // goroutine after an answer. One question is on its way at a time.
-func (l *leader) askEpoch(ctx context.Context, failed func(err error), then func()) {
+func (l *leader) queryEpoch(ctx context.Context, failed func(err error), then func()) {
 	l.reading = true
 	go func() {
 		sent := l.Clock.Now()
@@ -44,18 +44,18 @@
 		if err != nil {
 			failed(err)
 		}
-		l.later(ctx, func() {
+		l.enqueue(ctx, func() {
 			l.reading = false
 			if err != nil {
 				return
 			}
-			l.noteEpoch(r, sent)
+			l.recordEpoch(r, sent)
 			then()
 		})
 	}()
 }
 
-func (l *leader) noteEpoch(r lease.Record, sent time.Duration) {
+func (l *leader) recordEpoch(r lease.Record, sent time.Duration) {
 	if r.Epoch != l.grants.Record().Epoch || r.Incarnation != l.Self.Incarnation {
 		l.deposed = true
 		return
@@ -63,14 +63,14 @@
 	l.grants.Confirmed(sent)
 }
 
-// confirmLives opens connections to owners to which an order broke and then asks
+// confirmIncarnations opens connections to owners to which an order broke and then asks
 // the store whether they are in the same life and the epoch stands.
 //
 // Failure: a target restarts under its id. It has forgotten its fences and would
 // take a grant of a grantor that was succeeded meanwhile, for keys that another
 // owns. A connection that was opened before the store was asked breaks with the
 // life that it was opened to.
-func (l *leader) confirmLives(ctx context.Context, now time.Duration) {
+func (l *leader) confirmIncarnations(ctx context.Context, now time.Duration) {
 	if l.checking || now < l.checkNext {
 		return
 	}
@@ -88,23 +88,23 @@
 	for i, o := range owners {
 		lines[i] = l.line(ctx, o)
 	}
-	go l.checkLives(ctx, owners, lines)
+	go l.checkIncarnations(ctx, owners, lines)
 }
 
 // listed tells whether the target is listed in this life.
 func (l *leader) listed(o lease.Owner) bool {
-	t := l.Fleet.View().ByID[o.ID]
+	t := l.TargetDirectory.View().ByID[o.ID]
 	return t != nil && t.Born == o.Born
 }
 
-func (l *leader) checkLives(ctx context.Context, owners []lease.Owner, lines []*orderLine) {
+func (l *leader) checkIncarnations(ctx context.Context, owners []lease.Owner, lines []*orderLine) {
 	connected := connectAll(ctx, owners, lines)
 	var confirmed []lease.Owner
 	var record lease.Record
 	sent := l.Clock.Now()
 	var err error
 	if len(connected) > 0 {
-		confirmed, err = l.askLives(ctx, connected)
+		confirmed, err = l.queryIncarnations(ctx, connected)
 		if err == nil {
 			record, _, err = l.read(ctx)
 		}
@@ -112,12 +112,12 @@
 	if err != nil {
 		l.Log.Warn().Str("step", "leases").Str("service", l.service).Err(err).Msg("lives of targets not confirmed")
 	}
-	l.later(ctx, func() {
+	l.enqueue(ctx, func() {
 		l.checking = false
 		if err != nil || len(connected) == 0 {
 			return
 		}
-		l.noteEpoch(record, sent)
+		l.recordEpoch(record, sent)
 		if l.deposed {
 			return
 		}
@@ -153,8 +153,8 @@
 	return out
 }
 
-// askLives returns those owners that the store lists in the same life.
-func (l *leader) askLives(ctx context.Context, owners []lease.Owner) ([]lease.Owner, error) {
+// queryIncarnations returns those owners that the store lists in the same life.
+func (l *leader) queryIncarnations(ctx context.Context, owners []lease.Owner) ([]lease.Owner, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.StoreTimeout)
 	defer cancel()
 	list, err := l.Store.ListKind(ctx, l.Orders.TargetKind())
@@ -163,7 +163,7 @@
 	}
 	born := make(map[string]int64, len(list.Objects))
 	for _, o := range list.Objects {
-		if t, ok := l.Fleet.ReadTarget(o); ok {
+		if t, ok := l.TargetDirectory.ReadTarget(o); ok {
 			born[t.ID] = t.Born
 		}
 	}
@@ -176,9 +176,9 @@
 	return out, nil
 }
 
-// noteLives notes the ends of lives: targets that are listed with a later start.
-func (l *leader) noteLives() {
-	for id, t := range l.Fleet.View().ByID {
+// recordIncarnations notes the ends of lives: targets that are listed with a later start.
+func (l *leader) recordIncarnations() {
+	for id, t := range l.TargetDirectory.View().ByID {
 		if l.bornKnown[id] == t.Born {
 			continue
 		}
--- a/internal/gateway/grantor/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -45,7 +45,7 @@
 // leader is the grantor of one service at work. Its goroutine owns the state of
 // the grants; orders and calls to the store run beside it and report by events.
 type leader struct {
-	*keeper
+	*candidate
 	grants  *lease.Grantor
 	version uint64
 	seq     uint64
@@ -73,9 +73,9 @@
 	bornKnown  map[string]int64
 }
 
-func newLeader(k *keeper, g *lease.Grantor, version uint64) *leader {
+func newLeader(k *candidate, g *lease.Grantor, version uint64) *leader {
 	l := &leader{
-		keeper: k, grants: g, version: version, events: make(chan func(), eventQueue),
+		candidate: k, grants: g, version: version, events: make(chan func(), eventQueue),
 		broadcaster: newLeaseBroadcaster(k.pushLeases, k.Log, k.Self.LinkMbps, k.Leases.Of(k.service)),
 		lines:       make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
 		lag: fitness.NewMeter(leadStep),
@@ -118,8 +118,8 @@
 	}
 }
 
-// later hands an event to the leader's goroutine.
-func (l *leader) later(ctx context.Context, event func()) {
+// enqueue hands an event to the leader's goroutine.
+func (l *leader) enqueue(ctx context.Context, event func()) {
 	select {
 	case l.events <- event:
 	case <-ctx.Done():
@@ -133,20 +133,20 @@
 		return
 	}
 	slow := l.lag.Note(now)
-	if slow || l.Standing.Leaving() || l.strayed(now) {
+	if slow || l.LocalState.Leaving() || l.strayed(now) {
 		l.tryResign(ctx, now)
 	}
 	if l.resigning {
 		return
 	}
 	l.orderUntil.Store(int64(l.grants.ConfirmedAt() + lease.Authority))
-	l.notePlanned(ctx, now)
+	l.writePlanned(ctx, now)
 	for _, o := range l.grants.Due(now) {
 		l.send(ctx, o)
 	}
 	l.logMoves(now)
-	l.askLoad(ctx, now)
-	l.confirmLives(ctx, now)
+	l.queryLoad(ctx, now)
+	l.confirmIncarnations(ctx, now)
 	l.confirmEpoch(ctx, now)
 	l.publishChanges(now)
 }
@@ -181,7 +181,7 @@
 		return
 	}
 	l.resignNext = now + resignPause
-	l.askEpoch(ctx, func(err error) {
+	l.queryEpoch(ctx, func(err error) {
 		l.Log.Info().Str("step", "leases").Str("service", l.service).Err(err).Msg("not resigned, nobody could take over")
 	}, func() {
 		if !l.deposed && !l.writing {
@@ -202,8 +202,8 @@
 	go func() {
 		_, err := l.write(ctx, next, version)
 		l.Log.Info().Str("step", "leases").Str("service", l.service).Uint64("epoch", next.Epoch).Dur("lag", lag).Dur("waited", waited).
-			Bool("leaving", l.Standing.Leaving()).Err(err).Msg("grantor resigned")
-		l.later(ctx, func() { l.resigned(err) })
+			Bool("leaving", l.LocalState.Leaving()).Err(err).Msg("grantor resigned")
+		l.enqueue(ctx, func() { l.resigned(err) })
 	}()
 }
 
--- a/internal/gateway/grantor/grantor.go
+++ b/internal/gateway/leasing/leasing.go
@@ -1,11 +1,11 @@
-// Package grantor does the work of granting keys for the VM that it runs on: it is the
+// Package leasing does the work of granting keys for the VM that it runs on: it is the
 // grantor of some keyed services and ready to become that of the others.
 //
 // It starts goroutines, sends orders to targets, writes the records of leases to the store
 // and tells the other VMs. What it decides stands where none of that is done: in
 // internal/lease, the state machine of the grants, and in internal/decide. Nothing on the
 // path of a request is here; that path reads what internal/gateway/published holds.
-package grantor
+package leasing
 
 import (
 	"context"
@@ -39,11 +39,11 @@
 	// StoreTimeout bounds a call to the store, StorePause follows a failed one.
 	StoreTimeout, StorePause time.Duration
 
-	Mesh     Mesh
-	Leases   *published.Leases
-	Standing Standing
-	Fleet    Fleet
-	Orders   Orders
+	Mesh            Mesh
+	Leases          *published.Leases
+	LocalState      LocalState
+	TargetDirectory TargetDirectory
+	Orders          Orders
 	// TargetIDHeader names the target that is meant, InstanceIDHeader the one that
 	// answers.
 	TargetIDHeader, InstanceIDHeader string
@@ -79,8 +79,8 @@
 	Call(ctx context.Context, vm, method string, args, reply any) error
 }
 
-// Standing tells how this VM stands.
-type Standing interface {
+// LocalState tells how this VM stands.
+type LocalState interface {
 	// StoreUp tells whether the store answered last.
 	StoreUp() bool
 	// Listed tells whether the targets are known.
@@ -96,8 +96,8 @@
 	Tag() string
 }
 
-// Fleet is what this VM believes of targets and services.
-type Fleet interface {
+// TargetDirectory is what this VM believes of targets and services.
+type TargetDirectory interface {
 	// View returns the routes and targets.
 	View() *catalog.View
 	// ReadTarget reads a target's entry; false if it names no target to use.
@@ -122,10 +122,11 @@
 	OrderResult(a *upstream.Answer) (result lease.Result, handover string, err error)
 }
 
-// Keepers keep the leases of all keyed services.
-type Keepers struct {
+// Manager manages the leases of all keyed services for this VM: as their grantor, or as a
+// candidate to succeed it.
+type Manager struct {
 	Deps
-	// ctx ends with the process: what is told of leases outlasts their grantor.
+	// ctx ends with the process: updates to other VMs outlast their grantor.
 	ctx context.Context
 
 	// startedAt is when this process began.
@@ -136,24 +137,24 @@
 	unfitUntil atomic.Int64
 }
 
-// New returns keepers that do nothing yet. The context ends with the process.
-func New(ctx context.Context, d Deps) *Keepers {
-	return &Keepers{Deps: d, ctx: ctx, startedAt: d.Clock.Now()}
+// New returns a manager that does nothing yet. The context ends with the process.
+func New(ctx context.Context, d Deps) *Manager {
+	return &Manager{Deps: d, ctx: ctx, startedAt: d.Clock.Now()}
 }
 
 // Leading returns the number of services whose grantor this VM is.
-func (k *Keepers) Leading() int { return int(k.leading.Load()) }
+func (m *Manager) Leading() int { return int(m.leading.Load()) }
 
-// Run runs a keeper for each keyed service of the configuration until the context ends.
-func (k *Keepers) Run(ctx context.Context) {
+// Run runs a candidate for each keyed service of the configuration until the context ends.
+func (m *Manager) Run(ctx context.Context) {
 	running := make(map[string]context.CancelFunc)
 	for pause.For(ctx, candidateStep) {
-		keyed := k.keyedServices()
+		keyed := m.keyedServices()
 		for name := range keyed {
 			if running[name] == nil {
-				keeperCtx, cancel := context.WithCancel(ctx)
+				serviceCtx, cancel := context.WithCancel(ctx)
 				running[name] = cancel
-				go (&keeper{Keepers: k, service: name}).run(keeperCtx)
+				go (&candidate{Manager: m, service: name}).run(serviceCtx)
 			}
 		}
 		for name, cancel := range running {
@@ -165,9 +166,9 @@
 	}
 }
 
-func (k *Keepers) keyedServices() map[string]bool {
+func (m *Manager) keyedServices() map[string]bool {
 	out := make(map[string]bool)
-	if t := k.Fleet.View().Routes; t != nil {
+	if t := m.TargetDirectory.View().Routes; t != nil {
 		for name, s := range t.Config().Services {
 			if s.Keyed {
 				out[name] = true
@@ -179,7 +180,7 @@
 
 // AwaitSuccessors waits until this VM is no grantor any more, which takes the store, or
 // until the process must end.
-func (k *Keepers) AwaitSuccessors(ctx context.Context) {
-	for k.leading.Load() > 0 && pause.For(ctx, leadStep) {
+func (m *Manager) AwaitSuccessors(ctx context.Context) {
+	for m.leading.Load() > 0 && pause.For(ctx, leadStep) {
 	}
 }
--- a/internal/gateway/grantor/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -11,13 +11,13 @@
 	"hemlockquay/internal/platform"
 )
 
-// notePlanned looks who should own what and has changes written.
-func (l *leader) notePlanned(ctx context.Context, now time.Duration) {
-	if l.writing || now < l.planNext || !l.Standing.StoreReachable() {
+// writePlanned looks who should own what and has changes written.
+func (l *leader) writePlanned(ctx context.Context, now time.Duration) {
+	if l.writing || now < l.planNext || !l.LocalState.StoreReachable() {
 		return
 	}
 	l.planNext = now + planEvery
-	l.noteLives()
+	l.recordIncarnations()
 	var changes []lease.Change
 	if !l.unsettled {
 		if changes = l.plan(now); len(changes) == 0 {
@@ -28,14 +28,14 @@
 	for _, c := range changes {
 		s := l.grants.Record().Slices[c.Slice]
 		l.Log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
-			Str("to", c.To.ID).Uint64("targets", l.Fleet.View().Targets.Revision).Msg("keys get another owner")
+			Str("to", c.To.ID).Uint64("targets", l.TargetDirectory.View().Targets.Revision).Msg("keys get another owner")
 	}
 	l.writing = true
 	version := l.version
 	go func() {
 		sent := l.Clock.Now()
 		written, err := l.write(ctx, next, version)
-		l.later(ctx, func() { l.written(next, written, sent, err) })
+		l.enqueue(ctx, func() { l.written(next, written, sent, err) })
 	}()
 }
 
@@ -83,17 +83,17 @@
 	if l.moving() >= evenMoving || !lease.Uneven(record.Slices, live) {
 		return nil
 	}
-	return lease.EvenOut(record.Slices, live, l.burden(live, now))
+	return lease.EvenOut(record.Slices, live, l.targetLoad(live, now))
 }
 
-// burden tells what the measured load says of slices and owners.
-func (l *leader) burden(live []lease.Owner, now time.Duration) lease.Burden {
+// targetLoad tells what the measured load says of slices and owners.
+func (l *leader) targetLoad(live []lease.Owner, now time.Duration) lease.TargetLoad {
 	ranges, _, capacity := l.loads(live, now)
 	load := make(map[lease.Owner]float64, len(live))
 	for i, v := range keyspread.Loads(ranges, capacity) {
 		load[live[i]] = v
 	}
-	return lease.Burden{
+	return lease.TargetLoad{
 		Moving: func(i int) bool { return ranges[i].Fixed },
 		Rate:   func(i int) float64 { return ranges[i].Rate },
 		Busy:   func(o lease.Owner) bool { return keyspread.Busy(load[o]) },
--- a/internal/gateway/grantor/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -76,7 +76,7 @@
 		case g := <-line.grants:
 			waited := l.Clock.Now() - g.since
 			if l.order(ctx, line, g.Order, upstream.KeptConn, grantTimeout) == lease.Done {
-				l.later(ctx, func() { l.lag.Granted(waited) })
+				l.enqueue(ctx, func() { l.lag.Granted(waited) })
 			}
 		}
 	}
@@ -110,7 +110,7 @@
 		l.Log.Warn().Str("step", "order").Str("service", l.service).Str("target", o.Target.ID).Stringer("kind", o.Kind).
 			Uint16("from", o.From).Uint64("fence", o.Fence).Stringer("result", result).Dur("took", over-sent).Err(err).Msg("order not done")
 	}
-	l.later(ctx, func() { l.ended(ctx, o, result, handover, sent, over) })
+	l.enqueue(ctx, func() { l.ended(ctx, o, result, handover, sent, over) })
 	return result
 }
 
@@ -145,7 +145,7 @@
 // might have reached the lost owner is out, twelve seconds longer after a
 // succession, its keys had no service.
 func (l *leader) replaced(ctx context.Context, line *orderLine, o lease.Owner) bool {
-	table := l.Fleet.View().Routes
+	table := l.TargetDirectory.View().Routes
 	if table == nil {
 		return false
 	}
--- a/internal/gateway/grantor/play_test.go
+++ b/internal/gateway/leasing/play_test.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -45,7 +45,7 @@
 
 // node plays the VM of a grantor, without goroutines, targets or a store that answers.
 type node struct {
-	*Keepers
+	*Manager
 	mesh    *mesh.Mesh
 	state   *state
 	storeUp atomic.Bool
@@ -57,10 +57,10 @@
 	n := &node{state: testState(clock)}
 	self := mesh.Member{VM: "self", Addr: "127.0.0.1:1", DataCentre: "a", Incarnation: uint64(time.Now().UnixNano())}
 	n.mesh = mesh.New(self, clock, quiet())
-	n.Keepers = New(context.Background(), Deps{
+	n.Manager = New(context.Background(), Deps{
 		Self: self, Clock: clock, Log: quiet(), Registry: metrics.NewRegistry(), HoldMost: 10 * time.Second,
 		Store: &changingStore{}, StoreTimeout: time.Second, StorePause: 400 * time.Millisecond,
-		Mesh: n.mesh, Leases: n.state.leases, Standing: standing{n}, Fleet: emptyFleet{}, Orders: plainOrders{},
+		Mesh: n.mesh, Leases: n.state.leases, LocalState: localState{n}, TargetDirectory: emptyDirectory{}, Orders: plainOrders{},
 		TargetIDHeader: "Target", InstanceIDHeader: "Instance",
 	})
 	n.mesh.Start(n)
@@ -82,25 +82,27 @@
 // Heard implements mesh.Local.
 func (*node) Heard(mesh.Heartbeat) {}
 
-// standing is that of a node which comes last in the line for each duty.
-type standing struct{ n *node }
-
-func (s standing) StoreUp() bool        { return s.n.storeUp.Load() }
-func (s standing) StoreReachable() bool { return s.n.storeUp.Load() }
-func (s standing) Listed() bool         { return true }
-func (s standing) Leaving() bool        { return s.n.leaving.Load() }
-func (s standing) Place(string) int     { return s.n.mesh.Size() - 1 }
-func (s standing) Tag() string          { return strconv.FormatUint(s.n.tags.Add(1), 10) }
-
-// emptyFleet knows no routes and targets.
-type emptyFleet struct{}
-
-func (emptyFleet) View() *catalog.View                               { return catalog.NewView(nil, catalog.Targets{}) }
-func (emptyFleet) ReadTarget(platform.Object) (catalog.Target, bool) { return catalog.Target{}, false }
-func (emptyFleet) Slots(string) int                                  { return 0 }
-func (emptyFleet) UsualTime(string) (time.Duration, bool)            { return 0, false }
-func (emptyFleet) Coldness(string) float64                           { return 1 }
-func (emptyFleet) TakeKeyLoad(string) KeyLoad                        { return KeyLoad{} }
+// localState is that of a node which comes last in the line for each duty.
+type localState struct{ n *node }
+
+func (s localState) StoreUp() bool        { return s.n.storeUp.Load() }
+func (s localState) StoreReachable() bool { return s.n.storeUp.Load() }
+func (s localState) Listed() bool         { return true }
+func (s localState) Leaving() bool        { return s.n.leaving.Load() }
+func (s localState) Place(string) int     { return s.n.mesh.Size() - 1 }
+func (s localState) Tag() string          { return strconv.FormatUint(s.n.tags.Add(1), 10) }
+
+// emptyDirectory knows no routes and targets.
+type emptyDirectory struct{}
+
+func (emptyDirectory) View() *catalog.View { return catalog.NewView(nil, catalog.Targets{}) }
+func (emptyDirectory) ReadTarget(platform.Object) (catalog.Target, bool) {
+	return catalog.Target{}, false
+}
+func (emptyDirectory) Slots(string) int                       { return 0 }
+func (emptyDirectory) UsualTime(string) (time.Duration, bool) { return 0, false }
+func (emptyDirectory) Coldness(string) float64                { return 1 }
+func (emptyDirectory) TakeKeyLoad(string) KeyLoad             { return KeyLoad{} }
 
 // plainOrders are orders as JSON.
 type plainOrders struct{}
--- a/internal/gateway/grantor/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 )
 
 const (
-	// askLoadEvery is how often the grantor asks the VMs for the load of keys.
-	askLoadEvery = 250 * time.Millisecond
+	// queryLoadEvery is how often the grantor asks the VMs for the load of keys.
+	queryLoadEvery = 250 * time.Millisecond
 	// spreadEvery is the least time between two looks at the load: rates fade
 	// over about a second, and a move takes a few hundred milliseconds.
 	spreadEvery = 300 * time.Millisecond
@@ -62,14 +62,14 @@
 	return sum / float64(n)
 }
 
-// askLoad collects the load of keys from all VMs.
-func (l *leader) askLoad(ctx context.Context, now time.Duration) {
-	if now-l.load.asked < askLoadEvery {
+// queryLoad collects the load of keys from all VMs.
+func (l *leader) queryLoad(ctx context.Context, now time.Duration) {
+	if now-l.load.asked < queryLoadEvery {
 		return
 	}
 	l.load.asked = now
 	l.load.rates.Advance(now)
-	l.load.take(l.Self.VM, l.Fleet.TakeKeyLoad(l.service))
+	l.load.take(l.Self.VM, l.TargetDirectory.TakeKeyLoad(l.service))
 	for _, vm := range l.Mesh.Others() {
 		go func() {
 			var in KeyLoad
@@ -77,7 +77,7 @@
 				l.Log.Debug().Str("step", "load").Str("peer", vm).Err(err).Msg("load of keys not known")
 				return
 			}
-			l.later(ctx, func() { l.load.take(vm, in) })
+			l.enqueue(ctx, func() { l.load.take(vm, in) })
 		}()
 	}
 }
@@ -135,7 +135,7 @@
 		from[i] = s.From
 	}
 	sums := l.load.rates.Sums(from)
-	coldness := l.Fleet.Coldness(l.service)
+	coldness := l.TargetDirectory.Coldness(l.service)
 	ranges := make([]keyspread.Range, len(record.Slices))
 	for i, s := range record.Slices {
 		owner, ok := index[s.Owner]
@@ -156,8 +156,8 @@
 
 // capacityOf returns how many requests a second a target can do.
 func (l *leader) capacityOf(o lease.Owner) float64 {
-	slots, usual := max(l.Fleet.Slots(o.ID), 1), assumedTime
-	if d, known := l.Fleet.UsualTime(l.service); known {
+	slots, usual := max(l.TargetDirectory.Slots(o.ID), 1), assumedTime
+	if d, known := l.TargetDirectory.UsualTime(l.service); known {
 		usual = d
 	}
 	return float64(slots) / (usual.Seconds() * l.load.slownessOf(catalog.Hash(o.ID)))
--- a/internal/gateway/grantor/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -1,4 +1,4 @@
-package grantor
+package leasing
 
 import (
 	"testing"
@@ -19,7 +19,7 @@
 	slow, hot, idle := lease.Owner{ID: "slow"}, lease.Owner{ID: "hot"}, lease.Owner{ID: "idle"}
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.Even(6, []lease.Owner{slow, hot, idle})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&keeper{Keepers: n.Keepers, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPast), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPriorGrants), 1)
 	live := []lease.Owner{slow, hot, idle}
 	for _, o := range live {
 		l.grants.LifeConfirmed(o)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -19,7 +19,7 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/daemon"
-	"hemlockquay/internal/gateway/grantor"
+	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
@@ -45,7 +45,7 @@
 	bodies   bodyRoom
 	// transfers sends configurations and lists of targets to other VMs.
 	transfers *transfers
-	keepers   *grantor.Keepers
+	leasing   *leasing.Manager
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -105,7 +105,7 @@
 	n.state.turn = int(catalog.Hash(s.VM))
 	n.gauges()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.keepers = n.newKeepers()
+	n.leasing = n.newLeaseManager()
 	return n
 }
 
@@ -128,7 +128,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.keepers.Run, n.tellLoads, n.sweep, n.reload,
+		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.leasing.Run, n.tellLoads, n.sweep, n.reload,
 	} {
 		go duty(n.ctx)
 	}
@@ -231,8 +231,8 @@
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
 	defer cancel()
 	err := n.front.Shutdown(stopCtx)
-	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", n.keepers.Leading()).Msg("front closed")
-	n.keepers.AwaitSuccessors(stopCtx)
+	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", n.leasing.Leading()).Msg("front closed")
+	n.leasing.AwaitSuccessors(stopCtx)
 	n.cancel()
 	n.mesh.Close()
 	n.peers.Close()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"hemlockquay/internal/decide/pick"
-	"hemlockquay/internal/gateway/grantor"
+	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
@@ -131,16 +131,16 @@
 }
 
 // KeyLoad returns what this VM has seen, and starts anew.
-func (v View) KeyLoad(service *string, out *grantor.KeyLoad) error {
+func (v View) KeyLoad(service *string, out *leasing.KeyLoad) error {
 	*out = v.node.state.takeKeyLoad(*service)
 	return nil
 }
 
 // takeKeyLoad returns the counts and starts anew.
-func (s *state) takeKeyLoad(service string) grantor.KeyLoad {
+func (s *state) takeKeyLoad(service string) leasing.KeyLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out grantor.KeyLoad
+	var out leasing.KeyLoad
 	for key, n := range s.keyLoad[service] {
 		out.Keys = append(out.Keys, key)
 		out.Requests = append(out.Requests, n)
--- a/internal/lease/bounds_test.go
+++ b/internal/lease/bounds_test.go
@@ -35,7 +35,7 @@
 // when it was sent.
 func renewing(t *testing.T, owner Owner) (g *Grantor, renewal Order, now time.Duration) {
 	now = time.Hour
-	g = NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{owner})}, worldTiming, now, now, NoPast)
+	g = NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{owner})}, worldTiming, now, now, NoPriorGrants)
 	g.LifeConfirmed(owner)
 	for _, o := range g.Due(now) {
 		g.Ended(o, Done, "", now, now)
@@ -53,13 +53,13 @@
 func TestLastGrantOfAnUnknownPastIsOnItsWayForAWhile(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
 	record := Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}
-	first := NewGrantor(record, worldTiming, time.Hour, time.Hour, NoPast)
+	first := NewGrantor(record, worldTiming, time.Hour, time.Hour, NoPriorGrants)
 	first.LifeConfirmed(a)
 	sent := time.Hour + Authority - time.Millisecond
 	require.Len(t, first.Due(sent), 1)
 
 	record.Epoch++
-	next := NewGrantor(record, worldTiming, time.Hour, time.Hour, PastUnknown)
+	next := NewGrantor(record, worldTiming, time.Hour, time.Hour, PriorGrantsUnknown)
 	next.Commit(next.Plan([]Change{{Slice: 0, To: b}}), time.Hour)
 	granted := grantedAt(t, next, time.Hour, a, b)
 	require.GreaterOrEqual(t, granted, outOf(sent+worldGiveUp), "given up")
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -77,17 +77,17 @@
 	presumedUntil time.Duration
 }
 
-// Past says what may still be in force of the grantors before.
-type Past int
+// PriorGrants says what may still be in force of the grantors before.
+type PriorGrants int
 
 // The pasts.
 const (
-	// NoPast: no grant was ever sent for this service.
-	NoPast Past = iota
-	// PastEnded: the predecessor has sent its last order before the write.
-	PastEnded
-	// PastUnknown: the predecessor may go on for as long as its authority lasts.
-	PastUnknown
+	// NoPriorGrants: no grant was ever sent for this service.
+	NoPriorGrants PriorGrants = iota
+	// PriorGrantsEnded: the predecessor has sent its last order before the write.
+	PriorGrantsEnded
+	// PriorGrantsUnknown: the predecessor may go on for as long as its authority lasts.
+	PriorGrantsUnknown
 )
 
 // inFlight bounds the way of a predecessor's last grant: its connection is reset when it is
@@ -97,8 +97,8 @@
 
 // lastGrant returns when the last grant of a predecessor may have arrived, after
 // the successor's write was done.
-func (p Past) lastGrant(done time.Duration) time.Duration {
-	if p == PastEnded {
+func (p PriorGrants) lastGrant(done time.Duration) time.Duration {
+	if p == PriorGrantsEnded {
 		return done + inFlight
 	}
 	return done + Authority + inFlight
@@ -106,14 +106,14 @@
 
 // NewGrantor returns the grantor of a record that it has just written with its
 // own epoch. sent and done date the write.
-func NewGrantor(r Record, t Timing, sent, done time.Duration, past Past) *Grantor {
+func NewGrantor(r Record, t Timing, sent, done time.Duration, past PriorGrants) *Grantor {
 	g := &Grantor{timing: t, record: r, confirmed: sent, nextFence: r.Epoch << epochShift}
 	g.confirmedLives, g.ended, g.contacts = make(map[Owner]bool), make(map[Owner]bool), make(map[Owner]*contact)
 	g.states = make([]state, len(r.Slices))
 	for i := range g.states {
 		s := &g.states[i]
 		s.fence = g.fence()
-		if past != NoPast {
+		if past != NoPriorGrants {
 			s.inherited = true
 			s.outAt = holdEnd(past.lastGrant(done), t.Hold)
 			s.previousOut = s.outAt
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -68,7 +68,7 @@
 	r.Epoch = 5
 	r.Slices[2].Owner, r.Slices[2].Previous = b, a
 	now := time.Hour
-	g := NewGrantor(r, worldTiming, now, now, PastUnknown)
+	g := NewGrantor(r, worldTiming, now, now, PriorGrantsUnknown)
 	g.Presume(last, now+time.Second)
 	require.Equal(t, Served, g.State(0, now))
 	require.Equal(t, Served, g.State(1, now))
@@ -88,7 +88,7 @@
 func TestSuccessorGrantsPresentOwnersAtOnce(t *testing.T) {
 	owners := []Owner{{ID: "a"}, {ID: "b"}}
 	r := Record{Service: "s", Epoch: 7, Slices: Even(4, owners)}
-	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, PastUnknown)
+	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, PriorGrantsUnknown)
 	for _, o := range g.Unconfirmed() {
 		g.LifeConfirmed(o)
 	}
@@ -104,7 +104,7 @@
 // send nothing: another may have moved the keys.
 func TestNothingIsOrderedPastTheAuthority(t *testing.T) {
 	r := Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{{ID: "a"}})}
-	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, NoPast)
+	g := NewGrantor(r, worldTiming, time.Hour, time.Hour, NoPriorGrants)
 	g.LifeConfirmed(Owner{ID: "a"})
 	require.Len(t, g.Due(time.Hour+Authority-1), 2)
 	require.Empty(t, g.Due(time.Hour+Authority))
@@ -116,7 +116,7 @@
 // out, and no later than a second after.
 func TestKeysOfALostOwnerAreFreeAfterTheHold(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPriorGrants)
 	g.LifeConfirmed(a)
 	g.LifeConfirmed(b)
 	now := time.Hour
@@ -144,7 +144,7 @@
 // answered, and requests for the keys are refused meanwhile.
 func TestTargetThatDoesNotAnswerIsAskedOnceAtATime(t *testing.T) {
 	a := Owner{ID: "a"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(100, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(100, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPriorGrants)
 	g.LifeConfirmed(a)
 	now := time.Hour
 	for _, o := range g.Due(now) {
@@ -173,7 +173,7 @@
 // the one of the release.
 func TestMoveReleasesThenGrantsWithHandover(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPast)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(1, []Owner{a})}, worldTiming, time.Hour, time.Hour, NoPriorGrants)
 	g.LifeConfirmed(a)
 	g.LifeConfirmed(b)
 	first := g.Due(time.Hour)[0]
@@ -204,8 +204,8 @@
 	require.Equal(t, map[string]int{"a": 2, "b": 2}, got)
 }
 
-// idle is a burden that keeps no slice where it is.
-var idle = Burden{
+// idle is a targetLoad that keeps no slice where it is.
+var idle = TargetLoad{
 	Moving: func(int) bool { return false },
 	Rate:   func(int) float64 { return 0 },
 	Busy:   func(Owner) bool { return false },
@@ -217,23 +217,23 @@
 	a, b, slow := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "slow"}
 	live := []Owner{a, b, slow}
 	list := Even(30, []Owner{a, b})
-	burden := idle
-	require.Len(t, EvenOut(list, live, burden), 8)
-	burden.Busy = func(o Owner) bool { return o == slow }
-	require.Empty(t, EvenOut(list, live, burden))
-	burden.Busy = func(Owner) bool { return true }
-	require.Empty(t, EvenOut(list, live, burden))
+	targetLoad := idle
+	require.Len(t, EvenOut(list, live, targetLoad), 8)
+	targetLoad.Busy = func(o Owner) bool { return o == slow }
+	require.Empty(t, EvenOut(list, live, targetLoad))
+	targetLoad.Busy = func(Owner) bool { return true }
+	require.Empty(t, EvenOut(list, live, targetLoad))
 }
 
 // The slices that a new target got first were the hottest neighbourhood.
 func TestNewTargetGetsSlicesOfTheUsualRate(t *testing.T) {
 	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
 	list := Even(12, []Owner{a, b})
-	burden := idle
+	targetLoad := idle
 	rates := []float64{60, 50, 40, 30, 1, 1, 2, 20, 3, 16, 18, 19}
-	burden.Rate = func(i int) float64 { return rates[i] }
+	targetLoad.Rate = func(i int) float64 { return rates[i] }
 	var got []float64
-	for _, ch := range EvenOut(list, []Owner{a, b, c}, burden) {
+	for _, ch := range EvenOut(list, []Owner{a, b, c}, targetLoad) {
 		got = append(got, rates[ch.Slice])
 	}
 	require.ElementsMatch(t, []float64{20, 19, 18, 40}, got, "closest to the mean of 21.7 of each owner's")
@@ -323,7 +323,7 @@
 	timing := worldTiming
 	timing.Cold = 5 * time.Second
 	now := time.Hour
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{a})}, timing, now, now, NoPast)
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: Even(2, []Owner{a})}, timing, now, now, NoPriorGrants)
 	g.LifeConfirmed(a)
 	g.LifeConfirmed(b)
 	answer := func(r Result, handover string) {
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -25,7 +25,7 @@
 	if len(live) == 0 {
 		return nil
 	}
-	d := newDealer(list, live)
+	d := newPlanner(list, live)
 	var out []Change
 	for i, s := range list {
 		if !d.lives(s.Owner) {
@@ -35,8 +35,8 @@
 	return out
 }
 
-// Burden is what the load says of slices and owners.
-type Burden struct {
+// TargetLoad is what the load says of slices and owners.
+type TargetLoad struct {
 	// Moving tells whether slice i is on the move already.
 	Moving func(i int) bool
 	// Rate is the requests per second for slice i.
@@ -46,9 +46,9 @@
 }
 
 // Uneven tells whether a target has so few slices that EvenOut may bring it more: it is
-// asked often, and the burden costs far more than the count.
+// asked often, and the targetLoad costs far more than the count.
 func Uneven(list []Slice, live []Owner) bool {
-	d := newDealer(list, live)
+	d := newPlanner(list, live)
 	few := fewSlices * float64(len(list)) / float64(len(live))
 	return slices.ContainsFunc(live, func(o Owner) bool { return float64(d.count[o]) < few })
 }
@@ -59,11 +59,11 @@
 // Load pattern: a target has few slices because it is slow, and gave up those that were
 // hot. Filled by their number alone it got the same hot slices back, three times a
 // second, and gave them up again, for as long as the load lasted.
-func EvenOut(list []Slice, live []Owner, b Burden) []Change {
+func EvenOut(list []Slice, live []Owner, b TargetLoad) []Change {
 	if len(live) == 0 {
 		return nil
 	}
-	d := newDealer(list, live)
+	d := newPlanner(list, live)
 	mean := float64(len(list)) / float64(len(live))
 	usual := usualRate(list, b)
 	var out []Change
@@ -87,7 +87,7 @@
 }
 
 // usualRate is the mean rate of the slices.
-func usualRate(list []Slice, b Burden) float64 {
+func usualRate(list []Slice, b TargetLoad) float64 {
 	sum := 0.0
 	for i := range list {
 		sum += b.Rate(i)
@@ -97,7 +97,7 @@
 
 // mostUsual returns the owner's slice whose rate is closest to the usual one, of those
 // that are not on the move nor chosen already; -1 without one.
-func mostUsual(list []Slice, owner Owner, usual float64, b Burden, chosen []Change) int {
+func mostUsual(list []Slice, owner Owner, usual float64, b TargetLoad, chosen []Change) int {
 	best, off := -1, math.Inf(1)
 	for i, s := range list {
 		if !s.Owner.Same(owner) || b.Moving(i) || slices.ContainsFunc(chosen, func(c Change) bool { return c.Slice == i }) {
@@ -110,14 +110,14 @@
 	return best
 }
 
-// dealer counts the slices of the live owners.
-type dealer struct {
+// planner counts the slices of the live owners.
+type planner struct {
 	live  []Owner
 	count map[Owner]int
 }
 
-func newDealer(list []Slice, live []Owner) *dealer {
-	d := &dealer{live: slices.Clone(live), count: make(map[Owner]int)}
+func newPlanner(list []Slice, live []Owner) *planner {
+	d := &planner{live: slices.Clone(live), count: make(map[Owner]int)}
 	slices.SortFunc(d.live, func(a, b Owner) int { return cmp.Compare(a.ID, b.ID) })
 	for _, o := range d.live {
 		d.count[o] = 0
@@ -130,7 +130,7 @@
 	return d
 }
 
-func (d *dealer) lives(o Owner) bool {
+func (d *planner) lives(o Owner) bool {
 	_, ok := d.count[o]
 	return ok
 }
@@ -138,7 +138,7 @@
 // least returns the owner with fewest slices, and counts one more for it. Owners
 // of the slices beside are passed over where there is another: busy keys are
 // neighbours.
-func (d *dealer) least(beside []Owner) Owner {
+func (d *planner) least(beside []Owner) Owner {
 	best := -1
 	for i, o := range d.live {
 		if best >= 0 && d.weight(o, beside) >= d.weight(d.live[best], beside) {
@@ -150,7 +150,7 @@
 	return d.live[best]
 }
 
-func (d *dealer) weight(o Owner, beside []Owner) int {
+func (d *planner) weight(o Owner, beside []Owner) int {
 	w := d.count[o] * 2
 	if slices.ContainsFunc(beside, o.Same) {
 		w++
@@ -160,7 +160,7 @@
 
 // extremes returns the owner with most slices, and the one with least that is not
 // busy, none where all are.
-func (d *dealer) extremes(busy func(o Owner) bool) (most, least Owner) {
+func (d *planner) extremes(busy func(o Owner) bool) (most, least Owner) {
 	most = d.live[0]
 	for _, o := range d.live {
 		if d.count[o] > d.count[most] {
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -157,13 +157,13 @@
 	}
 	next.Slices = append([]Slice(nil), next.Slices...)
 	next.Epoch++
-	past := PastUnknown
+	past := PriorGrantsUnknown
 	holder := int(next.Incarnation % worldVMs)
 	switch {
 	case fresh:
-		past = NoPast
+		past = NoPriorGrants
 	case next.Incarnation != w.incarnation(holder):
-		past = PastEnded
+		past = PriorGrantsEnded
 	}
 	next.Incarnation = w.incarnation(vm)
 	w.record = next
--- a/internal/ownership/grantor/behaviour_test.go
+++ b/internal/ownership/grants/behaviour_test.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"testing"
@@ -178,7 +178,7 @@
 			}
 			g.Reported(&o, &Report{Incarnation: "1", Clock: int64(now), Confirmed: true, Fence: o.Rank, Held: o.Until, HeldRank: o.Rank}, now)
 		}
-		sent = g.Tick(now, Sight{Live: func(string) bool { return true }, Served: true})
+		sent = g.Tick(now, Observation{Live: func(string) bool { return true }, Served: true})
 		needed = needed || now > time.Second && g.NeedsStore(now)
 		if now < lonely {
 			require.False(t, needed, "at %v", now)
@@ -226,7 +226,7 @@
 		{"nothing told", wire.Rank{}, lost, false},
 	} {
 		g := New(p, rec, time.Second)
-		orders := g.Tick(time.Second, Sight{Live: c.live, Highest: c.highest})
+		orders := g.Tick(time.Second, Observation{Live: c.live, Highest: c.highest})
 		require.Equal(t, c.claims, len(orders) > 0, c.name)
 	}
 }
--- a/internal/ownership/grantor/bench_test.go
+++ b/internal/ownership/grants/bench_test.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"testing"
@@ -13,12 +13,12 @@
 		b.Fatal(err)
 	}
 	g, now := a.groups[0], a.clock.at(s.now)
-	sight := Sight{Live: func(string) bool { return true }, Served: true}
+	observation := Observation{Live: func(string) bool { return true }, Served: true}
 	b.ReportAllocs()
 	for b.Loop() {
 		g.sent = now + time.Hour
-		g.Tick(now, sight)
-		g.Proposal(now, sight)
+		g.Tick(now, observation)
+		g.Proposal(now, observation)
 		g.NeedsStore(now)
 	}
 }
--- a/internal/ownership/grantor/grantor.go
+++ b/internal/ownership/grants/grantor.go
@@ -1,4 +1,4 @@
-// Package grantor decides what one agent does as grantor of one group of slices:
+// Package grants decides what one agent does as grantor of one group of slices:
 // whom it asks, whom it grants, when it takes over and which record it proposes.
 // It has no clock, network or goroutine: the time and the targets' reports come
 // in, orders and records go out. Package agent carries them.
@@ -7,7 +7,7 @@
 // store, in any combination. Without it either two targets serve the same key
 // after a pause, or a key waits for the store during its outage. The rules and
 // why they hold stand in docs/DESIGN.md, section 5; each guard names its rule.
-package grantor
+package grants
 
 import (
 	"slices"
--- a/internal/ownership/grantor/record.go
+++ b/internal/ownership/grants/record.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"slices"
@@ -10,10 +10,10 @@
 
 // Proposal returns the record that the store should hold for this group, if it
 // is another than the one in force. It may be written only over that one.
-func (g *Group) Proposal(now time.Duration, sight Sight) (model.Group, bool) {
+func (g *Group) Proposal(now time.Duration, observation Observation) (model.Group, bool) {
 	switch g.standing.State() {
 	case following:
-		if g.myTurn(now, sight) && (g.barred() || g.orphaned(now, sight)) {
+		if g.myTurn(now, observation) && (g.barred() || g.orphaned(now, observation)) {
 			return g.nextEpoch(), true
 		}
 	case claiming:
@@ -32,13 +32,13 @@
 // orphaned tells whether the higher rank that stopped this agent was of one that
 // is lost, or has not served for long: nobody in the line could go on at this
 // epoch.
-func (g *Group) orphaned(now time.Duration, sight Sight) bool {
+func (g *Group) orphaned(now time.Duration, observation Observation) bool {
 	r := g.outranked
 	if r == (wire.Rank{}) || r.Epoch != g.rec.Epoch {
 		return false
 	}
 	last := time.Duration(len(g.rec.Grantors)+g.place) * g.params.Unserved
-	return r.Agent == g.params.VM || !sight.Live(r.Agent) || g.idleFor(now) > last
+	return r.Agent == g.params.VM || !observation.Live(r.Agent) || g.idleFor(now) > last
 }
 
 // stuck tells whether the fast path failed and the slow one needs an epoch.
--- a/internal/ownership/grantor/scenario_test.go
+++ b/internal/ownership/grants/scenario_test.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"math/rand/v2"
--- a/internal/ownership/grantor/seed_test.go
+++ b/internal/ownership/grants/seed_test.go
@@ -1,3 +1,3 @@
-package grantor
+package grants
 
 import _ "hemlockquay/internal/fixedseed"
--- a/internal/ownership/grantor/slope_test.go
+++ b/internal/ownership/grants/slope_test.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"fmt"
@@ -30,22 +30,22 @@
 }
 
 // slopeRound lets each group look and answers its orders as settled targets do.
-func slopeRound(groups []*Group, now time.Duration, sight Sight) (orders int) {
+func slopeRound(groups []*Group, now time.Duration, observation Observation) (orders int) {
 	for _, g := range groups {
-		for _, o := range g.Tick(now, sight) {
+		for _, o := range g.Tick(now, observation) {
 			orders++
 			g.Reported(&o, &Report{
 				Incarnation: "i", Clock: int64(now), Confirmed: true, Fence: o.Rank, Before: o.Rank, Held: o.Until, HeldRank: o.Rank,
 			}, now)
 		}
-		g.Proposal(now, sight)
+		g.Proposal(now, observation)
 		g.NeedsStore(now)
 		g.Notes()
 	}
 	return orders
 }
 
-var slopeSight = Sight{Live: func(string) bool { return true }, Served: true}
+var slopeSight = Observation{Live: func(string) bool { return true }, Served: true}
 
 // BenchmarkSlopeRenewal is one renewal of n groups with three reports each,
 // without codec and network.
--- a/internal/ownership/grantor/tick.go
+++ b/internal/ownership/grants/tick.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"time"
@@ -7,8 +7,8 @@
 	"hemlockquay/internal/wire"
 )
 
-// Sight is what heartbeats tell.
-type Sight struct {
+// Observation is what heartbeats tell.
+type Observation struct {
 	// Live tells whether a VM's agent is heard.
 	Live func(vm string) bool
 	// Served says that a live agent tells a grant of the group.
@@ -21,11 +21,11 @@
 // Tick moves the group on and returns the orders to send now. It may be called
 // as often as one likes: orders come each Every, and at once where something
 // changed.
-func (g *Group) Tick(now time.Duration, sight Sight) []Order {
-	if sight.Served || !g.unserved.ok {
+func (g *Group) Tick(now time.Duration, observation Observation) []Order {
+	if observation.Served || !g.unserved.ok {
 		g.unserved = stamp{now, true}
 	}
-	if g.standing.State() == following && g.myTurn(now, sight) && !g.barred() && g.outranked == (wire.Rank{}) {
+	if g.standing.State() == following && g.myTurn(now, observation) && !g.barred() && g.outranked == (wire.Rank{}) {
 		g.took, g.due = now, true
 		_ = g.standing.Fire(take)
 	}
@@ -49,12 +49,12 @@
 // Failure: the grantor is cut off from the targets and not from its peers. It
 // shows as a group without service though all agents are alive. Each in the line
 // waits longer than the one before, so that they do not outrank each other.
-func (g *Group) myTurn(now time.Duration, sight Sight) bool {
+func (g *Group) myTurn(now time.Duration, observation Observation) bool {
 	if g.place < 0 {
 		return false
 	}
-	for _, vm := range g.rec.Grantors[g.mayClaim(sight):g.place] {
-		if sight.Live(vm) {
+	for _, vm := range g.rec.Grantors[g.mayClaim(observation):g.place] {
+		if observation.Live(vm) {
 			return g.idleFor(now) > time.Duration(g.place)*g.params.Unserved
 		}
 	}
@@ -67,8 +67,8 @@
 // store is down. The first is alive, so the third waits for it; but targets refuse
 // the first's rank, which is below the second's, and a new epoch needs the store. It
 // shows as keys without service until the store is back or the third lost patience.
-func (g *Group) mayClaim(sight Sight) int {
-	h := sight.Highest
+func (g *Group) mayClaim(observation Observation) int {
+	h := observation.Highest
 	if h.Epoch != g.rec.Epoch || h.Succession > uint64(g.place) {
 		return 0
 	}
--- a/internal/ownership/grantor/walk_test.go
+++ b/internal/ownership/grants/walk_test.go
@@ -1,4 +1,4 @@
-package grantor
+package grants
 
 import (
 	"fmt"
@@ -184,13 +184,13 @@
 
 func (w *walk) tickAgent(a *walkAgent) {
 	now := a.clock.at(w.now)
-	sight := Sight{Live: func(vm string) bool { return !a.suspect[vm[2]-'0'] }}
+	observation := Observation{Live: func(vm string) bool { return !a.suspect[vm[2]-'0'] }}
 	for i, g := range a.groups {
-		sight.Served = w.isServed(i) && !a.cutOff
-		for _, o := range g.Tick(now, sight) {
+		observation.Served = w.isServed(i) && !a.cutOff
+		for _, o := range g.Tick(now, observation) {
 			w.letters = append(w.letters, letter{agent: a, group: i, order: o})
 		}
-		if rec, ok := g.Proposal(now, sight); ok {
+		if rec, ok := g.Proposal(now, observation); ok {
 			w.drafts = append(w.drafts, draft{a, a.version, i, rec})
 		}
 		if g.NeedsStore(now) && !a.cutOff {
