Changes of targets are sent unpacked; only granted slices are moved for their load

Changes are a few entries; they go as they are, and the compressor of whole values is reused. Entries have short names on the wire.

A successor that presumes its owners to serve must not move their slices before it has granted them: such slices do not take part in the spreading of load.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -15,21 +15,21 @@
 
 // Target is one server as the platform lists it.
 type Target struct {
-	ID         string
-	Service    string
-	Addr       string
-	DataCentre string
+	ID         string `msgpack:"i"`
+	Service    string `msgpack:"s"`
+	Addr       string `msgpack:"a"`
+	DataCentre string `msgpack:"d"`
 	// Slots is how many requests it runs at a time.
-	Slots int
+	Slots int `msgpack:"n"`
 	// Draining targets take no new requests.
-	Draining bool
+	Draining bool `msgpack:"g"`
 	// Born is the start of its process, Unix milliseconds. An id may come back
 	// with a later one.
-	Born int64
+	Born int64 `msgpack:"b"`
 	// Cold is how much longer it was to be slow when it wrote its entry.
-	Cold time.Duration
+	Cold time.Duration `msgpack:"c"`
 	// Revision is the store's revision of the entry.
-	Revision uint64
+	Revision uint64 `msgpack:"r"`
 }
 
 // Hash is a target's id, short, for what VMs tell each other of targets.
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -126,19 +126,15 @@
 }
 
 func (n *node) applyTargets(vm string, r *VersionReply) error {
-	if r.Whole {
-		var t catalog.Targets
-		if err := packed.Decode(r.Data, &t); err != nil {
-			return err
-		}
-		n.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
+	if r.Changes != nil {
+		n.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Apply(*r.Changes, now) })
 		return nil
 	}
-	var c catalog.Changes
-	if err := packed.Decode(r.Data, &c); err != nil {
+	var t catalog.Targets
+	if err := packed.Decode(r.Data, &t); err != nil {
 		return err
 	}
-	n.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Apply(c, now) })
+	n.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
 	return nil
 }
 
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -87,7 +87,8 @@
 	})
 	var reply VersionReply
 	require.NoError(t, View{a}.TargetsSince(&VersionArgs{From: "b", Have: 5}, &reply))
-	require.False(t, reply.Whole, "only what changed")
+	require.NotNil(t, reply.Changes, "only what changed")
+	require.Empty(t, reply.Data)
 	eventually(t, same)
 }
 
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -148,7 +148,7 @@
 		}
 		ranges[i] = keyspread.Range{
 			Owner: owner, Rate: rate, Divisible: sums[i].Keys > 1,
-			Fixed: !state.Serves() || s.Previous.Known(),
+			Fixed: !l.grants.Granted(i, now),
 		}
 	}
 	return ranges, sums, capacity
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,7 +12,6 @@
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
-	"hemlockquay/internal/packed"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
@@ -101,11 +100,9 @@
 // TargetsSince returns what changed in the list of targets since a revision, or the whole
 // list if that is not known.
 func (v View) TargetsSince(in *VersionArgs, out *VersionReply) error {
-	changes, known := v.node.state.targetsSince(in.Have)
-	if known {
-		data, err := packed.Encode(changes)
-		*out = VersionReply{Data: data}
-		return err
+	if changes, known := v.node.state.targetsSince(in.Have); known {
+		out.Changes = &changes
+		return nil
 	}
 	t := v.node.state.view.Load().Targets
 	var err error
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/packed"
 )
 
@@ -32,15 +33,17 @@
 	Have uint64 `msgpack:"h"`
 }
 
-// VersionReply is a packed value, or says why there is none.
+// VersionReply is a value, or says why there is none.
 type VersionReply struct {
 	// Busy says that the link is taken up by transfers to others.
 	Busy bool `msgpack:"b"`
 	// Holders are VMs that have got the value from here.
 	Holders []string `msgpack:"h"`
-	// Whole says that Data is the whole value and not the changes to it.
-	Whole bool   `msgpack:"w"`
-	Data  []byte `msgpack:"d"`
+	// Data is the packed value.
+	Data []byte `msgpack:"d"`
+	// Changes are sent instead where the receiver's version of the targets is known. They
+	// are few, and packing them would cost more than it saves.
+	Changes *catalog.Changes `msgpack:"c"`
 }
 
 // transfers sends large values to other VMs: each version is packed once, and all together
@@ -92,7 +95,7 @@
 	}
 	v.holders = append(v.holders, from)
 	v.holders = v.holders[max(0, len(v.holders)-holdersMost):]
-	return VersionReply{Whole: true, Data: v.data}, nil
+	return VersionReply{Data: v.data}, nil
 }
 
 // allow reports whether the link has room for so many bytes, and takes it. A value that is
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -169,7 +169,7 @@
 		waitsFor = sl.Previous
 	}
 	switch c := g.contacts[waitsFor]; {
-	case waitsFor.Same(sl.Owner) && s.granted && now < s.acked+g.timing.Hold:
+	case g.Granted(i, now):
 		if now < s.coldUntil {
 			return Cold
 		}
@@ -182,6 +182,12 @@
 	return Moving
 }
 
+// Granted reports whether the owner of slice i holds the keys by a grant of this epoch.
+func (g *Grantor) Granted(i int, now time.Duration) bool {
+	s := &g.states[i]
+	return !g.record.Slices[i].Previous.Known() && s.granted && now < s.acked+g.timing.Hold
+}
+
 // Due returns the orders to send now and marks them as pending.
 func (g *Grantor) Due(now time.Duration) []Order {
 	if !g.MayOrder(now) {
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -17,14 +18,19 @@
 // ErrTooLarge is the error of a value that is larger than any that is sent.
 var ErrTooLarge = errors.New("packed value too large")
 
+// writers reuses the compressor's state, which is larger than most values.
+var writers = sync.Pool{New: func() any {
+	// BestSpeed is a valid level, which is the only possible error.
+	w, _ := flate.NewWriter(nil, flate.BestSpeed)
+	return w
+}}
+
 // Encode returns the packed value.
 func Encode(v any) ([]byte, error) {
 	var out bytes.Buffer
-	// The fastest level is within a few percent of the best: what repeats are field names.
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("pack: %w", err)
-	}
+	w, _ := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
 	if err := msgpack.NewEncoder(w).Encode(v); err != nil {
 		return nil, fmt.Errorf("pack: %w", err)
 	}
