--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,7 @@
 	assigner    *assigner
 	commander   *target.Commander
 	grantor     *grantorDuty
-	// grantsPushed tells the heart that the grants changed.
+	// grantsPushed tells the heartbeater that the grants changed.
 	grantsPushed chan struct{}
 	cancel       context.CancelFunc
 	duties       sync.WaitGroup
@@ -131,7 +131,7 @@
 		newPuller(a, w).run,
 		newReporter(a).run,
 		(&lister{a.counted(platform.CauseMembership), a.members, timeout, a.Log}).run,
-		(&heart{members: a.members, peers: a.peers, every: s.Heartbeat.D(), seeds: s.Peers, grants: a.grants, pushes: a.grantsPushed, log: a.Log, busy: make(map[string]bool)}).run,
+		(&heartbeater{members: a.members, peers: a.peers, every: s.Heartbeat.D(), seeds: s.Peers, grants: a.grants, pushes: a.grantsPushed, log: a.Log, busy: make(map[string]bool)}).run,
 		a.assigner.run,
 		a.shareBudget,
 		a.grantor.run,
--- a/internal/agent/heart.go
+++ b/internal/agent/heartbeat.go
@@ -12,9 +12,9 @@
 	"hemlockquay/internal/wire"
 )
 
-// heart sends heartbeats to all listed peers. It is one goroutine and one for
+// heartbeater sends heartbeats to all listed peers. It is one goroutine and one for
 // each heartbeat on its way.
-type heart struct {
+type heartbeater struct {
 	members *members
 	peers   *peer.Pool
 	every   time.Duration
@@ -30,7 +30,7 @@
 	busy map[string]bool
 }
 
-func (h *heart) run(ctx context.Context) {
+func (h *heartbeater) run(ctx context.Context) {
 	tick := time.NewTicker(h.every)
 	defer tick.Stop()
 	last := h.members.clock.Now()
@@ -42,7 +42,7 @@
 				h.members.resumed(gap)
 			}
 			last = now
-			h.beatAll(ctx)
+			h.sendHeartbeats(ctx)
 			// A peer that fell silent leaves the list without any event.
 			h.members.changed()
 		case <-h.pushes:
@@ -62,7 +62,7 @@
 
 // push sends a heartbeat with this agent's grants. If it is lost, the peer gets
 // them by its own next heartbeat.
-func (h *heart) push(ctx context.Context, vm, addr string) {
+func (h *heartbeater) push(ctx context.Context, vm, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, 2*h.every)
 	defer cancel()
 	source, state := h.members.grantsHeld(vm)
@@ -74,7 +74,7 @@
 	}
 }
 
-func (h *heart) beatAll(ctx context.Context) {
+func (h *heartbeater) sendHeartbeats(ctx context.Context) {
 	known := make(map[string]bool)
 	for vm, addr := range h.members.addrs() {
 		known[addr] = true
@@ -91,7 +91,7 @@
 }
 
 // beat sends one heartbeat unless the last is still on its way.
-func (h *heart) beat(ctx context.Context, vm, addr string) {
+func (h *heartbeater) beat(ctx context.Context, vm, addr string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.busy[vm] {
@@ -106,7 +106,7 @@
 	}()
 }
 
-func (h *heart) send(ctx context.Context, vm, addr string) {
+func (h *heartbeater) send(ctx context.Context, vm, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, 2*h.every)
 	defer cancel()
 	source, state := h.members.grantsHeld(vm)
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -28,10 +28,10 @@
 	state    uint64
 	live     []wire.Member
 	combined []wire.Grant
-	// lingering holds combined's grants; it needs mu.
-	lingering *lingering
-	listed    []wire.Place
-	daemons   map[string]daemonReport
+	// retainedGrants holds combined's grants; it needs mu.
+	retainedGrants *retainedGrants
+	listed         []wire.Place
+	daemons        map[string]daemonReport
 }
 
 // daemonReport is the last word of one of the VM's daemons.
@@ -57,7 +57,7 @@
 const maxPullWait = 5 * time.Second
 
 func newRelay(incarnation string) *relay {
-	return &relay{incarnation: incarnation, loads: newLoadBook(), lingering: newLingering(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
+	return &relay{incarnation: incarnation, loads: newLoadBook(), retainedGrants: newRetainedGrants(), changed: make(chan struct{}), daemons: make(map[string]daemonReport)}
 }
 
 // broadcast wakes the pulls that wait.
@@ -84,7 +84,7 @@
 	told := append(r.members.peerGrants(), r.grants.list()...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	combined := r.lingering.merge(told, r.members.clock.Now())
+	combined := r.retainedGrants.merge(told, r.members.clock.Now())
 	if slices.Equal(live, r.live) && slices.Equal(listed, r.listed) && reflect.DeepEqual(combined, r.combined) {
 		return
 	}
--- a/internal/agent/lingering_test.go
+++ b/internal/agent/retained_test.go
@@ -18,7 +18,7 @@
 // other. The restarted agent of the grantor tells no grants at first; the targets
 // still hold the ones of its earlier life.
 func TestGrantIsToldUntilTheNextOne(t *testing.T) {
-	l := newLingering()
+	l := newRetainedGrants()
 	l.merge([]wire.Grant{grantOf(1, 5, "a"), grantOf(2, 5, "a")}, 0)
 	require.Len(t, l.merge(nil, time.Second), 2)
 	got := l.merge([]wire.Grant{grantOf(1, 6, "b")}, 2*time.Second)
@@ -26,14 +26,14 @@
 }
 
 func TestOlderGrantDoesNotReplaceANewerOne(t *testing.T) {
-	l := newLingering()
+	l := newRetainedGrants()
 	l.merge([]wire.Grant{grantOf(1, 6, "b")}, 0)
 	require.Equal(t, "b", l.merge([]wire.Grant{grantOf(1, 5, "a")}, time.Second)[0].Target.Name)
-	require.Equal(t, "a", l.merge([]wire.Grant{grantOf(1, 5, "a")}, lingerFor+time.Second)[0].Target.Name, "nobody tells the newer one any more")
+	require.Equal(t, "a", l.merge([]wire.Grant{grantOf(1, 5, "a")}, retainFor+time.Second)[0].Target.Name, "nobody tells the newer one any more")
 }
 
 func TestGrantOfNobodyEnds(t *testing.T) {
-	l := newLingering()
+	l := newRetainedGrants()
 	l.merge([]wire.Grant{grantOf(1, 5, "a")}, 0)
-	require.Empty(t, l.merge(nil, lingerFor+time.Second))
+	require.Empty(t, l.merge(nil, retainFor+time.Second))
 }
--- a/internal/agent/seed.go
+++ b/internal/agent/seed.go
@@ -47,7 +47,7 @@
 // adopt takes the grants that a peer knows.
 func (r *relay) adopt(grants []wire.Grant) {
 	r.mu.Lock()
-	r.lingering.merge(grants, r.members.clock.Now())
+	r.retainedGrants.merge(grants, r.members.clock.Now())
 	r.mu.Unlock()
 	r.refresh()
 }
--- a/internal/decide/idempotency/book.go
+++ b/internal/decide/idempotency/book.go
@@ -21,8 +21,8 @@
 	synced map[string]syncState
 	// gone are VMs that left the list, with the time; their records went too.
 	gone map[wire.Place]time.Duration
-	// farewells are VMs that handed their records over before they left.
-	farewells map[string]bool
+	// handoffs are VMs that handed their records over before they left.
+	handoffs map[string]bool
 	// left says that this VM did, and records nothing more.
 	left bool
 
@@ -44,7 +44,7 @@
 
 // NewBook returns the book of a dispatcher that has just started.
 func NewBook(vm string, now time.Duration) *Book {
-	return &Book{vm: vm, started: now, forgot: true, synced: make(map[string]syncState), gone: make(map[wire.Place]time.Duration), farewells: make(map[string]bool), records: make(map[Key]*held)}
+	return &Book{vm: vm, started: now, forgot: true, synced: make(map[string]syncState), gone: make(map[wire.Place]time.Duration), handoffs: make(map[string]bool), records: make(map[Key]*held)}
 }
 
 // SetPlaces takes the platform's list, sorted by VM.
@@ -53,12 +53,12 @@
 		return
 	}
 	for _, p := range b.places {
-		if !slices.Contains(places, p) && !b.farewells[p.VM] {
+		if !slices.Contains(places, p) && !b.handoffs[p.VM] {
 			b.gone[p] = now
 		}
 	}
 	for _, p := range places {
-		delete(b.farewells, p.VM)
+		delete(b.handoffs, p.VM)
 	}
 	b.places = slices.Clone(places)
 	b.synced = make(map[string]syncState)
@@ -103,9 +103,9 @@
 // known tells whether every listed VM was asked for its copy since this one
 // started.
 //
-// Failure: a VM said farewell and was restarted under its name. It stores a claim
-// and is lost, and a VM that still has its farewell takes nothing for missing.
-// Asking for a copy takes the farewell back, so nothing is stored before.
+// Failure: a VM handed over and was restarted under its name. It stores a claim
+// and is lost, and a VM that still has its handoff takes nothing for missing.
+// Asking for a copy takes the handoff back, so nothing is stored before.
 func (b *Book) known(now time.Duration) bool {
 	if !b.Forgot(now) {
 		return true
@@ -260,7 +260,7 @@
 
 // CopyFor returns the records of which the asking VM is a holder.
 func (b *Book) CopyFor(vm string, now time.Duration) Copy {
-	delete(b.farewells, vm)
+	delete(b.handoffs, vm)
 	c := Copy{Places: b.places, Forgot: b.Forgot(now), Age: now - b.started}
 	for p, at := range b.gone {
 		c.Gone = append(c.Gone, Departure{Place: p, Age: now - at})
@@ -311,9 +311,9 @@
 	return c
 }
 
-// Farewell takes over the records of a VM that leaves, those that this VM holds
+// Handoff takes over the records of a VM that leaves, those that this VM holds
 // or will hold without it. It must still be listed, and not have forgotten any.
-func (b *Book) Farewell(vm string, c Copy, now time.Duration) {
+func (b *Book) Handoff(vm string, c Copy, now time.Duration) {
 	rest := slices.DeleteFunc(slices.Clone(b.places), func(p wire.Place) bool { return p.VM == vm })
 	if c.Forgot || len(rest) == len(b.places) {
 		return
@@ -323,7 +323,7 @@
 			b.merge(r, now)
 		}
 	}
-	b.farewells[vm] = true
+	b.handoffs[vm] = true
 }
 
 // merge adds a record of another VM, unless this one knows more.
--- a/internal/decide/idempotency/idempotency_test.go
+++ b/internal/decide/idempotency/idempotency_test.go
@@ -178,7 +178,7 @@
 	records := v.book.Leave(c.now)
 	for _, other := range c.vms {
 		if other != v && !other.dead && !rapid.Bool().Draw(c.t, "lost") {
-			other.book.Farewell(v.place.VM, records, c.now)
+			other.book.Handoff(v.place.VM, records, c.now)
 		}
 	}
 	v.dead = true
--- a/internal/decide/idempotency/scenario_test.go
+++ b/internal/decide/idempotency/scenario_test.go
@@ -116,7 +116,7 @@
 
 // A caller repeats a booking and gets two. One holder was restarted and is stopped
 // by plan before it had its records back; the other one is lost. The others took
-// the farewell for a whole one and missed only one VM.
+// the handoff for a whole one and missed only one VM.
 func TestFarewellOfAHolderThatForgotIsNotWhole(t *testing.T) {
 	s := newStory(4)
 	first, second, third := s.holder(0), s.holder(1), s.holder(2)
@@ -128,11 +128,11 @@
 	s.start(first)
 	s.now += 2 * VoteLife
 	s.settle()
-	farewell := first.book.Leave(s.now)
-	require.True(t, farewell.Forgot)
+	handoff := first.book.Leave(s.now)
+	require.True(t, handoff.Forgot)
 	for _, v := range s.vms {
 		if v != first && !v.dead {
-			v.book.Farewell(first.place.VM, farewell, s.now)
+			v.book.Handoff(first.place.VM, handoff, s.now)
 		}
 	}
 	s.drop(first)
--- a/internal/decide/placement/initial.go
+++ b/internal/decide/placement/initial.go
@@ -53,7 +53,7 @@
 		g := &r.next.Groups[i]
 		g.Standby = r.ref(r.pickStandby(g))
 		g.Witness = r.ref(r.pickWitness(g))
-		g.Grantors = r.lineOf(g).fill(nil)
+		g.Grantors = r.successionOf(g).fill(nil)
 	}
 	r.next.Service, r.next.NextGroup = s.Name, uint64(len(r.next.Groups))
 	return r.next
--- a/internal/decide/placement/repair.go
+++ b/internal/decide/placement/repair.go
@@ -24,7 +24,7 @@
 		g := &r.next.Groups[i]
 		r.evacuate(g)
 		r.repairCompanions(g)
-		r.repairLine(g)
+		r.repairSuccession(g)
 	}
 }
 
--- a/internal/decide/placement/line.go
+++ b/internal/decide/placement/succession.go
@@ -8,7 +8,7 @@
 	"hemlockquay/internal/model"
 )
 
-// liner makes a group's line of succession. The rules, in this order:
+// successionPlanner makes a group's line of succession. The rules, in this order:
 //
 //   - Its head is outside the data centres of owner and standby, where there is a
 //     VM: the loss of one data centre takes at most one of the three.
@@ -17,7 +17,7 @@
 //     them is lost with it as a whole, and nobody takes over until the assigner
 //     names others, grantorPatience later.
 //   - Those after the head are outside the pair's data centres too, if they can be.
-type liner struct {
+type successionPlanner struct {
 	// order are the live VMs, by rendezvous for the group.
 	order []VM
 	// pair are the data centres of owner and standby.
@@ -26,10 +26,10 @@
 	dc map[string]string
 }
 
-func (r *round) lineOf(g *model.Group) *liner {
+func (r *round) successionOf(g *model.Group) *successionPlanner {
 	vms := r.in.VMs
 	candidates := make([]rendezvous.Candidate, len(vms))
-	l := &liner{dc: r.vmDC, pair: []string{r.dataCentre(g.Owner.Name), r.dataCentre(g.Standby.Name)}}
+	l := &successionPlanner{dc: r.vmDC, pair: []string{r.dataCentre(g.Owner.Name), r.dataCentre(g.Standby.Name)}}
 	for i, vm := range vms {
 		candidates[i] = rendezvous.Candidate{VM: vm.Name, DataCentre: vm.DataCentre}
 	}
@@ -41,13 +41,13 @@
 
 // near tells whether the VM is in a data centre of the pair. One that is not
 // live is not: it may be back in a moment.
-func (l *liner) near(vm string) bool {
+func (l *successionPlanner) near(vm string) bool {
 	dc, live := l.dc[vm]
 	return live && slices.Contains(l.pair, dc)
 }
 
 // used counts the line's VMs in the data centre.
-func (l *liner) used(line []string, dc string) int {
+func (l *successionPlanner) used(line []string, dc string) int {
 	n := 0
 	for _, vm := range line {
 		n += btoi(l.dc[vm] == dc)
@@ -56,7 +56,7 @@
 }
 
 // next returns the VM that should follow in the line, "" for none.
-func (l *liner) next(line []string) string {
+func (l *successionPlanner) next(line []string) string {
 	var left []VM
 	for _, vm := range l.order {
 		if !slices.Contains(line, vm.Name) {
@@ -76,7 +76,7 @@
 }
 
 // fill adds VMs until the line is whole.
-func (l *liner) fill(line []string) []string {
+func (l *successionPlanner) fill(line []string) []string {
 	for len(line) < succession {
 		vm := l.next(line)
 		if vm == "" {
@@ -88,7 +88,7 @@
 }
 
 // lead puts a VM outside the pair's data centres first, if there is one.
-func (l *liner) lead(line []string) []string {
+func (l *successionPlanner) lead(line []string) []string {
 	if len(line) == 0 || !l.near(line[0]) {
 		return line
 	}
@@ -103,7 +103,7 @@
 }
 
 // spread makes room at the end of a line that is in one data centre only.
-func (l *liner) spread(line []string) []string {
+func (l *successionPlanner) spread(line []string) []string {
 	if len(line) < succession || l.used(line, l.dc[line[0]]) < len(line) {
 		return line
 	}
@@ -114,9 +114,9 @@
 	return line[:succession-1]
 }
 
-// repairLine brings the line of succession to its rules. Those who live keep their
+// repairSuccession brings the line of succession to its rules. Those who live keep their
 // order otherwise: the first of them grants already, and each change is a new epoch.
-func (r *round) repairLine(g *model.Group) {
+func (r *round) repairSuccession(g *model.Group) {
 	var kept []string
 	for _, vm := range g.Grantors {
 		if r.missingFor(vmKey(vm)) < grantorPatience {
@@ -127,7 +127,7 @@
 	if whole && r.sound(g, kept) {
 		return
 	}
-	l := r.lineOf(g)
+	l := r.successionOf(g)
 	line := kept
 	if r.allLive(kept) {
 		line = l.spread(l.lead(line))
--- a/internal/decide/quarantine/cases.go
+++ b/internal/decide/quarantine/cases.go
@@ -52,7 +52,7 @@
 
 // current returns the case of a fingerprint, nil once it is over. A permit that
 // nobody used is given back.
-func (w *Watch) current(fp Fingerprint, now time.Duration) *file {
+func (w *Watch) current(fp Fingerprint, now time.Duration) *permitFile {
 	f := w.cases[fp]
 	if f == nil {
 		return nil
@@ -71,21 +71,21 @@
 	return f
 }
 
-func (w *Watch) open(fp Fingerprint, now time.Duration) *file {
+func (w *Watch) open(fp Fingerprint, now time.Duration) *permitFile {
 	if f := w.current(fp, now); f != nil {
 		return f
 	}
 	if len(w.cases) >= maxCases {
 		w.dropOldest()
 	}
-	f := &file{Case: Case{Fingerprint: fp}, changed: now}
+	f := &permitFile{Case: Case{Fingerprint: fp}, changed: now}
 	w.cases[fp] = f
 	return f
 }
 
 // dropOldest forgets the oldest suspect, or the oldest case of all.
 func (w *Watch) dropOldest() {
-	var victim *file
+	var victim *permitFile
 	for _, f := range w.cases {
 		quarantined := f.Quarantined()
 		switch {
@@ -116,11 +116,11 @@
 	w.proven[fp] = struct{}{}
 }
 
-func (w *Watch) load(pool, target string) *load {
+func (w *Watch) load(pool, target string) *targetRuns {
 	name := pool + "/" + target
 	l := w.targets[name]
 	if l == nil {
-		l = &load{}
+		l = &targetRuns{}
 		w.targets[name] = l
 	}
 	return l
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -3,7 +3,7 @@
 import "time"
 
 // file is a case with what this dispatcher does about it.
-type file struct {
+type permitFile struct {
 	Case
 	changed time.Duration
 	permit  permit
@@ -19,7 +19,7 @@
 )
 
 // load is what this dispatcher runs on a target.
-type load struct {
+type targetRuns struct {
 	running int
 	// suspect runs alone here, or waits for the target to be free.
 	suspect  Fingerprint
@@ -29,7 +29,7 @@
 
 // admitSuspect keeps the target free of others until the suspect runs there, or
 // until the reservation is over.
-func (w *Watch) admitSuspect(f *file, l *load, pool string, now time.Duration) Verdict {
+func (w *Watch) admitSuspect(f *permitFile, l *targetRuns, pool string, now time.Duration) Verdict {
 	if other, busy := w.suspects[pool]; busy && other != f.Fingerprint || w.running[f.Fingerprint] > 0 {
 		return Hold
 	}
@@ -54,7 +54,7 @@
 // kept tells whether a target is kept for a suspect: while it waits there, for a
 // bounded time, and while it runs. Would others join it, a death would name no
 // culprit.
-func (w *Watch) kept(l *load, now time.Duration) bool {
+func (w *Watch) kept(l *targetRuns, now time.Duration) bool {
 	return l.suspect != 0 && (l.alone || now-l.reserved < reservation)
 }
 
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -72,10 +72,10 @@
 // Watch is one dispatcher's part. It belongs to one goroutine at a time.
 type Watch struct {
 	vm      string
-	cases   map[Fingerprint]*file
+	cases   map[Fingerprint]*permitFile
 	proven  map[Fingerprint]struct{}
 	running map[Fingerprint]int
-	targets map[string]*load
+	targets map[string]*targetRuns
 	// suspects counts suspects in flight, by pool.
 	suspects map[string]Fingerprint
 }
@@ -83,8 +83,8 @@
 // New returns a watch that suspects nothing.
 func New(vm string) *Watch {
 	return &Watch{
-		vm: vm, cases: make(map[Fingerprint]*file), proven: make(map[Fingerprint]struct{}),
-		running: make(map[Fingerprint]int), targets: make(map[string]*load), suspects: make(map[string]Fingerprint),
+		vm: vm, cases: make(map[Fingerprint]*permitFile), proven: make(map[Fingerprint]struct{}),
+		running: make(map[Fingerprint]int), targets: make(map[string]*targetRuns), suspects: make(map[string]Fingerprint),
 	}
 }
 
--- a/internal/decide/shares/loans.go
+++ b/internal/decide/shares/borrowing.go
@@ -11,12 +11,12 @@
 	use     Use
 	touched time.Duration
 	// lent is by borrower, borrowed by lender.
-	lent     map[string]*lent
-	borrowed map[string]*credit
+	lent     map[string]*lentQuota
+	borrowed map[string]*borrowedQuota
 }
 
 // lent is what one borrower may be using.
-type lent struct {
+type lentQuota struct {
 	// grants are the loans that have not lapsed; the borrower uses one of them.
 	grants []grant
 	// open are the loans on which it may still admit or have admitted requests:
@@ -39,9 +39,9 @@
 	until time.Duration
 }
 
-// credit is the loan in force from one lender. It stays, empty, until the
+// borrowedQuota is the loan in force from one lender. It stays, empty, until the
 // lender was told that nothing in flight depends on it.
-type credit struct {
+type borrowedQuota struct {
 	units Units
 	until time.Duration
 	// closing is the Seq of an ask that told the lender so.
@@ -49,10 +49,10 @@
 }
 
 func newAccount() *account {
-	return &account{lent: make(map[string]*lent), borrowed: make(map[string]*credit)}
+	return &account{lent: make(map[string]*lentQuota), borrowed: make(map[string]*borrowedQuota)}
 }
 
-func (l *lent) rate(now time.Duration) Units {
+func (l *lentQuota) rate(now time.Duration) Units {
 	var most Units
 	for _, g := range l.grants {
 		if now < g.until {
@@ -62,7 +62,7 @@
 	return most
 }
 
-func (l *lent) concurrency(now time.Duration) Units {
+func (l *lentQuota) concurrency(now time.Duration) Units {
 	if now >= l.occupiedUntil {
 		return l.rate(now)
 	}
@@ -144,7 +144,7 @@
 // for what it lends and twice an even part of the rest: where one peer alone has
 // something to lend, the loan grows to it within a few rounds. Without the least
 // part a burst of one would be gathered to a hair below one for ever.
-func (x *account) wantFrom(c *credit, peers, base Units, now time.Duration) Units {
+func (x *account) wantFrom(c *borrowedQuota, peers, base Units, now time.Duration) Units {
 	need := max(x.use.Want, x.use.Busy) - max(base-x.lentRate(now), 0)
 	if need <= 0 {
 		return 0
@@ -213,7 +213,7 @@
 	x := b.account(w.Account)
 	l := x.lent[ask.From]
 	if l == nil {
-		l = &lent{}
+		l = &lentQuota{}
 		x.lent[ask.From] = l
 	}
 	if ask.Seq <= l.seq {
@@ -238,7 +238,7 @@
 // was sent; since then the borrower may have admitted more on the loan that it
 // held, or on one that was on its way to it. So the loan echoed and all after
 // it stay open, and only older ones are closed.
-func (l *lent) echoed(echo uint64, needs Units, now time.Duration) {
+func (l *lentQuota) echoed(echo uint64, needs Units, now time.Duration) {
 	l.needs = min(needs, l.concurrency(now))
 	l.open = slices.DeleteFunc(l.open, func(g grant) bool { return g.seq < echo })
 }
@@ -290,7 +290,7 @@
 }
 
 // replaceCredits puts the loans of an answer in the place of the lender's
-// earlier ones. An empty credit stays until the lender was told that nothing in
+// earlier ones. An empty borrowedQuota stays until the lender was told that nothing in
 // flight depends on it.
 func (b *Book) replaceCredits(ask *Ask, answer *Answer, until time.Duration) {
 	for _, x := range b.accounts {
@@ -305,7 +305,7 @@
 	}
 	for _, l := range answer.Loans {
 		if l.Units > 0 {
-			b.account(l.Account).borrowed[answer.From] = &credit{units: l.Units, until: until}
+			b.account(l.Account).borrowed[answer.From] = &borrowedQuota{units: l.Units, until: until}
 		}
 	}
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -21,7 +21,7 @@
 // stepQuarantine is the step of refusals of requests that crash targets.
 const stepQuarantine = "quarantine"
 
-// Times and sizes of the talk between dispatchers about crashing requests.
+// Times and sizes of the gossip between dispatchers about crashing requests.
 const (
 	// askTimeout bounds a round of permits or notices.
 	askTimeout = 300 * time.Millisecond
@@ -31,9 +31,9 @@
 	// catchUpFor is how long it takes no requests meanwhile: time for three that
 	// are listed and do not answer. It goes on asking.
 	catchUpFor = time.Second
-	// talkLength is how many rounds may wait. Deaths come one a second at most
+	// gossipQueue is how many rounds may wait. Deaths come one a second at most
 	// for each target, and each makes as many as the target had slots.
-	talkLength = 1024
+	gossipQueue = 1024
 )
 
 // crashWatch is Suspects for the running dispatcher. It is safe for concurrent
@@ -45,7 +45,7 @@
 	peers   *peer.Pool
 	log     *log.Logger
 	journal *journal.Journal
-	talk    *ring.Ring[talk]
+	gossip  *ring.Ring[crashGossip]
 	counts  crashCounts
 	// ready says that requests may come.
 	ready func()
@@ -67,7 +67,7 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("quarantine."+name, registry) }
 	return &crashWatch{
 		vm: vm, clock: boottime.System{}, feed: f, peers: peer.NewPool(1), log: logger, journal: j, ready: ready,
-		talk:   ring.New[talk]("quarantine", talkLength, ring.Refuse, registry),
+		gossip: ring.New[crashGossip]("quarantine", gossipQueue, ring.Refuse, registry),
 		counts: crashCounts{counter("deaths"), counter("refused"), counter("permits"), counter("denied"), counter("cleared")},
 		watch:  quarantine.New(vm),
 		told:   make(map[quarantine.Fingerprint]bool),
@@ -125,7 +125,7 @@
 		w.counts.refused.Inc(1)
 		return AdmitRefuse, problem.Refuse(problem.Quarantined, stepQuarantine, w.vm, "targets died under this request; it is not run for now").After(quarantine.Lifetime)
 	case quarantine.NeedsPermit:
-		w.say(talk{notice: w.watch.Case(fp, now), pool: r.Service, asked: now})
+		w.enqueue(crashGossip{notice: w.watch.Case(fp, now), pool: r.Service, asked: now})
 	}
 	return AdmitHold, nil
 }
@@ -147,7 +147,7 @@
 	}
 	w.counts.cleared.Inc(1)
 	w.journal.Add(stepQuarantine, "cleared: it ran alone and its target lived", r.Customer, r.Service, printName(c.Fingerprint), r.ID)
-	w.say(talk{notice: *c})
+	w.enqueue(crashGossip{notice: *c})
 }
 
 // Died implements Suspects.
@@ -163,7 +163,7 @@
 	}
 	for _, c := range w.watch.Died(prints, service, target, w.clock.Now()) {
 		w.noteQuarantine(&c)
-		w.say(talk{notice: c})
+		w.enqueue(crashGossip{notice: c})
 	}
 }
 
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -36,10 +36,10 @@
 	return out
 }
 
-// talkAll carries the rounds that wait.
-func talkAll(t *testing.T, w *crashWatch) {
-	for w.talk.Depth() > 0 {
-		w.round(t.Context(), <-w.talk.Entries())
+// broadcast carries the rounds that wait.
+func broadcast(t *testing.T, w *crashWatch) {
+	for w.gossip.Depth() > 0 {
+		w.round(t.Context(), <-w.gossip.Entries())
 	}
 }
 
@@ -61,12 +61,12 @@
 		w[0].Died(target, []*wire.Request{crasher(id)}, now)
 	}
 	run("first", "booth-1")
-	talkAll(t, w[0])
+	broadcast(t, w[0])
 	admission, _ := w[0].Admit("booth-2", crasher("second"), now)
 	require.Equal(t, AdmitHold, admission, "a suspect waits for its permit")
-	talkAll(t, w[0])
+	broadcast(t, w[0])
 	run("second", "booth-2")
-	talkAll(t, w[0])
+	broadcast(t, w[0])
 
 	late := newWatches(t, 1)[0]
 	late.feed = w[0].feed
@@ -92,21 +92,21 @@
 	_, _ = w[0].Admit("booth-1", crasher("a"), now)
 	w[0].Started("booth-1", crasher("a"), now)
 	w[0].Died("booth-1", []*wire.Request{crasher("a"), crasher("b")}, now)
-	talkAll(t, w[0])
+	broadcast(t, w[0])
 	_, _ = w[0].Admit("booth-2", crasher("a"), now)
-	talkAll(t, w[0])
+	broadcast(t, w[0])
 	admission, _ := w[0].Admit("booth-2", crasher("a"), now)
 	require.Equal(t, AdmitRun, admission)
 	w[0].Started("booth-2", crasher("a"), now)
 
 	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
 	require.Equal(t, AdmitHold, admission)
-	talkAll(t, w[1])
+	broadcast(t, w[1])
 	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
 	require.Equal(t, AdmitHold, admission)
 
 	w[0].Finished("booth-2", crasher("a"), true, now)
-	talkAll(t, w[0])
+	broadcast(t, w[0])
 	admission, _ = w[1].Admit("booth-3", crasher("b"), now)
 	require.Equal(t, AdmitRun, admission, "cleared everywhere")
 }
@@ -124,7 +124,7 @@
 		target := fmt.Sprint("booth-", n)
 		admission, _ := d.Admit(target, crasher("again"), now)
 		if admission == AdmitHold {
-			talkAll(t, d)
+			broadcast(t, d)
 			admission, _ = d.Admit(target, crasher("again"), now)
 		}
 		if admission != AdmitRun {
@@ -140,7 +140,7 @@
 			close(answered)
 		}()
 		// What its duty does meanwhile.
-		go talkAll(t, d)
+		go broadcast(t, d)
 		<-answered
 	}
 	require.Equal(t, 2, killed)
--- a/internal/dispatch/crashtalk.go
+++ b/internal/dispatch/crashgossip.go
@@ -9,20 +9,20 @@
 	"hemlockquay/internal/wire"
 )
 
-// talk is one round with all other dispatchers: a notice, or the question for a
+// crashGossip is one round with all other dispatchers: a notice, or the question for a
 // permit.
-type talk struct {
+type crashGossip struct {
 	notice quarantine.Case
 	// pool is set where a permit is asked for, asked is when it was wanted.
 	pool  string
 	asked time.Duration
 }
 
-// say queues a round. A round that finds no room is lost like a message: a permit
+// enqueue queues a round. A round that finds no room is lost like a message: a permit
 // is asked for again, and a notice goes along with the next permit. The caller
 // holds mu.
-func (w *crashWatch) say(t talk) {
-	if w.talk.Push(context.Background(), t) == nil {
+func (w *crashWatch) enqueue(g crashGossip) {
+	if w.gossip.Push(context.Background(), g) == nil {
 		w.queued++
 	}
 }
@@ -88,8 +88,8 @@
 	}
 	for {
 		select {
-		case t := <-w.talk.Entries():
-			w.round(ctx, t)
+		case g := <-w.gossip.Entries():
+			w.round(ctx, g)
 		case <-changed:
 			changed = w.feed.Changed()
 			join()
@@ -133,12 +133,12 @@
 // round asks or tells all other dispatchers at once. A permit needs the word of
 // each that counts as a member: one that does not answer may be running the
 // suspect.
-func (w *crashWatch) round(ctx context.Context, t talk) {
+func (w *crashWatch) round(ctx context.Context, g crashGossip) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	others := w.others()
 	replies := make([]PermitReply, len(others))
-	args := &PermitArgs{From: w.vm, Pool: t.pool, Case: t.notice}
+	args := &PermitArgs{From: w.vm, Pool: g.pool, Case: g.notice}
 	var calls sync.WaitGroup
 	for i, m := range others {
 		calls.Go(func() {
@@ -151,10 +151,10 @@
 		})
 	}
 	calls.Wait()
-	w.conclude(t, replies)
+	w.conclude(g, replies)
 }
 
-func (w *crashWatch) conclude(t talk, replies []PermitReply) {
+func (w *crashWatch) conclude(g crashGossip, replies []PermitReply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.concluded++
@@ -166,10 +166,10 @@
 		w.merge(r.Case, now)
 		granted = granted && r.Granted
 	}
-	if t.pool == "" {
+	if g.pool == "" {
 		return
 	}
-	w.watch.Permit(t.notice.Fingerprint, t.asked, granted, now)
+	w.watch.Permit(g.notice.Fingerprint, g.asked, granted, now)
 	if granted {
 		w.counts.permits.Inc(1)
 		return
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -64,17 +64,17 @@
 	return nil
 }
 
-// FarewellArgs hands over the records of a dispatcher that leaves.
-type FarewellArgs struct {
+// HandoffArgs hands over the records of a dispatcher that leaves.
+type HandoffArgs struct {
 	VM      string
 	Records idempotency.Copy
 }
 
-// Farewell takes over the records of a dispatcher that leaves.
-func (t *intents) Farewell(args *FarewellArgs, _ *wire.Empty) error {
+// Handoff takes over the records of a dispatcher that leaves.
+func (t *intents) Handoff(args *HandoffArgs, _ *wire.Empty) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.book.Farewell(args.VM, args.Records, t.clock.Now())
+	t.book.Handoff(args.VM, args.Records, t.clock.Now())
 	t.journal.Add(stepIntent, "took over the records of a dispatcher that leaves", args.VM)
 	return nil
 }
@@ -82,10 +82,10 @@
 // leave hands the records over in a planned stop. One that does not arrive makes
 // the stop count like a loss at the VM that it was for.
 func (t *intents) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+	ctx, cancel := context.WithTimeout(ctx, handoffTimeout)
 	defer cancel()
 	t.mu.Lock()
-	args := &FarewellArgs{VM: t.vm, Records: t.book.Leave(t.clock.Now())}
+	args := &HandoffArgs{VM: t.vm, Records: t.book.Leave(t.clock.Now())}
 	t.mu.Unlock()
 	var calls sync.WaitGroup
 	for _, m := range t.feed.Current().Members {
@@ -93,7 +93,7 @@
 			continue
 		}
 		calls.Go(func() {
-			if err := t.peers.Get(m.DispatchAddr).Call(ctx, wire.MethodFarewell, args, &wire.Empty{}); err != nil {
+			if err := t.peers.Get(m.DispatchAddr).Call(ctx, wire.MethodHandoff, args, &wire.Empty{}); err != nil {
 				t.log.Debug().Err(err).Str("step", stepIntent).Str("peer", m.VM).Msg("records not handed over")
 			}
 		})
--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -34,9 +34,9 @@
 	// the VM answered but had forgotten its own.
 	syncEvery   = 250 * time.Millisecond
 	resyncEvery = 5 * time.Second
-	// farewellTimeout bounds the handing over of records in a planned stop; all
+	// handoffTimeout bounds the handing over of records in a planned stop; all
 	// records with their answers are 90 MB at most.
-	farewellTimeout = 2 * time.Second
+	handoffTimeout = 2 * time.Second
 	// sweepIntents is how often old records are dropped.
 	sweepIntents = 10 * time.Second
 )
@@ -62,14 +62,14 @@
 	mu   sync.Mutex
 	book *idempotency.Book
 	// mine are the claims that this dispatcher coordinates or has ended.
-	mine map[string]*mineClaim
+	mine map[string]*localClaim
 	seq  uint64
 	// tried is when a VM's records were last asked for.
 	tried map[string]time.Duration
 }
 
-// mineClaim is a claim of this dispatcher; ended is closed with its outcome set.
-type mineClaim struct {
+// localClaim is a claim of this dispatcher; ended is closed with its outcome set.
+type localClaim struct {
 	ended    chan struct{}
 	answer   *wire.Answer
 	released bool
@@ -85,7 +85,7 @@
 		vm: vm, life: time.Now().UnixNano(), clock: clock, feed: f, peers: peer.NewPool(2), log: logger, journal: j,
 		counts: intentCounts{counter("run"), counter("repeated"), counter("doubted"), counter("released")},
 		book:   idempotency.NewBook(vm, clock.Now()),
-		mine:   make(map[string]*mineClaim),
+		mine:   make(map[string]*localClaim),
 		tried:  make(map[string]time.Duration),
 	}
 }
@@ -134,12 +134,12 @@
 	return wire.Refused(r.ID, p), false
 }
 
-func (t *intents) open(key idempotency.Key, print uint64) (idempotency.Record, []string, *mineClaim) {
+func (t *intents) open(key idempotency.Key, print uint64) (idempotency.Record, []string, *localClaim) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.seq++
 	id := fmt.Sprintf("%s-%d-%d", t.vm, t.life, t.seq)
-	claim := &mineClaim{ended: make(chan struct{})}
+	claim := &localClaim{ended: make(chan struct{})}
 	t.mine[id] = claim
 	record := idempotency.Record{Key: key, Fingerprint: print, Claim: idempotency.Claim{ID: id, Coordinator: t.vm, Life: t.life}}
 	return record, idempotency.Holders(t.book.Places(), key), claim
@@ -229,7 +229,7 @@
 	}
 }
 
-func (t *intents) run(ctx context.Context, r *wire.Request, deadline time.Time, record idempotency.Record, by []string, claim *mineClaim, run func(*wire.Request) wire.Answer) wire.Answer {
+func (t *intents) run(ctx context.Context, r *wire.Request, deadline time.Time, record idempotency.Record, by []string, claim *localClaim, run func(*wire.Request) wire.Answer) wire.Answer {
 	sent := *r
 	sent.Budget = time.Until(deadline)
 	answer := run(&sent)
@@ -249,13 +249,13 @@
 
 // release ends a claim whose request surely was not run here, so that the caller
 // can try again.
-func (t *intents) release(ctx context.Context, record idempotency.Record, by []string, claim *mineClaim) {
+func (t *intents) release(ctx context.Context, record idempotency.Record, by []string, claim *localClaim) {
 	t.counts.released.Inc(1)
 	t.end(claim, nil, true)
 	t.tell(ctx, wire.MethodRelease, &record, by)
 }
 
-func (t *intents) end(claim *mineClaim, answer *wire.Answer, released bool) {
+func (t *intents) end(claim *localClaim, answer *wire.Answer, released bool) {
 	t.mu.Lock()
 	claim.answer, claim.released, claim.endedAt = answer, released, t.clock.Now()
 	t.mu.Unlock()
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -108,8 +108,8 @@
 	// given orders all that are not sent by the moment they are given up.
 	given waitHeap
 	pool  pool
-	// crew runs the attempts.
-	crew     *crew
+	// worker pool runs the attempts.
+	workers  *workerPool
 	table    *duration.Table
 	budget   *retry.Budget
 	standing deadline.Standing
@@ -132,7 +132,7 @@
 		parked:  make(map[*job]struct{}),
 		held:    make(map[*job]struct{}),
 		pool:    pool{fixed: p.fifo},
-		crew:    newCrew(),
+		workers: newWorkerPool(),
 		table:   duration.NewTable(),
 		budget:  retry.NewBudget(),
 	}
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -158,7 +158,7 @@
 	q.suspects.Started(t.Name, j.request, now)
 	attempt := &target.Attempt{Request: j.request, Target: t.Target, Grant: grant, MaxAnswer: q.pool.service.MaxBody, Deadline: j.deadline}
 	incarnation := t.incarnation
-	q.crew.run(ctx, func() { q.attempt(sending, cancel, attempt, &result{job: j, target: t}, incarnation) })
+	q.workers.run(ctx, func() { q.attempt(sending, cancel, attempt, &result{job: j, target: t}, incarnation) })
 }
 
 // attempt sends once and reports the result.
--- a/internal/dispatch/crew_test.go
+++ b/internal/dispatch/workers_test.go
@@ -15,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c, begun := newCrew(), 0
+		c, begun := newWorkerPool(), 0
 		release, done := make(chan struct{}), make(chan struct{}, 3)
 		for range 3 {
 			c.run(ctx, func() {
@@ -33,7 +33,7 @@
 		c.run(ctx, func() { begun++ })
 		synctest.Wait()
 		require.Equal(t, 1, begun)
-		time.Sleep(2 * crewRest)
+		time.Sleep(2 * workerIdleTimeout)
 		select {
 		case c.work <- func() { begun++ }:
 			t.Fatal("a goroutine rests for ever")
--- a/internal/entry/active_test.go
+++ b/internal/entry/active_test.go
@@ -37,9 +37,9 @@
 			switch rapid.IntRange(0, 9).Draw(t, "action") {
 			case 0, 1, 2:
 				for range rapid.IntRange(1, 60).Draw(t, "offered") {
-					if a.admit(e.visit) == nil {
+					if a.admit(e.req) == nil {
 						admitted = append(admitted, e.clock.now)
-						a.release(e.visit, time.Millisecond)
+						a.release(e.req, time.Millisecond)
 					}
 				}
 			case 3, 4, 5:
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -100,8 +100,8 @@
 // instant puts a reading of the clock into the form that the gate wants.
 func instant(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
 
-// admit decides by contract and share. Each admitted visit needs one release.
-func (a *admitter) admit(v *visit) *problem.Error {
+// admit decides by contract and share. Each admitted req needs one release.
+func (a *admitter) admit(v *parsedRequest) *problem.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
@@ -134,8 +134,8 @@
 	return problem.Refuse(problem.OverLimit, stepAdmit, a.vm, detail).After(max(d.RetryAfter, time.Millisecond))
 }
 
-// release ends an admitted visit.
-func (a *admitter) release(v *visit, took time.Duration) {
+// release ends an admitted req.
+func (a *admitter) release(v *parsedRequest, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	account := shares.Account{Customer: v.contract.Customer, Service: v.service.Name}
--- a/internal/entry/admit_test.go
+++ b/internal/entry/admit_test.go
@@ -27,7 +27,7 @@
 	clock *testClock
 	all   []*admitter
 	view  *view.View
-	visit *visit
+	req   *parsedRequest
 	seq   uint64
 }
 
@@ -54,7 +54,7 @@
 	e.view.Revision = 1
 	require.Empty(t, e.view.Problems)
 	contract := e.view.Contracts()[0]
-	e.visit = &visit{service: e.view.Service("booth"), contract: contract, allowance: contract.Services[0]}
+	e.req = &parsedRequest{service: e.view.Service("booth"), contract: contract, allowance: contract.Services[0]}
 	for i := range n {
 		name := fmt.Sprintf("vm%d", i+1)
 		e.view.Listed = append(e.view.Listed, wire.Place{VM: name})
@@ -89,12 +89,12 @@
 		}
 		for i, a := range e.all {
 			for due[i] += float64(perSecond[i]) * tick.Seconds(); due[i] >= 1; due[i]-- {
-				if a.admit(e.visit) != nil {
+				if a.admit(e.req) != nil {
 					refused++
 					continue
 				}
 				admitted++
-				a.release(e.visit, tick)
+				a.release(e.req, tick)
 			}
 		}
 	}
@@ -146,10 +146,10 @@
 func TestFirstRequestPassesAndRefusalIsNotRun(t *testing.T) {
 	e := newEntries(t, 3, narrators)
 	e.offer(2*time.Second, idle(3)...)
-	require.Nil(t, e.all[0].admit(e.visit))
+	require.Nil(t, e.all[0].admit(e.req))
 	var p *problem.Error
 	for p == nil {
-		p = e.all[0].admit(e.visit)
+		p = e.all[0].admit(e.req)
 	}
 	require.Equal(t, problem.OverLimit, p.Kind)
 	require.Equal(t, problem.RanNo, p.Ran)
@@ -171,13 +171,13 @@
 	e.clock.now += time.Hour
 	e.offer(time.Second, idle(3)...)
 	burst := 0
-	for e.all[1].admit(e.visit) == nil {
+	for e.all[1].admit(e.req) == nil {
 		burst++
 	}
 	require.Equal(t, 30/3, burst, "the entry's own part of the concurrency")
 	require.Len(t, e.all[1].active, 1)
 	for range burst {
-		e.all[1].release(e.visit, time.Millisecond)
+		e.all[1].release(e.req, time.Millisecond)
 	}
 	e.offer(3*time.Second, 0, 150, 0)
 	admitted, _ := e.offer(4*time.Second, 0, 150, 0)
@@ -194,8 +194,8 @@
 	e.offer(2*time.Second, idle(9)...)
 	b.ReportAllocs()
 	for b.Loop() {
-		if e.all[0].admit(e.visit) == nil {
-			e.all[0].release(e.visit, time.Millisecond)
+		if e.all[0].admit(e.req) == nil {
+			e.all[0].release(e.req, time.Millisecond)
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,7 +34,7 @@
 // entry is the process: the callers' HTTP server and its parts.
 type entry struct {
 	*daemon.Kit[*Settings]
-	door      *door
+	parser    *requestParser
 	feed      *feed.Feed
 	forwarder *forwarder
 	admitter  *admitter
@@ -72,7 +72,7 @@
 	f := feed.New(k.LC, endpoint, k.Life, k.Log, k.Registry)
 	e := &entry{
 		Kit:       k,
-		door:      &door{vm: k.Settings.VM},
+		parser:    &requestParser{vm: k.Settings.VM},
 		feed:      f,
 		forwarder: &forwarder{vm: k.Settings.VM, feed: f, peers: pooled{peer.NewRequestPool(k.Settings.PeerConnections)}},
 		started:   time.Now().UnixNano(),
@@ -143,25 +143,25 @@
 func (e *entry) serve(c *gin.Context) {
 	begun := time.Now()
 	if why := e.leaving(c); why != "" {
-		e.refuse(c, problem.Refuse(problem.Leaving, stepDoor, e.Settings.VM, why).After(time.Second))
+		e.refuse(c, problem.Refuse(problem.Leaving, stepParse, e.Settings.VM, why).After(time.Second))
 		return
 	}
 	if ready, why := e.Life.IsReady(); !ready && !e.Life.Serving() {
-		e.refuse(c, problem.Refuse(problem.NotReady, stepDoor, e.Settings.VM, why).After(time.Second))
+		e.refuse(c, problem.Refuse(problem.NotReady, stepParse, e.Settings.VM, why).After(time.Second))
 		return
 	}
-	visit, p := e.door.knock(e.feed.Current(), c.Request, begun)
+	req, p := e.parser.parse(e.feed.Current(), c.Request, begun)
 	if p == nil {
-		p = e.admitter.admit(visit)
+		p = e.admitter.admit(req)
 	}
 	if p != nil {
 		e.refuse(c, p)
 		return
 	}
 	e.inFlight.Inc(1)
-	answer, p := e.run(c, visit)
+	answer, p := e.run(c, req)
 	e.inFlight.Dec(1)
-	e.admitter.release(visit, time.Since(begun))
+	e.admitter.release(req, time.Since(begun))
 	if p != nil {
 		e.refuse(c, p)
 		return
@@ -170,9 +170,9 @@
 	e.write(c, answer)
 }
 
-// run takes an admitted visit to its answer.
-func (e *entry) run(c *gin.Context, v *visit) (*wire.Answer, *problem.Error) {
-	if p := e.door.readBody(c.Writer, c.Request, v); p != nil {
+// run takes an admitted req to its answer.
+func (e *entry) run(c *gin.Context, v *parsedRequest) (*wire.Answer, *problem.Error) {
+	if p := e.parser.readBody(c.Writer, c.Request, v); p != nil {
 		return nil, p
 	}
 	v.request.ID = e.nextID()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -53,7 +53,7 @@
 // the key has a view that differs from ours by a moment: the request waits for the
 // next view and goes to the dispatcher of the owner that it shows. After any other
 // failure the request may have run; sending it again is left to its caller.
-func (f *forwarder) forward(ctx context.Context, v *visit) (*wire.Answer, *problem.Error) {
+func (f *forwarder) forward(ctx context.Context, v *parsedRequest) (*wire.Answer, *problem.Error) {
 	r := route{until: time.Now().Add(ownerlessFor)}
 	if v.deadline.Before(r.until) {
 		r.until = v.deadline
@@ -127,12 +127,12 @@
 // for each of two that left at the same moment.
 const maxDispatchers = 3
 
-func (f *forwarder) choose(v *view.View, visit *visit, r *route) (wire.Member, *problem.Error) {
+func (f *forwarder) choose(v *view.View, req *parsedRequest, r *route) (wire.Member, *problem.Error) {
 	members := v.Dispatchers()
 	if len(members) == 0 {
 		return wire.Member{}, problem.Refuse(problem.NotReady, "choose", f.vm, "no dispatcher is known").After(time.Second)
 	}
-	queue, near, p := f.queue(v, visit)
+	queue, near, p := f.queue(v, req)
 	if p != nil {
 		return wire.Member{}, p
 	}
@@ -157,12 +157,12 @@
 }
 
 // queue names the queue of a request, and the data centre it should be in.
-func (f *forwarder) queue(v *view.View, visit *visit) (queue, near string, p *problem.Error) {
-	s := visit.service
+func (f *forwarder) queue(v *view.View, req *parsedRequest) (queue, near string, p *problem.Error) {
+	s := req.service
 	if !s.Keyed {
 		return s.Name, "", nil
 	}
-	grant := v.Owner(s.Name, keyspace.Of(visit.request.Key))
+	grant := v.Owner(s.Name, keyspace.Of(req.request.Key))
 	if grant == nil {
 		return "", "", problem.Refuse(problem.NoOwner, "choose", f.vm, "the key has no owner now").After(time.Second)
 	}
@@ -170,7 +170,7 @@
 	return s.Name + "/" + t.Name, t.DataCentre, nil
 }
 
-func (f *forwarder) call(ctx context.Context, v *visit, m wire.Member) (*wire.Answer, *problem.Error) {
+func (f *forwarder) call(ctx context.Context, v *parsedRequest, m wire.Member) (*wire.Answer, *problem.Error) {
 	request := *v.request
 	request.Budget = time.Until(v.deadline)
 	if request.Budget <= 0 {
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -92,7 +92,7 @@
 		time.AfterFunc(after, func() { s.show(next) })
 	}
 	f := &forwarder{vm: "vm1", feed: s, peers: s}
-	v := &visit{service: s.view.Service("shelf"), request: &wire.Request{ID: "r", Service: "shelf", Key: "k"}, deadline: begun.Add(patience)}
+	v := &parsedRequest{service: s.view.Service("shelf"), request: &wire.Request{ID: "r", Service: "shelf", Key: "k"}, deadline: begun.Add(patience)}
 	answer, p := f.forward(s.t.Context(), v)
 	return answer, p, time.Since(begun)
 }
--- a/internal/entry/door.go
+++ b/internal/entry/parse.go
@@ -25,18 +25,18 @@
 	bearer               = "Bearer "
 )
 
-// stepDoor is the step of refusals at the door.
-const stepDoor = "door"
+// stepParse is the step of refusals while a request is parsed.
+const stepParse = "parse"
 
 // maxKey bounds a key or an idempotency key, bytes.
 const maxKey = 1024
 
 // door checks what a caller sent. It refuses what is not clear: guessing at a
 // key or a deadline would send a request to the wrong owner.
-type door struct{ vm string }
+type requestParser struct{ vm string }
 
-// visit is a caller's request with what was found out about it.
-type visit struct {
+// req is a caller's request with what was found out about it.
+type parsedRequest struct {
 	service   *model.Service
 	contract  *model.Contract
 	allowance model.Allowance
@@ -44,12 +44,12 @@
 	deadline  time.Time
 }
 
-func (d *door) refuse(kind problem.Kind, format string, args ...any) *problem.Error {
-	return problem.Refuse(kind, stepDoor, d.vm, fmt.Sprintf(format, args...))
+func (d *requestParser) refuse(kind problem.Kind, format string, args ...any) *problem.Error {
+	return problem.Refuse(kind, stepParse, d.vm, fmt.Sprintf(format, args...))
 }
 
-// knock reads everything but the body.
-func (d *door) knock(v *view.View, r *http.Request, now time.Time) (*visit, *problem.Error) {
+// parse reads everything but the body.
+func (d *requestParser) parse(v *view.View, r *http.Request, now time.Time) (*parsedRequest, *problem.Error) {
 	if r.Method == http.MethodConnect {
 		return nil, d.refuse(problem.BadRequest, "CONNECT asks for a tunnel, and there are none")
 	}
@@ -84,7 +84,7 @@
 }
 
 // check reads the headers.
-func (d *door) check(v *view.View, service, path string, r *http.Request, now time.Time) (*visit, *problem.Error) {
+func (d *requestParser) check(v *view.View, service, path string, r *http.Request, now time.Time) (*parsedRequest, *problem.Error) {
 	token, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
 	if !ok || token == "" || len(r.Header.Values(headerAuthorization)) > 1 {
 		return nil, d.refuse(problem.UnknownToken, "one bearer token is required")
@@ -114,10 +114,10 @@
 		return nil, p
 	}
 	request.Header = forwardable(r.Header)
-	return &visit{service: s, contract: contract, allowance: allowance, request: request, deadline: now.Add(request.Budget)}, nil
+	return &parsedRequest{service: s, contract: contract, allowance: allowance, request: request, deadline: now.Add(request.Budget)}, nil
 }
 
-func (d *door) readHeaders(s *model.Service, r *http.Request, out *wire.Request) *problem.Error {
+func (d *requestParser) readHeaders(s *model.Service, r *http.Request, out *wire.Request) *problem.Error {
 	var p *problem.Error
 	if out.Key, p = d.single(r, headerKey); p != nil {
 		return p
@@ -136,7 +136,7 @@
 }
 
 // single returns the only value of a header, or "".
-func (d *door) single(r *http.Request, name string) (string, *problem.Error) {
+func (d *requestParser) single(r *http.Request, name string) (string, *problem.Error) {
 	values := r.Header.Values(name)
 	switch {
 	case len(values) == 0:
@@ -149,7 +149,7 @@
 	return values[0], nil
 }
 
-func (d *door) budget(s *model.Service, r *http.Request) (time.Duration, *problem.Error) {
+func (d *requestParser) budget(s *model.Service, r *http.Request) (time.Duration, *problem.Error) {
 	text, p := d.single(r, headerDeadline)
 	if p != nil {
 		return 0, p
@@ -164,7 +164,7 @@
 	return min(time.Duration(ms)*time.Millisecond, s.MaxDeadline.D()), nil
 }
 
-func (d *door) idempotent(r *http.Request) (bool, *problem.Error) {
+func (d *requestParser) idempotent(r *http.Request) (bool, *problem.Error) {
 	text, p := d.single(r, headerIdempotent)
 	if p != nil {
 		return false, p
@@ -190,8 +190,8 @@
 
 // readBody reads the whole body, refusing one over the limit before reading it
 // all.
-func (d *door) readBody(w http.ResponseWriter, r *http.Request, visit *visit) *problem.Error {
-	limit := visit.service.MaxBody
+func (d *requestParser) readBody(w http.ResponseWriter, r *http.Request, req *parsedRequest) *problem.Error {
+	limit := req.service.MaxBody
 	if r.ContentLength > limit {
 		return d.refuse(problem.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
@@ -203,7 +203,7 @@
 	if err != nil {
 		return d.refuse(problem.BadRequest, "the body did not come whole: %v", err)
 	}
-	visit.request.Body = body
-	visit.request.Sum = wire.Sum(body)
+	req.request.Body = body
+	req.request.Sum = wire.Sum(body)
 	return nil
 }
--- a/internal/entry/door_test.go
+++ b/internal/entry/parse_test.go
@@ -55,7 +55,7 @@
 	return v
 }
 
-func knock(change func(*http.Request)) *http.Request {
+func parse(change func(*http.Request)) *http.Request {
 	r := httptest.NewRequest(http.MethodGet, "/s/shelf/a", nil)
 	r.Header.Set("Authorization", "Bearer "+testToken)
 	r.Header.Set("Hq-Key", "k")
@@ -95,10 +95,10 @@
 		{"unknown service", "nothing", nil, problem.UnknownService},
 		{"service ended", "ended", nil, problem.OutsideContract},
 	}
-	d, v := &door{vm: "vm1"}, testView(t, nil)
+	d, v := &requestParser{vm: "vm1"}, testView(t, nil)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, p := d.check(v, c.service, "/a", knock(c.change), today)
+			_, p := d.check(v, c.service, "/a", parse(c.change), today)
 			require.NotNil(t, p)
 			require.Equal(t, c.want, p.Kind, p.Detail)
 			require.Equal(t, problem.RanNo, p.Ran)
@@ -108,8 +108,8 @@
 }
 
 func TestDoorReadsHeaders(t *testing.T) {
-	d, v := &door{vm: "vm1"}, testView(t, nil)
-	visit, p := d.check(v, "shelf", "/a?q=1", knock(func(r *http.Request) {
+	d, v := &requestParser{vm: "vm1"}, testView(t, nil)
+	req, p := d.check(v, "shelf", "/a?q=1", parse(func(r *http.Request) {
 		r.Method = http.MethodPost
 		set("Hq-Deadline-Ms", "250")(r)
 		set("Hq-Rank", "forged")(r)
@@ -119,29 +119,29 @@
 		set("Idempotency-Key", "ik")(r)
 	}), today)
 	require.Nil(t, p)
-	require.Equal(t, "k", visit.request.Key)
-	require.Equal(t, 250*time.Millisecond, visit.request.Budget)
-	require.False(t, visit.request.Idempotent, "POST is not idempotent")
-	require.Equal(t, "ik", visit.request.IdempotencyKey)
-	require.Equal(t, http.Header{"X-End": {"1"}, "Idempotency-Key": {"ik"}}, visit.request.Header)
+	require.Equal(t, "k", req.request.Key)
+	require.Equal(t, 250*time.Millisecond, req.request.Budget)
+	require.False(t, req.request.Idempotent, "POST is not idempotent")
+	require.Equal(t, "ik", req.request.IdempotencyKey)
+	require.Equal(t, http.Header{"X-End": {"1"}, "Idempotency-Key": {"ik"}}, req.request.Header)
 }
 
 // A customer is refused during the last day of its contract. The contract names
 // a day; taking the day's first second in the operator's own zone as the end
 // would cut off up to a day of service.
 func TestContractHoldsToTheEndOfItsDayInUTC(t *testing.T) {
-	d := &door{vm: "vm1"}
+	d := &requestParser{vm: "vm1"}
 	v := testView(t, func(c *model.Contract) { c.End = model.NewDate(today) })
 	last := time.Date(2026, 12, 2, 23, 59, 59, 0, time.UTC)
-	_, p := d.check(v, "shelf", "/", knock(nil), last.In(time.FixedZone("east", 9*3600)))
+	_, p := d.check(v, "shelf", "/", parse(nil), last.In(time.FixedZone("east", 9*3600)))
 	require.Nil(t, p)
-	_, p = d.check(v, "shelf", "/", knock(nil), last.Add(time.Second).In(time.FixedZone("west", -9*3600)))
+	_, p = d.check(v, "shelf", "/", parse(nil), last.Add(time.Second).In(time.FixedZone("west", -9*3600)))
 	require.NotNil(t, p)
 	require.Equal(t, problem.OutsideContract, p.Kind)
 }
 
 func TestDoorReadsBodyWithinLimit(t *testing.T) {
-	d, v := &door{vm: "vm1"}, testView(t, nil)
+	d, v := &requestParser{vm: "vm1"}, testView(t, nil)
 	cases := []struct {
 		name   string
 		body   string
@@ -153,15 +153,15 @@
 		{"unannounced too large", strings.Repeat("b", 17), -1, problem.TooLarge},
 	}
 	for _, c := range cases {
-		r := knock(nil)
-		visit, p := d.check(v, "shelf", "/", r, today)
+		r := parse(nil)
+		req, p := d.check(v, "shelf", "/", r, today)
 		require.Nil(t, p)
 		r.Body, r.ContentLength = http.NoBody, c.length
 		r.Body = readCloser{strings.NewReader(c.body)}
-		p = d.readBody(httptest.NewRecorder(), r, visit)
+		p = d.readBody(httptest.NewRecorder(), r, req)
 		if c.want == "" {
 			require.Nil(t, p, c.name)
-			require.Equal(t, wire.Sum([]byte(c.body)), visit.request.Sum)
+			require.Equal(t, wire.Sum([]byte(c.body)), req.request.Sum)
 			continue
 		}
 		require.NotNil(t, p, c.name)
@@ -178,7 +178,7 @@
 	f.Add("", "", "", "", "", "")
 	f.Add("Bearer secret", "\x00", "-1", "TRUE", " ", "Connection, ,")
 	f.Add("Bearer secret", "k", "1e3", "", "", "close")
-	d, v := &door{vm: "vm1"}, testView(f, nil)
+	d, v := &requestParser{vm: "vm1"}, testView(f, nil)
 	f.Fuzz(func(t *testing.T, auth, key, deadline, idempotent, idempotencyKey, connection string) {
 		r := httptest.NewRequest(http.MethodPost, "/s/shelf/a", nil)
 		for name, value := range map[string]string{
@@ -189,15 +189,15 @@
 				r.Header[name] = []string{value}
 			}
 		}
-		visit, p := d.check(v, "shelf", "/a", r, today)
+		req, p := d.check(v, "shelf", "/a", r, today)
 		if p != nil {
 			require.Equal(t, problem.RanNo, p.Ran, fmt.Sprint(p))
 			return
 		}
-		require.NotEmpty(t, visit.request.Key)
-		require.Positive(t, visit.request.Budget)
-		require.LessOrEqual(t, visit.request.Budget, visit.service.MaxDeadline.D())
-		for name := range visit.request.Header {
+		require.NotEmpty(t, req.request.Key)
+		require.Positive(t, req.request.Budget)
+		require.LessOrEqual(t, req.request.Budget, req.service.MaxDeadline.D())
+		for name := range req.request.Header {
 			require.False(t, strings.HasPrefix(name, ownPrefix), name)
 		}
 	})
--- a/internal/entry/slope_test.go
+++ b/internal/entry/slope_test.go
@@ -40,7 +40,7 @@
 		e.renew()
 	}
 	for _, c := range e.view.Contracts()[:used] {
-		v := &visit{service: e.view.Service("booth"), contract: c, allowance: c.Services[0]}
+		v := &parsedRequest{service: e.view.Service("booth"), contract: c, allowance: c.Services[0]}
 		require.Nil(b, e.all[0].admit(v))
 		for range 100 {
 			// Most are refused: more is wanted than the entry's base.
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -4,15 +4,15 @@
 
 // RPC methods of limits, intents and quarantine.
 const (
-	MethodShare    = "Entry.Share"
-	MethodClaim    = "Dispatch.Claim"
-	MethodSettle   = "Dispatch.Settle"
-	MethodRelease  = "Dispatch.Release"
-	MethodAwait    = "Dispatch.Await"
-	MethodCopy     = "Dispatch.CopyIntents"
-	MethodFarewell = "Dispatch.Farewell"
-	MethodPermit   = "Dispatch.Permit"
-	MethodCases    = "Dispatch.Cases"
+	MethodShare   = "Entry.Share"
+	MethodClaim   = "Dispatch.Claim"
+	MethodSettle  = "Dispatch.Settle"
+	MethodRelease = "Dispatch.Release"
+	MethodAwait   = "Dispatch.Await"
+	MethodCopy    = "Dispatch.CopyIntents"
+	MethodHandoff = "Dispatch.Handoff"
+	MethodPermit  = "Dispatch.Permit"
+	MethodCases   = "Dispatch.Cases"
 )
 
 // AwaitArgs asks a coordinator for the end of a request that it runs.
