--- a/internal/agent/faults_play_test.go
+++ b/internal/agent/faults_play_test.go
@@ -242,7 +242,7 @@
 }
 
 // beat lets the fleet do what it does in 100 ms, and checks that nothing falls. It
-// tells whether the change has ended and is in force.
+// reports whether the change has ended and is in force.
 func (p *changePlay) beat() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -337,7 +337,7 @@
 	}
 }
 
-// everywhere tells whether the stored version is in force on every VM that runs.
+// everywhere reports whether the stored version is in force on every VM that runs.
 func (p *changePlay) everywhere() bool {
 	want := p.object().Version
 	for _, n := range p.nodes {
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -150,7 +150,7 @@
 // peer that has not answered within the time that makes it silent is gone.
 const settleWithin = time.Second
 
-// settled tells whether members and grants are complete enough to act on.
+// settled reports whether members and grants are complete enough to act on.
 //
 // Failure: a VM is replaced. Its dispatcher is ready at once and gets requests,
 // but its agent has not heard the peers' grants yet; every key seems without
@@ -190,7 +190,7 @@
 	return out
 }
 
-// storeWatched tells whether any live agent's watch of the store works. While one
+// storeWatched reports whether any live agent's watch of the store works. While one
 // does, an outranked grantor writes a new epoch; a claim by the next in line at the
 // old one would only be cut short by it, and callers refused twice.
 func (m *members) storeWatched() bool {
--- a/internal/agent/watcher.go
+++ b/internal/agent/watcher.go
@@ -51,7 +51,7 @@
 	relist bool
 }
 
-// working tells whether the store may be expected to bring the next change.
+// working reports whether the store may be expected to bring the next change.
 func (w *watcher) working() bool {
 	return !w.broken.Load() && (w.members.me().Watching || !w.ready())
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -183,7 +183,7 @@
 	delete(m.removed, oldest)
 }
 
-// Expire drops targets whose grace is over and tells whether there were any.
+// Expire drops targets whose grace is over and reports whether there were any.
 func (m *Members) Expire(now time.Duration) bool {
 	changed := false
 	for id, a := range m.missing {
@@ -195,7 +195,7 @@
 	return changed
 }
 
-// Waiting tells whether some targets are in their grace.
+// Waiting reports whether some targets are in their grace.
 func (m *Members) Waiting() bool { return len(m.missing) > 0 }
 
 // Snapshot returns the targets in order of their ids.
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -149,7 +149,7 @@
 	return l.longest
 }
 
-// Serving tells whether new work is taken: the daemon is ready, or leaves and is
+// Serving reports whether new work is taken: the daemon is ready, or leaves and is
 // still in its lead.
 func (l *Life) Serving() bool {
 	l.mu.Lock()
@@ -194,7 +194,7 @@
 	return true
 }
 
-// IsReady tells whether the daemon takes work, and why not.
+// IsReady reports whether the daemon takes work, and why not.
 func (l *Life) IsReady() (bool, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -70,7 +70,7 @@
 // Slowness returns the ratio of measured to expected service times, 1 at first.
 func (t *Target) Slowness() float64 { return math.Exp(t.logRatio) }
 
-// Slow tells whether the target is avoided.
+// Slow reports whether the target is avoided.
 func (t *Target) Slow() bool { return t.slow }
 
 // Sent notes that a request is on its way.
@@ -122,7 +122,7 @@
 // Returned notes that a target that had left says that it is back.
 func (t *Target) Returned() { t.leftUntil = time.Time{} }
 
-// Serves tells whether the target takes part now.
+// Serves reports whether the target takes part now.
 func (t *Target) Serves(now time.Time) bool {
 	return !now.Before(t.restUntil) && !now.Before(t.leftUntil)
 }
@@ -135,10 +135,10 @@
 	return t.restUntil
 }
 
-// Leaving tells whether the target said that it leaves, by a refusal or a hint.
+// Leaving reports whether the target said that it leaves, by a refusal or a hint.
 func (t *Target) Leaving(now time.Time) bool { return t.HintLeaving || now.Before(t.leftUntil) }
 
-// free tells whether a request can be sent at once.
+// free reports whether a request can be sent at once.
 // After a failed connection one request tries the target, not a slot's worth each.
 func (t *Target) free(now time.Time) bool {
 	limit := t.Limit
@@ -207,7 +207,7 @@
 	return slow < c.Wait+c.Service
 }
 
-// trial tells whether a slow target is due to be tried.
+// trial reports whether a slow target is due to be tried.
 func (c Choice) trial(t *Target) bool {
 	return t.InFlight == 0 && c.Now.Sub(t.lastTrial) >= trialEvery
 }
--- a/internal/decide/deadline/deadline.go
+++ b/internal/decide/deadline/deadline.go
@@ -55,7 +55,7 @@
 	return time.Duration(ahead / slots * float64(time.Second))
 }
 
-// Meets tells whether a request can still be answered in time.
+// Meets reports whether a request can still be answered in time.
 func Meets(left, wait, service time.Duration) bool { return wait+service <= left }
 
 // GiveUp returns the moment from which a waiting request is past hope: its own
--- a/internal/decide/duration/duration.go
+++ b/internal/decide/duration/duration.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// Known tells whether estimates rest on enough answers to refuse by them.
+// Known reports whether estimates rest on enough answers to refuse by them.
 func (t *Table) Known() bool { return t.all.n >= knownSamples }
 
 // Mean returns the mean service time of all requests.
@@ -121,7 +121,7 @@
 	return t.Mean()
 }
 
-// Long tells whether requests of the kind take far longer than usual.
+// Long reports whether requests of the kind take far longer than usual.
 func (t *Table) Long(k Kind) bool {
 	m := t.kinds[k]
 	return m != nil && m.n >= longSamples && t.Known() && m.value > longFactor*math.Exp(t.logs.value)
--- a/internal/decide/fairqueue/fairqueue.go
+++ b/internal/decide/fairqueue/fairqueue.go
@@ -56,7 +56,7 @@
 	seq   uint64
 }
 
-// Waiting tells whether the item is in a queue.
+// Waiting reports whether the item is in a queue.
 func (i *Item[T]) Waiting() bool { return i.flow != nil }
 
 // Queue is a bounded fair queue. It is not safe for concurrent use.
@@ -180,7 +180,7 @@
 	return i
 }
 
-// backgroundDue tells whether background work has earned its next item.
+// backgroundDue reports whether background work has earned its next item.
 func (q *Queue[T]) backgroundDue(longToo bool) bool {
 	f := q.class[Background].first(longToo)
 	if f == nil {
--- a/internal/decide/fairqueue/yield.go
+++ b/internal/decide/fairqueue/yield.go
@@ -1,7 +1,7 @@
 package fairqueue
 
 // GiveWay takes out an item that was just pushed, if it waits and its customer holds
-// more of its class than its share. It tells whether it did.
+// more of its class than its share. It reports whether it did.
 //
 // Load pattern: sustained overload by several customers. If the one with most always
 // gave way, its newest item would have come some time ago: with exponential gaps 4.6
@@ -59,7 +59,7 @@
 	return worst
 }
 
-// above tells whether a customer holds more than its share, or is short of it by
+// above reports whether a customer holds more than its share, or is short of it by
 // forgiven requests at most. Customers with about equal holdings take turns at being
 // short by one or two; without that, one refusal in six looked for another.
 func (f *flow[T]) above(level float64) bool {
--- a/internal/decide/fitness/fitness.go
+++ b/internal/decide/fitness/fitness.go
@@ -50,7 +50,7 @@
 // NewMeter returns a meter of a grantor that takes a step each so often.
 func NewMeter(step time.Duration) *Meter { return &Meter{step: step} }
 
-// Note takes in a step and tells whether the VM is too slow.
+// Note takes in a step and reports whether the VM is too slow.
 func (m *Meter) Note(now time.Duration) bool {
 	if !m.started {
 		m.started, m.last, m.began = true, now, now
@@ -72,7 +72,7 @@
 // Waited returns the mean wait of the grants that were done.
 func (m *Meter) Waited() time.Duration { return m.waited }
 
-// Strayed tells whether so many owners leave orders unanswered that the fault is
+// Strayed reports whether so many owners leave orders unanswered that the fault is
 // this VM's: it is cut off, or slow beyond its own timeouts.
 //
 // Failure: all orders of a slow grantor timed out at the same moment. It gave the
--- a/internal/decide/idempotency/book.go
+++ b/internal/decide/idempotency/book.go
@@ -78,7 +78,7 @@
 	return out
 }
 
-// clean tells whether no record of the key can be unknown here: it was at two
+// clean reports whether no record of the key can be unknown here: it was at two
 // VMs at least when its request was sent, and one VM's records at most are
 // missing, of all that may have been its holders.
 //
@@ -100,7 +100,7 @@
 	return missing <= 1
 }
 
-// known tells whether every listed VM was asked for its copy since this one
+// known reports whether every listed VM was asked for its copy since this one
 // started.
 //
 // Failure: a VM handed over and was restarted under its name. It stores a claim
@@ -118,7 +118,7 @@
 	return true
 }
 
-// Forgot tells whether records of an earlier life may be missing here.
+// Forgot reports whether records of an earlier life may be missing here.
 func (b *Book) Forgot(now time.Duration) bool {
 	for p, at := range b.gone {
 		if now-at > Remember {
@@ -143,7 +143,7 @@
 	return n
 }
 
-// newFleet tells whether every dispatcher answered and is young: nobody had
+// newFleet reports whether every dispatcher answered and is young: nobody had
 // anything to forget.
 func (b *Book) newFleet(now time.Duration) bool {
 	if now-b.started > fleetStart || len(b.places) == 0 || len(b.gone) > 0 {
--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -58,7 +58,7 @@
 	Rate float64
 	// Fixed ranges are on the move, or cannot be moved now.
 	Fixed bool
-	// Divisible tells whether the load has more than one key.
+	// Divisible reports whether the load has more than one key.
 	Divisible bool
 }
 
@@ -83,7 +83,7 @@
 	return load
 }
 
-// Busy tells whether an owner with this load must not get ranges only to even out
+// Busy reports whether an owner with this load must not get ranges only to even out
 // their number.
 func Busy(load float64) bool { return load > fillMost }
 
@@ -137,7 +137,7 @@
 	return true
 }
 
-// halfHelps tells whether half of a range would be better at another owner.
+// halfHelps reports whether half of a range would be better at another owner.
 //
 // Failure: all owners have more than they can do. Nothing could be gained by a move, so
 // their ranges were divided, each time they were looked at, to twice as many within four
--- a/internal/decide/leaving/leaving.go
+++ b/internal/decide/leaving/leaving.go
@@ -2,7 +2,7 @@
 //
 // Failure: a VM is told to stop, and callers go on sending on the connections that they
 // keep. It passes on what comes, and its process ends while a target still works on some of
-// it: these callers get no answer, and cannot tell whether a booking was made. A request that
+// it: these callers get no answer, and cannot report whether a booking was made. A request that
 // is refused at once, as not run, is served by another VM a moment later.
 //
 // Two rules. What surely ends in time is taken to the last moment: its caller waits no
@@ -41,7 +41,7 @@
 	Expected time.Duration
 }
 
-// Takes tells whether a VM that was told to stop so long ago, and gives up in left what
+// Takes reports whether a VM that was told to stop so long ago, and gives up in left what
 // still runs then, takes the request.
 func Takes(r Request, since, left time.Duration) bool {
 	left -= answering
--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -103,7 +103,7 @@
 	s.Unseen *= unseenFade
 }
 
-// Full tells whether it may queue no more.
+// Full reports whether it may queue no more.
 func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
 
 // FullFor tells the same for a request that may have the last places, or may not.
@@ -114,7 +114,7 @@
 	return float64(s.Load()) >= (queueFactor+urgentFactor)*float64(max(s.Slots, 1))
 }
 
-// TakesCold tells whether it may get a request for a cold key: only into a free slot.
+// TakesCold reports whether it may get a request for a cold key: only into a free slot.
 //
 // Load pattern: half of the targets are lost at once, and the rest gets their keys
 // without their state. Requests for these take four times as long, and are late anyway.
@@ -122,7 +122,7 @@
 // as fast as ever is in time; kept out of the queue they leave nearly all of them so.
 func (s *State) TakesCold() bool { return s.Load() < max(s.Slots, 1) }
 
-// Resting tells whether it could not be reached just now.
+// Resting reports whether it could not be reached just now.
 func (s *State) Resting(now time.Duration) bool { return now < s.restUntil }
 
 // Slowness is the ratio of its measured service times to the usual ones.
--- a/internal/decide/placement/balance.go
+++ b/internal/decide/placement/balance.go
@@ -65,7 +65,7 @@
 // the mean. Moves made for that are undone a minute later.
 const warmUp = loadmeter.Constant
 
-// warm tells whether the figures may move anything. Without any load, groups are
+// warm reports whether the figures may move anything. Without any load, groups are
 // spread by number at once.
 func (r *round) warm() bool {
 	if !r.loadKnown && len(r.in.Load) > 0 {
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -106,7 +106,7 @@
 	// loadSince is when this planner first had load figures.
 	loadSince time.Duration
 	loadKnown bool
-	// wanted is since when a first plan is due; asked tells whether one is.
+	// wanted is since when a first plan is due; asked reports whether one is.
 	wanted time.Duration
 	asked  bool
 	// missing is since when a VM (by "vm/NAME") or target is gone.
@@ -210,7 +210,7 @@
 	r.decisions = append(r.decisions, Decision{Kind: k, Group: g.ID, Text: fmt.Sprintf(format, args...)})
 }
 
-// usable tells whether new roles may be given to the target.
+// usable reports whether new roles may be given to the target.
 func (r *round) usable(name string) bool {
 	_, listed := r.targets[name]
 	return listed && !r.in.Leaving[name] && !r.in.Lost[name]
--- a/internal/decide/placement/succession.go
+++ b/internal/decide/placement/succession.go
@@ -39,7 +39,7 @@
 	return l
 }
 
-// near tells whether the VM is in a data centre of the pair. One that is not
+// near reports whether the VM is in a data centre of the pair. One that is not
 // live is not: it may be back in a moment.
 func (l *successionPlanner) near(vm string) bool {
 	dc, live := l.dc[vm]
@@ -140,7 +140,7 @@
 	g.Grantors = line
 }
 
-// sound tells whether a whole line needs no change. One with a VM that is silent
+// sound reports whether a whole line needs no change. One with a VM that is silent
 // for the moment is left alone: a restart takes seconds.
 func (r *round) sound(g *model.Group, line []string) bool {
 	if !r.allLive(line) {
--- a/internal/decide/quarantine/case.go
+++ b/internal/decide/quarantine/case.go
@@ -31,10 +31,10 @@
 	return slices.DeleteFunc(slices.Clone(c.Deaths), func(d Death) bool { return slices.Contains(c.Cleared, d.Name) })
 }
 
-// Suspect tells whether a request must run alone.
+// Suspect reports whether a request must run alone.
 func (c *Case) Suspect() bool { return len(c.open()) > 0 }
 
-// Quarantined tells whether no request runs any more: a target died under it as
+// Quarantined reports whether no request runs any more: a target died under it as
 // a suspect, or two died that ran nothing else. Two deaths beside others prove
 // nothing: an innocent request of which many are in flight may run beside two
 // killers.
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -51,7 +51,7 @@
 	return Run
 }
 
-// kept tells whether a target is kept for a suspect: while it waits there, for a
+// kept reports whether a target is kept for a suspect: while it waits there, for a
 // bounded time, and while it runs. Would others join it, a death would name no
 // culprit.
 func (w *Watch) kept(l *targetRuns, now time.Duration) bool {
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -47,7 +47,7 @@
 }
 
 // Repeat takes one repeat from the budget of a VM that is one of so many, and
-// tells whether there was one.
+// reports whether there was one.
 func (b *Budget) Repeat(l Limit, vms int, now time.Duration) bool {
 	b.advance(l, now)
 	allowed := ratioUsed*l.Ratio*sum(b.requests[:]) + slackUsed*l.Slack/float64(max(vms, 1))
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -38,7 +38,7 @@
 	Abandoned
 )
 
-// ran tells whether the request may have run.
+// ran reports whether the request may have run.
 func (o Outcome) ran() bool { return o == Lost || o == Abandoned }
 
 // Verdict is what to do.
--- a/internal/decide/shares/borrowing.go
+++ b/internal/decide/shares/borrowing.go
@@ -196,7 +196,7 @@
 	}
 }
 
-// fits tells whether all that this entry uses and has lent stays within its
+// fits reports whether all that this entry uses and has lent stays within its
 // share, with all VMs counted that it knows now.
 func (b *Book) fits(now time.Duration) bool {
 	base := b.roster.base(now)
--- a/internal/decide/shares/roster.go
+++ b/internal/decide/shares/roster.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// confirmed tells whether every VM that counts confirmed in its present life.
+// confirmed reports whether every VM that counts confirmed in its present life.
 //
 // Failure: a VM restarts after it confirmed and forgets this entry. It has no
 // base of its own until this entry confirmed in turn, so nothing is lost.
--- a/internal/decide/shares/shares.go
+++ b/internal/decide/shares/shares.go
@@ -173,7 +173,7 @@
 // Base returns the part of every account that this entry owns.
 func (b *Book) Base(now time.Duration) Units { return b.roster.base(now) }
 
-// Involved tells whether anything of the account is lent or borrowed.
+// Involved reports whether anything of the account is lent or borrowed.
 func (b *Book) Involved(a Account) bool {
 	x := b.accounts[a]
 	return x != nil && len(x.lent)+len(x.borrowed) > 0
--- a/internal/decide/suspicion/suspicion.go
+++ b/internal/decide/suspicion/suspicion.go
@@ -70,7 +70,7 @@
 	return max(setting, min(slack*longest, Ceiling))
 }
 
-// Alive tells whether the peer's silence is within its bound.
+// Alive reports whether the peer's silence is within its bound.
 func (p *Peer) Alive(now, setting time.Duration) bool {
 	return p.spoke && now-p.heard < p.Bound(setting)
 }
--- a/internal/decide/urgency/urgency.go
+++ b/internal/decide/urgency/urgency.go
@@ -44,7 +44,7 @@
 	m.counts[priority]++
 }
 
-// First tells whether requests of this priority are the most urgent of several: others
+// First reports whether requests of this priority are the most urgent of several: others
 // come after them, and none before, to speak of.
 func (m *Meter) First(priority int) bool {
 	total := 0.0
--- a/internal/dispatch/faults_cell_test.go
+++ b/internal/dispatch/faults_cell_test.go
@@ -119,12 +119,12 @@
 	return end, inject, life, err
 }
 
-// gone tells whether the network or the dispatcher is down. cellMu is held.
+// gone reports whether the network or the dispatcher is down. cellMu is held.
 func (c *cell) gone() bool {
 	return c.isDead() || time.Now().Before(c.cutUntil)
 }
 
-// isDead tells whether the dispatcher is lost.
+// isDead reports whether the dispatcher is lost.
 func (c *cell) isDead() bool {
 	select {
 	case <-c.dead:
--- a/internal/dispatch/fingerprint.go
+++ b/internal/dispatch/fingerprint.go
@@ -10,7 +10,7 @@
 	"hemlockquay/internal/wire"
 )
 
-// intentPrint tells whether a repeat with the same Idempotency-Key is the same
+// intentPrint reports whether a repeat with the same Idempotency-Key is the same
 // request: service, method, path, key and body. Headers may differ between a
 // caller's repeats.
 func intentPrint(r *wire.Request) uint64 {
--- a/internal/dispatch/hints.go
+++ b/internal/dispatch/hints.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// gone tells whether the target behind a broken connection died: nothing listens
+// gone reports whether the target behind a broken connection died: nothing listens
 // at its address, or another incarnation does.
 //
 // Failure: a connection breaks and the target lives (a proxy, a bug in one
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// mayHaveRun tells whether an earlier attempt was lost.
+// mayHaveRun reports whether an earlier attempt was lost.
 func (j *job) mayHaveRun() bool { return j.state.State() == stateUnsettled }
 
 // answer ends the job with a whole answer.
--- a/internal/dispatch/moved.go
+++ b/internal/dispatch/moved.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// ownedElsewhere tells whether another target than the queue's owns the job's key.
+// ownedElsewhere reports whether another target than the queue's owns the job's key.
 func (q *queue) ownedElsewhere(v *view.View, j *job) bool {
 	if q.id.Target == "" {
 		return false
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -104,7 +104,7 @@
 	return next
 }
 
-// mostlySlow tells whether over half of the targets count as slow. Then it is the
+// mostlySlow reports whether over half of the targets count as slow. Then it is the
 // expectation that is wrong.
 func (p *pool) mostlySlow() bool {
 	n := 0
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -78,7 +78,7 @@
 	return deadline.Wait(ahead, slots)
 }
 
-// dead tells whether no target has served for longer than a request may wait.
+// dead reports whether no target has served for longer than a request may wait.
 func (q *queue) dead(now time.Time) bool {
 	if q.deadSince.IsZero() || now.Sub(q.deadSince) < ownerlessFor {
 		return false
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// longMayRun tells whether a long job may take a slot now.
+// longMayRun reports whether a long job may take a slot now.
 func (q *queue) longMayRun(now time.Time) bool {
 	_, total := q.pool.capacity(now)
 	return q.fifo || q.longRunning < slots.LongLimit(total)
--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// busy tells whether the ledger's use of its share may change by itself.
+// busy reports whether the ledger's use of its share may change by itself.
 func (l *ledger) busy(now time.Duration) bool {
 	return l.offered > 0 || l.demand > 0 || l.gate.Running() > 0 || l.refusedAt != 0 || l.seen != 0 && now-l.seen < reserveFor
 }
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -230,7 +230,7 @@
 	a.rest(now)
 }
 
-// hasBase tells whether the others confirmed this VM's part of the limits.
+// hasBase reports whether the others confirmed this VM's part of the limits.
 //
 // Failure: a VM is replaced. Its entry was ready at once, had no part of any limit
 // yet, and refused customers far below their contracts for a fraction of a second.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -118,7 +118,7 @@
 	return true
 }
 
-// passOver tells whether another dispatcher may do better.
+// passOver reports whether another dispatcher may do better.
 func passOver(p *problem.Error) bool {
 	return p.Ran == problem.RanNo && (p.Kind == problem.Leaving || p.Kind == problem.NoOwner)
 }
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -48,12 +48,12 @@
 	NotRun string
 }
 
-// notRun tells whether an answer says that the target has not run the request.
+// notRun reports whether an answer says that the target has not run the request.
 func (h Headers) notRun(a *upstream.Answer) bool {
 	return a.Header.Get(h.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
 }
 
-// another tells whether the answer comes from another target than was meant: the
+// another reports whether the answer comes from another target than was meant: the
 // address has passed on.
 func (h Headers) another(a *upstream.Answer, id string) bool {
 	got := a.Header.Get(h.InstanceID)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -100,11 +100,11 @@
 
 // readBody takes in the whole body: what has not come whole is not passed on. A body
 // that is held can be sent again where a target refuses it or the route allows repeats.
-func (n *node) readBody(c *call, w http.ResponseWriter, r *http.Request, limit int64) *outcome {
+func (g *Gateway) readBody(c *call, w http.ResponseWriter, r *http.Request, limit int64) *outcome {
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	body, err := n.readInTime(c, w, r, limit)
+	body, err := g.readInTime(c, w, r, limit)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return &outcome{status: http.StatusRequestEntityTooLarge, reason: errBodyTooLarge.Error()}
@@ -117,7 +117,7 @@
 	}
 	c.request.Body = body
 	digest := xxhash.New()
-	_, _ = digest.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n" + r.Header.Get(n.headers.Key) + "\n")
+	_, _ = digest.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n" + r.Header.Get(g.headers.Key) + "\n")
 	_, _ = digest.Write(body)
 	c.content = digest.Sum64()
 	return nil
@@ -127,7 +127,7 @@
 //
 // Failure: a caller stops in the middle of its body and keeps the connection. Nothing
 // ended the wait, and the memory for its body was held for as long.
-func (n *node) readInTime(c *call, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func (g *Gateway) readInTime(c *call, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -72,7 +72,7 @@
 func TestBodyThatDoesNotComeInTime(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", works)
-	front := httptest.NewServer(b.node)
+	front := httptest.NewServer(b.Gateway)
 	defer front.Close()
 	c, err := net.Dial("tcp", strings.TrimPrefix(front.URL, "http://"))
 	require.NoError(t, err)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,20 +47,20 @@
 	retry  time.Duration
 }
 
-func (n *node) newCall(r *http.Request, rt *route.Route, service string) *call {
+func (g *Gateway) newCall(r *http.Request, rt *route.Route, service string) *call {
 	now := time.Now()
 	c := &call{
-		id: r.Header.Get(n.headers.RequestID), route: rt, service: service,
-		start: now, tried: make(map[string]bool), body: heldBody{room: n.bodies},
+		id: r.Header.Get(g.headers.RequestID), route: rt, service: service,
+		start: now, tried: make(map[string]bool), body: heldBody{room: g.bodies},
 	}
 	wait := rt.Timeout
-	if ms, err := strconv.ParseFloat(r.Header.Get(n.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(wait.Milliseconds()) {
+	if ms, err := strconv.ParseFloat(r.Header.Get(g.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(wait.Milliseconds()) {
 		wait = time.Duration(ms * float64(time.Millisecond))
 	}
 	c.until = now.Add(wait - answerMargin)
 	c.request = &upstream.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: forwarded(r.Header, n.headers), ID: c.id, IDHeader: n.headers.RequestID,
+		Header: forwarded(r.Header, g.headers), ID: c.id, IDHeader: g.headers.RequestID,
 	}
 	return c
 }
@@ -106,7 +106,7 @@
 	return outcome{status: http.StatusBadGateway, reason: reason}
 }
 
-// promises tells whether callers take a status for "has not run".
+// promises reports whether callers take a status for "has not run".
 func promises(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -11,7 +11,7 @@
 // maxCrashes bounds the contents that are under suspicion.
 const maxCrashes = 512
 
-// crashCheckTimeout bounds the connection that tells whether a target lives.
+// crashCheckTimeout bounds the connection that reports whether a target lives.
 const crashCheckTimeout = 300 * time.Millisecond
 
 // suspicion is how long a target's end counts against a request. The same request
@@ -20,7 +20,7 @@
 const suspicion = 30 * time.Second
 
 // suspect notes that a target was lost while it ran a request of this content.
-func (s *state) suspect(content uint64, target string) {
+func (s *routingState) suspect(content uint64, target string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	set := s.crashes[content]
@@ -35,7 +35,7 @@
 }
 
 // harmless notes that a request of this content was answered.
-func (s *state) harmless(content uint64) {
+func (s *routingState) harmless(content uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.crashes) > 0 {
@@ -43,13 +43,13 @@
 	}
 }
 
-// crashing tells whether a request's content ended too many targets.
+// crashing reports whether a request's content ended too many targets.
 //
 // Failure: one request ends each target that runs it, and its caller sends it
 // again and again, to any VM. Each time a target is lost with all that it ran. The
 // targets that were lost under a content are counted over all VMs, each once:
 // many requests of one content run on a target that ends for another reason.
-func (s *state) crashing(content uint64, m *mesh.Mesh) bool {
+func (s *routingState) crashing(content uint64, m *mesh.Mesh) bool {
 	lost := make(map[uint32]bool)
 	for _, target := range m.Crashes(content) {
 		lost[target] = true
@@ -64,7 +64,7 @@
 }
 
 // fadeLocked drops what is too long ago. It needs s.mu.
-func (s *state) fadeLocked(content uint64) {
+func (s *routingState) fadeLocked(content uint64) {
 	now := s.clock.Now()
 	for target, at := range s.crashes[content] {
 		if now-at > suspicion {
@@ -77,7 +77,7 @@
 }
 
 // crashList returns the contents under suspicion.
-func (s *state) crashList() []mesh.Crash {
+func (s *routingState) crashList() []mesh.Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []mesh.Crash
@@ -96,11 +96,11 @@
 
 // checkCrash finds out whether a target that lost an answer is gone. A target
 // that still takes connections lost the answer for another reason.
-func (n *node) checkCrash(content uint64, e *attempt) {
+func (g *Gateway) checkCrash(content uint64, e *attempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	if err := e.pool.Connect(ctx); err != nil {
-		n.log.Warn().Str("step", "crash").Str("target", e.id).Uint64("content", content).Err(err).Msg("target ended while it ran the request")
-		n.state.suspect(content, e.id)
+		g.log.Warn().Str("step", "crash").Str("target", e.id).Uint64("content", content).Err(err).Msg("target ended while it ran the request")
+		g.state.suspect(content, e.id)
 	}
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -16,7 +16,7 @@
 )
 
 // fakeAdapter is a platform whose objects are our own types in JSON. It translates no
-// orders: a node that gives none needs none.
+// orders: a gateway that gives none needs none.
 type fakeAdapter struct {
 	Adapter
 	store platform.ObjectStore
@@ -59,22 +59,22 @@
 	return platform.Changes{}, platform.ErrUnavailable
 }
 
-func (s *state) routingOf(service string) *lease.Routing { return s.leases.Of(service) }
-func (s *state) updateRouting(u *lease.Update) bool      { return s.leases.Update(u) }
+func (s *routingState) routingOf(service string) *lease.Routing { return s.leases.Of(service) }
+func (s *routingState) updateRouting(u *lease.Update) bool      { return s.leases.Update(u) }
 
-// testNode is a node without goroutines, listeners or a store that answers.
-func testNode(clock *handClock) *node { return testNodeWithLink(clock, 0) }
+// testGateway is a gateway without goroutines, listeners or a store that answers.
+func testGateway(clock *handClock) *Gateway { return testGatewayWithLink(clock, 0) }
 
-func testNodeWithLink(clock *handClock, mbps float64) *node {
+func testGatewayWithLink(clock *handClock, mbps float64) *Gateway {
 	s := &Settings{Store: "127.0.0.1:1", LinkMbps: mbps, MemoryMB: defaultMemory}
 	s.VM, s.DataCentre, s.Peers = "self", "a", "127.0.0.1:1"
-	n := newNode(s, fakeAdapter{store: downStore{}}, clock, quiet(), metrics.NewRegistry())
+	n := newGateway(s, fakeAdapter{store: downStore{}}, clock, quiet(), metrics.NewRegistry())
 	n.mesh.Start(n)
 	n.storeUp.Store(true)
 	return n
 }
 
-func (n *node) hear(b mesh.Heartbeat) {
+func (g *Gateway) hear(b mesh.Heartbeat) {
 	var reply mesh.Heartbeat
-	_ = mesh.Service{Mesh: n.mesh}.Heartbeat(&b, &reply)
+	_ = mesh.Service{Mesh: g.mesh}.Heartbeat(&b, &reply)
 }
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -16,13 +16,13 @@
 	"hemlockquay/internal/route"
 )
 
-// peerNode is a node that other VMs can call.
-func peerNode(t *testing.T, name string, mbps float64) *node {
+// peerGateway is a gateway that other VMs can call.
+func peerGateway(t *testing.T, name string, mbps float64) *Gateway {
 	s := &Settings{Store: "127.0.0.1:1", LinkMbps: mbps, MemoryMB: defaultMemory}
 	server, err := peer.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	s.VM, s.DataCentre, s.Peers = name, "a", server.Addr()
-	n := newNode(s, fakeAdapter{store: downStore{}}, boottime.System{}, quiet(), metrics.NewRegistry())
+	n := newGateway(s, fakeAdapter{store: downStore{}}, boottime.System{}, quiet(), metrics.NewRegistry())
 	n.mesh.Start(n)
 	n.peers = server
 	require.NoError(t, n.register())
@@ -53,10 +53,10 @@
 	require.Eventually(t, reached, 10*time.Second, time.Millisecond)
 }
 
-func (n *node) configVersion() uint64 { return n.state.view.Load().ConfigVersion() }
+func (g *Gateway) configVersion() uint64 { return g.state.view.Load().ConfigVersion() }
 
 func TestConfigurationIsFetchedFromAnotherVM(t *testing.T) {
-	a, b := peerNode(t, "a", 0), peerNode(t, "b", 0)
+	a, b := peerGateway(t, "a", 0), peerGateway(t, "b", 0)
 	want := largeConfig(7, 1560)
 	a.state.setConfig(want, sourceStore)
 	b.mesh.Meet(a.self)
@@ -73,7 +73,7 @@
 }
 
 func TestTargetsAreFetchedFromAnotherVM(t *testing.T) {
-	a, b := peerNode(t, "a", 0), peerNode(t, "b", 0)
+	a, b := peerGateway(t, "a", 0), peerGateway(t, "b", 0)
 	same := func() bool {
 		return assert.ObjectsAreEqual(a.state.view.Load().Targets, b.state.view.Load().Targets)
 	}
@@ -95,7 +95,7 @@
 // Guards against a VM that sends a large value to all that ask at once over a full link: it
 // tells some of them to ask those that it has served.
 func TestVMWithABusyLinkNamesOthersThatHaveTheValue(t *testing.T) {
-	n := peerNode(t, "a", 10)
+	n := peerGateway(t, "a", 10)
 	n.state.setConfig(largeConfig(7, 10), sourceStore)
 	n.transfers.limiter.SetLimit(0)
 	ask := func(from string) VersionReply {
@@ -115,10 +115,10 @@
 // Guards against a configuration that waits for one VM with a busy link: VMs fetch it from
 // those that were served.
 func TestVMsFetchFromThoseThatWereServed(t *testing.T) {
-	nodes := []*node{peerNode(t, "a", 10)}
+	nodes := []*Gateway{peerGateway(t, "a", 10)}
 	nodes[0].state.setConfig(largeConfig(7, 10), sourceStore)
 	for _, name := range []string{"b", "c", "d", "e"} {
-		n := peerNode(t, name, 0)
+		n := peerGateway(t, name, 0)
 		for _, other := range nodes {
 			n.mesh.Meet(other.self)
 		}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -45,43 +45,43 @@
 )
 
 // ServeHTTP answers one request of a caller.
-func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if n.leaving.Load() {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	view := n.state.view.Load()
+	view := g.state.view.Load()
 	if view.Routes == nil {
-		n.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: unconfiguredRetry})
+		g.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: unconfiguredRetry})
 		return
 	}
 	rt, spread := view.Routes.Find(r.Host, pathOf(r.RequestURI))
 	if rt == nil {
-		n.refuse(w, r, outcome{status: http.StatusNotFound, reason: "no route"})
+		g.refuse(w, r, outcome{status: http.StatusNotFound, reason: "no route"})
 		return
 	}
 	if rt.Unusable != "" {
-		n.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "route not understood", retry: mostRetry})
+		g.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "route not understood", retry: mostRetry})
 		return
 	}
-	c := n.newCall(r, rt, spread.Next())
+	c := g.newCall(r, rt, spread.Next())
 	defer c.body.release()
-	if bad := n.readBody(c, w, r, view.Routes.Config().Limits.BodyBytes); bad != nil {
-		n.refuse(w, r, *bad)
+	if bad := g.readBody(c, w, r, view.Routes.Config().Limits.BodyBytes); bad != nil {
+		g.refuse(w, r, *bad)
 		return
 	}
 	if svc, ok := view.Routes.Config().Services[c.service]; ok && svc.Keyed {
-		key, err := strconv.ParseUint(r.Header.Get(n.headers.Key), 10, 16)
+		key, err := strconv.ParseUint(r.Header.Get(g.headers.Key), 10, 16)
 		if err != nil {
-			n.refuse(w, r, outcome{status: http.StatusBadRequest, reason: "key missing or unreadable"})
+			g.refuse(w, r, outcome{status: http.StatusBadRequest, reason: "key missing or unreadable"})
 			return
 		}
 		c.keyed, c.key = true, uint16(key)
-		n.state.countKey(c.service, c.key)
+		g.state.countKey(c.service, c.key)
 	}
-	n.state.request(c.service, rt.Priority, n.clock.Now())
-	out := n.run(r.Context(), c)
-	n.logCall(c, out)
-	n.respond(w, r, out)
+	g.state.request(c.service, rt.Priority, g.clock.Now())
+	out := g.run(r.Context(), c)
+	g.logCall(c, out)
+	g.respond(w, r, out)
 }
 
 // pathOf returns the path of a request target as it stands on the wire.
@@ -97,9 +97,9 @@
 }
 
 // respond writes what the caller gets.
-func (n *node) respond(w http.ResponseWriter, r *http.Request, out outcome) {
+func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, out outcome) {
 	if out.answer == nil {
-		n.refuse(w, r, out)
+		g.refuse(w, r, out)
 		return
 	}
 	h := w.Header()
@@ -112,20 +112,20 @@
 	}
 	w.WriteHeader(out.answer.Status)
 	if _, err := w.Write(out.answer.Body); err != nil {
-		n.counters.unread.Inc(1)
+		g.counters.unread.Inc(1)
 	}
 }
 
 // refuse writes an answer of our own.
-func (n *node) refuse(w http.ResponseWriter, r *http.Request, out outcome) {
-	n.counters.count(out)
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, out outcome) {
+	g.counters.count(out)
 	if out.status == 0 {
 		// The caller is gone; nothing that looks like an answer may be sent.
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
-	if id := r.Header.Get(n.headers.RequestID); id != "" {
-		h.Set(n.headers.RequestID, id)
+	if id := r.Header.Get(g.headers.RequestID); id != "" {
+		h.Set(g.headers.RequestID, id)
 	}
 	if out.retry > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(out.retry.Seconds()*1000)/1000, 'f', -1, 64))
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -18,19 +18,19 @@
 	"hemlockquay/internal/route"
 )
 
-// bench is a node with a configuration and targets that a test plays.
+// bench is a gateway with a configuration and targets that a test plays.
 type bench struct {
-	*node
+	*Gateway
 	t       *testing.T
 	targets []catalog.Target
 	hits    atomic.Int64
 }
 
 func newBench(t *testing.T) *bench {
-	n := testNode(&handClock{now: time.Hour})
+	n := testGateway(&handClock{now: time.Hour})
 	t.Cleanup(n.mesh.Close)
 	n.state.setLimit(settingsLimit)
-	b := &bench{node: n, t: t}
+	b := &bench{Gateway: n, t: t}
 	n.state.setConfig(&route.Config{
 		Version: 3,
 		Routes: []route.Route{
@@ -64,7 +64,7 @@
 // get sends a request through the front.
 func (b *bench) get(host string, header http.Header, body string) *http.Response {
 	b.t.Helper()
-	front := httptest.NewServer(b.node)
+	front := httptest.NewServer(b.Gateway)
 	defer front.Close()
 	req, err := http.NewRequest(http.MethodPost, front.URL+"/x?y=1", strings.NewReader(body))
 	require.NoError(b.t, err)
@@ -209,9 +209,9 @@
 		resp := b.get(c.host, http.Header{"Key": {c.key}}, c.body)
 		require.Equal(t, c.want, resp.StatusCode, c)
 	}
-	fresh := testNode(&handClock{now: time.Hour})
+	fresh := testGateway(&handClock{now: time.Hour})
 	defer fresh.mesh.Close()
-	resp := (&bench{node: fresh, t: t}).get("safe.example", nil, "")
+	resp := (&bench{Gateway: fresh, t: t}).get("safe.example", nil, "")
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "without a configuration nothing is known to be missing")
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
@@ -271,7 +271,7 @@
 func TestSuspicionFades(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	s := testState(clock)
-	n := testNode(clock)
+	n := testGateway(clock)
 	defer n.mesh.Close()
 	for _, target := range []string{"a", "b", "c"} {
 		s.suspect(7, target)
--- a/internal/gateway/node.go
+++ b/internal/gateway/gateway.go
@@ -27,8 +27,8 @@
 	"hemlockquay/internal/storerelay"
 )
 
-// node is the daemon's parts joined together.
-type node struct {
+// Gateway is the daemon's parts joined together.
+type Gateway struct {
 	settings *Settings
 	adapter  Adapter
 	headers  Headers
@@ -38,7 +38,7 @@
 	registry metrics.Registry
 	life     *daemon.Life
 	self     mesh.Member
-	state    *state
+	state    *routingState
 	mesh     *mesh.Mesh
 	counters *counters
 	lines    *requestLines
@@ -51,7 +51,7 @@
 	cancel   context.CancelFunc
 	fetching sync.Map
 	tags     atomic.Uint64
-	// storeUp tells whether the store answered last, storeAnsweredAt when it did, on
+	// storeUp reports whether the store answered last, storeAnsweredAt when it did, on
 	// clock.
 	storeUp         atomic.Bool
 	storeAnsweredAt atomic.Int64
@@ -60,7 +60,7 @@
 	// toldAt is when the store, or a VM that it answers, last told of the targets,
 	// on clock.
 	toldAt atomic.Int64
-	// listed tells whether the targets are known.
+	// listed reports whether the targets are known.
 	listed atomic.Bool
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
 	grace atomic.Int64
@@ -82,15 +82,15 @@
 
 func start(kit *daemon.Kit[*Settings], a Adapter) error {
 	debug.SetGCPercent(kit.Settings.GCPercent)
-	n := newNode(kit.Settings, a, boottime.System{}, kit.Log, kit.Registry)
+	n := newGateway(kit.Settings, a, boottime.System{}, kit.Log, kit.Registry)
 	n.life = kit.Life
 	kit.Life.Section("view", n.dump)
 	kit.LC.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 	return nil
 }
 
-func newNode(s *Settings, a Adapter, clock boottime.Clock, logger *log.Logger, registry metrics.Registry) *node {
-	n := &node{
+func newGateway(s *Settings, a Adapter, clock boottime.Clock, logger *log.Logger, registry metrics.Registry) *Gateway {
+	n := &Gateway{
 		settings: s, adapter: a, headers: a.Headers(), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), lines: newRequestLines(registry),
@@ -98,7 +98,7 @@
 	}
 	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
 	n.grace.Store(int64(s.Grace))
-	n.state = newState(clock, logger, registry, s.DataCentre, s.limits())
+	n.state = newRoutingState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
 	n.state.news = n.mesh.Kick
 	// Were all VMs to begin with the same target, they would fill it together.
@@ -110,8 +110,8 @@
 }
 
 // tag returns a name for a write that no other write has.
-func (n *node) tag() string {
-	return n.self.VM + "/" + strconv.FormatUint(n.self.Incarnation, 36) + "/" + strconv.FormatUint(n.tags.Add(1), 10)
+func (g *Gateway) tag() string {
+	return g.self.VM + "/" + strconv.FormatUint(g.self.Incarnation, 36) + "/" + strconv.FormatUint(g.tags.Add(1), 10)
 }
 
 // headerTimeout bounds how long a caller may take to send its headers, idleMost
@@ -121,89 +121,89 @@
 	idleMost      = 75 * time.Second
 )
 
-func (n *node) start(context.Context) error {
+func (g *Gateway) start(context.Context) error {
 	// The others call as soon as the port is open.
-	n.mesh.Start(n)
-	if err := n.listen(); err != nil {
+	g.mesh.Start(g)
+	if err := g.listen(); err != nil {
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		n.watchConfig, n.watchTargets, n.expireTargets, n.join, n.leasing.Run, n.tellLoads, n.sweep, n.reload,
+		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.tellLoads, g.sweep, g.reload,
 	} {
-		go duty(n.ctx)
+		go duty(g.ctx)
 	}
-	n.log.Info().Str("step", "start").Str("front", n.settings.Front).Str("peers", n.settings.Peers).Str("store", n.settings.Store).
-		Uint64("incarnation", n.self.Incarnation).Msg("started")
+	g.log.Info().Str("step", "start").Str("front", g.settings.Front).Str("peers", g.settings.Peers).Str("store", g.settings.Store).
+		Uint64("incarnation", g.self.Incarnation).Msg("started")
 	return nil
 }
 
-func (n *node) listen() error {
+func (g *Gateway) listen() error {
 	var err error
-	if n.peers, err = peer.Listen(n.settings.Peers); err != nil {
+	if g.peers, err = peer.Listen(g.settings.Peers); err != nil {
 		return err
 	}
-	if err := n.register(); err != nil {
+	if err := g.register(); err != nil {
 		return err
 	}
-	n.front = &http.Server{Handler: n, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleMost}
-	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	g.front = &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleMost}
+	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		addr   string
 		server *http.Server
-	}{{n.settings.Front, n.front}, {n.settings.Ready, n.ready}} {
+	}{{g.settings.Front, g.front}, {g.settings.Ready, g.ready}} {
 		l, err := net.Listen("tcp", s.addr)
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		go n.serve(s.server, l)
+		go g.serve(s.server, l)
 	}
-	go n.servePeers()
+	go g.servePeers()
 	return nil
 }
 
 // register publishes what other VMs may call.
-func (n *node) register() error {
+func (g *Gateway) register() error {
 	return errors.Join(
-		n.peers.Register("Mesh", mesh.Service{Mesh: n.mesh}),
-		n.peers.Register("View", View{n}),
-		n.peers.Register("Store", storerelay.NewService(n.ctx, n.store, n.storeUp.Load)),
+		g.peers.Register("Mesh", mesh.Service{Mesh: g.mesh}),
+		g.peers.Register("View", View{g}),
+		g.peers.Register("Store", storerelay.NewService(g.ctx, g.store, g.storeUp.Load)),
 	)
 }
 
-func (n *node) serve(s *http.Server, l net.Listener) {
+func (g *Gateway) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		n.log.Error().Str("step", "listen").Str("addr", l.Addr().String()).Err(err).Msg("listener ended")
+		g.log.Error().Str("step", "listen").Str("addr", l.Addr().String()).Err(err).Msg("listener ended")
 	}
 }
 
-func (n *node) servePeers() {
-	if err := n.peers.Serve(); err != nil {
-		n.log.Error().Str("step", "listen").Str("addr", n.settings.Peers).Err(err).Msg("listener ended")
+func (g *Gateway) servePeers() {
+	if err := g.peers.Serve(); err != nil {
+		g.log.Error().Str("step", "listen").Str("addr", g.settings.Peers).Err(err).Msg("listener ended")
 	}
 }
 
 // serveReady tells the balancer whether to send new connections.
-func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.leaving.Load() || n.state.view.Load().Routes == nil || !n.listed.Load() {
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.leaving.Load() || g.state.view.Load().Routes == nil || !g.listed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 // checkReady notes that the daemon has what it needs.
-func (n *node) checkReady() {
-	if n.life != nil && n.state.view.Load().Routes != nil && n.listed.Load() {
-		n.life.Ready()
+func (g *Gateway) checkReady() {
+	if g.life != nil && g.state.view.Load().Routes != nil && g.listed.Load() {
+		g.life.Ready()
 	}
 }
 
 // sweep closes idle connections to targets.
-func (n *node) sweep(ctx context.Context) {
+func (g *Gateway) sweep(ctx context.Context) {
 	for pause.For(ctx, time.Second) {
-		n.state.mu.Lock()
-		for _, t := range n.state.targets {
+		g.state.mu.Lock()
+		for _, t := range g.state.targets {
 			t.pool.Sweep(time.Now())
 		}
-		n.state.mu.Unlock()
+		g.state.mu.Unlock()
 	}
 }
 
@@ -222,22 +222,22 @@
 //
 // Failure: a process closes its listener or its kept connections as soon as it is
 // told to stop. Callers whose requests are on their way lose them.
-func (n *node) stop(ctx context.Context) error {
+func (g *Gateway) stop(ctx context.Context) error {
 	begin := time.Now()
-	grace := time.Duration(n.grace.Load())
-	n.beginLeaving()
-	n.life.BeginDrain()
+	grace := time.Duration(g.grace.Load())
+	g.beginLeaving()
+	g.life.BeginDrain()
 	pause.For(ctx, part(grace, stopAccepting))
 	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
 	defer cancel()
-	err := n.front.Shutdown(stopCtx)
-	n.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", n.leasing.Leading()).Msg("front closed")
-	n.leasing.AwaitSuccessors(stopCtx)
-	n.cancel()
-	n.mesh.Close()
-	n.peers.Close()
-	n.life.Drained()
-	return errors.Join(err, n.ready.Close())
+	err := g.front.Shutdown(stopCtx)
+	g.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", g.leasing.Leading()).Msg("front closed")
+	g.leasing.AwaitSuccessors(stopCtx)
+	g.cancel()
+	g.mesh.Close()
+	g.peers.Close()
+	g.life.Drained()
+	return errors.Join(err, g.ready.Close())
 }
 
 func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- a/internal/gateway/granting.go
+++ b/internal/gateway/granting.go
@@ -8,48 +8,50 @@
 	"hemlockquay/internal/platform"
 )
 
-func (n *node) newLeaseManager() *leasing.Manager {
-	lent := granting{n}
-	return leasing.New(n.ctx, leasing.Deps{
-		Self: n.self, Clock: n.clock, Log: n.log, Registry: n.registry, HoldMost: n.settings.HoldMost.D(),
-		Store: n.leaseStore(), StoreTimeout: storeTimeout, StorePause: storePauseMost,
-		Mesh: n.mesh, Leases: n.state.leases, LocalState: lent, TargetDirectory: lent, Orders: n.adapter,
-		TargetIDHeader: n.headers.TargetID, InstanceIDHeader: n.headers.InstanceID,
+func (g *Gateway) newLeaseManager() *leasing.Manager {
+	lent := granting{g}
+	return leasing.New(g.ctx, leasing.Deps{
+		Self: g.self, Clock: g.clock, Log: g.log, Registry: g.registry, HoldMost: g.settings.HoldMost.D(),
+		Store: g.leaseStore(), StoreTimeout: storeTimeout, StorePause: storePauseMost,
+		Mesh: g.mesh, Leases: g.state.leases, LocalState: lent, TargetDirectory: lent, Orders: g.adapter,
+		TargetIDHeader: g.headers.TargetID, InstanceIDHeader: g.headers.InstanceID,
 	})
 }
 
-// granting shows the grantor its part of the node.
-type granting struct{ n *node }
+// granting shows the grantor its part of the gateway.
+type granting struct{ gateway *Gateway }
 
 // StoreUp implements leasing.LocalState.
-func (g granting) StoreUp() bool { return g.n.storeUp.Load() }
+func (g granting) StoreUp() bool { return g.gateway.storeUp.Load() }
 
 // Listed implements leasing.LocalState.
-func (g granting) Listed() bool { return g.n.listed.Load() }
+func (g granting) Listed() bool { return g.gateway.listed.Load() }
 
 // Leaving implements leasing.LocalState.
-func (g granting) Leaving() bool { return g.n.leaving.Load() }
+func (g granting) Leaving() bool { return g.gateway.leaving.Load() }
 
 // StoreReachable implements leasing.LocalState.
-func (g granting) StoreReachable() bool { return g.n.storeUp.Load() || g.n.storeRelayed() }
+func (g granting) StoreReachable() bool { return g.gateway.storeUp.Load() || g.gateway.storeRelayed() }
 
 // Place implements leasing.LocalState.
-func (g granting) Place(service string) int { return g.n.leasePlace(service) }
+func (g granting) Place(service string) int { return g.gateway.leasePlace(service) }
 
 // Tag implements leasing.LocalState.
-func (g granting) Tag() string { return g.n.tag() }
+func (g granting) Tag() string { return g.gateway.tag() }
 
 // View implements leasing.TargetDirectory.
-func (g granting) View() *catalog.View { return g.n.state.view.Load() }
+func (g granting) View() *catalog.View { return g.gateway.state.view.Load() }
 
 // ReadTarget implements leasing.TargetDirectory.
-func (g granting) ReadTarget(o platform.Object) (catalog.Target, bool) { return g.n.readTarget(o) }
+func (g granting) ReadTarget(o platform.Object) (catalog.Target, bool) {
+	return g.gateway.readTarget(o)
+}
 
 // Slots implements leasing.TargetDirectory.
 func (g granting) Slots(target string) int {
-	g.n.state.mu.Lock()
-	defer g.n.state.mu.Unlock()
-	if t := g.n.state.targets[target]; t != nil {
+	g.gateway.state.mu.Lock()
+	defer g.gateway.state.mu.Unlock()
+	if t := g.gateway.state.targets[target]; t != nil {
 		return t.Slots
 	}
 	return 0
@@ -57,16 +59,18 @@
 
 // UsualTime implements leasing.TargetDirectory.
 func (g granting) UsualTime(service string) (time.Duration, bool) {
-	g.n.state.mu.Lock()
-	defer g.n.state.mu.Unlock()
-	if d := g.n.state.durations[service]; d != nil && d.Known() {
+	g.gateway.state.mu.Lock()
+	defer g.gateway.state.mu.Unlock()
+	if d := g.gateway.state.durations[service]; d != nil && d.Known() {
 		return d.Mean(), true
 	}
 	return 0, false
 }
 
-// Coldness implements leasing.TargetDirectory.
-func (g granting) Coldness(service string) float64 { return g.n.state.coldnessOf(service) }
+// WarmupCost implements leasing.TargetDirectory.
+func (g granting) WarmupCost(service string) float64 { return g.gateway.state.warmupCostOf(service) }
 
 // TakeKeyLoad implements leasing.TargetDirectory.
-func (g granting) TakeKeyLoad(service string) leasing.KeyLoad { return g.n.state.takeKeyLoad(service) }
+func (g granting) TakeKeyLoad(service string) leasing.KeyLoad {
+	return g.gateway.state.takeKeyLoad(service)
+}
--- a/internal/gateway/granting_test.go
+++ b/internal/gateway/granting_test.go
@@ -12,7 +12,7 @@
 
 func TestGrantorSeesWhatItsVMKnows(t *testing.T) {
 	clock := &handClock{now: time.Hour}
-	n := testNode(clock)
+	n := testGateway(clock)
 	defer n.mesh.Close()
 	deps := n.leasing.Deps
 	require.True(t, deps.LocalState.StoreUp())
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -148,7 +148,7 @@
 	return rank, false
 }
 
-// stranded tells whether the store has turned the grantor away for a while, and
+// stranded reports whether the store has turned the grantor away for a while, and
 // answers this VM.
 //
 // Failure: the store refuses single VMs while it serves the others. A grantor
@@ -235,7 +235,7 @@
 	return lease.PriorGrantsUnknown
 }
 
-// stillLed tells whether the record names a grantor that lives, and makes it
+// stillLed reports whether the record names a grantor that lives, and makes it
 // known: this VM had not heard of it yet.
 func (c *candidate) stillLed(r lease.Record) bool {
 	if r.Resigned || r.Holder == c.Self.VM || !c.Mesh.Lives(r.Holder, r.Incarnation) || c.stranded(r.Holder) {
--- a/internal/gateway/leasing/incarnations.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -91,7 +91,7 @@
 	go l.checkIncarnations(ctx, owners, lines)
 }
 
-// listed tells whether the target is listed in this life.
+// listed reports whether the target is listed in this life.
 func (l *leader) listed(o lease.Owner) bool {
 	t := l.TargetDirectory.View().ByID[o.ID]
 	return t != nil && t.Born == o.Born
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -151,7 +151,7 @@
 	l.publishChanges(now)
 }
 
-// strayed tells whether most owners leave orders unanswered.
+// strayed reports whether most owners leave orders unanswered.
 func (l *leader) strayed(now time.Duration) bool {
 	if now < l.strayNext {
 		return false
@@ -227,7 +227,7 @@
 	return r
 }
 
-// succeeded tells whether a later epoch was heard of.
+// succeeded reports whether a later epoch was heard of.
 func (l *leader) succeeded() bool {
 	r := l.Leases.Of(l.service)
 	return r != nil && r.Epoch > l.grants.Record().Epoch
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -57,7 +57,7 @@
 
 // Mesh is the part of the mesh of VMs that the grantor uses.
 type Mesh interface {
-	// Lives tells whether a VM lives in this incarnation.
+	// Lives reports whether a VM lives in this incarnation.
 	Lives(vm string, incarnation uint64) bool
 	// LastHeard returns when a VM was last heard of in this incarnation; false if it is not
 	// known.
@@ -69,7 +69,7 @@
 	StoreRelays() []mesh.Member
 	// Period is the time between two heartbeats of a pair of VMs.
 	Period() time.Duration
-	// Replaced tells whether the process of a VM has ended for sure.
+	// Replaced reports whether the process of a VM has ended for sure.
 	Replaced(vm, addr string, incarnation uint64) bool
 	// Size is how many VMs live, with this one.
 	Size() int
@@ -81,11 +81,11 @@
 
 // LocalState tells how this VM stands.
 type LocalState interface {
-	// StoreUp tells whether the store answered last.
+	// StoreUp reports whether the store answered last.
 	StoreUp() bool
-	// Listed tells whether the targets are known.
+	// Listed reports whether the targets are known.
 	Listed() bool
-	// Leaving tells whether the VM's process was told to end.
+	// Leaving reports whether the VM's process was told to end.
 	Leaving() bool
 	// StoreReachable reports whether the store answered last, directly or through
 	// another VM.
@@ -106,8 +106,8 @@
 	Slots(target string) int
 	// UsualTime is what a request to a service takes; false if it was not measured.
 	UsualTime(service string) (time.Duration, bool)
-	// Coldness is how many usual requests one for a cold key is worth.
-	Coldness(service string) float64
+	// WarmupCost is how many usual requests one for a cold key is worth.
+	WarmupCost(service string) float64
 	// TakeKeyLoad returns what this VM has seen of a service's keys, and starts anew.
 	TakeKeyLoad(service string) KeyLoad
 }
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -137,7 +137,7 @@
 	return result, handover, err
 }
 
-// replaced asks the process at a target's address for its id, and tells whether
+// replaced asks the process at a target's address for its id, and reports whether
 // it is another target's.
 //
 // Failure: a target is gone and its address has passed to a target of a service
--- a/internal/gateway/leasing/play_test.go
+++ b/internal/gateway/leasing/play_test.go
@@ -101,7 +101,7 @@
 }
 func (emptyDirectory) Slots(string) int                       { return 0 }
 func (emptyDirectory) UsualTime(string) (time.Duration, bool) { return 0, false }
-func (emptyDirectory) Coldness(string) float64                { return 1 }
+func (emptyDirectory) WarmupCost(string) float64              { return 1 }
 func (emptyDirectory) TakeKeyLoad(string) KeyLoad             { return KeyLoad{} }
 
 // plainOrders are orders as JSON.
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -106,7 +106,7 @@
 	return moved
 }
 
-// divide cuts these slices in two and tells whether it cut any.
+// divide cuts these slices in two and reports whether it cut any.
 //
 // Failure: a hot slice cannot be divided while a renewal of it waits for a slow owner. The
 // grantor tried it again and again, and moved no other hot keys meanwhile.
@@ -135,7 +135,7 @@
 		from[i] = s.From
 	}
 	sums := l.load.rates.Sums(from)
-	coldness := l.TargetDirectory.Coldness(l.service)
+	warmupCost := l.TargetDirectory.WarmupCost(l.service)
 	ranges := make([]keyspread.Range, len(record.Slices))
 	for i, s := range record.Slices {
 		owner, ok := index[s.Owner]
@@ -144,7 +144,7 @@
 		}
 		state, rate := l.grants.State(i, now), sums[i].Rate
 		if state == lease.Cold {
-			rate *= coldness
+			rate *= warmupCost
 		}
 		ranges[i] = keyspread.Range{
 			Owner: owner, Rate: rate, Divisible: sums[i].Keys > 1,
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -7,22 +7,22 @@
 )
 
 // beginLeaving lets the balancer, the other VMs and callers learn that this VM leaves.
-func (n *node) beginLeaving() {
-	n.leavingSince.Store(int64(n.clock.Now()))
-	n.leaving.Store(true)
+func (g *Gateway) beginLeaving() {
+	g.leavingSince.Store(int64(g.clock.Now()))
+	g.leaving.Store(true)
 }
 
-// outlasts tells whether a request that nobody has run yet may outlast this VM, which was
+// outlasts reports whether a request that nobody has run yet may outlast this VM, which was
 // told to stop.
-func (n *node) outlasts(c *call, e *attempt, left time.Duration) bool {
-	if !n.leaving.Load() || c.ran > 0 {
+func (g *Gateway) outlasts(c *call, e *attempt, left time.Duration) bool {
+	if !g.leaving.Load() || c.ran > 0 {
 		return false
 	}
 	expected := e.expected
 	if e.cold {
-		expected = time.Duration(float64(expected) * n.state.coldnessOf(c.service))
+		expected = time.Duration(float64(expected) * g.state.warmupCostOf(c.service))
 	}
-	since := n.clock.Now() - time.Duration(n.leavingSince.Load())
-	stays := part(time.Duration(n.grace.Load()), stopWaiting) - since
+	since := g.clock.Now() - time.Duration(g.leavingSince.Load())
+	stays := part(time.Duration(g.grace.Load()), stopWaiting) - since
 	return !leaving.Takes(leaving.Request{Most: left, Expected: expected}, since, stays)
 }
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// stopping is a node that was told to stop so long ago, with six seconds of grace, and one
+// stopping is a gateway that was told to stop so long ago, with six seconds of grace, and one
 // target that answers at once.
 func stopping(t *testing.T, since time.Duration) *bench {
 	b := newBench(t)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,49 +19,49 @@
 // kindMembers is the kind of the VMs' own entries.
 const kindMembers model.Kind = "hq-members"
 
-var _ mesh.Local = (*node)(nil)
+var _ mesh.Local = (*Gateway)(nil)
 
 // Heartbeat implements mesh.Local.
-func (n *node) Heartbeat() mesh.Heartbeat {
-	v := n.state.view.Load()
+func (g *Gateway) Heartbeat() mesh.Heartbeat {
+	v := g.state.view.Load()
 	return mesh.Heartbeat{
-		From: n.self, Leaving: n.leaving.Load(),
-		StoreLost: !n.storeUp.Load(), StoreRelayed: n.storeRelayed(), ConfigVersion: v.ConfigVersion(),
+		From: g.self, Leaving: g.leaving.Load(),
+		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
-		Leases: n.state.leases.Marks(), Loads: n.state.loads(), Crashes: n.state.crashList(),
+		Leases: g.state.leases.Marks(), Loads: g.state.loads(), Crashes: g.state.crashList(),
 	}
 }
 
 // Heard implements mesh.Local: it fetches what the other VM knows better.
-func (n *node) Heard(b mesh.Heartbeat) {
-	v := n.state.view.Load()
+func (g *Gateway) Heard(b mesh.Heartbeat) {
+	v := g.state.view.Load()
 	if !b.StoreLost && b.TargetsRevision == v.Targets.Revision {
-		n.toldAt.Store(int64(n.clock.Now()))
+		g.toldAt.Store(int64(g.clock.Now()))
 	}
 	if b.ConfigVersion > v.ConfigVersion() {
-		n.fetch(b.From.VM, "config", n.fetchConfig)
+		g.fetch(b.From.VM, "config", g.fetchConfig)
 	}
 	// Targets whose entries stayed away after an outage are dropped without a
 	// new revision.
 	fewer := b.TargetsRevision == v.Targets.Revision && int(b.Targets) < len(v.Targets.List)
 	if b.TargetsRevision > v.Targets.Revision || fewer {
-		n.fetch(b.From.VM, "targets", func(ctx context.Context, vm string) error {
-			return n.fetchTargets(ctx, vm, fewer)
+		g.fetch(b.From.VM, "targets", func(ctx context.Context, vm string) error {
+			return g.fetchTargets(ctx, vm, fewer)
 		})
 	}
 	for _, mark := range b.Leases {
-		if n.behind(mark) {
-			n.fetch(b.From.VM, mark.Service, func(ctx context.Context, vm string) error {
-				return n.fetchRouting(ctx, vm, mark.Service)
+		if g.behind(mark) {
+			g.fetch(b.From.VM, mark.Service, func(ctx context.Context, vm string) error {
+				return g.fetchRouting(ctx, vm, mark.Service)
 			})
 		}
 	}
 }
 
 // tellLoads refreshes what the other VMs have at the targets.
-func (n *node) tellLoads(ctx context.Context) {
+func (g *Gateway) tellLoads(ctx context.Context) {
 	for pause.For(ctx, pick.TellEvery) {
-		n.state.setOthers(n.mesh.Loads(), len(n.mesh.Others())+1)
+		g.state.setOthers(g.mesh.Loads(), len(g.mesh.Others())+1)
 	}
 }
 
@@ -69,50 +69,50 @@
 // grantor's own word is faster, and a heartbeat may overtake it.
 const behindLeast = 100 * time.Millisecond
 
-// behind tells whether leases known here have been behind for a while.
-func (n *node) behind(mark mesh.LeaseMark) bool {
-	r := n.state.leases.Of(mark.Service)
+// behind reports whether leases known here have been behind for a while.
+func (g *Gateway) behind(mark mesh.LeaseMark) bool {
+	r := g.state.leases.Of(mark.Service)
 	if r == nil || mark.Epoch > r.Epoch {
 		return true
 	}
 	if mark.Epoch < r.Epoch || mark.Seq <= r.Seq {
 		return false
 	}
-	return n.state.leases.StaleFor(r) >= behindLeast
+	return g.state.leases.StaleFor(r) >= behindLeast
 }
 
 // View answers what this VM believes. It is registered for the other VMs.
-type View struct{ node *node }
+type View struct{ gateway *Gateway }
 
 var errUnknown = errors.New("not known here")
 
 // ConfigVersion returns the configuration in force.
 func (v View) ConfigVersion(in *VersionArgs, out *VersionReply) error {
-	t := v.node.state.view.Load().Routes
+	t := v.gateway.state.view.Load().Routes
 	if t == nil || t.Config().Version <= in.Have {
 		return errUnknown
 	}
 	var err error
-	*out, err = v.node.transfers.whole("config", valueVersion{revision: t.Config().Version}, in.From, func() any { return t.Config() })
+	*out, err = v.gateway.transfers.whole("config", valueVersion{revision: t.Config().Version}, in.From, func() any { return t.Config() })
 	return err
 }
 
 // TargetsSince returns what changed in the list of targets since a revision, or the whole
 // list if that is not known.
 func (v View) TargetsSince(in *VersionArgs, out *VersionReply) error {
-	if changes, known := v.node.state.targetsSince(in.Have); known {
+	if changes, known := v.gateway.state.targetsSince(in.Have); known {
 		out.Changes = &changes
 		return nil
 	}
-	t := v.node.state.view.Load().Targets
+	t := v.gateway.state.view.Load().Targets
 	var err error
-	*out, err = v.node.transfers.whole("targets", valueVersion{t.Revision, len(t.List)}, in.From, func() any { return t })
+	*out, err = v.gateway.transfers.whole("targets", valueVersion{t.Revision, len(t.List)}, in.From, func() any { return t })
 	return err
 }
 
 // Routing returns the leases of a service.
 func (v View) Routing(service *string, out *lease.Routing) error {
-	r := v.node.state.leases.Of(*service)
+	r := v.gateway.state.leases.Of(*service)
 	if r == nil {
 		return errUnknown
 	}
@@ -123,18 +123,18 @@
 // Push takes in changed leases from their grantor. The answer is false if the update
 // builds on a version that is not the one known here.
 func (v View) Push(in *lease.Update, used *bool) error {
-	*used = v.node.state.leases.Update(in)
+	*used = v.gateway.state.leases.Update(in)
 	return nil
 }
 
 // KeyLoad returns what this VM has seen, and starts anew.
 func (v View) KeyLoad(service *string, out *leasing.KeyLoad) error {
-	*out = v.node.state.takeKeyLoad(*service)
+	*out = v.gateway.state.takeKeyLoad(*service)
 	return nil
 }
 
 // takeKeyLoad returns the counts and starts anew.
-func (s *state) takeKeyLoad(service string) leasing.KeyLoad {
+func (s *routingState) takeKeyLoad(service string) leasing.KeyLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out leasing.KeyLoad
@@ -153,72 +153,72 @@
 
 // join makes this VM and the others known to each other: it writes its own entry
 // to the store, reads those of the others and calls them.
-func (n *node) join(ctx context.Context) {
-	go n.joinSeeds(ctx)
+func (g *Gateway) join(ctx context.Context) {
+	go g.joinSeeds(ctx)
 	for wait := storePauseLeast; ; wait = min(2*wait, storePauseMost) {
-		err := n.joinStore(ctx)
+		err := g.joinStore(ctx)
 		if err == nil {
 			return
 		}
-		n.log.Warn().Str("step", "join").Err(err).Msg("not joined through the store yet")
+		g.log.Warn().Str("step", "join").Err(err).Msg("not joined through the store yet")
 		if !pause.For(ctx, wait) {
 			return
 		}
 	}
 }
 
-func (n *node) joinSeeds(ctx context.Context) {
-	for _, addr := range n.settings.Seeds {
-		if addr == n.self.Addr {
+func (g *Gateway) joinSeeds(ctx context.Context) {
+	for _, addr := range g.settings.Seeds {
+		if addr == g.self.Addr {
 			continue
 		}
-		members, err := mesh.Join(ctx, addr, n.self)
+		members, err := mesh.Join(ctx, addr, g.self)
 		if err != nil {
-			n.log.Info().Str("step", "join").Str("seed", addr).Err(err).Msg("seed not reached")
+			g.log.Info().Str("step", "join").Str("seed", addr).Err(err).Msg("seed not reached")
 			continue
 		}
 		for _, m := range members {
-			n.mesh.Meet(m)
+			g.mesh.Meet(m)
 		}
 	}
 }
 
-func (n *node) joinStore(ctx context.Context) error {
+func (g *Gateway) joinStore(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	if err := n.writeMember(callCtx); err != nil {
+	if err := g.writeMember(callCtx); err != nil {
 		return err
 	}
-	l, err := n.store.ListKind(callCtx, kindMembers)
+	l, err := g.store.ListKind(callCtx, kindMembers)
 	if err != nil {
 		return fmt.Errorf("list VMs: %w", err)
 	}
 	for _, o := range l.Objects {
 		var m mesh.Member
 		if err := json.Unmarshal(o.Spec, &m); err != nil {
-			n.log.Warn().Str("step", "join").Str("vm", o.Name).Err(err).Msg("entry of a VM ignored")
+			g.log.Warn().Str("step", "join").Str("vm", o.Name).Err(err).Msg("entry of a VM ignored")
 			continue
 		}
-		n.mesh.Meet(m)
+		g.mesh.Meet(m)
 	}
 	return nil
 }
 
-func (n *node) writeMember(ctx context.Context) error {
-	spec, err := json.Marshal(n.self)
+func (g *Gateway) writeMember(ctx context.Context) error {
+	spec, err := json.Marshal(g.self)
 	if err != nil {
 		return fmt.Errorf("encode entry: %w", err)
 	}
-	o := platform.Object{Kind: kindMembers, Name: n.self.VM, Spec: spec, Writer: n.tag()}
-	_, err = n.store.Put(ctx, o)
+	o := platform.Object{Kind: kindMembers, Name: g.self.VM, Spec: spec, Writer: g.tag()}
+	_, err = g.store.Put(ctx, o)
 	if !errors.Is(err, platform.ErrConflict) {
 		return err
 	}
-	old, err := n.store.Get(ctx, o.ID())
+	old, err := g.store.Get(ctx, o.ID())
 	if err != nil {
 		return err
 	}
 	o.Version = old.Version
-	_, err = n.store.Put(ctx, o)
+	_, err = g.store.Put(ctx, o)
 	return err
 }
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -31,7 +31,7 @@
 // routing, for nothing.
 func TestLeasesAreFetchedOnlyOnceTheyStayBehind(t *testing.T) {
 	clock := &handClock{now: time.Hour}
-	n := testNode(clock)
+	n := testGateway(clock)
 	defer n.mesh.Close()
 	mark := mesh.LeaseMark{Service: "s", Epoch: 3, Seq: 2}
 	require.True(t, n.behind(mark), "unknown leases are fetched at once")
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -27,13 +27,13 @@
 //
 // Failure: a process that does not expect SIGHUP is ended by it, with all
 // requests that it holds.
-func (n *node) reload(ctx context.Context) {
+func (g *Gateway) reload(ctx context.Context) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
-	last := n.fileTime()
+	last := g.fileTime()
 	for {
 		cause := "signal"
 		select {
@@ -42,17 +42,17 @@
 		case <-signals:
 		case <-tick.C:
 			cause = "file changed"
-			if n.fileTime().Equal(last) {
+			if g.fileTime().Equal(last) {
 				continue
 			}
 		}
-		last = n.fileTime()
-		n.readSettings(cause)
+		last = g.fileTime()
+		g.readSettings(cause)
 	}
 }
 
-func (n *node) fileTime() time.Time {
-	info, err := os.Stat(n.settings.source)
+func (g *Gateway) fileTime() time.Time {
+	info, err := os.Stat(g.settings.source)
 	if err != nil {
 		return time.Time{}
 	}
@@ -60,15 +60,15 @@
 }
 
 // readSettings reads the file again. What cannot be read changes nothing.
-func (n *node) readSettings(cause string) {
+func (g *Gateway) readSettings(cause string) {
 	next := new(Settings)
-	if err := settings.Load(n.settings.source, next); err != nil {
-		n.log.Error().Str("step", "reload").Str("cause", cause).Err(err).Msg("settings refused, the old ones stay in force")
+	if err := settings.Load(g.settings.source, next); err != nil {
+		g.log.Error().Str("step", "reload").Str("cause", cause).Err(err).Msg("settings refused, the old ones stay in force")
 		return
 	}
-	n.state.setLimit(next.limits())
-	n.log.SetLevel(log.ParseLevel(next.Log))
-	n.grace.Store(int64(next.Grace))
-	n.log.Info().Str("step", "reload").Str("cause", cause).Float64("ratio", next.Repeats.Ratio).Float64("slack", next.Repeats.Slack).
+	g.state.setLimit(next.limits())
+	g.log.SetLevel(log.ParseLevel(next.Log))
+	g.grace.Store(int64(next.Grace))
+	g.log.Info().Str("step", "reload").Str("cause", cause).Float64("ratio", next.Repeats.Ratio).Float64("slack", next.Repeats.Slack).
 		Dur("grace", next.Grace.D()).Msg("settings in force; addresses need a restart")
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// allow tells whether a line may be written for an outcome.
+// allow reports whether a line may be written for an outcome.
 func (l *requestLines) allow(out outcome) bool {
 	bound := l.failed
 	if out.answer != nil {
@@ -66,17 +66,17 @@
 
 // logCall writes the line of a request: what it was, what decided it, what became
 // of it.
-func (n *node) logCall(c *call, out outcome) {
+func (g *Gateway) logCall(c *call, out outcome) {
 	took := time.Since(c.start)
-	metrics.GetOrRegisterTimer("route."+c.route.Name+".time", n.registry).Update(took)
+	metrics.GetOrRegisterTimer("route."+c.route.Name+".time", g.registry).Update(took)
 	if out.answer != nil {
-		n.counters.count(out)
+		g.counters.count(out)
 	}
-	if !n.lines.allow(out) {
+	if !g.lines.allow(out) {
 		return
 	}
-	v := n.state.view.Load()
-	e := n.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
+	v := g.state.view.Load()
+	e := g.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
 		Int("status", out.status).Str("reason", out.reason).Dur("took", took).Strs("attempts", c.trace).
 		Dur("waited", c.waited).Dur("patience", c.until.Sub(c.start)).Uint64("config", v.ConfigVersion()).Uint64("targets", v.Targets.Revision)
 	if out.answer == nil && c.refusedOn != "" {
@@ -84,7 +84,7 @@
 	}
 	if c.keyed {
 		e = e.Uint16("key", c.key)
-		if r := n.state.leases.Of(c.service); r != nil {
+		if r := g.state.leases.Of(c.service); r != nil {
 			e = e.Uint64("epoch", r.Epoch).Uint64("seq", r.Seq)
 		}
 	}
@@ -110,12 +110,12 @@
 	Slowness float64 `json:"slowness"`
 }
 
-func (n *node) dump() any {
-	v := n.state.view.Load()
-	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: n.storeUp.Load(), Members: n.mesh.Live(), Leases: n.state.leases.All()}
-	n.state.mu.Lock()
-	defer n.state.mu.Unlock()
-	for id, t := range n.state.targets {
+func (g *Gateway) dump() any {
+	v := g.state.view.Load()
+	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: g.storeUp.Load(), Members: g.mesh.Live(), Leases: g.state.leases.All()}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	for id, t := range g.state.targets {
 		out.Targets = append(out.Targets, targetDump{
 			ID: id, Service: t.Service, Draining: t.Draining, Own: t.pick.Own, Others: t.pick.Others, Slowness: t.pick.Slowness(),
 		})
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -12,7 +12,7 @@
 
 // attempt is one sending of a request to a target, from its choice to its end.
 type attempt struct {
-	target   *tracked
+	target   *targetState
 	id       string
 	pool     *upstream.Pool
 	service  string
@@ -30,7 +30,7 @@
 type refusal string
 
 // inputs tells what a refusal was decided on, for the log.
-func (t *tracked) inputs() string {
+func (t *targetState) inputs() string {
 	return fmt.Sprintf("%s own %d others %d likely %.1f slots %d slowness %.2f",
 		t.ID, t.pick.Own, t.pick.Others, t.pick.Unseen, t.pick.Slots, t.pick.Slowness())
 }
@@ -49,7 +49,7 @@
 )
 
 // chooseFromPool reserves the best target of a service without keys.
-func (s *state) chooseFromPool(service string, rt *route.Route, tried map[string]bool, left, now time.Duration) (*attempt, refusal) {
+func (s *routingState) chooseFromPool(service string, rt *route.Route, tried map[string]bool, left, now time.Duration) (*attempt, refusal) {
 	list := s.view.Load().ByService[service]
 	if len(list) == 0 {
 		return nil, refusedEmpty
@@ -57,7 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	states := make([]*pick.State, 0, len(list))
-	owners := make([]*tracked, 0, len(list))
+	owners := make([]*targetState, 0, len(list))
 	for _, t := range list {
 		if tr := s.targets[t.ID]; tr != nil && !tr.Draining && !tr.displaced {
 			states = append(states, &tr.pick)
@@ -75,7 +75,7 @@
 
 // chooseOwner reserves the target that owns the key, and tells what it decided
 // on where it refuses.
-func (s *state) chooseOwner(service string, rt *route.Route, key uint16, left time.Duration) (*attempt, refusal, string) {
+func (s *routingState) chooseOwner(service string, rt *route.Route, key uint16, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.leases.Of(service)
@@ -110,7 +110,7 @@
 }
 
 // reserveLocked needs s.mu.
-func (s *state) reserveLocked(t *tracked, service, route string, left time.Duration) (*attempt, refusal) {
+func (s *routingState) reserveLocked(t *targetState, service, route string, left time.Duration) (*attempt, refusal) {
 	usual := s.usualLocked(service, route)
 	e := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
@@ -142,7 +142,7 @@
 )
 
 // finish gives a target back.
-func (s *state) finish(e *attempt, how end) {
+func (s *routingState) finish(e *attempt, how end) {
 	took := time.Since(e.sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,7 +151,7 @@
 	switch how {
 	case endAnswered:
 		if e.cold {
-			s.learnColdLocked(e, took)
+			s.recordColdResponseLocked(e, took)
 			return
 		}
 		t.Answered(took, e.usual, e.rounds)
@@ -176,7 +176,7 @@
 // service, while its entry is still listed. Each request for its keys is refused
 // there, again and again, and counts as a repeat at a service that it was never
 // meant for.
-func (s *state) displaced(e *attempt) {
+func (s *routingState) displaced(e *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.target.displaced {
@@ -188,7 +188,7 @@
 }
 
 // countKey counts a request for a key.
-func (s *state) countKey(service string, key uint16) {
+func (s *routingState) countKey(service string, key uint16) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.keyLoad[service]
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,7 +9,7 @@
 )
 
 // request counts a request for a service, of a priority.
-func (s *state) request(service string, priority int, now time.Duration) {
+func (s *routingState) request(service string, priority int, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budgetLocked(service).Request(s.limit, now)
@@ -21,20 +21,20 @@
 	m.Note(priority, now)
 }
 
-// urgentLocked tells whether requests of a priority may have the last places.
-func (s *state) urgentLocked(service string, priority int) bool {
+// urgentLocked reports whether requests of a priority may have the last places.
+func (s *routingState) urgentLocked(service string, priority int) bool {
 	m := s.urgency[service]
 	return m != nil && m.First(priority)
 }
 
 // repeat takes a repeat from the service's budget.
-func (s *state) repeat(service string, vms int, now time.Duration) bool {
+func (s *routingState) repeat(service string, vms int, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.budgetLocked(service).Repeat(s.limit, vms, now)
 }
 
-func (s *state) budgetLocked(service string) *repeats.Budget {
+func (s *routingState) budgetLocked(service string) *repeats.Budget {
 	b := s.budgets[service]
 	if b == nil {
 		b = new(repeats.Budget)
@@ -44,7 +44,7 @@
 }
 
 // usualLocked returns the usual service time of a route; 0 while it is not known.
-func (s *state) usualLocked(service, routeName string) time.Duration {
+func (s *routingState) usualLocked(service, routeName string) time.Duration {
 	t := s.durations[service]
 	if t == nil || !t.Known() {
 		return 0
@@ -52,7 +52,7 @@
 	return t.Expect(duration.Kind{Part: routeName})
 }
 
-func (s *state) learnLocked(service, routeName string, took time.Duration) {
+func (s *routingState) learnLocked(service, routeName string, took time.Duration) {
 	t := s.durations[service]
 	if t == nil {
 		t = duration.NewTable()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -20,8 +20,8 @@
 	"hemlockquay/internal/upstream"
 )
 
-// state is what the VM believes and has running. It is safe for concurrent use.
-type state struct {
+// routingState is what the VM believes and has running. It is safe for concurrent use.
+type routingState struct {
 	clock    boottime.Clock
 	log      *log.Logger
 	registry metrics.Registry
@@ -45,21 +45,21 @@
 	changed chan struct{}
 	// news is called when the VM believes something new that others may not know.
 	news      func()
-	targets   map[string]*tracked
+	targets   map[string]*targetState
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
 	// urgency counts the requests of each service by priority.
 	urgency map[string]*urgency.Meter
-	// coldness is how many usual requests one for a cold key is worth, by service.
-	coldness map[string]float64
+	// warmupCost is how many usual requests one for a cold key is worth, by service.
+	warmupCost map[string]float64
 	// crashes dates the targets that ended under a request, by their hashes.
 	crashes map[uint64]map[uint32]time.Duration
 	// keyLoad counts requests by service and key since the grantor last asked.
 	keyLoad map[string]map[uint16]uint16
 }
 
-// tracked is one life of a target with the connections to it.
-type tracked struct {
+// targetState is one life of a target with the connections to it.
+type targetState struct {
 	catalog.Target
 	hash uint32
 	pool *upstream.Pool
@@ -75,12 +75,12 @@
 // sees requests in some seconds. While no grantor asks, more are not counted.
 const maxKeysCounted = 4096
 
-func newState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *state {
-	s := &state{
+func newRoutingState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *routingState {
+	s := &routingState{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
 		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
-		targets: make(map[string]*tracked), budgets: make(map[string]*repeats.Budget),
-		durations: make(map[string]*duration.Table), coldness: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
+		targets: make(map[string]*targetState), budgets: make(map[string]*repeats.Budget),
+		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
 	}
@@ -90,21 +90,21 @@
 }
 
 // notify wakes who waits for a change.
-func (s *state) notify() {
+func (s *routingState) notify() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notifyLocked()
 }
 
 // notifyLocked needs s.mu.
-func (s *state) notifyLocked() {
+func (s *routingState) notifyLocked() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // setConfig puts a newer configuration in force. Older ones change nothing: a
 // version never goes back while the process lives.
-func (s *state) setConfig(c *route.Config, source string) {
+func (s *routingState) setConfig(c *route.Config, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.view.Load()
@@ -127,7 +127,7 @@
 
 // noteUnread tells of what was not understood of a configuration. The metric counts
 // what is in force, not what was seen.
-func (s *state) noteUnread(c *route.Config) {
+func (s *routingState) noteUnread(c *route.Config) {
 	metrics.GetOrRegisterGauge("config.unread", s.registry).Update(int64(len(c.Unread)))
 	for _, u := range c.Unread[:min(len(c.Unread), unreadLines)] {
 		s.log.Error().Str("step", "config").Uint64("version", c.Version).Str("part", u.Part).Str("field", u.Field).
@@ -136,7 +136,7 @@
 }
 
 // changeTargets applies a change to the list of targets and puts it in force.
-func (s *state) changeTargets(source string, change func(m *catalog.Members, now time.Duration)) {
+func (s *routingState) changeTargets(source string, change func(m *catalog.Members, now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change(s.members, s.clock.Now())
@@ -145,14 +145,14 @@
 
 // targetsSince returns what changed in the list of targets since a revision; false if that
 // is not known.
-func (s *state) targetsSince(revision uint64) (catalog.Changes, bool) {
+func (s *routingState) targetsSince(revision uint64) (catalog.Changes, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.members.ChangesSince(revision)
 }
 
 // publishLocked needs s.mu.
-func (s *state) publishLocked(source string) {
+func (s *routingState) publishLocked(source string) {
 	old := s.view.Load()
 	view := catalog.NewView(old.Routes, s.members.Snapshot())
 	for i := range view.Targets.List {
@@ -174,7 +174,7 @@
 
 // trackLocked needs s.mu. A new life of a target starts with nothing known and
 // no connections: those of its last life lead nowhere.
-func (s *state) trackLocked(t catalog.Target, source string) {
+func (s *routingState) trackLocked(t catalog.Target, source string) {
 	old := s.targets[t.ID]
 	if old != nil && old.Born == t.Born && old.Addr == t.Addr {
 		if old.Draining != t.Draining {
@@ -193,7 +193,7 @@
 	}
 	s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Int64("born", t.Born).
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
-	s.targets[t.ID] = &tracked{
+	s.targets[t.ID] = &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.near},
@@ -209,7 +209,7 @@
 const leavingMost = 1500 * time.Millisecond
 
 // loads returns how many requests of this VM are at the targets.
-func (s *state) loads() []mesh.Load {
+func (s *routingState) loads() []mesh.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []mesh.Load
@@ -222,7 +222,7 @@
 }
 
 // setOthers takes in what the other VMs have at the targets.
-func (s *state) setOthers(loads map[uint32]int, vms int) {
+func (s *routingState) setOthers(loads map[uint32]int, vms int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
@@ -232,7 +232,7 @@
 }
 
 // setLimit changes the bound of repeats.
-func (s *state) setLimit(l repeats.Limit) {
+func (s *routingState) setLimit(l repeats.Limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limit = l
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -24,11 +24,11 @@
 
 func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
-func testState(clock *handClock) *state {
-	return newState(clock, quiet(), metrics.NewRegistry(), "a", repeats.Limit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+func testState(clock *handClock) *routingState {
+	return newRoutingState(clock, quiet(), metrics.NewRegistry(), "a", repeats.Limit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
 }
 
-func (s *state) list(revision uint64, targets ...catalog.Target) {
+func (s *routingState) list(revision uint64, targets ...catalog.Target) {
 	for i := range targets {
 		targets[i].Revision = revision
 	}
@@ -37,7 +37,7 @@
 	})
 }
 
-func (s *state) own(service string, epoch, seq uint64, owner string, state lease.SliceState) {
+func (s *routingState) own(service string, epoch, seq uint64, owner string, state lease.SliceState) {
 	r := lease.Record{Service: service, Epoch: epoch, Slices: []lease.Slice{{From: 0, To: 65535, Owner: lease.Owner{ID: owner}}}}
 	s.leases.Set(lease.NewRouting(r, seq, func(int) lease.SliceState { return state }))
 }
@@ -117,7 +117,7 @@
 
 func TestAgesOfWhatIsBelievedAreShown(t *testing.T) {
 	clock := &handClock{now: time.Hour}
-	n := testNode(clock)
+	n := testGateway(clock)
 	defer n.mesh.Close()
 	n.state.setConfig(&route.Config{Version: 3}, "test")
 	clock.now += 2 * time.Second
@@ -136,7 +136,7 @@
 	turn := func(vm string) int {
 		s := &Settings{Store: "127.0.0.1:1"}
 		s.VM, s.Peers = vm, "127.0.0.1:1"
-		return newNode(s, fakeAdapter{store: downStore{}}, &handClock{}, quiet(), metrics.NewRegistry()).state.turn
+		return newGateway(s, fakeAdapter{store: downStore{}}, &handClock{}, quiet(), metrics.NewRegistry()).state.turn
 	}
 	require.NotEqual(t, turn("a"), turn("b"))
 }
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -52,23 +52,23 @@
 }
 
 // gauges shows what the VM believes, and how old it is.
-func (n *node) gauges() {
+func (g *Gateway) gauges() {
 	for name, value := range map[string]func() int64{
-		"config.version":  func() int64 { return int64(n.state.view.Load().ConfigVersion()) },
-		"config.age":      func() int64 { return n.state.ageOf(n.state.configAt()) },
-		"targets.listed":  func() int64 { return int64(len(n.state.view.Load().Targets.List)) },
-		"targets.age":     func() int64 { return (n.clock.Now() - time.Duration(n.toldAt.Load())).Milliseconds() },
-		"mesh.live":       func() int64 { return int64(len(n.mesh.Live())) },
-		"store.reachable": func() int64 { return boolGauge(n.storeUp.Load()) },
+		"config.version":  func() int64 { return int64(g.state.view.Load().ConfigVersion()) },
+		"config.age":      func() int64 { return g.state.ageOf(g.state.configAt()) },
+		"targets.listed":  func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
+		"targets.age":     func() int64 { return (g.clock.Now() - time.Duration(g.toldAt.Load())).Milliseconds() },
+		"mesh.live":       func() int64 { return int64(len(g.mesh.Live())) },
+		"store.reachable": func() int64 { return boolGauge(g.storeUp.Load()) },
 	} {
-		n.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+		g.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
 	}
 }
 
 // ageOf returns how long ago a reading of the clock was, milliseconds.
-func (s *state) ageOf(at time.Duration) int64 { return (s.clock.Now() - at).Milliseconds() }
+func (s *routingState) ageOf(at time.Duration) int64 { return (s.clock.Now() - at).Milliseconds() }
 
-func (s *state) configAt() time.Duration {
+func (s *routingState) configAt() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.configuredAt
--- a/internal/gateway/storestate.go
+++ b/internal/gateway/storestate.go
@@ -18,25 +18,25 @@
 // lived, so that keys of lost targets waited for its authority to end, fourteen seconds;
 // and entries that were missing were waited for anew each time. A failure counts only if
 // its call was sent after the latest answer.
-func (n *node) noteStore(sent time.Duration, err error) {
+func (g *Gateway) noteStore(sent time.Duration, err error) {
 	switch {
 	case errors.Is(err, context.Canceled):
 		// The call was given up here.
 	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrGone):
-		n.storeAnsweredAt.Store(int64(n.clock.Now()))
-		n.storeState(true, nil)
-	case int64(sent) >= n.storeAnsweredAt.Load():
-		n.storeState(false, err)
+		g.storeAnsweredAt.Store(int64(g.clock.Now()))
+		g.storeState(true, nil)
+	case int64(sent) >= g.storeAnsweredAt.Load():
+		g.storeState(false, err)
 	}
 }
 
-func (n *node) storeState(up bool, cause error) {
-	if n.storeUp.Swap(up) != up {
-		n.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
+func (g *Gateway) storeState(up bool, cause error) {
+	if g.storeUp.Swap(up) != up {
+		g.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
 		// Another VM has to watch in place of this one.
-		n.mesh.Kick()
+		g.mesh.Kick()
 	}
-	n.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
+	g.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
 		if up {
 			m.StoreBack(now)
 		} else {
@@ -50,24 +50,24 @@
 const relayedFresh = 1500 * time.Millisecond
 
 // storeRelayed reports whether the store has lately answered this VM through another one.
-func (n *node) storeRelayed() bool {
-	at := n.storeRelayedAt.Load()
-	return at > 0 && n.clock.Now()-time.Duration(at) < relayedFresh
+func (g *Gateway) storeRelayed() bool {
+	at := g.storeRelayedAt.Load()
+	return at > 0 && g.clock.Now()-time.Duration(at) < relayedFresh
 }
 
 // noteRelayed notes an answer of the store through another VM. The others learn of the
 // first one at once: they would succeed a grantor without the store.
-func (n *node) noteRelayed() {
-	before := n.storeRelayed()
-	n.storeRelayedAt.Store(int64(n.clock.Now()))
+func (g *Gateway) noteRelayed() {
+	before := g.storeRelayed()
+	g.storeRelayedAt.Store(int64(g.clock.Now()))
 	if !before {
-		n.log.Info().Str("step", "store").Msg("store reached through another VM")
-		n.mesh.Kick()
+		g.log.Info().Str("step", "store").Msg("store reached through another VM")
+		g.mesh.Kick()
 	}
 }
 
 // leaseStore returns the store for lease records, which other VMs relay while it turns
 // this one away.
-func (n *node) leaseStore() *storerelay.Store {
-	return &storerelay.Store{Direct: n.store, Up: n.storeUp.Load, Mesh: n.mesh, Answered: n.noteRelayed}
+func (g *Gateway) leaseStore() *storerelay.Store {
+	return &storerelay.Store{Direct: g.store, Up: g.storeUp.Load, Mesh: g.mesh, Answered: g.noteRelayed}
 }
--- a/internal/gateway/storestate_test.go
+++ b/internal/gateway/storestate_test.go
@@ -16,7 +16,7 @@
 // cut off, a grantor was succeeded while it lived.
 func TestCallsFromBeforeTheStoreReturnedDoNotLoseItAgain(t *testing.T) {
 	clock := &handClock{now: time.Hour}
-	n := testNode(clock)
+	n := testGateway(clock)
 	defer n.mesh.Close()
 	sent := clock.now
 	n.noteStore(sent, platform.ErrUnavailable)
--- /dev/null
+++ b/internal/gateway/warmup.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"time"
+
+	"hemlockquay/internal/decide/pick"
+)
+
+// warmupSamples is how many answers the warmupCost reaches over: a first idea after two or
+// three, and within a second of many cold keys the mean of their spread.
+const warmupSamples = 8
+
+// warmupCostOf returns how many usual requests one for a cold key is worth; 1 until it
+// was measured.
+func (s *routingState) warmupCostOf(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warmupCostLocked(service)
+}
+
+func (s *routingState) warmupCostLocked(service string) float64 { return max(1, s.warmupCost[service]) }
+
+// recordColdResponseLocked takes in the answer to a request for a cold key. It tells nothing of
+// the target's speed, nor of what such requests take.
+//
+// Failure: half of a service's targets were lost, and the keys were cold at the others.
+// Those were taken for four times slower than they are: requests for warm keys were
+// expected late, and their keys moved on, cold once more.
+func (s *routingState) recordColdResponseLocked(e *attempt, took time.Duration) {
+	if e.usual <= 0 {
+		return
+	}
+	ratio := pick.Bounded(float64(took) / (float64(e.usual) * e.rounds * e.target.pick.Slowness()))
+	old := s.warmupCostLocked(e.service)
+	s.warmupCost[e.service] = old + (ratio-old)/warmupSamples
+}
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -14,7 +14,7 @@
 // of the others: its grants took 100 ms each.
 func TestVMsWithMuchFasterLinksComeFirstForDuties(t *testing.T) {
 	place := func(own float64, others ...uint32) int {
-		n := testNodeWithLink(&handClock{now: time.Hour}, own)
+		n := testGatewayWithLink(&handClock{now: time.Hour}, own)
 		defer n.mesh.Close()
 		for i, link := range others {
 			n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1, LinkMbps: link}})
--- a/internal/keyspace/keyspace.go
+++ b/internal/keyspace/keyspace.go
@@ -19,7 +19,7 @@
 	Last  Point `json:"last"`
 }
 
-// Contains tells whether the point lies in the slice.
+// Contains reports whether the point lies in the slice.
 func (s Slice) Contains(p Point) bool { return s.First <= p && p <= s.Last }
 
 // String renders the slice as hexadecimal bounds.
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -38,7 +38,7 @@
 	return next
 }
 
-// Movable tells whether slice i may get another owner now.
+// Movable reports whether slice i may get another owner now.
 //
 // Failure: a predecessor released the previous owner, granted the keys to the
 // owner and was succeeded; the record still names both. A move away from the owner
--- a/internal/lease/contact.go
+++ b/internal/lease/contact.go
@@ -27,7 +27,7 @@
 // retryMost bounds the pause between two orders to a target that does not answer.
 const retryMost = 1600 * time.Millisecond
 
-// open tells whether an order may go out now.
+// open reports whether an order may go out now.
 func (c *contact) open(now time.Duration) bool {
 	return c.failures < doubtAfter || !c.probing && now >= c.retryAt
 }
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -150,7 +150,7 @@
 // ConfirmedAt returns the send of the last confirmation.
 func (g *Grantor) ConfirmedAt() time.Duration { return g.confirmed }
 
-// MayOrder tells whether orders may be sent. It is asked again right before each
+// MayOrder reports whether orders may be sent. It is asked again right before each
 // send.
 //
 // Failure: a grantor is suspended or cut off from the store, another took over
@@ -265,7 +265,7 @@
 	delete(g.confirmedLives, o)
 }
 
-// HasEnded tells whether a life is known to be over.
+// HasEnded reports whether a life is known to be over.
 func (g *Grantor) HasEnded(o Owner) bool { return g.ended[o] }
 
 // Unconfirmed returns the owners whose life must be confirmed before they are
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -37,15 +37,15 @@
 
 // TargetLoad is what the load says of slices and owners.
 type TargetLoad struct {
-	// Moving tells whether slice i is on the move already.
+	// Moving reports whether slice i is on the move already.
 	Moving func(i int) bool
 	// Rate is the requests per second for slice i.
 	Rate func(i int) float64
-	// Busy tells whether an owner has enough to do, however few slices it has.
+	// Busy reports whether an owner has enough to do, however few slices it has.
 	Busy func(o Owner) bool
 }
 
-// Uneven tells whether a target has so few slices that EvenOut may bring it more: it is
+// Uneven reports whether a target has so few slices that EvenOut may bring it more: it is
 // asked often, and the targetLoad costs far more than the count.
 func Uneven(list []Slice, live []Owner) bool {
 	d := newPlanner(list, live)
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -57,10 +57,10 @@
 	Addr string
 }
 
-// Same tells whether both are the same life of the same target.
+// Same reports whether both are the same life of the same target.
 func (o Owner) Same(p Owner) bool { return o.ID == p.ID && o.Born == p.Born }
 
-// Known tells whether there is an owner.
+// Known reports whether there is an owner.
 func (o Owner) Known() bool { return o.ID != "" }
 
 // Slice is a range of keys, both ends inclusive, with its owner.
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -36,7 +36,7 @@
 	Cold
 )
 
-// Serves tells whether the owner answers for the keys.
+// Serves reports whether the owner answers for the keys.
 func (s SliceState) Serves() bool { return s == Served || s == Cold }
 
 // NewRouting returns the routing of a record. state tells it of slice i.
@@ -76,7 +76,7 @@
 	return &b.out
 }
 
-// After tells whether r is newer than the version (epoch, seq).
+// After reports whether r is newer than the version (epoch, seq).
 func (r *Routing) After(epoch, seq uint64) bool {
 	return r.Epoch > epoch || r.Epoch == epoch && r.Seq > seq
 }
@@ -113,7 +113,7 @@
 	return size
 }
 
-// SameAs tells whether both say the same of every key.
+// SameAs reports whether both say the same of every key.
 func (r *Routing) SameAs(o *Routing) bool {
 	if o == nil || r.Epoch != o.Epoch || len(r.From) != len(o.From) {
 		return false
--- a/internal/lease/update.go
+++ b/internal/lease/update.go
@@ -74,7 +74,7 @@
 	return Routing{Service: r.Service, Epoch: r.Epoch, Seq: r.Seq, Holder: r.Holder, Incarnation: r.Incarnation}
 }
 
-// Valid tells whether a routing that came from another VM can be used: its lists run
+// Valid reports whether a routing that came from another VM can be used: its lists run
 // in parallel and name known owners.
 func (r *Routing) Valid() bool {
 	if len(r.Owner) != len(r.From) || len(r.States) != len(r.From) {
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -138,7 +138,7 @@
 
 func indexOf(o Owner) int { return int(o.ID[1] - '0') }
 
-// reaches tells whether a VM reaches the store.
+// reaches reports whether a VM reaches the store.
 func (w *world) reaches(vm int) bool { return w.now >= w.vms[vm].cut }
 
 // takeOver writes a new epoch.
--- a/internal/loadgen/path.go
+++ b/internal/loadgen/path.go
@@ -97,7 +97,7 @@
 	P99Ms float64 `json:"p99Ms"`
 }
 
-// Complete tells whether every request got its whole answer.
+// Complete reports whether every request got its whole answer.
 func (r *PathReport) Complete() bool { return r.Asked > 0 && r.Whole == r.Asked }
 
 // Text writes the report for people.
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -123,7 +123,7 @@
 	return reply.Runs, nil
 }
 
-// Sound tells whether every promise to callers was kept.
+// Sound reports whether every promise to callers was kept.
 func (r *Report) Sound() bool {
 	for _, w := range r.Workloads {
 		if !w.Unchecked && (w.Broken > 0 || w.Lost > 0) {
@@ -133,7 +133,7 @@
 	return r.RefusedYetRan == 0 && r.RanTwice == 0
 }
 
-// Complete tells whether the report is sound and every request was answered.
+// Complete reports whether the report is sound and every request was answered.
 func (r *Report) Complete() bool {
 	for _, w := range r.Workloads {
 		if w.Answered != w.Sent || w.Sent == 0 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -125,7 +125,7 @@
 	go m.exchange(ctx, r)
 }
 
-// newerLocked tells whether who is another life than the one that is known. It
+// newerLocked reports whether who is another life than the one that is known. It
 // needs m.mu.
 //
 // Failure: a VM's time of day jumps back and its process starts again. Its
@@ -154,7 +154,7 @@
 	return out
 }
 
-// Lives tells whether this life of a VM was heard of lately. One that leaves does its
+// Lives reports whether this life of a VM was heard of lately. One that leaves does its
 // duties until it says that it has given them up.
 func (m *Mesh) Lives(vm string, incarnation uint64) bool {
 	m.mu.Lock()
@@ -178,7 +178,7 @@
 	return r.heard, true
 }
 
-// Replaced tells whether a process of a VM has ended: a later one runs at its
+// Replaced reports whether a process of a VM has ended: a later one runs at its
 // address.
 func (m *Mesh) Replaced(vm, addr string, incarnation uint64) bool {
 	m.mu.Lock()
@@ -217,7 +217,7 @@
 	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
 }
 
-// ReachesStore tells whether a VM said that the store answers it.
+// ReachesStore reports whether a VM said that the store answers it.
 func (m *Mesh) ReachesStore(vm string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/model/value.go
+++ b/internal/model/value.go
@@ -36,10 +36,10 @@
 // NewDate returns the day of t in UTC.
 func NewDate(t time.Time) Date { return Date{day: t.UTC().Truncate(24 * time.Hour)} }
 
-// IsZero tells whether no date is set.
+// IsZero reports whether no date is set.
 func (d Date) IsZero() bool { return d.day.IsZero() }
 
-// Over tells whether the whole day has passed at t. A date is inclusive: a
+// Over reports whether the whole day has passed at t. A date is inclusive: a
 // contract that ends on a day is valid until that day's midnight in UTC.
 func (d Date) Over(t time.Time) bool {
 	return !d.IsZero() && !t.UTC().Before(d.day.AddDate(0, 0, 1))
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -119,7 +119,7 @@
 	return e.claim(now)
 }
 
-// silent tells whether the same renewal was seen for the time to live. A service
+// silent reports whether the same renewal was seen for the time to live. A service
 // without an object is claimed at once, by rank.
 func (e *Election) silent(now time.Duration, rank int) bool {
 	wait := time.Duration(rank) * claimStep
@@ -170,7 +170,7 @@
 	}
 }
 
-// Holds tells whether the agent may plan at the time now.
+// Holds reports whether the agent may plan at the time now.
 func (e *Election) Holds(now time.Duration) bool {
 	return e.machine.State() == holding && now-e.heldFrom < AssignerLife
 }
--- a/internal/ownership/grants/carry.go
+++ b/internal/ownership/grants/carry.go
@@ -31,7 +31,7 @@
 	return carry{g.target, g.rank}
 }
 
-// mayCarry tells whether the target is the carried one and nobody came between.
+// mayCarry reports whether the target is the carried one and nobody came between.
 func (g *Group) mayCarry(target string) bool {
 	if g.carry.target != target || g.place != 0 {
 		return false
--- a/internal/ownership/grants/contact.go
+++ b/internal/ownership/grants/contact.go
@@ -138,7 +138,7 @@
 	return first
 }
 
-// endsRelease tells whether the order asked for the release under way.
+// endsRelease reports whether the order asked for the release under way.
 //
 // Failure: keys move away and back at one rank, and are to move again. An answer to the
 // first release comes only then, and is taken for the end of this one. It shows as two
@@ -169,7 +169,7 @@
 	}
 }
 
-// complete tells whether all unlisted incarnations are known.
+// complete reports whether all unlisted incarnations are known.
 func (g *Group) complete() bool {
 	for _, ref := range g.arbiters() {
 		if ref.Incarnation == "" && g.contact(ref.Name).incarnation == "" {
--- a/internal/ownership/grants/record.go
+++ b/internal/ownership/grants/record.go
@@ -29,7 +29,7 @@
 	return model.Group{}, false
 }
 
-// orphaned tells whether the higher rank that stopped this agent was of one that
+// orphaned reports whether the higher rank that stopped this agent was of one that
 // is lost, or has not served for long: nobody in the line could go on at this
 // epoch.
 func (g *Group) orphaned(now time.Duration, observation Observation) bool {
@@ -41,12 +41,12 @@
 	return r.Agent == g.params.VM || !observation.Live(r.Agent) || g.idleFor(now) > last
 }
 
-// stuck tells whether the fast path failed and the slow one needs an epoch.
+// stuck reports whether the fast path failed and the slow one needs an epoch.
 func (g *Group) stuck(now time.Duration) bool {
 	return now-g.took > g.params.Patience && !g.ownEpoch()
 }
 
-// learned tells whether a life of an arbiter is known that the record does not
+// learned reports whether a life of an arbiter is known that the record does not
 // list: it arbitrates and serves once it is listed.
 func (g *Group) learned() bool {
 	return slices.ContainsFunc(g.arbiters(), func(ref model.TargetRef) bool {
@@ -55,7 +55,7 @@
 	})
 }
 
-// allHeard tells whether the fast path would succeed at once at a new epoch.
+// allHeard reports whether the fast path would succeed at once at a new epoch.
 func (g *Group) allHeard(now time.Duration) bool {
 	return !slices.ContainsFunc(g.arbiters(), func(ref model.TargetRef) bool {
 		return !g.contact(ref.Name).seen.within(now, g.params.Authority)
--- a/internal/ownership/grants/rules.go
+++ b/internal/ownership/grants/rules.go
@@ -91,7 +91,7 @@
 	return g.mayWinSlowly(uncovered, last, now)
 }
 
-// onlyWitness tells whether no grant can be in force at the target: it is the
+// onlyWitness reports whether no grant can be in force at the target: it is the
 // witness, and was in the pair at no epoch that a grantor may still use.
 //
 // Failure: the old owner becomes the witness of a new epoch, cut off from its new
@@ -122,7 +122,7 @@
 	return now-last >= wait || g.broken == noSlowWait
 }
 
-// ownEpoch tells whether this agent, in this life, wrote the epoch and heads its
+// ownEpoch reports whether this agent, in this life, wrote the epoch and heads its
 // line. Another place in the line would leave room for a lower rank of the same
 // epoch, which the store still confirms.
 func (g *Group) ownEpoch() bool {
@@ -158,7 +158,7 @@
 	return true
 }
 
-// serviceable tells whether the target of the pair can be granted: it confirmed
+// serviceable reports whether the target of the pair can be granted: it confirmed
 // this rank in its listed incarnation and answers.
 func (g *Group) serviceable(ref model.TargetRef, now time.Duration) bool {
 	c := g.contact(ref.Name)
--- a/internal/ownership/grants/tick.go
+++ b/internal/ownership/grants/tick.go
@@ -9,7 +9,7 @@
 
 // Observation is what heartbeats tell.
 type Observation struct {
-	// Live tells whether a VM's agent is heard.
+	// Live reports whether a VM's agent is heard.
 	Live func(vm string) bool
 	// Served says that a live agent tells a grant of the group.
 	Served bool
@@ -43,7 +43,7 @@
 	return g.orders(now)
 }
 
-// myTurn tells whether the agent is in the line and all before it are lost, or
+// myTurn reports whether the agent is in the line and all before it are lost, or
 // heard but without success.
 //
 // Failure: the grantor is cut off from the targets and not from its peers. It
@@ -77,7 +77,7 @@
 
 func (g *Group) idleFor(now time.Duration) time.Duration { return now - g.unserved.at }
 
-// barred tells whether the epoch was written by another life of this agent.
+// barred reports whether the epoch was written by another life of this agent.
 //
 // Failure: a VM was replaced under its name while its old agent, only frozen,
 // goes on. Both would use the epoch, and the store would confirm both: the old
@@ -89,7 +89,7 @@
 	return g.rec.Author != g.params.Incarnation && sameVM(g.rec.Author, g.params.VM)
 }
 
-// sameVM tells whether an incarnation VM-STARTED is of the VM.
+// sameVM reports whether an incarnation VM-STARTED is of the VM.
 func sameVM(incarnation, vm string) bool {
 	n := len(vm)
 	if len(incarnation) <= n || incarnation[:n] != vm || incarnation[n] != '-' {
@@ -165,7 +165,7 @@
 	return out
 }
 
-// holdBack tells whether the owner is not asked yet.
+// holdBack reports whether the owner is not asked yet.
 func (g *Group) holdBack(now time.Duration) bool {
 	if g.standing.State() != claiming || len(g.arbiters()) == 1 || now-g.took > g.params.Patience/2 {
 		return false
@@ -196,12 +196,12 @@
 	}
 }
 
-// Idle tells whether this agent does not grant the group, or in vain for long.
+// Idle reports whether this agent does not grant the group, or in vain for long.
 func (g *Group) Idle(now time.Duration) bool {
 	return g.standing.State() == following || g.confirmedAt.ok && now-g.confirmedAt.at > g.params.Unserved
 }
 
-// NeedsStore tells whether only the store can give authority now.
+// NeedsStore reports whether only the store can give authority now.
 func (g *Group) NeedsStore(now time.Duration) bool {
 	if g.standing.State() == following {
 		return false
--- a/internal/ownership/grants/walk_test.go
+++ b/internal/ownership/grants/walk_test.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// isServed tells whether a live agent's grant is known.
+// isServed reports whether a live agent's grant is known.
 func (w *walk) isServed(i int) bool {
 	for _, a := range w.agents {
 		if _, _, ok := a.groups[i].Granted(a.clock.at(w.now)); ok {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,7 +17,7 @@
 	"github.com/tailscale/hujson"
 )
 
-// Checker is a value that can tell whether it makes sense. Check also fills in
+// Checker is a value that can report whether it makes sense. Check also fills in
 // defaults.
 type Checker interface {
 	Check() error
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -145,7 +145,7 @@
 }
 
 // compare looks for keys of a grant that another target holds, or had with a fence that
-// is not lower, and tells whether the keys come from that target. It needs c.mu.
+// is not lower, and reports whether the keys come from that target. It needs c.mu.
 func (c *Checker) compare(name string, other *holder, target string, from, to uint16, fence uint64, now time.Time) bool {
 	held, late, moved := -1, -1, false
 	for key := int(to); key >= int(from); key-- {
@@ -181,7 +181,7 @@
 	}
 }
 
-// AllHeld tells whether every key has an owner.
+// AllHeld reports whether every key has an owner.
 func (c *Checker) AllHeld() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -153,7 +153,7 @@
 	return nil
 }
 
-// last takes a fault off, and tells whether no other of its group is left.
+// last takes a fault off, and reports whether no other of its group is left.
 func (w *world) last(f Fault) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -92,7 +92,7 @@
 	g.held = 0
 }
 
-// takes tells whether the order is the newest so far.
+// takes reports whether the order is the newest so far.
 //
 // Failure: a renewal is delayed in the network and arrives after the order that
 // released the slices, and would undo the release while the other half of the
@@ -113,7 +113,7 @@
 	g.held, g.heldRank = o.Until, o.Rank
 }
 
-// Admit tells whether a request that names the group and rank may run now. The
+// Admit reports whether a request that names the group and rank may run now. The
 // refusal is "" if so. A lower rank than the held one is admitted: the target
 // owns the key now, and dispatchers learn of a new rank a moment later.
 func (f *Fences) Admit(service string, group uint64, rank wire.Rank, incarnation string, p keyspace.Point, now int64) target.Refusal {
@@ -130,7 +130,7 @@
 	return ""
 }
 
-// Serves tells whether any grant in force covers the point.
+// Serves reports whether any grant in force covers the point.
 func (f *Fences) Serves(service string, p keyspace.Point, now int64) bool {
 	for key, g := range f.groups {
 		if key.service == service && now < g.held && covers(g.slices, p) && !covers(g.released, p) {
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -111,7 +111,7 @@
 // Kill ends the life at once.
 func (t *Target) Kill() { _ = t.server.Close() }
 
-// Holds tells whether the target holds a key now.
+// Holds reports whether the target holds a key now.
 func (t *Target) Holds(key uint16) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -121,7 +121,7 @@
 	_ = l.listener.Close()
 }
 
-// passes waits while new connections are held, and tells whether one may pass then.
+// passes waits while new connections are held, and reports whether one may pass then.
 func (l *Link) passes() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/statechart/statechart.go
+++ b/internal/statechart/statechart.go
@@ -143,7 +143,7 @@
 	return to, nil
 }
 
-// IsFinal tells whether the state is one of the chart's final states.
+// IsFinal reports whether the state is one of the chart's final states.
 func (c *Chart) IsFinal(s State) bool {
 	for _, f := range c.Final {
 		if f == s {
@@ -181,7 +181,7 @@
 // caller's goroutine and without Why. The fault matrix breaks something there.
 func (m *Machine) Watch(f func(Transition)) { m.watch = f }
 
-// Done tells whether the machine is in a final state.
+// Done reports whether the machine is in a final state.
 func (m *Machine) Done() bool { return m.chart.IsFinal(m.state) }
 
 // Chart returns the machine's chart.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -69,7 +69,7 @@
 // connection will arrive any more.
 func (c *conn) close() { c.closing.Do(func() { _ = c.net.Close() }) }
 
-// quiet tells whether nothing arrived on an idle connection.
+// quiet reports whether nothing arrived on an idle connection.
 //
 // Failure: a target closes an idle connection, or sends a second answer after a
 // whole one. The next request on that connection would be lost, or would get the
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -64,7 +64,7 @@
 // Sum returns the checksum that goes with a body.
 func Sum(body []byte) uint64 { return xxhash.Sum64(body) }
 
-// Whole tells whether the answer belongs to the request and is complete.
+// Whole reports whether the answer belongs to the request and is complete.
 func (a *Answer) Whole(id string) bool { return a.ID == id && a.Sum == Sum(a.Body) }
 
 // Refused returns the answer of a request that ended in a problem.
