A fetch that is running asks VMs that announce the same version

A fetch went on at its first source until that named others: where the source is cut off right after its announcement, the version waited for two seconds. Found by reading, not seen in a run. With the line that adds the announcing VM taken out, TestFetchGoesOnAtVMsThatAnnounceTheSame fails. A request to one source ends after 0.4 s. A VM whose list of targets is older than the receiver's does not send it.

--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"hemlockquay/internal/catalog"
@@ -20,6 +21,9 @@
 	// fetchTimeout bounds a fetch from all sources together. The next heartbeat of any VM
 	// that has the version begins another.
 	fetchTimeout = 2 * time.Second
+	// requestTimeout bounds a request to one source: a packed configuration takes a tenth
+	// of it on a link of 10 Mbit/s.
+	requestTimeout = 400 * time.Millisecond
 	// fetchPause is the mean pause before another source is asked.
 	fetchPause = 40 * time.Millisecond
 	// storeFallback is after how long a configuration that no VM has sent is read from the
@@ -30,32 +34,51 @@
 
 var errBusy = errors.New("link is busy")
 
-// fetch runs one fetch of a kind at a time.
-func (g *Gateway) fetch(vm, what string, get func(ctx context.Context, vm string) error) {
-	if _, running := g.fetching.LoadOrStore(what, true); running {
+// fetchRun is a fetch that is running, with the VMs that may be asked.
+type fetchRun struct {
+	mu   sync.Mutex
+	from *sources.Sources
+}
+
+func (f *fetchRun) add(vms ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.from.Add(vms...)
+}
+
+func (f *fetchRun) next() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.from.Next(rand.IntN)
+}
+
+// fetch runs one fetch of a kind at a time. A VM that announces the same while it runs may be
+// asked as well: the first one may be cut off meanwhile.
+func (g *Gateway) fetch(vm, what string, get func(ctx context.Context, from *fetchRun) error) {
+	from := &fetchRun{from: sources.New(vm)}
+	if running, ok := g.fetching.LoadOrStore(what, from); ok {
+		running.(*fetchRun).add(vm)
 		return
 	}
 	go func() {
 		defer g.fetching.Delete(what)
 		begin := time.Now()
-		err := get(g.ctx, vm)
-		if err != nil {
-			g.log.Warn().Str("step", "fetch").Str("what", what).Str("peer", vm).Dur("took", time.Since(begin)).Err(err).Msg("not fetched")
+		if err := get(g.ctx, from); err != nil {
+			g.log.Warn().Str("step", "fetch").Str("what", what).Str("first", vm).Dur("took", time.Since(begin)).Err(err).Msg("not fetched")
 		}
 	}()
 }
 
-// fetchVersion asks one VM after the other, first the given one, until one has sent what
-// apply takes. attempt is called before each try; it returns true to end the fetch.
-func (g *Gateway) fetchVersion(ctx context.Context, method, first string, have uint64, apply func(vm string, r *VersionReply) error, ended func(since time.Duration) bool) error {
+// fetchVersion asks one VM after the other until one has sent what apply takes. ended is
+// called after each failure; it returns true to end the fetch.
+func (g *Gateway) fetchVersion(ctx context.Context, method string, from *fetchRun, have uint64, apply func(vm string, r *VersionReply) error, ended func(since time.Duration) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	from := sources.New(first)
 	for begin := time.Now(); ; {
-		vm := from.Next(rand.IntN)
+		vm := from.next()
 		reply, err := g.requestVersion(ctx, vm, method, have)
 		if err == nil {
-			from.Add(reply.Holders...)
+			from.add(reply.Holders...)
 			err = errBusy
 			if !reply.Busy {
 				err = apply(vm, reply)
@@ -71,15 +94,17 @@
 }
 
 func (g *Gateway) requestVersion(ctx context.Context, vm, method string, have uint64) (*VersionReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
 	reply := new(VersionReply)
 	err := g.mesh.Transfer(ctx, vm, method, &VersionArgs{From: g.self.VM, Have: have}, reply)
 	return reply, err
 }
 
 // fetchConfig fetches a later configuration from the VMs that have it, or from the store.
-func (g *Gateway) fetchConfig(ctx context.Context, vm string) error {
+func (g *Gateway) fetchConfig(ctx context.Context, from *fetchRun) error {
 	have := g.state.view.Load().ConfigVersion()
-	return g.fetchVersion(ctx, "View.ConfigVersion", vm, have, func(vm string, r *VersionReply) error {
+	return g.fetchVersion(ctx, "View.ConfigVersion", from, have, func(vm string, r *VersionReply) error {
 		var c route.Config
 		if err := packed.Decode(r.Data, &c); err != nil {
 			return err
@@ -110,19 +135,19 @@
 }
 
 // fetchTargets fetches what changed in the list of targets, or the whole list.
-func (g *Gateway) fetchTargets(ctx context.Context, vm string, whole bool) error {
+func (g *Gateway) fetchTargets(ctx context.Context, from *fetchRun, whole bool) error {
 	have := uint64(0)
 	if g.listed.Load() && !whole {
 		have = g.state.view.Load().Targets.Revision
 	}
-	return g.fetchVersion(ctx, "View.TargetsSince", vm, have, func(vm string, r *VersionReply) error {
+	return g.fetchVersion(ctx, "View.TargetsSince", from, have, func(vm string, r *VersionReply) error {
 		if err := g.applyTargets(vm, r); err != nil {
 			return err
 		}
 		g.listed.Store(true)
 		g.checkReady()
 		return nil
-	}, func(time.Duration) bool { return false })
+	}, func(time.Duration) bool { return !whole && g.state.view.Load().Targets.Revision > have })
 }
 
 func (g *Gateway) applyTargets(vm string, r *VersionReply) error {
@@ -138,7 +163,8 @@
 	return nil
 }
 
-func (g *Gateway) fetchRouting(ctx context.Context, vm, service string) error {
+func (g *Gateway) fetchRouting(ctx context.Context, from *fetchRun, service string) error {
+	vm := from.next()
 	var r lease.Routing
 	if err := g.mesh.Transfer(ctx, vm, "View.Routing", &service, &r); err != nil {
 		return err
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -142,3 +143,21 @@
 	s.setConfig(&route.Config{Version: 3}, sourceStore)
 	require.Equal(t, 1, announced)
 }
+
+// Guards against a version that waits for a VM which was cut off after it had announced it:
+// others that announce it while it is fetched are asked as well.
+func TestFetchGoesOnAtVMsThatAnnounceTheSame(t *testing.T) {
+	a, b := peerGateway(t, "a", 0), peerGateway(t, "b", 0)
+	a.state.setConfig(largeConfig(7, 10), sourceStore)
+	begun, ended := make(chan struct{}), make(chan error, 1)
+	b.fetch("cut off", "config", func(ctx context.Context, from *fetchRun) error {
+		close(begun)
+		err := b.fetchConfig(ctx, from)
+		ended <- err
+		return err
+	})
+	<-begun
+	b.mesh.Meet(a.self)
+	require.NoError(t, <-ended)
+	require.EqualValues(t, 7, b.configVersion())
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,14 +45,14 @@
 	// new revision.
 	fewer := b.TargetsRevision == v.Targets.Revision && int(b.Targets) < len(v.Targets.List)
 	if b.TargetsRevision > v.Targets.Revision || fewer {
-		g.fetch(b.From.VM, "targets", func(ctx context.Context, vm string) error {
-			return g.fetchTargets(ctx, vm, fewer)
+		g.fetch(b.From.VM, "targets", func(ctx context.Context, from *fetchRun) error {
+			return g.fetchTargets(ctx, from, fewer)
 		})
 	}
 	for _, mark := range b.Leases {
 		if g.behind(mark) {
-			g.fetch(b.From.VM, mark.Service, func(ctx context.Context, vm string) error {
-				return g.fetchRouting(ctx, vm, mark.Service)
+			g.fetch(b.From.VM, mark.Service, func(ctx context.Context, from *fetchRun) error {
+				return g.fetchRouting(ctx, from, mark.Service)
 			})
 		}
 	}
@@ -105,6 +105,9 @@
 		return nil
 	}
 	t := v.gateway.state.view.Load().Targets
+	if t.Revision < in.Have {
+		return errUnknown
+	}
 	var err error
 	*out, err = v.gateway.transfers.whole("targets", valueVersion{t.Revision, len(t.List)}, in.From, func() any { return t })
 	return err
