--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -69,22 +69,32 @@
 	}()
 }
 
-// fetchVersion asks one VM after the other until one has sent what apply takes. ended is
-// called after each failure; it returns true to end the fetch.
-func (g *Gateway) fetchVersion(ctx context.Context, method string, from *fetchRun, have uint64, apply func(vm string, r *VersionReply) error, ended func(since time.Duration) bool) error {
+// versionFetch says how a later version of a value is fetched.
+type versionFetch struct {
+	method string
+	// have is the version at hand, 0 for none.
+	have  uint64
+	apply func(vm string, r *VersionReply) error
+	// ended is called after each failure, with the time since the begin. It reports whether
+	// the version has come another way.
+	ended func(since time.Duration) bool
+}
+
+// fetchVersion asks one VM after the other until one has sent what can be applied.
+func (g *Gateway) fetchVersion(ctx context.Context, from *fetchRun, f versionFetch) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	for begin := time.Now(); ; {
 		vm := from.next()
-		reply, err := g.requestVersion(ctx, vm, method, have)
+		reply, err := g.requestVersion(ctx, vm, f.method, f.have)
 		if err == nil {
 			from.add(reply.Holders...)
 			err = errBusy
 			if !reply.Busy {
-				err = apply(vm, reply)
+				err = f.apply(vm, reply)
 			}
 		}
-		if err == nil || ended(time.Since(begin)) {
+		if err == nil || f.ended(time.Since(begin)) {
 			return nil
 		}
 		if !pause.For(ctx, time.Duration(rand.Int64N(int64(2*fetchPause)))) {
@@ -104,19 +114,24 @@
 // fetchConfig fetches a later configuration from the VMs that have it, or from the store.
 func (g *Gateway) fetchConfig(ctx context.Context, from *fetchRun) error {
 	have := g.state.view.Load().ConfigVersion()
-	return g.fetchVersion(ctx, "View.ConfigVersion", from, have, func(vm string, r *VersionReply) error {
-		var c route.Config
-		if err := packed.Decode(r.Data, &c); err != nil {
-			return err
-		}
-		g.state.setConfig(&c, vm)
-		g.checkReady()
-		return nil
-	}, func(since time.Duration) bool {
-		return g.state.view.Load().ConfigVersion() > have || since > storeFallback && g.readConfig(ctx, have)
+	return g.fetchVersion(ctx, from, versionFetch{
+		method: "View.ConfigVersion", have: have, apply: g.applyFetchedConfig,
+		ended: func(since time.Duration) bool {
+			return g.state.view.Load().ConfigVersion() > have || since > storeFallback && g.readConfig(ctx, have)
+		},
 	})
 }
 
+func (g *Gateway) applyFetchedConfig(vm string, r *VersionReply) error {
+	var c route.Config
+	if err := packed.Decode(r.Data, &c); err != nil {
+		return err
+	}
+	g.state.setConfig(&c, vm)
+	g.checkReady()
+	return nil
+}
+
 // readConfig reads the configuration from the store and reports whether it is later than the
 // given version.
 func (g *Gateway) readConfig(ctx context.Context, have uint64) bool {
@@ -140,26 +155,25 @@
 	if g.listed.Load() && !whole {
 		have = g.state.view.Load().Targets.Revision
 	}
-	return g.fetchVersion(ctx, "View.TargetsSince", from, have, func(vm string, r *VersionReply) error {
-		if err := g.applyTargets(vm, r); err != nil {
-			return err
-		}
-		g.listed.Store(true)
-		g.checkReady()
-		return nil
-	}, func(time.Duration) bool { return !whole && g.state.view.Load().Targets.Revision > have })
+	return g.fetchVersion(ctx, from, versionFetch{
+		method: "View.TargetsSince", have: have, apply: g.applyTargets,
+		ended: func(time.Duration) bool { return !whole && g.state.view.Load().Targets.Revision > have },
+	})
 }
 
+// applyTargets applies the changes, or the whole list.
 func (g *Gateway) applyTargets(vm string, r *VersionReply) error {
 	if r.Changes != nil {
 		g.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Apply(*r.Changes, now) })
-		return nil
-	}
-	var t catalog.Targets
-	if err := packed.Decode(r.Data, &t); err != nil {
-		return err
+	} else {
+		var t catalog.Targets
+		if err := packed.Decode(r.Data, &t); err != nil {
+			return err
+		}
+		g.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
 	}
-	g.state.changeTargets(vm, func(m *catalog.Members, now time.Duration) { m.Replace(t, now) })
+	g.listed.Store(true)
+	g.checkReady()
 	return nil
 }
 
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -46,21 +46,21 @@
 
 // Get returns one object.
 func (s *Store) Get(ctx context.Context, id platform.ID) (platform.Object, error) {
-	return call(s, ctx, readOnly, "Store.Get", &id,
+	return call(ctx, s, readOnly, "Store.Get", &id,
 		func() (platform.Object, error) { return s.Direct.Get(ctx, id) },
 		func(r *Reply) platform.Object { return r.Object })
 }
 
 // Put writes the object if its stored version is o.Version.
 func (s *Store) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
-	return call(s, ctx, writes, "Store.Put", &o,
+	return call(ctx, s, writes, "Store.Put", &o,
 		func() (platform.Object, error) { return s.Direct.Put(ctx, o) },
 		func(r *Reply) platform.Object { return r.Object })
 }
 
 // ListKind returns all objects of a kind.
 func (s *Store) ListKind(ctx context.Context, kind model.Kind) (platform.Listing, error) {
-	return call(s, ctx, readOnly, "Store.ListKind", &ListArgs{Kind: kind},
+	return call(ctx, s, readOnly, "Store.ListKind", &ListArgs{Kind: kind},
 		func() (platform.Listing, error) { return s.Direct.ListKind(ctx, kind) },
 		func(r *Reply) platform.Listing { return r.Listing })
 }
@@ -82,7 +82,7 @@
 }
 
 // call makes a call directly where the store answers this VM, else through relays.
-func call[T any](s *Store, ctx context.Context, a access, method string, args any, direct func() (T, error), result func(*Reply) T) (T, error) {
+func call[T any](ctx context.Context, s *Store, a access, method string, args any, direct func() (T, error), result func(*Reply) T) (T, error) {
 	up := s.Up()
 	if up {
 		out, err := direct()
