--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -141,10 +141,8 @@
 }
 
 // remove drops a target, or keeps it for a while after an outage.
-//
-// Failure: the store is away and the entries of living targets lapse. When it
-// returns, its list is empty, and every request would be refused until the targets
-// have written again. Those that were draining stay out.
+// Entries of live targets expire while the store is down and are written again after its return.
+// Draining targets are not kept.
 func (m *Members) remove(id string, revision uint64, now time.Duration) {
 	t, ok := m.entries[id]
 	if ok && t.Revision > revision {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -219,9 +219,7 @@
 // stop leaves: first the balancer and the other VMs learn of it, while requests
 // are served as before; then new connections end; then the process, when the last
 // answer is out.
-//
-// Failure: a process closes its listener or its kept connections as soon as it is
-// told to stop. Callers whose requests are on their way lose them.
+// Kept connections and the listener stay open at first: requests on their way would be lost.
 func (g *Gateway) stop(ctx context.Context) error {
 	begin := time.Now()
 	grace := time.Duration(g.grace.Load())
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -126,10 +126,8 @@
 
 // resume takes over at once where this VM was the grantor before its process
 // ended.
-//
-// Load pattern: all processes end at the same moment and start again. All keys
-// lapse until there is a grantor; the time to meet the others is too long for
-// that. The one VM that the record names needs no agreement.
+// When all processes restart at once, the VM that the record names needs no agreement, and keys
+// would expire while the VMs meet.
 func (c *candidate) resume(ctx context.Context) {
 	for !c.LocalState.Listed() {
 		if !pause.For(ctx, leadStep) {
@@ -172,10 +170,7 @@
 
 // stranded reports whether the store has turned the grantor away for a while, and
 // answers this VM.
-//
-// Failure: the store refuses single VMs while it serves the others. A grantor
-// among them renews what it granted, but cannot move a key: those of a target that
-// leaves or dies stay without service, or with it for too long.
+// Such a grantor renews what it granted, but cannot move the keys of targets that leave or fail.
 func (c *candidate) stranded(holder string) bool {
 	now := c.Clock.Now()
 	if !c.LocalState.StoreUp() || c.Mesh.ReachesStoreIndirectly(holder) {
--- a/internal/gateway/leasing/incarnations.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -65,11 +65,9 @@
 
 // confirmIncarnations opens connections to owners to which an order broke and then asks
 // the store whether they are in the same life and the epoch stands.
-//
-// Failure: a target restarts under its id. It has forgotten its fences and would
-// take a grant of a grantor that was succeeded meanwhile, for keys that another
-// owns. A connection that was opened before the store was asked breaks with the
-// life that it was opened to.
+// A restarted target has forgotten its fences and would take a grant of a grantor that was
+// succeeded. A connection that was opened before the store was asked breaks with the incarnation
+// that it was opened to.
 func (l *leader) confirmIncarnations(ctx context.Context, now time.Duration) {
 	if l.checking || now < l.checkNext {
 		return
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -31,10 +31,7 @@
 	planEvery = 100 * time.Millisecond
 	// strayedSilence is for how long an owner has left orders unanswered when it counts
 	// as silent: two orders in a row ran into their timeouts.
-	//
-	// Failure: targets leave a half of their orders unanswered. At each moment most
-	// owners had one, and the grantors resigned in turn, each after half a second;
-	// nothing was renewed meanwhile, and no key had an owner for ten seconds.
+	// Targets that leave half of their orders unanswered must not make the grantors resign in turn.
 	strayedSilence = 2 * grantTimeout
 	// unfitTime is how long a VM that resigned is the last in line.
 	unfitTime = 8 * time.Second
@@ -170,11 +167,8 @@
 	return fitness.Strayed(silent, len(owners))
 }
 
-// tryResign resigns if the store answers: nobody can take over without it.
-//
-// Failure: the store goes away, and right after that the grantor's VM is told to stop. It
-// resigned; all keys lapsed within a hold and had no service until the store was back. A
-// grantor goes on until it has asked the store, and for as long as its process may.
+// tryResign resigns if the store answers. Without it nobody could take over, and all keys would
+// expire within a hold.
 func (l *leader) tryResign(ctx context.Context, now time.Duration) {
 	if l.resigning || l.writing || l.reading || now < l.resignNext {
 		// A write that is on its way comes first.
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -52,8 +52,7 @@
 		// Another's write stands, or a lost one of ours: begin again from it.
 		l.deposed = true
 	case errors.Is(err, platform.ErrAmbiguous):
-		// Failure: the store goes away with an answer. A grantor that gives up
-		// then finds no store to begin again, and all keys lapse.
+		// A grantor that gave up now would find no store to begin again, and all keys would expire.
 		l.unsettled = true
 	case !l.unsettled:
 		l.grants.Abandon()
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -93,10 +93,8 @@
 }
 
 // order sends one order, reports its end to the leader and returns it.
-//
-// Failure: this VM is suspended between the decision and the send, another became
-// the grantor and moved the keys. The authority is read again on a clock that
-// counts suspended time, right before the bytes leave.
+// This VM may be suspended between the decision and the send, and be succeeded meanwhile: the
+// authority is read again right before the bytes leave, on a clock that counts suspended time.
 func (l *leader) order(ctx context.Context, line *orderLine, o lease.Order, conn upstream.Choice, timeout time.Duration) lease.Result {
 	sent := l.Clock.Now()
 	result, handover, err := lease.Unreached, "", errNoAuthority
@@ -139,11 +137,8 @@
 
 // replaced asks the process at a target's address for its id, and reports whether
 // it is another target's.
-//
-// Failure: a target is gone and its address has passed to a target of a service
-// without keys, which answers an order with an error. Until the last grant that
-// might have reached the lost owner is out, twelve seconds longer after a
-// succession, its keys had no service.
+// The address of a target that is gone may pass to one of a service without keys, which answers an
+// order with an error. Without the check, the keys would wait until the last grant has expired.
 func (l *leader) replaced(ctx context.Context, line *orderLine, o lease.Owner) bool {
 	table := l.TargetDirectory.View().Routes
 	if table == nil {
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -107,9 +107,7 @@
 }
 
 // divide cuts these slices in two and reports whether it cut any.
-//
-// Failure: a hot slice cannot be divided while a renewal of it waits for a slow owner. The
-// grantor tried it again and again, and moved no other hot keys meanwhile.
+// A slice with a renewal in flight cannot be divided; it must not hold up the moves of others.
 func (l *leader) divide(which []int, sums []keyspread.Sum) bool {
 	divided := false
 	// The last one first, so that the places of the others stay.
--- a/internal/gateway/storestate.go
+++ b/internal/gateway/storestate.go
@@ -11,13 +11,8 @@
 )
 
 // noteStore notes from the end of a call, sent at that time, whether the store answers.
-//
-// Failure: the store is away for seconds and returns. Calls that were sent before run
-// into their timeouts after others have been answered, and each took the store for lost
-// once more. The other VMs took such a grantor for cut off and succeeded it while it
-// lived, so that keys of lost targets waited for its authority to end, fourteen seconds;
-// and entries that were missing were waited for anew each time. A failure counts only if
-// its call was sent after the latest answer.
+// A failure counts only if its call was sent after the latest answer: calls that were sent before
+// an outage run into their timeouts after it.
 func (g *Gateway) noteStore(sent time.Duration, err error) {
 	switch {
 	case errors.Is(err, context.Canceled):
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -132,10 +132,8 @@
 
 // newerLocked reports whether who is another life than the one that is known. It
 // needs m.mu.
-//
-// Failure: a VM's time of day jumps back and its process starts again. Its
-// incarnation is below the last one, and the others would not take its word for as
-// long as they remember that. A life that is silent is over in any case.
+// The incarnation of a VM whose time of day has jumped back is lower than before. A process that is
+// silent has ended in any case.
 func (m *Mesh) newerLocked(old *remote, who Member) bool {
 	if who.Incarnation == old.member.Incarnation {
 		return false
@@ -200,10 +198,7 @@
 }
 
 // liveLocked needs m.mu.
-//
-// Failure: this VM was suspended for seconds. All others seem silent, and it would
-// take over from all of them at once. After a pause of its own it waits until they
-// had time to speak.
+// After a suspension of this VM all others seem silent. It waits until they had time to call.
 func (m *Mesh) liveLocked(r *remote, now time.Duration) bool {
 	m.stepLocked(now)
 	return now < m.blindUntil || now-r.heard < m.silenceOfLocked(r, now)
