--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -39,11 +39,11 @@
 	// urgentFactor is by how much longer the queue may be for the most urgent requests,
 	// in units of slots: targets queue about four times their slots.
 	urgentFactor = 0.75
-	// TellEvery is the time between two calls of Told. unseenFade lets what was not
+	// LoadsEvery is the time between two calls of SetOthers. unseenFade lets what was not
 	// seen fade within the period of the VMs' words, 0.15 s. unseenShare is how
 	// much of what this VM sends the others send too: half, since most load is
 	// of its own making.
-	TellEvery   = 50 * time.Millisecond
+	LoadsEvery  = 50 * time.Millisecond
 	unseenFade  = 0.6
 	unseenShare = 0.5
 	// restFirst and restMost bound the rest of a target that cannot be reached,
@@ -97,8 +97,8 @@
 	s.Unseen = max(0, s.Unseen-unseenShare*float64(vms-1))
 }
 
-// Told takes in what the other VMs have there. It is called each TellEvery.
-func (s *State) Told(others int) {
+// SetOthers sets what the other VMs have there. It is called each LoadsEvery.
+func (s *State) SetOthers(others int) {
 	s.Others = others
 	s.Unseen *= unseenFade
 }
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -115,7 +115,7 @@
 	require.GreaterOrEqual(t, sent, slots)
 	for range 6 {
 		for i := range views {
-			views[i].Told(0)
+			views[i].SetOthers(0)
 		}
 	}
 	require.False(t, views[0].Full(), "what was not seen fades")
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -136,7 +136,7 @@
 func TestOnlyVMsThatReadTheStoreAnnounceAVersion(t *testing.T) {
 	s := testState(&handClock{})
 	announced := 0
-	s.news = func() { announced++ }
+	s.announce = func() { announced++ }
 	s.setConfig(&route.Config{Version: 2}, "vm")
 	s.list(1, catalog.Target{ID: "t"})
 	require.Zero(t, announced)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,9 +57,9 @@
 	storeAnsweredAt atomic.Int64
 	// storeRelayedAt is when the store last answered through another VM, on clock.
 	storeRelayedAt atomic.Int64
-	// toldAt is when the store, or a VM that it answers, last told of the targets,
+	// targetsConfirmedAt is when the store, or a VM that it answers, last told of the targets,
 	// on clock.
-	toldAt atomic.Int64
+	targetsConfirmedAt atomic.Int64
 	// listed reports whether the targets are known.
 	listed atomic.Bool
 	// grace is how long after SIGTERM the process is killed, nanoseconds.
@@ -100,7 +100,7 @@
 	n.grace.Store(int64(s.Grace))
 	n.state = newRoutingState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
-	n.state.news = n.mesh.Kick
+	n.state.announce = n.mesh.Announce
 	// Were all VMs to begin with the same target, they would fill it together.
 	n.state.turn = int(catalog.Hash(s.VM))
 	n.gauges()
@@ -128,7 +128,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.tellLoads, g.sweep, g.reload,
+		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.refreshLoads, g.sweep, g.reload,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/leasing/play_test.go
+++ b/internal/gateway/leasing/play_test.go
@@ -79,8 +79,8 @@
 	return mesh.Heartbeat{From: n.Self, Leaving: n.leaving.Load(), StoreLost: !n.storeUp.Load(), Leases: n.state.leases.Marks()}
 }
 
-// Heard implements mesh.Local.
-func (*node) Heard(mesh.Heartbeat) {}
+// OnHeartbeat implements mesh.Local.
+func (*node) OnHeartbeat(mesh.Heartbeat) {}
 
 // localState is that of a node which comes last in the line for each duty.
 type localState struct{ n *node }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,11 +32,11 @@
 	}
 }
 
-// Heard implements mesh.Local: it fetches what the other VM knows better.
-func (g *Gateway) Heard(b mesh.Heartbeat) {
+// OnHeartbeat implements mesh.Local: it fetches what the other VM knows better.
+func (g *Gateway) OnHeartbeat(b mesh.Heartbeat) {
 	v := g.state.view.Load()
 	if !b.StoreLost && b.TargetsRevision == v.Targets.Revision {
-		g.toldAt.Store(int64(g.clock.Now()))
+		g.targetsConfirmedAt.Store(int64(g.clock.Now()))
 	}
 	if b.ConfigVersion > v.ConfigVersion() {
 		g.fetch(b.From.VM, "config", g.fetchConfig)
@@ -58,9 +58,9 @@
 	}
 }
 
-// tellLoads refreshes what the other VMs have at the targets.
-func (g *Gateway) tellLoads(ctx context.Context) {
-	for pause.For(ctx, pick.TellEvery) {
+// refreshLoads refreshes what the other VMs have at the targets.
+func (g *Gateway) refreshLoads(ctx context.Context) {
+	for pause.For(ctx, pick.LoadsEvery) {
 		g.state.setOthers(g.mesh.Loads(), len(g.mesh.Others())+1)
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -43,8 +43,8 @@
 	configuredAt time.Duration
 	// changed is closed and replaced when routing or view change.
 	changed chan struct{}
-	// news is called when the VM believes something new that others may not know.
-	news      func()
+	// announce is called when the VM believes something new that others may not know.
+	announce  func()
 	targets   map[string]*targetState
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
@@ -78,7 +78,7 @@
 func newRoutingState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *routingState {
 	s := &routingState{
 		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
-		members: catalog.NewMembers(), changed: make(chan struct{}), news: func() {},
+		members: catalog.NewMembers(), changed: make(chan struct{}), announce: func() {},
 		targets: make(map[string]*targetState), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes: make(map[uint64]map[uint32]time.Duration),
@@ -118,7 +118,7 @@
 	s.configuredAt = s.clock.Now()
 	s.notifyLocked()
 	if source == sourceStore {
-		s.news()
+		s.announce()
 	}
 }
 
@@ -168,7 +168,7 @@
 	s.view.Store(view)
 	s.notifyLocked()
 	if source == sourceStore {
-		s.news()
+		s.announce()
 	}
 }
 
@@ -227,7 +227,7 @@
 	defer s.mu.Unlock()
 	s.vms = vms
 	for _, t := range s.targets {
-		t.pick.Told(loads[mesh.LoadKey(t.hash)])
+		t.pick.SetOthers(loads[mesh.LoadKey(t.hash)])
 	}
 }
 
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -57,7 +57,7 @@
 		"config.version":  func() int64 { return int64(g.state.view.Load().ConfigVersion()) },
 		"config.age":      func() int64 { return g.state.ageOf(g.state.configAt()) },
 		"targets.listed":  func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
-		"targets.age":     func() int64 { return (g.clock.Now() - time.Duration(g.toldAt.Load())).Milliseconds() },
+		"targets.age":     func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
 		"mesh.live":       func() int64 { return int64(len(g.mesh.Live())) },
 		"store.reachable": func() int64 { return boolGauge(g.storeUp.Load()) },
 	} {
--- a/internal/gateway/storestate.go
+++ b/internal/gateway/storestate.go
@@ -29,7 +29,7 @@
 	if g.storeUp.Swap(up) != up {
 		g.log.Warn().Str("step", "store").Bool("up", up).AnErr("cause", cause).Msg("store lost or regained")
 		// Another VM has to watch in place of this one.
-		g.mesh.Kick()
+		g.mesh.Announce()
 	}
 	g.state.changeMembersQuietly(func(m *catalog.Members, now time.Duration) {
 		if up {
@@ -57,7 +57,7 @@
 	g.storeRelayedAt.Store(int64(g.clock.Now()))
 	if !before {
 		g.log.Info().Str("step", "store").Msg("store reached through another VM")
-		g.mesh.Kick()
+		g.mesh.Announce()
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -124,7 +124,7 @@
 		if err != nil {
 			return fmt.Errorf("watch %s from %d: %w", kind, revision, err)
 		}
-		g.toldAt.Store(int64(g.clock.Now()))
+		g.targetsConfirmedAt.Store(int64(g.clock.Now()))
 		if len(changes.Events) > 0 {
 			change(changes)
 			pause.For(ctx, eventsPause)
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -11,14 +11,14 @@
 	defer r.client.Close()
 	defer r.transfers.Close()
 	lost := false
-	first, kicked := true, true
+	first, announcing := true, true
 	for {
 		var err error
 		period, monitored := m.periodOf(r)
-		if kicked || monitored || m.self.VM < r.member.VM || m.silence(r) > time.Duration(overdue*float64(period)) {
-			err = m.call(ctx, r, kicked && !first)
+		if announcing || monitored || m.self.VM < r.member.VM || m.silence(r) > time.Duration(overdue*float64(period)) {
+			err = m.call(ctx, r, announcing && !first)
 		}
-		kicked, first = false, false
+		announcing, first = false, false
 		silent := m.silence(r)
 		if now := silent > m.silenceOf(r); now != lost {
 			lost = now
@@ -31,8 +31,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.kick:
-			kicked = true
+		case <-r.announce:
+			announcing = true
 		case <-time.After(period):
 		}
 	}
@@ -49,7 +49,7 @@
 	defer cancel()
 	err := r.client.Call(ctx, "Mesh.Heartbeat", &heartbeat, &reply)
 	if err == nil {
-		m.take(reply)
+		m.receive(reply)
 	}
 	return err
 }
@@ -79,7 +79,7 @@
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	m.stepLocked(now)
-	return now - r.heard
+	return now - r.lastHeard
 }
 
 func (m *Mesh) forget(r *remote) {
@@ -90,19 +90,19 @@
 	}
 }
 
-// take notes a heartbeat, of a call or of a reply.
-func (m *Mesh) take(b Heartbeat) {
+// receive records a heartbeat, of a call or of a reply.
+func (m *Mesh) receive(b Heartbeat) {
 	m.Meet(b.From)
 	m.mu.Lock()
 	r := m.remotes[b.From.VM]
 	known := r != nil && r.member.Incarnation == b.From.Incarnation
 	if known {
 		b = b.completed(r.heartbeat)
-		r.heard, r.heartbeat = m.clock.Now(), b
+		r.lastHeard, r.heartbeat = m.clock.Now(), b
 	}
 	m.mu.Unlock()
 	if known {
-		m.local.Heard(b)
+		m.local.OnHeartbeat(b)
 	}
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -53,8 +53,8 @@
 type Local interface {
 	// Heartbeat returns the state to tell.
 	Heartbeat() Heartbeat
-	// Heard takes in a heartbeat of a live VM. It must not block.
-	Heard(Heartbeat)
+	// OnHeartbeat is called with each heartbeat of a live VM. It must not block.
+	OnHeartbeat(Heartbeat)
 }
 
 type remote struct {
@@ -63,10 +63,10 @@
 	// transfers carries large messages, which would delay heartbeats on client's
 	// connection.
 	transfers *peer.Client
-	heard     time.Duration
+	lastHeard time.Duration
 	heartbeat Heartbeat
 	cancel    context.CancelFunc
-	kick      chan struct{}
+	announce  chan struct{}
 }
 
 // Mesh is the VM's view of the others. It is safe for concurrent use.
@@ -123,7 +123,7 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	r := &remote{member: who, client: peer.NewClient(who.Addr, 1), transfers: peer.NewClient(who.Addr, 1), heard: m.clock.Now(), cancel: cancel, kick: make(chan struct{}, 1)}
+	r := &remote{member: who, client: peer.NewClient(who.Addr, 1), transfers: peer.NewClient(who.Addr, 1), lastHeard: m.clock.Now(), cancel: cancel, announce: make(chan struct{}, 1)}
 	m.remotes[who.VM] = r
 	m.log.Info().Str("step", "mesh").Str("peer", who.VM).Str("addr", who.Addr).Uint64("incarnation", who.Incarnation).Msg("peer known")
 	m.wait.Add(1)
@@ -138,7 +138,7 @@
 	if who.Incarnation == old.member.Incarnation {
 		return false
 	}
-	return who.Incarnation > old.member.Incarnation || m.clock.Now()-old.heard > m.silenceLocked()
+	return who.Incarnation > old.member.Incarnation || m.clock.Now()-old.lastHeard > m.silenceLocked()
 }
 
 // Live returns the VMs that were heard of lately, this one included, in order of
@@ -178,7 +178,7 @@
 	if r == nil || r.member.Incarnation != incarnation {
 		return 0, false
 	}
-	return r.heard, true
+	return r.lastHeard, true
 }
 
 // Replaced reports whether a process of a VM has ended: a later one runs at its
@@ -201,7 +201,7 @@
 // After a suspension of this VM all others seem silent. It waits until they had time to call.
 func (m *Mesh) liveLocked(r *remote, now time.Duration) bool {
 	m.stepLocked(now)
-	return now < m.blindUntil || now-r.heard < m.silenceOfLocked(r, now)
+	return now < m.blindUntil || now-r.lastHeard < m.silenceOfLocked(r, now)
 }
 
 func (m *Mesh) stepLocked(now time.Duration) {
@@ -252,7 +252,7 @@
 	silence := max(silentLeast, silentPeriods*m.periodOfLocked(r))
 	heard := 0
 	for _, other := range m.remotes {
-		if now-other.heard < silence {
+		if now-other.lastHeard < silence {
 			heard++
 		}
 	}
@@ -306,13 +306,13 @@
 // Period returns the time between two heartbeats of a pair of VMs.
 func (m *Mesh) Period() time.Duration { return m.period() }
 
-// Kick sends a brief heartbeat to all VMs at once: this VM has a newer version of something.
-func (m *Mesh) Kick() {
+// Announce sends a brief heartbeat to all VMs at once: this VM has a newer version of something.
+func (m *Mesh) Announce() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range m.remotes {
 		select {
-		case r.kick <- struct{}{}:
+		case r.announce <- struct{}{}:
 		default:
 		}
 	}
@@ -398,7 +398,7 @@
 
 // Heartbeat exchanges heartbeats.
 func (s Service) Heartbeat(in *Heartbeat, out *Heartbeat) error {
-	s.Mesh.take(*in)
+	s.Mesh.receive(*in)
 	*out = s.Mesh.local.Heartbeat()
 	if in.Brief {
 		*out = out.brief()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -21,7 +21,7 @@
 type silentLocal struct{ self Member }
 
 func (l silentLocal) Heartbeat() Heartbeat { return Heartbeat{From: l.self} }
-func (silentLocal) Heard(Heartbeat)        {}
+func (silentLocal) OnHeartbeat(Heartbeat)  {}
 
 func newMesh(t *testing.T) (*Mesh, *handClock) {
 	clock := new(handClock)
