--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -225,7 +225,12 @@
 	m.monitored[duty] = vm
 }
 
+// monitoredLocked reports whether a VM is monitored more closely than the others. In a small
+// fleet all are.
 func (m *Mesh) monitoredLocked(vm string) bool {
+	if m.periodLocked() <= closePeriod {
+		return false
+	}
 	for _, other := range m.monitored {
 		if other == vm {
 			return true
@@ -237,7 +242,7 @@
 // periodOfLocked returns the period of heartbeats with one VM.
 func (m *Mesh) periodOfLocked(r *remote) time.Duration {
 	if m.monitoredLocked(r.member.VM) {
-		return min(closePeriod, m.periodLocked())
+		return closePeriod
 	}
 	return m.periodLocked()
 }
