--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,9 +94,10 @@
 		settings: s, adapter: a, headers: a.Headers(), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), lines: newRequestLines(registry),
-		bodies: newBodyRoom(s.MemoryMB), transfers: newTransfers(s.LinkMbps),
+		bodies: newBodyRoom(s.MemoryMB),
 	}
 	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
+	n.transfers = newTransfers(n.self.LinkBytesPerSecond())
 	n.grace.Store(int64(s.Grace))
 	n.state = newRoutingState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
--- a/internal/gateway/leasing/broadcast.go
+++ b/internal/gateway/leasing/broadcast.go
@@ -21,9 +21,6 @@
 	pushShare = 0.5
 	// deltaBytes is the usual size of an update that holds changes only.
 	deltaBytes = 256
-	// unknownLinkMbps is assumed for a link whose speed the settings do not give.
-	unknownLinkMbps = 100
-	bytesPerMbit    = 1e6 / 8
 )
 
 // ErrMalformed is the error of leases from another VM that are incomplete or contradict
@@ -58,13 +55,10 @@
 	busy  bool
 }
 
-// newLeaseBroadcaster returns a broadcaster over a link of so many Mbit/s, 0 if that is not
-// known. The other VMs are assumed to have a version already, unless it is nil.
-func newLeaseBroadcaster(push pushFunc, logger *log.Logger, linkMbps uint32, assumed *lease.Routing) *leaseBroadcaster {
-	if linkMbps == 0 {
-		linkMbps = unknownLinkMbps
-	}
-	maxBytes := int64(pushShare * float64(linkMbps) * bytesPerMbit * pushTimeout.Seconds())
+// newLeaseBroadcaster returns a broadcaster over a link that carries so many bytes a second. The
+// other VMs are assumed to have a version already, unless it is nil.
+func newLeaseBroadcaster(push pushFunc, logger *log.Logger, bytesPerSecond float64, assumed *lease.Routing) *leaseBroadcaster {
+	maxBytes := int64(pushShare * bytesPerSecond * pushTimeout.Seconds())
 	return &leaseBroadcaster{
 		push: push, log: logger, inFlight: semaphore.NewWeighted(maxBytes), maxBytes: maxBytes,
 		assumed: assumed, peers: make(map[string]*peerProgress),
--- a/internal/gateway/leasing/broadcast_test.go
+++ b/internal/gateway/leasing/broadcast_test.go
@@ -12,9 +12,13 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
 )
 
+// testBytesPerSecond is a link that bounds no update of a test.
+const testBytesPerSecond = 100 * mesh.BytesPerMbit
+
 // pushed plays another VM: it takes updates in, each after a delay.
 type pushed struct {
 	state   *state
@@ -47,7 +51,7 @@
 func TestSlowVMIsToldTheLatestOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peer := &pushed{state: testState(&handClock{}), delay: 50 * time.Millisecond}
-		l := newLeaseBroadcaster(peer.push, quiet(), 0, nil)
+		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
 		for seq := range 100 {
 			l.Publish(t.Context(), owners(uint64(seq+1), seq), []string{"vm"})
 			time.Sleep(time.Millisecond)
@@ -66,7 +70,7 @@
 func TestVMThatHasAnotherVersionGetsAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peer := &pushed{state: testState(&handClock{})}
-		l := newLeaseBroadcaster(peer.push, quiet(), 0, nil)
+		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
 		l.Publish(t.Context(), owners(1, 0), []string{"vm"})
 		synctest.Wait()
 		peer.state = testState(&handClock{})
@@ -81,7 +85,7 @@
 func TestLostUpdateIsFollowedByAWholeOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peer := &pushed{state: testState(&handClock{})}
-		l := newLeaseBroadcaster(peer.push, quiet(), 0, nil)
+		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
 		l.Publish(t.Context(), owners(1, 0), []string{"vm"})
 		synctest.Wait()
 		peer.lost = 1
@@ -102,7 +106,7 @@
 		peer.state.leases.Set(last)
 		first := owners(1, 2)
 		first.Epoch++
-		b := newLeaseBroadcaster(peer.push, quiet(), 0, last)
+		b := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, last)
 		b.Publish(t.Context(), first, []string{"vm"})
 		synctest.Wait()
 		require.Len(t, peer.updates, 1)
@@ -155,8 +159,8 @@
 // link carries within their timeout, then all of it again.
 func TestUpdatesInFlightAreBoundedByTheLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const linkMbps, vms = 10, 200
-		link := &slowLink{bytesPerSecond: linkMbps * bytesPerMbit, received: make(map[string]uint64)}
+		const bytesPerSecond, vms = 10 * mesh.BytesPerMbit, 200
+		link := &slowLink{bytesPerSecond: bytesPerSecond, received: make(map[string]uint64)}
 		var names []string
 		for i := range vms {
 			names = append(names, fmt.Sprintf("vm-%d", i))
@@ -168,7 +172,7 @@
 		}
 		r.Slices = lease.Even(570, targets)
 		routing := lease.NewRouting(r, 1, func(int) lease.SliceState { return lease.Served })
-		b := newLeaseBroadcaster(link.push, quiet(), linkMbps, nil)
+		b := newLeaseBroadcaster(link.push, quiet(), bytesPerSecond, nil)
 		b.Publish(t.Context(), routing, names)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -63,21 +63,28 @@
 	}
 }
 
+// leadingNode returns the node as a grantor, and its store, which holds the record and is away.
+func leadingNode(t *testing.T, n *node) (*leader, *changingStore) {
+	record := lease.Record{Service: "s", Epoch: 4, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	spec, err := json.Marshal(record)
+	require.NoError(t, err)
+	store := &changingStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
+	n.Store = store
+	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	now := n.Clock.Now()
+	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now, lease.PriorGrantsEnded), 1), store
+}
+
 // Guards against a relay that nobody learns of: the grantor confirms its epoch through it
 // only every few seconds, and is succeeded meanwhile.
 func TestGrantorWithoutTheStoreConfirmsItsEpochThroughARelayAtOnce(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
 	defer n.mesh.Close()
-	record := lease.Record{Service: "s", Epoch: 4, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
-	spec, err := json.Marshal(record)
-	require.NoError(t, err)
-	store := &changingStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
+	l, store := leadingNode(t, n)
 	store.up.Store(true)
-	n.Store = store
 	n.storeUp.Store(false)
 	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "relay", Addr: "127.0.0.1:1", Incarnation: 5}})
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, clock.now, clock.now, lease.PriorGrantsEnded), 1)
 	clock.now += relayedConfirmEvery + time.Millisecond
 	l.confirmEpoch(t.Context(), clock.now)
 	(<-l.events)()
@@ -135,13 +142,7 @@
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
 	defer n.mesh.Close()
-	record := lease.Record{Service: "s", Epoch: 4, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
-	spec, err := json.Marshal(record)
-	require.NoError(t, err)
-	store := &changingStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
-	n.Store = store
-	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.PriorGrantsEnded), 1)
+	l, store := leadingNode(t, n)
 	n.leaving.Store(true)
 	tries := func(count int) {
 		for range count {
@@ -160,6 +161,7 @@
 	require.Zero(t, l.orderUntil.Load(), "the record is written after the last order")
 	(<-l.events)()
 	require.True(t, l.deposed)
+	var record lease.Record
 	require.NoError(t, json.Unmarshal(store.record.Spec, &record))
 	require.True(t, record.Resigned)
 }
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -73,7 +73,7 @@
 func newLeader(k *candidate, g *lease.Grantor, version uint64) *leader {
 	l := &leader{
 		candidate: k, grants: g, version: version, events: make(chan func(), eventQueue),
-		broadcaster: newLeaseBroadcaster(k.pushLeases, k.Log, k.Self.LinkMbps, k.Leases.Of(k.service)),
+		broadcaster: newLeaseBroadcaster(k.pushLeases, k.Log, k.Self.LinkBytesPerSecond(), k.Leases.Of(k.service)),
 		lines:       make(map[lease.Owner]*orderLine), bornKnown: make(map[string]int64), load: newLoadView(),
 		lag: fitness.NewMeter(leadStep),
 	}
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -18,9 +18,6 @@
 	// transferBurst is how long the link may be taken up by transfers in one go, at its
 	// full speed.
 	transferBurst = 250 * time.Millisecond
-	// unknownLinkMbps is assumed for a link whose speed the settings do not give.
-	unknownLinkMbps = 100
-	bytesPerMbit    = 1e6 / 8
 	// holdersMost bounds the VMs that a busy VM names as other sources.
 	holdersMost = 16
 )
@@ -70,11 +67,8 @@
 	holders []string
 }
 
-func newTransfers(linkMbps float64) *transfers {
-	if linkMbps <= 0 {
-		linkMbps = unknownLinkMbps
-	}
-	bytesPerSecond := linkMbps * bytesPerMbit
+// newTransfers returns transfers over a link that carries so many bytes a second.
+func newTransfers(bytesPerSecond float64) *transfers {
 	burst := bytesPerSecond * transferBurst.Seconds()
 	return &transfers{
 		limiter: rate.NewLimiter(rate.Limit(transferShare*bytesPerSecond), int(burst)),
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -17,6 +17,21 @@
 // LinkClass is the same for links whose speeds differ little: by less than a factor of two.
 func (m Member) LinkClass() int { return bits.Len32(m.LinkMbps) }
 
+const (
+	// unknownLinkMbps is assumed for a link whose speed is not known.
+	unknownLinkMbps = 100
+	// BytesPerMbit is the number of bytes in a megabit.
+	BytesPerMbit = 1e6 / 8
+)
+
+// LinkBytesPerSecond returns how much the VM's link carries.
+func (m Member) LinkBytesPerSecond() float64 {
+	if m.LinkMbps == 0 {
+		return unknownLinkMbps * BytesPerMbit
+	}
+	return float64(m.LinkMbps) * BytesPerMbit
+}
+
 // LeaseMark is the version of a service's leases that a VM knows.
 type LeaseMark struct {
 	Service string `msgpack:"s"`
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -353,9 +353,7 @@
 	if r == nil {
 		return peer.ErrNotSent
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return r.client.Call(ctx, method, args, reply)
+	return callWithin(ctx, callTimeout, r.client, method, args, reply)
 }
 
 // Transfer calls one VM with a message or a reply that may be large, on a connection of its
@@ -365,9 +363,13 @@
 	if r == nil {
 		return peer.ErrNotSent
 	}
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	return callWithin(ctx, transferTimeout, r.transfers, method, args, reply)
+}
+
+func callWithin(ctx context.Context, timeout time.Duration, client *peer.Client, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return r.transfers.Call(ctx, method, args, reply)
+	return client.Call(ctx, method, args, reply)
 }
 
 func (m *Mesh) remote(vm string) *remote {
