--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -36,11 +37,14 @@
 	return n
 }
 
+// largeConfig returns a configuration whose names repeat as little as operators' do.
 func largeConfig(version uint64, routes int) *route.Config {
+	draw := rand.New(rand.NewPCG(1, 2))
+	word := func() string { return strconv.FormatUint(uint64(draw.Uint32()), 36) }
 	c := &route.Config{Version: version, Services: map[string]route.Service{"s": {Name: "s"}}}
 	for i := range routes {
 		c.Routes = append(c.Routes, route.Route{
-			Name: fmt.Sprintf("r-%x", i*7919), Host: fmt.Sprintf("h%d.example", i%40), Prefix: fmt.Sprintf("/p%x/", i*104729),
+			Name: "r-" + word(), Host: word() + ".example", Prefix: "/" + word() + "/" + word() + "/",
 			Idempotent: i%2 == 0, Timeout: 4 * time.Second, Objective: 2 * time.Second, MaxTargets: 3,
 			Splits: []route.Split{{Service: "s", Weight: 1}},
 		})
