Candidates keep their own places in the succession while nobody reaches the store

While the store is away each VM knew of no other that reaches it and took the first place.

All live VMs have a place now, whether the store answers them or not: those that it turns away may be grantors through a relay. TestVMsHaveTheirOwnPlacesWhileNobodyReachesTheStore fails on the code before (all five have the first place).

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -66,8 +66,12 @@
 func testGateway(clock *handClock) *Gateway { return testGatewayWithLink(clock, 0) }
 
 func testGatewayWithLink(clock *handClock, mbps float64) *Gateway {
+	return testGatewayNamed(clock, "self", mbps)
+}
+
+func testGatewayNamed(clock *handClock, name string, mbps float64) *Gateway {
 	s := &Settings{Store: "127.0.0.1:1", LinkMbps: mbps, MemoryMB: defaultMemory}
-	s.VM, s.DataCentre, s.Peers = "self", "a", "127.0.0.1:1"
+	s.VM, s.DataCentre, s.Peers = name, "a", "127.0.0.1:1"
 	n := newGateway(s, fakeAdapter{store: downStore{}}, clock, quiet(), metrics.NewRegistry())
 	n.mesh.Start(n)
 	n.storeUp.Store(true)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -95,14 +95,11 @@
 	return slices.IndexFunc(order, func(i int) bool { return candidates[i].VM == g.self.VM })
 }
 
-// leasePlace returns this VM's place in the succession of a service's grantor. A VM that
-// the store turns away may be a grantor through a relay, if it has one.
+// leasePlace returns this VM's place in the succession of a service's grantor. VMs that the
+// store turns away have a place as well: they may be grantors through a relay, and while
+// nobody reaches the store, not all VMs have the first place and try at the same time.
 func (g *Gateway) leasePlace(service string) int {
-	fit := g.mesh.ReachesStore
-	if len(g.mesh.StoreRelays()) > 0 {
-		fit = func(string) bool { return true }
-	}
-	return g.place(service, fit)
+	return g.place(service, func(string) bool { return true })
 }
 
 func (g *Gateway) listOnce(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -26,3 +26,20 @@
 	require.Equal(t, place(0, 0, 0, 0), place(1000, 1000, 1000, 1000))
 	require.Equal(t, place(900, 900, 900, 900), place(900, 1000, 1000, 1000), "small differences change nothing")
 }
+
+// Guards against VMs that all try to become the grantor at the same moment while the store is
+// away: each took itself for the only one that reaches it.
+func TestVMsHaveTheirOwnPlacesWhileNobodyReachesTheStore(t *testing.T) {
+	taken := make(map[int]bool)
+	for i := range 5 {
+		n := testGatewayNamed(&handClock{now: time.Hour}, fmt.Sprintf("vm-%d", i), 0)
+		defer n.mesh.Close()
+		for j := range 5 {
+			if j != i {
+				n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", j), Addr: "127.0.0.1:1", Incarnation: 1}, StoreLost: true})
+			}
+		}
+		taken[n.leasePlace("s")] = true
+	}
+	require.Len(t, taken, 5)
+}
