--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -176,9 +176,7 @@
 }
 
 // retryAfter returns when a place should be free.
-//
-// Load pattern: targets refuse a part of their requests though they have free slots. A
-// caller that waits for a place that is free already comes too late for its objective.
+// A target that refuses although it has free slots has no lasting reason.
 func (g *Gateway) retryAfter(c *call) time.Duration {
 	if c.shedFree {
 		return soonRetry
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -29,10 +29,8 @@
 )
 
 // bodyRoom is the memory for bodies that are held while their requests run.
-//
-// Failure: callers send large bodies slowly, or while all targets are full. Each is
-// held until its answer; at the 64 MB that a configuration may allow, five end a VM of
-// 284 MB, with all requests that it has. What finds no room is refused as not run.
+// Bodies are held until their answers. Without a bound, a few large ones use up the memory of a VM. What
+// finds no room is refused as not run.
 type bodyRoom struct{ *semaphore.Weighted }
 
 func newBodyRoom(memoryMB float64) bodyRoom {
@@ -124,9 +122,7 @@
 }
 
 // readInTime reads the body until the caller's time is over.
-//
-// Failure: a caller stops in the middle of its body and keeps the connection. Nothing
-// ended the wait, and the memory for its body was held for as long.
+// A caller may stop in the middle of its body and keep the connection.
 func (g *Gateway) readInTime(c *call, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -44,11 +44,8 @@
 }
 
 // crashing reports whether a request's content ended too many targets.
-//
-// Failure: one request ends each target that runs it, and its caller sends it
-// again and again, to any VM. Each time a target is lost with all that it ran. The
-// targets that were lost under a content are counted over all VMs, each once:
-// many requests of one content run on a target that ends for another reason.
+// Targets that ended under a content are counted over all VMs, each once: many requests of one content
+// may run on a target that ends for another reason.
 func (s *routingState) crashing(content uint64, m *mesh.Mesh) bool {
 	lost := make(map[uint32]bool)
 	for _, target := range m.Crashes(content) {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -24,9 +24,7 @@
 
 // reload puts changed settings in force, after SIGHUP or when the file is
 // another one.
-//
-// Failure: a process that does not expect SIGHUP is ended by it, with all
-// requests that it holds.
+// A process that does not expect SIGHUP is ended by it.
 func (g *Gateway) reload(ctx context.Context) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -27,11 +27,8 @@
 }
 
 // requestLines bounds the log lines on requests.
-//
-// Load pattern: in overload a VM refuses hundreds of requests a second, and a line
-// for each costs more than the refusal. Requests without success have a bound of
-// their own, so that successes cannot crowd them out. What is left out is counted.
-// Changes of what the VM believes are not bounded here: they are few.
+// In overload a line for each refusal costs more than the refusal. Requests without success have a bound
+// of their own, so that successes cannot crowd them out. Omitted lines are counted.
 type requestLines struct {
 	served, failed *rate.Limiter
 	omitted        metrics.Counter
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -171,11 +171,8 @@
 }
 
 // displaced notes that another target answers at the address of this one.
-//
-// Failure: a target is gone and its address has passed to a target of another
-// service, while its entry is still listed. Each request for its keys is refused
-// there, again and again, and counts as a repeat at a service that it was never
-// meant for.
+// Otherwise each request for its keys would be refused there, and count as a repeat at a service that it
+// was never meant for.
 func (s *routingState) displaced(e *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -22,10 +22,7 @@
 
 // recordColdResponseLocked takes in the answer to a request for a cold key. It tells nothing of
 // the target's speed, nor of what such requests take.
-//
-// Failure: half of a service's targets were lost, and the keys were cold at the others.
-// Those were taken for four times slower than they are: requests for warm keys were
-// expected late, and their keys moved on, cold once more.
+// Answers for cold keys would make a target look slow, and its warm keys would move on.
 func (s *routingState) recordColdResponseLocked(e *attempt, took time.Duration) {
 	if e.usual <= 0 {
 		return
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -17,10 +17,8 @@
 // never granted.
 //
 // A slice that is not movable keeps its owner.
-//
-// Failure: while the write is on its way, the previous owner answers its release
-// and the owner in between is granted. The record then names two targets, neither
-// of which holds the keys, and a successor would grant them a second time.
+// While the write is in flight, the previous owner may answer its release and the owner in between be
+// granted: the record would then name two targets, neither of which holds the keys.
 func (g *Grantor) Plan(changes []Change) Record {
 	next := g.record
 	next.Slices = slices.Clone(g.record.Slices)
@@ -39,11 +37,8 @@
 }
 
 // Movable reports whether slice i may get another owner now.
-//
-// Failure: a predecessor released the previous owner, granted the keys to the
-// owner and was succeeded; the record still names both. A move away from the owner
-// would drop it from the record while it holds the keys. It has to wait until the
-// previous owner is free.
+// A predecessor may have granted the keys to the owner already. A move away would drop it from the
+// record while it holds them, so the previous owner must be free first.
 func (g *Grantor) Movable(i int) bool {
 	return !g.record.Slices[i].Previous.Known() || !g.states[i].inherited
 }
@@ -51,9 +46,7 @@
 // Divide cuts slice i after a key, which must not be its last. Both parts have
 // the same owner, so the record need not be written before. It returns false for a
 // slice that is on the move, and for one with a renewal on its way.
-//
-// Failure: a renewal of the whole slice waited for its turn while the slice was divided.
-// Its end belonged to neither part, and it reached the owner later than was assumed of it.
+// The end of a renewal of the whole slice would belong to neither part.
 func (g *Grantor) Divide(i int, after uint16) bool {
 	sl, s := g.record.Slices[i], g.states[i]
 	if sl.Previous.Known() || s.frozen || s.pending || !s.granted || after < sl.From || after >= sl.To {
--- a/internal/lease/contact.go
+++ b/internal/lease/contact.go
@@ -5,11 +5,8 @@
 )
 
 // contact is how orders to one life of a target fared.
-//
-// Load pattern: a target with a hundred slices is gone. To try each of its orders
-// again and again opens hundreds of connections a second to nobody. After some
-// failures in a row one order at a time goes out, at growing intervals, until one is
-// answered.
+// After some failures in a row one order at a time is sent, at growing intervals: a target that is gone
+// must not cost a connection for each of its slices.
 type contact struct {
 	failures int
 	retryAt  time.Duration
@@ -18,10 +15,7 @@
 }
 
 // doubtAfter is how many orders in a row must fail before a target is taken for gone.
-//
-// Failure: targets leave a half of their orders unanswered. With one order at a time
-// after each failure, of sixteen slices of a target two or three were renewed within
-// a hold; all others had no owner.
+// With fewer, a target that leaves half of its orders unanswered is renewed too rarely to keep its keys.
 const doubtAfter = 4
 
 // retryMost bounds the pause between two orders to a target that does not answer.
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -152,10 +152,8 @@
 
 // MayOrder reports whether orders may be sent. It is asked again right before each
 // send.
-//
-// Failure: a grantor is suspended or cut off from the store, another took over
-// and moved keys. A late grant would make a second owner. The successor waits
-// for Authority before it relies on the first one's silence.
+// A grantor may be suspended while another takes over and moves keys. A successor waits for Authority
+// before it relies on the silence of its predecessor.
 func (g *Grantor) MayOrder(now time.Duration) bool { return now < g.confirmed+Authority }
 
 // Exhausted tells that the fences of the epoch are nearly used up.
@@ -256,10 +254,8 @@
 // LifeEnded notes that a life of a target is over: another one has begun under
 // its id. It gets no more grants. Its keys are released like any others, which the
 // new life answers.
-//
-// Failure: a target restarts, and its entry still tells of its last life while it
-// takes connections already. A grant for the last life reached the new one. To
-// take the keys for free as soon as the entry changes makes a second owner.
+// The entry of a restarted target may still tell of its last life while it takes connections. Its keys
+// are not free before the new life has answered a release.
 func (g *Grantor) LifeEnded(o Owner) {
 	g.ended[o] = true
 	delete(g.confirmedLives, o)
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -55,10 +55,7 @@
 
 // EvenOut returns the changes that bring slices of the usual rate to targets that have
 // far fewer than others and are not busy, such as one that has just started.
-//
-// Load pattern: a target has few slices because it is slow, and gave up those that were
-// hot. Filled by their number alone it got the same hot slices back, three times a
-// second, and gave them up again, for as long as the load lasted.
+// A target may have few slices because it is slow and gave up hot ones; it must not get them back.
 func EvenOut(list []Slice, live []Owner, b TargetLoad) []Change {
 	if len(live) == 0 {
 		return nil
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -105,9 +105,7 @@
 const keySpace = 1 << 16
 
 // Even returns n slices of equal width, dealt to the owners in turn.
-//
-// Load pattern: busy keys are neighbours. Each owner's slices lie apart, so that
-// a busy neighbourhood that is wider than a slice is shared by several owners.
+// Busy keys are neighbours: each owner's slices lie apart, so that several owners share them.
 func Even(n int, owners []Owner) []Slice {
 	slices.SortFunc(owners, func(a, b Owner) int { return cmp.Compare(a.ID, b.ID) })
 	out := make([]Slice, n)
--- a/internal/lease/stored.go
+++ b/internal/lease/stored.go
@@ -7,11 +7,7 @@
 
 // storedRecord is a record as it stands in the store: each owner once, and the slices
 // in lists that run in parallel.
-//
-// Failure: a record that names the owner with each slice is 160 kB at 800 slices. It is
-// written with every move, ten times a second under a shifting load, and filled the
-// grantor's link of 10 Mbit/s: each grant took 100 ms, and keys on the move waited for
-// seconds.
+// A record that names the owner with each slice fills a slow link when many slices move.
 type storedRecord struct {
 	Service     string
 	Epoch       uint64
--- a/internal/lease/update.go
+++ b/internal/lease/update.go
@@ -4,11 +4,7 @@
 
 // Update takes a VM from one version of a service's routing to a later one. It holds
 // only the slices that changed.
-//
-// Failure: the grantor tells every VM of every change. A whole routing is several
-// kilobytes at a hundred targets, and a start changes it once a slice: the grantor's
-// link was full of them for a minute, and its renewals and calls to the store timed
-// out.
+// A whole routing for each change fills the grantor's link.
 type Update struct {
 	// Base is the Seq of the version that the update builds on; 0: it is whole.
 	Base uint64 `msgpack:"b"`
