--- a/internal/decide/fitness/fitness.go
+++ b/internal/decide/fitness/fitness.go
@@ -1,9 +1,7 @@
 // Package fitness decides whether a grantor is too slow or too cut off to go on.
 //
-// Load pattern: a VM gets a sixth of its processor time for some seconds. As the
-// grantor it renews late, takes its own delays for silence of targets, and gives
-// their keys to others, one after the other. It shows in its own steps, which come
-// far later than they should.
+// A VM that gets a fraction of its processor time renews late, takes its own delays for silence of
+// targets, and moves their keys. It shows in its own steps, which come late.
 //
 // Or it shows in its orders: with a sixth of the processor its steps come in time,
 // while hundreds of grants wait for their turn, keys on the move for seconds.
@@ -26,10 +24,7 @@
 	// first round of a new grantor.
 	waitMost = 400 * time.Millisecond
 	// settled is how long a grantor is not judged by its grants' waits.
-	//
-	// Failure: a service has more ranges than any VM can renew in time. The grantors
-	// resigned in turn, each after a second or two, and its keys had no service for
-	// most of the time.
+	// Where no VM can renew all ranges in time, grantors must not resign in turn.
 	settled = 10 * time.Second
 	// silentLeast is how many owners must be silent before a grantor blames itself: two
 	// may be gone at once.
@@ -74,8 +69,5 @@
 
 // Strayed reports whether so many owners leave orders unanswered that the fault is
 // this VM's: it is cut off, or slow beyond its own timeouts.
-//
-// Failure: all orders of a slow grantor timed out at the same moment. It gave the
-// keys of every target to others, waited for holds to run out, and no key was
-// served for seconds, while every target was well.
+// All orders of a slow grantor may time out at once while every target is well.
 func Strayed(silent, owners int) bool { return silent >= silentLeast && 2*silent >= owners }
--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -1,11 +1,8 @@
 // Package keyspread decides which ranges of keys should have another owner, and
 // which should be divided, from the measured load of each.
 //
-// Load pattern: a third or more of a service's requests are suddenly about a few
-// dozen neighbouring keys, and some seconds later about others. They lie in one or
-// two ranges, so one owner gets several times what it can do, while the others are
-// half idle; without a change most of these requests are refused for as long as it
-// lasts. Owners also differ in speed by a factor of two or more.
+// Busy keys are neighbours and change within seconds: one owner gets several times what it can do while
+// others are idle.
 //
 // An owner's load is the time that the requests for its keys take at its speed,
 // over all its slots. The most loaded owner gives up ranges, to where they leave
@@ -14,15 +11,10 @@
 // its owner.
 //
 // A key that is too hot for any owner stays where it is, unless another is faster by
-// more than measurements err.
+// more than measurements err: an overloaded owner measures slow.
 //
-// Failure: one key gets twice what the fastest owner can do. Its owner is full and so
-// measures slower than the others, and the key moved each 0.6 s for as long as it was
-// hot, without service during each move.
-//
-// Grounds: a move costs the requests for that range a wait of a few milliseconds
-// and the rest of the work that runs; so nothing moves below busyLeast, nor for
-// less than gainLeast of the owner's capacity.
+// A move costs the requests for its range a wait, so nothing moves below busyLeast, nor for less than
+// gainLeast of the capacity of the owner.
 package keyspread
 
 import (
@@ -138,10 +130,7 @@
 }
 
 // halfHelps reports whether half of a range would be better at another owner.
-//
-// Failure: all owners have more than they can do. Nothing could be gained by a move, so
-// their ranges were divided, each time they were looked at, to twice as many within four
-// seconds; the grantor could not renew them all in time and resigned.
+// Where all owners are overloaded no move helps, and dividing ranges only costs renewals.
 func (p *plan) halfHelps(i int) bool {
 	r := p.ranges[i]
 	to := p.coolestFor(r.Rate/2, r.Owner)
--- a/internal/decide/leaving/leaving.go
+++ b/internal/decide/leaving/leaving.go
@@ -1,9 +1,7 @@
 // Package leaving decides which requests a VM that was told to stop still takes.
 //
-// Failure: a VM is told to stop, and callers go on sending on the connections that they
-// keep. It passes on what comes, and its process ends while a target still works on some of
-// it: these callers get no answer, and cannot report whether a booking was made. A request that
-// is refused at once, as not run, is served by another VM a moment later.
+// Callers go on sending on kept connections. A request that is still at work when the process ends gets
+// no response; one that is refused at once, as not run, is served by another VM.
 //
 // Two rules. What surely ends in time is taken to the last moment: its caller waits no
 // longer, or its route's timeout ends it before the process does. What may take longer is
@@ -13,10 +11,7 @@
 // request on a kept connection comes. Nothing is refused by a guess: a VM that has just
 // started knows no times yet.
 //
-// Grounds: three times the mean is exceeded by one in twenty where service times are
-// exponential, and by fewer where they vary less. The balancer looks once a second and takes
-// a VM out after two misses; half a second is for callers whose connection was made just
-// before. A VM that must be gone sooner takes such requests for half of its time.
+// A VM with little time left takes requests that may outlast it for half of that time.
 package leaving
 
 import "time"
--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -1,12 +1,8 @@
 // Package pick chooses the target of a pool for a request, and says how long a
 // request would wait there.
 //
-// Load pattern: targets of one pool differ in speed by a factor of two or more,
-// have two or three slots each, and are used by all VMs at once. One turns slow by
-// a factor of ten, one fails a part of its requests, one dies. A target that is
-// sent more than it can queue never answers, and the connection is lost with the
-// request. Without a common view each VM fills the targets that it believes to be
-// free, and they collide.
+// Targets of a pool differ in speed, have few slots, and are used by all VMs at once. Without a shared
+// view each VM fills the targets that it believes to be free, and they collide.
 //
 // A target's expected time is its measured slowness times the queue that all VMs
 // together have there, in units of its slots. The fastest to finish is taken. A
@@ -81,10 +77,7 @@
 func (s *State) Load() int { return s.Own + s.Others + int(s.Unseen) }
 
 // Sent notes a request that goes there, of one of so many VMs.
-//
-// Load pattern: a key turns hot. Within the 0.15 s between two words of the other
-// VMs each of eight sends its owner what fits there by its own count; the owner
-// gets several times what it can queue, and does not answer the rest.
+// Otherwise each VM sends the owner of a hot key what fits there by its own count.
 func (s *State) Sent(vms int) {
 	s.Own++
 	s.Unseen += unseenShare * float64(vms-1)
@@ -115,11 +108,7 @@
 }
 
 // TakesCold reports whether it may get a request for a cold key: only into a free slot.
-//
-// Load pattern: half of the targets are lost at once, and the rest gets their keys
-// without their state. Requests for these take four times as long, and are late anyway.
-// Queued with the others they hold all slots, and hardly an answer for the keys that are
-// as fast as ever is in time; kept out of the queue they leave nearly all of them so.
+// Requests for cold keys take several times as long; queued with the others they would hold all slots.
 func (s *State) TakesCold() bool { return s.Load() < max(s.Slots, 1) }
 
 // Resting reports whether it could not be reached just now.
@@ -148,10 +137,7 @@
 	Objective time.Duration
 	// First is the target that is looked at first: of several that are equally good
 	// the first is taken.
-	//
-	// Load pattern: with many targets most are idle and soon enough. Looked at in one
-	// order, the first few of the list get nearly all requests, from all VMs at the
-	// same moment, and one that has just joined gets none.
+	// Searched in one order, the first targets of the list would get nearly all requests.
 	First int
 	// LastPlaces says that it may have the last places of a full target.
 	LastPlaces bool
@@ -202,9 +188,7 @@
 }
 
 // Lost takes in that an answer of the target did not come.
-//
-// Failure: a target loses one answer in twenty. After each it rested, and all requests
-// for its keys were refused for a tenth of a second: four or five for each lost answer.
+// A single lost answer is no reason to refuse all requests for its keys.
 func (s *State) Lost(now time.Duration) {
 	s.Failed()
 	if s.lost++; s.lost >= lostInARow {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -20,10 +20,8 @@
 }
 
 // Unread is a value of the configuration that was not understood, and how it is taken.
-//
-// Failure: a new version has a word that this program does not know, in one route.
-// Refused as a whole, it leaves every VM without a configuration, or with the last one
-// for good. What is known stays in force, and the strictest reading holds for the rest.
+// A value that this program does not know must not leave all VMs without routes: what is known stays in
+// force, and the strictest reading holds for the rest.
 type Unread struct {
 	// Part names the route, service or limits.
 	Part string
--- a/internal/route/spread.go
+++ b/internal/route/spread.go
@@ -4,11 +4,8 @@
 
 // Spread deals requests to the services of a route in the ratio of their
 // weights. It is safe for concurrent use.
-//
-// Load pattern: a route sends one request in ten to a new version of a service.
-// A random choice strays by several percent within seconds, and the small part
-// gets bursts. Smooth weighted rotation keeps every part within one request of
-// its share at each VM, at any moment.
+// A random choice strays by several percent within seconds. Smooth weighted rotation keeps every part
+// within one request of its share.
 type Spread struct {
 	mu      sync.Mutex
 	splits  []Split
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,12 +46,8 @@
 
 // DialWithReset opens a connection whose end is a reset, also by the end of the process.
 // When its Close has returned, nothing that was sent on it will arrive any more.
-//
-// Failure: a target was out of reach for six seconds. A grant to it was given up, its
-// connection closed, and the hold counted from there. The system goes on sending what was
-// written to a closed connection, so the grant arrived when the target was in reach again,
-// and two targets held the keys. Requests that were given up ran as late. A reset drops what
-// has not arrived.
+// The system goes on sending what was written to a closed connection: a grant or request that timed out
+// would arrive when the target can be reached again. A reset drops what has not arrived.
 func DialWithReset(ctx context.Context, d *net.Dialer, network, addr string) (net.Conn, error) {
 	nc, err := d.DialContext(ctx, network, addr)
 	if err != nil {
@@ -70,11 +66,8 @@
 func (c *conn) close() { c.closing.Do(func() { _ = c.net.Close() }) }
 
 // quiet reports whether nothing arrived on an idle connection.
-//
-// Failure: a target closes an idle connection, or sends a second answer after a
-// whole one. The next request on that connection would be lost, or would get the
-// answer of the last one. Bytes or an end that wait unread show both; no request
-// may use the connection then.
+// Bytes or an end that wait unread show that the target closed the connection or sent a second response:
+// the next request would be lost, or get the wrong one.
 func (c *conn) quiet() bool {
 	if c.in.Buffered() > 0 {
 		return false
@@ -104,9 +97,8 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrLost, err)
 	}
-	// Failure: a target answers before it has read a long body, and reads on
-	// later. Another request's bytes would be taken for the rest of the body.
-	// Only a connection that carried the whole body is used again.
+	// A target may answer before it has read a long body, and read on: the next request's bytes would be
+	// taken for the rest of it.
 	select {
 	case err := <-sent:
 		keep = keep && err == nil
@@ -170,10 +162,8 @@
 }
 
 // receive reads answers until the one to r.
-//
-// Failure: a late answer of an earlier request, or a second copy of one, stands
-// before the one that is due. Passed on, it would reach the wrong caller. The id
-// that the target echoes tells whose answer it is.
+// A late or second response to an earlier request may come first. The id that the target echoes tells
+// whose response it is.
 func (c *conn) receive(r *Request) (*Answer, bool, error) {
 	for range maxStray {
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
