--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -27,9 +27,6 @@
 	basePeriod = 150 * time.Millisecond
 	// overdue is after how many periods without a heartbeat the other one calls.
 	overdue = 1.6
-	// closePeriod is the longest period between a VM that is monitored closely and one
-	// that monitors it, however large the fleet.
-	closePeriod = 250 * time.Millisecond
 	// periodPerVM makes the period grow with the fleet, so that a VM sends and
 	// takes at most about 160 heartbeats a second.
 	periodPerVM = 12 * time.Millisecond
@@ -213,60 +210,6 @@
 
 func (m *Mesh) silenceLocked() time.Duration { return max(silentLeast, silentPeriods*m.periodLocked()) }
 
-// Monitor has this VM monitor the VM that has a duty closely, so that its loss is noticed as
-// soon as in a small fleet; an empty name ends it.
-func (m *Mesh) Monitor(duty, vm string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if vm == "" {
-		delete(m.monitored, duty)
-		return
-	}
-	m.monitored[duty] = vm
-}
-
-// monitoredLocked reports whether a VM is monitored more closely than the others. In a small
-// fleet all are.
-func (m *Mesh) monitoredLocked(vm string) bool {
-	if m.periodLocked() <= closePeriod {
-		return false
-	}
-	for _, other := range m.monitored {
-		if other == vm {
-			return true
-		}
-	}
-	return false
-}
-
-// periodOfLocked returns the period of heartbeats with one VM.
-func (m *Mesh) periodOfLocked(r *remote) time.Duration {
-	if m.monitoredLocked(r.member.VM) {
-		return closePeriod
-	}
-	return m.periodLocked()
-}
-
-// silenceOfLocked returns for how long one VM may be silent until it counts as lost. A VM
-// that is monitored closely gets no less time than the others where most of these are silent
-// as well: then the link of this VM is the likely reason.
-func (m *Mesh) silenceOfLocked(r *remote, now time.Duration) time.Duration {
-	if !m.monitoredLocked(r.member.VM) {
-		return m.silenceLocked()
-	}
-	silence := max(silentLeast, silentPeriods*m.periodOfLocked(r))
-	heard := 0
-	for _, other := range m.remotes {
-		if now-other.lastHeard < silence {
-			heard++
-		}
-	}
-	if 2*heard < len(m.remotes) {
-		return m.silenceLocked()
-	}
-	return silence
-}
-
 func (m *Mesh) periodLocked() time.Duration {
 	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
 }
