One order of preference for duties and relays; the close period stands once

mesh.ByPreference ranks VMs by link and duty; Mesh.StoreRelays and Gateway.place each did it by themselves. The period of a monitored VM was looked up twice where it is known; period() was a second name of Period(). What concerns the store moves from mesh.go to relays.go. No change of behaviour.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,7 +8,7 @@
 	"time"
 
 	"hemlockquay/internal/catalog"
-	"hemlockquay/internal/decide/rendezvous"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
@@ -82,17 +81,9 @@
 // are fit for it. This VM is in it in any case. VMs with much faster links come first: on a
 // link of 10 Mbit/s, renewals of hundreds of ranges compete with requests.
 func (g *Gateway) place(duty string, fit func(vm string) bool) int {
-	var candidates []rendezvous.Candidate
-	var links []int
-	for _, m := range g.mesh.Live() {
-		if m.VM == g.self.VM || fit(m.VM) {
-			candidates = append(candidates, rendezvous.Candidate{VM: m.VM})
-			links = append(links, m.LinkClass())
-		}
-	}
-	order := rendezvous.Rank(candidates, duty, "")
-	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(links[j], links[i]) })
-	return slices.IndexFunc(order, func(i int) bool { return candidates[i].VM == g.self.VM })
+	unfit := func(m mesh.Member) bool { return m.VM != g.self.VM && !fit(m.VM) }
+	order := mesh.ByPreference(slices.DeleteFunc(g.mesh.Live(), unfit), duty)
+	return slices.IndexFunc(order, func(m mesh.Member) bool { return m.VM == g.self.VM })
 }
 
 // leasePlace returns this VM's place in the succession of a service's grantor. VMs that the
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -54,17 +54,14 @@
 	return err
 }
 
-func (m *Mesh) period() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.periodLocked()
-}
-
 // periodOf returns the period of heartbeats with one VM, and whether that is monitored closely.
 func (m *Mesh) periodOf(r *remote) (period time.Duration, monitored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.periodOfLocked(r), m.monitoredLocked(r.member.VM)
+	if m.monitoredLocked(r.member.VM) {
+		return closePeriod, true
+	}
+	return m.periodLocked(), false
 }
 
 // silenceOf returns for how long one VM may be silent until it counts as lost.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -16,7 +16,6 @@
 	"github.com/phuslu/log"
 
 	"hemlockquay/internal/boottime"
-	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/peer"
 )
 
@@ -214,46 +213,13 @@
 	return max(basePeriod, time.Duration(len(m.remotes))*periodPerVM)
 }
 
-// ReachesStore reports whether a VM said that the store answers it.
-func (m *Mesh) ReachesStore(vm string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r := m.remotes[vm]
-	return r != nil && r.heartbeat.From.VM != "" && !r.heartbeat.StoreLost
-}
-
-// ReachesStoreIndirectly reports whether the store answers a VM, directly or through
-// another VM.
-func (m *Mesh) ReachesStoreIndirectly(vm string) bool {
+// Period returns the time between two heartbeats of a pair of VMs.
+func (m *Mesh) Period() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := m.remotes[vm]
-	return r != nil && r.heartbeat.From.VM != "" && (!r.heartbeat.StoreLost || r.heartbeat.StoreRelayed)
+	return m.periodLocked()
 }
 
-// StoreRelays returns the live VMs that the store answers directly: those with much faster
-// links first, and in each VM's own order, so that they share the work.
-func (m *Mesh) StoreRelays() []Member {
-	var relays []Member
-	var candidates []rendezvous.Candidate
-	for _, member := range m.Live() {
-		if member.VM != m.self.VM && m.ReachesStore(member.VM) {
-			relays = append(relays, member)
-			candidates = append(candidates, rendezvous.Candidate{VM: member.VM})
-		}
-	}
-	order := rendezvous.Rank(candidates, m.self.VM, "")
-	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(relays[j].LinkClass(), relays[i].LinkClass()) })
-	out := make([]Member, len(order))
-	for at, i := range order {
-		out[at] = relays[i]
-	}
-	return out
-}
-
-// Period returns the time between two heartbeats of a pair of VMs.
-func (m *Mesh) Period() time.Duration { return m.period() }
-
 // Announce sends a brief heartbeat to all VMs at once: this VM has a newer version of something.
 func (m *Mesh) Announce() {
 	m.mu.Lock()
--- a/internal/mesh/monitor.go
+++ b/internal/mesh/monitor.go
@@ -32,14 +32,6 @@
 	return false
 }
 
-// periodOfLocked returns the period of heartbeats with one VM.
-func (m *Mesh) periodOfLocked(r *remote) time.Duration {
-	if m.monitoredLocked(r.member.VM) {
-		return closePeriod
-	}
-	return m.periodLocked()
-}
-
 // silenceOfLocked returns for how long one VM may be silent until it counts as lost. A VM
 // that is monitored closely gets no less time than the others where most of these are silent
 // as well: then the link of this VM is the likely reason.
@@ -47,7 +39,7 @@
 	if !m.monitoredLocked(r.member.VM) {
 		return m.silenceLocked()
 	}
-	silence := max(silentLeast, silentPeriods*m.periodOfLocked(r))
+	silence := max(silentLeast, silentPeriods*closePeriod)
 	heard := 0
 	for _, other := range m.remotes {
 		if now-other.lastHeard < silence {
--- /dev/null
+++ b/internal/mesh/relays.go
@@ -0,0 +1,53 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+
+	"hemlockquay/internal/decide/rendezvous"
+)
+
+// ReachesStore reports whether a VM said that the store answers it.
+func (m *Mesh) ReachesStore(vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.remotes[vm]
+	return r != nil && r.heartbeat.From.VM != "" && !r.heartbeat.StoreLost
+}
+
+// ReachesStoreIndirectly reports whether the store answers a VM, directly or through
+// another VM.
+func (m *Mesh) ReachesStoreIndirectly(vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.remotes[vm]
+	return r != nil && r.heartbeat.From.VM != "" && (!r.heartbeat.StoreLost || r.heartbeat.StoreRelayed)
+}
+
+// StoreRelays returns the live VMs that the store answers directly, in this VM's own order of
+// preference, so that VMs share the work.
+func (m *Mesh) StoreRelays() []Member {
+	var relays []Member
+	for _, member := range m.Live() {
+		if member.VM != m.self.VM && m.ReachesStore(member.VM) {
+			relays = append(relays, member)
+		}
+	}
+	return ByPreference(relays, m.self.VM)
+}
+
+// ByPreference returns the members in order of preference for a duty: those with much faster
+// links first, and in an order that the duty's name determines.
+func ByPreference(members []Member, duty string) []Member {
+	candidates := make([]rendezvous.Candidate, len(members))
+	for i, member := range members {
+		candidates[i] = rendezvous.Candidate{VM: member.VM}
+	}
+	order := rendezvous.Rank(candidates, duty, "")
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(members[j].LinkClass(), members[i].LinkClass()) })
+	out := make([]Member, len(order))
+	for at, i := range order {
+		out[at] = members[i]
+	}
+	return out
+}
