--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -2,21 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"sync/atomic"
 	"time"
 
 	"hemlockquay/internal/lease"
-	"hemlockquay/internal/model"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
 
-// kindLeases is the kind of the services' lease records.
-const kindLeases model.Kind = "hq-leases"
-
 // Figures of leases.
 const (
 	// holdTime is how long a grant lasts. Keys of a lost owner are free again
@@ -293,65 +287,3 @@
 	}
 	return true
 }
-
-// firstOwners returns the targets among which the keys are dealt for the first
-// time, or nil while more may still come.
-func (c *candidate) firstOwners() []lease.Owner {
-	view := c.TargetDirectory.View()
-	now := c.Clock.Now()
-	list := view.ByService[c.service]
-	if len(list) == 0 {
-		c.listSeen = 0
-		return nil
-	}
-	if c.listSeen == 0 {
-		c.listSeen = now
-	}
-	if view.Targets.Revision != c.listRevision {
-		c.listRevision, c.listChanged = view.Targets.Revision, now
-	}
-	if now-c.listChanged < listSettles && now-c.listSeen < listMost {
-		return nil
-	}
-	return c.owners()
-}
-
-// owners returns the targets that may own keys.
-func (c *candidate) owners() []lease.Owner {
-	list := c.TargetDirectory.View().ByService[c.service]
-	out := make([]lease.Owner, len(list))
-	for i, t := range list {
-		out[i] = lease.Owner{ID: t.ID, Born: t.Born, Addr: t.Addr}
-	}
-	return out
-}
-
-func (c *candidate) id() platform.ID { return platform.ID{Kind: kindLeases, Name: c.service} }
-
-func (c *candidate) read(ctx context.Context) (lease.Record, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.StoreTimeout)
-	defer cancel()
-	o, err := c.Store.Get(ctx, c.id())
-	if err != nil {
-		return lease.Record{}, 0, err
-	}
-	var r lease.Record
-	if err := json.Unmarshal(o.Spec, &r); err != nil {
-		return lease.Record{}, 0, fmt.Errorf("read record of %s: %w", c.service, err)
-	}
-	if err := r.Check(); err != nil {
-		return lease.Record{}, 0, err
-	}
-	return r, o.Version, nil
-}
-
-func (c *candidate) write(ctx context.Context, r lease.Record, version uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.StoreTimeout)
-	defer cancel()
-	spec, err := json.Marshal(r)
-	if err != nil {
-		return 0, fmt.Errorf("encode record of %s: %w", c.service, err)
-	}
-	o, err := platform.Write(ctx, c.Store, platform.Object{Kind: kindLeases, Name: c.service, Version: version, Writer: c.LocalState.Tag(), Spec: spec})
-	return o.Version, err
-}
