--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -68,8 +68,7 @@
 	require.Empty(t, ids(others))
 }
 
-// Guards against a target that is gone and comes back with an older entry: its callers get
-// answers of a server that should have no requests.
+// Guards against a removed target that an older entry puts in use again.
 func TestRemovedTargetComesBackOnlyWithALaterEntry(t *testing.T) {
 	m := NewMembers()
 	m.Replace(Targets{Revision: 5, List: []Target{{ID: "a", Revision: 3}}}, 0)
--- a/internal/catalog/changes_test.go
+++ b/internal/catalog/changes_test.go
@@ -10,8 +10,7 @@
 	_ "hemlockquay/internal/fixedseed"
 )
 
-// Guards against a VM that follows by changes and ends up with another list than one that
-// fetched the whole.
+// Guards against a VM that follows by changes and ends up with another list.
 func TestChangesLeadToTheSameList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source, follower := NewMembers(), NewMembers()
--- a/internal/decide/fitness/fitness.go
+++ b/internal/decide/fitness/fitness.go
@@ -45,7 +45,7 @@
 // NewMeter returns a meter of a grantor that takes a step each so often.
 func NewMeter(step time.Duration) *Meter { return &Meter{step: step} }
 
-// Note takes in a step and reports whether the VM is too slow.
+// Note records a step and reports whether the VM is too slow.
 func (m *Meter) Note(now time.Duration) bool {
 	if !m.started {
 		m.started, m.last, m.began = true, now, now
--- a/internal/decide/sources/sources_test.go
+++ b/internal/decide/sources/sources_test.go
@@ -20,8 +20,7 @@
 	require.Equal(t, "a", s.Next(first))
 }
 
-// Guards against VMs that all wait for the few that had a version first: each of these serves
-// seven VMs in a round and names them to the others.
+// Guards against VMs that all wait for the few that had a version first.
 func TestSourcesMultiplyWithEachRound(t *testing.T) {
 	const vms, servedInARound = 89, 7
 	draw := rand.New(rand.NewPCG(1, 2)).IntN
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,7 +58,7 @@
 	return g.state.chooseFromPool(c.service, c.route, c.tried, left, g.clock.Now())
 }
 
-// await waits for news of leases or targets and reports whether to look again.
+// await waits for a change of leases or targets and reports whether to look again.
 func (g *Gateway) await(ctx context.Context, c *call, most time.Duration) bool {
 	left := min(most-c.waited, time.Until(c.until)-leastLeft)
 	if left <= 0 {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -78,7 +78,7 @@
 	return n
 }
 
-func (g *Gateway) hear(b mesh.Heartbeat) {
+func (g *Gateway) receive(b mesh.Heartbeat) {
 	var reply mesh.Heartbeat
 	_ = mesh.Service{Mesh: g.mesh}.Heartbeat(&b, &reply)
 }
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -69,8 +69,7 @@
 	require.Equal(t, want, b.state.view.Load().Routes.Config())
 }
 
-// Guards against a configuration that fills the links between VMs when it grows by many
-// routes: on a link of 10 Mbit/s it arrived after its deadline, and older routes served.
+// Guards against a configuration that fills the links between VMs when it grows by many routes.
 func TestLargeConfigurationTakesLittleOfASlowLink(t *testing.T) {
 	data, err := packed.Encode(largeConfig(7, 1560))
 	require.NoError(t, err)
@@ -97,8 +96,7 @@
 	eventually(t, same)
 }
 
-// Guards against a VM that sends a large value to all that ask at once over a full link: it
-// tells some of them to ask those that it has served.
+// Guards against a VM that sends a large value to all that ask at once over a full link.
 func TestVMWithABusyLinkNamesOthersThatHaveTheValue(t *testing.T) {
 	n := peerGateway(t, "a", 10)
 	n.state.setConfig(largeConfig(7, 10), sourceStore)
@@ -117,8 +115,7 @@
 	require.Equal(t, []string{"b"}, busy.Holders)
 }
 
-// Guards against a configuration that waits for one VM with a busy link: VMs fetch it from
-// those that were served.
+// Guards against a configuration that waits for one VM with a busy link.
 func TestVMsFetchFromThoseThatWereServed(t *testing.T) {
 	nodes := []*Gateway{peerGateway(t, "a", 10)}
 	nodes[0].state.setConfig(largeConfig(7, 10), sourceStore)
@@ -135,8 +132,7 @@
 	}
 }
 
-// Guards against heartbeats that spread a version to all VMs again and again: a VM that got
-// it from another one sent a heartbeat to all at once.
+// Guards against announcements by every VM that gets a version from another one.
 func TestOnlyVMsThatReadTheStoreAnnounceAVersion(t *testing.T) {
 	s := testState(&handClock{})
 	announced := 0
@@ -148,8 +144,7 @@
 	require.Equal(t, 1, announced)
 }
 
-// Guards against a version that waits for a VM which was cut off after it had announced it:
-// others that announce it while it is fetched are asked as well.
+// Guards against a fetch that waits for a VM which was cut off after its announcement.
 func TestFetchGoesOnAtVMsThatAnnounceTheSame(t *testing.T) {
 	a, b := peerGateway(t, "a", 0), peerGateway(t, "b", 0)
 	a.state.setConfig(largeConfig(7, 10), sourceStore)
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -244,7 +244,7 @@
 	b.state.suspect(content, "first")
 	b.state.suspect(content, "second")
 	other := mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 1}
-	b.hear(mesh.Heartbeat{From: other, Crashes: []mesh.Crash{{Content: content, Targets: []uint32{catalog.Hash("third")}}}})
+	b.receive(mesh.Heartbeat{From: other, Crashes: []mesh.Crash{{Content: content, Targets: []uint32{catalog.Hash("third")}}}})
 	require.Equal(t, http.StatusServiceUnavailable, b.get("safe.example", nil, "bad").StatusCode)
 	require.Zero(t, b.hits.Load())
 	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "good").StatusCode)
@@ -258,7 +258,7 @@
 	content := b.contentOf("popular")
 	b.state.suspect(content, "lost")
 	for _, vm := range []string{"x", "y", "z"} {
-		b.hear(mesh.Heartbeat{
+		b.receive(mesh.Heartbeat{
 			From:    mesh.Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1},
 			Crashes: []mesh.Crash{{Content: content, Targets: []uint32{catalog.Hash("lost")}}},
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,7 @@
 // stop leaves: first the balancer and the other VMs learn of it, while requests
 // are served as before; then new connections end; then the process, when the last
 // answer is out.
-// Kept connections and the listener stay open at first: requests on their way would be lost.
+// Kept connections and the listener stay open at first: requests in flight would be lost.
 func (g *Gateway) stop(ctx context.Context) error {
 	begin := time.Now()
 	grace := time.Duration(g.grace.Load())
--- a/internal/gateway/leasing/broadcast_test.go
+++ b/internal/gateway/leasing/broadcast_test.go
@@ -155,8 +155,7 @@
 	return l.freeAt
 }
 
-// Guards against a grantor that times out on its own updates: it sent more at once than its
-// link carries within their timeout, then all of it again.
+// Guards against a grantor that times out on its own updates.
 func TestUpdatesInFlightAreBoundedByTheLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const bytesPerSecond, vms = 10 * mesh.BytesPerMbit, 200
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -23,7 +23,7 @@
 	n := testNode(clock)
 	defer n.mesh.Close()
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
-	n.hear(mesh.Heartbeat{From: holder})
+	n.receive(mesh.Heartbeat{From: holder})
 	r := n.state
 	r.own("s", 3, 1, "t", lease.Served)
 	r.leases.Of("s").Holder, r.leases.Of("s").Incarnation = "holder", 5
@@ -31,12 +31,12 @@
 
 	_, stands := k.succession()
 	require.True(t, stands)
-	n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
+	n.receive(mesh.Heartbeat{From: holder, StoreLost: true})
 	_, stands = k.succession()
 	require.True(t, stands)
 	for range 5 {
 		clock.now += strandedAfter / 4
-		n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
+		n.receive(mesh.Heartbeat{From: holder, StoreLost: true})
 		_, stands = k.succession()
 	}
 	require.False(t, stands)
@@ -46,8 +46,7 @@
 	require.True(t, stands, "a VM without the store succeeds nobody")
 }
 
-// Guards against the succession of a grantor that has the store through another VM: its
-// successor begins with the grants of all owners.
+// Guards against the succession of a grantor that has the store through another VM.
 func TestGrantorWithARelayIsNotSucceeded(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
@@ -58,7 +57,7 @@
 	k := &candidate{Manager: n.Manager, service: "s"}
 	for range 20 {
 		clock.now += strandedAfter / 4
-		n.hear(mesh.Heartbeat{From: holder, StoreLost: true, StoreRelayed: true})
+		n.receive(mesh.Heartbeat{From: holder, StoreLost: true, StoreRelayed: true})
 		_, stands := k.succession()
 		require.True(t, stands)
 	}
@@ -76,8 +75,7 @@
 	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now, lease.PriorGrantsEnded), 1), store
 }
 
-// Guards against a relay that nobody learns of: the grantor confirms its epoch through it
-// only every few seconds, and is succeeded meanwhile.
+// Guards against a relay that the others learn of too late.
 func TestGrantorWithoutTheStoreConfirmsItsEpochThroughARelayAtOnce(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
@@ -85,15 +83,14 @@
 	l, store := leadingNode(t, n)
 	store.up.Store(true)
 	n.storeUp.Store(false)
-	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "relay", Addr: "127.0.0.1:1", Incarnation: 5}})
+	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "relay", Addr: "127.0.0.1:1", Incarnation: 5}})
 	clock.now += relayedConfirmEvery + time.Millisecond
 	l.confirmEpoch(t.Context(), clock.now)
 	(<-l.events)()
 	require.Equal(t, clock.now, l.grants.ConfirmedAt())
 }
 
-// Guards against the succession of a grantor at the end of an outage, by a VM that made no
-// call meanwhile and so takes the store for up: keys of the whole service were refused.
+// Guards against a takeover at the end of an outage by a VM that made no call meanwhile.
 func TestVMThatHasNotNoticedAnOutageDoesNotSucceedTheGrantorAtItsEnd(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
@@ -118,7 +115,7 @@
 	stranded := func(d time.Duration) {
 		for end := clock.now + d; clock.now < end; {
 			clock.now += strandedAfter / 4
-			n.hear(mesh.Heartbeat{From: holder, StoreLost: true})
+			n.receive(mesh.Heartbeat{From: holder, StoreLost: true})
 			_, _ = c.succession()
 		}
 	}
@@ -141,7 +138,7 @@
 	clock := &handClock{now: time.Hour}
 	n := testNode(clock)
 	defer n.mesh.Close()
-	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
+	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
 	n.state.own("s", 3, 1, "t", lease.Served)
 	n.state.leases.Of("s").Holder, n.state.leases.Of("s").Incarnation = "holder", 5
 	_, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
@@ -155,7 +152,7 @@
 	n := testNode(&handClock{now: time.Hour})
 	defer n.mesh.Close()
 	for i := range 20 {
-		n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+		n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
 	}
 	n.state.own("s", 3, 1, "t", lease.Served)
 	r := n.state.leases.Of("s")
@@ -233,7 +230,7 @@
 	n.state.own("s", 3, 1, "t", lease.Served)
 	r := n.state.leases.Of("s")
 	r.Holder, r.Incarnation = "holder", 5
-	n.hear(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}, Leaving: true})
+	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}, Leaving: true})
 	_, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.True(t, stands)
 	r.Holder = ""
--- a/internal/gateway/leasing/play_test.go
+++ b/internal/gateway/leasing/play_test.go
@@ -69,7 +69,7 @@
 	return n
 }
 
-func (n *node) hear(b mesh.Heartbeat) {
+func (n *node) receive(b mesh.Heartbeat) {
 	var reply mesh.Heartbeat
 	_ = mesh.Service{Mesh: n.mesh}.Heartbeat(&b, &reply)
 }
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -20,9 +20,9 @@
 
 func (s *routingState) warmupCostLocked(service string) float64 { return max(1, s.warmupCost[service]) }
 
-// recordColdResponseLocked takes in the answer to a request for a cold key. It tells nothing of
+// recordColdResponseLocked records the response to a request for a cold key. It says nothing of
 // the target's speed, nor of what such requests take.
-// Answers for cold keys would make a target look slow, and its warm keys would move on.
+// Responses for cold keys would make a target look slow, and its warm keys would move on.
 func (s *routingState) recordColdResponseLocked(e *attempt, took time.Duration) {
 	if e.usual <= 0 {
 		return
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -17,7 +17,7 @@
 		n := testGatewayWithLink(&handClock{now: time.Hour}, own)
 		defer n.mesh.Close()
 		for i, link := range others {
-			n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1, LinkMbps: link}})
+			n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1, LinkMbps: link}})
 		}
 		return n.place("s", n.mesh.ReachesStore)
 	}
@@ -27,8 +27,7 @@
 	require.Equal(t, place(900, 900, 900, 900), place(900, 1000, 1000, 1000), "small differences change nothing")
 }
 
-// Guards against VMs that all try to become the grantor at the same moment while the store is
-// away: each took itself for the only one that reaches it.
+// Guards against VMs that all try to become the grantor at the same moment.
 func TestVMsHaveTheirOwnPlacesWhileNobodyReachesTheStore(t *testing.T) {
 	taken := make(map[int]bool)
 	for i := range 5 {
@@ -36,7 +35,7 @@
 		defer n.mesh.Close()
 		for j := range 5 {
 			if j != i {
-				n.hear(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", j), Addr: "127.0.0.1:1", Incarnation: 1}, StoreLost: true})
+				n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", j), Addr: "127.0.0.1:1", Incarnation: 1}, StoreLost: true})
 			}
 		}
 		taken[n.leasePlace("s")] = true
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// Guards against keys that are refused across a service while a successor's grants are on
-// their way, although every owner still serves them.
+// Guards against keys that are refused while a successor's grants are in flight.
 func TestSuccessorPresumesThatOwnersServeUntilTheirGrantsExpire(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
 	r := Record{Service: "s", Epoch: 4, Slices: Even(4, []Owner{a, b})}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -33,7 +33,7 @@
 	return m, clock
 }
 
-func (m *Mesh) hear(b Heartbeat) {
+func (m *Mesh) receiveHeartbeat(b Heartbeat) {
 	var out Heartbeat
 	_ = Service{m}.Heartbeat(&b, &out)
 }
@@ -49,14 +49,14 @@
 func TestSilentVMIsLostAndComesBack(t *testing.T) {
 	m, clock := newMesh(t)
 	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
-	m.hear(Heartbeat{From: b})
+	m.receiveHeartbeat(Heartbeat{From: b})
 	require.True(t, m.Lives("b", 1))
 	require.Len(t, m.Live(), 2)
 	pass(m, clock, silentLeast+stallAfter)
 	require.False(t, m.Lives("b", 1))
-	m.hear(Heartbeat{From: b})
+	m.receiveHeartbeat(Heartbeat{From: b})
 	require.True(t, m.Lives("b", 1))
-	m.hear(Heartbeat{From: b, Leaving: true})
+	m.receiveHeartbeat(Heartbeat{From: b, Leaving: true})
 	require.Len(t, m.Live(), 1, "a VM that leaves takes no duties")
 	require.True(t, m.Lives("b", 1), "it still has those that it has")
 }
@@ -65,7 +65,7 @@
 // from every one of them at once.
 func TestAfterAPauseOfOurOwnNobodyIsLost(t *testing.T) {
 	m, clock := newMesh(t)
-	m.hear(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}})
+	m.receiveHeartbeat(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}})
 	clock.advance(10 * time.Second)
 	require.True(t, m.Lives("b", 1))
 	pass(m, clock, silentLeast+stallAfter)
@@ -76,12 +76,12 @@
 func TestNewLifeReplacesTheOld(t *testing.T) {
 	m, _ := newMesh(t)
 	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
-	m.hear(Heartbeat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
+	m.receiveHeartbeat(Heartbeat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
 	require.Equal(t, 3, m.Loads()[LoadKey(0xabcdef12)])
 	next := b
 	next.Incarnation = 2
-	m.hear(Heartbeat{From: next})
-	m.hear(Heartbeat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
+	m.receiveHeartbeat(Heartbeat{From: next})
+	m.receiveHeartbeat(Heartbeat{From: b, Loads: []Load{NewLoad(0xabcdef12, 3)}})
 	require.False(t, m.Lives("b", 1))
 	require.True(t, m.Lives("b", 2))
 	require.Empty(t, m.Loads())
@@ -95,26 +95,25 @@
 // others must listen to the new life as soon as the old one is silent.
 func TestLifeAfterAClockStepBackIsHeard(t *testing.T) {
 	m, clock := newMesh(t)
-	m.hear(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 9}})
+	m.receiveHeartbeat(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 9}})
 	next := Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 5}}
-	m.hear(next)
+	m.receiveHeartbeat(next)
 	require.True(t, m.Lives("b", 9), "a late heartbeat of an earlier life")
 	pass(m, clock, silentLeast+stallAfter)
-	m.hear(next)
+	m.receiveHeartbeat(next)
 	require.True(t, m.Lives("b", 5))
 }
 
 func TestLoadsOfAllVMsAddUp(t *testing.T) {
 	m, _ := newMesh(t)
 	for i, vm := range []string{"b", "c"} {
-		m.hear(Heartbeat{From: Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1}, Loads: []Load{NewLoad(1<<20, i+1), NewLoad(2<<20, 1000)}})
+		m.receiveHeartbeat(Heartbeat{From: Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1}, Loads: []Load{NewLoad(1<<20, i+1), NewLoad(2<<20, 1000)}})
 	}
 	require.Equal(t, 3, m.Loads()[LoadKey(1<<20)])
 	require.Equal(t, 2*loadMost, m.Loads()[LoadKey(2<<20)], "a number that does not fit is cut, and spills over nothing")
 }
 
-// Guards against heartbeats that fill the links: each change of a configuration or of the
-// targets sends one to every VM, and full ones carry the load at every target.
+// Guards against announcements that fill the links.
 func TestBriefHeartbeatKeepsWhatTheLastOneSaidOfTargets(t *testing.T) {
 	m, _ := newMesh(t)
 	full := Heartbeat{
@@ -122,7 +121,7 @@
 		Loads:  []Load{NewLoad(7<<8, 3)},
 		Leases: []LeaseMark{{Service: "s", Epoch: 2}},
 	}
-	m.hear(full)
+	m.receiveHeartbeat(full)
 	next := full
 	next.ConfigVersion = 9
 	var reply Heartbeat
@@ -134,16 +133,15 @@
 	require.EqualValues(t, 9, m.remote("b").heartbeat.ConfigVersion)
 }
 
-// Guards against keys without an owner in a large fleet: its VMs count as lost only after
-// five seconds, and grants last less.
+// Guards against a grantor in a large fleet that counts as lost only after its grants have expired.
 func TestLossOfAMonitoredVMIsNoticedWithinAHold(t *testing.T) {
 	m, clock := newMesh(t)
 	meet := func() {
 		for i := range 88 {
-			m.hear(Heartbeat{From: Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+			m.receiveHeartbeat(Heartbeat{From: Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
 		}
 	}
-	m.hear(Heartbeat{From: Member{VM: "grantor", Addr: "127.0.0.1:1", Incarnation: 1}})
+	m.receiveHeartbeat(Heartbeat{From: Member{VM: "grantor", Addr: "127.0.0.1:1", Incarnation: 1}})
 	meet()
 	lostAfter := func() time.Duration {
 		begin := clock.Now()
@@ -151,7 +149,7 @@
 			clock.advance(stallAfter / 2)
 			meet()
 		}
-		m.hear(Heartbeat{From: Member{VM: "grantor", Addr: "127.0.0.1:1", Incarnation: 1}})
+		m.receiveHeartbeat(Heartbeat{From: Member{VM: "grantor", Addr: "127.0.0.1:1", Incarnation: 1}})
 		return clock.Now() - begin
 	}
 	require.Greater(t, lostAfter(), 5*time.Second)
@@ -165,7 +163,7 @@
 func TestMonitoredVMIsNotLostWhereMostAreSilent(t *testing.T) {
 	m, clock := newMesh(t)
 	for i := range 88 {
-		m.hear(Heartbeat{From: Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+		m.receiveHeartbeat(Heartbeat{From: Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
 	}
 	m.Monitor("s", "vm-0")
 	pass(m, clock, 3*time.Second)
--- a/internal/peer/stuck_test.go
+++ b/internal/peer/stuck_test.go
@@ -43,8 +43,7 @@
 	require.ErrorIs(t, got, context.Canceled)
 }
 
-// Guards against calls that are held up past their deadlines by another call on the same
-// connection, whose peer does not read. They were not sent, so they may go elsewhere.
+// Guards against calls that are held up past their deadlines by another on the same connection.
 func TestCallsBehindOneThatIsBeingWrittenEndUnsent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		here, there := net.Pipe()
@@ -75,8 +74,7 @@
 	})
 }
 
-// Guards against a call that waits for ever: its client is closed while the call is queued
-// behind another one that is being written.
+// Guards against a queued call that waits for ever after its client is closed.
 func TestCallsThatAreQueuedEndWhenTheClientIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		here, there := net.Pipe()
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -100,8 +100,7 @@
 	require.Equal(t, 3, p.answered)
 }
 
-// Guards against a first call that is lost because the VM does not know yet that the store
-// turns it away.
+// Guards against a first call that is lost before the VM knows that the store turns it away.
 func TestCallThatTheStoreRefusesIsRelayedAtOnce(t *testing.T) {
 	p := newPlay(true)
 	_, err := p.Put(t.Context(), platform.Object{Kind: "k", Name: "n"})
@@ -119,8 +118,7 @@
 	require.Zero(t, p.answered)
 }
 
-// Guards against a conditional write that is made a second time although the first may have
-// taken effect: its conflict would be taken for another writer's.
+// Guards against a conditional write that is made twice and conflicts with itself.
 func TestAmbiguousWriteIsNotRepeatedAtAnotherRelay(t *testing.T) {
 	for name, lost := range map[string]error{"at the store": nil, "at the relay": peer.ErrLost} {
 		p := newPlay(false)
@@ -144,8 +142,7 @@
 	require.Equal(t, 1, p.relayed.calls)
 }
 
-// Guards against errors that lose their class on the way: a conflict ends an epoch, an
-// ambiguous write freezes slices, an unavailable store changes nothing.
+// Guards against errors of the store that lose their class on the way.
 func TestErrorsKeepTheirClass(t *testing.T) {
 	for _, class := range []error{platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrAmbiguous} {
 		p := newPlay(false)
