mesh: no exchange begins while Close awaits the others

Found by -race in the whole check beside load (TestVMsFetchFromThoseThatWereServed, once): a heartbeat that met a VM added to the wait group while Close waited on it. Meet looks at the context under the lock; Close ended the context without it. Only at the end of a process. Traced from the report.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -97,7 +97,10 @@
 
 // Close ends all exchanges.
 func (m *Mesh) Close() {
+	// No exchange may begin while the others are awaited.
+	m.mu.Lock()
 	m.cancel()
+	m.mu.Unlock()
 	m.wait.Wait()
 }
 
