The hand-moved clocks of gateway tests are read by the goroutines of a mesh

-race in the whole check beside load, once: TestVMThatHasNotNoticedAnOutageDoesNotSucceedTheGrantor- AtItsEnd moved its clock while an exchange read it. The clock is atomic now in both packages, as in those of mesh. No assertion changes.

--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -134,7 +134,7 @@
 
 // Guards against announcements by every VM that gets a version from another one.
 func TestOnlyVMsThatReadTheStoreAnnounceAVersion(t *testing.T) {
-	s := testState(&handClock{})
+	s := testState(newHandClock(0))
 	announced := 0
 	s.announce = func() { announced++ }
 	s.setConfig(&route.Config{Version: 2}, "vm")
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -27,7 +27,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	n := testGateway(&handClock{now: time.Hour})
+	n := testGateway(newHandClock(time.Hour))
 	t.Cleanup(n.mesh.Close)
 	n.state.setLimit(settingsLimit)
 	b := &bench{Gateway: n, t: t}
@@ -209,7 +209,7 @@
 		resp := b.get(c.host, http.Header{"Key": {c.key}}, c.body)
 		require.Equal(t, c.want, resp.StatusCode, c)
 	}
-	fresh := testGateway(&handClock{now: time.Hour})
+	fresh := testGateway(newHandClock(time.Hour))
 	defer fresh.mesh.Close()
 	resp := (&bench{Gateway: fresh, t: t}).get("safe.example", nil, "")
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "without a configuration nothing is known to be missing")
@@ -269,7 +269,7 @@
 // Three targets ended one after the other under an innocent request. It is
 // refused for a while, not for good.
 func TestSuspicionFades(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	s := testState(clock)
 	n := testGateway(clock)
 	defer n.mesh.Close()
@@ -277,7 +277,7 @@
 		s.suspect(7, target)
 	}
 	require.True(t, s.crashing(7, n.mesh))
-	clock.now += suspicion + time.Second
+	clock.advance(suspicion + time.Second)
 	require.False(t, s.crashing(7, n.mesh))
 	require.Empty(t, s.crashList())
 }
--- a/internal/gateway/granting_test.go
+++ b/internal/gateway/granting_test.go
@@ -11,12 +11,12 @@
 )
 
 func TestGrantorSeesWhatItsVMKnows(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testGateway(clock)
 	defer n.mesh.Close()
 	deps := n.leasing.Deps
 	require.True(t, deps.LocalState.StoreUp())
-	n.noteStore(clock.now, platform.ErrUnavailable)
+	n.noteStore(clock.Now(), platform.ErrUnavailable)
 	require.False(t, deps.LocalState.StoreUp())
 	require.False(t, deps.LocalState.Listed())
 	n.listed.Store(true)
--- a/internal/gateway/leasing/broadcast_test.go
+++ b/internal/gateway/leasing/broadcast_test.go
@@ -50,7 +50,7 @@
 // whole routing for each, to each VM, filled the grantor's link.
 func TestSlowVMIsToldTheLatestOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		peer := &pushed{state: testState(&handClock{}), delay: 50 * time.Millisecond}
+		peer := &pushed{state: testState(newHandClock(0)), delay: 50 * time.Millisecond}
 		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
 		for seq := range 100 {
 			l.Publish(t.Context(), owners(uint64(seq+1), seq), []string{"vm"})
@@ -69,11 +69,11 @@
 
 func TestVMThatHasAnotherVersionGetsAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		peer := &pushed{state: testState(&handClock{})}
+		peer := &pushed{state: testState(newHandClock(0))}
 		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
 		l.Publish(t.Context(), owners(1, 0), []string{"vm"})
 		synctest.Wait()
-		peer.state = testState(&handClock{})
+		peer.state = testState(newHandClock(0))
 		l.Publish(t.Context(), owners(2, 1), []string{"vm"})
 		synctest.Wait()
 		require.True(t, peer.state.routingOf("s").SameAs(owners(2, 1)))
@@ -84,7 +84,7 @@
 
 func TestLostUpdateIsFollowedByAWholeOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		peer := &pushed{state: testState(&handClock{})}
+		peer := &pushed{state: testState(newHandClock(0))}
 		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
 		l.Publish(t.Context(), owners(1, 0), []string{"vm"})
 		synctest.Wait()
@@ -101,7 +101,7 @@
 // Guards against a successor that sends all leases to all VMs at once, which fills its link.
 func TestSuccessorSendsOnlyWhatChangedSinceItsPredecessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		peer := &pushed{state: testState(&handClock{})}
+		peer := &pushed{state: testState(newHandClock(0))}
 		last := owners(7, 0)
 		peer.state.leases.Set(last)
 		first := owners(1, 2)
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -19,7 +19,7 @@
 // VM that reaches the store must take over, though the grantor lives; not at once,
 // since after an outage VMs find the store again one after the other.
 func TestGrantorThatTheStoreTurnsAwayIsSucceeded(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
@@ -35,7 +35,7 @@
 	_, stands = k.succession()
 	require.True(t, stands)
 	for range 5 {
-		clock.now += strandedAfter / 4
+		clock.advance(strandedAfter / 4)
 		n.receive(mesh.Heartbeat{From: holder, StoreLost: true})
 		_, stands = k.succession()
 	}
@@ -48,7 +48,7 @@
 
 // Guards against the succession of a grantor that has the store through another VM.
 func TestGrantorWithARelayIsNotSucceeded(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
@@ -56,7 +56,7 @@
 	n.state.leases.Of("s").Holder, n.state.leases.Of("s").Incarnation = "holder", 5
 	k := &candidate{Manager: n.Manager, service: "s"}
 	for range 20 {
-		clock.now += strandedAfter / 4
+		clock.advance(strandedAfter / 4)
 		n.receive(mesh.Heartbeat{From: holder, StoreLost: true, StoreRelayed: true})
 		_, stands := k.succession()
 		require.True(t, stands)
@@ -77,22 +77,22 @@
 
 // Guards against a relay that the others learn of too late.
 func TestGrantorWithoutTheStoreConfirmsItsEpochThroughARelayAtOnce(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	l, store := leadingNode(t, n)
 	store.up.Store(true)
 	n.storeUp.Store(false)
 	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "relay", Addr: "127.0.0.1:1", Incarnation: 5}})
-	clock.now += relayedConfirmEvery + time.Millisecond
-	l.confirmEpoch(t.Context(), clock.now)
+	clock.advance(relayedConfirmEvery + time.Millisecond)
+	l.confirmEpoch(t.Context(), clock.Now())
 	(<-l.events)()
-	require.Equal(t, clock.now, l.grants.ConfirmedAt())
+	require.Equal(t, clock.Now(), l.grants.ConfirmedAt())
 }
 
 // Guards against a takeover at the end of an outage by a VM that made no call meanwhile.
 func TestVMThatHasNotNoticedAnOutageDoesNotSucceedTheGrantorAtItsEnd(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	holder := mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 5}
@@ -113,8 +113,8 @@
 		return r.Epoch
 	}
 	stranded := func(d time.Duration) {
-		for end := clock.now + d; clock.now < end; {
-			clock.now += strandedAfter / 4
+		for end := clock.Now() + d; clock.Now() < end; {
+			clock.advance(strandedAfter / 4)
 			n.receive(mesh.Heartbeat{From: holder, StoreLost: true})
 			_, _ = c.succession()
 		}
@@ -135,7 +135,7 @@
 // A VM ends. The others must not take the word of its last life for its present
 // one.
 func TestNewLifeOfTheGrantorDoesNotStand(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "holder", Addr: "127.0.0.1:1", Incarnation: 6}})
@@ -149,7 +149,7 @@
 // others see it live; were it to wait for its place in the line, the keys would
 // lapse before it comes.
 func TestGrantorBeginsAgainAtOnce(t *testing.T) {
-	n := testNode(&handClock{now: time.Hour})
+	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	for i := range 20 {
 		n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
@@ -165,7 +165,7 @@
 // A VM that leaves resigns before it has told anybody of its leases. That must not
 // end the process.
 func TestResignationBeforeAnythingWasTold(t *testing.T) {
-	n := testNode(&handClock{now: time.Hour})
+	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
@@ -180,14 +180,14 @@
 // at once, nobody could take over without the store, and no key of the service was served
 // until it was back. It goes on, and resigns when the store answers.
 func TestGrantorThatLeavesGoesOnWhileNobodyCanTakeOver(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	l, store := leadingNode(t, n)
 	n.leaving.Store(true)
 	tries := func(count int) {
 		for range count {
-			clock.now += resignPause
+			clock.advance(resignPause)
 			l.step(t.Context())
 			(<-l.events)()
 		}
@@ -210,7 +210,7 @@
 // The store goes away between the grantor's question and its resignation, and says that it
 // has done nothing. The grantor still has its duty.
 func TestResignationThatTheStoreRefusesChangesNothing(t *testing.T) {
-	n := testNode(&handClock{now: time.Hour})
+	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
 	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
@@ -225,7 +225,7 @@
 // The other side: a grantor that leaves and still has its duty is not succeeded. One that
 // took over while it was still sending orders had to wait for the end of its authority.
 func TestGrantorThatLeavesStandsUntilItResigns(t *testing.T) {
-	n := testNode(&handClock{now: time.Hour})
+	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	n.state.own("s", 3, 1, "t", lease.Served)
 	r := n.state.leases.Of("s")
--- a/internal/gateway/leasing/heldorders_test.go
+++ b/internal/gateway/leasing/heldorders_test.go
@@ -60,7 +60,7 @@
 // exactly those of orders logged as unanswered as the cut began; nothing was sent after; where
 // the connections are reset instead, the same days are whole.
 func TestGrantsThatWereGivenUpDoNotArriveAfterACut(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testNode(clock)
 	defer n.mesh.Close()
 	old, next := &keyHolder{clock: clock}, &keyHolder{clock: clock}
@@ -68,14 +68,14 @@
 	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
 	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
 	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.now, clock.now, lease.NoPriorGrants), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
 	for _, o := range []lease.Owner{oldOwner, nextOwner} {
 		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
 		l.grants.LifeConfirmed(o)
 	}
 	// play sends what is due, one order after the other, and takes in its end.
 	play := func() {
-		for _, o := range l.grants.Due(clock.now) {
+		for _, o := range l.grants.Due(clock.Now()) {
 			line := l.line(t.Context(), o.Target)
 			if o.Kind == lease.Release {
 				l.release(t.Context(), line, o)
@@ -89,11 +89,11 @@
 	require.True(t, old.holds())
 
 	oldLink.Cut()
-	clock.now += renewEvery
+	clock.advance(renewEvery)
 	play()
-	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.now)
-	for cut := clock.now; !next.holds(); clock.now += orderRetry {
-		require.Less(t, clock.now, cut+2*holdTime, "the keys have no owner")
+	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.Now())
+	for cut := clock.Now(); !next.holds(); clock.advance(orderRetry) {
+		require.Less(t, clock.Now(), cut+2*holdTime, "the keys have no owner")
 		play()
 	}
 	require.False(t, old.holds())
--- a/internal/gateway/leasing/play_test.go
+++ b/internal/gateway/leasing/play_test.go
@@ -22,9 +22,17 @@
 )
 
 // handClock is moved by the test.
-type handClock struct{ now time.Duration }
+type handClock struct{ now atomic.Int64 }
 
-func (c *handClock) Now() time.Duration { return c.now }
+func newHandClock(now time.Duration) *handClock {
+	c := new(handClock)
+	c.advance(now)
+	return c
+}
+
+func (c *handClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+func (c *handClock) advance(d time.Duration) { c.now.Add(int64(d)) }
 
 func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
@@ -65,7 +73,7 @@
 	})
 	n.mesh.Start(n)
 	n.storeUp.Store(true)
-	clock.now += meetTime
+	clock.advance(meetTime)
 	return n
 }
 
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -16,7 +16,7 @@
 	b.target("a", "pool", works)
 	b.grace.Store(int64(6 * time.Second))
 	b.beginLeaving()
-	b.clock.(*handClock).now += since
+	b.clock.(*handClock).advance(since)
 	return b
 }
 
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestMalformedLeasesAreNotTakenIn(t *testing.T) {
-	s := testState(&handClock{})
+	s := testState(newHandClock(0))
 	bad := owners(1, 0)
 	bad.Owner = bad.Owner[1:]
 	require.False(t, s.updateRouting(&lease.Update{Routing: *bad}))
@@ -30,14 +30,14 @@
 // A heartbeat overtakes the grantor's own word. Each VM then fetched the whole
 // routing, for nothing.
 func TestLeasesAreFetchedOnlyOnceTheyStayBehind(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testGateway(clock)
 	defer n.mesh.Close()
 	mark := mesh.LeaseMark{Service: "s", Epoch: 3, Seq: 2}
 	require.True(t, n.behind(mark), "unknown leases are fetched at once")
 	n.state.leases.Set(owners(1, 0))
 	require.False(t, n.behind(mark))
-	clock.now += behindLeast
+	clock.advance(behindLeast)
 	require.True(t, n.behind(mark))
 	n.state.leases.Set(owners(2, 1))
 	require.False(t, n.behind(mark))
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +19,17 @@
 )
 
 // handClock is moved by the test.
-type handClock struct{ now time.Duration }
+type handClock struct{ now atomic.Int64 }
 
-func (c *handClock) Now() time.Duration { return c.now }
+func newHandClock(now time.Duration) *handClock {
+	c := new(handClock)
+	c.advance(now)
+	return c
+}
+
+func (c *handClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+func (c *handClock) advance(d time.Duration) { c.now.Add(int64(d)) }
 
 func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
@@ -46,7 +55,7 @@
 // nobody can give the key to another. Requests went on to the leaving target for
 // more than two seconds, when it must have none.
 func TestLeavingOwnerGetsRequestsForAShortWhileOnly(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	s := testState(clock)
 	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2}
 	s.list(1, target)
@@ -58,13 +67,13 @@
 	require.Equal(t, refusedNone, why, "until the key has another owner, this one serves it")
 	s.finish(e, endLeft)
 
-	clock.now += leavingMost + time.Millisecond
+	clock.advance(leavingMost + time.Millisecond)
 	_, why, _ = s.chooseOwner("s", &route.Route{Name: "r"}, 7, time.Second)
 	require.Equal(t, refusedLost, why)
 }
 
 func TestKeyOnTheMoveIsNotSent(t *testing.T) {
-	s := testState(&handClock{})
+	s := testState(newHandClock(0))
 	s.list(1, catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2})
 	s.own("s", 1, 2, "t", lease.Moving)
 	_, why, _ := s.chooseOwner("s", &route.Route{Name: "r"}, 7, time.Second)
@@ -80,7 +89,7 @@
 // A target restarts under its id. What was learnt of its last life, and the
 // connections to it, must not be used for the new one.
 func TestNewLifeOfATargetStartsUnknown(t *testing.T) {
-	s := testState(&handClock{})
+	s := testState(newHandClock(0))
 	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
 	s.list(1, target)
 	first := s.targets["t"]
@@ -95,7 +104,7 @@
 // service. Until the entry lapsed, every request for its keys was sent there three
 // times over and refused, which used up the other service's repeats.
 func TestDisplacedTargetGetsNoRequests(t *testing.T) {
-	s := testState(&handClock{})
+	s := testState(newHandClock(0))
 	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
 	s.list(1, target)
 	s.own("s", 1, 1, "t", lease.Served)
@@ -116,13 +125,13 @@
 }
 
 func TestAgesOfWhatIsBelievedAreShown(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testGateway(clock)
 	defer n.mesh.Close()
 	n.state.setConfig(&route.Config{Version: 3}, "test")
-	clock.now += 2 * time.Second
+	clock.advance(2 * time.Second)
 	n.state.own("s", 1, 1, "t", lease.Served)
-	clock.now += 3 * time.Second
+	clock.advance(3 * time.Second)
 	gauge := func(name string) int64 { return n.registry.Get(name).(metrics.Gauge).Value() }
 	require.EqualValues(t, 5000, gauge("config.age"))
 	require.EqualValues(t, 3000, gauge("leases.s.age"))
@@ -136,7 +145,7 @@
 	turn := func(vm string) int {
 		s := &Settings{Store: "127.0.0.1:1"}
 		s.VM, s.Peers = vm, "127.0.0.1:1"
-		return newGateway(s, fakeAdapter{store: downStore{}}, &handClock{}, quiet(), metrics.NewRegistry()).state.turn
+		return newGateway(s, fakeAdapter{store: downStore{}}, newHandClock(0), quiet(), metrics.NewRegistry()).state.turn
 	}
 	require.NotEqual(t, turn("a"), turn("b"))
 }
--- a/internal/gateway/storestate_test.go
+++ b/internal/gateway/storestate_test.go
@@ -15,21 +15,21 @@
 // its timeout after other calls were answered: the VM still reaches the store. Taken for
 // cut off, a grantor was succeeded while it lived.
 func TestCallsFromBeforeTheStoreReturnedDoNotLoseItAgain(t *testing.T) {
-	clock := &handClock{now: time.Hour}
+	clock := newHandClock(time.Hour)
 	n := testGateway(clock)
 	defer n.mesh.Close()
-	sent := clock.now
+	sent := clock.Now()
 	n.noteStore(sent, platform.ErrUnavailable)
 	require.True(t, n.Heartbeat().StoreLost)
-	clock.now += time.Second
-	n.noteStore(clock.now, nil)
+	clock.advance(time.Second)
+	n.noteStore(clock.Now(), nil)
 	require.False(t, n.Heartbeat().StoreLost)
 	n.noteStore(sent, platform.ErrAmbiguous)
 	require.False(t, n.Heartbeat().StoreLost, "the call is older than the latest answer")
-	n.noteStore(clock.now, platform.ErrAmbiguous)
+	n.noteStore(clock.Now(), platform.ErrAmbiguous)
 	require.True(t, n.Heartbeat().StoreLost)
-	n.noteStore(clock.now, platform.ErrGone)
+	n.noteStore(clock.Now(), platform.ErrGone)
 	require.False(t, n.Heartbeat().StoreLost, "a store that has dropped its history answers")
-	n.noteStore(clock.now, errors.Join(platform.ErrAmbiguous, context.Canceled))
+	n.noteStore(clock.Now(), errors.Join(platform.ErrAmbiguous, context.Canceled))
 	require.False(t, n.Heartbeat().StoreLost, "a call that was given up says nothing")
 }
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -14,7 +14,7 @@
 // of the others: its grants took 100 ms each.
 func TestVMsWithMuchFasterLinksComeFirstForDuties(t *testing.T) {
 	place := func(own float64, others ...uint32) int {
-		n := testGatewayWithLink(&handClock{now: time.Hour}, own)
+		n := testGatewayWithLink(newHandClock(time.Hour), own)
 		defer n.mesh.Close()
 		for i, link := range others {
 			n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1, LinkMbps: link}})
@@ -31,7 +31,7 @@
 func TestVMsHaveTheirOwnPlacesWhileNobodyReachesTheStore(t *testing.T) {
 	taken := make(map[int]bool)
 	for i := range 5 {
-		n := testGatewayNamed(&handClock{now: time.Hour}, fmt.Sprintf("vm-%d", i), 0)
+		n := testGatewayNamed(newHandClock(time.Hour), fmt.Sprintf("vm-%d", i), 0)
 		defer n.mesh.Close()
 		for j := range 5 {
 			if j != i {
