A VM of a large fleet uses a part of each pool, and shares its targets with few neighbours

Cause: all VMs used all targets. A VM met a target once in many seconds: it learned no speed, opened a connection for nearly each request, and knew of the others' requests what was true a second or more ago; one request of its own stood for half of the VMs.

Change: package subset: VMs and targets lie evenly on a ring, each VM uses the targets that follow its place, some of its data centre and some of the others, at least eight VMs a target. Up to eight VMs use whole pools, as before. The VMs that share its near targets are its neighbours. Where no target of the subset has room the whole pool is used.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -96,6 +96,9 @@
 	s.Unseen *= unseenFade
 }
 
+// InUse reports whether requests of this VM are there, or were lately.
+func (s *State) InUse() bool { return s.Own > 0 || s.Unseen >= 1 }
+
 // Full reports whether it may queue no more.
 func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
 
--- /dev/null
+++ b/internal/decide/subset/play_test.go
@@ -0,0 +1,177 @@
+package subset
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/decide/pick"
+)
+
+const (
+	playStep    = 5 * time.Millisecond
+	playLength  = 5 * time.Second
+	playWork    = 270 * time.Millisecond
+	playAim     = 800 * time.Millisecond
+	playSlots   = 3
+	playLoad    = 0.66
+	reportEvery = 250 * time.Millisecond
+)
+
+// playedTarget works on its requests in their order, as many at a time as it has slots.
+type playedTarget struct {
+	speed float64
+	queue []*playedRequest
+}
+
+type playedRequest struct {
+	vm, target int
+	sent       time.Duration
+	work       time.Duration
+	rounds     float64
+}
+
+// play is a pool of targets of different speeds under the load of many VMs.
+type play struct {
+	vms, targets int
+	sharers      int
+	draw         *rand.Rand
+	pool         []*playedTarget
+	windows      [][]int
+	states       []map[int]*pick.State
+	// reported is what each VM last reported of each target, users the VMs that use it.
+	reported []map[int]int
+	users    [][]int
+	// period is the time between two reports of a VM.
+	period time.Duration
+
+	answered, inAim, refused int
+}
+
+// newPlay returns a pool of which each VM uses its subset, or all of it.
+func newPlay(n int, whole bool) *play {
+	p := &play{vms: n, targets: n, sharers: Sharers(n, n), period: reportEvery, draw: rand.New(rand.NewPCG(7, uint64(n)))}
+	if whole {
+		p.sharers, p.period = n, time.Duration(n)*12*time.Millisecond
+	}
+	speeds := []float64{0.5, 1, 1, 1.5}
+	for i := range p.targets {
+		p.pool = append(p.pool, &playedTarget{speed: speeds[i%len(speeds)]})
+	}
+	p.users = make([][]int, p.targets)
+	for vm := range p.vms {
+		window := Place{Index: vm, VMs: p.vms}.Window(p.targets)
+		if whole {
+			window = Place{VMs: 1}.Window(p.targets)
+		}
+		p.windows = append(p.windows, window)
+		states := make(map[int]*pick.State)
+		for _, at := range window {
+			states[at] = &pick.State{Slots: playSlots, Near: true}
+			p.users[at] = append(p.users[at], vm)
+		}
+		p.states, p.reported = append(p.states, states), append(p.reported, make(map[int]int))
+	}
+	return p
+}
+
+func (p *play) run() {
+	perStep := playLoad * playSlots / playWork.Seconds() * playStep.Seconds()
+	for now := time.Duration(0); now < playLength; now += playStep {
+		if now%pick.LoadsEvery == 0 {
+			p.exchange(now)
+		}
+		for vm := range p.vms {
+			// Some VMs have three times the traffic of others.
+			if p.draw.Float64() < perStep*(0.5+float64(vm%3)*0.5) {
+				p.send(vm, now)
+			}
+		}
+		for _, t := range p.pool {
+			p.work(t, now)
+		}
+	}
+}
+
+// exchange refreshes what each VM knows of the requests of the others.
+func (p *play) exchange(now time.Duration) {
+	for vm, states := range p.states {
+		phase := time.Duration(vm) * p.period / time.Duration(p.vms) / pick.LoadsEvery * pick.LoadsEvery
+		if now%(p.period/pick.LoadsEvery*pick.LoadsEvery) != phase {
+			continue
+		}
+		for at, s := range states {
+			p.reported[vm][at] = s.Own
+		}
+	}
+	for at, users := range p.users {
+		sum := 0
+		for _, vm := range users {
+			sum += p.reported[vm][at]
+		}
+		for _, vm := range users {
+			p.states[vm][at].SetOthers(sum - p.reported[vm][at])
+		}
+	}
+}
+
+func (p *play) send(vm int, now time.Duration) {
+	window := p.windows[vm]
+	states := make([]*pick.State, len(window))
+	for i, at := range window {
+		states[i] = p.states[vm][at]
+	}
+	job := pick.Job{Usual: playWork, Objective: playAim, First: p.draw.IntN(len(window))}
+	i := pick.Choose(states, job, func(int) bool { return false }, now)
+	if i < 0 {
+		p.refused++
+		return
+	}
+	t := p.pool[window[i]]
+	work := time.Duration(p.draw.ExpFloat64() * float64(playWork) / t.speed)
+	r := &playedRequest{vm: vm, target: window[i], sent: now, work: work, rounds: states[i].Rounds()}
+	states[i].Sent(p.sharers)
+	t.queue = append(t.queue, r)
+}
+
+func (p *play) work(t *playedTarget, now time.Duration) {
+	kept := t.queue[:0]
+	for i, r := range t.queue {
+		if i < playSlots {
+			r.work -= playStep
+		}
+		if r.work > 0 {
+			kept = append(kept, r)
+			continue
+		}
+		p.answered++
+		if now-r.sent <= playAim {
+			p.inAim++
+		}
+		s := p.states[r.vm][r.target]
+		s.Gone(p.sharers)
+		s.Answered(now-r.sent, playWork, r.rounds)
+	}
+	t.queue = kept
+}
+
+func (p *play) share() float64 { return float64(p.inAim) / float64(p.answered+p.refused) }
+
+// Guards against a pool that serves its callers worse the more VMs use it.
+func TestPoolServesAsWellAtAnySize(t *testing.T) {
+	shares := make(map[int]float64)
+	for _, n := range []int{10, 100, 300} {
+		p := newPlay(n, false)
+		p.run()
+		shares[n] = p.share()
+		t.Logf("%d VMs: in aim %.3f, refused %d of %d", n, p.share(), p.refused, p.answered)
+	}
+	whole := newPlay(100, true)
+	whole.run()
+	t.Logf("100 VMs, each using all targets: in aim %.3f, refused %d of %d", whole.share(), whole.refused, whole.answered)
+	require.Greater(t, shares[100], shares[10]-0.03)
+	require.Greater(t, shares[300], shares[10]-0.03)
+	require.Greater(t, shares[100], whole.share()+0.05)
+}
--- /dev/null
+++ b/internal/decide/subset/seed_test.go
@@ -0,0 +1,3 @@
+package subset
+
+import _ "hemlockquay/internal/fixedseed"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.refreshLoads, g.sweep, g.reload,
+		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.refreshLoads, g.refreshPlace, g.sweep, g.reload,
 	} {
 		go duty(g.ctx)
 	}
--- /dev/null
+++ b/internal/gateway/loads.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"context"
+
+	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/pause"
+)
+
+// refreshLoads refreshes what the other VMs have at the targets.
+func (g *Gateway) refreshLoads(ctx context.Context) {
+	for pause.For(ctx, pick.LoadsEvery) {
+		g.state.setOthers(g.mesh.ChangedLoads())
+	}
+}
+
+// loads returns how many requests of this VM are at the targets.
+func (s *routingState) loads() []mesh.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []mesh.Load
+	for t := range s.inUse {
+		if t.pick.Own > 0 {
+			out = append(out, mesh.NewLoad(t.hash, t.pick.Own))
+		}
+	}
+	return out
+}
+
+// setOthers applies what the other VMs have at the targets for which that has changed.
+func (s *routingState) setOthers(changed map[uint32]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, requests := range changed {
+		if t := s.byHash[key]; t != nil {
+			t.pick.Others = requests
+		}
+	}
+	for t := range s.inUse {
+		t.pick.SetOthers(t.pick.Others)
+		if !t.pick.InUse() {
+			delete(s.inUse, t)
+		}
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
@@ -58,13 +57,6 @@
 	}
 }
 
-// refreshLoads refreshes what the other VMs have at the targets.
-func (g *Gateway) refreshLoads(ctx context.Context) {
-	for pause.For(ctx, pick.LoadsEvery) {
-		g.state.setOthers(g.mesh.Loads(), len(g.mesh.Others())+1)
-	}
-}
-
 // behindLeast is for how long leases are behind before they are fetched: the
 // grantor's own word is faster, and a heartbeat may overtake it.
 const behindLeast = 100 * time.Millisecond
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -24,6 +24,8 @@
 	load     int
 	// cold says that the key is cold at its owner.
 	cold bool
+	// sharers is how many VMs sent requests to the target then.
+	sharers int
 }
 
 // refusal says why no target was chosen.
@@ -50,27 +52,21 @@
 
 // chooseFromPool reserves the best target of a service without keys.
 func (s *routingState) chooseFromPool(service string, rt *route.Route, tried map[string]bool, left, now time.Duration) (*attempt, refusal) {
-	list := s.view.Load().ByService[service]
-	if len(list) == 0 {
-		return nil, refusedEmpty
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	states := make([]*pick.State, 0, len(list))
-	owners := make([]*targetState, 0, len(list))
-	for _, t := range list {
-		if tr := s.targets[t.ID]; tr != nil && !tr.Draining && !tr.displaced {
-			states = append(states, &tr.pick)
-			owners = append(owners, tr)
-		}
+	p := s.pools[service]
+	if p == nil {
+		return nil, refusedEmpty
 	}
 	s.turn++
 	job := pick.Job{Usual: s.usualLocked(service, rt.Name), Objective: rt.Objective, First: s.turn, LastPlaces: s.urgentLocked(service, rt.Priority)}
-	i := pick.Choose(states, job, func(i int) bool { return tried[owners[i].ID] }, now)
-	if i < 0 {
-		return nil, refusedFull
+	for _, c := range []candidates{p.subset, p.all} {
+		i := pick.Choose(c.states, job, func(i int) bool { return tried[c.targets[i].ID] || c.targets[i].displaced }, now)
+		if i >= 0 {
+			return s.reserveLocked(c.targets[i], s.sharersLocked(c.targets[i]), service, rt.Name, left)
+		}
 	}
-	return s.reserveLocked(owners[i], service, rt.Name, left)
+	return nil, refusedFull
 }
 
 // chooseOwner reserves the target that owns the key, and tells what it decided
@@ -101,7 +97,7 @@
 	if cold && !t.pick.TakesCold() {
 		return nil, refusedCold, t.inputs()
 	}
-	e, why := s.reserveLocked(t, service, rt.Name, left)
+	e, why := s.reserveLocked(t, s.fleet.all.VMs, service, rt.Name, left)
 	if e == nil {
 		return nil, why, t.inputs()
 	}
@@ -109,18 +105,27 @@
 	return e, why, ""
 }
 
-// reserveLocked needs s.mu.
-func (s *routingState) reserveLocked(t *targetState, service, route string, left time.Duration) (*attempt, refusal) {
+// sharersLocked returns how many VMs send requests to a target of a pool. It needs s.mu.
+func (s *routingState) sharersLocked(t *targetState) int {
+	if t.sharers == 0 {
+		return s.fleet.all.VMs
+	}
+	return t.sharers
+}
+
+// reserveLocked reserves a target to which so many VMs send requests. It needs s.mu.
+func (s *routingState) reserveLocked(t *targetState, sharers int, service, route string, left time.Duration) (*attempt, refusal) {
 	usual := s.usualLocked(service, route)
 	e := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
-		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(),
+		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), sharers: sharers,
 	}
 	// Half of the expected time is about the fastest that it turns out to be.
 	if usual > 0 && t.pick.Load() > t.pick.Slots && e.expected/2 > left {
 		return nil, refusedLate
 	}
-	t.pick.Sent(s.vms)
+	t.pick.Sent(sharers)
+	s.inUse[t] = struct{}{}
 	return e, refusedNone
 }
 
@@ -147,7 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &e.target.pick
-	t.Gone(s.vms)
+	t.Gone(e.sharers)
 	switch how {
 	case endAnswered:
 		if e.cold {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -33,8 +33,6 @@
 	leases *published.Leases
 
 	mu sync.Mutex
-	// vms is how many VMs live.
-	vms int
 	// turn rises with each choice of a target.
 	turn int
 	// members decide which targets exist.
@@ -44,8 +42,16 @@
 	// changed is closed and replaced when routing or view change.
 	changed chan struct{}
 	// announce is called when the VM believes something new that others may not know.
-	announce  func()
-	targets   map[string]*targetState
+	announce func()
+	targets  map[string]*targetState
+	// byHash finds targets by their key in the loads of other VMs.
+	byHash map[uint32]*targetState
+	// pools holds the targets of each service that take requests.
+	pools map[string]*servicePool
+	// fleet is this VM's place among the others.
+	fleet fleetPlace
+	// inUse holds the targets that have requests of this VM, or had some lately.
+	inUse     map[*targetState]struct{}
 	budgets   map[string]*repeats.Budget
 	durations map[string]*duration.Table
 	// urgency counts the requests of each service by priority.
@@ -69,6 +75,9 @@
 	// leavesAt is until when a target that leaves may still get requests.
 	leavesAt time.Duration
 	pick     pick.State
+	// sharers is how many VMs have the target in their part of its pool; 0 while this VM has
+	// not.
+	sharers int
 }
 
 // maxKeysCounted bounds the keys that are counted for a service: as many as a VM
@@ -77,9 +86,10 @@
 
 func newRoutingState(clock boottime.Clock, logger *log.Logger, registry metrics.Registry, near string, limit repeats.Limit) *routingState {
 	s := &routingState{
-		clock: clock, log: logger, registry: registry, near: near, limit: limit, vms: 1,
+		clock: clock, log: logger, registry: registry, near: near, limit: limit, fleet: onlyVM,
 		members: catalog.NewMembers(), changed: make(chan struct{}), announce: func() {},
-		targets: make(map[string]*targetState), budgets: make(map[string]*repeats.Budget),
+		targets: make(map[string]*targetState), byHash: make(map[uint32]*targetState),
+		inUse: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes: make(map[uint64]map[uint32]time.Duration),
 		keyLoad: make(map[string]map[uint16]uint16),
@@ -162,10 +172,11 @@
 		if view.ByID[id] == nil {
 			s.log.Info().Str("step", "targets").Str("target", id).Str("service", t.Service).Str("source", source).Msg("target gone")
 			t.pool.Close()
-			delete(s.targets, id)
+			s.untrackLocked(t)
 		}
 	}
 	s.view.Store(view)
+	s.subsetLocked()
 	s.notifyLocked()
 	if source == sourceStore {
 		s.announce()
@@ -190,16 +201,28 @@
 	}
 	if old != nil {
 		old.pool.Close()
+		s.untrackLocked(old)
 	}
 	s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Int64("born", t.Born).
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
-	s.targets[t.ID] = &targetState{
+	now := &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.near},
 	}
 	if t.Draining {
-		s.targets[t.ID].leavesAt = s.clock.Now() + leavingMost
+		now.leavesAt = s.clock.Now() + leavingMost
+	}
+	s.targets[t.ID] = now
+	s.byHash[mesh.LoadKey(now.hash)] = now
+}
+
+// untrackLocked needs s.mu.
+func (s *routingState) untrackLocked(t *targetState) {
+	delete(s.targets, t.ID)
+	delete(s.inUse, t)
+	if key := mesh.LoadKey(t.hash); s.byHash[key] == t {
+		delete(s.byHash, key)
 	}
 }
 
@@ -208,29 +231,6 @@
 // their leaving was accepted.
 const leavingMost = 1500 * time.Millisecond
 
-// loads returns how many requests of this VM are at the targets.
-func (s *routingState) loads() []mesh.Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []mesh.Load
-	for _, t := range s.targets {
-		if t.pick.Own > 0 {
-			out = append(out, mesh.NewLoad(t.hash, t.pick.Own))
-		}
-	}
-	return out
-}
-
-// setOthers takes in what the other VMs have at the targets.
-func (s *routingState) setOthers(loads map[uint32]int, vms int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.vms = vms
-	for _, t := range s.targets {
-		t.pick.SetOthers(loads[mesh.LoadKey(t.hash)])
-	}
-}
-
 // setLimit changes the bound of repeats.
 func (s *routingState) setLimit(l repeats.Limit) {
 	s.mu.Lock()
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -59,6 +59,7 @@
 		"targets.listed":  func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
 		"targets.age":     func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
 		"mesh.live":       func() int64 { return int64(len(g.mesh.Live())) },
+		"subset.targets":  g.state.subsetSize,
 		"store.reachable": func() int64 { return boolGauge(g.storeUp.Load()) },
 	} {
 		g.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
--- /dev/null
+++ b/internal/gateway/subset_test.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/subset"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/route"
+)
+
+// largePool is the state of one of 200 VMs in two data centres with 200 targets.
+func largePool(t *testing.T) *routingState {
+	s := testState(newHandClock(0))
+	var list []catalog.Target
+	for i := range 200 {
+		list = append(list, catalog.Target{ID: fmt.Sprint(i), Service: "s", Addr: "127.0.0.1:1", Slots: 2, DataCentre: []string{"a", "b"}[i%2]})
+	}
+	s.list(1, list...)
+	s.setPlace(fleetPlace{all: subset.Place{Index: 90, VMs: 200}, near: subset.Place{Index: 40, VMs: 100}})
+	require.Less(t, len(s.pools["s"].subset.targets), 20)
+	return s
+}
+
+func (s *routingState) choose(t *testing.T) *attempt {
+	e, why := s.chooseFromPool("s", &route.Route{Name: "r"}, nil, time.Second, 0)
+	require.Equal(t, refusedNone, why)
+	return e
+}
+
+// Guards against a new connection for nearly every request in a large fleet.
+func TestVMOfALargeFleetUsesFewTargets(t *testing.T) {
+	s := largePool(t)
+	used := make(map[string]bool)
+	for range 500 {
+		e := s.choose(t)
+		used[e.id] = true
+		s.finish(e, endAnswered)
+	}
+	require.Less(t, len(used), 20)
+}
+
+// Guards against requests that are refused while targets outside of the VM's subset are free.
+func TestWholePoolIsUsedOnceTheSubsetIsFull(t *testing.T) {
+	s := largePool(t)
+	for _, at := range s.pools["s"].subset.targets {
+		at.pick.Others = 100
+	}
+	require.Zero(t, s.choose(t).target.sharers)
+}
+
+func TestSmallFleetUsesAllTargetsOfAPool(t *testing.T) {
+	s := testState(newHandClock(0))
+	for i := range 10 {
+		s.list(uint64(i+1), targetsOf(i+1)...)
+	}
+	s.setPlace(fleetPlace{all: subset.Place{Index: 3, VMs: 8}, near: subset.Place{Index: 1, VMs: 2}})
+	require.Len(t, s.pools["s"].subset.targets, 10)
+}
+
+func targetsOf(n int) []catalog.Target {
+	var list []catalog.Target
+	for i := range n {
+		list = append(list, catalog.Target{ID: fmt.Sprint(i), Service: "s", Addr: "127.0.0.1:1", Slots: 2, DataCentre: []string{"a", "b"}[i%2]})
+	}
+	return list
+}
+
+// Guards against a target that keeps the load of requests that have ended.
+func TestEndedRequestsLeaveNoLoad(t *testing.T) {
+	s := largePool(t)
+	var sent []*attempt
+	for range 30 {
+		sent = append(sent, s.choose(t))
+	}
+	require.NotEmpty(t, s.loads())
+	s.setPlace(fleetPlace{all: subset.Place{Index: 10, VMs: 150}, near: subset.Place{Index: 9, VMs: 70}})
+	for _, e := range sent {
+		s.finish(e, endAnswered)
+	}
+	s.setOthers(nil)
+	require.Empty(t, s.loads())
+	require.Empty(t, s.inUse)
+	for _, at := range s.targets {
+		require.Zero(t, at.pick.Load())
+	}
+}
+
+func TestLoadsOfOtherVMsReachTheTargets(t *testing.T) {
+	s := largePool(t)
+	key := mesh.LoadKey(catalog.Hash("7"))
+	s.setOthers(map[uint32]int{key: 4})
+	require.Equal(t, 4, s.targets["7"].pick.Others)
+	s.setOthers(map[uint32]int{key: 0})
+	require.Zero(t, s.targets["7"].pick.Others)
+}
