The grantor limits what VMs send for keys that get more than twice what their owner can do

Cause: counts of other VMs bound the queue of an owner only where they are fresh.

Change: the grantor knows the rate of each key. keyspread.Admitted cuts the hottest ranges of an owner whose load is over twice its capacity, all to the same rate; the part that is let through goes to all VMs with the leases, in steps of a fifth (lease.Limit). A VM refuses the rest at once, as not run, with a Retry-After that grows as the part falls. The refusal names part, epoch and version; the grantor logs rate and capacity.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,9 @@
 		if why == refusedLost {
 			return c.giveUp(string(why), left/lostRetry)
 		}
+		if why == refusedHot {
+			return c.giveUp(string(why), g.retryAfterLimit(c))
+		}
 		if e == nil {
 			return c.giveUp(string(why), g.retryAfter(c))
 		}
@@ -186,3 +189,13 @@
 	g.state.mu.Unlock()
 	return min(max(usual, leastRetry), mostRetry)
 }
+
+// retryAfterLimit returns when to come back to a key that is hotter than its owner: the owner
+// can do the requests that were refused in the time of one only over several.
+func (g *Gateway) retryAfterLimit(c *call) time.Duration {
+	part := 1.0
+	if r := g.state.leases.Of(c.service); r != nil {
+		part = r.LimitOf(c.key).Part()
+	}
+	return min(time.Duration(float64(g.retryAfter(c))/part), mostRetry)
+}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -145,6 +145,7 @@
 	l.queryLoad(ctx, now)
 	l.confirmIncarnations(ctx, now)
 	l.confirmEpoch(ctx, now)
+	l.limit(now)
 	l.publishChanges(now)
 }
 
@@ -216,7 +217,7 @@
 func (l *leader) vacant() *lease.Routing {
 	now := l.Clock.Now()
 	l.seq++
-	r := lease.NewRouting(l.grants.Record(), l.seq, func(i int) lease.SliceState { return l.grants.State(i, now) })
+	r := l.routing(l.seq, now)
 	r.Holder = ""
 	return r
 }
@@ -229,7 +230,7 @@
 
 // publishChanges publishes the leases when they have changed.
 func (l *leader) publishChanges(now time.Duration) {
-	routing := lease.NewRouting(l.grants.Record(), l.seq+1, func(i int) lease.SliceState { return l.grants.State(i, now) })
+	routing := l.routing(l.seq+1, now)
 	if routing.SameAs(l.published) {
 		return
 	}
@@ -237,6 +238,14 @@
 	l.publish(routing)
 }
 
+// routing returns the leases as they are now.
+func (l *leader) routing(seq uint64, now time.Duration) *lease.Routing {
+	record := l.grants.Record()
+	r := lease.NewRouting(record, seq, func(i int) lease.SliceState { return l.grants.State(i, now) })
+	r.SetLimits(func(i int) lease.Limit { return l.load.limits[record.Slices[i].From] })
+	return r
+}
+
 // publish puts leases in force here and replicates them to the other VMs.
 func (l *leader) publish(routing *lease.Routing) {
 	l.published = routing
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -62,12 +62,7 @@
 // plan returns the changes of owners that are wanted now.
 func (l *leader) plan(now time.Duration) []lease.Change {
 	record := l.grants.Record()
-	var live []lease.Owner
-	for _, o := range l.owners() {
-		if l.grants.Silent(o, now) < silentOwner && !l.grants.HasEnded(o) {
-			live = append(live, o)
-		}
-	}
+	live := l.live(now)
 	if len(live) == 0 {
 		return nil
 	}
@@ -85,6 +80,17 @@
 	return lease.EvenOut(record.Slices, live, l.targetLoad(live, now))
 }
 
+// live returns the owners that answer their orders.
+func (l *leader) live(now time.Duration) []lease.Owner {
+	var live []lease.Owner
+	for _, o := range l.owners() {
+		if l.grants.Silent(o, now) < silentOwner && !l.grants.HasEnded(o) {
+			live = append(live, o)
+		}
+	}
+	return live
+}
+
 // targetLoad tells what the measured load says of slices and owners.
 func (l *leader) targetLoad(live []lease.Owner, now time.Duration) lease.TargetLoad {
 	ranges, _, capacity := l.loads(live, now)
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -27,6 +27,10 @@
 	rates  *keyspread.Rates
 	asked  time.Duration
 	spread time.Duration
+	// limitNext is when the limits are decided again, limits holds those of slices that have
+	// one, by their first keys.
+	limitNext time.Duration
+	limits    map[uint16]lease.Limit
 	// slowness is the last word of each VM on each target, by the hash of its
 	// id.
 	slowness map[string]map[uint32]float64
@@ -106,6 +110,31 @@
 	return moved
 }
 
+// limit decides which part of the requests for each slice the VMs let through. Counts of an
+// owner's requests are older the more VMs there are: by these alone, all VMs together send the
+// owner of a hot key many times what it can do, and it leaves its renewals unanswered.
+func (l *leader) limit(now time.Duration) {
+	if now < l.load.limitNext {
+		return
+	}
+	l.load.limitNext = now + spreadEvery
+	ranges, _, capacity := l.loads(l.live(now), now)
+	limits := make(map[uint16]lease.Limit)
+	for i, part := range keyspread.Admitted(ranges, capacity) {
+		from := l.grants.Record().Slices[i].From
+		limit := lease.NewLimit(part, l.load.limits[from])
+		if limit == lease.Unlimited {
+			continue
+		}
+		limits[from] = limit
+		if l.load.limits[from] != limit {
+			l.Log.Info().Str("step", "limit").Str("service", l.service).Uint16("from", from).Float64("rate", ranges[i].Rate).
+				Float64("capacity", capacity[ranges[i].Owner]).Float64("part", limit.Part()).Msg("requests for hot keys limited")
+		}
+	}
+	l.load.limits = limits
+}
+
 // divide cuts these slices in two and reports whether it cut any.
 // A slice with a renewal in flight cannot be divided; it must not hold up the moves of others.
 func (l *leader) divide(which []int, sums []keyspread.Sum) bool {
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/lease"
 )
 
@@ -56,3 +57,44 @@
 		require.True(t, l.grants.Record().Slices[c.Slice].Owner.Same(hot))
 	}
 }
+
+// listedTargets is a directory of the targets of one service.
+type listedTargets struct {
+	emptyDirectory
+	list []catalog.Target
+}
+
+func (d listedTargets) View() *catalog.View {
+	return catalog.NewView(nil, catalog.Targets{Revision: 1, List: d.list})
+}
+
+// Guards against a fleet that overruns the owner of a hot key by counts that are seconds old.
+func TestGrantorLimitsWhatVMsSendForAHotKey(t *testing.T) {
+	clock := newHandClock(time.Hour)
+	n := testNode(clock)
+	defer n.mesh.Close()
+	owners := []lease.Owner{{ID: "a", Addr: "127.0.0.1:1"}, {ID: "b", Addr: "127.0.0.1:1"}}
+	directory := listedTargets{}
+	for _, o := range owners {
+		directory.list = append(directory.list, catalog.Target{ID: o.ID, Addr: o.Addr, Service: "s", Slots: 1})
+	}
+	n.TargetDirectory = directory
+	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.Even(4, owners)}
+	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	const hot, usual = 5, 60000
+	play := func(rate int) *lease.Routing {
+		for range 20 {
+			clock.advance(spreadEvery)
+			l.load.rates.Advance(clock.Now())
+			l.load.rates.Add(hot, rate*int(spreadEvery)/int(time.Second))
+			l.load.rates.Add(usual, 1)
+		}
+		l.limit(clock.Now())
+		return l.routing(1, clock.Now())
+	}
+	limited := play(200)
+	require.InDelta(t, 0.1, limited.LimitOf(hot).Part(), 0.04, "twice of ten a second")
+	require.Equal(t, lease.Unlimited, limited.LimitOf(usual))
+	require.Equal(t, lease.Unlimited, play(10).LimitOf(hot), "the key is no longer hot")
+}
--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/route"
+)
+
+// Guards against VMs that together send the owner of a hot key far more than it can do.
+func TestOnlyAPartOfTheRequestsForAHotKeyIsSent(t *testing.T) {
+	g := testGateway(newHandClock(time.Hour))
+	defer g.mesh.Close()
+	s := g.state
+	s.list(1, catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2})
+	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
+	hot := lease.NewRouting(record, 1, func(int) lease.SliceState { return lease.Served })
+	limit := lease.NewLimit(0.1, lease.Unlimited)
+	hot.SetLimits(func(i int) lease.Limit { return limit * lease.Limit(i) })
+	s.leases.Set(hot)
+	sent := func(key uint16) (n int) {
+		for range 1000 {
+			if e, why, _ := s.chooseOwner("s", &route.Route{Name: "r"}, key, time.Second); e != nil {
+				s.finish(e, endAnswered)
+				n++
+			} else {
+				require.Equal(t, refusedHot, why)
+			}
+		}
+		return n
+	}
+	require.InDelta(t, 1000*limit.Part(), sent(65535), 50)
+	require.Equal(t, 1000, sent(0), "the other keys of the owner are served")
+
+	c := &call{service: "s", key: 65535, route: &route.Route{Name: "r"}}
+	require.Greater(t, g.retryAfterLimit(c), g.retryAfter(c), "callers come back when the owner has done what it can")
+}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"hemlockquay/internal/decide/pick"
@@ -46,6 +47,8 @@
 	refusedLost   refusal = "owner of the key is lost"
 	refusedLate   refusal = "cannot be done in time"
 	refusedCold   refusal = "owner is full and the key cold"
+	// refusedHot: the owner can do only a part of what comes for the key.
+	refusedHot refusal = "key is hotter than its owner"
 	// refusedLeaving: this VM was told to stop, another one serves the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
@@ -92,6 +95,8 @@
 		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t", owner, t.displaced, t.Draining, t.pick.Resting(now))
 	case t.pick.FullFor(s.urgentLocked(service, rt.Priority)):
 		return nil, refusedFull, t.inputs()
+	case rand.Float64() >= r.LimitOf(key).Part():
+		return nil, refusedHot, fmt.Sprintf("%s part %.3f epoch %d seq %d", owner, r.LimitOf(key).Part(), r.Epoch, r.Seq)
 	}
 	cold := how == lease.Cold
 	if cold && !t.pick.TakesCold() {
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -17,6 +17,8 @@
 	Owner  []uint16 `msgpack:"w"`
 	// States tells how each slice is served.
 	States []SliceState `msgpack:"t"`
+	// Limits is which part of the requests for each slice is let through; empty: all of all.
+	Limits []Limit `msgpack:"l,omitempty"`
 }
 
 // SliceState tells how a slice is served.
@@ -48,6 +50,23 @@
 	return b.routing()
 }
 
+// SetLimits sets which part of the requests for each slice is let through.
+func (r *Routing) SetLimits(limit func(slice int) Limit) {
+	limits := make([]Limit, len(r.From))
+	for i := range limits {
+		limits[i] = limit(i)
+	}
+	r.Limits = compact(limits)
+}
+
+// limit returns the limit of slice i.
+func (r *Routing) limit(i int) Limit {
+	if len(r.Limits) == 0 {
+		return Unlimited
+	}
+	return r.Limits[i]
+}
+
 // routingBuilder puts a routing together, slice by slice.
 type routingBuilder struct {
 	out    Routing
@@ -64,15 +83,18 @@
 	b.out.From = append(b.out.From, from)
 	b.out.Owner = append(b.out.Owner, uint16(b.owners.of(owner)))
 	b.out.States = append(b.out.States, state)
+	b.out.Limits = append(b.out.Limits, Unlimited)
 }
 
 // addFrom adds slice i of another routing.
 func (b *routingBuilder) addFrom(r *Routing, i int) {
 	b.add(r.From[i], r.Owners[r.Owner[i]], r.States[i])
+	b.out.Limits[len(b.out.Limits)-1] = r.limit(i)
 }
 
 func (b *routingBuilder) routing() *Routing {
 	b.out.Owners = b.owners.list
+	b.out.Limits = compact(b.out.Limits)
 	return &b.out
 }
 
@@ -83,6 +105,23 @@
 
 // Find returns the owner of a key and how the key is served.
 func (r *Routing) Find(key uint16) (owner string, state SliceState) {
+	if len(r.From) == 0 {
+		return "", Moving
+	}
+	i := r.slice(key)
+	return r.Owners[r.Owner[i]], r.States[i]
+}
+
+// LimitOf returns which part of the requests for a key is let through.
+func (r *Routing) LimitOf(key uint16) Limit {
+	if len(r.From) == 0 {
+		return Unlimited
+	}
+	return r.limit(r.slice(key))
+}
+
+// slice returns the index of the slice that holds a key.
+func (r *Routing) slice(key uint16) int {
 	lo, hi := 0, len(r.From)
 	for hi-lo > 1 {
 		if mid := (lo + hi) / 2; r.From[mid] <= key {
@@ -91,10 +130,7 @@
 			hi = mid
 		}
 	}
-	if len(r.From) == 0 {
-		return "", Moving
-	}
-	return r.Owners[r.Owner[lo]], r.States[lo]
+	return lo
 }
 
 // Bytes of the parts of a routing in MessagePack.
@@ -119,7 +155,7 @@
 		return false
 	}
 	for i := range r.From {
-		if r.From[i] != o.From[i] || r.States[i] != o.States[i] || r.Owners[r.Owner[i]] != o.Owners[o.Owner[i]] {
+		if r.From[i] != o.From[i] || r.States[i] != o.States[i] || r.limit(i) != o.limit(i) || r.Owners[r.Owner[i]] != o.Owners[o.Owner[i]] {
 			return false
 		}
 	}
--- a/internal/lease/update.go
+++ b/internal/lease/update.go
@@ -26,7 +26,7 @@
 		if ok {
 			known++
 		}
-		if !ok || now.States[i] != old.States[at] || now.Owners[now.Owner[i]] != old.Owners[old.Owner[at]] {
+		if !ok || now.States[i] != old.States[at] || now.limit(i) != old.limit(at) || now.Owners[now.Owner[i]] != old.Owners[old.Owner[at]] {
 			b.addFrom(now, i)
 		}
 	}
@@ -76,5 +76,8 @@
 	if len(r.Owner) != len(r.From) || len(r.States) != len(r.From) {
 		return false
 	}
+	if len(r.Limits) != 0 && len(r.Limits) != len(r.From) {
+		return false
+	}
 	return !slices.ContainsFunc(r.Owner, func(at uint16) bool { return int(at) >= len(r.Owners) })
 }
