--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -1,4 +1,4 @@
-// Package pick chooses the target of a pool for a request, and says how long a
+// Package pick chooses the target of a pool for a request, and estimates how long the
 // request would wait there.
 //
 // Targets of a pool differ in speed, have few slots, and are used by all VMs at once. Without a shared
@@ -36,7 +36,7 @@
 	// in units of slots: targets queue about four times their slots.
 	urgentFactor = 0.75
 	// LoadsEvery is the time between two calls of SetOthers. unseenFade lets what was not
-	// seen fade within the period of the VMs' words, 0.15 s. unseenShare is how
+	// seen fade within the period of the VMs' reports. unseenShare is how
 	// much of what this VM sends the others send too: half, since most load is
 	// of its own making.
 	LoadsEvery  = 50 * time.Millisecond
@@ -58,12 +58,12 @@
 	// Slots is how many requests it runs at a time.
 	Slots int
 	// Own is how many requests of this VM are there, Others those of the other
-	// VMs as they last said.
+	// VMs as last reported.
 	Own, Others int
-	// Near says that it is in this VM's data centre.
+	// Near reports whether it is in this VM's data centre.
 	Near bool
-	// Unseen is what the other VMs are likely to have sent there since they last
-	// said: as much as this one, for the same reason.
+	// Unseen is what the other VMs are likely to have sent there since their last
+	// reports: as much as this one, for the same reason.
 	Unseen float64
 
 	logSlow   float64
@@ -102,7 +102,7 @@
 // Full reports whether it may queue no more.
 func (s *State) Full() bool { return s.Load() >= queueFactor*max(s.Slots, 1) }
 
-// FullFor tells the same for a request that may have the last places, or may not.
+// FullFor is Full for a request that may have the last places, or may not.
 func (s *State) FullFor(lastPlaces bool) bool {
 	if !lastPlaces {
 		return s.Full()
@@ -138,11 +138,11 @@
 	Usual time.Duration
 	// Objective is the time within which the answer has its full value.
 	Objective time.Duration
-	// First is the target that is looked at first: of several that are equally good
+	// First is the target that is examined first: of several that are equally good
 	// the first is taken.
 	// Searched in one order, the first targets of the list would get nearly all requests.
 	First int
-	// LastPlaces says that it may have the last places of a full target.
+	// LastPlaces reports whether it may have the last places of a full target.
 	LastPlaces bool
 }
 
@@ -165,7 +165,7 @@
 	return score
 }
 
-// Answered takes in an answer that took so long, where such requests usually take
+// Answered records an answer that took so long, where such requests usually take
 // usual. rounds is what Rounds was when it was sent.
 func (s *State) Answered(took, usual time.Duration, rounds float64) {
 	s.lost, s.rests, s.restUntil = 0, 0, 0
@@ -181,16 +181,16 @@
 // for too much.
 func Bounded(ratio float64) float64 { return min(max(ratio, 1/slowestRatio), slowestRatio) }
 
-// Failed takes in a request that the target ran or refused without success.
+// Failed records a request that the target ran or refused without success.
 func (s *State) Failed() { s.failures += (1 - s.failures) / failureSamples }
 
-// Unreached takes in that the target could not be connected to.
+// Unreached records that the target could not be connected to.
 func (s *State) Unreached(now time.Duration) {
 	s.Failed()
 	s.rest(now)
 }
 
-// Lost takes in that an answer of the target did not come.
+// Lost records that an answer of the target did not come.
 // A single lost answer is no reason to refuse all requests for its keys.
 func (s *State) Lost(now time.Duration) {
 	s.Failed()
@@ -205,7 +205,7 @@
 }
 
 // Choose returns the index of the best target, or -1 where all are full. skip
-// tells which to leave out; targets that rest are taken where no other is left.
+// reports which to leave out; targets that rest are taken where no other is left.
 func Choose(states []*State, j Job, skip func(int) bool, now time.Duration) int {
 	best, bestScore := -1, math.Inf(1)
 	for k := range states {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,7 +61,7 @@
 	return g.state.chooseFromPool(c.service, c.route, c.tried, left, g.clock.Now())
 }
 
-// await waits for a change of leases or targets and reports whether to look again.
+// await waits for a change of leases or targets and reports whether to try again.
 func (g *Gateway) await(ctx context.Context, c *call, most time.Duration) bool {
 	left := min(most-c.waited, time.Until(c.until)-leastLeft)
 	if left <= 0 {
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// lost takes in that the answer is lost: the request may have run.
+// lost handles an answer that is lost: the request may have run.
 func (g *Gateway) lost(ctx context.Context, c *call, e *attempt) *outcome {
 	c.arrivals++
 	c.ran++
@@ -152,7 +152,7 @@
 	return nil
 }
 
-// notRun takes in that the target has refused the request.
+// notRun handles the refusal of a request by its target.
 func (g *Gateway) notRun(ctx context.Context, c *call, e *attempt, a *upstream.Answer) *outcome {
 	c.arrivals++
 	if g.headers.another(a, e.id) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 	storeAnsweredAt atomic.Int64
 	// storeRelayedAt is when the store last answered through another VM, on clock.
 	storeRelayedAt atomic.Int64
-	// targetsConfirmedAt is when the store, or a VM that it answers, last told of the targets,
+	// targetsConfirmedAt is when the store, or a VM that it answers, last confirmed the list of targets,
 	// on clock.
 	targetsConfirmedAt atomic.Int64
 	// listed reports whether the targets are known.
@@ -183,7 +183,7 @@
 	}
 }
 
-// serveReady tells the balancer whether to send new connections.
+// serveReady reports to the balancer whether to send new connections.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if g.leaving.Load() || g.state.view.Load().Routes == nil || !g.listed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -208,18 +208,18 @@
 	}
 }
 
-// Figures of the graceful shutdown, as parts of the grace.
+// Times of the graceful shutdown, as parts of the grace.
 const (
-	// stopAccepting is when the listener is closed: the balancer looks once a
+	// stopAccepting is when the listener is closed: the balancer checks once a
 	// second and takes a VM out after two misses.
 	stopAccepting = 0.55
-	// stopWaiting is when requests that still run are given up.
+	// stopWaiting is when requests that still run are ended.
 	stopWaiting = 0.92
 )
 
 // stop leaves: first the balancer and the other VMs learn of it, while requests
 // are served as before; then new connections end; then the process, when the last
-// answer is out.
+// answer has been sent.
 // Kept connections and the listener stay open at first: requests in flight would be lost.
 func (g *Gateway) stop(ctx context.Context) error {
 	begin := time.Now()
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -11,7 +11,7 @@
 	"hemlockquay/internal/platform"
 )
 
-// Figures of leases.
+// Timeouts and limits of leases.
 const (
 	// holdTime is how long a grant lasts. Keys of a lost owner are free again
 	// after it; a lost grantor must be succeeded within it.
@@ -20,19 +20,19 @@
 	renewEvery = 600 * time.Millisecond
 	// orderRetry is the pause after a failed order.
 	orderRetry = 100 * time.Millisecond
-	// leadStep is the time between two looks of a grantor.
+	// leadStep is the time between two iterations of a grantor.
 	leadStep = 20 * time.Millisecond
 	// meetTime is how long a VM that starts meets the others before it takes over
 	// anything: when all start at once, each would succeed the one before.
 	meetTime = 400 * time.Millisecond
-	// candidateStep is the time between two looks of a VM that is none.
+	// candidateStep is the time between two iterations of a VM that is none.
 	candidateStep = 100 * time.Millisecond
-	// rankPause is by how much the next in line waits longer than the one before.
+	// rankPause is by how much the next in the succession waits longer than the one before.
 	rankPause = 400 * time.Millisecond
 	// closeSuccessors is how many VMs monitor the grantor closely, the grantor itself
 	// counted, which mostly has the first place.
 	closeSuccessors = 4
-	// monitorEvery is how often a VM looks whether it is one of them.
+	// monitorEvery is how often a VM checks whether it is one of them.
 	monitorEvery = time.Second
 	// strandedAfter is how long the grantor must have been without the store, and
 	// this VM with it. After an outage VMs find the store again within
@@ -72,7 +72,7 @@
 	// storeProvenSince is since when the store has answered this VM while the grantor, which
 	// lives, was stranded; 0 while it was not.
 	storeProvenSince time.Duration
-	// monitorNext is when this VM looks again whether it should monitor the grantor.
+	// monitorNext is when this VM checks again whether it should monitor the grantor.
 	monitorNext time.Duration
 	// strandedSince is since when the grantor does not reach the store.
 	strandedSince time.Duration
@@ -238,7 +238,7 @@
 }
 
 // presume has the owners that the predecessor granted last count as serving their keys for
-// as long as its grants last. They are dated from when it was last heard of.
+// as long as its grants last. They are dated from its last heartbeat.
 func (c *candidate) presume(grants *lease.Grantor, old lease.Record) {
 	last := c.Leases.Of(c.service)
 	heard, known := c.Mesh.LastHeard(old.Holder, old.Incarnation)
@@ -258,7 +258,7 @@
 	return t.Config().Services[c.service].ColdMove
 }
 
-// past tells what may still be in force of the grantor before. Its process has
+// past returns what may still be in force of the grantor before. Its process has
 // ended for sure where another one runs at its address: this one, or one that the
 // mesh knows.
 func (c *candidate) past(old lease.Record, fresh bool) lease.PriorGrants {
@@ -272,7 +272,7 @@
 }
 
 // stillLed reports whether the record names a grantor that lives, and makes it
-// known: this VM had not heard of it yet.
+// known: no heartbeat had named it yet.
 func (c *candidate) stillLed(r lease.Record) bool {
 	if r.Resigned || r.Holder == c.Self.VM || !c.Mesh.Lives(r.Holder, r.Incarnation) || c.stranded(r.Holder) {
 		return false
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -27,13 +27,13 @@
 	// resignPause is the time between two tries to resign while the store does not
 	// answer.
 	resignPause = 200 * time.Millisecond
-	// planEvery is the least time between two looks at who should own what.
+	// planEvery is the least time between two plans of who should own what.
 	planEvery = 100 * time.Millisecond
 	// strayedSilence is for how long an owner has left orders unanswered when it counts
 	// as silent: two orders in a row ran into their timeouts.
 	// Targets that leave half of their orders unanswered must not make the grantors resign in turn.
 	strayedSilence = 2 * grantTimeout
-	// unfitTime is how long a VM that resigned is the last in line.
+	// unfitTime is how long a VM that resigned is the last in the succession.
 	unfitTime = 8 * time.Second
 	// eventQueue bounds the ends of orders and calls that wait for the leader.
 	eventQueue = 1024
@@ -53,9 +53,9 @@
 	events  chan func()
 	deposed bool
 	writing bool
-	// unsettled says that the answer to the last write was lost.
+	// unsettled reports whether the answer to the last write was lost.
 	unsettled bool
-	// resigning says that the resignation is on its way to the store; no orders are sent
+	// resigning reports whether the resignation is being written; no orders are sent
 	// any more.
 	resigning  bool
 	resignNext time.Duration
@@ -172,7 +172,7 @@
 // expire within a hold.
 func (l *leader) tryResign(ctx context.Context, now time.Duration) {
 	if l.resigning || l.writing || l.reading || now < l.resignNext {
-		// A write that is on its way comes first.
+		// A write in flight comes first.
 		return
 	}
 	l.resignNext = now + resignPause
@@ -185,7 +185,7 @@
 	})
 }
 
-// resign ends the orders of a grantor that leaves or is too slow, then says so in
+// resign ends the orders of a grantor that leaves or is too slow, then marks
 // the record, so that its successor need not wait for its authority to end.
 func (l *leader) resign(ctx context.Context) {
 	l.orderUntil.Store(0)
@@ -202,7 +202,7 @@
 	}()
 }
 
-// resigned takes in the end of the write. One that the store surely did not take, and
+// resigned handles the end of the write. One that the store surely did not apply, and
 // never will, changes nothing: the grantor goes on.
 func (l *leader) resigned(err error) {
 	if errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrAmbiguous) {
@@ -222,7 +222,7 @@
 	return r
 }
 
-// succeeded reports whether a later epoch was heard of.
+// succeeded reports whether a later epoch is known.
 func (l *leader) succeeded() bool {
 	r := l.Leases.Of(l.service)
 	return r != nil && r.Epoch > l.grants.Record().Epoch
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -11,7 +11,7 @@
 	"hemlockquay/internal/platform"
 )
 
-// writePlanned looks who should own what and has changes written.
+// writePlanned plans who should own what and starts the write of changes.
 func (l *leader) writePlanned(ctx context.Context, now time.Duration) {
 	if l.writing || now < l.planNext || !l.LocalState.StoreReachable() {
 		return
@@ -91,7 +91,7 @@
 	return live
 }
 
-// targetLoad tells what the measured load says of slices and owners.
+// targetLoad returns the measured load of slices and owners.
 func (l *leader) targetLoad(live []lease.Owner, now time.Duration) lease.TargetLoad {
 	ranges, _, capacity := l.loads(live, now)
 	load := make(map[lease.Owner]float64, len(live))
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// queryLoadEvery is how often the grantor asks the VMs for the load of keys.
+	// queryLoadEvery is how often the grantor queries the VMs for the load of keys.
 	queryLoadEvery = 250 * time.Millisecond
-	// spreadEvery is the least time between two looks at the load: rates fade
+	// spreadEvery is the least time between two checks of the load: rates fade
 	// over about a second, and a move takes a few hundred milliseconds.
 	spreadEvery = 300 * time.Millisecond
 	// slicesDivided bounds the slices of a service, with those that were divided.
@@ -31,7 +31,7 @@
 	// one, by their first keys.
 	limitNext time.Duration
 	limits    map[uint16]lease.Limit
-	// slowness is the last word of each VM on each target, by the hash of its
+	// slowness is the last report of each VM on each target, by the hash of its
 	// id.
 	slowness map[string]map[uint32]float64
 }
@@ -51,7 +51,7 @@
 	v.slowness[vm] = slow
 }
 
-// slownessOf returns the mean word of all VMs on a target.
+// slownessOf returns the mean of what all VMs report of a target.
 func (v *loadView) slownessOf(target uint32) float64 {
 	sum, n := 0.0, 0
 	for _, m := range v.slowness {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,7 +58,7 @@
 }
 
 // behindLeast is for how long leases are behind before they are fetched: the
-// grantor's own word is faster, and a heartbeat may overtake it.
+// grantor's own update is faster, and a heartbeat may overtake it.
 const behindLeast = 100 * time.Millisecond
 
 // behind reports whether leases known here have been behind for a while.
@@ -115,7 +115,7 @@
 	return nil
 }
 
-// Push takes in changed leases from their grantor. The answer is false if the update
+// Push applies changed leases from their grantor. The answer is false if the update
 // builds on a version that is not the one known here.
 func (v View) Push(in *lease.Update, used *bool) error {
 	*used = v.gateway.state.leases.Update(in)
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -23,16 +23,16 @@
 	rounds   float64
 	expected time.Duration
 	load     int
-	// cold says that the key is cold at its owner.
+	// cold reports whether the key is cold at its owner.
 	cold bool
 	// sharers is how many VMs sent requests to the target then.
 	sharers int
 }
 
-// refusal says why no target was chosen.
+// refusal is why no target was chosen.
 type refusal string
 
-// inputs tells what a refusal was decided on, for the log.
+// inputs describes what a refusal was decided on, for the log.
 func (t *targetState) inputs() string {
 	return fmt.Sprintf("%s own %d others %d likely %.1f slots %d slowness %.2f",
 		t.ID, t.pick.Own, t.pick.Others, t.pick.Unseen, t.pick.Slots, t.pick.Slowness())
@@ -72,8 +72,8 @@
 	return nil, refusedFull
 }
 
-// chooseOwner reserves the target that owns the key, and tells what it decided
-// on where it refuses.
+// chooseOwner reserves the target that owns the key. Where it refuses, it describes
+// what it decided on.
 func (s *routingState) chooseOwner(service string, rt *route.Route, key uint16, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,7 +134,7 @@
 	return e, refusedNone
 }
 
-// end says how a sending ended.
+// end is how a sending ended.
 type end int
 
 // The ends.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -69,7 +69,7 @@
 	catalog.Target
 	hash uint32
 	pool *upstream.Pool
-	// displaced says that another target answers at the address: this life is
+	// displaced reports whether another target answers at the address: this life is
 	// over, though its entry is still listed.
 	displaced bool
 	// leavesAt is until when a target that leaves may still get requests.
@@ -135,7 +135,7 @@
 // unreadLines bounds the log lines on one version's values that were not understood.
 const unreadLines = 20
 
-// noteUnread tells of what was not understood of a configuration. The metric counts
+// noteUnread logs what was not understood of a configuration. The metric counts
 // what is in force, not what was seen.
 func (s *routingState) noteUnread(c *route.Config) {
 	metrics.GetOrRegisterGauge("config.unread", s.registry).Update(int64(len(c.Unread)))
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,10 +12,10 @@
 	"hemlockquay/internal/platform"
 )
 
-// Figures of the watches.
+// Timeouts and limits of the watches.
 const (
 	// watchWait is how long a watch waits for changes. The store may drop its
-	// history and tell a waiting watch nothing of a change before; the next
+	// history and leave a waiting watch without an earlier change; the next
 	// call finds out. A change must be known within about two seconds.
 	watchWait = 1300 * time.Millisecond
 	// watchSlack is what the answer may take on top.
@@ -27,10 +27,10 @@
 	// Each call to the store counts, and with three the loss of one delays
 	// nothing.
 	watchers = 3
-	// idleStep is the time between two looks of a VM whether it is to watch.
+	// idleStep is the time between two checks of a VM whether it is to watch.
 	idleStep = 100 * time.Millisecond
 	// storePauseLeast and storePauseMost bound the pause after a failed call:
-	// short, since news of the store bind us soon after its return.
+	// short, since changes bind the VM soon after the store's return.
 	storePauseLeast = 50 * time.Millisecond
 	storePauseMost  = 400 * time.Millisecond
 )
--- a/internal/lease/routing.go
+++ b/internal/lease/routing.go
@@ -15,13 +15,13 @@
 	Owners []string `msgpack:"o"`
 	From   []uint16 `msgpack:"f"`
 	Owner  []uint16 `msgpack:"w"`
-	// States tells how each slice is served.
+	// States is how each slice is served.
 	States []SliceState `msgpack:"t"`
 	// Limits is which part of the requests for each slice is let through; empty: all of all.
 	Limits []Limit `msgpack:"l,omitempty"`
 }
 
-// SliceState tells how a slice is served.
+// SliceState is how a slice is served.
 type SliceState uint8
 
 // The states.
@@ -41,7 +41,7 @@
 // Serves reports whether the owner answers for the keys.
 func (s SliceState) Serves() bool { return s == Served || s == Cold }
 
-// NewRouting returns the routing of a record. state tells it of slice i.
+// NewRouting returns the routing of a record. state returns that of slice i.
 func NewRouting(r Record, seq uint64, state func(i int) SliceState) *Routing {
 	b := newRoutingBuilder(Routing{Service: r.Service, Epoch: r.Epoch, Seq: seq, Holder: r.Holder, Incarnation: r.Incarnation}, len(r.Slices))
 	for i, s := range r.Slices {
@@ -149,7 +149,7 @@
 	return size
 }
 
-// SameAs reports whether both say the same of every key.
+// SameAs reports whether both are the same for every key.
 func (r *Routing) SameAs(o *Routing) bool {
 	if o == nil || r.Epoch != o.Epoch || len(r.From) != len(o.From) {
 		return false
--- a/internal/lease/update.go
+++ b/internal/lease/update.go
@@ -31,7 +31,7 @@
 		}
 	}
 	if known != len(old.From) {
-		// Slices were joined, which an update cannot say.
+		// Slices were joined, which an update cannot express.
 		return &Update{Routing: *now}
 	}
 	return &Update{Base: old.Seq, BaseEpoch: old.Epoch, Routing: *b.routing()}
@@ -65,7 +65,7 @@
 	return b.routing(), true
 }
 
-// head returns what a routing says beside its slices.
+// head returns a routing without its slices.
 func (r *Routing) head() Routing {
 	return Routing{Service: r.Service, Epoch: r.Epoch, Seq: r.Seq, Holder: r.Holder, Incarnation: r.Incarnation}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,8 +1,9 @@
-// Package mesh joins the VMs of the system: who lives, what each one believes of
+// Package mesh joins the VMs of the system: which ones live, what each one believes of
 // the store, and what it has running at the targets.
 //
-// Each VM exchanges a heartbeat with each other one several times a second. A heartbeat is
-// small and holds only versions; who sees a newer one fetches it.
+// Each VM exchanges heartbeats with each other one, with its neighbours several times a second
+// and with the rest the more rarely the larger the fleet is. A heartbeat is small and holds only
+// versions; a VM that sees a newer one fetches it.
 package mesh
 
 import (
@@ -22,7 +23,7 @@
 // Periods of the mesh.
 const (
 	// basePeriod is the time between two exchanges of a pair of VMs in a small
-	// fleet. One of the two calls; the reply tells as much as the call.
+	// fleet. One of the two calls; the reply carries as much as the call.
 	basePeriod = 150 * time.Millisecond
 	// overdue is after how many periods without a heartbeat the other one calls.
 	overdue = 1.6
@@ -48,7 +49,7 @@
 
 // Local is what the mesh asks of its VM.
 type Local interface {
-	// Heartbeat returns the state to tell.
+	// Heartbeat returns the state to send.
 	Heartbeat() Heartbeat
 	// OnHeartbeat is called with each heartbeat of a live VM. It must not block.
 	OnHeartbeat(Heartbeat)
@@ -86,8 +87,8 @@
 	// neighbours are the VMs that use some of the same targets as this one.
 	neighbours map[string]bool
 	loads      loadSums
-	// blindUntil is until when nobody is taken for lost: we were paused
-	// ourselves.
+	// blindUntil is until when no VM counts as failed: this one was paused
+	// itself.
 	blindUntil time.Duration
 	lastStep   time.Duration
 }
@@ -147,7 +148,7 @@
 	return who.Incarnation > old.member.Incarnation || m.clock.Now()-old.lastHeard > m.silenceLocked()
 }
 
-// Live returns the VMs that were heard of lately, this one included, in order of
+// Live returns the VMs that sent heartbeats lately, this one included, in order of
 // their names. Those that leave are left out.
 func (m *Mesh) Live() []Member {
 	out := m.live()
@@ -169,8 +170,8 @@
 	return out
 }
 
-// Lives reports whether this life of a VM was heard of lately. One that leaves does its
-// duties until it says that it has given them up.
+// Lives reports whether this life of a VM sent heartbeats lately. One that leaves does its
+// duties until it reports that they have ended.
 func (m *Mesh) Lives(vm string, incarnation uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -181,8 +182,8 @@
 	return r != nil && r.member.Incarnation == incarnation && m.liveLocked(r, m.clock.Now())
 }
 
-// LastHeard returns when this life of a VM was last heard of, on the mesh's clock; false if
-// it is not known.
+// LastHeard returns when the last heartbeat of this life of a VM arrived, on the mesh's clock;
+// false if it is not known.
 func (m *Mesh) LastHeard(vm string, incarnation uint64) (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
