mesh: the pause after a failed heartbeat grows with the period

Found by reading: a VM that fails would be called each 0.25 s by all others until it counts as failed, after 12 s at 195 VMs. The loss of half of them would cost the other half some 200 calls a second each. A quarter of the period is 1.1 s there; up to 47 VMs nothing changes. Not measured alone.

--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -41,11 +41,15 @@
 	}
 }
 
+// retryShare is the part of the period after which a failed exchange is repeated: more often, the
+// loss of half of a large fleet would keep the other half busy with calls to it.
+const retryShare = 0.25
+
 // pauseAfter returns the pause after an exchange. A failed one is repeated soon, so that one
 // lost message does not make a VM count as failed; one that has failed is called rarely.
 func pauseAfter(err error, lost bool, period time.Duration) time.Duration {
 	if err != nil && !lost {
-		return min(period, closePeriod)
+		return min(period, max(closePeriod, time.Duration(retryShare*float64(period))))
 	}
 	return period
 }
