--- /dev/null
+++ b/internal/mesh/slope_test.go
@@ -0,0 +1,56 @@
+package mesh
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// fleet returns a mesh that knows so many VMs, each with requests at ten targets.
+func fleet(b *testing.B, n int) (*Mesh, []Heartbeat) {
+	clock := new(handClock)
+	clock.advance(time.Hour)
+	self := Member{VM: "self", Addr: "127.0.0.1:1", Incarnation: 1}
+	m := New(self, clock, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	m.Start(silentLocal{self})
+	b.Cleanup(m.Close)
+	heartbeats := make([]Heartbeat, n)
+	for i := range heartbeats {
+		heartbeats[i].From = Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}
+		for target := range 10 {
+			heartbeats[i].Loads = append(heartbeats[i].Loads, NewLoad(uint32(i*7+target)<<8, 1))
+		}
+		m.receive(heartbeats[i])
+	}
+	return m, heartbeats
+}
+
+// BenchmarkSlopePlace is finding the VM's place for a duty, by VMs.
+func BenchmarkSlopePlace(b *testing.B) {
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			m, _ := fleet(b, n)
+			for b.Loop() {
+				m.Place("watch", m.ReachesStore)
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeLoads is 50 ms of loads of a fleet that sends 80 heartbeats a second, by VMs.
+func BenchmarkSlopeLoads(b *testing.B) {
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			m, heartbeats := fleet(b, n)
+			for b.Loop() {
+				for i := range 4 {
+					m.receive(heartbeats[i])
+				}
+				m.ChangedLoads()
+			}
+		})
+	}
+}
