--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,7 @@
 	assigner    *assigner
 	commander   *target.Commander
 	grantor     *grantorDuty
-	// grantsPushed tells the heartbeater that the grants changed.
+	// grantsPushed notifies the heartbeater that the grants changed.
 	grantsPushed chan struct{}
 	cancel       context.CancelFunc
 	duties       sync.WaitGroup
@@ -79,7 +79,7 @@
 	return a, nil
 }
 
-// build creates the parts, which tell the relay of their changes.
+// build creates the parts, which notify the relay of their changes.
 func (a *agent) build() {
 	s := a.Settings
 	a.relay = newRelay(a.incarnation)
--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -25,7 +25,7 @@
 const (
 	// planEvery is how often elections and plans are looked at.
 	planEvery = 500 * time.Millisecond
-	// tellEvery is how often a VM tells assigners of its load.
+	// tellEvery is how often a VM reports its load to assigners.
 	tellEvery = time.Second
 )
 
--- a/internal/agent/faults_play_test.go
+++ b/internal/agent/faults_play_test.go
@@ -20,7 +20,7 @@
 	"hemlockquay/internal/wire"
 )
 
-// changePlay is one change of a contract on its way into force.
+// changePlay is one change of a contract being put in force.
 type changePlay struct {
 	t      *testing.T
 	chart  *statechart.Chart
@@ -100,7 +100,7 @@
 	p.inject(p)
 }
 
-// run plays the change and tells what its operator received.
+// run plays the change and returns what its operator received.
 func (p *changePlay) run() string {
 	p.mu.Lock()
 	if p.step.Event == "" {
--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -52,7 +52,7 @@
 	inbox     *ring.Ring[answer]
 	woken     chan struct{}
 
-	// served is which groups a live agent grants, highest the highest rank told of
+	// served is which groups a live agent grants, highest the highest rank reported of
 	// each, as of peersSeen.
 	served    map[groupID]bool
 	highest   map[groupID]wire.Rank
@@ -89,7 +89,7 @@
 	return d
 }
 
-// wake tells the duty that the configuration changed.
+// wake notifies the duty that the configuration changed.
 func (d *grantorDuty) wake() {
 	select {
 	case d.woken <- struct{}{}:
@@ -157,10 +157,10 @@
 	return func(vm string) bool { return live[vm] || !settled }
 }
 
-// observeFunc gives what heartbeats tell of a group.
+// observeFunc gives what heartbeats report of a group.
 type observeFunc func(service string, id uint64) grants.Observation
 
-// lookAtPeers notes which groups a live agent tells a grant of, and returns
+// lookAtPeers notes which groups a live agent reports a grant of, and returns
 // whether it was time to. It goes over all
 // grants, and nothing below a second depends on it.
 func (d *grantorDuty) lookAtPeers(now time.Duration, live map[string]bool) bool {
@@ -211,7 +211,7 @@
 	}
 }
 
-// publish tells dispatchers which grants are confirmed. A group's last grant
+// publish reports to dispatchers which grants are confirmed. A group's last grant
 // stays told until another is, or until this agent stepped down or fails.
 func (d *grantorDuty) publish(service string, h *heldService, ids []uint64, now time.Duration) {
 	var confirmed []wire.Grant
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -13,14 +13,14 @@
 )
 
 // heartbeater sends heartbeats to all listed peers. It is one goroutine and one for
-// each heartbeat on its way.
+// each heartbeat in flight.
 type heartbeater struct {
 	members *members
 	peers   *peer.Pool
 	every   time.Duration
 	// seeds are agents to ask while the platform's list is not known.
 	seeds []string
-	// grants are pushed when pushes tells that they changed: a key that was
+	// grants are pushed when pushes signals that they changed: a key that was
 	// lost is served again as soon as dispatchers know its new owner.
 	grants *grantTable
 	pushes <-chan struct{}
@@ -90,7 +90,7 @@
 	}
 }
 
-// beat sends one heartbeat unless the last is still on its way.
+// beat sends one heartbeat unless the last is still in flight.
 func (h *heartbeater) beat(ctx context.Context, vm, addr string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/agent/heldorders_test.go
+++ b/internal/agent/heldorders_test.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// giveUp cuts the owner off and sends it a renewal, which is given up once it is on its way.
+// giveUp cuts the owner off and sends it a renewal, which is given up once it is in flight.
 func (p *heldPlay) giveUp() {
 	p.owner.Cut()
 	p.pass(heldParams().Every)
--- a/internal/agent/hints.go
+++ b/internal/agent/hints.go
@@ -77,7 +77,7 @@
 }
 
 // of returns which of the service's targets leave or are silent, and the
-// incarnations told, by name.
+// incarnations reported, by name.
 func (h *targetHints) of(s *model.Service) (leaving, lost map[string]bool, incarnations map[string]string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/agent/loads.go
+++ b/internal/agent/loads.go
@@ -11,7 +11,7 @@
 // loadSilence is how long the figures of a VM count after its last report.
 const loadSilence = 5 * time.Second
 
-// loadBook is what VMs told an assigner of the load of groups. It is safe for
+// loadBook is what VMs reported to an assigner of the load of groups. It is safe for
 // concurrent use.
 type loadBook struct {
 	clock boottime.Clock
@@ -54,7 +54,7 @@
 	return sum
 }
 
-// Loads implements the RPC by which VMs tell an assigner of their load.
+// Loads implements the RPC by which VMs report their load to an assigner.
 func (r *relay) Loads(args *wire.LoadsArgs, _ *wire.Empty) error {
 	r.loads.take(args)
 	return nil
@@ -70,7 +70,7 @@
 	return nil
 }
 
-// grantsOf returns the grants in force of a service, as all VMs tell them.
+// grantsOf returns the grants in force of a service, as all VMs report them.
 func (r *relay) grantsOf(service string) []wire.Grant {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -15,7 +15,7 @@
 	clock   boottime.Clock
 	silence time.Duration
 	begun   time.Duration
-	// changed is told of members, grantsChanged of peers' grants.
+	// changed is notified of members, grantsChanged of peers' grants.
 	changed, grantsChanged func()
 
 	mu    sync.Mutex
@@ -58,7 +58,7 @@
 	m.changed()
 }
 
-// updateSelf changes what heartbeats tell of this VM.
+// updateSelf changes what heartbeats report of this VM.
 func (m *members) updateSelf(change func(*wire.Member)) {
 	m.mu.Lock()
 	before := m.self
@@ -155,7 +155,7 @@
 // Failure: a VM is replaced. Its dispatcher is ready at once and gets requests,
 // but its agent has not heard the peers' grants yet; every key seems without
 // owner, and callers wait out their deadline. So daemons are ready only once
-// each listed peer has told its grants, or is taken for lost.
+// each listed peer has reported its grants, or counts as failed.
 func (m *members) settled() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -10,7 +10,7 @@
 	"hemlockquay/internal/wire"
 )
 
-// peerState is what heartbeats told about one VM.
+// peerState is what heartbeats reported about one VM.
 type peerState struct {
 	listed platform.VM
 	member wire.Member
@@ -69,7 +69,7 @@
 // resumed takes note that this process stood still.
 //
 // Failure: the VM freezes and returns. All peers seem silent at once, and the
-// agent would tell its daemons that it is alone. Silence counts only while
+// agent would report to its daemons that it is alone. Silence counts only while
 // somebody listened, so each peer gets the pause on top.
 func (m *members) resumed(after time.Duration) {
 	m.mu.Lock()
@@ -92,7 +92,7 @@
 // takeGrants keeps a peer's grants.
 func (m *members) takeGrants(vm string, reply *wire.BeatReply) {
 	m.mu.Lock()
-	// A pushed state may overtake a reply on its way, and must not be undone.
+	// A pushed state may overtake a reply in flight, and must not be undone.
 	if p := m.peers[vm]; p != nil && (p.source != reply.Member.Incarnation || reply.State >= p.state) {
 		p.source, p.state, p.grants = reply.Member.Incarnation, reply.State, reply.Grants
 	}
--- a/internal/agent/puller.go
+++ b/internal/agent/puller.go
@@ -16,7 +16,7 @@
 )
 
 // watchGrace is how long an agent whose watch works waits for the store before
-// it asks a peer: the store's event is on its way and costs nothing more.
+// it asks a peer: the store's event is in flight and costs nothing more.
 const watchGrace = 300 * time.Millisecond
 
 // syncTimeout bounds one question to a peer; a snapshot of some megabytes takes
@@ -25,7 +25,7 @@
 
 // puller fetches from a peer what the store does not bring. It is one goroutine.
 //
-// Heartbeats tell which revision each peer holds, so at rest no question is
+// Heartbeats report which revision each peer holds, so at rest no question is
 // asked, and a change costs each agent without a watch one delta from one peer.
 // The peer is drawn at random among those ahead, the own data centre first: no
 // peer has to answer all. The answers spread as an epidemic does, so that the
--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// wait returns when no call is on its way.
+// wait returns when no call is in flight.
 func (r *recorder) wait() { r.calls.Wait() }
 
-// begin reserves the call, unless one is on its way or the pause is not over.
+// begin reserves the call, unless one is in flight or the pause is not over.
 func (r *recorder) begin(call string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -67,7 +67,7 @@
 	r.broadcastLocked()
 }
 
-// configured wakes the pulls and tells peers of the new revision.
+// configured wakes the pulls and notifies peers of the new revision.
 func (r *relay) configured() {
 	r.broadcast()
 	r.updateSelf()
@@ -189,7 +189,7 @@
 	return nil
 }
 
-// updateSelf tells heartbeats what the VM's daemons reported.
+// updateSelf puts into heartbeats what the VM's daemons reported.
 func (r *relay) updateSelf() {
 	reports := r.liveDaemons()
 	revision, ready := r.config.state()
--- a/internal/agent/retained_test.go
+++ b/internal/agent/retained_test.go
@@ -15,7 +15,7 @@
 }
 
 // Callers are refused for want of an owner while the VMs are replaced one after the
-// other. The restarted agent of the grantor tells no grants at first; the targets
+// other. The restarted agent of the grantor reports no grants at first; the targets
 // still hold the ones of its earlier life.
 func TestGrantIsToldUntilTheNextOne(t *testing.T) {
 	l := newRetainedGrants()
--- a/internal/agent/seed.go
+++ b/internal/agent/seed.go
@@ -9,7 +9,7 @@
 
 // seedGrants asks one peer for the grants of all groups when the agent starts.
 //
-// Failure: an agent that was a grantor restarts. No peer tells the grants of its
+// Failure: an agent that was a grantor restarts. No peer reports the grants of its
 // earlier life as its own, so its daemons would see keys without an owner until the
 // next in line has taken over. Whoever spoke with the earlier life still knows them.
 // An agent that reaches nobody goes on without after settleWithin.
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -1,6 +1,6 @@
 // Package agent is the one process of a VM that speaks with the platform's
 // store. It watches the configuration and relays it to the VM's daemons and to
-// peers, tells peers by heartbeats that the VM lives, plans the assignment of a
+// peers, notifies peers by heartbeats that the VM lives, plans the assignment of a
 // service when elected, and grants keys to the targets it is named for.
 package agent
 
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock tells the time since an arbitrary fixed instant. It never goes back.
+// Clock returns the time since an arbitrary fixed instant. It never goes back.
 // Decisions take its readings as values; tests supply their own.
 type Clock interface {
 	// Now returns the time since the clock's origin.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,7 +32,7 @@
 	Revision uint64 `msgpack:"r"`
 }
 
-// Hash is a target's id, short, for what VMs tell each other of targets.
+// Hash is a target's id, short, for what VMs report to each other of targets.
 func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // Targets is a list of targets at a revision of the store.
@@ -91,7 +91,7 @@
 	}
 }
 
-// Replace takes in a whole list.
+// Replace applies a whole list.
 func (m *Members) Replace(t Targets, now time.Duration) {
 	if t.Revision < m.revision {
 		return
@@ -112,7 +112,7 @@
 	}
 }
 
-// Put takes in a new or changed entry.
+// Put applies a new or changed entry.
 func (m *Members) Put(t Target, revision uint64) {
 	if revision > m.revision {
 		m.revision = revision
@@ -132,7 +132,7 @@
 	delete(m.removed, t.ID)
 }
 
-// Remove takes in that an entry is gone.
+// Remove records that an entry is gone.
 func (m *Members) Remove(id string, revision uint64, now time.Duration) {
 	if revision > m.revision {
 		m.revision = revision
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -50,7 +50,7 @@
 // Callers got answers of a target that had left two seconds before. All VMs had dropped it at
 // once, but for a slow one that was without the store. When that one had the store again, its
 // list no longer named the target; it kept it, as it keeps what may have lapsed in an outage,
-// and told it with the later list to the others, who took it in again.
+// and sent it with the later list to the others, who applied it again.
 //
 // Evidence: within half a second after the slow VM regained the store, nine VMs logged the target
 // as known again, with the revision of its old entry and that VM as the source.
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -124,7 +124,7 @@
 	return out
 }
 
-// readLines takes in what follows the first brace of each line: collectors put
+// readLines reads what follows the first brace of each line: collectors put
 // names and times in front.
 func readLines(r io.Reader) (lines []Line, skipped int, err error) {
 	in := bufio.NewScanner(r)
@@ -242,7 +242,7 @@
 	return b.String()
 }
 
-// textOfSilences tells where a request without a line may have been.
+// textOfSilences says where a request without a line may have been.
 func (a *LogAccount) textOfSilences(b *strings.Builder) {
 	b.WriteString("no process wrote of it: it was not read, its line was left out (log.requests.omitted), or its VM ended or was suspended:\n")
 	for _, s := range a.Silences {
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// run lives through start, work and drain, and tells what callers received.
+// run lives through start, work and drain, and returns what callers received.
 func (p *drainPlay) run() string {
 	begun := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -275,7 +275,7 @@
 Checked in each cell: a stop that was planned cuts off no request in flight, ends, and takes no new work later than the
 lead and one look of the balancer; the daemon is stopped only when no request is left.`
 
-// A VM is replaced, and callers see broken connections: its daemon was told to stop
+// A VM is replaced, and callers see broken connections: its daemon was asked to stop
 // while it started, twice, or in the middle of a pause.
 // docs/faults/daemon.md shows each fault at each step.
 func TestFaultsAtStepsOfDaemon(t *testing.T) {
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -113,13 +113,13 @@
 // Note records a decision in the daemon's journal.
 func (l *Life) Note(step, text string, subjects ...string) { l.journal.Add(step, text, subjects...) }
 
-// Lead waits until those that send work have been told that the daemon leaves.
+// Lead waits until those that send work have been notified that the daemon leaves.
 // It goes between BeginDrain and the first refusal.
 //
 // Failure: a daemon refuses or closes its listener as soon as it leaves, while
 // the balancer or the other VMs still send to it. Callers see refusals and
 // broken connections at each replacement. During the lead the daemon serves on,
-// and /readyz and the heartbeats tell that it leaves.
+// and /readyz and the heartbeats report that it leaves.
 func (l *Life) Lead(ctx context.Context) {
 	select {
 	case <-time.After(l.lead):
--- a/internal/daemon/logwriter_test.go
+++ b/internal/daemon/logwriter_test.go
@@ -47,7 +47,7 @@
 	return len(p), nil
 }
 
-// Nobody reads the output, and the process is told to stop. It waited for its reader
+// Nobody reads the output, and the process is asked to stop. It waited for its reader
 // until it was killed.
 func TestStopDoesNotWaitForTheReaderOfTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -73,7 +73,7 @@
 // Slow reports whether the target is avoided.
 func (t *Target) Slow() bool { return t.slow }
 
-// Sent notes that a request is on its way.
+// Sent notes that a request is in flight.
 func (t *Target) Sent(now time.Time) {
 	t.InFlight++
 	if t.slow {
@@ -198,7 +198,7 @@
 	return best
 }
 
-// worth tells, where a target that is not slow serves, whether a slow target is better than to wait for another.
+// worth reports, where a target that is not slow serves, whether a slow target is better than to wait for another.
 func (c Choice) worth(t *Target) bool {
 	if !t.Slow() || c.trial(t) {
 		return true
--- a/internal/decide/fitness/fitness.go
+++ b/internal/decide/fitness/fitness.go
@@ -6,7 +6,7 @@
 // Or it shows in its orders: with a sixth of the processor its steps come in time,
 // while hundreds of grants wait for their turn, keys on the move for seconds.
 //
-// Or in what it hears: most owners leave its orders unanswered. More likely this VM is
+// Or in what it receives: most owners leave its orders unanswered. More likely this VM is
 // cut off than that half of the targets are gone.
 package fitness
 
@@ -57,7 +57,7 @@
 	return m.mean > lagMost || m.waited > waitMost && now-m.began > settled
 }
 
-// Granted takes in how long a grant waited for its turn. Those that were not done
+// Granted records how long a grant waited for its turn. Those that were not done
 // wait for a target that does not answer, which says nothing of this VM.
 func (m *Meter) Granted(waited time.Duration) { m.waited += (waited - m.waited) / lagSteps }
 
--- a/internal/decide/idempotency/idempotency.go
+++ b/internal/decide/idempotency/idempotency.go
@@ -23,7 +23,7 @@
 // answer, or waits for it, or gets unknown where the lost VM was sending it. After
 // the loss of two of a key's three holders a repeat gets unknown, never a second
 // run. Not covered: all dispatchers restarted within fleetStart, which is taken
-// for the start of a new fleet; a repeat after Remember; VMs that come back under
+// for the start of a new fleet; a repeat after Remember; VMs that return under
 // their name with an earlier state (ours keep none).
 //
 // Figures: repeats come within a caller's patience (60 s by default) and its
--- a/internal/decide/keyspread/rates.go
+++ b/internal/decide/keyspread/rates.go
@@ -26,7 +26,7 @@
 // NewRates returns rates of nothing.
 func NewRates() *Rates { return &Rates{keys: make(map[uint16]float64)} }
 
-// Add takes in requests for a key.
+// Add records requests for a key.
 func (r *Rates) Add(key uint16, requests int) {
 	r.keys[key] += float64(requests) / memory.Seconds()
 }
--- a/internal/decide/leaving/leaving.go
+++ b/internal/decide/leaving/leaving.go
@@ -1,4 +1,4 @@
-// Package leaving decides which requests a VM that was told to stop still takes.
+// Package leaving decides which requests a VM that was asked to stop still takes.
 //
 // Callers go on sending on kept connections. A request that is still at work when the process ends gets
 // no response; one that is refused at once, as not run, is served by another VM.
@@ -17,7 +17,7 @@
 import "time"
 
 const (
-	// notice is how long after the VM was told to stop new connections still come.
+	// notice is how long after the VM was asked to stop new connections still come.
 	notice = 2500 * time.Millisecond
 	// nearlyAll times the mean is what nearly all requests take at most.
 	nearlyAll = 3
@@ -36,7 +36,7 @@
 	Expected time.Duration
 }
 
-// Takes reports whether a VM that was told to stop so long ago, and gives up in left what
+// Takes reports whether a VM that was asked to stop so long ago, and gives up in left what
 // still runs then, takes the request.
 func Takes(r Request, since, left time.Duration) bool {
 	left -= answering
--- a/internal/decide/placement/faults_play_test.go
+++ b/internal/decide/placement/faults_play_test.go
@@ -84,7 +84,7 @@
 	p.last, p.state = p.planner.moves[1], movePreparing
 }
 
-// play runs the cell and tells where the group ended.
+// play runs the cell and returns where the group ended.
 func (p *movePlay) play() string {
 	p.begin()
 	if p.step.Event == "" {
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -56,9 +56,9 @@
 	// Leaving and Lost are names of targets. Both lag and may mislead: they
 	// decide who stands by, never who may serve.
 	Leaving, Lost map[string]bool
-	// Incarnations are what targets last told of themselves, by name.
+	// Incarnations are what targets last reported of themselves, by name.
 	Incarnations map[string]string
-	// Released tells which groups' grants are known to be out: released by the
+	// Released reports which groups' grants are known to have expired: released by the
 	// owner or waited out. Only those may be split.
 	Released map[uint64]bool
 	// Author is the incarnation of the planning agent.
--- a/internal/decide/quarantine/cases.go
+++ b/internal/decide/quarantine/cases.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Notice merges a case that another dispatcher tells of.
+// Notice merges a case that another dispatcher reports.
 func (w *Watch) Notice(c Case, now time.Duration) {
 	f := w.open(c.Fingerprint, now)
 	f.Deaths = union(f.Deaths, c.Deaths)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -105,7 +105,7 @@
 	return Run
 }
 
-// Started says that an admitted request is on its way.
+// Started says that an admitted request is in flight.
 func (w *Watch) Started(fp Fingerprint, pool, target string, now time.Duration) {
 	w.running[fp]++
 	l := w.load(pool, target)
@@ -118,7 +118,7 @@
 
 // Finished says that an attempt ended and the target lives. answered is false
 // where the end says nothing of the request, as when it was shed or given up. It
-// returns the case to tell others of, or nil.
+// returns the case to report to others, or nil.
 func (w *Watch) Finished(fp Fingerprint, pool, target string, answered bool, now time.Duration) *Case {
 	w.ended(fp, pool, target)
 	if !answered {
@@ -154,7 +154,7 @@
 
 // Died says that a target ended with these requests running. The death counts
 // against a suspect that ran there, which was alone, and else against all. It
-// returns the cases to tell others of.
+// returns the cases to report to others.
 func (w *Watch) Died(running []Fingerprint, pool, target string, now time.Duration) []Case {
 	d := Death{Name: w.vm + "/" + target + "/" + now.String(), Alone: len(running) == 1}
 	if l := w.load(pool, target); l.alone && slices.Contains(running, l.suspect) {
--- a/internal/decide/shares/borrowing.go
+++ b/internal/decide/shares/borrowing.go
@@ -40,11 +40,11 @@
 }
 
 // borrowedQuota is the loan in force from one lender. It stays, empty, until the
-// lender was told that nothing in flight depends on it.
+// lender was notified that nothing in flight depends on it.
 type borrowedQuota struct {
 	units Units
 	until time.Duration
-	// closing is the Seq of an ask that told the lender so.
+	// closing is the Seq of an ask that notified the lender.
 	closing uint64
 }
 
@@ -236,7 +236,7 @@
 //
 // Failure: an ask is late. What it says of requests in flight was true when it
 // was sent; since then the borrower may have admitted more on the loan that it
-// held, or on one that was on its way to it. So the loan echoed and all after
+// held, or on one that was in flight to it. So the loan echoed and all after
 // it stay open, and only older ones are closed.
 func (l *lentQuota) echoed(echo uint64, needs Units, now time.Duration) {
 	l.needs = min(needs, l.concurrency(now))
@@ -290,7 +290,7 @@
 }
 
 // replaceCredits puts the loans of an answer in the place of the lender's
-// earlier ones. An empty borrowedQuota stays until the lender was told that nothing in
+// earlier ones. An empty borrowedQuota stays until the lender was notified that nothing in
 // flight depends on it.
 func (b *Book) replaceCredits(ask *Ask, answer *Answer, until time.Duration) {
 	for _, x := range b.accounts {
--- a/internal/decide/shares/shares.go
+++ b/internal/decide/shares/shares.go
@@ -32,7 +32,7 @@
 // over all entries, in any window, rate * window + burst requests of a customer.
 //
 // A cut-off entry keeps its loans for a lease and falls back to its base, the
-// limit / the VMs that it last knew; what it has lent comes back after a lease.
+// limit / the VMs that it last knew; what it has lent is returned after a lease.
 //
 // What it does not cover: if every entry that answers was restarted within
 // patience while some entry is cut off, the restarted ones take up bases without
--- a/internal/decide/shares/shares_test.go
+++ b/internal/decide/shares/shares_test.go
@@ -34,7 +34,7 @@
 	cut     bool
 }
 
-// message is an ask or an answer on its way.
+// message is an ask or an answer in flight.
 type message struct {
 	from, to string
 	ask      Ask
@@ -67,7 +67,7 @@
 
 func part(u Units, of float64) float64 { return float64(u) / float64(Whole) * of }
 
-// refresh tells the book what the entry's callers do and the gate its share.
+// refresh passes the book what the entry's callers do and the gate its share.
 func (f *fleet) refresh(n *node) {
 	for len(n.running) > 0 && n.running[0] <= f.now {
 		n.running = n.running[1:]
@@ -288,7 +288,7 @@
 }
 
 // Found by TestSharesNeverExceedTheContract. An entry that is cut off from the
-// platform hears of a new VM from that VM alone and confirms to count it. Its
+// platform learns of a new VM from that VM alone and confirms to count it. Its
 // old list lacks the VM; after holdDown it struck the VM off and enlarged its
 // own base beside the new one's, so both together admitted too much.
 func TestVMThatTheOldListLacksIsNotStruckOff(t *testing.T) {
--- a/internal/decide/urgency/urgency.go
+++ b/internal/decide/urgency/urgency.go
@@ -1,4 +1,4 @@
-// Package urgency tells which requests may have the last places of a full target.
+// Package urgency decides which requests may have the last places of a full target.
 //
 // Load pattern: a service's targets have more than they can do, and its routes differ in
 // priority. Refused as they come, a booking is turned away as often as a search, though
@@ -31,7 +31,7 @@
 	at     time.Duration
 }
 
-// Note takes in a request of a priority, 0 the most urgent.
+// Note records a request of a priority, 0 the most urgent.
 func (m *Meter) Note(priority int, now time.Duration) {
 	if m.counts == nil {
 		m.counts = make(map[int]float64)
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -80,7 +80,7 @@
 	return quarantine.Fingerprint(crashPrint(r))
 }
 
-// settled waits until the others were told of the deaths under a request, askTimeout
+// settled waits until the others were notified of the deaths under a request, askTimeout
 // at most. It comes before the request's answer.
 //
 // Failure: a request kills its target. Its caller is told at once and sends it again
--- a/internal/dispatch/crashgossip.go
+++ b/internal/dispatch/crashgossip.go
@@ -105,8 +105,8 @@
 // once one of them answered.
 //
 // Failure: a dispatcher that has just started takes requests before it knows of the
-// quarantines, and runs a request that the others refuse. Its address is told to
-// entries only once it is ready. The first view names all that the agent hears, so
+// quarantines, and runs a request that the others refuse. Its address is sent to
+// entries only once it is ready. The first view names all that the agent has heartbeats of, so
 // one that names no other dispatcher leaves nothing to fetch; and no other that is
 // silent holds up the start for longer than catchUpFor.
 func (w *crashWatch) join(ctx context.Context, waited time.Duration) bool {
@@ -130,7 +130,7 @@
 	return out
 }
 
-// round asks or tells all other dispatchers at once. A permit needs the word of
+// round queries or notifies all other dispatchers at once. A permit needs the word of
 // each that counts as a member: one that does not answer may be running the
 // suspect.
 func (w *crashWatch) round(ctx context.Context, g crashGossip) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,7 +102,7 @@
 	return nil
 }
 
-// stop drains: requests are taken until the entries have been told; then what is
+// stop drains: requests are taken until the entries have been notified; then what is
 // sent is answered, and all else is refused as not run at once, so that entries
 // send it to the next dispatcher.
 func (d *dispatcher) stop(ctx context.Context) error {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -55,9 +55,9 @@
 	last *pooled
 	// grant is what the last attempt was sent by; nil where unkeyed.
 	grant *wire.Grant
-	// sentAt is when the attempt on its way was begun.
+	// sentAt is when the attempt in flight was begun.
 	sentAt time.Time
-	// cancel ends the attempt that is on its way.
+	// cancel ends the attempt that is in flight.
 	cancel context.CancelFunc
 	// done receives the one answer; it has room for it.
 	done chan wire.Answer
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -43,7 +43,7 @@
 
 // At bedtime three times as many listeners come as the pool can serve, for as long
 // as the evening lasts. Those who are served must be served as quickly as just
-// before, all slots must do useful work, and the others must hear at once.
+// before, all slots must do useful work, and the others must be refused at once.
 func TestSustainedOverload(t *testing.T) {
 	_, calm, _ := overload(t, 0.9)
 	for _, load := range []float64{1.5, 3} {
@@ -198,7 +198,7 @@
 	})
 }
 
-// A data centre comes back after all its targets were down for 700 ms. All callers
+// A data centre returns after all its targets were down for 700 ms. All callers
 // repeat at once. Nobody may be hurt by repeats to targets that refuse connections,
 // and the pool must serve again at once.
 func TestMassReconnect(t *testing.T) {
--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// checkWorkConserved runs while nothing is on its way to the queue.
+// checkWorkConserved runs while nothing is in flight to the queue.
 func (b *bench) checkWorkConserved(q *queue) {
 	now := time.Now()
 	for _, t := range q.pool.targets {
@@ -190,7 +190,7 @@
 	})
 }
 
-// A slice moves while a request is on its way to the old owner. The view with the
+// A slice moves while a request is in flight to the old owner. The view with the
 // new owner arrives first, the refusal 50 ms later. The caller waited for a second
 // and was refused. Cause: the job waited for the next view, and none was due.
 func TestRefusalAfterTheViewIsSentBack(t *testing.T) {
@@ -239,7 +239,7 @@
 	})
 }
 
-// No owner comes. The caller must hear it after the stated second, not at the end of
+// No owner comes. The caller must be answered after the stated second, not at the end of
 // its patience of 20 s.
 func TestNoOwnerIsToldWithinASecond(t *testing.T) {
 	inBench(t, 1, true, func(b *bench) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -253,7 +253,7 @@
 	j.end(p)
 }
 
-// drop ends a job whose caller went away. An attempt on its way is cancelled at
+// drop ends a job whose caller went away. An attempt in flight is cancelled at
 // the target; its result ends the job.
 func (q *queue) drop(id string) {
 	j := q.jobs[id]
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -30,7 +30,7 @@
 type Suspects interface {
 	// Admit decides on a request that a free slot of the target waits for.
 	Admit(target string, r *wire.Request, now time.Time) (Admission, *problem.Error)
-	// Started says that an attempt is on its way to the target.
+	// Started says that an attempt is in flight to the target.
 	Started(target string, r *wire.Request, now time.Time)
 	// Finished says that an attempt ended and the target lives; answered, that
 	// the request ran to its end.
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -12,7 +12,7 @@
 // worker pool runs attempts in goroutines that are used again.
 //
 // Load pattern: a goroutine for each attempt. A new one starts with 2 KB of stack
-// and grows it three times on its way through the HTTP transport, copying it each
+// and grows it three times in the HTTP transport, copying it each
 // time: copies were 9 % of the dispatcher's processor time at 900 requests a second.
 type workerPool struct{ work chan func() }
 
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -50,7 +50,7 @@
 	readTimeout time.Duration
 	admitted    metrics.Meter
 	refused     map[admission.Reason]metrics.Meter
-	// hungry tells the sharer that a request was refused for want of share.
+	// hungry notifies the sharer that a request was refused for want of share.
 	hungry chan struct{}
 
 	mu       sync.Mutex
@@ -58,7 +58,7 @@
 	accounts map[shares.Account]*ledger
 	// active are the accounts whose share or use may change; see active.go.
 	active map[shares.Account]*ledger
-	// base is the part of every contract of which all gates were told.
+	// base is the part of every contract of which all gates were notified.
 	base shares.Units
 	// revision is the configuration whose contracts have ledgers, 0 for none.
 	revision uint64
@@ -155,7 +155,7 @@
 	l.allowance, l.longest = allowance, s.MaxDeadline.D()+answerMargin+a.readTimeout
 }
 
-// refresh tells the book what the account needs and the gate what it has. It
+// refresh passes the book what the account needs and the gate what it has. It
 // must run before and after each change of the book: the gate counts a lowered
 // share from the last time that it was told.
 func (a *admitter) refresh(account shares.Account, l *ledger, now time.Duration) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,7 +113,7 @@
 	return nil
 }
 
-// stop drains: requests are answered until the balancer has been told; then
+// stop drains: requests are answered until the balancer has been notified; then
 // those in flight are answered and new ones refused as not run.
 func (e *entry) stop(ctx context.Context) error {
 	e.Life.BeginDrain()
@@ -213,7 +213,7 @@
 }
 
 // contentLength returns the answer's length, "" where it has none. The answer to
-// HEAD tells the length that GET would have, which only the target knows.
+// HEAD returns the length that GET would have, which only the target knows.
 func contentLength(method string, a *wire.Answer) string {
 	switch {
 	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -214,7 +214,7 @@
 // cancelTimeout bounds the notice that a caller went away.
 const cancelTimeout = time.Second
 
-// cancel tells the dispatcher that nobody waits for the request any more.
+// cancel notifies the dispatcher that nobody waits for the request any more.
 func (f *forwarder) cancel(m wire.Member, id string) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// A caller that hangs up waits for nothing: the dispatcher is told, so that a slot
+// A caller that hangs up waits for nothing: the dispatcher is notified, so that a slot
 // is not held for it.
 func TestCallerGoneIsToldToTheDispatcher(t *testing.T) {
 	l := startLab(t, nil)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -19,7 +19,7 @@
 	// Agent is the IP:PORT of the VM's agent.
 	Agent string `json:"agent"`
 	// PeerListen is the IP:PORT for other entries. Default: a free port at the
-	// address of Listen; the agent tells the others.
+	// address of Listen; the agent sends it to the others.
 	PeerListen string `json:"peerListen,omitempty"`
 	// PeerConnections is how many data connections go to each dispatcher.
 	// Default 4.
--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -20,7 +20,7 @@
 const hungryPause = 50 * time.Millisecond
 
 // sharer carries the protocol of package shares between entries. It is one
-// goroutine and one for each ask on its way.
+// goroutine and one for each ask in flight.
 type sharer struct {
 	vm       string
 	admitter *admitter
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,13 +37,13 @@
 	retryPause = 200 * time.Millisecond
 	// readyPause is the pause while the agent is not ready.
 	readyPause = 50 * time.Millisecond
-	// reportEvery is how often the daemon tells the agent that it lives.
+	// reportEvery is how often the daemon reports to the agent that it lives.
 	reportEvery = 500 * time.Millisecond
 	// reportLeast is the pause before a report of a new revision.
 	reportLeast = 20 * time.Millisecond
 )
 
-// Endpoint says where the agent is and what to tell it.
+// Endpoint says where the agent is and what to report to it.
 type Endpoint struct {
 	// Agent is the agent's IP:PORT.
 	Agent string
--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -1,7 +1,7 @@
 // Package fixedseed makes property tests draw the same values on every run.
 //
 // The library seeds itself from the clock: a rare fault would then fail one run
-// in a hundred, and a verdict that changes by itself tells nothing about a
+// in a hundred, and a verdict that changes by itself proves nothing about a
 // change. Every test package that uses the library imports this one. A wider
 // search is a run with the test flag -rapid.seed, which still overrides it.
 package fixedseed
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -58,7 +58,7 @@
 	h.held = 0
 }
 
-// read takes in a body of the stated size, -1 where it is not stated.
+// read reads a body of the stated size, -1 where it is not stated.
 func (h *heldBody) read(from io.Reader, size, limit int64) ([]byte, error) {
 	if size >= 0 {
 		if size > limit {
@@ -96,7 +96,7 @@
 	return body, err
 }
 
-// readBody takes in the whole body: what has not come whole is not passed on. A body
+// readBody reads the whole body: what has not come whole is not passed on. A body
 // that is held can be sent again where a target refuses it or the route allows repeats.
 func (g *Gateway) readBody(c *call, w http.ResponseWriter, r *http.Request, limit int64) *outcome {
 	if limit <= 0 {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,7 +11,7 @@
 	"hemlockquay/internal/upstream"
 )
 
-// call is one request of a caller on its way.
+// call is one request of a caller in flight.
 type call struct {
 	id      string
 	route   *route.Route
@@ -35,7 +35,7 @@
 	waited time.Duration
 	// shedFree says that the last target refused it while it had a free slot.
 	shedFree bool
-	// refusedOn tells what the last refusal of a target was decided on.
+	// refusedOn is what the last refusal of a target was decided on.
 	refusedOn string
 }
 
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -179,7 +179,7 @@
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 }
 
-// A target does not answer within the route's timeout: the caller hears so by
+// A target does not answer within the route's timeout: the caller is answered by
 // then, and the target learns that nobody waits.
 func TestTimeoutOfTheRoute(t *testing.T) {
 	b := newBench(t)
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -162,7 +162,7 @@
 	require.Zero(t, rank)
 }
 
-// A VM that leaves resigns before it has told anybody of its leases. That must not
+// A VM that leaves resigns before it has sent its leases to anybody. That must not
 // end the process.
 func TestResignationBeforeAnythingWasTold(t *testing.T) {
 	n := testNode(newHandClock(time.Hour))
@@ -176,7 +176,7 @@
 	require.False(t, stands)
 }
 
-// The store goes away, and right after that the grantor's VM is told to stop. It resigned
+// The store goes away, and right after that the grantor's VM is asked to stop. It resigned
 // at once, nobody could take over without the store, and no key of the service was served
 // until it was back. It goes on, and resigns when the store answers.
 func TestGrantorThatLeavesGoesOnWhileNobodyCanTakeOver(t *testing.T) {
--- a/internal/gateway/leasing/heldorders_test.go
+++ b/internal/gateway/leasing/heldorders_test.go
@@ -73,7 +73,7 @@
 		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
 		l.grants.LifeConfirmed(o)
 	}
-	// play sends what is due, one order after the other, and takes in its end.
+	// play sends what is due, one order after the other, and handles its end.
 	play := func() {
 		for _, o := range l.grants.Due(clock.Now()) {
 			line := l.line(t.Context(), o.Target)
--- a/internal/gateway/leasing/incarnations.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -35,7 +35,7 @@
 
 // queryEpoch reads the record beside the leader's goroutine and notes its epoch. failed is
 // called there after a failure, before the leader may ask again; then in the leader's own
-// goroutine after an answer. One question is on its way at a time.
+// goroutine after an answer. One question is in flight at a time.
 func (l *leader) queryEpoch(ctx context.Context, failed func(err error), then func()) {
 	l.reading = true
 	go func() {
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -2,7 +2,7 @@
 // grantor of some keyed services and ready to become that of the others.
 //
 // It starts goroutines, sends orders to targets, writes the records of leases to the store
-// and tells the other VMs. What it decides stands where none of that is done: in
+// and notifies the other VMs. What it decides stands where none of that is done: in
 // internal/lease, the state machine of the grants, and in internal/decide. Nothing on the
 // path of a request is here; that path reads what internal/gateway/published holds.
 package leasing
@@ -81,13 +81,13 @@
 	Call(ctx context.Context, vm, method string, args, reply any) error
 }
 
-// LocalState tells how this VM stands.
+// LocalState is how this VM stands.
 type LocalState interface {
 	// StoreUp reports whether the store answered last.
 	StoreUp() bool
 	// Listed reports whether the targets are known.
 	Listed() bool
-	// Leaving reports whether the VM's process was told to end.
+	// Leaving reports whether the VM's process was asked to end.
 	Leaving() bool
 	// StoreReachable reports whether the store answered last, directly or through
 	// another VM.
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -13,7 +13,7 @@
 }
 
 // outlasts reports whether a request that nobody has run yet may outlast this VM, which was
-// told to stop.
+// asked to stop.
 func (g *Gateway) outlasts(c *call, e *attempt, left time.Duration) bool {
 	if !g.leaving.Load() || c.ran > 0 {
 		return false
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// stopping is a gateway that was told to stop so long ago, with six seconds of grace, and one
+// stopping is a gateway that was asked to stop so long ago, with six seconds of grace, and one
 // target that answers at once.
 func stopping(t *testing.T, since time.Duration) *bench {
 	b := newBench(t)
@@ -20,7 +20,7 @@
 	return b
 }
 
-// A VM is told to stop. A caller that keeps its connection sends a search 3.2 s later, which
+// A VM is asked to stop. A caller that keeps its connection sends a search 3.2 s later, which
 // may take four seconds; the VM passes it on, and ends 2.3 s later, while the target still
 // works on it. The caller gets no answer. It must be refused as not run, at once, on a
 // connection that is closed, so that another VM serves it.
@@ -52,7 +52,7 @@
 	}
 }
 
-// A VM that has just started is told to stop, and knows nothing yet of what requests take. The
+// A VM that has just started is asked to stop, and knows nothing yet of what requests take. The
 // balancer still sends it its whole share, most of which ends in time: it is served.
 func TestStoppingVMRefusesNothingByAGuess(t *testing.T) {
 	b := stopping(t, 2*time.Second)
--- a/internal/gateway/published/published.go
+++ b/internal/gateway/published/published.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Set takes in a newer routing of a service's keys.
+// Set applies a newer routing of a service's keys.
 func (l *Leases) Set(r *lease.Routing) {
 	if l.set(r) {
 		l.changed()
@@ -67,7 +67,7 @@
 	}))
 }
 
-// Update takes in changes of a service's routing; false if they build on another
+// Update applies changes of a service's routing; false if they build on another
 // version.
 func (l *Leases) Update(u *lease.Update) bool {
 	old := l.Of(u.Routing.Service)
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -49,7 +49,7 @@
 	refusedCold   refusal = "owner is full and the key cold"
 	// refusedHot: the owner can do only a part of what comes for the key.
 	refusedHot refusal = "key is hotter than its owner"
-	// refusedLeaving: this VM was told to stop, another one serves the request.
+	// refusedLeaving: this VM was asked to stop, another one serves the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
 
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -12,13 +12,13 @@
 )
 
 // observedStore counts and times the calls to the store by what they do and to which
-// kind, and counts those that the store did not answer: each call is paid for. It tells
+// kind, and counts those that the store did not answer: each call is paid for. It reports
 // of the end of each, so that the VM knows whether the store answers.
 type observedStore struct {
 	platform.ObjectStore
 	registry metrics.Registry
 	clock    boottime.Clock
-	// ended takes in the end of a call that was sent at that time.
+	// ended handles the end of a call that was sent at that time.
 	ended func(sent time.Duration, err error)
 }
 
--- a/internal/lease/bounds_test.go
+++ b/internal/lease/bounds_test.go
@@ -31,7 +31,7 @@
 	return 0
 }
 
-// renewing returns a grantor of one slice whose owner's first renewal is on its way, and
+// renewing returns a grantor of one slice whose owner's first renewal is in flight, and
 // when it was sent.
 func renewing(t *testing.T, owner Owner) (g *Grantor, renewal Order, now time.Duration) {
 	now = time.Hour
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -45,7 +45,7 @@
 
 // Divide cuts slice i after a key, which must not be its last. Both parts have
 // the same owner, so the record need not be written before. It returns false for a
-// slice that is on the move, and for one with a renewal on its way.
+// slice that is on the move, and for one with a renewal in flight.
 // The end of a renewal of the whole slice would belong to neither part.
 func (g *Grantor) Divide(i int, after uint16) bool {
 	sl, s := g.record.Slices[i], g.states[i]
@@ -76,7 +76,7 @@
 
 // Commit puts a planned record in force that the store took. sent dates the write.
 //
-// A grant that is on its way to the previous owner needs no bound here: its slice waits for
+// A grant that is in flight to the previous owner needs no bound here: its slice waits for
 // its end, which dates the hold.
 func (g *Grantor) Commit(next Record, sent time.Duration) {
 	g.Confirmed(sent)
--- a/internal/lease/ended.go
+++ b/internal/lease/ended.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Ended takes in the end of an order, which was sent and over at these times. It
+// Ended handles the end of an order, which was sent and over at these times. It
 // returns false for an order that no slice waits for any more.
 func (g *Grantor) Ended(o Order, r Result, handover string, sent, over time.Duration) bool {
 	if o.Fence>>epochShift != g.record.Epoch {
@@ -14,7 +14,7 @@
 	i := Index(g.record.Slices, o.From)
 	s, sl := &g.states[i], &g.record.Slices[i]
 	if sl.From != o.From || sl.To != o.To {
-		// The slice was divided while the order was on its way; Divide has
+		// The slice was divided while the order was in flight; Divide has
 		// dated what it may have done.
 		return false
 	}
@@ -53,7 +53,7 @@
 	return true
 }
 
-// overtaken dates the previous owner's hold after a grant that was on its way
+// overtaken dates the previous owner's hold after a grant that was in flight
 // while the slice was given to another.
 func (g *Grantor) overtaken(s *state, sl *Slice, o Order, r Result, over time.Duration) {
 	if !sl.Previous.Same(o.Target) {
--- a/internal/lease/events_test.go
+++ b/internal/lease/events_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Two targets held the same keys, and no log told why the grantor had taken the keys for
+// Two targets held the same keys, and no log showed why the grantor had taken the keys for
 // free: because the old owner gave them up, or because its hold had run out.
 func TestEventsTellWhyKeysAreFree(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -66,7 +66,7 @@
 	// owner is slow with them.
 	moved     bool
 	coldUntil time.Duration
-	// frozen says that a planned change of the slice is on its way to the store:
+	// frozen says that a planned change of the slice is in flight to the store:
 	// neither owner may be granted for the first time until it is settled.
 	frozen bool
 	// inherited says that the owner stood in the record before this epoch: a
@@ -156,10 +156,10 @@
 // before it relies on the silence of its predecessor.
 func (g *Grantor) MayOrder(now time.Duration) bool { return now < g.confirmed+Authority }
 
-// Exhausted tells that the fences of the epoch are nearly used up.
+// Exhausted reports whether the fences of the epoch are nearly used up.
 func (g *Grantor) Exhausted() bool { return g.nextFence+1<<16 > (g.record.Epoch+1)<<epochShift }
 
-// State tells how slice i is served now.
+// State returns how slice i is served now.
 func (g *Grantor) State(i int, now time.Duration) SliceState {
 	s, sl := &g.states[i], &g.record.Slices[i]
 	waitsFor := sl.Owner
@@ -254,7 +254,7 @@
 // LifeEnded notes that a life of a target is over: another one has begun under
 // its id. It gets no more grants. Its keys are released like any others, which the
 // new life answers.
-// The entry of a restarted target may still tell of its last life while it takes connections. Its keys
+// The entry of a restarted target may still be of its last life while it takes connections. Its keys
 // are not free before the new life has answered a release.
 func (g *Grantor) LifeEnded(o Owner) {
 	g.ended[o] = true
@@ -282,7 +282,7 @@
 // orders was opened, and that the epoch stood after that.
 func (g *Grantor) LifeConfirmed(o Owner) { g.confirmedLives[o] = true }
 
-// Silent tells for how long an owner has left orders unanswered; 0 while it
+// Silent returns for how long an owner has left orders unanswered; 0 while it
 // answers, or was never asked.
 func (g *Grantor) Silent(o Owner, now time.Duration) time.Duration {
 	c := g.contacts[o]
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -362,7 +362,7 @@
 }
 
 // Keys of an owner that went silent had no service for five seconds longer than its hold.
-// A renewal was on its way as the keys were given to another owner; it was given up 0.3 s
+// A renewal was in flight as the keys were given to another owner; it was given up 0.3 s
 // later, and the bound that was assumed of it before stayed.
 func TestHoldOfASilentOwnerCountsFromTheEndOfItsLastGrant(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
--- a/internal/lease/update_test.go
+++ b/internal/lease/update_test.go
@@ -58,7 +58,7 @@
 	})
 }
 
-// A grantor of 114 targets granted their 512 slices one after the other, and told 60
+// A grantor of 114 targets granted their 512 slices one after the other, and sent 60
 // VMs of each with the whole routing. Its 10 Mbit/s were taken up for a minute; its
 // calls to the store and its orders timed out, and one grantor after the other
 // resigned.
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -40,7 +40,7 @@
 	out  [worldUnits]time.Duration
 }
 
-// message is an order on its way. It reaches only the life to which its
+// message is an order in flight. It reaches only the life to which its
 // connection was opened.
 type message struct {
 	vm       int
@@ -67,7 +67,7 @@
 	cut        time.Duration
 	cutTargets [worldTargets]time.Duration
 	results    []func()
-	// writing says that a planned change is on its way to the store.
+	// writing says that a planned change is in flight to the store.
 	writing bool
 	// unsettled says that the answer to the last write was lost.
 	unsettled bool
--- a/internal/loadgen/path.go
+++ b/internal/loadgen/path.go
@@ -106,7 +106,7 @@
 		r.Asked, r.Whole, r.Refused, r.Failed, r.Lost, r.Wrong, r.P50Ms, r.P99Ms)
 }
 
-// pathRun is a load on its way.
+// pathRun is a load being sent.
 type pathRun struct {
 	load     *Path
 	balancer *balancer
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -43,7 +43,7 @@
 // of the target's id, the lower 8 the number.
 type Load uint32
 
-// loadMost is the largest number that a Load tells.
+// loadMost is the largest number that a Load holds.
 const loadMost = 1<<8 - 1
 
 // NewLoad returns the load of a target, by a hash of its id.
@@ -55,7 +55,7 @@
 
 func (l Load) requests() int { return int(l & loadMost) }
 
-// Heartbeat is what a VM tells the others of itself.
+// Heartbeat is what a VM reports of itself to the others.
 type Heartbeat struct {
 	From    Member `msgpack:"f"`
 	Leaving bool   `msgpack:"l"`
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -160,7 +160,7 @@
 	require.Greater(t, lostAfter(), 5*time.Second)
 }
 
-// Guards against a takeover by a VM whose own link is full: it hears nobody in time.
+// Guards against a takeover by a VM whose own link is full: no heartbeat reaches it in time.
 func TestMonitoredVMIsNotLostWhereMostAreSilent(t *testing.T) {
 	m, clock := newMesh(t)
 	for i := range 88 {
--- a/internal/ownership/faults_test.go
+++ b/internal/ownership/faults_test.go
@@ -32,7 +32,7 @@
 	write       *write
 }
 
-// write is one on its way.
+// write is one in flight.
 type write struct {
 	claim               *Claim
 	arrives, answered   time.Duration
@@ -91,7 +91,7 @@
 	}
 }
 
-// run plays to the end and tells how long in all nobody planned the service.
+// run plays to the end and returns how long in all nobody planned the service.
 func (p *play) run() string {
 	var vacant, since time.Duration
 	for since < playFor {
--- a/internal/ownership/grants/behaviour_test.go
+++ b/internal/ownership/grants/behaviour_test.go
@@ -52,7 +52,7 @@
 	require.Equal(t, "t0", s.owner())
 	a.cutOff = true
 	p := a.groups[0].params
-	s.restartTarget(0) // its memory is lost, and nobody hears of the new life
+	s.restartTarget(0) // its memory is lost, and nobody learns of the new life
 	require.NoError(t, s.talk(p.Life+p.Margin+2*p.Every, a, "t1", "t2"))
 	require.Equal(t, "t1", s.owner())
 }
--- a/internal/ownership/grants/faults_play_test.go
+++ b/internal/ownership/grants/faults_play_test.go
@@ -116,7 +116,7 @@
 	p.alarms = append(p.alarms, alarm{p.now + d, do})
 }
 
-// unservedFor plays to the end and tells how long nobody owned the key.
+// unservedFor plays to the end and returns how long nobody owned the key.
 func (p *play) unservedFor() string {
 	var gap, stepAt time.Duration
 	epoch := p.store[0].Epoch
--- a/internal/ownership/grants/tick.go
+++ b/internal/ownership/grants/tick.go
@@ -7,14 +7,14 @@
 	"hemlockquay/internal/wire"
 )
 
-// Observation is what heartbeats tell.
+// Observation is what heartbeats report.
 type Observation struct {
 	// Live reports whether a VM's agent is heard.
 	Live func(vm string) bool
-	// Served says that a live agent tells a grant of the group.
+	// Served says that a live agent reports a grant of the group.
 	Served bool
-	// Highest is the highest rank of a grant of the group that any agent told,
-	// living or not; zero where none was told.
+	// Highest is the highest rank of a grant of the group that any agent reported,
+	// living or not; zero where none was reported.
 	Highest wire.Rank
 }
 
--- a/internal/ownership/grants/walk_test.go
+++ b/internal/ownership/grants/walk_test.go
@@ -62,7 +62,7 @@
 	maxSeen map[uint64]wire.Rank
 }
 
-// letter is an order on its way, or its report on the way back.
+// letter is an order in flight, or its report on the way back.
 type letter struct {
 	agent  *walkAgent
 	group  int
@@ -70,7 +70,7 @@
 	report *Report
 }
 
-// draft is a record on its way to the store.
+// draft is a record in flight to the store.
 type draft struct {
 	agent *walkAgent
 	base  int
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -55,7 +55,7 @@
 	waiting := make(chan error, 1)
 	go func() { waiting <- c.Call(context.Background(), "Echo.Hang", "x", new(string)) }()
 	conn := <-accepted
-	// The first byte of the call has arrived: it is on its way.
+	// The first byte of the call has arrived: it is in flight.
 	_, err = conn.Read(make([]byte, 1))
 	require.NoError(t, err)
 	l.Close()
--- a/internal/platform/guard_test.go
+++ b/internal/platform/guard_test.go
@@ -13,7 +13,7 @@
 	"hemlockquay/internal/pause"
 )
 
-// fakeStore answers Get, Put and Watch as told.
+// fakeStore answers Get, Put and Watch as set.
 type fakeStore struct {
 	Store
 	gets, puts, watches atomic.Int64
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -61,7 +61,7 @@
 const (
 	EventPut    EventType = "put"
 	EventDelete EventType = "delete"
-	// EventBookmark only tells the revision reached; it shows that a silent
+	// EventBookmark only carries the revision reached; it shows that a silent
 	// watch is alive.
 	EventBookmark EventType = "bookmark"
 )
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,7 +49,7 @@
 	figures Figures
 }
 
-// Figures tell how much was checked.
+// Figures are how much was checked.
 type Figures struct {
 	// Grants were taken by targets; Moves are those of keys that another target had.
 	Grants, Moves int
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -11,7 +11,7 @@
 	"hemlockquay/internal/standin/fleet"
 )
 
-// Targets tell the checker what they do.
+// Targets report to the checker what they do.
 var _ fleet.Watcher = (*Checker)(nil)
 
 // play is a checker with a clock that is set by hand.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -35,7 +35,7 @@
 	Stop Kind = "stop"
 	// Kill: a VM's process is killed, and started again when the fault is over.
 	Kill Kind = "kill"
-	// Term: a VM's process is told to leave, is killed after its grace, and is started again.
+	// Term: a VM's process is asked to leave, is killed after its grace, and is started again.
 	Term Kind = "term"
 )
 
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -21,7 +21,7 @@
 // process is one life of a VM's program.
 type process struct {
 	cmd *exec.Cmd
-	// told: it is to end.
+	// told reports whether it was asked to end.
 	told bool
 	// gone is closed when it has ended.
 	gone chan struct{}
@@ -96,7 +96,7 @@
 func (v *vm) resume()  { v.signal(syscall.SIGCONT, false) }
 func (v *vm) kill()    { v.signal(syscall.SIGKILL, true) }
 
-// leave tells the process to end, and kills it after its grace.
+// leave asks the process to end, and kills it after its grace.
 func (v *vm) leave() {
 	v.signal(syscall.SIGTERM, true)
 	v.mu.Lock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -162,7 +162,7 @@
 }
 
 // group returns what faults share that end with the last of them: a VM that is killed and
-// told to leave starts once.
+// asked to leave starts once.
 func (f Fault) group() [2]string {
 	if f.Kind == Term {
 		return [2]string{f.What, string(Kill)}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -164,7 +164,7 @@
 }
 
 // carry forwards one direction of a connection. Reading goes on in a cut, since only a
-// read tells how the sender has ended the connection.
+// read returns how the sender has ended the connection.
 func (l *Link) carry(from, to net.Conn, resets int) {
 	p := &pipe{link: l, from: from, resets: resets}
 	l.count(1)
--- a/internal/standin/serving.go
+++ b/internal/standin/serving.go
@@ -13,7 +13,7 @@
 	"hemlockquay/internal/target"
 )
 
-// Headers by which a caller tells a stand-in target what to do.
+// Headers by which a caller instructs a stand-in target.
 const (
 	// HeaderLoadID names the caller's request in the ledger and the answer.
 	HeaderLoadID = "X-Load-Id"
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,7 +25,7 @@
 	MethodSync   = "Agent.Sync"
 )
 
-// Request is a caller's request on its way from an entry to a dispatcher.
+// Request is a caller's request in flight from an entry to a dispatcher.
 type Request struct {
 	// ID is unique over all entries and their restarts.
 	ID       string
@@ -88,7 +88,7 @@
 	// Leaving VMs get no new work.
 	Leaving bool
 	// Revision is the configuration in force on all daemons of the VM, and
-	// Held the one that its agent holds. Both are told between agents only.
+	// Held the one that its agent holds. Both are sent between agents only.
 	Revision uint64
 	Held     uint64
 	// Holds says that the agent holds a configuration at all.
@@ -200,7 +200,7 @@
 	Grants  []Grant
 }
 
-// ReportArgs is what a daemon tells its agent.
+// ReportArgs is what a daemon reports to its agent.
 type ReportArgs struct {
 	Process string
 	// Addr is the daemon's address for data, if it takes any.
@@ -230,7 +230,7 @@
 	Rate    float64
 }
 
-// LoadsArgs tells a service's assigner what a VM takes for its groups.
+// LoadsArgs reports to a service's assigner what a VM takes for its groups.
 type LoadsArgs struct {
 	VM    string
 	Loads []GroupLoad
