--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # Test names that KNOWN-RED.txt lists, joined for `go test -skip`.
 RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt | paste -sd'|' -)
 
-.PHONY: build demo test bench format clean
+.PHONY: build demo test soak bench format clean
 
 build:
 	mkdir -p bin
@@ -23,6 +23,10 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "KNOWN-RED.txt (its tests are skipped):"; cat KNOWN-RED.txt; fi
 	go test -race -timeout 15m $(if $(RED),-skip '$(RED)') ./...
 
+# A short soak under faults; the seeds are those of every run.
+soak: build
+	bash scripts/soak.sh 8 10 10s
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
