--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -50,8 +50,8 @@
 	readTimeout time.Duration
 	admitted    metrics.Meter
 	refused     map[admission.Reason]metrics.Meter
-	// hungry notifies the sharer that a request was refused for want of share.
-	hungry chan struct{}
+	// shareWanted notifies the sharer that a request was refused for want of share.
+	shareWanted chan struct{}
 
 	mu       sync.Mutex
 	book     *shares.Book
@@ -90,10 +90,10 @@
 			admission.OverRate:        metrics.GetOrRegisterMeter("admission.refused.rate", registry),
 			admission.OverConcurrency: metrics.GetOrRegisterMeter("admission.refused.concurrency", registry),
 		},
-		hungry:   make(chan struct{}, 1),
-		book:     shares.New(vm, incarnation, clock.Now()),
-		accounts: make(map[shares.Account]*ledger),
-		active:   make(map[shares.Account]*ledger),
+		shareWanted: make(chan struct{}, 1),
+		book:        shares.New(vm, incarnation, clock.Now()),
+		accounts:    make(map[shares.Account]*ledger),
+		active:      make(map[shares.Account]*ledger),
 	}
 }
 
@@ -127,7 +127,7 @@
 	}
 	l.refusedAt = now
 	select {
-	case a.hungry <- struct{}{}:
+	case a.shareWanted <- struct{}{}:
 	default:
 	}
 	detail := fmt.Sprintf("customer %s is over its %s for %s", account.Customer, d.Reason, account.Service)
--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -14,10 +14,10 @@
 	"hemlockquay/internal/wire"
 )
 
-// hungryPause is the least time between two rounds when a request was refused:
+// wantedPause is the least time between two rounds when a request was refused:
 // a share is borrowed sooner than at the next renewal, and a customer at ten
 // times its contract causes no flood of asks.
-const hungryPause = 50 * time.Millisecond
+const wantedPause = 50 * time.Millisecond
 
 // sharer carries the protocol of package shares between entries. It is one
 // goroutine and one for each ask in flight.
@@ -72,8 +72,8 @@
 			if s.admitter.hasBase() || time.Since(begun) > settleWithin {
 				s.settled()
 			}
-		case <-s.admitter.hungry:
-			if time.Since(last) < hungryPause {
+		case <-s.admitter.shareWanted:
+			if time.Since(last) < wantedPause {
 				continue
 			}
 		case <-ctx.Done():
