A VM that stops sends again only what is likely to end before it does

A second sending had no bound but the caller's time.

Now a request that may have run is sent again only where three times the usual work, or half of the longest it may take where nothing is known, ends in time. Otherwise its caller gets the first target's answer, or 502, at once. The log line of the request holds what was compared.

TestStoppingVMDoesNotSendAgainWhatMayOutlastIt failed before (200 from the second sending, which a stop 0.3 s later would have cut); TestStoppingVMSendsAgainWhatMayHaveRun holds unchanged.

--- a/internal/decide/leaving/leaving.go
+++ b/internal/decide/leaving/leaving.go
@@ -12,6 +12,10 @@
 // started knows no times yet.
 //
 // A VM with little time left takes requests that may outlast it for half of that time.
+//
+// A request that may have run already cannot be refused as not run. Sending it again is worth
+// it only where the second answer is likely to arrive before the VM ends; otherwise its caller
+// gets what is known of the first.
 package leaving
 
 import "time"
@@ -21,9 +25,9 @@
 	notice = 2500 * time.Millisecond
 	// nearlyAll times the mean is what nearly all requests take at most.
 	nearlyAll = 3
-	// answering is the time from a target's answer to its last byte at the caller: a VM
+	// Answering is the time from a target's answer to its last byte at the caller: a VM
 	// with a part of a core may wait a tenth of a second for its turn.
-	answering = 100 * time.Millisecond
+	Answering = 100 * time.Millisecond
 )
 
 // Request is what is known of a request that is about to be sent to a target.
@@ -39,9 +43,20 @@
 // Takes reports whether a VM that was asked to stop so long ago, and gives up in left what
 // still runs then, takes the request.
 func Takes(r Request, since, left time.Duration) bool {
-	left -= answering
+	left -= Answering
 	if r.Most <= left {
 		return true
 	}
 	return since < min(notice, left) && r.Expected <= left/nearlyAll
 }
+
+// Repeats reports whether a VM that was asked to stop, and gives up in left what still runs
+// then, sends a request again that may have run. Where nothing is known of such requests,
+// half of the longest that it may take is assumed.
+func Repeats(r Request, left time.Duration) bool {
+	likely := nearlyAll * r.Expected
+	if r.Expected == 0 {
+		likely = r.Most / 2
+	}
+	return min(likely, r.Most) <= left-Answering
+}
--- a/internal/decide/leaving/leaving_test.go
+++ b/internal/decide/leaving/leaving_test.go
@@ -49,7 +49,7 @@
 		}
 		r := Request{Most: span("most", 0, time.Minute), Expected: span("expected", 0, 10*time.Second)}
 		since, left := span("since", notice, 30*time.Second), span("left", -time.Second, 30*time.Second)
-		require.Equal(t, r.Most+answering <= left, Takes(r, since, left))
+		require.Equal(t, r.Most+Answering <= left, Takes(r, since, left))
 	})
 }
 
@@ -68,3 +68,23 @@
 		require.True(t, Takes(less, since, left+span("more")))
 	})
 }
+
+func TestRepeats(t *testing.T) {
+	cases := []struct {
+		name                 string
+		most, expected, left time.Duration
+		want                 bool
+	}{
+		{"work of half a second, two seconds left", 8000 * ms, 500 * ms, 2000 * ms, true},
+		{"work of half a second, an eighth of a second left", 8000 * ms, 500 * ms, 125 * ms, false},
+		{"the usual work ends in time, the slowest may not", 8000 * ms, 500 * ms, 1000 * ms, false},
+		{"nothing is known of it, most of its time left", 4000 * ms, 0, 2300 * ms, true},
+		{"nothing is known of it, a third of a second left", 4000 * ms, 0, 320 * ms, false},
+		{"its caller gives up before the VM ends", 200 * ms, 500 * ms, 320 * ms, true},
+		{"the answer would arrive as the process ends", 300 * ms, 100 * ms, 320 * ms, false},
+		{"past its end", 0, 0, -500 * ms, false},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, Repeats(Request{Most: c.most, Expected: c.expected}, c.left), c.name)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,7 +117,7 @@
 	if answer.Status < http.StatusInternalServerError {
 		g.state.finish(e, endAnswered)
 		g.state.harmless(c.content)
-		return &outcome{answer: answer, status: answer.Status, reason: "answered"}
+		return &outcome{answer: answer, status: answer.Status, reason: answered}
 	}
 	g.state.finish(e, endFailed)
 	c.tried[e.id] = true
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -39,6 +39,9 @@
 	refusedOn string
 }
 
+// answered is the reason of an outcome that is the answer of the request's target.
+const answered = "answered"
+
 // outcome is what the caller gets.
 type outcome struct {
 	answer *upstream.Answer
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"hemlockquay/internal/decide/leaving"
@@ -12,10 +13,10 @@
 	g.leaving.Store(true)
 }
 
-// outlasts reports whether a request that nobody has run yet may outlast this VM, which was
-// asked to stop.
+// outlasts reports whether a request is not to be sent to a target since it may outlast this
+// VM, which was asked to stop.
 func (g *Gateway) outlasts(c *call, e *attempt, left time.Duration) bool {
-	if !g.leaving.Load() || c.ran > 0 {
+	if !g.leaving.Load() {
 		return false
 	}
 	expected := e.expected
@@ -24,5 +25,14 @@
 	}
 	since := g.clock.Now() - time.Duration(g.leavingSince.Load())
 	stays := part(time.Duration(g.grace.Load()), stopWaiting) - since
-	return !leaving.Takes(leaving.Request{Most: left, Expected: expected}, since, stays)
+	request := leaving.Request{Most: left, Expected: expected}
+	sends := leaving.Takes(request, since, stays)
+	if c.ran > 0 {
+		sends = leaving.Repeats(request, stays)
+	}
+	if !sends {
+		c.refusedOn = fmt.Sprintf("%s expected %dms most %dms stopping for %dms ends in %dms ran %d",
+			e.id, expected.Milliseconds(), left.Milliseconds(), since.Milliseconds(), stays.Milliseconds(), c.ran)
+	}
+	return !sends
 }
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -105,3 +105,23 @@
 	require.Equal(t, http.StatusOK, b.get("patient.example", nil, "").StatusCode)
 	require.EqualValues(t, 2, b.hits.Load())
 }
+
+// A request that may have run is sent again so shortly before the VM ends that the caller's
+// connection ends without an answer.
+func TestStoppingVMDoesNotSendAgainWhatMayOutlastIt(t *testing.T) {
+	b := newBench(t)
+	b.grace.Store(int64(6 * time.Second))
+	leavesAndFails := func(w http.ResponseWriter, _ *http.Request) {
+		b.leavingSince.Store(int64(b.clock.Now() - 5200*time.Millisecond))
+		b.leaving.Store(true)
+		w.Header().Set("Stamp", "first")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	play := firstThen(leavesAndFails, works)
+	b.target("a", "pool", play)
+	b.target("b", "pool", play)
+	resp := b.get("patient.example", nil, "")
+	require.Equal(t, http.StatusInternalServerError, resp.StatusCode)
+	require.Equal(t, "first", resp.Header.Get("Stamp"), "the answer of the target that ran it")
+	require.EqualValues(t, 1, b.hits.Load())
+}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -76,7 +76,7 @@
 	e := g.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
 		Int("status", out.status).Str("reason", out.reason).Dur("took", took).Strs("attempts", c.trace).
 		Dur("waited", c.waited).Dur("patience", c.until.Sub(c.start)).Uint64("config", v.ConfigVersion()).Uint64("targets", v.Targets.Revision)
-	if out.answer == nil && c.refusedOn != "" {
+	if out.reason != answered && c.refusedOn != "" {
 		e = e.Str("refusedOn", c.refusedOn)
 	}
 	if c.keyed {
