Requests in flight at the end of a stop get an answer before the process ends

What callers saw: whatever still ran when the graceful shutdown gave up (0.92 of the grace) ended with its connection, without a word: a request at a target, one that waited for a key on the move, a body that was still read.

Cause: http.Server.Shutdown returns at its deadline without ending handlers, and the process ended right after it.

Exchanges are reset, so targets stop their work. An answer that goes out after the SIGTERM closes its connection even where its request came before.

Both tests failed before: 504 and 408 at the end of the route's time instead of 502 and 503 at the end of the stop.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -133,6 +133,11 @@
 func (g *Gateway) lost(ctx context.Context, c *call, e *attempt) *outcome {
 	c.arrivals++
 	c.ran++
+	if endedByStop(ctx) {
+		g.state.finish(e, endLeft)
+		out := c.giveUp(errStopping.Error(), 0)
+		return &out
+	}
 	if ctx.Err() != nil {
 		g.state.finish(e, endLeft)
 		return &outcome{status: 0, reason: "caller left"}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -108,6 +109,8 @@
 		return &outcome{status: http.StatusRequestEntityTooLarge, reason: errBodyTooLarge.Error()}
 	case errors.Is(err, errNoRoom):
 		return &outcome{status: http.StatusServiceUnavailable, reason: errNoRoom.Error(), retry: mostRetry}
+	case endedByStop(r.Context()):
+		return &outcome{status: http.StatusServiceUnavailable, reason: errStopping.Error(), retry: soonRetry}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &outcome{status: http.StatusRequestTimeout, reason: "body not read in time"}
 	case err != nil:
@@ -121,7 +124,7 @@
 	return nil
 }
 
-// readInTime reads the body until the caller's time is over.
+// readInTime reads the body until the caller's time is over, or the process stops.
 // A caller may stop in the middle of its body and keep the connection.
 func (g *Gateway) readInTime(c *call, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
@@ -131,6 +134,8 @@
 	if err := control.SetReadDeadline(c.until); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
+	stopReading := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Unix(0, 0)) })
+	defer stopReading()
 	body, err := c.body.read(r.Body, r.ContentLength, limit)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -46,9 +46,6 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	view := g.state.view.Load()
 	if view.Routes == nil {
 		g.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: unconfiguredRetry})
@@ -104,6 +101,7 @@
 	}
 	h := w.Header()
 	copyAnswer(h, out.answer.Header)
+	g.closeIfLeaving(h)
 	if r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(out.answer.Body)))
 	}
@@ -124,6 +122,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
+	g.closeIfLeaving(h)
 	if id := r.Header.Get(g.headers.RequestID); id != "" {
 		h.Set(g.headers.RequestID, id)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/decide/leaving"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
@@ -69,7 +70,10 @@
 	leavingSince atomic.Int64
 
 	front, ready *http.Server
-	peers        *peer.Server
+	// requests is the context of all callers' requests; endRequests ends those in flight.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	peers       *peer.Server
 }
 
 // Module returns the daemon for a platform.
@@ -106,6 +110,8 @@
 	n.state.turn = int(catalog.Hash(s.VM))
 	n.gauges()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.requests, n.endRequests = context.WithCancelCause(context.Background())
+	n.front = n.newFront()
 	n.leasing = n.newLeaseManager()
 	return n
 }
@@ -138,6 +144,14 @@
 	return nil
 }
 
+// newFront returns the server for callers.
+func (g *Gateway) newFront() *http.Server {
+	return &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleMost,
+		BaseContext: func(net.Listener) context.Context { return g.requests },
+	}
+}
+
 func (g *Gateway) listen() error {
 	var err error
 	if g.peers, err = peer.Listen(g.settings.Peers); err != nil {
@@ -146,7 +160,6 @@
 	if err := g.register(); err != nil {
 		return err
 	}
-	g.front = &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleMost}
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		addr   string
@@ -213,7 +226,8 @@
 	// stopAccepting is when the listener is closed: the balancer checks once a
 	// second and takes a VM out after two misses.
 	stopAccepting = 0.55
-	// stopWaiting is when requests that still run are ended.
+	// stopWaiting is when the last answers have been sent. Requests that still run are ended
+	// so much earlier that their callers get an answer.
 	stopWaiting = 0.92
 )
 
@@ -227,9 +241,10 @@
 	g.beginLeaving()
 	g.life.BeginDrain()
 	pause.For(ctx, part(grace, stopAccepting))
-	stopCtx, cancel := context.WithDeadline(ctx, begin.Add(part(grace, stopWaiting)))
+	end := begin.Add(part(grace, stopWaiting))
+	stopCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	err := g.front.Shutdown(stopCtx)
+	err := g.closeFront(stopCtx, time.Until(end)-leaving.Answering)
 	g.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", g.leasing.Leading()).Msg("front closed")
 	g.leasing.AwaitSuccessors(stopCtx)
 	g.cancel()
@@ -239,4 +254,12 @@
 	return errors.Join(err, g.ready.Close())
 }
 
+// closeFront ends new connections, waits for the requests in flight, and ends with an answer
+// those that still run after a time.
+func (g *Gateway) closeFront(ctx context.Context, after time.Duration) error {
+	ends := time.AfterFunc(after, func() { g.endRequests(errStopping) })
+	defer ends.Stop()
+	return g.front.Shutdown(ctx)
+}
+
 func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"hemlockquay/internal/decide/leaving"
@@ -13,6 +16,20 @@
 	g.leaving.Store(true)
 }
 
+// errStopping is the cause that ends requests in flight at the end of the graceful shutdown.
+var errStopping = errors.New("the process stops")
+
+// endedByStop reports whether a request's context was ended by the graceful shutdown, not by its
+// caller.
+func endedByStop(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
+// closeIfLeaving has the caller send its next request on a connection to another VM.
+func (g *Gateway) closeIfLeaving(h http.Header) {
+	if g.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // outlasts reports whether a request is not to be sent to a target since it may outlast this
 // VM, which was asked to stop.
 func (g *Gateway) outlasts(c *call, e *attempt, left time.Duration) bool {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -123,5 +127,70 @@
 	resp := b.get("patient.example", nil, "")
 	require.Equal(t, http.StatusInternalServerError, resp.StatusCode)
 	require.Equal(t, "first", resp.Header.Get("Stamp"), "the answer of the target that ran it")
+	require.True(t, resp.Close)
 	require.EqualValues(t, 1, b.hits.Load())
 }
+
+// dialFront serves the gateway's own front and opens a connection of a caller to it.
+func (b *bench) dialFront() (net.Conn, *bufio.Reader) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b.t, err)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = b.front.Serve(l)
+	}()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() {
+		conn.Close()
+		b.front.Close()
+		<-served
+	})
+	return conn, bufio.NewReader(conn)
+}
+
+// A request that its target still works on when the VM ends is cut off without an answer.
+func TestRequestInFlightAtTheEndOfAStopGetsAnAnswer(t *testing.T) {
+	b := newBench(t)
+	reached, left := make(chan struct{}), make(chan struct{})
+	b.target("a", "pool", func(_ http.ResponseWriter, r *http.Request) {
+		close(reached)
+		<-r.Context().Done()
+		close(left)
+	})
+	conn, answers := b.dialFront()
+	_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: patient.example\r\nId: r-1\r\n\r\n")
+	require.NoError(t, err)
+	<-reached
+	b.beginLeaving()
+	require.NoError(t, b.closeFront(context.Background(), 0))
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode, "it may have run")
+	require.True(t, resp.Close)
+	<-left
+}
+
+// A body that is still read when the VM ends: its caller learns that nothing has run, and
+// does not wait for its timeout.
+func TestBodyInFlightAtTheEndOfAStopIsRefused(t *testing.T) {
+	b := newBench(t)
+	b.target("a", "pool", works)
+	conn, answers := b.dialFront()
+	_, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: patient.example\r\nId: r-1\r\nContent-Length: 20\r\nExpect: 100-continue\r\n\r\n")
+	require.NoError(t, err)
+	_, err = http.ReadResponse(answers, nil)
+	require.NoError(t, err, "the body is being read")
+	_, err = io.WriteString(conn, "half")
+	require.NoError(t, err)
+	b.beginLeaving()
+	require.NoError(t, b.closeFront(context.Background(), 0))
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, b.hits.Load())
+}
