SIGHUP during a start or a stop neither ends the process nor changes its grace

A SIGHUP that nothing receives ends a process, with the requests it holds. The gateway received it only while the goroutine of the reload ran: not between the reading of the settings and that goroutine's start, and not after the graceful shutdown had ended it. It is received from the construction of the daemon to its end now.

A reload during a stop changed the grace that decides what is still taken, while the stop itself went on with the one that it began with. It stays as it is now.

Both tests failed before (the first by the end of the test process).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -48,8 +49,10 @@
 	transfers *transfers
 	leasing   *leasing.Manager
 
-	ctx      context.Context
-	cancel   context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+	// hangups receives SIGHUP.
+	hangups  chan os.Signal
 	fetching sync.Map
 	tags     atomic.Uint64
 	// storeUp reports whether the store answered last, storeAnsweredAt when it did, on
@@ -63,7 +66,8 @@
 	targetsConfirmedAt atomic.Int64
 	// listed reports whether the targets are known.
 	listed atomic.Bool
-	// grace is how long after SIGTERM the process is killed, nanoseconds.
+	// grace is how long after SIGTERM the process is killed, nanoseconds. It does not change
+	// during the graceful shutdown.
 	grace atomic.Int64
 	// leaving is set by the graceful shutdown, leavingSince before it, on clock.
 	leaving      atomic.Bool
@@ -88,6 +92,7 @@
 	debug.SetGCPercent(kit.Settings.GCPercent)
 	n := newGateway(kit.Settings, a, boottime.System{}, kit.Log, kit.Registry)
 	n.life = kit.Life
+	n.receiveHangups()
 	kit.Life.Section("view", n.dump)
 	kit.LC.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 	return nil
@@ -102,6 +107,7 @@
 	}
 	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
 	n.transfers = newTransfers(n.self.LinkBytesPerSecond())
+	n.hangups = make(chan os.Signal, 1)
 	n.grace.Store(int64(s.Grace))
 	n.state = newRoutingState(clock, logger, registry, s.DataCentre, s.limits())
 	n.mesh = mesh.New(n.self, clock, logger)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -22,13 +22,13 @@
 	return repeats.Limit{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: s.Repeats.Window.D()}
 }
 
+// receiveHangups has SIGHUP reload the settings. It stays so to the end of the process: a
+// SIGHUP that nothing receives ends a process, also one that still starts or already stops.
+func (g *Gateway) receiveHangups() { signal.Notify(g.hangups, syscall.SIGHUP) }
+
 // reload puts changed settings in force, after SIGHUP or when the file is
 // another one.
-// A process that does not expect SIGHUP is ended by it.
 func (g *Gateway) reload(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	tick := time.NewTicker(reloadEvery)
 	defer tick.Stop()
 	last := g.fileTime()
@@ -37,7 +37,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-g.hangups:
 		case <-tick.C:
 			cause = "file changed"
 			if g.fileTime().Equal(last) {
@@ -66,7 +66,9 @@
 	}
 	g.state.setLimit(next.limits())
 	g.log.SetLevel(log.ParseLevel(next.Log))
-	g.grace.Store(int64(next.Grace))
+	if !g.leaving.Load() {
+		g.grace.Store(int64(next.Grace))
+	}
 	g.log.Info().Str("step", "reload").Str("cause", cause).Float64("ratio", next.Repeats.Ratio).Float64("slack", next.Repeats.Slack).
-		Dur("grace", next.Grace.D()).Msg("settings in force; addresses need a restart")
+		Dur("grace", time.Duration(g.grace.Load())).Msg("settings in force; addresses need a restart")
 }
--- /dev/null
+++ b/internal/gateway/reload_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A SIGHUP that arrives before settings are watched, or after, ends the process with the
+// requests it holds.
+func TestHangupDuringStartOrStopDoesNotEndTheProcess(t *testing.T) {
+	g := testGateway(newHandClock(time.Hour))
+	t.Cleanup(g.mesh.Close)
+	g.receiveHangups()
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	g.reload(ctx)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, syscall.SIGHUP, <-g.hangups)
+}
+
+// A shorter grace that is read during a stop has requests refused that end in time, a longer
+// one has requests taken that are cut.
+func TestReloadDoesNotChangeTheGraceOfAStop(t *testing.T) {
+	g := testGateway(newHandClock(time.Hour))
+	t.Cleanup(g.mesh.Close)
+	file := filepath.Join(t.TempDir(), "gateway.jsonc")
+	g.settings.SetSource(file)
+	write := func(grace string) {
+		require.NoError(t, os.WriteFile(file, []byte(`{"vm": "self", "dataCentre": "a", "admin": "127.0.0.1:1", "front": "127.0.0.1:1",
+			"ready": "127.0.0.1:1", "peers": "127.0.0.1:1", "store": "127.0.0.1:1", "grace": "`+grace+`"}`), 0o600))
+		g.readSettings("test")
+	}
+	write("5s")
+	require.Equal(t, 5*time.Second, time.Duration(g.grace.Load()))
+	g.beginLeaving()
+	write("9s")
+	require.Equal(t, 5*time.Second, time.Duration(g.grace.Load()))
+}
