hq-soak: profile stops, graceful shutdowns beside slow and mute targets

Profile stops has SIGTERM at one VM after another, a grace of 6 s, targets that work for 2.5 s or end connections in place of answers, and callers that wait 4.5 s. A promise is new, in both profiles: a VM that only got SIGTERM ends no connection of a request that it passed on without an answer; in stops it breaks nothing off that it took in the second half of its grace, either. The schedules of profile mixed, its load and its checks are as before.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 
 # A short soak under faults; the seeds are those of every run.
 soak: build
-	bash scripts/soak.sh 8 10 10s
+	bash scripts/soak.sh 8 10 10s mixed
+	bash scripts/soak.sh 1 1 20s stops
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/cmd/hq-soak/main.go
+++ b/cmd/hq-soak/main.go
@@ -20,6 +20,7 @@
 type options struct {
 	command.VersionFlag
 	Seed     uint64        `long:"seed" default:"1" description:"draws the schedule and the load's keys"`
+	Profile  string        `long:"profile" default:"mixed" choice:"mixed" choice:"stops" description:"mixed: faults of all kinds; stops: graceful shutdowns beside slow targets"`
 	Span     time.Duration `long:"span" default:"20s" description:"how long faults last; the run takes some seconds more"`
 	Schedule string        `long:"schedule" value-name:"FILE" description:"play this schedule, as --print writes it, instead of the seed's"`
 	Print    bool          `long:"print" description:"print the schedule and exit"`
@@ -47,7 +48,8 @@
 }
 
 func (o *options) play() error {
-	schedule := soak.Draw(o.Seed, o.Span)
+	profile := soak.Profiles[o.Profile]
+	schedule := profile.Draw(o.Seed, o.Span)
 	if o.Schedule != "" {
 		schedule = new(soak.Schedule)
 		if err := settings.Load(o.Schedule, schedule); err != nil {
@@ -63,6 +65,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	r := soak.Run{Seed: o.Seed, Schedule: schedule, Span: o.Span, Dir: o.Dir, Gateway: o.Gateway}
+	r := soak.Run{Seed: o.Seed, Profile: profile, Schedule: schedule, Span: o.Span, Dir: o.Dir, Gateway: o.Gateway}
 	return r.Play(ctx, os.Stdout)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -12,6 +12,9 @@
 	OneOwner   = "ONE OWNER"
 	AtMostOnce = "AT MOST ONCE"
 	Whole      = "WHOLE"
+	// Answered: a VM that stops answers what it passed on, and breaks nothing off that it took
+	// in the second half of its grace.
+	Answered = "ANSWERED"
 	// StaysUp: a process ends only when it is told to.
 	StaysUp = "STAYS UP"
 )
@@ -70,6 +73,8 @@
 	// once: it must not run twice.
 	once bool
 	runs []string
+	// abandoned are the targets that still ran it when its sender closed the connection.
+	abandoned []string
 	// refused is the status of a refusal, or 0.
 	refused int
 }
@@ -224,6 +229,34 @@
 	}
 }
 
+// Abandoned implements fleet.Watcher.
+func (c *Checker) Abandoned(target, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil {
+		r.abandoned = append(r.abandoned, target)
+	}
+}
+
+// Cut says that the connection of a request to a VM that stops ended without an answer.
+func (c *Checker) Cut(id, vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if runs := c.requests[id].runs; len(runs) > 0 {
+		c.broken(Answered, "request "+id, "ran at %v, and %s, which stops, closed its connection", runs, vm)
+	}
+}
+
+// GivenUp says that a VM that stops answered that a request, sent so long after its SIGTERM,
+// may have run.
+func (c *Checker) GivenUp(id, vm string, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if targets := c.requests[id].abandoned; len(targets) > 0 {
+		c.broken(Answered, "request "+id, "sent %v after SIGTERM, and %s gave it up while %v ran it", after.Round(time.Millisecond), vm, targets)
+	}
+}
+
 // Refused says that a request was answered 429 or 503.
 func (c *Checker) Refused(id string, status int) {
 	c.mu.Lock()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -149,3 +149,27 @@
 	r.verdict(&out, newPlay().Checker, nil)
 	require.Contains(t, out.String(), "seed 7: whole;")
 }
+
+// A VM that stops ends the connection of a request that it has passed on, without an answer.
+func TestARequestCutByAStopIsFound(t *testing.T) {
+	p := newPlay()
+	p.Asked("refused connection", false)
+	p.Cut("refused connection", "vm-1")
+	require.Empty(t, p.Breaks(), "it was not passed on")
+	p.Asked("a", false)
+	p.Ran("k-1", "a")
+	p.Cut("a", "vm-1")
+	p.expect(t, Answered, "request a")
+}
+
+// A VM takes a request late in its grace and breaks it off while its target works on it.
+func TestARequestBrokenOffByAStopIsFound(t *testing.T) {
+	p := newPlay()
+	p.Asked("a", false)
+	p.Ran("k-1", "a")
+	p.GivenUp("a", "vm-1", 3200*time.Millisecond)
+	require.Empty(t, p.Breaks(), "its target ended the connection")
+	p.Abandoned("k-1", "a")
+	p.GivenUp("a", "vm-1", 3200*time.Millisecond)
+	p.expect(t, Answered, "request a")
+}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -15,27 +15,22 @@
 	"hemlockquay/internal/standin/fleet"
 )
 
-const (
-	// rate is the requests a second over both routes.
-	rate = 40
-	// deadline is the time that requests have, and patience how long callers wait.
-	deadline, patience = 2 * time.Second, 4 * time.Second
-)
-
 // load sends requests to all VMs in turn at planned times, over connections that are kept
 // until the process is gone, also while a VM says that it leaves.
 type load struct {
-	vms    []*vm
-	client *http.Client
-	check  *Checker
-	keys   *rand.Rand
+	profile Profile
+	vms     []*vm
+	client  *http.Client
+	check   *Checker
+	keys    *rand.Rand
 }
 
 func newLoad(w *world, seed uint64, check *Checker) *load {
 	l := &load{
 		// A caller's own connections: the default ones are kept too few.
-		client: &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: rate}},
-		check:  check, keys: rand.New(rand.NewPCG(seed, loadStream)),
+		client:  &http.Client{Timeout: w.profile.Patience, Transport: &http.Transport{MaxIdleConnsPerHost: w.profile.Rate}},
+		profile: w.profile,
+		check:   check, keys: rand.New(rand.NewPCG(seed, loadStream)),
 	}
 	for _, name := range vmNames() {
 		l.vms = append(l.vms, w.vms[name])
@@ -48,7 +43,7 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	begin := time.Now()
-	for n := 0; pause.For(ctx, time.Until(begin.Add(time.Duration(n)*time.Second/rate))); n++ {
+	for n := 0; pause.For(ctx, time.Until(begin.Add(time.Duration(n)*time.Second/time.Duration(l.profile.Rate)))); n++ {
 		key := l.keys.IntN(keys)
 		wait.Go(func() { l.one(n, key) })
 	}
@@ -64,7 +59,7 @@
 	id := fmt.Sprintf("soak-%d", n)
 	path += strconv.Itoa(n)
 	v := l.vms[n/2%len(l.vms)]
-	process := v.staying()
+	process, current, sent := v.staying(), v.current(), time.Now()
 	l.check.Asked(id, once)
 	r, err := http.NewRequest(http.MethodPost, "http://"+v.front+path, http.NoBody)
 	if err != nil {
@@ -73,13 +68,16 @@
 	}
 	r.Host = host
 	r.Header.Set(fleet.Headers.RequestID, id)
-	r.Header.Set(fleet.Headers.DeadlineMs, strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set(fleet.Headers.DeadlineMs, strconv.FormatInt(l.profile.Deadline.Milliseconds(), 10))
 	if !once {
 		r.Header.Set(fleet.Headers.Key, strconv.Itoa(key))
 	}
 	resp, err := l.client.Do(r)
 	if err != nil {
 		l.check.Lost()
+		if _, stops := v.stopping(current); stops && !os.IsTimeout(err) {
+			l.check.Cut(id, v.name)
+		}
 		return
 	}
 	defer resp.Body.Close()
@@ -89,6 +87,9 @@
 		l.check.Refused(id, code)
 	case code/100 != 2:
 		l.check.Failed()
+		if at, stops := v.stopping(current); stops && l.profile.SoundLinks && code == http.StatusBadGateway && sent.Sub(at) > v.grace/2 {
+			l.check.GivenUp(id, v.name, sent.Sub(at))
+		}
 	case err != nil && (os.IsTimeout(err) || process == nil || process != v.staying()):
 		// The VM is suspended or its process has ended: the caller sees that the body is short.
 		l.check.Lost()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,7 @@
 // Run is one run of the soak.
 type Run struct {
 	Seed     uint64
+	Profile  Profile
 	Schedule *Schedule
 	// Span is how long faults and load last.
 	Span time.Duration
@@ -45,7 +46,7 @@
 		return err
 	}
 	check := NewChecker(time.Now)
-	w, err := newWorld(r.Dir, r.Gateway, check)
+	w, err := newWorld(r.Dir, r.Gateway, r.Profile, check)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,6 +37,10 @@
 	Kill Kind = "kill"
 	// Term: a VM's process is asked to leave, is killed after its grace, and is started again.
 	Term Kind = "term"
+	// Slow: a target works for seconds on each request.
+	Slow Kind = "slow"
+	// Mute: a target ends its connections in place of answers to requests that it ran.
+	Mute Kind = "mute"
 )
 
 // Fault is one fault of a schedule.
@@ -56,7 +60,7 @@
 }
 
 // kinds are what may happen to targets and VMs.
-var kinds = map[bool][]Kind{true: {Cut, Reset, Lapse}, false: {Cut, Reset, Stop, Kill, Term}}
+var kinds = map[bool][]Kind{true: {Cut, Reset, Lapse, Slow, Mute}, false: {Cut, Reset, Stop, Kill, Term}}
 
 // Check implements settings.Checker.
 func (s *Schedule) Check() error {
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -64,3 +64,22 @@
 		require.ErrorAs(t, settings.Decode("text", []byte(text), new(Schedule)), &bad, text)
 	}
 }
+
+// Stops that never meet a slow or a mute target, or never follow each other at once, find
+// no request that outlasts its VM.
+func TestDrawnStopsMeetFaultsOfTargets(t *testing.T) {
+	for seed := range uint64(50) {
+		s := DrawStops(seed, 20*time.Second)
+		require.Equal(t, s, DrawStops(seed, 20*time.Second))
+		require.NoError(t, s.Check())
+		drawn := make(map[Kind]int)
+		for _, f := range s.Faults {
+			drawn[f.Kind]++
+			require.Positive(t, f.For)
+			require.LessOrEqual(t, f.At+f.For, model.Duration(20*time.Second), "over at the end: %v", f)
+		}
+		require.GreaterOrEqual(t, drawn[Term], vmCount, "every VM stops")
+		require.Positive(t, drawn[Slow])
+		require.Positive(t, drawn[Mute])
+	}
+}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -12,6 +12,7 @@
 // vm is a VM, on which one process runs at a time.
 type vm struct {
 	name, front, program, settings, log string
+	grace                               time.Duration
 	check                               *Checker
 
 	mu  sync.Mutex
@@ -23,6 +24,10 @@
 	cmd *exec.Cmd
 	// told reports whether it was asked to end.
 	told bool
+	// stoppedAt is when it got SIGTERM, zero before; disturbed reports whether it was killed
+	// or suspended.
+	stoppedAt time.Time
+	disturbed bool
 	// gone is closed when it has ended.
 	gone chan struct{}
 }
@@ -37,6 +42,24 @@
 	return v.now
 }
 
+// current returns the process of the latest life, or nil.
+func (v *vm) current() *process {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.now
+}
+
+// stopping returns when a process that nothing else disturbs got SIGTERM; false where it
+// got none.
+func (v *vm) stopping(p *process) (time.Time, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p == nil || p.disturbed || p.stoppedAt.IsZero() {
+		return time.Time{}, false
+	}
+	return p.stoppedAt, true
+}
+
 // start waits until a process that leaves is gone, and starts the next. It does nothing
 // where another call has started one. Signals can be sent while it waits.
 func (v *vm) start() error {
@@ -88,6 +111,10 @@
 	defer v.mu.Unlock()
 	if v.now != nil {
 		v.now.told = v.now.told || ends
+		v.now.disturbed = v.now.disturbed || s == syscall.SIGKILL || s == syscall.SIGSTOP
+		if s == syscall.SIGTERM && v.now.stoppedAt.IsZero() {
+			v.now.stoppedAt = time.Now()
+		}
 		_ = v.now.cmd.Process.Signal(s)
 	}
 }
@@ -102,7 +129,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if p := v.now; p != nil {
-		time.AfterFunc(grace, func() { _ = p.cmd.Process.Kill() })
+		time.AfterFunc(v.grace, func() { _ = p.cmd.Process.Kill() })
 	}
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -21,8 +21,6 @@
 	work = 100 * time.Millisecond
 	// bodyBytes is what an answer has at least: several reads of a link.
 	bodyBytes = 20_000
-	// grace is how long after SIGTERM a process is killed.
-	grace = 3 * time.Second
 )
 
 // vmNames returns the names of the VMs.
@@ -41,6 +39,7 @@
 
 // world is the site: what is played, the links, and the VMs.
 type world struct {
+	profile Profile
 	store   *fleet.Store
 	server  *http.Server
 	targets map[string]*fleet.Target
@@ -54,9 +53,9 @@
 }
 
 // newWorld starts what is played and the links, and writes the VMs' settings.
-func newWorld(dir, program string, check *Checker) (*world, error) {
+func newWorld(dir, program string, profile Profile, check *Checker) (*world, error) {
 	w := &world{
-		store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
+		profile: profile, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
 		links: make(map[string]*link.Link), active: make(map[[2]string]int),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -101,13 +100,13 @@
 }
 
 func (w *world) addVMs(dir, program, store string, check *Checker) error {
-	written, err := fleet.WriteGateways(dir, vmNames(), grace, func(name string) (string, error) { return w.addLink(name, store) })
+	written, err := fleet.WriteGateways(dir, vmNames(), w.profile.Grace, func(name string) (string, error) { return w.addLink(name, store) })
 	if err != nil {
 		return err
 	}
 	for _, s := range written {
 		file := filepath.Join(dir, s.VM)
-		w.vms[s.VM] = &vm{name: s.VM, front: s.Front, program: program, settings: file + ".jsonc", log: file + ".log", check: check}
+		w.vms[s.VM] = &vm{name: s.VM, front: s.Front, program: program, settings: file + ".jsonc", log: file + ".log", grace: w.profile.Grace, check: check}
 	}
 	return nil
 }
@@ -126,6 +125,10 @@
 		w.links[f.What].Reset()
 	case Lapse:
 		w.store.Remove("servers", f.What)
+	case Slow:
+		w.targets[f.What].SetWork(slowWork)
+	case Mute:
+		w.targets[f.What].SetMute(true)
 	case Stop:
 		w.vms[f.What].suspend()
 	case Kill:
@@ -145,6 +148,10 @@
 		w.links[f.What].Heal()
 	case Lapse:
 		w.targets[f.What].List(w.store)
+	case Slow:
+		w.targets[f.What].SetWork(work)
+	case Mute:
+		w.targets[f.What].SetMute(false)
 	case Stop:
 		w.vms[f.What].resume()
 	case Kill, Term:
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,6 +22,8 @@
 	Released(target string, from, to uint16)
 	// Ran: the target runs a request.
 	Ran(target, id string)
+	// Abandoned: the sender of a request closed its connection while the target ran it.
+	Abandoned(target, id string)
 }
 
 // Target is a server that runs requests, and holds keys where it is keyed.
@@ -41,7 +44,9 @@
 	// listed is the address that the entry names.
 	listed string
 	// work is how long a request takes.
-	work     time.Duration
+	work time.Duration
+	// mute reports whether connections end in place of answers.
+	mute     bool
 	born     int64
 	draining bool
 	fences   [1 << 16]uint64
@@ -108,6 +113,13 @@
 	t.work = d
 }
 
+// SetMute sets whether connections end in place of answers to requests that ran.
+func (t *Target) SetMute(mute bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mute = mute
+}
+
 // Kill ends the life at once.
 func (t *Target) Kill() { _ = t.server.Close() }
 
@@ -221,11 +233,30 @@
 		t.Watcher.Ran(t.ID, id)
 	}
 	t.mu.Unlock()
-	time.Sleep(work)
+	t.await(r.Context(), id, time.After(work))
+	t.mu.Lock()
+	mute := t.mute
+	t.mu.Unlock()
+	if mute {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(Headers.Stamp, t.ID)
 	_, _ = io.WriteString(w, Body(t.ID, r.URL.Path, t.Pad))
 }
 
+// await waits for the end of the work on a request. Work goes on where its sender has left.
+func (t *Target) await(sender context.Context, id string, done <-chan time.Time) {
+	select {
+	case <-done:
+		return
+	case <-sender.Done():
+	}
+	if t.Watcher != nil {
+		t.Watcher.Abandoned(t.ID, id)
+	}
+	<-done
+}
+
 // Body returns the whole body of a target's answer.
 func Body(target, path string, pad int) string {
 	said := target + " " + path
