--- a/internal/agent/grantbatch.go
+++ b/internal/agent/grantbatch.go
@@ -9,7 +9,7 @@
 	"hemlockquay/internal/target"
 )
 
-// answer is what comes back from a target or the store.
+// answer is the response of a target or the store.
 type answer struct {
 	service string
 	batch   *batch
--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -81,7 +81,7 @@
 }
 
 // BenchmarkSlopeBeatRound is one round of heartbeats of an agent with n peers
-// without the network: what it takes in and looks at. beat-B is the bytes both
+// without the network: what it receives and examines. beat-B is the bytes both
 // ways with all peers.
 func BenchmarkSlopeBeatRound(b *testing.B) {
 	for _, n := range []int{8, 64, 512} {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -23,7 +23,7 @@
 	Slots int `msgpack:"n"`
 	// Draining targets take no new requests.
 	Draining bool `msgpack:"g"`
-	// Born is the start of its process, Unix milliseconds. An id may come back
+	// Born is the start of its process, Unix milliseconds. An id may be used again
 	// with a later one.
 	Born int64 `msgpack:"b"`
 	// Cold is how much longer it was to be slow when it wrote its entry.
--- a/internal/ctl/cli/cli.go
+++ b/internal/ctl/cli/cli.go
@@ -1,5 +1,5 @@
 // Package cli is the command line of hqctl: human tables by default, JSON on
-// request, and an exit code for each outcome that a script has to tell apart.
+// request, and an exit code for each outcome that a script has to distinguish.
 package cli
 
 import (
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -115,7 +115,7 @@
 // agentProcess is the agent's name in status objects.
 const agentProcess = "hq-agent"
 
-// VMs returns all VMs that the platform lists or an agent hears, by name.
+// VMs returns all VMs that the platform lists or an agent has heartbeats of, by name.
 func (f *Fleet) VMs(ctx context.Context) ([]VM, error) {
 	found := make(map[string]*VM)
 	statuses := f.statuses(ctx)
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -49,7 +49,7 @@
 }
 
 const (
-	// silenceLeast is the shortest silence that is told. Under load a VM writes
+	// silenceLeast is the shortest silence that is reported. Under load a VM writes
 	// tens of lines a second.
 	silenceLeast = time.Second
 	// aroundBefore and aroundAfter bound the time around the subject's lines in
--- a/internal/ctl/losses.go
+++ b/internal/ctl/losses.go
@@ -57,7 +57,7 @@
 	sharesShown = 3
 	// outcomesDrawn bounds the curves of a plot.
 	outcomesDrawn = 7
-	// tookMost bounds the times that are told apart, microseconds, at tookDigits
+	// tookMost bounds the times that are distinguished, microseconds, at tookDigits
 	// significant digits.
 	tookMost   = int64(time.Minute / time.Microsecond)
 	tookDigits = 2
--- a/internal/daemon/logwriter.go
+++ b/internal/daemon/logwriter.go
@@ -80,7 +80,7 @@
 
 // Close writes what waits and ends.
 //
-// Failure: nobody reads the output. The process waited for its reader when it was told
+// Failure: nobody reads the output. The process waited for its reader when it was asked
 // to stop, until it was killed.
 func (w *logWriter) Close() error {
 	w.once.Do(func() { close(w.lines) })
--- a/internal/decide/deadline/deadline.go
+++ b/internal/decide/deadline/deadline.go
@@ -15,7 +15,7 @@
 // 90% of capacity, a wait has mean 10m/c where there is one, and about one request
 // in a hundred waits 30 to 40 m/c (M/M/c). A wait of 2m + 30m/c at overload is
 // therefore near what callers see at 90%, and is far more work than the slots need
-// to stay busy. Overload is told from a burst by what comes after it: two windows
+// to stay busy. Overload differs from a burst by what comes after it: two windows
 // of 100 ms one after the other, each with more work than the slots can do. In 100
 // ms a pool of 20 slots and 8 ms gets 225 requests at 90% and passes its capacity
 // by chance in one window of eight.
@@ -30,7 +30,7 @@
 	// boundServices and boundPerSlot make the bound; see the package comment.
 	boundServices = 2
 	boundPerSlot  = 30
-	// leastBound is below what a network of 1 ms and a scheduler can tell.
+	// leastBound is below what a network of 1 ms and a scheduler can resolve.
 	leastBound = 5 * time.Millisecond
 	// window and windows are how long more must come than can be done before
 	// the queue is cut to the bound.
@@ -59,7 +59,7 @@
 func Meets(left, wait, service time.Duration) bool { return wait+service <= left }
 
 // GiveUp returns the moment from which a waiting request is past hope: its own
-// service time no longer fits. Its caller is told then and not at the deadline.
+// service time no longer fits. It is refused then and not at the deadline.
 func GiveUp(deadline time.Time, service time.Duration) time.Time {
 	return deadline.Add(-service)
 }
--- a/internal/decide/duration/duration.go
+++ b/internal/decide/duration/duration.go
@@ -6,7 +6,7 @@
 // second, and a refusal by deadline is a guess.
 //
 // A kind is the customer, the method and the first part of the path; what else
-// tells a long job from a short one, only its target knows. A kind that was not
+// distinguishes a long job from a short one, only its target knows. A kind that was not
 // seen yet is expected to take the mean of all.
 //
 // Grounds: a moving mean over the last 16 answers of a kind follows a change
--- a/internal/decide/fairqueue/fairqueue.go
+++ b/internal/decide/fairqueue/fairqueue.go
@@ -47,7 +47,7 @@
 	Weight int
 	// Cost is the expected service time, seconds, above 0.
 	Cost float64
-	// Long items are passed over where Next is told so.
+	// Long items are passed over where the caller of Next asks for it.
 	Long bool
 
 	flow *flow[T]
--- a/internal/decide/fairqueue/yield.go
+++ b/internal/decide/fairqueue/yield.go
@@ -7,7 +7,7 @@
 // gave way, its newest item would have come some time ago: with exponential gaps 4.6
 // times its mean gap at the 99th percentile, 6 ms for two customers with 750 requests
 // a second each, 300 ms for a hundred with 15 each. The one that just came has waited
-// for nothing and can be told at once. If its customer is below its share, nobody need
+// for nothing and can be refused at once. If its customer is below its share, nobody need
 // give way for it: such customers alone cannot overload the slots.
 func (q *Queue[T]) GiveWay(i *Item[T]) bool {
 	if !i.Waiting() || !i.flow.above(q.class[i.Class].level(i.Cost)) {
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -95,7 +95,7 @@
 }
 
 // A key turns hot, and eight VMs send its owner what each believes to fit, before
-// they hear of each other. Together they must not send more than the owner can
+// they exchange loads. Together they must not send more than the owner can
 // run and queue.
 func TestVMsThatDoNotSeeEachOtherYetDoNotOverfillATarget(t *testing.T) {
 	const vms, slots, queue = 8, 3, 12
--- a/internal/decide/placement/initial.go
+++ b/internal/decide/placement/initial.go
@@ -20,7 +20,7 @@
 // First plans a service that has no assignment, once every listed VM is heard or
 // firstPatience passed.
 //
-// Failure: the whole system starts at once, and the first assigner hears no peer
+// Failure: the whole system starts at once, and the first assigner knows no peer
 // yet. Lines of one or two grantors are written, and a VM lost before they are
 // filled up leaves groups that nobody takes over.
 func (p *Planner) First(in *Input) Result {
--- a/internal/decide/placement/line_test.go
+++ b/internal/decide/placement/line_test.go
@@ -10,7 +10,7 @@
 	"hemlockquay/internal/model"
 )
 
-// Nine VMs start at once; the first assigner hears only itself. It plans lines of
+// Nine VMs start at once; the first assigner knows only itself. It plans lines of
 // one grantor. That VM is lost a second later, and its keys have no owner until
 // an operator helps. Cause: the first plan did not wait for VMs already listed.
 func TestFirstPlanWaitsForListedVMs(t *testing.T) {
--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -275,7 +275,7 @@
 }
 
 // Three requests run on a target when it dies. The watch over crashing requests must
-// hear of one death with all of them, and of no other end.
+// are notified of one death with all of them, and of no other end.
 func TestDeathIsToldOnceWithAllThatRan(t *testing.T) {
 	inBench(t, 1, false, func(b *bench) {
 		w := &deaths{}
--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -12,7 +12,7 @@
 // message between entries.
 //
 // Invariant: an account that is not active has lent and borrowed nothing, and its
-// gate was told of its share after it was last active and after each change of the
+// gate received its share after it was last active and after each change of the
 // base since. So it needs no word until a request, a loan or a new base comes.
 //
 // Failure that this guards against: a share is lowered and raised again, while its
--- a/internal/entry/active_test.go
+++ b/internal/entry/active_test.go
@@ -21,7 +21,7 @@
 }
 
 // A customer's account is quiet at some entries and in use at others by turns, while
-// messages are lost, renewals are late and a VM joins. A gate that was not told of a
+// messages are lost, renewals are late and a VM joins. A gate that was not notified of a
 // share lent away while nobody called would admit on it, beside its borrower: over all
 // entries the customer would pass its contract.
 func TestQuietAccountsKeepTheContract(t *testing.T) {
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -157,7 +157,7 @@
 
 // refresh passes the book what the account needs and the gate what it has. It
 // must run before and after each change of the book: the gate counts a lowered
-// share from the last time that it was told.
+// share from the last update that it received.
 func (a *admitter) refresh(account shares.Account, l *ledger, now time.Duration) {
 	a.book.SetUse(account, l.use(a.vms, now), now)
 	rate, concurrency := a.book.Share(account, now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -195,7 +195,7 @@
 	return min(max(usual, leastRetry), mostRetry)
 }
 
-// retryAfterLimit returns when to come back to a key that is hotter than its owner: the owner
+// retryAfterLimit returns when to retry for a key that is hotter than its owner: the owner
 // can do the requests that were refused in the time of one only over several.
 func (g *Gateway) retryAfterLimit(c *call) time.Duration {
 	part := 1.0
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// A caller sends half of its body and no more, and keeps its connection. It is told by
+// A caller sends half of its body and no more, and keeps its connection. It learns by
 // the end of its time that nothing ran, and its body's memory is free again.
 func TestBodyThatDoesNotComeInTime(t *testing.T) {
 	b := newBench(t)
@@ -94,7 +94,7 @@
 	}, 5*time.Second, time.Millisecond)
 }
 
-// Operators add a route that this version cannot read. Its callers are not told that it
+// Operators add a route that this version cannot read. Its callers do not get the answer that it
 // does not exist, which would end their tries, but that nothing ran.
 func TestRouteThatIsNotUnderstoodIsRefusedAsNotRun(t *testing.T) {
 	b := newBench(t)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -11,7 +11,7 @@
 // Figures of the front.
 const (
 	// leastLeft is the time below which nothing is sent any more: the answer
-	// could not come back in time.
+	// would arrive late.
 	leastLeft = 5 * time.Millisecond
 	// movingWait is how long a request waits at most for a key that changes its
 	// owner: the work on the key at the old owner ends, then the new one gets it.
@@ -19,23 +19,23 @@
 	// answerMargin is how much earlier than the caller's time ends it gets its
 	// answer: the way back takes about 3 ms.
 	answerMargin = 10 * time.Millisecond
-	// lostRetry is the part of its time after which a caller may come back for a
+	// lostRetry is the part of its time after which a caller may retry for a
 	// key whose owner is lost. The key is back within a hold and about a second;
 	// callers wait no longer than this part.
 	lostRetry = 3
 	// misdirectedPause is the wait after a target said that it does not hold the
-	// key, unless news of the leases come first.
+	// key, unless an update of the leases arrives first.
 	misdirectedPause = 150 * time.Millisecond
 	// unsentMost bounds the targets that could not be connected to.
 	unsentMost = 4
-	// unconfiguredRetry is when a caller may come back to a VM that knows no
+	// unconfiguredRetry is when a caller may retry at a VM that knows no
 	// configuration yet.
 	unconfiguredRetry = 500 * time.Millisecond
 	// leastRetry and mostRetry bound the time after which a refused caller may
-	// come back: a full target has a free place after about a service time.
+	// retry: a full target has a free place after about a service time.
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = time.Second
-	// soonRetry is when a caller may come back whom a target with free slots refused, or
+	// soonRetry is when a caller may retry whom a target with free slots refused, or
 	// a VM that leaves: at once, but for the time that a new connection takes anyway.
 	soonRetry = 10 * time.Millisecond
 	// crashLimit is how many targets a request may have ended before it is
--- a/internal/loadgen/path_test.go
+++ b/internal/loadgen/path_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// One that is not ready, and one that answers in each way: the report must tell them
+// One that is not ready, and one that answers in each way: the report must keep them
 // apart, and only whole answers are complete.
 func TestPathReportTellsOutcomesApart(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(front))
--- a/internal/ownership/grants/contact.go
+++ b/internal/ownership/grants/contact.go
@@ -143,7 +143,7 @@
 // Failure: keys move away and back at one rank, and are to move again. An answer to the
 // first release comes only then, and is taken for the end of this one. It shows as two
 // owners, since the grant that the target got in between is in force. An order is made no
-// earlier than the release that it asks for, so its time tells them apart.
+// earlier than the release that it asks for, so its time distinguishes them.
 func (g *Group) endsRelease(o *Order) bool {
 	if g.grant.State() != releasing || o.Target != g.target || len(o.Release) == 0 {
 		return false
--- a/internal/ownership/grants/faults_play_test.go
+++ b/internal/ownership/grants/faults_play_test.go
@@ -164,7 +164,7 @@
 
 func (p *play) runs(i int) bool { return !p.dead[i] && !p.paused[i] }
 
-// listen brings up to date who hears whom.
+// listen updates which agents receive heartbeats of which.
 func (p *play) listen() {
 	for i, a := range p.agents {
 		a.cutOff = p.down || p.isolated[i]
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -29,7 +29,7 @@
 // Failure: the store's answer is lost after the write took effect. It shows as
 // ErrAmbiguous. A blind repeat would fail with ErrConflict against our own
 // write, and reporting that conflict would call a success a failure. Each write
-// carries a tag of its own; reading the object tells whose write it holds. An
+// carries a tag of its own; reading the object shows whose write it holds. An
 // object still at the expected version may yet be changed by a delayed copy of
 // this write, so the repeat is the same conditional write: whichever of the two
 // arrives first makes the other fail. A conflict of a repeat may therefore be
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -54,7 +54,7 @@
 	// Splits are the services that share the requests; one at least.
 	Splits []Split
 	// Unusable says why the route's requests cannot be served, empty for a route that
-	// was understood. They are refused as not run, and may come back.
+	// was understood. They are refused as not run, and may be retried.
 	Unusable string
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -15,7 +15,7 @@
 	// Answered: a VM that stops answers what it passed on, and breaks nothing off that it took
 	// in the second half of its grace.
 	Answered = "ANSWERED"
-	// StaysUp: a process ends only when it is told to.
+	// StaysUp: a process ends only when it gets a signal to.
 	StaysUp = "STAYS UP"
 )
 
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -22,8 +22,8 @@
 // process is one life of a VM's program.
 type process struct {
 	cmd *exec.Cmd
-	// told reports whether it was asked to end.
-	told bool
+	// ending reports whether it got a signal to end.
+	ending bool
 	// stoppedAt is when it got SIGTERM, zero before; disturbed reports whether it was killed
 	// or suspended.
 	stoppedAt time.Time
@@ -36,7 +36,7 @@
 func (v *vm) staying() *process {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.now == nil || v.now.told {
+	if v.now == nil || v.now.ending {
 		return nil
 	}
 	return v.now
@@ -100,7 +100,7 @@
 	close(p.gone)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !p.told {
+	if !p.ending {
 		v.check.Broken(StaysUp, v.name, "its process ended by itself: %v", err)
 	}
 }
@@ -110,7 +110,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.now != nil {
-		v.now.told = v.now.told || ends
+		v.now.ending = v.now.ending || ends
 		v.now.disturbed = v.now.disturbed || s == syscall.SIGKILL || s == syscall.SIGSTOP
 		if s == syscall.SIGTERM && v.now.stoppedAt.IsZero() {
 			v.now.stoppedAt = time.Now()
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -97,7 +97,7 @@
 // Failure: a renewal is delayed in the network and arrives after the order that
 // released the slices, and would undo the release while the other half of the
 // pair is granted. It shows as two owners after a planned move. The rank is the
-// same in both, so only the sequence number tells which is older.
+// same in both, so only the sequence number shows which is older.
 func (g *groupState) takes(o *target.GroupOrder) bool {
 	c := o.Rank.Compare(g.fence)
 	return c > 0 || c == 0 && o.Seq >= g.seq
--- a/internal/standin/fence_test.go
+++ b/internal/standin/fence_test.go
@@ -13,7 +13,7 @@
 // TestLateRenewalDoesNotUndoRelease: after a planned move a user would see two
 // targets answer for a key. A renewal is sent, then the release; the release
 // arrives first, the target gives the group up and the standby is granted; then
-// the renewal arrives. Both carry the same rank: the sequence number tells.
+// the renewal arrives. Both carry the same rank: the sequence number decides.
 func TestLateRenewalDoesNotUndoRelease(t *testing.T) {
 	f := NewFences("t.1")
 	all := []keyspace.Slice{{First: 0, Last: 9}, {First: 10, Last: 19}}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -257,7 +257,7 @@
 // isReset asks the system whether the other end has reset a connection.
 //
 // Failure: a sender resets its connection, and the link heals right after. The read that
-// tells of the reset has not returned yet, and what was held is delivered all the same.
+// reports the reset has not returned yet, and what was held is delivered all the same.
 func isReset(c net.Conn) bool {
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -85,7 +85,7 @@
 }
 
 // An answer of a request that was given up arrives where the next answer is due.
-// The id tells them apart; the right one follows and is taken.
+// The id distinguishes them; the right one follows and is taken.
 func TestLateAnswerIsPassedOver(t *testing.T) {
 	p := script(t, func(_ int, c net.Conn, in *bufio.Reader) {
 		id := readID(t, in)
