--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -24,6 +24,16 @@
 	return b
 }
 
+// leavesThen plays a target during whose work the VM is found to have been asked to stop so
+// long ago.
+func (b *bench) leavesThen(since time.Duration, play http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		b.leavingSince.Store(int64(b.clock.Now() - since))
+		b.leaving.Store(true)
+		play(w, r)
+	}
+}
+
 // A VM is asked to stop. A caller that keeps its connection sends a search 3.2 s later, which
 // may take four seconds; the VM passes it on, and ends 2.3 s later, while the target still
 // works on it. The caller gets no answer. It must be refused as not run, at once, on a
@@ -80,12 +90,7 @@
 func TestStoppingVMSendsNothingAgainThatMayOutlastIt(t *testing.T) {
 	b := newBench(t)
 	b.grace.Store(int64(6 * time.Second))
-	leavesAndSheds := func(w http.ResponseWriter, r *http.Request) {
-		b.leavingSince.Store(int64(b.clock.Now() - 3200*time.Millisecond))
-		b.leaving.Store(true)
-		sheds(w, r)
-	}
-	play := firstThen(leavesAndSheds, works)
+	play := firstThen(b.leavesThen(3200*time.Millisecond, sheds), works)
 	b.target("a", "pool", play)
 	b.target("b", "pool", play)
 	resp := b.get("patient.example", nil, "")
@@ -98,12 +103,7 @@
 func TestStoppingVMSendsAgainWhatMayHaveRun(t *testing.T) {
 	b := newBench(t)
 	b.grace.Store(int64(6 * time.Second))
-	leavesAndBreaks := func(w http.ResponseWriter, r *http.Request) {
-		b.leavingSince.Store(int64(b.clock.Now() - 3200*time.Millisecond))
-		b.leaving.Store(true)
-		breaks(w, r)
-	}
-	play := firstThen(leavesAndBreaks, works)
+	play := firstThen(b.leavesThen(3200*time.Millisecond, breaks), works)
 	b.target("a", "pool", play)
 	b.target("b", "pool", play)
 	require.Equal(t, http.StatusOK, b.get("patient.example", nil, "").StatusCode)
@@ -115,13 +115,11 @@
 func TestStoppingVMDoesNotSendAgainWhatMayOutlastIt(t *testing.T) {
 	b := newBench(t)
 	b.grace.Store(int64(6 * time.Second))
-	leavesAndFails := func(w http.ResponseWriter, _ *http.Request) {
-		b.leavingSince.Store(int64(b.clock.Now() - 5200*time.Millisecond))
-		b.leaving.Store(true)
+	fails := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Stamp", "first")
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	play := firstThen(leavesAndFails, works)
+	play := firstThen(b.leavesThen(5200*time.Millisecond, fails), works)
 	b.target("a", "pool", play)
 	b.target("b", "pool", play)
 	resp := b.get("patient.example", nil, "")
