--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -61,11 +61,8 @@
 }
 
 // replace takes a listing whole; objects that it lacks are deleted.
-//
-// Failure: the store was restored from a copy, or a peer was cut off for long,
-// and answers with an older state. It shows as limits that fall back to values
-// that operators have replaced. A listing of a lower revision is refused, and
-// of a newer listing an object of a lower version than the one held.
+// A store that was restored from a copy, or a peer that was cut off, answers with an older state. A
+// listing of a lower revision is refused, and of a newer one each object of a lower version.
 func (c *configuration) replace(l platform.Listing) error {
 	c.mu.Lock()
 	if c.ready && l.Revision < c.revision {
@@ -109,10 +106,7 @@
 
 // put takes an object that is newer than the one held and passes its check.
 // It needs c.mu.
-//
-// Failure: an object was written past hqctl with a value that no program can
-// use. It shows as a refusal in status, metric and log; the last good version
-// stays in force.
+// What is refused shows in status, metric and log; the last good version stays in force.
 func (c *configuration) put(o platform.Object) bool {
 	held, ok := c.objects[o.ID()]
 	if ok && o.Version <= held.Version {
@@ -165,10 +159,8 @@
 }
 
 // take puts a peer's answer to a question from the revision into force.
-//
-// Failure: while the peer answered, the store brought a newer state; or the peer
-// holds an older one. A delta on another base would skip changes without any
-// sign, so it is refused; the next question begins at the revision held.
+// A delta on another base would skip changes, so it is refused; the next query begins at the
+// revision held.
 func (c *configuration) take(from uint64, r *wire.PullReply) error {
 	if !r.Ready {
 		return errEmpty
--- a/internal/agent/elect.go
+++ b/internal/agent/elect.go
@@ -13,11 +13,8 @@
 const watchersPerDataCentre = 2
 
 // shouldWatch decides whether an agent watches the store.
-//
-// Failure: the agents that watch are cut off from the store while others could
-// reach it. Only a watch that works counts, so the others begin to watch. An
-// agent that watches gives way only to working ones of lower name, so two that
-// begin together do not both stop.
+// Only a watch that works counts: agents that are cut off from the store do not keep others from
+// watching. An agent gives way only to working ones of lower name, so two do not both stop.
 func shouldWatch(self wire.Member, live []wire.Member) bool {
 	working := 0
 	for _, m := range live {
--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -148,11 +148,8 @@
 }
 
 // notLost returns which VMs do not count as lost.
-//
-// Failure: an agent starts. It has heard nobody yet, takes all before it in every
-// line for lost, and outranks them, although they serve. Where it is the last in a
-// line and is lost soon after, nobody can win at that epoch, and the keys wait for the
-// store. So nobody counts as lost until the peers had time to speak.
+// An agent that starts has no heartbeats yet. Nobody counts as lost until the peers had time to send
+// one; otherwise it would outrank grantors that serve.
 func notLost(live map[string]bool, settled bool) func(vm string) bool {
 	return func(vm string) bool { return live[vm] || !settled }
 }
--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -8,11 +8,8 @@
 const leaveLead = 500 * time.Millisecond
 
 // awaitDaemons lets the daemons that drain finish before the agent goes.
-//
-// Failure: all daemons of a VM get SIGTERM at once and the agent is gone first.
-// Peers are not told that the VM leaves and go on sending until its silence
-// shows; what is sent meanwhile is refused. A daemon that does not drain is not
-// waited for: then only the agent is replaced.
+// Were the agent gone first, peers would go on sending to its daemons until its silence shows. A
+// daemon that does not drain is not awaited: then only the agent is replaced.
 func (a *agent) awaitDaemons() {
 	time.Sleep(leaveLead)
 	for a.daemonsDrain() {
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -151,11 +151,8 @@
 const settleWithin = time.Second
 
 // settled reports whether members and grants are complete enough to act on.
-//
-// Failure: a VM is replaced. Its dispatcher is ready at once and gets requests,
-// but its agent has not heard the peers' grants yet; every key seems without
-// owner, and callers wait out their deadline. So daemons are ready only once
-// each listed peer has reported its grants, or counts as failed.
+// Daemons are ready only once each listed peer has reported its grants, or counts as failed: with
+// less, every key seems to be without an owner.
 func (m *members) settled() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -23,11 +23,8 @@
 }
 
 // heard notes a sign of life of a peer.
-//
-// Failure: a heartbeat of a process that has been replaced arrives late, and the
-// VM would show its old address and revision. The incarnation that was heard
-// last stays as long as it speaks. A lower one is taken after that: a VM whose
-// clock was set back is not locked out.
+// A late heartbeat of a replaced process must not bring back its address and revision, so the last
+// incarnation stays while it sends. After that a lower one is accepted: a clock may have been set back.
 func (m *members) heard(told wire.Member) {
 	m.mu.Lock()
 	p := m.peerOf(told)
@@ -45,9 +42,7 @@
 }
 
 // peerOf returns the peer that speaks. It needs m.mu.
-//
-// Failure: an agent starts while the platform's list cannot be read. Until it
-// is read, whoever speaks is taken for a VM of the system; then the list rules.
+// Until the platform's list has been read, every sender counts as a VM of the system.
 func (m *members) peerOf(told wire.Member) *peerState {
 	p := m.peers[told.VM]
 	if p == nil && !m.listed && told.VM != m.self.VM {
@@ -67,10 +62,8 @@
 func (m *members) alive(p *peerState) bool { return p.known && p.heard.Alive(m.clock.Now(), m.silence) }
 
 // resumed takes note that this process stood still.
-//
-// Failure: the VM freezes and returns. All peers seem silent at once, and the
-// agent would report to its daemons that it is alone. Silence counts only while
-// somebody listened, so each peer gets the pause on top.
+// Silence counts only while somebody listened, so each peer gets the pause on top: a VM that was
+// suspended would otherwise consider all others failed.
 func (m *members) resumed(after time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/agent/puller.go
+++ b/internal/agent/puller.go
@@ -84,10 +84,8 @@
 }
 
 // sync asks one peer.
-//
-// Failure: the agent was restarted while the store answered from an older copy,
-// so its base may belong to another history than the peers'. A delta would mix
-// the two. The first question of a life asks for everything.
+// The base of a restarted agent may belong to another history than the peers', so its first query
+// asks for everything.
 func (p *puller) sync(ctx context.Context, addr string) {
 	from := uint64(0)
 	if p.joined {
--- a/internal/agent/seed.go
+++ b/internal/agent/seed.go
@@ -8,11 +8,8 @@
 )
 
 // seedGrants asks one peer for the grants of all groups when the agent starts.
-//
-// Failure: an agent that was a grantor restarts. No peer reports the grants of its
-// earlier life as its own, so its daemons would see keys without an owner until the
-// next in line has taken over. Whoever spoke with the earlier life still knows them.
-// An agent that reaches nobody goes on without after settleWithin.
+// No peer reports the grants of a grantor's earlier life as its own, but those that had heartbeats of
+// that life know them. An agent that reaches nobody goes on without after settleWithin.
 func (a *agent) seedGrants(ctx context.Context) {
 	defer a.relay.seeded.Store(true)
 	begun := a.relay.members.clock.Now()
--- a/internal/agent/watcher.go
+++ b/internal/agent/watcher.go
@@ -110,11 +110,8 @@
 }
 
 // list takes everything.
-//
-// Failure: the store was restored to an older revision. It shows as a listing
-// below the revision held. What the store held between the two is lost to it,
-// and its new changes reuse the numbers, so a watch from the revision held would
-// skip them. Only a listing above that revision ends this.
+// A listing below the revision held means that the store was restored. Its new changes reuse the
+// numbers, so only a listing above that revision ends this.
 func (w *watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
@@ -131,10 +128,8 @@
 }
 
 // watch ends a watch that went silent.
-//
-// Failure: the store accepts a watch and then sends nothing more, or a cut
-// leaves the connection half open. No error shows; configuration just stops.
-// Bookmarks come once a second, so silence for longer means a dead watch.
+// A store that accepts a watch and sends nothing, or a half-open connection, shows no error.
+// Bookmarks come once a second, so a longer silence means a dead watch.
 func (w *watcher) watch(ctx context.Context, from uint64) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -67,11 +67,8 @@
 
 // Apply writes the object over the version o.Version that the operator read,
 // 0 for a new object.
-//
-// Failure: two operators read the same version and both apply. The second write
-// would silently undo the first. The write is conditional on the version read,
-// so the store takes one; the other gets a *Conflict with the differences.
-// Failure: the store's answer is lost; platform.Write settles it by the tag.
+// The write is conditional on the version read: of two operators that read the same one, the second
+// gets a *Conflict with the differences. A lost answer is settled by the tag.
 func Apply(ctx context.Context, s platform.Store, o platform.Object) (Applied, error) {
 	out := Applied{Kind: o.Kind, Name: o.Name}
 	read := o.Version
@@ -125,9 +122,8 @@
 func same(a, b platform.Object) bool { return len(Diff(a.Spec, b.Spec)) == 0 }
 
 // Delete removes the object if its stored version is the one that was read.
-//
-// Failure: the answer is lost. An object that is gone has been deleted at the
-// version read, by this call or another; one at that version is deleted again.
+// After a lost answer, an object that is gone has been deleted at the version read; one that is still
+// at that version is deleted again.
 func Delete(ctx context.Context, s platform.Store, id platform.ID, read uint64) error {
 	o := platform.Object{Kind: id.Kind, Name: id.Name, Version: read}
 	for {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -123,10 +123,8 @@
 
 // Order sorts entries of several daemons by cause as far as it can be known: by
 // wall time, but never against the order within one daemon.
-//
-// Failure: a VM's clock is set back between two decisions. By time alone the
-// effect would stand before its cause. An entry counts as not earlier than the
-// one before it in the same daemon.
+// An entry counts as not earlier than the one before it in the same daemon, as a clock may have been
+// set back between them.
 func Order(entries []journal.Entry) []journal.Entry {
 	out := slices.Clone(entries)
 	slices.SortStableFunc(out, func(a, b journal.Entry) int { return cmp.Compare(a.Seq, b.Seq) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,10 +152,7 @@
 const stopMargin = time.Minute
 
 // drive runs the application to its end and returns the exit code.
-//
-// Failure: an impatient operator or supervisor sends SIGTERM again while the
-// daemon drains, and requests in flight are cut off. Only the first signal is
-// read; the drain is bounded.
+// Only the first signal is read: a repeated SIGTERM must not cut off requests in flight.
 func drive(app *fx.App, logger *log.Logger, signals <-chan os.Signal, bound func() time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -115,11 +115,7 @@
 
 // Lead waits until those that send work have been notified that the daemon leaves.
 // It goes between BeginDrain and the first refusal.
-//
-// Failure: a daemon refuses or closes its listener as soon as it leaves, while
-// the balancer or the other VMs still send to it. Callers see refusals and
-// broken connections at each replacement. During the lead the daemon serves on,
-// and /readyz and the heartbeats report that it leaves.
+// During the lead the daemon serves on, while /readyz and the heartbeats report that it leaves.
 func (l *Life) Lead(ctx context.Context) {
 	select {
 	case <-time.After(l.lead):
@@ -131,11 +127,8 @@
 }
 
 // SetLongest notes the longest deadline that a request may have.
-//
-// Failure: a service allows deadlines of ten minutes, and a daemon that stops
-// gives up its drain after a fixed time: requests in flight are cut off. The bound
-// of the drain follows what is in force, and never falls: requests of an older
-// configuration may still run.
+// The bound of the drain follows the configuration in force, and never falls: requests of an older
+// one may still run.
 func (l *Life) SetLongest(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/daemon/logwriter.go
+++ b/internal/daemon/logwriter.go
@@ -25,11 +25,8 @@
 var requestMark = []byte(`"step":"request"`)
 
 // logWriter hands lines to a goroutine that writes them.
-//
-// Failure: nobody reads a process's standard output any more. The pipe is full,
-// each line blocks its writer, and requests hang on their log lines. Here a full
-// queue drops the line and counts it; the count is written when there is room
-// again. Lines on requests are dropped first.
+// A full queue drops the line and counts it, so that requests never wait for the reader of the
+// output. Lines on requests are dropped first.
 type logWriter struct {
 	out     io.Writer
 	lines   chan []byte
@@ -79,9 +76,7 @@
 var errNotFlushed = errors.New("log not written to its end: nobody reads it")
 
 // Close writes what waits and ends.
-//
-// Failure: nobody reads the output. The process waited for its reader when it was asked
-// to stop, until it was killed.
+// It does not wait for a reader that has ended.
 func (w *logWriter) Close() error {
 	w.once.Do(func() { close(w.lines) })
 	select {
@@ -93,7 +88,5 @@
 }
 
 // survive keeps the process alive when the reader of its output is gone.
-//
-// Failure: the collector of logs ends. The next line to the closed pipe raises SIGPIPE,
-// which ends a process that has not asked for it, and with it every request it holds.
+// Without it the next line to the closed pipe would end the process by SIGPIPE.
 func survive() { signal.Ignore(syscall.SIGPIPE) }
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -78,10 +78,8 @@
 func New() *Gate { return &Gate{limiter: rate.NewLimiter(0, 0)} }
 
 // Set puts a share in force; it is called before every Admit.
-//
-// Failure: a share lapsed some time ago and is in use at another entry since,
-// but nobody called here meanwhile. Tokens above the lowered burst are lost, and
-// a lowered rate counts from when the old share was last known to be in force.
+// The old share may have lapsed unnoticed and be in use elsewhere: tokens above the lowered burst are
+// lost, and a lowered rate counts from when the old share was last known to be in force.
 func (g *Gate) Set(s Share, now time.Time) {
 	at := now
 	if s.Rate < g.share.Rate {
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -161,10 +161,7 @@
 // Choose returns the index of the best target that has a free slot, or -1. Those
 // that say they leave are used only if all that serve say so: a health endpoint
 // may mislead, and no target at all would be worse.
-//
-// Failure: the only target of a keyed service, or all of a pool, turn slow. Waiting
-// for a better one that does not exist, each would get its trial a second and its
-// slots would idle. Slow targets are avoided only while another serves.
+// Slow targets are avoided only while another serves.
 func Choose(targets []*Target, c Choice) int {
 	hinted, quick := true, false
 	for _, t := range targets {
--- a/internal/decide/placement/balance.go
+++ b/internal/decide/placement/balance.go
@@ -59,10 +59,7 @@
 
 // warmUp is how long figures are gathered before a move is made for them: the
 // time constant of the meters.
-//
-// Failure: a service starts, or another agent becomes assigner, and the first
-// dozen requests, or the first VM's report, look like one target with nine times
-// the mean. Moves made for that are undone a minute later.
+// The first dozen requests may look like one target with nine times the mean.
 const warmUp = loadmeter.Constant
 
 // warm reports whether the figures may move anything. Without any load, groups are
--- a/internal/decide/quarantine/permits.go
+++ b/internal/decide/quarantine/permits.go
@@ -59,10 +59,7 @@
 }
 
 // giveBack ends a permit whose run ended without an answer.
-//
-// Failure: a suspect's target dies, and the repeat with a permit reaches nobody.
-// Its key moves to another dispatcher, which was refused the permit until the
-// unused one ran out; callers of that key waited for 3 s.
+// Another dispatcher gets the permit at once instead of when the unused one expires.
 func (w *Watch) giveBack(fp Fingerprint) {
 	if f := w.cases[fp]; f != nil && w.running[fp] == 0 {
 		f.permit = permitNone
@@ -93,11 +90,7 @@
 }
 
 // Permit is the outcome of asking all others; asked is when Admit wanted it.
-//
-// Failure: a permit was given up to another dispatcher, or ran out and was asked
-// for again, while the words of the first round were on their way. They were true
-// before the other dispatcher asked; both would run the suspect. So only the round
-// of the ask that stands counts.
+// Only the round of the ask that stands counts: the permits of an earlier one may be obsolete.
 func (w *Watch) Permit(fp Fingerprint, asked time.Duration, granted bool, now time.Duration) {
 	f := w.current(fp, now)
 	if f == nil || f.permit != permitAsked || f.asked != asked {
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -83,10 +83,7 @@
 }
 
 // Decide returns the verdict and takes a token where a repeat costs one.
-//
-// Failure: an idempotent request is lost once and shed when repeated. The last
-// outcome says "not run", but the first attempt may have: to refuse with ran: no
-// would break the promise. Ran is carried over all attempts for this.
+// Ran is carried over all attempts: the last one may not have run while the first has.
 func (b *Budget) Decide(a Attempt) Verdict {
 	mayHaveRun := a.Ran || a.Outcome.ran()
 	if b.again(a, mayHaveRun) {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -82,11 +82,7 @@
 
 // settled waits until the others were notified of the deaths under a request, askTimeout
 // at most. It comes before the request's answer.
-//
-// Failure: a request kills its target. Its caller is told at once and sends it again
-// through an entry whose view differs, to another dispatcher, which has not heard of
-// the death and runs it beside others: a third target dies. Whoever sends again only
-// after an answer now meets dispatchers that know.
+// Whoever sends the request again after its answer meets only dispatchers that know of the deaths.
 func (w *crashWatch) settled(ctx context.Context, r *wire.Request) {
 	w.mu.Lock()
 	c := w.watch.Case(fingerprint(r), w.clock.Now())
--- a/internal/dispatch/crashgossip.go
+++ b/internal/dispatch/crashgossip.go
@@ -103,12 +103,9 @@
 
 // join fetches what the others know and then lets requests come. It returns true
 // once one of them answered.
-//
-// Failure: a dispatcher that has just started takes requests before it knows of the
-// quarantines, and runs a request that the others refuse. Its address is sent to
-// entries only once it is ready. The first view names all that the agent has heartbeats of, so
-// one that names no other dispatcher leaves nothing to fetch; and no other that is
-// silent holds up the start for longer than catchUpFor.
+// A dispatcher that does not know the quarantines would run what the others refuse, so entries get its
+// address only once it is ready. A first view that names no other dispatcher leaves nothing to fetch; a
+// silent one delays the start by catchUpFor at most.
 func (w *crashWatch) join(ctx context.Context, waited time.Duration) bool {
 	if w.feed.Current().Source == "" {
 		return false
--- a/internal/dispatch/hints.go
+++ b/internal/dispatch/hints.go
@@ -107,9 +107,7 @@
 
 // gone reports whether the target behind a broken connection died: nothing listens
 // at its address, or another incarnation does.
-//
-// Failure: a connection breaks and the target lives (a proxy, a bug in one
-// handler). To call that a death would make suspects of all that runs there.
+// A broken connection alone is no death: all that runs there would become suspect.
 func (q *queue) gone(addr, incarnation string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
 	defer cancel()
--- a/internal/dispatch/moved.go
+++ b/internal/dispatch/moved.go
@@ -11,13 +11,8 @@
 
 // sendBack hands the jobs that wait for a target back to their entries where
 // another target owns their key by now.
-//
-// Failure: the owner dies, its connections fail, and it rests for longer each
-// time, 750 ms in all after four failures. The standby owns its keys after 350
-// ms, but a queue whose only target rests looks at no job: it shows as keys that
-// are unavailable for twice as long as the takeover took. So each new view is
-// held against all that waits, whether or not the target rests. The jobs were not
-// sent, so entries may send them on.
+// A queue whose only target rests examines no job, so each new view is compared with all that waits.
+// The jobs were not sent, so entries may send them on.
 func (q *queue) sendBack() {
 	if q.id.Target == "" {
 		return
@@ -49,10 +44,8 @@
 
 // parkUnlessNew parks a job that a target refused for its grant, unless the view
 // in force is newer than the one that it was sent by.
-//
-// Failure: a planned move. The old owner refuses the request, and before the
-// refusal arrives the view with the new owner does. To wait for the next view
-// then is to wait for some other group's change: up to a second, and a refusal.
+// The refusal of an old owner may arrive after the view with the new one; waiting for the next view
+// would then last until some other group changes.
 func (q *queue) parkUnlessNew(j *job, now time.Time) {
 	v := q.feed.Current()
 	grant := v.Owner(q.id.Service, keyspace.Of(j.request.Key))
@@ -69,10 +62,8 @@
 
 // probe tries as many parked jobs again as the target has slots; the first that
 // is answered brings all others back.
-//
-// Failure: a grantor stalls for longer than a grant lives, and goes on. Its grant
-// is in force again at the rank of before, so that no view changes: all that was
-// refused meanwhile waited out its second and was refused, though the owner served.
+// A grant that expired and is renewed at the same rank changes no view, so nothing else would end the
+// wait.
 func (q *queue) probe() {
 	left := q.probes()
 	for j := range q.parked {
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -115,12 +115,8 @@
 }
 
 // park lets a job wait for the next view.
-//
-// Failure: a slice moves, and for a moment its old owner refuses work and no
-// other has it. Refused requests would show each planned move to callers; they
-// wait here instead, bounded in number by the queue's limit and in time by
-// ownerlessFor, counted from when the job first waited, so that a grant that comes
-// and goes cannot hold it.
+// During a planned move no target has the slice for a moment. The wait is bounded by the queue's limit
+// and by ownerlessFor, counted from when the job first waited.
 func (q *queue) park(j *job, now time.Time) {
 	if j.parkedAt.IsZero() {
 		j.parkedAt = now
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -231,9 +231,7 @@
 }
 
 // hasBase reports whether the others confirmed this VM's part of the limits.
-//
-// Failure: a VM is replaced. Its entry was ready at once, had no part of any limit
-// yet, and refused customers far below their contracts for a fraction of a second.
+// Without a base an entry refuses customers far below their contracts, so it is not ready before.
 func (a *admitter) hasBase() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,11 +52,8 @@
 }
 
 // idleTimeout is how long a kept connection without a request stays open.
-//
-// Failure: the entry closes a connection in the moment in which the balancer sends
-// the next request on it, and the caller gets a broken connection for a request that
-// may have run. The side that sends must close first: balancers do after 60 s or less
-// by custom. Without this, net/http takes readTimeout.
+// It is longer than balancers keep idle connections, 60 s by custom: the side that sends must close
+// first, or a request crosses the close. Without it net/http uses readTimeout.
 const idleTimeout = 3 * time.Minute
 
 func newEntry(k *daemon.Kit[*Settings], clock boottime.Clock) (*entry, error) {
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -65,11 +65,8 @@
 
 // splitPath cuts /s/SERVICE from an escaped path. The rest stays as the caller
 // wrote it.
-//
-// Failure: a slash after the service that is written as %2F. Cut by the unescaped
-// path, the rest would begin with "%2F" or "@" and join the target's address, and
-// the request would go to an address of the caller's choice. The rest always
-// begins with a slash here.
+// Cut by the unescaped path, a rest that begins with "%2F" or "@" would join the target's address and
+// send the request to an address of the caller's choice.
 func splitPath(escaped string) (service, rest string, ok bool) {
 	tail, ok := strings.CutPrefix(escaped, "/s/")
 	if !ok {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -162,11 +162,8 @@
 }
 
 // apply puts the reply into force.
-//
-// Failure: an agent that was restarted, or relayed by one cut off for long,
-// answers with an older configuration; limits would fall back to values that
-// operators have replaced. Revisions only rise: an older reply leaves the
-// configuration as it is.
+// Revisions only rise: a restarted agent, or one that relays from a peer that was cut off, may answer
+// with an older configuration.
 func (f *Feed) apply(old *view.View, reply *wire.PullReply) {
 	if reply.Revision < old.Revision {
 		f.older.Inc(1)
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -80,12 +80,9 @@
 }
 
 // onceBody returns a body that net/http cannot rewind.
-//
-// Failure: a kept connection breaks as a request is written. net/http then sends
-// the request again by itself if it can rewind the body, also a POST that has an
-// Idempotency-Key header: a pull request opened twice, unseen by the retry
-// rules. A body that it cannot rewind is never sent again. It still knows that this
-// one is in memory, and sends headers and body in one write.
+// net/http sends a request again by itself if it can rewind the body, also a POST that has an
+// Idempotency-Key header. It still knows that this body is in memory, and sends headers and body in
+// one write.
 func onceBody(body []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(body)) }
 
 // setBody gives the request its body. An empty one must not be http.NoBody, which
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -134,10 +134,7 @@
 var errToken = errors.New("another contract holds this token")
 
 // addContract refuses the later of two contracts with one token.
-//
-// Failure: operators race, or write past hqctl, and two customers get the same
-// token. Whose limits a request meets would depend on the order in which a VM
-// read them. Objects come by version, so every VM keeps the same one.
+// Objects come by version, so every VM keeps the same one of the two.
 func (v *View) addContract(c *model.Contract) error {
 	hash := strings.ToLower(c.TokenSHA256)
 	if held := v.byToken[hash]; held != nil {
