--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -110,8 +110,7 @@
 	require.EqualValues(t, 2, b.hits.Load())
 }
 
-// A request that may have run is sent again so shortly before the VM ends that the caller's
-// connection ends without an answer.
+// Guards against a repeat so shortly before the VM ends that its caller gets no answer.
 func TestStoppingVMDoesNotSendAgainWhatMayOutlastIt(t *testing.T) {
 	b := newBench(t)
 	b.grace.Store(int64(6 * time.Second))
@@ -148,7 +147,7 @@
 	return conn, bufio.NewReader(conn)
 }
 
-// A request that its target still works on when the VM ends is cut off without an answer.
+// Guards against a request that is cut off without an answer when the VM ends.
 func TestRequestInFlightAtTheEndOfAStopGetsAnAnswer(t *testing.T) {
 	b := newBench(t)
 	reached, left := make(chan struct{}), make(chan struct{})
@@ -171,8 +170,7 @@
 	<-left
 }
 
-// A body that is still read when the VM ends: its caller learns that nothing has run, and
-// does not wait for its timeout.
+// Guards against a caller that is cut off in the middle of its body when the VM ends.
 func TestBodyInFlightAtTheEndOfAStopIsRefused(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", works)
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -11,8 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A SIGHUP that arrives before settings are watched, or after, ends the process with the
-// requests it holds.
+// Guards against a SIGHUP that ends the process before its settings are watched, or after.
 func TestHangupDuringStartOrStopDoesNotEndTheProcess(t *testing.T) {
 	g := testGateway(newHandClock(time.Hour))
 	t.Cleanup(g.mesh.Close)
@@ -24,8 +23,7 @@
 	require.Equal(t, syscall.SIGHUP, <-g.hangups)
 }
 
-// A shorter grace that is read during a stop has requests refused that end in time, a longer
-// one has requests taken that are cut.
+// Guards against a stop that takes requests by another grace than the one it ends by.
 func TestReloadDoesNotChangeTheGraceOfAStop(t *testing.T) {
 	g := testGateway(newHandClock(time.Hour))
 	t.Cleanup(g.mesh.Close)
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -65,8 +65,7 @@
 	}
 }
 
-// Stops that never meet a slow or a mute target, or never follow each other at once, find
-// no request that outlasts its VM.
+// Guards against a soak that cannot find a request which outlasts its VM.
 func TestDrawnStopsMeetFaultsOfTargets(t *testing.T) {
 	for seed := range uint64(50) {
 		s := DrawStops(seed, 20*time.Second)
