--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/daemon"
-	"hemlockquay/internal/decide/leaving"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
@@ -90,36 +89,36 @@
 
 func start(kit *daemon.Kit[*Settings], a Adapter) error {
 	debug.SetGCPercent(kit.Settings.GCPercent)
-	n := newGateway(kit.Settings, a, boottime.System{}, kit.Log, kit.Registry)
-	n.life = kit.Life
-	n.receiveHangups()
-	kit.Life.Section("view", n.dump)
-	kit.LC.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
+	g := newGateway(kit.Settings, a, boottime.System{}, kit.Log, kit.Registry)
+	g.life = kit.Life
+	g.receiveHangups()
+	kit.Life.Section("view", g.dump)
+	kit.LC.Append(fx.Hook{OnStart: g.start, OnStop: g.stop})
 	return nil
 }
 
 func newGateway(s *Settings, a Adapter, clock boottime.Clock, logger *log.Logger, registry metrics.Registry) *Gateway {
-	n := &Gateway{
+	g := &Gateway{
 		settings: s, adapter: a, headers: a.Headers(), clock: clock, log: logger, registry: registry,
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), lines: newRequestLines(registry),
 		bodies: newBodyRoom(s.MemoryMB),
 	}
-	n.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: n.noteStore}
-	n.transfers = newTransfers(n.self.LinkBytesPerSecond())
-	n.hangups = make(chan os.Signal, 1)
-	n.grace.Store(int64(s.Grace))
-	n.state = newRoutingState(clock, logger, registry, s.DataCentre, s.limits())
-	n.mesh = mesh.New(n.self, clock, logger)
-	n.state.announce = n.mesh.Announce
+	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, ended: g.noteStore}
+	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
+	g.hangups = make(chan os.Signal, 1)
+	g.grace.Store(int64(s.Grace))
+	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.limits())
+	g.mesh = mesh.New(g.self, clock, logger)
+	g.state.announce = g.mesh.Announce
 	// Were all VMs to begin with the same target, they would fill it together.
-	n.state.turn = int(catalog.Hash(s.VM))
-	n.gauges()
-	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.requests, n.endRequests = context.WithCancelCause(context.Background())
-	n.front = n.newFront()
-	n.leasing = n.newLeaseManager()
-	return n
+	g.state.turn = int(catalog.Hash(s.VM))
+	g.gauges()
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
+	g.front = g.newFront()
+	g.leasing = g.newLeaseManager()
+	return g
 }
 
 // tag returns a name for a write that no other write has.
@@ -226,46 +225,3 @@
 		g.state.mu.Unlock()
 	}
 }
-
-// Times of the graceful shutdown, as parts of the grace.
-const (
-	// stopAccepting is when the listener is closed: the balancer checks once a
-	// second and takes a VM out after two misses.
-	stopAccepting = 0.55
-	// stopWaiting is when the last answers have been sent. Requests that still run are ended
-	// so much earlier that their callers get an answer.
-	stopWaiting = 0.92
-)
-
-// stop leaves: first the balancer and the other VMs learn of it, while requests
-// are served as before; then new connections end; then the process, when the last
-// answer has been sent.
-// Kept connections and the listener stay open at first: requests in flight would be lost.
-func (g *Gateway) stop(ctx context.Context) error {
-	begin := time.Now()
-	grace := time.Duration(g.grace.Load())
-	g.beginLeaving()
-	g.life.BeginDrain()
-	pause.For(ctx, part(grace, stopAccepting))
-	end := begin.Add(part(grace, stopWaiting))
-	stopCtx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
-	err := g.closeFront(stopCtx, time.Until(end)-leaving.Answering)
-	g.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", g.leasing.Leading()).Msg("front closed")
-	g.leasing.AwaitSuccessors(stopCtx)
-	g.cancel()
-	g.mesh.Close()
-	g.peers.Close()
-	g.life.Drained()
-	return errors.Join(err, g.ready.Close())
-}
-
-// closeFront ends new connections, waits for the requests in flight, and ends with an answer
-// those that still run after a time.
-func (g *Gateway) closeFront(ctx context.Context, after time.Duration) error {
-	ends := time.AfterFunc(after, func() { g.endRequests(errStopping) })
-	defer ends.Stop()
-	return g.front.Shutdown(ctx)
-}
-
-func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -8,8 +8,52 @@
 	"time"
 
 	"hemlockquay/internal/decide/leaving"
+	"hemlockquay/internal/pause"
 )
 
+// Times of the graceful shutdown, as parts of the grace.
+const (
+	// stopAccepting is when the listener is closed: the balancer checks once a
+	// second and takes a VM out after two misses.
+	stopAccepting = 0.55
+	// stopWaiting is when the last answers have been sent. Requests that still run are ended
+	// leaving.Answering earlier, so that their callers get an answer.
+	stopWaiting = 0.92
+)
+
+func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
+
+// stop shuts the daemon down: first the balancer and the other VMs learn of it, while requests
+// are served as before; then the listener is closed; the process ends when the last
+// answer has been sent.
+// Kept connections and the listener stay open at first: requests in flight would be lost.
+func (g *Gateway) stop(ctx context.Context) error {
+	begin := time.Now()
+	grace := time.Duration(g.grace.Load())
+	g.beginLeaving()
+	g.life.BeginDrain()
+	pause.For(ctx, part(grace, stopAccepting))
+	end := begin.Add(part(grace, stopWaiting))
+	stopCtx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	err := g.closeFront(stopCtx, time.Until(end)-leaving.Answering)
+	g.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", g.leasing.Leading()).Msg("front closed")
+	g.leasing.AwaitSuccessors(stopCtx)
+	g.cancel()
+	g.mesh.Close()
+	g.peers.Close()
+	g.life.Drained()
+	return errors.Join(err, g.ready.Close())
+}
+
+// closeFront ends new connections, waits for the requests in flight, and ends with an answer
+// those that still run after a time.
+func (g *Gateway) closeFront(ctx context.Context, after time.Duration) error {
+	ends := time.AfterFunc(after, func() { g.endRequests(errStopping) })
+	defer ends.Stop()
+	return g.front.Shutdown(ctx)
+}
+
 // beginLeaving lets the balancer, the other VMs and callers learn that this VM leaves.
 func (g *Gateway) beginLeaving() {
 	g.leavingSince.Store(int64(g.clock.Now()))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,7 +4,7 @@
 //
 // It starts goroutines, uses the network and reads the store, where it writes only the
 // VM's own entry. The work of granting keys, with the records of leases that it writes, is
-// package grantor below; the leases that the path of a request reads are package published,
+// package leasing below; the leases that the path of a request reads are package published,
 // which does none of this.
 package gateway
 
