--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -39,7 +39,7 @@
 
 // How stops are drawn.
 var (
-	// betweenStops is from the SIGTERM of one VM to that of the next: two may leave at once.
+	// betweenStops is from the SIGTERM of one VM to that of the next, less than a stop takes: stops overlap.
 	betweenStops = span{2 * time.Second, 5 * time.Second}
 	// betweenTargets is between two faults of targets, of which some overlap.
 	betweenTargets = span{200 * time.Millisecond, 1500 * time.Millisecond}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -63,9 +63,7 @@
 // start waits until a process that leaves is gone, and starts the next. It does nothing
 // where another call has started one. Signals can be sent while it waits.
 func (v *vm) start() error {
-	v.mu.Lock()
-	before := v.now
-	v.mu.Unlock()
+	before := v.current()
 	if before != nil {
 		if v.staying() != nil {
 			return nil
