Usual names: send, probe, record, tick, query for tell, ask, hear, look

Methods and constants of hq-agent, hq-dispatch, hq-entry and hqctl that still had words of our own: sendLoads (tell), probe (ask), recordHeartbeat and aliveWithin (heard), tick and observePeers (look), fetchGrants (askGrants), replicate (tell), queryAgents and get (ask), reportCrash (told). Comments beside them, and those in catalog and upstream, in the field's terms. The log step tell-load is send-loads. No behaviour changes.

--- a/internal/agent/assigner.go
+++ b/internal/agent/assigner.go
@@ -25,8 +25,8 @@
 const (
 	// planEvery is how often elections and plans are looked at.
 	planEvery = 500 * time.Millisecond
-	// tellEvery is how often a VM reports its load to assigners.
-	tellEvery = time.Second
+	// loadsEvery is how often a VM reports its load to assigners.
+	loadsEvery = time.Second
 )
 
 // assigner takes part in the election of each keyed service's assigner, and
@@ -47,7 +47,7 @@
 
 	services    map[string]*assigned
 	observation observation
-	toldAt      time.Duration
+	loadsSentAt time.Duration
 }
 
 // assigned is what the assigner keeps of one service.
@@ -64,21 +64,18 @@
 	a.services = make(map[string]*assigned)
 	for ctx.Err() == nil {
 		pause.For(ctx, planEvery)
-		a.look()
+		a.refreshObservation()
 		for _, s := range a.observation.view.Services() {
 			if s.Keyed {
 				a.serve(ctx, s, a.observation.objects, a.observation.view.Assignment(s.Name), a.observation.versions)
 			}
 		}
-		a.tell(ctx)
+		a.sendLoads(ctx)
 	}
 }
 
-// observation is the configuration as the assigner saw it last.
-//
-// Load pattern: every agent looks twice a second, and most looks find nothing
-// new. Decoding all objects for each of them took more time than all else that
-// an idle agent does.
+// observation is the configuration as the assigner read it last. It is decoded only where
+// the revision has changed: most checks, two a second on every agent, find nothing new.
 type observation struct {
 	revision uint64
 	objects  []platform.Object
@@ -87,8 +84,8 @@
 	cache    view.Cache
 }
 
-// look brings the observation up to date.
-func (a *assigner) look() {
+// refreshObservation brings the observation up to date.
+func (a *assigner) refreshObservation() {
 	// The revision comes first: a change in between is then seen again.
 	revision, _ := a.config.state()
 	if a.observation.view != nil && revision == a.observation.revision {
@@ -126,7 +123,7 @@
 	if !p.election.Holds(a.clock.Now()) || version < p.written {
 		return
 	}
-	a.hints.ask(ctx, s)
+	a.hints.probe(ctx, s)
 	a.plan(ctx, p, s, held, version)
 }
 
@@ -229,14 +226,14 @@
 	return o.Version, err
 }
 
-// tell sends the VM's load to the holders of its services, and to nobody else:
+// sendLoads sends the VM's load to the holders of its services, and to nobody else:
 // one small message a second for each holder, however many VMs there are.
-func (a *assigner) tell(ctx context.Context) {
+func (a *assigner) sendLoads(ctx context.Context) {
 	now := a.clock.Now()
-	if now-a.toldAt < tellEvery {
+	if now-a.loadsSentAt < loadsEvery {
 		return
 	}
-	a.toldAt = now
+	a.loadsSentAt = now
 	args := &wire.LoadsArgs{VM: a.members.me().VM, Loads: a.relay.ownLoads()}
 	if len(args.Loads) == 0 {
 		return
@@ -250,15 +247,15 @@
 	}
 	for vm, addr := range a.members.addrs() {
 		if holders[vm] {
-			go a.tellOne(ctx, vm, addr, args)
+			go a.sendLoadsTo(ctx, vm, addr, args)
 		}
 	}
 }
 
-func (a *assigner) tellOne(ctx context.Context, vm, addr string, args *wire.LoadsArgs) {
-	ctx, cancel := context.WithTimeout(ctx, tellEvery)
+func (a *assigner) sendLoadsTo(ctx context.Context, vm, addr string, args *wire.LoadsArgs) {
+	ctx, cancel := context.WithTimeout(ctx, loadsEvery)
 	defer cancel()
 	if err := a.peers.Get(addr).Call(ctx, wire.MethodLoads, args, &wire.Empty{}); err != nil {
-		a.log.Debug().Err(err).Str("step", "tell-load").Str("peer", vm).Msg("assigner not reached")
+		a.log.Debug().Err(err).Str("step", "send-loads").Str("peer", vm).Msg("assigner not reached")
 	}
 }
--- a/internal/agent/grantor.go
+++ b/internal/agent/grantor.go
@@ -19,16 +19,16 @@
 )
 
 const (
-	// lookEvery is how often the grantor looks at the time. A loss is noticed
+	// tickEvery is the pause between two ticks of the grantor. A loss is noticed
 	// and an end awaited within it; renewals leave at GrantEvery.
-	lookEvery = 15 * time.Millisecond
+	tickEvery = 15 * time.Millisecond
 	// grantorRing is how many answers of targets and the store may wait: more
 	// than all targets of a deployment answer in one tick.
 	grantorRing = 4096
-	// peersEvery is the pause between two looks at all peers' grants.
+	// peersEvery is the pause between two checks of all peers' grants.
 	peersEvery = 200 * time.Millisecond
 	// unserved is how long a group may be without a grant while those before in
-	// the line are heard: above a takeover by the slow path, about 0.9 s, so that
+	// the succession are alive: above a takeover by the slow path, about 0.9 s, so that
 	// it does not disturb one.
 	unserved = 1500 * time.Millisecond
 )
@@ -99,18 +99,18 @@
 
 func (d *grantorDuty) run(ctx context.Context) {
 	defer d.records.wait()
-	tick := time.NewTicker(lookEvery)
+	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			d.look(ctx)
+			d.tick(ctx)
 		case <-d.woken:
 			d.load()
-			d.look(ctx)
+			d.tick(ctx)
 		case a := <-d.inbox.Entries():
 			if d.take(a) {
-				d.look(ctx)
+				d.tick(ctx)
 			}
 		case <-ctx.Done():
 			return
@@ -118,11 +118,11 @@
 	}
 }
 
-// look lets every group decide, and sends what they order.
-func (d *grantorDuty) look(ctx context.Context) {
+// tick lets every group decide, and sends what they order.
+func (d *grantorDuty) tick(ctx context.Context) {
 	now := d.clock.Now()
-	live := d.members.heardWithin(d.silence)
-	slowLook := d.lookAtPeers(now, live)
+	live := d.members.aliveWithin(d.silence)
+	peersDue := d.observePeers(now, live)
 	seen := notLost(live, d.members.settled())
 	highest := d.highest
 	if d.members.storeWatched() {
@@ -141,7 +141,7 @@
 		d.send(ctx, h, d.collect(h, now, observation))
 		d.records.offer(ctx, h, d.proposals(h, now, observation))
 		d.readStore(ctx, h, now)
-		if slowLook {
+		if peersDue {
 			d.publish(name, h, h.ids, now)
 		}
 	}
@@ -157,10 +157,10 @@
 // observeFunc gives what heartbeats report of a group.
 type observeFunc func(service string, id uint64) grants.Observation
 
-// lookAtPeers notes which groups a live agent reports a grant of, and returns
+// observePeers notes which groups a live agent reports a grant of, and returns
 // whether it was time to. It goes over all
 // grants, and nothing below a second depends on it.
-func (d *grantorDuty) lookAtPeers(now time.Duration, live map[string]bool) bool {
+func (d *grantorDuty) observePeers(now time.Duration, live map[string]bool) bool {
 	if now < d.peersSeen+peersEvery {
 		return false
 	}
@@ -209,7 +209,7 @@
 }
 
 // publish reports to dispatchers which grants are confirmed. A group's last grant
-// stays told until another is, or until this agent stepped down or fails.
+// stays published until another is, or until this agent stepped down or fails.
 func (d *grantorDuty) publish(service string, h *heldService, ids []uint64, now time.Duration) {
 	var confirmed []wire.Grant
 	var gone []groupID
--- a/internal/agent/groups.go
+++ b/internal/agent/groups.go
@@ -68,9 +68,7 @@
 // adopt gives each group its record. A group that never named this VM as a
 // grantor is left out: the VM may do nothing for it. One that did is kept while
 // it exists, since its grants of then may not be out.
-//
-// Load pattern: every agent looks at its groups 67 times a second, and a group
-// names three grantors however many VMs there are.
+// A group names three grantors however many VMs there are, so that each tick looks at few.
 func (d *grantorDuty) adopt(h *heldService) {
 	now := d.clock.Now()
 	params := d.params
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -116,7 +116,7 @@
 		h.log.Debug().Err(err).Str("step", "heartbeat").Str("peer", vm).Msg("no answer")
 		return
 	}
-	h.members.heard(reply.Member)
+	h.members.recordHeartbeat(reply.Member)
 	if reply.Changed {
 		h.members.takeGrants(reply.Member.VM, &reply)
 	}
--- a/internal/agent/hints.go
+++ b/internal/agent/hints.go
@@ -42,8 +42,8 @@
 	return &targetHints{clock: boottime.System{}, prober: target.NewProber(), targets: make(map[string]*targetHint)}
 }
 
-// ask asks the service's targets that are due, without waiting.
-func (h *targetHints) ask(ctx context.Context, s *model.Service) {
+// probe asks the service's targets that are due, without waiting.
+func (h *targetHints) probe(ctx context.Context, s *model.Service) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -56,15 +56,15 @@
 			continue
 		}
 		if now-hint.asked > 2*lostAfter {
-			// Nobody asked for long: silence then says nothing of the target.
+			// Nobody probed for long: silence then says nothing of the target.
 			hint.answered = now
 		}
 		hint.asked = now
-		go h.askOne(ctx, t.Addr, hint)
+		go h.probeOne(ctx, t.Addr, hint)
 	}
 }
 
-func (h *targetHints) askOne(ctx context.Context, addr string, hint *targetHint) {
+func (h *targetHints) probeOne(ctx context.Context, addr string, hint *targetHint) {
 	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
 	defer cancel()
 	health, err := h.prober.Health(ctx, addr)
--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -4,7 +4,7 @@
 
 // leaveLead is how long a leaving agent still answers, at least: peers learn
 // from two heartbeats that the VM leaves, and its daemons that got the signal
-// together with the agent have told it so.
+// together with the agent have reported it.
 const leaveLead = 500 * time.Millisecond
 
 // awaitDaemons lets the daemons that drain finish before the agent goes.
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -111,12 +111,12 @@
 	return out
 }
 
-// heardWithin returns the VMs heard within the time, or within what their
+// aliveWithin returns the VMs whose heartbeats came within the time, or within what their
 // heartbeats need under load; this one included.
 //
-// A VM that says that it leaves is left out: the next in line takes its groups over
+// A VM that reports that it leaves is left out: the next in the succession takes its groups over
 // while it still renews them, and its end costs no gap.
-func (m *members) heardWithin(d time.Duration) map[string]bool {
+func (m *members) aliveWithin(d time.Duration) map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]bool{m.self.VM: true}
@@ -130,8 +130,8 @@
 }
 
 // places returns all listed VMs, this one too, sorted by name; none before the
-// list was read. To name this VM alone would tell its entry that it may use the
-// whole of every contract.
+// list was read. To name this VM alone would give its entry the whole of
+// every contract.
 func (m *members) places() []wire.Place {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -146,7 +146,7 @@
 	return out
 }
 
-// settleWithin bounds how long a new agent waits for the word of its peers: a
+// settleWithin bounds how long a new agent waits for the reports of its peers: a
 // peer that has not answered within the time that makes it silent is gone.
 const settleWithin = time.Second
 
@@ -188,7 +188,7 @@
 }
 
 // storeWatched reports whether any live agent's watch of the store works. While one
-// does, an outranked grantor writes a new epoch; a claim by the next in line at the
+// does, an outranked grantor writes a new epoch; a claim by the next in the succession at the
 // old one would only be cut short by it, and callers refused twice.
 func (m *members) storeWatched() bool {
 	m.mu.Lock()
--- a/internal/agent/members_test.go
+++ b/internal/agent/members_test.go
@@ -26,11 +26,11 @@
 func TestMembersIgnoreOlderIncarnation(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	m := twoMembers(clock)
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-200", DispatchAddr: "new"})
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-100", DispatchAddr: "old"})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-200", DispatchAddr: "new"})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-100", DispatchAddr: "old"})
 	require.Equal(t, "new", m.live()[1].DispatchAddr)
 	clock.now += 2 * time.Second
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-100", DispatchAddr: "clock set back"})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-100", DispatchAddr: "clock set back"})
 	require.Equal(t, "clock set back", m.live()[1].DispatchAddr)
 }
 
@@ -39,7 +39,7 @@
 func TestMembersSurviveOwnPause(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	m := twoMembers(clock)
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
 	clock.now += time.Minute
 	m.resumed(time.Minute)
 	require.Len(t, m.live(), 2)
@@ -52,13 +52,13 @@
 func TestMembersBeforeFirstList(t *testing.T) {
 	clock := &handClock{now: time.Hour}
 	m := newMembers(wire.Member{VM: "vm1"}, clock, time.Second, func() {})
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1", AgentAddr: "a2", Held: 4, Holds: true})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-1", AgentAddr: "a2", Held: 4, Holds: true})
 	_, far := m.ahead(0, false)
 	near, _ := m.ahead(3, true)
 	require.Equal(t, []string{"a2"}, append(near, far...)[:1])
 	m.setList([]platform.VM{{Name: "vm1"}})
 	require.Len(t, m.live(), 1)
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
 	require.Len(t, m.live(), 1)
 }
 
@@ -69,7 +69,7 @@
 	clock := &handClock{now: time.Hour}
 	m := twoMembers(clock)
 	require.False(t, m.settled())
-	m.heard(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
+	m.recordHeartbeat(wire.Member{VM: "vm2", Incarnation: "vm2-1"})
 	require.False(t, m.settled())
 	m.takeGrants("vm2", &wire.BeatReply{Member: wire.Member{Incarnation: "vm2-1"}})
 	require.True(t, m.settled())
--- a/internal/agent/notlost_test.go
+++ b/internal/agent/notlost_test.go
@@ -17,7 +17,7 @@
 	clock := &handClock{}
 	m := newMembers(wire.Member{VM: "vm3"}, clock, 300*time.Millisecond, func() {})
 	m.setList([]platform.VM{{Name: "vm1", State: platform.VMLive}, {Name: "vm3", State: platform.VMLive}})
-	sees := func() bool { return notLost(m.heardWithin(190*time.Millisecond), m.settled())("vm1") }
+	sees := func() bool { return notLost(m.aliveWithin(190*time.Millisecond), m.settled())("vm1") }
 	require.True(t, sees(), "it had no time to speak")
 	clock.now = settleWithin
 	require.False(t, sees(), "silent for long enough")
@@ -29,8 +29,8 @@
 	clock := &handClock{}
 	m := newMembers(wire.Member{VM: "vm3"}, clock, 300*time.Millisecond, func() {})
 	m.setList([]platform.VM{{Name: "vm1", State: platform.VMLive}, {Name: "vm3", State: platform.VMLive}})
-	m.heard(wire.Member{VM: "vm1", Incarnation: "vm1-1"})
-	require.True(t, m.heardWithin(190 * time.Millisecond)["vm1"])
-	m.heard(wire.Member{VM: "vm1", Incarnation: "vm1-1", Leaving: true})
-	require.False(t, m.heardWithin(190 * time.Millisecond)["vm1"])
+	m.recordHeartbeat(wire.Member{VM: "vm1", Incarnation: "vm1-1"})
+	require.True(t, m.aliveWithin(190 * time.Millisecond)["vm1"])
+	m.recordHeartbeat(wire.Member{VM: "vm1", Incarnation: "vm1-1", Leaving: true})
+	require.False(t, m.aliveWithin(190 * time.Millisecond)["vm1"])
 }
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -22,18 +22,18 @@
 	grants []wire.Grant
 }
 
-// heard notes a sign of life of a peer.
+// recordHeartbeat records a heartbeat of a peer.
 // A late heartbeat of a replaced process must not bring back its address and revision, so the last
 // incarnation stays while it sends. After that a lower one is accepted: a clock may have been set back.
-func (m *members) heard(told wire.Member) {
+func (m *members) recordHeartbeat(sender wire.Member) {
 	m.mu.Lock()
-	p := m.peerOf(told)
-	if p == nil || (m.alive(p) && started(told.Incarnation) < started(p.member.Incarnation)) {
+	p := m.peerOf(sender)
+	if p == nil || (m.alive(p) && started(sender.Incarnation) < started(p.member.Incarnation)) {
 		m.mu.Unlock()
 		return
 	}
-	same := p.known && p.member == told && m.alive(p)
-	p.member, p.known = told, true
+	same := p.known && p.member == sender && m.alive(p)
+	p.member, p.known = sender, true
 	p.heard.Heard(m.clock.Now())
 	m.mu.Unlock()
 	if !same {
@@ -41,13 +41,13 @@
 	}
 }
 
-// peerOf returns the peer that speaks. It needs m.mu.
+// peerOf returns the peer that sent a heartbeat. It needs m.mu.
 // Until the platform's list has been read, every sender counts as a VM of the system.
-func (m *members) peerOf(told wire.Member) *peerState {
-	p := m.peers[told.VM]
-	if p == nil && !m.listed && told.VM != m.self.VM {
-		p = &peerState{listed: platform.VM{Name: told.VM, DataCentre: told.DataCentre, AgentAddr: told.AgentAddr, State: platform.VMLive}}
-		m.peers[told.VM] = p
+func (m *members) peerOf(sender wire.Member) *peerState {
+	p := m.peers[sender.VM]
+	if p == nil && !m.listed && sender.VM != m.self.VM {
+		p = &peerState{listed: platform.VM{Name: sender.VM, DataCentre: sender.DataCentre, AgentAddr: sender.AgentAddr, State: platform.VMLive}}
+		m.peers[sender.VM] = p
 	}
 	return p
 }
--- a/internal/agent/push_test.go
+++ b/internal/agent/push_test.go
@@ -20,7 +20,7 @@
 	m := newMembers(wire.Member{VM: "vm1", Incarnation: "vm1-1"}, boottime.System{}, time.Second, func() {})
 	m.grantsChanged = func() {}
 	m.setList([]platform.VM{{Name: "vm1"}, {Name: "vm2"}})
-	m.heard(peer)
+	m.recordHeartbeat(peer)
 	tell := func(state uint64, target string) {
 		g := wire.Grant{Service: "s"}
 		g.Target.Name = target
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -34,7 +34,7 @@
 	daemons        map[string]daemonReport
 }
 
-// daemonReport is the last word of one of the VM's daemons.
+// daemonReport is the last report of one of the VM's daemons.
 type daemonReport struct {
 	report wire.ReportArgs
 	at     time.Time
@@ -81,10 +81,10 @@
 // refresh computes members and grants anew and wakes the pulls if they differ.
 func (r *relay) refresh() {
 	live, listed := visible(r.members.live()), r.members.places()
-	told := append(r.members.peerGrants(), r.grants.list()...)
+	reported := append(r.members.peerGrants(), r.grants.list()...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	combined := r.retainedGrants.merge(told, r.members.clock.Now())
+	combined := r.retainedGrants.merge(reported, r.members.clock.Now())
 	if slices.Equal(live, r.live) && slices.Equal(listed, r.listed) && reflect.DeepEqual(combined, r.combined) {
 		return
 	}
@@ -164,7 +164,7 @@
 
 // Beat implements the RPC for heartbeats of peers.
 func (r *relay) Beat(args *wire.BeatArgs, reply *wire.BeatReply) error {
-	r.members.heard(args.Member)
+	r.members.recordHeartbeat(args.Member)
 	if args.Pushed {
 		r.members.takeGrants(args.Member.VM, &wire.BeatReply{Member: args.Member, State: args.PushedState, Grants: args.Grants})
 	}
--- a/internal/agent/seed.go
+++ b/internal/agent/seed.go
@@ -19,7 +19,7 @@
 			return
 		}
 		for vm, addr := range addrs {
-			if a.askGrants(ctx, vm, addr) {
+			if a.fetchGrants(ctx, vm, addr) {
 				return
 			}
 		}
@@ -27,7 +27,7 @@
 	}
 }
 
-func (a *agent) askGrants(ctx context.Context, vm, addr string) bool {
+func (a *agent) fetchGrants(ctx context.Context, vm, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*a.Settings.Heartbeat.D())
 	defer cancel()
 	revision, _ := a.config.state()
--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -42,7 +42,7 @@
 	}
 	m.setList(vms)
 	for i := range n {
-		m.heard(slopeMember(i + 1))
+		m.recordHeartbeat(slopeMember(i + 1))
 	}
 	return m
 }
@@ -247,7 +247,7 @@
 			a := assigner{config: newConfiguration(func() {})}
 			require.NoError(b, a.config.replace(platform.Listing{Objects: slopeContracts(n), Revision: uint64(n)}))
 			for b.Loop() {
-				a.look()
+				a.refreshObservation()
 			}
 			require.Len(b, a.observation.versions, n)
 		})
@@ -266,7 +266,7 @@
 				revision, _ := a.config.state()
 				o.Version = revision + 1
 				a.config.apply(platform.Event{Type: platform.EventPut, Object: o, Revision: o.Version})
-				a.look()
+				a.refreshObservation()
 			}
 		})
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,5 +1,5 @@
 // Package catalog holds what a VM believes of the operators' configuration and
-// of the targets, and decides which news change that. It has no network or clock.
+// of the targets, and decides which updates change that. It has no network or clock.
 package catalog
 
 import (
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -92,7 +92,7 @@
 	for _, d := range daemons {
 		asks.Go(func() error {
 			var got []journal.Entry
-			err := f.ask(ctx, d.addr, "/journal", &got)
+			err := f.get(ctx, d.addr, "/journal", &got)
 			mu.Lock()
 			defer mu.Unlock()
 			entries = append(entries, got...)
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -89,7 +89,7 @@
 			out = append(out, daemonAddr{s.Name, a.Process, a.Addr})
 		}
 	}
-	dumps, err := f.askAgents(ctx, statuses)
+	dumps, err := f.queryAgents(ctx, statuses)
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +124,7 @@
 			found[vm.Name] = &VM{Name: vm.Name, DataCentre: vm.DataCentre, State: Silent}
 		}
 	}
-	dumps, err := f.askAgents(ctx, statuses)
+	dumps, err := f.queryAgents(ctx, statuses)
 	if err != nil {
 		return nil, err
 	}
@@ -188,8 +188,8 @@
 	return out
 }
 
-// askAgents returns the dumps of the first agents that answer.
-func (f *Fleet) askAgents(ctx context.Context, statuses []model.VMStatus) ([]agentDump, error) {
+// queryAgents returns the dumps of the first agents that answer.
+func (f *Fleet) queryAgents(ctx context.Context, statuses []model.VMStatus) ([]agentDump, error) {
 	addrs := slices.Clone(f.Agents)
 	for _, s := range statuses {
 		addrs = append(addrs, adminOf(s, agentProcess))
@@ -235,7 +235,7 @@
 			Value json.RawMessage `json:"value"`
 		} `json:"sections"`
 	}
-	if err := f.ask(ctx, addr, "/dump", &whole); err != nil {
+	if err := f.get(ctx, addr, "/dump", &whole); err != nil {
 		return agentDump{}, err
 	}
 	for _, s := range whole.Sections {
@@ -251,21 +251,21 @@
 	return agentDump{}, fmt.Errorf("dump of %s: not an agent", addr)
 }
 
-// ask reads one page of a daemon's admin server.
-func (f *Fleet) ask(ctx context.Context, addr, path string, out any) error {
+// get reads one page of a daemon's admin server.
+func (f *Fleet) get(ctx context.Context, addr, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
-		return fmt.Errorf("ask %s: %w", addr, err)
+		return fmt.Errorf("get %s: %w", addr, err)
 	}
 	resp, err := f.HTTP.Do(req)
 	if err != nil {
-		return fmt.Errorf("ask %s: %w", addr, err)
+		return fmt.Errorf("get %s: %w", addr, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("ask %s%s: status %d", addr, path, resp.StatusCode)
+		return fmt.Errorf("get %s%s: status %d", addr, path, resp.StatusCode)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
 		return fmt.Errorf("answer of %s%s: %w", addr, path, err)
@@ -291,7 +291,7 @@
 	for _, d := range daemons {
 		if d.vm == vm && d.process == process {
 			var out json.RawMessage
-			err := f.ask(ctx, d.addr, "/dump", &out)
+			err := f.get(ctx, d.addr, "/dump", &out)
 			return out, err
 		}
 	}
--- a/internal/decide/shares/borrowing.go
+++ b/internal/decide/shares/borrowing.go
@@ -163,7 +163,7 @@
 
 // Receive answers the ask of another entry.
 func (b *Book) Receive(ask Ask, now time.Duration) Answer {
-	ok, renewed := b.roster.hear(ask.From, ask.Incarnation, ask.Counted, now)
+	ok, renewed := b.roster.record(ask.From, ask.Incarnation, ask.Counted, now)
 	if renewed {
 		b.renew(ask.From)
 	}
@@ -270,7 +270,7 @@
 // Take books the answer to an ask that was sent at the given time. An answer to
 // an older ask than the last one taken is passed over.
 func (b *Book) Take(ask Ask, answer Answer, asked, now time.Duration) {
-	ok, renewed := b.roster.hear(answer.From, answer.Incarnation, answer.Counted, now)
+	ok, renewed := b.roster.record(answer.From, answer.Incarnation, answer.Counted, now)
 	if !ok {
 		return
 	}
--- a/internal/decide/shares/roster.go
+++ b/internal/decide/shares/roster.go
@@ -71,9 +71,9 @@
 	return c
 }
 
-// hear notes a message of a VM and the VMs that it counts. It returns false for
+// record notes a message of a VM and the VMs that it counts. It returns false for
 // a message of an earlier life, and renewed for the first one of a new life.
-func (r *roster) hear(vm string, incarnation int64, others []string, now time.Duration) (ok, renewed bool) {
+func (r *roster) record(vm string, incarnation int64, others []string, now time.Duration) (ok, renewed bool) {
 	c := r.count(vm, now)
 	if incarnation < c.incarnation {
 		return false, false
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -52,8 +52,8 @@
 
 	mu    sync.Mutex
 	watch *quarantine.Watch
-	// told are the quarantines that stand in the journal.
-	told map[quarantine.Fingerprint]bool
+	// journaled are the quarantines that stand in the journal.
+	journaled map[quarantine.Fingerprint]bool
 	// queued and concluded count rounds; progress is closed at each conclusion.
 	queued, concluded uint64
 	progress          chan struct{}
@@ -67,10 +67,10 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("quarantine."+name, registry) }
 	return &crashWatch{
 		vm: vm, clock: boottime.System{}, feed: f, peers: peer.NewPool(1), log: logger, journal: j, ready: ready,
-		gossip: ring.New[crashGossip]("quarantine", gossipQueue, ring.Refuse, registry),
-		counts: crashCounts{counter("deaths"), counter("refused"), counter("permits"), counter("denied"), counter("cleared")},
-		watch:  quarantine.New(vm),
-		told:   make(map[quarantine.Fingerprint]bool),
+		gossip:    ring.New[crashGossip]("quarantine", gossipQueue, ring.Refuse, registry),
+		counts:    crashCounts{counter("deaths"), counter("refused"), counter("permits"), counter("denied"), counter("cleared")},
+		watch:     quarantine.New(vm),
+		journaled: make(map[quarantine.Fingerprint]bool),
 
 		progress: make(chan struct{}),
 	}
@@ -165,10 +165,10 @@
 
 // noteQuarantine enters a quarantine into the journal, once.
 func (w *crashWatch) noteQuarantine(c *quarantine.Case) {
-	if !c.Quarantined() || w.told[c.Fingerprint] {
+	if !c.Quarantined() || w.journaled[c.Fingerprint] {
 		return
 	}
-	w.told[c.Fingerprint] = true
+	w.journaled[c.Fingerprint] = true
 	names := make([]string, len(c.Deaths))
 	for i, d := range c.Deaths {
 		names[i] = d.Name
--- a/internal/dispatch/crashgossip.go
+++ b/internal/dispatch/crashgossip.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// PermitArgs asks another dispatcher to agree to the run of a suspect, or tells it
-// of a case where Pool is "".
+// PermitArgs requests the consent of another dispatcher to the run of a suspect, or reports
+// a case where Pool is "".
 type PermitArgs struct {
 	From string
 	Pool string
@@ -127,7 +127,7 @@
 	return out
 }
 
-// round queries or notifies all other dispatchers at once. A permit needs the word of
+// round queries or notifies all other dispatchers at once. A permit needs the consent of
 // each that counts as a member: one that does not answer may be running the
 // suspect.
 func (w *crashWatch) round(ctx context.Context, g crashGossip) {
--- a/internal/dispatch/hints.go
+++ b/internal/dispatch/hints.go
@@ -40,7 +40,7 @@
 		select {
 		case now := <-every.C:
 			if now.UnixNano()-q.active.Load() < int64(hintWhile) {
-				_ = q.inbox.Push(ctx, message{hints: q.ask(ctx)})
+				_ = q.inbox.Push(ctx, message{hints: q.probeTargets(ctx)})
 			}
 		case <-ctx.Done():
 			return
@@ -48,7 +48,7 @@
 	}
 }
 
-func (q *queue) ask(ctx context.Context) []hint {
+func (q *queue) probeTargets(ctx context.Context) []hint {
 	s := q.feed.Current().Service(q.id.Service)
 	if s == nil {
 		return nil
@@ -56,9 +56,9 @@
 	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
 	defer cancel()
 	var (
-		mu    sync.Mutex
-		asked sync.WaitGroup
-		hints []hint
+		mu     sync.Mutex
+		probes sync.WaitGroup
+		hints  []hint
 	)
 	room := make(chan struct{}, hintsAtOnce)
 	for _, t := range s.Targets {
@@ -66,7 +66,7 @@
 			continue
 		}
 		room <- struct{}{}
-		asked.Go(func() {
+		probes.Go(func() {
 			defer func() { <-room }()
 			h := hint{target: t.Name}
 			var err error
@@ -79,7 +79,7 @@
 			hints = append(hints, h)
 		})
 	}
-	asked.Wait()
+	probes.Wait()
 	return hints
 }
 
--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -206,8 +206,8 @@
 	return t.Await(args.(*wire.AwaitArgs), reply.(*wire.AwaitReply))
 }
 
-// tell sends a record to all holders and waits until a quorum has it.
-func (t *intents) tell(ctx context.Context, method string, record *idempotency.Record, by []string) {
+// replicate sends a record to all holders and waits until a quorum has it.
+func (t *intents) replicate(ctx context.Context, method string, record *idempotency.Record, by []string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	done := make(chan error, len(by))
 	var calls sync.WaitGroup
@@ -243,7 +243,7 @@
 		record.Answer = nil
 	}
 	t.end(claim, &answer, false)
-	t.tell(ctx, wire.MethodSettle, &record, by)
+	t.replicate(ctx, wire.MethodSettle, &record, by)
 	return answer
 }
 
@@ -252,7 +252,7 @@
 func (t *intents) release(ctx context.Context, record idempotency.Record, by []string, claim *localClaim) {
 	t.counts.released.Inc(1)
 	t.end(claim, nil, true)
-	t.tell(ctx, wire.MethodRelease, &record, by)
+	t.replicate(ctx, wire.MethodRelease, &record, by)
 }
 
 func (t *intents) end(claim *localClaim, answer *wire.Answer, released bool) {
@@ -282,7 +282,7 @@
 		p := problem.Lost(problem.AnswerLost, stepIntent, record.Claim.Coordinator, "the dispatcher that had the request is gone; it may have run")
 		return wire.Refused(r.ID, p), true
 	case reply.Released:
-		t.tell(ctx, wire.MethodRelease, record, by)
+		t.replicate(ctx, wire.MethodRelease, record, by)
 		p := problem.Refuse(problem.Full, stepIntent, t.vm, "the first request was not run; try again")
 		return wire.Refused(r.ID, p.After(time.Second)), true
 	case reply.Answer == nil:
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -103,7 +103,7 @@
 	// jobs are all that wait or are sent, by request id.
 	jobs    map[string]*job
 	waiting *fairqueue.Queue[*job]
-	// parked wait for the next view, held for the word of suspects.
+	// parked wait for the next view, held until suspects are permitted.
 	parked, held map[*job]struct{}
 	// given orders all that are not sent by the moment they are given up.
 	given waitHeap
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -192,7 +192,7 @@
 	if j.item.Long {
 		q.longRunning--
 	}
-	q.told(r, now)
+	q.reportCrash(r, now)
 	delete(t.running, j)
 	q.release(q.held)
 	if r.err == nil {
@@ -208,11 +208,11 @@
 	q.again(j, out, r.err, now)
 }
 
-// told passes the end of the attempt on to the watch over crashing requests.
+// reportCrash reports the end of the attempt to the watch over crashing requests.
 //
 // A target that dies breaks all its connections. The first result to come reports
 // them together; the others belong to the same death and are not reported again.
-func (q *queue) told(r *result, now time.Time) {
+func (q *queue) reportCrash(r *result, now time.Time) {
 	switch {
 	case r.died && r.job.sentAt.After(r.target.diedAt):
 		r.target.diedAt = now
--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -109,11 +109,11 @@
 		}
 		s.busy[m.VM] = true
 		s.seq++
-		go s.askOne(ctx, m, s.seq)
+		go s.requestShare(ctx, m, s.seq)
 	}
 }
 
-func (s *sharer) askOne(ctx context.Context, m wire.Member, seq uint64) {
+func (s *sharer) requestShare(ctx context.Context, m wire.Member, seq uint64) {
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -9,9 +9,9 @@
 	"net/http"
 )
 
-// TransportError reads the error of an HTTP call that brought no answer: it tells
-// a call that never left (ErrUnavailable) from one whose answer is lost
-// (ErrAmbiguous). Only a failed dial is certain.
+// TransportError returns the error of an HTTP call that brought no answer:
+// ErrUnavailable for a call that never left, ErrAmbiguous for one whose answer was lost.
+// Only a failed dial is certain.
 func TransportError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -162,8 +162,8 @@
 }
 
 // receive reads answers until the one to r.
-// A late or second response to an earlier request may come first. The id that the target echoes tells
-// whose response it is.
+// A late or second response to an earlier request may come first. The id that the target echoes identifies
+// the request that it answers.
 func (c *conn) receive(r *Request) (*Answer, bool, error) {
 	for range maxStray {
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
