hqctl explain: targets that refused for their load, and what they could have served

The counts in a refusal (refusedOn) are what one VM believed. Whether the target was full can only be read from the attempts of all VMs.

--- a/internal/ctl/losses.go
+++ b/internal/ctl/losses.go
@@ -25,6 +25,7 @@
 	Requests int       `json:"requests"`
 	// Outcomes are in order of their number.
 	Outcomes []*Outcome `json:"outcomes"`
+	Overload *Overload  `json:"overload"`
 	// Skipped counts lines that are no log lines of a daemon.
 	Skipped int `json:"skipped"`
 }
@@ -69,10 +70,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := summing{outcomes: make(map[outcomeKey]*outcomeSum)}
+	s := summing{outcomes: make(map[outcomeKey]*outcomeSum), targets: make(overloadSum)}
 	for _, l := range all {
 		if l.Step == requestStep {
 			s.add(l)
+			s.targets.add(l)
 		}
 	}
 	return s.losses(skipped), nil
@@ -88,6 +90,7 @@
 	from     time.Time
 	requests int
 	outcomes map[outcomeKey]*outcomeSum
+	targets  overloadSum
 }
 
 type outcomeSum struct {
@@ -148,7 +151,7 @@
 }
 
 func (s *summing) losses(skipped int) *Losses {
-	out := &Losses{From: s.from, Requests: s.requests, Skipped: skipped}
+	out := &Losses{From: s.from, Requests: s.requests, Overload: s.targets.overload(), Skipped: skipped}
 	for _, o := range s.outcomes {
 		ms := func(q float64) float64 { return float64(o.took.ValueAtQuantile(q)) / 1000 }
 		o.Took = Spread{P50: ms(50), P99: ms(99), Max: ms(100)}
@@ -183,6 +186,7 @@
 	}
 	_ = t.Flush()
 	l.writeSeconds(w)
+	l.Overload.Write(w)
 }
 
 func sharesText(list []Share) string {
--- /dev/null
+++ b/internal/ctl/overload.go
@@ -0,0 +1,222 @@
+package ctl
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+// Overload is what collected logs say of the targets that were too loaded for a request:
+// whether they could have served it, by what all VMs together had there.
+//
+// Requests without a line, and those that still ran when the logs end, are missing in it.
+type Overload struct {
+	// Targets are in order of their refusals.
+	Targets []*TargetOverload `json:"targets"`
+	// Unknown counts refusals at targets whose slots no line names.
+	Unknown int `json:"unknown"`
+}
+
+// TargetOverload is the refusals for the load of one target.
+type TargetOverload struct {
+	Target string `json:"target"`
+	Slots  int    `json:"slots"`
+	// ServiceMs is the mean time of an answer that did not wait for a slot.
+	ServiceMs float64 `json:"serviceMs"`
+	// Refused counts the refusals, RefusedIdle those while a slot was free.
+	Refused     int `json:"refused"`
+	RefusedIdle int `json:"refusedIdle"`
+	// Demand is what arrived for it while it refused, in units of what its slots serve.
+	Demand float64 `json:"demand"`
+	// Servable is at most how many of the refused its free slots had the time for.
+	Servable float64 `json:"servable"`
+}
+
+const (
+	// overloadStep is the time over which demand and free slots are compared.
+	overloadStep = 200 * time.Millisecond
+	// samplesPerStep is how often free slots are sampled in a step.
+	samplesPerStep = 5
+	// serviceLeast is how many answers the service time of one target needs; with fewer
+	// that of all targets is used.
+	serviceLeast = 5
+)
+
+var (
+	attemptText = regexp.MustCompile(`^(\S+) load (\d+) expected \d+ms took (\d+)ms (.*)$`)
+	refusalText = regexp.MustCompile(`^(\S+) (?:own \d+ others \d+ likely \S+ slots (\d+)|part )`)
+)
+
+// targetTraffic is what the lines on requests say of one target.
+type targetTraffic struct {
+	slots                   int
+	started, ended, refused []time.Time
+	answers                 []unqueued
+}
+
+// unqueued is an answer and the load that its VM believed when it sent the request.
+type unqueued struct {
+	load int
+	took time.Duration
+}
+
+// overloadSum sums the lines on requests by target.
+type overloadSum map[string]*targetTraffic
+
+func (s overloadSum) of(target string) *targetTraffic {
+	t := s[target]
+	if t == nil {
+		t = &targetTraffic{}
+		s[target] = t
+	}
+	return t
+}
+
+// add notes the attempts of a request, of which the last ended with it, and its refusal.
+func (s overloadSum) add(l Line) {
+	attempts, _ := l.Fields["attempts"].([]any)
+	end := l.Time
+	for _, a := range slices.Backward(attempts) {
+		m := attemptText.FindStringSubmatch(text(a))
+		if m == nil {
+			continue
+		}
+		load, _ := strconv.Atoi(m[2])
+		ms, _ := strconv.Atoi(m[3])
+		took := time.Duration(ms) * time.Millisecond
+		t := s.of(m[1])
+		t.started, t.ended = append(t.started, end.Add(-took)), append(t.ended, end)
+		if m[4] == "200" {
+			t.answers = append(t.answers, unqueued{load, took})
+		}
+		end = end.Add(-took)
+	}
+	if m := refusalText.FindStringSubmatch(text(l.Fields["refusedOn"])); m != nil {
+		t := s.of(m[1])
+		t.refused = append(t.refused, l.Time)
+		if slots, err := strconv.Atoi(m[2]); err == nil {
+			t.slots = slots
+		}
+	}
+}
+
+func (s overloadSum) overload() *Overload {
+	usual := s.usual()
+	out := &Overload{}
+	for _, name := range slices.Sorted(maps.Keys(s)) {
+		t := s[name]
+		switch {
+		case len(t.refused) == 0:
+		case t.slots == 0 || usual == 0:
+			out.Unknown += len(t.refused)
+		default:
+			out.Targets = append(out.Targets, t.overload(name, usual))
+		}
+	}
+	slices.SortStableFunc(out.Targets, func(a, b *TargetOverload) int { return cmp.Compare(b.Refused, a.Refused) })
+	return out
+}
+
+// usual returns the mean service time of all targets, 0 where no answer shows one.
+func (s overloadSum) usual() time.Duration {
+	all := &targetTraffic{}
+	for _, t := range s {
+		all.answers = append(all.answers, t.unqueued()...)
+	}
+	return meanTook(all.answers)
+}
+
+// unqueued returns the answers to requests that found a slot free, as their VM believed.
+func (t *targetTraffic) unqueued() []unqueued {
+	slots := max(t.slots, 1)
+	return slices.DeleteFunc(slices.Clone(t.answers), func(a unqueued) bool { return a.load >= slots })
+}
+
+func meanTook(answers []unqueued) time.Duration {
+	var sum time.Duration
+	for _, a := range answers {
+		sum += a.took
+	}
+	return sum / time.Duration(max(len(answers), 1))
+}
+
+func (t *targetTraffic) overload(name string, usual time.Duration) *TargetOverload {
+	for _, times := range [][]time.Time{t.started, t.ended, t.refused} {
+		slices.SortFunc(times, time.Time.Compare)
+	}
+	service := usual
+	if answers := t.unqueued(); len(answers) >= serviceLeast {
+		service = meanTook(answers)
+	}
+	out := &TargetOverload{Target: name, Slots: t.slots, ServiceMs: float64(service) / float64(time.Millisecond), Refused: len(t.refused)}
+	capacity := float64(t.slots) * float64(overloadStep) / float64(service)
+	arrived, steps := 0, 0
+	for i := 0; i < len(t.refused); {
+		from := t.refused[i].Truncate(overloadStep)
+		to := from.Add(overloadStep)
+		refused := before(t.refused, to) - i
+		steps++
+		arrived += refused + before(t.started, to) - before(t.started, from)
+		out.Servable += min(float64(refused), t.free(from)/float64(t.slots)*capacity)
+		i += refused
+	}
+	out.Demand = float64(arrived) / (float64(steps) * capacity)
+	for _, at := range t.refused {
+		if t.inFlight(at) < t.slots {
+			out.RefusedIdle++
+		}
+	}
+	return out
+}
+
+// inFlight returns how many requests of all VMs the target had.
+func (t *targetTraffic) inFlight(at time.Time) int {
+	return before(t.started, at) - before(t.ended, at)
+}
+
+// free returns the mean number of free slots in the step that begins at a time.
+func (t *targetTraffic) free(from time.Time) float64 {
+	sum := 0
+	for i := range samplesPerStep {
+		at := from.Add(time.Duration(2*i+1) * overloadStep / (2 * samplesPerStep))
+		sum += max(0, t.slots-t.inFlight(at))
+	}
+	return float64(sum) / samplesPerStep
+}
+
+// before returns how many of the sorted times are before another.
+func before(sorted []time.Time, at time.Time) int {
+	n, _ := slices.BinarySearchFunc(sorted, at, time.Time.Compare)
+	return n
+}
+
+// targetsShown bounds the targets that are listed for people.
+const targetsShown = 10
+
+// Write renders the targets with the most refusals for people, and sums of all.
+func (o *Overload) Write(w io.Writer) {
+	if len(o.Targets) == 0 {
+		return
+	}
+	sum := &TargetOverload{}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\nTARGET\tSLOTS\tSERVICE MS\tDEMAND/CAPACITY\tREFUSED\tWITH A FREE SLOT\tSERVABLE\t")
+	for i, r := range o.Targets {
+		sum.Refused, sum.RefusedIdle, sum.Servable = sum.Refused+r.Refused, sum.RefusedIdle+r.RefusedIdle, sum.Servable+r.Servable
+		if i < targetsShown {
+			fmt.Fprintf(t, "%s\t%d\t%.0f\t%.1f\t%d\t%d\t%.0f\t\n", r.Target, r.Slots, r.ServiceMs, r.Demand, r.Refused, r.RefusedIdle, r.Servable)
+		}
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "refused for the load of %d targets: %d, of them %d with a free slot there; at most %.0f could have been served\n",
+		len(o.Targets), sum.Refused, sum.RefusedIdle, sum.Servable)
+	if o.Unknown > 0 {
+		fmt.Fprintf(w, "and %d at targets whose slots no line names\n", o.Unknown)
+	}
+}
