--- a/internal/ctl/overload.go
+++ b/internal/ctl/overload.go
@@ -57,11 +57,11 @@
 type targetTraffic struct {
 	slots                   int
 	started, ended, refused []time.Time
-	answers                 []unqueued
+	answers                 []answer
 }
 
-// unqueued is an answer and the load that its VM believed when it sent the request.
-type unqueued struct {
+// answer is how long a request took, and the load that its VM believed when it sent it.
+type answer struct {
 	load int
 	took time.Duration
 }
@@ -93,7 +93,7 @@
 		t := s.of(m[1])
 		t.started, t.ended = append(t.started, end.Add(-took)), append(t.ended, end)
 		if m[4] == "200" {
-			t.answers = append(t.answers, unqueued{load, took})
+			t.answers = append(t.answers, answer{load, took})
 		}
 		end = end.Add(-took)
 	}
@@ -133,12 +133,12 @@
 }
 
 // unqueued returns the answers to requests that found a slot free, as their VM believed.
-func (t *targetTraffic) unqueued() []unqueued {
+func (t *targetTraffic) unqueued() []answer {
 	slots := max(t.slots, 1)
-	return slices.DeleteFunc(slices.Clone(t.answers), func(a unqueued) bool { return a.load >= slots })
+	return slices.DeleteFunc(slices.Clone(t.answers), func(a answer) bool { return a.load >= slots })
 }
 
-func meanTook(answers []unqueued) time.Duration {
+func meanTook(answers []answer) time.Duration {
 	var sum time.Duration
 	for _, a := range answers {
 		sum += a.took
