--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -11,6 +11,18 @@
 	"hemlockquay/internal/platform"
 )
 
+// moveCause is why keys get another owner, for the log.
+type moveCause string
+
+// The causes of moves. The first three are those for which an owner does not count as live.
+const (
+	ownerNotListed moveCause = "owner not listed"
+	ownerEnded     moveCause = "owner ended"
+	ownerSilent    moveCause = "owner silent"
+	ownerLoaded    moveCause = "owner loaded"
+	ownersUneven   moveCause = "owners uneven"
+)
+
 // writePlanned plans who should own what and starts the write of changes.
 func (l *leader) writePlanned(ctx context.Context, now time.Duration) {
 	if l.writing || now < l.planNext || !l.LocalState.StoreReachable() {
@@ -19,16 +31,21 @@
 	l.planNext = now + planEvery
 	l.recordIncarnations()
 	var changes []lease.Change
+	var cause moveCause
 	if !l.unsettled {
-		if changes = l.plan(now); len(changes) == 0 {
+		if changes, cause = l.plan(now); len(changes) == 0 {
 			return
 		}
 	}
 	next := l.grants.Plan(changes)
 	for _, c := range changes {
 		s := l.grants.Record().Slices[c.Slice]
+		why := cause
+		if why == "" {
+			why = l.absence(s.Owner)
+		}
 		l.Log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
-			Str("to", c.To.ID).Uint64("targets", l.TargetDirectory.View().Targets.Revision).Msg("keys get another owner")
+			Str("to", c.To.ID).Str("cause", string(why)).Dur("silent", l.grants.Silent(s.Owner, now)).Uint64("targets", l.TargetDirectory.View().Targets.Revision).Msg("keys get another owner")
 	}
 	l.writing = true
 	version := l.version
@@ -59,25 +76,37 @@
 	}
 }
 
-// plan returns the changes of owners that are wanted now.
-func (l *leader) plan(now time.Duration) []lease.Change {
+// plan returns the changes of owners that are wanted now and their cause, which is empty where
+// the owners are not live.
+func (l *leader) plan(now time.Duration) ([]lease.Change, moveCause) {
 	record := l.grants.Record()
 	live := l.live(now)
 	if len(live) == 0 {
-		return nil
+		return nil, ""
 	}
 	rehomed := lease.Rehome(record.Slices, live)
 	rehomed = slices.DeleteFunc(rehomed, func(c lease.Change) bool { return !l.grants.Movable(c.Slice) })
 	if len(rehomed) > 0 {
-		return rehomed
+		return rehomed, ""
 	}
 	if changes := l.spread(live, now); len(changes) > 0 {
-		return changes
+		return changes, ownerLoaded
 	}
 	if l.moving() >= evenMoving || !lease.Uneven(record.Slices, live) {
-		return nil
+		return nil, ""
+	}
+	return lease.EvenOut(record.Slices, live, l.targetLoad(live, now)), ownersUneven
+}
+
+// absence returns why an owner does not count as live.
+func (l *leader) absence(o lease.Owner) moveCause {
+	switch {
+	case !slices.ContainsFunc(l.owners(), o.Same):
+		return ownerNotListed
+	case l.grants.HasEnded(o):
+		return ownerEnded
 	}
-	return lease.EvenOut(record.Slices, live, l.targetLoad(live, now))
+	return ownerSilent
 }
 
 // live returns the owners that answer their orders.
--- /dev/null
+++ b/internal/gateway/leasing/moves_test.go
@@ -0,0 +1,57 @@
+package leasing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+)
+
+// Guards against moves of keys whose cause no log line names.
+func TestPlannedMovesNameTheirCause(t *testing.T) {
+	clock := newHandClock(time.Hour)
+	n := testNode(clock)
+	defer n.mesh.Close()
+	inService, silent, ended, left, fresh := lease.Owner{ID: "in-service"}, lease.Owner{ID: "silent"}, lease.Owner{ID: "ended"}, lease.Owner{ID: "left"}, lease.Owner{ID: "fresh"}
+	directory := listedTargets{}
+	for _, o := range []lease.Owner{inService, silent, ended, fresh} {
+		directory.list = append(directory.list, catalog.Target{ID: o.ID, Service: "s", Slots: 1})
+	}
+	n.TargetDirectory = directory
+	owners := []lease.Owner{inService, silent, ended, left}
+	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.Even(16, owners)}
+	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	for _, o := range owners {
+		l.grants.LifeConfirmed(o)
+	}
+	answer := func(unanswered lease.Owner) {
+		for _, o := range l.grants.Due(clock.Now()) {
+			result := lease.Done
+			if o.Target.Same(unanswered) {
+				result = lease.Unanswered
+			}
+			l.grants.Ended(o, result, "", clock.Now(), clock.Now())
+		}
+	}
+	answer(lease.Owner{})
+	l.grants.LifeEnded(ended)
+	clock.advance(renewEvery)
+	answer(silent)
+	clock.advance(silentOwner)
+
+	changes, cause := l.plan(clock.Now())
+	require.Empty(t, cause, "each of its owners has its own")
+	want := map[lease.Owner]moveCause{silent: ownerSilent, ended: ownerEnded, left: ownerNotListed}
+	seen := make(map[moveCause]bool)
+	for _, c := range changes {
+		owner := l.grants.Record().Slices[c.Slice].Owner
+		require.Equal(t, want[owner], l.absence(owner), owner.ID)
+		require.NotEmpty(t, want[owner], "%s is in service", owner.ID)
+		seen[want[owner]] = true
+	}
+	require.Len(t, seen, len(want))
+}
