leasing: the listed owners are read once for the lines of planned moves

Each line of a moved range built the list of all owners again, in the grantor's own loop. The lines are the same; writePlanned hands them to logPlanned.

--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -38,15 +38,7 @@
 		}
 	}
 	next := l.grants.Plan(changes)
-	for _, c := range changes {
-		s := l.grants.Record().Slices[c.Slice]
-		why := cause
-		if why == "" {
-			why = l.absence(s.Owner)
-		}
-		l.Log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
-			Str("to", c.To.ID).Str("cause", string(why)).Dur("silent", l.grants.Silent(s.Owner, now)).Uint64("targets", l.TargetDirectory.View().Targets.Revision).Msg("keys get another owner")
-	}
+	l.logPlanned(changes, cause, now)
 	l.writing = true
 	version := l.version
 	go func() {
@@ -56,6 +48,21 @@
 	}()
 }
 
+// logPlanned writes a line for each change of an owner that is planned.
+func (l *leader) logPlanned(changes []lease.Change, cause moveCause, now time.Duration) {
+	listed, revision := l.owners(), l.TargetDirectory.View().Targets.Revision
+	for _, c := range changes {
+		s := l.grants.Record().Slices[c.Slice]
+		why := cause
+		if why == "" {
+			why = l.absence(s.Owner, listed)
+		}
+		l.Log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).
+			Str("to", c.To.ID).Str("cause", string(why)).Dur("silent", l.grants.Silent(s.Owner, now)).
+			Uint64("targets", revision).Msg("keys get another owner")
+	}
+}
+
 func (l *leader) written(next lease.Record, version uint64, sent time.Duration, err error) {
 	l.writing = false
 	if err == nil {
@@ -98,10 +105,10 @@
 	return lease.EvenOut(record.Slices, live, l.targetLoad(live, now)), ownersUneven
 }
 
-// absence returns why an owner does not count as live.
-func (l *leader) absence(o lease.Owner) moveCause {
+// absence returns why an owner does not count as live, by the list of those that may own keys.
+func (l *leader) absence(o lease.Owner, listed []lease.Owner) moveCause {
 	switch {
-	case !slices.ContainsFunc(l.owners(), o.Same):
+	case !slices.ContainsFunc(listed, o.Same):
 		return ownerNotListed
 	case l.grants.HasEnded(o):
 		return ownerEnded
--- a/internal/gateway/leasing/moves_test.go
+++ b/internal/gateway/leasing/moves_test.go
@@ -49,7 +49,7 @@
 	seen := make(map[moveCause]bool)
 	for _, c := range changes {
 		owner := l.grants.Record().Slices[c.Slice].Owner
-		require.Equal(t, want[owner], l.absence(owner), owner.ID)
+		require.Equal(t, want[owner], l.absence(owner, l.owners()), owner.ID)
 		require.NotEmpty(t, want[owner], "%s is in service", owner.ID)
 		seen[want[owner]] = true
 	}
