gateway: repeats by cause and what their budget compared, as metrics and log lines

A request refused with 'no repeats left' said nothing of the budget, and no count told repeats after a 421 from those after a lost answer. Now the request's line has spent, allowed, requests, VMs and age of the budget; counters by cause and gauges per service; one line a second and service while repeats are sent. No decision changes.

--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -12,7 +12,10 @@
 // the constant is left unused.
 package repeats
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Limit is what operators allow for one service over all VMs.
 type Limit struct {
@@ -38,6 +41,24 @@
 type Budget struct {
 	requests, repeats [buckets + 1]float64
 	at                int64
+	// since is when this VM first counted a request.
+	since time.Duration
+}
+
+// Decision is whether a repeat may be sent, and what that was decided on.
+type Decision struct {
+	Granted bool
+	// Spent and Allowed are the repeats within the window, Requests the requests.
+	Spent, Allowed, Requests float64
+	// VMs is over how many VMs the constant is divided.
+	VMs int
+	// Age is for how long the budget has counted.
+	Age time.Duration
+}
+
+// String describes the decision in logs.
+func (d Decision) String() string {
+	return fmt.Sprintf("spent %.1f allowed %.1f requests %.0f vms %d age %dms", d.Spent, d.Allowed, d.Requests, d.VMs, d.Age.Milliseconds())
 }
 
 // Request notes a request for the service.
@@ -46,19 +67,29 @@
 	b.requests[b.at%(buckets+1)]++
 }
 
-// Repeat takes one repeat from the budget of a VM that is one of so many, and
-// reports whether there was one.
-func (b *Budget) Repeat(l Limit, vms int, now time.Duration) bool {
-	b.advance(l, now)
-	allowed := ratioUsed*l.Ratio*sum(b.requests[:]) + slackUsed*l.Slack/float64(max(vms, 1))
-	if sum(b.repeats[:])+1 > allowed {
-		return false
+// Repeat takes one repeat from the budget of a VM that is one of so many, if there is one.
+func (b *Budget) Repeat(l Limit, vms int, now time.Duration) Decision {
+	d := b.State(l, vms, now)
+	if d.Granted {
+		b.repeats[b.at%(buckets+1)]++
+		d.Spent++
 	}
-	b.repeats[b.at%(buckets+1)]++
-	return true
+	return d
+}
+
+// State returns what a repeat would be decided on now.
+func (b *Budget) State(l Limit, vms int, now time.Duration) Decision {
+	b.advance(l, now)
+	d := Decision{Spent: sum(b.repeats[:]), Requests: sum(b.requests[:]), VMs: vms, Age: now - b.since}
+	d.Allowed = ratioUsed*l.Ratio*d.Requests + slackUsed*l.Slack/float64(max(vms, 1))
+	d.Granted = d.Spent+1 <= d.Allowed
+	return d
 }
 
 func (b *Budget) advance(l Limit, now time.Duration) {
+	if b.since == 0 {
+		b.since = now
+	}
 	at := int64(now / (l.Window / buckets))
 	if at-b.at > buckets {
 		b.at = at - buckets - 1
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -28,7 +28,7 @@
 					requests[i]++
 				}
 				for range 4 {
-					if budgets[vm].Repeat(limit, vms, now) {
+					if budgets[vm].Repeat(limit, vms, now).Granted {
 						repeats[i]++
 					}
 				}
@@ -45,12 +45,12 @@
 func TestRepeatsComeBackAfterTheWindow(t *testing.T) {
 	var b Budget
 	n := 0
-	for b.Repeat(limit, 8, 0) {
+	for b.Repeat(limit, 8, 0).Granted {
 		n++
 	}
 	require.Equal(t, 4, n)
-	require.False(t, b.Repeat(limit, 8, 5*time.Second))
-	require.True(t, b.Repeat(limit, 8, 11*time.Second))
+	require.False(t, b.Repeat(limit, 8, 5*time.Second).Granted)
+	require.True(t, b.Repeat(limit, 8, 11*time.Second).Granted)
 }
 
 // Targets refuse half of their requests for no lasting reason. What the operators allow is
@@ -61,7 +61,7 @@
 	for now := time.Duration(0); now < limit.Window; now += 10 * time.Millisecond {
 		b.Request(limit, now)
 		requests++
-		if b.Repeat(limit, 8, now) {
+		if b.Repeat(limit, 8, now).Granted {
 			repeats++
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,9 +39,12 @@
 			g.state.finish(e, endLeft)
 			return c.giveUp(string(refusedLeaving), soonRetry)
 		}
-		if c.arrivals > 0 && !g.state.repeat(c.service, g.mesh.Size(), g.clock.Now()) {
-			g.state.finish(e, endLeft)
-			return c.giveUp("no repeats left", g.retryAfter(c))
+		if c.arrivals > 0 {
+			if d := g.repeat(c); !d.Granted {
+				g.state.finish(e, endLeft)
+				c.refusedOn = d.String()
+				return c.giveUp(noRepeats, g.retryAfter(c))
+			}
 		}
 		if out := g.attempt(ctx, c, e, left); out != nil {
 			return *out
@@ -122,6 +125,7 @@
 	g.state.finish(e, endFailed)
 	c.tried[e.id] = true
 	c.last = answer
+	c.failed = causeFailed
 	if !c.route.Idempotent || answer.Status == http.StatusGatewayTimeout {
 		out := c.giveUp("target failed", 0)
 		return &out
@@ -148,6 +152,7 @@
 		return &out
 	}
 	g.state.finish(e, endLost)
+	c.failed = causeLost
 	go g.checkCrash(c.content, e)
 	c.tried[e.id] = true
 	if !c.route.Idempotent {
@@ -165,6 +170,7 @@
 	}
 	if a.Status == http.StatusMisdirectedRequest && c.keyed {
 		g.state.finish(e, endLeft)
+		c.failed, c.misdirected = causeMisdirected, e.leases
 		if !g.await(ctx, c, movingWait) {
 			out := c.giveUp(string(refusedMoving), g.retryAfter(c))
 			return &out
@@ -173,6 +179,7 @@
 	}
 	g.state.finish(e, endFailed)
 	c.tried[e.id] = true
+	c.failed = causeRefused
 	c.shedFree = e.load < e.target.Slots
 	if c.keyed && !c.shedFree {
 		out := c.giveUp("owner is full", g.retryAfter(c))
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -29,6 +29,10 @@
 	arrivals int
 	// ran counts the targets that may have run the request.
 	ran int
+	// failed is how the last arrival failed, misdirected by which version of the leases it was
+	// sent where its target did not hold the key.
+	failed      cause
+	misdirected leaseVersion
 	// last is an answer without success that stands if nothing better comes.
 	last   *upstream.Answer
 	trace  []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.refreshLoads, g.refreshPlace, g.sweep, g.reload,
+		g.watchConfig, g.watchTargets, g.expireTargets, g.join, g.leasing.Run, g.refreshLoads, g.refreshPlace, g.sweep, g.reload, g.reportRepeats,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -25,6 +25,8 @@
 	load     int
 	// cold reports whether the key is cold at its owner.
 	cold bool
+	// leases is the version of the leases that named the owner.
+	leases leaseVersion
 	// sharers is how many VMs sent requests to the target then.
 	sharers int
 }
@@ -106,7 +108,7 @@
 	if e == nil {
 		return nil, why, t.inputs()
 	}
-	e.cold = cold
+	e.cold, e.leases = cold, leaseVersion{epoch: r.Epoch, seq: r.Seq}
 	return e, why, ""
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"hemlockquay/internal/decide/duration"
-	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/decide/urgency"
 )
 
@@ -27,22 +26,6 @@
 	return m != nil && m.First(priority)
 }
 
-// repeat takes a repeat from the service's budget.
-func (s *routingState) repeat(service string, vms int, now time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budgetLocked(service).Repeat(s.limit, vms, now)
-}
-
-func (s *routingState) budgetLocked(service string) *repeats.Budget {
-	b := s.budgets[service]
-	if b == nil {
-		b = new(repeats.Budget)
-		s.budgets[service] = b
-	}
-	return b
-}
-
 // usualLocked returns the usual service time of a route; 0 while it is not known.
 func (s *routingState) usualLocked(service, routeName string) time.Duration {
 	t := s.durations[service]
