--- /dev/null
+++ b/internal/decide/repeats/bound_test.go
@@ -0,0 +1,154 @@
+package repeats
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// fleet plays the VMs that serve one service, in steps, and counts what the service sees.
+type fleet struct {
+	limit             Limit
+	budgets           []Budget
+	weights           []float64
+	requests, repeats []float64
+	random            *rand.Rand
+}
+
+const step = 100 * time.Millisecond
+
+func newFleet(vms int, slack float64, seed uint64) *fleet {
+	f := &fleet{
+		limit: Limit{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}, budgets: make([]Budget, vms),
+		weights: make([]float64, vms), random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	f.move()
+	return f
+}
+
+// move lets callers move to other VMs.
+func (f *fleet) move() {
+	total := 0.0
+	for i := range f.weights {
+		f.weights[i] = f.random.ExpFloat64()
+		total += f.weights[i]
+	}
+	for i := range f.weights {
+		f.weights[i] /= total
+	}
+}
+
+// restart ends the processes of a share of the VMs and begins new ones.
+func (f *fleet) restart(share float64) {
+	for i := range f.budgets {
+		if f.random.Float64() < share {
+			f.budgets[i] = Budget{}
+		}
+	}
+}
+
+// play lets so many requests come in a step; where they fail, each VM repeats all that it may.
+func (f *fleet) play(requests float64, fails bool) {
+	now := time.Duration(len(f.requests)+1) * step
+	seen, again := 0.0, 0.0
+	for i := range f.budgets {
+		share := requests * f.weights[i]
+		n := int(share)
+		if f.random.Float64() < share-float64(n) {
+			n++
+		}
+		for range n {
+			f.budgets[i].Request(f.limit, now)
+		}
+		seen += float64(n)
+		for fails && f.budgets[i].Repeat(f.limit, len(f.budgets), now).Granted {
+			again++
+		}
+	}
+	f.requests, f.repeats = append(f.requests, seen), append(f.repeats, again)
+}
+
+// excess returns by how much the worst window is over the bound. Its requests are those of
+// the window, of the one before or of the one half a window before, whichever has most.
+func (f *fleet) excess() float64 {
+	width := int(f.limit.Window / step)
+	in := func(counts []float64, from int) float64 {
+		return sum(counts[min(max(from, 0), len(counts)):min(max(from+width, 0), len(counts))])
+	}
+	worst := -f.limit.Slack
+	for from := range f.requests {
+		most := max(in(f.requests, from), in(f.requests, from-width), in(f.requests, from-width/2))
+		worst = max(worst, in(f.repeats, from)-f.limit.Ratio*most-f.limit.Slack)
+	}
+	return worst
+}
+
+// Guards against a budget that a restart renews: what ten calm seconds have saved is spent, and
+// the next life spends what the seconds after bring in.
+func TestRepeatsStayWithinTheBoundWhenAllVMsRestart(t *testing.T) {
+	for _, vms := range []int{10, 100, 300} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			f := newFleet(vms, 2*float64(vms), 1)
+			for i := range 250 {
+				if i == 130 {
+					f.restart(1)
+				}
+				f.play(10*float64(vms), i >= 120)
+			}
+			require.LessOrEqual(t, f.excess(), 0.0)
+		})
+	}
+}
+
+// Guards against the same where callers move away from VMs that have spent what they saved.
+func TestRepeatsStayWithinTheBoundWhenCallersMove(t *testing.T) {
+	for _, vms := range []int{10, 100, 300} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			f := newFleet(vms, 2*float64(vms), 1)
+			for i := range 250 {
+				if i == 130 {
+					for j := range f.weights {
+						f.weights[j] = 0
+						if j >= vms/2 {
+							f.weights[j] = 2 / float64(vms)
+						}
+					}
+				}
+				f.play(10*float64(vms), i >= 120)
+			}
+			require.LessOrEqual(t, f.excess(), 0.0)
+		})
+	}
+}
+
+// Guards against any order of restarts, moves of callers, surges and failures that takes a
+// window over the bound.
+func TestNoOrderOfRestartsMovesAndSurgesExceedsTheBound(t *testing.T) {
+	const steps = 300
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.SampledFrom([]int{10, 10, 10, 100, 300}).Draw(t, "vms")
+		slack := float64(vms) * rapid.Float64Range(1.3, 6).Draw(t, "slack per VM")
+		f := newFleet(vms, slack, rapid.Uint64().Draw(t, "seed"))
+		rate, fails := 0.0, false
+		for i := range steps {
+			if i%5 == 0 && rapid.IntRange(0, 3).Draw(t, "change") == 0 {
+				rate = float64(rapid.SampledFrom([]int{0, 1, 5, 20, 100}).Draw(t, "requests a VM and second")*vms) * step.Seconds()
+			}
+			if rapid.IntRange(0, 9).Draw(t, "turn") == 0 {
+				fails = !fails
+			}
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0:
+				f.restart(rapid.SampledFrom([]float64{0.1, 0.5, 1}).Draw(t, "share"))
+			case 1:
+				f.move()
+			}
+			f.play(rate, fails)
+		}
+		require.LessOrEqual(t, f.excess(), 0.0)
+	})
+}
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -320,3 +320,20 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.EqualValues(t, 2, b.hits.Load())
 }
+
+// misdirects answers that the target does not hold the key.
+func misdirects(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
+// Guards against an owner that is asked again and again for a key that it does not hold.
+func TestOwnerWithoutTheKeyIsNotAskedAgainByTheSameLeases(t *testing.T) {
+	b := newBench(t)
+	b.target("k", "keyed", misdirects)
+	b.state.own("keyed", 1, 1, "k", lease.Served)
+	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.EqualValues(t, 1, b.hits.Load())
+}
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -237,3 +237,42 @@
 	_, stands = (&candidate{Manager: n.Manager, service: "s"}).succession()
 	require.False(t, stands)
 }
+
+// Guards against keys without a grantor while all VMs stop: the grantor resigned at once, and
+// nobody took over before the first VM had started again.
+func TestLeavingGrantorGoesOnWhileAllOthersLeave(t *testing.T) {
+	clock := newHandClock(time.Hour)
+	n := testNode(clock)
+	defer n.mesh.Close()
+	l, store := leadingNode(t, n)
+	store.up.Store(true)
+	other := mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 5}
+	n.receive(mesh.Heartbeat{From: other, Leaving: true})
+	n.leaving.Store(true)
+	for range 5 {
+		clock.advance(resignPause)
+		l.step(t.Context())
+		require.Zero(t, l.resignNext, "it does not try to")
+	}
+	require.NotZero(t, l.orderUntil.Load(), "it may still order")
+
+	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 6}})
+	clock.advance(resignPause)
+	l.step(t.Context())
+	for !l.resigning {
+		(<-l.events)()
+	}
+	require.True(t, l.resigning, "one that has started again takes over")
+}
+
+// Guards against keys without a grantor until the first VM has started again.
+func TestLeavingVMSucceedsTheGrantorWhereAllOthersLeave(t *testing.T) {
+	n := testNode(newHandClock(time.Hour))
+	defer n.mesh.Close()
+	n.state.own("s", 3, 1, "t", lease.Served)
+	n.receive(mesh.Heartbeat{From: mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 5}, Leaving: true})
+	n.leaving.Store(true)
+	rank, stands := (&candidate{Manager: n.Manager, service: "s"}).succession()
+	require.False(t, stands)
+	require.GreaterOrEqual(t, rank, 0)
+}
