repeats: earn and spend at the same pace, so that no restart renews a budget

What callers saw: targets that lost answers got a multiple of the repeats that operators allow, right when they could do least. Cause: each VM allowed itself what the requests of the last ten seconds had earned. A process spent what ten calm seconds had saved and ended; its next life, or the VMs that its callers moved to, spent what the seconds after brought in. One window got up to twice the bound.

Now a request earns its share of a repeat, and a twentieth of a window's requests and the VM's part of the constant can be saved. What a window sees is what its requests earned and what was saved at its begin, whoever ends or starts in it: 0.9 x 1.05 of the ratio and 0.9 of the constant. The constant is earned over the window instead of given to each new process, and a VM that does not know the others has no part of it. A change of the window no longer stalls the count.

Tests of the front earn the repeats that they expect.

--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -4,12 +4,14 @@
 // are full and answer nothing. Each VM repeats what failed; without a bound that
 // all VMs keep together, the service gets a multiple of its load when it can do
 // least. The operators state the bound as a share of the requests and a constant,
-// over a sliding window and over all VMs.
+// over any window and over all VMs.
 //
-// Each VM keeps its own part: the share of the requests that it took itself, and
-// an equal part of the constant. The parts add up to the bound without a message.
-// A VM that starts again has forgotten what it sent in this window, so a part of
-// the constant is left unused.
+// Each VM keeps a token bucket: a request earns a share of a repeat, and few repeats
+// can be saved. What a VM sends in a window is then at most what the window's own
+// requests have earned, and what was saved before. The sum over all VMs is within the
+// bound without a message, whichever processes end or start, and wherever callers move:
+// a new process has saved nothing, and one that ended cannot have spent more than it
+// earned and had saved.
 package repeats
 
 import (
@@ -26,21 +28,33 @@
 }
 
 const (
-	// buckets divide the window; one more is kept, so that the count covers
-	// the window at least.
-	buckets = 20
-	// ratioUsed and slackUsed are the parts of the limit that are used. Requests near
-	// the edge of a window are counted in one by us and in the next by others; and a
-	// VM that restarts gets its part of the constant anew, while what the ratio gives
-	// follows from the requests that it has seen since.
+	// ratioUsed is the part of the ratio that a request earns. The rest covers what is saved
+	// of it, and requests near the edge of a window, which are counted in one by us and in
+	// the next by others.
 	ratioUsed = 0.9
-	slackUsed = 0.7
+	// savedWindows is how much of a window's requests may be saved, as repeats.
+	savedWindows = 1.0 / buckets
+	// slackSaved and slackEarned are the parts of the constant that all VMs together may
+	// save, and earn in each window without a request.
+	slackSaved, slackEarned = 0.7, 0.2
+	// leastSaved lets a VM save one repeat where its part of the constant is less. The sum
+	// stays within the constant while slackSaved of it is one a VM.
+	leastSaved = 1
+	// buckets divide the window over which requests are counted.
+	buckets = 20
 )
 
-// Budget counts one service at one VM. It is not safe for concurrent use.
+// Budget is that of one service at one VM, in one life of its process. It is not safe for
+// concurrent use.
 type Budget struct {
-	requests, repeats [buckets + 1]float64
-	at                int64
+	// saved is how many repeats may be sent.
+	saved float64
+	// settled is until when the part of the constant was earned.
+	settled time.Duration
+	// requests counts those within the window by buckets of this width, the last of which is at.
+	requests [buckets]float64
+	width    time.Duration
+	at       int64
 	// since is when this VM first counted a request.
 	since time.Duration
 }
@@ -48,9 +62,11 @@
 // Decision is whether a repeat may be sent, and what that was decided on.
 type Decision struct {
 	Granted bool
-	// Spent and Allowed are the repeats within the window, Requests the requests.
-	Spent, Allowed, Requests float64
-	// VMs is over how many VMs the constant is divided.
+	// Saved is how many repeats could be sent, Most how many can be saved.
+	Saved, Most float64
+	// Requests are those of the last window.
+	Requests float64
+	// VMs is over how many VMs the constant is divided; 0: not known.
 	VMs int
 	// Age is for how long the budget has counted.
 	Age time.Duration
@@ -58,21 +74,22 @@
 
 // String describes the decision in logs.
 func (d Decision) String() string {
-	return fmt.Sprintf("spent %.1f allowed %.1f requests %.0f vms %d age %dms", d.Spent, d.Allowed, d.Requests, d.VMs, d.Age.Milliseconds())
+	return fmt.Sprintf("saved %.1f most %.1f requests %.0f vms %d age %dms", d.Saved, d.Most, d.Requests, d.VMs, d.Age.Milliseconds())
 }
 
 // Request notes a request for the service.
 func (b *Budget) Request(l Limit, now time.Duration) {
 	b.advance(l, now)
-	b.requests[b.at%(buckets+1)]++
+	b.requests[b.at%buckets]++
+	b.saved += ratioUsed * l.Ratio
 }
 
 // Repeat takes one repeat from the budget of a VM that is one of so many, if there is one.
+// A VM that does not know how many there are has no part of the constant.
 func (b *Budget) Repeat(l Limit, vms int, now time.Duration) Decision {
 	d := b.State(l, vms, now)
 	if d.Granted {
-		b.repeats[b.at%(buckets+1)]++
-		d.Spent++
+		b.saved--
 	}
 	return d
 }
@@ -80,23 +97,35 @@
 // State returns what a repeat would be decided on now.
 func (b *Budget) State(l Limit, vms int, now time.Duration) Decision {
 	b.advance(l, now)
-	d := Decision{Spent: sum(b.repeats[:]), Requests: sum(b.requests[:]), VMs: vms, Age: now - b.since}
-	d.Allowed = ratioUsed*l.Ratio*d.Requests + slackUsed*l.Slack/float64(max(vms, 1))
-	d.Granted = d.Spent+1 <= d.Allowed
+	d := Decision{Requests: sum(b.requests[:]), VMs: vms, Age: now - b.since}
+	d.Most = savedWindows * ratioUsed * l.Ratio * d.Requests
+	if vms > 0 {
+		part := l.Slack / float64(vms)
+		d.Most += slackSaved * part
+		b.saved += slackEarned * part * float64(now-b.settled) / float64(l.Window)
+	}
+	d.Most = max(d.Most, leastSaved)
+	b.settled, b.saved = now, min(b.saved, d.Most)
+	d.Saved = b.saved
+	d.Granted = d.Saved >= 1
 	return d
 }
 
+// advance drops the requests that are out of the window.
 func (b *Budget) advance(l Limit, now time.Duration) {
-	if b.since == 0 {
-		b.since = now
-	}
-	at := int64(now / (l.Window / buckets))
-	if at-b.at > buckets {
-		b.at = at - buckets - 1
+	width := l.Window / buckets
+	at := int64(now / width)
+	switch {
+	case b.width == 0:
+		b.since, b.settled, b.width, b.at = now, now, width, at
+	case b.width != width:
+		b.requests, b.width, b.at = [buckets]float64{}, width, at
+	case at-b.at >= buckets:
+		b.requests, b.at = [buckets]float64{}, at
 	}
 	for b.at < at {
 		b.at++
-		b.requests[b.at%(buckets+1)], b.repeats[b.at%(buckets+1)] = 0, 0
+		b.requests[b.at%buckets] = 0
 	}
 }
 
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -30,6 +30,8 @@
 	n := testGateway(newHandClock(time.Hour))
 	t.Cleanup(n.mesh.Close)
 	n.state.setLimit(settingsLimit)
+	n.joined.Store(true)
+	n.earnRepeats("pool", "keyed")
 	b := &bench{Gateway: n, t: t}
 	n.state.setConfig(&route.Config{
 		Version: 3,
@@ -48,6 +50,15 @@
 
 var settingsLimit = (&Settings{Repeats: Repeats{Ratio: 0.2, Slack: 100, Window: defaultWindow}}).limits()
 
+// earnRepeats has requests for the services come that need no repeat.
+func (g *Gateway) earnRepeats(services ...string) {
+	for _, service := range services {
+		for range 100 {
+			g.state.budgetLocked(service).Request(g.state.limit, g.clock.Now())
+		}
+	}
+}
+
 // target adds a target that answers with play.
 func (b *bench) target(id, service string, play http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -299,6 +310,8 @@
 func TestCallerOfATargetWithFreeSlotsComesBackAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.state.setLimit((&Settings{Repeats: Repeats{Window: defaultWindow}}).limits())
+	for b.repeat(&call{service: "keyed"}).Granted {
+	}
 	b.target("k", "keyed", sheds)
 	b.state.own("keyed", 1, 1, "k", lease.Served)
 	resp := b.get("keyed.example", http.Header{"Key": {"7"}}, "")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// targetsConfirmedAt is when the store, or a VM that it answers, last confirmed the list of targets,
 	// on clock.
 	targetsConfirmedAt atomic.Int64
+	// joined reports whether the store or another VM has named the VMs.
+	joined atomic.Bool
 	// listed reports whether the targets are known.
 	listed atomic.Bool
 	// grace is how long after SIGTERM the process is killed, nanoseconds. It does not change
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -175,6 +175,7 @@
 		for _, m := range members {
 			g.mesh.Meet(m)
 		}
+		g.joined.Store(true)
 	}
 }
 
@@ -196,6 +197,7 @@
 		}
 		g.mesh.Meet(m)
 	}
+	g.joined.Store(true)
 	return nil
 }
 
--- a/internal/gateway/repeating.go
+++ b/internal/gateway/repeating.go
@@ -37,8 +37,7 @@
 
 // repeat takes a repeat of a request from the service's budget, and counts it by its cause.
 func (g *Gateway) repeat(c *call) repeats.Decision {
-	now := g.clock.Now()
-	vms := g.mesh.Size()
+	now, vms := g.clock.Now(), g.fleetSize()
 	g.state.mu.Lock()
 	d := g.state.budgetLocked(c.service).Repeat(g.state.limit, vms, now)
 	g.state.mu.Unlock()
@@ -48,6 +47,14 @@
 	return d
 }
 
+// fleetSize returns how many VMs there are; 0 while this VM has not asked any other or the store.
+func (g *Gateway) fleetSize() int {
+	if !g.joined.Load() {
+		return 0
+	}
+	return g.mesh.Size()
+}
+
 // causeOf returns the cause of a repeat, as it is now.
 func (g *Gateway) causeOf(c *call) cause {
 	if c.failed != causeMisdirected {
@@ -81,8 +88,8 @@
 	logged := make(map[string]int64)
 	for pause.For(ctx, reportEvery) {
 		for service, d := range g.budgetStates() {
-			metrics.GetOrRegisterGaugeFloat64("repeats."+service+".spent", g.registry).Update(d.Spent)
-			metrics.GetOrRegisterGaugeFloat64("repeats."+service+".allowed", g.registry).Update(d.Allowed)
+			metrics.GetOrRegisterGaugeFloat64("repeats."+service+".saved", g.registry).Update(d.Saved)
+			metrics.GetOrRegisterGaugeFloat64("repeats."+service+".most", g.registry).Update(d.Most)
 			if total := g.repeatsOf(service); total != logged[service] {
 				logged[service] = total
 				g.logRepeats(service, d)
@@ -92,8 +99,7 @@
 }
 
 func (g *Gateway) budgetStates() map[string]repeats.Decision {
-	now := g.clock.Now()
-	vms := g.mesh.Size()
+	now, vms := g.clock.Now(), g.fleetSize()
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	out := make(map[string]repeats.Decision, len(g.state.budgets))
