gateway: an owner that does not hold a key is asked again only by newer leases

What callers saw: requests that ended after four arrivals at one owner, each answered 421, 150 ms apart. Cause: a refusal taught nothing. The next sending went to the same owner by the same version of the leases, and where the grantor was gone for longer than a grant lasts, all requests went on to owners that could not hold their keys.

Now a refused request waits for a later version of the leases, 500 ms at most.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,7 +26,7 @@
 		if why == refusedMoving && g.await(ctx, c, movingWait) {
 			continue
 		}
-		if why == refusedLost {
+		if why == refusedLost || why == refusedExpired {
 			return c.giveUp(string(why), left/lostRetry)
 		}
 		if why == refusedHot {
@@ -57,7 +57,11 @@
 
 func (g *Gateway) choose(c *call, left time.Duration) (*attempt, refusal) {
 	if c.keyed {
-		e, why, about := g.state.chooseOwner(c.service, c.route, c.key, left)
+		if about := g.expired(c.service, g.clock.Now()); about != "" {
+			c.refusedOn = about
+			return nil, refusedExpired
+		}
+		e, why, about := g.state.chooseOwner(c.service, c.route, c.key, c.misdirected, left)
 		c.refusedOn = about
 		return e, why
 	}
@@ -113,7 +117,7 @@
 	case err != nil:
 		return g.lost(ctx, c, e)
 	case g.headers.notRun(answer):
-		return g.notRun(ctx, c, e, answer)
+		return g.notRun(c, e, answer)
 	}
 	c.arrivals++
 	c.ran++
@@ -163,18 +167,16 @@
 }
 
 // notRun handles the refusal of a request by its target.
-func (g *Gateway) notRun(ctx context.Context, c *call, e *attempt, a *upstream.Answer) *outcome {
+func (g *Gateway) notRun(c *call, e *attempt, a *upstream.Answer) *outcome {
 	c.arrivals++
 	if g.headers.another(a, e.id) {
 		g.state.displaced(e)
 	}
 	if a.Status == http.StatusMisdirectedRequest && c.keyed {
 		g.state.finish(e, endLeft)
+		g.state.noteMisdirected(c.service)
+		// Only a later version of the leases can name another owner, or the same one anew.
 		c.failed, c.misdirected = causeMisdirected, e.leases
-		if !g.await(ctx, c, movingWait) {
-			out := c.giveUp(string(refusedMoving), g.retryAfter(c))
-			return &out
-		}
 		return nil
 	}
 	g.state.finish(e, endFailed)
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -13,9 +13,6 @@
 
 // Timeouts and limits of leases.
 const (
-	// holdTime is how long a grant lasts. Keys of a lost owner are free again
-	// after it; a lost grantor must be succeeded within it.
-	holdTime = 2400 * time.Millisecond
 	// renewEvery leaves three more tries within a hold.
 	renewEvery = 600 * time.Millisecond
 	// orderRetry is the pause after a failed order.
@@ -228,7 +225,7 @@
 		return err
 	}
 	done := c.Clock.Now()
-	timing := lease.Timing{Hold: min(holdTime, c.HoldMost), Renew: renewEvery, Retry: orderRetry, Cold: c.coldMove()}
+	timing := lease.Timing{Hold: min(lease.HoldTime, c.HoldMost), Renew: renewEvery, Retry: orderRetry, Cold: c.coldMove()}
 	c.Log.Info().Str("step", "leases").Str("service", c.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
 		Int("slices", len(next.Slices)).Int("past", int(past)).Msg("grantor of the service")
 	grants := lease.NewGrantor(next, timing, sent, done, past)
@@ -245,7 +242,7 @@
 	if last == nil || last.Epoch != old.Epoch || !known {
 		return
 	}
-	grants.Presume(last, heard+min(holdTime, c.HoldMost)-renewEvery)
+	grants.Presume(last, heard+min(lease.HoldTime, c.HoldMost)-renewEvery)
 }
 
 // coldMove is how long keys are slow at an owner that got them without the state of
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -70,7 +70,7 @@
 	require.NoError(t, err)
 	store := &changingStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
 	n.Store = store
-	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewEvery, Retry: orderRetry}
 	now := n.Clock.Now()
 	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now, lease.PriorGrantsEnded), 1), store
 }
@@ -168,7 +168,7 @@
 	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
-	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewEvery, Retry: orderRetry}
 	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
 	l.publish(l.vacant())
 	require.Empty(t, n.state.routingOf("s").Holder)
@@ -213,7 +213,7 @@
 	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: holdTime}, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: lease.HoldTime}, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
 	l.resign(t.Context())
 	(<-l.events)()
 	require.False(t, l.deposed)
--- a/internal/gateway/leasing/heldorders_test.go
+++ b/internal/gateway/leasing/heldorders_test.go
@@ -67,7 +67,7 @@
 	oldLink, nextLink := linktest.Serve(t, old), linktest.Serve(t, next)
 	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
 	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.Even(1, []lease.Owner{oldOwner})}
-	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewEvery, Retry: orderRetry}
 	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
 	for _, o := range []lease.Owner{oldOwner, nextOwner} {
 		require.NoError(t, l.line(t.Context(), o).pool.Connect(t.Context()))
@@ -93,7 +93,7 @@
 	play()
 	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.Now())
 	for cut := clock.Now(); !next.holds(); clock.advance(orderRetry) {
-		require.Less(t, clock.Now(), cut+2*holdTime, "the keys have no owner")
+		require.Less(t, clock.Now(), cut+2*lease.HoldTime, "the keys have no owner")
 		play()
 	}
 	require.False(t, old.holds())
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -19,7 +19,7 @@
 	defer n.mesh.Close()
 	slow, hot, idle := lease.Owner{ID: "slow"}, lease.Owner{ID: "hot"}, lease.Owner{ID: "idle"}
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.Even(6, []lease.Owner{slow, hot, idle})}
-	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewEvery, Retry: orderRetry}
 	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
 	live := []lease.Owner{slow, hot, idle}
 	for _, o := range live {
@@ -80,7 +80,7 @@
 	}
 	n.TargetDirectory = directory
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.Even(4, owners)}
-	timing := lease.Timing{Hold: holdTime, Renew: renewEvery, Retry: orderRetry}
+	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewEvery, Retry: orderRetry}
 	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
 	const hot, usual = 5, 60000
 	play := func(rate int) *lease.Routing {
--- a/internal/gateway/published/published.go
+++ b/internal/gateway/published/published.go
@@ -57,13 +57,10 @@
 	return true
 }
 
-// gauge shows how old the word on a service's leases is, milliseconds.
+// gauge shows how long ago a service's leases last changed, milliseconds.
 func (l *Leases) gauge(service string) {
 	l.registry.GetOrRegister("leases."+service+".age", metrics.NewFunctionalGauge(func() int64 {
-		l.mu.Lock()
-		at := l.routedAt[service]
-		l.mu.Unlock()
-		return (l.clock.Now() - at).Milliseconds()
+		return (l.clock.Now() - l.RoutedAt(service)).Milliseconds()
 	}))
 }
 
@@ -120,6 +117,13 @@
 	return out
 }
 
+// RoutedAt returns when what is known of a service's leases last changed, on the clock.
+func (l *Leases) RoutedAt(service string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.routedAt[service]
+}
+
 // Grantors returns the VMs that are grantors of a service.
 func (l *Leases) Grantors() map[string]bool {
 	out := make(map[string]bool)
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -47,8 +47,10 @@
 	refusedFull   refusal = "all full"
 	refusedMoving refusal = "key on the move"
 	refusedLost   refusal = "owner of the key is lost"
-	refusedLate   refusal = "cannot be done in time"
-	refusedCold   refusal = "owner is full and the key cold"
+	// refusedExpired: nobody renews the leases of the service.
+	refusedExpired refusal = "leases have expired"
+	refusedLate    refusal = "cannot be done in time"
+	refusedCold    refusal = "owner is full and the key cold"
 	// refusedHot: the owner can do only a part of what comes for the key.
 	refusedHot refusal = "key is hotter than its owner"
 	// refusedLeaving: this VM was asked to stop, another one serves the request.
@@ -74,9 +76,9 @@
 	return nil, refusedFull
 }
 
-// chooseOwner reserves the target that owns the key. Where it refuses, it describes
-// what it decided on.
-func (s *routingState) chooseOwner(service string, rt *route.Route, key uint16, left time.Duration) (*attempt, refusal, string) {
+// chooseOwner reserves the target that owns the key, by leases after the version by which
+// the request was misdirected. Where it refuses, it describes what it decided on.
+func (s *routingState) chooseOwner(service string, rt *route.Route, key uint16, misdirected leaseVersion, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.leases.Of(service)
@@ -89,6 +91,8 @@
 	switch {
 	case how == lease.Moving:
 		return nil, refusedMoving, owner + " gets the key"
+	case !r.After(misdirected.epoch, misdirected.seq):
+		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case how == lease.Unserved:
 		return nil, refusedLost, owner + " waits for a target that does not answer"
 	case t == nil:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -60,6 +60,8 @@
 	warmupCost map[string]float64
 	// crashes dates the targets that ended under a request, by their hashes.
 	crashes map[uint64]map[uint32]time.Duration
+	// misdirectedAt is when a target of a service last said that it does not hold a key.
+	misdirectedAt map[string]time.Duration
 	// keyLoad counts requests by service and key since the grantor last asked.
 	keyLoad map[string]map[uint16]uint16
 }
@@ -91,8 +93,8 @@
 		targets: make(map[string]*targetState), byHash: make(map[uint32]*targetState),
 		inUse: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
-		crashes: make(map[uint64]map[uint32]time.Duration),
-		keyLoad: make(map[string]map[uint16]uint16),
+		crashes:       make(map[uint64]map[uint32]time.Duration),
+		misdirectedAt: make(map[string]time.Duration), keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
 	s.leases = published.New(clock, registry, s.notify)
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -39,6 +39,9 @@
 	// Authority is how long a grantor may order without the store: longer than
 	// the outages of the store, which last up to about nine seconds.
 	Authority = 12 * time.Second
+	// HoldTime is how long a grant lasts at most. Keys of a lost owner are free again
+	// after it; a lost grantor must be succeeded within it.
+	HoldTime = 2400 * time.Millisecond
 	// Drift is how much longer than stated a hold may last: a target's clock
 	// runs up to 2% slow.
 	Drift = 0.02
