leasing: a grantor that stops goes on until another VM can take over

What callers saw: while all VMs were stopped within two seconds, thousands of keyed requests met owners that held no keys, for two seconds and more, though processes lived all the while. Cause: a grantor resigned as soon as its VM was asked to stop, successor or not, and a VM that stops never stood.

Now it resigns when a VM that stays is known, or shortly before its process ends. VMs that stop stand after those that stay, in an order of their own, while they have a second left.

TestGrantorThatLeavesGoesOnWhileNobodyCanTakeOver asserted a resignation by a VM that knows no other; its fleet has one that stays now, checks unchanged.

--- a/internal/gateway/granting.go
+++ b/internal/gateway/granting.go
@@ -30,6 +30,9 @@
 // Leaving implements leasing.LocalState.
 func (g granting) Leaving() bool { return g.gateway.leaving.Load() }
 
+// EndsIn implements leasing.LocalState.
+func (g granting) EndsIn() time.Duration { return g.gateway.endsIn() }
+
 // StoreReachable implements leasing.LocalState.
 func (g granting) StoreReachable() bool { return g.gateway.storeUp.Load() || g.gateway.storeRelayed() }
 
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -29,6 +29,8 @@
 	// closeSuccessors is how many VMs monitor the grantor closely, the grantor itself
 	// counted, which mostly has the first place.
 	closeSuccessors = 4
+	// leastTerm is how long a VM that leaves must still have to succeed a grantor.
+	leastTerm = time.Second
 	// monitorEvery is how often a VM checks whether it is one of them.
 	monitorEvery = time.Second
 	// strandedAfter is how long the grantor must have been without the store, and
@@ -141,7 +143,8 @@
 // stands.
 func (c *candidate) succession() (rank int, stands bool) {
 	now := c.Clock.Now()
-	if c.LocalState.Leaving() || now-c.startedAt < meetTime {
+	leaving := c.LocalState.Leaving()
+	if now-c.startedAt < meetTime || leaving && c.LocalState.EndsIn() < leastTerm {
 		return -1, false
 	}
 	r := c.Leases.Of(c.service)
@@ -156,6 +159,9 @@
 		return 0, false
 	}
 	rank = c.LocalState.Place(c.service)
+	if leaving {
+		rank += min(c.Mesh.Staying(), closeSuccessors)
+	}
 	if int64(now) < c.unfitUntil.Load() {
 		// All others come first; but where all resigned, one must do it.
 		rank += c.Mesh.Size()
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -188,6 +188,7 @@
 	tries := func(count int) {
 		for range count {
 			clock.advance(resignPause)
+			n.receive(mesh.Heartbeat{From: mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 5}})
 			l.step(t.Context())
 			(<-l.events)()
 		}
@@ -247,10 +248,10 @@
 	l, store := leadingNode(t, n)
 	store.up.Store(true)
 	other := mesh.Member{VM: "other", Addr: "127.0.0.1:1", Incarnation: 5}
-	n.receive(mesh.Heartbeat{From: other, Leaving: true})
 	n.leaving.Store(true)
 	for range 5 {
 		clock.advance(resignPause)
+		n.receive(mesh.Heartbeat{From: other, Leaving: true})
 		l.step(t.Context())
 		require.Zero(t, l.resignNext, "it does not try to")
 	}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -27,6 +27,9 @@
 	// resignPause is the time between two tries to resign while the store does not
 	// answer.
 	resignPause = 200 * time.Millisecond
+	// lastResignation is how long before its process ends a grantor resigns that no VM
+	// succeeds: a few calls to the store.
+	lastResignation = 2 * resignPause
 	// planEvery is the least time between two plans of who should own what.
 	planEvery = 100 * time.Millisecond
 	// strayedSilence is for how long an owner has left orders unanswered when it counts
@@ -130,7 +133,7 @@
 		return
 	}
 	slow := l.lag.Note(now)
-	if slow || l.LocalState.Leaving() || l.strayed(now) {
+	if slow || l.replaceable() || l.strayed(now) {
 		l.tryResign(ctx, now)
 	}
 	if l.resigning {
@@ -149,6 +152,12 @@
 	l.publishChanges(now)
 }
 
+// replaceable reports whether this VM leaves, and another one should be the grantor: one that
+// stays, or any while this VM's process is about to end.
+func (l *leader) replaceable() bool {
+	return l.LocalState.Leaving() && (l.Mesh.Staying() > 0 || l.LocalState.EndsIn() < lastResignation)
+}
+
 // strayed reports whether most owners leave orders unanswered.
 func (l *leader) strayed(now time.Duration) bool {
 	if now < l.strayNext {
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -75,6 +75,8 @@
 	Replaced(vm, addr string, incarnation uint64) bool
 	// Size is how many VMs live, with this one.
 	Size() int
+	// Staying is how many other VMs live and were not asked to end.
+	Staying() int
 	// Others returns the other VMs that live.
 	Others() []string
 	// Call calls another VM.
@@ -92,7 +94,10 @@
 	// StoreReachable reports whether the store answered last, directly or through
 	// another VM.
 	StoreReachable() bool
-	// Place returns the VM's place, from 0, in the succession of a service's grantor.
+	// EndsIn returns when the VM's process, which was asked to end, ends at the latest.
+	EndsIn() time.Duration
+	// Place returns the VM's place, from 0, in the succession of a service's grantor. One
+	// that leaves has a place among those that leave.
 	Place(service string) int
 	// Tag returns a name for a write that no other write has.
 	Tag() string
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -60,6 +60,16 @@
 	g.leaving.Store(true)
 }
 
+// stoppingFor returns for how long the graceful shutdown has run.
+func (g *Gateway) stoppingFor() time.Duration {
+	return g.clock.Now() - time.Duration(g.leavingSince.Load())
+}
+
+// endsIn returns when the graceful shutdown ends at the latest.
+func (g *Gateway) endsIn() time.Duration {
+	return part(time.Duration(g.grace.Load()), stopWaiting) - g.stoppingFor()
+}
+
 // errStopping is the cause that ends requests in flight at the end of the graceful shutdown.
 var errStopping = errors.New("the process stops")
 
@@ -84,8 +94,7 @@
 	if e.cold {
 		expected = time.Duration(float64(expected) * g.state.warmupCostOf(c.service))
 	}
-	since := g.clock.Now() - time.Duration(g.leavingSince.Load())
-	stays := part(time.Duration(g.grace.Load()), stopWaiting) - since
+	since, stays := g.stoppingFor(), g.endsIn()
 	request := leaving.Request{Most: left, Expected: expected}
 	sends := leaving.Takes(request, since, stays)
 	if c.ran > 0 {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -83,7 +83,11 @@
 // leasePlace returns this VM's place in the succession of a service's grantor. VMs that the
 // store turns away have a place as well: they may be grantors through a relay, and while
 // nobody reaches the store, not all VMs have the first place and try at the same time.
+// A VM that leaves has a place among those that leave.
 func (g *Gateway) leasePlace(service string) int {
+	if g.leaving.Load() {
+		return g.mesh.PlaceAmongLeaving(service)
+	}
 	return g.place(service, func(string) bool { return true })
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -157,13 +157,17 @@
 }
 
 // live returns the same in no order.
-func (m *Mesh) live() []Member {
+func (m *Mesh) live() []Member { return append(m.liveOthers(false), m.self) }
+
+// liveOthers returns the other VMs that sent heartbeats lately: those that leave, or those
+// that do not.
+func (m *Mesh) liveOthers(leaving bool) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	out := append(make([]Member, 0, len(m.remotes)+1), m.self)
+	out := make([]Member, 0, len(m.remotes)+1)
 	for _, r := range m.remotes {
-		if m.liveLocked(r, now) && !r.heartbeat.Leaving {
+		if m.liveLocked(r, now) && r.heartbeat.Leaving == leaving {
 			out = append(out, r.member)
 		}
 	}
--- a/internal/mesh/relays.go
+++ b/internal/mesh/relays.go
@@ -64,6 +64,21 @@
 	return place
 }
 
+// PlaceAmongLeaving returns the place of this VM, which leaves, in the order of preference
+// for a duty of the live VMs that leave.
+func (m *Mesh) PlaceAmongLeaving(duty string) int {
+	place := 0
+	for _, other := range m.liveOthers(true) {
+		if m.self.yields(other, duty) {
+			place++
+		}
+	}
+	return place
+}
+
+// Staying returns how many other live VMs do not leave.
+func (m *Mesh) Staying() int { return len(m.liveOthers(false)) }
+
 // yields reports whether another VM comes before this one in the order for a duty.
 func (m Member) yields(other Member, duty string) bool {
 	if mine, theirs := m.LinkClass(), other.LinkClass(); mine != theirs {
