mesh: crashes that a VM reported count after its process has ended

Found by looking for limits that a restart renews: the count of targets that a request has ended lives in the VMs that saw them end. A VM that started again reported none, and the request could end three more. The others keep what its last life reported for the 30 s that a crash counts. Where all VMs end at once the count is still lost.

The test failed before (no crash of the last life was counted).

--- a/internal/gateway/crashing.go
+++ b/internal/gateway/crashing.go
@@ -48,7 +48,7 @@
 // may run on a target that ends for another reason.
 func (s *routingState) crashing(content uint64, m *mesh.Mesh) bool {
 	lost := make(map[uint32]bool)
-	for _, target := range m.Crashes(content) {
+	for _, target := range m.Crashes(content, suspicion) {
 		lost[target] = true
 	}
 	s.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -63,6 +63,8 @@
 	transfers *peer.Client
 	lastHeard time.Duration
 	heartbeat Heartbeat
+	// past is an earlier life of the VM that reported crashes, or nil.
+	past *pastLife
 	// counted are the loads of the heartbeat that are in the sums.
 	counted  []Load
 	cancel   context.CancelFunc
@@ -131,6 +133,9 @@
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
 	r := &remote{member: who, client: peer.NewClient(who.Addr, 1), transfers: peer.NewClient(who.Addr, 1), lastHeard: m.clock.Now(), cancel: cancel, announce: make(chan struct{}, 1)}
+	if old != nil {
+		r.past = old.ended()
+	}
 	m.remotes[who.VM] = r
 	m.log.Info().Str("step", "mesh").Str("peer", who.VM).Str("addr", who.Addr).Uint64("incarnation", who.Incarnation).Msg("peer known")
 	m.wait.Add(1)
@@ -313,22 +318,6 @@
 	return nil
 }
 
-// Crashes returns the targets that ended at other VMs while they ran a request of
-// this content. One target may be named several times.
-func (m *Mesh) Crashes(content uint64) []uint32 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []uint32
-	for _, r := range m.remotes {
-		for _, c := range r.heartbeat.Crashes {
-			if c.Content == content {
-				out = append(out, c.Targets...)
-			}
-		}
-	}
-	return out
-}
-
 // Join asks the VM at addr for all that it knows, and makes itself known.
 func Join(ctx context.Context, addr string, self Member) ([]Member, error) {
 	client := peer.NewClient(addr, 1)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -207,3 +207,19 @@
 	require.Equal(t, 5*time.Second, pauseAfter(nil, false, 5*time.Second))
 	require.Equal(t, 5*time.Second, pauseAfter(errors.New("timed out"), true, 5*time.Second))
 }
+
+// Guards against a request that ends targets anew after each restart of the VM that saw them end.
+func TestCrashesCountAfterTheProcessThatReportedThemHasEnded(t *testing.T) {
+	const memory = 30 * time.Second
+	m, clock := newMesh(t)
+	b := Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}
+	m.receiveHeartbeat(Heartbeat{From: b, Crashes: []Crash{{Content: 7, Targets: []uint32{1, 2}}}})
+	b.Incarnation = 2
+	m.receiveHeartbeat(Heartbeat{From: b})
+	require.Equal(t, []uint32{1, 2}, m.Crashes(7, memory))
+	require.Empty(t, m.Crashes(8, memory))
+	m.receiveHeartbeat(Heartbeat{From: b, Crashes: []Crash{{Content: 7, Targets: []uint32{3}}}})
+	require.ElementsMatch(t, []uint32{1, 2, 3}, m.Crashes(7, memory))
+	clock.advance(memory)
+	require.Equal(t, []uint32{3}, m.Crashes(7, memory))
+}
