gateway: a lost owner is reported at once, also to a request that it misdirected

A request whose target had been replaced by another at its address waited 500 ms for newer leases before it was refused; the owner is known to be gone.

--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -91,14 +91,14 @@
 	switch {
 	case how == lease.Moving:
 		return nil, refusedMoving, owner + " gets the key"
-	case !r.After(misdirected.epoch, misdirected.seq):
-		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case how == lease.Unserved:
 		return nil, refusedLost, owner + " waits for a target that does not answer"
 	case t == nil:
 		return nil, refusedLost, owner + " is not listed"
 	case t.displaced, t.Draining && now > t.leavesAt, t.pick.Resting(now):
 		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t", owner, t.displaced, t.Draining, t.pick.Resting(now))
+	case !r.After(misdirected.epoch, misdirected.seq):
+		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case t.pick.FullFor(s.urgentLocked(service, rt.Priority)):
 		return nil, refusedFull, t.inputs()
 	case rand.Float64() >= r.LimitOf(key).Part():
