--- a/internal/decide/repeats/bound_test.go
+++ b/internal/decide/repeats/bound_test.go
@@ -87,8 +87,7 @@
 	return worst
 }
 
-// Guards against a budget that a restart renews: what ten calm seconds have saved is spent, and
-// the next life spends what the seconds after bring in.
+// Guards against a restart that renews a budget whose savings are spent.
 func TestRepeatsStayWithinTheBoundWhenAllVMsRestart(t *testing.T) {
 	for _, vms := range []int{10, 100, 300} {
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
@@ -125,8 +124,7 @@
 	}
 }
 
-// Guards against any order of restarts, moves of callers, surges and failures that takes a
-// window over the bound.
+// Guards against any order of restarts, moves and surges with a window over the bound.
 func TestNoOrderOfRestartsMovesAndSurgesExceedsTheBound(t *testing.T) {
 	const steps = 300
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -12,9 +12,7 @@
 
 var limit = Limit{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 
-// All targets lose their answers, and eight VMs want to repeat everything at
-// once and without end. In no window may the service see more repeats than the
-// operators allow for all VMs together.
+// Guards against VMs that together repeat more than operators allow for all.
 func TestNoWindowExceedsTheLimitOfAllVMs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const vms, steps, step = 8, 400, 100 * time.Millisecond
@@ -87,8 +85,7 @@
 	}
 }
 
-// Targets refuse half of their requests for no lasting reason. What the operators allow is
-// repeated, nearly all of it: each repeat that is left out is a caller that is refused.
+// Guards against callers that are refused though the bound leaves room for their repeat.
 func TestNearlyAllOfTheRatioIsUsed(t *testing.T) {
 	var b Budget
 	requests, repeats := 0, 0
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -40,8 +40,7 @@
 	})
 }
 
-// A caller leaves in the middle of its upload. What came is no whole body: sent on, the
-// target would store half a document.
+// Guards against a part of an upload that a target stores as the whole.
 func TestPartOfABodyIsNotPassedOn(t *testing.T) {
 	for _, size := range []int64{100, -1} {
 		h := heldBody{room: newBodyRoom(1)}
@@ -50,9 +49,7 @@
 	}
 }
 
-// Uploads wait for targets that are slow, and more come. Held without a bound they end
-// the VM, and every request on it is lost. What finds no room is refused as not run,
-// and is served when it comes again.
+// Guards against a VM that ends for want of memory while uploads wait for slow targets.
 func TestBodiesWithoutRoomAreRefused(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", works)
@@ -67,8 +64,7 @@
 	}
 }
 
-// A caller sends half of its body and no more, and keeps its connection. It learns by
-// the end of its time that nothing ran, and its body's memory is free again.
+// Guards against a caller that never sends the rest of its body and holds memory for good.
 func TestBodyThatDoesNotComeInTime(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", works)
@@ -94,8 +90,7 @@
 	}, 5*time.Second, time.Millisecond)
 }
 
-// Operators add a route that this version cannot read. Its callers do not get the answer that it
-// does not exist, which would end their tries, but that nothing ran.
+// Guards against a 404 for a route that exists and that this version cannot read.
 func TestRouteThatIsNotUnderstoodIsRefusedAsNotRun(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", works)
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -136,8 +136,7 @@
 	require.EqualValues(t, 15, resp.ContentLength)
 }
 
-// A booking reaches a target that breaks off. It may have run: it must not be
-// sent to another, and the caller must not be told that it has not run.
+// Guards against a booking that is made twice, or that is reported as not made though it may be.
 func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", breaks)
@@ -158,8 +157,7 @@
 	require.EqualValues(t, 2, b.hits.Load())
 }
 
-// All targets are full. The caller gets a true refusal at once, and a time after
-// which a place should be free.
+// Guards against callers that wait, or are refused without a time to retry, while all targets are full.
 func TestAllTargetsFullIsATrueRefusal(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", sheds)
@@ -170,8 +168,7 @@
 	require.Empty(t, resp.Header.Get("Not-Run"), "what a target said of itself is not ours to say")
 }
 
-// One target lost the answer, the next one is full. The last word is a refusal,
-// but the request may have run: nothing may be promised.
+// Guards against "not run" for a request whose first target may have run it.
 func TestRefusalAfterALostAnswerPromisesNothing(t *testing.T) {
 	b := newBench(t)
 	play := firstThen(breaks, sheds)
@@ -181,8 +178,7 @@
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 }
 
-// A target answers 503 after it has run a booking. Passed on, it would promise
-// that the booking was not made.
+// Guards against a 503 of a target that has run the request.
 func TestFalsePromiseOfATargetIsNotPassedOn(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
@@ -190,8 +186,7 @@
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 }
 
-// A target does not answer within the route's timeout: the caller is answered by
-// then, and the target learns that nobody waits.
+// Guards against callers, and work at targets, beyond the timeout of a route.
 func TestTimeoutOfTheRoute(t *testing.T) {
 	b := newBench(t)
 	gone := make(chan struct{})
@@ -227,8 +222,7 @@
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
 
-// The owner of a key does not answer and its hold has not run out. Nobody can
-// serve the key before the caller's time is over; the refusal comes at once.
+// Guards against requests that wait for a key which nobody can serve in time.
 func TestKeyOfALostOwnerIsRefusedAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.target("k", "keyed", works)
@@ -261,8 +255,7 @@
 	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "good").StatusCode)
 }
 
-// A popular request is in flight from every VM when its target ends for another
-// reason. One end, seen by many, must not have the request refused.
+// Guards against one end of a target that counts once for each VM.
 func TestOneLostTargetSeenByManyVMsRefusesNothing(t *testing.T) {
 	b := newBench(t)
 	b.target("a", "pool", works)
@@ -277,8 +270,7 @@
 	require.Equal(t, http.StatusOK, b.get("safe.example", nil, "popular").StatusCode)
 }
 
-// Three targets ended one after the other under an innocent request. It is
-// refused for a while, not for good.
+// Guards against an innocent request that is refused for good.
 func TestSuspicionFades(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	s := testState(clock)
@@ -293,8 +285,7 @@
 	require.Empty(t, s.crashList())
 }
 
-// The owner of a key refuses half of its requests though its slots are free. No
-// other target may serve the key; the same one takes the request a moment later.
+// Guards against a refusal for a key whose owner has a free slot a moment later.
 func TestOwnerThatRefusesWithoutReasonIsAskedAgain(t *testing.T) {
 	b := newBench(t)
 	b.target("k", "keyed", firstThen(sheds, works))
@@ -304,9 +295,7 @@
 	require.EqualValues(t, 2, b.hits.Load())
 }
 
-// A target refuses part of its requests though its slots are free, and no repeats are
-// left. The caller is told to come back at once: told to wait for a place, its second
-// try was answered later than its objective.
+// Guards against a Retry-After that outlasts the objective though the owner has free slots.
 func TestCallerOfATargetWithFreeSlotsComesBackAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.state.setLimit((&Settings{Repeats: Repeats{Window: defaultWindow}}).limits())
@@ -322,9 +311,7 @@
 	require.LessOrEqual(t, after, 0.02)
 }
 
-// The owner of a key loses an answer and takes the next request. A search that it lost is
-// sent again, and others for its keys are served meanwhile; they were refused as if the
-// owner were gone.
+// Guards against an owner that counts as lost after one lost answer.
 func TestOwnerThatLosesAnAnswerIsAskedAgain(t *testing.T) {
 	b := newBench(t)
 	b.target("k", "keyed", firstThen(breaks, works))
--- a/internal/gateway/leasing/broadcast_test.go
+++ b/internal/gateway/leasing/broadcast_test.go
@@ -46,9 +46,8 @@
 	return lease.NewRouting(r, seq, func(int) lease.SliceState { return lease.Served })
 }
 
-// At the start of a fleet each grant changes the leases, hundreds in a second. A
-// whole routing for each, to each VM, filled the grantor's link.
-func TestSlowVMIsToldTheLatestOnly(t *testing.T) {
+// Guards against a queue of updates that fills the grantor's link.
+func TestSlowVMGetsTheLatestVersionOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peer := &pushed{state: testState(newHandClock(0)), delay: 50 * time.Millisecond}
 		l := newLeaseBroadcaster(peer.push, quiet(), testBytesPerSecond, nil)
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -14,10 +14,7 @@
 	"hemlockquay/internal/platform"
 )
 
-// The store refuses one VM, the grantor, and serves the others. Keys of a target
-// that left had no owner until the store was whole again: seven seconds. Another
-// VM that reaches the store must take over, though the grantor lives; not at once,
-// since after an outage VMs find the store again one after the other.
+// Guards against keys without an owner while the store turns away the grantor alone.
 func TestGrantorThatTheStoreTurnsAwayIsSucceeded(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testNode(clock)
@@ -132,8 +129,7 @@
 	require.EqualValues(t, 4, epoch(), "the grantor still does not reach it")
 }
 
-// A VM ends. The others must not take the word of its last life for its present
-// one.
+// Guards against a VM that counts as the grantor after its process has restarted.
 func TestNewLifeOfTheGrantorDoesNotStand(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testNode(clock)
@@ -145,9 +141,7 @@
 	require.False(t, stands)
 }
 
-// The grantor's record met a conflict, and it begins again with a new epoch. All
-// others see it live; were it to wait for its place in the line, the keys would
-// lapse before it comes.
+// Guards against grants that expire while a grantor waits to succeed itself.
 func TestGrantorBeginsAgainAtOnce(t *testing.T) {
 	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
@@ -162,9 +156,8 @@
 	require.Zero(t, rank)
 }
 
-// A VM that leaves resigns before it has sent its leases to anybody. That must not
-// end the process.
-func TestResignationBeforeAnythingWasTold(t *testing.T) {
+// Guards against a process that ends because it resigns before it has published leases.
+func TestResignationBeforeAnythingWasPublished(t *testing.T) {
 	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.Even(2, []lease.Owner{{ID: "t"}})}
@@ -176,9 +169,7 @@
 	require.False(t, stands)
 }
 
-// The store goes away, and right after that the grantor's VM is asked to stop. It resigned
-// at once, nobody could take over without the store, and no key of the service was served
-// until it was back. It goes on, and resigns when the store answers.
+// Guards against keys without service: the grantor resigned while the store was away.
 func TestGrantorThatLeavesGoesOnWhileNobodyCanTakeOver(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testNode(clock)
@@ -208,8 +199,7 @@
 	require.True(t, record.Resigned)
 }
 
-// The store goes away between the grantor's question and its resignation, and says that it
-// has done nothing. The grantor still has its duty.
+// Guards against a grantor that stops although the store has not applied its resignation.
 func TestResignationThatTheStoreRefusesChangesNothing(t *testing.T) {
 	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
@@ -223,8 +213,7 @@
 	require.True(t, l.deposed, "it may have been taken: another may lead already")
 }
 
-// The other side: a grantor that leaves and still has its duty is not succeeded. One that
-// took over while it was still sending orders had to wait for the end of its authority.
+// Guards against a successor that must wait for the authority of a grantor that still orders.
 func TestGrantorThatLeavesStandsUntilItResigns(t *testing.T) {
 	n := testNode(newHandClock(time.Hour))
 	defer n.mesh.Close()
@@ -239,8 +228,7 @@
 	require.False(t, stands)
 }
 
-// Guards against keys without a grantor while all VMs stop: the grantor resigned at once, and
-// nobody took over before the first VM had started again.
+// Guards against keys without a grantor from the stop of all VMs to the first start.
 func TestLeavingGrantorGoesOnWhileAllOthersLeave(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testNode(clock)
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -10,9 +10,7 @@
 	"hemlockquay/internal/lease"
 )
 
-// Callers of busy keys waited behind other busy keys of the same owner while a third one
-// had nothing to do. Another owner was slow to answer a renewal of its hot slice, which
-// cannot be divided meanwhile; the grantor tried that again at each look and moved nothing.
+// Guards against moves that wait for a slice which cannot be divided now.
 func TestSliceThatCannotBeDividedNowHoldsNoMoveBack(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testNode(clock)
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -34,10 +34,7 @@
 	}
 }
 
-// A VM is asked to stop. A caller that keeps its connection sends a search 3.2 s later, which
-// may take four seconds; the VM passes it on, and ends 2.3 s later, while the target still
-// works on it. The caller gets no answer. It must be refused as not run, at once, on a
-// connection that is closed, so that another VM serves it.
+// Guards against a request without an answer: it outlasts the VM that was asked to stop.
 func TestStoppingVMRefusesWhatMayNotEnd(t *testing.T) {
 	b := stopping(t, 3200*time.Millisecond)
 	resp := b.get("patient.example", nil, "")
@@ -49,8 +46,7 @@
 	require.Zero(t, b.hits.Load(), "refused as not run")
 }
 
-// The other side: what ends in time is served to the last, by the timeout of its route or by
-// the patience of its caller.
+// Guards against refusals of what surely ends before the VM does.
 func TestStoppingVMServesWhatEndsInTime(t *testing.T) {
 	b := stopping(t, 3200*time.Millisecond)
 	for _, c := range []struct {
@@ -66,15 +62,13 @@
 	}
 }
 
-// A VM that has just started is asked to stop, and knows nothing yet of what requests take. The
-// balancer still sends it its whole share, most of which ends in time: it is served.
+// Guards against refusals by a VM that does not know yet how long requests take.
 func TestStoppingVMRefusesNothingByAGuess(t *testing.T) {
 	b := stopping(t, 2*time.Second)
 	require.Equal(t, http.StatusOK, b.get("patient.example", nil, "").StatusCode)
 }
 
-// Searches take three seconds at a service. A VM with 3.5 seconds left refuses them though the
-// balancer still sends it new connections; what its caller gives up earlier it takes.
+// Guards against requests that usually take longer than the VM has left.
 func TestStoppingVMRefusesWhatUsuallyTakesLonger(t *testing.T) {
 	b := stopping(t, 2*time.Second)
 	for range 10 {
@@ -85,8 +79,7 @@
 	require.Equal(t, http.StatusOK, b.get("patient.example", http.Header{"Deadline": {"3000"}}, "").StatusCode)
 }
 
-// A target refused a booking that a VM which leaves had passed on, and may take it a moment
-// later. The VM may not stay that long: it says that the booking was not made, which is true.
+// Guards against a second sending of a booking that may outlast the VM.
 func TestStoppingVMSendsNothingAgainThatMayOutlastIt(t *testing.T) {
 	b := newBench(t)
 	b.grace.Store(int64(6 * time.Second))
@@ -98,8 +91,7 @@
 	require.EqualValues(t, 1, b.hits.Load())
 }
 
-// A target broke a search off that a VM which leaves had passed on, so nothing can be promised
-// any more. Another target may still answer it before the VM is gone.
+// Guards against a lost answer that another target could still replace.
 func TestStoppingVMSendsAgainWhatMayHaveRun(t *testing.T) {
 	b := newBench(t)
 	b.grace.Store(int64(6 * time.Second))
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -27,8 +27,7 @@
 	require.Nil(t, s.routingOf("s"))
 }
 
-// A heartbeat overtakes the grantor's own word. Each VM then fetched the whole
-// routing, for nothing.
+// Guards against a whole routing that every VM fetches because a heartbeat overtook an update.
 func TestLeasesAreFetchedOnlyOnceTheyStayBehind(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testGateway(clock)
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -51,9 +51,7 @@
 	s.leases.Set(lease.NewRouting(r, seq, func(int) lease.SliceState { return state }))
 }
 
-// The owner of a key says that it leaves, and the store turns the grantor away:
-// nobody can give the key to another. Requests went on to the leaving target for
-// more than two seconds, when it must have none.
+// Guards against requests to a target that left while nobody could move its keys.
 func TestLeavingOwnerGetsRequestsForAShortWhileOnly(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	s := testState(clock)
@@ -86,8 +84,7 @@
 	require.Equal(t, refusedNone, why)
 }
 
-// A target restarts under its id. What was learnt of its last life, and the
-// connections to it, must not be used for the new one.
+// Guards against connections and speeds of the last life of a target.
 func TestNewLifeOfATargetStartsUnknown(t *testing.T) {
 	s := testState(newHandClock(0))
 	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
@@ -100,9 +97,7 @@
 	require.False(t, s.targets["t"].pick.Resting(time.Millisecond))
 }
 
-// A target dies without a word and its address passes to a target of another
-// service. Until the entry lapsed, every request for its keys was sent there three
-// times over and refused, which used up the other service's repeats.
+// Guards against requests, and repeats, at a target of another service that got the address.
 func TestDisplacedTargetGetsNoRequests(t *testing.T) {
 	s := testState(newHandClock(0))
 	target := catalog.Target{ID: "t", Service: "s", Addr: "127.0.0.1:1", Slots: 2, Born: 1}
@@ -139,8 +134,7 @@
 	require.Zero(t, gauge("leases.s.age"))
 }
 
-// 82 VMs started together and sent their first requests to the same target, which shed
-// most of them.
+// Guards against first requests of all VMs at the same target.
 func TestVMsBeginWithDifferentTargets(t *testing.T) {
 	turn := func(vm string) int {
 		s := &Settings{Store: "127.0.0.1:1"}
--- a/internal/gateway/storestate_test.go
+++ b/internal/gateway/storestate_test.go
@@ -11,9 +11,7 @@
 	"hemlockquay/internal/platform"
 )
 
-// The store was away for eight seconds and is back. A watch that was sent before runs into
-// its timeout after other calls were answered: the VM still reaches the store. Taken for
-// cut off, a grantor was succeeded while it lived.
+// Guards against a succession because a call of before the outage times out after it.
 func TestCallsFromBeforeTheStoreReturnedDoNotLoseItAgain(t *testing.T) {
 	clock := newHandClock(time.Hour)
 	n := testGateway(clock)
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -10,8 +10,7 @@
 	"hemlockquay/internal/mesh"
 )
 
-// Of 61 VMs eight had links twenty times as fast as the others', and the grantor was one
-// of the others: its grants took 100 ms each.
+// Guards against a grantor on a slow link while others have fast ones.
 func TestVMsWithMuchFasterLinksComeFirstForDuties(t *testing.T) {
 	place := func(own float64, others ...uint32) int {
 		n := testGatewayWithLink(newHandClock(time.Hour), own)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -62,8 +62,7 @@
 	require.True(t, m.Lives("b", 1), "it still has those that it has")
 }
 
-// This VM stood still for seconds. All others seem silent, and it would take over
-// from every one of them at once.
+// Guards against a VM that succeeds all others after it stood still.
 func TestAfterAPauseOfOurOwnNobodyIsLost(t *testing.T) {
 	m, clock := newMesh(t)
 	m.receiveHeartbeat(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 1}})
@@ -92,8 +91,7 @@
 	require.True(t, m.Replaced("a", "127.0.0.1:1", 6), "our own last life")
 }
 
-// A VM's time of day jumps back by seconds, and its process starts again. The
-// others must listen to the new life as soon as the old one is silent.
+// Guards against a VM that is ignored since its time of day jumped back.
 func TestLifeAfterAClockStepBackIsHeard(t *testing.T) {
 	m, clock := newMesh(t)
 	m.receiveHeartbeat(Heartbeat{From: Member{VM: "b", Addr: "127.0.0.1:1", Incarnation: 9}})
