--- a/internal/gateway/repeating.go
+++ b/internal/gateway/repeating.go
@@ -47,7 +47,7 @@
 	return d
 }
 
-// fleetSize returns how many VMs there are; 0 while this VM has not asked any other or the store.
+// fleetSize returns how many VMs there are; 0 until the store or another VM has named them.
 func (g *Gateway) fleetSize() int {
 	if !g.joined.Load() {
 		return 0
