--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -265,3 +265,38 @@
 	require.False(t, stands)
 	require.GreaterOrEqual(t, rank, 0)
 }
+
+// Guards against a successor that must wait until its predecessor, which has ended, counts as silent.
+func TestLeavingGrantorResignsBeforeItsProcessEnds(t *testing.T) {
+	clock := newHandClock(time.Hour)
+	n := testNode(clock)
+	defer n.mesh.Close()
+	l, store := leadingNode(t, n)
+	store.up.Store(true)
+	n.leaving.Store(true)
+	n.endsIn.Store(int64(lastResignation))
+	require.False(t, l.replaceable())
+	n.endsIn.Store(int64(lastResignation - time.Millisecond))
+	l.step(t.Context())
+	for !l.resigning {
+		(<-l.events)()
+	}
+}
+
+// Guards against a grantor that is to end before it could grant anything, and one that comes before a VM that stays.
+func TestLeavingVMStandsAfterThoseThatStayWhileItHasTime(t *testing.T) {
+	n := testNode(newHandClock(time.Hour))
+	defer n.mesh.Close()
+	n.state.own("s", 3, 1, "t", lease.Served)
+	c := &candidate{Manager: n.Manager, service: "s"}
+	n.leaving.Store(true)
+	alone, _ := c.succession()
+	for i := range 2 * closeSuccessors {
+		n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+	}
+	rank, _ := c.succession()
+	require.Equal(t, alone+closeSuccessors+2*closeSuccessors, rank, "its place, which is the last here, after four that stay")
+	n.endsIn.Store(int64(leastTerm - time.Millisecond))
+	rank, _ = c.succession()
+	require.Negative(t, rank)
+}
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -41,3 +41,23 @@
 	}
 	require.Len(t, taken, 5)
 }
+
+// Guards against VMs that all stop, and all try to become the grantor at the same moment.
+func TestVMsThatLeaveHaveTheirOwnPlacesInASuccession(t *testing.T) {
+	taken := make(map[int]bool)
+	for i := range 5 {
+		n := testGatewayNamed(newHandClock(time.Hour), fmt.Sprintf("vm-%d", i), 0)
+		defer n.mesh.Close()
+		n.leaving.Store(true)
+		for j := range 8 {
+			if j != i {
+				n.receive(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", j), Addr: "127.0.0.1:1", Incarnation: 1}, Leaving: j < 5})
+			}
+		}
+		require.Equal(t, 3, n.mesh.Staying())
+		taken[n.leasePlace("s")] = true
+	}
+	require.Len(t, taken, 5)
+	require.Contains(t, taken, 0)
+	require.Contains(t, taken, 4)
+}
