gateway: what a refusal for want of repeats compared has a log field of its own

hqctl explain took the first word of refusedOn for a target. decidedOn holds the budget of repeats, or the silent grantor; the target is the one that was tried last. No decision changes.

--- a/internal/ctl/losses_test.go
+++ b/internal/ctl/losses_test.go
@@ -62,3 +62,12 @@
 	_, err = SumLosses([]string{file + "-none"})
 	require.Error(t, err)
 }
+
+// Guards against sums that take the inputs of a refusal for a target.
+func TestRefusalForWantOfRepeatsCountsAtTheTargetTriedLast(t *testing.T) {
+	l := Line{Fields: map[string]any{
+		"decidedOn": "saved 0.4 most 11.8 requests 852 vms 10 age 5200ms",
+		"attempts":  []any{"t-1 load 0 took 9ms 503", "t-2 load 0 took 9ms 503"},
+	}}
+	require.Equal(t, "t-2", targetOf(l))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 		if c.arrivals > 0 {
 			if d := g.repeat(c); !d.Granted {
 				g.state.finish(e, endLeft)
-				c.refusedOn = d.String()
+				c.decidedOn = d.String()
 				return c.giveUp(noRepeats, g.retryAfter(c))
 			}
 		}
@@ -58,7 +58,7 @@
 func (g *Gateway) choose(c *call, left time.Duration) (*attempt, refusal) {
 	if c.keyed {
 		if about := g.expired(c.service, g.clock.Now()); about != "" {
-			c.refusedOn = about
+			c.decidedOn = about
 			return nil, refusedExpired
 		}
 		e, why, about := g.state.chooseOwner(c.service, c.route, c.key, c.misdirected, left)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -39,8 +39,9 @@
 	waited time.Duration
 	// shedFree says that the last target refused it while it had a free slot.
 	shedFree bool
-	// refusedOn is what the last refusal of a target was decided on.
-	refusedOn string
+	// refusedOn is what the last refusal of a target was decided on, decidedOn what a refusal
+	// for another reason was: the budget of repeats, or the grantor.
+	refusedOn, decidedOn string
 }
 
 // answered is the reason of an outcome that is the answer of the request's target.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -79,6 +79,9 @@
 	if out.reason != answered && c.refusedOn != "" {
 		e = e.Str("refusedOn", c.refusedOn)
 	}
+	if c.decidedOn != "" {
+		e = e.Str("decidedOn", c.decidedOn)
+	}
 	if c.keyed {
 		e = e.Uint16("key", c.key)
 		if r := g.state.leases.Of(c.service); r != nil {
