--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -185,8 +185,8 @@
 	return out
 }
 
-// AwaitSuccessors waits until this VM is no grantor any more, which takes the store, or
-// until the process must end.
+// AwaitSuccessors waits until this VM is no grantor any more, or until the process must end.
+// It stays the grantor until another VM can take over, which takes the store.
 func (m *Manager) AwaitSuccessors(ctx context.Context) {
 	for m.leading.Load() > 0 && pause.For(ctx, leadStep) {
 	}
