--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -38,7 +38,7 @@
 	// save, and earn in each window without a request.
 	slackSaved, slackEarned = 0.7, 0.2
 	// leastSaved lets a VM save one repeat where its part of the constant is less. The sum
-	// stays within the constant while slackSaved of it is one a VM.
+	// stays within the constant while there are at most 1-slackEarned VMs for each of it.
 	leastSaved = 1
 	// buckets divide the window over which requests are counted.
 	buckets = 20
