gateway, repeats: one type for a version of leases, one storm for two tests

Read once more after the landing. leaseVersion said what mesh.LeaseMark says already; the tests of restarts and of moves played the same storm twice.

--- a/internal/decide/repeats/bound_test.go
+++ b/internal/decide/repeats/bound_test.go
@@ -87,41 +87,40 @@
 	return worst
 }
 
-// Guards against a restart that renews a budget whose savings are spent.
-func TestRepeatsStayWithinTheBoundWhenAllVMsRestart(t *testing.T) {
+// requireBoundInAStorm plays twelve calm seconds and a storm in which all requests fail, into
+// which an event comes after a second, at three sizes of the fleet.
+func requireBoundInAStorm(t *testing.T, event func(f *fleet)) {
+	const stormAt, eventAt, steps = 120, 130, 250
 	for _, vms := range []int{10, 100, 300} {
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
 			f := newFleet(vms, 2*float64(vms), 1)
-			for i := range 250 {
-				if i == 130 {
-					f.restart(1)
+			for i := range steps {
+				if i == eventAt {
+					event(f)
 				}
-				f.play(10*float64(vms), i >= 120)
+				f.play(10*float64(vms), i >= stormAt)
 			}
 			require.LessOrEqual(t, f.excess(), 0.0)
 		})
 	}
 }
 
+// Guards against a restart that renews a budget whose savings are spent.
+func TestRepeatsStayWithinTheBoundWhenAllVMsRestart(t *testing.T) {
+	requireBoundInAStorm(t, func(f *fleet) { f.restart(1) })
+}
+
 // Guards against the same where callers move away from VMs that have spent what they saved.
 func TestRepeatsStayWithinTheBoundWhenCallersMove(t *testing.T) {
-	for _, vms := range []int{10, 100, 300} {
-		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
-			f := newFleet(vms, 2*float64(vms), 1)
-			for i := range 250 {
-				if i == 130 {
-					for j := range f.weights {
-						f.weights[j] = 0
-						if j >= vms/2 {
-							f.weights[j] = 2 / float64(vms)
-						}
-					}
-				}
-				f.play(10*float64(vms), i >= 120)
+	requireBoundInAStorm(t, func(f *fleet) {
+		vms := len(f.weights)
+		for i := range f.weights {
+			f.weights[i] = 0
+			if i >= vms/2 {
+				f.weights[i] = 2 / float64(vms)
 			}
-			require.LessOrEqual(t, f.excess(), 0.0)
-		})
-	}
+		}
+	})
 }
 
 // Guards against any order of restarts, moves and surges with a window over the bound.
--- a/internal/gateway/repeating.go
+++ b/internal/gateway/repeating.go
@@ -32,9 +32,6 @@
 
 var causes = []cause{causeMisdirected, causeMoved, causeRefused, causeLost, causeFailed}
 
-// leaseVersion orders the versions of a service's leases.
-type leaseVersion struct{ epoch, seq uint64 }
-
 // repeat takes a repeat of a request from the service's budget, and counts it by its cause.
 func (g *Gateway) repeat(c *call) repeats.Decision {
 	now, vms := g.clock.Now(), g.fleetSize()
@@ -60,7 +57,7 @@
 	if c.failed != causeMisdirected {
 		return c.failed
 	}
-	if r := g.state.leases.Of(c.service); r != nil && r.After(c.misdirected.epoch, c.misdirected.seq) {
+	if r := g.state.leases.Of(c.service); r != nil && r.After(c.misdirected.Epoch, c.misdirected.Seq) {
 		return causeMoved
 	}
 	return causeMisdirected
--- a/internal/gateway/repeating_test.go
+++ b/internal/gateway/repeating_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
 )
 
 // Guards against repeats of which nobody can say why they were sent.
@@ -24,7 +25,7 @@
 	require.EqualValues(t, 1, count("keyed", causeRefused))
 	require.EqualValues(t, 1, b.repeatsOf("keyed"))
 
-	c := &call{service: "keyed", failed: causeMisdirected, misdirected: leaseVersion{epoch: 1, seq: 1}}
+	c := &call{service: "keyed", failed: causeMisdirected, misdirected: mesh.LeaseMark{Service: "keyed", Epoch: 1, Seq: 1}}
 	require.Equal(t, causeMisdirected, b.causeOf(c))
 	b.state.own("keyed", 1, 2, "k", lease.Served)
 	require.Equal(t, causeMoved, b.causeOf(c))
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -7,6 +7,7 @@
 
 	"hemlockquay/internal/decide/pick"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
 )
@@ -26,7 +27,7 @@
 	// cold reports whether the key is cold at its owner.
 	cold bool
 	// leases is the version of the leases that named the owner.
-	leases leaseVersion
+	leases mesh.LeaseMark
 	// sharers is how many VMs sent requests to the target then.
 	sharers int
 }
@@ -78,7 +79,7 @@
 
 // chooseOwner reserves the target that owns the key, by leases after the version by which
 // the request was misdirected. Where it refuses, it describes what it decided on.
-func (s *routingState) chooseOwner(service string, rt *route.Route, key uint16, misdirected leaseVersion, left time.Duration) (*attempt, refusal, string) {
+func (s *routingState) chooseOwner(service string, rt *route.Route, key uint16, misdirected mesh.LeaseMark, left time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.leases.Of(service)
@@ -97,7 +98,7 @@
 		return nil, refusedLost, owner + " is not listed"
 	case t.displaced, t.Draining && now > t.leavesAt, t.pick.Resting(now):
 		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t", owner, t.displaced, t.Draining, t.pick.Resting(now))
-	case !r.After(misdirected.epoch, misdirected.seq):
+	case !r.After(misdirected.Epoch, misdirected.Seq):
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case t.pick.FullFor(s.urgentLocked(service, rt.Priority)):
 		return nil, refusedFull, t.inputs()
@@ -112,7 +113,7 @@
 	if e == nil {
 		return nil, why, t.inputs()
 	}
-	e.cold, e.leases = cold, leaseVersion{epoch: r.Epoch, seq: r.Seq}
+	e.cold, e.leases = cold, mesh.LeaseMark{Service: service, Epoch: r.Epoch, Seq: r.Seq}
 	return e, why, ""
 }
 
