gateway: log lost paths to targets and the orders of a grantor

The logs of a VM that was cut from its targets could not tell whether other VMs reached the same targets, or what became of the orders of a grantor that is cut off. Now: - a line when dials to a target begin to fail, with the time since its last answer and how many other VMs may reach it, when they succeed again, and when a VM reaches no target; - the same in refusedOn of a request whose owner is lost; - at most one line a second on the orders of a grantor of which some failed, with connections that could not be opened, silent owners and the age of the last answer; - gauges paths.lost and paths.cutOff; heartbeats list unreached targets. No decision uses them yet.

--- /dev/null
+++ b/internal/decide/reach/reach_test.go
@@ -0,0 +1,131 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+func TestPathWithoutEvidenceIsUsable(t *testing.T) {
+	var p Path
+	require.Equal(t, AnyConn, p.Usable())
+	require.False(t, p.Lost())
+	require.False(t, p.BeginProbe(time.Hour))
+}
+
+// Guards against requests on connections that went silent with the path.
+func TestSilentPathIsNotUsed(t *testing.T) {
+	var p Path
+	p.Answered(100 * ms)
+	require.True(t, p.DialFailed(200*ms, 400*ms, TimedOut))
+	require.False(t, p.DialFailed(500*ms, 700*ms, TimedOut), "lost already")
+	require.Equal(t, NoConn, p.Usable())
+	require.Equal(t, 500*ms, p.LostFor(700*ms))
+}
+
+// Guards against refusing requests that open connections could carry while new ones are refused.
+func TestOpenConnectionsAreUsedWhileDialsFail(t *testing.T) {
+	var refused, answering Path
+	refused.DialFailed(200*ms, 201*ms, Refused)
+	require.Equal(t, KeptConn, refused.Usable())
+	refused.AnswerLost()
+	require.Equal(t, NoConn, refused.Usable())
+
+	answering.Answered(300 * ms)
+	answering.DialFailed(200*ms, 400*ms, TimedOut)
+	require.Equal(t, KeptConn, answering.Usable(), "answered during the dial")
+	answering.AnswerLost()
+	answering.Answered(500 * ms)
+	require.Equal(t, KeptConn, answering.Usable())
+	require.True(t, answering.Lost())
+	answering.Opened(600 * ms)
+	require.Equal(t, AnyConn, answering.Usable())
+}
+
+// Guards against a flood of dials on a path that is lost.
+func TestProbesOfPathGetRarer(t *testing.T) {
+	var p Path
+	p.DialFailed(0, 0, TimedOut)
+	probes, now := 0, time.Duration(0)
+	for ; now < 10*time.Second; now += 10 * ms {
+		if p.BeginProbe(now) {
+			require.False(t, p.BeginProbe(now), "one probe at a time")
+			p.EndProbe()
+			p.DialFailed(now, now, TimedOut)
+			probes++
+		}
+	}
+	require.LessOrEqual(t, probes, 10)
+	require.GreaterOrEqual(t, probes, 6)
+	p.Opened(now)
+	p.DialFailed(now, now, TimedOut)
+	require.True(t, p.BeginProbe(now+minProbeDelay))
+}
+
+// Guards against taking the loss of a VM's own path for the loss of each target.
+func TestVMThatReachesNoTargetIsCutOff(t *testing.T) {
+	var v Vantage
+	v.Reached("a", 100*ms)
+	require.False(t, v.DialFailed("a", 20, 110*ms, 310*ms))
+	require.False(t, v.DialFailed("b", 20, 120*ms, 320*ms))
+	require.True(t, v.DialFailed("c", 20, 130*ms, 330*ms))
+	require.True(t, v.CutOff())
+	require.Equal(t, 330*ms, v.ChangedAt())
+}
+
+// Guards against taking the loss of some targets for that of the VM's own path.
+func TestVMThatReachesAnyTargetIsNotCutOff(t *testing.T) {
+	var v Vantage
+	for i, target := range []string{"a", "b", "c", "d", "e", "f"} {
+		now := time.Duration(i) * 200 * ms
+		require.False(t, v.DialFailed(target, 20, now, now+150*ms))
+		v.Reached("z", now+160*ms)
+	}
+	require.False(t, v.DialFailed("g", 20, time.Second, 2*time.Second), "another target answered during the dial")
+	require.False(t, v.CutOff())
+}
+
+func TestVMWithFewTargetsIsCutOffIfItReachesNone(t *testing.T) {
+	var v Vantage
+	require.False(t, v.DialFailed("a", 2, 10*ms, 20*ms))
+	require.True(t, v.DialFailed("b", 2, 10*ms, 20*ms))
+}
+
+// Guards against following each change of a path that comes and goes.
+func TestCutOffVMMustReachTwoTargets(t *testing.T) {
+	var v Vantage
+	for _, target := range []string{"a", "b", "c"} {
+		v.DialFailed(target, 20, 10*ms, 20*ms)
+	}
+	require.True(t, v.CutOff())
+	require.False(t, v.Reached("a", 100*ms))
+	require.False(t, v.Reached("a", 110*ms))
+	v.DialFailed("a", 20, 120*ms, 130*ms)
+	require.False(t, v.Reached("b", 140*ms))
+	require.True(t, v.CutOff())
+	require.True(t, v.Reached("a", 150*ms))
+	require.False(t, v.CutOff())
+}
+
+// Guards against a VM that learns of a silent cut only when its requests time out.
+func TestSilenceOfAllTargetsIsSuspected(t *testing.T) {
+	var v Vantage
+	v.Reached("a", time.Second)
+	waiting := []Waiting{{Target: "b", Since: 1100 * ms, Expected: 50 * ms}, {Target: "a", Since: time.Second, Expected: 50 * ms}}
+	require.Empty(t, v.Suspect(waiting, 1290*ms))
+	require.Empty(t, v.Suspect(nil, 1400*ms))
+	require.Equal(t, "a", v.Suspect(waiting, 1400*ms))
+	require.Empty(t, v.Suspect(waiting, 1500*ms), "one suspicion a second")
+	require.Equal(t, "a", v.Suspect(waiting, 2400*ms))
+}
+
+// Guards against dials to targets that are only slow.
+func TestLongRequestsAreNoReasonForSuspicion(t *testing.T) {
+	var v Vantage
+	v.Reached("a", time.Second)
+	require.Empty(t, v.Suspect([]Waiting{{Target: "a", Since: time.Second, Expected: 500 * ms}}, 2400*ms))
+	require.Equal(t, "a", v.Suspect([]Waiting{{Target: "a", Since: time.Second, Expected: 500 * ms}}, 2500*ms))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,7 @@
 	took := time.Since(a.sent)
 	metrics.GetOrRegisterTimer("step.target."+c.service, g.registry).Update(took)
 	c.recordAttempt(a, took, resp, err)
+	g.state.recordEvidence(sendCtx, a, err)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		g.state.finish(a, resultNotSent)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 	g.grace.Store(int64(s.Grace))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.mesh = mesh.New(g.self, clock, logger)
-	g.state.announce = g.mesh.Announce
+	g.state.announce, g.state.reachedBy = g.mesh.Announce, g.mesh.ReachedBy
 	// If all VMs started with the same target, they would overload it together.
 	g.state.startIndex = int(catalog.Hash(s.VM))
 	g.registerGauges()
--- a/internal/gateway/leasing/incarnations.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -115,6 +115,7 @@
 	}
 	l.enqueue(ctx, func() {
 		l.checkingIncarnations = false
+		l.orders.unconnected += len(owners) - len(connected)
 		if err != nil || len(connected) == 0 {
 			return
 		}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -75,6 +75,7 @@
 	lagMeter         *fitness.Meter
 	// latestBorn is the start of each target's latest incarnation, by target id.
 	latestBorn map[string]int64
+	orders     orderReport
 }
 
 func newLeader(c *candidate, g *lease.Grantor, version uint64) *leader {
@@ -85,6 +86,7 @@
 		lagMeter: fitness.NewMeter(leaderTick),
 	}
 	l.orderDeadline.Store(int64(g.ConfirmedAt() + lease.Authority))
+	l.orders.answeredAt = c.Clock.Now()
 	return l
 }
 
@@ -149,6 +151,7 @@
 		l.send(ctx, o)
 	}
 	l.logMoveEvents(now)
+	l.logOrders(now)
 	l.queryLoad(ctx, now)
 	l.confirmIncarnations(ctx, now)
 	l.confirmEpoch(ctx, now)
@@ -169,17 +172,23 @@
 		return false
 	}
 	l.nextSilenceCheck = now + planInterval
-	silent, owners := 0, make(map[lease.Owner]bool)
+	return fitness.Isolated(l.countSilentOwners(now))
+}
+
+// countSilentOwners returns the number of listed owners that leave orders unanswered, and the number
+// of all listed owners.
+func (l *leader) countSilentOwners(now time.Duration) (silent, owners int) {
+	seen := make(map[lease.Owner]bool)
 	for _, s := range l.grants.Record().Slices {
-		if owners[s.Owner] || !l.isListed(s.Owner) {
+		if seen[s.Owner] || !l.isListed(s.Owner) {
 			continue
 		}
-		owners[s.Owner] = true
+		seen[s.Owner] = true
 		if l.grants.SilentFor(s.Owner, now) >= minOwnerSilence {
 			silent++
 		}
 	}
-	return fitness.Isolated(silent, len(owners))
+	return silent, len(seen)
 }
 
 // tryResign resigns if the store answers. Without the store no VM could take over, and all keys would
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -163,6 +163,7 @@
 
 func (l *leader) handleOrderResult(ctx context.Context, o lease.Order, r lease.Result, handover string, sent, ended time.Duration) {
 	l.grants.HandleResult(o, r, handover, sent, ended)
+	l.orders.recordOrder(r, ended)
 	if r == lease.Fenced {
 		l.readEpoch(ctx)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,6 +28,7 @@
 		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
 		Leases: g.state.leases.Versions(), Loads: g.state.ownLoads(), Crashes: g.state.recentCrashes(),
+		CutOff: g.state.cutOff(), Unreached: g.state.unreachedTargets(),
 	}
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -100,7 +100,7 @@
 	case t == nil:
 		return nil, refusedLost, owner + " is not listed"
 	case t.displaced, t.Draining && now > t.drainsUntil, t.pick.BackingOff(now):
-		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t", owner, t.displaced, t.Draining, t.pick.BackingOff(now))
+		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t %s", owner, t.displaced, t.Draining, t.pick.BackingOff(now), s.describePathLocked(t, now))
 	case !r.After(misdirected.Epoch, misdirected.Seq):
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case t.pick.FullFor(s.mayUseReserveLocked(service, rt.Priority)):
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,6 +12,7 @@
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/duration"
 	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/decide/reach"
 	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/decide/urgency"
 	"hemlockquay/internal/gateway/published"
@@ -46,11 +47,15 @@
 	// announce is called after this VM read something from the store that other VMs may not know
 	// yet.
 	announce func()
-	targets  map[string]*targetState
+	// reachedBy returns how many other VMs may reach a target, and their number.
+	reachedBy func(target uint32) (reach, others int)
+	targets   map[string]*targetState
 	// byHash holds the targets by the hash that other VMs use in their reported loads.
 	byHash map[uint32]*targetState
 	// pools holds the targets that accept requests, by service.
 	pools map[string]*servicePool
+	// vantage concludes whether this VM is cut off from all targets.
+	vantage reach.Vantage
 	// fleet is this VM's place among the VMs.
 	fleet fleetPlace
 	// inUse holds the targets at which this VM has requests, or had some recently.
@@ -81,6 +86,8 @@
 	// drainsUntil is the time until which a draining target may get requests.
 	drainsUntil time.Duration
 	pick        pick.State
+	// path is what this VM knows of its own path to the target.
+	path reach.Path
 	// vmsUsing is the number of VMs that have the target in their subset of the pool, or 0 if this
 	// VM does not.
 	vmsUsing int
@@ -95,7 +102,8 @@
 	s := &routingState{
 		clock: clock, log: logger, registry: registry, dataCentre: dataCentre, repeatLimit: repeatLimit, fleet: onlyVM,
 		membership: catalog.NewTargetSet(), changed: make(chan struct{}), announce: func() {},
-		targets: make(map[string]*targetState), byHash: make(map[uint32]*targetState),
+		reachedBy: func(uint32) (reach, others int) { return 0, 0 },
+		targets:   make(map[string]*targetState), byHash: make(map[uint32]*targetState),
 		inUse: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes:       make(map[uint64]map[uint32]time.Duration),
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -60,6 +60,8 @@
 		"targets.age":     func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
 		"mesh.live":       func() int64 { return int64(len(g.mesh.Live())) },
 		"subset.targets":  g.state.subsetSize,
+		"paths.lost":      func() int64 { return int64(len(g.state.unreachedTargets())) },
+		"paths.cutOff":    func() int64 { return boolToInt(g.state.cutOff()) },
 		"store.reachable": func() int64 { return boolToInt(g.storeUp.Load()) },
 	} {
 		g.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -60,8 +60,8 @@
 type Heartbeat struct {
 	From    Member `msgpack:"f"`
 	Leaving bool   `msgpack:"l"`
-	// Brief heartbeats omit leases, loads and crashes. The receiver keeps those of the last
-	// full heartbeat.
+	// Brief heartbeats omit leases, loads, crashes and unreached targets. The receiver keeps those
+	// of the last full heartbeat.
 	Brief bool `msgpack:"b"`
 	// StoreLost says that the sender does not reach the platform's store directly.
 	StoreLost bool `msgpack:"x"`
@@ -75,20 +75,24 @@
 	Loads   []Load         `msgpack:"o"`
 	// Crashes are the requests that are suspected of crashing targets.
 	Crashes []Crash `msgpack:"r"`
+	// CutOff says that the sender reaches no target.
+	CutOff bool `msgpack:"u"`
+	// Unreached lists the targets to which the sender opens no connections, by the hashes of their
+	// ids.
+	Unreached []uint32 `msgpack:"w"`
 }
 
-// brief returns the heartbeat without leases, loads and crashes.
+// brief returns the heartbeat without the details that brief heartbeats omit.
 func (b Heartbeat) brief() Heartbeat {
 	b.Brief = true
-	b.Leases, b.Loads, b.Crashes = nil, nil, nil
+	b.Leases, b.Loads, b.Crashes, b.Unreached = nil, nil, nil, nil
 	return b
 }
 
-// withDetailsOf returns the heartbeat. If it is brief, its leases, loads and crashes are those of
-// the last one.
+// withDetailsOf returns the heartbeat. If it is brief, its details are those of the last one.
 func (b Heartbeat) withDetailsOf(last Heartbeat) Heartbeat {
 	if b.Brief {
-		b.Leases, b.Loads, b.Crashes = last.Leases, last.Loads, last.Crashes
+		b.Leases, b.Loads, b.Crashes, b.Unreached = last.Leases, last.Loads, last.Crashes, last.Unreached
 	}
 	return b
 }
--- /dev/null
+++ b/internal/mesh/reach.go
@@ -0,0 +1,33 @@
+package mesh
+
+import "slices"
+
+// maxUnreached bounds the targets that a heartbeat lists as not reached.
+const maxUnreached = 64
+
+// Unreached returns at most maxUnreached hashes of targets, for a heartbeat.
+func Unreached(targets []uint32) []uint32 { return targets[:min(len(targets), maxUnreached)] }
+
+// reaches reports whether a VM's last heartbeat leaves open that it reaches a target. A VM that has
+// not tried to reach the target does not report it.
+func (b Heartbeat) reaches(target uint32) bool {
+	return b.From.VM != "" && !b.CutOff && !slices.Contains(b.Unreached, target)
+}
+
+// ReachedBy returns how many of the other live VMs have not reported that they do not reach a
+// target, which is named by the hash of its id, and the number of other live VMs.
+func (m *Mesh) ReachedBy(target uint32) (reach, others int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, r := range m.remotes {
+		if !m.liveLocked(r, now) {
+			continue
+		}
+		others++
+		if r.heartbeat.reaches(target) {
+			reach++
+		}
+	}
+	return reach, others
+}
