Failing tests: VMs that take their own path for the state of the targets

Links can now drop the packets of new connections (the accept queue is kept full), and refuse new connections while open ones go on (the socket stops listening and keeps its port).

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -7,6 +7,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
@@ -70,8 +71,13 @@
 }
 
 func newTestGatewayNamed(clock *manualClock, name string, mbps float64) *Gateway {
+	return newTestGatewayAt(clock, name, "127.0.0.1:1", mbps)
+}
+
+// newTestGatewayAt is newTestGatewayNamed with an address for other VMs.
+func newTestGatewayAt(clock boottime.Clock, name, peers string, mbps float64) *Gateway {
 	s := &Settings{Store: "127.0.0.1:1", LinkMbps: mbps, MemoryMB: defaultMemoryMB}
-	s.VM, s.DataCentre, s.Peers = name, "a", "127.0.0.1:1"
+	s.VM, s.DataCentre, s.Peers = name, "a", peers
 	g := newGateway(s, fakeAdapter{store: unavailableStore{}}, clock, discardLogger(), metrics.NewRegistry())
 	g.mesh.Start(g)
 	g.storeUp.Store(true)
--- a/internal/gateway/handler_test.go
+++ b/internal/gateway/handler_test.go
@@ -26,8 +26,11 @@
 	requests atomic.Int64
 }
 
-func newTestbed(t *testing.T) *testbed {
-	g := newTestGateway(newManualClock(time.Hour))
+func newTestbed(t *testing.T) *testbed { return newTestbedAt(t, "self", "127.0.0.1:1") }
+
+// newTestbedAt returns a testbed with a name and an address for other VMs.
+func newTestbedAt(t *testing.T, name, peers string) *testbed {
+	g := newTestGatewayAt(newManualClock(time.Hour), name, peers, 0)
 	t.Cleanup(g.mesh.Close)
 	g.state.setRepeatLimit(testRepeatLimit)
 	g.joined.Store(true)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -37,6 +37,14 @@
 	held, heldOpen int
 	// holdNew makes new connections wait for the end of the cut.
 	holdNew bool
+	// dropNew makes the kernel drop the packets that open new connections.
+	dropNew bool
+	// refuseNew refuses new connections, whether or not the link is cut.
+	refuseNew bool
+	// paused reports whether connections are not accepted because of dropNew or refuseNew.
+	paused bool
+	// fillers are the connections that fill the listener's queue while dropNew is set.
+	fillers []net.Conn
 	// resets counts the calls of Reset.
 	resets int
 	// changed wakes the waiting goroutines when bytes arrive, a connection ends, or the link
@@ -46,7 +54,7 @@
 
 // New returns a link to the target that listens at a free loopback address.
 func New(target string) (*Link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
@@ -66,13 +74,33 @@
 // right before the cut: the client gets no response.
 func (l *Link) Hold() { l.set(true, true) }
 
+// Drop stops all traffic, as a partition does: dials get no response at all.
+func (l *Link) Drop() error {
+	l.mu.Lock()
+	l.cut, l.holdNew, l.dropNew = true, false, true
+	l.changed.Broadcast()
+	l.mu.Unlock()
+	return l.fillQueue()
+}
+
+// Refuse refuses new connections as if nothing listened, until Heal. Open ones go on.
+func (l *Link) Refuse() error {
+	l.mu.Lock()
+	l.refuseNew = true
+	l.mu.Unlock()
+	return l.stopListening()
+}
+
 // Heal delivers the held bytes and resumes all traffic.
-func (l *Link) Heal() { l.set(false, false) }
+func (l *Link) Heal() {
+	l.emptyQueue()
+	l.set(false, false)
+}
 
 func (l *Link) set(cut, holdNew bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut, l.holdNew = cut, holdNew
+	l.cut, l.holdNew, l.dropNew, l.refuseNew = cut, holdNew, false, false
 	l.changed.Broadcast()
 }
 
@@ -119,6 +147,7 @@
 	l.closed = true
 	l.changed.Broadcast()
 	l.mu.Unlock()
+	l.emptyQueue()
 	_ = l.listener.Close()
 }
 
@@ -137,7 +166,10 @@
 	for {
 		client, err := l.listener.Accept()
 		if err != nil {
-			return
+			if !l.awaitListening() {
+				return
+			}
+			continue
 		}
 		l.addPipes(1)
 		go func() {
