gateway: send requests through another VM when the path to their target is lost

What callers saw: VMs that lost their paths to the targets refused nearly everything (0 of 365 first attempts, the others 966 of 982) although the other VMs reached the same targets.

Cause: a VM took its own path for the state of the target. Each dial that timed out cost a request 200 ms, each target earned its own back-off, requests for its keys were then refused as 'owner of the key is lost', and there was no way round.

Change: - decide/reach keeps what a VM knows of its path to each target, and concludes from three targets that are lost while none answers that the VM itself is cut off. Silent targets are dialled, one at a time until a suspicion is right; lost paths are probed by dials that no request waits for. Kept connections that still answer go on serving while dials fail. - a request whose target is not reached is sent by another VM (Forward.Send): nearest first, at most one hop, one count of repeats at the VM that received it, the deadline shrinks, 'not run' only if the other VM says so, cancelled with its caller. A VM that leaves finishes what it forwards and accepts no more.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -181,7 +181,7 @@
 // Answered records an answer that took the given time; usual is the usual service time of
 // such requests, and rounds the value of Rounds when the request was sent.
 func (s *State) Answered(took, usual time.Duration, rounds float64) {
-	s.lostInARow, s.backoffs, s.backoffUntil = 0, 0, 0
+	s.Reached()
 	s.failures -= s.failures / failureSamples
 	if usual <= 0 || took <= 0 {
 		return
@@ -203,6 +203,9 @@
 	s.backOff(now)
 }
 
+// Reached records that a connection to the target was opened, which ends the back-off.
+func (s *State) Reached() { s.lostInARow, s.backoffs, s.backoffUntil = 0, 0, 0 }
+
 // AnswerLost records that an answer of the target did not arrive. The target gets a back-off
 // only after several lost answers in a row, because in a back-off all requests for its keys
 // are refused.
--- a/internal/decide/reach/path.go
+++ b/internal/decide/reach/path.go
@@ -103,6 +103,14 @@
 // Lost reports whether the last dial failed.
 func (p *Path) Lost() bool { return p.dialsFail }
 
+// minFailuresToAbort is the number of failed dials in a row after which requests in flight are presumed
+// lost. One dial may fail because a packet was lost.
+const minFailuresToAbort = 2
+
+// Silent reports whether neither dials nor open connections work any more, so that the answers to
+// requests in flight are presumed lost.
+func (p *Path) Silent() bool { return p.Usable() == NoConn && p.failures >= minFailuresToAbort }
+
 // LostFor returns for how long dials have failed, or 0 if the last one succeeded.
 func (p *Path) LostFor(now time.Duration) time.Duration {
 	if !p.dialsFail {
--- a/internal/decide/reach/vantage.go
+++ b/internal/decide/reach/vantage.go
@@ -1,6 +1,10 @@
 package reach
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// minLostTargets is the number of targets to which dials must fail, while no target answers,
@@ -9,14 +13,17 @@
 	// minReachedTargets is the number of targets that a cut off VM must reach before it counts as
 	// connected again, so that it does not follow each change of a path that comes and goes.
 	minReachedTargets = 2
-	// suspectAfter is the time without any answer, while requests wait, after which a VM suspects
-	// that it is cut off. A suspicion costs one dial.
-	suspectAfter = 300 * time.Millisecond
-	// suspectFactor is how many times its expected duration a request must have waited to support a
-	// suspicion.
+	// suspectAfter is the time without an answer of a target, while requests wait there, after which the
+	// path to it is suspected to be lost. suspectFactor is how many times the expected duration of a
+	// request must have passed as well, since a slow target is silent, too.
+	suspectAfter  = 300 * time.Millisecond
 	suspectFactor = 3
-	// suspectInterval is the minimum time between two suspicions.
-	suspectInterval = time.Second
+	// minSuspectDelay and maxSuspectDelay bound the time after a wrong suspicion in which there is no
+	// other one. It doubles with each, since every suspicion costs a connection.
+	minSuspectDelay = time.Second
+	maxSuspectDelay = 8 * time.Second
+	// MaxSuspects is the number of targets that are suspected at a time once a suspicion was right.
+	MaxSuspects = 4
 )
 
 // Vantage concludes from the evidence on all targets whether the VM itself is cut off from them.
@@ -30,7 +37,13 @@
 	reached   map[string]bool
 	cutOff    bool
 	changedAt time.Duration
-	suspectAt time.Duration
+	// suspectAt is when there may be the next suspicion, and suspectDelay the delay after the next wrong
+	// one. suspects is the number of suspected targets that are being dialled.
+	suspectAt    time.Duration
+	suspectDelay time.Duration
+	suspects     int
+	// confirmed reports whether the last suspicion was right.
+	confirmed bool
 }
 
 // CutOff reports whether the VM counts as cut off from all targets.
@@ -90,21 +103,35 @@
 	Expected time.Duration
 }
 
-// Suspect returns the target to dial because no target has answered for a while although requests
-// wait. It returns "" if there is none.
-func (v *Vantage) Suspect(waiting []Waiting, now time.Duration) string {
-	if v.cutOff || now-v.answeredAt < suspectAfter || now < v.suspectAt {
-		return ""
+// Suspect returns the targets to dial because they have not answered for a while although requests wait
+// there. EndSuspicion must be called for each of them.
+func (v *Vantage) Suspect(waiting []Waiting, now time.Duration) []string {
+	most := 1
+	if v.confirmed {
+		most = MaxSuspects
+	}
+	if v.cutOff || now < v.suspectAt || v.suspects >= most {
+		return nil
 	}
-	var oldest Waiting
+	slices.SortFunc(waiting, func(a, b Waiting) int { return cmp.Compare(a.Since, b.Since) })
+	var out []string
 	for _, w := range waiting {
-		if oldest.Target == "" || w.Since < oldest.Since {
-			oldest = w
+		if v.suspects < most && now-w.Since >= max(suspectAfter, suspectFactor*w.Expected) {
+			out = append(out, w.Target)
+			v.suspects++
 		}
 	}
-	if oldest.Target == "" || now-oldest.Since < max(suspectAfter, suspectFactor*oldest.Expected) {
-		return ""
+	return out
+}
+
+// EndSuspicion records whether the path to a suspected target is lost.
+func (v *Vantage) EndSuspicion(lost bool, now time.Duration) {
+	v.suspects--
+	v.confirmed = lost
+	if lost {
+		v.suspectAt, v.suspectDelay = now, 0
+		return
 	}
-	v.suspectAt = now + suspectInterval
-	return oldest.Target
+	v.suspectDelay = min(max(minSuspectDelay, 2*v.suspectDelay), maxSuspectDelay)
+	v.suspectAt = now + v.suspectDelay
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +28,15 @@
 		if reason == refusedMoving && g.awaitRoutingChange(ctx, c, maxMoveWait) {
 			continue
 		}
+		if reason == refusedUnreached {
+			if out := g.attemptThroughPeers(ctx, c); out != nil {
+				return *out
+			}
+			if c.attemptsUsedUp() {
+				return c.giveUp(reasonAttemptsUsedUp, g.retryAfter(c))
+			}
+			continue
+		}
 		if reason == refusedLost || reason == refusedExpired {
 			return c.giveUp(string(reason), timeLeft/lostOwnerRetryDivisor)
 		}
@@ -40,24 +50,47 @@
 			g.state.finish(a, resultAbandoned)
 			return c.giveUp(string(refusedLeaving), immediateRetryAfter)
 		}
-		if c.delivered > 0 {
-			if d := g.takeRepeat(c); !d.Granted {
-				g.state.finish(a, resultAbandoned)
-				c.decidedOn = d.String()
-				return c.giveUp(reasonNoRepeats, g.retryAfter(c))
-			}
+		if out := g.refuseRepeat(c); out != nil {
+			g.state.finish(a, resultAbandoned)
+			return *out
 		}
 		if out := g.attempt(ctx, c, a, timeLeft); out != nil {
 			return *out
 		}
-		if c.possibleRuns >= max(c.route.MaxTargets, 1) || c.delivered > c.route.MaxTargets+1 || c.connectFailures > maxConnectFailures {
-			return c.giveUp("attempts used up", g.retryAfter(c))
+		if c.attemptsUsedUp() {
+			return c.giveUp(reasonAttemptsUsedUp, g.retryAfter(c))
 		}
 	}
 }
 
+// reasonAttemptsUsedUp is the reason of a refusal after as many attempts as a request may have.
+const reasonAttemptsUsedUp = "attempts used up"
+
+// attemptsUsedUp reports whether the request may not be sent again.
+func (c *call) attemptsUsedUp() bool {
+	return c.possibleRuns >= max(c.route.MaxTargets, 1) || c.delivered > c.route.MaxTargets+1 || c.connectFailures > maxConnectFailures
+}
+
+// refuseRepeat takes one repeat from the budget if the request has been delivered before. It returns the
+// outcome of the request if none is left.
+func (g *Gateway) refuseRepeat(c *call) *outcome {
+	if c.delivered == 0 {
+		return nil
+	}
+	d := g.takeRepeat(c)
+	if d.Granted {
+		return nil
+	}
+	c.decidedOn = d.String()
+	out := c.giveUp(reasonNoRepeats, g.retryAfter(c))
+	return &out
+}
+
 func (g *Gateway) reserveTarget(c *call, timeLeft time.Duration) (*attempt, refusal) {
 	if c.keyed {
+		if c.unreached[g.ownerOf(c)] {
+			return nil, refusedUnreached
+		}
 		if details := g.leasesExpired(c.service, g.clock.Now()); details != "" {
 			c.decidedOn = details
 			return nil, refusedExpired
@@ -66,7 +99,27 @@
 		c.refusedOn = details
 		return a, reason
 	}
-	return g.state.reserveFromPool(c.service, c.route, c.tried, timeLeft, g.clock.Now())
+	return g.state.reserveFromPool(c.service, c.route, c.excluded(), timeLeft, g.clock.Now())
+}
+
+// ownerOf returns the ID of the target that owns the key of the request, or "" if none is known.
+func (g *Gateway) ownerOf(c *call) string {
+	r := g.state.leases.Get(c.service)
+	if r == nil {
+		return ""
+	}
+	owner, _ := r.Find(c.key)
+	return owner
+}
+
+// excluded returns the targets that this VM must not send the request to.
+func (c *call) excluded() map[string]bool {
+	if len(c.unreached) == 0 {
+		return c.tried
+	}
+	out := maps.Clone(c.tried)
+	maps.Copy(out, c.unreached)
+	return out
 }
 
 // awaitRoutingChange waits for a change of the leases or targets, for at most misdirectedPause. It
@@ -99,27 +152,43 @@
 
 // attempt sends the request to one target. It returns nil if another attempt may follow.
 func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) *outcome {
+	resp, err := g.exchange(ctx, c, a, timeLeft)
+	if errors.Is(err, upstream.ErrNotSent) {
+		if errors.Is(err, upstream.ErrNoKeptConn) {
+			g.state.finish(a, resultAbandoned)
+		} else {
+			g.state.finish(a, resultNotSent)
+			c.connectFailures++
+		}
+		c.unreached[a.id] = true
+		return nil
+	}
+	return g.conclude(ctx, c, a, resp, err)
+}
+
+// exchange sends the request to the target of an attempt and returns its response.
+func (g *Gateway) exchange(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) (*upstream.Answer, error) {
 	c.request.Header.Set(g.headers.TargetID, a.id)
 	c.request.Header.Set(g.headers.DeadlineMs, strconv.FormatInt(max(timeLeft.Milliseconds(), 1), 10))
 	sendCtx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	resp, err := a.pool.Exchange(sendCtx, c.request, upstream.AnyConn)
+	if c.route.Idempotent {
+		defer g.state.abortIfSilent(a, cancel)()
+	}
+	resp, err := a.pool.Exchange(sendCtx, c.request, a.conn)
 	took := time.Since(a.sent)
 	metrics.GetOrRegisterTimer("step.target."+c.service, g.registry).Update(took)
 	c.recordAttempt(a, took, resp, err)
 	g.state.recordEvidence(sendCtx, a, err)
-	switch {
-	case errors.Is(err, upstream.ErrNotSent):
-		g.state.finish(a, resultNotSent)
-		c.tried[a.id] = true
-		c.connectFailures++
-		if c.keyed {
-			g.awaitRoutingChange(ctx, c, maxMoveWait)
-		}
-		return nil
-	case err != nil:
+	return resp, err
+}
+
+// conclude handles the response of an attempt, or its loss. It returns nil if another attempt may follow.
+func (g *Gateway) conclude(ctx context.Context, c *call, a *attempt, resp *upstream.Answer, err error) *outcome {
+	if err != nil {
 		return g.handleLostResponse(ctx, c, a)
-	case g.headers.saysNotRun(resp):
+	}
+	if g.headers.saysNotRun(resp) {
 		return g.handleNotRun(c, a, resp)
 	}
 	c.delivered++
@@ -160,7 +229,9 @@
 	}
 	g.state.finish(a, resultResponseLost)
 	c.lastFailure = causeLost
-	go g.recordCrashIfDown(c.digest, a)
+	if a.target != nil {
+		go g.recordCrashIfDown(c.digest, a)
+	}
 	c.tried[a.id] = true
 	if !c.route.Idempotent {
 		out := c.giveUp("answer lost", 0)
@@ -185,7 +256,7 @@
 	g.state.finish(a, resultFailed)
 	c.tried[a.id] = true
 	c.lastFailure = causeRefused
-	c.refusedWithFreeSlots = a.load < a.target.Slots
+	c.refusedWithFreeSlots = a.hadFreeSlots
 	if c.keyed && !c.refusedWithFreeSlots {
 		out := c.giveUp("owner is full", g.retryAfter(c))
 		return &out
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,7 +26,9 @@
 	deadline time.Time
 
 	// tried holds the IDs of the targets that failed or refused the request.
-	tried           map[string]bool
+	tried map[string]bool
+	// unreached holds the IDs of the targets to which this VM had no connection for the request.
+	unreached       map[string]bool
 	connectFailures int
 	// delivered is the number of attempts that may have reached a target.
 	delivered int
@@ -66,7 +68,7 @@
 	now := time.Now()
 	c := &call{
 		id: r.Header.Get(g.headers.RequestID), route: rt, service: service,
-		start: now, tried: make(map[string]bool), body: bodyReservation{memory: g.bodyMemory},
+		start: now, tried: make(map[string]bool), unreached: make(map[string]bool), body: bodyReservation{memory: g.bodyMemory},
 	}
 	timeout := rt.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(timeout.Milliseconds()) {
@@ -91,7 +93,11 @@
 	default:
 		result = strconv.Itoa(resp.Status)
 	}
-	c.trace = append(c.trace, fmt.Sprintf("%s load %d expected %dms took %dms %s", a.id, a.load, a.expected.Milliseconds(), took.Milliseconds(), result))
+	through := ""
+	if a.peer != "" {
+		through = " through " + a.peer
+	}
+	c.trace = append(c.trace, fmt.Sprintf("%s%s load %d expected %dms took %dms %s", a.id, through, a.load, a.expected.Milliseconds(), took.Milliseconds(), result))
 }
 
 func rootCause(err error) string {
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,318 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/decide/forwarding"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/pause"
+	"hemlockquay/internal/route"
+	"hemlockquay/internal/upstream"
+)
+
+// ForwardID identifies a forwarded request.
+type ForwardID struct {
+	// VM and Incarnation name the process that received the request from its caller.
+	VM          string `msgpack:"v"`
+	Incarnation uint64 `msgpack:"i"`
+	Number      uint64 `msgpack:"n"`
+}
+
+// ForwardArgs is a request that another VM is to send to a target. The other VM chooses the target, sends
+// the request at most once, and never forwards it again. Limits, repeats and retries are decided by the
+// VM that received the request.
+type ForwardArgs struct {
+	ForwardID `msgpack:"f"`
+	Service   string        `msgpack:"s"`
+	Route     string        `msgpack:"r"`
+	Priority  int           `msgpack:"p"`
+	Objective time.Duration `msgpack:"o"`
+	// TimeLeft is the remaining time of the request. It excludes the time that the reply takes.
+	TimeLeft time.Duration `msgpack:"t"`
+	Keyed    bool          `msgpack:"k"`
+	Key      uint16        `msgpack:"y"`
+	Digest   uint64        `msgpack:"g"`
+	// MisdirectedBy is the version of the leases by which the request was misdirected before.
+	MisdirectedBy mesh.LeaseVersion `msgpack:"m"`
+	// Tried are the targets that must not get the request again.
+	Tried []string `msgpack:"d"`
+
+	Method string      `msgpack:"x"`
+	URI    string      `msgpack:"u"`
+	Host   string      `msgpack:"h"`
+	Header http.Header `msgpack:"e"`
+	Body   []byte      `msgpack:"b"`
+	// ID is the request id of the caller.
+	ID string `msgpack:"c"`
+}
+
+// forwardResult says what became of a forwarded request.
+type forwardResult uint8
+
+// The results of a forwarded request.
+const (
+	// notSentByPeer: the request was not sent to any target, and will not be.
+	notSentByPeer forwardResult = iota
+	// answeredToPeer: the target responded.
+	answeredToPeer
+	// lostByPeer: the request may have run, but the response did not arrive.
+	lostByPeer
+)
+
+// ForwardReply says what became of a forwarded request.
+type ForwardReply struct {
+	Result forwardResult `msgpack:"r"`
+	// Refusal is the reason why the request was not sent.
+	Refusal string `msgpack:"f"`
+	// Target is the target to which the request was sent.
+	Target string `msgpack:"t"`
+	// Leases is the version of the leases that named the owner.
+	Leases mesh.LeaseVersion `msgpack:"l"`
+	// HadFreeSlots reports whether the target had free slots when the request was sent.
+	HadFreeSlots bool `msgpack:"n"`
+
+	Status int         `msgpack:"s"`
+	Header http.Header `msgpack:"h"`
+	Body   []byte      `msgpack:"b"`
+}
+
+// Reasons for which a VM does not accept a forwarded request.
+const (
+	refusedByGate refusal = "no more forwarded requests"
+	refusedMember refusal = "not a live VM"
+)
+
+// Forward is the RPC service through which other VMs have requests sent to targets that they do not reach.
+type Forward struct{ gateway *Gateway }
+
+// Send sends a request to a target.
+func (f Forward) Send(in *ForwardArgs, out *ForwardReply) error {
+	g := f.gateway
+	if !g.mesh.IsLive(in.VM, in.Incarnation) {
+		out.Refusal = string(refusedMember)
+		return nil
+	}
+	ctx, end, reason := g.forwarded.begin(g.requestCtx, in.ForwardID, in.TimeLeft)
+	if reason != notRefused {
+		out.Refusal = string(reason)
+		return nil
+	}
+	defer end()
+	g.sendForwarded(ctx, in, out)
+	return nil
+}
+
+// Cancel cancels a request whose caller has disconnected.
+func (f Forward) Cancel(in *ForwardID, _ *struct{}) error {
+	f.gateway.forwarded.cancel(*in)
+	return nil
+}
+
+// Reach dials the targets with the given ids and returns those that accept a connection. It is asked for
+// the state of targets that another VM does not reach.
+func (f Forward) Reach(targets *[]string, out *[]string) error {
+	*out = f.gateway.dialTargets(f.gateway.ctx, *targets)
+	return nil
+}
+
+// sendForwarded sends a request that another VM has received.
+func (g *Gateway) sendForwarded(ctx context.Context, in *ForwardArgs, out *ForwardReply) {
+	c := g.forwardedCall(in)
+	defer c.body.release()
+	if c.body.reserve(int64(len(in.Body))) != nil {
+		out.Refusal = string(refusedByGate)
+		return
+	}
+	timeLeft := time.Until(c.deadline)
+	if timeLeft < minTimeLeft {
+		out.Refusal = string(refusedLate)
+		return
+	}
+	a, reason := g.reserveForwarded(c, timeLeft)
+	if a == nil {
+		out.Refusal = string(reason)
+		return
+	}
+	out.Target, out.Leases, out.HadFreeSlots = a.id, a.leases, a.hadFreeSlots
+	resp, err := g.exchange(ctx, c, a, timeLeft)
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		out.Refusal = string(refusedUnreached)
+		result := resultNotSent
+		if errors.Is(err, upstream.ErrNoKeptConn) {
+			result = resultAbandoned
+		}
+		g.state.finish(a, result)
+		return
+	case err != nil && ctx.Err() != nil:
+		g.state.finish(a, resultAbandoned)
+		out.Result = lostByPeer
+		return
+	case err != nil:
+		g.state.finish(a, resultResponseLost)
+		go g.recordCrashIfDown(c.digest, a)
+		out.Result = lostByPeer
+		return
+	}
+	g.finishForwarded(c, a, resp)
+	out.Result, out.Status, out.Header, out.Body = answeredToPeer, resp.Status, resp.Header, resp.Body
+}
+
+// finishForwarded updates the state of the target that responded to a forwarded request.
+func (g *Gateway) finishForwarded(c *call, a *attempt, resp *upstream.Answer) {
+	if g.headers.fromOtherTarget(resp, a.id) {
+		g.state.markDisplaced(a)
+	}
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest && c.keyed:
+		g.state.finish(a, resultAbandoned)
+		g.state.recordMisdirected(c.service)
+	case g.headers.saysNotRun(resp), resp.Status >= http.StatusInternalServerError:
+		g.state.finish(a, resultFailed)
+	default:
+		g.state.finish(a, resultSucceeded)
+		g.state.clearCrashes(c.digest)
+	}
+}
+
+// forwardedCall returns the call of a forwarded request.
+func (g *Gateway) forwardedCall(in *ForwardArgs) *call {
+	now := time.Now()
+	c := &call{
+		id: in.ID, service: in.Service, keyed: in.Keyed, key: in.Key, digest: in.Digest, misdirectedBy: in.MisdirectedBy,
+		route: &route.Route{Name: in.Route, Priority: in.Priority, Objective: in.Objective},
+		start: now, deadline: now.Add(in.TimeLeft), tried: make(map[string]bool), unreached: make(map[string]bool),
+		body: bodyReservation{memory: g.bodyMemory},
+	}
+	for _, target := range in.Tried {
+		c.tried[target] = true
+	}
+	header := in.Header
+	if header == nil {
+		header = make(http.Header)
+	}
+	c.request = &upstream.Request{
+		Method: in.Method, URI: in.URI, Host: in.Host, Header: header, Body: in.Body, ID: in.ID, IDHeader: g.headers.RequestID,
+	}
+	return c
+}
+
+// reserveForwarded reserves a target that this VM reaches itself.
+func (g *Gateway) reserveForwarded(c *call, timeLeft time.Duration) (*attempt, refusal) {
+	if c.keyed {
+		a, reason, _ := g.state.reserveOwnerOf(ownerRequest{
+			service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, forwarded: true,
+		}, timeLeft)
+		return a, reason
+	}
+	return g.state.reserveFromPool(c.service, c.route, c.tried, timeLeft, g.clock.Now())
+}
+
+// forwardedRequests are the requests that this VM sends for others. It is safe for concurrent use.
+type forwardedRequests struct {
+	mu      sync.Mutex
+	gate    *forwarding.Gate
+	leaving bool
+	running map[ForwardID]context.CancelFunc
+	// idle is closed when no request runs after leaving was set.
+	idle chan struct{}
+}
+
+// bytesPerForwarded is the memory to allow for one forwarded request with its response, and
+// forwardedMemoryShare the fraction of the VM's memory for all of them.
+const (
+	bytesPerForwarded    = 128 << 10
+	forwardedMemoryShare = 0.25
+)
+
+func newForwardedRequests(memoryMB float64) *forwardedRequests {
+	most := max(1, int(memoryMB*forwardedMemoryShare*(1<<20)/bytesPerForwarded))
+	return &forwardedRequests{gate: forwarding.NewGate(most), running: make(map[ForwardID]context.CancelFunc), idle: make(chan struct{})}
+}
+
+// begin accepts a request, or returns why it does not. end must be called when the request has ended.
+func (f *forwardedRequests) begin(parent context.Context, id ForwardID, timeLeft time.Duration) (ctx context.Context, end func(), reason refusal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaving {
+		return nil, nil, refusedLeaving
+	}
+	if !f.gate.Enter() {
+		return nil, nil, refusedByGate
+	}
+	ctx, cancel := context.WithTimeout(parent, timeLeft)
+	f.running[id] = cancel
+	return ctx, func() {
+		cancel()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.running, id)
+		f.gate.Leave()
+		f.closeIfIdleLocked()
+	}, notRefused
+}
+
+func (f *forwardedRequests) cancel(id ForwardID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cancel := f.running[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// closeIfIdleLocked closes idle if the last request has ended. It needs f.mu.
+func (f *forwardedRequests) closeIfIdleLocked() {
+	if !f.leaving || len(f.running) > 0 {
+		return
+	}
+	select {
+	case <-f.idle:
+	default:
+		close(f.idle)
+	}
+}
+
+// drain accepts no more requests.
+func (f *forwardedRequests) drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+	f.closeIfIdleLocked()
+}
+
+// await waits for the end of the requests after drain.
+func (f *forwardedRequests) await(ctx context.Context) {
+	select {
+	case <-f.idle:
+	case <-ctx.Done():
+	}
+}
+
+// observe adapts the number of accepted requests to the delay of this VM's work.
+func (f *forwardedRequests) observe(lag time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Observe(lag)
+}
+
+// gateInterval is the interval at which the delay of this VM's work is measured.
+const gateInterval = 50 * time.Millisecond
+
+// measureLag periodically measures by how much this VM's timers are late, until ctx ends.
+func (g *Gateway) measureLag(ctx context.Context) {
+	for {
+		began := time.Now()
+		if !pause.For(ctx, gateInterval) {
+			return
+		}
+		lag := time.Since(began) - gateInterval
+		metrics.GetOrRegisterTimer("step.lag", g.registry).Update(lag)
+		g.forwarded.observe(lag)
+	}
+}
--- /dev/null
+++ b/internal/gateway/forward_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/standin/link"
+)
+
+// newForwardingFleet returns a fleet whose first VM knows that it is cut off from all targets.
+func newForwardingFleet(t *testing.T) *cutFleet {
+	f := newCutFleet(t)
+	f.eachLink((*link.Link).Refuse, "")
+	for _, target := range f.cut.state.targets {
+		require.Error(t, f.cut.dial(t.Context(), target))
+	}
+	require.True(t, f.cut.state.cutOff())
+	return f
+}
+
+// Guards against a request that loses its body or headers, or runs twice, on its way through another VM.
+func TestForwardedRequestArrivesUnchanged(t *testing.T) {
+	f := newForwardingFleet(t)
+	body := strings.Repeat("b\x00", 40)
+	f.handle(func(w http.ResponseWriter, r *http.Request) {
+		got := make([]byte, len(body)+1)
+		n, _ := r.Body.Read(got)
+		require.Equal(t, body, string(got[:n]))
+		require.Equal(t, "/x?y=1", r.RequestURI)
+		require.Equal(t, "once.example", r.Host)
+		require.Equal(t, []string{"1", "2"}, r.Header["Custom"])
+		w.Header().Set("Stamp", "s")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write([]byte("answer"))
+	})
+	resp := f.cut.send("once.example", http.Header{"Custom": {"1", "2"}}, body)
+	require.Equal(t, http.StatusTeapot, resp.StatusCode)
+	require.Equal(t, "s", resp.Header.Get("Stamp"))
+	require.EqualValues(t, len("answer"), resp.ContentLength)
+	require.Equal(t, 1, f.runs("r-1"))
+}
+
+// Guards against a target that works longer on a forwarded request than its caller waits.
+func TestDeadlineOfForwardedRequestShrinks(t *testing.T) {
+	f := newForwardingFleet(t)
+	f.handle(func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get("Deadline"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, left, 500-int((responseMargin+hopMargin).Milliseconds()))
+	})
+	require.Equal(t, http.StatusOK, f.cut.send("once.example", http.Header{"Deadline": {"500"}}, "").StatusCode)
+}
+
+// Guards against requests that go round between VMs that are all cut off.
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
+	f := newForwardingFleet(t)
+	f.peer.mesh.Add(f.cut.self)
+	for _, server := range f.servers {
+		server.Close()
+	}
+	for _, host := range []string{"safe.example", "once.example", "keyed.example"} {
+		resp := f.cut.send(host, http.Header{"Key": {"7"}}, "")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	}
+	require.Zero(t, f.peer.forwardMetrics.sent.Count())
+}
+
+// Guards against a refusal that says "not run" although another VM may have sent the request.
+func TestRequestLostBetweenVMsMayHaveRun(t *testing.T) {
+	f := newForwardingFleet(t)
+	f.handle(func(_ http.ResponseWriter, r *http.Request) {
+		go f.peer.peers.Close()
+		<-r.Context().Done()
+	})
+	resp := f.cut.send("once.example", http.Header{"Deadline": {"400"}}, "")
+	require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, resp.StatusCode)
+	require.Equal(t, 1, f.runs("r-1"))
+}
+
+// Guards against a target that works on after the caller of a forwarded request has disconnected.
+func TestForwardedRequestIsCancelledWithItsCaller(t *testing.T) {
+	f := newForwardingFleet(t)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	f.handle(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	front := httptest.NewServer(f.cut.Gateway)
+	defer front.Close()
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, front.URL+"/x", nil)
+	require.NoError(t, err)
+	req.Host = "patient.example"
+	go func() {
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-started
+	leave()
+	select {
+	case <-cancelled:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the target works on")
+	}
+}
+
+// Guards against repeats that are counted at neither VM, or at both.
+func TestForwardedRequestIsRepeatedWithinItsBudget(t *testing.T) {
+	f := newForwardingFleet(t)
+	f.handle(resetConnection)
+	require.Equal(t, http.StatusBadGateway, f.cut.send("safe.example", nil, "").StatusCode)
+	require.Equal(t, 2, f.runs("r-1"), "the route allows two targets")
+	require.EqualValues(t, 1, f.cut.repeatCount("pool"))
+	require.Zero(t, f.peer.repeatCount("pool"))
+	require.Equal(t, http.StatusBadGateway, f.cut.send("once.example", nil, "").StatusCode)
+	require.Equal(t, 3, f.runs("r-1"), "may have run, so it is not repeated")
+}
+
+// Guards against a VM that closes the connections of others while it sends their requests.
+func TestLeavingVMFinishesForwardedRequests(t *testing.T) {
+	f := newForwardingFleet(t)
+	f.handle(func(w http.ResponseWriter, _ *http.Request) {
+		f.peer.forwarded.drain()
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		f.peer.forwarded.await(ended)
+		require.Len(t, f.peer.forwarded.running, 1)
+	})
+	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode)
+	f.peer.forwarded.await(t.Context())
+	require.Equal(t, http.StatusServiceUnavailable, f.cut.send("once.example", nil, "").StatusCode, "no more are accepted")
+	require.Equal(t, 1, f.runs("r-1"))
+}
+
+// Guards against requests for targets from processes that are not VMs of the fleet.
+func TestOnlyLiveVMsMayForward(t *testing.T) {
+	f := newForwardingFleet(t)
+	args := ForwardArgs{ForwardID: ForwardID{VM: "stranger", Incarnation: 1}, Service: "pool", TimeLeft: time.Second, Method: http.MethodGet, URI: "/"}
+	var reply ForwardReply
+	require.NoError(t, (Forward{f.peer.Gateway}).Send(&args, &reply))
+	require.Equal(t, string(refusedMember), reply.Refusal)
+	args.VM, args.Incarnation = "cut", f.cut.self.Incarnation-1
+	require.NoError(t, (Forward{f.peer.Gateway}).Send(&args, &reply))
+	require.Equal(t, string(refusedMember), reply.Refusal)
+}
+
+// Guards against a forwarded request that is sent more often than one that is not.
+func TestRefusedForwardedRequestIsSentAsOftenAsAnyOther(t *testing.T) {
+	f := newForwardingFleet(t)
+	f.handle(refuseAsNotRun)
+	for _, b := range []*testbed{f.cut, f.peer} {
+		resp := b.send("keyed.example", http.Header{"Key": {"7"}}, "")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	}
+	require.EqualValues(t, f.peer.repeatCount("keyed"), f.cut.repeatCount("keyed"))
+	require.EqualValues(t, 2+2*f.cut.repeatCount("keyed"), f.runs("r-1"))
+}
+
+// Guards against a VM that goes on forwarding after its paths are back.
+func TestVMServesByItselfAfterItsPathsAreBack(t *testing.T) {
+	f := newForwardingFleet(t)
+	require.Zero(t, f.failures(f.cut, 1))
+	sent := f.cut.forwardMetrics.sent.Count()
+	require.Positive(t, sent)
+	f.eachLink(func(l *link.Link) error { l.Heal(); return nil }, "")
+	for _, target := range f.cut.state.targets {
+		require.NoError(t, f.cut.dial(t.Context(), target))
+	}
+	require.False(t, f.cut.state.cutOff())
+	require.Zero(t, f.failures(f.cut, 10))
+	require.Equal(t, sent, f.cut.forwardMetrics.sent.Count())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/decide/forwarding"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
@@ -46,7 +47,16 @@
 	bodyMemory bodyMemory
 	// transfers sends configurations and lists of targets to other VMs.
 	transfers *transfers
-	leasing   *leasing.Manager
+	// forwarded are the requests that this VM sends for others, forwardClients the connections over which
+	// others send requests for this one.
+	forwarded      *forwardedRequests
+	forwardClients *peer.Pool
+	forwardMetrics forwardMetrics
+	forwardCount   atomic.Uint64
+	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
+	routerMu sync.Mutex
+	router   *forwarding.Router
+	leasing  *leasing.Manager
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -112,6 +122,8 @@
 	}
 	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult}
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
+	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
+	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
 	g.sighups = make(chan os.Signal, 1)
 	g.grace.Store(int64(s.Grace))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
@@ -146,7 +158,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats,
+		g.watchConfig, g.watchTargets, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag,
 	} {
 		go duty(g.ctx)
 	}
@@ -191,6 +203,7 @@
 	return errors.Join(
 		g.peers.Register("Mesh", mesh.Service{Mesh: g.mesh}),
 		g.peers.Register("View", View{g}),
+		g.peers.Register("Forward", Forward{g}),
 		g.peers.Register("Store", storerelay.NewService(g.ctx, g.store, g.storeUp.Load)),
 	)
 }
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -36,8 +36,10 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	lost, lostFor := t.path.Lost(), t.path.LostFor(now)
+	t.waitingSince = now
 	if opened {
 		t.path.Opened(now)
+		t.pick.Reached()
 	} else {
 		t.path.Answered(now)
 	}
@@ -45,7 +47,7 @@
 		s.log.Info().Str("step", "paths").Str("target", t.ID).Dur("lostFor", lostFor).Msg("target reached again")
 	}
 	if s.vantage.Reached(t.ID, now) {
-		s.logVantageLocked(now)
+		s.handleVantageLocked(now)
 	}
 }
 
@@ -55,7 +57,11 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	since, answered := t.path.SinceAnswer(now)
-	if t.path.DialFailed(began, now, dialFailure(err)) {
+	changed := t.path.DialFailed(began, now, dialFailure(err))
+	if t.path.Silent() {
+		t.abortAttempts()
+	}
+	if changed {
 		reaching, others := s.reachedBy(t.hash)
 		e := s.log.Info().Str("step", "paths").Str("target", t.ID).Str("service", t.Service).Err(err).
 			Int("reachedBy", reaching).Int("otherVMs", others)
@@ -64,13 +70,39 @@
 		}
 		e.Msg("target not reached")
 		if s.vantage.DialFailed(t.ID, len(s.targets), began, now) {
-			s.logVantageLocked(now)
+			s.handleVantageLocked(now)
 		}
 	}
 }
 
-// logVantageLocked logs a change of the conclusion whether this VM is cut off. It needs s.mu.
-func (s *routingState) logVantageLocked(now time.Duration) {
+// abortIfSilent has the attempt aborted when its target turns out to be silent, so that the request can be
+// sent again through another VM. The returned function ends that.
+func (s *routingState) abortIfSilent(a *attempt, abort context.CancelFunc) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.target.inFlight[a] = abort
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(a.target.inFlight, a)
+	}
+}
+
+func (t *targetState) abortAttempts() {
+	for _, abort := range t.inFlight {
+		abort()
+	}
+}
+
+// handleVantageLocked logs a change of the conclusion whether this VM is cut off, and announces it
+// to the other VMs. It needs s.mu.
+func (s *routingState) handleVantageLocked(now time.Duration) {
+	s.announce()
+	if s.vantage.CutOff() {
+		for _, t := range s.targets {
+			t.abortAttempts()
+		}
+	}
 	s.log.Warn().Str("step", "paths").Bool("cutOff", s.vantage.CutOff()).Int("lost", s.vantage.LostTargets()).
 		Dur("sinceAnswer", s.vantage.SinceAnswer(now)).Msg("cut off from all targets, or connected again")
 }
@@ -90,6 +122,19 @@
 	return fmt.Sprintf("unreached for %dms, reached by %d of %d other VMs", t.path.LostFor(now).Milliseconds(), reaching, others)
 }
 
+// usableLocked returns the connections to a target that a request may use. It needs s.mu.
+func (s *routingState) usableLocked(t *targetState) reach.Usable {
+	if s.vantage.CutOff() {
+		return reach.NoConn
+	}
+	return t.path.Usable()
+}
+
+// pathLostLocked reports whether this VM opens no connections to a target. It needs s.mu.
+func (s *routingState) pathLostLocked(t *targetState) bool {
+	return s.vantage.CutOff() || t.path.Lost()
+}
+
 // cutOff reports whether this VM counts as cut off from all targets.
 func (s *routingState) cutOff() bool {
 	s.mu.Lock()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -122,3 +122,10 @@
 	}
 	return out
 }
+
+// forwardMetrics counts the requests that other VMs send for this one.
+type forwardMetrics struct{ sent metrics.Counter }
+
+func newForwardMetrics(r metrics.Registry) forwardMetrics {
+	return forwardMetrics{sent: metrics.GetOrRegisterCounter("forward.sent", r)}
+}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/decide/reach"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
@@ -32,6 +33,12 @@
 	// vmsUsing is the number of VMs that sent requests to the target at the time of the
 	// reservation.
 	vmsUsing int
+	// conn says which connections the attempt may use.
+	conn upstream.ConnPolicy
+	// peer is the VM that sends the request, or empty if this one does. Then target is nil.
+	peer string
+	// hadFreeSlots reports whether the target had free slots at the time of the reservation.
+	hadFreeSlots bool
 }
 
 // refusal is the reason why no target was reserved.
@@ -56,6 +63,8 @@
 	refusedCold    refusal = "owner is full and the key cold"
 	// refusedHot: the owner can run only a fraction of the requests for the key.
 	refusedHot refusal = "key is hotter than its owner"
+	// refusedUnreached: this VM does not reach the target. Another one may.
+	refusedUnreached refusal = "target not reached"
 	// refusedLeaving: this VM is shutting down. Another one can serve the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
@@ -71,20 +80,58 @@
 	s.startIndex++
 	job := pick.Job{Usual: s.usualDurationLocked(service, rt.Name), Objective: rt.Objective, StartIndex: s.startIndex, MayUseReserve: s.mayUseReserveLocked(service, rt.Priority)}
 	for _, c := range []candidates{p.subset, p.all} {
-		i := pick.Choose(c.states, job, func(i int) bool { return tried[c.targets[i].ID] || c.targets[i].displaced }, now)
+		i := pick.Choose(c.states, job, func(i int) bool {
+			t := c.targets[i]
+			return tried[t.ID] || t.displaced || s.usableLocked(t) == reach.NoConn
+		}, now)
 		if i >= 0 {
 			return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
 		}
 	}
+	if s.mostLostLocked(p, tried) {
+		return nil, refusedUnreached
+	}
 	return nil, refusedFull
 }
 
+// mostLostLocked reports whether the paths to targets of the pool are lost, and none of the others is left
+// to try or they are so few that other VMs are likely to have room. It needs s.mu.
+func (s *routingState) mostLostLocked(p *servicePool, tried map[string]bool) bool {
+	lost, left := 0, 0
+	for _, t := range p.all.targets {
+		switch {
+		case t.displaced:
+		case s.pathLostLocked(t):
+			lost++
+		case !tried[t.ID]:
+			left++
+		}
+	}
+	return lost > left
+}
+
 // reserveOwner reserves the target that owns the key. The leases must be later than misdirected,
 // the version by which the request was misdirected before. On a refusal, it also returns the
 // inputs of the decision.
 func (s *routingState) reserveOwner(service string, rt *route.Route, key uint16, misdirected mesh.LeaseVersion, timeLeft time.Duration) (*attempt, refusal, string) {
+	return s.reserveOwnerOf(ownerRequest{service: service, route: rt, key: key, misdirected: misdirected}, timeLeft)
+}
+
+// ownerRequest is a request for a key.
+type ownerRequest struct {
+	service     string
+	route       *route.Route
+	key         uint16
+	misdirected mesh.LeaseVersion
+	// forwarded requests have passed the limit on hot keys at the VM that received them.
+	forwarded bool
+}
+
+// reserveOwnerOf is reserveOwner for a request.
+func (s *routingState) reserveOwnerOf(req ownerRequest, timeLeft time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	service, rt, key := req.service, req.route, req.key
 	r := s.leases.Get(service)
 	if r == nil {
 		return nil, refusedMoving, "no leases known"
@@ -99,14 +146,18 @@
 		return nil, refusedLost, owner + " waits for a target that does not answer"
 	case t == nil:
 		return nil, refusedLost, owner + " is not listed"
-	case t.displaced, t.Draining && now > t.drainsUntil, t.pick.BackingOff(now):
-		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t resting %t %s", owner, t.displaced, t.Draining, t.pick.BackingOff(now), s.describePathLocked(t, now))
-	case !r.After(misdirected.Epoch, misdirected.Seq):
+	case t.displaced, t.Draining && now > t.drainsUntil:
+		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t", owner, t.displaced, t.Draining)
+	case !r.After(req.misdirected.Epoch, req.misdirected.Seq):
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case t.pick.FullFor(s.mayUseReserveLocked(service, rt.Priority)):
 		return nil, refusedFull, t.describeLoad()
-	case rand.Float64() >= r.LimitOf(key).Fraction():
+	case !req.forwarded && rand.Float64() >= r.LimitOf(key).Fraction():
 		return nil, refusedHot, fmt.Sprintf("%s part %.3f epoch %d seq %d", owner, r.LimitOf(key).Fraction(), r.Epoch, r.Seq)
+	case s.usableLocked(t) == reach.NoConn:
+		return nil, refusedUnreached, owner + " " + s.describePathLocked(t, now)
+	case s.usableLocked(t) == reach.AnyConn && t.pick.BackingOff(now):
+		return nil, refusedLost, fmt.Sprintf("%s resting", owner)
 	}
 	cold := state == lease.Cold
 	if cold && !t.pick.AcceptsCold() {
@@ -135,11 +186,19 @@
 	a := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
 		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), vmsUsing: vmsUsing,
+		hadFreeSlots: t.pick.Load() < t.pick.Slots,
+	}
+	if s.usableLocked(t) == reach.KeptConn {
+		a.conn = upstream.KeptConn
 	}
 	// The actual time is rarely less than half of the expected time.
 	if usual > 0 && t.pick.Load() > t.pick.Slots && a.expected/2 > timeLeft {
 		return nil, refusedLate
 	}
+	if t.pick.Own == 0 {
+		t.waitingSince = s.clock.Now()
+	}
+	t.expected = a.expected
 	t.pick.Sent(vmsUsing)
 	s.inUse[t] = struct{}{}
 	return a, notRefused
@@ -163,8 +222,12 @@
 	resultAbandoned
 )
 
-// finish releases the target of an attempt and updates its statistics.
+// finish releases the target of an attempt and updates its statistics. If another VM sent the request, it
+// does so there.
 func (s *routingState) finish(a *attempt, result attemptResult) {
+	if a.target == nil {
+		return
+	}
 	took := time.Since(a.sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,7 +262,7 @@
 func (s *routingState) markDisplaced(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.target.displaced {
+	if a.target == nil || a.target.displaced {
 		return
 	}
 	a.target.displaced = true
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -41,8 +41,10 @@
 	err := g.shutdownFront(stopCtx, time.Until(end)-leaving.AnswerDelivery)
 	g.log.Info().Str("step", "stop").Dur("took", time.Since(begin)).Err(err).Int("leading", g.leasing.Leading()).Msg("front closed")
 	g.leasing.AwaitSuccessors(stopCtx)
+	g.forwarded.await(stopCtx)
 	g.cancel()
 	g.mesh.Close()
+	g.forwardClients.Close()
 	g.peers.Close()
 	g.life.MarkDrained()
 	return errors.Join(err, g.ready.Close())
@@ -60,6 +62,7 @@
 func (g *Gateway) beginLeaving() {
 	g.leavingSince.Store(int64(g.clock.Now()))
 	g.leaving.Store(true)
+	g.forwarded.drain()
 }
 
 // shutdownElapsed returns the time since the graceful shutdown began.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +89,13 @@
 	pick        pick.State
 	// path is what this VM knows of its own path to the target.
 	path reach.Path
+	// waitingSince is the later of the time since which requests of this VM are in flight at the target
+	// and that of the target's last answer.
+	waitingSince time.Duration
+	// expected is the expected duration of the request that was last sent to the target.
+	expected time.Duration
+	// inFlight holds the idempotent attempts in flight with the functions that abort them.
+	inFlight map[*attempt]context.CancelFunc
 	// vmsUsing is the number of VMs that have the target in their subset of the pool, or 0 if this
 	// VM does not.
 	vmsUsing int
@@ -224,7 +232,7 @@
 	added := &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
-		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre},
+		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
 	if t.Draining {
 		added.drainsUntil = s.clock.Now() + drainingOwnerGrace
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -89,8 +89,8 @@
 	KeptConn
 )
 
-// errNoKeptConn says that no kept connection is left.
-var errNoKeptConn = errors.New("no kept connection")
+// ErrNoKeptConn says that no kept connection is left for an exchange that must not dial.
+var ErrNoKeptConn = errors.New("no kept connection")
 
 // Pool keeps the connections to one target. It is safe for concurrent use.
 type Pool struct {
@@ -169,7 +169,7 @@
 		c.close()
 	}
 	if choice == KeptConn {
-		return nil, errNoKeptConn
+		return nil, ErrNoKeptConn
 	}
 	return p.dial(ctx)
 }
