gateway: a lost path is not reported as a crash

What was seen: VMs that were cut from their targets logged 132 times in six seconds that a target ended while it ran a request; the counts travel in heartbeats, so requests that run on three such targets are refused on all VMs.

Cause: the check dialled the target from the VM that had lost the answer. Its path was taken for the state of the target.

Now a target counts as crashed only if another VM does not reach it either, and never while this VM is cut off. TestLostPathIsNotReportedAsCrash failed before (six targets reported); TestTargetThatNoVMReachesIsReportedAsCrashed guards the other side.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -11,9 +11,6 @@
 // maxSuspectDigests bounds the number of requests that are suspected of crashing targets.
 const maxSuspectDigests = 512
 
-// crashCheckTimeout bounds the connection attempt that checks whether a target is down.
-const crashCheckTimeout = 300 * time.Millisecond
-
 // crashRetention is how long a crashed target counts against a request. Callers retry within
 // seconds. A harmless request that was running on the same target must not be refused
 // indefinitely.
@@ -93,13 +90,14 @@
 	return out
 }
 
-// recordCrashIfDown records a crash if a target that lost a response does not accept connections.
-// If it does, the response was lost for another reason.
+// recordCrashIfDown records a crash if a target that lost a response accepts connections neither from
+// this VM nor from another. If it does, the response was lost for another reason, such as the path of
+// this VM.
 func (g *Gateway) recordCrashIfDown(digest uint64, a *attempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	if err := a.pool.Connect(ctx); err != nil {
-		g.log.Warn().Str("step", "crash").Str("target", a.id).Uint64("content", digest).Err(err).Msg("target ended while it ran the request")
-		g.state.recordCrash(digest, a.id)
+	err := g.dial(context.Background(), a.target)
+	if err == nil || g.state.cutOff() || g.reachedByOthers(context.Background(), []string{a.id}) > 0 {
+		return
 	}
+	g.log.Warn().Str("step", "crash").Str("target", a.id).Uint64("content", digest).Err(err).Msg("target ended while it ran the request")
+	g.state.recordCrash(digest, a.id)
 }
