leasing: a grantor that is cut off from its owners yields, and successors show that they reach them

The grantor was cut and resigned; its successor was cut as well and neither granted anything nor resigned.

Cause: an owner that never answered this grantor counted as silent for 0 s, so that a successor which reached none saw no silent owner (logged: 36 connections a second not opened, silentOwners 0 of 10). The succession knew nothing of paths to targets.

Now silence counts from the begin of the epoch and includes owners to which no connection is opened. A grantor with most owners silent asks other VMs whether they reach them, and resigns if one does; if none does, it stays, and the keys move to owners that answer. VMs that report most of the service's targets as unreached rank last, and a VM dials four targets before it takes over.

TestGrantorThatNeverReachesItsOwnersResigns failed before.

--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,8 @@
 	candidateTick = 100 * time.Millisecond
 	// rankDelay is how much longer each VM in the order of succession waits than the one before it.
 	rankDelay = 400 * time.Millisecond
+	// ownersChecked is the number of targets that a VM dials before it takes over.
+	ownersChecked = 4
 	// closeMonitors is the number of VMs that monitor the grantor closely. It includes the grantor
 	// itself, which usually has the first rank.
 	closeMonitors = 4
@@ -87,12 +90,13 @@
 func (c *candidate) run(ctx context.Context) {
 	c.resume(ctx)
 	var takeOverAt time.Duration
+	checked := false
 	for pause.For(ctx, candidateTick) {
 		now := c.Clock.Now()
 		c.monitorGrantor(now)
 		rank, grantorHealthy := c.succession()
 		if grantorHealthy || rank < 0 {
-			takeOverAt = 0
+			takeOverAt, checked = 0, false
 			continue
 		}
 		if takeOverAt == 0 {
@@ -101,13 +105,35 @@
 		if now < takeOverAt {
 			continue
 		}
-		takeOverAt = 0
+		if !checked && !c.reachesOwners(ctx) {
+			// The others come first. If none of them takes over, this VM still must.
+			checked, takeOverAt = true, now+time.Duration(c.Mesh.Size())*rankDelay
+			continue
+		}
+		takeOverAt, checked = 0, false
 		if err := c.takeOver(ctx); err != nil {
 			c.Log.Warn().Str("step", "leases").Str("service", c.service).Int("rank", rank).Err(err).Msg("not taken over")
 		}
 	}
 }
 
+// reachesOwners dials some targets of the service and reports whether at least half of them accept the
+// connection.
+func (c *candidate) reachesOwners(ctx context.Context) bool {
+	list := c.TargetDirectory.View().ByService[c.service]
+	var ids []string
+	for _, i := range rand.Perm(len(list))[:min(len(list), ownersChecked)] {
+		ids = append(ids, list[i].ID)
+	}
+	reached := c.Reach.ReachedHere(ctx, ids)
+	if 2*reached >= len(ids) {
+		return true
+	}
+	c.Log.Warn().Str("step", "leases").Str("service", c.service).Int("dialled", len(ids)).Int("reached", reached).
+		Msg("not taken over yet: this VM does not reach the owners")
+	return false
+}
+
 // monitorGrantor makes this VM monitor the grantor closely while it is one of the first successors.
 // Without close monitoring, a VM in a large fleet counts as lost only after more than a hold.
 func (c *candidate) monitorGrantor(now time.Duration) {
@@ -162,8 +188,8 @@
 	if leaving {
 		rank += min(c.Mesh.NonLeavingPeers(), closeMonitors)
 	}
-	if int64(now) < c.demotedUntil.Load() {
-		// All others come first. If all have resigned, one of them must still take over.
+	if int64(now) < c.demotedUntil.Load() || !c.LocalState.ReachesOwners(c.service) {
+		// All others come first. If there is none, one of these VMs must still take over.
 		rank += c.Mesh.Size()
 	}
 	return rank, false
--- a/internal/gateway/leasing/helpers_test.go
+++ b/internal/gateway/leasing/helpers_test.go
@@ -101,6 +101,7 @@
 func (s localState) Leaving() bool                { return s.n.leaving.Load() }
 func (s localState) TimeUntilExit() time.Duration { return time.Duration(s.n.endsIn.Load()) }
 func (s localState) SuccessionRank(string) int    { return s.n.mesh.Size() - 1 }
+func (s localState) ReachesOwners(string) bool    { return true }
 func (s localState) WriteID() string              { return strconv.FormatUint(s.n.tags.Add(1), 10) }
 
 // emptyDirectory is a directory without routes and targets.
--- a/internal/gateway/leasing/incarnations.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,7 +100,9 @@
 }
 
 func (l *leader) checkIncarnations(ctx context.Context, owners []lease.Owner, senders []*orderSender) {
+	began := l.Clock.Now()
 	connected := connectAll(ctx, owners, senders)
+	ended := l.Clock.Now()
 	var confirmed []lease.Owner
 	var record lease.Record
 	sent := l.Clock.Now()
@@ -116,6 +119,11 @@
 	l.enqueue(ctx, func() {
 		l.checkingIncarnations = false
 		l.orders.unconnected += len(owners) - len(connected)
+		for _, o := range owners {
+			if !slices.Contains(connected, o) {
+				l.grants.MarkUnconnected(o, began, ended)
+			}
+		}
 		if err != nil || len(connected) == 0 {
 			return
 		}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -70,9 +70,12 @@
 	// nextPublish is when changed leases may be published again.
 	nextPublish      time.Duration
 	nextSilenceCheck time.Duration
-	senders          map[lease.Owner]*orderSender
-	load             *loadView
-	lagMeter         *fitness.Meter
+	// queryingReach reports whether other VMs are being asked which owners they reach.
+	queryingReach  bool
+	nextReachQuery time.Duration
+	senders        map[lease.Owner]*orderSender
+	load           *loadView
+	lagMeter       *fitness.Meter
 	// latestBorn is the start of each target's latest incarnation, by target id.
 	latestBorn map[string]int64
 	orders     orderReport
@@ -139,9 +142,10 @@
 		return
 	}
 	slow := l.lagMeter.RecordStep(now)
-	if slow || l.shouldHandOver() || l.mostOwnersSilent(now) {
+	if slow || l.shouldHandOver() {
 		l.tryResign(ctx, now)
 	}
+	l.yieldIfIsolated(ctx, now)
 	if l.resigning {
 		return
 	}
@@ -172,23 +176,7 @@
 		return false
 	}
 	l.nextSilenceCheck = now + planInterval
-	return fitness.Isolated(l.countSilentOwners(now))
-}
-
-// countSilentOwners returns the number of listed owners that leave orders unanswered, and the number
-// of all listed owners.
-func (l *leader) countSilentOwners(now time.Duration) (silent, owners int) {
-	seen := make(map[lease.Owner]bool)
-	for _, s := range l.grants.Record().Slices {
-		if seen[s.Owner] || !l.isListed(s.Owner) {
-			continue
-		}
-		seen[s.Owner] = true
-		if l.grants.SilentFor(s.Owner, now) >= minOwnerSilence {
-			silent++
-		}
-	}
-	return silent, len(seen)
+	return fitness.Isolated(len(l.silentOwners(now)), len(l.listedOwners()))
 }
 
 // tryResign resigns if the store answers. Without the store no VM could take over, and all keys would
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -40,6 +40,7 @@
 	StoreTimeout, StoreRetryDelay time.Duration
 
 	Mesh            Mesh
+	Reach           Reach
 	Leases          *published.Leases
 	LocalState      LocalState
 	TargetDirectory TargetDirectory
@@ -100,6 +101,8 @@
 	// SuccessionRank returns this VM's rank, from 0, in the order of succession of a service's
 	// grantor. A leaving VM is ranked among the leaving VMs.
 	SuccessionRank(service string) int
+	// ReachesOwners reports whether this VM reaches enough targets of a service to be its grantor.
+	ReachesOwners(service string) bool
 	// WriteID returns an identifier that no other write has.
 	WriteID() string
 }
--- a/internal/gateway/leasing/orderreport.go
+++ b/internal/gateway/leasing/orderreport.go
@@ -40,9 +40,8 @@
 		r.done = 0
 		return
 	}
-	silent, owners := l.countSilentOwners(now)
 	l.Log.Info().Str("step", "orders").Str("service", l.service).Uint64("epoch", l.grants.Record().Epoch).
-		Int("done", r.done).Int("failed", r.failed).Int("unconnected", r.unconnected).Int("silentOwners", silent).Int("owners", owners).
+		Int("done", r.done).Int("failed", r.failed).Int("unconnected", r.unconnected).Int("silentOwners", len(l.silentOwners(now))).Int("owners", len(l.listedOwners())).
 		Dur("sinceAnswer", now-r.answeredAt).Msg("orders of the grantor")
 	r.done, r.failed, r.unconnected = 0, 0, 0
 }
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"hemlockquay/internal/catalog"
@@ -13,7 +14,7 @@
 	return leasing.New(g.ctx, leasing.Deps{
 		Self: g.self, Clock: g.clock, Log: g.log, Registry: g.registry, MaxHold: g.settings.HoldMost.D(),
 		Store: g.leaseStore(), StoreTimeout: storeTimeout, StoreRetryDelay: maxStoreBackoff,
-		Mesh: g.mesh, Leases: g.state.leases, LocalState: state, TargetDirectory: state, OrderCodec: g.adapter,
+		Mesh: g.mesh, Reach: state, Leases: g.state.leases, LocalState: state, TargetDirectory: state, OrderCodec: g.adapter,
 		TargetIDHeader: g.headers.TargetID, InstanceIDHeader: g.headers.InstanceID,
 	})
 }
@@ -42,6 +43,11 @@
 // SuccessionRank implements leasing.LocalState.
 func (g leasingAdapter) SuccessionRank(service string) int { return g.gateway.successionPlace(service) }
 
+// ReachesOwners implements leasing.LocalState.
+func (g leasingAdapter) ReachesOwners(service string) bool {
+	return g.gateway.state.reachesMost(service)
+}
+
 // WriteID implements leasing.LocalState.
 func (g leasingAdapter) WriteID() string { return g.gateway.tag() }
 
@@ -82,3 +88,13 @@
 func (g leasingAdapter) TakeKeyLoad(service string) leasing.KeyLoad {
 	return g.gateway.state.takeKeyLoad(service)
 }
+
+// ReachedHere implements leasing.Reach.
+func (g leasingAdapter) ReachedHere(ctx context.Context, targets []string) int {
+	return len(g.gateway.dialTargets(ctx, targets))
+}
+
+// ReachedByOthers implements leasing.Reach.
+func (g leasingAdapter) ReachedByOthers(ctx context.Context, targets []string) int {
+	return g.gateway.reachedByOthers(ctx, targets)
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -80,17 +80,6 @@
 // Mbit/s the renewals of hundreds of ranges compete with requests.
 func (g *Gateway) place(duty string, fit func(vm string) bool) int { return g.mesh.Rank(duty, fit) }
 
-// successionPlace returns this VM's place in the succession of a service's grantor. VMs that do
-// not reach the store have a place too: they can be grantors through a relay, and while no VM
-// reaches the store, they must not all take the first place and try at the same time. A VM that is
-// shutting down has a place among those that are.
-func (g *Gateway) successionPlace(service string) int {
-	if g.leaving.Load() {
-		return g.mesh.RankAmongLeaving(service)
-	}
-	return g.place(service, func(string) bool { return true })
-}
-
 func (g *Gateway) listKind(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -22,6 +22,8 @@
 	timing Timing
 	record Record
 	states []leaseState
+	// began is when the epoch began.
+	began time.Duration
 	// confirmed is when the last request was sent in which the store confirmed the epoch.
 	confirmed time.Duration
 	// lastFence is the last fence that was issued.
@@ -110,7 +112,7 @@
 // NewGrantor returns the grantor of a record that it has just written with its own epoch. sent and done
 // are the times at which the write was sent and answered.
 func NewGrantor(r Record, t Timing, sent, done time.Duration, prior PriorGrants) *Grantor {
-	g := &Grantor{timing: t, record: r, confirmed: sent, lastFence: r.Epoch << epochShift}
+	g := &Grantor{timing: t, record: r, began: done, confirmed: sent, lastFence: r.Epoch << epochShift}
 	g.confirmedOwners, g.endedOwners, g.breakers = make(map[Owner]bool), make(map[Owner]bool), make(map[Owner]*circuitBreaker)
 	g.states = make([]leaseState, len(r.Slices))
 	for i := range g.states {
@@ -284,12 +286,17 @@
 // opened, and that the epoch was still valid after that.
 func (g *Grantor) MarkConfirmed(o Owner) { g.confirmedOwners[o] = true }
 
-// SilentFor returns for how long an owner has left orders unanswered. It returns 0 if the last order was
-// answered, or if none ever was.
+// MarkUnconnected records that no connection to an owner could be opened.
+func (g *Grantor) MarkUnconnected(o Owner, began, ended time.Duration) {
+	g.breaker(o).record(Unreached, began, ended, g.timing.Retry)
+}
+
+// SilentFor returns for how long an owner has left orders unanswered, or could not be connected to,
+// since its last answer or the begin of the epoch. It returns 0 if the last order was answered.
 func (g *Grantor) SilentFor(o Owner, now time.Duration) time.Duration {
 	c := g.breakers[o]
-	if c == nil || c.failures == 0 || c.lastAnswered == 0 {
+	if c == nil || c.failures == 0 {
 		return 0
 	}
-	return now - c.lastAnswered
+	return now - max(c.lastAnswered, g.began)
 }
