forwarding: test that a VM which turns slow carries fewer requests

Taken out once each: without the limit the only VM that reaches the targets delays its own callers by minutes, without adapting it to the delay by 0.7 s, and by 4 s once it turns slow. A decrease of 1.0 in place of 0.7 is not found: the limit is reduced to what is in flight in any case.

--- a/internal/decide/forwarding/forwarding_test.go
+++ b/internal/decide/forwarding/forwarding_test.go
@@ -111,7 +111,9 @@
 	// ends are the times at which the forwarded requests in flight end.
 	ends []time.Duration
 	// owed is the fraction of a request that has not arrived yet.
-	owed                              float64
+	owed float64
+	// slowness is the factor by which each request takes longer than requestTime.
+	slowness                          int
 	sent, forwarded, refused, carried int
 	worstLag                          time.Duration
 }
@@ -129,7 +131,7 @@
 func newSimulation(vms, cut int) *simulation {
 	s := new(simulation)
 	for i := range vms {
-		s.vms = append(s.vms, &simVM{cut: i < cut, gate: NewGate(700), router: NewRouter(7919 * i)})
+		s.vms = append(s.vms, &simVM{cut: i < cut, slowness: 1, gate: NewGate(700), router: NewRouter(7919 * i)})
 	}
 	return s
 }
@@ -174,7 +176,7 @@
 // request lets one request arrive at a VM.
 func (s *simulation) request(v *simVM, peers []Peer, byName map[string]*simVM) {
 	v.sent++
-	v.backlog += requestTime
+	v.backlog += v.requestTime()
 	if !v.cut {
 		return
 	}
@@ -189,7 +191,7 @@
 		if other.gate.Enter() {
 			v.forwarded++
 			other.carried++
-			other.backlog += requestTime
+			other.backlog += other.requestTime()
 			other.ends = append(other.ends, s.now+targetTime+other.backlog)
 			return
 		}
@@ -198,6 +200,8 @@
 	v.refused++
 }
 
+func (v *simVM) requestTime() time.Duration { return time.Duration(v.slowness) * requestTime }
+
 func (v *simVM) endRequests(now time.Duration) {
 	kept := v.ends[:0]
 	for _, end := range v.ends {
@@ -249,3 +253,19 @@
 		})
 	}
 }
+
+// Guards against a VM that turns slow and goes on carrying as many requests of others as before.
+func TestVMThatTurnsSlowCarriesFewerRequests(t *testing.T) {
+	for _, vms := range []int{10, 100, 300} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			s := newSimulation(vms, vms-1)
+			s.run(5 * time.Second)
+			last := s.vms[vms-1]
+			last.slowness = 4
+			s.run(2 * time.Second)
+			last.worstLag = 0
+			s.run(10 * time.Second)
+			require.Less(t, last.worstLag, 100*ms, "delay of its own callers")
+		})
+	}
+}
