gateway: a VM that counts as cut off checks the targets that it may still reach

A VM that lost three targets while none answered counted as cut off, and dialled only targets whose own path was lost. Now it also dials targets of which it does not know, until two of them answer.

--- a/internal/decide/reach/path.go
+++ b/internal/decide/reach/path.go
@@ -135,5 +135,14 @@
 	return true
 }
 
+// BeginCheck is BeginProbe for a path that is not known to be lost.
+func (p *Path) BeginCheck() bool {
+	if p.dialsFail || p.probing {
+		return false
+	}
+	p.probing = true
+	return true
+}
+
 // EndProbe records that a probe has ended. Its result is recorded by Opened or DialFailed.
 func (p *Path) EndProbe() { p.probing = false }
--- a/internal/decide/reach/reach_test.go
+++ b/internal/decide/reach/reach_test.go
@@ -121,6 +121,26 @@
 	require.False(t, v.CutOff())
 }
 
+// Guards against a VM that counts as cut off as long as some of the targets are lost.
+func TestCutOffVMChecksTargetsThatItMayStillReach(t *testing.T) {
+	var v Vantage
+	require.False(t, v.MustCheck("d"))
+	for _, target := range []string{"a", "b", "c"} {
+		v.DialFailed(target, 20, 10*ms, 20*ms)
+	}
+	var p Path
+	require.True(t, v.MustCheck("d") && p.BeginCheck())
+	require.False(t, p.BeginCheck(), "one probe at a time")
+	p.EndProbe()
+	v.Reached("d", 100*ms)
+	require.False(t, v.MustCheck("d"))
+	require.True(t, v.MustCheck("e"))
+	v.Reached("e", 110*ms)
+	require.False(t, v.MustCheck("f"))
+	p.DialFailed(0, 0, TimedOut)
+	require.False(t, p.BeginCheck(), "lost, so BeginProbe decides")
+}
+
 // Guards against a VM that learns of a silent cut only when its requests time out.
 func TestSilentTargetsAreSuspected(t *testing.T) {
 	var v Vantage
--- a/internal/decide/reach/vantage.go
+++ b/internal/decide/reach/vantage.go
@@ -74,6 +74,10 @@
 	return true
 }
 
+// MustCheck reports whether a target whose own path is not known to be lost must be dialled, because the VM
+// counts as cut off. Otherwise a VM that still reaches some targets would never find out.
+func (v *Vantage) MustCheck(target string) bool { return v.cutOff && !v.reached[target] }
+
 // DialFailed records the first failed dial of a target that was reached before, which began at the
 // given time; listed is the number of targets. It reports whether the conclusion changed. Further
 // failed dials of the same target show nothing new.
--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -12,6 +12,7 @@
 
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/standin/link"
 	"hemlockquay/internal/standin/link/linktest"
@@ -159,6 +160,24 @@
 	}
 }
 
+// Guards against fleets that use no target at all while every VM is cut from most of them.
+func TestTargetsThatAreStillReachedAreUsedIfNoOtherVMReachesMore(t *testing.T) {
+	f := newCutFleet(t)
+	f.eachLink((*link.Link).Refuse, "k", "p-0")
+	for _, id := range []string{"k-0", "k-1", "p-0"} {
+		require.Error(t, f.cut.dial(t.Context(), f.cut.state.targets[id]))
+	}
+	require.True(t, f.cut.state.cutOff())
+	f.cut.receiveHeartbeat(mesh.Heartbeat{From: f.peer.self, CutOff: true})
+	for range 4 {
+		for _, p := range f.cut.state.pathsToProbe(maxProbes) {
+			f.cut.state.endProbe(p, f.cut.dial(t.Context(), p.target))
+		}
+	}
+	require.False(t, f.cut.state.cutOff())
+	require.Equal(t, http.StatusOK, f.cut.send("safe.example", nil, "").StatusCode)
+}
+
 // Guards against refusing requests that open connections carry while new ones are refused.
 func TestOpenConnectionsServeWhileNewOnesAreRefused(t *testing.T) {
 	f := newCutFleet(t)
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -86,7 +86,7 @@
 		if len(out) >= most {
 			break
 		}
-		if t.path.BeginProbe(now) {
+		if t.path.BeginProbe(now) || s.vantage.MustCheck(t.ID) && t.path.BeginCheck() {
 			out = append(out, probe{target: t})
 		}
 	}
