leasing: an isolated grantor moves no keys and insists on yielding; silent targets are used again

Three causes: - the grantor learned that another VM reaches its silent owners, tried once to resign while a write was in flight, and not again; meanwhile it moved the keys of the silent owners to the only one it reached. Now it tries for two seconds and plans nothing meanwhile, and moves no keys of silent owners while most are silent unless other VMs do not reach them either. - the VMs that it asked first were cut themselves. Now those that report the fewest of the owners as unreached are asked. - a silent target that has lost all its keys gets no orders, so nothing could show that it is reached again, and it stayed unused until the next succession. Now it is dialled, at growing intervals.

--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -68,8 +68,13 @@
 	nextIncarnationCheck time.Duration
 	nextPlan             time.Duration
 	// nextPublish is when changed leases may be published again.
-	nextPublish      time.Duration
-	nextSilenceCheck time.Duration
+	nextPublish time.Duration
+	// yieldUntil is until when this grantor tries to resign because another VM reaches the owners that it
+	// does not reach. goneUntil is until when silent owners count as gone because no other VM does.
+	yieldUntil, goneUntil time.Duration
+	// ownerRetries holds the silent targets that own no keys and are dialled again.
+	ownerRetries   map[lease.Owner]ownerRetry
+	nextOwnerRetry time.Duration
 	// queryingReach reports whether other VMs are being asked which owners they reach.
 	queryingReach  bool
 	nextReachQuery time.Duration
@@ -86,7 +91,8 @@
 		candidate: c, grants: g, version: version, events: make(chan func(), eventQueueSize),
 		broadcaster: newLeaseBroadcaster(c.pushLeases, c.Log, c.Self.LinkBytesPerSecond(), c.Leases.Get(c.service)),
 		senders:     make(map[lease.Owner]*orderSender), latestBorn: make(map[string]int64), load: newLoadView(),
-		lagMeter: fitness.NewMeter(leaderTick),
+		ownerRetries: make(map[lease.Owner]ownerRetry),
+		lagMeter:     fitness.NewMeter(leaderTick),
 	}
 	l.orderDeadline.Store(int64(g.ConfirmedAt() + lease.Authority))
 	l.orders.answeredAt = c.Clock.Now()
@@ -142,10 +148,10 @@
 		return
 	}
 	slow := l.lagMeter.RecordStep(now)
-	if slow || l.shouldHandOver() {
+	l.yieldIfIsolated(ctx, now)
+	if slow || l.shouldHandOver() || now < l.yieldUntil {
 		l.tryResign(ctx, now)
 	}
-	l.yieldIfIsolated(ctx, now)
 	if l.resigning {
 		return
 	}
@@ -154,6 +160,7 @@
 	for _, o := range l.grants.DueOrders(now) {
 		l.send(ctx, o)
 	}
+	l.retrySilentTargets(ctx, now)
 	l.logMoveEvents(now)
 	l.logOrders(now)
 	l.queryLoad(ctx, now)
@@ -169,16 +176,6 @@
 	return l.LocalState.Leaving() && (l.Mesh.NonLeavingPeers() > 0 || l.LocalState.TimeUntilExit() < finalResignWindow)
 }
 
-// mostOwnersSilent reports whether so many owners leave orders unanswered that the fault is probably
-// this VM's.
-func (l *leader) mostOwnersSilent(now time.Duration) bool {
-	if now < l.nextSilenceCheck {
-		return false
-	}
-	l.nextSilenceCheck = now + planInterval
-	return fitness.Isolated(len(l.silentOwners(now)), len(l.listedOwners()))
-}
-
 // tryResign resigns if the store answers. Without the store no VM could take over, and all keys would
 // expire within a hold.
 func (l *leader) tryResign(ctx context.Context, now time.Duration) {
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,8 @@
 	Clock    boottime.Clock
 	Log      *log.Logger
 	Registry metrics.Registry
+	// TargetSource is the local address of connections to targets, if it is set.
+	TargetSource netip.Addr
 	// MaxHold limits the hold of a lease to what targets accept.
 	MaxHold time.Duration
 
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -25,7 +25,7 @@
 
 // planAndWrite plans changes of owners and starts to write them to the store.
 func (l *leader) planAndWrite(ctx context.Context, now time.Duration) {
-	if l.writingRecord || now < l.nextPlan || !l.LocalState.StoreReachable() {
+	if l.writingRecord || now < l.nextPlan || now < l.yieldUntil || !l.LocalState.StoreReachable() {
 		return
 	}
 	l.nextPlan = now + planInterval
@@ -121,8 +121,10 @@
 // liveOwners returns the eligible owners that answer their orders and have not ended.
 func (l *leader) liveOwners(now time.Duration) []lease.Owner {
 	var live []lease.Owner
+	mayReplaceSilent := l.mayReplaceSilent(now)
 	for _, o := range l.eligibleOwners() {
-		if l.grants.SilentFor(o, now) < ownerSilenceTimeout && !l.grants.HasEnded(o) {
+		silent := mayReplaceSilent && l.grants.SilentFor(o, now) >= ownerSilenceTimeout
+		if !silent && !l.grants.HasEnded(o) {
 			live = append(live, o)
 		}
 	}
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -52,7 +52,7 @@
 	sender := l.senders[o]
 	if sender == nil {
 		sender = &orderSender{
-			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)),
+			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)).From(l.TargetSource),
 			grants: make(chan queuedGrant, len(l.grants.Record().Slices)+1), releases: make(chan struct{}, maxConcurrentReleases),
 		}
 		l.senders[o] = sender
--- a/internal/gateway/leasing/reach_test.go
+++ b/internal/gateway/leasing/reach_test.go
@@ -1,6 +1,7 @@
 package leasing
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -54,8 +55,71 @@
 	n := testNode(clock)
 	defer n.mesh.Close()
 	l := newLeaderOf(n, unreachableOwners(4))
-	for end := clock.Now() + lease.HoldTime; clock.Now() < end && !l.mostOwnersSilent(clock.Now()); {
+	for end := clock.Now() + lease.HoldTime; clock.Now() < end && !l.isolated(clock.Now()); {
 		l.tryConnect(t, clock)
 	}
-	require.True(t, l.mostOwnersSilent(clock.Now()+planInterval))
+	require.True(t, l.isolated(clock.Now()))
+}
+
+// fakeReach answers what VMs reach.
+type fakeReach struct{ here, others int }
+
+func (r *fakeReach) ReachedHere(context.Context, []string) int     { return r.here }
+func (r *fakeReach) ReachedByOthers(context.Context, []string) int { return r.others }
+
+// newIsolatedLeader returns a grantor that reaches none of its four owners.
+func newIsolatedLeader(t *testing.T, reach *fakeReach) (*leader, *manualClock) {
+	clock := newManualClock(time.Hour)
+	n := testNode(clock)
+	t.Cleanup(n.mesh.Close)
+	n.Reach = reach
+	l := newLeaderOf(n, unreachableOwners(4))
+	for !l.isolated(clock.Now()) {
+		l.tryConnect(t, clock)
+	}
+	return l, clock
+}
+
+// askOthers lets the grantor ask other VMs once.
+func (l *leader) askOthers(t *testing.T, clock *manualClock) {
+	clock.advance(reachQueryInterval)
+	l.yieldIfIsolated(t.Context(), clock.Now())
+	(<-l.events)()
+}
+
+// Guards against moving the keys of owners that only this grantor does not reach.
+func TestIsolatedGrantorMovesNoKeysAndYields(t *testing.T) {
+	l, clock := newIsolatedLeader(t, &fakeReach{others: 4})
+	l.askOthers(t, clock)
+	clock.advance(yieldTime / 2)
+	require.Less(t, clock.Now(), l.yieldUntil)
+	require.False(t, l.mayReplaceSilent(clock.Now()))
+	require.Len(t, l.liveOwners(clock.Now()), 4)
+}
+
+// Guards against grantors that resign one after the other while the owners are gone.
+func TestGrantorStaysIfNoOtherVMReachesTheOwners(t *testing.T) {
+	l, clock := newIsolatedLeader(t, &fakeReach{others: 1})
+	l.askOthers(t, clock)
+	require.Zero(t, l.yieldUntil)
+	require.True(t, l.mayReplaceSilent(clock.Now()))
+	clock.advance(ownerSilenceTimeout)
+	l.askOthers(t, clock)
+	require.Empty(t, l.liveOwners(clock.Now()), "their keys move")
+}
+
+// Guards against a target that is never used again after it was silent and lost all its keys.
+func TestSilentTargetWithoutKeysIsUsedAgain(t *testing.T) {
+	reach := &fakeReach{}
+	l, clock := newIsolatedLeader(t, reach)
+	clock.advance(maxUndecidedTime)
+	l.askOthers(t, clock)
+	spare := lease.Owner{ID: "spare", Addr: "127.0.0.1:1", Born: 1}
+	l.TargetDirectory = listedTargets{view: catalog.NewView(nil, catalog.Targets{Revision: 2, List: []catalog.Target{{ID: spare.ID, Service: "s", Addr: spare.Addr, Born: 1}}})}
+	l.grants.MarkUnconnected(spare, clock.Now(), clock.Now())
+	require.Empty(t, l.liveOwners(clock.Now()))
+	reach.here = 1
+	l.retrySilentTargets(t.Context(), clock.Now())
+	(<-l.events)()
+	require.Equal(t, []lease.Owner{spare}, l.liveOwners(clock.Now()))
 }
--- a/internal/gateway/reachothers.go
+++ b/internal/gateway/reachothers.go
@@ -1,26 +1,37 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
+
+	"hemlockquay/internal/mesh"
 )
 
 const (
 	// reachTimeout bounds a query for what another VM reaches, including its dials.
 	reachTimeout = 700 * time.Millisecond
 	// maxReachQueried bounds the VMs that one query asks.
-	maxReachQueried = 2
+	maxReachQueried = 3
 )
 
-// reachedByOthers asks other VMs which of the targets they reach now and returns the largest number that
-// one of them reaches.
+// reachedByOthers asks the VMs that have reported the fewest of the targets as unreached which of them they
+// reach now, and returns the largest number that one of them reaches.
 func (g *Gateway) reachedByOthers(ctx context.Context, targets []string) (most int) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
+	hashes := make([]uint32, len(targets))
+	for i, id := range targets {
+		hashes[i] = targetHash(id)
+	}
 	members, _ := g.mesh.Forwarders(0)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	slices.SortStableFunc(members, func(a, b mesh.Member) int {
+		return cmp.Compare(g.mesh.UnreachedBy(a.VM, hashes), g.mesh.UnreachedBy(b.VM, hashes))
+	})
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	for _, m := range members[:min(len(members), maxReachQueried)] {
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -291,6 +291,9 @@
 	g.breaker(o).record(Unreached, began, ended, g.timing.Retry)
 }
 
+// MarkRegained records that a target accepts connections again, which may own keys again.
+func (g *Grantor) MarkRegained(o Owner) { delete(g.breakers, o) }
+
 // SilentFor returns for how long an owner has left orders unanswered, or could not be connected to,
 // since its last answer or the begin of the epoch. It returns 0 if the last order was answered.
 func (g *Grantor) SilentFor(o Owner, now time.Duration) time.Duration {
