--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -93,7 +93,8 @@
 
 // Send sends a request to a target.
 func (f Forward) Send(in *ForwardArgs, out *ForwardReply) error {
-	g := f.gateway
+	g, began := f.gateway, time.Now()
+	defer func() { g.logForwarded(in, out, time.Since(began)) }()
 	if !g.mesh.IsLive(in.VM, in.Incarnation) {
 		out.Refusal = string(refusedMember)
 		return nil
@@ -278,6 +279,13 @@
 	}
 }
 
+// state returns the number of requests in flight and the limit on it.
+func (f *forwardedRequests) state() (inFlight, limit int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.InFlight(), f.gate.Limit()
+}
+
 // drain accepts no more requests.
 func (f *forwardedRequests) drain() {
 	f.mu.Lock()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -123,9 +123,26 @@
 	return out
 }
 
-// forwardMetrics counts the requests that other VMs send for this one.
-type forwardMetrics struct{ sent metrics.Counter }
+// forwardMetrics counts the requests that other VMs were asked to send for this one, and those that this
+// VM accepted or refused to send for others.
+type forwardMetrics struct{ sent, accepted, refused metrics.Counter }
 
 func newForwardMetrics(r metrics.Registry) forwardMetrics {
-	return forwardMetrics{sent: metrics.GetOrRegisterCounter("forward.sent", r)}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("forward."+name, r) }
+	return forwardMetrics{sent: counter("sent"), accepted: counter("accepted"), refused: counter("refused")}
+}
+
+// logForwarded counts and logs a request that this VM sent for another one, or refused.
+func (g *Gateway) logForwarded(in *ForwardArgs, out *ForwardReply, took time.Duration) {
+	counter := g.forwardMetrics.accepted
+	if out.Result == notSentByPeer {
+		counter = g.forwardMetrics.refused
+	}
+	counter.Inc(1)
+	if !g.requestLog.allow(outcome{}) {
+		return
+	}
+	g.log.Info().Str("step", "forwarded").Str("id", in.ID).Str("peer", in.VM).Str("route", in.Route).Str("service", in.Service).
+		Str("target", out.Target).Int("status", out.Status).Str("refusal", out.Refusal).Bool("lost", out.Result == lostByPeer).
+		Dur("took", took).Dur("timeLeft", in.TimeLeft).Msg("request of another VM ended")
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"hemlockquay/internal/daemon"
@@ -30,6 +31,8 @@
 	Seeds []string `json:"seeds,omitempty"`
 	// Store is the IP:PORT of the platform's object store.
 	Store string `json:"store"`
+	// TargetSource is the local IP address of connections to targets. Default: the system chooses it.
+	TargetSource string `json:"targetSource,omitempty"`
 	// Grace is the time from SIGTERM until the process is killed. Default 6s.
 	Grace model.Duration `json:"grace,omitempty"`
 	// HoldMost is the longest hold time of a lease that targets accept. Default 10s.
@@ -94,6 +97,9 @@
 	setDefault(&s.Repeats.Ratio, defaultRatio)
 	setDefault(&s.Repeats.Slack, defaultSlack)
 	setDefault(&s.Repeats.Window, defaultWindow)
+	if _, err := s.targetSource(); err != nil {
+		return settings.Invalid("/targetSource", "%v", err)
+	}
 	switch {
 	case s.Grace < 0:
 		return settings.Invalid("/grace", "%v is negative", s.Grace)
@@ -111,6 +117,14 @@
 	return nil
 }
 
+// targetSource returns TargetSource, or an invalid address if it is not set.
+func (s *Settings) targetSource() (netip.Addr, error) {
+	if s.TargetSource == "" {
+		return netip.Addr{}, nil
+	}
+	return netip.ParseAddr(s.TargetSource)
+}
+
 func setDefault[T comparable](value *T, to T) {
 	var zero T
 	if *value == zero {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,10 +26,12 @@
 // routingState is the routing information that the VM has, and the load and statistics of its
 // targets. It is safe for concurrent use.
 type routingState struct {
-	clock       boottime.Clock
-	log         *log.Logger
-	registry    metrics.Registry
-	dataCentre  string
+	clock      boottime.Clock
+	log        *log.Logger
+	registry   metrics.Registry
+	dataCentre string
+	// source is the local address of the connections to targets, if it is set.
+	source      netip.Addr
 	repeatLimit repeats.Limit
 
 	view atomic.Pointer[catalog.View]
@@ -231,7 +234,7 @@
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
 	added := &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
-		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)),
+		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
 	if t.Draining {
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -54,15 +54,17 @@
 // registerGauges registers the gauges for the routing information of the VM and its age.
 func (g *Gateway) registerGauges() {
 	for name, value := range map[string]func() int64{
-		"config.version":  func() int64 { return int64(g.state.view.Load().ConfigVersion()) },
-		"config.age":      func() int64 { return g.state.ageMillis(g.state.lastConfigChange()) },
-		"targets.listed":  func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
-		"targets.age":     func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
-		"mesh.live":       func() int64 { return int64(len(g.mesh.Live())) },
-		"subset.targets":  g.state.subsetSize,
-		"paths.lost":      func() int64 { return int64(len(g.state.unreachedTargets())) },
-		"paths.cutOff":    func() int64 { return boolToInt(g.state.cutOff()) },
-		"store.reachable": func() int64 { return boolToInt(g.storeUp.Load()) },
+		"config.version":   func() int64 { return int64(g.state.view.Load().ConfigVersion()) },
+		"config.age":       func() int64 { return g.state.ageMillis(g.state.lastConfigChange()) },
+		"targets.listed":   func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
+		"targets.age":      func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
+		"mesh.live":        func() int64 { return int64(len(g.mesh.Live())) },
+		"subset.targets":   g.state.subsetSize,
+		"paths.lost":       func() int64 { return int64(len(g.state.unreachedTargets())) },
+		"paths.cutOff":     func() int64 { return boolToInt(g.state.cutOff()) },
+		"forward.inFlight": func() int64 { inFlight, _ := g.forwarded.state(); return int64(inFlight) },
+		"forward.limit":    func() int64 { _, limit := g.forwarded.state(); return int64(limit) },
+		"store.reachable":  func() int64 { return boolToInt(g.storeUp.Load()) },
 	} {
 		g.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -40,8 +41,9 @@
 	// not acknowledged, because the path is cut or the peer has lost power. It
 	// allows for five retransmissions.
 	unackedTimeout = time.Second
-	// keepAliveEvery and keepAliveCount detect within three seconds that the peer
-	// is gone while an answer is awaited.
+	// keepAliveEvery is the time without data after which the peer is probed while an answer is awaited,
+	// and the time between two probes. As unackedTimeout is set, the connection fails if the first probe
+	// is not answered until the second is due, whatever keepAliveCount is.
 	keepAliveEvery = time.Second
 	keepAliveCount = 2
 	// defaultIdleTimeout is how long an idle connection is kept if the target does
@@ -94,8 +96,9 @@
 
 // Pool keeps the connections to one target. It is safe for concurrent use.
 type Pool struct {
-	addr  string
-	dials metrics.Counter
+	addr   string
+	dials  metrics.Counter
+	source net.Addr
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -105,6 +108,14 @@
 // NewPool returns an empty pool. dials counts its dials.
 func NewPool(addr string, dials metrics.Counter) *Pool { return &Pool{addr: addr, dials: dials} }
 
+// From makes the pool open its connections from a local address. It is called before the first use.
+func (p *Pool) From(source netip.Addr) *Pool {
+	if source.IsValid() {
+		p.source = &net.TCPAddr{IP: source.AsSlice()}
+	}
+	return p
+}
+
 // Addr returns the target's address.
 func (p *Pool) Addr() string { return p.addr }
 
@@ -186,7 +197,9 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Inc(1)
-	nc, err := DialWithReset(ctx, Dialer(dialTimeout), "tcp", p.addr)
+	dialer := Dialer(dialTimeout)
+	dialer.LocalAddr = p.source
+	nc, err := DialWithReset(ctx, dialer, "tcp", p.addr)
 	if err != nil {
 		return nil, err
 	}
