gateway: forwarded requests: older VMs, early cancellations, further targets of a pool

- A VM of an older version does not know the call and returns an error: the request was not sent, and another VM is asked.
It counted as lost, and its caller got 502.
- A cancellation may overtake its request on another connection; it is remembered.
- The VM that sends tries further targets of a pool while the request was certainly not sent.
One target that was down made it count as not reaching the service.
- The headers of a forwarded request are copied: a call that timed out may still be written while the next attempt sets its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,18 +154,23 @@
 func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) *outcome {
 	resp, err := g.exchange(ctx, c, a, timeLeft)
 	if errors.Is(err, upstream.ErrNotSent) {
-		if errors.Is(err, upstream.ErrNoKeptConn) {
-			g.state.finish(a, resultAbandoned)
-		} else {
-			g.state.finish(a, resultNotSent)
-			c.connectFailures++
-		}
-		c.unreached[a.id] = true
+		g.finishUnsent(c, a, err)
 		return nil
 	}
 	return g.conclude(ctx, c, a, resp, err)
 }
 
+// finishUnsent ends an attempt that was not sent.
+func (g *Gateway) finishUnsent(c *call, a *attempt, err error) {
+	c.unreached[a.id] = true
+	if errors.Is(err, upstream.ErrNoKeptConn) {
+		g.state.finish(a, resultAbandoned)
+		return
+	}
+	g.state.finish(a, resultNotSent)
+	c.connectFailures++
+}
+
 // exchange sends the request to the target of an attempt and returns its response.
 func (g *Gateway) exchange(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) (*upstream.Answer, error) {
 	c.request.Header.Set(g.headers.TargetID, a.id)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -86,6 +86,8 @@
 const (
 	refusedByGate refusal = "no more forwarded requests"
 	refusedMember refusal = "not a live VM"
+	// refusedCancelled: the caller has disconnected already.
+	refusedCancelled refusal = "cancelled"
 )
 
 // Forward is the RPC service through which other VMs have requests sent to targets that they do not reach.
@@ -130,27 +132,13 @@
 		out.Refusal = string(refusedByGate)
 		return
 	}
-	timeLeft := time.Until(c.deadline)
-	if timeLeft < minTimeLeft {
-		out.Refusal = string(refusedLate)
-		return
-	}
-	a, reason := g.reserveForwarded(c, timeLeft)
-	if a == nil {
-		out.Refusal = string(reason)
+	a, resp, err := g.attemptForwarded(ctx, c)
+	if a.refused != notRefused {
+		out.Refusal = string(a.refused)
 		return
 	}
 	out.Target, out.Leases, out.HadFreeSlots = a.id, a.leases, a.hadFreeSlots
-	resp, err := g.exchange(ctx, c, a, timeLeft)
 	switch {
-	case errors.Is(err, upstream.ErrNotSent):
-		out.Refusal = string(refusedUnreached)
-		result := resultNotSent
-		if errors.Is(err, upstream.ErrNoKeptConn) {
-			result = resultAbandoned
-		}
-		g.state.finish(a, result)
-		return
 	case err != nil && ctx.Err() != nil:
 		g.state.finish(a, resultAbandoned)
 		out.Result = lostByPeer
@@ -165,6 +153,30 @@
 	out.Result, out.Status, out.Header, out.Body = answeredToPeer, resp.Status, resp.Header, resp.Body
 }
 
+// attemptForwarded sends a forwarded request to a target. It tries others only while it was certainly not
+// sent. It returns the attempt that was sent, or one that says why there is none.
+func (g *Gateway) attemptForwarded(ctx context.Context, c *call) (*attempt, *upstream.Answer, error) {
+	for range maxConnectFailures {
+		timeLeft := time.Until(c.deadline)
+		if timeLeft < minTimeLeft {
+			return &attempt{refused: refusedLate}, nil, nil
+		}
+		a, reason := g.reserveForwarded(c, timeLeft)
+		if a == nil {
+			return &attempt{refused: reason}, nil, nil
+		}
+		resp, err := g.exchange(ctx, c, a, timeLeft)
+		if !errors.Is(err, upstream.ErrNotSent) {
+			return a, resp, err
+		}
+		g.finishUnsent(c, a, err)
+		if c.keyed {
+			break
+		}
+	}
+	return &attempt{refused: refusedUnreached}, nil, nil
+}
+
 // finishForwarded updates the state of the target that responded to a forwarded request.
 func (g *Gateway) finishForwarded(c *call, a *attempt, resp *upstream.Answer) {
 	if g.headers.fromOtherTarget(resp, a.id) {
@@ -212,7 +224,7 @@
 		}, timeLeft)
 		return a, reason
 	}
-	return g.state.reserveFromPool(c.service, c.route, c.tried, timeLeft, g.clock.Now())
+	return g.state.reserveFromPool(c.service, c.route, c.excluded(), timeLeft, g.clock.Now())
 }
 
 // forwardedRequests are the requests that this VM sends for others. It is safe for concurrent use.
@@ -221,6 +233,8 @@
 	gate    *forwarding.Gate
 	leaving bool
 	running map[ForwardID]context.CancelFunc
+	// cancelled holds requests that were cancelled before they arrived.
+	cancelled map[ForwardID]bool
 	// idle is closed when no request runs after leaving was set.
 	idle chan struct{}
 }
@@ -234,7 +248,7 @@
 
 func newForwardedRequests(memoryMB float64) *forwardedRequests {
 	most := max(1, int(memoryMB*forwardedMemoryShare*(1<<20)/bytesPerForwarded))
-	return &forwardedRequests{gate: forwarding.NewGate(most), running: make(map[ForwardID]context.CancelFunc), idle: make(chan struct{})}
+	return &forwardedRequests{gate: forwarding.NewGate(most), running: make(map[ForwardID]context.CancelFunc), cancelled: make(map[ForwardID]bool), idle: make(chan struct{})}
 }
 
 // begin accepts a request, or returns why it does not. end must be called when the request has ended.
@@ -244,6 +258,10 @@
 	if f.leaving {
 		return nil, nil, refusedLeaving
 	}
+	if f.cancelled[id] {
+		delete(f.cancelled, id)
+		return nil, nil, refusedCancelled
+	}
 	if !f.gate.Enter() {
 		return nil, nil, refusedByGate
 	}
@@ -264,9 +282,18 @@
 	defer f.mu.Unlock()
 	if cancel := f.running[id]; cancel != nil {
 		cancel()
+		return
 	}
+	// The request has ended, or arrives after this on another connection.
+	if len(f.cancelled) >= maxCancelled {
+		clear(f.cancelled)
+	}
+	f.cancelled[id] = true
 }
 
+// maxCancelled bounds the remembered requests that were cancelled before they arrived.
+const maxCancelled = 256
+
 // closeIfIdleLocked closes idle if the last request has ended. It needs f.mu.
 func (f *forwardedRequests) closeIfIdleLocked() {
 	if !f.leaving || len(f.running) > 0 {
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -11,7 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/peer"
+	"hemlockquay/internal/route"
 	"hemlockquay/internal/standin/link"
+	"hemlockquay/internal/upstream"
 )
 
 // newForwardingFleet returns a fleet whose first VM knows that it is cut off from all targets.
@@ -114,6 +118,41 @@
 	}
 }
 
+// Guards against a target that runs a request whose cancellation overtook it on another connection.
+func TestCancellationThatArrivesFirstIsRemembered(t *testing.T) {
+	f := newForwardingFleet(t)
+	args := f.cut.forwardArgs(&call{route: &route.Route{}, service: "pool", request: &upstream.Request{Method: http.MethodGet, URI: "/"}, id: "r-1"}, time.Second)
+	require.NoError(t, (Forward{f.peer.Gateway}).Cancel(&args.ForwardID, nil))
+	var reply ForwardReply
+	require.NoError(t, (Forward{f.peer.Gateway}).Send(args, &reply))
+	require.Equal(t, string(refusedCancelled), reply.Refusal)
+	require.Zero(t, f.runs("r-1"))
+	require.Empty(t, f.peer.forwarded.cancelled)
+}
+
+// Guards against a VM that counts as not reaching a service because one of its targets is down.
+func TestOtherVMTriesFurtherTargetsOfThePool(t *testing.T) {
+	f := newForwardingFleet(t)
+	for _, id := range []string{"p-0", "p-1"} {
+		f.servers[id].Close()
+	}
+	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode)
+	require.Equal(t, 1, f.runs("r-1"))
+}
+
+// Guards against an answer that leaves open whether a request ran that a VM of an older version refused.
+func TestVMThatDoesNotForwardCountsAsNotSent(t *testing.T) {
+	f := newForwardingFleet(t)
+	old, err := peer.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(old.Close)
+	go func() { _ = old.Serve() }()
+	member := mesh.Member{VM: "old", Addr: old.Addr(), DataCentre: "a", Incarnation: 1}
+	f.cut.receiveHeartbeat(mesh.Heartbeat{From: member})
+	f.cut.receiveHeartbeat(mesh.Heartbeat{From: f.peer.self, Leaving: true})
+	require.Equal(t, http.StatusServiceUnavailable, f.cut.send("once.example", nil, "").StatusCode)
+}
+
 // Guards against repeats that are counted at neither VM, or at both.
 func TestForwardedRequestIsRepeatedWithinItsBudget(t *testing.T) {
 	f := newForwardingFleet(t)
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/rpc"
 	"slices"
 	"time"
 
@@ -22,7 +23,7 @@
 	cancelTimeout = 400 * time.Millisecond
 	// forwardConnections is the number of connections to each VM that carry forwarded requests, so
 	// that a large body does not delay all others.
-	forwardConnections = 4
+	forwardConnections = 2
 )
 
 // reasonNoPeer is the reason of a refusal because no other VM sends the request either.
@@ -55,7 +56,7 @@
 		asked[vm.VM] = true
 		a := &attempt{service: c.service, route: c.route.Name, peer: vm.VM, sent: time.Now()}
 		reply, err := g.forwardTo(ctx, c, vm, timeLeft-hopMargin)
-		if errors.Is(err, peer.ErrNotSent) {
+		if certainlyNotSent(err) {
 			g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Lost(vm.VM, now) })
 			continue
 		}
@@ -141,12 +142,19 @@
 	return reply, err
 }
 
+// certainlyNotSent reports whether the error of a call shows that the request was not sent to a target. A VM
+// that returns an error does not know the call, as during an upgrade; otherwise it returns a result.
+func certainlyNotSent(err error) bool {
+	var unknownCall rpc.ServerError
+	return errors.Is(err, peer.ErrNotSent) || errors.As(err, &unknownCall)
+}
+
 func (g *Gateway) forwardArgs(c *call, timeLeft time.Duration) *ForwardArgs {
 	return &ForwardArgs{
 		ForwardID: ForwardID{VM: g.self.VM, Incarnation: g.self.Incarnation, Number: g.forwardCount.Add(1)},
 		Service:   c.service, Route: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective, TimeLeft: timeLeft,
 		Keyed: c.keyed, Key: c.key, Digest: c.digest, MisdirectedBy: c.misdirectedBy, Tried: slices.Collect(maps.Keys(c.tried)),
-		Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: c.request.Header, Body: c.request.Body, ID: c.id,
+		Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: c.request.Header.Clone(), Body: c.request.Body, ID: c.id,
 	}
 }
 
@@ -175,7 +183,7 @@
 func (g *Gateway) handleRefusalOfPeer(ctx context.Context, c *call, vm string, reason refusal) (out *outcome, done bool) {
 	c.trace = append(c.trace, "through "+vm+" refused: "+string(reason))
 	switch reason {
-	case refusedByGate, refusedLeaving:
+	case refusedByGate, refusedLeaving, refusedMember:
 		g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Full(vm, now) })
 		return nil, false
 	case refusedUnreached, refusedLost, refusedNoTarget:
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -37,6 +37,8 @@
 	conn upstream.ConnPolicy
 	// peer is the VM that sends the request, or empty if this one does. Then target is nil.
 	peer string
+	// refused says why no attempt was made, if none was.
+	refused refusal
 	// hadFreeSlots reports whether the target had free slots at the time of the reservation.
 	hadFreeSlots bool
 }
