--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 soak: build
 	bash scripts/soak.sh 8 10 10s mixed
 	bash scripts/soak.sh 1 1 20s stops
+	bash scripts/soak.sh 2 2 10s paths
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/cmd/hq-soak/main.go
+++ b/cmd/hq-soak/main.go
@@ -20,9 +20,10 @@
 type options struct {
 	command.VersionFlag
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the schedule and of the load's keys"`
-	Profile  string        `long:"profile" default:"mixed" choice:"mixed" choice:"stops" description:"mixed: faults of all kinds; stops: graceful shutdowns with slow targets"`
+	Profile  string        `long:"profile" default:"mixed" choice:"mixed" choice:"stops" choice:"paths" description:"mixed: faults of all kinds; stops: graceful shutdowns with slow targets; paths: VMs cut from targets"`
 	Span     time.Duration `long:"span" default:"20s" description:"how long faults last; the run takes some seconds more"`
 	Schedule string        `long:"schedule" value-name:"FILE" description:"run this schedule, as --print writes it, instead of the seed's"`
+	Rates    bool          `long:"rates" description:"also check how often VMs serve that are cut from all targets; depends on the speed of the machine"`
 	Print    bool          `long:"print" description:"print the schedule and exit"`
 	Dir      string        `long:"dir" description:"for settings and logs of the processes; default out/soak/SEED"`
 	Gateway  string        `long:"gateway" value-name:"PATH" default:"bin/hq-gateway" description:"the program to test"`
@@ -65,6 +66,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	r := soak.Run{Seed: o.Seed, Profile: profile, Schedule: schedule, Duration: o.Span, Dir: o.Dir, Gateway: o.Gateway}
+	r := soak.Run{Seed: o.Seed, Profile: profile, Schedule: schedule, Duration: o.Span, CheckRates: o.Rates, Dir: o.Dir, Gateway: o.Gateway}
 	return r.Execute(ctx, os.Stdout)
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -23,6 +23,12 @@
 	client  *http.Client
 	check   *Checker
 	random  *rand.Rand
+
+	// begin is the start of traffic.
+	begin time.Time
+
+	mu      sync.Mutex
+	samples []sample
 }
 
 func newLoad(w *site, seed uint64, check *Checker) *load {
@@ -42,8 +48,8 @@
 func (l *load) run(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	begin := time.Now()
-	for n := 0; pause.For(ctx, time.Until(begin.Add(time.Duration(n)*time.Second/time.Duration(l.profile.Rate)))); n++ {
+	l.begin = time.Now()
+	for n := 0; pause.For(ctx, time.Until(l.begin.Add(time.Duration(n)*time.Second/time.Duration(l.profile.Rate)))); n++ {
 		key := l.random.IntN(keys)
 		wait.Go(func() { l.send(n, key) })
 	}
@@ -82,15 +88,25 @@
 	if !once {
 		r.Header.Set(fleet.Headers.Key, strconv.Itoa(key))
 	}
+	served := false
+	defer func() { l.record(s, !once, served) }()
 	resp, err := l.client.Do(r)
 	if err != nil {
 		l.handleError(s, err)
 		return
 	}
 	defer resp.Body.Close()
+	served = resp.StatusCode/100 == 2
 	l.handleResponse(s, resp)
 }
 
+// record keeps the outcome of a request.
+func (l *load) record(s *sentRequest, keyed, served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples = append(l.samples, sample{at: s.at.Sub(l.begin), vm: s.vm.name, keyed: keyed, served: served})
+}
+
 // handleError records a request that ended without an answer.
 func (l *load) handleError(s *sentRequest, err error) {
 	l.check.RequestLost()
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -21,6 +21,8 @@
 	// ReliableLinks is set if no link fails, so that a VM aborts a request only because it shuts
 	// down.
 	ReliableLinks bool
+	// SeparatePaths is set if each VM has links of its own to the targets, which can be cut.
+	SeparatePaths bool
 	// Generate returns the fault schedule of a seed. Every fault ends within the given duration.
 	Generate func(seed uint64, over time.Duration) *Schedule
 }
@@ -33,6 +35,9 @@
 	// stops shuts down one VM after another gracefully while targets take seconds per request and
 	// drop answers, so that requests outlast the VMs that accepted them.
 	"stops": {Grace: 6 * time.Second, Rate: 12, Deadline: 4500 * time.Millisecond, CallerTimeout: 6 * time.Second, ReliableLinks: true, Generate: GenerateStops},
+	// paths cuts VMs from all targets, one or all but one at a time, the grantor's among them, and checks
+	// that they serve nearly as often as the others.
+	"paths": {Grace: 3 * time.Second, Rate: 90, Deadline: 800 * time.Millisecond, CallerTimeout: 2 * time.Second, SeparatePaths: true, Generate: GeneratePaths},
 }
 
 // slowServiceTime is the service time of a slow target: longer than a VM keeps running after it has
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,8 @@
 	Schedule *Schedule
 	// Duration is the time in which faults occur; the load continues for settleTime after it.
 	Duration time.Duration
+	// CheckRates makes the run check ServedWhileCut, which depends on the speed of the machine.
+	CheckRates bool
 	// Dir is the directory for the settings and logs of the processes, Gateway the path of the
 	// gateway program.
 	Dir, Gateway string
@@ -97,7 +99,11 @@
 	go func() { faultsOver <- w.inject(ctx, r.Schedule) }()
 	asking, cancel := context.WithTimeout(ctx, r.Duration+settleTime)
 	defer cancel()
-	newLoad(w, r.Seed, check).run(asking)
+	l := newLoad(w, r.Seed, check)
+	l.run(asking)
+	if r.CheckRates {
+		r.Schedule.checkRates(check, l.samples)
+	}
 	return errors.Join(<-faultsOver, ctx.Err())
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -44,6 +44,13 @@
 	SlowTarget Kind = "slow"
 	// DropAnswers makes a target run requests and close the connection instead of answering.
 	DropAnswers Kind = "mute"
+	// DropPaths cuts a VM from all targets: nothing arrives, and dials get no response. It needs a profile
+	// with separate paths, as the next two do.
+	DropPaths Kind = "pathdrop"
+	// ResetPaths resets the connections of a VM to all targets and refuses new ones.
+	ResetPaths Kind = "pathreset"
+	// RefusePaths refuses new connections of a VM to all targets. Open ones go on.
+	RefusePaths Kind = "pathrefuse"
 )
 
 // Fault is one fault of a schedule.
@@ -65,6 +72,9 @@
 // kinds lists the kinds of faults of targets (true) and of VMs (false).
 var kinds = map[bool][]Kind{true: {HoldLink, ResetLink, RemoveEntry, SlowTarget, DropAnswers}, false: {HoldLink, ResetLink, Suspend, Kill, Terminate}}
 
+// pathKinds lists the kinds of cuts of a VM from the targets.
+var pathKinds = []Kind{DropPaths, ResetPaths, RefusePaths}
+
 // Check implements settings.Checker.
 func (s *Schedule) Check() error {
 	for i, f := range s.Faults {
@@ -72,7 +82,7 @@
 		switch {
 		case !target && !slices.Contains(vmNames(), f.Subject):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/what", i), "%q is neither target nor VM", f.Subject)
-		case !slices.Contains(kinds[target], f.Kind):
+		case !slices.Contains(kinds[target], f.Kind) && (target || !slices.Contains(pathKinds, f.Kind)):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/kind", i), "%q cannot happen to %s", f.Kind, f.Subject)
 		case f.At < 0 || f.Duration < 0:
 			return settings.Invalid(fmt.Sprintf("/faults/%d", i), "at or for is negative")
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"hemlockquay/internal/gateway"
 	"hemlockquay/internal/standin/fleet"
 	"hemlockquay/internal/standin/link"
 )
@@ -49,6 +50,9 @@
 	// links has the link to each target and the link of each VM to the store, by the name of the
 	// target or VM.
 	links map[string]*link.Link
+	// paths has the links of each VM to the targets, by the name of the VM, if the profile has separate
+	// paths.
+	paths map[string][]*link.Link
 
 	mu sync.Mutex
 	// active counts the faults in progress by activeKey, since faults overlap.
@@ -59,7 +63,7 @@
 func newSite(dir, program string, profile Profile, check *Checker) (*site, error) {
 	w := &site{
 		profile: profile, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
-		links: make(map[string]*link.Link), active: make(map[[2]string]int),
+		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -82,7 +86,12 @@
 		if i < targetCount {
 			t.Service, t.Keyed = "keyed", true
 		}
-		t.Via = func(addr string) (string, error) { return w.addLink(name, addr) }
+		t.Via = func(addr string) (string, error) {
+			if w.profile.SeparatePaths {
+				return w.addPaths(name, addr)
+			}
+			return w.addLink(name, addr)
+		}
 		t.SetWork(serviceTime)
 		if err := t.Start(w.store); err != nil {
 			return err
@@ -103,7 +112,13 @@
 }
 
 func (w *site) addVMs(dir, program, store string, check *Checker) error {
-	written, err := fleet.WriteGateways(dir, vmNames(), w.profile.Grace, func(name string) (string, error) { return w.addLink(name, store) })
+	written, err := fleet.WriteGateways(dir, vmNames(), w.profile.Grace, func(s *gateway.Settings) (err error) {
+		if w.profile.SeparatePaths {
+			s.TargetSource = pathAddr(s.VM)
+		}
+		s.Store, err = w.addLink(s.VM, store)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -138,6 +153,8 @@
 		w.vms[f.Subject].kill()
 	case Terminate:
 		w.vms[f.Subject].terminate()
+	case DropPaths, ResetPaths, RefusePaths:
+		w.cutPaths(f)
 	}
 }
 
@@ -159,6 +176,8 @@
 		w.vms[f.Subject].resume()
 	case Kill, Terminate:
 		return w.vms[f.Subject].start()
+	case DropPaths, ResetPaths, RefusePaths:
+		w.healPaths(f.Subject)
 	}
 	return nil
 }
@@ -173,10 +192,14 @@
 }
 
 // activeKey identifies overlapping faults that end together with the last of them. Kill and Terminate
-// share a key, so that a VM under both is restarted once.
+// share a key, so that a VM under both is restarted once, and so do the cuts of a VM from the targets, of
+// which the first decides the kind.
 func (f Fault) activeKey() [2]string {
-	if f.Kind == Terminate {
+	switch f.Kind {
+	case Terminate:
 		return [2]string{f.Subject, string(Kill)}
+	case ResetPaths, RefusePaths:
+		return [2]string{f.Subject, string(DropPaths)}
 	}
 	return [2]string{f.Subject, string(f.Kind)}
 }
@@ -191,6 +214,11 @@
 	for _, l := range w.links {
 		l.Close()
 	}
+	for _, paths := range w.paths {
+		for _, l := range paths {
+			l.Close()
+		}
+	}
 	for _, t := range w.targets {
 		t.Kill()
 	}
--- a/internal/standin/fleet/platform.go
+++ b/internal/standin/fleet/platform.go
@@ -93,7 +93,10 @@
 	for i := range names {
 		names[i] = fmt.Sprintf("vm-%d", i+1)
 	}
-	written, err := WriteGateways(dir, names, gatewayGrace, func(string) (string, error) { return store, nil })
+	written, err := WriteGateways(dir, names, gatewayGrace, func(s *gateway.Settings) error {
+		s.Store = store
+		return nil
+	})
 	if err != nil {
 		return err
 	}
@@ -108,22 +111,21 @@
 }
 
 // WriteGateways assigns free loopback ports to the named gateways, writes the settings of
-// each to DIR/NAME.jsonc and returns them in the order of names. store returns the address
-// at which a VM reaches the store.
-func WriteGateways(dir string, names []string, grace time.Duration, store func(name string) (string, error)) ([]gateway.Settings, error) {
+// each to DIR/NAME.jsonc and returns them in the order of names. customize completes the
+// settings of a VM, among them the address at which it reaches the store.
+func WriteGateways(dir string, names []string, grace time.Duration, customize func(s *gateway.Settings) error) ([]gateway.Settings, error) {
 	ports, err := plan.FreePorts(len(names)*portsPerVM, make(map[string]bool))
 	if err != nil {
 		return nil, err
 	}
 	out := make([]gateway.Settings, len(names))
 	for i, name := range names {
-		addr, err := store(name)
-		if err != nil {
-			return nil, err
-		}
 		own := ports[i*portsPerVM:]
-		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Store: addr, Grace: model.Duration(grace)}
+		s := gateway.Settings{Front: own[0], Ready: own[1], Peers: own[2], Grace: model.Duration(grace)}
 		s.VM, s.DataCentre, s.Admin = name, "a", own[3]
+		if err := customize(&s); err != nil {
+			return nil, err
+		}
 		if err := plan.WriteJSON(filepath.Join(dir, name+".jsonc"), s); err != nil {
 			return nil, err
 		}
--- a/internal/standin/link/drop.go
+++ b/internal/standin/link/drop.go
@@ -25,11 +25,14 @@
 	maxListenAttempts = 1000
 )
 
+// RandomPort returns a port that the system does not give out by itself. It may be in use.
+func RandomPort() int { return firstPort + rand.N(lastPort-firstPort) }
+
 // listen listens at a free port that is bound explicitly. The kernel releases any other when the
 // listener stops listening.
 func listen() (listener net.Listener, err error) {
 	for range maxListenAttempts {
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort)))
+		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", RandomPort()))
 		if err == nil {
 			return listener, nil
 		}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -58,10 +58,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
+	return start(listener, target), nil
+}
+
+// NewAt returns a link to the target that listens at the given address, whose port is not 0.
+func NewAt(addr, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", target, err)
+	}
+	return start(listener, target), nil
+}
+
+func start(listener net.Listener, target string) *Link {
 	l := &Link{target: target, listener: listener}
 	l.changed = sync.NewCond(&l.mu)
 	go l.accept()
-	return l, nil
+	return l
 }
 
 // Addr returns the address at which the link accepts connections.
