--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -232,10 +232,12 @@
 	timer := time.NewTimer(writeStallTimeout)
 	defer timer.Stop()
 	select {
-	case <-w.done:
+	case call := <-w.done:
+		// A reply shows that the call was written, although its writer may not have recorded that yet.
+		m.release(s, isConnError(call.Error))
 	case <-timer.C:
+		m.release(s, !w.isWritten())
 	}
-	m.release(s, !w.isWritten())
 }
 
 // retire excludes the session from further calls. m.mu is held.
