gateway: a context that ends says nothing about other VMs or targets

A caller that left while its request was about to be forwarded made up to three VMs count as lost for a second; a dial that ended with its context counted as a lost path.

--- a/internal/decide/reach/path.go
+++ b/internal/decide/reach/path.go
@@ -5,8 +5,8 @@
 // that did not happen, and moves keys away from owners that are well.
 //
 // Evidence comes from requests and from dials that no request waits for. An answer or an open
-// connection proves that the path works. A failed dial shows that it does not, but not why: only
-// other VMs can tell whether the target is down.
+// connection proves that the path works. A failed dial shows that it does not, but not why: whether the
+// target is down is only known if other VMs do not reach it either.
 package reach
 
 import "time"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -225,7 +225,7 @@
 	}
 	if ctx.Err() != nil {
 		g.state.finish(a, resultAbandoned)
-		return &outcome{status: 0, reason: "caller left"}
+		return &outcome{status: 0, reason: reasonCallerLeft}
 	}
 	if time.Until(c.deadline) < minTimeLeft {
 		g.state.finish(a, resultAbandoned)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,6 +55,9 @@
 // reasonAnswered is the reason of an outcome that is the response of a target.
 const reasonAnswered = "answered"
 
+// reasonCallerLeft is the reason of an outcome that nobody waits for any more.
+const reasonCallerLeft = "caller left"
+
 // outcome is the result of a call: the response of a target, or the status and reason of a
 // refusal.
 type outcome struct {
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -29,7 +29,7 @@
 	return f
 }
 
-// Guards against a request that loses its body or headers, or runs twice, on its way through another VM.
+// Guards against a forwarded request that loses its body or headers, or runs twice.
 func TestForwardedRequestArrivesUnchanged(t *testing.T) {
 	f := newForwardingFleet(t)
 	body := strings.Repeat("b\x00", 40)
@@ -153,6 +153,35 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.cut.send("once.example", nil, "").StatusCode)
 }
 
+// Guards against VMs that are not asked any more because a caller disconnected while its request was about
+// to be forwarded.
+func TestCallerThatLeavesSaysNothingAboutOtherVMs(t *testing.T) {
+	f := newForwardingFleet(t)
+	ended, leave := context.WithCancel(t.Context())
+	leave()
+	c := &call{
+		id: "r-0", service: "pool", route: &route.Route{Name: "once", MaxTargets: 2}, tried: make(map[string]bool), unreached: make(map[string]bool),
+		deadline: time.Now().Add(time.Second), request: &upstream.Request{Method: http.MethodGet, URI: "/", Header: http.Header{}},
+	}
+	out := f.cut.attemptThroughPeers(ended, c)
+	require.NotNil(t, out)
+	require.Equal(t, reasonCallerLeft, out.reason)
+	require.Zero(t, f.runs("r-0"))
+	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode)
+}
+
+// Guards against a target that counts as lost because a query for it ended.
+func TestDialThatEndsWithItsContextShowsNothing(t *testing.T) {
+	f := newCutFleet(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, target := range f.cut.state.targets {
+		require.Error(t, f.cut.dial(ended, target))
+		require.False(t, target.path.Lost())
+	}
+	require.False(t, f.cut.state.cutOff())
+}
+
 // Guards against repeats that are counted at neither VM, or at both.
 func TestForwardedRequestIsRepeatedWithinItsBudget(t *testing.T) {
 	f := newForwardingFleet(t)
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/forwarding"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/peer"
@@ -56,6 +57,9 @@
 		asked[vm.VM] = true
 		a := &attempt{service: c.service, route: c.route.Name, peer: vm.VM, sent: time.Now()}
 		reply, err := g.forwardTo(ctx, c, vm, timeLeft-hopMargin)
+		if certainlyNotSent(err) && ctx.Err() != nil {
+			return c.endedBy(ctx)
+		}
 		if certainlyNotSent(err) {
 			g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Lost(vm.VM, now) })
 			continue
@@ -71,6 +75,16 @@
 	return &out
 }
 
+// endedBy returns the outcome of a request that was not sent because its context ended: its caller has
+// disconnected, or this VM is shutting down.
+func (c *call) endedBy(ctx context.Context) *outcome {
+	if cancelledByShutdown(ctx) {
+		out := c.giveUp(errShuttingDown.Error(), immediateRetryAfter)
+		return &out
+	}
+	return &outcome{status: 0, reason: reasonCallerLeft}
+}
+
 // refuseForwardWhileLeaving returns the outcome of a request that may outlast this VM's shutdown, or nil.
 func (g *Gateway) refuseForwardWhileLeaving(c *call) *outcome {
 	g.state.mu.Lock()
@@ -96,7 +110,7 @@
 func (g *Gateway) choosePeer(c *call, asked map[string]bool) (vm *mesh.Member, down bool) {
 	var target uint32
 	if c.keyed {
-		target = targetHash(g.ownerOf(c))
+		target = catalog.Hash(g.ownerOf(c))
 	}
 	members, others := g.mesh.Forwarders(target)
 	peers := make([]forwarding.Peer, len(members))
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -52,18 +52,20 @@
 	p.target.path.EndProbe()
 }
 
-// dial opens a connection to a target, keeps it, and records what that shows of the path.
+// dial opens a connection to a target, keeps it, and records what that shows of the path. A dial that ends
+// with its context shows nothing.
 func (g *Gateway) dial(ctx context.Context, t *targetState) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	began := g.clock.Now()
-	err := t.pool.Connect(ctx)
-	if err != nil {
+	err := t.pool.Connect(dialCtx)
+	switch {
+	case err == nil:
+		g.state.recordReached(t, true)
+	case ctx.Err() == nil:
 		g.state.recordDialFailure(t, began, err)
-		return err
 	}
-	g.state.recordReached(t, true)
-	return nil
+	return err
 }
 
 // maxProbesWhileCutOff bounds the dials in flight of a VM that reaches no target. Two targets that answer
