link: ports apart from those of the processes under test

Links took ports of the range from which the ports of gateways are drawn, which are free again until the gateways listen. Since links bind their ports explicitly (to refuse connections and listen again), a link of the same run could take one. They have a range of their own now.

--- a/internal/standin/link/drop.go
+++ b/internal/standin/link/drop.go
@@ -19,8 +19,9 @@
 	maxFillers = 16
 	// defaultBacklog is the length of the listener's queue while packets are not dropped.
 	defaultBacklog = 128
-	// firstPort and lastPort bound the ports of links. The system gives out higher ones by itself.
-	firstPort, lastPort = 10_000, 32_000
+	// firstPort and lastPort bound the ports of links. The system gives out higher ones by itself, and
+	// processes under test get ports between the two ranges, which are released before they start.
+	firstPort, lastPort = 4_000, 9_900
 	// maxListenAttempts bounds the search for a free port.
 	maxListenAttempts = 1000
 )
