Tests of forwarded requests: no ports that another process may get, no heartbeat that is overwritten

The whole check beside load failed once in TestVMThatDoesNotForwardCountsAsNotSent (200 in place of 503); beside six others 22 to 26 of 60 runs failed. The test said by a heartbeat of its own that the other VM leaves, and that VM's next real heartbeat said otherwise. Now that VM refuses forwarded requests itself; the check is unchanged. The same runs showed ports that changed hands: two sockets may bind a port if neither listens, and a link that refuses connections does not; and servers that a test had closed left their ports to other processes. Links of a process now have a block of ports that a listener keeps for it, and targets that are lost have an address where nothing ever listens.

--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,6 @@
 	t         *testing.T
 	cut, peer *testbed
 	links     map[string]*link.Link
-	servers   map[string]*httptest.Server
 	// handler is what the targets run. It may be replaced between requests.
 	handler atomic.Pointer[http.HandlerFunc]
 
@@ -35,14 +35,14 @@
 
 // newCutFleet returns a fleet with three targets of each service. The owner of all keys is k-0.
 func newCutFleet(t *testing.T) *cutFleet {
-	f := &cutFleet{t: t, links: make(map[string]*link.Link), servers: make(map[string]*httptest.Server), ran: make(map[string]int)}
+	f := &cutFleet{t: t, links: make(map[string]*link.Link), ran: make(map[string]int)}
 	f.handle(succeed)
 	f.cut, f.peer = f.newVM("cut"), f.newVM("peer")
 	var direct, linked []catalog.Target
 	for _, id := range []string{"k-0", "k-1", "k-2", "p-0", "p-1", "p-2"} {
 		server := httptest.NewServer(http.HandlerFunc(f.serve))
 		t.Cleanup(server.Close)
-		f.servers[id], f.links[id] = server, linktest.To(t, server.Listener.Addr().String())
+		f.links[id] = linktest.To(t, server.Listener.Addr().String())
 		target := catalog.Target{ID: id, Service: map[byte]string{'k': "keyed", 'p': "pool"}[id[0]], Slots: 2, Born: 1}
 		target.Addr = server.Listener.Addr().String()
 		direct = append(direct, target)
@@ -99,6 +99,18 @@
 	}
 }
 
+// loseAtPeer takes the targets with these ids from the second VM as well: nothing listens at their addresses.
+func (f *cutFleet) loseAtPeer(ids ...string) {
+	var list []catalog.Target
+	for _, t := range f.peer.state.view.Load().Targets.List {
+		if slices.Contains(ids, t.ID) {
+			t.Addr = "127.0.0.1:1"
+		}
+		list = append(list, t)
+	}
+	f.peer.state.setTargets(2, list...)
+}
+
 // warm sends requests over the links, so that connections to the targets are open.
 func (f *cutFleet) warm() {
 	for range 6 {
@@ -199,7 +211,7 @@
 func TestTargetThatNoVMReachesIsReportedAsCrashed(t *testing.T) {
 	f := newCutFleet(t)
 	f.warm()
-	f.servers["p-0"].Close()
+	f.loseAtPeer("p-0")
 	f.links["p-0"].Reset()
 	require.NoError(t, f.links["p-0"].Refuse())
 	target := f.cut.state.targets["p-0"]
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -66,9 +66,7 @@
 func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
 	f := newForwardingFleet(t)
 	f.peer.mesh.Add(f.cut.self)
-	for _, server := range f.servers {
-		server.Close()
-	}
+	f.loseAtPeer("k-0", "k-1", "k-2", "p-0", "p-1", "p-2")
 	for _, host := range []string{"safe.example", "once.example", "keyed.example"} {
 		resp := f.cut.send(host, http.Header{"Key": {"7"}}, "")
 		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
@@ -133,9 +131,7 @@
 // Guards against a VM that counts as not reaching a service because one of its targets is down.
 func TestOtherVMTriesFurtherTargetsOfThePool(t *testing.T) {
 	f := newForwardingFleet(t)
-	for _, id := range []string{"p-0", "p-1"} {
-		f.servers[id].Close()
-	}
+	f.loseAtPeer("p-0", "p-1")
 	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode)
 	require.Equal(t, 1, f.runs("r-1"))
 }
@@ -149,7 +145,7 @@
 	go func() { _ = old.Serve() }()
 	member := mesh.Member{VM: "old", Addr: old.Addr(), DataCentre: "a", Incarnation: 1}
 	f.cut.receiveHeartbeat(mesh.Heartbeat{From: member})
-	f.cut.receiveHeartbeat(mesh.Heartbeat{From: f.peer.self, Leaving: true})
+	f.peer.forwarded.drain()
 	require.Equal(t, http.StatusServiceUnavailable, f.cut.send("once.example", nil, "").StatusCode)
 }
 
--- a/internal/soak/paths.go
+++ b/internal/soak/paths.go
@@ -28,7 +28,11 @@
 func (w *site) addPaths(name, addr string) (string, error) {
 	var err error
 	for range maxPortAttempts {
-		port := strconv.Itoa(link.RandomPort())
+		number, failed := link.NextPort()
+		if failed != nil {
+			return "", fmt.Errorf("paths to %s: %w", name, failed)
+		}
+		port := strconv.Itoa(number)
 		var started []*link.Link
 		for _, vm := range vmNames() {
 			var l *link.Link
--- a/internal/standin/link/drop.go
+++ b/internal/standin/link/drop.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -19,26 +20,54 @@
 	maxFillers = 16
 	// defaultBacklog is the length of the listener's queue while packets are not dropped.
 	defaultBacklog = 128
-	// firstPort and lastPort bound the ports of links. The system gives out higher ones by itself, and
-	// processes under test get ports between the two ranges, which are released before they start.
-	firstPort, lastPort = 4_000, 9_900
+	// Links have ports from firstPort on, in blocks of blockSize, of which each process has one. The system
+	// gives out higher ones by itself, and processes under test get ports between these and those.
+	firstPort, blocks, blockSize = 4_000, 29, 200
 	// maxListenAttempts bounds the search for a free port.
 	maxListenAttempts = 1000
 )
 
-// RandomPort returns a port that the system does not give out by itself. It may be in use.
-func RandomPort() int { return firstPort + rand.N(lastPort-firstPort) }
+// portBlock is the block of ports of this process. Its first port is a listener that keeps other processes
+// out: two sockets can bind one port unless one of them listens, and a link that refuses connections does not.
+var portBlock = struct {
+	sync.Mutex
+	lock  net.Listener
+	first int
+	next  int
+}{}
+
+// NextPort returns the next port of the block of this process. It may be in use by this process.
+func NextPort() (int, error) {
+	portBlock.Lock()
+	defer portBlock.Unlock()
+	for attempt := 0; portBlock.lock == nil; attempt++ {
+		first := firstPort + blockSize*rand.N(blocks)
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err != nil && attempt < maxListenAttempts {
+			continue
+		}
+		if err != nil {
+			return 0, fmt.Errorf("no block of ports: %w", err)
+		}
+		portBlock.lock, portBlock.first = lock, first
+	}
+	portBlock.next = portBlock.next%(blockSize-1) + 1
+	return portBlock.first + portBlock.next, nil
+}
 
 // listen listens at a free port that is bound explicitly. The kernel releases any other when the
 // listener stops listening.
-func listen() (listener net.Listener, err error) {
+func listen() (listener net.Listener, failed error) {
 	for range maxListenAttempts {
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", RandomPort()))
-		if err == nil {
+		port, err := NextPort()
+		if err != nil {
+			return nil, err
+		}
+		if listener, failed = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); failed == nil {
 			return listener, nil
 		}
 	}
-	return nil, err
+	return nil, failed
 }
 
 // fillQueue makes the kernel drop the packets that open new connections: no connection is accepted
