--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -149,8 +149,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.cut.send("once.example", nil, "").StatusCode)
 }
 
-// Guards against VMs that are not asked any more because a caller disconnected while its request was about
-// to be forwarded.
+// Guards against VMs that count as lost because a caller disconnected before its request was forwarded.
 func TestCallerThatLeavesSaysNothingAboutOtherVMs(t *testing.T) {
 	f := newForwardingFleet(t)
 	ended, leave := context.WithCancel(t.Context())
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -96,8 +96,8 @@
 	return nil, refusedFull
 }
 
-// mostLostLocked reports whether the paths to targets of the pool are lost, and none of the others is left
-// to try or they are so few that other VMs are likely to have room. It needs s.mu.
+// mostLostLocked reports whether the paths to more targets of the pool are lost than are left to try. Then
+// other VMs are likely to have room. It needs s.mu.
 func (s *routingState) mostLostLocked(p *servicePool, tried map[string]bool) bool {
 	lost, left := 0, 0
 	for _, t := range p.all.targets {
