gateway: evacuations of data centres, and a bound on requests to cold targets

The operators' objects of kind evacuations were not read, and each VM sent to a cold target as to any other.

Evacuations: three VMs watch the objects; every heartbeat, also a brief one, carries the complete state with the store's revision, and the higher revision wins, so VMs that the store turns away, that start late or missed the history learn it, and one that was taken back stays so. A view leaves out the targets of an evacuated data centre, so pools skip them and the grantor moves their keys with handover; an owner whose keys have not moved yet gets requests for 1.5 s more at most. Settings without evacuateWithin ask the store for nothing.

Cold targets: decide/warmup chooses at most four VMs that may send to a cold target, by rendezvous hashing over all known VMs, lost ones included, and gives each a fixed number per second, so that the bound holds while two lists of VMs are in use. A VM that has not listed the others sends nothing. Targets count as cold as their entries say, and for the service's warm-up time after an evacuation has ended. Cold targets own no keys unless all are cold: an owner's requests come from all VMs.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -213,18 +213,23 @@
 	// Routes is nil until a configuration is known.
 	Routes  *route.Table
 	Targets Targets
-	// ByService holds the targets that are not draining.
+	// Evacuations says which data centres are evacuated.
+	Evacuations Evacuations
+	// ByService holds the targets that are neither draining nor in an evacuated data centre.
 	ByService map[string][]*Target
 	ByID      map[string]*Target
 }
 
 // NewView returns a view of the routes and targets, with indexes of the targets.
-func NewView(routes *route.Table, t Targets) *View {
-	v := &View{Routes: routes, Targets: t, ByService: make(map[string][]*Target), ByID: make(map[string]*Target, len(t.List))}
+func NewView(routes *route.Table, t Targets, evacuations Evacuations) *View {
+	v := &View{
+		Routes: routes, Targets: t, Evacuations: evacuations,
+		ByService: make(map[string][]*Target), ByID: make(map[string]*Target, len(t.List)),
+	}
 	for i := range t.List {
 		e := &t.List[i]
 		v.ByID[e.ID] = e
-		if !e.Draining {
+		if !e.Draining && !evacuations.Contains(e.DataCentre) {
 			v.ByService[e.Service] = append(v.ByService[e.Service], e)
 		}
 	}
--- a/internal/decide/rendezvous/rendezvous.go
+++ b/internal/decide/rendezvous/rendezvous.go
@@ -53,6 +53,14 @@
 	return a < b
 }
 
+// Precedes reports whether Rank puts candidate a before candidate b.
+func Precedes(a, b Candidate, queue, near string) bool {
+	if x, y := nearness(a, near), nearness(b, near); x != y {
+		return x < y
+	}
+	return Before(a.VM, b.VM, queue)
+}
+
 func nearness(c Candidate, near string) int {
 	if near != "" && c.DataCentre == near {
 		return 0
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -20,6 +20,9 @@
 	ConfigID() platform.ID
 	// TargetKind returns the kind of the objects that describe targets.
 	TargetKind() model.Kind
+	// EvacuationKind returns the kind of the objects that operators write to evacuate data centres. An
+	// object's name is that of a data centre, which is evacuated as long as the object exists.
+	EvacuationKind() model.Kind
 	// Config decodes the configuration.
 	Config(o platform.Object) (*route.Config, error)
 	// Target decodes the object of a target.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,7 +25,7 @@
 			return c.giveUp("request ends the targets that run it", maxRetryAfter)
 		}
 		a, reason := g.reserveTarget(c, timeLeft)
-		if reason == refusedMoving && g.awaitRoutingChange(ctx, c, maxMoveWait) {
+		if (reason == refusedMoving || reason == refusedWarming) && g.awaitRoutingChange(ctx, c, maxMoveWait) {
 			continue
 		}
 		if reason == refusedUnreached {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -26,6 +26,7 @@
 func (a fakeAdapter) Store(string) platform.ObjectStore { return a.store }
 func (fakeAdapter) ConfigID() platform.ID               { return platform.ID{Kind: "config", Name: "main"} }
 func (fakeAdapter) TargetKind() model.Kind              { return "targets" }
+func (fakeAdapter) EvacuationKind() model.Kind          { return "evacuations" }
 
 func (fakeAdapter) Config(o platform.Object) (*route.Config, error) {
 	c := new(route.Config)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	targetsConfirmedAt atomic.Int64
 	// joined reports whether the list of VMs was received from the store or from another VM.
 	joined atomic.Bool
+	// membersListed reports whether the list of VMs was read from the store.
+	membersListed atomic.Bool
 	// listed reports whether the list of targets is known.
 	listed atomic.Bool
 	// grace is the time from SIGTERM until the process is killed, in nanoseconds. It does not
@@ -128,6 +130,7 @@
 	g.grace.Store(int64(s.Grace))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.state.source, _ = s.targetSource()
+	g.state.vm, g.state.warmup = s.VM, s.Warmup
 	g.mesh = mesh.New(g.self, clock, logger)
 	g.state.announce, g.state.reachedBy = g.mesh.Announce, g.mesh.ReachedBy
 	// If all VMs started with the same target, they would overload it together.
@@ -159,7 +162,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag,
+		g.watchConfig, g.watchTargets, g.watchEvacuations, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/leasing/helpers_test.go
+++ b/internal/gateway/leasing/helpers_test.go
@@ -107,10 +107,13 @@
 // emptyDirectory is a directory without routes and targets.
 type emptyDirectory struct{}
 
-func (emptyDirectory) View() *catalog.View { return catalog.NewView(nil, catalog.Targets{}) }
+func (emptyDirectory) View() *catalog.View {
+	return catalog.NewView(nil, catalog.Targets{}, catalog.Evacuations{})
+}
 func (emptyDirectory) ReadTarget(platform.Object) (catalog.Target, bool) {
 	return catalog.Target{}, false
 }
+func (emptyDirectory) Warming(string) bool                          { return false }
 func (emptyDirectory) Slots(string) int                             { return 0 }
 func (emptyDirectory) MeanServiceTime(string) (time.Duration, bool) { return 0, false }
 func (emptyDirectory) WarmupCost(string) float64                    { return 1 }
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -116,6 +116,8 @@
 	View() *catalog.View
 	// ReadTarget parses a target's entry. It returns false if the entry names no usable target.
 	ReadTarget(o platform.Object) (catalog.Target, bool)
+	// Warming reports whether a target is cold.
+	Warming(target string) bool
 	// Slots is the number of requests that a target runs at a time, or 0 if it is not known.
 	Slots(target string) int
 	// MeanServiceTime is the mean duration of a request to a service. It returns false if none was
--- a/internal/gateway/leasing/owners.go
+++ b/internal/gateway/leasing/owners.go
@@ -24,12 +24,22 @@
 	return c.eligibleOwners()
 }
 
-// eligibleOwners returns the targets that may own keys.
+// eligibleOwners returns the targets that may own keys. Cold targets may only if there are no others: the
+// requests for the keys of an owner come from all VMs, which would overrun it.
 func (c *candidate) eligibleOwners() []lease.Owner {
 	list := c.TargetDirectory.View().ByService[c.service]
-	out := make([]lease.Owner, len(list))
-	for i, t := range list {
-		out[i] = lease.Owner{ID: t.ID, Born: t.Born, Addr: t.Addr}
+	owners := make([]lease.Owner, 0, len(list))
+	var cold []lease.Owner
+	for _, t := range list {
+		o := lease.Owner{ID: t.ID, Born: t.Born, Addr: t.Addr}
+		if c.TargetDirectory.Warming(t.ID) {
+			cold = append(cold, o)
+		} else {
+			owners = append(owners, o)
+		}
 	}
-	return out
+	if len(owners) == 0 {
+		return cold
+	}
+	return owners
 }
--- a/internal/gateway/leasing/reach_test.go
+++ b/internal/gateway/leasing/reach_test.go
@@ -26,7 +26,7 @@
 	for _, o := range owners {
 		list = append(list, catalog.Target{ID: o.ID, Service: "s", Addr: o.Addr, Born: o.Born})
 	}
-	n.TargetDirectory = listedTargets{view: catalog.NewView(nil, catalog.Targets{Revision: 1, List: list})}
+	n.TargetDirectory = listedTargets{view: catalog.NewView(nil, catalog.Targets{Revision: 1, List: list}, catalog.Evacuations{})}
 	record := lease.Record{Service: "s", Epoch: 4, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.EvenSlices(2*len(owners), owners)}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
 	now := n.Clock.Now()
@@ -115,7 +115,7 @@
 	clock.advance(maxUndecidedTime)
 	l.askOthers(t, clock)
 	spare := lease.Owner{ID: "spare", Addr: "127.0.0.1:1", Born: 1}
-	l.TargetDirectory = listedTargets{view: catalog.NewView(nil, catalog.Targets{Revision: 2, List: []catalog.Target{{ID: spare.ID, Service: "s", Addr: spare.Addr, Born: 1}}})}
+	l.TargetDirectory = listedTargets{view: catalog.NewView(nil, catalog.Targets{Revision: 2, List: []catalog.Target{{ID: spare.ID, Service: "s", Addr: spare.Addr, Born: 1}}}, catalog.Evacuations{})}
 	l.grants.MarkUnconnected(spare, clock.Now(), clock.Now())
 	require.Empty(t, l.liveOwners(clock.Now()))
 	reach.here = 1
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -63,7 +63,7 @@
 }
 
 func (d fixedDirectory) View() *catalog.View {
-	return catalog.NewView(nil, catalog.Targets{Revision: 1, List: d.list})
+	return catalog.NewView(nil, catalog.Targets{Revision: 1, List: d.list}, catalog.Evacuations{})
 }
 
 // Guards against a fleet that overloads the owner of a hot key because the VMs' counts of its requests
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -59,6 +59,9 @@
 	return g.gateway.readTarget(o)
 }
 
+// Warming implements leasing.TargetDirectory.
+func (g leasingAdapter) Warming(target string) bool { return g.gateway.state.isWarming(target) }
+
 // Slots implements leasing.TargetDirectory.
 func (g leasingAdapter) Slots(target string) int {
 	g.gateway.state.mu.Lock()
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -203,7 +203,7 @@
 	case refusedUnreached, refusedLost, refusedNoTarget:
 		g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Unreached(g.destination(c), vm, now) })
 		return nil, false
-	case refusedMoving:
+	case refusedMoving, refusedWarming:
 		if g.awaitRoutingChange(ctx, c, maxMoveWait) {
 			return nil, true
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
@@ -27,6 +28,7 @@
 		From: g.self, Leaving: g.leaving.Load(),
 		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
+		EvacuationsRevision: v.Evacuations.Revision, Evacuated: v.Evacuations.DataCentres,
 		Leases: g.state.leases.Versions(), Loads: g.state.ownLoads(), Crashes: g.state.recentCrashes(),
 		CutOff: g.state.cutOff(), Unreached: g.state.unreachedTargets(),
 	}
@@ -38,6 +40,9 @@
 	if !b.StoreLost && b.TargetsRevision == v.Targets.Revision {
 		g.targetsConfirmedAt.Store(int64(g.clock.Now()))
 	}
+	if b.EvacuationsRevision > v.Evacuations.Revision {
+		g.state.setEvacuations(catalog.NewEvacuations(b.EvacuationsRevision, b.Evacuated), b.From.VM)
+	}
 	if b.ConfigVersion > v.ConfigVersion() {
 		g.fetch(b.From.VM, "config", g.fetchConfig)
 	}
@@ -199,6 +204,7 @@
 		}
 		g.mesh.Add(m)
 	}
+	g.membersListed.Store(true)
 	g.joined.Store(true)
 	return nil
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -93,31 +93,39 @@
 
 // viewDump is the gateway's section of the state dump.
 type viewDump struct {
-	ConfigVersion   uint64           `json:"configVersion"`
-	TargetsRevision uint64           `json:"targetsRevision"`
-	StoreUp         bool             `json:"storeUp"`
-	Members         []mesh.Member    `json:"members"`
-	Targets         []targetDump     `json:"targets"`
-	Leases          []*lease.Routing `json:"leases"`
+	ConfigVersion   uint64 `json:"configVersion"`
+	TargetsRevision uint64 `json:"targetsRevision"`
+	StoreUp         bool   `json:"storeUp"`
+	// EvacuatedDataCentres are known as of the store's revision EvacuationsRevision.
+	EvacuatedDataCentres []string         `json:"evacuatedDataCentres"`
+	EvacuationsRevision  uint64           `json:"evacuationsRevision"`
+	Members              []mesh.Member    `json:"members"`
+	Targets              []targetDump     `json:"targets"`
+	Leases               []*lease.Routing `json:"leases"`
 }
 
 type targetDump struct {
-	ID       string  `json:"id"`
-	Service  string  `json:"service"`
-	Draining bool    `json:"draining"`
-	Own      int     `json:"own"`
-	Others   int     `json:"others"`
-	Slowness float64 `json:"slowness"`
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Draining bool   `json:"draining"`
+	// WarmingMs is for how long the target counts as cold, in milliseconds.
+	WarmingMs int64   `json:"warmingMs,omitempty"`
+	Own       int     `json:"own"`
+	Others    int     `json:"others"`
+	Slowness  float64 `json:"slowness"`
 }
 
 func (g *Gateway) dump() any {
 	v := g.state.view.Load()
 	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: g.storeUp.Load(), Members: g.mesh.Live(), Leases: g.state.leases.All()}
+	out.EvacuatedDataCentres, out.EvacuationsRevision = v.Evacuations.DataCentres, v.Evacuations.Revision
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
+	now := g.clock.Now()
 	for id, t := range g.state.targets {
 		out.Targets = append(out.Targets, targetDump{
 			ID: id, Service: t.Service, Draining: t.Draining, Own: t.pick.Own, Others: t.pick.Others, Slowness: t.pick.Slowness(),
+			WarmingMs: max(0, (t.warming.until - now).Milliseconds()),
 		})
 	}
 	return out
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -65,6 +65,8 @@
 	refusedCold    refusal = "owner is full and the key cold"
 	// refusedHot: the owner can run only a fraction of the requests for the key.
 	refusedHot refusal = "key is hotter than its owner"
+	// refusedWarming: the target is cold, and this VM must not send it more requests now.
+	refusedWarming refusal = "target is warming up"
 	// refusedUnreached: this VM does not reach the target. Another one may.
 	refusedUnreached refusal = "target not reached"
 	// refusedLeaving: this VM is shutting down. Another one can serve the request.
@@ -84,7 +86,7 @@
 	for _, c := range []candidates{p.subset, p.all} {
 		i := pick.Choose(c.states, job, func(i int) bool {
 			t := c.targets[i]
-			return tried[t.ID] || t.displaced || s.usableLocked(t) == reach.NoConn
+			return tried[t.ID] || t.displaced || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now)
 		}, now)
 		if i >= 0 {
 			return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
@@ -148,10 +150,12 @@
 		return nil, refusedLost, owner + " waits for a target that does not answer"
 	case t == nil:
 		return nil, refusedLost, owner + " is not listed"
-	case t.displaced, t.Draining && now > t.drainsUntil:
-		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t", owner, t.displaced, t.Draining)
+	case t.displaced, (t.Draining || t.evacuated) && now > t.drainsUntil:
+		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t evacuated %t", owner, t.displaced, t.Draining, t.evacuated)
 	case !r.After(req.misdirected.Epoch, req.misdirected.Seq):
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
+	case s.warmupExceededLocked(t, now):
+		return nil, refusedWarming, fmt.Sprintf("%s for %dms", owner, (t.warming.until - now).Milliseconds())
 	case t.pick.FullFor(s.mayUseReserveLocked(service, rt.Priority)):
 		return nil, refusedFull, t.describeLoad()
 	case !req.forwarded && rand.Float64() >= r.LimitOf(key).Fraction():
@@ -202,6 +206,7 @@
 	}
 	t.expected = a.expected
 	t.pick.Sent(vmsUsing)
+	s.countWarmingLocked(t)
 	s.inUse[t] = struct{}{}
 	return a, notRefused
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -46,6 +46,11 @@
 	// collection. Default 30: compared with 100, a VM peaks at 18.5 MB instead of 24.8 MB and uses
 	// 0.7% more of a core.
 	GCPercent int `json:"gcPercent,omitempty"`
+	// EvacuateWithin is the time within which a data centre must get no more requests after operators
+	// have evacuated it. Default 0: data centres are not evacuated, and the store is not asked for it.
+	EvacuateWithin model.Duration `json:"evacuateWithin,omitempty"`
+	// Warmup limits the requests that all VMs together send to a cold target.
+	Warmup Warmup `json:"warmup,omitzero"`
 	// Repeats limits the requests that are sent to a service more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
 
@@ -56,6 +61,15 @@
 // SetSource implements daemon.Reloadable.
 func (s *Settings) SetSource(file string) { s.source = file }
 
+// Warmup limits the requests that all VMs together send to a cold target in a second, to Ratio times what
+// the target tolerates plus Slack.
+type Warmup struct {
+	// Ratio is a factor of the rate that the service's configuration states. Default 0: no limit.
+	Ratio float64 `json:"ratio,omitempty"`
+	// Slack is the number of requests per second allowed in addition. Default 0.
+	Slack float64 `json:"slack,omitempty"`
+}
+
 // Repeats limits the requests that all VMs together send to a service again.
 type Repeats struct {
 	// Ratio is the number of repeats allowed per request. Default 0.1.
@@ -76,6 +90,8 @@
 	defaultSlack     = 10
 	defaultWindow    = model.Duration(10 * time.Second)
 	minHold          = model.Duration(time.Second)
+	// minEvacuateWithin is what notifying all VMs and moving the keys takes.
+	minEvacuateWithin = model.Duration(4 * time.Second)
 )
 
 // Check implements settings.Checker.
@@ -101,6 +117,8 @@
 		return settings.Invalid("/targetSource", "%v", err)
 	}
 	switch {
+	case s.EvacuateWithin < 0 || s.EvacuateWithin > 0 && s.EvacuateWithin < minEvacuateWithin:
+		return settings.Invalid("/evacuateWithin", "%v is under %v", s.EvacuateWithin, minEvacuateWithin)
 	case s.Grace < 0:
 		return settings.Invalid("/grace", "%v is negative", s.Grace)
 	case s.LinkMbps < 0 || s.LinkMbps > math.MaxUint32:
@@ -111,6 +129,8 @@
 		return settings.Invalid("/memoryMB", "%v is negative", s.MemoryMB)
 	case s.HoldMost < minHold:
 		return settings.Invalid("/holdMost", "%v is under %v", s.HoldMost, minHold)
+	case s.Warmup.Ratio < 0 || s.Warmup.Slack < 0:
+		return settings.Invalid("/warmup", "a value is negative")
 	case s.Repeats.Ratio < 0 || s.Repeats.Slack < 0 || s.Repeats.Window < 0:
 		return settings.Invalid("/repeats", "a value is negative")
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,13 +26,16 @@
 // routingState is the routing information that the VM has, and the load and statistics of its
 // targets. It is safe for concurrent use.
 type routingState struct {
-	clock      boottime.Clock
-	log        *log.Logger
-	registry   metrics.Registry
-	dataCentre string
+	clock    boottime.Clock
+	log      *log.Logger
+	registry metrics.Registry
+	// vm and dataCentre are the names of this VM and of its data centre.
+	vm, dataCentre string
 	// source is the local address of the connections to targets, if it is set.
 	source      netip.Addr
 	repeatLimit repeats.Limit
+	// warmup limits the requests to cold targets.
+	warmup Warmup
 
 	view atomic.Pointer[catalog.View]
 	// leases has a lock of its own. If both locks are needed, mu is acquired first.
@@ -44,6 +47,8 @@
 	startIndex int
 	// membership tracks which targets exist.
 	membership *catalog.TargetSet
+	// evacuations says which data centres are evacuated.
+	evacuations catalog.Evacuations
 	// configChangedAt is when the configuration last changed.
 	configChangedAt time.Duration
 	// changed is closed and replaced when the leases or view change.
@@ -62,6 +67,9 @@
 	vantage reach.Vantage
 	// fleet is this VM's place among the VMs.
 	fleet fleetPlace
+	// members are the known VMs, from which those are chosen that send requests to cold targets. It is
+	// empty until the list of VMs was read from the store.
+	members fleetMembers
 	// inUse holds the targets at which this VM has requests, or had some recently.
 	inUse     map[*targetState]struct{}
 	budgets   map[string]*repeats.Budget
@@ -87,7 +95,11 @@
 	// displaced reports whether another target responds at the address. This incarnation has
 	// ended, although it is still listed.
 	displaced bool
-	// drainsUntil is the time until which a draining target may get requests.
+	// evacuated reports whether the target's data centre is evacuated.
+	evacuated bool
+	// warming says how long the target is cold and whether this VM may send requests to it meanwhile.
+	warming warmingState
+	// drainsUntil is the time until which a target that is draining or evacuated may get requests.
 	drainsUntil time.Duration
 	pick        pick.State
 	// path is what this VM knows of its own path to the target.
@@ -120,7 +132,7 @@
 		crashes:       make(map[uint64]map[uint32]time.Duration),
 		misdirectedAt: make(map[string]time.Duration), keyLoad: make(map[string]map[uint16]uint16),
 	}
-	s.view.Store(catalog.NewView(nil, catalog.Targets{}))
+	s.view.Store(catalog.NewView(nil, catalog.Targets{}, catalog.Evacuations{}))
 	s.leases = published.New(clock, registry, s.notifyChanged)
 	return s
 }
@@ -150,7 +162,7 @@
 	s.log.Info().Str("step", "config").Uint64("version", c.Version).Uint64("before", old.ConfigVersion()).
 		Int("routes", len(c.Routes)).Int("unread", len(c.Unread)).Str("source", source).Msg("configuration in force")
 	s.reportUnread(c)
-	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets))
+	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets, old.Evacuations))
 	s.configChangedAt = s.clock.Now()
 	s.notifyChangedLocked()
 	if source == sourceStore {
@@ -191,10 +203,11 @@
 // needs s.mu.
 func (s *routingState) publishLocked(source string) {
 	old := s.view.Load()
-	view := catalog.NewView(old.Routes, s.membership.Snapshot())
+	view := catalog.NewView(old.Routes, s.membership.Snapshot(), s.evacuations)
 	for i := range view.Targets.List {
 		s.trackLocked(view.Targets.List[i], source)
 	}
+	s.markEvacuatedLocked(view.Evacuations)
 	for id, t := range s.targets {
 		if view.ByID[id] == nil {
 			s.log.Info().Str("step", "targets").Str("target", id).Str("service", t.Service).Str("source", source).Msg("target gone")
@@ -222,6 +235,9 @@
 		if t.Draining && !old.Draining {
 			old.drainsUntil = s.clock.Now() + drainingOwnerGrace
 		}
+		if t.Revision > old.Revision {
+			s.markWarmingLocked(old, t.WarmupLeft, warmingByEntry)
+		}
 		old.Target = t
 		old.pick.Slots = t.Slots
 		return
@@ -237,6 +253,7 @@
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
+	s.markWarmingLocked(added, t.WarmupLeft, warmingByEntry)
 	if t.Draining {
 		added.drainsUntil = s.clock.Now() + drainingOwnerGrace
 	}
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -60,6 +60,7 @@
 		"targets.age":      func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
 		"mesh.live":        func() int64 { return int64(len(g.mesh.Live())) },
 		"subset.targets":   g.state.subsetSize,
+		"targets.warming":  g.state.warmingTargets,
 		"paths.lost":       func() int64 { return int64(len(g.state.unreachedTargets())) },
 		"paths.cutOff":     func() int64 { return boolToInt(g.state.cutOff()) },
 		"forward.inFlight": func() int64 { inFlight, _ := g.forwarded.state(); return int64(inFlight) },
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -54,6 +54,9 @@
 	near := slices.DeleteFunc(slices.Clone(members), func(m mesh.Member) bool { return m.DataCentre != g.self.DataCentre })
 	place := fleetPlace{all: g.placeIn(members), near: g.placeIn(near)}
 	targets := g.state.setPlace(place)
+	if g.membersListed.Load() {
+		g.state.setMembers(members)
+	}
 	neighbours := make(map[string]bool)
 	for i, m := range near {
 		if m.VM != g.self.VM && place.near.Shares(i, targets) {
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -69,6 +69,9 @@
 	StoreRelayed    bool   `msgpack:"y"`
 	ConfigVersion   uint64 `msgpack:"c"`
 	TargetsRevision uint64 `msgpack:"t"`
+	// Evacuated lists the evacuated data centres, as of EvacuationsRevision.
+	EvacuationsRevision uint64   `msgpack:"z,omitempty"`
+	Evacuated           []string `msgpack:"e,omitempty"`
 	// Targets is the number of targets that the sender knows.
 	Targets uint16         `msgpack:"n"`
 	Leases  []LeaseVersion `msgpack:"m"`
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -76,6 +76,10 @@
 	// ColdMove is how long requests for keys are slow at a new owner that gets the
 	// keys without the state of the previous one.
 	ColdMove time.Duration
+	// Warmup is how long a target is cold at most, and WarmupPerSecond how many requests per second it
+	// tolerates meanwhile, or 0 for any number.
+	Warmup          time.Duration
+	WarmupPerSecond float64
 }
 
 // Limits bound what a caller may send. Zero stands for the default.
