leasing: VMs report the slowness only of targets that have answered; bytes between VMs by method

What was seen: the bytes that a VM sends and the grantor's processor time grow with VMs times targets. Every 250 ms each VM reported the slowness of all targets of a service to the grantor, 8 bytes each, also of those that it has never used, which it reported as usual. With 300 VMs and 1,126 targets that is 36 kB/s a VM and 10.8 MB/s at the grantor, which kept a map of all targets for each VM and took the mean over all VMs for each owner in each plan.

Change: a report holds the targets that have answered since the last one, with the mean of these answers and their number; the grantor averages over the last 16 answers of a target. The estimate no longer contains the reports of VMs that never met the target or did so long ago. Beyond 100 VMs the grantor queries less often. Malformed reports from another VM are dropped; they ended the grantor's process. UnreachedBy returns at once for a VM that has reported none.

Bytes sent to other VMs are counted by method, logged every 10 s and shown as gauges.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -72,6 +72,7 @@
 	Unreported float64
 
 	logSlow      float64
+	measured     Measured
 	failures     float64
 	lostInARow   int
 	backoffs     int
@@ -186,8 +187,26 @@
 	if usual <= 0 || took <= 0 {
 		return
 	}
-	ratio := BoundRatio(float64(took) / (float64(usual) * rounds))
-	s.logSlow += (math.Log(ratio) - s.logSlow) / slownessSamples
+	ratio := math.Log(BoundRatio(float64(took) / (float64(usual) * rounds)))
+	s.logSlow += (ratio - s.logSlow) / slownessSamples
+	s.measured.Answers++
+	s.measured.logSum += ratio
+}
+
+// Measured is the mean slowness of some answers of a target.
+type Measured struct {
+	Answers int
+	logSum  float64
+}
+
+// Slowness returns the geometric mean, or 1 without answers.
+func (m Measured) Slowness() float64 { return math.Exp(m.logSum / float64(max(m.Answers, 1))) }
+
+// TakeMeasured returns the slowness of the answers since the last call.
+func (s *State) TakeMeasured() Measured {
+	m := s.measured
+	s.measured = Measured{}
+	return m
 }
 
 // BoundRatio limits a ratio of measured to expected time, so that a single answer does not
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.watchEvacuations, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag,
+		g.watchConfig, g.watchTargets, g.watchEvacuations, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -11,8 +12,12 @@
 )
 
 const (
-	// loadQueryInterval is how often the grantor queries the VMs for the load of keys.
+	// loadQueryInterval is how often the grantor queries the VMs for the load of keys in a fleet of up to
+	// loadQueryVMs VMs. In a larger one it queries less often, so that the number of calls does not grow.
 	loadQueryInterval = 250 * time.Millisecond
+	loadQueryVMs      = 100
+	// slownessAnswers is the number of answers over which the slowness of a target is averaged.
+	slownessAnswers = 16
 	// spreadInterval is the minimum time between two checks of the load: rates decay over about a
 	// second, and a move takes a few hundred milliseconds.
 	spreadInterval = 300 * time.Millisecond
@@ -31,57 +36,52 @@
 	// have one, by the first key of the slice.
 	nextLimit time.Duration
 	limits    map[uint16]lease.Limit
-	// slowness is the last report of each VM on each target, by the hash of the target's id.
-	slowness map[string]map[uint32]float64
+	// slowness is the logarithm of the slowness of targets that have answered, by the hash of the
+	// target's id.
+	slowness map[uint32]float64
 }
 
 func newLoadView() *loadView {
-	return &loadView{rates: keyspread.NewRates(), slowness: make(map[string]map[uint32]float64)}
+	return &loadView{rates: keyspread.NewRates(), slowness: make(map[uint32]float64)}
 }
 
-// add adds the load that a VM has counted and replaces its report on the targets.
-func (v *loadView) add(vm string, in KeyLoad) {
+// add adds the load that a VM has counted.
+func (v *loadView) add(in KeyLoad) {
 	for i, key := range in.Keys {
 		v.rates.Add(key, int(in.Requests[i]))
 	}
-	slow := make(map[uint32]float64, len(in.Targets))
 	for i, t := range in.Targets {
-		slow[t] = float64(in.Slowness[i]) / hundredths
+		measured := math.Log(max(float64(in.Slowness[i]), 1) / hundredths)
+		weight := 1 - math.Pow(1-1.0/slownessAnswers, float64(in.Answers[i]))
+		v.slowness[t] += weight * (measured - v.slowness[t])
 	}
-	v.slowness[vm] = slow
 }
 
-// meanSlowness returns the mean of what all VMs report of a target, or 1 without a report.
-func (v *loadView) meanSlowness(target uint32) float64 {
-	sum, n := 0.0, 0
-	for _, m := range v.slowness {
-		if s, ok := m[target]; ok {
-			sum += s
-			n++
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / float64(n)
-}
+// slownessOf returns the slowness of a target, averaged over its last answers to all VMs, or 1 if there
+// were none.
+func (v *loadView) slownessOf(target uint32) float64 { return math.Exp(v.slowness[target]) }
 
 // queryLoad collects the load of keys from all VMs.
 func (l *leader) queryLoad(ctx context.Context, now time.Duration) {
-	if now-l.load.lastQuery < loadQueryInterval {
+	others := l.Mesh.Others()
+	if now-l.load.lastQuery < loadQueryInterval*time.Duration(max(len(others), loadQueryVMs))/loadQueryVMs {
 		return
 	}
 	l.load.lastQuery = now
 	l.load.rates.Advance(now)
-	l.load.add(l.Self.VM, l.TargetDirectory.TakeKeyLoad(l.service))
-	for _, vm := range l.Mesh.Others() {
+	l.load.add(l.TargetDirectory.TakeKeyLoad(l.service))
+	for _, vm := range others {
 		go func() {
 			var in KeyLoad
 			if err := l.Mesh.Call(ctx, vm, "View.KeyLoad", &l.service, &in); err != nil {
 				l.Log.Debug().Str("step", "load").Str("peer", vm).Err(err).Msg("load of keys not received")
 				return
 			}
-			l.enqueue(ctx, func() { l.load.add(vm, in) })
+			if !in.Valid() {
+				l.Log.Warn().Str("step", "load").Str("peer", vm).Msg("malformed load of keys")
+				return
+			}
+			l.enqueue(ctx, func() { l.load.add(in) })
 		}()
 	}
 }
@@ -189,5 +189,5 @@
 	if d, known := l.TargetDirectory.MeanServiceTime(l.service); known {
 		serviceTime = d
 	}
-	return float64(slots) / (serviceTime.Seconds() * l.load.meanSlowness(catalog.Hash(o.ID)))
+	return float64(slots) / (serviceTime.Seconds() * l.load.slownessOf(catalog.Hash(o.ID)))
 }
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -97,3 +97,28 @@
 	require.Equal(t, lease.Unlimited, limited.LimitOf(usual))
 	require.Equal(t, lease.Unlimited, limitsAtRate(10).LimitOf(hot), "the key is no longer hot")
 }
+
+// Guards against a grantor that takes the slowness of an owner for the mean over all VMs, most of which have
+// not heard from it or did so long ago.
+func TestSlownessFollowsTheLatestAnswers(t *testing.T) {
+	v := newLoadView()
+	report := func(slowness uint16, answers uint8) {
+		v.add(KeyLoad{Targets: []uint32{1}, Slowness: []uint16{slowness}, Answers: []uint8{answers}})
+	}
+	require.InDelta(t, 1, v.slownessOf(1), 1e-9)
+	for range 100 {
+		report(300, 1)
+	}
+	require.InDelta(t, 3, v.slownessOf(1), 0.05)
+	report(50, 100)
+	require.InDelta(t, 0.5, v.slownessOf(1), 0.05)
+	report(0, 255)
+	require.Positive(t, v.slownessOf(1))
+}
+
+// Guards against a report from another VM whose lists differ in length, which ended the grantor's process.
+func TestMalformedLoadOfKeysIsRecognized(t *testing.T) {
+	require.True(t, (&KeyLoad{Keys: []uint16{1}, Requests: []uint16{2}, Targets: []uint32{1}, Slowness: []uint16{100}, Answers: []uint8{1}}).Valid())
+	require.False(t, (&KeyLoad{Keys: []uint16{1}}).Valid())
+	require.False(t, (&KeyLoad{Targets: []uint32{1}, Slowness: []uint16{100}}).Valid())
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -134,8 +134,8 @@
 	return nil
 }
 
-// takeKeyLoad returns the request counts of a service's keys, with the slowness of its targets,
-// and resets the counts.
+// takeKeyLoad returns the request counts of a service's keys, with the slowness of the targets that have
+// answered since the last call, and resets both.
 func (s *routingState) takeKeyLoad(service string) leasing.KeyLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,8 +146,11 @@
 	}
 	delete(s.keyLoad, service)
 	for _, t := range s.targets {
-		if t.Service == service {
-			out.AddTarget(t.hash, t.pick.Slowness())
+		if t.Service != service {
+			continue
+		}
+		if m := t.pick.TakeMeasured(); m.Answers > 0 {
+			out.AddTarget(t.hash, m)
 		}
 	}
 	return out
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,6 +13,8 @@
 
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/pause"
+	"hemlockquay/internal/peer"
 )
 
 // counters holds the metrics of request handling.
@@ -154,3 +160,20 @@
 		Str("target", out.Target).Int("status", out.Status).Str("refusal", out.Refusal).Bool("lost", out.Result == lostByPeer).
 		Dur("took", took).Dur("timeLeft", in.TimeLeft).Msg("request of another VM ended")
 }
+
+// trafficInterval is the interval between two log lines on the bytes sent to other VMs.
+const trafficInterval = 10 * time.Second
+
+// logTraffic periodically logs the bytes that this VM has sent to others, by method, until ctx ends.
+func (g *Gateway) logTraffic(ctx context.Context) {
+	for pause.For(ctx, trafficInterval) {
+		sent := peer.SentBytes()
+		methods := slices.SortedFunc(maps.Keys(sent), func(a, b string) int { return cmp.Compare(sent[b], sent[a]) })
+		e := g.log.Info().Str("step", "traffic")
+		for _, m := range methods {
+			metrics.GetOrRegisterGauge("peers.sentBytes."+m, g.registry).Update(sent[m])
+			e = e.Int64(m, sent[m])
+		}
+		e.Msg("bytes sent to other VMs")
+	}
+}
--- a/internal/mesh/reach.go
+++ b/internal/mesh/reach.go
@@ -61,7 +61,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := m.remotes[vm]
-	if r == nil {
+	if r == nil || !r.heartbeat.CutOff && len(r.heartbeat.Unreached) == 0 {
 		return 0
 	}
 	for _, target := range targets {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -20,19 +20,24 @@
 // but the library rejects an array of another length.
 type codec struct {
 	conn net.Conn
+	sent *countingWriter
 	out  *bufio.Writer
 	enc  *msgpack.Encoder
 	dec  *msgpack.Decoder
 }
 
 func newCodec(conn net.Conn) *codec {
-	out := bufio.NewWriterSize(conn, bufferSize)
+	sent := &countingWriter{Writer: conn}
+	out := bufio.NewWriterSize(sent, bufferSize)
 	enc := msgpack.NewEncoder(out)
 	enc.UseCompactInts(true)
-	return &codec{conn: conn, out: out, enc: enc, dec: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferSize))}
+	return &codec{conn: conn, sent: sent, out: out, enc: enc, dec: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferSize))}
 }
 
-func (c *codec) write(header, body any) error {
+// write sends a message. One message is written at a time.
+func (c *codec) write(method string, header, body any) error {
+	before := c.sent.n
+	defer func() { countSent(method, c.sent.n-before) }()
 	if err := c.enc.Encode(header); err != nil {
 		return c.closeAfterWriteError(err)
 	}
@@ -88,12 +93,17 @@
 
 type clientCodec struct{ *codec }
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error    { return c.read(r) }
-func (c clientCodec) ReadResponseBody(body any) error             { return c.read(body) }
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(r.ServiceMethod, r, body)
+}
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.read(r) }
+func (c clientCodec) ReadResponseBody(body any) error          { return c.read(body) }
 
 type serverCodec struct{ *codec }
 
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error        { return c.read(r) }
-func (c serverCodec) ReadRequestBody(body any) error                { return c.read(body) }
-func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.read(r) }
+func (c serverCodec) ReadRequestBody(body any) error         { return c.read(body) }
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	return c.write(r.ServiceMethod+replySuffix, r, body)
+}
