gateway: a VM that the store turns away calls it rarely while others watch it

Change: while three other VMs reach the store, such a VM tries one kind, at most every 1.5 s. Grantors go on as before, since their authority hangs on it. Calls by operation and kind are logged with the bytes between VMs, every 10 s.

--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -161,19 +159,23 @@
 		Dur("took", took).Dur("timeLeft", in.TimeLeft).Msg("request of another VM ended")
 }
 
-// trafficInterval is the interval between two log lines on the bytes sent to other VMs.
+// trafficInterval is the interval between two log lines on this VM's traffic.
 const trafficInterval = 10 * time.Second
 
-// logTraffic periodically logs the bytes that this VM has sent to others, by method, until ctx ends.
+// logTraffic periodically logs the bytes that this VM has sent to others, by method, and its calls to the
+// store, by operation and kind, until ctx ends.
 func (g *Gateway) logTraffic(ctx context.Context) {
 	for pause.For(ctx, trafficInterval) {
 		sent := peer.SentBytes()
-		methods := slices.SortedFunc(maps.Keys(sent), func(a, b string) int { return cmp.Compare(sent[b], sent[a]) })
-		e := g.log.Info().Str("step", "traffic")
-		for _, m := range methods {
-			metrics.GetOrRegisterGauge("peers.sentBytes."+m, g.registry).Update(sent[m])
-			e = e.Int64(m, sent[m])
+		for method, n := range sent {
+			metrics.GetOrRegisterGauge("peers.sentBytes."+method, g.registry).Update(n)
 		}
-		e.Msg("bytes sent to other VMs")
+		calls := make(map[string]int64)
+		g.registry.Each(func(name string, m any) {
+			if call, ok := strings.CutPrefix(name, storeCallsPrefix); ok {
+				calls[call] = m.(metrics.Counter).Count()
+			}
+		})
+		g.log.Info().Str("step", "traffic").Any("sentBytes", sent).Any("storeCalls", calls).Msg("bytes sent to other VMs and calls to the store")
 	}
 }
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -22,12 +22,15 @@
 	onResult func(sent time.Duration, err error)
 }
 
+// storeCallsPrefix begins the names of the counters of calls to the store.
+const storeCallsPrefix = "store.calls."
+
 // observe runs a call to the store and records it.
 func observe[T any](s observedStore, operation string, kind model.Kind, call func() (T, error)) (T, error) {
 	begin, sent := time.Now(), s.clock.Now()
 	out, err := call()
 	metrics.GetOrRegisterTimer("step.store."+operation, s.registry).UpdateSince(begin)
-	metrics.GetOrRegisterCounter("store.calls."+operation+"."+string(kind), s.registry).Inc(1)
+	metrics.GetOrRegisterCounter(storeCallsPrefix+operation+"."+string(kind), s.registry).Inc(1)
 	if err != nil {
 		metrics.GetOrRegisterCounter("store.failures."+operation+"."+string(kind), s.registry).Inc(1)
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,6 +33,8 @@
 	// because changes must take effect soon after the store is reachable again.
 	minStoreBackoff = 50 * time.Millisecond
 	maxStoreBackoff = 400 * time.Millisecond
+	// idleRetryPause is the pause after a failed call while enough other VMs watch the store.
+	idleRetryPause = 1500 * time.Millisecond
 )
 
 // watch keeps the objects of one kind up to date until ctx ends. It lists them and then follows
@@ -40,7 +42,7 @@
 func (g *Gateway) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
 	backoff := minStoreBackoff
 	for ctx.Err() == nil {
-		if !g.shouldWatch() {
+		if !g.shouldWatch(kind) {
 			pause.For(ctx, watchCheckInterval)
 			continue
 		}
@@ -59,22 +61,35 @@
 			g.log.Warn().Str("step", "watch").Str("kind", string(kind)).Err(err).Msg("store dropped its history, listing again")
 			continue
 		}
-		pause.For(ctx, backoff)
+		pause.For(ctx, max(backoff, g.minRetryPause()))
 		backoff = min(2*backoff, maxStoreBackoff)
 	}
 }
 
-// shouldWatch reports whether this VM has to watch the store. The grantors do, because they must
-// notice early that they do not reach it, and as many other VMs as watcherCount requires. A VM
-// that does not reach the store does not count as one of them, but continues to try.
-func (g *Gateway) shouldWatch() bool {
+// shouldWatch reports whether this VM has to watch the objects of a kind. The grantors do, because they
+// must notice early that they do not reach the store, and as many other VMs as watcherCount requires. A VM
+// that does not reach the store does not count as one of them, but continues to try, with one kind only if
+// enough others watch.
+func (g *Gateway) shouldWatch(kind model.Kind) bool {
+	grantors := g.state.leases.Grantors()
 	if !g.storeUp.Load() {
-		return true
+		return kind == g.adapter.ConfigID().Kind || grantors[g.self.VM] || !g.watchedByOthers()
 	}
-	grantors := g.state.leases.Grantors()
 	return grantors[g.self.VM] || g.place("watch", g.mesh.ReachesStore) < watcherCount-len(grantors)
 }
 
+// watchedByOthers reports whether enough other VMs reach the store to watch it.
+func (g *Gateway) watchedByOthers() bool { return len(g.mesh.StoreRelays()) >= watcherCount }
+
+// minRetryPause returns the least pause before this VM calls the store again after a failure. Each call has
+// a cost, and a VM that learns all changes from others need not know soon that it reaches the store again.
+func (g *Gateway) minRetryPause() time.Duration {
+	if g.state.leases.Grantors()[g.self.VM] || !g.watchedByOthers() {
+		return 0
+	}
+	return idleRetryPause
+}
+
 // place returns this VM's place, from 0, in the order of preference for a duty among the live VMs
 // for which fit returns true. VMs with much faster links come first, because on a link of 10
 // Mbit/s the renewals of hundreds of ranges compete with requests.
@@ -92,7 +107,7 @@
 }
 
 func (g *Gateway) followChanges(ctx context.Context, kind model.Kind, revision uint64, change func(platform.Changes)) error {
-	for ctx.Err() == nil && g.shouldWatch() {
+	for ctx.Err() == nil && g.shouldWatch(kind) {
 		callCtx, cancel := context.WithTimeout(ctx, watchDuration+watchTimeoutMargin)
 		changes, err := g.store.WatchKind(callCtx, kind, revision, watchDuration)
 		cancel()
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/model"
 )
 
 // Guards against a grantor on a slow link while other VMs have fast ones.
@@ -63,3 +65,32 @@
 	require.Contains(t, places, 0)
 	require.Contains(t, places, 4)
 }
+
+// Guards against VMs that the store turns away and that go on calling it for every kind of object although
+// others watch it for them.
+func TestVMTurnedAwayByTheStoreRarelyCallsItWhileOthersWatch(t *testing.T) {
+	g := newTestGateway(newManualClock(time.Hour))
+	defer g.mesh.Close()
+	g.storeUp.Store(false)
+	kinds := func() (watched int) {
+		for _, kind := range []model.Kind{g.adapter.ConfigID().Kind, g.adapter.TargetKind(), g.adapter.EvacuationKind()} {
+			if g.shouldWatch(kind) {
+				watched++
+			}
+		}
+		return watched
+	}
+	require.Equal(t, 3, kinds())
+	require.Zero(t, g.minRetryPause(), "no other VM reaches the store")
+	for i := range watcherCount {
+		g.receiveHeartbeat(mesh.Heartbeat{From: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Addr: "127.0.0.1:1", Incarnation: 1}})
+	}
+	require.Equal(t, 1, kinds(), "it must notice at some time that the store answers again")
+	require.Equal(t, idleRetryPause, g.minRetryPause())
+	g.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	held := *g.state.leases.Get("keyed")
+	held.Holder, held.Seq = g.self.VM, 2
+	g.state.leases.Set(&held)
+	require.Equal(t, 3, kinds(), "a grantor must notice early")
+	require.Zero(t, g.minRetryPause())
+}
