gateway: ask targets that tell their load before they get a request

Cause: the targets share their machines and are three times slower for 0.4 s at a time, a fifth of them at any moment. A VM meets a target about once a second or less, and the heartbeats of 90 VMs tell loads that are up to 2 s old, so nothing that it knows of a target is of use.

Change: targets whose responses state running, waiting, slots and how long work takes at the moment answer a health check at once with the same. Such a target is asked before it gets a request of 20 ms or more: of a pool, up to three until one has a free slot and is not slow; an owner once, and the request is refused at once if its queue is too long. Work that occupies a slot for longer than the callers of another route want to wait is sent only while a slot remains free, or after 0.4 of its objective. A target that leaves an inquiry unanswered gets no request, so none that may not be repeated is lost there. Loads of such targets leave the heartbeats, and VMs whose pools all tell their load have no neighbours with frequent heartbeats. Answers to earlier requests are skipped on connections that carry inquiries.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
@@ -29,6 +30,11 @@
 	Target(o platform.Object) (catalog.Target, error)
 	// Headers returns the names of the platform's HTTP headers.
 	Headers() Headers
+	// LoadReport decodes what a response says of its target's load. stated is false if it does not say
+	// how long work takes at the moment; then targets are not asked for it.
+	LoadReport(h http.Header) (r loadreport.Report, stated bool, err error)
+	// WarmupLeft returns for how long the target that responds to a health check stays cold.
+	WarmupLeft(h http.Header) time.Duration
 	// Order encodes an order about leases as a request to a target.
 	Order(o lease.Order) (*upstream.Request, error)
 	// OrderResult decodes a target's response to an order.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,7 +24,7 @@
 		if g.state.crashesTargets(c.digest, g.mesh) {
 			return c.giveUp("request ends the targets that run it", maxRetryAfter)
 		}
-		a, reason := g.reserveTarget(c, timeLeft)
+		a, reason := g.reserveTarget(ctx, c, timeLeft)
 		if (reason == refusedMoving || reason == refusedWarming) && g.awaitRoutingChange(ctx, c, maxMoveWait) {
 			continue
 		}
@@ -50,6 +50,13 @@
 			g.state.finish(a, resultAbandoned)
 			return c.giveUp(string(refusedLeaving), immediateRetryAfter)
 		}
+		if c.keyed {
+			if ready, out := g.consultOwner(ctx, c, a, timeLeft); out != nil {
+				return *out
+			} else if !ready {
+				continue
+			}
+		}
 		if out := g.refuseRepeat(c); out != nil {
 			g.state.finish(a, resultAbandoned)
 			return *out
@@ -86,7 +93,7 @@
 	return &out
 }
 
-func (g *Gateway) reserveTarget(c *call, timeLeft time.Duration) (*attempt, refusal) {
+func (g *Gateway) reserveTarget(ctx context.Context, c *call, timeLeft time.Duration) (*attempt, refusal) {
 	if c.keyed {
 		if c.unreached[g.ownerOf(c)] {
 			return nil, refusedUnreached
@@ -99,7 +106,7 @@
 		c.refusedOn = details
 		return a, reason
 	}
-	return g.state.reserveFromPool(c.service, c.route, c.excluded(), timeLeft, g.clock.Now())
+	return g.reserveAskedFromPool(ctx, c, timeLeft)
 }
 
 // ownerOf returns the ID of the target that owns the key of the request, or "" if none is known.
@@ -180,11 +187,17 @@
 	if c.route.Idempotent {
 		defer g.state.abortIfSilent(a, cancel)()
 	}
+	a.sent = time.Now()
 	resp, err := a.pool.Exchange(sendCtx, c.request, a.conn)
 	took := time.Since(a.sent)
 	metrics.GetOrRegisterTimer("step.target."+c.service, g.registry).Update(took)
 	c.recordAttempt(a, took, resp, err)
 	g.state.recordEvidence(sendCtx, a, err)
+	if err == nil {
+		if r, stated := g.recordLoadReport(a.target, resp.Header); stated {
+			a.noise = r.Slowness
+		}
+	}
 	return resp, err
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,6 +43,8 @@
 	failedResponse *upstream.Answer
 	trace          []string
 	waited         time.Duration
+	// waitedForRoom is how long a request with long work has waited for an owner with room for it.
+	waitedForRoom time.Duration
 	// refusedWithFreeSlots reports whether the last target refused the request although it had a
 	// free slot.
 	refusedWithFreeSlots bool
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
@@ -28,6 +32,19 @@
 func (fakeAdapter) TargetKind() model.Kind              { return "targets" }
 func (fakeAdapter) EvacuationKind() model.Kind          { return "evacuations" }
 
+func (fakeAdapter) LoadReport(h http.Header) (r loadreport.Report, stated bool, err error) {
+	if text := h.Get("Load"); text != "" {
+		_, err = fmt.Sscanf(text, "%d %d %d %f", &r.Running, &r.Waiting, &r.Slots, &r.Slowness)
+		stated = err == nil
+	}
+	return r, stated, err
+}
+
+func (fakeAdapter) WarmupLeft(h http.Header) time.Duration {
+	ms, _ := strconv.Atoi(h.Get("Cold-Ms"))
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (fakeAdapter) Config(o platform.Object) (*route.Config, error) {
 	c := new(route.Config)
 	return c, json.Unmarshal(o.Spec, c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	forwarded      *forwardedRequests
 	forwardClients *peer.Pool
 	forwardMetrics forwardMetrics
+	inquiries      inquiryMetrics
 	forwardCount   atomic.Uint64
 	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
 	routerMu sync.Mutex
@@ -126,6 +127,7 @@
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
+	g.inquiries = newInquiryMetrics(registry)
 	g.sighups = make(chan os.Signal, 1)
 	g.grace.Store(int64(s.Grace))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
--- /dev/null
+++ b/internal/gateway/inquiry_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/decide/loadreport"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/route"
+)
+
+// askedTarget is a target that tells its load.
+type askedTarget struct {
+	report atomic.Pointer[loadreport.Report]
+	// silent makes it leave inquiries unanswered.
+	silent         atomic.Bool
+	inquiries, ran atomic.Int64
+}
+
+func (a *askedTarget) say(running, waiting int, slowness float64) {
+	a.report.Store(&loadreport.Report{Running: running, Waiting: waiting, Slots: 2, Slowness: slowness})
+}
+
+func (a *askedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	report := a.report.Load()
+	w.Header().Set("Load", fmt.Sprintf("%d %d %d %f", report.Running, report.Waiting, report.Slots, report.Slowness))
+	if r.URL.Path != "/health" {
+		a.ran.Add(1)
+		succeed(w, r)
+		return
+	}
+	a.inquiries.Add(1)
+	if a.silent.Load() {
+		<-r.Context().Done()
+	}
+}
+
+// newAskedTestbed returns a gateway with targets that tell their load. Requests of the route long occupy the
+// owner of their key for longer than the callers of the route short want to wait.
+func newAskedTestbed(t *testing.T, service string, ids ...string) (*testbed, map[string]*askedTarget) {
+	b := newTestbed(t)
+	to := func(service string) []route.Split { return []route.Split{{Service: service, Weight: 1}} }
+	b.state.setConfig(&route.Config{
+		Version: 4,
+		Routes: []route.Route{
+			{Name: "once", Host: "once.example", Prefix: "/", Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxTargets: 2, Splits: to("pool")},
+			{Name: "short", Host: "short.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, Objective: 150 * time.Millisecond, MaxTargets: 2, Splits: to("keyed")},
+			{Name: "long", Host: "long.example", Prefix: "/", Idempotent: true, Timeout: 2 * time.Second, Objective: 800 * time.Millisecond, MaxTargets: 2, Splits: to("keyed")},
+		},
+		Services: map[string]route.Service{
+			"pool":  {Name: "pool", HealthPath: "/health"},
+			"keyed": {Name: "keyed", Keyed: true, HealthPath: "/health"},
+		},
+		Limits: route.Limits{BodyBytes: 100},
+	}, "test")
+	b.fillRepeatBudget("pool", "keyed")
+	targets := make(map[string]*askedTarget)
+	for _, id := range ids {
+		targets[id] = new(askedTarget)
+		targets[id].say(0, 0, 1)
+		b.addTarget(id, service, targets[id].ServeHTTP)
+	}
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	b.state.tellsLoad[service] = true
+	for _, t := range b.state.targets {
+		t.tellsLoad = true
+	}
+	for name, work := range map[string]time.Duration{"once": 100 * time.Millisecond, "short": 40 * time.Millisecond, "long": 250 * time.Millisecond} {
+		for range 100 {
+			b.state.recordDurationLocked(service, name, work)
+		}
+	}
+	return b, targets
+}
+
+// Guards against requests that meet a target whose machine is slow at this moment, while others are idle.
+func TestTargetThatSaysItIsSlowGetsNoRequests(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "slow", "usual")
+	targets["slow"].say(0, 0, 3)
+	for range 4 {
+		require.Equal(t, http.StatusOK, b.send("once.example", nil, "").StatusCode)
+	}
+	require.Zero(t, targets["slow"].ran.Load())
+	require.EqualValues(t, 4, targets["usual"].ran.Load())
+}
+
+// Guards against refusals while the only target with room is slow.
+func TestSlowTargetIsUsedIfTheOthersAreFull(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "slow", "full")
+	targets["slow"].say(0, 0, 3)
+	targets["full"].say(2, 4, 1)
+	require.Equal(t, http.StatusOK, b.send("once.example", nil, "").StatusCode)
+	require.EqualValues(t, 1, targets["slow"].ran.Load())
+}
+
+// Guards against a request that may not be repeated and is sent to a target that has stopped answering.
+func TestTargetThatDoesNotAnswerAnInquiryGetsNoRequests(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "silent", "usual")
+	targets["silent"].silent.Store(true)
+	for range 4 {
+		require.Equal(t, http.StatusOK, b.send("once.example", nil, "").StatusCode)
+	}
+	require.Zero(t, targets["silent"].ran.Load())
+}
+
+// Guards against requests that are sent to pools without room, whose targets never answer what they cannot
+// queue.
+func TestPoolThatSaysItIsFullRefusesAtOnce(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "a", "b")
+	for _, target := range targets {
+		target.say(2, 6, 1)
+	}
+	resp := b.send("once.example", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, targets["a"].ran.Load()+targets["b"].ran.Load())
+}
+
+// Guards against owners that are overrun by VMs which count only their own requests.
+func TestOwnerThatSaysItIsFullGetsNoRequests(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	key := http.Header{"Key": {"7"}}
+	require.Equal(t, http.StatusOK, b.send("short.example", key, "").StatusCode)
+	targets["k"].say(2, 5, 1)
+	require.Equal(t, http.StatusServiceUnavailable, b.send("short.example", key, "").StatusCode)
+	require.EqualValues(t, 1, targets["k"].ran.Load())
+}
+
+// Guards against long work that takes the last slot of an owner while short work with an urgent objective
+// arrives.
+func TestLongWorkWaitsForRoomAtItsOwner(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	key := http.Header{"Key": {"7"}}
+	targets["k"].say(1, 0, 1)
+	require.Equal(t, http.StatusOK, b.send("short.example", key, "").StatusCode)
+	require.EqualValues(t, 1, targets["k"].inquiries.Load())
+	require.Equal(t, http.StatusOK, b.send("long.example", key, "").StatusCode, "it is sent when it has waited long enough")
+	require.Greater(t, targets["k"].inquiries.Load(), int64(3))
+	require.EqualValues(t, 2, targets["k"].ran.Load())
+	before := targets["k"].inquiries.Load()
+	targets["k"].say(0, 0, 1)
+	require.Equal(t, http.StatusOK, b.send("long.example", key, "").StatusCode)
+	require.Equal(t, before+1, targets["k"].inquiries.Load(), "it is sent at once if a slot remains")
+}
+
+// Guards against inquiries at targets that do not tell their load, which queue them like any request.
+func TestTargetsThatDoNotTellTheirLoadAreNotAsked(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("t", "pool", func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "/x", r.URL.Path)
+		succeed(w, r)
+	})
+	for range 3 {
+		require.Equal(t, http.StatusOK, b.send("once.example", nil, "").StatusCode)
+	}
+	require.EqualValues(t, 3, b.requests.Load())
+}
+
+// Guards against a target that turns cold without a restart and is overrun before its entry says so.
+func TestHealthCheckTellsThatATargetIsCold(t *testing.T) {
+	b, _ := newAskedTestbed(t, "pool", "t")
+	target := b.state.targets["t"]
+	b.state.recordWarmupLeft(target, 2*time.Second)
+	require.Equal(t, b.clock.Now()+2*time.Second, target.warming.until)
+}
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -76,10 +76,8 @@
 func (g leasingAdapter) MeanServiceTime(service string) (time.Duration, bool) {
 	g.gateway.state.mu.Lock()
 	defer g.gateway.state.mu.Unlock()
-	if d := g.gateway.state.durations[service]; d != nil && d.Known() {
-		return d.Mean(), true
-	}
-	return 0, false
+	mean := g.gateway.state.meanDurationLocked(service)
+	return mean, mean > 0
 }
 
 // WarmupCost implements leasing.TargetDirectory.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -15,13 +15,14 @@
 	}
 }
 
-// ownLoads returns the number of this VM's requests at each target that has any.
+// ownLoads returns the number of this VM's requests at each target that has any, except those that tell their
+// load themselves.
 func (s *routingState) ownLoads() []mesh.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []mesh.Load
 	for t := range s.inUse {
-		if t.pick.Own > 0 {
+		if t.pick.Own > 0 && !t.tellsLoad {
 			out = append(out, mesh.NewLoad(t.hash, t.pick.Own))
 		}
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -16,13 +16,17 @@
 // attempt is one try to send a request to a target, from the reservation of the target to its
 // release.
 type attempt struct {
-	target   *targetState
-	id       string
-	pool     *upstream.Pool
-	service  string
-	route    string
-	sent     time.Time
-	usual    time.Duration
+	target  *targetState
+	id      string
+	pool    *upstream.Pool
+	service string
+	route   string
+	sent    time.Time
+	usual   time.Duration
+	// mean is the mean service time of all requests to the service.
+	mean time.Duration
+	// slowness is that of the target at the time of the reservation.
+	slowness float64
 	rounds   float64
 	expected time.Duration
 	load     int
@@ -39,6 +43,9 @@
 	peer string
 	// refused says why no attempt was made, if none was.
 	refused refusal
+	// noise is how much longer than usual work took on the target's machine, as its response said, or 0 if
+	// it did not.
+	noise float64
 	// hadFreeSlots reports whether the target had free slots at the time of the reservation.
 	hadFreeSlots bool
 }
@@ -143,6 +150,8 @@
 	owner, state := r.Find(key)
 	t := s.targets[owner]
 	now := s.clock.Now()
+	// A target that is asked for its load knows better than this VM whether it is full.
+	asked := t != nil && t.tellsLoad && !req.forwarded
 	switch {
 	case state == lease.Moving:
 		return nil, refusedMoving, owner + " gets the key"
@@ -156,7 +165,7 @@
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case s.warmupExceededLocked(t, now):
 		return nil, refusedWarming, fmt.Sprintf("%s for %dms", owner, (t.warming.until - now).Milliseconds())
-	case t.pick.FullFor(s.mayUseReserveLocked(service, rt.Priority)):
+	case !asked && t.pick.FullFor(s.mayUseReserveLocked(service, rt.Priority)):
 		return nil, refusedFull, t.describeLoad()
 	case !req.forwarded && rand.Float64() >= r.LimitOf(key).Fraction():
 		return nil, refusedHot, fmt.Sprintf("%s part %.3f epoch %d seq %d", owner, r.LimitOf(key).Fraction(), r.Epoch, r.Seq)
@@ -166,7 +175,7 @@
 		return nil, refusedLost, fmt.Sprintf("%s resting", owner)
 	}
 	cold := state == lease.Cold
-	if cold && !t.pick.AcceptsCold() {
+	if cold && !asked && !t.pick.AcceptsCold() {
 		return nil, refusedCold, t.describeLoad()
 	}
 	a, reason := s.reserveLocked(t, s.fleet.all.VMs, service, rt.Name, timeLeft)
@@ -191,21 +200,26 @@
 	usual := s.usualDurationLocked(service, route)
 	a := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
-		usual: usual, rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), vmsUsing: vmsUsing,
+		usual: usual, slowness: t.pick.Slowness(), rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), vmsUsing: vmsUsing,
 		hadFreeSlots: t.pick.Load() < t.pick.Slots,
 	}
 	if s.usableLocked(t) == reach.KeptConn {
 		a.conn = upstream.KeptConn
 	}
+	a.mean = s.meanDurationLocked(service)
+	if t.tellsLoad {
+		// The target says how many requests of others it has.
+		a.vmsUsing = 1
+	}
 	// The actual time is rarely less than half of the expected time.
-	if usual > 0 && t.pick.Load() > t.pick.Slots && a.expected/2 > timeLeft {
+	if usual > 0 && !t.tellsLoad && t.pick.Load() > t.pick.Slots && a.expected/2 > timeLeft {
 		return nil, refusedLate
 	}
 	if t.pick.Own == 0 {
 		t.waitingSince = s.clock.Now()
 	}
 	t.expected = a.expected
-	t.pick.Sent(vmsUsing)
+	t.pick.Sent(a.vmsUsing)
 	s.countWarmingLocked(t)
 	s.inUse[t] = struct{}{}
 	return a, notRefused
@@ -236,6 +250,10 @@
 		return
 	}
 	took := time.Since(a.sent)
+	if a.noise > 0 {
+		// The figures are those of the target itself, without what its machine does at the moment.
+		took = time.Duration(float64(took) / a.noise)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &a.target.pick
--- a/internal/gateway/servicestats.go
+++ b/internal/gateway/servicestats.go
@@ -37,6 +37,14 @@
 	return t.Expect(duration.Kind{Part: routeName})
 }
 
+// meanDurationLocked returns the mean service time of a service, or 0 if it is not known. It needs s.mu.
+func (s *routingState) meanDurationLocked(service string) time.Duration {
+	if t := s.durations[service]; t != nil && t.Known() {
+		return t.Mean()
+	}
+	return 0
+}
+
 func (s *routingState) recordDurationLocked(service, routeName string, took time.Duration) {
 	t := s.durations[service]
 	if t == nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -83,6 +83,8 @@
 	// crashes holds the times at which targets crashed, by the digest of the request that they ran
 	// and by the hash of the target's ID.
 	crashes map[uint64]map[uint32]time.Duration
+	// tellsLoad says of which services the targets tell their load, by the last response.
+	tellsLoad map[string]bool
 	// misdirectedAt is when a target last said that it does not hold a key, by service.
 	misdirectedAt map[string]time.Duration
 	// keyLoad counts requests by service and key since the grantor last read the counts.
@@ -99,6 +101,8 @@
 	displaced bool
 	// evacuated reports whether the target's data centre is evacuated.
 	evacuated bool
+	// tellsLoad reports whether the target says in its responses how long work takes at the moment.
+	tellsLoad bool
 	// warming says how long the target is cold and whether this VM may send requests to it meanwhile.
 	warming warmingState
 	// drainsUntil is the time until which a target that is draining or evacuated may get requests.
@@ -132,6 +136,7 @@
 		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes:       make(map[uint64]map[uint32]time.Duration),
+		tellsLoad:     make(map[string]bool),
 		misdirectedAt: make(map[string]time.Duration), keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}, catalog.Evacuations{}))
@@ -263,6 +268,7 @@
 		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
+	added.tellsLoad = s.tellsLoad[t.Service]
 	s.markWarmingLocked(added, t.WarmupLeft, warmingByEntry)
 	if t.Draining {
 		added.drainsUntil = s.clock.Now() + drainingOwnerGrace
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -53,13 +53,13 @@
 	})
 	near := slices.DeleteFunc(slices.Clone(members), func(m mesh.Member) bool { return m.DataCentre != g.self.DataCentre })
 	place := fleetPlace{all: g.placeIn(members), near: g.placeIn(near)}
-	targets := g.state.setPlace(place)
+	targets, askTargets := g.state.setPlace(place)
 	if g.membersListed.Load() {
 		g.state.setMembers(members)
 	}
 	neighbours := make(map[string]bool)
 	for i, m := range near {
-		if m.VM != g.self.VM && place.near.Shares(i, targets) {
+		if m.VM != g.self.VM && !askTargets && place.near.Shares(i, targets) {
 			neighbours[m.VM] = true
 		}
 	}
@@ -72,9 +72,10 @@
 	}
 }
 
-// setPlace sets this VM's place. It returns the number of targets in this data centre of the
-// service that has the fewest there.
-func (s *routingState) setPlace(place fleetPlace) (targets int) {
+// setPlace sets this VM's place. It returns the number of targets in this data centre of the service that
+// has the fewest there, and whether the targets are asked for their load, so that no VM needs the loads of
+// others.
+func (s *routingState) setPlace(place fleetPlace) (targets int, askTargets bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if place != s.fleet {
@@ -83,7 +84,7 @@
 		s.fleet = place
 		s.chooseSubsetsLocked()
 	}
-	return s.minNearTargetsLocked()
+	return s.minNearTargetsLocked(), s.allTellLoadLocked()
 }
 
 // chooseSubsetsLocked chooses the subset of each pool: some targets of this data centre, and some of the
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -51,6 +51,8 @@
 	Priority int
 	// MaxTargets bounds the number of targets that one request may be sent to.
 	MaxTargets int
+	// Regions are the regions in which requests may be processed, or empty for all.
+	Regions []string
 	// Splits are the services that share the requests, at least one.
 	Splits []Split
 	// Unusable says why requests of the route cannot be served, and is empty for a usable route.
@@ -58,6 +60,11 @@
 	Unusable string
 }
 
+// MayUse reports whether requests may be processed in a region.
+func (r *Route) MayUse(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Split is the share of one service in a route.
 type Split struct {
 	Service string
@@ -94,6 +101,8 @@
 type Table struct {
 	config *Config
 	hosts  map[string][]*entry
+	// shortest is the shortest objective of the routes to each service.
+	shortest map[string]time.Duration
 }
 
 type entry struct {
@@ -104,7 +113,7 @@
 // NewTable returns a table of the configuration's routes. A route that was in the
 // previous table with the same splits continues its rotation.
 func NewTable(c *Config, previous *Table) *Table {
-	t := &Table{config: c, hosts: make(map[string][]*entry)}
+	t := &Table{config: c, hosts: make(map[string][]*entry), shortest: shortestObjectives(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], &entry{route: r, rotation: rotationFor(r, previous)})
@@ -128,6 +137,28 @@
 	return NewRotation(r.Splits)
 }
 
+// ShorterObjective returns the shortest objective of the routes to a service that is below the given one, or 0
+// if there is none.
+func (t *Table) ShorterObjective(service string, objective time.Duration) time.Duration {
+	if o := t.shortest[service]; o < objective {
+		return o
+	}
+	return 0
+}
+
+// shortestObjectives returns the shortest objective of the routes to each service.
+func shortestObjectives(c *Config) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, r := range c.Routes {
+		for _, s := range r.Splits {
+			if o := out[s.Service]; r.Objective > 0 && s.Weight > 0 && (o == 0 || r.Objective < o) {
+				out[s.Service] = r.Objective
+			}
+		}
+	}
+	return out
+}
+
 // Config returns the configuration that the table was built from.
 func (t *Table) Config() *Config { return t.config }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -180,7 +180,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.ID != "" && resp.Header.Get(r.IDHeader) != r.ID {
+		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
 			continue
 		}
 		c.idleUntil = time.Now().Add(idleTimeout(resp.Header))
