gateway: routes whose requests may be processed in some regions only

The deployments so far have one region and no such route.

Change: a route lists its regions, and the settings the region of each data centre. Pools and owners elsewhere are refused, forwarded requests go to VMs of these regions only and carry the list, since the other VM chooses the target. A route that names an unknown region, or whose list cannot be read, is refused and reported; the other routes hold.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -28,6 +28,8 @@
 	Route     string        `msgpack:"r"`
 	Priority  int           `msgpack:"p"`
 	Objective time.Duration `msgpack:"o"`
+	// Regions are the regions in which the request may be processed, or empty for all.
+	Regions []string `msgpack:"q"`
 	// TimeLeft is the remaining time of the request. It excludes the time that the reply takes.
 	TimeLeft time.Duration `msgpack:"t"`
 	Keyed    bool          `msgpack:"k"`
@@ -194,7 +196,7 @@
 	now := time.Now()
 	c := &call{
 		id: in.ID, service: in.Service, keyed: in.Keyed, key: in.Key, digest: in.Digest, misdirectedBy: in.MisdirectedBy,
-		route: &route.Route{Name: in.Route, Priority: in.Priority, Objective: in.Objective},
+		route: &route.Route{Name: in.Route, Priority: in.Priority, Objective: in.Objective, Regions: in.Regions},
 		start: now, deadline: now.Add(in.TimeLeft), tried: make(map[string]bool), unreached: make(map[string]bool),
 		body: bodyReservation{memory: g.bodyMemory},
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,7 @@
 	g.grace.Store(int64(s.Grace))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.state.source, _ = s.targetSource()
-	g.state.vm, g.state.warmup = s.VM, s.Warmup
+	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
 	g.mesh = mesh.New(g.self, clock, logger)
 	g.state.announce, g.state.reachedBy = g.mesh.Announce, g.mesh.ReachedBy
 	// If all VMs started with the same target, they would overload it together.
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -113,6 +113,7 @@
 		target = catalog.Hash(g.ownerOf(c))
 	}
 	members, others := g.mesh.Forwarders(target)
+	members = slices.DeleteFunc(members, func(m mesh.Member) bool { return !g.state.mayCarry(c.route, m) })
 	peers := make([]forwarding.Peer, len(members))
 	for i, m := range members {
 		peers[i] = forwarding.Peer{VM: m.VM, Near: m.DataCentre == g.self.DataCentre}
@@ -166,7 +167,7 @@
 func (g *Gateway) forwardArgs(c *call, timeLeft time.Duration) *ForwardArgs {
 	return &ForwardArgs{
 		ForwardID: ForwardID{VM: g.self.VM, Incarnation: g.self.Incarnation, Number: g.forwardCount.Add(1)},
-		Service:   c.service, Route: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective, TimeLeft: timeLeft,
+		Service:   c.service, Route: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective, Regions: c.route.Regions, TimeLeft: timeLeft,
 		Keyed: c.keyed, Key: c.key, Digest: c.digest, MisdirectedBy: c.misdirectedBy, Tried: slices.Collect(maps.Keys(c.tried)),
 		Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: c.request.Header.Clone(), Body: c.request.Body, ID: c.id,
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -76,6 +76,8 @@
 	refusedWarming refusal = "target is warming up"
 	// refusedUnreached: this VM does not reach the target. Another one may.
 	refusedUnreached refusal = "target not reached"
+	// refusedRegion: the owner is in a region in which the request must not be processed.
+	refusedRegion refusal = "owner in another region"
 	// refusedLeaving: this VM is shutting down. Another one can serve the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
@@ -93,7 +95,7 @@
 	for _, c := range []candidates{p.subset, p.all} {
 		i := pick.Choose(c.states, job, func(i int) bool {
 			t := c.targets[i]
-			return tried[t.ID] || t.displaced || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now)
+			return tried[t.ID] || t.displaced || !s.mayProcessLocked(rt, t) || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now)
 		}, now)
 		if i >= 0 {
 			return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
@@ -159,6 +161,8 @@
 		return nil, refusedLost, owner + " waits for a target that does not answer"
 	case t == nil:
 		return nil, refusedLost, owner + " is not listed"
+	case !s.mayProcessLocked(rt, t):
+		return nil, refusedRegion, owner + " in " + t.DataCentre
 	case t.displaced, (t.Draining || t.evacuated) && now > t.drainsUntil:
 		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t evacuated %t", owner, t.displaced, t.Draining, t.evacuated)
 	case !r.After(req.misdirected.Epoch, req.misdirected.Seq):
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -51,6 +51,9 @@
 	EvacuateWithin model.Duration `json:"evacuateWithin,omitempty"`
 	// Warmup limits the requests that all VMs together send to a cold target.
 	Warmup Warmup `json:"warmup,omitzero"`
+	// Regions holds the region of each data centre. A data centre that is missing here is in no region, so
+	// requests that must stay in some regions are not processed there.
+	Regions map[string]string `json:"regions,omitempty"`
 	// Repeats limits the requests that are sent to a service more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -31,6 +31,8 @@
 	registry metrics.Registry
 	// vm and dataCentre are the names of this VM and of its data centre.
 	vm, dataCentre string
+	// regions holds the region of each data centre.
+	regions map[string]string
 	// source is the local address of the connections to targets, if it is set.
 	source      netip.Addr
 	repeatLimit repeats.Limit
@@ -168,6 +170,7 @@
 	}
 	s.log.Info().Str("step", "config").Uint64("version", c.Version).Uint64("before", old.ConfigVersion()).
 		Int("routes", len(c.Routes)).Int("unread", len(c.Unread)).Str("source", source).Msg("configuration in force")
+	s.refuseUnknownRegionsLocked(c)
 	s.reportUnread(c)
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets, old.Evacuations))
 	s.configChangedAt = s.clock.Now()
