--- a/internal/decide/loadreport/loadreport.go
+++ b/internal/decide/loadreport/loadreport.go
@@ -64,6 +64,18 @@
 	return w.Own > 0 && float64(r.Expected(w)) <= objectiveShare*float64(objective)
 }
 
+// maxLateness bounds the expected time at the best target of a pool, as a multiple of the objective.
+const maxLateness = 1.5
+
+// Suits reports whether a target of a pool gets a request if no target accepts it. In a pool that gets more
+// requests than it can run, the answers to all of them would come late.
+func (r Report) Suits(w Work, objective, timeLeft time.Duration) bool {
+	if r.Judge(w, timeLeft) == Refuse {
+		return false
+	}
+	return r.HasFreeSlot() || float64(r.Expected(w)) <= maxLateness*float64(objective)
+}
+
 const (
 	// maxLoad bounds the requests at an owner, as a multiple of its slots. Owners queue about four times
 	// their slots, and those of some services never answer a request that does not fit.
--- a/internal/decide/loadreport/loadreport_test.go
+++ b/internal/decide/loadreport/loadreport_test.go
@@ -36,3 +36,15 @@
 	require.Equal(t, Refuse, Report{Running: 2, Waiting: 4, Slots: 2, Slowness: 1}.Judge(work, time.Second))
 	require.Equal(t, Refuse, Report{Running: 2, Waiting: 3, Slots: 2, Slowness: 3}.Judge(work, 500*time.Millisecond))
 }
+
+// Guards against an overloaded pool in which all answers come late, instead of some requests being refused.
+func TestRequestIsNotQueuedWhereItsAnswerWouldBeLate(t *testing.T) {
+	work, objective := Work{Own: 100 * time.Millisecond, Mean: 100 * time.Millisecond}, 300*time.Millisecond
+	suits := func(running, waiting int, slowness float64) bool {
+		return Report{Running: running, Waiting: waiting, Slots: 2, Slowness: slowness}.Suits(work, objective, 2*time.Second)
+	}
+	require.True(t, suits(2, 3, 1))
+	require.False(t, suits(2, 3, 2))
+	require.True(t, suits(1, 0, 5), "it would not wait")
+	require.False(t, suits(2, 4, 1), "full")
+}
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -9,6 +9,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/pause"
 	"hemlockquay/internal/platform"
 )
 
@@ -21,6 +22,10 @@
 	if g.settings.EvacuateWithin == 0 {
 		return
 	}
+	// Once the list of targets is known, so are most other VMs, which tell the evacuations. Few VMs read them
+	// from the store then.
+	for !g.listed.Load() && pause.For(ctx, watchCheckInterval) {
+	}
 	g.watch(ctx, g.adapter.EvacuationKind(), func(l platform.Listing) {
 		var dataCentres []string
 		for _, o := range l.Objects {
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -135,7 +135,7 @@
 			g.inquiries.accepted.Inc(1)
 			g.release(best)
 			return a, notRefused
-		case report.Judge(a.work(), timeLeft) == loadreport.Refuse:
+		case !report.Suits(a.work(), c.route.Objective, timeLeft):
 			g.inquiries.declined.Inc(1)
 			g.release(a)
 		default:
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -53,7 +53,7 @@
 	targetListSettleTime = 700 * time.Millisecond
 	maxTargetListWait    = 3 * time.Second
 	// initialSlicesPerOwner is the number of slices that each owner gets at first. maxInitialSlices
-	// limits their total, since each slice is renewed by a call of its own.
+	// limits their total, since each slice is renewed by a call of its own, but each owner gets one.
 	initialSlicesPerOwner = 16
 	maxInitialSlices      = 512
 	// ownerSilenceTimeout is how long an owner may leave its renewals unanswered before its keys are
@@ -246,7 +246,7 @@
 		if owners == nil {
 			return nil
 		}
-		next = lease.Record{Service: c.service, Slices: lease.EvenSlices(min(initialSlicesPerOwner*len(owners), maxInitialSlices), owners)}
+		next = lease.Record{Service: c.service, Slices: lease.EvenSlices(initialSlices(len(owners)), owners)}
 	} else if c.hasLiveGrantor(old) || !c.storeStable(old) {
 		return nil
 	}
@@ -317,3 +317,8 @@
 	}
 	return true
 }
+
+// initialSlices returns the number of slices that are assigned to some owners for the first time.
+func initialSlices(owners int) int {
+	return max(min(initialSlicesPerOwner*owners, maxInitialSlices), owners)
+}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -30,8 +30,9 @@
 	finalResignWindow = 2 * resignRetryInterval
 	// planInterval is the minimum time between two plans of the owners.
 	planInterval = 100 * time.Millisecond
-	// publishInterval is the minimum time between two published versions.
-	publishInterval = leaderTick
+	// publishInterval is the minimum time between two published versions for each other VM, since each of them
+	// gets every version. The sum is at least leaderTick.
+	publishInterval = 400 * time.Microsecond
 	// minOwnerSilence is how long an owner has left orders unanswered when it counts as silent: two
 	// orders in a row have timed out. Targets that leave half of their orders unanswered must not make
 	// one grantor after the other resign.
@@ -242,7 +243,7 @@
 	if now < l.nextPublish {
 		return
 	}
-	l.nextPublish = now + publishInterval
+	l.nextPublish = now + max(leaderTick, time.Duration(l.Mesh.Size())*publishInterval)
 	routing := l.currentRouting(l.publishedSeq+1, now)
 	if routing.SameAs(l.published) {
 		return
--- a/internal/gateway/leasing/owners_test.go
+++ b/internal/gateway/leasing/owners_test.go
@@ -32,3 +32,10 @@
 	d.cold["a"] = true
 	require.Len(t, c.eligibleOwners(), 2, "an evacuated target owns none even then")
 }
+
+// Guards against owners without keys, which leave a part of the capacity of a large service unused.
+func TestEachOwnerGetsKeysAtFirst(t *testing.T) {
+	for owners, slices := range map[int]int{1: 16, 10: 160, 100: 512, 512: 512, 1126: 1126} {
+		require.Equal(t, slices, initialSlices(owners))
+	}
+}
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -21,7 +21,8 @@
 	// spreadInterval is the minimum time between two checks of the load: rates decay over about a
 	// second, and a move takes a few hundred milliseconds.
 	spreadInterval = 300 * time.Millisecond
-	// maxSlices limits the slices of a service, including those that result from splits.
+	// maxSlices limits the slices of a service, including those that result from splits. If there are more
+	// owners than half of it, splits add no more than that half.
 	maxSlices = 1024
 	// defaultServiceTime is the service time before any was measured.
 	defaultServiceTime = 100 * time.Millisecond
@@ -99,7 +100,7 @@
 	for _, m := range d.Moves {
 		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
 	}
-	if len(ranges)+len(d.Divide) <= maxSlices && l.splitSlices(d.Divide, sums) {
+	if len(ranges)+len(d.Divide) <= max(maxSlices, len(live)+maxSlices/2) && l.splitSlices(d.Divide, sums) {
 		l.load.lastSpread = 0
 		return nil
 	}
