--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -26,8 +26,6 @@
 	// crossDataCentreFactor is how many times faster a target in another data centre
 	// must be. Traffic between data centres costs about 4% of an answer's value.
 	crossDataCentreFactor = 1.2
-	// newConnectionFactor is how many times faster a target to which no connection is open must be.
-	newConnectionFactor = 1.08
 	// objectiveShare is the share of the objective within which all expected times count
 	// as equal: a target that is faster than that is not better.
 	objectiveShare = 0.4
@@ -68,8 +66,6 @@
 	Own, Others int
 	// Near reports whether the target is in this VM's data centre.
 	Near bool
-	// Unconnected reports whether a request to the target needs a new connection, which has a cost.
-	Unconnected bool
 	// Unreported is an estimate of the requests that other VMs have sent to the target
 	// since their last reports. It is derived from what this VM sent, because the
 	// cause of the load is usually the same for all VMs.
@@ -180,9 +176,6 @@
 	if !s.Near {
 		score *= crossDataCentreFactor
 	}
-	if s.Unconnected {
-		score *= newConnectionFactor
-	}
 	return score
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -93,7 +93,6 @@
 	s.startIndex++
 	job := pick.Job{Usual: s.usualDurationLocked(service, rt.Name), Objective: rt.Objective, StartIndex: s.startIndex, MayUseReserve: s.mayUseReserveLocked(service, rt.Priority)}
 	for _, c := range []candidates{p.subset, p.all} {
-		c.noteConnections()
 		i := pick.Choose(c.states, job, func(i int) bool {
 			t := c.targets[i]
 			return tried[t.ID] || t.displaced || !s.mayProcessLocked(rt, t) || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now)
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -36,14 +36,6 @@
 	c.states = append(c.states, &t.pick)
 }
 
-// noteConnections notes to which of the targets that tell their load no connection is open. Requests may
-// concentrate on few of these, since a target that is busy says so.
-func (c *candidates) noteConnections() {
-	for _, t := range c.targets {
-		t.pick.Unconnected = t.tellsLoad && !t.pool.HasIdle()
-	}
-}
-
 // refreshPlaces periodically updates this VM's place among the VMs.
 func (g *Gateway) refreshPlaces(ctx context.Context) {
 	for {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -218,13 +218,6 @@
 	return c
 }
 
-// HasIdle reports whether a connection is open and idle.
-func (p *Pool) HasIdle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle) > 0
-}
-
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
