gateway: the queue that a target states is no slowness of the target

Cause: targets that tell their load are not counted by VMs any more, so the time in their queue counted as slowness of the target, and slowness as less capacity.

Change: an attempt takes the work ahead of it from the target's report.

--- a/internal/decide/loadreport/loadreport.go
+++ b/internal/decide/loadreport/loadreport.go
@@ -37,10 +37,18 @@
 	Own, Mean time.Duration
 }
 
+// Rounds returns how long a request takes that is sent now, queueing included, in units of its own work.
+func (r Report) Rounds(w Work) float64 {
+	queued := max(0, float64(r.Running+r.Waiting+1-r.Slots)) / float64(r.Slots)
+	if w.Own <= 0 {
+		return 1 + queued
+	}
+	return 1 + queued*float64(w.Mean)/float64(w.Own)
+}
+
 // Expected returns how long a request takes that is sent now.
 func (r Report) Expected(w Work) time.Duration {
-	queued := max(0, float64(r.Running+r.Waiting+1-r.Slots)) / float64(r.Slots)
-	return time.Duration(r.Slowness * (float64(w.Own) + queued*float64(w.Mean)))
+	return time.Duration(r.Slowness * r.Rounds(w) * float64(w.Own))
 }
 
 // HasFreeSlot reports whether a request that is sent now runs at once.
--- a/internal/decide/loadreport/loadreport_test.go
+++ b/internal/decide/loadreport/loadreport_test.go
@@ -48,3 +48,11 @@
 	require.True(t, suits(1, 0, 5), "it would not wait")
 	require.False(t, suits(2, 4, 1), "full")
 }
+
+// Guards against queueing at a target that is taken for slowness of the target itself.
+func TestRoundsCountTheWorkAhead(t *testing.T) {
+	work := Work{Own: 50 * time.Millisecond, Mean: 100 * time.Millisecond}
+	require.InDelta(t, 1, Report{Running: 1, Slots: 2, Slowness: 3}.Rounds(work), 1e-9)
+	require.InDelta(t, 1+2*1.5, Report{Running: 2, Waiting: 2, Slots: 2, Slowness: 3}.Rounds(work), 1e-9)
+	require.InDelta(t, 2.5, Report{Running: 2, Waiting: 2, Slots: 2}.Rounds(Work{}), 1e-9)
+}
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -83,6 +83,7 @@
 	if !stated {
 		return r, errNoLoadReport
 	}
+	a.rounds = r.Rounds(a.work())
 	return r, nil
 }
 
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -11,6 +11,7 @@
 
 	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
 )
 
@@ -171,3 +172,19 @@
 	b.state.recordWarmupLeft(target, 2*time.Second)
 	require.Equal(t, b.clock.Now()+2*time.Second, target.warming.until)
 }
+
+// Guards against a grantor that takes the queue at an owner for slowness and so for less capacity.
+func TestQueueAtAnOwnerIsNoSlowness(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	targets["k"].say(2, 2, 1)
+	a, reason, _ := b.state.reserveOwner("keyed", &route.Route{Name: "short"}, 7, mesh.LeaseVersion{}, time.Second)
+	require.Equal(t, notRefused, reason)
+	report, err := b.ask(t.Context(), a)
+	require.NoError(t, err)
+	require.InDelta(t, report.Rounds(a.work()), a.rounds, 1e-9)
+	a.sent = time.Now().Add(-report.Expected(a.work()))
+	b.state.finish(a, resultSucceeded)
+	load := b.state.takeKeyLoad("keyed")
+	require.InDelta(t, 100, load.Slowness[0], 5)
+}
