gateway: the grantor learns how slow the machines of owners are

Cause: what a target says of its machine was taken out of the slowness that VMs report to the grantor, which so took all owners for equally fast.

Change: it is taken out of what a VM expects of a target that it asks, and stays in the reports.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -195,7 +195,7 @@
 	g.state.recordEvidence(sendCtx, a, err)
 	if err == nil {
 		if r, stated := g.recordLoadReport(a.target, resp.Header); stated {
-			a.noise = r.Slowness
+			a.machine = r.Slowness
 		}
 	}
 	return resp, err
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -188,3 +188,18 @@
 	load := b.state.takeKeyLoad("keyed")
 	require.InDelta(t, 100, load.Slowness[0], 5)
 }
+
+// Guards against a grantor that gives as many keys to slow targets as to fast ones, because they say that
+// their machines are slow.
+func TestSlownessOfTheMachineReachesTheGrantor(t *testing.T) {
+	b, _ := newAskedTestbed(t, "keyed", "k")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	a, _, _ := b.state.reserveOwner("keyed", &route.Route{Name: "short"}, 7, mesh.LeaseVersion{}, time.Second)
+	a.machine, a.sent = 1.6, time.Now().Add(-time.Duration(1.6*float64(a.usual)))
+	usual := a.usual
+	b.state.finish(a, resultSucceeded)
+	load := b.state.takeKeyLoad("keyed")
+	require.InDelta(t, 160, load.Slowness[0], 5)
+	require.InDelta(t, 1, b.state.targets["k"].pick.Slowness(), 0.05)
+	require.InDelta(t, float64(usual), float64(b.state.usualDurationLocked("keyed", "short")), 0.05*float64(usual))
+}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -43,9 +43,9 @@
 	peer string
 	// refused says why no attempt was made, if none was.
 	refused refusal
-	// noise is how much longer than usual work took on the target's machine, as its response said, or 0 if
+	// machine is how much longer than usual work took on the target's machine, as its response said, or 0 if
 	// it did not.
-	noise float64
+	machine float64
 	// hadFreeSlots reports whether the target had free slots at the time of the reservation.
 	hadFreeSlots bool
 }
@@ -254,10 +254,6 @@
 		return
 	}
 	took := time.Since(a.sent)
-	if a.noise > 0 {
-		// The figures are those of the target itself, without what its machine does at the moment.
-		took = time.Duration(float64(took) / a.noise)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &a.target.pick
@@ -268,8 +264,12 @@
 			s.recordColdResponseLocked(a, took)
 			return
 		}
-		t.Answered(took, a.usual, a.rounds)
-		s.recordDurationLocked(a.service, a.route, time.Duration(float64(took)/(a.rounds*t.Slowness())))
+		machine := a.machine
+		if machine == 0 {
+			machine = 1
+		}
+		t.AnsweredOn(machine, took, a.usual, a.rounds)
+		s.recordDurationLocked(a.service, a.route, time.Duration(float64(took)/(a.rounds*t.Slowness()*machine)))
 	case resultFailed:
 		t.Failed()
 	case resultNotSent:
