gateway: each VM asks one target of a service whether it tells its load

Change: one inquiry for each service after the start; if it is not answered, the responses to requests show it.

--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -47,6 +47,48 @@
 	return r, stated
 }
 
+// discoverLoadReports asks one target of each service of which that is not known whether it tells its load. A
+// VM with few requests would not find out for a long time.
+func (g *Gateway) discoverLoadReports(ctx context.Context) {
+	for _, t := range g.state.undiscoveredTargets() {
+		askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+		resp, err := t.pool.Exchange(askCtx, g.healthRequest(t), upstream.AnyConn)
+		cancel()
+		if err != nil || g.headers.fromOtherTarget(resp, t.ID) {
+			// The responses to requests will show it.
+			g.state.assumeNoLoadReports(t.Service)
+			continue
+		}
+		g.recordLoadReport(t, resp.Header)
+	}
+}
+
+// undiscoveredTargets returns a target of each pool of which it is not known whether the targets tell their
+// load.
+func (s *routingState) undiscoveredTargets() []*targetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*targetState
+	for service, p := range s.pools {
+		_, known := s.tellsLoad[service]
+		if list := p.subset.targets; !known && len(list) > 0 && s.serviceLocked(service).HealthPath != "" {
+			s.startIndex++
+			out = append(out, list[s.startIndex%len(list)])
+		}
+	}
+	return out
+}
+
+// assumeNoLoadReports records that the targets of a service do not tell their load, unless it is known that
+// they do.
+func (s *routingState) assumeNoLoadReports(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.tellsLoad[service]; !known {
+		s.tellsLoad[service] = false
+	}
+}
+
 // allTellLoadLocked reports whether the targets of all pools tell their load. It needs s.mu.
 func (s *routingState) allTellLoadLocked() bool {
 	for service := range s.pools {
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -203,3 +203,29 @@
 	require.InDelta(t, 1, b.state.targets["k"].pick.Slowness(), 0.05)
 	require.InDelta(t, float64(usual), float64(b.state.usualDurationLocked("keyed", "short")), 0.05*float64(usual))
 }
+
+// Guards against frequent heartbeats for the loads of targets that tell them, from VMs that get few requests.
+func TestVMWithoutRequestsFindsOutThatTargetsTellTheirLoad(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "t")
+	b.state.tellsLoad = make(map[string]bool)
+	_, ask := b.state.setPlace(onlyVM)
+	require.False(t, ask)
+	for range 3 {
+		b.discoverLoadReports(t.Context())
+	}
+	_, ask = b.state.setPlace(onlyVM)
+	require.True(t, ask)
+	require.EqualValues(t, 1, targets["t"].inquiries.Load(), "it is found out once")
+	require.Zero(t, targets["t"].ran.Load())
+}
+
+// Guards against a new connection each second to targets that leave the question unanswered.
+func TestTargetsAreAskedOnceWhetherTheyTellTheirLoad(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "t")
+	b.state.tellsLoad = make(map[string]bool)
+	targets["t"].silent.Store(true)
+	for range 3 {
+		b.discoverLoadReports(t.Context())
+	}
+	require.EqualValues(t, 1, targets["t"].inquiries.Load())
+}
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -39,6 +39,7 @@
 // refreshPlaces periodically updates this VM's place among the VMs.
 func (g *Gateway) refreshPlaces(ctx context.Context) {
 	for {
+		g.discoverLoadReports(ctx)
 		g.updatePlaces(g.mesh.Members())
 		if !pause.For(ctx, subset.RefreshEvery) {
 			return
