soak: evacuations of a data centre

Profile evacuations: operators evacuate the data centre of the last target of each service and take it back, while VMs are killed, suspended, told to leave or lose the store. A request that begins to run there more than 5 s later, while nothing has happened to any VM for 3 s, is a violation.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	bash scripts/soak.sh 8 10 10s mixed
 	bash scripts/soak.sh 1 1 20s stops
 	bash scripts/soak.sh 2 2 10s paths
+	bash scripts/soak.sh 1 1 14s evacuations
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -51,6 +51,8 @@
 	// the first one.
 	recorded map[[2]string]bool
 	stats    Stats
+	// evacuation is guarded by mu.
+	evacuation evacuationWatch
 }
 
 // Stats counts what was checked.
@@ -225,6 +227,7 @@
 		return
 	}
 	r.runs = append(r.runs, target)
+	c.checkEvacuated(target, "request "+id)
 	switch {
 	case r.nonIdempotent && len(r.runs) > 1:
 		c.violated(AtMostOnce, "request "+id, "ran at %v", r.runs)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -176,3 +177,29 @@
 	p.RequestAborted("a", "vm-1", 3200*time.Millisecond)
 	p.requireViolation(t, AnswerDuringShutdown, "request a")
 }
+
+// Guards against a check of evacuations that overlooks requests, or counts those right after a fault.
+func TestRequestsToEvacuatedDataCentreAreFound(t *testing.T) {
+	now := time.Now()
+	c := NewChecker(func() time.Time { return now })
+	ran := func(target string) int {
+		id := fmt.Sprint(now, target)
+		c.RequestSent(id, false)
+		c.Ran(target, id)
+		return len(c.Violations())
+	}
+	c.setEvacuated(true)
+	now = now.Add(evacuateWithin)
+	require.Zero(t, ran("k-3"))
+	c.disturb(1)
+	now = now.Add(time.Second)
+	require.Zero(t, ran("k-3"), "a fault is in progress")
+	c.disturb(-1)
+	now = now.Add(calmTime)
+	require.Zero(t, ran("k-3"))
+	now = now.Add(time.Second)
+	require.Zero(t, ran("k-2"), "in another data centre")
+	require.Equal(t, 1, ran("p-3"))
+	c.setEvacuated(false)
+	require.Equal(t, 1, ran("k-3"))
+}
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -23,6 +23,9 @@
 	ReliableLinks bool
 	// SeparatePaths is set if each VM has links of its own to the targets, which can be cut.
 	SeparatePaths bool
+	// TwoDataCentres is set if the last target of each service is in a data centre of its own, which
+	// operators evacuate.
+	TwoDataCentres bool
 	// Generate returns the fault schedule of a seed. Every fault ends within the given duration.
 	Generate func(seed uint64, over time.Duration) *Schedule
 }
@@ -35,6 +38,9 @@
 	// stops shuts down one VM after another gracefully while targets take seconds per request and
 	// drop answers, so that requests outlast the VMs that accepted them.
 	"stops": {Grace: 6 * time.Second, Rate: 12, Deadline: 4500 * time.Millisecond, CallerTimeout: 6 * time.Second, ReliableLinks: true, Generate: GenerateStops},
+	// evacuations has operators evacuate a data centre and take it back, while VMs are killed, suspended, or
+	// lose the store.
+	"evacuations": {Grace: 3 * time.Second, Rate: 60, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, TwoDataCentres: true, Generate: GenerateEvacuations},
 	// paths cuts VMs from all targets, one or all but one at a time, the grantor's among them, and checks
 	// that they serve nearly as often as the others.
 	"paths": {Grace: 3 * time.Second, Rate: 90, Deadline: 800 * time.Millisecond, CallerTimeout: 2 * time.Second, SeparatePaths: true, Generate: GeneratePaths},
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -80,6 +80,7 @@
 	for i, f := range s.Faults {
 		target := slices.Contains(targetNames(), f.Subject)
 		switch {
+		case f.Kind == Evacuate && f.Subject == evacuatedDC && f.At >= 0 && f.Duration >= 0:
 		case !target && !slices.Contains(vmNames(), f.Subject):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/what", i), "%q is neither target nor VM", f.Subject)
 		case !slices.Contains(kinds[target], f.Kind) && (target || !slices.Contains(pathKinds, f.Kind)):
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -83,3 +83,28 @@
 		require.Positive(t, drawn[DropAnswers])
 	}
 }
+
+// Guards against generated evacuations that are never judged, because something happens to VMs all the time.
+func TestGeneratedEvacuationsHaveCalmParts(t *testing.T) {
+	judged, drawn := 0, make(map[Kind]int)
+	for seed := range uint64(50) {
+		s := GenerateEvacuations(seed, 30*time.Second)
+		require.Equal(t, s, GenerateEvacuations(seed, 30*time.Second))
+		require.NoError(t, s.Check())
+		read := new(Schedule)
+		require.NoError(t, settings.Decode("printed", []byte(s.String()), read))
+		calmAt := time.Duration(0)
+		for _, f := range s.Faults {
+			drawn[f.Kind]++
+			if f.Kind != Evacuate {
+				calmAt = max(calmAt, (f.At+f.Duration).D()+calmTime)
+			} else if end := (f.At + f.Duration).D(); end > f.At.D()+evacuateWithin && end > calmAt {
+				judged++
+			}
+		}
+	}
+	require.Greater(t, judged, 25)
+	for _, k := range []Kind{Evacuate, HoldLink, ResetLink, Suspend, Kill, Terminate} {
+		require.Positive(t, drawn[k], k)
+	}
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockquay/internal/gateway"
+	"hemlockquay/internal/model"
 	"hemlockquay/internal/standin/fleet"
 	"hemlockquay/internal/standin/link"
 )
@@ -43,6 +44,7 @@
 // site is the environment of a run: the simulated store and targets, the links, and the VMs.
 type site struct {
 	profile Profile
+	check   *Checker
 	store   *fleet.Store
 	server  *http.Server
 	targets map[string]*fleet.Target
@@ -62,7 +64,7 @@
 // newSite starts the store, the targets and the links, and writes the settings of the VMs.
 func newSite(dir, program string, profile Profile, check *Checker) (*site, error) {
 	w := &site{
-		profile: profile, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
+		profile: profile, check: check, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
 		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -82,10 +84,13 @@
 
 func (w *site) addTargets(check *Checker) error {
 	for i, name := range targetNames() {
-		t := &fleet.Target{ID: name, Service: "pool", Zone: "a", Slots: slots, Pad: bodyBytes, Observer: check}
+		t := &fleet.Target{ID: name, Service: "pool", Zone: mainDC, Slots: slots, Pad: bodyBytes, Observer: check}
 		if i < targetCount {
 			t.Service, t.Keyed = "keyed", true
 		}
+		if w.profile.TwoDataCentres {
+			t.Zone = dataCentreOf(name)
+		}
 		t.Via = func(addr string) (string, error) {
 			if w.profile.SeparatePaths {
 				return w.addPaths(name, addr)
@@ -116,6 +121,9 @@
 		if w.profile.SeparatePaths {
 			s.TargetSource = pathAddr(s.VM)
 		}
+		if w.profile.TwoDataCentres {
+			s.EvacuateWithin = model.Duration(evacuateWithin)
+		}
 		s.Store, err = w.addLink(s.VM, store)
 		return err
 	})
@@ -136,7 +144,12 @@
 	if w.active[f.activeKey()]++; w.active[f.activeKey()] > 1 {
 		return
 	}
+	if f.Kind != Evacuate {
+		w.check.disturb(1)
+	}
 	switch f.Kind {
+	case Evacuate:
+		w.setEvacuated(true)
 	case HoldLink:
 		w.links[f.Subject].Hold()
 	case ResetLink:
@@ -163,7 +176,12 @@
 	if !w.deactivate(f) {
 		return nil
 	}
+	if f.Kind != Evacuate {
+		defer w.check.disturb(-1)
+	}
 	switch f.Kind {
+	case Evacuate:
+		w.setEvacuated(false)
 	case HoldLink:
 		w.links[f.Subject].Heal()
 	case RemoveEntry:
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -9,6 +9,9 @@
 	"sync"
 )
 
+// EvacuationKind is the kind of the objects by which operators evacuate the zones that they are named after.
+const EvacuationKind = "evacuations"
+
 // Metadata is an object's metadata.
 type Metadata struct {
 	Name       string
