gateway: a target that leaves an inquiry unanswered is dialled; failures without a report change nothing

What callers would see: an inquiry ends after 60 ms, before a dial to a target that has gone dark fails, so nothing ever showed that the target is not reached, and each request to it waited for inquiries.

Cause: found by reading; the time that a cancelled dial took is no evidence.

Change: after an inquiry that was not answered the target is dialled apart from the request, one dial at a time. A failed response without a report of load no longer ends the inquiries at its target. A displaced owner is looked up again instead of being sent the request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,7 +194,7 @@
 	c.recordAttempt(a, took, resp, err)
 	g.state.recordEvidence(sendCtx, a, err)
 	if err == nil {
-		if r, stated := g.recordLoadReport(a.target, resp.Header); stated {
+		if r, stated := g.recordLoadReport(a.target, resp); stated {
 			a.machine = r.Slowness
 		}
 	}
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -33,15 +33,16 @@
 	return inquiryMetrics{accepted: counter("accepted"), declined: counter("declined"), failed: counter("failed"), malformed: counter("malformed")}
 }
 
-// recordLoadReport records what a response says of its target's load.
-func (g *Gateway) recordLoadReport(t *targetState, h http.Header) (r loadreport.Report, stated bool) {
-	r, stated, err := g.adapter.LoadReport(h)
+// recordLoadReport records what a response says of its target's load. A failure that says nothing does not
+// show that the target never does.
+func (g *Gateway) recordLoadReport(t *targetState, resp *upstream.Answer) (r loadreport.Report, stated bool) {
+	r, stated, err := g.adapter.LoadReport(resp.Header)
 	if err != nil {
 		g.inquiries.malformed.Inc(1)
 	}
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	if err == nil {
+	if stated || err == nil && resp.Status < http.StatusBadRequest {
 		t.tellsLoad, g.state.tellsLoad[t.Service] = stated, stated
 	}
 	return r, stated
@@ -59,7 +60,7 @@
 			g.state.assumeNoLoadReports(t.Service)
 			continue
 		}
-		g.recordLoadReport(t, resp.Header)
+		g.recordLoadReport(t, resp)
 	}
 }
 
@@ -108,12 +109,15 @@
 
 // ask asks the target of an attempt for its load.
 func (g *Gateway) ask(ctx context.Context, a *attempt) (loadreport.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
 	defer cancel()
-	resp, err := a.pool.Exchange(ctx, g.healthRequest(a.target), a.conn)
-	g.state.recordEvidence(ctx, a, err)
+	resp, err := a.pool.Exchange(askCtx, g.healthRequest(a.target), a.conn)
+	g.state.recordEvidence(askCtx, a, err)
 	if err != nil {
 		g.inquiries.failed.Inc(1)
+		if askCtx.Err() != nil && ctx.Err() == nil {
+			g.checkPath(a.target)
+		}
 		return loadreport.Report{}, err
 	}
 	if g.headers.fromOtherTarget(resp, a.id) {
@@ -121,7 +125,7 @@
 		return loadreport.Report{}, errDisplaced
 	}
 	g.state.recordWarmupLeft(a.target, g.adapter.WarmupLeft(resp.Header))
-	r, stated := g.recordLoadReport(a.target, resp.Header)
+	r, stated := g.recordLoadReport(a.target, resp)
 	if !stated {
 		return r, errNoLoadReport
 	}
@@ -129,6 +133,21 @@
 	return r, nil
 }
 
+// checkPath dials a target that left an inquiry unanswered, since the inquiry ends before a dial shows
+// whether the target is reached.
+func (g *Gateway) checkPath(t *targetState) {
+	g.state.mu.Lock()
+	begun := t.path.BeginCheck()
+	g.state.mu.Unlock()
+	if !begun {
+		return
+	}
+	go func() {
+		err := g.dial(g.ctx, t)
+		g.state.endProbe(probe{target: t}, err)
+	}()
+}
+
 var (
 	errDisplaced    = errors.New("another target has the address")
 	errNoLoadReport = errors.New("no report of load in the response")
@@ -228,6 +247,9 @@
 	case ctx.Err() != nil:
 		g.release(a)
 		return false, c.endedBy(ctx)
+	case errors.Is(err, errDisplaced):
+		g.release(a)
+		return false, nil
 	case err != nil:
 		return true, nil
 	}
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -7,12 +7,14 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
+	"hemlockquay/internal/upstream"
 )
 
 // askedTarget is a target that tells its load.
@@ -229,3 +231,24 @@
 	}
 	require.EqualValues(t, 1, targets["t"].inquiries.Load())
 }
+
+// Guards against requests that wait for inquiries at targets of a data centre that has gone dark, one after
+// the other, because no dial ever lasts long enough to fail.
+func TestSilentTargetIsDialledAfterAnInquiry(t *testing.T) {
+	b, targets := newAskedTestbed(t, "pool", "silent")
+	targets["silent"].silent.Store(true)
+	dials := metrics.GetOrRegisterCounter("connections.opened", b.registry)
+	b.send("once.example", nil, "")
+	require.Eventually(t, func() bool { return dials.Count() >= 2 }, 10*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, targets["silent"].inquiries.Load())
+}
+
+// Guards against a target that counts as one which never tells its load because it was too busy once.
+func TestFailureWithoutReportChangesNothing(t *testing.T) {
+	b, _ := newAskedTestbed(t, "pool", "t")
+	target := b.state.targets["t"]
+	b.recordLoadReport(target, &upstream.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}})
+	require.True(t, target.tellsLoad)
+	b.recordLoadReport(target, &upstream.Answer{Status: http.StatusOK, Header: http.Header{}})
+	require.False(t, target.tellsLoad)
+}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -30,9 +30,9 @@
 	finalResignWindow = 2 * resignRetryInterval
 	// planInterval is the minimum time between two plans of the owners.
 	planInterval = 100 * time.Millisecond
-	// publishInterval is the minimum time between two published versions for each other VM, since each of them
-	// gets every version. The sum is at least leaderTick.
-	publishInterval = 400 * time.Microsecond
+	// publishIntervalPerVM, multiplied by the number of VMs, is the minimum time between two published
+	// versions, but not less than leaderTick. Each VM gets every version.
+	publishIntervalPerVM = 400 * time.Microsecond
 	// minOwnerSilence is how long an owner has left orders unanswered when it counts as silent: two
 	// orders in a row have timed out. Targets that leave half of their orders unanswered must not make
 	// one grantor after the other resign.
@@ -237,13 +237,13 @@
 	return r != nil && r.Epoch > l.grants.Record().Epoch
 }
 
-// publishChanges publishes the leases if they have changed, at most once per publishInterval: a
+// publishChanges publishes the leases if they have changed, at most once per interval: a
 // succession changes hundreds of slices one after another.
 func (l *leader) publishChanges(now time.Duration) {
 	if now < l.nextPublish {
 		return
 	}
-	l.nextPublish = now + max(leaderTick, time.Duration(l.Mesh.Size())*publishInterval)
+	l.nextPublish = now + max(leaderTick, time.Duration(l.Mesh.Size())*publishIntervalPerVM)
 	routing := l.currentRouting(l.publishedSeq+1, now)
 	if routing.SameAs(l.published) {
 		return
