--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 
 	"hemlockquay/internal/mesh"
@@ -20,21 +21,14 @@
 // refuseUnknownRegionsLocked makes routes unusable that name a region which no data centre is in: the name
 // may be a mistake for one whose data must not leave it. It needs s.mu.
 func (s *routingState) refuseUnknownRegionsLocked(c *route.Config) {
+	known := slices.Collect(maps.Values(s.regions))
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		for _, region := range r.Regions {
-			if !slices.Contains(s.regionNames(), region) {
+			if r.Unusable == "" && !slices.Contains(known, region) {
 				c.Unread = append(c.Unread, route.Unread{Part: "route " + r.Name, Field: "regions", Value: region, TakenAs: "route refused"})
 				r.Unusable = "region " + region + " unknown"
 			}
 		}
 	}
 }
-
-func (s *routingState) regionNames() []string {
-	var out []string
-	for _, region := range s.regions {
-		out = append(out, region)
-	}
-	return out
-}
