--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,6 +70,8 @@
 	// first list.
 	completeSince uint64
 	storeDown     bool
+	// cold holds the entries with a remaining warm-up time that were put since the last call of TakeCold.
+	cold []Target
 	// version increases with each change of an entry that affects how targets are used.
 	version uint64
 	// graceUntil is the time until which removals are attributed to an outage and deferred.
@@ -147,6 +149,9 @@
 	if old, ok := m.entries[t.ID]; !ok || t.differsFrom(old) {
 		m.version++
 	}
+	if t.WarmupLeft > 0 {
+		m.cold = append(m.cold, t)
+	}
 	m.entries[t.ID] = t
 	delete(m.deferred, t.ID)
 	delete(m.tombstones, t.ID)
@@ -216,6 +221,13 @@
 	return changed
 }
 
+// TakeCold returns the entries with a remaining warm-up time that were put since the last call.
+func (m *TargetSet) TakeCold() []Target {
+	cold := m.cold
+	m.cold = nil
+	return cold
+}
+
 // Version returns a number that changes with each change that affects how targets are used.
 func (m *TargetSet) Version() uint64 { return m.version }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -89,8 +89,7 @@
 	require.Empty(t, ids(m))
 }
 
-// Guards against cold targets that have every VM rebuild its list several times a second while they count down
-// their warm-up time.
+// Guards against VMs that rebuild their lists for each step of the warm-up time of cold targets.
 func TestWarmupCountdownIsNoChange(t *testing.T) {
 	m := NewTargetSet()
 	m.Replace(Targets{Revision: 1, List: []Target{{ID: "a", Slots: 2, Revision: 1, WarmupLeft: 3 * time.Second}}}, 0)
--- a/internal/catalog/evacuations_test.go
+++ b/internal/catalog/evacuations_test.go
@@ -7,8 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a change that is applied again after a later one, so that a data centre that was taken
-// back counts as evacuated.
+// Guards against an old change that evacuates a data centre again after it was taken back.
 func TestLateChangesOfEvacuationsAreIgnored(t *testing.T) {
 	e := NewEvacuations(10, []string{"b", "a"})
 	require.True(t, e.Contains("a"))
--- a/internal/decide/loadreport/play_test.go
+++ b/internal/decide/loadreport/play_test.go
@@ -124,8 +124,7 @@
 	return share(shortWork), share(longWork)
 }
 
-// Guards against long work that fills all slots of an owner, so that short work with an urgent objective
-// waits for it.
+// Guards against long work that fills all slots of an owner while urgent short work waits.
 func TestShortWorkIsInTimeBesideLongWork(t *testing.T) {
 	for _, load := range []float64{0.7, 1} {
 		shortBefore, longBefore := playOwner(7.6*load, 3.1*load, false)
--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -182,24 +182,24 @@
 // Answered records an answer that took the given time; usual is the usual service time of
 // such requests, and rounds the value of Rounds when the request was sent.
 func (s *State) Answered(took, usual time.Duration, rounds float64) {
-	s.AnsweredOn(1, took, usual, rounds)
+	s.AnsweredWhile(1, took, usual, rounds)
 }
 
-// AnsweredOn is Answered for a target that has said how much longer than usual work takes on its machine. The
-// slowness is what remains without that.
-func (s *State) AnsweredOn(machine float64, took, usual time.Duration, rounds float64) {
+// AnsweredWhile is Answered for a target that has reported its current slowness. Slowness returns what the
+// reported slowness does not explain, because the expected time of the next request is derived from both.
+func (s *State) AnsweredWhile(reported float64, took, usual time.Duration, rounds float64) {
 	s.Reached()
 	s.failures -= s.failures / failureSamples
 	if usual <= 0 || took <= 0 {
 		return
 	}
 	ratio := math.Log(BoundRatio(float64(took) / (float64(usual) * rounds)))
-	s.logSlow += (ratio - math.Log(machine) - s.logSlow) / slownessSamples
+	s.logSlow += (ratio - math.Log(reported) - s.logSlow) / slownessSamples
 	s.measured.Answers++
 	s.measured.logSum += ratio
 }
 
-// Measured is the mean slowness of some answers of a target, that of its machine included.
+// Measured is the mean slowness of some answers of a target, including what the target reported.
 type Measured struct {
 	Answers int
 	logSum  float64
--- a/internal/decide/warmup/warmup.go
+++ b/internal/decide/warmup/warmup.go
@@ -21,10 +21,11 @@
 	// maxSenders is the number of VMs that may send requests to a cold target, so that it is used even if
 	// some of them have failed.
 	maxSenders = 4
-	// listVersions is the number of different lists of VMs by which senders may be chosen at a time.
-	listVersions = 2
-	// window is the time over which requests are counted. It exceeds a second, because the time on the
-	// way to the target varies.
+	// differingViews is the number of different lists of VMs that may be in use at a time: while a VM joins, some
+	// VMs choose the senders from a list with it and some from one without it.
+	differingViews = 2
+	// window is the time over which the requests of a sender are counted. Its requests may be up to 100 ms
+	// closer to each other when they arrive than when they were sent.
 	window = 1100 * time.Millisecond
 )
 
@@ -33,11 +34,12 @@
 	Senders, PerSender int
 }
 
-// LimitFor returns the limit that keeps all VMs together at or below a number of requests per second.
+// LimitFor returns the limit that keeps all VMs together at or below a number of requests per second. If that
+// is too low to be divided, cold targets get no requests.
 func LimitFor(perSecond float64) Limit {
-	total := int(math.Floor(perSecond / listVersions))
+	total := int(math.Floor(perSecond / differingViews))
 	if total < maxSenders {
-		return Limit{Senders: max(total, 1), PerSender: 1}
+		return Limit{Senders: total, PerSender: 1}
 	}
 	return Limit{Senders: maxSenders, PerSender: total / maxSenders}
 }
@@ -51,7 +53,7 @@
 			self = i
 		}
 	}
-	if self < 0 {
+	if self < 0 || l.Senders == 0 {
 		return false
 	}
 	for i, c := range vms {
--- a/internal/decide/warmup/warmup_test.go
+++ b/internal/decide/warmup/warmup_test.go
@@ -95,8 +95,9 @@
 }
 
 func TestSmallLimitsAreKept(t *testing.T) {
-	for _, perSecond := range []float64{2, 3, 7.9, 8, 16.1, 100} {
+	for _, perSecond := range []float64{0, 0.5, 1, 1.9, 2, 3, 7.9, 8, 16.1, 100} {
 		l := LimitFor(perSecond)
-		require.LessOrEqual(t, float64(listVersions*l.Senders*l.PerSender), perSecond)
+		require.LessOrEqual(t, float64(differingViews*l.Senders*l.PerSender), perSecond)
 	}
+	require.False(t, LimitFor(1.9).IsSender("vm-0", candidates(1), "t", "a"))
 }
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -30,8 +30,8 @@
 	Target(o platform.Object) (catalog.Target, error)
 	// Headers returns the names of the platform's HTTP headers.
 	Headers() Headers
-	// LoadReport decodes what a response says of its target's load. stated is false if it does not say
-	// how long work takes at the moment; then targets are not asked for it.
+	// LoadReport decodes the load that a target reports in a response. stated is false if the response reports
+	// none, or not the target's current slowness.
 	LoadReport(h http.Header) (r loadreport.Report, stated bool, err error)
 	// WarmupLeft returns for how long the target that responds to a health check stays cold.
 	WarmupLeft(h http.Header) time.Duration
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -159,6 +159,10 @@
 
 // attempt sends the request to one target. It returns nil if another attempt may follow.
 func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) *outcome {
+	if !g.state.admitToCold(a.target) {
+		g.release(a)
+		return nil
+	}
 	resp, err := g.exchange(ctx, c, a, timeLeft)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.finishUnsent(c, a, err)
@@ -195,7 +199,7 @@
 	g.state.recordEvidence(sendCtx, a, err)
 	if err == nil {
 		if r, stated := g.recordLoadReport(a.target, resp); stated {
-			a.machine = r.Slowness
+			a.reportedSlowness = r.Slowness
 		}
 	}
 	return resp, err
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,8 +43,10 @@
 	failedResponse *upstream.Answer
 	trace          []string
 	waited         time.Duration
-	// waitedForRoom is how long a request with long work has waited for an owner with room for it.
-	waitedForRoom time.Duration
+	// unansweredInquiries is the number of inquiries to owners of the key that were not answered.
+	unansweredInquiries int
+	// waitedForSlot is how long a request with long work has waited for a free slot at the owner of its key.
+	waitedForSlot time.Duration
 	// refusedWithFreeSlots reports whether the last target refused the request although it had a
 	// free slot.
 	refusedWithFreeSlots bool
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
@@ -158,10 +159,14 @@
 		if timeLeft < minTimeLeft {
 			return &attempt{refused: refusedLate}, nil, nil
 		}
-		a, reason := g.reserveForwarded(c, timeLeft)
+		a, reason := g.reserveForwarded(ctx, c, timeLeft)
 		if a == nil {
 			return &attempt{refused: reason}, nil, nil
 		}
+		if !g.state.admitToCold(a.target) {
+			g.release(a)
+			continue
+		}
 		resp, err := g.exchange(ctx, c, a, timeLeft)
 		if !errors.Is(err, upstream.ErrNotSent) {
 			return a, resp, err
@@ -213,13 +218,28 @@
 	return c
 }
 
-// reserveForwarded reserves a target that this VM reaches itself.
-func (g *Gateway) reserveForwarded(c *call, timeLeft time.Duration) (*attempt, refusal) {
-	if c.keyed {
-		a, reason, _ := g.state.reserveOwnerOf(ownerRequest{
-			service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, forwarded: true,
-		}, timeLeft)
+// reserveForwarded reserves a target that this VM reaches itself. A target that tells its load is asked for it,
+// as for requests of this VM's own callers.
+func (g *Gateway) reserveForwarded(ctx context.Context, c *call, timeLeft time.Duration) (*attempt, refusal) {
+	if !c.keyed {
+		return g.reserveAskedFromPool(ctx, c, timeLeft)
+	}
+	a, reason, _ := g.state.reserveOwnerOf(ownerRequest{
+		service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, forwarded: true,
+	}, timeLeft)
+	if a == nil || !g.tellsLoad(a) {
 		return a, reason
 	}
-	return g.state.reserveFromPool(c.service, c.route, c.excluded(), timeLeft, g.clock.Now())
+	report, err := g.ask(ctx, a, timeLeft)
+	switch {
+	case errors.Is(err, errNoLoadReport):
+		return a, notRefused
+	case err != nil:
+		g.release(a)
+		return nil, refusedUnreached
+	case report.Judge(a.work(), timeLeft) == loadreport.Refuse, a.cold && !report.HasFreeSlot():
+		g.release(a)
+		return nil, refusedFull
+	}
+	return a, notRefused
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	// grace is the time from SIGTERM until the process is killed, in nanoseconds. It does not
 	// change during the graceful shutdown.
 	grace atomic.Int64
+	// evacuateWithin is Settings.EvacuateWithin, in nanoseconds.
+	evacuateWithin atomic.Int64
 	// leaving is set by the graceful shutdown. leavingSince is set before it, on clock.
 	leaving      atomic.Bool
 	leavingSince atomic.Int64
@@ -130,6 +132,7 @@
 	g.inquiries = newInquiryMetrics(registry)
 	g.sighups = make(chan os.Signal, 1)
 	g.grace.Store(int64(s.Grace))
+	g.evacuateWithin.Store(int64(s.EvacuateWithin))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.state.source, _ = s.targetSource()
 	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -17,12 +17,12 @@
 )
 
 const (
-	// inquiryTimeout bounds an inquiry. Targets answer it at once.
+	// inquiryTimeout bounds an inquiry. Targets answer it at once, but a VM with a sixth of a core may need tens of
+	// milliseconds to read the answer.
 	inquiryTimeout = 60 * time.Millisecond
-	// minInquiryTimeLeft is the remaining time of a request below which no target is asked.
-	minInquiryTimeLeft = 2 * inquiryTimeout
-	// minInquiryWork is the usual duration of requests below which asking takes too long in comparison.
-	minInquiryWork = 20 * time.Millisecond
+	// maxUnansweredInquiries is the number of unanswered inquiries for a request to the owner of its key. A single
+	// one may be lost with its connection.
+	maxUnansweredInquiries = 2
 )
 
 // inquiryMetrics counts the inquiries by their outcome.
@@ -33,8 +33,8 @@
 	return inquiryMetrics{accepted: counter("accepted"), declined: counter("declined"), failed: counter("failed"), malformed: counter("malformed")}
 }
 
-// recordLoadReport records what a response says of its target's load. A failure that says nothing does not
-// show that the target never does.
+// recordLoadReport records the load that a response reports. A failed response without a report does not show
+// that the target reports none.
 func (g *Gateway) recordLoadReport(t *targetState, resp *upstream.Answer) (r loadreport.Report, stated bool) {
 	r, stated, err := g.adapter.LoadReport(resp.Header)
 	if err != nil {
@@ -48,8 +48,8 @@
 	return r, stated
 }
 
-// discoverLoadReports asks one target of each service of which that is not known whether it tells its load. A
-// VM with few requests would not find out for a long time.
+// discoverLoadReports sends a health check to one target of each service for which this VM does not know whether
+// targets report their load. A VM with few requests would keep frequent heartbeats for a long time otherwise.
 func (g *Gateway) discoverLoadReports(ctx context.Context) {
 	for _, t := range g.state.undiscoveredTargets() {
 		askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
@@ -60,12 +60,13 @@
 			g.state.assumeNoLoadReports(t.Service)
 			continue
 		}
+		g.state.recordWarmupLeft(t, g.adapter.WarmupLeft(resp.Header))
 		g.recordLoadReport(t, resp)
 	}
 }
 
-// undiscoveredTargets returns a target of each pool of which it is not known whether the targets tell their
-// load.
+// undiscoveredTargets returns one target of each service for which this VM does not know whether targets report
+// their load.
 func (s *routingState) undiscoveredTargets() []*targetState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,8 +81,7 @@
 	return out
 }
 
-// assumeNoLoadReports records that the targets of a service do not tell their load, unless it is known that
-// they do.
+// assumeNoLoadReports records that the targets of a service report no load, unless it is known that they do.
 func (s *routingState) assumeNoLoadReports(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,16 +100,17 @@
 	return len(s.pools) > 0
 }
 
-// mayAsk reports whether the target of an attempt should be asked for its load before it gets the request.
-func (g *Gateway) mayAsk(a *attempt, timeLeft time.Duration) bool {
+// tellsLoad reports whether the target of an attempt reports its load. Such a target is asked before each request:
+// heartbeats omit the requests at it, so a VM that did not ask would know of its own requests only.
+func (g *Gateway) tellsLoad(a *attempt) bool {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	return a.target.tellsLoad && a.usual >= minInquiryWork && timeLeft >= minInquiryTimeLeft
+	return a.target.tellsLoad
 }
 
-// ask asks the target of an attempt for its load.
-func (g *Gateway) ask(ctx context.Context, a *attempt) (loadreport.Report, error) {
-	askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+// ask asks the target of an attempt for its load. At least half of the remaining time is kept for the request.
+func (g *Gateway) ask(ctx context.Context, a *attempt, timeLeft time.Duration) (loadreport.Report, error) {
+	askCtx, cancel := context.WithTimeout(ctx, min(inquiryTimeout, timeLeft/2))
 	defer cancel()
 	resp, err := a.pool.Exchange(askCtx, g.healthRequest(a.target), a.conn)
 	g.state.recordEvidence(askCtx, a, err)
@@ -129,12 +130,12 @@
 	if !stated {
 		return r, errNoLoadReport
 	}
-	a.rounds = r.Rounds(a.work())
+	a.rounds, a.reportedSlowness = r.Rounds(a.work()), r.Slowness
 	return r, nil
 }
 
-// checkPath dials a target that left an inquiry unanswered, since the inquiry ends before a dial shows
-// whether the target is reached.
+// checkPath dials a target that did not answer an inquiry. An inquiry times out before a dial fails, so it shows
+// nothing of the path.
 func (g *Gateway) checkPath(t *targetState) {
 	g.state.mu.Lock()
 	begun := t.path.BeginCheck()
@@ -175,7 +176,7 @@
 			}
 			return nil, reason
 		}
-		if !g.mayAsk(a, timeLeft) {
+		if !g.tellsLoad(a) {
 			g.release(best)
 			return a, notRefused
 		}
@@ -184,7 +185,7 @@
 		}
 		asked++
 		excluded[a.id] = true
-		report, err := g.ask(ctx, a)
+		report, err := g.ask(ctx, a, timeLeft)
 		switch {
 		case errors.Is(err, upstream.ErrNotSent):
 			g.finishUnsent(c, a, err)
@@ -192,7 +193,7 @@
 			g.release(best)
 			return a, notRefused
 		case err != nil:
-			g.state.finish(a, resultAbandoned)
+			g.release(a)
 		case report.Accepts(a.work(), c.route.Objective):
 			g.inquiries.accepted.Inc(1)
 			g.release(best)
@@ -212,7 +213,7 @@
 		switch {
 		case best != nil && (ctx.Err() != nil || asked >= loadreport.MaxAsked):
 			return best, notRefused
-		case ctx.Err() != nil || asked >= 2*loadreport.MaxAsked:
+		case ctx.Err() != nil || asked >= loadreport.MaxAskedWhileFull:
 			return nil, refusedFull
 		case c.connectFailures > maxConnectFailures:
 			return nil, refusedUnreached
@@ -223,23 +224,23 @@
 // release ends an attempt that was not sent.
 func (g *Gateway) release(a *attempt) {
 	if a != nil {
-		g.state.finish(a, resultAbandoned)
+		g.state.finish(a, resultReleased)
 	}
 }
 
-// work returns how long requests run on the target while its machine is as usual.
+// work returns the service times of requests at the target without its reported slowness.
 func (a *attempt) work() loadreport.Work {
 	return loadreport.Work{Own: time.Duration(float64(a.usual) * a.slowness), Mean: time.Duration(float64(a.mean) * a.slowness)}
 }
 
-// consultOwner asks the reserved owner of a key, if it tells its load, whether it has room for the request. It
-// returns ready if the request is to be sent. Otherwise the reservation has ended: with the outcome of the
-// request, or without one if the owner is to be looked up again.
+// consultOwner asks the reserved owner of a key for its load, if it reports it. It returns ready if the request
+// may be sent. Otherwise it has released the reservation and returns the outcome of the request, or nil if the
+// caller must look up the owner again.
 func (g *Gateway) consultOwner(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) (ready bool, out *outcome) {
-	if !g.mayAsk(a, timeLeft) {
+	if !g.tellsLoad(a) {
 		return true, nil
 	}
-	report, err := g.ask(ctx, a)
+	report, err := g.ask(ctx, a, timeLeft)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		g.finishUnsent(c, a, err)
@@ -250,14 +251,16 @@
 	case errors.Is(err, errDisplaced):
 		g.release(a)
 		return false, nil
-	case err != nil:
+	case errors.Is(err, errNoLoadReport):
 		return true, nil
+	case err != nil:
+		return g.handleUnansweredInquiry(c, a)
 	}
 	switch g.judge(c, a, report, timeLeft) {
 	case loadreport.Wait:
 		g.inquiries.declined.Inc(1)
 		g.release(a)
-		if !g.awaitRoom(ctx, c) {
+		if !g.awaitFreeSlot(ctx, c) {
 			return false, c.endedBy(ctx)
 		}
 		return false, nil
@@ -272,7 +275,27 @@
 	return true, nil
 }
 
-// judge decides about a request by what its owner has said.
+// handleUnansweredInquiry decides about a request whose owner did not answer an inquiry in time. The owner is looked
+// up and asked a second time. If that fails too, an idempotent request is sent, because the delay may be on this
+// VM. Any other request is refused: it could not be repeated if the owner is down.
+func (g *Gateway) handleUnansweredInquiry(c *call, a *attempt) (ready bool, out *outcome) {
+	c.unansweredInquiries++
+	switch {
+	case c.unansweredInquiries < maxUnansweredInquiries:
+		g.release(a)
+		return false, nil
+	case c.route.Idempotent:
+		return true, nil
+	}
+	g.release(a)
+	refused := c.giveUp(reasonSilentOwner, immediateRetryAfter)
+	return false, &refused
+}
+
+// reasonSilentOwner is the reason of a refusal because the owner of the key does not answer inquiries.
+const reasonSilentOwner = "owner does not answer"
+
+// judge decides about a request by the report of its owner.
 func (g *Gateway) judge(c *call, a *attempt, report loadreport.Report, timeLeft time.Duration) loadreport.Verdict {
 	v := report.Judge(a.work(), timeLeft)
 	switch {
@@ -281,26 +304,25 @@
 	case a.cold && !report.HasFreeSlot():
 		return loadreport.Refuse
 	case g.state.isLongWork(a, c.route.Objective):
-		return report.JudgeLong(a.work(), c.route.Objective, c.waitedForRoom)
+		return report.JudgeLong(a.work(), c.route.Objective, c.waitedForSlot)
 	}
 	return v
 }
 
-// describeReport returns what a target has said, for the log line of a refusal.
+// describeReport returns the report of a target for the log line of a refusal.
 func describeReport(a *attempt, r loadreport.Report) string {
 	return fmt.Sprintf("%s runs %d waiting %d slots %d slowness %.2f", a.id, r.Running, r.Waiting, r.Slots, r.Slowness)
 }
 
-// awaitRoom waits before an owner without room is asked again. It reports whether the request may go on.
-func (g *Gateway) awaitRoom(ctx context.Context, c *call) bool {
+// awaitFreeSlot pauses before an owner without a free slot is asked again. It returns false if ctx ends.
+func (g *Gateway) awaitFreeSlot(ctx context.Context, c *call) bool {
 	began := time.Now()
 	ok := pause.For(ctx, loadreport.PollInterval/2+rand.N(loadreport.PollInterval))
-	c.waitedForRoom += time.Since(began)
+	c.waitedForSlot += time.Since(began)
 	return ok
 }
 
-// isLongWork reports whether a request occupies its target for longer than callers of other routes to the
-// service are willing to wait.
+// isLongWork reports whether requests of another route to the service would be late if they waited for this one.
 func (s *routingState) isLongWork(a *attempt, objective time.Duration) bool {
 	routes := s.view.Load().Routes
 	return routes != nil && loadreport.LongWork(a.usual, routes.ShorterObjective(a.service, objective))
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/decide/duration"
 	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
@@ -25,7 +26,7 @@
 	inquiries, ran atomic.Int64
 }
 
-func (a *askedTarget) say(running, waiting int, slowness float64) {
+func (a *askedTarget) setReport(running, waiting int, slowness float64) {
 	a.report.Store(&loadreport.Report{Running: running, Waiting: waiting, Slots: 2, Slowness: slowness})
 }
 
@@ -65,7 +66,7 @@
 	targets := make(map[string]*askedTarget)
 	for _, id := range ids {
 		targets[id] = new(askedTarget)
-		targets[id].say(0, 0, 1)
+		targets[id].setReport(0, 0, 1)
 		b.addTarget(id, service, targets[id].ServeHTTP)
 	}
 	b.state.mu.Lock()
@@ -85,7 +86,7 @@
 // Guards against requests that meet a target whose machine is slow at this moment, while others are idle.
 func TestTargetThatSaysItIsSlowGetsNoRequests(t *testing.T) {
 	b, targets := newAskedTestbed(t, "pool", "slow", "usual")
-	targets["slow"].say(0, 0, 3)
+	targets["slow"].setReport(0, 0, 3)
 	for range 4 {
 		require.Equal(t, http.StatusOK, b.send("once.example", nil, "").StatusCode)
 	}
@@ -96,8 +97,8 @@
 // Guards against refusals while the only target with room is slow.
 func TestSlowTargetIsUsedIfTheOthersAreFull(t *testing.T) {
 	b, targets := newAskedTestbed(t, "pool", "slow", "full")
-	targets["slow"].say(0, 0, 3)
-	targets["full"].say(2, 4, 1)
+	targets["slow"].setReport(0, 0, 3)
+	targets["full"].setReport(2, 4, 1)
 	require.Equal(t, http.StatusOK, b.send("once.example", nil, "").StatusCode)
 	require.EqualValues(t, 1, targets["slow"].ran.Load())
 }
@@ -112,12 +113,11 @@
 	require.Zero(t, targets["silent"].ran.Load())
 }
 
-// Guards against requests that are sent to pools without room, whose targets never answer what they cannot
-// queue.
+// Guards against requests to full pools, whose targets never answer what they cannot queue.
 func TestPoolThatSaysItIsFullRefusesAtOnce(t *testing.T) {
 	b, targets := newAskedTestbed(t, "pool", "a", "b")
 	for _, target := range targets {
-		target.say(2, 6, 1)
+		target.setReport(2, 6, 1)
 	}
 	resp := b.send("once.example", nil, "")
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
@@ -131,25 +131,24 @@
 	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
 	key := http.Header{"Key": {"7"}}
 	require.Equal(t, http.StatusOK, b.send("short.example", key, "").StatusCode)
-	targets["k"].say(2, 5, 1)
+	targets["k"].setReport(2, 5, 1)
 	require.Equal(t, http.StatusServiceUnavailable, b.send("short.example", key, "").StatusCode)
 	require.EqualValues(t, 1, targets["k"].ran.Load())
 }
 
-// Guards against long work that takes the last slot of an owner while short work with an urgent objective
-// arrives.
+// Guards against long work that takes the last slot of an owner while urgent short work arrives.
 func TestLongWorkWaitsForRoomAtItsOwner(t *testing.T) {
 	b, targets := newAskedTestbed(t, "keyed", "k")
 	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
 	key := http.Header{"Key": {"7"}}
-	targets["k"].say(1, 0, 1)
+	targets["k"].setReport(1, 0, 1)
 	require.Equal(t, http.StatusOK, b.send("short.example", key, "").StatusCode)
 	require.EqualValues(t, 1, targets["k"].inquiries.Load())
 	require.Equal(t, http.StatusOK, b.send("long.example", key, "").StatusCode, "it is sent when it has waited long enough")
 	require.Greater(t, targets["k"].inquiries.Load(), int64(3))
 	require.EqualValues(t, 2, targets["k"].ran.Load())
 	before := targets["k"].inquiries.Load()
-	targets["k"].say(0, 0, 1)
+	targets["k"].setReport(0, 0, 1)
 	require.Equal(t, http.StatusOK, b.send("long.example", key, "").StatusCode)
 	require.Equal(t, before+1, targets["k"].inquiries.Load(), "it is sent at once if a slot remains")
 }
@@ -179,10 +178,10 @@
 func TestQueueAtAnOwnerIsNoSlowness(t *testing.T) {
 	b, targets := newAskedTestbed(t, "keyed", "k")
 	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
-	targets["k"].say(2, 2, 1)
+	targets["k"].setReport(2, 2, 1)
 	a, reason, _ := b.state.reserveOwner("keyed", &route.Route{Name: "short"}, 7, mesh.LeaseVersion{}, time.Second)
 	require.Equal(t, notRefused, reason)
-	report, err := b.ask(t.Context(), a)
+	report, err := b.ask(t.Context(), a, time.Second)
 	require.NoError(t, err)
 	require.InDelta(t, report.Rounds(a.work()), a.rounds, 1e-9)
 	a.sent = time.Now().Add(-report.Expected(a.work()))
@@ -191,13 +190,12 @@
 	require.InDelta(t, 100, load.Slowness[0], 5)
 }
 
-// Guards against a grantor that gives as many keys to slow targets as to fast ones, because they say that
-// their machines are slow.
+// Guards against a grantor that gives slow targets as many keys as fast ones.
 func TestSlownessOfTheMachineReachesTheGrantor(t *testing.T) {
 	b, _ := newAskedTestbed(t, "keyed", "k")
 	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
 	a, _, _ := b.state.reserveOwner("keyed", &route.Route{Name: "short"}, 7, mesh.LeaseVersion{}, time.Second)
-	a.machine, a.sent = 1.6, time.Now().Add(-time.Duration(1.6*float64(a.usual)))
+	a.reportedSlowness, a.sent = 1.6, time.Now().Add(-time.Duration(1.6*float64(a.usual)))
 	usual := a.usual
 	b.state.finish(a, resultSucceeded)
 	load := b.state.takeKeyLoad("keyed")
@@ -232,8 +230,7 @@
 	require.EqualValues(t, 1, targets["t"].inquiries.Load())
 }
 
-// Guards against requests that wait for inquiries at targets of a data centre that has gone dark, one after
-// the other, because no dial ever lasts long enough to fail.
+// Guards against inquiries that end before a dial to an unreachable target fails, so that the target is asked forever.
 func TestSilentTargetIsDialledAfterAnInquiry(t *testing.T) {
 	b, targets := newAskedTestbed(t, "pool", "silent")
 	targets["silent"].silent.Store(true)
@@ -252,3 +249,55 @@
 	b.recordLoadReport(target, &upstream.Answer{Status: http.StatusOK, Header: http.Header{}})
 	require.False(t, target.tellsLoad)
 }
+
+// Guards against a request that may not be repeated and is lost at an owner which answers no inquiry.
+func TestSilentOwnerGetsOnlyRequestsThatMayBeRepeated(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	targets["k"].silent.Store(true)
+	key := http.Header{"Key": {"7"}}
+	require.Equal(t, http.StatusOK, b.send("short.example", key, "").StatusCode)
+	require.EqualValues(t, 1, targets["k"].ran.Load())
+	routes := *b.state.view.Load().Routes.Config()
+	routes.Version, routes.Routes[1].Idempotent = 5, false
+	b.state.setConfig(&routes, "test")
+	require.Equal(t, http.StatusServiceUnavailable, b.send("short.example", key, "").StatusCode)
+	require.EqualValues(t, 1, targets["k"].ran.Load())
+}
+
+// Guards against VMs that each send forwarded requests up to their own count to an owner that is full.
+func TestForwardedRequestIsNotSentToFullOwner(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	send := func() string {
+		out := new(ForwardReply)
+		b.sendForwarded(t.Context(), &ForwardArgs{
+			Service: "keyed", Route: "short", Objective: 150 * time.Millisecond, TimeLeft: time.Second, Keyed: true, Key: 7, Method: "GET", URI: "/x", Host: "short.example", ID: "r-1",
+		}, out)
+		return out.Refusal
+	}
+	require.Empty(t, send())
+	targets["k"].setReport(2, 5, 1)
+	require.Equal(t, string(refusedFull), send())
+	require.EqualValues(t, 1, targets["k"].ran.Load())
+}
+
+// Guards against a VM without measurements, as all are after a restart, that sends to owners without asking.
+func TestOwnerIsAskedBeforeAnyWorkWasMeasured(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	b.state.durations = make(map[string]*duration.Table)
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	targets["k"].setReport(2, 5, 1)
+	require.Equal(t, http.StatusServiceUnavailable, b.send("short.example", http.Header{"Key": {"7"}}, "").StatusCode)
+	require.Zero(t, targets["k"].ran.Load())
+}
+
+// Guards against a target that counts as slow for the time in which others were asked.
+func TestTargetThatWasNotChosenIsNotMeasured(t *testing.T) {
+	b, _ := newAskedTestbed(t, "pool", "t")
+	a, _ := b.state.reserveFromPool("pool", &route.Route{Name: "once"}, nil, time.Second, b.clock.Now())
+	a.sent = time.Now().Add(-10 * time.Second)
+	b.release(a)
+	require.InDelta(t, 1, a.target.pick.Slowness(), 1e-9)
+	require.Empty(t, b.state.takeKeyLoad("pool").Targets)
+}
--- a/internal/gateway/leasing/keyload.go
+++ b/internal/gateway/leasing/keyload.go
@@ -27,7 +27,12 @@
 	l.Answers = append(l.Answers, uint8(min(m.Answers, math.MaxUint8)))
 }
 
-// Valid reports whether the lists of a report from another VM have the same lengths.
-func (l *KeyLoad) Valid() bool {
+// normalize prepares a report from another VM for use and reports whether its lists have the same lengths. An
+// earlier version reports all targets without the number of their answers, most of which it never used; its
+// reports of targets are ignored.
+func (l *KeyLoad) normalize() (valid bool) {
+	if len(l.Answers) == 0 {
+		l.Targets, l.Slowness = nil, nil
+	}
 	return len(l.Requests) == len(l.Keys) && len(l.Slowness) == len(l.Targets) && len(l.Answers) == len(l.Targets)
 }
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -31,7 +31,8 @@
 	// planInterval is the minimum time between two plans of the owners.
 	planInterval = 100 * time.Millisecond
 	// publishIntervalPerVM, multiplied by the number of VMs, is the minimum time between two published
-	// versions, but not less than leaderTick. Each VM gets every version.
+	// versions, but not less than leaderTick. Each VM gets every version, so the grantor sends at most 2,500 a
+	// second.
 	publishIntervalPerVM = 400 * time.Microsecond
 	// minOwnerSilence is how long an owner has left orders unanswered when it counts as silent: two
 	// orders in a row have timed out. Targets that leave half of their orders unanswered must not make
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -13,10 +13,11 @@
 
 const (
 	// loadQueryInterval is how often the grantor queries the VMs for the load of keys in a fleet of up to
-	// loadQueryVMs VMs. In a larger one it queries less often, so that the number of calls does not grow.
+	// loadQueryVMs VMs. In a larger fleet it queries less often, so that it makes at most 400 calls a second.
 	loadQueryInterval = 250 * time.Millisecond
 	loadQueryVMs      = 100
-	// slownessAnswers is the number of answers over which the slowness of a target is averaged.
+	// slownessAnswers is the number of answers over which the slowness of a target is averaged. At about ten
+	// answers a second, changes count within two seconds, and slowdowns of a fraction of a second do not.
 	slownessAnswers = 16
 	// spreadInterval is the minimum time between two checks of the load: rates decay over about a
 	// second, and a move takes a few hundred milliseconds.
@@ -78,7 +79,7 @@
 				l.Log.Debug().Str("step", "load").Str("peer", vm).Err(err).Msg("load of keys not received")
 				return
 			}
-			if !in.Valid() {
+			if !in.normalize() {
 				l.Log.Warn().Str("step", "load").Str("peer", vm).Msg("malformed load of keys")
 				return
 			}
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -98,8 +98,7 @@
 	require.Equal(t, lease.Unlimited, limitsAtRate(10).LimitOf(hot), "the key is no longer hot")
 }
 
-// Guards against a grantor that takes the slowness of an owner for the mean over all VMs, most of which have
-// not heard from it or did so long ago.
+// Guards against capacities of owners that are derived from reports of VMs which have not used them for long.
 func TestSlownessFollowsTheLatestAnswers(t *testing.T) {
 	v := newLoadView()
 	report := func(slowness uint16, answers uint8) {
@@ -118,7 +117,16 @@
 
 // Guards against a report from another VM whose lists differ in length, which ended the grantor's process.
 func TestMalformedLoadOfKeysIsRecognized(t *testing.T) {
-	require.True(t, (&KeyLoad{Keys: []uint16{1}, Requests: []uint16{2}, Targets: []uint32{1}, Slowness: []uint16{100}, Answers: []uint8{1}}).Valid())
-	require.False(t, (&KeyLoad{Keys: []uint16{1}}).Valid())
-	require.False(t, (&KeyLoad{Targets: []uint32{1}, Slowness: []uint16{100}}).Valid())
+	require.True(t, (&KeyLoad{Keys: []uint16{1}, Requests: []uint16{2}, Targets: []uint32{1}, Slowness: []uint16{100}, Answers: []uint8{1}}).normalize())
+	require.False(t, (&KeyLoad{Keys: []uint16{1}}).normalize())
+	require.False(t, (&KeyLoad{Targets: []uint32{1, 2}, Slowness: []uint16{100, 100}, Answers: []uint8{1}}).normalize())
+	require.False(t, (&KeyLoad{Targets: []uint32{1}, Slowness: []uint16{100, 100}, Answers: []uint8{1}}).normalize())
+}
+
+// Guards against a grantor that loses the counts of keys of VMs with an earlier version during an upgrade.
+func TestLoadOfKeysOfAnEarlierVersionIsUsed(t *testing.T) {
+	l := &KeyLoad{Keys: []uint16{1}, Requests: []uint16{2}, Targets: []uint32{1, 2}, Slowness: []uint16{100, 300}}
+	require.True(t, l.normalize())
+	require.Equal(t, []uint16{1}, l.Keys)
+	require.Empty(t, l.Targets)
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -15,8 +15,8 @@
 	}
 }
 
-// ownLoads returns the number of this VM's requests at each target that has any, except those that tell their
-// load themselves.
+// ownLoads returns the number of this VM's requests at each target that has any, except targets that report their
+// load.
 func (s *routingState) ownLoads() []mesh.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
@@ -24,14 +23,15 @@
 // Heartbeat implements mesh.Local.
 func (g *Gateway) Heartbeat() mesh.Heartbeat {
 	v := g.state.view.Load()
-	return mesh.Heartbeat{
+	b := mesh.Heartbeat{
 		From: g.self, Leaving: g.leaving.Load(),
 		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
-		EvacuationsRevision: v.Evacuations.Revision, Evacuated: v.Evacuations.DataCentres,
 		Leases: g.state.leases.Versions(), Loads: g.state.ownLoads(), Crashes: g.state.recentCrashes(),
 		CutOff: g.state.cutOff(), Unreached: g.state.unreachedTargets(),
 	}
+	g.state.addEvacuations(&b)
+	return b
 }
 
 // OnHeartbeat implements mesh.Local. It fetches what the other VM has in a newer version.
@@ -41,7 +41,10 @@
 		g.targetsConfirmedAt.Store(int64(g.clock.Now()))
 	}
 	if b.EvacuationsRevision > v.Evacuations.Revision {
-		g.state.setEvacuations(catalog.NewEvacuations(b.EvacuationsRevision, b.Evacuated), b.From.VM)
+		g.state.applyPeerEvacuations(b)
+	}
+	if len(b.Returns) > 0 {
+		g.state.recordReturns(b.Returns)
 	}
 	if b.ConfigVersion > v.ConfigVersion() {
 		g.fetch(b.From.VM, "config", g.fetchConfig)
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -15,6 +15,8 @@
 
 // mayCarry reports whether the body of a request may be sent to another VM.
 func (s *routingState) mayCarry(rt *route.Route, vm mesh.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return rt.MayUse(s.regions[vm.DataCentre])
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -64,6 +64,8 @@
 		return
 	}
 	g.state.setRepeatLimit(next.repeatLimit())
+	g.state.setLimits(next.Warmup, next.Regions)
+	g.evacuateWithin.Store(int64(next.EvacuateWithin))
 	g.log.SetLevel(log.ParseLevel(next.Log))
 	if !g.leaving.Load() {
 		g.grace.Store(int64(next.Grace))
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -25,7 +25,7 @@
 	usual   time.Duration
 	// mean is the mean service time of all requests to the service.
 	mean time.Duration
-	// slowness is that of the target at the time of the reservation.
+	// slowness is the target's pick.State.Slowness at the time of the reservation.
 	slowness float64
 	rounds   float64
 	expected time.Duration
@@ -43,9 +43,8 @@
 	peer string
 	// refused says why no attempt was made, if none was.
 	refused refusal
-	// machine is how much longer than usual work took on the target's machine, as its response said, or 0 if
-	// it did not.
-	machine float64
+	// reportedSlowness is the slowness that the target reported last, or 0 if it reports none.
+	reportedSlowness float64
 	// hadFreeSlots reports whether the target had free slots at the time of the reservation.
 	hadFreeSlots bool
 }
@@ -152,8 +151,8 @@
 	owner, state := r.Find(key)
 	t := s.targets[owner]
 	now := s.clock.Now()
-	// A target that is asked for its load knows better than this VM whether it is full.
-	asked := t != nil && t.tellsLoad && !req.forwarded
+	// A target that reports its load is asked before the request is sent, so this VM's own counts do not matter.
+	asked := t != nil && t.tellsLoad
 	switch {
 	case state == lease.Moving:
 		return nil, refusedMoving, owner + " gets the key"
@@ -163,8 +162,8 @@
 		return nil, refusedLost, owner + " is not listed"
 	case !s.mayProcessLocked(rt, t):
 		return nil, refusedRegion, owner + " in " + t.DataCentre
-	case t.displaced, (t.Draining || t.evacuated) && now > t.drainsUntil:
-		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t evacuated %t", owner, t.displaced, t.Draining, t.evacuated)
+	case t.displaced, t.Draining && now > t.drainsUntil, s.evacuationDueLocked(t, now):
+		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t evacuated %t", owner, t.displaced, t.Draining, s.evacuations.Contains(t.DataCentre))
 	case !r.After(req.misdirected.Epoch, req.misdirected.Seq):
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case s.warmupExceededLocked(t, now):
@@ -212,7 +211,7 @@
 	}
 	a.mean = s.meanDurationLocked(service)
 	if t.tellsLoad {
-		// The target says how many requests of others it has.
+		// Its reports include the requests of other VMs.
 		a.vmsUsing = 1
 	}
 	// The actual time is rarely less than half of the expected time.
@@ -224,7 +223,6 @@
 	}
 	t.expected = a.expected
 	t.pick.Sent(a.vmsUsing)
-	s.countWarmingLocked(t)
 	s.inUse[t] = struct{}{}
 	return a, notRefused
 }
@@ -242,6 +240,8 @@
 	resultNotSent
 	// resultResponseLost: the connection failed before the response was complete.
 	resultResponseLost
+	// resultReleased: the attempt was not sent, because the target was not chosen in the end.
+	resultReleased
 	// resultAbandoned: the attempt was not sent, or ended without information about the target,
 	// for example because the caller disconnected or the deadline passed.
 	resultAbandoned
@@ -264,12 +264,12 @@
 			s.recordColdResponseLocked(a, took)
 			return
 		}
-		machine := a.machine
-		if machine == 0 {
-			machine = 1
+		reported := a.reportedSlowness
+		if reported == 0 {
+			reported = 1
 		}
-		t.AnsweredOn(machine, took, a.usual, a.rounds)
-		s.recordDurationLocked(a.service, a.route, time.Duration(float64(took)/(a.rounds*t.Slowness()*machine)))
+		t.AnsweredWhile(reported, took, a.usual, a.rounds)
+		s.recordDurationLocked(a.service, a.route, time.Duration(float64(took)/(a.rounds*t.Slowness()*reported)))
 	case resultFailed:
 		t.Failed()
 	case resultNotSent:
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -93,7 +93,8 @@
 	defaultSlack     = 10
 	defaultWindow    = model.Duration(10 * time.Second)
 	minHold          = model.Duration(time.Second)
-	// minEvacuateWithin is what notifying all VMs and moving the keys takes.
+	// minEvacuateWithin is the time in which all VMs learn of an evacuation, up to 2.5 s if the store drops its
+	// history, plus evacuatedOwnerGrace.
 	minEvacuateWithin = model.Duration(4 * time.Second)
 )
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -51,6 +51,10 @@
 	membership *catalog.TargetSet
 	// evacuations says which data centres are evacuated.
 	evacuations catalog.Evacuations
+	// evacuatedAt is when this VM learned of the evacuation of each data centre in evacuations.
+	evacuatedAt map[string]time.Duration
+	// returns holds the latest end of an evacuation of each data centre.
+	returns map[string]dataCentreReturn
 	// configChangedAt is when the configuration last changed.
 	configChangedAt time.Duration
 	// changed is closed and replaced when the leases or view change.
@@ -85,7 +89,7 @@
 	// crashes holds the times at which targets crashed, by the digest of the request that they ran
 	// and by the hash of the target's ID.
 	crashes map[uint64]map[uint32]time.Duration
-	// tellsLoad says of which services the targets tell their load, by the last response.
+	// tellsLoad holds, by service, whether the last response of a target reported its load.
 	tellsLoad map[string]bool
 	// misdirectedAt is when a target last said that it does not hold a key, by service.
 	misdirectedAt map[string]time.Duration
@@ -101,13 +105,11 @@
 	// displaced reports whether another target responds at the address. This incarnation has
 	// ended, although it is still listed.
 	displaced bool
-	// evacuated reports whether the target's data centre is evacuated.
-	evacuated bool
-	// tellsLoad reports whether the target says in its responses how long work takes at the moment.
+	// tellsLoad reports whether the target reports its load, including its current slowness.
 	tellsLoad bool
-	// warming says how long the target is cold and whether this VM may send requests to it meanwhile.
+	// warming is the state of the target's warm-up.
 	warming warmingState
-	// drainsUntil is the time until which a target that is draining or evacuated may get requests.
+	// drainsUntil is the time until which a draining target may get requests.
 	drainsUntil time.Duration
 	pick        pick.State
 	// path is what this VM knows of its own path to the target.
@@ -137,7 +139,8 @@
 		targets:   make(map[string]*targetState), byHash: make(map[uint32]*targetState),
 		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
-		crashes:       make(map[uint64]map[uint32]time.Duration),
+		crashes:     make(map[uint64]map[uint32]time.Duration),
+		evacuatedAt: make(map[string]time.Duration), returns: make(map[string]dataCentreReturn),
 		tellsLoad:     make(map[string]bool),
 		misdirectedAt: make(map[string]time.Duration), keyLoad: make(map[string]map[uint16]uint16),
 	}
@@ -174,6 +177,10 @@
 	s.reportUnread(c)
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets, old.Evacuations))
 	s.configChangedAt = s.clock.Now()
+	for _, t := range s.targets {
+		// Their data centre may have been taken back before the warm-up time was known.
+		s.markReturnedLocked(t)
+	}
 	s.notifyChangedLocked()
 	if source == sourceStore {
 		s.announce()
@@ -193,8 +200,8 @@
 	}
 }
 
-// updateTargets changes the list of targets and publishes it if that affects how targets are used. A new list
-// costs each VM time that grows with the number of targets.
+// updateTargets changes the list of targets, and publishes it if the change affects how targets are used. Publishing
+// takes time that grows with the number of targets, on every VM.
 func (s *routingState) updateTargets(source string, change func(m *catalog.TargetSet, now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,11 +209,16 @@
 	change(s.membership, s.clock.Now())
 	if s.membership.Version() != before {
 		s.publishLocked(source)
-		return
+	} else {
+		view := *s.view.Load()
+		view.Targets.Revision = s.membership.Revision()
+		s.view.Store(&view)
+	}
+	for _, entry := range s.membership.TakeCold() {
+		if t := s.targets[entry.ID]; t != nil && t.Born == entry.Born {
+			s.markWarmingLocked(t, entry.WarmupLeft, warmingByEntry)
+		}
 	}
-	view := *s.view.Load()
-	view.Targets.Revision = s.membership.Revision()
-	s.view.Store(&view)
 }
 
 // targetsSince returns the changes to the list of targets since a revision. It returns false if
@@ -225,7 +237,6 @@
 	for i := range view.Targets.List {
 		s.trackLocked(view.Targets.List[i], source)
 	}
-	s.markEvacuatedLocked(view.Evacuations)
 	for id, t := range s.targets {
 		if view.ByID[id] == nil {
 			s.log.Info().Str("step", "targets").Str("target", id).Str("service", t.Service).Str("source", source).Msg("target gone")
@@ -253,9 +264,6 @@
 		if t.Draining && !old.Draining {
 			old.drainsUntil = s.clock.Now() + drainingOwnerGrace
 		}
-		if t.Revision > old.Revision {
-			s.markWarmingLocked(old, t.WarmupLeft, warmingByEntry)
-		}
 		old.Target = t
 		old.pick.Slots = t.Slots
 		return
@@ -272,7 +280,7 @@
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
 	added.tellsLoad = s.tellsLoad[t.Service]
-	s.markWarmingLocked(added, t.WarmupLeft, warmingByEntry)
+	s.markReturnedLocked(added)
 	if t.Draining {
 		added.drainsUntil = s.clock.Now() + drainingOwnerGrace
 	}
@@ -294,6 +302,14 @@
 // no other owner. Targets must not get any two seconds after their draining was accepted.
 const drainingOwnerGrace = 1500 * time.Millisecond
 
+// setLimits changes the limit on requests to cold targets, and the regions of data centres. A route that names
+// an unknown region is judged when the next configuration comes into force.
+func (s *routingState) setLimits(warmup Warmup, regions map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.warmup, s.regions = warmup, regions
+}
+
 // setRepeatLimit changes the limit on repeats.
 func (s *routingState) setRepeatLimit(l repeats.Limit) {
 	s.mu.Lock()
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -74,8 +74,8 @@
 }
 
 // setPlace sets this VM's place. It returns the number of targets in this data centre of the service that
-// has the fewest there, and whether the targets are asked for their load, so that no VM needs the loads of
-// others.
+// has the fewest there, and whether all targets report their load, so that this VM does not need the loads of
+// other VMs.
 func (s *routingState) setPlace(place fleetPlace) (targets int, askTargets bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/warming.go
+++ b/internal/gateway/warming.go
@@ -17,7 +17,7 @@
 	// members of version chosenBy.
 	sender   bool
 	chosenBy uint64
-	// sent counts the requests of this VM to the target.
+	// sent counts the requests of this VM to the target while it is cold.
 	sent warmup.Meter
 }
 
@@ -111,15 +111,19 @@
 	return !t.warming.sender || !t.warming.sent.Allows(limit, now)
 }
 
-// countWarmingLocked counts a request to a cold target. It needs s.mu.
-func (s *routingState) countWarmingLocked(t *targetState) {
+// admitToCold counts a request that is about to be sent, if its target is cold. It returns false if the target
+// must not get it: the target may have turned cold, or got other requests, since it was reserved.
+func (s *routingState) admitToCold(t *targetState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if now >= t.warming.until {
-		return
+	if s.warmupExceededLocked(t, now) {
+		return false
 	}
-	if limit, limited := s.warmupLimitLocked(t.Service); limited {
+	if limit, limited := s.warmupLimitLocked(t.Service); limited && now < t.warming.until {
 		t.warming.sent.Sent(limit, now)
 	}
+	return true
 }
 
 // warmingTargets returns the number of cold targets.
--- a/internal/gateway/warming_test.go
+++ b/internal/gateway/warming_test.go
@@ -54,12 +54,16 @@
 	for _, s := range f.vms {
 		for range 10 {
 			if a, _ := s.reserveFromPool("pool", rt, nil, time.Second, f.clock.Now()); a != nil {
-				s.finish(a, resultAbandoned)
-				toPool++
+				if s.admitToCold(a.target) {
+					toPool++
+				}
+				s.finish(a, resultReleased)
 			}
 			if a, _, _ := s.reserveOwner("keyed", rt, 1, mesh.LeaseVersion{}, time.Second); a != nil {
-				s.finish(a, resultAbandoned)
-				toOwner++
+				if s.admitToCold(a.target) {
+					toOwner++
+				}
+				s.finish(a, resultReleased)
 			}
 		}
 	}
@@ -100,14 +104,13 @@
 func TestTargetsAreColdAfterAnEvacuation(t *testing.T) {
 	f := newColdFleet(20)
 	for _, s := range f.vms {
-		s.setEvacuations(catalog.NewEvacuations(5, []string{"a"}), "test")
-		s.setEvacuations(catalog.NewEvacuations(6, nil), "test")
+		s.setEvacuations(catalog.NewEvacuations(5, []string{"a"}), nil, "test")
+		s.setEvacuations(catalog.NewEvacuations(6, nil), nil, "test")
 	}
 	f.requireLimited(t)
 }
 
-// Guards against a VM that does not know the others yet and counts itself among the senders to every cold
-// target.
+// Guards against a VM that does not know the others yet and counts itself among the senders to every cold target.
 func TestVMThatHasNotListedTheOthersSendsNothingToColdTargets(t *testing.T) {
 	f := newColdFleet(20)
 	f.setTargets(2, 3*time.Second)
@@ -127,3 +130,36 @@
 	f.requireUnlimited(t)
 	require.False(t, f.vms[0].isWarming("p"))
 }
+
+// Guards against requests that were reserved while their target was warm and are sent when all VMs know that it is cold.
+func TestTargetThatTurnsColdBeforeTheSendIsNotOverrun(t *testing.T) {
+	f := newColdFleet(90)
+	rt := &route.Route{Name: "r"}
+	var reserved []*attempt
+	var owners []*routingState
+	for _, s := range f.vms {
+		for range 5 {
+			a, _ := s.reserveFromPool("pool", rt, nil, time.Second, f.clock.Now())
+			reserved, owners = append(reserved, a), append(owners, s)
+		}
+	}
+	f.setTargets(2, 3*time.Second)
+	sent := 0
+	for i, a := range reserved {
+		if owners[i].admitToCold(a.target) {
+			sent++
+		}
+	}
+	require.LessOrEqual(t, sent, 16)
+	require.Positive(t, sent)
+}
+
+// Guards against a target that turns cold again and counts as warm, since an older entry stated a longer warm-up.
+func TestTargetThatTurnsColdAgainIsKnownToBe(t *testing.T) {
+	f := newColdFleet(1)
+	f.setTargets(2, 3*time.Second)
+	f.clock.advance(time.Minute)
+	require.False(t, f.vms[0].isWarming("k"))
+	f.setTargets(3, 2*time.Second)
+	require.True(t, f.vms[0].isWarming("k"))
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,7 +33,8 @@
 	// because changes must take effect soon after the store is reachable again.
 	minStoreBackoff = 50 * time.Millisecond
 	maxStoreBackoff = 400 * time.Millisecond
-	// idleRetryPause is the pause after a failed call while enough other VMs watch the store.
+	// idleRetryPause is the pause after a failed call while enough other VMs watch the store. The VM only needs
+	// to notice that it may become a watcher again.
 	idleRetryPause = 1500 * time.Millisecond
 )
 
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -66,8 +66,7 @@
 	require.Contains(t, places, 4)
 }
 
-// Guards against VMs that the store turns away and that go on calling it for every kind of object although
-// others watch it for them.
+// Guards against VMs that go on calling a store which turns them away, although others watch it for them.
 func TestVMTurnedAwayByTheStoreRarelyCallsItWhileOthersWatch(t *testing.T) {
 	g := newTestGateway(newManualClock(time.Hour))
 	defer g.mesh.Close()
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -70,8 +70,10 @@
 	ConfigVersion   uint64 `msgpack:"c"`
 	TargetsRevision uint64 `msgpack:"t"`
 	// Evacuated lists the evacuated data centres, as of EvacuationsRevision.
-	EvacuationsRevision uint64   `msgpack:"z,omitempty"`
-	Evacuated           []string `msgpack:"e,omitempty"`
+	EvacuationsRevision uint64       `msgpack:"z,omitempty"`
+	Evacuated           []Evacuation `msgpack:"e,omitempty"`
+	// Returns lists the data centres that were taken back lately.
+	Returns []Return `msgpack:"a,omitempty"`
 	// Targets is the number of targets that the sender knows.
 	Targets uint16         `msgpack:"n"`
 	Leases  []LeaseVersion `msgpack:"m"`
@@ -100,6 +102,23 @@
 	return b
 }
 
+// Evacuation is an evacuated data centre.
+type Evacuation struct {
+	DataCentre string `msgpack:"d"`
+	// AgeMs is the time since the sender, or the VM that told it, learned of the evacuation, in milliseconds.
+	AgeMs uint32 `msgpack:"a"`
+}
+
+// Return is the end of an evacuation of a data centre.
+type Return struct {
+	DataCentre string `msgpack:"d"`
+	// Revision is the store's revision as of which the sender, or the VM that told it, found that the
+	// evacuation had ended.
+	Revision uint64 `msgpack:"r"`
+	// AgeMs is the time since then, in milliseconds.
+	AgeMs uint32 `msgpack:"a"`
+}
+
 // Crash lists the targets whose process ended while it ran a request. The request is identified
 // by a hash of its content, the targets by hashes of their ids.
 type Crash struct {
