Names and comments of the shifted work in the field's terms

Read as a newcomer: the soak's words for other faults, the causes of warm-ups in log lines, simulations named so, and sentences that had to be read twice. No behaviour changes but the texts of one log field.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,8 +32,8 @@
 	Revision uint64 `msgpack:"r"`
 }
 
-// differsFrom reports whether an entry says anything new compared with an earlier one. A cold target writes an
-// entry for every step of its remaining warm-up time, which readers count down by themselves.
+// differsFrom reports whether an entry differs from an earlier one in more than a warm-up time that has decreased.
+// A cold target writes an entry for every step of it, while readers compute the end of the warm-up once.
 func (t Target) differsFrom(old Target) bool {
 	if t.WarmupLeft > old.WarmupLeft {
 		return true
--- a/internal/decide/loadreport/play_test.go
+++ b/internal/decide/loadreport/simulation_test.go
@@ -10,14 +10,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The load that these tests play: an owner of two slots on a machine that is three times slower for a fifth
+// The simulated load: an owner of two slots on a machine that is three times slower for a fifth
 // of the time, with short work that has an urgent objective and long work that has a patient one.
 const (
 	shortWork, shortObjective = 41 * time.Millisecond, 150 * time.Millisecond
 	longWork, longObjective   = 250 * time.Millisecond, 800 * time.Millisecond
 	meanWork                  = 100 * time.Millisecond
 	noisePeriod               = 400 * time.Millisecond
-	playTime                  = 2000 * time.Second
+	simulatedTime             = 2000 * time.Second
 )
 
 type event struct {
@@ -33,7 +33,7 @@
 func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
 func (e *events) Pop() any          { l := *e; x := l[len(l)-1]; *e = l[:len(l)-1]; return x }
 
-// owner plays one owner and counts what the callers of both kinds of work get.
+// owner simulates one owner and counts the answers in time for both kinds of work.
 type owner struct {
 	rnd              *rand.Rand
 	now              time.Duration
@@ -77,7 +77,7 @@
 	}
 }
 
-// judge lets long work wait for room.
+// judge lets long work wait for a free slot.
 func (o *owner) judge(began time.Duration) {
 	switch o.report().JudgeLong(Work{Own: longWork, Mean: meanWork}, longObjective, o.now-began) {
 	case Send:
@@ -87,8 +87,8 @@
 	}
 }
 
-// playOwner returns the shares of short and of long work that are answered in time.
-func playOwner(shortRate, longRate float64, keepRoom bool) (short, long float64) {
+// simulateOwner returns the shares of short and of long work that are answered in time.
+func simulateOwner(shortRate, longRate float64, keepSlotFree bool) (short, long float64) {
 	o := &owner{rnd: rand.New(rand.NewPCG(1, 2)), slowness: 1, inTime: make(map[time.Duration]int), offered: make(map[time.Duration]int)}
 	arrive := func(rate float64, work time.Duration, offer func()) {
 		var next func()
@@ -101,7 +101,7 @@
 	}
 	arrive(shortRate, shortWork, func() { o.send(o.now, shortWork, shortObjective) })
 	arrive(longRate, longWork, func() {
-		if keepRoom {
+		if keepSlotFree {
 			o.judge(o.now)
 			return
 		}
@@ -115,7 +115,7 @@
 		o.after(noisePeriod, noise)
 	}
 	noise()
-	for len(o.queue) > 0 && o.now < playTime {
+	for len(o.queue) > 0 && o.now < simulatedTime {
 		e := heap.Pop(&o.queue).(event)
 		o.now = e.at
 		e.what()
@@ -127,8 +127,8 @@
 // Guards against long work that fills all slots of an owner while urgent short work waits.
 func TestShortWorkIsInTimeBesideLongWork(t *testing.T) {
 	for _, load := range []float64{0.7, 1} {
-		shortBefore, longBefore := playOwner(7.6*load, 3.1*load, false)
-		short, long := playOwner(7.6*load, 3.1*load, true)
+		shortBefore, longBefore := simulateOwner(7.6*load, 3.1*load, false)
+		short, long := simulateOwner(7.6*load, 3.1*load, true)
 		t.Logf("load %.1f: short work in time %.3f, before %.3f; long work %.3f, before %.3f", load, short, shortBefore, long, longBefore)
 		require.Less(t, 1-short, 0.75*(1-shortBefore), "a quarter of the late answers at least is gained")
 		require.Greater(t, 2*short*7.6+long*3.1, 2*shortBefore*7.6+longBefore*3.1, "value of the answers in time")
--- a/internal/decide/warmup/warmup_test.go
+++ b/internal/decide/warmup/warmup_test.go
@@ -22,9 +22,9 @@
 	return out
 }
 
-// play lets VMs offer far more requests to a target than it bears and returns the most that arrive within
+// simulate lets VMs offer far more requests to a target than it bears and returns the most that arrive within
 // a second. lists holds the list by which each VM chooses, jitter bounds the time on the way.
-func play(vms []rendezvous.Candidate, lists [][]rendezvous.Candidate, jitter time.Duration, rnd *rand.Rand) (most, total int) {
+func simulate(vms []rendezvous.Candidate, lists [][]rendezvous.Candidate, jitter time.Duration, rnd *rand.Rand) (most, total int) {
 	limit := LimitFor(bound)
 	var meters []*Meter
 	for i, vm := range vms {
@@ -54,7 +54,7 @@
 	return most, len(arrivals)
 }
 
-// Guards against a target that comes back cold and is overrun by VMs that count alone.
+// Guards against a cold target that is overrun by VMs which each count their own requests.
 func TestColdTargetGetsNoMoreThanItBears(t *testing.T) {
 	for _, n := range []int{1, 3, 10, 90, 300} {
 		vms := candidates(n)
@@ -62,7 +62,7 @@
 		for i := range lists {
 			lists[i] = vms
 		}
-		most, total := play(vms, lists, 80*time.Millisecond, rand.New(rand.NewPCG(1, uint64(n))))
+		most, total := simulate(vms, lists, 80*time.Millisecond, rand.New(rand.NewPCG(1, uint64(n))))
 		require.LessOrEqual(t, float64(most), bound, "%d VMs", n)
 		if n >= 10 {
 			require.GreaterOrEqual(t, total, 20, "%d VMs: the target is used while it warms up", n)
@@ -84,7 +84,7 @@
 					lists[i] = older
 				}
 			}
-			most, _ := play(vms, lists, 80*time.Millisecond, rnd)
+			most, _ := simulate(vms, lists, 80*time.Millisecond, rnd)
 			require.LessOrEqual(t, float64(most), bound, "%d VMs, seed %d", n, seed)
 		}
 	}
--- a/internal/gateway/warming.go
+++ b/internal/gateway/warming.go
@@ -9,7 +9,7 @@
 	"hemlockquay/internal/route"
 )
 
-// warmingState is what this VM knows of the warm-up of a target.
+// warmingState is the warm-up of a target as known to this VM.
 type warmingState struct {
 	// until is when the target counts as warm.
 	until time.Duration
@@ -29,9 +29,9 @@
 
 // The reasons for which a target counts as cold.
 const (
-	warmingByEntry  = "said by its entry"
-	warmingByReturn = "data centre taken back"
-	warmingByHealth = "said by its health check"
+	warmingByEntry  = "entry"
+	warmingByReturn = "end of an evacuation"
+	warmingByHealth = "health check"
 )
 
 // setMembers sets the VMs from which the senders to cold targets are chosen.
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -105,15 +105,14 @@
 // Evacuation is an evacuated data centre.
 type Evacuation struct {
 	DataCentre string `msgpack:"d"`
-	// AgeMs is the time since the sender, or the VM that told it, learned of the evacuation, in milliseconds.
+	// AgeMs is the time since a VM first learned of the evacuation, in milliseconds.
 	AgeMs uint32 `msgpack:"a"`
 }
 
 // Return is the end of an evacuation of a data centre.
 type Return struct {
 	DataCentre string `msgpack:"d"`
-	// Revision is the store's revision as of which the sender, or the VM that told it, found that the
-	// evacuation had ended.
+	// Revision is a revision of the store as of which the evacuation had ended.
 	Revision uint64 `msgpack:"r"`
 	// AgeMs is the time since then, in milliseconds.
 	AgeMs uint32 `msgpack:"a"`
--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -14,15 +14,15 @@
 const (
 	// Evacuate has operators evacuate a data centre until the fault ends.
 	Evacuate Kind = "evacuate"
-	// Evacuated: an evacuated data centre gets no requests once evacuateWithin has passed, from VMs that
-	// nothing has happened to for calmTime.
+	// Evacuated: an evacuated data centre gets no requests once evacuateWithin has passed, if no other fault
+	// was in progress in the last faultFreeTime.
 	Evacuated = "EVACUATED"
 
 	// evacuatedDC is the data centre of the last target of each service, if the profile has two, and
 	// mainDC that of all others.
 	evacuatedDC, mainDC = "b", "a"
 	evacuateWithin      = 5 * time.Second
-	calmTime            = 3 * time.Second
+	faultFreeTime       = 3 * time.Second
 )
 
 // dataCentreOf returns the data centre of a target.
@@ -47,9 +47,9 @@
 type evacuationWatch struct {
 	evacuated   bool
 	evacuatedAt time.Time
-	// disturbances is the number of other faults in progress, calmSince the end of the last one.
-	disturbances int
-	calmSince    time.Time
+	// otherFaults is the number of other faults in progress, faultFreeSince the end of the last one.
+	otherFaults    int
+	faultFreeSince time.Time
 }
 
 func (c *Checker) setEvacuated(evacuated bool) {
@@ -58,21 +58,21 @@
 	c.evacuation.evacuated, c.evacuation.evacuatedAt = evacuated, c.now()
 }
 
-// disturb records the start (1) or the end (-1) of a fault that is no evacuation.
-func (c *Checker) disturb(change int) {
+// countOtherFault records the start (1) or the end (-1) of a fault that is no evacuation.
+func (c *Checker) countOtherFault(change int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evacuation.disturbances += change
-	c.evacuation.calmSince = c.now()
+	c.evacuation.otherFaults += change
+	c.evacuation.faultFreeSince = c.now()
 }
 
 // checkEvacuated checks a request that a target has begun to run. It needs c.mu.
 func (c *Checker) checkEvacuated(target, id string) {
 	e, now := &c.evacuation, c.now()
-	if !e.evacuated || dataCentreOf(target) != evacuatedDC || e.disturbances > 0 {
+	if !e.evacuated || dataCentreOf(target) != evacuatedDC || e.otherFaults > 0 {
 		return
 	}
-	if since := now.Sub(e.evacuatedAt); since > evacuateWithin && now.Sub(e.calmSince) > calmTime {
+	if since := now.Sub(e.evacuatedAt); since > evacuateWithin && now.Sub(e.faultFreeSince) > faultFreeTime {
 		c.violated(Evacuated, id, "runs on %s, %v after its data centre was evacuated", target, since)
 	}
 }
@@ -81,12 +81,12 @@
 var (
 	evacuationTime = durationRange{9 * time.Second, 13 * time.Second}
 	betweenTime    = durationRange{time.Second, 3 * time.Second}
-	// disturbanceTime is short, so that the VMs are calm for a part of each evacuation.
-	disturbanceTime = durationRange{200 * time.Millisecond, 2500 * time.Millisecond}
+	// vmFaultTime is short, so that a part of each evacuation is free of other faults.
+	vmFaultTime = durationRange{200 * time.Millisecond, 2500 * time.Millisecond}
 )
 
-// maxDisturbances is the maximum number of VMs to which something happens at the start of an evacuation.
-const maxDisturbances = 3
+// maxVMFaults is the maximum number of faults of VMs at the start of an evacuation.
+const maxVMFaults = 3
 
 // GenerateEvacuations returns the fault schedule of a seed for the profile evacuations.
 func GenerateEvacuations(seed uint64, over time.Duration) *Schedule {
@@ -95,10 +95,10 @@
 	for at := betweenTime.random(r); at < over; {
 		length := evacuationTime.random(r)
 		s.add(Fault{At: model.Duration(at), Kind: Evacuate, Subject: evacuatedDC, Duration: model.Duration(length)}, over)
-		for range r.IntN(maxDisturbances + 1) {
+		for range r.IntN(maxVMFaults + 1) {
 			kind := kinds[false][r.IntN(len(kinds[false]))]
 			begin := at + offsetInSeries.random(r) - offsetInSeries.max/2
-			s.add(Fault{At: model.Duration(max(begin, 0)), Kind: kind, Subject: vmNames()[r.IntN(vmCount)], Duration: model.Duration(disturbanceTime.random(r))}, over)
+			s.add(Fault{At: model.Duration(max(begin, 0)), Kind: kind, Subject: vmNames()[r.IntN(vmCount)], Duration: model.Duration(vmFaultTime.random(r))}, over)
 		}
 		at += length + betweenTime.random(r)
 	}
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// Guards against generated evacuations that are never judged, because something happens to VMs all the time.
-func TestGeneratedEvacuationsHaveCalmParts(t *testing.T) {
+// Guards against generated evacuations that are never judged, because VMs have faults all the time.
+func TestGeneratedEvacuationsHaveFaultFreeParts(t *testing.T) {
 	judged, drawn := 0, make(map[Kind]int)
 	for seed := range uint64(50) {
 		s := GenerateEvacuations(seed, 30*time.Second)
@@ -93,12 +93,12 @@
 		require.NoError(t, s.Check())
 		read := new(Schedule)
 		require.NoError(t, settings.Decode("printed", []byte(s.String()), read))
-		calmAt := time.Duration(0)
+		faultFreeAt := time.Duration(0)
 		for _, f := range s.Faults {
 			drawn[f.Kind]++
 			if f.Kind != Evacuate {
-				calmAt = max(calmAt, (f.At+f.Duration).D()+calmTime)
-			} else if end := (f.At + f.Duration).D(); end > f.At.D()+evacuateWithin && end > calmAt {
+				faultFreeAt = max(faultFreeAt, (f.At+f.Duration).D()+faultFreeTime)
+			} else if end := (f.At + f.Duration).D(); end > f.At.D()+evacuateWithin && end > faultFreeAt {
 				judged++
 			}
 		}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -145,7 +145,7 @@
 		return
 	}
 	if f.Kind != Evacuate {
-		w.check.disturb(1)
+		w.check.countOtherFault(1)
 	}
 	switch f.Kind {
 	case Evacuate:
@@ -177,7 +177,7 @@
 		return nil
 	}
 	if f.Kind != Evacuate {
-		defer w.check.disturb(-1)
+		defer w.check.countOtherFault(-1)
 	}
 	switch f.Kind {
 	case Evacuate:
