gateway: logs and metrics tell when a version was announced, who watches, and which calls are pending

Late configurations could not be traced: a fetch that succeeded in the end left no line, a 404 had none, and neither logs nor metrics said when a VM first heard of a version, which VMs watch the store, or how long a call has waited for its answer.

New: gauges config.newest, store.watching, store.pending, store.oldestCall; lines for a newer version announced, for the begin and end of watching, for each failed attempt of a fetch (20 a second at most) and for requests without a route, with the version, its age and the newest version known; pending calls in the state dump. No decision changes.

--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -84,8 +84,9 @@
 func (g *Gateway) fetchVersion(ctx context.Context, vms *fetchSources, f versionFetch) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	for begin := time.Now(); ; {
+	for begin, attempt := time.Now(), 1; ; attempt++ {
 		vm := vms.next()
+		sent := time.Now()
 		reply, err := g.requestVersion(ctx, vm, f.method, f.haveVersion)
 		if err == nil {
 			vms.add(reply.Holders...)
@@ -94,6 +95,7 @@
 				err = f.apply(vm, reply)
 			}
 		}
+		g.logAttempt(fetchAttempt{method: f.method, vm: vm, number: attempt, bytes: len(reply.Data), took: time.Since(sent), since: time.Since(begin)}, err)
 		if err == nil || f.obtained(time.Since(begin)) {
 			return nil
 		}
@@ -103,6 +105,26 @@
 	}
 }
 
+// fetchAttempt is a request for a newer version of a value, for its log line.
+type fetchAttempt struct {
+	method, vm    string
+	number, bytes int
+	// took is the time of this attempt, since that from the start of the first one.
+	took, since time.Duration
+}
+
+// maxAttemptLines bounds the log lines on attempts to fetch a value, per second.
+const maxAttemptLines = 20
+
+// logAttempt logs an attempt that failed, or that transferred a whole value.
+func (g *Gateway) logAttempt(a fetchAttempt, err error) {
+	if err == nil && a.bytes == 0 || !g.attemptLog.Allow() {
+		return
+	}
+	g.log.Info().Str("step", "fetch").Str("what", a.method).Str("peer", a.vm).Int("attempt", a.number).Int("bytes", a.bytes).
+		Dur("took", a.took).Dur("since", a.since).Err(err).Msg("attempt to fetch a version")
+}
+
 func (g *Gateway) requestVersion(ctx context.Context, vm, method string, have uint64) (*FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchRequestTimeout)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
+	"golang.org/x/time/rate"
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
@@ -63,6 +64,8 @@
 	cancel context.CancelFunc
 	// sighups receives SIGHUP.
 	sighups chan os.Signal
+	// attemptLog limits the log lines on attempts to fetch a value.
+	attemptLog *rate.Limiter
 	// fetches holds the running fetches, a *fetchSources for each kind of value.
 	fetches sync.Map
 	// writeCount makes the tags of writes unique.
@@ -76,6 +79,10 @@
 	// targetsConfirmedAt is when the list of targets was last confirmed by the store, or by a VM
 	// that reaches the store, on clock.
 	targetsConfirmedAt atomic.Int64
+	// watching is the number of kinds of objects that this VM watches at the store.
+	watching atomic.Int32
+	// pendingCalls are the calls to the store that have no answer yet.
+	pendingCalls *pendingCalls
 	// joined reports whether the list of VMs was received from the store or from another VM.
 	joined atomic.Bool
 	// membersListed reports whether the list of VMs was read from the store.
@@ -125,7 +132,8 @@
 		counters: newCounters(registry), requestLog: newRequestLogLimiter(registry),
 		bodyMemory: newBodyMemory(s.MemoryMB),
 	}
-	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult}
+	g.pendingCalls, g.attemptLog = newPendingCalls(), rate.NewLimiter(maxAttemptLines, maxAttemptLines)
+	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls}
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -53,7 +53,9 @@
 	}
 	rt, spread := view.Routes.Find(r.Host, pathOf(r.RequestURI))
 	if rt == nil {
-		g.refuse(w, r, outcome{status: http.StatusNotFound, reason: "no route"})
+		out := outcome{status: http.StatusNotFound, reason: "no route"}
+		g.logNoRoute(r, out)
+		g.refuse(w, r, out)
 		return
 	}
 	if rt.Unusable != "" {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,6 +47,7 @@
 		g.state.recordReturns(b.Returns)
 	}
 	if b.ConfigVersion > v.ConfigVersion() {
+		g.state.announced.record(b.ConfigVersion, v.ConfigVersion(), b.From.VM, g.clock.Now())
 		g.fetch(b.From.VM, "config", g.fetchConfig)
 	}
 	// Targets that are still missing some time after an outage are dropped without a new revision.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -95,11 +96,26 @@
 	e.Msg("request ended")
 }
 
+// logNoRoute logs a request whose route is not known, with the versions that this VM knows.
+func (g *Gateway) logNoRoute(r *http.Request, out outcome) {
+	if !g.requestLog.allow(out) {
+		return
+	}
+	v := g.state.view.Load()
+	g.log.Info().Str("step", "request").Str("id", r.Header.Get(g.headers.RequestID)).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
+		Int("status", out.status).Str("reason", out.reason).Uint64("config", v.ConfigVersion()).Int64("configAge", g.state.ageMillis(g.state.lastConfigChange())).
+		Uint64("newest", max(g.state.announced.newest(), v.ConfigVersion())).Msg("request without a route")
+}
+
 // viewDump is the gateway's section of the state dump.
 type viewDump struct {
 	ConfigVersion   uint64 `json:"configVersion"`
 	TargetsRevision uint64 `json:"targetsRevision"`
+	// AnnouncedConfig is the newest version of the configuration that other VMs have announced.
+	AnnouncedConfig uint64 `json:"announcedConfig"`
 	StoreUp         bool   `json:"storeUp"`
+	// StoreCalls are the calls to the store that have no answer yet, oldest first.
+	StoreCalls []pendingCall `json:"storeCalls"`
 	// EvacuatedDataCentres are known as of the store's revision EvacuationsRevision.
 	EvacuatedDataCentres []string         `json:"evacuatedDataCentres"`
 	EvacuationsRevision  uint64           `json:"evacuationsRevision"`
@@ -122,6 +138,7 @@
 func (g *Gateway) dump() any {
 	v := g.state.view.Load()
 	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: g.storeUp.Load(), Members: g.mesh.Live(), Leases: g.state.leases.All()}
+	out.AnnouncedConfig, out.StoreCalls = g.state.announced.newest(), g.pendingCalls.list(g.clock.Now())
 	out.EvacuatedDataCentres, out.EvacuationsRevision = v.Evacuations.DataCentres, v.Evacuations.Revision
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -57,6 +57,8 @@
 	returns map[string]dataCentreReturn
 	// configChangedAt is when the configuration last changed.
 	configChangedAt time.Duration
+	// announced is the newest configuration that other VMs have announced.
+	announced announcedConfig
 	// changed is closed and replaced when the leases or view change.
 	changed chan struct{}
 	// announce is called after this VM read something from the store that other VMs may not know
@@ -144,6 +146,7 @@
 		tellsLoad:     make(map[string]bool),
 		misdirectedAt: make(map[string]time.Duration), keyLoad: make(map[string]map[uint16]uint16),
 	}
+	s.announced.log = logger
 	s.view.Store(catalog.NewView(nil, catalog.Targets{}, catalog.Evacuations{}))
 	s.leases = published.New(clock, registry, s.notifyChanged)
 	return s
@@ -172,7 +175,8 @@
 		return
 	}
 	s.log.Info().Str("step", "config").Uint64("version", c.Version).Uint64("before", old.ConfigVersion()).
-		Int("routes", len(c.Routes)).Int("unread", len(c.Unread)).Str("source", source).Msg("configuration in force")
+		Int("routes", len(c.Routes)).Int("unread", len(c.Unread)).Str("source", source).
+		Dur("announcedFor", s.announced.age(c.Version, s.clock.Now())).Msg("configuration in force")
 	s.refuseUnknownRegionsLocked(c)
 	s.reportUnread(c)
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets, old.Evacuations))
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -20,6 +20,7 @@
 	clock    boottime.Clock
 	// onResult is called with the result of each call and the time at which the call was sent.
 	onResult func(sent time.Duration, err error)
+	pending  *pendingCalls
 }
 
 // storeCallsPrefix begins the names of the counters of calls to the store.
@@ -28,7 +29,9 @@
 // observe runs a call to the store and records it.
 func observe[T any](s observedStore, operation string, kind model.Kind, call func() (T, error)) (T, error) {
 	begin, sent := time.Now(), s.clock.Now()
+	done := s.pending.add(operation, kind, sent)
 	out, err := call()
+	done()
 	metrics.GetOrRegisterTimer("step.store."+operation, s.registry).UpdateSince(begin)
 	metrics.GetOrRegisterCounter(storeCallsPrefix+operation+"."+string(kind), s.registry).Inc(1)
 	if err != nil {
@@ -58,6 +61,7 @@
 func (g *Gateway) registerGauges() {
 	for name, value := range map[string]func() int64{
 		"config.version":   func() int64 { return int64(g.state.view.Load().ConfigVersion()) },
+		"config.newest":    func() int64 { return int64(max(g.state.announced.newest(), g.state.view.Load().ConfigVersion())) },
 		"config.age":       func() int64 { return g.state.ageMillis(g.state.lastConfigChange()) },
 		"targets.listed":   func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
 		"targets.age":      func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
@@ -69,6 +73,9 @@
 		"forward.inFlight": func() int64 { inFlight, _ := g.forwarded.state(); return int64(inFlight) },
 		"forward.limit":    func() int64 { _, limit := g.forwarded.state(); return int64(limit) },
 		"store.reachable":  func() int64 { return boolToInt(g.storeUp.Load()) },
+		"store.watching":   func() int64 { return int64(g.watching.Load()) },
+		"store.pending":    func() int64 { return int64(len(g.pendingCalls.list(g.clock.Now()))) },
+		"store.oldestCall": func() int64 { return g.pendingCalls.oldest(g.clock.Now()).Milliseconds() },
 	} {
 		g.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -42,8 +42,13 @@
 // the changes. If the store has dropped its history or was unreachable, it lists them again.
 func (g *Gateway) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
 	backoff := minStoreBackoff
+	watching := false
 	for ctx.Err() == nil {
-		if !g.shouldWatch(kind) {
+		if should := g.shouldWatch(kind); should != watching {
+			watching = should
+			g.recordWatching(kind, watching)
+		}
+		if !watching {
 			pause.For(ctx, watchCheckInterval)
 			continue
 		}
@@ -67,6 +72,16 @@
 	}
 }
 
+// recordWatching records that this VM begins or ends to watch the objects of a kind.
+func (g *Gateway) recordWatching(kind model.Kind, watching bool) {
+	change := int32(1)
+	if !watching {
+		change = -1
+	}
+	g.watching.Add(change)
+	g.log.Info().Str("step", "watch").Str("kind", string(kind)).Bool("watching", watching).Msg("begins or ends to watch the store")
+}
+
 // shouldWatch reports whether this VM has to watch the objects of a kind. The grantors do, because they
 // must notice early that they do not reach the store, and as many other VMs as watcherCount requires. A VM
 // that does not reach the store does not count as one of them, but continues to try, with one kind only if
