gateway: failing test of changes that no VM knows while watchers are silent

Plays gateways in virtual time: calls between VMs and to the store are function calls, so 82 VMs take seconds. The store leaves the calls of the VMs that are preferred for watching unanswered, 20 ms before a configuration, a draining target or an evacuation is written, and each VM that reaches the store must know the change within 2 s, the shorter of the users' two bounds.

The mesh takes the maker of its clients, and the watches start by a function of their own; nothing else changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,10 +175,11 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.watchConfig, g.watchTargets, g.watchEvacuations, g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic,
+		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic,
 	} {
 		go duty(g.ctx)
 	}
+	g.startWatches(g.ctx)
 	g.log.Info().Str("step", "start").Str("front", g.settings.Front).Str("peers", g.settings.Peers).Str("store", g.settings.Store).
 		Uint64("incarnation", g.self.Incarnation).Msg("started")
 	return nil
--- /dev/null
+++ b/internal/gateway/play_test.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/platform"
+	"hemlockquay/internal/route"
+)
+
+// play runs gateways in virtual time, without a network: calls between VMs and to the store are function
+// calls that take some time. It needs a bubble of synctest.
+type play struct {
+	t     *testing.T
+	begin time.Time
+	store *sharedStore
+	vms   []*playVM
+	// byAddr holds the gateways by the address for other VMs.
+	byAddr map[string]*Gateway
+}
+
+// playVM is a VM of a play. While silent is set, the store leaves its calls unanswered.
+type playVM struct {
+	*Gateway
+	silent atomic.Bool
+}
+
+const (
+	peerLatency  = time.Millisecond
+	storeLatency = 4 * time.Millisecond
+)
+
+// elapsed is a clock that counts from the start of the play.
+type elapsed struct{ begin time.Time }
+
+func (c elapsed) Now() time.Duration { return time.Hour + time.Since(c.begin) }
+
+// newPlay starts VMs that know each other and the first objects of the store.
+func newPlay(t *testing.T, vms int) *play {
+	p := &play{t: t, begin: time.Now(), store: newSharedStore(), byAddr: make(map[string]*Gateway)}
+	p.store.put("config", "main", route.Config{Version: 1})
+	p.store.put("targets", "t", catalog.Target{ID: "t", Service: "s", DataCentre: "a"})
+	for i := range vms {
+		vm := new(playVM)
+		s := &Settings{Store: "store", MemoryMB: defaultMemoryMB, EvacuateWithin: minEvacuateWithin}
+		s.VM, s.DataCentre, s.Peers = fmt.Sprintf("vm-%03d", i), "a", fmt.Sprintf("vm-%03d:1", i)
+		store := &storePath{sharedStore: p.store, silent: &vm.silent}
+		vm.Gateway = newGateway(s, fakeAdapter{store: store}, elapsed{p.begin}, discardLogger(), metrics.NewRegistry())
+		vm.mesh.UseClients(func(addr string) mesh.Client { return playClient{p, addr} })
+		vm.mesh.Start(vm.Gateway)
+		p.vms, p.byAddr[s.Peers] = append(p.vms, vm), vm.Gateway
+	}
+	for _, vm := range p.vms {
+		for _, other := range p.vms {
+			vm.mesh.Add(other.self)
+		}
+		vm.startWatches(vm.ctx)
+	}
+	return p
+}
+
+func (p *play) stop() {
+	for _, vm := range p.vms {
+		vm.cancel()
+	}
+	for _, vm := range p.vms {
+		vm.mesh.Close()
+	}
+}
+
+// playClient calls one VM of a play.
+type playClient struct {
+	play *play
+	addr string
+}
+
+func (playClient) Close() {}
+
+func (c playClient) Call(ctx context.Context, method string, args, reply any) error {
+	if err := sleep(ctx, peerLatency); err != nil {
+		return err
+	}
+	g := c.play.byAddr[c.addr]
+	var err error
+	switch method {
+	case "Mesh.Heartbeat":
+		err = mesh.Service{Mesh: g.mesh}.Heartbeat(args.(*mesh.Heartbeat), reply.(*mesh.Heartbeat))
+	case "View.ConfigVersion":
+		err = View{g}.ConfigVersion(args.(*FetchArgs), reply.(*FetchReply))
+	case "View.TargetsSince":
+		err = View{g}.TargetsSince(args.(*FetchArgs), reply.(*FetchReply))
+	case "View.Routing":
+		err = View{g}.Routing(args.(*string), reply.(*lease.Routing))
+	default:
+		err = fmt.Errorf("method %s is not known", method)
+	}
+	return errors.Join(err, sleep(ctx, peerLatency))
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sharedStore is the store of a play.
+type sharedStore struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[platform.ID]platform.Object
+	history  []platform.Event
+	changed  chan struct{}
+	calls    int
+}
+
+func newSharedStore() *sharedStore {
+	return &sharedStore{objects: make(map[platform.ID]platform.Object), changed: make(chan struct{})}
+}
+
+// put writes an object as an operator or a target does. It returns the revision.
+func (s *sharedStore) put(kind model.Kind, name string, spec any) uint64 {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := platform.Object{Kind: kind, Name: name, Spec: text, Version: s.revision}
+	s.objects[o.ID()] = o
+	s.history = append(s.history, platform.Event{Type: platform.EventPut, Object: o, Revision: s.revision})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *sharedStore) list(kind model.Kind) platform.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := platform.Listing{Revision: s.revision}
+	for _, o := range s.objects {
+		if o.Kind == kind {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	return out
+}
+
+// since returns the changes of a kind after a revision, and a channel that is closed at the next change.
+func (s *sharedStore) since(kind model.Kind, from uint64) (platform.Changes, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := platform.Changes{Revision: s.revision}
+	for _, e := range s.history {
+		if e.Object.Kind == kind && e.Revision > from {
+			out.Events = append(out.Events, e)
+		}
+	}
+	return out, s.changed
+}
+
+// storePath is the path of one VM to the store.
+type storePath struct {
+	*sharedStore
+	silent *atomic.Bool
+}
+
+// answer ends a call whose result is known. It returns an error if the path was silent at its begin or its end.
+func (s *storePath) answer(ctx context.Context, call func() error) error {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	silent := s.silent.Load()
+	err := sleep(ctx, storeLatency)
+	if err == nil && !silent {
+		err = call()
+	}
+	if silent || s.silent.Load() {
+		<-ctx.Done()
+		err = ctx.Err()
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return errors.Join(platform.ErrAmbiguous, err)
+	}
+	return err
+}
+
+func (s *storePath) Get(ctx context.Context, id platform.ID) (out platform.Object, err error) {
+	return out, s.answer(ctx, func() error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		found := false
+		if out, found = s.objects[id]; !found {
+			return platform.ErrNotFound
+		}
+		return nil
+	})
+}
+
+func (s *storePath) Put(context.Context, platform.Object) (platform.Object, error) {
+	return platform.Object{}, platform.ErrUnavailable
+}
+
+func (s *storePath) ListKind(ctx context.Context, kind model.Kind) (out platform.Listing, err error) {
+	return out, s.answer(ctx, func() error {
+		out = s.list(kind)
+		return nil
+	})
+}
+
+func (s *storePath) WatchKind(ctx context.Context, kind model.Kind, from uint64, wait time.Duration) (out platform.Changes, err error) {
+	return out, s.answer(ctx, func() error {
+		end := time.After(wait)
+		for {
+			var changed <-chan struct{}
+			out, changed = s.since(kind, from)
+			if len(out.Events) > 0 {
+				return nil
+			}
+			select {
+			case <-changed:
+			case <-end:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	})
+}
+
+// byPreference returns the VMs in the order in which they are preferred for watching the store.
+func (p *play) byPreference() []*playVM {
+	out := slices.Clone(p.vms)
+	place := make(map[*playVM]int)
+	for _, vm := range out {
+		place[vm] = vm.place("watch", func(string) bool { return true })
+	}
+	slices.SortFunc(out, func(a, b *playVM) int { return place[a] - place[b] })
+	return out
+}
+
+// changeBound is the time within which a change that the store has acknowledged must be known at each VM that
+// reaches the store.
+const changeBound = 2 * time.Second
+
+// storeChanges are the changes that VMs must know in time, with the check that a VM knows them.
+var storeChanges = map[string]struct {
+	write func(s *sharedStore) uint64
+	known func(v *catalog.View, revision uint64) bool
+}{
+	"configuration": {
+		func(s *sharedStore) uint64 { return s.put("config", "main", route.Config{Version: 2}) },
+		func(v *catalog.View, _ uint64) bool { return v.ConfigVersion() == 2 },
+	},
+	"target drains": {
+		func(s *sharedStore) uint64 {
+			revision := s.revision + 1
+			return s.put("targets", "t", catalog.Target{ID: "t", Service: "s", DataCentre: "a", Draining: true, Revision: revision})
+		},
+		func(v *catalog.View, _ uint64) bool { return v.ByID["t"] != nil && v.ByID["t"].Draining },
+	},
+	"evacuation": {
+		func(s *sharedStore) uint64 { return s.put("evacuations", "a", struct{}{}) },
+		func(v *catalog.View, _ uint64) bool { return v.Evacuations.Contains("a") },
+	},
+}
+
+// inPlay runs a test in a bubble. The library of metrics starts one goroutine for all of them, which must not
+// belong to a bubble.
+func inPlay(t *testing.T, run func(t *testing.T)) {
+	metrics.NewMeter().Stop()
+	synctest.Test(t, run)
+}
+
+// Guards against changes that no VM knows because watchers that fall silent are replaced one after the other.
+func TestChangesAreKnownInTimeWhileWatchersAreSilent(t *testing.T) {
+	for name, change := range storeChanges {
+		for _, size := range []struct{ vms, silent int }{{10, 3}, {10, 9}, {40, 3}, {40, 12}, {40, 24}, {40, 39}, {82, 74}} {
+			t.Run(fmt.Sprintf("%s, %d of %d VMs silent", name, size.silent, size.vms), func(t *testing.T) {
+				inPlay(t, func(t *testing.T) {
+					p := newPlay(t, size.vms)
+					defer p.stop()
+					draw := rand.New(rand.NewPCG(uint64(size.vms), uint64(size.silent)))
+					time.Sleep(5*time.Second + time.Duration(draw.Int64N(int64(time.Second))))
+					order := p.byPreference()
+					for _, vm := range order[:size.silent] {
+						vm.silent.Store(true)
+					}
+					time.Sleep(20 * time.Millisecond)
+					revision := change.write(p.store)
+					written := time.Now()
+					for waiting := order[size.silent:]; len(waiting) > 0 && time.Since(written) < 20*time.Second; {
+						time.Sleep(10 * time.Millisecond)
+						waiting = slices.DeleteFunc(waiting, func(vm *playVM) bool { return change.known(vm.state.view.Load(), revision) })
+					}
+					require.LessOrEqual(t, time.Since(written), changeBound)
+				})
+			})
+		}
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -38,6 +38,13 @@
 	idleRetryPause = 1500 * time.Millisecond
 )
 
+// startWatches starts the duties that keep the objects of the store up to date.
+func (g *Gateway) startWatches(ctx context.Context) {
+	for _, duty := range []func(context.Context){g.watchConfig, g.watchTargets, g.watchEvacuations} {
+		go duty(ctx)
+	}
+}
+
 // watch keeps the objects of one kind up to date until ctx ends. It lists them and then follows
 // the changes. If the store has dropped its history or was unreachable, it lists them again.
 func (g *Gateway) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -57,12 +57,18 @@
 	OnHeartbeat(Heartbeat)
 }
 
+// Client calls one VM. It is implemented by peer.Client.
+type Client interface {
+	Call(ctx context.Context, method string, args, reply any) error
+	Close()
+}
+
 type remote struct {
 	member Member
-	client *peer.Client
+	client Client
 	// transfers carries large messages, which would delay heartbeats on client's
 	// connection.
-	transfers *peer.Client
+	transfers Client
 	lastHeard time.Duration
 	heartbeat Heartbeat
 	// previous is the last earlier incarnation of the VM that reported crashes, or nil.
@@ -79,6 +85,8 @@
 	local Local
 	clock boottime.Clock
 	log   *log.Logger
+	// newClient returns a client of the VM at an address.
+	newClient func(addr string) Client
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -100,9 +108,12 @@
 // New returns a mesh that knows only this VM.
 func New(self Member, clock boottime.Clock, logger *log.Logger) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Mesh{self: self, clock: clock, log: logger, ctx: ctx, cancel: cancel, remotes: make(map[string]*remote), monitored: make(map[string]string), loads: newLoadSums(), lastCheck: clock.Now()}
+	return &Mesh{self: self, clock: clock, log: logger, newClient: func(addr string) Client { return peer.NewClient(addr, 1) }, ctx: ctx, cancel: cancel, remotes: make(map[string]*remote), monitored: make(map[string]string), loads: newLoadSums(), lastCheck: clock.Now()}
 }
 
+// UseClients sets how the clients of other VMs are made. Call it before VMs are added. Default: TCP.
+func (m *Mesh) UseClients(newClient func(addr string) Client) { m.newClient = newClient }
+
 // Start sets the source of this VM's heartbeats and the receiver of the others'. Call it before
 // heartbeats are exchanged.
 func (m *Mesh) Start(local Local) { m.local = local }
@@ -135,7 +146,7 @@
 		m.loads.replace(old, nil)
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	r := &remote{member: member, client: peer.NewClient(member.Addr, 1), transfers: peer.NewClient(member.Addr, 1), lastHeard: m.clock.Now(), cancel: cancel, announcements: make(chan struct{}, 1)}
+	r := &remote{member: member, client: m.newClient(member.Addr), transfers: m.newClient(member.Addr), lastHeard: m.clock.Now(), cancel: cancel, announcements: make(chan struct{}, 1)}
 	if old != nil {
 		r.previous = old.asPrevious()
 	}
@@ -279,7 +290,7 @@
 	return callWithin(ctx, transferTimeout, r.transfers, method, args, reply)
 }
 
-func callWithin(ctx context.Context, timeout time.Duration, client *peer.Client, method string, args, reply any) error {
+func callWithin(ctx context.Context, timeout time.Duration, client Client, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return client.Call(ctx, method, args, reply)
