gateway: each VM that reaches the store bounds the age of what it knows

What callers saw: 404 on routes whose addition the store had acknowledged 2.5 s and more before. With the store silent to nine tenths of 82 VMs no VM knew a version for 6.2 s, although eight of them reached the store all along.

Cause: the duty of watching went to the preferred VMs that had not failed yet. A VM that makes no calls has not failed, so three silent watchers were replaced by three silent ones after a watch of 1.3 + 0.5 s, and these after a list of 1 s, and so on: time limits of one set of VMs after the other added up, and VMs that the store would have answered waited for their turn. All three kinds, since all are watched so: configuration, targets, evacuations.

Now heartbeats carry the number of confirmations by the store that any VM has got. A VM that has heard of no new one for 1 s reads the store itself, beside its own watch, in groups that double in size 60 ms apart. Time limits of other VMs do not enter the bound. It is a count and not an age, because a heartbeat that was held up would make old knowledge look recent. Watches wait 0.65 to 1.3 s, so that the three of them do not answer at the same moment after a change. A VM that the store does not answer retries soon only if it is preferred or a grantor: all of them find out at once now. Relays that the store has answered lately come first.

--- /dev/null
+++ b/internal/gateway/confirm.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/decide/freshness"
+	"hemlockquay/internal/model"
+	"hemlockquay/internal/pause"
+	"hemlockquay/internal/platform"
+)
+
+const (
+	// confirmCheckInterval is the interval at which a VM checks the age of the last confirmation.
+	confirmCheckInterval = 20 * time.Millisecond
+	// pollDuration is how long the store waits for changes when it is asked only for those that exist. The
+	// protocol has no shorter time.
+	pollDuration = time.Millisecond
+	// pollPause is the pause after a poll that failed, or that did not bring what other VMs have announced.
+	pollPause = 500 * time.Millisecond
+	// storeAnswerMaxAge is how long an answer of the store shows that this VM reaches it.
+	storeAnswerMaxAge = 2 * time.Second
+)
+
+// confirmations tracks the latest confirmation of each kind of objects. It is safe for concurrent use.
+type confirmations struct {
+	clock boottime.Clock
+
+	mu       sync.Mutex
+	trackers map[model.Kind]*freshness.Tracker
+}
+
+func newConfirmations(clock boottime.Clock, kinds ...model.Kind) *confirmations {
+	c := &confirmations{clock: clock, trackers: make(map[model.Kind]*freshness.Tracker)}
+	for _, kind := range kinds {
+		c.trackers[kind] = freshness.NewTracker(clock.Now())
+	}
+	return c
+}
+
+func (c *confirmations) mark(kind model.Kind) freshness.Mark {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.trackers[kind].Mark()
+}
+
+func (c *confirmations) merge(kind model.Kind, m freshness.Mark) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.trackers[kind].Merge(m, c.clock.Now())
+}
+
+func (c *confirmations) confirm(kind model.Kind, revision, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.trackers[kind].Confirm(revision, version, c.clock.Now())
+}
+
+// age returns the time since the latest confirmation of a kind was first known here.
+func (c *confirmations) age(kind model.Kind) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.trackers[kind].Age(c.clock.Now())
+}
+
+// watchedObjects are the objects of one kind at the store, all changes of which every VM must know.
+type watchedObjects struct {
+	kind model.Kind
+	// list applies all objects, change applies changes.
+	list   func(platform.Listing)
+	change func(platform.Changes)
+	// revision returns a revision of the store up to which this VM knows all changes, or 0.
+	revision func() uint64
+	// version returns the version that is known here. It is nil for kinds without versions.
+	version func() uint64
+	// behind reports whether this VM has known for too long that there are changes which it does not have. It is
+	// nil for kinds whose heartbeats or transfers are small.
+	behind func() bool
+}
+
+// confirm records that the store has answered this VM with all changes up to a revision.
+func (g *Gateway) confirm(o watchedObjects, revision uint64) {
+	if o.version == nil {
+		g.confirmations.confirm(o.kind, 0, 0)
+		return
+	}
+	g.confirmations.confirm(o.kind, revision, o.version())
+}
+
+// keepConfirmed reads the objects of a kind whenever no VM has confirmed them for too long, until ctx ends. It
+// bounds the time for which a change is unknown to a VM that reaches the store, whatever the VMs that watch it
+// for all are doing. It does not wait for this VM's own watch, which may hang.
+func (g *Gateway) keepConfirmed(ctx context.Context, o watchedObjects) {
+	for pause.For(ctx, confirmCheckInterval) {
+		age := g.confirmations.age(o.kind)
+		behind := o.behind != nil && o.behind()
+		if !g.storeUp.Load() || !behind && !g.confirmationOverdue(age) {
+			continue
+		}
+		err := g.poll(ctx, o)
+		g.log.Info().Str("step", "watch").Str("kind", string(o.kind)).Dur("age", age).Bool("behind", behind).Err(err).Msg("read from the store without watching it")
+		if err == nil {
+			// Otherwise VMs that are not preferred would read the store, too.
+			g.mesh.Announce()
+		}
+		if behind || err != nil {
+			pause.For(ctx, pollPause)
+		}
+	}
+}
+
+// confirmationOverdue reports whether this VM must read objects whose last confirmation has the given age.
+func (g *Gateway) confirmationOverdue(age time.Duration) bool {
+	return age >= freshness.MaxAge && age >= freshness.MaxAge+freshness.Delay(g.place("watch", anyVM))
+}
+
+func anyVM(string) bool { return true }
+
+// poll reads the changes of a kind since the revision that is known here, or all its objects if there is none.
+func (g *Gateway) poll(ctx context.Context, o watchedObjects) error {
+	if revision := o.revision(); revision > 0 {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		changes, err := g.store.WatchKind(callCtx, o.kind, revision, pollDuration)
+		if err == nil {
+			o.change(changes)
+			g.confirm(o, changes.Revision)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrGone) {
+			return fmt.Errorf("poll %s from %d: %w", o.kind, revision, err)
+		}
+	}
+	_, err := g.listKind(ctx, o)
+	return err
+}
+
+// recentlyAnswered reports whether the store has answered this VM directly within the last seconds.
+func (g *Gateway) recentlyAnswered() bool {
+	at := time.Duration(g.storeRespondedAt.Load())
+	return at > 0 && g.storeUp.Load() && g.clock.Now()-at < storeAnswerMaxAge
+}
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -25,19 +25,31 @@
 	// them, and reads the evacuations from the store only if too few others do.
 	for (g.evacuateWithin.Load() == 0 || !g.listed.Load()) && pause.For(ctx, watchCheckInterval) {
 	}
-	g.watch(ctx, g.adapter.EvacuationKind(), func(l platform.Listing) {
-		var dataCentres []string
-		for _, o := range l.Objects {
-			dataCentres = append(dataCentres, o.Name)
-		}
-		g.state.setEvacuations(catalog.NewEvacuations(l.Revision, dataCentres), nil, sourceStore)
-	}, func(c platform.Changes) {
-		for _, ev := range c.Events {
-			g.state.changeEvacuations(func(e catalog.Evacuations) catalog.Evacuations {
-				return e.With(ev.Object.Name, ev.Type == platform.EventPut, ev.Revision)
-			}, nil, sourceStore)
-		}
-	})
+	o := g.evacuationObjects()
+	go g.keepConfirmed(ctx, o)
+	g.watch(ctx, o)
+}
+
+// evacuationObjects returns the evacuations.
+func (g *Gateway) evacuationObjects() watchedObjects {
+	return watchedObjects{
+		kind: g.adapter.EvacuationKind(),
+		list: func(l platform.Listing) {
+			var dataCentres []string
+			for _, o := range l.Objects {
+				dataCentres = append(dataCentres, o.Name)
+			}
+			g.state.setEvacuations(catalog.NewEvacuations(l.Revision, dataCentres), nil, sourceStore)
+		},
+		change: func(c platform.Changes) {
+			for _, ev := range c.Events {
+				g.state.changeEvacuations(func(e catalog.Evacuations) catalog.Evacuations {
+					return e.With(ev.Object.Name, ev.Type == platform.EventPut, ev.Revision)
+				}, nil, sourceStore)
+			}
+		},
+		revision: func() uint64 { return g.state.view.Load().Evacuations.Revision },
+	}
 }
 
 // setEvacuations replaces the evacuations if the given ones are later. ages holds the time since other VMs
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,11 +76,10 @@
 	storeRespondedAt atomic.Int64
 	// storeRelayedAt is the time of the store's last response through another VM, on clock.
 	storeRelayedAt atomic.Int64
-	// targetsConfirmedAt is when the list of targets was last confirmed by the store, or by a VM
-	// that reaches the store, on clock.
-	targetsConfirmedAt atomic.Int64
 	// watching is the number of kinds of objects that this VM watches at the store.
 	watching atomic.Int32
+	// confirmations tracks when the objects of the store were last confirmed to be known.
+	confirmations *confirmations
 	// pendingCalls are the calls to the store that have no answer yet.
 	pendingCalls *pendingCalls
 	// joined reports whether the list of VMs was received from the store or from another VM.
@@ -134,6 +133,7 @@
 	}
 	g.pendingCalls, g.attemptLog = newPendingCalls(), rate.NewLimiter(maxAttemptLines, maxAttemptLines)
 	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls}
+	g.confirmations = newConfirmations(clock, a.ConfigID().Kind, a.TargetKind(), a.EvacuationKind())
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,11 +25,14 @@
 	v := g.state.view.Load()
 	b := mesh.Heartbeat{
 		From: g.self, Leaving: g.leaving.Load(),
-		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), ConfigVersion: v.ConfigVersion(),
+		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), StoreAnswered: g.recentlyAnswered(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
 		Leases: g.state.leases.Versions(), Loads: g.state.ownLoads(), Crashes: g.state.recentCrashes(),
 		CutOff: g.state.cutOff(), Unreached: g.state.unreachedTargets(),
 	}
+	b.ConfigMark = g.confirmations.mark(g.adapter.ConfigID().Kind)
+	b.TargetsMark = g.confirmations.mark(g.adapter.TargetKind())
+	b.EvacuationsMark = g.confirmations.mark(g.adapter.EvacuationKind())
 	g.state.addEvacuations(&b)
 	return b
 }
@@ -37,17 +40,19 @@
 // OnHeartbeat implements mesh.Local. It fetches what the other VM has in a newer version.
 func (g *Gateway) OnHeartbeat(b mesh.Heartbeat) {
 	v := g.state.view.Load()
-	if !b.StoreLost && b.TargetsRevision == v.Targets.Revision {
-		g.targetsConfirmedAt.Store(int64(g.clock.Now()))
-	}
 	if b.EvacuationsRevision > v.Evacuations.Revision {
 		g.state.applyPeerEvacuations(b)
 	}
 	if len(b.Returns) > 0 {
 		g.state.recordReturns(b.Returns)
 	}
+	g.confirmations.merge(g.adapter.ConfigID().Kind, b.ConfigMark)
+	g.confirmations.merge(g.adapter.TargetKind(), b.TargetsMark)
+	g.confirmations.merge(g.adapter.EvacuationKind(), b.EvacuationsMark)
+	if newest := max(b.ConfigVersion, b.ConfigMark.Version); newest > v.ConfigVersion() {
+		g.state.announced.record(newest, v.ConfigVersion(), b.From.VM, g.clock.Now())
+	}
 	if b.ConfigVersion > v.ConfigVersion() {
-		g.state.announced.record(b.ConfigVersion, v.ConfigVersion(), b.From.VM, g.clock.Now())
 		g.fetch(b.From.VM, "config", g.fetchConfig)
 	}
 	// Targets that are still missing some time after an outage are dropped without a new revision.
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -312,6 +312,7 @@
 						time.Sleep(10 * time.Millisecond)
 						waiting = slices.DeleteFunc(waiting, func(vm *playVM) bool { return change.known(vm.state.view.Load(), revision) })
 					}
+					t.Log("known after", time.Since(written), "with calls to the store:", p.store.calls)
 					require.LessOrEqual(t, time.Since(written), changeBound)
 				})
 			})
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -61,10 +61,11 @@
 func (g *Gateway) registerGauges() {
 	for name, value := range map[string]func() int64{
 		"config.version":   func() int64 { return int64(g.state.view.Load().ConfigVersion()) },
+		"config.confirmed": func() int64 { return g.confirmations.age(g.adapter.ConfigID().Kind).Milliseconds() },
 		"config.newest":    func() int64 { return int64(max(g.state.announced.newest(), g.state.view.Load().ConfigVersion())) },
 		"config.age":       func() int64 { return g.state.ageMillis(g.state.lastConfigChange()) },
 		"targets.listed":   func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
-		"targets.age":      func() int64 { return (g.clock.Now() - time.Duration(g.targetsConfirmedAt.Load())).Milliseconds() },
+		"targets.age":      func() int64 { return g.confirmations.age(g.adapter.TargetKind()).Milliseconds() },
 		"mesh.live":        func() int64 { return int64(len(g.mesh.Live())) },
 		"subset.targets":   g.state.subsetSize,
 		"targets.warming":  g.state.warmingTargets,
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"hemlockquay/internal/catalog"
@@ -14,11 +15,13 @@
 
 // Timeouts and limits of the watches.
 const (
-	// watchDuration is how long a watch call waits for changes. The store may drop its history,
-	// after which a waiting call misses the earlier changes and only the next call detects it. A
-	// change must be known within about two seconds.
-	watchDuration = 1300 * time.Millisecond
-	// watchTimeoutMargin is added to watchDuration for the response to arrive.
+	// minWatchDuration and maxWatchDuration bound how long a watch call waits for changes. The store may drop
+	// its history, after which a waiting call misses the earlier changes and only the next call detects it. A
+	// change must be known within about two seconds. The time is random, because a change ends the calls of all
+	// watchers at once, and their next answers must not come all at once again.
+	minWatchDuration = 650 * time.Millisecond
+	maxWatchDuration = 1300 * time.Millisecond
+	// watchTimeoutMargin is added to the duration of a watch for the response to arrive.
 	watchTimeoutMargin = 500 * time.Millisecond
 	// batchPause is the pause after changes. It reduces the number of calls when many changes
 	// follow each other, as when all targets start.
@@ -33,36 +36,38 @@
 	// because changes must take effect soon after the store is reachable again.
 	minStoreBackoff = 50 * time.Millisecond
 	maxStoreBackoff = 400 * time.Millisecond
-	// idleRetryPause is the pause after a failed call while enough other VMs watch the store. The VM only needs
-	// to notice that it may become a watcher again.
+	// idleRetryPause is the pause after a failed call of a VM that need not know soon that it reaches the store
+	// again. With the timeout of the call, it must do so within 3 s, the time from which users count on it.
 	idleRetryPause = 1500 * time.Millisecond
 )
 
 // startWatches starts the duties that keep the objects of the store up to date.
 func (g *Gateway) startWatches(ctx context.Context) {
-	for _, duty := range []func(context.Context){g.watchConfig, g.watchTargets, g.watchEvacuations} {
-		go duty(ctx)
+	for _, o := range []watchedObjects{g.configObjects(), g.targetObjects()} {
+		go g.watch(ctx, o)
+		go g.keepConfirmed(ctx, o)
 	}
+	go g.watchEvacuations(ctx)
 }
 
-// watch keeps the objects of one kind up to date until ctx ends. It lists them and then follows
+// watch keeps objects up to date until ctx ends, while it is this VM's duty. It lists them and then follows
 // the changes. If the store has dropped its history or was unreachable, it lists them again.
-func (g *Gateway) watch(ctx context.Context, kind model.Kind, list func(platform.Listing), change func(platform.Changes)) {
+func (g *Gateway) watch(ctx context.Context, o watchedObjects) {
 	backoff := minStoreBackoff
 	watching := false
 	for ctx.Err() == nil {
-		if should := g.shouldWatch(kind); should != watching {
+		if should := g.shouldWatch(o.kind); should != watching {
 			watching = should
-			g.recordWatching(kind, watching)
+			g.recordWatching(o.kind, watching)
 		}
 		if !watching {
 			pause.For(ctx, watchCheckInterval)
 			continue
 		}
-		revision, err := g.listKind(ctx, kind, list)
+		revision, err := g.listKind(ctx, o)
 		if err == nil {
 			backoff = minStoreBackoff
-			err = g.followChanges(ctx, kind, revision, change)
+			err = g.followChanges(ctx, o, revision)
 		}
 		if ctx.Err() != nil {
 			return
@@ -71,7 +76,7 @@
 			continue
 		}
 		if errors.Is(err, platform.ErrGone) {
-			g.log.Warn().Str("step", "watch").Str("kind", string(kind)).Err(err).Msg("store dropped its history, listing again")
+			g.log.Warn().Str("step", "watch").Str("kind", string(o.kind)).Err(err).Msg("store dropped its history, listing again")
 			continue
 		}
 		pause.For(ctx, max(backoff, g.minRetryPause()))
@@ -91,23 +96,29 @@
 
 // shouldWatch reports whether this VM has to watch the objects of a kind. The grantors do, because they
 // must notice early that they do not reach the store, and as many other VMs as watcherCount requires. A VM
-// that does not reach the store does not count as one of them, but continues to try, with one kind only if
-// enough others watch.
+// that does not reach the store does not count as one of them. It continues to try, with one kind only unless it is
+// to be among the first to notice that the store is back.
 func (g *Gateway) shouldWatch(kind model.Kind) bool {
-	grantors := g.state.leases.Grantors()
 	if !g.storeUp.Load() {
-		return kind == g.adapter.ConfigID().Kind || grantors[g.self.VM] || !g.watchedByOthers()
+		return kind == g.adapter.ConfigID().Kind || g.retriesEarly()
 	}
+	grantors := g.state.leases.Grantors()
 	return grantors[g.self.VM] || g.place("watch", g.mesh.ReachesStore) < watcherCount-len(grantors)
 }
 
 // watchedByOthers reports whether enough other VMs reach the store to watch it.
 func (g *Gateway) watchedByOthers() bool { return len(g.mesh.StoreRelays()) >= watcherCount }
 
-// minRetryPause returns the least pause before this VM calls the store again after a failure. Each call has
-// a cost, and a VM that learns all changes from others need not know soon that it reaches the store again.
+// retriesEarly reports whether this VM calls the store again soon after a failure. Each call has a cost, and a
+// VM that learns all changes from others need not know soon that it reaches the store again. While too few VMs
+// reach it, the preferred ones suffice.
+func (g *Gateway) retriesEarly() bool {
+	return g.state.leases.Grantors()[g.self.VM] || !g.watchedByOthers() && g.place("watch", anyVM) < watcherCount
+}
+
+// minRetryPause returns the least pause before this VM calls the store again after a failure.
 func (g *Gateway) minRetryPause() time.Duration {
-	if g.state.leases.Grantors()[g.self.VM] || !g.watchedByOthers() {
+	if g.retriesEarly() {
 		return 0
 	}
 	return idleRetryPause
@@ -118,28 +129,32 @@
 // Mbit/s the renewals of hundreds of ranges compete with requests.
 func (g *Gateway) place(duty string, fit func(vm string) bool) int { return g.mesh.Rank(duty, fit) }
 
-func (g *Gateway) listKind(ctx context.Context, kind model.Kind, list func(platform.Listing)) (uint64, error) {
+func (g *Gateway) listKind(ctx context.Context, o watchedObjects) (uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	l, err := g.store.ListKind(callCtx, kind)
+	l, err := g.store.ListKind(callCtx, o.kind)
 	if err != nil {
-		return 0, fmt.Errorf("list %s: %w", kind, err)
+		return 0, fmt.Errorf("list %s: %w", o.kind, err)
 	}
-	list(l)
+	o.list(l)
+	g.confirm(o, l.Revision)
 	return l.Revision, nil
 }
 
-func (g *Gateway) followChanges(ctx context.Context, kind model.Kind, revision uint64, change func(platform.Changes)) error {
-	for ctx.Err() == nil && g.shouldWatch(kind) {
-		callCtx, cancel := context.WithTimeout(ctx, watchDuration+watchTimeoutMargin)
-		changes, err := g.store.WatchKind(callCtx, kind, revision, watchDuration)
+func (g *Gateway) followChanges(ctx context.Context, o watchedObjects, revision uint64) error {
+	for ctx.Err() == nil && g.shouldWatch(o.kind) {
+		wait := minWatchDuration + rand.N(maxWatchDuration-minWatchDuration)
+		callCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
+		changes, err := g.store.WatchKind(callCtx, o.kind, revision, wait)
 		cancel()
 		if err != nil {
-			return fmt.Errorf("watch %s from %d: %w", kind, revision, err)
+			return fmt.Errorf("watch %s from %d: %w", o.kind, revision, err)
 		}
-		g.targetsConfirmedAt.Store(int64(g.clock.Now()))
 		if len(changes.Events) > 0 {
-			change(changes)
+			o.change(changes)
+		}
+		g.confirm(o, changes.Revision)
+		if len(changes.Events) > 0 {
 			pause.For(ctx, batchPause)
 		}
 		revision = max(revision, changes.Revision)
@@ -156,25 +171,35 @@
 
 const sourceStore = "store"
 
-// watchTargets keeps the list of targets up to date.
-func (g *Gateway) watchTargets(ctx context.Context) {
-	g.watch(ctx, g.adapter.TargetKind(), func(l platform.Listing) {
-		t := catalog.Targets{Revision: l.Revision}
-		for _, o := range l.Objects {
-			if target, ok := g.readTarget(o); ok {
-				t.List = append(t.List, target)
+// targetObjects returns the entries of targets.
+func (g *Gateway) targetObjects() watchedObjects {
+	return watchedObjects{
+		kind: g.adapter.TargetKind(),
+		list: func(l platform.Listing) {
+			t := catalog.Targets{Revision: l.Revision}
+			for _, o := range l.Objects {
+				if target, ok := g.readTarget(o); ok {
+					t.List = append(t.List, target)
+				}
 			}
-		}
-		g.state.updateTargets(sourceStore, func(m *catalog.TargetSet, now time.Duration) { m.Replace(t, now) })
-		g.listed.Store(true)
-		g.reportReady()
-	}, func(c platform.Changes) {
-		g.state.updateTargets(sourceStore, func(m *catalog.TargetSet, now time.Duration) {
-			for _, ev := range c.Events {
-				g.applyTarget(m, ev, now)
+			g.state.updateTargets(sourceStore, func(m *catalog.TargetSet, now time.Duration) { m.Replace(t, now) })
+			g.listed.Store(true)
+			g.reportReady()
+		},
+		change: func(c platform.Changes) {
+			g.state.updateTargets(sourceStore, func(m *catalog.TargetSet, now time.Duration) {
+				for _, ev := range c.Events {
+					g.applyTarget(m, ev, now)
+				}
+			})
+		},
+		revision: func() uint64 {
+			if !g.listed.Load() {
+				return 0
 			}
-		})
-	})
+			return g.state.view.Load().Targets.Revision
+		},
+	}
 }
 
 func (g *Gateway) applyTarget(m *catalog.TargetSet, ev platform.Event, now time.Duration) {
@@ -201,19 +226,35 @@
 	return target, true
 }
 
-// watchConfig keeps the configuration up to date.
-func (g *Gateway) watchConfig(ctx context.Context) {
-	g.watch(ctx, g.adapter.ConfigID().Kind, func(l platform.Listing) {
-		for _, o := range l.Objects {
-			g.applyConfig(o)
-		}
-	}, func(c platform.Changes) {
-		for _, ev := range c.Events {
-			if ev.Type == platform.EventPut {
-				g.applyConfig(ev.Object)
+// configObjects returns the configuration.
+func (g *Gateway) configObjects() watchedObjects {
+	kind := g.adapter.ConfigID().Kind
+	return watchedObjects{
+		kind: kind,
+		list: func(l platform.Listing) {
+			for _, o := range l.Objects {
+				g.applyConfig(o)
 			}
-		}
-	})
+		},
+		change: func(c platform.Changes) {
+			for _, ev := range c.Events {
+				if ev.Type == platform.EventPut {
+					g.applyConfig(ev.Object)
+				}
+			}
+		},
+		revision: func() uint64 {
+			m := g.confirmations.mark(kind)
+			if g.state.view.Load().ConfigVersion() < m.Version {
+				return 0
+			}
+			return m.Revision
+		},
+		version: func() uint64 { return g.state.view.Load().ConfigVersion() },
+		behind: func() bool {
+			return g.state.announced.missingFor(g.state.view.Load().ConfigVersion(), g.clock.Now()) > storeFallbackDelay
+		},
+	}
 }
 
 // applyConfig applies the configuration in o. One that cannot be decoded changes nothing.
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "math/bits"
+import (
+	"math/bits"
+
+	"hemlockquay/internal/decide/freshness"
+)
 
 // Member is one incarnation of a VM's daemon. Field names on the wire are short, because
 // heartbeats made up a quarter of all bytes between data centres.
@@ -66,9 +70,17 @@
 	// StoreLost says that the sender does not reach the platform's store directly.
 	StoreLost bool `msgpack:"x"`
 	// StoreRelayed says that the store has recently answered the sender through another VM.
-	StoreRelayed    bool   `msgpack:"y"`
+	StoreRelayed bool `msgpack:"y"`
+	// StoreAnswered says that the store has answered the sender directly within the last seconds. A sender that
+	// neither says this nor StoreLost has not called the store lately.
+	StoreAnswered   bool   `msgpack:"p"`
 	ConfigVersion   uint64 `msgpack:"c"`
 	TargetsRevision uint64 `msgpack:"t"`
+	// ConfigMark, TargetsMark and EvacuationsMark are the latest confirmations by the store that the sender knows
+	// of, its own or those of others.
+	ConfigMark      freshness.Mark `msgpack:"k,omitempty"`
+	TargetsMark     freshness.Mark `msgpack:"j,omitempty"`
+	EvacuationsMark freshness.Mark `msgpack:"q,omitempty"`
 	// Evacuated lists the evacuated data centres, as of EvacuationsRevision.
 	EvacuationsRevision uint64       `msgpack:"z,omitempty"`
 	Evacuated           []Evacuation `msgpack:"e,omitempty"`
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -227,3 +227,14 @@
 	clock.advance(retention)
 	require.Equal(t, []uint32{3}, m.Crashes(7, retention))
 }
+
+// Guards against calls through VMs that do not know yet that the store leaves their calls unanswered.
+func TestRelaysThatTheStoreHasAnsweredComeFirst(t *testing.T) {
+	m, _ := newMesh(t)
+	for i := range 20 {
+		m.receiveHeartbeat(Heartbeat{From: Member{VM: fmt.Sprint("vm-", i), Addr: "127.0.0.1:1", Incarnation: 1}, StoreAnswered: i >= 18, StoreLost: i < 4})
+	}
+	relays := m.StoreRelays()
+	require.Len(t, relays, 16)
+	require.ElementsMatch(t, []string{"vm-18", "vm-19"}, []string{relays[0].VM, relays[1].VM})
+}
--- a/internal/mesh/relays.go
+++ b/internal/mesh/relays.go
@@ -24,16 +24,28 @@
 	return r != nil && r.heartbeat.From.VM != "" && (!r.heartbeat.StoreLost || r.heartbeat.StoreRelayed)
 }
 
-// StoreRelays returns the live VMs that reach the store directly, in order of preference. The
-// order differs between VMs, so that the relays share the work.
+// StoreRelays returns the live VMs that have not reported that they do not reach the store directly, in order
+// of preference: those that the store has answered lately come first, because the others may not know that their
+// calls are left unanswered. The order differs between VMs, so that the relays share the work.
 func (m *Mesh) StoreRelays() []Member {
-	var relays []Member
+	var answered, others []Member
 	for _, member := range m.Live() {
-		if member.VM != m.self.VM && m.ReachesStore(member.VM) {
-			relays = append(relays, member)
+		switch {
+		case member.VM == m.self.VM || !m.ReachesStore(member.VM):
+		case m.storeAnswered(member.VM):
+			answered = append(answered, member)
+		default:
+			others = append(others, member)
 		}
 	}
-	return ByPreference(relays, m.self.VM)
+	return append(ByPreference(answered, m.self.VM), ByPreference(others, m.self.VM)...)
+}
+
+func (m *Mesh) storeAnswered(vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.remotes[vm]
+	return r != nil && r.heartbeat.StoreAnswered
 }
 
 // ByPreference returns the members in order of preference for a duty: by link class, fastest
