gateway: seeds that do not answer do not delay the others

A VM that started asked its seeds one after the other, each for up to 0.4 s, so silent seeds added up before it knew any VM. All are asked at once now.

The test has 100 silent seeds before one that answers, and fails on the code before: not joined within 10 s.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -168,7 +168,7 @@
 // joinMesh makes this VM and the others known to each other. It writes this VM's own object to the
 // store, reads those of the other VMs and contacts them.
 func (g *Gateway) joinMesh(ctx context.Context) {
-	go g.joinThroughSeeds(ctx)
+	g.joinThroughSeeds(ctx)
 	for backoff := minStoreBackoff; ; backoff = min(2*backoff, maxStoreBackoff) {
 		err := g.joinThroughStore(ctx)
 		if err == nil {
@@ -181,23 +181,27 @@
 	}
 }
 
+// joinThroughSeeds contacts all seeds at once, so that those that do not answer delay nothing.
 func (g *Gateway) joinThroughSeeds(ctx context.Context) {
 	for _, addr := range g.settings.Seeds {
-		if addr == g.self.Addr {
-			continue
-		}
-		members, err := mesh.Join(ctx, addr, g.self)
-		if err != nil {
-			g.log.Info().Str("step", "join").Str("seed", addr).Err(err).Msg("seed unreachable")
-			continue
+		if addr != g.self.Addr {
+			go g.joinThroughSeed(ctx, addr)
 		}
-		for _, m := range members {
-			g.mesh.Add(m)
-		}
-		g.joined.Store(true)
 	}
 }
 
+func (g *Gateway) joinThroughSeed(ctx context.Context, addr string) {
+	members, err := mesh.Join(ctx, addr, g.self)
+	if err != nil {
+		g.log.Info().Str("step", "join").Str("seed", addr).Err(err).Msg("seed unreachable")
+		return
+	}
+	for _, m := range members {
+		g.mesh.Add(m)
+	}
+	g.joined.Store(true)
+}
+
 func (g *Gateway) joinThroughStore(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -45,3 +46,18 @@
 	mark.Epoch = 4
 	require.True(t, g.isStale(mark))
 }
+
+// Guards against a VM that starts without knowing the others, because seeds that do not answer come first.
+func TestSilentSeedsDoNotDelayTheOthers(t *testing.T) {
+	known := newPeerGateway(t, "known", 0)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	g := newPeerGateway(t, "new", 0)
+	for range 100 {
+		g.settings.Seeds = append(g.settings.Seeds, silent.Addr().String())
+	}
+	g.settings.Seeds = append(g.settings.Seeds, known.self.Addr)
+	go g.joinThroughSeeds(g.ctx)
+	eventually(t, g.joined.Load)
+}
