soak: profile in which routes are added while most VMs do not reach the store

No run had more VMs than watch the store, and none changed the configuration, so the soak could not see versions that no VM knew. Twelve gateways; each five to eight seconds the store leaves the calls of six to eleven of them unanswered, and one or two routes are added within 0.6 s.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	bash scripts/soak.sh 1 1 20s stops
 	bash scripts/soak.sh 2 2 10s paths
 	bash scripts/soak.sh 1 1 14s evacuations
+	bash scripts/soak.sh 1 1 14s routes
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -38,7 +38,7 @@
 		profile: w.profile,
 		check:   check, random: rand.New(rand.NewPCG(seed, loadStream)),
 	}
-	for _, name := range vmNames() {
+	for _, name := range w.profile.vmNames() {
 		l.vms = append(l.vms, w.vms[name])
 	}
 	return l
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -18,6 +18,8 @@
 	// Deadline is the deadline that requests carry, CallerTimeout the time after which callers
 	// stop waiting for the answer.
 	Deadline, CallerTimeout time.Duration
+	// VMs is the number of VMs. 0: vmCount.
+	VMs int
 	// ReliableLinks is set if no link fails, so that a VM aborts a request only because it shuts
 	// down.
 	ReliableLinks bool
@@ -30,6 +32,14 @@
 	Generate func(seed uint64, over time.Duration) *Schedule
 }
 
+// vmNames returns the names of the VMs of the profile.
+func (p Profile) vmNames() []string {
+	if p.VMs > 0 {
+		return names("vm", p.VMs)
+	}
+	return vmNames()
+}
+
 // Profiles lists the profiles by name.
 var Profiles = map[string]Profile{
 	// mixed has overlapping series of faults of every kind except slow targets and targets that
@@ -41,6 +51,9 @@
 	// evacuations has operators evacuate a data centre and take it back, while VMs are killed, suspended, or
 	// lose the store.
 	"evacuations": {Grace: 3 * time.Second, Rate: 60, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, TwoDataCentres: true, Generate: GenerateEvacuations},
+	// routes has operators add routes while most of twelve VMs do not reach the store, and others are killed,
+	// suspended or stopped.
+	"routes": {Grace: 3 * time.Second, Rate: 40, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: routeVMs, Generate: GenerateRoutes},
 	// paths cuts VMs from all targets, one or all but one at a time, the grantor's among them, and checks
 	// that they serve nearly as often as the others.
 	"paths": {Grace: 3 * time.Second, Rate: 90, Deadline: 800 * time.Millisecond, CallerTimeout: 2 * time.Second, SeparatePaths: true, Generate: GeneratePaths},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,7 +32,7 @@
 	Schedule *Schedule
 	// Duration is the time in which faults occur; the load continues for settleTime after it.
 	Duration time.Duration
-	// CheckRates makes the run check ServedWhileCut, which depends on the speed of the machine.
+	// CheckRates makes the run check ServedWhileCut and NewRouteServed, which depend on the speed of the machine.
 	CheckRates bool
 	// Dir is the directory for the settings and logs of the processes, Gateway the path of the
 	// gateway program.
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	w.checkRates = r.CheckRates
 	err = r.execute(ctx, w, check)
 	w.close()
 	r.verdict(out, check, err)
@@ -72,7 +73,7 @@
 	if err := os.MkdirAll(r.Dir, 0o755); err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
-	for _, name := range vmNames() {
+	for _, name := range r.Profile.vmNames() {
 		if err := os.Remove(filepath.Join(r.Dir, name+".log")); err != nil && !errors.Is(err, os.ErrNotExist) {
 			return fmt.Errorf("soak: %w", err)
 		}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -81,7 +81,8 @@
 		target := slices.Contains(targetNames(), f.Subject)
 		switch {
 		case f.Kind == Evacuate && f.Subject == evacuatedDC && f.At >= 0 && f.Duration >= 0:
-		case !target && !slices.Contains(vmNames(), f.Subject):
+		case f.Kind == AddRoute && f.At >= 0 && f.Duration >= 0:
+		case !target && !slices.Contains(names("vm", routeVMs), f.Subject):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/what", i), "%q is neither target nor VM", f.Subject)
 		case !slices.Contains(kinds[target], f.Kind) && (target || !slices.Contains(pathKinds, f.Kind)):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/kind", i), "%q cannot happen to %s", f.Kind, f.Subject)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -56,16 +56,22 @@
 	// paths.
 	paths map[string][]*link.Link
 
+	// checkRates is Run.CheckRates.
+	checkRates bool
+
 	mu sync.Mutex
 	// active counts the faults in progress by activeKey, since faults overlap.
 	active map[[2]string]int
+	// faultEnded is when the last fault of each VM or target ended.
+	faultEnded map[string]time.Time
+	added      addedRoutes
 }
 
 // newSite starts the store, the targets and the links, and writes the settings of the VMs.
 func newSite(dir, program string, profile Profile, check *Checker) (*site, error) {
 	w := &site{
 		profile: profile, check: check, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
-		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int),
+		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int), faultEnded: make(map[string]time.Time),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -117,7 +123,7 @@
 }
 
 func (w *site) addVMs(dir, program, store string, check *Checker) error {
-	written, err := fleet.WriteGateways(dir, vmNames(), w.profile.Grace, func(s *gateway.Settings) (err error) {
+	written, err := fleet.WriteGateways(dir, w.profile.vmNames(), w.profile.Grace, func(s *gateway.Settings) (err error) {
 		if w.profile.SeparatePaths {
 			s.TargetSource = pathAddr(s.VM)
 		}
@@ -144,10 +150,12 @@
 	if w.active[f.activeKey()]++; w.active[f.activeKey()] > 1 {
 		return
 	}
-	if f.Kind != Evacuate {
+	if f.Kind != Evacuate && f.Kind != AddRoute {
 		w.check.countOtherFault(1)
 	}
 	switch f.Kind {
+	case AddRoute:
+		w.addRoute(f.Subject)
 	case Evacuate:
 		w.setEvacuated(true)
 	case HoldLink:
@@ -176,10 +184,14 @@
 	if !w.deactivate(f) {
 		return nil
 	}
-	if f.Kind != Evacuate {
+	if f.Kind != Evacuate && f.Kind != AddRoute {
 		defer w.check.countOtherFault(-1)
 	}
 	switch f.Kind {
+	case AddRoute:
+		if w.checkRates {
+			w.checkRoute(f.Subject)
+		}
 	case Evacuate:
 		w.setEvacuated(false)
 	case HoldLink:
@@ -193,6 +205,7 @@
 	case Suspend:
 		w.vms[f.Subject].resume()
 	case Kill, Terminate:
+		defer w.recordFaultEnd(f.Subject)
 		return w.vms[f.Subject].start()
 	case DropPaths, ResetPaths, RefusePaths:
 		w.healPaths(f.Subject)
@@ -206,9 +219,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.active[f.activeKey()]--
+	w.faultEnded[f.Subject] = time.Now()
 	return w.active[f.activeKey()] == 0
 }
 
+func (w *site) recordFaultEnd(subject string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faultEnded[subject] = time.Now()
+}
+
 // activeKey identifies overlapping faults that end together with the last of them. Kill and Terminate
 // share a key, so that a VM under both is restarted once, and so do the cuts of a VM from the targets, of
 // which the first decides the kind.
