--- a/internal/decide/freshness/freshness.go
+++ b/internal/decide/freshness/freshness.go
@@ -6,7 +6,7 @@
 // and so does the VM that replaces it. Without a limit on the age of the last confirmation, these timeouts add
 // up, and VMs that reach the store wait for others that do not.
 //
-// Confirmations are counted, not dated: a heartbeat that was held up carries a count that is known already, so
+// Confirmations are counted, not dated: a heartbeat that was delayed carries a count that is known already, so
 // it cannot make old knowledge look recent, and clocks of VMs need not agree.
 //
 // Invariant: a VM that has known a mark for a time d knows the version of every change that was committed d and
--- a/internal/decide/freshness/freshness_test.go
+++ b/internal/decide/freshness/freshness_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against old knowledge that looks recent because a heartbeat was held up on its way.
+// Guards against old knowledge that looks recent because a heartbeat was delayed.
 func TestHeldUpMarkDoesNotRenewTheAge(t *testing.T) {
 	tracker := NewTracker(0)
 	tracker.Merge(Mark{Count: 7}, time.Second)
@@ -20,8 +20,7 @@
 	require.Zero(t, tracker.Age(4*time.Second))
 }
 
-// Guards against a VM that takes itself for up to date because a VM that has not got a change yet passed on its
-// confirmation.
+// Guards against a confirmation passed on by a VM that has not got the change yet.
 func TestVersionIsMissingFromWhenItWasHeardOf(t *testing.T) {
 	tracker := NewTracker(0)
 	tracker.Merge(Mark{Count: 7, Version: 4}, time.Second)
--- a/internal/decide/freshness/simulation_test.go
+++ b/internal/decide/freshness/simulation_test.go
@@ -22,7 +22,7 @@
 	committed uint64
 	// exchanges is the number of heartbeats that each VM begins in a step, on average.
 	exchanges float64
-	// inFlight are the marks on their way.
+	// inFlight are the marks that have not arrived yet.
 	inFlight []message
 }
 
@@ -30,8 +30,8 @@
 	tracker *Tracker
 	// silent says that the store leaves the VM's calls unanswered, lost that the VM has found that out.
 	silent, lost bool
-	// heldUp is how long its heartbeats take.
-	heldUp time.Duration
+	// latency is how long its heartbeats take.
+	latency time.Duration
 	// watchEnds is when the call of a watcher ends, callEnds when the call of another VM does, or 0.
 	watchEnds, callEnds time.Duration
 }
@@ -55,7 +55,7 @@
 	f := &fleet{draw: draw, vms: make([]simulatedVM, vms), committed: 1}
 	f.exchanges = min(float64(vms-1)/0.15, maxExchangesPerSecond) / 2 * step.Seconds()
 	for i := range f.vms {
-		f.vms[i] = simulatedVM{tracker: NewTracker(0), heldUp: time.Millisecond}
+		f.vms[i] = simulatedVM{tracker: NewTracker(0), latency: time.Millisecond}
 	}
 	for i := range watchers {
 		f.vms[i].watchEnds = f.watchDuration()
@@ -68,7 +68,7 @@
 }
 
 func (f *fleet) send(from, to int) {
-	f.inFlight = append(f.inFlight, message{at: f.now + f.vms[from].heldUp, to: to, mark: f.vms[from].tracker.Mark()})
+	f.inFlight = append(f.inFlight, message{at: f.now + f.vms[from].latency, to: to, mark: f.vms[from].tracker.Mark()})
 }
 
 // advance simulates one step.
@@ -133,7 +133,7 @@
 					vm := &f.vms[i]
 					vm.silent = inOrder && i < vms-reaching || !inOrder && at >= reaching
 					if f.draw.IntN(4) == 0 {
-						vm.heldUp = time.Duration(f.draw.Int64N(int64(3 * time.Second)))
+						vm.latency = time.Duration(f.draw.Int64N(int64(3 * time.Second)))
 					}
 				}
 				f.committed++
--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -30,8 +30,7 @@
 	})
 }
 
-// Guards against a VM that takes itself for up to date because one that has not got a change yet passed on its
-// confirmation.
+// Guards against a confirmation passed on by a VM that has not got the change yet.
 func TestConfirmationWithoutTheObjectsLeavesVMBehind(t *testing.T) {
 	clock := newManualClock(time.Hour)
 	g := newTestGateway(clock)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -57,12 +57,6 @@
 	OnHeartbeat(Heartbeat)
 }
 
-// Client calls one VM. It is implemented by peer.Client.
-type Client interface {
-	Call(ctx context.Context, method string, args, reply any) error
-	Close()
-}
-
 type remote struct {
 	member Member
 	client Client
@@ -111,9 +105,6 @@
 	return &Mesh{self: self, clock: clock, log: logger, newClient: func(addr string) Client { return peer.NewClient(addr, 1) }, ctx: ctx, cancel: cancel, remotes: make(map[string]*remote), monitored: make(map[string]string), loads: newLoadSums(), lastCheck: clock.Now()}
 }
 
-// UseClients sets how the clients of other VMs are made. Call it before VMs are added. Default: TCP.
-func (m *Mesh) UseClients(newClient func(addr string) Client) { m.newClient = newClient }
-
 // Start sets the source of this VM's heartbeats and the receiver of the others'. Call it before
 // heartbeats are exchanged.
 func (m *Mesh) Start(local Local) { m.local = local }
@@ -271,37 +262,6 @@
 	return len(m.remotes) + 1
 }
 
-// Call calls one VM with a small message, on the connection that carries heartbeats.
-func (m *Mesh) Call(ctx context.Context, vm, method string, args, reply any) error {
-	r := m.remote(vm)
-	if r == nil {
-		return peer.ErrNotSent
-	}
-	return callWithin(ctx, callTimeout, r.client, method, args, reply)
-}
-
-// Transfer calls one VM with a message or a reply that may be large, on a connection separate
-// from heartbeats.
-func (m *Mesh) Transfer(ctx context.Context, vm, method string, args, reply any) error {
-	r := m.remote(vm)
-	if r == nil {
-		return peer.ErrNotSent
-	}
-	return callWithin(ctx, transferTimeout, r.transfers, method, args, reply)
-}
-
-func callWithin(ctx context.Context, timeout time.Duration, client Client, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return client.Call(ctx, method, args, reply)
-}
-
-func (m *Mesh) remote(vm string) *remote {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.remotes[vm]
-}
-
 // Others returns the names of all other live VMs, including leaving ones.
 func (m *Mesh) Others() []string {
 	m.mu.Lock()
--- a/internal/soak/routes.go
+++ b/internal/soak/routes.go
@@ -41,7 +41,7 @@
 // addRoute writes a configuration with a route more.
 func (w *site) addRoute(name string) {
 	w.added.count++
-	fmt.Fprintf(&w.added.members, `,%q:{"Host":%q,"PathPrefix":"/","Kind":"idempotent","TimeoutS":5,"SloS":1,"Service":"pool","MaxAttempts":2}`, name, routeHost(name))
+	w.added.members.WriteString(fleet.IdempotentPoolRoute(name, routeHost(name)))
 	w.store.Set("config", "main", fleet.Config(1+w.added.count, w.added.members.String()))
 }
 
--- a/internal/standin/fleet/platform.go
+++ b/internal/standin/fleet/platform.go
@@ -36,6 +36,11 @@
 	return json.RawMessage(fmt.Sprintf(config, version, more))
 }
 
+// IdempotentPoolRoute returns a route to the service without keys, for the further routes of Config.
+func IdempotentPoolRoute(name, host string) string {
+	return fmt.Sprintf(`,%q:{"Host":%q,"PathPrefix":"/","Kind":"idempotent","TimeoutS":5,"SloS":1,"Service":"pool","MaxAttempts":2}`, name, host)
+}
+
 const (
 	// targetsPerService is the number of targets of each service, slotsPerTarget the number
 	// of slots of each target.
