gateway: the plays' store is read under its lock

Two tests read a counter and the revision of the shared store without its lock; the race detector found it in a run of the whole check beside load (TestVMThatIsBehindReadsTheStoreOnce, TestChangesAreKnownInTimeWhileWatchersAreSilent). Checks and bounds are as they were.

--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -24,9 +24,9 @@
 		time.Sleep(2 * time.Second)
 		require.False(t, p.vms[4].behind(p.vms[4].targetObjects()))
 		require.Greater(t, p.vms[4].state.view.Load().Targets.Revision, known)
-		calls := p.store.calls
+		calls := p.store.callCount()
 		time.Sleep(10 * time.Second)
-		require.Less(t, p.store.calls-calls, 120, "three watchers of three kinds for 10 s")
+		require.Less(t, p.store.callCount()-calls, 120, "three watchers of three kinds for 10 s")
 	})
 }
 
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -157,6 +157,20 @@
 	return s.revision
 }
 
+// nextRevision returns the revision of the next write.
+func (s *sharedStore) nextRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision + 1
+}
+
+// callCount returns the number of calls of all VMs.
+func (s *sharedStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *sharedStore) list(kind model.Kind) platform.Listing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -277,7 +291,7 @@
 	},
 	"target drains": {
 		func(s *sharedStore) uint64 {
-			revision := s.revision + 1
+			revision := s.nextRevision()
 			return s.put("targets", "t", catalog.Target{ID: "t", Service: "s", DataCentre: "a", Draining: true, Revision: revision})
 		},
 		func(v *catalog.View, _ uint64) bool { return v.ByID["t"] != nil && v.ByID["t"].Draining },
@@ -316,7 +330,7 @@
 						time.Sleep(10 * time.Millisecond)
 						waiting = slices.DeleteFunc(waiting, func(vm *playVM) bool { return change.known(vm.state.view.Load(), revision) })
 					}
-					t.Log("known after", time.Since(written), "with calls to the store:", p.store.calls)
+					t.Log("known after", time.Since(written), "with calls to the store:", p.store.callCount())
 					require.LessOrEqual(t, time.Since(written), changeBound)
 				})
 			})
