--- a/internal/decide/freshness/freshness.go
+++ b/internal/decide/freshness/freshness.go
@@ -9,8 +9,8 @@
 // Confirmations are counted, not dated: a heartbeat that was delayed carries a count that is known already, so
 // it cannot make old knowledge look recent, and clocks of VMs need not agree.
 //
-// Invariant: a VM that has known a mark for a time d knows the version of every change that was committed d and
-// one spreading of a heartbeat before, or has heard that it exists.
+// Invariant: if the latest confirmation that a VM knows has the age d, the VM has heard of every change that was
+// committed more than d, and the time that a heartbeat takes to spread, ago. It may still have to fetch the change.
 package freshness
 
 import (
