gateway: logs and metrics tell which targets state a limit, and what each VM sends there

The limit is decoded in platform/ and recorded with its age and source; a line of step limits a second and target shows it beside the requests of the last 4 s by kind (callers' requests, those sent for other VMs, inquiries). Malformed values are counted and change nothing. The name of each header that nothing reads is logged once. No decision uses any of this yet.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -35,6 +35,9 @@
 	LoadReport(h http.Header) (r loadreport.Report, stated bool, err error)
 	// WarmupLeft returns for how long the target that responds to a health check stays cold.
 	WarmupLeft(h http.Header) time.Duration
+	// Limit decodes the number of requests per second that a target takes from all VMs together, in any of its
+	// responses. stated is false if the response states none.
+	Limit(h http.Header) (perSecond float64, stated bool, err error)
 	// Order encodes an order about leases as a request to a target.
 	Order(o lease.Order) (*upstream.Request, error)
 	// OrderResult decodes a target's response to an order.
@@ -55,6 +58,13 @@
 	InstanceID string
 	// NotRun marks a response of a target that has not run the request.
 	NotRun string
+	// Read are the names of other headers that the adapter reads in responses.
+	Read []string
+}
+
+// inResponses returns the names of the headers that are read or set in responses.
+func (h Headers) inResponses() []string {
+	return append([]string{h.RequestID, h.InstanceID, h.NotRun}, h.Read...)
 }
 
 // saysNotRun reports whether the response says that the target has not run the request.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -192,12 +192,16 @@
 		defer g.state.abortIfSilent(a, cancel)()
 	}
 	a.sent = time.Now()
+	sentAt := g.clock.Now()
+	g.state.countSent(a.target, c.sentKind())
 	resp, err := a.pool.Exchange(sendCtx, c.request, a.conn)
 	took := time.Since(a.sent)
 	metrics.GetOrRegisterTimer("step.target."+c.service, g.registry).Update(took)
 	c.recordAttempt(a, took, resp, err)
 	g.state.recordEvidence(sendCtx, a, err)
 	if err == nil {
+		g.noteHeaders(a.id, resp.Header)
+		g.recordLimit(a, resp, sentAt)
 		if r, stated := g.recordLoadReport(a.target, resp); stated {
 			a.reportedSlowness = r.Slowness
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,16 +14,18 @@
 
 // call is a caller's request that is being processed.
 type call struct {
-	id       string
-	route    *route.Route
-	service  string
-	keyed    bool
-	key      uint16
-	digest   uint64
-	request  *upstream.Request
-	body     bodyReservation
-	start    time.Time
-	deadline time.Time
+	id      string
+	route   *route.Route
+	service string
+	keyed   bool
+	key     uint16
+	digest  uint64
+	// forwarded reports whether another VM has received the request.
+	forwarded bool
+	request   *upstream.Request
+	body      bodyReservation
+	start     time.Time
+	deadline  time.Time
 
 	// tried holds the IDs of the targets that failed or refused the request.
 	tried map[string]bool
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -45,6 +45,14 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+func (fakeAdapter) Limit(h http.Header) (perSecond float64, stated bool, err error) {
+	if text := h.Get("Limit"); text != "" {
+		perSecond, err = strconv.ParseFloat(text, 64)
+		stated = err == nil
+	}
+	return perSecond, stated, err
+}
+
 func (fakeAdapter) Config(o platform.Object) (*route.Config, error) {
 	c := new(route.Config)
 	return c, json.Unmarshal(o.Spec, c)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -200,7 +200,7 @@
 func (g *Gateway) forwardedCall(in *ForwardArgs) *call {
 	now := time.Now()
 	c := &call{
-		id: in.ID, service: in.Service, keyed: in.Keyed, key: in.Key, digest: in.Digest, misdirectedBy: in.MisdirectedBy,
+		id: in.ID, forwarded: true, service: in.Service, keyed: in.Keyed, key: in.Key, digest: in.Digest, misdirectedBy: in.MisdirectedBy,
 		route: &route.Route{Name: in.Route, Priority: in.Priority, Objective: in.Objective, Regions: in.Regions},
 		start: now, deadline: now.Add(in.TimeLeft), tried: make(map[string]bool), unreached: make(map[string]bool),
 		body: bodyReservation{memory: g.bodyMemory},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	forwardClients *peer.Pool
 	forwardMetrics forwardMetrics
 	inquiries      inquiryMetrics
+	limits         limitMetrics
+	unreadHeaders  *unreadHeaders
 	forwardCount   atomic.Uint64
 	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
 	routerMu sync.Mutex
@@ -137,7 +139,8 @@
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
-	g.inquiries = newInquiryMetrics(registry)
+	g.inquiries, g.limits = newInquiryMetrics(registry), newLimitMetrics(registry)
+	g.unreadHeaders = newUnreadHeaders(registry, g.headers.inResponses())
 	g.sighups = make(chan os.Signal, 1)
 	g.grace.Store(int64(s.Grace))
 	g.evacuateWithin.Store(int64(s.EvacuateWithin))
@@ -175,7 +178,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic,
+		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic, g.reportLimits,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -134,6 +134,9 @@
 	Own       int     `json:"own"`
 	Others    int     `json:"others"`
 	Slowness  float64 `json:"slowness"`
+	// Limit is the limit that the target states, in requests per second, and LimitAgeMs its age in milliseconds.
+	Limit      *float64 `json:"limit,omitempty"`
+	LimitAgeMs int64    `json:"limitAgeMs,omitempty"`
 }
 
 func (g *Gateway) dump() any {
@@ -145,10 +148,15 @@
 	defer g.state.mu.Unlock()
 	now := g.clock.Now()
 	for id, t := range g.state.targets {
-		out.Targets = append(out.Targets, targetDump{
+		d := targetDump{
 			ID: id, Service: t.Service, Draining: t.Draining, Own: t.pick.Own, Others: t.pick.Others, Slowness: t.pick.Slowness(),
 			WarmingMs: max(0, (t.warming.until - now).Milliseconds()),
-		})
+		}
+		if t.limit.Limited {
+			perSecond := t.limit.PerSecond
+			d.Limit, d.LimitAgeMs = &perSecond, (now - t.limit.LastAt).Milliseconds()
+		}
+		out.Targets = append(out.Targets, d)
 	}
 	return out
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -111,6 +111,8 @@
 	tellsLoad bool
 	// warming is the state of the target's warm-up.
 	warming warmingState
+	// limit is what this VM knows of the limit that the target states.
+	limit targetLimit
 	// drainsUntil is the time until which a draining target may get requests.
 	drainsUntil time.Duration
 	pick        pick.State
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -69,6 +69,7 @@
 		"mesh.live":        func() int64 { return int64(len(g.mesh.Live())) },
 		"subset.targets":   g.state.subsetSize,
 		"targets.warming":  g.state.warmingTargets,
+		"limits.targets":   g.state.limitedTargets,
 		"paths.lost":       func() int64 { return int64(len(g.state.unreachedTargets())) },
 		"paths.cutOff":     func() int64 { return boolToInt(g.state.cutOff()) },
 		"forward.inFlight": func() int64 { inFlight, _ := g.forwarded.state(); return int64(inFlight) },
