gateway: failing test of a limit that a target states and all VMs exceed together

Plays gateways in virtual time whose targets are in memory: an owner of all keys, which no move can relieve, and one of two targets of a pool state 3.4 requests a second, and 20 a second are offered to each service. From 3 s after the statement on neither may get more than 1.5 x 4 x 3.4 + 5 = 25 in any 4 s, from all VMs, and it must get 0.6 of what it takes.

Pools take a function that opens their connections; nothing else changes.

--- /dev/null
+++ b/internal/gateway/limit_play_test.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/lease"
+	"hemlockquay/internal/route"
+)
+
+// limitedTarget is a target of a play that states a limit and counts what it gets.
+type limitedTarget struct {
+	id string
+
+	mu sync.Mutex
+	// limit is the limit that it states, or "" for none.
+	limit    string
+	arrivals []arrival
+}
+
+// arrival is a request at a target. vm is the VM that sent it.
+type arrival struct {
+	at time.Time
+	vm string
+}
+
+func (l *limitedTarget) state(limit string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
+const (
+	limitedWork = 40 * time.Millisecond
+	// limitWindow, limitExcess, limitSlack and limitDelay are the users' bound: from limitDelay after the first
+	// statement, a target gets no more in any limitWindow than limitExcess times what the limit allows, and
+	// limitSlack.
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+	limitDelay  = 3 * time.Second
+)
+
+// serve answers the requests of one connection of a VM.
+func (l *limitedTarget) serve(conn net.Conn, vm string) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		l.arrivals = append(l.arrivals, arrival{time.Now(), vm})
+		header := "Id: " + r.Header.Get("Id") + "\r\n"
+		if l.limit != "" {
+			header += "Limit: " + l.limit + "\r\n"
+		}
+		l.mu.Unlock()
+		time.Sleep(limitedWork)
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n", header); err != nil {
+			return
+		}
+	}
+}
+
+// between returns the number of arrivals in [from, to) from VMs that are not excused.
+func (l *limitedTarget) between(from, to time.Time, excused map[string]bool) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.arrivals {
+		if !a.at.Before(from) && a.at.Before(to) && !excused[a.vm] {
+			n++
+		}
+	}
+	return n
+}
+
+// most returns the most arrivals in any limitWindow that begins in [from, to).
+func (l *limitedTarget) most(from, to time.Time, excused map[string]bool) (most int) {
+	l.mu.Lock()
+	begins := make([]time.Time, 0, len(l.arrivals))
+	for _, a := range l.arrivals {
+		if !a.at.Before(from) && a.at.Before(to) {
+			begins = append(begins, a.at)
+		}
+	}
+	l.mu.Unlock()
+	for _, begin := range begins {
+		most = max(most, l.between(begin, begin.Add(limitWindow), excused))
+	}
+	return most
+}
+
+// limitPlay is a play whose VMs get requests for targets that state limits.
+type limitPlay struct {
+	*play
+	targets map[string]*limitedTarget
+	draw    *rand.Rand
+
+	mu sync.Mutex
+	// down holds the VMs that get no requests, because they have stopped or are cut off.
+	down map[string]bool
+	// excused holds the VMs that were stopped or cut at some time, or have joined.
+	excused map[string]bool
+	// statuses counts the answers to callers by target service and status.
+	statuses map[string]map[int]int
+}
+
+// newLimitPlay starts VMs that use an owner of all keys, and a pool of two targets.
+func newLimitPlay(t *testing.T, vms int) *limitPlay {
+	p := &limitPlay{
+		play: newPlay(t, vms), targets: make(map[string]*limitedTarget), draw: rand.New(rand.NewPCG(1, uint64(vms))),
+		down: make(map[string]bool), excused: make(map[string]bool), statuses: make(map[string]map[int]int),
+	}
+	for _, vm := range p.vms {
+		p.prepare(vm)
+	}
+	for id, service := range map[string]string{"owner": "keyed", "limited": "pool", "free": "pool"} {
+		p.targets[id] = &limitedTarget{id: id}
+		p.store.put("targets", id, catalog.Target{ID: id, Service: service, Addr: id + ":1", DataCentre: "a", Slots: 50, Born: 1, Revision: p.store.nextRevision()})
+	}
+	p.store.put("config", "main", route.Config{
+		Version: 2,
+		Routes: []route.Route{
+			{Name: "keyed", Host: "keyed.example", Prefix: "/", Idempotent: true, Timeout: time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "keyed", Weight: 1}}},
+			{Name: "urgent", Host: "urgent.example", Prefix: "/", Priority: 0, Timeout: time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "keyed", Weight: 1}}},
+			{Name: "later", Host: "later.example", Prefix: "/", Priority: 2, Timeout: time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "keyed", Weight: 1}}},
+			{Name: "pool", Host: "pool.example", Prefix: "/", Idempotent: true, Timeout: time.Second, MaxTargets: 2, Splits: []route.Split{{Service: "pool", Weight: 1}}},
+		},
+		Services: map[string]route.Service{"keyed": {Name: "keyed", Keyed: true}, "pool": {Name: "pool"}},
+	})
+	time.Sleep(2 * time.Second)
+	return p
+}
+
+// prepare lets a VM use the targets.
+func (p *limitPlay) prepare(vm *playVM) {
+	vm.state.setOwner("keyed", 1, 1, "owner", lease.Served)
+	go vm.refreshPlaces(vm.ctx)
+	vm.joined.Store(true)
+	vm.membersListed.Store(true)
+	vm.state.setRepeatLimit(testRepeatLimit)
+	vm.state.mu.Lock()
+	defer vm.state.mu.Unlock()
+	vm.state.openConn = func(_ context.Context, addr string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go p.targets[strings.TrimSuffix(addr, ":1")].serve(far, vm.self.VM)
+		return near, nil
+	}
+}
+
+func (p *limitPlay) stop() {
+	p.play.stop()
+	for _, vm := range p.vms {
+		vm.state.mu.Lock()
+		for _, t := range vm.state.targets {
+			t.pool.Close()
+		}
+		vm.state.mu.Unlock()
+	}
+}
+
+// offer sends requests of a route to VMs drawn evenly, at a mean rate per second, for some time.
+func (p *limitPlay) offer(routeName string, perSecond float64, over time.Duration) *sync.WaitGroup {
+	var wait sync.WaitGroup
+	draw := rand.New(rand.NewPCG(p.draw.Uint64(), 2))
+	wait.Go(func() {
+		for end := time.Now().Add(over); time.Now().Before(end); time.Sleep(time.Duration(draw.ExpFloat64() / perSecond * float64(time.Second))) {
+			vm := p.vms[draw.IntN(len(p.vms))]
+			p.mu.Lock()
+			down := p.down[vm.self.VM]
+			p.mu.Unlock()
+			if !down {
+				wait.Go(func() { p.send(vm, routeName, draw.Uint64()) })
+			}
+		}
+	})
+	return &wait
+}
+
+func (p *limitPlay) send(vm *playVM, routeName string, id uint64) {
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.RequestURI, r.Host = "/x", routeName+".example"
+	r.Header.Set("Id", strconv.FormatUint(id, 16))
+	r.Header.Set("Key", "1")
+	w := httptest.NewRecorder()
+	vm.ServeHTTP(w, r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.statuses[routeName] == nil {
+		p.statuses[routeName] = make(map[int]int)
+	}
+	p.statuses[routeName][w.Code]++
+}
+
+// allowed returns what the users' bound allows in any limitWindow.
+func allowed(perSecond float64) int {
+	return int(limitExcess*perSecond*limitWindow.Seconds() + limitSlack)
+}
+
+// Guards against a target that gets its limit once from each VM, or as much as before it stated one.
+func TestLimitOfATargetHoldsOverAllVMs(t *testing.T) {
+	const perSecond, offered, over = 3.4, 20, 12 * time.Second
+	for _, vms := range []int{9, 82} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			inPlay(t, func(t *testing.T) {
+				p := newLimitPlay(t, vms)
+				defer p.stop()
+				stated := time.Now()
+				p.targets["owner"].state(strconv.FormatFloat(perSecond, 'f', -1, 64))
+				p.targets["limited"].state(strconv.FormatFloat(perSecond, 'f', -1, 64))
+				keyed, pool := p.offer("keyed", offered, over), p.offer("pool", offered, over)
+				keyed.Wait()
+				pool.Wait()
+				for _, id := range []string{"owner", "limited"} {
+					from, to := stated.Add(limitDelay), stated.Add(over-limitWindow)
+					most := p.targets[id].most(from, to, nil)
+					got := p.targets[id].between(from, stated.Add(over), nil)
+					t.Log(id, "at most", most, "in", limitWindow, "share of the limit used", float64(got)/perSecond/(over-limitDelay).Seconds())
+					require.LessOrEqual(t, most, allowed(perSecond), id)
+					require.GreaterOrEqual(t, float64(got), 0.6*perSecond*(over-limitDelay).Seconds(), "%s is used", id)
+				}
+				require.Equal(t, map[int]int{http.StatusOK: p.statuses["pool"][http.StatusOK]}, p.statuses["pool"], "other targets of the pool serve the rest")
+			})
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -34,7 +35,9 @@
 	// regions holds the region of each data centre.
 	regions map[string]string
 	// source is the local address of the connections to targets, if it is set.
-	source      netip.Addr
+	source netip.Addr
+	// openConn opens connections to targets in place of dials, if it is set.
+	openConn    func(ctx context.Context, addr string) (net.Conn, error)
 	repeatLimit repeats.Limit
 	// warmup limits the requests to cold targets.
 	warmup Warmup
@@ -282,7 +285,7 @@
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
 	added := &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
-		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source),
+		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source).OpenWith(s.openConn),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
 	added.tellsLoad = s.tellsLoad[t.Service]
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -99,6 +99,8 @@
 	addr   string
 	dials  metrics.Counter
 	source net.Addr
+	// open opens a connection to the address in place of a dial, if it is set.
+	open func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -116,6 +118,13 @@
 	return p
 }
 
+// OpenWith makes the pool open its connections by a function, unless that is nil. It is called before the first
+// use.
+func (p *Pool) OpenWith(open func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
+	p.open = open
+	return p
+}
+
 // Addr returns the target's address.
 func (p *Pool) Addr() string { return p.addr }
 
@@ -197,6 +206,13 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Inc(1)
+	if p.open != nil {
+		nc, err := p.open(ctx, p.addr)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(nc), nil
+	}
 	dialer := Dialer(dialTimeout)
 	dialer.LocalAddr = p.source
 	nc, err := DialWithReset(ctx, dialer, "tcp", p.addr)
