gateway: requests to a target that states a limit need a permit, which one VM grants

Cause: no place read the limit, and nothing would have kept it over all VMs: each VM bounds by its own counts.

Change: a VM that knows of a limit sends a request only with a permit from the target's holder, the first VM by rendezvous over all known VMs, lost ones included. The holder counts in a token bucket. The next VM grants only while none before it answers its own calls, at 0.45 of the limit against 0.95, and a new holder begins without tokens: two holders at a time stay within the users' bound. Repeats, requests sent for other VMs and requests that waited for a move take permits as well, right before they are sent; an inquiry is left out. Who gets none is refused at once as not run, with Retry-After spread over the permits to come; a pool sends to its other targets. Requests that more urgent ones compete with leave one saved permit to these. VMs tell each other of limits at first hand in heartbeats, and at once when one begins or ends; a response to a request that was sent before the limit was last stated does not end it.

--- a/internal/decide/permit/belief.go
+++ b/internal/decide/permit/belief.go
@@ -1,9 +1,3 @@
-// Package permit bounds the requests that all VMs together send to a target that states a limit.
-//
-// Load pattern: a target shares its machine with other work, needs relief, and states in its responses how many
-// requests per second it takes from all VMs together. Its callers arrive at all VMs. If each VM kept the limit
-// alone, the target would get it once per VM; if each kept its part, a limit of a few requests per second would
-// be less than one request per VM, and would be either exceeded or not used.
 package permit
 
 import "time"
@@ -16,29 +10,76 @@
 	// PerSecond is the limit that was stated last, in requests per second from all VMs together.
 	PerSecond float64
 	// FirstAt is when the limit came into force, LastAt when the latest response arrived that stated it or
-	// showed its end, on the VM's clock.
+	// showed its end, on this VM's clock.
 	FirstAt, LastAt time.Duration
-	// Source is the VM that got that response.
+	// Source is the VM that got that response, Stamp the time of its arrival on that VM's clock.
 	Source string
+	Stamp  time.Duration
+}
+
+// Report is a belief as one VM tells it to another. It carries an age, because clocks differ.
+type Report struct {
+	Limited   bool          `msgpack:"l"`
+	PerSecond float64       `msgpack:"p"`
+	Age       time.Duration `msgpack:"a"`
+	Source    string        `msgpack:"s"`
+	Stamp     time.Duration `msgpack:"t"`
 }
 
-// Stated records a response that states a limit. It reports whether the belief changed, apart from its age.
-func (b *Belief) Stated(perSecond float64, source string, now time.Duration) (changed bool) {
+const (
+	// reportDelay bounds the time that a report is on its way.
+	reportDelay = 400 * time.Millisecond
+	// endKnownFor is how long the end of a limit is told to others, and counts against reports at second hand.
+	endKnownFor = 10 * time.Second
+)
+
+// Stated records a response to this VM that states a limit. It reports whether the belief changed, apart from its
+// age.
+func (b *Belief) Stated(perSecond float64, self string, now time.Duration) (changed bool) {
 	changed = !b.Limited || b.PerSecond != perSecond
 	if !b.Limited {
 		b.FirstAt = now
 	}
-	b.Limited, b.PerSecond, b.LastAt, b.Source = true, perSecond, now, source
+	b.Limited, b.PerSecond, b.LastAt, b.Source, b.Stamp = true, perSecond, now, self, now
 	return changed
 }
 
-// NotStated records a response without a limit to a request that was sent at the given time. It reports whether
-// it shows the end of the limit. A response to a request that was sent before the limit was last stated does not:
-// the target may have begun it earlier.
-func (b *Belief) NotStated(sentAt time.Duration, source string, now time.Duration) (ended bool) {
+// NotStated records a response to this VM without a limit, to a request that was sent at the given time. It
+// reports whether it shows the end of the limit. A response to a request that was sent before the limit was last
+// stated does not: the target may have begun it earlier.
+func (b *Belief) NotStated(sentAt time.Duration, self string, now time.Duration) (ended bool) {
 	if !b.Limited || sentAt <= b.LastAt {
 		return false
 	}
-	b.Limited, b.LastAt, b.Source = false, now, source
+	b.Limited, b.LastAt, b.Source, b.Stamp = false, now, self, now
 	return true
 }
+
+// Report returns the belief for other VMs. It returns false if there is nothing to tell.
+func (b *Belief) Report(now time.Duration) (r Report, told bool) {
+	known := b.Limited || b.FirstAt > 0 && now-b.LastAt < endKnownFor
+	return Report{Limited: b.Limited, PerSecond: b.PerSecond, Age: now - b.LastAt, Source: b.Source, Stamp: b.Stamp}, known
+}
+
+// Merge applies the report of another VM and reports whether the belief changed, apart from its age.
+//
+// A report at second hand is applied only if nothing is known: each hop makes it look younger by the time that it
+// was on its way, so a report that circulates among VMs would never grow old.
+func (b *Belief) Merge(r Report, firstHand bool, now time.Duration) (changed bool) {
+	at := now - max(r.Age, 0)
+	known := b.FirstAt > 0 && (b.Limited || now-b.LastAt < endKnownFor)
+	switch {
+	case !firstHand && (known || !r.Limited):
+		return false
+	case r.Source == b.Source && r.Stamp <= b.Stamp, b.FirstAt > 0 && at <= b.LastAt:
+		return false
+	case !r.Limited && (!b.Limited || at <= b.LastAt+reportDelay):
+		return false
+	}
+	changed = b.Limited != r.Limited || b.PerSecond != r.PerSecond
+	if r.Limited && !b.Limited {
+		b.FirstAt = at
+	}
+	b.Limited, b.PerSecond, b.LastAt, b.Source, b.Stamp = r.Limited, r.PerSecond, at, r.Source, r.Stamp
+	return changed
+}
--- /dev/null
+++ b/internal/decide/permit/permit.go
@@ -0,0 +1,113 @@
+// Package permit bounds the requests that all VMs together send to a target that states a limit.
+//
+// Load pattern: a target shares its machine with other work, needs relief, and states in its responses how many
+// requests per second it takes from all VMs together. Its callers arrive at all VMs. If each VM kept the limit
+// alone, the target would get it once per VM; if each kept its part, a limit of a few requests per second would
+// be less than one request per VM, and would be either exceeded or not used.
+//
+// A VM therefore sends a request to such a target only with a permit from the target's holder, the first VM in an
+// order that all VMs compute alike (package rendezvous) from all known VMs, lost ones included. The holder counts
+// what it grants in a token bucket. The next VM in the order grants only while none before it answers its own
+// calls, and fewer permits.
+//
+// Invariant: while at most two VMs grant at a time, the target gets no more in any four seconds than one and a
+// half times its limit allows, plus five. A new holder starts without tokens, whatever its predecessor granted.
+package permit
+
+import "time"
+
+const (
+	// firstShare is the part of the limit that the first VM in the order grants, standbyShare what any other
+	// does, and the first one until it has been the holder for settleTime: another VM may not know yet that it is.
+	firstShare, standbyShare = 0.95, 0.45
+	settleTime               = 2 * time.Second
+	// burst is the number of permits that a holder saves.
+	burst = 2
+	// minPerSecond is the rate of permits for a target that takes fewer, so that its responses show the end of
+	// the limit. Of these none is saved.
+	minPerSecond = 0.25
+	// reserve is the number of saved permits that only the most urgent requests get.
+	reserve = 1
+	// maxReturn bounds the time after which a refused caller is asked to return.
+	maxReturn = time.Second
+	// tenureGap is the time without a request for a permit after which a standby's tenure ends.
+	tenureGap = 10 * time.Second
+)
+
+// Decision is the answer to a request for a permit.
+type Decision struct {
+	Granted bool `msgpack:"g"`
+	// Blocked is the time until which no other request of the same urgency gets a permit.
+	Blocked time.Duration `msgpack:"b"`
+	// Return is the time after which the caller of a refused request should return. Callers are spread over the
+	// permits to come.
+	Return time.Duration `msgpack:"r"`
+	// Tokens are the saved permits before the decision.
+	Tokens float64 `msgpack:"t"`
+}
+
+// Tenure is the state of a VM as the holder of one target. The zero value is that of a VM that is not the holder.
+// It is not safe for concurrent use.
+type Tenure struct {
+	holding bool
+	// first reports whether the VM has been first in the order since the tenure began.
+	first      bool
+	since      time.Duration
+	tokens     float64
+	refilledAt time.Duration
+	// returnAt is the latest time at which a refused caller was asked to return.
+	returnAt time.Duration
+}
+
+// Hold makes the VM the holder. first reports whether it is the first VM in the order. A tenure begins without
+// tokens.
+func (t *Tenure) Hold(first bool, now time.Duration) {
+	lapsed := !first && now-t.refilledAt > tenureGap
+	if t.holding && t.first == first && !lapsed {
+		return
+	}
+	*t = Tenure{holding: true, first: first, since: now, refilledAt: now, returnAt: t.returnAt}
+}
+
+// Yield ends the tenure, because a VM before this one answers.
+func (t *Tenure) Yield() { t.holding = false }
+
+// Holding reports whether the VM is the holder.
+func (t *Tenure) Holding() bool { return t.holding }
+
+// Take decides about one request. outranked reports whether more urgent requests compete for the permits.
+func (t *Tenure) Take(perSecond float64, outranked bool, now time.Duration) Decision {
+	rate, capacity := t.rate(perSecond, now)
+	t.tokens = min(capacity, t.tokens+rate*(now-t.refilledAt).Seconds())
+	t.refilledAt = now
+	needed := 1.0
+	if outranked {
+		needed = min(1+reserve, capacity)
+	}
+	d := Decision{Tokens: t.tokens, Granted: t.tokens >= needed}
+	if d.Granted {
+		t.tokens--
+		return d
+	}
+	d.Blocked = seconds((needed - t.tokens) / rate)
+	t.returnAt = max(t.returnAt, now) + seconds(1/rate)
+	if t.returnAt-now > maxReturn {
+		t.returnAt = now + min(d.Blocked, maxReturn)
+	}
+	d.Return = t.returnAt - now
+	return d
+}
+
+// rate returns the permits per second, and how many may be saved.
+func (t *Tenure) rate(perSecond float64, now time.Duration) (rate, capacity float64) {
+	share := standbyShare
+	if t.first && now-t.since >= settleTime {
+		share = firstShare
+	}
+	if rate = share * perSecond; rate < minPerSecond {
+		return minPerSecond, 1
+	}
+	return rate, burst
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/decide/urgency/urgency.go
+++ b/internal/decide/urgency/urgency.go
@@ -46,6 +46,20 @@
 	m.counts[priority]++
 }
 
+// Outranked reports whether a priority that counts is more urgent than the given one.
+func (m *Meter) Outranked(priority int) bool {
+	total := 0.0
+	for _, n := range m.counts {
+		total += n
+	}
+	for p, n := range m.counts {
+		if p < priority && n >= minShare*total {
+			return true
+		}
+	}
+	return false
+}
+
 // MostUrgent reports whether no other priority that counts is more urgent than the given
 // one, and at least one that counts is less urgent.
 func (m *Meter) MostUrgent(priority int) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,9 @@
 		if reason == refusedHot {
 			return c.giveUp(string(reason), g.hotKeyRetryAfter(c))
 		}
+		if a == nil && len(c.overLimit) > 0 {
+			return c.giveUp(string(refusedLimited), c.limitReturn)
+		}
 		if a == nil {
 			return c.giveUp(string(reason), g.retryAfter(c))
 		}
@@ -50,6 +53,13 @@
 			g.state.finish(a, resultAbandoned)
 			return c.giveUp(string(refusedLeaving), immediateRetryAfter)
 		}
+		if !g.takePermit(ctx, c, a, timeLeft) {
+			g.release(a)
+			if c.keyed {
+				return c.giveUp(string(refusedLimited), c.limitReturn)
+			}
+			continue
+		}
 		if c.keyed {
 			if ready, out := g.consultOwner(ctx, c, a, timeLeft); out != nil {
 				return *out
@@ -121,11 +131,12 @@
 
 // excluded returns the targets that this VM must not send the request to.
 func (c *call) excluded() map[string]bool {
-	if len(c.unreached) == 0 {
+	if len(c.unreached) == 0 && len(c.overLimit) == 0 {
 		return c.tried
 	}
 	out := maps.Clone(c.tried)
 	maps.Copy(out, c.unreached)
+	maps.Copy(out, c.overLimit)
 	return out
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,6 +32,10 @@
 	// unreached holds the IDs of the targets to which this VM had no connection for the request.
 	unreached       map[string]bool
 	connectFailures int
+	// overLimit holds the IDs of the targets for which the request got no permit. limitReturn is when its caller
+	// should return.
+	overLimit   map[string]bool
+	limitReturn time.Duration
 	// delivered is the number of attempts that may have reached a target.
 	delivered int
 	// possibleRuns is the number of targets that may have run the request.
@@ -77,7 +81,7 @@
 	now := time.Now()
 	c := &call{
 		id: r.Header.Get(g.headers.RequestID), route: rt, service: service,
-		start: now, tried: make(map[string]bool), unreached: make(map[string]bool), body: bodyReservation{memory: g.bodyMemory},
+		start: now, tried: make(map[string]bool), unreached: make(map[string]bool), overLimit: make(map[string]bool), body: bodyReservation{memory: g.bodyMemory},
 	}
 	timeout := rt.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(timeout.Milliseconds()) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -160,9 +160,19 @@
 			return &attempt{refused: refusedLate}, nil, nil
 		}
 		a, reason := g.reserveForwarded(ctx, c, timeLeft)
+		if a == nil && len(c.overLimit) > 0 {
+			reason = refusedLimited
+		}
 		if a == nil {
 			return &attempt{refused: reason}, nil, nil
 		}
+		if !g.takePermit(ctx, c, a, timeLeft) {
+			g.release(a)
+			if c.keyed {
+				return &attempt{refused: refusedLimited}, nil, nil
+			}
+			continue
+		}
 		if !g.state.admitToCold(a.target) {
 			g.release(a)
 			continue
@@ -202,7 +212,7 @@
 	c := &call{
 		id: in.ID, forwarded: true, service: in.Service, keyed: in.Keyed, key: in.Key, digest: in.Digest, misdirectedBy: in.MisdirectedBy,
 		route: &route.Route{Name: in.Route, Priority: in.Priority, Objective: in.Objective, Regions: in.Regions},
-		start: now, deadline: now.Add(in.TimeLeft), tried: make(map[string]bool), unreached: make(map[string]bool),
+		start: now, deadline: now.Add(in.TimeLeft), tried: make(map[string]bool), unreached: make(map[string]bool), overLimit: make(map[string]bool),
 		body: bodyReservation{memory: g.bodyMemory},
 	}
 	for _, target := range in.Tried {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	forwardMetrics forwardMetrics
 	inquiries      inquiryMetrics
 	limits         limitMetrics
+	permitCalls    *permitCalls
 	unreadHeaders  *unreadHeaders
 	forwardCount   atomic.Uint64
 	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
@@ -140,6 +141,7 @@
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
 	g.inquiries, g.limits = newInquiryMetrics(registry), newLimitMetrics(registry)
+	g.permitCalls = newPermitCalls()
 	g.unreadHeaders = newUnreadHeaders(registry, g.headers.inResponses())
 	g.sighups = make(chan os.Signal, 1)
 	g.grace.Store(int64(s.Grace))
@@ -225,6 +227,7 @@
 		g.peers.Register("Mesh", mesh.Service{Mesh: g.mesh}),
 		g.peers.Register("View", View{g}),
 		g.peers.Register("Forward", Forward{g}),
+		g.peers.Register("Permits", Permits{g}),
 		g.peers.Register("Store", storerelay.NewService(g.ctx, g.store, g.storeUp.Load)),
 	)
 }
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -108,7 +108,8 @@
 func (g *Gateway) tellsLoad(a *attempt) bool {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	return a.target.tellsLoad
+	// The permit of a request to a target with a limit does not cover an inquiry.
+	return a.target.tellsLoad && !a.target.limit.Limited
 }
 
 // ask asks the target of an attempt for its load. At least half of the remaining time is kept for the request.
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/gateway/leasing"
+	"hemlockquay/internal/lease"
 	"hemlockquay/internal/platform"
 )
 
@@ -62,6 +64,22 @@
 // Warming implements leasing.TargetDirectory.
 func (g leasingAdapter) Warming(target string) bool { return g.gateway.state.isWarming(target) }
 
+// Limit implements leasing.TargetDirectory.
+func (g leasingAdapter) Limit(target string) (perSecond float64, limited bool) {
+	g.gateway.state.mu.Lock()
+	defer g.gateway.state.mu.Unlock()
+	t := g.gateway.state.targets[target]
+	if t == nil || !t.limit.Limited {
+		return 0, false
+	}
+	return t.limit.PerSecond, true
+}
+
+// RecordAnswer implements leasing.TargetDirectory.
+func (g leasingAdapter) RecordAnswer(o lease.Owner, h http.Header) {
+	g.gateway.recordStatedLimit(o.ID, o.Born, h)
+}
+
 // Slots implements leasing.TargetDirectory.
 func (g leasingAdapter) Slots(target string) int {
 	g.gateway.state.mu.Lock()
--- a/internal/gateway/limit_play_test.go
+++ b/internal/gateway/limit_play_test.go
@@ -207,6 +207,33 @@
 	p.statuses[routeName][w.Code]++
 }
 
+// setDown stops or cuts a VM off from the others, or lets it return. What it sends does not count.
+func (p *limitPlay) setDown(vm *playVM, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down[vm.self.VM] = down
+	p.excused[vm.self.VM] = true
+	if down {
+		p.play.down.Store(vm.self.Addr, true)
+	} else {
+		p.play.down.Delete(vm.self.Addr)
+	}
+}
+
+// holder returns the VM that grants the permits of a target while all VMs are live.
+func (p *limitPlay) holder(target string) *playVM {
+	vm := p.vms[0]
+	vm.state.mu.Lock()
+	defer vm.state.mu.Unlock()
+	first := vm.state.holderOrderLocked(vm.state.targets[target])[0]
+	for _, other := range p.vms {
+		if other.self.VM == first {
+			return other
+		}
+	}
+	return nil
+}
+
 // allowed returns what the users' bound allows in any limitWindow.
 func allowed(perSecond float64) int {
 	return int(limitExcess*perSecond*limitWindow.Seconds() + limitSlack)
@@ -239,3 +266,82 @@
 		})
 	}
 }
+
+// Guards against a bound that is lost with the VM that counts, and against two VMs that both count.
+func TestLimitOfATargetHoldsWhileItsHolderStopsAndReturns(t *testing.T) {
+	const perSecond, offered, over = 3.4, 20, 20 * time.Second
+	inPlay(t, func(t *testing.T) {
+		p := newLimitPlay(t, 9)
+		defer p.stop()
+		stated := time.Now()
+		p.targets["owner"].state("3.4")
+		requests := p.offer("keyed", offered, over)
+		for range 4 {
+			time.Sleep(2500 * time.Millisecond)
+			holder := p.holder("owner")
+			p.setDown(holder, true)
+			down := time.Now()
+			time.Sleep(2 * time.Second)
+			require.NotZero(t, p.targets["owner"].between(down.Add(time.Second), time.Now(), nil), "no VM grants permits in place of the holder")
+			p.setDown(holder, false)
+		}
+		requests.Wait()
+		most := p.targets["owner"].most(stated.Add(limitDelay), stated.Add(over-limitWindow), p.excused)
+		require.LessOrEqual(t, most, allowed(perSecond))
+	})
+}
+
+// Guards against a limit that outlives the need, and against one whose end is concluded from a response that the
+// target began before it stated the limit.
+func TestLimitOfATargetEndsWithItsNeed(t *testing.T) {
+	inPlay(t, func(t *testing.T) {
+		p := newLimitPlay(t, 9)
+		defer p.stop()
+		requests := p.offer("keyed", 20, 16*time.Second)
+		p.targets["owner"].state("0")
+		time.Sleep(8 * time.Second)
+		require.LessOrEqual(t, p.targets["owner"].between(time.Now().Add(-limitWindow), time.Now(), nil), allowed(0))
+		p.targets["owner"].state("")
+		time.Sleep(6 * time.Second)
+		require.Greater(t, p.targets["owner"].between(time.Now().Add(-time.Second), time.Now(), nil), 10)
+		requests.Wait()
+	})
+}
+
+// Guards against less urgent requests that take the places of more urgent ones at a target with a limit.
+func TestUrgentRequestsGetThePlacesAtATargetWithALimit(t *testing.T) {
+	inPlay(t, func(t *testing.T) {
+		p := newLimitPlay(t, 9)
+		defer p.stop()
+		p.targets["owner"].state("3.4")
+		urgent, later := p.offer("urgent", 10, 20*time.Second), p.offer("later", 10, 20*time.Second)
+		urgent.Wait()
+		later.Wait()
+		require.Greater(t, p.statuses["urgent"][http.StatusOK], 3*p.statuses["later"][http.StatusOK])
+	})
+}
+
+// Guards against refused requests that wait, or whose callers all return at the same moment.
+func TestRequestWithoutAPermitIsRefusedAtOnceWithAReturnTime(t *testing.T) {
+	inPlay(t, func(t *testing.T) {
+		p := newLimitPlay(t, 9)
+		defer p.stop()
+		p.targets["owner"].state("1")
+		returns := make(map[string]int)
+		for i := range 60 {
+			r := httptest.NewRequest(http.MethodGet, "/x", nil)
+			r.RequestURI, r.Host = "/x", "keyed.example"
+			r.Header.Set("Id", strconv.Itoa(i))
+			r.Header.Set("Key", "1")
+			w, began := httptest.NewRecorder(), time.Now()
+			p.vms[i%9].ServeHTTP(w, r)
+			if w.Code == http.StatusOK {
+				continue
+			}
+			require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			require.Less(t, time.Since(began), 20*time.Millisecond)
+			returns[w.Header().Get("Retry-After")]++
+		}
+		require.Greater(t, len(returns), 20)
+	})
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -18,6 +18,16 @@
 type targetLimit struct {
 	permit.Belief
 	sent [sentKinds]permit.Window
+	// order holds the VMs in the order in which they may hold the target's permits, as of version orderedBy of
+	// the members. tenure is this VM's state as the holder.
+	order     []string
+	orderedBy uint64
+	tenure    permit.Tenure
+	// blocked holds, for requests that more urgent ones compete with (1) and others (0), until when the holder
+	// grants no permits.
+	blocked [2]time.Duration
+	// announcedAt is when the other VMs were last told without delay.
+	announcedAt time.Duration
 }
 
 // sentKind is a kind of requests to targets.
@@ -36,6 +46,8 @@
 const (
 	// limitReportInterval is the interval of the log lines on targets with a limit.
 	limitReportInterval = time.Second
+	// minAnnounceInterval is the minimum time between two announcements of the limit of a target.
+	minAnnounceInterval = time.Second
 	// maxLimitLines bounds the log lines per second on limits that change.
 	maxLimitLines = 20
 )
@@ -43,12 +55,18 @@
 // limitMetrics counts the responses that state a limit, and those in which it cannot be read.
 type limitMetrics struct {
 	stated, malformed metrics.Counter
-	lines             *rate.Limiter
+	// granted and denied count the requests for which this VM asked a permit, unheld those for which no VM
+	// granted permits.
+	granted, denied, unheld metrics.Counter
+	lines                   *rate.Limiter
 }
 
 func newLimitMetrics(r metrics.Registry) limitMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("limits."+name, r) }
-	return limitMetrics{stated: counter("stated"), malformed: counter("malformed"), lines: rate.NewLimiter(maxLimitLines, maxLimitLines)}
+	return limitMetrics{
+		stated: counter("stated"), malformed: counter("malformed"), granted: counter("granted"), denied: counter("denied"), unheld: counter("unheld"),
+		lines: rate.NewLimiter(maxLimitLines, maxLimitLines),
+	}
 }
 
 // sentKind returns the kind of the call's requests to targets.
@@ -67,6 +85,18 @@
 	}
 }
 
+// recordStatedLimit records a limit that a response states, if that names an incarnation known here. The response
+// does not show the end of a limit, because it is not known when its request was sent, or whether such responses
+// state limits.
+func (g *Gateway) recordStatedLimit(target string, born int64, h http.Header) {
+	g.state.mu.Lock()
+	t := g.state.targets[target]
+	g.state.mu.Unlock()
+	if t != nil && (born == 0 || t.Born == born) {
+		g.recordLimitOf(t, h, 0)
+	}
+}
+
 func (g *Gateway) recordLimitOf(t *targetState, h http.Header, sentAt time.Duration) {
 	perSecond, stated, err := g.adapter.Limit(h)
 	if err != nil {
@@ -82,10 +112,15 @@
 	changed := false
 	if stated {
 		g.limits.stated.Inc(1)
+		g.state.limitKnown[t] = struct{}{}
 		changed = t.limit.Stated(perSecond, g.self.VM, now)
 	} else {
 		changed = t.limit.NotStated(sentAt, g.self.VM, now)
 	}
+	if before.Limited != t.limit.Limited && now-t.limit.announcedAt >= minAnnounceInterval {
+		t.limit.announcedAt = now
+		g.state.announce()
+	}
 	if changed && g.limits.lines.Allow() {
 		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", t.limit.Limited).Float64("perSecond", t.limit.PerSecond).
 			Bool("limitedBefore", before.Limited).Float64("perSecondBefore", before.PerSecond).Dur("age", now-before.LastAt).Msg("limit of a target changed")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -36,6 +36,7 @@
 	b.TargetsMark = g.confirmations.mark(g.adapter.TargetKind())
 	b.EvacuationsMark = evacuationsMark
 	g.state.addEvacuations(&b)
+	b.Limits = g.state.ownLimits()
 	return b
 }
 
@@ -47,6 +48,9 @@
 	}
 	// A mark must not be passed on before the evacuations that it confirms.
 	g.confirmations.merge(g.adapter.EvacuationKind(), b.EvacuationsMark)
+	for _, l := range b.Limits {
+		g.mergeLimit(l, true)
+	}
 	if len(b.Returns) > 0 {
 		g.state.recordReturns(b.Returns)
 	}
--- /dev/null
+++ b/internal/gateway/permits.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hemlockquay/internal/decide/permit"
+	"hemlockquay/internal/decide/rendezvous"
+	"hemlockquay/internal/mesh"
+)
+
+const (
+	// permitTimeout bounds a call that asks for a permit, or whether another VM holds a target's permits. A VM with
+	// a sixth of a core may need tens of milliseconds to answer.
+	permitTimeout = 120 * time.Millisecond
+	// maxHoldersAsked bounds the VMs that are asked for a permit for one request.
+	maxHoldersAsked = 3
+	// holderGoneFor is how long a VM that left a call unanswered is passed over, and holderLiveFor how long one
+	// that answered is taken for live.
+	holderGoneFor, holderLiveFor = time.Second, 250 * time.Millisecond
+	// unheldReturn bounds the time after which a caller returns if no VM grants permits.
+	unheldReturn = 500 * time.Millisecond
+)
+
+// PermitArgs asks for a permit for one request to a target.
+type PermitArgs struct {
+	Limit mesh.TargetLimit `msgpack:"l"`
+	// Outranked reports whether more urgent requests compete with this one.
+	Outranked bool `msgpack:"o"`
+}
+
+// PermitReply is the answer of a VM that was asked for a permit.
+type PermitReply struct {
+	// Holds is false if the VM does not grant permits for the target.
+	Holds    bool            `msgpack:"h"`
+	Decision permit.Decision `msgpack:"d"`
+}
+
+// Permits is the RPC service through which other VMs ask for permits for requests to targets with a limit.
+type Permits struct{ gateway *Gateway }
+
+// Ask decides about a permit.
+func (p Permits) Ask(in *PermitArgs, out *PermitReply) error {
+	*out = p.gateway.grantPermit(p.gateway.ctx, in)
+	return nil
+}
+
+// Holds reports whether this VM can hold permits.
+func (p Permits) Holds(_ *struct{}, out *bool) error {
+	*out = p.gateway.canHoldPermits()
+	return nil
+}
+
+// canHoldPermits reports whether this VM may grant permits: it is not leaving, and knows the other VMs.
+func (g *Gateway) canHoldPermits() bool { return !g.leaving.Load() && g.joined.Load() }
+
+// takePermit takes a permit for the request of an attempt if the target has a limit. If it returns false, the
+// request must not be sent to the target.
+func (g *Gateway) takePermit(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) bool {
+	args, order, blocked, limited := g.state.permitRequest(a.target, c.route.Priority)
+	if !limited {
+		return true
+	}
+	d, holder := permit.Decision{Return: blocked}, ""
+	if blocked == 0 {
+		d, holder = g.askHolders(ctx, order, args, timeLeft)
+	} else {
+		d.Return += rand.N(unheldReturn)
+	}
+	g.state.recordDecision(a.target, args.Outranked, d)
+	if d.Granted {
+		g.limits.granted.Inc(1)
+		return true
+	}
+	g.limits.denied.Inc(1)
+	c.overLimit[a.id] = true
+	c.limitReturn = max(d.Return, minRetryAfter)
+	c.refusedOn = fmt.Sprintf("%s limit %.2f age %dms source %s holder %s tokens %.2f blocked %dms", a.id, args.Limit.Report.PerSecond,
+		args.Limit.Report.Age.Milliseconds(), args.Limit.Report.Source, holder, d.Tokens, (blocked + d.Blocked).Milliseconds())
+	return false
+}
+
+// askHolders asks the VMs in order until one decides. It returns that VM, or "" if there is none.
+func (g *Gateway) askHolders(ctx context.Context, order []string, args *PermitArgs, timeLeft time.Duration) (permit.Decision, string) {
+	asked := 0
+	for _, vm := range order {
+		if vm != g.self.VM && (!g.mesh.MayServe(vm) || g.permitCalls.failedLately(vm, g.clock.Now())) {
+			continue
+		}
+		var reply PermitReply
+		if vm == g.self.VM {
+			reply = g.grantPermit(ctx, args)
+		} else {
+			callCtx, cancel := context.WithTimeout(ctx, min(permitTimeout, timeLeft/4))
+			err := g.mesh.Call(callCtx, vm, "Permits.Ask", args, &reply)
+			cancel()
+			g.permitCalls.record(vm, err == nil, g.clock.Now())
+			reply.Holds = reply.Holds && err == nil
+		}
+		if reply.Holds {
+			return reply.Decision, vm
+		}
+		if asked++; asked >= maxHoldersAsked || ctx.Err() != nil {
+			break
+		}
+	}
+	g.limits.unheld.Inc(1)
+	return permit.Decision{Return: unheldReturn/2 + rand.N(unheldReturn/2)}, ""
+}
+
+// grantPermit decides about a permit if this VM is the target's holder.
+func (g *Gateway) grantPermit(ctx context.Context, in *PermitArgs) PermitReply {
+	g.mergeLimit(in.Limit, false)
+	order, known := g.state.holderOrder(in.Limit)
+	if !known || !g.canHoldPermits() {
+		return PermitReply{}
+	}
+	first := true
+	for _, vm := range order {
+		if vm == g.self.VM {
+			return g.state.takeToken(in, first)
+		}
+		first = false
+		if g.holderAnswers(ctx, vm) {
+			break
+		}
+	}
+	g.state.yieldPermits(in.Limit)
+	return PermitReply{}
+}
+
+// holderAnswers reports whether a VM that precedes this one as a holder answers calls.
+func (g *Gateway) holderAnswers(ctx context.Context, vm string) bool {
+	now := g.clock.Now()
+	switch {
+	case !g.mesh.MayServe(vm), g.permitCalls.failedLately(vm, now):
+		return false
+	case g.permitCalls.answeredLately(vm, now):
+		return true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout/2)
+	defer cancel()
+	holds := false
+	err := g.mesh.Call(callCtx, vm, "Permits.Holds", new(struct{}), &holds)
+	g.permitCalls.record(vm, err == nil && holds, g.clock.Now())
+	return err == nil && holds
+}
+
+// permitRequest returns what is needed to ask for a permit. blocked is the time until which there is none.
+func (s *routingState) permitRequest(t *targetState, priority int) (args *PermitArgs, order []string, blocked time.Duration, limited bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !t.limit.Limited {
+		return nil, nil, 0, false
+	}
+	now := s.clock.Now()
+	report, _ := t.limit.Report(now)
+	args = &PermitArgs{Limit: mesh.TargetLimit{Target: t.ID, Born: t.Born, Report: report}, Outranked: s.outrankedLocked(t.Service, priority)}
+	return args, s.holderOrderLocked(t), max(0, t.limit.blocked[index(args.Outranked)]-now), true
+}
+
+// index returns the index in targetLimit.blocked.
+func index(outranked bool) int {
+	if outranked {
+		return 1
+	}
+	return 0
+}
+
+// isBlocked reports whether a target has no permits for requests now. Those that more urgent ones compete with
+// get none while the others do not.
+func (l *targetLimit) isBlocked(outranked bool, now time.Duration) bool {
+	return l.Limited && now < l.blocked[index(outranked)]
+}
+
+// recordDecision records until when a target has no more permits.
+func (s *routingState) recordDecision(t *targetState, outranked bool, d permit.Decision) {
+	if d.Blocked == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.clock.Now() + d.Blocked
+	t.limit.blocked[1] = max(t.limit.blocked[1], until)
+	if !outranked {
+		t.limit.blocked[0] = until
+	}
+}
+
+// limitedLocked returns the incarnation of a target that a limit is of, or nil. It needs s.mu.
+func (s *routingState) limitedLocked(l mesh.TargetLimit) *targetState {
+	if t := s.targets[l.Target]; t != nil && t.Born == l.Born {
+		return t
+	}
+	return nil
+}
+
+// holderOrder returns the VMs in the order in which they may hold the permits of a target.
+func (s *routingState) holderOrder(l mesh.TargetLimit) (order []string, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.limitedLocked(l)
+	if t == nil {
+		return nil, false
+	}
+	return s.holderOrderLocked(t), true
+}
+
+func (s *routingState) holderOrderLocked(t *targetState) []string {
+	if t.limit.order == nil || t.limit.orderedBy != s.members.version {
+		t.limit.order = make([]string, 0, len(s.members.list))
+		for _, i := range rendezvous.Rank(s.members.list, t.ID, t.DataCentre) {
+			t.limit.order = append(t.limit.order, s.members.list[i].VM)
+		}
+		t.limit.orderedBy = s.members.version
+	}
+	return t.limit.order
+}
+
+// takeToken decides about a permit as the holder of a target. If this VM knows that the limit has ended, any
+// request gets one.
+func (s *routingState) takeToken(in *PermitArgs, first bool) PermitReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.limitedLocked(in.Limit)
+	if t == nil {
+		return PermitReply{}
+	}
+	if !t.limit.Limited {
+		return PermitReply{Holds: true, Decision: permit.Decision{Granted: true}}
+	}
+	now, held := s.clock.Now(), t.limit.tenure.Holding()
+	t.limit.tenure.Hold(first, now)
+	if !held {
+		s.log.Info().Str("step", "limits").Str("target", t.ID).Bool("first", first).Float64("perSecond", t.limit.PerSecond).Msg("this VM grants the permits of a target")
+	}
+	return PermitReply{Holds: true, Decision: t.limit.tenure.Take(t.limit.PerSecond, in.Outranked, now)}
+}
+
+// yieldPermits ends this VM's tenure as the holder of a target.
+func (s *routingState) yieldPermits(l mesh.TargetLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.limitedLocked(l)
+	if t == nil || !t.limit.tenure.Holding() {
+		return
+	}
+	t.limit.tenure.Yield()
+	s.log.Info().Str("step", "limits").Str("target", t.ID).Msg("this VM no longer grants the permits of a target")
+}
+
+// mergeLimit applies what another VM reports of the limit of a target.
+func (g *Gateway) mergeLimit(l mesh.TargetLimit, firstHand bool) {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	t := g.state.limitedLocked(l)
+	if t == nil {
+		return
+	}
+	g.state.limitKnown[t] = struct{}{}
+	if t.limit.Merge(l.Report, firstHand, g.clock.Now()) && g.limits.lines.Allow() {
+		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", l.Report.Limited).
+			Float64("perSecond", l.Report.PerSecond).Str("source", l.Report.Source).Dur("age", l.Report.Age).Msg("another VM reports the limit of a target")
+	}
+}
+
+// ownLimits returns the limits of targets that this VM has learned from their responses.
+func (s *routingState) ownLimits() []mesh.TargetLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []mesh.TargetLimit
+	now := s.clock.Now()
+	for t := range s.limitKnown {
+		r, told := t.limit.Report(now)
+		if !told || s.targets[t.ID] != t {
+			delete(s.limitKnown, t)
+			continue
+		}
+		if r.Source == s.vm {
+			out = append(out, mesh.TargetLimit{Target: t.ID, Born: t.Born, Report: r})
+		}
+	}
+	return out
+}
+
+// permitCalls remembers which VMs have answered calls about permits. It is safe for concurrent use.
+type permitCalls struct {
+	mu               sync.Mutex
+	answered, failed map[string]time.Duration
+}
+
+func newPermitCalls() *permitCalls {
+	return &permitCalls{answered: make(map[string]time.Duration), failed: make(map[string]time.Duration)}
+}
+
+func (p *permitCalls) record(vm string, answered bool, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.answered, vm)
+	delete(p.failed, vm)
+	if answered {
+		p.answered[vm] = now
+	} else {
+		p.failed[vm] = now
+	}
+}
+
+func (p *permitCalls) answeredLately(vm string, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, known := p.answered[vm]
+	return known && now-at < holderLiveFor
+}
+
+func (p *permitCalls) failedLately(vm string, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, known := p.failed[vm]
+	return known && now-at < holderGoneFor
+}
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -34,6 +34,8 @@
 	vms   []*playVM
 	// byAddr holds the gateways by the address for other VMs.
 	byAddr map[string]*Gateway
+	// down holds the addresses of the VMs that neither call others nor are called by them.
+	down sync.Map
 }
 
 // playVM is a VM of a play. While silent is set, the store leaves its calls unanswered.
@@ -63,7 +65,7 @@
 		s.VM, s.DataCentre, s.Peers = fmt.Sprintf("vm-%03d", i), "a", fmt.Sprintf("vm-%03d:1", i)
 		store := &storePath{sharedStore: p.store, silent: &vm.silent}
 		vm.Gateway = newGateway(s, fakeAdapter{store: store}, elapsed{p.begin}, discardLogger(), metrics.NewRegistry())
-		vm.mesh.UseClients(func(addr string) mesh.Client { return playClient{p, addr} })
+		vm.mesh.UseClients(func(addr string) mesh.Client { return playClient{p, s.Peers, addr} })
 		vm.mesh.Start(vm.Gateway)
 		p.vms, p.byAddr[s.Peers] = append(p.vms, vm), vm.Gateway
 	}
@@ -88,7 +90,8 @@
 // playClient calls one VM of a play.
 type playClient struct {
 	play *play
-	addr string
+	// from and addr are the addresses of the caller and of the VM that is called.
+	from, addr string
 }
 
 func (playClient) Close() {}
@@ -98,6 +101,11 @@
 		return err
 	}
 	g, runs := c.play.byAddr[c.addr]
+	_, callerDown := c.play.down.Load(c.from)
+	if _, down := c.play.down.Load(c.addr); down || callerDown {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if !runs {
 		return fmt.Errorf("call %s: %w", c.addr, peer.ErrNotSent)
 	}
@@ -111,6 +119,10 @@
 		err = View{g}.TargetsSince(args.(*FetchArgs), reply.(*FetchReply))
 	case "View.Routing":
 		err = View{g}.Routing(args.(*string), reply.(*lease.Routing))
+	case "Permits.Ask":
+		err = Permits{g}.Ask(args.(*PermitArgs), reply.(*PermitReply))
+	case "Permits.Holds":
+		err = Permits{g}.Holds(args.(*struct{}), reply.(*bool))
 	default:
 		err = fmt.Errorf("method %s is not known", method)
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -77,6 +77,8 @@
 	refusedUnreached refusal = "target not reached"
 	// refusedRegion: the owner is in a region in which the request must not be processed.
 	refusedRegion refusal = "owner in another region"
+	// refusedLimited: the target states a limit, and there is no permit for the request.
+	refusedLimited refusal = "target takes no more requests now"
 	// refusedLeaving: this VM is shutting down. Another one can serve the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
@@ -90,11 +92,13 @@
 		return nil, refusedNoTarget
 	}
 	s.startIndex++
+	outranked := s.outrankedLocked(service, rt.Priority)
 	job := pick.Job{Usual: s.usualDurationLocked(service, rt.Name), Objective: rt.Objective, StartIndex: s.startIndex, MayUseReserve: s.mayUseReserveLocked(service, rt.Priority)}
 	for _, c := range []candidates{p.subset, p.all} {
 		i := pick.Choose(c.states, job, func(i int) bool {
 			t := c.targets[i]
-			return tried[t.ID] || t.displaced || !s.mayProcessLocked(rt, t) || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now)
+			return tried[t.ID] || t.displaced || !s.mayProcessLocked(rt, t) || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now) ||
+				t.limit.isBlocked(outranked, now)
 		}, now)
 		if i >= 0 {
 			return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
--- a/internal/gateway/servicestats.go
+++ b/internal/gateway/servicestats.go
@@ -27,6 +27,12 @@
 	return m != nil && m.MostUrgent(priority)
 }
 
+// outrankedLocked reports whether more urgent requests compete with those of this priority. It needs s.mu.
+func (s *routingState) outrankedLocked(service string, priority int) bool {
+	m := s.urgency[service]
+	return m != nil && m.Outranked(priority)
+}
+
 // usualDurationLocked returns the usual service time of a route, or 0 if it is not known. It needs
 // s.mu.
 func (s *routingState) usualDurationLocked(service, routeName string) time.Duration {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -83,6 +83,8 @@
 	members fleetMembers
 	// lostPaths holds the targets whose paths are lost. Each heartbeat lists them.
 	lostPaths map[*targetState]struct{}
+	// limitKnown holds the targets that have stated a limit lately.
+	limitKnown map[*targetState]struct{}
 	// inUse holds the targets at which this VM has requests, or had some recently.
 	inUse     map[*targetState]struct{}
 	budgets   map[string]*repeats.Budget
@@ -144,7 +146,7 @@
 		membership: catalog.NewTargetSet(), changed: make(chan struct{}), announce: func() {},
 		reachedBy: func(uint32) (reach, others int) { return 0, 0 },
 		targets:   make(map[string]*targetState), byHash: make(map[uint32]*targetState),
-		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
+		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), limitKnown: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes:     make(map[uint64]map[uint32]time.Duration),
 		evacuatedAt: make(map[string]time.Duration), returns: make(map[string]dataCentreReturn),
@@ -302,6 +304,7 @@
 	delete(s.targets, t.ID)
 	delete(s.inUse, t)
 	delete(s.lostPaths, t)
+	delete(s.limitKnown, t)
 	if key := mesh.LoadKey(t.hash); s.byHash[key] == t {
 		delete(s.byHash, key)
 	}
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -4,6 +4,7 @@
 	"math/bits"
 
 	"hemlockquay/internal/decide/freshness"
+	"hemlockquay/internal/decide/permit"
 )
 
 // Member is one incarnation of a VM's daemon. Field names on the wire are short, because
@@ -94,6 +95,8 @@
 	Crashes []Crash `msgpack:"r"`
 	// CutOff says that the sender reaches no target.
 	CutOff bool `msgpack:"u"`
+	// Limits are the limits that targets have stated, or ceased to state, in responses to the sender.
+	Limits []TargetLimit `msgpack:"h,omitempty"`
 	// Unreached lists the targets to which the sender opens no connections, by the hashes of their
 	// ids.
 	Unreached []uint32 `msgpack:"w"`
@@ -114,6 +117,13 @@
 	return b
 }
 
+// TargetLimit is what a VM reports of the limit of one incarnation of a target.
+type TargetLimit struct {
+	Target string        `msgpack:"t"`
+	Born   int64         `msgpack:"b"`
+	Report permit.Report `msgpack:"r"`
+}
+
 // Evacuation is an evacuated data centre.
 type Evacuation struct {
 	DataCentre string `msgpack:"d"`
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -195,6 +195,17 @@
 	return r != nil && r.member.Incarnation == incarnation && m.liveLocked(r, m.clock.Now())
 }
 
+// MayServe reports whether a VM is live and not leaving. This VM always is live.
+func (m *Mesh) MayServe(vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if vm == m.self.VM {
+		return true
+	}
+	r := m.remotes[vm]
+	return r != nil && !r.heartbeat.Leaving && m.liveLocked(r, m.clock.Now())
+}
+
 // LastHeard returns when the last heartbeat of this incarnation of a VM arrived, or the incarnation
 // was added if none has arrived yet, on the mesh's clock. It returns false if the incarnation is
 // not known.
