leasing: owners that state a limit give up keys until what is left fits

All requests for a key go to its owner, so a bound on requests alone means refusals for as long as the need lasts. The grantor takes the stated limit for the owner's capacity: the hottest ranges go first, whole ones before divided ones, and none goes to an owner with a limit, neither for its load nor to even out numbers. The line of a move names the limit.

--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -84,7 +84,14 @@
 // Decide returns the changes to make. capacity is the requests per second that each
 // owner can serve.
 func Decide(ranges []Range, capacity []float64) Decision {
-	p := plan{ranges: slices.Clone(ranges), capacity: capacity, load: Loads(ranges, capacity)}
+	return DecideRelieving(ranges, capacity, make([]bool, len(capacity)))
+}
+
+// DecideRelieving is Decide if some owners must be relieved: their capacity is what they ask for, far below what
+// they can serve. They get no ranges, and give up whole ranges rather than divided ones: a part that is hot for them
+// is not for the others.
+func DecideRelieving(ranges []Range, capacity []float64, relieve []bool) Decision {
+	p := plan{ranges: slices.Clone(ranges), capacity: capacity, relieve: relieve, load: Loads(ranges, capacity)}
 	for len(p.decision.Moves) < maxMoves && len(p.decision.Divide) < maxDivides && p.step() {
 	}
 	return p.decision
@@ -93,6 +100,7 @@
 type plan struct {
 	ranges    []Range
 	capacity  []float64
+	relieve   []bool
 	load      []float64
 	exhausted []int
 	decision  Decision
@@ -119,7 +127,7 @@
 		}
 	}
 	hot := p.hottestRange(from)
-	if hot >= 0 && p.ranges[hot].Rate/p.capacity[from] > minDivideShare && (best < 0 || best == hot) && p.divisionHelps(hot) {
+	if hot >= 0 && (!p.relieve[from] || best < 0) && p.ranges[hot].Rate/p.capacity[from] > minDivideShare && (best < 0 || best == hot) && p.divisionHelps(hot) {
 		p.ranges[hot].Fixed = true
 		p.decision.Divide = append(p.decision.Divide, hot)
 		return true
@@ -171,7 +179,7 @@
 func (p *plan) leastLoadedWith(rate float64, from int) int {
 	best, least := -1, math.Inf(1)
 	for i := range p.load {
-		if i == from {
+		if i == from || p.relieve[i] {
 			continue
 		}
 		if l := p.load[i] + rate/p.capacity[i]; l < least {
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -134,14 +134,17 @@
 // targetLoad returns the measured load of slices and owners.
 func (l *leader) targetLoad(live []lease.Owner, now time.Duration) lease.TargetLoad {
 	ranges, _, capacity := l.sliceLoads(live, now)
-	load := make(map[lease.Owner]float64, len(live))
+	load, limited := make(map[lease.Owner]float64, len(live)), make(map[lease.Owner]bool)
 	for i, v := range keyspread.Loads(ranges, capacity) {
 		load[live[i]] = v
 	}
+	for i, v := range l.limited(live) {
+		limited[live[i]] = v
+	}
 	return lease.TargetLoad{
 		Moving: func(i int) bool { return ranges[i].Fixed },
 		Rate:   func(i int) float64 { return ranges[i].Rate },
-		Busy:   func(o lease.Owner) bool { return keyspread.Busy(load[o]) },
+		Busy:   func(o lease.Owner) bool { return limited[o] || keyspread.Busy(load[o]) },
 	}
 }
 
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -96,7 +96,7 @@
 	}
 	l.load.lastSpread = now
 	ranges, sums, capacity := l.sliceLoads(live, now)
-	d := keyspread.Decide(ranges, capacity)
+	d := keyspread.DecideRelieving(ranges, capacity, l.limited(live))
 	moved := make([]lease.Change, 0, len(d.Moves))
 	for _, m := range d.Moves {
 		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
@@ -107,8 +107,9 @@
 	}
 	for _, c := range moved {
 		s := l.grants.Record().Slices[c.Slice]
+		perSecond, limited := l.TargetDirectory.Limit(s.Owner.ID)
 		l.Log.Info().Str("step", "spread").Str("service", l.service).Uint16("from", s.From).Float64("rate", sums[c.Slice].Rate).
-			Str("owner", s.Owner.ID).Str("to", c.To.ID).Msg("hot keys get another owner")
+			Str("owner", s.Owner.ID).Bool("limited", limited).Float64("perSecond", perSecond).Str("to", c.To.ID).Msg("hot keys get another owner")
 	}
 	return moved
 }
@@ -185,8 +186,27 @@
 	return ranges, sums, capacity
 }
 
-// capacityOf returns how many requests a second a target can handle.
+// minCapacity bounds the capacity of a target that states a lower limit.
+const minCapacity = 0.1
+
+// limited reports for each owner whether it states a limit.
+func (l *leader) limited(owners []lease.Owner) []bool {
+	out := make([]bool, len(owners))
+	for i, o := range owners {
+		_, out[i] = l.TargetDirectory.Limit(o.ID)
+	}
+	return out
+}
+
+// capacityOf returns how many requests a second a target can handle, or takes if it states a limit.
 func (l *leader) capacityOf(o lease.Owner) float64 {
+	if perSecond, limited := l.TargetDirectory.Limit(o.ID); limited {
+		return max(minCapacity, min(perSecond, l.usualCapacityOf(o)))
+	}
+	return l.usualCapacityOf(o)
+}
+
+func (l *leader) usualCapacityOf(o lease.Owner) float64 {
 	slots, serviceTime := max(l.TargetDirectory.Slots(o.ID), 1), defaultServiceTime
 	if d, known := l.TargetDirectory.MeanServiceTime(l.service); known {
 		serviceTime = d
