soak: profile in which targets state limits

Targets state limits that rise, fall, end and come again, while VMs are killed, suspended, stopped or lose the store; each target counts what it gets in any 4 s from VMs that it has told, undisturbed for 3 s, against 1.5 times what its limits allowed, and 5.

The holder of a target's permits is told at once of a value that changed: others may hear of it seconds later.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -121,6 +121,9 @@
 		t.limit.announcedAt = now
 		g.state.announce()
 	}
+	if changed && t.limit.Limited {
+		go g.tellHolder(t)
+	}
 	if changed && g.limits.lines.Allow() {
 		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", t.limit.Limited).Float64("perSecond", t.limit.PerSecond).
 			Bool("limitedBefore", before.Limited).Float64("perSecondBefore", before.PerSecond).Dur("age", now-before.LastAt).Msg("limit of a target changed")
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -27,6 +27,8 @@
 
 // PermitArgs asks for a permit for one request to a target.
 type PermitArgs struct {
+	// VM is the VM that asks.
+	VM    string           `msgpack:"v"`
 	Limit mesh.TargetLimit `msgpack:"l"`
 	// Outranked reports whether more urgent requests compete with this one.
 	Outranked bool `msgpack:"o"`
@@ -48,6 +50,12 @@
 	return nil
 }
 
+// Tell applies a limit that the caller has learned from a response.
+func (p Permits) Tell(in *mesh.TargetLimit, _ *struct{}) error {
+	p.gateway.mergeLimit(*in, true)
+	return nil
+}
+
 // Holds reports whether this VM can hold permits.
 func (p Permits) Holds(_ *struct{}, out *bool) error {
 	*out = p.gateway.canHoldPermits()
@@ -111,9 +119,32 @@
 	return permit.Decision{Return: unheldReturn/2 + rand.N(unheldReturn/2)}, ""
 }
 
+// tellHolder tells the holder of a target's permits of a limit that this VM has learned from a response. Others may
+// hear of it much later, with the next heartbeat.
+func (g *Gateway) tellHolder(t *targetState) {
+	args, order, _, limited := g.state.permitRequest(t, 0)
+	if !limited {
+		return
+	}
+	for _, vm := range order {
+		if vm == g.self.VM {
+			return
+		}
+		if !g.mesh.MayServe(vm) || g.permitCalls.failedLately(vm, g.clock.Now()) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, permitTimeout)
+		defer cancel()
+		if err := g.mesh.Call(ctx, vm, "Permits.Tell", &args.Limit, new(struct{})); err != nil {
+			g.log.Info().Str("step", "limits").Str("target", t.ID).Str("peer", vm).Err(err).Msg("holder not told of a limit")
+		}
+		return
+	}
+}
+
 // grantPermit decides about a permit if this VM is the target's holder.
 func (g *Gateway) grantPermit(ctx context.Context, in *PermitArgs) PermitReply {
-	g.mergeLimit(in.Limit, false)
+	g.mergeLimit(in.Limit, in.Limit.Report.Source == in.VM)
 	order, known := g.state.holderOrder(in.Limit)
 	if !known || !g.canHoldPermits() {
 		return PermitReply{}
@@ -158,7 +189,7 @@
 	}
 	now := s.clock.Now()
 	report, _ := t.limit.Report(now)
-	args = &PermitArgs{Limit: mesh.TargetLimit{Target: t.ID, Born: t.Born, Report: report}, Outranked: s.outrankedLocked(t.Service, priority)}
+	args = &PermitArgs{VM: s.vm, Limit: mesh.TargetLimit{Target: t.ID, Born: t.Born, Report: report}, Outranked: s.outrankedLocked(t.Service, priority)}
 	return args, s.holderOrderLocked(t), max(0, t.limit.blocked[index(args.Outranked)]-now), true
 }
 
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -25,6 +25,8 @@
 	ReliableLinks bool
 	// SeparatePaths is set if each VM has links of its own to the targets, which can be cut.
 	SeparatePaths bool
+	// Limits is set if targets state limits. Then they know by its address which VM has sent a request.
+	Limits bool
 	// TwoDataCentres is set if the last target of each service is in a data centre of its own, which
 	// operators evacuate.
 	TwoDataCentres bool
@@ -54,6 +56,9 @@
 	// routes has operators add routes while most of twelve VMs do not reach the store, and others are killed,
 	// suspended or stopped.
 	"routes": {Grace: 3 * time.Second, Rate: 40, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: routeVMs, Generate: GenerateRoutes},
+	// limits has targets state limits, which rise, fall, end and come again, while VMs are killed, suspended,
+	// stopped, or lose the store.
+	"limits": {Grace: 3 * time.Second, Rate: 90, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: limitVMs, Limits: true, Generate: GenerateLimits},
 	// paths cuts VMs from all targets, one or all but one at a time, the grantor's among them, and checks
 	// that they serve nearly as often as the others.
 	"paths": {Grace: 3 * time.Second, Rate: 90, Deadline: 800 * time.Millisecond, CallerTimeout: 2 * time.Second, SeparatePaths: true, Generate: GeneratePaths},
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -62,6 +62,8 @@
 	Subject string `json:"what"`
 	// Duration is how long the fault lasts.
 	Duration model.Duration `json:"for"`
+	// Limit is what a StateLimit states, in requests per second.
+	Limit float64 `json:"limit,omitempty"`
 }
 
 // Schedule lists the faults of a run.
@@ -82,6 +84,7 @@
 		switch {
 		case f.Kind == Evacuate && f.Subject == evacuatedDC && f.At >= 0 && f.Duration >= 0:
 		case f.Kind == AddRoute && f.At >= 0 && f.Duration >= 0:
+		case f.Kind == StateLimit && target && f.At >= 0 && f.Duration >= 0 && f.Limit >= 0:
 		case !target && !slices.Contains(names("vm", routeVMs), f.Subject):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/what", i), "%q is neither target nor VM", f.Subject)
 		case !slices.Contains(kinds[target], f.Kind) && (target || !slices.Contains(pathKinds, f.Kind)):
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -65,13 +65,14 @@
 	// faultEnded is when the last fault of each VM or target ended.
 	faultEnded map[string]time.Time
 	added      addedRoutes
+	limits     map[string]*limitWatch
 }
 
 // newSite starts the store, the targets and the links, and writes the settings of the VMs.
 func newSite(dir, program string, profile Profile, check *Checker) (*site, error) {
 	w := &site{
 		profile: profile, check: check, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
-		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int), faultEnded: make(map[string]time.Time),
+		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int), faultEnded: make(map[string]time.Time), limits: make(map[string]*limitWatch),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -97,10 +98,16 @@
 		if w.profile.TwoDataCentres {
 			t.Zone = dataCentreOf(name)
 		}
+		if w.profile.Limits {
+			t.Arrived = func(from string, limited bool) { w.arrived(name, from, limited) }
+		}
 		t.Via = func(addr string) (string, error) {
 			if w.profile.SeparatePaths {
 				return w.addPaths(name, addr)
 			}
+			if w.profile.Limits {
+				return addr, nil
+			}
 			return w.addLink(name, addr)
 		}
 		t.SetWork(serviceTime)
@@ -127,6 +134,9 @@
 		if w.profile.SeparatePaths {
 			s.TargetSource = pathAddr(s.VM)
 		}
+		if w.profile.Limits {
+			s.TargetSource = limitSource(s.VM)
+		}
 		if w.profile.TwoDataCentres {
 			s.EvacuateWithin = model.Duration(evacuateWithin)
 		}
@@ -147,6 +157,9 @@
 func (w *site) startFault(f Fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if f.Kind == StateLimit {
+		w.stateLimit(f.Subject, f.Limit)
+	}
 	if w.active[f.activeKey()]++; w.active[f.activeKey()] > 1 {
 		return
 	}
@@ -188,6 +201,8 @@
 		defer w.check.countOtherFault(-1)
 	}
 	switch f.Kind {
+	case StateLimit:
+		w.endLimit(f.Subject)
 	case AddRoute:
 		if w.checkRates {
 			w.checkRoute(f.Subject)
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -42,6 +42,9 @@
 	Via func(addr string) (string, error)
 	// Observer is notified of what the target does. It may be nil.
 	Observer Observer
+	// Arrived is called for each request with the host that sent it, and whether the response states a limit. It
+	// may be nil.
+	Arrived func(from string, limited bool)
 
 	mu sync.Mutex
 	// registeredAddr is the address in the target's entry.
@@ -50,12 +53,14 @@
 	work time.Duration
 	// dropResponses makes the target close the connection in place of a response.
 	dropResponses bool
-	startedAt     int64
-	draining      bool
-	fences        [1 << 16]uint64
-	heldUntil     [1 << 16]time.Time
-	ran           map[string]int
-	seq           int
+	// limit is the limit that responses state, or "".
+	limit     string
+	startedAt int64
+	draining  bool
+	fences    [1 << 16]uint64
+	heldUntil [1 << 16]time.Time
+	ran       map[string]int
+	seq       int
 
 	slots    chan struct{}
 	listener net.Listener
@@ -124,6 +129,26 @@
 	t.dropResponses = dropResponses
 }
 
+// SetLimit makes the target's responses state how many requests per second it takes. A negative number ends that.
+func (t *Target) SetLimit(perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = ""
+	if perSecond >= 0 {
+		t.limit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+	}
+}
+
+// stateLimit sets the header with the limit, if there is one.
+func (t *Target) stateLimit(h http.Header) (limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limit != "" {
+		h.Set("Server-Limit", t.limit)
+	}
+	return t.limit != ""
+}
+
 // Kill stops the target at once and closes its connections.
 func (t *Target) Kill() { _ = t.server.Close() }
 
@@ -157,6 +182,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.stateLimit(w.Header())
 	switch r.URL.Path {
 	case "/health":
 		return
@@ -216,6 +242,10 @@
 }
 
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
+	if t.Arrived != nil {
+		from, _, _ := net.SplitHostPort(r.RemoteAddr)
+		t.Arrived(from, t.stateLimit(w.Header()))
+	}
 	if t.Keyed {
 		key, err := strconv.ParseUint(r.Header.Get(Headers.Key), 10, 16)
 		if err != nil || !t.Holds(uint16(key)) {
