--- a/internal/decide/permit/permit_test.go
+++ b/internal/decide/permit/permit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,13 +23,14 @@
 
 // fleet plays VMs that send requests to one target, without a network or clock.
 type fleet struct {
-	draw      *rand.Rand
-	now       time.Duration
-	perSecond float64
-	vms       []*fleetVM
-	// names are the candidates of a VM's list of VMs.
+	draw       *rand.Rand
+	now        time.Duration
+	perSecond  float64
+	vms        []*fleetVM
 	candidates []rendezvous.Candidate
-	arrivals   []time.Duration
+	// orders holds the order of the VMs by the number of VMs that are known.
+	orders   map[int][]int
+	arrivals []time.Duration
 }
 
 // fleetVM is a VM of a fleet. A VM that is down is stopped or cut off from the others.
@@ -45,7 +47,7 @@
 const fleetDelay = 200 * time.Millisecond
 
 func newFleet(seed uint64, vms int, perSecond float64) *fleet {
-	f := &fleet{draw: rand.New(rand.NewPCG(seed, uint64(vms))), perSecond: perSecond}
+	f := &fleet{draw: rand.New(rand.NewPCG(seed, uint64(vms))), perSecond: perSecond, orders: make(map[int][]int)}
 	for range vms {
 		f.join()
 	}
@@ -60,6 +62,14 @@
 	f.vms = append(f.vms, &fleetVM{knows: len(f.candidates), failed: make(map[int]time.Duration)})
 }
 
+// order returns the VMs in the order in which they may hold the permits, as a VM knows it that knows some of them.
+func (f *fleet) order(knows int) []int {
+	if f.orders[knows] == nil {
+		f.orders[knows] = rendezvous.Rank(f.candidates[:knows], "t", "a")
+	}
+	return f.orders[knows]
+}
+
 // reaches reports whether a call of VM i to VM j is answered. A failed one is remembered for a second.
 func (f *fleet) reaches(i, j int) bool {
 	vm := f.vms[i]
@@ -75,7 +85,7 @@
 
 // ask has VM i ask the holder for a permit, by the rules of the gateway.
 func (f *fleet) ask(i int) bool {
-	for _, j := range rendezvous.Rank(f.candidates[:f.vms[i].knows], "t", "a") {
+	for _, j := range f.order(f.vms[i].knows) {
 		if j != i && !f.reaches(i, j) {
 			continue
 		}
@@ -90,7 +100,7 @@
 func (f *fleet) answer(j int) (granted, holds bool) {
 	vm := f.vms[j]
 	first := true
-	for _, k := range rendezvous.Rank(f.candidates[:vm.knows], "t", "a") {
+	for _, k := range f.order(vm.knows) {
 		if k == j {
 			break
 		}
@@ -117,14 +127,12 @@
 
 // most returns the most arrivals in any windowSpan.
 func (f *fleet) most() (most int) {
-	for _, begin := range f.arrivals {
-		n := 0
-		for _, at := range f.arrivals {
-			if at >= begin && at < begin+windowSpan {
-				n++
-			}
+	sorted, first := slices.Sorted(slices.Values(f.arrivals)), 0
+	for i, at := range sorted {
+		for at-sorted[first] >= windowSpan {
+			first++
 		}
-		most = max(most, n)
+		most = max(most, i-first+1)
 	}
 	return most
 }
@@ -168,7 +176,7 @@
 // disrupt stops or cuts one of the first VMs in the order, lets those return that are down, or lets a VM join
 // that some VMs do not know yet.
 func (f *fleet) disrupt() {
-	order := rendezvous.Rank(f.candidates, "t", "a")
+	order := f.order(len(f.candidates))
 	switch f.draw.IntN(4) {
 	case 0, 1:
 		f.vms[order[f.draw.IntN(min(3, len(order)))]].down = true
