gateway: an answer of the store that waited confirms nothing

A confirmation counted from when the store's answer was read. An answer that waited, at a VM that stood still or behind a full link, tells what the store knew when it was sent, and still raised the count, so VMs that others would have made read the store waited a second more: the invariant of package freshness did not hold.

A call that took over 0.4 s longer than it asked for confirms nothing; what it contains is applied. A VM whose polls do not confirm pauses between them.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -88,8 +88,26 @@
 	versionIsRevision bool
 }
 
-// confirm records that the store has answered this VM with all changes up to a revision, which are applied.
-func (g *Gateway) confirm(o watchedObjects, revision uint64) {
+// maxAnswerDelay is how much longer than it asked for a call to the store may take whose answer confirms what it
+// contains. A longer one may have waited on its way, or at this VM while it was suspended: it tells what the
+// store knew when it was sent. A slow store answers within a quarter of a second.
+const maxAnswerDelay = 400 * time.Millisecond
+
+// storeCall is a call to the store that asks for an answer within some time.
+type storeCall struct{ sentAt, asked time.Duration }
+
+// beginCall returns a call that is sent now.
+func (g *Gateway) beginCall(asked time.Duration) storeCall {
+	return storeCall{sentAt: g.clock.Now(), asked: asked}
+}
+
+// confirm records that the store has answered a call of this VM with all changes up to a revision, which are
+// applied.
+func (g *Gateway) confirm(o watchedObjects, revision uint64, call storeCall) {
+	if took := g.clock.Now() - call.sentAt; took > call.asked+maxAnswerDelay {
+		g.log.Info().Str("step", "watch").Str("kind", string(o.kind)).Dur("took", took).Dur("asked", call.asked).Msg("late answer of the store confirms nothing")
+		return
+	}
 	version := uint64(0)
 	if o.version != nil {
 		version = o.version()
@@ -122,7 +140,7 @@
 			// Otherwise VMs that are not preferred would read the store, too.
 			g.mesh.Announce()
 		}
-		if behind || err != nil {
+		if late := g.confirmations.age(o.kind) >= age; behind || err != nil || late {
 			pause.For(ctx, pollPause)
 		}
 	}
@@ -141,10 +159,11 @@
 	if revision := o.revision(); revision > 0 && !behind {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
+		call := g.beginCall(pollDuration)
 		changes, err := g.store.WatchKind(callCtx, o.kind, revision, pollDuration)
 		if err == nil {
 			o.change(changes)
-			g.confirm(o, changes.Revision)
+			g.confirm(o, changes.Revision, call)
 			return nil
 		}
 		if !errors.Is(err, platform.ErrGone) {
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -42,6 +42,8 @@
 type playVM struct {
 	*Gateway
 	silent atomic.Bool
+	// heldUp is how long the VM reads the answers of the store after they were sent, in nanoseconds.
+	heldUp atomic.Int64
 }
 
 const (
@@ -63,7 +65,7 @@
 		vm := new(playVM)
 		s := &Settings{Store: "store", MemoryMB: defaultMemoryMB, EvacuateWithin: minEvacuateWithin}
 		s.VM, s.DataCentre, s.Peers = fmt.Sprintf("vm-%03d", i), "a", fmt.Sprintf("vm-%03d:1", i)
-		store := &storePath{sharedStore: p.store, silent: &vm.silent}
+		store := &storePath{sharedStore: p.store, silent: &vm.silent, heldUp: &vm.heldUp}
 		vm.Gateway = newGateway(s, fakeAdapter{store: store}, elapsed{p.begin}, discardLogger(), metrics.NewRegistry())
 		vm.mesh.UseClients(func(addr string) mesh.Client { return playClient{p, s.Peers, addr} })
 		vm.mesh.Start(vm.Gateway)
@@ -214,6 +216,7 @@
 type storePath struct {
 	*sharedStore
 	silent *atomic.Bool
+	heldUp *atomic.Int64
 }
 
 // answer ends a call whose result is known. It returns an error if the path was silent at its begin or its end.
@@ -226,6 +229,7 @@
 	if err == nil && !silent {
 		err = call()
 	}
+	time.Sleep(time.Duration(s.heldUp.Load()))
 	if silent || s.silent.Load() {
 		<-ctx.Done()
 		err = ctx.Err()
@@ -351,3 +355,27 @@
 		}
 	}
 }
+
+// Guards against an answer of the store that waited at its reader for seconds and counts as a recent confirmation.
+func TestAnswerThatWaitedConfirmsNothing(t *testing.T) {
+	inPlay(t, func(t *testing.T) {
+		p := newPlay(t, 3)
+		defer p.stop()
+		time.Sleep(3 * time.Second)
+		kind := p.vms[0].adapter.ConfigID().Kind
+		for _, vm := range p.vms {
+			vm.heldUp.Store(int64(4 * time.Second))
+		}
+		time.Sleep(5 * time.Second)
+		before := p.vms[0].confirmations.mark(kind).Count
+		time.Sleep(9 * time.Second)
+		after, age := p.vms[0].confirmations.mark(kind).Count, p.vms[0].confirmations.age(kind)
+		for _, vm := range p.vms {
+			vm.heldUp.Store(0)
+		}
+		time.Sleep(9 * time.Second)
+		require.Equal(t, before, after)
+		require.Greater(t, age, 9*time.Second)
+		require.Less(t, p.vms[0].confirmations.age(kind), 2*time.Second, "later answers confirm again")
+	})
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -132,12 +132,13 @@
 func (g *Gateway) listKind(ctx context.Context, o watchedObjects) (uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	call := g.beginCall(0)
 	l, err := g.store.ListKind(callCtx, o.kind)
 	if err != nil {
 		return 0, fmt.Errorf("list %s: %w", o.kind, err)
 	}
 	o.list(l)
-	g.confirm(o, l.Revision)
+	g.confirm(o, l.Revision, call)
 	return l.Revision, nil
 }
 
@@ -145,6 +146,7 @@
 	for ctx.Err() == nil && g.shouldWatch(o.kind) {
 		wait := minWatchDuration + rand.N(maxWatchDuration-minWatchDuration)
 		callCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
+		call := g.beginCall(wait)
 		changes, err := g.store.WatchKind(callCtx, o.kind, revision, wait)
 		cancel()
 		if err != nil {
@@ -153,7 +155,7 @@
 		if len(changes.Events) > 0 {
 			o.change(changes)
 		}
-		g.confirm(o, changes.Revision)
+		g.confirm(o, changes.Revision, call)
 		if len(changes.Events) > 0 {
 			pause.For(ctx, batchPause)
 		}
