gateway: only responses to requests that ran show the end of a limit

Tests also of new incarnations, malformed values, VMs that may not grant, and of the grantor's relief.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -186,6 +186,9 @@
 			break
 		}
 	}
+	if len(c.overLimit) > 0 {
+		return &attempt{refused: refusedLimited}, nil, nil
+	}
 	return &attempt{refused: refusedUnreached}, nil, nil
 }
 
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -53,7 +53,6 @@
 func (g *Gateway) discoverLoadReports(ctx context.Context) {
 	for _, t := range g.state.undiscoveredTargets() {
 		askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-		sentAt := g.clock.Now()
 		g.state.countSent(t, sentInquiries)
 		resp, err := t.pool.Exchange(askCtx, g.healthRequest(t), upstream.AnyConn)
 		cancel()
@@ -62,7 +61,7 @@
 			g.state.assumeNoLoadReports(t.Service)
 			continue
 		}
-		g.recordLimitOf(t, resp.Header, sentAt)
+		g.recordStatedLimit(t, resp.Header)
 		g.state.recordWarmupLeft(t, g.adapter.WarmupLeft(resp.Header))
 		g.recordLoadReport(t, resp)
 	}
@@ -116,7 +115,6 @@
 func (g *Gateway) ask(ctx context.Context, a *attempt, timeLeft time.Duration) (loadreport.Report, error) {
 	askCtx, cancel := context.WithTimeout(ctx, min(inquiryTimeout, timeLeft/2))
 	defer cancel()
-	sentAt := g.clock.Now()
 	g.state.countSent(a.target, sentInquiries)
 	resp, err := a.pool.Exchange(askCtx, g.healthRequest(a.target), a.conn)
 	g.state.recordEvidence(askCtx, a, err)
@@ -131,7 +129,7 @@
 		g.state.markDisplaced(a)
 		return loadreport.Report{}, errDisplaced
 	}
-	g.recordLimit(a, resp, sentAt)
+	g.recordStatedLimit(a.target, resp.Header)
 	g.state.recordWarmupLeft(a.target, g.adapter.WarmupLeft(resp.Header))
 	r, stated := g.recordLoadReport(a.target, resp)
 	if !stated {
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -77,7 +77,9 @@
 
 // RecordAnswer implements leasing.TargetDirectory.
 func (g leasingAdapter) RecordAnswer(o lease.Owner, h http.Header) {
-	g.gateway.recordStatedLimit(o.ID, o.Born, h)
+	if t := g.gateway.state.incarnation(o.ID, o.Born); t != nil {
+		g.gateway.recordStatedLimit(t, h)
+	}
 }
 
 // Slots implements leasing.TargetDirectory.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -80,21 +79,33 @@
 // recordLimit records what the response of an attempt says of the limit of its target. sentAt is when the request
 // was sent.
 func (g *Gateway) recordLimit(a *attempt, resp *upstream.Answer, sentAt time.Duration) {
-	if !g.headers.fromOtherTarget(resp, a.id) {
+	switch {
+	case g.headers.fromOtherTarget(resp, a.id):
+	case g.headers.saysNotRun(resp):
+		g.recordStatedLimit(a.target, resp.Header)
+	default:
 		g.recordLimitOf(a.target, resp.Header, sentAt)
 	}
 }
 
-// recordStatedLimit records a limit that a response states, if that names an incarnation known here. The response
-// does not show the end of a limit, because it is not known when its request was sent, or whether such responses
-// state limits.
-func (g *Gateway) recordStatedLimit(target string, born int64, h http.Header) {
-	g.state.mu.Lock()
-	t := g.state.targets[target]
-	g.state.mu.Unlock()
-	if t != nil && (born == 0 || t.Born == born) {
-		g.recordLimitOf(t, h, 0)
+// neverSent is the time at which a request was sent whose response does not show the end of a limit.
+const neverSent time.Duration = 0
+
+// recordStatedLimit records a limit that a response states. Of responses to inquiries and orders, of refusals and of
+// responses to other VMs it is not known whether they would state it, or when their request was sent.
+func (g *Gateway) recordStatedLimit(t *targetState, h http.Header) {
+	g.recordLimitOf(t, h, neverSent)
+}
+
+// incarnation returns the incarnation of a target that started at the given time, or any if that is 0. It returns
+// nil if it is not known here.
+func (s *routingState) incarnation(target string, born int64) *targetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[target]; t != nil && (born == 0 || t.Born == born) {
+		return t
 	}
+	return nil
 }
 
 func (g *Gateway) recordLimitOf(t *targetState, h http.Header, sentAt time.Duration) {
@@ -171,42 +182,3 @@
 			Int("inquiries", t.limit.sent[sentInquiries].Count(now)).Msg("requests to a target with a limit in 4 s")
 	}
 }
-
-// maxUnreadHeaders bounds the names of response headers that are remembered.
-const maxUnreadHeaders = 64
-
-// unreadHeaders are the names of headers of targets' responses that no part of the gateway reads.
-type unreadHeaders struct {
-	mu    sync.Mutex
-	known map[string]bool
-	count metrics.Counter
-}
-
-func newUnreadHeaders(r metrics.Registry, read []string) *unreadHeaders {
-	u := &unreadHeaders{known: make(map[string]bool), count: metrics.GetOrRegisterCounter("answers.headers", r)}
-	for _, name := range append(read, "Cache-Control", "Connection", "Content-Length", "Content-Type", "Date", "Etag", "Keep-Alive", "Last-Modified", "Server", "Transfer-Encoding", "Vary") {
-		u.known[http.CanonicalHeaderKey(name)] = true
-	}
-	return u
-}
-
-// add returns the names in a response that are seen for the first time.
-func (u *unreadHeaders) add(h http.Header) (seen []string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for name := range h {
-		if !u.known[name] && len(u.known) < maxUnreadHeaders {
-			u.known[name] = true
-			seen = append(seen, name)
-		}
-	}
-	u.count.Inc(int64(len(seen)))
-	return seen
-}
-
-// noteHeaders logs the headers of a target's response that are seen for the first time and that nothing reads.
-func (g *Gateway) noteHeaders(target string, h http.Header) {
-	for _, name := range g.unreadHeaders.add(h) {
-		g.log.Info().Str("step", "headers").Str("target", target).Str("header", name).Str("value", h.Get(name)).Msg("targets send a header that is not read")
-	}
-}
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/decide/permit"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/upstream"
+)
+
+// newLimitedGateway returns a gateway with a target that has stated a limit of 3.4 requests per second.
+func newLimitedGateway() (*Gateway, *manualClock, *attempt) {
+	clock := newManualClock(time.Hour)
+	g := newTestGateway(clock)
+	g.state.setTargets(1, catalog.Target{ID: "t", Service: "pool", Addr: "127.0.0.1:1", Born: 1})
+	a := &attempt{target: g.state.targets["t"], id: "t"}
+	g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: http.Header{"Limit": {"3.4"}}}, clock.Now())
+	clock.advance(time.Second)
+	return g, clock, a
+}
+
+func (g *Gateway) limitOf(target string) permit.Belief { return g.state.targets[target].limit.Belief }
+
+// Guards against a limit that ends with a response which never states one, or that belongs to another target.
+func TestOnlyTheResponseToALaterRequestThatRanEndsALimit(t *testing.T) {
+	g, clock, a := newLimitedGateway()
+	defer g.mesh.Close()
+	none := http.Header{}
+	for _, resp := range []*upstream.Answer{
+		{Status: http.StatusServiceUnavailable, Header: http.Header{"Not-Run": {"1"}}},
+		{Status: http.StatusMisdirectedRequest, Header: http.Header{"Instance": {"other"}}},
+		{Status: http.StatusMisdirectedRequest, Header: none},
+		{Status: http.StatusOK, Header: http.Header{"Limit": {"few"}}},
+	} {
+		g.recordLimit(a, resp, clock.Now())
+		require.True(t, g.limitOf("t").Limited, "%+v", resp)
+	}
+	g.recordStatedLimit(a.target, none)
+	g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: none}, clock.Now()-2*time.Second)
+	require.True(t, g.limitOf("t").Limited, "an inquiry, or a request that was sent earlier")
+	require.EqualValues(t, 1, g.limits.malformed.Count())
+	g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: none}, clock.Now())
+	require.False(t, g.limitOf("t").Limited)
+}
+
+// Guards against a target that starts again and keeps the limit of its previous incarnation.
+func TestNewIncarnationOfATargetHasNoLimit(t *testing.T) {
+	g, clock, _ := newLimitedGateway()
+	defer g.mesh.Close()
+	report, _ := g.state.targets["t"].limit.Report(clock.Now())
+	g.state.setTargets(2, catalog.Target{ID: "t", Service: "pool", Addr: "127.0.0.1:1", Born: 2})
+	require.False(t, g.limitOf("t").Limited)
+	g.mergeLimit(mesh.TargetLimit{Target: "t", Born: 1, Report: report}, true)
+	require.False(t, g.limitOf("t").Limited, "reported by a VM that knows the previous one")
+}
+
+// Guards against a VM that grants permits although it does not know the others, or is leaving.
+func TestVMThatDoesNotKnowTheOthersGrantsNoPermits(t *testing.T) {
+	g, clock, _ := newLimitedGateway()
+	defer g.mesh.Close()
+	g.state.setMembers(g.mesh.Members())
+	report, _ := g.state.targets["t"].limit.Report(clock.Now())
+	ask := &PermitArgs{VM: "other", Limit: mesh.TargetLimit{Target: "t", Born: 1, Report: report}}
+	holds := func() bool {
+		var reply PermitReply
+		require.NoError(t, Permits{g}.Ask(ask, &reply))
+		return reply.Holds
+	}
+	require.False(t, holds())
+	g.joined.Store(true)
+	require.True(t, holds())
+	g.leaving.Store(true)
+	require.False(t, holds())
+}
+
+// Guards against a header that targets send and nobody reads, as the one with their limit was.
+func TestHeadersThatAreNotReadAreNoticedOnce(t *testing.T) {
+	g, _, _ := newLimitedGateway()
+	defer g.mesh.Close()
+	h := http.Header{"Id": {"1"}, "Date": {"x"}, "Server-Mood": {"low"}}
+	require.Equal(t, []string{"Server-Mood"}, g.unreadHeaders.add(h))
+	require.Empty(t, g.unreadHeaders.add(h))
+}
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -183,8 +183,8 @@
 		a.id, a.leases, a.hadFreeSlots = reply.Target, reply.Leases, reply.HadFreeSlots
 		if reply.Result == lostByPeer {
 			err = upstream.ErrLost
-		} else {
-			g.recordStatedLimit(reply.Target, 0, reply.Header)
+		} else if t := g.state.incarnation(reply.Target, 0); t != nil {
+			g.recordStatedLimit(t, reply.Header)
 		}
 	}
 	resp := &upstream.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"hemlockquay/internal/decide/permit"
@@ -18,9 +17,6 @@
 	permitTimeout = 120 * time.Millisecond
 	// maxHoldersAsked bounds the VMs that are asked for a permit for one request.
 	maxHoldersAsked = 3
-	// holderGoneFor is how long a VM that left a call unanswered is passed over, and holderLiveFor how long one
-	// that answered is taken for live.
-	holderGoneFor, holderLiveFor = time.Second, 250 * time.Millisecond
 	// unheldReturn bounds the time after which a caller returns if no VM grants permits.
 	unheldReturn = 500 * time.Millisecond
 )
@@ -316,39 +312,3 @@
 	}
 	return out
 }
-
-// permitCalls remembers which VMs have answered calls about permits. It is safe for concurrent use.
-type permitCalls struct {
-	mu               sync.Mutex
-	answered, failed map[string]time.Duration
-}
-
-func newPermitCalls() *permitCalls {
-	return &permitCalls{answered: make(map[string]time.Duration), failed: make(map[string]time.Duration)}
-}
-
-func (p *permitCalls) record(vm string, answered bool, now time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.answered, vm)
-	delete(p.failed, vm)
-	if answered {
-		p.answered[vm] = now
-	} else {
-		p.failed[vm] = now
-	}
-}
-
-func (p *permitCalls) answeredLately(vm string, now time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at, known := p.answered[vm]
-	return known && now-at < holderLiveFor
-}
-
-func (p *permitCalls) failedLately(vm string, now time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at, known := p.failed[vm]
-	return known && now-at < holderGoneFor
-}
