--- a/internal/gateway/leasing/relief_test.go
+++ b/internal/gateway/leasing/relief_test.go
@@ -28,24 +28,25 @@
 	limited, other := lease.Owner{ID: "limited"}, lease.Owner{ID: "other"}
 	live := []lease.Owner{limited, other}
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.EvenSlices(8, live)}
+	load := newLoadView()
+	for range 20 {
+		clock.advance(time.Second)
+		load.rates.Advance(clock.Now())
+		for _, s := range record.Slices {
+			load.rates.Add(s.From, 1)
+		}
+	}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
 	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	l.load = load
 	for _, o := range live {
 		l.grants.MarkConfirmed(o)
 	}
 	for _, o := range l.grants.DueOrders(clock.Now()) {
 		l.grants.HandleResult(o, lease.Done, "", clock.Now(), clock.Now())
 	}
-	for range 20 {
-		clock.advance(time.Second)
-		l.load.rates.Advance(clock.Now())
-		for _, s := range l.grants.Record().Slices {
-			l.load.rates.Add(s.From, 1)
-		}
-	}
 	require.Empty(t, l.spreadLoad(live, clock.Now()), "no owner is loaded")
 	n.TargetDirectory = limitedDirectory{target: limited.ID, perSecond: 2}
-	l.Manager.TargetDirectory = n.TargetDirectory
 	clock.advance(spreadInterval)
 	moves := l.spreadLoad(live, clock.Now())
 	require.NotEmpty(t, moves)
