--- a/internal/gateway/slope_test.go
+++ b/internal/gateway/slope_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/packed"
 	"hemlockquay/internal/route"
 )
@@ -28,3 +31,21 @@
 		})
 	}
 }
+
+// BenchmarkSlopeHolderOrder measures how a VM orders the holders of the permits of a target, by the number of VMs.
+func BenchmarkSlopeHolderOrder(b *testing.B) {
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			s := newTestState(newManualClock(time.Hour))
+			members := make([]mesh.Member, n)
+			for i := range members {
+				members[i] = mesh.Member{VM: fmt.Sprintf("vm-%d", i), DataCentre: "a"}
+			}
+			t := &targetState{Target: catalog.Target{ID: "t", DataCentre: "a"}}
+			for b.Loop() {
+				s.setMembers(members)
+				s.holderOrderLocked(t)
+			}
+		})
+	}
+}
