gateway: a caller that leaves while a permit is asked for shows nothing of the holder

Found by reading: the call ended with its caller, or with the little time that a request had left, and the holder counted as lost for a second: requests of this VM were refused meanwhile. Only a call that had its full time, or failed by itself, shows a loss now. Also: a VM that does not know the target, as after its restart, yields to the next one; VMs that know the others from a seed only take part; the time that is left is read again after the call. Test: a caller that has left, one with a millisecond left, and a holder that is down.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,7 @@
 			}
 			continue
 		}
+		timeLeft = time.Until(c.deadline)
 		if c.keyed {
 			if ready, out := g.consultOwner(ctx, c, a, timeLeft); out != nil {
 				return *out
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -173,6 +173,7 @@
 			}
 			continue
 		}
+		timeLeft = time.Until(c.deadline)
 		if !g.state.admitToCold(a.target) {
 			g.release(a)
 			continue
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -18,7 +18,7 @@
 	permit.Belief
 	sent [sentKinds]permit.Window
 	// order holds the VMs in the order in which they may hold the target's permits, as of version orderedBy of
-	// the members. tenure is this VM's state as the holder.
+	// the VMs. tenure is this VM's state as the holder.
 	order     []string
 	orderedBy uint64
 	tenure    permit.Tenure
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -63,7 +64,7 @@
 func TestVMThatDoesNotKnowTheOthersGrantsNoPermits(t *testing.T) {
 	g, clock, _ := newLimitedGateway()
 	defer g.mesh.Close()
-	g.state.setMembers(g.mesh.Members())
+	g.state.setHolders(g.mesh.Members())
 	report, _ := g.state.targets["t"].limit.Report(clock.Now())
 	ask := &PermitArgs{VM: "other", Limit: mesh.TargetLimit{Target: "t", Born: 1, Report: report}}
 	holds := func() bool {
@@ -86,3 +87,27 @@
 	require.Equal(t, []string{"Server-Mood"}, g.unreadHeaders.add(h))
 	require.Empty(t, g.unreadHeaders.add(h))
 }
+
+// Guards against a holder that counts as lost because the caller of one request left while it was asked.
+func TestCallerThatLeavesShowsNothingOfTheHolder(t *testing.T) {
+	inPlay(t, func(t *testing.T) {
+		p := newLimitPlay(t, 9)
+		defer p.stop()
+		p.targets["owner"].state("3.4")
+		p.offer("keyed", 20, 2*time.Second).Wait()
+		holder, vm := p.holder("owner"), p.vms[0]
+		if holder == vm {
+			vm = p.vms[1]
+		}
+		args, order, _, limited := vm.state.permitRequest(vm.state.incarnation("owner", 0), 0)
+		require.True(t, limited)
+		left, leave := context.WithCancel(vm.ctx)
+		leave()
+		vm.askHolders(left, order, args, time.Second)
+		vm.askHolders(vm.ctx, order, args, time.Millisecond)
+		require.False(t, vm.permitCalls.failedLately(holder.self.VM, vm.clock.Now()))
+		p.setDown(holder, true)
+		vm.askHolders(vm.ctx, order, args, time.Second)
+		require.True(t, vm.permitCalls.failedLately(holder.self.VM, vm.clock.Now()))
+	})
+}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -52,14 +52,20 @@
 	return nil
 }
 
-// Holds reports whether this VM can hold permits.
-func (p Permits) Holds(_ *struct{}, out *bool) error {
-	*out = p.gateway.canHoldPermits()
+// MayHold reports whether this VM may grant permits for a target.
+func (p Permits) MayHold(in *mesh.TargetLimit, out *bool) error {
+	_, *out = p.gateway.mayHoldPermits(*in)
 	return nil
 }
 
-// canHoldPermits reports whether this VM may grant permits: it is not leaving, and knows the other VMs.
-func (g *Gateway) canHoldPermits() bool { return !g.leaving.Load() && g.joined.Load() }
+// mayHoldPermits reports whether this VM may grant permits for a target: it is not leaving, and knows the target and
+// the other VMs. It returns the order of the holders.
+func (g *Gateway) mayHoldPermits(l mesh.TargetLimit) (order []string, may bool) {
+	if g.leaving.Load() || !g.joined.Load() {
+		return nil, false
+	}
+	return g.state.holderOrder(l)
+}
 
 // takePermit takes a permit for the request of an attempt if the target has a limit. If it returns false, the
 // request must not be sent to the target.
@@ -96,13 +102,9 @@
 		}
 		var reply PermitReply
 		if vm == g.self.VM {
-			reply = g.grantPermit(ctx, args)
+			reply = g.grantPermit(g.ctx, args)
 		} else {
-			callCtx, cancel := context.WithTimeout(ctx, min(permitTimeout, timeLeft/4))
-			err := g.mesh.Call(callCtx, vm, "Permits.Ask", args, &reply)
-			cancel()
-			g.permitCalls.record(vm, err == nil, g.clock.Now())
-			reply.Holds = reply.Holds && err == nil
+			reply = g.askHolder(ctx, vm, args, timeLeft)
 		}
 		if reply.Holds {
 			return reply.Decision, vm
@@ -115,6 +117,23 @@
 	return permit.Decision{Return: unheldReturn/2 + rand.N(unheldReturn/2)}, ""
 }
 
+// askHolder asks another VM for a permit. At least three quarters of the remaining time are kept for the request.
+func (g *Gateway) askHolder(ctx context.Context, vm string, args *PermitArgs, timeLeft time.Duration) PermitReply {
+	timeout := min(permitTimeout, timeLeft/4)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply PermitReply
+	if err := g.mesh.Call(callCtx, vm, "Permits.Ask", args, &reply); err != nil {
+		// A caller that has left, or has little time, shows nothing of the VM.
+		if callCtx.Err() == nil || ctx.Err() == nil && timeout == permitTimeout {
+			g.permitCalls.record(vm, false, g.clock.Now())
+		}
+		return PermitReply{}
+	}
+	g.permitCalls.record(vm, true, g.clock.Now())
+	return reply
+}
+
 // tellHolder tells the holder of a target's permits of a limit that this VM has learned from a response. Others may
 // hear of it much later, with the next heartbeat.
 func (g *Gateway) tellHolder(t *targetState) {
@@ -141,8 +160,8 @@
 // grantPermit decides about a permit if this VM is the target's holder.
 func (g *Gateway) grantPermit(ctx context.Context, in *PermitArgs) PermitReply {
 	g.mergeLimit(in.Limit, in.Limit.Report.Source == in.VM)
-	order, known := g.state.holderOrder(in.Limit)
-	if !known || !g.canHoldPermits() {
+	order, may := g.mayHoldPermits(in.Limit)
+	if !may {
 		return PermitReply{}
 	}
 	first := true
@@ -151,7 +170,7 @@
 			return g.state.takeToken(in, first)
 		}
 		first = false
-		if g.holderAnswers(ctx, vm) {
+		if g.holderAnswers(ctx, vm, in.Limit) {
 			break
 		}
 	}
@@ -159,8 +178,8 @@
 	return PermitReply{}
 }
 
-// holderAnswers reports whether a VM that precedes this one as a holder answers calls.
-func (g *Gateway) holderAnswers(ctx context.Context, vm string) bool {
+// holderAnswers reports whether a VM that precedes this one as the holder of a target answers calls, and may hold.
+func (g *Gateway) holderAnswers(ctx context.Context, vm string, l mesh.TargetLimit) bool {
 	now := g.clock.Now()
 	switch {
 	case !g.mesh.MayServe(vm), g.permitCalls.failedLately(vm, now):
@@ -170,10 +189,10 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, permitTimeout/2)
 	defer cancel()
-	holds := false
-	err := g.mesh.Call(callCtx, vm, "Permits.Holds", new(struct{}), &holds)
-	g.permitCalls.record(vm, err == nil && holds, g.clock.Now())
-	return err == nil && holds
+	may := false
+	err := g.mesh.Call(callCtx, vm, "Permits.MayHold", &l, &may)
+	g.permitCalls.record(vm, err == nil && may, g.clock.Now())
+	return err == nil && may
 }
 
 // permitRequest returns what is needed to ask for a permit. blocked is the time until which there is none.
@@ -237,12 +256,12 @@
 }
 
 func (s *routingState) holderOrderLocked(t *targetState) []string {
-	if t.limit.order == nil || t.limit.orderedBy != s.members.version {
-		t.limit.order = make([]string, 0, len(s.members.list))
-		for _, i := range rendezvous.Rank(s.members.list, t.ID, t.DataCentre) {
-			t.limit.order = append(t.limit.order, s.members.list[i].VM)
+	if t.limit.order == nil || t.limit.orderedBy != s.holders.version {
+		t.limit.order = make([]string, 0, len(s.holders.list))
+		for _, i := range rendezvous.Rank(s.holders.list, t.ID, t.DataCentre) {
+			t.limit.order = append(t.limit.order, s.holders.list[i].VM)
 		}
-		t.limit.orderedBy = s.members.version
+		t.limit.orderedBy = s.holders.version
 	}
 	return t.limit.order
 }
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -125,8 +125,8 @@
 		err = Permits{g}.Ask(args.(*PermitArgs), reply.(*PermitReply))
 	case "Permits.Tell":
 		err = Permits{g}.Tell(args.(*mesh.TargetLimit), reply.(*struct{}))
-	case "Permits.Holds":
-		err = Permits{g}.Holds(args.(*struct{}), reply.(*bool))
+	case "Permits.MayHold":
+		err = Permits{g}.MayHold(args.(*mesh.TargetLimit), reply.(*bool))
 	default:
 		err = fmt.Errorf("method %s is not known", method)
 	}
--- a/internal/gateway/slope_test.go
+++ b/internal/gateway/slope_test.go
@@ -43,7 +43,7 @@
 			}
 			t := &targetState{Target: catalog.Target{ID: "t", DataCentre: "a"}}
 			for b.Loop() {
-				s.setMembers(members)
+				s.setHolders(members)
 				s.holderOrderLocked(t)
 			}
 		})
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -81,6 +81,9 @@
 	// members are the known VMs, from which those are chosen that send requests to cold targets. It is
 	// empty until the list of VMs was read from the store.
 	members fleetMembers
+	// holders are the known VMs, from which those are chosen that grant permits for targets with a limit. It is
+	// empty until the list of VMs was received from the store or from another VM.
+	holders fleetMembers
 	// lostPaths holds the targets whose paths are lost. Each heartbeat lists them.
 	lostPaths map[*targetState]struct{}
 	// limitKnown holds the targets that have stated a limit lately.
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -55,6 +55,9 @@
 	near := slices.DeleteFunc(slices.Clone(members), func(m mesh.Member) bool { return m.DataCentre != g.self.DataCentre })
 	place := fleetPlace{all: g.placeIn(members), near: g.placeIn(near)}
 	targets, askTargets := g.state.setPlace(place)
+	if g.joined.Load() {
+		g.state.setHolders(members)
+	}
 	if g.membersListed.Load() {
 		g.state.setMembers(members)
 	}
--- a/internal/gateway/warming.go
+++ b/internal/gateway/warming.go
@@ -34,15 +34,27 @@
 	warmingByHealth = "health check"
 )
 
-// setMembers sets the VMs from which the senders to cold targets are chosen.
-func (s *routingState) setMembers(members []mesh.Member) {
+// next returns the next version, which lists the given VMs.
+func (f fleetMembers) next(members []mesh.Member) fleetMembers {
 	list := make([]rendezvous.Candidate, len(members))
 	for i, m := range members {
 		list[i] = rendezvous.Candidate{VM: m.VM, DataCentre: m.DataCentre}
 	}
+	return fleetMembers{list: list, version: f.version + 1}
+}
+
+// setMembers sets the VMs from which the senders to cold targets are chosen.
+func (s *routingState) setMembers(members []mesh.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = s.members.next(members)
+}
+
+// setHolders sets the VMs from which the holders of permits are chosen.
+func (s *routingState) setHolders(members []mesh.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members = fleetMembers{list: list, version: s.members.version + 1}
+	s.holders = s.holders.next(members)
 }
 
 // serviceLocked returns the configuration of a service. It needs s.mu.
