gateway: the limit plays draw their requests in one goroutine

The race detector found two goroutines that drew from one source; the requests of a play were also not the same at each run. Checks unchanged.

--- a/internal/gateway/limit_play_test.go
+++ b/internal/gateway/limit_play_test.go
@@ -184,8 +184,8 @@
 			p.mu.Lock()
 			down := p.down[vm.self.VM]
 			p.mu.Unlock()
-			if !down {
-				wait.Go(func() { p.send(vm, routeName, draw.Uint64()) })
+			if id := draw.Uint64(); !down {
+				wait.Go(func() { p.send(vm, routeName, id) })
 			}
 		}
 	})
