--- a/internal/gateway/limit_play_test.go
+++ b/internal/gateway/limit_play_test.go
@@ -114,7 +114,7 @@
 	mu sync.Mutex
 	// down holds the VMs that get no requests, because they have stopped or are cut off.
 	down map[string]bool
-	// excused holds the VMs that were stopped or cut at some time, or have joined.
+	// excused holds the VMs that were stopped or cut at some time.
 	excused map[string]bool
 	// statuses counts the answers to callers by target service and status.
 	statuses map[string]map[int]int
