Names and comments of the limits in the field's terms; the reasons of the shares

notifyHolder, maxReportTransit; the arithmetic behind 0.95, 0.45 and the least rate stands where they are declared. Two test comments are one line.

--- a/internal/decide/permit/belief.go
+++ b/internal/decide/permit/belief.go
@@ -27,9 +27,9 @@
 }
 
 const (
-	// reportDelay bounds the time that a report is on its way.
-	reportDelay = 400 * time.Millisecond
-	// endKnownFor is how long the end of a limit is told to others, and counts against reports at second hand.
+	// maxReportTransit bounds the transit time of a report between two VMs. It is the timeout of their calls.
+	maxReportTransit = 400 * time.Millisecond
+	// endKnownFor is how long the end of a limit is told to others, and overrides reports that are not first-hand.
 	endKnownFor = 10 * time.Second
 )
 
@@ -63,8 +63,8 @@
 
 // Merge applies the report of another VM and reports whether the belief changed, apart from its age.
 //
-// A report at second hand is applied only if nothing is known: each hop makes it look younger by the time that it
-// was on its way, so a report that circulates among VMs would never grow old.
+// A report is first-hand if its sender got the response itself. Any other is applied only if nothing is known: its age
+// does not include its transit times, so a report that VMs forward to each other in a loop would never expire.
 func (b *Belief) Merge(r Report, firstHand bool, now time.Duration) (changed bool) {
 	at := now - max(r.Age, 0)
 	known := b.FirstAt > 0 && (b.Limited || now-b.LastAt < endKnownFor)
@@ -73,7 +73,7 @@
 		return false
 	case r.Source == b.Source && r.Stamp <= b.Stamp, b.FirstAt > 0 && at <= b.LastAt:
 		return false
-	case !r.Limited && (!b.Limited || at <= b.LastAt+reportDelay):
+	case !r.Limited && (!b.Limited || at <= b.LastAt+maxReportTransit):
 		return false
 	}
 	changed = b.Limited != r.Limited || b.PerSecond != r.PerSecond
--- a/internal/decide/permit/permit.go
+++ b/internal/decide/permit/permit.go
@@ -19,12 +19,14 @@
 const (
 	// firstShare is the part of the limit that the first VM in the order grants, standbyShare what any other
 	// does, and the first one until it has been the holder for settleTime: another VM may not know yet that it is.
+	// Two holders together grant 1.4 times the limit and 2*burst. Even if a request arrives up to 0.2 s after its
+	// permit, 4.2 s of that stay below 1.5 times the limit over 4 s, plus 5.
 	firstShare, standbyShare = 0.95, 0.45
 	settleTime               = 2 * time.Second
 	// burst is the number of permits that a holder saves.
 	burst = 2
-	// minPerSecond is the rate of permits for a target that takes fewer, so that its responses show the end of
-	// the limit. Of these none is saved.
+	// minPerSecond is the rate of permits for a target that takes fewer requests: without any, no response would
+	// show the end of the limit. Two holders send four requests in 4 s then, and the bound for a limit of 0 is 5.
 	minPerSecond = 0.25
 	// reserve is the number of saved permits that only the most urgent requests get.
 	reserve = 1
--- a/internal/decide/permit/permit_test.go
+++ b/internal/decide/permit/permit_test.go
@@ -201,8 +201,7 @@
 	}
 }
 
-// Guards against a check that passes whatever the VMs do: these are the rules without permits, and with a part
-// of the limit for each VM.
+// Guards against a bound that any rule keeps: no permits, and a part of the limit for each VM, must exceed it.
 func TestRulesOfOneVMAloneBreakTheBound(t *testing.T) {
 	for _, vms := range []int{9, 82, 195, 300} {
 		f := newFleet(1, vms, 3.4)
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -89,8 +89,8 @@
 }
 
 // maxAnswerDelay is how much longer than it asked for a call to the store may take whose answer confirms what it
-// contains. A longer one may have waited on its way, or at this VM while it was suspended: it tells what the
-// store knew when it was sent. A slow store answers within a quarter of a second.
+// contains. The answer to a longer one may have been delayed in transit, or in this VM's receive buffer while
+// the VM was suspended: it contains what the store knew when it was sent. A slow store answers within a quarter of a second.
 const maxAnswerDelay = 400 * time.Millisecond
 
 // storeCall is a call to the store that asks for an answer within some time.
--- a/internal/gateway/limit_play_test.go
+++ b/internal/gateway/limit_play_test.go
@@ -291,8 +291,7 @@
 	})
 }
 
-// Guards against a limit that outlives the need, and against one whose end is concluded from a response that the
-// target began before it stated the limit.
+// Guards against a limit that stays in force after the target has ceased to state it.
 func TestLimitOfATargetEndsWithItsNeed(t *testing.T) {
 	inPlay(t, func(t *testing.T) {
 		p := newLimitPlay(t, 9)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -25,7 +25,7 @@
 	// blocked holds, for requests that more urgent ones compete with (1) and others (0), until when the holder
 	// grants no permits.
 	blocked [2]time.Duration
-	// announcedAt is when the other VMs were last told without delay.
+	// announcedAt is when the limit was last announced to the other VMs ahead of the next heartbeat.
 	announcedAt time.Duration
 }
 
@@ -133,7 +133,7 @@
 		g.state.announce()
 	}
 	if changed && t.limit.Limited {
-		go g.tellHolder(t)
+		go g.notifyHolder(t)
 	}
 	if changed && g.limits.lines.Allow() {
 		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", t.limit.Limited).Float64("perSecond", t.limit.PerSecond).
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -46,8 +46,8 @@
 	return nil
 }
 
-// Tell applies a limit that the caller has learned from a response.
-func (p Permits) Tell(in *mesh.TargetLimit, _ *struct{}) error {
+// Notify applies a limit that the caller has learned from a response.
+func (p Permits) Notify(in *mesh.TargetLimit, _ *struct{}) error {
 	p.gateway.mergeLimit(*in, true)
 	return nil
 }
@@ -134,9 +134,9 @@
 	return reply
 }
 
-// tellHolder tells the holder of a target's permits of a limit that this VM has learned from a response. Others may
-// hear of it much later, with the next heartbeat.
-func (g *Gateway) tellHolder(t *targetState) {
+// notifyHolder sends the holder of a target's permits a limit that this VM has learned from a response. In a large
+// fleet, the next heartbeat may be seconds away.
+func (g *Gateway) notifyHolder(t *targetState) {
 	args, order, _, limited := g.state.permitRequest(t, 0)
 	if !limited {
 		return
@@ -150,8 +150,8 @@
 		}
 		ctx, cancel := context.WithTimeout(g.ctx, permitTimeout)
 		defer cancel()
-		if err := g.mesh.Call(ctx, vm, "Permits.Tell", &args.Limit, new(struct{})); err != nil {
-			g.log.Info().Str("step", "limits").Str("target", t.ID).Str("peer", vm).Err(err).Msg("holder not told of a limit")
+		if err := g.mesh.Call(ctx, vm, "Permits.Notify", &args.Limit, new(struct{})); err != nil {
+			g.log.Info().Str("step", "limits").Str("target", t.ID).Str("peer", vm).Err(err).Msg("holder not notified of a limit")
 		}
 		return
 	}
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -123,8 +123,8 @@
 		err = View{g}.Routing(args.(*string), reply.(*lease.Routing))
 	case "Permits.Ask":
 		err = Permits{g}.Ask(args.(*PermitArgs), reply.(*PermitReply))
-	case "Permits.Tell":
-		err = Permits{g}.Tell(args.(*mesh.TargetLimit), reply.(*struct{}))
+	case "Permits.Notify":
+		err = Permits{g}.Notify(args.(*mesh.TargetLimit), reply.(*struct{}))
 	case "Permits.MayHold":
 		err = Permits{g}.MayHold(args.(*mesh.TargetLimit), reply.(*bool))
 	default:
