permit: reports of a VM that has rebooted count

Found by reading: a report was ignored if its stamp was not above that of the last one from the same VM. The stamp is that VM's clock since boot, so after a reboot its reports were ignored until another VM had sent one. A stamp that is lower by more than a report can take from VM to VM is that of a new boot. Test: fails without the change.

--- a/internal/decide/permit/belief.go
+++ b/internal/decide/permit/belief.go
@@ -71,7 +71,10 @@
 	switch {
 	case !firstHand && (known || !r.Limited):
 		return false
-	case r.Source == b.Source && r.Stamp <= b.Stamp, b.FirstAt > 0 && at <= b.LastAt:
+	case r.Source == b.Source && b.Stamp >= r.Stamp && b.Stamp-r.Stamp < maxReportTransit:
+		// It is known, or older. A much lower stamp is that of a VM that has rebooted.
+		return false
+	case b.FirstAt > 0 && at <= b.LastAt:
 		return false
 	case !r.Limited && (!b.Limited || at <= b.LastAt+maxReportTransit):
 		return false
--- a/internal/decide/permit/belief_test.go
+++ b/internal/decide/permit/belief_test.go
@@ -87,3 +87,11 @@
 	require.False(t, b.Merge(r, false, 2*time.Second))
 	require.Equal(t, 3.4, b.PerSecond)
 }
+
+// Guards against a VM whose reports are ignored after it has rebooted, because its clock begins anew.
+func TestReportsOfARebootedVMCount(t *testing.T) {
+	var b Belief
+	require.True(t, b.Merge(Report{Limited: true, PerSecond: 3, Source: "a", Stamp: time.Hour}, true, time.Second))
+	require.True(t, b.Merge(Report{Limited: true, PerSecond: 5, Source: "a", Stamp: time.Minute}, true, 20*time.Second))
+	require.Equal(t, 5.0, b.PerSecond)
+}
