gateway: answers of other targets, and reports of reports, change no limit

Found by reading. An answer to an order that another process gave at a reassigned address, and one that another VM passed on from such a process or from another incarnation, set the limit of the target that was meant: a target without need would have been held to it until a request ran there. Answers that name another instance are ignored, and a VM that sends a request for another one names the incarnation.

Permits.Notify took its caller's report for first-hand although the caller may have merged one meanwhile; such reports could circulate. It names the VM now, as Ask does. Headers of answers to inquiries and orders are looked through for unread ones as well.

TestResponseOfAnotherTargetSetsNoLimit and TestReportOfAReportIsNotFirstHand fail without the changes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,6 +70,8 @@
 	Refusal string `msgpack:"f"`
 	// Target is the target to which the request was sent.
 	Target string `msgpack:"t"`
+	// Born names the incarnation of the target.
+	Born int64 `msgpack:"o"`
 	// Leases is the version of the leases that named the owner.
 	Leases mesh.LeaseVersion `msgpack:"l"`
 	// HadFreeSlots reports whether the target had free slots when the request was sent.
@@ -135,7 +137,7 @@
 		out.Refusal = string(a.refused)
 		return
 	}
-	out.Target, out.Leases, out.HadFreeSlots = a.id, a.leases, a.hadFreeSlots
+	out.Target, out.Born, out.Leases, out.HadFreeSlots = a.id, a.target.Born, a.leases, a.hadFreeSlots
 	switch {
 	case err != nil && ctx.Err() != nil:
 		g.state.finish(a, resultAbandoned)
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -129,6 +129,7 @@
 		g.state.markDisplaced(a)
 		return loadreport.Report{}, errDisplaced
 	}
+	g.noteHeaders(a.id, resp.Header)
 	g.recordStatedLimit(a.target, resp.Header)
 	g.state.recordWarmupLeft(a.target, g.adapter.WarmupLeft(resp.Header))
 	r, stated := g.recordLoadReport(a.target, resp)
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -77,6 +77,7 @@
 
 // RecordAnswer implements leasing.TargetDirectory.
 func (g leasingAdapter) RecordAnswer(o lease.Owner, h http.Header) {
+	g.gateway.noteHeaders(o.ID, h)
 	if t := g.gateway.state.incarnation(o.ID, o.Born); t != nil {
 		g.gateway.recordStatedLimit(t, h)
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -79,13 +79,10 @@
 // recordLimit records what the response of an attempt says of the limit of its target. sentAt is when the request
 // was sent.
 func (g *Gateway) recordLimit(a *attempt, resp *upstream.Answer, sentAt time.Duration) {
-	switch {
-	case g.headers.fromOtherTarget(resp, a.id):
-	case g.headers.saysNotRun(resp):
-		g.recordStatedLimit(a.target, resp.Header)
-	default:
-		g.recordLimitOf(a.target, resp.Header, sentAt)
+	if g.headers.saysNotRun(resp) {
+		sentAt = neverSent
 	}
+	g.recordLimitOf(a.target, resp.Header, sentAt)
 }
 
 // neverSent is the time at which a request was sent whose response does not show the end of a limit.
@@ -97,18 +94,27 @@
 	g.recordLimitOf(t, h, neverSent)
 }
 
-// incarnation returns the incarnation of a target that started at the given time, or any if that is 0. It returns
-// nil if it is not known here.
+// incarnation returns the incarnation of a target that started at the given time, or nil if it is not known here.
 func (s *routingState) incarnation(target string, born int64) *targetState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.targets[target]; t != nil && (born == 0 || t.Born == born) {
+	return s.incarnationLocked(target, born)
+}
+
+// incarnationLocked is incarnation for callers that hold s.mu.
+func (s *routingState) incarnationLocked(target string, born int64) *targetState {
+	if t := s.targets[target]; t != nil && t.Born == born {
 		return t
 	}
 	return nil
 }
 
+// recordLimitOf records what a response says of the limit of a target, unless another target sent it: the address may
+// have been reassigned. sentAt is when the request was sent, or neverSent.
 func (g *Gateway) recordLimitOf(t *targetState, h http.Header, sentAt time.Duration) {
+	if sender := h.Get(g.headers.InstanceID); sender != "" && sender != t.ID {
+		return
+	}
 	perSecond, stated, err := g.adapter.Limit(h)
 	if err != nil {
 		g.limits.malformed.Inc(1)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -10,7 +10,9 @@
 
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/permit"
+	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
 )
 
@@ -99,7 +101,7 @@
 		if holder == vm {
 			vm = p.vms[1]
 		}
-		args, order, _, limited := vm.state.permitRequest(vm.state.incarnation("owner", 0), 0)
+		args, order, _, limited := vm.state.permitRequest(vm.state.incarnation("owner", 1), 0)
 		require.True(t, limited)
 		left, leave := context.WithCancel(vm.ctx)
 		leave()
@@ -111,3 +113,36 @@
 		require.True(t, vm.permitCalls.failedLately(holder.self.VM, vm.clock.Now()))
 	})
 }
+
+// Guards against a limit that is set by a process which got the address of the target, or by an earlier incarnation.
+func TestResponseOfAnotherTargetSetsNoLimit(t *testing.T) {
+	g, clock, a := newLimitedGateway()
+	defer g.mesh.Close()
+	g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: http.Header{}}, clock.Now())
+	foreign := http.Header{"Limit": {"1"}, "Instance": {"other"}}
+	own := http.Header{"Limit": {"1"}, "Instance": {"t"}}
+	g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: foreign}, clock.Now())
+	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 1}, foreign)
+	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 2}, own)
+	for _, reply := range []*ForwardReply{{Target: "t", Born: 2, Header: own}, {Target: "t", Born: 1, Header: foreign}} {
+		reply.Result, reply.Status = answeredToPeer, http.StatusOK
+		c := &call{route: &route.Route{}, tried: make(map[string]bool)}
+		g.concludeForwarded(context.Background(), c, &attempt{peer: "other"}, reply, nil)
+	}
+	require.False(t, g.limitOf("t").Limited)
+	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 1}, own)
+	require.True(t, g.limitOf("t").Limited)
+}
+
+// Guards against a limit that VMs report to each other again and again as if each had just learned it.
+func TestReportOfAReportIsNotFirstHand(t *testing.T) {
+	g, _, _ := newLimitedGateway()
+	defer g.mesh.Close()
+	report := permit.Report{Limited: true, PerSecond: 9, Source: "third", Stamp: 1}
+	args := &PermitArgs{VM: "other", Limit: mesh.TargetLimit{Target: "t", Born: 1, Report: report}}
+	require.NoError(t, Permits{g}.Notify(args, new(struct{})))
+	require.Equal(t, 3.4, g.limitOf("t").PerSecond)
+	args.VM = "third"
+	require.NoError(t, Permits{g}.Notify(args, new(struct{})))
+	require.Equal(t, 9.0, g.limitOf("t").PerSecond)
+}
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -183,7 +183,7 @@
 		a.id, a.leases, a.hadFreeSlots = reply.Target, reply.Leases, reply.HadFreeSlots
 		if reply.Result == lostByPeer {
 			err = upstream.ErrLost
-		} else if t := g.state.incarnation(reply.Target, 0); t != nil {
+		} else if t := g.state.incarnation(reply.Target, reply.Born); t != nil {
 			g.recordStatedLimit(t, reply.Header)
 		}
 	}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -30,6 +30,9 @@
 	Outranked bool `msgpack:"o"`
 }
 
+// firstHand reports whether the VM that asks got the response itself that its report is derived from.
+func (a *PermitArgs) firstHand() bool { return a.Limit.Report.Source == a.VM }
+
 // PermitReply is the answer of a VM that was asked for a permit.
 type PermitReply struct {
 	// Holds is false if the VM does not grant permits for the target.
@@ -46,9 +49,9 @@
 	return nil
 }
 
-// Notify applies a limit that the caller has learned from a response.
-func (p Permits) Notify(in *mesh.TargetLimit, _ *struct{}) error {
-	p.gateway.mergeLimit(*in, true)
+// Notify applies what the caller knows of the limit of a target.
+func (p Permits) Notify(in *PermitArgs, _ *struct{}) error {
+	p.gateway.mergeLimit(in.Limit, in.firstHand())
 	return nil
 }
 
@@ -150,7 +153,7 @@
 		}
 		ctx, cancel := context.WithTimeout(g.ctx, permitTimeout)
 		defer cancel()
-		if err := g.mesh.Call(ctx, vm, "Permits.Notify", &args.Limit, new(struct{})); err != nil {
+		if err := g.mesh.Call(ctx, vm, "Permits.Notify", args, new(struct{})); err != nil {
 			g.log.Info().Str("step", "limits").Str("target", t.ID).Str("peer", vm).Err(err).Msg("holder not notified of a limit")
 		}
 		return
@@ -159,7 +162,7 @@
 
 // grantPermit decides about a permit if this VM is the target's holder.
 func (g *Gateway) grantPermit(ctx context.Context, in *PermitArgs) PermitReply {
-	g.mergeLimit(in.Limit, in.Limit.Report.Source == in.VM)
+	g.mergeLimit(in.Limit, in.firstHand())
 	order, may := g.mayHoldPermits(in.Limit)
 	if !may {
 		return PermitReply{}
@@ -236,19 +239,11 @@
 	}
 }
 
-// limitedLocked returns the incarnation of a target that a limit is of, or nil. It needs s.mu.
-func (s *routingState) limitedLocked(l mesh.TargetLimit) *targetState {
-	if t := s.targets[l.Target]; t != nil && t.Born == l.Born {
-		return t
-	}
-	return nil
-}
-
 // holderOrder returns the VMs in the order in which they may hold the permits of a target.
 func (s *routingState) holderOrder(l mesh.TargetLimit) (order []string, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.limitedLocked(l)
+	t := s.incarnationLocked(l.Target, l.Born)
 	if t == nil {
 		return nil, false
 	}
@@ -271,7 +266,7 @@
 func (s *routingState) takeToken(in *PermitArgs, first bool) PermitReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.limitedLocked(in.Limit)
+	t := s.incarnationLocked(in.Limit.Target, in.Limit.Born)
 	if t == nil {
 		return PermitReply{}
 	}
@@ -290,7 +285,7 @@
 func (s *routingState) yieldPermits(l mesh.TargetLimit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.limitedLocked(l)
+	t := s.incarnationLocked(l.Target, l.Born)
 	if t == nil || !t.limit.tenure.Holding() {
 		return
 	}
@@ -302,7 +297,7 @@
 func (g *Gateway) mergeLimit(l mesh.TargetLimit, firstHand bool) {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
-	t := g.state.limitedLocked(l)
+	t := g.state.incarnationLocked(l.Target, l.Born)
 	if t == nil {
 		return
 	}
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -124,7 +124,7 @@
 	case "Permits.Ask":
 		err = Permits{g}.Ask(args.(*PermitArgs), reply.(*PermitReply))
 	case "Permits.Notify":
-		err = Permits{g}.Notify(args.(*mesh.TargetLimit), reply.(*struct{}))
+		err = Permits{g}.Notify(args.(*PermitArgs), reply.(*struct{}))
 	case "Permits.MayHold":
 		err = Permits{g}.MayHold(args.(*mesh.TargetLimit), reply.(*bool))
 	default:
