gateway: the permit of a keyed request is taken after the inquiry

Found by reading: the owner was asked for its load after the permit, so a request whose inquiry first showed the limit was sent uncounted, and a request that waited for a free slot had taken permits that it did not use. The permit is the last thing before the repeat budget now. The health check that finds out whether targets report their load leaves out targets with a limit.

TestRequestNeedsAPermitIfTheInquiryStatesALimit and TestTargetWithALimitIsNotAskedWhetherItReportsItsLoad fail without the changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,6 +53,13 @@
 			g.state.finish(a, resultAbandoned)
 			return c.giveUp(string(refusedLeaving), immediateRetryAfter)
 		}
+		if c.keyed {
+			if ready, out := g.consultOwner(ctx, c, a, timeLeft); out != nil {
+				return *out
+			} else if !ready {
+				continue
+			}
+		}
 		if !g.takePermit(ctx, c, a, timeLeft) {
 			g.release(a)
 			if c.keyed {
@@ -61,13 +68,6 @@
 			continue
 		}
 		timeLeft = time.Until(c.deadline)
-		if c.keyed {
-			if ready, out := g.consultOwner(ctx, c, a, timeLeft); out != nil {
-				return *out
-			} else if !ready {
-				continue
-			}
-		}
 		if out := g.refuseRepeat(c); out != nil {
 			g.state.finish(a, resultAbandoned)
 			return *out
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -77,7 +77,9 @@
 		_, known := s.tellsLoad[service]
 		if list := p.subset.targets; !known && len(list) > 0 && s.serviceLocked(service).HealthPath != "" {
 			s.startIndex++
-			out = append(out, list[s.startIndex%len(list)])
+			if t := list[s.startIndex%len(list)]; !t.limit.Limited {
+				out = append(out, t)
+			}
 		}
 	}
 	return out
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -24,6 +24,8 @@
 	// silent makes it leave inquiries unanswered.
 	silent         atomic.Bool
 	inquiries, ran atomic.Int64
+	// limit is the limit that it states, as a string, if there is one.
+	limit atomic.Value
 }
 
 func (a *askedTarget) setReport(running, waiting int, slowness float64) {
@@ -33,6 +35,9 @@
 func (a *askedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	report := a.report.Load()
 	w.Header().Set("Load", fmt.Sprintf("%d %d %d %f", report.Running, report.Waiting, report.Slots, report.Slowness))
+	if limit, stated := a.limit.Load().(string); stated {
+		w.Header().Set("Limit", limit)
+	}
 	if r.URL.Path != "/health" {
 		a.ran.Add(1)
 		succeed(w, r)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -146,3 +147,30 @@
 	require.NoError(t, Permits{g}.Notify(args, new(struct{})))
 	require.Equal(t, 9.0, g.limitOf("t").PerSecond)
 }
+
+// Guards against a request without a permit to an owner whose answer to the inquiry first states a limit.
+func TestRequestNeedsAPermitIfTheInquiryStatesALimit(t *testing.T) {
+	b, targets := newAskedTestbed(t, "keyed", "k")
+	targets["k"].limit.Store("0")
+	b.state.setOwner("keyed", 1, 1, "k", lease.Served)
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.RequestURI, r.Host = "/x", "short.example"
+	r.Header.Set("Id", "1")
+	r.Header.Set("Key", "1")
+	w := httptest.NewRecorder()
+	b.ServeHTTP(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.EqualValues(t, 1, targets["k"].inquiries.Load())
+	require.Zero(t, targets["k"].ran.Load())
+}
+
+// Guards against health checks of targets that have asked for fewer requests.
+func TestTargetWithALimitIsNotAskedWhetherItReportsItsLoad(t *testing.T) {
+	b, _ := newAskedTestbed(t, "pool", "p")
+	b.state.mu.Lock()
+	delete(b.state.tellsLoad, "pool")
+	b.state.mu.Unlock()
+	require.Len(t, b.state.undiscoveredTargets(), 1)
+	b.recordStatedLimit(b.state.incarnation("p", b.state.targets["p"].Born), http.Header{"Limit": {"1"}})
+	require.Empty(t, b.state.undiscoveredTargets())
+}
