--- a/internal/decide/permit/permit.go
+++ b/internal/decide/permit/permit.go
@@ -2,13 +2,13 @@
 //
 // Load pattern: a target shares its machine with other work, needs relief, and states in its responses how many
 // requests per second it takes from all VMs together. Its callers arrive at all VMs. If each VM kept the limit
-// alone, the target would get it once per VM; if each kept its part, a limit of a few requests per second would
-// be less than one request per VM, and would be either exceeded or not used.
+// alone, the target would get it once per VM; if each kept a share of it, a limit of a few requests per second would
+// be less than one request per VM: it would be exceeded, or not used.
 //
 // A VM therefore sends a request to such a target only with a permit from the target's holder, the first VM in an
 // order that all VMs compute alike (package rendezvous) from all known VMs, lost ones included. The holder counts
-// what it grants in a token bucket. The next VM in the order grants only while none before it answers its own
-// calls, and fewer permits.
+// what it grants in a token bucket. Any other VM is a standby: it grants permits only while no VM before it in the
+// order answers its calls, and it grants fewer.
 //
 // Invariant: while at most two VMs grant at a time, the target gets no more in any four seconds than one and a
 // half times its limit allows, plus five. A new holder starts without tokens, whatever its predecessor granted.
@@ -30,8 +30,8 @@
 	minPerSecond = 0.25
 	// reserve is the number of saved permits that only the most urgent requests get.
 	reserve = 1
-	// maxReturn bounds the time after which a refused caller is asked to return.
-	maxReturn = time.Second
+	// maxRetryAfter bounds the time after which a refused caller is asked to retry.
+	maxRetryAfter = time.Second
 	// tenureGap is the time without a request for a permit after which a standby's tenure ends.
 	tenureGap = 10 * time.Second
 )
@@ -41,9 +41,9 @@
 	Granted bool `msgpack:"g"`
 	// Blocked is the time until which no other request of the same urgency gets a permit.
 	Blocked time.Duration `msgpack:"b"`
-	// Return is the time after which the caller of a refused request should return. Callers are spread over the
-	// permits to come.
-	Return time.Duration `msgpack:"r"`
+	// RetryAfter is the time after which the caller of a refused request should retry. Each gets the time of another
+	// future permit, so that they do not retry at the same moment.
+	RetryAfter time.Duration `msgpack:"r"`
 	// Tokens are the saved permits before the decision.
 	Tokens float64 `msgpack:"t"`
 }
@@ -57,8 +57,8 @@
 	since      time.Duration
 	tokens     float64
 	refilledAt time.Duration
-	// returnAt is the latest time at which a refused caller was asked to return.
-	returnAt time.Duration
+	// latestRetry is the latest time for which a refused caller was asked to retry.
+	latestRetry time.Duration
 }
 
 // Hold makes the VM the holder. first reports whether it is the first VM in the order. A tenure begins without
@@ -68,7 +68,7 @@
 	if t.holding && t.first == first && !lapsed {
 		return
 	}
-	*t = Tenure{holding: true, first: first, since: now, refilledAt: now, returnAt: t.returnAt}
+	*t = Tenure{holding: true, first: first, since: now, refilledAt: now, latestRetry: t.latestRetry}
 }
 
 // Yield ends the tenure, because a VM before this one answers.
@@ -92,11 +92,11 @@
 		return d
 	}
 	d.Blocked = seconds((needed - t.tokens) / rate)
-	t.returnAt = max(t.returnAt, now) + seconds(1/rate)
-	if t.returnAt-now > maxReturn {
-		t.returnAt = now + min(d.Blocked, maxReturn)
+	t.latestRetry = max(t.latestRetry, now) + seconds(1/rate)
+	if t.latestRetry-now > maxRetryAfter {
+		t.latestRetry = now + min(d.Blocked, maxRetryAfter)
 	}
-	d.Return = t.returnAt - now
+	d.RetryAfter = t.latestRetry - now
 	return d
 }
 
--- a/internal/decide/permit/permit_test.go
+++ b/internal/decide/permit/permit_test.go
@@ -278,9 +278,9 @@
 	for now := 3 * time.Second; now < 13*time.Second; now += 20 * time.Millisecond {
 		tenure.Hold(true, now)
 		if d := tenure.Take(3.4, false, now); !d.Granted {
-			require.Positive(t, d.Return)
-			require.LessOrEqual(t, d.Return, maxReturn)
-			returns[(now+d.Return).Truncate(time.Second)]++
+			require.Positive(t, d.RetryAfter)
+			require.LessOrEqual(t, d.RetryAfter, maxRetryAfter)
+			returns[(now+d.RetryAfter).Truncate(time.Second)]++
 		}
 	}
 	for at, n := range returns {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,7 @@
 			return c.giveUp(string(reason), g.hotKeyRetryAfter(c))
 		}
 		if a == nil && len(c.overLimit) > 0 {
-			return c.giveUp(string(refusedLimited), c.limitReturn)
+			return c.giveUp(string(refusedLimited), c.limitRetryAfter)
 		}
 		if a == nil {
 			return c.giveUp(string(reason), g.retryAfter(c))
@@ -63,7 +63,7 @@
 		if !g.takePermit(ctx, c, a, timeLeft) {
 			g.release(a)
 			if c.keyed {
-				return c.giveUp(string(refusedLimited), c.limitReturn)
+				return c.giveUp(string(refusedLimited), c.limitRetryAfter)
 			}
 			continue
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,10 +32,10 @@
 	// unreached holds the IDs of the targets to which this VM had no connection for the request.
 	unreached       map[string]bool
 	connectFailures int
-	// overLimit holds the IDs of the targets for which the request got no permit. limitReturn is when its caller
-	// should return.
-	overLimit   map[string]bool
-	limitReturn time.Duration
+	// overLimit holds the IDs of the targets for which the request got no permit. limitRetryAfter is the
+	// Retry-After of its refusal.
+	overLimit       map[string]bool
+	limitRetryAfter time.Duration
 	// delivered is the number of attempts that may have reached a target.
 	delivered int
 	// possibleRuns is the number of targets that may have run the request.
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -121,7 +121,7 @@
 	Warming(target string) bool
 	// Limit is the number of requests per second that a target takes from all VMs, if it states a limit.
 	Limit(target string) (perSecond float64, limited bool)
-	// RecordAnswer reads what a target says of itself in the answer to an order.
+	// RecordAnswer records the limit that a target states in the answer to an order.
 	RecordAnswer(o lease.Owner, h http.Header)
 	// Slots is the number of requests that a target runs at a time, or 0 if it is not known.
 	Slots(target string) int
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -54,16 +54,16 @@
 // limitMetrics counts the responses that state a limit, and those in which it cannot be read.
 type limitMetrics struct {
 	stated, malformed metrics.Counter
-	// granted and denied count the requests for which this VM asked a permit, unheld those for which no VM
-	// granted permits.
-	granted, denied, unheld metrics.Counter
-	lines                   *rate.Limiter
+	// granted and denied count the requests for which this VM asked for a permit, noHolder those for which no VM
+	// answered as the holder.
+	granted, denied, noHolder metrics.Counter
+	lines                     *rate.Limiter
 }
 
 func newLimitMetrics(r metrics.Registry) limitMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("limits."+name, r) }
 	return limitMetrics{
-		stated: counter("stated"), malformed: counter("malformed"), granted: counter("granted"), denied: counter("denied"), unheld: counter("unheld"),
+		stated: counter("stated"), malformed: counter("malformed"), granted: counter("granted"), denied: counter("denied"), noHolder: counter("noHolder"),
 		lines: rate.NewLimiter(maxLimitLines, maxLimitLines),
 	}
 }
@@ -88,8 +88,9 @@
 // neverSent is the time at which a request was sent whose response does not show the end of a limit.
 const neverSent time.Duration = 0
 
-// recordStatedLimit records a limit that a response states. Of responses to inquiries and orders, of refusals and of
-// responses to other VMs it is not known whether they would state it, or when their request was sent.
+// recordStatedLimit records a limit that a response states. Without one, the response does not end a limit: it answers
+// an inquiry, an order or a request of another VM, so it is not known whether it would state the limit, or when its
+// request was sent.
 func (g *Gateway) recordStatedLimit(t *targetState, h http.Header) {
 	g.recordLimitOf(t, h, neverSent)
 }
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -17,8 +17,8 @@
 	permitTimeout = 120 * time.Millisecond
 	// maxHoldersAsked bounds the VMs that are asked for a permit for one request.
 	maxHoldersAsked = 3
-	// unheldReturn bounds the time after which a caller returns if no VM grants permits.
-	unheldReturn = 500 * time.Millisecond
+	// noHolderRetryAfter bounds the Retry-After if no VM grants permits.
+	noHolderRetryAfter = 500 * time.Millisecond
 )
 
 // PermitArgs asks for a permit for one request to a target.
@@ -77,11 +77,11 @@
 	if !limited {
 		return true
 	}
-	d, holder := permit.Decision{Return: blocked}, ""
+	d, holder := permit.Decision{RetryAfter: blocked}, ""
 	if blocked == 0 {
 		d, holder = g.askHolders(ctx, order, args, timeLeft)
 	} else {
-		d.Return += rand.N(unheldReturn)
+		d.RetryAfter += rand.N(noHolderRetryAfter)
 	}
 	g.state.recordDecision(a.target, args.Outranked, d)
 	if d.Granted {
@@ -90,7 +90,7 @@
 	}
 	g.limits.denied.Inc(1)
 	c.overLimit[a.id] = true
-	c.limitReturn = max(d.Return, minRetryAfter)
+	c.limitRetryAfter = max(d.RetryAfter, minRetryAfter)
 	c.refusedOn = fmt.Sprintf("%s limit %.2f age %dms source %s holder %s tokens %.2f blocked %dms", a.id, args.Limit.Report.PerSecond,
 		args.Limit.Report.Age.Milliseconds(), args.Limit.Report.Source, holder, d.Tokens, (blocked + d.Blocked).Milliseconds())
 	return false
@@ -116,8 +116,8 @@
 			break
 		}
 	}
-	g.limits.unheld.Inc(1)
-	return permit.Decision{Return: unheldReturn/2 + rand.N(unheldReturn/2)}, ""
+	g.limits.noHolder.Inc(1)
+	return permit.Decision{RetryAfter: noHolderRetryAfter/2 + rand.N(noHolderRetryAfter/2)}, ""
 }
 
 // askHolder asks another VM for a permit. At least three quarters of the remaining time are kept for the request.
@@ -127,7 +127,7 @@
 	defer cancel()
 	var reply PermitReply
 	if err := g.mesh.Call(callCtx, vm, "Permits.Ask", args, &reply); err != nil {
-		// A caller that has left, or has little time, shows nothing of the VM.
+		// A call that was cut short by its caller, or by the deadline of its request, does not show that the VM is lost.
 		if callCtx.Err() == nil || ctx.Err() == nil && timeout == permitTimeout {
 			g.permitCalls.record(vm, false, g.clock.Now())
 		}
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -13,8 +13,8 @@
 	// StateLimit has a target state a limit until the fault ends. A later fault of the same target changes it.
 	StateLimit Kind = "limit"
 	// LimitKept: from limitDelay after a target first stated a limit, it gets no more in any limitWindow than
-	// limitExcess times what the limit allowed, and limitSlack, from VMs that it told of it toldFor before and
-	// that no fault has concerned for excusedFor.
+	// limitExcess times what the limit allowed, and limitSlack. Only VMs count to which it has stated the limit
+	// toldFor before, and which no fault has concerned for excusedFor.
 	LimitKept = "LIMIT"
 
 	limitWindow = 4 * time.Second
@@ -46,7 +46,7 @@
 type limitWatch struct {
 	since  time.Time
 	values []statedLimit
-	// told holds when the target first told each VM of the limit.
+	// told holds when the target first stated the limit in a response to each VM.
 	told     map[string]time.Time
 	arrivals []time.Time
 }
@@ -124,29 +124,29 @@
 
 // Distributions of the faults of the profile limits.
 var (
-	needInterval = durationRange{500 * time.Millisecond, 3 * time.Second}
-	needTime     = durationRange{4 * time.Second, 12 * time.Second}
-	valueTime    = durationRange{time.Second, 4 * time.Second}
+	limitInterval       = durationRange{500 * time.Millisecond, 3 * time.Second}
+	limitDuration       = durationRange{4 * time.Second, 12 * time.Second}
+	limitChangeInterval = durationRange{time.Second, 4 * time.Second}
 )
 
 const (
 	// minStated and maxStated bound the limits. Without one, a target gets about fifteen requests a second.
 	minStated, maxStated = 0.2, 6
-	// vmFaultOneIn makes one in this many needs come beside no fault of a VM.
-	vmFaultOneIn = 3
+	// calmOneIn makes one in this many limits start without a fault of a VM at about the same time.
+	calmOneIn = 3
 )
 
 // GenerateLimits returns the fault schedule of a seed for the profile limits.
 func GenerateLimits(seed uint64, over time.Duration) *Schedule {
 	r := rand.New(rand.NewPCG(seed, scheduleStream))
 	s, targets, vms := new(Schedule), targetNames(), names("vm", limitVMs)
-	for at := needInterval.min; at < over; at += needInterval.random(r) {
-		target, end := targets[r.IntN(len(targets))], at+needTime.random(r)
-		for begin := at; begin < end; begin += valueTime.random(r) {
+	for at := limitInterval.min; at < over; at += limitInterval.random(r) {
+		target, end := targets[r.IntN(len(targets))], at+limitDuration.random(r)
+		for begin := at; begin < end; begin += limitChangeInterval.random(r) {
 			limit := float64(int(10*(minStated+(maxStated-minStated)*r.Float64()))) / 10
 			s.add(Fault{At: model.Duration(begin), Kind: StateLimit, Subject: target, Duration: model.Duration(end - begin), Limit: limit}, over)
 		}
-		if r.IntN(vmFaultOneIn) == 0 {
+		if r.IntN(calmOneIn) == 0 {
 			continue
 		}
 		kind := kinds[false][r.IntN(len(kinds[false]))]
