gateway: a raised limit ends refusals that were decided under the lower one

Found by reading: after a limit of 0 a VM refused for up to four seconds on a decision of the holder that no longer held. TestRaisedLimitEndsEarlierRefusals fails without the change.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -135,6 +135,7 @@
 	} else {
 		changed = t.limit.NotStated(sentAt, g.self.VM, now)
 	}
+	t.limit.dropStaleBlocks(before)
 	if before.Limited != t.limit.Limited && now-t.limit.announcedAt >= minAnnounceInterval {
 		t.limit.announcedAt = now
 		g.state.announce()
@@ -148,6 +149,13 @@
 	}
 }
 
+// dropStaleBlocks drops the holder's refusals if the limit was raised since.
+func (l *targetLimit) dropStaleBlocks(before permit.Belief) {
+	if l.PerSecond > before.PerSecond {
+		l.blocked = [2]time.Duration{}
+	}
+}
+
 // countSent counts a request that is sent to a target.
 func (s *routingState) countSent(t *targetState, kind sentKind) {
 	s.mu.Lock()
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -174,3 +174,27 @@
 	b.recordStatedLimit(b.state.incarnation("p", b.state.targets["p"].Born), http.Header{"Limit": {"1"}})
 	require.Empty(t, b.state.undiscoveredTargets())
 }
+
+// Guards against requests that are refused because of what the holder decided under an earlier, lower limit.
+func TestRaisedLimitEndsEarlierRefusals(t *testing.T) {
+	g, clock, a := newLimitedGateway()
+	defer g.mesh.Close()
+	blocked := func() time.Duration {
+		_, _, blocked, _ := g.state.permitRequest(a.target, 0)
+		return blocked
+	}
+	state := func(limit string) {
+		g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: http.Header{"Limit": {limit}}}, clock.Now())
+	}
+	refuse := func() { g.state.recordDecision(a.target, false, permit.Decision{Blocked: 4 * time.Second}) }
+	refuse()
+	state("1")
+	require.Equal(t, 4*time.Second, blocked())
+	state("5")
+	require.Zero(t, blocked())
+	refuse()
+	report := permit.Report{Limited: true, PerSecond: 9, Source: "other", Stamp: 1}
+	clock.advance(time.Second)
+	g.mergeLimit(mesh.TargetLimit{Target: "t", Born: 1, Report: report}, true)
+	require.Zero(t, blocked(), "raised as another VM reports")
+}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -302,7 +302,10 @@
 		return
 	}
 	g.state.limitKnown[t] = struct{}{}
-	if t.limit.Merge(l.Report, firstHand, g.clock.Now()) && g.limits.lines.Allow() {
+	before := t.limit.Belief
+	changed := t.limit.Merge(l.Report, firstHand, g.clock.Now())
+	t.limit.dropStaleBlocks(before)
+	if changed && g.limits.lines.Allow() {
 		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", l.Report.Limited).
 			Float64("perSecond", l.Report.PerSecond).Str("source", l.Report.Source).Dur("age", l.Report.Age).Msg("another VM reports the limit of a target")
 	}
