--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,8 +21,10 @@
 	DataCentre string `msgpack:"d"`
 	// Slots is the number of requests that it runs concurrently.
 	Slots int `msgpack:"n"`
-	// Draining targets take no new requests.
+	// Draining targets take no new requests, as the store lists them.
 	Draining bool `msgpack:"g"`
+	// Leaving targets have said in a response that they leave.
+	Leaving bool `msgpack:"l,omitempty"`
 	// Born is the start time of its process in Unix milliseconds. A later process
 	// may have the same id.
 	Born int64 `msgpack:"b"`
--- /dev/null
+++ b/internal/decide/pushback/pushback.go
@@ -0,0 +1,132 @@
+// Package pushback decides when a VM may send requests to a target that has refused some.
+//
+// Load pattern: a target refuses all requests for some seconds, or asks a VM for a time without any. If each request
+// is sent there several times and its caller returns soon, the target gets several times its usual load, and
+// has to refuse that as well.
+//
+// A target is left alone for as long as it has asked for. If it only refuses, and nothing is answered in between, it
+// is left alone for a time that doubles with each refusal. After that a single request is sent, the probe; others
+// follow once it is answered.
+//
+// Invariant: nothing but time ends what the target has asked for. A response to a request that was sent earlier shows
+// nothing of the time after it.
+package pushback
+
+import "time"
+
+const (
+	// patience is the number of refusals in a row from which a target that does not ask for a rest is left alone.
+	patience = 2
+	// minPause and maxPause bound the time for which such a target is left alone.
+	minPause = 100 * time.Millisecond
+	maxPause = 1600 * time.Millisecond
+	// probeTimeout is the time after which a probe without an outcome no longer excludes others.
+	probeTimeout = 500 * time.Millisecond
+	// reportedPause is the length of a pause from which it is reported to other VMs. Shorter ones follow from a
+	// short queue at a target that is full.
+	reportedPause = 400 * time.Millisecond
+	// maxReports bounds the VMs whose reports are kept for one target.
+	maxReports = 8
+)
+
+// State is what a VM knows of the refusals of one incarnation of a target. The zero value is that of a target that
+// has refused nothing. It is not safe for concurrent use. All times are readings of one clock.
+type State struct {
+	// statedUntil is the end of the rest that the target has asked this VM for, pausedUntil that of the pause after
+	// refusals in a row.
+	statedUntil, pausedUntil time.Duration
+	// refusals is the number of refusals in a row, lastRefusedAt the time of the last one.
+	refusals      int
+	lastRefusedAt time.Duration
+	pause         time.Duration
+	// probeSentAt is when the probe in flight was sent, or 0.
+	probeSentAt time.Duration
+	// reports holds the end of the rest of other VMs at the target, by VM.
+	reports map[string]time.Duration
+}
+
+// Refused records a refusal. rest is what the target asks for, or 0. spread in [0, 1) spreads the pauses of several VMs.
+// It reports whether the target is left alone from now on and was not before.
+func (s *State) Refused(rest time.Duration, spread float64, now time.Duration) (began bool) {
+	before := s.Left(now)
+	s.refusals++
+	s.lastRefusedAt, s.probeSentAt = now, 0
+	s.statedUntil = max(s.statedUntil, now+rest)
+	if s.refusals >= patience {
+		s.pause = min(max(2*s.pause, minPause), maxPause)
+		s.pausedUntil = now + time.Duration((0.75+spread/2)*float64(s.pause))
+	}
+	return before == 0 && s.Left(now) > 0
+}
+
+// Served records the response to a request that ran and was sent at the given time.
+func (s *State) Served(sentAt time.Duration) {
+	if sentAt <= s.lastRefusedAt {
+		return
+	}
+	s.refusals, s.pause, s.pausedUntil, s.probeSentAt = 0, 0, 0, 0
+}
+
+// Left returns for how long the target gets no requests from this VM.
+func (s *State) Left(now time.Duration) time.Duration {
+	return max(0, s.statedUntil-now, s.pausedUntil-now)
+}
+
+// Allows reports whether a request may be sent now.
+func (s *State) Allows(now time.Duration) bool {
+	switch {
+	case s.Left(now) > 0:
+		return false
+	case s.refusals >= patience || s.refusals > 0 && s.statedUntil > 0:
+		return s.probeSentAt == 0 || now-s.probeSentAt >= probeTimeout
+	}
+	return true
+}
+
+// Sent records that a request is sent.
+func (s *State) Sent(now time.Duration) {
+	if s.refusals > 0 {
+		s.probeSentAt = now
+	}
+}
+
+// RefusedLately reports whether the last request that had a result was refused.
+func (s *State) RefusedLately() bool { return s.refusals > 0 }
+
+// Report returns for how long this VM leaves the target alone, as other VMs are told. It is 0 if they need not know.
+func (s *State) Report(now time.Duration) time.Duration {
+	if s.statedUntil <= now && s.pause < reportedPause {
+		return 0
+	}
+	return s.Left(now)
+}
+
+// Reported records for how long another VM leaves the target alone.
+func (s *State) Reported(vm string, left, now time.Duration) {
+	for other, until := range s.reports {
+		if until <= now {
+			delete(s.reports, other)
+		}
+	}
+	if _, known := s.reports[vm]; left <= 0 || !known && len(s.reports) >= maxReports {
+		return
+	}
+	if s.reports == nil {
+		s.reports = make(map[string]time.Duration)
+	}
+	s.reports[vm] = now + left
+}
+
+// VMs returns how many VMs leave the target alone, as far as this one knows.
+func (s *State) VMs(now time.Duration) int {
+	n := 0
+	for _, until := range s.reports {
+		if until > now {
+			n++
+		}
+	}
+	if s.Report(now) > 0 {
+		n++
+	}
+	return n
+}
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hemlockquay/internal/catalog"
-	"hemlockquay/internal/decide/loadreport"
+	"hemlockquay/internal/decide/signals"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
@@ -30,14 +30,8 @@
 	Target(o platform.Object) (catalog.Target, error)
 	// Headers returns the names of the platform's HTTP headers.
 	Headers() Headers
-	// LoadReport decodes the load that a target reports in a response. stated is false if the response reports
-	// none, or not the target's current slowness.
-	LoadReport(h http.Header) (r loadreport.Report, stated bool, err error)
-	// WarmupLeft returns for how long the target that responds to a health check stays cold.
-	WarmupLeft(h http.Header) time.Duration
-	// Limit decodes the number of requests per second that a target takes from all VMs together, in any of its
-	// responses. stated is false if the response states none.
-	Limit(h http.Header) (perSecond float64, stated bool, err error)
+	// Signals decodes what a target says of itself in a response of any kind.
+	Signals(resp *upstream.Answer) signals.Signals
 	// Order encodes an order about leases as a request to a target.
 	Order(o lease.Order) (*upstream.Request, error)
 	// OrderResult decodes a target's response to an order.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -212,10 +212,8 @@
 	c.recordAttempt(a, took, resp, err)
 	g.state.recordEvidence(sendCtx, a, err)
 	if err == nil {
-		g.noteHeaders(a.id, resp.Header)
-		g.recordLimit(a, resp, sentAt)
-		if r, stated := g.recordLoadReport(a.target, resp); stated {
-			a.reportedSlowness = r.Slowness
+		if said := g.applySignals(a.target, resp, received{kind: toRequest, sentAt: sentAt}); said.LoadReported {
+			a.reportedSlowness = said.Load.Slowness
 		}
 	}
 	return resp, err
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -12,12 +12,13 @@
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
-	"hemlockquay/internal/decide/loadreport"
+	"hemlockquay/internal/decide/signals"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/route"
+	"hemlockquay/internal/upstream"
 )
 
 // fakeAdapter is the adapter for a platform whose objects are the gateway's own types in JSON. It
@@ -32,25 +33,24 @@
 func (fakeAdapter) TargetKind() model.Kind              { return "targets" }
 func (fakeAdapter) EvacuationKind() model.Kind          { return "evacuations" }
 
-func (fakeAdapter) LoadReport(h http.Header) (r loadreport.Report, stated bool, err error) {
+// Signals implements Adapter.
+func (fakeAdapter) Signals(resp *upstream.Answer) (s signals.Signals) {
+	h := resp.Header
+	s.Sender, s.Leaving = h.Get("Instance"), h.Get("Leaving") != ""
 	if text := h.Get("Load"); text != "" {
-		_, err = fmt.Sscanf(text, "%d %d %d %f", &r.Running, &r.Waiting, &r.Slots, &r.Slowness)
-		stated = err == nil
+		_, s.LoadErr = fmt.Sscanf(text, "%d %d %d %f", &s.Load.Running, &s.Load.Waiting, &s.Load.Slots, &s.Load.Slowness)
+		s.LoadReported = s.LoadErr == nil
 	}
-	return r, stated, err
-}
-
-func (fakeAdapter) WarmupLeft(h http.Header) time.Duration {
-	ms, _ := strconv.Atoi(h.Get("Cold-Ms"))
-	return time.Duration(ms) * time.Millisecond
-}
-
-func (fakeAdapter) Limit(h http.Header) (perSecond float64, stated bool, err error) {
 	if text := h.Get("Limit"); text != "" {
-		perSecond, err = strconv.ParseFloat(text, 64)
-		stated = err == nil
+		s.PerSecond, s.LimitErr = strconv.ParseFloat(text, 64)
+		s.Limited = s.LimitErr == nil
+	}
+	if text := h.Get("Rest"); text != "" && resp.Status == http.StatusServiceUnavailable {
+		s.Rest, s.RestErr = time.ParseDuration(text)
 	}
-	return perSecond, stated, err
+	ms, _ := strconv.Atoi(h.Get("Cold-Ms"))
+	s.WarmupLeft = time.Duration(ms) * time.Millisecond
+	return s
 }
 
 func (fakeAdapter) Config(o platform.Object) (*route.Config, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	forwardMetrics forwardMetrics
 	inquiries      inquiryMetrics
 	limits         limitMetrics
+	signals        signalMetrics
 	permitCalls    *permitCalls
 	unreadHeaders  *unreadHeaders
 	forwardCount   atomic.Uint64
@@ -140,7 +141,7 @@
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
-	g.inquiries, g.limits = newInquiryMetrics(registry), newLimitMetrics(registry)
+	g.inquiries, g.limits, g.signals = newInquiryMetrics(registry), newLimitMetrics(registry), newSignalMetrics(registry)
 	g.permitCalls = newPermitCalls()
 	g.unreadHeaders = newUnreadHeaders(registry, g.headers.inResponses())
 	g.sighups = make(chan os.Signal, 1)
@@ -180,7 +181,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic, g.reportLimits,
+		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic, g.reportLimits, g.reportSignals,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -33,21 +33,6 @@
 	return inquiryMetrics{accepted: counter("accepted"), declined: counter("declined"), failed: counter("failed"), malformed: counter("malformed")}
 }
 
-// recordLoadReport records the load that a response reports. A failed response without a report does not show
-// that the target reports none.
-func (g *Gateway) recordLoadReport(t *targetState, resp *upstream.Answer) (r loadreport.Report, stated bool) {
-	r, stated, err := g.adapter.LoadReport(resp.Header)
-	if err != nil {
-		g.inquiries.malformed.Inc(1)
-	}
-	g.state.mu.Lock()
-	defer g.state.mu.Unlock()
-	if stated || err == nil && resp.Status < http.StatusBadRequest {
-		t.tellsLoad, g.state.tellsLoad[t.Service] = stated, stated
-	}
-	return r, stated
-}
-
 // discoverLoadReports sends a health check to one target of each service for which this VM does not know whether
 // targets report their load. A VM with few requests would keep frequent heartbeats for a long time otherwise.
 func (g *Gateway) discoverLoadReports(ctx context.Context) {
@@ -61,9 +46,7 @@
 			g.state.assumeNoLoadReports(t.Service)
 			continue
 		}
-		g.recordStatedLimit(t, resp.Header)
-		g.state.recordWarmupLeft(t, g.adapter.WarmupLeft(resp.Header))
-		g.recordLoadReport(t, resp)
+		g.applySignals(t, resp, received{kind: toInquiry})
 	}
 }
 
@@ -131,13 +114,11 @@
 		g.state.markDisplaced(a)
 		return loadreport.Report{}, errDisplaced
 	}
-	g.noteHeaders(a.id, resp.Header)
-	g.recordStatedLimit(a.target, resp.Header)
-	g.state.recordWarmupLeft(a.target, g.adapter.WarmupLeft(resp.Header))
-	r, stated := g.recordLoadReport(a.target, resp)
-	if !stated {
-		return r, errNoLoadReport
+	said := g.applySignals(a.target, resp, received{kind: toInquiry})
+	if !said.LoadReported {
+		return loadreport.Report{}, errNoLoadReport
 	}
+	r := said.Load
 	a.rounds, a.reportedSlowness = r.Rounds(a.work()), r.Slowness
 	return r, nil
 }
--- a/internal/gateway/inquiry_test.go
+++ b/internal/gateway/inquiry_test.go
@@ -175,7 +175,7 @@
 func TestHealthCheckTellsThatATargetIsCold(t *testing.T) {
 	b, _ := newAskedTestbed(t, "pool", "t")
 	target := b.state.targets["t"]
-	b.state.recordWarmupLeft(target, 2*time.Second)
+	b.applySignals(target, &upstream.Answer{Status: http.StatusOK, Header: http.Header{"Cold-Ms": {"2000"}}}, received{kind: toInquiry})
 	require.Equal(t, b.clock.Now()+2*time.Second, target.warming.until)
 }
 
@@ -249,9 +249,9 @@
 func TestFailureWithoutReportChangesNothing(t *testing.T) {
 	b, _ := newAskedTestbed(t, "pool", "t")
 	target := b.state.targets["t"]
-	b.recordLoadReport(target, &upstream.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}})
+	b.applySignals(target, &upstream.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}}, received{kind: toInquiry})
 	require.True(t, target.tellsLoad)
-	b.recordLoadReport(target, &upstream.Answer{Status: http.StatusOK, Header: http.Header{}})
+	b.applySignals(target, &upstream.Answer{Status: http.StatusOK, Header: http.Header{}}, received{kind: toInquiry})
 	require.False(t, target.tellsLoad)
 }
 
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -121,8 +120,8 @@
 	Warming(target string) bool
 	// Limit is the number of requests per second that a target takes from all VMs, if it states a limit.
 	Limit(target string) (perSecond float64, limited bool)
-	// RecordAnswer records the limit that a target states in the answer to an order.
-	RecordAnswer(o lease.Owner, h http.Header)
+	// RecordAnswer records what a target says of itself in the answer to an order.
+	RecordAnswer(o lease.Owner, resp *upstream.Answer)
 	// Slots is the number of requests that a target runs at a time, or 0 if it is not known.
 	Slots(target string) int
 	// MeanServiceTime is the mean duration of a request to a service. It returns false if none was
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -130,7 +130,7 @@
 	case err != nil:
 		return lease.Unanswered, "", err
 	}
-	l.TargetDirectory.RecordAnswer(o.Target, answer.Header)
+	l.TargetDirectory.RecordAnswer(o.Target, answer)
 	result, handover, err := l.OrderCodec.OrderResult(answer)
 	if result == lease.Unanswered && l.addressReassigned(ctx, sender, o.Target) {
 		return lease.Misdirected, "", err
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/platform"
+	"hemlockquay/internal/upstream"
 )
 
 func (g *Gateway) newLeaseManager() *leasing.Manager {
@@ -76,10 +76,9 @@
 }
 
 // RecordAnswer implements leasing.TargetDirectory.
-func (g leasingAdapter) RecordAnswer(o lease.Owner, h http.Header) {
-	g.gateway.noteHeaders(o.ID, h)
+func (g leasingAdapter) RecordAnswer(o lease.Owner, resp *upstream.Answer) {
 	if t := g.gateway.state.incarnation(o.ID, o.Born); t != nil {
-		g.gateway.recordStatedLimit(t, h)
+		g.gateway.applySignals(t, resp, received{kind: toOrder})
 	}
 }
 
--- a/internal/gateway/limit_play_test.go
+++ b/internal/gateway/limit_play_test.go
@@ -21,14 +21,36 @@
 	"hemlockquay/internal/route"
 )
 
-// limitedTarget is a target of a play that states a limit and counts what it gets.
-type limitedTarget struct {
-	id string
+// playTarget is a target of a play. It says something of itself in its responses and counts what it gets.
+type playTarget struct {
+	id   string
+	draw *rand.Rand
 
 	mu sync.Mutex
 	// limit is the limit that it states, or "" for none.
-	limit    string
+	limit string
+	// leaving reports whether its responses say that it leaves. refuses is the share of requests that it refuses, and
+	// rest what it asks for in these responses, or "".
+	leaving  bool
+	refuses  float64
+	rest     string
 	arrivals []arrival
+	// answers are its responses, at the time at which they were sent.
+	answers []playAnswer
+}
+
+// playAnswer is a response of a target. vm is the VM that gets it.
+type playAnswer struct {
+	at      time.Time
+	vm      string
+	leaving bool
+	refused bool
+}
+
+func (l *playTarget) say(leaving bool, refuses float64, rest string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving, l.refuses, l.rest = leaving, refuses, rest
 }
 
 // arrival is a request at a target. vm is the VM that sent it.
@@ -37,7 +59,7 @@
 	vm string
 }
 
-func (l *limitedTarget) state(limit string) {
+func (l *playTarget) state(limit string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.limit = limit
@@ -55,7 +77,7 @@
 )
 
 // serve answers the requests of one connection of a VM.
-func (l *limitedTarget) serve(conn net.Conn, vm string) {
+func (l *playTarget) serve(conn net.Conn, vm string) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
@@ -69,16 +91,31 @@
 		if l.limit != "" {
 			header += "Limit: " + l.limit + "\r\n"
 		}
+		status, work := "200 OK", limitedWork
+		refused := l.draw.Float64() < l.refuses
+		if refused {
+			status, work = "503 Full", time.Millisecond
+			header += "Not-Run: 1\r\n"
+			if l.rest != "" {
+				header += "Rest: " + l.rest + "\r\n"
+			}
+		}
+		l.mu.Unlock()
+		time.Sleep(work)
+		l.mu.Lock()
+		if l.leaving {
+			header += "Leaving: 1\r\n"
+		}
+		l.answers = append(l.answers, playAnswer{time.Now(), vm, l.leaving, refused})
 		l.mu.Unlock()
-		time.Sleep(limitedWork)
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n", header); err != nil {
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n%s\r\n", status, header); err != nil {
 			return
 		}
 	}
 }
 
 // between returns the number of arrivals in [from, to) from VMs that are not excused.
-func (l *limitedTarget) between(from, to time.Time, excused map[string]bool) (n int) {
+func (l *playTarget) between(from, to time.Time, excused map[string]bool) (n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, a := range l.arrivals {
@@ -90,7 +127,7 @@
 }
 
 // most returns the most arrivals in any limitWindow that begins in [from, to).
-func (l *limitedTarget) most(from, to time.Time, excused map[string]bool) (most int) {
+func (l *playTarget) most(from, to time.Time, excused map[string]bool) (most int) {
 	l.mu.Lock()
 	begins := make([]time.Time, 0, len(l.arrivals))
 	for _, a := range l.arrivals {
@@ -108,7 +145,7 @@
 // limitPlay is a play whose VMs get requests for targets that state limits.
 type limitPlay struct {
 	*play
-	targets map[string]*limitedTarget
+	targets map[string]*playTarget
 	draw    *rand.Rand
 
 	mu sync.Mutex
@@ -123,14 +160,14 @@
 // newLimitPlay starts VMs that use an owner of all keys, and a pool of two targets.
 func newLimitPlay(t *testing.T, vms int) *limitPlay {
 	p := &limitPlay{
-		play: newPlay(t, vms), targets: make(map[string]*limitedTarget), draw: rand.New(rand.NewPCG(1, uint64(vms))),
+		play: newPlay(t, vms), targets: make(map[string]*playTarget), draw: rand.New(rand.NewPCG(1, uint64(vms))),
 		down: make(map[string]bool), excused: make(map[string]bool), statuses: make(map[string]map[int]int),
 	}
 	for _, vm := range p.vms {
 		p.prepare(vm)
 	}
 	for id, service := range map[string]string{"owner": "keyed", "limited": "pool", "free": "pool"} {
-		p.targets[id] = &limitedTarget{id: id}
+		p.targets[id] = &playTarget{id: id, draw: rand.New(rand.NewPCG(3, uint64(len(id))))}
 		p.store.put("targets", id, catalog.Target{ID: id, Service: service, Addr: id + ":1", DataCentre: "a", Slots: 50, Born: 1, Revision: p.store.nextRevision()})
 	}
 	p.store.put("config", "main", route.Config{
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -10,13 +9,11 @@
 
 	"hemlockquay/internal/decide/permit"
 	"hemlockquay/internal/pause"
-	"hemlockquay/internal/upstream"
 )
 
-// targetLimit is what a VM knows of the limit that a target states, and what it has sent there.
+// targetLimit is what a VM knows of the limit that a target states.
 type targetLimit struct {
 	permit.Belief
-	sent [sentKinds]permit.Window
 	// order holds the VMs in the order in which they may hold the target's permits, as of version orderedBy of
 	// the VMs. tenure is this VM's state as the holder.
 	order     []string
@@ -25,8 +22,6 @@
 	// blocked holds, for requests that more urgent ones compete with (1) and others (0), until when the holder
 	// grants no permits.
 	blocked [2]time.Duration
-	// announcedAt is when the limit was last announced to the other VMs ahead of the next heartbeat.
-	announcedAt time.Duration
 }
 
 // sentKind is a kind of requests to targets.
@@ -42,11 +37,12 @@
 	sentKinds
 )
 
+// String returns the name of the kind in metrics.
+func (k sentKind) String() string { return [...]string{"own", "forwarded", "inquiry"}[k] }
+
 const (
 	// limitReportInterval is the interval of the log lines on targets with a limit.
 	limitReportInterval = time.Second
-	// minAnnounceInterval is the minimum time between two announcements of the limit of a target.
-	minAnnounceInterval = time.Second
 	// maxLimitLines bounds the log lines per second on limits that change.
 	maxLimitLines = 20
 )
@@ -76,25 +72,6 @@
 	return sentOwn
 }
 
-// recordLimit records what the response of an attempt says of the limit of its target. sentAt is when the request
-// was sent.
-func (g *Gateway) recordLimit(a *attempt, resp *upstream.Answer, sentAt time.Duration) {
-	if g.headers.saysNotRun(resp) {
-		sentAt = neverSent
-	}
-	g.recordLimitOf(a.target, resp.Header, sentAt)
-}
-
-// neverSent is the time at which a request was sent whose response does not show the end of a limit.
-const neverSent time.Duration = 0
-
-// recordStatedLimit records a limit that a response states. Without one, the response does not end a limit: it answers
-// an inquiry, an order or a request of another VM, so it is not known whether it would state the limit, or when its
-// request was sent.
-func (g *Gateway) recordStatedLimit(t *targetState, h http.Header) {
-	g.recordLimitOf(t, h, neverSent)
-}
-
 // incarnation returns the incarnation of a target that started at the given time, or nil if it is not known here.
 func (s *routingState) incarnation(target string, born int64) *targetState {
 	s.mu.Lock()
@@ -110,45 +87,6 @@
 	return nil
 }
 
-// recordLimitOf records what a response says of the limit of a target, unless another target sent it: the address may
-// have been reassigned. sentAt is when the request was sent, or neverSent.
-func (g *Gateway) recordLimitOf(t *targetState, h http.Header, sentAt time.Duration) {
-	if sender := h.Get(g.headers.InstanceID); sender != "" && sender != t.ID {
-		return
-	}
-	perSecond, stated, err := g.adapter.Limit(h)
-	if err != nil {
-		g.limits.malformed.Inc(1)
-		if g.limits.lines.Allow() {
-			g.log.Warn().Str("step", "limits").Str("target", t.ID).Err(err).Msg("limit of a target not understood")
-		}
-		return
-	}
-	g.state.mu.Lock()
-	defer g.state.mu.Unlock()
-	now, before := g.clock.Now(), t.limit.Belief
-	changed := false
-	if stated {
-		g.limits.stated.Inc(1)
-		g.state.limitKnown[t] = struct{}{}
-		changed = t.limit.Stated(perSecond, g.self.VM, now)
-	} else {
-		changed = t.limit.NotStated(sentAt, g.self.VM, now)
-	}
-	t.limit.dropStaleBlocks(before)
-	if before.Limited != t.limit.Limited && now-t.limit.announcedAt >= minAnnounceInterval {
-		t.limit.announcedAt = now
-		g.state.announce()
-	}
-	if changed && t.limit.Limited {
-		go g.notifyHolder(t)
-	}
-	if changed && g.limits.lines.Allow() {
-		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", t.limit.Limited).Float64("perSecond", t.limit.PerSecond).
-			Bool("limitedBefore", before.Limited).Float64("perSecondBefore", before.PerSecond).Dur("age", now-before.LastAt).Msg("limit of a target changed")
-	}
-}
-
 // dropStaleBlocks drops the holder's refusals if the limit was raised since.
 func (l *targetLimit) dropStaleBlocks(before permit.Belief) {
 	if l.PerSecond > before.PerSecond {
@@ -156,13 +94,6 @@
 	}
 }
 
-// countSent counts a request that is sent to a target.
-func (s *routingState) countSent(t *targetState, kind sentKind) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t.limit.sent[kind].Add(s.clock.Now())
-}
-
 // limitedTargets returns the number of targets with a limit.
 func (s *routingState) limitedTargets() int64 {
 	s.mu.Lock()
@@ -193,7 +124,7 @@
 		}
 		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Float64("perSecond", t.limit.PerSecond).
 			Dur("since", now-t.limit.FirstAt).Dur("age", now-t.limit.LastAt).Str("source", t.limit.Source).
-			Int("own", t.limit.sent[sentOwn].Count(now)).Int("forwarded", t.limit.sent[sentForwarded].Count(now)).
-			Int("inquiries", t.limit.sent[sentInquiries].Count(now)).Msg("requests to a target with a limit in 4 s")
+			Int("own", t.sent[sentOwn].Count(now)).Int("forwarded", t.sent[sentForwarded].Count(now)).
+			Int("inquiries", t.sent[sentInquiries].Count(now)).Msg("requests to a target with a limit in 4 s")
 	}
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -28,6 +28,16 @@
 	return g, clock, a
 }
 
+// recordLimit applies a response to a request.
+func (g *Gateway) recordLimit(a *attempt, resp *upstream.Answer, sentAt time.Duration) {
+	g.applySignals(a.target, resp, received{kind: toRequest, sentAt: sentAt})
+}
+
+// recordStatedLimit applies a response to an order.
+func (g *Gateway) recordStatedLimit(t *targetState, h http.Header) {
+	g.applySignals(t, &upstream.Answer{Status: http.StatusOK, Header: h}, received{kind: toOrder})
+}
+
 func (g *Gateway) limitOf(target string) permit.Belief { return g.state.targets[target].limit.Belief }
 
 // Guards against a limit that ends with a response which never states one, or that belongs to another target.
@@ -59,7 +69,7 @@
 	report, _ := g.state.targets["t"].limit.Report(clock.Now())
 	g.state.setTargets(2, catalog.Target{ID: "t", Service: "pool", Addr: "127.0.0.1:1", Born: 2})
 	require.False(t, g.limitOf("t").Limited)
-	g.mergeLimit(mesh.TargetLimit{Target: "t", Born: 1, Report: report}, true)
+	g.mergeLimit(mesh.TargetReport{Target: "t", Born: 1, Limit: report}, true)
 	require.False(t, g.limitOf("t").Limited, "reported by a VM that knows the previous one")
 }
 
@@ -69,7 +79,7 @@
 	defer g.mesh.Close()
 	g.state.setHolders(g.mesh.Members())
 	report, _ := g.state.targets["t"].limit.Report(clock.Now())
-	ask := &PermitArgs{VM: "other", Limit: mesh.TargetLimit{Target: "t", Born: 1, Report: report}}
+	ask := &PermitArgs{VM: "other", Report: mesh.TargetReport{Target: "t", Born: 1, Limit: report}}
 	holds := func() bool {
 		var reply PermitReply
 		require.NoError(t, Permits{g}.Ask(ask, &reply))
@@ -123,15 +133,15 @@
 	foreign := http.Header{"Limit": {"1"}, "Instance": {"other"}}
 	own := http.Header{"Limit": {"1"}, "Instance": {"t"}}
 	g.recordLimit(a, &upstream.Answer{Status: http.StatusOK, Header: foreign}, clock.Now())
-	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 1}, foreign)
-	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 2}, own)
+	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 1}, &upstream.Answer{Status: http.StatusOK, Header: foreign})
+	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 2}, &upstream.Answer{Status: http.StatusOK, Header: own})
 	for _, reply := range []*ForwardReply{{Target: "t", Born: 2, Header: own}, {Target: "t", Born: 1, Header: foreign}} {
 		reply.Result, reply.Status = answeredToPeer, http.StatusOK
 		c := &call{route: &route.Route{}, tried: make(map[string]bool)}
 		g.concludeForwarded(context.Background(), c, &attempt{peer: "other"}, reply, nil)
 	}
 	require.False(t, g.limitOf("t").Limited)
-	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 1}, own)
+	leasingAdapter{g}.RecordAnswer(lease.Owner{ID: "t", Born: 1}, &upstream.Answer{Status: http.StatusOK, Header: own})
 	require.True(t, g.limitOf("t").Limited)
 }
 
@@ -140,7 +150,7 @@
 	g, _, _ := newLimitedGateway()
 	defer g.mesh.Close()
 	report := permit.Report{Limited: true, PerSecond: 9, Source: "third", Stamp: 1}
-	args := &PermitArgs{VM: "other", Limit: mesh.TargetLimit{Target: "t", Born: 1, Report: report}}
+	args := &PermitArgs{VM: "other", Report: mesh.TargetReport{Target: "t", Born: 1, Limit: report}}
 	require.NoError(t, Permits{g}.Notify(args, new(struct{})))
 	require.Equal(t, 3.4, g.limitOf("t").PerSecond)
 	args.VM = "third"
@@ -195,6 +205,6 @@
 	refuse()
 	report := permit.Report{Limited: true, PerSecond: 9, Source: "other", Stamp: 1}
 	clock.advance(time.Second)
-	g.mergeLimit(mesh.TargetLimit{Target: "t", Born: 1, Report: report}, true)
+	g.mergeLimit(mesh.TargetReport{Target: "t", Born: 1, Limit: report}, true)
 	require.Zero(t, blocked(), "raised as another VM reports")
 }
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -184,7 +184,7 @@
 		if reply.Result == lostByPeer {
 			err = upstream.ErrLost
 		} else if t := g.state.incarnation(reply.Target, reply.Born); t != nil {
-			g.recordStatedLimit(t, reply.Header)
+			g.applySignals(t, &upstream.Answer{Status: reply.Status, Header: reply.Header}, received{kind: throughPeer, peer: a.peer})
 		}
 	}
 	resp := &upstream.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -36,7 +36,7 @@
 	b.TargetsMark = g.confirmations.mark(g.adapter.TargetKind())
 	b.EvacuationsMark = evacuationsMark
 	g.state.addEvacuations(&b)
-	b.Limits = g.state.ownLimits()
+	b.TargetReports = g.state.ownReports()
 	return b
 }
 
@@ -48,8 +48,8 @@
 	}
 	// A mark must not be passed on before the evacuations that it confirms.
 	g.confirmations.merge(g.adapter.EvacuationKind(), b.EvacuationsMark)
-	for _, l := range b.Limits {
-		g.mergeLimit(l, true)
+	for _, r := range b.TargetReports {
+		g.mergeReport(r, b.From.VM, true)
 	}
 	if len(b.Returns) > 0 {
 		g.state.recordReturns(b.Returns)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -24,14 +24,14 @@
 // PermitArgs asks for a permit for one request to a target.
 type PermitArgs struct {
 	// VM is the VM that asks.
-	VM    string           `msgpack:"v"`
-	Limit mesh.TargetLimit `msgpack:"l"`
+	VM     string            `msgpack:"v"`
+	Report mesh.TargetReport `msgpack:"l"`
 	// Outranked reports whether more urgent requests compete with this one.
 	Outranked bool `msgpack:"o"`
 }
 
 // firstHand reports whether the VM that asks got the response itself that its report is derived from.
-func (a *PermitArgs) firstHand() bool { return a.Limit.Report.Source == a.VM }
+func (a *PermitArgs) firstHand() bool { return a.Report.Limit.Source == a.VM }
 
 // PermitReply is the answer of a VM that was asked for a permit.
 type PermitReply struct {
@@ -51,19 +51,19 @@
 
 // Notify applies what the caller knows of the limit of a target.
 func (p Permits) Notify(in *PermitArgs, _ *struct{}) error {
-	p.gateway.mergeLimit(in.Limit, in.firstHand())
+	p.gateway.mergeReport(in.Report, in.VM, in.firstHand())
 	return nil
 }
 
 // MayHold reports whether this VM may grant permits for a target.
-func (p Permits) MayHold(in *mesh.TargetLimit, out *bool) error {
+func (p Permits) MayHold(in *mesh.TargetReport, out *bool) error {
 	_, *out = p.gateway.mayHoldPermits(*in)
 	return nil
 }
 
 // mayHoldPermits reports whether this VM may grant permits for a target: it is not leaving, and knows the target and
 // the other VMs. It returns the order of the holders.
-func (g *Gateway) mayHoldPermits(l mesh.TargetLimit) (order []string, may bool) {
+func (g *Gateway) mayHoldPermits(l mesh.TargetReport) (order []string, may bool) {
 	if g.leaving.Load() || !g.joined.Load() {
 		return nil, false
 	}
@@ -91,8 +91,8 @@
 	g.limits.denied.Inc(1)
 	c.overLimit[a.id] = true
 	c.limitRetryAfter = max(d.RetryAfter, minRetryAfter)
-	c.refusedOn = fmt.Sprintf("%s limit %.2f age %dms source %s holder %s tokens %.2f blocked %dms", a.id, args.Limit.Report.PerSecond,
-		args.Limit.Report.Age.Milliseconds(), args.Limit.Report.Source, holder, d.Tokens, (blocked + d.Blocked).Milliseconds())
+	c.refusedOn = fmt.Sprintf("%s limit %.2f age %dms source %s holder %s tokens %.2f blocked %dms", a.id, args.Report.Limit.PerSecond,
+		args.Report.Limit.Age.Milliseconds(), args.Report.Limit.Source, holder, d.Tokens, (blocked + d.Blocked).Milliseconds())
 	return false
 }
 
@@ -162,8 +162,8 @@
 
 // grantPermit decides about a permit if this VM is the target's holder.
 func (g *Gateway) grantPermit(ctx context.Context, in *PermitArgs) PermitReply {
-	g.mergeLimit(in.Limit, in.firstHand())
-	order, may := g.mayHoldPermits(in.Limit)
+	g.mergeReport(in.Report, in.VM, in.firstHand())
+	order, may := g.mayHoldPermits(in.Report)
 	if !may {
 		return PermitReply{}
 	}
@@ -173,16 +173,16 @@
 			return g.state.takeToken(in, first)
 		}
 		first = false
-		if g.holderAnswers(ctx, vm, in.Limit) {
+		if g.holderAnswers(ctx, vm, in.Report) {
 			break
 		}
 	}
-	g.state.yieldPermits(in.Limit)
+	g.state.yieldPermits(in.Report)
 	return PermitReply{}
 }
 
 // holderAnswers reports whether a VM that precedes this one as the holder of a target answers calls, and may hold.
-func (g *Gateway) holderAnswers(ctx context.Context, vm string, l mesh.TargetLimit) bool {
+func (g *Gateway) holderAnswers(ctx context.Context, vm string, l mesh.TargetReport) bool {
 	now := g.clock.Now()
 	switch {
 	case !g.mesh.MayServe(vm), g.permitCalls.failedLately(vm, now):
@@ -207,7 +207,7 @@
 	}
 	now := s.clock.Now()
 	report, _ := t.limit.Report(now)
-	args = &PermitArgs{VM: s.vm, Limit: mesh.TargetLimit{Target: t.ID, Born: t.Born, Report: report}, Outranked: s.outrankedLocked(t.Service, priority)}
+	args = &PermitArgs{VM: s.vm, Report: mesh.TargetReport{Target: t.ID, Born: t.Born, Limit: report}, Outranked: s.outrankedLocked(t.Service, priority)}
 	return args, s.holderOrderLocked(t), max(0, t.limit.blocked[index(args.Outranked)]-now), true
 }
 
@@ -240,7 +240,7 @@
 }
 
 // holderOrder returns the VMs in the order in which they may hold the permits of a target.
-func (s *routingState) holderOrder(l mesh.TargetLimit) (order []string, known bool) {
+func (s *routingState) holderOrder(l mesh.TargetReport) (order []string, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.incarnationLocked(l.Target, l.Born)
@@ -266,7 +266,7 @@
 func (s *routingState) takeToken(in *PermitArgs, first bool) PermitReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.incarnationLocked(in.Limit.Target, in.Limit.Born)
+	t := s.incarnationLocked(in.Report.Target, in.Report.Born)
 	if t == nil {
 		return PermitReply{}
 	}
@@ -282,7 +282,7 @@
 }
 
 // yieldPermits ends this VM's tenure as the holder of a target.
-func (s *routingState) yieldPermits(l mesh.TargetLimit) {
+func (s *routingState) yieldPermits(l mesh.TargetReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.incarnationLocked(l.Target, l.Born)
@@ -294,38 +294,19 @@
 }
 
 // mergeLimit applies what another VM reports of the limit of a target.
-func (g *Gateway) mergeLimit(l mesh.TargetLimit, firstHand bool) {
+func (g *Gateway) mergeLimit(l mesh.TargetReport, firstHand bool) {
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	t := g.state.incarnationLocked(l.Target, l.Born)
 	if t == nil {
 		return
 	}
-	g.state.limitKnown[t] = struct{}{}
+	g.state.toReport[t] = struct{}{}
 	before := t.limit.Belief
-	changed := t.limit.Merge(l.Report, firstHand, g.clock.Now())
+	changed := t.limit.Merge(l.Limit, firstHand, g.clock.Now())
 	t.limit.dropStaleBlocks(before)
 	if changed && g.limits.lines.Allow() {
-		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", l.Report.Limited).
-			Float64("perSecond", l.Report.PerSecond).Str("source", l.Report.Source).Dur("age", l.Report.Age).Msg("another VM reports the limit of a target")
+		g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", l.Limit.Limited).
+			Float64("perSecond", l.Limit.PerSecond).Str("source", l.Limit.Source).Dur("age", l.Limit.Age).Msg("another VM reports the limit of a target")
 	}
 }
-
-// ownLimits returns the limits of targets that this VM has learned from their responses.
-func (s *routingState) ownLimits() []mesh.TargetLimit {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []mesh.TargetLimit
-	now := s.clock.Now()
-	for t := range s.limitKnown {
-		r, told := t.limit.Report(now)
-		if !told || s.targets[t.ID] != t {
-			delete(s.limitKnown, t)
-			continue
-		}
-		if r.Source == s.vm {
-			out = append(out, mesh.TargetLimit{Target: t.ID, Born: t.Born, Report: r})
-		}
-	}
-	return out
-}
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -126,7 +126,7 @@
 	case "Permits.Notify":
 		err = Permits{g}.Notify(args.(*PermitArgs), reply.(*struct{}))
 	case "Permits.MayHold":
-		err = Permits{g}.MayHold(args.(*mesh.TargetLimit), reply.(*bool))
+		err = Permits{g}.MayHold(args.(*mesh.TargetReport), reply.(*bool))
 	default:
 		err = fmt.Errorf("method %s is not known", method)
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -137,6 +137,11 @@
 	// Limit is the limit that the target states, in requests per second, and LimitAgeMs its age in milliseconds.
 	Limit      *float64 `json:"limit,omitempty"`
 	LimitAgeMs int64    `json:"limitAgeMs,omitempty"`
+	// Leaving reports whether the target has said that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
+	// RestLeftMs is for how long this VM sends the target no requests, in milliseconds, and RestingVMs how many VMs do so.
+	RestLeftMs int64 `json:"restLeftMs,omitempty"`
+	RestingVMs int   `json:"restingVMs,omitempty"`
 }
 
 func (g *Gateway) dump() any {
@@ -151,6 +156,7 @@
 		d := targetDump{
 			ID: id, Service: t.Service, Draining: t.Draining, Own: t.pick.Own, Others: t.pick.Others, Slowness: t.pick.Slowness(),
 			WarmingMs: max(0, (t.warming.until - now).Milliseconds()),
+			Leaving:   t.Leaving || t.saidLeavingAt > 0, RestLeftMs: t.pushback.Left(now).Milliseconds(), RestingVMs: t.pushback.VMs(now),
 		}
 		if t.limit.Limited {
 			perSecond := t.limit.PerSecond
--- /dev/null
+++ b/internal/gateway/signals.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+
+	"hemlockquay/internal/decide/permit"
+	"hemlockquay/internal/decide/signals"
+	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/pause"
+	"hemlockquay/internal/upstream"
+)
+
+// responseKind is what a response of a target answers.
+type responseKind string
+
+// The kinds of responses.
+const (
+	// toRequest responses answer a request that this VM sent, for a caller of its own or for another VM.
+	toRequest responseKind = "request"
+	// toInquiry responses answer a health check.
+	toInquiry responseKind = "inquiry"
+	toOrder   responseKind = "order"
+	// throughPeer responses answer a request that another VM sent for this one.
+	throughPeer responseKind = "peer"
+)
+
+// neverSent is the time at which a request was sent whose response shows the end of nothing.
+const neverSent time.Duration = 0
+
+// received says how a response came to this VM.
+type received struct {
+	kind responseKind
+	// sentAt is when the request was sent, on the gateway's clock, or neverSent. It is set for toRequest.
+	sentAt time.Duration
+	// peer is the VM that sent the request, for throughPeer.
+	peer string
+}
+
+const (
+	// signalReportInterval is the interval of the log lines on targets that leave or refuse requests.
+	signalReportInterval = time.Second
+	// minAnnounceInterval is the minimum time between two announcements of what a target says.
+	minAnnounceInterval = time.Second
+	// maxSignalLines bounds the log lines per second on what targets say of themselves.
+	maxSignalLines = 20
+	// leavingReportedFor is how long a VM tells others that a target has said that it leaves. A pair of VMs of a
+	// fleet of 300 exchanges a heartbeat every 7 s.
+	leavingReportedFor = 10 * time.Second
+)
+
+// signalMetrics counts what responses say, by signal and kind of response.
+type signalMetrics struct {
+	registry metrics.Registry
+	// malformed counts the signals that could not be read, refused the requests that were not sent because their
+	// target had asked for that.
+	malformed, refused metrics.Counter
+	lines              *rate.Limiter
+}
+
+func newSignalMetrics(r metrics.Registry) signalMetrics {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("signals."+name, r) }
+	return signalMetrics{registry: r, malformed: counter("malformed"), refused: counter("refused"), lines: rate.NewLimiter(maxSignalLines, maxSignalLines)}
+}
+
+func (m *signalMetrics) count(signal string, kind responseKind) {
+	metrics.GetOrRegisterCounter("signals."+signal+"."+string(kind), m.registry).Inc(1)
+}
+
+// applySignals applies what a response says of the incarnation of a target that sent it. Every response of a target
+// passes through it. A response that names another target says nothing: the address may have been reassigned.
+func (g *Gateway) applySignals(t *targetState, resp *upstream.Answer, from received) signals.Signals {
+	g.noteHeaders(t.ID, resp.Header)
+	s := g.adapter.Signals(resp)
+	if s.Sender != "" && s.Sender != t.ID {
+		return signals.Signals{Sender: s.Sender}
+	}
+	g.reportMalformed(t, &s)
+	g.applyLimit(t, &s, g.showsEndOfLimit(resp, from))
+	g.applyLeaving(t, &s, from)
+	g.applyRefusal(t, resp, &s, from)
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	g.state.markWarmingLocked(t, s.WarmupLeft, warmingByHealth)
+	if from.kind == toRequest || from.kind == toInquiry {
+		// A failed response without a report does not show that the target reports none.
+		if s.LoadReported || s.LoadErr == nil && resp.Status < http.StatusBadRequest {
+			t.tellsLoad, g.state.tellsLoad[t.Service] = s.LoadReported, s.LoadReported
+		}
+	}
+	return s
+}
+
+func (g *Gateway) reportMalformed(t *targetState, s *signals.Signals) {
+	for _, err := range s.Errs() {
+		g.signals.malformed.Inc(1)
+		if g.signals.lines.Allow() {
+			g.log.Warn().Str("step", "signals").Str("target", t.ID).Err(err).Msg("header of a target not understood")
+		}
+	}
+	if s.LimitErr != nil {
+		g.limits.malformed.Inc(1)
+	}
+	if s.LoadErr != nil {
+		g.inquiries.malformed.Inc(1)
+	}
+}
+
+// showsEndOfLimit returns when the request of a response was sent that ends a limit by not stating it, or neverSent. Only
+// responses to requests that ran are known to state the limit.
+func (g *Gateway) showsEndOfLimit(resp *upstream.Answer, from received) time.Duration {
+	if from.kind != toRequest || g.headers.saysNotRun(resp) {
+		return neverSent
+	}
+	return from.sentAt
+}
+
+// applyLimit records what a response says of the limit of a target. A response without a limit ends it if its request
+// was sent, at sentAt, after the limit was last stated.
+func (g *Gateway) applyLimit(t *targetState, s *signals.Signals, sentAt time.Duration) {
+	if s.LimitErr != nil {
+		return
+	}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	now, before := g.clock.Now(), t.limit.Belief
+	changed := false
+	if s.Limited {
+		g.limits.stated.Inc(1)
+		g.state.toReport[t] = struct{}{}
+		changed = t.limit.Stated(s.PerSecond, g.self.VM, now)
+	} else {
+		changed = t.limit.NotStated(sentAt, g.self.VM, now)
+	}
+	t.limit.dropStaleBlocks(before)
+	if before.Limited != t.limit.Limited {
+		g.state.announceSoonLocked(t)
+	}
+	if changed && t.limit.Limited {
+		go g.notifyHolder(t)
+	}
+	if changed {
+		g.logLimitChange(t, before, now)
+	}
+}
+
+func (g *Gateway) logLimitChange(t *targetState, before permit.Belief, now time.Duration) {
+	if !g.limits.lines.Allow() {
+		return
+	}
+	g.log.Info().Str("step", "limits").Str("target", t.ID).Str("service", t.Service).Bool("limited", t.limit.Limited).Float64("perSecond", t.limit.PerSecond).
+		Bool("limitedBefore", before.Limited).Float64("perSecondBefore", before.PerSecond).Dur("age", now-before.LastAt).Msg("limit of a target changed")
+}
+
+// applyLeaving records that a target says that it leaves.
+func (g *Gateway) applyLeaving(t *targetState, s *signals.Signals, from received) {
+	if !s.Leaving {
+		return
+	}
+	g.signals.count("leaving", from.kind)
+	source := g.self.VM
+	if from.kind == throughPeer {
+		source = from.peer
+	}
+	g.state.markLeaving(t.ID, t.Born, source)
+}
+
+// applyRefusal records whether a target refused the request of a response, and for how long it wants none.
+func (g *Gateway) applyRefusal(t *targetState, resp *upstream.Answer, s *signals.Signals, from received) {
+	if s.Rest > 0 {
+		g.signals.count("rest", from.kind)
+	}
+	refused := s.Rest > 0 || from.kind == toRequest && resp.Status == http.StatusServiceUnavailable && g.headers.saysNotRun(resp)
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	now := g.clock.Now()
+	switch {
+	case from.kind == throughPeer:
+		t.pushback.Reported(from.peer, s.Rest, now)
+	case refused:
+		before := t.pushback.VMs(now)
+		began := t.pushback.Refused(s.Rest, rand.Float64(), now)
+		g.state.toReport[t] = struct{}{}
+		if t.pushback.Report(now) > 0 && before < vmsToldAtOnce {
+			g.state.announceSoonLocked(t)
+		}
+		if began && g.signals.lines.Allow() {
+			g.log.Info().Str("step", "signals").Str("target", t.ID).Str("service", t.Service).Str("kind", string(from.kind)).Dur("rest", s.Rest).
+				Dur("left", t.pushback.Left(now)).Int("vms", t.pushback.VMs(now)).Msg("target refuses requests and is left alone")
+		}
+	case from.kind == toRequest && !g.headers.saysNotRun(resp):
+		t.pushback.Served(from.sentAt)
+	}
+}
+
+// vmsToldAtOnce is the number of VMs that tell all others at once that a target refuses requests. The grantor
+// believes two.
+const vmsToldAtOnce = 2
+
+// markLeaving records that an incarnation of a target said to a VM, the source, that it leaves. Only its end ends that.
+func (s *routingState) markLeaving(target string, born int64, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.incarnationLocked(target, born)
+	if t == nil || t.saidLeavingAt > 0 || source != s.vm && t.Leaving {
+		return
+	}
+	if source == s.vm {
+		t.saidLeavingAt = s.clock.Now()
+		s.toReport[t] = struct{}{}
+	}
+	s.log.Info().Str("step", "signals").Str("target", target).Str("service", t.Service).Int64("born", born).Str("source", source).
+		Bool("draining", t.Draining).Bool("known", t.Leaving).Msg("target says that it leaves")
+}
+
+// countSent counts a request that is sent to a target, and those that the target has asked this VM not to send.
+func (s *routingState) countSent(t *targetState, kind sentKind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	t.sent[kind].Add(now)
+	if t.saidLeavingAt > 0 && now-t.saidLeavingAt > drainingOwnerGrace {
+		metrics.GetOrRegisterCounter("signals.ignored.leaving."+kind.String(), s.registry).Inc(1)
+	}
+	if t.pushback.Left(now) > 0 {
+		metrics.GetOrRegisterCounter("signals.ignored.rest."+kind.String(), s.registry).Inc(1)
+	}
+}
+
+// announceSoonLocked tells all other VMs of a change of what a target says, ahead of the next heartbeats. It needs s.mu.
+func (s *routingState) announceSoonLocked(t *targetState) {
+	if now := s.clock.Now(); now-t.announcedAt >= minAnnounceInterval {
+		t.announcedAt = now
+		s.announce()
+	}
+}
+
+// ownReports returns what targets have said to this VM itself.
+func (s *routingState) ownReports() []mesh.TargetReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []mesh.TargetReport
+	now := s.clock.Now()
+	for t := range s.toReport {
+		limit, told := t.limit.Report(now)
+		r := mesh.TargetReport{Target: t.ID, Born: t.Born, Leaving: t.saidLeavingAt > 0 && now-t.saidLeavingAt < leavingReportedFor, RestLeft: t.pushback.Report(now)}
+		if told && limit.Source == s.vm {
+			r.Limit = limit
+		}
+		switch {
+		case s.targets[t.ID] != t, !told && !r.Leaving && r.RestLeft == 0:
+			delete(s.toReport, t)
+		case r.Limit.Source != "" || r.Leaving || r.RestLeft > 0:
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// mergeReport applies what another VM reports of a target. firstHand reports whether that VM got the response itself from
+// which it knows the limit.
+func (g *Gateway) mergeReport(r mesh.TargetReport, vm string, firstHand bool) {
+	if r.Limit.Source != "" {
+		g.mergeLimit(r, firstHand)
+	}
+}
+
+// reportSignals periodically logs the targets that leave or refuse requests beside what this VM has sent to them, until
+// ctx ends.
+func (g *Gateway) reportSignals(ctx context.Context) {
+	for pause.For(ctx, signalReportInterval) {
+		g.logSignals()
+	}
+}
+
+func (g *Gateway) logSignals() {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	now := g.clock.Now()
+	for _, t := range g.state.targets {
+		if t.saidLeavingAt == 0 && t.pushback.VMs(now) == 0 || !g.signals.lines.Allow() {
+			continue
+		}
+		g.log.Info().Str("step", "signals").Str("target", t.ID).Str("service", t.Service).Bool("leaving", t.Leaving || t.Draining).Int64("saidLeavingFor", ageMillis(t.saidLeavingAt, now)).
+			Dur("restLeft", t.pushback.Left(now)).Int("vms", t.pushback.VMs(now)).Int("own", t.sent[sentOwn].Count(now)).Int("forwarded", t.sent[sentForwarded].Count(now)).
+			Int("inquiries", t.sent[sentInquiries].Count(now)).Msg("requests in 4 s to a target that leaves or refuses")
+	}
+}
+
+// ageMillis returns the time since then in milliseconds, or -1 if it is zero.
+func ageMillis(then, now time.Duration) int64 {
+	if then == 0 {
+		return -1
+	}
+	return (now - then).Milliseconds()
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -14,7 +14,9 @@
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/duration"
+	"hemlockquay/internal/decide/permit"
 	"hemlockquay/internal/decide/pick"
+	"hemlockquay/internal/decide/pushback"
 	"hemlockquay/internal/decide/reach"
 	"hemlockquay/internal/decide/repeats"
 	"hemlockquay/internal/decide/urgency"
@@ -86,8 +88,8 @@
 	holders fleetMembers
 	// lostPaths holds the targets whose paths are lost. Each heartbeat lists them.
 	lostPaths map[*targetState]struct{}
-	// limitKnown holds the targets that have stated a limit lately.
-	limitKnown map[*targetState]struct{}
+	// toReport holds the targets that have said something lately that other VMs are told.
+	toReport map[*targetState]struct{}
 	// inUse holds the targets at which this VM has requests, or had some recently.
 	inUse     map[*targetState]struct{}
 	budgets   map[string]*repeats.Budget
@@ -121,6 +123,14 @@
 	warming warmingState
 	// limit is what this VM knows of the limit that the target states.
 	limit targetLimit
+	// pushback is what this VM knows of requests that the target has refused.
+	pushback pushback.State
+	// saidLeavingAt is when the target first said to this VM that it leaves, or 0.
+	saidLeavingAt time.Duration
+	// announcedAt is when what the target says was last announced to the other VMs ahead of the next heartbeat.
+	announcedAt time.Duration
+	// sent counts the requests of this VM to the target.
+	sent [sentKinds]permit.Window
 	// drainsUntil is the time until which a draining target may get requests.
 	drainsUntil time.Duration
 	pick        pick.State
@@ -149,7 +159,7 @@
 		membership: catalog.NewTargetSet(), changed: make(chan struct{}), announce: func() {},
 		reachedBy: func(uint32) (reach, others int) { return 0, 0 },
 		targets:   make(map[string]*targetState), byHash: make(map[uint32]*targetState),
-		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), limitKnown: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
+		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), toReport: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes:     make(map[uint64]map[uint32]time.Duration),
 		evacuatedAt: make(map[string]time.Duration), returns: make(map[string]dataCentreReturn),
@@ -307,7 +317,7 @@
 	delete(s.targets, t.ID)
 	delete(s.inUse, t)
 	delete(s.lostPaths, t)
-	delete(s.limitKnown, t)
+	delete(s.toReport, t)
 	if key := mesh.LoadKey(t.hash); s.byHash[key] == t {
 		delete(s.byHash, key)
 	}
--- a/internal/gateway/warming.go
+++ b/internal/gateway/warming.go
@@ -87,13 +87,6 @@
 	t.warming.until = now + left
 }
 
-// recordWarmupLeft records for how long a target says that it stays cold.
-func (s *routingState) recordWarmupLeft(t *targetState, left time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.markWarmingLocked(t, left, warmingByHealth)
-}
-
 // isWarming reports whether a target is cold and requests to it are limited.
 func (s *routingState) isWarming(target string) bool {
 	s.mu.Lock()
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"time"
 
 	"hemlockquay/internal/decide/freshness"
 	"hemlockquay/internal/decide/permit"
@@ -95,8 +96,8 @@
 	Crashes []Crash `msgpack:"r"`
 	// CutOff says that the sender reaches no target.
 	CutOff bool `msgpack:"u"`
-	// Limits are the limits that targets have stated, or ceased to state, in responses to the sender.
-	Limits []TargetLimit `msgpack:"h,omitempty"`
+	// TargetReports are what targets have said of themselves in responses to the sender.
+	TargetReports []TargetReport `msgpack:"h,omitempty"`
 	// Unreached lists the targets to which the sender opens no connections, by the hashes of their
 	// ids.
 	Unreached []uint32 `msgpack:"w"`
@@ -117,11 +118,16 @@
 	return b
 }
 
-// TargetLimit is what a VM reports of the limit of one incarnation of a target.
-type TargetLimit struct {
-	Target string        `msgpack:"t"`
-	Born   int64         `msgpack:"b"`
-	Report permit.Report `msgpack:"r"`
+// TargetReport is what one incarnation of a target has said of itself to a VM, as that VM tells others.
+type TargetReport struct {
+	Target string `msgpack:"t"`
+	Born   int64  `msgpack:"b"`
+	// Limit is empty if the VM has not heard of a limit.
+	Limit permit.Report `msgpack:"r"`
+	// Leaving reports whether the target said that it leaves.
+	Leaving bool `msgpack:"l,omitempty"`
+	// RestLeft is for how long the VM sends the target no requests, because it refuses them.
+	RestLeft time.Duration `msgpack:"w,omitempty"`
 }
 
 // Evacuation is an evacuated data centre.
