gateway: targets that leave or refuse get nothing more from a VM that was told

Callers saw nothing at first; the targets did: one that said it leaves got requests 12 s later, one that asked for 3 s of rest nine requests in that time, and an owner that refused everything up to seven times its usual load.

Cause: nothing read Server-Leaving or Retry-After, and an owner that refused with free slots was asked again at once, by each request and by callers that came back after 10 ms.

- Leaving belongs to the incarnation (catalog.TargetSet): no list, later entry or response undoes it.
Heartbeats tell the other VMs, ahead of time for the first one.
A VM that was told itself sends to the owner of a key for 1.5 s more; one that others told goes on.
Pools take targets that refuse other VMs as a last resort.
No other VM is asked to send in place of one that was turned away.
- admit is the one check right before each send: requests, forwarded requests, inquiries.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -72,6 +72,9 @@
 	// first list.
 	completeSince uint64
 	storeDown     bool
+	// leaving holds the start times of targets that have said that they leave, by target id. No entry of the store
+	// undoes that; it ends with the incarnation.
+	leaving map[string]int64
 	// cold holds the entries with a remaining warm-up time that were put since the last call of TakeCold.
 	cold []Target
 	// version increases with each change of an entry that affects how targets are used.
@@ -96,7 +99,7 @@
 func NewTargetSet() *TargetSet {
 	return &TargetSet{
 		entries: make(map[string]Target), deferred: make(map[string]deferredRemoval),
-		tombstones: make(map[string]uint64),
+		tombstones: make(map[string]uint64), leaving: make(map[string]int64),
 	}
 }
 
@@ -148,6 +151,11 @@
 	if removed, ok := m.tombstones[t.ID]; ok && t.Revision <= removed {
 		return
 	}
+	if t.Leaving {
+		m.setLeaving(t.ID, t.Born)
+	}
+	born, said := m.leaving[t.ID]
+	t.Leaving = said && born == t.Born
 	if old, ok := m.entries[t.ID]; !ok || t.differsFrom(old) {
 		m.version++
 	}
@@ -159,6 +167,34 @@
 	delete(m.tombstones, t.ID)
 }
 
+// MarkLeaving records that an incarnation of a listed target has said that it leaves. It reports whether that was not
+// known.
+func (m *TargetSet) MarkLeaving(id string, born int64) bool {
+	t, ok := m.entries[id]
+	if !ok || t.Born != born || t.Leaving {
+		return false
+	}
+	m.setLeaving(id, born)
+	t.Leaving = true
+	m.entries[id] = t
+	m.version++
+	return true
+}
+
+// setLeaving keeps the mark of an incarnation, also while its entry is missing. Of targets that are not listed, any may
+// be dropped if there are too many.
+func (m *TargetSet) setLeaving(id string, born int64) {
+	m.leaving[id] = born
+	for other := range m.leaving {
+		if len(m.leaving) <= maxTombstones {
+			return
+		}
+		if _, listed := m.entries[other]; !listed && other != id {
+			delete(m.leaving, other)
+		}
+	}
+}
+
 // Remove applies the removal of an entry from the store.
 func (m *TargetSet) Remove(id string, revision uint64, now time.Duration) {
 	if revision > m.revision {
@@ -169,13 +205,13 @@
 
 // remove drops a target, or defers its removal during the grace period after an outage. Entries of
 // running targets expire while the store is down and are written again when it is back. Removals
-// of draining targets are not deferred.
+// of targets that drain or leave are not deferred.
 func (m *TargetSet) remove(id string, revision uint64, now time.Duration) {
 	t, ok := m.entries[id]
 	if ok && t.Revision > revision {
 		return
 	}
-	if !ok || now >= m.graceUntil || t.Draining {
+	if !ok || now >= m.graceUntil || t.Draining || t.Leaving {
 		m.drop(id, revision)
 		return
 	}
@@ -253,7 +289,7 @@
 	Targets Targets
 	// Evacuations says which data centres are evacuated.
 	Evacuations Evacuations
-	// ByService holds the targets that are neither draining nor in an evacuated data centre.
+	// ByService holds the targets that neither drain nor leave, and are not in an evacuated data centre.
 	ByService map[string][]*Target
 	ByID      map[string]*Target
 }
@@ -267,7 +303,7 @@
 	for i := range t.List {
 		e := &t.List[i]
 		v.ByID[e.ID] = e
-		if !e.Draining && !evacuations.Contains(e.DataCentre) {
+		if !e.Draining && !e.Leaving && !evacuations.Contains(e.DataCentre) {
 			v.ByService[e.Service] = append(v.ByService[e.Service], e)
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,6 +40,9 @@
 		if reason == refusedLost || reason == refusedExpired {
 			return c.giveUp(string(reason), timeLeft/lostOwnerRetryDivisor)
 		}
+		if reason == refusedResting {
+			return c.giveUp(string(reason), g.restRetryAfter(c))
+		}
 		if reason == refusedHot {
 			return c.giveUp(string(reason), g.hotKeyRetryAfter(c))
 		}
@@ -106,8 +109,8 @@
 
 func (g *Gateway) reserveTarget(ctx context.Context, c *call, timeLeft time.Duration) (*attempt, refusal) {
 	if c.keyed {
-		if c.unreached[g.ownerOf(c)] {
-			return nil, refusedUnreached
+		if owner := g.ownerOf(c); c.unreached[owner] {
+			return nil, g.state.refusalOfUnreached(owner)
 		}
 		if details := g.leasesExpired(c.service, g.clock.Now()); details != "" {
 			c.decidedOn = details
@@ -171,7 +174,7 @@
 
 // attempt sends the request to one target. It returns nil if another attempt may follow.
 func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) *outcome {
-	if !g.state.admitToCold(a.target) {
+	if g.state.admit(a.target, c.sentKind()) != notRefused {
 		g.release(a)
 		return nil
 	}
@@ -205,7 +208,6 @@
 	}
 	a.sent = time.Now()
 	sentAt := g.clock.Now()
-	g.state.countSent(a.target, c.sentKind())
 	resp, err := a.pool.Exchange(sendCtx, c.request, a.conn)
 	took := time.Since(a.sent)
 	metrics.GetOrRegisterTimer("step.target."+c.service, g.registry).Update(took)
@@ -297,7 +299,8 @@
 		out := c.giveUp("owner is full", g.retryAfter(c))
 		return &out
 	}
-	// An owner that refuses although it has free slots may accept the request a moment later.
+	// An owner that refuses although it has free slots may accept the request a moment later, unless it refuses
+	// others as well.
 	return nil
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -176,8 +176,11 @@
 			continue
 		}
 		timeLeft = time.Until(c.deadline)
-		if !g.state.admitToCold(a.target) {
+		if reason := g.state.admit(a.target, sentForwarded); reason != notRefused {
 			g.release(a)
+			if c.keyed {
+				return &attempt{refused: reason}, nil, nil
+			}
 			continue
 		}
 		resp, err := g.exchange(ctx, c, a, timeLeft)
@@ -250,6 +253,9 @@
 	switch {
 	case errors.Is(err, errNoLoadReport):
 		return a, notRefused
+	case errors.Is(err, errNotAdmitted):
+		g.release(a)
+		return nil, refusedResting
 	case err != nil:
 		g.release(a)
 		return nil, refusedUnreached
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -37,8 +37,10 @@
 // targets report their load. A VM with few requests would keep frequent heartbeats for a long time otherwise.
 func (g *Gateway) discoverLoadReports(ctx context.Context) {
 	for _, t := range g.state.undiscoveredTargets() {
+		if g.state.admit(t, sentInquiries) != notRefused {
+			continue
+		}
 		askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-		g.state.countSent(t, sentInquiries)
 		resp, err := t.pool.Exchange(askCtx, g.healthRequest(t), upstream.AnyConn)
 		cancel()
 		if err != nil || g.headers.fromOtherTarget(resp, t.ID) {
@@ -98,9 +100,11 @@
 
 // ask asks the target of an attempt for its load. At least half of the remaining time is kept for the request.
 func (g *Gateway) ask(ctx context.Context, a *attempt, timeLeft time.Duration) (loadreport.Report, error) {
+	if g.state.admit(a.target, sentInquiries) != notRefused {
+		return loadreport.Report{}, errNotAdmitted
+	}
 	askCtx, cancel := context.WithTimeout(ctx, min(inquiryTimeout, timeLeft/2))
 	defer cancel()
-	g.state.countSent(a.target, sentInquiries)
 	resp, err := a.pool.Exchange(askCtx, g.healthRequest(a.target), a.conn)
 	g.state.recordEvidence(askCtx, a, err)
 	if err != nil {
@@ -141,6 +145,7 @@
 var (
 	errDisplaced    = errors.New("another target has the address")
 	errNoLoadReport = errors.New("no report of load in the response")
+	errNotAdmitted  = errors.New("target wants no requests")
 )
 
 // healthRequest returns the request by which a target is asked for its load.
@@ -237,7 +242,7 @@
 	case ctx.Err() != nil:
 		g.release(a)
 		return false, c.endedBy(ctx)
-	case errors.Is(err, errDisplaced):
+	case errors.Is(err, errDisplaced), errors.Is(err, errNotAdmitted):
 		g.release(a)
 		return false, nil
 	case errors.Is(err, errNoLoadReport):
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -168,7 +168,7 @@
 	return &ForwardArgs{
 		ForwardID: ForwardID{VM: g.self.VM, Incarnation: g.self.Incarnation, Number: g.forwardCount.Add(1)},
 		Service:   c.service, Route: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective, Regions: c.route.Regions, TimeLeft: timeLeft,
-		Keyed: c.keyed, Key: c.key, Digest: c.digest, MisdirectedBy: c.misdirectedBy, Tried: slices.Collect(maps.Keys(c.tried)),
+		Keyed: c.keyed, Key: c.key, Digest: c.digest, MisdirectedBy: c.misdirectedBy, Tried: append(slices.Collect(maps.Keys(c.tried)), g.state.restingTargets(c.service)...),
 		Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: c.request.Header.Clone(), Body: c.request.Body, ID: c.id,
 	}
 }
@@ -184,7 +184,7 @@
 		if reply.Result == lostByPeer {
 			err = upstream.ErrLost
 		} else if t := g.state.incarnation(reply.Target, reply.Born); t != nil {
-			g.applySignals(t, &upstream.Answer{Status: reply.Status, Header: reply.Header}, received{kind: throughPeer, peer: a.peer})
+			g.applySignals(t, &upstream.Answer{Status: reply.Status, Header: reply.Header}, received{kind: throughPeer, sentAt: g.clock.Now() - took, peer: a.peer})
 		}
 	}
 	resp := &upstream.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
@@ -211,6 +211,10 @@
 			return nil, true
 		}
 	}
+	if reason == refusedResting {
+		o := c.giveUp(string(reason), g.restRetryAfter(c))
+		return &o, true
+	}
 	o := c.giveUp(string(reason), g.retryAfter(c))
 	return &o, true
 }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -79,6 +79,8 @@
 	refusedRegion refusal = "owner in another region"
 	// refusedLimited: the target states a limit, and there is no permit for the request.
 	refusedLimited refusal = "target takes no more requests now"
+	// refusedResting: the target refuses requests, or has asked this VM for a time without any.
+	refusedResting refusal = "target refuses requests"
 	// refusedLeaving: this VM is shutting down. Another one can serve the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
@@ -94,18 +96,29 @@
 	s.startIndex++
 	outranked := s.outrankedLocked(service, rt.Priority)
 	job := pick.Job{Usual: s.usualDurationLocked(service, rt.Name), Objective: rt.Objective, StartIndex: s.startIndex, MayUseReserve: s.mayUseReserveLocked(service, rt.Priority)}
-	for _, c := range []candidates{p.subset, p.all} {
-		i := pick.Choose(c.states, job, func(i int) bool {
-			t := c.targets[i]
-			return tried[t.ID] || t.displaced || !s.mayProcessLocked(rt, t) || s.usableLocked(t) == reach.NoConn || s.warmupExceededLocked(t, now) ||
-				t.limit.isBlocked(outranked, now)
-		}, now)
-		if i >= 0 {
-			return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
+	resting := false
+	// Targets that refuse the requests of other VMs are a last resort.
+	for _, mayRefuse := range []bool{false, true} {
+		for _, c := range []candidates{p.subset, p.all} {
+			i := pick.Choose(c.states, job, func(i int) bool {
+				t := c.targets[i]
+				if tried[t.ID] || !s.mayProcessLocked(rt, t) || s.usableLocked(t) == reach.NoConn || t.limit.isBlocked(outranked, now) {
+					return true
+				}
+				refused := s.unavailableLocked(t, now)
+				resting = resting || refused == refusedResting
+				return refused != notRefused || !mayRefuse && t.pushback.VMs(now) > 0
+			}, now)
+			if i >= 0 {
+				return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
+			}
 		}
 	}
-	if s.mostLostLocked(p, tried) {
+	switch {
+	case s.mostLostLocked(p, tried):
 		return nil, refusedUnreached
+	case resting:
+		return nil, refusedResting
 	}
 	return nil, refusedFull
 }
@@ -166,8 +179,10 @@
 		return nil, refusedLost, owner + " is not listed"
 	case !s.mayProcessLocked(rt, t):
 		return nil, refusedRegion, owner + " in " + t.DataCentre
-	case t.displaced, t.Draining && now > t.drainsUntil, s.evacuationDueLocked(t, now):
-		return nil, refusedLost, fmt.Sprintf("%s displaced %t leaves %t evacuated %t", owner, t.displaced, t.Draining, s.evacuations.Contains(t.DataCentre))
+	case s.endedLocked(t, now):
+		return nil, refusedLost, fmt.Sprintf("%s displaced %t drains %t leaves %t evacuated %t", owner, t.displaced, t.Draining, t.Leaving, s.evacuations.Contains(t.DataCentre))
+	case !t.pushback.Allows(now):
+		return nil, refusedResting, fmt.Sprintf("%s for %dms", owner, t.pushback.Left(now).Milliseconds())
 	case !r.After(req.misdirected.Epoch, req.misdirected.Seq):
 		return nil, refusedMoving, fmt.Sprintf("%s did not hold the key, epoch %d seq %d", owner, r.Epoch, r.Seq)
 	case s.warmupExceededLocked(t, now):
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -36,7 +36,7 @@
 // received says how a response came to this VM.
 type received struct {
 	kind responseKind
-	// sentAt is when the request was sent, on the gateway's clock, or neverSent. It is set for toRequest.
+	// sentAt is when the request was sent, on the gateway's clock, or neverSent. It is set for toRequest and throughPeer.
 	sentAt time.Duration
 	// peer is the VM that sent the request, for throughPeer.
 	peer string
@@ -49,6 +49,8 @@
 	minAnnounceInterval = time.Second
 	// maxSignalLines bounds the log lines per second on what targets say of themselves.
 	maxSignalLines = 20
+	// maxReportedRest bounds the rest that another VM reports.
+	maxReportedRest = time.Minute
 	// leavingReportedFor is how long a VM tells others that a target has said that it leaves. A pair of VMs of a
 	// fleet of 300 exchanges a heartbeat every 7 s.
 	leavingReportedFor = 10 * time.Second
@@ -57,15 +59,13 @@
 // signalMetrics counts what responses say, by signal and kind of response.
 type signalMetrics struct {
 	registry metrics.Registry
-	// malformed counts the signals that could not be read, refused the requests that were not sent because their
-	// target had asked for that.
-	malformed, refused metrics.Counter
-	lines              *rate.Limiter
+	// malformed counts the signals that could not be read.
+	malformed metrics.Counter
+	lines     *rate.Limiter
 }
 
 func newSignalMetrics(r metrics.Registry) signalMetrics {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("signals."+name, r) }
-	return signalMetrics{registry: r, malformed: counter("malformed"), refused: counter("refused"), lines: rate.NewLimiter(maxSignalLines, maxSignalLines)}
+	return signalMetrics{registry: r, malformed: metrics.GetOrRegisterCounter("signals.malformed", r), lines: rate.NewLimiter(maxSignalLines, maxSignalLines)}
 }
 
 func (m *signalMetrics) count(signal string, kind responseKind) {
@@ -175,25 +175,30 @@
 	if s.Rest > 0 {
 		g.signals.count("rest", from.kind)
 	}
-	refused := s.Rest > 0 || from.kind == toRequest && resp.Status == http.StatusServiceUnavailable && g.headers.saysNotRun(resp)
+	notRun := g.headers.saysNotRun(resp)
+	answersRequest := from.kind == toRequest || from.kind == throughPeer
+	rest := s.Rest
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
 	now := g.clock.Now()
+	if from.kind == throughPeer {
+		// The target has asked the other VM for a rest.
+		t.pushback.Reported(from.peer, rest, now)
+		rest = 0
+	}
 	switch {
-	case from.kind == throughPeer:
-		t.pushback.Reported(from.peer, s.Rest, now)
-	case refused:
+	case rest > 0, answersRequest && notRun && resp.Status == http.StatusServiceUnavailable:
 		before := t.pushback.VMs(now)
-		began := t.pushback.Refused(s.Rest, rand.Float64(), now)
+		began := t.pushback.Refused(rest, rand.Float64(), now)
 		g.state.toReport[t] = struct{}{}
 		if t.pushback.Report(now) > 0 && before < vmsToldAtOnce {
 			g.state.announceSoonLocked(t)
 		}
 		if began && g.signals.lines.Allow() {
-			g.log.Info().Str("step", "signals").Str("target", t.ID).Str("service", t.Service).Str("kind", string(from.kind)).Dur("rest", s.Rest).
+			g.log.Info().Str("step", "signals").Str("target", t.ID).Str("service", t.Service).Str("kind", string(from.kind)).Dur("rest", rest).
 				Dur("left", t.pushback.Left(now)).Int("vms", t.pushback.VMs(now)).Msg("target refuses requests and is left alone")
 		}
-	case from.kind == toRequest && !g.headers.saysNotRun(resp):
+	case answersRequest && !notRun:
 		t.pushback.Served(from.sentAt)
 	}
 }
@@ -210,19 +215,25 @@
 	if t == nil || t.saidLeavingAt > 0 || source != s.vm && t.Leaving {
 		return
 	}
-	if source == s.vm {
-		t.saidLeavingAt = s.clock.Now()
-		s.toReport[t] = struct{}{}
-	}
 	s.log.Info().Str("step", "signals").Str("target", target).Str("service", t.Service).Int64("born", born).Str("source", source).
 		Bool("draining", t.Draining).Bool("known", t.Leaving).Msg("target says that it leaves")
+	known := t.Leaving || t.Draining
+	if s.membership.MarkLeaving(target, born) {
+		s.publishLocked(source)
+	}
+	if source != s.vm {
+		return
+	}
+	t.saidLeavingAt = s.clock.Now()
+	s.toReport[t] = struct{}{}
+	if !known {
+		s.announceSoonLocked(t)
+	}
 }
 
-// countSent counts a request that is sent to a target, and those that the target has asked this VM not to send.
-func (s *routingState) countSent(t *targetState, kind sentKind) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
+// countSentLocked counts a request that is sent to a target, and those that the target has asked this VM not to send. It
+// needs s.mu.
+func (s *routingState) countSentLocked(t *targetState, kind sentKind, now time.Duration) {
 	t.sent[kind].Add(now)
 	if t.saidLeavingAt > 0 && now-t.saidLeavingAt > drainingOwnerGrace {
 		metrics.GetOrRegisterCounter("signals.ignored.leaving."+kind.String(), s.registry).Inc(1)
@@ -268,6 +279,17 @@
 	if r.Limit.Source != "" {
 		g.mergeLimit(r, firstHand)
 	}
+	if r.Leaving {
+		g.state.markLeaving(r.Target, r.Born, vm)
+	}
+	if r.RestLeft <= 0 {
+		return
+	}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	if t := g.state.incarnationLocked(r.Target, r.Born); t != nil {
+		t.pushback.Reported(vm, min(r.RestLeft, maxReportedRest), g.clock.Now())
+	}
 }
 
 // reportSignals periodically logs the targets that leave or refuse requests beside what this VM has sent to them, until
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -131,7 +131,7 @@
 	announcedAt time.Duration
 	// sent counts the requests of this VM to the target.
 	sent [sentKinds]permit.Window
-	// drainsUntil is the time until which a draining target may get requests.
+	// drainsUntil is the time until which a target may get requests that the store lists as draining.
 	drainsUntil time.Duration
 	pick        pick.State
 	// path is what this VM knows of its own path to the target.
@@ -281,9 +281,9 @@
 func (s *routingState) trackLocked(t catalog.Target, source string) {
 	old := s.targets[t.ID]
 	if old != nil && old.Born == t.Born && old.Addr == t.Addr {
-		if old.Draining != t.Draining {
+		if old.Draining != t.Draining || old.Leaving != t.Leaving {
 			s.log.Info().Str("step", "targets").Str("target", t.ID).Str("service", t.Service).
-				Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target changed")
+				Bool("draining", t.Draining).Bool("leaving", t.Leaving).Uint64("revision", t.Revision).Str("source", source).Msg("target changed")
 		}
 		if t.Draining && !old.Draining {
 			old.drainsUntil = s.clock.Now() + drainingOwnerGrace
@@ -323,8 +323,8 @@
 	}
 }
 
-// drainingOwnerGrace is how long a draining owner may still get requests for its keys if they have
-// no other owner. Targets must not get any two seconds after their draining was accepted.
+// drainingOwnerGrace is how long an owner may still get requests for its keys that drains, or has said to this VM
+// that it leaves, if they have no other owner. Targets must not get any after two seconds.
 const drainingOwnerGrace = 1500 * time.Millisecond
 
 // setLimits changes the limit on requests to cold targets, and the regions of data centres. A route that names
--- a/internal/gateway/warming.go
+++ b/internal/gateway/warming.go
@@ -116,21 +116,6 @@
 	return !t.warming.sender || !t.warming.sent.Allows(limit, now)
 }
 
-// admitToCold counts a request that is about to be sent, if its target is cold. It returns false if the target
-// must not get it: the target may have turned cold, or got other requests, since it was reserved.
-func (s *routingState) admitToCold(t *targetState) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if s.warmupExceededLocked(t, now) {
-		return false
-	}
-	if limit, limited := s.warmupLimitLocked(t.Service); limited && now < t.warming.until {
-		t.warming.sent.Sent(limit, now)
-	}
-	return true
-}
-
 // warmingTargets returns the number of cold targets.
 func (s *routingState) warmingTargets() int64 {
 	s.mu.Lock()
--- a/internal/gateway/warming_test.go
+++ b/internal/gateway/warming_test.go
@@ -163,3 +163,6 @@
 	f.setTargets(3, 2*time.Second)
 	require.True(t, f.vms[0].isWarming("k"))
 }
+
+// admitToCold reports whether a request to a target may be sent now.
+func (s *routingState) admitToCold(t *targetState) bool { return s.admit(t, sentOwn) == notRefused }
