leasing: owners that refuse requests give up keys, and get them back step by step

Callers saw a quarter of the requests to a service refused for as long as three of its owners refused everything: the owners kept their keys, with or without Retry-After.

An owner counts as refusing while two VMs leave it alone (stated rest, or three refusals in a row).

--- a/internal/decide/pushback/pushback.go
+++ b/internal/decide/pushback/pushback.go
@@ -24,7 +24,7 @@
 	probeTimeout = 500 * time.Millisecond
 	// reportedPause is the length of a pause from which it is reported to other VMs. Shorter ones follow from a
 	// short queue at a target that is full.
-	reportedPause = 400 * time.Millisecond
+	reportedPause = 200 * time.Millisecond
 	// maxReports bounds the VMs whose reports are kept for one target.
 	maxReports = 8
 )
--- a/internal/gateway/leasing/helpers_test.go
+++ b/internal/gateway/leasing/helpers_test.go
@@ -115,6 +115,7 @@
 }
 func (emptyDirectory) Warming(string) bool                          { return false }
 func (emptyDirectory) Limit(string) (float64, bool)                 { return 0, false }
+func (emptyDirectory) Refusing(string) bool                         { return false }
 func (emptyDirectory) RecordAnswer(lease.Owner, *upstream.Answer)   {}
 func (emptyDirectory) Slots(string) int                             { return 0 }
 func (emptyDirectory) MeanServiceTime(string) (time.Duration, bool) { return 0, false }
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -86,6 +86,7 @@
 	// latestBorn is the start of each target's latest incarnation, by target id.
 	latestBorn map[string]int64
 	orders     orderReport
+	reliefs    reliefs
 }
 
 func newLeader(c *candidate, g *lease.Grantor, version uint64) *leader {
@@ -93,8 +94,8 @@
 		candidate: c, grants: g, version: version, events: make(chan func(), eventQueueSize),
 		broadcaster: newLeaseBroadcaster(c.pushLeases, c.Log, c.Self.LinkBytesPerSecond(), c.Leases.Get(c.service)),
 		senders:     make(map[lease.Owner]*orderSender), latestBorn: make(map[string]int64), load: newLoadView(),
-		ownerRetries: make(map[lease.Owner]ownerRetry),
-		lagMeter:     fitness.NewMeter(leaderTick),
+		ownerRetries: make(map[lease.Owner]ownerRetry), reliefs: make(reliefs),
+		lagMeter: fitness.NewMeter(leaderTick),
 	}
 	l.orderDeadline.Store(int64(g.ConfirmedAt() + lease.Authority))
 	l.orders.answeredAt = c.Clock.Now()
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -120,6 +120,8 @@
 	Warming(target string) bool
 	// Limit is the number of requests per second that a target takes from all VMs, if it states a limit.
 	Limit(target string) (perSecond float64, limited bool)
+	// Refusing reports whether a target refuses the requests of several VMs.
+	Refusing(target string) bool
 	// RecordAnswer records what a target says of itself in the answer to an order.
 	RecordAnswer(o lease.Owner, resp *upstream.Answer)
 	// Slots is the number of requests that a target runs at a time, or 0 if it is not known.
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -138,8 +138,9 @@
 	for i, v := range keyspread.Loads(ranges, capacity) {
 		load[live[i]] = v
 	}
+	refusing := l.refusing(live, now)
 	for i, v := range l.limited(live) {
-		limited[live[i]] = v
+		limited[live[i]] = v || refusing[i]
 	}
 	return lease.TargetLoad{
 		Moving: func(i int) bool { return ranges[i].Fixed },
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -96,7 +96,14 @@
 	}
 	l.load.lastSpread = now
 	ranges, sums, capacity := l.sliceLoads(live, now)
-	d := keyspread.DecideRelieving(ranges, capacity, l.limited(live))
+	refusing := l.refusing(live, now)
+	relieve := l.limited(live)
+	for i := range live {
+		if refusing[i] {
+			relieve[i], capacity[i] = true, refusedCapacity
+		}
+	}
+	d := keyspread.DecideRelieving(ranges, capacity, relieve)
 	moved := make([]lease.Change, 0, len(d.Moves))
 	for _, m := range d.Moves {
 		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
@@ -109,7 +116,7 @@
 		s := l.grants.Record().Slices[c.Slice]
 		perSecond, limited := l.TargetDirectory.Limit(s.Owner.ID)
 		l.Log.Info().Str("step", "spread").Str("service", l.service).Uint16("from", s.From).Float64("rate", sums[c.Slice].Rate).
-			Str("owner", s.Owner.ID).Bool("limited", limited).Float64("perSecond", perSecond).Str("to", c.To.ID).Msg("hot keys get another owner")
+			Str("owner", s.Owner.ID).Bool("refusing", l.TargetDirectory.Refusing(s.Owner.ID)).Bool("limited", limited).Float64("perSecond", perSecond).Str("to", c.To.ID).Msg("hot keys get another owner")
 	}
 	return moved
 }
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -75,6 +75,14 @@
 	return t.limit.PerSecond, true
 }
 
+// Refusing implements leasing.TargetDirectory. The refusals that one VM has seen may be its own fault.
+func (g leasingAdapter) Refusing(target string) bool {
+	g.gateway.state.mu.Lock()
+	defer g.gateway.state.mu.Unlock()
+	t := g.gateway.state.targets[target]
+	return t != nil && t.pushback.VMs(g.gateway.clock.Now()) >= min(refusingVMs, len(g.gateway.state.holders.list))
+}
+
 // RecordAnswer implements leasing.TargetDirectory.
 func (g leasingAdapter) RecordAnswer(o lease.Owner, resp *upstream.Answer) {
 	if t := g.gateway.state.incarnation(o.ID, o.Born); t != nil {
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -191,7 +191,7 @@
 		before := t.pushback.VMs(now)
 		began := t.pushback.Refused(rest, rand.Float64(), now)
 		g.state.toReport[t] = struct{}{}
-		if t.pushback.Report(now) > 0 && before < vmsToldAtOnce {
+		if t.pushback.Report(now) > 0 && before < refusingVMs {
 			g.state.announceSoonLocked(t)
 		}
 		if began && g.signals.lines.Allow() {
@@ -203,9 +203,9 @@
 	}
 }
 
-// vmsToldAtOnce is the number of VMs that tell all others at once that a target refuses requests. The grantor
-// believes two.
-const vmsToldAtOnce = 2
+// refusingVMs is the number of VMs whose requests a target refuses from which its keys get other owners. So many VMs
+// tell all others at once.
+const refusingVMs = 2
 
 // markLeaving records that an incarnation of a target said to a VM, the source, that it leaves. Only its end ends that.
 func (s *routingState) markLeaving(target string, born int64, source string) {
