pushback: a target that refuses only a part of the requests is worth more attempts

A target that has served a request after refusing one counts as refusing a part for 10 s, with all targets of its service: ten refusals in a row, not two, begin a pause.

--- a/internal/decide/pushback/pushback.go
+++ b/internal/decide/pushback/pushback.go
@@ -6,7 +6,8 @@
 //
 // A target is left alone for as long as it has asked for. If it only refuses, and nothing is answered in between, it
 // is left alone for a time that doubles with each refusal. After that a single request is sent, the probe; others
-// follow once it is answered.
+// follow once it is answered. A target that refuses only a part of the requests is worth more attempts: each may be
+// served. Where one target of a service does that, the others are likely to as well.
 //
 // Invariant: nothing but time ends what the target has asked for. A response to a request that was sent earlier shows
 // nothing of the time after it.
@@ -15,8 +16,11 @@
 import "time"
 
 const (
-	// patience is the number of refusals in a row from which a target that does not ask for a rest is left alone.
-	patience = 2
+	// patience is the number of refusals in a row from which a target that does not ask for a rest is left alone,
+	// partialPatience that for a target which has served a request after a refusal within partialTime.
+	patience        = 2
+	partialPatience = 10
+	partialTime     = 10 * time.Second
 	// minPause and maxPause bound the time for which such a target is left alone.
 	minPause = 100 * time.Millisecond
 	maxPause = 1600 * time.Millisecond
@@ -39,6 +43,8 @@
 	refusals      int
 	lastRefusedAt time.Duration
 	pause         time.Duration
+	// partialUntil is the time until which the target counts as one that refuses a part of the requests.
+	partialUntil time.Duration
 	// probeSentAt is when the probe in flight was sent, or 0.
 	probeSentAt time.Duration
 	// reports holds the end of the rest of other VMs at the target, by VM.
@@ -52,21 +58,37 @@
 	s.refusals++
 	s.lastRefusedAt, s.probeSentAt = now, 0
 	s.statedUntil = max(s.statedUntil, now+rest)
-	if s.refusals >= patience {
+	if s.exhausted(now) {
 		s.pause = min(max(2*s.pause, minPause), maxPause)
 		s.pausedUntil = now + time.Duration((0.75+spread/2)*float64(s.pause))
 	}
 	return before == 0 && s.Left(now) > 0
 }
 
-// Served records the response to a request that ran and was sent at the given time.
-func (s *State) Served(sentAt time.Duration) {
+// exhausted reports whether there were so many refusals in a row that no request is likely to be served.
+func (s *State) exhausted(now time.Duration) bool {
+	if now < s.partialUntil {
+		return s.refusals >= partialPatience
+	}
+	return s.refusals >= patience
+}
+
+// Served records the response to a request that ran and was sent at the given time. It reports whether the target
+// turns out to refuse only a part of the requests.
+func (s *State) Served(sentAt, now time.Duration) (partial bool) {
 	if sentAt <= s.lastRefusedAt {
-		return
+		return false
+	}
+	if partial = s.refusals > 0; partial {
+		s.Partial(now)
 	}
 	s.refusals, s.pause, s.pausedUntil, s.probeSentAt = 0, 0, 0, 0
+	return partial
 }
 
+// Partial records that the target, or another one of its service, refuses only a part of the requests.
+func (s *State) Partial(now time.Duration) { s.partialUntil = now + partialTime }
+
 // Left returns for how long the target gets no requests from this VM.
 func (s *State) Left(now time.Duration) time.Duration {
 	return max(0, s.statedUntil-now, s.pausedUntil-now)
@@ -77,7 +99,7 @@
 	switch {
 	case s.Left(now) > 0:
 		return false
-	case s.refusals >= patience || s.refusals > 0 && s.statedUntil > 0:
+	case s.exhausted(now) || s.refusals > 0 && s.statedUntil > 0:
 		return s.probeSentAt == 0 || now-s.probeSentAt >= probeTimeout
 	}
 	return true
@@ -90,9 +112,6 @@
 	}
 }
 
-// RefusedLately reports whether the last request that had a result was refused.
-func (s *State) RefusedLately() bool { return s.refusals > 0 }
-
 // Report returns for how long this VM leaves the target alone, as other VMs are told. It is 0 if they need not know.
 func (s *State) Report(now time.Duration) time.Duration {
 	if s.statedUntil <= now && s.pause < reportedPause {
--- a/internal/decide/pushback/pushback_test.go
+++ b/internal/decide/pushback/pushback_test.go
@@ -1,6 +1,7 @@
 package pushback
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 				s.Refused(rest, rapid.Float64Range(0, 0.99).Draw(t, "spread"), now)
 				until = max(until, now+rest)
 			case 1:
-				s.Served(now - time.Duration(rapid.IntRange(0, 2000).Draw(t, "age"))*ms)
+				s.Served(now-time.Duration(rapid.IntRange(0, 2000).Draw(t, "age"))*ms, now)
 			}
 			if now < until && s.Allows(now) {
 				t.Fatalf("a request may be sent %s before the end of the rest", until-now)
@@ -51,7 +52,7 @@
 	require.True(t, s.Allows(now))
 	s.Sent(now)
 	require.False(t, s.Allows(now+ms), "one probe at a time")
-	s.Served(now)
+	s.Served(now, now+ms)
 	require.True(t, s.Allows(now+ms))
 }
 
@@ -62,10 +63,34 @@
 		require.True(t, s.Allows(now))
 		s.Refused(0, 0.5, now)
 		require.True(t, s.Allows(now))
-		s.Served(now + ms)
+		s.Served(now+ms, now+ms)
 	}
 }
 
+// Guards against lost service at a target that refuses half of the requests: most attempts must be made.
+func TestTargetThatRefusesHalfIsUsed(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 1))
+	var s State
+	allowed, attempts := 0, 0
+	for now := time.Hour; now < time.Hour+20*time.Second; now += 250 * ms {
+		for range 4 {
+			attempts++
+			if !s.Allows(now) {
+				continue
+			}
+			allowed++
+			s.Sent(now)
+			if draw.Float64() < 0.55 {
+				s.Refused(0, draw.Float64(), now)
+				continue
+			}
+			s.Served(now+1, now+2)
+			break
+		}
+	}
+	require.Greater(t, float64(allowed)/float64(attempts), 0.9)
+}
+
 // Guards against a probe without an outcome that excludes all later requests.
 func TestLostProbeIsReplaced(t *testing.T) {
 	var s State
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -199,7 +199,25 @@
 				Dur("left", t.pushback.Left(now)).Int("vms", t.pushback.VMs(now)).Msg("target refuses requests and is left alone")
 		}
 	case answersRequest && !notRun:
-		t.pushback.Served(from.sentAt)
+		if t.pushback.Served(from.sentAt, now) {
+			g.state.markPartialLocked(t.Service, now)
+		}
+	}
+}
+
+// partialInterval is the minimum time between two marks of a service whose targets refuse a part of the requests.
+const partialInterval = time.Second
+
+// markPartialLocked records that targets of a service refuse only a part of the requests. It needs s.mu.
+func (s *routingState) markPartialLocked(service string, now time.Duration) {
+	if now-s.partialAt[service] < partialInterval {
+		return
+	}
+	s.partialAt[service] = now
+	for _, t := range s.targets {
+		if t.Service == service {
+			t.pushback.Partial(now)
+		}
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -103,6 +103,8 @@
 	crashes map[uint64]map[uint32]time.Duration
 	// tellsLoad holds, by service, whether the last response of a target reported its load.
 	tellsLoad map[string]bool
+	// partialAt is when a target last turned out to refuse only a part of the requests, by service.
+	partialAt map[string]time.Duration
 	// misdirectedAt is when a target last said that it does not hold a key, by service.
 	misdirectedAt map[string]time.Duration
 	// keyLoad counts requests by service and key since the grantor last read the counts.
@@ -163,7 +165,7 @@
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes:     make(map[uint64]map[uint32]time.Duration),
 		evacuatedAt: make(map[string]time.Duration), returns: make(map[string]dataCentreReturn),
-		tellsLoad:     make(map[string]bool),
+		tellsLoad: make(map[string]bool), partialAt: make(map[string]time.Duration),
 		misdirectedAt: make(map[string]time.Duration), keyLoad: make(map[string]map[uint16]uint16),
 	}
 	s.announced.log = logger
