leasing: keys move to a standby that the record names, without a write before

Callers of a leaving owner got 503 for nine seconds while the store was away: the owner closed its connections, its grants could not be renewed, and no key may get an owner that the stored record does not name. The same held for owners that were lost or refused everything meanwhile.

A grantor within its authority may move a slice to its standby at once (release, answer or end of the hold, grant) and writes the record afterwards; it does so for owners that are not live, and for refusing ones while it cannot write. The stored record then still names both targets that may hold the keys. A successor that was not handed the record by a resigned predecessor releases each slice at its standby (one call that is answered at once) before it grants the owner; until then callers go on under the predecessor's grants. No standbys are written while a VM of an earlier version is heard of.

A successor that ignores standbys is found by the same walks (TestWalksFindASuccessorThatIgnoresStandbys).

--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -240,7 +240,8 @@
 		c.storeStableSince = 0
 		return err
 	}
-	next := old
+	last := c.Leases.Get(c.service)
+	next := old.Succeed(last)
 	if unclaimed {
 		owners := c.initialOwners()
 		if owners == nil {
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -69,6 +69,8 @@
 	checkingIncarnations bool
 	nextIncarnationCheck time.Duration
 	nextPlan             time.Duration
+	nextStandbyMove      time.Duration
+	nextStandbyWrite     time.Duration
 	// nextPublish is when changed leases may be published again.
 	nextPublish time.Duration
 	// yieldUntil is until when this grantor tries to resign because another VM reaches the owners that it
@@ -159,6 +161,7 @@
 		return
 	}
 	l.orderDeadline.Store(int64(l.grants.ConfirmedAt() + lease.Authority))
+	l.moveToStandbys(now)
 	l.planAndWrite(ctx, now)
 	for _, o := range l.grants.DueOrders(now) {
 		l.send(ctx, o)
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -82,6 +82,8 @@
 	Size() int
 	// NonLeavingPeers is the number of other live VMs that were not asked to end.
 	NonLeavingPeers() int
+	// AllKnowStandbys reports whether every known VM takes over records that name standbys correctly.
+	AllKnowStandbys() bool
 	// Others returns the other live VMs.
 	Others() []string
 	// Call calls a method of another VM.
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -20,6 +20,7 @@
 	ownerEnded     moveCause = "owner ended"
 	ownerSilent    moveCause = "owner silent"
 	ownerLoaded    moveCause = "owner loaded"
+	ownerRefusing  moveCause = "owner refuses requests"
 	ownersUneven   moveCause = "owners uneven"
 )
 
@@ -33,11 +34,11 @@
 	var changes []lease.Change
 	var cause moveCause
 	if !l.writeAmbiguous {
-		if changes, cause = l.plan(now); len(changes) == 0 {
+		if changes, cause = l.plan(now); len(changes) == 0 && !l.grants.Unwritten() && !l.needsStandbys(now) {
 			return
 		}
 	}
-	next := l.grants.Plan(changes)
+	next := l.planRecord(changes, now)
 	l.logPlannedMoves(changes, cause, now)
 	l.writingRecord = true
 	version := l.version
@@ -48,6 +49,14 @@
 	}()
 }
 
+// planRecord returns the record to write. While the end of a write is not known, nothing else changes.
+func (l *leader) planRecord(changes []lease.Change, now time.Duration) lease.Record {
+	if l.writeAmbiguous {
+		return l.grants.Plan(changes)
+	}
+	return l.grants.PlanStandbys(changes, l.standbyChooser(now))
+}
+
 // logPlannedMoves logs each planned change of an owner.
 func (l *leader) logPlannedMoves(changes []lease.Change, cause moveCause, now time.Duration) {
 	listed, revision := l.eligibleOwners(), l.TargetDirectory.View().Targets.Revision
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,7 +30,7 @@
 		StoreLost: !g.storeUp.Load(), StoreRelayed: g.storeRelayed(), StoreAnswered: g.recentlyAnswered(), ConfigVersion: v.ConfigVersion(),
 		TargetsRevision: v.Targets.Revision, Targets: uint16(len(v.Targets.List)),
 		Leases: g.state.leases.Versions(), Loads: g.state.ownLoads(), Crashes: g.state.recentCrashes(),
-		CutOff: g.state.cutOff(), Unreached: g.state.unreachedTargets(),
+		KnowsStandbys: true, CutOff: g.state.cutOff(), Unreached: g.state.unreachedTargets(),
 	}
 	b.ConfigMark = g.confirmations.mark(g.adapter.ConfigID().Kind)
 	b.TargetsMark = g.confirmations.mark(g.adapter.TargetKind())
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -29,12 +29,56 @@
 		if !sl.Previous.Known() {
 			sl.Previous = sl.Owner
 		}
-		sl.Owner = c.To
+		sl.Owner, sl.Standby, sl.Hedged = c.To, Owner{}, false
 		g.states[c.Slice].frozen = true
 	}
 	return next
 }
 
+// PlanStandbys is Plan with the standbys that choose returns for the slices that are not moving. A slice whose standby
+// changes cannot be moved to either before Commit or Abandon.
+func (g *Grantor) PlanStandbys(changes []Change, choose func(s Slice) Owner) Record {
+	next := g.Plan(changes)
+	for i := range next.Slices {
+		sl, s := &next.Slices[i], &g.states[i]
+		if sl.Previous.Known() || s.frozen || s.standbyFrozen {
+			continue
+		}
+		if standby := choose(*sl); standby != sl.Standby && !standby.SameIncarnation(sl.Owner) {
+			sl.Standby, s.standbyFrozen = standby, true
+		}
+	}
+	return next
+}
+
+// MoveToStandby gives slice i to its standby, without a write of the record, and reports whether it did. It does not
+// while a record is being written that names another owner or standby: the stored record must name both targets.
+func (g *Grantor) MoveToStandby(i int) bool {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	if !sl.Standby.Known() || sl.Previous.Known() || s.frozen || s.standbyFrozen || g.endedOwners[sl.Standby] {
+		return false
+	}
+	g.setOwner(i, sl.Standby)
+	s.unwritten = true
+	return true
+}
+
+// setOwner gives a slice to another owner, which has not been granted its keys yet.
+func (g *Grantor) setOwner(i int, to Owner) {
+	s, sl := &g.states[i], &g.record.Slices[i]
+	if !sl.Previous.Known() {
+		sl.Previous, s.previousExpiresAt = sl.Owner, s.expiresAt
+	}
+	sl.Owner, sl.Standby, sl.Hedged = to, Owner{}, false
+	s.granted, s.inherited, s.expiresAt, s.retryAt, s.moved = false, false, 0, 0, true
+	s.fence = g.newFence()
+}
+
+// Unwritten reports whether slices were moved since the record was written.
+func (g *Grantor) Unwritten() bool {
+	return slices.ContainsFunc(g.states, func(s leaseState) bool { return s.unwritten })
+}
+
 // Movable reports whether slice i may be given to another owner now. A predecessor may already have
 // granted the keys to the owner of an inherited slice that is moving. Another move would drop that owner
 // from the record while it holds the keys, so the previous owner must be cleared first.
@@ -68,7 +112,7 @@
 // has accepted another write, after which the lost one must fail.
 func (g *Grantor) Abandon() {
 	for i := range g.states {
-		g.states[i].frozen = false
+		g.states[i].frozen, g.states[i].standbyFrozen = false, false
 	}
 }
 
@@ -78,20 +122,22 @@
 // result, which determines when that owner's hold expires.
 func (g *Grantor) Commit(next Record, sent time.Duration) {
 	g.ConfirmEpoch(sent)
-	g.Abandon()
-	for i := range next.Slices {
-		old, sl, s := g.record.Slices[i], &next.Slices[i], &g.states[i]
-		if sl.Owner.SameIncarnation(old.Owner) {
+	slicesBefore := g.record.Slices
+	g.record = next
+	g.record.Slices = slices.Clone(slicesBefore)
+	for i, written := range next.Slices {
+		old, s := slicesBefore[i], &g.states[i]
+		switch {
+		case written.Owner.SameIncarnation(old.Owner):
 			// The previous owner may have been cleared while the write was in flight.
-			sl.Previous = old.Previous
-			continue
+			if s.standbyFrozen {
+				g.record.Slices[i].Standby = written.Standby
+			}
+			s.unwritten = false
+		case s.frozen:
+			g.setOwner(i, written.Owner)
 		}
-		if !old.Previous.Known() {
-			s.previousExpiresAt = s.expiresAt
-		}
-		// The new owner has not been granted these keys yet.
-		s.granted, s.inherited, s.expiresAt, s.retryAt, s.moved = false, false, 0, 0, true
-		s.fence = g.newFence()
+		// Any other slice was moved to its standby while the write was in flight.
 	}
-	g.record = next
+	g.Abandon()
 }
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -74,6 +74,10 @@
 	// frozen says that the record with a planned change of the slice is being written to the store.
 	// Neither owner may get a first grant until the result of the write is known.
 	frozen bool
+	// standbyFrozen says that a record with another standby for the slice is being written.
+	standbyFrozen bool
+	// unwritten says that the slice was moved to its standby and the record with that is not written yet.
+	unwritten bool
 	// inherited says that the owner was in the record before this epoch: a predecessor may have granted it
 	// the keys.
 	inherited bool
@@ -128,14 +132,15 @@
 }
 
 // PresumeServed treats owners that served their slices in the predecessor's last published version as
-// serving them until the given time, unless orders to them fail. This affects only where senders try, not
+// serving them until the given time, unless orders to them fail. An owner whose keys must first be taken from
+// another target still has the predecessor's grant. This affects only where senders try, not
 // who holds keys: an owner rejects requests for keys that it does not hold. Without it, all keys of the
 // service would be refused until their owners are granted them again.
 func (g *Grantor) PresumeServed(last *Routing, until time.Duration) {
 	for i := range g.states {
 		sl := &g.record.Slices[i]
 		owner, state := last.Find(sl.From)
-		if g.states[i].inherited && !sl.Previous.Known() && owner == sl.Owner.ID && state.Serves() {
+		if g.states[i].inherited && (sl.Hedged || !sl.Previous.Known()) && owner == sl.Owner.ID && state.Serves() {
 			g.states[i].presumedUntil = until
 		}
 	}
@@ -177,6 +182,8 @@
 			return Cold
 		}
 		return Served
+	case sl.Hedged && s.inherited && now < s.presumedUntil:
+		return Served
 	case c != nil && c.failures > 0:
 		return Unserved
 	case awaited.SameIncarnation(sl.Owner) && s.inherited && now < s.presumedUntil:
@@ -247,14 +254,16 @@
 // a fence above that of the release.
 func (g *Grantor) clearPrevious(i int) {
 	s, sl := &g.states[i], &g.record.Slices[i]
-	previous, kind := sl.Previous, Expired
+	previous, kind, hedged := sl.Previous, Expired, sl.Hedged
 	if s.released {
 		kind = Released
 	}
-	sl.Previous = Owner{}
+	sl.Previous, sl.Hedged = Owner{}, false
 	s.fence = g.newFence()
 	s.retryAt, s.released = 0, false
-	g.addEvent(kind, i, previous)
+	if !hedged {
+		g.addEvent(kind, i, previous)
+	}
 }
 
 // MarkEnded records that an incarnation of a target has ended because another one has started under its
@@ -274,9 +283,11 @@
 	seen := make(map[Owner]bool)
 	var out []Owner
 	for _, sl := range g.record.Slices {
-		if o := sl.Owner; o.Known() && !g.confirmedOwners[o] && !g.endedOwners[o] && !seen[o] {
-			seen[o] = true
-			out = append(out, o)
+		for _, o := range []Owner{sl.Owner, sl.Standby} {
+			if o.Known() && !g.confirmedOwners[o] && !g.endedOwners[o] && !seen[o] {
+				seen[o] = true
+				out = append(out, o)
+			}
 		}
 	}
 	return out
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -51,6 +52,8 @@
 		sim.splitSlice(vm, rapid.IntRange(0, simUnits-1).Draw(t, "slice"), rapid.IntRange(0, simUnits-2).Draw(t, "unit"))
 	case 19, 20, 21, 22, 23, 24:
 		sim.moveFromSilent(vm, target)
+	case 25, 26, 27, 28:
+		sim.moveToStandby(vm, rapid.IntRange(0, simUnits-1).Draw(t, "slice"))
 	}
 }
 
@@ -375,3 +378,99 @@
 	require.GreaterOrEqual(t, granted, slowestExpiry(over))
 	require.Less(t, granted, slowestExpiry(over)+time.Second)
 }
+
+// Guards against a successor that grants the owner of its record while the predecessor has moved the keys to the
+// standby: the random walks must find that fault.
+func TestWalksFindASuccessorThatIgnoresStandbys(t *testing.T) {
+	found, moves := false, 0
+	for seed := uint64(1); seed <= 400 && !found; seed++ {
+		r := rand.New(rand.NewPCG(seed, 1))
+		draw := func(low, high int, _ string) int { return low + r.IntN(high-low+1) }
+		sim := newSimulation(draw, func(string) { found = true })
+		sim.ignoreStandbys = true
+		sim.takeOver(0)
+		for range 400 {
+			switch vm, slice := r.IntN(simVMs), r.IntN(simUnits); r.IntN(25) {
+			case 0:
+				sim.takeOver(vm)
+			case 1, 2, 3:
+				sim.moveSlice(vm, slice, r.IntN(simTargets))
+			case 4, 5, 6:
+				sim.moveToStandby(vm, slice)
+			case 7:
+				sim.cutStore(vm, time.Duration(1+r.IntN(10))*time.Second)
+			}
+			sim.step()
+		}
+		moves += sim.standbyMoves
+	}
+	require.Positive(t, moves)
+	require.True(t, found)
+}
+
+// Guards against keys of a leaving owner that wait for the store, and against a record that never tells of the move.
+func TestMoveToStandbyNeedsNoWrite(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g.MarkConfirmed(a)
+	g.MarkConfirmed(b)
+	first := g.DueOrders(time.Hour)[0]
+	g.HandleResult(first, Done, "", time.Hour, time.Hour)
+	require.False(t, g.MoveToStandby(0), "the record names no standby")
+	next := g.PlanStandbys(nil, func(Slice) Owner { return b })
+	require.False(t, g.MoveToStandby(0), "the record is being written")
+	g.Commit(next, time.Hour)
+	require.False(t, g.Unwritten())
+	require.True(t, g.MoveToStandby(0))
+	release := g.DueOrders(time.Hour)[0]
+	require.Equal(t, Release, release.Kind)
+	require.Equal(t, a, release.Target)
+	g.HandleResult(release, Done, "state", time.Hour, time.Hour)
+	grant := g.DueOrders(time.Hour)[0]
+	require.Equal(t, b, grant.Target)
+	require.Equal(t, "state", grant.Handover)
+	require.Greater(t, grant.Fence, release.Fence)
+	require.True(t, g.Unwritten())
+	g.Commit(g.Plan(nil), time.Hour)
+	require.False(t, g.Unwritten())
+	require.Equal(t, b, g.Record().Slices[0].Owner)
+}
+
+// Guards against a move to a standby that is undone by the record that was being written meanwhile.
+func TestMoveToStandbyDuringAWriteStaysInForce(t *testing.T) {
+	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
+	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g.Commit(g.PlanStandbys(nil, func(Slice) Owner { return b }), time.Hour)
+	next := g.Plan([]Change{{Slice: 1, To: c}})
+	require.True(t, g.MoveToStandby(0))
+	require.False(t, g.MoveToStandby(1), "the write may take effect, and does not name the standby")
+	g.Commit(next, time.Hour)
+	require.Equal(t, b, g.Record().Slices[0].Owner)
+	require.Equal(t, c, g.Record().Slices[1].Owner)
+	require.True(t, g.Unwritten())
+}
+
+// Guards against a successor that serves no keys until it has asked each standby, or grants before that.
+func TestSuccessorTakesTheKeysFromTheStandbyFirst(t *testing.T) {
+	a, b := Owner{ID: "a"}, Owner{ID: "b"}
+	r := Record{Service: "s", Epoch: 4, Slices: []Slice{{From: 0, To: keySpace - 1, Owner: a, Standby: b}}}
+	last := NewRouting(r, 9, func(int) SliceState { return Served })
+	next := r.Succeed(last)
+	next.Epoch = 5
+	g := NewGrantor(next, simTiming, time.Hour, time.Hour, PriorGrantsUnknown)
+	g.PresumeServed(last, time.Hour+time.Second)
+	require.Equal(t, Served, g.State(0, time.Hour), "the owner still has its grant")
+	g.MarkConfirmed(a)
+	release := g.DueOrders(time.Hour)
+	require.Len(t, release, 1)
+	require.Equal(t, Release, release[0].Kind)
+	require.Equal(t, b, release[0].Target)
+	g.HandleResult(release[0], Done, "", time.Hour, time.Hour)
+	grant := g.DueOrders(time.Hour)
+	require.Len(t, grant, 1)
+	require.Equal(t, a, grant[0].Target)
+	moved := NewRouting(Record{Service: "s", Epoch: 4, Slices: []Slice{{From: 0, To: keySpace - 1, Owner: b}}}, 10, func(int) SliceState { return Served })
+	require.Equal(t, b, r.Succeed(moved).Slices[0].Owner, "the predecessor has published the move")
+	r.Resigned = true
+	require.Equal(t, r.Slices, r.Succeed(nil).Slices, "its record is exact")
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -19,7 +19,11 @@
 //  4. Keys are taken from an owner when the process at its address acknowledges a release, whose fence
 //     is higher than all that were sent before, or when every grant that may have reached the owner
 //     has expired. An unanswered grant may still arrive until its connection is reset.
-//  5. A grant is sent to the incarnation of a target that the record names. After an order that could
+//  5. The record may name a standby for a range. Its grantor may then move the range to the standby as in rule 4 without
+//     writing the record first, and writes it afterwards. A successor that was not handed the record by its predecessor
+//     must assume that the standby holds the keys: it takes them from the standby, as in rule 4, before it grants them
+//     to the owner.
+//  6. A grant is sent to the incarnation of a target that the record names. After an order that could
 //     not be delivered, the caller has that incarnation confirmed before the next grant: a restarted
 //     target has lost its fences and would accept a grant from a superseded grantor.
 package lease
@@ -70,6 +74,12 @@
 	// Previous is the previous owner while it may still hold the keys. It must acknowledge a release, or
 	// its hold must expire, before Owner is granted the keys.
 	Previous Owner
+	// Standby is the target to which the grantor may move the keys before it has written the record. It is not set
+	// while Previous is.
+	Standby Owner
+	// Hedged says that Previous is only the other one of the predecessor's owner and standby, which holds nothing
+	// unless the predecessor has moved the keys. It is not stored.
+	Hedged bool
 }
 
 // Record is the part of a service's leases that is kept in the store.
@@ -86,6 +96,31 @@
 	Slices []Slice
 }
 
+// Succeed returns the record as the next grantor must take it over: the predecessor may have moved each slice that
+// has a standby, unless it has resigned. last is the last version that the predecessor published, as far as it is known
+// here, or nil; it only decides which of the two is tried first.
+func (r Record) Succeed(last *Routing) Record {
+	out := r
+	out.Slices = slices.Clone(r.Slices)
+	for i := range out.Slices {
+		s := &out.Slices[i]
+		if r.Resigned || !s.Standby.Known() {
+			continue
+		}
+		if s.Previous.Known() {
+			s.Standby = Owner{}
+			continue
+		}
+		s.Previous, s.Standby, s.Hedged = s.Standby, Owner{}, true
+		if last != nil && last.Epoch == r.Epoch {
+			if id, _ := last.Find(s.From); id == s.Previous.ID {
+				s.Owner, s.Previous = s.Previous, s.Owner
+			}
+		}
+	}
+	return out
+}
+
 // Check returns an error if the slices do not cover the key space in order and without gaps.
 func (r *Record) Check() error {
 	next := 0
--- a/internal/lease/simulation_test.go
+++ b/internal/lease/simulation_test.go
@@ -108,6 +108,10 @@
 	// closeWithoutReset says that a connection is closed, not reset, when an order times out: the
 	// operating system keeps sending what was written to it.
 	closeWithoutReset bool
+	// ignoreStandbys says that a successor takes over a record as if no slice had a standby.
+	ignoreStandbys bool
+	// standbyMoves counts the moves to standbys.
+	standbyMoves int
 }
 
 // newRandomSimulation returns a simulation whose choices are drawn by rapid.
@@ -154,7 +158,7 @@
 		return
 	}
 	fresh := sim.version == 0
-	next := sim.record
+	next := sim.succeed(sim.record)
 	if fresh {
 		owners := make([]Owner, simTargets)
 		for i := range owners {
@@ -166,6 +170,7 @@
 	next.Epoch++
 	prior := PriorGrantsUnknown
 	holder := int(next.Incarnation % simVMs)
+	next.Resigned = false
 	switch {
 	case fresh:
 		prior = NoPriorGrants
@@ -185,6 +190,18 @@
 	v.conns = make(map[int]int64)
 }
 
+// succeed returns the record as a successor takes it over. It may or may not know what the predecessor published last.
+func (sim *simulation) succeed(r Record) Record {
+	if sim.ignoreStandbys {
+		r.Resigned = true
+	}
+	var last *Routing
+	if g := sim.vms[sim.draw(0, simVMs-1, "VM whose leases are known")].grantor; g != nil && g.Record().Epoch == r.Epoch {
+		last = NewRouting(g.Record(), 1, func(i int) SliceState { return g.State(i, sim.now) })
+	}
+	return r.Succeed(last)
+}
+
 // incarnation identifies the current process of a VM.
 func (sim *simulation) incarnation(vm int) uint64 { return uint64(sim.vms[vm].processes*simVMs + vm) }
 
@@ -441,12 +458,29 @@
 	if !v.answerLost {
 		changes = []Change{{Slice: slice, To: sim.listedOwner(target)}}
 	}
-	next := v.grantor.Plan(changes)
+	next := v.grantor.PlanStandbys(changes, func(s Slice) Owner {
+		if sim.draw(0, 3, "standby") > 0 {
+			return s.Standby
+		}
+		return sim.listedOwner(sim.draw(0, simTargets-1, "target of the standby"))
+	})
 	v.writePending = true
 	g, sent, version := v.grantor, sim.now, v.version
 	sim.schedule(sim.draw(0, 5, "transit time of a write"), func() { sim.write(vm, g, next, sent, version) })
 }
 
+// moveToStandby has a grantor give a slice to its standby, whether or not it reaches the store.
+func (sim *simulation) moveToStandby(vm, slice int) {
+	v := &sim.vms[vm]
+	if v.grantor == nil || sim.now < v.suspendedUntil {
+		return
+	}
+	if slice %= len(v.grantor.Record().Slices); v.grantor.MoveToStandby(slice) {
+		sim.standbyMoves++
+		sim.logf("vm%d moves slice %d to its standby %s", vm, slice, v.grantor.Record().Slices[slice].Owner.ID)
+	}
+}
+
 // moveFromSilent has a grantor give a slice of a silent owner to another target.
 func (sim *simulation) moveFromSilent(vm, target int) {
 	g := sim.vms[vm].grantor
--- a/internal/lease/stored.go
+++ b/internal/lease/stored.go
@@ -20,6 +20,8 @@
 	Owner []int
 	// Previous maps the index of a slice that has a previous owner to the index of that owner in Owners.
 	Previous map[int]int `json:",omitempty"`
+	// Standby does the same for standbys.
+	Standby map[int]int `json:",omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -27,13 +29,16 @@
 	var owners interner[Owner]
 	out := storedRecord{
 		Service: r.Service, Epoch: r.Epoch, Holder: r.Holder, HolderAddr: r.HolderAddr, Incarnation: r.Incarnation, Resigned: r.Resigned,
-		From: make([]uint16, len(r.Slices)), Owner: make([]int, len(r.Slices)), Previous: make(map[int]int),
+		From: make([]uint16, len(r.Slices)), Owner: make([]int, len(r.Slices)), Previous: make(map[int]int), Standby: make(map[int]int),
 	}
 	for i, s := range r.Slices {
 		out.From[i], out.Owner[i] = s.From, owners.index(s.Owner)
 		if s.Previous.Known() {
 			out.Previous[i] = owners.index(s.Previous)
 		}
+		if s.Standby.Known() {
+			out.Standby[i] = owners.index(s.Standby)
+		}
 	}
 	out.Owners = owners.values
 	return json.Marshal(out)
@@ -67,6 +72,11 @@
 				return err
 			}
 		}
+		if at, ok := in.Standby[i]; ok {
+			if s.Standby, err = in.ownerAt(at); err != nil {
+				return err
+			}
+		}
 		out.Slices[i] = s
 	}
 	*r = out
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -94,6 +94,8 @@
 	Loads   []Load         `msgpack:"o"`
 	// Crashes are the requests that are suspected of crashing targets.
 	Crashes []Crash `msgpack:"r"`
+	// KnowsStandbys says that the sender takes over records of leases that name standbys correctly.
+	KnowsStandbys bool `msgpack:"d,omitempty"`
 	// CutOff says that the sender reaches no target.
 	CutOff bool `msgpack:"u"`
 	// TargetReports are what targets have said of themselves in responses to the sender.
--- a/internal/mesh/relays.go
+++ b/internal/mesh/relays.go
@@ -88,6 +88,18 @@
 	return place
 }
 
+// AllKnowStandbys reports whether no VM that was heard of is of a version that ignores the standbys in records of leases.
+func (m *Mesh) AllKnowStandbys() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.remotes {
+		if r.heartbeat.From.VM != "" && !r.heartbeat.KnowsStandbys {
+			return false
+		}
+	}
+	return true
+}
+
 // NonLeavingPeers returns the number of other live VMs that are not leaving.
 func (m *Mesh) NonLeavingPeers() int { return len(m.liveOthers(false)) }
 
