upstream: a bound on the head of an answer, and one for the memory of all answers together

A target that sends bytes without end took 0.8 GB of a VM that has 284 MB, and eight of them 1.8 GB: http.ReadResponse bounds no head, bodies were bounded each and not together, and closing a body that was too large read the rest of it until the request's time was over.

A head ends at 1 MiB. Heads and bodies over 16 KiB reserve memory, a quarter of the VM's for all answers: to requests, forwarded ones, inquiries and orders; a byte of a head counts 32 times, as short headers cost that when parsed. What does not fit ends the connection at once, counts as lost (it may have run), and shows in answers.tooLarge and a line of step answers. Answers to inquiries and orders have 16 KiB. Reservations end with the request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -214,6 +214,7 @@
 	c.recordAttempt(a, took, resp, err)
 	g.state.recordEvidence(sendCtx, a, err)
 	if err == nil {
+		c.answers = append(c.answers, resp)
 		if said := g.applySignals(a.target, resp, received{kind: toRequest, sentAt: sentAt}); said.LoadReported {
 			a.reportedSlowness = said.Load.Slowness
 		}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -9,7 +9,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
+
+	"hemlockquay/internal/upstream"
 )
 
 const (
@@ -38,6 +42,22 @@
 	return bodyMemory{semaphore.NewWeighted(int64(memoryMB * bodyMemoryShare * (1 << 20)))}
 }
 
+// answerMemoryShare is the fraction of the VM's memory that the responses of targets may use. A buffer that grows is held
+// twice for a moment.
+const answerMemoryShare = 0.25
+
+// newAnswerMemory returns the memory for the responses of all targets, to requests, inquiries and orders. A response that
+// does not fit ends with its connection.
+func (g *Gateway) newAnswerMemory() *upstream.Memory {
+	cut, lines := metrics.GetOrRegisterCounter("answers.tooLarge", g.registry), rate.NewLimiter(1, maxSignalLines)
+	return upstream.NewMemory(int64(g.settings.MemoryMB*answerMemoryShare*(1<<20)), func(addr string, err error) {
+		cut.Inc(1)
+		if lines.Allow() {
+			g.log.Warn().Str("step", "answers").Str("addr", addr).Err(err).Msg("response of a target cut off")
+		}
+	})
+}
+
 // bodyReservation is the memory that is reserved for one request's body.
 type bodyReservation struct {
 	memory   bodyMemory
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,8 +47,10 @@
 	// failedResponse is the last response with a server error. The caller gets it if no later
 	// attempt succeeds.
 	failedResponse *upstream.Answer
-	trace          []string
-	waited         time.Duration
+	// answers are the responses to the request, whose memory is released at its end.
+	answers []*upstream.Answer
+	trace   []string
+	waited  time.Duration
 	// unansweredInquiries is the number of inquiries to owners of the key that were not answered.
 	unansweredInquiries int
 	// waitedForSlot is how long a request with long work has waited for a free slot at the owner of its key.
@@ -95,6 +97,14 @@
 	return c
 }
 
+// release returns the memory of the request's body and of the responses to it.
+func (c *call) release() {
+	c.body.release()
+	for _, a := range c.answers {
+		a.Release()
+	}
+}
+
 // recordAttempt appends an attempt to the trace, which is logged with the request.
 func (c *call) recordAttempt(a *attempt, took time.Duration, resp *upstream.Answer, err error) {
 	result := "answered"
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -127,7 +127,7 @@
 // sendForwarded sends a request that another VM has received.
 func (g *Gateway) sendForwarded(ctx context.Context, in *ForwardArgs, out *ForwardReply) {
 	c := g.forwardedCall(in)
-	defer c.body.release()
+	defer c.release()
 	if c.body.reserve(int64(len(in.Body))) != nil {
 		out.Refusal = string(refusedByGate)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,7 @@
 	g.evacuateWithin.Store(int64(s.EvacuateWithin))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.state.source, _ = s.targetSource()
+	g.state.answerMemory = g.newAnswerMemory()
 	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
 	g.mesh = mesh.New(g.self, clock, logger)
 	g.state.announce, g.state.reachedBy = g.mesh.Announce, g.mesh.ReachedBy
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -67,7 +67,7 @@
 		return
 	}
 	c := g.newCall(r, rt, spread.Next())
-	defer c.body.release()
+	defer c.release()
 	if rejected := g.readBody(c, w, r, view.Routes.Config().Limits.BodyBytes); rejected != nil {
 		g.refuse(w, r, *rejected)
 		return
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		g.applySignals(t, resp, received{kind: toInquiry})
+		resp.Release()
 	}
 }
 
@@ -114,6 +115,7 @@
 		}
 		return loadreport.Report{}, err
 	}
+	defer resp.Release()
 	if g.headers.fromOtherTarget(resp, a.id) {
 		g.state.markDisplaced(a)
 		return loadreport.Report{}, errDisplaced
@@ -153,7 +155,7 @@
 	g.state.mu.Lock()
 	path := g.state.serviceLocked(t.Service).HealthPath
 	g.state.mu.Unlock()
-	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID}
+	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID, MaxAnswer: upstream.SmallAnswer}
 }
 
 // reserveAskedFromPool reserves a target of a pool. Targets that tell their load are asked for it, up to
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -35,6 +35,8 @@
 	Registry metrics.Registry
 	// TargetSource is the local address of connections to targets, if it is set.
 	TargetSource netip.Addr
+	// AnswerMemory bounds the memory of all answers of targets. It may be nil.
+	AnswerMemory *upstream.Memory
 	// MaxHold limits the hold of a lease to what targets accept.
 	MaxHold time.Duration
 
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -52,7 +52,7 @@
 	sender := l.senders[o]
 	if sender == nil {
 		sender = &orderSender{
-			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)).From(l.TargetSource),
+			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)).From(l.TargetSource).Within(l.AnswerMemory),
 			grants: make(chan queuedGrant, len(l.grants.Record().Slices)+1), releases: make(chan struct{}, maxConcurrentReleases),
 		}
 		l.senders[o] = sender
@@ -130,6 +130,7 @@
 	case err != nil:
 		return lease.Unanswered, "", err
 	}
+	defer answer.Release()
 	l.TargetDirectory.RecordAnswer(o.Target, answer)
 	result, handover, err := l.OrderCodec.OrderResult(answer)
 	if result == lease.Unanswered && l.addressReassigned(ctx, sender, o.Target) {
@@ -151,12 +152,13 @@
 	}
 	request := &upstream.Request{
 		Method: http.MethodGet, URI: table.Config().Services[l.service].HealthPath, Host: o.Addr,
-		Header: http.Header{l.TargetIDHeader: {o.ID}},
+		Header: http.Header{l.TargetIDHeader: {o.ID}}, MaxAnswer: upstream.SmallAnswer,
 	}
 	answer, err := sender.pool.Exchange(ctx, request, upstream.NewConn)
 	if err != nil {
 		return false
 	}
+	defer answer.Release()
 	id := answer.Header.Get(l.InstanceIDHeader)
 	l.Log.Warn().Str("step", "order").Str("target", o.ID).Str("addr", o.Addr).Str("answers", id).Msg("asked the process at the address of an owner for its id")
 	return id != "" && id != o.ID
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -188,6 +188,10 @@
 		}
 	}
 	resp := &upstream.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
+	if err == nil && !g.state.answerMemory.Reserve(resp) {
+		err = upstream.ErrLost
+	}
+	c.answers = append(c.answers, resp)
 	c.recordAttempt(a, took, resp, err)
 	if err == nil {
 		g.updateRouter(func(r *forwarding.Router, _ time.Duration) { r.Served(g.destination(c)) })
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -39,8 +39,10 @@
 	// source is the local address of the connections to targets, if it is set.
 	source netip.Addr
 	// openConn opens connections to targets in place of dials, if it is set.
-	openConn    func(ctx context.Context, addr string) (net.Conn, error)
-	repeatLimit repeats.Limit
+	openConn func(ctx context.Context, addr string) (net.Conn, error)
+	// answerMemory bounds the memory of all answers of targets.
+	answerMemory *upstream.Memory
+	repeatLimit  repeats.Limit
 	// warmup limits the requests to cold targets.
 	warmup Warmup
 
@@ -302,7 +304,7 @@
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
 	added := &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
-		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source).OpenWith(s.openConn),
+		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source).OpenWith(s.openConn).Within(s.answerMemory),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
 	added.tellsLoad = s.tellsLoad[t.Service]
--- a/internal/target/orders.go
+++ b/internal/target/orders.go
@@ -141,7 +141,7 @@
 // NewOrderClient returns an order client. It sets no timeouts: each call is bounded by its
 // context.
 func NewOrderClient() *OrderClient {
-	return &OrderClient{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleOrderConns}}}
+	return &OrderClient{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleOrderConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}}}
 }
 
 // Send sends an order to the target at addr and returns the target's report.
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -29,7 +29,7 @@
 
 // NewProber returns a prober. It sets no timeouts: each call is bounded by its context.
 func NewProber() *Prober {
-	return &Prober{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}}}
+	return &Prober{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}}}
 }
 
 // Health queries the health of the target at addr.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,8 +20,6 @@
 	// maxInlineBody is the largest body that is sent before the answer is read.
 	// It fits into the peer's receive window even if that is small.
 	maxInlineBody = 8 << 10
-	// maxAnswerBytes bounds the body of an answer, which is held in memory as a whole.
-	maxAnswerBytes = 64 << 20
 	// maxAnswersPerRequest bounds the answers, interim ones included, that are read for one
 	// request. If none of them is its own answer, the connection counts as broken.
 	maxAnswersPerRequest = 3
@@ -33,7 +30,9 @@
 
 // conn is one connection. It carries one request at a time.
 type conn struct {
-	net       net.Conn
+	net net.Conn
+	// meter bounds the heads of answers. in reads from it.
+	meter     *meter
 	in        *bufio.Reader
 	idleUntil time.Time
 	closeOnce sync.Once
@@ -41,7 +40,8 @@
 
 // newConn returns a conn for a connection that was opened by DialWithReset.
 func newConn(nc net.Conn) *conn {
-	return &conn{net: nc, in: bufio.NewReaderSize(nc, readBufferSize), idleUntil: time.Now().Add(defaultIdleTimeout)}
+	m := &meter{conn: nc}
+	return &conn{net: nc, meter: m, in: bufio.NewReaderSize(m, readBufferSize), idleUntil: time.Now().Add(defaultIdleTimeout)}
 }
 
 // DialWithReset opens a connection that is ended by a reset, both by Close and at the end of the
@@ -91,11 +91,14 @@
 	return err == nil && clean
 }
 
-// exchange sends r and returns its answer, and whether the connection may be reused.
-func (c *conn) exchange(r *Request) (*Answer, bool, error) {
+// exchange sends r and returns its answer, and whether the connection may be reused. The answer's memory is reserved in
+// memory, unless that is nil.
+func (c *conn) exchange(r *Request, memory *Memory) (*Answer, bool, error) {
 	sent := c.send(r)
-	a, keep, err := c.receive(r)
+	held := reservation{memory: memory}
+	a, keep, err := c.receive(r, &held)
 	if err != nil {
+		held.release()
 		return nil, false, fmt.Errorf("%w: %w", ErrLost, err)
 	}
 	// A target may answer before it has read a long body and then continue to read it. On a reused
@@ -106,6 +109,7 @@
 	default:
 		keep = false
 	}
+	a.held = held
 	return a, keep && c.in.Buffered() == 0, nil
 }
 
@@ -167,13 +171,15 @@
 //
 // A late or second answer to an earlier request may come first. The request id that the target
 // echoes shows to which request an answer belongs.
-func (c *conn) receive(r *Request) (*Answer, bool, error) {
+func (c *conn) receive(r *Request, held *reservation) (*Answer, bool, error) {
 	for range maxAnswersPerRequest {
+		c.meter.begin(held)
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
+		c.meter.end()
 		if err != nil {
 			return nil, false, fmt.Errorf("read answer: %w", err)
 		}
-		body, err := readBody(resp)
+		body, err := readBody(resp, r.maxAnswer(), held)
 		if err != nil {
 			return nil, false, err
 		}
@@ -189,20 +195,6 @@
 	return nil, false, fmt.Errorf("read answer: none of %d answers has the request's id", maxAnswersPerRequest)
 }
 
-// readBody reads a body to its end. A body that is shorter than its announced
-// length is an error, and so is one without a length if the connection is reset.
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("read body: %w", err)
-	case len(body) > maxAnswerBytes:
-		return nil, fmt.Errorf("read body: over %d bytes", maxAnswerBytes)
-	}
-	return body, nil
-}
-
 // idleTimeout returns how long to keep the connection idle: the time announced by
 // the target less idleMargin, but at least half of it.
 func idleTimeout(h http.Header) time.Duration {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -68,6 +68,18 @@
 	ID string
 	// IDHeader is the name of the header that carries the id.
 	IDHeader string
+	// MaxAnswer bounds the body of the answer in bytes. 0 means the usual bound, 64 MiB.
+	MaxAnswer int64
+}
+
+// SmallAnswer is a value of Request.MaxAnswer for answers whose content is in their headers.
+const SmallAnswer = freeBytes
+
+func (r *Request) maxAnswer() int64 {
+	if r.MaxAnswer > 0 {
+		return r.MaxAnswer
+	}
+	return maxAnswerBytes
 }
 
 // Answer is a complete answer.
@@ -75,6 +87,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	held reservation
 }
 
 // ConnPolicy says which connection an exchange may use.
@@ -101,6 +115,8 @@
 	source net.Addr
 	// open opens a connection to the address in place of a dial, if it is set.
 	open func(ctx context.Context, addr string) (net.Conn, error)
+	// memory bounds the memory of answers, unless it is nil.
+	memory *Memory
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -125,6 +141,12 @@
 	return p
 }
 
+// Within makes the pool reserve the memory of its answers, which are to be released. It is called before the first use.
+func (p *Pool) Within(m *Memory) *Pool {
+	p.memory = m
+	return p
+}
+
 // Addr returns the target's address.
 func (p *Pool) Addr() string { return p.addr }
 
@@ -155,7 +177,10 @@
 		return nil, fmt.Errorf("connect to %s: %w", p.addr, errors.Join(ErrNotSent, err))
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	answer, reusable, err := c.exchange(r)
+	answer, reusable, err := c.exchange(r, p.memory)
+	if p.memory != nil && errors.Is(err, ErrTooLarge) {
+		p.memory.onRefused(p.addr, err)
+	}
 	if !stop() {
 		c.close()
 		if err == nil {
