soak: profile in which targets leave, refuse, ask for a rest, or send without end

Nothing in the stand-ins said what the code does not read, so no test could see the incident. Stand-in targets say Server-Leaving in every kind of response, before, with and up to 9 s before the store's entry, and start again as a new incarnation; they refuse all or a part of the requests, with or without Retry-After; they send bodies without end. The store is away from all VMs meanwhile, and VMs are killed, suspended or stopped. Each target counts by VM what it did not want.

A target that starts again took slots of its new incarnation for the old one's requests; fixed in the stand-in.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	bash scripts/soak.sh 1 1 14s evacuations
 	bash scripts/soak.sh 1 1 14s routes
 	bash scripts/soak.sh 1 1 20s limits
+	bash scripts/soak.sh 1 1 14s signals
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -74,6 +74,7 @@
 
 // request is what is known of a request.
 type request struct {
+	sentAt time.Time
 	// nonIdempotent requests must not run more than once.
 	nonIdempotent bool
 	runs          []string
@@ -192,6 +193,17 @@
 	}
 }
 
+// SentAt returns when a caller sent a request.
+func (c *Checker) SentAt(id string) (at time.Time, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	if r == nil || r.sentAt.IsZero() {
+		return time.Time{}, false
+	}
+	return r.sentAt, true
+}
+
 // AllHeld reports whether every key has an owner.
 func (c *Checker) AllHeld() bool {
 	c.mu.Lock()
@@ -214,7 +226,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stats.Sent++
-	c.requests[id] = &request{nonIdempotent: once}
+	c.requests[id] = &request{sentAt: c.now(), nonIdempotent: once}
 }
 
 // Ran implements fleet.Observer.
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -25,7 +25,8 @@
 	ReliableLinks bool
 	// SeparatePaths is set if each VM has links of its own to the targets, which can be cut.
 	SeparatePaths bool
-	// Limits is set if targets state limits. Then they know by its address which VM has sent a request.
+	// Limits is set if targets say something of themselves, such as limits. Then they know by its address which VM has
+	// sent a request.
 	Limits bool
 	// TwoDataCentres is set if the last target of each service is in a data centre of its own, which
 	// operators evacuate.
@@ -59,6 +60,9 @@
 	// limits has targets state limits, which rise, fall, end and come again, while VMs are killed, suspended,
 	// stopped, or lose the store.
 	"limits": {Grace: 3 * time.Second, Rate: 90, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: limitVMs, Limits: true, Generate: GenerateLimits},
+	// signals has targets say that they leave, refuse requests and ask for a rest, or send bytes without end, alone or many,
+	// while the store is away and VMs are killed, suspended or stopped.
+	"signals": {Grace: 3 * time.Second, Rate: 90, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: limitVMs, Limits: true, Generate: GenerateSignals},
 	// paths cuts VMs from all targets, one or all but one at a time, the grantor's among them, and checks
 	// that they serve nearly as often as the others.
 	"paths": {Grace: 3 * time.Second, Rate: 90, Deadline: 800 * time.Millisecond, CallerTimeout: 2 * time.Second, SeparatePaths: true, Generate: GeneratePaths},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -102,6 +102,7 @@
 	defer cancel()
 	l := newLoad(w, r.Seed, check)
 	l.run(asking)
+	w.checkMemory()
 	if r.CheckRates {
 		r.Schedule.checkRates(check, l.samples)
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -66,13 +66,14 @@
 	faultEnded map[string]time.Time
 	added      addedRoutes
 	limits     map[string]*limitWatch
+	signals    map[string]*signalWatch
 }
 
 // newSite starts the store, the targets and the links, and writes the settings of the VMs.
 func newSite(dir, program string, profile Profile, check *Checker) (*site, error) {
 	w := &site{
 		profile: profile, check: check, store: fleet.NewStore(), targets: make(map[string]*fleet.Target), vms: make(map[string]*vm),
-		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int), faultEnded: make(map[string]time.Time), limits: make(map[string]*limitWatch),
+		links: make(map[string]*link.Link), paths: make(map[string][]*link.Link), active: make(map[[2]string]int), faultEnded: make(map[string]time.Time), limits: make(map[string]*limitWatch), signals: make(map[string]*signalWatch),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,6 +101,8 @@
 		}
 		if w.profile.Limits {
 			t.Arrived = func(from string, limited bool) { w.arrived(name, from, limited) }
+			t.Exchanged = func(e fleet.Exchange) { w.observe(name, e) }
+			w.signals[name] = newSignalWatch()
 		}
 		t.Via = func(addr string) (string, error) {
 			if w.profile.SeparatePaths {
@@ -167,6 +170,10 @@
 		w.check.countOtherFault(1)
 	}
 	switch f.Kind {
+	case SayLeaving, RefuseRequests, SendEndlessly:
+		w.setSignal(f, true)
+	case StoreAway:
+		w.setStoreAway(true)
 	case AddRoute:
 		w.addRoute(f.Subject)
 	case Evacuate:
@@ -182,10 +189,13 @@
 	case DropAnswers:
 		w.targets[f.Subject].SetDropResponses(true)
 	case Suspend:
+		w.forgetTold(f.Subject)
 		w.vms[f.Subject].suspend()
 	case Kill:
+		w.forgetTold(f.Subject)
 		w.vms[f.Subject].kill()
 	case Terminate:
+		w.forgetTold(f.Subject)
 		w.vms[f.Subject].terminate()
 	case DropPaths, ResetPaths, RefusePaths:
 		w.cutPaths(f)
@@ -203,6 +213,12 @@
 	switch f.Kind {
 	case StateLimit:
 		w.endLimit(f.Subject)
+	case SayLeaving:
+		return w.restartTarget(f.Subject)
+	case RefuseRequests, SendEndlessly:
+		w.setSignal(f, false)
+	case StoreAway:
+		w.setStoreAway(false)
 	case AddRoute:
 		if w.checkRates {
 			w.checkRoute(f.Subject)
@@ -234,6 +250,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.active[f.activeKey()]--
+	if f.Kind == Suspend || f.Kind == Kill || f.Kind == Terminate {
+		w.forgetTold(f.Subject)
+	}
 	w.faultEnded[f.Subject] = time.Now()
 	return w.active[f.activeKey()] == 0
 }
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -45,6 +45,8 @@
 	// Arrived is called for each request with the host that sent it, and whether the response states a limit. It
 	// may be nil.
 	Arrived func(from string, limited bool)
+	// Exchanged is called after each request, before its response is complete. It may be nil.
+	Exchanged func(e Exchange)
 
 	mu sync.Mutex
 	// registeredAddr is the address in the target's entry.
@@ -55,6 +57,7 @@
 	dropResponses bool
 	// limit is the limit that responses state, or "".
 	limit     string
+	signals   signals
 	startedAt int64
 	draining  bool
 	fences    [1 << 16]uint64
@@ -73,16 +76,18 @@
 	if err != nil {
 		return fmt.Errorf("start target %s: %w", t.ID, err)
 	}
-	t.listener, t.startedAt, t.ran = listener, time.Now().UnixMilli(), make(map[string]int)
-	t.slots = make(chan struct{}, t.Slots)
-	t.registeredAddr = t.Addr()
+	registered := listener.Addr().String()
 	if t.Via != nil {
-		if t.registeredAddr, err = t.Via(t.Addr()); err != nil {
+		if registered, err = t.Via(registered); err != nil {
 			return fmt.Errorf("start target %s: %w", t.ID, errors.Join(err, listener.Close()))
 		}
 	}
-	t.server = &http.Server{Handler: t}
-	go func() { _ = t.server.Serve(listener) }()
+	server := &http.Server{Handler: t}
+	t.mu.Lock()
+	t.listener, t.startedAt, t.ran = listener, time.Now().UnixMilli(), make(map[string]int)
+	t.slots, t.registeredAddr, t.server = make(chan struct{}, t.Slots), registered, server
+	t.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
 	t.Register(s)
 	return nil
 }
@@ -183,6 +188,7 @@
 		return
 	}
 	t.stateLimit(w.Header())
+	leaving := t.sayLeaving(w.Header())
 	switch r.URL.Path {
 	case "/health":
 		return
@@ -191,10 +197,24 @@
 	case "/release":
 		t.release(w, r)
 	default:
-		t.run(w, r)
+		t.serve(w, r, leaving)
 	}
 }
 
+// serve answers a request of a caller, or refuses it.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request, leaving bool) {
+	e := Exchange{ID: r.Header.Get(Headers.RequestID), Arrived: time.Now(), SaidLeaving: leaving}
+	e.From, _, _ = net.SplitHostPort(r.RemoteAddr)
+	if t.Exchanged != nil {
+		defer func() { t.Exchanged(e) }()
+	}
+	if rest, refused := t.refuse(w); refused {
+		e.Rest = rest
+		return
+	}
+	t.run(w, r)
+}
+
 type order struct {
 	From, To uint16
 	Fence    uint64 `json:"fence"`
@@ -254,12 +274,15 @@
 			return
 		}
 	}
+	t.mu.Lock()
+	slots := t.slots
+	t.mu.Unlock()
 	select {
-	case t.slots <- struct{}{}:
+	case slots <- struct{}{}:
 	case <-r.Context().Done():
 		return
 	}
-	defer func() { <-t.slots }()
+	defer func() { <-slots }()
 	t.mu.Lock()
 	id, work := r.Header.Get(Headers.RequestID), t.work
 	t.ran[id]++
@@ -274,6 +297,7 @@
 	if dropResponses {
 		panic(http.ErrAbortHandler)
 	}
+	t.answerEndlessly(w)
 	w.Header().Set(Headers.Stamp, t.ID)
 	_, _ = io.WriteString(w, Body(t.ID, r.URL.Path, t.Pad))
 }
