soak: a response of an incarnation that has ended tells nothing of the next one

Trace: k-1 had started again (born ...604409); the response that said so was that of a request which the old incarnation still worked on, and ended 16 ms after the new one had started. The new one was not leaving, and the VM was right to use it. The check now counts what an incarnation said for that incarnation only, as the users' rule does; bounds are unchanged.

--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -39,8 +39,10 @@
 	maxMemoryMB  = 284
 )
 
-// signalWatch is what a target has told VMs. It is guarded by site.mu.
+// signalWatch is what one incarnation of a target has told VMs. It is guarded by site.mu.
 type signalWatch struct {
+	// born is the start of the incarnation, or 0 until its first request.
+	born int64
 	// leavingSince holds when a VM first got a response which says that the target leaves.
 	leavingSince map[string]time.Time
 	rests        []rest
@@ -62,9 +64,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.signals[target]
-	if s == nil || vm == "" {
+	if s == nil || vm == "" || e.Born < s.born {
+		// A request of the last incarnation may end after the next one has started.
 		return
 	}
+	s.born = e.Born
 	if since, told := s.leavingSince[vm]; told && known && sentAt.Sub(since) > leavingBound {
 		w.check.Violated(LeavingKept, target, "%s, sent %v after %s was told, arrives", e.ID, sentAt.Sub(since).Round(time.Millisecond), vm)
 	}
@@ -96,12 +100,14 @@
 
 // restartTarget starts a new incarnation of a target that has left.
 func (w *site) restartTarget(name string) error {
-	w.mu.Lock()
-	w.signals[name] = newSignalWatch()
-	w.mu.Unlock()
 	w.targets[name].Kill()
 	w.check.Released(name, 0, keys-1)
-	return w.targets[name].Restart(w.store)
+	err := w.targets[name].Restart(w.store)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.signals[name] = newSignalWatch()
+	w.signals[name].born = w.targets[name].Born()
+	return err
 }
 
 // setSignal starts or ends a fault of a target's responses. It needs w.mu.
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -50,6 +50,13 @@
 	w.observe("k-1", fleet.Exchange{ID: "late", From: from, Arrived: now, SaidLeaving: true})
 	require.Len(t, check.Violations(), 1)
 
+	w.signals["k-1"] = &signalWatch{born: 2, leavingSince: make(map[string]time.Time)}
+	w.observe("k-1", fleet.Exchange{From: from, Born: 1, Arrived: now, SaidLeaving: true})
+	now = now.Add(time.Minute)
+	check.RequestSent("later", false)
+	w.observe("k-1", fleet.Exchange{ID: "later", From: from, Born: 2, Arrived: now})
+	require.Len(t, check.Violations(), 1, "the last incarnation said it")
+
 	begin := time.Now()
 	w.observe("k-2", fleet.Exchange{From: from, Arrived: begin, Rest: 3 * time.Second})
 	for range restAllowed {
--- a/internal/standin/fleet/signals.go
+++ b/internal/standin/fleet/signals.go
@@ -13,12 +13,21 @@
 type Exchange struct {
 	// ID is the id of the request, From the host that sent it.
 	ID, From string
-	Arrived  time.Time
+	// Born is when the incarnation of the target started that got the request, in Unix milliseconds.
+	Born    int64
+	Arrived time.Time
 	// SaidLeaving reports whether the response said that the target leaves, Rest the rest that it asked for.
 	SaidLeaving bool
 	Rest        time.Duration
 }
 
+// Born returns when the present incarnation of the target started, in Unix milliseconds.
+func (t *Target) Born() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.startedAt
+}
+
 // Refusals says which part of the requests a target refuses, and for how long it then wants none from the VM.
 type Refusals struct {
 	Share float64
