gateway: what a target said outlasts a lapse of its entry

Found by reading: entries lapse while the store is away and return with it, and each return made a new state of the target, in which nothing had been said. A VM that was told that the owner of a key leaves then sent it requests again until the next response said so, later than 2 s after it was told. What an incarnation has said is now kept by its ID and start, and restored with its entry; TestEntryThatReturnsKeepsWhatTheTargetSaid failed before.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"hemlockquay/internal/decide/permit"
+	"hemlockquay/internal/decide/pushback"
 	"hemlockquay/internal/decide/signals"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
@@ -249,6 +250,38 @@
 	}
 }
 
+// saidBefore is what an incarnation of a target has said to this VM while it was listed.
+type saidBefore struct {
+	born          int64
+	saidLeavingAt time.Duration
+	pushback      pushback.State
+}
+
+// maxUnlisted bounds the targets of which it is kept what they said after their entry was removed.
+const maxUnlisted = 1024
+
+// keepSaidLocked keeps what a target has said whose entry is removed: the target may go on running. It needs s.mu.
+func (s *routingState) keepSaidLocked(t *targetState) {
+	if t.saidLeavingAt == 0 && t.pushback.Left(s.clock.Now()) == 0 {
+		return
+	}
+	for id := range s.unlisted {
+		if len(s.unlisted) < maxUnlisted {
+			break
+		}
+		delete(s.unlisted, id)
+	}
+	s.unlisted[t.ID] = saidBefore{born: t.Born, saidLeavingAt: t.saidLeavingAt, pushback: t.pushback}
+}
+
+// restoreSaidLocked restores what a target has said if its entry is back. A new incarnation starts anew. It needs s.mu.
+func (s *routingState) restoreSaidLocked(t *targetState) {
+	if before := s.unlisted[t.ID]; before.born == t.Born {
+		t.saidLeavingAt, t.pushback = before.saidLeavingAt, before.pushback
+	}
+	delete(s.unlisted, t.ID)
+}
+
 // countSentLocked counts a request that is sent to a target, and those that the target has asked this VM not to send. It
 // needs s.mu.
 func (s *routingState) countSentLocked(t *targetState, kind sentKind, now time.Duration) {
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -80,6 +80,24 @@
 	require.Zero(t, g.state.targets["t"].pushback.VMs(clock.Now()))
 }
 
+// Guards against a VM that forgets what a target told it when the target's entry lapses and returns.
+func TestEntryThatReturnsKeepsWhatTheTargetSaid(t *testing.T) {
+	g, clock, target := newSignalsGateway()
+	defer g.mesh.Close()
+	g.applySignals(target, &upstream.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Leaving": {"1"}, "Rest": {"30s"}}}, received{kind: toRequest})
+	g.state.setTargets(2)
+	clock.advance(2 * drainingOwnerGrace)
+	entry := catalog.Target{ID: "t", Service: "keyed", Addr: "127.0.0.1:1", Slots: 4, Born: 1, Revision: 3}
+	g.state.setTargets(3, entry)
+	_, reason := g.reserveForTest()
+	require.Equal(t, refusedLost, reason)
+	require.Positive(t, g.state.targets["t"].pushback.Left(clock.Now()))
+	entry.Born, entry.Revision = 2, 4
+	g.state.setTargets(4, entry)
+	_, reason = g.reserveForTest()
+	require.Equal(t, notRefused, reason, "a new incarnation")
+}
+
 // Guards against keys that are refused by a VM which no response has told, while only their owner can serve them.
 func TestVMThatOthersToldStillSendsToTheOwnerOfAKey(t *testing.T) {
 	g, clock, target := newSignalsGateway()
--- a/internal/gateway/slope_test.go
+++ b/internal/gateway/slope_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/packed"
 	"hemlockquay/internal/route"
+	"hemlockquay/internal/upstream"
 )
 
 // BenchmarkSlopePackedConfig measures packing and unpacking a configuration, by the number of
@@ -49,3 +52,22 @@
 		})
 	}
 }
+
+// BenchmarkSlopeTargetReports reports and applies what targets have said, as all VMs do within a second when a part of a
+// large service refuses requests or leaves. n is the number of VMs.
+func BenchmarkSlopeTargetReports(b *testing.B) {
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			g, _, target := newSignalsGateway()
+			defer g.mesh.Close()
+			g.applySignals(target, &upstream.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Leaving": {"1"}, "Rest": {"3s"}}}, received{kind: toRequest})
+			for b.Loop() {
+				for vm := range n {
+					for _, r := range g.state.ownReports() {
+						g.mergeReport(r, strconv.Itoa(vm), true)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -76,6 +76,8 @@
 	targets   map[string]*targetState
 	// byHash holds the targets by the hash that other VMs use in their reported loads.
 	byHash map[uint32]*targetState
+	// unlisted holds, by ID, what targets said that are no longer listed. An entry that lapsed may return.
+	unlisted map[string]saidBefore
 	// pools holds the targets that accept requests, by service.
 	pools map[string]*servicePool
 	// vantage concludes whether this VM is cut off from all targets.
@@ -162,7 +164,7 @@
 		clock: clock, log: logger, registry: registry, dataCentre: dataCentre, repeatLimit: repeatLimit, fleet: onlyVM,
 		membership: catalog.NewTargetSet(), changed: make(chan struct{}), announce: func() {},
 		reachedBy: func(uint32) (reach, others int) { return 0, 0 },
-		targets:   make(map[string]*targetState), byHash: make(map[uint32]*targetState),
+		targets:   make(map[string]*targetState), byHash: make(map[uint32]*targetState), unlisted: make(map[string]saidBefore),
 		inUse: make(map[*targetState]struct{}), lostPaths: make(map[*targetState]struct{}), toReport: make(map[*targetState]struct{}), budgets: make(map[string]*repeats.Budget),
 		durations: make(map[string]*duration.Table), warmupCost: make(map[string]float64), urgency: make(map[string]*urgency.Meter),
 		crashes:     make(map[uint64]map[uint32]time.Duration),
@@ -312,12 +314,14 @@
 	if t.Draining {
 		added.drainsUntil = s.clock.Now() + drainingOwnerGrace
 	}
+	s.restoreSaidLocked(added)
 	s.targets[t.ID] = added
 	s.byHash[mesh.LoadKey(added.hash)] = added
 }
 
 // untrackLocked removes a target. It needs s.mu.
 func (s *routingState) untrackLocked(t *targetState) {
+	s.keepSaidLocked(t)
 	delete(s.targets, t.ID)
 	delete(s.inUse, t)
 	delete(s.lostPaths, t)
