gateway: the check before a send stands after the dial, right before the first byte

Found by reading: admit was called before a connection was taken, and a dial may take 200 ms. A target that said meanwhile that it leaves or wants a rest got the request all the same. upstream.Request.MaySend is now called when the connection is open; requests, forwarded requests and inquiries pass it. What is withheld counts as not sent and shows nothing of the path.

Also by reading: the answer of the process at an owner's address, which is asked for its id after a failed order, was the one answer of a target whose signals nothing applied. It now passes through RecordAnswer; one that names another target says nothing, as before.

TestNothingIsSentIfTheTargetRefusesDuringTheDial.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -26,8 +26,8 @@
 	return notRefused
 }
 
-// admit decides about a request right before it is sent, and counts it. Since its target was reserved, the request may
-// have waited for a move, an inquiry or a permit, and the target may have said that it wants none.
+// admit decides about a request right before its first byte is written, and counts it. Since its target was reserved, the
+// request may have waited for a move, an inquiry, a permit or a dial, and the target may have said that it wants none.
 //
 // Orders do not pass through it: an owner that refuses requests, or leaves, needs renewals until its keys have
 // another owner.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -174,11 +174,11 @@
 
 // attempt sends the request to one target. It returns nil if another attempt may follow.
 func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) *outcome {
-	if g.state.admit(a.target, c.sentKind()) != notRefused {
+	resp, err := g.exchange(ctx, c, a, timeLeft)
+	if a.withheld != notRefused {
 		g.release(a)
 		return nil
 	}
-	resp, err := g.exchange(ctx, c, a, timeLeft)
 	if errors.Is(err, upstream.ErrNotSent) {
 		g.finishUnsent(c, a, err)
 		return nil
@@ -206,9 +206,16 @@
 	if c.route.Idempotent {
 		defer g.state.abortIfSilent(a, cancel)()
 	}
+	c.request.MaySend = func() bool {
+		a.withheld = g.state.admit(a.target, c.sentKind())
+		return a.withheld == notRefused
+	}
 	a.sent = time.Now()
 	sentAt := g.clock.Now()
 	resp, err := a.pool.Exchange(sendCtx, c.request, a.conn)
+	if a.withheld != notRefused {
+		return nil, err
+	}
 	took := time.Since(a.sent)
 	metrics.GetOrRegisterTimer("step.target."+c.service, g.registry).Update(took)
 	c.recordAttempt(a, took, resp, err)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -176,14 +176,14 @@
 			continue
 		}
 		timeLeft = time.Until(c.deadline)
-		if reason := g.state.admit(a.target, sentForwarded); reason != notRefused {
+		resp, err := g.exchange(ctx, c, a, timeLeft)
+		if a.withheld != notRefused {
 			g.release(a)
 			if c.keyed {
-				return &attempt{refused: reason}, nil, nil
+				return &attempt{refused: a.withheld}, nil, nil
 			}
 			continue
 		}
-		resp, err := g.exchange(ctx, c, a, timeLeft)
 		if !errors.Is(err, upstream.ErrNotSent) {
 			return a, resp, err
 		}
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -37,12 +37,12 @@
 // targets report their load. A VM with few requests would keep frequent heartbeats for a long time otherwise.
 func (g *Gateway) discoverLoadReports(ctx context.Context) {
 	for _, t := range g.state.undiscoveredTargets() {
-		if g.state.admit(t, sentInquiries) != notRefused {
-			continue
-		}
 		askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
 		resp, err := t.pool.Exchange(askCtx, g.healthRequest(t), upstream.AnyConn)
 		cancel()
+		if errors.Is(err, upstream.ErrWithheld) {
+			continue
+		}
 		if err != nil || g.headers.fromOtherTarget(resp, t.ID) {
 			// The responses to requests will show it.
 			g.state.assumeNoLoadReports(t.Service)
@@ -101,12 +101,12 @@
 
 // ask asks the target of an attempt for its load. At least half of the remaining time is kept for the request.
 func (g *Gateway) ask(ctx context.Context, a *attempt, timeLeft time.Duration) (loadreport.Report, error) {
-	if g.state.admit(a.target, sentInquiries) != notRefused {
-		return loadreport.Report{}, errNotAdmitted
-	}
 	askCtx, cancel := context.WithTimeout(ctx, min(inquiryTimeout, timeLeft/2))
 	defer cancel()
 	resp, err := a.pool.Exchange(askCtx, g.healthRequest(a.target), a.conn)
+	if errors.Is(err, upstream.ErrWithheld) {
+		return loadreport.Report{}, errNotAdmitted
+	}
 	g.state.recordEvidence(askCtx, a, err)
 	if err != nil {
 		g.inquiries.failed.Inc(1)
@@ -155,7 +155,8 @@
 	g.state.mu.Lock()
 	path := g.state.serviceLocked(t.Service).HealthPath
 	g.state.mu.Unlock()
-	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID, MaxAnswer: upstream.SmallAnswer}
+	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID, MaxAnswer: upstream.SmallAnswer,
+		MaySend: func() bool { return g.state.admit(t, sentInquiries) == notRefused }}
 }
 
 // reserveAskedFromPool reserves a target of a pool. Targets that tell their load are asked for it, up to
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -159,6 +159,7 @@
 		return false
 	}
 	defer answer.Release()
+	l.TargetDirectory.RecordAnswer(o, answer)
 	id := answer.Header.Get(l.InstanceIDHeader)
 	l.Log.Warn().Str("step", "order").Str("target", o.ID).Str("addr", o.Addr).Str("answers", id).Msg("asked the process at the address of an owner for its id")
 	return id != "" && id != o.ID
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -41,6 +41,8 @@
 	conn upstream.ConnPolicy
 	// peer is the VM that sends the request, or empty if this one does. Then target is nil.
 	peer string
+	// withheld says why the request was not sent although a connection was open, if it was not.
+	withheld refusal
 	// refused says why no attempt was made, if none was.
 	refused refusal
 	// reportedSlowness is the slowness that the target reported last, or 0 if it reports none.
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +61,35 @@
 	require.Equal(t, refusedLost, reason)
 }
 
+// Guards against a request that is sent after a dial during which its target said that it wants none.
+func TestNothingIsSentIfTheTargetRefusesDuringTheDial(t *testing.T) {
+	g := newTestGateway(newManualClock(time.Hour))
+	defer g.mesh.Close()
+	var written atomic.Int64
+	g.state.openConn = func(context.Context, string) (net.Conn, error) {
+		g.applySignals(g.state.incarnation("t", 1), &upstream.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Rest": {"3s"}}}, received{kind: toOrder})
+		near, far := net.Pipe()
+		go func() {
+			n, _ := io.Copy(io.Discard, far)
+			written.Add(n)
+		}()
+		return near, nil
+	}
+	g.state.setTargets(1, catalog.Target{ID: "t", Service: "keyed", Addr: "t:1", Slots: 4, Born: 1, Revision: 1})
+	g.state.setOwner("keyed", 1, 1, "t", lease.Served)
+	a, reason := g.reserveForTest()
+	require.Equal(t, notRefused, reason)
+	c := &call{route: &route.Route{}, request: &upstream.Request{Method: http.MethodGet, URI: "/", Header: make(http.Header)}, deadline: time.Now().Add(time.Second), tried: make(map[string]bool)}
+	require.Nil(t, g.attempt(t.Context(), c, a, time.Second), "the owner is looked up again")
+	require.Equal(t, refusedResting, a.withheld)
+	require.Zero(t, c.delivered)
+	require.Zero(t, a.target.pick.Own)
+	_, err := g.ask(t.Context(), a, time.Second)
+	require.ErrorIs(t, err, errNotAdmitted)
+	a.pool.Close()
+	require.Zero(t, written.Load())
+}
+
 // Guards against a leaving target that is used again because of a list, a response without the header, or its entry's return.
 func TestOnlyTheEndOfATargetEndsItsLeaving(t *testing.T) {
 	g, clock, target := newSignalsGateway()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,6 +26,8 @@
 var (
 	// ErrNotSent says that no byte of the request was sent.
 	ErrNotSent = errors.New("not sent")
+	// ErrWithheld says that Request.MaySend returned false. It comes with ErrNotSent.
+	ErrWithheld = errors.New("withheld")
 	// ErrLost says that the request may have reached the target, but no complete
 	// answer came.
 	ErrLost = errors.New("answer lost")
@@ -68,6 +70,9 @@
 	ID string
 	// IDHeader is the name of the header that carries the id.
 	IDHeader string
+	// MaySend is called when a connection is open, right before the first byte is written. If it returns false, nothing is
+	// sent. It may be nil.
+	MaySend func() bool
 	// MaxAnswer bounds the body of the answer in bytes. 0 means the usual bound, 64 MiB.
 	MaxAnswer int64
 }
@@ -176,6 +181,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", p.addr, errors.Join(ErrNotSent, err))
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.put(c)
+		return nil, fmt.Errorf("send to %s: %w", p.addr, errors.Join(ErrNotSent, ErrWithheld))
+	}
 	stop := context.AfterFunc(ctx, c.close)
 	answer, reusable, err := c.exchange(r, p.memory)
 	if p.memory != nil && errors.Is(err, ErrTooLarge) {
