--- a/internal/decide/pushback/pushback.go
+++ b/internal/decide/pushback/pushback.go
@@ -16,20 +16,24 @@
 import "time"
 
 const (
-	// patience is the number of refusals in a row from which a target that does not ask for a rest is left alone,
-	// partialPatience that for a target which has served a request after a refusal within partialTime.
-	patience        = 2
-	partialPatience = 10
-	partialTime     = 10 * time.Second
-	// minPause and maxPause bound the time for which such a target is left alone.
+	// refusalThreshold is the number of refusals in a row from which a target that does not ask for a rest is left alone.
+	// One may be due to a request of another VM that this VM has not heard of.
+	refusalThreshold = 2
+	// partialThreshold is that number for a target which has served a request after a refusal within partialTime. If
+	// half of the requests are refused, two refusals in a row end one request in four, ten one in a thousand.
+	partialThreshold = 10
+	partialTime      = 10 * time.Second
+	// minPause and maxPause bound the time for which such a target is left alone. The longest is that of a target which
+	// accepts no connections (package pick).
 	minPause = 100 * time.Millisecond
 	maxPause = 1600 * time.Millisecond
-	// probeTimeout is the time after which a probe without an outcome no longer excludes others.
+	// probeTimeout is the time after which a probe without an outcome no longer excludes others. Few requests take
+	// longer.
 	probeTimeout = 500 * time.Millisecond
-	// reportedPause is the length of a pause from which it is reported to other VMs. Shorter ones follow from a
-	// short queue at a target that is full.
+	// reportedPause is the length of a pause from which it is reported to other VMs. The first pause is shorter: a target
+	// that is full for a moment also refuses two requests in a row.
 	reportedPause = 200 * time.Millisecond
-	// maxReports bounds the VMs whose reports are kept for one target.
+	// maxReports bounds the VMs whose reports are kept for one target. Two suffice for its keys to move.
 	maxReports = 8
 )
 
@@ -68,9 +72,9 @@
 // exhausted reports whether there were so many refusals in a row that no request is likely to be served.
 func (s *State) exhausted(now time.Duration) bool {
 	if now < s.partialUntil {
-		return s.refusals >= partialPatience
+		return s.refusals >= partialThreshold
 	}
-	return s.refusals >= patience
+	return s.refusals >= refusalThreshold
 }
 
 // Served records the response to a request that ran and was sent at the given time. It reports whether the target
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -84,7 +84,7 @@
 	Size() int
 	// NonLeavingPeers is the number of other live VMs that were not asked to end.
 	NonLeavingPeers() int
-	// AllKnowStandbys reports whether every known VM takes over records that name standbys correctly.
+	// AllKnowStandbys reports whether no VM that was heard of is of a version that ignores the standbys in records.
 	AllKnowStandbys() bool
 	// Others returns the other live VMs.
 	Others() []string
--- a/internal/gateway/leasing/relief.go
+++ b/internal/gateway/leasing/relief.go
@@ -8,11 +8,13 @@
 
 const (
 	// minRelief and maxRelief bound the time for which an owner that refused requests is given no keys. It doubles if
-	// the owner refuses again within relapseTime.
+	// the owner refuses again within relapseTime. An owner without keys gets no requests that could show whether it
+	// still refuses, so each attempt costs refusals and moves.
 	minRelief   = 2 * time.Second
 	maxRelief   = 16 * time.Second
 	relapseTime = 10 * time.Second
-	// refusedCapacity is the requests per second for which an owner that refuses requests is given keys.
+	// refusedCapacity is the capacity of an owner that refuses requests, per second: so little that all of its keys with
+	// requests move.
 	refusedCapacity = 0.1
 )
 
@@ -42,8 +44,8 @@
 	return now < e.until
 }
 
-// refusing reports for each owner whether it refuses requests, or did so lately. If most do, none counts: moving
-// their keys about helps nobody.
+// refusing reports for each owner whether it refuses requests, or did so lately. If more than half of them do, it reports
+// none: their keys would only move to owners that refuse as well.
 func (l *leader) refusing(owners []lease.Owner, now time.Duration) []bool {
 	out := make([]bool, len(owners))
 	n := 0
--- a/internal/gateway/leasing/standby.go
+++ b/internal/gateway/leasing/standby.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// standbyWriteInterval is the minimum time between two writes of the record that only name standbys.
+	// standbyWriteInterval is the minimum time between two writes of the record that only name standbys. Calls to the
+	// store are priced, and every other write names them as well.
 	standbyWriteInterval = 2 * time.Second
-	// maxReliefMoves bounds the slices that leave refusing owners in one spreadInterval without a write.
+	// maxReliefMoves bounds the slices that leave refusing owners in one spreadInterval without a write. Decisions of
+	// package keyspread have the same bound.
 	maxReliefMoves = 12
 )
 
@@ -60,8 +62,9 @@
 type ownerFitness struct{ live, refusing bool }
 
 // standbyChooser returns the function that chooses the standby of a slice: a live owner that takes requests, in another
-// data centre than this VM if there is any, because a data centre that is lost must not take the grantor and the standby
-// with it. A standby that is still fit stays. There are none while a VM might take over without knowing of them.
+// data centre than this VM if there is any: if the grantor and the standby are lost together, the slice waits until
+// authority and hold have expired. A standby that is still fit stays. There are none while a VM might take over that
+// ignores them.
 func (l *leader) standbyChooser(now time.Duration) func(s lease.Slice) lease.Owner {
 	if !l.Mesh.AllKnowStandbys() {
 		return func(lease.Slice) lease.Owner { return lease.Owner{} }
@@ -91,8 +94,8 @@
 	}
 }
 
-// bestStandby returns the target with the highest rendezvous score for a slice, except its owner. Each owner's slices
-// so have their standbys at all others.
+// bestStandby returns the target with the highest rendezvous score for a slice, except its owner. The standbys of one
+// owner's slices are so spread over all other owners.
 func bestStandby(fit []lease.Owner, s lease.Slice) (best lease.Owner) {
 	for _, o := range fit {
 		if !o.SameIncarnation(s.Owner) && (!best.Known() || rendezvous.Before(o.ID, best.ID, sliceName(s))) {
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -193,7 +193,8 @@
 	}
 }
 
-// partialInterval is the minimum time between two marks of a service whose targets refuse a part of the requests.
+// partialInterval is the minimum time between two marks of a service whose targets refuse a part of the requests. Each
+// visits all targets.
 const partialInterval = time.Second
 
 // markPartialLocked records that targets of a service refuse only a part of the requests. It needs s.mu.
@@ -209,8 +210,8 @@
 	}
 }
 
-// refusingVMs is the number of VMs whose requests a target refuses from which its keys get other owners. So many VMs
-// tell all others at once.
+// refusingVMs is the number of VMs whose requests a target refuses from which its keys get other owners: the refusals that
+// one VM sees may be due to that VM. As many VMs announce it to all others; with more, each VM would.
 const refusingVMs = 2
 
 // markLeaving records that an incarnation of a target said to a VM, the source, that it leaves. Only its end ends that.
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -29,7 +29,7 @@
 		if !sl.Previous.Known() {
 			sl.Previous = sl.Owner
 		}
-		sl.Owner, sl.Standby, sl.Hedged = c.To, Owner{}, false
+		sl.Owner, sl.Standby, sl.MaybeMoved = c.To, Owner{}, false
 		g.states[c.Slice].frozen = true
 	}
 	return next
@@ -69,7 +69,7 @@
 	if !sl.Previous.Known() {
 		sl.Previous, s.previousExpiresAt = sl.Owner, s.expiresAt
 	}
-	sl.Owner, sl.Standby, sl.Hedged = to, Owner{}, false
+	sl.Owner, sl.Standby, sl.MaybeMoved = to, Owner{}, false
 	s.granted, s.inherited, s.expiresAt, s.retryAt, s.moved = false, false, 0, 0, true
 	s.fence = g.newFence()
 }
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -140,7 +140,7 @@
 	for i := range g.states {
 		sl := &g.record.Slices[i]
 		owner, state := last.Find(sl.From)
-		if g.states[i].inherited && (sl.Hedged || !sl.Previous.Known()) && owner == sl.Owner.ID && state.Serves() {
+		if g.states[i].inherited && (sl.MaybeMoved || !sl.Previous.Known()) && owner == sl.Owner.ID && state.Serves() {
 			g.states[i].presumedUntil = until
 		}
 	}
@@ -182,7 +182,7 @@
 			return Cold
 		}
 		return Served
-	case sl.Hedged && s.inherited && now < s.presumedUntil:
+	case sl.MaybeMoved && s.inherited && now < s.presumedUntil:
 		return Served
 	case c != nil && c.failures > 0:
 		return Unserved
@@ -254,14 +254,14 @@
 // a fence above that of the release.
 func (g *Grantor) clearPrevious(i int) {
 	s, sl := &g.states[i], &g.record.Slices[i]
-	previous, kind, hedged := sl.Previous, Expired, sl.Hedged
+	previous, kind, maybeMoved := sl.Previous, Expired, sl.MaybeMoved
 	if s.released {
 		kind = Released
 	}
-	sl.Previous, sl.Hedged = Owner{}, false
+	sl.Previous, sl.MaybeMoved = Owner{}, false
 	s.fence = g.newFence()
 	s.retryAt, s.released = 0, false
-	if !hedged {
+	if !maybeMoved {
 		g.addEvent(kind, i, previous)
 	}
 }
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -77,9 +77,9 @@
 	// Standby is the target to which the grantor may move the keys before it has written the record. It is not set
 	// while Previous is.
 	Standby Owner
-	// Hedged says that Previous is only the other one of the predecessor's owner and standby, which holds nothing
-	// unless the predecessor has moved the keys. It is not stored.
-	Hedged bool
+	// MaybeMoved says that Owner and Previous were the owner and the standby of the predecessor's record, so that Previous
+	// holds the keys only if the predecessor has moved them. It is not stored.
+	MaybeMoved bool
 }
 
 // Record is the part of a service's leases that is kept in the store.
@@ -111,7 +111,7 @@
 			s.Standby = Owner{}
 			continue
 		}
-		s.Previous, s.Standby, s.Hedged = s.Standby, Owner{}, true
+		s.Previous, s.Standby, s.MaybeMoved = s.Standby, Owner{}, true
 		if last != nil && last.Epoch == r.Epoch {
 			if id, _ := last.Find(s.From); id == s.Previous.ID {
 				s.Owner, s.Previous = s.Previous, s.Owner
