--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -27,7 +27,7 @@
 	throughPeer responseKind = "peer"
 )
 
-// neverSent is the time at which a request was sent whose response shows the end of nothing.
+// neverSent stands for the time at which a request was sent, if its response must not end a limit.
 const neverSent time.Duration = 0
 
 // received says how a response came to this VM.
--- a/internal/gateway/targetreports.go
+++ b/internal/gateway/targetreports.go
@@ -29,7 +29,8 @@
 	pushback           pushback.State
 }
 
-// maxUnlisted bounds the targets of which it is kept what they said after their entry was removed.
+// maxUnlisted bounds the targets without an entry whose signals are kept. It is more than twice the targets of a large
+// fleet.
 const maxUnlisted = 1024
 
 // keepSignalsLocked keeps what a target has said whose entry is removed: the target may go on running. It needs s.mu.
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -30,7 +30,7 @@
 	// RestKept: no more than restAllowed requests of a VM reach a target between restBegins after it has asked that VM
 	// for a rest, and the end of the rest.
 	RestKept = "REST"
-	// MemoryKept: no VM takes more memory than maxMemoryMB.
+	// MemoryKept: no VM takes more memory than maxMemoryMB, which is what the smallest of the users' VMs have.
 	MemoryKept = "MEMORY"
 
 	leavingBound = 2 * time.Second
@@ -183,7 +183,7 @@
 	awayDuration   = durationRange{time.Second, 7 * time.Second}
 )
 
-// restLengths are the rests that refusing targets ask for, in seconds. Without one, they only refuse.
+// restLengths are the rests that refusing targets ask for. With 0, they only refuse.
 var restLengths = []time.Duration{0, 300 * time.Millisecond, time.Second, 3 * time.Second}
 
 // GenerateSignals returns the fault schedule of a seed for the profile signals.
