leasing: no owner refuses by the word of no VM

Found by reading: the number of VMs whose word counts was the smaller of two and the VMs known, which is 0 until the list of VMs was received. Every owner then counted as refusing for two seconds, which more than half of them cannot: nothing moved, but no standby was written either. The list of eligible owners is made once a step, not for each key that moves.

--- a/internal/gateway/leasing/standby.go
+++ b/internal/gateway/leasing/standby.go
@@ -31,7 +31,7 @@
 	}
 	refusing := l.refusing(live, now)
 	mayRelieve := (!l.LocalState.StoreReachable() || l.writeAmbiguous) && now-l.load.lastSpread >= spreadInterval
-	relieved := 0
+	relieved, listed := 0, l.eligibleOwners()
 	state := make(map[lease.Owner]ownerFitness, len(live))
 	for i, o := range live {
 		state[o] = ownerFitness{live: true, refusing: refusing[i]}
@@ -48,7 +48,7 @@
 		if owner.live {
 			relieved++
 		} else {
-			cause = l.absenceCause(s.Owner, l.eligibleOwners())
+			cause = l.absenceCause(s.Owner, listed)
 		}
 		l.Log.Info().Str("step", "move").Str("service", l.service).Uint16("from", s.From).Str("owner", s.Owner.ID).Str("to", s.Standby.ID).Str("cause", string(cause)).
 			Dur("silent", l.grants.SilentFor(s.Owner, now)).Bool("storeReachable", l.LocalState.StoreReachable()).Msg("keys get their standby as owner")
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -80,7 +80,7 @@
 	g.gateway.state.mu.Lock()
 	defer g.gateway.state.mu.Unlock()
 	t := g.gateway.state.targets[target]
-	return t != nil && t.pushback.VMs(g.gateway.clock.Now()) >= min(refusingVMs, len(g.gateway.state.holders.list))
+	return t != nil && t.pushback.VMs(g.gateway.clock.Now()) >= max(1, min(refusingVMs, len(g.gateway.state.holders.list)))
 }
 
 // RecordAnswer implements leasing.TargetDirectory.
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -157,6 +157,22 @@
 	require.Empty(t, g.state.toReport)
 }
 
+// Guards against a grantor that takes all owners for refusing before it knows the other VMs, or one for it by its own word alone.
+func TestTargetRefusesIfSeveralVMsSaySo(t *testing.T) {
+	g, clock, target := newSignalsGateway()
+	defer g.mesh.Close()
+	refusing := func() bool { return leasingAdapter{g}.Refusing("t") }
+	require.False(t, refusing(), "no VM is known, and nothing was refused")
+	g.mesh.Add(mesh.Member{VM: "other", Addr: "127.0.0.1:2", Incarnation: 1})
+	g.state.setHolders(g.mesh.Members())
+	target.pushback.Refused(3*time.Second, 0, clock.Now())
+	require.False(t, refusing())
+	g.mergeReport(mesh.TargetReport{Target: "t", Born: 1, RestLeft: time.Second}, "other", true)
+	require.True(t, refusing())
+	clock.advance(2 * time.Second)
+	require.False(t, refusing())
+}
+
 // Guards against pool targets that refuse other VMs and are asked by each VM in turn, and against requests that have no other target.
 func TestTargetThatRefusesOtherVMsIsTheLastResortOfAPool(t *testing.T) {
 	clock := newManualClock(time.Hour)
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -30,7 +30,7 @@
 	// RestKept: no more than restAllowed requests of a VM reach a target between restBegins after it has asked that VM
 	// for a rest, and the end of the rest.
 	RestKept = "REST"
-	// MemoryKept: no VM takes more memory than maxMemoryMB, which is what the smallest of the users' VMs have.
+	// MemoryKept: no VM takes more memory than maxMemoryMB, the memory of the users' VMs.
 	MemoryKept = "MEMORY"
 
 	leavingBound = 2 * time.Second
