gateway: logs and gauges that tell a late VM from an isolated one

A 404 came from VMs that held their configuration for confirmed. The line of such an answer had neither the number of routes nor the source of the version in force, and nothing told whether the VM's own work was late or which other VMs it heard. Reads without a watch name the revisions before and after. No logic changed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -310,6 +310,14 @@
 	return v
 }
 
+// RouteCount returns the number of routes in force.
+func (v *View) RouteCount() int {
+	if v.Routes == nil {
+		return 0
+	}
+	return len(v.Routes.Config().Routes)
+}
+
 // ConfigVersion returns the version of the configuration in force, or 0 if there is none.
 func (v *View) ConfigVersion() uint64 {
 	if v.Routes == nil {
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -134,8 +134,10 @@
 		if !g.storeUp.Load() || !behind && !g.confirmationOverdue(age) {
 			continue
 		}
+		before, mark := o.revision(), g.confirmations.mark(o.kind)
 		err := g.poll(ctx, o, behind)
-		g.log.Info().Str("step", "watch").Str("kind", string(o.kind)).Dur("age", age).Bool("behind", behind).Err(err).Msg("read from the store without watching it")
+		g.log.Info().Str("step", "watch").Str("kind", string(o.kind)).Dur("age", age).Bool("behind", behind).Uint64("from", before).Uint64("to", o.revision()).
+			Uint64("version", mark.Version).Err(err).Msg("read from the store without watching it")
 		if err == nil {
 			// Otherwise VMs that are not preferred would read the store, too.
 			g.mesh.Announce()
--- a/internal/gateway/forwardgate.go
+++ b/internal/gateway/forwardgate.go
@@ -133,5 +133,6 @@
 		lag := time.Since(began) - gateInterval
 		metrics.GetOrRegisterTimer("step.lag", g.registry).Update(lag)
 		g.forwarded.observe(lag)
+		g.lag.observe(lag, g.clock.Now())
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 	permitCalls    *permitCalls
 	unreadHeaders  *unreadHeaders
 	forwardCount   atomic.Uint64
+	// lag is by how much this VM's own work is late.
+	lag lagMeter
 	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
 	routerMu sync.Mutex
 	router   *forwarding.Router
@@ -182,7 +184,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logTraffic, g.reportLimits, g.reportSignals,
+		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logLag, g.logTraffic, g.reportLimits, g.reportSignals,
 	} {
 		go duty(g.ctx)
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -104,7 +104,8 @@
 	v := g.state.view.Load()
 	g.log.Info().Str("step", "request").Str("id", r.Header.Get(g.headers.RequestID)).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
 		Int("status", out.status).Str("reason", out.reason).Uint64("config", v.ConfigVersion()).Int64("configAge", g.state.ageMillis(g.state.lastConfigChange())).
-		Uint64("newest", max(g.state.announced.newest(), v.ConfigVersion())).
+		Int("routes", v.RouteCount()).Str("source", g.state.lastConfigSource()).Uint64("newest", max(g.state.announced.newest(), v.ConfigVersion())).
+		Dur("lag", g.lag.worst(g.clock.Now())).
 		Dur("confirmedFor", g.confirmations.age(g.adapter.ConfigID().Kind)).Msg("request without a route")
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -63,6 +63,8 @@
 	returns map[string]dataCentreReturn
 	// configChangedAt is when the configuration last changed.
 	configChangedAt time.Duration
+	// configSource is the VM that sent the configuration in force, or sourceStore.
+	configSource string
 	// announced is the newest configuration that other VMs have announced.
 	announced announcedConfig
 	// changed is closed and replaced when the leases or view change.
@@ -205,7 +207,7 @@
 	s.refuseUnknownRegionsLocked(c)
 	s.reportUnread(c)
 	s.view.Store(catalog.NewView(route.NewTable(c, old.Routes), old.Targets, old.Evacuations))
-	s.configChangedAt = s.clock.Now()
+	s.configChangedAt, s.configSource = s.clock.Now(), source
 	for _, t := range s.targets {
 		// Their data centre may have been taken back before the warm-up time was known.
 		s.markReturnedLocked(t)
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -67,6 +67,11 @@
 		"targets.listed":   func() int64 { return int64(len(g.state.view.Load().Targets.List)) },
 		"targets.age":      func() int64 { return g.confirmations.age(g.adapter.TargetKind()).Milliseconds() },
 		"mesh.live":        func() int64 { return int64(len(g.mesh.Live())) },
+		"mesh.heard": func() int64 {
+			heard, _ := g.mesh.HeardWithin(lagWindow)
+			return int64(heard)
+		},
+		"lag.worst":        func() int64 { return g.lag.worst(g.clock.Now()).Milliseconds() },
 		"subset.targets":   g.state.subsetSize,
 		"targets.warming":  g.state.warmingTargets,
 		"limits.targets":   g.state.limitedTargets,
@@ -92,6 +97,12 @@
 	return s.configChangedAt
 }
 
+func (s *routingState) lastConfigSource() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configSource
+}
+
 func boolToInt(b bool) int64 {
 	if b {
 		return 1
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -219,6 +219,19 @@
 	return r.lastHeard, true
 }
 
+// HeardWithin returns how many of the other known VMs were heard within the last span of time, and their number.
+func (m *Mesh) HeardWithin(span time.Duration) (heard, known int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, r := range m.remotes {
+		if r.heartbeat.From.VM != "" && now-r.lastHeard < span {
+			heard++
+		}
+	}
+	return heard, len(m.remotes)
+}
+
 // Replaced reports whether a process of a VM is known to have ended, because a later incarnation
 // runs at the same address.
 func (m *Mesh) Replaced(vm, addr string, incarnation uint64) bool {
