peer: a connection that is silent when a call times out is replaced, whatever it carries

Callers got answers from VMs that were islands: after a cut of 7 s two VMs exchanged heartbeats again 5.6 s after its end, after one of 15 s 10.4 s, since calls time out but the connection stays and sleeps in a retransmission pause as long as the cut was. Only connections for requests were probed and reset.

All clients probe late calls now, and replace a connection on which nothing was received for half a second when a call times out. A peer that accepts connections and answers on none is given up to four times as long on each, so that one short of processor time is not kept busy with new ones. Probes go through the writer of the session like other calls.

The lock of dials is gone; TestWaitForAnotherCallsDialEndsWithTheContext checks the same with a dial that hangs, and that the second call begins none.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,8 +10,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"hemlockquay/internal/upstream"
 )
 
 // Errors of a call. An error that is none of these was returned by the peer.
@@ -22,15 +20,6 @@
 	ErrLost = errors.New("reply lost")
 )
 
-// redialPause is the minimum time between a failed dial of a connection and the
-// next. It spares a peer that is down a flood of SYNs, and is short enough that a
-// restarted peer is found soon.
-const redialPause = 100 * time.Millisecond
-
-// dialTimeout bounds one dial. Round trips between data centres take
-// milliseconds, so no answer within a second means that the path is cut.
-const dialTimeout = time.Second
-
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -44,6 +33,10 @@
 
 // NewClient returns a client of the peer at addr. A call that times out may still be executed
 // later, so use this client only for queries and notifications, for which that is harmless.
+//
+// If a call times out while nothing is received from the peer, the connection is replaced, because
+// after a cut it stays silent for as long again as the cut lasted. A peer that answers on no new
+// connection either is given more time on each.
 func NewClient(addr string, connections int) *Client { return newClient(addr, connections, false) }
 
 // NewRequestClient returns a client for calls that carry requests. If a call times out while
@@ -57,7 +50,7 @@
 func newClient(addr string, connections int, resetOnTimeout bool) *Client {
 	c := &Client{addr: addr, conns: make([]*managedConn, connections)}
 	for i := range c.conns {
-		c.conns[i] = &managedConn{addr: addr, resetOnTimeout: resetOnTimeout, dialing: make(chan struct{}, 1)}
+		c.conns[i] = &managedConn{addr: addr, resetOnTimeout: resetOnTimeout, changed: make(chan struct{})}
 	}
 	return c
 }
@@ -117,91 +110,20 @@
 // session may be closed while calls are pending.
 type managedConn struct {
 	addr string
-	// resetOnTimeout says that the connection is probed when calls are late, and reset if it is
-	// silent when a call times out.
+	// resetOnTimeout says that a connection that is silent when a call times out is reset, so that the call
+	// is not executed later.
 	resetOnTimeout bool
 	// open opens a connection in place of a TCP dial, if it is set.
 	open Dial
-	// dialing is a lock that is held during a dial. It guards lastDial, the time of the last
-	// failed dial.
-	dialing  chan struct{}
-	lastDial time.Time
 
 	mu      sync.Mutex
 	current *session
 	closed  bool
-}
-
-// acquire returns a session with one more pending call, and dials if there is none. It waits for
-// another call's dial until the context ends at the latest.
-func (m *managedConn) acquire(ctx context.Context) (*session, error) {
-	if s, err := m.acquireCurrent(); s != nil || err != nil {
-		return s, err
-	}
-	select {
-	case m.dialing <- struct{}{}:
-	case <-ctx.Done():
-		return nil, fmt.Errorf("wait for another call's dial: %w", ctx.Err())
-	}
-	defer func() { <-m.dialing }()
-	if s, err := m.acquireCurrent(); s != nil || err != nil {
-		return s, err
-	}
-	s, err := m.dial(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return m.setCurrent(s)
-}
-
-// acquireCurrent adds a pending call to the current session. It returns nil if there is none.
-func (m *managedConn) acquireCurrent() (*session, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.closed {
-		return nil, net.ErrClosed
-	}
-	if m.current != nil {
-		m.current.pending++
-	}
-	return m.current, nil
-}
-
-// setCurrent makes s the current session and adds one pending call to it.
-func (m *managedConn) setCurrent(s *session) (*session, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.closed {
-		s.end()
-		return nil, net.ErrClosed
-	}
-	s.pending++
-	m.current = s
-	return s, nil
-}
-
-// dial opens a connection; m.dialing is held.
-func (m *managedConn) dial(ctx context.Context) (*session, error) {
-	if since := time.Since(m.lastDial); since < redialPause {
-		return nil, fmt.Errorf("dial failed %v ago", since.Round(time.Millisecond))
-	}
-	nc, err := m.connect(ctx)
-	if err != nil {
-		m.lastDial = time.Now()
-		return nil, err
-	}
-	return newSession(nc), nil
-}
-
-func (m *managedConn) connect(ctx context.Context) (net.Conn, error) {
-	if m.open != nil {
-		return m.open(ctx, m.addr)
-	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if m.resetOnTimeout {
-		return upstream.DialWithReset(ctx, dialer, "tcp", m.addr)
-	}
-	return dialer.DialContext(ctx, "tcp", m.addr)
+	dials   dialState
+	// unanswered is the number of sessions, one after the other, that were silent from their start.
+	unanswered int
+	// changed is closed and replaced when a dial ends.
+	changed chan struct{}
 }
 
 // isConnError reports whether the error came from the connection rather than from the peer.
@@ -287,6 +209,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.closed = true
+	m.notifyLocked()
+	if m.dials.running > 0 {
+		m.dials.cancel()
+	}
 	if m.current != nil {
 		m.current.end()
 		m.current = nil
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -15,6 +15,9 @@
 	// silentIntervals is the number of intervals without received data after which a probed
 	// connection counts as silent. A peer answers a probe at once, however long its calls take.
 	silentIntervals = 10
+	// maxUnansweredDoublings bounds how often silentIntervals is doubled for a peer that accepts connections
+	// and answers on none of them: a peer that is short of processor time must not be kept busy with new ones.
+	maxUnansweredDoublings = 2
 )
 
 // probeService and methodProbe name the probe, which every Server answers at once. An error
@@ -69,9 +72,6 @@
 // all calls before it have arrived. If nothing is received at all, the connection is reset, which
 // discards undelivered data. A peer that is only slow answers the probe.
 func (m *managedConn) startProbing(s *session, timedOut bool) {
-	if !m.resetOnTimeout {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s.delivery.unconfirmed++
@@ -120,32 +120,46 @@
 // Silence is counted in ticks, not in elapsed time: a ticker drops the ticks of a suspension of
 // the process, so replies that arrived during it are read before the connection counts as silent.
 func (m *managedConn) probe(s *session) bool {
-	answered := make(chan error, 1)
 	seen, silentTicks := s.conn.reads.Load(), 0
-	go func() { answered <- s.rpc.Call(methodProbe, &struct{}{}, &struct{}{}) }()
+	w := newWrite(methodProbe, &struct{}{}, &struct{}{})
+	// queue is nil once the probe is queued. A stalled write may keep the queue full.
+	queue := s.writes
 	step := time.NewTicker(silenceCheckInterval)
 	defer step.Stop()
 	for {
 		select {
-		case err := <-answered:
-			return !isConnError(err)
+		case queue <- w:
+			queue = nil
+		case call := <-w.done:
+			return !isConnError(call.Error)
+		case <-s.ended:
+			return false
 		case <-step.C:
 			silentTicks++
 			if now := s.conn.reads.Load(); now != seen {
 				seen, silentTicks = now, 0
 			}
-			m.recordSilence(s, silentTicks >= silentIntervals, seen)
+			m.recordSilence(s, silentTicks, seen)
 		}
 	}
 }
 
-func (m *managedConn) recordSilence(s *session, silent bool, reads uint64) {
+func (m *managedConn) recordSilence(s *session, silentTicks int, reads uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s.delivery.silent, s.delivery.reads = silent, reads
+	s.delivery.silent, s.delivery.reads = silentTicks >= m.maxSilentIntervals(), reads
 	m.closeIfSilent(s)
 }
 
+// maxSilentIntervals returns the number of intervals without received data after which a session counts as
+// silent. m.mu is held.
+func (m *managedConn) maxSilentIntervals() int {
+	if m.resetOnTimeout {
+		return silentIntervals
+	}
+	return silentIntervals << min(m.unanswered, maxUnansweredDoublings)
+}
+
 // closeIfSilent resets the connection of a silent session if a call on it has timed out. Pending
 // calls get the read error, which is not rpc.ErrShutdown, since they may have run. Until a call
 // times out the session is kept, because its calls may still be answered. m.mu is held.
@@ -153,6 +167,10 @@
 	if !s.delivery.silent || s.delivery.timedOut == 0 || s.conn.reads.Load() != s.delivery.reads {
 		return
 	}
+	m.unanswered++
+	if s.delivery.reads > 0 {
+		m.unanswered = 0
+	}
 	m.retire(s)
 	_ = s.conn.Close()
 	if s.pending == 0 {
@@ -162,12 +180,9 @@
 
 // awaitReply waits for a call to complete. It returns nil if done is closed first.
 func (m *managedConn) awaitReply(done <-chan struct{}, s *session, w *write) *rpc.Call {
-	var early <-chan time.Time
-	if m.resetOnTimeout {
-		timer := time.NewTimer(probeAfter)
-		defer timer.Stop()
-		early = timer.C
-	}
+	timer := time.NewTimer(probeAfter)
+	defer timer.Stop()
+	early := timer.C
 	ended := s.ended
 	for {
 		select {
--- a/internal/peer/probe_test.go
+++ b/internal/peer/probe_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/standin/link"
 	"hemlockquay/internal/standin/link/linktest"
+	"hemlockquay/internal/standin/virtualnet"
 )
 
 type diary struct{ booked atomic.Int32 }
@@ -140,12 +143,27 @@
 // Guards against a call that waits past its deadline for another call's dial to an unreachable
 // VM.
 func TestWaitForAnotherCallsDialEndsWithTheContext(t *testing.T) {
-	c := NewRequestClient("127.0.0.1:1", 1)
-	defer c.Close()
-	c.conns[0].dialing <- struct{}{}
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	require.ErrorIs(t, c.Call(ctx, "Echo.Say", "x", new(string)), ErrNotSent)
+	synctest.Test(t, func(t *testing.T) {
+		network := virtualnet.New()
+		network.Cut("a", "b")
+		c := NewRequestClient("b", 1)
+		defer c.Close()
+		var dials atomic.Int32
+		c.UseDial(func(ctx context.Context, addr string) (net.Conn, error) {
+			dials.Add(1)
+			return network.Dial(ctx, "a", addr)
+		})
+		first := make(chan error, 1)
+		go func() { first <- c.Call(t.Context(), "Echo.Say", "x", new(string)) }()
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		begin := time.Now()
+		require.ErrorIs(t, c.Call(ctx, "Echo.Say", "x", new(string)), ErrNotSent)
+		require.Zero(t, time.Since(begin))
+		require.EqualValues(t, 1, dials.Load(), "the second call waited for the dial of the first")
+		require.ErrorIs(t, <-first, ErrNotSent)
+	})
 }
 
 // Guards against a call that is executed shortly after its caller has got ErrLost: the cut ends
