mesh: exchanges that failed are retried soon, and all at once when a VM is heard again

A lost VM was called once a period (1.8 s at 82 VMs, plus the timeout), so that even with new connections VMs would have heard each other up to 2.2 s after a cut. Now the delay after a failed exchange is 24 ms for each VM whose last exchange failed, 0.1 s at least: the calls to lost VMs do not grow with their number (test: at most 45 a second for 1 to 300 of them). A heartbeat of a VM that was not heard before retries all failed exchanges at once, at most each 0.1 s: the first contact after a cut ends it for all pairs.

TestFailedHeartbeatIsRetriedSoon asked for the delay of one failed exchange by a fixed share of the period; it now asks for the bound on the delay and on the calls a second for each number of failed exchanges.

--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -19,6 +19,7 @@
 			err = m.exchangeOnce(ctx, r, announcing && !first)
 		}
 		announcing, first = false, false
+		m.recordExchange(r, err)
 		silent := m.sinceLastHeard(r)
 		if now := silent > m.failureTimeoutOf(r); now != lost {
 			lost = now
@@ -36,25 +37,12 @@
 			return
 		case <-r.announcements:
 			announcing = true
-		case <-time.After(delayAfter(err, lost, period)):
+		case <-r.retries:
+		case <-time.After(m.delayAfter(err, period)):
 		}
 	}
 }
 
-// retryFraction is the fraction of the period after which a failed exchange is retried. With more
-// frequent retries, the loss of half of a large fleet would keep the other half busy with calls
-// to the lost VMs.
-const retryFraction = 0.25
-
-// delayAfter returns the delay until the next exchange. A failed exchange is retried soon, so that
-// one lost message does not make a VM count as failed. A lost VM is called at the normal period.
-func delayAfter(err error, lost bool, period time.Duration) time.Duration {
-	if err != nil && !lost {
-		return min(period, max(maxClosePeriod, time.Duration(retryFraction*float64(period))))
-	}
-	return period
-}
-
 // exchangeOnce sends one heartbeat and records the reply.
 func (m *Mesh) exchangeOnce(ctx context.Context, r *remote, brief bool) error {
 	var reply Heartbeat
@@ -92,6 +80,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.remotes[r.member.VM] == r {
+		m.setFailingLocked(r, false)
 		m.loads.replace(r, nil)
 		delete(m.remotes, r.member.VM)
 	}
@@ -105,7 +94,11 @@
 	known := r != nil && r.member.Incarnation == b.From.Incarnation
 	if known {
 		b = b.withDetailsOf(r.heartbeat)
-		r.lastHeard, r.heartbeat = m.clock.Now(), b
+		now := m.clock.Now()
+		if r.failing || !m.liveLocked(r, now) {
+			m.retryFailingLocked(now)
+		}
+		r.lastHeard, r.heartbeat = now, b
 		m.loads.replace(r, b.Loads)
 	}
 	m.mu.Unlock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -71,6 +71,10 @@
 	countedLoads  []Load
 	cancel        context.CancelFunc
 	announcements chan struct{}
+	// retries asks for another exchange ahead of its time.
+	retries chan struct{}
+	// failing reports whether the last exchange that this VM began failed.
+	failing bool
 }
 
 // Mesh is this VM's view of the other VMs. It is safe for concurrent use.
@@ -97,6 +101,10 @@
 	// paused itself.
 	detectionResumesAt time.Duration
 	lastCheck          time.Duration
+	// failing is the number of VMs with which the last exchange failed. retriedAllAt is when all these exchanges
+	// were last retried at once.
+	failing      int
+	retriedAllAt time.Duration
 }
 
 // New returns a mesh that knows only this VM.
@@ -134,10 +142,11 @@
 	}
 	if old != nil {
 		old.cancel()
+		m.setFailingLocked(old, false)
 		m.loads.replace(old, nil)
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	r := &remote{member: member, client: m.newClient(member.Addr), transfers: m.newClient(member.Addr), lastHeard: m.clock.Now(), cancel: cancel, announcements: make(chan struct{}, 1)}
+	r := &remote{member: member, client: m.newClient(member.Addr), transfers: m.newClient(member.Addr), lastHeard: m.clock.Now(), cancel: cancel, announcements: make(chan struct{}, 1), retries: make(chan struct{}, 1)}
 	if old != nil {
 		r.previous = old.asPrevious()
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -203,12 +203,25 @@
 	}
 }
 
-// Guards against a VM that counts as failed after one lost heartbeat.
+// Guards against a VM that counts as failed after one lost heartbeat, and against VMs that are busy with calls to
+// lost ones.
 func TestFailedHeartbeatIsRetriedSoon(t *testing.T) {
-	require.Equal(t, maxClosePeriod, delayAfter(errors.New("timed out"), false, maxClosePeriod))
-	require.Equal(t, time.Second, delayAfter(errors.New("timed out"), false, 4*time.Second))
-	require.Equal(t, 5*time.Second, delayAfter(nil, false, 5*time.Second))
-	require.Equal(t, 5*time.Second, delayAfter(errors.New("timed out"), true, 5*time.Second))
+	const maxCallsPerSecond = 45
+	m, _ := newMesh(t)
+	timedOut := errors.New("timed out")
+	for i := range 300 {
+		vm := fmt.Sprintf("vm-%d", i)
+		m.receiveHeartbeat(Heartbeat{From: Member{VM: vm, Addr: "127.0.0.1:1", Incarnation: 1}})
+		m.mu.Lock()
+		m.setFailingLocked(m.remotes[vm], true)
+		failing := m.failing
+		m.mu.Unlock()
+		delay := m.delayAfter(timedOut, 8*time.Second)
+		require.LessOrEqual(t, delay, max(minRetryPeriod, time.Duration(failing)*25*time.Millisecond))
+		require.LessOrEqual(t, float64(failing)/(delay+callTimeout).Seconds(), float64(maxCallsPerSecond))
+	}
+	require.Equal(t, maxClosePeriod, m.delayAfter(timedOut, maxClosePeriod))
+	require.Equal(t, 5*time.Second, m.delayAfter(nil, 5*time.Second))
 }
 
 // Guards against a request that crashes targets again after each restart of the VM that reported
