gateway: watches continue from a revision that the store cannot have skipped

A store that is about to drop its history lets watches hear nothing for a second while changes are made. If its empty answer names a revision that includes such a change, the next call watched from there, was told nothing new for ever, and passed the revision on as confirmed to all VMs that poll from it: the stale version was held for confirmed.

A watch now continues from the revision of an empty answer only once that is 1.5 s old, and a confirmation names the revision from which the call asked. The next call brings the change, or finds the history gone and lists.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -193,7 +193,7 @@
 		changes, err := g.store.WatchKind(callCtx, o.kind, revision, pollDuration)
 		if err == nil {
 			o.change(changes)
-			g.confirm(o, changes.Revision, call, call.sentAt)
+			g.confirm(o, completeTo(revision, changes), call, call.sentAt)
 			return nil
 		}
 		if !errors.Is(err, platform.ErrGone) {
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -184,6 +184,9 @@
 	history  []platform.Event
 	changed  chan struct{}
 	calls    int
+	// hiddenFrom is the revision from which waiting watches are not told of changes, although their answers count them,
+	// or 0. keptFrom is the revision from which the history is kept.
+	hiddenFrom, keptFrom uint64
 }
 
 func newSharedStore() *sharedStore {
@@ -239,6 +242,9 @@
 	defer s.mu.Unlock()
 	out := platform.Changes{Revision: s.revision}
 	for _, e := range s.history {
+		if s.hiddenFrom > 0 && e.Revision >= s.hiddenFrom {
+			break
+		}
 		if e.Object.Kind == kind && e.Revision > from {
 			out.Events = append(out.Events, e)
 		}
@@ -246,6 +252,29 @@
 	return out, s.changed
 }
 
+// hideChanges makes watches miss the changes from now on, until dropHistory.
+func (s *sharedStore) hideChanges() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hiddenFrom = s.revision + 1
+}
+
+// dropHistory drops all changes so far, and ends the watches that wait.
+func (s *sharedStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hiddenFrom, s.keptFrom, s.history = 0, s.revision, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// dropped reports whether changes after a revision have been dropped.
+func (s *sharedStore) dropped(from uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return from < s.keptFrom
+}
+
 // storePath is the path of one VM to the store.
 type storePath struct {
 	*sharedStore
@@ -268,7 +297,7 @@
 		<-ctx.Done()
 		err = ctx.Err()
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrGone) {
 		return errors.Join(platform.ErrAmbiguous, err)
 	}
 	return err
@@ -302,6 +331,9 @@
 		end := time.After(wait)
 		for {
 			var changed <-chan struct{}
+			if s.dropped(from) {
+				return platform.ErrGone
+			}
 			out, changed = s.since(kind, from)
 			if len(out.Events) > 0 {
 				return nil
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -144,23 +144,24 @@
 
 // followChanges applies the changes after a revision until this VM need not watch the objects any more.
 func (g *Gateway) followChanges(ctx context.Context, o watchedObjects, revision uint64) error {
+	answers := watchAnswers{from: revision}
 	for ctx.Err() == nil && g.shouldWatch(o.kind) {
 		wait := minWatchDuration + rand.N(maxWatchDuration-minWatchDuration)
 		callCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 		call := g.beginCall(wait)
-		changes, err := g.store.WatchKind(callCtx, o.kind, revision, wait)
+		changes, err := g.store.WatchKind(callCtx, o.kind, answers.from, wait)
 		cancel()
 		if err != nil {
-			return fmt.Errorf("watch %s from %d: %w", o.kind, revision, err)
+			return fmt.Errorf("watch %s from %d: %w", o.kind, answers.from, err)
 		}
 		if len(changes.Events) > 0 {
 			o.change(changes)
 		}
-		g.confirm(o, changes.Revision, call, call.answeredAt(changes, g.clock.Now()))
+		g.confirm(o, completeTo(answers.from, changes), call, call.answeredAt(changes, g.clock.Now()))
 		if len(changes.Events) > 0 {
 			pause.For(ctx, batchPause)
 		}
-		revision = max(revision, changes.Revision)
+		answers.add(changes, g.clock.Now())
 	}
 	return ctx.Err()
 }
