gateway: a fetch asks another source while the one before may still reply

Requests of a fetch now overlap: another source is asked after 0.4 s, three are in flight at most, each has the time of a transfer, the first reply that can be applied ends the fetch. TestSlowTransferIsNotBegunAnew: a VM that gets replies 0.7 s late and does not reach the store had the version before never within 2 s, and has it now.

--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -21,9 +21,11 @@
 	// fetchTimeout bounds a fetch from all sources together. The next heartbeat of any VM that has
 	// the version starts another one.
 	fetchTimeout = 2 * time.Second
-	// fetchRequestTimeout bounds the request to one source. A packed configuration takes a tenth
-	// of it on a link of 10 Mbit/s.
-	fetchRequestTimeout = 400 * time.Millisecond
+	// overlapDelay is the time after which a fetch asks another source while the one before may still reply. A packed
+	// configuration takes a tenth of it on a link of 10 Mbit/s.
+	overlapDelay = 400 * time.Millisecond
+	// maxOverlapping bounds the requests of one fetch that are in flight.
+	maxOverlapping = 3
 	// fetchPause is the mean pause before the next source is tried.
 	fetchPause = 40 * time.Millisecond
 	// storeFallbackDelay is the time after which a configuration that no VM has sent is read from
@@ -75,36 +77,69 @@
 	// haveVersion is the version known here, 0 if there is none.
 	haveVersion uint64
 	apply       func(vm string, r *FetchReply) error
-	// obtained is called after each failed request, with the time since the start. It reports
+	// obtained is called after each request that failed or has no reply yet, with the time since the start. It reports
 	// whether the version was obtained in another way.
 	obtained func(since time.Duration) bool
 }
 
-// fetchVersion tries one source after the other until one has sent a value that can be applied.
+// fetchVersion asks one source after the other until one has sent a value that can be applied. A source that does not
+// reply soon may still do so while others are asked: a transfer that is nearly done is not begun anew.
 func (g *Gateway) fetchVersion(ctx context.Context, vms *fetchSources, f versionFetch) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	for begin, attempt := time.Now(), 1; ; attempt++ {
-		vm := vms.next()
-		sent := time.Now()
-		reply, err := g.requestVersion(ctx, vm, f.method, f.haveVersion)
-		if err == nil {
-			vms.add(reply.Holders...)
-			err = errBusy
-			if !reply.Busy {
-				err = f.apply(vm, reply)
+	begin, replies := time.Now(), make(chan fetchResult, maxOverlapping)
+	last := fetchResult{err: errNoReply}
+	for number, inFlight := 1, 0; ; number++ {
+		if inFlight < maxOverlapping {
+			inFlight++
+			vm := vms.next()
+			go func() { replies <- g.requestVersion(ctx, vm, number, f) }()
+		}
+		select {
+		case last = <-replies:
+			inFlight--
+			err := g.applyReply(vms, f, last, time.Since(begin))
+			if err == nil {
+				return nil
 			}
+			last.err = err
+		case <-time.After(overlapDelay):
+		case <-ctx.Done():
+			return fmt.Errorf("last source %s: %w", last.attempt.vm, last.err)
 		}
-		g.logAttempt(fetchAttempt{method: f.method, vm: vm, number: attempt, bytes: len(reply.Data), took: time.Since(sent), since: time.Since(begin)}, err)
-		if err == nil || f.obtained(time.Since(begin)) {
+		if f.obtained(time.Since(begin)) {
 			return nil
 		}
 		if !pause.For(ctx, time.Duration(rand.Int64N(int64(2*fetchPause)))) {
-			return fmt.Errorf("last source %s: %w", vm, err)
+			return fmt.Errorf("last source %s: %w", last.attempt.vm, last.err)
 		}
 	}
 }
 
+var errNoReply = errors.New("no reply")
+
+// fetchResult is the result of a request for a newer version of a value.
+type fetchResult struct {
+	attempt fetchAttempt
+	reply   *FetchReply
+	err     error
+}
+
+// applyReply applies the value of a reply, and adds the other sources that it names.
+func (g *Gateway) applyReply(vms *fetchSources, f versionFetch, r fetchResult, since time.Duration) error {
+	err := r.err
+	if err == nil {
+		vms.add(r.reply.Holders...)
+		err = errBusy
+		if !r.reply.Busy {
+			err = f.apply(r.attempt.vm, r.reply)
+		}
+	}
+	r.attempt.since = since
+	g.logAttempt(r.attempt, err)
+	return err
+}
+
 // fetchAttempt is a request for a newer version of a value, for its log line.
 type fetchAttempt struct {
 	method, vm    string
@@ -125,12 +160,10 @@
 		Dur("took", a.took).Dur("since", a.since).Err(err).Msg("attempt to fetch a version")
 }
 
-func (g *Gateway) requestVersion(ctx context.Context, vm, method string, have uint64) (*FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchRequestTimeout)
-	defer cancel()
-	reply := new(FetchReply)
-	err := g.mesh.Transfer(ctx, vm, method, &FetchArgs{Requester: g.self.VM, HaveVersion: have}, reply)
-	return reply, err
+func (g *Gateway) requestVersion(ctx context.Context, vm string, number int, f versionFetch) fetchResult {
+	sent, reply := time.Now(), new(FetchReply)
+	err := g.mesh.Transfer(ctx, vm, f.method, &FetchArgs{Requester: g.self.VM, HaveVersion: f.haveVersion}, reply)
+	return fetchResult{attempt: fetchAttempt{method: f.method, vm: vm, number: number, bytes: len(reply.Data), took: time.Since(sent)}, reply: reply, err: err}
 }
 
 // fetchConfig fetches a later configuration from the VMs that have it, or else from the store.
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -43,3 +43,20 @@
 		}
 	}
 }
+
+// Guards against a version that never arrives because each transfer is given up shortly before its end.
+func TestSlowTransferIsNotBegunAnew(t *testing.T) {
+	inPlay(t, func(t *testing.T) {
+		const late = 700 * time.Millisecond
+		defer time.Sleep(2 * late) // until late messages have arrived
+		p := newPlay(t, 5)
+		defer p.stop()
+		time.Sleep(5 * time.Second)
+		slow := p.byPreference()[4]
+		slow.silent.Store(true)
+		p.late.Store(slow.self.Addr, late)
+		p.store.put("config", "main", route.Config{Version: 2})
+		time.Sleep(changeBound)
+		require.EqualValues(t, 2, slow.state.view.Load().ConfigVersion())
+	})
+}
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -131,7 +131,10 @@
 		return serveCall(g, method, args, reply)
 	}
 	if method != "Mesh.Heartbeat" {
-		return sleep(ctx, late)
+		if err := sleep(ctx, late); err != nil {
+			return err
+		}
+		return serveCall(g, method, args, reply)
 	}
 	ran, out := make(chan error, 1), new(mesh.Heartbeat)
 	time.AfterFunc(late, func() { ran <- serveCall(g, method, args, out) })
