mesh: the order of preference of two VMs for a duty is computed once

The order of two VMs does not change while their processes run, so it is kept with the other VM, and ranks copy no members.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -75,6 +75,8 @@
 	announcements chan struct{}
 	// retries asks for another exchange ahead of its time.
 	retries chan struct{}
+	// precedes holds whether the VM precedes this one in the order of preference for a duty.
+	precedes map[string]bool
 	// failing reports whether the last exchange that this VM began failed.
 	failing bool
 }
--- a/internal/mesh/relays.go
+++ b/internal/mesh/relays.go
@@ -68,24 +68,47 @@
 // that are fit for it and not leaving. This VM itself is not tested for fitness.
 func (m *Mesh) Rank(duty string, fit func(vm string) bool) int {
 	place := 0
-	for _, other := range m.liveUnsorted() {
-		if other.VM != m.self.VM && m.self.ranksBelow(other, duty) && fit(other.VM) {
+	for _, vm := range m.preceding(duty, false) {
+		if fit(vm) {
 			place++
 		}
 	}
 	return place
 }
 
+// preceding returns the other live VMs that precede this one in the order of preference for a duty, those that are
+// leaving or those that are not.
+func (m *Mesh) preceding(duty string, leaving bool) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	var out []string
+	for vm, r := range m.remotes {
+		if r.heartbeat.Leaving == leaving && m.precedesLocked(r, duty) && m.liveLocked(r, now) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// precedesLocked reports whether a VM precedes this one in the order of preference for a duty. Duties are few, and the
+// result does not change while the VM's process runs. The caller holds m.mu.
+func (m *Mesh) precedesLocked(r *remote, duty string) bool {
+	precedes, known := r.precedes[duty]
+	if !known {
+		if r.precedes == nil {
+			r.precedes = make(map[string]bool)
+		}
+		precedes = m.self.ranksBelow(r.member, duty)
+		r.precedes[duty] = precedes
+	}
+	return precedes
+}
+
 // RankAmongLeaving returns this VM's rank, from 0, in the order of preference for a duty among
 // the live VMs that are leaving. This VM is one of them.
 func (m *Mesh) RankAmongLeaving(duty string) int {
-	place := 0
-	for _, other := range m.liveOthers(true) {
-		if m.self.ranksBelow(other, duty) {
-			place++
-		}
-	}
-	return place
+	return len(m.preceding(duty, true))
 }
 
 // AllKnowStandbys reports whether no VM that was heard of is of a version that ignores the standbys in records of leases.
