gateway: the age of a confirmation is checked when it can have reached its limit

Three goroutines of each VM woke up every 20 ms to compare an age with a limit of 1 s. They sleep until the limit can be reached now, 0.1 s at most, because a version that is missing is looked for as well. A silent store is noticed at the same age as before.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// confirmCheckInterval is the interval at which a VM checks the age of the last confirmation.
-	confirmCheckInterval = 20 * time.Millisecond
+	// minConfirmCheck and maxConfirmCheck bound the interval at which a VM checks the age of the last confirmation. It
+	// need not check before the age can have reached the limit.
+	minConfirmCheck = 20 * time.Millisecond
+	maxConfirmCheck = 100 * time.Millisecond
 	// pollDuration is how long the store waits for changes when it is asked only for those that exist. The
 	// protocol has no shorter time.
 	pollDuration = time.Millisecond
@@ -156,7 +158,7 @@
 // bounds the time for which a change is unknown to a VM that reaches the store, whatever the VMs that watch it
 // for all are doing. It does not wait for this VM's own watch, which may hang.
 func (g *Gateway) keepConfirmed(ctx context.Context, o watchedObjects) {
-	for pause.For(ctx, confirmCheckInterval) {
+	for pause.For(ctx, min(maxConfirmCheck, max(minConfirmCheck, freshness.MaxAge-g.confirmations.age(o.kind)))) {
 		age := g.confirmations.age(o.kind)
 		behind := g.behind(o)
 		if !g.storeUp.Load() || !behind && !g.confirmationOverdue(age) {
