--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	bash scripts/soak.sh 2 2 10s paths
 	bash scripts/soak.sh 1 1 14s evacuations
 	bash scripts/soak.sh 1 1 14s routes
+	bash scripts/soak.sh 1 1 14s starved
 	bash scripts/soak.sh 1 1 20s limits
 	bash scripts/soak.sh 1 1 14s signals
 
--- a/cmd/hq-soak/main.go
+++ b/cmd/hq-soak/main.go
@@ -20,7 +20,7 @@
 type options struct {
 	command.VersionFlag
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the schedule and of the load's keys"`
-	Profile  string        `long:"profile" default:"mixed" choice:"mixed" choice:"stops" choice:"paths" choice:"evacuations" choice:"routes" choice:"limits" choice:"signals" description:"mixed: faults of all kinds; stops: graceful shutdowns with slow targets; paths: VMs cut from targets; evacuations: a data centre is evacuated and taken back; routes: routes are added while VMs do not reach the store; limits: targets state limits; signals: targets leave, refuse requests or send bytes without end"`
+	Profile  string        `long:"profile" default:"mixed" choice:"mixed" choice:"stops" choice:"paths" choice:"evacuations" choice:"routes" choice:"limits" choice:"signals" choice:"starved" description:"mixed: faults of all kinds; stops: graceful shutdowns with slow targets; paths: VMs cut from targets; evacuations: a data centre is evacuated and taken back; routes: routes are added while VMs do not reach the store; limits: targets state limits; signals: targets leave, refuse requests or send bytes without end; starved: routes are added while VMs are short of processor time"`
 	Span     time.Duration `long:"span" default:"20s" description:"how long faults last; the run takes some seconds more"`
 	Schedule string        `long:"schedule" value-name:"FILE" description:"run this schedule, as --print writes it, instead of the seed's"`
 	Rates    bool          `long:"rates" description:"also check how often VMs serve that are cut from all targets, and how soon VMs serve new routes; depends on the speed of the machine"`
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -57,6 +57,9 @@
 	// routes has operators add routes while most of twelve VMs do not reach the store, and others are killed,
 	// suspended or stopped.
 	"routes": {Grace: 3 * time.Second, Rate: 40, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: routeVMs, Generate: GenerateRoutes},
+	// starved has operators add routes while some of twelve VMs are short of processor time and others do not reach the
+	// store.
+	"starved": {Grace: 3 * time.Second, Rate: 40, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: routeVMs, Generate: GenerateStarved},
 	// limits has targets state limits, which rise, fall, end and come again, while VMs are killed, suspended,
 	// stopped, or lose the store.
 	"limits": {Grace: 3 * time.Second, Rate: 90, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: limitVMs, Limits: true, Generate: GenerateLimits},
--- a/internal/soak/routes.go
+++ b/internal/soak/routes.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// routeDenied says that a VM answered that an added route does not exist.
+const routeDenied = "status 404 after it was added"
+
 // askRoute sends a request for an added route and returns what is wrong with the answer, if anything.
 func (w *site) askRoute(addr, route, id string) string {
 	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+id, http.NoBody)
@@ -75,7 +78,10 @@
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
-	if resp.StatusCode == http.StatusNotFound || strings.Contains(string(body), "route not known") {
+	if resp.StatusCode == http.StatusNotFound {
+		return routeDenied
+	}
+	if strings.Contains(string(body), "route not known") {
 		return fmt.Sprintf("status %d, %v after it was added", resp.StatusCode, routeBound)
 	}
 	return ""
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,7 +66,8 @@
 	Limit float64 `json:"limit,omitempty"`
 	// DrainAfter is when the store lists a target as draining, after AnnounceLeaving has begun.
 	DrainAfter model.Duration `json:"drainAfter,omitempty"`
-	// Share is the part of the requests that RefuseRequests and SendEndlessly concern, Rest the rest that the former asks
+	// Share is the part of the requests that RefuseRequests and SendEndlessly concern, or of the time for which Starve lets
+	// a process run. Rest is the rest that the former asks
 	// for.
 	Share float64        `json:"share,omitempty"`
 	Rest  model.Duration `json:"rest,omitempty"`
@@ -80,6 +81,9 @@
 // kinds lists the kinds of faults of targets (true) and of VMs (false).
 var kinds = map[bool][]Kind{true: {HoldLink, ResetLink, RemoveEntry, SlowTarget, DropAnswers}, false: {HoldLink, ResetLink, Suspend, Kill, Terminate}}
 
+// otherVMKinds lists the kinds of faults of VMs that only some profiles have.
+var otherVMKinds = append([]Kind{Starve}, pathKinds...)
+
 // pathKinds lists the kinds of cuts of a VM from the targets.
 var pathKinds = []Kind{DropPaths, ResetPaths, RefusePaths}
 
@@ -95,7 +99,7 @@
 		case f.Kind == StateLimit && target && f.At >= 0 && f.Duration >= 0 && f.Limit >= 0:
 		case !target && !slices.Contains(names("vm", routeVMs), f.Subject):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/what", i), "%q is neither target nor VM", f.Subject)
-		case !slices.Contains(kinds[target], f.Kind) && (target || !slices.Contains(pathKinds, f.Kind)):
+		case !slices.Contains(kinds[target], f.Kind) && (target || !slices.Contains(otherVMKinds, f.Kind)):
 			return settings.Invalid(fmt.Sprintf("/faults/%d/kind", i), "%q cannot happen to %s", f.Kind, f.Subject)
 		case f.At < 0 || f.Duration < 0:
 			return settings.Invalid(fmt.Sprintf("/faults/%d", i), "at or for is negative")
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -188,6 +188,8 @@
 		w.targets[f.Subject].SetWork(slowServiceTime)
 	case DropAnswers:
 		w.targets[f.Subject].SetDropResponses(true)
+	case Starve:
+		go w.starve(f)
 	case Suspend:
 		w.forgetTold(f.Subject)
 		w.vms[f.Subject].suspend()
@@ -220,6 +222,7 @@
 	case StoreAway:
 		w.setStoreAway(false)
 	case AddRoute:
+		w.checkNotDenied(f.Subject)
 		if w.checkRates {
 			w.checkRoute(f.Subject)
 		}
