--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -48,12 +48,17 @@
 	}
 }
 
+// heardLately returns how many of the other known VMs were heard within two periods of heartbeats, and their number.
+func (g *Gateway) heardLately() (heard, known int) {
+	return g.mesh.HeardWithin(max(lagWindow, 2*g.mesh.Period()))
+}
+
 // logLag logs, at most once in lagWindow, that this VM's own work is late or that few other VMs are heard, until ctx
 // ends.
 func (g *Gateway) logLag(ctx context.Context) {
 	for pause.For(ctx, lagWindow) {
 		lag := g.lag.worst(g.clock.Now())
-		heard, known := g.mesh.HeardWithin(lagWindow)
+		heard, known := g.heardLately()
 		if lag < loggedLag && 2*heard >= known {
 			continue
 		}
