--- a/internal/soak/routes.go
+++ b/internal/soak/routes.go
@@ -125,14 +125,19 @@
 			s.add(Fault{At: model.Duration(begin + silenceOffset.random(r)), Kind: kind, Subject: vms[order[r.IntN(routeVMs)]], Duration: model.Duration(durations[kind].random(r))}, over)
 		}
 		for range 1 + r.IntN(2) {
-			at := begin + routeOffset.random(r)
-			if at+routeBound > over {
-				continue
-			}
-			routes++
-			s.add(Fault{At: model.Duration(at), Kind: AddRoute, Subject: fmt.Sprint("route-", routes), Duration: model.Duration(routeBound)}, over)
+			s.addRoute(&routes, begin+routeOffset.random(r), over)
 		}
 	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return s
 }
+
+// addRoute adds an AddRoute at a time, unless its bound is after the end of the run. routes is the number of routes added
+// so far.
+func (s *Schedule) addRoute(routes *int, at, over time.Duration) {
+	if at+routeBound > over {
+		return
+	}
+	*routes++
+	s.add(Fault{At: model.Duration(at), Kind: AddRoute, Subject: fmt.Sprint("route-", *routes), Duration: model.Duration(routeBound)}, over)
+}
--- a/internal/soak/starved.go
+++ b/internal/soak/starved.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,12 +74,7 @@
 			s.add(f, over)
 		}
 		for range 1 + r.IntN(3) {
-			at := begin + starvedRouteOffset.random(r)
-			if at+routeBound > over {
-				continue
-			}
-			routes++
-			s.add(Fault{At: model.Duration(at), Kind: AddRoute, Subject: fmt.Sprint("route-", routes), Duration: model.Duration(routeBound)}, over)
+			s.addRoute(&routes, begin+starvedRouteOffset.random(r), over)
 		}
 	}
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
