Comments, names and tests of the ages: as a new reader needs them; no logic

recentPeers and buildHeartbeat in place of heardLately and heartbeatTo; transit time in place of paraphrases. Reasons that stood at removed constants are back in plain sentences: why the calls to lost VMs are bounded (loss of half of a large fleet), how long the users' platform hides changes, why the clock is read before the ages.

TestVersionIsMissingFromWhenItWasHeardOf plays messages of unknown and of known age. The line of the test of pairs is one line.

--- a/internal/decide/freshness/freshness.go
+++ b/internal/decide/freshness/freshness.go
@@ -6,9 +6,9 @@
 // and so does the VM that replaces it. Without a limit on the age of the last confirmation, these timeouts add
 // up, and VMs that reach the store wait for others that do not.
 //
-// A confirmation is dated by the VM that got it, from when it asked, and its age travels with it. The receiver adds
-// the time for which the message was on its way at most, which it knows from its own clock (mesh.Heartbeat), so
-// clocks of VMs need not agree, and no delay anywhere makes old knowledge look recent.
+// The VM that gets a confirmation dates it from its request to the store, and heartbeats carry its age. The receiver
+// adds an upper bound of the heartbeat's transit time, measured on its own clock (mesh.Heartbeat). So clocks of VMs need
+// not agree, and a delay makes knowledge look older, never more recent.
 //
 // Invariant: if the latest confirmation that a VM knows has the age d, the VM has heard of every change that was
 // committed more than d ago. It may still have to fetch the change.
@@ -50,10 +50,10 @@
 
 // Tracker tracks the latest confirmation of one kind. It is not safe for concurrent use.
 type Tracker struct {
-	// mark has no age.
+	// mark is the latest confirmation. Its AgeMs is not used.
 	mark Mark
-	// started is when the VM started. confirmedAt is a time at which all changes that were committed are included in
-	// mark, or 0 if none is known.
+	// started is when the VM started. All changes that were committed before confirmedAt are known, which is 0 if there
+	// is no confirmation.
 	started, confirmedAt time.Duration
 	// newestSince is when mark.Newest was first known here.
 	newestSince time.Duration
@@ -73,7 +73,7 @@
 }
 
 // Merge records the mark of another VM's heartbeat. sentAt is a time before which the heartbeat was not sent, or 0 if
-// none is known. Then the heartbeat tells only which versions exist.
+// none is known. Without it only the versions are recorded, because the age of the confirmation is not known.
 func (t *Tracker) Merge(m Mark, sentAt, now time.Duration) {
 	t.mark.Count = max(t.mark.Count, m.Count)
 	t.Announce(max(m.Version, m.Newest), now)
@@ -98,8 +98,8 @@
 	}
 }
 
-// Confirm records that the store has answered this VM. All changes up to a revision are included in a version, and
-// all changes that were committed at a time are, too.
+// Confirm records an answer of the store to this VM: a version that includes all changes up to a revision, and all that
+// were committed before at.
 func (t *Tracker) Confirm(revision, version uint64, at, now time.Duration) {
 	t.mark.Count++
 	t.Announce(version, now)
--- a/internal/decide/freshness/freshness_test.go
+++ b/internal/decide/freshness/freshness_test.go
@@ -25,6 +25,19 @@
 	require.Equal(t, Mark{Count: 11, Revision: 9, Version: 4, Newest: 4, AgeMs: 1001}, tracker.Mark(17*time.Second+time.Microsecond), "rounded up")
 }
 
+// Guards against a confirmation that looks recent because the heartbeat that repeats it was delayed.
+func TestDelayedMarkDoesNotRenewTheAge(t *testing.T) {
+	tracker := NewTracker(0)
+	tracker.Merge(Mark{Count: 7}, time.Second, time.Second)
+	tracker.Merge(Mark{Count: 6}, time.Second/2, 3*time.Second)
+	tracker.Merge(Mark{Count: 7}, time.Second, 3*time.Second)
+	tracker.Merge(Mark{Count: 9}, time.Second, 3*time.Second)
+	require.Equal(t, 2*time.Second, tracker.Age(3*time.Second))
+	tracker.Confirm(9, 4, 4*time.Second, 4*time.Second)
+	require.Equal(t, Mark{Count: 10, Revision: 9, Version: 4, Newest: 4}, tracker.Mark(4*time.Second))
+	require.Zero(t, tracker.Age(4*time.Second))
+}
+
 // Guards against a message of unknown age that renews the age of what is known.
 func TestMessageOfUnknownAgeTellsOnlyWhichVersionsExist(t *testing.T) {
 	tracker := NewTracker(0)
@@ -34,9 +47,8 @@
 	require.Equal(t, Mark{Count: 70, Revision: 9, Version: 4, Newest: 5, AgeMs: 2000}, tracker.Mark(3*time.Second))
 }
 
-// Guards against a revision beside a version that does not include its changes: whoever polls from there never hears of
-// them.
-func TestRevisionAndVersionTravelAsTheyWereRead(t *testing.T) {
+// Guards against polls from a revision whose changes the version beside it does not include.
+func TestRevisionAndVersionAreMergedAsAPair(t *testing.T) {
 	tracker := NewTracker(0)
 	tracker.Confirm(9, 4, time.Second, time.Second)
 	tracker.Merge(Mark{Count: 1, Revision: 8, Version: 5}, 2*time.Second, 2*time.Second)
@@ -51,12 +63,14 @@
 
 // Guards against a confirmation passed on by a VM that has not got the change yet.
 func TestVersionIsMissingFromWhenItWasHeardOf(t *testing.T) {
-	tracker := NewTracker(0)
-	tracker.Merge(Mark{Count: 7, Version: 4}, 0, time.Second)
-	tracker.Merge(Mark{Count: 8, Version: 5}, 0, 2*time.Second)
-	tracker.Merge(Mark{Count: 9, Version: 5}, 0, 3*time.Second)
-	require.Zero(t, tracker.MissingFor(5, 4*time.Second))
-	require.Equal(t, 2*time.Second, tracker.MissingFor(4, 4*time.Second))
+	for _, sentAt := range []time.Duration{0, time.Second} {
+		tracker := NewTracker(0)
+		tracker.Merge(Mark{Count: 7, Version: 4}, sentAt, time.Second)
+		tracker.Merge(Mark{Count: 8, Version: 5}, sentAt, 2*time.Second)
+		tracker.Merge(Mark{Count: 9, Version: 5}, sentAt, 3*time.Second)
+		require.Zero(t, tracker.MissingFor(5, 4*time.Second))
+		require.Equal(t, 2*time.Second, tracker.MissingFor(4, 4*time.Second))
+	}
 }
 
 func TestLaterPlacesReadLaterButSoonInALargeFleet(t *testing.T) {
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -65,8 +65,8 @@
 	c.trackers[kind].Announce(version, c.clock.Now())
 }
 
-// confirm records that the store has confirmed the objects of a kind: all changes that were committed at a time, or up
-// to a revision, are included in a version.
+// confirm records an answer of the store: a version that includes all changes of a kind up to a revision, and all that
+// were committed before at.
 func (c *confirmations) confirm(kind model.Kind, revision, version uint64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,8 +122,7 @@
 	return storeCall{sentAt: g.clock.Now(), asked: asked}
 }
 
-// confirm records that the store has answered a call of this VM at some time after at with all changes up to a
-// revision, which are applied.
+// confirm records that all changes up to a revision are applied, from an answer that the store gave no earlier than at.
 func (g *Gateway) confirm(o watchedObjects, revision uint64, call storeCall, at time.Duration) {
 	if took := g.clock.Now() - call.sentAt; took > call.asked+maxAnswerDelay {
 		g.log.Info().Str("step", "watch").Str("kind", string(o.kind)).Dur("took", took).Dur("asked", call.asked).Msg("late answer of the store confirms nothing")
@@ -139,8 +138,8 @@
 	g.confirmations.confirm(o.kind, revision, version, at)
 }
 
-// answeredAt returns a time after which the store answered a watch: if it had nothing to tell, at the end of the time
-// that it was asked to wait.
+// answeredAt returns the earliest time at which the store can have answered a watch. Without changes, that is the end of
+// the wait that was asked for; otherwise the store may have answered at once.
 func (c storeCall) answeredAt(changes platform.Changes, now time.Duration) time.Duration {
 	if waited := c.sentAt + c.asked; len(changes.Events) == 0 && now >= waited {
 		return waited
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// heardLately returns how many of the other known VMs were heard within two periods of heartbeats, and their number.
-func (g *Gateway) heardLately() (heard, known int) {
+// recentPeers returns how many of the other known VMs have sent a heartbeat within the last two heartbeat periods, and
+// the number of known VMs.
+func (g *Gateway) recentPeers() (heard, known int) {
 	return g.mesh.HeardWithin(max(lagWindow, 2*g.mesh.Period()))
 }
 
@@ -58,7 +59,7 @@
 func (g *Gateway) logLag(ctx context.Context) {
 	for pause.For(ctx, lagWindow) {
 		lag := g.lag.worst(g.clock.Now())
-		heard, known := g.heardLately()
+		heard, known := g.recentPeers()
 		if lag < loggedLag && 2*heard >= known {
 			continue
 		}
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -23,7 +23,7 @@
 		p := newPlay(t, 82)
 		defer p.stop()
 		time.Sleep(10 * time.Second)
-		heard, known := p.vms[40].heardLately()
+		heard, known := p.vms[40].recentPeers()
 		require.Equal(t, 81, known)
 		require.Equal(t, known, heard)
 	})
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -68,7 +68,7 @@
 		"targets.age":      func() int64 { return g.confirmations.age(g.adapter.TargetKind()).Milliseconds() },
 		"mesh.live":        func() int64 { return int64(len(g.mesh.Live())) },
 		"mesh.heard": func() int64 {
-			heard, _ := g.heardLately()
+			heard, _ := g.recentPeers()
 			return int64(heard)
 		},
 		"lag.worst":        func() int64 { return g.lag.worst(g.clock.Now()).Milliseconds() },
--- a/internal/gateway/watchanswers.go
+++ b/internal/gateway/watchanswers.go
@@ -6,7 +6,8 @@
 	"hemlockquay/internal/platform"
 )
 
-// maxHidden is for how long a store that is about to drop its history may hide changes from watches.
+// maxHidden exceeds the time for which a store that is about to drop its history may hide changes from watches. The
+// users' platform does so for a second.
 const maxHidden = 1500 * time.Millisecond
 
 // watchAnswers chooses the revision from which a watch continues. A store that is about to drop its history may answer
--- a/internal/mesh/encoding.go
+++ b/internal/mesh/encoding.go
@@ -8,8 +8,9 @@
 
 var _ msgpack.CustomEncoder = (*Heartbeat)(nil)
 
-// EncodeMsgpack implements msgpack.CustomEncoder. It writes the same map as the library's encoder of structs, without the
-// fields that are empty: to find these, the library needs half of the processor time of a heartbeat.
+// EncodeMsgpack implements msgpack.CustomEncoder. It writes the same map as the library's encoder of structs, without
+// empty fields. The library allocates twice for each field to find those, which took most of the processor time of
+// encoding.
 func (b *Heartbeat) EncodeMsgpack(enc *msgpack.Encoder) error { return writeMap(enc, b) }
 
 // fields is a struct whose fields are written as a map.
--- a/internal/mesh/exchange.go
+++ b/internal/mesh/exchange.go
@@ -46,7 +46,7 @@
 // exchangeOnce sends one heartbeat and records the reply.
 func (m *Mesh) exchangeOnce(ctx context.Context, r *remote, brief bool) error {
 	var reply Heartbeat
-	heartbeat := m.heartbeatTo(r.member)
+	heartbeat := m.buildHeartbeat(r.member)
 	if brief {
 		heartbeat = heartbeat.brief()
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -327,7 +327,7 @@
 // Heartbeat receives the caller's heartbeat and replies with this VM's, brief if the caller's is.
 func (s Service) Heartbeat(in *Heartbeat, out *Heartbeat) error {
 	s.Mesh.receive(*in)
-	*out = s.Mesh.heartbeatTo(in.From)
+	*out = s.Mesh.buildHeartbeat(in.From)
 	if in.Brief {
 		*out = out.brief()
 	}
--- a/internal/mesh/retry.go
+++ b/internal/mesh/retry.go
@@ -4,9 +4,11 @@
 
 const (
 	// retryPeriodPerVM, multiplied by the number of VMs whose last exchange failed, is the delay until a failed
-	// exchange is retried. So the calls to lost VMs do not increase with their number.
+	// exchange is retried. So a VM makes at most about 40 calls a second to VMs that do not answer, as many as heartbeats to
+	// others: the loss of half of a large fleet must not keep the other half busy.
 	retryPeriodPerVM = 24 * time.Millisecond
-	minRetryPeriod   = 100 * time.Millisecond
+	// minRetryPeriod, with the timeout of a call, keeps the time between two dials to one lost VM below half a second.
+	minRetryPeriod = 100 * time.Millisecond
 	// minRetryAllInterval is the least time between two retries of all failed exchanges at once.
 	minRetryAllInterval = 100 * time.Millisecond
 )
--- a/internal/mesh/stamp.go
+++ b/internal/mesh/stamp.go
@@ -29,9 +29,9 @@
 	return sentAt
 }
 
-// heartbeatTo returns the heartbeat to send to a VM.
-func (m *Mesh) heartbeatTo(member Member) Heartbeat {
-	// Ages in the heartbeat must not be older than its echo.
+// buildHeartbeat returns the heartbeat to send to a VM now.
+func (m *Mesh) buildHeartbeat(member Member) Heartbeat {
+	// The clock is read before the ages in the heartbeat are, so that the receiver counts the time in between as transit.
 	now := m.clock.Now()
 	b := m.local.Heartbeat()
 	b.SentMs = uint64(now.Milliseconds())
--- a/internal/soak/starved.go
+++ b/internal/soak/starved.go
@@ -18,8 +18,7 @@
 	starvedPeriod = 50 * time.Millisecond
 )
 
-// starvedShares are the shares of the time for which starved processes run. With the smallest ones a VM is seconds
-// behind with reading what others send.
+// starvedShares are the shares of the time for which starved processes run.
 var starvedShares = []float64{0.1, 0.03, 0.01, 0.004}
 
 // starve stops and continues the process of a VM until the fault has ended.
