gateway: connections of callers are split into lanes where the settings say so

Targets worked on for callers that had left while a further request of theirs waited on the connection. TestRequestIsCancelledIfItsCallerLeavesBehindAFurtherOne fails with net/http alone (pipeline.requests 0): the target still works after 2 s. Non-idempotent requests wait for those before them on their connection.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/peer"
+	"hemlockquay/internal/pipeline"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/storerelay"
 )
@@ -196,10 +197,25 @@
 
 // newFront returns the HTTP server for callers.
 func (g *Gateway) newFront() *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		BaseContext: func(net.Listener) context.Context { return g.requestCtx },
 	}
+	if g.settings.Pipeline.Requests > 0 {
+		pipeline.Attach(s)
+	}
+	return s
+}
+
+// splitPipelines lets the pipelined requests of a connection run at the same time, if the settings say so.
+func (g *Gateway) splitPipelines(l net.Listener) net.Listener {
+	p := g.settings.Pipeline
+	if p.Requests == 0 {
+		return l
+	}
+	return pipeline.NewListener(l, pipeline.Limits{
+		Requests: p.Requests, ReadAhead: p.ReadAhead, HeaderTimeout: headerTimeout, WriteTimeout: p.WriteTimeout.D(),
+	}, g.registry)
 }
 
 func (g *Gateway) listen() error {
@@ -219,6 +235,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		if s.server == g.front {
+			l = g.splitPipelines(l)
+		}
 		go g.serve(s.server, l)
 	}
 	go g.servePeers()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"hemlockquay/internal/pipeline"
 )
 
 // Timeouts and limits of request handling.
@@ -66,6 +68,10 @@
 		g.refuse(w, r, outcome{status: http.StatusServiceUnavailable, reason: "route not understood", retryAfter: maxRetryAfter})
 		return
 	}
+	if !rt.Idempotent && !pipeline.AwaitTurn(r.Context()) {
+		g.refuse(w, r, outcome{reason: reasonCallerLeft})
+		return
+	}
 	c := g.newCall(r, rt, spread.Next())
 	defer c.release()
 	if rejected := g.readBody(c, w, r, view.Routes.Config().Limits.BodyBytes); rejected != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -56,6 +56,8 @@
 	Regions map[string]string `json:"regions,omitempty"`
 	// Repeats limits the requests that are sent to a service more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
+	// Pipeline lets the requests that callers pipeline on one connection run at the same time.
+	Pipeline Pipeline `json:"pipeline,omitzero"`
 
 	// source is the file that the settings were read from.
 	source string
@@ -73,6 +75,17 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// Pipeline bounds what one caller's connection may occupy. Changes need a restart.
+type Pipeline struct {
+	// Requests is the number of requests of a connection that run at the same time. Default 0: callers' connections are
+	// served one request at a time.
+	Requests int `json:"requests,omitempty"`
+	// ReadAhead is the number of bytes of further requests that are read while the first ones run. Default 16384.
+	ReadAhead int `json:"readAhead,omitempty"`
+	// WriteTimeout is the time in which a caller must read 16 KiB of a response. Default 10s.
+	WriteTimeout model.Duration `json:"writeTimeout,omitempty"`
+}
+
 // Repeats limits the requests that all VMs together send to a service again.
 type Repeats struct {
 	// Ratio is the number of repeats allowed per request. Default 0.1.
@@ -92,7 +105,13 @@
 	defaultRatio     = 0.1
 	defaultSlack     = 10
 	defaultWindow    = model.Duration(10 * time.Second)
-	minHold          = model.Duration(time.Second)
+	defaultReadAhead = 16 << 10
+	// defaultWriteTimeout is longer than a lost packet delays a connection, and than callers wait for most responses.
+	defaultWriteTimeout = model.Duration(10 * time.Second)
+	// minReadAhead is the size of the request heads that must fit, maxPipelined bounds the goroutines of a connection.
+	minReadAhead = 4 << 10
+	maxPipelined = 64
+	minHold      = model.Duration(time.Second)
 	// minEvacuateWithin is the time in which all VMs learn of an evacuation, up to 2.5 s if the store drops its
 	// history, plus evacuatedOwnerGrace.
 	minEvacuateWithin = model.Duration(4 * time.Second)
@@ -117,6 +136,8 @@
 	setDefault(&s.Repeats.Ratio, defaultRatio)
 	setDefault(&s.Repeats.Slack, defaultSlack)
 	setDefault(&s.Repeats.Window, defaultWindow)
+	setDefault(&s.Pipeline.ReadAhead, defaultReadAhead)
+	setDefault(&s.Pipeline.WriteTimeout, defaultWriteTimeout)
 	if _, err := s.targetSource(); err != nil {
 		return settings.Invalid("/targetSource", "%v", err)
 	}
@@ -137,6 +158,12 @@
 		return settings.Invalid("/warmup", "a value is negative")
 	case s.Repeats.Ratio < 0 || s.Repeats.Slack < 0 || s.Repeats.Window < 0:
 		return settings.Invalid("/repeats", "a value is negative")
+	case s.Pipeline.Requests < 0 || s.Pipeline.Requests > maxPipelined:
+		return settings.Invalid("/pipeline/requests", "%d is not between 0 and %d", s.Pipeline.Requests, maxPipelined)
+	case s.Pipeline.ReadAhead < minReadAhead:
+		return settings.Invalid("/pipeline/readAhead", "%d is under %d", s.Pipeline.ReadAhead, minReadAhead)
+	case s.Pipeline.WriteTimeout < 0:
+		return settings.Invalid("/pipeline/writeTimeout", "%v is negative", s.Pipeline.WriteTimeout)
 	}
 	return nil
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -122,6 +122,12 @@
 	require.EqualValues(t, 1, b.requests.Load())
 }
 
+// pipelineRequests makes callers' connections run up to n requests at the same time.
+func (b *testbed) pipelineRequests(n int) {
+	b.settings.Pipeline = Pipeline{Requests: n, ReadAhead: defaultReadAhead}
+	b.front = b.newFront()
+}
+
 // dialFront serves the gateway's HTTP server for callers and opens a connection to it.
 func (b *testbed) dialFront() (net.Conn, *bufio.Reader) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -129,7 +135,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = b.front.Serve(l)
+		_ = b.front.Serve(b.splitPipelines(l))
 	}()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(b.t, err)
