--- a/internal/decide/keyspread/keyspread.go
+++ b/internal/decide/keyspread/keyspread.go
@@ -26,6 +26,8 @@
 	// busyLoad is the load from which an owner gives up ranges; below it, requests
 	// seldom wait for each other.
 	busyLoad = 0.55
+	// overloadedFrom is the load from which requests wait longer than they run.
+	overloadedFrom = 0.8
 	// maxFillLoad is the load up to which an owner may get ranges only to even out
 	// their number. It is well below busyLoad, so that the owner need not give them up
 	// again.
@@ -39,11 +41,18 @@
 	// minDivideShare is the share of an owner's capacity above which a range is
 	// divided rather than moved as a whole.
 	minDivideShare = 0.25
-	// maxMoves bounds the moves of one decision, maxDivides the divisions.
-	maxMoves   = 12
-	maxDivides = 12
+	// defaultChanges bounds the moves of one decision, and its divisions.
+	defaultChanges = 12
 )
 
+// Bounds bound the changes of one decision. Each move makes requests wait, and each division adds a range that is
+// renewed by a call of its own. Moves beyond defaultChanges only relieve owners above overloadedFrom: where requests
+// merely queue, moving many keys at once costs more than it gains.
+type Bounds struct{ Moves, Divides int }
+
+// DefaultBounds returns the bounds of Decide.
+func DefaultBounds() Bounds { return Bounds{Moves: defaultChanges, Divides: defaultChanges} }
+
 // Range is a range of keys with its owner and load.
 type Range struct {
 	// Owner is the index of the owner.
@@ -91,8 +100,13 @@
 // they can serve. They get no ranges, and give up whole ranges rather than divided ones: a part that is hot for them
 // is not for the others.
 func DecideRelieving(ranges []Range, capacity []float64, relieve []bool) Decision {
+	return DecideWithin(ranges, capacity, relieve, DefaultBounds())
+}
+
+// DecideWithin is DecideRelieving with other bounds.
+func DecideWithin(ranges []Range, capacity []float64, relieve []bool, b Bounds) Decision {
 	p := plan{ranges: slices.Clone(ranges), capacity: capacity, relieve: relieve, load: Loads(ranges, capacity)}
-	for len(p.decision.Moves) < maxMoves && len(p.decision.Divide) < maxDivides && p.step() {
+	for len(p.decision.Moves) < b.Moves && len(p.decision.Divide) < b.Divides && p.step() {
 	}
 	return p.decision
 }
@@ -151,9 +165,12 @@
 
 // mostLoaded returns the most loaded busy owner that may still give up ranges, -1 for none.
 func (p *plan) mostLoaded() int {
-	best := -1
+	best, least := -1, busyLoad
+	if len(p.decision.Moves) >= defaultChanges {
+		least = overloadedFrom
+	}
 	for i, l := range p.load {
-		if l < busyLoad || slices.Contains(p.exhausted, i) {
+		if l < least || slices.Contains(p.exhausted, i) {
 			continue
 		}
 		if best < 0 || l > p.load[best] {
