gateway: keyed requests wait for places at their owners; surges spread at once

With 77 VMs, 10,112 of 12,139 refusals of full owners were by counts of other VMs up to 1.7 s old, and 4,456 connections were reset in the 4 s after all VMs had lost power. One VM for each owner now gives out its places, where the settings say so (places.fromVMs); the others wait or are refused at once. The grantor divides and moves hot ranges in one decision (spread.surges, spread.moves, spread.ranges), and starts with as many ranges for each owner.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -133,9 +133,12 @@
 
 // Rounds returns how long a request that is sent now would take, queueing included, in
 // units of the target's service time.
-func (s *State) Rounds() float64 {
-	slots := float64(max(s.Slots, 1))
-	return 1 + max(0, float64(s.Load()+1)-slots)/slots
+func (s *State) Rounds() float64 { return RoundsAt(s.Load(), s.Slots) }
+
+// RoundsAt is State.Rounds for a target with this load and number of slots.
+func RoundsAt(load, slots int) float64 {
+	n := float64(max(slots, 1))
+	return 1 + max(0, float64(load+1)-n)/n
 }
 
 // Expected returns how long a request with this usual service time would take at the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 // forward sends the request to targets until one of them responds or no further attempt is
 // allowed.
 func (g *Gateway) forward(ctx context.Context, c *call) outcome {
+	defer g.returnPlace(c)
 	for {
 		timeLeft := time.Until(c.deadline)
 		if timeLeft < minTimeLeft {
@@ -37,6 +38,12 @@
 			}
 			continue
 		}
+		if a == nil && ctx.Err() != nil {
+			return *c.endedBy(ctx)
+		}
+		if reason == refusedNoPlace {
+			return c.giveUp(string(reason), max(c.placeRetryAfter, minRetryAfter))
+		}
 		if reason == refusedLost || reason == refusedExpired {
 			return c.giveUp(string(reason), timeLeft/lostOwnerRetryDivisor)
 		}
@@ -116,8 +123,14 @@
 			c.decidedOn = details
 			return nil, refusedExpired
 		}
-		a, reason, details := g.state.reserveOwner(c.service, c.route, c.key, c.misdirectedBy, timeLeft)
-		c.refusedOn = details
+		if reason := g.takePlace(ctx, c, timeLeft); reason != notRefused {
+			return nil, reason
+		}
+		timeLeft = time.Until(c.deadline)
+		a, reason, details := g.state.reserveOwnerOf(ownerRequest{service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, place: c.place}, timeLeft)
+		if c.refusedOn = details; a == nil {
+			g.returnPlace(c)
+		}
 		return a, reason
 	}
 	return g.reserveAskedFromPool(ctx, c, timeLeft)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,6 +36,10 @@
 	// Retry-After of its refusal.
 	overLimit       map[string]bool
 	limitRetryAfter time.Duration
+	// place is the request's place at the owner of its key, if the service uses places and it has one. placeRetryAfter is
+	// the Retry-After of a request that got none.
+	place           *heldPlace
+	placeRetryAfter time.Duration
 	// delivered is the number of attempts that may have reached a target.
 	delivered int
 	// possibleRuns is the number of targets that may have run the request.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -128,6 +128,7 @@
 func (g *Gateway) sendForwarded(ctx context.Context, in *ForwardArgs, out *ForwardReply) {
 	c := g.forwardedCall(in)
 	defer c.release()
+	defer g.returnPlace(c)
 	if c.body.reserve(int64(len(in.Body))) != nil {
 		out.Refusal = string(refusedByGate)
 		return
@@ -243,8 +244,12 @@
 	if !c.keyed {
 		return g.reserveAskedFromPool(ctx, c, timeLeft)
 	}
+	if reason := g.takePlace(ctx, c, timeLeft); reason != notRefused {
+		return nil, refusedFull
+	}
+	timeLeft = time.Until(c.deadline)
 	a, reason, _ := g.state.reserveOwnerOf(ownerRequest{
-		service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, forwarded: true,
+		service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, forwarded: true, place: c.place,
 	}, timeLeft)
 	if a == nil || !g.tellsLoad(a) {
 		return a, reason
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,8 +58,11 @@
 	limits         limitMetrics
 	signals        signalMetrics
 	permitCalls    *permitCalls
-	unreadHeaders  *unreadHeaders
-	forwardCount   atomic.Uint64
+	// places are the requests that wait for a place at an owner, lines those of the owners whose holder this VM is.
+	places        *placeRequests
+	lines         *placeLines
+	unreadHeaders *unreadHeaders
+	forwardCount  atomic.Uint64
 	// lag is by how much this VM's own work is late.
 	lag lagMeter
 	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
@@ -146,6 +149,7 @@
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
 	g.inquiries, g.limits, g.signals = newInquiryMetrics(registry), newLimitMetrics(registry), newSignalMetrics(registry)
 	g.permitCalls = newPermitCalls()
+	g.places, g.lines = newPlaceRequests(registry), newPlaceLines(clock.Now, registry, g.notifyReady)
 	g.unreadHeaders = newUnreadHeaders(registry, g.headers.inResponses())
 	g.sighups = make(chan os.Signal, 1)
 	g.grace.Store(int64(s.Grace))
@@ -154,6 +158,7 @@
 	g.state.source, _ = s.targetSource()
 	g.state.answerMemory = g.newAnswerMemory()
 	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
+	g.state.placesFromVMs = s.Places.FromVMs
 	g.mesh = mesh.New(g.self, clock, logger)
 	g.state.announce, g.state.reachedBy = g.mesh.Announce, g.mesh.ReachedBy
 	// If all VMs started with the same target, they would overload it together.
@@ -185,7 +190,7 @@
 		return err
 	}
 	for _, duty := range []func(context.Context){
-		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logLag, g.logTraffic, g.reportLimits, g.reportSignals,
+		g.expireTargets, g.joinMesh, g.leasing.Run, g.refreshLoads, g.refreshPlaces, g.closeIdleConnections, g.watchSettings, g.reportRepeats, g.probePaths, g.measureLag, g.logLag, g.logTraffic, g.reportLimits, g.reportSignals, g.lines.sweep,
 	} {
 		go duty(g.ctx)
 	}
@@ -251,6 +256,7 @@
 		g.peers.Register("View", View{g}),
 		g.peers.Register("Forward", Forward{g}),
 		g.peers.Register("Permits", Permits{g}),
+		g.peers.Register("Places", Places{g}),
 		g.peers.Register("Store", storerelay.NewService(g.ctx, g.store, g.storeUp.Load)),
 	)
 }
--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -247,7 +247,7 @@
 		if owners == nil {
 			return nil
 		}
-		next = lease.Record{Service: c.service, Slices: lease.EvenSlices(initialSlices(len(owners)), owners)}
+		next = lease.Record{Service: c.service, Slices: lease.EvenSlices(c.Spread.initialSlices(len(owners)), owners)}
 	} else if c.hasLiveGrantor(old) || !c.storeStable(old) {
 		return nil
 	}
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -15,7 +15,7 @@
 	grantTimeout = 300 * time.Millisecond
 	// releaseTimeout limits a release, which is answered when the requests for the keys have ended.
 	releaseTimeout = 4 * time.Second
-	// maxConcurrentReleases limits the connections to a target for releases.
+	// maxConcurrentReleases limits the connections to a target for releases; see Spread.maxReleases.
 	maxConcurrentReleases = 6
 	// incarnationCheckInterval is the minimum time between two checks of incarnations, each of which
 	// calls the store.
@@ -99,6 +99,7 @@
 		ownerRetries: make(map[lease.Owner]ownerRetry), reliefs: make(reliefs),
 		lagMeter: fitness.NewMeter(leaderTick),
 	}
+	l.load.rates.Surges = c.Spread.Surges
 	l.orderDeadline.Store(int64(g.ConfirmedAt() + lease.Authority))
 	l.orders.answeredAt = c.Clock.Now()
 	return l
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -40,6 +40,9 @@
 	// MaxHold limits the hold of a lease to what targets accept.
 	MaxHold time.Duration
 
+	// Spread bounds how keys are spread over the targets of a service.
+	Spread Spread
+
 	Store Store
 	// StoreTimeout limits a call to the store. StoreRetryDelay is the delay after a failed call.
 	StoreTimeout, StoreRetryDelay time.Duration
@@ -167,6 +170,7 @@
 
 // New returns a Manager that is not running yet. The context ends with the process.
 func New(ctx context.Context, d Deps) *Manager {
+	d.Spread = d.Spread.orDefault()
 	return &Manager{Deps: d, ctx: ctx, startedAt: d.Clock.Now()}
 }
 
--- a/internal/gateway/leasing/spread.go
+++ b/internal/gateway/leasing/spread.go
@@ -22,13 +22,57 @@
 	// spreadInterval is the minimum time between two checks of the load: rates decay over about a
 	// second, and a move takes a few hundred milliseconds.
 	spreadInterval = 300 * time.Millisecond
-	// maxSlices limits the slices of a service, including those that result from splits. If there are more
-	// owners than half of it, splits add no more than that half.
-	maxSlices = 1024
+	// DefaultMoves is the default of Spread.Moves, DefaultRanges that of Spread.Ranges.
+	DefaultMoves  = 12
+	DefaultRanges = 1024
+	// maxDivisions bounds how often the slices of one decision are divided: a range of any rate is then below the
+	// capacity of one owner.
+	maxDivisions = 10
 	// defaultServiceTime is the service time before any was measured.
 	defaultServiceTime = 100 * time.Millisecond
 )
 
+// Spread bounds how keys are spread over the targets of a service.
+type Spread struct {
+	// Moves is the number of slices that get another owner in one decision.
+	Moves int
+	// Ranges limits the slices of a service, including those that result from splits. If there are more owners than
+	// half of it, splits add no more than that half.
+	Ranges int
+	// Surges makes slices that suddenly become hot be divided and moved in one decision.
+	Surges bool
+}
+
+// orDefault returns s with defaults for what is not set.
+func (s Spread) orDefault() Spread {
+	if s.Moves == 0 {
+		s.Moves = DefaultMoves
+	}
+	if s.Ranges == 0 {
+		s.Ranges = DefaultRanges
+	}
+	return s
+}
+
+func (s Spread) bounds() keyspread.Bounds { return keyspread.Bounds{Moves: s.Moves, Divides: s.Moves} }
+
+// maxSlices returns the number of slices up to which slices are divided.
+func (s Spread) maxSlices(owners int) int { return max(s.Ranges, owners+s.Ranges/2) }
+
+// initialSlices returns the number of slices that are assigned to some owners for the first time. With surges expected,
+// each owner gets the same number: owners with one slice and owners with two would differ by half of the mean load.
+func (s Spread) initialSlices(owners int) int {
+	n := initialSlices(owners)
+	if !s.Surges || n%owners == 0 {
+		return n
+	}
+	return (n + owners/2) / owners * owners
+}
+
+// maxReleases limits the connections to a target for releases. A slice that is hot is moved in many parts, each of which
+// waits for the requests that run on it.
+func (s Spread) maxReleases() int { return max(maxConcurrentReleases, s.Moves/4) }
+
 // loadView is what the grantor knows of the load of keys and the speed of targets.
 type loadView struct {
 	rates      *keyspread.Rates
@@ -95,23 +139,15 @@
 		return nil
 	}
 	l.load.lastSpread = now
-	ranges, sums, capacity := l.sliceLoads(live, now)
-	refusing := l.refusing(live, now)
-	relieve := l.limited(live)
-	for i := range live {
-		if refusing[i] {
-			relieve[i], capacity[i] = true, refusedCapacity
-		}
+	d, sums, settled := l.decideSpread(live, now)
+	if !settled {
+		l.load.lastSpread = 0
+		return nil
 	}
-	d := keyspread.DecideRelieving(ranges, capacity, relieve)
 	moved := make([]lease.Change, 0, len(d.Moves))
 	for _, m := range d.Moves {
 		moved = append(moved, lease.Change{Slice: m.Range, To: live[m.To]})
 	}
-	if len(ranges)+len(d.Divide) <= max(maxSlices, len(live)+maxSlices/2) && l.splitSlices(d.Divide, sums) {
-		l.load.lastSpread = 0
-		return nil
-	}
 	for _, c := range moved {
 		s := l.grants.Record().Slices[c.Slice]
 		perSecond, limited := l.TargetDirectory.Limit(s.Owner.ID)
@@ -121,6 +157,41 @@
 	return moved
 }
 
+// decideSpread divides hot slices and returns the moves to make. settled is false if slices were divided and the load must
+// be looked at again in the next step.
+func (l *leader) decideSpread(live []lease.Owner, now time.Duration) (d keyspread.Decision, sums []keyspread.Sum, settled bool) {
+	relieve, refusing := l.limited(live), l.refusing(live, now)
+	divided := 0
+	for range maxDivisions {
+		var ranges []keyspread.Range
+		var capacity []float64
+		ranges, sums, capacity = l.sliceLoads(live, now)
+		for i := range live {
+			if refusing[i] {
+				relieve[i], capacity[i] = true, refusedCapacity
+			}
+		}
+		d = keyspread.DecideWithin(ranges, capacity, relieve, l.Spread.bounds())
+		if len(ranges)+len(d.Divide) > l.Spread.maxSlices(len(live)) || !l.splitSlices(d.Divide, sums) {
+			l.logDivided(divided, len(ranges), len(d.Moves))
+			return d, sums, true
+		}
+		if divided += len(d.Divide); !l.Spread.Surges {
+			break
+		}
+	}
+	return keyspread.Decision{}, nil, false
+}
+
+// logDivided logs divisions that were decided together with moves.
+func (l *leader) logDivided(divided, slices, moves int) {
+	if divided == 0 {
+		return
+	}
+	l.Log.Info().Str("step", "spread").Str("service", l.service).Int("divided", divided).Int("slices", slices).Int("moves", moves).
+		Msg("hot keys divided")
+}
+
 // updateLimits decides which fraction of the requests for each slice the VMs admit. The more VMs there
 // are, the older are their counts of an owner's requests. With these counts alone, the VMs together
 // would send the owner of a hot key many times what it can handle, and it would leave its renewals
--- a/internal/gateway/limit_play_test.go
+++ b/internal/gateway/limit_play_test.go
@@ -37,6 +37,10 @@
 	arrivals []arrival
 	// answers are its responses, at the time at which they were sent.
 	answers []playAnswer
+	// slots is the number of requests that it runs at a time, and room the number from which on it resets connections.
+	// Both are 0 for no bound. inFlight are its requests, mostAt is their greatest number, resets those without room.
+	slots                          chan struct{}
+	room, inFlight, mostAt, resets int
 }
 
 // playAnswer is a response of a target. vm is the VM that gets it.
@@ -87,6 +91,9 @@
 		if err != nil {
 			return
 		}
+		if !l.enter() {
+			return
+		}
 		l.mu.Lock()
 		l.arrivals = append(l.arrivals, arrival{time.Now(), vm})
 		header := "Id: " + r.Header.Get("Id") + "\r\n"
@@ -103,7 +110,7 @@
 			}
 		}
 		l.mu.Unlock()
-		time.Sleep(work)
+		l.work(work)
 		l.mu.Lock()
 		if l.leaving {
 			header += "Leaving: 1\r\n"
@@ -116,6 +123,33 @@
 	}
 }
 
+// enter begins a request. It returns false if the target has no room for it.
+func (l *playTarget) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.room > 0 && l.inFlight >= l.room {
+		l.resets++
+		return false
+	}
+	l.inFlight++
+	l.mostAt = max(l.mostAt, l.inFlight)
+	return true
+}
+
+// work runs a request when a slot is free, and ends it.
+func (l *playTarget) work(d time.Duration) {
+	if l.slots != nil {
+		l.slots <- struct{}{}
+	}
+	time.Sleep(d)
+	if l.slots != nil {
+		<-l.slots
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+}
+
 // between returns the number of arrivals in [from, to) from VMs that are not excused.
 func (l *playTarget) between(from, to time.Time, excused map[string]bool) (n int) {
 	l.mu.Lock()
--- a/internal/gateway/play_test.go
+++ b/internal/gateway/play_test.go
@@ -164,6 +164,12 @@
 		err = Permits{g}.Notify(args.(*PermitArgs), reply.(*struct{}))
 	case "Permits.MayHold":
 		err = Permits{g}.MayHold(args.(*mesh.TargetReport), reply.(*bool))
+	case "Places.Take":
+		err = Places{g}.Take(args.(*PlaceArgs), reply.(*PlaceReply))
+	case "Places.Return":
+		err = Places{g}.Return(args.(*PlaceReturn), reply.(*struct{}))
+	case "Places.Ready":
+		err = Places{g}.Ready(args.(*PlaceReady), reply.(*bool))
 	default:
 		err = fmt.Errorf("method %s is not known", method)
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -124,6 +124,15 @@
 	Members              []mesh.Member    `json:"members"`
 	Targets              []targetDump     `json:"targets"`
 	Leases               []*lease.Routing `json:"leases"`
+	// Lines are the lines of requests for owners whose holder this VM is.
+	Lines []lineDump `json:"lines,omitempty"`
+}
+
+// lineDump is the line of requests for one owner.
+type lineDump struct {
+	Target  string `json:"target"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
 }
 
 type targetDump struct {
@@ -149,6 +158,7 @@
 	v := g.state.view.Load()
 	out := viewDump{ConfigVersion: v.ConfigVersion(), TargetsRevision: v.Targets.Revision, StoreUp: g.storeUp.Load(), Members: g.mesh.Live(), Leases: g.state.leases.All()}
 	out.AnnouncedConfig, out.StoreCalls = g.state.announced.newest(), g.pendingCalls.list(g.clock.Now())
+	out.Lines = g.lines.dump()
 	out.EvacuatedDataCentres, out.EvacuationsRevision = v.Evacuations.DataCentres, v.Evacuations.Revision
 	g.state.mu.Lock()
 	defer g.state.mu.Unlock()
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -83,6 +83,8 @@
 	refusedLimited refusal = "target takes no more requests now"
 	// refusedResting: the target refuses requests, or has asked this VM for a time without any.
 	refusedResting refusal = "target refuses requests"
+	// refusedNoPlace: requests that have or wait for a place at the owner leave no time for this one.
+	refusedNoPlace refusal = "no place at the owner"
 	// refusedLeaving: this VM is shutting down. Another one can serve the request.
 	refusedLeaving refusal = "may outlast this VM"
 )
@@ -112,7 +114,7 @@
 				return refused != notRefused || !mayRefuse && t.pushback.VMs(now) > 0
 			}, now)
 			if i >= 0 {
-				return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, timeLeft)
+				return s.reserveLocked(c.targets[i], s.vmsUsingLocked(c.targets[i]), service, rt.Name, nil, timeLeft)
 			}
 		}
 	}
@@ -154,6 +156,8 @@
 	route       *route.Route
 	key         uint16
 	misdirected mesh.LeaseVersion
+	// place is the place at the owner that the request has, or nil.
+	place *heldPlace
 	// forwarded requests have passed the limit on hot keys at the VM that received them.
 	forwarded bool
 }
@@ -170,8 +174,9 @@
 	owner, state := r.Find(key)
 	t := s.targets[owner]
 	now := s.clock.Now()
-	// A target that reports its load is asked before the request is sent, so this VM's own counts do not matter.
-	asked := t != nil && t.tellsLoad
+	// A target that reports its load is asked before the request is sent, and a place allows for the requests of all VMs,
+	// so this VM's own counts do not matter.
+	asked := t != nil && t.tellsLoad || req.place != nil
 	switch {
 	case state == lease.Moving:
 		return nil, refusedMoving, owner + " gets the key"
@@ -202,7 +207,7 @@
 	if cold && !asked && !t.pick.AcceptsCold() {
 		return nil, refusedCold, t.describeLoad()
 	}
-	a, reason := s.reserveLocked(t, s.fleet.all.VMs, service, rt.Name, timeLeft)
+	a, reason := s.reserveLocked(t, s.fleet.all.VMs, service, rt.Name, req.place, timeLeft)
 	if a == nil {
 		return nil, reason, t.describeLoad()
 	}
@@ -219,24 +224,28 @@
 	return t.vmsUsing
 }
 
-// reserveLocked reserves a target that is used by vmsUsing VMs. It needs s.mu.
-func (s *routingState) reserveLocked(t *targetState, vmsUsing int, service, route string, timeLeft time.Duration) (*attempt, refusal) {
-	usual := s.usualDurationLocked(service, route)
+// reserveLocked reserves a target that is used by vmsUsing VMs, and at which the request has a place or nil. It needs s.mu.
+func (s *routingState) reserveLocked(t *targetState, vmsUsing int, service, route string, place *heldPlace, timeLeft time.Duration) (*attempt, refusal) {
+	usual, load := s.usualDurationLocked(service, route), t.pick.Load()
+	if place != nil {
+		load = place.load
+	}
 	a := &attempt{
 		target: t, id: t.ID, pool: t.pool, service: service, route: route, sent: time.Now(),
-		usual: usual, slowness: t.pick.Slowness(), rounds: t.pick.Rounds(), expected: t.pick.Expected(usual), load: t.pick.Load(), vmsUsing: vmsUsing,
-		hadFreeSlots: t.pick.Load() < t.pick.Slots,
+		usual: usual, slowness: t.pick.Slowness(), rounds: pick.RoundsAt(load, t.pick.Slots), load: load, vmsUsing: vmsUsing,
+		hadFreeSlots: load < t.pick.Slots,
 	}
+	a.expected = time.Duration(float64(usual) * a.slowness * a.rounds)
 	if s.usableLocked(t) == reach.KeptConn {
 		a.conn = upstream.KeptConn
 	}
 	a.mean = s.meanDurationLocked(service)
-	if t.tellsLoad {
-		// Its reports include the requests of other VMs.
+	if t.tellsLoad || place != nil {
+		// Its reports, or the holder of its line, include the requests of other VMs.
 		a.vmsUsing = 1
 	}
 	// The actual time is rarely less than half of the expected time.
-	if usual > 0 && !t.tellsLoad && t.pick.Load() > t.pick.Slots && a.expected/2 > timeLeft {
+	if usual > 0 && !t.tellsLoad && load > t.pick.Slots && a.expected/2 > timeLeft {
 		return nil, refusedLate
 	}
 	if t.pick.Own == 0 {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/gateway/leasing"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/settings"
 )
@@ -56,6 +57,10 @@
 	Regions map[string]string `json:"regions,omitempty"`
 	// Repeats limits the requests that are sent to a service more than once.
 	Repeats Repeats `json:"repeats,omitzero"`
+	// Places makes requests wait for room at the owners of keys.
+	Places OwnerPlaces `json:"places,omitzero"`
+	// Spread bounds how the keys of a service are spread over its targets.
+	Spread Spread `json:"spread,omitzero"`
 	// Pipeline lets the requests that callers pipeline on one connection run at the same time.
 	Pipeline Pipeline `json:"pipeline,omitzero"`
 
@@ -75,6 +80,25 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// OwnerPlaces makes one VM for each owner of keys count the requests of all VMs there, and keep the others waiting in order.
+type OwnerPlaces struct {
+	// FromVMs is the number of VMs from which on this is done. In a smaller fleet, heartbeats tell each VM of the
+	// requests of the others before they end. Default 0: never.
+	FromVMs int `json:"fromVMs,omitempty"`
+}
+
+// Spread bounds how the keys of a service are spread over its targets as the load of keys changes.
+type Spread struct {
+	// Moves is the number of ranges of keys that get another owner in one decision. Default 12.
+	Moves int `json:"moves,omitempty"`
+	// Ranges is the number of ranges up to which the keys of a service are divided. Each range is renewed by a call of
+	// its own. Default 1024.
+	Ranges int `json:"ranges,omitempty"`
+	// Surges makes ranges that suddenly become hot be divided and moved in one decision, by the requests of the last
+	// two queries of all VMs. Default false: by an average over 1.2 s, and one division at a time.
+	Surges bool `json:"surges,omitempty"`
+}
+
 // Pipeline bounds what one caller's connection may occupy. Changes need a restart.
 type Pipeline struct {
 	// Requests is the number of requests of a connection that run at the same time. Default 0: callers' connections are
@@ -108,6 +132,9 @@
 	defaultReadAhead = 16 << 10
 	// defaultWriteTimeout is longer than a lost packet delays a connection, and than callers wait for most responses.
 	defaultWriteTimeout = model.Duration(10 * time.Second)
+	maxSpreadMoves      = 1024
+	// The record of a service's leases must fit into an object of the store.
+	minRanges, maxRanges = 16, 4096
 	// minReadAhead is the size of the request heads that must fit, maxPipelined bounds the goroutines of a connection.
 	minReadAhead = 4 << 10
 	maxPipelined = 64
@@ -136,6 +163,8 @@
 	setDefault(&s.Repeats.Ratio, defaultRatio)
 	setDefault(&s.Repeats.Slack, defaultSlack)
 	setDefault(&s.Repeats.Window, defaultWindow)
+	setDefault(&s.Spread.Moves, leasing.DefaultMoves)
+	setDefault(&s.Spread.Ranges, leasing.DefaultRanges)
 	setDefault(&s.Pipeline.ReadAhead, defaultReadAhead)
 	setDefault(&s.Pipeline.WriteTimeout, defaultWriteTimeout)
 	if _, err := s.targetSource(); err != nil {
@@ -158,6 +187,12 @@
 		return settings.Invalid("/warmup", "a value is negative")
 	case s.Repeats.Ratio < 0 || s.Repeats.Slack < 0 || s.Repeats.Window < 0:
 		return settings.Invalid("/repeats", "a value is negative")
+	case s.Places.FromVMs < 0:
+		return settings.Invalid("/places/fromVMs", "%d is negative", s.Places.FromVMs)
+	case s.Spread.Moves < 1 || s.Spread.Moves > maxSpreadMoves:
+		return settings.Invalid("/spread/moves", "%d is not between 1 and %d", s.Spread.Moves, maxSpreadMoves)
+	case s.Spread.Ranges < minRanges || s.Spread.Ranges > maxRanges:
+		return settings.Invalid("/spread/ranges", "%d is not between %d and %d", s.Spread.Ranges, minRanges, maxRanges)
 	case s.Pipeline.Requests < 0 || s.Pipeline.Requests > maxPipelined:
 		return settings.Invalid("/pipeline/requests", "%d is not between 0 and %d", s.Pipeline.Requests, maxPipelined)
 	case s.Pipeline.ReadAhead < minReadAhead:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -44,6 +44,8 @@
 	repeatLimit  repeats.Limit
 	// warmup limits the requests to cold targets.
 	warmup Warmup
+	// placesFromVMs is Settings.Places.FromVMs.
+	placesFromVMs int
 
 	view atomic.Pointer[catalog.View]
 	// leases has a lock of its own. If both locks are needed, mu is acquired first.
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/pick"
@@ -39,14 +40,22 @@
 // refreshPlaces periodically updates this VM's place among the VMs.
 func (g *Gateway) refreshPlaces(ctx context.Context) {
 	for {
+		interval := subset.RefreshEvery
+		if g.settings.Places.FromVMs > 0 && !g.membersListed.Load() {
+			interval = unlistedRefreshInterval
+		}
 		g.discoverLoadReports(ctx)
 		g.updatePlaces(g.mesh.Members())
-		if !pause.For(ctx, subset.RefreshEvery) {
+		if !pause.For(ctx, interval) {
 			return
 		}
 	}
 }
 
+// unlistedRefreshInterval is subset.RefreshEvery until the list of VMs was read. After all VMs have started at once, callers
+// return before that, and VMs that do not know each other overrun the owners of keys together.
+const unlistedRefreshInterval = 50 * time.Millisecond
+
 // updatePlaces derives the subsets and the neighbours of this VM from the list of VMs.
 func (g *Gateway) updatePlaces(members []mesh.Member) {
 	slices.SortFunc(members, func(a, b mesh.Member) int {
