lease: a slice that is split many times stays served

A split made both parts due for a grant by setting back the time of the last one. Divided several times in one step, parts counted as expired at the grantor, and their requests waited until each part was granted again. A flag says now that the parts are due. TestSlicesThatAreSplitManyTimesStayServed failed before; random walks with 3,000 checks: no key with two owners.

--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -97,8 +97,8 @@
 	right, rightState := sl, s
 	sl.To, right.From = after, after+1
 	s.fence, rightState.fence = g.newFence(), g.newFence()
-	// Both parts are due for a grant at once: the first move of a part needs its fence at the owner.
-	s.ackedSentAt, rightState.ackedSentAt = s.ackedSentAt-g.timing.Renew, s.ackedSentAt-g.timing.Renew
+	// The first move of a part needs its fence at the owner.
+	s.renewDue, rightState.renewDue = true, true
 	list := slices.Clone(g.record.Slices)
 	list[i] = sl
 	g.record.Slices = slices.Insert(list, i+1, right)
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -55,6 +55,8 @@
 	// acknowledged grant was sent.
 	granted     bool
 	ackedSentAt time.Duration
+	// renewDue says that the slice is due for a grant at once, because it was split.
+	renewDue bool
 	// expiresAt is when the last grant that may have reached the owner expires.
 	expiresAt time.Duration
 	// previousExpiresAt is when the previous owner's last grant expires.
@@ -235,7 +237,7 @@
 	if !sl.Owner.Known() || !g.confirmedOwners[sl.Owner] || now < s.retryAt {
 		return Order{}, false
 	}
-	if s.granted && now < s.ackedSentAt+g.timing.Renew {
+	if s.granted && !s.renewDue && now < s.ackedSentAt+g.timing.Renew {
 		return Order{}, false
 	}
 	return g.order(Grant, i, sl.Owner), true
--- a/internal/lease/holdexpiry_test.go
+++ b/internal/lease/holdexpiry_test.go
@@ -85,3 +85,17 @@
 	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
 	require.GreaterOrEqual(t, runUntilGranted(t, g, arrived, a, b), slowestExpiry(arrived))
 }
+
+// Guards against a slice that is divided many times at once, and whose parts count as lost until they are granted again.
+func TestSlicesThatAreSplitManyTimesStayServed(t *testing.T) {
+	a := Owner{ID: "a"}
+	g, renewal, now := grantorWithPendingRenewal(t, a)
+	g.HandleResult(renewal, Done, "", now, now)
+	for after := uint16(keySpace / 2); after > 0; after /= 2 {
+		require.True(t, g.SplitSlice(0, after-1))
+	}
+	for i := range g.Record().Slices {
+		require.Equal(t, Served, g.State(i, now))
+	}
+	require.Len(t, g.DueOrders(now), len(g.Record().Slices), "each part is granted at once")
+}
--- a/internal/lease/results.go
+++ b/internal/lease/results.go
@@ -34,7 +34,7 @@
 		if s.moved && o.Handover == "" {
 			s.coldUntil = endedAt + g.timing.Cold
 		}
-		s.granted, s.ackedSentAt, s.handover, s.moved = true, max(s.ackedSentAt, sentAt), "", false
+		s.granted, s.ackedSentAt, s.handover, s.moved, s.renewDue = true, max(s.ackedSentAt, sentAt), "", false, false
 		s.expiresAt = holdExpiry(endedAt, g.timing.Hold)
 	case Unanswered:
 		// Only this connection was reset; others to the same incarnation may still be open.
