--- a/internal/gateway/places_play_test.go
+++ b/internal/gateway/places_play_test.go
@@ -58,7 +58,7 @@
 			defer p.stop()
 			const perSecond, seconds = 150, 4
 			owner, statuses := p.playPlaces("urgent", perSecond, seconds*time.Second)
-		require.Zero(t, owner.resets)
+			require.Zero(t, owner.resets)
 			require.LessOrEqual(t, owner.mostAt, placeRoom)
 			require.Zero(t, statuses[http.StatusBadGateway]+statuses[http.StatusGatewayTimeout])
 			capacity := placeSlots * seconds / limitedWork.Seconds()
