soak, operations: pipelining callers, targets that reset when full, metrics and settings

Profile pipelines: callers pipeline up to twelve requests, read slowly or leave; targets reset the connections of requests without room, under the faults of mixed.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	bash scripts/soak.sh 1 1 14s starved
 	bash scripts/soak.sh 1 1 20s limits
 	bash scripts/soak.sh 1 1 14s signals
+	bash scripts/soak.sh 1 1 14s pipelines
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/soak/profile.go
+++ b/internal/soak/profile.go
@@ -28,6 +28,9 @@
 	// Limits is set if targets say something of themselves, such as limits. Then they know by its address which VM has
 	// sent a request.
 	Limits bool
+	// Pipelines is set if some callers pipeline requests, and targets reset the connections of requests that they have no
+	// room for.
+	Pipelines bool
 	// TwoDataCentres is set if the last target of each service is in a data centre of its own, which
 	// operators evacuate.
 	TwoDataCentres bool
@@ -66,6 +69,9 @@
 	// signals has targets say that they leave, refuse requests and ask for a rest, or send bytes without end, alone or many,
 	// while the store is away and VMs are killed, suspended or stopped.
 	"signals": {Grace: 3 * time.Second, Rate: 90, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, VMs: limitVMs, Limits: true, Generate: GenerateSignals},
+	// pipelines has callers pipeline requests, read slowly and leave, and targets without room reset connections, under the
+	// faults of mixed.
+	"pipelines": {Grace: 3 * time.Second, Rate: 40, Deadline: 2 * time.Second, CallerTimeout: 4 * time.Second, Pipelines: true, Generate: GenerateMixed},
 	// paths cuts VMs from all targets, one or all but one at a time, the grantor's among them, and checks
 	// that they serve nearly as often as the others.
 	"paths": {Grace: 3 * time.Second, Rate: 90, Deadline: 800 * time.Millisecond, CallerTimeout: 2 * time.Second, SeparatePaths: true, Generate: GeneratePaths},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -101,7 +101,12 @@
 	asking, cancel := context.WithTimeout(ctx, r.Duration+settleTime)
 	defer cancel()
 	l := newLoad(w, r.Seed, check)
+	var pipelining sync.WaitGroup
+	if r.Profile.Pipelines {
+		pipelining.Go(func() { (&pipelines{load: l}).run(asking, r.Seed) })
+	}
 	l.run(asking)
+	pipelining.Wait()
 	w.checkMemory()
 	if r.CheckRates {
 		r.Schedule.checkRates(check, l.samples)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -99,6 +99,9 @@
 		if w.profile.TwoDataCentres {
 			t.Zone = dataCentreOf(name)
 		}
+		if w.profile.Pipelines {
+			t.Room = pipelineRoom
+		}
 		if w.profile.Limits {
 			t.Arrived = func(from string, limited bool) { w.arrived(name, from, limited) }
 			t.Exchanged = func(e fleet.Exchange) { w.observe(name, e) }
@@ -140,6 +143,9 @@
 		if w.profile.Limits {
 			s.TargetSource = limitSource(s.VM)
 		}
+		if w.profile.Pipelines {
+			customizePipelines(s)
+		}
 		if w.profile.TwoDataCentres {
 			s.EvacuateWithin = model.Duration(evacuateWithin)
 		}
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -35,6 +35,9 @@
 	Zone    string
 	Keyed   bool
 	Slots   int
+	// Room is the number of requests that run or wait for a slot. The connections of further ones are reset. Default 0: no
+	// bound.
+	Room int
 	// Pad is the number of padding bytes in a response body; see Body.
 	Pad int
 	// Via returns the address to register for the target's own address, such as that of a
@@ -65,7 +68,9 @@
 	ran       map[string]int
 	seq       int
 
-	slots    chan struct{}
+	slots chan struct{}
+	// inRoom is the number of requests that run or wait for a slot.
+	inRoom   int
 	listener net.Listener
 	server   *http.Server
 }
@@ -274,6 +279,11 @@
 			return
 		}
 	}
+	if !t.enter() {
+		// The connection is reset, which does not say whether the request has run.
+		panic(http.ErrAbortHandler)
+	}
+	defer t.leave()
 	t.mu.Lock()
 	slots := t.slots
 	t.mu.Unlock()
@@ -302,6 +312,23 @@
 	_, _ = io.WriteString(w, Body(t.ID, r.URL.Path, t.Pad))
 }
 
+// enter takes room for a request. It returns false if there is none.
+func (t *Target) enter() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Room > 0 && t.inRoom >= t.Room {
+		return false
+	}
+	t.inRoom++
+	return true
+}
+
+func (t *Target) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inRoom--
+}
+
 // awaitWork waits for the end of the service time. The work goes on after the caller has
 // disconnected.
 func (t *Target) awaitWork(sender context.Context, id string, done <-chan time.Time) {
--- a/internal/standin/plan/operations_test.go
+++ b/internal/standin/plan/operations_test.go
@@ -31,6 +31,9 @@
 	{"gateway/settings.go", "Settings", "hq-gateway"},
 	{"gateway/settings.go", "Warmup", "hq-gateway"},
 	{"gateway/settings.go", "Repeats", "hq-gateway"},
+	{"gateway/settings.go", "OwnerPlaces", "hq-gateway"},
+	{"gateway/settings.go", "Spread", "hq-gateway"},
+	{"gateway/settings.go", "Pipeline", "hq-gateway"},
 }
 
 // settingsRows returns the rows that OPERATIONS.md must have for a settings type, built from
