--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -93,7 +93,7 @@
 		return notRefused
 	}
 	g.returnPlace(c)
-	if !g.state.usesPlaces(c.service) {
+	if !g.state.usesPlaces(c.service) || !g.keyServed(c) {
 		return notRefused
 	}
 	args, order := g.state.placeRequest(c, owner, timeLeft)
@@ -122,6 +122,17 @@
 	return notRefused
 }
 
+// keyServed reports whether the key of a request has an owner that serves it now. The line of an owner that gets the key
+// later is not for requests that it cannot run yet.
+func (g *Gateway) keyServed(c *call) bool {
+	r := g.state.leases.Get(c.service)
+	if r == nil {
+		return false
+	}
+	_, state := r.Find(c.key)
+	return state.Serves()
+}
+
 // placeRequest returns what is needed to ask for a place at a target, or nil if it is not listed.
 func (s *routingState) placeRequest(c *call, target string, timeLeft time.Duration) (*PlaceArgs, []string) {
 	s.mu.Lock()
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -206,21 +206,21 @@
 
 // freeLaneLocked returns a lane for a request, or nil if as many run as may. It needs c.mu.
 func (c *conn) freeLaneLocked() (l *lane, isNew bool) {
-	if len(c.order) > 0 {
-		c.listener.metrics.concurrent.Inc(1)
-	}
 	switch {
 	case c.primary.free():
-		return c.primary, false
+		l = c.primary
 	case len(c.order) >= c.listener.limits.Requests || c.listener.closed():
-		c.listener.metrics.concurrent.Dec(1)
 		c.listener.metrics.waited.Inc(1)
 		return nil, false
 	case len(c.idle) > 0:
 		l, c.idle = c.idle[len(c.idle)-1], c.idle[:len(c.idle)-1]
-		return l, false
+	default:
+		l, isNew = &lane{conn: c}, true
+	}
+	if len(c.order) > 0 {
+		c.listener.metrics.concurrent.Inc(1)
 	}
-	return &lane{conn: c}, true
+	return l, isNew
 }
 
 // assignLocked gives the first size received bytes, a request, to a lane. It needs c.mu.
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -23,16 +24,7 @@
 
 // free reports whether the lane can take a request. It needs conn.mu.
 func (l *lane) free() bool {
-	return !l.dropped && len(l.in) == 0 && !containsLane(l.conn.order, l)
-}
-
-func containsLane(list []*lane, l *lane) bool {
-	for _, other := range list {
-		if other == l {
-			return true
-		}
-	}
-	return false
+	return !l.dropped && len(l.in) == 0 && !slices.Contains(l.conn.order, l)
 }
 
 // readExpired reports whether the read deadline has passed. It needs conn.mu.
