gateway: hot keys are limited before a place is asked for, urgent requests are not

A limited request took a place, was refused by chance and returned it: one VM got all requests for a hot key, and requests twice as urgent were refused as often as others.

--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -96,6 +97,10 @@
 	if !g.state.usesPlaces(c.service) || !g.keyServed(c) {
 		return notRefused
 	}
+	if details := g.state.limitedByHotKey(c); details != "" {
+		c.refusedOn = details
+		return refusedHot
+	}
 	args, order := g.state.placeRequest(c, owner, timeLeft)
 	if args == nil {
 		// The owner is not listed, which the reservation finds out.
@@ -133,6 +138,25 @@
 	return state.Serves()
 }
 
+// limitedByHotKey decides whether a request is one of those that the grantor lets through for a hot key, before the holder
+// of its owner's line is asked: a single VM cannot answer all requests for such a key. It returns the inputs of the decision
+// if the request is to be refused. Requests more urgent than others are let through, since the line puts them first.
+func (s *routingState) limitedByHotKey(c *call) string {
+	r := s.leases.Get(c.service)
+	if r == nil || c.forwarded {
+		return ""
+	}
+	s.mu.Lock()
+	mostUrgent := s.mayUseReserveLocked(c.service, c.route.Priority)
+	s.mu.Unlock()
+	part := r.LimitOf(c.key).Fraction()
+	if mostUrgent || rand.Float64() < part {
+		return ""
+	}
+	owner, _ := r.Find(c.key)
+	return fmt.Sprintf("%s part %.3f epoch %d seq %d", owner, part, r.Epoch, r.Seq)
+}
+
 // placeRequest returns what is needed to ask for a place at a target, or nil if it is not listed.
 func (s *routingState) placeRequest(c *call, target string, timeLeft time.Duration) (*PlaceArgs, []string) {
 	s.mu.Lock()
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -196,7 +196,7 @@
 		return nil, refusedWarming, fmt.Sprintf("%s for %dms", owner, (t.warming.until - now).Milliseconds())
 	case !asked && t.pick.FullFor(s.mayUseReserveLocked(service, rt.Priority)):
 		return nil, refusedFull, t.describeLoad()
-	case !req.forwarded && rand.Float64() >= r.LimitOf(key).Fraction():
+	case !req.forwarded && req.place == nil && rand.Float64() >= r.LimitOf(key).Fraction():
 		return nil, refusedHot, fmt.Sprintf("%s part %.3f epoch %d seq %d", owner, r.LimitOf(key).Fraction(), r.Epoch, r.Seq)
 	case s.usableLocked(t) == reach.NoConn:
 		return nil, refusedUnreached, owner + " " + s.describePathLocked(t, now)
