--- a/internal/decide/keyspread/surge_test.go
+++ b/internal/decide/keyspread/surge_test.go
@@ -117,8 +117,7 @@
 	return lost
 }
 
-// Guards against a hot range in a large fleet that needs seconds to be spread: 200 adjacent keys get 650 requests a
-// second, which 50 owners can serve. It must be spread within three decisions, a caller's objective.
+// Guards against 200 hot keys in a large fleet that take longer than a caller's objective, three decisions, to be spread.
 func TestHotRangeOfALargeFleetIsSpreadWithinACallersObjective(t *testing.T) {
 	const owners, total, hot = 304, 1700.0, 650.0
 	bounds := Bounds{Moves: 96, Divides: 96}
--- a/internal/decide/places/places_test.go
+++ b/internal/decide/places/places_test.go
@@ -99,8 +99,7 @@
 	}
 }
 
-// Guards against an owner that is overrun by the requests of all VMs at once, as when they return after a loss of power: what
-// can be answered in time is answered in time, and the rest is refused at once.
+// Guards against an owner that is overrun by a burst from all VMs, and against requests that are refused after a wait.
 func TestBurstIsServedUpToTheObjectiveAndRefusedBeyond(t *testing.T) {
 	p := newPlay()
 	for range 40 {
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -45,8 +45,7 @@
 	require.Empty(t, started, "the further request has run")
 }
 
-// Guards against a non-idempotent request that runs beside an earlier one: if the connection ends with the earlier
-// response, the caller sends the request again.
+// Guards against a non-idempotent request that has run when its connection ends with an earlier response, and is sent again.
 func TestNonIdempotentRequestWaitsForThoseBeforeIt(t *testing.T) {
 	b := newTestbed(t)
 	b.pipelineRequests(8)
--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -10,8 +10,7 @@
 	"hemlockquay/internal/route"
 )
 
-// Guards against a hot key whose requests all ask one VM for a place, and against a limit on them that refuses urgent
-// requests as often as others.
+// Guards against a hot key whose requests all ask one VM for a place, and a limit that refuses urgent ones as often as others.
 func TestHotKeyIsLimitedBeforeAPlaceIsAskedFor(t *testing.T) {
 	clock := newManualClock(time.Hour)
 	g := newTestGateway(clock)
--- a/internal/standin/fleet/target.go
+++ b/internal/standin/fleet/target.go
@@ -312,23 +312,6 @@
 	_, _ = io.WriteString(w, Body(t.ID, r.URL.Path, t.Pad))
 }
 
-// enter takes room for a request. It returns false if there is none.
-func (t *Target) enter() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.Room > 0 && t.inRoom >= t.Room {
-		return false
-	}
-	t.inRoom++
-	return true
-}
-
-func (t *Target) leave() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inRoom--
-}
-
 // awaitWork waits for the end of the service time. The work goes on after the caller has
 // disconnected.
 func (t *Target) awaitWork(sender context.Context, id string, done <-chan time.Time) {
