--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,9 @@
 	limits         limitMetrics
 	signals        signalMetrics
 	permitCalls    *permitCalls
+	// placeCalls remembers which VMs have answered calls about places. A VM of an earlier version answers none, but may
+	// still grant permits.
+	placeCalls *permitCalls
 	// places are the requests that wait for a place at an owner, lines those of the owners whose holder this VM is.
 	places        *placeRequests
 	lines         *placeLines
@@ -148,7 +151,7 @@
 	g.forwarded, g.forwardClients = newForwardedRequests(s.MemoryMB), peer.NewRequestPool(forwardConnections)
 	g.router, g.forwardMetrics = forwarding.NewRouter(int(catalog.Hash(s.VM))), newForwardMetrics(registry)
 	g.inquiries, g.limits, g.signals = newInquiryMetrics(registry), newLimitMetrics(registry), newSignalMetrics(registry)
-	g.permitCalls = newPermitCalls()
+	g.permitCalls, g.placeCalls = newPermitCalls(), newPermitCalls()
 	g.places, g.lines = newPlaceRequests(registry), newPlaceLines(clock.Now, registry, g.notifyReady)
 	g.unreadHeaders = newUnreadHeaders(registry, g.headers.inResponses())
 	g.sighups = make(chan os.Signal, 1)
--- a/internal/gateway/permitcalls.go
+++ b/internal/gateway/permitcalls.go
@@ -12,7 +12,7 @@
 	holderLiveFor = 250 * time.Millisecond
 )
 
-// permitCalls remembers which VMs have answered calls about permits. It is safe for concurrent use.
+// permitCalls remembers which VMs have answered calls about permits or places. It is safe for concurrent use.
 type permitCalls struct {
 	mu               sync.Mutex
 	answered, failed map[string]time.Duration
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -86,6 +86,13 @@
 	return s.placesFromVMs > 0 && len(s.holders.list) >= s.placesFromVMs && !s.tellsLoad[service] && s.serviceLocked(service).Keyed
 }
 
+// setPlacesFromVMs changes the number of VMs from which on places are asked for.
+func (s *routingState) setPlacesFromVMs(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placesFromVMs = n
+}
+
 // takePlace gets the request a place at the owner of its key, if the service uses places, and waits for it. On a refusal
 // the request must not be sent.
 func (g *Gateway) takePlace(ctx context.Context, c *call, timeLeft time.Duration) refusal {
@@ -184,7 +191,7 @@
 func (g *Gateway) holdersToAsk(order []string) []string {
 	out := make([]string, 0, maxHoldersAsked)
 	for _, vm := range order {
-		if vm == g.self.VM && !g.leaving.Load() || vm != g.self.VM && g.mesh.MayServe(vm) && !g.permitCalls.failedLately(vm, g.clock.Now()) {
+		if vm == g.self.VM && !g.leaving.Load() || vm != g.self.VM && g.mesh.MayServe(vm) && !g.placeCalls.failedLately(vm, g.clock.Now()) {
 			if out = append(out, vm); len(out) == maxHoldersAsked {
 				break
 			}
@@ -240,7 +247,7 @@
 	var reply PlaceReply
 	err := g.mesh.Call(callCtx, vm, "Places.Take", args, &reply)
 	if err == nil || ctx.Err() == nil && timeout == placeTimeout {
-		g.permitCalls.record(vm, err == nil, g.clock.Now())
+		g.placeCalls.record(vm, err == nil, g.clock.Now())
 	}
 	return reply, err
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -65,6 +65,7 @@
 	}
 	g.state.setRepeatLimit(next.repeatLimit())
 	g.state.setLimits(next.Warmup, next.Regions)
+	g.state.setPlacesFromVMs(next.Places.FromVMs)
 	g.evacuateWithin.Store(int64(next.EvacuateWithin))
 	g.log.SetLevel(log.ParseLevel(next.Log))
 	if !g.leaving.Load() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -87,7 +87,7 @@
 	FromVMs int `json:"fromVMs,omitempty"`
 }
 
-// Spread bounds how the keys of a service are spread over its targets as the load of keys changes.
+// Spread bounds how the keys of a service are spread over its targets as the load of keys changes. Changes need a restart.
 type Spread struct {
 	// Moves is the number of ranges of keys that get another owner in one decision. Default 12.
 	Moves int `json:"moves,omitempty"`
