--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -143,13 +143,6 @@
 	return lost > left
 }
 
-// reserveOwner reserves the target that owns the key. The leases must be later than misdirected,
-// the version by which the request was misdirected before. On a refusal, it also returns the
-// inputs of the decision.
-func (s *routingState) reserveOwner(service string, rt *route.Route, key uint16, misdirected mesh.LeaseVersion, timeLeft time.Duration) (*attempt, refusal, string) {
-	return s.reserveOwnerOf(ownerRequest{service: service, route: rt, key: key, misdirected: misdirected}, timeLeft)
-}
-
 // ownerRequest is a request for a key.
 type ownerRequest struct {
 	service     string
@@ -162,7 +155,8 @@
 	forwarded bool
 }
 
-// reserveOwnerOf is reserveOwner for a request.
+// reserveOwnerOf reserves the target that owns the key. The leases must be later than misdirected, the version by which the
+// request was misdirected before. On a refusal, it also returns the inputs of the decision.
 func (s *routingState) reserveOwnerOf(req ownerRequest, timeLeft time.Duration) (*attempt, refusal, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,7 +198,7 @@
 		return nil, refusedLost, fmt.Sprintf("%s resting", owner)
 	}
 	cold := state == lease.Cold
-	if cold && !asked && !t.pick.AcceptsCold() {
+	if cold && !t.tellsLoad && !acceptsCold(t, req.place) {
 		return nil, refusedCold, t.describeLoad()
 	}
 	a, reason := s.reserveLocked(t, s.fleet.all.VMs, service, rt.Name, req.place, timeLeft)
@@ -215,6 +209,14 @@
 	return a, reason, ""
 }
 
+// acceptsCold reports whether a target may get a request for a cold key, which must not wait there with others.
+func acceptsCold(t *targetState, place *heldPlace) bool {
+	if place != nil {
+		return place.load < max(t.pick.Slots, 1)
+	}
+	return t.pick.AcceptsCold()
+}
+
 // vmsUsingLocked returns the number of VMs that send requests to a target of a pool. It needs
 // s.mu.
 func (s *routingState) vmsUsingLocked(t *targetState) int {
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -146,3 +146,8 @@
 	}
 	require.NotEqual(t, startIndex("a"), startIndex("b"))
 }
+
+// reserveOwner is reserveOwnerOf for a request of a caller without a place.
+func (s *routingState) reserveOwner(service string, rt *route.Route, key uint16, misdirected mesh.LeaseVersion, timeLeft time.Duration) (*attempt, refusal, string) {
+	return s.reserveOwnerOf(ownerRequest{service: service, route: rt, key: key, misdirected: misdirected}, timeLeft)
+}
