--- a/internal/decide/places/places.go
+++ b/internal/decide/places/places.go
@@ -28,6 +28,8 @@
 	yieldEvery = 4
 	// maxWaiting bounds the requests in a line.
 	maxWaiting = 256
+	// maxHold bounds Request.Hold, which another VM states: longer than any request lasts.
+	maxHold = time.Minute
 	// maxRetryAfter bounds the time after which a refused caller is asked to return.
 	maxRetryAfter = time.Second
 	// objectiveShare is the part of its objective in which a request is expected to be answered when it is accepted. Service
@@ -134,6 +136,7 @@
 
 // Take decides about a request. Call Next before, so that free places go to those that wait.
 func (l *Line) Take(r Request, now time.Duration) Decision {
+	r.Hold = min(r.Hold, maxHold)
 	l.observe(r.Service)
 	if len(l.running) < l.room() && len(l.waiting) == 0 {
 		return Decision{Verdict: Granted, Load: l.run(r, now)}
