places: comment and note say where the bound over all VMs does not hold

Three VMs that are asked at a time give out six places for a slot, one more than targets have room for, and a VM that no holder answers uses its own counts.

--- a/internal/decide/places/places.go
+++ b/internal/decide/places/places.go
@@ -11,7 +11,7 @@
 // is not so is refused at once, and asked to return when the line has room.
 //
 // Invariant: a holder gives out at most roomFactor places for each slot of the owner. Two VMs that take themselves for the
-// holder, as while one is being replaced, stay below what targets run and queue together.
+// holder, as while one is being replaced, stay below what targets run and queue together; three do not.
 package places
 
 import (
