review: case 3, consumers that pipeline take a gateway beyond its memory

Cause: a connection keeps up to eight lanes, each served by net/http with buffers of its own, until an idle timeout of 75 s. Nothing bounds them by the memory of the machine.

Adds the case with its script.

--- a/review/testdata/lab/lab.go
+++ b/review/testdata/lab/lab.go
@@ -32,8 +32,10 @@
 	server    *http.Server
 	gateways  []*gateway
 	servers   []*server
-	stop      chan struct{}
-	wait      sync.WaitGroup
+	// memoryMB is the memory of a machine. Default: that of a small deployment.
+	memoryMB int
+	stop     chan struct{}
+	wait     sync.WaitGroup
 }
 
 // gateway is one process of hq-gateway.
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{record: r, dir: dir, store: fleet.NewStore(), storeAddr: listener.Addr().String(), stop: make(chan struct{})}
+	l := &lab{record: r, dir: dir, memoryMB: 284, store: fleet.NewStore(), storeAddr: listener.Addr().String(), stop: make(chan struct{})}
 	l.server = &http.Server{Handler: l.store}
 	go func() { _ = l.server.Serve(listener) }()
 	return l, nil
@@ -104,7 +106,7 @@
 	for _, g := range l.gateways {
 		settings := map[string]any{
 			"vm": g.name, "dataCentre": "zone-a", "admin": g.admin, "front": g.front, "ready": g.ready, "peers": g.peers, "seeds": seeds,
-			"store": l.storeAddr, "regions": map[string]string{"zone-a": "region"}, "memoryMB": 284, "linkMbps": 1000.0, "grace": "6s", "holdMost": "10s",
+			"store": l.storeAddr, "regions": map[string]string{"zone-a": "region"}, "memoryMB": l.memoryMB, "linkMbps": 1000.0, "grace": "6s", "holdMost": "10s",
 			"places": map[string]any{"fromVMs": 16}, "spread": map[string]any{"moves": 96, "ranges": 1536, "surges": true},
 			"pipeline": map[string]any{"requests": 8}, "repeats": map[string]any{"ratio": 0.2, "slack": 60, "window": "10s"},
 		}
@@ -112,7 +114,7 @@
 		if err != nil {
 			return err
 		}
-		file := filepath.Join(l.dir, g.name+".json")
+		file := l.settingsOf(g)
 		if err := os.WriteFile(file, text, 0o600); err != nil {
 			return err
 		}
@@ -128,6 +130,9 @@
 	return nil
 }
 
+// settingsOf returns the settings file of a gateway.
+func (l *lab) settingsOf(g *gateway) string { return filepath.Join(l.dir, g.name+".json") }
+
 func (l *lab) startGateway(g *gateway, settings string, maxFDs int) error {
 	g.command = exec.Command(gatewayProgram, "--config", settings)
 	if maxFDs > 0 {
@@ -135,7 +140,7 @@
 		script := fmt.Sprintf("ulimit -n %d && exec %s --config %s", maxFDs, gatewayProgram, settings)
 		g.command = exec.Command("/bin/bash", "-c", script)
 	}
-	log, err := os.Create(filepath.Join(l.dir, g.name+".log"))
+	log, err := os.OpenFile(filepath.Join(l.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -19,6 +19,7 @@
 var experiments = map[string]experiment{
 	"copies":      copies,
 	"descriptors": descriptors,
+	"lanes":       lanes,
 }
 
 // maxTime bounds a run.
