review: case 1, a request of a kept connection runs again in the place of a later one

Cause: pipeline.conn.read reads the connection into a buffer of its own, while another lane's end gives the primary lane a request with a body. recordRead then returns the number of bytes as if they were in the caller's buffer, which still holds the lane's last request.

Adds the case with its script, and the stand-ins of case 3.

--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -20,8 +20,13 @@
 	"copies":      copies,
 	"descriptors": descriptors,
 	"lanes":       lanes,
+	"pieces":      pieces,
+	"chunks":      chunks,
 }
 
+// maxPrinted bounds the findings that are printed; the record holds all.
+const maxPrinted = 20
+
 // maxTime bounds a run.
 const maxTime = 112 * time.Second
 
@@ -54,9 +59,11 @@
 		fmt.Fprintln(os.Stderr, "could not run:", err)
 		return 2
 	}
-	for _, b := range broken {
+	for i, b := range broken {
 		record.printf("BROKEN %s", b)
-		fmt.Println("BROKEN", b)
+		if i < maxPrinted {
+			fmt.Println("BROKEN", b)
+		}
 	}
 	if len(broken) > 0 {
 		return 1
--- a/review/testdata/lab/server.go
+++ b/review/testdata/lab/server.go
@@ -42,11 +42,16 @@
 	running  [1 << 16]int
 	changed  *sync.Cond
 	// ran holds the times at which requests began to run, by id.
-	ran   map[string][]time.Time
+	ran map[string][]time.Time
+	// seen holds the requests that the server ran.
+	seen  []seenRequest
 	conns map[net.Conn]bool
 	gone  chan struct{}
 }
 
+// seenRequest is a request as it arrived at a server.
+type seenRequest struct{ id, method, path, body string }
+
 // startServer starts a server and registers it.
 func (l *lab) startServer(s *server) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -206,7 +211,7 @@
 	case "/release":
 		return s.release(body)
 	}
-	return s.run(r)
+	return s.run(r, body)
 }
 
 type order struct {
@@ -262,7 +267,7 @@
 }
 
 // run runs a request of a consumer, or rejects it.
-func (s *server) run(r *http.Request) answer {
+func (s *server) run(r *http.Request, body []byte) answer {
 	id := r.Header.Get("X-Request-Id")
 	ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64)
 	if err != nil {
@@ -301,6 +306,7 @@
 		return notRun(http.StatusMisdirectedRequest)
 	}
 	s.ran[id] = append(s.ran[id], time.Now())
+	s.seen = append(s.seen, seenRequest{id, r.Method, r.URL.Path, string(body)})
 	s.running[key]++
 	s.mu.Unlock()
 	s.lab.record.printf("server %s runs %s", s.id, id)
