review: gateways end with the script, however that ends

Cause: a script whose output was cut off by its reader ended without ending its gateway.

Adds a signal to each gateway for the end of its parent, and ignores SIGPIPE.

--- a/review/testdata/lab/lab.go
+++ b/review/testdata/lab/lab.go
@@ -145,6 +145,8 @@
 		return err
 	}
 	g.command.Stdout, g.command.Stderr = log, log
+	// The gateway ends with this program, however that ends.
+	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.command.Start(); err != nil {
 		return err
 	}
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -35,6 +35,8 @@
 		fmt.Fprintln(os.Stderr, "usage: lab CASE DIR")
 		os.Exit(2)
 	}
+	// A reader of the output that ends must not end this program before it has ended the gateways.
+	signal.Ignore(syscall.SIGPIPE)
 	os.Exit(run(experiments[os.Args[1]], os.Args[2]))
 }
 
