review: ports of gateways outside the range of outgoing connections

Cause: case 3 with TROUBLE=0 ended with 2 once, as four scripts were started at once: a gateway did not become ready. Of 14 started at once, one found its port taken.

Chooses the ports at random from 10000 to 30000, and adds the gateway's log to the error.

--- a/review/testdata/lab/lab.go
+++ b/review/testdata/lab/lab.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -74,16 +75,24 @@
 	_ = os.RemoveAll(l.dir)
 }
 
-// freeAddrs returns n free loopback addresses.
+// The range of ports of gateways. It is below the ports that the system gives to outgoing connections, which could take one
+// before the gateway listens.
+const firstPort, lastPort = 10000, 30000
+
+// freeAddrs returns n free loopback addresses, chosen at random so that scripts that run side by side do not choose the same.
 func freeAddrs(n int) ([]string, error) {
 	var out []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, err
+			if tries > 1000 {
+				return nil, err
+			}
+			continue
 		}
 		defer listener.Close()
-		out = append(out, listener.Addr().String())
+		out = append(out, addr)
 	}
 	return out, nil
 }
@@ -124,7 +133,7 @@
 	}
 	for _, g := range l.gateways {
 		if !l.awaitReady(g) {
-			return fmt.Errorf("%s did not become ready", g.name)
+			return fmt.Errorf("%s did not become ready; its log: %s", g.name, l.log(g))
 		}
 	}
 	return nil
