--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,8 +110,9 @@
 	leaving      atomic.Bool
 	leavingSince atomic.Int64
 
-	// front serves callers, ready the readiness check of the load balancer.
+	// front serves callers, ready the readiness check of the load balancer. callers are the connections of front.
 	front, ready *http.Server
+	callers      *pipeline.Listener
 	// requestCtx is the parent context of all callers' requests. cancelRequests ends those in
 	// flight.
 	requestCtx     context.Context
@@ -179,13 +180,6 @@
 	return g.self.VM + "/" + strconv.FormatUint(g.self.Incarnation, 36) + "/" + strconv.FormatUint(g.writeCount.Add(1), 10)
 }
 
-// headerTimeout bounds how long a caller may take to send its headers, idleTimeout how long its
-// connection may be idle. Both are above what configurations allow.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
-)
-
 func (g *Gateway) start(context.Context) error {
 	// Other VMs call as soon as the port is open.
 	g.mesh.Start(g)
@@ -203,29 +197,6 @@
 	return nil
 }
 
-// newFront returns the HTTP server for callers.
-func (g *Gateway) newFront() *http.Server {
-	s := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return g.requestCtx },
-	}
-	if g.settings.Pipeline.Requests > 0 {
-		pipeline.Attach(s)
-	}
-	return s
-}
-
-// splitPipelines lets the pipelined requests of a connection run at the same time, if the settings say so.
-func (g *Gateway) splitPipelines(l net.Listener) net.Listener {
-	p := g.settings.Pipeline
-	if p.Requests == 0 {
-		return l
-	}
-	return pipeline.NewListener(l, pipeline.Limits{
-		Requests: p.Requests, ReadAhead: p.ReadAhead, HeaderTimeout: headerTimeout, WriteTimeout: p.WriteTimeout.D(),
-	}, g.registry)
-}
-
 func (g *Gateway) listen() error {
 	var err error
 	if g.peers, err = peer.Listen(g.settings.Peers); err != nil {
@@ -244,7 +215,8 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		if s.server == g.front {
-			l = g.splitPipelines(l)
+			g.callers = g.newCallerListener(l)
+			l = g.callers
 		}
 		go g.serve(s.server, l)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -41,7 +41,8 @@
 	// LinkMbps is the speed of the VM's network link in Mbit/s. VMs with much faster links are
 	// preferred for duties that serve all VMs. Default 0: not known.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
-	// MemoryMB is the VM's memory in MB, a quarter of which may hold request bodies. Default 256.
+	// MemoryMB is the VM's memory in MB. A quarter of it may hold request bodies, and a quarter callers' connections
+	// with the requests that run. Default 256.
 	MemoryMB float64 `json:"memoryMB,omitempty"`
 	// GCPercent is the growth of the heap, in percent of the memory in use, that starts a garbage
 	// collection. Default 30: compared with 100, a VM peaks at 18.5 MB instead of 24.8 MB and uses
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -55,7 +55,11 @@
 func (g *Gateway) shutdownFront(ctx context.Context, cancelAfter time.Duration) error {
 	timer := time.AfterFunc(cancelAfter, func() { g.cancelRequests(errShuttingDown) })
 	defer timer.Stop()
-	return g.front.Shutdown(ctx)
+	err := g.front.Shutdown(ctx)
+	if g.callers == nil {
+		return err
+	}
+	return errors.Join(err, g.callers.Wait(ctx))
 }
 
 // beginLeaving tells the load balancer, the other VMs and callers that this VM is shutting down.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -125,7 +125,6 @@
 // pipelineRequests makes callers' connections run up to n requests at the same time.
 func (b *testbed) pipelineRequests(n int) {
 	b.settings.Pipeline = Pipeline{Requests: n, ReadAhead: defaultReadAhead}
-	b.front = b.newFront()
 }
 
 // dialFront serves the gateway's HTTP server for callers and opens a connection to it.
@@ -133,9 +132,10 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
 	served := make(chan struct{})
+	b.callers = b.newCallerListener(l)
 	go func() {
 		defer close(served)
-		_ = b.front.Serve(b.splitPipelines(l))
+		_ = b.front.Serve(b.callers)
 	}()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(b.t, err)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"os"
@@ -9,223 +10,288 @@
 	"time"
 )
 
-// readSize is the size in bytes of one read from a connection.
-const readSize = 4096
-
-// past is a deadline that ends a blocked read.
-var past = time.Unix(1, 0)
-
-// conn is a caller's connection and its lanes.
+// conn is a caller's connection.
 //
-// Only the primary lane reads raw, and only the lane of the oldest unanswered request writes to it.
+// Only run reads raw, and only the lane of the oldest unanswered request writes to it. All that is read goes through
+// received, and only dispatchLocked takes it from there.
 type conn struct {
 	listener *Listener
 	raw      net.Conn
-	primary  *lane
-	// buffer is the memory for one read of raw. It belongs to the reader.
-	buffer []byte
+
+	// idleEntry is the connection's entry in the list of idle ones, since idleSince. They are guarded by occupancy.mu.
+	idleEntry *list.Element
+	idleSince time.Time
 
 	mu sync.Mutex
-	// changed is signalled whenever a lane may continue.
-	changed *sync.Cond
-	// received holds the bytes that are not assigned to a lane. bodyLeft is the number of following bytes that belong to
-	// the body of the primary lane's request.
+	// changed is signalled whenever a lane or the reader may continue.
+	changed sync.Cond
+	// received holds the bytes that are not assigned to a lane.
 	received []byte
-	bodyLeft int64
-	// partialSince is when the first byte of an incomplete head arrived while no request was unanswered.
-	partialSince time.Time
+	// skippable is the number of CR and LF that are ignored before the next request.
+	skippable int
 	// order holds the lanes with an unanswered request, in the order of the requests.
 	order []*lane
+	// input is the lane whose request has not been received completely.
+	input *lane
 	// exclusive reports whether the only request in order must be answered before the next one runs.
 	exclusive bool
-	// idle holds the other lanes without a request.
-	idle []*lane
-	// opaque reports whether the primary lane serves all that follows by itself.
-	opaque bool
-	// sealed reports whether no further request runs. closeAfter reports whether the connection ends when order is empty.
-	sealed, closeAfter bool
-	// reading reports whether the primary lane is blocked in a read of raw, interrupted whether this read was ended to
-	// make it look for a request.
-	reading, interrupted bool
-	// readErr is the error with which raw ended.
+	// reserved reports whether memory is reserved for the next request, idle whether the connection waits for one.
+	reserved, idle bool
+	// partialSince is when the first byte of an incomplete head arrived while no request was unanswered.
+	partialSince time.Time
+	// sealed reports whether no further request runs. The connection ends when order is empty then.
+	sealed bool
+	// draining reports whether the connection ends and what arrives is ignored, drained whether nothing more is written.
+	draining, drained bool
+	// readErr is the error with which reading raw ended.
 	readErr error
 	closed  bool
 }
 
 func newConn(l *Listener, raw net.Conn) *conn {
-	c := &conn{listener: l, raw: raw, buffer: make([]byte, readSize)}
-	c.changed = sync.NewCond(&c.mu)
-	c.primary = &lane{conn: c}
+	c := &conn{listener: l, raw: raw, idle: true}
+	c.changed.L = &c.mu
 	return c
 }
 
-// read reads for the primary lane.
-func (c *conn) read(p []byte) (int, error) {
+// run reads the connection until it ends.
+func (c *conn) run() {
+	r := newReader(c.raw)
 	for {
-		c.mu.Lock()
-		started := c.dispatchLocked()
-		n, err, wait := c.takeLocked(p)
-		if wait {
-			c.changed.Wait()
+		size := c.awaitRoom()
+		if size == 0 {
+			return
 		}
-		into := c.readBufferLocked(p)
-		c.reading = n == 0 && err == nil && !wait
-		reading := c.reading
-		c.mu.Unlock()
+		data, err := r.read(size)
+		started, ended := c.receive(data, err)
+		r.release()
 		c.start(started)
-		if n > 0 || err != nil {
-			return n, err
-		}
-		if !reading {
-			continue
-		}
-		n, err = c.raw.Read(into)
-		if n, err = c.recordRead(into, n, err); n > 0 || err != nil {
-			return n, err
+		if ended {
+			return
 		}
 	}
 }
 
-// takeLocked returns what the primary lane can read without raw, or its error. wait reports whether it has to wait for
-// another lane. It needs c.mu.
-func (c *conn) takeLocked(p []byte) (n int, err error, wait bool) {
-	l := c.primary
-	switch n = copy(p, l.in); {
-	case n > 0:
-		l.in = l.in[n:]
-		return n, nil, false
-	case c.closed || l.dropped:
-		return 0, net.ErrClosed, false
-	case c.readErr != nil:
-		return 0, c.readErr, false
-	case !c.opaque && c.bodyLeft == 0 && len(c.received) >= c.listener.limits.ReadAhead:
-		if l.readExpired() {
-			return 0, os.ErrDeadlineExceeded, false
-		}
-		return 0, nil, true
+// awaitRoom waits until more may be received. It returns the size of the next read, or 0 if the connection has ended.
+func (c *conn) awaitRoom() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.closed && !c.draining && len(c.received) >= c.readLimitLocked() {
+		c.changed.Wait()
 	}
-	return 0, nil, false
+	switch {
+	case c.closed:
+		return 0
+	case c.input != nil:
+		return bodyReadSize
+	}
+	return readSize
 }
 
-// readBufferLocked returns where to read bytes of raw to: to p if they belong to the primary lane. It needs c.mu.
-func (c *conn) readBufferLocked(p []byte) []byte {
-	switch {
-	case c.opaque:
-		return p
-	case c.bodyLeft > 0:
-		return p[:min(int64(len(p)), c.bodyLeft)]
+// readLimitLocked returns the number of bytes that may be received and not assigned. Without spare memory, only a head for
+// which nothing else has to be answered first may be longer than a read. It needs c.mu.
+func (c *conn) readLimitLocked() int {
+	limit := c.listener.limits.ReadAhead
+	if len(c.order) > 0 && !c.listener.occupancy.hasSpare() {
+		return min(limit, readSize)
 	}
-	return c.buffer
+	return limit
 }
 
-// recordRead records the result of a read of raw. It returns what belongs to the primary lane.
-func (c *conn) recordRead(into []byte, n int, err error) (int, error) {
+// receive records the result of a read. It returns the lanes that the server does not serve yet, and whether nothing
+// further is to be read.
+func (c *conn) receive(data []byte, err error) (started []*lane, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
-	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-	if err != nil && !timedOut {
-		c.readErr = err
-		c.changed.Broadcast()
-	}
-	if c.interrupted {
-		c.interrupted = false
-		_ = c.raw.SetReadDeadline(c.primary.readDeadline)
-		if timedOut {
-			err = nil
+	if c.closed {
+		// The connection was closed as an idle one while these bytes arrived. They do not run.
+		return nil, true
+	}
+	if len(data) > 0 && !c.draining {
+		c.received = append(c.received, data...)
+		c.becomeBusyLocked()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.headExpiredLocked() {
+			c.closeLocked()
 		}
+		err = nil
 	}
-	switch {
-	case c.opaque:
-		return n, err
-	case c.bodyLeft > 0:
-		c.bodyLeft -= int64(n)
-		return n, err
+	started = c.dispatchLocked()
+	if err != nil {
+		c.readErr, c.sealed = err, true
+	}
+	c.settleLocked()
+	c.changed.Broadcast()
+	return started, c.closed || c.readErr != nil
+}
+
+// becomeBusyLocked reserves memory for the request that begins, or refuses it. It needs c.mu.
+func (c *conn) becomeBusyLocked() {
+	if !c.idle {
+		return
+	}
+	c.idle = false
+	c.listener.occupancy.setBusy(c)
+	if len(c.order) > 0 {
+		// A lane has the rest of the connection.
+		return
 	}
-	c.received = append(c.received, into[:n]...)
-	if n > 0 {
-		return 0, nil
+	if c.reserved = c.listener.occupancy.reserve(); !c.reserved {
+		c.refuseLocked()
 	}
-	return 0, err
 }
 
-// dispatchLocked assigns the requests that may run now to lanes. It returns the lanes that the server does not serve yet.
-// It needs c.mu.
+// dispatchLocked assigns what was received to lanes. It returns the lanes that the server does not serve yet. It needs
+// c.mu.
 func (c *conn) dispatchLocked() (started []*lane) {
-	for !c.opaque && !c.sealed && c.bodyLeft == 0 && len(c.received) > 0 {
+	for len(c.received) > 0 {
+		if c.input != nil {
+			if !c.feedLocked() {
+				return started
+			}
+			continue
+		}
+		if c.sealed || c.skipLocked() {
+			return started
+		}
 		f := parseFrame(c.received)
 		if f.class == partial && len(c.received) >= c.listener.limits.ReadAhead {
 			f.class = opaque
 		}
-		alone := len(c.order) == 0 && c.primary.free()
-		switch {
-		case f.class == partial:
-			c.limitHeadLocked(alone)
+		if f.class == partial {
+			c.limitHeadLocked()
 			return started
-		case c.exclusive, f.class != concurrent && !alone:
+		}
+		if c.exclusive || len(c.order) > 0 && !c.mayRunBesideLocked(f) || !c.reserveLocked() {
 			return started
-		case f.class == opaque:
-			c.listener.metrics.opaque.Inc(1)
-			c.opaque, c.primary.in, c.received = true, c.received, nil
-		case f.class == exclusive:
-			c.exclusive = true
-			body := min(f.body, int64(len(c.received)-f.head))
-			c.bodyLeft = f.body - body
-			c.assignLocked(c.primary, f.head+int(body))
-		default:
-			l, isNew := c.freeLaneLocked()
-			if l == nil {
-				return started
-			}
-			if isNew {
-				started = append(started, l)
-			}
-			c.assignLocked(l, f.head)
 		}
-		c.partialSince = time.Time{}
+		started = append(started, c.assignLocked(f))
 	}
 	return started
 }
 
-// limitHeadLocked ends the connection if an incomplete head takes too long. While the server waits for a request it does
-// not see the bytes of an incomplete one. It needs c.mu.
-func (c *conn) limitHeadLocked(alone bool) {
-	if !alone || !c.partialSince.IsZero() || c.listener.limits.HeaderTimeout <= 0 {
-		return
+// skipLocked ignores line breaks after the body of a request, as package net/http does. It reports whether nothing is
+// left. It needs c.mu.
+func (c *conn) skipLocked() bool {
+	for c.skippable > 0 && len(c.received) > 0 && (c.received[0] == '\r' || c.received[0] == '\n') {
+		c.received = c.received[1:]
+		c.skippable--
 	}
-	c.partialSince = time.Now()
-	c.primary.readDeadline = c.partialSince.Add(c.listener.limits.HeaderTimeout)
-	_ = c.raw.SetReadDeadline(c.primary.readDeadline)
+	return len(c.received) == 0
 }
 
-// freeLaneLocked returns a lane for a request, or nil if as many run as may. It needs c.mu.
-func (c *conn) freeLaneLocked() (l *lane, isNew bool) {
-	switch {
-	case c.primary.free():
-		l = c.primary
-	case len(c.order) >= c.listener.limits.Requests || c.listener.closed():
+// mayRunBesideLocked reports whether a request may run beside the unanswered ones. It needs c.mu.
+func (c *conn) mayRunBesideLocked(f frame) bool {
+	if f.class != concurrent {
+		return false
+	}
+	if len(c.order) >= c.listener.limits.Requests || c.listener.closed() {
 		c.listener.metrics.waited.Inc(1)
-		return nil, false
-	case len(c.idle) > 0:
-		l, c.idle = c.idle[len(c.idle)-1], c.idle[:len(c.idle)-1]
+		return false
+	}
+	return true
+}
+
+// reserveLocked makes sure that memory is reserved for the next request. If there is none, the request is refused, or waits
+// for an earlier one. It needs c.mu.
+func (c *conn) reserveLocked() bool {
+	switch {
+	case c.reserved:
+	case len(c.order) > 0:
+		if c.reserved = c.listener.occupancy.reserveSpare(); !c.reserved {
+			c.listener.metrics.waited.Inc(1)
+		}
 	default:
-		l, isNew = &lane{conn: c}, true
+		if c.reserved = c.listener.occupancy.reserve(); !c.reserved {
+			c.refuseLocked()
+		}
 	}
-	if len(c.order) > 0 {
+	return c.reserved
+}
+
+// assignLocked gives the next request to a new lane. It needs c.mu.
+func (c *conn) assignLocked(f frame) *lane {
+	l := &lane{conn: c, opaque: f.class == opaque, body: f.bodyReader()}
+	l.response.method = f.method
+	l.in, c.received = c.received[:f.head:f.head], c.received[f.head:]
+	c.reserved, l.reserved = false, true
+	switch {
+	case len(c.order) > 0:
 		c.listener.metrics.concurrent.Inc(1)
+	case f.class == opaque:
+		c.listener.metrics.opaque.Inc(1)
+	}
+	c.order = append(c.order, l)
+	c.exclusive = f.class != concurrent
+	c.sealed = c.sealed || f.last || c.listener.closed()
+	if !l.body.done() {
+		c.input = l
+	}
+	c.skippable = 0
+	if f.method == "POST" {
+		c.skippable = maxSkipped
 	}
-	return l, isNew
+	c.partialSince = time.Time{}
+	c.changed.Broadcast()
+	return l
 }
 
-// assignLocked gives the first size received bytes, a request, to a lane. It needs c.mu.
-func (c *conn) assignLocked(l *lane, size int) {
-	l.in = slices.Clone(c.received[:size])
-	l.wroteHead, l.handled, l.closeHidden = false, false, false
-	if c.received = c.received[size:]; len(c.received) == 0 {
+// maxSkipped is the number of line breaks that are ignored after the body of a POST.
+const maxSkipped = 4
+
+// feedLocked passes received bytes to the lane whose request is incomplete. It returns false if the lane has enough. It
+// needs c.mu.
+func (c *conn) feedLocked() bool {
+	l := c.input
+	room := laneBuffer - len(l.in)
+	if room <= 0 {
+		return false
+	}
+	n := l.body.consume(c.received[:min(room, len(c.received))])
+	l.resting = false
+	if len(l.in) == 0 {
+		l.buffer = append(l.buffer[:0], c.received[:n]...)
+		l.in = l.buffer
+	} else {
+		l.in = append(l.in, c.received[:n]...)
+	}
+	if c.received = c.received[n:]; len(c.received) == 0 {
 		c.received = nil
 	}
-	c.order = append(c.order, l)
+	if l.body.done() {
+		c.input = nil
+	}
+	if l.body.kind == endlessBody && !l.opaque {
+		// Package net/http decides where a malformed body ends.
+		c.listener.metrics.opaque.Inc(1)
+		l.opaque = true
+	}
 	c.changed.Broadcast()
+	return true
+}
+
+// limitHeadLocked ends the connection if an incomplete head takes too long. It needs c.mu.
+func (c *conn) limitHeadLocked() {
+	if len(c.order) > 0 || !c.partialSince.IsZero() || c.listener.limits.HeaderTimeout <= 0 {
+		return
+	}
+	c.partialSince = time.Now()
+	_ = c.raw.SetReadDeadline(c.partialSince.Add(c.listener.limits.HeaderTimeout))
+}
+
+// headExpiredLocked reports whether an incomplete head has taken too long. Otherwise it resets the deadline of reads, which
+// is that of an earlier head. It needs c.mu.
+func (c *conn) headExpiredLocked() bool {
+	if !c.partialSince.IsZero() && time.Since(c.partialSince) >= c.listener.limits.HeaderTimeout {
+		return true
+	}
+	deadline := time.Time{}
+	if !c.partialSince.IsZero() {
+		deadline = c.partialSince.Add(c.listener.limits.HeaderTimeout)
+	}
+	_ = c.raw.SetReadDeadline(deadline)
+	return false
 }
 
 // start passes new lanes to the server.
@@ -233,47 +299,150 @@
 	for _, l := range lanes {
 		if !c.listener.serve(l) {
 			// The server closed its listener after the request was assigned. It has not run.
-			c.abandon(l)
+			_ = l.Close()
 		}
 	}
 }
 
-// finish records that the response on a lane is complete and the lane can take another request.
+// finish records that the server has sent the response on a lane and would take another request there.
 func (c *conn) finish(l *lane) {
 	c.mu.Lock()
-	c.removeLocked(l)
-	if l != c.primary && !l.dropped {
-		c.idle = append(c.idle, l)
+	var started []*lane
+	if l.opaque {
+		l.resting = true
+		c.settleLocked()
+	} else {
+		started = c.endLocked(l)
 	}
-	started := c.advanceLocked()
 	c.mu.Unlock()
 	c.start(started)
 }
 
-// removeLocked takes a lane out of order. It needs c.mu.
-func (c *conn) removeLocked(l *lane) {
+// closeLane records that the server closes a lane. It affects the connection only if the request of the lane is not
+// answered, or if the lane had the rest of the connection.
+func (c *conn) closeLane(l *lane) {
+	c.mu.Lock()
+	c.releaseLocked(l)
+	var started []*lane
+	if l.opaque {
+		c.dropLocked(l)
+	} else {
+		started = c.endLocked(l)
+	}
+	c.mu.Unlock()
+	c.start(started)
+}
+
+// endLocked ends a lane. Without a complete response the connection ends behind the responses before it. It needs c.mu.
+func (c *conn) endLocked(l *lane) []*lane {
+	if l.ended {
+		return nil
+	}
+	if !l.response.complete() {
+		c.dropLocked(l)
+		return nil
+	}
+	l.ended = true
+	c.releaseLocked(l)
+	if len(l.in) > 0 || !l.body.done() {
+		// The server does not read the rest of the request, so what follows cannot be framed.
+		c.sealed = true
+	}
+	if c.input == l {
+		c.input = nil
+	}
 	if i := slices.Index(c.order, l); i >= 0 {
 		c.order = slices.Delete(c.order, i, i+1)
 	}
-	if len(c.order) == 0 {
-		c.exclusive = false
+	c.exclusive = false
+	started := c.dispatchLocked()
+	c.settleLocked()
+	c.changed.Broadcast()
+	return started
+}
+
+// dropLocked ends the connection behind the last request before that of a lane. Its request gets no response, nor do those
+// behind it. It needs c.mu.
+func (c *conn) dropLocked(l *lane) {
+	i := slices.Index(c.order, l)
+	if i < 0 {
+		return
+	}
+	for _, behind := range c.order[i:] {
+		behind.ended = true
+	}
+	c.order = c.order[:i]
+	c.sealed, c.input = true, nil
+	c.settleLocked()
+	c.changed.Broadcast()
+}
+
+// releaseLocked returns the memory of a lane. It needs c.mu.
+func (c *conn) releaseLocked(l *lane) {
+	if l.reserved {
+		l.reserved = false
+		c.listener.occupancy.release()
+	}
+}
+
+// idleLocked reports whether no part of a request is received or unanswered. It needs c.mu.
+func (c *conn) idleLocked() bool {
+	if c.closed || c.draining || len(c.received) > 0 {
+		return false
+	}
+	return len(c.order) == 0 || c.order[0].opaque && c.order[0].resting && len(c.order[0].in) == 0
+}
+
+// settleLocked closes the connection if it is sealed and all its requests are answered, and records whether it is idle. It
+// needs c.mu.
+func (c *conn) settleLocked() {
+	if c.sealed && len(c.order) == 0 {
+		c.endConnLocked()
 	}
+	if c.idle || !c.idleLocked() {
+		return
+	}
+	c.idle = true
+	if c.reserved {
+		c.reserved = false
+		c.listener.occupancy.release()
+	}
+	c.listener.occupancy.setIdle(c)
 }
 
-// advanceLocked continues after a change of order. It needs c.mu.
-func (c *conn) advanceLocked() []*lane {
-	if c.closeAfter && len(c.order) == 0 {
+// endConnLocked closes the connection after its last response. It needs c.mu.
+func (c *conn) endConnLocked() {
+	switch {
+	case c.closed, c.draining && !c.drained:
+	case c.draining && c.readErr == nil:
+	case !c.draining && c.readErr == nil && (len(c.received) > 0 || hasUnread(c.raw)):
+		c.drainLocked(nil)
+	default:
 		c.closeLocked()
-		return nil
 	}
-	started := c.dispatchLocked()
-	if c.reading && len(c.primary.in) > 0 && !c.interrupted {
-		// The primary lane waits for bytes of the connection, but its next request was received already.
-		c.interrupted = true
-		_ = c.raw.SetReadDeadline(past)
+}
+
+// closeIfIdle closes the connection if it has no request and none waits to be read, and reports whether it did.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idleLocked() || hasUnread(c.raw) {
+		return false
+	}
+	c.closeLocked()
+	return true
+}
+
+// shutDown ends the connection behind the requests that run.
+func (c *conn) shutDown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	if c.idleLocked() {
+		c.closeLocked()
 	}
+	c.settleLocked()
 	c.changed.Broadcast()
-	return started
 }
 
 // closeLocked closes the connection and all its lanes. It needs c.mu.
@@ -281,51 +450,57 @@
 	if c.closed {
 		return
 	}
-	c.closed = true
-	if len(c.received) > 0 {
+	c.closed, c.sealed = true, true
+	if len(c.received) > 0 && c.input == nil {
 		c.listener.metrics.unread.Inc(1)
 	}
+	c.received = nil
 	_ = c.raw.Close()
+	if c.reserved {
+		c.reserved = false
+		c.listener.occupancy.release()
+	}
+	c.listener.occupancy.remove(c)
 	c.changed.Broadcast()
 }
 
-// abandon ends the connection behind the last request before that of a lane. Its request gets no response, nor do those
-// behind it.
-func (c *conn) abandon(l *lane) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.abandonLocked(l)
+const (
+	// refusal is sent to a request for which there is no memory. It has not run.
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.25\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// lingerTimeout is how long the caller may take to read the last response.
+	lingerTimeout = 500 * time.Millisecond
+)
+
+// refuseLocked ends the connection with a refusal. It needs c.mu.
+func (c *conn) refuseLocked() {
+	c.listener.metrics.refused.Inc(1)
+	c.drainLocked([]byte(refusal))
 }
 
-func (c *conn) abandonLocked(l *lane) {
-	c.sealed, c.closeAfter = true, true
-	if i := slices.Index(c.order, l); i >= 0 {
-		for _, behind := range c.order[i:] {
-			behind.dropped = true
-		}
-		c.order = c.order[:i]
+// drainLocked writes the last bytes and ends the connection when the caller has closed it, or after lingerTimeout. If it
+// were closed while bytes of the caller are unread, these would reset it before the caller has read the response. It needs
+// c.mu.
+func (c *conn) drainLocked(last []byte) {
+	if len(c.received) > 0 && last == nil {
+		c.listener.metrics.unread.Inc(1)
 	}
-	if len(c.order) == 0 {
+	c.draining, c.sealed, c.received = true, true, nil
+	go func() {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout))
+		if _, err := c.raw.Write(last); err == nil {
+			if w, ok := c.raw.(interface{ CloseWrite() error }); ok {
+				_ = w.CloseWrite()
+			}
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.drained = true
+		c.settleLocked()
+	}()
+	time.AfterFunc(lingerTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.closeLocked()
-	}
+	})
 	c.changed.Broadcast()
 }
-
-// closeLane is called when the server closes a lane.
-func (c *conn) closeLane(l *lane) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.dropped = true
-	i := slices.Index(c.order, l)
-	switch {
-	case c.opaque:
-		c.closeLocked()
-	case i == 0 && l.closeHidden && l.handled:
-		c.removeLocked(l)
-		c.advanceLocked()
-	case i >= 0 || l == c.primary:
-		c.abandonLocked(l)
-	default:
-		c.idle = slices.DeleteFunc(c.idle, func(other *lane) bool { return other == l })
-	}
-}
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 )
 
@@ -15,16 +16,20 @@
 	concurrent
 	// exclusive: the request runs when those before it have been answered, and those behind it wait.
 	exclusive
-	// opaque: this package does not know where the request ends. Package net/http serves it and all that follows.
+	// opaque: this package does not know where the request ends. Package net/http gets it and all that follows.
 	opaque
 )
 
-// frame is the extent of the first request in a buffer.
+// frame describes the first request in a buffer.
 type frame struct {
-	class class
-	// head and body are sizes in bytes.
-	head int
-	body int64
+	class  class
+	method string
+	// head is the size of the head in bytes, body that of the body unless it is chunked.
+	head    int
+	body    int64
+	chunked bool
+	// last reports whether the request is the last one of its connection.
+	last bool
 }
 
 const maxContentLength = 1 << 40
@@ -39,8 +44,8 @@
 		return frame{class: state.class()}
 	}
 	out := frame{class: exclusive}
-	method, ok := parseRequestLine(line)
-	if !ok {
+	var ok bool
+	if out.method, ok = parseRequestLine(line); !ok {
 		return frame{class: opaque}
 	}
 	lengths := 0
@@ -56,28 +61,47 @@
 		if !found || !isToken(name) {
 			return frame{class: opaque}
 		}
+		value = bytes.Trim(value, " \t")
 		switch {
 		case equalFold(name, "Content-Length"):
 			lengths++
-			if out.body, ok = parseLength(bytes.Trim(value, " \t")); !ok {
-				return frame{class: opaque}
-			}
-		case equalFold(name, "Transfer-Encoding"), equalFold(name, "Connection"), equalFold(name, "Expect"), equalFold(name, "Upgrade"):
-			if !equalFold(bytes.Trim(value, " \t"), "keep-alive") {
-				return frame{class: opaque}
-			}
+			out.body, ok = parseLength(value)
+		case equalFold(name, "Transfer-Encoding"):
+			ok = !out.chunked && equalFold(value, "chunked")
+			out.chunked = true
+		case equalFold(name, "Connection"):
+			out.last = out.last || equalFold(value, "close")
+			ok = out.last || equalFold(value, "keep-alive")
+		case equalFold(name, "Expect"):
+			ok = equalFold(value, "100-continue")
+		case equalFold(name, "Upgrade"):
+			ok = false
+		}
+		if !ok {
+			return frame{class: opaque}
 		}
 	}
-	if lengths > 1 {
+	if lengths > 1 || lengths > 0 && out.chunked {
 		return frame{class: opaque}
 	}
 	out.head = len(buf) - len(rest)
-	if lengths == 0 && (method == "GET" || method == "HEAD") {
+	if lengths == 0 && !out.chunked && (out.method == http.MethodGet || out.method == http.MethodHead) {
 		out.class = concurrent
 	}
 	return out
 }
 
+// bodyReader returns a reader of the body's extent.
+func (f frame) bodyReader() bodyReader {
+	switch {
+	case f.class == opaque:
+		return bodyReader{kind: endlessBody}
+	case f.chunked:
+		return bodyReader{kind: chunkedBody}
+	}
+	return bodyReader{kind: sizedBody, left: f.body}
+}
+
 // lineState says whether a buffer begins with a whole line.
 type lineState int
 
@@ -108,18 +132,26 @@
 
 // parseRequestLine returns the method of a request line of HTTP/1.1.
 func parseRequestLine(line []byte) (method string, ok bool) {
-	parts := bytes.Split(line, []byte(" "))
-	if len(parts) != 3 || !isToken(parts[0]) || len(parts[1]) == 0 || string(parts[2]) != "HTTP/1.1" {
+	name, rest, _ := bytes.Cut(line, []byte(" "))
+	target, version, _ := bytes.Cut(rest, []byte(" "))
+	if !isToken(name) || len(target) == 0 || string(version) != "HTTP/1.1" {
 		return "", false
 	}
-	switch string(parts[0]) {
-	case "PRI", "CONNECT":
+	switch string(name) {
+	case http.MethodGet:
+		return http.MethodGet, true
+	case http.MethodPost:
+		return http.MethodPost, true
+	case "PRI", http.MethodConnect:
 		return "", false
 	}
-	return string(parts[0]), true
+	return string(name), true
 }
 
 func parseLength(value []byte) (int64, bool) {
+	if len(value) == 0 {
+		return 0, false
+	}
 	for _, b := range value {
 		if b < '0' || b > '9' {
 			return 0, false
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -4,62 +4,68 @@
 	"io"
 	"net"
 	"os"
-	"slices"
 	"time"
 )
 
-// lane is a net.Conn that carries one request of a connection at a time. The fields are guarded by conn.mu.
+// lane is a net.Conn that carries one request, or the rest of a connection that cannot be framed. The fields are guarded by
+// conn.mu.
 type lane struct {
 	conn *conn
-	// in is the part of the current request that the server has not read.
-	in []byte
-	// wroteHead reports whether the response has begun, handled whether its handler has returned, closeHidden whether
-	// the caller was not told that the response ends the connection.
-	wroteHead, handled, closeHidden bool
-	// dropped reports whether the lane is closed, or its request will not be answered.
-	dropped       bool
+	// opaque reports whether the lane has the rest of the connection, resting whether the server then waits there for
+	// another request.
+	opaque, resting bool
+	// in is the part of the request that the server has not read, in buffer once a body has begun. body says how much of the
+	// request is still to come.
+	in, buffer []byte
+	body       bodyReader
+	response   response
+	// ended reports whether the response is complete, or will not be sent.
+	ended bool
+	// reserved reports whether memory is reserved for the request.
+	reserved      bool
 	readDeadline  time.Time
 	deadlineTimer *time.Timer
 }
 
-// free reports whether the lane can take a request. It needs conn.mu.
-func (l *lane) free() bool {
-	return !l.dropped && len(l.in) == 0 && !slices.Contains(l.conn.order, l)
-}
-
 // readExpired reports whether the read deadline has passed. It needs conn.mu.
 func (l *lane) readExpired() bool {
 	return !l.readDeadline.IsZero() && !time.Now().Before(l.readDeadline)
 }
 
-func (l *lane) markHandled() {
-	l.conn.mu.Lock()
-	defer l.conn.mu.Unlock()
-	l.handled = true
-}
-
-// Read implements net.Conn. It returns io.EOF to the server's background read when the caller has left.
+// Read implements net.Conn. Behind the request it blocks until the request is answered, so that the server's background
+// read ends if the caller leaves.
 func (l *lane) Read(p []byte) (int, error) {
 	c := l.conn
-	if l == c.primary {
-		return c.read(p)
-	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	for {
-		switch n := copy(p, l.in); {
-		case n > 0:
+		if n := copy(p, l.in); n > 0 {
 			l.in = l.in[n:]
+			started := c.dispatchLocked()
+			c.changed.Broadcast()
+			c.mu.Unlock()
+			c.start(started)
 			return n, nil
-		case c.closed, l.dropped, c.readErr != nil:
+		}
+		if c.closed || l.ended || c.readErr != nil {
+			c.mu.Unlock()
 			return 0, io.EOF
-		case l.readExpired():
+		}
+		if l.readExpired() {
+			c.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
+		l.limitWaitLocked()
 		c.changed.Wait()
 	}
 }
 
+// limitWaitLocked makes a blocked read end at its deadline. It needs conn.mu.
+func (l *lane) limitWaitLocked() {
+	if !l.readDeadline.IsZero() && l.deadlineTimer == nil {
+		l.deadlineTimer = time.AfterFunc(time.Until(l.readDeadline), l.conn.wake)
+	}
+}
+
 // Write implements net.Conn.
 func (l *lane) Write(p []byte) (int, error) { return l.conn.write(l, p) }
 
@@ -69,12 +75,13 @@
 	return nil
 }
 
-// CloseWrite ends the connection towards the caller, if the lane has it for itself.
+// CloseWrite ends the connection towards the caller, if no other request is unanswered.
 func (l *lane) CloseWrite() error {
 	c := l.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w, ok := c.raw.(interface{ CloseWrite() error }); ok && l == c.primary && (c.opaque || len(c.order) <= 1) {
+	if w, ok := c.raw.(interface{ CloseWrite() error }); ok && len(c.order) == 1 && c.order[0] == l {
+		c.sealed = true
 		return w.CloseWrite()
 	}
 	return nil
@@ -87,12 +94,7 @@
 func (l *lane) RemoteAddr() net.Addr { return l.conn.raw.RemoteAddr() }
 
 // SetDeadline implements net.Conn.
-func (l *lane) SetDeadline(t time.Time) error {
-	if err := l.SetWriteDeadline(t); err != nil {
-		return err
-	}
-	return l.SetReadDeadline(t)
-}
+func (l *lane) SetDeadline(t time.Time) error { return l.SetReadDeadline(t) }
 
 // SetWriteDeadline implements net.Conn. Writes are bounded by Limits.WriteTimeout, from when it is the lane's turn.
 func (l *lane) SetWriteDeadline(time.Time) error { return nil }
@@ -107,23 +109,10 @@
 		l.deadlineTimer.Stop()
 		l.deadlineTimer = nil
 	}
-	if l == c.primary && !c.interrupted {
-		if err := c.raw.SetReadDeadline(t); err != nil {
-			return err
-		}
-	}
-	if left := time.Until(t); !t.IsZero() && left > 0 && (l != c.primary || c.waitsForLaneLocked()) {
-		l.deadlineTimer = time.AfterFunc(left, c.wake)
-	}
 	c.changed.Broadcast()
 	return nil
 }
 
-// waitsForLaneLocked reports whether the primary lane does not read the connection. It needs conn.mu.
-func (c *conn) waitsForLaneLocked() bool {
-	return !c.opaque && len(c.received) >= c.listener.limits.ReadAhead
-}
-
 // wake makes all lanes look at their deadlines.
 func (c *conn) wake() {
 	c.mu.Lock()
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -1,18 +1,22 @@
-// Package pipeline lets the pipelined requests of a connection run at the same time.
+// Package pipeline serves callers' connections: it frames their requests, lets pipelined ones run at the same time, and
+// bounds what all connections of a listener occupy.
 //
-// Load that it answers: callers that send further requests before the first one is answered. Package net/http runs the
-// requests of a connection one after the other, so each waits for all those before it, and a caller that leaves while a
-// further request of its waits unread is not noticed: the server's background read stops at the first byte of that
-// request and does not see the end of the connection behind it.
+// Load that it answers: callers that send further requests before the first one is answered, and more connections than
+// the VM has memory for. Package net/http runs the requests of a connection one after the other, so each waits for all
+// those before it, and a caller that leaves while a further request of its waits unread is not noticed. It also keeps
+// its buffers for every connection, whether that has a request or not.
 //
-// A connection is split into lanes, each of which is a net.Conn that package net/http serves. The first lane reads the
-// connection. A request that arrives while another one of its connection is unanswered gets a lane of its own, if it has a
-// safe method and no body; any other request waits until those before it are answered, and those behind it wait for it.
-// Responses are written in the order of the requests. What cannot be framed with certainty is left to package net/http,
-// with the rest of its connection.
+// One goroutine a connection reads it and frames the requests. Each request is served by package net/http on a lane of
+// its own: a net.Conn that carries this request only, and ends with it. A connection without a request has neither a
+// lane nor a buffer. A request that arrives while another one of its connection is unanswered runs beside it if both have
+// a safe method and no body; any other request waits until those before it are answered, and those behind it wait for
+// it. Responses are written in the order of the requests. A request that cannot be framed with certainty gets its
+// lane for the rest of the connection.
 //
 // Limits bound the requests of a connection that run, and the bytes that are read ahead of them. Behind these bounds the
-// connection is not read, so the end of the connection is noticed late there.
+// connection is not read, so the end of the connection is noticed late there. Further limits bound the memory and the
+// number of all connections: what has no room for its first request gets 503 and has not run, and idle connections make
+// room before that.
 //
 // A response that ends the connection (Connection: close) ends it behind the last request that runs: requests that were
 // not begun are not run, and those that run are answered.
@@ -28,24 +32,32 @@
 	metrics "github.com/rcrowley/go-metrics"
 )
 
-// Limits bound what one connection may occupy.
+// Limits bound what connections may occupy.
 type Limits struct {
-	// Requests is the number of requests that run at the same time.
+	// Requests is the number of requests of one connection that run at the same time.
 	Requests int
-	// ReadAhead is the number of bytes of requests that are read before they run.
+	// ReadAhead is the number of bytes of requests of one connection that are read before they run, readSize at least.
 	ReadAhead int
-	// HeaderTimeout bounds the time from the first byte of a request to the end of its head.
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its head, 0 for no bound.
 	HeaderTimeout time.Duration
 	// WriteTimeout bounds the time in which a caller must read writeChunk bytes of a response, 0 for no bound.
 	WriteTimeout time.Duration
+	// IdleTimeout returns how long a connection is kept without a request, 0 for no bound. It may be nil.
+	IdleTimeout func() time.Duration
+	// Memory bounds the memory in bytes of all connections and of the requests that run, 0 for no bound. RequestMemory is
+	// what a request that runs takes, connMemory what a connection takes without one.
+	Memory, RequestMemory int64
+	// Connections bounds the number of all connections, 0 for no bound.
+	Connections int
 }
 
 // Listener accepts connections and splits them into lanes. It implements net.Listener for an http.Server, which must have
 // the hooks of Attach.
 type Listener struct {
 	net.Listener
-	limits  Limits
-	metrics listenerMetrics
+	limits    Limits
+	metrics   listenerMetrics
+	occupancy *occupancy
 
 	accepted  chan net.Conn
 	acceptErr error
@@ -61,6 +73,9 @@
 	opaque, unread metrics.Counter
 	// stalled counts connections that were closed because the caller did not read its response in time.
 	stalled metrics.Counter
+	// expired counts connections that were closed at the idle timeout, evicted those that were closed earlier to make
+	// room, rejected those that were closed as they were accepted, and refused the requests that got no room.
+	expired, evicted, rejected, refused metrics.Counter
 }
 
 // NewListener returns a listener that accepts the connections of l. It closes l when it is closed.
@@ -68,20 +83,27 @@
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("pipeline."+name, registry)
 	}
+	limits.ReadAhead = max(limits.ReadAhead, readSize)
 	out := &Listener{
 		Listener: l, limits: limits, accepted: make(chan net.Conn), failed: make(chan struct{}), done: make(chan struct{}),
 		metrics: listenerMetrics{
 			concurrent: counter("concurrent"), waited: counter("waited"), opaque: counter("opaque"),
-			unread: counter("unread"), stalled: counter("stalled"),
+			unread: counter("unread"), stalled: counter("stalled"), expired: counter("expired"),
+			evicted: counter("evicted"), rejected: counter("rejected"), refused: counter("refused"),
 		},
 	}
+	out.occupancy = newOccupancy(limits, out.metrics.evicted)
+	metrics.NewRegisteredFunctionalGauge("pipeline.memory", registry, out.occupancy.bytes)
+	metrics.NewRegisteredFunctionalGauge("pipeline.connections", registry, out.occupancy.connections)
 	go out.accept()
+	if limits.IdleTimeout != nil {
+		go out.closeExpired()
+	}
 	return out
 }
 
-// Attach sets the hooks and the handler of a server that serves this listener. It must be called before the server starts.
+// Attach sets the hooks of a server that serves this listener. It must be called before the server starts.
 func Attach(s *http.Server) {
-	next := s.Handler
 	s.ConnState = connState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if l, ok := c.(*lane); ok {
@@ -89,29 +111,18 @@
 		}
 		return ctx
 	}
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(w, r)
-		if l := laneOf(r.Context()); l != nil {
-			l.markHandled()
-		}
-	})
 }
 
 // AwaitTurn waits until all earlier requests of the connection of a request are answered. A request that must not run
 // twice needs it: a caller sends a request again if its connection ends with an earlier response. It returns false if the
 // connection or ctx ends before.
 func AwaitTurn(ctx context.Context) bool {
-	l := laneOf(ctx)
-	return l == nil || l.conn.awaitTurn(ctx, l)
+	l, ok := ctx.Value(laneKey{}).(*lane)
+	return !ok || l.conn.awaitTurn(ctx, l)
 }
 
 type laneKey struct{}
 
-func laneOf(ctx context.Context) *lane {
-	l, _ := ctx.Value(laneKey{}).(*lane)
-	return l
-}
-
 func connState(c net.Conn, state http.ConnState) {
 	if l, ok := c.(*lane); ok && state == http.StateIdle {
 		l.conn.finish(l)
@@ -126,12 +137,21 @@
 			close(l.failed)
 			return
 		}
-		if !l.serve(newConn(l, raw).primary) {
-			_ = raw.Close()
-		}
+		l.begin(raw)
 	}
 }
 
+// begin reads a new connection, or closes it if there is no room for it.
+func (l *Listener) begin(raw net.Conn) {
+	c := newConn(l, raw)
+	if !l.occupancy.add(c) {
+		l.metrics.rejected.Inc(1)
+		_ = raw.Close()
+		return
+	}
+	go c.run()
+}
+
 // serve passes a lane to the server and reports whether it is still accepting.
 func (l *Listener) serve(lane *lane) bool {
 	select {
@@ -152,10 +172,25 @@
 	}
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. Connections without a request that runs are closed, the others when those requests are
+// answered.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.done) })
-	return l.Listener.Close()
+	err := l.Listener.Close()
+	for _, c := range l.occupancy.close() {
+		c.shutDown()
+	}
+	return err
+}
+
+// Wait waits until all connections have ended after Close, or until ctx ends.
+func (l *Listener) Wait(ctx context.Context) error {
+	select {
+	case <-l.occupancy.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // closed reports whether the server accepts no more lanes.
@@ -167,3 +202,32 @@
 		return false
 	}
 }
+
+// maxIdleCheck is the longest interval at which idle connections are looked for.
+const maxIdleCheck = time.Second
+
+// closeExpired periodically closes the connections whose idle time has passed, until Close.
+func (l *Listener) closeExpired() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-timer.C:
+		}
+		timeout := l.limits.IdleTimeout()
+		next := maxIdleCheck
+		for timeout > 0 {
+			c, left := l.occupancy.oldest(timeout)
+			if c == nil {
+				next = min(max(left, time.Millisecond), maxIdleCheck)
+				break
+			}
+			if c.closeIfIdle() {
+				l.metrics.expired.Inc(1)
+			}
+		}
+		timer.Reset(next)
+	}
+}
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -20,6 +20,7 @@
 type testServer struct {
 	t        *testing.T
 	server   *http.Server
+	listener *Listener
 	addr     string
 	registry metrics.Registry
 
@@ -32,15 +33,20 @@
 const testTimeout = 20 * time.Second
 
 func newTestServer(t *testing.T, limits Limits) *testServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return serveTest(t, l, limits)
+}
+
+func serveTest(t *testing.T, l net.Listener, limits Limits) *testServer {
 	s := &testServer{
 		t: t, registry: metrics.NewRegistry(), started: make(chan string, 100), ended: make(chan string, 100), gates: make(map[string]chan struct{}),
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	s.addr = l.Addr().String()
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}
 	Attach(s.server)
-	go func() { _ = s.server.Serve(NewListener(l, limits, s.registry)) }()
+	s.listener = NewListener(l, limits, s.registry)
+	go func() { _ = s.server.Serve(s.listener) }()
 	t.Cleanup(func() { _ = s.server.Close() })
 	return s
 }
@@ -84,6 +90,11 @@
 	switch {
 	case strings.HasPrefix(path, "/close/"):
 		w.Header().Set("Connection", "close")
+	case strings.HasPrefix(path, "/close-large/"):
+		w.Header().Set("Filler", strings.Repeat("f", 9_000))
+		w.Header().Set("Connection", "close")
+	case strings.HasPrefix(path, "/short/"):
+		w.Header().Set("Content-Length", "100")
 	case strings.HasPrefix(path, "/abort/"):
 		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(path, "/large/"):
@@ -166,6 +177,17 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
+// bodyRequests are requests with a body in each framing, without the last bytes.
+func bodyRequests(path string) map[string][2]string {
+	head := func(framing string) string { return "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n\r\n" }
+	return map[string][2]string{
+		"length":   {head("Content-Length: 4") + "bo", "dy"},
+		"chunks":   {head("Transfer-Encoding: chunked") + "4\r\nbody\r\n", "0\r\n\r\n"},
+		"expect":   {head("Content-Length: 4\r\nExpect: 100-continue") + "bo", "dy"},
+		"unframed": {head("Connection: other\r\nContent-Length: 4") + "bo", "dy"},
+	}
+}
+
 // receive returns the next response and its body.
 func (c *testCaller) receive() (*http.Response, string) {
 	c.t.Helper()
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -15,73 +17,132 @@
 
 // awaitTurn waits until the request of a lane is the oldest unanswered one. It returns false if there is no such time.
 func (c *conn) awaitTurn(ctx context.Context, l *lane) bool {
-	stop := context.AfterFunc(ctx, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.changed.Broadcast()
-	})
+	stop := context.AfterFunc(ctx, c.wake)
 	defer stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.closed && !l.dropped && ctx.Err() == nil && !c.isOldestLocked(l) {
+	for !c.closed && !l.ended && ctx.Err() == nil && !c.isOldestLocked(l) {
 		c.changed.Wait()
 	}
-	return !c.closed && !l.dropped && ctx.Err() == nil
+	return !c.closed && !l.ended && ctx.Err() == nil
 }
 
-func (c *conn) isOldestLocked(l *lane) bool { return c.opaque || len(c.order) > 0 && c.order[0] == l }
+func (c *conn) isOldestLocked(l *lane) bool { return len(c.order) > 0 && c.order[0] == l }
 
 // write writes a part of the response on a lane once all earlier requests are answered.
 func (c *conn) write(l *lane, p []byte) (int, error) {
 	c.mu.Lock()
-	for !c.closed && !l.dropped && !c.isOldestLocked(l) {
+	for !c.closed && !l.ended && !c.isOldestLocked(l) {
 		c.changed.Wait()
 	}
-	if c.closed || l.dropped {
+	if c.closed || l.ended {
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
-	out := c.responseLocked(l, p)
+	out := p
+	if !l.opaque {
+		out = l.response.next(p, c)
+	}
 	c.mu.Unlock()
+	if len(out) == 0 {
+		return len(p), nil
+	}
 	if err := c.writeRaw(out); err != nil {
 		return 0, err
 	}
 	return len(p), nil
 }
 
-// responseLocked returns the bytes of a response to write for p. If the response ends the connection, no further request
-// is begun, and the caller is not told while later requests run: it would take their responses for lost. It needs c.mu.
-func (c *conn) responseLocked(l *lane, p []byte) []byte {
-	if c.opaque || l.wroteHead {
+// response follows a response of package net/http as it is written, to know whether it is complete.
+type response struct {
+	// method is the method of the request.
+	method string
+	// head is the part of the head that was not passed on yet.
+	head []byte
+	// inBody reports whether the head is complete. body then finds the end.
+	inBody bool
+	body   bodyReader
+}
+
+// complete reports whether all of the response was written.
+func (r *response) complete() bool { return r.inBody && r.body.done() }
+
+// next returns the bytes to write for p. If the response ends the connection, no further request is begun, and the caller is
+// not told while later requests run: it would take their responses for lost. It needs c.mu.
+func (r *response) next(p []byte, c *conn) []byte {
+	if r.inBody {
+		r.body.consume(p)
 		return p
 	}
-	l.wroteHead = true
-	at, size := findClose(p)
-	if size == 0 {
-		return p
+	if r.head != nil {
+		p = append(r.head, p...)
+		r.head = nil
 	}
-	c.sealed = true
-	if len(c.order) < 2 {
-		return p
+	from := 0
+	for !r.inBody {
+		end := bytes.Index(p[from:], headEnd)
+		if end < 0 {
+			r.head = slices.Clone(p[from:])
+			return p[:from]
+		}
+		fields := parseResponseHead(p[from:from+end+len(headEnd)], r.method)
+		if fields.closes {
+			c.sealed = true
+			if len(c.order) > 1 {
+				at := from + bytes.Index(p[from:], closeLine)
+				p = slices.Concat(p[:at], p[at+len(closeLine)-len("\r\n"):])
+				end -= len(closeLine) - len("\r\n")
+			}
+		}
+		from += end + len(headEnd)
+		if !fields.interim {
+			r.inBody, r.body = true, fields.body
+		}
 	}
-	l.closeHidden, c.closeAfter = true, true
-	return append(slices.Clone(p[:at]), p[at+size:]...)
+	r.body.consume(p[from:])
+	return p
 }
 
-// closeLine is the header with which package net/http ends a connection.
-var closeLine = []byte("\r\nConnection: close\r\n")
+var (
+	headEnd = []byte("\r\n\r\n")
+	// closeLine is the header with which package net/http ends a connection.
+	closeLine = []byte("\r\nConnection: close\r\n")
+)
+
+// responseFields is what the head of a response says about its extent.
+type responseFields struct {
+	interim, closes bool
+	body            bodyReader
+}
 
-// findClose returns the place and size of the header of a response that ends the connection, or size 0.
-func findClose(response []byte) (at, size int) {
-	end := bytes.Index(response, []byte("\r\n\r\n"))
-	if end < 0 {
-		end = len(response)
+// parseResponseHead reads a head of a response to a request with the given method, as package net/http writes it.
+func parseResponseHead(head []byte, method string) responseFields {
+	status := 0
+	if _, rest, ok := bytes.Cut(head, []byte(" ")); ok && len(rest) >= 3 {
+		status, _ = strconv.Atoi(string(rest[:3]))
 	}
-	head := response[:min(end+2, len(response))]
-	if at = bytes.Index(head, closeLine); at < 0 {
-		return 0, 0
+	out := responseFields{
+		interim: status >= 100 && status < 200 && status != http.StatusSwitchingProtocols,
+		closes:  bytes.Contains(head, closeLine), body: bodyReader{kind: endlessBody},
+	}
+	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		out.body = bodyReader{kind: sizedBody}
+		return out
+	}
+	for rest := head; len(rest) > 0; {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case equalFold(name, "Content-Length"):
+			if n, ok := parseLength(bytes.TrimSpace(value)); ok {
+				out.body = bodyReader{kind: sizedBody, left: n}
+			}
+		case equalFold(name, "Transfer-Encoding"):
+			out.body = bodyReader{kind: chunkedBody}
+		}
 	}
-	return at, len(closeLine) - len("\r\n")
+	return out
 }
 
 // writeRaw writes to the connection. A caller that does not read would otherwise hold the response, and the memory and the
