upstream: an id is sent once on a connection

Cause: receive knows an answer by the request's id. A rejected request goes to the owner of its key again with the same id, over the connection that was used last, where the copy of the rejection came before the awaited answer.

Change: a connection remembers the ids sent on it until the deadlines of their requests, and the pool takes another one for a request whose id, or lack of one, it carries. Inquiries are exempt: targets echo no id there, and an older load does no harm.

--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -155,7 +155,7 @@
 	g.state.mu.Lock()
 	path := g.state.serviceLocked(t.Service).HealthPath
 	g.state.mu.Unlock()
-	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID, MaxAnswer: upstream.SmallAnswer,
+	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID, Advisory: true, MaxAnswer: upstream.SmallAnswer,
 		MaySend: func() bool { return g.state.admit(t, sentInquiries) == notRefused }}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,8 @@
 	meter     *meter
 	in        *bufio.Reader
 	idleUntil time.Time
+	// sent belongs to the exchange that uses the connection.
+	sent      sentRequests
 	closeOnce sync.Once
 }
 
@@ -170,7 +172,7 @@
 // receive reads answers until that to r, and reports whether the target keeps the connection open.
 //
 // A late or second answer to an earlier request may come first. The request id that the target
-// echoes shows to which request an answer belongs.
+// echoes shows to which request an answer belongs, as no two requests on a connection have the same id.
 func (c *conn) receive(r *Request, held *reservation) (*Answer, bool, error) {
 	for range maxAnswersPerRequest {
 		c.meter.begin(held)
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -58,7 +58,7 @@
 	p := NewPool(server.Listener.Addr().String(), metrics.NewCounter())
 	defer p.Close()
 	require.NoError(t, p.Connect(t.Context()))
-	raw, err := p.pop().net.(*net.TCPConn).SyscallConn()
+	raw, err := p.pop(request("")).net.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	var linger *unix.Linger
 	require.NoError(t, raw.Control(func(fd uintptr) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -65,11 +66,14 @@
 	// Header holds all headers except Host and Content-Length.
 	Header http.Header
 	Body   []byte
-	// ID is the request id that the answer must carry, or empty if the caller
-	// sent none.
+	// ID is the request id that the answer must carry, or empty if the caller sent none. While it may be sent again, an
+	// id is sent once on a connection, and so is a request without one.
 	ID string
 	// IDHeader is the name of the header that carries the id.
 	IDHeader string
+	// Advisory marks a request without an id whose answer may be that to an earlier one of its kind on the same
+	// connection.
+	Advisory bool
 	// MaySend is called when a connection is open, right before the first byte is written. If it returns false, nothing is
 	// sent. It may be nil.
 	MaySend func() bool
@@ -177,7 +181,7 @@
 // ends, the connection is reset, so that the target can stop its work. After Exchange
 // has returned an error, no part of the request arrives at the target any more.
 func (p *Pool) Exchange(ctx context.Context, r *Request, choice ConnPolicy) (*Answer, error) {
-	c, err := p.take(ctx, choice)
+	c, err := p.take(ctx, r, choice)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", p.addr, errors.Join(ErrNotSent, err))
 	}
@@ -185,6 +189,7 @@
 		p.put(c)
 		return nil, fmt.Errorf("send to %s: %w", p.addr, errors.Join(ErrNotSent, ErrWithheld))
 	}
+	c.sent.add(ctx, r, time.Now())
 	stop := context.AfterFunc(ctx, c.close)
 	answer, reusable, err := c.exchange(r, p.memory)
 	if p.memory != nil && errors.Is(err, ErrTooLarge) {
@@ -209,11 +214,11 @@
 	return answer, nil
 }
 
-// take returns an idle connection or a new one. It prefers the most recently used
+// take returns an idle connection on which the request was not sent, or a new one. It prefers the most recently used
 // one, so that surplus connections exceed their idle time and are closed.
-func (p *Pool) take(ctx context.Context, choice ConnPolicy) (*conn, error) {
+func (p *Pool) take(ctx context.Context, r *Request, choice ConnPolicy) (*conn, error) {
 	for choice != NewConn {
-		c := p.pop()
+		c := p.pop(r)
 		if c == nil {
 			break
 		}
@@ -256,16 +261,18 @@
 	return newConn(nc), nil
 }
 
-// pop removes the most recently used connection from the pool and returns it, or nil if there is none.
-func (p *Pool) pop() *conn {
+// pop removes the most recently used connection on which the request was not sent from the pool and returns it, or nil if
+// there is none.
+func (p *Pool) pop(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !c.sent.contains(r) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
