--- /dev/null
+++ b/internal/pipeline/ends_test.go
@@ -0,0 +1,106 @@
+package pipeline
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a request with a body that is cut off because a request before it on the connection was pipelined, and its
+// place on the connection ends at the idle timeout or as the server shuts down.
+func TestRequestInFlightOutlastsThoseThatWerePipelinedBeforeIt(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	for framing, parts := range bodyRequests("/body") {
+		for _, shutdown := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, shutdown %t", framing, shutdown), func(t *testing.T) {
+				limits := testLimits
+				limits.IdleTimeout = func() time.Duration { return idle }
+				s := newTestServer(t, limits)
+				c := s.dial()
+				c.get("/now/1", "/now/2", "/now/3")
+				c.requireResponses("/now/1", "/now/2", "/now/3")
+				s.requireStarted("/now/1", "/now/2", "/now/3")
+				c.send(parts[0])
+				c.send(parts[1])
+				s.requireStarted("/body")
+				if shutdown {
+					done := make(chan error)
+					go func() { done <- s.server.Shutdown(t.Context()) }()
+					defer func() { require.NoError(t, <-done) }()
+					s.awaitClosed()
+				}
+				time.Sleep(4 * idle)
+				s.release("/body")
+				resp, body := c.receive()
+				if resp.StatusCode == http.StatusContinue {
+					resp, body = c.receive()
+				}
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Equal(t, "/bodybody", body)
+			})
+		}
+	}
+}
+
+// awaitClosed waits until the server accepts no connection.
+func (s *testServer) awaitClosed() {
+	for {
+		conn, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
+// Guards against a request in flight whose connection is closed because the response before it ended its own part of it while
+// the server shut down.
+func TestRequestInFlightOutlastsAResponseAtShutdown(t *testing.T) {
+	s := newTestServer(t, testLimits)
+	c := s.dial()
+	c.get("/1", "/2")
+	s.requireStarted("/1", "/2")
+	done := make(chan error)
+	go func() { done <- s.server.Shutdown(t.Context()) }()
+	s.awaitClosed()
+	s.release("/1")
+	c.requireResponses("/1")
+	s.release("/2")
+	c.requireResponses("/2")
+	c.requireEnd()
+	require.NoError(t, <-done)
+}
+
+// Guards against a response that is taken for complete because its connection ends after a part of it, while a request
+// behind it runs.
+func TestIncompleteResponseIsNotFollowedByTheNextOne(t *testing.T) {
+	s := newTestServer(t, testLimits)
+	c := s.dial()
+	c.get("/short/1", "/now/2")
+	s.requireStarted("/short/1", "/now/2")
+	s.release("/short/1")
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	c.requireEnd()
+}
+
+// Guards against a response with large headers whose end of the connection is not seen, so that the caller discards those
+// behind it.
+func TestClosingResponseWithLargeHeaders(t *testing.T) {
+	s := newTestServer(t, testLimits)
+	c := s.dial()
+	c.get("/close-large/1", "/now/2")
+	s.requireStarted("/close-large/1", "/now/2")
+	s.release("/close-large/1")
+	resp, _ := c.receive()
+	require.False(t, resp.Close)
+	c.requireResponses("/now/2")
+	c.requireEnd()
+}
