pipeline, peer: accept goes on after an error

Cause: the accept loop ended at the first error, and its listener returned that error for ever, so the HTTP server's retries met nobody. peer.Server.Serve ended at the first error, too.

Change: only Close ends the loops. After an error the pipeline closes 16 idle connections and tries again after 5 ms to 1 s; callers' connections get three quarters of the descriptors at the most. Errors are counted and logged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -142,11 +142,10 @@
 	for _, task := range tasks {
 		a.tasks.Go(func() { task(ctx) })
 	}
-	go func() {
-		if err := a.server.Serve(); err != nil {
-			a.Log.Error().Err(err).Str("step", "serve").Msg("peer server stopped")
-		}
-	}()
+	a.server.OnAcceptError = func(err error) {
+		a.Log.Warn().Err(err).Str("step", "accept").Msg("no connection of a peer accepted, trying again")
+	}
+	go a.server.Serve()
 	return nil
 }
 
--- a/internal/agent/slope_test.go
+++ b/internal/agent/slope_test.go
@@ -116,7 +116,7 @@
 			require.NoError(b, err)
 			defer server.Close()
 			require.NoError(b, server.Register("Agent", r))
-			go func() { _ = server.Serve() }()
+			go server.Serve()
 			var clients []*peer.Client
 			for range n {
 				c := peer.NewClient(server.Addr(), 1)
--- a/internal/dispatch/crashwatcher_test.go
+++ b/internal/dispatch/crashwatcher_test.go
@@ -27,7 +27,7 @@
 		name := fmt.Sprintf("vm%d", i+1)
 		w := newCrashWatcher(name, newSetView(v), func() {}, journal.New(name, processName, 16), logger, metrics.NewRegistry())
 		require.NoError(t, server.Register("Dispatch", w))
-		go func() { _ = server.Serve() }()
+		go server.Serve()
 		t.Cleanup(server.Close)
 		t.Cleanup(w.peers.Close)
 		v.Members = append(v.Members, wire.Member{VM: name, DispatchAddr: server.Addr()})
--- a/internal/dispatch/deduplicator_test.go
+++ b/internal/dispatch/deduplicator_test.go
@@ -51,7 +51,7 @@
 		node := newDeduplicator(name, newSetView(v), journal.New(name, processName, 16), logger, metrics.NewRegistry())
 		node.records = idempotency.NewRecordStore(name, node.clock.Now()-time.Second)
 		require.NoError(t, server.Register("Dispatch", node))
-		go func() { _ = server.Serve() }()
+		go server.Serve()
 		t.Cleanup(server.Close)
 		t.Cleanup(node.peers.Close)
 		dc := fmt.Sprintf("dc%d", i%3)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,11 +94,10 @@
 func (d *dispatcher) start(context.Context) error {
 	d.loops.Go(func() { d.dedup.runSync(d.ctx) })
 	d.loops.Go(func() { d.quarantine.run(d.ctx) })
-	go func() {
-		if err := d.server.Serve(); err != nil {
-			d.Log.Error().Err(err).Str("step", "serve").Msg("peer server ended")
-		}
-	}()
+	d.server.OnAcceptError = func(err error) {
+		d.Log.Warn().Err(err).Str("step", "accept").Msg("no connection of a peer accepted, trying again")
+	}
+	go d.server.Serve()
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,11 +102,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.wg.Go(func() { e.exchanger.run(ctx) })
-	go func() {
-		if err := e.peerServer.Serve(); err != nil {
-			e.Log.Error().Err(err).Str("step", "serve").Msg("peer server stopped unexpectedly")
-		}
-	}()
+	e.peerServer.OnAcceptError = func(err error) {
+		e.Log.Warn().Err(err).Str("step", "accept").Msg("no connection of a peer accepted, trying again")
+	}
+	go e.peerServer.Serve()
 	go func() { _ = e.server.Serve(e.listener) }()
 	return nil
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -102,7 +102,7 @@
 	s, err := peer.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, s.Register(name, receiver))
-	go func() { _ = s.Serve() }()
+	go s.Serve()
 	t.Cleanup(s.Close)
 	return s.Addr()
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
+	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+
 	"hemlockquay/internal/pipeline"
 )
 
@@ -20,6 +24,9 @@
 	// requestMemory is the memory in bytes of a request that runs: the buffers and goroutines of package net/http, its
 	// headers, and its part of a connection to a target.
 	requestMemory = 40 << 10
+	// connectionDescriptorShare is the fraction of the process's descriptors for callers' connections. The rest is for those
+	// to targets, other VMs and the store.
+	connectionDescriptorShare = 0.75
 )
 
 // newFront returns the HTTP server for callers.
@@ -37,7 +44,7 @@
 	p := g.settings.Pipeline
 	return pipeline.NewListener(l, pipeline.Limits{
 		Requests: max(p.Requests, 1), ReadAhead: p.ReadAhead, HeaderTimeout: headerTimeout, WriteTimeout: p.WriteTimeout.D(),
-		IdleTimeout: g.idleTimeout, Memory: int64(g.settings.MemoryMB * connectionMemoryShare * (1 << 20)), RequestMemory: requestMemory,
+		IdleTimeout: g.idleTimeout, Connections: maxCallerConnections(), OnAcceptError: g.newAcceptErrorLog(g.settings.Front), Memory: int64(g.settings.MemoryMB * connectionMemoryShare * (1 << 20)), RequestMemory: requestMemory,
 	}, g.registry)
 }
 
@@ -48,3 +55,23 @@
 	}
 	return defaultIdleTimeout
 }
+
+// maxCallerConnections returns the number of callers' connections for which the process has descriptors, or 0 if that is not
+// known.
+func maxCallerConnections() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(float64(limit.Cur) * connectionDescriptorShare)
+}
+
+// newAcceptErrorLog returns a function that logs errors of the listener at an address.
+func (g *Gateway) newAcceptErrorLog(addr string) func(error) {
+	lines := rate.NewLimiter(1, 1)
+	return func(err error) {
+		if lines.Allow() {
+			g.log.Warn().Str("step", "accept").Str("addr", addr).Err(err).Msg("no connection accepted, trying again")
+		}
+	}
+}
--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -67,7 +67,7 @@
 	b := newTestbedAt(f.t, name, server.Addr())
 	b.peers = server
 	require.NoError(f.t, b.registerServices())
-	go b.servePeers()
+	go b.peers.Serve()
 	f.t.Cleanup(server.Close)
 	return b
 }
--- a/internal/gateway/fetch_test.go
+++ b/internal/gateway/fetch_test.go
@@ -28,7 +28,7 @@
 	g.mesh.Start(g)
 	g.peers = server
 	require.NoError(t, g.registerServices())
-	go func() { _ = server.Serve() }()
+	go server.Serve()
 	t.Cleanup(func() {
 		g.cancel()
 		g.mesh.Close()
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -142,7 +142,7 @@
 	old, err := peer.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(old.Close)
-	go func() { _ = old.Serve() }()
+	go old.Serve()
 	member := mesh.Member{VM: "old", Addr: old.Addr(), DataCentre: "a", Incarnation: 1}
 	f.cut.receiveHeartbeat(mesh.Heartbeat{From: member})
 	f.peer.forwarded.drain()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,8 @@
 		}
 		go g.serve(s.server, l)
 	}
-	go g.servePeers()
+	g.peers.OnAcceptError = g.newAcceptErrorLog(g.settings.Peers)
+	go g.peers.Serve()
 	return nil
 }
 
@@ -242,12 +243,6 @@
 	}
 }
 
-func (g *Gateway) servePeers() {
-	if err := g.peers.Serve(); err != nil {
-		g.log.Error().Str("step", "listen").Str("addr", g.settings.Peers).Err(err).Msg("listener failed")
-	}
-}
-
 // serveReady tells the load balancer whether to send new connections to this VM.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if g.leaving.Load() || g.state.view.Load().Routes == nil || !g.listed.Load() {
--- a/internal/mesh/cut_test.go
+++ b/internal/mesh/cut_test.go
@@ -47,7 +47,7 @@
 		s, err := peer.NewServer(f.network.Listen(addr))
 		require.NoError(t, err)
 		require.NoError(t, s.Register("Mesh", Service{m}))
-		go func() { _ = s.Serve() }()
+		go s.Serve()
 		f.meshes, f.servers = append(f.meshes, m), append(f.servers, s)
 	}
 	for _, m := range f.meshes {
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -24,7 +24,7 @@
 	if err := s.Register("Dispatch", echoDispatch{}); err != nil {
 		b.Fatal(err)
 	}
-	go func() { _ = s.Serve() }()
+	go s.Serve()
 	for _, size := range []struct {
 		name  string
 		bytes int
--- a/internal/peer/cut_test.go
+++ b/internal/peer/cut_test.go
@@ -27,7 +27,7 @@
 					s, err := NewServer(network.Listen("b"))
 					require.NoError(t, err)
 					require.NoError(t, s.Register("Echo", &echo{}))
-					go func() { _ = s.Serve() }()
+					go s.Serve()
 					defer s.Close()
 					c := newClient("b", 1)
 					defer c.Close()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -25,7 +25,7 @@
 	s, err := Listen(addr)
 	require.NoError(t, err)
 	require.NoError(t, s.Register("Echo", e))
-	go func() { _ = s.Serve() }()
+	go s.Serve()
 	return s
 }
 
@@ -129,7 +129,7 @@
 	s, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, s.Register("Echo", e))
-	go func() { _ = s.Serve() }()
+	go s.Serve()
 	c := NewClient(s.Addr(), 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	late, ended := "untouched", make(chan error, 1)
--- a/internal/peer/probe_test.go
+++ b/internal/peer/probe_test.go
@@ -36,7 +36,7 @@
 	s, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, s.Register("Diary", d))
-	go func() { _ = s.Serve() }()
+	go s.Serve()
 	l := linktest.To(t, s.Addr())
 	c := NewRequestClient(l.Addr(), 1)
 	defer c.Close()
@@ -111,7 +111,7 @@
 	require.NoError(t, err)
 	defer s.Close()
 	require.NoError(t, s.Register("Echo", e))
-	go func() { _ = s.Serve() }()
+	go s.Serve()
 	release := sync.OnceFunc(func() { close(e.release) })
 	// Server.Close waits for running calls.
 	defer release()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,10 +11,15 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 )
 
 // Server serves the registered RPC receivers on one listener.
 type Server struct {
+	// OnAcceptError is called with each error of the listener after which Serve tries again. It may be nil, and is set
+	// before Serve runs.
+	OnAcceptError func(error)
+
 	rpc      *rpc.Server
 	listener net.Listener
 
@@ -53,19 +58,26 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Serve accepts connections until Close.
-func (s *Server) Serve() error {
+// acceptPause is the pause after an error of accept.
+const acceptPause = 50 * time.Millisecond
+
+// Serve accepts connections until Close. Errors such as a lack of descriptors end by themselves.
+func (s *Server) Serve() {
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return fmt.Errorf("accept peer: %w", err)
+			if s.OnAcceptError != nil {
+				s.OnAcceptError(err)
+			}
+			time.Sleep(acceptPause)
+			continue
 		}
 		if !s.track(conn) {
 			conn.Close()
-			return nil
+			return
 		}
 		go s.serve(conn)
 	}
--- a/internal/peer/truncated_test.go
+++ b/internal/peer/truncated_test.go
@@ -68,7 +68,7 @@
 		require.NoError(t, err)
 		r := new(reporter)
 		require.NoError(t, s.Register("Report", r))
-		go func() { _ = s.Serve() }()
+		go s.Serve()
 		defer s.Close()
 		c := NewClient(s.Addr(), 1)
 		defer c.Close()
--- a/internal/pipeline/occupancy.go
+++ b/internal/pipeline/occupancy.go
@@ -112,6 +112,22 @@
 	}
 }
 
+// evict closes up to n idle connections.
+func (o *occupancy) evict(n int) {
+	for n > 0 {
+		o.mu.Lock()
+		c := o.popLocked()
+		o.mu.Unlock()
+		if c == nil {
+			return
+		}
+		if c.closeIfIdle() {
+			o.evicted.Inc(1)
+			n--
+		}
+	}
+}
+
 func (o *occupancy) fitsLocked(bytes int64, conns int) bool {
 	return (o.limits.Memory <= 0 || o.used+bytes <= o.limits.Memory) &&
 		(o.limits.Connections <= 0 || len(o.conns)+conns <= o.limits.Connections)
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -49,6 +50,8 @@
 	Memory, RequestMemory int64
 	// Connections bounds the number of all connections, 0 for no bound.
 	Connections int
+	// OnAcceptError is called with each error of the listener after which it tries again. It may be nil.
+	OnAcceptError func(error)
 }
 
 // Listener accepts connections and splits them into lanes. It implements net.Listener for an http.Server, which must have
@@ -76,6 +79,8 @@
 	// expired counts connections that were closed at the idle timeout, evicted those that were closed earlier to make
 	// room, rejected those that were closed as they were accepted, and refused the requests that got no room.
 	expired, evicted, rejected, refused metrics.Counter
+	// acceptErrors counts errors of the listener after which it tried again.
+	acceptErrors metrics.Counter
 }
 
 // NewListener returns a listener that accepts the connections of l. It closes l when it is closed.
@@ -89,7 +94,7 @@
 		metrics: listenerMetrics{
 			concurrent: counter("concurrent"), waited: counter("waited"), opaque: counter("opaque"),
 			unread: counter("unread"), stalled: counter("stalled"), expired: counter("expired"),
-			evicted: counter("evicted"), rejected: counter("rejected"), refused: counter("refused"),
+			evicted: counter("evicted"), rejected: counter("rejected"), refused: counter("refused"), acceptErrors: counter("acceptErrors"),
 		},
 	}
 	out.occupancy = newOccupancy(limits, out.metrics.evicted)
@@ -129,18 +134,41 @@
 	}
 }
 
+// minAcceptPause and maxAcceptPause bound the pause after an error of accept, which doubles with each further one.
+const minAcceptPause, maxAcceptPause = 5 * time.Millisecond, time.Second
+
+// accept accepts connections until Close. Errors such as a lack of descriptors end by themselves, or as idle connections are
+// closed.
 func (l *Listener) accept() {
+	pause := minAcceptPause
 	for {
 		raw, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			pause = minAcceptPause
+			l.begin(raw)
+			continue
+		case l.closed(), errors.Is(err, net.ErrClosed):
 			l.acceptErr = err
 			close(l.failed)
 			return
 		}
-		l.begin(raw)
+		l.metrics.acceptErrors.Inc(1)
+		if l.limits.OnAcceptError != nil {
+			l.limits.OnAcceptError(err)
+		}
+		l.occupancy.evict(evictedPerError)
+		select {
+		case <-l.done:
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxAcceptPause)
 	}
 }
 
+// evictedPerError is the number of idle connections that are closed after an error of accept.
+const evictedPerError = 16
+
 // begin reads a new connection, or closes it if there is no room for it.
 func (l *Listener) begin(raw net.Conn) {
 	c := newConn(l, raw)
