gateway: a forward that ends with its caller says nothing about the other VM

Cause: concludeForwarded recorded each error of a call as a VM that does not answer, also that of a caller who left.

Change: an error counts only while the caller waits.

Evidence: TestCallerThatLeavesDuringAForwardSaysNothingAboutTheOtherVM failed before.

--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -165,6 +165,31 @@
 	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode)
 }
 
+// Guards against a VM that counts as lost because a caller disconnected after its request was forwarded.
+func TestCallerThatLeavesDuringAForwardSaysNothingAboutTheOtherVM(t *testing.T) {
+	f := newForwardingFleet(t)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	f.handle(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan *outcome)
+	go func() {
+		ended <- f.cut.attemptThroughPeers(ctx, &call{
+			id: "r-0", service: "pool", route: &route.Route{Name: "once", MaxTargets: 2}, tried: make(map[string]bool), unreached: make(map[string]bool),
+			deadline: time.Now().Add(time.Minute), request: &upstream.Request{Method: http.MethodGet, URI: "/", Header: http.Header{"Id": {"r-0"}}},
+		})
+	}()
+	<-started
+	leave()
+	require.Equal(t, reasonCallerLeft, (<-ended).reason)
+	<-cancelled
+	f.handle(succeed)
+	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode)
+}
+
 // Guards against a target that counts as lost because a query for it ended.
 func TestDialThatEndsWithItsContextShowsNothing(t *testing.T) {
 	f := newCutFleet(t)
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -178,7 +178,10 @@
 func (g *Gateway) concludeForwarded(ctx context.Context, c *call, a *attempt, reply *ForwardReply, err error) *outcome {
 	took := time.Since(a.sent)
 	if err != nil {
-		g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Lost(a.peer, now) })
+		// A call that ended with its caller shows nothing about the other VM.
+		if ctx.Err() == nil {
+			g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Lost(a.peer, now) })
+		}
 	} else {
 		a.id, a.leases, a.hadFreeSlots = reply.Target, reply.Leases, reply.HadFreeSlots
 		if reply.Result == lostByPeer {
