soak: pipelined requests with bodies, in pieces; pipeline test without a pause

A third of the requests now go to a route that runs them once: without a body, with a length or in chunks, and half of the batches arrive in pieces. A request that is not understood breaks the rule.

--- a/internal/pipeline/body_test.go
+++ b/internal/pipeline/body_test.go
@@ -59,7 +59,7 @@
 	<-conn.read
 	s.release("/1", "/2")
 	c.requireResponses("/1", "/2")
-	s.awaitIdle()
+	s.awaitExclusive()
 	conn.release <- 0
 	c.send("ef")
 	pass()
@@ -69,5 +69,18 @@
 	require.Empty(t, s.started)
 }
 
-// awaitIdle waits until the server has ended what follows a response.
-func (s *testServer) awaitIdle() { time.Sleep(50 * time.Millisecond) }
+// awaitExclusive waits until a request that runs alone was assigned.
+func (s *testServer) awaitExclusive() {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool {
+		for _, c := range s.listener.occupancy.all() {
+			c.mu.Lock()
+			exclusive := c.exclusive
+			c.mu.Unlock()
+			if exclusive {
+				return true
+			}
+		}
+		return false
+	}, testTimeout, time.Millisecond)
+}
--- a/internal/pipeline/occupancy_test.go
+++ b/internal/pipeline/occupancy_test.go
@@ -1,7 +1,9 @@
 package pipeline
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +18,13 @@
 	return limits
 }
 
+// all returns the connections.
+func (o *occupancy) all() (out []*conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Keys(o.conns))
+}
+
 // requireReleased checks that no memory is counted when all connections have ended.
 func (s *testServer) requireReleased(callers ...*testCaller) {
 	s.t.Helper()
--- a/internal/soak/pipelines.go
+++ b/internal/soak/pipelines.go
@@ -31,6 +31,10 @@
 	pipelineRoom = 2 * slots
 	// pipelinesStream draws what the callers do.
 	pipelinesStream = 41
+	// pipelineBody is the most bytes of a body, pipelinePiece those of one write while a batch arrives in pieces, piecePause
+	// the longest time between two pieces.
+	pipelineBody, pipelinePiece = 12_800, 500
+	piecePause                  = 8 * time.Millisecond
 )
 
 // customizePipelines sets what the profile pipelines needs of a gateway.
@@ -40,7 +44,8 @@
 	s.Spread.Surges = true
 }
 
-// pipelines are callers that send further requests before the first one is answered. Some read slowly, some leave.
+// pipelines are callers that send further requests before the first one is answered, with and without bodies. Some send in
+// pieces, some read slowly, some leave.
 type pipelines struct {
 	*load
 	next sync.Mutex
@@ -80,17 +85,16 @@
 func (p *pipelines) batch(conn net.Conn, in *bufio.Reader, v *vm, draw *rand.Rand) bool {
 	_ = conn.SetDeadline(time.Now().Add(p.profile.CallerTimeout))
 	var text strings.Builder
-	ids := make([]string, 1+draw.IntN(pipelineDepth))
-	for i := range ids {
-		ids[i] = p.nextID()
-		p.check.RequestSent(ids[i], false)
-		fmt.Fprintf(&text, "GET %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\n\r\n", fleet.KeyedPath, ids[i], fleet.KeyedHost,
-			fleet.Headers.RequestID, ids[i], fleet.Headers.DeadlineMs, p.profile.Deadline.Milliseconds(), fleet.Headers.Key, draw.IntN(keys))
+	requests := make([]pipelined, 1+draw.IntN(pipelineDepth))
+	for i := range requests {
+		requests[i] = p.draw(draw)
+		p.check.RequestSent(requests[i].id, requests[i].once)
+		requests[i].write(&text, p.profile.Deadline)
 	}
-	_, err := io.WriteString(conn, text.String())
+	err := writeBatch(conn, text.String(), draw)
 	leaves, slow := draw.IntN(8) == 0, draw.IntN(4) == 0
-	for i, id := range ids {
-		if err != nil || leaves && i == len(ids)/2 {
+	for i, r := range requests {
+		if err != nil || leaves && i == len(requests)/2 {
 			p.check.RequestLost()
 			err = io.ErrUnexpectedEOF
 			continue
@@ -98,13 +102,75 @@
 		if slow {
 			time.Sleep(slowRead)
 		}
-		err = p.receive(in, id, v)
+		err = p.receive(in, r, v)
 	}
 	return err == nil
 }
 
+// pipelined is a request of a batch.
+type pipelined struct {
+	id, method, host, path string
+	key                    int
+	// once is set for a route that is not idempotent, chunked for a body in chunks.
+	once, chunked bool
+	body          string
+}
+
+// draw draws a request: without a body to owners of keys, or with one to a pool, which may run it once.
+func (p *pipelines) draw(draw *rand.Rand) pipelined {
+	id := p.nextID()
+	if draw.IntN(3) > 0 {
+		return pipelined{id: id, method: http.MethodGet, host: fleet.KeyedHost, path: fleet.KeyedPath + id, key: draw.IntN(keys)}
+	}
+	r := pipelined{id: id, method: http.MethodGet, host: fleet.PoolHost, path: fleet.PoolPath + id, once: true}
+	if kind := draw.IntN(3); kind > 0 {
+		r.method, r.chunked = http.MethodPost, kind == 1
+		r.body = strings.Repeat("b", 1+draw.IntN(pipelineBody))
+	}
+	return r
+}
+
+// write writes the request as it is sent.
+func (r pipelined) write(out *strings.Builder, deadline time.Duration) {
+	fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\n", r.method, r.path, r.host,
+		fleet.Headers.RequestID, r.id, fleet.Headers.DeadlineMs, deadline.Milliseconds(), fleet.Headers.Key, r.key)
+	switch {
+	case r.chunked:
+		half := len(r.body) / 2
+		out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for _, chunk := range []string{r.body[:half], r.body[half:]} {
+			if len(chunk) > 0 {
+				fmt.Fprintf(out, "%x\r\n%s\r\n", len(chunk), chunk)
+			}
+		}
+		out.WriteString("0\r\n\r\n")
+	case r.body != "":
+		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
+	default:
+		out.WriteString("\r\n")
+	}
+}
+
+// writeBatch writes requests at once or in pieces.
+func writeBatch(conn net.Conn, text string, draw *rand.Rand) error {
+	if draw.IntN(2) == 0 {
+		_, err := io.WriteString(conn, text)
+		return err
+	}
+	pause := time.Duration(draw.Int64N(int64(piecePause)))
+	for len(text) > 0 {
+		n := min(len(text), 1+draw.IntN(pipelinePiece))
+		if _, err := io.WriteString(conn, text[:n]); err != nil {
+			return err
+		}
+		text = text[n:]
+		time.Sleep(pause)
+	}
+	return nil
+}
+
 // receive reads the response to a request.
-func (p *pipelines) receive(in *bufio.Reader, id string, v *vm) error {
+func (p *pipelines) receive(in *bufio.Reader, r pipelined, v *vm) error {
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
 		p.check.RequestLost()
@@ -116,16 +182,18 @@
 		p.check.RequestLost()
 		return err
 	}
-	if got := resp.Header.Get(fleet.Headers.RequestID); got != "" && got != id {
-		p.check.Violated(PipelineOrder, id, "got the response to %s from %s", got, v.name)
+	if got := resp.Header.Get(fleet.Headers.RequestID); got != "" && got != r.id {
+		p.check.Violated(PipelineOrder, r.id, "got the response to %s from %s", got, v.name)
 	}
 	switch code := resp.StatusCode; {
+	case code == http.StatusBadRequest:
+		p.check.Violated(PipelineOrder, r.id, "was not understood by %s", v.name)
 	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
-		p.check.RequestRefused(id, code)
+		p.check.RequestRefused(r.id, code)
 	case code/100 != 2:
 		p.check.RequestFailed()
 	default:
-		p.check.RequestAnswered(id, string(body), fleet.Body(resp.Header.Get(fleet.Headers.Stamp), fleet.KeyedPath+id, bodyBytes))
+		p.check.RequestAnswered(r.id, string(body), fleet.Body(resp.Header.Get(fleet.Headers.Stamp), r.path, bodyBytes))
 	}
 	if resp.Close {
 		return io.EOF
