--- /dev/null
+++ b/internal/pipeline/end.go
@@ -0,0 +1,209 @@
+package pipeline
+
+import (
+	"slices"
+	"time"
+)
+
+// finish records that the server has sent the response on a lane and would take another request there.
+func (c *conn) finish(l *lane) {
+	c.mu.Lock()
+	var started []*lane
+	if l.opaque {
+		l.resting = true
+		c.settleLocked()
+	} else {
+		started = c.endLocked(l)
+	}
+	c.mu.Unlock()
+	c.start(started)
+}
+
+// closeLane records that the server closes a lane. It affects the connection only if the request of the lane is not
+// answered, or if the lane had the rest of the connection.
+func (c *conn) closeLane(l *lane) {
+	c.mu.Lock()
+	c.releaseLocked(l)
+	var started []*lane
+	if l.opaque {
+		c.dropLocked(l)
+	} else {
+		started = c.endLocked(l)
+	}
+	c.mu.Unlock()
+	c.start(started)
+}
+
+// endLocked ends a lane. Without a complete response the connection ends behind the responses before it. It needs c.mu.
+func (c *conn) endLocked(l *lane) []*lane {
+	if l.ended {
+		return nil
+	}
+	if !l.response.complete() {
+		c.dropLocked(l)
+		return nil
+	}
+	l.ended = true
+	c.releaseLocked(l)
+	if len(l.in) > 0 || !l.body.done() {
+		// The server does not read the rest of the request, so what follows cannot be framed.
+		c.sealed = true
+	}
+	if c.input == l {
+		c.input = nil
+	}
+	if i := slices.Index(c.order, l); i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
+	c.exclusive = false
+	started := c.dispatchLocked()
+	c.settleLocked()
+	c.changed.Broadcast()
+	return started
+}
+
+// dropLocked ends the connection behind the last request before that of a lane. Its request gets no response, nor do those
+// behind it. It needs c.mu.
+func (c *conn) dropLocked(l *lane) {
+	i := slices.Index(c.order, l)
+	if i < 0 {
+		return
+	}
+	for _, behind := range c.order[i:] {
+		behind.ended = true
+	}
+	c.order = c.order[:i]
+	c.sealed, c.input = true, nil
+	c.settleLocked()
+	c.changed.Broadcast()
+}
+
+// releaseLocked returns the memory of a lane. It needs c.mu.
+func (c *conn) releaseLocked(l *lane) {
+	if l.reserved {
+		l.reserved = false
+		c.listener.occupancy.release()
+	}
+}
+
+// idleLocked reports whether no part of a request is received or unanswered. It needs c.mu.
+func (c *conn) idleLocked() bool {
+	if c.closed || c.draining || len(c.received) > 0 {
+		return false
+	}
+	return len(c.order) == 0 || c.order[0].opaque && c.order[0].resting && len(c.order[0].in) == 0
+}
+
+// settleLocked closes the connection if it is sealed and all its requests are answered, and records whether it is idle. It
+// needs c.mu.
+func (c *conn) settleLocked() {
+	if c.sealed && !c.closed && len(c.order) == 0 {
+		c.endConnLocked()
+	}
+	if c.idle || !c.idleLocked() {
+		return
+	}
+	c.idle = true
+	if c.reserved {
+		c.reserved = false
+		c.listener.occupancy.release()
+	}
+	c.listener.occupancy.setIdle(c)
+}
+
+// endConnLocked ends the connection after its last response. It needs c.mu.
+func (c *conn) endConnLocked() {
+	switch {
+	case c.draining:
+		if c.drained && c.readErr != nil {
+			c.closeLocked()
+		}
+	case c.readErr == nil && (len(c.received) > 0 || hasUnread(c.raw)):
+		c.drainLocked(nil)
+	default:
+		c.closeLocked()
+	}
+}
+
+// closeIfIdle closes the connection if it has no request and none waits to be read, and reports whether it did.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idleLocked() || hasUnread(c.raw) {
+		return false
+	}
+	c.closeLocked()
+	return true
+}
+
+// shutDown ends the connection behind the requests that run.
+func (c *conn) shutDown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	if c.idleLocked() {
+		c.closeLocked()
+	}
+	c.settleLocked()
+	c.changed.Broadcast()
+}
+
+// closeLocked closes the connection and all its lanes. It needs c.mu.
+func (c *conn) closeLocked() {
+	if c.closed {
+		return
+	}
+	c.closed, c.sealed = true, true
+	if len(c.received) > 0 && c.input == nil {
+		c.listener.metrics.unread.Inc(1)
+	}
+	c.received = nil
+	_ = c.raw.Close()
+	if c.reserved {
+		c.reserved = false
+		c.listener.occupancy.release()
+	}
+	c.listener.occupancy.remove(c)
+	c.changed.Broadcast()
+}
+
+const (
+	// refusal is sent to a request for which there is no memory. It has not run.
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.25\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// lingerTimeout is how long the caller may take to read the last response.
+	lingerTimeout = 500 * time.Millisecond
+)
+
+// refuseLocked ends the connection with a refusal. It needs c.mu.
+func (c *conn) refuseLocked() {
+	c.listener.metrics.refused.Inc(1)
+	c.drainLocked([]byte(refusal))
+}
+
+// drainLocked writes the last bytes and ends the connection when the caller has closed it, or after lingerTimeout. If it
+// were closed while bytes of the caller are unread, these would reset it before the caller has read the response. It needs
+// c.mu.
+func (c *conn) drainLocked(last []byte) {
+	if len(c.received) > 0 && last == nil {
+		c.listener.metrics.unread.Inc(1)
+	}
+	c.draining, c.sealed, c.received = true, true, nil
+	go func() {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout))
+		if _, err := c.raw.Write(last); err == nil {
+			if w, ok := c.raw.(interface{ CloseWrite() error }); ok {
+				_ = w.CloseWrite()
+			}
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.drained = true
+		c.settleLocked()
+	}()
+	time.AfterFunc(lingerTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.closeLocked()
+	})
+	c.changed.Broadcast()
+}
