pipeline: dropped requests do not begin, failed writes end the connection

Found by reading the new code. A request that was dropped before the server had read it still ran. A response whose last write failed counted as complete, so a further request could begin. A connection that is left to the HTTP server counted as idle while that ran a request from its own buffer, and could be closed beside it.

Evidence: TestPipelinedRequestOfAnUnframedConnectionOutlastsTheIdleTimeout fails without the hook for the start of a request; the model tests hold.

--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -5,6 +5,21 @@
 	"time"
 )
 
+// begin records that the server has read the head of a request on a lane. A lane that has the rest of the connection may hold
+// further requests in the server's buffer.
+func (c *conn) begin(l *lane) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !l.opaque {
+		return
+	}
+	l.resting = false
+	if c.idle {
+		c.idle = false
+		c.listener.occupancy.setBusy(c)
+	}
+}
+
 // finish records that the server has sent the response on a lane and would take another request there.
 func (c *conn) finish(l *lane) {
 	c.mu.Lock()
--- a/internal/pipeline/ends_test.go
+++ b/internal/pipeline/ends_test.go
@@ -104,3 +104,45 @@
 	c.requireResponses("/now/2")
 	c.requireEnd()
 }
+
+// Guards against a request that runs although the connection ended before the server had read it.
+func TestRequestBehindAnAbortedOneDoesNotBegin(t *testing.T) {
+	c := newConn(&Listener{}, nil)
+	for _, l := range []*lane{{conn: c, in: []byte("GET"), ended: true}, {conn: c, in: []byte("GET")}} {
+		c.closed = !l.ended
+		n, err := l.Read(make([]byte, 10))
+		require.Zero(t, n)
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// Guards against a connection that is left to the HTTP server, and counts as idle while that runs a request from its buffer.
+func TestPipelinedRequestOfAnUnframedConnectionOutlastsTheIdleTimeout(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	limits := testLimits
+	limits.IdleTimeout = func() time.Duration { return idle }
+	s := newTestServer(t, limits)
+	c := s.dial()
+	c.send("GET /now/1 HTTP/1.1\r\nHost: a\r\nFolded: a\r\n b\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	c.requireResponses("/now/1")
+	s.requireStarted("/now/1", "/2")
+	time.Sleep(4 * idle)
+	s.release("/2")
+	c.requireResponses("/2")
+	c.requireEnd()
+}
+
+// Guards against a response that counts as complete although it could not be written, and a request that runs behind it.
+func TestFailedWriteEndsTheConnection(t *testing.T) {
+	limits := testLimits
+	limits.WriteTimeout = 50 * time.Millisecond
+	limits.Requests = 1
+	s := newTestServer(t, limits)
+	c := s.dial()
+	c.get("/large/1", "/2")
+	s.requireStarted("/large/1")
+	s.release("/large/1")
+	s.awaitCount("stalled", 1)
+	s.awaitCount("unread", 1)
+	require.Empty(t, s.started)
+}
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -38,6 +38,10 @@
 	c := l.conn
 	c.mu.Lock()
 	for {
+		if c.closed || l.ended {
+			c.mu.Unlock()
+			return 0, io.EOF
+		}
 		if n := copy(p, l.in); n > 0 {
 			l.in = l.in[n:]
 			started := c.dispatchLocked()
@@ -46,7 +50,7 @@
 			c.start(started)
 			return n, nil
 		}
-		if c.closed || l.ended || c.readErr != nil {
+		if c.readErr != nil {
 			c.mu.Unlock()
 			return 0, io.EOF
 		}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -129,7 +129,12 @@
 type laneKey struct{}
 
 func connState(c net.Conn, state http.ConnState) {
-	if l, ok := c.(*lane); ok && state == http.StateIdle {
+	l, ok := c.(*lane)
+	switch {
+	case !ok:
+	case state == http.StateActive:
+		l.conn.begin(l)
+	case state == http.StateIdle:
 		l.conn.finish(l)
 	}
 }
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -48,6 +48,9 @@
 		return len(p), nil
 	}
 	if err := c.writeRaw(out); err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.closeLocked()
 		return 0, err
 	}
 	return len(p), nil
