--- a/internal/gateway/truncated_test.go
+++ b/internal/gateway/truncated_test.go
@@ -23,8 +23,7 @@
 	refusedNotRun = "HTTP/1.1 503 Service Unavailable\r\nId: r-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
-// Guards against an answer of a target whose head breaks off and that reaches the caller as a whole one, or as a refusal that
-// promises that the request has not run.
+// Guards against a head of a target that breaks off and reaches the caller as a whole answer, or as a promise of "not run".
 func TestTruncatedHeadReachesNoCaller(t *testing.T) {
 	for name, answer := range map[string]string{"interim": interimThenOK, "refusal": refusedNotRun} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peer/truncated_test.go
+++ b/internal/peer/truncated_test.go
@@ -56,8 +56,7 @@
 	return nil
 }
 
-// Guards against a reply that breaks off between VMs and is taken for a whole one, for an error of the other VM, or for a call
-// that was not sent.
+// Guards against a reply between VMs that breaks off and counts as whole, as an error of the other VM, or as not sent.
 func TestTruncatedReplyIsALostCall(t *testing.T) {
 	call := func(t *testing.T, bytes int64, reset bool) (*Report, *reporter, int64, error) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/pipeline/body_test.go
+++ b/internal/pipeline/body_test.go
@@ -38,8 +38,7 @@
 	return n, err
 }
 
-// Guards against a part of a body that is lost, and an earlier request that runs again in its place, because the part is read
-// while the last request before it ends.
+// Guards against a body that is lost to an earlier request because it is read while the last request before it ends.
 func TestBodyThatIsReadWhileTheRequestBeforeItEnds(t *testing.T) {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/pipeline/ends_test.go
+++ b/internal/pipeline/ends_test.go
@@ -11,8 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a request with a body that is cut off because a request before it on the connection was pipelined, and its
-// place on the connection ends at the idle timeout or as the server shuts down.
+// Guards against a request that is cut off as the lane of an earlier one ends, at the idle timeout or in a shutdown.
 func TestRequestInFlightOutlastsThoseThatWerePipelinedBeforeIt(t *testing.T) {
 	const idle = 50 * time.Millisecond
 	for framing, parts := range bodyRequests("/body") {
@@ -58,8 +57,7 @@
 	}
 }
 
-// Guards against a request in flight whose connection is closed because the response before it ended its own part of it while
-// the server shut down.
+// Guards against a request in flight whose connection ends with the response before it while the server shuts down.
 func TestRequestInFlightOutlastsAResponseAtShutdown(t *testing.T) {
 	s := newTestServer(t, testLimits)
 	c := s.dial()
@@ -76,8 +74,7 @@
 	require.NoError(t, <-done)
 }
 
-// Guards against a response that is taken for complete because its connection ends after a part of it, while a request
-// behind it runs.
+// Guards against a response that breaks off and counts as complete while a request behind it runs.
 func TestIncompleteResponseIsNotFollowedByTheNextOne(t *testing.T) {
 	s := newTestServer(t, testLimits)
 	c := s.dial()
@@ -91,8 +88,7 @@
 	c.requireEnd()
 }
 
-// Guards against a response with large headers whose end of the connection is not seen, so that the caller discards those
-// behind it.
+// Guards against a "Connection: close" that is not seen behind large headers, so that the caller discards later responses.
 func TestClosingResponseWithLargeHeaders(t *testing.T) {
 	s := newTestServer(t, testLimits)
 	c := s.dial()
--- a/internal/pipeline/model_test.go
+++ b/internal/pipeline/model_test.go
@@ -280,8 +280,7 @@
 	return answers, ended
 }
 
-// Guards against any difference to package net/http with one request at a time: answers that are missing, changed or out of
-// order, requests that run twice, and requests that run out of the body of another one.
+// Guards against answers and runs of requests that differ from package net/http with one request at a time.
 func TestConnectionsBehaveAsWithOneRequestAtATime(t *testing.T) {
 	model := serveEcho(t, func(l net.Listener) net.Listener { return l })
 	defer model.close()
@@ -320,8 +319,7 @@
 	})
 }
 
-// Guards against requests that run twice or without their body, and responses that are cut off, while the caller leaves or the
-// server shuts down at any moment.
+// Guards against requests that run twice or in part while the caller leaves or the server shuts down at any byte.
 func TestConnectionsThatEndEarly(t *testing.T) {
 	limits := Limits{Requests: 3, ReadAhead: 8 << 10, HeaderTimeout: testTimeout}
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/pipeline/occupancy_test.go
+++ b/internal/pipeline/occupancy_test.go
@@ -68,8 +68,7 @@
 	s.requireReleased(callers...)
 }
 
-// Guards against requests that run although the process has no memory for them, and against a refusal that is not one: it must
-// arrive, and the request must not run.
+// Guards against requests that run without memory, and against a refusal that does not arrive or is not true.
 func TestRequestWithoutMemoryIsRefusedAtOnce(t *testing.T) {
 	for framing, parts := range bodyRequests("/refused") {
 		t.Run(framing, func(t *testing.T) {
--- a/internal/target/truncated_test.go
+++ b/internal/target/truncated_test.go
@@ -11,8 +11,7 @@
 	"hemlockquay/internal/wire"
 )
 
-// Guards against an answer whose head breaks off and that a dispatcher takes for a whole one with a short body, or for a
-// refusal.
+// Guards against a head that breaks off and that a dispatcher takes for a whole answer, or for a refusal.
 func TestTruncatedHeadIsAnError(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length":  "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 4\r\n\r\nbody",
--- a/internal/upstream/sent_test.go
+++ b/internal/upstream/sent_test.go
@@ -13,8 +13,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against the second answer to a request that is taken for the answer to its second send, or to another request
-// without an id.
+// Guards against the second answer to a request that is taken for that to its second send, or to one without an id.
 func TestSecondAnswerIsNotTakenForThatToTheSecondSend(t *testing.T) {
 	for _, id := range []string{"1", ""} {
 		t.Run("id "+id, func(t *testing.T) {
