pipeline: bodies go to their lane without a second buffer

Change: bytes of the request that is being received go to its lane as they are read, into a buffer that is used again.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -11,8 +11,8 @@
 
 // conn is a caller's connection.
 //
-// Only run reads raw, and only the lane of the oldest unanswered request writes to it. All that is read goes through
-// received, and only dispatchLocked takes it from there.
+// Only run reads raw, and only the lane of the oldest unanswered request writes to it. What is read belongs to input until its
+// request is complete, and then goes through received, from which only dispatchLocked takes it.
 type conn struct {
 	listener *Listener
 	raw      net.Conn
@@ -107,6 +107,9 @@
 		return nil, true
 	}
 	if len(data) > 0 && !c.draining {
+		if c.input != nil && len(c.received) == 0 {
+			data = data[c.feedLocked(data):]
+		}
 		c.received = append(c.received, data...)
 		c.becomeBusyLocked()
 	}
@@ -146,7 +149,8 @@
 func (c *conn) dispatchLocked() (started []*lane) {
 	for len(c.received) > 0 {
 		if c.input != nil {
-			if !c.feedLocked() {
+			n := c.feedLocked(c.received)
+			if c.received = c.received[n:]; n == 0 {
 				return started
 			}
 			continue
@@ -239,25 +243,17 @@
 // maxSkipped is the number of line breaks that are ignored after the body of a POST.
 const maxSkipped = 4
 
-// feedLocked passes received bytes to the lane whose request is incomplete. It returns false if the lane has enough. It
-// needs c.mu.
-func (c *conn) feedLocked() bool {
+// feedLocked passes bytes to the lane whose request is incomplete. It returns how many belong to that request and have room
+// there. It needs c.mu.
+func (c *conn) feedLocked(data []byte) int {
 	l := c.input
-	room := laneBuffer - len(l.in)
-	if room <= 0 {
-		return false
+	n := l.body.consume(data[:min(max(laneBuffer-len(l.in), 0), len(data))])
+	if n == 0 {
+		return 0
 	}
-	n := l.body.consume(c.received[:min(room, len(c.received))])
 	l.resting = false
-	if len(l.in) == 0 {
-		l.buffer = append(l.buffer[:0], c.received[:n]...)
-		l.in = l.buffer
-	} else {
-		l.in = append(l.in, c.received[:n]...)
-	}
-	if c.received = c.received[n:]; len(c.received) == 0 {
-		c.received = nil
-	}
+	l.buffer = append(append(l.buffer[:0], l.in...), data[:n]...)
+	l.in = l.buffer
 	if l.body.done() {
 		c.input = nil
 	}
@@ -267,7 +263,7 @@
 		l.opaque = true
 	}
 	c.changed.Broadcast()
-	return true
+	return n
 }
 
 // limitHeadLocked ends the connection if an incomplete head takes too long. It needs c.mu.
