pipeline: tests of the idle timeout do not depend on time

The timeout was 50 ms from the start, so a test process that was held up for as long lost its connection. It is long now until the requests of the test are in place; the tests wait for two rounds of the check instead of a pause.

--- a/internal/gateway/callers_test.go
+++ b/internal/gateway/callers_test.go
@@ -18,11 +18,11 @@
 	b := newTestbed(t)
 	b.pipelineRequests(8)
 	b.addTarget("a", "pool", succeed)
-	config := *b.state.view.Load().Routes.Config()
-	config.Version, config.Limits = 4, route.Limits{BodyBytes: 100, IdleTimeout: 100 * time.Millisecond}
-	b.state.setConfig(&config, "test")
 	conn, reader := b.dialFront()
 	exchangePipelined(t, conn, reader)
+	config := *b.state.view.Load().Routes.Config()
+	config.Version, config.Limits = 4, route.Limits{BodyBytes: 100, IdleTimeout: time.Millisecond}
+	b.state.setConfig(&config, "test")
 	_, err := reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
--- a/internal/pipeline/ends_test.go
+++ b/internal/pipeline/ends_test.go
@@ -13,12 +13,12 @@
 
 // Guards against a request that is cut off as the lane of an earlier one ends, at the idle timeout or in a shutdown.
 func TestRequestInFlightOutlastsThoseThatWerePipelinedBeforeIt(t *testing.T) {
-	const idle = 50 * time.Millisecond
 	for framing, parts := range bodyRequests("/body") {
 		for _, shutdown := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, shutdown %t", framing, shutdown), func(t *testing.T) {
-				limits := testLimits
-				limits.IdleTimeout = func() time.Duration { return idle }
+				t.Parallel()
+				limits, idle := testLimits, newTestIdleTimeout()
+				limits.IdleTimeout = idle.get
 				s := newTestServer(t, limits)
 				c := s.dial()
 				c.get("/now/1", "/now/2", "/now/3")
@@ -32,8 +32,11 @@
 					go func() { done <- s.server.Shutdown(t.Context()) }()
 					defer func() { require.NoError(t, <-done) }()
 					s.awaitClosed()
+					// The server looks for idle connections several times meanwhile.
+					time.Sleep(200 * time.Millisecond)
+				} else {
+					idle.shorten(t)
 				}
-				time.Sleep(4 * idle)
 				s.release("/body")
 				resp, body := c.receive()
 				if resp.StatusCode == http.StatusContinue {
@@ -114,15 +117,14 @@
 
 // Guards against a connection that is left to the HTTP server, and counts as idle while that runs a request from its buffer.
 func TestPipelinedRequestOfAnUnframedConnectionOutlastsTheIdleTimeout(t *testing.T) {
-	const idle = 50 * time.Millisecond
-	limits := testLimits
-	limits.IdleTimeout = func() time.Duration { return idle }
+	limits, idle := testLimits, newTestIdleTimeout()
+	limits.IdleTimeout = idle.get
 	s := newTestServer(t, limits)
 	c := s.dial()
 	c.send("GET /now/1 HTTP/1.1\r\nHost: a\r\nFolded: a\r\n b\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
 	c.requireResponses("/now/1")
 	s.requireStarted("/now/1", "/2")
-	time.Sleep(4 * idle)
+	idle.shorten(t)
 	s.release("/2")
 	c.requireResponses("/2")
 	c.requireEnd()
--- a/internal/pipeline/occupancy_test.go
+++ b/internal/pipeline/occupancy_test.go
@@ -119,8 +119,6 @@
 
 // Guards against idle connections of any kind that outlast the idle timeout.
 func TestIdleTimeoutHoldsForEveryConnection(t *testing.T) {
-	limits := testLimits
-	limits.IdleTimeout = func() time.Duration { return 50 * time.Millisecond }
 	for name, use := range map[string]func(c *testCaller){
 		"unused":    func(*testCaller) {},
 		"one":       func(c *testCaller) { c.get("/now/1"); c.requireResponses("/now/1") },
@@ -135,9 +133,13 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			limits, idle := testLimits, newTestIdleTimeout()
+			limits.IdleTimeout = idle.get
 			s := newTestServer(t, limits)
 			c := s.dial()
 			use(c)
+			idle.shorten(t)
 			c.requireEnd()
 			s.awaitCount("expired", 1)
 			s.requireReleased(c)
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,6 +178,28 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
+// testIdleTimeout is an idle timeout that is long until the test shortens it.
+type testIdleTimeout struct{ duration, checks atomic.Int64 }
+
+func newTestIdleTimeout() *testIdleTimeout {
+	i := new(testIdleTimeout)
+	i.duration.Store(int64(testTimeout))
+	return i
+}
+
+func (i *testIdleTimeout) get() time.Duration {
+	i.checks.Add(1)
+	return time.Duration(i.duration.Load())
+}
+
+// shorten makes the timeout pass for all connections, and waits until idle ones have been looked for twice.
+func (i *testIdleTimeout) shorten(t *testing.T) {
+	t.Helper()
+	i.duration.Store(int64(time.Millisecond))
+	from := i.checks.Load()
+	require.Eventually(t, func() bool { return i.checks.Load() > from+2 }, testTimeout, time.Millisecond)
+}
+
 // bodyRequests are requests with a body in each framing, without the last bytes.
 func bodyRequests(path string) map[string][2]string {
 	head := func(framing string) string { return "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n\r\n" }
