pipeline: tests that were not seen to fail

Reading the change again, each fix was taken out and its test run. TestFailedWriteEndsTheConnection passed without its fix, as its response was incomplete in any case; the response now has a length and one write, and the test fails without the fix. The request that is read as its connection is closed had no test: TestRequestThatIsReadAsItsConnectionIsClosedDoesNotRun fails on the first form of the code. TestRequestBehindAnAbortedOneDoesNotBegin, TestIncompleteResponseIsNotFollowedByTheNextOne and TestClosingResponseWithLargeHeaders fail without what they guard.

--- a/internal/pipeline/ends_test.go
+++ b/internal/pipeline/ends_test.go
@@ -137,9 +137,9 @@
 	limits.Requests = 1
 	s := newTestServer(t, limits)
 	c := s.dial()
-	c.get("/large/1", "/2")
-	s.requireStarted("/large/1")
-	s.release("/large/1")
+	c.get("/large-sized/1", "/2")
+	s.requireStarted("/large-sized/1")
+	s.release("/large-sized/1")
 	s.awaitCount("stalled", 1)
 	s.awaitCount("unread", 1)
 	require.Empty(t, s.started)
--- a/internal/pipeline/occupancy_test.go
+++ b/internal/pipeline/occupancy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -176,3 +177,17 @@
 	second.requireResponses("/3")
 	s.requireReleased(running, idle, second, rejected)
 }
+
+// Guards against a request that runs although its connection was closed as an idle one while it was being read.
+func TestRequestThatIsReadAsItsConnectionIsClosedDoesNotRun(t *testing.T) {
+	s := newTestServer(t, boundedLimits(4, 1))
+	raw, other := net.Pipe()
+	defer other.Close()
+	c := newConn(s.listener, raw)
+	require.True(t, s.listener.occupancy.add(c))
+	require.True(t, c.closeIfIdle())
+	started, ended := c.receive([]byte("GET /now/1 HTTP/1.1\r\nHost: a\r\n\r\n"), nil)
+	require.Empty(t, started)
+	require.True(t, ended)
+	s.requireReleased()
+}
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -98,6 +99,10 @@
 		w.Header().Set("Content-Length", "100")
 	case strings.HasPrefix(path, "/abort/"):
 		panic(http.ErrAbortHandler)
+	case strings.HasPrefix(path, "/large-sized/"):
+		w.Header().Set("Content-Length", strconv.Itoa(8<<20))
+		_, _ = w.Write([]byte(strings.Repeat("x", 8<<20)))
+		return
 	case strings.HasPrefix(path, "/large/"):
 		_, _ = w.Write([]byte(strings.Repeat("x", 8<<20)))
 		return
