Tests and timeline of requests that are passed on after their callers left

Callers saw nothing; targets ran requests whose callers had closed seconds before.

The tests stop a real hq-gateway by a signal, let callers send and leave, or let the time of requests pass, and continue it.

--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -33,14 +33,21 @@
 
 // newSite starts a gateway with a number of targets.
 func newSite(t *testing.T, targets int) *site {
+	t.Helper()
+	return newSiteWith(t, targets, "", func(*fleet.Target) {})
+}
+
+// newSiteWith is newSite with further routes, and with targets that are changed before they start.
+func newSiteWith(t *testing.T, targets int, routes string, change func(*fleet.Target)) *site {
 	t.Helper()
 	store := fleet.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	store.Set("config", "main", fleet.Config(1, ""))
+	store.Set("config", "main", fleet.Config(1, routes))
 	for i := range targets {
 		target := &fleet.Target{ID: fmt.Sprintf("p-%d", i), Service: "pool", Zone: "a", Slots: targetSlots, Pad: answerBytes}
 		target.SetWork(5 * time.Millisecond)
+		change(target)
 		require.NoError(t, target.Start(store))
 		t.Cleanup(target.Kill)
 	}
