How long requests lay unread, and stalls of the process, show in logs and metrics

The logs could not tell a request that had just arrived from one that had lain unread for seconds while the process did not run, and the delay of a VM's own work was measured by a clock that stops while the VM is suspended.

- internal/stall measures stalls by the clock that counts suspensions.
A line of step stall has each of half a second or more; step.lag counts them too.
- internal/socket asks the system what lies unread on a connection, whether its other side has ended it, and when bytes arrived last.
- pipeline keeps when the head of each request arrived, as the system says it after a stall or where a connection was not read: field unread of the request's line, timer pipeline.unreadTime.

No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hemlockquay/internal/mesh"
+	"hemlockquay/internal/pipeline"
 	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
 )
@@ -26,6 +27,8 @@
 	body      bodyReservation
 	start     time.Time
 	deadline  time.Time
+	// unread is how long the head of the request had waited when its time limit was computed.
+	unread time.Duration
 
 	// tried holds the IDs of the targets that failed or refused the request.
 	tried map[string]bool
@@ -93,6 +96,7 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.headers.DeadlineMs), 64); err == nil && ms >= 0 && ms < float64(timeout.Milliseconds()) {
 		timeout = time.Duration(ms * float64(time.Millisecond))
 	}
+	c.unread = pipeline.Waited(r.Context())
 	c.deadline = now.Add(timeout - responseMargin)
 	c.request = &upstream.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host,
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -48,6 +48,8 @@
 		Requests: max(p.Requests, 1), ReadAhead: p.ReadAhead, HeaderTimeout: headerTimeout, Heads: g.headLimits, WriteTimeout: p.WriteTimeout.D(),
 		IdleTimeout: g.idleTimeout, OnAcceptError: g.newAcceptErrorLog(g.settings.Front), Memory: g.settings.memoryShare(connectionMemoryShare), RequestMemory: requestMemory,
 		ReceiveBuffer:   g.settings.Limits.ReceiveBuffer,
+		Clock:           g.clock,
+		Stalls:          g.stalls,
 		MemoryShare:     g.memory.Share(g.settings.memoryShare(connectionMemoryShare)),
 		DescriptorShare: g.descriptors.Share(g.settings.descriptorShare(callerDescriptorShare)),
 	}, g.registry)
--- a/internal/gateway/forwardgate.go
+++ b/internal/gateway/forwardgate.go
@@ -9,7 +9,6 @@
 
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/decide/forwarding"
-	"hemlockquay/internal/pause"
 )
 
 // forwardedRequests are the requests that this VM sends for others. It is safe for concurrent use.
@@ -129,19 +128,17 @@
 	f.gate.Observe(lag)
 }
 
-// gateInterval is the interval at which the delay of this VM's work is measured.
-const gateInterval = 50 * time.Millisecond
+// loggedStall is the length of a stall of the process from which on it is logged on its own.
+const loggedStall = 500 * time.Millisecond
 
 // measureLag periodically measures by how much this VM's timers are late, until ctx ends.
 func (g *Gateway) measureLag(ctx context.Context) {
-	for {
-		began := time.Now()
-		if !pause.For(ctx, gateInterval) {
-			return
-		}
-		lag := time.Since(began) - gateInterval
+	g.stalls.Run(ctx, func(lag time.Duration) {
 		metrics.GetOrRegisterTimer("step.lag", g.registry).Update(lag)
 		g.forwarded.observe(lag)
 		g.lag.observe(lag, g.clock.Now())
-	}
+		if lag >= loggedStall {
+			g.log.Warn().Str("step", "stall").Dur("length", lag).Msg("this process did not run")
+		}
+	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/pipeline"
 	"hemlockquay/internal/platform"
+	"hemlockquay/internal/stall"
 	"hemlockquay/internal/storerelay"
 	"hemlockquay/internal/upstream"
 )
@@ -74,6 +75,8 @@
 	forwardCount  atomic.Uint64
 	// lag is by how much this VM's own work is late.
 	lag lagMeter
+	// stalls says when this process did not run.
+	stalls *stall.Meter
 	// router chooses the VMs that send requests for this one. It is guarded by routerMu.
 	routerMu sync.Mutex
 	router   *forwarding.Router
@@ -151,6 +154,7 @@
 		self:     mesh.Member{VM: s.VM, Addr: s.Peers, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()), LinkMbps: uint32(s.LinkMbps)},
 		counters: newCounters(registry), requestLog: newRequestLogLimiter(registry),
 	}
+	g.stalls = stall.NewMeter(clock)
 	g.memory = budget.New("memory", s.requestMemoryBytes(), registry)
 	g.bodyMemory = g.newBodyMemory()
 	g.descriptors = budget.New("descriptors", s.connectionDescriptors(), registry)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -81,7 +81,7 @@
 	v := g.state.view.Load()
 	e := g.log.Info().Str("step", "request").Str("id", c.id).Str("route", c.route.Name).Str("service", c.service).
 		Int("status", out.status).Str("reason", out.reason).Dur("took", took).Strs("attempts", c.trace).
-		Dur("waited", c.waited).Dur("patience", c.deadline.Sub(c.start)).Uint64("config", v.ConfigVersion()).Uint64("targets", v.Targets.Revision)
+		Dur("waited", c.waited).Dur("unread", c.unread).Dur("patience", c.deadline.Sub(c.start)).Uint64("config", v.ConfigVersion()).Uint64("targets", v.Targets.Revision)
 	if out.reason != reasonAnswered && c.refusedOn != "" {
 		e = e.Str("refusedOn", c.refusedOn)
 	}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -28,6 +28,8 @@
 	changed sync.Cond
 	// received holds the bytes that are not assigned to a lane.
 	received []byte
+	// arrivals are when these bytes arrived.
+	arrivals arrivals
 	// scanner finds the end of the head at the beginning of received. next is its frame once it is complete.
 	scanner headScanner
 	next    *frame
@@ -71,12 +73,16 @@
 func (c *conn) run() {
 	r := newReader(c.raw)
 	for {
-		size := c.awaitRoom()
+		size, held := c.awaitRoom()
 		if size == 0 {
 			return
 		}
 		data, err := r.read(size)
-		started, ended := c.receive(data, err)
+		var at time.Duration
+		if len(data) > 0 {
+			at = c.arrivedAt(held)
+		}
+		started, ended := c.receive(data, at, err)
 		r.release()
 		c.start(started)
 		if ended {
@@ -85,11 +91,11 @@
 	}
 }
 
-// awaitRoom waits until more may be received. It returns the size of the next read, or 0 if the connection has ended.
-func (c *conn) awaitRoom() int {
+// awaitRoom waits until more may be received. It returns the size of the next read, or 0 if the connection has ended, and
+// whether it waited.
+func (c *conn) awaitRoom() (size int, waited bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waited := false
 	for !c.closed && !c.draining && len(c.received) >= c.readLimitLocked() {
 		if !c.reserveUnreadLocked() {
 			break
@@ -108,11 +114,11 @@
 	}
 	switch {
 	case c.closed:
-		return 0
+		return 0, waited
 	case c.input != nil:
-		return bodyReadSize
+		return bodyReadSize, waited
 	}
-	return readSize
+	return readSize, waited
 }
 
 // readLimitLocked returns the number of bytes that may be received and not assigned. Behind the buffer of a body that is
@@ -129,9 +135,9 @@
 	return limit
 }
 
-// receive records the result of a read. It returns the lanes that the server does not serve yet, and whether nothing
+// receive records the result of a read, of bytes that arrived at a time. It returns the lanes that the server does not serve yet, and whether nothing
 // further is to be read.
-func (c *conn) receive(data []byte, err error) (started []*lane, ended bool) {
+func (c *conn) receive(data []byte, at time.Duration, err error) (started []*lane, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -139,7 +145,7 @@
 		return nil, true
 	}
 	if len(data) > 0 {
-		c.takeLocked(data)
+		c.takeLocked(data, at)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		if c.headExpiredLocked() {
@@ -158,7 +164,7 @@
 }
 
 // takeLocked adds what was read to the request that is being received, or to what is not assigned. It needs c.mu.
-func (c *conn) takeLocked(data []byte) {
+func (c *conn) takeLocked(data []byte, at time.Duration) {
 	if c.draining {
 		if c.drainLeft -= len(data); c.drainLeft < 0 {
 			c.closeLocked()
@@ -168,8 +174,9 @@
 	if c.input != nil && len(c.received) == 0 {
 		data = data[c.feedLocked(data):]
 	}
-	if !c.discarding {
+	if !c.discarding && len(data) > 0 {
 		c.received = append(c.received, data...)
+		c.arrivals.add(len(data), at)
 	}
 	c.becomeBusyLocked()
 }
@@ -197,7 +204,8 @@
 			if c.discarding {
 				return started
 			}
-			if c.received = c.received[n:]; n == 0 {
+			c.dropReceivedLocked(n)
+			if n == 0 {
 				return started
 			}
 			continue
@@ -248,7 +256,7 @@
 // not assigned does not run. It needs c.mu.
 func (c *conn) rejectLocked(response []byte, counter metrics.Counter) {
 	counter.Inc(1)
-	c.sealed, c.discarding, c.rejection, c.received = true, true, response, nil
+	c.sealed, c.discarding, c.rejection, c.received, c.arrivals = true, true, response, nil, nil
 	c.partialSince = time.Time{}
 	c.changed.Broadcast()
 }
@@ -257,7 +265,7 @@
 // left. It needs c.mu.
 func (c *conn) skipLocked() bool {
 	for c.skippable > 0 && len(c.received) > 0 && (c.received[0] == '\r' || c.received[0] == '\n') {
-		c.received = c.received[1:]
+		c.dropReceivedLocked(1)
 		c.skippable--
 	}
 	return len(c.received) == 0
@@ -338,11 +346,18 @@
 	return true
 }
 
+// dropReceivedLocked removes the first bytes of received, and returns when the last of them arrived. It needs c.mu.
+func (c *conn) dropReceivedLocked(n int) time.Duration {
+	c.received = c.received[n:]
+	return c.arrivals.take(n)
+}
+
 // assignLocked gives the next request to a new lane. It needs c.mu.
 func (c *conn) assignLocked(f frame) *lane {
 	l := &lane{conn: c, body: f.bodyReader()}
 	l.response.method = f.method
-	l.in, c.received = c.received[:f.head:f.head], c.received[f.head:]
+	l.in = c.received[:f.head:f.head]
+	l.arrived = c.dropReceivedLocked(f.head)
 	c.scanner, c.next = headScanner{}, nil
 	c.reserved, l.reserved = 0, c.reserved
 	if len(c.order) > 0 {
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"hemlockquay/internal/socket"
 )
 
 // finish records that the server has sent the response on a lane and would take another request there.
@@ -103,7 +105,7 @@
 		}
 	case c.rejection != nil && c.readErr == nil:
 		c.drainLocked(c.rejection)
-	case c.readErr == nil && (c.discarding || len(c.received) > 0 || hasUnread(c.raw)):
+	case c.readErr == nil && (c.discarding || len(c.received) > 0 || socket.Peek(c.raw) == socket.Readable):
 		c.drainLocked(nil)
 	default:
 		c.closeLocked()
@@ -114,7 +116,7 @@
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idleLocked() || hasUnread(c.raw) {
+	if !c.idleLocked() || socket.Peek(c.raw) == socket.Readable {
 		return false
 	}
 	c.closeLocked()
@@ -142,7 +144,7 @@
 	if len(c.received) > 0 && c.input == nil {
 		c.listener.metrics.unread.Inc(1)
 	}
-	c.received = nil
+	c.received, c.arrivals = nil, nil
 	_ = c.raw.Close()
 	c.releaseReservedLocked()
 	c.listener.occupancy.remove(c)
@@ -188,7 +190,7 @@
 	if len(c.received) > 0 && last == nil {
 		c.listener.metrics.unread.Inc(1)
 	}
-	c.draining, c.sealed, c.received, c.drainLeft = true, true, nil, maxDrained
+	c.draining, c.sealed, c.received, c.arrivals, c.drainLeft = true, true, nil, nil, maxDrained
 	// Without memory for what still arrives, the connection is closed at once.
 	linger := c.unread > 0 || c.listener.occupancy.reserve(unreadMemory)
 	if linger {
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -17,6 +17,8 @@
 	response   response
 	// ended reports whether the response is complete, or will not be sent.
 	ended bool
+	// arrived is when the head of the request arrived.
+	arrived time.Duration
 	// reserved is the memory in bytes that is reserved for the request.
 	reserved      int64
 	readDeadline  time.Time
--- a/internal/pipeline/occupancy_test.go
+++ b/internal/pipeline/occupancy_test.go
@@ -130,11 +130,11 @@
 	c := newConn(s.listener, raw)
 	require.True(t, s.listener.occupancy.add(c))
 	body := strings.Repeat("body", laneBuffer/2)
-	started, _ := c.receive(fmt.Appendf(nil, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", len(body)), nil)
+	started, _ := c.receive(fmt.Appendf(nil, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", len(body)), 0, nil)
 	require.Len(t, started, 1)
 	for rest := body; len(rest) > 0; {
 		n := min(len(rest), bodyReadSize)
-		_, ended := c.receive([]byte(rest[:n]), nil)
+		_, ended := c.receive([]byte(rest[:n]), 0, nil)
 		require.False(t, ended)
 		rest = rest[n:]
 	}
@@ -220,7 +220,7 @@
 	c := newConn(s.listener, raw)
 	require.True(t, s.listener.occupancy.add(c))
 	require.True(t, c.closeIfIdle())
-	started, ended := c.receive([]byte("GET /now/1 HTTP/1.1\r\nHost: a\r\n\r\n"), nil)
+	started, ended := c.receive([]byte("GET /now/1 HTTP/1.1\r\nHost: a\r\n\r\n"), 0, nil)
 	require.Empty(t, started)
 	require.True(t, ended)
 	s.requireReleased()
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -35,7 +35,10 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/budget"
+	"hemlockquay/internal/caller"
+	"hemlockquay/internal/stall"
 )
 
 // Limits bound what connections may occupy.
@@ -68,6 +71,10 @@
 	// MemoryShare and DescriptorShare are what the connections may take of the process's budgets in bytes and descriptors.
 	// They may be nil.
 	MemoryShare, DescriptorShare *budget.Share
+	// Clock tells when requests arrived, also if the VM was suspended since. Default: that of the system.
+	Clock boottime.Clock
+	// Stalls says when the process did not run, so that bytes may have waited unread. It may be nil.
+	Stalls *stall.Meter
 	// OnAcceptError is called with each error of the listener after which it tries again. It may be nil.
 	OnAcceptError func(error)
 }
@@ -103,6 +110,7 @@
 type Listener struct {
 	net.Listener
 	limits    Limits
+	clock     boottime.Clock
 	metrics   listenerMetrics
 	occupancy *occupancy
 
@@ -128,6 +136,8 @@
 	expired, evicted, rejected, refused metrics.Counter
 	// acceptErrors counts errors of the listener after which it tried again.
 	acceptErrors metrics.Counter
+	// unreadTime is how long bytes had waited that were read after the process did not run or did not read the connection.
+	unreadTime metrics.Timer
 }
 
 // NewListener returns a listener that accepts the connections of l. It closes l when it is closed.
@@ -140,13 +150,17 @@
 	}
 	limits.ReadAhead = max(limits.ReadAhead, readSize)
 	out := &Listener{
-		Listener: l, limits: limits, accepted: make(chan net.Conn), failed: make(chan struct{}), done: make(chan struct{}),
+		Listener: l, limits: limits, clock: limits.Clock, accepted: make(chan net.Conn), failed: make(chan struct{}), done: make(chan struct{}),
 		metrics: listenerMetrics{
 			concurrent: counter("concurrent"), waited: counter("waited"), malformed: counter("malformed"), tooLarge: counter("tooLarge"), tooSlow: counter("tooSlow"),
 			unread: counter("unread"), stalled: counter("stalled"), expired: counter("expired"),
 			evicted: counter("evicted"), rejected: counter("rejected"), refused: counter("refused"), acceptErrors: counter("acceptErrors"),
+			unreadTime: metrics.GetOrRegisterTimer(limits.Name+".unreadTime", registry),
 		},
 	}
+	if out.clock == nil {
+		out.clock = boottime.System{}
+	}
 	out.occupancy = newOccupancy(limits, out.metrics.evicted)
 	metrics.NewRegisteredFunctionalGauge(limits.Name+".memory", registry, out.occupancy.bytes)
 	metrics.NewRegisteredFunctionalGauge(limits.Name+".connections", registry, out.occupancy.connections)
@@ -162,7 +176,7 @@
 	s.ConnState = connState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if l, ok := c.(*lane); ok {
-			return context.WithValue(ctx, laneKey{}, l)
+			return caller.WithConnection(context.WithValue(ctx, laneKey{}, l), l)
 		}
 		return ctx
 	}
--- a/internal/pipeline/reader.go
+++ b/internal/pipeline/reader.go
@@ -87,22 +87,3 @@
 		r.buffer = nil
 	}
 }
-
-// hasUnread reports whether bytes wait to be read from a connection.
-func hasUnread(raw net.Conn) bool {
-	sc, ok := raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	file, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	_ = file.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-	})
-	return unread
-}
