Requests are not passed on once their callers have left or their time is over

Cause: the end of a connection lies behind the request in what the system has received, and is seen by a later read. A process that was held up reads the request, gives it a new time limit and passes it on in between. Nothing asked between the choice of a target and the first byte whether anybody waits.

Change: caller.Check decides, right before the first byte, by what the system has received of the caller's connection, read or not, and by a time limit that counts from when the request arrived, on the clock that counts suspensions. It is asked by - hq-gateway before a request or an inquiry goes to a target, whose X-Deadline-Ms is stated at that moment; - the writer of each connection between processes: forwards, permits, places, requests of hq-entry; - hq-dispatch's client of targets, where net/http writes in a goroutine of its own.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,11 +11,13 @@
 
 	"go.uber.org/fx"
 
+	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/problem"
+	"hemlockquay/internal/stall"
 	"hemlockquay/internal/target"
 	"hemlockquay/internal/view"
 	"hemlockquay/internal/wire"
@@ -60,6 +62,7 @@
 		return err
 	}
 	server.Bound(k.Settings.PeerBounds(k.Registry))
+	server.Stalls = stall.NewMeter(boottime.System{})
 	loads := newGroupLoads()
 	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: server.Addr(), Loads: loads.hottest}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,6 +98,7 @@
 func (d *dispatcher) start(context.Context) error {
 	d.loops.Go(func() { d.dedup.runSync(d.ctx) })
 	d.loops.Go(func() { d.quarantine.run(d.ctx) })
+	d.loops.Go(func() { d.server.Stalls.Run(d.ctx, nil) })
 	d.server.OnAcceptError = func(err error) {
 		d.Log.Warn().Err(err).Str("step", "accept").Msg("no connection of a peer accepted, trying again")
 	}
@@ -184,6 +188,10 @@
 	if r.Sum != wire.Sum(r.Body) {
 		return wire.ProblemAnswer(r.ID, problem.Refuse(problem.BadRequest, "receive", d.Settings.VM, "the body's checksum does not match"))
 	}
+	if r.WaitedTooLong() {
+		d.deps.counters.unread.Inc(1)
+		return wire.ProblemAnswer(r.ID, problem.Refuse(problem.Leaving, "receive", d.Settings.VM, "the process did not run, and the request may have waited too long").WithRetryAfter(time.Second))
+	}
 	j := newJob(r, time.Now())
 	q, p := d.register(j)
 	if p != nil {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hemlockquay/charts"
+	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/decide/duration"
 	"hemlockquay/internal/decide/fairqueue"
 	"hemlockquay/internal/model"
@@ -34,8 +35,10 @@
 type job struct {
 	request  *wire.Request
 	deadline time.Time
-	state    *statechart.Machine
-	kind     duration.Kind
+	// expires is deadline on the clock that counts the time for which the VM was suspended.
+	expires time.Duration
+	state   *statechart.Machine
+	kind    duration.Kind
 	// item is its place in the fair queue.
 	item fairqueue.Item[*job]
 	// expected is the expected service time of the request's kind.
@@ -70,6 +73,7 @@
 	j := &job{
 		request:     r,
 		deadline:    now.Add(r.Budget),
+		expires:     boottime.System{}.Now() + r.Budget,
 		state:       requestChart.Start(),
 		kind:        duration.KindOf(r.Customer, r.Method, r.Path),
 		arrivedAt:   now,
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -23,6 +23,9 @@
 	// lost counts requests that ended without an answer and may have run,
 	// abandoned counts attempts whose deadline passed or whose caller went away.
 	lost, abandoned metrics.Counter
+	// withheld counts attempts that were not sent because the caller had gone away or the deadline had passed, and unread the
+	// requests that were refused because they may have waited too long in a process that did not run.
+	withheld, unread metrics.Counter
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -31,7 +34,7 @@
 		sent: get("sent"), repeated: get("repeated"),
 		full: get("refused.full"), early: get("refused.early"), standing: get("refused.standing"),
 		late: get("refused.late"), ownerless: get("refused.ownerless"), dead: get("refused.dead"),
-		lost: get("lost"), abandoned: get("abandoned"),
+		lost: get("lost"), abandoned: get("abandoned"), withheld: get("withheld"), unread: get("unread"),
 	}
 }
 
--- a/internal/dispatch/sending.go
+++ b/internal/dispatch/sending.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/decide/balance"
 	"hemlockquay/internal/decide/deadline"
 	"hemlockquay/internal/decide/fairqueue"
@@ -136,7 +138,7 @@
 		return
 	}
 	q.removeWaiting(j)
-	sendCtx, cancel := context.WithDeadline(ctx, j.deadline)
+	sendCtx, cancel := context.WithDeadline(caller.WithExpiry(caller.WithConnection(ctx, j.request.From()), boottime.System{}, j.expires), j.deadline)
 	j.cancel, j.lastTarget, j.sentAt, j.grant = cancel, t, now, grant
 	j.attempts++
 	q.counters.sent.Inc(1)
@@ -202,6 +204,10 @@
 		q.handleAnswer(r, now)
 		return
 	}
+	if errors.Is(r.err, target.ErrWithheld) {
+		q.handleWithheld(r)
+		return
+	}
 	out := outcomeOf(r.err)
 	q.recordFailure(r, out, now)
 	if out == retry.NotServing && q.pool.service.Keyed {
@@ -211,6 +217,14 @@
 	q.retryOrFail(j, out, r.err, now)
 }
 
+// handleWithheld ends a job whose request was not sent because nobody waits for it any more. It shows nothing about the target.
+func (q *queue) handleWithheld(r *result) {
+	q.counters.withheld.Inc(1)
+	if r.job.state.Fire(eventUnsent) == nil {
+		q.fail(r.job, problem.Refuse(problem.Deadline, "send", r.target.Name, r.err.Error()))
+	}
+}
+
 // reportToQuarantine reports the end of the attempt to the quarantine.
 //
 // A target that dies breaks all its connections. The first such result reports the death
--- a/internal/dispatch/testbed_test.go
+++ b/internal/dispatch/testbed_test.go
@@ -15,6 +15,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/journal"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
@@ -158,6 +159,9 @@
 
 // Send simulates the target.
 func (b *testbed) Send(ctx context.Context, a *target.Attempt) (*wire.Answer, error) {
+	if err := caller.Check(ctx); err != nil {
+		return nil, errors.Join(target.ErrUnsent, target.ErrWithheld, err)
+	}
 	f := b.targets[a.Target.Name]
 	work, _ := time.ParseDuration(a.Request.Header.Get(workHeader))
 	if err := b.begin(f, a, &work); err != nil {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -9,6 +9,7 @@
 
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/pipeline"
+	"hemlockquay/internal/stall"
 )
 
 const (
@@ -44,11 +45,11 @@
 }
 
 // newCallerListener returns the connections of callers that l accepts.
-func (s *Settings) newCallerListener(l net.Listener, memory *budget.Budget, registry metrics.Registry) *pipeline.Listener {
+func (s *Settings) newCallerListener(l net.Listener, memory *budget.Budget, stalls *stall.Meter, registry metrics.Registry) *pipeline.Listener {
 	return pipeline.NewListener(l, pipeline.Limits{
 		Requests: 1, HeaderBytes: s.MaxHeader, HeaderTimeout: s.ReadTimeout.D(), WriteTimeout: writeTimeout,
 		IdleTimeout:   func() time.Duration { return idleTimeout },
 		ReceiveBuffer: receiveBuffer, Connections: int(float64(budget.Descriptors(s.Descriptors)) * descriptorShare),
-		Memory: s.memoryShare(connectionMemoryShare), MemoryShare: memory.Share(s.memoryShare(connectionMemoryShare)), RequestMemory: requestMemory,
+		Stalls: stalls, Memory: s.memoryShare(connectionMemoryShare), MemoryShare: memory.Share(s.memoryShare(connectionMemoryShare)), RequestMemory: requestMemory,
 	}, registry)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,11 +17,13 @@
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/budget"
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/pipeline"
 	"hemlockquay/internal/problem"
+	"hemlockquay/internal/stall"
 	"hemlockquay/internal/wire"
 )
 
@@ -37,11 +39,14 @@
 // entry is the daemon: the HTTP server for callers and the components behind it.
 type entry struct {
 	*daemon.Deps[*Settings]
-	parser      *requestParser
-	feed        *feed.Feed
-	forwarder   *forwarder
-	admitter    *admitter
-	exchanger   *shareExchanger
+	parser    *requestParser
+	feed      *feed.Feed
+	forwarder *forwarder
+	admitter  *admitter
+	exchanger *shareExchanger
+	clock     boottime.Clock
+	// stalls says when this process did not run.
+	stalls      *stall.Meter
 	peerServer  *peer.Server
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
@@ -84,6 +89,8 @@
 		answered:    metrics.GetOrRegisterTimer("entry.answered", k.Registry),
 		refusals:    metrics.GetOrRegisterCounter("entry.refused", k.Registry),
 		inFlight:    metrics.GetOrRegisterCounter("entry.inflight", k.Registry),
+		clock:       clock,
+		stalls:      stall.NewMeter(clock),
 		listener:    listener,
 	}
 	e.admitter = newAdmitter(k.Settings.VM, e.incarnation, k.Settings.ReadTimeout.D(), clock, k.Journal, k.Registry)
@@ -105,7 +112,7 @@
 	pipeline.Attach(e.server)
 	memory := k.Settings.newMemory(k.Registry)
 	e.bodies = memory.Share(k.Settings.memoryShare(bodyMemoryShare))
-	e.callers = k.Settings.newCallerListener(listener, memory, k.Registry)
+	e.callers = k.Settings.newCallerListener(listener, memory, e.stalls, k.Registry)
 	k.LC.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
 	return e, nil
 }
@@ -114,6 +121,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.wg.Go(func() { e.exchanger.run(ctx) })
+	e.wg.Go(func() { e.stalls.Run(ctx, nil) })
 	e.peerServer.OnAcceptError = func(err error) {
 		e.Log.Warn().Err(err).Str("step", "accept").Msg("no connection of a peer accepted, trying again")
 	}
@@ -159,8 +167,9 @@
 		e.writeRefusal(c, problem.Refuse(problem.NotReady, stepParse, e.Settings.VM, reason).WithRetryAfter(time.Second))
 		return
 	}
-	req, p := e.parser.parse(e.feed.Current(), c.Request, start)
+	req, p := e.parser.parse(e.feed.Current(), c.Request, start.Add(-pipeline.Waited(c.Request.Context())))
 	if p == nil {
+		req.expires = e.clock.Now() + time.Until(req.deadline)
 		p = e.admitter.admit(req)
 	}
 	if p != nil {
@@ -191,7 +200,7 @@
 		return nil, p
 	}
 	req.wireRequest.ID = e.nextRequestID()
-	return e.forwarder.forward(c.Request.Context(), req)
+	return e.forwarder.forward(caller.WithExpiry(c.Request.Context(), e.clock, req.expires), req)
 }
 
 // drainReason returns why a request is refused during a graceful shutdown, "" if it is served.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
@@ -205,6 +206,8 @@
 
 func classifyCallError(err error, vm string) *problem.Error {
 	switch {
+	case errors.Is(err, peer.ErrNotSent) && (errors.Is(err, caller.ErrLeft) || errors.Is(err, caller.ErrExpired)):
+		return problem.Refuse(problem.Deadline, "forward", vm, err.Error())
 	case errors.Is(err, peer.ErrNotSent):
 		return problem.Refuse(problem.Leaving, "forward", vm, err.Error()).WithRetryAfter(time.Second)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -43,6 +43,8 @@
 	allowance   model.Allowance
 	wireRequest *wire.Request
 	deadline    time.Time
+	// expires is deadline on the clock that counts the time for which the VM was suspended.
+	expires time.Duration
 }
 
 func (rp *requestParser) refuse(kind problem.Kind, format string, args ...any) *problem.Error {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/upstream"
 )
 
@@ -18,7 +19,7 @@
 func (g *Gateway) forward(ctx context.Context, c *call) outcome {
 	defer g.returnPlace(c)
 	for {
-		timeLeft := time.Until(c.deadline)
+		timeLeft := c.timeLeft()
 		if timeLeft < minTimeLeft {
 			return c.timedOut()
 		}
@@ -38,8 +39,8 @@
 			}
 			continue
 		}
-		if a == nil && ctx.Err() != nil {
-			return *c.endedBy(ctx)
+		if ended := caller.Check(ctx); a == nil && ended != nil {
+			return *c.endedBy(ended)
 		}
 		if reason == refusedNoPlace {
 			return c.giveUp(string(reason), max(c.placeRetryAfter, minRetryAfter))
@@ -77,12 +78,11 @@
 			}
 			continue
 		}
-		timeLeft = time.Until(c.deadline)
 		if out := g.refuseRepeat(c); out != nil {
 			g.state.finish(a, resultAbandoned)
 			return *out
 		}
-		if out := g.attempt(ctx, c, a, timeLeft); out != nil {
+		if out := g.attempt(ctx, c, a); out != nil {
 			return *out
 		}
 		if c.attemptsUsedUp() {
@@ -126,7 +126,7 @@
 		if reason := g.takePlace(ctx, c, timeLeft); reason != notRefused {
 			return nil, reason
 		}
-		timeLeft = time.Until(c.deadline)
+		timeLeft = c.timeLeft()
 		a, reason, details := g.state.reserveOwnerOf(ownerRequest{service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, place: c.place}, timeLeft)
 		if c.refusedOn = details; a == nil {
 			g.returnPlace(c)
@@ -161,7 +161,7 @@
 // reports whether to try again: false if the request has no time left or has waited for limit in
 // total.
 func (g *Gateway) awaitRoutingChange(ctx context.Context, c *call, limit time.Duration) bool {
-	timeLeft := min(limit-c.waited, time.Until(c.deadline)-minTimeLeft)
+	timeLeft := min(limit-c.waited, c.timeLeft()-minTimeLeft)
 	if timeLeft <= 0 {
 		return false
 	}
@@ -186,10 +186,13 @@
 }
 
 // attempt sends the request to one target. It returns nil if another attempt may follow.
-func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) *outcome {
-	resp, err := g.exchange(ctx, c, a, timeLeft)
+func (g *Gateway) attempt(ctx context.Context, c *call, a *attempt) *outcome {
+	resp, err := g.exchange(ctx, c, a)
 	if a.withheld != notRefused {
 		g.release(a)
+		if a.ended != nil {
+			return c.endedBy(a.ended)
+		}
 		return nil
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -202,7 +205,7 @@
 // finishUnsent ends an attempt that was not sent.
 func (g *Gateway) finishUnsent(c *call, a *attempt, err error) {
 	c.unreached[a.id] = true
-	if errors.Is(err, upstream.ErrNoKeptConn) || upstream.IsLocal(err) {
+	if errors.Is(err, upstream.ErrNoKeptConn) || errors.Is(err, context.Canceled) || upstream.IsLocal(err) {
 		g.state.finish(a, resultAbandoned)
 		return
 	}
@@ -211,16 +214,15 @@
 }
 
 // exchange sends the request to the target of an attempt and returns its response.
-func (g *Gateway) exchange(ctx context.Context, c *call, a *attempt, timeLeft time.Duration) (*upstream.Answer, error) {
+func (g *Gateway) exchange(ctx context.Context, c *call, a *attempt) (*upstream.Answer, error) {
 	c.request.Header.Set(g.headers.TargetID, a.id)
-	c.request.Header.Set(g.headers.DeadlineMs, strconv.FormatInt(max(timeLeft.Milliseconds(), 1), 10))
 	sendCtx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	if c.route.Idempotent {
 		defer g.state.abortIfSilent(a, cancel)()
 	}
 	c.request.MaySend = func() bool {
-		a.withheld = g.state.admit(a.target, c.sentKind())
+		a.withheld = g.maySend(sendCtx, c, a)
 		return a.withheld == notRefused
 	}
 	a.sent = time.Now()
@@ -242,6 +244,35 @@
 	return resp, err
 }
 
+// maySend decides about a request of a caller right before its first byte is written, and states the time that is left. It returns
+// why the request must not be sent, or notRefused.
+func (g *Gateway) maySend(ctx context.Context, c *call, a *attempt) refusal {
+	if a.ended = caller.Check(ctx); a.ended != nil {
+		return g.withhold(c, a)
+	}
+	timeLeft := c.timeLeft()
+	if timeLeft < minTimeLeft {
+		a.ended = caller.ErrExpired
+		return g.withhold(c, a)
+	}
+	c.request.Header.Set(g.headers.DeadlineMs, strconv.FormatInt(timeLeft.Milliseconds(), 10))
+	return g.state.admit(a.target, c.sentKind())
+}
+
+// withhold records that a request is not sent because it has ended.
+func (g *Gateway) withhold(c *call, a *attempt) refusal {
+	reason := refusedCancelled
+	if errors.Is(a.ended, caller.ErrExpired) {
+		reason = refusedLate
+	}
+	c.trace = append(c.trace, a.id+" withheld: "+a.ended.Error())
+	metrics.GetOrRegisterCounter("withheld."+string(reason), g.registry).Inc(1)
+	return reason
+}
+
+// endsRequest reports whether a request that was withheld for this reason is not sent to another target either.
+func (r refusal) endsRequest() bool { return r == refusedCancelled || r == refusedLate }
+
 // conclude handles the response of an attempt, or its loss. It returns nil if another attempt may follow.
 func (g *Gateway) conclude(ctx context.Context, c *call, a *attempt, resp *upstream.Answer, err error) *outcome {
 	if err != nil {
@@ -281,7 +312,7 @@
 		g.state.finish(a, resultAbandoned)
 		return &outcome{status: 0, reason: reasonCallerLeft}
 	}
-	if time.Until(c.deadline) < minTimeLeft {
+	if c.timeLeft() < minTimeLeft {
 		g.state.finish(a, resultAbandoned)
 		out := c.timedOut()
 		return &out
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/pipeline"
 	"hemlockquay/internal/route"
@@ -27,6 +28,9 @@
 	body      bodyReservation
 	start     time.Time
 	deadline  time.Time
+	// clock counts the time for which the VM was suspended, and expires is deadline on it. Without a clock only deadline counts.
+	clock   boottime.Clock
+	expires time.Duration
 	// unread is how long the head of the request had waited when its time limit was computed.
 	unread time.Duration
 
@@ -97,7 +101,8 @@
 		timeout = time.Duration(ms * float64(time.Millisecond))
 	}
 	c.unread = pipeline.Waited(r.Context())
-	c.deadline = now.Add(timeout - responseMargin)
+	left := timeout - responseMargin - c.unread
+	c.deadline, c.clock, c.expires = now.Add(left), g.clock, g.clock.Now()+left
 	c.request = &upstream.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: forwardedHeaders(r.Header, g.headers), ID: c.id, IDHeader: g.headers.RequestID,
@@ -105,6 +110,15 @@
 	return c
 }
 
+// timeLeft returns the time until the deadline of the request.
+func (c *call) timeLeft() time.Duration {
+	left := time.Until(c.deadline)
+	if c.clock != nil {
+		left = min(left, c.expires-c.clock.Now())
+	}
+	return left
+}
+
 // release returns the memory of the request's body and of the responses to it.
 func (c *call) release() {
 	c.body.release()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
@@ -25,6 +26,9 @@
 // VM that received the request.
 type ForwardArgs struct {
 	ForwardID `msgpack:"f"`
+	// Origin is set where the request is received.
+	caller.Origin `msgpack:"-"`
+
 	Service   string        `msgpack:"s"`
 	Route     string        `msgpack:"r"`
 	Priority  int           `msgpack:"p"`
@@ -88,6 +92,8 @@
 	refusedMember refusal = "not a live VM"
 	// refusedCancelled: the caller has disconnected already.
 	refusedCancelled refusal = "cancelled"
+	// refusedUnread: the request may have waited here for so long that its caller has left since.
+	refusedUnread refusal = "may have waited too long"
 )
 
 // Forward is the RPC service through which other VMs have requests sent to targets that they do not reach.
@@ -101,13 +107,17 @@
 		out.Refusal = string(refusedMember)
 		return nil
 	}
+	if in.WaitedTooLong() {
+		out.Refusal = string(refusedUnread)
+		return nil
+	}
 	ctx, end, reason := g.forwarded.begin(g.requestCtx, in.ForwardID, in.TimeLeft)
 	if reason != notRefused {
 		out.Refusal = string(reason)
 		return nil
 	}
 	defer end()
-	g.sendForwarded(ctx, in, out)
+	g.sendForwarded(caller.WithConnection(ctx, in.From()), in, out)
 	return nil
 }
 
@@ -128,6 +138,7 @@
 func (g *Gateway) sendForwarded(ctx context.Context, in *ForwardArgs, out *ForwardReply) {
 	c := g.forwardedCall(in)
 	defer c.release()
+	ctx = caller.WithExpiry(ctx, g.clock, c.expires)
 	defer g.returnPlace(c)
 	if c.body.reserve(int64(len(in.Body))) != nil {
 		out.Refusal = string(refusedByGate)
@@ -158,7 +169,7 @@
 // sent. It returns the attempt that was sent, or one that says why there is none.
 func (g *Gateway) attemptForwarded(ctx context.Context, c *call) (*attempt, *upstream.Answer, error) {
 	for range maxConnectFailures {
-		timeLeft := time.Until(c.deadline)
+		timeLeft := c.timeLeft()
 		if timeLeft < minTimeLeft {
 			return &attempt{refused: refusedLate}, nil, nil
 		}
@@ -176,11 +187,10 @@
 			}
 			continue
 		}
-		timeLeft = time.Until(c.deadline)
-		resp, err := g.exchange(ctx, c, a, timeLeft)
+		resp, err := g.exchange(ctx, c, a)
 		if a.withheld != notRefused {
 			g.release(a)
-			if c.keyed {
+			if c.keyed || a.withheld.endsRequest() {
 				return &attempt{refused: a.withheld}, nil, nil
 			}
 			continue
@@ -222,7 +232,7 @@
 	c := &call{
 		id: in.ID, forwarded: true, service: in.Service, keyed: in.Keyed, key: in.Key, digest: in.Digest, misdirectedBy: in.MisdirectedBy,
 		route: &route.Route{Name: in.Route, Priority: in.Priority, Objective: in.Objective, Regions: in.Regions},
-		start: now, deadline: now.Add(in.TimeLeft), tried: make(map[string]bool), unreached: make(map[string]bool), overLimit: make(map[string]bool),
+		start: now, deadline: now.Add(in.TimeLeft), clock: g.clock, expires: g.clock.Now() + in.TimeLeft, tried: make(map[string]bool), unreached: make(map[string]bool), overLimit: make(map[string]bool),
 		body: bodyReservation{memory: g.bodyMemory},
 	}
 	for _, target := range in.Tried {
@@ -247,7 +257,7 @@
 	if reason := g.takePlace(ctx, c, timeLeft); reason != notRefused {
 		return nil, refusedFull
 	}
-	timeLeft = time.Until(c.deadline)
+	timeLeft = c.timeLeft()
 	a, reason, _ := g.state.reserveOwnerOf(ownerRequest{
 		service: c.service, route: c.route, key: c.key, misdirected: c.misdirectedBy, forwarded: true, place: c.place,
 	}, timeLeft)
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/peer"
 	"hemlockquay/internal/route"
@@ -276,3 +277,69 @@
 	require.Zero(t, f.failures(f.cut, 10))
 	require.Equal(t, sent, f.cut.forwardMetrics.sent.Count())
 }
+
+// departed is a connection that its other side has ended.
+type departed struct{}
+
+// Left implements caller.Connection.
+func (departed) Left() bool { return true }
+
+// Guards against work at targets for a VM that has ended, or whose callers may have left while this one did not run.
+func TestForwardedRequestThatNobodyAwaitsIsNotSent(t *testing.T) {
+	for name, origin := range map[string]struct {
+		conn   caller.Connection
+		waited time.Duration
+		reason refusal
+	}{
+		"connection ended":    {conn: departed{}, reason: refusedCancelled},
+		"may have waited":     {waited: 2 * caller.MaxUnread, reason: refusedUnread},
+		"waited for a moment": {waited: caller.MaxUnread / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newForwardingFleet(t)
+			args := f.cut.forwardArgs(&call{route: &route.Route{}, service: "pool", request: &upstream.Request{Method: http.MethodGet, URI: "/", Header: http.Header{"Id": {"r-1"}}}, id: "r-1"}, time.Second)
+			args.SetOrigin(origin.conn, origin.waited)
+			var reply ForwardReply
+			require.NoError(t, (Forward{f.peer.Gateway}).Send(args, &reply))
+			require.Equal(t, string(origin.reason), reply.Refusal)
+			if origin.reason == notRefused {
+				require.Equal(t, 1, f.runs("r-1"))
+				return
+			}
+			require.Equal(t, notSentByPeer, reply.Result)
+			require.Zero(t, f.runs("r-1"))
+		})
+	}
+}
+
+// Guards against requests that are forwarded to another VM, or sent to a target, after their callers left.
+func TestRequestOfACallerThatLeftIsNotPassedOn(t *testing.T) {
+	f := newForwardingFleet(t)
+	for _, g := range []*Gateway{f.cut.Gateway, f.peer.Gateway} {
+		c := &call{
+			id: "r-0", service: "pool", route: &route.Route{Name: "once", MaxTargets: 2}, tried: make(map[string]bool), unreached: make(map[string]bool),
+			overLimit: make(map[string]bool), deadline: time.Now().Add(time.Minute), request: &upstream.Request{Method: http.MethodGet, URI: "/", Header: http.Header{"Id": {"r-0"}}},
+		}
+		out := g.forward(caller.WithConnection(t.Context(), departed{}), c)
+		require.Equal(t, reasonCallerLeft, out.reason)
+		require.Zero(t, out.status)
+	}
+	require.Zero(t, f.runs("r-0"))
+	require.Equal(t, http.StatusOK, f.cut.send("once.example", nil, "").StatusCode, "the callers said nothing about the other VM")
+}
+
+// Guards against a request that is sent with a new time limit after its VM was suspended.
+func TestRequestWhoseTimePassedWhileTheVMWasSuspendedIsNotSent(t *testing.T) {
+	f := newForwardingFleet(t)
+	clock := newManualClock(time.Hour)
+	c := &call{
+		id: "r-0", service: "pool", route: &route.Route{Name: "once", MaxTargets: 2}, tried: make(map[string]bool), unreached: make(map[string]bool),
+		overLimit: make(map[string]bool), deadline: time.Now().Add(time.Minute), clock: clock, expires: clock.Now() + time.Second,
+		request: &upstream.Request{Method: http.MethodGet, URI: "/", Header: http.Header{"Id": {"r-0"}}},
+	}
+	ctx := caller.WithExpiry(t.Context(), clock, c.expires)
+	clock.advance(2 * time.Second)
+	out := f.peer.forward(ctx, c)
+	require.Equal(t, http.StatusServiceUnavailable, out.status)
+	require.Zero(t, f.runs("r-0"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -242,6 +242,7 @@
 		Memory:      g.memory.Share(g.settings.memoryShare(peerMemoryShare)),
 		Unproven:    g.memory.Share(g.settings.memoryShare(peerMemoryShare / 4)), Registry: g.registry,
 	})
+	g.peers.Stalls = g.stalls
 	g.peers.OnAcceptError = g.newAcceptErrorLog(g.settings.Peers)
 	go g.peers.Serve()
 	return nil
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/pipeline"
 )
 
@@ -88,7 +89,7 @@
 		g.state.countKey(c.service, c.key)
 	}
 	g.state.recordRequest(c.service, rt.Priority, g.clock.Now())
-	out := g.forward(r.Context(), c)
+	out := g.forward(caller.WithExpiry(r.Context(), g.clock, c.expires), c)
 	g.logCall(c, out)
 	g.respond(w, r, out)
 }
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -11,6 +11,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/decide/loadreport"
 	"hemlockquay/internal/pause"
 	"hemlockquay/internal/upstream"
@@ -38,7 +39,7 @@
 func (g *Gateway) discoverLoadReports(ctx context.Context) {
 	for _, t := range g.state.undiscoveredTargets() {
 		askCtx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-		resp, err := t.pool.Exchange(askCtx, g.healthRequest(t), upstream.AnyConn)
+		resp, err := t.pool.Exchange(askCtx, g.healthRequest(askCtx, t), upstream.AnyConn)
 		cancel()
 		if errors.Is(err, upstream.ErrWithheld) {
 			continue
@@ -103,7 +104,7 @@
 func (g *Gateway) ask(ctx context.Context, a *attempt, timeLeft time.Duration) (loadreport.Report, error) {
 	askCtx, cancel := context.WithTimeout(ctx, min(inquiryTimeout, timeLeft/2))
 	defer cancel()
-	resp, err := a.pool.Exchange(askCtx, g.healthRequest(a.target), a.conn)
+	resp, err := a.pool.Exchange(askCtx, g.healthRequest(askCtx, a.target), a.conn)
 	if errors.Is(err, upstream.ErrWithheld) {
 		return loadreport.Report{}, errNotAdmitted
 	}
@@ -151,12 +152,12 @@
 )
 
 // healthRequest returns the request by which a target is asked for its load.
-func (g *Gateway) healthRequest(t *targetState) *upstream.Request {
+func (g *Gateway) healthRequest(ctx context.Context, t *targetState) *upstream.Request {
 	g.state.mu.Lock()
 	path := g.state.serviceLocked(t.Service).HealthPath
 	g.state.mu.Unlock()
 	return &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Addr, Header: http.Header{g.headers.TargetID: {t.ID}}, IDHeader: g.headers.RequestID, Advisory: true, MaxAnswer: upstream.SmallAnswer,
-		MaySend: func() bool { return g.state.admit(t, sentInquiries) == notRefused }}
+		MaySend: func() bool { return caller.Check(ctx) == nil && g.state.admit(t, sentInquiries) == notRefused }}
 }
 
 // reserveAskedFromPool reserves a target of a pool. Targets that tell their load are asked for it, up to
@@ -208,9 +209,9 @@
 			}
 		}
 		switch {
-		case best != nil && (ctx.Err() != nil || asked >= loadreport.MaxAsked):
+		case best != nil && (caller.Check(ctx) != nil || asked >= loadreport.MaxAsked):
 			return best, notRefused
-		case ctx.Err() != nil || asked >= loadreport.MaxAskedWhileFull:
+		case caller.Check(ctx) != nil || asked >= loadreport.MaxAskedWhileFull:
 			return nil, refusedFull
 		case c.connectFailures > maxConnectFailures:
 			return nil, refusedUnreached
@@ -238,13 +239,14 @@
 		return true, nil
 	}
 	report, err := g.ask(ctx, a, timeLeft)
+	ended := caller.Check(ctx)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		g.finishUnsent(c, a, err)
 		return false, nil
-	case ctx.Err() != nil:
+	case ended != nil:
 		g.release(a)
-		return false, c.endedBy(ctx)
+		return false, c.endedBy(ended)
 	case errors.Is(err, errDisplaced), errors.Is(err, errNotAdmitted):
 		g.release(a)
 		return false, nil
@@ -258,7 +260,7 @@
 		g.inquiries.declined.Inc(1)
 		g.release(a)
 		if !g.awaitFreeSlot(ctx, c) {
-			return false, c.endedBy(ctx)
+			return false, c.endedBy(caller.Check(ctx))
 		}
 		return false, nil
 	case loadreport.Refuse:
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/forwarding"
 	"hemlockquay/internal/mesh"
@@ -41,7 +42,7 @@
 	}
 	asked := make(map[string]bool)
 	for len(asked) < maxPeersAsked {
-		timeLeft := time.Until(c.deadline)
+		timeLeft := c.timeLeft()
 		if timeLeft < minTimeLeft+hopMargin {
 			out := c.timedOut()
 			return &out
@@ -57,8 +58,8 @@
 		asked[vm.VM] = true
 		a := &attempt{service: c.service, route: c.route.Name, peer: vm.VM, sent: time.Now()}
 		reply, err := g.forwardTo(ctx, c, vm, timeLeft-hopMargin)
-		if certainlyNotSent(err) && ctx.Err() != nil {
-			return c.endedBy(ctx)
+		if ended := caller.Check(ctx); certainlyNotSent(err) && ended != nil {
+			return c.endedBy(ended)
 		}
 		if certainlyNotSent(err) {
 			g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Lost(vm.VM, now) })
@@ -75,14 +76,18 @@
 	return &out
 }
 
-// endedBy returns the outcome of a request that was not sent because its context ended: its caller has
-// disconnected, or this VM is shutting down.
-func (c *call) endedBy(ctx context.Context) *outcome {
-	if cancelledByShutdown(ctx) {
-		out := c.giveUp(errShuttingDown.Error(), immediateRetryAfter)
-		return &out
-	}
-	return &outcome{status: 0, reason: reasonCallerLeft}
+// endedBy returns the outcome of a request that was not sent for a reason that caller.Check returned.
+func (c *call) endedBy(reason error) *outcome {
+	var out outcome
+	switch {
+	case errors.Is(reason, errShuttingDown):
+		out = c.giveUp(errShuttingDown.Error(), immediateRetryAfter)
+	case errors.Is(reason, caller.ErrExpired):
+		out = c.timedOut()
+	default:
+		out = outcome{status: 0, reason: reasonCallerLeft}
+	}
+	return &out
 }
 
 // refuseForwardWhileLeaving returns the outcome of a request that may outlast this VM's shutdown, or nil.
@@ -90,7 +95,7 @@
 	g.state.mu.Lock()
 	usual := g.state.usualDurationLocked(c.service, c.route.Name)
 	g.state.mu.Unlock()
-	if !g.mayOutlastShutdown(c, &attempt{expected: usual}, time.Until(c.deadline)) {
+	if !g.mayOutlastShutdown(c, &attempt{expected: usual}, c.timeLeft()) {
 		return nil
 	}
 	out := c.giveUp(string(refusedLeaving), immediateRetryAfter)
@@ -207,7 +212,7 @@
 func (g *Gateway) handleRefusalOfPeer(ctx context.Context, c *call, vm string, reason refusal) (out *outcome, done bool) {
 	c.trace = append(c.trace, "through "+vm+" refused: "+string(reason))
 	switch reason {
-	case refusedByGate, refusedLeaving, refusedMember:
+	case refusedByGate, refusedLeaving, refusedMember, refusedUnread:
 		g.updateRouter(func(r *forwarding.Router, now time.Duration) { r.Full(vm, now) })
 		return nil, false
 	case refusedUnreached, refusedLost, refusedNoTarget:
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -43,6 +43,8 @@
 	peer string
 	// withheld says why the request was not sent although a connection was open, if it was not.
 	withheld refusal
+	// ended says why the request itself has ended, if that is why it was withheld.
+	ended error
 	// refused says why no attempt was made, if none was.
 	refused refusal
 	// reportedSlowness is the slowness that the target reported last, or 0 if it reports none.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -66,7 +66,8 @@
 func (c *Client) Addr() string { return c.addr }
 
 // Call calls a method of the peer and stores the result in reply, which must be a pointer. It
-// returns when the context ends at the latest. After an error the value at reply is unchanged.
+// returns when the context ends at the latest. A call whose context carries a caller is not written once that has left, or once
+// its time is over; the error is then ErrNotSent with the reason. After an error the value at reply is unchanged.
 // The caller must not modify args even after Call has returned, because a call that timed out may
 // still be written.
 //
@@ -79,7 +80,7 @@
 		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, err))
 	}
 	own := reflect.New(reflect.TypeOf(reply).Elem())
-	w := newWrite(method, args, own.Interface())
+	w := newWrite(ctx, method, args, own.Interface())
 	if err := s.enqueue(ctx, w); err != nil {
 		conn.release(s, false)
 		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, err))
@@ -89,6 +90,10 @@
 		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(conn.abandon(s, w), ctx.Err()))
 	}
 	conn.release(s, isConnError(call.Error))
+	var withheld *withheldError
+	if errors.As(call.Error, &withheld) {
+		return fmt.Errorf("%s at %s: %w", method, c.addr, errors.Join(ErrNotSent, withheld))
+	}
 	if call.Error == nil {
 		reflect.ValueOf(reply).Elem().Set(own.Elem())
 	}
@@ -132,7 +137,8 @@
 		return false
 	}
 	var remote rpc.ServerError
-	return !errors.As(err, &remote)
+	var withheld *withheldError
+	return !errors.As(err, &remote) && !errors.As(err, &withheld)
 }
 
 // release removes a pending call from the session. If the call failed, the session is retired.
@@ -150,7 +156,7 @@
 
 // abandon ends a call that timed out. It returns ErrLost if the call may have reached the peer.
 func (m *managedConn) abandon(s *session, w *write) error {
-	if w.cancel() {
+	if w.cancel() || w.state.Load() == writeCanceled {
 		m.release(s, false)
 		return ErrNotSent
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -9,6 +9,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hemlockquay/internal/caller"
+	"hemlockquay/internal/socket"
 	"hemlockquay/internal/wire"
 )
 
@@ -135,6 +137,9 @@
 
 func (c *serverCodec) ReadRequestBody(body any) error {
 	err := c.readMessage(body, maxMessage)
+	if r, ok := body.(caller.Receiver); ok && err == nil {
+		r.SetOrigin(connection{c.conn}, c.meter.server.Stalls.Recent())
+	}
 	if err == nil && !c.meter.whole {
 		c.meter.whole = true
 		c.meter.server.prove(c.conn)
@@ -142,6 +147,12 @@
 	return err
 }
 
+// connection implements caller.Connection.
+type connection struct{ net.Conn }
+
+// Left implements caller.Connection.
+func (c connection) Left() bool { return socket.HungUp(c.Conn) }
+
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	return c.write(r.ServiceMethod+replySuffix, r, body)
 }
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -121,7 +122,7 @@
 // the process, so replies that arrived during it are read before the connection counts as silent.
 func (m *managedConn) probe(s *session) bool {
 	seen, silentTicks := s.conn.reads.Load(), 0
-	w := newWrite(methodProbe, &struct{}{}, &struct{}{})
+	w := newWrite(context.Background(), methodProbe, &struct{}{}, &struct{}{})
 	// queue is nil once the probe is queued. A stalled write may keep the queue full.
 	queue := s.writes
 	step := time.NewTicker(silenceCheckInterval)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,8 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+
+	"hemlockquay/internal/stall"
 )
 
 // Server serves the registered RPC receivers on one listener.
@@ -22,6 +24,9 @@
 	// OnAcceptError is called with each error of the listener after which Serve tries again. It may be nil, and is set
 	// before Serve runs.
 	OnAcceptError func(error)
+	// Stalls says when the process did not run, so that messages may have waited unread. It may be nil, and is set before
+	// Serve runs.
+	Stalls *stall.Meter
 
 	rpc      *rpc.Server
 	listener net.Listener
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hemlockquay/internal/caller"
 )
 
 const (
@@ -36,6 +38,8 @@
 
 // write is a call that is queued for the writer of a session.
 type write struct {
+	// ctx is the context of the call.
+	ctx         context.Context
 	method      string
 	args, reply any
 	// done receives the call when it is complete.
@@ -55,8 +59,17 @@
 	writeCanceled
 )
 
-func newWrite(method string, args, reply any) *write {
-	return &write{method: method, args: args, reply: reply, done: make(chan *rpc.Call, 1), queued: time.Now()}
+// withheldError is the error of a call that was not written because nobody waits for it any more.
+type withheldError struct{ cause error }
+
+// Error implements error.
+func (e *withheldError) Error() string { return "withheld: " + e.cause.Error() }
+
+// Unwrap returns the reason.
+func (e *withheldError) Unwrap() error { return e.cause }
+
+func newWrite(ctx context.Context, method string, args, reply any) *write {
+	return &write{ctx: ctx, method: method, args: args, reply: reply, done: make(chan *rpc.Call, 1), queued: time.Now()}
 }
 
 // cancel cancels a queued call that timed out, if it has waited for writeStallTimeout: then the
@@ -93,6 +106,12 @@
 }
 
 func (s *session) writeCall(w *write) {
+	if err := caller.Check(w.ctx); err != nil {
+		if w.state.CompareAndSwap(writeQueued, writeCanceled) {
+			w.done <- &rpc.Call{Error: &withheldError{cause: err}}
+		}
+		return
+	}
 	if !w.state.CompareAndSwap(writeQueued, writeBegun) {
 		return
 	}
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/upstream"
@@ -22,6 +23,10 @@
 // ErrUnsent reports that no byte of the request reached the target.
 var ErrUnsent = errors.New("not sent")
 
+// ErrWithheld reports that the request was not sent because nobody waits for its answer any more, or its time is over. It comes
+// with ErrUnsent and the reason, which is an error of package caller.
+var ErrWithheld = errors.New("withheld")
+
 // ErrTooLarge reports that the target's answer exceeds Attempt.MaxAnswer.
 var ErrTooLarge = errors.New("answer over the limit")
 
@@ -77,7 +82,11 @@
 // net/http closes the connection of a cancelled request before it returns the error, no part
 // of a request can arrive after its Send returned without an answer.
 func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	return upstream.DialWithReset(ctx, &net.Dialer{Timeout: dialTimeout}, network, addr)
+	nc, err := upstream.DialWithReset(ctx, &net.Dialer{Timeout: dialTimeout}, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: nc}, nil
 }
 
 // nonRewindableBody returns a body that net/http cannot rewind. net/http may retry by itself a
@@ -110,8 +119,16 @@
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
+	var withheld error
+	req = req.WithContext(withGate(ctx, func() error {
+		withheld = caller.Check(ctx)
+		return withheld
+	}))
 	resp, err := s.http.Do(req)
 	if err != nil {
+		if withheld != nil {
+			return nil, errors.Join(ErrUnsent, ErrWithheld, withheld)
+		}
 		return nil, classify(err)
 	}
 	defer resp.Body.Close()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,8 +11,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"hemlockquay/internal/socket"
 )
 
 const (
@@ -88,22 +89,8 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	clean := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		clean = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && clean
+	state := socket.Peek(c.net)
+	return state == socket.Quiet || state == socket.Unknown
 }
 
 // exchange sends r and returns its answer, and whether the connection may be reused. The answer's memory is reserved in
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hemlockquay/internal/caller"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
@@ -27,6 +28,9 @@
 
 // Request is a caller's request that an entry sends to a dispatcher.
 type Request struct {
+	// Origin is set where the request is received.
+	caller.Origin `msgpack:"-"`
+
 	// ID is unique across all entries and their restarts.
 	ID       string
 	Service  string
