An odd entry in the store costs only itself

What other operators saw, and our trials: with one entry among those of the servers that is nested 20,000 deep, or has a revision of 1e30, the whole list fails at each try ("store answer lost"), so does each watch with its event, and no entry is read.

Cause: package encoding/json rejects a whole text for a value that is nested too deep in it, lists were decoded as one text, and one record of our own that did not decode ended its list and its watch.

What cannot be decoded is counted (store.entries.refused) and logged; it stays in the list by its name without a spec, so that an owner, a data centre or a record is not taken for removed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -47,7 +47,9 @@
 }
 
 func start(k *daemon.Deps[*Settings]) error {
-	a, err := newAgent(k, objectapi.New(k.Settings.Store))
+	store := objectapi.New(k.Settings.Store)
+	store.OnRefused(func(r platform.Refused) { recordRefused(k.Log, k.Registry, r) })
+	a, err := newAgent(k, store)
 	if err != nil {
 		return err
 	}
@@ -121,7 +123,7 @@
 	timeout := s.StoreTimeout.D()
 	w := &watcher{
 		store: a.storeFor(platform.CauseConfig), config: a.config, members: a.members, timeout: timeout, log: a.Log,
-		olderRefused: metrics.GetOrRegisterCounter("config.refused.older", a.Registry),
+		registry: a.Registry, olderRefused: metrics.GetOrRegisterCounter("config.refused.older", a.Registry),
 	}
 	a.assigner = &assigner{
 		electionStore: a.storeFor(platform.CauseAssigner), planStore: a.storeFor(platform.CauseAssignment),
--- a/internal/agent/watcher.go
+++ b/internal/agent/watcher.go
@@ -44,6 +44,7 @@
 	members      *members
 	timeout      time.Duration
 	log          *log.Logger
+	registry     metrics.Registry
 	olderRefused metrics.Counter
 
 	// broken is set when a watch fails and cleared by the next event.
@@ -123,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	for _, r := range l.Refused {
+		recordRefused(w.log, w.registry, r)
+	}
 	err = w.config.replace(l)
 	w.relist = err != nil
 	if err != nil {
@@ -161,3 +165,9 @@
 	w.broken.Store(false)
 	w.setWatching(true)
 }
+
+// recordRefused counts and logs an entry of the store that could not be decoded.
+func recordRefused(logger *log.Logger, registry metrics.Registry, r platform.Refused) {
+	metrics.GetOrRegisterCounter("store.entries.refused", registry).Inc(1)
+	logger.Warn().Str("step", "store").Str("name", r.Name).Str("reason", r.Reason).Msg("entry of the store could not be decoded")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,7 +159,7 @@
 	g.bodyMemory = g.newBodyMemory()
 	g.descriptors = budget.New("descriptors", s.connectionDescriptors(), registry)
 	g.pendingCalls, g.attemptLog = newPendingCalls(), rate.NewLimiter(maxAttemptLines, maxAttemptLines)
-	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls}
+	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls, onRefused: g.newRefusedLog()}
 	g.confirmations = newConfirmations(clock, a.ConfigID().Kind, a.TargetKind(), a.EvacuationKind())
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = g.newForwardedRequests(), peer.NewRequestPool(forwardConnections)
--- a/internal/gateway/storecalls.go
+++ b/internal/gateway/storecalls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/model"
@@ -21,6 +22,24 @@
 	// onResult is called with the result of each call and the time at which the call was sent.
 	onResult func(sent time.Duration, err error)
 	pending  *pendingCalls
+	// onRefused is called with the entries of an answer that could not be decoded, if any.
+	onRefused func(kind model.Kind, entries []platform.Refused)
+}
+
+// maxRefusedLines bounds the log lines on entries that could not be decoded, per second.
+const maxRefusedLines = 5
+
+// newRefusedLog returns a function that counts and logs entries of the store that could not be decoded.
+func (g *Gateway) newRefusedLog() func(model.Kind, []platform.Refused) {
+	lines := rate.NewLimiter(maxRefusedLines, maxRefusedLines)
+	return func(kind model.Kind, entries []platform.Refused) {
+		for _, e := range entries {
+			metrics.GetOrRegisterCounter("store.entries.refused."+string(kind), g.registry).Inc(1)
+			if lines.Allow() {
+				g.log.Warn().Str("step", "store").Str("kind", string(kind)).Str("name", e.Name).Str("reason", e.Reason).Msg("entry of the store could not be decoded")
+			}
+		}
+	}
 }
 
 // storeCallsPrefix begins the names of the counters of calls to the store.
@@ -50,11 +69,15 @@
 }
 
 func (s observedStore) ListKind(ctx context.Context, kind model.Kind) (platform.Listing, error) {
-	return observe(s, "list", kind, func() (platform.Listing, error) { return s.ObjectStore.ListKind(ctx, kind) })
+	out, err := observe(s, "list", kind, func() (platform.Listing, error) { return s.ObjectStore.ListKind(ctx, kind) })
+	s.onRefused(kind, out.Refused)
+	return out, err
 }
 
 func (s observedStore) WatchKind(ctx context.Context, kind model.Kind, from uint64, wait time.Duration) (platform.Changes, error) {
-	return observe(s, "watch", kind, func() (platform.Changes, error) { return s.ObjectStore.WatchKind(ctx, kind, from, wait) })
+	out, err := observe(s, "watch", kind, func() (platform.Changes, error) { return s.ObjectStore.WatchKind(ctx, kind, from, wait) })
+	s.onRefused(kind, out.Refused)
+	return out, err
 }
 
 // registerGauges registers the gauges for the routing information of the VM and its age.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/pause"
@@ -227,6 +229,7 @@
 func (g *Gateway) readTarget(o platform.Object) (catalog.Target, bool) {
 	target, err := g.adapter.Target(o)
 	if err != nil {
+		metrics.GetOrRegisterCounter("targets.refused", g.registry).Inc(1)
 		g.log.Warn().Str("step", "targets").Str("target", o.Name).Uint64("revision", o.Version).Err(err).Msg("ignored target object that could not be decoded")
 		return target, false
 	}
--- a/internal/platform/kinds.go
+++ b/internal/platform/kinds.go
@@ -11,6 +11,8 @@
 type Changes struct {
 	Events   []Event
 	Revision uint64
+	// Refused are the events that could not be decoded.
+	Refused []Refused
 }
 
 // ObjectStore is a store that lists and watches by kind. A watch returns with the first
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -1,6 +1,7 @@
 package objectapi
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 
 	"hemlockquay/internal/platform"
 )
@@ -17,10 +19,19 @@
 // values of a megabyte would be an error.
 const maxResponseBytes = 256 << 20
 
+const (
+	// maxHeadBytes bounds the headers of a response.
+	maxHeadBytes = 64 << 10
+	// maxEventBytes bounds an event of a watch. A value has a megabyte at most.
+	maxEventBytes = 8 << 20
+)
+
 // Client implements platform.Store over HTTP.
 type Client struct {
 	base string
 	http *http.Client
+	// onRefused is called with events of a watch that cannot be decoded.
+	onRefused func(platform.Refused)
 }
 
 var _ platform.Store = (*Client)(nil)
@@ -28,9 +39,12 @@
 // New returns a client of the API at base, e.g. "http://10.0.0.1:8001". It sets no
 // timeouts: each call is bounded by its context.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeadBytes}}, onRefused: func(platform.Refused) {}}
 }
 
+// OnRefused sets a function that is called with each event of a watch that cannot be decoded. It is called before the first use.
+func (c *Client) OnRefused(f func(platform.Refused)) { c.onRefused = f }
+
 // Get implements platform.Store.
 func (c *Client) Get(ctx context.Context, id platform.ID) (platform.Object, error) {
 	var item Item
@@ -42,21 +56,23 @@
 
 // List implements platform.Store.
 func (c *Client) List(ctx context.Context) (platform.Listing, error) {
-	var list List
+	var list listing
 	if err := c.call(ctx, http.MethodGet, c.base+ObjectsPath, nil, &list); err != nil {
 		return platform.Listing{}, fmt.Errorf("list objects: %w", err)
 	}
-	revision, err := ParseVersion(list.Metadata.ResourceVersion)
+	revision, err := ParseVersion(list.metadata.ResourceVersion)
 	if err != nil {
 		return platform.Listing{}, err
 	}
-	l := platform.Listing{Revision: revision, Objects: make([]platform.Object, 0, len(list.Items))}
-	for _, item := range list.Items {
-		o, err := FromItem(item)
-		if err != nil {
-			return platform.Listing{}, err
+	l := platform.Listing{Revision: revision, Objects: make([]platform.Object, 0, len(list.items))}
+	for _, item := range list.items {
+		o, refused := readItem(item)
+		if refused != nil {
+			l.Refused = append(l.Refused, platform.Refused{Name: o.Name, Reason: refused.Error()})
+		}
+		if o.Name != "" {
+			l.Objects = append(l.Objects, o)
 		}
-		l.Objects = append(l.Objects, o)
 	}
 	return l, nil
 }
@@ -105,41 +121,34 @@
 	if err := platform.StatusError(resp.StatusCode); err != nil {
 		return fmt.Errorf("watch from %d: %w", from, err)
 	}
-	lines := json.NewDecoder(resp.Body)
-	for {
-		var line WatchEvent
-		if err := lines.Decode(&line); err != nil {
-			return fmt.Errorf("watch: read event: %w", errors.Join(platform.ErrAmbiguous, err))
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			continue
 		}
-		event, err := toEvent(line)
-		if err != nil {
-			return err
+		event, refused := readEvent(lines.Bytes(), from)
+		if errors.Is(refused, platform.ErrGone) {
+			return refused
 		}
+		if refused != nil {
+			c.onRefused(platform.Refused{Name: event.Object.Name, Reason: refused.Error()})
+		}
+		if event.Type != platform.EventBookmark && event.Object.Name == "" {
+			continue
+		}
+		// The line is overwritten by the next one.
+		event.Object.Spec = slices.Clone(event.Object.Spec)
+		from = event.Revision
 		if err := handle(event); err != nil {
 			return err
 		}
 	}
-}
-
-func toEvent(line WatchEvent) (platform.Event, error) {
-	revision, err := ParseVersion(line.Object.Metadata.ResourceVersion)
-	if err != nil {
-		return platform.Event{}, err
-	}
-	event := platform.Event{Revision: revision}
-	switch line.Type {
-	case Bookmark:
-		event.Type = platform.EventBookmark
-		return event, nil
-	case Added, Modified:
-		event.Type = platform.EventPut
-	case Deleted:
-		event.Type = platform.EventDelete
-	default:
-		return event, fmt.Errorf("watch: unexpected event type %q: %w", line.Type, platform.ErrGone)
-	}
-	event.Object, err = FromItem(line.Object)
-	return event, err
+	err = lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("watch: read event: %w", errors.Join(platform.ErrAmbiguous, err))
 }
 
 func (c *Client) itemURL(id platform.ID) string {
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -77,6 +77,15 @@
 type Listing struct {
 	Objects  []Object `json:"objects"`
 	Revision uint64   `json:"revision"`
+	// Refused are the entries of the store that could not be decoded.
+	Refused []Refused `json:"refused,omitempty"`
+}
+
+// Refused is an entry of the store that could not be decoded. It costs no other entry.
+type Refused struct {
+	// Name is the object's name, or "" if that could not be decoded either.
+	Name   string `json:"name"`
+	Reason string `json:"reason"`
 }
 
 // VMState is the platform's view of a VM. It may be out of date.
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"encoding"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -41,13 +42,21 @@
 	return fmt.Errorf("store rejected the call: status %d", status)
 }
 
+// decode decodes a JSON text into out, which may do so itself.
+func decode(text []byte, out any) error {
+	if own, ok := out.(encoding.TextUnmarshaler); ok {
+		return own.UnmarshalText(text)
+	}
+	return json.Unmarshal(text, out)
+}
+
 // DecodeResponse decodes the body of a successful response, of at most most bytes, into out.
 // It reads the body to its end, so that the connection can be reused. If that fails, the
 // error is ErrAmbiguous, because the call was carried out.
 func DecodeResponse(body io.Reader, most int64, out any) error {
 	text, err := io.ReadAll(io.LimitReader(body, most))
 	if err == nil {
-		err = json.Unmarshal(text, out)
+		err = decode(text, out)
 	}
 	if err != nil {
 		return fmt.Errorf("read answer: %w", errors.Join(ErrAmbiguous, err))
