peer: replies are read whole, within the memory of all clients

What other operators saw: bytes without end from one that was called, kept until the memory of the machine was used up. Requests of peers have been bounded since the limits of clients; their replies were decoded from the connection, each without a bound: the decoder holds what it reads, and calls itself for each level of what it skips.

Change: both sides read a message whole, level by level, before they decode it. Replies to all clients of a process share one bound: that of messages of other VMs in hq-gateway, with heartbeats, forwards and relays of the store; that of peers in the other daemons, with the feed. A reply that exceeds it ends its connection (peers.replies.tooLarge).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,7 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	server.Bound(k.Settings.PeerBounds(k.Registry))
+	bounds := k.Settings.PeerBounds(k.Registry)
+	server.Bound(bounds)
 	started := time.Now().UnixNano()
 	a := &agent{
 		Deps:        k,
@@ -71,7 +72,7 @@
 		store:       store,
 		guard:       platform.NewGuard(k.Registry),
 		server:      server,
-		peers:       peer.NewPool(1),
+		peers:       peer.NewPool(1).Within(bounds.Replies()),
 		commander:   target.NewOrderClient(),
 	}
 	a.initComponents()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -61,10 +61,11 @@
 	if err != nil {
 		return err
 	}
-	server.Bound(k.Settings.PeerBounds(k.Registry))
+	bounds := k.Settings.PeerBounds(k.Registry)
+	server.Bound(bounds)
 	server.Stalls = stall.NewMeter(boottime.System{})
 	loads := newGroupLoads()
-	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: server.Addr(), Loads: loads.hottest}
+	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: server.Addr(), Loads: loads.hottest, Replies: bounds.Replies()}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
 		Deps:           k,
@@ -85,6 +86,8 @@
 		journal: k.Journal, registry: k.Registry, counters: newCounters(k.Registry),
 	}
 	d.dedup = newDeduplicator(k.Settings.VM, d.feed, k.Journal, k.Log, k.Registry)
+	d.quarantine.peers.Within(bounds.Replies())
+	d.dedup.peers.Within(bounds.Replies())
 	if err := server.Register("Dispatch", &rpcReceiver{deduplicator: d.dedup, crashes: d.quarantine, d: d}); err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,13 +78,14 @@
 	if err != nil {
 		return nil, err
 	}
-	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: peers.Addr()}
+	bounds := k.Settings.PeerBounds(k.Registry)
+	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: peers.Addr(), Replies: bounds.Replies()}
 	f := feed.New(k.LC, endpoint, k.Lifecycle, k.Log, k.Registry)
 	e := &entry{
 		Deps:        k,
 		parser:      &requestParser{vm: k.Settings.VM},
 		feed:        f,
-		forwarder:   &forwarder{vm: k.Settings.VM, feed: f, client: pooledClient{peer.NewRequestPool(k.Settings.PeerConnections)}},
+		forwarder:   &forwarder{vm: k.Settings.VM, feed: f, client: pooledClient{peer.NewRequestPool(k.Settings.PeerConnections).Within(bounds.Replies())}},
 		incarnation: time.Now().UnixNano(),
 		answered:    metrics.GetOrRegisterTimer("entry.answered", k.Registry),
 		refusals:    metrics.GetOrRegisterCounter("entry.refused", k.Registry),
@@ -95,7 +96,8 @@
 	}
 	e.admitter = newAdmitter(k.Settings.VM, e.incarnation, k.Settings.ReadTimeout.D(), clock, k.Journal, k.Registry)
 	e.exchanger = newShareExchanger(k.Settings.VM, e.admitter, f, k.Lifecycle.Require(baseNotConfirmed), k.Log, k.Registry)
-	peers.Bound(k.Settings.PeerBounds(k.Registry))
+	e.exchanger.pool.Within(bounds.Replies())
+	peers.Bound(bounds)
 	e.peerServer = peers
 	if err := peers.Register("Entry", &shareService{e.admitter}); err != nil {
 		return nil, err
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,6 +53,8 @@
 	// Loads returns the daemon's hottest groups. It is nil if the daemon accepts no
 	// requests.
 	Loads func() []wire.GroupLoad
+	// Replies bounds the agent's replies.
+	Replies peer.ReplyBounds
 }
 
 // Feed holds the current view. Its exported methods are safe for concurrent use.
@@ -86,7 +88,7 @@
 		endpoint:        e,
 		life:            life,
 		log:             logger,
-		client:          peer.NewClient(e.Agent, 2),
+		client:          peer.NewClient(e.Agent, 2).Within(e.Replies),
 		revisionGauge:   metrics.GetOrRegisterGauge("feed.revision", registry),
 		changed:         make(chan struct{}),
 		revisionChanged: make(chan struct{}, 1),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,6 +178,9 @@
 	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
 	g.state.placesFromVMs = s.Places.FromVMs
 	g.mesh = mesh.New(g.self, clock, logger)
+	replies := peer.ReplyBounds{Memory: g.memory.Share(s.memoryShare(peerMemoryShare)), Registry: registry}
+	g.forwardClients.Within(replies)
+	g.mesh.BoundReplies(replies)
 	g.state.announce, g.state.reachedBy = g.mesh.Announce, g.mesh.ReachedBy
 	// If all VMs started with the same target, they would overload it together.
 	g.state.startIndex = int(catalog.Hash(s.VM))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -200,7 +200,7 @@
 }
 
 func (g *Gateway) joinThroughSeed(ctx context.Context, addr string) {
-	members, err := mesh.Join(ctx, addr, g.self)
+	members, err := g.mesh.Join(ctx, addr)
 	if err != nil {
 		g.log.Info().Str("step", "join").Str("seed", addr).Err(err).Msg("seed unreachable")
 		return
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -109,14 +109,21 @@
 	// were last retried at once.
 	failing      int
 	retriedAllAt time.Duration
+	// replies bound the replies of other VMs.
+	replies peer.ReplyBounds
 }
 
 // New returns a mesh that knows only this VM.
 func New(self Member, clock boottime.Clock, logger *log.Logger) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Mesh{self: self, clock: clock, log: logger, newClient: func(addr string) Client { return peer.NewClient(addr, 1) }, ctx: ctx, cancel: cancel, remotes: make(map[string]*remote), monitored: make(map[string]string), loads: newLoadSums(), lastCheck: clock.Now()}
+	m := &Mesh{self: self, clock: clock, log: logger, ctx: ctx, cancel: cancel, remotes: make(map[string]*remote), monitored: make(map[string]string), loads: newLoadSums(), lastCheck: clock.Now()}
+	m.newClient = func(addr string) Client { return peer.NewClient(addr, 1).Within(m.replies) }
+	return m
 }
 
+// BoundReplies bounds the replies of other VMs. Call it before heartbeats are exchanged.
+func (m *Mesh) BoundReplies(b peer.ReplyBounds) { m.replies = b }
+
 // Start sets the source of this VM's heartbeats and the receiver of the others'. Call it before
 // heartbeats are exchanged.
 func (m *Mesh) Start(local Local) { m.local = local }
@@ -334,9 +341,10 @@
 	return nil
 }
 
-// Join makes self known to the VM at addr and returns all VMs that it knows.
-func Join(ctx context.Context, addr string, self Member) ([]Member, error) {
-	client := peer.NewClient(addr, 1)
+// Join makes this VM known to the VM at addr and returns all VMs that it knows.
+func (m *Mesh) Join(ctx context.Context, addr string) ([]Member, error) {
+	self := m.self
+	client := peer.NewClient(addr, 1).Within(m.replies)
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/peer/bounds.go
+++ b/internal/peer/bounds.go
@@ -14,8 +14,9 @@
 const (
 	// maxMessage bounds a message in bytes. It has room for the largest body of a request or an answer, 64 MiB.
 	maxMessage = 72 << 20
-	// maxHeader bounds the header of a message in bytes: the name of a method and a number.
-	maxHeader = 1 << 10
+	// maxHeader bounds the header of a request in bytes: the name of a method and a number. maxErrorHeader bounds that of a
+	// reply, which may have the text of an error.
+	maxHeader, maxErrorHeader = 1 << 10, 64 << 10
 	// freeMessage is the size up to which a message needs no reservation. Nearly all messages are smaller.
 	freeMessage = 16 << 10
 	// messageTimeout bounds the time from the first byte of a message to its end.
@@ -54,10 +55,32 @@
 	return Bounds{Connections: defaultConnections, Memory: memory.Share(defaultMemory), Unproven: memory.Share(defaultMemory), Registry: registry}
 }
 
+// Replies returns bounds by which replies share the memory of messages.
+func (b Bounds) Replies() ReplyBounds { return ReplyBounds{Memory: b.Memory, Registry: b.Registry} }
+
+// ReplyBounds bound what the replies of peers may occupy, of all clients that have the same share.
+type ReplyBounds struct {
+	// Memory is what replies may take that are being received, in bytes. It may be nil.
+	Memory *budget.Share
+	// Registry gets the counter peers.replies.tooLarge of connections that ended with a reply for which there was no room.
+	Registry metrics.Registry
+}
+
+// newMeter returns the meter of a connection to a peer.
+func (b ReplyBounds) newMeter(conn net.Conn) *meter {
+	tooLarge := metrics.Counter(metrics.NilCounter{})
+	if b.Registry != nil {
+		tooLarge = metrics.GetOrRegisterCounter("peers.replies.tooLarge", b.Registry)
+	}
+	return &meter{conn: conn, memory: b.Memory, unproven: b.Memory, tooLarge: tooLarge}
+}
+
 // meter bounds the messages that are read from a connection. It belongs to the goroutine that reads.
 type meter struct {
-	conn   net.Conn
-	server *Server
+	conn net.Conn
+	// memory is where messages reserve memory, and unproven where the first one of a connection does.
+	memory, unproven *budget.Share
+	tooLarge         metrics.Counter
 	// read is the number of bytes of the message that is being received, held what it has reserved.
 	read, held int64
 	// share is what held was reserved in.
@@ -73,8 +96,8 @@
 		_ = m.conn.SetReadDeadline(time.Time{})
 	}
 	m.read = 0
-	if m.share = m.server.bounds.Unproven; m.whole {
-		m.share = m.server.bounds.Memory
+	if m.share = m.unproven; m.whole {
+		m.share = m.memory
 	}
 }
 
@@ -104,7 +127,7 @@
 		want = 2 * m.read
 	}
 	if m.read > maxMessage || !m.share.TryAcquire(want-m.held) {
-		m.server.tooLarge.Inc(1)
+		m.tooLarge.Inc(1)
 		return fmt.Errorf("%w: %d bytes", errMessageTooLarge, m.read)
 	}
 	m.held = want
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// Within bounds the replies. Call it before the first call. Default: each reply is bounded, their sum is not.
+func (c *Client) Within(b ReplyBounds) *Client {
+	for _, conn := range c.conns {
+		conn.bounds = b
+	}
+	return c
+}
+
 // Addr returns the peer's address.
 func (c *Client) Addr() string { return c.addr }
 
@@ -118,6 +126,8 @@
 	// resetOnTimeout says that a connection that is silent when a call times out is reset, so that the call
 	// is not executed later.
 	resetOnTimeout bool
+	// bounds bound the replies.
+	bounds ReplyBounds
 	// open opens a connection in place of a TCP dial, if it is set.
 	open Dial
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -21,20 +21,25 @@
 // field name: an unknown field is skipped and a missing one is zero, so VMs of
 // two versions can call each other during an upgrade. Arrays would be shorter,
 // but the library rejects an array of another length.
+//
+// Each message is read whole before it is decoded.
 type codec struct {
-	conn net.Conn
-	sent *countingWriter
-	out  *bufio.Writer
-	enc  *msgpack.Encoder
-	dec  *msgpack.Decoder
+	conn    net.Conn
+	sent    *countingWriter
+	out     *bufio.Writer
+	enc     *msgpack.Encoder
+	dec     *msgpack.Decoder
+	meter   *meter
+	scanner scanner
+	message bytes.Reader
 }
 
-func newCodec(conn net.Conn) *codec {
+func newCodec(conn net.Conn, m *meter) *codec {
 	sent := &countingWriter{Writer: conn}
 	out := bufio.NewWriterSize(sent, bufferSize)
 	enc := msgpack.NewEncoder(out)
 	enc.UseCompactInts(true)
-	return &codec{conn: conn, sent: sent, out: out, enc: enc, dec: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferSize))}
+	return &codec{conn: conn, sent: sent, out: out, enc: enc, dec: msgpack.NewDecoder(nil), meter: m, scanner: scanner{in: bufio.NewReaderSize(m, bufferSize)}}
 }
 
 // write sends a message. One message is written at a time.
@@ -74,24 +79,21 @@
 	return fmt.Errorf("encode message: %w", err)
 }
 
-// read decodes a message and closes the connection if that fails: net/rpc would
-// continue and read the rest of its bytes as the next message, possibly as
-// another caller's answer.
-func (c *codec) read(v any) error {
-	err := c.decode(v)
+// readMessage decodes the next message, of limit bytes at the most, or ignores it if v is nil. It closes the connection if that
+// fails: net/rpc would continue and read the rest of its bytes as the next message, possibly as another caller's answer.
+func (c *codec) readMessage(v any, limit int) error {
+	text, err := c.scanner.next(limit)
+	if err == nil && v != nil {
+		c.message.Reset(text)
+		c.dec.ResetReader(&c.message)
+		err = c.dec.Decode(v)
+	}
 	if err != nil {
 		c.conn.Close()
 	}
 	return err
 }
 
-func (c *codec) decode(v any) error {
-	if v == nil {
-		return c.dec.Skip()
-	}
-	return c.dec.Decode(v)
-}
-
 func (c *codec) Close() error { return c.conn.Close() }
 
 type clientCodec struct{ *codec }
@@ -100,36 +102,33 @@
 	return c.write(r.ServiceMethod, r, body)
 }
 
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.read(r) }
-func (c clientCodec) ReadResponseBody(body any) error          { return c.read(body) }
-
-// serverCodec reads each message whole before it decodes it.
-type serverCodec struct {
-	*codec
-	meter   *meter
-	scanner scanner
-	message bytes.Reader
-}
-
-func newServerCodec(conn net.Conn, m *meter) *serverCodec {
-	return &serverCodec{codec: newCodec(conn), meter: m, scanner: scanner{in: bufio.NewReaderSize(m, bufferSize)}}
+// ReadResponseHeader implements rpc.ClientCodec. The header has the text of an error, which may be longer than the name of a
+// method.
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	c.meter.begin()
+	return c.readMessage(r, maxErrorHeader)
 }
 
-// readMessage decodes the next message, of limit bytes at the most, or ignores it if v is nil. It closes the connection if
-// that fails.
-func (c *serverCodec) readMessage(v any, limit int) error {
-	text, err := c.scanner.next(limit)
-	if err == nil && v != nil {
-		c.message.Reset(text)
-		c.dec.ResetReader(&c.message)
-		err = c.dec.Decode(v)
-	}
+// ReadResponseBody implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseBody(body any) error {
+	err := c.readMessage(body, maxMessage)
 	if err != nil {
-		c.conn.Close()
+		// No message follows on this connection.
+		c.meter.release()
 	}
 	return err
 }
 
+// serverCodec also knows the server, and where requests come from.
+type serverCodec struct {
+	*codec
+	server *Server
+}
+
+func newServerCodec(conn net.Conn, s *Server, m *meter) *serverCodec {
+	return &serverCodec{codec: newCodec(conn, m), server: s}
+}
+
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.meter.begin()
 	return c.readMessage(r, maxHeader)
@@ -138,11 +137,11 @@
 func (c *serverCodec) ReadRequestBody(body any) error {
 	err := c.readMessage(body, maxMessage)
 	if r, ok := body.(caller.Receiver); ok && err == nil {
-		r.SetOrigin(connection{c.conn}, c.meter.server.Stalls.Recent())
+		r.SetOrigin(connection{c.conn}, c.server.Stalls.Recent())
 	}
 	if err == nil && !c.meter.whole {
 		c.meter.whole = true
-		c.meter.server.prove(c.conn)
+		c.server.prove(c.conn)
 	}
 	return err
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -109,7 +109,7 @@
 	m.dials.running--
 	switch {
 	case err == nil && m.current == nil && !m.closed:
-		m.current, m.dials.failure = newSession(nc), nil
+		m.current, m.dials.failure = newSession(nc, m.bounds), nil
 		m.dials.cancel()
 	case err == nil:
 		_ = nc.Close()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -82,10 +82,10 @@
 	client, server := net.Pipe()
 	defer client.Close()
 	go func() {
-		c := newCodec(server)
+		c := newCodec(server, ReplyBounds{}.newMeter(server))
 		_ = c.write("m", "not a response header", "rest")
 	}()
-	c := newCodec(client)
+	c := newCodec(client, ReplyBounds{}.newMeter(client))
 	require.Error(t, clientCodec{c}.ReadResponseHeader(new(rpc.Response)))
 	_, err := client.Write([]byte("x"))
 	require.ErrorIs(t, err, io.ErrClosedPipe)
@@ -102,8 +102,8 @@
 		{older{"a"}, &newer{}, &newer{"a", 0}},
 	} {
 		client, server := net.Pipe()
-		go func() { _ = newCodec(server).write("m", c.sent, "body") }()
-		require.NoError(t, newCodec(client).read(c.got))
+		go func() { _ = newCodec(server, ReplyBounds{}.newMeter(server)).write("m", c.sent, "body") }()
+		require.NoError(t, newCodec(client, ReplyBounds{}.newMeter(client)).readMessage(c.got, maxMessage))
 		require.Equal(t, c.want, c.got)
 		client.Close()
 		server.Close()
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -6,6 +6,7 @@
 type Pool struct {
 	connections    int
 	resetOnTimeout bool
+	bounds         ReplyBounds
 
 	mu      sync.Mutex
 	clients map[string]*Client
@@ -24,13 +25,19 @@
 	return p
 }
 
+// Within bounds the replies to all clients. Call it before the first call.
+func (p *Pool) Within(b ReplyBounds) *Pool {
+	p.bounds = b
+	return p
+}
+
 // Get returns the client for an address and creates it if there is none.
 func (p *Pool) Get(addr string) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.clients[addr]
 	if !ok {
-		c = newClient(addr, p.connections, p.resetOnTimeout)
+		c = newClient(addr, p.connections, p.resetOnTimeout).Within(p.bounds)
 		p.clients[addr] = c
 	}
 	return c
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -146,9 +146,9 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer s.done.Done()
-	m := &meter{conn: conn, server: s}
+	m := &meter{conn: conn, memory: s.bounds.Memory, unproven: s.bounds.Unproven, tooLarge: s.tooLarge}
 	defer m.release()
-	s.rpc.ServeCodec(newServerCodec(conn, m))
+	s.rpc.ServeCodec(newServerCodec(conn, s, m))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forgetLocked(conn)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -83,10 +83,10 @@
 func (w *write) isWritten() bool { return w.state.Load() == writeEnded }
 
 // newSession starts a session on an open connection.
-func newSession(nc net.Conn) *session {
+func newSession(nc net.Conn, bounds ReplyBounds) *session {
 	conn := &countingConn{Conn: nc}
 	s := &session{
-		rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), conn: conn,
+		rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn, bounds.newMeter(conn))}), conn: conn,
 		writes: make(chan *write, writeQueueLength), ended: make(chan struct{}),
 	}
 	go s.writeCalls()
--- a/internal/peer/stalled_write_test.go
+++ b/internal/peer/stalled_write_test.go
@@ -48,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		here, there := net.Pipe()
 		defer there.Close()
-		s := newSession(here)
+		s := newSession(here, ReplyBounds{})
 		c := NewClient("peer", 1)
 		defer c.Close()
 		c.conns[0].current = s
@@ -80,7 +80,7 @@
 		here, there := net.Pipe()
 		defer there.Close()
 		c := NewClient("peer", 1)
-		c.conns[0].current = newSession(here)
+		c.conns[0].current = newSession(here, ReplyBounds{})
 		ended := make(chan error, 2)
 		for range 2 {
 			go func() { ended <- c.Call(t.Context(), "Echo.Take", make([]byte, 64<<10), new(string)) }()
