Answers without end stay within the memory of the process, on every client

What other operators saw: bytes without end in a head or a body, kept until the memory of the calling machine was used up.

Causes: connections to targets had the receive buffer of the system; a head below 16 kB was not counted by its fields; a body that grows is held twice for a moment and was counted once; answers of the store and, in hq-agent and hq-dispatch, of targets had a limit each (up to 256 MB) and none together.

Change: limits.receiveBuffer holds for connections to targets; a head is counted by its fields from 2 kB on; a body without a length with the buffer that it grows from; all answers reserve their memory while they are read, in the budget of the process (budget.Reader).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,8 +48,10 @@
 
 func start(k *daemon.Deps[*Settings]) error {
 	store := objectapi.New(k.Settings.Store)
+	bounds := k.Settings.PeerBounds(k.Registry)
+	store.Within(bounds.Memory)
 	store.OnRefused(func(r platform.Refused) { recordRefused(k.Log, k.Registry, r) })
-	a, err := newAgent(k, store)
+	a, err := newAgent(k, store, bounds)
 	if err != nil {
 		return err
 	}
@@ -57,12 +59,11 @@
 	return nil
 }
 
-func newAgent(k *daemon.Deps[*Settings], store platform.Store) (*agent, error) {
+func newAgent(k *daemon.Deps[*Settings], store platform.Store, bounds peer.Bounds) (*agent, error) {
 	server, err := peer.Listen(k.Settings.Listen)
 	if err != nil {
 		return nil, err
 	}
-	bounds := k.Settings.PeerBounds(k.Registry)
 	server.Bound(bounds)
 	started := time.Now().UnixNano()
 	a := &agent{
@@ -73,7 +74,7 @@
 		guard:       platform.NewGuard(k.Registry),
 		server:      server,
 		peers:       peer.NewPool(1).Within(bounds.Replies()),
-		commander:   target.NewOrderClient(),
+		commander:   target.NewOrderClient().Within(bounds.Memory),
 	}
 	a.initComponents()
 	if err := server.Register("Agent", a.relay); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,8 +46,8 @@
 	// Default 1024.
 	MaxPeers int `json:"maxPeers,omitempty"`
 	// PeerMemoryMB is the memory in MB for messages that are being received from other
-	// daemons; hq-gateway counts them in limits.requestMemoryMB. Default 384: the largest
-	// body takes a third of it.
+	// daemons, and for answers of targets and of the store that are being read; hq-gateway counts
+	// them in limits.requestMemoryMB. Default 384: the largest body takes a third of it.
 	PeerMemoryMB float64 `json:"peerMemoryMB,omitempty"`
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 		Deps:           k,
 		server:         server,
 		feed:           feed.New(k.LC, endpoint, k.Lifecycle, k.Log, k.Registry),
-		sender:         target.NewSender(k.Settings.TargetConnections),
+		sender:         target.NewSender(k.Settings.TargetConnections).Within(bounds.Memory),
 		prober:         target.NewProber(),
 		loads:          loads,
 		ctx:            ctx,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -192,8 +192,8 @@
 
 // process reads the body of an admitted request, forwards the request and returns the answer.
 func (e *entry) process(c *gin.Context, req *parsedRequest) (*wire.Answer, *problem.Error) {
-	held := heldBody{share: e.bodies}
-	defer held.release()
+	held := budget.Reader{Share: e.bodies}
+	defer held.Release()
 	if p := e.parser.readBody(c.Writer, c.Request, req, &held); p != nil {
 		if p.Kind == problem.Full {
 			// The rest of the body is not read.
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -12,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/wire"
@@ -48,8 +49,8 @@
 func TestLargestBodyFitsIntoTheDefaultMemory(t *testing.T) {
 	const largest = 64 << 20
 	s := &Settings{MemoryMB: defaultMemoryMB}
-	held := heldBody{share: s.newMemory(metrics.NewRegistry()).Share(s.memoryShare(bodyMemoryShare))}
-	n, err := io.Copy(io.Discard, held.reader(io.LimitReader(zeros{}, largest)))
+	held := budget.Reader{In: io.LimitReader(zeros{}, largest), Share: s.newMemory(metrics.NewRegistry()).Share(s.memoryShare(bodyMemoryShare))}
+	n, err := io.Copy(io.Discard, &held)
 	require.NoError(t, err)
 	require.EqualValues(t, largest, n)
 }
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/problem"
 	"hemlockquay/internal/view"
@@ -189,17 +190,18 @@
 }
 
 // readBody reads the whole body into held. It refuses a body over the limit, or without memory, before it has read all of it.
-func (rp *requestParser) readBody(w http.ResponseWriter, r *http.Request, req *parsedRequest, held *heldBody) *problem.Error {
+func (rp *requestParser) readBody(w http.ResponseWriter, r *http.Request, req *parsedRequest, held *budget.Reader) *problem.Error {
 	limit := req.service.MaxBody
 	if r.ContentLength > limit {
 		return rp.refuse(problem.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
-	body, err := wire.ReadAll(held.reader(http.MaxBytesReader(w, r.Body, limit)), r.ContentLength)
+	held.In = http.MaxBytesReader(w, r.Body, limit)
+	body, err := wire.ReadAll(held, r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return rp.refuse(problem.TooLarge, "the body is over the limit of %d bytes", limit)
 	}
-	if errors.Is(err, errNoBodyMemory) {
+	if errors.Is(err, budget.ErrNoMemory) {
 		return rp.refuse(problem.Full, "%v", err).WithRetryAfter(time.Second)
 	}
 	if err != nil {
--- a/internal/entry/parse_test.go
+++ b/internal/entry/parse_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/problem"
@@ -158,7 +159,7 @@
 		require.Nil(t, p)
 		r.Body, r.ContentLength = http.NoBody, c.length
 		r.Body = readCloser{strings.NewReader(c.body)}
-		p = rp.readBody(httptest.NewRecorder(), r, req, new(heldBody))
+		p = rp.readBody(httptest.NewRecorder(), r, req, new(budget.Reader))
 		if c.want == "" {
 			require.Nil(t, p, c.name)
 			require.Equal(t, wire.Sum([]byte(c.body)), req.wireRequest.Sum)
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/signals"
 	"hemlockquay/internal/lease"
@@ -15,8 +16,8 @@
 
 // Adapter translates between a platform and the gateway.
 type Adapter interface {
-	// Store returns a client for the platform's object store at addr.
-	Store(addr string) platform.ObjectStore
+	// Store returns a client for the platform's object store at addr. Answers reserve memory while they are read.
+	Store(addr string, memory *budget.Share) platform.ObjectStore
 	// ConfigID returns the ID of the object that holds the configuration.
 	ConfigID() platform.ID
 	// TargetKind returns the kind of the objects that describe targets.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -29,6 +29,8 @@
 	// peerDescriptorShare is the fraction of the process's descriptors for connections of other VMs, and peerMemoryShare that of
 	// the VM's memory for messages that are being received from them.
 	peerDescriptorShare, peerMemoryShare = 0.25, 0.5
+	// storeMemoryShare is the fraction of the VM's memory for answers of the store that are being read.
+	storeMemoryShare = 0.25
 )
 
 // newFront returns the HTTP server for callers.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -11,6 +11,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"hemlockquay/internal/boottime"
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/signals"
 	"hemlockquay/internal/lease"
@@ -28,10 +29,10 @@
 	store platform.ObjectStore
 }
 
-func (a fakeAdapter) Store(string) platform.ObjectStore { return a.store }
-func (fakeAdapter) ConfigID() platform.ID               { return platform.ID{Kind: "config", Name: "main"} }
-func (fakeAdapter) TargetKind() model.Kind              { return "targets" }
-func (fakeAdapter) EvacuationKind() model.Kind          { return "evacuations" }
+func (a fakeAdapter) Store(string, *budget.Share) platform.ObjectStore { return a.store }
+func (fakeAdapter) ConfigID() platform.ID                              { return platform.ID{Kind: "config", Name: "main"} }
+func (fakeAdapter) TargetKind() model.Kind                             { return "targets" }
+func (fakeAdapter) EvacuationKind() model.Kind                         { return "evacuations" }
 
 // Signals implements Adapter.
 func (fakeAdapter) Signals(resp *upstream.Answer) (s signals.Signals) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,7 +159,7 @@
 	g.bodyMemory = g.newBodyMemory()
 	g.descriptors = budget.New("descriptors", s.connectionDescriptors(), registry)
 	g.pendingCalls, g.attemptLog = newPendingCalls(), rate.NewLimiter(maxAttemptLines, maxAttemptLines)
-	g.store = observedStore{ObjectStore: a.Store(s.Store), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls, onRefused: g.newRefusedLog()}
+	g.store = observedStore{ObjectStore: a.Store(s.Store, g.memory.Share(s.memoryShare(storeMemoryShare))), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls, onRefused: g.newRefusedLog()}
 	g.confirmations = newConfirmations(clock, a.ConfigID().Kind, a.TargetKind(), a.EvacuationKind())
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = g.newForwardedRequests(), peer.NewRequestPool(forwardConnections)
@@ -174,7 +174,7 @@
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.state.source, _ = s.targetSource()
 	g.state.answerMemory = g.newAnswerMemory()
-	g.state.targetConns = upstream.NewConns(g.descriptors.Share(s.descriptorShare(targetDescriptorShare)), registry)
+	g.state.targetConns = upstream.NewConns(g.descriptors.Share(s.descriptorShare(targetDescriptorShare)), registry).ReceiveBuffer(s.Limits.ReceiveBuffer)
 	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
 	g.state.placesFromVMs = s.Places.FromVMs
 	g.mesh = mesh.New(g.self, clock, logger)
--- a/internal/hostile/departed_test.go
+++ b/internal/hostile/departed_test.go
@@ -68,7 +68,7 @@
 func newArrivalSite(t *testing.T) (*site, *arrivals) {
 	t.Helper()
 	seen := &arrivals{ids: make(map[string]int)}
-	return newSiteWith(t, 1, fleet.IdempotentPoolRoute("repeatable", repeatableHost), func(target *fleet.Target) { target.Exchanged = seen.record }), seen
+	return newSiteWith(t, siteOptions{targets: 1, routes: fleet.IdempotentPoolRoute("repeatable", repeatableHost), change: func(target *fleet.Target) { target.Exchanged = seen.record }}), seen
 }
 
 // suspend stops the process by a signal, and returns when it no longer runs.
--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -31,26 +31,49 @@
 	settings gateway.Settings
 }
 
+// siteOptions are what a site has besides a gateway.
+type siteOptions struct {
+	// targets is the number of targets, each of which change is called with before it starts, unless it is nil.
+	targets int
+	change  func(*fleet.Target)
+	// routes are further routes of the configuration.
+	routes string
+	// addrs are the addresses of further targets.
+	addrs []string
+	// wrapStore returns the handler that stands before the store, unless it is nil.
+	wrapStore func(http.Handler) http.Handler
+}
+
 // newSite starts a gateway with a number of targets.
 func newSite(t *testing.T, targets int) *site {
 	t.Helper()
-	return newSiteWith(t, targets, "", func(*fleet.Target) {})
+	return newSiteWith(t, siteOptions{targets: targets})
 }
 
-// newSiteWith is newSite with further routes, and with targets that are changed before they start.
-func newSiteWith(t *testing.T, targets int, routes string, change func(*fleet.Target)) *site {
+func newSiteWith(t *testing.T, o siteOptions) *site {
 	t.Helper()
 	store := fleet.NewStore()
-	server := httptest.NewServer(store)
+	handler := http.Handler(store)
+	if o.wrapStore != nil {
+		handler = o.wrapStore(store)
+	}
+	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	store.Set("config", "main", fleet.Config(1, routes))
-	for i := range targets {
+	store.Set("config", "main", fleet.Config(1, o.routes))
+	for i := range o.targets {
 		target := &fleet.Target{ID: fmt.Sprintf("p-%d", i), Service: "pool", Zone: "a", Slots: targetSlots, Pad: answerBytes}
 		target.SetWork(5 * time.Millisecond)
-		change(target)
+		if o.change != nil {
+			o.change(target)
+		}
 		require.NoError(t, target.Start(store))
 		t.Cleanup(target.Kill)
 	}
+	for i, addr := range o.addrs {
+		store.Set("servers", fmt.Sprintf("odd-%d", i), map[string]any{
+			"Service": "odd", "Addr": addr, "Zone": "a", "Version": "v1", "Slots": 64, "State": "ready", "WarmupLeftS": 0, "Seq": 1, "born": 1,
+		})
+	}
 	dir := t.TempDir()
 	written, err := fleet.WriteGateways(dir, []string{"vm-1"}, 3*time.Second, func(s *gateway.Settings) error {
 		s.Store, s.MemoryMB = strings.TrimPrefix(server.URL, "http://"), memoryMB
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/platform"
 )
 
@@ -30,6 +31,8 @@
 type Client struct {
 	base string
 	http *http.Client
+	// memory is where answers reserve memory while they are read. It may be nil.
+	memory *budget.Share
 	// onRefused is called with events of a watch that cannot be decoded.
 	onRefused func(platform.Refused)
 }
@@ -42,6 +45,9 @@
 	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeadBytes}}, onRefused: func(platform.Refused) {}}
 }
 
+// Within bounds the answers that are being read, together with all that has the same share. It is called before the first use.
+func (c *Client) Within(memory *budget.Share) { c.memory = memory }
+
 // OnRefused sets a function that is called with each event of a watch that cannot be decoded. It is called before the first use.
 func (c *Client) OnRefused(f func(platform.Refused)) { c.onRefused = f }
 
@@ -167,7 +173,7 @@
 	if out == nil {
 		return nil
 	}
-	return platform.DecodeResponse(resp.Body, maxResponseBytes, out)
+	return platform.DecodeResponse(resp.Body, maxResponseBytes, c.memory, out)
 }
 
 func (c *Client) send(ctx context.Context, method, target string, in any) (*http.Response, error) {
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"hemlockquay/internal/budget"
 )
 
 // TransportError classifies the error of an HTTP call without a response: ErrUnavailable
@@ -50,11 +52,14 @@
 	return json.Unmarshal(text, out)
 }
 
-// DecodeResponse decodes the body of a successful response, of at most most bytes, into out.
+// DecodeResponse decodes the body of a successful response, of at most most bytes, into out. While it does, the body has memory
+// reserved in a share, which may be nil.
 // It reads the body to its end, so that the connection can be reused. If that fails, the
 // error is ErrAmbiguous, because the call was carried out.
-func DecodeResponse(body io.Reader, most int64, out any) error {
-	text, err := io.ReadAll(io.LimitReader(body, most))
+func DecodeResponse(body io.Reader, most int64, memory *budget.Share, out any) error {
+	held := budget.Reader{In: io.LimitReader(body, most), Share: memory}
+	defer held.Release()
+	text, err := io.ReadAll(&held)
 	if err == nil {
 		err = decode(text, out)
 	}
--- a/internal/target/orders.go
+++ b/internal/target/orders.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/wire"
 )
@@ -132,7 +133,17 @@
 const maxReportBytes = 4 << 20
 
 // OrderClient is a client that sends orders to targets.
-type OrderClient struct{ http *http.Client }
+type OrderClient struct {
+	http *http.Client
+	// memory is where reports reserve memory while they are read. It may be nil.
+	memory *budget.Share
+}
+
+// Within bounds the reports that are being read, together with all that has the same share. It is called before the first use.
+func (c *OrderClient) Within(memory *budget.Share) *OrderClient {
+	c.memory = memory
+	return c
+}
 
 // maxIdleOrderConns is the number of idle connections kept for each target. Orders are
 // sent every 75 ms and may run in parallel with two delayed ones.
@@ -164,7 +175,9 @@
 	}
 	// Read to the end: net/http closes a connection whose response was not read
 	// completely, and every order would need a new connection.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	held := budget.Reader{In: io.LimitReader(resp.Body, maxReportBytes), Share: c.memory}
+	defer held.Release()
+	body, err := io.ReadAll(&held)
 	if err != nil {
 		return nil, fmt.Errorf("order at %s: read report: %w", addr, err)
 	}
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"hemlockquay/internal/budget"
 	"hemlockquay/internal/caller"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/problem"
@@ -50,7 +51,17 @@
 }
 
 // Sender sends requests to targets, over a bounded number of connections to each target.
-type Sender struct{ http *http.Client }
+type Sender struct {
+	http *http.Client
+	// memory is where answers reserve memory while they are read. It may be nil.
+	memory *budget.Share
+}
+
+// Within bounds the answers that are being read, together with all that has the same share. It is called before the first use.
+func (s *Sender) Within(memory *budget.Share) *Sender {
+	s.memory = memory
+	return s
+}
 
 // dialTimeout bounds the time to connect, which takes about 1 ms within a region.
 const dialTimeout = 500 * time.Millisecond
@@ -135,7 +146,7 @@
 	if refused := resp.Header.Get(HeaderRefused); refused != "" && resp.Header.Get(problem.Header) == string(problem.RanNo) {
 		return nil, &RefusedError{Reason: Refusal(refused)}
 	}
-	body, err := readBody(resp, a.MaxAnswer)
+	body, err := readBody(resp, a.MaxAnswer, s.memory)
 	if err != nil {
 		return nil, err
 	}
@@ -190,8 +201,13 @@
 
 // readBody reads the complete body. net/http reports a body shorter than announced as an
 // error; a body over the limit is ErrTooLarge. A partial body is never returned.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := wire.ReadAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
+func readBody(resp *http.Response, limit int64, memory *budget.Share) ([]byte, error) {
+	held := budget.Reader{In: io.LimitReader(resp.Body, limit+1), Share: memory}
+	defer held.Release()
+	body, err := wire.ReadAll(&held, resp.ContentLength)
+	if errors.Is(err, budget.ErrNoMemory) {
+		return nil, fmt.Errorf("read answer: %w: %w", ErrTooLarge, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
--- a/internal/upstream/conns.go
+++ b/internal/upstream/conns.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -20,6 +21,8 @@
 // A pool's mutex may be held while c.mu is taken, never the other way round.
 type Conns struct {
 	share *budget.Share
+	// receiveBuffer bounds what the system receives on a connection before it is read, in bytes, 0 for the system's own bound.
+	receiveBuffer int
 	// evicted counts idle connections that were closed to make room, refused the dials for which there was none.
 	evicted, refused metrics.Counter
 
@@ -37,6 +40,23 @@
 	}
 }
 
+// ReceiveBuffer bounds what the system receives on a connection before it is read, in bytes. It is called before the first use.
+func (c *Conns) ReceiveBuffer(bytes int) *Conns {
+	c.receiveBuffer = bytes
+	return c
+}
+
+// limitReceive applies the bound of ReceiveBuffer to a new connection.
+func (c *Conns) limitReceive(nc net.Conn) {
+	if c == nil || c.receiveBuffer <= 0 {
+		return
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		// Without the option the bound of the system holds, which only costs memory.
+		_ = tcp.SetReadBuffer(c.receiveBuffer)
+	}
+}
+
 // acquire takes a descriptor for a new connection. A nil Conns has no bound.
 func (c *Conns) acquire() error {
 	if c == nil {
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -16,8 +16,9 @@
 	// headCost is the memory that a byte of a head may take once it is parsed: an entry of a map costs far more than
 	// the few bytes of a short header.
 	headCost = 32
-	// freeBytes is the size up to which heads and bodies need no reservation. Nearly all answers are smaller.
-	freeBytes = 16 << 10
+	// freeBytes is the size up to which a body needs no reservation, and freeHeadBytes that of a head. Nearly all answers are
+	// smaller.
+	freeBytes, freeHeadBytes = 16 << 10, 2 << 10
 	// maxAnswerBytes bounds the body of an answer if the request does not.
 	maxAnswerBytes = 64 << 20
 )
@@ -67,6 +68,14 @@
 	return nil
 }
 
+// shrink returns a part of the reservation.
+func (r *reservation) shrink(by int64) {
+	if r.memory != nil {
+		r.memory.bytes.Release(by)
+		r.bytes -= by
+	}
+}
+
 func (r *reservation) release() {
 	if r.memory != nil {
 		r.memory.bytes.Release(r.bytes)
@@ -101,7 +110,7 @@
 	if !m.inHead {
 		return n, err
 	}
-	before := max(m.head, freeBytes)
+	before := max(m.head, freeHeadBytes)
 	m.head += int64(n)
 	if m.head > before {
 		if full := m.held.grow(headCost * (m.head - before)); full != nil {
@@ -115,7 +124,6 @@
 // and so is one without a length if the connection is reset. The body is not closed: that would read what is left of it,
 // and the connection of a body that was not read to its end is closed.
 func readBody(resp *http.Response, limit int64, held *reservation) ([]byte, error) {
-	reserved := int64(freeBytes)
 	buffer := make([]byte, 0, firstCapacity(resp.ContentLength))
 	for {
 		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
@@ -135,15 +143,34 @@
 			// One more byte, so that the end is read without another buffer.
 			next = min(next, resp.ContentLength+1)
 		}
-		if err := held.grow(next - max(reserved, int64(cap(buffer)))); err != nil {
+		if buffer, err = held.enlarge(buffer, next, resp.ContentLength >= 0); err != nil {
 			return nil, fmt.Errorf("read body: %w", err)
 		}
-		grown := make([]byte, len(buffer), next)
-		copy(grown, buffer)
-		buffer = grown
 	}
 }
 
+// enlarge returns a larger buffer with the same bytes. Both buffers are held until these are copied, and are reserved for a body that
+// may have no end. Of one with an announced length, only the new one is.
+func (r *reservation) enlarge(old []byte, size int64, announced bool) ([]byte, error) {
+	held := int64(cap(old))
+	if held <= freeBytes {
+		held = 0
+	}
+	returned := int64(0)
+	if announced {
+		returned = held
+	}
+	if size > freeBytes {
+		if err := r.grow(size - returned); err != nil {
+			return old, err
+		}
+	}
+	out := make([]byte, len(old), size)
+	copy(out, old)
+	r.shrink(held - returned)
+	return out, nil
+}
+
 // firstCapacity returns the size of the first buffer for a body with the given announced length, or -1 for none.
 func firstCapacity(announced int64) int64 {
 	if announced >= 0 && announced < freeBytes {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -267,6 +267,7 @@
 		p.release()
 		return nil, err
 	}
+	p.conns.limitReceive(nc)
 	c := newConn(nc)
 	c.pool = p
 	return c, nil
