objectapi, model: an odd VM costs only itself, and ports are checked by range

One entry in the platform's list of VMs that did not decode ended each reading of it at hq-agent; the previous list stayed in force for as long as the entry did. Entries are now decoded one by one, as objects are, and one whose agent has no address that can be called is refused, counted and logged. Targets of a service object need a port from 1 to 65535, as entries of hq-gateway's targets do; one check serves both.

TestOddVMCostsOnlyItself and TestOddObjectIsRefused (also nesting of half a million levels, which the decoder refuses without ending the process).

--- a/internal/model/check.go
+++ b/internal/model/check.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"regexp"
+	"strconv"
 	"time"
 
 	"hemlockquay/internal/settings"
@@ -91,6 +92,15 @@
 	}
 }
 
+// CheckAddr returns an error unless an address of another process has a host and a port from 1 to 65535.
+func CheckAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if n, parsed := strconv.ParseUint(port, 10, 16); err != nil || parsed != nil || n == 0 || host == "" {
+		return fmt.Errorf("%q is not IP:PORT with a port from 1 to 65535", addr)
+	}
+	return nil
+}
+
 func (s *Service) checkTargets() error {
 	if len(s.Targets) == 0 || len(s.Targets) > maxTargets {
 		return settings.Invalid("/targets", "%d targets; need 1 to %d", len(s.Targets), maxTargets)
@@ -105,8 +115,8 @@
 		if err := checkName(at+"/dataCentre", t.DataCentre); err != nil {
 			return err
 		}
-		if _, _, err := net.SplitHostPort(t.Addr); err != nil {
-			return settings.Invalid(at+"/addr", "%q is not IP:PORT", t.Addr)
+		if err := CheckAddr(t.Addr); err != nil {
+			return settings.Invalid(at+"/addr", "%v", err)
 		}
 		if names[t.Name] || addrs[t.Addr] {
 			return settings.Invalid(at, "duplicate target name or address")
--- a/internal/model/decode_test.go
+++ b/internal/model/decode_test.go
@@ -1,6 +1,8 @@
 package model
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,3 +80,20 @@
 		}
 	})
 }
+
+// Guards against an object of another writer that ends each process that reads it, or that is taken with an address that none can
+// have.
+func TestOddObjectIsRefused(t *testing.T) {
+	const depth = 1 << 19
+	deep := strings.Repeat("[", depth) + strings.Repeat("]", depth)
+	target := `{"name":"shelf","keyed":true,"slots":2,"connections":10,"targets":[{"name":"t-1","addr":"%s","dataCentre":"a"}]}`
+	for _, spec := range []string{
+		deep, `{"name":` + deep + `}`, fmt.Sprintf(target, "127.0.0.1:99999"), fmt.Sprintf(target, "127.0.0.1:0"), fmt.Sprintf(target, ":80"), fmt.Sprintf(target, "127.0.0.1"),
+		`{"name":"shelf","slots":1e300}`, `{"name":"shelf","slots":1e400}`,
+	} {
+		_, err := Decode(KindService, "shelf", []byte(spec))
+		require.Error(t, err, "%.80s", spec)
+	}
+	_, err := Decode(KindService, "shelf", fmt.Appendf(nil, target, "127.0.0.1:80"))
+	require.NoError(t, err)
+}
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -109,11 +109,20 @@
 
 // VMs implements platform.Store.
 func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
-	var list VMList
+	var list listing
 	if err := c.call(ctx, http.MethodGet, c.base+VMsPath, nil, &list); err != nil {
 		return nil, fmt.Errorf("list VMs: %w", err)
 	}
-	return list.Items, nil
+	out := make([]platform.VM, 0, len(list.items))
+	for _, item := range list.items {
+		vm, err := readVM(item)
+		if err != nil {
+			c.onRefused(platform.Refused{Name: vm.Name, Reason: err.Error()})
+			continue
+		}
+		out = append(out, vm)
+	}
+	return out, nil
 }
 
 // Watch implements platform.Store.
--- a/internal/platform/objectapi/listing.go
+++ b/internal/platform/objectapi/listing.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"hemlockquay/internal/jsonsplit"
+	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 )
 
@@ -95,3 +96,14 @@
 	}
 	return out, refused
 }
+
+// readVM decodes an entry of the list of VMs. An agent that cannot be called is none that others can use.
+func readVM(text json.RawMessage) (out platform.VM, refused error) {
+	if err := json.Unmarshal(text, &out); err != nil {
+		return out, err
+	}
+	if out.Name == "" {
+		return out, fmt.Errorf("field name: empty")
+	}
+	return out, model.CheckAddr(out.AgentAddr)
+}
--- a/internal/platform/objectapi/odd_test.go
+++ b/internal/platform/objectapi/odd_test.go
@@ -88,3 +88,24 @@
 	defer server.Close()
 	require.Error(t, New(server.URL).Watch(t.Context(), 1, func(platform.Event) error { return nil }))
 }
+
+// Guards against an odd entry in the list of VMs that ends each reading of it.
+func TestOddVMCostsOnlyItself(t *testing.T) {
+	sound := `{"name":"vm-1","dataCentre":"a","agentAddr":"127.0.0.1:1","state":"live"}`
+	for name, odd := range map[string]string{
+		"nested deep":    `{"name":"odd","agentAddr":"127.0.0.1:1","odd":` + nested(20000) + `}`,
+		"port too large": `{"name":"odd","agentAddr":"127.0.0.1:99999"}`,
+		"no port":        `{"name":"odd"}`,
+		"no name":        `{"agentAddr":"127.0.0.1:1"}`,
+		"name a number":  `{"name":7,"agentAddr":"127.0.0.1:1"}`,
+		"null":           `null`,
+	} {
+		c := serveText(t, `{"items":[`+odd+`,`+sound+`]}`)
+		refused := 0
+		c.OnRefused(func(platform.Refused) { refused++ })
+		vms, err := c.VMs(t.Context())
+		require.NoError(t, err, name)
+		require.Equal(t, []platform.VM{{Name: "vm-1", DataCentre: "a", AgentAddr: "127.0.0.1:1", State: platform.VMLive}}, vms, name)
+		require.Equal(t, 1, refused, name)
+	}
+}
