--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -85,8 +85,8 @@
 	// callers, three quarters at the most, and to targets, half at the most; the rest is for other VMs, the store and files.
 	// Default: the limit that the system sets for the process (RLIMIT_NOFILE).
 	Descriptors int `json:"descriptors,omitempty"`
-	// ReceiveBuffer is the number of bytes that the system may receive on a caller's connection before they are read, which
-	// also bounds the bytes on the way. Default 65536: 20 MB/s at a round trip of 3 ms.
+	// ReceiveBuffer is the number of bytes that the system may receive on a connection of a caller or to a target before they
+	// are read, which also bounds the bytes on the way. Default 65536: 20 MB/s at a round trip of 3 ms.
 	ReceiveBuffer int `json:"receiveBuffer,omitempty"`
 	// ReadyConnections is the number of connections to the address of the readiness check. Default 64.
 	ReadyConnections int `json:"readyConnections,omitempty"`
