--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -61,15 +61,15 @@
 	unreadMost int64
 }
 
-// startProcess starts a program with its limit of descriptors.
-func startProcess(t *testing.T, name, settings string) *process {
+// startProcess starts a program with its limit of descriptors, and with a file of settings behind other arguments.
+func startProcess(t *testing.T, name, settings string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, log: filepath.Join(t.TempDir(), name+".log"), exited: make(chan struct{}), stop: make(chan struct{})}
 	out, err := os.Create(p.log)
 	require.NoError(t, err)
 	defer out.Close()
-	limit := fmt.Sprintf(`ulimit -n %d && exec "$0" --config "$1"`, descriptors)
-	p.cmd = exec.Command("sh", "-c", limit, filepath.Join(programs, name), settings)
+	limit := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+	p.cmd = exec.Command("sh", append([]string{"-c", limit, filepath.Join(programs, name)}, append(args, "--config", settings)...)...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(t, p.cmd.Start())
