peer: a reply whose header has no end returns its memory

The memory of a reply is returned when the next one begins, or with a body that is not read whole; that of a header over its limit stayed reserved, up to 128 kB for each connection that ended so. The case fields of TestRepliesWithoutEndStayWithinTheMemoryOfAllClients failed and passes.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -106,14 +106,17 @@
 // method.
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	c.meter.begin()
-	return c.readMessage(r, maxErrorHeader)
+	return c.endAfter(c.readMessage(r, maxErrorHeader))
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
 func (c clientCodec) ReadResponseBody(body any) error {
-	err := c.readMessage(body, maxMessage)
+	return c.endAfter(c.readMessage(body, maxMessage))
+}
+
+// endAfter returns the memory of a message that was not read whole: no other one follows on its connection.
+func (c clientCodec) endAfter(err error) error {
 	if err != nil {
-		// No message follows on this connection.
 		c.meter.release()
 	}
 	return err
--- a/internal/peer/reply_bounds_test.go
+++ b/internal/peer/reply_bounds_test.go
@@ -16,6 +16,7 @@
 	for name, head := range map[string]string{
 		"body":        "\x82\xadServiceMethod\xa9Echo.Text\xa3Seq\x00\xdb\x7f\xff\xff\xff",
 		"header":      "\x82\xadServiceMethod\xdb\x7f\xff\xff\xff",
+		"fields":      "\xdf\x7f\xff\xff\xff",
 		"nested body": "\x82\xadServiceMethod\xa9Echo.Text\xa3Seq\x00",
 		"array":       "\x82\xadServiceMethod\xa9Echo.Text\xa3Seq\x00\xdd\x7f\xff\xff\xff",
 	} {
