--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -92,7 +92,7 @@
 }
 
 // awaitRoom waits until more may be received. It returns the size of the next read, or 0 if the connection has ended, and
-// whether it waited.
+// whether it waited to read a head.
 func (c *conn) awaitRoom() (size int, waited bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -116,7 +116,8 @@
 	case c.closed:
 		return 0, waited
 	case c.input != nil:
-		return bodyReadSize, waited
+		// The age of a body does not matter.
+		return bodyReadSize, false
 	}
 	return readSize, waited
 }
