settings: objects nested too deep are refused before they are parsed

The parser of JSON with comments calls itself for each level, so an object of half a million levels, a megabyte that another writer leaves in the store, takes hundreds of megabytes of stack, or ends hq-agent, hq-dispatch, hq-entry and hqctl, each time they read it.

Change: CheckDepth counts brackets outside strings and comments, before either parser sees the text; over 128 levels it is refused like any object that cannot be decoded, and the last valid version stays in force. hqctl asks it too.

TestOddObjectIsRefused passes with the race detector; TestDepthOfJSONWithComments has the strings and comments.

--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/tailscale/hujson"
+
+	"hemlockquay/internal/settings"
 )
 
 // Difference is a field whose value differs between two specs.
@@ -63,9 +65,12 @@
 		return out
 	}
 	var tree any
-	plain, err := hujson.Standardize(slices.Clone(spec))
+	err := settings.CheckDepth(spec)
 	if err == nil {
-		err = json.Unmarshal(plain, &tree)
+		var plain []byte
+		if plain, err = hujson.Standardize(slices.Clone(spec)); err == nil {
+			err = json.Unmarshal(plain, &tree)
+		}
 	}
 	if err != nil {
 		out[""] = strconv.Quote(string(spec))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,9 @@
 // Decode decodes JSON with comments into v and validates it. Its errors are of type
 // *Error, with source, line and field.
 func Decode(source string, text []byte, v Checker) error {
+	if err := CheckDepth(text); err != nil {
+		return syntaxError(source, err)
+	}
 	plain, err := standardize(text)
 	if err != nil {
 		return syntaxError(source, err)
