--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -17,7 +17,8 @@
 // the head takes too long.
 //
 // Limits bound the requests of a connection that run, and the bytes that are read ahead of them. Behind these bounds the
-// connection is not read, so the end of the connection is noticed late there. Further limits bound the memory and the
+// connection is not read, so its end cancels the requests that run late there. The context of a request carries its connection, by
+// which package caller learns of the end before the request is passed on. Further limits bound the memory and the
 // number of all connections: what has no room for its first request gets 503 and has not run, and idle connections make
 // room before that.
 //
