--- a/internal/caller/origin.go
+++ b/internal/caller/origin.go
@@ -3,7 +3,8 @@
 import "time"
 
 // MaxUnread is how long a request of another process may have waited unread. What its sender withdrew meanwhile may lie unread on
-// another connection, so a request that may have waited longer is refused as not run.
+// another connection, so a request that may have waited longer is refused as not run. It is above the pauses of a VM whose share of a core is
+// used up, which last up to 100 ms, and below the half second in which nothing may be passed on any more.
 const MaxUnread = 250 * time.Millisecond
 
 // Origin is embedded in messages that carry a request from another process. The codec that decodes them sets it.
--- a/internal/hostile/departed_test.go
+++ b/internal/hostile/departed_test.go
@@ -242,7 +242,7 @@
 				if !kept {
 					conns[i] = s.dial()
 				}
-				_, err := fmt.Fprintf(conns[i], "%sX-Request-Id: left-%d\r\nX-Deadline-Ms: %d\r\nConnection: close\r\n%s", get, i, limit.Milliseconds(), headEnd)
+				_, err := fmt.Fprintf(conns[i], "%sX-Request-Id: left-%d\r\n%s: %d\r\nConnection: close\r\n%s", get, i, fleet.Headers.DeadlineMs, limit.Milliseconds(), headEnd)
 				require.NoError(t, err)
 			}
 			time.Sleep(limit)
--- a/internal/hostile/endless_test.go
+++ b/internal/hostile/endless_test.go
@@ -14,12 +14,12 @@
 
 	"hemlockquay/internal/agent"
 	"hemlockquay/internal/daemon"
+	"hemlockquay/internal/standin/fleet"
 )
 
 const (
 	// oddHost is the host of a route to the targets that send odd bytes.
-	oddHost  = "odd.example"
-	oddRoute = `,"odd":{"Host":"odd.example","PathPrefix":"/","Kind":"idempotent","TimeoutS":5,"SloS":1,"Service":"odd","MaxAttempts":2}`
+	oddHost = "odd.example"
 	// oddTargets is the number of targets that send odd bytes.
 	oddTargets = 40
 	okHead     = "HTTP/1.1 200 OK\r\n"
@@ -65,7 +65,7 @@
 	for i := range addrs {
 		addrs[i] = serveBytes(t, first, repeated)
 	}
-	s := newSiteWith(t, siteOptions{targets: 1, routes: oddRoute, addrs: addrs})
+	s := newSiteWith(t, siteOptions{targets: 1, routes: fleet.IdempotentRoute("odd", oddHost, "odd"), addrs: addrs})
 	besiege(t, s.settings.Front, client{first: []byte("GET /1 HTTP/1.1\r\nHost: " + oddHost + "\r\n" + headEnd), reads: true})
 	s.requireServed()
 	s.check()
@@ -133,7 +133,7 @@
 func requireStoreBorne(t *testing.T, first string, repeated []byte, targets ...string) {
 	t.Helper()
 	odd := &oddStore{first: first, repeated: repeated}
-	s := newSiteWith(t, siteOptions{targets: 1, routes: oddRoute, addrs: targets, wrapStore: func(h http.Handler) http.Handler {
+	s := newSiteWith(t, siteOptions{targets: 1, routes: fleet.IdempotentRoute("odd", oddHost, "odd"), addrs: targets, wrapStore: func(h http.Handler) http.Handler {
 		odd.store = h
 		return odd
 	}})
--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -70,9 +70,7 @@
 		t.Cleanup(target.Kill)
 	}
 	for i, addr := range o.addrs {
-		store.Set("servers", fmt.Sprintf("odd-%d", i), map[string]any{
-			"Service": "odd", "Addr": addr, "Zone": "a", "Version": "v1", "Slots": 64, "State": "ready", "WarmupLeftS": 0, "Seq": 1, "born": 1,
-		})
+		fleet.ListServer(store, fmt.Sprintf("odd-%d", i), "odd", addr, 64)
 	}
 	dir := t.TempDir()
 	written, err := fleet.WriteGateways(dir, []string{"vm-1"}, 3*time.Second, func(s *gateway.Settings) error {
--- a/internal/hostile/stop_test.go
+++ b/internal/hostile/stop_test.go
@@ -153,7 +153,7 @@
 
 // Guards against requests whose time limit ends behind that of the process.
 func TestLateRequestsWithLongWorkAreAnswered(t *testing.T) {
-	requireAnsweredWhileStopping(t, lateRequest{work: 700 * time.Millisecond, fields: "X-Deadline-Ms: 950\r\n"})
+	requireAnsweredWhileStopping(t, lateRequest{work: 700 * time.Millisecond, fields: fleet.Headers.DeadlineMs + ": 950\r\n"})
 }
 
 // Guards against pipelined requests behind the last one that is answered.
--- a/internal/model/decode_test.go
+++ b/internal/model/decode_test.go
@@ -81,8 +81,7 @@
 	})
 }
 
-// Guards against an object of another writer that ends each process that reads it, or that is taken with an address that none can
-// have.
+// Guards against an odd object of another writer that ends each process that reads it, or that is taken as it is.
 func TestOddObjectIsRefused(t *testing.T) {
 	const depth = 1 << 19
 	deep := strings.Repeat("[", depth) + strings.Repeat("]", depth)
--- a/internal/pipeline/arrival.go
+++ b/internal/pipeline/arrival.go
@@ -19,7 +19,7 @@
 const (
 	// maxArrivals bounds the arrivals of a connection. With more, bytes count as having arrived with those behind them.
 	maxArrivals = 8
-	// arrivalResolution is the time between two arrivals below which they are one.
+	// arrivalResolution is the time between two arrivals below which they are one. Time limits are not kept more exactly.
 	arrivalResolution = 20 * time.Millisecond
 )
 
--- a/internal/settings/nesting.go
+++ b/internal/settings/nesting.go
@@ -6,7 +6,7 @@
 )
 
 // maxDepth bounds how deep arrays and objects are nested. The library calls itself for each level, and a text of a megabyte that
-// another writer left would take the memory of the process, or its stack.
+// another writer left would take the memory of the process, or its stack. Objects and settings need far fewer levels.
 const maxDepth = 128
 
 var errTooDeep = errors.New("line 1: nested too deep")
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -18,7 +18,8 @@
 const (
 	// Interval is the interval at which a process shows that it runs.
 	Interval = 50 * time.Millisecond
-	// maxEcho bounds the time after a stall in which what arrived during it may still be read.
+	// maxEcho bounds the time after a stall in which what arrived during it may still be read. It is assumed to be enough
+	// to read the receive buffers of all connections.
 	maxEcho = 500 * time.Millisecond
 )
 
--- a/internal/standin/fleet/platform.go
+++ b/internal/standin/fleet/platform.go
@@ -37,8 +37,18 @@
 }
 
 // IdempotentPoolRoute returns a route to the service without keys, for the further routes of Config.
-func IdempotentPoolRoute(name, host string) string {
-	return fmt.Sprintf(`,%q:{"Host":%q,"PathPrefix":"/","Kind":"idempotent","TimeoutS":5,"SloS":1,"Service":"pool","MaxAttempts":2}`, name, host)
+func IdempotentPoolRoute(name, host string) string { return IdempotentRoute(name, host, "pool") }
+
+// IdempotentRoute returns a route to a service, for the further routes of Config.
+func IdempotentRoute(name, host, service string) string {
+	return fmt.Sprintf(`,%q:{"Host":%q,"PathPrefix":"/","Kind":"idempotent","TimeoutS":5,"SloS":1,"Service":%q,"MaxAttempts":2}`, name, host, service)
+}
+
+// ListServer writes the entry of a ready server that is not a Target.
+func ListServer(s *Store, id, service, addr string, slots int) {
+	s.Set("servers", id, map[string]any{
+		"Service": service, "Addr": addr, "Zone": "a", "Version": "v1", "Slots": slots, "State": "ready", "WarmupLeftS": 0, "Seq": 1, "born": 1,
+	})
 }
 
 const (
