--- a/review/testdata/refusals/main.go
+++ b/review/testdata/refusals/main.go
@@ -195,8 +195,8 @@
 	os.Exit(code)
 }
 
-func runCase(dir string, trouble bool) (int, error) {
-	record, err := os.Create(filepath.Join(dir, "record.txt"))
+func runCase(recordPath string, trouble bool) (int, error) {
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return 2, err
 	}
