A part of an answer that was cut by a reset is no answer

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The caller got that part as the whole answer.

Cause: a body without a length ends with the connection, so a reset must not look like its end. The system reports a reset to one call only. An upload over 8 kB is written beside the reader of the answer; if the write gets the report, the read gets an end of stream. Nobody asked the writer. net/http, below hq-dispatch and the clients of the store, has the same race.

Change: answers.Conn wraps the connections of all clients that read answers. It keeps the error of a failed write, and an end of stream behind one is ErrBroken. A write in flight may have taken the report without having recorded it: the read asks the system whether the connection is closed both ways and, if so, waits for that write, which can't block any more. EPIPE is no report: the system gives it if the server had ended its direction before the reset, and then the answer is whole. So all sound answers stay whole, as TestSoundAnswersStayWhole shows: no length and a FIN, before and after the upload was read, with a reset behind it, and early answers with a length or chunks. An answer that is cut counts as one of a request that may have run, as before; its connection is closed. Broken answers are counted (answers.broken) and logged, five lines a second at most.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/pause"
@@ -49,9 +50,11 @@
 func start(k *daemon.Deps[*Settings]) error {
 	store := objectapi.New(k.Settings.Store)
 	bounds := k.Settings.PeerBounds(k.Registry)
+	broken := answers.NewLog(k.Registry, k.Log)
 	store.Within(bounds.Memory)
+	store.ReportTo(broken)
 	store.OnRefused(func(r platform.Refused) { recordRefused(k.Log, k.Registry, r) })
-	a, err := newAgent(k, store, bounds)
+	a, err := newAgent(k, store, bounds, broken)
 	if err != nil {
 		return err
 	}
@@ -59,7 +62,7 @@
 	return nil
 }
 
-func newAgent(k *daemon.Deps[*Settings], store platform.Store, bounds peer.Bounds) (*agent, error) {
+func newAgent(k *daemon.Deps[*Settings], store platform.Store, bounds peer.Bounds, broken *answers.Log) (*agent, error) {
 	server, err := peer.Listen(k.Settings.Listen)
 	if err != nil {
 		return nil, err
@@ -74,7 +77,7 @@
 		guard:       platform.NewGuard(k.Registry),
 		server:      server,
 		peers:       peer.NewPool(1).Within(bounds.Replies()),
-		commander:   target.NewOrderClient().Within(bounds.Memory),
+		commander:   target.NewOrderClient().Within(bounds.Memory).ReportTo(broken),
 	}
 	a.initComponents()
 	if err := server.Register("Agent", a.relay); err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/fx"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/daemon"
 	"hemlockquay/internal/feed"
@@ -67,11 +68,12 @@
 	loads := newGroupLoads()
 	endpoint := feed.Endpoint{Agent: k.Settings.Agent, Process: processName, Data: server.Addr(), Loads: loads.hottest, Replies: bounds.Replies()}
 	ctx, cancel := context.WithCancel(context.Background())
+	broken := answers.NewLog(k.Registry, k.Log)
 	d := &dispatcher{
 		Deps:           k,
 		server:         server,
 		feed:           feed.New(k.LC, endpoint, k.Lifecycle, k.Log, k.Registry),
-		sender:         target.NewSender(k.Settings.TargetConnections).Within(bounds.Memory),
+		sender:         target.NewSender(k.Settings.TargetConnections).Within(bounds.Memory).ReportTo(broken),
 		prober:         target.NewProber(),
 		loads:          loads,
 		ctx:            ctx,
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/signals"
@@ -16,8 +17,9 @@
 
 // Adapter translates between a platform and the gateway.
 type Adapter interface {
-	// Store returns a client for the platform's object store at addr. Answers reserve memory while they are read.
-	Store(addr string, memory *budget.Share) platform.ObjectStore
+	// Store returns a client for the platform's object store at addr. Answers reserve memory while they are read. Broken ones are
+	// recorded in a log.
+	Store(addr string, memory *budget.Share, broken *answers.Log) platform.ObjectStore
 	// ConfigID returns the ID of the object that holds the configuration.
 	ConfigID() platform.ID
 	// TargetKind returns the kind of the objects that describe targets.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -10,6 +10,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/catalog"
@@ -29,10 +30,10 @@
 	store platform.ObjectStore
 }
 
-func (a fakeAdapter) Store(string, *budget.Share) platform.ObjectStore { return a.store }
-func (fakeAdapter) ConfigID() platform.ID                              { return platform.ID{Kind: "config", Name: "main"} }
-func (fakeAdapter) TargetKind() model.Kind                             { return "targets" }
-func (fakeAdapter) EvacuationKind() model.Kind                         { return "evacuations" }
+func (a fakeAdapter) Store(string, *budget.Share, *answers.Log) platform.ObjectStore { return a.store }
+func (fakeAdapter) ConfigID() platform.ID                                            { return platform.ID{Kind: "config", Name: "main"} }
+func (fakeAdapter) TargetKind() model.Kind                                           { return "targets" }
+func (fakeAdapter) EvacuationKind() model.Kind                                       { return "evacuations" }
 
 // Signals implements Adapter.
 func (fakeAdapter) Signals(resp *upstream.Answer) (s signals.Signals) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 	"golang.org/x/time/rate"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/catalog"
@@ -54,6 +55,8 @@
 	// descriptors bounds the descriptors of the connections of callers and to targets.
 	descriptors *budget.Budget
 	bodyMemory  bodyMemory
+	// brokenAnswers records the broken answers of targets, of the store and of other VMs.
+	brokenAnswers *answers.Log
 	// transfers sends configurations and lists of targets to other VMs.
 	transfers *transfers
 	// forwarded are the requests that this VM sends for others, forwardClients the connections over which
@@ -156,10 +159,10 @@
 	}
 	g.stalls = stall.NewMeter(clock)
 	g.memory = budget.New("memory", s.requestMemoryBytes(), registry)
-	g.bodyMemory = g.newBodyMemory()
+	g.bodyMemory, g.brokenAnswers = g.newBodyMemory(), answers.NewLog(registry, logger)
 	g.descriptors = budget.New("descriptors", s.connectionDescriptors(), registry)
 	g.pendingCalls, g.attemptLog = newPendingCalls(), rate.NewLimiter(maxAttemptLines, maxAttemptLines)
-	g.store = observedStore{ObjectStore: a.Store(s.Store, g.memory.Share(s.memoryShare(storeMemoryShare))), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls, onRefused: g.newRefusedLog()}
+	g.store = observedStore{ObjectStore: a.Store(s.Store, g.memory.Share(s.memoryShare(storeMemoryShare)), g.brokenAnswers), registry: registry, clock: clock, onResult: g.recordStoreResult, pending: g.pendingCalls, onRefused: g.newRefusedLog()}
 	g.confirmations = newConfirmations(clock, a.ConfigID().Kind, a.TargetKind(), a.EvacuationKind())
 	g.transfers = newTransfers(g.self.LinkBytesPerSecond())
 	g.forwarded, g.forwardClients = g.newForwardedRequests(), peer.NewRequestPool(forwardConnections)
@@ -173,7 +176,7 @@
 	g.evacuateWithin.Store(int64(s.EvacuateWithin))
 	g.state = newRoutingState(clock, logger, registry, s.DataCentre, s.repeatLimit())
 	g.state.source, _ = s.targetSource()
-	g.state.answerMemory = g.newAnswerMemory()
+	g.state.answerMemory, g.state.brokenAnswers = g.newAnswerMemory(), g.brokenAnswers
 	g.state.targetConns = upstream.NewConns(g.descriptors.Share(s.descriptorShare(targetDescriptorShare)), registry).ReceiveBuffer(s.Limits.ReceiveBuffer)
 	g.state.vm, g.state.warmup, g.state.regions = s.VM, s.Warmup, s.Regions
 	g.state.placesFromVMs = s.Places.FromVMs
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/gateway/published"
@@ -37,6 +38,8 @@
 	TargetSource netip.Addr
 	// AnswerMemory bounds the memory of all answers of targets. It may be nil.
 	AnswerMemory *upstream.Memory
+	// BrokenAnswers records the broken answers of targets to orders. It may be nil.
+	BrokenAnswers *answers.Log
 	// MaxHold limits the hold of a lease to what targets accept.
 	MaxHold time.Duration
 
--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -52,7 +52,7 @@
 	sender := l.senders[o]
 	if sender == nil {
 		sender = &orderSender{
-			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)).From(l.TargetSource).Within(l.AnswerMemory),
+			pool:   upstream.NewPool(o.Addr, metrics.GetOrRegisterCounter("orders.connections.opened", l.Registry)).From(l.TargetSource).Within(l.AnswerMemory).ReportTo(l.BrokenAnswers),
 			grants: make(chan queuedGrant, len(l.grants.Record().Slices)+1), releases: make(chan struct{}, l.Spread.maxReleases()),
 		}
 		l.senders[o] = sender
--- a/internal/gateway/leasingadapter.go
+++ b/internal/gateway/leasingadapter.go
@@ -14,7 +14,7 @@
 func (g *Gateway) newLeaseManager() *leasing.Manager {
 	state := leasingAdapter{g}
 	return leasing.New(g.ctx, leasing.Deps{
-		Self: g.self, Clock: g.clock, Log: g.log, Registry: g.registry, MaxHold: g.settings.HoldMost.D(), TargetSource: g.state.source, AnswerMemory: g.state.answerMemory,
+		Self: g.self, Clock: g.clock, Log: g.log, Registry: g.registry, MaxHold: g.settings.HoldMost.D(), TargetSource: g.state.source, AnswerMemory: g.state.answerMemory, BrokenAnswers: g.brokenAnswers,
 		Spread: leasing.Spread(g.settings.Spread),
 		Store:  g.leaseStore(), StoreTimeout: storeTimeout, StoreRetryDelay: maxStoreBackoff,
 		Mesh: g.mesh, Reach: state, Leases: g.state.leases, LocalState: state, TargetDirectory: state, OrderCodec: g.adapter,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/duration"
@@ -41,6 +42,8 @@
 	openConn func(ctx context.Context, addr string) (net.Conn, error)
 	// answerMemory bounds the memory of all answers of targets.
 	answerMemory *upstream.Memory
+	// brokenAnswers records the broken answers of all targets. It may be nil.
+	brokenAnswers *answers.Log
 	// targetConns bounds the connections to all targets. It may be nil.
 	targetConns *upstream.Conns
 	repeatLimit repeats.Limit
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -88,7 +88,7 @@
 		Bool("draining", t.Draining).Uint64("revision", t.Revision).Str("source", source).Msg("target known")
 	added := &targetState{
 		Target: t, hash: catalog.Hash(t.ID),
-		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source).OpenWith(s.openConn).Within(s.answerMemory).
+		pool: upstream.NewPool(t.Addr, metrics.GetOrRegisterCounter("connections.opened", s.registry)).From(s.source).OpenWith(s.openConn).Within(s.answerMemory).ReportTo(s.brokenAnswers).
 			Of(s.targetConns).LimitedTo(func() int { return s.maxConns(t.Service) }),
 		pick: pick.State{Slots: t.Slots, Near: t.DataCentre == s.dataCentre}, inFlight: make(map[*attempt]context.CancelFunc),
 	}
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/platform"
 )
@@ -29,8 +30,9 @@
 
 // Client implements platform.Store over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base      string
+	http      *http.Client
+	transport *answers.Transport
 	// memory is where answers reserve memory while they are read. It may be nil.
 	memory *budget.Share
 	// onRefused is called with events of a watch that cannot be decoded.
@@ -42,12 +44,16 @@
 // New returns a client of the API at base, e.g. "http://10.0.0.1:8001". It sets no
 // timeouts: each call is bounded by its context.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeadBytes}}, onRefused: func(platform.Refused) {}}
+	transport := answers.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeadBytes})
+	return &Client{base: base, http: &http.Client{Transport: transport}, transport: transport, onRefused: func(platform.Refused) {}}
 }
 
 // Within bounds the answers that are being read, together with all that has the same share. It is called before the first use.
 func (c *Client) Within(memory *budget.Share) { c.memory = memory }
 
+// ReportTo records broken answers in a log. It is called before the first use.
+func (c *Client) ReportTo(broken *answers.Log) { c.transport.ReportTo(broken) }
+
 // OnRefused sets a function that is called with each event of a watch that cannot be decoded. It is called before the first use.
 func (c *Client) OnRefused(f func(platform.Refused)) { c.onRefused = f }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -85,9 +85,27 @@
 	return since
 }
 
+// Closed reports whether a TCP connection is closed in both directions, as by a reset. It is false for a connection that is not one of
+// the system.
+func Closed(conn net.Conn) bool {
+	state, closed := Ended, false
+	control(conn, &state, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return closed
+}
+
 // control calls f with the descriptor of a connection. It sets state to Ended if the connection is closed, and leaves it as it
 // is if the connection has no descriptor.
 func control(conn net.Conn, state *State, f func(fd int)) {
+	for {
+		outer, wrapped := conn.(interface{ NetConn() net.Conn })
+		if !wrapped {
+			break
+		}
+		conn = outer.NetConn()
+	}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return
--- /dev/null
+++ b/internal/standin/link/linktest/broken.go
@@ -0,0 +1,98 @@
+package linktest
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// uploads are sizes of request bodies in bytes: sent in one write with the head, within the buffers of the system, and beyond them.
+var uploads = []int{9, 64 << 10, 1 << 20, 8 << 20}
+
+// MaxUpload is the size of the largest upload of Cuts and SoundReplies, in bytes.
+const MaxUpload = 8 << 20
+
+// Exchange is a request with a body of some bytes, and its reply.
+type Exchange struct {
+	Name   string
+	Upload int
+	Reply  Reply
+	// Status and Body are those of the answer, if the reply is sound.
+	Status int
+	Body   string
+}
+
+// Cuts returns replies without a length whose connection is reset before their end.
+func Cuts() []Exchange {
+	const text = "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\n\r\nfirst part"
+	var out []Exchange
+	for _, upload := range uploads {
+		for _, early := range []bool{true, false} {
+			for _, delay := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+				name := fmt.Sprintf("%d bytes, early %t, reset after %v", upload, early, delay)
+				out = append(out, Exchange{Name: name, Upload: upload, Reply: Reply{Text: text, Early: early, End: Reset, Delay: delay}})
+			}
+		}
+		if upload >= 64<<10 {
+			out = append(out, Exchange{Name: fmt.Sprintf("%d bytes, closed unread", upload), Upload: upload, Reply: Reply{Text: text, Early: true, End: CloseUnread}})
+		}
+	}
+	return out
+}
+
+// SoundReplies returns complete replies that a reader could take for broken ones.
+func SoundReplies() []Exchange {
+	const (
+		head   = "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\n"
+		length = head + "Content-Length: 4\r\n\r\nbody"
+		chunks = head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+		none   = head + "\r\nbody"
+	)
+	tooLarge := strings.Replace(length, "200 OK", "413 Too Large", 1)
+	replies := map[string]Reply{
+		"no length, FIN":                        {Text: none, End: HalfClose},
+		"no length, early, FIN":                 {Text: none, Early: true, End: HalfClose},
+		"no length, early, FIN, upload blocked": {Text: none, Early: true, End: HalfCloseUnread},
+		"no length, early, FIN, reset at once":  {Text: none, Early: true, End: HalfCloseReset},
+		"no length, early, FIN, reset":          {Text: none, Early: true, End: HalfCloseReset, Delay: 50 * time.Millisecond},
+		"length, early":                         {Text: length, Early: true},
+		"length, early, FIN":                    {Text: length, Early: true, End: HalfClose},
+		"chunks, early, FIN":                    {Text: chunks, Early: true, End: HalfClose},
+		"413, early, reset":                     {Text: tooLarge, Early: true, End: Reset, Delay: 50 * time.Millisecond},
+		"interim":                               {Text: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + length},
+		"no reason":                             {Text: strings.Replace(length, " OK", "", 1)},
+		"HTTP/1.0":                              {Text: strings.Replace(none, "1.1", "1.0", 1), End: HalfClose},
+	}
+	var out []Exchange
+	for name, reply := range replies {
+		for _, upload := range append([]int{0}, uploads...) {
+			e := Exchange{Name: fmt.Sprintf("%s, %d bytes", name, upload), Upload: upload, Reply: reply, Status: 200, Body: "body"}
+			if reply.Text == tooLarge {
+				e.Status = 413
+			}
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// OnKeptConns returns each exchange behind a sound one that keeps its connection open.
+func OnKeptConns(exchanges []Exchange) []Exchange {
+	const text = "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\nContent-Length: 4\r\n\r\nbody"
+	sound := Exchange{Name: "sound", Reply: Reply{Text: text}, Status: 200, Body: "body"}
+	var out []Exchange
+	for _, e := range exchanges {
+		out = append(out, sound, e)
+	}
+	return out
+}
+
+// BrokenReplies returns one reply of each kind of this file that is broken, with a body that is sound by itself.
+func BrokenReplies(body string) []Exchange {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	return []Exchange{
+		{Name: "cut", Reply: Reply{Text: head + "\r\n" + body, End: Reset}},
+		{Name: "cut during the upload", Upload: MaxUpload, Reply: Reply{Text: head + "\r\n" + body, Early: true, End: Reset}},
+		{Name: "short", Reply: Reply{Text: head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+1, body), End: HalfClose}},
+	}
+}
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"hemlockquay/internal/answers"
 )
 
 // gatedConn is a connection that asks before the first byte of a request whether the request may be sent. Package net/http may hold
@@ -16,6 +18,9 @@
 	gate func() error
 }
 
+// NetConn returns the connection below.
+func (c *gatedConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn. Nothing of a request is written whose gate returns an error.
 func (c *gatedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -33,7 +38,11 @@
 // withGate returns a context with which package net/http asks gate before it writes the first byte of a request.
 func withGate(ctx context.Context, gate func() error) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*gatedConn); ok {
+		checked, ok := info.Conn.(*answers.Conn)
+		if !ok {
+			return
+		}
+		if c, ok := checked.NetConn().(*gatedConn); ok {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.gate = gate
--- a/internal/target/orders.go
+++ b/internal/target/orders.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/wire"
@@ -134,7 +135,8 @@
 
 // OrderClient is a client that sends orders to targets.
 type OrderClient struct {
-	http *http.Client
+	http      *http.Client
+	transport *answers.Transport
 	// memory is where reports reserve memory while they are read. It may be nil.
 	memory *budget.Share
 }
@@ -152,7 +154,14 @@
 // NewOrderClient returns an order client. It sets no timeouts: each call is bounded by its
 // context.
 func NewOrderClient() *OrderClient {
-	return &OrderClient{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleOrderConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}}}
+	transport := answers.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleOrderConns, MaxResponseHeaderBytes: maxResponseHeaderBytes})
+	return &OrderClient{http: &http.Client{Transport: transport}, transport: transport}
+}
+
+// ReportTo records broken answers in a log. It is called before the first use.
+func (c *OrderClient) ReportTo(broken *answers.Log) *OrderClient {
+	c.transport.ReportTo(broken)
+	return c
 }
 
 // Send sends an order to the target at addr and returns the target's report.
--- a/internal/target/sender.go
+++ b/internal/target/sender.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/caller"
 	"hemlockquay/internal/model"
@@ -52,7 +53,8 @@
 
 // Sender sends requests to targets, over a bounded number of connections to each target.
 type Sender struct {
-	http *http.Client
+	http      *http.Client
+	transport *answers.Transport
 	// memory is where answers reserve memory while they are read. It may be nil.
 	memory *budget.Share
 }
@@ -63,6 +65,12 @@
 	return s
 }
 
+// ReportTo records broken answers in a log. It is called before the first use.
+func (s *Sender) ReportTo(broken *answers.Log) *Sender {
+	s.transport.ReportTo(broken)
+	return s
+}
+
 // dialTimeout bounds the time to connect, which takes about 1 ms within a region.
 const dialTimeout = 500 * time.Millisecond
 
@@ -75,16 +83,17 @@
 
 // NewSender returns a sender with at most the given number of connections to each target.
 func NewSender(connections int) *Sender {
-	return &Sender{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-			// The default of net/http is 10 MiB for each attempt.
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+	transport := answers.NewTransport(&http.Transport{
+		DialContext:         dial,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		// The default of net/http is 10 MiB for each attempt.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	})
+	return &Sender{transport: transport, http: &http.Client{
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/socket"
 )
 
@@ -33,7 +34,9 @@
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	net net.Conn
-	// meter bounds the heads of answers. in reads from it.
+	// checked is net with checks of what is read.
+	checked *answers.Conn
+	// meter bounds the heads of answers. in reads from it, and it reads from checked.
 	meter     *meter
 	in        *bufio.Reader
 	idleUntil time.Time
@@ -48,8 +51,9 @@
 
 // newConn returns a conn for a connection that was opened by DialWithReset.
 func newConn(nc net.Conn) *conn {
-	m := &meter{conn: nc}
-	return &conn{net: nc, meter: m, in: bufio.NewReaderSize(m, readBufferSize), idleUntil: time.Now().Add(defaultIdleTimeout)}
+	checked := answers.NewConn(nc)
+	m := &meter{conn: checked}
+	return &conn{net: nc, checked: checked, meter: m, in: bufio.NewReaderSize(m, readBufferSize), idleUntil: time.Now().Add(defaultIdleTimeout)}
 }
 
 // DialWithReset opens a connection that is ended by a reset, both by Close and at the end of the
@@ -96,6 +100,7 @@
 // exchange sends r and returns its answer, and whether the connection may be reused. The answer's memory is reserved in
 // memory, unless that is nil.
 func (c *conn) exchange(r *Request, memory *Memory) (*Answer, bool, error) {
+	c.checked.Begin()
 	sent := c.send(r)
 	held := reservation{memory: memory}
 	a, keep, err := c.receive(r, &held)
@@ -122,14 +127,14 @@
 	done := make(chan error, 1)
 	head := r.renderHead()
 	if len(r.Body) <= maxInlineBody {
-		_, err := c.net.Write(append(head, r.Body...))
+		_, err := c.checked.Write(append(head, r.Body...))
 		done <- err
 		return done
 	}
 	go func() {
-		_, err := c.net.Write(head)
+		_, err := c.checked.Write(head)
 		if err == nil {
-			_, err = c.net.Write(r.Body)
+			_, err = c.checked.Write(r.Body)
 		}
 		done <- err
 	}()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,8 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
+
+	"hemlockquay/internal/answers"
 )
 
 // Errors of an exchange.
@@ -127,6 +129,8 @@
 	connect func(ctx context.Context, addr string) (net.Conn, error)
 	// memory bounds the memory of answers, unless it is nil.
 	memory *Memory
+	// broken records broken answers. It may be nil.
+	broken *answers.Log
 	// conns bounds the connections of several pools, and maxOpen those of this one, unless they are nil. open counts the
 	// connections that are open or being opened.
 	conns   *Conns
@@ -162,6 +166,12 @@
 	return p
 }
 
+// ReportTo makes the pool record broken answers in a log, which may be nil. It is called before the first use.
+func (p *Pool) ReportTo(broken *answers.Log) *Pool {
+	p.broken = broken
+	return p
+}
+
 // Addr returns the target's address.
 func (p *Pool) Addr() string { return p.addr }
 
@@ -198,8 +208,13 @@
 	c.sent.add(ctx, r, time.Now())
 	stop := context.AfterFunc(ctx, c.close)
 	answer, reusable, err := c.exchange(r, p.memory)
-	if p.memory != nil && errors.Is(err, ErrTooLarge) {
-		p.memory.onRefused(p.addr, err)
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		if p.memory != nil {
+			p.memory.onRefused(p.addr, err)
+		}
+	case err != nil && c.checked.Began() && ctx.Err() == nil:
+		p.broken.Broken(p.addr, err)
 	}
 	if !stop() {
 		c.close()
