Probes and hqctl read an answer to its end

Seen: a report of a target's health or load, and the state of a daemon that hqctl shows, were taken from an answer that broke off: without a length and reset, or shorter than its length.

Cause: the decoder of JSON stops behind the value, and what follows, the report of the broken end included, was not read.

Change: answers.ReadAll reads a body to its end, or fails. The clients of probes and of hqctl get the connections of package answers, which the others have already, and probes record broken answers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,8 +39,10 @@
 	server      *peer.Server
 	peers       *peer.Pool
 	assigner    *assigner
-	commander   *target.OrderClient
-	grantor     *grantor
+	// broken records the broken answers of the store and of targets.
+	broken    *answers.Log
+	commander *target.OrderClient
+	grantor   *grantor
 	// grantsChanged tells the heartbeater to push this agent's grants to its peers.
 	grantsChanged chan struct{}
 	cancel        context.CancelFunc
@@ -77,6 +79,7 @@
 		guard:       platform.NewGuard(k.Registry),
 		server:      server,
 		peers:       peer.NewPool(1).Within(bounds.Replies()),
+		broken:      broken,
 		commander:   target.NewOrderClient().Within(bounds.Memory).ReportTo(broken),
 	}
 	a.initComponents()
@@ -132,7 +135,7 @@
 	}
 	a.assigner = &assigner{
 		electionStore: a.storeFor(platform.CauseAssigner), planStore: a.storeFor(platform.CauseAssignment),
-		config: a.config, members: a.members, relay: a.relay, peers: a.peers, targetHealth: newHealthMonitor(),
+		config: a.config, members: a.members, relay: a.relay, peers: a.peers, targetHealth: newHealthMonitor(a.broken),
 		newWriteTag: a.newWriteTag, timeout: timeout, clock: boottime.System{}, journal: a.Journal, log: a.Log,
 	}
 	tasks := []func(context.Context){
--- a/internal/agent/targethealth.go
+++ b/internal/agent/targethealth.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/target"
@@ -38,8 +39,8 @@
 	answeredAt time.Duration
 }
 
-func newHealthMonitor() *healthMonitor {
-	return &healthMonitor{clock: boottime.System{}, prober: target.NewProber(), targets: make(map[string]*healthRecord)}
+func newHealthMonitor(broken *answers.Log) *healthMonitor {
+	return &healthMonitor{clock: boottime.System{}, prober: target.NewProber().ReportTo(broken), targets: make(map[string]*healthRecord)}
 }
 
 // probe requests the health of those targets of the service that are due, without waiting for the
--- a/internal/answers/transport.go
+++ b/internal/answers/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,18 @@
 	}
 	return n, err
 }
+
+// ErrTooLong says that a body exceeds its limit.
+var ErrTooLong = errors.New("answer too long")
+
+// ReadAll reads a body of at most limit bytes to its end. A part of a body is never returned.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if int64(len(text)) > limit {
+		return nil, fmt.Errorf("read answer: %w: over %d bytes", ErrTooLong, limit)
+	}
+	return text, nil
+}
--- a/internal/ctl/cli/cli.go
+++ b/internal/ctl/cli/cli.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -62,7 +61,7 @@
 func (a *app) store() platform.Store { return objectapi.New(a.options.Store) }
 
 func (a *app) fleet() *ctl.Fleet {
-	return &ctl.Fleet{Store: a.store(), Agents: a.Agents, HTTP: http.DefaultClient}
+	return &ctl.Fleet{Store: a.store(), Agents: a.Agents, HTTP: ctl.NewHTTPClient()}
 }
 
 // print writes v as JSON if --json is given, else it calls writeText.
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/model"
 	"hemlockquay/internal/platform"
 	"hemlockquay/internal/wire"
@@ -47,6 +47,11 @@
 	HTTP *http.Client
 }
 
+// NewHTTPClient returns a client for the admin servers.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: answers.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+}
+
 // VM is the state of one VM as the agents report it.
 type VM struct {
 	Name        string `json:"name"`
@@ -273,7 +278,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("get %s%s: status %d", addr, path, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out); err != nil {
+	text, err := answers.ReadAll(resp.Body, maxResponseBytes)
+	if err == nil {
+		err = json.Unmarshal(text, out)
+	}
+	if err != nil {
 		return fmt.Errorf("decode response of %s%s: %w", addr, path, err)
 	}
 	return nil
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -74,7 +74,7 @@
 		server:         server,
 		feed:           feed.New(k.LC, endpoint, k.Lifecycle, k.Log, k.Registry),
 		sender:         target.NewSender(k.Settings.TargetConnections).Within(bounds.Memory).ReportTo(broken),
-		prober:         target.NewProber(),
+		prober:         target.NewProber().ReportTo(broken),
 		loads:          loads,
 		ctx:            ctx,
 		cancel:         cancel,
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -87,3 +87,23 @@
 	}
 	require.Zero(t, count.Count())
 }
+
+// Guards against a broken answer of a target that counts as a report of its health, its load or its keys.
+func TestBrokenReportsAreErrors(t *testing.T) {
+	const report = `{"incarnation":"t1-1","healthy":true,"slots":4,"clock":1}`
+	for _, e := range linktest.BrokenReplies(report) {
+		t.Run(e.Name, func(t *testing.T) {
+			server := linktest.ServeReplies(t, HeaderRequestID, e.Reply)
+			prober, orders := NewProber(), NewOrderClient()
+			defer prober.Close()
+			defer orders.Close()
+			_, err := prober.Health(t.Context(), server.Addr)
+			require.Error(t, err)
+			_, err = prober.Load(t.Context(), server.Addr)
+			require.Error(t, err)
+			order := &Order{Groups: []GroupOrder{{Service: string(bytes.Repeat([]byte("x"), e.Upload))}}}
+			_, err = orders.Send(t.Context(), server.Addr, order)
+			require.Error(t, err)
+		})
+	}
+}
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -4,8 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+
+	"hemlockquay/internal/answers"
 )
 
 // Health is a target's report of its health. It may be out of date or wrong.
@@ -25,11 +26,21 @@
 const maxProbeBytes = 64 << 10
 
 // Prober queries targets for health and load, over its own connections.
-type Prober struct{ http *http.Client }
+type Prober struct {
+	http      *http.Client
+	transport *answers.Transport
+}
 
 // NewProber returns a prober. It sets no timeouts: each call is bounded by its context.
 func NewProber() *Prober {
-	return &Prober{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}}}
+	transport := answers.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes})
+	return &Prober{http: &http.Client{Transport: transport}, transport: transport}
+}
+
+// ReportTo records broken answers in a log. It is called before the first use.
+func (p *Prober) ReportTo(broken *answers.Log) *Prober {
+	p.transport.ReportTo(broken)
+	return p
 }
 
 // Health queries the health of the target at addr.
@@ -59,7 +70,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("probe %s: status %d", url, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxProbeBytes)).Decode(out); err != nil {
+	text, err := answers.ReadAll(resp.Body, maxProbeBytes)
+	if err == nil {
+		err = json.Unmarshal(text, out)
+	}
+	if err != nil {
 		return fmt.Errorf("probe %s: %w", url, err)
 	}
 	return nil
