An answer whose status is none is no answer

Callers saw: a server in trouble sent an answer with the status 000. hq-dispatch passed 0, 99 or 20 (+20) on as the status, which hq-entry then refused; hq-gateway took 000, 099, +20 and 101 for an interim answer, waited for the next one until the deadline, and took an own 200 behind a 000 for the answer. 600 and 999 were passed on by both. A write of a store client whose answer had such a status counted as rejected, though it may have been done.

Cause: the parser of net/http takes any three characters that make a number of 0 or more. A status below 200 was skipped without asking whether it is that of an interim answer.

Evidence, on: TestAnswerWithoutAStatusReachesNoCaller, TestBrokenAnswersAreErrors of hq-dispatch's client, TestBrokenAnswersOfTheStoreSayNothing of both store clients in their cases 000 and +20, TestUnusualStatusDoesNotRejectAWrite, TestBrokenAnswerThroughAnotherVMReachesNoCaller and TestBrokenAnswerOfADispatcherIsUnknown fail.

Change: answers.Conn reads the status as it arrives, also behind interim answers and in what is buffered behind an earlier answer. The status of a final answer is 200 to 599 (RFC 9110, 15); 101, which no client here asks for, is broken too. The answer is an error at once, the connection ends, and the request may have run. answers.Check does the same where an answer comes from another VM, which may run an earlier version: in hq-gateway's forwards, and in hq-entry in place of its bound of 999. platform.StatusError says that a write was rejected for 4xx only.

Result: the tests pass. 600 to 999 are no longer passed on.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -1,7 +1,8 @@
 // Package answers reads answers of HTTP servers: an answer is whole, or an error.
 //
-// It watches the connections of the project's clients, below their parsers. A body without a length ends with the connection, but the
-// system reports a reset to one call only: if a write gets the report, the read beside it gets an end of stream.
+// It watches the connections of all clients of the project, below their parsers. The parser of net/http takes any three characters that
+// make a number for a status (RFC 9110, 15). And a body without a length ends with the connection, but the system reports a reset to one
+// call only: if a write gets the report, the read beside it gets an end of stream.
 package answers
 
 import (
--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -11,8 +11,8 @@
 	"hemlockquay/internal/socket"
 )
 
-// Conn is a client's connection to a server. An end of stream is reported only if the server sent it: bytes that were received before a
-// reset never look like a complete stream.
+// Conn is a client's connection to a server. A read fails where a head is malformed, and an end of stream is reported only if the server
+// sent it: bytes that were received before a reset never look like a complete stream.
 type Conn struct {
 	net.Conn
 
@@ -22,8 +22,9 @@
 	wrote  sync.Cond
 	// failed is the first error of the system that a write returned.
 	failed error
-	// began reports whether a part of the answer that is awaited has been received.
-	began bool
+	head   head
+	// broken is the error of a malformed head. Nothing can be read behind it.
+	broken error
 }
 
 // NewConn returns a Conn for a new connection.
@@ -36,18 +37,26 @@
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Begin expects the next answer.
-func (c *Conn) Begin() {
+// Begin expects the head of the next answer. received is what was read from the connection and not parsed yet. The error is ErrBroken.
+func (c *Conn) Begin(received []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.began = false
+	c.head = head{state: beforeStatus}
+	return c.scanLocked(received)
 }
 
 // Began reports whether a part of the answer that Begin expected has been received.
 func (c *Conn) Began() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.began
+	return c.head.began
+}
+
+func (c *Conn) scanLocked(p []byte) error {
+	if c.broken == nil {
+		c.broken = c.head.scan(p)
+	}
+	return c.broken
 }
 
 // Write implements net.Conn.
@@ -73,7 +82,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.began = c.began || n > 0
+	if broken := c.scanLocked(p[:n]); broken != nil {
+		return 0, broken
+	}
 	if errors.Is(err, io.EOF) {
 		if cause := c.causeOfEndLocked(); cause != nil {
 			return n, fmt.Errorf("%w: cut off: %w", ErrBroken, cause)
--- a/internal/answers/transport.go
+++ b/internal/answers/transport.go
@@ -42,7 +42,7 @@
 		// A connection with TLS is not looked into.
 		var plain bool
 		if conn, plain = info.Conn.(*Conn); plain {
-			conn.Begin()
+			_ = conn.Begin(nil)
 		}
 	}}
 	ctx := r.Context()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/boottime"
 	"hemlockquay/internal/budget"
 	"hemlockquay/internal/caller"
@@ -85,7 +86,7 @@
 		Deps:        k,
 		parser:      &requestParser{vm: k.Settings.VM},
 		feed:        f,
-		forwarder:   &forwarder{vm: k.Settings.VM, feed: f, client: pooledClient{peer.NewRequestPool(k.Settings.PeerConnections).Within(bounds.Replies())}},
+		forwarder:   &forwarder{vm: k.Settings.VM, feed: f, client: pooledClient{peer.NewRequestPool(k.Settings.PeerConnections).Within(bounds.Replies())}, broken: answers.NewLog(k.Registry, k.Log)},
 		incarnation: time.Now().UnixNano(),
 		answered:    metrics.GetOrRegisterTimer("entry.answered", k.Registry),
 		refusals:    metrics.GetOrRegisterCounter("entry.refused", k.Registry),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
 	"time"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/caller"
 	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/keyspace"
@@ -25,6 +24,8 @@
 	vm     string
 	feed   viewSource
 	client dispatcherClient
+	// broken records the broken answers that dispatchers pass on. It may be nil.
+	broken *answers.Log
 }
 
 // viewSource is the part of feed.Feed that the forwarder uses.
@@ -195,15 +196,13 @@
 	if answer.Problem != nil {
 		return nil, answer.Problem
 	}
-	if answer.Status < http.StatusOK || answer.Status > maxStatus {
-		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, fmt.Sprintf("%d is not the status of a final answer", answer.Status))
+	if err := answers.Check(answer.Status); err != nil {
+		f.broken.Broken(m.VM, err)
+		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, err.Error())
 	}
 	return answer, nil
 }
 
-// maxStatus is the highest status code that net/http writes without a panic.
-const maxStatus = 999
-
 func classifyCallError(err error, vm string) *problem.Error {
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && (errors.Is(err, caller.ErrLeft) || errors.Is(err, caller.ErrExpired)):
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -318,6 +318,26 @@
 	}
 }
 
+// Guards against a broken answer of a target that a dispatcher, which runs an earlier version, passes on.
+func TestBrokenAnswerOfADispatcherIsUnknown(t *testing.T) {
+	l := startTestEntry(t, nil)
+	for _, damage := range []func(*wire.Answer){
+		func(a *wire.Answer) { a.Status = 99 },
+		func(a *wire.Answer) { a.Status = 600 },
+		func(a *wire.Answer) { a.Status = 999 },
+	} {
+		l.dispatch.answer = func(r *wire.Request) wire.Answer {
+			a := wholeAnswer(r, http.StatusOK, "first part")
+			damage(&a)
+			return a
+		}
+		r := l.send("GET", "/s/booth/a")
+		require.Equal(t, http.StatusBadGateway, r.StatusCode)
+		require.Equal(t, string(problem.RanUnknown), r.Header.Get(problem.Header))
+		require.NotContains(t, r.body, "first part")
+	}
+}
+
 // Failure: a request in flight is aborted when the entry shuts down. The request must be
 // completed, the drain must allow for the longest deadline in force, and requests that arrive on
 // an idle connection after the drain lead must be refused as not run.
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -4,14 +4,17 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"hemlockquay/internal/catalog"
+	"hemlockquay/internal/peer"
 	"hemlockquay/internal/route"
 	"hemlockquay/internal/standin/link/linktest"
 )
@@ -135,9 +138,14 @@
 	}
 }
 
+// Guards against answers that are no answers, as their status is none, and that reach a caller or hide the next answer.
+func TestAnswerWithoutAStatusReachesNoCaller(t *testing.T) {
+	requireNoAnswers(t, linktest.BrokenStatuses())
+}
+
 // Guards against a kept connection that is used again after a broken answer on it, and against a second sending of its request.
 func TestConnectionWithABrokenAnswerIsNotUsedAgain(t *testing.T) {
-	exchanges := linktest.OnKeptConns(linktest.Cuts())
+	exchanges := linktest.OnKeptConns(slices.Concat(linktest.Cuts(), linktest.BrokenStatuses()))
 	p, s := newBrokenPlay(t, exchanges)
 	reused := 0
 	for i, e := range exchanges {
@@ -155,3 +163,50 @@
 	}
 	require.NotZero(t, reused)
 }
+
+// passingPeer is a VM that passes on whatever answer a target sends.
+type passingPeer struct {
+	status int
+	header http.Header
+	asked  *atomic.Int32
+}
+
+// Send answers a forwarded request.
+func (p passingPeer) Send(in *ForwardArgs, out *ForwardReply) error {
+	p.asked.Add(1)
+	*out = ForwardReply{Result: answeredToPeer, Status: p.status, Header: p.header.Clone(), Body: []byte("first part")}
+	out.Header.Set("Id", in.ID)
+	return nil
+}
+
+// Cancel cancels a forwarded request.
+func (p passingPeer) Cancel(*ForwardID, *struct{}) error { return nil }
+
+// Guards against a broken answer that another VM, which runs an earlier version, passes on.
+func TestBrokenAnswerThroughAnotherVMReachesNoCaller(t *testing.T) {
+	for name, broken := range map[string]passingPeer{
+		"status 0": {status: 0}, "status 99": {status: 99}, "interim": {status: 103}, "status 600": {status: 600}, "status 1000": {status: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := peer.Listen("127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(server.Close)
+			broken.asked = new(atomic.Int32)
+			if broken.header == nil {
+				broken.header = make(http.Header)
+			}
+			require.NoError(t, server.Register("Forward", broken))
+			go server.Serve()
+			f := newForwardingFleet(t)
+			b := f.peer.Heartbeat()
+			b.From.Addr, b.From.Incarnation = server.Addr(), b.From.Incarnation+1
+			f.cut.receiveHeartbeat(b)
+			resp := f.cut.send("once.example", nil, "")
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "%q", body)
+			require.NotContains(t, string(body), "first part")
+			require.EqualValues(t, 1, broken.asked.Load())
+		})
+	}
+}
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"hemlockquay/internal/answers"
 	"hemlockquay/internal/caller"
 	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/decide/forwarding"
@@ -191,6 +192,9 @@
 		a.id, a.leases, a.hadFreeSlots = reply.Target, reply.Leases, reply.HadFreeSlots
 		if reply.Result == lostByPeer {
 			err = upstream.ErrLost
+		} else if broken := answers.Check(reply.Status); broken != nil {
+			g.brokenAnswers.Broken(a.peer, broken)
+			err = errors.Join(upstream.ErrLost, broken)
 		} else if t := g.state.incarnation(reply.Target, reply.Born); t != nil {
 			g.applySignals(t, &upstream.Answer{Status: reply.Status, Header: reply.Header}, received{kind: throughPeer, sentAt: g.clock.Now() - took, peer: a.peer})
 		}
--- a/internal/platform/objectapi/broken_test.go
+++ b/internal/platform/objectapi/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -27,3 +28,13 @@
 		})
 	}
 }
+
+// Guards against a write that counts as rejected because its answer has a status that stores do not use.
+func TestUnusualStatusDoesNotRejectAWrite(t *testing.T) {
+	for _, status := range []int{http.StatusAccepted, http.StatusNoContent, http.StatusNotModified, http.StatusInternalServerError, 599} {
+		text := fmt.Sprintf("HTTP/1.1 %d Unusual\r\n\r\n", status)
+		client := New("http://" + linktest.ServeReplies(t, "Id", linktest.Reply{Text: text, End: linktest.HalfClose}).Addr)
+		_, err := client.Put(t.Context(), platform.Object{Kind: "customer", Name: "a", Version: 6, Spec: []byte(`{}`)})
+		require.ErrorIs(t, err, platform.ErrAmbiguous, status)
+	}
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -23,8 +23,9 @@
 	return errors.Join(ErrAmbiguous, err)
 }
 
-// StatusError maps an HTTP status to an error, nil for a success. A server error is
-// ErrAmbiguous, as it may arise after the write took effect.
+// StatusError maps an HTTP status to an error, nil for a success. Only a client error says that a
+// write had no effect. Any other status is ErrAmbiguous: a server error may arise after the write
+// took effect, and a status that the protocol does not use says nothing about it.
 func StatusError(status int) error {
 	switch status {
 	case http.StatusOK, http.StatusCreated:
@@ -38,10 +39,10 @@
 	case http.StatusTooManyRequests:
 		return fmt.Errorf("status %d: %w", status, ErrUnavailable)
 	}
-	if status >= http.StatusInternalServerError {
-		return fmt.Errorf("status %d: %w", status, ErrAmbiguous)
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+		return fmt.Errorf("store rejected the call: status %d", status)
 	}
-	return fmt.Errorf("store rejected the call: status %d", status)
+	return fmt.Errorf("status %d: %w", status, ErrAmbiguous)
 }
 
 // decode decodes a JSON text into out, which may do so itself.
--- a/internal/standin/link/linktest/broken.go
+++ b/internal/standin/link/linktest/broken.go
@@ -76,6 +76,22 @@
 	return out
 }
 
+// BrokenStatuses returns replies whose status is none of a final answer.
+func BrokenStatuses() []Exchange {
+	var out []Exchange
+	add := func(name, text string) {
+		out = append(out, Exchange{Name: name, Reply: Reply{Text: text}}, Exchange{Name: name + ", FIN", Reply: Reply{Text: text, End: HalfClose}})
+	}
+	for _, status := range []string{"000", "001", "020", "099", "+20", "-20", "+99", "600", "999", "0", "20", "2000", "2 0", "1xx", "abc", "101", "\x0020", ""} {
+		head := "HTTP/1.1 " + status + " Trouble\r\nId: $id\r\nHq-Request-Id: $id\r\n"
+		add(fmt.Sprintf("%q with a length", status), head+"Content-Length: 4\r\n\r\nbody")
+		add(fmt.Sprintf("%q without a length", status), head+"\r\nbody")
+		add(fmt.Sprintf("%q behind an interim answer", status), "HTTP/1.1 103 Early Hints\r\n\r\n"+head+"Content-Length: 4\r\n\r\nbody")
+	}
+	add("000 before an own 200", "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\nContent-Length: 4\r\n\r\nbody")
+	return out
+}
+
 // OnKeptConns returns each exchange behind a sound one that keeps its connection open.
 func OnKeptConns(exchanges []Exchange) []Exchange {
 	const text = "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\nContent-Length: 4\r\n\r\nbody"
@@ -90,9 +106,13 @@
 // BrokenReplies returns one reply of each kind of this file that is broken, with a body that is sound by itself.
 func BrokenReplies(body string) []Exchange {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	return []Exchange{
 		{Name: "cut", Reply: Reply{Text: head + "\r\n" + body, End: Reset}},
 		{Name: "cut during the upload", Upload: MaxUpload, Reply: Reply{Text: head + "\r\n" + body, Early: true, End: Reset}},
 		{Name: "short", Reply: Reply{Text: head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+1, body), End: HalfClose}},
+		{Name: "status 000", Reply: Reply{Text: strings.Replace(head, "200", "000", 1) + length}},
+		{Name: "status 600", Reply: Reply{Text: strings.Replace(head, "200", "600", 1) + length}},
+		{Name: "status +20", Reply: Reply{Text: strings.Replace(head, "200", "+20", 1) + length}},
 	}
 }
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,9 +50,9 @@
 	return server
 }
 
-// Guards against broken answers that a dispatcher passes on: cut while the upload is written.
+// Guards against broken answers that a dispatcher passes on: cut while the upload is written, without a status.
 func TestBrokenAnswersAreErrors(t *testing.T) {
-	exchanges := append(linktest.Cuts(), linktest.Cuts()...)
+	exchanges := slices.Concat(linktest.Cuts(), linktest.Cuts(), linktest.BrokenStatuses())
 	broken, count := newBrokenLog()
 	s := NewSender(1).ReportTo(broken)
 	defer s.Close()
@@ -66,6 +67,7 @@
 	require.EqualValues(t, len(exchanges), server.Conns.Load())
 	// A connection that was reset before the head was read had no answer.
 	require.LessOrEqual(t, count.Count(), int64(2*len(exchanges)))
+	require.GreaterOrEqual(t, count.Count(), int64(2*len(linktest.BrokenStatuses())))
 }
 
 // Guards against sound answers that count as broken.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -100,7 +100,6 @@
 // exchange sends r and returns its answer, and whether the connection may be reused. The answer's memory is reserved in
 // memory, unless that is nil.
 func (c *conn) exchange(r *Request, memory *Memory) (*Answer, bool, error) {
-	c.checked.Begin()
 	sent := c.send(r)
 	held := reservation{memory: memory}
 	a, keep, err := c.receive(r, &held)
@@ -181,6 +180,11 @@
 func (c *conn) receive(r *Request, held *reservation) (*Answer, bool, error) {
 	for range maxAnswersPerRequest {
 		c.meter.begin(held)
+		// What is buffered follows the answer before.
+		buffered, _ := c.in.Peek(c.in.Buffered())
+		if err := c.checked.Begin(buffered); err != nil {
+			return nil, false, fmt.Errorf("read answer: %w", err)
+		}
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
 		c.meter.end()
 		if err != nil {
