An answer with a malformed name of a field is no answer

Callers saw: a server in trouble sent a head with a blank in the name of a field. The answer was passed on with that line. With "Content-Length : 1" the length was ignored and all bytes to the end were the body; with "Transfer-Encoding : chunked" the framing of the chunks was the body.

Cause: the parser of net/http takes a name with blanks as it is, so it is not the name that it looks like. And a line that begins with a blank or a tab, behind another field, is taken for a part of that one (RFC 9112, 5.2): the same length or coding disappears in a value.

Handled before, and now tested: every other byte that no name may hold, at each of the three places, in hq-gateway's client and in hq-dispatch's.

Change: answers.Conn checks the names as they arrive; a byte that is no token (RFC 9110, 5.6.2), a folded line included, is an error, and the connection ends. A gateway may refuse folded lines (RFC 9112, 5.2), as hq-gateway does in requests. answers.Check looks at the names of answers that come from another VM.

--- a/internal/answers/answers.go
+++ b/internal/answers/answers.go
@@ -1,8 +1,9 @@
 // Package answers reads answers of HTTP servers: an answer is whole, or an error.
 //
 // It watches the connections of all clients of the project, below their parsers. The parser of net/http takes any three characters that
-// make a number for a status (RFC 9110, 15). And a body without a length ends with the connection, but the system reports a reset to one
-// call only: if a write gets the report, the read beside it gets an end of stream.
+// make a number for a status and accepts blanks in names of fields (RFC 9110, 5.1 and 15; RFC 9112, 5.1 and 5.2). And a body without
+// a length ends with the connection, but the system reports a reset to one call only: if a write gets the report, the read beside it
+// gets an end of stream.
 package answers
 
 import (
--- a/internal/answers/head.go
+++ b/internal/answers/head.go
@@ -17,7 +17,8 @@
 	inStatus
 	inReason
 	beforeName
-	inField
+	inName
+	inValue
 	// atEnd: a CR where a name may begin, which must be that of the line that ends the head.
 	atEnd
 )
@@ -41,7 +42,7 @@
 func (h *head) scan(p []byte) error {
 	h.began = h.began || len(p) > 0 && h.state != passed
 	for len(p) > 0 && h.state != passed {
-		if h.state == inReason || h.state == inField {
+		if h.state == inReason || h.state == inValue {
 			end := bytes.IndexByte(p, '\n')
 			if end < 0 {
 				return nil
@@ -57,16 +58,19 @@
 	return nil
 }
 
-// next checks a byte of a status, or one before a name.
+// next checks a byte of a status or of a name.
 func (h *head) next(b byte) error {
 	switch h.state {
 	case beforeStatus, inVersion:
 		return h.nextOfVersion(b)
 	case inStatus:
 		return h.nextOfStatus(b)
-	case beforeName:
-		h.nextOfName(b)
+	case beforeName, inName:
+		return h.nextOfName(b)
 	case atEnd:
+		if b != '\n' {
+			return fmt.Errorf("%w: byte %q in the name of a field", ErrBroken, '\r')
+		}
 		h.endOfHead()
 	}
 	return nil
@@ -109,15 +113,20 @@
 	return nil
 }
 
-func (h *head) nextOfName(b byte) {
+func (h *head) nextOfName(b byte) error {
 	switch {
-	case b == '\r':
+	case h.state == beforeName && b == '\r':
 		h.state = atEnd
-	case b == '\n':
+	case h.state == beforeName && b == '\n':
 		h.endOfHead()
+	case h.state == inName && b == ':':
+		h.state = inValue
+	case !isTokenByte(b):
+		return fmt.Errorf("%w: byte %q in the name of a field", ErrBroken, b)
 	default:
-		h.state = inField
+		h.state = inName
 	}
+	return nil
 }
 
 // endOfHead ends a head. The one of the final answer follows that of an interim answer.
@@ -140,11 +149,34 @@
 
 func final(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
-// Check reports why an answer that another process has read is broken: its status is that of no final answer. The error
-// is ErrBroken.
-func Check(status int) error {
+// isTokenByte reports whether a byte may be part of the name of a field (RFC 9110, 5.6.2).
+func isTokenByte(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	}
+	switch b {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
+
+// Check reports why an answer that another process has read is broken: its status is that of no final answer, or the name of a field is
+// malformed. The error is ErrBroken.
+func Check(status int, header http.Header) error {
 	if !final(status) {
 		return fmt.Errorf("%w: status %d", ErrBroken, status)
 	}
+	for name := range header {
+		for i := range len(name) {
+			if !isTokenByte(name[i]) {
+				return fmt.Errorf("%w: byte %q in the name of a field", ErrBroken, name[i])
+			}
+		}
+		if name == "" {
+			return fmt.Errorf("%w: a field without a name", ErrBroken)
+		}
+	}
 	return nil
 }
--- a/internal/answers/head_test.go
+++ b/internal/answers/head_test.go
@@ -40,9 +40,11 @@
 	}
 }
 
-// Guards against a verdict that depends on how a head is split over reads, and against answers that pass although their status is malformed.
+// Guards against a verdict that depends on how a head is split over reads, and against answers that pass although their status or a name is malformed.
 func TestVerdictDependsOnTheBytesAlone(t *testing.T) {
-	known := append(linktest.SoundReplies(), linktest.BrokenStatuses()...)
+	known := linktest.SoundNames()
+	known = append(known, linktest.BrokenNames()...)
+	known = append(known, linktest.BrokenStatuses()...)
 	rapid.Check(t, func(t *rapid.T) {
 		text := []byte(rapid.SampledFrom(known).Draw(t, "answer").Reply.Text)
 		for range rapid.IntRange(0, 3).Draw(t, "changes") {
@@ -57,9 +59,12 @@
 			return
 		}
 		if resp, err := parse(string(text)); err == nil {
-			require.NoError(t, Check(resp.StatusCode))
+			require.NoError(t, Check(resp.StatusCode, resp.Header))
 		}
 	})
+	for _, e := range linktest.SoundNames() {
+		require.NoError(t, scanInParts(e.Reply.Text), e.Name)
+	}
 	for _, e := range linktest.SoundReplies() {
 		require.NoError(t, scanInParts(e.Reply.Text), e.Name)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -196,7 +196,7 @@
 	if answer.Problem != nil {
 		return nil, answer.Problem
 	}
-	if err := answers.Check(answer.Status); err != nil {
+	if err := answers.Check(answer.Status, answer.Header); err != nil {
 		f.broken.Broken(m.VM, err)
 		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, err.Error())
 	}
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -325,6 +325,8 @@
 		func(a *wire.Answer) { a.Status = 99 },
 		func(a *wire.Answer) { a.Status = 600 },
 		func(a *wire.Answer) { a.Status = 999 },
+		func(a *wire.Answer) { a.Header["X A"] = []string{"b"} },
+		func(a *wire.Answer) { a.Header["X-A\x00"] = []string{"b"} },
 	} {
 		l.dispatch.answer = func(r *wire.Request) wire.Answer {
 			a := wholeAnswer(r, http.StatusOK, "first part")
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -136,6 +136,7 @@
 	for _, e := range linktest.SoundReplies() {
 		requireAnswers(t, []linktest.Exchange{e})
 	}
+	requireAnswers(t, linktest.SoundNames())
 }
 
 // Guards against answers that are no answers, as their status is none, and that reach a caller or hide the next answer.
@@ -143,9 +144,14 @@
 	requireNoAnswers(t, linktest.BrokenStatuses())
 }
 
+// Guards against a head with a malformed name of a field, which is passed on or makes other bytes the body.
+func TestAnswerWithAMalformedNameReachesNoCaller(t *testing.T) {
+	requireNoAnswers(t, linktest.BrokenNames())
+}
+
 // Guards against a kept connection that is used again after a broken answer on it, and against a second sending of its request.
 func TestConnectionWithABrokenAnswerIsNotUsedAgain(t *testing.T) {
-	exchanges := linktest.OnKeptConns(slices.Concat(linktest.Cuts(), linktest.BrokenStatuses()))
+	exchanges := linktest.OnKeptConns(slices.Concat(linktest.Cuts(), linktest.BrokenStatuses(), linktest.BrokenNames()))
 	p, s := newBrokenPlay(t, exchanges)
 	reused := 0
 	for i, e := range exchanges {
@@ -186,6 +192,8 @@
 func TestBrokenAnswerThroughAnotherVMReachesNoCaller(t *testing.T) {
 	for name, broken := range map[string]passingPeer{
 		"status 0": {status: 0}, "status 99": {status: 99}, "interim": {status: 103}, "status 600": {status: 600}, "status 1000": {status: 1000},
+		"blank in a name": {status: 200, header: http.Header{"X A": {"b"}}},
+		"no name":         {status: 200, header: http.Header{"": {"b"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server, err := peer.Listen("127.0.0.1:0")
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -192,7 +192,7 @@
 		a.id, a.leases, a.hadFreeSlots = reply.Target, reply.Leases, reply.HadFreeSlots
 		if reply.Result == lostByPeer {
 			err = upstream.ErrLost
-		} else if broken := answers.Check(reply.Status); broken != nil {
+		} else if broken := answers.Check(reply.Status, reply.Header); broken != nil {
 			g.brokenAnswers.Broken(a.peer, broken)
 			err = errors.Join(upstream.ErrLost, broken)
 		} else if t := g.state.incarnation(reply.Target, reply.Born); t != nil {
--- a/internal/standin/link/linktest/broken.go
+++ b/internal/standin/link/linktest/broken.go
@@ -94,8 +94,7 @@
 
 // OnKeptConns returns each exchange behind a sound one that keeps its connection open.
 func OnKeptConns(exchanges []Exchange) []Exchange {
-	const text = "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\nContent-Length: 4\r\n\r\nbody"
-	sound := Exchange{Name: "sound", Reply: Reply{Text: text}, Status: 200, Body: "body"}
+	sound := SoundNames()[0]
 	var out []Exchange
 	for _, e := range exchanges {
 		out = append(out, sound, e)
@@ -114,5 +113,75 @@
 		{Name: "status 000", Reply: Reply{Text: strings.Replace(head, "200", "000", 1) + length}},
 		{Name: "status 600", Reply: Reply{Text: strings.Replace(head, "200", "600", 1) + length}},
 		{Name: "status +20", Reply: Reply{Text: strings.Replace(head, "200", "+20", 1) + length}},
+		{Name: "blank in a name", Reply: Reply{Text: head + "X A: b\r\n" + length}},
+		{Name: "blank behind a name", Reply: Reply{Text: head + fmt.Sprintf("Content-Length : 1\r\n\r\n%s", body), End: HalfClose}},
+		{Name: "folded", Reply: Reply{Text: head + " Content-Length: 1\r\n\r\n" + body, End: HalfClose}},
+		{Name: "control byte in a name", Reply: Reply{Text: head + "X\x01A: b\r\n" + length}},
 	}
 }
+
+// ReplyWithField returns a reply with one more line in its head.
+func ReplyWithField(line string) string {
+	return "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\nServer: s\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+// BrokenNames returns replies with a byte in the name of a field that no name may hold, and replies whose body has another end if such a
+// name is ignored.
+func BrokenNames() []Exchange {
+	var out []Exchange
+	add := func(name, text string, end Ending) {
+		out = append(out, Exchange{Name: name, Reply: Reply{Text: text, End: end}})
+	}
+	for b := range 256 {
+		for at, line := range namesWith(byte(b)) {
+			if !soundName(byte(b), at) {
+				add(fmt.Sprintf("byte %d at the %s", b, at), ReplyWithField(line), KeepOpen)
+			}
+		}
+	}
+	const head = "HTTP/1.1 200 OK\r\nId: $id\r\nHq-Request-Id: $id\r\nServer: s\r\n"
+	for _, name := range []string{"Content-Length ", " Content-Length", "\tContent-Length", "Content-Length\t", "Content Length", "Content-Length\x00", "\x7fContent-Length"} {
+		add(fmt.Sprintf("%q", name), head+name+": 1\r\n\r\nbo", HalfClose)
+	}
+	for _, name := range []string{"Transfer-Encoding ", " Transfer-Encoding", "Transfer\x01-Encoding"} {
+		add(fmt.Sprintf("%q", name), head+name+": chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", HalfClose)
+	}
+	add("in an interim answer", "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n"+ReplyWithField("X-A: b"), KeepOpen)
+	add("in the first field", "HTTP/1.1 200 OK\r\n X-A: b\r\nId: $id\r\nHq-Request-Id: $id\r\nContent-Length: 4\r\n\r\nbody", KeepOpen)
+	add("no colon", ReplyWithField("X-A"), KeepOpen)
+	add("no name", ReplyWithField(": b"), KeepOpen)
+	return out
+}
+
+// SoundNames returns replies with each byte in the name of a field that a name may hold.
+func SoundNames() []Exchange {
+	var out []Exchange
+	for b := range 256 {
+		for at, line := range namesWith(byte(b)) {
+			// A line break at the start ends the head.
+			if soundName(byte(b), at) && b != '\n' {
+				out = append(out, Exchange{Name: fmt.Sprintf("byte %d at the %s", b, at), Reply: Reply{Text: ReplyWithField(line)}, Status: 200, Body: "body"})
+			}
+		}
+	}
+	return out
+}
+
+// namesWith returns lines with a byte at different places of the name.
+func namesWith(b byte) map[string]string {
+	c := string([]byte{b})
+	return map[string]string{"start": c + "XA: v", "middle": "X" + c + "A: v", "end": "XA" + c + ": v"}
+}
+
+// soundName reports whether a head is sound whose field has the byte at that place of its name.
+func soundName(b byte, at string) bool {
+	switch b {
+	case ':':
+		// It ends the name.
+		return at != "start"
+	case '\n':
+		return at == "start"
+	}
+	letter := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
+	return letter || b != 0 && strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -50,9 +50,9 @@
 	return server
 }
 
-// Guards against broken answers that a dispatcher passes on: cut while the upload is written, without a status.
+// Guards against broken answers that a dispatcher passes on: cut while the upload is written, without a status, with a malformed name.
 func TestBrokenAnswersAreErrors(t *testing.T) {
-	exchanges := slices.Concat(linktest.Cuts(), linktest.Cuts(), linktest.BrokenStatuses())
+	exchanges := slices.Concat(linktest.Cuts(), linktest.Cuts(), linktest.BrokenStatuses(), linktest.BrokenNames())
 	broken, count := newBrokenLog()
 	s := NewSender(1).ReportTo(broken)
 	defer s.Close()
@@ -67,7 +67,7 @@
 	require.EqualValues(t, len(exchanges), server.Conns.Load())
 	// A connection that was reset before the head was read had no answer.
 	require.LessOrEqual(t, count.Count(), int64(2*len(exchanges)))
-	require.GreaterOrEqual(t, count.Count(), int64(2*len(linktest.BrokenStatuses())))
+	require.GreaterOrEqual(t, count.Count(), int64(2*len(linktest.BrokenStatuses())+2*len(linktest.BrokenNames())))
 }
 
 // Guards against sound answers that count as broken.
@@ -87,6 +87,10 @@
 		play(t, s, []linktest.Exchange{e}, check)
 		s.Close()
 	}
+	s := NewSender(1).ReportTo(broken)
+	defer s.Close()
+	server := play(t, s, linktest.SoundNames(), check)
+	require.EqualValues(t, 1, server.Conns.Load())
 	require.Zero(t, count.Count())
 }
 
