dispatch: the fault matrix has one order of a cancellation and a send

Seen: TestFaultsAtStepsOfRequest failed once in a check of this change, "the page differs": entry lost at the steps shed and unsent gave unknown in place of no.

Cause: the cancellation is injected at the transition, and the attempt that follows asks in a goroutine of its own, at the same moment of virtual time, whether its caller has left. Both orders are allowed and truthful, but the page has one of them. The file's own rule is that no two events happen at the same time.

Change: in the matrix a send begins a microsecond after its decision. The page is compared as before and has not changed.

--- a/internal/dispatch/faults_cell_test.go
+++ b/internal/dispatch/faults_cell_test.go
@@ -64,6 +64,7 @@
 // script prescribes.
 func (c *cell) Send(ctx context.Context, a *target.Attempt) (*wire.Answer, error) {
 	name := a.Target.Name
+	time.Sleep(sendDelay)
 	end, inject, incarnation, err := c.beginAttempt(a)
 	if inject {
 		time.AfterFunc(victimWork/2, func() { c.injection.inject(c) })
@@ -136,6 +137,9 @@
 	}
 }
 
+// sendDelay is the time from the decision to send to the first byte. A cancellation at the moment of the decision comes before that.
+const sendDelay = time.Microsecond
+
 // connectTimeout is how long a connection attempt takes to fail in a partition.
 const connectTimeout = 23 * time.Millisecond
 
