--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -41,7 +41,7 @@
 	return b
 }
 
-// brokenPlay sends requests to a gateway on one connection, if the gateway keeps it open.
+// brokenPlay is a gateway whose target sends its replies byte for byte, and the server for its callers.
 type brokenPlay struct {
 	*testbed
 	front *httptest.Server
--- a/internal/standin/link/linktest/broken.go
+++ b/internal/standin/link/linktest/broken.go
@@ -49,25 +49,28 @@
 		none   = head + "\r\nbody"
 	)
 	tooLarge := strings.Replace(length, "200 OK", "413 Too Large", 1)
-	replies := map[string]Reply{
-		"no length, FIN":                        {Text: none, End: HalfClose},
-		"no length, early, FIN":                 {Text: none, Early: true, End: HalfClose},
-		"no length, early, FIN, upload blocked": {Text: none, Early: true, End: HalfCloseUnread},
-		"no length, early, FIN, reset at once":  {Text: none, Early: true, End: HalfCloseReset},
-		"no length, early, FIN, reset":          {Text: none, Early: true, End: HalfCloseReset, Delay: 50 * time.Millisecond},
-		"length, early":                         {Text: length, Early: true},
-		"length, early, FIN":                    {Text: length, Early: true, End: HalfClose},
-		"chunks, early, FIN":                    {Text: chunks, Early: true, End: HalfClose},
-		"413, early, reset":                     {Text: tooLarge, Early: true, End: Reset, Delay: 50 * time.Millisecond},
-		"interim":                               {Text: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + length},
-		"no reason":                             {Text: strings.Replace(length, " OK", "", 1)},
-		"HTTP/1.0":                              {Text: strings.Replace(none, "1.1", "1.0", 1), End: HalfClose},
+	replies := []struct {
+		name string
+		Reply
+	}{
+		{"no length, FIN", Reply{Text: none, End: HalfClose}},
+		{"no length, early, FIN", Reply{Text: none, Early: true, End: HalfClose}},
+		{"no length, early, FIN, upload blocked", Reply{Text: none, Early: true, End: HalfCloseUnread}},
+		{"no length, early, FIN, reset at once", Reply{Text: none, Early: true, End: HalfCloseReset}},
+		{"no length, early, FIN, reset", Reply{Text: none, Early: true, End: HalfCloseReset, Delay: 50 * time.Millisecond}},
+		{"length, early", Reply{Text: length, Early: true}},
+		{"length, early, FIN", Reply{Text: length, Early: true, End: HalfClose}},
+		{"chunks, early, FIN", Reply{Text: chunks, Early: true, End: HalfClose}},
+		{"413, early, reset", Reply{Text: tooLarge, Early: true, End: Reset, Delay: 50 * time.Millisecond}},
+		{"interim", Reply{Text: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + length}},
+		{"no reason", Reply{Text: strings.Replace(length, " OK", "", 1)}},
+		{"HTTP/1.0", Reply{Text: strings.Replace(none, "1.1", "1.0", 1), End: HalfClose}},
 	}
 	var out []Exchange
-	for name, reply := range replies {
+	for _, r := range replies {
 		for _, upload := range append([]int{0}, uploads...) {
-			e := Exchange{Name: fmt.Sprintf("%s, %d bytes", name, upload), Upload: upload, Reply: reply, Status: 200, Body: "body"}
-			if reply.Text == tooLarge {
+			e := Exchange{Name: fmt.Sprintf("%s, %d bytes", r.name, upload), Upload: upload, Reply: r.Reply, Status: 200, Body: "body"}
+			if r.Text == tooLarge {
 				e.Status = 413
 			}
 			out = append(out, e)
@@ -133,9 +136,9 @@
 		out = append(out, Exchange{Name: name, Reply: Reply{Text: text, End: end}})
 	}
 	for b := range 256 {
-		for at, line := range namesWith(byte(b)) {
-			if !soundName(byte(b), at) {
-				add(fmt.Sprintf("byte %d at the %s", b, at), ReplyWithField(line), KeepOpen)
+		for _, f := range fieldsWith(byte(b)) {
+			if !soundName(byte(b), f.at) {
+				add(fmt.Sprintf("byte %d at the %s", b, f.at), ReplyWithField(f.line), KeepOpen)
 			}
 		}
 	}
@@ -157,20 +160,23 @@
 func SoundNames() []Exchange {
 	var out []Exchange
 	for b := range 256 {
-		for at, line := range namesWith(byte(b)) {
+		for _, f := range fieldsWith(byte(b)) {
 			// A line break at the start ends the head.
-			if soundName(byte(b), at) && b != '\n' {
-				out = append(out, Exchange{Name: fmt.Sprintf("byte %d at the %s", b, at), Reply: Reply{Text: ReplyWithField(line)}, Status: 200, Body: "body"})
+			if soundName(byte(b), f.at) && b != '\n' {
+				out = append(out, Exchange{Name: fmt.Sprintf("byte %d at the %s", b, f.at), Reply: Reply{Text: ReplyWithField(f.line)}, Status: 200, Body: "body"})
 			}
 		}
 	}
 	return out
 }
 
-// namesWith returns lines with a byte at different places of the name.
-func namesWith(b byte) map[string]string {
+// field is a line of a head with a certain byte at a place of its name.
+type field struct{ at, line string }
+
+// fieldsWith returns lines with a byte at different places of the name.
+func fieldsWith(b byte) []field {
 	c := string([]byte{b})
-	return map[string]string{"start": c + "XA: v", "middle": "X" + c + "A: v", "end": "XA" + c + ": v"}
+	return []field{{"start", c + "XA: v"}, {"middle", "X" + c + "A: v"}, {"end", "XA" + c + ": v"}}
 }
 
 // soundName reports whether a head is sound whose field has the byte at that place of its name.
