lease: a successor waits for every earlier grantor

Cause: the time until which a target out of reach keeps its keys was computed from the direct predecessor alone. A grantor L1 that is cut off from the store renews for Authority. L2 succeeds it and waits. When L2 is killed, restarts or resigns within that time, L3 knew that L2 had ended and waited for the transit of one grant, while L1 still renewed. The record did not say that L2 was waiting.

Every write of the record now states for how long from then on grants of any earlier epoch may arrive. Record.Succeed takes the later of that and of what the predecessor itself may have sent; NewGrantor counts it from the end of the write that states it, so no takeover can grant before it has stated its wait. VMs share no clock: a bound that is read later counts from a later write. A record without the field is of an older program and means the longest wait. After the wait one write without it is made, so that later successions stay fast.

The same fault by another way: that a process had ended was concluded from a higher incarnation, and incarnations are numbered by the wall clock. After a step back the live grantor counted as ended. Mesh.ConfirmEnded asks the process at its address instead.

The simulation of package lease missed it, since a VM that opens no connection to an owner never counted it as silent, and takeovers were seldom twice within an authority.

--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -240,18 +240,19 @@
 		c.storeStableSince = 0
 		return err
 	}
-	last := c.Leases.Get(c.service)
-	next := old.Succeed(last)
+	var next lease.Record
 	if unclaimed {
 		owners := c.initialOwners()
 		if owners == nil {
 			return nil
 		}
-		next = lease.Record{Service: c.service, Slices: lease.EvenSlices(c.Spread.initialSlices(len(owners)), owners)}
-	} else if c.hasLiveGrantor(old) || !c.storeStable(old) {
-		return nil
+		next = lease.Record{Service: c.service, Earlier: lease.NoArrival, Slices: lease.EvenSlices(c.Spread.initialSlices(len(owners)), owners)}
+	} else {
+		if c.hasLiveGrantor(old) || !c.storeStable(old) {
+			return nil
+		}
+		next = old.Succeed(c.Leases.Get(c.service), c.predecessor(ctx, old))
 	}
-	prior := c.priorGrants(old, unclaimed)
 	next.Epoch, next.Resigned = old.Epoch+1, false
 	next.Holder, next.HolderAddr, next.Incarnation = c.Self.VM, c.Self.Addr, c.Self.Incarnation
 	sent := c.Clock.Now()
@@ -262,8 +263,9 @@
 	done := c.Clock.Now()
 	timing := lease.Timing{Hold: min(lease.HoldTime, c.MaxHold), Renew: renewInterval, Retry: orderRetryDelay, Cold: c.coldMoveTime()}
 	c.Log.Info().Str("step", "leases").Str("service", c.service).Uint64("epoch", next.Epoch).Str("before", old.Holder).
-		Int("slices", len(next.Slices)).Int("past", int(prior)).Msg("grantor of the service")
-	grants := lease.NewGrantor(next, timing, sent, done, prior)
+		Int("slices", len(next.Slices)).Bool("resigned", old.Resigned).Dur("earlierStated", old.Earlier.Within()).
+		Dur("earlier", next.Earlier.Within()).Msg("grantor of the service")
+	grants := lease.NewGrantor(next, timing, sent, done)
 	c.presumeServed(grants, old)
 	newLeader(c, grants, version).run(ctx)
 	return nil
@@ -290,16 +292,14 @@
 	return t.Config().Services[c.service].ColdMove
 }
 
-// priorGrants returns which grants of the previous grantor may still be valid. Its process has
-// certainly ended if another one runs at its address: this one, or one that the mesh knows.
-func (c *candidate) priorGrants(old lease.Record, unclaimed bool) lease.PriorGrants {
-	switch {
-	case unclaimed:
-		return lease.NoPriorGrants
-	case old.Resigned, c.Mesh.Replaced(old.Holder, old.HolderAddr, old.Incarnation):
-		return lease.PriorGrantsEnded
+// predecessor returns what is known of the grantor that wrote a record. This process sends no orders for the service while it is not
+// the grantor, so a grantor at its own address has ended.
+func (c *candidate) predecessor(ctx context.Context, old lease.Record) lease.Predecessor {
+	own := old.Holder == c.Self.VM && old.HolderAddr == c.Self.Addr
+	if own || c.Mesh.ConfirmEnded(ctx, old.Holder, old.HolderAddr, old.Incarnation) {
+		return lease.PredecessorEnded
 	}
-	return lease.PriorGrantsUnknown
+	return lease.PredecessorMayGrant
 }
 
 // hasLiveGrantor reports whether the record names a live grantor that is not isolated. If so, it
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -69,7 +69,7 @@
 	n.Store = store
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
 	now := n.Clock.Now()
-	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now, lease.PriorGrantsEnded), 1), store
+	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now), 1), store
 }
 
 // Guards against other VMs learning too late that a relay works: the grantor must confirm its epoch
@@ -165,7 +165,7 @@
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.EvenSlices(2, []lease.Owner{{ID: "t"}})}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, n.Clock.Now(), n.Clock.Now()), 1)
 	l.publish(l.vacantRouting())
 	require.Empty(t, n.state.routingOf("s").Holder)
 	_, healthy := (&candidate{Manager: n.Manager, service: "s"}).succession()
@@ -208,7 +208,7 @@
 	n := testNode(newManualClock(time.Hour))
 	defer n.mesh.Close()
 	record := lease.Record{Service: "s", Epoch: 4, Slices: lease.EvenSlices(2, []lease.Owner{{ID: "t"}})}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: lease.HoldTime}, n.Clock.Now(), n.Clock.Now(), lease.PriorGrantsEnded), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, lease.Timing{Hold: lease.HoldTime}, n.Clock.Now(), n.Clock.Now()), 1)
 	l.resign(t.Context())
 	(<-l.events)()
 	require.False(t, l.epochEnded)
@@ -307,3 +307,36 @@
 	rank, _ = c.succession()
 	require.Negative(t, rank)
 }
+
+// Guards against a successor that drops the wait for grantors before its predecessor: the record that it writes before its first grant states it.
+func TestTakeoverStatesTheWaitForAllEarlierGrantors(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, c := range []struct {
+		name string
+		old  lease.Record
+		want time.Duration
+	}{
+		{"resigned", lease.Record{Holder: "b", Resigned: true, Earlier: lease.ArrivalWithin(9 * time.Second)}, 9 * time.Second},
+		{"resigned, nothing before it", lease.Record{Holder: "b", Resigned: true, Earlier: lease.NoArrival}, time.Second},
+		{"restarted here", lease.Record{Holder: "self", HolderAddr: "127.0.0.1:1", Incarnation: 3, Earlier: lease.ArrivalWithin(9 * time.Second)}, 9 * time.Second},
+		{"lost", lease.Record{Holder: "b", HolderAddr: "127.0.0.1:2", Incarnation: 3, Earlier: lease.NoArrival}, lease.Authority + time.Second},
+		{"written by an older program", lease.Record{Holder: "b", Resigned: true}, lease.Authority + time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := testNode(newManualClock(time.Hour))
+			defer n.mesh.Close()
+			c.old.Service, c.old.Epoch, c.old.Slices = "s", 3, lease.EvenSlices(2, []lease.Owner{{ID: "t"}})
+			spec, err := json.Marshal(c.old)
+			require.NoError(t, err)
+			store := &fakeStore{record: platform.Object{Kind: kindLeases, Name: "s", Version: 1, Spec: spec}}
+			store.up.Store(true)
+			n.Store = store
+			require.NoError(t, (&candidate{Manager: n.Manager, service: "s"}).takeOver(ended))
+			var r lease.Record
+			require.NoError(t, json.Unmarshal(store.record.Spec, &r))
+			require.EqualValues(t, 4, r.Epoch)
+			require.Equal(t, c.want, r.Earlier.Within())
+		})
+	}
+}
--- a/internal/gateway/leasing/helpers_test.go
+++ b/internal/gateway/leasing/helpers_test.go
@@ -104,6 +104,12 @@
 func (s localState) ReachesOwners(string) bool    { return true }
 func (s localState) WriteID() string              { return strconv.FormatUint(s.n.tags.Add(1), 10) }
 
+// firstEpoch returns the record of a service for which no grant was ever sent before.
+func firstEpoch(r lease.Record) lease.Record {
+	r.Earlier = lease.NoArrival
+	return r
+}
+
 // emptyDirectory is a directory without routes and targets.
 type emptyDirectory struct{}
 
--- a/internal/gateway/leasing/leader.go
+++ b/internal/gateway/leasing/leader.go
@@ -206,7 +206,7 @@
 	l.orderDeadline.Store(0)
 	l.resigning = true
 	l.demotedUntil.Store(int64(l.Clock.Now() + demotionTime))
-	next := l.grants.Plan(nil)
+	next := l.grants.Plan(l.Clock.Now(), nil)
 	next.Resigned = true
 	version, lag, waited := l.version, l.lagMeter.Lag(), l.lagMeter.GrantWait()
 	go func() {
--- a/internal/gateway/leasing/leasing.go
+++ b/internal/gateway/leasing/leasing.go
@@ -84,8 +84,8 @@
 	Monitor(duty, vm string)
 	// Period is the interval between two heartbeats of a pair of VMs.
 	Period() time.Duration
-	// Replaced reports whether the process of a VM has certainly ended.
-	Replaced(vm, addr string, incarnation uint64) bool
+	// ConfirmEnded reports whether the process of a VM that was known before the call has certainly ended. It may ask the VM.
+	ConfirmEnded(ctx context.Context, vm, addr string, incarnation uint64) bool
 	// Size is the number of live VMs, including this one.
 	Size() int
 	// NonLeavingPeers is the number of other live VMs that were not asked to end.
--- a/internal/gateway/leasing/moves.go
+++ b/internal/gateway/leasing/moves.go
@@ -34,7 +34,7 @@
 	var changes []lease.Change
 	var cause moveCause
 	if !l.writeAmbiguous {
-		if changes, cause = l.plan(now); len(changes) == 0 && !l.grants.Unwritten() && !l.needsStandbys(now) {
+		if changes, cause = l.plan(now); len(changes) == 0 && !l.grants.Unwritten() && !l.grants.StatesEndedWait(now) && !l.needsStandbys(now) {
 			return
 		}
 	}
@@ -52,9 +52,9 @@
 // planRecord returns the record to write. While the end of a write is not known, nothing else changes.
 func (l *leader) planRecord(changes []lease.Change, now time.Duration) lease.Record {
 	if l.writeAmbiguous {
-		return l.grants.Plan(changes)
+		return l.grants.Plan(now, changes)
 	}
-	return l.grants.PlanStandbys(changes, l.standbyChooser(now))
+	return l.grants.PlanStandbys(now, changes, l.standbyChooser(now))
 }
 
 // logPlannedMoves logs each planned change of an owner.
--- a/internal/gateway/leasing/moves_test.go
+++ b/internal/gateway/leasing/moves_test.go
@@ -24,7 +24,7 @@
 	owners := []lease.Owner{inService, silent, ended, left}
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.EvenSlices(16, owners)}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(firstEpoch(record), timing, clock.Now(), clock.Now()), 1)
 	for _, o := range owners {
 		l.grants.MarkConfirmed(o)
 	}
--- a/internal/gateway/leasing/reach_test.go
+++ b/internal/gateway/leasing/reach_test.go
@@ -30,7 +30,7 @@
 	record := lease.Record{Service: "s", Epoch: 4, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.EvenSlices(2*len(owners), owners)}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
 	now := n.Clock.Now()
-	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now, lease.PriorGrantsEnded), 1)
+	return newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, now, now), 1)
 }
 
 // unreachableOwners returns owners at addresses where nothing listens.
--- a/internal/gateway/leasing/relief_test.go
+++ b/internal/gateway/leasing/relief_test.go
@@ -21,7 +21,7 @@
 		}
 	}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(firstEpoch(record), timing, clock.Now(), clock.Now()), 1)
 	l.load = load
 	for _, o := range live {
 		l.grants.MarkConfirmed(o)
--- a/internal/gateway/leasing/spread_test.go
+++ b/internal/gateway/leasing/spread_test.go
@@ -18,7 +18,7 @@
 	slow, hot, idle := lease.Owner{ID: "slow"}, lease.Owner{ID: "hot"}, lease.Owner{ID: "idle"}
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.EvenSlices(6, []lease.Owner{slow, hot, idle})}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(firstEpoch(record), timing, clock.Now(), clock.Now()), 1)
 	live := []lease.Owner{slow, hot, idle}
 	for _, o := range live {
 		l.grants.MarkConfirmed(o)
@@ -80,7 +80,7 @@
 	n.TargetDirectory = directory
 	record := lease.Record{Service: "s", Epoch: 1, Slices: lease.EvenSlices(4, owners)}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(firstEpoch(record), timing, clock.Now(), clock.Now()), 1)
 	const hot, usual = 5, 60000
 	limitsAtRate := func(rate int) *lease.Routing {
 		for range 20 {
--- a/internal/gateway/leasing/standby_test.go
+++ b/internal/gateway/leasing/standby_test.go
@@ -37,7 +37,7 @@
 	}
 	n.TargetDirectory = directory
 	l := loadedLeader(n, clock, live, 12)
-	l.grants.Commit(l.grants.PlanStandbys(nil, l.standbyChooser(clock.Now())), clock.Now())
+	l.grants.Commit(l.grants.PlanStandbys(clock.Now(), nil, l.standbyChooser(clock.Now())), clock.Now())
 	n.storeUp.Store(false)
 	return l, directory, clock
 }
--- a/internal/gateway/leasing/timedoutgrants_test.go
+++ b/internal/gateway/leasing/timedoutgrants_test.go
@@ -65,7 +65,7 @@
 	oldOwner, nextOwner := lease.Owner{ID: "old", Addr: oldLink.Addr()}, lease.Owner{ID: "next", Addr: nextLink.Addr()}
 	record := lease.Record{Service: "s", Epoch: 1, Holder: "self", Incarnation: n.Self.Incarnation, Slices: lease.EvenSlices(1, []lease.Owner{oldOwner})}
 	timing := lease.Timing{Hold: lease.HoldTime, Renew: renewInterval, Retry: orderRetryDelay}
-	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(record, timing, clock.Now(), clock.Now(), lease.NoPriorGrants), 1)
+	l := newLeader(&candidate{Manager: n.Manager, service: "s"}, lease.NewGrantor(firstEpoch(record), timing, clock.Now(), clock.Now()), 1)
 	for _, o := range []lease.Owner{oldOwner, nextOwner} {
 		require.NoError(t, l.sender(t.Context(), o).pool.Connect(t.Context()))
 		l.grants.MarkConfirmed(o)
@@ -88,7 +88,7 @@
 	oldLink.Cut()
 	clock.advance(renewInterval)
 	sendDueOrders()
-	l.grants.Commit(l.grants.Plan([]lease.Change{{Slice: 0, To: nextOwner}}), clock.Now())
+	l.grants.Commit(l.grants.Plan(clock.Now(), []lease.Change{{Slice: 0, To: nextOwner}}), clock.Now())
 	for cut := clock.Now(); !next.holds(); clock.advance(orderRetryDelay) {
 		require.Less(t, clock.Now(), cut+2*lease.HoldTime, "the keys have no owner")
 		sendDueOrders()
--- a/internal/lease/changes.go
+++ b/internal/lease/changes.go
@@ -11,15 +11,16 @@
 	To    Owner
 }
 
-// Plan returns a copy of the record with the changes applied, to be written to the store. A slice that is
+// Plan returns a copy of the record with the changes applied, to be written to the store from now on. A slice that is
 // not movable keeps its owner. A slice that is already moving keeps its previous owner: that one may still
 // hold the keys, and the owner in between was never granted them.
 //
 // The changed slices are frozen until Commit or Abandon. Otherwise the previous owner could answer its
 // release while the write is in flight, and the owner in between could be granted the keys: the record
 // would then name two targets, neither of which holds the keys.
-func (g *Grantor) Plan(changes []Change) Record {
+func (g *Grantor) Plan(now time.Duration, changes []Change) Record {
 	next := g.record
+	next.Earlier = g.earlier(now)
 	next.Slices = slices.Clone(g.record.Slices)
 	for _, c := range changes {
 		sl := &next.Slices[c.Slice]
@@ -37,8 +38,8 @@
 
 // PlanStandbys is Plan with the standbys that choose returns for the slices that are not moving. A slice whose standby
 // changes cannot be moved to either before Commit or Abandon.
-func (g *Grantor) PlanStandbys(changes []Change, choose func(s Slice) Owner) Record {
-	next := g.Plan(changes)
+func (g *Grantor) PlanStandbys(now time.Duration, changes []Change, choose func(s Slice) Owner) Record {
+	next := g.Plan(now, changes)
 	for i := range next.Slices {
 		sl, s := &next.Slices[i], &g.states[i]
 		if sl.Previous.Known() || s.frozen || s.standbyFrozen {
--- a/internal/lease/events_test.go
+++ b/internal/lease/events_test.go
@@ -11,7 +11,7 @@
 // log showed whether the previous owner had released them or its hold had expired.
 func TestEventsDistinguishReleaseFromExpiry(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}), simTiming, time.Hour, time.Hour)
 	g.MarkConfirmed(a)
 	g.MarkConfirmed(b)
 	now := time.Hour
@@ -21,7 +21,7 @@
 	require.Empty(t, g.TakeEvents(), "the first grant of a key is not a move")
 	out := holdExpiry(now, simTiming.Hold)
 
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now)
+	g.Commit(g.Plan(now, []Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now)
 	for _, o := range g.DueOrders(now) {
 		require.Equal(t, Release, o.Kind)
 		result := Done
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -26,6 +26,8 @@
 	began time.Duration
 	// confirmed is when the last request was sent in which the store confirmed the epoch.
 	confirmed time.Duration
+	// earlierUntil is the latest time at which a grant of an earlier epoch may arrive.
+	earlierUntil time.Duration
 	// lastFence is the last fence that was issued.
 	lastFence uint64
 	// confirmedOwners holds the incarnations that may be granted keys. One is removed when no connection
@@ -88,51 +90,40 @@
 	presumedUntil time.Duration
 }
 
-// PriorGrants says which grants of earlier grantors may still be valid.
-type PriorGrants int
-
-// The cases of PriorGrants.
-const (
-	// NoPriorGrants: no grant was ever sent for this service.
-	NoPriorGrants PriorGrants = iota
-	// PriorGrantsEnded: the predecessor sent its last order before the successor's write.
-	PriorGrantsEnded
-	// PriorGrantsUnknown: the predecessor may send orders until its authority expires.
-	PriorGrantsUnknown
-)
-
 // maxGrantTransit bounds the time that a predecessor's last grant is in transit. Its connection is reset
 // when the predecessor stops waiting for the answer, or when its process ends. If the process is
 // suspended after the send, the operating system drops what has not arrived after this time.
 const maxGrantTransit = time.Second
 
-// lastGrantArrival returns the latest time at which the last grant of a predecessor may arrive, given when
-// the successor's write was done.
-func (p PriorGrants) lastGrantArrival(done time.Duration) time.Duration {
-	if p == PriorGrantsEnded {
-		return done + maxGrantTransit
-	}
-	return done + Authority + maxGrantTransit
-}
-
 // NewGrantor returns the grantor of a record that it has just written with its own epoch. sent and done
 // are the times at which the write was sent and answered.
-func NewGrantor(r Record, t Timing, sent, done time.Duration, prior PriorGrants) *Grantor {
-	g := &Grantor{timing: t, record: r, began: done, confirmed: sent, lastFence: r.Epoch << epochShift}
+func NewGrantor(r Record, t Timing, sent, done time.Duration) *Grantor {
+	g := &Grantor{timing: t, record: r, began: done, confirmed: sent, earlierUntil: done + r.Earlier.Within(), lastFence: r.Epoch << epochShift}
 	g.confirmedOwners, g.endedOwners, g.breakers = make(map[Owner]bool), make(map[Owner]bool), make(map[Owner]*circuitBreaker)
 	g.states = make([]leaseState, len(r.Slices))
 	for i := range g.states {
 		s := &g.states[i]
 		s.fence = g.newFence()
-		if prior != NoPriorGrants {
+		if r.Earlier != NoArrival {
 			s.inherited = true
-			s.expiresAt = holdExpiry(prior.lastGrantArrival(done), t.Hold)
+			s.expiresAt = holdExpiry(g.earlierUntil, t.Hold)
 			s.previousExpiresAt = s.expiresAt
 		}
 	}
 	return g
 }
 
+// earlier returns the bound that a write of the record states.
+func (g *Grantor) earlier(now time.Duration) Arrival {
+	return ArrivalWithin(max(g.earlierUntil-now, 0))
+}
+
+// StatesEndedWait reports whether the record still states that grants of earlier epochs may arrive, although they no longer may. A
+// successor would wait for them again. A bound that is no longer than the transit of a grant costs a successor nothing.
+func (g *Grantor) StatesEndedWait(now time.Duration) bool {
+	return g.record.Earlier.Within() > maxGrantTransit && now >= g.earlierUntil
+}
+
 // PresumeServed treats owners that served their slices in the predecessor's last published version as
 // serving them until the given time, unless orders to them fail. An owner whose keys must first be taken from
 // another target still has the predecessor's grant. This affects only where senders try, not
--- a/internal/lease/holdexpiry_test.go
+++ b/internal/lease/holdexpiry_test.go
@@ -35,7 +35,7 @@
 // when that renewal was sent.
 func grantorWithPendingRenewal(t *testing.T, owner Owner) (g *Grantor, renewal Order, now time.Duration) {
 	now = time.Hour
-	g = NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{owner})}, simTiming, now, now, NoPriorGrants)
+	g = NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{owner})}), simTiming, now, now)
 	g.MarkConfirmed(owner)
 	for _, o := range g.DueOrders(now) {
 		g.HandleResult(o, Done, "", now, now)
@@ -53,14 +53,14 @@
 func TestSuccessorWaitsForPredecessorsGrantInTransit(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
 	record := Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}
-	first := NewGrantor(record, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	first := NewGrantor(firstEpoch(record), simTiming, time.Hour, time.Hour)
 	first.MarkConfirmed(a)
 	sent := time.Hour + Authority - time.Millisecond
 	require.Len(t, first.DueOrders(sent), 1)
 
 	record.Epoch++
-	next := NewGrantor(record, simTiming, time.Hour, time.Hour, PriorGrantsUnknown)
-	next.Commit(next.Plan([]Change{{Slice: 0, To: b}}), time.Hour)
+	next := NewGrantor(record, simTiming, time.Hour, time.Hour)
+	next.Commit(next.Plan(time.Hour, []Change{{Slice: 0, To: b}}), time.Hour)
 	granted := runUntilGranted(t, next, time.Hour, a, b)
 	require.GreaterOrEqual(t, granted, slowestExpiry(sent+simOrderTimeout), "the order timed out")
 	require.GreaterOrEqual(t, granted, slowestExpiry(sent+simRetransmitTimeout), "dropped by the operating system")
@@ -82,7 +82,7 @@
 	}
 	g.HandleResult(renewal, Unanswered, "", now, now+simOrderTimeout)
 	arrived := now + simOrderTimeout
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
+	g.Commit(g.Plan(now, []Change{{Slice: 0, To: b}}), now)
 	require.GreaterOrEqual(t, runUntilGranted(t, g, arrived, a, b), slowestExpiry(arrived))
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -70,7 +70,7 @@
 	r.Epoch = 5
 	r.Slices[2].Owner, r.Slices[2].Previous = b, a
 	now := time.Hour
-	g := NewGrantor(r, simTiming, now, now, PriorGrantsUnknown)
+	g := NewGrantor(r, simTiming, now, now)
 	g.PresumeServed(last, now+time.Second)
 	require.Equal(t, Served, g.State(0, now))
 	require.Equal(t, Served, g.State(1, now))
@@ -90,7 +90,7 @@
 func TestSuccessorGrantsPresentOwnersAtOnce(t *testing.T) {
 	owners := []Owner{{ID: "a"}, {ID: "b"}}
 	r := Record{Service: "s", Epoch: 7, Slices: EvenSlices(4, owners)}
-	g := NewGrantor(r, simTiming, time.Hour, time.Hour, PriorGrantsUnknown)
+	g := NewGrantor(r, simTiming, time.Hour, time.Hour)
 	for _, o := range g.Unconfirmed() {
 		g.MarkConfirmed(o)
 	}
@@ -106,7 +106,7 @@
 // one may have moved the keys.
 func TestNoOrdersAfterAuthorityExpires(t *testing.T) {
 	r := Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{{ID: "a"}})}
-	g := NewGrantor(r, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g := NewGrantor(firstEpoch(r), simTiming, time.Hour, time.Hour)
 	g.MarkConfirmed(Owner{ID: "a"})
 	require.Len(t, g.DueOrders(time.Hour+Authority-1), 2)
 	require.Empty(t, g.DueOrders(time.Hour+Authority))
@@ -118,14 +118,14 @@
 // than a second after that.
 func TestKeysOfLostOwnerAreGrantedAfterHoldExpires(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}), simTiming, time.Hour, time.Hour)
 	g.MarkConfirmed(a)
 	g.MarkConfirmed(b)
 	now := time.Hour
 	for _, o := range g.DueOrders(now) {
 		g.HandleResult(o, Done, "", now, now)
 	}
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
+	g.Commit(g.Plan(now, []Change{{Slice: 0, To: b}}), now)
 	granted := time.Duration(0)
 	for ; granted == 0; now += 50 * time.Millisecond {
 		for _, o := range g.DueOrders(now) {
@@ -146,7 +146,7 @@
 // the keys are refused until then.
 func TestUnresponsiveTargetGetsOneOrderAtATime(t *testing.T) {
 	a := Owner{ID: "a"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(100, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(100, []Owner{a})}), simTiming, time.Hour, time.Hour)
 	g.MarkConfirmed(a)
 	now := time.Hour
 	for _, o := range g.DueOrders(now) {
@@ -175,12 +175,12 @@
 // the release.
 func TestMoveReleasesThenGrantsWithHandover(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}), simTiming, time.Hour, time.Hour)
 	g.MarkConfirmed(a)
 	g.MarkConfirmed(b)
 	first := g.DueOrders(time.Hour)[0]
 	g.HandleResult(first, Done, "", time.Hour, time.Hour)
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), time.Hour)
+	g.Commit(g.Plan(time.Hour, []Change{{Slice: 0, To: b}}), time.Hour)
 	release := g.DueOrders(time.Hour)[0]
 	require.Equal(t, Release, release.Kind)
 	require.Greater(t, release.Fence, first.Fence)
@@ -325,7 +325,7 @@
 	timing := simTiming
 	timing.Cold = 5 * time.Second
 	now := time.Hour
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}, timing, now, now, NoPriorGrants)
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}), timing, now, now)
 	g.MarkConfirmed(a)
 	g.MarkConfirmed(b)
 	answer := func(r Result, handover string) {
@@ -335,7 +335,7 @@
 	}
 	answer(Done, "")
 	require.Equal(t, Served, g.State(0, now), "the first owner of the keys")
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now)
+	g.Commit(g.Plan(now, []Change{{Slice: 0, To: b}, {Slice: 1, To: b}}), now)
 
 	release := g.DueOrders(now)
 	require.Len(t, release, 2)
@@ -370,7 +370,7 @@
 func TestHoldOfSilentOwnerCountsFromEndOfLastGrant(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
 	g, renewal, now := grantorWithPendingRenewal(t, a)
-	g.Commit(g.Plan([]Change{{Slice: 0, To: b}}), now)
+	g.Commit(g.Plan(now, []Change{{Slice: 0, To: b}}), now)
 	require.Empty(t, g.DueOrders(now+time.Minute), "no keys are free while the renewal is in flight")
 	over := now + simOrderTimeout
 	g.HandleResult(renewal, Unanswered, "", now, over)
@@ -410,13 +410,13 @@
 // Guards against keys of a leaving owner that wait for the store, and against a record that never tells of the move.
 func TestMoveToStandbyNeedsNoWrite(t *testing.T) {
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(1, []Owner{a})}), simTiming, time.Hour, time.Hour)
 	g.MarkConfirmed(a)
 	g.MarkConfirmed(b)
 	first := g.DueOrders(time.Hour)[0]
 	g.HandleResult(first, Done, "", time.Hour, time.Hour)
 	require.False(t, g.MoveToStandby(0), "the record names no standby")
-	next := g.PlanStandbys(nil, func(Slice) Owner { return b })
+	next := g.PlanStandbys(time.Hour, nil, func(Slice) Owner { return b })
 	require.False(t, g.MoveToStandby(0), "the record is being written")
 	g.Commit(next, time.Hour)
 	require.False(t, g.Unwritten())
@@ -430,7 +430,7 @@
 	require.Equal(t, "state", grant.Handover)
 	require.Greater(t, grant.Fence, release.Fence)
 	require.True(t, g.Unwritten())
-	g.Commit(g.Plan(nil), time.Hour)
+	g.Commit(g.Plan(time.Hour, nil), time.Hour)
 	require.False(t, g.Unwritten())
 	require.Equal(t, b, g.Record().Slices[0].Owner)
 }
@@ -438,9 +438,9 @@
 // Guards against a move to a standby that is undone by the record that was being written meanwhile.
 func TestMoveToStandbyDuringAWriteStaysInForce(t *testing.T) {
 	a, b, c := Owner{ID: "a"}, Owner{ID: "b"}, Owner{ID: "c"}
-	g := NewGrantor(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}, simTiming, time.Hour, time.Hour, NoPriorGrants)
-	g.Commit(g.PlanStandbys(nil, func(Slice) Owner { return b }), time.Hour)
-	next := g.Plan([]Change{{Slice: 1, To: c}})
+	g := NewGrantor(firstEpoch(Record{Service: "s", Epoch: 1, Slices: EvenSlices(2, []Owner{a})}), simTiming, time.Hour, time.Hour)
+	g.Commit(g.PlanStandbys(time.Hour, nil, func(Slice) Owner { return b }), time.Hour)
+	next := g.Plan(time.Hour, []Change{{Slice: 1, To: c}})
 	require.True(t, g.MoveToStandby(0))
 	require.False(t, g.MoveToStandby(1), "the write may take effect, and does not name the standby")
 	g.Commit(next, time.Hour)
@@ -454,9 +454,9 @@
 	a, b := Owner{ID: "a"}, Owner{ID: "b"}
 	r := Record{Service: "s", Epoch: 4, Slices: []Slice{{From: 0, To: keySpace - 1, Owner: a, Standby: b}}}
 	last := NewRouting(r, 9, func(int) SliceState { return Served })
-	next := r.Succeed(last)
+	next := r.Succeed(last, PredecessorMayGrant)
 	next.Epoch = 5
-	g := NewGrantor(next, simTiming, time.Hour, time.Hour, PriorGrantsUnknown)
+	g := NewGrantor(next, simTiming, time.Hour, time.Hour)
 	g.PresumeServed(last, time.Hour+time.Second)
 	require.Equal(t, Served, g.State(0, time.Hour), "the owner still has its grant")
 	g.MarkConfirmed(a)
@@ -469,7 +469,7 @@
 	require.Len(t, grant, 1)
 	require.Equal(t, a, grant[0].Target)
 	moved := NewRouting(Record{Service: "s", Epoch: 4, Slices: []Slice{{From: 0, To: keySpace - 1, Owner: b}}}, 10, func(int) SliceState { return Served })
-	require.Equal(t, b, r.Succeed(moved).Slices[0].Owner, "the predecessor has published the move")
+	require.Equal(t, b, r.Succeed(moved, PredecessorMayGrant).Slices[0].Owner, "the predecessor has published the move")
 	r.Resigned = true
-	require.Equal(t, r.Slices, r.Succeed(nil).Slices, "its record is exact")
+	require.Equal(t, r.Slices, r.Succeed(nil, PredecessorMayGrant).Slices, "its record is exact")
 }
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -14,8 +14,11 @@
 //  2. A grantor sends orders only for Authority after it sent the last request in which the store
 //     confirmed its epoch.
 //  3. A successor first grants every range to its owner in the record, with its own, higher fence. From
-//     then on the owner rejects the predecessor, and no key has moved. An owner that the successor
-//     cannot reach keeps its keys until Authority and a hold have passed since the successor's write.
+//     then on the owner rejects all earlier grantors, and no key has moved. An owner that the successor
+//     cannot reach keeps its keys until no grant of an earlier epoch may arrive any more and a hold has
+//     passed after that. Several grantors may follow each other within one Authority, so every write of
+//     the record states for how long grants of any earlier epoch may still arrive. A successor takes the
+//     later of that and of what the writer itself may have sent, and states it before it grants anything.
 //  4. Keys are taken from an owner when the process at its address acknowledges a release, whose fence
 //     is higher than all that were sent before, or when every grant that may have reached the owner
 //     has expired. An unanswered grant may still arrive until its connection is reset.
@@ -92,15 +95,21 @@
 	Incarnation uint64
 	// Resigned says that the grantor had stopped sending orders before it wrote this record.
 	Resigned bool
+	// Earlier bounds the grants of all earlier epochs, from the write of this record. Those of Epoch are not included.
+	Earlier Arrival
 	// Slices cover the key space in order and without gaps.
 	Slices []Slice
 }
 
-// Succeed returns the record as the next grantor must take it over: the predecessor may have moved each slice that
-// has a standby, unless it has resigned. last is the last version that the predecessor published, as far as it is known
-// here, or nil; it only decides which of the two is tried first.
-func (r Record) Succeed(last *Routing) Record {
+// Succeed returns the record as the next grantor must take it over and write it: the predecessor may have moved each slice that
+// has a standby, unless it has resigned, and grants of its epoch and of those before may still arrive. last is the last version
+// that the predecessor published, as far as it is known here, or nil; it only decides which of the two is tried first.
+func (r Record) Succeed(last *Routing, p Predecessor) Record {
 	out := r
+	if r.Resigned {
+		p = PredecessorEnded
+	}
+	out.Earlier = r.Earlier.or(p.lastArrival())
 	out.Slices = slices.Clone(r.Slices)
 	for i := range out.Slices {
 		s := &out.Slices[i]
--- a/internal/lease/simulation_test.go
+++ b/internal/lease/simulation_test.go
@@ -71,6 +71,10 @@
 	writePending bool
 	// answerLost says that the answer to the last write was lost.
 	answerLost bool
+	// stopNextWrite is for how long the process is stopped between the check of its next grant and the write, if it is not 0.
+	// unwritten are the grants that passed their check before such a stop.
+	stopNextWrite time.Duration
+	unwritten     []Order
 	// processes counts the restarts of the VM.
 	processes int
 	// queues hold the grants for each target that wait to be sent; stalledUntil is when that wait ends.
@@ -135,6 +139,12 @@
 	return sim
 }
 
+// firstEpoch returns the record of a service for which no grant was ever sent before.
+func firstEpoch(r Record) Record {
+	r.Earlier = NoArrival
+	return r
+}
+
 func targetID(i int) string { return fmt.Sprintf("t%d", i) }
 
 // listedOwner returns the listed incarnation of a target.
@@ -158,8 +168,13 @@
 		return
 	}
 	fresh := sim.version == 0
-	next := sim.succeed(sim.record)
+	predecessor, holder := PredecessorMayGrant, int(sim.record.Incarnation%simVMs)
+	if sim.record.Incarnation != sim.incarnation(holder) {
+		predecessor = PredecessorEnded
+	}
+	next := sim.succeed(sim.record, predecessor)
 	if fresh {
+		next.Earlier = NoArrival
 		owners := make([]Owner, simTargets)
 		for i := range owners {
 			owners[i] = sim.listedOwner(i)
@@ -168,22 +183,14 @@
 	}
 	next.Slices = append([]Slice(nil), next.Slices...)
 	next.Epoch++
-	prior := PriorGrantsUnknown
-	holder := int(next.Incarnation % simVMs)
 	next.Resigned = false
-	switch {
-	case fresh:
-		prior = NoPriorGrants
-	case next.Incarnation != sim.incarnation(holder):
-		prior = PriorGrantsEnded
-	}
 	next.Incarnation = sim.incarnation(vm)
 	sim.record = next
 	sim.version++
-	sim.logf("vm%d takes over with epoch %d, prior grants %d", vm, next.Epoch, prior)
+	sim.logf("vm%d takes over with epoch %d, earlier grants may arrive for %.2f s", vm, next.Epoch, next.Earlier.Within().Seconds())
 	v := &sim.vms[vm]
 	v.queues = [simTargets][]Order{}
-	v.grantor = NewGrantor(next, simTiming, sim.now, sim.now, prior)
+	v.grantor = NewGrantor(next, simTiming, sim.now, sim.now)
 	v.version = sim.version
 	v.results = nil
 	v.writePending, v.answerLost = false, false
@@ -191,7 +198,7 @@
 }
 
 // succeed returns the record as a successor takes it over. It may or may not know what the predecessor published last.
-func (sim *simulation) succeed(r Record) Record {
+func (sim *simulation) succeed(r Record, p Predecessor) Record {
 	if sim.ignoreStandbys {
 		r.Resigned = true
 	}
@@ -199,7 +206,7 @@
 	if g := sim.vms[sim.draw(0, simVMs-1, "VM whose leases are known")].grantor; g != nil && g.Record().Epoch == r.Epoch {
 		last = NewRouting(g.Record(), 1, func(i int) SliceState { return g.State(i, sim.now) })
 	}
-	return r.Succeed(last)
+	return r.Succeed(last, p)
 }
 
 // incarnation identifies the current process of a VM.
@@ -210,17 +217,54 @@
 	v := &sim.vms[vm]
 	v.processes++
 	v.grantor, v.results, v.suspendedUntil = nil, nil, 0
-	v.queues = [simTargets][]Order{}
+	v.queues, v.unwritten, v.stopNextWrite = [simTargets][]Order{}, nil, 0
 	sim.heldInCut = slices.DeleteFunc(sim.heldInCut, func(m message) bool { return m.vm == vm })
 	sim.logf("vm%d restarts its process", vm)
 }
 
+// resign has a grantor stop its orders and write its resignation, which may not be accepted.
+func (sim *simulation) resign(vm int) {
+	v := &sim.vms[vm]
+	if v.grantor == nil || sim.now < v.suspendedUntil || v.writePending || v.answerLost || !sim.reachesStore(vm) {
+		return
+	}
+	next := v.grantor.Plan(sim.now, nil)
+	next.Resigned = true
+	planned := v.version
+	v.grantor, v.queues = nil, [simTargets][]Order{}
+	sim.logf("vm%d resigns", vm)
+	sim.schedule(sim.draw(0, 5, "transit time of a write"), func() {
+		if sim.reachesStore(vm) && planned == sim.version {
+			sim.record = next
+			sim.version++
+		}
+	})
+}
+
+// stopBeforeWrite stops the process of a VM after the check of its next grant, before the write.
+func (sim *simulation) stopBeforeWrite(vm int, span time.Duration) { sim.vms[vm].stopNextWrite = span }
+
+// stopsBeforeWrite reports whether the process of a VM is stopped now, between the check of a grant and its write. The stop ends
+// within the authority: the design does not cover one that ends later.
+func (sim *simulation) stopsBeforeWrite(vm int) bool {
+	v := &sim.vms[vm]
+	if v.stopNextWrite > 0 && sim.now >= v.suspendedUntil {
+		sim.suspend(vm, min(v.stopNextWrite, v.grantor.ConfirmedAt()+Authority-sim.now-simStep))
+		v.stopNextWrite = 0
+	}
+	return sim.now < v.suspendedUntil
+}
+
 // stepVM runs what a grantor does in one step.
 func (sim *simulation) stepVM(vm int) {
 	v := &sim.vms[vm]
 	if sim.now < v.suspendedUntil || v.grantor == nil {
 		return
 	}
+	for _, o := range v.unwritten {
+		sim.send(vm, o)
+	}
+	v.unwritten = nil
 	results := v.results
 	v.results = nil
 	for _, result := range results {
@@ -253,6 +297,10 @@
 		}
 		for _, o := range v.queues[i] {
 			if v.grantor.MayOrder(sim.now) {
+				if sim.stopsBeforeWrite(vm) {
+					v.unwritten = append(v.unwritten, o)
+					continue
+				}
 				sim.send(vm, o)
 				continue
 			}
@@ -278,7 +326,11 @@
 	v := &sim.vms[vm]
 	for _, o := range v.grantor.Unconfirmed() {
 		i := indexOf(o)
-		if sim.now < v.targetCutUntil[i] || !sim.targets[i].up || !sim.reachesStore(vm) {
+		if sim.now < v.targetCutUntil[i] || !sim.targets[i].up {
+			v.grantor.MarkUnconnected(o, sim.now, sim.now)
+			continue
+		}
+		if !sim.reachesStore(vm) {
 			continue
 		}
 		v.conns[i] = sim.targets[i].born
@@ -458,7 +510,7 @@
 	if !v.answerLost {
 		changes = []Change{{Slice: slice, To: sim.listedOwner(target)}}
 	}
-	next := v.grantor.PlanStandbys(changes, func(s Slice) Owner {
+	next := v.grantor.PlanStandbys(sim.now, changes, func(s Slice) Owner {
 		if sim.draw(0, 3, "standby") > 0 {
 			return s.Standby
 		}
--- a/internal/lease/stored.go
+++ b/internal/lease/stored.go
@@ -14,7 +14,9 @@
 	HolderAddr  string
 	Incarnation uint64
 	Resigned    bool `json:",omitempty"`
-	Owners      []Owner
+	// EarlierMs is Record.Earlier in milliseconds. Programs that do not know it leave it out, which is not the same as 0.
+	EarlierMs *int64 `json:",omitempty"`
+	Owners    []Owner
 	// From holds the first key of each slice, Owner the index of the owner of each slice in Owners.
 	From  []uint16
 	Owner []int
@@ -29,7 +31,8 @@
 	var owners interner[Owner]
 	out := storedRecord{
 		Service: r.Service, Epoch: r.Epoch, Holder: r.Holder, HolderAddr: r.HolderAddr, Incarnation: r.Incarnation, Resigned: r.Resigned,
-		From: make([]uint16, len(r.Slices)), Owner: make([]int, len(r.Slices)), Previous: make(map[int]int), Standby: make(map[int]int),
+		EarlierMs: r.Earlier.milliseconds(),
+		From:      make([]uint16, len(r.Slices)), Owner: make([]int, len(r.Slices)), Previous: make(map[int]int), Standby: make(map[int]int),
 	}
 	for i, s := range r.Slices {
 		out.From[i], out.Owner[i] = s.From, owners.index(s.Owner)
@@ -55,7 +58,8 @@
 	}
 	out := Record{
 		Service: in.Service, Epoch: in.Epoch, Holder: in.Holder, HolderAddr: in.HolderAddr, Incarnation: in.Incarnation, Resigned: in.Resigned,
-		Slices: make([]Slice, len(in.From)),
+		Earlier: arrivalOf(in.EarlierMs),
+		Slices:  make([]Slice, len(in.From)),
 	}
 	for i := range out.Slices {
 		to := keySpace - 1
--- a/internal/lease/stored_test.go
+++ b/internal/lease/stored_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -16,7 +17,9 @@
 		}
 		r := Record{
 			Service: "s", Epoch: rapid.Uint64().Draw(t, "epoch"), Holder: "vm", HolderAddr: "10.0.0.2:1", Incarnation: 7,
-			Resigned: rapid.Bool().Draw(t, "resigned"), Slices: EvenSlices(rapid.IntRange(1, 60).Draw(t, "slices"), []Owner{{ID: "x"}}),
+			Resigned: rapid.Bool().Draw(t, "resigned"),
+			Earlier:  rapid.SampledFrom([]Arrival{{}, NoArrival, ArrivalWithin(time.Millisecond), ArrivalWithin(longestArrival)}).Draw(t, "earlier"),
+			Slices:   EvenSlices(rapid.IntRange(1, 60).Draw(t, "slices"), []Owner{{ID: "x"}}),
 		}
 		for i := range r.Slices {
 			r.Slices[i].Owner = draw("owner")
@@ -33,6 +36,23 @@
 	})
 }
 
+// Guards against a successor that does not wait because the record is of a program that does not state the wait, or states nonsense.
+func TestRecordWithoutAStatedWaitMeansTheLongest(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		`{}`: longestArrival, `{"EarlierMs":null}`: longestArrival, `{"EarlierMs":-1}`: longestArrival, `{"EarlierMs":9223372036854775807}`: longestArrival,
+		`{"EarlierMs":0}`: 0, `{"EarlierMs":2500}`: 2500 * time.Millisecond,
+	} {
+		var r Record
+		require.NoError(t, json.Unmarshal([]byte(text), &r))
+		require.Equal(t, want, r.Earlier.Within(), text)
+	}
+	spec, err := json.Marshal(Record{Earlier: ArrivalWithin(time.Millisecond + time.Nanosecond)})
+	require.NoError(t, err)
+	var r Record
+	require.NoError(t, json.Unmarshal(spec, &r))
+	require.Equal(t, 2*time.Millisecond, r.Earlier.Within(), "rounded up")
+}
+
 // Guards against large records: with 114 targets and 800 slices the record had 160 kB. Ten writes a second
 // saturated a link of 10 Mbit/s, which delayed every grant and renewal.
 func TestLargeRecordIsUnder16KB(t *testing.T) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -252,22 +252,6 @@
 	return heard, len(m.remotes)
 }
 
-// Replaced reports whether a process of a VM is known to have ended, because a later incarnation
-// runs at the same address.
-func (m *Mesh) Replaced(vm, addr string, incarnation uint64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.self
-	if vm != m.self.VM {
-		r := m.remotes[vm]
-		if r == nil {
-			return false
-		}
-		now = r.member
-	}
-	return now.Addr == addr && now.Incarnation > incarnation
-}
-
 // liveLocked reports whether a heartbeat arrived within the failure timeout. The caller holds
 // m.mu.
 //
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -86,10 +86,6 @@
 	require.False(t, m.IsLive("b", 1))
 	require.True(t, m.IsLive("b", 2))
 	require.Empty(t, m.Loads())
-	require.True(t, m.Replaced("b", b.Addr, 1))
-	require.False(t, m.Replaced("b", "127.0.0.2:1", 1), "a process at another address may still run")
-	require.False(t, m.Replaced("c", b.Addr, 1))
-	require.True(t, m.Replaced("a", "127.0.0.1:1", 6), "the last incarnation of this VM")
 }
 
 // Guards against a VM that is ignored after its wall clock stepped back, which makes its new
