gateway: a target's 408 or 429 for a request that has run is not passed on

Cause: the gateway asked whether a status promises that only for answers of 500 and more. Below that, the answer of a target that has run the request was passed on, whatever its status.

Package relay decides for every status, kind of request and program (those that tell by the status, and those that tell by Hq-Ran) whether an answer is passed on, is the target's failure, says that it has not run, or is withheld: the caller then gets 502 without the target's headers. The gateway asks it for its own callers, for what another VM has sent, and for the counts of a target at that VM; the entry asks it too. Answers to idempotent requests stay as they are. The counters answers.withheld.STATUS and "decidedOn" in the line of the request tell this case from others.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"hemlockquay/internal/answers"
 	"hemlockquay/internal/caller"
+	"hemlockquay/internal/decide/relay"
 	"hemlockquay/internal/decide/rendezvous"
 	"hemlockquay/internal/keyspace"
 	"hemlockquay/internal/peer"
@@ -200,6 +202,10 @@
 		f.broken.Broken(m.VM, err)
 		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, err.Error())
 	}
+	// An answer that says that the request has not run is a problem.
+	if v := relay.Of(relay.ByHeader, relay.Answer{Status: answer.Status, Idempotent: req.wireRequest.Idempotent}); v != relay.PassOn {
+		return nil, problem.Lost(problem.AnswerLost, "forward", m.VM, fmt.Sprintf("an answer with status %d: %s", answer.Status, v))
+	}
 	return answer, nil
 }
 
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -318,6 +318,22 @@
 	}
 }
 
+// Guards against an answer with a status that suggests that the request has not run, and no header that says that it has.
+func TestAnswerOfATargetSaysThatTheRequestHasRun(t *testing.T) {
+	l := startTestEntry(t, nil)
+	for status := 200; status <= 599; status++ {
+		l.dispatch.answer = func(r *wire.Request) wire.Answer {
+			a := wholeAnswer(r, status, "")
+			a.Header = http.Header{problem.Header: {string(problem.RanNo)}}
+			return a
+		}
+		r := l.send("GET", "/s/booth/a")
+		l.forwarded()
+		require.Equal(t, status, r.StatusCode)
+		require.Equal(t, []string{string(problem.RanYes)}, r.Header[problem.Header])
+	}
+}
+
 // Guards against a broken answer of a target that a dispatcher, which runs an earlier version, passes on.
 func TestBrokenAnswerOfADispatcherIsUnknown(t *testing.T) {
 	l := startTestEntry(t, nil)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"hemlockquay/internal/caller"
+	"hemlockquay/internal/decide/relay"
 	"hemlockquay/internal/upstream"
 )
 
@@ -278,19 +280,26 @@
 	if err != nil {
 		return g.handleLostResponse(ctx, c, a)
 	}
-	if g.headers.saysNotRun(resp) {
+	verdict := g.verdictOn(resp, c.route.Idempotent)
+	if verdict == relay.NotRun {
 		return g.handleNotRun(c, a, resp)
 	}
 	c.delivered++
 	c.possibleRuns++
-	if resp.Status < http.StatusInternalServerError {
+	c.failedResponse = nil
+	switch verdict {
+	case relay.PassOn:
 		g.state.finish(a, resultSucceeded)
 		g.state.clearCrashes(c.digest)
 		return &outcome{response: resp, status: resp.Status, reason: reasonAnswered}
+	case relay.Failed:
+		c.failedResponse = resp
+	case relay.Withhold:
+		c.decidedOn = fmt.Sprintf("%s answered %d, which promises that the request has not run", a.id, resp.Status)
+		metrics.GetOrRegisterCounter("answers.withheld."+strconv.Itoa(resp.Status), g.registry).Inc(1)
 	}
 	g.state.finish(a, resultFailed)
 	c.tried[a.id] = true
-	c.failedResponse = resp
 	c.lastFailure = causeFailed
 	if !c.route.Idempotent || resp.Status == http.StatusGatewayTimeout {
 		out := c.giveUp("target failed", 0)
@@ -299,6 +308,11 @@
 	return nil
 }
 
+// verdictOn returns what becomes of the answer of a target.
+func (g *Gateway) verdictOn(resp *upstream.Answer, idempotent bool) relay.Verdict {
+	return relay.Of(relay.ByStatus, relay.Answer{Status: resp.Status, SaysNotRun: g.headers.saysNotRun(resp), Idempotent: idempotent})
+}
+
 // handleLostResponse handles a response that was lost. The request may have run.
 func (g *Gateway) handleLostResponse(ctx context.Context, c *call, a *attempt) *outcome {
 	c.delivered++
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,8 +55,8 @@
 	// misdirectedBy is the version of the leases that was used.
 	lastFailure   repeatCause
 	misdirectedBy mesh.LeaseVersion
-	// failedResponse is the last response with a server error. The caller gets it if no later
-	// attempt succeeds.
+	// failedResponse is the response of the last target that ran the request and failed, unless it must be withheld. The caller
+	// gets it if no later attempt succeeds.
 	failedResponse *upstream.Answer
 	// answers are the responses to the request, whose memory is released at its end.
 	answers []*upstream.Answer
@@ -166,26 +166,17 @@
 	switch {
 	case c.possibleRuns == 0:
 		return outcome{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
-	case c.failedResponse != nil && !impliesNotRun(c.failedResponse.Status):
+	case c.failedResponse != nil:
 		return outcome{response: c.failedResponse, status: c.failedResponse.Status, reason: reason}
 	}
 	return outcome{status: http.StatusBadGateway, reason: reason}
 }
 
-// impliesNotRun reports whether callers conclude from the status that the request has not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 func (c *call) timedOut() outcome {
 	if c.possibleRuns == 0 {
 		return outcome{status: http.StatusServiceUnavailable, reason: "time over before it was sent", retryAfter: minRetryAfter}
 	}
-	if c.failedResponse != nil && !impliesNotRun(c.failedResponse.Status) {
+	if c.failedResponse != nil {
 		return outcome{response: c.failedResponse, status: c.failedResponse.Status, reason: "time over"}
 	}
 	return outcome{status: http.StatusGatewayTimeout, reason: "time over"}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 
 	"hemlockquay/internal/caller"
 	"hemlockquay/internal/decide/loadreport"
+	"hemlockquay/internal/decide/relay"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/route"
 	"hemlockquay/internal/upstream"
@@ -40,6 +41,8 @@
 	Keyed    bool          `msgpack:"k"`
 	Key      uint16        `msgpack:"y"`
 	Digest   uint64        `msgpack:"g"`
+	// Idempotent reports whether the request may run more than once. VMs of earlier versions leave it out.
+	Idempotent bool `msgpack:"j,omitempty"`
 	// MisdirectedBy is the version of the leases by which the request was misdirected before.
 	MisdirectedBy mesh.LeaseVersion `msgpack:"m"`
 	// Tried are the targets that must not get the request again.
@@ -161,7 +164,7 @@
 		out.Result = lostByPeer
 		return
 	}
-	g.finishForwarded(c, a, resp)
+	g.finishForwarded(c, a, resp, in.Idempotent)
 	out.Result, out.Status, out.Header, out.Body = answeredToPeer, resp.Status, resp.Header, resp.Body
 }
 
@@ -210,7 +213,7 @@
 }
 
 // finishForwarded updates the state of the target that responded to a forwarded request.
-func (g *Gateway) finishForwarded(c *call, a *attempt, resp *upstream.Answer) {
+func (g *Gateway) finishForwarded(c *call, a *attempt, resp *upstream.Answer, idempotent bool) {
 	if g.headers.fromOtherTarget(resp, a.id) {
 		g.state.markDisplaced(a)
 	}
@@ -218,7 +221,7 @@
 	case resp.Status == http.StatusMisdirectedRequest && c.keyed:
 		g.state.finish(a, resultAbandoned)
 		g.state.recordMisdirected(c.service)
-	case g.headers.saysNotRun(resp), resp.Status >= http.StatusInternalServerError:
+	case g.verdictOn(resp, idempotent) != relay.PassOn:
 		g.state.finish(a, resultFailed)
 	default:
 		g.state.finish(a, resultSucceeded)
--- a/internal/gateway/peerattempt.go
+++ b/internal/gateway/peerattempt.go
@@ -174,7 +174,7 @@
 	return &ForwardArgs{
 		ForwardID: ForwardID{VM: g.self.VM, Incarnation: g.self.Incarnation, Number: g.forwardCount.Add(1)},
 		Service:   c.service, Route: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective, Regions: c.route.Regions, TimeLeft: timeLeft,
-		Keyed: c.keyed, Key: c.key, Digest: c.digest, MisdirectedBy: c.misdirectedBy, Tried: append(slices.Collect(maps.Keys(c.tried)), g.state.restingTargets(c.service)...),
+		Keyed: c.keyed, Key: c.key, Digest: c.digest, Idempotent: c.route.Idempotent, MisdirectedBy: c.misdirectedBy, Tried: append(slices.Collect(maps.Keys(c.tried)), g.state.restingTargets(c.service)...),
 		Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: c.request.Header.Clone(), Body: c.request.Body, ID: c.id,
 	}
 }
