dispatch: a request that may have run is not answered 503 with Retry-After

Callers saw: an idempotent request whose first answer was lost, and which then found no slot, a full queue or a dispatcher that is stopping, got 503 with Retry-After. Hq-Ran said "unknown", but a client or proxy that goes by the status takes it for "not run" and sends it again at once.

Cause: the end of a job that may have run changed only Hq-Ran in the refusal. Now it is "answer-lost" (502), or "deadline" (504), without Retry-After.

Evidence: the check of all answers in the histories of TestGuaranteesOverAnyHistory failed before: "may have run, and its caller is told 503 and to come back after 1s".

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -113,9 +113,7 @@
 // that it is unknown whether the request ran.
 func (j *job) fail(p *problem.Error) {
 	if j.mayHaveRun() {
-		lost := *p
-		lost.Ran = problem.RanUnknown
-		j.failUnknown(&lost)
+		j.failUnknown(p.AsLost())
 		return
 	}
 	if j.state.Fire(eventRefuse) == nil {
--- a/internal/dispatch/testbed_test.go
+++ b/internal/dispatch/testbed_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -311,6 +312,9 @@
 	}
 	y.kinds[a.Problem.Kind]++
 	if a.Problem.Ran == problem.RanUnknown {
+		if status := a.Problem.Status(); status != http.StatusBadGateway && status != http.StatusGatewayTimeout || a.Problem.RetryAfter > 0 {
+			b.t.Errorf("%s may have run, and its caller is told %d and to come back after %v", id, status, a.Problem.RetryAfter)
+		}
 		y.unknown++
 		return
 	}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -106,6 +106,16 @@
 	return &Error{Kind: kind, Step: step, Peer: peer, Ran: RanUnknown, Detail: detail}
 }
 
+// AsLost returns the error as that of a request that may have run: its status promises nothing, and its caller is not asked to come
+// back.
+func (e *Error) AsLost() *Error {
+	kind := AnswerLost
+	if e.Kind == Deadline {
+		kind = Deadline
+	}
+	return Lost(kind, e.Step, e.Peer, e.Detail)
+}
+
 // WithRetryAfter sets RetryAfter and returns e.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	e.RetryAfter = d
