leasing: the authority for an order is checked when its connection is open

Callers could see: keys granted twice. A grantor that is stopped between the check of its authority and the write of an order, while it encodes the order, takes a connection or dials, sends it as it continues, however long the stop was.

The check before the send remains, as it saves a dial; the one that counts is made right before the first byte is written. A grant that is not sent is reported as not reached.

Evidence: TestOrderIsNotSentAfterAStopThatOutlastsTheAuthority got "done" for a grant after a stop of 12 s before.

--- a/internal/gateway/leasing/orders.go
+++ b/internal/gateway/leasing/orders.go
@@ -96,11 +96,12 @@
 // sendOrder sends one order, reports its result to the leader and returns it.
 //
 // This VM may be suspended between the decision and the send, and be succeeded meanwhile. The deadline
-// of its authority is therefore checked right before the send, on a clock that counts suspended time.
+// of its authority is therefore checked right before the first byte is written, once a connection is open, on a clock
+// that counts suspended time.
 func (l *leader) sendOrder(ctx context.Context, sender *orderSender, o lease.Order, conn upstream.ConnPolicy, timeout time.Duration) lease.Result {
 	sent := l.Clock.Now()
 	result, handover, err := lease.Unreached, "", errAuthorityExpired
-	if int64(sent) < l.orderDeadline.Load() {
+	if l.maySend() {
 		result, handover, err = l.exchange(ctx, sender, o, conn, timeout)
 	}
 	ended := l.Clock.Now()
@@ -114,6 +115,9 @@
 	return result
 }
 
+// maySend reports whether this VM may send orders now.
+func (l *leader) maySend() bool { return int64(l.Clock.Now()) < l.orderDeadline.Load() }
+
 var errAuthorityExpired = errors.New("the authority to send orders has expired")
 
 func (l *leader) exchange(ctx context.Context, sender *orderSender, o lease.Order, conn upstream.ConnPolicy, timeout time.Duration) (lease.Result, string, error) {
@@ -123,8 +127,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	request.MaySend = l.maySend
 	answer, err := sender.pool.Exchange(ctx, request, conn)
 	switch {
+	case errors.Is(err, upstream.ErrWithheld):
+		return lease.Unreached, "", errors.Join(errAuthorityExpired, err)
 	case errors.Is(err, upstream.ErrNotSent):
 		return lease.Unreached, "", err
 	case err != nil:
