leasing: keys of a removed record are assigned once all grants have expired

Callers could see: two targets hold the same keys. When the record of a service is removed under a live grantor, the next candidate took the service for a new one: it assigned the keys afresh, waited for nothing, and began at epoch 1, whose fences the targets refuse.

A candidate that knows of a grantor now waits until every grant that the store still confirmed must have expired, and goes on with the next epoch. A grantor without its record ends with its authority. A record that appears meanwhile, or a list that was read late, is no case: the write creates the record only if there is none.

A VM that starts while the record is missing and no other VM is known still takes the service for a new one.

--- a/internal/gateway/leasing/candidate.go
+++ b/internal/gateway/leasing/candidate.go
@@ -84,6 +84,8 @@
 	targetsRevision  uint64
 	targetsChangedAt time.Duration
 	targetsSeenAt    time.Duration
+	// recordMissingSince is since when the store has had no record although a grantor is known, or 0.
+	recordMissingSince time.Duration
 }
 
 // run takes over whenever it is this VM's turn, until the context ends.
@@ -243,11 +245,15 @@
 	var next lease.Record
 	if unclaimed {
 		owners := c.initialOwners()
-		if owners == nil {
+		if owners == nil || !c.mayClaim() {
 			return nil
 		}
+		if last := c.Leases.Get(c.service); last != nil {
+			old.Epoch = last.Epoch
+		}
 		next = lease.Record{Service: c.service, Earlier: lease.NoArrival, Slices: lease.EvenSlices(c.Spread.initialSlices(len(owners)), owners)}
 	} else {
+		c.recordMissingSince = 0
 		if c.hasLiveGrantor(old) || !c.storeStable(old) {
 			return nil
 		}
@@ -271,6 +277,20 @@
 	return nil
 }
 
+// mayClaim reports whether this VM may grant the keys of a service without a record. If a grantor is known, the record was removed, and
+// which targets it has granted keys is not known: all its grants must have expired first.
+func (c *candidate) mayClaim() bool {
+	if last := c.Leases.Get(c.service); last == nil || last.Epoch == 0 {
+		return true
+	}
+	now := c.Clock.Now()
+	if c.recordMissingSince == 0 {
+		c.recordMissingSince = now
+		c.Log.Error().Str("step", "leases").Str("service", c.service).Msg("the record of a service with a grantor is missing in the store: its keys are assigned again once all grants have expired")
+	}
+	return now >= lease.AllGrantsExpiredAt(c.recordMissingSince, min(lease.HoldTime, c.MaxHold))
+}
+
 // presumeServed treats the owners that the predecessor granted last as serving their keys until its
 // grants expire. The grants are dated by the predecessor's last heartbeat.
 func (c *candidate) presumeServed(grants *lease.Grantor, old lease.Record) {
--- a/internal/gateway/leasing/candidate_test.go
+++ b/internal/gateway/leasing/candidate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hemlockquay/internal/catalog"
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/mesh"
 	"hemlockquay/internal/platform"
@@ -340,3 +341,53 @@
 		})
 	}
 }
+
+// Guards against keys that get second owners when the record of a live grantor is removed: a successor does not know which targets hold them.
+func TestKeysOfARemovedRecordAreAssignedOnceAllGrantsHaveExpired(t *testing.T) {
+	clock := newManualClock(time.Hour)
+	n := testNode(clock)
+	defer n.mesh.Close()
+	n.TargetDirectory = listedTargets{view: catalog.NewView(nil, catalog.Targets{Revision: 1, List: []catalog.Target{{ID: "t", Service: "s", Born: 1}}}, catalog.Evacuations{})}
+	store := &fakeStore{}
+	store.up.Store(true)
+	n.Store = store
+	n.state.setOwner("s", 7, 1, "other", lease.Served)
+	n.state.leases.Get("s").Holder, n.state.leases.Get("s").Incarnation = "holder", 5
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	c := &candidate{Manager: n.Manager, service: "s"}
+	takenOver := func() bool {
+		require.NoError(t, c.takeOver(ended))
+		return store.record.Spec != nil
+	}
+	require.False(t, takenOver())
+	clock.advance(targetListSettleTime)
+	require.False(t, takenOver())
+	clock.advance(lease.Authority + lease.HoldTime)
+	require.False(t, takenOver(), "the last grant of the grantor may have been in transit")
+	clock.advance(2 * time.Second)
+	require.True(t, takenOver())
+	var r lease.Record
+	require.NoError(t, json.Unmarshal(store.record.Spec, &r))
+	require.EqualValues(t, 8, r.Epoch, "a lower fence would be refused by the targets")
+}
+
+// Guards against a grantor that stays without authority for good, because its record was removed.
+func TestGrantorWithoutARecordEndsWithItsAuthority(t *testing.T) {
+	clock := newManualClock(time.Hour)
+	n := testNode(clock)
+	defer n.mesh.Close()
+	l, store := leadingNode(t, n)
+	store.record = platform.Object{}
+	store.up.Store(true)
+	n.StoreRetryDelay = time.Millisecond
+	read := func() bool {
+		l.readEpoch(t.Context())
+		(<-l.events)()
+		return l.epochEnded
+	}
+	clock.advance(lease.Authority - time.Millisecond)
+	require.False(t, read(), "it may still send orders")
+	clock.advance(time.Millisecond)
+	require.True(t, read())
+}
--- a/internal/gateway/leasing/helpers_test.go
+++ b/internal/gateway/leasing/helpers_test.go
@@ -155,6 +155,9 @@
 	if !s.up.Load() {
 		return platform.Object{}, platform.ErrUnavailable
 	}
+	if s.record.Spec == nil {
+		return platform.Object{}, platform.ErrNotFound
+	}
 	return s.record, nil
 }
 
--- a/internal/gateway/leasing/incarnations.go
+++ b/internal/gateway/leasing/incarnations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"hemlockquay/internal/lease"
 	"hemlockquay/internal/pause"
+	"hemlockquay/internal/platform"
 )
 
 // confirmEpoch has the store confirm the epoch at intervals. While the store does not answer this VM
@@ -48,6 +50,8 @@
 		l.enqueue(ctx, func() {
 			l.readingEpoch = false
 			if err != nil {
+				// Without its record, a grantor whose authority has ended can neither go on nor be confirmed again.
+				l.epochEnded = l.epochEnded || errors.Is(err, platform.ErrNotFound) && !l.grants.MayOrder(l.Clock.Now())
 				return
 			}
 			l.handleEpoch(r, sent)
--- a/internal/lease/arrival.go
+++ b/internal/lease/arrival.go
@@ -53,6 +53,12 @@
 	return ArrivalWithin(time.Duration(*ms) * time.Millisecond)
 }
 
+// AllGrantsExpiredAt returns when the grants of all epochs that the store does not confirm any more have expired, whatever targets they
+// were sent to. hold is the longest hold of a grant.
+func AllGrantsExpiredAt(unconfirmedSince, hold time.Duration) time.Duration {
+	return holdExpiry(unconfirmedSince+longestArrival, hold)
+}
+
 // Predecessor says what a successor knows of the grantor that wrote the record before.
 type Predecessor int
 
