--- a/internal/decide/permit/permit_test.go
+++ b/internal/decide/permit/permit_test.go
@@ -308,3 +308,27 @@
 		}
 	})
 }
+
+// Guards against a bound that holds for one succession only: any number of holders end one after the other, and each one's successor begins
+// while it still grants for a moment.
+func TestHoldersInAChainStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{perSecond: rapid.Float64Range(0, 40).Draw(t, "limit")}
+		overlap := time.Duration(rapid.IntRange(0, 1500).Draw(t, "overlap in ms")) * time.Millisecond
+		for begin := time.Duration(0); begin < 12*time.Second; {
+			holder, first := new(Tenure), rapid.Bool().Draw(t, "first in the order")
+			term := time.Duration(rapid.IntRange(1, 4000).Draw(t, "term in ms")) * time.Millisecond
+			// Two grant at a time at most, so that a term is no shorter than the overlap.
+			term = max(term, overlap)
+			for at := begin; at < begin+term+overlap; at += 5 * time.Millisecond {
+				holder.Hold(first, at)
+				if holder.Take(f.perSecond, false, at).Granted {
+					f.arrivals = append(f.arrivals, at)
+				}
+			}
+			begin += term
+		}
+		slices.Sort(f.arrivals)
+		require.LessOrEqual(t, f.most(), bound(f.perSecond))
+	})
+}
--- a/internal/hostile/departed_entry_test.go
+++ b/internal/hostile/departed_entry_test.go
@@ -42,6 +42,12 @@
 const labRequest = "GET /s/booth/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer token\r\nX-Load-Id: %s\r\n%s"
 
 func newLab(t *testing.T) *lab {
+	t.Helper()
+	return newLabWith(t, func(string) {})
+}
+
+// newLabWith is newLab, with a change of the files of objects before they are applied.
+func newLabWith(t *testing.T, change func(dir string)) *lab {
 	t.Helper()
 	const most = 1000
 	dir := t.TempDir()
@@ -53,6 +59,7 @@
 		Customers: []plan.Customer{{Customer: "c", Token: "token", Services: []model.Allowance{{Service: "booth", Rate: most, Burst: most, Concurrency: most, Class: model.Interactive, Weight: 1}}}},
 	}})
 	require.NoError(t, err)
+	change(filepath.Join(dir, "objects"))
 	l := &lab{t: t, admin: addrs.Admin}
 	startProcess(t, "hq-standin", filepath.Join(dir, "standin.jsonc"), "run").eventually("the stand-ins", func() error {
 		return requireStatus(l.admin[len("http://"):], "/healthz", http.StatusOK)
--- a/internal/standin/link/linktest/reply.go
+++ b/internal/standin/link/linktest/reply.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,6 +57,7 @@
 
 	idHeader string
 	replies  []Reply
+	byPath   bool
 	closed   chan struct{}
 
 	mu sync.Mutex
@@ -72,10 +75,22 @@
 // ServeReplies starts a server whose n-th request gets the n-th reply, and all after the last reply that one. idHeader is the name of
 // the header that carries the ids of requests.
 func ServeReplies(t *testing.T, idHeader string, replies ...Reply) *Server {
+	t.Helper()
+	return serveReplies(t, &Server{idHeader: idHeader, replies: replies})
+}
+
+// ServeRepliesByPath starts a server that gives the n-th reply, counted from 0, to requests whose path ends with /reply-n, and the last reply
+// to all others.
+func ServeRepliesByPath(t *testing.T, idHeader string, replies ...Reply) *Server {
+	t.Helper()
+	return serveReplies(t, &Server{idHeader: idHeader, replies: replies, byPath: true})
+}
+
+func serveReplies(t *testing.T, s *Server) *Server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &Server{Addr: l.Addr().String(), idHeader: idHeader, replies: replies, closed: make(chan struct{}), followed: make(map[int64]bool)}
+	s.Addr, s.closed, s.followed = l.Addr().String(), make(chan struct{}), make(map[int64]bool)
 	t.Cleanup(func() {
 		_ = l.Close()
 		close(s.closed)
@@ -108,7 +123,7 @@
 			s.mu.Unlock()
 		}
 		last = s.Requests.Add(1) - 1
-		reply := s.replies[min(last, int64(len(s.replies)-1))]
+		reply := s.replyTo(request, last)
 		if !reply.Early {
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
@@ -121,6 +136,18 @@
 	}
 }
 
+// replyTo returns the reply to a request, which is the n-th.
+func (s *Server) replyTo(r *http.Request, n int64) Reply {
+	last := int64(len(s.replies) - 1)
+	if s.byPath {
+		n = last
+		if number, ok := strings.CutPrefix(path.Base(r.URL.Path), "reply-"); ok {
+			n, _ = strconv.ParseInt(number, 10, 64)
+		}
+	}
+	return s.replies[min(n, last)]
+}
+
 func (s *Server) end(c *net.TCPConn, reply Reply) {
 	if reply.End >= HalfClose {
 		_ = c.CloseWrite()
